--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that measure the deciding systems and the daemons."""
--- /dev/null
+++ b/bilberrydeal/errors/_codes.py
@@ -0,0 +1,55 @@
+"""Stable codes of failures and of what a refusal says was executed."""
+
+import enum
+
+
+class Executed(enum.StrEnum):
+    """What a refusal says about the execution of its request."""
+
+    #: Proved: no endpoint ran any part of the request.
+    NO = "no"
+    #: The request may have run; repeating it is the caller's decision.
+    UNKNOWN = "unknown"
+
+
+class ErrorCode(enum.StrEnum):
+    """Codes that callers, operators and logs can rely on."""
+
+    INTERNAL = "internal"
+    # Callers' mistakes.
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    BODY_TOO_SLOW = "body_too_slow"
+    UNKNOWN_ROUTE = "unknown_route"
+    UNKNOWN_MODEL = "unknown_model"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    KEY_MISSING = "key_missing"
+    KEY_REJECTED = "key_rejected"
+    KEY_WITHDRAWN = "key_withdrawn"
+    IDEMPOTENCY_MISMATCH = "idempotency_mismatch"
+    IDEMPOTENCY_IN_PROGRESS = "idempotency_in_progress"
+    IDEMPOTENCY_UNKNOWN = "idempotency_unknown"
+    # Limits, load and state of the service.
+    LIMIT_REACHED = "limit_reached"
+    OVERLOADED = "overloaded"
+    DEADLINE_HOPELESS = "deadline_hopeless"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    NO_ENDPOINT = "no_endpoint"
+    ENDPOINT_LEAVING = "endpoint_leaving"
+    ENDPOINT_FAILED = "endpoint_failed"
+    SHUTTING_DOWN = "shutting_down"
+    KEYS_STALE = "keys_stale"
+    CANCELLED = "cancelled"
+    # The platform.
+    STORE_UNAVAILABLE = "store_unavailable"
+    STORE_CONFLICT = "store_conflict"
+    STORE_OUTCOME_UNKNOWN = "store_outcome_unknown"
+    PLATFORM_REFUSED = "platform_refused"
+    # Authority.
+    LEASE_LOST = "lease_lost"
+    FENCED = "fenced"
+    # Operators.
+    REVISION_CONFLICT = "revision_conflict"
+    OPERATOR_KEY_REJECTED = "operator_key_rejected"
+    SETTINGS_INVALID = "settings_invalid"
+    NOT_FOUND = "not_found"
--- /dev/null
+++ b/bilberrydeal/errors/_store.py
@@ -0,0 +1,48 @@
+"""Failures of the platform's table service and object store."""
+
+import typing
+
+import attrs
+
+from . import _base
+from . import _codes
+
+
+@attrs.define(slots=False, eq=False)
+class StoreUnavailable(_base.BilberrydealError):
+    """The call certainly had no effect: it was refused or never sent."""
+
+    code: typing.ClassVar[_codes.ErrorCode] = (
+        _codes.ErrorCode.STORE_UNAVAILABLE
+    )
+
+    #: What was tried.
+    operation: str
+    #: When the store asks to be called again, in seconds.
+    retry_after_s: float | None = None
+
+
+@attrs.define(slots=False, eq=False)
+class OutcomeUnknown(_base.BilberrydealError):
+    """The call may have taken effect; read back to find out."""
+
+    code: typing.ClassVar[_codes.ErrorCode] = (
+        _codes.ErrorCode.STORE_OUTCOME_UNKNOWN
+    )
+
+    #: What was tried.
+    operation: str
+
+
+@attrs.define(slots=False, eq=False)
+class TableConflict(_base.BilberrydealError):
+    """A transaction's check failed; nothing was written."""
+
+    code: typing.ClassVar[_codes.ErrorCode] = _codes.ErrorCode.STORE_CONFLICT
+
+    #: Table of the first check that failed.
+    table: str
+    #: Key of the first check that failed.
+    key: str
+    #: Version found there, 0 for an absent row.
+    found_version: int
--- /dev/null
+++ b/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios with real processes behind a fault-injecting proxy."""
