--- a/bilberrydeal/link/_frames.py
+++ b/bilberrydeal/link/_frames.py
@@ -10,7 +10,7 @@
 from . import _messages
 
 _NUMBERS = {kind: number for number, kind in _messages.KINDS.items()}
-_DECODERS = {
+_DECODERS: dict[int, msgspec.msgpack.Decoder[typing.Any]] = {
     number: msgspec.msgpack.Decoder(kind)
     for number, kind in _messages.KINDS.items()
 }
--- a/bilberrydeal/link/_messages.py
+++ b/bilberrydeal/link/_messages.py
@@ -333,22 +333,22 @@
     order_version: int
 
 
-Message = typing.Union[
-    Submit,
-    Chunk,
-    Finished,
-    Refused,
-    Ack,
-    Resume,
-    Cancel,
-    CancelResult,
-    Query,
-    QueryResult,
-    UsageRecords,
-    Settled,
-    Heartbeat,
-    OrderHint,
-]
+Message: typing.TypeAlias = (
+    Submit
+    | Chunk
+    | Finished
+    | Refused
+    | Ack
+    | Resume
+    | Cancel
+    | CancelResult
+    | Query
+    | QueryResult
+    | UsageRecords
+    | Settled
+    | Heartbeat
+    | OrderHint
+)
 
 #: Message types by their number on the wire; numbers are never reused.
 KINDS: dict[int, type] = {
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,5 @@
+"""Stand-ins of the platform's services."""
+
+from ._memory import MemoryTable
+
+__all__ = ["MemoryTable"]
