--- /dev/null
+++ b/bilberrydeal/systems/admission/_bounded.py
@@ -0,0 +1,34 @@
+"""Only a bound on the requests in flight."""
+
+from ... import errors
+from .. import _entities
+from .. import _tables
+from . import _base
+
+#: Told to come back after, in seconds.
+RETRY_AFTER_S = 1.0
+
+
+@_base.ADMISSION.register("bounded")
+class BoundedAdmission:
+    """Takes in everything up to the bound, whoever sends it."""
+
+    def __init__(self, requests_limit: int) -> None:
+        self.requests_limit = requests_limit
+        self._in_flight = 0
+
+    def admit(
+        self,
+        tables: _tables.Tables,
+        request: _entities.PendingRequest,
+        now_s: float,
+    ) -> _base.Verdict:
+        """Refuse past the bound."""
+        if self._in_flight >= self.requests_limit:
+            return _base.Verdict(errors.ErrorCode.OVERLOADED, RETRY_AFTER_S)
+        self._in_flight += 1
+        return _base.Verdict()
+
+    def release(self, request: _entities.PendingRequest, now_s: float) -> None:
+        """Free the request's place."""
+        self._in_flight -= 1
--- /dev/null
+++ b/bilberrydeal/systems/queueing/_base.py
@@ -0,0 +1,89 @@
+"""What every queue does."""
+
+import collections.abc
+import typing
+
+import attrs
+
+from ... import registry
+
+#: Cost of one prompt token that is computed; the unit of all costs.
+PREFILL_TOKEN_COST = 1.0
+#: Cost of one token generated, in prompt tokens.
+DECODE_TOKEN_COST = 8.0
+
+
+def cost(prompt_tokens: float, output_tokens: float) -> float:
+    """Return the cost of work, in prompt tokens computed."""
+    return (
+        PREFILL_TOKEN_COST * prompt_tokens + DECODE_TOKEN_COST * output_tokens
+    )
+
+
+@attrs.frozen
+class QueuedRequest:
+    """A request that waits at an agent."""
+
+    #: Number of the request as text.
+    key: str
+    #: Organisation for which it runs; empty on an open route.
+    organisation: str
+    #: Weight of the organisation.
+    weight: float
+    #: Lower is served first within the organisation.
+    request_class: int
+    #: When the caller stops waiting, monotonic.
+    deadline_s: float
+    #: Prompt tokens to compute, as estimated.
+    prompt_tokens: float
+    #: Tokens to generate, as expected.
+    output_tokens: float
+    #: Time that the request needs once it has begun, as expected.
+    run_time_s: float = 0.0
+
+    @property
+    def cost(self) -> float:
+        """Return the expected cost, in prompt tokens computed."""
+        return cost(self.prompt_tokens, self.output_tokens)
+
+
+class Queue(typing.Protocol):
+    """Requests that wait; all calls take O(log n).
+
+    Example::
+
+        queue = QUEUES.get("weighted_fair")()
+        queue.push(item, now_s)
+        for late in queue.expired(now_s):
+            ...  # refuse as not run
+        item = queue.pop(now_s)
+        ...
+        queue.charge(item.organisation, actual - item.cost)
+    """
+
+    def push(self, item: QueuedRequest, now_s: float) -> None:
+        """Add a request; its key must be new."""
+
+    def pop(self, now_s: float) -> QueuedRequest | None:
+        """Remove and return the request to run next, if any waits."""
+
+    def remove(self, key: str) -> QueuedRequest | None:
+        """Remove a request that was cancelled, if it still waits."""
+
+    def expired(self, now_s: float) -> list[QueuedRequest]:
+        """Remove and return requests that can no longer end in time."""
+
+    def charge(self, organisation: str, cost_difference: float) -> None:
+        """Correct an organisation's account after a request has ended.
+
+        ``cost_difference`` is the actual less the expected cost.
+        """
+
+    def __len__(self) -> int:
+        """Return how many requests wait."""
+
+
+#: Queues by the names that settings use.
+QUEUES: registry.Registry[collections.abc.Callable[[], Queue]] = (
+    registry.Registry("queue")
+)
--- /dev/null
+++ b/bilberrydeal/systems/retries/__init__.py
@@ -0,0 +1,15 @@
+"""Whether and when a failed request is tried again."""
+
+from ._base import Attempt
+from ._base import Retrier
+from ._base import RETRIERS
+from ._budgeted import BudgetedRetrier
+from ._never import NeverRetrier
+
+__all__ = [
+    "Attempt",
+    "BudgetedRetrier",
+    "NeverRetrier",
+    "RETRIERS",
+    "Retrier",
+]
--- /dev/null
+++ b/bilberrydeal/systems/routing/__init__.py
@@ -0,0 +1,15 @@
+"""Systems that choose the endpoint of a request."""
+
+from ._base import Router
+from ._base import RouterOptions
+from ._base import ROUTERS
+from ._least_outstanding import LeastOutstanding
+from ._round_robin import RoundRobin
+
+__all__ = [
+    "LeastOutstanding",
+    "ROUTERS",
+    "RoundRobin",
+    "Router",
+    "RouterOptions",
+]
--- /dev/null
+++ b/bilberrydeal/systems/routing/_base.py
@@ -0,0 +1,106 @@
+"""What every router does."""
+
+import collections.abc
+import random
+import typing
+
+import attrs
+
+from ... import registry
+from .. import _entities
+from .. import _tables
+
+
+@attrs.frozen
+class RouterOptions:
+    """What a router needs to know of its process."""
+
+    #: The failure domain that this process is in.
+    failure_domain: str
+    #: Seed of the random choices.
+    seed: int = 0
+    #: Prompt tokens in a block of :attr:`PendingRequest.blocks`.
+    block_tokens: int = 64
+
+
+class Router:
+    """Gives waiting requests an endpoint.
+
+    ``run`` assigns each row of ``PendingRequest`` without an endpoint; one
+    for which no endpoint can be found stays without. The caller removes rows
+    once they are sent, and calls ``finished`` when a request has ended.
+
+    Example::
+
+        router = ROUTERS.get("prefix_bounded")(RouterOptions("domain1"))
+        tables.of(PendingRequest).put(request)
+        router.run(tables, now_s)
+        if not request.endpoint_id:
+            ...  # refuse as not run
+    """
+
+    reads: typing.ClassVar[tuple[type, ...]] = (_entities.EndpointView,)
+    writes: typing.ClassVar[tuple[type, ...]] = (_entities.PendingRequest,)
+
+    def __init__(self, options: RouterOptions) -> None:
+        self.options = options
+        self.random = random.Random(options.seed)
+
+    def run(self, tables: _tables.Tables, now_s: float) -> None:
+        """Assign an endpoint to each request that waits for one."""
+        endpoints = tables.of(_entities.EndpointView)
+        for request in tables.of(_entities.PendingRequest):
+            if not request.endpoint_id:
+                self._assign(endpoints, request, now_s)
+
+    def finished(
+        self,
+        tables: _tables.Tables,
+        request: _entities.PendingRequest,
+        now_s: float,
+    ) -> None:
+        """Note that a request that had an endpoint has ended there."""
+        view = tables.of(_entities.EndpointView).get(request.endpoint_id)
+        if view is not None:
+            view.in_flight = max(0, view.in_flight - 1)
+
+    def choose(
+        self,
+        candidates: list[_entities.EndpointView],
+        request: _entities.PendingRequest,
+        now_s: float,
+    ) -> _entities.EndpointView:
+        """Return one of the candidates, of which there is at least one."""
+        raise NotImplementedError
+
+    def _assign(
+        self,
+        endpoints: _tables.Table[_entities.EndpointView],
+        request: _entities.PendingRequest,
+        now_s: float,
+    ) -> None:
+        candidates = [
+            view
+            for view in endpoints
+            if view.service == request.service
+            and view.available
+            and view.endpoint_id not in request.tried
+        ]
+        if not candidates:
+            return
+        chosen = self.choose(candidates, request, now_s)
+        request.endpoint_id = chosen.endpoint_id
+        chosen.in_flight += 1
+        chosen.sent.append(
+            _entities.SentWork(
+                now_s,
+                request.prompt_tokens - request.cached_tokens,
+                request.output_tokens,
+            )
+        )
+
+
+#: Routers by the names that settings use.
+ROUTERS: registry.Registry[
+    collections.abc.Callable[[RouterOptions], Router]
+] = registry.Registry("router")
