Add fair queueing, exchanged limits and the prefix router

Weighted start-time fair queueing holds shares between organisations; limits are divided by the organisation's home entry; the router weighs locality against backlog.

--- a/bilberrydeal/systems/__init__.py
+++ b/bilberrydeal/systems/__init__.py
@@ -3,6 +3,7 @@
 from ._entities import CircuitState
 from ._entities import EndpointView
 from ._entities import EntryView
+from ._entities import LoadFigures
 from ._entities import OrganisationView
 from ._entities import PendingRequest
 from ._entities import SentWork
@@ -17,6 +18,7 @@
     "EndpointView",
     "Entity",
     "EntryView",
+    "LoadFigures",
     "OrganisationView",
     "PendingRequest",
     "Schedule",
--- a/bilberrydeal/systems/_entities.py
+++ b/bilberrydeal/systems/_entities.py
@@ -35,6 +35,24 @@
     output_tokens: float
 
 
+@attrs.frozen
+class LoadFigures:
+    """Load of an endpoint as it was some time ago."""
+
+    #: When the figures were true, by this process's clock.
+    true_at_s: float
+    #: Requests that ran.
+    running: int
+    #: Requests that waited.
+    waiting: int
+    #: Prompt tokens that waited to be computed.
+    queued_prompt_tokens: float
+    #: Tokens that were still to be generated.
+    queued_output_tokens: float
+    #: Share of the KV memory in use.
+    kv_used_share: float = 0.0
+
+
 @attrs.define
 class EndpointView:
     """One endpoint as this process knows it."""
@@ -55,10 +73,6 @@
     running: int = 0
     #: Requests that waited, by the report.
     waiting: int = 0
-    #: Prompt tokens that waited to be computed, by the report.
-    queued_prompt_tokens: float = 0.0
-    #: Tokens that were still to be generated, by the report.
-    queued_output_tokens: float = 0.0
     #: Share of the KV memory in use, by the report.
     kv_used_share: float = 0.0
     #: Requests that this process has in flight there.
@@ -69,6 +83,12 @@
     decode_tokens_per_s: float = 1_000.0
     #: Work that this process sent since the report, oldest first.
     sent: list[SentWork] = attrs.field(factory=list)
+    #: Time that the work there takes, as estimated at ``backlog_at_s``.
+    backlog_s: float = 0.0
+    #: When the backlog was estimated.
+    backlog_at_s: float = -math.inf
+    #: How much slower it is than its peers, 1 for as fast.
+    slowness: float = 1.0
     #: Whether it gets requests.
     circuit: CircuitState = CircuitState.CLOSED
 
--- a/bilberrydeal/systems/limits/__init__.py
+++ b/bilberrydeal/systems/limits/__init__.py
@@ -3,7 +3,9 @@
 from ._base import Admission
 from ._base import Limiter
 from ._base import LIMITERS
+from ._exchanged import ExchangedLimiter
 from ._local import LocalLimiter
+from ._messages import NeedAsk
 from ._messages import NeedReport
 from ._messages import OrganisationNeed
 from ._messages import OrganisationShare
@@ -12,9 +14,11 @@
 
 __all__ = [
     "Admission",
+    "ExchangedLimiter",
     "LIMITERS",
     "Limiter",
     "LocalLimiter",
+    "NeedAsk",
     "NeedReport",
     "OrganisationNeed",
     "OrganisationShare",
--- a/bilberrydeal/systems/limits/_base.py
+++ b/bilberrydeal/systems/limits/_base.py
@@ -66,6 +66,9 @@
     def receive_grant(self, grant: _messages.ShareGrant, now_s: float) -> None:
         """Take the answer of a home."""
 
+    def receive_ask(self, ask: _messages.NeedAsk, now_s: float) -> None:
+        """Take a home's request for a report."""
+
 
 #: Limiters by the names that settings use; made with the own incarnation.
 LIMITERS: registry.Registry[collections.abc.Callable[[str], Limiter]] = (
--- a/bilberrydeal/systems/limits/_bucket.py
+++ b/bilberrydeal/systems/limits/_bucket.py
@@ -4,10 +4,13 @@
 
 import attrs
 
+#: Longest wait that is told, in seconds.
+WAIT_LIMIT_S = 3_600.0
+
 
 @attrs.define
 class Bucket:
-    """Fills at a rate up to a bound; may be overdrawn by corrections."""
+    """Fills at a rate up to a bound; below zero it is in debt."""
 
     #: What it holds.
     level: float
@@ -23,10 +26,8 @@
             self.level = min(burst, self.level + gained)
         self.at_s = max(self.at_s, now_s)
 
-    def wait_s(self, amount: float, rate_per_s: float) -> float:
-        """Return the time until it holds an amount, in seconds."""
-        if self.level >= amount:
-            return 0.0
+    def wait_s(self, rate_per_s: float) -> float:
+        """Return the time until it is out of debt, in seconds."""
         if rate_per_s <= 0.0:
-            return math.inf
-        return (amount - self.level) / rate_per_s
+            return WAIT_LIMIT_S
+        return min(WAIT_LIMIT_S, -self.level / rate_per_s)
--- /dev/null
+++ b/bilberrydeal/systems/limits/_homes.py
@@ -0,0 +1,17 @@
+"""Which entry divides an organisation's limits."""
+
+import hashlib
+
+
+def home(organisation: str, entries: tuple[str, ...]) -> str:
+    """Return the entry with the highest hash together with a name.
+
+    When an entry joins or leaves, only the organisations move that it gains
+    or loses.
+    """
+    return max(entries, key=lambda entry: _score(organisation, entry))
+
+
+def _score(organisation: str, entry: str) -> bytes:
+    text = f"{organisation}\0{entry}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- a/bilberrydeal/systems/limits/_messages.py
+++ b/bilberrydeal/systems/limits/_messages.py
@@ -15,6 +15,8 @@
     tokens_per_s: float
     #: Requests offered at once here.
     concurrency: float
+    #: Requests at once that the sender may still have or begin here.
+    slots_held: int
 
 
 @attrs.frozen
@@ -39,8 +41,8 @@
     requests_share: float
     #: Share of the tokens a second, 0 to 1.
     tokens_share: float
-    #: Share of the requests at once, 0 to 1.
-    concurrency_share: float
+    #: Requests at once.
+    slots: int
 
 
 @attrs.frozen
@@ -49,12 +51,22 @@
 
     #: Incarnation of the home.
     home: str
-    #: Sequence of the report that is answered.
+    #: Grows with each message of the home.
     sequence: int
     #: Shares of the receiver.
     shares: tuple[OrganisationShare, ...]
 
 
+@attrs.frozen
+class NeedAsk:
+    """A home asks for a report that it has not had."""
+
+    #: Incarnation of the home.
+    home: str
+    #: The organisations that need a report.
+    organisations: tuple[str, ...]
+
+
 @attrs.frozen
 class Outgoing:
     """A message to be sent to a peer entry."""
@@ -62,4 +74,4 @@
     #: Incarnation of the receiver.
     entry: str
     #: The message.
-    message: NeedReport | ShareGrant
+    message: NeedReport | ShareGrant | NeedAsk
--- a/bilberrydeal/systems/queueing/_base.py
+++ b/bilberrydeal/systems/queueing/_base.py
@@ -46,6 +46,11 @@
         """Return the expected cost, in prompt tokens computed."""
         return cost(self.prompt_tokens, self.output_tokens)
 
+    @property
+    def latest_start_s(self) -> float:
+        """Return when it must have begun to end in time, monotonic."""
+        return self.deadline_s - self.run_time_s
+
 
 class Queue(typing.Protocol):
     """Requests that wait; all calls take O(log n).
@@ -53,7 +58,12 @@
     Example::
 
         queue = QUEUES.get("weighted_fair")()
+        excess_s = hopeless_s(queue, item, now_s)
+        if excess_s > 0.0:
+            ...  # refuse as not run, to come back after that time
         queue.push(item, now_s)
+        for shed in queue.overflow(waiting_limit, now_s):
+            ...  # refuse as not run
         for late in queue.expired(now_s):
             ...  # refuse as not run
         item = queue.pop(now_s)
@@ -73,6 +83,12 @@
     def expired(self, now_s: float) -> list[QueuedRequest]:
         """Remove and return requests that can no longer end in time."""
 
+    def overflow(self, limit: int, now_s: float) -> list[QueuedRequest]:
+        """Remove and return requests until no more than a limit wait."""
+
+    def wait_s(self, item: QueuedRequest, now_s: float) -> float:
+        """Return the time a request would wait if it were pushed now."""
+
     def charge(self, organisation: str, cost_difference: float) -> None:
         """Correct an organisation's account after a request has ended.
 
@@ -83,6 +99,16 @@
         """Return how many requests wait."""
 
 
+def hopeless_s(queue: Queue, item: QueuedRequest, now_s: float) -> float:
+    """Return by how much a request would miss its deadline, in seconds.
+
+    Zero says that it can be pushed; a refused caller may come back after the
+    time returned.
+    """
+    wait_s = queue.wait_s(item, now_s)
+    return max(0.0, now_s + wait_s - item.latest_start_s)
+
+
 #: Queues by the names that settings use.
 QUEUES: registry.Registry[collections.abc.Callable[[], Queue]] = (
     registry.Registry("queue")
--- a/bilberrydeal/systems/queueing/_first_come.py
+++ b/bilberrydeal/systems/queueing/_first_come.py
@@ -16,8 +16,7 @@
     def push(self, item: _base.QueuedRequest, now_s: float) -> None:
         """Add a request at the end."""
         self._waiting[item.key] = item
-        latest_start_s = item.deadline_s - item.run_time_s
-        heapq.heappush(self._by_deadline, (latest_start_s, item.key))
+        heapq.heappush(self._by_deadline, (item.latest_start_s, item.key))
 
     def pop(self, now_s: float) -> _base.QueuedRequest | None:
         """Remove and return the request that came first."""
@@ -39,6 +38,17 @@
                 late.append(item)
         return late
 
+    def overflow(self, limit: int, now_s: float) -> list[_base.QueuedRequest]:
+        """Remove and return the newest requests."""
+        shed = []
+        while len(self._waiting) > limit:
+            shed.append(self._waiting.popitem()[1])
+        return shed
+
+    def wait_s(self, item: _base.QueuedRequest, now_s: float) -> float:
+        """Foresee no wait."""
+        return 0.0
+
     def charge(self, organisation: str, cost_difference: float) -> None:
         """Keep no accounts."""
 
--- a/bilberrydeal/systems/routing/_base.py
+++ b/bilberrydeal/systems/routing/_base.py
@@ -9,6 +9,7 @@
 from ... import registry
 from .. import _entities
 from .. import _tables
+from . import _backlog
 
 
 @attrs.frozen
@@ -21,6 +22,8 @@
     seed: int = 0
     #: Prompt tokens in a block of :attr:`PendingRequest.blocks`.
     block_tokens: int = 64
+    #: Blocks that an endpoint's prefix cache likely holds.
+    cache_blocks: int = 4_096
 
 
 class Router:
@@ -64,6 +67,30 @@
         if view is not None:
             view.in_flight = max(0, view.in_flight - 1)
 
+    def reported(
+        self,
+        tables: _tables.Tables,
+        endpoint_id: str,
+        figures: _entities.LoadFigures,
+        now_s: float,
+    ) -> None:
+        """Take an endpoint's load report."""
+        view = tables.of(_entities.EndpointView).get(endpoint_id)
+        if view is not None:
+            _backlog.reported(view, figures, now_s)
+
+    def cache_changed(
+        self,
+        endpoint_id: str,
+        stored: tuple[int, ...],
+        evicted: tuple[int, ...],
+        now_s: float,
+    ) -> None:
+        """Take an endpoint's cache events."""
+
+    def cache_lost(self, endpoint_id: str) -> None:
+        """Note that an endpoint has begun anew with an empty cache."""
+
     def choose(
         self,
         candidates: list[_entities.EndpointView],
@@ -91,12 +118,11 @@
         chosen = self.choose(candidates, request, now_s)
         request.endpoint_id = chosen.endpoint_id
         chosen.in_flight += 1
-        chosen.sent.append(
-            _entities.SentWork(
-                now_s,
-                request.prompt_tokens - request.cached_tokens,
-                request.output_tokens,
-            )
+        _backlog.sent(
+            chosen,
+            request.prompt_tokens - request.cached_tokens,
+            request.output_tokens,
+            now_s,
         )
 
 
