--- a/bilberrydeal/settings/_model.py
+++ b/bilberrydeal/settings/_model.py
@@ -116,6 +116,7 @@
     """Names of the deciding systems, see docs/design."""
 
     routing: Name = "prefix_bounded"
+    admission: Name = "fair_shed"
     queueing: Name = "weighted_fair"
     limits: Name = "exchanged"
     retries: Name = "budgeted"
--- a/bilberrydeal/systems/_entities.py
+++ b/bilberrydeal/systems/_entities.py
@@ -11,6 +11,9 @@
 
 from .. import ports
 
+#: Requests that a process has in flight at an endpoint being tried out.
+HALF_OPEN_REQUESTS = 2
+
 
 class CircuitState(enum.StrEnum):
     """Whether an endpoint gets requests."""
@@ -100,7 +103,12 @@
     @property
     def available(self) -> bool:
         """Whether a request may be routed here."""
-        return self.accepting and self.circuit is not CircuitState.OPEN
+        if not self.accepting or self.circuit is CircuitState.OPEN:
+            return False
+        return (
+            self.circuit is CircuitState.CLOSED
+            or self.in_flight < HALF_OPEN_REQUESTS
+        )
 
 
 @attrs.define
--- a/bilberrydeal/systems/admission/__init__.py
+++ b/bilberrydeal/systems/admission/__init__.py
@@ -4,5 +4,12 @@
 from ._base import AdmissionControl
 from ._base import Verdict
 from ._bounded import BoundedAdmission
+from ._fair_shed import FairShed
 
-__all__ = ["ADMISSION", "AdmissionControl", "BoundedAdmission", "Verdict"]
+__all__ = [
+    "ADMISSION",
+    "AdmissionControl",
+    "BoundedAdmission",
+    "FairShed",
+    "Verdict",
+]
--- a/bilberrydeal/systems/admission/_base.py
+++ b/bilberrydeal/systems/admission/_base.py
@@ -35,8 +35,18 @@
     ) -> Verdict:
         """Take a request in, or say why not and when to come back."""
 
-    def release(self, request: _entities.PendingRequest, now_s: float) -> None:
-        """Note that a request that was taken in has ended."""
+    def release(
+        self,
+        request: _entities.PendingRequest,
+        now_s: float,
+        shed: bool = False,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        """Note that a request that was taken in has ended.
+
+        ``shed`` says that its endpoint refused it for load, and told to
+        come back after ``retry_after_s``.
+        """
 
 
 #: Admission controls by name; made with the bound of requests in flight.
--- a/bilberrydeal/systems/admission/_bounded.py
+++ b/bilberrydeal/systems/admission/_bounded.py
@@ -29,6 +29,12 @@
         self._in_flight += 1
         return _base.Verdict()
 
-    def release(self, request: _entities.PendingRequest, now_s: float) -> None:
+    def release(
+        self,
+        request: _entities.PendingRequest,
+        now_s: float,
+        shed: bool = False,
+        retry_after_s: float = 0.0,
+    ) -> None:
         """Free the request's place."""
         self._in_flight -= 1
--- a/bilberrydeal/systems/health/__init__.py
+++ b/bilberrydeal/systems/health/__init__.py
@@ -3,6 +3,13 @@
 from ._base import HEALTH
 from ._base import HealthSystem
 from ._base import Observation
+from ._never import NeverEject
 from ._outlier import OutlierHealth
 
-__all__ = ["HEALTH", "HealthSystem", "Observation", "OutlierHealth"]
+__all__ = [
+    "HEALTH",
+    "HealthSystem",
+    "NeverEject",
+    "Observation",
+    "OutlierHealth",
+]
