--- a/bilberrydeal/systems/admission/_fair_shed.py
+++ b/bilberrydeal/systems/admission/_fair_shed.py
@@ -26,6 +26,8 @@
 
     #: Requests that were taken in and have not ended.
     in_flight: int = 0
+    #: Weight of the organisation when it became busy.
+    weight: float = 1.0
     #: Requests offered, faded by age.
     offered: float = 0.0
     #: Requests that endpoints did not shed, faded by age.
@@ -47,9 +49,11 @@
     def shed_chance(self) -> float:
         """Return how likely a request is to be shed by the endpoints.
 
-        It is zero while they serve all but a part of what is sent.
+        It is zero while they serve all but a part of what is sent; what is
+        in flight counts as served until it is shed.
         """
-        excess = self.offered - SENT_PER_SERVED * self.served
+        served = self.served + self.in_flight
+        excess = self.offered - SENT_PER_SERVED * served
         return max(0.0, excess / (self.offered + 1.0))
 
 
@@ -67,6 +71,8 @@
         self.requests_limit = requests_limit
         self._accounts: dict[str, Account] = {}
         self._in_flight = 0
+        self._busy = 0
+        self._busy_weight = 0.0
         self._random = random.Random(requests_limit)
 
     def admit(
@@ -81,11 +87,15 @@
             return _base.Verdict(errors.ErrorCode.DEADLINE_HOPELESS)
         shed_chance = account.shed_chance
         account.offered += 1.0
-        bound = self._bound(tables, request.organisation)
+        bound = self._bound(self._weight(tables, request.organisation))
         if account.in_flight >= bound or self._random.random() < shed_chance:
             return _base.Verdict(
                 errors.ErrorCode.OVERLOADED, account.retry_after_s
             )
+        if not account.in_flight:
+            account.weight = self._weight(tables, request.organisation)
+            self._busy += 1
+            self._busy_weight += account.weight
         account.in_flight += 1
         self._in_flight += 1
         return _base.Verdict()
@@ -99,24 +109,21 @@
     ) -> None:
         """Free a request's place and note whether an endpoint shed it."""
         account = self._account(request.organisation, now_s)
-        account.in_flight = max(0, account.in_flight - 1)
-        self._in_flight = max(0, self._in_flight - 1)
+        account.in_flight -= 1
+        self._in_flight -= 1
+        if not account.in_flight:
+            self._busy -= 1
+            self._busy_weight -= account.weight
         if not shed:
             account.served += 1.0
         elif retry_after_s > 0.0:
             account.retry_after_s = retry_after_s
 
-    def _bound(self, tables: _tables.Tables, organisation: str) -> float:
+    def _bound(self, weight: float) -> float:
         free = self.requests_limit - self._in_flight
-        busy = [
-            self._weight(tables, name)
-            for name, account in self._accounts.items()
-            if account.in_flight
-        ]
-        if not busy:
+        if not self._busy:
             return free
-        mean = sum(busy) / len(busy)
-        return free * self._weight(tables, organisation) / mean
+        return free * weight * self._busy / self._busy_weight
 
     @staticmethod
     def _weight(tables: _tables.Tables, organisation: str) -> float:
