--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -11,6 +11,7 @@
 from ._experiments import Figure
 from ._experiments import Measured
 from ._experiments import Target
+from ._request_path import RequestPath
 
 __all__ = [
     "Case",
@@ -18,5 +19,6 @@
     "Experiment",
     "Figure",
     "Measured",
+    "RequestPath",
     "Target",
 ]
--- a/bench/_experiments.py
+++ b/bench/_experiments.py
@@ -1,5 +1,6 @@
 """Experiments: what is run, and what it gives."""
 
+import collections.abc
 import typing
 
 import attrs
@@ -82,12 +83,17 @@
             def compare(self, measured): return measured
     """
 
-    #: Heading of its table.
-    title: str
-    #: Figures that its table shows.
-    columns: tuple[str, ...]
-    #: Bounds that are checked and printed below the table.
-    targets: tuple[Target, ...]
+    @property
+    def title(self) -> str:
+        """Heading of its table."""
+
+    @property
+    def columns(self) -> tuple[str, ...]:
+        """Figures that its table shows."""
+
+    @property
+    def targets(self) -> tuple[Target, ...]:
+        """Bounds that are checked and printed below the table."""
 
     def cases(self) -> tuple[Case, ...]:
         """Return all runs."""
@@ -100,6 +106,6 @@
 
 
 #: Experiments by name, each made without arguments.
-EXPERIMENTS: registry.Registry[type[Experiment]] = registry.Registry(
-    "experiment"
+EXPERIMENTS: registry.Registry[collections.abc.Callable[[], Experiment]] = (
+    registry.Registry("experiment")
 )
--- a/bilberrydeal/systems/routing/_base.py
+++ b/bilberrydeal/systems/routing/_base.py
@@ -118,12 +118,10 @@
         chosen = self.choose(candidates, request, now_s)
         request.endpoint_id = chosen.endpoint_id
         chosen.in_flight += 1
-        _backlog.sent(
-            chosen,
-            request.prompt_tokens - request.cached_tokens,
-            request.output_tokens,
-            now_s,
-        )
+        to_compute = request.prompt_tokens - request.cached_tokens
+        request.expected_first_s = _backlog.backlog_s(chosen, now_s)
+        request.expected_first_s += to_compute / chosen.prefill_tokens_per_s
+        _backlog.sent(chosen, to_compute, request.output_tokens, now_s)
 
 
 #: Routers by the names that settings use.
