Let routing count what is in flight, not reported backlog

Cause: scoring by reported backlog made entries rush to endpoints that were idle half a second ago, and counted decode work as if it were serial.

--- a/bilberrydeal/systems/__init__.py
+++ b/bilberrydeal/systems/__init__.py
@@ -6,7 +6,6 @@
 from ._entities import LoadFigures
 from ._entities import OrganisationView
 from ._entities import PendingRequest
-from ._entities import SentWork
 from ._schedule import Schedule
 from ._schedule import System
 from ._tables import Entity
@@ -22,7 +21,6 @@
     "OrganisationView",
     "PendingRequest",
     "Schedule",
-    "SentWork",
     "System",
     "Table",
     "Tables",
--- a/bilberrydeal/systems/_entities.py
+++ b/bilberrydeal/systems/_entities.py
@@ -26,18 +26,6 @@
     HALF_OPEN = "half_open"
 
 
-@attrs.frozen
-class SentWork:
-    """Work sent to an endpoint that its last report may not show yet."""
-
-    #: When it was sent.
-    at_s: float
-    #: Prompt tokens to compute.
-    prompt_tokens: float
-    #: Tokens to generate, as expected.
-    output_tokens: float
-
-
 @attrs.frozen
 class LoadFigures:
     """Load of an endpoint as it was some time ago."""
@@ -84,12 +72,13 @@
     prefill_tokens_per_s: float = 8_000.0
     #: Tokens generated a second over all requests there.
     decode_tokens_per_s: float = 1_000.0
-    #: Work that this process sent since the report, oldest first.
-    sent: list[SentWork] = attrs.field(factory=list)
-    #: Time that the work there takes, as estimated at ``backlog_at_s``.
-    backlog_s: float = 0.0
-    #: When the backlog was estimated.
-    backlog_at_s: float = -math.inf
+    #: When this process sent requests that the report may not show yet.
+    sent_at_s: list[float] = attrs.field(factory=list)
+    #: Time that the prompts take that this process sent there and that
+    #: have had no first token yet, in seconds.
+    prefill_s: float = 0.0
+    #: Requests of other processes there, smoothed over the reports.
+    others_in_flight: float = 0.0
     #: How much slower it is than its peers, 1 for as fast.
     slowness: float = 1.0
     #: Whether it gets requests.
@@ -181,6 +170,9 @@
     prefill_endpoint_id: str = ""
     #: Prompt tokens likely in the cache of the endpoint chosen.
     cached_tokens: int = 0
+    #: Time that its prompt takes where it is computed, in seconds; zero
+    #: once the first token has come.
+    prefill_s: float = 0.0
     #: Time from sending to the first token, as the router expects.
     expected_first_s: float = 0.0
 
--- a/bilberrydeal/systems/routing/_base.py
+++ b/bilberrydeal/systems/routing/_base.py
@@ -9,7 +9,7 @@
 from ... import registry
 from .. import _entities
 from .. import _tables
-from . import _backlog
+from . import _load
 
 
 @attrs.frozen
@@ -63,9 +63,24 @@
         now_s: float,
     ) -> None:
         """Note that a request that had an endpoint has ended there."""
-        view = tables.of(_entities.EndpointView).get(request.endpoint_id)
+        self.first_token(tables, request, now_s)
+        views = tables.of(_entities.EndpointView)
+        for name in (request.endpoint_id, request.prefill_endpoint_id):
+            view = views.get(name)
+            if view is not None:
+                _load.finished(view)
+
+    def first_token(
+        self,
+        tables: _tables.Tables,
+        request: _entities.PendingRequest,
+        now_s: float,
+    ) -> None:
+        """Note that a request's prompt has been computed."""
+        name = request.prefill_endpoint_id or request.endpoint_id
+        view = tables.of(_entities.EndpointView).get(name)
         if view is not None:
-            view.in_flight = max(0, view.in_flight - 1)
+            _load.computed(view, request)
 
     def reported(
         self,
@@ -77,7 +92,7 @@
         """Take an endpoint's load report."""
         view = tables.of(_entities.EndpointView).get(endpoint_id)
         if view is not None:
-            _backlog.reported(view, figures, now_s)
+            _load.reported(view, figures)
 
     def cache_changed(
         self,
@@ -117,11 +132,9 @@
             return
         chosen = self.choose(candidates, request, now_s)
         request.endpoint_id = chosen.endpoint_id
-        chosen.in_flight += 1
-        to_compute = request.prompt_tokens - request.cached_tokens
-        request.expected_first_s = _backlog.backlog_s(chosen, now_s)
-        request.expected_first_s += to_compute / chosen.prefill_tokens_per_s
-        _backlog.sent(chosen, to_compute, request.output_tokens, now_s)
+        if not request.prefill_endpoint_id:
+            _load.computes(chosen, request)
+        _load.sent(chosen, now_s)
 
 
 #: Routers by the names that settings use.
--- a/bilberrydeal/systems/routing/_prefix_bounded.py
+++ b/bilberrydeal/systems/routing/_prefix_bounded.py
@@ -4,17 +4,14 @@
 
 from ... import ports
 from .. import _entities
-from .. import _tables
-from . import _backlog
 from . import _base
 from . import _history
+from . import _load
 
 #: Endpoints with a part of the prompt that are looked at.
 HOLDERS_LIMIT = 4
 #: Other endpoints that are looked at, drawn at random for each request.
 SAMPLE_SIZE = 6
-#: Added for each of the own requests in flight, in seconds.
-IN_FLIGHT_S = 0.001
 #: Added for an endpoint in another failure domain, in seconds.
 OTHER_DOMAIN_S = 0.001
 #: Added for a request to an endpoint that is being tried out, in seconds.
@@ -93,19 +90,6 @@
         """Forget the endpoint's blocks."""
         self.history.forget_endpoint(endpoint_id)
 
-    def finished(
-        self,
-        tables: _tables.Tables,
-        request: _entities.PendingRequest,
-        now_s: float,
-    ) -> None:
-        """Note that a request has ended at its endpoint or pair."""
-        super().finished(tables, request, now_s)
-        views = tables.of(_entities.EndpointView)
-        prefill = views.get(request.prefill_endpoint_id)
-        if prefill is not None:
-            prefill.in_flight = max(0, prefill.in_flight - 1)
-
     def _prefill_at(
         self,
         option: Option,
@@ -114,9 +98,9 @@
     ) -> None:
         view = option.view
         request.prefill_endpoint_id = view.endpoint_id
-        view.in_flight += 1
-        computed = request.prompt_tokens - option.cached_tokens
-        _backlog.sent(view, computed, 0.0, now_s)
+        request.cached_tokens = option.cached_tokens
+        _load.computes(view, request)
+        _load.sent(view, now_s)
         self.history.sent(view.endpoint_id, request.blocks, now_s)
         # The decoding endpoint gets the prompt computed.
         request.cached_tokens = request.prompt_tokens
@@ -170,9 +154,8 @@
     def _score_s(
         self, view: _entities.EndpointView, to_compute: float, now_s: float
     ) -> float:
-        score_s = _backlog.backlog_s(view, now_s)
-        score_s += _backlog.work_s(view, to_compute, 0.0)
-        score_s += view.in_flight * IN_FLIGHT_S * view.slowness
+        score_s = _load.load_s(view)
+        score_s += _load.prefill_s(view, to_compute)
         if view.failure_domain != self.options.failure_domain:
             score_s += OTHER_DOMAIN_S
         if view.circuit is _entities.CircuitState.HALF_OPEN:
