--- a/bilberrydeal/link/_messages.py
+++ b/bilberrydeal/link/_messages.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from .. import ports
+
 #: Version of this protocol; peers with another version are refused.
 PROTOCOL_VERSION = 1
 
@@ -105,6 +107,8 @@
     prompt: str = ""
     #: Most tokens to generate, for a model.
     max_tokens: int = 0
+    #: How tokens are drawn, for a model.
+    sampling: ports.Sampling = ports.Sampling()
     #: Prompt tokens as the entry estimates them.
     prompt_tokens: int = 0
     #: Prompt tokens likely in the cache, as the entry estimates them.
--- a/bilberrydeal/ports/__init__.py
+++ b/bilberrydeal/ports/__init__.py
@@ -19,6 +19,7 @@
 from ._engine import EngineState
 from ._engine import LoadReport
 from ._engine import OrderRefused
+from ._engine import Sampling
 from ._hosts import HostList
 from ._hosts import HostRecord
 from ._hosts import HostState
@@ -71,6 +72,7 @@
     "ReportConflict",
     "Row",
     "RowKey",
+    "Sampling",
     "TableService",
     "Transaction",
     "UsageInterface",
--- a/bilberrydeal/ports/_engine.py
+++ b/bilberrydeal/ports/_engine.py
@@ -17,6 +17,17 @@
     BOTH = "both"
 
 
+@attrs.frozen
+class Sampling:
+    """How tokens are drawn; ``None`` leaves the choice to the engine."""
+
+    temperature: float | None = None
+    top_p: float | None = None
+    seed: int | None = None
+    #: Texts that end the generation.
+    stop: tuple[str, ...] = ()
+
+
 @attrs.frozen
 class EngineRequest:
     """One generation."""
@@ -33,6 +44,8 @@
     priority: int = 0
     #: KV cache to start from, as ``export_kv`` named it.
     kv_handle: str = ""
+    #: How tokens are drawn.
+    sampling: Sampling = Sampling()
 
 
 @attrs.frozen
--- /dev/null
+++ b/bilberrydeal/telemetry/__init__.py
@@ -0,0 +1,17 @@
+"""Logs, metrics and traces of the daemon."""
+
+from ._logs import configure
+from ._logs import logger
+from ._metrics import bounded_label
+from ._metrics import Metrics
+from ._traces import Span
+from ._traces import Tracing
+
+__all__ = [
+    "Metrics",
+    "Span",
+    "Tracing",
+    "bounded_label",
+    "configure",
+    "logger",
+]
--- /dev/null
+++ b/bilberrydeal/telemetry/_logs.py
@@ -0,0 +1,44 @@
+"""Structured logs: one JSON object a line, a fixed prefix for each part."""
+
+import logging
+import sys
+import typing
+
+import structlog
+
+
+def configure(level: str) -> None:
+    """Send logs of ``level`` and above to standard error as JSON."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            _prefix,
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()]
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+
+
+def logger(part: str) -> typing.Any:
+    """Return the logger of one part of the system.
+
+    Example::
+
+        LOG = telemetry.logger("lease")
+        LOG.info("Taken.", duty="reporter")  # event: "lease: Taken."
+    """
+    return structlog.get_logger(part=part)
+
+
+def _prefix(
+    _logger: typing.Any, _name: str, event: structlog.typing.EventDict
+) -> structlog.typing.EventDict:
+    event["event"] = f"{event.pop('part', 'main')}: {event['event']}"
+    return event
--- /dev/null
+++ b/bilberrydeal/telemetry/tests/test_telemetry.py
@@ -0,0 +1,53 @@
+import json
+import pathlib
+
+import pytest
+
+from bilberrydeal import settings
+from bilberrydeal import telemetry
+
+PARENT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+
+
+def test_labels_are_bounded() -> None:
+    seen: set[str] = set()
+    labels = {
+        telemetry.bounded_label(f"org{number}", seen) for number in range(99)
+    }
+    assert len(labels) == 51
+    assert "other" in labels
+
+
+def test_event_carries_the_prefix_of_its_part(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    telemetry.configure("info")
+    telemetry.logger("lease").info("Taken.", duty="reporter")
+    line = json.loads(capsys.readouterr().err)
+    assert line["event"] == "lease: Taken."
+    assert line["duty"] == "reporter"
+
+
+def test_span_without_exporter_passes_the_context_on() -> None:
+    tracing = telemetry.Tracing(settings.TraceSettings(), "entry")
+    with tracing.span("admission", PARENT) as span:
+        assert span.traceparent == PARENT
+
+
+def test_span_continues_the_trace_of_the_caller(
+    tmp_path: pathlib.Path,
+) -> None:
+    target = tmp_path / "spans"
+    chosen = settings.TraceSettings(exporter="file", target=str(target))
+    tracing = telemetry.Tracing(chosen, "entry")
+    with tracing.span("admission", PARENT) as span:
+        assert span.traceparent.split("-")[1] == PARENT.split("-")[1]
+        assert span.traceparent != PARENT
+    tracing.close()
+    assert json.loads(target.read_text())["name"] == "admission"
+
+
+def test_metrics_render_as_text() -> None:
+    metrics = telemetry.Metrics()
+    metrics.counter("requests_total", "Requests.").inc({"code": "ok"})
+    assert b'requests_total{code="ok"} 1' in metrics.render()
