--- /dev/null
+++ b/bilberrydeal/systems/fleet/__init__.py
@@ -0,0 +1,27 @@
+"""Decides which endpoints to order and to release in each domain."""
+
+from ._entities import DomainState
+from ._entities import FleetEndpoint
+from ._entities import LoadWindow
+from ._entities import OutstandingOrder
+from ._entities import Purchase
+from ._entities import Release
+from ._entities import ServiceLoad
+from ._fixed import FixedFleet
+from ._registry import FLEET_PLANNERS
+from ._registry import FleetPlanner
+from ._rules import FleetRules
+
+__all__ = [
+    "FLEET_PLANNERS",
+    "DomainState",
+    "FixedFleet",
+    "FleetEndpoint",
+    "FleetPlanner",
+    "FleetRules",
+    "LoadWindow",
+    "OutstandingOrder",
+    "Purchase",
+    "Release",
+    "ServiceLoad",
+]
--- /dev/null
+++ b/bilberrydeal/systems/roles/_entities.py
@@ -0,0 +1,91 @@
+"""What the role planner reads and writes."""
+
+import enum
+
+import attrs
+
+
+class Role(enum.StrEnum):
+    """Which phase of a request an engine works on."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+    BOTH = "both"
+
+
+@attrs.frozen
+class DemandWindow:
+    """What arrived for one model in one window of time."""
+
+    #: Monotonic time at which the window ended.
+    end_s: float
+    #: Length of the window.
+    length_s: float
+    #: Prompt tokens that arrived and were not found in a cache.
+    prompt_tokens: float
+    #: Output tokens that the arrived requests are expected to generate.
+    output_tokens: float
+
+
+@attrs.frozen
+class ModelDemand:
+    """Recent demand for one model, as the entries report it together."""
+
+    #: Name of the model.
+    key: str
+    #: Recent windows, oldest first; a minute of them is enough.
+    windows: tuple[DemandWindow, ...]
+    #: Prompt tokens that wait to be computed.
+    queued_prompt_tokens: float = 0.0
+    #: Output tokens that wait to be generated.
+    queued_output_tokens: float = 0.0
+
+
+@attrs.frozen
+class RoleEndpoint:
+    """One engine as the role planner sees it."""
+
+    #: Name of the endpoint.
+    key: str
+    #: Model that it serves.
+    model: str
+    #: Failure domain that it is in.
+    failure_domain: str
+    #: Role of the newest committed order, else the one it reports.
+    role: Role
+    #: Whether an order is committed and not applied yet.
+    changing: bool = False
+    #: Whether it can serve: healthy, and not leaving.
+    usable: bool = True
+    #: Monotonic time of its last role order; minus infinity for none.
+    ordered_at_s: float = float("-inf")
+
+
+@attrs.frozen
+class ModelRates:
+    """What one engine of a model does, and what hand-over costs."""
+
+    #: Name of the model.
+    key: str
+    #: Prompt tokens a second of an engine that only prefills.
+    prefill_tokens_per_s: float = 4000.0
+    #: Output tokens a second of an engine that only decodes.
+    decode_tokens_per_s: float = 1000.0
+    #: Share of its capacity that an engine loses when it does both phases
+    #: in equal parts, because prompts stall the running generations.
+    mixing_loss: float = 0.1
+    #: Part of the prefill time that exporting and importing the KV cache
+    #: adds, on the engine that prefills.
+    handover_loss: float = 0.1
+
+
+@attrs.frozen
+class RoleOrder:
+    """A decision to change the role of one engine."""
+
+    #: Name of the endpoint.
+    key: str
+    #: Model that it serves.
+    model: str
+    #: Role that it is to take.
+    role: Role
--- /dev/null
+++ b/bilberrydeal/systems/roles/_registry.py
@@ -0,0 +1,22 @@
+"""Role planners by name."""
+
+import typing
+
+from ... import registry
+from .. import _schedule
+from . import _rules
+
+
+class RolePlanner(_schedule.System, typing.Protocol):
+    """Reads demand, rates and endpoints; writes :class:`RoleOrder` rows.
+
+    The table of orders holds just the decisions of the last run.
+    """
+
+    def __init__(self, rules: _rules.RoleRules) -> None:
+        """Take the bounds to keep to."""
+
+
+ROLE_PLANNERS: registry.Registry[type[RolePlanner]] = registry.Registry(
+    "role planner"
+)
--- /dev/null
+++ b/bilberrydeal/systems/roles/_rules.py
@@ -0,0 +1,28 @@
+"""Bounds and costs that every role planner keeps to."""
+
+import attrs
+
+
+@attrs.frozen
+class RoleRules:
+    """What a role planner may do."""
+
+    #: Time that draining takes before a change.
+    drain_s: float = 4.0
+    #: Time that the change itself takes an engine away.
+    change_s: float = 6.0
+    #: How far ahead a gain is counted.
+    horizon_s: float = 60.0
+    #: Engines of a model that may be changing, as a share of them.
+    changing_share: float = 0.1
+    #: The same in engines; the larger bound holds.
+    changing_count: int = 1
+    #: Failure domains that each phase is kept in, where the fleet has so
+    #: many.
+    domains_per_phase: int = 2
+    #: A change must promise this multiple of what it costs.
+    payback: float = 2.0
+    #: A change must raise the served share of the demand by so much.
+    least_gain_share: float = 0.02
+    #: An engine that was ordered to change keeps its role so long.
+    dwell_s: float = 60.0
--- /dev/null
+++ b/bilberrydeal/systems/roles/_static.py
@@ -0,0 +1,25 @@
+"""Leaves every engine in the role that it has."""
+
+import typing
+
+from .. import _tables
+from . import _entities
+from . import _registry
+from . import _rules
+
+
+@_registry.ROLE_PLANNERS.register("static")
+class StaticRoles:
+    """Never orders a change."""
+
+    reads: typing.ClassVar[tuple[type, ...]] = ()
+    writes: typing.ClassVar[tuple[type, ...]] = (_entities.RoleOrder,)
+
+    def __init__(self, rules: _rules.RoleRules) -> None:
+        self.rules = rules
+
+    def run(self, tables: _tables.Tables, now_s: float) -> None:
+        """Clear the table of orders."""
+        orders = tables.of(_entities.RoleOrder)
+        for order in list(orders):
+            orders.remove(order.key)
--- /dev/null
+++ b/bilberrydeal/systems/subsets/__init__.py
@@ -0,0 +1,15 @@
+"""Chooses the endpoints that an entry keeps links to."""
+
+from ._registry import EndpointMember
+from ._registry import EntryMember
+from ._registry import SubsetChooser
+from ._registry import SUBSETS
+from ._weighted import WeightedRendezvous
+
+__all__ = [
+    "SUBSETS",
+    "EndpointMember",
+    "EntryMember",
+    "SubsetChooser",
+    "WeightedRendezvous",
+]
