Add the link between entries and agents

Cause: the entry and the agent need one multiplexed connection that can be lost and resumed. Change: hello over request-reply, one plain pair socket for each session, coalesced frames, heartbeats with echoes, resume by chunk, tombstones and a bounded memory of ends. Ruled out: polyamorous pairs, which drop frames of a slow peer without an error, and nng's own reconnecting, which loses frames between two pipes unseen.

--- a/bilberrydeal/link/__init__.py
+++ b/bilberrydeal/link/__init__.py
@@ -1,5 +1,11 @@
 """The multiplexed link between an entry and an agent."""
 
+from ._call import Call
+from ._entry import AgentLink
+from ._failures import CallLost
+from ._failures import HelloFailed
+from ._failures import LinkDown
+from ._failures import LinkFull
 from ._frames import decode_frame
 from ._frames import encode_frame
 from ._frames import FrameInvalid
@@ -14,7 +20,10 @@
 from ._messages import Hello
 from ._messages import HelloReply
 from ._messages import Message
+from ._messages import Missing
+from ._messages import Open
 from ._messages import OrderHint
+from ._messages import PROTOCOL_VERSION
 from ._messages import Query
 from ._messages import QueryOutcome
 from ._messages import QueryResult
@@ -25,21 +34,38 @@
 from ._messages import Submit
 from ._messages import UsageRecord
 from ._messages import UsageRecords
+from ._server import Host
+from ._server import LinkServer
+from ._transport import limit_threads
+from ._work import Executor
+from ._work import Work
 
 __all__ = [
     "Ack",
+    "AgentLink",
+    "Call",
+    "CallLost",
     "Cancel",
     "CancelOutcome",
     "CancelResult",
     "Chunk",
     "EndpointStatus",
+    "Executor",
     "Finished",
     "FrameInvalid",
     "Heartbeat",
     "Hello",
+    "HelloFailed",
     "HelloReply",
+    "Host",
+    "LinkDown",
+    "LinkFull",
+    "LinkServer",
     "Message",
+    "Missing",
+    "Open",
     "OrderHint",
+    "PROTOCOL_VERSION",
     "Query",
     "QueryOutcome",
     "QueryResult",
@@ -50,6 +76,8 @@
     "Submit",
     "UsageRecord",
     "UsageRecords",
+    "Work",
     "decode_frame",
     "encode_frame",
+    "limit_threads",
 ]
--- a/bilberrydeal/link/_messages.py
+++ b/bilberrydeal/link/_messages.py
@@ -75,10 +75,28 @@
     endpoint_id: str
     #: Port of the pair socket that waits for this link, 0 when refused.
     port: int
+    #: Number of the session that the pair socket is for.
+    session: int = 0
     #: Why the link was refused, empty when it was not.
     refusal: str = ""
 
 
+@attrs.frozen
+class Open:
+    """The first message of an entry on a pair socket.
+
+    An agent takes nothing before it, so that an entry that dials late
+    cannot take over a port that was given to another one since.
+    """
+
+    #: Incarnation of the entry.
+    entry: str
+    #: Incarnation of the agent, out of the answer to the hello.
+    agent: str
+    #: Session, out of the answer to the hello.
+    session: int
+
+
 @attrs.frozen
 class Submit:
     """Hands a request to the agent."""
@@ -201,6 +219,17 @@
     chunk: int
 
 
+@attrs.frozen
+class Missing:
+    """Answers :class:`Resume`: the agent never got this request.
+
+    The entry sends the :class:`Submit` again.
+    """
+
+    #: Sequence of the request.
+    sequence: int
+
+
 @attrs.frozen
 class Cancel:
     """Ends a request, or makes sure that it never begins."""
@@ -224,13 +253,19 @@
     """Asks what became of a request of any entry.
 
     An agent that never saw the request keeps a tombstone and answers
-    ``NOT_STARTED``, so that the request cannot begin later.
+    ``NOT_STARTED``, so that the request cannot begin later. It answers
+    ``UNKNOWN`` where ``agent`` is another incarnation than its own: what a
+    predecessor ran it cannot tell. Only for requests that are not
+    idempotent: the ends of others are soon forgotten.
     """
 
     #: Chosen by the asker to match the answer.
     query_id: int
     #: The request asked about.
     number: RequestNumber
+    #: Incarnation of the agent that it was handed to; empty if it can only
+    #: be the present one.
+    agent: str = ""
 
 
 @attrs.frozen
@@ -348,6 +383,8 @@
     | Settled
     | Heartbeat
     | OrderHint
+    | Open
+    | Missing
 )
 
 #: Message types by their number on the wire; numbers are never reused.
@@ -366,4 +403,6 @@
     12: Settled,
     13: Heartbeat,
     14: OrderHint,
+    15: Open,
+    16: Missing,
 }
--- /dev/null
+++ b/bilberrydeal/link/_session.py
@@ -0,0 +1,190 @@
+"""One connection between an entry and an agent, from dial to end."""
+
+import asyncio
+import collections.abc
+
+from .. import settings
+from . import _frames
+from . import _messages
+from . import _transport
+
+#: Messages in one frame at most, so that one frame never blocks a link.
+FRAME_MESSAGES = 512
+#: Bytes of request bodies that wait for one peer at most.
+OUTBOX_BYTES = 16 * 1024 * 1024
+
+
+class Session:
+    """Sends and receives messages over one pair socket.
+
+    Everything that is ready goes into one frame a flush, because a call of
+    the transport costs far more than a message. A message that is urgent is
+    flushed at once, any other within ``flush_delay_s``. The session ends
+    when a send takes too long, when no frame comes or no heartbeat is
+    echoed within ``silent_bound_s``, or when the connection is cut; it
+    never re-dials: the two ends build a new one and resume their requests.
+    """
+
+    def __init__(
+        self,
+        socket: _transport.PairSocket,
+        link_settings: settings.LinkSettings,
+        clock: collections.abc.Callable[[], float],
+        handle: collections.abc.Callable[[_messages.Message], None],
+        status: collections.abc.Callable[
+            [], _messages.EndpointStatus | None
+        ] = lambda: None,
+    ) -> None:
+        self._socket = socket
+        self._settings = link_settings
+        self._clock = clock
+        self._handle = handle
+        self._status = status
+        self._loop = asyncio.get_running_loop()
+        self._outbox: collections.deque[_messages.Message] = (
+            collections.deque()
+        )
+        self._wake = asyncio.Event()
+        self._flush_timer: asyncio.TimerHandle | None = None
+        self._beat = 0
+        self._echo = 0
+        self._echoed = 0
+        now_s = clock()
+        self._received_at_s = now_s
+        self._echoed_at_s = now_s
+        #: Bytes of request bodies that wait.
+        self.waiting_bytes = 0
+        #: Whether it is over; nothing is sent or handled any more.
+        self.closed = False
+        #: Whether the other end has sent a heartbeat.
+        self.established = False
+
+    @property
+    def waiting(self) -> int:
+        """Messages that wait to be sent."""
+        return len(self._outbox)
+
+    def has_room(self, size_bytes: int = 0) -> bool:
+        """Whether one more message may wait."""
+        return (
+            len(self._outbox) < self._settings.outbox_limit
+            and self.waiting_bytes + size_bytes <= OUTBOX_BYTES
+        )
+
+    def send(self, message: _messages.Message, urgent: bool = False) -> None:
+        """Queue a message; an overfull outbox ends the session."""
+        if self.closed:
+            return
+        if len(self._outbox) >= self._settings.outbox_limit:
+            self.close()
+            return
+        self._outbox.append(message)
+        if isinstance(message, _messages.Submit):
+            self.waiting_bytes += len(message.prompt) + len(message.body)
+        if urgent:
+            self._wake.set()
+        elif self._flush_timer is None:
+            self._flush_timer = self._loop.call_later(
+                self._settings.flush_delay_s, self._flush
+            )
+
+    def alive(self, now_s: float) -> bool:
+        """Whether both directions have worked within the bound."""
+        oldest_s = min(self._received_at_s, self._echoed_at_s)
+        return not self.closed and (
+            now_s - oldest_s <= self._settings.silent_bound_s
+        )
+
+    async def run(self) -> None:
+        """Carry messages until the session ends."""
+        tasks = [
+            asyncio.create_task(run())
+            for run in (self._read, self._write, self._keep_alive)
+        ]
+        try:
+            await self._socket.ended.wait()
+        finally:
+            self.close()
+            await asyncio.wait(tasks)
+
+    def close(self) -> None:
+        """End the session; what waits is not sent."""
+        if self.closed:
+            return
+        self.closed = True
+        self._outbox.clear()
+        if self._flush_timer is not None:
+            self._flush_timer.cancel()
+        self._wake.set()
+        self._socket.close()
+
+    def _flush(self) -> None:
+        self._flush_timer = None
+        self._wake.set()
+
+    async def _write(self) -> None:
+        while not self.closed:
+            await self._wake.wait()
+            self._wake.clear()
+            try:
+                await self._drain()
+            except ConnectionError:
+                self.close()
+
+    async def _drain(self) -> None:
+        while self._outbox and not self.closed:
+            count = min(len(self._outbox), FRAME_MESSAGES)
+            batch = [self._outbox.popleft() for _ in range(count)]
+            for message in batch:
+                if isinstance(message, _messages.Submit):
+                    size = len(message.prompt) + len(message.body)
+                    self.waiting_bytes -= size
+            await self._socket.send(_frames.encode_frame(batch))
+
+    async def _read(self) -> None:
+        while not self.closed:
+            try:
+                frame = await self._socket.receive()
+                messages = _frames.decode_frame(frame)
+            except (ConnectionError, _frames.FrameInvalid):
+                self.close()
+                return
+            self._received_at_s = self._clock()
+            for message in messages:
+                self._dispatch(message)
+
+    def _dispatch(self, message: _messages.Message) -> None:
+        if self.closed:
+            return
+        if isinstance(message, _messages.Heartbeat):
+            self._take_heartbeat(message)
+        self._handle(message)
+
+    def _take_heartbeat(self, heartbeat: _messages.Heartbeat) -> None:
+        self.established = True
+        self._echo = heartbeat.beat
+        if heartbeat.echo > self._echoed:
+            self._echoed = heartbeat.echo
+            self._echoed_at_s = self._clock()
+
+    async def _keep_alive(self) -> None:
+        while not self.closed:
+            if not self.alive(self._clock()):
+                self.close()
+                return
+            self._beat += 1
+            self.send(
+                _messages.Heartbeat(
+                    beat=self._beat, echo=self._echo, status=self._status()
+                ),
+                urgent=True,
+            )
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait for the next heartbeat, or less if the session ends."""
+        try:
+            async with asyncio.timeout(self._settings.heartbeat_s):
+                await self._socket.ended.wait()
+        except TimeoutError:
+            pass
