--- /dev/null
+++ b/bilberrydeal/adapters/__init__.py
@@ -0,0 +1,44 @@
+"""Adapters of the ports, one wire protocol each, found by name.
+
+Every class is built with an ``aiohttp.ClientSession`` and a base URL.
+
+Example::
+
+    table = adapters.TABLES.get("http_json")(session, "http://127.0.0.1:9000")
+"""
+
+from ._endpoints import HttpEndpoints
+from ._engines import HttpEngine
+from ._hosts import HttpHosts
+from ._objects import HttpObjects
+from ._plain import HttpPlain
+from ._registries import ENDPOINTS
+from ._registries import ENGINES
+from ._registries import HOSTS
+from ._registries import OBJECTS
+from ._registries import PLAIN
+from ._registries import TABLES
+from ._registries import USAGE
+from ._registries import WEIGHTS
+from ._tables import HttpTable
+from ._usage import HttpUsage
+from ._weights import HttpWeights
+
+__all__ = [
+    "ENDPOINTS",
+    "ENGINES",
+    "HOSTS",
+    "HttpEndpoints",
+    "HttpEngine",
+    "HttpHosts",
+    "HttpObjects",
+    "HttpPlain",
+    "HttpTable",
+    "HttpUsage",
+    "HttpWeights",
+    "OBJECTS",
+    "PLAIN",
+    "TABLES",
+    "USAGE",
+    "WEIGHTS",
+]
--- /dev/null
+++ b/bilberrydeal/adapters/_hosts.py
@@ -0,0 +1,37 @@
+"""The host list as JSON over HTTP."""
+
+import aiohttp
+import attrs
+
+from .. import ports
+from . import _exchange
+from . import _registries
+
+
+@attrs.frozen
+class HostsCall:
+    """Body of a listing, empty."""
+
+
+@attrs.frozen
+class HostsAnswer:
+    """Answer to a listing."""
+
+    #: All hosts.
+    hosts: tuple[ports.HostRecord, ...]
+
+
+@_registries.HOSTS.register("http_json")
+class HttpHosts:
+    """Implements :class:`bilberrydeal.ports.HostList`."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = f"{url}/v1/hosts/list"
+
+    async def hosts(self, timeout_s: float) -> tuple[ports.HostRecord, ...]:
+        """Return all hosts that the platform knows."""
+        reply = await _exchange.read(
+            self._session, self._url, timeout_s, HostsCall()
+        )
+        return reply.decode(HostsAnswer).hosts
--- /dev/null
+++ b/bilberrydeal/adapters/_objects.py
@@ -0,0 +1,45 @@
+"""The object store as plain HTTP."""
+
+import urllib.parse
+
+import aiohttp
+
+from .. import errors
+from . import _exchange
+from . import _registries
+
+
+@_registries.OBJECTS.register("http_json")
+class HttpObjects:
+    """Implements :class:`bilberrydeal.ports.ObjectStore`."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = f"{url}/v1/objects"
+
+    async def put(self, name: str, data: bytes, timeout_s: float) -> None:
+        """Store an object, replacing one of that name."""
+        await _exchange.write(
+            self._session, self._at(name), timeout_s, data, "PUT"
+        )
+
+    async def get(self, name: str, timeout_s: float) -> bytes | None:
+        """Return an object, ``None`` where there is none."""
+        try:
+            reply = await _exchange.write(
+                self._session, self._at(name), timeout_s, b"", "GET"
+            )
+        except errors.OutcomeUnknown as error:
+            raise errors.StoreUnavailable(operation="get") from error
+        if reply.status == _exchange.HTTP_NOT_FOUND:
+            return None
+        return reply.body
+
+    async def delete(self, name: str, timeout_s: float) -> None:
+        """Remove an object; one that is absent is no error."""
+        await _exchange.write(
+            self._session, self._at(name), timeout_s, b"", "DELETE"
+        )
+
+    def _at(self, name: str) -> str:
+        return f"{self._url}/{urllib.parse.quote(name, safe='')}"
--- a/standins/platform/_memory.py
+++ b/standins/platform/_memory.py
@@ -1,5 +1,7 @@
 """A transactional table in memory, behind the product's port."""
 
+import bisect
+
 from bilberrydeal import errors
 from bilberrydeal import ports
 
@@ -8,14 +10,15 @@
     """Implements :class:`bilberrydeal.ports.TableService` in memory."""
 
     def __init__(self) -> None:
-        self._rows: dict[tuple[str, str], ports.Row] = {}
+        self._tables: dict[str, dict[str, ports.Row]] = {}
+        self._keys: dict[str, list[str]] = {}
         self._version = 0
 
     async def read(
         self, keys: tuple[ports.RowKey, ...], timeout_s: float
     ) -> tuple[ports.Row | None, ...]:
         """Return the rows in the order of ``keys``."""
-        return tuple(self._rows.get((key.table, key.key)) for key in keys)
+        return tuple(self._row(key.table, key.key) for key in keys)
 
     async def scan(
         self,
@@ -26,20 +29,23 @@
         timeout_s: float,
     ) -> tuple[ports.Row, ...]:
         """Return rows in key order."""
-        found = [
-            row
-            for (name, key), row in self._rows.items()
-            if name == table and key.startswith(prefix) and key > after
-        ]
-        found.sort(key=lambda row: row.key)
-        return tuple(found[:limit])
+        keys = self._keys.get(table, [])
+        first = bisect.bisect_left(keys, prefix)
+        if after:
+            first = max(first, bisect.bisect_right(keys, after))
+        found = []
+        for key in keys[first : first + limit]:
+            if not key.startswith(prefix):
+                break
+            found.append(self._tables[table][key])
+        return tuple(found)
 
     async def commit(
         self, transaction: ports.Transaction, timeout_s: float
     ) -> ports.Committed:
         """Carry out a transaction."""
         for check in transaction.checks:
-            row = self._rows.get((check.table, check.key))
+            row = self._row(check.table, check.key)
             found = row.version if row else 0
             if found != check.version:
                 raise errors.TableConflict(
@@ -49,13 +55,20 @@
             versions=tuple(map(self._write, transaction.writes))
         )
 
+    def _row(self, table: str, key: str) -> ports.Row | None:
+        return self._tables.get(table, {}).get(key)
+
     def _write(self, write: ports.Write) -> int:
-        place = (write.table, write.key)
+        rows = self._tables.setdefault(write.table, {})
+        keys = self._keys.setdefault(write.table, [])
         if write.value is None:
-            self._rows.pop(place, None)
+            if rows.pop(write.key, None) is not None:
+                del keys[bisect.bisect_left(keys, write.key)]
             return 0
+        if write.key not in rows:
+            bisect.insort(keys, write.key)
         self._version += 1
-        self._rows[place] = ports.Row(
+        rows[write.key] = ports.Row(
             table=write.table,
             key=write.key,
             version=self._version,
--- /dev/null
+++ b/standins/platform/_usage.py
@@ -0,0 +1,64 @@
+"""Usage interface and rate-limited weight store."""
+
+import time
+
+from aiohttp import web
+import attrs
+
+from bilberrydeal import ports
+
+from .. import _journal
+from .. import _serve
+from . import _faults
+
+
+@attrs.frozen
+class Reported:
+    """A usage report that arrived."""
+
+    report: ports.UsageReport
+    received_s: float
+    #: ``taken``, ``repeated`` or ``conflict``.
+    outcome: str
+
+
+class UsageService:
+    """Takes reports and refuses other figures for a reported window."""
+
+    def __init__(self, journal: _journal.Journal) -> None:
+        self._journal = journal
+        self._taken: dict[tuple[str, int], ports.OrganisationFigures] = {}
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the service."""
+        return [web.post("/v1/usage/report", self._report)]
+
+    async def _report(self, request: web.Request) -> web.Response:
+        report = await _serve.body(request, ports.UsageReport)
+        window = (report.organisation, report.window_start_s)
+        outcome = "repeated"
+        if window not in self._taken:
+            self._taken[window] = report.figures
+            outcome = "taken"
+        elif self._taken[window] != report.figures:
+            outcome = "conflict"
+        self._journal.append(Reported(report, time.time(), outcome))
+        status = 409 if outcome == "conflict" else 200
+        return _serve.answer(_serve.Done(), status)
+
+
+class WeightService:
+    """Admits so many downloads a second."""
+
+    def __init__(self, admits_per_s: float) -> None:
+        self._budget = _faults.Budget(admits_per_s)
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the service."""
+        return [web.post("/v1/weights/admit", self._admit)]
+
+    async def _admit(self, request: web.Request) -> web.Response:
+        wait_s = self._budget.take(1, _faults.monotonic_s())
+        if wait_s:
+            return _serve.answer(_serve.Done(), 429, retry_after_s=wait_s)
+        return _serve.answer(_serve.Done())
