--- /dev/null
+++ b/bilberrydeal/configuration/__init__.py
@@ -0,0 +1,49 @@
+"""What operators configure, as revisions that every entry follows."""
+
+from ._changes import Change
+from ._changes import IssueKey
+from ._changes import RemoveModel
+from ._changes import RemoveRoute
+from ._changes import RevisionConflict
+from ._changes import SetModel
+from ._changes import SetOrganisation
+from ._changes import SetRoute
+from ._changes import WithdrawKey
+from ._codec import decode_change
+from ._codec import encode_change
+from ._commit import Committer
+from ._configuration import Configuration
+from ._follow import Follower
+from ._follow import RelayChanges
+from ._follow import RelayHead
+from ._rows import Access
+from ._rows import KeyRecord
+from ._rows import Model
+from ._rows import Organisation
+from ._rows import Route
+from ._store import Revision
+
+__all__ = [
+    "Access",
+    "Change",
+    "Committer",
+    "Configuration",
+    "Follower",
+    "IssueKey",
+    "KeyRecord",
+    "Model",
+    "Organisation",
+    "RelayChanges",
+    "RelayHead",
+    "RemoveModel",
+    "RemoveRoute",
+    "Revision",
+    "RevisionConflict",
+    "Route",
+    "SetModel",
+    "SetOrganisation",
+    "SetRoute",
+    "WithdrawKey",
+    "decode_change",
+    "encode_change",
+]
--- /dev/null
+++ b/bilberrydeal/configuration/_changes.py
@@ -0,0 +1,116 @@
+"""Typed changes of the configuration.
+
+A change carries the revision of the row as its operator saw it, so that of
+two operators who edit one row the second learns of the first. 0 stands for
+a row that does not exist.
+"""
+
+import typing
+
+import attrs
+
+from .. import errors
+from .. import registry
+from . import _rows
+
+
+@attrs.define(slots=False, eq=False)
+class RevisionConflict(errors.BilberrydealError):
+    """A row changed since the operator read it."""
+
+    code: typing.ClassVar[errors.ErrorCode] = (
+        errors.ErrorCode.REVISION_CONFLICT
+    )
+
+    #: Kind of the row.
+    kind: str
+    #: Name of the row.
+    name: str
+    #: Revision that the change was made against.
+    expected_revision: int
+    #: Revision of the row now.
+    found_revision: int
+    #: What the change would set.
+    given: str
+    #: What stands there now.
+    found: str
+
+
+class Change(typing.Protocol):
+    """One change; see :meth:`Configuration.apply`."""
+
+
+CHANGES: registry.Registry[type[Change]] = registry.Registry("change")
+
+
+@CHANGES.register("set_organisation")
+@attrs.frozen
+class SetOrganisation:
+    """Creates an organisation or replaces its row."""
+
+    #: The new row; its ``revision`` is set when the change is applied.
+    organisation: _rows.Organisation
+    #: Revision of the row that the operator saw.
+    expected_revision: int
+
+
+@CHANGES.register("issue_key")
+@attrs.frozen
+class IssueKey:
+    """Adds a key."""
+
+    #: The new key.
+    key: _rows.KeyRecord
+
+
+@CHANGES.register("withdraw_key")
+@attrs.frozen
+class WithdrawKey:
+    """Withdraws a key for good; a repeat changes nothing."""
+
+    #: The key withdrawn.
+    key_id: str
+
+
+@CHANGES.register("set_route")
+@attrs.frozen
+class SetRoute:
+    """Creates a route or replaces its row."""
+
+    #: The new row; its ``revision`` is set when the change is applied.
+    route: _rows.Route
+    #: Revision of the row that the operator saw.
+    expected_revision: int
+
+
+@CHANGES.register("remove_route")
+@attrs.frozen
+class RemoveRoute:
+    """Removes a route."""
+
+    #: Name of the route.
+    name: str
+    #: Revision of the row that the operator saw.
+    expected_revision: int
+
+
+@CHANGES.register("set_model")
+@attrs.frozen
+class SetModel:
+    """Creates a model or replaces its row."""
+
+    #: The new row; its ``revision`` is set when the change is applied.
+    model: _rows.Model
+    #: Revision of the row that the operator saw.
+    expected_revision: int
+
+
+@CHANGES.register("remove_model")
+@attrs.frozen
+class RemoveModel:
+    """Removes a model."""
+
+    #: Name of the model.
+    name: str
+    #: Revision of the row that the operator saw.
+    expected_revision: int
--- /dev/null
+++ b/bilberrydeal/keys/__init__.py
@@ -0,0 +1,19 @@
+"""Callers' keys: hashing, lookup and how fresh the knowledge is."""
+
+from ._directory import KeyDirectory
+from ._freshness import CommitHeld
+from ._freshness import Freshness
+from ._freshness import PeerKnowledge
+from ._hashing import hash_key
+from ._hashing import new_key
+from ._hashing import NewKey
+
+__all__ = [
+    "CommitHeld",
+    "Freshness",
+    "KeyDirectory",
+    "NewKey",
+    "PeerKnowledge",
+    "hash_key",
+    "new_key",
+]
--- /dev/null
+++ b/bilberrydeal/keys/_freshness.py
@@ -0,0 +1,250 @@
+"""Whether this entry's knowledge of keys is fresh enough to act on.
+
+Knowledge is confirmed as of the time at which a read of the configuration's
+head was sent, by this entry or by a peer that handed it on. Keyed requests
+are refused once that lies further back than the bound, with one exception.
+
+In an outage of the whole store nobody can withdraw a key, so entries may go
+on as long as all of them know that all are cut off. An entry that answers
+"blind" thereby promises to commit no change of the configuration until the
+bound has passed; the asker relies on the promise no longer than that. See
+docs/design/keys.md for the argument.
+"""
+
+import typing
+
+import attrs
+
+from .. import errors
+
+
+@attrs.frozen
+class PeerKnowledge:
+    """What an entry answers to a peer about its knowledge of keys."""
+
+    #: Incarnation of the entry that answers.
+    incarnation: str
+    #: Newest revision of the configuration that it has applied.
+    revision: int
+    #: How long ago that was confirmed as the newest; ``None`` if never.
+    age_s: float | None
+    #: Whether it is cut off and promises to commit nothing for the bound.
+    blind: bool
+
+
+@attrs.define(slots=False, eq=False)
+class CommitHeld(errors.BilberrydealError):
+    """A change cannot be committed here yet; nothing was written."""
+
+    code: typing.ClassVar[errors.ErrorCode] = (
+        errors.ErrorCode.STORE_UNAVAILABLE
+    )
+
+    #: ``promise``, ``introductions`` or ``not joined``.
+    reason: str
+    #: When to try again, in seconds.
+    retry_after_s: float
+
+
+@attrs.frozen
+class _BlindAnswer:
+    """The last answer of a peer that was blind."""
+
+    #: When the question was sent.
+    sent_s: float
+    #: Revision that the peer had applied.
+    revision: int
+
+
+class Freshness:
+    """Decides whether keyed requests are taken and changes committed.
+
+    All times are this process's monotonic seconds. The bounds must be the
+    same in every entry.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        bound_s: float,
+        margin_s: float,
+        pact_longest_s: float,
+        call_longest_s: float,
+    ) -> None:
+        self.own = own
+        self.bound_s = bound_s
+        #: Covers drift between clocks over the bounds.
+        self.margin_s = margin_s
+        #: Longest time after the last renewal of the own row that an entry
+        #: goes on without confirmed knowledge.
+        self.pact_longest_s = pact_longest_s
+        #: Longest time after which a lost commit may still take effect.
+        self.call_longest_s = call_longest_s
+        self.revision = 0
+        self._confirmed_s: float | None = None
+        self._renewed_s: float | None = None
+        self._known: dict[str, float] = {}
+        self._dropped: tuple[frozenset[str], float] | None = None
+        self._members_read = False
+        self._must_meet: set[str] | None = None
+        self._met: set[str] = set()
+        self._blind: dict[str, _BlindAnswer] = {}
+        self._promised_until_s = 0.0
+        self._commits = 0
+        self._unsettled_s: float | None = None
+
+    # What happens to this entry.
+
+    def applied(self, revision: int) -> None:
+        """Note the newest revision applied here."""
+        self.revision = max(self.revision, revision)
+
+    def confirmed(self, sent_s: float) -> None:
+        """Note a read of the head; all that it names has been applied.
+
+        ``sent_s`` is when the read was sent.
+        """
+        self._confirm(sent_s)
+        if self._unsettled_s is not None and sent_s >= (
+            self._unsettled_s + self.call_longest_s
+        ):
+            self._unsettled_s = None
+
+    def renewed(self, sent_s: float) -> None:
+        """Note a renewal of the own member row, sent at ``sent_s``."""
+        self._renewed_s = max(self._renewed_s or sent_s, sent_s)
+
+    def joined(self, present: frozenset[str], now_s: float) -> None:
+        """Note the member rows read after the own row was written."""
+        if self._must_meet is None:
+            self._must_meet = set(present - {self.own})
+        self.members(present, present, now_s)
+
+    def members(
+        self, present: frozenset[str], young: frozenset[str], now_s: float
+    ) -> None:
+        """Note the entries that have rows, known at ``now_s``.
+
+        A new one counts at once. One whose row is gone counts until the
+        head was read after that, so that its last change is known here.
+        ``young`` are those whose rows changed within the longest pact and
+        its margin; the others no longer go on blind, so that they need not
+        be met.
+        """
+        self._members_read = True
+        for incarnation in present - {self.own}:
+            self._known.setdefault(incarnation, now_s)
+        gone = frozenset(self._known) - present
+        self._dropped = (gone, now_s)
+        if self._must_meet is not None:
+            self._must_meet &= young
+
+    # Exchanges with peers.
+
+    def answer(self, asker: str, now_s: float) -> PeerKnowledge:
+        """Return what to tell a peer; may make the promise."""
+        self._known[asker] = now_s
+        blind = (
+            not self._is_confirmed(now_s)
+            and not self._commits
+            and self._unsettled_s is None
+        )
+        if blind:
+            until_s = now_s + self.bound_s + self.margin_s
+            self._promised_until_s = max(self._promised_until_s, until_s)
+        age_s = None
+        if self._confirmed_s is not None:
+            age_s = now_s - self._confirmed_s
+        return PeerKnowledge(
+            incarnation=self.own,
+            revision=self.revision,
+            age_s=age_s,
+            blind=blind,
+        )
+
+    def learn(self, knowledge: PeerKnowledge, sent_s: float) -> None:
+        """Take a peer's answer to a question sent at ``sent_s``.
+
+        Call it after the peer's revisions were applied; while some are
+        missing the answer confirms nothing.
+        """
+        peer = knowledge.incarnation
+        self._known.setdefault(peer, sent_s)
+        self._met.add(peer)
+        if knowledge.blind:
+            self._blind[peer] = _BlindAnswer(sent_s, knowledge.revision)
+        else:
+            self._blind.pop(peer, None)
+        if knowledge.age_s is not None and knowledge.revision <= self.revision:
+            self._confirm(sent_s - knowledge.age_s)
+
+    # Decisions.
+
+    def accepts(self, now_s: float) -> bool:
+        """Return whether keyed requests are taken."""
+        return self._is_confirmed(now_s) or self._goes_on_blind(now_s)
+
+    def require(self, now_s: float) -> None:
+        """Raise the refusal of a keyed request unless they are taken."""
+        if not self.accepts(now_s):
+            raise errors.Refusal(
+                reason=errors.ErrorCode.KEYS_STALE,
+                sentence="Keys cannot be checked at this moment.",
+                status=503,
+                retry_after_s=self.bound_s,
+            )
+
+    def begin_commit(self, now_s: float) -> None:
+        """Begin to commit a change, or raise :class:`CommitHeld`.
+
+        Until :meth:`end_commit` no promise is made.
+        """
+        if now_s < self._promised_until_s:
+            raise CommitHeld("promise", self._promised_until_s - now_s)
+        if self._must_meet is None:
+            raise CommitHeld("not joined", self.bound_s)
+        if self._must_meet - self._met:
+            raise CommitHeld("introductions", self.bound_s)
+        self._commits += 1
+
+    def end_commit(self, known: bool, now_s: float) -> None:
+        """End a commit; ``known`` tells whether its outcome is known."""
+        self._commits -= 1
+        if not known:
+            self._unsettled_s = max(self._unsettled_s or now_s, now_s)
+
+    def _confirm(self, as_of_s: float) -> None:
+        self._confirmed_s = max(self._confirmed_s or as_of_s, as_of_s)
+        if self._dropped is None or as_of_s < self._dropped[1]:
+            return
+        gone, read_s = self._dropped
+        self._dropped = None
+        for incarnation in gone:
+            # One that introduced itself since has a newer row.
+            if self._known[incarnation] <= read_s:
+                del self._known[incarnation]
+
+    def _is_confirmed(self, now_s: float) -> bool:
+        return (
+            self._confirmed_s is not None
+            and now_s - self._confirmed_s <= self.bound_s
+        )
+
+    def _goes_on_blind(self, now_s: float) -> bool:
+        if self._confirmed_s is None or not self._members_read:
+            return False
+        if self._renewed_s is None or now_s > (
+            self._renewed_s + self.pact_longest_s
+        ):
+            return False
+        if self._commits or self._unsettled_s is not None:
+            return False
+        return all(self._is_blind(peer, now_s) for peer in self._known)
+
+    def _is_blind(self, peer: str, now_s: float) -> bool:
+        answer = self._blind.get(peer)
+        return (
+            answer is not None
+            and now_s - answer.sent_s <= self.bound_s
+            and answer.revision <= self.revision
+        )
--- /dev/null
+++ b/bilberrydeal/membership/__init__.py
@@ -0,0 +1,27 @@
+"""Which entries and agents there are."""
+
+from ._directory import MemberDirectory
+from ._incarnation import new_incarnation
+from ._members import AgentMember
+from ._members import EntryMember
+from ._members import Member
+from ._members import MemberState
+from ._registration import Registration
+from ._registration import RowTaken
+from ._relay import MemberRelay
+from ._relay import RelayedRow
+from ._relay import ShardAge
+
+__all__ = [
+    "AgentMember",
+    "EntryMember",
+    "Member",
+    "MemberDirectory",
+    "MemberRelay",
+    "MemberState",
+    "Registration",
+    "RelayedRow",
+    "RowTaken",
+    "ShardAge",
+    "new_incarnation",
+]
