--- /dev/null
+++ b/bilberrydeal/cli/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command line as ``python -m bilberrydeal.cli``."""
+
+import sys
+
+from . import main
+
+sys.exit(main())
--- /dev/null
+++ b/bilberrydeal/cli/_commands_routes.py
@@ -0,0 +1,121 @@
+"""Commands for routes and models."""
+
+import cyclopts
+
+from .. import configuration
+from .. import operators
+from . import _app
+from . import _client
+from . import _output
+from . import _spread
+
+ROUTES = cyclopts.App(name="routes", help="Routes of plain services.")
+MODELS = cyclopts.App(name="models", help="Models that callers may name.")
+_app.APP.command(ROUTES)
+_app.APP.command(MODELS)
+
+
+@ROUTES.command(name="list")
+def list_routes(*, target: _app.Target = _app.DEFAULT) -> None:
+    """Show all routes."""
+    listed = target.client.get("/routes", operators.RouteList)
+    if target.json:
+        _output.show_json(listed)
+    else:
+        _output.show_rows(listed.routes)
+
+
+@ROUTES.command(name="set")
+def set_route(
+    name: str,
+    path: str,
+    *,
+    service: str = "",
+    method: tuple[str, ...] = ("POST",),
+    access: configuration.Access = configuration.Access.KEYED,
+    idempotent: bool = False,
+    request_class: int = 0,
+    deadline_s: float = 0.0,
+    expected_revision: int = 0,
+    target: _app.Target = _app.DEFAULT,
+) -> None:
+    """Create a route, or replace the one of ``--expected-revision``."""
+    body = {
+        "expected_revision": expected_revision,
+        "path": path,
+        "methods": method,
+        "access": access,
+        "idempotent": idempotent,
+        "request_class": request_class,
+        "deadline_s": deadline_s,
+        "service": service,
+    }
+    _put(f"/routes/{_client.quoted(name)}", body, target)
+
+
+@ROUTES.command(name="remove")
+def remove_route(
+    name: str,
+    expected_revision: int,
+    *,
+    target: _app.Target = _app.DEFAULT,
+) -> None:
+    """Remove a route."""
+    _delete(f"/routes/{_client.quoted(name)}", expected_revision, target)
+
+
+@MODELS.command(name="list")
+def list_models(*, target: _app.Target = _app.DEFAULT) -> None:
+    """Show all models."""
+    listed = target.client.get("/models", operators.ModelRows)
+    if target.json:
+        _output.show_json(listed)
+    else:
+        _output.show_rows(listed.models)
+
+
+@MODELS.command(name="set")
+def set_model(
+    name: str,
+    service: str,
+    *,
+    version: str = "",
+    request_class: int | None = None,
+    prefill_price: float = 1.0,
+    decode_price: float = 4.0,
+    expected_revision: int = 0,
+    target: _app.Target = _app.DEFAULT,
+) -> None:
+    """Create a model, or replace the one of ``--expected-revision``."""
+    body = {
+        "expected_revision": expected_revision,
+        "service": service,
+        "version": version,
+        "request_class": request_class,
+        "prefill_price": prefill_price,
+        "decode_price": decode_price,
+    }
+    _put(f"/models/{_client.quoted(name)}", body, target)
+
+
+@MODELS.command(name="remove")
+def remove_model(
+    name: str,
+    expected_revision: int,
+    *,
+    target: _app.Target = _app.DEFAULT,
+) -> None:
+    """Remove a model."""
+    _delete(f"/models/{_client.quoted(name)}", expected_revision, target)
+
+
+def _put(path: str, body: object, target: _app.Target) -> None:
+    committed = target.client.put(path, body, operators.Committed)
+    _spread.announce(committed.revision, target, 0.0)
+
+
+def _delete(path: str, expected_revision: int, target: _app.Target) -> None:
+    committed = target.client.delete(
+        f"{path}?expected_revision={expected_revision}", operators.Committed
+    )
+    _spread.announce(committed.revision, target, 0.0)
--- /dev/null
+++ b/bilberrydeal/cli/_output.py
@@ -0,0 +1,35 @@
+"""Prints what was asked for, as a table or as JSON."""
+
+import collections.abc
+import sys
+
+import attrs
+import msgspec
+
+
+def show_json(body: object) -> None:
+    """Print a body as JSON."""
+    text = msgspec.json.format(msgspec.json.encode(body), indent=2)
+    sys.stdout.write(text.decode() + "\n")
+
+
+def show_rows(rows: collections.abc.Sequence[attrs.AttrsInstance]) -> None:
+    """Print rows of one type as a table with aligned columns."""
+    if not rows:
+        print("(none)")
+        return
+    names = [field.name for field in attrs.fields(type(rows[0]))]
+    lines = [names]
+    lines += [[_cell(getattr(row, name)) for name in names] for row in rows]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    for line in lines:
+        cells = [c.ljust(w) for c, w in zip(line, widths, strict=True)]
+        print("  ".join(cells).rstrip())
+
+
+def _cell(value: object) -> str:
+    if isinstance(value, tuple | list):
+        return ",".join(map(str, value))
+    if isinstance(value, float):
+        return f"{value:g}"
+    return str(value)
--- /dev/null
+++ b/bilberrydeal/entry/_dispatch.py
@@ -0,0 +1,294 @@
+"""Carries an admitted request to an endpoint, with retries."""
+
+import asyncio
+import collections.abc
+import contextlib
+import typing
+
+import attrs
+
+from .. import claims
+from .. import errors
+from .. import link
+from .. import systems
+from .. import telemetry
+from ..systems import health
+from ..systems import retries
+from ..systems import routing
+from . import _pool
+from . import _work
+
+LOG = telemetry.logger("dispatch")
+#: Longest wait for an agent to say whether a request had begun.
+CANCEL_TIMEOUT_S = 0.5
+#: Callers that find no endpoint are told to come back after this time.
+NO_ENDPOINT_RETRY_S = 1.0
+
+Event = link.Chunk | link.Finished
+
+
+class Placement(typing.Protocol):
+    """Learns where a request goes before it is sent there."""
+
+    async def placed(self, dispatch: claims.Dispatch) -> None:
+        """Record the place, or raise: then nothing is sent."""
+
+
+@attrs.define(slots=False, eq=False)
+class AttemptFailed(errors.BilberrydealError):
+    """One try did not end with an answer."""
+
+    code: typing.ClassVar[errors.ErrorCode] = errors.ErrorCode.ENDPOINT_FAILED
+
+    #: Why, for the caller.
+    reason: errors.ErrorCode
+    #: Whether any part of the request may have run; ``False`` is proved.
+    started: bool
+    #: When the endpoint asks to be tried again, in seconds; 0 for never.
+    retry_after_s: float = 0.0
+
+
+@attrs.define
+class Policies:
+    """The deciding systems of one entry."""
+
+    router: routing.Router
+    retrier: retries.Retrier
+    health: health.HealthSystem
+
+
+class Dispatcher:
+    """Runs requests on endpoints."""
+
+    def __init__(
+        self,
+        pool: _pool.LinkPool,
+        tables: systems.Tables,
+        policies: Policies,
+        next_number: collections.abc.Callable[[], link.RequestNumber],
+        clock: collections.abc.Callable[[], float],
+    ) -> None:
+        self._next_number = next_number
+        self._pool = pool
+        self._tables = tables
+        self._pending = tables.of(systems.PendingRequest)
+        self._policies = policies
+        self._clock = clock
+
+    async def run(
+        self, work: _work.Work, placement: Placement | None = None
+    ) -> collections.abc.AsyncGenerator[Event, None]:
+        """Yield the parts of the answer, or raise a refusal.
+
+        A request that is idempotent is tried again within its deadline and
+        the retry budget, until its first part has come. Any other is tried
+        again only where it is proved that nothing ran.
+        """
+        tried: frozenset[str] = frozenset()
+        for number in range(1, 1 << 30):
+            begun = False
+            pending = self._route(work, tried)
+            try:
+                attempt = self._attempt(work, pending, placement)
+                async with contextlib.aclosing(attempt) as events:
+                    async for event in events:
+                        begun = True
+                        yield event
+            except AttemptFailed as failed:
+                tried |= {pending.endpoint_id}
+                await self._back_off(work, pending, failed, number, begun)
+            else:
+                self._policies.retrier.succeeded(
+                    work.route, pending.endpoint_id, self._clock()
+                )
+                return
+            finally:
+                self._policies.router.finished(
+                    self._tables, pending, self._clock()
+                )
+
+    def _route(
+        self, work: _work.Work, tried: frozenset[str]
+    ) -> systems.PendingRequest:
+        """Return the request with an endpoint, or raise a refusal."""
+        for excluded in (tried, frozenset[str]()):
+            pending = work.pending(excluded)
+            self._pending.put(pending)
+            self._policies.router.run(self._tables, self._clock())
+            self._pending.remove(pending.key)
+            if pending.endpoint_id:
+                return pending
+        raise errors.Refusal(
+            reason=errors.ErrorCode.NO_ENDPOINT,
+            sentence=f"No endpoint of {work.service} takes work now.",
+            status=503,
+            retry_after_s=NO_ENDPOINT_RETRY_S,
+        )
+
+    async def _back_off(
+        self,
+        work: _work.Work,
+        pending: systems.PendingRequest,
+        failed: AttemptFailed,
+        number: int,
+        begun: bool,
+    ) -> None:
+        """Wait before the next try, or raise a refusal for the caller."""
+        now_s = self._clock()
+        delay_s = None
+        if not begun:
+            attempt = retries.Attempt(
+                route=work.route,
+                endpoint_id=pending.endpoint_id,
+                number=number,
+                started=failed.started,
+                idempotent=work.idempotent,
+                deadline_s=work.deadline_s,
+            )
+            delay_s = self._policies.retrier.delay_s(attempt, now_s)
+        if delay_s is None:
+            raise _refusal(work, failed) from failed
+        LOG.info(
+            "Trying again.",
+            request=str(work.number),
+            endpoint=pending.endpoint_id,
+            reason=failed.reason.value,
+        )
+        await asyncio.sleep(delay_s)
+
+    async def _attempt(
+        self,
+        work: _work.Work,
+        pending: systems.PendingRequest,
+        placement: Placement | None,
+    ) -> collections.abc.AsyncGenerator[Event, None]:
+        agent_link = self._pool.get(pending.endpoint_id)
+        if agent_link is None or not agent_link.connected:
+            raise AttemptFailed(
+                reason=errors.ErrorCode.NO_ENDPOINT, started=False
+            )
+        # An agent takes a number once, so each try has one of its own.
+        number = self._next_number()
+        if placement is not None:
+            await placement.placed(
+                claims.Dispatch(number, pending.endpoint_id, agent_link.agent)
+            )
+        submit = attrs.evolve(
+            work.submit(self._clock()),
+            number=number,
+            cached_tokens=pending.cached_tokens,
+        )
+        try:
+            call = agent_link.submit(submit)
+        except (link.LinkDown, link.LinkFull) as error:
+            raise AttemptFailed(reason=error.code, started=False) from error
+        answer = _Answer(agent_link, call, work, self._clock)
+        async with contextlib.aclosing(answer.events()) as events:
+            async for event in events:
+                yield event
+        self._observe(pending.endpoint_id, succeeded=True)
+
+    def _observe(self, endpoint_id: str, succeeded: bool) -> None:
+        self._policies.health.observe(
+            health.Observation(endpoint_id, succeeded), self._clock()
+        )
+
+
+class _Answer:
+    """The answer of one try: its parts, deadline and doubts."""
+
+    def __init__(
+        self,
+        agent_link: link.AgentLink,
+        call: link.Call,
+        work: _work.Work,
+        clock: collections.abc.Callable[[], float],
+    ) -> None:
+        self._link = agent_link
+        self._call = call
+        self._work = work
+        self._clock = clock
+        self._ended = False
+
+    async def events(self) -> collections.abc.AsyncGenerator[Event, None]:
+        """Yield the parts; a try that fails raises ``AttemptFailed``."""
+        try:
+            async with contextlib.aclosing(self._call.events()) as parts:
+                while not self._ended:
+                    event = await self._next(parts)
+                    self._ended = isinstance(event, link.Finished)
+                    yield event
+        finally:
+            if not self._ended and self._work.idempotent:
+                self._end_at_agent()
+
+    async def _next(
+        self, parts: collections.abc.AsyncGenerator[typing.Any, None]
+    ) -> Event:
+        left_s = self._work.deadline_s - self._clock()
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                event = await anext(parts)
+        except TimeoutError:
+            raise await self._past_deadline() from None
+        except link.CallLost as lost:
+            self._ended = True
+            raise AttemptFailed(
+                reason=errors.ErrorCode.ENDPOINT_FAILED, started=lost.started
+            ) from lost
+        if isinstance(event, link.Refused):
+            self._ended = True
+            raise AttemptFailed(
+                reason=errors.ErrorCode(event.reason),
+                started=event.started,
+                retry_after_s=event.retry_after_s,
+            )
+        return typing.cast(Event, event)
+
+    async def _past_deadline(self) -> AttemptFailed:
+        """Ask the agent whether the request had begun."""
+        self._ended = True
+        outcome = await self._link.cancel(
+            self._call.sequence, CANCEL_TIMEOUT_S
+        )
+        return AttemptFailed(
+            reason=errors.ErrorCode.DEADLINE_EXCEEDED,
+            started=outcome is not link.CancelOutcome.NOT_STARTED,
+        )
+
+    def _end_at_agent(self) -> None:
+        """Free the endpoint of a request that nobody waits for."""
+        task = asyncio.create_task(
+            self._link.cancel(self._call.sequence, CANCEL_TIMEOUT_S)
+        )
+        _BACKGROUND.add(task)
+        task.add_done_callback(_BACKGROUND.discard)
+
+
+#: Keeps tasks that nobody awaits from being collected.
+_BACKGROUND: set[asyncio.Task[typing.Any]] = set()
+
+_STATUSES = {
+    errors.ErrorCode.DEADLINE_EXCEEDED: 504,
+    errors.ErrorCode.ENDPOINT_FAILED: 502,
+    errors.ErrorCode.BAD_REQUEST: 400,
+}
+#: Callers that meet an overloaded endpoint are told to come back after this.
+OVERLOAD_RETRY_S = 1.0
+
+
+def _refusal(work: _work.Work, failed: AttemptFailed) -> errors.Refusal:
+    """Return what a caller is told of a request that is given up."""
+    executed = errors.Executed.UNKNOWN
+    if not failed.started:
+        executed = errors.Executed.NO
+    retry_after_s = None
+    if executed is errors.Executed.NO or work.idempotent:
+        retry_after_s = failed.retry_after_s or OVERLOAD_RETRY_S
+    return errors.Refusal(
+        reason=failed.reason,
+        sentence=f"The request to {work.service} got no answer.",
+        status=_STATUSES.get(failed.reason, 503),
+        executed=executed,
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/bilberrydeal/entry/_http.py
@@ -0,0 +1,162 @@
+"""The port that callers and operators reach through the balancer."""
+
+import asyncio
+import collections.abc
+import math
+import typing
+
+import sanic
+from sanic import exceptions
+from sanic import response
+
+from .. import errors
+from .. import settings
+from .. import telemetry
+from . import _answers
+from . import _callers
+
+LOG = telemetry.logger("http")
+JSON = "application/json"
+EVENT_STREAM = "text/event-stream; charset=utf-8"
+METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD", "OPTIONS")
+#: Connections without a request are closed after this time.
+KEEP_ALIVE_S = 75
+#: Sanic's own bound on an answer stays out of the way of deadlines.
+RESPONSE_SLACK_S = 60
+
+#: Serves one request; returns the response, or ``None`` if it streamed one.
+Handler = collections.abc.Callable[
+    [sanic.Request], collections.abc.Awaitable[response.HTTPResponse | None]
+]
+
+_SANIC_CODES = {
+    400: errors.ErrorCode.BAD_REQUEST,
+    404: errors.ErrorCode.UNKNOWN_ROUTE,
+    405: errors.ErrorCode.METHOD_NOT_ALLOWED,
+    408: errors.ErrorCode.BODY_TOO_SLOW,
+    413: errors.ErrorCode.BODY_TOO_LARGE,
+}
+
+
+def new_app(name: str, chosen: settings.HttpSettings) -> typing.Any:
+    """Return a Sanic application whose errors have our error body."""
+    app: typing.Any = sanic.Sanic(name, configure_logging=False)
+    app.config.update(
+        {
+            "ACCESS_LOG": False,
+            "MOTD": False,
+            "FALLBACK_ERROR_FORMAT": "json",
+            "KEEP_ALIVE_TIMEOUT": KEEP_ALIVE_S,
+            "REQUEST_MAX_SIZE": chosen.body_limit_bytes,
+            "REQUEST_TIMEOUT": math.ceil(chosen.body_timeout_s),
+            "RESPONSE_TIMEOUT": math.ceil(
+                chosen.longest_deadline_s + RESPONSE_SLACK_S
+            ),
+        }
+    )
+    app.exception(Exception)(_on_exception)
+    return app
+
+
+def add_route(
+    app: typing.Any,
+    path: str,
+    methods: collections.abc.Sequence[str],
+    handler: Handler,
+    body_timeout_s: float,
+) -> None:
+    """Serve a path; refusals that ``handler`` raises become answers."""
+
+    async def serve(request: sanic.Request) -> response.HTTPResponse | None:
+        try:
+            await _receive_body(request, body_timeout_s)
+            return await handler(request)
+        except errors.Refusal as refusal:
+            return refused(refusal)
+
+    name = f"{'-'.join(methods)}{path}".replace("/", "_")
+    app.add_route(
+        serve,
+        path,
+        methods=list(methods),
+        name="".join(c for c in name if c.isalnum() or c in "_-"),
+        stream=True,
+        unquote=False,
+    )
+
+
+async def _receive_body(request: sanic.Request, timeout_s: float) -> None:
+    """Read the whole body within the bounds on size and time."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await typing.cast(typing.Any, request).receive_body()
+    except TimeoutError as error:
+        request_stream(request).keep_alive = False
+        raise errors.Refusal(
+            reason=errors.ErrorCode.BODY_TOO_SLOW,
+            sentence="The body did not arrive in time.",
+            status=408,
+        ) from error
+
+
+def request_stream(request: sanic.Request) -> typing.Any:
+    """Return the connection of a request."""
+    return request.stream
+
+
+def caller_request(
+    request: sanic.Request, now_s: float
+) -> _callers.CallerRequest:
+    """Return what a caller sent, apart from the library."""
+    query = request.query_string
+    return _callers.CallerRequest(
+        method=request.method,
+        path=request.path,
+        target=f"{request.path}?{query}" if query else request.path,
+        headers=request.headers,
+        body=request.body,
+        received_at_s=now_s,
+    )
+
+
+def refused(refusal: errors.Refusal) -> response.HTTPResponse:
+    """Return the answer for a refusal."""
+    headers = {}
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = str(math.ceil(refusal.retry_after_s))
+    if refusal.status == 401:
+        headers["WWW-Authenticate"] = "Bearer"
+    return response.HTTPResponse(
+        _answers.error_body(refusal),
+        status=refusal.status,
+        headers=headers,
+        content_type=JSON,
+    )
+
+
+def json_answer(body: bytes, status: int = 200) -> response.HTTPResponse:
+    """Return an answer with a JSON body."""
+    return response.HTTPResponse(body, status=status, content_type=JSON)
+
+
+async def _on_exception(
+    request: sanic.Request, error: Exception
+) -> response.HTTPResponse:
+    if isinstance(error, errors.Refusal):
+        return refused(error)
+    if isinstance(error, exceptions.SanicException):
+        status = error.status_code
+        code = _SANIC_CODES.get(status, errors.ErrorCode.BAD_REQUEST)
+        sentence = f"{type(error).__name__}: {error}"
+        return refused(
+            errors.Refusal(reason=code, sentence=sentence, status=status)
+        )
+    LOG.error("Handler failed.", path=request.path, exc_info=error)
+    return refused(
+        errors.Refusal(
+            reason=errors.ErrorCode.INTERNAL,
+            sentence="The entry failed; the cause is in its log.",
+            status=500,
+            executed=errors.Executed.UNKNOWN,
+        )
+    )
--- /dev/null
+++ b/bilberrydeal/entry/_pool.py
@@ -0,0 +1,162 @@
+"""The links that this entry keeps, and the endpoints behind them."""
+
+import asyncio
+import collections.abc
+
+import attrs
+
+from .. import link
+from .. import ports
+from .. import settings
+from .. import systems
+from .. import telemetry
+
+LOG = telemetry.logger("pool")
+
+
+@attrs.frozen
+class AgentPlace:
+    """Where the agent of an endpoint is reached."""
+
+    endpoint_id: str
+    address: str
+    control_port: int
+    failure_domain: str
+    service: str
+    #: Whether the endpoint or its host is to go away.
+    leaving: bool = False
+
+
+@attrs.define
+class _Member:
+    place: AgentPlace
+    link: link.AgentLink
+    task: asyncio.Task[None]
+
+
+class LinkPool:
+    """Keeps a link to each agent of the own subset.
+
+    The pool writes what agents report into the ``EndpointView`` table, which
+    the routing system reads.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        chosen: settings.EntrySettings,
+        tables: systems.Tables,
+        clock: collections.abc.Callable[[], float],
+    ) -> None:
+        self._entry = entry
+        self._settings = chosen
+        self._views = tables.of(systems.EndpointView)
+        self._clock = clock
+        self._members: dict[str, _Member] = {}
+        #: Called with records that an agent wants settled.
+        self.on_usage: collections.abc.Callable[
+            [link.AgentLink, link.UsageRecords], None
+        ] = lambda _link, _records: None
+
+    def __iter__(self) -> collections.abc.Iterator[link.AgentLink]:
+        return (member.link for member in list(self._members.values()))
+
+    def get(self, endpoint_id: str) -> link.AgentLink | None:
+        """Return the link to an endpoint's agent, if there is one."""
+        member = self._members.get(endpoint_id)
+        return member.link if member else None
+
+    def sync(self, places: collections.abc.Iterable[AgentPlace]) -> None:
+        """Open links to new agents and close those to agents that are gone.
+
+        An agent that answers under another address is dialled anew. The
+        link to an endpoint that only left the subset stays until its last
+        request has ended; see :meth:`refresh`.
+        """
+        wanted = {place.endpoint_id: place for place in places}
+        for endpoint_id, member in list(self._members.items()):
+            place = wanted.get(endpoint_id)
+            if place is None or not _same_process(place, member.place):
+                self._close(endpoint_id)
+            else:
+                member.place = place
+        for endpoint_id, place in wanted.items():
+            if endpoint_id not in self._members:
+                self._open(place)
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Bring ``accepting`` of all endpoints up to date."""
+        for member in self._members.values():
+            self._update(member)
+
+    async def close(self) -> None:
+        """Close all links."""
+        tasks = [member.task for member in self._members.values()]
+        for endpoint_id in list(self._members):
+            self._close(endpoint_id)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _open(self, place: AgentPlace) -> None:
+        opened = link.AgentLink(
+            place.address,
+            place.control_port,
+            self._entry,
+            self._settings.failure_domain,
+            self._settings.link,
+            self._clock,
+        )
+        opened.on_usage = lambda _link, usage: self.on_usage(_link, usage)
+        task = asyncio.create_task(opened.run())
+        member = _Member(place, opened, task)
+        opened.on_status = lambda _link: self._update(member)
+        self._members[place.endpoint_id] = member
+        LOG.info("Agent added.", endpoint=place.endpoint_id)
+
+    def _close(self, endpoint_id: str) -> None:
+        member = self._members.pop(endpoint_id)
+        self._views.remove(endpoint_id)
+        member.task.cancel()
+        LOG.info("Agent removed.", endpoint=endpoint_id)
+
+    def _update(self, member: _Member) -> None:
+        status = member.link.status
+        endpoint_id = member.place.endpoint_id
+        if status is None or endpoint_id not in self._members:
+            return
+        view = self._views.get(endpoint_id)
+        if view is None:
+            view = systems.EndpointView(
+                endpoint_id=endpoint_id,
+                failure_domain=member.place.failure_domain,
+                service=status.service,
+            )
+            self._views.put(view)
+        view.service = status.service
+        view.role = ports.EngineRole(status.role or ports.EngineRole.BOTH)
+        view.accepting = (
+            status.accepting
+            and member.link.connected
+            and not member.place.leaving
+        )
+        if member.link.status_at_s > view.reported_at_s:
+            _take_load(view, status, member.link.status_at_s)
+
+
+def _same_process(one: AgentPlace, other: AgentPlace) -> bool:
+    return (one.address, one.control_port) == (
+        other.address,
+        other.control_port,
+    )
+
+
+def _take_load(
+    view: systems.EndpointView, status: link.EndpointStatus, at_s: float
+) -> None:
+    view.reported_at_s = at_s
+    view.running = status.running
+    view.waiting = status.waiting
+    view.queued_prompt_tokens = status.queued_prompt_tokens
+    view.queued_output_tokens = status.queued_output_tokens
+    view.kv_used_share = status.kv_used_share
+    view.sent = [work for work in view.sent if work.at_s > at_s]
--- a/bilberrydeal/keys/_freshness.py
+++ b/bilberrydeal/keys/_freshness.py
@@ -145,7 +145,7 @@
         """Return what to tell a peer; may make the promise."""
         self._known[asker] = now_s
         blind = (
-            not self._is_confirmed(now_s)
+            not self.is_confirmed(now_s)
             and not self._commits
             and self._unsettled_s is None
         )
@@ -182,7 +182,7 @@
 
     def accepts(self, now_s: float) -> bool:
         """Return whether keyed requests are taken."""
-        return self._is_confirmed(now_s) or self._goes_on_blind(now_s)
+        return self.is_confirmed(now_s) or self._goes_on_blind(now_s)
 
     def require(self, now_s: float) -> None:
         """Raise the refusal of a keyed request unless they are taken."""
@@ -224,7 +224,8 @@
             if self._known[incarnation] <= read_s:
                 del self._known[incarnation]
 
-    def _is_confirmed(self, now_s: float) -> bool:
+    def is_confirmed(self, now_s: float) -> bool:
+        """Return whether knowledge was confirmed within the bound."""
         return (
             self._confirmed_s is not None
             and now_s - self._confirmed_s <= self.bound_s
--- /dev/null
+++ b/bilberrydeal/peers/__init__.py
@@ -0,0 +1,21 @@
+"""The exchange of state between entries."""
+
+from ._messages import Ask
+from ._messages import Introduction
+from ._messages import Reply
+from ._requests import ask
+from ._requests import ExchangeFailed
+from ._requests import Responder
+from ._seal import Seal
+from ._seal import SealBroken
+
+__all__ = [
+    "Ask",
+    "ExchangeFailed",
+    "Introduction",
+    "Reply",
+    "Responder",
+    "Seal",
+    "SealBroken",
+    "ask",
+]
