Add the fault-injecting proxy

It fronts a whole host on another loopback address, so that every hop to that host can be delayed, stalled, cut, silenced for good in one direction or lose an answer after its effect.

--- /dev/null
+++ b/scenarios/_proxy.py
@@ -0,0 +1,189 @@
+"""A TCP proxy that injects faults.
+
+It stands in front of a whole host: it listens on another loopback address
+with the host's own ports, so that processes reach the host only through it.
+"""
+
+import asyncio
+import enum
+import functools
+
+import attrs
+
+#: Bytes taken from a socket at once.
+CHUNK_BYTES = 65_536
+
+
+class Way(enum.StrEnum):
+    """A direction of a proxied connection."""
+
+    #: From the side that dialled.
+    FORTH = "forth"
+    #: From the host behind the proxy.
+    BACK = "back"
+
+
+@attrs.frozen
+class Weather:
+    """What happens to traffic; the default passes everything."""
+
+    #: Each chunk waits so long.
+    delay_s: float = 0.0
+    #: Nothing passes until this is lifted; no byte is lost.
+    stall: bool = False
+    #: New connections are closed at once.
+    refuse: bool = False
+
+
+@attrs.define(eq=False)
+class _Pipe:
+    """One proxied connection."""
+
+    port: int
+    near: asyncio.StreamWriter
+    far: asyncio.StreamWriter
+    #: Directions whose bytes vanish for good.
+    silent: set[Way] = attrs.field(factory=set)
+
+    def abort(self) -> None:
+        self.near.transport.abort()
+        self.far.transport.abort()
+
+
+class Proxy:
+    """Fronts one host.
+
+    Example::
+
+        proxy = Proxy("127.0.1.1", "127.0.0.1", (8000, 8001))
+        await proxy.start()
+        proxy.hush(Way.BACK)
+    """
+
+    def __init__(
+        self, address: str, target: str, ports: tuple[int, ...]
+    ) -> None:
+        self.address = address
+        self._target = target
+        self._ports = ports
+        self._servers: list[asyncio.Server] = []
+        self._pipes: set[_Pipe] = set()
+        self._weather: dict[int, Weather] = {}
+        self._lifted = asyncio.Event()
+        self._lifted.set()
+        self._answers_to_lose: dict[int, int] = {}
+
+    async def start(self) -> None:
+        """Listen on all ports."""
+        for port in self._ports:
+            self._servers.append(
+                await asyncio.start_server(
+                    functools.partial(self._serve, port), self.address, port
+                )
+            )
+
+    async def stop(self) -> None:
+        """Close everything."""
+        for server in self._servers:
+            server.close()
+        self.cut()
+
+    def set_weather(self, weather: Weather, port: int | None = None) -> None:
+        """Set what happens on one port or on all."""
+        for each in self._chosen(port):
+            self._weather[each] = weather
+        if any(weather.stall for weather in self._weather.values()):
+            self._lifted.clear()
+        else:
+            self._lifted.set()
+
+    def cut(self, port: int | None = None) -> None:
+        """Reset the connections that are open now."""
+        for pipe in self._open(port):
+            pipe.abort()
+
+    def hush(self, way: Way, port: int | None = None) -> None:
+        """Lose one direction of the open connections for good.
+
+        Neither end sees an error, and new connections work.
+        """
+        for pipe in self._open(port):
+            pipe.silent.add(way)
+
+    def lose_answers(self, port: int, count: int = 1) -> None:
+        """Reset the next connections when their answer comes."""
+        self._answers_to_lose[port] = count
+
+    def _chosen(self, port: int | None) -> tuple[int, ...]:
+        return self._ports if port is None else (port,)
+
+    def _open(self, port: int | None) -> list[_Pipe]:
+        chosen = self._chosen(port)
+        return [pipe for pipe in self._pipes if pipe.port in chosen]
+
+    def _at(self, port: int) -> Weather:
+        return self._weather.get(port, Weather())
+
+    async def _serve(
+        self,
+        port: int,
+        near_reader: asyncio.StreamReader,
+        near: asyncio.StreamWriter,
+    ) -> None:
+        if self._at(port).refuse:
+            near.transport.abort()
+            return
+        try:
+            far_reader, far = await asyncio.open_connection(self._target, port)
+        except OSError:
+            near.transport.abort()
+            return
+        pipe = _Pipe(port=port, near=near, far=far)
+        self._pipes.add(pipe)
+        try:
+            await asyncio.gather(
+                self._pump(pipe, Way.FORTH, near_reader, far),
+                self._pump(pipe, Way.BACK, far_reader, near),
+            )
+        finally:
+            pipe.abort()
+            self._pipes.discard(pipe)
+
+    async def _pump(
+        self,
+        pipe: _Pipe,
+        way: Way,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                await self._pass(pipe, way, data, writer)
+            if way not in pipe.silent:
+                writer.write_eof()
+        except OSError:
+            pipe.abort()
+
+    async def _pass(
+        self,
+        pipe: _Pipe,
+        way: Way,
+        data: bytes,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        weather = self._at(pipe.port)
+        if weather.delay_s:
+            await asyncio.sleep(weather.delay_s)
+        while self._at(pipe.port).stall:
+            await self._lifted.wait()
+        if way is Way.BACK and self._takes_answer(pipe.port):
+            pipe.abort()
+        if way in pipe.silent:
+            return
+        writer.write(data)
+        await writer.drain()
+
+    def _takes_answer(self, port: int) -> bool:
+        left = self._answers_to_lose.get(port, 0)
+        self._answers_to_lose[port] = max(0, left - 1)
+        return left > 0
--- /dev/null
+++ b/scenarios/tests/test_proxy.py
@@ -0,0 +1,103 @@
+"""The proxy does to traffic what scenarios say it does."""
+
+import asyncio
+import collections.abc
+import contextlib
+
+import pytest
+
+from scenarios import _proxy
+
+ADDRESS = "127.77.0.1"
+FRONT = "127.77.0.2"
+PORT = 20_001
+#: Long enough for bytes that would pass to have passed.
+QUIET_S = 0.3
+#: Generous limit for what must happen.
+TIMEOUT_S = 10.0
+
+
+class Echo:
+    """A server that counts what it received."""
+
+    def __init__(self) -> None:
+        self.received = b""
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(100):
+                self.received += data
+                writer.write(data)
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def fronted() -> collections.abc.AsyncIterator[
+    tuple[_proxy.Proxy, Echo]
+]:
+    echo = Echo()
+    server = await asyncio.start_server(echo.serve, ADDRESS, PORT)
+    proxy = _proxy.Proxy(FRONT, ADDRESS, (PORT,))
+    await proxy.start()
+    yield proxy, echo
+    await proxy.stop()
+    server.close()
+
+
+async def call(
+    pair: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+    data: bytes,
+    timeout_s: float = TIMEOUT_S,
+) -> bytes:
+    """Return the answer, empty after a reset."""
+    reader, writer = pair
+    writer.write(data)
+    try:
+        return await asyncio.wait_for(reader.read(100), timeout_s)
+    except ConnectionError:
+        return b""
+
+
+async def test_hush_silences_old_connections_only() -> None:
+    async with fronted() as (proxy, echo):
+        old = await asyncio.open_connection(FRONT, PORT)
+        assert await call(old, b"a") == b"a"
+        proxy.hush(_proxy.Way.BACK)
+        with pytest.raises(TimeoutError):
+            await call(old, b"b", QUIET_S)
+        new = await asyncio.open_connection(FRONT, PORT)
+        assert await call(new, b"c") == b"c"
+    assert echo.received == b"abc"
+
+
+async def test_lost_answer_comes_after_the_effect() -> None:
+    async with fronted() as (proxy, echo):
+        proxy.lose_answers(PORT)
+        one = await asyncio.open_connection(FRONT, PORT)
+        assert await call(one, b"a") == b""
+        two = await asyncio.open_connection(FRONT, PORT)
+        assert await call(two, b"b") == b"b"
+    assert echo.received == b"ab"
+
+
+async def test_stall_loses_nothing() -> None:
+    async with fronted() as (proxy, echo):
+        one = await asyncio.open_connection(FRONT, PORT)
+        proxy.set_weather(_proxy.Weather(stall=True))
+        with pytest.raises(TimeoutError):
+            await call(one, b"a", QUIET_S)
+        assert echo.received == b""
+        proxy.set_weather(_proxy.Weather())
+        assert await asyncio.wait_for(one[0].read(1), TIMEOUT_S) == b"a"
+
+
+async def test_cut_and_refuse() -> None:
+    async with fronted() as (proxy, _):
+        one = await asyncio.open_connection(FRONT, PORT)
+        assert await call(one, b"a") == b"a"
+        proxy.set_weather(_proxy.Weather(refuse=True))
+        proxy.cut()
+        for pair in (one, await asyncio.open_connection(FRONT, PORT)):
+            assert await call(pair, b"b") == b""
--- a/standins/engine/_app.py
+++ b/standins/engine/_app.py
@@ -22,6 +22,8 @@
 RETAIN_S = 30.0
 #: Time between two published load reports.
 LOAD_PERIOD_S = 0.5
+#: A generation that nobody reads is ended after so long.
+ORPHAN_S = 15.0
 #: Headers that differ from call to call.
 _VARYING = frozenset(["Content-Length"])
 
@@ -109,6 +111,7 @@
         self._ended = collections.deque()
         self._work = asyncio.Event()
         self._progress: dict[int, asyncio.Event] = {}
+        self._readers: collections.Counter[int] = collections.Counter()
         self._headers: set[tuple[tuple[str, str], ...]] = set()
         self._load = (0.0, ports.LoadReport(0.0, 0, 0, 0, 0.0))
         self._exported: dict[str, tuple[int, ...]] = {}
@@ -241,7 +244,29 @@
         response = web.StreamResponse(
             headers={"Content-Type": "text/event-stream"}
         )
-        await response.prepare(request)
+        self._readers[id(item)] += 1
+        try:
+            await response.prepare(request)
+            await self._send(response, item, sent)
+        finally:
+            self._readers[id(item)] -= 1
+            self._drop_orphan(item)
+        return response
+
+    def _drop_orphan(self, item: _batch.Running) -> None:
+        """End a generation later unless someone resumes it."""
+
+        def drop() -> None:
+            if not self._readers[id(item)] and not item.finish_reason:
+                self._batch.end(item, "cancelled")
+                self._announce(item)
+
+        if not item.finish_reason:
+            asyncio.get_running_loop().call_later(ORPHAN_S, drop)
+
+    async def _send(
+        self, response: web.StreamResponse, item: _batch.Running, sent: int
+    ) -> None:
         while True:
             progress = self._progress.setdefault(id(item), asyncio.Event())
             if len(item.output) > sent or item.finish_reason:
@@ -252,9 +277,9 @@
                 break
             if len(item.output) == sent:
                 await progress.wait()
+        self._progress.pop(id(item), None)
         await response.write(b"data: [DONE]\n\n")
         await response.write_eof()
-        return response
 
     async def _cancel(self, request: web.Request) -> web.Response:
         call = await _serve.body(request, Named)
