Add promise checks over the stand-ins' journals

Every check reads what engines, plain services and platform recorded and what callers were told, never the product.

--- /dev/null
+++ b/scenarios/_promises.py
@@ -0,0 +1,308 @@
+"""Checks of what must always hold, over what the stand-ins recorded.
+
+Each check returns a sentence for every break, none where the promise held.
+Nothing here asks the product.
+"""
+
+import collections
+import collections.abc
+import itertools
+import json
+import pathlib
+
+import attrs
+import msgspec
+
+from bilberrydeal import ports
+import standins
+from standins import engine
+from standins import plain
+from standins import platform
+
+from . import _caller
+
+
+@attrs.frozen
+class Evidence:
+    """All that was recorded in one scenario."""
+
+    #: What callers were told.
+    outcomes: tuple[_caller.Outcome, ...]
+    #: Journals of the engines by name.
+    engines: dict[str, pathlib.Path]
+    #: Journals of the plain services by name.
+    plains: dict[str, pathlib.Path]
+    #: Journal of the platform.
+    bought: pathlib.Path
+    #: Every key and secret that exists.
+    secrets: tuple[str, ...]
+
+    def generations(self) -> list[engine.Executed]:
+        """Return all generations."""
+        return _all(self.engines, engine.Executed)
+
+    def calls(self) -> list[plain.Executed]:
+        """Return all calls of plain services."""
+        return _all(self.plains, plain.Executed)
+
+    def reports(self) -> list[platform.Reported]:
+        """Return all usage reports that arrived."""
+        return standins.load(self.bought, platform.Reported)
+
+
+def _all(
+    journals: dict[str, pathlib.Path], kind: type[standins.Event]
+) -> list[standins.Event]:
+    return [
+        event
+        for path in journals.values()
+        for event in standins.load(path, kind)
+    ]
+
+
+Found = collections.abc.Iterator[str]
+
+
+def runs_at_most_once(evidence: Evidence) -> Found:
+    """A request that is not idempotent runs at most once."""
+    counts = collections.Counter(
+        call.body
+        for call in evidence.calls()
+        if not call.path.startswith("/stock")
+    )
+    for body, count in counts.items():
+        if count > 1:
+            yield f"{body} ran {count} times"
+
+
+def refusals_are_true(evidence: Evidence) -> Found:
+    """A refusal that says "not run" is true."""
+    times = _execution_times(evidence)
+    asks = _by_marker(evidence.outcomes)
+    for marker, outcomes in asks.items():
+        refused = [item for item in outcomes if item.executed == "no"]
+        for outcome in refused:
+            if any(ran < outcome.ended_s for ran in times[marker]):
+                yield f"{marker} had run when {outcome.code} said not run"
+        if len(refused) == len(outcomes) and times[marker]:
+            yield f"{marker} ran though every answer said not run"
+
+
+def answers_are_whole(evidence: Evidence) -> Found:
+    """A caller gets the whole answer to its own request."""
+    prompts = {
+        _marker(item.prompt): item.prompt for item in evidence.generations()
+    }
+    for outcome in evidence.outcomes:
+        if outcome.status != 200 or outcome.code:
+            continue
+        ask = outcome.ask
+        if ask.max_tokens:
+            prompt = prompts.get(ask.marker)
+            if prompt is None:
+                yield f"{ask.marker} was answered but never ran"
+                continue
+            wanted = engine.answer(prompt, ask.max_tokens)
+            given = outcome.text
+            if given != wanted and (
+                outcome.finish_reason or not wanted.startswith(given)
+            ):
+                yield f"{ask.marker} got a wrong text"
+        elif json.loads(outcome.body) != attrs.asdict(
+            plain.receipt(ask.path, ask.body)
+        ):
+            yield f"{ask.marker} got {outcome.body}"
+
+
+def answers_stay_in_their_organisation(evidence: Evidence) -> Found:
+    """A request runs only for the organisation whose key came with it."""
+    owners = {
+        outcome.ask.marker: outcome.ask.organisation
+        for outcome in evidence.outcomes
+    }
+    for call in evidence.calls():
+        owner = owners.get(_marker(call.body), "")
+        if call.organisation != owner:
+            yield f"{call.body} ran for {call.organisation}, not {owner}"
+
+
+def endpoints_see_no_key(evidence: Evidence) -> Found:
+    """No endpoint sees a key."""
+    for name, path in {**evidence.engines, **evidence.plains}.items():
+        text = path.read_text() if path.exists() else ""
+        for secret in evidence.secrets:
+            if secret in text:
+                yield f"{name} saw the secret {secret[:4]}..."
+
+
+def orders_never_conflict(evidence: Evidence) -> Found:
+    """Orders to an engine come one at a time and in one order."""
+    for name, path in evidence.engines.items():
+        applied = [
+            order
+            for order in standins.load(path, engine.Applied)
+            if order.outcome != "fenced"
+        ]
+        applied.sort(key=lambda order: order.started_s)
+        for first, second in itertools.pairwise(applied):
+            if second.started_s < first.ended_s:
+                yield f"{name} got orders that overlap"
+            if second.order_version < first.order_version:
+                yield (
+                    f"{name} went from order {first.order_version}"
+                    f" back to {second.order_version}"
+                )
+        contents = collections.defaultdict(set)
+        for order in applied:
+            contents[order.order_version].add((order.role, order.model))
+        for version, kinds in contents.items():
+            if len(kinds) > 1:
+                yield f"{name} got order {version} with two contents"
+
+
+def changes_cut_nothing(evidence: Evidence) -> Found:
+    """No request is cut by a planned change."""
+    for name, path in evidence.engines.items():
+        for order in standins.load(path, engine.Applied):
+            if order.cut:
+                yield f"{name} cut {order.cut} at order {order.order_version}"
+
+
+def purchases_have_one_holder(evidence: Evidence) -> Found:
+    """The platform hears of one holder after another, never of two."""
+    highest: dict[str, int] = {}
+    orders: dict[str, tuple[str, str, int, str]] = {}
+    for item in standins.load(evidence.bought, platform.Ordered):
+        domain = item.failure_domain
+        if item.fence < highest.get(domain, 0):
+            yield f"{item.order_id} came from holder {item.fence}, too late"
+        highest[domain] = max(item.fence, highest.get(domain, 0))
+        content = (item.order, domain, item.count, item.subject)
+        if orders.setdefault(item.order_id, content) != content:
+            yield f"{item.order_id} came with two contents"
+
+
+def windows_are_reported_once(evidence: Evidence) -> Found:
+    """No window is reported with other figures or by another holder."""
+    first: dict[tuple[str, int], ports.UsageReport] = {}
+    highest = 0
+    for item in evidence.reports():
+        report = item.report
+        window = (report.organisation, report.window_start_s)
+        before = first.setdefault(window, report)
+        if before.figures != report.figures:
+            yield f"{window} was reported with other figures"
+        if before.report_id != report.report_id:
+            yield f"{window} was reported under two identities"
+        if report.fence < highest:
+            yield f"{window} came from holder {report.fence}, too late"
+        highest = max(highest, report.fence)
+
+
+def bills_are_never_too_high(evidence: Evidence) -> Found:
+    """No organisation is billed for more than ran for it."""
+    billed = billed_calls(evidence)
+    ran = _ran_calls(evidence)
+    for organisation, calls in billed.items():
+        if calls > ran[organisation]:
+            yield f"{organisation}: {calls} billed, {ran[organisation]} ran"
+
+
+def bills_are_complete(evidence: Evidence) -> Found:
+    """Every call that was answered is billed, to the token."""
+    billed = billed_calls(evidence)
+    tokens = collections.Counter[str]()
+    for report in _taken(evidence):
+        tokens[report.organisation] += report.figures.output_tokens
+    for organisation, outcomes in _by_organisation(evidence.outcomes).items():
+        answered = [item for item in outcomes if item.answered]
+        wanted = sum(item.output_tokens for item in answered)
+        if billed[organisation] < len({item.ask for item in answered}):
+            yield f"{organisation}: {billed[organisation]} calls billed"
+        if tokens[organisation] < wanted:
+            yield f"{organisation}: {tokens[organisation]} of {wanted} tokens"
+
+
+#: What must hold in every scenario, whatever failed.
+ALWAYS = (
+    runs_at_most_once,
+    refusals_are_true,
+    answers_are_whole,
+    answers_stay_in_their_organisation,
+    endpoints_see_no_key,
+    orders_never_conflict,
+    changes_cut_nothing,
+    purchases_have_one_holder,
+    windows_are_reported_once,
+    bills_are_never_too_high,
+)
+
+
+def broken(evidence: Evidence) -> list[str]:
+    """Return a sentence for every break of a promise."""
+    return [
+        f"{check.__name__}: {found}"
+        for check in ALWAYS
+        for found in check(evidence)
+    ]
+
+
+def billed_calls(evidence: Evidence) -> collections.Counter[str]:
+    """Return the calls billed to each organisation."""
+    billed = collections.Counter[str]()
+    for report in _taken(evidence):
+        billed[report.organisation] += report.figures.calls
+    return billed
+
+
+def _taken(evidence: Evidence) -> list[ports.UsageReport]:
+    return [
+        item.report for item in evidence.reports() if item.outcome == "taken"
+    ]
+
+
+def _ran_calls(evidence: Evidence) -> collections.Counter[str]:
+    owners = {
+        outcome.ask.marker: outcome.ask.organisation
+        for outcome in evidence.outcomes
+    }
+    ran = collections.Counter(call.organisation for call in evidence.calls())
+    for item in evidence.generations():
+        ran[owners.get(_marker(item.prompt), "")] += 1
+    return ran
+
+
+def _marker(text: str) -> str:
+    """Return the marker in a prompt or a body."""
+    try:
+        return str(msgspec.json.decode(text)["marker"])
+    except (msgspec.DecodeError, TypeError, KeyError):
+        found = [word for word in text.split() if word.startswith("mark-")]
+        return found[0] if found else ""
+
+
+def _execution_times(evidence: Evidence) -> dict[str, list[float]]:
+    times = collections.defaultdict(list)
+    for item in evidence.generations():
+        times[_marker(item.prompt)].append(item.executed_s)
+    for call in evidence.calls():
+        times[_marker(call.body)].append(call.executed_s)
+    return times
+
+
+def _by_marker(
+    outcomes: tuple[_caller.Outcome, ...],
+) -> dict[str, list[_caller.Outcome]]:
+    groups = collections.defaultdict(list)
+    for outcome in outcomes:
+        groups[outcome.ask.marker].append(outcome)
+    return groups
+
+
+def _by_organisation(
+    outcomes: tuple[_caller.Outcome, ...],
+) -> dict[str, list[_caller.Outcome]]:
+    groups = collections.defaultdict(list)
+    for outcome in outcomes:
+        groups[outcome.ask.organisation].append(outcome)
+    return groups
--- /dev/null
+++ b/scenarios/tests/test_promises.py
@@ -0,0 +1,179 @@
+"""Every promise is found broken where it is, and only there."""
+
+import collections.abc
+import pathlib
+
+import attrs
+import msgspec
+import pytest
+
+from bilberrydeal import ports
+from scenarios import _caller
+from scenarios import _promises
+from standins import engine
+from standins import Journal
+from standins import plain
+from standins import platform
+
+DEPOSIT = _caller.plain("/deposit", "mark-1", "russo", "once")
+ASK = _caller.completion("mark-2", "russo", max_tokens=3)
+PROMPT = "mark-2 "
+
+Change = collections.abc.Callable[["Story"], None]
+
+
+def deposit_ran(executed_s: float = 2.0) -> plain.Executed:
+    return plain.Executed(
+        request_id="r",
+        organisation="russo",
+        method="POST",
+        path="/deposit",
+        body=DEPOSIT.body,
+        headers={},
+        executed_s=executed_s,
+    )
+
+
+def order(version: int, started_s: float, cut: int = 0) -> engine.Applied:
+    return engine.Applied(
+        order_version=version,
+        fence=1,
+        role="both",
+        model="m",
+        started_s=started_s,
+        ended_s=started_s + 1.0,
+        outcome="done",
+        cut=cut,
+    )
+
+
+def purchase(order_id: str, fence: int, count: int = 1) -> platform.Ordered:
+    return platform.Ordered(
+        order="purchase",
+        order_id=order_id,
+        failure_domain="d1",
+        count=count,
+        subject="m",
+        fence=fence,
+        received_s=1.0,
+        outcome="done",
+    )
+
+
+def report(calls: int, fence: int = 1, identity: str = "w1") -> object:
+    figures = ports.OrganisationFigures(calls=calls, output_tokens=3)
+    sent = ports.UsageReport(identity, 60, 60, "russo", figures, fence)
+    return platform.Reported(sent, received_s=1.0, outcome="taken")
+
+
+class Story:
+    """A run in which every promise was kept, to be spoilt by a test."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.engine = Journal(folder / "engine")
+        self.plain = Journal(folder / "plain")
+        self.platform = Journal(folder / "platform")
+        self.outcomes = [
+            _caller.Outcome(
+                ask=DEPOSIT,
+                started_s=1.0,
+                ended_s=3.0,
+                status=200,
+                body=msgspec.json.encode(
+                    plain.receipt("/deposit", DEPOSIT.body)
+                ).decode(),
+            ),
+            _caller.Outcome(
+                ask=ASK,
+                started_s=1.0,
+                ended_s=3.0,
+                status=200,
+                text=engine.answer(PROMPT, 3),
+                finish_reason="length",
+                output_tokens=3,
+            ),
+        ]
+        self.plain.append(deposit_ran())
+        self.engine.append(engine.Executed("r", "m", PROMPT, 3, 2.0))
+        self.engine.append(order(1, 10.0))
+        self.engine.append(order(2, 12.0))
+        self.platform.append(purchase("p1", 1))
+        self.platform.append(report(2))
+        self.folder = folder
+
+    def purchase(self, *orders: tuple[str, int]) -> None:
+        for order_id, fence in orders:
+            self.platform.append(purchase(order_id, fence))
+
+    def evidence(self) -> _promises.Evidence:
+        return _promises.Evidence(
+            outcomes=tuple(self.outcomes),
+            engines={"e1": self.folder / "engine"},
+            plains={"s1": self.folder / "plain"},
+            bought=self.folder / "platform",
+            secrets=("bd-secret",),
+        )
+
+    def tell(self, index: int, **changes: object) -> None:
+        self.outcomes[index] = attrs.evolve(
+            self.outcomes[index],
+            **changes,  # type: ignore[arg-type]
+        )
+
+
+def test_kept_promises_are_not_reported(tmp_path: pathlib.Path) -> None:
+    evidence = Story(tmp_path).evidence()
+    assert _promises.broken(evidence) == []
+    assert list(_promises.bills_are_complete(evidence)) == []
+
+
+BREAKS: list[tuple[str, Change]] = [
+    ("runs_at_most_once", lambda s: s.plain.append(deposit_ran(2.5))),
+    (
+        "refusals_are_true",
+        lambda s: s.tell(0, status=503, code="overloaded", executed="no"),
+    ),
+    ("answers_are_whole", lambda s: s.tell(1, text="other")),
+    ("answers_are_whole", lambda s: s.tell(0, body="{}")),
+    (
+        "answers_stay_in_their_organisation",
+        lambda s: s.plain.append(
+            attrs.evolve(deposit_ran(), organisation="other")
+        ),
+    ),
+    (
+        "endpoints_see_no_key",
+        lambda s: s.engine.append(engine.Headers({"X": "bd-secret"})),
+    ),
+    ("orders_never_conflict", lambda s: s.engine.append(order(3, 12.5))),
+    ("orders_never_conflict", lambda s: s.engine.append(order(1, 20.0))),
+    ("changes_cut_nothing", lambda s: s.engine.append(order(3, 20.0, 1))),
+    (
+        "purchases_have_one_holder",
+        lambda s: s.purchase(("p2", 2), ("p3", 1)),
+    ),
+    (
+        "purchases_have_one_holder",
+        lambda s: s.platform.append(purchase("p1", 1, count=2)),
+    ),
+    ("windows_are_reported_once", lambda s: s.platform.append(report(3))),
+    (
+        "windows_are_reported_once",
+        lambda s: s.platform.append(report(2, identity="w2")),
+    ),
+    (
+        "windows_are_reported_once",
+        lambda s: s.platform.append(report(2, fence=0)),
+    ),
+    ("bills_are_never_too_high", lambda s: s.platform.append(report(9))),
+]
+
+
+@pytest.mark.parametrize(("promise", "spoil"), BREAKS)
+def test_broken_promises_are_found(
+    tmp_path: pathlib.Path, promise: str, spoil: Change
+) -> None:
+    story = Story(tmp_path)
+    spoil(story)
+    found = {line.split(":")[0] for line in _promises.broken(story.evidence())}
+    assert promise in found
