--- a/bilberrydeal/adapters/__init__.py
+++ b/bilberrydeal/adapters/__init__.py
@@ -12,6 +12,8 @@
 from ._hosts import HttpHosts
 from ._objects import HttpObjects
 from ._plain import HttpPlain
+from ._platform import connect
+from ._platform import Platform
 from ._registries import ENDPOINTS
 from ._registries import ENGINES
 from ._registries import HOSTS
@@ -38,7 +40,9 @@
     "HttpWeights",
     "OBJECTS",
     "PLAIN",
+    "Platform",
     "TABLES",
     "USAGE",
     "WEIGHTS",
+    "connect",
 ]
--- a/bilberrydeal/entry/_exchange.py
+++ b/bilberrydeal/entry/_exchange.py
@@ -156,10 +156,7 @@
             ages=self._directory.ages(now_s),
         )
         for message in outgoing:
-            if isinstance(message.message, limits.NeedReport):
-                ask = attrs.evolve(ask, need=message.message)
-            else:
-                ask = attrs.evolve(ask, grant=message.message)
+            ask = _with_limits(ask, message.message)
         return ask
 
     def _learn(self, reply: peers.Reply, sent_s: float) -> None:
@@ -183,6 +180,8 @@
             self._limiter.receive_need(ask.need, now_s)
         if ask.grant is not None:
             self._limiter.receive_grant(ask.grant, now_s)
+        if ask.need_ask is not None:
+            self._limiter.receive_ask(ask.need_ask, now_s)
         reply = peers.Reply(
             nonce=ask.nonce,
             knowledge=self._freshness.answer(ask.sender.entry, now_s),
@@ -195,3 +194,14 @@
         before = self.seen.get(entry)
         if before is None or before.at_s <= at_s:
             self.seen[entry] = PeerSeen(revision, at_s)
+
+
+def _with_limits(
+    ask: peers.Ask,
+    message: limits.NeedReport | limits.ShareGrant | limits.NeedAsk,
+) -> peers.Ask:
+    if isinstance(message, limits.NeedReport):
+        return attrs.evolve(ask, need=message)
+    if isinstance(message, limits.ShareGrant):
+        return attrs.evolve(ask, grant=message)
+    return attrs.evolve(ask, need_ask=message)
--- /dev/null
+++ b/bilberrydeal/entry/_observer.py
@@ -0,0 +1,49 @@
+"""Counts what became of callers' requests."""
+
+import math
+
+from .. import errors
+from .. import link
+from .. import telemetry
+from . import _work
+
+
+class MetricsObserver:
+    """Counts outcomes, with bounded labels."""
+
+    def __init__(self, metrics: telemetry.Metrics) -> None:
+        self._answers = metrics.counter(
+            "bilberrydeal_answers_total",
+            "Answers that went out whole, by organisation and route.",
+        )
+        self._refusals = metrics.counter(
+            "bilberrydeal_refusals_total",
+            "Refusals, by code and by what they say of execution.",
+        )
+        self._tokens = metrics.counter(
+            "bilberrydeal_tokens_total", "Tokens of answers, by phase."
+        )
+        self._organisations: set[str] = set()
+
+    def answered(self, work: _work.Work, end: link.Finished) -> None:
+        """Note an answer that went out whole."""
+        organisation = telemetry.bounded_label(
+            work.organisation, self._organisations
+        )
+        self._answers.inc({"organisation": organisation, "route": work.route})
+        for phase, tokens in (
+            ("prompt", end.prompt_tokens),
+            ("cached", end.cached_tokens),
+            ("output", end.output_tokens),
+        ):
+            if tokens:
+                self._tokens.add({"phase": phase}, math.ceil(tokens))
+
+    def refused(self, refusal: errors.Refusal) -> None:
+        """Note a refusal."""
+        self._refusals.inc(
+            {
+                "code": refusal.reason.value,
+                "executed": refusal.executed.value,
+            }
+        )
--- a/bilberrydeal/entry/_pool.py
+++ b/bilberrydeal/entry/_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import math
 
 import attrs
 
@@ -10,6 +11,7 @@
 from .. import settings
 from .. import systems
 from .. import telemetry
+from ..systems import routing
 
 LOG = telemetry.logger("pool")
 
@@ -32,6 +34,10 @@
     place: AgentPlace
     link: link.AgentLink
     task: asyncio.Task[None]
+    #: When the last report that was taken came in.
+    reported_at_s: float = -math.inf
+    #: Incarnation whose reports were taken.
+    agent: str = ""
 
 
 class LinkPool:
@@ -46,9 +52,12 @@
         entry: str,
         chosen: settings.EntrySettings,
         tables: systems.Tables,
+        router: routing.Router,
         clock: collections.abc.Callable[[], float],
     ) -> None:
         self._entry = entry
+        self._tables = tables
+        self._router = router
         self._settings = chosen
         self._views = tables.of(systems.EndpointView)
         self._clock = clock
@@ -139,8 +148,31 @@
             and member.link.connected
             and not member.place.leaving
         )
-        if member.link.status_at_s > view.reported_at_s:
-            _take_load(view, status, member.link.status_at_s)
+        if member.link.status_at_s > member.reported_at_s:
+            member.reported_at_s = member.link.status_at_s
+            self._take_report(endpoint_id, status, member)
+
+    def _take_report(
+        self, endpoint_id: str, status: link.EndpointStatus, member: _Member
+    ) -> None:
+        """Hand load and cache events to the routing system."""
+        now_s = self._clock()
+        if member.agent != member.link.agent:
+            member.agent = member.link.agent
+            self._router.cache_lost(endpoint_id)
+        figures = systems.LoadFigures(
+            true_at_s=member.reported_at_s - status.load_age_s,
+            running=status.running,
+            waiting=status.waiting,
+            queued_prompt_tokens=status.queued_prompt_tokens,
+            queued_output_tokens=status.queued_output_tokens,
+            kv_used_share=status.kv_used_share,
+        )
+        self._router.reported(self._tables, endpoint_id, figures, now_s)
+        if status.stored_blocks or status.evicted_blocks:
+            self._router.cache_changed(
+                endpoint_id, status.stored_blocks, status.evicted_blocks, now_s
+            )
 
 
 def _same_process(one: AgentPlace, other: AgentPlace) -> bool:
@@ -148,15 +180,3 @@
         other.address,
         other.control_port,
     )
-
-
-def _take_load(
-    view: systems.EndpointView, status: link.EndpointStatus, at_s: float
-) -> None:
-    view.reported_at_s = at_s
-    view.running = status.running
-    view.waiting = status.waiting
-    view.queued_prompt_tokens = status.queued_prompt_tokens
-    view.queued_output_tokens = status.queued_output_tokens
-    view.kv_used_share = status.kv_used_share
-    view.sent = [work for work in view.sent if work.at_s > at_s]
--- a/bilberrydeal/keys/_freshness.py
+++ b/bilberrydeal/keys/_freshness.py
@@ -231,6 +231,12 @@
             and now_s - self._confirmed_s <= self.bound_s
         )
 
+    def age_s(self, now_s: float) -> float | None:
+        """Return the age of what is confirmed, ``None`` for nothing."""
+        if self._confirmed_s is None:
+            return None
+        return now_s - self._confirmed_s
+
     def _goes_on_blind(self, now_s: float) -> bool:
         if self._confirmed_s is None or not self._members_read:
             return False
--- a/bilberrydeal/link/_messages.py
+++ b/bilberrydeal/link/_messages.py
@@ -346,6 +346,8 @@
     queued_output_tokens: int
     #: Share of the KV memory in use, 0 to 1.
     kv_used_share: float
+    #: How old the figures of the load were when this was sent, in seconds.
+    load_age_s: float = 0.0
     #: Blocks that the prefix cache gained since the last status.
     stored_blocks: tuple[int, ...] = ()
     #: Blocks that the prefix cache lost since the last status.
--- a/bilberrydeal/peers/_messages.py
+++ b/bilberrydeal/peers/_messages.py
@@ -38,6 +38,8 @@
     need: limits.NeedReport | None = None
     #: Shares of limits that the asker divides.
     grant: limits.ShareGrant | None = None
+    #: Asks for the receiver's need.
+    need_ask: limits.NeedAsk | None = None
 
 
 @attrs.frozen
