--- /dev/null
+++ b/bilberrydeal/agent/_executor.py
@@ -0,0 +1,260 @@
+"""Runs requests in the order of a queue, within slots and deadlines."""
+
+import asyncio
+import collections.abc
+
+import attrs
+
+from .. import errors
+from .. import link
+from .. import ports
+from .. import settings
+from .. import telemetry
+from ..systems import queueing
+from . import _drivers
+from . import _meter
+from . import _pace
+
+LOG = telemetry.logger("executor")
+
+#: Time between two looks for requests that can no longer end in time.
+SWEEP_S = 0.1
+#: What a refusal for lack of room names when nothing better is known.
+RETRY_AFTER_S = 1.0
+
+
+@attrs.define(eq=False)
+class _Job:
+    """One request at this executor."""
+
+    work: link.Work
+    item: queueing.QueuedRequest
+    #: What runs at the endpoint; set when it begins.
+    driving: asyncio.Task[None] | None = None
+    #: What waits for that.
+    task: asyncio.Task[None] | None = None
+    meter: _meter.Meter = attrs.field(factory=_meter.Meter)
+
+
+@attrs.frozen
+class Load:
+    """What waits and runs here."""
+
+    #: Requests that run.
+    running: int
+    #: Requests that wait.
+    waiting: int
+    #: Prompt tokens of the requests that wait.
+    waiting_prompt_tokens: int
+    #: Tokens expected of the requests that wait or run.
+    output_tokens: int
+
+
+class Executor:
+    """Implements :class:`bilberrydeal.link.Executor`.
+
+    ``count`` is called once for each request that used anything, when it
+    has ended here and at the endpoint.
+    """
+
+    def __init__(
+        self,
+        agent_settings: settings.AgentSettings,
+        driver: _drivers.Driver,
+        queue: queueing.Queue,
+        clock: collections.abc.Callable[[], float],
+        count: collections.abc.Callable[[link.Submit, _meter.Meter], None],
+    ) -> None:
+        self._settings = agent_settings
+        self._driver = driver
+        self._queue = queue
+        self._clock = clock
+        self._count = count
+        self._pace = _pace.Pace()
+        self._waiting: dict[str, _Job] = {}
+        self._running: dict[str, _Job] = {}
+        self._idle = asyncio.Event()
+        self._idle.set()
+        #: Why new work is refused, ``None`` while it is taken.
+        self.refusal: errors.ErrorCode | None = None
+
+    def submit(self, work: link.Work) -> None:
+        """Queue a request, or refuse it as not started."""
+        now_s = self._clock()
+        if self.refusal is not None:
+            work.refuse(self.refusal)
+            return
+        item = self._item(work, now_s)
+        if now_s + item.run_time_s >= item.deadline_s:
+            work.refuse(errors.ErrorCode.DEADLINE_HOPELESS)
+            return
+        if not self._make_room(item):
+            work.refuse(errors.ErrorCode.OVERLOADED, RETRY_AFTER_S)
+            return
+        self._idle.clear()
+        self._waiting[item.key] = _Job(work, item)
+        self._queue.push(item, now_s)
+        self._fill()
+
+    def cancel(self, work: link.Work) -> None:
+        """End a request that waits or runs, if it can be stopped."""
+        key = str(work.submit.number)
+        if key in self._waiting:
+            self._queue.remove(key)
+            self._refuse_waiting(key, errors.ErrorCode.CANCELLED)
+            return
+        job = self._running.get(key)
+        if job is None or work.ended:
+            return
+        if work.started and not self._driver.stoppable(work):
+            return
+        self._end(job, errors.ErrorCode.CANCELLED)
+
+    def load(self) -> Load:
+        """Return what waits and runs."""
+        jobs = [*self._waiting.values(), *self._running.values()]
+        return Load(
+            running=len(self._running),
+            waiting=len(self._waiting),
+            waiting_prompt_tokens=round(
+                sum(job.item.prompt_tokens for job in self._waiting.values())
+            ),
+            output_tokens=round(sum(map(_output_left, jobs))),
+        )
+
+    async def run(self) -> None:
+        """Refuse requests that can no longer end in time; never ends."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self._refuse_late(self._clock())
+
+    async def idle(self) -> None:
+        """Wait until no request waits or runs."""
+        await self._idle.wait()
+
+    async def stop(self) -> None:
+        """Refuse what waits, end what runs, and wait for that."""
+        for key in list(self._waiting):
+            self._queue.remove(key)
+            self._refuse_waiting(key, errors.ErrorCode.SHUTTING_DOWN)
+        for job in list(self._running.values()):
+            self._end(job, errors.ErrorCode.SHUTTING_DOWN)
+        await self.idle()
+
+    def _item(
+        self, work: link.Work, now_s: float
+    ) -> queueing.QueuedRequest:
+        submit = work.submit
+        return queueing.QueuedRequest(
+            key=str(submit.number),
+            organisation=submit.organisation,
+            weight=submit.weight,
+            request_class=submit.request_class,
+            deadline_s=work.deadline_s,
+            prompt_tokens=max(0, submit.prompt_tokens - submit.cached_tokens),
+            output_tokens=self._pace.output_tokens(submit),
+            run_time_s=self._pace.run_time_s(submit, now_s),
+        )
+
+    def _make_room(self, item: queueing.QueuedRequest) -> bool:
+        """Shed from the organisation that waits most by its weight."""
+        if len(self._waiting) < self._settings.waiting_limit:
+            return True
+        shares: dict[str, float] = {item.organisation: 1.0 / item.weight}
+        last: dict[str, str] = {}
+        for key, job in self._waiting.items():
+            name = job.item.organisation
+            share = 1.0 / job.item.weight
+            shares[name] = shares.get(name, 0.0) + share
+            last[name] = key
+        heaviest = max(shares, key=shares.__getitem__)
+        if heaviest == item.organisation:
+            return False
+        self._queue.remove(last[heaviest])
+        self._refuse_waiting(
+            last[heaviest], errors.ErrorCode.OVERLOADED, RETRY_AFTER_S
+        )
+        return True
+
+    def _refuse_late(self, now_s: float) -> None:
+        for item in self._queue.expired(now_s):
+            self._refuse_waiting(
+                item.key, errors.ErrorCode.DEADLINE_HOPELESS
+            )
+
+    def _refuse_waiting(
+        self,
+        key: str,
+        reason: errors.ErrorCode,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        self._waiting.pop(key).work.refuse(reason, retry_after_s)
+        self._note_idle()
+
+    def _fill(self) -> None:
+        """Start requests while slots are free."""
+        now_s = self._clock()
+        self._refuse_late(now_s)
+        while len(self._running) < self._settings.running_limit:
+            item = self._queue.pop(now_s)
+            if item is None:
+                return
+            job = self._waiting.pop(item.key)
+            self._running[item.key] = job
+            job.driving = asyncio.create_task(
+                self._driver.run(job.work, job.meter)
+            )
+            job.task = asyncio.create_task(self._run(job, job.driving))
+
+    def _end(self, job: _Job, reason: errors.ErrorCode) -> None:
+        """Answer at once; the endpoint is told in the background."""
+        if job.work.ended:
+            return
+        job.work.refuse(reason)
+        if job.driving is not None:
+            job.driving.cancel()
+
+    async def _run(self, job: _Job, driving: asyncio.Task[None]) -> None:
+        began_s = self._clock()
+        left_s = max(0.0, job.work.deadline_s - began_s)
+        await asyncio.wait([driving], timeout=left_s)
+        if not driving.done():
+            self._end(job, errors.ErrorCode.DEADLINE_EXCEEDED)
+            await asyncio.wait([driving])
+        job.work.refuse(_reason(driving))
+        self._settle(job, began_s)
+
+    def _settle(self, job: _Job, began_s: float) -> None:
+        now_s = self._clock()
+        del self._running[job.item.key]
+        work, meter = job.work, job.meter
+        if isinstance(work.last, link.Finished):
+            self._pace.add(
+                work.submit, meter.output_tokens, now_s - began_s, now_s
+            )
+        spent = queueing.cost(meter.prompt_tokens, meter.output_tokens)
+        self._queue.charge(job.item.organisation, spent - job.item.cost)
+        if meter != _meter.Meter():
+            self._count(work.submit, meter)
+        self._fill()
+        self._note_idle()
+
+    def _note_idle(self) -> None:
+        if not self._waiting and not self._running:
+            self._idle.set()
+
+
+def _reason(driving: asyncio.Task[None]) -> errors.ErrorCode:
+    """Return why a request has no answer, where it has none."""
+    if driving.cancelled():
+        return errors.ErrorCode.CANCELLED
+    failure = driving.exception()
+    if isinstance(failure, ports.EngineFailure | ports.PlainFailure):
+        return errors.ErrorCode.ENDPOINT_FAILED
+    if failure is not None:
+        LOG.error("Driver failed.", exc_info=failure)
+    return errors.ErrorCode.INTERNAL
+
+
+def _output_left(job: _Job) -> float:
+    return max(0.0, job.item.output_tokens - job.meter.output_tokens)
