--- a/bilberrydeal/agent/_drivers.py
+++ b/bilberrydeal/agent/_drivers.py
@@ -5,7 +5,6 @@
 import time
 import typing
 
-import attrs
 import tenacity
 
 from .. import link
@@ -41,9 +40,9 @@
 
 
 #: Drivers by the kind of endpoint, built with the port's implementation.
-DRIVERS: registry.Registry[
-    collections.abc.Callable[[typing.Any], Driver]
-] = registry.Registry("driver")
+DRIVERS: registry.Registry[collections.abc.Callable[[typing.Any], Driver]] = (
+    registry.Registry("driver")
+)
 
 
 _RESUMING = tenacity.AsyncRetrying(
--- a/bilberrydeal/agent/_executor.py
+++ b/bilberrydeal/agent/_executor.py
@@ -141,9 +141,7 @@
             self._end(job, errors.ErrorCode.SHUTTING_DOWN)
         await self.idle()
 
-    def _item(
-        self, work: link.Work, now_s: float
-    ) -> queueing.QueuedRequest:
+    def _item(self, work: link.Work, now_s: float) -> queueing.QueuedRequest:
         submit = work.submit
         return queueing.QueuedRequest(
             key=str(submit.number),
@@ -178,9 +176,7 @@
 
     def _refuse_late(self, now_s: float) -> None:
         for item in self._queue.expired(now_s):
-            self._refuse_waiting(
-                item.key, errors.ErrorCode.DEADLINE_HOPELESS
-            )
+            self._refuse_waiting(item.key, errors.ErrorCode.DEADLINE_HOPELESS)
 
     def _refuse_waiting(
         self,
@@ -232,8 +228,14 @@
             self._pace.add(
                 work.submit, meter.output_tokens, now_s - began_s, now_s
             )
-        spent = queueing.cost(meter.prompt_tokens, meter.output_tokens)
-        self._queue.charge(job.item.organisation, spent - job.item.cost)
+        actual = attrs.evolve(
+            job.item,
+            prompt_tokens=meter.prompt_tokens,
+            output_tokens=meter.output_tokens,
+        )
+        self._queue.charge(
+            job.item.organisation, actual.cost - job.item.cost
+        )
         if meter != _meter.Meter():
             self._count(work.submit, meter)
         self._fill()
--- /dev/null
+++ b/bilberrydeal/agent/_pages.py
@@ -0,0 +1,84 @@
+"""Metrics and health of an agent over HTTP."""
+
+from aiohttp import web
+
+from .. import settings
+from .. import telemetry
+from . import _agent
+
+TEXT_TYPE = "text/plain; version=0.0.4"
+
+
+class Pages:
+    """Serves ``/metrics``, ``/health`` and ``/ready``."""
+
+    def __init__(
+        self, agent: _agent.Agent, agent_settings: settings.AgentSettings
+    ) -> None:
+        self._agent = agent
+        self._settings = agent_settings
+        self._runner: web.AppRunner | None = None
+        self._metrics = telemetry.Metrics()
+        self._gauges = {
+            name: self._metrics.gauge(f"bilberrydeal_agent_{name}", text)
+            for name, text in (
+                ("running", "Requests that run."),
+                ("waiting", "Requests that wait."),
+                ("accepting", "Whether new work is taken, 0 or 1."),
+                ("unsettled", "Usage records that wait for settlement."),
+                ("links", "Entries that have a link."),
+                ("order_version", "Version of the last order applied."),
+                ("cache_gaps", "Gaps seen in the engine's cache events."),
+            )
+        }
+
+    async def start(self) -> None:
+        """Listen, or raise ``OSError``."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get("/metrics", self._show_metrics),
+                web.get("/health", self._show_health),
+                web.get("/ready", self._show_ready),
+            ]
+        )
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(
+            self._runner,
+            self._settings.listen_address,
+            self._settings.metrics_port,
+        )
+        await site.start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _show_metrics(self, request: web.Request) -> web.Response:
+        load = self._agent.executor.load()
+        keeper = self._agent.keeper
+        feed = self._agent.feed
+        for name, value in (
+            ("running", load.running),
+            ("waiting", load.waiting),
+            ("accepting", int(self._agent.accepting)),
+            ("unsettled", len(self._agent.usage)),
+            ("links", len(self._agent.links.connected())),
+            ("order_version", keeper.order_version if keeper else 0),
+            ("cache_gaps", feed.gaps if feed else 0),
+        ):
+            self._gauges[name].set({}, value)
+        return web.Response(
+            body=self._metrics.render(),
+            headers={"Content-Type": TEXT_TYPE},
+        )
+
+    async def _show_health(self, request: web.Request) -> web.Response:
+        return web.Response(text="alive\n")
+
+    async def _show_ready(self, request: web.Request) -> web.Response:
+        if self._agent.accepting:
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text="not accepting\n")
