--- a/bilberrydeal/agent/_executor.py
+++ b/bilberrydeal/agent/_executor.py
@@ -233,9 +233,7 @@
             prompt_tokens=meter.prompt_tokens,
             output_tokens=meter.output_tokens,
         )
-        self._queue.charge(
-            job.item.organisation, actual.cost - job.item.cost
-        )
+        self._queue.charge(job.item.organisation, actual.cost - job.item.cost)
         if meter != _meter.Meter():
             self._count(work.submit, meter)
         self._fill()
