--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -14,7 +14,7 @@
 from .. import telemetry
 from ..systems import health
 from ..systems import retries
-from ..systems import routing
+from . import _policies
 from . import _pool
 from . import _work
 
@@ -48,15 +48,6 @@
     retry_after_s: float = 0.0
 
 
-@attrs.define
-class Policies:
-    """The deciding systems of one entry."""
-
-    router: routing.Router
-    retrier: retries.Retrier
-    health: health.HealthSystem
-
-
 class Dispatcher:
     """Runs requests on endpoints."""
 
@@ -64,7 +55,7 @@
         self,
         pool: _pool.LinkPool,
         tables: systems.Tables,
-        policies: Policies,
+        policies: _policies.Policies,
         next_number: collections.abc.Callable[[], link.RequestNumber],
         clock: collections.abc.Callable[[], float],
     ) -> None:
--- a/bilberrydeal/entry/_gate.py
+++ b/bilberrydeal/entry/_gate.py
@@ -13,10 +13,9 @@
 from .. import prefixes
 from .. import settings
 from .. import systems
-from ..systems import admission
-from ..systems import limits
 from . import _bodies
 from . import _callers
+from . import _policies
 from . import _work
 
 #: Label of requests on routes open to all.
@@ -46,14 +45,6 @@
     revoked: bool = False
 
 
-@attrs.define
-class GatePolicies:
-    """The deciding systems that let requests in."""
-
-    limiter: limits.Limiter
-    admission: admission.AdmissionControl
-
-
 class Gate:
     """Checks route, key, deadline, limits and load, in this order."""
 
@@ -64,7 +55,7 @@
         current: collections.abc.Callable[[], configuration.Configuration],
         directory: keys.KeyDirectory,
         fresh: KeysFresh,
-        policies: GatePolicies,
+        policies: _policies.Policies,
         tables: systems.Tables,
     ) -> None:
         self._settings = chosen
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -405,7 +405,7 @@
         known = True
         try:
             revision = await self._committer.commit(
-                change, author, now_s, self._wall()
+                change, author, self._wall()
             )
         except errors.OutcomeUnknown:
             known = False
