--- a/bilberrydeal/entry/_http.py
+++ b/bilberrydeal/entry/_http.py
@@ -67,7 +67,9 @@
 ) -> None:
     """Serve a path; refusals that ``handler`` raises become answers."""
 
-    async def serve(request: sanic.Request) -> response.HTTPResponse | None:
+    async def serve(
+        request: sanic.Request, **_matched: str
+    ) -> response.HTTPResponse | None:
         try:
             await _receive_body(request, body_timeout_s)
             return await handler(request)
