--- a/bilberrydeal/entry/_gate.py
+++ b/bilberrydeal/entry/_gate.py
@@ -20,6 +20,10 @@
 
 #: Label of requests on routes open to all.
 OPEN_ORGANISATION = ""
+#: Refusals by which endpoints shed load.
+SHED_REASONS = frozenset(
+    [errors.ErrorCode.OVERLOADED, errors.ErrorCode.DEADLINE_HOPELESS]
+)
 
 
 class KeysFresh(typing.Protocol):
@@ -146,11 +150,21 @@
         return self._admit(work, key, now_s)
 
     def release(
-        self, admitted: Admitted, actual_tokens: float, now_s: float
+        self,
+        admitted: Admitted,
+        actual_tokens: float,
+        refusal: errors.Refusal | None,
+        now_s: float,
     ) -> None:
-        """Note that a request has ended and what it used."""
+        """Note that a request has ended, how, and what it used."""
         self._running.discard(admitted)
-        self._policies.admission.release(admitted.pending, now_s)
+        shed = refusal is not None and refusal.reason in SHED_REASONS
+        self._policies.admission.release(
+            admitted.pending,
+            now_s,
+            shed=shed,
+            retry_after_s=(refusal.retry_after_s or 0.0) if refusal else 0.0,
+        )
         if admitted.key_id:
             self._policies.limiter.settle(
                 admitted.work.organisation,
--- a/bilberrydeal/entry/_serving.py
+++ b/bilberrydeal/entry/_serving.py
@@ -142,19 +142,30 @@
 
     async def _run_plain(self, admitted: _gate.Admitted) -> link.Finished:
         """Run a call; one that is not idempotent outlives its caller."""
-        if admitted.work.idempotent:
-            try:
-                return await _once.last_part(
-                    self._dispatcher.run(admitted.work)
-                )
-            finally:
-                self._release(admitted, admitted.tokens)
-        task = asyncio.create_task(self._once.run(admitted.work))
-        task.add_done_callback(
-            lambda _task: self._release(admitted, admitted.tokens)
+        work = admitted.work
+        if work.idempotent:
+            run = _once.last_part(self._dispatcher.run(work))
+            return await self._releasing(admitted, run)
+        task = asyncio.create_task(
+            self._releasing(admitted, self._once.run(work))
         )
         return await asyncio.shield(task)
 
+    async def _releasing(
+        self,
+        admitted: _gate.Admitted,
+        run: collections.abc.Awaitable[link.Finished],
+    ) -> link.Finished:
+        """Await an answer and release its request."""
+        refusal = None
+        try:
+            return await run
+        except errors.Refusal as error:
+            refusal = error
+            raise
+        finally:
+            self._release(admitted, admitted.tokens, refusal)
+
     async def _generate(
         self,
         request: sanic.Request,
@@ -184,7 +195,7 @@
         except asyncio.CancelledError:
             raise self._revoked(admitted) from None
         finally:
-            self._release(admitted, used.tokens)
+            self._release(admitted, used.tokens, used.refusal)
 
     async def _stream(
         self,
@@ -232,8 +243,14 @@
             executed=errors.Executed.UNKNOWN,
         )
 
-    def _release(self, admitted: _gate.Admitted, tokens: float) -> None:
-        self._gate.release(admitted, tokens, self._clocks.monotonic())
+    def _release(
+        self,
+        admitted: _gate.Admitted,
+        tokens: float,
+        refusal: errors.Refusal | None,
+    ) -> None:
+        now_s = self._clocks.monotonic()
+        self._gate.release(admitted, tokens, refusal, now_s)
 
 
 class Observer(typing.Protocol):
@@ -251,20 +268,26 @@
 
     def __init__(self) -> None:
         self.tokens = 0.0
+        self.refusal: errors.Refusal | None = None
         self.end = link.Finished(sequence=0, chunk=0, status=0)
 
     async def count(
         self, events: collections.abc.AsyncGenerator[_dispatch.Event, None]
     ) -> collections.abc.AsyncGenerator[_dispatch.Event, None]:
         async with contextlib.aclosing(events):
-            async for event in events:
-                if isinstance(event, link.Chunk):
-                    self.tokens += event.tokens
-                else:
-                    self.end = event
-                    self.tokens = float(
-                        event.prompt_tokens
-                        + event.cached_tokens
-                        + event.output_tokens
-                    )
-                yield event
+            try:
+                async for event in events:
+                    self._note(event)
+                    yield event
+            except errors.Refusal as refusal:
+                self.refusal = refusal
+                raise
+
+    def _note(self, event: _dispatch.Event) -> None:
+        if isinstance(event, link.Chunk):
+            self.tokens += event.tokens
+            return
+        self.end = event
+        self.tokens = float(
+            event.prompt_tokens + event.cached_tokens + event.output_tokens
+        )
