Add leases with fencing numbers and test the store client

Leases are two rows: one that each renewal changes and one that changes only when a duty is taken, so that writes of a duty can check the latter while renewals go on. Tests run on an event loop with its own clock.

--- /dev/null
+++ b/bilberrydeal/leases/__init__.py
@@ -0,0 +1,9 @@
+"""Leases by which one process at a time has authority over a duty."""
+
+from ._lease import Lease
+from ._lease import LeaseLost
+from ._rows import FenceRow
+from ._rows import LeaseBounds
+from ._rows import LeaseRow
+
+__all__ = ["FenceRow", "Lease", "LeaseBounds", "LeaseLost", "LeaseRow"]
--- /dev/null
+++ b/bilberrydeal/leases/tests/test_lease.py
@@ -0,0 +1,181 @@
+import asyncio
+import collections
+import random
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from bilberrydeal import errors
+from bilberrydeal import leases
+from bilberrydeal import ports
+from bilberrydeal.store.tests import faults
+from bilberrydeal.store.tests import virtual
+from standins import platform
+
+BOUNDS = leases.LeaseBounds(ttl_s=6.0, margin_s=0.5, call_longest_s=2.0)
+#: Clocks that differ by more than the margin allows are out of scope.
+RATES = (0.98, 1.0, 1.02)
+
+
+@attrs.define
+class Call:
+    """A call made under a lease to a receiver that checks nothing."""
+
+    fence: int
+    holder: str
+    ended_s: float
+
+
+@attrs.define
+class World:
+    """Processes that want one duty."""
+
+    loop: virtual.VirtualLoop
+    memory: platform.MemoryTable
+    rng: random.Random
+    writes: list[tuple[int, str]] = attrs.Factory(list)
+    calls: list[Call] = attrs.Factory(list)
+    takes: dict[int, str] = attrs.Factory(dict)
+    overlaps: int = 0
+
+    async def process(self, name: str, until_s: float) -> None:
+        """Live some incarnations, each ended by a restart."""
+        for incarnation in range(3):
+            rate = self.rng.choice(RATES)
+            table = faults.FaultyTable(
+                self.memory,
+                self.rng,
+                fault_share=0.25,
+                latency_s=0.3,
+                late_s=20.0,
+                pause_s=25.0,
+            )
+            client = faults.make_client(
+                self.loop, table, seed=self.rng.randrange(99), rate=rate
+            )
+            lease = leases.Lease(
+                client, "duty", f"{name}.{incarnation}", BOUNDS
+            )
+            for _ in range(self.rng.randrange(40)):
+                if self.loop.now_s > until_s:
+                    return
+                await lease.tick()
+                await self._work(lease, client.now_s())
+                await asyncio.sleep(self.rng.choice([0.1, 1.5, 1.5, 12.0]))
+            if self.rng.random() < 0.5:
+                # No call may be under way then.
+                await asyncio.sleep(BOUNDS.call_longest_s)
+                await lease.step_down()
+
+    async def _work(self, lease: leases.Lease, now_s: float) -> None:
+        if not lease.held(now_s):
+            return
+        fence = lease.fence(now_s)
+        assert self.takes.setdefault(fence, lease.holder) == lease.holder
+        self._call(fence, lease, now_s)
+        # A write may be on its way for long: only its check counts.
+        checks = lease.checks(now_s)
+        write = ports.Write("work", "row", f"{fence}".encode())
+        delay_s = self.rng.choice([0.0, 0.0, 1.0, 30.0])
+        self.loop.call_later(delay_s, self._write, checks, write, lease)
+
+    def _call(self, fence: int, lease: leases.Lease, now_s: float) -> None:
+        """Call out with a timeout below what is left of the lease."""
+        ended_s = self.loop.now_s + min(
+            lease.time_left_s(now_s) * 0.9, BOUNDS.call_longest_s
+        )
+        for call in self.calls:
+            if call.holder != lease.holder and call.ended_s > self.loop.now_s:
+                self.overlaps += 1
+        self.calls.append(Call(fence, lease.holder, ended_s))
+
+    def _write(
+        self,
+        checks: tuple[ports.Check, ...],
+        write: ports.Write,
+        lease: leases.Lease,
+    ) -> None:
+        work = self.memory.commit(ports.Transaction(checks, (write,)), 1.0)
+        try:
+            work.send(None)
+        except StopIteration:
+            self.writes.append((int(write.value or b""), lease.holder))
+        except errors.TableConflict:
+            pass
+
+
+@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+@hypothesis.given(strategies.integers(0, 2**32))
+def test_writes_follow_fencing_order(seed: int) -> None:
+    loop = virtual.VirtualLoop()
+    world = World(loop, platform.MemoryTable(), random.Random(seed))
+
+    async def run() -> None:
+        work = [world.process(n, loop.now_s + 150.0) for n in "abc"]
+        await asyncio.gather(*work)
+
+    loop.run(run())
+    fences = [fence for fence, _ in world.writes]
+    assert fences == sorted(fences)
+    holders = collections.defaultdict(set)
+    for fence, holder in world.writes:
+        holders[fence].add(holder)
+    assert all(len(found) == 1 for found in holders.values())
+    assert world.overlaps == 0
+
+
+def test_a_free_duty_is_taken_and_handed_over() -> None:
+    loop = virtual.VirtualLoop()
+    memory = platform.MemoryTable()
+    client = faults.make_client(loop, memory)
+    first = leases.Lease(client, "duty", "a.1", BOUNDS)
+    second = leases.Lease(client, "duty", "b.1", BOUNDS)
+    assert loop.run(first.tick())
+    assert not loop.run(second.tick())
+    loop.run(first.step_down())
+    assert not first.held(client.now_s())
+    assert loop.run(second.tick())
+    assert second.fence(client.now_s()) == 2
+    with pytest.raises(leases.LeaseLost):
+        first.checks(client.now_s())
+
+
+@pytest.mark.parametrize(("silent_s", "taken"), [(8.4, False), (8.6, True)])
+def test_a_successor_waits_for_the_longest_call(
+    silent_s: float, taken: bool
+) -> None:
+    loop = virtual.VirtualLoop()
+    client = faults.make_client(loop, platform.MemoryTable())
+    loop.run(leases.Lease(client, "duty", "a.1", BOUNDS).tick())
+    second = leases.Lease(client, "duty", "b.1", BOUNDS)
+    loop.run(second.tick())
+    loop.advance(silent_s)
+    assert loop.run(second.tick()) is taken
+
+
+def test_a_lost_answer_does_not_lose_the_duty() -> None:
+    loop = virtual.VirtualLoop()
+    script = [faults.Fault.NONE, faults.Fault.LOST_AFTER]
+    table = faults.FaultyTable(
+        platform.MemoryTable(), random.Random(1), script=script
+    )
+    client = faults.make_client(loop, table)
+    lease = leases.Lease(client, "duty", "a.1", BOUNDS)
+    began_s = loop.now_s
+    assert loop.run(lease.tick())
+    assert lease.time_left_s(began_s) == pytest.approx(5.5)
+
+
+def test_the_holder_stops_before_its_lease_ends() -> None:
+    loop = virtual.VirtualLoop()
+    table = faults.FaultyTable(platform.MemoryTable(), random.Random(1))
+    client = faults.make_client(loop, table)
+    lease = leases.Lease(client, "duty", "a.1", BOUNDS)
+    loop.run(lease.tick())
+    table.down = True
+    loop.advance(5.4)
+    assert lease.held(client.now_s())
+    loop.advance(0.2)
+    assert not lease.held(client.now_s())
--- a/bilberrydeal/store/_client.py
+++ b/bilberrydeal/store/_client.py
@@ -210,7 +210,9 @@
         deadline_s = self._clock() + self.call_timeout_s * DEADLINE_TIMEOUTS
         retrying = tenacity.AsyncRetrying(
             retry=tenacity.retry_if_exception_type(errors.StoreUnavailable),
-            stop=lambda _: self._clock() >= deadline_s,
+            stop=lambda state: (
+                self._clock() + state.upcoming_sleep >= deadline_s
+            ),
             wait=self._backoff_s,
             sleep=self._sleep,
             reraise=True,
--- /dev/null
+++ b/bilberrydeal/store/tests/test_client.py
@@ -0,0 +1,144 @@
+import asyncio
+import random
+
+import pytest
+
+from bilberrydeal import errors
+from bilberrydeal import ports
+from bilberrydeal import store
+from standins import platform
+
+from . import faults
+from . import virtual
+
+KEY = ports.RowKey("t", "marker")
+Fault = faults.Fault
+
+
+def _transaction(version: int, nonce: str) -> ports.Transaction:
+    return ports.Transaction(
+        checks=(ports.Check(KEY.table, KEY.key, version),),
+        writes=(ports.Write(KEY.table, KEY.key, nonce.encode()),),
+    )
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        [Fault.LOST_AFTER],
+        [Fault.LOST_BEFORE],
+        [Fault.LOST_BEFORE, Fault.DOWN, Fault.NONE, Fault.LOST_AFTER],
+        [Fault.LATE],
+        [Fault.DOWN, Fault.DOWN],
+    ],
+)
+def test_a_lost_answer_is_resolved(script: list[Fault]) -> None:
+    loop = virtual.VirtualLoop()
+    memory = platform.MemoryTable()
+    table = faults.FaultyTable(
+        memory, random.Random(1), script=list(script), late_s=0.01
+    )
+    client = faults.make_client(loop, table)
+    committed = loop.run(
+        client.commit_resolved(_transaction(0, "mine"), KEY, "mine")
+    )
+    row = loop.run(client.read_one(KEY))
+    assert row is not None
+    assert (row.value, row.version) == (b"mine", committed.versions[0])
+
+
+@pytest.mark.parametrize(
+    ("final", "error"),
+    [(True, errors.TableConflict), (False, errors.OutcomeUnknown)],
+)
+def test_anothers_marker_tells_only_where_it_is_final(
+    final: bool, error: type[Exception]
+) -> None:
+    loop = virtual.VirtualLoop()
+    memory = platform.MemoryTable()
+    table = faults.FaultyTable(
+        memory, random.Random(1), script=[Fault.LOST_BEFORE]
+    )
+    client = faults.make_client(loop, table)
+
+    async def race() -> None:
+        lost = asyncio.ensure_future(
+            client.commit_resolved(
+                _transaction(0, "mine"), KEY, "mine", final=final
+            )
+        )
+        await memory.commit(_transaction(0, "theirs"), 1.0)
+        await lost
+
+    with pytest.raises(error):
+        loop.run(race())
+
+
+class _Deaf(faults.FaultyTable):
+    """Loses the answer of every commit."""
+
+    async def commit(
+        self, transaction: ports.Transaction, timeout_s: float
+    ) -> ports.Committed:
+        raise errors.OutcomeUnknown(operation="commit")
+
+
+def test_a_row_written_since_has_no_usable_version() -> None:
+    loop = virtual.VirtualLoop()
+    memory = platform.MemoryTable()
+    marker = _transaction(0, "mine")
+    other = ports.Write("t", "other", b"mine")
+    both = ports.Transaction(marker.checks, (*marker.writes, other))
+    loop.run(memory.commit(both, 1.0))
+    since = ports.Transaction((), (ports.Write("t", "other", b"new"),))
+    loop.run(memory.commit(since, 1.0))
+    client = faults.make_client(loop, _Deaf(memory, random.Random(1)))
+    committed = loop.run(client.commit_resolved(both, KEY, "mine"))
+    assert committed.versions[1] == store.CHANGED
+
+
+def test_an_outage_ends_in_unknown_or_unavailable() -> None:
+    loop = virtual.VirtualLoop()
+    table = faults.FaultyTable(
+        platform.MemoryTable(), random.Random(1), down=True
+    )
+    client = faults.make_client(loop, table)
+    with pytest.raises(errors.StoreUnavailable):
+        loop.run(client.commit_resolved(_transaction(0, "n"), KEY, "n"))
+    began_s = loop.now_s
+    with pytest.raises(errors.StoreUnavailable):
+        loop.run(client.read([KEY]))
+    assert loop.now_s - began_s <= client.longest_s
+
+
+def test_a_marker_must_be_checked() -> None:
+    loop = virtual.VirtualLoop()
+    client = faults.make_client(loop, platform.MemoryTable())
+    unchecked = ports.Transaction((), _transaction(0, "n").writes)
+    with pytest.raises(store.MarkerUnchecked):
+        loop.run(client.commit_resolved(unchecked, KEY, "n"))
+
+
+def test_calls_are_paced() -> None:
+    loop = virtual.VirtualLoop()
+    pacer = store.Pacer(8.0, clock=loop.time)
+
+    async def take_many() -> list[bool]:
+        taken = [pacer.take(longest_wait_s=2.0) for _ in range(50)]
+        return await asyncio.gather(*taken)
+
+    began_s = loop.now_s
+    granted = sum(loop.run(take_many()))
+    # A second's worth at once, then eight a second, the rest refused.
+    assert granted == 9 + 16
+    assert loop.now_s - began_s == pytest.approx(2.0)
+
+
+def test_scan_reads_all_pages() -> None:
+    loop = virtual.VirtualLoop()
+    memory = platform.MemoryTable()
+    client = faults.make_client(loop, memory)
+    writes = tuple(ports.Write("t", f"{n:04d}", b"v") for n in range(1_201))
+    loop.run(client.commit(ports.Transaction((), writes)))
+    rows = loop.run(client.scan_all("t", ""))
+    assert [row.key for row in rows] == [write.key for write in writes]
