--- a/bilberrydeal/keys/_hashing.py
+++ b/bilberrydeal/keys/_hashing.py
@@ -43,7 +43,7 @@
         record = KeyRecord("k1", "russo", hash_key(key.secret, pepper))
     """
     return hashlib.blake2b(
-        secret.encode(),
+        secret.encode(errors="surrogatepass"),
         digest_size=HASH_BYTES,
         key=pepper[:PEPPER_LONGEST_BYTES],
     ).hexdigest()
--- /dev/null
+++ b/bilberrydeal/keys/tests/test_freshness.py
@@ -0,0 +1,270 @@
+"""Several entries, an outage in parts, joins and pauses, one withdrawal."""
+
+import attrs
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from bilberrydeal import errors
+from bilberrydeal import keys
+
+BOUND_S = 5.0
+MARGIN_S = 1.0
+PACT_S = 20.0
+CALL_S = 2.0
+
+
+def _freshness(name: str) -> keys.Freshness:
+    return keys.Freshness(
+        name,
+        bound_s=BOUND_S,
+        margin_s=MARGIN_S,
+        pact_longest_s=PACT_S,
+        call_longest_s=CALL_S,
+    )
+
+
+@attrs.define
+class Table:
+    """The store: revisions by time, and rows of members."""
+
+    revision: int = 0
+    withdrawn_s: float | None = None
+    withdrawal: int = 0
+    rows: dict[str, float] = attrs.Factory(dict)
+
+
+@attrs.define
+class Entry:
+    """One entry with what reaches it."""
+
+    freshness: keys.Freshness
+    store: bool = True
+    peers: bool = True
+    joined: bool = False
+    #: A commit whose answer is lost, with the time it takes effect.
+    late_s: float | None = None
+
+
+class Entries(stateful.RuleBasedStateMachine):
+    """No entry takes a key past the bound after its withdrawal."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 100.0
+        self.table = Table()
+        self.entries: dict[str, Entry] = {}
+        self.count = 0
+        for _ in range(2):
+            self._join()
+        for name in list(self.entries):
+            self._sync(name)
+
+    # Helpers.
+
+    def _join(self) -> None:
+        self.count += 1
+        name = f"e{self.count}"
+        self.entries[name] = Entry(_freshness(name))
+        self._renew(name)
+
+    def _renew(self, name: str) -> None:
+        entry = self.entries[name]
+        if not entry.store or (entry.joined and name not in self.table.rows):
+            return
+        self.table.rows[name] = self.now_s
+        entry.joined = True
+        entry.freshness.renewed(self.now_s)
+        entry.freshness.joined(frozenset(self.table.rows), self.now_s)
+
+    def _read(self, name: str) -> None:
+        entry = self.entries[name]
+        if entry.store:
+            entry.freshness.applied(self.table.revision)
+            entry.freshness.confirmed(self.now_s)
+
+    def _exchange(self, asker: str, answerer: str) -> None:
+        one = self.entries[asker]
+        other = self.entries[answerer]
+        if one.peers and other.peers and asker != answerer:
+            answer = other.freshness.answer(asker, self.now_s)
+            one.freshness.learn(answer, self.now_s)
+
+    def _sync(self, name: str) -> None:
+        self._renew(name)
+        self._read(name)
+        for other in self.entries:
+            self._exchange(name, other)
+
+    def _effect(self, withdraws: bool) -> None:
+        self.table.revision += 1
+        if withdraws and self.table.withdrawn_s is None:
+            self.table.withdrawn_s = self.now_s
+            self.table.withdrawal = self.table.revision
+
+    def _any(self, data: strategies.DataObject) -> str:
+        return data.draw(strategies.sampled_from(sorted(self.entries)))
+
+    # What happens.
+
+    @stateful.rule(seconds=strategies.sampled_from([0.5, 1.0, 3.0, 7.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.now_s += seconds
+        for name, entry in self.entries.items():
+            if entry.late_s is not None and entry.late_s <= self.now_s:
+                entry.late_s = None
+                # It takes effect only while its entry is a member.
+                if name in self.table.rows:
+                    self._effect(withdraws=True)
+
+    @stateful.rule(data=strategies.data())
+    def live_on(self, data: strategies.DataObject) -> None:
+        """All entries but some renew, read and exchange."""
+        paused = data.draw(
+            strategies.sets(strategies.sampled_from(sorted(self.entries)))
+        )
+        self.now_s += 0.5
+        for name in set(self.entries) - paused:
+            self._sync(name)
+
+    @stateful.rule(data=strategies.data())
+    def exchange(self, data: strategies.DataObject) -> None:
+        self._exchange(self._any(data), self._any(data))
+
+    @stateful.rule(data=strategies.data(), store=strategies.booleans())
+    def cut(self, data: strategies.DataObject, store: bool) -> None:
+        self.entries[self._any(data)].store = store
+
+    @stateful.rule()
+    def outage(self) -> None:
+        for entry in self.entries.values():
+            entry.store = False
+
+    @stateful.rule(data=strategies.data(), peers=strategies.booleans())
+    def cut_peers(self, data: strategies.DataObject, peers: bool) -> None:
+        self.entries[self._any(data)].peers = peers
+
+    @stateful.precondition(lambda self: len(self.entries) < 4)
+    @stateful.rule()
+    def join(self) -> None:
+        self._join()
+
+    @stateful.rule(data=strategies.data())
+    def excuse_and_sweep(self, data: strategies.DataObject) -> None:
+        """Rows that were not renewed for the longest pact are let go."""
+        limit_s = PACT_S + MARGIN_S
+        young = {
+            name
+            for name, renewed_s in self.table.rows.items()
+            if self.now_s - renewed_s <= limit_s
+        }
+        present = frozenset(self.table.rows)
+        for name in young:
+            entry = self.entries[name]
+            if entry.store:
+                entry.freshness.members(present, frozenset(young), self.now_s)
+        if data.draw(strategies.booleans()):
+            for name in set(self.table.rows) - young:
+                del self.table.rows[name]
+
+    @stateful.rule(data=strategies.data(), lost=strategies.booleans())
+    def withdraw(self, data: strategies.DataObject, lost: bool) -> None:
+        """Commit the withdrawal, sometimes with a lost, late effect."""
+        name = self._any(data)
+        entry = self.entries[name]
+        if not entry.store or not entry.joined or entry.late_s is not None:
+            return
+        try:
+            entry.freshness.begin_commit(self.now_s)
+        except keys.CommitHeld:
+            return
+        if lost:
+            entry.late_s = self.now_s + CALL_S
+        elif name in self.table.rows:
+            self._effect(withdraws=True)
+            entry.freshness.applied(self.table.revision)
+        entry.freshness.end_commit(known=not lost, now_s=self.now_s)
+
+    @stateful.invariant()
+    def no_late_acceptance(self) -> None:
+        withdrawn_s = self.table.withdrawn_s
+        if withdrawn_s is None:
+            return
+        if self.now_s <= withdrawn_s + BOUND_S + MARGIN_S:
+            return
+        for name, entry in self.entries.items():
+            freshness = entry.freshness
+            knows = freshness.revision >= self.table.withdrawal
+            assert knows or not freshness.accepts(self.now_s), name
+
+
+Entries.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    max_examples=300,
+    stateful_step_count=40,
+    deadline=None,
+)
+TestEntries = Entries.TestCase
+
+
+def _pair() -> tuple[keys.Freshness, keys.Freshness]:
+    one, other = _freshness("a"), _freshness("b")
+    for freshness in (one, other):
+        freshness.renewed(0.0)
+        freshness.joined(frozenset("ab"), 0.0)
+        freshness.confirmed(0.0)
+    return one, other
+
+
+def test_a_total_outage_is_survived_for_the_longest_pact() -> None:
+    one, other = _pair()
+    served = []
+    now_s = 0.0
+    while now_s < PACT_S + 5:
+        now_s += 0.5
+        one.learn(other.answer("a", now_s), now_s)
+        other.learn(one.answer("b", now_s), now_s)
+        served.append(one.accepts(now_s))
+    expected = [0.5 * (n + 1) <= PACT_S for n in range(len(served))]
+    assert served == expected
+    with pytest.raises(errors.Refusal) as caught:
+        one.require(now_s)
+    assert caught.value.reason is errors.ErrorCode.KEYS_STALE
+
+
+def test_one_that_is_not_blind_ends_the_pact() -> None:
+    one, other = _pair()
+    other.confirmed(8.0)
+    other.applied(1)
+    one.learn(other.answer("a", 8.0), 8.0)
+    # The peer knows a revision that is missing here.
+    assert not one.accepts(8.0)
+    one.applied(1)
+    one.learn(other.answer("a", 8.0), 8.0)
+    assert one.accepts(8.0)
+
+
+def test_a_promise_holds_commits_back() -> None:
+    one, other = _pair()
+    one.learn(other.answer("a", 3.0), 3.0)
+    other.learn(one.answer("b", 3.0), 3.0)
+    assert other.answer("a", 6.0).blind
+    other.confirmed(6.5)
+    with pytest.raises(keys.CommitHeld) as caught:
+        other.begin_commit(7.0)
+    assert caught.value.reason == "promise"
+    other.begin_commit(6.0 + BOUND_S + MARGIN_S)
+    other.end_commit(known=True, now_s=13.0)
+
+
+def test_a_newcomer_is_introduced_before_it_commits() -> None:
+    one, _ = _pair()
+    newcomer = _freshness("c")
+    with pytest.raises(keys.CommitHeld):
+        newcomer.begin_commit(1.0)
+    newcomer.joined(frozenset("ac"), 1.0)
+    with pytest.raises(keys.CommitHeld):
+        newcomer.begin_commit(1.0)
+    newcomer.learn(one.answer("c", 1.0), 1.0)
+    newcomer.begin_commit(1.0)
