--- a/bilberrydeal/claims/_claims.py
+++ b/bilberrydeal/claims/_claims.py
@@ -1,6 +1,7 @@
 """Takes, moves and ends claims."""
 
 import collections.abc
+import contextlib
 
 import attrs
 
@@ -14,6 +15,12 @@
 KEPT_S = 24 * 3600.0
 #: Larger bodies go to the object store, in bytes.
 INLINE_BYTES = 16_384
+#: Tries of a claim against others that abandon theirs.
+BEGIN_TRIES = 4
+#: Endings kept through an outage of the store.
+UNSETTLED_LIMIT = 1_000
+#: Rows looked at by one step of the sweep.
+SWEEP_ROWS = 100
 #: When an asker should come back while the first request runs, in seconds.
 RETRY_AFTER_S = 1.0
 
@@ -62,6 +69,32 @@
 ]
 
 
+@attrs.frozen
+class _Ending:
+    """The end of a claim that is to be written."""
+
+    #: The claim as it was last known.
+    claim: _rows.Claim
+    #: Its new state.
+    state: _rows.ClaimState
+    #: The answer, where there is one.
+    answer: _rows.Answer | None
+
+    def fits(self, found: _rows.Claim) -> bool:
+        """Return whether it may replace what stands in the row.
+
+        An answer also replaces the doubt of somebody who did not know it.
+        """
+        if found.row.dispatch != self.claim.row.dispatch:
+            return False
+        if found.row.state is _rows.ClaimState.CLAIMED:
+            return True
+        return (
+            found.row.state is _rows.ClaimState.UNKNOWN
+            and self.state is _rows.ClaimState.DONE
+        )
+
+
 class Claims:
     """Claims of one process.
 
@@ -81,6 +114,8 @@
     ) -> None:
         self._client = client
         self._objects = objects
+        self._unsettled: dict[str, _Ending] = {}
+        self._swept_to = ""
 
     async def begin(
         self,
@@ -92,8 +127,8 @@
     ) -> Outcome:
         """Claim a request, or return what became of the one that has it.
 
-        Raises ``Refusal`` 422 where the key came with another body,
-        ``StoreUnavailable`` and ``OutcomeUnknown``.
+        Raises ``Refusal`` 422 where the key came with another body and
+        ``StoreUnavailable``.
         """
         place = _rows.claim_key(organisation, key)
         fresh = _rows.ClaimRow(
@@ -105,11 +140,18 @@
             expires_s=wall_s + KEPT_S,
             nonce="",
         )
-        try:
-            claim = await self._write(_rows.Claim(place, 0, fresh))
-            return Claimed(claim)
-        except errors.TableConflict:
-            return await self._existing(place, fresh, wall_s)
+        version = 0
+        for _ in range(BEGIN_TRIES):
+            try:
+                claim = await self._write(_rows.Claim(place, version, fresh))
+                return Claimed(claim)
+            except (errors.TableConflict, errors.OutcomeUnknown):
+                found = await self._read(place)
+            if found is not None and not _expired(found.row, wall_s):
+                return await self._judged(found, fresh)
+            # Abandoned or swept in between, or expired: claim anew.
+            version = found.version if found else 0
+        raise errors.StoreUnavailable(operation="claim")
 
     async def move(
         self, claim: _rows.Claim, dispatch: _rows.Dispatch
@@ -121,32 +163,80 @@
         row = attrs.evolve(
             claim.row, dispatch=dispatch, moves=claim.row.moves + 1
         )
-        return await self._write(attrs.evolve(claim, row=row))
+        try:
+            return await self._write(attrs.evolve(claim, row=row))
+        except errors.OutcomeUnknown:
+            found = await self._read(claim.key)
+        if found is not None and found.row.dispatch == dispatch:
+            return found
+        raise errors.TableConflict(
+            table=claim.key.table,
+            key=claim.key.key,
+            found_version=found.version if found else 0,
+        )
 
     async def finish(
         self, claim: _rows.Claim, answer: _rows.Answer, wall_s: float
-    ) -> None:
-        """Keep the answer; a claim already done stays as it is."""
-        if len(answer.body) > INLINE_BYTES:
-            name = f"{claim.key.table}/{claim.key.key}"
-            await self._objects.put(
-                name, answer.body, self._client.call_timeout_s
-            )
-            answer = attrs.evolve(answer, body=b"", stored_as=name)
-        await self._end(claim, _rows.ClaimState.DONE, answer, wall_s)
+    ) -> bool:
+        """Keep the answer; ``False`` where that is left to :meth:`settle`.
 
-    async def doubt(self, claim: _rows.Claim, wall_s: float) -> None:
+        Once the store is back, :meth:`settle` writes what was left. Until
+        then others learn the answer from the agent.
+        """
+        return await self._end(
+            _Ending(claim, _rows.ClaimState.DONE, answer), wall_s
+        )
+
+    async def doubt(self, claim: _rows.Claim, wall_s: float) -> bool:
         """Note that nobody can find out whether the request ran."""
-        await self._end(claim, _rows.ClaimState.UNKNOWN, None, wall_s)
+        return await self._end(
+            _Ending(claim, _rows.ClaimState.UNKNOWN, None), wall_s
+        )
 
     async def abandon(self, claim: _rows.Claim) -> None:
-        """Remove the claim after its dispatch was proved not started."""
+        """Remove the claim after its dispatch was proved not started.
+
+        One that cannot be removed is left to the next asker, who finds the
+        same proof at the agent.
+        """
         check = ports.Check(claim.key.table, claim.key.key, claim.version)
         write = ports.Write(claim.key.table, claim.key.key, None)
-        try:
+        with contextlib.suppress(
+            errors.TableConflict,
+            errors.OutcomeUnknown,
+            errors.StoreUnavailable,
+        ):
             await self._client.commit(ports.Transaction((check,), (write,)))
-        except errors.TableConflict:
-            return
+
+    async def settle(self, wall_s: float) -> int:
+        """Write endings that an outage left; return how many still are."""
+        for ending in list(self._unsettled.values()):
+            if not await self._end(ending, wall_s):
+                break
+        return len(self._unsettled)
+
+    async def sweep(self, wall_s: float) -> int:
+        """Remove expired claims of one page; return how many.
+
+        A claim still open after its time becomes unknown rather than
+        vanish, so that it never turns into a second run unnoticed.
+        """
+        rows = await self._client.scan_page(
+            _rows.TABLE, "", self._swept_to, SWEEP_ROWS
+        )
+        self._swept_to = rows[-1].key if len(rows) == SWEEP_ROWS else ""
+        removed = 0
+        for found in rows:
+            claim = _claim(found)
+            if wall_s < claim.row.expires_s:
+                continue
+            if claim.row.state is _rows.ClaimState.CLAIMED:
+                await self.doubt(claim, wall_s)
+                continue
+            await self.abandon(claim)
+            await self._forget_body(claim)
+            removed += 1
+        return removed
 
     async def resolve(
         self, found: InProgress, resolver: Resolver, wall_s: float
@@ -171,18 +261,11 @@
         await self.doubt(claim, wall_s)
         return Unknown(claim)
 
-    async def _existing(
-        self, place: ports.RowKey, fresh: _rows.ClaimRow, wall_s: float
+    async def _judged(
+        self, claim: _rows.Claim, fresh: _rows.ClaimRow
     ) -> Outcome:
-        found = await self._client.read_one(place)
-        if found is None:
-            # Abandoned or swept in between: claim anew.
-            return Claimed(await self._write(_rows.Claim(place, 0, fresh)))
-        row = store.decode(found.value, _rows.ClaimRow)
-        claim = _rows.Claim(place, found.version, row)
-        over = row.state is not _rows.ClaimState.CLAIMED
-        if over and row.expires_s <= wall_s:
-            return Claimed(await self._write(attrs.evolve(claim, row=fresh)))
+        """Return what the claim that stands means to a new request."""
+        row = claim.row
         if row.digest != fresh.digest:
             raise errors.Refusal(
                 reason=errors.ErrorCode.IDEMPOTENCY_MISMATCH,
@@ -190,7 +273,9 @@
                 status=422,
             )
         if row.state is _rows.ClaimState.CLAIMED:
-            return InProgress(claim)
+            # An own write may have taken effect after all.
+            own = row.dispatch == fresh.dispatch
+            return Claimed(claim) if own else InProgress(claim)
         if row.state is _rows.ClaimState.DONE and row.answer is not None:
             return await self._whole(claim, row.answer)
         return Unknown(claim)
@@ -207,23 +292,53 @@
             return Unknown(claim)
         return attrs.evolve(answer, body=body, stored_as="")
 
-    async def _end(
-        self,
-        claim: _rows.Claim,
-        state: _rows.ClaimState,
-        answer: _rows.Answer | None,
-        wall_s: float,
-    ) -> None:
-        row = attrs.evolve(
-            claim.row,
-            state=state,
-            answer=answer,
-            expires_s=wall_s + KEPT_S,
-        )
+    async def _end(self, ending: _Ending, wall_s: float) -> bool:
+        """Write an ending, or keep it for later."""
+        place = ending.claim.key
         try:
-            await self._write(attrs.evolve(claim, row=row))
-        except errors.TableConflict:
-            return
+            await self._write_end(ending, wall_s)
+        except (errors.StoreUnavailable, errors.OutcomeUnknown):
+            if len(self._unsettled) < UNSETTLED_LIMIT:
+                self._unsettled[place.key] = ending
+            return False
+        self._unsettled.pop(place.key, None)
+        return True
+
+    async def _write_end(self, ending: _Ending, wall_s: float) -> None:
+        answer = await self._put_aside(ending)
+        claim: _rows.Claim | None = ending.claim
+        while claim is not None and ending.fits(claim):
+            row = attrs.evolve(
+                claim.row,
+                state=ending.state,
+                answer=answer,
+                expires_s=wall_s + KEPT_S,
+            )
+            try:
+                await self._write(attrs.evolve(claim, row=row))
+                return
+            except errors.TableConflict:
+                claim = await self._read(claim.key)
+
+    async def _put_aside(self, ending: _Ending) -> _rows.Answer | None:
+        """Store a large body; return the answer as the row holds it."""
+        answer = ending.answer
+        if answer is None or len(answer.body) <= INLINE_BYTES:
+            return answer
+        place = ending.claim.key
+        name = f"{place.table}/{place.key}"
+        await self._objects.put(name, answer.body, self._client.call_timeout_s)
+        return attrs.evolve(answer, body=b"", stored_as=name)
+
+    async def _forget_body(self, claim: _rows.Claim) -> None:
+        if claim.row.answer is not None and claim.row.answer.stored_as:
+            await self._objects.delete(
+                claim.row.answer.stored_as, self._client.call_timeout_s
+            )
+
+    async def _read(self, place: ports.RowKey) -> _rows.Claim | None:
+        found = await self._client.read_one(place)
+        return _claim(found) if found else None
 
     async def _write(self, claim: _rows.Claim) -> _rows.Claim:
         """Write a claim whose version is the one to be replaced."""
@@ -238,3 +353,15 @@
             transaction, place, nonce
         )
         return _rows.Claim(place, committed.versions[0], row)
+
+
+def _claim(found: ports.Row) -> _rows.Claim:
+    row = store.decode(found.value, _rows.ClaimRow)
+    return _rows.Claim(
+        ports.RowKey(found.table, found.key), found.version, row
+    )
+
+
+def _expired(row: _rows.ClaimRow, wall_s: float) -> bool:
+    over = row.state is not _rows.ClaimState.CLAIMED
+    return over and row.expires_s <= wall_s
