Let blind entries vouch by revision instead of a promise

Cause: the promise to hold commits back after a blind answer bound nothing that the revision in the answer and the rule of no commit on its way do not bind already: a change after the answer is younger than the bound when the asker stops. Change: the promise is gone, so a store that comes back takes changes at once. Ruled out: keeping both, which only delays withdrawals.

--- a/bilberrydeal/keys/_freshness.py
+++ b/bilberrydeal/keys/_freshness.py
@@ -5,10 +5,10 @@
 are refused once that lies further back than the bound, with one exception.
 
 In an outage of the whole store nobody can withdraw a key, so entries may go
-on as long as all of them know that all are cut off. An entry that answers
-"blind" thereby promises to commit no change of the configuration until the
-bound has passed; the asker relies on the promise no longer than that. See
-docs/design/keys.md for the argument.
+on as long as all of them know that all are cut off. A peer's answer "blind"
+says that no change beyond the revision it names has been committed by that
+peer, nor is one on its way; the asker relies on it for the bound, counted
+from the question. See docs/design/keys.md for the argument.
 """
 
 import typing
@@ -28,7 +28,7 @@
     revision: int
     #: How long ago that was confirmed as the newest; ``None`` if never.
     age_s: float | None
-    #: Whether it is cut off and promises to commit nothing for the bound.
+    #: Whether it is cut off and has no commit on its way.
     blind: bool
 
 
@@ -40,7 +40,7 @@
         errors.ErrorCode.STORE_UNAVAILABLE
     )
 
-    #: ``promise``, ``introductions`` or ``not joined``.
+    #: ``introductions`` or ``not joined``.
     reason: str
     #: When to try again, in seconds.
     retry_after_s: float
@@ -67,14 +67,11 @@
         self,
         own: str,
         bound_s: float,
-        margin_s: float,
         pact_longest_s: float,
         call_longest_s: float,
     ) -> None:
         self.own = own
         self.bound_s = bound_s
-        #: Covers drift between clocks over the bounds.
-        self.margin_s = margin_s
         #: Longest time after the last renewal of the own row that an entry
         #: goes on without confirmed knowledge.
         self.pact_longest_s = pact_longest_s
@@ -89,7 +86,6 @@
         self._must_meet: set[str] | None = None
         self._met: set[str] = set()
         self._blind: dict[str, _BlindAnswer] = {}
-        self._promised_until_s = 0.0
         self._commits = 0
         self._unsettled_s: float | None = None
 
@@ -142,16 +138,13 @@
     # Exchanges with peers.
 
     def answer(self, asker: str, now_s: float) -> PeerKnowledge:
-        """Return what to tell a peer; may make the promise."""
+        """Return what to tell a peer."""
         self._known[asker] = now_s
         blind = (
             not self._is_confirmed(now_s)
             and not self._commits
             and self._unsettled_s is None
         )
-        if blind:
-            until_s = now_s + self.bound_s + self.margin_s
-            self._promised_until_s = max(self._promised_until_s, until_s)
         age_s = None
         if self._confirmed_s is not None:
             age_s = now_s - self._confirmed_s
@@ -197,10 +190,8 @@
     def begin_commit(self, now_s: float) -> None:
         """Begin to commit a change, or raise :class:`CommitHeld`.
 
-        Until :meth:`end_commit` no promise is made.
+        Until :meth:`end_commit` no peer is answered "blind".
         """
-        if now_s < self._promised_until_s:
-            raise CommitHeld("promise", self._promised_until_s - now_s)
         if self._must_meet is None:
             raise CommitHeld("not joined", self.bound_s)
         if self._must_meet - self._met:
