--- a/bilberrydeal/agent/_executor.py
+++ b/bilberrydeal/agent/_executor.py
@@ -19,7 +19,7 @@
 
 #: Time between two looks for requests that can no longer end in time.
 SWEEP_S = 0.1
-#: What a refusal for lack of room names when nothing better is known.
+#: A refusal for lack of room asks for a retry no sooner.
 RETRY_AFTER_S = 1.0
 
 
@@ -85,16 +85,15 @@
             work.refuse(self.refusal)
             return
         item = self._item(work, now_s)
-        if now_s + item.run_time_s >= item.deadline_s:
-            work.refuse(errors.ErrorCode.DEADLINE_HOPELESS)
-            return
-        if not self._make_room(item):
-            work.refuse(errors.ErrorCode.OVERLOADED, RETRY_AFTER_S)
+        excess_s = queueing.hopeless_s(self._queue, item, now_s)
+        if excess_s > 0.0:
+            work.refuse(errors.ErrorCode.DEADLINE_HOPELESS, excess_s)
             return
         self._idle.clear()
         self._waiting[item.key] = _Job(work, item)
         self._queue.push(item, now_s)
         self._fill()
+        self._shed(now_s)
 
     def cancel(self, work: link.Work) -> None:
         """End a request that waits or runs, if it can be stopped."""
@@ -154,25 +153,16 @@
             run_time_s=self._pace.run_time_s(submit, now_s),
         )
 
-    def _make_room(self, item: queueing.QueuedRequest) -> bool:
-        """Shed from the organisation that waits most by its weight."""
-        if len(self._waiting) < self._settings.waiting_limit:
-            return True
-        shares: dict[str, float] = {item.organisation: 1.0 / item.weight}
-        last: dict[str, str] = {}
-        for key, job in self._waiting.items():
-            name = job.item.organisation
-            share = 1.0 / job.item.weight
-            shares[name] = shares.get(name, 0.0) + share
-            last[name] = key
-        heaviest = max(shares, key=shares.__getitem__)
-        if heaviest == item.organisation:
-            return False
-        self._queue.remove(last[heaviest])
-        self._refuse_waiting(
-            last[heaviest], errors.ErrorCode.OVERLOADED, RETRY_AFTER_S
-        )
-        return True
+    def _shed(self, now_s: float) -> None:
+        """Refuse what waits past the limit; the queue chooses whose."""
+        limit = self._settings.waiting_limit
+        for item in self._queue.overflow(limit, now_s):
+            wait_s = self._queue.wait_s(item, now_s)
+            self._refuse_waiting(
+                item.key,
+                errors.ErrorCode.OVERLOADED,
+                max(wait_s, RETRY_AFTER_S),
+            )
 
     def _refuse_late(self, now_s: float) -> None:
         for item in self._queue.expired(now_s):
