Cover each endpoint by an equal number of entries

Cause: plain weighted rendezvous leaves endpoints without any entry at 410 entries, 4,000 endpoints and a subset of 40, and one service in one failure domain. Change: endpoints and entries are matched by pair scores with a bound on both sides, and entries below their share are filled up.

--- a/bilberrydeal/settings/_model.py
+++ b/bilberrydeal/settings/_model.py
@@ -122,7 +122,7 @@
     health: Name = "outlier"
     roles: Name = "horizon"
     fleet: Name = "domain_loss"
-    subset: Name = "weighted_rendezvous"
+    subset: Name = "covered_rendezvous"
 
 
 @attrs.frozen
--- a/bilberrydeal/systems/subsets/__init__.py
+++ b/bilberrydeal/systems/subsets/__init__.py
@@ -1,5 +1,7 @@
 """Chooses the endpoints that an entry keeps links to."""
 
+from ._covered import assign
+from ._covered import CoveredRendezvous
 from ._registry import EndpointMember
 from ._registry import EntryMember
 from ._registry import SubsetChooser
@@ -8,8 +10,10 @@
 
 __all__ = [
     "SUBSETS",
+    "CoveredRendezvous",
     "EndpointMember",
     "EntryMember",
     "SubsetChooser",
     "WeightedRendezvous",
+    "assign",
 ]
--- a/bilberrydeal/systems/subsets/_quotas.py
+++ b/bilberrydeal/systems/subsets/_quotas.py
@@ -7,7 +7,7 @@
 
 
 def by_service(
-    endpoints: collections.abc.Sequence[_registry.EndpointMember],
+    endpoints: collections.abc.Collection[_registry.EndpointMember],
 ) -> dict[str, list[_registry.EndpointMember]]:
     """Return the endpoints of each service, sorted by key."""
     groups: dict[str, list[_registry.EndpointMember]]
--- a/bilberrydeal/systems/subsets/_scores.py
+++ b/bilberrydeal/systems/subsets/_scores.py
@@ -1,7 +1,9 @@
 """Scores of pairs for rendezvous hashing."""
 
+import array
 import hashlib
 import math
+import sys
 
 _MASK = (1 << 64) - 1
 _ODD = 0x9E3779B97F4A7C15
@@ -14,6 +16,15 @@
     return int.from_bytes(data, "big")
 
 
+def row(name: str, columns: int) -> "array.array[int]":
+    """Return a row of scores of 16 bits that depend on a name only."""
+    data = hashlib.shake_128(name.encode()).digest(2 * columns)
+    scores = array.array("H", data)
+    if sys.byteorder == "big":
+        scores.byteswap()
+    return scores
+
+
 def pair(left: int, right: int) -> int:
     """Return 64 bits that depend on two digests."""
     mixed = (left ^ (right * _ODD)) & _MASK
