--- a/bilberrydeal/systems/roles/_entities.py
+++ b/bilberrydeal/systems/roles/_entities.py
@@ -1,16 +1,11 @@
 """What the role planner reads and writes."""
 
-import enum
-
 import attrs
 
+from ... import ports
 
-class Role(enum.StrEnum):
-    """Which phase of a request an engine works on."""
-
-    PREFILL = "prefill"
-    DECODE = "decode"
-    BOTH = "both"
+#: Which phase of a request an engine works on.
+Role = ports.EngineRole
 
 
 @attrs.frozen
--- a/bilberrydeal/systems/roles/_rules.py
+++ b/bilberrydeal/systems/roles/_rules.py
@@ -13,6 +13,10 @@
     change_s: float = 6.0
     #: How far ahead a gain is counted.
     horizon_s: float = 60.0
+    #: A window of demand counts half after so long.
+    half_life_s: float = 15.0
+    #: How long after a change the demand is looked at.
+    lead_s: float = 15.0
     #: Engines of a model that may be changing, as a share of them.
     changing_share: float = 0.1
     #: The same in engines; the larger bound holds.
