--- a/scenarios/_promises.py
+++ b/scenarios/_promises.py
@@ -77,7 +77,7 @@
 
 def refusals_are_true(evidence: Evidence) -> Found:
     """A refusal that says "not run" is true."""
-    times = _execution_times(evidence)
+    times = execution_times(evidence)
     asks = _by_marker(evidence.outcomes)
     for marker, outcomes in asks.items():
         refused = [item for item in outcomes if item.executed == "no"]
@@ -281,7 +281,7 @@
         return found[0] if found else ""
 
 
-def _execution_times(evidence: Evidence) -> dict[str, list[float]]:
+def execution_times(evidence: Evidence) -> dict[str, list[float]]:
     times = collections.defaultdict(list)
     for item in evidence.generations():
         times[_marker(item.prompt)].append(item.executed_s)
--- a/scenarios/_proxy.py
+++ b/scenarios/_proxy.py
@@ -161,7 +161,8 @@
                 await self._pass(pipe, way, data, writer)
             if way not in pipe.silent:
                 writer.write_eof()
-        except OSError:
+        except (OSError, RuntimeError):
+            # The event loop raises RuntimeError on a closed transport.
             pipe.abort()
 
     async def _pass(
--- /dev/null
+++ b/scenarios/_stage.py
@@ -0,0 +1,133 @@
+"""Holds one fleet for steps that are plain functions."""
+
+import asyncio
+import collections.abc
+import concurrent.futures
+import pathlib
+import random
+import threading
+import typing
+
+import attrs
+import uvloop
+
+from . import _caller
+from . import _fleet
+
+#: Requests that the load keeps in flight on each entry.
+WORKERS_AN_ENTRY = 3
+#: Share of the load that goes to the plain service.
+PLAIN_SHARE = 0.3
+#: A caller of the load waits so long after a refusal, in seconds.
+REFUSED_PAUSE_S = 0.2
+
+Result = typing.TypeVar("Result")
+Spawned = concurrent.futures.Future[_caller.Outcome]
+
+
+class Stage:
+    """Runs a fleet on an event loop of its own thread."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.loop = uvloop.new_event_loop()
+        self.spawned: dict[str, Spawned] = {}
+        self.outcomes: dict[str, _caller.Outcome] = {}
+        self.asks: dict[str, _caller.Ask] = {}
+        self._fleet: _fleet.Fleet | None = None
+        self._load: list[concurrent.futures.Future[None]] = []
+        self._loading = False
+        self._thread = threading.Thread(target=self.loop.run_forever)
+        self._thread.start()
+
+    @property
+    def fleet(self) -> _fleet.Fleet:
+        """Return the fleet, once it was set up."""
+        assert self._fleet is not None
+        return self._fleet
+
+    def run(
+        self, work: collections.abc.Coroutine[object, object, Result]
+    ) -> Result:
+        """Run something to its end."""
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result()
+
+    def spawn(
+        self, work: collections.abc.Coroutine[object, object, Result]
+    ) -> concurrent.futures.Future[Result]:
+        """Run something beside the steps."""
+        return asyncio.run_coroutine_threadsafe(work, self.loop)
+
+    def set_up(self, shape: _fleet.Shape) -> None:
+        """Start a fleet."""
+        fleet = _fleet.Fleet(shape, self.folder)
+        self.run(fleet.__aenter__())
+        self._fleet = fleet
+
+    def close(self) -> None:
+        """End the fleet and the thread."""
+        self._loading = False
+        if self._fleet is not None:
+            self.run(self._fleet.__aexit__())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join()
+        self.loop.close()
+
+    def ask(self, name: str, entry: int) -> _caller.Outcome:
+        """Send the named request to an entry and keep the outcome."""
+        outcome = self.run(self.fleet.ask(entry, self.asks[name]))
+        self.outcomes[name] = outcome
+        return outcome
+
+    def begin(self, name: str, entry: int) -> None:
+        """Send a request beside the steps; wait until its text flows."""
+        flowing = threading.Event()
+        ask = self.asks[name]
+        self.spawned[name] = self.spawn(
+            self.fleet.ask(entry, ask, on_text=flowing.set)
+        )
+        if ask.stream and not flowing.wait(_fleet.PATIENCE_S):
+            raise TimeoutError(f"no text of {name}")
+
+    def finish(self, name: str) -> _caller.Outcome:
+        """Wait for a request that was begun."""
+        self.outcomes[name] = self.spawned[name].result(_fleet.PATIENCE_S)
+        return self.outcomes[name]
+
+    def begin_load(self) -> None:
+        """Keep requests of all organisations in flight on all entries."""
+        self._loading = True
+        for entry in range(len(self.fleet.entries)):
+            for worker in range(WORKERS_AN_ENTRY):
+                dice = random.Random(entry * WORKERS_AN_ENTRY + worker)
+                work = self._work(entry, dice)
+                self._load.append(self.spawn(work))
+
+    def end_load(self) -> None:
+        """Let the load run out."""
+        self._loading = False
+        for worker in self._load:
+            worker.result(_fleet.PATIENCE_S)
+        self._load.clear()
+
+    async def _work(self, entry: int, dice: random.Random) -> None:
+        while self._loading:
+            ask = self._draw(dice)
+            outcome = await self.fleet.ask(entry, ask)
+            if not outcome.answered:
+                await asyncio.sleep(REFUSED_PAUSE_S)
+
+    def _draw(self, dice: random.Random) -> _caller.Ask:
+        marker = self.fleet.marker()
+        organisation = dice.choice(_fleet.ORGANISATIONS)
+        if self.fleet.plains and dice.random() < PLAIN_SHARE:
+            path = dice.choice(("/stock", "/deposit", "/label"))
+            ask = _caller.plain(path, marker, organisation)
+            return attrs.evolve(ask, idempotency_key=marker)
+        return _caller.completion(
+            marker,
+            organisation,
+            max_tokens=dice.randint(1, 120),
+            stream=dice.random() < 0.5,
+            padding=dice.choice((0, 200, 2000)),
+        )
--- /dev/null
+++ b/scenarios/features/authority.feature
@@ -0,0 +1,28 @@
+Feature: A process that lost its authority has no effect
+
+  Scenario Outline: A holder of duties is paused past its leases
+    Given a fleet that plans, with endpoints that <habit>
+    And it is under load
+    When entry-0 is paused until another entry holds its duties
+    And entry-0 goes on
+    Then entry-0 answers
+    When the load ends
+    Then every promise was kept
+    And bills are complete
+
+    Examples:
+      | habit                  |
+      | check fencing numbers  |
+      | ignore fencing numbers |
+
+  Scenario Outline: An engine crashes in the midst of a role change
+    Given a fleet that plans, with endpoints that <habit>
+    When engine-0 is ordered to another role and crashes
+    And the endpoint of engine-0 is started again
+    Then engine-0 takes the newest order
+    And every promise was kept
+
+    Examples:
+      | habit                  |
+      | check fencing numbers  |
+      | ignore fencing numbers |
--- /dev/null
+++ b/scenarios/tests/test_scenarios.py
@@ -0,0 +1,501 @@
+"""Runs the scenarios: each step is a line of the feature files."""
+
+import asyncio
+import collections.abc
+import time
+
+import pytest_bdd
+from pytest_bdd import parsers
+
+from scenarios import _caller
+from scenarios import _fleet
+from scenarios import _operator
+from scenarios import _places
+from scenarios import _promises
+from scenarios import _proxy
+from scenarios import _stage
+import standins
+from standins import engine
+from standins import plain
+from standins import platform
+
+pytest_bdd.scenarios("../features")
+
+Stage = _stage.Stage
+
+#: Tokens of a stream that outlasts the faults of its scenario.
+STREAM_TOKENS = 900
+#: A leaving endpoint may get new work for so long.
+LEAVING_S = 5.0
+#: Longer than the leases of the scenarios.
+PAST_LEASE_S = 6.0
+FAULTS = {
+    "is down": platform.Fault(down=True),
+    "is silent": platform.Fault(silent=True),
+    "is slow": platform.Fault(slow_s=0.6),
+    "loses all answers": platform.Fault(lose_answers=platform.ALL),
+}
+HABITS = {"check fencing numbers": True, "ignore fencing numbers": False}
+PLAIN_PATHS = ("deposit", "label", "stock")
+
+
+def shop(stage: Stage) -> _fleet.Host:
+    return stage.fleet.plains[0]
+
+
+def add_ask(stage: Stage, organisation: str, what: str) -> None:
+    marker = stage.fleet.marker()
+    if what in PLAIN_PATHS:
+        ask = _caller.plain(f"/{what}", marker, organisation, f"once-{marker}")
+    else:
+        ask = _caller.completion(marker, organisation, STREAM_TOKENS, True)
+    stage.asks[what] = ask
+
+
+def executions(stage: Stage, what: str) -> int:
+    marker = stage.asks[what].marker
+    evidence = stage.fleet.evidence()
+    bodies = [call.body for call in evidence.calls()]
+    return sum(f'"{marker}"' in body for body in bodies)
+
+
+def wait(
+    stage: Stage, check: collections.abc.Callable[[], bool], what: str
+) -> None:
+    async def holds() -> bool:
+        return check()
+
+    stage.run(_fleet.eventually(holds, what))
+
+
+# Fleets.
+
+
+@pytest_bdd.given("a fleet")
+def a_fleet(stage: Stage) -> None:
+    stage.set_up(_fleet.Shape())
+
+
+@pytest_bdd.given("a fleet under load")
+def a_fleet_under_load(stage: Stage) -> None:
+    stage.set_up(_fleet.Shape())
+    stage.begin_load()
+
+
+@pytest_bdd.given("it is under load")
+def it_is_under_load(stage: Stage) -> None:
+    stage.begin_load()
+
+
+@pytest_bdd.given(
+    parsers.parse("a fleet that plans, with endpoints that {habit}")
+)
+def a_fleet_that_plans(stage: Stage, habit: str) -> None:
+    stage.set_up(
+        _fleet.Shape(engines=4, checks_fencing=HABITS[habit], plans=True)
+    )
+
+
+@pytest_bdd.when("the load ends")
+def the_load_ends(stage: Stage) -> None:
+    stage.end_load()
+
+
+# Faults of endpoints and hops.
+
+
+@pytest_bdd.given(parsers.parse("the next answer of {host} is lost"))
+def next_answer_is_lost(stage: Stage, host: str) -> None:
+    stage.fleet.host(host).front.lose_answers(_places.HTTP_PORT)
+
+
+@pytest_bdd.given(parsers.parse("the shop takes {delay_s:g} s for a call"))
+def the_shop_is_slow(stage: Stage, delay_s: float) -> None:
+    control = plain.Control(delay_s=delay_s)
+    stage.run(stage.fleet.endpoint_fault(shop(stage), control))
+
+
+@pytest_bdd.given("the shop crashes after its next effect")
+def the_shop_crashes(stage: Stage) -> None:
+    control = plain.Control(crash_after_effect=True)
+    stage.run(stage.fleet.endpoint_fault(shop(stage), control))
+
+
+def links(stage: Stage) -> list[tuple[_proxy.Proxy, int]]:
+    first = _places.LINK_PORTS_FROM
+    return [
+        (host.front, port)
+        for host in stage.fleet.engines
+        for port in range(first, first + _places.LINK_PORTS)
+    ]
+
+
+@pytest_bdd.when("open links to every engine fall silent")
+def links_fall_silent(stage: Stage) -> None:
+    for front, port in links(stage):
+        stage.loop.call_soon_threadsafe(front.hush, _proxy.Way.BACK, port)
+        stage.loop.call_soon_threadsafe(front.hush, _proxy.Way.FORTH, port)
+
+
+@pytest_bdd.when("open links to every engine are cut")
+def links_are_cut(stage: Stage) -> None:
+    for front, port in links(stage):
+        stage.loop.call_soon_threadsafe(front.cut, port)
+    time.sleep(1.0)
+
+
+# Faults of processes.
+
+
+@pytest_bdd.when(parsers.re(r"(?P<name>[a-z]+-\d) is killed"))
+def is_killed(stage: Stage, name: str) -> None:
+    stage.fleet.host(name).process.kill()
+
+
+@pytest_bdd.when(parsers.re(r"(?P<name>[a-z]+-\d) is started again"))
+def is_started_again(stage: Stage, name: str) -> None:
+    stage.fleet.host(name).process.start()
+
+
+@pytest_bdd.when(parsers.parse("the endpoint of {name} is started again"))
+def endpoint_is_started_again(stage: Stage, name: str) -> None:
+    process = stage.fleet.host(name).endpoint
+    assert process is not None
+    wait(stage, lambda: not process.alive, f"the crash of {name}")
+    process.start()
+
+
+@pytest_bdd.when(parsers.re(r"(?P<name>[a-z]+-\d) is terminated"))
+def is_terminated(stage: Stage, name: str) -> None:
+    stage.fleet.host(name).process.terminate()
+
+
+@pytest_bdd.when(
+    parsers.parse("every engine's agent is paused for {for_s:g} s")
+)
+def agents_are_paused(stage: Stage, for_s: float) -> None:
+    for host in stage.fleet.engines:
+        host.process.pause()
+    time.sleep(for_s)
+    for host in stage.fleet.engines:
+        host.process.resume()
+
+
+@pytest_bdd.when(
+    parsers.parse("{name} is paused until another entry holds its duties")
+)
+def is_paused(stage: Stage, name: str) -> None:
+    async def holders() -> dict[str, str]:
+        leases = (await stage.fleet.operator(1).leases()).leases
+        return {lease.duty: lease.holder for lease in leases}
+
+    async def held() -> bool:
+        return any(name in holder for holder in (await holders()).values())
+
+    async def taken() -> bool:
+        found = await holders()
+        return not any(name in holder for holder in found.values())
+
+    stage.run(_fleet.eventually(held, f"a duty of {name}"))
+    stage.fleet.host(name).process.pause()
+    stage.run(_fleet.eventually(taken, f"a successor of {name}"))
+
+
+@pytest_bdd.when(parsers.re(r"(?P<name>[a-z]+-\d) goes on"))
+def goes_on(stage: Stage, name: str) -> None:
+    stage.fleet.host(name).process.resume()
+
+
+@pytest_bdd.when(parsers.parse("{name} is listed as leaving"))
+def is_listed_as_leaving(stage: Stage, name: str) -> None:
+    stage.run(stage.fleet.list_hosts(leaving=(name,)))
+
+
+# Faults of the platform.
+
+
+@pytest_bdd.when(
+    parsers.re(
+        r"the platform (?P<fault>is down|is silent|is slow|loses all answers)$"
+    )
+)
+def the_platform_fails(stage: Stage, fault: str) -> None:
+    stage.run(stage.fleet.fault(FAULTS[fault]))
+    time.sleep(2.0)
+
+
+@pytest_bdd.when("the platform is well again")
+def the_platform_is_well(stage: Stage) -> None:
+    stage.run(stage.fleet.fault(platform.Fault()))
+
+
+@pytest_bdd.when(
+    parsers.re(r"the platform (?P<fault>.+) for (?P<for_s>\d+) s")
+)
+def the_platform_fails_for(stage: Stage, fault: str, for_s: str) -> None:
+    stage.run(stage.fleet.fault(FAULTS[fault]))
+    time.sleep(float(for_s))
+    stage.run(stage.fleet.fault(platform.Fault()))
+
+
+def cut_off(stage: Stage, name: str, away: bool) -> None:
+    store = stage.fleet.host(name).store
+
+    async def change() -> None:
+        store.set_weather(_proxy.Weather(refuse=away))
+        store.cut()
+
+    stage.run(change())
+
+
+@pytest_bdd.when(
+    parsers.re(r"(?P<name>[a-z]+-\d) is cut off from the platform$")
+)
+def is_cut_off(stage: Stage, name: str) -> None:
+    cut_off(stage, name, True)
+
+
+@pytest_bdd.when(parsers.parse("{name} reaches the platform again"))
+def reaches_again(stage: Stage, name: str) -> None:
+    cut_off(stage, name, False)
+
+
+@pytest_bdd.when(
+    parsers.re(
+        r"(?P<name>[a-z]+-\d) is cut off from the platform"
+        r" for (?P<for_s>\d+) s"
+    )
+)
+def is_cut_off_for(stage: Stage, name: str, for_s: str) -> None:
+    cut_off(stage, name, True)
+    time.sleep(float(for_s))
+    cut_off(stage, name, False)
+
+
+# Requests.
+
+
+@pytest_bdd.when(
+    parsers.re(
+        r"(?P<organisation>\w+) sends a (?P<what>\w+) over entry-(?P<entry>\d)"
+    )
+)
+def sends(stage: Stage, organisation: str, what: str, entry: str) -> None:
+    add_ask(stage, organisation, what)
+    stage.ask(what, int(entry))
+
+
+@pytest_bdd.when(
+    parsers.re(
+        r"(?P<organisation>\w+) begins a (?P<what>\w+)"
+        r" over entry-(?P<entry>\d)"
+    )
+)
+def begins(stage: Stage, organisation: str, what: str, entry: str) -> None:
+    add_ask(stage, organisation, what)
+    stage.begin(what, int(entry))
+
+
+@pytest_bdd.when(parsers.parse("the {what} has begun to run"))
+def has_begun(stage: Stage, what: str) -> None:
+    wait(stage, lambda: executions(stage, what) > 0, f"a run of {what}")
+
+
+@pytest_bdd.when(
+    parsers.parse("the {what} is sent again over entry-{entry:d}")
+)
+def is_sent_again(stage: Stage, what: str, entry: int) -> None:
+    stage.ask(what, entry)
+
+
+@pytest_bdd.when(
+    parsers.parse(
+        "the {what} is repeated over entry-{entry:d} until it is answered"
+    )
+)
+def is_repeated(stage: Stage, what: str, entry: int) -> None:
+    async def answered() -> bool:
+        outcome = await stage.fleet.ask(entry, stage.asks[what])
+        return outcome.answered
+
+    stage.run(_fleet.eventually(answered, f"an answer to {what}"))
+
+
+# Operators.
+
+
+@pytest_bdd.when(parsers.parse("the key of {organisation} is withdrawn"))
+def key_is_withdrawn(stage: Stage, organisation: str) -> None:
+    key_id = stage.fleet.keys[organisation].key_id
+    stage.run(stage.fleet.operator(0).withdraw_key(key_id))
+
+
+@pytest_bdd.when(
+    parsers.parse("two operators set the weight of {organisation} at once"),
+    target_fixture="race",
+)
+def operators_race(stage: Stage, organisation: str) -> list[object]:
+    async def race() -> list[object]:
+        rows = (await stage.fleet.operator(0).organisations()).organisations
+        seen = next(row for row in rows if row.name == organisation).revision
+        return list(
+            await asyncio.gather(
+                stage.fleet.operator(0).organisation(organisation, 2.0, seen),
+                stage.fleet.operator(1).organisation(organisation, 3.0, seen),
+                return_exceptions=True,
+            )
+        )
+
+    return stage.run(race())
+
+
+@pytest_bdd.then("one of them is told of the conflict")
+def one_is_told(race: list[object]) -> None:
+    refused = [item for item in race if isinstance(item, _operator.Refused)]
+    accepted = [item for item in race if isinstance(item, int)]
+    assert (len(refused), len(accepted)) == (1, 1), race
+    assert refused[0].status == 409
+
+
+@pytest_bdd.then(
+    parsers.parse("all entries show the same weight of {organisation}")
+)
+def same_weight(stage: Stage, organisation: str) -> None:
+    async def weights() -> set[float]:
+        return {
+            row.weight
+            for entry in range(len(stage.fleet.entries))
+            for row in (
+                await stage.fleet.operator(entry).organisations()
+            ).organisations
+            if row.name == organisation
+        }
+
+    async def same() -> bool:
+        found = await weights()
+        return len(found) == 1 and found <= {2.0, 3.0}
+
+    stage.run(_fleet.eventually(same, "one weight on all entries"))
+
+
+# What callers got.
+
+
+@pytest_bdd.then(parsers.parse("the {what} ran once"))
+def ran_once(stage: Stage, what: str) -> None:
+    assert executions(stage, what) == 1
+
+
+@pytest_bdd.then(parsers.parse("the {what} ran at most once"))
+def ran_at_most_once(stage: Stage, what: str) -> None:
+    assert executions(stage, what) <= 1
+
+
+@pytest_bdd.then(parsers.parse('the {what} was not called "not run"'))
+def not_called_not_run(stage: Stage, what: str) -> None:
+    assert stage.outcomes[what].executed != "no"
+
+
+@pytest_bdd.then(parsers.parse("the {what} is answered whole"))
+def is_answered_whole(stage: Stage, what: str) -> None:
+    outcome = stage.finish(what)
+    assert outcome.answered, outcome
+
+
+@pytest_bdd.then(parsers.parse("the {what} is answered whole or refused"))
+def is_answered_or_refused(stage: Stage, what: str) -> None:
+    outcome = stage.finish(what)
+    assert outcome.answered or outcome.code, outcome
+
+
+@pytest_bdd.then(parsers.parse("the {what} was cut"))
+def was_cut(stage: Stage, what: str) -> None:
+    assert not stage.finish(what).answered
+
+
+@pytest_bdd.then(parsers.re(r"entry-(?P<entry>\d) answers$"))
+def entry_answers(stage: Stage, entry: str) -> None:
+    stage.run(stage.fleet.until_served(int(entry)))
+
+
+@pytest_bdd.then(parsers.re(r"entry-(?P<entry>\d) answers (?P<name>\w+)"))
+def entry_answers_one(stage: Stage, entry: str, name: str) -> None:
+    number = int(entry)
+    stage.run(
+        _fleet.eventually(
+            lambda: stage.fleet.serves(number, name), f"an answer for {name}"
+        )
+    )
+
+
+@pytest_bdd.then(
+    parsers.parse(
+        "the withdrawn key is refused by every entry within {within_s:g} s"
+    )
+)
+def withdrawn_key_is_refused(stage: Stage, within_s: float) -> None:
+    """Ask until each entry refuses; no later request may be answered."""
+    end_s = time.time() + within_s
+
+    async def ask(entry: int) -> _caller.Outcome:
+        ask = _caller.completion(stage.fleet.marker(), "russo", 1)
+        return await stage.fleet.ask(entry, ask)
+
+    async def refused_from_then_on(entry: int) -> None:
+        outcome = await ask(entry)
+        while outcome.started_s <= end_s + 2.0:
+            if outcome.started_s > end_s:
+                assert not outcome.answered, outcome
+                assert outcome.status in (401, 403, 503), outcome
+            await asyncio.sleep(_fleet.LOOK_S)
+            outcome = await ask(entry)
+
+    for entry in range(len(stage.fleet.entries)):
+        stage.run(refused_from_then_on(entry))
+
+
+@pytest_bdd.then("nothing of the load was cut")
+def nothing_was_cut(stage: Stage) -> None:
+    """Every request got its whole answer or never ran."""
+    times = _promises.execution_times(stage.fleet.evidence())
+    cut = [
+        outcome
+        for outcome in stage.fleet.caller.outcomes
+        if not outcome.answered and times[outcome.ask.marker]
+    ]
+    assert cut == []
+    assert any(outcome.answered for outcome in stage.fleet.caller.outcomes)
+
+
+# What the stand-ins recorded.
+
+
+@pytest_bdd.then(parsers.parse("{name} ends with code {code:d}"))
+def ends_with(stage: Stage, name: str, code: int) -> None:
+    assert stage.fleet.host(name).process.wait(_fleet.PATIENCE_S) == code
+
+
+@pytest_bdd.then(parsers.parse("{name} gets no new work after a few seconds"))
+def gets_no_new_work(stage: Stage, name: str) -> None:
+    journal = stage.fleet.host(name).journal
+    time.sleep(LEAVING_S)
+    before = len(standins.load(journal, engine.Executed))
+    time.sleep(LEAVING_S)
+    assert len(standins.load(journal, engine.Executed)) == before
+
+
+@pytest_bdd.then("every promise was kept")
+def every_promise_was_kept(stage: Stage) -> None:
+    for name in list(stage.spawned):
+        if name not in stage.outcomes:
+            stage.finish(name)
+    assert _promises.broken(stage.fleet.evidence()) == []
+
+
+@pytest_bdd.then("bills are complete")
+def bills_are_complete(stage: Stage) -> None:
+    def complete() -> bool:
+        return not list(_promises.bills_are_complete(stage.fleet.evidence()))
+
+    wait(stage, complete, "complete bills")
+    assert _promises.broken(stage.fleet.evidence()) == []
