--- a/scenarios/_fleet.py
+++ b/scenarios/_fleet.py
@@ -195,7 +195,7 @@
         url = f"http://{address}:{_places.ENDPOINT_PORT}/control"
         async with self.session.post(
             url,
-            json=attrs.asdict(fault),  # type: ignore[call-overload]
+            json=attrs.asdict(fault),
         ) as answer:
             answer.raise_for_status()
 
