Judge endpoints by own requests times the sharing seen in reports

Reports tell only how many requests of others there are for each own one, the same for all endpoints, so that stale figures cannot make a rush.

--- a/bench/_entry.py
+++ b/bench/_entry.py
@@ -104,7 +104,6 @@
         call = self._calls[sent.key]
         now_s = self._clock.now_s + self._delay_s
         call.answered = True
-        self.router.first_token(self.tables, call.request, now_s)
         self._scores.first_token(call.arrival, now_s)
         expected_s = call.request.expected_first_s
         self.health.observe(
--- a/bilberrydeal/systems/_entities.py
+++ b/bilberrydeal/systems/_entities.py
@@ -74,11 +74,6 @@
     decode_tokens_per_s: float = 1_000.0
     #: When this process sent requests that the report may not show yet.
     sent_at_s: list[float] = attrs.field(factory=list)
-    #: Time that the prompts take that this process sent there and that
-    #: have had no first token yet, in seconds.
-    prefill_s: float = 0.0
-    #: Requests of other processes there, smoothed over the reports.
-    others_in_flight: float = 0.0
     #: How much slower it is than its peers, 1 for as fast.
     slowness: float = 1.0
     #: Whether it gets requests.
@@ -170,9 +165,6 @@
     prefill_endpoint_id: str = ""
     #: Prompt tokens likely in the cache of the endpoint chosen.
     cached_tokens: int = 0
-    #: Time that its prompt takes where it is computed, in seconds; zero
-    #: once the first token has come.
-    prefill_s: float = 0.0
     #: Time from sending to the first token, as the router expects.
     expected_first_s: float = 0.0
 
--- a/bilberrydeal/systems/routing/_base.py
+++ b/bilberrydeal/systems/routing/_base.py
@@ -48,6 +48,7 @@
     def __init__(self, options: RouterOptions) -> None:
         self.options = options
         self.random = random.Random(options.seed)
+        self.sharing = _load.Sharing()
 
     def run(self, tables: _tables.Tables, now_s: float) -> None:
         """Assign an endpoint to each request that waits for one."""
@@ -63,25 +64,12 @@
         now_s: float,
     ) -> None:
         """Note that a request that had an endpoint has ended there."""
-        self.first_token(tables, request, now_s)
         views = tables.of(_entities.EndpointView)
         for name in (request.endpoint_id, request.prefill_endpoint_id):
             view = views.get(name)
             if view is not None:
                 _load.finished(view)
 
-    def first_token(
-        self,
-        tables: _tables.Tables,
-        request: _entities.PendingRequest,
-        now_s: float,
-    ) -> None:
-        """Note that a request's prompt has been computed."""
-        name = request.prefill_endpoint_id or request.endpoint_id
-        view = tables.of(_entities.EndpointView).get(name)
-        if view is not None:
-            _load.computed(view, request)
-
     def reported(
         self,
         tables: _tables.Tables,
@@ -92,7 +80,7 @@
         """Take an endpoint's load report."""
         view = tables.of(_entities.EndpointView).get(endpoint_id)
         if view is not None:
-            _load.reported(view, figures)
+            self.sharing.take(view, figures)
 
     def cache_changed(
         self,
@@ -106,6 +94,10 @@
     def cache_lost(self, endpoint_id: str) -> None:
         """Note that an endpoint has begun anew with an empty cache."""
 
+    def load_s(self, view: _entities.EndpointView) -> float:
+        """Return the delay by what is in flight, in seconds."""
+        return _load.load_s(view, self.sharing.factor)
+
     def choose(
         self,
         candidates: list[_entities.EndpointView],
@@ -132,8 +124,9 @@
             return
         chosen = self.choose(candidates, request, now_s)
         request.endpoint_id = chosen.endpoint_id
-        if not request.prefill_endpoint_id:
-            _load.computes(chosen, request)
+        to_compute = request.prompt_tokens - request.cached_tokens
+        request.expected_first_s = self.load_s(chosen)
+        request.expected_first_s += _load.prefill_s(chosen, to_compute)
         _load.sent(chosen, now_s)
 
 
--- a/bilberrydeal/systems/routing/_load.py
+++ b/bilberrydeal/systems/routing/_load.py
@@ -1,16 +1,21 @@
 """How busy an endpoint is, as far as this process can know.
 
-What this process has in flight it knows exactly. What others have there it
-knows from reports, which are late, so that all processes would rush to the
-endpoint that was idle a moment ago; it is smoothed for that reason.
+What this process has in flight it knows exactly. Reports of the whole are
+late, so that processes that trust them all rush to the endpoint that was
+idle a moment ago. So an endpoint is judged by the own requests, and reports
+only tell how many requests there are of others for each own one.
 """
 
+import attrs
+
 from .. import _entities
 
-#: Part of the others' requests that a new report makes up.
-OTHERS_GAIN = 0.1
 #: Time that a request in flight delays others, in seconds.
-IN_FLIGHT_S = 0.2
+IN_FLIGHT_S = 0.04
+#: Part of the older reports that remains when a new one comes.
+KEPT_PART = 0.98
+#: Most requests of all processes for each own one.
+SHARING_LIMIT = 64.0
 #: Times of sending are looked through for old ones at this many.
 SENT_LIMIT = 256
 #: Times of sending are kept without a report so long, in seconds.
@@ -22,28 +27,9 @@
     return prompt_tokens / view.prefill_tokens_per_s * view.slowness
 
 
-def load_s(view: _entities.EndpointView) -> float:
+def load_s(view: _entities.EndpointView, sharing: float) -> float:
     """Return what is in flight at an endpoint, in seconds."""
-    in_flight = view.in_flight + view.others_in_flight
-    return view.prefill_s + in_flight * IN_FLIGHT_S * view.slowness
-
-
-def computes(
-    view: _entities.EndpointView, request: _entities.PendingRequest
-) -> None:
-    """Note that an endpoint is to compute a request's prompt."""
-    to_compute = request.prompt_tokens - request.cached_tokens
-    request.prefill_s = prefill_s(view, to_compute)
-    request.expected_first_s = load_s(view) + request.prefill_s
-    view.prefill_s += request.prefill_s
-
-
-def computed(
-    view: _entities.EndpointView, request: _entities.PendingRequest
-) -> None:
-    """Note that an endpoint has computed a request's prompt."""
-    view.prefill_s = max(0.0, view.prefill_s - request.prefill_s)
-    request.prefill_s = 0.0
+    return view.in_flight * sharing * IN_FLIGHT_S * view.slowness
 
 
 def sent(view: _entities.EndpointView, now_s: float) -> None:
@@ -58,19 +44,34 @@
 def finished(view: _entities.EndpointView) -> None:
     """Note that a request has ended at an endpoint."""
     view.in_flight = max(0, view.in_flight - 1)
-    if not view.in_flight:
-        view.prefill_s = 0.0
-
-
-def reported(
-    view: _entities.EndpointView, figures: _entities.LoadFigures
-) -> None:
-    """Take a load report."""
-    view.reported_at_s = figures.true_at_s
-    view.running = figures.running
-    view.waiting = figures.waiting
-    view.kv_used_share = figures.kv_used_share
-    view.sent_at_s = [s for s in view.sent_at_s if s > figures.true_at_s]
-    own = view.in_flight - len(view.sent_at_s)
-    others = max(0, figures.running + figures.waiting - own)
-    view.others_in_flight += OTHERS_GAIN * (others - view.others_in_flight)
+
+
+@attrs.define
+class Sharing:
+    """How many requests of all processes there are for each own one."""
+
+    #: Requests in flight by the reports, faded.
+    reported: float = 0.0
+    #: Own requests in flight when the reports were true, faded.
+    own: float = 0.0
+
+    def take(
+        self, view: _entities.EndpointView, figures: _entities.LoadFigures
+    ) -> None:
+        """Take a load report."""
+        view.reported_at_s = figures.true_at_s
+        view.running = figures.running
+        view.waiting = figures.waiting
+        view.kv_used_share = figures.kv_used_share
+        view.sent_at_s = [s for s in view.sent_at_s if s > figures.true_at_s]
+        in_flight = figures.running + figures.waiting
+        self.reported = self.reported * KEPT_PART + in_flight
+        own = max(0, view.in_flight - len(view.sent_at_s))
+        self.own = self.own * KEPT_PART + own
+
+    @property
+    def factor(self) -> float:
+        """Return the number, at least one."""
+        if self.own <= 0.0:
+            return SHARING_LIMIT if self.reported > 0.0 else 1.0
+        return min(SHARING_LIMIT, max(1.0, self.reported / self.own))
--- a/bilberrydeal/systems/routing/_prefix_bounded.py
+++ b/bilberrydeal/systems/routing/_prefix_bounded.py
@@ -99,7 +99,6 @@
         view = option.view
         request.prefill_endpoint_id = view.endpoint_id
         request.cached_tokens = option.cached_tokens
-        _load.computes(view, request)
         _load.sent(view, now_s)
         self.history.sent(view.endpoint_id, request.blocks, now_s)
         # The decoding endpoint gets the prompt computed.
@@ -154,7 +153,7 @@
     def _score_s(
         self, view: _entities.EndpointView, to_compute: float, now_s: float
     ) -> float:
-        score_s = _load.load_s(view)
+        score_s = self.load_s(view)
         score_s += _load.prefill_s(view, to_compute)
         if view.failure_domain != self.options.failure_domain:
             score_s += OTHER_DOMAIN_S
