Keep slots free for classes that are served first

Slots that lower classes need, by what came in the last seconds, are now kept from higher ones, unless urgent. Queues now hear of the end of a request, by ended().

--- a/bench/_agent.py
+++ b/bench/_agent.py
@@ -139,13 +139,15 @@
         actual = queueing.cost(
             job.prompt_tokens - job.cached_tokens, job.output_tokens
         )
-        self._queue.charge(sent.organisation, actual - sent.item.cost)
+        self._queue.ended(sent.item, actual)
         sent.caller.ended(sent)
         self._pump()
 
     def failed(self, job: _engine.Job) -> None:
         """Tell the entry that the request is lost."""
         sent = self._running.pop(job.key)
+        assert sent.item is not None
+        self._queue.ended(sent.item, sent.item.cost)
         sent.caller.failed(sent, started=True)
 
     def _item(self, sent: Sent) -> queueing.QueuedRequest:
@@ -171,7 +173,7 @@
         now_s = self._clock.now_s
         self._refuse(self._queue.expired(now_s))
         while len(self._running) < self.engine.rates.batch_limit:
-            item = self._queue.pop(now_s)
+            item = self._queue.pop(now_s, self.engine.rates.batch_limit)
             if item is None:
                 return
             sent = self._waiting.pop(item.key)
--- a/bilberrydeal/agent/_executor.py
+++ b/bilberrydeal/agent/_executor.py
@@ -181,8 +181,9 @@
         """Start requests while slots are free."""
         now_s = self._clock()
         self._refuse_late(now_s)
-        while len(self._running) < self._settings.running_limit:
-            item = self._queue.pop(now_s)
+        slots = self._settings.running_limit
+        while len(self._running) < slots:
+            item = self._queue.pop(now_s, slots)
             if item is None:
                 return
             job = self._waiting.pop(item.key)
@@ -223,7 +224,7 @@
             prompt_tokens=meter.prompt_tokens,
             output_tokens=meter.output_tokens,
         )
-        self._queue.charge(job.item.organisation, actual.cost - job.item.cost)
+        self._queue.ended(job.item, actual.cost)
         if meter != _meter.Meter():
             self._count(work.submit, meter)
         self._fill()
--- a/bilberrydeal/systems/queueing/_base.py
+++ b/bilberrydeal/systems/queueing/_base.py
@@ -66,16 +66,22 @@
             ...  # refuse as not run
         for late in queue.expired(now_s):
             ...  # refuse as not run
-        item = queue.pop(now_s)
+        item = queue.pop(now_s, running_limit)
         ...
-        queue.charge(item.organisation, actual - item.cost)
+        queue.ended(item, cost(prompt_tokens, output_tokens))
     """
 
     def push(self, item: QueuedRequest, now_s: float) -> None:
         """Add a request; its key must be new."""
 
-    def pop(self, now_s: float) -> QueuedRequest | None:
-        """Remove and return the request to run next, if any waits."""
+    def pop(
+        self, now_s: float, slots: int | None = None
+    ) -> QueuedRequest | None:
+        """Remove and return the request to run next, if any is to run.
+
+        ``slots`` is how many requests may run at once; given that, some are
+        kept free for classes that are served first.
+        """
 
     def remove(self, key: str) -> QueuedRequest | None:
         """Remove a request that was cancelled, if it still waits."""
@@ -89,11 +95,8 @@
     def wait_s(self, item: QueuedRequest, now_s: float) -> float:
         """Return the time a request would wait if it were pushed now."""
 
-    def charge(self, organisation: str, cost_difference: float) -> None:
-        """Correct an organisation's account after a request has ended.
-
-        ``cost_difference`` is the actual less the expected cost.
-        """
+    def ended(self, item: QueuedRequest, actual_cost: float) -> None:
+        """Note that a request that was popped has ended, and its cost."""
 
     def __len__(self) -> int:
         """Return how many requests wait."""
--- a/bilberrydeal/systems/queueing/_class_order.py
+++ b/bilberrydeal/systems/queueing/_class_order.py
@@ -43,6 +43,14 @@
         """Remove and return the request to run next; one must wait."""
         return self._take(self._next_key(now_s))
 
+    def allows(self, highest: float, now_s: float) -> bool:
+        """Return whether the next request is urgent or of a class allowed."""
+        key = self._next_key(now_s)
+        item = self._waiting[key]
+        if item.request_class <= highest:
+            return True
+        return item.latest_start_s <= now_s + URGENT_SLACK_S
+
     def pop_last(self) -> _base.QueuedRequest:
         """Remove and return a request of the highest class, the newest."""
         highest = max(item.request_class for item in self._waiting.values())
--- a/bilberrydeal/systems/queueing/_first_come.py
+++ b/bilberrydeal/systems/queueing/_first_come.py
@@ -18,7 +18,9 @@
         self._waiting[item.key] = item
         heapq.heappush(self._by_deadline, (item.latest_start_s, item.key))
 
-    def pop(self, now_s: float) -> _base.QueuedRequest | None:
+    def pop(
+        self, now_s: float, slots: int | None = None
+    ) -> _base.QueuedRequest | None:
         """Remove and return the request that came first."""
         for key in self._waiting:
             return self._waiting.pop(key)
@@ -49,7 +51,7 @@
         """Foresee no wait."""
         return 0.0
 
-    def charge(self, organisation: str, cost_difference: float) -> None:
+    def ended(self, item: _base.QueuedRequest, actual_cost: float) -> None:
         """Keep no accounts."""
 
     def __len__(self) -> int:
--- a/bilberrydeal/systems/queueing/_weighted_fair.py
+++ b/bilberrydeal/systems/queueing/_weighted_fair.py
@@ -8,7 +8,11 @@
 from . import _base
 from . import _class_order
 from . import _service_rate
+from . import _slots
 
+#: Cost that an organisation may be served ahead of another, whose requests
+#: are of a higher class, over its weight.
+LEAD_LIMIT = 20_000.0
 #: Accounts of idle organisations that are kept at least.
 SPARE_ACCOUNTS = 64
 
@@ -35,8 +39,7 @@
 
     Virtual time is the start of the request served last. An organisation
     that comes back from idling starts at virtual time, so idling earns
-    nothing; nobody waits while there is something to run. What a request
-    really cost is charged when it has ended.
+    nothing. What a request really cost is charged when it has ended.
     """
 
     def __init__(self) -> None:
@@ -49,6 +52,7 @@
         self._cost = 0.0
         self._busy_weight = 0.0
         self._rate = _service_rate.ServiceRate()
+        self._slots = _slots.Slots()
 
     def push(self, item: _base.QueuedRequest, now_s: float) -> None:
         """Add a request to its organisation's."""
@@ -62,21 +66,28 @@
             account.weight = item.weight
         account.order.push(item)
         self._owners[item.key] = item.organisation
+        self._slots.came(item.request_class, item.run_time_s, now_s)
         self._cost += item.cost
         heapq.heappush(
             self._by_start, (item.latest_start_s, item.key, item.organisation)
         )
         self._place(item.organisation, account)
 
-    def pop(self, now_s: float) -> _base.QueuedRequest | None:
+    def pop(
+        self, now_s: float, slots: int | None = None
+    ) -> _base.QueuedRequest | None:
         """Remove and return the next request of the least served."""
-        name = self._least_served()
+        highest = math.inf
+        if slots is not None:
+            highest = self._slots.highest_class(slots, now_s)
+        name = self._least_served(highest, now_s)
         if name is None:
             return None
         account = self._accounts[name]
         item = account.order.pop(now_s)
         self._virtual = max(self._virtual, account.start)
         account.start += item.cost / account.weight
+        self._slots.began(item.key, item.request_class)
         self._rate.taken(item.cost, len(self) > 1, now_s)
         self._removed(item, account)
         return item
@@ -132,14 +143,15 @@
         lag = max(0.0, account.start - self._virtual) + ahead / item.weight
         return min(lag * busy_weight, self._cost) / rate
 
-    def charge(self, organisation: str, cost_difference: float) -> None:
-        """Correct an organisation's account after a request has ended."""
-        account = self._accounts.get(organisation)
+    def ended(self, item: _base.QueuedRequest, actual_cost: float) -> None:
+        """Free the request's slot and correct its organisation's account."""
+        self._slots.ended(item.key)
+        account = self._accounts.get(item.organisation)
         if account is None:
             return
-        account.start += cost_difference / account.weight
+        account.start += (actual_cost - item.cost) / account.weight
         if len(account.order):
-            self._place(organisation, account)
+            self._place(item.organisation, account)
 
     def __len__(self) -> int:
         return len(self._owners)
@@ -149,18 +161,28 @@
         account.version = self._version
         heapq.heappush(self._heap, (account.start, account.version, name))
 
-    def _least_served(self) -> str | None:
-        while self._heap:
-            _, version, name = self._heap[0]
+    def _least_served(self, highest: float, now_s: float) -> str | None:
+        """Return the organisation to serve.
+
+        It is the least served one that has a request of the classes allowed,
+        unless that is served far more than the least served of all.
+        """
+        passed: list[tuple[float, int, str]] = []
+        chosen = None
+        while self._heap and chosen is None:
+            start, version, name = self._heap[0]
             account = self._accounts.get(name)
-            if (
-                account is not None
-                and account.version == version
-                and len(account.order)
-            ):
-                return name
-            heapq.heappop(self._heap)
-        return None
+            if account is None or account.version != version:
+                heapq.heappop(self._heap)
+            elif passed and start > passed[0][0] + LEAD_LIMIT:
+                chosen = passed[0][2]
+            elif account.order.allows(highest, now_s):
+                chosen = name
+            else:
+                passed.append(heapq.heappop(self._heap))
+        for place in passed:
+            heapq.heappush(self._heap, place)
+        return chosen
 
     def _removed(self, item: _base.QueuedRequest, account: Account) -> None:
         del self._owners[item.key]
@@ -168,6 +190,7 @@
         if len(account.order):
             self._place(item.organisation, account)
             return
+        account.version = 0
         self._busy_weight -= account.weight
         if not self._owners:
             self._forget()
