--- a/bench/_agent.py
+++ b/bench/_agent.py
@@ -14,6 +14,8 @@
 
 #: Requests that wait at an agent at most.
 WAITING_LIMIT = 256
+#: Part of the pace that each token of an answer makes up.
+PACE_GAIN = 0.0005
 #: Time between two reports, in seconds.
 REPORT_S = 0.25
 #: Time between two looks at requests that have waited too long, in seconds.
@@ -60,6 +62,8 @@
     item: queueing.QueuedRequest | None = None
     #: Whether it is in the engine.
     started: bool = False
+    #: When it was given to the engine.
+    began_at_s: float = 0.0
 
 
 class FakeAgent:
@@ -76,6 +80,7 @@
         self.shed_count = 0
         self._clock = clock
         self._queue = queue
+        self._token_s = engine.rates.full_step_s()
         self._waiting: dict[str, Sent] = {}
         self._running: dict[str, Sent] = {}
         clock.every(TICK_S, self._tick)
@@ -140,6 +145,10 @@
             job.prompt_tokens - job.cached_tokens, job.output_tokens
         )
         self._queue.ended(sent.item, actual)
+        run_s = self._clock.now_s - sent.began_at_s
+        token_s = run_s / job.output_tokens
+        gain = min(1.0, job.output_tokens * PACE_GAIN)
+        self._token_s += gain * (token_s - self._token_s)
         sent.caller.ended(sent)
         self._pump()
 
@@ -154,7 +163,7 @@
         rates = self.engine.rates
         prompt_tokens = sent.arrival.prompt_tokens - sent.cached_tokens
         run_time_s = prompt_tokens / rates.prefill_tokens_per_s
-        run_time_s += sent.output_tokens * rates.full_step_s()
+        run_time_s += sent.output_tokens * self._token_s
         return queueing.QueuedRequest(
             sent.key,
             sent.organisation,
@@ -178,6 +187,7 @@
                 return
             sent = self._waiting.pop(item.key)
             sent.started = True
+            sent.began_at_s = now_s
             self._running[sent.key] = sent
             self.engine.submit(
                 _engine.Job(
