Add billing: recorders, seals and reports

A record is settled in the row of the recorder of the entry that took its request, together with the figures, so that repeats, late writes and two writers at once count it once. Agents may say which records all were acknowledged, so that the row stays small.

--- /dev/null
+++ b/bilberrydeal/billing/__init__.py
@@ -0,0 +1,35 @@
+"""Usage, counted once from the agents' records to the platform's reports."""
+
+from ._positions import PositionSet
+from ._recorder import Acknowledged
+from ._recorder import Recorder
+from ._recorder import RecorderClosed
+from ._recorder import settle_period_s
+from ._report import Reporter
+from ._report import ReportStats
+from ._rows import Adjustment
+from ._rows import OutcomeRow
+from ._rows import RecorderRow
+from ._rows import RecorderState
+from ._rows import SealRow
+from ._rows import UsageRow
+from ._seal import Sealer
+from ._windows import WindowRule
+
+__all__ = [
+    "Acknowledged",
+    "Adjustment",
+    "OutcomeRow",
+    "PositionSet",
+    "Recorder",
+    "RecorderClosed",
+    "RecorderRow",
+    "RecorderState",
+    "ReportStats",
+    "Reporter",
+    "SealRow",
+    "Sealer",
+    "UsageRow",
+    "WindowRule",
+    "settle_period_s",
+]
--- /dev/null
+++ b/bilberrydeal/billing/tests/test_billing.py
@@ -0,0 +1,303 @@
+import asyncio
+import collections
+import random
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from bilberrydeal import billing
+from bilberrydeal import errors
+from bilberrydeal import leases
+from bilberrydeal import link
+from bilberrydeal import ports
+from bilberrydeal import store
+from bilberrydeal.billing import _rows
+from bilberrydeal.store.tests import faults
+from bilberrydeal.store.tests import virtual
+from standins import platform
+
+RULE = billing.WindowRule(window_s=10, grace_s=2.0)
+BOUNDS = leases.LeaseBounds(ttl_s=6.0, margin_s=0.5, call_longest_s=2.0)
+
+
+@attrs.define
+class Usage:
+    """Takes reports and loses answers."""
+
+    rng: random.Random
+    reports: dict[str, ports.UsageReport] = attrs.Factory(dict)
+    conflicts: int = 0
+
+    async def report(
+        self, report: ports.UsageReport, timeout_s: float
+    ) -> None:
+        known = self.reports.setdefault(report.report_id, report)
+        if known.figures != report.figures:
+            self.conflicts += 1
+            raise ports.ReportConflict(report_id=report.report_id)
+        if self.rng.random() < 0.2:
+            raise errors.OutcomeUnknown(operation="report")
+
+
+@attrs.define
+class Agent:
+    """Counts requests and sends records until they are acknowledged."""
+
+    name: str
+    count: int = 0
+    unsettled: dict[int, link.UsageRecord] = attrs.Factory(dict)
+
+    def run(self, number: link.RequestNumber, wall_s: float) -> None:
+        self.count += 1
+        self.unsettled[self.count] = link.UsageRecord(
+            record=self.count,
+            number=number,
+            organisation="russo",
+            counted_at_s=wall_s,
+            prompt_tokens=0,
+            cached_tokens=0,
+            output_tokens=0,
+            calls=1,
+        )
+
+    def message(self) -> link.UsageRecords:
+        acked = min(self.unsettled, default=self.count + 1) - 1
+        records = tuple(self.unsettled.values())
+        return link.UsageRecords(self.name, records, acked)
+
+    def settled(self, message: link.Settled) -> None:
+        for record in message.records:
+            self.unsettled.pop(record, None)
+
+
+@attrs.define
+class World:
+    """Entries that die, agents that outlive them, one lease to report."""
+
+    loop: virtual.VirtualLoop
+    rng: random.Random
+    memory: platform.MemoryTable = attrs.Factory(platform.MemoryTable)
+    agents: list[Agent] = attrs.Factory(lambda: [Agent("a1"), Agent("a2")])
+    usage: Usage = attrs.Factory(lambda self: Usage(self.rng), takes_self=True)
+    billed_by_entry: int = 0
+    dead: set[str] = attrs.Factory(set)
+    counter: int = 0
+    lazy: float = 0.2
+
+    def client(self, share: float) -> store.StoreClient:
+        table = faults.FaultyTable(
+            self.memory,
+            self.rng,
+            fault_share=share,
+            latency_s=0.2,
+            late_s=10.0,
+            pause_s=15.0,
+        )
+        return faults.make_client(self.loop, table, self.rng.randrange(2**32))
+
+    async def entry(self, share: float, until_s: float) -> None:
+        """Settle under one incarnation after the other."""
+        while self.loop.now_s < until_s:
+            self.counter += 1
+            name = f"e{self.counter}"
+            client = self.client(share)
+            recorder = billing.Recorder(client, name, RULE)
+            try:
+                await recorder.open(self.loop.now_s)
+                await self.live(recorder, client, until_s)
+            except errors.BilberrydealError:
+                pass
+            self.dead.add(name)
+
+    async def live(
+        self,
+        recorder: billing.Recorder,
+        client: store.StoreClient,
+        until_s: float,
+    ) -> None:
+        sequence = 0
+        lease = leases.Lease(client, "usage", recorder.name, BOUNDS)
+        while self.loop.now_s < until_s and self.rng.random() > 0.02:
+            for agent in self.agents:
+                if self.rng.random() < 0.6:
+                    sequence += 1
+                    number = link.RequestNumber(recorder.name, sequence)
+                    skew_s = self.rng.choice([0.0, 0.0, -3.0, -25.0])
+                    agent.run(number, self.loop.now_s + skew_s)
+            await self.round(recorder, lease, client)
+            await asyncio.sleep(1.0)
+
+    async def round(
+        self,
+        recorder: billing.Recorder,
+        lease: leases.Lease,
+        client: store.StoreClient,
+    ) -> None:
+        for agent in self.agents:
+            recorder.take(agent.message())
+        try:
+            for dead in sorted(self.dead):
+                if self.rng.random() < 0.3:
+                    await recorder.adopt(dead, self.loop.now_s)
+            for done in await recorder.settle(self.loop.now_s):
+                if self.rng.random() > self.lazy:
+                    self.tell(done)
+            if await lease.tick():
+                await self.bill(recorder, lease, client)
+        except billing.RecorderClosed:
+            raise
+        except errors.BilberrydealError:
+            return
+
+    async def bill(
+        self,
+        recorder: billing.Recorder,
+        lease: leases.Lease,
+        client: store.StoreClient,
+    ) -> None:
+        sealer = billing.Sealer(client, lease, RULE)
+        await sealer.step(client.now_s(), self.loop.now_s)
+        # Some that lag are taken for dead, though they are only paused.
+        for name in sealer.waits_for:
+            if name in self.dead or self.rng.random() < 0.05:
+                await recorder.adopt(name, self.loop.now_s)
+        reporter = billing.Reporter(client, lease, self.usage, RULE)
+        await reporter.step(client.now_s(), self.loop.now_s)
+
+    def tell(self, done: billing.Acknowledged) -> None:
+        for agent in self.agents:
+            if agent.name == done.agent:
+                agent.settled(done.message)
+
+
+async def _live(world: World) -> None:
+    """Some faulty time, then a quiet one in which all is settled."""
+    now_s = world.loop.now_s
+    await asyncio.gather(*(world.entry(0.15, now_s + 60.0) for _ in range(3)))
+    world.lazy = 0.0
+    await world.entry(0.0, world.loop.now_s + 80.0)
+
+
+@hypothesis.settings(derandomize=True, max_examples=40, deadline=None)
+@hypothesis.given(strategies.integers(0, 2**32))
+def test_what_ran_is_reported_once(seed: int) -> None:
+    loop = virtual.VirtualLoop()
+    world = World(loop, random.Random(seed))
+    loop.run(_live(world))
+    ran = sum(agent.count for agent in world.agents)
+    unsettled = sum(len(agent.unsettled) for agent in world.agents)
+    seals = loop.run(_seals(world))
+    sealed = sum(s.figures["russo"].calls for s in seals if s.figures)
+    open_calls = loop.run(_open_calls(world, seals[-1].window))
+    assert sealed + open_calls + unsettled == ran
+    assert world.usage.conflicts == 0
+    reported = sum(r.figures.calls for r in world.usage.reports.values())
+    later = [s for s in seals[-3:] if s.figures]
+    unreported = sum(
+        s.figures["russo"].calls
+        for s in later
+        if f"{s.window}-russo" not in world.usage.reports
+    )
+    assert reported + unreported == sealed
+    windows = [seal.window for seal in seals]
+    assert windows == list(range(windows[0], windows[-1] + 1))
+
+
+async def _seals(world: World) -> list[billing.SealRow]:
+    rows = await world.memory.scan("seals", "", "", 999, 1.0)
+    return [store.decode(row.value, billing.SealRow) for row in rows]
+
+
+async def _open_calls(world: World, sealed: int) -> int:
+    """Return the calls in windows that are not sealed yet."""
+    rows = await world.memory.scan("usage", "", "", 9999, 1.0)
+    calls: collections.Counter[int] = collections.Counter()
+    for row in rows:
+        usage = store.decode(row.value, billing.UsageRow)
+        parts = [usage.figures, *(a.figures for a in usage.adjustments)]
+        for part in parts:
+            for figures in part.values():
+                calls[int(row.key.split("/")[0])] += figures.calls
+    return sum(n for window, n in calls.items() if window > sealed)
+
+
+def _recorder(
+    loop: virtual.VirtualLoop, table: ports.TableService, name: str
+) -> billing.Recorder:
+    recorder = billing.Recorder(faults.make_client(loop, table), name, RULE)
+    loop.run(recorder.open(loop.now_s))
+    return recorder
+
+
+FIGURES = ports.OrganisationFigures(calls=1)
+
+
+@pytest.mark.parametrize("agent_first", [True, False])
+def test_a_request_billed_by_its_entry_counts_once(agent_first: bool) -> None:
+    loop = virtual.VirtualLoop()
+    memory = platform.MemoryTable()
+    recorder = _recorder(loop, memory, "e1")
+    number = link.RequestNumber("e1", 1)
+    agent = Agent("a1")
+    agent.run(number, loop.now_s)
+    for from_agent in (agent_first, not agent_first):
+        if from_agent:
+            recorder.take(agent.message())
+        else:
+            recorder.self_bill(number, "russo", FIGURES, loop.now_s)
+        loop.run(recorder.settle(loop.now_s))
+    world = World(loop, random.Random(1), memory)
+    assert loop.run(_open_calls(world, 0)) == 1
+
+
+def test_a_closed_recorder_writes_nothing_more() -> None:
+    loop = virtual.VirtualLoop()
+    memory = platform.MemoryTable()
+    paused = _recorder(loop, memory, "e1")
+    heir = _recorder(loop, memory, "e2")
+    agent = Agent("a1")
+    agent.run(link.RequestNumber("e1", 1), loop.now_s)
+    heir.take(agent.message())
+    assert loop.run(heir.settle(loop.now_s)) == ()
+    loop.run(heir.adopt("e1", loop.now_s))
+    heir.take(agent.message())
+    assert len(loop.run(heir.settle(loop.now_s))) == 1
+    paused.take(agent.message())
+    with pytest.raises(billing.RecorderClosed):
+        loop.run(paused.settle(loop.now_s))
+    world = World(loop, random.Random(1), memory)
+    assert loop.run(_open_calls(world, 0)) == 1
+
+
+def test_a_late_record_becomes_an_adjustment() -> None:
+    loop = virtual.VirtualLoop()
+    memory = platform.MemoryTable()
+    recorder = _recorder(loop, memory, "e1")
+    agent = Agent("a1")
+    agent.run(link.RequestNumber("e1", 1), loop.now_s - 40.0)
+    recorder.take(agent.message())
+    loop.run(recorder.settle(loop.now_s))
+    window = RULE.at(loop.now_s)
+    row = loop.run(memory.read((_rows.usage_key(window, "e1"),), 1.0))[0]
+    assert row is not None
+    (adjustment,) = store.decode(row.value, billing.UsageRow).adjustments
+    assert adjustment.window == window - 4
+
+
+@pytest.mark.parametrize(
+    ("positions", "floor", "expected"),
+    [
+        ([1, 2, 4], 0, billing.PositionSet(2, (4,))),
+        ([3], 2, billing.PositionSet(3)),
+        ([5, 9], 6, billing.PositionSet(6, (9,))),
+    ],
+)
+def test_positions_are_kept_compactly(
+    positions: list[int], floor: int, expected: billing.PositionSet
+) -> None:
+    found = billing.PositionSet().added(positions).raised(floor)
+    assert found == expected
+    assert all(position in found for position in positions)
+    assert 99 not in found
--- a/bilberrydeal/link/_messages.py
+++ b/bilberrydeal/link/_messages.py
@@ -275,6 +275,9 @@
     agent: str
     #: The records, in order.
     records: tuple[UsageRecord, ...]
+    #: This record and all before it have been acknowledged, so that nobody
+    #: needs to remember them.
+    acked: int = 0
 
 
 @attrs.frozen
--- a/bilberrydeal/store/_client.py
+++ b/bilberrydeal/store/_client.py
@@ -159,13 +159,15 @@
         while True:
             try:
                 return await self.commit(transaction)
-            except errors.TableConflict:
+            except errors.TableConflict as error:
                 if not doubted:
                     raise
-            except errors.OutcomeUnknown:
+                failed: errors.BilberrydealError = error
+            except errors.OutcomeUnknown as error:
                 doubted = True
                 if self._clock() >= deadline_s:
                     raise
+                failed = error
             except errors.StoreUnavailable as error:
                 if not doubted:
                     raise
@@ -173,13 +175,11 @@
             found = await self._read_back(transaction, marker, nonce)
             if isinstance(found, ports.Committed):
                 return found
-            if found == expected:
-                continue
-            if not final:
-                raise errors.OutcomeUnknown(operation="commit")
-            raise errors.TableConflict(
-                table=marker.table, key=marker.key, found_version=found
-            )
+            if found != expected:
+                raise _overwritten(marker, found, final) from failed
+            if isinstance(failed, errors.TableConflict):
+                # Another check failed, and it does so for every copy.
+                raise failed
 
     async def _read_back(
         self, transaction: ports.Transaction, marker: ports.RowKey, nonce: str
@@ -245,6 +245,17 @@
         return jitter_s + (asked_s or 0.0)
 
 
+def _overwritten(
+    marker: ports.RowKey, found_version: int, final: bool
+) -> errors.BilberrydealError:
+    """Return what another writer's marker means."""
+    if not final:
+        return errors.OutcomeUnknown(operation="commit")
+    return errors.TableConflict(
+        table=marker.table, key=marker.key, found_version=found_version
+    )
+
+
 def _checked_version(
     transaction: ports.Transaction, marker: ports.RowKey
 ) -> int:
