--- a/bilberrydeal/keys/_freshness.py
+++ b/bilberrydeal/keys/_freshness.py
@@ -141,7 +141,7 @@
         """Return what to tell a peer."""
         self._known[asker] = now_s
         blind = (
-            not self._is_confirmed(now_s)
+            not self.is_confirmed(now_s)
             and not self._commits
             and self._unsettled_s is None
         )
@@ -175,7 +175,7 @@
 
     def accepts(self, now_s: float) -> bool:
         """Return whether keyed requests are taken."""
-        return self._is_confirmed(now_s) or self._goes_on_blind(now_s)
+        return self.is_confirmed(now_s) or self._goes_on_blind(now_s)
 
     def require(self, now_s: float) -> None:
         """Raise the refusal of a keyed request unless they are taken."""
@@ -215,12 +215,19 @@
             if self._known[incarnation] <= read_s:
                 del self._known[incarnation]
 
-    def _is_confirmed(self, now_s: float) -> bool:
+    def is_confirmed(self, now_s: float) -> bool:
+        """Return whether knowledge was confirmed within the bound."""
         return (
             self._confirmed_s is not None
             and now_s - self._confirmed_s <= self.bound_s
         )
 
+    def age_s(self, now_s: float) -> float | None:
+        """Return the age of what is confirmed, ``None`` for nothing."""
+        if self._confirmed_s is None:
+            return None
+        return now_s - self._confirmed_s
+
     def _goes_on_blind(self, now_s: float) -> bool:
         if self._confirmed_s is None or not self._members_read:
             return False
--- a/bilberrydeal/settings/_model.py
+++ b/bilberrydeal/settings/_model.py
@@ -116,13 +116,14 @@
     """Names of the deciding systems, see docs/design."""
 
     routing: Name = "prefix_bounded"
+    admission: Name = "fair_shed"
     queueing: Name = "weighted_fair"
     limits: Name = "exchanged"
     retries: Name = "budgeted"
     health: Name = "outlier"
     roles: Name = "horizon"
     fleet: Name = "domain_loss"
-    subset: Name = "weighted_rendezvous"
+    subset: Name = "covered_rendezvous"
 
 
 @attrs.frozen
