--- a/bilberrydeal/keys/_freshness.py
+++ b/bilberrydeal/keys/_freshness.py
@@ -67,11 +67,14 @@
         self,
         own: str,
         bound_s: float,
+        margin_s: float,
         pact_longest_s: float,
         call_longest_s: float,
     ) -> None:
         self.own = own
         self.bound_s = bound_s
+        #: Subtracted from the longest pact for drift of clocks.
+        self.margin_s = margin_s
         #: Longest time after the last renewal of the own row that an entry
         #: goes on without confirmed knowledge.
         self.pact_longest_s = pact_longest_s
@@ -123,9 +126,8 @@
 
         A new one counts at once. One whose row is gone counts until the
         head was read after that, so that its last change is known here.
-        ``young`` are those whose rows changed within the longest pact and
-        its margin; the others no longer go on blind, so that they need not
-        be met.
+        ``young`` are those whose rows changed within the longest pact; the
+        others no longer go on blind, so that they need not be met.
         """
         self._members_read = True
         for incarnation in present - {self.own}:
@@ -231,9 +233,10 @@
     def _goes_on_blind(self, now_s: float) -> bool:
         if self._confirmed_s is None or not self._members_read:
             return False
-        if self._renewed_s is None or now_s > (
-            self._renewed_s + self.pact_longest_s
-        ):
+        if self._renewed_s is None:
+            return False
+        longest_s = self.pact_longest_s - self.margin_s
+        if now_s > self._renewed_s + longest_s:
             return False
         if self._commits or self._unsettled_s is not None:
             return False
