Test members; resolve lost renewals and supersede ended entries

Cause: after a lost answer the next renewal checked a stale version and was taken for another's. Change: the own row is read back first. An entry that bound its peer port removes rows of ended processes at the same place, so that they do not hold configuration changes back.

--- a/bilberrydeal/membership/__init__.py
+++ b/bilberrydeal/membership/__init__.py
@@ -3,9 +3,11 @@
 from ._directory import MemberDirectory
 from ._incarnation import new_incarnation
 from ._members import AgentMember
+from ._members import encode
 from ._members import EntryMember
 from ._members import Member
 from ._members import MemberState
+from ._members import standing_key
 from ._registration import Registration
 from ._registration import RowTaken
 from ._relay import MemberRelay
@@ -22,6 +24,8 @@
     "Registration",
     "RelayedRow",
     "RowTaken",
+    "encode",
     "ShardAge",
     "new_incarnation",
+    "standing_key",
 ]
--- a/bilberrydeal/membership/_registration.py
+++ b/bilberrydeal/membership/_registration.py
@@ -1,5 +1,6 @@
 """Keeps the own row in the members table."""
 
+import contextlib
 import typing
 
 import attrs
@@ -34,6 +35,10 @@
 class Registration:
     """The row of this process; an entry's comes with a standing row.
 
+    An entry joins after it has bound its peer port: rows of other
+    incarnations at its address and port are of processes that have ended,
+    and go with the same transaction.
+
     Example::
 
         registration = Registration(client, member)
@@ -46,7 +51,8 @@
     ) -> None:
         self.member = member
         self._client = client
-        self._version = 0
+        #: Version of the own row, ``None`` while it is not known.
+        self._version: int | None = None
 
     def renewal_s(self, members: int) -> float:
         """Return the time to the next renewal, longer in a large fleet."""
@@ -56,7 +62,8 @@
         """Write the row; return when that was sent, monotonic seconds."""
         row = await self._client.read_one(self._key)
         self._version = row.version if row else 0
-        return await self._write(wall_s, standing=True)
+        writes, checks = await self._join_parts()
+        return await self._write(wall_s, writes, checks)
 
     async def renew(self, wall_s: float, **changes: object) -> float:
         """Write the row again, with changed fields where some are given.
@@ -69,52 +76,101 @@
             await registration.renew(wall_s, role="decode", order_version=7)
         """
         self.member = attrs.evolve(self.member, **changes)  # type: ignore
-        return await self._write(wall_s, standing=False)
+        if self._version is None:
+            self._version = await self._read_version()
+        return await self._write(wall_s, [], [])
 
     async def leave(self) -> None:
         """Remove the row; one that is gone is no error."""
-        writes = [ports.Write(_members.TABLE, self.member.key, None)]
-        standing = self._standing()
-        if standing is not None:
-            writes.append(ports.Write(standing.table, standing.key, None))
-        check = ports.Check(_members.TABLE, self.member.key, self._version)
-        try:
+        writes = [_delete(self._key)]
+        if isinstance(self.member, _members.EntryMember):
+            standing = _members.standing_key(self.member.incarnation)
+            writes.append(_delete(standing))
+        with contextlib.suppress(errors.TableConflict, RowTaken):
+            if self._version is None:
+                self._version = await self._read_version()
+            check = _check(self._key, self._version)
             await self._client.commit(
                 ports.Transaction(checks=(check,), writes=tuple(writes))
             )
-        except errors.TableConflict:
-            return
 
     @property
     def _key(self) -> ports.RowKey:
         return ports.RowKey(_members.TABLE, self.member.key)
 
-    def _standing(self) -> ports.RowKey | None:
-        if isinstance(self.member, _members.EntryMember):
-            return _members.standing_key(self.member.incarnation)
-        return None
-
-    async def _write(self, wall_s: float, standing: bool) -> float:
+    async def _join_parts(
+        self,
+    ) -> tuple[list[ports.Write], list[ports.Check]]:
+        """Return what an entry's first write does besides its own row."""
+        if not isinstance(self.member, _members.EntryMember):
+            return [], []
+        place = _members.standing_key(self.member.incarnation)
+        standing = await self._client.read_one(place)
+        value = store.encode(_Standing(nonce=self._client.nonce()))
+        writes = [ports.Write(place.table, place.key, value)]
+        checks = [_check(place, standing.version if standing else 0)]
+        for row in await self._client.scan_all(
+            _members.TABLE, _members.ENTRIES
+        ):
+            found = _members.decode(row)
+            if _supersedes(self.member, found):
+                key = ports.RowKey(row.table, row.key)
+                checks.append(_check(key, row.version))
+                writes.append(_delete(key))
+                writes.append(_delete(_standing_of(found)))
+        return writes, checks
+
+    async def _read_version(self) -> int:
+        """Return the version of the own row after a doubtful write."""
+        row = await self._client.read_one(self._key)
+        if row is None:
+            raise RowTaken(key=self._key.key)
+        if _members.decode(row).incarnation != self.member.incarnation:
+            raise RowTaken(key=self._key.key)
+        return row.version
+
+    async def _write(
+        self,
+        wall_s: float,
+        more_writes: list[ports.Write],
+        more_checks: list[ports.Check],
+    ) -> float:
         sent_s = self._client.now_s()
         nonce = self._client.nonce()
         self.member = attrs.evolve(
             self.member, renewed_at_s=wall_s, nonce=nonce
         )
         key = self._key
-        writes = [
-            ports.Write(key.table, key.key, _members.encode(self.member))
-        ]
-        checks = [ports.Check(key.table, key.key, self._version)]
-        place = self._standing()
-        if standing and place is not None:
-            value = store.encode(_Standing(nonce=nonce))
-            writes.append(ports.Write(place.table, place.key, value))
-            checks.append(ports.Check(place.table, place.key, 0))
+        own = ports.Write(key.table, key.key, _members.encode(self.member))
+        checks = (_check(key, self._version or 0), *more_checks)
+        transaction = ports.Transaction(checks, (own, *more_writes))
+        self._version = None
         try:
             committed = await self._client.commit_resolved(
-                ports.Transaction(tuple(checks), tuple(writes)), key, nonce
+                transaction, key, nonce
             )
         except errors.TableConflict as error:
             raise RowTaken(key=key.key) from error
         self._version = committed.versions[0]
         return sent_s
+
+
+def _supersedes(own: _members.EntryMember, other: _members.Member) -> bool:
+    """Return whether another row is of an ended process at this place."""
+    return (
+        isinstance(other, _members.EntryMember)
+        and other.incarnation != own.incarnation
+        and (other.address, other.peer_port) == (own.address, own.peer_port)
+    )
+
+
+def _standing_of(member: _members.Member) -> ports.RowKey:
+    return _members.standing_key(member.incarnation)
+
+
+def _check(key: ports.RowKey, version: int) -> ports.Check:
+    return ports.Check(key.table, key.key, version)
+
+
+def _delete(key: ports.RowKey) -> ports.Write:
+    return ports.Write(key.table, key.key, None)
--- /dev/null
+++ b/bilberrydeal/membership/tests/test_membership.py
@@ -0,0 +1,244 @@
+import collections.abc
+import random
+
+import attrs
+import pytest
+
+from bilberrydeal import errors
+from bilberrydeal import membership
+from bilberrydeal import ports
+from bilberrydeal.membership import _directory
+from bilberrydeal.store.tests import faults
+from bilberrydeal.store.tests import virtual
+from standins import platform
+
+READ_S = 2.0
+
+
+def _entry(name: str, port: int = 1) -> membership.EntryMember:
+    return membership.EntryMember(
+        incarnation=name,
+        host_id=f"h-{name}",
+        address="127.0.0.1",
+        peer_port=port,
+        failure_domain="d1",
+    )
+
+
+def _agent(name: str, incarnation: str = "1") -> membership.AgentMember:
+    return membership.AgentMember(
+        endpoint_id=name,
+        incarnation=f"{name}.{incarnation}",
+        host_id=f"h-{name}",
+        address="127.0.0.1",
+        control_port=1,
+        failure_domain="d1",
+        service="m",
+    )
+
+
+@attrs.define
+class Fleet:
+    """Members that renew, and directories that read and exchange."""
+
+    loop: virtual.VirtualLoop = attrs.Factory(virtual.VirtualLoop)
+    memory: platform.MemoryTable = attrs.Factory(platform.MemoryTable)
+    tables: dict[str, faults.FaultyTable] = attrs.Factory(dict)
+    directories: dict[str, membership.MemberDirectory] = attrs.Factory(dict)
+    rows: dict[str, membership.Registration] = attrs.Factory(dict)
+    renewing: set[str] = attrs.Factory(set)
+    relay: bool = True
+
+    def join(self, member: membership.Member) -> None:
+        name = member.incarnation
+        table = faults.FaultyTable(self.memory, random.Random(1))
+        client = faults.make_client(self.loop, table, len(self.rows))
+        self.tables[name] = table
+        self.rows[name] = membership.Registration(client, member)
+        self.renewing.add(name)
+        self.loop.run(self.rows[name].join(self.loop.now_s))
+        if isinstance(member, membership.EntryMember):
+            self.directories[name] = membership.MemberDirectory(
+                client, name, READ_S
+            )
+
+    def down(self, down: bool) -> None:
+        for table in self.tables.values():
+            table.down = down
+
+    def live(self, seconds: float) -> None:
+        """Renew, read and exchange every half second."""
+        for _ in range(int(seconds * 2)):
+            self.loop.advance(0.5)
+            for name in sorted(self.renewing):
+                self._try(self.rows[name].renew(self.loop.now_s))
+            for directory in self.directories.values():
+                self._try(directory.poll(self.loop.now_s))
+            if self.relay:
+                self._exchange()
+
+    def _try(
+        self, work: collections.abc.Coroutine[object, object, object]
+    ) -> None:
+        try:
+            self.loop.run(work)
+        except (errors.StoreUnavailable, errors.OutcomeUnknown):
+            pass
+
+    def _exchange(self) -> None:
+        for one in self.directories.values():
+            for other in self.directories.values():
+                now_s = self.loop.now_s
+                relay = other.relay(one.ages(now_s), now_s)
+                if one is not other:
+                    one.take_relay(relay, now_s, now_s)
+
+    def seen(self, name: str) -> set[str]:
+        directory = self.directories[name]
+        members: list[membership.Member] = [*directory.entries()]
+        members.extend(directory.agents())
+        return {member.incarnation for member in members}
+
+
+def _fleet(agents: int = 3) -> Fleet:
+    fleet = Fleet()
+    fleet.join(_entry("e1", 1))
+    fleet.join(_entry("e2", 2))
+    for n in range(agents):
+        fleet.join(_agent(f"a{n}"))
+    fleet.live(5.0)
+    return fleet
+
+
+EVERYBODY = {"e1", "e2", "a0.1", "a1.1", "a2.1"}
+
+
+def test_all_are_seen_and_the_dead_expire() -> None:
+    fleet = _fleet()
+    assert fleet.seen("e1") == fleet.seen("e2") == EVERYBODY
+    fleet.renewing.remove("e2")
+    del fleet.directories["e2"]
+    fleet.live(16.0)
+    assert fleet.seen("e1") == EVERYBODY - {"e2"}
+    assert "e2" in fleet.directories["e1"].present()
+
+
+def test_an_outage_freezes_the_view() -> None:
+    fleet = _fleet()
+    fleet.down(True)
+    fleet.live(60.0)
+    assert fleet.seen("e1") == EVERYBODY
+    age_s = fleet.directories["e1"].age_s(fleet.loop.now_s)
+    assert age_s is not None
+    assert age_s >= 60.0
+    fleet.down(False)
+    # Nobody renewed for long, which is no reason to expire.
+    for seconds in (0.5, 2.0, 10.0):
+        fleet.live(seconds)
+        assert fleet.seen("e1") == EVERYBODY
+
+
+def test_a_cut_off_reader_takes_the_view_from_peers() -> None:
+    fleet = _fleet()
+    fleet.tables["e2"].down = True
+    fleet.join(_agent("a9"))
+    fleet.live(3.0)
+    assert "a9.1" in fleet.seen("e2")
+    fleet.loop.run(fleet.rows["a9.1"].leave())
+    fleet.renewing.remove("a9.1")
+    fleet.live(3.0)
+    assert "a9.1" not in fleet.seen("e2")
+
+
+def test_without_peers_each_reads_for_itself() -> None:
+    fleet = _fleet()
+    fleet.relay = False
+    fleet.join(_agent("a9"))
+    fleet.live(6.0)
+    assert "a9.1" in fleet.seen("e1") & fleet.seen("e2")
+
+
+def test_a_shard_is_read_by_one_entry() -> None:
+    fleet = _fleet()
+    before = sum(table.calls for table in fleet.tables.values())
+    renewals = len(fleet.renewing) * 2
+    fleet.live(20.0)
+    calls = sum(table.calls for table in fleet.tables.values()) - before
+    reads_per_s = calls / 20.0 - renewals
+    shards = len(fleet.directories["e1"].ages(0.0))
+    assert reads_per_s <= shards / READ_S * 1.1
+
+
+def test_reads_slow_down_in_a_large_fleet() -> None:
+    fleet = Fleet()
+    fleet.join(_entry("e1"))
+    client = faults.make_client(fleet.loop, fleet.memory)
+    for start in range(0, 4_000, 500):
+        writes = tuple(
+            ports.Write("members", agent.key, membership.encode(agent))
+            for agent in (_agent(f"a{n}") for n in range(start, start + 500))
+        )
+        fleet.loop.run(client.commit(ports.Transaction((), writes)))
+    directory = fleet.directories["e1"]
+    fleet.loop.run(directory.poll(fleet.loop.now_s))
+    assert len(directory.agents()) == 4_000
+    rows_per_s = 4_001 / directory.period_s()
+    assert rows_per_s <= _directory.ROWS_READ_PER_S
+
+
+def test_a_leaving_host_makes_its_agents_leaving() -> None:
+    fleet = _fleet()
+    directory = fleet.directories["e1"]
+    directory.take_hosts(
+        [ports.HostRecord("h-a1", "127.0.0.1", "d1", ports.HostState.LEAVING)]
+    )
+    states = {agent.endpoint_id: agent.state for agent in directory.agents()}
+    assert states == {
+        "a0": membership.MemberState.LIVE,
+        "a1": membership.MemberState.LEAVING,
+        "a2": membership.MemberState.LIVE,
+    }
+
+
+def test_a_successor_of_an_agent_takes_its_row() -> None:
+    fleet = _fleet(1)
+    fleet.join(_agent("a0", "2"))
+    with pytest.raises(membership.RowTaken):
+        fleet.loop.run(fleet.rows["a0.1"].renew(0.0))
+    fleet.renewing.remove("a0.1")
+    fleet.live(3.0)
+    assert "a0.2" in fleet.seen("e1")
+
+
+def test_a_restarted_entry_removes_its_former_row() -> None:
+    fleet = _fleet(0)
+    fleet.renewing.remove("e1")
+    del fleet.directories["e1"]
+    fleet.join(_entry("e3", 1))
+    fleet.live(3.0)
+    assert fleet.directories["e2"].present() == {"e2", "e3"}
+    with pytest.raises(membership.RowTaken):
+        fleet.loop.run(fleet.rows["e1"].renew(0.0))
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        [faults.Fault.LOST_AFTER, faults.Fault.DOWN],
+        [faults.Fault.LOST_AFTER] + [faults.Fault.DOWN] * 40,
+        [faults.Fault.LOST_BEFORE] + [faults.Fault.DOWN] * 40,
+    ],
+)
+def test_a_lost_renewal_is_no_end(script: list[faults.Fault]) -> None:
+    fleet = _fleet(0)
+    fleet.tables["e1"].script = script
+    fleet.live(30.0)
+    assert not fleet.tables["e1"].script
+    fleet.loop.run(fleet.rows["e1"].renew(0.0))
+    assert fleet.seen("e2") == {"e1", "e2"}
+
+
+def test_incarnations_differ() -> None:
+    rng = random.Random(1)
+    names = {membership.new_incarnation("h1", 7.0, rng) for _ in range(50)}
+    assert len(names) == 50
