--- a/bilberrydeal/billing/__init__.py
+++ b/bilberrydeal/billing/__init__.py
@@ -1,5 +1,6 @@
 """Usage, counted once from the agents' records to the platform's reports."""
 
+from ._close import close_recorder
 from ._positions import PositionSet
 from ._recorder import Acknowledged
 from ._recorder import Recorder
@@ -14,6 +15,9 @@
 from ._rows import SealRow
 from ._rows import UsageRow
 from ._seal import Sealer
+from ._status import read_sealed
+from ._status import SealedUsage
+from ._sweep import sweep
 from ._windows import WindowRule
 
 __all__ = [
@@ -28,8 +32,12 @@
     "ReportStats",
     "Reporter",
     "SealRow",
+    "SealedUsage",
     "Sealer",
     "UsageRow",
     "WindowRule",
+    "close_recorder",
+    "read_sealed",
     "settle_period_s",
+    "sweep",
 ]
--- a/bilberrydeal/billing/_recorder.py
+++ b/bilberrydeal/billing/_recorder.py
@@ -17,6 +17,7 @@
 from .. import link
 from .. import ports
 from .. import store
+from . import _close
 from . import _figures
 from . import _rows
 from . import _windows
@@ -66,16 +67,6 @@
     record: link.UsageRecord
 
 
-@attrs.frozen
-class _Row:
-    """A recorder's row with its version."""
-
-    #: The version, 0 for a row that is absent.
-    version: int
-    #: The content.
-    row: _rows.RecorderRow
-
-
 class Recorder:
     """Counts usage for one incarnation of an entry.
 
@@ -97,7 +88,7 @@
         self.name = name
         self._client = client
         self._rule = rule
-        self._own: _Row | None = None
+        self._own: _close.Found | None = None
         self._usage: dict[int, _rows.UsageRow] = {}
         self._waiting: dict[str, dict[tuple[str, int], _Item]] = {}
         self._acked: dict[str, int] = {}
@@ -190,7 +181,7 @@
                 if error.table == _rows.RECORDERS:
                     raise RecorderClosed(recorder=self.name) from error
                 continue
-            self._own = _Row(committed.versions[0], row)
+            self._own = _close.Found(committed.versions[0], row)
             return
 
     async def settle(self, wall_s: float) -> tuple[Acknowledged, ...]:
@@ -234,58 +225,25 @@
         From then on its own late writes fail, and records of its requests
         are settled by whoever gets them from the agents.
         """
-        await self.close(entry, wall_s)
+        await _close.close_recorder(self._client, entry, wall_s)
 
-    async def close(self, name: str, wall_s: float) -> None:
-        """Close a recorder, the own one after its last settlement."""
-        if name == self.name:
-            self._own = None
-        while True:
-            found = await self._read(name)
-            if found.row.state is _rows.RecorderState.CLOSED and found.version:
-                return
-            closed = attrs.evolve(
-                found.row,
-                state=_rows.RecorderState.CLOSED,
-                closed_at_s=wall_s,
-                nonce=self._client.nonce(),
-            )
-            try:
-                await self._replace(name, found.version, closed)
-            except errors.TableConflict:
-                continue
-            return
+    async def close(self, wall_s: float) -> None:
+        """Close this recorder after its last settlement."""
+        self._own = None
+        await _close.close_recorder(self._client, self.name, wall_s)
 
     # The own row and those of others.
 
-    async def _loaded(self) -> _Row:
+    async def _loaded(self) -> _close.Found:
         """Return the own row, read again after a doubtful outcome."""
         if self._own is None:
             self._usage.clear()
-            found = await self._read(self.name)
+            found = await _close.read_recorder(self._client, self.name)
             if found.row.state is _rows.RecorderState.CLOSED:
                 raise RecorderClosed(recorder=self.name)
             self._own = found
         return self._own
 
-    async def _read(self, name: str) -> _Row:
-        """Return a row; one that is absent counts as closed."""
-        row = await self._client.read_one(_rows.recorder_key(name))
-        if row is None:
-            closed = _rows.RecorderRow(_rows.RecorderState.CLOSED, passed=0)
-            return _Row(0, closed)
-        return _Row(row.version, store.decode(row.value, _rows.RecorderRow))
-
-    async def _replace(
-        self, name: str, version: int, row: _rows.RecorderRow
-    ) -> None:
-        key = _rows.recorder_key(name)
-        await self._client.commit_resolved(
-            ports.Transaction((_check(key, version),), (_write(key, row),)),
-            key,
-            row.nonce,
-        )
-
     async def _write_own(self, items: list[_Item], wall_s: float) -> None:
         """Settle records of this entry's requests."""
         own = await self._loaded()
@@ -299,7 +257,7 @@
         self, home: str, items: list[_Item], wall_s: float
     ) -> bool:
         """Settle records of a closed recorder's requests."""
-        theirs = await self._read(home)
+        theirs = await _close.read_recorder(self._client, home)
         if theirs.row.state is _rows.RecorderState.OPEN or not theirs.version:
             return False
         own = await self._loaded()
@@ -315,7 +273,7 @@
 
     async def _commit(
         self,
-        own: _Row,
+        own: _close.Found,
         row: _rows.RecorderRow,
         counted: list[_Item],
         wall_s: float,
@@ -340,7 +298,7 @@
         committed = await self._client.commit_resolved(
             ports.Transaction(tuple(checks), tuple(writes)), key, nonce
         )
-        self._own = _Row(committed.versions[0], new)
+        self._own = _close.Found(committed.versions[0], new)
         self._usage.update(usage)
         for window in [w for w in self._usage if w <= passed]:
             del self._usage[window]
--- a/bilberrydeal/billing/_report.py
+++ b/bilberrydeal/billing/_report.py
@@ -49,8 +49,9 @@
         lease: leases.Lease,
         usage: ports.UsageInterface,
         rule: _windows.WindowRule,
+        stats: ReportStats | None = None,
     ) -> None:
-        self.stats = ReportStats()
+        self.stats = stats or ReportStats()
         self._client = client
         self._lease = lease
         self._usage = usage
--- a/bilberrydeal/leases/_lease.py
+++ b/bilberrydeal/leases/_lease.py
@@ -1,5 +1,7 @@
 """One duty's lease as one process sees it."""
 
+import asyncio
+import contextlib
 import typing
 
 import attrs
@@ -87,6 +89,10 @@
         self._bounds = bounds
         self._holding: _Holding | None = None
         self._watch: _Watch | None = None
+        self._lock = asyncio.Lock()
+        #: Since when the duty was seen to be free, own monotonic seconds;
+        #: ``None`` while somebody has it.
+        self.free_since_s: float | None = None
 
     # What the holder may rely on.
 
@@ -125,13 +131,14 @@
         ``wanted`` tells whether a free duty should be taken. Errors of the
         store end the step; the lease then runs out by itself.
         """
-        try:
-            if self._holding is not None:
-                await self._renew(self._holding)
-            else:
-                await self._look(wanted)
-        except (errors.StoreUnavailable, errors.OutcomeUnknown):
-            self._forget_lapsed()
+        async with self._lock:
+            try:
+                if self._holding is not None:
+                    await self._renew(self._holding)
+                else:
+                    await self._look(wanted)
+            except (errors.StoreUnavailable, errors.OutcomeUnknown):
+                self._forget_lapsed()
         return self.held(self._client.now_s())
 
     async def step_down(self) -> None:
@@ -139,18 +146,17 @@
 
         Call it when no call made for the duty is under way any more.
         """
-        holding, self._holding = self._holding, None
-        if holding is None:
-            return
-        free = _rows.LeaseRow(holder="", ttl_s=0.0, nonce="")
-        try:
-            await self._write_lease(free, holding.lease_version)
-        except (
-            errors.StoreUnavailable,
-            errors.OutcomeUnknown,
-            errors.TableConflict,
-        ):
-            return
+        async with self._lock:
+            holding, self._holding = self._holding, None
+            if holding is None:
+                return
+            free = _rows.LeaseRow(holder="", ttl_s=0.0, nonce="")
+            with contextlib.suppress(
+                errors.StoreUnavailable,
+                errors.OutcomeUnknown,
+                errors.TableConflict,
+            ):
+                await self._write_lease(free, holding.lease_version)
 
     def _held(self, now_s: float) -> _Holding:
         if self._holding is None or not self.held(now_s):
@@ -185,7 +191,12 @@
             return
         if self._watch is None or self._watch.version != seen.lease_version:
             self._watch = _Watch(seen.lease_version, now_s)
-        if wanted and self._free(seen, now_s):
+        if not self._free(seen, now_s):
+            self.free_since_s = None
+            return
+        if self.free_since_s is None:
+            self.free_since_s = now_s
+        if wanted:
             await self._take(seen)
 
     def _free(self, seen: _Seen, now_s: float) -> bool:
@@ -236,6 +247,7 @@
             ),
         )
         self._watch = None
+        self.free_since_s = None
         try:
             committed = await self._client.commit_resolved(
                 transaction, fence_key, nonce
--- a/bilberrydeal/membership/__init__.py
+++ b/bilberrydeal/membership/__init__.py
@@ -3,11 +3,14 @@
 from ._directory import MemberDirectory
 from ._incarnation import new_incarnation
 from ._members import AgentMember
+from ._members import decode
 from ._members import encode
 from ._members import EntryMember
 from ._members import Member
 from ._members import MemberState
+from ._members import PREFIXES
 from ._members import standing_key
+from ._members import TABLE
 from ._registration import Registration
 from ._registration import RowTaken
 from ._relay import MemberRelay
@@ -24,6 +27,9 @@
     "Registration",
     "RelayedRow",
     "RowTaken",
+    "PREFIXES",
+    "TABLE",
+    "decode",
     "encode",
     "ShardAge",
     "new_incarnation",
--- a/bilberrydeal/membership/_members.py
+++ b/bilberrydeal/membership/_members.py
@@ -14,6 +14,8 @@
 ENTRIES = "entry/"
 #: Begins the keys of agents.
 AGENTS = "agent/"
+#: Begins the keys of members, one after the other.
+PREFIXES = (ENTRIES, AGENTS)
 #: Begins the keys of rows that stand as long as their entry is a member.
 STANDINGS = "standing/"
 #: Shards that agents' rows are spread over, so that readers share them.
