--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -84,6 +84,8 @@
         self._build_state(secret)
         self._build_path(secret)
         self._server: typing.Any = None
+        self._stop = asyncio.Event()
+        self._hurry = False
         self._tasks: list[asyncio.Task[None]] = []
 
     def _build_state(self, secret: _secrets.Secrets) -> None:
@@ -103,7 +105,6 @@
         self._freshness = keys.Freshness(
             own=self.entry,
             bound_s=chosen.key_stale_bound_s,
-            margin_s=chosen.duties.margin_s,
             pact_longest_s=PACT_LONGEST_S,
             call_longest_s=self._store.longest_s,
         )
@@ -226,7 +227,7 @@
 
     async def run(self) -> None:
         """Serve until a signal asks to stop."""
-        stop = asyncio.Event()
+        stop = self._stop
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal, stop)
@@ -252,8 +253,6 @@
             self._hurry = True
         stop.set()
 
-    _hurry = False
-
     def _start_loops(self) -> None:
         chosen = self._settings
         self._spawn(self._exchange.serve())
@@ -289,6 +288,11 @@
                 else:
                     sent_s = await self._registration.renew(self._wall())
                 self._freshness.renewed(sent_s)
+            except membership.RowTaken:
+                # Its claims and records go on under other names: start anew.
+                LOG.error("The own row was taken; ending.")
+                self._stop.set()
+                return
             except (errors.StoreUnavailable, errors.OutcomeUnknown) as error:
                 LOG.warning("Row was not renewed.", error=str(error))
             entries = len(self._directory.entries())
