--- a/bench/fleet_loads.py
+++ b/bench/fleet_loads.py
@@ -38,7 +38,7 @@
     end_s: float
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class Load:
     """One seeded load."""
 
--- a/bench/fleet_roles.py
+++ b/bench/fleet_roles.py
@@ -1,5 +1,7 @@
 """Role planners against each other and against the hindsight best."""
 
+import functools
+
 import attrs
 
 from bilberrydeal import systems
@@ -15,7 +17,7 @@
 #: Length of the windows in which demand is reported, and how late.
 WINDOW_S = 2.0
 #: Windows that are reported.
-WINDOWS = 30
+WINDOWS = 300
 MODEL = "model"
 
 
@@ -125,22 +127,27 @@
 def _windows(
     load: fleet_loads.Load, rates: roles.ModelRates, now_s: float
 ) -> list[roles.DemandWindow]:
+    last = int(now_s / WINDOW_S)
+    return [
+        _window(load, rates, window)
+        for window in range(max(0, last - WINDOWS), last)
+    ]
+
+
+@functools.lru_cache(maxsize=4 * WINDOWS)
+def _window(
+    load: fleet_loads.Load, rates: roles.ModelRates, window: int
+) -> roles.DemandWindow:
     steps = int(WINDOW_S / fleet_loads.STEP_S)
-    last = int(now_s / fleet_loads.STEP_S) // steps
-    windows = []
-    for window in range(max(0, last - WINDOWS), last):
-        part = load.arrivals[window * steps : (window + 1) * steps]
-        windows.append(
-            roles.DemandWindow(
-                end_s=(window + 1) * WINDOW_S,
-                length_s=WINDOW_S,
-                prompt_tokens=sum(a.prefill_s for a in part)
-                * rates.prefill_tokens_per_s,
-                output_tokens=sum(a.decode_s for a in part)
-                * rates.decode_tokens_per_s,
-            )
-        )
-    return windows
+    part = load.arrivals[window * steps : (window + 1) * steps]
+    prefill_s = sum(arrived.prefill_s for arrived in part)
+    decode_s = sum(arrived.decode_s for arrived in part)
+    return roles.DemandWindow(
+        end_s=(window + 1) * WINDOW_S,
+        length_s=WINDOW_S,
+        prompt_tokens=prefill_s * rates.prefill_tokens_per_s,
+        output_tokens=decode_s * rates.decode_tokens_per_s,
+    )
 
 
 def _exposed(
--- a/bilberrydeal/systems/roles/_capacity.py
+++ b/bilberrydeal/systems/roles/_capacity.py
@@ -18,6 +18,11 @@
     decode: int
     both: int
 
+    @property
+    def total(self) -> int:
+        """Return all engines."""
+        return self.prefill + self.decode + self.both
+
     def moved(
         self, source: _entities.Role, target: _entities.Role, count: int
     ) -> "Mix":
--- a/bilberrydeal/systems/roles/_entities.py
+++ b/bilberrydeal/systems/roles/_entities.py
@@ -28,7 +28,7 @@
 
     #: Name of the model.
     key: str
-    #: Recent windows, oldest first; a minute of them is enough.
+    #: Recent windows, oldest first; ten minutes of them are enough.
     windows: tuple[DemandWindow, ...]
     #: Prompt tokens that wait to be computed.
     queued_prompt_tokens: float = 0.0
--- a/bilberrydeal/systems/roles/_horizon.py
+++ b/bilberrydeal/systems/roles/_horizon.py
@@ -20,11 +20,12 @@
 class HorizonRoles:
     """Weighs what a move gains until the horizon against what it costs.
 
-    Demand is expected from recent windows, their trend and the queues. The
+    Demand is expected from recent windows, their trend and the queues, and
+    part of a gain is judged by what demand was in the last minutes. The
     engines of a move serve nothing while they drain and change. A move is
-    ordered where what it gains after that is ``payback`` times what it
-    costs and ``least_gain_share`` of the demand over the horizon; an
-    engine that changed keeps its role for ``dwell_s``.
+    ordered where what it gains after that is more than ``payback`` times
+    what it costs and ``least_gain_engines`` for each engine that it moves;
+    an engine that changed keeps its role for ``dwell_s``.
     """
 
     reads: typing.ClassVar[tuple[type, ...]] = (
@@ -68,6 +69,8 @@
             changing=_plan.mix(e for e in endpoints if e.changing),
             soon=_work(soon, demand, rates, rules.horizon_s),
             later=_work(later, demand, rates, rules.horizon_s),
+            memory=_forecast.remembered(demand, rates, rules.memory_s, now_s),
+            memory_part=rules.memory_part,
             rates=rates,
             away_s=away_s,
             horizon_s=rules.horizon_s,
@@ -80,14 +83,15 @@
         now_s: float,
     ) -> _plan.Move | None:
         rules = self.rules
-        least = rules.least_gain_share * rules.horizon_s
+        engine_s = rules.horizon_s / max(1, weighing.mix.total)
+        best_s = 0.0
         chosen = None
         for move in _plan.moves(endpoints, rules, rules.dwell_s, now_s):
-            gain = weighing.gain(move)
-            cost = weighing.cost(move)
-            net = gain - rules.payback * cost
-            if net > least:
-                least, chosen = net, move
+            least_s = rules.least_gain_engines * engine_s * len(move.endpoints)
+            cost_s = rules.payback * weighing.cost(move)
+            net_s = weighing.gain(move) - cost_s - least_s
+            if net_s > best_s:
+                best_s, chosen = net_s, move
         return chosen
 
 
@@ -99,6 +103,8 @@
     changing: _capacity.Mix
     soon: _capacity.Work
     later: _capacity.Work
+    memory: tuple[_capacity.Work, ...]
+    memory_part: float
     rates: _entities.ModelRates
     away_s: float
     horizon_s: float
@@ -107,9 +113,7 @@
         """Return what the new roles serve more after the change."""
         count = len(move.endpoints)
         after = self.mix.moved(move.source, move.target, count)
-        more = self._share(after, self.later) - self._share(
-            self.mix, self.later
-        )
+        more = self._value(after) - self._value(self.mix)
         return more * (self.horizon_s - self.away_s)
 
     def cost(self, move: _plan.Move) -> float:
@@ -123,6 +127,16 @@
         less = self._share(now, self.soon) - self._share(during, self.soon)
         return less * self.away_s
 
+    def _value(self, mix: _capacity.Mix) -> float:
+        """Return the share that a mix serves, expected and remembered."""
+        expected = self._share(mix, self.later)
+        if not self.memory:
+            return expected
+        shares = [self._share(mix, work) for work in self.memory]
+        remembered = sum(shares) / len(shares)
+        part = self.memory_part
+        return (1.0 - part) * expected + part * remembered
+
     def _share(self, mix: _capacity.Mix, work: _capacity.Work) -> float:
         return min(_HEADROOM, _capacity.served_share(mix, work, self.rates))
 
--- a/bilberrydeal/systems/roles/_plan.py
+++ b/bilberrydeal/systems/roles/_plan.py
@@ -10,8 +10,6 @@
 from . import _entities
 from . import _rules
 
-_PHASES = (_entities.Role.PREFILL, _entities.Role.DECODE)
-
 
 @attrs.frozen
 class Move:
@@ -23,6 +21,28 @@
     endpoints: tuple[_entities.RoleEndpoint, ...]
 
 
+@attrs.frozen
+class _Spread:
+    """Failure domains in which each phase is live."""
+
+    prefill: int
+    decode: int
+
+    @property
+    def total(self) -> int:
+        """Return the sum over the phases."""
+        return self.prefill + self.decode
+
+    @property
+    def least(self) -> int:
+        """Return the number of the worse phase."""
+        return min(self.prefill, self.decode)
+
+    def covers(self, other: "_Spread") -> bool:
+        """Tell whether no phase is worse than in another."""
+        return self.prefill >= other.prefill and self.decode >= other.decode
+
+
 def clear(tables: _tables.Tables) -> None:
     """Forget the orders of the last run."""
     orders = tables.of(_entities.RoleOrder)
@@ -135,22 +155,36 @@
     """Tell whether both phases stay live in enough failure domains.
 
     Live are usable engines that do not change. Where a phase is in fewer
-    failure domains than asked for already, it must not lose one.
+    failure domains than asked for already, it must not lose one. Meanwhile
+    a phase may be live in one only if the move mends this, or if the fleet
+    is so small that no engine could ever take both roles otherwise.
     """
     moved = {endpoint.key for endpoint in chosen}
     live = [e for e in endpoints if e.usable and not e.changing]
     staying = [e for e in live if e.key not in moved]
     settled = [e for e in endpoints if e.usable and e.key not in moved]
     joined = [attrs.evolve(e, role=target) for e in chosen]
-    present = {e.failure_domain for e in endpoints if e.usable}
-    wanted = min(rules.domains_per_phase, len(present))
-    for phase in _PHASES:
-        now = _domains(live, phase)
-        during = _domains(staying, phase)
-        after = _domains(settled + joined, phase)
-        if min(during, after) < min(wanted, now):
-            return False
-    return True
+    usable = [e for e in endpoints if e.usable]
+    domains = len({e.failure_domain for e in usable})
+    wanted = min(rules.domains_per_phase, domains)
+    now = _spread(live, wanted)
+    during = _spread(staying, wanted)
+    after = _spread(settled + joined, wanted)
+    small = target is _entities.Role.BOTH and len(usable) <= 2 * wanted
+    mends = after.total > now.total or small
+    return after.covers(now) and (
+        during.covers(now) or (mends and during.least >= 1)
+    )
+
+
+def _spread(
+    endpoints: collections.abc.Collection[_entities.RoleEndpoint], wanted: int
+) -> "_Spread":
+    """Return the failure domains of each phase, ``wanted`` at most."""
+    return _Spread(
+        min(wanted, _domains(endpoints, _entities.Role.PREFILL)),
+        min(wanted, _domains(endpoints, _entities.Role.DECODE)),
+    )
 
 
 def _domains(
--- a/bilberrydeal/systems/roles/_rules.py
+++ b/bilberrydeal/systems/roles/_rules.py
@@ -17,6 +17,11 @@
     half_life_s: float = 15.0
     #: How long after a change the demand is looked at.
     lead_s: float = 15.0
+    #: How long demand is remembered, to be ready for what comes back.
+    memory_s: float = 600.0
+    #: Part of a gain that is judged by the memory, the rest by what is
+    #: expected next.
+    memory_part: float = 0.7
     #: Engines of a model that may be changing, as a share of them.
     changing_share: float = 0.1
     #: The same in engines; the larger bound holds.
@@ -26,7 +31,7 @@
     domains_per_phase: int = 2
     #: A change must promise this multiple of what it costs.
     payback: float = 2.0
-    #: A change must raise the served share of the demand by so much.
-    least_gain_share: float = 0.02
+    #: A change must gain the work of this part of each engine it moves.
+    least_gain_engines: float = 0.1
     #: An engine that was ordered to change keeps its role so long.
     dwell_s: float = 60.0
