Settle usage, hold duties and plan in the entry

A refusal of a keyed request that is not idempotent looks for an earlier run under its key before it says that nothing ran: a scenario had shown a label that ran answered with executed=no by another entry.

--- a/bilberrydeal/claims/_claims.py
+++ b/bilberrydeal/claims/_claims.py
@@ -148,11 +148,24 @@
             except (errors.TableConflict, errors.OutcomeUnknown):
                 found = await self._read(place)
             if found is not None and not _expired(found.row, wall_s):
-                return await self._judged(found, fresh)
+                return await self._judged(found, digest, dispatch)
             # Abandoned or swept in between, or expired: claim anew.
             version = found.version if found else 0
         raise errors.StoreUnavailable(operation="claim")
 
+    async def find(
+        self, organisation: str, key: str, digest: str
+    ) -> Outcome | None:
+        """Return what became of an earlier request, ``None`` without one.
+
+        Nothing is written. Raises ``Refusal`` 422 where the key came with
+        another body and ``StoreUnavailable``.
+        """
+        claim = await self._read(_rows.claim_key(organisation, key))
+        if claim is None:
+            return None
+        return await self._judged(claim, digest, None)
+
     async def move(
         self, claim: _rows.Claim, dispatch: _rows.Dispatch
     ) -> _rows.Claim:
@@ -262,11 +275,14 @@
         return Unknown(claim)
 
     async def _judged(
-        self, claim: _rows.Claim, fresh: _rows.ClaimRow
+        self,
+        claim: _rows.Claim,
+        digest: str,
+        dispatch: _rows.Dispatch | None,
     ) -> Outcome:
         """Return what the claim that stands means to a new request."""
         row = claim.row
-        if row.digest != fresh.digest:
+        if row.digest != digest:
             raise errors.Refusal(
                 reason=errors.ErrorCode.IDEMPOTENCY_MISMATCH,
                 sentence="This key came with another request before.",
@@ -274,7 +290,7 @@
             )
         if row.state is _rows.ClaimState.CLAIMED:
             # An own write may have taken effect after all.
-            own = row.dispatch == fresh.dispatch
+            own = row.dispatch == dispatch
             return Claimed(claim) if own else InProgress(claim)
         if row.state is _rows.ClaimState.DONE and row.answer is not None:
             return await self._whole(claim, row.answer)
--- a/bilberrydeal/cli/_client.py
+++ b/bilberrydeal/cli/_client.py
@@ -102,7 +102,7 @@
                 return content
         except (aiohttp.ClientError, TimeoutError) as error:
             raise CallFailed(
-                sentence=f"{self.url} did not answer: {error!r}.",
+                sentence=f"{self.url} did not answer: {type(error).__name__}.",
                 exit_code=ExitCode.UNREACHABLE,
             ) from error
 
--- a/bilberrydeal/daemon.py
+++ b/bilberrydeal/daemon.py
@@ -9,6 +9,7 @@
 import sys
 
 from . import __version__
+from . import registry
 from . import settings
 
 #: Exit code for settings or arguments that are wrong.
@@ -40,6 +41,13 @@
         for problem in invalid.problems:
             print(problem, file=sys.stderr)
         return EXIT_USAGE
+    except registry.UnknownName as unknown:
+        known = " or ".join(unknown.known)
+        print(
+            f"{unknown.kind}: given {unknown.name}, allowed {known}",
+            file=sys.stderr,
+        )
+        return EXIT_USAGE
 
 
 def _run(chosen: settings.EntrySettings | settings.AgentSettings) -> int:
--- /dev/null
+++ b/bilberrydeal/entry/_authority.py
@@ -0,0 +1,73 @@
+"""The duties that this entry may hold."""
+
+import collections.abc
+import random
+
+from .. import adapters
+from .. import claims
+from .. import duties
+from .. import leases
+from .. import membership
+from .. import settings
+from .. import store
+from . import _planning
+from . import _pool
+from . import _settling
+
+#: Calls' timeouts after which a call certainly has no effect any more.
+CALL_TIMEOUTS = 2.0
+
+
+def build(
+    entry: str,
+    chosen: settings.EntrySettings,
+    client: store.StoreClient,
+    platform: adapters.Platform,
+    rows: claims.Claims,
+    directory: membership.MemberDirectory,
+    planning: _planning.Planning,
+    pool: _pool.LinkPool,
+    entry_unchanged_s: float,
+    rng: random.Random,
+) -> duties.DutyRunner:
+    """Return a runner of all duties that the settings call for."""
+    rule = _settling.window_rule(chosen.usage)
+    found: list[duties.Duty] = [
+        duties.UsageDuty(
+            client, platform.usage, rule, _settling.gone_test(directory)
+        ),
+        duties.SweepDuty(client, rows, rule, entry_unchanged_s),
+        duties.RoleDuty(client, planning.decide_roles, _hint(pool)),
+    ]
+    if chosen.fleet.services:
+        found += [
+            duties.FleetDuty(
+                client, platform.endpoints, domain, planning.decide_fleet
+            )
+            for domain in chosen.fleet.failure_domains
+        ]
+    bounds = leases.LeaseBounds(
+        ttl_s=chosen.duties.lease_ttl_s,
+        margin_s=chosen.duties.margin_s,
+        call_longest_s=client.call_timeout_s * CALL_TIMEOUTS,
+    )
+    return duties.DutyRunner(
+        client,
+        entry,
+        bounds,
+        found,
+        chosen.duties.renew_s,
+        chosen.duties.round_s,
+        rng,
+    )
+
+
+def _hint(
+    pool: _pool.LinkPool,
+) -> collections.abc.Callable[[str, int], None]:
+    def hint(endpoint_id: str, order_version: int) -> None:
+        agent_link = pool.get(endpoint_id)
+        if agent_link is not None:
+            agent_link.hint(order_version)
+
+    return hint
--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -21,10 +21,23 @@
 LOG = telemetry.logger("dispatch")
 #: Longest wait for an agent to say whether a request had begun.
 CANCEL_TIMEOUT_S = 0.5
+#: Refusals of agents that say nothing about their health.
+LOAD_REASONS = frozenset(
+    [
+        errors.ErrorCode.BAD_REQUEST,
+        errors.ErrorCode.DEADLINE_EXCEEDED,
+        errors.ErrorCode.DEADLINE_HOPELESS,
+        errors.ErrorCode.ENDPOINT_LEAVING,
+        errors.ErrorCode.OVERLOADED,
+        errors.ErrorCode.SHUTTING_DOWN,
+    ]
+)
 #: Callers that find no endpoint are told to come back after this time.
 NO_ENDPOINT_RETRY_S = 1.0
 
 Event = link.Chunk | link.Finished
+#: Bills the tokens of a request whose agent is gone.
+BillLost = collections.abc.Callable[[link.RequestNumber, str, int], None]
 
 
 class Placement(typing.Protocol):
@@ -57,8 +70,10 @@
         tables: systems.Tables,
         policies: _policies.Policies,
         next_number: collections.abc.Callable[[], link.RequestNumber],
+        bill_lost: BillLost,
         clock: collections.abc.Callable[[], float],
     ) -> None:
+        self._bill_lost = bill_lost
         self._next_number = next_number
         self._pool = pool
         self._tables = tables
@@ -174,9 +189,16 @@
         except (link.LinkDown, link.LinkFull) as error:
             raise AttemptFailed(reason=error.code, started=False) from error
         answer = _Answer(agent_link, call, work, self._clock)
-        async with contextlib.aclosing(answer.events()) as events:
-            async for event in events:
-                yield event
+        try:
+            async with contextlib.aclosing(answer.events()) as events:
+                async for event in events:
+                    yield event
+        except AttemptFailed as failed:
+            if isinstance(failed.__cause__, link.CallLost) and answer.tokens:
+                self._bill_lost(number, work.organisation, answer.tokens)
+            if failed.reason not in LOAD_REASONS:
+                self._observe(pending.endpoint_id, succeeded=False)
+            raise
         self._observe(pending.endpoint_id, succeeded=True)
 
     def _observe(self, endpoint_id: str, succeeded: bool) -> None:
@@ -200,6 +222,8 @@
         self._work = work
         self._clock = clock
         self._ended = False
+        #: Tokens that came.
+        self.tokens = 0
 
     async def events(self) -> collections.abc.AsyncGenerator[Event, None]:
         """Yield the parts; a try that fails raises ``AttemptFailed``."""
@@ -208,6 +232,8 @@
                 while not self._ended:
                     event = await self._next(parts)
                     self._ended = isinstance(event, link.Finished)
+                    if isinstance(event, link.Chunk):
+                        self.tokens += event.tokens
                     yield event
         finally:
             if not self._ended and self._work.idempotent:
--- a/bilberrydeal/entry/_gate.py
+++ b/bilberrydeal/entry/_gate.py
@@ -15,6 +15,7 @@
 from .. import systems
 from . import _bodies
 from . import _callers
+from . import _demand
 from . import _policies
 from . import _work
 
@@ -61,7 +62,9 @@
         fresh: KeysFresh,
         policies: _policies.Policies,
         tables: systems.Tables,
+        demand: _demand.DemandMeter,
     ) -> None:
+        self._demand = demand
         self._settings = chosen
         self._current = current
         self._directory = directory
@@ -218,6 +221,9 @@
     ) -> Admitted:
         pending = work.pending(frozenset())
         tokens = float(work.prompt_tokens + work.output_tokens)
+        self._demand.offered(
+            work.service, work.prompt_tokens, work.output_tokens
+        )
         if key is not None:
             self._limit(work, tokens, now_s)
         verdict = self._policies.admission.admit(self._tables, pending, now_s)
--- a/bilberrydeal/entry/_observer.py
+++ b/bilberrydeal/entry/_observer.py
@@ -5,13 +5,17 @@
 from .. import errors
 from .. import link
 from .. import telemetry
+from . import _demand
 from . import _work
 
 
 class MetricsObserver:
     """Counts outcomes, with bounded labels."""
 
-    def __init__(self, metrics: telemetry.Metrics) -> None:
+    def __init__(
+        self, metrics: telemetry.Metrics, demand: _demand.DemandMeter
+    ) -> None:
+        self._demand = demand
         self._answers = metrics.counter(
             "bilberrydeal_answers_total",
             "Answers that went out whole, by organisation and route.",
@@ -27,6 +31,14 @@
 
     def answered(self, work: _work.Work, end: link.Finished) -> None:
         """Note an answer that went out whole."""
+        if work.generation is not None:
+            self._demand.answered(
+                work.service,
+                end.prompt_tokens,
+                end.cached_tokens,
+                end.output_tokens,
+                work.output_tokens,
+            )
         organisation = telemetry.bounded_label(
             work.organisation, self._organisations
         )
--- a/bilberrydeal/entry/_once.py
+++ b/bilberrydeal/entry/_once.py
@@ -58,11 +58,40 @@
         except _Repeated as repeated:
             return _replayed(repeated.answer)
         except errors.Refusal as refusal:
+            if placement.claim is None:
+                return await self._earlier(work, refusal)
             await self._give_up(placement, refusal)
             raise
         await self._keep(placement, end)
         return end
 
+    async def _earlier(
+        self, work: _work.Work, refusal: errors.Refusal
+    ) -> link.Finished:
+        """Return the answer of an earlier request, or raise the refusal.
+
+        This request was not run, but one before it under the same key may
+        have been: "not run" is said only where there is none.
+        """
+        if refusal.executed is not errors.Executed.NO:
+            raise refusal
+        try:
+            found = await self._rows.find(
+                work.organisation, work.claim, _digest(work)
+            )
+        except errors.StoreUnavailable:
+            refusal.executed = errors.Executed.UNKNOWN
+            raise refusal from None
+        if isinstance(found, claims.InProgress):
+            found = await self._rows.resolve(
+                found, self._resolver, self._wall()
+            )
+        if isinstance(found, claims.Answer):
+            return _replayed(found)
+        if isinstance(found, claims.InProgress | claims.Unknown):
+            refusal.executed = errors.Executed.UNKNOWN
+        raise refusal
+
     async def _keep(self, placement: "_Claiming", end: link.Finished) -> None:
         """Store the answer; the agent has it too if the store is down."""
         if placement.claim is None:
@@ -113,21 +142,20 @@
                 reason=errors.ErrorCode.STORE_UNAVAILABLE,
                 sentence=(
                     "The store cannot be reached to make sure that this"
-                    " runs at most once; this request was not run."
+                    " runs at most once. This request was not run; whether"
+                    " one before it under the same key was is not known."
                 ),
                 status=503,
+                executed=errors.Executed.UNKNOWN,
                 retry_after_s=STORE_RETRY_S,
             ) from error
 
     async def _begin(self, dispatch: claims.Dispatch) -> None:
         work = self._work
-        assert work.plain is not None
         outcome = await self._rows.begin(
             work.organisation,
             work.claim,
-            claims.digest_body(
-                work.plain.method, work.plain.path, work.plain.body
-            ),
+            _digest(work),
             dispatch,
             self._wall(),
         )
@@ -208,6 +236,12 @@
         LOG.warning(sentence, error=str(error))
 
 
+def _digest(work: _work.Work) -> str:
+    assert work.plain is not None
+    plain = work.plain
+    return claims.digest_body(plain.method, plain.path, plain.body)
+
+
 def _in_progress() -> errors.Refusal:
     return errors.Refusal(
         reason=errors.ErrorCode.IDEMPOTENCY_IN_PROGRESS,
--- a/bilberrydeal/entry/_status.py
+++ b/bilberrydeal/entry/_status.py
@@ -7,20 +7,25 @@
 import sanic
 from sanic import response
 
-from .. import configuration
+from .. import billing
+from .. import duties
 from .. import errors
-from .. import keys
+from .. import leases
 from .. import membership
 from .. import operators
-from .. import store
+from .. import orders
 from .. import systems
 from .. import telemetry
 from . import _exchange
+from . import _following
 from . import _gate
 from . import _http
 from . import _operator
 from . import _pool
+from . import _settling
 
+#: Most windows shown at once.
+USAGE_WINDOWS_LIMIT = 100
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -29,28 +34,27 @@
 
     def __init__(
         self,
-        member: membership.EntryMember,
+        following: _following.Following,
         exchange: _exchange.Exchange,
-        freshness: keys.Freshness,
-        follower: configuration.Follower,
-        directory: membership.MemberDirectory,
         gate: _gate.Gate,
         pool: _pool.LinkPool,
+        runner: duties.DutyRunner,
         tables: systems.Tables,
-        client: store.StoreClient,
         metrics: telemetry.Metrics,
         clock: collections.abc.Callable[[], float],
     ) -> None:
-        self._member = member
+        self._following = following
+        self._member = following.member
         self._exchange = exchange
-        self._freshness = freshness
-        self._follower = follower
-        self._directory = directory
+        self._freshness = following.freshness
+        self._directory = following.directory
         self._gate = gate
         self._pool = pool
+        self._duties = runner
         self._tables = tables
-        self._client = client
+        self._client = following.client
         self._metrics = metrics
+        self._rule = _settling.window_rule(following.settings.usage)
         self._clock = clock
 
     def install(
@@ -69,6 +73,9 @@
         for path, shown in (
             ("/status", self._status),
             ("/endpoints", self._endpoints),
+            ("/leases", self._leases),
+            ("/roles", self._roles),
+            ("/usage", self._usage),
         ):
             _http.add_route(
                 app,
@@ -102,7 +109,7 @@
             entry=self._member.incarnation,
             address=self._member.address,
             failure_domain=self._member.failure_domain,
-            revision=self._follower.current.revision,
+            revision=self._following.current().revision,
             age_s=0.0,
         )
         others = [
@@ -115,14 +122,14 @@
             entry=self._member.incarnation,
             host_id=self._member.host_id,
             failure_domain=self._member.failure_domain,
-            revision=self._follower.current.revision,
+            revision=self._following.current().revision,
             keys_age_s=-1.0 if age_s is None else age_s,
             in_flight=self._gate.in_flight,
             closing=self._gate.closing,
-            duties=[],
+            duties=list(self._duties.held()),
             entries=[own, *others],
         )
-        return _http.json_answer(msgspec.json.encode(status))
+        return _answer(status)
 
     def _shown(
         self, member: membership.EntryMember, now_s: float
@@ -144,9 +151,37 @@
             for view in self._tables.of(systems.EndpointView)
         ]
         shown.sort(key=lambda endpoint: endpoint.endpoint_id)
-        return _http.json_answer(
-            msgspec.json.encode(operators.EndpointList(shown))
-        )
+        return _answer(operators.EndpointList(shown))
+
+    async def _leases(self, request: sanic.Request) -> response.HTTPResponse:
+        shown = [
+            operators.LeaseShown(row.duty, row.holder, row.fence)
+            for row in await leases.read_leases(self._client)
+        ]
+        return _answer(operators.LeaseList(shown))
+
+    async def _roles(self, request: sanic.Request) -> response.HTTPResponse:
+        rows = await self._client.scan_all(orders.TABLE, "")
+        shown = [
+            _role_shown(row.key, orders.decode_order(row)) for row in rows
+        ]
+        return _answer(operators.RoleList(shown))
+
+    async def _usage(self, request: sanic.Request) -> response.HTTPResponse:
+        last = request.args.get("last", "10")
+        if not last.isdecimal() or not 0 < int(last) <= USAGE_WINDOWS_LIMIT:
+            raise errors.Refusal(
+                reason=errors.ErrorCode.BAD_REQUEST,
+                sentence=f"last takes 1 to {USAGE_WINDOWS_LIMIT}.",
+                status=400,
+            )
+        sealed = await billing.read_sealed(self._client, int(last))
+        shown = [
+            row
+            for window in sealed
+            for row in _usage_shown(window, self._rule)
+        ]
+        return _answer(operators.UsageList(shown))
 
     def _endpoint(self, view: systems.EndpointView) -> operators.EndpointShown:
         agent_link = self._pool.get(view.endpoint_id)
@@ -169,3 +204,37 @@
     return errors.Refusal(
         reason=errors.ErrorCode.SHUTTING_DOWN, sentence=sentence, status=503
     )
+
+
+def _answer(body: object) -> response.HTTPResponse:
+    return _http.json_answer(msgspec.json.encode(body))
+
+
+def _role_shown(
+    endpoint_id: str, order: orders.CommittedOrder
+) -> operators.RoleShown:
+    return operators.RoleShown(
+        endpoint_id=endpoint_id,
+        order_version=order.order_version,
+        fence=order.fence,
+        role=order.role.value,
+        model=order.model,
+    )
+
+
+def _usage_shown(
+    sealed: billing.SealedUsage, rule: billing.WindowRule
+) -> list[operators.UsageShown]:
+    reported = sealed.outcome.reported if sealed.outcome else ()
+    return [
+        operators.UsageShown(
+            window_start_s=rule.start_s(sealed.seal.window),
+            organisation=organisation,
+            prompt_tokens=figures.prompt_tokens,
+            cached_tokens=figures.cached_tokens,
+            output_tokens=figures.output_tokens,
+            calls=figures.calls,
+            reported=organisation in reported,
+        )
+        for organisation, figures in sorted(sealed.seal.figures.items())
+    ]
--- /dev/null
+++ b/bilberrydeal/entry/_subset.py
@@ -0,0 +1,85 @@
+"""Keeps the tables and links in line with the members."""
+
+import collections.abc
+
+from .. import membership
+from .. import settings
+from .. import systems
+from ..systems import subsets
+from . import _pool
+
+
+class MemberSync:
+    """Brings entries and links up to date."""
+
+    def __init__(
+        self,
+        member: membership.EntryMember,
+        chosen: settings.MembershipSettings,
+        chooser: subsets.SubsetChooser,
+        directory: membership.MemberDirectory,
+        pool: _pool.LinkPool,
+        tables: systems.Tables,
+        clock: collections.abc.Callable[[], float],
+    ) -> None:
+        self._member = member
+        self._settings = chosen
+        self._chooser = chooser
+        self._directory = directory
+        self._pool = pool
+        self._entries = tables.of(systems.EntryView)
+        self._clock = clock
+
+    def run(self) -> None:
+        """Take what the directory knows now."""
+        now_s = self._clock()
+        self._sync_entries(now_s)
+        self._pool.sync(self._subset(now_s))
+
+    def _sync_entries(self, now_s: float) -> None:
+        members = {m.incarnation: m for m in self._directory.entries()}
+        members.setdefault(self._member.incarnation, self._member)
+        for view in list(self._entries):
+            if view.entry not in members:
+                self._entries.remove(view.entry)
+        for incarnation, member in members.items():
+            view = self._entries.get(incarnation) or systems.EntryView(
+                incarnation, member.failure_domain, now_s
+            )
+            view.live = member.state is membership.MemberState.LIVE
+            self._entries.put(view)
+
+    def _subset(self, now_s: float) -> list[_pool.AgentPlace]:
+        """Return the agents that this entry keeps links to."""
+        agents = {m.endpoint_id: m for m in self._directory.agents()}
+        own = subsets.EntryMember(
+            self._member.host_id, self._member.failure_domain
+        )
+        entries = {own} | {
+            subsets.EntryMember(m.host_id, m.failure_domain)
+            for m in self._directory.entries()
+        }
+        chosen = self._chooser.choose(
+            own,
+            sorted(entries, key=lambda member: member.key),
+            [
+                subsets.EndpointMember(
+                    m.endpoint_id, m.failure_domain, m.service
+                )
+                for m in agents.values()
+            ],
+            self._settings.subset_size,
+            now_s,
+        )
+        return [_place(agents[endpoint.key]) for endpoint in chosen]
+
+
+def _place(member: membership.AgentMember) -> _pool.AgentPlace:
+    return _pool.AgentPlace(
+        endpoint_id=member.endpoint_id,
+        address=member.address,
+        control_port=member.control_port,
+        failure_domain=member.failure_domain,
+        service=member.service,
+        leaving=member.state is membership.MemberState.LEAVING,
+    )
--- a/bilberrydeal/membership/__init__.py
+++ b/bilberrydeal/membership/__init__.py
@@ -5,10 +5,12 @@
 from ._members import AgentMember
 from ._members import decode
 from ._members import encode
+from ._members import ENTRIES
 from ._members import EntryMember
 from ._members import Member
 from ._members import MemberState
 from ._members import PREFIXES
+from ._members import ServiceDemand
 from ._members import standing_key
 from ._members import TABLE
 from ._registration import Registration
@@ -19,6 +21,7 @@
 
 __all__ = [
     "AgentMember",
+    "ENTRIES",
     "EntryMember",
     "Member",
     "MemberDirectory",
@@ -27,6 +30,7 @@
     "Registration",
     "RelayedRow",
     "RowTaken",
+    "ServiceDemand",
     "PREFIXES",
     "TABLE",
     "decode",
--- a/bilberrydeal/membership/_members.py
+++ b/bilberrydeal/membership/_members.py
@@ -29,6 +29,20 @@
     LEAVING = "leaving"
 
 
+@attrs.frozen
+class ServiceDemand:
+    """What callers of one entry asked of one service of late, a second."""
+
+    #: Model, or name of the plain service.
+    service: str
+    #: Prompt tokens to be computed.
+    prompt_tokens_per_s: float
+    #: Tokens to be generated.
+    output_tokens_per_s: float
+    #: Requests.
+    requests_per_s: float
+
+
 @attrs.frozen
 class EntryMember:
     """One entry."""
@@ -51,6 +65,8 @@
     renewed_at_s: float = 0.0
     #: Time between two renewals as the entry keeps it now.
     renew_s: float = 2.0
+    #: What its callers ask for.
+    demand: tuple[ServiceDemand, ...] = ()
     #: Marks the write that set the row.
     nonce: str = ""
 
