--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -11,6 +11,8 @@
 from ._experiments import Figure
 from ._experiments import Measured
 from ._experiments import Target
+from ._limits import Limits
+from ._overload import Overload
 from ._request_path import RequestPath
 
 __all__ = [
@@ -18,7 +20,9 @@
     "EXPERIMENTS",
     "Experiment",
     "Figure",
+    "Limits",
     "Measured",
+    "Overload",
     "RequestPath",
     "Target",
 ]
--- a/bilberrydeal/systems/limits/__init__.py
+++ b/bilberrydeal/systems/limits/__init__.py
@@ -4,6 +4,7 @@
 from ._base import Limiter
 from ._base import LIMITERS
 from ._exchanged import ExchangedLimiter
+from ._homes import home
 from ._local import LocalLimiter
 from ._messages import NeedAsk
 from ._messages import NeedReport
@@ -24,4 +25,5 @@
     "OrganisationShare",
     "Outgoing",
     "ShareGrant",
+    "home",
 ]
