Hold limits to the stated error with small shares

Slots went to entries by refusals since their last report, so the busiest entry, capped at the limit, got far too few. A home also kept the needs of entries that it no longer heard from.

--- a/bilberrydeal/systems/limits/_account.py
+++ b/bilberrydeal/systems/limits/_account.py
@@ -10,6 +10,9 @@
 
 #: A bucket holds what comes in within this time, in seconds.
 BURST_S = 1.0
+#: A bucket holds so many requests at least, or their tokens, so that a small
+#: part of a limit is not lost when requests come unevenly.
+BURST_REQUESTS = 3.0
 #: Told to wait for a slot of the concurrency limit, in seconds.
 SLOT_WAIT_S = 1.0
 
@@ -51,13 +54,19 @@
     running: int = 0
 
     def admit(
-        self, allowance: Allowance, tokens: float, now_s: float
+        self,
+        allowance: Allowance,
+        tokens: float,
+        now_s: float,
+        tokens_each: float = 0.0,
     ) -> _base.Admission:
         """Take a request in if the allowance leaves room for it."""
         requests_per_s = allowance.requests_per_s
         tokens_per_s = allowance.tokens_per_s
-        self.requests.refill(requests_per_s, requests_per_s * BURST_S, now_s)
-        self.tokens.refill(tokens_per_s, tokens_per_s * BURST_S, now_s)
+        requests = max(requests_per_s * BURST_S, BURST_REQUESTS)
+        self.requests.refill(requests_per_s, requests, now_s)
+        burst = max(tokens_per_s * BURST_S, BURST_REQUESTS * tokens_each)
+        self.tokens.refill(tokens_per_s, burst, now_s)
         if self.running >= allowance.slots:
             return _base.Admission(False, SLOT_WAIT_S, "concurrency")
         if self.requests.level <= 0.0:
--- a/bilberrydeal/systems/limits/_exchanged.py
+++ b/bilberrydeal/systems/limits/_exchanged.py
@@ -48,8 +48,6 @@
     reported_to: str = ""
     #: When it was reported.
     reported_at_s: float = -math.inf
-    #: Requests refused for want of a slot since the last report.
-    refused_slots: int = 0
     #: Whether the home has asked for the need.
     asked: bool = False
 
@@ -82,11 +80,15 @@
         if member is None:
             member = Member(_account.opened(now_s))
             self._members[name] = member
-        member.offered.offered(tokens, now_s)
+        account = member.account
+        offered = member.offered
+        offered.offered(tokens, account.running, now_s)
         allowance = self._allowance(organisation, member, now_s)
-        admission = member.account.admit(allowance, tokens, now_s)
-        if admission.limit == "concurrency":
-            member.refused_slots += 1
+        admission = account.admit(
+            allowance, tokens, now_s, offered.tokens_each
+        )
+        if admission.admitted:
+            offered.admitted()
         return admission
 
     def settle(
@@ -119,7 +121,7 @@
             division = self._divisions.setdefault(
                 need.organisation, _home.Division()
             )
-            division.report(report.entry, report.sequence, need)
+            division.report(report.entry, report.sequence, need, now_s)
 
     def receive_grant(self, grant: _messages.ShareGrant, now_s: float) -> None:
         """Take the answer of a home, unless a newer one came before."""
@@ -191,7 +193,6 @@
             member.reported = need
             member.reported_to = home
             member.reported_at_s = now_s
-            member.refused_slots = 0
             member.asked = False
         return [
             message
@@ -219,7 +220,7 @@
         now_s: float,
     ) -> _messages.OrganisationNeed | None:
         """Return the need if it is time to report it."""
-        member.offered.fade(now_s)
+        member.offered.fade(member.account.running, now_s)
         allowance = self._allowance(organisation, member, now_s)
         need = self._need(organisation, member, allowance)
         granted = member.share_until_s >= now_s
@@ -241,9 +242,6 @@
         allowance: _account.Allowance,
     ) -> _messages.OrganisationNeed:
         running = member.account.running
-        concurrency = min(
-            organisation.concurrency, running + member.refused_slots
-        )
         held = running
         if math.isfinite(allowance.slots):
             held = max(running, int(allowance.slots))
@@ -251,7 +249,7 @@
             organisation.organisation,
             round(member.offered.requests_per_s, 2),
             round(member.offered.tokens_per_s, 1),
-            concurrency,
+            round(max(running, member.offered.concurrency), 2),
             held,
         )
 
@@ -271,7 +269,7 @@
             ):
                 del self._divisions[name]
                 continue
-            granted = division.grants(organisation, self._live)
+            granted = division.grants(organisation, self._live, now_s)
             for entry, share in granted.items():
                 shares.setdefault(entry, []).append(share)
             for entry in division.unheard(self._live, now_s):
@@ -347,8 +345,10 @@
         or _moved(old.tokens_per_s, new.tokens_per_s)
         or (
             math.isfinite(organisation.concurrency)
-            and (old.concurrency, old.slots_held)
-            != (new.concurrency, new.slots_held)
+            and (
+                old.slots_held != new.slots_held
+                or _moved(old.concurrency, new.concurrency)
+            )
         )
     )
 
--- a/bilberrydeal/systems/limits/_home.py
+++ b/bilberrydeal/systems/limits/_home.py
@@ -22,6 +22,8 @@
     need: _messages.OrganisationNeed
     #: Sequence of that report.
     sequence: int
+    #: When it came.
+    at_s: float
     #: Slots granted last.
     slots: int = 0
     #: Whether the report still waits for its answer.
@@ -42,14 +44,16 @@
         entry: str,
         sequence: int,
         need: _messages.OrganisationNeed,
+        now_s: float,
     ) -> None:
         """Take a report; one that was overtaken is dropped."""
         known = self.entries.get(entry)
         if known is None:
-            self.entries[entry] = EntryNeed(need, sequence)
+            self.entries[entry] = EntryNeed(need, sequence, now_s)
         elif sequence > known.sequence:
             known.need = need
             known.sequence = sequence
+            known.at_s = now_s
             known.unanswered = True
 
     def quiet(
@@ -65,15 +69,17 @@
         )
 
     def grants(
-        self, organisation: _entities.OrganisationView, live: tuple[str, ...]
+        self,
+        organisation: _entities.OrganisationView,
+        live: tuple[str, ...],
+        now_s: float,
     ) -> dict[str, _messages.OrganisationShare]:
         """Return the share of each entry whose report is unanswered.
 
-        An entry that is live but has not reported may be cut off, and then
-        uses an even share: so much is set aside for it.
+        An entry that is live but has not reported lately may be cut off, and
+        then uses an even share: so much is set aside for it.
         """
-        for gone in set(self.entries) - set(live):
-            del self.entries[gone]
+        self._forget(live, now_s)
         due = [n for n, known in self.entries.items() if known.unanswered]
         if not due:
             return {}
@@ -105,6 +111,15 @@
         self.asked_at_s = now_s
         return tuple(entry for entry in live if entry not in self.entries)
 
+    def _forget(self, live: tuple[str, ...], now_s: float) -> None:
+        alive = frozenset(live)
+        oldest_s = now_s - _pace.grant_ttl_s(len(live))
+        self.entries = {
+            entry: known
+            for entry, known in self.entries.items()
+            if entry in alive and known.at_s >= oldest_s
+        }
+
     def _slots(
         self, concurrency: float, live: int, due: list[str]
     ) -> dict[str, int]:
