--- a/bench/_entry.py
+++ b/bench/_entry.py
@@ -23,6 +23,8 @@
 REQUESTS_LIMIT = 2_000
 #: Time between two runs of the health system, in seconds.
 TICK_S = 0.25
+#: Time between two tokens at an engine in good health, in seconds.
+USUAL_TOKEN_S = 0.03
 #: An entry notices so late that a link is dead, in seconds.
 SILENT_BOUND_S = 1.5
 
@@ -41,8 +43,8 @@
     tries: int = 0
     #: Whether a token has come.
     answered: bool = False
-    #: When the try under way was sent.
-    sent_at_s: float = 0.0
+    #: When the first token came.
+    first_at_s: float = 0.0
 
 
 class FakeEntry:
@@ -104,21 +106,23 @@
         call = self._calls[sent.key]
         now_s = self._clock.now_s + self._delay_s
         call.answered = True
+        call.first_at_s = self._clock.now_s
         self._scores.first_token(call.arrival, now_s)
-        expected_s = call.request.expected_first_s
+
+    def ended(self, sent: _agent.Sent) -> None:
+        """Note that the answer is whole."""
+        call = self._calls[sent.key]
+        now_s = self._clock.now_s
+        self._scores.ended(call.arrival, now_s + self._delay_s)
+        token_s = (now_s - call.first_at_s) / call.arrival.output_tokens
         self.health.observe(
             health.Observation(
                 call.request.endpoint_id,
                 succeeded=True,
-                slowness=(now_s - call.sent_at_s) / max(expected_s, 0.05),
+                slowness=token_s / USUAL_TOKEN_S,
             ),
             now_s,
         )
-
-    def ended(self, sent: _agent.Sent) -> None:
-        """Note that the answer is whole."""
-        call = self._calls[sent.key]
-        self._scores.ended(call.arrival, self._clock.now_s + self._delay_s)
         self.retrier.succeeded(
             SERVICE, call.request.endpoint_id, self._clock.now_s
         )
@@ -174,7 +178,6 @@
         self.router.run(self.tables, now_s)
         pending.remove(request.key)
         call.tries += 1
-        call.sent_at_s = now_s
         if not request.endpoint_id:
             self._again(call, False, False, 1.0)
             return
