Send the weight where an organisation's work goes

Cause: an endpoint shares itself by weight, so that an organisation whose prompts are cached at two of twenty endpoints was entitled to a part of those two, and a flooder to its part of all. The router now gives a factor for the weight by where the organisation's requests went lately.

--- a/bench/_entry.py
+++ b/bench/_entry.py
@@ -189,7 +189,7 @@
             call.arrival,
             call.key,
             request.organisation,
-            organisation.weight,
+            organisation.weight * request.weight_factor,
             request.deadline_s - 2 * self._delay_s,
             request.output_tokens,
             request.cached_tokens,
--- a/bilberrydeal/systems/_entities.py
+++ b/bilberrydeal/systems/_entities.py
@@ -165,6 +165,8 @@
     prefill_endpoint_id: str = ""
     #: Prompt tokens likely in the cache of the endpoint chosen.
     cached_tokens: int = 0
+    #: Its organisation's weight is multiplied by this at the endpoint.
+    weight_factor: float = 1.0
     #: Time from sending to the first token, as the router expects.
     expected_first_s: float = 0.0
 
--- a/bilberrydeal/systems/routing/_base.py
+++ b/bilberrydeal/systems/routing/_base.py
@@ -10,6 +10,7 @@
 from .. import _entities
 from .. import _tables
 from . import _load
+from . import _spread
 
 
 @attrs.frozen
@@ -49,6 +50,7 @@
         self.options = options
         self.random = random.Random(options.seed)
         self.sharing = _load.Sharing()
+        self.spread = _spread.Spread()
 
     def run(self, tables: _tables.Tables, now_s: float) -> None:
         """Assign an endpoint to each request that waits for one."""
@@ -127,6 +129,9 @@
         to_compute = request.prompt_tokens - request.cached_tokens
         request.expected_first_s = self.load_s(chosen)
         request.expected_first_s += _load.prefill_s(chosen, to_compute)
+        request.weight_factor = self.spread.weight_factor(
+            request.organisation, chosen.endpoint_id, len(candidates), now_s
+        )
         _load.sent(chosen, now_s)
 
 
