Test the link through a relay that goes silent, stalls and cuts

Cause: the resume of many requests overflowed the outbox of the new session, which closed it, and so on for ever; found by the test with a stalled peer. Change: the outbox limit refuses new requests only; a hello dials again within its timeout, because an agent that starts has no control port yet.

--- a/bilberrydeal/link/_session.py
+++ b/bilberrydeal/link/_session.py
@@ -10,6 +10,10 @@
 
 #: Messages in one frame at most, so that one frame never blocks a link.
 FRAME_MESSAGES = 512
+#: Messages that wait for one peer at most, of any kind. New requests are
+#: refused long before; what else waits is bounded by the requests in flight
+#: and their unacknowledged parts, all of which a resume may send at once.
+HARD_LIMIT = 100_000
 #: Bytes of request bodies that wait for one peer at most.
 OUTBOX_BYTES = 16 * 1024 * 1024
 
@@ -65,7 +69,7 @@
         return len(self._outbox)
 
     def has_room(self, size_bytes: int = 0) -> bool:
-        """Whether one more message may wait."""
+        """Whether one more request may wait."""
         return (
             len(self._outbox) < self._settings.outbox_limit
             and self.waiting_bytes + size_bytes <= OUTBOX_BYTES
@@ -75,7 +79,7 @@
         """Queue a message; an overfull outbox ends the session."""
         if self.closed:
             return
-        if len(self._outbox) >= self._settings.outbox_limit:
+        if len(self._outbox) >= HARD_LIMIT:
             self.close()
             return
         self._outbox.append(message)
--- a/bilberrydeal/link/_transport.py
+++ b/bilberrydeal/link/_transport.py
@@ -18,6 +18,9 @@
 MS_PER_S = 1000
 #: Longer than any process lives here: a socket never sends by itself.
 NEVER_MS = 2**31 - 1
+#: Time between two dials for one hello. A hello may arrive twice: the
+#: session that nobody dials ends by its silence.
+HELLO_RECONNECT_MS = 50
 #: Frames larger than this are taken for a broken peer.
 FRAME_LIMIT_BYTES = 64 * 1024 * 1024
 #: Threads of nng that run callbacks; fewer than two is not allowed.
@@ -144,8 +147,8 @@
             send_timeout=timeout_ms,
             recv_timeout=timeout_ms,
             resend_time=NEVER_MS,
-            reconnect_time_min=NEVER_MS,
-            reconnect_time_max=NEVER_MS,
+            reconnect_time_min=HELLO_RECONNECT_MS,
+            reconnect_time_max=HELLO_RECONNECT_MS,
         ) as socket:
             socket.dial(url(address, port), block=False)
             await socket.asend(_HELLO_ENCODER.encode(hello))
--- a/bilberrydeal/link/tests/harness.py
+++ b/bilberrydeal/link/tests/harness.py
@@ -14,12 +14,15 @@
 from bilberrydeal import link
 from bilberrydeal import settings
 
+from . import relay
+
 ADDRESS = "127.0.0.1"
 #: Nothing in a test takes longer unless it hangs.
 PATIENCE_S = 20.0
 LINK = settings.LinkSettings(
     heartbeat_s=0.05, silent_bound_s=0.4, resume_window_s=5.0
 )
+LINK_PORTS = 16
 STATUS = link.EndpointStatus(
     order_version=1,
     role="both",
@@ -40,6 +43,17 @@
         return int(probe.getsockname()[1])
 
 
+def free_ports(count: int) -> int:
+    """Return the first of some ports that were free a moment ago."""
+    while True:
+        first = free_port()
+        with contextlib.ExitStack() as probes, contextlib.suppress(OSError):
+            for port in range(first, first + count):
+                probe = probes.enter_context(socket.socket())
+                probe.bind((ADDRESS, port))
+            return first
+
+
 def agent_settings(**fields: typing.Any) -> settings.AgentSettings:
     """Return settings of an agent on loopback."""
     store = settings.AdapterSettings(adapter="none", url="http://127.0.0.1:1")
@@ -51,8 +65,8 @@
         "advertise_address": ADDRESS,
         "failure_domain": "d1",
         "control_port": free_port(),
-        "link_ports_from": free_port(),
-        "link_ports": 8,
+        "link_ports_from": free_ports(LINK_PORTS),
+        "link_ports": LINK_PORTS,
         "guard_port": free_port(),
         "metrics_port": free_port(),
         "endpoint": store,
@@ -154,10 +168,11 @@
     control_port: int,
     name: str = "a",
     link_settings: settings.LinkSettings = LINK,
+    address: str = ADDRESS,
 ) -> collections.abc.AsyncIterator[link.AgentLink]:
     """Run an entry's end of the link, connected."""
     agent_link = link.AgentLink(
-        ADDRESS, control_port, name, "d1", link_settings, time.monotonic
+        address, control_port, name, "d1", link_settings, time.monotonic
     )
     running = asyncio.create_task(agent_link.run())
     try:
@@ -168,6 +183,25 @@
         await running
 
 
+@contextlib.asynccontextmanager
+async def relayed(
+    agent: Agent,
+) -> collections.abc.AsyncIterator[relay.Relay]:
+    """Run a relay to all ports of an agent."""
+    between = relay.Relay()
+    first = agent.settings.link_ports_from
+    await between.listen(
+        [
+            agent.settings.control_port,
+            *range(first, first + agent.settings.link_ports),
+        ]
+    )
+    try:
+        yield between
+    finally:
+        await between.close()
+
+
 async def until(condition: collections.abc.Callable[[], bool]) -> None:
     """Wait until a condition holds."""
     retrying = tenacity.AsyncRetrying(
--- a/bilberrydeal/link/tests/test_link.py
+++ b/bilberrydeal/link/tests/test_link.py
@@ -1,25 +1,376 @@
+import asyncio
+import collections.abc
+import time
+import typing
+
+import attrs
+import pytest
+
+from bilberrydeal import errors
 from bilberrydeal import link
 
+from .. import _session
+from .. import _transport
 from . import harness
+from . import relay
+
+ANSWER: list[link.Message] = [
+    *[
+        link.Chunk(sequence=1, chunk=number, text=str(number), tokens=1)
+        for number in range(1, 7)
+    ],
+    link.Finished(sequence=1, chunk=7, status=200),
+]
+Fault = collections.abc.Callable[[relay.Relay], None]
+Before = collections.abc.Callable[[link.Work], None]
+OTHER = link.RequestNumber(entry="a", sequence=1)
+
 
+async def emit(work: link.Work, first: int, last: int) -> None:
+    """Add the parts of ``ANSWER`` with these numbers."""
+    for number in range(first, last + 1):
+        await work.emit(str(number), 1)
 
-async def test_answer_comes_whole_and_in_order() -> None:
+
+async def test_answer_comes_whole_and_is_then_forgotten() -> None:
     async with (
         harness.agent() as agent,
         harness.entry(agent.settings.control_port) as entry,
     ):
         call = entry.submit(harness.submit(1))
         work = await agent.executor.arrivals.get()
-        for text in "abc":
-            await work.emit(text, 1)
-        work.finish(status=200, output_tokens=3)
-        events = await harness.answer(call)
-        assert [type(event) for event in events] == [
-            link.Chunk,
-            link.Chunk,
-            link.Chunk,
-            link.Finished,
-        ]
+        await emit(work, 1, 6)
+        work.finish(status=200)
+        assert await harness.answer(call) == ANSWER
         await harness.until(agent.server.idle)
-        assert entry.agent == "agent-1"
-        assert entry.endpoint_id == "e1"
+        assert (entry.agent, entry.endpoint_id) == ("agent-1", "e1")
+        assert entry.status == harness.STATUS
+
+
+def cut(between: relay.Relay) -> None:
+    between.cut()
+
+
+def silent_to_agent(between: relay.Relay) -> None:
+    between.silence(relay.Way.TO_AGENT)
+
+
+def silent_to_entry(between: relay.Relay) -> None:
+    between.silence(relay.Way.TO_ENTRY)
+
+
+def silent(between: relay.Relay) -> None:
+    between.silence(*relay.Way)
+
+
+FAULTS = pytest.mark.parametrize(
+    "fault", [cut, silent_to_agent, silent_to_entry, silent]
+)
+
+
+@FAULTS
+async def test_answer_is_resumed_after_a_fault(fault: Fault) -> None:
+    async with (
+        harness.agent() as agent,
+        harness.relayed(agent) as between,
+        harness.entry(
+            agent.settings.control_port, address=relay.ADDRESS
+        ) as entry,
+    ):
+        call = entry.submit(harness.submit(1))
+        work = await agent.executor.arrivals.get()
+        work.start()
+        await emit(work, 1, 3)
+        await harness.until(lambda: call.arrived == 3)
+        fault(between)
+        await emit(work, 4, 6)
+        work.finish(status=200)
+        assert await harness.answer(call) == ANSWER
+        assert agent.executor.arrivals.empty()
+
+
+@FAULTS
+async def test_lost_submit_is_sent_again(fault: Fault) -> None:
+    async with (
+        harness.agent() as agent,
+        harness.relayed(agent) as between,
+        harness.entry(
+            agent.settings.control_port, address=relay.ADDRESS
+        ) as entry,
+    ):
+        fault(between)
+        call = entry.submit(harness.submit(1))
+        work = await agent.executor.arrivals.get()
+        work.finish(status=200)
+        assert len(await harness.answer(call)) == 1
+        assert work.submit.time_left_s <= call.submit.time_left_s
+        assert agent.executor.arrivals.empty()
+
+
+async def test_doubled_crossed_and_early_parts_are_dropped() -> None:
+    async with (
+        harness.agent() as agent,
+        harness.entry(agent.settings.control_port) as entry,
+    ):
+        call = entry.submit(harness.submit(1))
+        work = await agent.executor.arrivals.get()
+        await emit(work, 1, 1)
+        forgeries: tuple[link.Message, ...] = (
+            ANSWER[0],
+            ANSWER[3],
+            link.Chunk(sequence=99, chunk=1, text="crossed", tokens=1),
+            link.Finished(sequence=98, chunk=1, status=500),
+            link.Refused(sequence=1, chunk=1, reason="late", started=False),
+        )
+        for forged in forgeries:
+            agent.server.send("a", forged, urgent=True)
+        await emit(work, 2, 6)
+        work.finish(status=200)
+        assert await harness.answer(call) == ANSWER
+
+
+def untouched(work: link.Work) -> None:
+    pass
+
+
+def started(work: link.Work) -> None:
+    work.start()
+
+
+def finished(work: link.Work) -> None:
+    work.start()
+    work.finish(status=201, body=b"receipt")
+
+
+def refused(work: link.Work) -> None:
+    work.refuse(errors.ErrorCode.OVERLOADED)
+
+
+@pytest.mark.parametrize(
+    ("before", "outcome"),
+    [
+        (untouched, link.CancelOutcome.NOT_STARTED),
+        (started, link.CancelOutcome.STARTED),
+        (finished, link.CancelOutcome.FINISHED),
+        (refused, link.CancelOutcome.NOT_STARTED),
+    ],
+)
+async def test_cancel_tells_what_it_found(
+    before: Before, outcome: link.CancelOutcome
+) -> None:
+    async with (
+        harness.agent() as agent,
+        harness.entry(agent.settings.control_port) as entry,
+    ):
+        entry.submit(harness.submit(1))
+        before(await agent.executor.arrivals.get())
+        assert await entry.cancel(1, harness.PATIENCE_S) == outcome
+
+
+async def test_cancelled_number_never_runs() -> None:
+    async with (
+        harness.agent() as agent,
+        harness.entry(agent.settings.control_port) as entry,
+    ):
+        found = await entry.cancel(1, harness.PATIENCE_S)
+        assert found == link.CancelOutcome.NOT_STARTED
+        (event,) = await harness.answer(entry.submit(harness.submit(1)))
+        assert isinstance(event, link.Refused)
+        assert not event.started
+        assert agent.executor.arrivals.empty()
+
+
+@pytest.mark.parametrize(
+    ("before", "asked", "outcome"),
+    [
+        (untouched, "", link.QueryOutcome.RUNNING),
+        (started, "agent-1", link.QueryOutcome.RUNNING),
+        (finished, "", link.QueryOutcome.FINISHED),
+        (refused, "", link.QueryOutcome.NOT_STARTED),
+        (finished, "agent-0", link.QueryOutcome.UNKNOWN),
+    ],
+)
+async def test_query_of_another_entry(
+    before: Before, asked: str, outcome: link.QueryOutcome
+) -> None:
+    async with (
+        harness.agent() as agent,
+        harness.entry(agent.settings.control_port) as entry,
+        harness.entry(agent.settings.control_port, "b") as asker,
+    ):
+        entry.submit(harness.submit(1, idempotent=False))
+        before(await agent.executor.arrivals.get())
+        result = await asker.query(OTHER, harness.PATIENCE_S, asked)
+        assert result is not None
+        assert result.outcome == outcome
+        body = result.finished.body if result.finished else b""
+        known = outcome == link.QueryOutcome.FINISHED
+        assert body == (b"receipt" if known else b"")
+
+
+async def test_queried_number_never_runs() -> None:
+    async with (
+        harness.agent() as agent,
+        harness.entry(agent.settings.control_port) as entry,
+        harness.entry(agent.settings.control_port, "b") as asker,
+    ):
+        result = await asker.query(OTHER, harness.PATIENCE_S)
+        assert result is not None
+        assert result.outcome == link.QueryOutcome.NOT_STARTED
+        call = entry.submit(harness.submit(1, idempotent=False))
+        (event,) = await harness.answer(call)
+        assert isinstance(event, link.Refused)
+        assert not event.started
+
+
+async def test_requests_of_a_dead_entry() -> None:
+    brief = attrs.evolve(harness.LINK, resume_window_s=0.2)
+    async with harness.agent(link=brief) as agent:
+        async with harness.entry(agent.settings.control_port) as entry:
+            for sequence, idempotent in ((1, False), (2, True), (3, False)):
+                entry.submit(harness.submit(sequence, idempotent=idempotent))
+                await agent.executor.arrivals.get()
+            works = agent.executor.works
+            works[1].start()
+            works[2].start()
+        async with harness.entry(agent.settings.control_port, "b") as asker:
+            await harness.until(lambda: works[2].ended and works[3].ended)
+            assert not works[1].ended
+            works[1].finish(status=201, body=b"receipt")
+            result = await asker.query(OTHER, harness.PATIENCE_S)
+            assert result is not None
+            assert result.finished is not None
+            assert result.finished.body == b"receipt"
+
+
+async def test_restarted_agent_loses_calls() -> None:
+    async with harness.agent() as agent:
+        given = agent.settings
+        entering = harness.entry(given.control_port)
+        entry = await entering.__aenter__()
+        call = entry.submit(harness.submit(1))
+        await agent.executor.arrivals.get()
+    async with harness.agent("agent-2", **attrs.asdict(given, recurse=False)):
+        with pytest.raises(link.CallLost) as lost:
+            await harness.answer(call)
+        assert lost.value.started
+        await entering.__aexit__(None, None, None)
+
+
+async def test_link_down_refuses_at_once() -> None:
+    entry = link.AgentLink(
+        harness.ADDRESS, harness.free_port(), "a", "d1", harness.LINK, float
+    )
+    with pytest.raises(link.LinkDown):
+        entry.submit(harness.submit(1))
+
+
+async def test_full_outbox_refuses_what_never_runs() -> None:
+    small = attrs.evolve(harness.LINK, outbox_limit=20, silent_bound_s=2.0)
+    accepted, refused_count = [], 0
+    async with (
+        harness.agent(link=small) as agent,
+        harness.relayed(agent) as between,
+        harness.entry(
+            agent.settings.control_port,
+            link_settings=small,
+            address=relay.ADDRESS,
+        ) as entry,
+    ):
+        between.stall(relay.Way.TO_AGENT)
+        for sequence in range(1, 400):
+            try:
+                body = harness.submit(sequence, body=bytes(200_000))
+                accepted.append(entry.submit(body).sequence)
+            except link.LinkFull:
+                refused_count += 1
+            await asyncio.sleep(0)
+        assert refused_count
+        await harness.until(lambda: len(agent.executor.works) == len(accepted))
+        assert sorted(agent.executor.works) == accepted
+
+
+async def test_slow_consumer_holds_the_endpoint_back() -> None:
+    async with (
+        harness.agent() as agent,
+        harness.entry(agent.settings.control_port) as entry,
+    ):
+        call = entry.submit(harness.submit(1))
+        work = await agent.executor.arrivals.get()
+        emitting = asyncio.create_task(emit(work, 1, 3000))
+        await harness.until(lambda: call.arrived == 1024)
+        assert not emitting.done()
+        finishing = asyncio.create_task(harness.answer(call))
+        await emitting
+        work.finish(status=200)
+        assert len(await finishing) == 3001
+
+
+async def test_usage_hints_and_settlement_pass() -> None:
+    record = link.UsageRecord(
+        record=1,
+        number=OTHER,
+        organisation="russo",
+        counted_at_s=0.0,
+        prompt_tokens=1,
+        cached_tokens=0,
+        output_tokens=1,
+        calls=1,
+    )
+    async with (
+        harness.agent() as agent,
+        harness.entry(agent.settings.control_port) as entry,
+    ):
+        entry.on_usage = lambda link, usage: link.settled(
+            tuple(record.record for record in usage.records)
+        )
+        usage = link.UsageRecords(agent="agent-1", records=(record,))
+        assert await agent.host.events.get() == ("joined", "a")
+        agent.server.send("a", usage)
+        assert await agent.host.events.get() == ("settled", (1,))
+        entry.hint(7)
+        assert await agent.host.events.get() == ("hinted", 7)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"agent": "agent-0"}, {"session": 0}, {"entry": "b"}],
+    ids=str,
+)
+async def test_late_dialer_does_not_take_over_a_port(
+    changes: dict[str, typing.Any],
+) -> None:
+    async with harness.agent() as agent:
+        hello = link.Hello(link.PROTOCOL_VERSION, "a", "d1")
+        reply = await _transport.ask(
+            harness.ADDRESS,
+            agent.settings.control_port,
+            hello,
+            harness.PATIENCE_S,
+        )
+        opening = link.Open("a", reply.agent, reply.session)
+        messages: list[link.Message] = [
+            attrs.evolve(opening, **changes),
+            harness.submit(1),
+        ]
+        socket = _transport.PairSocket(harness.PATIENCE_S)
+        socket.dial(harness.ADDRESS, reply.port)
+        session = _session.Session(
+            socket, harness.LINK, time.monotonic, lambda message: None
+        )
+        for message in messages:
+            session.send(message)
+        await session.run()
+        assert agent.executor.arrivals.empty()
+        assert agent.host.events.empty()
+
+
+async def test_other_protocol_version_is_refused() -> None:
+    async with harness.agent() as agent:
+        reply = await _transport.ask(
+            harness.ADDRESS,
+            agent.settings.control_port,
+            link.Hello(link.PROTOCOL_VERSION + 1, "a", "d1"),
+            harness.PATIENCE_S,
+        )
+        assert (reply.port, reply.refusal) == (0, "protocol version")
