--- a/bilberrydeal/entry/_gate.py
+++ b/bilberrydeal/entry/_gate.py
@@ -13,14 +13,17 @@
 from .. import prefixes
 from .. import settings
 from .. import systems
-from ..systems import admission
-from ..systems import limits
 from . import _bodies
 from . import _callers
+from . import _policies
 from . import _work
 
 #: Label of requests on routes open to all.
 OPEN_ORGANISATION = ""
+#: Refusals by which endpoints shed load.
+SHED_REASONS = frozenset(
+    [errors.ErrorCode.OVERLOADED, errors.ErrorCode.DEADLINE_HOPELESS]
+)
 
 
 class KeysFresh(typing.Protocol):
@@ -46,14 +49,6 @@
     revoked: bool = False
 
 
-@attrs.define
-class GatePolicies:
-    """The deciding systems that let requests in."""
-
-    limiter: limits.Limiter
-    admission: admission.AdmissionControl
-
-
 class Gate:
     """Checks route, key, deadline, limits and load, in this order."""
 
@@ -64,7 +59,7 @@
         current: collections.abc.Callable[[], configuration.Configuration],
         directory: keys.KeyDirectory,
         fresh: KeysFresh,
-        policies: GatePolicies,
+        policies: _policies.Policies,
         tables: systems.Tables,
     ) -> None:
         self._settings = chosen
@@ -155,11 +150,21 @@
         return self._admit(work, key, now_s)
 
     def release(
-        self, admitted: Admitted, actual_tokens: float, now_s: float
+        self,
+        admitted: Admitted,
+        actual_tokens: float,
+        refusal: errors.Refusal | None,
+        now_s: float,
     ) -> None:
-        """Note that a request has ended and what it used."""
+        """Note that a request has ended, how, and what it used."""
         self._running.discard(admitted)
-        self._policies.admission.release(admitted.pending, now_s)
+        shed = refusal is not None and refusal.reason in SHED_REASONS
+        self._policies.admission.release(
+            admitted.pending,
+            now_s,
+            shed=shed,
+            retry_after_s=(refusal.retry_after_s or 0.0) if refusal else 0.0,
+        )
         if admitted.key_id:
             self._policies.limiter.settle(
                 admitted.work.organisation,
--- a/bilberrydeal/keys/_freshness.py
+++ b/bilberrydeal/keys/_freshness.py
@@ -5,10 +5,10 @@
 are refused once that lies further back than the bound, with one exception.
 
 In an outage of the whole store nobody can withdraw a key, so entries may go
-on as long as all of them know that all are cut off. An entry that answers
-"blind" thereby promises to commit no change of the configuration until the
-bound has passed; the asker relies on the promise no longer than that. See
-docs/design/keys.md for the argument.
+on as long as all of them know that all are cut off. A peer's answer "blind"
+says that no change beyond the revision it names has been committed by that
+peer, nor is one on its way; the asker relies on it for the bound, counted
+from the question. See docs/design/keys.md for the argument.
 """
 
 import typing
@@ -28,7 +28,7 @@
     revision: int
     #: How long ago that was confirmed as the newest; ``None`` if never.
     age_s: float | None
-    #: Whether it is cut off and promises to commit nothing for the bound.
+    #: Whether it is cut off and has no commit on its way.
     blind: bool
 
 
@@ -40,7 +40,7 @@
         errors.ErrorCode.STORE_UNAVAILABLE
     )
 
-    #: ``promise``, ``introductions`` or ``not joined``.
+    #: ``introductions`` or ``not joined``.
     reason: str
     #: When to try again, in seconds.
     retry_after_s: float
@@ -73,7 +73,7 @@
     ) -> None:
         self.own = own
         self.bound_s = bound_s
-        #: Covers drift between clocks over the bounds.
+        #: Subtracted from the longest pact for drift of clocks.
         self.margin_s = margin_s
         #: Longest time after the last renewal of the own row that an entry
         #: goes on without confirmed knowledge.
@@ -89,7 +89,6 @@
         self._must_meet: set[str] | None = None
         self._met: set[str] = set()
         self._blind: dict[str, _BlindAnswer] = {}
-        self._promised_until_s = 0.0
         self._commits = 0
         self._unsettled_s: float | None = None
 
@@ -127,9 +126,8 @@
 
         A new one counts at once. One whose row is gone counts until the
         head was read after that, so that its last change is known here.
-        ``young`` are those whose rows changed within the longest pact and
-        its margin; the others no longer go on blind, so that they need not
-        be met.
+        ``young`` are those whose rows changed within the longest pact; the
+        others no longer go on blind, so that they need not be met.
         """
         self._members_read = True
         for incarnation in present - {self.own}:
@@ -142,16 +140,13 @@
     # Exchanges with peers.
 
     def answer(self, asker: str, now_s: float) -> PeerKnowledge:
-        """Return what to tell a peer; may make the promise."""
+        """Return what to tell a peer."""
         self._known[asker] = now_s
         blind = (
             not self.is_confirmed(now_s)
             and not self._commits
             and self._unsettled_s is None
         )
-        if blind:
-            until_s = now_s + self.bound_s + self.margin_s
-            self._promised_until_s = max(self._promised_until_s, until_s)
         age_s = None
         if self._confirmed_s is not None:
             age_s = now_s - self._confirmed_s
@@ -197,10 +192,8 @@
     def begin_commit(self, now_s: float) -> None:
         """Begin to commit a change, or raise :class:`CommitHeld`.
 
-        Until :meth:`end_commit` no promise is made.
+        Until :meth:`end_commit` no peer is answered "blind".
         """
-        if now_s < self._promised_until_s:
-            raise CommitHeld("promise", self._promised_until_s - now_s)
         if self._must_meet is None:
             raise CommitHeld("not joined", self.bound_s)
         if self._must_meet - self._met:
@@ -231,12 +224,19 @@
             and now_s - self._confirmed_s <= self.bound_s
         )
 
+    def age_s(self, now_s: float) -> float | None:
+        """Return the age of what is confirmed, ``None`` for nothing."""
+        if self._confirmed_s is None:
+            return None
+        return now_s - self._confirmed_s
+
     def _goes_on_blind(self, now_s: float) -> bool:
         if self._confirmed_s is None or not self._members_read:
             return False
-        if self._renewed_s is None or now_s > (
-            self._renewed_s + self.pact_longest_s
-        ):
+        if self._renewed_s is None:
+            return False
+        longest_s = self.pact_longest_s - self.margin_s
+        if now_s > self._renewed_s + longest_s:
             return False
         if self._commits or self._unsettled_s is not None:
             return False
--- a/bilberrydeal/systems/roles/_entities.py
+++ b/bilberrydeal/systems/roles/_entities.py
@@ -1,16 +1,11 @@
 """What the role planner reads and writes."""
 
-import enum
-
 import attrs
 
+from ... import ports
 
-class Role(enum.StrEnum):
-    """Which phase of a request an engine works on."""
-
-    PREFILL = "prefill"
-    DECODE = "decode"
-    BOTH = "both"
+#: Which phase of a request an engine works on.
+Role = ports.EngineRole
 
 
 @attrs.frozen
@@ -33,7 +28,7 @@
 
     #: Name of the model.
     key: str
-    #: Recent windows, oldest first; a minute of them is enough.
+    #: Recent windows, oldest first; ten minutes of them are enough.
     windows: tuple[DemandWindow, ...]
     #: Prompt tokens that wait to be computed.
     queued_prompt_tokens: float = 0.0
--- a/bilberrydeal/systems/routing/_base.py
+++ b/bilberrydeal/systems/routing/_base.py
@@ -9,7 +9,7 @@
 from ... import registry
 from .. import _entities
 from .. import _tables
-from . import _backlog
+from . import _load
 
 
 @attrs.frozen
@@ -48,6 +48,7 @@
     def __init__(self, options: RouterOptions) -> None:
         self.options = options
         self.random = random.Random(options.seed)
+        self.sharing = _load.Sharing()
 
     def run(self, tables: _tables.Tables, now_s: float) -> None:
         """Assign an endpoint to each request that waits for one."""
@@ -63,9 +64,11 @@
         now_s: float,
     ) -> None:
         """Note that a request that had an endpoint has ended there."""
-        view = tables.of(_entities.EndpointView).get(request.endpoint_id)
-        if view is not None:
-            view.in_flight = max(0, view.in_flight - 1)
+        views = tables.of(_entities.EndpointView)
+        for name in (request.endpoint_id, request.prefill_endpoint_id):
+            view = views.get(name)
+            if view is not None:
+                _load.finished(view)
 
     def reported(
         self,
@@ -77,7 +80,7 @@
         """Take an endpoint's load report."""
         view = tables.of(_entities.EndpointView).get(endpoint_id)
         if view is not None:
-            _backlog.reported(view, figures, now_s)
+            self.sharing.take(view, figures)
 
     def cache_changed(
         self,
@@ -91,6 +94,10 @@
     def cache_lost(self, endpoint_id: str) -> None:
         """Note that an endpoint has begun anew with an empty cache."""
 
+    def load_s(self, view: _entities.EndpointView) -> float:
+        """Return the delay by what is in flight, in seconds."""
+        return _load.load_s(view, self.sharing.factor)
+
     def choose(
         self,
         candidates: list[_entities.EndpointView],
@@ -117,13 +124,10 @@
             return
         chosen = self.choose(candidates, request, now_s)
         request.endpoint_id = chosen.endpoint_id
-        chosen.in_flight += 1
-        _backlog.sent(
-            chosen,
-            request.prompt_tokens - request.cached_tokens,
-            request.output_tokens,
-            now_s,
-        )
+        to_compute = request.prompt_tokens - request.cached_tokens
+        request.expected_first_s = self.load_s(chosen)
+        request.expected_first_s += _load.prefill_s(chosen, to_compute)
+        _load.sent(chosen, now_s)
 
 
 #: Routers by the names that settings use.
