Test the agent: drivers, executor, orders, usage, feed, daemon

Cause: the agent had no test but a run by hand. Change: fakes of the ports under the test's control; the daemon runs whole in the test process and gets real signals.

--- a/bilberrydeal/agent/_daemon.py
+++ b/bilberrydeal/agent/_daemon.py
@@ -29,7 +29,7 @@
     telemetry.configure(agent_settings.log.level)
     link.limit_threads()
     try:
-        guard = _guard.Guard(agent_settings.guard_port)
+        held = guard(agent_settings)
     except _guard.GuardHeld as error:
         LOG.error("Another agent is alive.", port=error.port)
         return EXIT_TAKEN
@@ -39,7 +39,12 @@
         LOG.error("A port is taken.", reason=str(error))
         return EXIT_TAKEN
     finally:
-        guard.release()
+        held.release()
+
+
+def guard(agent_settings: settings.AgentSettings) -> _guard.Guard:
+    """Keep other agents of this host out, or raise ``GuardHeld``."""
+    return _guard.Guard(agent_settings.guard_port)
 
 
 async def serve(agent_settings: settings.AgentSettings) -> int:
--- a/bilberrydeal/agent/_executor.py
+++ b/bilberrydeal/agent/_executor.py
@@ -17,7 +17,8 @@
 
 LOG = telemetry.logger("executor")
 
-#: Time between two looks for requests that can no longer end in time.
+#: Time between two looks at requests that wait: some can no longer end in
+#: time, some become urgent.
 SWEEP_S = 0.1
 #: A refusal for lack of room asks for a retry no sooner.
 RETRY_AFTER_S = 1.0
@@ -122,10 +123,11 @@
         )
 
     async def run(self) -> None:
-        """Refuse requests that can no longer end in time; never ends."""
+        """Follow deadlines and what the queue keeps back; never ends."""
         while True:
             await asyncio.sleep(SWEEP_S)
-            self._refuse_late(self._clock())
+            if self._waiting:
+                self._fill()
 
     async def idle(self) -> None:
         """Wait until no request waits or runs."""
--- /dev/null
+++ b/bilberrydeal/agent/tests/test_drivers.py
@@ -0,0 +1,124 @@
+import asyncio
+import time
+import typing
+
+import pytest
+
+from bilberrydeal import link
+from bilberrydeal import ports
+from bilberrydeal.agent import _drivers
+from bilberrydeal.agent import _meter
+from bilberrydeal.link.tests import harness
+
+from . import fakes
+
+
+def work_of(
+    parts: list[object], **fields: typing.Any
+) -> tuple[link.Work, _meter.Meter]:
+    """Return a request that adds to ``parts``."""
+    work = link.Work(
+        harness.submit(1, max_tokens=4, prompt_tokens=10, **fields),
+        time.monotonic(),
+        lambda _, part: parts.append(part),
+    )
+    return work, _meter.Meter()
+
+
+def engine(**fields: typing.Any) -> fakes.FakeEngine:
+    made = fakes.FakeEngine(**fields)
+    made.flowing.set()
+    return made
+
+
+@pytest.mark.parametrize("breaks", [[], [0], [2], [1, 2, 3], [2, 2, 2, 2]])
+async def test_broken_stream_is_resumed(breaks: list[int]) -> None:
+    parts: list[typing.Any] = []
+    work, meter = work_of(parts)
+    await _drivers.EngineDriver(engine(breaks=breaks)).run(work, meter)
+    assert [part.text for part in parts[:-1]] == ["a", "b", "c", "d"]
+    assert parts[-1] == link.Finished(
+        sequence=1,
+        chunk=5,
+        status=200,
+        finish_reason="stop",
+        prompt_tokens=7,
+        cached_tokens=3,
+        output_tokens=4,
+    )
+    assert meter == _meter.Meter(7, 3, 4, 1)
+
+
+async def test_stream_that_brings_nothing_more_is_given_up() -> None:
+    work, meter = work_of([])
+    driver = _drivers.EngineDriver(engine(breaks=[2] * 5))
+    with pytest.raises(ports.EngineFailure):
+        await driver.run(work, meter)
+    assert work.started
+    assert meter == _meter.Meter(10, 0, 2, 1)
+
+
+async def test_request_that_was_not_admitted_has_not_started() -> None:
+    work, meter = work_of([])
+    with pytest.raises(ports.EngineFailure):
+        await _drivers.EngineDriver(engine(not_admitted=1)).run(work, meter)
+    assert not work.started
+    assert meter == _meter.Meter()
+
+
+@pytest.mark.parametrize(
+    ("fails", "handle", "cached_tokens"), [(False, "kv/x", 0), (True, "", 3)]
+)
+async def test_kv_cache_is_fetched_or_computed_again(
+    fails: bool, handle: str, cached_tokens: int
+) -> None:
+    given = engine(import_fails=fails)
+    work, meter = work_of([], kv_handle="kv/x")
+    await _drivers.EngineDriver(given).run(work, meter)
+    assert given.generated[0].kv_handle == handle
+    assert meter.cached_tokens == cached_tokens
+
+
+async def test_prefill_only_exports_and_bills_no_output() -> None:
+    parts: list[typing.Any] = []
+    work, meter = work_of(parts, prefill_only=True)
+    await _drivers.EngineDriver(engine(words=("a",))).run(work, meter)
+    assert [part.kv_handle for part in parts] == ["kv/a-1"]
+    assert meter == _meter.Meter(7, 3, 0, 0)
+
+
+async def test_cancelled_generation_ends_at_the_engine_and_is_billed() -> None:
+    parts: list[typing.Any] = []
+    work, meter = work_of(parts)
+    given = fakes.FakeEngine()
+    running = asyncio.create_task(
+        _drivers.EngineDriver(given).run(work, meter)
+    )
+    await harness.until(lambda: len(parts) == 4)
+    running.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await running
+    assert given.cancelled == ["a-1"]
+    assert meter == _meter.Meter(7, 3, 4, 1)
+
+
+@pytest.mark.parametrize("started", [False, True])
+async def test_plain_call_is_made_once(started: bool) -> None:
+    service = fakes.FakePlain(failure=ports.PlainFailure(started=started))
+    work, meter = work_of([], idempotent=False)
+    with pytest.raises(ports.PlainFailure):
+        await _drivers.PlainDriver(service).run(work, meter)
+    assert work.started == started
+    assert meter.calls == int(started)
+    assert len(service.calls) == 1
+
+
+async def test_plain_call_carries_organisation_and_number() -> None:
+    parts: list[typing.Any] = []
+    service = fakes.FakePlain()
+    service.flowing.set()
+    work, meter = work_of(parts, method="POST", path="/deposits", body=b"{}")
+    await _drivers.PlainDriver(service).run(work, meter)
+    (call,) = service.calls
+    assert (call.request_id, call.organisation) == ("a-1", "russo")
+    assert (parts[0].status, parts[0].body) == (201, b"receipt")
