--- a/scenarios/_fleet.py
+++ b/scenarios/_fleet.py
@@ -10,8 +10,10 @@
 import attrs
 import yaml
 
+from bilberrydeal import adapters
 from bilberrydeal import keys
 from bilberrydeal import operators
+from bilberrydeal import orders
 from bilberrydeal import ports
 from standins import platform
 
@@ -118,6 +120,8 @@
         self.engines: list[Host] = []
         self.plains: list[Host] = []
         self.keys: dict[str, operators.KeyIssued] = {}
+        #: Newest order version committed for an engine.
+        self.ordered: dict[str, int] = {}
         self._secrets: list[str] = []
         self._markers = itertools.count(1)
         self._operator_key = f"operator-{secrets.token_hex(8)}"
@@ -234,6 +238,28 @@
         records = [attrs.asdict(host) for host in hosts]
         await self._control("/hosts", {"hosts": records})
 
+    async def order(self, host: Host, role: ports.EngineRole) -> None:
+        """Commit an order for an engine, as a planner would."""
+        at = self.places.address(_PLATFORM_HOST)
+        table = adapters.TABLES.get("http_json")(
+            self.session, f"http://{at}:{_places.PLATFORM_PORT}"
+        )
+        key = orders.order_key(host.name)
+        (row,) = await table.read((key,), PATIENCE_S)
+        version = orders.decode_order(row).order_version if row else 0
+        self.ordered[host.name] = version + 1
+        order = orders.CommittedOrder(version + 1, 1, role, MODEL)
+        check = ports.Check(key.table, key.key, row.version if row else 0)
+        write = ports.Write(key.table, key.key, orders.encode_order(order))
+        await table.commit(ports.Transaction((check,), (write,)), PATIENCE_S)
+
+    async def engine_state(self, host: Host) -> ports.EngineState:
+        """Return what an engine says that it is."""
+        at = self.places.address(host.number)
+        url = f"http://{at}:{_places.ENDPOINT_PORT}"
+        client = adapters.ENGINES.get("openai_http")(self.session, url)
+        return await client.state(PATIENCE_S)
+
     async def serves(self, entry: int, organisation: str = "russo") -> bool:
         """Return whether an entry answers a small request."""
         ask = _caller.completion(self.marker(), organisation, 1)
@@ -284,6 +310,9 @@
         operator = self.operator(0)
 
         async def reachable() -> bool:
+            for host in self.hosts:
+                if not host.process.alive:
+                    raise RuntimeError(f"{host.name} ended at its start")
             try:
                 await operator.organisations()
             except (aiohttp.ClientError, _operator.Refused):
--- a/scenarios/_stage.py
+++ b/scenarios/_stage.py
@@ -67,6 +67,10 @@
     def close(self) -> None:
         """End the fleet and the thread."""
         self._loading = False
+        for worker in self._load:
+            worker.cancel()
+        for request in self.spawned.values():
+            request.cancel()
         if self._fleet is not None:
             self.run(self._fleet.__aexit__())
         self.loop.call_soon_threadsafe(self.loop.stop)
--- a/scenarios/features/authority.feature
+++ b/scenarios/features/authority.feature
@@ -16,13 +16,41 @@
       | ignore fencing numbers |
 
   Scenario Outline: An engine crashes in the midst of a role change
-    Given a fleet that plans, with endpoints that <habit>
-    When engine-0 is ordered to another role and crashes
+    Given a fleet with endpoints that <habit>
+    And it is under load
+    When engine-0 crashes at its next order
+    And engine-0 is ordered to decode
     And the endpoint of engine-0 is started again
     Then engine-0 takes the newest order
-    And every promise was kept
+    When the load ends
+    Then every promise was kept
 
     Examples:
       | habit                  |
       | check fencing numbers  |
       | ignore fencing numbers |
+
+  Scenario Outline: An agent is killed while orders come one after another
+    Given a fleet with endpoints that <habit>
+    And it is under load
+    When engine-0 is ordered to decode
+    And engine-0 is killed
+    And engine-0 is ordered to prefill
+    And engine-0 is started again
+    And engine-0 is ordered to both
+    Then engine-0 takes the newest order
+    When the load ends
+    Then every promise was kept
+
+    Examples:
+      | habit                  |
+      | check fencing numbers  |
+      | ignore fencing numbers |
+
+  Scenario: Roles change under load
+    Given a fleet under load
+    When engine-0 is ordered to decode
+    Then engine-0 takes the newest order
+    When the load ends
+    Then nothing of the load was cut
+    And every promise was kept
--- a/scenarios/tests/test_scenarios.py
+++ b/scenarios/tests/test_scenarios.py
@@ -7,6 +7,7 @@
 import pytest_bdd
 from pytest_bdd import parsers
 
+from bilberrydeal import ports
 from scenarios import _caller
 from scenarios import _fleet
 from scenarios import _operator
@@ -96,6 +97,11 @@
     )
 
 
+@pytest_bdd.given(parsers.parse("a fleet with endpoints that {habit}"))
+def a_fleet_with(stage: Stage, habit: str) -> None:
+    stage.set_up(_fleet.Shape(checks_fencing=HABITS[habit]))
+
+
 @pytest_bdd.when("the load ends")
 def the_load_ends(stage: Stage) -> None:
     stage.end_load()
@@ -211,6 +217,34 @@
     stage.run(stage.fleet.list_hosts(leaving=(name,)))
 
 
+@pytest_bdd.when(parsers.parse("{name} crashes at its next order"))
+def crashes_at_order(stage: Stage, name: str) -> None:
+    host = stage.fleet.host(name)
+    fault = engine.Fault(crash_on_order=True)
+    stage.run(stage.fleet.endpoint_fault(host, fault))
+
+
+@pytest_bdd.when(parsers.parse("{name} is ordered to {role}"))
+def is_ordered(stage: Stage, name: str, role: str) -> None:
+    host = stage.fleet.host(name)
+    stage.run(stage.fleet.order(host, ports.EngineRole(role)))
+
+
+@pytest_bdd.then(parsers.parse("{name} takes the newest order"))
+def takes_the_newest(stage: Stage, name: str) -> None:
+    host = stage.fleet.host(name)
+
+    async def taken() -> bool:
+        try:
+            state = await stage.fleet.engine_state(host)
+        except ports.EngineFailure:
+            return False
+        newest = stage.fleet.ordered[name]
+        return state.order_version == newest and not state.changing
+
+    stage.run(_fleet.eventually(taken, f"the newest order at {name}"))
+
+
 # Faults of the platform.
 
 
