--- a/scenarios/_fleet.py
+++ b/scenarios/_fleet.py
@@ -11,6 +11,7 @@
 import yaml
 
 from bilberrydeal import adapters
+from bilberrydeal import errors
 from bilberrydeal import keys
 from bilberrydeal import operators
 from bilberrydeal import orders
@@ -39,6 +40,15 @@
 _FIRST_ENTRY_HOST = 10
 _FIRST_AGENT_HOST = 20
 
+#: What a call may raise while faults are in force.
+HARMLESS = (
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    errors.BilberrydealError,
+    _operator.Refused,
+)
+
 Answer = collections.abc.Callable[[], collections.abc.Awaitable[bool]]
 
 
--- /dev/null
+++ b/scenarios/_load.py
@@ -0,0 +1,77 @@
+"""Requests of all organisations, kept in flight on all entries."""
+
+import asyncio
+import random
+
+import attrs
+
+from . import _caller
+from . import _fleet
+
+#: Requests in flight on each entry.
+WORKERS_AN_ENTRY = 3
+#: Share of the load that goes to the plain service.
+PLAIN_SHARE = 0.3
+#: A caller waits so long after a refusal, in seconds.
+REFUSED_PAUSE_S = 0.2
+#: Tries of one deposit or label, over all entries in turn.
+TRIES = 4
+
+
+class Load:
+    """Draws requests from a seed and sends them.
+
+    A deposit or label that got no whole answer is sent again over the next
+    entry under the same ``Idempotency-Key``.
+    """
+
+    def __init__(self, fleet: _fleet.Fleet, seed: int) -> None:
+        self._fleet = fleet
+        self._running = True
+        self._tasks = [
+            asyncio.create_task(
+                self._work(entry, random.Random(f"{seed} {entry} {worker}"))
+            )
+            for entry in range(len(fleet.entries))
+            for worker in range(WORKERS_AN_ENTRY)
+        ]
+
+    async def end(self) -> None:
+        """Let all requests that are in flight end."""
+        self._running = False
+        async with asyncio.timeout(_fleet.PATIENCE_S):
+            await asyncio.gather(*self._tasks)
+
+    def abandon(self) -> None:
+        """Give up at once."""
+        self._running = False
+        for task in self._tasks:
+            task.cancel()
+
+    async def _work(self, entry: int, dice: random.Random) -> None:
+        while self._running:
+            ask = self._draw(dice)
+            for number in range(TRIES):
+                at = (entry + number) % len(self._fleet.entries)
+                outcome = await self._fleet.ask(at, ask)
+                if outcome.answered:
+                    break
+                await asyncio.sleep(REFUSED_PAUSE_S)
+                if not ask.idempotency_key:
+                    break
+
+    def _draw(self, dice: random.Random) -> _caller.Ask:
+        marker = self._fleet.marker()
+        organisation = dice.choice(_fleet.ORGANISATIONS)
+        if self._fleet.plains and dice.random() < PLAIN_SHARE:
+            path = dice.choice(("/stock", "/deposit", "/label"))
+            ask = _caller.plain(path, marker, organisation)
+            once = "" if path == "/stock" else marker
+            return attrs.evolve(ask, idempotency_key=once)
+        return _caller.completion(
+            marker,
+            organisation,
+            max_tokens=dice.randint(1, 120),
+            stream=dice.random() < 0.5,
+            padding=dice.choice((0, 200, 2000)),
+        )
--- a/scenarios/_stage.py
+++ b/scenarios/_stage.py
@@ -4,22 +4,14 @@
 import collections.abc
 import concurrent.futures
 import pathlib
-import random
 import threading
 import typing
 
-import attrs
 import uvloop
 
 from . import _caller
 from . import _fleet
-
-#: Requests that the load keeps in flight on each entry.
-WORKERS_AN_ENTRY = 3
-#: Share of the load that goes to the plain service.
-PLAIN_SHARE = 0.3
-#: A caller of the load waits so long after a refusal, in seconds.
-REFUSED_PAUSE_S = 0.2
+from . import _load
 
 Result = typing.TypeVar("Result")
 Spawned = concurrent.futures.Future[_caller.Outcome]
@@ -35,8 +27,7 @@
         self.outcomes: dict[str, _caller.Outcome] = {}
         self.asks: dict[str, _caller.Ask] = {}
         self._fleet: _fleet.Fleet | None = None
-        self._load: list[concurrent.futures.Future[None]] = []
-        self._loading = False
+        self._load: _load.Load | None = None
         self._thread = threading.Thread(target=self.loop.run_forever)
         self._thread.start()
 
@@ -66,11 +57,10 @@
 
     def close(self) -> None:
         """End the fleet and the thread."""
-        self._loading = False
-        for worker in self._load:
-            worker.cancel()
         for request in self.spawned.values():
             request.cancel()
+        if self._load is not None:
+            self.loop.call_soon_threadsafe(self._load.abandon)
         if self._fleet is not None:
             self.run(self._fleet.__aexit__())
         self.loop.call_soon_threadsafe(self.loop.stop)
@@ -100,38 +90,13 @@
 
     def begin_load(self) -> None:
         """Keep requests of all organisations in flight on all entries."""
-        self._loading = True
-        for entry in range(len(self.fleet.entries)):
-            for worker in range(WORKERS_AN_ENTRY):
-                dice = random.Random(entry * WORKERS_AN_ENTRY + worker)
-                work = self._work(entry, dice)
-                self._load.append(self.spawn(work))
+
+        async def begin() -> None:
+            self._load = _load.Load(self.fleet, seed=1)
+
+        self.run(begin())
 
     def end_load(self) -> None:
         """Let the load run out."""
-        self._loading = False
-        for worker in self._load:
-            worker.result(_fleet.PATIENCE_S)
-        self._load.clear()
-
-    async def _work(self, entry: int, dice: random.Random) -> None:
-        while self._loading:
-            ask = self._draw(dice)
-            outcome = await self.fleet.ask(entry, ask)
-            if not outcome.answered:
-                await asyncio.sleep(REFUSED_PAUSE_S)
-
-    def _draw(self, dice: random.Random) -> _caller.Ask:
-        marker = self.fleet.marker()
-        organisation = dice.choice(_fleet.ORGANISATIONS)
-        if self.fleet.plains and dice.random() < PLAIN_SHARE:
-            path = dice.choice(("/stock", "/deposit", "/label"))
-            ask = _caller.plain(path, marker, organisation)
-            return attrs.evolve(ask, idempotency_key=marker)
-        return _caller.completion(
-            marker,
-            organisation,
-            max_tokens=dice.randint(1, 120),
-            stream=dice.random() < 0.5,
-            padding=dice.choice((0, 200, 2000)),
-        )
+        assert self._load is not None
+        self.run(self._load.end())
--- /dev/null
+++ b/scenarios/soak.py
@@ -0,0 +1,283 @@
+"""Random faults on a fleet under load, and the promises over it all.
+
+Run as ``python -m scenarios.soak --seed 1 --duration-s 600``; exits 1 when a
+promise was broken or the fleet did not recover.
+"""
+
+import asyncio
+import collections
+import collections.abc
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+import cyclopts
+import uvloop
+
+from bilberrydeal import ports
+from bilberrydeal import registry
+from standins import platform
+
+from . import _fleet
+from . import _load
+from . import _places
+from . import _promises
+from . import _proxy
+
+SHAPE = _fleet.Shape(entries=2, engines=4, plains=1)
+#: Longest time that a fault lasts, in seconds.
+LONGEST_S = 6.0
+#: Longest time between two faults of one source, in seconds.
+PAUSE_S = 4.0
+#: Sources of faults, so that two come together.
+SOURCES = 2
+#: Part of the duration that is left for recovery, in seconds.
+RECOVERY_S = 15.0
+
+Fault = collections.abc.Callable[
+    [_fleet.Fleet, random.Random], collections.abc.Awaitable[None]
+]
+FAULTS: registry.Registry[Fault] = registry.Registry("fault")
+
+
+async def last(dice: random.Random) -> None:
+    """Let a fault last for a while."""
+    await asyncio.sleep(dice.uniform(0.2, LONGEST_S))
+
+
+@FAULTS.register("kill_process")
+async def kill_process(fleet: _fleet.Fleet, dice: random.Random) -> None:
+    """Kill an entry or an agent and start it again."""
+    process = dice.choice(fleet.hosts).process
+    process.kill()
+    await last(dice)
+    if not process.alive:
+        process.start()
+
+
+@FAULTS.register("kill_endpoint")
+async def kill_endpoint(fleet: _fleet.Fleet, dice: random.Random) -> None:
+    """Crash an engine or a plain service and start it again."""
+    process = dice.choice([*fleet.engines, *fleet.plains]).endpoint
+    assert process is not None
+    process.kill()
+    await last(dice)
+    if not process.alive:
+        process.start()
+
+
+@FAULTS.register("pause_process")
+async def pause_process(fleet: _fleet.Fleet, dice: random.Random) -> None:
+    """Pause an entry or an agent."""
+    process = dice.choice(fleet.hosts).process
+    if process.alive:
+        process.pause()
+        await last(dice)
+        process.resume()
+
+
+@FAULTS.register("terminate_process")
+async def terminate_process(fleet: _fleet.Fleet, dice: random.Random) -> None:
+    """Replace an entry or an agent gracefully."""
+    process = dice.choice(fleet.hosts).process
+    if not process.alive:
+        return
+    process.terminate()
+
+    async def ended() -> bool:
+        return not process.alive
+
+    await _fleet.eventually(ended, f"the end of {process.name}")
+    process.start()
+
+
+@FAULTS.register("hush_host")
+async def hush_host(fleet: _fleet.Fleet, dice: random.Random) -> None:
+    """Silence one direction of all open connections to a host."""
+    dice.choice(fleet.hosts).front.hush(dice.choice(list(_proxy.Way)))
+
+
+@FAULTS.register("cut_host")
+async def cut_host(fleet: _fleet.Fleet, dice: random.Random) -> None:
+    """Reset all open connections to a host."""
+    dice.choice(fleet.hosts).front.cut()
+
+
+@FAULTS.register("delay_host")
+async def delay_host(fleet: _fleet.Fleet, dice: random.Random) -> None:
+    """Slow all traffic to a host."""
+    front = dice.choice(fleet.hosts).front
+    front.set_weather(_proxy.Weather(delay_s=dice.uniform(0.001, 0.1)))
+    await last(dice)
+    front.set_weather(_proxy.Weather())
+
+
+@FAULTS.register("stall_host")
+async def stall_host(fleet: _fleet.Fleet, dice: random.Random) -> None:
+    """Hold all traffic to a host back."""
+    front = dice.choice(fleet.hosts).front
+    front.set_weather(_proxy.Weather(stall=True))
+    await last(dice)
+    front.set_weather(_proxy.Weather())
+
+
+@FAULTS.register("cut_from_store")
+async def cut_from_store(fleet: _fleet.Fleet, dice: random.Random) -> None:
+    """Cut one host off from the platform."""
+    store = dice.choice(fleet.hosts).store
+    store.set_weather(_proxy.Weather(refuse=True))
+    store.cut()
+    await last(dice)
+    store.set_weather(_proxy.Weather())
+
+
+@FAULTS.register("break_store")
+async def break_store(fleet: _fleet.Fleet, dice: random.Random) -> None:
+    """Let the platform misbehave for all."""
+    fault = dice.choice(
+        (
+            platform.Fault(down=True),
+            platform.Fault(silent=True),
+            platform.Fault(slow_s=0.6),
+            platform.Fault(lose_answers=platform.ALL),
+        )
+    )
+    await fleet.fault(fault)
+    await last(dice)
+    await fleet.fault(platform.Fault())
+
+
+@FAULTS.register("lose_caller_answer")
+async def lose_caller_answer(fleet: _fleet.Fleet, dice: random.Random) -> None:
+    """Lose the next answers of an entry to its callers."""
+    front = dice.choice(fleet.entries).front
+    front.lose_answers(_places.HTTP_PORT, dice.randint(1, 5))
+
+
+@FAULTS.register("change_role")
+async def change_role(fleet: _fleet.Fleet, dice: random.Random) -> None:
+    """Commit an order for an engine, as a planner would."""
+    host = dice.choice(fleet.engines)
+    await fleet.order(host, dice.choice(list(ports.EngineRole)))
+
+
+@FAULTS.register("change_key")
+async def change_key(fleet: _fleet.Fleet, dice: random.Random) -> None:
+    """Withdraw a key and issue another."""
+    organisation = dice.choice(_fleet.ORGANISATIONS)
+    old = fleet.keys[organisation].key_id
+    await fleet.issue_key(organisation)
+    await fleet.operator(0).withdraw_key(old)
+
+
+async def _disturb(
+    fleet: _fleet.Fleet,
+    dice: random.Random,
+    end_s: float,
+    counts: collections.Counter[str],
+) -> None:
+    """Apply one fault after another until ``end_s``."""
+    while time.monotonic() < end_s:
+        name = dice.choice(FAULTS.names())
+        counts[name] += 1
+        print(f"{end_s - time.monotonic():7.1f} s left: {name}", flush=True)
+        try:
+            await FAULTS.get(name)(fleet, dice)
+        except _fleet.HARMLESS as error:
+            counts[f"{name} not applied"] += 1
+            print(f"    not applied: {error!r}")
+        await asyncio.sleep(dice.uniform(0.0, PAUSE_S))
+
+
+async def _heal(fleet: _fleet.Fleet) -> None:
+    """End all faults and wait until every entry serves."""
+    await fleet.fault(platform.Fault())
+    for host in fleet.hosts:
+        host.front.set_weather(_proxy.Weather())
+        host.store.set_weather(_proxy.Weather())
+        for process in host.processes:
+            if process.alive:
+                process.resume()
+            else:
+                process.start()
+    for entry in range(len(fleet.entries)):
+        await fleet.until_served(entry)
+
+
+async def _soak(seed: int, duration_s: float, folder: pathlib.Path) -> int:
+    counts: collections.Counter[str] = collections.Counter()
+    async with _fleet.Fleet(SHAPE, folder) as fleet:
+        load = _load.Load(fleet, seed)
+        end_s = time.monotonic() + duration_s
+        await asyncio.gather(
+            *(
+                _disturb(fleet, random.Random(f"{seed} {n}"), end_s, counts)
+                for n in range(SOURCES)
+            )
+        )
+        await _heal(fleet)
+        await load.end()
+        await asyncio.sleep(RECOVERY_S)
+        evidence = fleet.evidence()
+    _print_figures(evidence, counts, duration_s)
+    found = _promises.broken(evidence)
+    for sentence in found:
+        print(f"BROKEN {sentence}")
+    print(f"seed {seed}: {len(found)} breaks")
+    return 1 if found else 0
+
+
+def _print_figures(
+    evidence: _promises.Evidence,
+    counts: collections.Counter[str],
+    duration_s: float,
+) -> None:
+    """Print what was done and what callers got."""
+    for name, count in sorted(counts.items()):
+        print(f"fault {name}: {count}")
+    kinds = collections.Counter(
+        "answered"
+        if outcome.answered
+        else outcome.code or f"lost, status {outcome.status}"
+        for outcome in evidence.outcomes
+    )
+    for kind, count in kinds.most_common():
+        print(f"outcome {kind}: {count}")
+    print(f"goodput: {kinds['answered'] / duration_s:.1f} answers a second")
+    reports = collections.Counter(
+        report.outcome for report in evidence.reports()
+    )
+    for kind, count in reports.items():
+        print(f"usage reports {kind}: {count}")
+    billed = _promises.billed_calls(evidence).total()
+    ran = len(evidence.generations()) + len(evidence.calls())
+    print(f"calls billed: {billed} of {ran} that ran")
+
+
+APP = cyclopts.App(result_action="return_value")
+
+
+@APP.default
+def soak(
+    *,
+    seed: int = 1,
+    duration_s: float = 600.0,
+    folder: pathlib.Path | None = None,
+) -> int:
+    """Soak a fleet; logs and journals go to ``folder``."""
+    with tempfile.TemporaryDirectory() as temporary:
+        chosen = folder or pathlib.Path(temporary)
+        chosen.mkdir(parents=True, exist_ok=True)
+        return uvloop.run(_soak(seed, duration_s, chosen))
+
+
+def main() -> int:
+    """Run the command line."""
+    result = APP()
+    return result if isinstance(result, int) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
