Let large fleets start without reading every row each

Entries that start read the rows of entries and the shards that they rank for; the rest comes from peers. A renewal tells its period to readers.

--- a/bilberrydeal/billing/_recorder.py
+++ b/bilberrydeal/billing/_recorder.py
@@ -70,6 +70,11 @@
 class Recorder:
     """Counts usage for one incarnation of an entry.
 
+    The name is that of the incarnation, by which requests are numbered.
+    After :class:`RecorderClosed` a recorder of a new name goes on: it
+    settles records of the incarnation's requests as those of any closed
+    recorder, but bills none of them itself.
+
     Example::
 
         recorder = Recorder(client, "h1.66a.1f", rule)
@@ -102,6 +107,13 @@
         """Return how many records wait to be settled."""
         return self._count
 
+    def homes(self) -> tuple[str, ...]:
+        """Return other entries whose records wait here.
+
+        Those that are gone are to be adopted before the next settlement.
+        """
+        return tuple(home for home in self._waiting if home != self.name)
+
     # What is to be counted.
 
     def take(self, message: link.UsageRecords) -> None:
--- a/bilberrydeal/billing/_sweep.py
+++ b/bilberrydeal/billing/_sweep.py
@@ -28,8 +28,8 @@
     for table in (_rows.USAGE, _rows.SEALS, _rows.REPORTS):
         page = await client.scan_page(table, "", limit=ROWS_A_STEP)
         old.extend(row for row in page if _window(row) < oldest)
-    page = await client.scan_page(_rows.RECORDERS, "", limit=ROWS_A_STEP)
-    old.extend(row for row in page if _long_closed(row, wall_s))
+    recorders = await client.scan_all(_rows.RECORDERS, "")
+    old.extend(row for row in recorders if _long_closed(row, wall_s))
     await _remove(client, old[:ROWS_A_STEP])
     return len(old[:ROWS_A_STEP])
 
--- a/bilberrydeal/configuration/__init__.py
+++ b/bilberrydeal/configuration/__init__.py
@@ -16,6 +16,7 @@
 from ._follow import Follower
 from ._follow import RelayChanges
 from ._follow import RelayHead
+from ._follow import SnapshotLoaded
 from ._rows import Access
 from ._rows import KeyRecord
 from ._rows import Model
@@ -43,6 +44,7 @@
     "SetModel",
     "SetOrganisation",
     "SetRoute",
+    "SnapshotLoaded",
     "WithdrawKey",
     "decode_change",
     "encode_change",
--- a/bilberrydeal/configuration/_commit.py
+++ b/bilberrydeal/configuration/_commit.py
@@ -179,6 +179,11 @@
                     ),
                 )
             )
+            # The one before stays for followers that know of it only.
+            await self._objects.delete(
+                _store.snapshot_name(current.revision - 2 * SNAPSHOT_EVERY),
+                self._client.call_timeout_s,
+            )
         except (
             errors.StoreUnavailable,
             errors.TableConflict,
--- a/bilberrydeal/configuration/_follow.py
+++ b/bilberrydeal/configuration/_follow.py
@@ -41,6 +41,14 @@
     revisions: tuple[_store.Revision, ...]
 
 
+@attrs.frozen
+class SnapshotLoaded:
+    """Told to listeners in place of the changes that a snapshot skipped."""
+
+    #: Revision of the snapshot.
+    revision: int
+
+
 class Follower:
     """Keeps the newest configuration that this process knows.
 
@@ -63,7 +71,11 @@
         self.confirmed_s: float | None = None
 
     def listen(self, listener: Listener) -> None:
-        """Call ``listener`` after each change that is applied."""
+        """Call ``listener`` after each change that is applied.
+
+        A snapshot that took the place of many changes is told as
+        :class:`SnapshotLoaded`.
+        """
         self._listeners.append(listener)
 
     async def poll(self, now_s: float) -> int:
@@ -133,10 +145,14 @@
         if loaded.revision > self.current.revision:
             self.current = loaded
             self._kept.clear()
+            self._tell(SnapshotLoaded(loaded.revision))
 
     def _advance(self, revision: _store.Revision) -> None:
         change = revision.opened()
         self.current = self.current.apply(change)
         self._kept.append(revision)
+        self._tell(change)
+
+    def _tell(self, change: _changes.Change) -> None:
         for listener in self._listeners:
             listener(change, self.current)
--- a/bilberrydeal/configuration/tests/test_follow.py
+++ b/bilberrydeal/configuration/tests/test_follow.py
@@ -120,7 +120,8 @@
     calls = table.calls
     loop.run(entry.follower.poll(loop.now_s))
     assert entry.follower.current.revision == revisions
-    assert len(entry.seen) == (revisions if lost else 5)
+    # The snapshot is told as one change.
+    assert len(entry.seen) == (revisions if lost else 1 + 5)
     assert table.calls - calls <= (1 + revisions // 100 + 1 if lost else 2)
 
 
--- a/bilberrydeal/keys/_freshness.py
+++ b/bilberrydeal/keys/_freshness.py
@@ -17,6 +17,9 @@
 
 from .. import errors
 
+#: Covers drift of clocks over the longest pact, in seconds.
+MARGIN_S = 1.0
+
 
 @attrs.frozen
 class PeerKnowledge:
@@ -67,9 +70,9 @@
         self,
         own: str,
         bound_s: float,
-        margin_s: float,
         pact_longest_s: float,
         call_longest_s: float,
+        margin_s: float = MARGIN_S,
     ) -> None:
         self.own = own
         self.bound_s = bound_s
--- a/bilberrydeal/leases/tests/test_lease.py
+++ b/bilberrydeal/leases/tests/test_lease.py
@@ -52,8 +52,13 @@
                 late_s=20.0,
                 pause_s=25.0,
             )
+            # A pause outlasts no timer of the paused process itself.
             client = faults.make_client(
-                self.loop, table, seed=self.rng.randrange(99), rate=rate
+                self.loop,
+                table,
+                seed=self.rng.randrange(99),
+                rate=rate,
+                call_timeout_s=self.rng.choice([1.0, 30.0]),
             )
             lease = leases.Lease(
                 client, "duty", f"{name}.{incarnation}", BOUNDS
--- a/bilberrydeal/membership/_directory.py
+++ b/bilberrydeal/membership/_directory.py
@@ -11,14 +11,19 @@
 from . import _relay
 from . import _shard
 
-#: Rows that all entries of a region together read in a second, at most.
-ROWS_READ_PER_S = 1_000.0
+#: Rows a second that the first readers of all shards read together.
+ROWS_READ_PER_S = 700.0
 #: The observation clock advances by so many read periods at most.
 STEP_PERIODS = 2.0
-#: Entries that would read a shard before the rest, one after the other.
+#: Each entry in rank waits twice as long as the one before it, up to here.
 RANKS = 4
 #: From so many due shards on, the whole table is read at once.
 READ_WHOLE_FROM = 8
+#: With more entries than that, one that starts reads only the shards that
+#: it ranks for and takes the rest from peers.
+FEW_ENTRIES = 8
+#: Peers are asked about shards older than this share of a read period.
+ASK_SHARE = 0.5
 
 
 class MemberDirectory:
@@ -43,12 +48,13 @@
         self._read_s = read_s
         self._hosts: dict[str, ports.HostRecord] = {}
         self._renewal_seen_s = float("-inf")
+        self._started_s: float | None = None
         prefixes = [_members.ENTRIES] + [
             f"{_members.AGENTS}{n:x}/" for n in range(_members.AGENT_SHARDS)
         ]
         step_s = read_s * STEP_PERIODS
         self._shards = {p: _shard.Shard(p, step_s) for p in prefixes}
-        #: Last version seen of each entry's row, to notice renewals.
+        #: When each shard's observation clock last advanced.
         self._advanced_s = dict.fromkeys(prefixes, float("-inf"))
 
     # The view.
@@ -102,28 +108,46 @@
 
     async def poll(self, now_s: float) -> None:
         """Read the shards that are due; raises ``StoreUnavailable``."""
+        if self._shards[_members.ENTRIES].confirmed_s is None:
+            await self.read_entries(now_s)
         due = self.due(now_s)
         if len(due) >= READ_WHOLE_FROM:
             await self._read_whole(now_s)
             return
         for prefix in due:
-            rows = await self._client.scan_all(_members.TABLE, prefix)
-            self._take(prefix, rows, now_s)
+            await self._read_shard(prefix, now_s)
+
+    async def read_entries(self, now_s: float) -> None:
+        """Read the entries now, as an entry does after it joined."""
+        await self._read_shard(_members.ENTRIES, now_s)
 
     async def read_all(self, now_s: float) -> None:
-        """Read everything now, as an entry does after it joined."""
+        """Read everything now."""
         await self._read_whole(now_s)
 
     def due(self, now_s: float) -> tuple[str, ...]:
         """Return the shards that this process should read now."""
-        period_s = self.period_s()
+        if self._started_s is None:
+            self._started_s = now_s
+        entries = self._shards[_members.ENTRIES]
+        if entries.confirmed_s is None:
+            return (_members.ENTRIES,)
         return tuple(
             prefix
             for prefix, shard in self._shards.items()
-            if shard.confirmed_s is None
-            or now_s - shard.confirmed_s >= period_s * (1 + self._rank(prefix))
+            if self._is_due(shard, now_s)
         )
 
+    def _is_due(self, shard: _shard.Shard, now_s: float) -> bool:
+        period_s = self.period_s()
+        wait_s = period_s * (1 << self._rank(shard.prefix))
+        if shard.confirmed_s is not None:
+            return now_s - shard.confirmed_s >= wait_s
+        if len(self.entries()) <= FEW_ENTRIES:
+            return True
+        started_s = self._started_s or now_s
+        return now_s - started_s >= wait_s - period_s
+
     def period_s(self) -> float:
         """Return the time between two reads of a shard by anybody."""
         rows = sum(len(shard.rows) for shard in self._shards.values())
@@ -132,16 +156,19 @@
     # Peers.
 
     def ages(self, now_s: float) -> tuple[_relay.ShardAge, ...]:
-        """Return what to tell a peer, so that it answers with news."""
-        return tuple(
-            _relay.ShardAge(
-                shard=prefix,
-                age_s=None
-                if shard.confirmed_s is None
-                else now_s - shard.confirmed_s,
-            )
-            for prefix, shard in self._shards.items()
-        )
+        """Return what to tell a peer, so that it answers with news.
+
+        Shards whose knowledge is young are left out.
+        """
+        old_s = self.period_s() * ASK_SHARE
+        found = []
+        for prefix, shard in self._shards.items():
+            age_s = None
+            if shard.confirmed_s is not None:
+                age_s = now_s - shard.confirmed_s
+            if age_s is None or age_s >= old_s:
+                found.append(_relay.ShardAge(shard=prefix, age_s=age_s))
+        return tuple(found)
 
     def relay(
         self, ages: collections.abc.Iterable[_relay.ShardAge], now_s: float
@@ -166,6 +193,10 @@
             if shard is not None:
                 shard.take_news(relayed, sent_s, now_s)
 
+    async def _read_shard(self, prefix: str, now_s: float) -> None:
+        rows = await self._client.scan_all(_members.TABLE, prefix)
+        self._take(prefix, rows, now_s)
+
     async def _read_whole(self, now_s: float) -> None:
         rows = await self._client.scan_all(_members.TABLE, "")
         for prefix in self._shards:
--- a/bilberrydeal/membership/_registration.py
+++ b/bilberrydeal/membership/_registration.py
@@ -51,12 +51,18 @@
     ) -> None:
         self.member = member
         self._client = client
+        self._renew_s = member.renew_s
         #: Version of the own row, ``None`` while it is not known.
         self._version: int | None = None
 
     def renewal_s(self, members: int) -> float:
-        """Return the time to the next renewal, longer in a large fleet."""
-        return max(self.member.renew_s, members / RENEWALS_PER_S)
+        """Return the time to the next renewal, longer in a large fleet.
+
+        The row tells it to readers from the next write on.
+        """
+        period_s = max(self._renew_s, members / RENEWALS_PER_S)
+        self.member = attrs.evolve(self.member, renew_s=period_s)
+        return period_s
 
     async def join(self, wall_s: float) -> float:
         """Write the row; return when that was sent, monotonic seconds."""
--- a/bilberrydeal/membership/tests/test_membership.py
+++ b/bilberrydeal/membership/tests/test_membership.py
@@ -165,7 +165,7 @@
     fleet.live(20.0)
     calls = sum(table.calls for table in fleet.tables.values()) - before
     reads_per_s = calls / 20.0 - renewals
-    shards = len(fleet.directories["e1"].ages(0.0))
+    shards = len(fleet.directories["e1"].due(float("inf")))
     assert reads_per_s <= shards / READ_S * 1.1
 
 
--- a/bilberrydeal/store/tests/faults.py
+++ b/bilberrydeal/store/tests/faults.py
@@ -124,11 +124,12 @@
     table: ports.TableService,
     seed: int = 1,
     rate: float = 1.0,
+    call_timeout_s: float = 1.0,
 ) -> store.StoreClient:
     """Return a client on a loop's clock, which may run fast or slow."""
     return store.StoreClient(
         table,
-        call_timeout_s=1.0,
+        call_timeout_s=call_timeout_s,
         call_rate_per_s=1_000.0,
         rng=random.Random(seed),
         clock=lambda: loop.now_s * rate,
