--- a/bilberrydeal/billing/tests/test_billing.py
+++ b/bilberrydeal/billing/tests/test_billing.py
@@ -301,3 +301,15 @@
     assert found == expected
     assert all(position in found for position in positions)
     assert 99 not in found
+
+
+def test_a_recorder_with_a_slow_clock_opens_past_sealed_windows() -> None:
+    loop = virtual.VirtualLoop()
+    memory = platform.MemoryTable()
+    _recorder(loop, memory, "e1")
+    client = faults.make_client(loop, memory)
+    slow = billing.Recorder(client, "e2", RULE)
+    loop.run(slow.open(loop.now_s - 500.0))
+    rows = loop.run(memory.scan("recorders", "", "", 9, 1.0))
+    passed = [store.decode(r.value, billing.RecorderRow).passed for r in rows]
+    assert passed[0] == passed[1]
--- a/bilberrydeal/claims/tests/test_claims.py
+++ b/bilberrydeal/claims/tests/test_claims.py
@@ -238,3 +238,14 @@
     assert isinstance(_begin(loop, owner, 3, late_s), claims.Unknown)
     assert loop.run(owner.sweep(2 * late_s)) == 1
     assert isinstance(_begin(loop, owner, 4, 2 * late_s), claims.Claimed)
+
+
+def test_a_former_dispatch_does_not_end_a_moved_claim() -> None:
+    loop = virtual.VirtualLoop()
+    owner, _ = _owner(loop)
+    first = _begin(loop, owner, 1)
+    assert isinstance(first, claims.Claimed)
+    moved = loop.run(owner.move(first.claim, _dispatch(2)))
+    loop.run(owner.doubt(first.claim, 0.0))
+    found = _begin(loop, owner, 3)
+    assert found == claims.InProgress(moved)
--- a/bilberrydeal/store/tests/test_client.py
+++ b/bilberrydeal/store/tests/test_client.py
@@ -142,3 +142,18 @@
     loop.run(client.commit(ports.Transaction((), writes)))
     rows = loop.run(client.scan_all("t", ""))
     assert [row.key for row in rows] == [write.key for write in writes]
+
+
+def test_another_check_that_fails_ends_a_doubt() -> None:
+    loop = virtual.VirtualLoop()
+    memory = platform.MemoryTable()
+    table = faults.FaultyTable(
+        memory, random.Random(1), script=[Fault.LOST_BEFORE]
+    )
+    client = faults.make_client(loop, table)
+    marker = _transaction(0, "mine")
+    fence = ports.Check("t", "fence", 7)
+    both = ports.Transaction((*marker.checks, fence), marker.writes)
+    with pytest.raises(errors.TableConflict) as caught:
+        loop.run(client.commit_resolved(both, KEY, "mine"))
+    assert caught.value.key == "fence"
