--- a/bench/fleet_loads.py
+++ b/bench/fleet_loads.py
@@ -8,7 +8,7 @@
 
 #: Length of one step of a load and of the model that serves it.
 STEP_S = 1.0
-#: Requests a second for each endpoint that the fleet was planned with.
+#: Requests a second that keep one endpoint busy.
 REQUESTS_PER_S = 1.5
 #: Prompt's part of the work of an average request.
 PROMPT_SHARE = 0.38
@@ -92,12 +92,24 @@
     return at
 
 
+def surge(busy: float) -> Curve:
+    """Return a load that doubles within two minutes, and falls again."""
+
+    def at(now_s: float) -> Shape:
+        phase = now_s % 1200.0
+        rise = min(1.0, max(0.0, (250.0 - abs(phase - 600.0)) / 120.0))
+        return Shape(busy * (1.0 + rise), PROMPT_SHARE)
+
+    return at
+
+
 CURVES: dict[str, collections.abc.Callable[[float], Curve]] = {
     "steady": steady,
     "swing": swing,
     "holy_week": holy_week,
     "endpoint_losses": swing,
     "domain_loss": swing,
+    "surge": surge,
 }
 
 
@@ -109,14 +121,14 @@
     curve = CURVES[name](busy)
     steps = int(duration_s / STEP_S)
     arrivals = tuple(
-        _step(curve(step * STEP_S), endpoints, drawn) for step in range(steps)
+        _step(curve(step * STEP_S), drawn) for step in range(steps)
     )
     return Load(arrivals, tuple(_outages(name, endpoints, duration_s, drawn)))
 
 
-def _step(shape: Shape, endpoints: int, drawn: random.Random) -> Arrivals:
-    requests = _poisson(REQUESTS_PER_S * endpoints * STEP_S, drawn)
-    work_s = shape.busy / (REQUESTS_PER_S * endpoints)
+def _step(shape: Shape, drawn: random.Random) -> Arrivals:
+    work_s = 1.0 / REQUESTS_PER_S
+    requests = _poisson(shape.busy / work_s * STEP_S, drawn)
     prefill_s = decode_s = 0.0
     for _ in range(requests):
         prefill_s += work_s * shape.prompt_share * _spread(drawn)
--- a/bilberrydeal/systems/fleet/_entities.py
+++ b/bilberrydeal/systems/fleet/_entities.py
@@ -38,6 +38,8 @@
     failure_domain: str
     #: Whether it can serve: live, healthy, and not leaving.
     usable: bool = True
+    #: Monotonic time since when it is not usable, where it is not.
+    unusable_since_s: float = 0.0
     #: Whether a release of it is decided or its host is leaving.
     leaving: bool = False
     #: Work in flight on it, to release the least busy first.
--- a/bilberrydeal/systems/fleet/_rules.py
+++ b/bilberrydeal/systems/fleet/_rules.py
@@ -21,7 +21,13 @@
     delivery_s: float = 60.0
     #: Share of its capacity that an endpoint is planned to be busy.
     busy_share: float = 0.85
+    #: The same while failure domains are lost.
+    busy_share_lost: float = 0.95
+    #: Load is averaged over so long before its peak is taken.
+    smoothing_s: float = 60.0
     #: The load must have allowed a release for so long.
     release_after_s: float = 600.0
+    #: The fleet left must serve this part more than the peak.
+    release_margin: float = 0.05
     #: Time between two releases of a service.
     release_every_s: float = 60.0
