--- a/bilberrydeal/systems/_entities.py
+++ b/bilberrydeal/systems/_entities.py
@@ -26,18 +26,6 @@
     HALF_OPEN = "half_open"
 
 
-@attrs.frozen
-class SentWork:
-    """Work sent to an endpoint that its last report may not show yet."""
-
-    #: When it was sent.
-    at_s: float
-    #: Prompt tokens to compute.
-    prompt_tokens: float
-    #: Tokens to generate, as expected.
-    output_tokens: float
-
-
 @attrs.frozen
 class LoadFigures:
     """Load of an endpoint as it was some time ago."""
@@ -84,12 +72,8 @@
     prefill_tokens_per_s: float = 8_000.0
     #: Tokens generated a second over all requests there.
     decode_tokens_per_s: float = 1_000.0
-    #: Work that this process sent since the report, oldest first.
-    sent: list[SentWork] = attrs.field(factory=list)
-    #: Time that the work there takes, as estimated at ``backlog_at_s``.
-    backlog_s: float = 0.0
-    #: When the backlog was estimated.
-    backlog_at_s: float = -math.inf
+    #: When this process sent requests that the report may not show yet.
+    sent_at_s: list[float] = attrs.field(factory=list)
     #: How much slower it is than its peers, 1 for as fast.
     slowness: float = 1.0
     #: Whether it gets requests.
@@ -181,6 +165,8 @@
     prefill_endpoint_id: str = ""
     #: Prompt tokens likely in the cache of the endpoint chosen.
     cached_tokens: int = 0
+    #: Time from sending to the first token, as the router expects.
+    expected_first_s: float = 0.0
 
     @property
     def key(self) -> str:
