--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -12,13 +12,21 @@
 from ._experiments import Measured
 from ._experiments import Target
 from ._request_path import RequestPath
+from .fleet_experiments import FleetSize
+from .fleet_experiments import Recovery
+from .fleet_experiments import Roles
+from .fleet_experiments import Subsets
 
 __all__ = [
     "Case",
     "EXPERIMENTS",
     "Experiment",
     "Figure",
+    "FleetSize",
     "Measured",
+    "Recovery",
     "RequestPath",
+    "Roles",
+    "Subsets",
     "Target",
 ]
--- a/bilberrydeal/systems/fleet/_rules.py
+++ b/bilberrydeal/systems/fleet/_rules.py
@@ -26,8 +26,8 @@
     #: Load is averaged over so long before its peak is taken.
     smoothing_s: float = 60.0
     #: The load must have allowed a release for so long.
-    release_after_s: float = 600.0
+    release_after_s: float = 300.0
     #: The fleet left must serve this part more than the peak.
     release_margin: float = 0.05
     #: Time between two releases of a service.
-    release_every_s: float = 60.0
+    release_every_s: float = 30.0
--- a/bilberrydeal/systems/pacing/_bucket.py
+++ b/bilberrydeal/systems/pacing/_bucket.py
@@ -25,6 +25,11 @@
     def __attrs_post_init__(self) -> None:
         self._tokens = self.burst
 
+    def set_rate(self, rate_per_s: float, now_s: float) -> None:
+        """Change the rate from now on."""
+        self._refill(now_s)
+        self.rate_per_s = rate_per_s
+
     def reserve(self, tokens: float, now_s: float) -> float:
         """Take tokens, if need be ahead of time.
 
--- a/bilberrydeal/systems/pacing/_recovery.py
+++ b/bilberrydeal/systems/pacing/_recovery.py
@@ -11,64 +11,89 @@
 class Work(enum.StrEnum):
     """Kinds of recovery work, the most urgent first."""
 
-    #: Reads without which an entry cannot serve: keys and configuration.
+    #: Store calls without which an entry cannot serve: keys, members.
     SERVE = "serve"
     #: Dials to endpoints and peers.
     DIAL = "dial"
-    #: Reads and writes that finish what others left: usage, claims.
+    #: Store calls that finish what waited or what others left: usage,
+    #: claims.
     ADOPT = "adopt"
 
 
 @attrs.frozen
 class PacingRules:
-    """Rates of one process for its recovery work."""
+    """Rates of recovery work, of all processes together and of one."""
 
-    #: Store calls a second, on average, of one process that recovers.
-    store_calls_per_s: float = 4.0
-    #: Store calls that may go at once.
-    store_burst: float = 8.0
-    #: Dials a second.
+    #: Calls a second of all processes for work that can wait; well below
+    #: the writes that the store takes.
+    adopt_calls_per_s: float = 200.0
+    #: Most calls a second of one process for work that can wait.
+    adopt_calls_max_per_s: float = 4.0
+    #: Dials a second of one process.
     dials_per_s: float = 10.0
     #: Dials that may go at once.
     dial_burst: float = 8.0
+    #: Urgent calls begin within this time.
+    serve_jitter_s: float = 0.2
     #: Work that can wait begins at a random time within this span.
-    spread_s: float = 20.0
+    adopt_spread_s: float = 10.0
 
 
 class RecoveryPacer:
     """Tells each piece of recovery work how long to wait.
 
-    What an entry needs to serve goes first and at once within its burst;
-    the rest begins at a random time, so that many processes that recover
-    at the same moment do not call the store together. ``restarted`` is
-    called when a process starts or finds the store again after a cut.
+    Urgent calls are not paced but made one at a time: the store's own
+    answers pace them, and a process that recovers alone serves at once.
+    Work that can wait has a rate that all processes share, and begins at a
+    random time. A process has one call of each kind in flight.
+
+    Example::
+
+        pacer = RecoveryPacer(PacingRules(), 410, seed, now_s)
+        await asyncio.sleep(pacer.wait_s(Work.ADOPT, now_s))
+        await settle_one_window()
     """
 
-    def __init__(self, rules: PacingRules, seed: int, now_s: float) -> None:
+    def __init__(
+        self, rules: PacingRules, processes: int, seed: int, now_s: float
+    ) -> None:
         self._rules = rules
         self._random = random.Random(seed)
-        self._store = _bucket.TokenBucket(
-            rate_per_s=rules.store_calls_per_s,
-            burst=rules.store_burst,
-            now_s=now_s,
-        )
         self._dials = _bucket.TokenBucket(
             rate_per_s=rules.dials_per_s, burst=rules.dial_burst, now_s=now_s
         )
+        self._adopt = _bucket.TokenBucket(
+            rate_per_s=rules.adopt_calls_max_per_s, burst=1.0, now_s=now_s
+        )
+        self._serve_from_s = now_s
         self._adopt_from_s = now_s
+        self.resize(processes, now_s)
         self.restarted(now_s)
 
+    def resize(self, processes: int, now_s: float) -> None:
+        """Share the rates between so many processes from now on."""
+        rules = self._rules
+        rate_per_s = min(
+            rules.adopt_calls_max_per_s,
+            rules.adopt_calls_per_s / max(1, processes),
+        )
+        self._adopt.set_rate(rate_per_s, now_s)
+
     def restarted(self, now_s: float) -> None:
-        """Draw anew when work that can wait may begin."""
+        """Draw anew when work may begin, at a start or after a cut."""
+        rules = self._rules
+        self._serve_from_s = now_s + self._random.uniform(
+            0.0, rules.serve_jitter_s
+        )
         self._adopt_from_s = now_s + self._random.uniform(
-            0.0, self._rules.spread_s
+            0.0, rules.adopt_spread_s
         )
 
-    def wait_s(self, work: Work, calls: int, now_s: float) -> float:
-        """Reserve ``calls`` and return how long to wait before them."""
-        if work is Work.DIAL:
-            return self._dials.reserve(calls, now_s)
-        bucket_wait_s = self._store.reserve(calls, now_s)
+    def wait_s(self, work: Work, now_s: float) -> float:
+        """Reserve one call or dial and return how long to wait for it."""
         if work is Work.SERVE:
-            return bucket_wait_s
-        return max(bucket_wait_s, self._adopt_from_s - now_s)
+            return max(0.0, self._serve_from_s - now_s)
+        if work is Work.DIAL:
+            return self._dials.reserve(1.0, now_s)
+        wait_s = self._adopt.reserve(1.0, now_s)
+        return max(wait_s, self._adopt_from_s - now_s)
--- a/bilberrydeal/systems/subsets/_covered.py
+++ b/bilberrydeal/systems/subsets/_covered.py
@@ -68,7 +68,7 @@
     size: int,
 ) -> Subsets:
     """Return the subsets of all entries, by the entry's key."""
-    names = sorted(member.key for member in entries)
+    names = sorted({member.key for member in entries})
     links = len(names) * size // len(endpoints)
     chosen: dict[str, list[_registry.EndpointMember]]
     chosen = {name: [] for name in names}
