--- a/bench/link_cost.py
+++ b/bench/link_cost.py
@@ -103,10 +103,11 @@
 async def measure(streams: int, steps: int) -> Cost:
     """Be the entry's end and return what both took."""
     ports = [harness.free_port(), harness.free_ports(harness.LINK_PORTS)]
-    command = [sys.executable, "-m", "bench.link_cost", "agent"]
-    numbers = [streams, steps, *ports]
-    agent = subprocess.Popen(
-        [*command, *map(str, numbers)], stdout=subprocess.PIPE
+    agent = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *["-m", "bench.link_cost", "agent"],
+        *map(str, [streams, steps, *ports]),
+        stdout=subprocess.PIPE,
     )
     async with harness.entry(
         ports[0], link_settings=settings.LinkSettings()
@@ -118,7 +119,7 @@
         began_s = time.process_time()
         answers = await asyncio.gather(*map(consume, calls))
         entry_s = time.process_time() - began_s
-        output, _ = await asyncio.to_thread(agent.communicate)
+        output, _ = await agent.communicate()
     tokens = sum(answers)
     return Cost(
         streams=streams,
--- a/bilberrydeal/agent/_agent.py
+++ b/bilberrydeal/agent/_agent.py
@@ -20,6 +20,8 @@
 
 #: Time between two sends of usage records.
 USAGE_FLUSH_S = 0.2
+#: Time between two reminders of records that are not settled.
+USAGE_REMINDER_S = 10.0
 #: Time between two looks at whether all is done when shutting down.
 DRAIN_POLL_S = 0.05
 
@@ -42,6 +44,7 @@
         self._leaving = False
         self.keeper: _orders.OrderKeeper | None = None
         self.feed: _feed.EngineFeed | None = None
+        self._tracing = telemetry.Tracing(agent_settings.trace, "agent")
         self.usage = _usage.UsageBook(name, self._send_usage)
         self.executor = _executor.Executor(
             agent_settings,
@@ -49,6 +52,7 @@
             queueing.QUEUES.get(agent_settings.policy.queueing)(),
             clock,
             self._count,
+            self._tracing,
         )
         self.links = link.LinkServer(
             name, agent_settings, self, self.executor, clock
@@ -70,6 +74,7 @@
         try:
             await self.links.run()
         finally:
+            self._tracing.close()
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -154,7 +159,11 @@
     def _loops(
         self,
     ) -> list[collections.abc.Coroutine[object, object, None]]:
-        loops = [self.executor.run(), self._flush_usage()]
+        loops = [
+            self.executor.run(),
+            self._flush_usage(),
+            self._remind_of_usage(),
+        ]
         if self.keeper is not None:
             loops.append(self.keeper.run())
         if self.feed is not None:
@@ -166,6 +175,11 @@
             await asyncio.sleep(USAGE_FLUSH_S)
             self.usage.flush()
 
+    async def _remind_of_usage(self) -> None:
+        while True:
+            await asyncio.sleep(USAGE_REMINDER_S)
+            self.usage.remind()
+
     def _refusal(self) -> errors.ErrorCode | None:
         if self._leaving:
             return errors.ErrorCode.ENDPOINT_LEAVING
--- a/bilberrydeal/agent/_executor.py
+++ b/bilberrydeal/agent/_executor.py
@@ -65,12 +65,14 @@
         queue: queueing.Queue,
         clock: collections.abc.Callable[[], float],
         count: collections.abc.Callable[[link.Submit, _meter.Meter], None],
+        tracing: telemetry.Tracing,
     ) -> None:
         self._settings = agent_settings
         self._driver = driver
         self._queue = queue
         self._clock = clock
         self._count = count
+        self._tracing = tracing
         self._pace = _pace.Pace()
         self._waiting: dict[str, _Job] = {}
         self._running: dict[str, _Job] = {}
@@ -190,11 +192,16 @@
                 return
             job = self._waiting.pop(item.key)
             self._running[item.key] = job
-            job.driving = asyncio.create_task(
-                self._driver.run(job.work, job.meter)
-            )
+            job.driving = asyncio.create_task(self._drive(job))
             job.task = asyncio.create_task(self._run(job, job.driving))
 
+    async def _drive(self, job: _Job) -> None:
+        submit = job.work.submit
+        with self._tracing.span("agent", submit.traceparent) as span:
+            span.note("request", str(submit.number))
+            await self._driver.run(job.work, job.meter)
+            span.note("output_tokens", job.meter.output_tokens)
+
     def _end(self, job: _Job, reason: errors.ErrorCode) -> None:
         """Answer at once; the endpoint is told in the background."""
         if job.work.ended:
--- a/bilberrydeal/agent/_usage.py
+++ b/bilberrydeal/agent/_usage.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import itertools
 
 import attrs
 
@@ -10,6 +11,8 @@
 
 #: Records in one message.
 MESSAGE_RECORDS = 200
+#: Records sent again at once.
+REMINDED_RECORDS = 2_000
 #: Records that wait for settlement; past it no new work is taken.
 PENDING_LIMIT = 20_000
 
@@ -72,6 +75,12 @@
         self._unsent.clear()
         self._send_to_entries(unsent)
 
+    def remind(self) -> None:
+        """Send the oldest records again: an entry may have dropped them."""
+        self._send_to_entries(
+            list(itertools.islice(self._pending, REMINDED_RECORDS))
+        )
+
     def joined(self, entry: str) -> None:
         """Send to an entry with a new link all that it has to settle."""
         if entry not in self._connected:
@@ -102,6 +111,11 @@
         for record in records:
             self._pending.pop(record, None)
 
+    @property
+    def _acked(self) -> int:
+        """The last record that was settled with all before it."""
+        return next(iter(self._pending), self._last + 1) - 1
+
     def _send_to_entries(self, numbers: list[int]) -> None:
         """Send records to their entries, orphans to any entry."""
         parcels: dict[str, list[link.UsageRecord]] = {}
@@ -117,5 +131,8 @@
             for first in range(0, len(records), MESSAGE_RECORDS):
                 part = tuple(records[first : first + MESSAGE_RECORDS])
                 self._send(
-                    entry, link.UsageRecords(agent=self._agent, records=part)
+                    entry,
+                    link.UsageRecords(
+                        agent=self._agent, records=part, acked=self._acked
+                    ),
                 )
--- a/bilberrydeal/agent/tests/test_executor.py
+++ b/bilberrydeal/agent/tests/test_executor.py
@@ -8,6 +8,7 @@
 from bilberrydeal import errors
 from bilberrydeal import link
 from bilberrydeal import settings
+from bilberrydeal import telemetry
 from bilberrydeal.agent import _drivers
 from bilberrydeal.agent import _executor
 from bilberrydeal.agent import _meter
@@ -39,6 +40,7 @@
             lambda submit, meter: self.counted.append(
                 (submit.number.sequence, meter)
             ),
+            telemetry.Tracing(settings.TraceSettings(), "agent"),
         )
 
     def submit(self, **fields: typing.Any) -> link.Work:
--- a/bilberrydeal/agent/tests/test_usage.py
+++ b/bilberrydeal/agent/tests/test_usage.py
@@ -3,7 +3,7 @@
 from bilberrydeal.agent import _usage
 from bilberrydeal.link.tests import harness
 
-Sent = list[tuple[str, tuple[int, ...]]]
+Sent = list[tuple[str, tuple[int, ...], int]]
 
 
 def book(sent: Sent) -> _usage.UsageBook:
@@ -11,7 +11,7 @@
 
     def send(entry: str, records: link.UsageRecords) -> None:
         numbers = tuple(record.record for record in records.records)
-        sent.append((entry, numbers))
+        sent.append((entry, numbers, records.acked))
 
     return _usage.UsageBook("agent-1", send)
 
@@ -25,13 +25,16 @@
         usage.add(harness.submit(sequence), _meter.Meter(calls=1), 5.0)
     usage.flush()
     usage.flush()
-    assert sent == [("a", (1, 2, 3))]
+    assert sent == [("a", (1, 2, 3), 0)]
     usage.settled([2])
     usage.joined("a")
-    assert sent.pop() == ("a", (1, 3))
+    assert sent.pop() == ("a", (1, 3), 0)
+    usage.settled([1])
+    usage.remind()
+    assert sent.pop() == ("a", (3,), 2)
     usage.gone("a")
-    assert sent.pop() == ("b", (1, 3))
-    usage.settled([1, 3, 99])
+    assert sent.pop() == ("b", (3,), 2)
+    usage.settled([3, 99])
     assert len(usage) == 0
 
 
@@ -44,4 +47,4 @@
     usage.flush()
     assert sent == []
     usage.joined("c")
-    assert sent == [("c", (1,))]
+    assert sent == [("c", (1,), 0)]
