Answer an entry that was away out of what is kept; end on a failed loop

Cause: an entry paused past the resume window got 'may have run' for a call whose answer the agent kept for queries; and a loop of the agent that raised left it running without orders. Change: the kept answer is sent on resume, and a failed loop ends the agent.

--- a/bilberrydeal/agent/_agent.py
+++ b/bilberrydeal/agent/_agent.py
@@ -68,16 +68,27 @@
         self.executor.refusal = self._refusal()
 
     async def run(self) -> None:
-        """Serve until :meth:`leave` or :meth:`stop` has ended it."""
+        """Serve until :meth:`leave` or :meth:`stop` has ended it.
+
+        A loop that fails ends the agent and raises: its successor begins
+        again from the engine and the table.
+        """
         self.update()
-        tasks = [asyncio.create_task(run) for run in self._loops()]
+        tasks = [asyncio.create_task(loop) for loop in self._loops()]
+        serving = asyncio.create_task(self.links.run())
         try:
-            await self.links.run()
+            await asyncio.wait(
+                [serving, *tasks], return_when=asyncio.FIRST_COMPLETED
+            )
         finally:
             self._tracing.close()
+            self.links.close()
             for task in tasks:
                 task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await asyncio.wait([serving, *tasks])
+        for task in (serving, *tasks):
+            if not task.cancelled():
+                task.result()
 
     async def leave(self) -> None:
         """Take no new work, end what was accepted, settle it and stop."""
--- a/bilberrydeal/agent/_presence.py
+++ b/bilberrydeal/agent/_presence.py
@@ -48,19 +48,21 @@
         self._row: membership.Registration | None = None
         self._leaving = False
         self._renewed_at_s = 0.0
+        self._writing = asyncio.Lock()
 
     async def run(self) -> None:
         """Keep the row; never ends."""
         while True:
             try:
                 await self._keep()
-            except (errors.StoreUnavailable, errors.OutcomeUnknown):
-                await asyncio.sleep(PAUSE_S)
             except membership.RowTaken:
                 # The guard says that no other agent of this endpoint lives:
                 # the row is a predecessor's late write, or was swept.
                 LOG.warning("Row was taken.")
                 self._row = None
+            except errors.BilberrydealError as error:
+                LOG.warning("Row is not written.", reason=str(error))
+                await asyncio.sleep(PAUSE_S)
             await asyncio.sleep(LOOK_S)
 
     async def leaving(self) -> None:
@@ -81,6 +83,10 @@
             LOG.warning("Row is not removed.", reason=str(error))
 
     async def _keep(self) -> None:
+        async with self._writing:
+            await self._write_if_due()
+
+    async def _write_if_due(self) -> None:
         member = self._present()
         if self._row is None:
             row = membership.Registration(self._client, member)
--- a/bilberrydeal/link/_call.py
+++ b/bilberrydeal/link/_call.py
@@ -109,13 +109,15 @@
         self._arrival.set()
         return True
 
-    def fail(self, started: bool) -> None:
+    def fail(self, started: bool, agent_replaced: bool = False) -> None:
         """End the call without an answer."""
         if self.ended:
             return
         self.ended = True
         self._failure = _failures.CallLost(
-            sequence=self.sequence, started=started
+            sequence=self.sequence,
+            started=started,
+            agent_replaced=agent_replaced,
         )
         self._arrival.set()
 
--- a/bilberrydeal/link/_entry.py
+++ b/bilberrydeal/link/_entry.py
@@ -224,7 +224,7 @@
         """Take the agent's names; a new incarnation lost all calls."""
         if self.agent and reply.agent != self.agent:
             for call in list(self._calls.values()):
-                self._fail(call)
+                self._fail(call, agent_replaced=True)
             self._given_up.clear()
         self.agent = reply.agent
         self.endpoint_id = reply.endpoint_id
@@ -254,9 +254,9 @@
         while len(self._given_up) > GIVEN_UP_LIMIT:
             self._given_up.popitem(last=False)
 
-    def _fail(self, call: _call.Call) -> None:
+    def _fail(self, call: _call.Call, agent_replaced: bool = False) -> None:
         self._calls.pop(call.sequence, None)
-        call.fail(started=call.sent)
+        call.fail(started=call.sent, agent_replaced=agent_replaced)
 
     async def _pause(self, pause_s: float) -> None:
         try:
--- a/bilberrydeal/link/_failures.py
+++ b/bilberrydeal/link/_failures.py
@@ -41,6 +41,9 @@
     sequence: int
     #: Whether any part of it may have run; ``False`` is proved.
     started: bool
+    #: Whether another incarnation of the agent has come: the former one and
+    #: its usage records are gone. ``False`` says that the link is away.
+    agent_replaced: bool = False
 
 
 @attrs.define(slots=False, eq=False)
--- a/bilberrydeal/link/_peer.py
+++ b/bilberrydeal/link/_peer.py
@@ -125,7 +125,7 @@
         if submit.number.entry != self.entry or sequence in self._works:
             return
         if self._forgotten(sequence):
-            self._refuse_unseen(sequence, chunk=1)
+            self._answer_ended(sequence, chunk=1)
             return
         work = _work.Work(submit, self._clock(), self._publish)
         work.attached = True
@@ -138,8 +138,12 @@
         floor = max(self.ledger.short_floor, self.ledger.long_floor)
         return self.ledger.get(sequence) is not None or sequence <= floor
 
-    def _refuse_unseen(self, sequence: int, chunk: int) -> None:
+    def _answer_ended(self, sequence: int, chunk: int) -> None:
+        """End a request whose answer is gone, or give the one kept."""
         end = self.ledger.get(sequence)
+        if end is not None and end.answer and end.answer.chunk == chunk:
+            self.send(end.answer, urgent=True)
+            return
         self.send(
             _messages.Refused(
                 sequence=sequence,
@@ -159,13 +163,14 @@
 
     def _resume(self, resume: _messages.Resume) -> None:
         work = self._works.get(resume.sequence)
-        if work is not None:
+        if work is not None and work.covers(resume.chunk):
             work.forget(resume.chunk)
             work.attached = True
+            work.discarded = False
             for part in work.past(resume.chunk):
                 self.send(part, urgent=True)
-        elif self._forgotten(resume.sequence):
-            self._refuse_unseen(resume.sequence, chunk=resume.chunk + 1)
+        elif work is not None or self._forgotten(resume.sequence):
+            self._answer_ended(resume.sequence, chunk=resume.chunk + 1)
         else:
             self.send(_messages.Missing(sequence=resume.sequence), urgent=True)
 
--- a/bilberrydeal/link/_work.py
+++ b/bilberrydeal/link/_work.py
@@ -121,6 +121,10 @@
         """Return the parts after one that arrived."""
         return [part for part in self._parts if part.chunk > chunk]
 
+    def covers(self, chunk: int) -> bool:
+        """Whether all parts after one that arrived are still there."""
+        return self._count - len(self._parts) <= chunk
+
     def discard(self) -> None:
         """Drop all parts, kept and to come: nobody will ask for them."""
         self.discarded = True
--- a/bilberrydeal/link/tests/relay.py
+++ b/bilberrydeal/link/tests/relay.py
@@ -26,6 +26,8 @@
     def __init__(self) -> None:
         self._servers: list[asyncio.Server] = []
         self._pairs: list[_Pair] = []
+        #: Whether new connections are refused.
+        self.refusing = False
 
     async def listen(self, ports: collections.abc.Iterable[int]) -> None:
         """Relay some ports."""
@@ -64,6 +66,9 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        if self.refusing:
+            writer.close()
+            return
         try:
             onward = await asyncio.open_connection("127.0.0.1", port)
         except OSError:
--- a/bilberrydeal/link/tests/test_link.py
+++ b/bilberrydeal/link/tests/test_link.py
@@ -243,6 +243,37 @@
             assert result.finished.body == b"receipt"
 
 
+async def test_entry_that_was_away_gets_what_ran_on() -> None:
+    brief = attrs.evolve(harness.LINK, resume_window_s=0.2)
+    async with (
+        harness.agent(link=brief) as agent,
+        harness.relayed(agent) as between,
+        harness.entry(
+            agent.settings.control_port, address=relay.ADDRESS
+        ) as entry,
+    ):
+        calls = [
+            entry.submit(harness.submit(sequence, idempotent=idempotent))
+            for sequence, idempotent in ((1, False), (2, False), (3, True))
+        ]
+        works = [await agent.executor.arrivals.get() for _ in calls]
+        for work in works:
+            work.start()
+        between.refusing = True
+        between.cut()
+        await harness.until(lambda: works[2].ended)
+        works[0].finish(status=201, body=b"receipt")
+        between.refusing = False
+        await harness.until(lambda: entry.connected)
+        works[1].finish(status=202)
+        answers = [await harness.answer(call) for call in calls]
+        assert [type(event) for (event,) in answers] == [
+            link.Finished,
+            link.Finished,
+            link.Refused,
+        ]
+
+
 async def test_restarted_agent_loses_calls() -> None:
     async with harness.agent() as agent:
         given = agent.settings
@@ -254,6 +285,7 @@
         with pytest.raises(link.CallLost) as lost:
             await harness.answer(call)
         assert lost.value.started
+        assert lost.value.agent_replaced
         await entering.__aexit__(None, None, None)
 
 
