--- /dev/null
+++ b/bilberrydeal/entry/tests/test_dispatch.py
@@ -0,0 +1,91 @@
+import asyncio
+
+import pytest
+
+from bilberrydeal import errors
+from bilberrydeal import link
+from bilberrydeal.entry import _once
+from bilberrydeal.entry.tests import fakes
+
+LOST = link.CallLost(sequence=1, started=True)
+DOWN = link.LinkDown(address="127.0.0.1", control_port=1)
+
+#: First endpoint's answer, whether the request is idempotent, and whether
+#: it is tried at the second.
+RETRIES: list[tuple[fakes.Script, bool, bool]] = [
+    ([fakes.refused(started=False)], False, True),
+    ([fakes.refused(started=True)], False, False),
+    ([fakes.refused(started=True)], True, True),
+    ([LOST], False, False),
+    ([LOST], True, True),
+    ([DOWN], False, True),
+]
+
+
+@pytest.mark.parametrize(("script", "idempotent", "retried"), RETRIES)
+async def test_only_proof_or_idempotence_allows_a_retry(
+    script: fakes.Script, idempotent: bool, retried: bool
+) -> None:
+    # Round robin starts at a seeded place: both answer alike at first.
+    first = fakes.FakeLink("a", script, [fakes.done()])
+    second = fakes.FakeLink("b", script, [fakes.done()])
+    dispatcher = fakes.Bench((first, second)).dispatcher()
+    run = dispatcher.run(fakes.work(idempotent=idempotent))
+    if retried:
+        first._scripts[0] = second._scripts[0] = script
+        assert (await _once.last_part(run)).body == b"ok"
+    else:
+        with pytest.raises(errors.Refusal) as caught:
+            await _once.last_part(run)
+        assert caught.value.executed is errors.Executed.UNKNOWN
+        assert len(first.submitted) + len(second.submitted) == 1
+
+
+async def test_each_try_has_a_number_of_its_own() -> None:
+    script: fakes.Script = [fakes.refused(started=False)]
+    only = fakes.FakeLink("a", script, script, [fakes.done()])
+    dispatcher = fakes.Bench((only,)).dispatcher()
+    await _once.last_part(dispatcher.run(fakes.work()))
+    numbers = [submit.number.sequence for submit in only.submitted]
+    assert len(set(numbers)) == 3
+
+
+async def test_no_retry_after_the_first_part() -> None:
+    chunk = link.Chunk(sequence=1, chunk=1, text="a", tokens=3)
+    first = fakes.FakeLink("a", [chunk, LOST])
+    bench = fakes.Bench((first,))
+    with pytest.raises(errors.Refusal) as caught:
+        async for _ in bench.dispatcher().run(fakes.work(idempotent=True)):
+            pass
+    assert caught.value.executed is errors.Executed.UNKNOWN
+    assert bench.lost == [("russo", 3)]
+
+
+@pytest.mark.parametrize(
+    ("outcome", "executed"),
+    [
+        (link.CancelOutcome.NOT_STARTED, errors.Executed.NO),
+        (link.CancelOutcome.STARTED, errors.Executed.UNKNOWN),
+        (None, errors.Executed.UNKNOWN),
+    ],
+)
+async def test_deadline_asks_the_agent_whether_it_had_begun(
+    outcome: link.CancelOutcome | None, executed: errors.Executed
+) -> None:
+    silent = fakes.FakeLink("a", [])
+    silent.cancel_outcome = outcome
+    dispatcher = fakes.Bench((silent,)).dispatcher()
+    deadline_s = asyncio.get_running_loop().time() + 0.01
+    with pytest.raises(errors.Refusal) as caught:
+        await _once.last_part(dispatcher.run(fakes.work(deadline_s)))
+    assert caught.value.reason is errors.ErrorCode.DEADLINE_EXCEEDED
+    assert caught.value.executed is executed
+
+
+async def test_without_endpoints_nothing_runs() -> None:
+    dispatcher = fakes.Bench(()).dispatcher()
+    with pytest.raises(errors.Refusal) as caught:
+        await _once.last_part(dispatcher.run(fakes.work()))
+    assert caught.value.reason is errors.ErrorCode.NO_ENDPOINT
+    assert caught.value.executed is errors.Executed.NO
+    assert caught.value.retry_after_s is not None
--- /dev/null
+++ b/bilberrydeal/entry/tests/test_once.py
@@ -0,0 +1,134 @@
+import random
+import typing
+
+import pytest
+
+from bilberrydeal import claims
+from bilberrydeal import errors
+from bilberrydeal import link
+from bilberrydeal import ports
+from bilberrydeal import store
+from bilberrydeal.entry import _once
+from bilberrydeal.entry.tests import fakes
+from standins import platform
+
+WALL_S = 1_000_000.0
+KEYED = fakes.work(claim="order-17")
+
+
+class _Objects:
+    async def put(self, name: str, data: bytes, timeout_s: float) -> None:
+        raise AssertionError("answers here are short")
+
+    async def get(self, name: str, timeout_s: float) -> bytes | None:
+        return None
+
+    async def delete(self, name: str, timeout_s: float) -> None:
+        return None
+
+
+class _DownTable(platform.MemoryTable):
+    """Refuses every call."""
+
+    async def read(self, *_: typing.Any) -> typing.Any:
+        raise errors.StoreUnavailable(operation="read")
+
+    async def commit(self, *_: typing.Any) -> typing.Any:
+        raise errors.StoreUnavailable(operation="commit")
+
+
+class Entries:
+    """Two entries over one table, as far as claims go."""
+
+    def __init__(self, table: ports.TableService) -> None:
+        client = store.StoreClient(table, 0.01, 1e6, random.Random(1))
+        self.rows = claims.Claims(client, _Objects())
+
+    def runner(self, *links: fakes.FakeLink) -> _once.OnceRunner:
+        pool: typing.Any = fakes.FakePool(*links)
+        return _once.OnceRunner(
+            fakes.Bench(links).dispatcher(),
+            self.rows,
+            _once.agent_resolver(pool, lambda endpoint_id: True),
+            lambda: WALL_S,
+        )
+
+
+async def _refusal(runner: _once.OnceRunner) -> errors.Refusal:
+    with pytest.raises(errors.Refusal) as caught:
+        await runner.run(KEYED)
+    return caught.value
+
+
+async def test_repeat_gets_the_stored_answer() -> None:
+    entries = Entries(platform.MemoryTable())
+    first = fakes.FakeLink("a", [fakes.done(b"paid")])
+    second = fakes.FakeLink("a")
+    assert (await entries.runner(first).run(KEYED)).body == b"paid"
+    assert (await entries.runner(second).run(KEYED)).body == b"paid"
+    assert second.submitted == []
+
+
+async def test_repeat_without_any_endpoint_gets_the_stored_answer() -> None:
+    entries = Entries(platform.MemoryTable())
+    await entries.runner(fakes.FakeLink("a", [fakes.done(b"paid")])).run(KEYED)
+    assert (await entries.runner().run(KEYED)).body == b"paid"
+
+
+@pytest.mark.parametrize("linked", [True, False])
+async def test_not_run_is_not_said_while_an_earlier_try_may_have_run(
+    linked: bool,
+) -> None:
+    entries = Entries(platform.MemoryTable())
+    lost = link.CallLost(sequence=1, started=True)
+    refusal = await _refusal(entries.runner(fakes.FakeLink("a", [lost])))
+    assert refusal.executed is errors.Executed.UNKNOWN
+    repeat = entries.runner(*([fakes.FakeLink("a")] if linked else []))
+    assert (await _refusal(repeat)).executed is errors.Executed.UNKNOWN
+
+
+async def test_repeat_runs_after_the_agent_proved_that_nothing_began() -> None:
+    entries = Entries(platform.MemoryTable())
+    lost = link.CallLost(sequence=1, started=True)
+    await _refusal(entries.runner(fakes.FakeLink("a", [lost])))
+    again = fakes.FakeLink("a", [fakes.done(b"paid")])
+    again.query_result = link.QueryResult(
+        query_id=1, outcome=link.QueryOutcome.NOT_STARTED
+    )
+    assert (await entries.runner(again).run(KEYED)).body == b"paid"
+    assert len(again.submitted) == 1
+
+
+async def test_repeat_never_runs_once_the_agent_was_replaced() -> None:
+    entries = Entries(platform.MemoryTable())
+    lost = link.CallLost(sequence=1, started=True)
+    await _refusal(entries.runner(fakes.FakeLink("a", [lost])))
+    again = fakes.FakeLink("a", [fakes.done()])
+    again.agent = "another incarnation"
+    refusal = await _refusal(entries.runner(again))
+    assert refusal.reason is errors.ErrorCode.IDEMPOTENCY_UNKNOWN
+    assert again.submitted == []
+
+
+async def test_same_key_with_another_body_is_refused() -> None:
+    entries = Entries(platform.MemoryTable())
+    await entries.runner(fakes.FakeLink("a", [fakes.done()])).run(KEYED)
+    other = fakes.FakeLink("a", [fakes.done()])
+    changed = fakes.work(claim="order-17", plain=None)
+    with pytest.raises(AssertionError):
+        await entries.runner(other).run(changed)
+    assert other.submitted == []
+
+
+async def test_nothing_is_dispatched_without_the_store() -> None:
+    only = fakes.FakeLink("a", [fakes.done()])
+    refusal = await _refusal(Entries(_DownTable()).runner(only))
+    assert refusal.reason is errors.ErrorCode.STORE_UNAVAILABLE
+    assert refusal.executed is errors.Executed.UNKNOWN
+    assert only.submitted == []
+
+
+async def test_request_without_a_key_needs_no_store() -> None:
+    only = fakes.FakeLink("a", [fakes.done()])
+    runner = Entries(_DownTable()).runner(only)
+    assert (await runner.run(fakes.work())).status == 200
