--- a/scenarios/_proxy.py
+++ b/scenarios/_proxy.py
@@ -68,6 +68,7 @@
         self._ports = ports
         self._servers: list[asyncio.Server] = []
         self._pipes: set[_Pipe] = set()
+        self._serving: set[asyncio.Task[None]] = set()
         self._weather: dict[int, Weather] = {}
         self._lifted = asyncio.Event()
         self._lifted.set()
@@ -78,7 +79,9 @@
         for port in self._ports:
             self._servers.append(
                 await asyncio.start_server(
-                    functools.partial(self._serve, port), self.address, port
+                    functools.partial(self._accept, port),
+                    self.address,
+                    port,
                 )
             )
 
@@ -86,7 +89,9 @@
         """Close everything."""
         for server in self._servers:
             server.close()
+        self.set_weather(Weather())
         self.cut()
+        await asyncio.gather(*self._serving, return_exceptions=True)
 
     def set_weather(self, weather: Weather, port: int | None = None) -> None:
         """Set what happens on one port or on all."""
@@ -124,6 +129,16 @@
     def _at(self, port: int) -> Weather:
         return self._weather.get(port, Weather())
 
+    def _accept(
+        self,
+        port: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        task = asyncio.create_task(self._serve(port, reader, writer))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
     async def _serve(
         self,
         port: int,
