--- a/bilberrydeal/duties/tests/test_duties.py
+++ b/bilberrydeal/duties/tests/test_duties.py
@@ -1,11 +1,13 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 import random
 
 import attrs
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from bilberrydeal import billing
 from bilberrydeal import claims
@@ -152,6 +154,12 @@
     return list(await world.memory.scan(table, "", "", 9_999, 1.0))
 
 
+async def _state(world: World) -> list[ports.Row]:
+    """Return all rows that a duty may write."""
+    tables = ("billing", "fleet_intents", "orders", "recorders", "seals")
+    return [row for name in tables for row in await _rows(world, name)]
+
+
 @hypothesis.settings(derandomize=True, max_examples=20, deadline=None)
 @hypothesis.given(strategies.integers(0, 2**32))
 def test_nothing_is_ordered_twice(seed: int) -> None:
@@ -262,3 +270,34 @@
     assert sealed[0].outcome.reported == ("russo",)
     statuses = loop.run(leases.read_leases(client))
     assert statuses == (leases.LeaseStatus("usage", "e1", 1),)
+
+
+@pytest.mark.parametrize("kind", ["usage", "roles", "fleet"])
+def test_one_that_was_overtaken_changes_nothing(kind: str) -> None:
+    loop = virtual.VirtualLoop()
+    world = World(loop, random.Random(1))
+    client = faults.make_client(loop, world.memory)
+    made: dict[str, duties.Duty] = {
+        "usage": duties.UsageDuty(client, _Usage(), RULE, lambda name: True),
+        "roles": duties.RoleDuty(client, world._roles, world._hint),
+        "fleet": duties.FleetDuty(
+            client, world.endpoints, "d1", _buy_up_to(1)
+        ),
+    }
+    duty = made[kind]
+    recorder = billing.Recorder(client, "e1", RULE)
+    loop.run(recorder.open(loop.now_s - 100.0))
+    loop.run(recorder.close(loop.now_s))
+    lease = leases.Lease(client, duty.name, "e1", BOUNDS)
+    assert loop.run(lease.tick())
+    # The holder was paused and does not know yet.
+    taken = leases.FenceRow(2, "e2", "nonce")
+    write = ports.Write("fences", duty.name, store.encode(taken))
+    loop.run(client.commit(ports.Transaction((), (write,))))
+    before = loop.run(_state(world))
+    work = duties.Round(lease, client.now_s(), loop.now_s)
+    with contextlib.suppress(errors.TableConflict):
+        loop.run(duty.round(work))
+    assert loop.run(_state(world)) == before
+    assert not world.endpoints.calls
+    assert not world.hints
