--- a/bilberrydeal/configuration/tests/test_follow.py
+++ b/bilberrydeal/configuration/tests/test_follow.py
@@ -122,6 +122,9 @@
     assert entry.follower.current.revision == revisions
     # The snapshot is told as one change.
     assert len(entry.seen) == (revisions if lost else 1 + 5)
+    # What the snapshot skipped cannot be handed to peers.
+    first = entry.follower.relay_changes(0)
+    assert first is None or first.revisions[0].revision == 1
     assert table.calls - calls <= (1 + revisions // 100 + 1 if lost else 2)
 
 
