--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -36,8 +36,23 @@
 NO_ENDPOINT_RETRY_S = 1.0
 
 Event = link.Chunk | link.Finished
-#: Bills the tokens of a request whose agent is gone.
-BillLost = collections.abc.Callable[[link.RequestNumber, str, int], None]
+
+
+@attrs.frozen
+class LostWork:
+    """A request whose agent went away in the midst of its answer."""
+
+    number: link.RequestNumber
+    organisation: str
+    endpoint_id: str
+    #: Tokens that the caller got.
+    tokens: int
+    #: Whether another incarnation of the agent has come.
+    agent_replaced: bool
+
+
+#: Takes a request that its agent may not bill any more.
+BillLost = collections.abc.Callable[[LostWork], None]
 
 
 class Placement(typing.Protocol):
@@ -194,8 +209,17 @@
                 async for event in events:
                     yield event
         except AttemptFailed as failed:
-            if isinstance(failed.__cause__, link.CallLost) and answer.tokens:
-                self._bill_lost(number, work.organisation, answer.tokens)
+            lost = failed.__cause__
+            if isinstance(lost, link.CallLost) and answer.tokens:
+                self._bill_lost(
+                    LostWork(
+                        number=number,
+                        organisation=work.organisation,
+                        endpoint_id=pending.endpoint_id,
+                        tokens=answer.tokens,
+                        agent_replaced=lost.agent_replaced,
+                    )
+                )
             if failed.reason not in LOAD_REASONS:
                 self._observe(pending.endpoint_id, succeeded=False)
             raise
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -126,6 +126,7 @@
             self._claims,
             self._pool,
             self._wall,
+            following.is_agent,
             self._stop.set,
         )
         self._dispatcher = _dispatch.Dispatcher(
--- a/bilberrydeal/entry/_settling.py
+++ b/bilberrydeal/entry/_settling.py
@@ -11,9 +11,12 @@
 from .. import settings
 from .. import store
 from .. import telemetry
+from . import _dispatch
 from . import _pool
 
 LOG = telemetry.logger("settling")
+#: Requests that wait for their agent's own record, at most.
+DOUBTFUL_LIMIT = 10_000
 
 
 def window_rule(chosen: settings.UsageSettings) -> billing.WindowRule:
@@ -32,14 +35,21 @@
         rows: claims.Claims,
         pool: _pool.LinkPool,
         wall: collections.abc.Callable[[], float],
+        is_agent: collections.abc.Callable[[str], bool],
         lost: collections.abc.Callable[[], None],
     ) -> None:
-        """``lost`` is called once another entry has closed the recorder."""
+        """Take what is needed.
+
+        ``is_agent`` tells whether an endpoint is a member; ``lost`` is
+        called once another entry has closed the recorder.
+        """
         self._recorder = billing.Recorder(client, entry, window_rule(chosen))
         self._rows = rows
         self._pool = pool
         self._wall = wall
+        self._is_agent = is_agent
         self._lost = lost
+        self._doubtful: list[_dispatch.LostWork] = []
         self._open = False
         pool.on_usage = self._take
 
@@ -48,18 +58,31 @@
     ) -> None:
         self._recorder.take(message)
 
-    def bill_lost(
-        self, number: link.RequestNumber, organisation: str, tokens: int
-    ) -> None:
+    def bill_lost(self, lost: _dispatch.LostWork) -> None:
         """Bill the tokens that a caller got from an agent that is gone.
 
+        An agent that is only cut off has the true figures and hands them
+        over later, so the bill waits until its endpoint is no member.
+        """
+        if lost.organisation and len(self._doubtful) < DOUBTFUL_LIMIT:
+            self._doubtful.append(lost)
+
+    def _bill_doubtful(self) -> None:
+        """Bill what no agent will.
+
         What the prompt took is known to the agent only, so it is not
         billed: a figure that may be wrong is worse than a missing one.
         """
-        if organisation:
-            figures = ports.OrganisationFigures(output_tokens=tokens, calls=1)
+        waiting, self._doubtful = self._doubtful, []
+        for lost in waiting:
+            if not lost.agent_replaced and self._is_agent(lost.endpoint_id):
+                self._doubtful.append(lost)
+                continue
+            figures = ports.OrganisationFigures(
+                output_tokens=lost.tokens, calls=1
+            )
             self._recorder.self_bill(
-                number, organisation, figures, self._wall()
+                lost.number, lost.organisation, figures, self._wall()
             )
 
     async def round(self) -> None:
@@ -68,6 +91,7 @@
             if not self._open:
                 await self._recorder.open(self._wall())
                 self._open = True
+            self._bill_doubtful()
             settled = await self._recorder.settle(self._wall())
         except billing.RecorderClosed:
             LOG.error("The recorder was closed by another entry.")
--- a/bilberrydeal/entry/tests/fakes.py
+++ b/bilberrydeal/entry/tests/fakes.py
@@ -23,6 +23,10 @@
 Script = list[link.Chunk | link.Finished | link.Refused | Exception]
 
 
+#: Two entries never use one number.
+_NUMBERS = itertools.count(1)
+
+
 class FakeLink:
     """Answers each request with the next of its scripts."""
 
@@ -96,7 +100,7 @@
     """A dispatcher over fake links."""
 
     links: tuple[FakeLink, ...]
-    lost: list[tuple[str, int]] = attrs.Factory(list)
+    lost: list[_dispatch.LostWork] = attrs.Factory(list)
 
     def dispatcher(self) -> _dispatch.Dispatcher:
         tables = systems.Tables()
@@ -104,15 +108,12 @@
             tables.of(systems.EndpointView).put(
                 systems.EndpointView(one.endpoint_id, "fd1", "m")
             )
-        numbers = itertools.count(1)
         return _dispatch.Dispatcher(
             FakePool(*self.links),  # type: ignore[arg-type]
             tables,
             policies(),
-            lambda: link.RequestNumber("entry", next(numbers)),
-            lambda number, organisation, tokens: self.lost.append(
-                (organisation, tokens)
-            ),
+            lambda: link.RequestNumber("entry", next(_NUMBERS)),
+            self.lost.append,
             asyncio.get_running_loop().time,
         )
 
--- a/bilberrydeal/entry/tests/test_dispatch.py
+++ b/bilberrydeal/entry/tests/test_dispatch.py
@@ -58,7 +58,7 @@
         async for _ in bench.dispatcher().run(fakes.work(idempotent=True)):
             pass
     assert caught.value.executed is errors.Executed.UNKNOWN
-    assert bench.lost == [("russo", 3)]
+    assert [lost.tokens for lost in bench.lost] == [3]
 
 
 @pytest.mark.parametrize(
--- a/bilberrydeal/entry/tests/test_once.py
+++ b/bilberrydeal/entry/tests/test_once.py
@@ -9,6 +9,7 @@
 from bilberrydeal import ports
 from bilberrydeal import store
 from bilberrydeal.entry import _once
+from bilberrydeal.entry import _work
 from bilberrydeal.entry.tests import fakes
 from standins import platform
 
@@ -114,9 +115,12 @@
     entries = Entries(platform.MemoryTable())
     await entries.runner(fakes.FakeLink("a", [fakes.done()])).run(KEYED)
     other = fakes.FakeLink("a", [fakes.done()])
-    changed = fakes.work(claim="order-17", plain=None)
-    with pytest.raises(AssertionError):
-        await entries.runner(other).run(changed)
+    call = _work.PlainCall("POST", "/deposit", "", b"another kid")
+    with pytest.raises(errors.Refusal) as caught:
+        await entries.runner(other).run(
+            fakes.work(claim="order-17", plain=call)
+        )
+    assert caught.value.reason is errors.ErrorCode.IDEMPOTENCY_MISMATCH
     assert other.submitted == []
 
 
