--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -14,6 +14,7 @@
 from .. import telemetry
 from ..systems import health
 from ..systems import retries
+from . import _journal
 from . import _policies
 from . import _pool
 from . import _work
@@ -86,9 +87,11 @@
         policies: _policies.Policies,
         next_number: collections.abc.Callable[[], link.RequestNumber],
         bill_lost: BillLost,
+        journal: _journal.Journal,
         clock: collections.abc.Callable[[], float],
     ) -> None:
         self._bill_lost = bill_lost
+        self._journal = journal
         self._next_number = next_number
         self._pool = pool
         self._tables = tables
@@ -113,12 +116,15 @@
                 attempt = self._attempt(work, pending, placement)
                 async with contextlib.aclosing(attempt) as events:
                     async for event in events:
+                        if not begun:
+                            self._note(work, "first part came")
                         begun = True
                         yield event
             except AttemptFailed as failed:
                 tried |= {pending.endpoint_id}
                 await self._back_off(work, pending, failed, number, begun)
             else:
+                self._note(work, "answered")
                 self._policies.retrier.succeeded(
                     work.route, pending.endpoint_id, self._clock()
                 )
@@ -138,6 +144,7 @@
             self._policies.router.run(self._tables, self._clock())
             self._pending.remove(pending.key)
             if pending.endpoint_id:
+                self._note(work, f"routed to {pending.endpoint_id}")
                 return pending
         raise errors.Refusal(
             reason=errors.ErrorCode.NO_ENDPOINT,
@@ -155,6 +162,8 @@
         begun: bool,
     ) -> None:
         """Wait before the next try, or raise a refusal for the caller."""
+        started = "may have run" if failed.started else "not run"
+        self._note(work, f"failed: {failed.reason.value}, {started}")
         now_s = self._clock()
         delay_s = None
         if not begun:
@@ -190,6 +199,7 @@
             )
         # An agent takes a number once, so each try has one of its own.
         number = self._next_number()
+        self._note(work, f"sent as {number}")
         if placement is not None:
             await placement.placed(
                 claims.Dispatch(number, pending.endpoint_id, agent_link.agent)
@@ -225,6 +235,9 @@
             raise
         self._observe(pending.endpoint_id, succeeded=True)
 
+    def _note(self, work: _work.Work, event: str) -> None:
+        self._journal.note(work.number, "dispatch", event)
+
     def _observe(self, endpoint_id: str, succeeded: bool) -> None:
         self._policies.health.observe(
             health.Observation(endpoint_id, succeeded), self._clock()
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -24,6 +24,7 @@
 from . import _following
 from . import _gate
 from . import _http
+from . import _journal
 from . import _loops
 from . import _observer
 from . import _once
@@ -118,6 +119,7 @@
             self._tables,
             following.demand,
         )
+        self._journal = _journal.Journal(self._clock)
         self._claims = claims.Claims(following.client, self._platform.objects)
         self._settling = _settling.Settling(
             self.entry,
@@ -135,6 +137,7 @@
             self._policies,
             numbers.next,
             self._settling.bill_lost,
+            self._journal,
             self._clock,
         )
 
@@ -216,6 +219,7 @@
             self._duties,
             self._tables,
             self._metrics,
+            self._journal,
             self._clock,
         )
         self._app = _http.new_app(
--- a/bilberrydeal/entry/_status.py
+++ b/bilberrydeal/entry/_status.py
@@ -20,6 +20,7 @@
 from . import _following
 from . import _gate
 from . import _http
+from . import _journal
 from . import _operator
 from . import _pool
 from . import _settling
@@ -41,6 +42,7 @@
         runner: duties.DutyRunner,
         tables: systems.Tables,
         metrics: telemetry.Metrics,
+        journal: _journal.Journal,
         clock: collections.abc.Callable[[], float],
     ) -> None:
         self._following = following
@@ -54,6 +56,7 @@
         self._tables = tables
         self._client = following.client
         self._metrics = metrics
+        self._journal = journal
         self._rule = _settling.window_rule(following.settings.usage)
         self._clock = clock
 
@@ -76,6 +79,7 @@
             ("/leases", self._leases),
             ("/roles", self._roles),
             ("/usage", self._usage),
+            ("/trace/<name:str>", self._trace),
         ):
             _http.add_route(
                 app,
@@ -183,6 +187,18 @@
         ]
         return _answer(operators.UsageList(shown))
 
+    async def _trace(
+        self, request: sanic.Request, name: str
+    ) -> response.HTTPResponse:
+        found = self._journal.trace(name)
+        if found is None:
+            raise errors.Refusal(
+                reason=errors.ErrorCode.NOT_FOUND,
+                sentence="This entry does not remember that request.",
+                status=404,
+            )
+        return _answer(found)
+
     def _endpoint(self, view: systems.EndpointView) -> operators.EndpointShown:
         agent_link = self._pool.get(view.endpoint_id)
         status = agent_link.status if agent_link else None
--- a/bilberrydeal/entry/tests/fakes.py
+++ b/bilberrydeal/entry/tests/fakes.py
@@ -11,6 +11,7 @@
 from bilberrydeal import settings
 from bilberrydeal import systems
 from bilberrydeal.entry import _dispatch
+from bilberrydeal.entry import _journal
 from bilberrydeal.entry import _policies
 from bilberrydeal.entry import _work
 from bilberrydeal.systems import admission
@@ -114,6 +115,7 @@
             policies(),
             lambda: link.RequestNumber("entry", next(_NUMBERS)),
             self.lost.append,
+            _journal.Journal(asyncio.get_running_loop().time),
             asyncio.get_running_loop().time,
         )
 
