--- a/bilberrydeal/billing/tests/test_billing.py
+++ b/bilberrydeal/billing/tests/test_billing.py
@@ -313,3 +313,33 @@
     rows = loop.run(memory.scan("recorders", "", "", 9, 1.0))
     passed = [store.decode(r.value, billing.RecorderRow).passed for r in rows]
     assert passed[0] == passed[1]
+
+
+class _OpensLate(faults.FaultyTable):
+    """Lets a recorder with a slow clock open while a window is sealed."""
+
+    late: billing.Recorder
+
+    async def scan(
+        self, table: str, prefix: str, after: str, limit: int, timeout_s: float
+    ) -> tuple[ports.Row, ...]:
+        rows = await super().scan(table, prefix, after, limit, timeout_s)
+        if table == "usage":
+            await self.late.open(0.0)
+        return rows
+
+
+def test_a_recorder_that_opens_meanwhile_stops_the_seal() -> None:
+    loop = virtual.VirtualLoop()
+    memory = platform.MemoryTable()
+    first = _recorder(loop, memory, "e1")
+    loop.advance(30.0)
+    loop.run(first.close(loop.now_s))
+    table = _OpensLate(memory, random.Random(1))
+    table.late = billing.Recorder(faults.make_client(loop, memory), "e2", RULE)
+    client = faults.make_client(loop, table)
+    lease = leases.Lease(client, "usage", "e1", BOUNDS)
+    loop.run(lease.tick())
+    sealer = billing.Sealer(client, lease, RULE)
+    with pytest.raises(errors.TableConflict):
+        loop.run(sealer.step(client.now_s(), loop.now_s))
--- a/bilberrydeal/membership/_shard.py
+++ b/bilberrydeal/membership/_shard.py
@@ -112,7 +112,6 @@
                 self._remove(key, now_s)
         # The sender vouches for the rest.
         for known in self.rows.values():
-            known.observed_s = self._clock_s
             known.seen_s = now_s
         self._advanced_s = now_s
         self.confirmed_s = as_of_s
--- a/bilberrydeal/membership/tests/test_membership.py
+++ b/bilberrydeal/membership/tests/test_membership.py
@@ -8,6 +8,8 @@
 from bilberrydeal import membership
 from bilberrydeal import ports
 from bilberrydeal.membership import _directory
+from bilberrydeal.membership import _relay
+from bilberrydeal.membership import _shard
 from bilberrydeal.store.tests import faults
 from bilberrydeal.store.tests import virtual
 from standins import platform
@@ -133,9 +135,35 @@
     assert age_s >= 60.0
     fleet.down(False)
     # Nobody renewed for long, which is no reason to expire.
-    for seconds in (0.5, 2.0, 10.0):
-        fleet.live(seconds)
-        assert fleet.seen("e1") == EVERYBODY
+    renewing, fleet.renewing = fleet.renewing, {"e1"}
+    fleet.live(1.0)
+    assert fleet.seen("e1") == EVERYBODY
+    fleet.renewing = renewing
+    fleet.live(10.0)
+    assert fleet.seen("e1") == EVERYBODY
+
+
+def test_nobody_expires_while_nobody_can_renew() -> None:
+    fleet = _fleet()
+    for table in fleet.tables.values():
+        table.read_only = True
+    fleet.live(60.0)
+    assert fleet.seen("e1") == EVERYBODY
+
+
+def test_older_news_of_a_row_are_passed_over() -> None:
+    shard = _shard.Shard("entry/", step_s=4.0)
+    newer = attrs.evolve(_entry("e1"), state=membership.MemberState.LEAVING)
+    row = ports.Row("members", newer.key, 9, membership.encode(newer))
+    shard.take_read((row,), sent_s=10.0, renewals=True)
+    older = _relay.RelayedRow(
+        newer.key, 8, membership.encode(_entry("e1")).decode()
+    )
+    gone = _relay.RelayedRow(newer.key, 8, None)
+    for news in (older, gone):
+        relayed = _relay.RelayedShard("entry/", 0.0, False, (news,))
+        shard.take_news(relayed, sent_s=11.0, now_s=11.0)
+        assert shard.alive() == [newer]
 
 
 def test_a_cut_off_reader_takes_the_view_from_peers() -> None:
--- a/bilberrydeal/store/tests/faults.py
+++ b/bilberrydeal/store/tests/faults.py
@@ -46,8 +46,9 @@
     pause_s: float = 0.0
     #: Faults of the next calls, before any by chance.
     script: list[Fault] = attrs.Factory(list)
-    #: Set while the store is down.
+    #: Set while the store is down, or refuses writes.
     down: bool = False
+    read_only: bool = False
     calls: int = 0
 
     def _fault(self) -> Fault:
@@ -95,7 +96,7 @@
     async def commit(
         self, transaction: ports.Transaction, timeout_s: float
     ) -> ports.Committed:
-        fault = self._fault()
+        fault = Fault.DOWN if self.read_only else self._fault()
         await self._delay()
         if fault is Fault.DOWN:
             raise errors.StoreUnavailable(operation="commit")
