--- /dev/null
+++ b/bilberrydeal/entry/tests/fakes.py
@@ -0,0 +1,178 @@
+"""Links that answer as a test says, behind the interface of the pool."""
+
+import asyncio
+import collections.abc
+import itertools
+
+import attrs
+
+from bilberrydeal import errors
+from bilberrydeal import link
+from bilberrydeal import settings
+from bilberrydeal import systems
+from bilberrydeal.entry import _dispatch
+from bilberrydeal.entry import _policies
+from bilberrydeal.entry import _work
+from bilberrydeal.systems import admission
+from bilberrydeal.systems import health
+from bilberrydeal.systems import limits
+from bilberrydeal.systems import retries
+from bilberrydeal.systems import routing
+from bilberrydeal.systems import subsets
+
+Script = list[link.Chunk | link.Finished | link.Refused | Exception]
+
+
+class FakeLink:
+    """Answers each request with the next of its scripts."""
+
+    def __init__(self, endpoint_id: str, *scripts: Script) -> None:
+        self.endpoint_id = endpoint_id
+        self.agent = f"{endpoint_id}-agent"
+        self.connected = True
+        self.submitted: list[link.Submit] = []
+        self.cancelled: list[int] = []
+        self.cancel_outcome: link.CancelOutcome | None = (
+            link.CancelOutcome.NOT_STARTED
+        )
+        self.query_result: link.QueryResult | None = None
+        self._scripts = list(scripts)
+
+    def submit(self, request: link.Submit) -> "FakeCall":
+        self.submitted.append(request)
+        script = self._scripts.pop(0)
+        if script and isinstance(script[0], link.LinkDown):
+            raise script[0]
+        return FakeCall(request.number.sequence, script)
+
+    async def cancel(
+        self, sequence: int, timeout_s: float
+    ) -> link.CancelOutcome | None:
+        self.cancelled.append(sequence)
+        return self.cancel_outcome
+
+    async def query(
+        self, number: link.RequestNumber, timeout_s: float, agent: str = ""
+    ) -> link.QueryResult | None:
+        return self.query_result
+
+
+class FakeCall:
+    """Yields a script; an empty one never ends by itself."""
+
+    def __init__(self, sequence: int, script: Script) -> None:
+        self.sequence = sequence
+        self._script = script
+        self._expired = asyncio.Event()
+
+    async def events(
+        self,
+    ) -> collections.abc.AsyncGenerator[
+        link.Chunk | link.Finished | link.Refused, None
+    ]:
+        for event in self._script:
+            if isinstance(event, Exception):
+                raise event
+            yield event
+        await self._expired.wait()
+        raise link.CallExpired(sequence=self.sequence)
+
+    def expire(self) -> None:
+        self._expired.set()
+
+
+class FakePool:
+    """Holds links by endpoint."""
+
+    def __init__(self, *links: FakeLink) -> None:
+        self.links = {one.endpoint_id: one for one in links}
+
+    def get(self, endpoint_id: str) -> FakeLink | None:
+        return self.links.get(endpoint_id)
+
+
+@attrs.define
+class Bench:
+    """A dispatcher over fake links."""
+
+    links: tuple[FakeLink, ...]
+    lost: list[tuple[str, int]] = attrs.Factory(list)
+
+    def dispatcher(self) -> _dispatch.Dispatcher:
+        tables = systems.Tables()
+        for one in self.links:
+            tables.of(systems.EndpointView).put(
+                systems.EndpointView(one.endpoint_id, "fd1", "m")
+            )
+        numbers = itertools.count(1)
+        return _dispatch.Dispatcher(
+            FakePool(*self.links),  # type: ignore[arg-type]
+            tables,
+            policies(),
+            lambda: link.RequestNumber("entry", next(numbers)),
+            lambda number, organisation, tokens: self.lost.append(
+                (organisation, tokens)
+            ),
+            asyncio.get_running_loop().time,
+        )
+
+
+def policies() -> _policies.Policies:
+    """Return policies without chance."""
+    return _policies.Policies(
+        router=routing.ROUTERS.get("round_robin")(
+            routing.RouterOptions("fd1")
+        ),
+        retrier=retries.RETRIERS.get("budgeted")(1),
+        health=health.HEALTH.get("never")(1),
+        limiter=limits.LIMITERS.get("local_only")("entry"),
+        admission=admission.ADMISSION.get("bounded")(2),
+        subset=subsets.SUBSETS.get("weighted_rendezvous")(),
+    )
+
+
+def work(deadline_s: float = 1e9, **changes: object) -> _work.Work:
+    """Return a call of a plain service."""
+    made = _work.Work(
+        number=link.RequestNumber("entry", 0),
+        organisation="russo",
+        weight=1.0,
+        route="deposit",
+        service="m",
+        request_class=0,
+        deadline_s=deadline_s,
+        idempotent=False,
+        plain=_work.PlainCall("POST", "/deposit", "", b"kid"),
+    )
+    return attrs.evolve(made, **changes)  # type: ignore[arg-type]
+
+
+def done(body: bytes = b"ok") -> link.Finished:
+    """Return the end of an answer."""
+    return link.Finished(sequence=1, chunk=1, status=200, body=body)
+
+
+def refused(started: bool) -> link.Refused:
+    """Return a refusal for load."""
+    return link.Refused(
+        sequence=1,
+        chunk=1,
+        reason=errors.ErrorCode.OVERLOADED.value,
+        started=started,
+    )
+
+
+def entry_settings() -> settings.EntrySettings:
+    """Return settings of an entry with defaults."""
+    adapter = settings.AdapterSettings("http_json", "http://127.0.0.1:1")
+    return settings.EntrySettings(
+        role="entry",
+        host_id="h1",
+        listen_address="127.0.0.1",
+        advertise_address="127.0.0.1",
+        failure_domain="fd1",
+        http=settings.HttpSettings(port=1),
+        peer_port=2,
+        platform=settings.PlatformSettings(*[adapter] * 6),
+        secrets=settings.SecretSettings("a", "b", "c"),
+    )
--- /dev/null
+++ b/bilberrydeal/entry/tests/test_gate.py
@@ -0,0 +1,155 @@
+import asyncio
+
+import attrs
+import pytest
+
+from bilberrydeal import configuration
+from bilberrydeal import errors
+from bilberrydeal import keys
+from bilberrydeal import link
+from bilberrydeal import systems
+from bilberrydeal.entry import _bodies
+from bilberrydeal.entry import _callers
+from bilberrydeal.entry import _demand
+from bilberrydeal.entry import _gate
+from bilberrydeal.entry.tests import fakes
+
+PEPPER = b"pepper"
+SECRET = "bdk_secret"
+CURRENT = configuration.Configuration(
+    organisations={"russo": configuration.Organisation("russo")},
+    keys={
+        keys.hash_key(SECRET, PEPPER): configuration.KeyRecord(
+            "k1", "russo", keys.hash_key(SECRET, PEPPER)
+        )
+    },
+    models={"m": configuration.Model("m", "m")},
+)
+CHAT = _callers.CallerRequest(
+    method="POST",
+    path=_callers.CHAT_PATH,
+    target=_callers.CHAT_PATH,
+    headers={"authorization": f"Bearer {SECRET}"},
+    body=b"",
+    received_at_s=0.0,
+)
+GENERATION = _bodies.decode_completion(b'{"model": "m", "prompt": "ciao"}')
+
+
+@attrs.define
+class _Fresh:
+    fresh: bool = True
+
+    def require(self, now_s: float) -> None:
+        if not self.fresh:
+            raise errors.Refusal(
+                reason=errors.ErrorCode.KEYS_STALE, sentence="", status=503
+            )
+
+
+def _gate_of(
+    fresh: bool = True, limits: systems.OrganisationView | None = None
+) -> _gate.Gate:
+    tables = systems.Tables()
+    if limits is not None:
+        tables.of(systems.OrganisationView).put(limits)
+    return _gate.Gate(
+        lambda: link.RequestNumber("entry", 1),
+        fakes.entry_settings(),
+        lambda: CURRENT,
+        keys.KeyDirectory(lambda: CURRENT, PEPPER),
+        _Fresh(fresh),
+        fakes.policies(),
+        tables,
+        _demand.DemandMeter(0.0),
+    )
+
+
+def _admit(gate: _gate.Gate, model: str = "m") -> _gate.Admitted:
+    route = gate.route(CHAT)
+    key = gate.identify(CHAT, route, 0.0)
+    generation = attrs.evolve(GENERATION, model=model)
+    return gate.admit_generation(CHAT, route, key, generation, 0.0)
+
+
+async def test_work_carries_the_organisation_and_never_the_key() -> None:
+    work = _admit(_gate_of()).work
+    assert work.organisation == "russo"
+    assert SECRET not in repr(work)
+    assert SECRET not in repr(work.submit(0.0))
+
+
+async def test_stale_keys_are_refused() -> None:
+    with pytest.raises(errors.Refusal) as caught:
+        _admit(_gate_of(fresh=False))
+    assert caught.value.reason is errors.ErrorCode.KEYS_STALE
+
+
+async def test_unknown_model_is_refused() -> None:
+    with pytest.raises(errors.Refusal) as caught:
+        _admit(_gate_of(), model="other")
+    assert caught.value.status == 404
+
+
+async def test_limit_is_kept_and_says_when_to_come_back() -> None:
+    gate = _gate_of(limits=systems.OrganisationView("russo", concurrency=1))
+    first = _admit(gate)
+    with pytest.raises(errors.Refusal) as caught:
+        _admit(gate)
+    assert caught.value.status == 429
+    assert caught.value.retry_after_s
+    gate.release(first, 0.0, None, 1.0)
+    _admit(gate)
+
+
+async def test_load_past_the_bound_is_shed_without_using_the_limit() -> None:
+    gate = _gate_of(limits=systems.OrganisationView("russo", concurrency=3))
+    admitted = [_admit(gate), _admit(gate)]
+    for _ in range(3):
+        with pytest.raises(errors.Refusal) as caught:
+            _admit(gate)
+        assert caught.value.reason is errors.ErrorCode.OVERLOADED
+    gate.release(admitted[0], 0.0, None, 1.0)
+    _admit(gate)
+
+
+async def test_nothing_is_let_in_while_shutting_down() -> None:
+    gate = _gate_of()
+    gate.closing = True
+    with pytest.raises(errors.Refusal) as caught:
+        gate.route(CHAT)
+    assert caught.value.reason is errors.ErrorCode.SHUTTING_DOWN
+
+
+async def test_withdrawn_key_ends_its_generations_only() -> None:
+    gate = _gate_of()
+    began = asyncio.Event()
+
+    async def serve() -> _gate.Admitted:
+        admitted = _admit(gate)
+        began.set()
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            assert admitted.revoked
+        return admitted
+
+    task = asyncio.create_task(serve())
+    await began.wait()
+    gate.revoke({"another"})
+    await asyncio.sleep(0)
+    assert not task.done()
+    gate.revoke({"k1"})
+    assert (await task).revoked
+
+
+def test_demand_is_corrected_by_what_answers_took() -> None:
+    meter = _demand.DemandMeter(0.0)
+    for _ in range(2_000):
+        meter.answered("m", 25, 75, 10, 40)
+    meter.offered("m", 1_000, 400)
+    (demand,) = meter.report(10.0)
+    assert demand.prompt_tokens_per_s == pytest.approx(25.0, rel=0.01)
+    assert demand.output_tokens_per_s == pytest.approx(10.0, rel=0.01)
+    (after,) = meter.report(20.0)
+    assert after.requests_per_s == 0.0
--- a/bilberrydeal/link/_failures.py
+++ b/bilberrydeal/link/_failures.py
@@ -41,6 +41,21 @@
     sequence: int
     #: Whether any part of it may have run; ``False`` is proved.
     started: bool
+    #: Whether another incarnation of the agent has come: the former one and
+    #: its usage records are gone. ``False`` says that the link is away.
+    agent_replaced: bool = False
+
+
+@attrs.define(slots=False, eq=False)
+class CallExpired(errors.BilberrydealError):
+    """The consumer's own deadline came before the end of the answer."""
+
+    code: typing.ClassVar[errors.ErrorCode] = (
+        errors.ErrorCode.DEADLINE_EXCEEDED
+    )
+
+    #: Sequence of the request.
+    sequence: int
 
 
 @attrs.define(slots=False, eq=False)
