--- a/bilberrydeal/entry/_demand.py
+++ b/bilberrydeal/entry/_demand.py
@@ -61,6 +61,11 @@
                 output_tokens / longest_tokens - meter.output_share
             )
 
+    def output_share(self, service: str) -> float:
+        """Return the share of tokens asked for that answers generate."""
+        meter = self._meters.get(service)
+        return meter.output_share if meter else 1.0
+
     def report(self, now_s: float) -> tuple[membership.ServiceDemand, ...]:
         """Return the demand since the last report, and begin anew."""
         length_s = max(now_s - self._since_s, 1e-3)
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -18,6 +18,7 @@
 from .. import settings
 from .. import systems
 from .. import telemetry
+from ..systems import health
 from . import _authority
 from . import _dispatch
 from . import _exchange
@@ -317,7 +318,15 @@
 
     async def _tick(self) -> None:
         self._pool.refresh()
-        self._policies.health.run(self._tables, self._clock())
+        now_s = self._clock()
+        self._policies.health.run(self._tables, now_s)
+        for endpoint_id in self._policies.health.probes(self._tables, now_s):
+            self._policies.health.observe(
+                health.Observation(
+                    endpoint_id, self._pool.answers(endpoint_id), probe=True
+                ),
+                now_s,
+            )
 
     def _on_change(
         self,
