Plan roles by the mix that pays most; test the fleet decisions

Change: the planner looks for the mix that pays with all its changes and orders the first move; totals are tried from the least; reservations begin at the start.

--- a/bilberrydeal/systems/fleet/_targets.py
+++ b/bilberrydeal/systems/fleet/_targets.py
@@ -26,37 +26,40 @@
     """Return the least endpoints for each failure domain in ``held``.
 
     What is left after the ``survive`` largest failure domains are lost is
-    enough for ``need.lost``. Where endpoints are now decides ties, so that
-    few are moved. The settings' bounds for a failure domain go first.
+    enough for ``need.lost``. Endpoints that are held in another way that
+    does as well stay. The settings' bounds for a failure domain go first.
     """
-    domains = sorted(held)
-    if not domains:
+    if not held:
         return {}
-    survive = min(survive, len(domains) - 1)
-    cap = _cap(need, len(domains), survive, rules)
-    total = max(need.whole, need.lost + survive * cap)
-    found = {
-        domain: max(rules.fewest_per_domain, min(held[domain], cap))
-        for domain in domains
-    }
-    while sum(found.values()) > total:
-        domain = max(domains, key=lambda d: (found[d], d))
-        if found[domain] <= rules.fewest_per_domain:
+    survive = min(survive, len(held) - 1)
+    best = _even(len(held), len(held) * rules.most_per_domain)
+    least = max(need.whole, len(held) * rules.fewest_per_domain)
+    for total in range(least, sum(best)):
+        counts = _even(len(held), total)
+        if _left(counts, survive) >= need.lost:
+            best = counts
             break
-        found[domain] -= 1
-    while sum(found.values()) < total:
-        domain = min(domains, key=lambda d: (found[d], -held[d], d))
-        if found[domain] >= rules.most_per_domain:
-            break
-        found[domain] += 1
-    return found
-
-
-def _cap(
-    need: Need, domains: int, survive: int, rules: _rules.FleetRules
-) -> int:
-    """Return the most endpoints in one failure domain, as few as can be."""
-    for cap in range(rules.fewest_per_domain, rules.most_per_domain):
-        if domains * cap >= max(need.whole, need.lost + survive * cap):
-            return cap
-    return rules.most_per_domain
+    kept = sorted(held.values(), reverse=True)
+    as_few = _fits(kept, rules) and sum(kept) == sum(best)
+    if as_few and _left(kept, survive) >= need.lost:
+        return dict(held)
+    by_held = sorted(held, key=lambda domain: (-held[domain], domain))
+    return dict(zip(by_held, best, strict=True))
+
+
+def _even(domains: int, total: int) -> list[int]:
+    """Return a total as even counts, the largest first."""
+    share, rest = divmod(total, domains)
+    return [share + (i < rest) for i in range(domains)]
+
+
+def _left(counts: list[int], survive: int) -> int:
+    """Return what is left of counts, sorted down, after losses."""
+    return sum(counts[survive:])
+
+
+def _fits(counts: list[int], rules: _rules.FleetRules) -> bool:
+    return (
+        counts[0] <= rules.most_per_domain
+        and counts[-1] >= rules.fewest_per_domain
+    )
--- /dev/null
+++ b/bilberrydeal/systems/fleet/tests/test_planners.py
@@ -0,0 +1,124 @@
+import itertools
+
+import attrs
+import hypothesis
+import hypothesis.strategies as st
+
+from bilberrydeal import systems
+from bilberrydeal.systems import fleet
+
+DOMAINS = ("d0", "d1", "d2", "d3")
+RULES = fleet.FleetRules(
+    failure_domains=DOMAINS, services=("m",), most_per_domain=6
+)
+COUNTS = st.lists(st.integers(0, 6), min_size=4, max_size=4)
+
+
+def serves(counts: list[int], need: fleet.Need, survive: int) -> bool:
+    """Tell whether endpoints in each domain are enough, also after losses."""
+    left = sum(sorted(counts)[: len(counts) - survive])
+    return sum(counts) >= need.whole and left >= need.lost
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+@hypothesis.given(
+    COUNTS, st.integers(0, 20), st.integers(0, 12), st.integers(0, 2)
+)
+def test_targets_are_the_least_that_serve(
+    held: list[int], whole: int, lost: int, survive: int
+) -> None:
+    need = fleet.Need(whole=whole, lost=lost)
+    found = fleet.targets(
+        need, dict(zip(DOMAINS, held, strict=True)), survive, RULES
+    )
+    counts = [found[domain] for domain in DOMAINS]
+    assert all(1 <= count <= 6 for count in counts)
+    choices = itertools.combinations_with_replacement(range(1, 7), 4)
+    enough = [
+        sum(choice) for choice in choices if serves([*choice], need, survive)
+    ]
+    if enough:
+        assert serves(counts, need, survive)
+        assert sum(counts) == min(enough)
+
+
+def show(
+    counts: list[int], ordered: list[int], busy: list[float], lost: str
+) -> systems.Tables:
+    """Return tables with a load window every ten seconds."""
+    tables = systems.Tables()
+    for domain, count, missing in zip(DOMAINS, counts, ordered, strict=True):
+        for i in range(count):
+            tables.of(fleet.FleetEndpoint).put(
+                fleet.FleetEndpoint(f"{domain}-{i}", "m", domain)
+            )
+        if missing:
+            tables.of(fleet.OutstandingOrder).put(
+                fleet.OutstandingOrder(domain, "m", domain, missing, 0.0)
+            )
+        tables.of(fleet.DomainState).put(
+            fleet.DomainState(domain, domain == lost)
+        )
+    tables.of(fleet.ServiceLoad).put(
+        fleet.ServiceLoad(
+            "m",
+            tuple(
+                fleet.LoadWindow(10.0 * (i + 1), level)
+                for i, level in enumerate(busy)
+            ),
+        )
+    )
+    return tables
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+@hypothesis.given(
+    COUNTS,
+    COUNTS,
+    st.lists(st.floats(0.0, 9.0), min_size=30, max_size=30),
+    st.sampled_from(("", *DOMAINS)),
+)
+def test_orders_count_once_and_releases_keep_the_reserve(
+    counts: list[int], ordered: list[int], busy: list[float], lost: str
+) -> None:
+    planner = fleet.DomainLossFleet(RULES)
+    planner.run(show(counts, ordered, busy, lost), 0.0)
+    tables = show(counts, ordered, busy, lost)
+    planner.run(tables, 1000.0)
+    purchases = {p.failure_domain: p for p in tables.of(fleet.Purchase)}
+    releases = list(tables.of(fleet.Release))
+    assert len(releases) <= 1
+    assert lost not in purchases
+    assert not (releases and lost)
+    after = [
+        missing + (purchases[d].count if d in purchases else 0)
+        for d, missing in zip(DOMAINS, ordered, strict=True)
+    ]
+    again = show(counts, after, busy, lost)
+    planner.run(again, 1000.0)
+    assert not len(again.of(fleet.Purchase))
+    for release in releases:
+        index = DOMAINS.index(release.failure_domain)
+        left = [*counts]
+        left[index] -= 1
+        peak = max(sum(busy[i : i + 6]) / 6 for i in range(0, 30, 6))
+        assert sum(left) - max(left) >= peak / RULES.busy_share_lost
+
+
+def test_release_waits_and_a_dead_endpoint_is_replaced() -> None:
+    planner = fleet.DomainLossFleet(RULES)
+    tables = show([3, 3, 3, 3], [0, 0, 0, 0], [2.0] * 60, "")
+    planner.run(tables, 600.0)
+    assert not len(tables.of(fleet.Release))
+    planner.run(tables, 600.0 + RULES.release_every_s)
+    assert len(tables.of(fleet.Release)) == 1
+    tables = show([1, 1, 1, 1], [0, 0, 0, 0], [2.0] * 60, "")
+    endpoints = tables.of(fleet.FleetEndpoint)
+    dead = endpoints.get("d1-0")
+    assert dead is not None
+    endpoints.put(attrs.evolve(dead, usable=False, unusable_since_s=600.0))
+    planner.run(tables, 640.0)
+    assert not len(tables.of(fleet.Release))
+    planner.run(tables, 700.0)
+    assert [r.key for r in tables.of(fleet.Release)] == ["d1-0"]
+    assert tables.of(fleet.Purchase).get("m@d1") is not None
--- a/bilberrydeal/systems/pacing/_recovery.py
+++ b/bilberrydeal/systems/pacing/_recovery.py
@@ -95,5 +95,5 @@
             return max(0.0, self._serve_from_s - now_s)
         if work is Work.DIAL:
             return self._dials.reserve(1.0, now_s)
-        wait_s = self._adopt.reserve(1.0, now_s)
-        return max(wait_s, self._adopt_from_s - now_s)
+        begin_s = max(now_s, self._adopt_from_s)
+        return begin_s - now_s + self._adopt.reserve(1.0, begin_s)
--- /dev/null
+++ b/bilberrydeal/systems/pacing/tests/test_pacing.py
@@ -0,0 +1,44 @@
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from bilberrydeal.systems import pacing
+
+RULES = pacing.PacingRules()
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(
+    st.floats(0.5, 50.0),
+    st.floats(1.0, 20.0),
+    st.lists(st.floats(0.0, 3.0), min_size=1, max_size=60),
+)
+def test_a_bucket_never_exceeds_its_rate(
+    rate_per_s: float, burst: float, gaps: list[float]
+) -> None:
+    bucket = pacing.TokenBucket(rate_per_s, burst, 0.0)
+    now_s = 0.0
+    granted = []
+    for gap_s in gaps:
+        now_s += gap_s
+        granted.append(now_s + bucket.reserve(1.0, now_s))
+    granted.sort()
+    for first in range(len(granted)):
+        for last in range(first, len(granted)):
+            span_s = granted[last] - granted[first]
+            count = last - first + 1
+            assert count <= burst + rate_per_s * span_s + 1.0 + 1e-6
+
+
+@pytest.mark.parametrize("processes", [1, 50, 410])
+def test_work_that_can_wait_shares_the_store(processes: int) -> None:
+    begins = []
+    for number in range(processes):
+        pacer = pacing.RecoveryPacer(RULES, processes, number, 0.0)
+        assert pacer.wait_s(pacing.Work.SERVE, 0.0) <= RULES.serve_jitter_s
+        waits = [pacer.wait_s(pacing.Work.ADOPT, 0.0) for _ in range(30)]
+        begins.extend(waits)
+    for second in range(int(max(begins)) + 1):
+        calls = sum(second <= wait < second + 1 for wait in begins)
+        share = RULES.adopt_calls_per_s + processes
+        assert calls <= max(share, RULES.adopt_calls_max_per_s * 11)
--- a/bilberrydeal/systems/roles/_capacity.py
+++ b/bilberrydeal/systems/roles/_capacity.py
@@ -1,13 +1,17 @@
 """How much of a demand a set of engines in given roles serves."""
 
+import collections.abc
+
 import attrs
 
 from . import _entities
 
 #: Halvings of the interval in which the served share is sought.
-_HALVINGS = 16
+_HALVINGS = 11
 #: Shares are sought up to here; more spare capacity is worth nothing.
-_SHARE_MAX = 4.0
+SHARE_MAX = 1.1
+#: Steps of a role's share that are tried in a large fleet.
+_GRID = 12
 
 
 @attrs.frozen
@@ -61,10 +65,16 @@
 def served_share(mix: Mix, demand: Work, rates: _entities.ModelRates) -> float:
     """Return how often the demand fits: 1 where it just does.
 
+    The answer is at most ``SHARE_MAX``.
+
     Engines with one role take its phase, those with both what is left, at
     a loss where they mix the phases.
     """
-    low, high = 0.0, _SHARE_MAX
+    total = demand.prefill + demand.decode
+    low, high = 0.0, SHARE_MAX
+    if total > 0.0:
+        gain = max(0.0, -rates.mixing_loss)
+        high = min(high, mix.total * (1.0 + gain) / total)
     prefill_alone = mix.prefill / (1.0 + rates.handover_loss)
     for _ in range(_HALVINGS):
         share = (low + high) / 2
@@ -77,6 +87,14 @@
     return low
 
 
+def mixes(total: int) -> collections.abc.Iterator[Mix]:
+    """Yield ways to divide engines, in steps that grow with the fleet."""
+    step = max(1, total // _GRID)
+    for prefill in range(0, total + 1, step):
+        for decode in range(0, total + 1 - prefill, step):
+            yield Mix(prefill, decode, total - prefill - decode)
+
+
 def _fits(prompt: float, output: float, engines: int, loss: float) -> bool:
     total = prompt + output
     if total <= 0.0:
--- a/bilberrydeal/systems/roles/_horizon.py
+++ b/bilberrydeal/systems/roles/_horizon.py
@@ -12,8 +12,8 @@
 from . import _registry
 from . import _rules
 
-#: Capacity beyond the demand is worth something up to this multiple.
-_HEADROOM = 1.1
+#: Prefers the larger of two moves that are worth the same.
+_EPSILON_S = 1e-6
 
 
 @_registry.ROLE_PLANNERS.register("horizon")
@@ -21,11 +21,11 @@
     """Weighs what a move gains until the horizon against what it costs.
 
     Demand is expected from recent windows, their trend and the queues, and
-    part of a gain is judged by what demand was in the last minutes. The
-    engines of a move serve nothing while they drain and change. A move is
-    ordered where what it gains after that is more than ``payback`` times
-    what it costs and ``least_gain_engines`` for each engine that it moves;
-    an engine that changed keeps its role for ``dwell_s``.
+    after ``near_s`` to be like what the last minutes saw. The planner looks
+    for the mix of roles that gains most until the horizon, after the time
+    that engines are away on the way there, ``payback`` times, and
+    ``least_gain_engines`` for each change. It orders the first move; an
+    engine that changed keeps its role for ``dwell_s``.
     """
 
     reads: typing.ClassVar[tuple[type, ...]] = (
@@ -59,21 +59,17 @@
         now_s: float,
     ) -> "_Weighing":
         rules = self.rules
-        away_s = rules.drain_s + rules.change_s
-        soon = _forecast.expected(demand, rules.half_life_s, away_s / 2, now_s)
-        later = _forecast.expected(
-            demand, rules.half_life_s, away_s + rules.lead_s, now_s
+        ahead_s = rules.drain_s + rules.change_s + rules.lead_s
+        next_level = _forecast.expected(
+            demand, rules.half_life_s, ahead_s, now_s
         )
         return _Weighing(
             mix=_plan.mix(endpoints),
-            changing=_plan.mix(e for e in endpoints if e.changing),
-            soon=_work(soon, demand, rates, rules.horizon_s),
-            later=_work(later, demand, rates, rules.horizon_s),
+            expected=_work(next_level, demand, rates, rules.near_s),
             memory=_forecast.remembered(demand, rates, rules.memory_s, now_s),
-            memory_part=rules.memory_part,
             rates=rates,
-            away_s=away_s,
-            horizon_s=rules.horizon_s,
+            rules=rules,
+            at_once=max(1, _plan.bound(endpoints, rules)),
         )
 
     def _best(
@@ -82,74 +78,90 @@
         weighing: "_Weighing",
         now_s: float,
     ) -> _plan.Move | None:
-        rules = self.rules
-        engine_s = rules.horizon_s / max(1, weighing.mix.total)
-        best_s = 0.0
+        """Return the best first move towards the mix that pays most."""
+        if not _plan.room(endpoints, self.rules):
+            return None
+        now = weighing.mix
+        candidates = _capacity.mixes(now.total)
+        goal = max(candidates, key=weighing.net_s, default=now)
+        if weighing.net_s(goal) <= 0.0:
+            return None
+        best = 0.0
         chosen = None
-        for move in _plan.moves(endpoints, rules, rules.dwell_s, now_s):
-            least_s = rules.least_gain_engines * engine_s * len(move.endpoints)
-            cost_s = rules.payback * weighing.cost(move)
-            net_s = weighing.gain(move) - cost_s - least_s
-            if net_s > best_s:
-                best_s, chosen = net_s, move
+        for move in _plan.moves(
+            endpoints, self.rules, self.rules.dwell_s, now_s
+        ):
+            count = len(move.endpoints)
+            fewer = now.of(move.source) - goal.of(move.source)
+            more = goal.of(move.target) - now.of(move.target)
+            if count > min(fewer, more):
+                continue
+            after = now.moved(move.source, move.target, count)
+            value = weighing.value_s(after) + count * _EPSILON_S
+            if chosen is None or value > best:
+                best, chosen = value, move
         return chosen
 
 
 @attrs.frozen
 class _Weighing:
-    """What moves of one model gain and cost, in seconds of its demand."""
+    """What mixes of roles are worth, in seconds of one model's demand."""
 
     mix: _capacity.Mix
-    changing: _capacity.Mix
-    soon: _capacity.Work
-    later: _capacity.Work
+    #: Work expected next.
+    expected: _capacity.Work
+    #: Work remembered at some prompt shares; empty without a history.
     memory: tuple[_capacity.Work, ...]
-    memory_part: float
     rates: _entities.ModelRates
-    away_s: float
-    horizon_s: float
-
-    def gain(self, move: _plan.Move) -> float:
-        """Return what the new roles serve more after the change."""
-        count = len(move.endpoints)
-        after = self.mix.moved(move.source, move.target, count)
-        more = self._value(after) - self._value(self.mix)
-        return more * (self.horizon_s - self.away_s)
-
-    def cost(self, move: _plan.Move) -> float:
-        """Return what is not served while the engines are away."""
-        now = _capacity.Mix(
-            prefill=self.mix.prefill - self.changing.prefill,
-            decode=self.mix.decode - self.changing.decode,
-            both=self.mix.both - self.changing.both,
+    rules: _rules.RoleRules
+    #: Engines that may change at once.
+    at_once: int
+
+    def net_s(self, goal: _capacity.Mix) -> float:
+        """Return what a mix gains less what it takes to come there."""
+        rules = self.rules
+        changes = sum(
+            max(0, goal.of(role) - self.mix.of(role))
+            for role in _entities.Role
         )
-        during = now.taken(move.source, len(move.endpoints))
-        less = self._share(now, self.soon) - self._share(during, self.soon)
-        return less * self.away_s
-
-    def _value(self, mix: _capacity.Mix) -> float:
-        """Return the share that a mix serves, expected and remembered."""
-        expected = self._share(mix, self.later)
-        if not self.memory:
-            return expected
+        if not changes:
+            return 0.0
+        away_s = rules.drain_s + rules.change_s
+        half_way_s = away_s * (1 + changes // self.at_once) / 2
+        kept = max(0.0, 1.0 - half_way_s / rules.horizon_s)
+        gain_s = kept * (self.value_s(goal) - self.value_s(self.mix))
+        share = self._share(self.mix, self.expected)
+        cost_s = changes * away_s * share / self.mix.total
+        least_s = (
+            rules.least_gain_engines
+            * changes
+            * rules.horizon_s
+            / self.mix.total
+        )
+        return gain_s - rules.payback * cost_s - least_s
+
+    def value_s(self, mix: _capacity.Mix) -> float:
+        """Return the demand served until the horizon."""
+        rules = self.rules
+        expected = self._share(mix, self.expected)
         shares = [self._share(mix, work) for work in self.memory]
-        remembered = sum(shares) / len(shares)
-        part = self.memory_part
-        return (1.0 - part) * expected + part * remembered
+        after = sum(shares) / len(shares) if shares else expected
+        later_s = max(0.0, rules.horizon_s - rules.near_s)
+        return expected * rules.near_s + after * later_s
 
     def _share(self, mix: _capacity.Mix, work: _capacity.Work) -> float:
-        return min(_HEADROOM, _capacity.served_share(mix, work, self.rates))
+        return _capacity.served_share(mix, work, self.rates)
 
 
 def _work(
     level: _forecast.Level,
     demand: _entities.ModelDemand,
     rates: _entities.ModelRates,
-    horizon_s: float,
+    near_s: float,
 ) -> _capacity.Work:
     """Return the work of a level and of the queues, spread evenly."""
     return _capacity.work(
         rates,
-        level.prompt_tokens + demand.queued_prompt_tokens / horizon_s,
-        level.output_tokens + demand.queued_output_tokens / horizon_s,
+        level.prompt_tokens + demand.queued_prompt_tokens / near_s,
+        level.output_tokens + demand.queued_output_tokens / near_s,
     )
--- a/bilberrydeal/systems/roles/_plan.py
+++ b/bilberrydeal/systems/roles/_plan.py
@@ -76,10 +76,17 @@
     rules: _rules.RoleRules,
 ) -> int:
     """Return how many engines may begin to change now."""
-    bound = max(
-        rules.changing_count, int(rules.changing_share * len(endpoints))
-    )
-    return max(0, bound - sum(e.changing for e in endpoints))
+    changing = sum(e.changing for e in endpoints)
+    return max(0, bound(endpoints, rules) - changing)
+
+
+def bound(
+    endpoints: collections.abc.Collection[_entities.RoleEndpoint],
+    rules: _rules.RoleRules,
+) -> int:
+    """Return how many engines may be changing."""
+    share = int(rules.changing_share * len(endpoints))
+    return max(rules.changing_count, share)
 
 
 def moves(
--- a/bilberrydeal/systems/roles/_rules.py
+++ b/bilberrydeal/systems/roles/_rules.py
@@ -12,16 +12,16 @@
     #: Time that the change itself takes an engine away.
     change_s: float = 6.0
     #: How far ahead a gain is counted.
-    horizon_s: float = 60.0
+    horizon_s: float = 200.0
+    #: For so long demand is what is expected next; after that it is like
+    #: what is remembered.
+    near_s: float = 60.0
     #: A window of demand counts half after so long.
     half_life_s: float = 15.0
     #: How long after a change the demand is looked at.
     lead_s: float = 15.0
     #: How long demand is remembered, to be ready for what comes back.
     memory_s: float = 600.0
-    #: Part of a gain that is judged by the memory, the rest by what is
-    #: expected next.
-    memory_part: float = 0.7
     #: Engines of a model that may be changing, as a share of them.
     changing_share: float = 0.1
     #: The same in engines; the larger bound holds.
