--- a/bilberrydeal/link/tests/test_link.py
+++ b/bilberrydeal/link/tests/test_link.py
@@ -107,6 +107,36 @@
         assert agent.executor.arrivals.empty()
 
 
+class OneWay:
+    """Stands in for a socket whose peer is heard but hears nothing."""
+
+    def __init__(self) -> None:
+        self.ended = asyncio.Event()
+
+    async def send(self, frame: bytes) -> None:
+        """Lose it."""
+
+    async def receive(self) -> bytes:
+        """Return a heartbeat that echoes none."""
+        await asyncio.sleep(harness.LINK.heartbeat_s)
+        return link.encode_frame([link.Heartbeat(beat=1, echo=0)])
+
+    def close(self) -> None:
+        """End."""
+        self.ended.set()
+
+
+async def test_session_ends_when_no_heartbeat_is_echoed() -> None:
+    session = _session.Session(
+        typing.cast(_transport.PairSocket, OneWay()),
+        harness.LINK,
+        time.monotonic,
+        lambda message: None,
+    )
+    async with asyncio.timeout(harness.PATIENCE_S):
+        await session.run()
+
+
 async def test_doubled_crossed_and_early_parts_are_dropped() -> None:
     async with (
         harness.agent() as agent,
@@ -115,6 +145,7 @@
         call = entry.submit(harness.submit(1))
         work = await agent.executor.arrivals.get()
         await emit(work, 1, 1)
+        entry._send(call.submit)
         forgeries: tuple[link.Message, ...] = (
             ANSWER[0],
             ANSWER[3],
@@ -127,6 +158,7 @@
         await emit(work, 2, 6)
         work.finish(status=200)
         assert await harness.answer(call) == ANSWER
+        assert agent.executor.arrivals.empty()
 
 
 def untouched(work: link.Work) -> None:
