Beat slower on a link that carries nothing else; measure the agent

Cause: 32 idle links took 10.6% of a core at the agent (load average 24 on 10 cores), one thread crossing for each frame.

--- /dev/null
+++ b/bench/agent_cost.py
@@ -0,0 +1,123 @@
+"""Measures memory, threads and idle processor share of the agent.
+
+Run as ``python -m bench.agent_cost``. The real daemon runs beside the
+stand-ins of engine and platform, with more and more links to this process.
+"""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+
+import attrs
+import cyclopts
+import psutil
+import uvloop
+import yaml
+
+from bilberrydeal import link
+from bilberrydeal import settings
+from bilberrydeal.link.tests import harness
+
+#: Links at once, one row of the table each.
+LINKS = (1, 8, 32)
+#: Time over which the processor share is measured.
+IDLE_S = 5.0
+BYTES_PER_MB = 1_000_000
+PLATFORM = ("table", "objects", "endpoints", "usage", "hosts", "weights")
+
+app = cyclopts.App()
+
+
+def agent_file(folder: pathlib.Path, engine: int, platform: int) -> int:
+    """Write the settings of the agent; return its control port."""
+    made = harness.agent_settings()
+    fields = {
+        name: value
+        for name, value in attrs.asdict(made, recurse=False).items()
+        if isinstance(value, str | int)
+    }
+    fields["endpoint"] = {
+        "adapter": "openai_http",
+        "url": f"http://{harness.ADDRESS}:{engine}",
+    }
+    fields["link_ports_from"] = harness.free_ports(2 * max(LINKS))
+    fields["link_ports"] = 2 * max(LINKS)
+    url = f"http://{harness.ADDRESS}:{platform}"
+    fields["platform"] = {
+        name: {"adapter": "http_json", "url": url} for name in PLATFORM
+    }
+    (folder / "agent.yaml").write_text(yaml.safe_dump(fields))
+    return made.control_port
+
+
+async def start(*words: str) -> asyncio.subprocess.Process:
+    """Start a Python module."""
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", *words, stderr=asyncio.subprocess.DEVNULL
+    )
+
+
+async def measure(agent: psutil.Process, control_port: int) -> None:
+    """Add links and print a row for each number of them."""
+    print("   links  resident_mb  threads  idle_processor_share")
+    async with contextlib.AsyncExitStack() as links:
+        for wanted in LINKS:
+            for number in range(wanted):
+                await links.enter_async_context(
+                    harness.entry(
+                        control_port,
+                        f"{wanted}-{number}",
+                        settings.LinkSettings(),
+                    )
+                )
+            before, began_s = agent.cpu_times(), time.monotonic()
+            await asyncio.sleep(IDLE_S)
+            after, ended_s = agent.cpu_times(), time.monotonic()
+            spent_s = sum(after[:2]) - sum(before[:2])
+            resident_mb = agent.memory_info().rss / BYTES_PER_MB
+            print(
+                f"{wanted:8} {resident_mb:12.1f} {agent.num_threads():8} "
+                f"{spent_s / (ended_s - began_s):21.4f}"
+            )
+            await links.pop_all().aclose()
+
+
+async def run() -> None:
+    """Start the processes and measure."""
+    engine, platform = harness.free_port(), harness.free_port()
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        control_port = agent_file(folder, engine, platform)
+        processes = [
+            await start("standins.platform", "--port", str(platform)),
+            await start(
+                "standins.engine", "--port", str(engine), "--model", "m"
+            ),
+            await start("bilberrydeal.daemon", str(folder / "agent.yaml")),
+        ]
+        try:
+            await measure(psutil.Process(processes[-1].pid), control_port)
+        finally:
+            for process in processes:
+                process.send_signal(signal.SIGTERM)
+                await process.wait()
+    beat = link.Heartbeat(beat=1000, echo=1000, status=harness.STATUS)
+    bare = link.Heartbeat(beat=1000, echo=1000)
+    print(
+        f"bytes of a heartbeat: {len(link.encode_frame([beat]))} from the "
+        f"agent, {len(link.encode_frame([bare]))} from the entry"
+    )
+
+
+@app.default
+def main() -> None:
+    """Print the table."""
+    uvloop.run(run())
+
+
+if __name__ == "__main__":
+    app()
--- a/bilberrydeal/agent/_agent.py
+++ b/bilberrydeal/agent/_agent.py
@@ -64,8 +64,11 @@
         return self._refusal() is None
 
     def update(self) -> None:
-        """Let the executor know whether new work is taken."""
-        self.executor.refusal = self._refusal()
+        """Let executor and entries know whether new work is taken."""
+        refusal = self._refusal()
+        if self.executor.refusal != refusal:
+            self.executor.refusal = refusal
+            self.links.announce()
 
     async def run(self) -> None:
         """Serve until :meth:`leave` or :meth:`stop` has ended it.
--- a/bilberrydeal/link/_server.py
+++ b/bilberrydeal/link/_server.py
@@ -94,6 +94,11 @@
         if peer is not None:
             peer.send(message, urgent)
 
+    def announce(self) -> None:
+        """Tell all entries the status now."""
+        for session in self._live:
+            session.beat()
+
     async def run(self) -> None:
         """Serve until :meth:`close`; raises ``OSError`` without a port."""
         control = self._control = _transport.ControlSocket(
--- a/bilberrydeal/link/_session.py
+++ b/bilberrydeal/link/_session.py
@@ -10,6 +10,10 @@
 
 #: Messages in one frame at most, so that one frame never blocks a link.
 FRAME_MESSAGES = 512
+#: A link that carries nothing beats so many times slower.
+IDLE_FACTOR = 2.0
+#: Heartbeats that fit into the silent bound at least.
+BEATS_IN_BOUND = 3.0
 #: Messages that wait for one peer at most, of any kind. New requests are
 #: refused long before; what else waits is bounded by the requests in flight
 #: and their unacknowledged parts, all of which a resume may send at once.
@@ -27,6 +31,7 @@
     when a send takes too long, when no frame comes or no heartbeat is
     echoed within ``silent_bound_s``, or when the connection is cut; it
     never re-dials: the two ends build a new one and resume their requests.
+    A session that carries nothing else beats slower.
     """
 
     def __init__(
@@ -49,8 +54,11 @@
             collections.deque()
         )
         self._wake = asyncio.Event()
+        self._beat_now = asyncio.Event()
+        self._busy = False
         self._flush_timer: asyncio.TimerHandle | None = None
         self._beat = 0
+        self._beat_s = link_settings.heartbeat_s
         self._echo = 0
         self._echoed = 0
         now_s = clock()
@@ -85,6 +93,7 @@
         self._outbox.append(message)
         if isinstance(message, _messages.Submit):
             self.waiting_bytes += len(message.prompt) + len(message.body)
+        self._busy = True
         if urgent:
             self._wake.set()
         elif self._flush_timer is None:
@@ -99,6 +108,10 @@
             now_s - oldest_s <= self._settings.silent_bound_s
         )
 
+    def beat(self) -> None:
+        """Send a heartbeat now: the status has changed."""
+        self._beat_now.set()
+
     async def run(self) -> None:
         """Carry messages until the session ends."""
         tasks = [
@@ -120,6 +133,7 @@
         if self._flush_timer is not None:
             self._flush_timer.cancel()
         self._wake.set()
+        self._beat_now.set()
         self._socket.close()
 
     def _flush(self) -> None:
@@ -162,6 +176,8 @@
             return
         if isinstance(message, _messages.Heartbeat):
             self._take_heartbeat(message)
+        else:
+            self._busy = True
         self._handle(message)
 
     def _take_heartbeat(self, heartbeat: _messages.Heartbeat) -> None:
@@ -176,19 +192,30 @@
             if not self.alive(self._clock()):
                 self.close()
                 return
-            self._beat += 1
-            self.send(
-                _messages.Heartbeat(
-                    beat=self._beat, echo=self._echo, status=self._status()
-                ),
-                urgent=True,
-            )
+            self._send_heartbeat()
             await self._pause()
 
+    def _send_heartbeat(self) -> None:
+        busy = self._busy
+        self._beat += 1
+        self.send(
+            _messages.Heartbeat(
+                beat=self._beat, echo=self._echo, status=self._status()
+            ),
+            urgent=True,
+        )
+        self._busy = False
+        self._beat_s = self._settings.heartbeat_s
+        if not busy:
+            longest_s = self._settings.silent_bound_s / BEATS_IN_BOUND
+            slow_s = min(IDLE_FACTOR * self._beat_s, longest_s)
+            self._beat_s = max(self._beat_s, slow_s)
+
     async def _pause(self) -> None:
-        """Wait for the next heartbeat, or less if the session ends."""
+        """Wait for the next heartbeat, or less if that is asked for."""
         try:
-            async with asyncio.timeout(self._settings.heartbeat_s):
-                await self._socket.ended.wait()
+            async with asyncio.timeout(self._beat_s):
+                await self._beat_now.wait()
         except TimeoutError:
             pass
+        self._beat_now.clear()
