--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -36,8 +36,23 @@
 NO_ENDPOINT_RETRY_S = 1.0
 
 Event = link.Chunk | link.Finished
-#: Bills the tokens of a request whose agent is gone.
-BillLost = collections.abc.Callable[[link.RequestNumber, str, int], None]
+
+
+@attrs.frozen
+class LostWork:
+    """A request whose agent went away in the midst of its answer."""
+
+    number: link.RequestNumber
+    organisation: str
+    endpoint_id: str
+    #: Tokens that the caller got.
+    tokens: int
+    #: Whether another incarnation of the agent has come.
+    agent_replaced: bool
+
+
+#: Takes a request that its agent may not bill any more.
+BillLost = collections.abc.Callable[[LostWork], None]
 
 
 class Placement(typing.Protocol):
@@ -194,8 +209,17 @@
                 async for event in events:
                     yield event
         except AttemptFailed as failed:
-            if isinstance(failed.__cause__, link.CallLost) and answer.tokens:
-                self._bill_lost(number, work.organisation, answer.tokens)
+            lost = failed.__cause__
+            if isinstance(lost, link.CallLost) and answer.tokens:
+                self._bill_lost(
+                    LostWork(
+                        number=number,
+                        organisation=work.organisation,
+                        endpoint_id=pending.endpoint_id,
+                        tokens=answer.tokens,
+                        agent_replaced=lost.agent_replaced,
+                    )
+                )
             if failed.reason not in LOAD_REASONS:
                 self._observe(pending.endpoint_id, succeeded=False)
             raise
@@ -227,6 +251,9 @@
 
     async def events(self) -> collections.abc.AsyncGenerator[Event, None]:
         """Yield the parts; a try that fails raises ``AttemptFailed``."""
+        left_s = self._work.deadline_s - self._clock()
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(max(0.0, left_s), self._call.expire)
         try:
             async with contextlib.aclosing(self._call.events()) as parts:
                 while not self._ended:
@@ -236,17 +263,16 @@
                         self.tokens += event.tokens
                     yield event
         finally:
+            timer.cancel()
             if not self._ended and self._work.idempotent:
                 self._end_at_agent()
 
     async def _next(
         self, parts: collections.abc.AsyncGenerator[typing.Any, None]
     ) -> Event:
-        left_s = self._work.deadline_s - self._clock()
         try:
-            async with asyncio.timeout(max(0.0, left_s)):
-                event = await anext(parts)
-        except TimeoutError:
+            event = await anext(parts)
+        except link.CallExpired:
             raise await self._past_deadline() from None
         except link.CallLost as lost:
             self._ended = True
