--- a/bench/agent_cost.py
+++ b/bench/agent_cost.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+import typing
 
 import attrs
 import cyclopts
@@ -35,7 +36,7 @@
 def agent_file(folder: pathlib.Path, engine: int, platform: int) -> int:
     """Write the settings of the agent; return its control port."""
     made = harness.agent_settings()
-    fields = {
+    fields: dict[str, typing.Any] = {
         name: value
         for name, value in attrs.asdict(made, recurse=False).items()
         if isinstance(value, str | int)
