--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -18,6 +18,7 @@
 from .fleet_experiments import Recovery
 from .fleet_experiments import Roles
 from .fleet_experiments import Subsets
+from .path_cost import PathCost
 
 __all__ = [
     "Case",
@@ -28,6 +29,7 @@
     "Limits",
     "Measured",
     "Overload",
+    "PathCost",
     "Recovery",
     "RequestPath",
     "Roles",
--- a/scenarios/_fleet.py
+++ b/scenarios/_fleet.py
@@ -65,6 +65,10 @@
     checks_fencing: bool = True
     #: Time that a role change takes an engine away.
     change_s: float = 1.0
+    #: Requests that an agent hands to its endpoint at once.
+    running_limit: int = 16
+    #: Whether hosts are reached through proxies; measurements go without.
+    proxied: bool = True
     #: Time of one engine step: one token for each stream.
     step_s: float = 0.004
     #: Whether the product orders endpoints and changes roles.
@@ -176,8 +180,14 @@
 
     def url(self, entry: int) -> str:
         """Return where callers reach an entry."""
-        front = self.entries[entry].front.address
-        return f"http://{front}:{_places.HTTP_PORT}"
+        address = self.reach(self.entries[entry])
+        return f"http://{address}:{_places.HTTP_PORT}"
+
+    def reach(self, host: Host) -> str:
+        """Return the address under which others reach a host."""
+        if self.shape.proxied:
+            return host.front.address
+        return self.places.address(host.number)
 
     def operator(self, entry: int) -> _operator.Operator:
         """Return an operator who works through an entry."""
@@ -450,10 +460,11 @@
             "metrics_port": _places.METRICS_PORT,
             "endpoint": {
                 "adapter": "openai_http" if kind == "engine" else "http",
-                "url": f"http://{host.front.address}:{_places.ENDPOINT_PORT}",
+                "url": f"http://{self.reach(host)}:{_places.ENDPOINT_PORT}",
             },
             "endpoint_kind": kind,
             "service": service,
+            "running_limit": self.shape.running_limit,
             "order_poll_s": 2.0,
         }
         self._write(host, settings)
@@ -521,7 +532,7 @@
             "role": role,
             "host_id": host.name,
             "listen_address": self.places.address(host.number),
-            "advertise_address": host.front.address,
+            "advertise_address": self.reach(host),
             "failure_domain": host.failure_domain,
             "platform": {
                 name: {"adapter": "http_json", "url": store}
