Let entries vouch for those they know, so that dead rows hold nothing

Cause: a new entry had to meet every entry with a row before it might commit a change, and rows of dead entries stood for the longest pact, an hour: after the loss of a host no new entry could withdraw a key that long, and the dead row kept the others from going on in an outage. Change: a blind answer names the entries that its sender knows, and the asker needs theirs too. So a newcomer needs to be known only to one that the others need, and such a one may remove rows of the dead after ten renewals. Ruled out: a shorter pact, which ends service in long outages; the host list, which lags and does not tell of processes.

--- a/bilberrydeal/billing/_recorder.py
+++ b/bilberrydeal/billing/_recorder.py
@@ -156,9 +156,14 @@
     async def open(self, wall_s: float) -> None:
         """Open the recorder; sealed windows are passed from the start.
 
-        Raises :class:`RecorderClosed` where the name was used before.
+        One that an earlier, doubtful call opened is gone on with. Raises
+        :class:`RecorderClosed` where it was closed.
         """
         while True:
+            found = await _close.read_recorder(self._client, self.name)
+            if found.version:
+                await self._loaded()
+                return
             sealed, openings = await self._client.read(
                 [_rows.SEALED, _rows.OPENINGS]
             )
@@ -189,9 +194,7 @@
                 committed = await self._client.commit_resolved(
                     transaction, key, nonce
                 )
-            except errors.TableConflict as error:
-                if error.table == _rows.RECORDERS:
-                    raise RecorderClosed(recorder=self.name) from error
+            except errors.TableConflict:
                 continue
             self._own = _close.Found(committed.versions[0], row)
             return
--- a/bilberrydeal/duties/_sweep.py
+++ b/bilberrydeal/duties/_sweep.py
@@ -1,5 +1,7 @@
 """Removes rows that nobody needs any more, a few each round."""
 
+import collections.abc
+
 import attrs
 
 from .. import billing
@@ -10,8 +12,8 @@
 from .. import store
 from . import _duty
 
-#: An agent's row goes after so many of its renewals failed to appear.
-AGENT_RENEWALS = 10.0
+#: A row goes after so many of its renewals failed to appear.
+RENEWALS = 10.0
 #: Rows of members read for a sweep every so many seconds.
 MEMBERS_PERIOD_S = 15.0
 #: Rows of billing are looked at every so many seconds.
@@ -37,16 +39,19 @@
         owner: claims.Claims,
         rule: billing.WindowRule,
         entry_unchanged_s: float,
+        covers: collections.abc.Callable[[str], bool] = lambda name: False,
     ) -> None:
-        """``entry_unchanged_s``: an entry's row goes after that time.
+        """An entry's row goes after ``entry_unchanged_s``, or when covered.
 
-        It is at least the longest pact of blind entries and its margin, see
+        That time is at least the longest pact of blind entries. ``covers``
+        tells whose row may go as soon as it missed its renewals, see
         docs/design/keys.md.
         """
         self._client = client
         self._claims = owner
         self._rule = rule
         self._entry_unchanged_s = entry_unchanged_s
+        self._covers = covers
         self._watched: dict[str, _Watched] = {}
         self._members_due_s = float("-inf")
         self._billing_due_s = float("-inf")
@@ -84,9 +89,11 @@
 
     def _limit_s(self, row: ports.Row) -> float:
         member = membership.decode(row)
+        missed_s = member.renew_s * RENEWALS
         if isinstance(member, membership.EntryMember):
-            return self._entry_unchanged_s
-        return member.renew_s * AGENT_RENEWALS
+            covered = self._covers(member.incarnation)
+            return missed_s if covered else self._entry_unchanged_s
+        return missed_s
 
     async def _remove(self, row: ports.Row) -> None:
         member = membership.decode(row)
--- a/bilberrydeal/duties/tests/test_duties.py
+++ b/bilberrydeal/duties/tests/test_duties.py
@@ -110,12 +110,7 @@
             [
                 duties.FleetDuty(client, self.endpoints, "d1", decide),
                 duties.RoleDuty(client, self._roles, self._hint),
-                duties.SweepDuty(
-                    client,
-                    claims.Claims(client, faults.MemoryObjects()),
-                    RULE,
-                    entry_unchanged_s=30.0,
-                ),
+                duties.UsageDuty(client, _Usage(), RULE, lambda name: False),
             ],
             renew_s=1.5,
             round_s=1.0,
@@ -209,25 +204,35 @@
     assert order.order_version == len(world.hints)
 
 
-def test_dead_members_are_swept() -> None:
+@pytest.mark.parametrize("covered", [True, False])
+def test_dead_members_are_swept(covered: bool) -> None:
     loop = virtual.VirtualLoop()
-    world = World(loop, random.Random(1))
-    client = faults.make_client(loop, world.memory)
-    for name in ("dead", "alive"):
-        member = membership.EntryMember(name, name, name, 1, "d1")
+    memory = platform.MemoryTable()
+    client = faults.make_client(loop, memory)
+    for port, name in enumerate(("dead", "alive")):
+        member = membership.EntryMember(name, name, "127.0.0.1", port, "d1")
         row = membership.Registration(client, member)
         loop.run(row.join(0.0))
+    duty = duties.SweepDuty(
+        client,
+        claims.Claims(client, faults.MemoryObjects()),
+        RULE,
+        entry_unchanged_s=100.0,
+        covers=lambda name: covered,
+    )
+    lease = leases.Lease(client, duty.name, "alive", BOUNDS)
 
-    async def run() -> None:
-        task = asyncio.create_task(world.runner().run())
-        for _ in range(60):
+    async def run(seconds: int) -> list[str]:
+        for _ in range(seconds):
             await asyncio.sleep(1.0)
             await row.renew(0.0)
-        await _end(task)
+            await duty.round(duties.Round(lease, client.now_s(), 0.0))
+        rows = await memory.scan("members", "", "", 9, 1.0)
+        return [row.key for row in rows]
 
-    loop.run(run())
-    rows = loop.run(_rows(world, "members"))
-    assert [r.key for r in rows] == ["entry/alive", "standing/alive"]
+    alive = ["entry/alive", "standing/alive"]
+    assert (loop.run(run(50)) == alive) is covered
+    assert loop.run(run(100)) == alive
 
 
 class _Usage:
--- a/bilberrydeal/keys/_freshness.py
+++ b/bilberrydeal/keys/_freshness.py
@@ -17,6 +17,8 @@
 
 from .. import errors
 
+#: An asker is told who is covered for so long after its first question.
+INTRODUCTION_S = 120.0
 #: Covers drift of clocks over the longest pact, in seconds.
 MARGIN_S = 1.0
 
@@ -33,6 +35,12 @@
     age_s: float | None
     #: Whether it is cut off and has no commit on its way.
     blind: bool
+    #: Entries that it knows, when it is blind: the asker needs the answers
+    #: of these too.
+    known: tuple[str, ...] = ()
+    #: Entries that would come to need its answer before they go on blind,
+    #: told to askers that are new.
+    covered: tuple[str, ...] = ()
 
 
 @attrs.define(slots=False, eq=False)
@@ -90,7 +98,9 @@
         self._dropped: tuple[frozenset[str], float] | None = None
         self._members_read = False
         self._must_meet: set[str] | None = None
-        self._met: set[str] = set()
+        self._present: frozenset[str] = frozenset()
+        self._covered: set[str] = set()
+        self._asked_first_s: dict[str, float] = {}
         self._blind: dict[str, _BlindAnswer] = {}
         self._commits = 0
         self._unsettled_s: float | None = None
@@ -137,6 +147,8 @@
             self._known.setdefault(incarnation, now_s)
         gone = frozenset(self._known) - present
         self._dropped = (gone, now_s)
+        self._covered -= self._present - present
+        self._present = present
         if self._must_meet is not None:
             self._must_meet &= young
 
@@ -145,19 +157,22 @@
     def answer(self, asker: str, now_s: float) -> PeerKnowledge:
         """Return what to tell a peer."""
         self._known[asker] = now_s
-        blind = (
-            not self.is_confirmed(now_s)
-            and not self._commits
-            and self._unsettled_s is None
-        )
+        self._covered.add(asker)
+        first_s = self._asked_first_s.setdefault(asker, now_s)
+        blind = self._is_blind_itself(now_s)
         age_s = None
         if self._confirmed_s is not None:
             age_s = now_s - self._confirmed_s
+        covered: set[str] = set()
+        if now_s - first_s <= INTRODUCTION_S:
+            covered = self._covered
         return PeerKnowledge(
             incarnation=self.own,
             revision=self.revision,
             age_s=age_s,
             blind=blind,
+            known=tuple(sorted(self._known)) if blind else (),
+            covered=tuple(sorted(covered)),
         )
 
     def learn(self, knowledge: PeerKnowledge, sent_s: float) -> None:
@@ -167,8 +182,10 @@
         missing the answer confirms nothing.
         """
         peer = knowledge.incarnation
-        self._known.setdefault(peer, sent_s)
-        self._met.add(peer)
+        for name in (peer, *knowledge.known):
+            if name != self.own:
+                self._known.setdefault(name, sent_s)
+        self._covered.update((peer, *knowledge.covered))
         if knowledge.blind:
             self._blind[peer] = _BlindAnswer(sent_s, knowledge.revision)
         else:
@@ -192,6 +209,14 @@
                 retry_after_s=self.bound_s,
             )
 
+    def covers(self, incarnation: str) -> bool:
+        """Return whether an entry's row may go before the longest pact.
+
+        That entry would come to need an answer of this one before it goes
+        on blind, and with it those of all entries introduced since.
+        """
+        return incarnation in self._covered
+
     def begin_commit(self, now_s: float) -> None:
         """Begin to commit a change, or raise :class:`CommitHeld`.
 
@@ -199,7 +224,7 @@
         """
         if self._must_meet is None:
             raise CommitHeld("not joined", self.bound_s)
-        if self._must_meet - self._met:
+        if self._must_meet - self._covered:
             raise CommitHeld("introductions", self.bound_s)
         self._commits += 1
 
@@ -233,6 +258,13 @@
             return None
         return now_s - self._confirmed_s
 
+    def _is_blind_itself(self, now_s: float) -> bool:
+        return (
+            not self.is_confirmed(now_s)
+            and not self._commits
+            and self._unsettled_s is None
+        )
+
     def _goes_on_blind(self, now_s: float) -> bool:
         if self._confirmed_s is None or not self._members_read:
             return False
@@ -241,7 +273,7 @@
         longest_s = self.pact_longest_s - self.margin_s
         if now_s > self._renewed_s + longest_s:
             return False
-        if self._commits or self._unsettled_s is not None:
+        if not self._is_blind_itself(now_s):
             return False
         return all(self._is_blind(peer, now_s) for peer in self._known)
 
--- a/bilberrydeal/keys/tests/test_freshness.py
+++ b/bilberrydeal/keys/tests/test_freshness.py
@@ -179,6 +179,15 @@
             for name in set(self.table.rows) - young:
                 del self.table.rows[name]
 
+    @stateful.rule(data=strategies.data())
+    def sweep_covered(self, data: strategies.DataObject) -> None:
+        """One that covers another removes its row, however young."""
+        sweeper = self.entries[self._any(data)]
+        name = self._any(data)
+        able = sweeper.store and sweeper.joined
+        if able and sweeper.freshness.covers(name):
+            self.table.rows.pop(name, None)
+
     @stateful.rule(data=strategies.data(), lost=strategies.booleans())
     def withdraw(self, data: strategies.DataObject, lost: bool) -> None:
         """Commit the withdrawal, sometimes with a lost, late effect."""
@@ -270,6 +279,21 @@
     assert one.answer("b", now_s + CALL_S + BOUND_S + 1).blind
 
 
+def test_a_newcomer_needs_one_that_knows_the_others() -> None:
+    one, other = _pair()
+    newcomer = _freshness("c")
+    newcomer.joined(frozenset("abc"), 1.0)
+    newcomer.learn(other.answer("c", 1.0), 1.0)
+    with pytest.raises(keys.CommitHeld):
+        newcomer.begin_commit(1.0)
+    other.learn(one.answer("b", 2.0), 2.0)
+    newcomer.learn(other.answer("c", 3.0), 3.0)
+    newcomer.begin_commit(3.0)
+    # Cut off from the newcomer, the one still learns of it.
+    one.learn(other.answer("a", 8.0), 8.0)
+    assert not one.accepts(8.0)
+
+
 def test_a_newcomer_is_introduced_before_it_commits() -> None:
     one, _ = _pair()
     newcomer = _freshness("c")
--- a/bilberrydeal/membership/_members.py
+++ b/bilberrydeal/membership/_members.py
@@ -145,9 +145,14 @@
 
 
 def same(one: Member | None, other: Member) -> bool:
-    """Return whether two rows differ at most by a renewal."""
+    """Return whether two rows differ at most by a renewal.
+
+    Demand is part of a renewal: who plans reads it from the store.
+    """
     if one is None:
         return False
+    if isinstance(one, EntryMember) and isinstance(other, EntryMember):
+        one = attrs.evolve(one, demand=other.demand)
     return (
         attrs.evolve(one, renewed_at_s=other.renewed_at_s, nonce=other.nonce)
         == other
