--- a/bilberrydeal/membership/tests/test_membership.py
+++ b/bilberrydeal/membership/tests/test_membership.py
@@ -95,6 +95,9 @@
                 if one is not other:
                     one.take_relay(relay, now_s, now_s)
 
+    def ages(self) -> tuple[membership.ShardAge, ...]:
+        return self.directories["e1"].ages(self.loop.now_s)
+
     def seen(self, name: str) -> set[str]:
         directory = self.directories[name]
         members: list[membership.Member] = [*directory.entries()]
@@ -127,6 +130,8 @@
 
 def test_an_outage_freezes_the_view() -> None:
     fleet = _fleet()
+    renewing, fleet.renewing = fleet.renewing, set()
+    fleet.live(3.0)
     fleet.down(True)
     fleet.live(60.0)
     assert fleet.seen("e1") == EVERYBODY
@@ -135,7 +140,7 @@
     assert age_s >= 60.0
     fleet.down(False)
     # Nobody renewed for long, which is no reason to expire.
-    renewing, fleet.renewing = fleet.renewing, {"e1"}
+    fleet.renewing = {"e1"}
     fleet.live(1.0)
     assert fleet.seen("e1") == EVERYBODY
     fleet.renewing = renewing
@@ -176,6 +181,13 @@
     fleet.renewing.remove("a9.1")
     fleet.live(3.0)
     assert "a9.1" not in fleet.seen("e2")
+    fleet.join(_entry("e3", 3))
+    fleet.live(3.0)
+    assert "e3" in fleet.seen("e2")
+    fleet.renewing.remove("e3")
+    del fleet.directories["e3"]
+    fleet.live(20.0)
+    assert "e3" not in fleet.seen("e2")
 
 
 def test_without_peers_each_reads_for_itself() -> None:
@@ -188,13 +200,14 @@
 
 def test_a_shard_is_read_by_one_entry() -> None:
     fleet = _fleet()
-    before = sum(table.calls for table in fleet.tables.values())
-    renewals = len(fleet.renewing) * 2
-    fleet.live(20.0)
-    calls = sum(table.calls for table in fleet.tables.values()) - before
-    reads_per_s = calls / 20.0 - renewals
-    shards = len(fleet.directories["e1"].due(float("inf")))
-    assert reads_per_s <= shards / READ_S * 1.1
+    fleet.loop.advance(READ_S * 1.5)
+    now_s = fleet.loop.now_s
+    one, other = (set(d.due(now_s)) for d in fleet.directories.values())
+    assert not one & other
+    assert one | other == {age.shard for age in fleet.ages()}
+    fleet.loop.advance(READ_S * 2)
+    # The other did not read: it is gone or cut off.
+    assert set(fleet.directories["e1"].due(fleet.loop.now_s)) == one | other
 
 
 def test_reads_slow_down_in_a_large_fleet() -> None:
@@ -238,6 +251,18 @@
     assert "a0.2" in fleet.seen("e1")
 
 
+def test_a_doubtful_renewal_does_not_take_a_successors_row() -> None:
+    fleet = _fleet(1)
+    fleet.tables["a0.1"].script = [faults.Fault.LOST_BEFORE]
+    fleet.tables["a0.1"].script += [faults.Fault.DOWN] * 40
+    with pytest.raises(errors.OutcomeUnknown):
+        fleet.loop.run(fleet.rows["a0.1"].renew(0.0))
+    fleet.tables["a0.1"].script.clear()
+    fleet.join(_agent("a0", "2"))
+    with pytest.raises(membership.RowTaken):
+        fleet.loop.run(fleet.rows["a0.1"].renew(0.0))
+
+
 def test_a_restarted_entry_removes_its_former_row() -> None:
     fleet = _fleet(0)
     fleet.renewing.remove("e1")
