--- a/bilberrydeal/keys/tests/test_freshness.py
+++ b/bilberrydeal/keys/tests/test_freshness.py
@@ -41,7 +41,8 @@
 
     freshness: keys.Freshness
     store: bool = True
-    peers: bool = True
+    #: Entries of one group reach each other.
+    group: int = 0
     joined: bool = False
     #: A commit whose answer is lost, with the time it takes effect.
     late_s: float | None = None
@@ -63,11 +64,12 @@
 
     # Helpers.
 
-    def _join(self, peers: bool = True) -> None:
+    def _join(self, group: int = 0) -> str:
         self.count += 1
         name = f"e{self.count}"
-        self.entries[name] = Entry(_freshness(name), peers=peers)
+        self.entries[name] = Entry(_freshness(name), group=group)
         self._renew(name)
+        return name
 
     def _renew(self, name: str) -> None:
         entry = self.entries[name]
@@ -87,7 +89,7 @@
     def _exchange(self, asker: str, answerer: str) -> None:
         one = self.entries[asker]
         other = self.entries[answerer]
-        if one.peers and other.peers and asker != answerer:
+        if one.group == other.group and asker != answerer:
             answer = other.freshness.answer(asker, self.now_s)
             one.freshness.learn(answer, self.now_s)
 
@@ -119,7 +121,7 @@
                     self._effect(withdraws=True)
 
     @stateful.rule(
-        rounds=strategies.sampled_from([1, 3, 16]),
+        rounds=strategies.sampled_from([2, 14]),
         steps=strategies.sets(strategies.sampled_from(["rows", "head"])),
         paused=strategies.sets(strategies.integers(1, 4), max_size=1),
     )
@@ -137,22 +139,43 @@
                     self._exchange(name, other)
             self.no_late_acceptance()
 
-    @stateful.rule(data=strategies.data())
-    def cut(self, data: strategies.DataObject) -> None:
-        entry = self.entries[self._any(data)]
-        entry.store = data.draw(strategies.booleans())
-        entry.peers = data.draw(strategies.booleans())
-
-    @stateful.rule(seconds=strategies.sampled_from([0.0, BOUND_S + 1]))
-    def outage(self, seconds: float) -> None:
+    @stateful.rule(
+        data=strategies.data(),
+        cut=strategies.sampled_from(["none", "all", "some"]),
+        apart=strategies.booleans(),
+        rounds=strategies.sampled_from([0, 14]),
+    )
+    def cut(
+        self,
+        data: strategies.DataObject,
+        cut: str,
+        apart: bool,
+        rounds: int,
+    ) -> None:
+        """Cut entries off the store, and groups from each other."""
         for entry in self.entries.values():
-            entry.store = False
-        self.pass_time(seconds)
+            entry.store = cut == "none"
+            if cut == "some":
+                entry.store = data.draw(strategies.booleans())
+            entry.group = 0
+            if apart:
+                entry.group = data.draw(strategies.integers(0, 1))
+        self.live_on(rounds, {"rows", "head"}, set())
 
     @stateful.precondition(lambda self: len(self.entries) < 4)
-    @stateful.rule(peers=strategies.booleans())
-    def join(self, peers: bool) -> None:
-        self._join(peers)
+    @stateful.rule(
+        group=strategies.integers(0, 1),
+        withdraws=strategies.booleans(),
+        rounds=strategies.sampled_from([0, 14]),
+    )
+    def join(self, group: int, withdraws: bool, rounds: int) -> None:
+        name = self._join(group)
+        self._read(name)
+        for other in self.entries:
+            self._exchange(name, other)
+        if withdraws:
+            self._withdraw(name, lost=False)
+        self.live_on(rounds, {"rows", "head"}, set())
 
     @stateful.rule(data=strategies.data())
     def leave(self, data: strategies.DataObject) -> None:
@@ -191,7 +214,9 @@
     @stateful.rule(data=strategies.data(), lost=strategies.booleans())
     def withdraw(self, data: strategies.DataObject, lost: bool) -> None:
         """Commit the withdrawal, sometimes with a lost, late effect."""
-        name = self._any(data)
+        self._withdraw(self._any(data), lost)
+
+    def _withdraw(self, name: str, lost: bool) -> None:
         entry = self.entries[name]
         if not entry.store or not entry.joined or entry.late_s is not None:
             return
