--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -11,6 +11,8 @@
 from ._experiments import Figure
 from ._experiments import Measured
 from ._experiments import Target
+from ._limits import Limits
+from ._overload import Overload
 from ._request_path import RequestPath
 from .fleet_experiments import FleetSize
 from .fleet_experiments import Recovery
@@ -23,7 +25,9 @@
     "Experiment",
     "Figure",
     "FleetSize",
+    "Limits",
     "Measured",
+    "Overload",
     "Recovery",
     "RequestPath",
     "Roles",
--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -14,6 +14,7 @@
 from .. import telemetry
 from ..systems import health
 from ..systems import retries
+from . import _journal
 from . import _policies
 from . import _pool
 from . import _work
@@ -32,12 +33,29 @@
         errors.ErrorCode.SHUTTING_DOWN,
     ]
 )
+#: Shorter expectations say nothing about an endpoint's slowness.
+SHORTEST_EXPECTED_S = 0.05
 #: Callers that find no endpoint are told to come back after this time.
 NO_ENDPOINT_RETRY_S = 1.0
 
 Event = link.Chunk | link.Finished
-#: Bills the tokens of a request whose agent is gone.
-BillLost = collections.abc.Callable[[link.RequestNumber, str, int], None]
+
+
+@attrs.frozen
+class LostWork:
+    """A request whose agent went away in the midst of its answer."""
+
+    number: link.RequestNumber
+    organisation: str
+    endpoint_id: str
+    #: Tokens that the caller got.
+    tokens: int
+    #: Whether another incarnation of the agent has come.
+    agent_replaced: bool
+
+
+#: Takes a request that its agent may not bill any more.
+BillLost = collections.abc.Callable[[LostWork], None]
 
 
 class Placement(typing.Protocol):
@@ -71,9 +89,11 @@
         policies: _policies.Policies,
         next_number: collections.abc.Callable[[], link.RequestNumber],
         bill_lost: BillLost,
+        journal: _journal.Journal,
         clock: collections.abc.Callable[[], float],
     ) -> None:
         self._bill_lost = bill_lost
+        self._journal = journal
         self._next_number = next_number
         self._pool = pool
         self._tables = tables
@@ -94,20 +114,22 @@
         for number in range(1, 1 << 30):
             begun = False
             pending = self._route(work, tried)
+            sent_s = self._clock()
             try:
                 attempt = self._attempt(work, pending, placement)
                 async with contextlib.aclosing(attempt) as events:
                     async for event in events:
+                        if not begun:
+                            self._began(work, pending, sent_s)
+                        if isinstance(event, link.Finished):
+                            # The consumer takes no part after the last.
+                            self._succeeded(work, pending)
                         begun = True
                         yield event
+                return
             except AttemptFailed as failed:
                 tried |= {pending.endpoint_id}
                 await self._back_off(work, pending, failed, number, begun)
-            else:
-                self._policies.retrier.succeeded(
-                    work.route, pending.endpoint_id, self._clock()
-                )
-                return
             finally:
                 self._policies.router.finished(
                     self._tables, pending, self._clock()
@@ -123,6 +145,7 @@
             self._policies.router.run(self._tables, self._clock())
             self._pending.remove(pending.key)
             if pending.endpoint_id:
+                self._note(work, f"routed to {pending.endpoint_id}")
                 return pending
         raise errors.Refusal(
             reason=errors.ErrorCode.NO_ENDPOINT,
@@ -140,6 +163,8 @@
         begun: bool,
     ) -> None:
         """Wait before the next try, or raise a refusal for the caller."""
+        started = "may have run" if failed.started else "not run"
+        self._note(work, f"failed: {failed.reason.value}, {started}")
         now_s = self._clock()
         delay_s = None
         if not begun:
@@ -175,6 +200,7 @@
             )
         # An agent takes a number once, so each try has one of its own.
         number = self._next_number()
+        self._note(work, f"sent as {number}")
         if placement is not None:
             await placement.placed(
                 claims.Dispatch(number, pending.endpoint_id, agent_link.agent)
@@ -194,16 +220,53 @@
                 async for event in events:
                     yield event
         except AttemptFailed as failed:
-            if isinstance(failed.__cause__, link.CallLost) and answer.tokens:
-                self._bill_lost(number, work.organisation, answer.tokens)
+            lost = failed.__cause__
+            if isinstance(lost, link.CallLost) and answer.tokens:
+                self._bill_lost(
+                    LostWork(
+                        number=number,
+                        organisation=work.organisation,
+                        endpoint_id=pending.endpoint_id,
+                        tokens=answer.tokens,
+                        agent_replaced=lost.agent_replaced,
+                    )
+                )
             if failed.reason not in LOAD_REASONS:
-                self._observe(pending.endpoint_id, succeeded=False)
+                self._failed(pending.endpoint_id)
             raise
-        self._observe(pending.endpoint_id, succeeded=True)
 
-    def _observe(self, endpoint_id: str, succeeded: bool) -> None:
+    def _note(self, work: _work.Work, event: str) -> None:
+        self._journal.note(work.number, "dispatch", event)
+
+    def _began(
+        self,
+        work: _work.Work,
+        pending: systems.PendingRequest,
+        sent_s: float,
+    ) -> None:
+        """Note the time to the first part."""
+        self._note(work, "first part came")
+        now_s = self._clock()
+        slowness = 0.0
+        if work.generation is not None:
+            expected_s = max(pending.expected_first_s, SHORTEST_EXPECTED_S)
+            slowness = (now_s - sent_s) / expected_s
+        self._policies.health.observe(
+            health.Observation(pending.endpoint_id, True, slowness), now_s
+        )
+
+    def _succeeded(
+        self, work: _work.Work, pending: systems.PendingRequest
+    ) -> None:
+        """Note an answer that came whole."""
+        self._note(work, "answered")
+        self._policies.retrier.succeeded(
+            work.route, pending.endpoint_id, self._clock()
+        )
+
+    def _failed(self, endpoint_id: str) -> None:
         self._policies.health.observe(
-            health.Observation(endpoint_id, succeeded), self._clock()
+            health.Observation(endpoint_id, False), self._clock()
         )
 
 
