--- a/bilberrydeal/keys/tests/test_freshness.py
+++ b/bilberrydeal/keys/tests/test_freshness.py
@@ -1,4 +1,4 @@
-"""Several entries, an outage in parts, joins and pauses, one withdrawal."""
+"""Several entries, an outage in parts, joins, pauses and withdrawals."""
 
 import attrs
 import hypothesis
@@ -30,8 +30,8 @@
     """The store: revisions by time, and rows of members."""
 
     revision: int = 0
-    withdrawn_s: float | None = None
-    withdrawal: int = 0
+    #: When each revision was committed; each withdraws some key.
+    committed_s: dict[int, float] = attrs.Factory(dict)
     rows: dict[str, float] = attrs.Factory(dict)
 
 
@@ -99,11 +99,9 @@
         for other in self.entries:
             self._exchange(name, other)
 
-    def _effect(self, withdraws: bool) -> None:
+    def _effect(self) -> None:
         self.table.revision += 1
-        if withdraws and self.table.withdrawn_s is None:
-            self.table.withdrawn_s = self.now_s
-            self.table.withdrawal = self.table.revision
+        self.table.committed_s[self.table.revision] = self.now_s
 
     def _any(self, data: strategies.DataObject) -> str:
         return data.draw(strategies.sampled_from(sorted(self.entries)))
@@ -118,7 +116,7 @@
                 entry.late_s = None
                 # It takes effect only while its entry is a member.
                 if name in self.table.rows:
-                    self._effect(withdraws=True)
+                    self._effect()
 
     @stateful.rule(
         rounds=strategies.sampled_from([2, 14]),
@@ -227,20 +225,21 @@
         if lost:
             entry.late_s = self.now_s + CALL_S
         elif name in self.table.rows:
-            self._effect(withdraws=True)
+            self._effect()
             entry.freshness.applied(self.table.revision)
         entry.freshness.end_commit(known=not lost, now_s=self.now_s)
 
     @stateful.invariant()
     def no_late_acceptance(self) -> None:
-        withdrawn_s = self.table.withdrawn_s
-        if withdrawn_s is None:
-            return
-        if self.now_s <= withdrawn_s + BOUND_S + MARGIN_S:
-            return
+        longest_s = BOUND_S + MARGIN_S
+        old = [
+            revision
+            for revision, committed_s in self.table.committed_s.items()
+            if self.now_s > committed_s + longest_s
+        ]
         for name, entry in self.entries.items():
             freshness = entry.freshness
-            knows = freshness.revision >= self.table.withdrawal
+            knows = freshness.revision >= max(old, default=0)
             assert knows or not freshness.accepts(self.now_s), name
 
 
@@ -329,3 +328,28 @@
         newcomer.begin_commit(1.0)
     newcomer.learn(one.answer("c", 1.0), 1.0)
     newcomer.begin_commit(1.0)
+
+
+def test_one_that_left_counts_until_the_head_was_read_after() -> None:
+    one, other = _pair()
+    assert not one.covers("b")
+    one.learn(other.answer("a", 1.0), 1.0)
+    assert one.covers("b")
+    one.members(frozenset("a"), frozenset("a"), 2.0)
+    assert not one.accepts(BOUND_S + 1.5)
+    one.confirmed(1.9)
+    assert not one.accepts(1.9 + BOUND_S + 1)
+    one.confirmed(2.0)
+    # Alone now, it goes on.
+    assert one.accepts(2.0 + BOUND_S + 1)
+    # One that asks again is needed again.
+    one.answer("b", 2.0 + BOUND_S + 1)
+    assert not one.accepts(2.0 + BOUND_S + 1)
+
+
+def test_one_that_asked_after_the_read_is_not_forgotten() -> None:
+    one, _ = _pair()
+    one.members(frozenset("a"), frozenset("a"), 2.0)
+    one.answer("b", 3.0)
+    one.confirmed(4.0)
+    assert not one.accepts(4.0 + BOUND_S + 1)
