--- a/bilberrydeal/keys/tests/test_freshness.py
+++ b/bilberrydeal/keys/tests/test_freshness.py
@@ -1,4 +1,4 @@
-"""Several entries, an outage in parts, joins and pauses, one withdrawal."""
+"""Several entries, an outage in parts, joins, pauses and withdrawals."""
 
 import attrs
 import hypothesis
@@ -30,8 +30,8 @@
     """The store: revisions by time, and rows of members."""
 
     revision: int = 0
-    withdrawn_s: float | None = None
-    withdrawal: int = 0
+    #: When each revision was committed; each withdraws some key.
+    committed_s: dict[int, float] = attrs.Factory(dict)
     rows: dict[str, float] = attrs.Factory(dict)
 
 
@@ -41,7 +41,8 @@
 
     freshness: keys.Freshness
     store: bool = True
-    peers: bool = True
+    #: Entries of one group reach each other.
+    group: int = 0
     joined: bool = False
     #: A commit whose answer is lost, with the time it takes effect.
     late_s: float | None = None
@@ -63,11 +64,12 @@
 
     # Helpers.
 
-    def _join(self, peers: bool = True) -> None:
+    def _join(self, group: int = 0) -> str:
         self.count += 1
         name = f"e{self.count}"
-        self.entries[name] = Entry(_freshness(name), peers=peers)
+        self.entries[name] = Entry(_freshness(name), group=group)
         self._renew(name)
+        return name
 
     def _renew(self, name: str) -> None:
         entry = self.entries[name]
@@ -87,7 +89,7 @@
     def _exchange(self, asker: str, answerer: str) -> None:
         one = self.entries[asker]
         other = self.entries[answerer]
-        if one.peers and other.peers and asker != answerer:
+        if one.group == other.group and asker != answerer:
             answer = other.freshness.answer(asker, self.now_s)
             one.freshness.learn(answer, self.now_s)
 
@@ -97,11 +99,9 @@
         for other in self.entries:
             self._exchange(name, other)
 
-    def _effect(self, withdraws: bool) -> None:
+    def _effect(self) -> None:
         self.table.revision += 1
-        if withdraws and self.table.withdrawn_s is None:
-            self.table.withdrawn_s = self.now_s
-            self.table.withdrawal = self.table.revision
+        self.table.committed_s[self.table.revision] = self.now_s
 
     def _any(self, data: strategies.DataObject) -> str:
         return data.draw(strategies.sampled_from(sorted(self.entries)))
@@ -116,10 +116,10 @@
                 entry.late_s = None
                 # It takes effect only while its entry is a member.
                 if name in self.table.rows:
-                    self._effect(withdraws=True)
+                    self._effect()
 
     @stateful.rule(
-        rounds=strategies.sampled_from([1, 3, 16]),
+        rounds=strategies.sampled_from([2, 14]),
         steps=strategies.sets(strategies.sampled_from(["rows", "head"])),
         paused=strategies.sets(strategies.integers(1, 4), max_size=1),
     )
@@ -137,22 +137,43 @@
                     self._exchange(name, other)
             self.no_late_acceptance()
 
-    @stateful.rule(data=strategies.data())
-    def cut(self, data: strategies.DataObject) -> None:
-        entry = self.entries[self._any(data)]
-        entry.store = data.draw(strategies.booleans())
-        entry.peers = data.draw(strategies.booleans())
-
-    @stateful.rule(seconds=strategies.sampled_from([0.0, BOUND_S + 1]))
-    def outage(self, seconds: float) -> None:
+    @stateful.rule(
+        data=strategies.data(),
+        cut=strategies.sampled_from(["none", "all", "some"]),
+        apart=strategies.booleans(),
+        rounds=strategies.sampled_from([0, 14]),
+    )
+    def cut(
+        self,
+        data: strategies.DataObject,
+        cut: str,
+        apart: bool,
+        rounds: int,
+    ) -> None:
+        """Cut entries off the store, and groups from each other."""
         for entry in self.entries.values():
-            entry.store = False
-        self.pass_time(seconds)
+            entry.store = cut == "none"
+            if cut == "some":
+                entry.store = data.draw(strategies.booleans())
+            entry.group = 0
+            if apart:
+                entry.group = data.draw(strategies.integers(0, 1))
+        self.live_on(rounds, {"rows", "head"}, set())
 
     @stateful.precondition(lambda self: len(self.entries) < 4)
-    @stateful.rule(peers=strategies.booleans())
-    def join(self, peers: bool) -> None:
-        self._join(peers)
+    @stateful.rule(
+        group=strategies.integers(0, 1),
+        withdraws=strategies.booleans(),
+        rounds=strategies.sampled_from([0, 14]),
+    )
+    def join(self, group: int, withdraws: bool, rounds: int) -> None:
+        name = self._join(group)
+        self._read(name)
+        for other in self.entries:
+            self._exchange(name, other)
+        if withdraws:
+            self._withdraw(name, lost=False)
+        self.live_on(rounds, {"rows", "head"}, set())
 
     @stateful.rule(data=strategies.data())
     def leave(self, data: strategies.DataObject) -> None:
@@ -179,10 +200,21 @@
             for name in set(self.table.rows) - young:
                 del self.table.rows[name]
 
+    @stateful.rule(data=strategies.data())
+    def sweep_covered(self, data: strategies.DataObject) -> None:
+        """One that covers another removes its row, however young."""
+        sweeper = self.entries[self._any(data)]
+        name = self._any(data)
+        able = sweeper.store and sweeper.joined
+        if able and sweeper.freshness.covers(name):
+            self.table.rows.pop(name, None)
+
     @stateful.rule(data=strategies.data(), lost=strategies.booleans())
     def withdraw(self, data: strategies.DataObject, lost: bool) -> None:
         """Commit the withdrawal, sometimes with a lost, late effect."""
-        name = self._any(data)
+        self._withdraw(self._any(data), lost)
+
+    def _withdraw(self, name: str, lost: bool) -> None:
         entry = self.entries[name]
         if not entry.store or not entry.joined or entry.late_s is not None:
             return
@@ -193,20 +225,21 @@
         if lost:
             entry.late_s = self.now_s + CALL_S
         elif name in self.table.rows:
-            self._effect(withdraws=True)
+            self._effect()
             entry.freshness.applied(self.table.revision)
         entry.freshness.end_commit(known=not lost, now_s=self.now_s)
 
     @stateful.invariant()
     def no_late_acceptance(self) -> None:
-        withdrawn_s = self.table.withdrawn_s
-        if withdrawn_s is None:
-            return
-        if self.now_s <= withdrawn_s + BOUND_S + MARGIN_S:
-            return
+        longest_s = BOUND_S + MARGIN_S
+        old = [
+            revision
+            for revision, committed_s in self.table.committed_s.items()
+            if self.now_s > committed_s + longest_s
+        ]
         for name, entry in self.entries.items():
             freshness = entry.freshness
-            knows = freshness.revision >= self.table.withdrawal
+            knows = freshness.revision >= max(old, default=0)
             assert knows or not freshness.accepts(self.now_s), name
 
 
@@ -270,6 +303,21 @@
     assert one.answer("b", now_s + CALL_S + BOUND_S + 1).blind
 
 
+def test_a_newcomer_needs_one_that_knows_the_others() -> None:
+    one, other = _pair()
+    newcomer = _freshness("c")
+    newcomer.joined(frozenset("abc"), 1.0)
+    newcomer.learn(other.answer("c", 1.0), 1.0)
+    with pytest.raises(keys.CommitHeld):
+        newcomer.begin_commit(1.0)
+    other.learn(one.answer("b", 2.0), 2.0)
+    newcomer.learn(other.answer("c", 3.0), 3.0)
+    newcomer.begin_commit(3.0)
+    # Cut off from the newcomer, the one still learns of it.
+    one.learn(other.answer("a", 8.0), 8.0)
+    assert not one.accepts(8.0)
+
+
 def test_a_newcomer_is_introduced_before_it_commits() -> None:
     one, _ = _pair()
     newcomer = _freshness("c")
@@ -280,3 +328,28 @@
         newcomer.begin_commit(1.0)
     newcomer.learn(one.answer("c", 1.0), 1.0)
     newcomer.begin_commit(1.0)
+
+
+def test_one_that_left_counts_until_the_head_was_read_after() -> None:
+    one, other = _pair()
+    assert not one.covers("b")
+    one.learn(other.answer("a", 1.0), 1.0)
+    assert one.covers("b")
+    one.members(frozenset("a"), frozenset("a"), 2.0)
+    assert not one.accepts(BOUND_S + 1.5)
+    one.confirmed(1.9)
+    assert not one.accepts(1.9 + BOUND_S + 1)
+    one.confirmed(2.0)
+    # Alone now, it goes on.
+    assert one.accepts(2.0 + BOUND_S + 1)
+    # One that asks again is needed again.
+    one.answer("b", 2.0 + BOUND_S + 1)
+    assert not one.accepts(2.0 + BOUND_S + 1)
+
+
+def test_one_that_asked_after_the_read_is_not_forgotten() -> None:
+    one, _ = _pair()
+    one.members(frozenset("a"), frozenset("a"), 2.0)
+    one.answer("b", 3.0)
+    one.confirmed(4.0)
+    assert not one.accepts(4.0 + BOUND_S + 1)
