Give up ports and answers that nobody claims

Cause: an agent that was paused finds many old hellos and gave each a port; an answer whose entry had given it up in its own window stayed for ever on a link that came back. Change: a hello replaces the entry's one before it that was not dialled; what a new session does not resume within the resume window is given up.

--- a/bench/agent_cost.py
+++ b/bench/agent_cost.py
@@ -35,7 +35,7 @@
 def agent_file(folder: pathlib.Path, engine: int, platform: int) -> int:
     """Write the settings of the agent; return its control port."""
     made = harness.agent_settings()
-    fields = {
+    fields: dict[str, object] = {
         name: value
         for name, value in attrs.asdict(made, recurse=False).items()
         if isinstance(value, str | int)
--- a/bilberrydeal/link/_entry.py
+++ b/bilberrydeal/link/_entry.py
@@ -48,6 +48,8 @@
         self.agent = ""
         #: Endpoint that the agent serves, empty before the first hello.
         self.endpoint_id = ""
+        #: Why the agent refused the last hello, empty when it did not.
+        self.refusal = ""
         #: What the last heartbeat said, and when it came.
         self.status: _messages.EndpointStatus | None = None
         self.status_at_s = 0.0
@@ -194,6 +196,7 @@
             )
         except _failures.HelloFailed:
             return False
+        self.refusal = reply.refusal
         if reply.port == 0 or self._closed.is_set():
             return False
         self._meet(reply)
--- a/bilberrydeal/link/_peer.py
+++ b/bilberrydeal/link/_peer.py
@@ -35,6 +35,7 @@
         self._clock = clock
         self._works: dict[int, _work.Work] = {}
         self._highest = 0
+        self._attached_at_s = self.away_since_s
 
     @property
     def highest(self) -> int:
@@ -57,6 +58,7 @@
         if self.session is not None:
             self.session.close()
         self.session = session
+        self._attached_at_s = self._clock()
         self.gone = False
         for work in self._works.values():
             work.attached = False
@@ -75,10 +77,24 @@
         """
         self.gone = True
         for work in list(self._works.values()):
-            work.discard()
-            self._drop_taken(work)
-            if not work.ended and _stoppable(work):
-                self._executor.cancel(work)
+            self._give_up(work)
+
+    def give_up_unclaimed(self, before_s: float) -> None:
+        """End requests not resumed on a session that began before then.
+
+        The entry has given them up itself while it had no link.
+        """
+        if self._attached_at_s > before_s:
+            return
+        for work in list(self._works.values()):
+            if not work.attached and not work.discarded:
+                self._give_up(work)
+
+    def _give_up(self, work: _work.Work) -> None:
+        work.discard()
+        self._drop_taken(work)
+        if not work.ended and _stoppable(work):
+            self._executor.cancel(work)
 
     def send(self, message: _messages.Message, urgent: bool = False) -> None:
         """Send to the entry if it is there."""
--- a/bilberrydeal/link/_server.py
+++ b/bilberrydeal/link/_server.py
@@ -75,6 +75,7 @@
         self._sessions = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
         self._live: set[_session.Session] = set()
+        self._undialled: dict[str, _Reception] = {}
         self._control: _transport.ControlSocket | None = None
         self._closed = asyncio.Event()
 
@@ -144,12 +145,20 @@
             except OSError:
                 continue
             reception = _Reception(self, hello.entry, number, socket)
+            self._expect(hello.entry, reception)
             task = asyncio.create_task(reception.run())
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             return port
         return 0
 
+    def _expect(self, entry: str, reception: "_Reception") -> None:
+        """Give up the port of a former hello that was never dialled."""
+        former = self._undialled.get(entry)
+        if former is not None:
+            former.close()
+        self._undialled[entry] = reception
+
     async def _sweep(self) -> None:
         while not self._closed.is_set():
             self._look_after_peers(self._clock())
@@ -162,10 +171,12 @@
     def _look_after_peers(self, now_s: float) -> None:
         for peer in list(self._peers.values()):
             peer.ledger.expire(now_s)
+            window_s = self._settings.link.resume_window_s
             if peer.session is not None:
+                peer.give_up_unclaimed(now_s - window_s)
                 continue
             away_s = now_s - peer.away_since_s
-            if not peer.gone and away_s > self._settings.link.resume_window_s:
+            if not peer.gone and away_s > window_s:
                 peer.give_up()
                 self._host.gone(peer.entry)
             if away_s > _ledger.LONG_MEMORY_S and peer.idle:
@@ -218,6 +229,7 @@
 
     def opened(self, entry: str, session: _session.Session) -> None:
         """An entry has proved that a session is its own."""
+        self._undialled.pop(entry, None)
         self._peer_of(entry).attach(session)
         self._host.joined(entry)
 
@@ -232,6 +244,11 @@
             if peer is not None:
                 peer.detach(session)
 
+    def ended(self, entry: str, reception: "_Reception") -> None:
+        """A port is free again."""
+        if self._undialled.get(entry) is reception:
+            del self._undialled[entry]
+
     def new_session(
         self,
         entry: str,
@@ -268,6 +285,10 @@
 
     async def run(self) -> None:
         await self._server.carry(self._entry, self._session)
+        self._server.ended(self._entry, self)
+
+    def close(self) -> None:
+        self._session.close()
 
     def _handle(self, message: _messages.Message) -> None:
         if self._open:
--- a/bilberrydeal/link/tests/test_link.py
+++ b/bilberrydeal/link/tests/test_link.py
@@ -306,6 +306,31 @@
         ]
 
 
+async def test_answer_that_nobody_claims_is_dropped() -> None:
+    brief = attrs.evolve(harness.LINK, resume_window_s=0.2)
+    async with harness.agent(link=brief) as agent:
+        async with harness.entry(agent.settings.control_port) as entry:
+            entry.submit(harness.submit(1))
+            work = await agent.executor.arrivals.get()
+        work.finish(status=200)
+        async with harness.entry(agent.settings.control_port):
+            assert not agent.server.idle()
+            await harness.until(agent.server.idle)
+
+
+async def test_repeated_hellos_hold_one_port() -> None:
+    async with harness.agent() as agent:
+        hello = link.Hello(link.PROTOCOL_VERSION, "a", "d1")
+        for _ in range(3 * harness.LINK_PORTS):
+            reply = await _transport.ask(
+                harness.ADDRESS,
+                agent.settings.control_port,
+                hello,
+                harness.PATIENCE_S,
+            )
+            assert reply.refusal == ""
+
+
 async def test_restarted_agent_loses_calls() -> None:
     async with harness.agent() as agent:
         given = agent.settings
@@ -424,7 +449,8 @@
         )
         for message in messages:
             session.send(message)
-        await session.run()
+        async with asyncio.timeout(harness.PATIENCE_S):
+            await session.run()
         assert agent.executor.arrivals.empty()
         assert agent.host.events.empty()
 
