--- a/bilberrydeal/agent/_executor.py
+++ b/bilberrydeal/agent/_executor.py
@@ -1,6 +1,7 @@
 """Runs requests in the order of a queue, within slots and deadlines."""
 
 import asyncio
+import collections
 import collections.abc
 
 import attrs
@@ -20,6 +21,8 @@
 #: Time between two looks at requests that wait: some can no longer end in
 #: time, some become urgent.
 SWEEP_S = 0.1
+#: How a request ended that has its whole answer.
+FINISHED = "finished"
 #: A refusal for lack of room asks for a retry no sooner.
 RETRY_AFTER_S = 1.0
 
@@ -78,6 +81,10 @@
         self._running: dict[str, _Job] = {}
         self._idle = asyncio.Event()
         self._idle.set()
+        #: Requests that ended, by how: ``FINISHED`` or the refusal's code.
+        self.ends: collections.Counter[str] = collections.Counter()
+        #: Tokens counted, by kind.
+        self.tokens: collections.Counter[str] = collections.Counter()
         #: Why new work is refused, ``None`` while it is taken.
         self.refusal: errors.ErrorCode | None = None
 
@@ -85,12 +92,12 @@
         """Queue a request, or refuse it as not started."""
         now_s = self._clock()
         if self.refusal is not None:
-            work.refuse(self.refusal)
+            self._refuse(work, self.refusal)
             return
         item = self._item(work, now_s)
         excess_s = queueing.hopeless_s(self._queue, item, now_s)
         if excess_s > 0.0:
-            work.refuse(errors.ErrorCode.DEADLINE_HOPELESS, excess_s)
+            self._refuse(work, errors.ErrorCode.DEADLINE_HOPELESS, excess_s)
             return
         self._idle.clear()
         self._waiting[item.key] = _Job(work, item)
@@ -168,6 +175,16 @@
                 max(wait_s, RETRY_AFTER_S),
             )
 
+    def _refuse(
+        self,
+        work: link.Work,
+        reason: errors.ErrorCode,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        if not work.ended:
+            self.ends[reason.value] += 1
+            work.refuse(reason, retry_after_s)
+
     def _refuse_late(self, now_s: float) -> None:
         for item in self._queue.expired(now_s):
             self._refuse_waiting(item.key, errors.ErrorCode.DEADLINE_HOPELESS)
@@ -178,7 +195,7 @@
         reason: errors.ErrorCode,
         retry_after_s: float = 0.0,
     ) -> None:
-        self._waiting.pop(key).work.refuse(reason, retry_after_s)
+        self._refuse(self._waiting.pop(key).work, reason, retry_after_s)
         self._note_idle()
 
     def _fill(self) -> None:
@@ -206,7 +223,7 @@
         """Answer at once; the endpoint is told in the background."""
         if job.work.ended:
             return
-        job.work.refuse(reason)
+        self._refuse(job.work, reason)
         if job.driving is not None:
             job.driving.cancel()
 
@@ -217,14 +234,20 @@
         if not driving.done():
             self._end(job, errors.ErrorCode.DEADLINE_EXCEEDED)
             await asyncio.wait([driving])
-        job.work.refuse(_reason(driving))
+        self._refuse(job.work, _reason(driving))
         self._settle(job, began_s)
 
     def _settle(self, job: _Job, began_s: float) -> None:
         now_s = self._clock()
         del self._running[job.item.key]
         work, meter = job.work, job.meter
+        self.tokens.update(
+            prompt=meter.prompt_tokens,
+            cached=meter.cached_tokens,
+            output=meter.output_tokens,
+        )
         if isinstance(work.last, link.Finished):
+            self.ends[FINISHED] += 1
             self._pace.add(
                 work.submit, meter.output_tokens, now_s - began_s, now_s
             )
--- a/bilberrydeal/agent/_pages.py
+++ b/bilberrydeal/agent/_pages.py
@@ -32,6 +32,13 @@
             )
         }
 
+        self._requests = self._metrics.counter(
+            "bilberrydeal_agent_requests_total", "Requests that ended."
+        )
+        self._tokens = self._metrics.counter(
+            "bilberrydeal_agent_tokens_total", "Tokens counted for usage."
+        )
+
     async def start(self) -> None:
         """Listen, or raise ``OSError``."""
         app = web.Application()
@@ -57,7 +64,16 @@
             await self._runner.cleanup()
 
     async def _show_metrics(self, request: web.Request) -> web.Response:
-        load = self._agent.executor.load()
+        self._collect()
+        return web.Response(
+            body=self._metrics.render(),
+            headers={"Content-Type": TEXT_TYPE},
+        )
+
+    def _collect(self) -> None:
+        """Set all metrics to what is true now."""
+        executor = self._agent.executor
+        load = executor.load()
         keeper = self._agent.keeper
         feed = self._agent.feed
         for name, value in (
@@ -70,10 +86,10 @@
             ("cache_gaps", feed.gaps if feed else 0),
         ):
             self._gauges[name].set({}, value)
-        return web.Response(
-            body=self._metrics.render(),
-            headers={"Content-Type": TEXT_TYPE},
-        )
+        for end, count in executor.ends.items():
+            self._requests.set({"end": end}, count)
+        for kind, count in executor.tokens.items():
+            self._tokens.set({"kind": kind}, count)
 
     async def _show_health(self, request: web.Request) -> web.Response:
         return web.Response(text="alive\n")
--- a/bilberrydeal/agent/tests/test_daemon.py
+++ b/bilberrydeal/agent/tests/test_daemon.py
@@ -196,10 +196,16 @@
         aiohttp.ClientSession() as session,
     ):
         await accepting(entry, True)
+        entry.on_usage = lambda _, usage: entry.settled(
+            tuple(record.record for record in usage.records)
+        )
+        world.engine.flowing.set()
+        await harness.answer(entry.submit(harness.submit(1, max_tokens=4)))
         for path, text in (
             ("health", "alive"),
             ("ready", "ready"),
             ("metrics", "bilberrydeal_agent_links 1"),
+            ("metrics", 'bilberrydeal_agent_tokens_total{kind="output"} 4'),
         ):
             async with session.get(f"{base}/{path}") as response:
                 assert response.status == 200
