--- a/bilberrydeal/agent/tests/test_daemon.py
+++ b/bilberrydeal/agent/tests/test_daemon.py
@@ -191,7 +191,7 @@
     chosen = given()
     base = f"http://127.0.0.1:{chosen.metrics_port}"
     async with (
-        serving(chosen),
+        serving(chosen) as task,
         harness.entry(chosen.control_port) as entry,
         aiohttp.ClientSession() as session,
     ):
@@ -211,6 +211,7 @@
                 assert response.status == 200
                 assert text in await response.text()
         terminate()
+        assert await task == _daemon.EXIT_DONE
 
 
 def test_paused_predecessor_keeps_an_agent_out() -> None:
