--- a/bilberrydeal/link/tests/harness.py
+++ b/bilberrydeal/link/tests/harness.py
@@ -146,6 +146,16 @@
     host: Host
     settings: settings.AgentSettings
 
+    async def work(self) -> link.Work:
+        """Return the next request that arrives."""
+        async with asyncio.timeout(PATIENCE_S):
+            return await self.executor.arrivals.get()
+
+    async def event(self) -> tuple[str, object]:
+        """Return what a link says next."""
+        async with asyncio.timeout(PATIENCE_S):
+            return await self.host.events.get()
+
 
 @contextlib.asynccontextmanager
 async def agent(
--- a/bilberrydeal/link/tests/test_link.py
+++ b/bilberrydeal/link/tests/test_link.py
@@ -38,7 +38,7 @@
         harness.entry(agent.settings.control_port) as entry,
     ):
         call = entry.submit(harness.submit(1))
-        work = await agent.executor.arrivals.get()
+        work = await agent.work()
         await emit(work, 1, 6)
         work.finish(status=200)
         assert await harness.answer(call) == ANSWER
@@ -78,7 +78,7 @@
         ) as entry,
     ):
         call = entry.submit(harness.submit(1))
-        work = await agent.executor.arrivals.get()
+        work = await agent.work()
         work.start()
         await emit(work, 1, 3)
         await harness.until(lambda: call.arrived == 3)
@@ -100,7 +100,7 @@
     ):
         fault(between)
         call = entry.submit(harness.submit(1))
-        work = await agent.executor.arrivals.get()
+        work = await agent.work()
         work.finish(status=200)
         assert len(await harness.answer(call)) == 1
         assert work.submit.time_left_s <= call.submit.time_left_s
@@ -143,7 +143,7 @@
         harness.entry(agent.settings.control_port) as entry,
     ):
         call = entry.submit(harness.submit(1))
-        work = await agent.executor.arrivals.get()
+        work = await agent.work()
         await emit(work, 1, 1)
         entry._send(call.submit)
         forgeries: tuple[link.Message, ...] = (
@@ -195,7 +195,7 @@
         harness.entry(agent.settings.control_port) as entry,
     ):
         entry.submit(harness.submit(1))
-        before(await agent.executor.arrivals.get())
+        before(await agent.work())
         assert await entry.cancel(1, harness.PATIENCE_S) == outcome
 
 
@@ -231,7 +231,7 @@
         harness.entry(agent.settings.control_port, "b") as asker,
     ):
         entry.submit(harness.submit(1, idempotent=False))
-        before(await agent.executor.arrivals.get())
+        before(await agent.work())
         result = await asker.query(OTHER, harness.PATIENCE_S, asked)
         assert result is not None
         assert result.outcome == outcome
@@ -261,7 +261,7 @@
         async with harness.entry(agent.settings.control_port) as entry:
             for sequence, idempotent in ((1, False), (2, True), (3, False)):
                 entry.submit(harness.submit(sequence, idempotent=idempotent))
-                await agent.executor.arrivals.get()
+                await agent.work()
             works = agent.executor.works
             works[1].start()
             works[2].start()
@@ -288,7 +288,7 @@
             entry.submit(harness.submit(sequence, idempotent=idempotent))
             for sequence, idempotent in ((1, False), (2, False), (3, True))
         ]
-        works = [await agent.executor.arrivals.get() for _ in calls]
+        works = [await agent.work() for _ in calls]
         for work in works:
             work.start()
         between.refusing = True
@@ -311,7 +311,7 @@
     async with harness.agent(link=brief) as agent:
         async with harness.entry(agent.settings.control_port) as entry:
             entry.submit(harness.submit(1))
-            work = await agent.executor.arrivals.get()
+            work = await agent.work()
         work.finish(status=200)
         async with harness.entry(agent.settings.control_port):
             assert not agent.server.idle()
@@ -337,7 +337,7 @@
         entering = harness.entry(given.control_port)
         entry = await entering.__aenter__()
         call = entry.submit(harness.submit(1))
-        await agent.executor.arrivals.get()
+        await agent.work()
     async with harness.agent("agent-2", **attrs.asdict(given, recurse=False)):
         with pytest.raises(link.CallLost) as lost:
             await harness.answer(call)
@@ -385,7 +385,7 @@
         harness.entry(agent.settings.control_port) as entry,
     ):
         call = entry.submit(harness.submit(1))
-        work = await agent.executor.arrivals.get()
+        work = await agent.work()
         emitting = asyncio.create_task(emit(work, 1, 3000))
         await harness.until(lambda: call.arrived == 1024)
         assert not emitting.done()
@@ -414,11 +414,11 @@
             tuple(record.record for record in usage.records)
         )
         usage = link.UsageRecords(agent="agent-1", records=(record,))
-        assert await agent.host.events.get() == ("joined", "a")
+        assert await agent.event() == ("joined", "a")
         agent.server.send("a", usage)
-        assert await agent.host.events.get() == ("settled", (1,))
+        assert await agent.event() == ("settled", (1,))
         entry.hint(7)
-        assert await agent.host.events.get() == ("hinted", 7)
+        assert await agent.event() == ("hinted", 7)
 
 
 @pytest.mark.parametrize(
