--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -18,12 +18,14 @@
 from .. import settings
 from .. import systems
 from .. import telemetry
+from ..systems import health
 from . import _authority
 from . import _dispatch
 from . import _exchange
 from . import _following
 from . import _gate
 from . import _http
+from . import _journal
 from . import _loops
 from . import _observer
 from . import _once
@@ -118,6 +120,7 @@
             self._tables,
             following.demand,
         )
+        self._journal = _journal.Journal(self._clock)
         self._claims = claims.Claims(following.client, self._platform.objects)
         self._settling = _settling.Settling(
             self.entry,
@@ -135,6 +138,7 @@
             self._policies,
             numbers.next,
             self._settling.bill_lost,
+            self._journal,
             self._clock,
         )
 
@@ -216,6 +220,7 @@
             self._duties,
             self._tables,
             self._metrics,
+            self._journal,
             self._clock,
         )
         self._app = _http.new_app(
@@ -313,7 +318,15 @@
 
     async def _tick(self) -> None:
         self._pool.refresh()
-        self._policies.health.run(self._tables, self._clock())
+        now_s = self._clock()
+        self._policies.health.run(self._tables, now_s)
+        for endpoint_id in self._policies.health.probes(self._tables, now_s):
+            self._policies.health.observe(
+                health.Observation(
+                    endpoint_id, self._pool.answers(endpoint_id), probe=True
+                ),
+                now_s,
+            )
 
     def _on_change(
         self,
