--- a/scenarios/_fleet.py
+++ b/scenarios/_fleet.py
@@ -306,8 +306,14 @@
             await self.until_served(number)
 
     async def until_served(self, entry: int) -> None:
-        """Wait until an entry answers models and plain services."""
+        """Wait until an entry answers models and plain services.
+
+        An entry that ended by itself is started again, as the platform does
+        with what it runs.
+        """
         name = self.entries[entry].name
+        if not self.entries[entry].process.alive:
+            self.entries[entry].process.start()
         for organisation in ORGANISATIONS if self.shape.engines else ():
             serves = functools.partial(self.serves, entry, organisation)
             await eventually(serves, f"an answer to {organisation} of {name}")
