Let single-role engines be tried first in the role model

Cause: the model spilled work of one step to engines with both roles, which then mixed phases all the time.

--- a/bench/fleet_model.py
+++ b/bench/fleet_model.py
@@ -18,6 +18,9 @@
 FIRST_TOKEN_BOUND_S = 5.0
 #: Longest time from arrival to the end of the answer.
 DEADLINE_S = 20.0
+#: Work waits so many steps for engines of its phase alone before engines
+#: with both roles take it.
+PATIENCE_STEPS = 2
 #: Part of its capacity that an engine uses up while it drains.
 DRAINING_SHARE = 0.5
 
@@ -170,8 +173,8 @@
     step_s = fleet_loads.STEP_S
     prefill_alone = mix.prefill * step_s / (1.0 + rates.handover_loss)
     decode_alone = mix.decode * step_s
-    prompt = max(0.0, queued.prefill - prefill_alone)
-    output = max(0.0, queued.decode - decode_alone)
+    prompt = max(0.0, queued.prefill - prefill_alone * PATIENCE_STEPS)
+    output = max(0.0, queued.decode - decode_alone * PATIENCE_STEPS)
     total = mix.both * step_s
     for _ in range(3):
         decode = min(output, total)
