--- a/bilberrydeal/agent/_executor.py
+++ b/bilberrydeal/agent/_executor.py
@@ -17,7 +17,8 @@
 
 LOG = telemetry.logger("executor")
 
-#: Time between two looks for requests that can no longer end in time.
+#: Time between two looks at requests that wait: some can no longer end in
+#: time, some become urgent.
 SWEEP_S = 0.1
 #: A refusal for lack of room asks for a retry no sooner.
 RETRY_AFTER_S = 1.0
@@ -64,12 +65,14 @@
         queue: queueing.Queue,
         clock: collections.abc.Callable[[], float],
         count: collections.abc.Callable[[link.Submit, _meter.Meter], None],
+        tracing: telemetry.Tracing,
     ) -> None:
         self._settings = agent_settings
         self._driver = driver
         self._queue = queue
         self._clock = clock
         self._count = count
+        self._tracing = tracing
         self._pace = _pace.Pace()
         self._waiting: dict[str, _Job] = {}
         self._running: dict[str, _Job] = {}
@@ -122,10 +125,11 @@
         )
 
     async def run(self) -> None:
-        """Refuse requests that can no longer end in time; never ends."""
+        """Follow deadlines and what the queue keeps back; never ends."""
         while True:
             await asyncio.sleep(SWEEP_S)
-            self._refuse_late(self._clock())
+            if self._waiting:
+                self._fill()
 
     async def idle(self) -> None:
         """Wait until no request waits or runs."""
@@ -188,11 +192,16 @@
                 return
             job = self._waiting.pop(item.key)
             self._running[item.key] = job
-            job.driving = asyncio.create_task(
-                self._driver.run(job.work, job.meter)
-            )
+            job.driving = asyncio.create_task(self._drive(job))
             job.task = asyncio.create_task(self._run(job, job.driving))
 
+    async def _drive(self, job: _Job) -> None:
+        submit = job.work.submit
+        with self._tracing.span("agent", submit.traceparent) as span:
+            span.note("request", str(submit.number))
+            await self._driver.run(job.work, job.meter)
+            span.note("output_tokens", job.meter.output_tokens)
+
     def _end(self, job: _Job, reason: errors.ErrorCode) -> None:
         """Answer at once; the endpoint is told in the background."""
         if job.work.ended:
--- /dev/null
+++ b/bilberrydeal/entry/_settling.py
@@ -0,0 +1,126 @@
+"""Settles the usage that agents hand over."""
+
+import collections.abc
+
+from .. import billing
+from .. import claims
+from .. import errors
+from .. import link
+from .. import membership
+from .. import ports
+from .. import settings
+from .. import store
+from .. import telemetry
+from . import _dispatch
+from . import _pool
+
+LOG = telemetry.logger("settling")
+#: Requests that wait for their agent's own record, at most.
+DOUBTFUL_LIMIT = 10_000
+
+
+def window_rule(chosen: settings.UsageSettings) -> billing.WindowRule:
+    """Return how settings cut time into windows."""
+    return billing.WindowRule(chosen.window_s, chosen.grace_s)
+
+
+class Settling:
+    """Keeps this entry's recorder and the endings of its claims."""
+
+    def __init__(
+        self,
+        entry: str,
+        chosen: settings.UsageSettings,
+        client: store.StoreClient,
+        rows: claims.Claims,
+        pool: _pool.LinkPool,
+        wall: collections.abc.Callable[[], float],
+        is_agent: collections.abc.Callable[[str], bool],
+        lost: collections.abc.Callable[[], None],
+    ) -> None:
+        """Take what is needed.
+
+        ``is_agent`` tells whether an endpoint is a member; ``lost`` is
+        called once another entry has closed the recorder.
+        """
+        self._recorder = billing.Recorder(client, entry, window_rule(chosen))
+        self._rows = rows
+        self._pool = pool
+        self._wall = wall
+        self._is_agent = is_agent
+        self._lost = lost
+        self._doubtful: list[_dispatch.LostWork] = []
+        self._open = False
+        pool.on_usage = self._take
+
+    def _take(
+        self, agent_link: link.AgentLink, message: link.UsageRecords
+    ) -> None:
+        self._recorder.take(message)
+
+    def bill_lost(self, lost: _dispatch.LostWork) -> None:
+        """Bill the tokens that a caller got from an agent that is gone.
+
+        An agent that is only cut off has the true figures and hands them
+        over later, so the bill waits until its endpoint is no member.
+        """
+        if lost.organisation and len(self._doubtful) < DOUBTFUL_LIMIT:
+            self._doubtful.append(lost)
+
+    def _bill_doubtful(self) -> None:
+        """Bill what no agent will.
+
+        What the prompt took is known to the agent only, so it is not
+        billed: a figure that may be wrong is worse than a missing one.
+        """
+        waiting, self._doubtful = self._doubtful, []
+        for lost in waiting:
+            if not lost.agent_replaced and self._is_agent(lost.endpoint_id):
+                self._doubtful.append(lost)
+                continue
+            figures = ports.OrganisationFigures(
+                output_tokens=lost.tokens, calls=1
+            )
+            self._recorder.self_bill(
+                lost.number, lost.organisation, figures, self._wall()
+            )
+
+    async def round(self) -> None:
+        """Settle what waits."""
+        try:
+            if not self._open:
+                await self._recorder.open(self._wall())
+                self._open = True
+            self._bill_doubtful()
+            settled = await self._recorder.settle(self._wall())
+        except billing.RecorderClosed:
+            LOG.error("The recorder was closed by another entry.")
+            self._lost()
+            return
+        for acknowledged in settled:
+            self._acknowledge(acknowledged)
+        await self._rows.settle(self._wall())
+
+    def _acknowledge(self, acknowledged: billing.Acknowledged) -> None:
+        for agent_link in self._pool:
+            if agent_link.agent == acknowledged.agent:
+                agent_link.settled(acknowledged.message.records)
+
+    async def close(self) -> None:
+        """Settle what waits for the last time and close the recorder."""
+        if not self._open:
+            return
+        try:
+            await self.round()
+            await self._recorder.close(self._wall())
+        except errors.BilberrydealError as error:
+            LOG.warning("Recorder was not closed.", error=str(error))
+
+
+def gone_test(
+    directory: membership.MemberDirectory,
+) -> collections.abc.Callable[[str], bool]:
+    """Return a test of whether the entry of a recorder is no member."""
+    return lambda name: (
+        name not in {member.incarnation for member in directory.entries()}
+    )
--- a/bilberrydeal/entry/_work.py
+++ b/bilberrydeal/entry/_work.py
@@ -1,5 +1,6 @@
 """One admitted request on its way to an endpoint."""
 
+import math
 import typing
 
 import attrs
@@ -44,12 +45,19 @@
     traceparent: str = ""
     prompt_tokens: int = PLAIN_CALL_TOKENS
     blocks: tuple[int, ...] = ()
+    #: Tokens that answers of the service generate of those asked for.
+    output_share: float = 1.0
 
     @property
     def output_tokens(self) -> int:
         """Tokens to generate at most."""
         return self.generation.max_tokens if self.generation else 0
 
+    @property
+    def expected_output_tokens(self) -> int:
+        """Tokens to generate, as expected."""
+        return math.ceil(self.output_tokens * self.output_share)
+
     def pending(self, tried: frozenset[str]) -> PendingRequest:
         """Return the row that a router assigns."""
         return PendingRequest(
@@ -58,7 +66,7 @@
             service=self.service,
             request_class=self.request_class,
             prompt_tokens=self.prompt_tokens,
-            output_tokens=self.output_tokens,
+            output_tokens=self.expected_output_tokens,
             deadline_s=self.deadline_s,
             idempotent=self.idempotent,
             blocks=self.blocks,
