--- a/bilberrydeal/systems/fleet/_domain_loss.py
+++ b/bilberrydeal/systems/fleet/_domain_loss.py
@@ -52,6 +52,7 @@
     def run(self, tables: _tables.Tables, now_s: float) -> None:
         """Decide for each service."""
         _orders.clear(tables)
+        census = _orders.Census(tables)
         lost = {
             row.key for row in tables.of(_entities.DomainState) if row.lost
         }
@@ -59,7 +60,7 @@
             load = tables.of(_entities.ServiceLoad).get(service)
             if load is not None and load.windows:
                 busy = self._busy(load)
-                self._decide(tables, service, busy, lost, now_s)
+                self._decide(tables, census, service, busy, lost, now_s)
 
     def _busy(self, load: _entities.ServiceLoad) -> float:
         """Return the load to plan for, in endpoints fully busy.
@@ -88,15 +89,16 @@
     def _decide(
         self,
         tables: _tables.Tables,
+        census: _orders.Census,
         service: str,
         busy: float,
         lost: set[str],
         now_s: float,
     ) -> None:
         rules = self.rules
-        dead = self._replace_dead(tables, service, lost, now_s)
+        dead = self._replace_dead(tables, census, service, lost, now_s)
         held = {
-            domain: _orders.held(tables, service, domain) - dead[domain]
+            domain: census.held(service, domain) - dead[domain]
             for domain in rules.failure_domains
             if domain not in lost
         }
@@ -108,18 +110,19 @@
         if not lost:
             spare = self._need(busy * (1.0 + rules.release_margin))
             kept = _targets.targets(spare, held, survive, rules)
-            self._release_one(tables, service, kept, now_s)
+            self._release_one(tables, census, service, kept, now_s)
 
     def _replace_dead(
         self,
         tables: _tables.Tables,
+        census: _orders.Census,
         service: str,
         lost: set[str],
         now_s: float,
     ) -> collections.Counter[str]:
         """Give back what is down for long; return the count by domain."""
         dead: collections.Counter[str] = collections.Counter()
-        for endpoint in _orders.staying(tables, service):
+        for endpoint in census.staying(service):
             down_s = now_s - endpoint.unusable_since_s
             if endpoint.usable or endpoint.failure_domain in lost:
                 continue
@@ -131,6 +134,7 @@
     def _release_one(
         self,
         tables: _tables.Tables,
+        census: _orders.Census,
         service: str,
         wanted: dict[str, int],
         now_s: float,
@@ -141,7 +145,7 @@
             return
         usable: dict[str, list[_entities.FleetEndpoint]]
         usable = {domain: [] for domain in wanted}
-        for endpoint in _orders.staying(tables, service):
+        for endpoint in census.staying(service):
             if endpoint.usable and endpoint.failure_domain in usable:
                 usable[endpoint.failure_domain].append(endpoint)
         excess = {d: len(usable[d]) - wanted[d] for d in sorted(wanted)}
--- a/bilberrydeal/systems/fleet/_fixed.py
+++ b/bilberrydeal/systems/fleet/_fixed.py
@@ -28,8 +28,9 @@
     def run(self, tables: _tables.Tables, now_s: float) -> None:
         """Order what is missing."""
         _orders.clear(tables)
+        census = _orders.Census(tables)
         for service in self.rules.services:
             for domain in self.rules.failure_domains:
-                held = _orders.held(tables, service, domain)
+                held = census.held(service, domain)
                 missing = self.rules.fewest_per_domain - held
                 _orders.purchase(tables, service, domain, missing)
--- a/bilberrydeal/systems/fleet/_orders.py
+++ b/bilberrydeal/systems/fleet/_orders.py
@@ -1,9 +1,35 @@
 """What fleet planners share: counting endpoints and writing decisions."""
 
+import collections
+
 from .. import _tables
 from . import _entities
 
 
+class Census:
+    """Endpoints that stay and endpoints that are ordered, each once."""
+
+    def __init__(self, tables: _tables.Tables) -> None:
+        self._staying: dict[str, list[_entities.FleetEndpoint]]
+        self._staying = collections.defaultdict(list)
+        self._held: collections.Counter[tuple[str, str]]
+        self._held = collections.Counter()
+        for endpoint in tables.of(_entities.FleetEndpoint):
+            if not endpoint.leaving:
+                self._staying[endpoint.service].append(endpoint)
+                self._held[endpoint.service, endpoint.failure_domain] += 1
+        for order in tables.of(_entities.OutstandingOrder):
+            self._held[order.service, order.failure_domain] += order.missing
+
+    def staying(self, service: str) -> list[_entities.FleetEndpoint]:
+        """Return the endpoints of a service that are not leaving."""
+        return self._staying[service]
+
+    def held(self, service: str, domain: str) -> int:
+        """Return endpoints that stay plus those ordered."""
+        return self._held[service, domain]
+
+
 def clear(tables: _tables.Tables) -> None:
     """Forget the decisions of the last run."""
     purchases = tables.of(_entities.Purchase)
@@ -14,22 +40,6 @@
         releases.remove(release_row.key)
 
 
-def held(tables: _tables.Tables, service: str, domain: str) -> int:
-    """Return endpoints that stay plus those ordered, each counted once."""
-    place = (service, domain)
-    staying = sum(
-        not endpoint.leaving
-        for endpoint in tables.of(_entities.FleetEndpoint)
-        if (endpoint.service, endpoint.failure_domain) == place
-    )
-    ordered = sum(
-        order.missing
-        for order in tables.of(_entities.OutstandingOrder)
-        if (order.service, order.failure_domain) == place
-    )
-    return staying + ordered
-
-
 def purchase(
     tables: _tables.Tables, service: str, domain: str, missing: int
 ) -> None:
@@ -55,14 +65,3 @@
             failure_domain=endpoint.failure_domain,
         )
     )
-
-
-def staying(
-    tables: _tables.Tables, service: str
-) -> list[_entities.FleetEndpoint]:
-    """Return the endpoints of a service that are not leaving."""
-    return [
-        endpoint
-        for endpoint in tables.of(_entities.FleetEndpoint)
-        if endpoint.service == service and not endpoint.leaving
-    ]
--- a/bilberrydeal/systems/fleet/_reactive.py
+++ b/bilberrydeal/systems/fleet/_reactive.py
@@ -31,19 +31,24 @@
     def run(self, tables: _tables.Tables, now_s: float) -> None:
         """Decide for each service."""
         _orders.clear(tables)
+        census = _orders.Census(tables)
         for service in self.rules.services:
             load = tables.of(_entities.ServiceLoad).get(service)
             if load is not None and load.windows:
                 busy = load.windows[-1].busy_endpoints
-                self._decide(tables, service, busy)
+                self._decide(tables, census, service, busy)
 
     def _decide(
-        self, tables: _tables.Tables, service: str, busy: float
+        self,
+        tables: _tables.Tables,
+        census: _orders.Census,
+        service: str,
+        busy: float,
     ) -> None:
         count = math.ceil(busy / self.rules.busy_share)
         need = _targets.Need(whole=count, lost=0)
         held = {
-            domain: _orders.held(tables, service, domain)
+            domain: census.held(service, domain)
             for domain in self.rules.failure_domains
         }
         wanted = _targets.targets(need, held, 0, self.rules)
@@ -51,7 +56,7 @@
             _orders.purchase(tables, service, domain, target - held[domain])
             staying = [
                 endpoint
-                for endpoint in _orders.staying(tables, service)
+                for endpoint in census.staying(service)
                 if endpoint.failure_domain == domain
             ]
             for endpoint in staying[target:]:
--- a/bilberrydeal/systems/roles/_horizon.py
+++ b/bilberrydeal/systems/roles/_horizon.py
@@ -1,5 +1,6 @@
 """Changes roles where that pays within a horizon."""
 
+import math
 import typing
 
 import attrs
@@ -37,20 +38,38 @@
 
     def __init__(self, rules: _rules.RoleRules) -> None:
         self.rules = rules
+        #: When each model was last planned.
+        self._planned_s: dict[str, float] = {}
 
     def run(self, tables: _tables.Tables, now_s: float) -> None:
-        """Decide at most one move for each model."""
+        """Decide at most one move for each of the models that are due.
+
+        The models planned longest ago are due, ``models_per_run`` of them.
+        """
         _plan.clear(tables)
-        for model, endpoints in _plan.by_model(tables).items():
-            demand = tables.of(_entities.ModelDemand).get(model)
-            rates = tables.of(_entities.ModelRates).get(model)
-            if demand is None or not demand.windows or rates is None:
-                continue
-            weighing = self._weighing(endpoints, demand, rates, now_s)
-            move = self._best(endpoints, weighing, now_s)
+        groups = _plan.by_model(tables)
+        due = sorted(groups, key=lambda m: self._planned_s.get(m, -math.inf))
+        self._planned_s = {m: self._planned_s.get(m, -math.inf) for m in due}
+        for model in due[: self.rules.models_per_run]:
+            self._planned_s[model] = now_s
+            move = self._move(tables, model, groups[model], now_s)
             if move is not None:
                 _plan.order(tables, move)
 
+    def _move(
+        self,
+        tables: _tables.Tables,
+        model: str,
+        endpoints: list[_entities.RoleEndpoint],
+        now_s: float,
+    ) -> _plan.Move | None:
+        demand = tables.of(_entities.ModelDemand).get(model)
+        rates = tables.of(_entities.ModelRates).get(model)
+        if demand is None or not demand.windows or rates is None:
+            return None
+        weighing = self._weighing(endpoints, demand, rates, now_s)
+        return self._best(endpoints, weighing, now_s)
+
     def _weighing(
         self,
         endpoints: list[_entities.RoleEndpoint],
--- a/bilberrydeal/systems/roles/_rules.py
+++ b/bilberrydeal/systems/roles/_rules.py
@@ -35,3 +35,5 @@
     least_gain_engines: float = 0.1
     #: An engine that was ordered to change keeps its role so long.
     dwell_s: float = 60.0
+    #: Models that are planned in one run, to bound its time.
+    models_per_run: int = 5
