Hand the KV cache of a prefill to the decoding engine

The router may name an engine that computes the prompt; the entry asks it for the prefill first and passes the handle on. Any failure there costs time only: the decoding engine computes the prompt itself.

--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -14,6 +14,7 @@
 from .. import telemetry
 from ..systems import health
 from ..systems import retries
+from . import _handover
 from . import _journal
 from . import _policies
 from . import _pool
@@ -205,10 +206,17 @@
             await placement.placed(
                 claims.Dispatch(number, pending.endpoint_id, agent_link.agent)
             )
+        kv_handle = ""
+        if pending.prefill_endpoint_id:
+            self._note(work, f"prefill at {pending.prefill_endpoint_id}")
+            kv_handle = await _handover.prefill(
+                self._pool, work, pending, self._next_number(), self._clock()
+            )
         submit = attrs.evolve(
             work.submit(self._clock()),
             number=number,
             cached_tokens=pending.cached_tokens,
+            kv_handle=kv_handle,
         )
         try:
             call = agent_link.submit(submit)
--- a/bilberrydeal/entry/tests/fakes.py
+++ b/bilberrydeal/entry/tests/fakes.py
@@ -96,6 +96,22 @@
         return self.links.get(endpoint_id)
 
 
+class PairRouter(routing.Router):
+    """Prefills at endpoint a and decodes at endpoint b."""
+
+    def __init__(self) -> None:
+        super().__init__(routing.RouterOptions("fd1"))
+
+    def choose(
+        self,
+        candidates: list[systems.EndpointView],
+        request: systems.PendingRequest,
+        now_s: float,
+    ) -> systems.EndpointView:
+        request.prefill_endpoint_id = "a"
+        return next(one for one in candidates if one.endpoint_id == "b")
+
+
 @attrs.define
 class Bench:
     """A dispatcher over fake links."""
@@ -103,7 +119,9 @@
     links: tuple[FakeLink, ...]
     lost: list[_dispatch.LostWork] = attrs.Factory(list)
 
-    def dispatcher(self) -> _dispatch.Dispatcher:
+    def dispatcher(
+        self, router: routing.Router | None = None
+    ) -> _dispatch.Dispatcher:
         tables = systems.Tables()
         for one in self.links:
             tables.of(systems.EndpointView).put(
@@ -112,7 +130,7 @@
         return _dispatch.Dispatcher(
             FakePool(*self.links),  # type: ignore[arg-type]
             tables,
-            policies(),
+            attrs.evolve(policies(), router=router) if router else policies(),
             lambda: link.RequestNumber("entry", next(_NUMBERS)),
             self.lost.append,
             _journal.Journal(asyncio.get_running_loop().time),
--- a/bilberrydeal/entry/tests/test_dispatch.py
+++ b/bilberrydeal/entry/tests/test_dispatch.py
@@ -1,5 +1,6 @@
 import asyncio
 
+import attrs
 import pytest
 
 from bilberrydeal import errors
@@ -89,3 +90,23 @@
     assert caught.value.reason is errors.ErrorCode.NO_ENDPOINT
     assert caught.value.executed is errors.Executed.NO
     assert caught.value.retry_after_s is not None
+
+
+@pytest.mark.parametrize(
+    ("script", "handle"),
+    [
+        ([attrs.evolve(fakes.done(), kv_handle="kv/1")], "kv/1"),
+        ([fakes.refused(started=False)], ""),
+        ([link.CallLost(sequence=1, started=True)], ""),
+    ],
+)
+async def test_decoding_goes_on_without_a_failed_prefill(
+    script: fakes.Script, handle: str
+) -> None:
+    prefill = fakes.FakeLink("a", script)
+    decode = fakes.FakeLink("b", [fakes.done()])
+    bench = fakes.Bench((prefill, decode))
+    dispatcher = bench.dispatcher(fakes.PairRouter())
+    await _once.last_part(dispatcher.run(fakes.work(idempotent=True)))
+    assert [submit.prefill_only for submit in prefill.submitted] == [True]
+    assert [submit.kv_handle for submit in decode.submitted] == [handle]
