--- a/bilberrydeal/keys/_freshness.py
+++ b/bilberrydeal/keys/_freshness.py
@@ -17,7 +17,8 @@
 
 from .. import errors
 
-#: An asker is told who is covered for so long after its first question.
+#: An asker is told who is covered for so long after its first question,
+#: counted anew once it has a row.
 INTRODUCTION_S = 120.0
 #: Covers drift of clocks over the longest pact, in seconds.
 MARGIN_S = 1.0
@@ -148,6 +149,8 @@
         gone = frozenset(self._known) - present
         self._dropped = (gone, now_s)
         self._covered -= self._present - present
+        for newcomer in present - self._present:
+            self._asked_first_s.pop(newcomer, None)
         self._present = present
         if self._must_meet is not None:
             self._must_meet &= young
@@ -185,7 +188,11 @@
         for name in (peer, *knowledge.known):
             if name != self.own:
                 self._known.setdefault(name, sent_s)
-        self._covered.update((peer, *knowledge.covered))
+        self._covered.add(peer)
+        # One whose row went before this entry joined may be forgotten by
+        # those that it covers, without their seeing this entry.
+        if peer in self._present:
+            self._covered.update(knowledge.covered)
         if knowledge.blind:
             self._blind[peer] = _BlindAnswer(sent_s, knowledge.revision)
         else:
--- a/bilberrydeal/keys/tests/test_freshness.py
+++ b/bilberrydeal/keys/tests/test_freshness.py
@@ -64,10 +64,10 @@
 
     # Helpers.
 
-    def _join(self, group: int = 0) -> str:
+    def _join(self, group: int = 0, store: bool = True) -> str:
         self.count += 1
         name = f"e{self.count}"
-        self.entries[name] = Entry(_freshness(name), group=group)
+        self.entries[name] = Entry(_freshness(name), store=store, group=group)
         self._renew(name)
         return name
 
@@ -163,11 +163,14 @@
     @stateful.precondition(lambda self: len(self.entries) < 4)
     @stateful.rule(
         group=strategies.integers(0, 1),
+        store=strategies.booleans(),
         withdraws=strategies.booleans(),
         rounds=strategies.sampled_from([0, 14]),
     )
-    def join(self, group: int, withdraws: bool, rounds: int) -> None:
-        name = self._join(group)
+    def join(
+        self, group: int, store: bool, withdraws: bool, rounds: int
+    ) -> None:
+        name = self._join(group, store)
         self._read(name)
         for other in self.entries:
             self._exchange(name, other)
@@ -330,6 +333,18 @@
     newcomer.begin_commit(1.0)
 
 
+def test_one_without_a_row_vouches_for_nobody() -> None:
+    _, other = _pair()
+    newcomer = _freshness("c")
+    # The row of "b" was removed before, and "a" may have forgotten it.
+    newcomer.joined(frozenset("ac"), 1.0)
+    newcomer.learn(other.answer("c", 1.0), 1.0)
+    other.answer("a", 1.0)
+    newcomer.learn(other.answer("c", 2.0), 2.0)
+    with pytest.raises(keys.CommitHeld):
+        newcomer.begin_commit(2.0)
+
+
 def test_one_that_left_counts_until_the_head_was_read_after() -> None:
     one, other = _pair()
     assert not one.covers("b")
