Let the orders tests see an order in the midst of a change

Cause: with the keeper's wait for a changing engine taken out, the tests still passed: the fake's change was no longer than the keeper's pause.

--- a/bilberrydeal/agent/tests/fakes.py
+++ b/bilberrydeal/agent/tests/fakes.py
@@ -7,6 +7,9 @@
 
 from bilberrydeal import ports
 
+#: How long a broken change goes on; longer than the keeper's pause.
+CRASH_S = 0.3
+
 
 @attrs.define
 class FakeEngine:
@@ -33,8 +36,9 @@
     outcomes: list[str] = attrs.field(factory=list)
     applied: list[ports.EngineOrder] = attrs.field(factory=list)
     overlaps: int = 0
-    changing: asyncio.Event = attrs.field(factory=asyncio.Event)
     down: bool = False
+    #: Calls of ``state``.
+    asked: int = 0
     events: list[ports.CacheEvents] = attrs.field(factory=list)
 
     def generate(
@@ -90,6 +94,7 @@
 
     async def state(self, timeout_s: float) -> ports.EngineState:
         """Return what the engine is."""
+        self.asked += 1
         self._check("state")
         return self.engine_state
 
@@ -111,7 +116,7 @@
         """Change while nobody listens, then be as before or as ordered."""
         self.engine_state = attrs.evolve(self.engine_state, changing=True)
         asyncio.get_running_loop().call_later(
-            0.05, self._become, order or self.engine_state
+            CRASH_S, self._become, order or self.engine_state
         )
         raise ports.EngineFailure(operation="apply", started=True)
 
--- a/bilberrydeal/agent/tests/test_orders.py
+++ b/bilberrydeal/agent/tests/test_orders.py
@@ -155,7 +155,8 @@
         made.engine.engine_state = changing
         made.keeper.suspect()
         await made.commit()
-        await asyncio.sleep(0)
+        asked = made.engine.asked
+        await harness.until(lambda: made.engine.asked >= asked + 3)
         assert made.engine.applied == []
         made.engine.engine_state = attrs.evolve(changing, changing=False)
         await made.stable(2)
