Give a broken stream more time to be resumed

Cause: a stream cut with tokens already passed on cannot move to another engine, but was given up after 0.35 s at most. Change: six tries, 2.5 s at most. Ruled out: trying until the deadline, which holds a slot for an engine that is gone.

--- a/bilberrydeal/agent/_drivers.py
+++ b/bilberrydeal/agent/_drivers.py
@@ -15,9 +15,9 @@
 #: Longest wait for a call that ends or moves something.
 CONTROL_TIMEOUT_S = 2.0
 #: How often a broken stream is resumed without a new token in between.
-RESUME_ATTEMPTS = 4
+RESUME_ATTEMPTS = 6
 #: Shortest and longest pause before a stream is resumed.
-RESUME_PAUSE_S = 0.05
+RESUME_PAUSE_S = 0.1
 RESUME_LONGEST_S = 1.0
 HTTP_OK = 200
 #: Tokens generated for a request that only wants its prefill; engines take
