--- a/bilberrydeal/systems/roles/_rules.py
+++ b/bilberrydeal/systems/roles/_rules.py
@@ -36,4 +36,4 @@
     #: An engine that was ordered to change keeps its role so long.
     dwell_s: float = 60.0
     #: Models that are planned in one run, to bound its time.
-    models_per_run: int = 5
+    models_per_run: int = 2
