--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -14,15 +14,25 @@
 from ._limits import Limits
 from ._overload import Overload
 from ._request_path import RequestPath
+from .fleet_experiments import FleetSize
+from .fleet_experiments import Recovery
+from .fleet_experiments import Roles
+from .fleet_experiments import Subsets
+from .path_cost import PathCost
 
 __all__ = [
     "Case",
     "EXPERIMENTS",
     "Experiment",
     "Figure",
+    "FleetSize",
     "Limits",
     "Measured",
     "Overload",
+    "PathCost",
+    "Recovery",
     "RequestPath",
+    "Roles",
+    "Subsets",
     "Target",
 ]
--- a/bilberrydeal/billing/_recorder.py
+++ b/bilberrydeal/billing/_recorder.py
@@ -70,6 +70,11 @@
 class Recorder:
     """Counts usage for one incarnation of an entry.
 
+    The name is that of the incarnation, by which requests are numbered.
+    After :class:`RecorderClosed` a recorder of a new name goes on: it
+    settles records of the incarnation's requests as those of any closed
+    recorder, but bills none of them itself.
+
     Example::
 
         recorder = Recorder(client, "h1.66a.1f", rule)
@@ -102,6 +107,13 @@
         """Return how many records wait to be settled."""
         return self._count
 
+    def homes(self) -> tuple[str, ...]:
+        """Return other entries whose records wait here.
+
+        Those that are gone are to be adopted before the next settlement.
+        """
+        return tuple(home for home in self._waiting if home != self.name)
+
     # What is to be counted.
 
     def take(self, message: link.UsageRecords) -> None:
@@ -144,9 +156,14 @@
     async def open(self, wall_s: float) -> None:
         """Open the recorder; sealed windows are passed from the start.
 
-        Raises :class:`RecorderClosed` where the name was used before.
+        One that an earlier, doubtful call opened is gone on with. Raises
+        :class:`RecorderClosed` where it was closed.
         """
         while True:
+            found = await _close.read_recorder(self._client, self.name)
+            if found.version:
+                await self._loaded()
+                return
             sealed, openings = await self._client.read(
                 [_rows.SEALED, _rows.OPENINGS]
             )
@@ -177,9 +194,7 @@
                 committed = await self._client.commit_resolved(
                     transaction, key, nonce
                 )
-            except errors.TableConflict as error:
-                if error.table == _rows.RECORDERS:
-                    raise RecorderClosed(recorder=self.name) from error
+            except errors.TableConflict:
                 continue
             self._own = _close.Found(committed.versions[0], row)
             return
--- a/bilberrydeal/duties/tests/test_duties.py
+++ b/bilberrydeal/duties/tests/test_duties.py
@@ -1,11 +1,13 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 import random
 
 import attrs
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from bilberrydeal import billing
 from bilberrydeal import claims
@@ -108,12 +110,7 @@
             [
                 duties.FleetDuty(client, self.endpoints, "d1", decide),
                 duties.RoleDuty(client, self._roles, self._hint),
-                duties.SweepDuty(
-                    client,
-                    claims.Claims(client, faults.MemoryObjects()),
-                    RULE,
-                    entry_unchanged_s=30.0,
-                ),
+                duties.UsageDuty(client, _Usage(), RULE, lambda name: False),
             ],
             renew_s=1.5,
             round_s=1.0,
@@ -152,6 +149,12 @@
     return list(await world.memory.scan(table, "", "", 9_999, 1.0))
 
 
+async def _state(world: World) -> list[ports.Row]:
+    """Return all rows that a duty may write."""
+    tables = ("billing", "fleet_intents", "orders", "recorders", "seals")
+    return [row for name in tables for row in await _rows(world, name)]
+
+
 @hypothesis.settings(derandomize=True, max_examples=20, deadline=None)
 @hypothesis.given(strategies.integers(0, 2**32))
 def test_nothing_is_ordered_twice(seed: int) -> None:
@@ -201,25 +204,35 @@
     assert order.order_version == len(world.hints)
 
 
-def test_dead_members_are_swept() -> None:
+@pytest.mark.parametrize("covered", [True, False])
+def test_dead_members_are_swept(covered: bool) -> None:
     loop = virtual.VirtualLoop()
-    world = World(loop, random.Random(1))
-    client = faults.make_client(loop, world.memory)
-    for name in ("dead", "alive"):
-        member = membership.EntryMember(name, name, name, 1, "d1")
+    memory = platform.MemoryTable()
+    client = faults.make_client(loop, memory)
+    for port, name in enumerate(("dead", "alive")):
+        member = membership.EntryMember(name, name, "127.0.0.1", port, "d1")
         row = membership.Registration(client, member)
         loop.run(row.join(0.0))
+    duty = duties.SweepDuty(
+        client,
+        claims.Claims(client, faults.MemoryObjects()),
+        RULE,
+        entry_unchanged_s=100.0,
+        covers=lambda name: covered,
+    )
+    lease = leases.Lease(client, duty.name, "alive", BOUNDS)
 
-    async def run() -> None:
-        task = asyncio.create_task(world.runner().run())
-        for _ in range(60):
+    async def run(seconds: int) -> list[str]:
+        for _ in range(seconds):
             await asyncio.sleep(1.0)
             await row.renew(0.0)
-        await _end(task)
+            await duty.round(duties.Round(lease, client.now_s(), 0.0))
+        rows = await memory.scan("members", "", "", 9, 1.0)
+        return [row.key for row in rows]
 
-    loop.run(run())
-    rows = loop.run(_rows(world, "members"))
-    assert [r.key for r in rows] == ["entry/alive", "standing/alive"]
+    alive = ["entry/alive", "standing/alive"]
+    assert (loop.run(run(50)) == alive) is covered
+    assert loop.run(run(100)) == alive
 
 
 class _Usage:
@@ -262,3 +275,34 @@
     assert sealed[0].outcome.reported == ("russo",)
     statuses = loop.run(leases.read_leases(client))
     assert statuses == (leases.LeaseStatus("usage", "e1", 1),)
+
+
+@pytest.mark.parametrize("kind", ["usage", "roles", "fleet"])
+def test_one_that_was_overtaken_changes_nothing(kind: str) -> None:
+    loop = virtual.VirtualLoop()
+    world = World(loop, random.Random(1))
+    client = faults.make_client(loop, world.memory)
+    made: dict[str, duties.Duty] = {
+        "usage": duties.UsageDuty(client, _Usage(), RULE, lambda name: True),
+        "roles": duties.RoleDuty(client, world._roles, world._hint),
+        "fleet": duties.FleetDuty(
+            client, world.endpoints, "d1", _buy_up_to(1)
+        ),
+    }
+    duty = made[kind]
+    recorder = billing.Recorder(client, "e1", RULE)
+    loop.run(recorder.open(loop.now_s - 100.0))
+    loop.run(recorder.close(loop.now_s))
+    lease = leases.Lease(client, duty.name, "e1", BOUNDS)
+    assert loop.run(lease.tick())
+    # The holder was paused and does not know yet.
+    taken = leases.FenceRow(2, "e2", "nonce")
+    write = ports.Write("fences", duty.name, store.encode(taken))
+    loop.run(client.commit(ports.Transaction((), (write,))))
+    before = loop.run(_state(world))
+    work = duties.Round(lease, client.now_s(), loop.now_s)
+    with contextlib.suppress(errors.TableConflict):
+        loop.run(duty.round(work))
+    assert loop.run(_state(world)) == before
+    assert not world.endpoints.calls
+    assert not world.hints
--- a/bilberrydeal/entry/_gate.py
+++ b/bilberrydeal/entry/_gate.py
@@ -128,6 +128,7 @@
             generation=generation,
             prompt_tokens=prefixes.estimate_tokens(generation.prompt),
             blocks=prefixes.block_hashes(generation.prompt),
+            output_share=self._demand.output_share(model.service),
         )
         if model.request_class is not None:
             work = attrs.evolve(work, request_class=model.request_class)
--- a/bilberrydeal/entry/_pool.py
+++ b/bilberrydeal/entry/_pool.py
@@ -75,6 +75,13 @@
         member = self._members.get(endpoint_id)
         return member.link if member else None
 
+    def answers(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint's agent answers and takes work."""
+        found = self.get(endpoint_id)
+        if found is None or found.status is None:
+            return False
+        return found.connected and found.status.accepting
+
     def sync(self, places: collections.abc.Iterable[AgentPlace]) -> None:
         """Open links to new agents and close those to agents that are gone.
 
--- a/bilberrydeal/link/_peer.py
+++ b/bilberrydeal/link/_peer.py
@@ -35,6 +35,7 @@
         self._clock = clock
         self._works: dict[int, _work.Work] = {}
         self._highest = 0
+        self._attached_at_s = self.away_since_s
 
     @property
     def highest(self) -> int:
@@ -57,6 +58,7 @@
         if self.session is not None:
             self.session.close()
         self.session = session
+        self._attached_at_s = self._clock()
         self.gone = False
         for work in self._works.values():
             work.attached = False
@@ -75,10 +77,24 @@
         """
         self.gone = True
         for work in list(self._works.values()):
-            work.discard()
-            self._drop_taken(work)
-            if not work.ended and _stoppable(work):
-                self._executor.cancel(work)
+            self._give_up(work)
+
+    def give_up_unclaimed(self, before_s: float) -> None:
+        """End requests not resumed on a session that began before then.
+
+        The entry has given them up itself while it had no link.
+        """
+        if self._attached_at_s > before_s:
+            return
+        for work in list(self._works.values()):
+            if not work.attached and not work.discarded:
+                self._give_up(work)
+
+    def _give_up(self, work: _work.Work) -> None:
+        work.discard()
+        self._drop_taken(work)
+        if not work.ended and _stoppable(work):
+            self._executor.cancel(work)
 
     def send(self, message: _messages.Message, urgent: bool = False) -> None:
         """Send to the entry if it is there."""
@@ -125,7 +141,7 @@
         if submit.number.entry != self.entry or sequence in self._works:
             return
         if self._forgotten(sequence):
-            self._refuse_unseen(sequence, chunk=1)
+            self._answer_ended(sequence, chunk=1)
             return
         work = _work.Work(submit, self._clock(), self._publish)
         work.attached = True
@@ -138,8 +154,12 @@
         floor = max(self.ledger.short_floor, self.ledger.long_floor)
         return self.ledger.get(sequence) is not None or sequence <= floor
 
-    def _refuse_unseen(self, sequence: int, chunk: int) -> None:
+    def _answer_ended(self, sequence: int, chunk: int) -> None:
+        """End a request whose answer is gone, or give the one kept."""
         end = self.ledger.get(sequence)
+        if end is not None and end.answer and end.answer.chunk == chunk:
+            self.send(end.answer, urgent=True)
+            return
         self.send(
             _messages.Refused(
                 sequence=sequence,
@@ -159,13 +179,14 @@
 
     def _resume(self, resume: _messages.Resume) -> None:
         work = self._works.get(resume.sequence)
-        if work is not None:
+        if work is not None and work.covers(resume.chunk):
             work.forget(resume.chunk)
             work.attached = True
+            work.discarded = False
             for part in work.past(resume.chunk):
                 self.send(part, urgent=True)
-        elif self._forgotten(resume.sequence):
-            self._refuse_unseen(resume.sequence, chunk=resume.chunk + 1)
+        elif work is not None or self._forgotten(resume.sequence):
+            self._answer_ended(resume.sequence, chunk=resume.chunk + 1)
         else:
             self.send(_messages.Missing(sequence=resume.sequence), urgent=True)
 
--- a/scenarios/_fleet.py
+++ b/scenarios/_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import itertools
 import pathlib
 import secrets
@@ -10,8 +11,11 @@
 import attrs
 import yaml
 
+from bilberrydeal import adapters
+from bilberrydeal import errors
 from bilberrydeal import keys
 from bilberrydeal import operators
+from bilberrydeal import orders
 from bilberrydeal import ports
 from standins import platform
 
@@ -37,6 +41,15 @@
 _FIRST_ENTRY_HOST = 10
 _FIRST_AGENT_HOST = 20
 
+#: What a call may raise while faults are in force.
+HARMLESS = (
+    aiohttp.ClientError,
+    TimeoutError,
+    OSError,
+    errors.BilberrydealError,
+    _operator.Refused,
+)
+
 Answer = collections.abc.Callable[[], collections.abc.Awaitable[bool]]
 
 
@@ -52,6 +65,10 @@
     checks_fencing: bool = True
     #: Time that a role change takes an engine away.
     change_s: float = 1.0
+    #: Requests that an agent hands to its endpoint at once.
+    running_limit: int = 16
+    #: Whether hosts are reached through proxies; measurements go without.
+    proxied: bool = True
     #: Time of one engine step: one token for each stream.
     step_s: float = 0.004
     #: Whether the product orders endpoints and changes roles.
@@ -118,6 +135,8 @@
         self.engines: list[Host] = []
         self.plains: list[Host] = []
         self.keys: dict[str, operators.KeyIssued] = {}
+        #: Newest order version committed for an engine.
+        self.ordered: dict[str, int] = {}
         self._secrets: list[str] = []
         self._markers = itertools.count(1)
         self._operator_key = f"operator-{secrets.token_hex(8)}"
@@ -161,8 +180,14 @@
 
     def url(self, entry: int) -> str:
         """Return where callers reach an entry."""
-        front = self.entries[entry].front.address
-        return f"http://{front}:{_places.HTTP_PORT}"
+        address = self.reach(self.entries[entry])
+        return f"http://{address}:{_places.HTTP_PORT}"
+
+    def reach(self, host: Host) -> str:
+        """Return the address under which others reach a host."""
+        if self.shape.proxied:
+            return host.front.address
+        return self.places.address(host.number)
 
     def operator(self, entry: int) -> _operator.Operator:
         """Return an operator who works through an entry."""
@@ -234,6 +259,28 @@
         records = [attrs.asdict(host) for host in hosts]
         await self._control("/hosts", {"hosts": records})
 
+    async def order(self, host: Host, role: ports.EngineRole) -> None:
+        """Commit an order for an engine, as a planner would."""
+        at = self.places.address(_PLATFORM_HOST)
+        table = adapters.TABLES.get("http_json")(
+            self.session, f"http://{at}:{_places.PLATFORM_PORT}"
+        )
+        key = orders.order_key(host.name)
+        (row,) = await table.read((key,), PATIENCE_S)
+        version = orders.decode_order(row).order_version if row else 0
+        self.ordered[host.name] = version + 1
+        order = orders.CommittedOrder(version + 1, 1, role, MODEL)
+        check = ports.Check(key.table, key.key, row.version if row else 0)
+        write = ports.Write(key.table, key.key, orders.encode_order(order))
+        await table.commit(ports.Transaction((check,), (write,)), PATIENCE_S)
+
+    async def engine_state(self, host: Host) -> ports.EngineState:
+        """Return what an engine says that it is."""
+        at = self.places.address(host.number)
+        url = f"http://{at}:{_places.ENDPOINT_PORT}"
+        client = adapters.ENGINES.get("openai_http")(self.session, url)
+        return await client.state(PATIENCE_S)
+
     async def serves(self, entry: int, organisation: str = "russo") -> bool:
         """Return whether an entry answers a small request."""
         ask = _caller.completion(self.marker(), organisation, 1)
@@ -269,12 +316,17 @@
             await self.until_served(number)
 
     async def until_served(self, entry: int) -> None:
-        """Wait until an entry answers models and plain services."""
+        """Wait until an entry answers models and plain services.
+
+        An entry that ended by itself is started again, as the platform does
+        with what it runs.
+        """
         name = self.entries[entry].name
-        if self.shape.engines:
-            await eventually(
-                lambda: self.serves(entry), f"a model's answer of {name}"
-            )
+        if not self.entries[entry].process.alive:
+            self.entries[entry].process.start()
+        for organisation in ORGANISATIONS if self.shape.engines else ():
+            serves = functools.partial(self.serves, entry, organisation)
+            await eventually(serves, f"an answer to {organisation} of {name}")
         if self.shape.plains:
             await eventually(
                 lambda: self.sells(entry), f"a service's answer of {name}"
@@ -284,6 +336,9 @@
         operator = self.operator(0)
 
         async def reachable() -> bool:
+            for host in self.hosts:
+                if not host.process.alive:
+                    raise RuntimeError(f"{host.name} ended at its start")
             try:
                 await operator.organisations()
             except (aiohttp.ClientError, _operator.Refused):
@@ -387,6 +442,7 @@
             settings["fleet"] = {
                 "failure_domains": [f"d{number}" for number in range(4)],
                 "services": [MODEL],
+                "fewest_per_domain": 2,
                 "most_per_domain": 2,
                 "delivery_s": 1.0,
             }
@@ -410,10 +466,11 @@
             "metrics_port": _places.METRICS_PORT,
             "endpoint": {
                 "adapter": "openai_http" if kind == "engine" else "http",
-                "url": f"http://{host.front.address}:{_places.ENDPOINT_PORT}",
+                "url": f"http://{self.reach(host)}:{_places.ENDPOINT_PORT}",
             },
             "endpoint_kind": kind,
             "service": service,
+            "running_limit": self.shape.running_limit,
             "order_poll_s": 2.0,
         }
         self._write(host, settings)
@@ -481,7 +538,7 @@
             "role": role,
             "host_id": host.name,
             "listen_address": self.places.address(host.number),
-            "advertise_address": host.front.address,
+            "advertise_address": self.reach(host),
             "failure_domain": host.failure_domain,
             "platform": {
                 name: {"adapter": "http_json", "url": store}
--- a/scenarios/tests/test_scenarios.py
+++ b/scenarios/tests/test_scenarios.py
@@ -7,6 +7,7 @@
 import pytest_bdd
 from pytest_bdd import parsers
 
+from bilberrydeal import ports
 from scenarios import _caller
 from scenarios import _fleet
 from scenarios import _operator
@@ -36,6 +37,9 @@
     "loses all answers": platform.Fault(lose_answers=platform.ALL),
 }
 HABITS = {"check fencing numbers": True, "ignore fencing numbers": False}
+DOMAINS = {f"d{number}" for number in range(4)}
+#: Duties that any planning entry may hold.
+DUTIES = ("usage", "roles", "sweep", *(f"fleet.d{n}" for n in range(4)))
 PLAIN_PATHS = ("deposit", "label", "stock")
 
 
@@ -96,6 +100,11 @@
     )
 
 
+@pytest_bdd.given(parsers.parse("a fleet with endpoints that {habit}"))
+def a_fleet_with(stage: Stage, habit: str) -> None:
+    stage.set_up(_fleet.Shape(checks_fencing=HABITS[habit]))
+
+
 @pytest_bdd.when("the load ends")
 def the_load_ends(stage: Stage) -> None:
     stage.end_load()
@@ -182,28 +191,40 @@
 
 
 @pytest_bdd.when(
-    parsers.parse("{name} is paused until another entry holds its duties")
+    "the entry with most duties is paused until others hold them",
+    target_fixture="paused",
 )
-def is_paused(stage: Stage, name: str) -> None:
-    async def holders() -> dict[str, str]:
-        leases = (await stage.fleet.operator(1).leases()).leases
-        return {lease.duty: lease.holder for lease in leases}
-
-    async def held() -> bool:
-        return any(name in holder for holder in (await holders()).values())
+def is_paused(stage: Stage) -> _fleet.Host:
+    entries = stage.fleet.entries
+
+    async def holders(over: int) -> list[_fleet.Host]:
+        leases = (await stage.fleet.operator(over).leases()).leases
+        return [
+            host
+            for lease in leases
+            for host in entries
+            if lease.holder.startswith(f"{host.name}.")
+        ]
+
+    async def all_held() -> bool:
+        return len(await holders(0)) >= len(DUTIES)
+
+    stage.run(_fleet.eventually(all_held, "a holder of every duty"))
+    found = stage.run(holders(0))
+    paused = max(entries, key=found.count)
+    other = next(n for n, host in enumerate(entries) if host is not paused)
 
     async def taken() -> bool:
-        found = await holders()
-        return not any(name in holder for holder in found.values())
+        return paused not in await holders(other)
 
-    stage.run(_fleet.eventually(held, f"a duty of {name}"))
-    stage.fleet.host(name).process.pause()
-    stage.run(_fleet.eventually(taken, f"a successor of {name}"))
+    paused.process.pause()
+    stage.run(_fleet.eventually(taken, f"a successor of {paused.name}"))
+    return paused
 
 
-@pytest_bdd.when(parsers.re(r"(?P<name>[a-z]+-\d) goes on"))
-def goes_on(stage: Stage, name: str) -> None:
-    stage.fleet.host(name).process.resume()
+@pytest_bdd.when("the paused entry goes on")
+def goes_on(paused: _fleet.Host) -> None:
+    paused.process.resume()
 
 
 @pytest_bdd.when(parsers.parse("{name} is listed as leaving"))
@@ -211,6 +232,34 @@
     stage.run(stage.fleet.list_hosts(leaving=(name,)))
 
 
+@pytest_bdd.when(parsers.parse("{name} crashes at its next order"))
+def crashes_at_order(stage: Stage, name: str) -> None:
+    host = stage.fleet.host(name)
+    fault = engine.Fault(crash_on_order=True)
+    stage.run(stage.fleet.endpoint_fault(host, fault))
+
+
+@pytest_bdd.when(parsers.parse("{name} is ordered to {role}"))
+def is_ordered(stage: Stage, name: str, role: str) -> None:
+    host = stage.fleet.host(name)
+    stage.run(stage.fleet.order(host, ports.EngineRole(role)))
+
+
+@pytest_bdd.then(parsers.parse("{name} takes the newest order"))
+def takes_the_newest(stage: Stage, name: str) -> None:
+    host = stage.fleet.host(name)
+
+    async def taken() -> bool:
+        try:
+            state = await stage.fleet.engine_state(host)
+        except ports.EngineFailure:
+            return False
+        newest = stage.fleet.ordered[name]
+        return state.order_version == newest and not state.changing
+
+    stage.run(_fleet.eventually(taken, f"the newest order at {name}"))
+
+
 # Faults of the platform.
 
 
@@ -224,6 +273,23 @@
     time.sleep(2.0)
 
 
+@pytest_bdd.when("the endpoint interface takes no orders")
+def takes_no_orders(stage: Stage) -> None:
+    fault = platform.Fault(service="endpoints", down=True)
+    stage.run(stage.fleet.fault(fault))
+
+
+@pytest_bdd.then("endpoints were bought")
+def endpoints_were_bought(stage: Stage) -> None:
+    journal = stage.fleet.evidence().bought
+
+    def bought() -> bool:
+        orders = standins.load(journal, platform.Ordered)
+        return {order.failure_domain for order in orders} == DOMAINS
+
+    wait(stage, bought, "a purchase in every failure domain")
+
+
 @pytest_bdd.when("the platform is well again")
 def the_platform_is_well(stage: Stage) -> None:
     stage.run(stage.fleet.fault(platform.Fault()))
@@ -461,7 +527,11 @@
     cut = [
         outcome
         for outcome in stage.fleet.caller.outcomes
-        if not outcome.answered and times[outcome.ask.marker]
+        if not outcome.answered
+        and any(
+            outcome.started_s <= ran_s <= outcome.ended_s
+            for ran_s in times[outcome.ask.marker]
+        )
     ]
     assert cut == []
     assert any(outcome.answered for outcome in stage.fleet.caller.outcomes)
