--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -101,7 +101,7 @@
     return float(size)
 
 
-def _over(
+def over(
     name: str,
     per: str,
     sizes: collections.abc.Sequence[int],
@@ -142,7 +142,7 @@
 @SLOPES.register("configuration memory")
 def configuration_memory() -> Slope:
     """Measure what an entry keeps of organisations and keys."""
-    return _over(
+    return over(
         "configuration in memory, bytes",
         "organisations",
         ORGANISATIONS,
@@ -153,7 +153,7 @@
 @SLOPES.register("configuration snapshot")
 def configuration_snapshot() -> Slope:
     """Measure the object that a starting entry reads."""
-    return _over(
+    return over(
         "configuration snapshot, bytes",
         "organisations",
         ORGANISATIONS,
@@ -170,9 +170,7 @@
         kind = configuration.Configuration
         return cpu_s(lambda: store.decode(data, kind))
 
-    return _over(
-        "snapshot decoded, s", "organisations", ORGANISATIONS, measure
-    )
+    return over("snapshot decoded, s", "organisations", ORGANISATIONS, measure)
 
 
 @SLOPES.register("revision applied")
@@ -185,7 +183,7 @@
         change = configuration.SetOrganisation(organisation, 0)
         return cpu_s(lambda: current.apply(change))
 
-    return _over(
+    return over(
         "one change applied, s", "organisations", ORGANISATIONS, measure
     )
 
@@ -200,7 +198,7 @@
         )
         return float(size * len(configuration.encode_change(change)))
 
-    return _over(
+    return over(
         "changes as rows, bytes", "changes", (1, 10, 100, 1000), measure, 2700
     )
 
@@ -225,7 +223,7 @@
         row = billing.SealRow(29_000_000, _figures(size), (), 1e9, 7, "n" * 32)
         return len(store.encode(row))
 
-    return _over("seal row, bytes", "organisations", ORGANISATIONS, measure)
+    return over("seal row, bytes", "organisations", ORGANISATIONS, measure)
 
 
 @SLOPES.register("usage row")
@@ -236,7 +234,7 @@
         row = billing.UsageRow(_figures(size), (), "n" * 32)
         return len(store.encode(row))
 
-    return _over(
+    return over(
         "usage row of one entry, bytes",
         "busy organisations",
         (8, 40, 200, 1000),
@@ -260,7 +258,7 @@
 
         return cpu_s(add)
 
-    return _over(
+    return over(
         "rows of 200 organisations decoded and summed, s",
         "entries",
         (3, 30, 137, 410),
@@ -289,7 +287,7 @@
 @SLOPES.register("members memory")
 def members_memory() -> Slope:
     """Measure what an entry keeps of all agents."""
-    return _over(
+    return over(
         "agents' rows in memory, bytes",
         "endpoints",
         (5, 50, 500, 4000),
@@ -306,7 +304,7 @@
         kind = membership.AgentMember
         return cpu_s(lambda: [store.decode(row, kind) for row in rows])
 
-    return _over(
+    return over(
         "agents' rows decoded, s", "endpoints", (5, 50, 500, 4000), measure
     )
 
@@ -330,7 +328,7 @@
         )
         return len(msgspec.msgpack.encode(ask))
 
-    return _over(
+    return over(
         "one question of the exchange, bytes",
         "organisations near their limit",
         (0, 5, 20, 40),
@@ -355,7 +353,7 @@
         one = len(configuration.encode_change(change))
         return len(msgspec.msgpack.encode(reply)) + size * one
 
-    return _over(
+    return over(
         "one answer of the exchange, bytes",
         "changes not known",
         (0, 1, 5, 20),
@@ -383,7 +381,7 @@
     )
     beat = link.encode_frame([link.Heartbeat(123_456, 123_455, status)])
     echo = link.encode_frame([link.Heartbeat(123_456, 123_455)])
-    return _over(
+    return over(
         "one heartbeat each way on all links, bytes",
         "endpoints in the subset",
         (5, 20, 40, 80),
@@ -424,7 +422,7 @@
         planner = roles.HorizonRoles(roles.RoleRules())
         return cpu_s(lambda: planner.run(tables, 600.0))
 
-    return _over(
+    return over(
         "one run of the role planner, s", "models", (1, 6, 12, 23), measure
     )
 
@@ -438,7 +436,7 @@
         planner = roles.HorizonRoles(roles.RoleRules())
         return cpu_s(lambda: planner.run(tables, 600.0))
 
-    return _over(
+    return over(
         "one run for one model, s", "engines", (5, 20, 80, 320), measure, 1071
     )
 
@@ -466,7 +464,7 @@
         planner = fleet.DomainLossFleet(rules)
         return cpu_s(lambda: planner.run(tables, 600.0))
 
-    return _over(
+    return over(
         "one run of the fleet planner, s",
         "endpoints",
         (46, 460, 1840, 4000),
@@ -489,7 +487,7 @@
 
         return cpu_s(choose)
 
-    return _over(
+    return over(
         "one choice of a subset after a change, s",
         "endpoints, a tenth as many entries",
         (250, 500, 1333, 2666, 4000),
@@ -511,7 +509,7 @@
             lambda: chooser.choose(entries[0], entries, endpoints, 40, 0.0)
         )
 
-    return _over(
+    return over(
         "one choice of a subset without a change, s",
         "endpoints, a tenth as many entries",
         (250, 500, 1333, 4000),
--- a/bilberrydeal/systems/routing/_base.py
+++ b/bilberrydeal/systems/routing/_base.py
@@ -12,6 +12,9 @@
 from . import _load
 from . import _spread
 
+#: A name of its own, for it is compared for each endpoint and request.
+CLOSED = _entities.CircuitState.CLOSED
+
 
 @attrs.frozen
 class RouterOptions:
@@ -115,12 +118,15 @@
         request: _entities.PendingRequest,
         now_s: float,
     ) -> None:
+        service = request.service
+        tried = request.tried
         candidates = [
             view
             for view in endpoints
-            if view.service == request.service
-            and view.available
-            and view.endpoint_id not in request.tried
+            if view.accepting
+            and view.service == service
+            and (view.circuit is CLOSED or view.available)
+            and view.endpoint_id not in tried
         ]
         if not candidates:
             return
--- a/bilberrydeal/systems/routing/_prefix_bounded.py
+++ b/bilberrydeal/systems/routing/_prefix_bounded.py
@@ -8,6 +8,9 @@
 from . import _history
 from . import _load
 
+BOTH = ports.EngineRole.BOTH
+DECODE = ports.EngineRole.DECODE
+PREFILL = ports.EngineRole.PREFILL
 #: Endpoints with a part of the prompt that are looked at.
 HOLDERS_LIMIT = 4
 #: Other endpoints that are looked at, drawn at random for each request.
@@ -170,16 +173,11 @@
     list[_entities.EndpointView],
 ]:
     """Return the candidates that prefill, decode and do both."""
-    prefill = []
-    decode = []
-    both = []
-    for view in candidates:
-        if view.role is ports.EngineRole.BOTH:
-            both.append(view)
-        elif view.role is ports.EngineRole.PREFILL:
-            prefill.append(view)
-        else:
-            decode.append(view)
+    both = [view for view in candidates if view.role is BOTH]
+    if len(both) == len(candidates):
+        return [], [], both
+    prefill = [view for view in candidates if view.role is PREFILL]
+    decode = [view for view in candidates if view.role is DECODE]
     return prefill, decode, both
 
 
