Begin anew in place when another entry took over the name

Change: it drains, then replaces its own program image, so that it comes back under a new incarnation without a supervisor. Ruled out: building a second application in the process, which the HTTP library cannot (its start-up rewrites its methods once).

--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -1,8 +1,10 @@
 """Puts an entry together and runs it."""
 
 import asyncio
+import os
 import random
 import signal
+import sys
 import time
 import typing
 
@@ -73,6 +75,7 @@
         self._random = random.SystemRandom()
         self._stop = asyncio.Event()
         self._hurry = False
+        self._asked = False
         self._server: typing.Any = None
         self._tasks: list[asyncio.Task[None]] = []
         self.entry = membership.new_incarnation(
@@ -237,8 +240,11 @@
                 body_timeout_s,
             )
 
-    async def run(self) -> None:
-        """Serve until a signal asks to stop."""
+    async def run(self) -> bool:
+        """Serve until a signal asks to stop or another took over the name.
+
+        Returns whether to go on under a new incarnation.
+        """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
@@ -257,10 +263,12 @@
             await self._drain()
         finally:
             await self._close()
+        return not self._asked
 
     def _on_signal(self) -> None:
         """Stop; a second signal does not wait for what runs."""
-        self._hurry = self._stop.is_set()
+        self._hurry = self._asked
+        self._asked = True
         self._stop.set()
 
     def _start_loops(self) -> None:
@@ -354,6 +362,7 @@
 
     async def _close(self) -> None:
         self._server.close()
+        await self._server.wait_closed()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -391,9 +400,13 @@
     secret = _secrets.read(chosen.secrets)
     telemetry.configure(chosen.log.level)
 
-    async def main() -> None:
+    async def main() -> bool:
         async with aiohttp.ClientSession() as session:
-            await EntryProcess(chosen, secret, session).run()
+            return await EntryProcess(chosen, secret, session).run()
 
-    uvloop.run(main())
+    if uvloop.run(main()):
+        # The HTTP library sets itself up once a process, so this one begins
+        # again as a whole; it stays the same process to the platform.
+        LOG.warning("Starting anew under another incarnation.")
+        os.execv(sys.executable, sys.orig_argv)
     return 0
