--- a/bilberrydeal/entry/_authority.py
+++ b/bilberrydeal/entry/_authority.py
@@ -3,7 +3,10 @@
 import collections.abc
 import random
 
+import attrs
+
 from .. import adapters
+from .. import billing
 from .. import claims
 from .. import duties
 from .. import leases
@@ -18,6 +21,15 @@
 CALL_TIMEOUTS = 2.0
 
 
+@attrs.frozen
+class Authority:
+    """The duties and what their holders count."""
+
+    runner: duties.DutyRunner
+    #: What this process reported, late and refused windows among it.
+    reports: billing.ReportStats
+
+
 def build(
     entry: str,
     chosen: settings.EntrySettings,
@@ -29,13 +41,14 @@
     pool: _pool.LinkPool,
     entry_unchanged_s: float,
     rng: random.Random,
-) -> duties.DutyRunner:
+) -> Authority:
     """Return a runner of all duties that the settings call for."""
     rule = _settling.window_rule(chosen.usage)
+    usage = duties.UsageDuty(
+        client, platform.usage, rule, _settling.gone_test(directory)
+    )
     found: list[duties.Duty] = [
-        duties.UsageDuty(
-            client, platform.usage, rule, _settling.gone_test(directory)
-        ),
+        usage,
         duties.SweepDuty(client, rows, rule, entry_unchanged_s),
         duties.RoleDuty(client, planning.decide_roles, _hint(pool)),
     ]
@@ -51,7 +64,7 @@
         margin_s=chosen.duties.margin_s,
         call_longest_s=client.call_timeout_s * CALL_TIMEOUTS,
     )
-    return duties.DutyRunner(
+    runner = duties.DutyRunner(
         client,
         entry,
         bounds,
@@ -60,6 +73,7 @@
         chosen.duties.round_s,
         rng,
     )
+    return Authority(runner, usage.stats)
 
 
 def _hint(
--- a/bilberrydeal/entry/_following.py
+++ b/bilberrydeal/entry/_following.py
@@ -77,6 +77,11 @@
         """Return the newest configuration known here."""
         return self.follower.current
 
+    def keys_age_s(self) -> float:
+        """Return the age of what is known of withdrawn keys; -1 for none."""
+        age_s = self.freshness.age_s(self._clock())
+        return -1.0 if age_s is None else age_s
+
     async def keep_row(self) -> None:
         """Join as soon as the store can be reached, then renew the row.
 
--- a/bilberrydeal/entry/_pool.py
+++ b/bilberrydeal/entry/_pool.py
@@ -75,6 +75,10 @@
         member = self._members.get(endpoint_id)
         return member.link if member else None
 
+    def connected(self) -> int:
+        """Return how many agents answer."""
+        return sum(member.link.connected for member in self._members.values())
+
     def answers(self, endpoint_id: str) -> bool:
         """Return whether an endpoint's agent answers and takes work."""
         found = self.get(endpoint_id)
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -12,6 +12,7 @@
 import attrs
 
 from .. import adapters
+from .. import billing
 from .. import claims
 from .. import configuration
 from .. import link
@@ -26,6 +27,7 @@
 from . import _exchange
 from . import _following
 from . import _gate
+from . import _gauges
 from . import _http
 from . import _journal
 from . import _loops
@@ -83,6 +85,7 @@
         )
         self._platform = adapters.connect(session, chosen.platform)
         self._metrics = telemetry.Metrics()
+        self._gauges = _gauges.Gauges(self._metrics)
         self._tracing = telemetry.Tracing(chosen.trace, "entry")
         self._tables = systems.Tables()
         self._following = _following.Following(
@@ -177,7 +180,7 @@
         self._planning = _planning.Planning(
             chosen, following.directory, self._tables.of(systems.EndpointView)
         )
-        self._duties = _authority.build(
+        authority = _authority.build(
             self.entry,
             chosen,
             following.client,
@@ -189,6 +192,56 @@
             _following.PACT_LONGEST_S + chosen.duties.margin_s,
             self._random,
         )
+        self._duties = authority.runner
+        self._add_gauges(authority.reports)
+
+    def _add_gauges(self, reports: billing.ReportStats) -> None:
+        """Show what alarms are set on."""
+        following = self._following
+        for name, text, read in (
+            (
+                "in_flight",
+                "Requests in flight.",
+                lambda: self._gate.in_flight,
+            ),
+            (
+                "keys_age_s",
+                "Age of what is known of withdrawn keys; -1 for nothing.",
+                lambda: following.keys_age_s(),
+            ),
+            (
+                "revision",
+                "Revision of the configuration in force here.",
+                lambda: following.current().revision,
+            ),
+            ("links", "Agents that answer.", self._pool.connected),
+            (
+                "duties",
+                "Duties held.",
+                lambda: len(self._duties.held()),
+            ),
+            (
+                "unsettled",
+                "Usage records that wait to be settled.",
+                lambda: self._settling.waiting,
+            ),
+            (
+                "reports_taken",
+                "Usage reports that the platform took from this process.",
+                lambda: reports.reported,
+            ),
+            (
+                "reports_refused",
+                "Usage reports that the platform refused.",
+                lambda: reports.refused,
+            ),
+            (
+                "windows_late",
+                "Usage windows that were reported late.",
+                lambda: reports.late,
+            ),
+        ):
+            self._gauges.add(name, text, read)
 
     def _build_app(self, secret: _secrets.Secrets) -> None:
         """Make the HTTP application."""
@@ -223,6 +276,7 @@
             self._duties,
             self._tables,
             self._metrics,
+            self._gauges,
             self._journal,
             self._clock,
         )
--- a/bilberrydeal/entry/_settling.py
+++ b/bilberrydeal/entry/_settling.py
@@ -53,6 +53,11 @@
         self._open = False
         pool.on_usage = self._take
 
+    @property
+    def waiting(self) -> int:
+        """Records that wait to be settled."""
+        return self._recorder.waiting
+
     def _take(
         self, agent_link: link.AgentLink, message: link.UsageRecords
     ) -> None:
--- a/bilberrydeal/entry/_status.py
+++ b/bilberrydeal/entry/_status.py
@@ -19,6 +19,7 @@
 from . import _exchange
 from . import _following
 from . import _gate
+from . import _gauges
 from . import _http
 from . import _journal
 from . import _operator
@@ -42,6 +43,7 @@
         runner: duties.DutyRunner,
         tables: systems.Tables,
         metrics: telemetry.Metrics,
+        gauges: _gauges.Gauges,
         journal: _journal.Journal,
         clock: collections.abc.Callable[[], float],
     ) -> None:
@@ -56,6 +58,7 @@
         self._tables = tables
         self._client = following.client
         self._metrics = metrics
+        self._gauges = gauges
         self._journal = journal
         self._rule = _settling.window_rule(following.settings.usage)
         self._clock = clock
@@ -102,6 +105,7 @@
     async def _show_metrics(
         self, request: sanic.Request
     ) -> response.HTTPResponse:
+        self._gauges.refresh()
         return response.HTTPResponse(
             self._metrics.render(), content_type=METRICS_TYPE
         )
@@ -121,13 +125,12 @@
             for member in self._directory.entries()
             if member.incarnation != self._member.incarnation
         ]
-        age_s = self._freshness.age_s(now_s)
         status = operators.Status(
             entry=self._member.incarnation,
             host_id=self._member.host_id,
             failure_domain=self._member.failure_domain,
             revision=self._following.current().revision,
-            keys_age_s=-1.0 if age_s is None else age_s,
+            keys_age_s=self._following.keys_age_s(),
             in_flight=self._gate.in_flight,
             closing=self._gate.closing,
             duties=list(self._duties.held()),
