--- a/bilberrydeal/agent/tests/fakes.py
+++ b/bilberrydeal/agent/tests/fakes.py
@@ -7,6 +7,13 @@
 
 from bilberrydeal import ports
 
+
+def _set() -> asyncio.Event:
+    event = asyncio.Event()
+    event.set()
+    return event
+
+
 #: How long a broken change goes on; longer than the keeper's pause.
 CRASH_S = 0.3
 
@@ -24,6 +31,8 @@
     flowing: asyncio.Event = attrs.field(factory=asyncio.Event)
     generated: list[ports.EngineRequest] = attrs.field(factory=list)
     cancelled: list[str] = attrs.field(factory=list)
+    #: Holds up calls of ``cancel`` while it is clear.
+    cancelling: asyncio.Event = attrs.field(factory=_set)
     import_fails: bool = False
     #: What the engine is.
     engine_state: ports.EngineState = ports.EngineState(
@@ -77,6 +86,7 @@
 
     async def cancel(self, request_id: str, timeout_s: float) -> None:
         """End a generation."""
+        await self.cancelling.wait()
         self.cancelled.append(request_id)
 
     async def load(self, timeout_s: float) -> ports.LoadReport:
--- a/bilberrydeal/agent/tests/test_daemon.py
+++ b/bilberrydeal/agent/tests/test_daemon.py
@@ -109,6 +109,20 @@
     )
 
 
+async def beats(entry: link.AgentLink) -> None:
+    """Wait for heartbeats that only an agent that stays sends."""
+    came: list[link.AgentLink] = []
+    entry.on_status = came.append
+    await harness.until(lambda: len(came) >= 5)
+
+
+def usage_of(entry: link.AgentLink) -> asyncio.Queue[link.UsageRecords]:
+    """Return a queue of what the agent sends for settlement."""
+    usage: asyncio.Queue[link.UsageRecords] = asyncio.Queue()
+    entry.on_usage = lambda _, records: usage.put_nowait(records)
+    return usage
+
+
 def terminate() -> None:
     os.kill(os.getpid(), signal.SIGTERM)
 
@@ -128,19 +142,43 @@
         (event,) = await harness.answer(entry.submit(harness.submit(2)))
         assert isinstance(event, link.Refused)
         assert (event.reason, event.started) == ("endpoint_leaving", False)
-        usage: asyncio.Queue[link.UsageRecords] = asyncio.Queue()
-        entry.on_usage = lambda _, records: usage.put_nowait(records)
+        usage = usage_of(entry)
         world.engine.flowing.set()
         answer = await harness.answer(running)
         assert isinstance(answer[-1], link.Finished)
         (record,) = (await usage.get()).records
         assert (record.prompt_tokens, record.output_tokens) == (7, 4)
+        await beats(entry)
         assert not task.done()
         entry.settled((record.record,))
         assert await task == _daemon.EXIT_DONE
     assert world.table.said[-3:] == ["live both", "leaving both", ""]
 
 
+async def test_leaving_waits_for_the_bill_of_a_cancelled_request(
+    world: World,
+) -> None:
+    chosen = given()
+    async with (
+        serving(chosen) as task,
+        harness.entry(chosen.control_port) as entry,
+    ):
+        await accepting(entry, True)
+        world.engine.cancelling.clear()
+        call = entry.submit(harness.submit(1, max_tokens=4))
+        await harness.until(lambda: call.arrived == 4)
+        await entry.cancel(1, harness.PATIENCE_S)
+        assert isinstance((await harness.answer(call))[-1], link.Refused)
+        terminate()
+        await beats(entry)
+        usage = usage_of(entry)
+        world.engine.cancelling.set()
+        (record,) = (await usage.get()).records
+        assert (record.prompt_tokens, record.output_tokens) == (7, 4)
+        entry.settled((record.record,))
+        assert await task == _daemon.EXIT_DONE
+
+
 @pytest.mark.parametrize("signals", [1, 2])
 async def test_bound_or_second_signal_ends_running_work(
     world: World, signals: int
