Ask three times the cost of a role change

Cause: with 12 engines 2.2 times the changes of the hindsight best under the swing and under endpoint losses.

--- a/bilberrydeal/systems/roles/_rules.py
+++ b/bilberrydeal/systems/roles/_rules.py
@@ -30,7 +30,7 @@
     #: many.
     domains_per_phase: int = 2
     #: A change must promise this multiple of what it costs.
-    payback: float = 2.0
+    payback: float = 3.0
     #: A change must gain the work of this part of each engine it moves.
     least_gain_engines: float = 0.1
     #: An engine that was ordered to change keeps its role so long.
