--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -326,6 +326,9 @@
             ),
             nonce="n" * 32,
             revision=123_456,
+            ages=tuple(
+                membership.ShardAge(f"agent/{n:x}/", 3.217) for n in range(17)
+            ),
             need=limits.NeedReport("h00001.66a1b2c3.1f", 1234, needs),
         )
         return len(msgspec.msgpack.encode(ask))
@@ -497,6 +500,30 @@
     )
 
 
+@SLOPES.register("subset memory")
+def subset_memory() -> Slope:
+    """Measure what the chooser keeps of the last choice."""
+
+    def measure(size: int) -> float:
+        entries, endpoints = fleet_subsets.members(
+            size, max(3, size * 410 // 4000), 23, 1
+        )
+
+        def build() -> subsets.CoveredRendezvous:
+            chooser = subsets.CoveredRendezvous()
+            chooser.choose(entries[0], entries, endpoints, 40, 0.0)
+            return chooser
+
+        return memory_bytes(build)
+
+    return _over(
+        "kept after a choice, bytes",
+        "endpoints, a tenth as many entries",
+        (250, 500, 1333, 4000),
+        measure,
+    )
+
+
 @SLOPES.register("subset, unchanged")
 def subset_unchanged() -> Slope:
     """Measure one choice with the members of the last one."""
