--- a/bilberrydeal/agent/tests/test_daemon.py
+++ b/bilberrydeal/agent/tests/test_daemon.py
@@ -191,20 +191,27 @@
     chosen = given()
     base = f"http://127.0.0.1:{chosen.metrics_port}"
     async with (
-        serving(chosen),
+        serving(chosen) as task,
         harness.entry(chosen.control_port) as entry,
         aiohttp.ClientSession() as session,
     ):
         await accepting(entry, True)
+        entry.on_usage = lambda _, usage: entry.settled(
+            tuple(record.record for record in usage.records)
+        )
+        world.engine.flowing.set()
+        await harness.answer(entry.submit(harness.submit(1, max_tokens=4)))
         for path, text in (
             ("health", "alive"),
             ("ready", "ready"),
             ("metrics", "bilberrydeal_agent_links 1"),
+            ("metrics", 'bilberrydeal_agent_tokens_total{kind="output"} 4'),
         ):
             async with session.get(f"{base}/{path}") as response:
                 assert response.status == 200
                 assert text in await response.text()
         terminate()
+        assert await task == _daemon.EXIT_DONE
 
 
 def test_paused_predecessor_keeps_an_agent_out() -> None:
