--- a/bilberrydeal/systems/roles/_capacity.py
+++ b/bilberrydeal/systems/roles/_capacity.py
@@ -10,6 +10,8 @@
 _HALVINGS = 11
 #: Shares are sought up to here; more spare capacity is worth nothing.
 SHARE_MAX = 1.1
+#: Work below this is none, in engine-seconds a second.
+_NOTHING = 1e-9
 #: Steps of a role's share that are tried in a large fleet.
 _GRID = 12
 
@@ -97,7 +99,7 @@
 
 def _fits(prompt: float, output: float, engines: int, loss: float) -> bool:
     total = prompt + output
-    if total <= 0.0:
+    if total < _NOTHING:
         return True
     mixed = 4.0 * prompt * output / (total * total)
     return total <= engines * (1.0 - loss * mixed)
--- a/bilberrydeal/systems/roles/_horizon.py
+++ b/bilberrydeal/systems/roles/_horizon.py
@@ -40,6 +40,8 @@
         self.rules = rules
         #: When each model was last planned.
         self._planned_s: dict[str, float] = {}
+        #: When each endpoint was last ordered by this planner.
+        self._ordered_s: dict[str, float] = {}
 
     def run(self, tables: _tables.Tables, now_s: float) -> None:
         """Decide at most one move for each of the models that are due.
@@ -52,9 +54,21 @@
         self._planned_s = {m: self._planned_s.get(m, -math.inf) for m in due}
         for model in due[: self.rules.models_per_run]:
             self._planned_s[model] = now_s
-            move = self._move(tables, model, groups[model], now_s)
+            endpoints = [self._remembering(e) for e in groups[model]]
+            move = self._move(tables, model, endpoints, now_s)
             if move is not None:
                 _plan.order(tables, move)
+                for endpoint in move.endpoints:
+                    self._ordered_s[endpoint.key] = now_s
+
+    def _remembering(
+        self, endpoint: _entities.RoleEndpoint
+    ) -> _entities.RoleEndpoint:
+        """Return an endpoint with the time of the own last order."""
+        own_s = self._ordered_s.get(endpoint.key, -math.inf)
+        if own_s <= endpoint.ordered_at_s:
+            return endpoint
+        return attrs.evolve(endpoint, ordered_at_s=own_s)
 
     def _move(
         self,
--- a/bilberrydeal/systems/roles/tests/test_planners.py
+++ b/bilberrydeal/systems/roles/tests/test_planners.py
@@ -111,8 +111,10 @@
         planner.run(tables, now_s)
         for order in tables.of(roles.RoleOrder):
             ordered[order.key].append(now_s)
+            # The row tells the time of some orders only; the planner knows.
+            shown_s = now_s if int(order.key) % 2 else float("-inf")
             endpoints[order.key] = attrs.evolve(
-                endpoints[order.key], role=order.role, ordered_at_s=now_s
+                endpoints[order.key], role=order.role, ordered_at_s=shown_s
             )
     for times in ordered.values():
         for earlier, later in zip(times, times[1:], strict=False):
