--- a/bench/_agent.py
+++ b/bench/_agent.py
@@ -18,7 +18,7 @@
 PACE_GAIN = 0.0005
 #: Time between two reports, in seconds.
 REPORT_S = 0.25
-#: Time between two looks at requests that have waited too long, in seconds.
+#: Time between two looks at what has become urgent or too late, in seconds.
 TICK_S = 0.1
 
 
@@ -83,7 +83,7 @@
         self._token_s = engine.rates.full_step_s()
         self._waiting: dict[str, Sent] = {}
         self._running: dict[str, Sent] = {}
-        clock.every(TICK_S, self._tick)
+        clock.every(TICK_S, self._pump)
 
     def submit(self, sent: Sent) -> None:
         """Take a request, or refuse it at once."""
@@ -175,9 +175,6 @@
             run_time_s,
         )
 
-    def _tick(self) -> None:
-        self._refuse(self._queue.expired(self._clock.now_s))
-
     def _pump(self) -> None:
         now_s = self._clock.now_s
         self._refuse(self._queue.expired(now_s))
