--- a/bench/_loads.py
+++ b/bench/_loads.py
@@ -138,6 +138,10 @@
     #: Returns what breaks.
     faults: collections.abc.Callable[[Size], tuple[Fault, ...]] = lambda _: ()
 
+    def flooding(self) -> int | None:
+        """Return the number of the organisation that floods, if one does."""
+        return self.flooder if self.flood_factor else None
+
 
 LOADS: registry.Registry[Load] = registry.Registry("load")
 
--- a/bench/_request_path.py
+++ b/bench/_request_path.py
@@ -58,6 +58,7 @@
         "goodput_per_s",
         "goodput_share",
         "worst_served",
+        "worst_of_others",
         "endpoint_s_per_answer",
         "late_share",
         "refused_share",
@@ -68,6 +69,7 @@
     targets = (
         _experiments.Target("", "product", "goodput_share", 0.95),
         _experiments.Target("flood", "product", "worst_served", 0.95),
+        _experiments.Target("flood", "product", "worst_of_others", 0.95),
     )
     loads = (
         "steady",
@@ -121,6 +123,8 @@
         weights = _loads.SIZES[one.case.size].weights
         capacity = max(_served(other, len(weights)) for other in group)
         worst = worst_served(one, weights, capacity)
+        flooder = _loads.LOADS.get(one.case.load).flooding()
+        others = worst_served(one, weights, capacity, flooder)
         endpoints = _loads.SIZES[one.case.size].endpoints
         paid_s = endpoints / max(one.value("goodput_per_s"), 1e-9)
         return attrs.evolve(
@@ -129,6 +133,7 @@
                 *one.figures,
                 _experiments.Figure("goodput_share", share),
                 _experiments.Figure("worst_served", worst),
+                _experiments.Figure("worst_of_others", others),
                 _experiments.Figure("endpoint_s_per_answer", paid_s),
             ),
         )
@@ -138,11 +143,12 @@
     one: _experiments.Measured,
     weights: tuple[float, ...],
     capacity: float,
+    flooder: int | None = None,
 ) -> float:
     """Return the least of service over entitled share.
 
     An organisation is entitled to what it offers, up to its weighted
-    max-min fair share of the capacity.
+    max-min fair share of the capacity. A flooder is left out if given.
     """
     offered = [
         one.value(f"offered_cost_{number}") for number in range(len(weights))
@@ -151,7 +157,7 @@
     return min(
         one.value(f"served_cost_{number}") / entitled[number]
         for number in range(len(weights))
-        if entitled[number] > 0.0
+        if entitled[number] > 0.0 and number != flooder
     )
 
 
