--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -514,7 +514,7 @@
 
         return memory_bytes(build)
 
-    return _over(
+    return over(
         "kept after a choice, bytes",
         "endpoints, a tenth as many entries",
         (250, 500, 1333, 4000),
--- a/bilberrydeal/agent/_drivers.py
+++ b/bilberrydeal/agent/_drivers.py
@@ -97,7 +97,6 @@
     async def run(self) -> None:
         request = await self._request()
         self._work.start()
-        self._meter.calls = 0 if self._submit.prefill_only else 1
         last = await self._whole(request)
         self._count(last)
         kv_handle = ""
@@ -169,7 +168,6 @@
             if not error.started:
                 # The engine did not admit it: nothing has run.
                 self._work.started = False
-                self._meter.calls = 0
                 raise
         return await self._resumed()
 
@@ -204,6 +202,8 @@
     def _receive(self, event: ports.EngineEvent) -> None:
         self._received += event.output_tokens
         if not self._submit.prefill_only:
+            # A call without an answer is not billed.
+            self._meter.calls = 1
             self._meter.output_tokens = self._received
 
     def _count(self, last: ports.EngineEvent) -> None:
@@ -233,7 +233,6 @@
         """Make the call and pass its answer on."""
         submit = work.submit
         work.start()
-        meter.calls = 1
         try:
             response = await self._service.call(
                 ports.PlainRequest(
@@ -249,8 +248,9 @@
         except ports.PlainFailure as error:
             if not error.started:
                 work.started = False
-                meter.calls = 0
             raise
+        # A call without an answer is not billed.
+        meter.calls = 1
         work.finish(
             status=response.status,
             content_type=response.content_type,
