Leave out of the daemon what its libraries load in vain

Cause: structlog loads rich where the command line's libraries bring it. Resident memory of an idle entry 64.7 MB before, of an agent 53 MB; the budget for control is 64.

--- a/bilberrydeal/daemon.py
+++ b/bilberrydeal/daemon.py
@@ -9,6 +9,7 @@
 import sys
 
 from . import __version__
+from . import _lean  # noqa: F401
 from . import registry
 from . import settings
 
