--- a/bilberrydeal/entry/_exchange.py
+++ b/bilberrydeal/entry/_exchange.py
@@ -15,6 +15,7 @@
 from .. import systems
 from .. import telemetry
 from ..systems import limits
+from . import _hosts
 
 LOG = telemetry.logger("exchange")
 #: Longest wait for a peer's answer.
@@ -51,6 +52,7 @@
         follower: configuration.Follower,
         freshness: keys.Freshness,
         directory: membership.MemberDirectory,
+        hosts: _hosts.LeavingHosts,
         limiter: limits.Limiter,
         tables: systems.Tables,
         clock: collections.abc.Callable[[], float],
@@ -60,6 +62,7 @@
         self._follower = follower
         self._freshness = freshness
         self._directory = directory
+        self._hosts = hosts
         self._limiter = limiter
         self._tables = tables
         self._clock = clock
@@ -165,6 +168,7 @@
         self._freshness.applied(self._follower.current.revision)
         self._freshness.learn(reply.knowledge, sent_s)
         self._directory.take_relay(reply.members, sent_s, self._clock())
+        self._hosts.take_relay(reply.hosts, sent_s)
         self._note(
             reply.knowledge.incarnation, reply.knowledge.revision, sent_s
         )
@@ -187,6 +191,7 @@
             knowledge=self._freshness.answer(ask.sender.entry, now_s),
             changes=self._follower.relay_changes(ask.revision),
             members=self._directory.relay(ask.ages, now_s),
+            hosts=self._hosts.relay(now_s),
         )
         return self._seal.close(msgspec.msgpack.encode(reply))
 
--- a/bilberrydeal/entry/_following.py
+++ b/bilberrydeal/entry/_following.py
@@ -12,6 +12,7 @@
 from .. import store
 from .. import telemetry
 from . import _demand
+from . import _hosts
 
 LOG = telemetry.logger("following")
 #: Time between two polls of the configuration by an entry that reads it.
@@ -20,8 +21,9 @@
 HOSTS_READ_S = 3.0
 #: Longest time that an entry goes on without the store at all.
 PACT_LONGEST_S = 3600.0
-#: Entries of a failure domain that read the head of the configuration.
-HEAD_READERS_PER_DOMAIN = 3
+#: Entries of a failure domain that read the configuration's head and the
+#: host list for the others.
+READERS_PER_DOMAIN = 3
 
 
 class Following:
@@ -70,6 +72,7 @@
         self.directory = membership.MemberDirectory(
             self.client, entry, chosen.membership.read_s
         )
+        self.hosts = _hosts.LeavingHosts(self.directory)
         self.demand = _demand.DemandMeter(clock())
         self.key_directory = keys.KeyDirectory(self.current, pepper)
 
@@ -111,7 +114,7 @@
     async def poll_configuration(self) -> None:
         """Read the head, where this entry is among its few readers."""
         now_s = self._clock()
-        if not self._reads_head() and self.freshness.is_confirmed(
+        if not self._reads_platform() and self.freshness.is_confirmed(
             now_s + CONFIGURATION_POLL_S
         ):
             return
@@ -130,9 +133,12 @@
         )
 
     async def poll_hosts(self) -> None:
-        """Read the platform's host list."""
-        hosts = await self._platform.hosts.hosts(self.client.call_timeout_s)
-        self.directory.take_hosts(hosts)
+        """Read the host list, where this entry is among its few readers."""
+        if not self._reads_platform():
+            return
+        sent_s = self._clock()
+        found = await self._platform.hosts.hosts(self.client.call_timeout_s)
+        self.hosts.take_list(found, sent_s)
 
     async def commit(self, change: configuration.Change, author: str) -> int:
         """Commit a change for an operator; return its revision."""
@@ -169,11 +175,11 @@
             self._wall(), demand=self.demand.report(self._clock())
         )
 
-    def _reads_head(self) -> bool:
-        """Whether this entry is one of the few that read the head."""
+    def _reads_platform(self) -> bool:
+        """Whether this entry is one of the few that read for the others."""
         here = sorted(
             member.incarnation
             for member in self.directory.entries()
             if member.failure_domain == self.settings.failure_domain
         )
-        return not here or self._entry in here[:HEAD_READERS_PER_DOMAIN]
+        return not here or self._entry in here[:READERS_PER_DOMAIN]
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -164,6 +164,7 @@
             following.follower,
             following.freshness,
             following.directory,
+            following.hosts,
             self._policies.limiter,
             self._tables,
             self._clock,
--- /dev/null
+++ b/bilberrydeal/entry/tests/test_hosts.py
@@ -0,0 +1,35 @@
+import typing
+
+from bilberrydeal import ports
+from bilberrydeal.entry import _hosts
+
+
+class _Directory:
+    """Keeps what it was told."""
+
+    def __init__(self) -> None:
+        self.leaving: list[str] = []
+
+    def take_hosts(self, hosts: typing.Iterable[ports.HostRecord]) -> None:
+        self.leaving = [host.host_id for host in hosts]
+
+
+def _record(host_id: str, state: ports.HostState) -> ports.HostRecord:
+    return ports.HostRecord(host_id, "127.0.0.1", "fd1", state)
+
+
+def test_newest_list_wins_wherever_it_was_read() -> None:
+    reader_directory: typing.Any = _Directory()
+    other_directory: typing.Any = _Directory()
+    reader = _hosts.LeavingHosts(reader_directory)
+    other = _hosts.LeavingHosts(other_directory)
+    assert reader.relay(0.0) is None
+    reader.take_list([_record("h1", ports.HostState.LEAVING)], 1.0)
+    early = reader.relay(2.0)
+    other.take_relay(early, 2.0)
+    assert other_directory.leaving == ["h1"]
+    reader.take_list([_record("h1", ports.HostState.LIVE)], 3.0)
+    other.take_relay(reader.relay(4.0), 4.0)
+    assert other_directory.leaving == []
+    other.take_relay(early, 2.0)
+    assert other_directory.leaving == []
--- a/bilberrydeal/peers/__init__.py
+++ b/bilberrydeal/peers/__init__.py
@@ -1,6 +1,7 @@
 """The exchange of state between entries."""
 
 from ._messages import Ask
+from ._messages import HostRelay
 from ._messages import Introduction
 from ._messages import Reply
 from ._requests import ask
@@ -12,6 +13,7 @@
 __all__ = [
     "Ask",
     "ExchangeFailed",
+    "HostRelay",
     "Introduction",
     "Reply",
     "Responder",
--- a/bilberrydeal/peers/_messages.py
+++ b/bilberrydeal/peers/_messages.py
@@ -42,6 +42,16 @@
     need_ask: limits.NeedAsk | None = None
 
 
+@attrs.frozen
+class HostRelay:
+    """Which hosts are to go away, as the platform lists them."""
+
+    #: Names of the hosts.
+    leaving: tuple[str, ...]
+    #: How long ago the list was read, in seconds.
+    age_s: float
+
+
 @attrs.frozen
 class Reply:
     """The answer to one question."""
@@ -54,3 +64,5 @@
     changes: configuration.RelayChanges | None = None
     #: News of members that the answerer knows more of.
     members: membership.MemberRelay = membership.MemberRelay(shards=())
+    #: Hosts that are to go away, where the answerer knows of any list.
+    hosts: HostRelay | None = None
