--- a/bilberrydeal/agent/tests/fakes.py
+++ b/bilberrydeal/agent/tests/fakes.py
@@ -8,6 +8,16 @@
 from bilberrydeal import ports
 
 
+def _set() -> asyncio.Event:
+    event = asyncio.Event()
+    event.set()
+    return event
+
+
+#: How long a broken change goes on; longer than the keeper's pause.
+CRASH_S = 0.3
+
+
 @attrs.define
 class FakeEngine:
     """Generates ``words``; breaks where the test says."""
@@ -21,6 +31,8 @@
     flowing: asyncio.Event = attrs.field(factory=asyncio.Event)
     generated: list[ports.EngineRequest] = attrs.field(factory=list)
     cancelled: list[str] = attrs.field(factory=list)
+    #: Holds up calls of ``cancel`` while it is clear.
+    cancelling: asyncio.Event = attrs.field(factory=_set)
     import_fails: bool = False
     #: What the engine is.
     engine_state: ports.EngineState = ports.EngineState(
@@ -33,8 +45,9 @@
     outcomes: list[str] = attrs.field(factory=list)
     applied: list[ports.EngineOrder] = attrs.field(factory=list)
     overlaps: int = 0
-    changing: asyncio.Event = attrs.field(factory=asyncio.Event)
     down: bool = False
+    #: Calls of ``state``.
+    asked: int = 0
     events: list[ports.CacheEvents] = attrs.field(factory=list)
 
     def generate(
@@ -73,6 +86,7 @@
 
     async def cancel(self, request_id: str, timeout_s: float) -> None:
         """End a generation."""
+        await self.cancelling.wait()
         self.cancelled.append(request_id)
 
     async def load(self, timeout_s: float) -> ports.LoadReport:
@@ -90,6 +104,7 @@
 
     async def state(self, timeout_s: float) -> ports.EngineState:
         """Return what the engine is."""
+        self.asked += 1
         self._check("state")
         return self.engine_state
 
@@ -111,7 +126,7 @@
         """Change while nobody listens, then be as before or as ordered."""
         self.engine_state = attrs.evolve(self.engine_state, changing=True)
         asyncio.get_running_loop().call_later(
-            0.05, self._become, order or self.engine_state
+            CRASH_S, self._become, order or self.engine_state
         )
         raise ports.EngineFailure(operation="apply", started=True)
 
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -1,8 +1,10 @@
 """Puts an entry together and runs it."""
 
 import asyncio
+import os
 import random
 import signal
+import sys
 import time
 import typing
 
@@ -10,6 +12,7 @@
 import attrs
 
 from .. import adapters
+from .. import billing
 from .. import claims
 from .. import configuration
 from .. import link
@@ -24,6 +27,7 @@
 from . import _exchange
 from . import _following
 from . import _gate
+from . import _gauges
 from . import _http
 from . import _journal
 from . import _loops
@@ -73,6 +77,7 @@
         self._random = random.SystemRandom()
         self._stop = asyncio.Event()
         self._hurry = False
+        self._asked = False
         self._server: typing.Any = None
         self._tasks: list[asyncio.Task[None]] = []
         self.entry = membership.new_incarnation(
@@ -80,6 +85,7 @@
         )
         self._platform = adapters.connect(session, chosen.platform)
         self._metrics = telemetry.Metrics()
+        self._gauges = _gauges.Gauges(self._metrics)
         self._tracing = telemetry.Tracing(chosen.trace, "entry")
         self._tables = systems.Tables()
         self._following = _following.Following(
@@ -174,7 +180,7 @@
         self._planning = _planning.Planning(
             chosen, following.directory, self._tables.of(systems.EndpointView)
         )
-        self._duties = _authority.build(
+        authority = _authority.build(
             self.entry,
             chosen,
             following.client,
@@ -186,6 +192,56 @@
             _following.PACT_LONGEST_S + chosen.duties.margin_s,
             self._random,
         )
+        self._duties = authority.runner
+        self._add_gauges(authority.reports)
+
+    def _add_gauges(self, reports: billing.ReportStats) -> None:
+        """Show what alarms are set on."""
+        following = self._following
+        for name, text, read in (
+            (
+                "in_flight",
+                "Requests in flight.",
+                lambda: self._gate.in_flight,
+            ),
+            (
+                "keys_age_s",
+                "Age of what is known of withdrawn keys; -1 for nothing.",
+                lambda: following.keys_age_s(),
+            ),
+            (
+                "revision",
+                "Revision of the configuration in force here.",
+                lambda: following.current().revision,
+            ),
+            ("links", "Agents that answer.", self._pool.connected),
+            (
+                "duties",
+                "Duties held.",
+                lambda: len(self._duties.held()),
+            ),
+            (
+                "unsettled",
+                "Usage records that wait to be settled.",
+                lambda: self._settling.waiting,
+            ),
+            (
+                "reports_taken",
+                "Usage reports that the platform took from this process.",
+                lambda: reports.reported,
+            ),
+            (
+                "reports_refused",
+                "Usage reports that the platform refused.",
+                lambda: reports.refused,
+            ),
+            (
+                "windows_late",
+                "Usage windows that were reported late.",
+                lambda: reports.late,
+            ),
+        ):
+            self._gauges.add(name, text, read)
 
     def _build_app(self, secret: _secrets.Secrets) -> None:
         """Make the HTTP application."""
@@ -220,6 +276,7 @@
             self._duties,
             self._tables,
             self._metrics,
+            self._gauges,
             self._journal,
             self._clock,
         )
@@ -237,8 +294,11 @@
                 body_timeout_s,
             )
 
-    async def run(self) -> None:
-        """Serve until a signal asks to stop."""
+    async def run(self) -> bool:
+        """Serve until a signal asks to stop or another took over the name.
+
+        Returns whether to go on under a new incarnation.
+        """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal)
@@ -257,10 +317,12 @@
             await self._drain()
         finally:
             await self._close()
+        return not self._asked
 
     def _on_signal(self) -> None:
         """Stop; a second signal does not wait for what runs."""
-        self._hurry = self._stop.is_set()
+        self._hurry = self._asked
+        self._asked = True
         self._stop.set()
 
     def _start_loops(self) -> None:
@@ -354,6 +416,7 @@
 
     async def _close(self) -> None:
         self._server.close()
+        await self._server.wait_closed()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -391,9 +454,13 @@
     secret = _secrets.read(chosen.secrets)
     telemetry.configure(chosen.log.level)
 
-    async def main() -> None:
+    async def main() -> bool:
         async with aiohttp.ClientSession() as session:
-            await EntryProcess(chosen, secret, session).run()
+            return await EntryProcess(chosen, secret, session).run()
 
-    uvloop.run(main())
+    if uvloop.run(main()):
+        # The HTTP library sets itself up once a process, so this one begins
+        # again as a whole; it stays the same process to the platform.
+        LOG.warning("Starting anew under another incarnation.")
+        os.execv(sys.executable, sys.orig_argv)
     return 0
--- a/bilberrydeal/systems/roles/_rules.py
+++ b/bilberrydeal/systems/roles/_rules.py
@@ -30,10 +30,10 @@
     #: many.
     domains_per_phase: int = 2
     #: A change must promise this multiple of what it costs.
-    payback: float = 2.0
+    payback: float = 3.0
     #: A change must gain the work of this part of each engine it moves.
     least_gain_engines: float = 0.1
     #: An engine that was ordered to change keeps its role so long.
     dwell_s: float = 60.0
     #: Models that are planned in one run, to bound its time.
-    models_per_run: int = 5
+    models_per_run: int = 2
