--- a/bilberrydeal/agent/tests/test_executor.py
+++ b/bilberrydeal/agent/tests/test_executor.py
@@ -1,3 +1,4 @@
+import asyncio
 import collections.abc
 import contextlib
 import time
@@ -111,8 +112,12 @@
 async def test_waiting_request_is_refused_when_it_cannot_end_in_time() -> None:
     async with bench() as made:
         made.submit()
-        late = made.submit(time_left_s=-0.1)
+        looking = asyncio.create_task(made.executor.run())
+        late = made.submit(time_left_s=0.2)
+        assert not late.ended
+        await harness.until(lambda: late.ended)
         assert reason(late) == ("deadline_hopeless", False)
+        looking.cancel()
 
 
 async def test_flood_of_one_organisation_is_shed_from_it() -> None:
--- a/bilberrydeal/link/tests/test_link.py
+++ b/bilberrydeal/link/tests/test_link.py
@@ -145,7 +145,8 @@
         call = entry.submit(harness.submit(1))
         work = await agent.work()
         await emit(work, 1, 1)
-        entry._send(call.submit)
+        entry._send(call.submit, urgent=True)
+        await entry.cancel(77, harness.PATIENCE_S)
         forgeries: tuple[link.Message, ...] = (
             ANSWER[0],
             ANSWER[3],
