Let revisions reach peers through the exchange

Cause: a revision holds its change as raw JSON, which the exchange embedded in MessagePack, so that no reply that carried a revision could be read; each entry fell back to reading the store. Found by the first test of two exchanges. Change: the exchange speaks JSON.

--- a/bilberrydeal/entry/_exchange.py
+++ b/bilberrydeal/entry/_exchange.py
@@ -27,8 +27,9 @@
 #: Questions that run at once.
 ASKS_AT_ONCE = 32
 
-_ASK = msgspec.msgpack.Decoder(peers.Ask)
-_REPLY = msgspec.msgpack.Decoder(peers.Reply)
+# JSON, because revisions hold their change as the JSON of their row.
+_ASK = msgspec.json.Decoder(peers.Ask)
+_REPLY = msgspec.json.Decoder(peers.Reply)
 
 
 @attrs.frozen
@@ -133,7 +134,7 @@
     ) -> None:
         sent_s = self._clock()
         question = self._question(outgoing, sent_s)
-        sealed = self._seal.close(msgspec.msgpack.encode(question))
+        sealed = self._seal.close(msgspec.json.encode(question))
         try:
             answer = await peers.ask(
                 member.address, member.peer_port, sealed, ASK_TIMEOUT_S
@@ -193,7 +194,7 @@
             members=self._directory.relay(ask.ages, now_s),
             hosts=self._hosts.relay(now_s),
         )
-        return self._seal.close(msgspec.msgpack.encode(reply))
+        return self._seal.close(msgspec.json.encode(reply))
 
     def _note(self, entry: str, revision: int, at_s: float) -> None:
         before = self.seen.get(entry)
--- /dev/null
+++ b/bilberrydeal/entry/tests/test_exchange.py
@@ -0,0 +1,143 @@
+import asyncio
+import collections.abc
+import contextlib
+import random
+import socket
+import typing
+
+import attrs
+import msgspec
+
+from bilberrydeal import configuration
+from bilberrydeal import keys
+from bilberrydeal import membership
+from bilberrydeal import peers
+from bilberrydeal import store
+from bilberrydeal import systems
+from bilberrydeal.entry import _exchange
+from bilberrydeal.entry import _hosts
+from bilberrydeal.entry.tests import fakes
+from bilberrydeal.systems import limits
+from standins import platform
+
+ADDRESS = "127.0.0.1"
+
+
+class _Objects:
+    async def get(self, name: str, timeout_s: float) -> bytes | None:
+        return None
+
+    async def put(self, name: str, data: bytes, timeout_s: float) -> None:
+        return None
+
+    async def delete(self, name: str, timeout_s: float) -> None:
+        return None
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((ADDRESS, 0))
+        return int(probe.getsockname()[1])
+
+
+class Entry:
+    """What one entry exchanges with its peers."""
+
+    def __init__(self, name: str, table: platform.MemoryTable) -> None:
+        self.name = name
+        port = _free_port()
+        client = store.StoreClient(table, 1.0, 1e6, random.Random(1))
+        self.follower = configuration.Follower(client, _Objects())
+        self.committer = configuration.Committer(
+            client, _Objects(), self.follower
+        )
+        self.freshness = keys.Freshness(name, 5.0, 0.5, 60.0, 5.0)
+        self.directory = membership.MemberDirectory(client, name, 1.0)
+        self.limiter: limits.Limiter = limits.LIMITERS.get("local_only")(name)
+        self.member = membership.EntryMember(name, name, ADDRESS, port, "fd1")
+        self.registration = membership.Registration(client, self.member)
+        chosen = attrs.evolve(fakes.entry_settings(), peer_port=port)
+        self.exchange = _exchange.Exchange(
+            peers.Introduction(name, ADDRESS, port, "fd1"),
+            chosen,
+            peers.Seal(b"secret"),
+            self.follower,
+            self.freshness,
+            self.directory,
+            _hosts.LeavingHosts(self.directory),
+            self.limiter,
+            systems.Tables(),
+            asyncio.get_running_loop().time,
+        )
+
+
+@contextlib.asynccontextmanager
+async def _pair() -> collections.abc.AsyncIterator[tuple[Entry, Entry]]:
+    table = platform.MemoryTable()
+    both = Entry("reader", table), Entry("other", table)
+    serving = [asyncio.create_task(e.exchange.serve()) for e in both]
+    for entry in both:
+        await entry.registration.join(0.0)
+    for entry in both:
+        await entry.directory.read_all(asyncio.get_running_loop().time())
+    yield both
+    for entry in both:
+        entry.exchange.close()
+    await asyncio.gather(*serving)
+
+
+async def test_revisions_and_freshness_come_from_a_peer() -> None:
+    async with _pair() as (reader, other):
+        change = configuration.SetOrganisation(
+            configuration.Organisation("russo"), 0
+        )
+        await reader.committer.commit(change, "operator", 0.0)
+        now_s = asyncio.get_running_loop().time()
+        reader.freshness.applied(1)
+        reader.freshness.confirmed(now_s)
+        assert not other.freshness.accepts(now_s)
+        await other.exchange.round()
+        assert other.follower.current.revision == 1
+        assert other.freshness.is_confirmed(now_s)
+        assert other.exchange.seen["reader"].revision == 1
+
+
+async def test_message_with_a_wrong_seal_changes_nothing() -> None:
+    async with _pair() as (reader, other):
+        forged = peers.Ask(
+            sender=peers.Introduction("intruder", ADDRESS, 1, "fd1"),
+            nonce="n",
+            revision=99,
+        )
+        sealed = peers.Seal(b"wrong").close(msgspec.json.encode(forged))
+        with contextlib.suppress(peers.ExchangeFailed):
+            await peers.ask(ADDRESS, reader.member.peer_port, sealed, 0.2)
+        assert "intruder" not in reader.exchange.seen
+
+
+@attrs.define
+class _Limiter:
+    """Sends one need and keeps what it receives."""
+
+    outgoing: list[limits.Outgoing]
+    needs: list[limits.NeedReport] = attrs.Factory(list)
+
+    def exchange(
+        self, tables: systems.Tables, now_s: float
+    ) -> list[limits.Outgoing]:
+        sent, self.outgoing = self.outgoing, []
+        return sent
+
+    def receive_need(self, report: limits.NeedReport, now_s: float) -> None:
+        self.needs.append(report)
+
+
+async def test_need_of_limits_reaches_the_peer_that_it_is_for() -> None:
+    async with _pair() as (reader, other):
+        report = limits.NeedReport("other", 1, ())
+        sender: typing.Any = _Limiter([limits.Outgoing("reader", report)])
+        receiver: typing.Any = _Limiter([])
+        other.exchange._limiter = sender
+        reader.exchange._limiter = receiver
+        await other.exchange.round()
+        assert receiver.needs == [report]
