Assume a swing before there is a memory of the mix

Cause: until two minutes had passed the role planner followed the trend alone, and undid that later. Change: before, prompt shares of 0.7 to 1.3 of the present one are weighed.

--- a/bilberrydeal/systems/fleet/tests/test_planners.py
+++ b/bilberrydeal/systems/fleet/tests/test_planners.py
@@ -122,3 +122,17 @@
     planner.run(tables, 700.0)
     assert [r.key for r in tables.of(fleet.Release)] == ["d1-0"]
     assert tables.of(fleet.Purchase).get("m@d1") is not None
+
+
+def test_the_peak_of_late_is_held() -> None:
+    planner = fleet.DomainLossFleet(RULES)
+    held = [3, 3, 2, 2]
+    for busy, releases in (
+        ([6.0] * 12 + [1.0] * 18, 0),
+        ([1.0] * 30, 1),
+    ):
+        for now_s in (300.0, 300.0 + RULES.release_every_s):
+            tables = show(held, [0, 0, 0, 0], busy, "")
+            planner.run(tables, now_s)
+            assert not len(tables.of(fleet.Purchase))
+        assert len(tables.of(fleet.Release)) == releases
--- a/bilberrydeal/systems/roles/_forecast.py
+++ b/bilberrydeal/systems/roles/_forecast.py
@@ -20,6 +20,8 @@
 _PART_S = 30.0
 #: Fewest parts that make a memory.
 _PARTS_MIN = 4
+#: Factors on the prompt share that are assumed before there is a memory.
+_ASSUMED = (0.7, 1.0, 1.3)
 #: The parts looked at, in order of their prompt share.
 _QUANTILES = (0.1, 0.5, 0.9)
 
@@ -70,10 +72,22 @@
     works = [work for work in works if work.prefill + work.decode > 0.0]
     works.sort(key=lambda work: work.prefill / (work.prefill + work.decode))
     if len(works) < _PARTS_MIN:
-        return ()
+        return (
+            tuple(_shifted(works, spread) for spread in _ASSUMED)
+            if works
+            else ()
+        )
     return tuple(works[int(q * len(works))] for q in _QUANTILES)
 
 
+def _shifted(works: list[_capacity.Work], factor: float) -> _capacity.Work:
+    """Return the mean of some work with its prompt share changed."""
+    prefill = sum(work.prefill for work in works) / len(works)
+    decode = sum(work.decode for work in works) / len(works)
+    shifted = min(prefill * factor, prefill + decode)
+    return _capacity.Work(shifted, prefill + decode - shifted)
+
+
 def _part_work(
     windows: list[_entities.DemandWindow], rates: _entities.ModelRates
 ) -> _capacity.Work:
--- a/bilberrydeal/systems/roles/_rules.py
+++ b/bilberrydeal/systems/roles/_rules.py
@@ -15,7 +15,7 @@
     horizon_s: float = 200.0
     #: For so long demand is what is expected next; after that it is like
     #: what is remembered.
-    near_s: float = 60.0
+    near_s: float = 50.0
     #: A window of demand counts half after so long.
     half_life_s: float = 15.0
     #: How long after a change the demand is looked at.
