--- a/bilberrydeal/daemon.py
+++ b/bilberrydeal/daemon.py
@@ -10,7 +10,7 @@
 
 from . import __version__
 from . import _lean  # noqa: F401
-from . import registry
+from . import _names
 from . import settings
 
 #: Exit code for settings or arguments that are wrong.
@@ -34,6 +34,9 @@
         parser.error("give one settings file")
     try:
         chosen = settings.load(pathlib.Path(words[-1]))
+        unknown = _names.problems(chosen)
+        if unknown:
+            raise settings.SettingsInvalid(problems=unknown)
         if only_check:
             print("The settings are valid.")
             return 0
@@ -42,13 +45,6 @@
         for problem in invalid.problems:
             print(problem, file=sys.stderr)
         return EXIT_USAGE
-    except registry.UnknownName as unknown:
-        known = " or ".join(unknown.known)
-        print(
-            f"{unknown.kind}: given {unknown.name}, allowed {known}",
-            file=sys.stderr,
-        )
-        return EXIT_USAGE
 
 
 def _run(chosen: settings.EntrySettings | settings.AgentSettings) -> int:
--- a/bilberrydeal/settings/_model.py
+++ b/bilberrydeal/settings/_model.py
@@ -122,7 +122,7 @@
     retries: Name = "budgeted"
     health: Name = "outlier"
     roles: Name = "horizon"
-    fleet: Name = "fixed"
+    fleet: Name = "domain_loss"
     subset: Name = "covered_rendezvous"
 
 
