--- a/bilberrydeal/membership/_shard.py
+++ b/bilberrydeal/membership/_shard.py
@@ -16,6 +16,8 @@
 EXPIRY_RENEWALS = 4.0
 #: Rows that are gone are remembered so long, in seconds.
 TOMBSTONE_S = 60.0
+#: News must be newer by so much, in seconds, not by rounding only.
+NEWER_S = 0.001
 #: Added to an asker's age for news that crossed its read, in seconds.
 RELAY_SLACK_S = 2.0
 
@@ -103,7 +105,9 @@
     ) -> None:
         """Take what a peer answered to a question sent at ``sent_s``."""
         as_of_s = sent_s - relayed.age_s
-        if self.confirmed_s is not None and as_of_s <= self.confirmed_s:
+        if self.confirmed_s is not None and (
+            as_of_s <= self.confirmed_s + NEWER_S
+        ):
             return
         for row in relayed.rows:
             self._take_row(row, now_s)
--- a/bilberrydeal/membership/tests/test_membership.py
+++ b/bilberrydeal/membership/tests/test_membership.py
@@ -142,7 +142,7 @@
     # Nobody renewed for long, which is no reason to expire.
     fleet.renewing = {"e1"}
     fleet.live(1.0)
-    assert fleet.seen("e1") == EVERYBODY
+    assert fleet.seen("e1") == fleet.seen("e2") == EVERYBODY
     fleet.renewing = renewing
     fleet.live(10.0)
     assert fleet.seen("e1") == EVERYBODY
