--- a/bilberrydeal/daemon.py
+++ b/bilberrydeal/daemon.py
@@ -9,7 +9,8 @@
 import sys
 
 from . import __version__
-from . import registry
+from . import _lean  # noqa: F401
+from . import _names
 from . import settings
 
 #: Exit code for settings or arguments that are wrong.
@@ -33,6 +34,9 @@
         parser.error("give one settings file")
     try:
         chosen = settings.load(pathlib.Path(words[-1]))
+        unknown = _names.problems(chosen)
+        if unknown:
+            raise settings.SettingsInvalid(problems=unknown)
         if only_check:
             print("The settings are valid.")
             return 0
@@ -41,13 +45,6 @@
         for problem in invalid.problems:
             print(problem, file=sys.stderr)
         return EXIT_USAGE
-    except registry.UnknownName as unknown:
-        known = " or ".join(unknown.known)
-        print(
-            f"{unknown.kind}: given {unknown.name}, allowed {known}",
-            file=sys.stderr,
-        )
-        return EXIT_USAGE
 
 
 def _run(chosen: settings.EntrySettings | settings.AgentSettings) -> int:
