Bound frames by bytes; let no fault in a handler stop a session silently

Cause: prompts of many characters could make one frame larger than the receiver takes, which would cut the link again on each resume; a handler that raised stopped the reader until the silence was noticed. Change: frames end at 256 kB of bodies, plain answers at 16 MB, kept answers at 1 MB an entry; a fault is logged and ends the session, and its requests resume.

--- a/bilberrydeal/agent/_drivers.py
+++ b/bilberrydeal/agent/_drivers.py
@@ -20,6 +20,8 @@
 RESUME_PAUSE_S = 0.1
 RESUME_LONGEST_S = 1.0
 HTTP_OK = 200
+#: Largest answer of a plain service; one frame of the link carries it.
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 #: Tokens generated for a request that only wants its prefill; engines take
 #: no fewer. They are neither sent nor counted.
 PREFILL_OUTPUT_TOKENS = 1
@@ -251,6 +253,8 @@
             raise
         # A call without an answer is not billed.
         meter.calls = 1
+        if len(response.body) > ANSWER_LIMIT_BYTES:
+            raise ports.PlainFailure(started=True)
         work.finish(
             status=response.status,
             content_type=response.content_type,
--- a/bilberrydeal/link/_ledger.py
+++ b/bilberrydeal/link/_ledger.py
@@ -11,9 +11,9 @@
 #: The end of any other request, and a tombstone.
 LONG_MEMORY_S = 900.0
 #: Most ends remembered of one entry, of either kind.
-ENDS_LIMIT = 50_000
+ENDS_LIMIT = 20_000
 #: Most bytes of answers kept of one entry.
-ANSWERS_LIMIT_BYTES = 4 * 1024 * 1024
+ANSWERS_LIMIT_BYTES = 1024 * 1024
 
 
 @attrs.frozen
--- a/bilberrydeal/link/_session.py
+++ b/bilberrydeal/link/_session.py
@@ -4,12 +4,17 @@
 import collections.abc
 
 from .. import settings
+from .. import telemetry
 from . import _frames
 from . import _messages
 from . import _transport
 
+LOG = telemetry.logger("link")
+
 #: Messages in one frame at most, so that one frame never blocks a link.
 FRAME_MESSAGES = 512
+#: A frame with so many bytes of bodies takes no further message.
+FRAME_BYTES = 256 * 1024
 #: A link that carries nothing beats so many times slower.
 IDLE_FACTOR = 2.0
 #: Heartbeats that fit into the silent bound at least.
@@ -92,7 +97,7 @@
             return
         self._outbox.append(message)
         if isinstance(message, _messages.Submit):
-            self.waiting_bytes += len(message.prompt) + len(message.body)
+            self.waiting_bytes += _body_bytes(message)
         self._busy = True
         if urgent:
             self._wake.set()
@@ -115,8 +120,8 @@
     async def run(self) -> None:
         """Carry messages until the session ends."""
         tasks = [
-            asyncio.create_task(run())
-            for run in (self._read, self._write, self._keep_alive)
+            asyncio.create_task(self._until_closed(step))
+            for step in (self._read, self._write, self._keep_alive)
         ]
         try:
             await self._socket.ended.wait()
@@ -136,40 +141,55 @@
         self._beat_now.set()
         self._socket.close()
 
+    async def _until_closed(
+        self,
+        step: collections.abc.Callable[
+            [], collections.abc.Coroutine[object, object, None]
+        ],
+    ) -> None:
+        """Repeat a step; a fault in it ends the session, not the process."""
+        try:
+            while not self.closed:
+                await step()
+        except (ConnectionError, _frames.FrameInvalid):
+            pass  # The connection was cut, or the peer is broken.
+        except Exception:
+            LOG.exception("Session failed.")
+        finally:
+            self.close()
+
     def _flush(self) -> None:
         self._flush_timer = None
         self._wake.set()
 
     async def _write(self) -> None:
-        while not self.closed:
-            await self._wake.wait()
-            self._wake.clear()
-            try:
-                await self._drain()
-            except ConnectionError:
-                self.close()
+        await self._wake.wait()
+        self._wake.clear()
+        await self._drain()
 
     async def _drain(self) -> None:
         while self._outbox and not self.closed:
-            count = min(len(self._outbox), FRAME_MESSAGES)
-            batch = [self._outbox.popleft() for _ in range(count)]
-            for message in batch:
-                if isinstance(message, _messages.Submit):
-                    size = len(message.prompt) + len(message.body)
-                    self.waiting_bytes -= size
-            await self._socket.send(_frames.encode_frame(batch))
+            await self._socket.send(_frames.encode_frame(self._batch()))
+
+    def _batch(self) -> list[_messages.Message]:
+        """Take the messages of the next frame from the outbox."""
+        batch: list[_messages.Message] = []
+        size_bytes = 0
+        while self._outbox and len(batch) < FRAME_MESSAGES:
+            if size_bytes >= FRAME_BYTES:
+                break
+            message = self._outbox.popleft()
+            batch.append(message)
+            size_bytes += _body_bytes(message)
+            if isinstance(message, _messages.Submit):
+                self.waiting_bytes -= _body_bytes(message)
+        return batch
 
     async def _read(self) -> None:
-        while not self.closed:
-            try:
-                frame = await self._socket.receive()
-                messages = _frames.decode_frame(frame)
-            except (ConnectionError, _frames.FrameInvalid):
-                self.close()
-                return
-            self._received_at_s = self._clock()
-            for message in messages:
-                self._dispatch(message)
+        messages = _frames.decode_frame(await self._socket.receive())
+        self._received_at_s = self._clock()
+        for message in messages:
+            self._dispatch(message)
 
     def _dispatch(self, message: _messages.Message) -> None:
         if self.closed:
@@ -188,12 +208,11 @@
             self._echoed_at_s = self._clock()
 
     async def _keep_alive(self) -> None:
-        while not self.closed:
-            if not self.alive(self._clock()):
-                self.close()
-                return
-            self._send_heartbeat()
-            await self._pause()
+        if not self.alive(self._clock()):
+            self.close()
+            return
+        self._send_heartbeat()
+        await self._pause()
 
     def _send_heartbeat(self) -> None:
         busy = self._busy
@@ -219,3 +238,12 @@
         except TimeoutError:
             pass
         self._beat_now.clear()
+
+
+def _body_bytes(message: _messages.Message) -> int:
+    """Return the size of the part of a message that can be large."""
+    if isinstance(message, _messages.Submit):
+        return len(message.prompt) + len(message.body)
+    if isinstance(message, _messages.Finished):
+        return len(message.body)
+    return 0
--- a/bilberrydeal/link/tests/test_link.py
+++ b/bilberrydeal/link/tests/test_link.py
@@ -162,6 +162,25 @@
         assert agent.executor.arrivals.empty()
 
 
+async def test_fault_in_a_handler_costs_a_session_and_no_request() -> None:
+    async with (
+        harness.agent() as agent,
+        harness.entry(agent.settings.control_port) as entry,
+    ):
+        call = entry.submit(harness.submit(1))
+        work = await agent.work()
+
+        def fail(agent_link: link.AgentLink) -> None:
+            agent_link.on_status = None
+            raise ValueError
+
+        entry.on_status = fail
+        await harness.until(lambda: not entry.connected)
+        await emit(work, 1, 6)
+        work.finish(status=200)
+        assert await harness.answer(call) == ANSWER
+
+
 def untouched(work: link.Work) -> None:
     pass
 
@@ -380,6 +399,17 @@
         assert sorted(agent.executor.works) == accepted
 
 
+async def test_large_bodies_pass_in_frames_of_their_own() -> None:
+    async with (
+        harness.agent() as agent,
+        harness.entry(agent.settings.control_port) as entry,
+    ):
+        for sequence in range(1, 41):
+            entry.submit(harness.submit(sequence, body=bytes(300_000)))
+        for _ in range(40):
+            assert len((await agent.work()).submit.body) == 300_000
+
+
 async def test_slow_consumer_holds_the_endpoint_back() -> None:
     async with (
         harness.agent() as agent,
