--- a/bilberrydeal/entry/_exchange.py
+++ b/bilberrydeal/entry/_exchange.py
@@ -15,6 +15,7 @@
 from .. import systems
 from .. import telemetry
 from ..systems import limits
+from . import _hosts
 
 LOG = telemetry.logger("exchange")
 #: Longest wait for a peer's answer.
@@ -26,8 +27,9 @@
 #: Questions that run at once.
 ASKS_AT_ONCE = 32
 
-_ASK = msgspec.msgpack.Decoder(peers.Ask)
-_REPLY = msgspec.msgpack.Decoder(peers.Reply)
+# JSON, because revisions hold their change as the JSON of their row.
+_ASK = msgspec.json.Decoder(peers.Ask)
+_REPLY = msgspec.json.Decoder(peers.Reply)
 
 
 @attrs.frozen
@@ -51,6 +53,7 @@
         follower: configuration.Follower,
         freshness: keys.Freshness,
         directory: membership.MemberDirectory,
+        hosts: _hosts.LeavingHosts,
         limiter: limits.Limiter,
         tables: systems.Tables,
         clock: collections.abc.Callable[[], float],
@@ -60,6 +63,7 @@
         self._follower = follower
         self._freshness = freshness
         self._directory = directory
+        self._hosts = hosts
         self._limiter = limiter
         self._tables = tables
         self._clock = clock
@@ -130,7 +134,7 @@
     ) -> None:
         sent_s = self._clock()
         question = self._question(outgoing, sent_s)
-        sealed = self._seal.close(msgspec.msgpack.encode(question))
+        sealed = self._seal.close(msgspec.json.encode(question))
         try:
             answer = await peers.ask(
                 member.address, member.peer_port, sealed, ASK_TIMEOUT_S
@@ -165,6 +169,7 @@
         self._freshness.applied(self._follower.current.revision)
         self._freshness.learn(reply.knowledge, sent_s)
         self._directory.take_relay(reply.members, sent_s, self._clock())
+        self._hosts.take_relay(reply.hosts, sent_s)
         self._note(
             reply.knowledge.incarnation, reply.knowledge.revision, sent_s
         )
@@ -187,8 +192,9 @@
             knowledge=self._freshness.answer(ask.sender.entry, now_s),
             changes=self._follower.relay_changes(ask.revision),
             members=self._directory.relay(ask.ages, now_s),
+            hosts=self._hosts.relay(now_s),
         )
-        return self._seal.close(msgspec.msgpack.encode(reply))
+        return self._seal.close(msgspec.json.encode(reply))
 
     def _note(self, entry: str, revision: int, at_s: float) -> None:
         before = self.seen.get(entry)
