--- a/bilberrydeal/cli/_commands_fleet.py
+++ b/bilberrydeal/cli/_commands_fleet.py
@@ -10,51 +10,37 @@
 def endpoints(*, target: _app.Target = _app.DEFAULT) -> None:
     """Show the endpoints that the entry has links to."""
     listed = target.client.get("/endpoints", operators.EndpointList)
-    if target.json:
-        _output.show_json(listed)
-    else:
-        _output.show_rows(listed.endpoints)
+    _output.show(listed, listed.endpoints, target.json)
 
 
 @_app.APP.command
 def roles(*, target: _app.Target = _app.DEFAULT) -> None:
     """Show the committed order of each engine."""
     listed = target.client.get("/roles", operators.RoleList)
-    if target.json:
-        _output.show_json(listed)
-    else:
-        _output.show_rows(listed.roles)
+    _output.show(listed, listed.roles, target.json)
 
 
 @_app.APP.command
 def leases(*, target: _app.Target = _app.DEFAULT) -> None:
     """Show which entry holds which duty."""
     listed = target.client.get("/leases", operators.LeaseList)
-    if target.json:
-        _output.show_json(listed)
-    else:
-        _output.show_rows(listed.leases)
+    _output.show(listed, listed.leases, target.json)
 
 
 @_app.APP.command
 def usage(*, last: int = 10, target: _app.Target = _app.DEFAULT) -> None:
     """Show the sealed figures of the last windows."""
     listed = target.client.get(f"/usage?last={last}", operators.UsageList)
-    if target.json:
-        _output.show_json(listed)
-    else:
-        _output.show_rows(listed.windows)
+    _output.show(listed, listed.windows, target.json)
 
 
 @_app.APP.command
 def status(*, target: _app.Target = _app.DEFAULT) -> None:
     """Show the entry and what it knows of the others."""
     found = target.client.get("/status", operators.Status)
-    if target.json:
-        _output.show_json(found)
-        return
-    _output.show_rows([operators.StatusLine.of(found)])
-    _output.show_rows(found.entries)
+    if not target.json:
+        _output.show(found, [operators.StatusLine.of(found)], False)
+    _output.show(found, found.entries, target.json)
 
 
 @_app.APP.command
@@ -62,7 +48,4 @@
     """Show the steps of a recent request, by its number."""
     path = f"/trace/{_client.quoted(request)}"
     found = target.client.get(path, operators.Trace)
-    if target.json:
-        _output.show_json(found)
-    else:
-        _output.show_rows(found.steps)
+    _output.show(found, found.steps, target.json)
--- a/bilberrydeal/cli/_commands_keys.py
+++ b/bilberrydeal/cli/_commands_keys.py
@@ -16,10 +16,7 @@
 def list_(*, target: _app.Target = _app.DEFAULT) -> None:
     """Show all keys, without their secrets."""
     listed = target.client.get("/keys", operators.KeyList)
-    if target.json:
-        _output.show_json(listed)
-    else:
-        _output.show_rows(listed.keys)
+    _output.show(listed, listed.keys, target.json)
 
 
 @KEYS.command
@@ -33,7 +30,7 @@
     body = operators.KeyInput(organisation=organisation, label=label)
     issued = target.client.post("/keys", body, operators.KeyIssued)
     if target.json:
-        _output.show_json(issued)
+        _output.show(issued, [], True)
     else:
         print(f"Key {issued.key_id} of {organisation}, shown only now:")
         print(issued.secret)
--- a/bilberrydeal/cli/_commands_orgs.py
+++ b/bilberrydeal/cli/_commands_orgs.py
@@ -22,10 +22,7 @@
 def list_(*, target: _app.Target = _app.DEFAULT) -> None:
     """Show all organisations."""
     rows = _rows(target)
-    if target.json:
-        _output.show_json(rows)
-    else:
-        _output.show_rows(rows)
+    _output.show(rows, rows, target.json)
 
 
 @ORGS.command(name="set")
--- a/bilberrydeal/cli/_commands_routes.py
+++ b/bilberrydeal/cli/_commands_routes.py
@@ -19,10 +19,7 @@
 def list_routes(*, target: _app.Target = _app.DEFAULT) -> None:
     """Show all routes."""
     listed = target.client.get("/routes", operators.RouteList)
-    if target.json:
-        _output.show_json(listed)
-    else:
-        _output.show_rows(listed.routes)
+    _output.show(listed, listed.routes, target.json)
 
 
 @ROUTES.command(name="set")
@@ -68,10 +65,7 @@
 def list_models(*, target: _app.Target = _app.DEFAULT) -> None:
     """Show all models."""
     listed = target.client.get("/models", operators.ModelRows)
-    if target.json:
-        _output.show_json(listed)
-    else:
-        _output.show_rows(listed.models)
+    _output.show(listed, listed.models, target.json)
 
 
 @MODELS.command(name="set")
--- a/bilberrydeal/cli/_output.py
+++ b/bilberrydeal/cli/_output.py
@@ -7,14 +7,25 @@
 import msgspec
 
 
-def show_json(body: object) -> None:
-    """Print a body as JSON."""
+def show(
+    body: object,
+    rows: collections.abc.Sequence[attrs.AttrsInstance],
+    as_json: bool,
+) -> None:
+    """Print a body as JSON, or its rows as a table."""
+    if as_json:
+        _show_json(body)
+    else:
+        _show_rows(rows)
+
+
+def _show_json(body: object) -> None:
     text = msgspec.json.format(msgspec.json.encode(body), indent=2)
     sys.stdout.write(text.decode() + "\n")
 
 
-def show_rows(rows: collections.abc.Sequence[attrs.AttrsInstance]) -> None:
-    """Print rows of one type as a table with aligned columns."""
+def _show_rows(rows: collections.abc.Sequence[attrs.AttrsInstance]) -> None:
+    """Print rows of one type with aligned columns."""
     if not rows:
         print("(none)")
         return
--- a/bilberrydeal/entry/_gauges.py
+++ b/bilberrydeal/entry/_gauges.py
@@ -4,6 +4,11 @@
 import typing
 
 from .. import telemetry
+from . import _authority
+from . import _following
+from . import _gate
+from . import _pool
+from . import _settling
 
 Read = collections.abc.Callable[[], float]
 _NO_LABELS: dict[str, str] = {}
@@ -32,3 +37,51 @@
         """Read all sources."""
         for gauge, read in self._sources:
             gauge.set(_NO_LABELS, read())
+
+
+def add_all(
+    gauges: Gauges,
+    following: _following.Following,
+    gate: _gate.Gate,
+    pool: _pool.LinkPool,
+    settling: _settling.Settling,
+    authority: _authority.Authority,
+) -> None:
+    """Add what alarms are set on."""
+    reports = authority.reports
+    for name, text, read in (
+        ("in_flight", "Requests in flight.", lambda: gate.in_flight),
+        (
+            "keys_age_s",
+            "Age of what is known of withdrawn keys; -1 for nothing.",
+            following.keys_age_s,
+        ),
+        (
+            "revision",
+            "Revision of the configuration in force here.",
+            lambda: following.current().revision,
+        ),
+        ("links", "Agents that answer.", pool.connected),
+        ("duties", "Duties held.", lambda: len(authority.runner.held())),
+        (
+            "unsettled",
+            "Usage records that wait to be settled.",
+            lambda: settling.waiting,
+        ),
+        (
+            "reports_taken",
+            "Usage reports that the platform took from this process.",
+            lambda: reports.reported,
+        ),
+        (
+            "reports_refused",
+            "Usage reports that the platform refused.",
+            lambda: reports.refused,
+        ),
+        (
+            "windows_late",
+            "Usage windows that were reported late.",
+            lambda: reports.late,
+        ),
+    ):
+        gauges.add(name, text, read)
--- a/bilberrydeal/entry/_operator.py
+++ b/bilberrydeal/entry/_operator.py
@@ -5,6 +5,7 @@
 import secrets
 import typing
 
+import attrs
 import msgspec
 import sanic
 from sanic import response
@@ -22,6 +23,12 @@
 RETRY_AFTER_S = 1.0
 
 Body = typing.TypeVar("Body")
+Row = typing.TypeVar(
+    "Row",
+    configuration.Organisation,
+    configuration.Route,
+    configuration.Model,
+)
 Handler = collections.abc.Callable[
     ..., collections.abc.Awaitable[response.HTTPResponse]
 ]
@@ -116,14 +123,7 @@
         self, request: sanic.Request, name: str
     ) -> response.HTTPResponse:
         given = _decode(request, operators.OrganisationInput)
-        row = configuration.Organisation(
-            name=_row_name(name),
-            weight=given.weight,
-            requests_per_s=given.requests_per_s,
-            tokens_per_s=given.tokens_per_s,
-            concurrency=given.concurrency,
-            enabled=given.enabled,
-        )
+        row = _row(configuration.Organisation, name, given)
         return await self._change(
             configuration.SetOrganisation(row, given.expected_revision)
         )
@@ -167,16 +167,7 @@
         self, request: sanic.Request, name: str
     ) -> response.HTTPResponse:
         given = _decode(request, operators.RouteInput)
-        row = configuration.Route(
-            name=_row_name(name),
-            path=given.path,
-            methods=given.methods,
-            access=given.access,
-            idempotent=given.idempotent,
-            request_class=given.request_class,
-            deadline_s=given.deadline_s,
-            service=given.service,
-        )
+        row = _row(configuration.Route, name, given)
         return await self._change(
             configuration.SetRoute(row, given.expected_revision)
         )
@@ -196,14 +187,7 @@
         self, request: sanic.Request, name: str
     ) -> response.HTTPResponse:
         given = _decode(request, operators.ModelInput)
-        row = configuration.Model(
-            name=_row_name(name),
-            service=given.service,
-            version=given.version,
-            request_class=given.request_class,
-            prefill_price=given.prefill_price,
-            decode_price=given.decode_price,
-        )
+        row = _row(configuration.Model, name, given)
         return await self._change(
             configuration.SetModel(row, given.expected_revision)
         )
@@ -226,6 +210,13 @@
         raise _bad_request(f"The body is not valid: {error}.") from error
 
 
+def _row(kind: type[Row], name: str, given: attrs.AttrsInstance) -> Row:
+    """Return a row with the fields of an input of the same names."""
+    fields = attrs.asdict(given, recurse=False)
+    del fields["expected_revision"]
+    return kind(name=_row_name(name), **fields)
+
+
 def _row_name(name: str) -> str:
     if re.match(operators.ROW_NAME, name) is None:
         raise _bad_request(f"A name must match {operators.ROW_NAME}.")
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -12,7 +12,6 @@
 import attrs
 
 from .. import adapters
-from .. import billing
 from .. import claims
 from .. import configuration
 from .. import link
@@ -194,55 +193,14 @@
             self._random,
         )
         self._duties = authority.runner
-        self._add_gauges(authority.reports)
-
-    def _add_gauges(self, reports: billing.ReportStats) -> None:
-        """Show what alarms are set on."""
-        following = self._following
-        for name, text, read in (
-            (
-                "in_flight",
-                "Requests in flight.",
-                lambda: self._gate.in_flight,
-            ),
-            (
-                "keys_age_s",
-                "Age of what is known of withdrawn keys; -1 for nothing.",
-                lambda: following.keys_age_s(),
-            ),
-            (
-                "revision",
-                "Revision of the configuration in force here.",
-                lambda: following.current().revision,
-            ),
-            ("links", "Agents that answer.", self._pool.connected),
-            (
-                "duties",
-                "Duties held.",
-                lambda: len(self._duties.held()),
-            ),
-            (
-                "unsettled",
-                "Usage records that wait to be settled.",
-                lambda: self._settling.waiting,
-            ),
-            (
-                "reports_taken",
-                "Usage reports that the platform took from this process.",
-                lambda: reports.reported,
-            ),
-            (
-                "reports_refused",
-                "Usage reports that the platform refused.",
-                lambda: reports.refused,
-            ),
-            (
-                "windows_late",
-                "Usage windows that were reported late.",
-                lambda: reports.late,
-            ),
-        ):
-            self._gauges.add(name, text, read)
+        _gauges.add_all(
+            self._gauges,
+            following,
+            self._gate,
+            self._pool,
+            self._settling,
+            authority,
+        )
 
     def _build_app(self, secret: _secrets.Secrets) -> None:
         """Make the HTTP application."""
