--- a/bilberrydeal/keys/tests/test_freshness.py
+++ b/bilberrydeal/keys/tests/test_freshness.py
@@ -286,6 +286,8 @@
 
 def test_one_that_is_not_blind_ends_the_pact() -> None:
     one, other = _pair()
+    one.learn(other.answer("a", 7.0), 7.0)
+    assert one.accepts(8.0)
     other.confirmed(8.0)
     other.applied(1)
     one.learn(other.answer("a", 8.0), 8.0)
@@ -296,6 +298,13 @@
     assert one.accepts(8.0)
 
 
+def test_a_blind_answer_counts_for_the_bound() -> None:
+    one, other = _pair()
+    one.learn(other.answer("a", 7.0), 7.0)
+    assert one.accepts(7.0 + BOUND_S)
+    assert not one.accepts(7.1 + BOUND_S)
+
+
 def test_none_is_blind_with_a_commit_on_its_way() -> None:
     one, other = _pair()
     one.learn(other.answer("a", 1.0), 1.0)
