--- a/bilberrydeal/systems/roles/tests/test_planners.py
+++ b/bilberrydeal/systems/roles/tests/test_planners.py
@@ -134,6 +134,7 @@
     [
         ("static", 0.3, 3.6, False),
         ("horizon", 0.0, 3.6, False),
+        ("horizon", 0.1, 3.6, False),
         ("horizon", 0.3, 3.6, True),
         ("horizon", 0.3, 0.3, False),
         ("greedy", 0.3, 3.6, True),
