--- a/bilberrydeal/systems/routing/_base.py
+++ b/bilberrydeal/systems/routing/_base.py
@@ -10,6 +10,10 @@
 from .. import _entities
 from .. import _tables
 from . import _load
+from . import _spread
+
+#: A name of its own, for it is compared for each endpoint and request.
+CLOSED = _entities.CircuitState.CLOSED
 
 
 @attrs.frozen
@@ -49,6 +53,7 @@
         self.options = options
         self.random = random.Random(options.seed)
         self.sharing = _load.Sharing()
+        self.spread = _spread.Spread()
 
     def run(self, tables: _tables.Tables, now_s: float) -> None:
         """Assign an endpoint to each request that waits for one."""
@@ -113,12 +118,15 @@
         request: _entities.PendingRequest,
         now_s: float,
     ) -> None:
+        service = request.service
+        tried = request.tried
         candidates = [
             view
             for view in endpoints
-            if view.service == request.service
-            and view.available
-            and view.endpoint_id not in request.tried
+            if view.accepting
+            and view.service == service
+            and (view.circuit is CLOSED or view.available)
+            and view.endpoint_id not in tried
         ]
         if not candidates:
             return
@@ -127,6 +135,9 @@
         to_compute = request.prompt_tokens - request.cached_tokens
         request.expected_first_s = self.load_s(chosen)
         request.expected_first_s += _load.prefill_s(chosen, to_compute)
+        request.weight_factor = self.spread.weight_factor(
+            request.organisation, chosen.endpoint_id, len(candidates), now_s
+        )
         _load.sent(chosen, now_s)
 
 
