--- a/bilberrydeal/systems/roles/_horizon.py
+++ b/bilberrydeal/systems/roles/_horizon.py
@@ -52,6 +52,11 @@
         groups = _plan.by_model(tables)
         due = sorted(groups, key=lambda m: self._planned_s.get(m, -math.inf))
         self._planned_s = {m: self._planned_s.get(m, -math.inf) for m in due}
+        self._ordered_s = {
+            key: ordered_s
+            for key, ordered_s in self._ordered_s.items()
+            if now_s - ordered_s < self.rules.dwell_s
+        }
         for model in due[: self.rules.models_per_run]:
             self._planned_s[model] = now_s
             endpoints = [self._remembering(e) for e in groups[model]]
