Feed the planners what is under way, and choose subsets by region

An order that its engine never applied blocked its model for good; a purchase not yet listed was not counted; a failure domain without agents yet counted as lost; an endpoint whose circuit stays open was never replaced. The choice of a subset takes the members of the own region and leaves the event loop where they are many.

--- a/bilberrydeal/agent/_usage.py
+++ b/bilberrydeal/agent/_usage.py
@@ -85,6 +85,10 @@
         """Send to an entry with a new link all that it has to settle."""
         if entry not in self._connected:
             self._connected.append(entry)
+        for pending in self._pending.values():
+            # Others settle nothing for an entry that has come back.
+            if pending.record.number.entry == entry:
+                pending.entry = entry
         self._send_to_entries(
             [
                 number
--- a/bilberrydeal/agent/tests/test_usage.py
+++ b/bilberrydeal/agent/tests/test_usage.py
@@ -48,3 +48,16 @@
     assert sent == []
     usage.joined("c")
     assert sent == [("c", (1,), 0)]
+
+
+def test_records_go_back_to_an_entry_that_comes_back() -> None:
+    sent: Sent = []
+    usage = book(sent)
+    usage.joined("a")
+    usage.joined("b")
+    usage.add(harness.submit(1), _meter.Meter(calls=1), 5.0)
+    usage.gone("a")
+    assert sent.pop() == ("b", (1,), 0)
+    usage.joined("a")
+    usage.remind()
+    assert sent == [("a", (1,), 0)] * 2
--- a/bilberrydeal/entry/_authority.py
+++ b/bilberrydeal/entry/_authority.py
@@ -40,6 +40,7 @@
     planning: _planning.Planning,
     pool: _pool.LinkPool,
     entry_unchanged_s: float,
+    may_remove: collections.abc.Callable[[str], bool],
     rng: random.Random,
 ) -> Authority:
     """Return a runner of all duties that the settings call for."""
@@ -49,7 +50,7 @@
     )
     found: list[duties.Duty] = [
         usage,
-        duties.SweepDuty(client, rows, rule, entry_unchanged_s),
+        duties.SweepDuty(client, rows, rule, entry_unchanged_s, may_remove),
         duties.RoleDuty(client, planning.decide_roles, _hint(pool)),
     ]
     if chosen.fleet.services:
--- a/bilberrydeal/entry/_following.py
+++ b/bilberrydeal/entry/_following.py
@@ -48,10 +48,13 @@
             chosen.store.call_timeout_s,
             chosen.store.call_rate_per_s,
         )
-        self.follower = configuration.Follower(self.client, platform.objects)
-        self._committer = configuration.Committer(
-            self.client, platform.objects, self.follower
+        #: Claims are written at the pace of callers, not of upkeep.
+        self.claims_client = store.StoreClient(
+            platform.table,
+            chosen.store.call_timeout_s,
+            chosen.store.claim_rate_per_s,
         )
+        self.follower = configuration.Follower(self.client, platform.objects)
         self.freshness = keys.Freshness(
             own=entry,
             bound_s=chosen.key_stale_bound_s,
@@ -59,6 +62,13 @@
             pact_longest_s=PACT_LONGEST_S,
             call_longest_s=self.client.longest_s,
         )
+        self._committer = configuration.Committer(
+            self.client,
+            platform.objects,
+            self.follower,
+            guard=self.freshness,
+            standing=membership.standing_key(entry),
+        )
         self.member = membership.EntryMember(
             incarnation=entry,
             host_id=chosen.host_id,
@@ -142,21 +152,15 @@
 
     async def commit(self, change: configuration.Change, author: str) -> int:
         """Commit a change for an operator; return its revision."""
-        self.freshness.begin_commit(self._clock())
-        known = True
-        try:
-            revision = await self._committer.commit(
-                change, author, self._wall()
-            )
-        except errors.OutcomeUnknown:
-            known = False
-            raise
-        finally:
-            self.freshness.end_commit(known, self._clock())
+        revision = await self._committer.commit(change, author, self._wall())
         self.freshness.applied(revision)
         LOG.info("Change committed.", revision=revision, author=author)
         return revision
 
+    def may_remove(self, entry: str) -> bool:
+        """Return whether the row of an entry that is silent may go."""
+        return self.freshness.may_remove(entry, self._clock())
+
     def is_agent(self, endpoint_id: str) -> bool:
         """Return whether an endpoint is a member."""
         return any(
@@ -166,7 +170,7 @@
 
     async def _join(self) -> float:
         sent_s = await self._registration.join(self._wall())
-        await self.directory.read_all(self._clock())
+        await self.directory.read_entries(self._clock())
         self.freshness.joined(self.directory.present(), self._clock())
         return sent_s
 
--- a/bilberrydeal/entry/_operator.py
+++ b/bilberrydeal/entry/_operator.py
@@ -246,10 +246,12 @@
 def _refusal(error: errors.BilberrydealError) -> errors.Refusal:
     """Return what an operator is told of a failed change."""
     unknown = isinstance(error, errors.OutcomeUnknown)
+    asked_s = getattr(error, "retry_after_s", None)
+    known = error.code in _STATUSES
     return errors.Refusal(
         reason=error.code,
         sentence=str(error),
         status=_STATUSES.get(error.code, 503),
         executed=(errors.Executed.UNKNOWN if unknown else errors.Executed.NO),
-        retry_after_s=(None if error.code in _STATUSES else RETRY_AFTER_S),
+        retry_after_s=None if known else asked_s or RETRY_AFTER_S,
     )
--- a/bilberrydeal/entry/_planning.py
+++ b/bilberrydeal/entry/_planning.py
@@ -4,6 +4,8 @@
 import collections.abc
 import typing
 
+import attrs
+
 from .. import duties
 from .. import membership
 from .. import orders
@@ -15,10 +17,24 @@
 
 #: Time between two looks at the demand of all entries.
 WINDOW_S = 5.0
+#: An order that is not applied for so long no longer counts as a change
+#: under way: the engine may have refused it.
+ORDER_PATIENCE_S = 120.0
+#: The platform's list may lack what was ordered so long ago.
+LIST_LAG_S = 10.0
 #: Windows that planners look back on.
 WINDOWS_KEPT = 120
 
 
+@attrs.frozen
+class _Ordered:
+    """An order that its engine has not applied yet."""
+
+    order_version: int
+    #: When this process first saw it, monotonic.
+    since_s: float
+
+
 class Planning:
     """Holds the planners' tables and runs them for their duties."""
 
@@ -32,6 +48,9 @@
         self._views = views
         self._tables = systems.Tables()
         self._windows: dict[str, collections.deque[roles.DemandWindow]] = {}
+        self._ordered: dict[str, _Ordered] = {}
+        self._unusable_s: dict[str, float] = {}
+        self._seen_domains: set[str] = set()
         self._domains = chosen.fleet.failure_domains
         self._roles = roles.ROLE_PLANNERS.get(chosen.policy.roles)(
             roles.RoleRules()
@@ -79,7 +98,7 @@
         self, committed: duties.Orders, now_s: float
     ) -> list[duties.EngineTarget]:
         """Return what engines should be."""
-        self._fill_roles(committed)
+        self._fill_roles(committed, now_s)
         self._roles.run(self._tables, now_s)
         return [
             duties.EngineTarget(
@@ -109,13 +128,13 @@
             ),
         )
 
-    def _fill_roles(self, committed: duties.Orders) -> None:
+    def _fill_roles(self, committed: duties.Orders, now_s: float) -> None:
         """Bring the role planner's tables up to date."""
         endpoints = self._tables.of(roles.RoleEndpoint)
         _clear(endpoints)
         for agent in self._directory.agents():
             if agent.role:
-                endpoints.put(self._role_endpoint(agent, committed))
+                endpoints.put(self._role_endpoint(agent, committed, now_s))
         for model, windows in self._windows.items():
             self._tables.of(roles.ModelDemand).put(
                 roles.ModelDemand(key=model, windows=tuple(windows))
@@ -123,25 +142,47 @@
             self._tables.of(roles.ModelRates).put(self._rates(model))
 
     def _role_endpoint(
-        self, agent: membership.AgentMember, committed: duties.Orders
+        self,
+        agent: membership.AgentMember,
+        committed: duties.Orders,
+        now_s: float,
     ) -> roles.RoleEndpoint:
         order = committed.get(agent.endpoint_id)
+        changing = self._is_changing(agent, order, now_s)
         view = self._views.get(agent.endpoint_id)
         closed = systems.CircuitState.CLOSED
         return roles.RoleEndpoint(
             key=agent.endpoint_id,
             model=agent.service,
             failure_domain=agent.failure_domain,
-            role=order.role if order else ports.EngineRole(agent.role),
-            changing=(
-                order is not None and order.order_version > agent.order_version
+            role=(
+                order.role
+                if order is not None and changing
+                else ports.EngineRole(agent.role)
             ),
+            changing=changing,
             usable=(
                 agent.state is membership.MemberState.LIVE
                 and (view is None or view.circuit is closed)
             ),
         )
 
+    def _is_changing(
+        self,
+        agent: membership.AgentMember,
+        order: orders.CommittedOrder | None,
+        now_s: float,
+    ) -> bool:
+        """Return whether an order is under way, and not long overdue."""
+        if order is None or order.order_version <= agent.order_version:
+            self._ordered.pop(agent.endpoint_id, None)
+            return False
+        seen = self._ordered.get(agent.endpoint_id)
+        if seen is None or seen.order_version != order.order_version:
+            seen = _Ordered(order.order_version, now_s)
+            self._ordered[agent.endpoint_id] = seen
+        return now_s - seen.since_s < ORDER_PATIENCE_S
+
     def _rates(self, model: str) -> roles.ModelRates:
         """Return the mean rates of the engines that this entry sees."""
         views = [view for view in self._views if view.service == model]
@@ -161,7 +202,7 @@
         endpoints = self._tables.of(fleet.FleetEndpoint)
         _clear(endpoints)
         for agent in agents:
-            endpoints.put(self._fleet_endpoint(agent))
+            endpoints.put(self._fleet_endpoint(agent, view.now_s))
         present = {agent.endpoint_id for agent in agents}
         outstanding = self._tables.of(fleet.OutstandingOrder)
         _clear(outstanding)
@@ -177,16 +218,43 @@
                     ordered_at_s=view.now_s,
                 )
             )
+        self._fill_unlisted(view, outstanding)
         self._fill_load(agents)
 
+    def _fill_unlisted(
+        self,
+        view: duties.FleetView,
+        outstanding: systems.Table[fleet.OutstandingOrder],
+    ) -> None:
+        """Count what was ordered too recently to be in the list."""
+        listed = collections.Counter(order.service for order in outstanding)
+        ordered = collections.Counter[str]()
+        for intent in view.recent:
+            if view.wall_s - intent.decided_at_s < LIST_LAG_S:
+                ordered[intent.service] += intent.count
+        for service, count in ordered.items():
+            missing = count - listed[service]
+            if missing > 0:
+                outstanding.put(
+                    fleet.OutstandingOrder(
+                        key=f"unlisted {service}",
+                        service=service,
+                        failure_domain=view.failure_domain,
+                        missing=missing,
+                        ordered_at_s=view.now_s,
+                    )
+                )
+
     def _fill_load(
         self, agents: collections.abc.Sequence[membership.AgentMember]
     ) -> None:
         alive = {agent.failure_domain for agent in agents}
+        self._seen_domains |= alive
         for domain in self._domains:
             self._tables.of(fleet.DomainState).put(
                 fleet.DomainState(
-                    key=domain, lost=bool(alive) and domain not in alive
+                    key=domain,
+                    lost=domain in self._seen_domains - alive and bool(alive),
                 )
             )
         for service, windows in self._windows.items():
@@ -198,21 +266,39 @@
                 )
             )
 
+    def _open_since_s(
+        self,
+        endpoint_id: str,
+        view: systems.EndpointView | None,
+        now_s: float,
+    ) -> float:
+        """Return since when an endpoint's circuit is open, 0 if it is not."""
+        if view is None or view.circuit is systems.CircuitState.CLOSED:
+            self._unusable_s.pop(endpoint_id, None)
+            return 0.0
+        return self._unusable_s.setdefault(endpoint_id, now_s)
+
     def _fleet_endpoint(
-        self, agent: membership.AgentMember
+        self, agent: membership.AgentMember, now_s: float
     ) -> fleet.FleetEndpoint:
         leaving = agent.state is membership.MemberState.LEAVING
         view = self._views.get(agent.endpoint_id)
+        open_since_s = self._open_since_s(agent.endpoint_id, view, now_s)
         return fleet.FleetEndpoint(
             key=agent.endpoint_id,
             service=agent.service,
             failure_domain=agent.failure_domain,
-            usable=not leaving,
+            usable=not leaving and not open_since_s,
+            unusable_since_s=open_since_s,
             leaving=leaving,
             in_flight=view.running + view.waiting if view else 0,
         )
 
 
+def _version(order: orders.CommittedOrder | None) -> str:
+    return order.model_version if order else ""
+
+
 def _load(
     window: roles.DemandWindow, rates: roles.ModelRates
 ) -> fleet.LoadWindow:
@@ -225,10 +311,6 @@
     )
 
 
-def _version(order: orders.CommittedOrder | None) -> str:
-    return order.model_version if order else ""
-
-
 Row = typing.TypeVar("Row", bound=systems.Entity)
 
 
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -126,7 +126,9 @@
             following.demand,
         )
         self._journal = _journal.Journal(self._clock)
-        self._claims = claims.Claims(following.client, self._platform.objects)
+        self._claims = claims.Claims(
+            following.claims_client, self._platform.objects
+        )
         self._settling = _settling.Settling(
             self.entry,
             chosen.usage,
@@ -190,6 +192,7 @@
             self._planning,
             self._pool,
             _following.PACT_LONGEST_S + chosen.duties.margin_s,
+            following.may_remove,
             self._random,
         )
         self._duties = authority.runner
@@ -318,7 +321,7 @@
 
     async def _poll_members(self) -> None:
         await self._following.poll_members()
-        self._sync.run()
+        await self._sync.run()
 
     async def _observe_demand(self) -> None:
         """Look at the demand of all entries, where a planner's duty is held.
@@ -357,9 +360,23 @@
         """Take one change of the configuration into the tables."""
         if isinstance(change, configuration.WithdrawKey):
             self._gate.revoke({change.key_id})
-        table = self._tables.of(systems.OrganisationView)
-        for row in current.organisations.values():
-            table.put(_organisation_view(row))
+        elif isinstance(change, configuration.SetOrganisation):
+            self._take_organisation(change.organisation)
+            if not change.organisation.enabled:
+                name = change.organisation.name
+                keys = current.keys.values()
+                self._gate.revoke(
+                    {key.key_id for key in keys if key.organisation == name}
+                )
+        elif isinstance(change, configuration.SnapshotLoaded):
+            self._gate.revoke(
+                {key.key_id for key in current.keys.values() if key.withdrawn}
+            )
+            for organisation in current.organisations.values():
+                self._take_organisation(organisation)
+
+    def _take_organisation(self, row: configuration.Organisation) -> None:
+        self._tables.of(systems.OrganisationView).put(_organisation_view(row))
 
     async def _drain(self) -> None:
         """Take nothing new, hand duties over and wait for what runs."""
--- a/bilberrydeal/entry/_subset.py
+++ b/bilberrydeal/entry/_subset.py
@@ -1,6 +1,8 @@
 """Keeps the tables and links in line with the members."""
 
+import asyncio
 import collections.abc
+import functools
 
 from .. import membership
 from .. import settings
@@ -8,6 +10,9 @@
 from ..systems import subsets
 from . import _pool
 
+#: A choice among more endpoints leaves the event loop.
+INLINE_ENDPOINTS = 200
+
 
 class MemberSync:
     """Brings entries and links up to date."""
@@ -30,11 +35,11 @@
         self._entries = tables.of(systems.EntryView)
         self._clock = clock
 
-    def run(self) -> None:
+    async def run(self) -> None:
         """Take what the directory knows now."""
         now_s = self._clock()
         self._sync_entries(now_s)
-        self._pool.sync(self._subset(now_s))
+        self._pool.sync(await self._subset(now_s))
 
     def _sync_entries(self, now_s: float) -> None:
         members = {m.incarnation: m for m in self._directory.entries()}
@@ -49,28 +54,37 @@
             view.live = member.state is membership.MemberState.LIVE
             self._entries.put(view)
 
-    def _subset(self, now_s: float) -> list[_pool.AgentPlace]:
-        """Return the agents that this entry keeps links to."""
-        agents = {m.endpoint_id: m for m in self._directory.agents()}
+    async def _subset(self, now_s: float) -> list[_pool.AgentPlace]:
+        """Return the agents that this entry keeps links to.
+
+        They are of the own region, where there are any: the choice grows
+        with the members, and a large one runs beside the event loop.
+        """
+        known = self._directory.agents()
+        own_region = [m for m in known if m.region == self._member.region]
+        agents = {m.endpoint_id: m for m in own_region or known}
         own = subsets.EntryMember(
             self._member.host_id, self._member.failure_domain
         )
         entries = {own} | {
             subsets.EntryMember(m.host_id, m.failure_domain)
             for m in self._directory.entries()
+            if m.region == self._member.region
         }
-        chosen = self._chooser.choose(
+        endpoints = [
+            subsets.EndpointMember(m.endpoint_id, m.failure_domain, m.service)
+            for m in agents.values()
+        ]
+        choose = functools.partial(
+            self._chooser.choose,
             own,
             sorted(entries, key=lambda member: member.key),
-            [
-                subsets.EndpointMember(
-                    m.endpoint_id, m.failure_domain, m.service
-                )
-                for m in agents.values()
-            ],
+            endpoints,
             self._settings.subset_size,
             now_s,
         )
+        inline = len(endpoints) <= INLINE_ENDPOINTS
+        chosen = choose() if inline else await asyncio.to_thread(choose)
         return [_place(agents[endpoint.key]) for endpoint in chosen]
 
 
--- /dev/null
+++ b/bilberrydeal/entry/tests/test_planning.py
@@ -0,0 +1,100 @@
+import typing
+
+import attrs
+import pytest
+
+from bilberrydeal import duties
+from bilberrydeal import membership
+from bilberrydeal import orders
+from bilberrydeal import ports
+from bilberrydeal import settings
+from bilberrydeal import systems
+from bilberrydeal.entry import _planning
+from bilberrydeal.entry.tests import fakes
+from bilberrydeal.systems import fleet
+from bilberrydeal.systems import roles
+
+AGENT = membership.AgentMember(
+    "ep1", "i1", "h1", "127.0.0.1", 1, "fd1", "m", role="both"
+)
+ORDER = orders.CommittedOrder(3, 1, ports.EngineRole.DECODE, "m")
+
+
+@attrs.define
+class _Directory:
+    members: list[membership.AgentMember]
+
+    def agents(self) -> list[membership.AgentMember]:
+        return self.members
+
+
+def _planning_of(
+    *members: membership.AgentMember,
+) -> tuple[_planning.Planning, _Directory]:
+    directory = _Directory(list(members))
+    chosen = attrs.evolve(
+        fakes.entry_settings(),
+        fleet=settings.FleetSettings(
+            failure_domains=("fd1", "fd2"), services=("m",)
+        ),
+        policy=settings.PolicySettings(roles="static", fleet="fixed"),
+    )
+    table: systems.Table[systems.EndpointView] = systems.Table()
+    made = _planning.Planning(
+        chosen, typing.cast(typing.Any, directory), table
+    )
+    return made, directory
+
+
+def _view(*recent: duties.IntentRow) -> duties.FleetView:
+    return duties.FleetView("fd1", (), tuple(recent), 50.0, 1_000.0)
+
+
+@pytest.mark.parametrize(
+    ("after_s", "changing", "role"),
+    [(1.0, True, "decode"), (_planning.ORDER_PATIENCE_S, False, "both")],
+)
+def test_order_that_is_never_applied_stops_counting(
+    after_s: float, changing: bool, role: str
+) -> None:
+    planning, _ = _planning_of(AGENT)
+    planning.decide_roles({"ep1": ORDER}, 10.0)
+    planning.decide_roles({"ep1": ORDER}, 10.0 + after_s)
+    (endpoint,) = planning._tables.of(roles.RoleEndpoint)
+    assert endpoint.changing is changing
+    assert endpoint.role == role
+
+
+def test_purchase_counts_before_the_platform_lists_it() -> None:
+    planning, _ = _planning_of(AGENT)
+    intent = duties.IntentRow(
+        "o1", duties.IntentState.DONE, "m", 2, "", 995.0, 1, ""
+    )
+    old = attrs.evolve(intent, order_id="o0", decided_at_s=900.0)
+    planning.decide_fleet(_view(intent, old))
+    (outstanding,) = planning._tables.of(fleet.OutstandingOrder)
+    assert outstanding.missing == 2
+
+
+def test_only_a_failure_domain_that_had_agents_is_lost() -> None:
+    other = attrs.evolve(AGENT, endpoint_id="ep2", failure_domain="fd2")
+    planning, directory = _planning_of(AGENT)
+    planning.decide_fleet(_view())
+    lost = planning._tables.of(fleet.DomainState)
+    assert [state.lost for state in lost] == [False, False]
+    directory.members.append(other)
+    planning.decide_fleet(_view())
+    directory.members.remove(other)
+    planning.decide_fleet(_view())
+    assert [state.lost for state in lost] == [False, True]
+
+
+def test_demand_of_all_entries_adds_up() -> None:
+    planning, _ = _planning_of(AGENT)
+    demand = membership.ServiceDemand("m", 100.0, 10.0, 1.0)
+    entry = membership.EntryMember("e", "h", "127.0.0.1", 1, "fd1")
+    entry = attrs.evolve(entry, demand=(demand,))
+    planning.observe([entry, entry], 5.0)
+    planning.decide_roles({}, 5.0)
+    (found,) = planning._tables.of(roles.ModelDemand)
+    assert found.windows[-1].prompt_tokens == 200.0 * _planning.WINDOW_S
--- a/bilberrydeal/settings/_model.py
+++ b/bilberrydeal/settings/_model.py
@@ -47,6 +47,8 @@
     call_timeout_s: Seconds = 1.0
     #: Most calls a second that this process makes, on average.
     call_rate_per_s: Seconds = 20.0
+    #: Most calls a second for claims of requests that are not idempotent.
+    claim_rate_per_s: Seconds = 200.0
 
 
 @attrs.frozen
