--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -34,8 +34,9 @@
         errors.ErrorCode.SHUTTING_DOWN,
     ]
 )
-#: Shorter expectations say nothing about an endpoint's slowness.
-SHORTEST_EXPECTED_S = 0.05
+#: Time between two tokens that slowness is measured in; only how endpoints
+#: compare with each other counts.
+USUAL_TOKEN_S = 0.03
 #: Callers that find no endpoint are told to come back after this time.
 NO_ENDPOINT_RETRY_S = 1.0
 
@@ -115,17 +116,18 @@
         for number in range(1, 1 << 30):
             begun = False
             pending = self._route(work, tried)
-            sent_s = self._clock()
+            first_s = 0.0
             try:
                 attempt = self._attempt(work, pending, placement)
                 async with contextlib.aclosing(attempt) as events:
                     async for event in events:
                         if not begun:
-                            self._began(work, pending, sent_s)
+                            begun = True
+                            first_s = self._clock()
+                            self._began(work, pending)
                         if isinstance(event, link.Finished):
                             # The consumer takes no part after the last.
-                            self._succeeded(work, pending)
-                        begun = True
+                            self._succeeded(work, pending, event, first_s)
                         yield event
                 return
             except AttemptFailed as failed:
@@ -215,6 +217,7 @@
         submit = attrs.evolve(
             work.submit(self._clock()),
             number=number,
+            weight=work.weight * pending.weight_factor,
             cached_tokens=pending.cached_tokens,
             kv_handle=kv_handle,
         )
@@ -247,30 +250,34 @@
         self._journal.note(work.number, "dispatch", event)
 
     def _began(
-        self,
-        work: _work.Work,
-        pending: systems.PendingRequest,
-        sent_s: float,
+        self, work: _work.Work, pending: systems.PendingRequest
     ) -> None:
-        """Note the time to the first part."""
+        """Note that the first part came."""
         self._note(work, "first part came")
-        now_s = self._clock()
-        slowness = 0.0
-        if work.generation is not None:
-            expected_s = max(pending.expected_first_s, SHORTEST_EXPECTED_S)
-            slowness = (now_s - sent_s) / expected_s
+        # The time to it says more about the queue than about the endpoint.
         self._policies.health.observe(
-            health.Observation(pending.endpoint_id, True, slowness), now_s
+            health.Observation(pending.endpoint_id, True), self._clock()
         )
 
     def _succeeded(
-        self, work: _work.Work, pending: systems.PendingRequest
+        self,
+        work: _work.Work,
+        pending: systems.PendingRequest,
+        end: link.Finished,
+        first_s: float,
     ) -> None:
-        """Note an answer that came whole."""
+        """Note an answer that came whole, and how fast its tokens came."""
         self._note(work, "answered")
+        now_s = self._clock()
         self._policies.retrier.succeeded(
-            work.route, pending.endpoint_id, self._clock()
+            work.route, pending.endpoint_id, now_s
         )
+        if work.generation is not None and end.output_tokens > 1:
+            token_s = (now_s - first_s) / (end.output_tokens - 1)
+            slowness = token_s / USUAL_TOKEN_S
+            self._policies.health.observe(
+                health.Observation(pending.endpoint_id, True, slowness), now_s
+            )
 
     def _failed(self, endpoint_id: str) -> None:
         self._policies.health.observe(
--- a/bilberrydeal/entry/_handover.py
+++ b/bilberrydeal/entry/_handover.py
@@ -34,6 +34,7 @@
     submit = attrs.evolve(
         work.submit(now_s),
         number=number,
+        weight=work.weight * pending.weight_factor,
         cached_tokens=pending.cached_tokens,
         prefill_only=True,
     )
