Let one held-up answer say less about an endpoint's slowness

Cause: under the flood healthy endpoints were ejected as slow: an answer of few tokens that a long prefill held up counted with its whole slowness. Change: one observation counts at most as twice what was known.

--- a/bilberrydeal/systems/health/_record.py
+++ b/bilberrydeal/systems/health/_record.py
@@ -10,6 +10,8 @@
 MEMORY_S = 10.0
 #: Part of the slowness that a new observation makes up.
 SLOWNESS_GAIN = 0.2
+#: One observation counts at most as so many times what was known.
+SURPRISE_LIMIT = 2.0
 
 
 @attrs.define
@@ -51,9 +53,10 @@
         self.failures_in_row = 0
         self.trials += 1
         if observation.slowness > 0.0:
-            self.slowness += SLOWNESS_GAIN * (
-                observation.slowness - self.slowness
-            )
+            # One answer that a long prefill held up says little.
+            limit = SURPRISE_LIMIT * max(self.slowness, 1.0)
+            seen = min(observation.slowness, limit)
+            self.slowness += SLOWNESS_GAIN * (seen - self.slowness)
             self.slowness_count += 1
 
     def changed(self) -> None:
