--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
+# Tests that run at once.
+WORKERS ?= 4
 STAMP := $(VENV)/.installed
 
 .PHONY: test check unit demo bench soak
@@ -18,7 +20,7 @@
 	$(PY) -m scenarios.import_rules
 
 unit: $(STAMP)
-	$(PY) -m pytest
+	$(PY) -m pytest -n $(WORKERS)
 
 test: check unit
 
