--- a/bilberrydeal/duties/_roles.py
+++ b/bilberrydeal/duties/_roles.py
@@ -12,6 +12,8 @@
 from . import _duty
 
 LOG = telemetry.logger("roles")
+#: Rows of orders read in one round.
+PAGE_ROWS = 250
 
 #: Newest committed orders by endpoint.
 Orders = collections.abc.Mapping[str, orders.CommittedOrder]
@@ -41,6 +43,16 @@
 Hint = collections.abc.Callable[[str, int], None]
 
 
+@attrs.frozen
+class _OrderRow:
+    """A committed order as this process last read or wrote it."""
+
+    #: Version of the row.
+    version: int
+    #: The order.
+    order: orders.CommittedOrder
+
+
 class RoleDuty:
     """The duty of planning roles.
 
@@ -54,6 +66,10 @@
         self._client = client
         self._decide = decide
         self._hint = hint
+        #: Fencing number under which the rows were read, 0 for none.
+        self._fence = 0
+        self._cursor = ""
+        self._rows: dict[str, _OrderRow] = {}
 
     @property
     def name(self) -> str:
@@ -62,27 +78,47 @@
 
     async def round(self, work: _duty.Round) -> None:
         """Read the orders, decide, and commit each change."""
-        rows = await self._client.scan_all(orders.TABLE, "")
-        committed = {row.key: orders.decode_order(row) for row in rows}
-        versions = {row.key: row.version for row in rows}
+        await self._read(work.lease.fence(self._client.now_s()))
+        committed = {key: row.order for key, row in self._rows.items()}
         now_s = self._client.now_s()
         for target in self._decide(committed, now_s):
-            before = committed.get(target.endpoint_id)
-            if before is not None and _fulfils(before, target):
+            row = self._rows.get(target.endpoint_id)
+            if row is not None and _fulfils(row.order, target):
                 continue
-            version = versions.get(target.endpoint_id, 0)
-            await self._commit(work, target, before, version)
+            await self._commit(work, target, row)
+
+    async def _read(self, fence: int) -> None:
+        """Read all rows under a new number, and then a page each round.
+
+        Only the holder of the lease writes orders, and each write checks
+        its row's version, so rows in memory can be stale in vain only.
+        """
+        if fence != self._fence:
+            rows = await self._client.scan_all(orders.TABLE, "")
+            self._rows = {}
+            self._cursor = ""
+            self._fence = fence
+        else:
+            rows = await self._client.scan_page(
+                orders.TABLE, "", self._cursor, PAGE_ROWS
+            )
+            whole = len(rows) == PAGE_ROWS
+            self._cursor = rows[-1].key if whole else ""
+        for row in rows:
+            self._rows[row.key] = _OrderRow(
+                row.version, orders.decode_order(row)
+            )
 
     async def _commit(
         self,
         work: _duty.Round,
         target: EngineTarget,
-        before: orders.CommittedOrder | None,
-        version: int,
+        before: "_OrderRow | None",
     ) -> None:
         now_s = self._client.now_s()
+        version = before.version if before else 0
         order = orders.CommittedOrder(
-            order_version=before.order_version + 1 if before else 1,
+            order_version=before.order.order_version + 1 if before else 1,
             fence=work.lease.fence(now_s),
             role=target.role,
             model=target.model,
@@ -100,11 +136,17 @@
                 ports.Write(key.table, key.key, orders.encode_order(order)),
             ),
         )
+        # Whatever goes wrong, the rows are read before the next write.
+        fence, self._fence = self._fence, 0
         try:
-            await self._client.commit_resolved(transaction, key, order.nonce)
+            committed = await self._client.commit_resolved(
+                transaction, key, order.nonce
+            )
         except errors.TableConflict:
             LOG.info("Order was overtaken.", endpoint=target.endpoint_id)
             return
+        self._rows[key.key] = _OrderRow(committed.versions[0], order)
+        self._fence = fence
         LOG.info(
             "Order committed.",
             endpoint=target.endpoint_id,
--- a/bilberrydeal/duties/tests/test_duties.py
+++ b/bilberrydeal/duties/tests/test_duties.py
@@ -306,3 +306,25 @@
     assert loop.run(_state(world)) == before
     assert not world.endpoints.calls
     assert not world.hints
+
+
+def test_planner_goes_on_from_the_newest_order() -> None:
+    loop = virtual.VirtualLoop()
+    world = World(loop, random.Random(1))
+    client = faults.make_client(loop, world.memory)
+    duty = duties.RoleDuty(client, world._roles, world._hint)
+    lease = leases.Lease(client, duty.name, "e1", BOUNDS)
+    assert loop.run(lease.tick())
+    loop.run(duty.round(duties.Round(lease, client.now_s(), loop.now_s)))
+    assert [version for _, version in world.hints] == [1]
+    key = orders.order_key("engine-1")
+    (row,) = loop.run(client.read([key]))
+    assert row is not None
+    # Somebody raised the version behind the planner's back.
+    theirs = attrs.evolve(orders.decode_order(row), order_version=7)
+    write = ports.Write(key.table, key.key, orders.encode_order(theirs))
+    loop.run(client.commit(ports.Transaction((), (write,))))
+    loop.now_s += 10.0
+    assert loop.run(lease.tick())
+    loop.run(duty.round(duties.Round(lease, client.now_s(), loop.now_s)))
+    assert world.hints[-1] == ("engine-1", 8)
--- a/bilberrydeal/entry/_exchange.py
+++ b/bilberrydeal/entry/_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import math
 import random
 
 import attrs
@@ -24,6 +25,8 @@
 PEERS_EACH_ROUND = 2
 #: Up to so many peers are all asked in each round.
 ASK_ALL_UP_TO = 6
+#: Rounds of all entries together in a second, at most.
+ENTRIES_PER_S = 330.0
 #: Questions that run at once.
 ASKS_AT_ONCE = 32
 
@@ -71,6 +74,7 @@
         self._responder = peers.Responder(
             chosen.listen_address, chosen.peer_port
         )
+        self._due_s = -math.inf
         #: What was last heard of each peer, by incarnation.
         self.seen: dict[str, PeerSeen] = {}
 
@@ -83,8 +87,11 @@
         self._responder.close()
 
     async def round(self) -> None:
-        """Ask those peers whose turn it is."""
+        """Ask those peers whose turn it is, seldomer in a large fleet."""
         now_s = self._clock()
+        if now_s < self._due_s:
+            return
+        self._due_s = now_s + len(self._others()) / ENTRIES_PER_S
         outgoing = self._limiter.exchange(self._tables, now_s)
         messages: dict[str, list[limits.Outgoing]] = {}
         for message in outgoing:
