Say "not run" of all tries of a request, not of its last

Cause: an idempotent request whose first try may have run and whose last was refused before it began was answered with executed=no; likewise one whose prompt had been computed by another engine. Found in a read-through. Change: what may have run is kept over the tries. Three tests are red without it. One try at one endpoint is a module of its own now.

--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -14,6 +14,7 @@
 from .. import telemetry
 from ..systems import health
 from ..systems import retries
+from . import _attempt
 from . import _handover
 from . import _journal
 from . import _policies
@@ -21,8 +22,6 @@
 from . import _work
 
 LOG = telemetry.logger("dispatch")
-#: Longest wait for an agent to say whether a request had begun.
-CANCEL_TIMEOUT_S = 0.5
 #: Refusals of agents that say nothing about their health.
 LOAD_REASONS = frozenset(
     [
@@ -40,8 +39,6 @@
 #: Callers that find no endpoint are told to come back after this time.
 NO_ENDPOINT_RETRY_S = 1.0
 
-Event = link.Chunk | link.Finished
-
 
 @attrs.frozen
 class LostWork:
@@ -67,20 +64,6 @@
         """Record the place, or raise: then nothing is sent."""
 
 
-@attrs.define(slots=False, eq=False)
-class AttemptFailed(errors.BilberrydealError):
-    """One try did not end with an answer."""
-
-    code: typing.ClassVar[errors.ErrorCode] = errors.ErrorCode.ENDPOINT_FAILED
-
-    #: Why, for the caller.
-    reason: errors.ErrorCode
-    #: Whether any part of the request may have run; ``False`` is proved.
-    started: bool
-    #: When the endpoint asks to be tried again, in seconds; 0 for never.
-    retry_after_s: float = 0.0
-
-
 class Dispatcher:
     """Runs requests on endpoints."""
 
@@ -105,7 +88,7 @@
 
     async def run(
         self, work: _work.Work, placement: Placement | None = None
-    ) -> collections.abc.AsyncGenerator[Event, None]:
+    ) -> collections.abc.AsyncGenerator[_attempt.Event, None]:
         """Yield the parts of the answer, or raise a refusal.
 
         A request that is idempotent is tried again within its deadline and
@@ -113,9 +96,10 @@
         again only where it is proved that nothing ran.
         """
         tried: frozenset[str] = frozenset()
+        ran = False
         for number in range(1, 1 << 30):
             begun = False
-            pending = self._route(work, tried)
+            pending = self._route(work, tried, ran)
             first_s = 0.0
             try:
                 attempt = self._attempt(work, pending, placement)
@@ -130,8 +114,11 @@
                             self._succeeded(work, pending, event, first_s)
                         yield event
                 return
-            except AttemptFailed as failed:
+            except _attempt.AttemptFailed as failed:
                 tried |= {pending.endpoint_id}
+                # "Not run" is about all tries, and about a prefill.
+                ran |= failed.started or bool(pending.prefill_endpoint_id)
+                failed.started = ran
                 await self._back_off(work, pending, failed, number, begun)
             finally:
                 self._policies.router.finished(
@@ -139,9 +126,12 @@
                 )
 
     def _route(
-        self, work: _work.Work, tried: frozenset[str]
+        self, work: _work.Work, tried: frozenset[str], ran: bool
     ) -> systems.PendingRequest:
-        """Return the request with an endpoint, or raise a refusal."""
+        """Return the request with an endpoint, or raise a refusal.
+
+        ``ran`` tells whether a try before this one may have run.
+        """
         for excluded in (tried, frozenset[str]()):
             pending = work.pending(excluded)
             self._pending.put(pending)
@@ -154,6 +144,7 @@
             reason=errors.ErrorCode.NO_ENDPOINT,
             sentence=f"No endpoint of {work.service} takes work now.",
             status=503,
+            executed=errors.Executed.UNKNOWN if ran else errors.Executed.NO,
             retry_after_s=NO_ENDPOINT_RETRY_S,
         )
 
@@ -161,7 +152,7 @@
         self,
         work: _work.Work,
         pending: systems.PendingRequest,
-        failed: AttemptFailed,
+        failed: _attempt.AttemptFailed,
         number: int,
         begun: bool,
     ) -> None:
@@ -181,7 +172,7 @@
             )
             delay_s = self._policies.retrier.delay_s(attempt, now_s)
         if delay_s is None:
-            raise _refusal(work, failed) from failed
+            raise _attempt.refusal(work, failed) from failed
         LOG.info(
             "Trying again.",
             request=str(work.number),
@@ -195,10 +186,10 @@
         work: _work.Work,
         pending: systems.PendingRequest,
         placement: Placement | None,
-    ) -> collections.abc.AsyncGenerator[Event, None]:
+    ) -> collections.abc.AsyncGenerator[_attempt.Event, None]:
         agent_link = self._pool.get(pending.endpoint_id)
         if agent_link is None or not agent_link.connected:
-            raise AttemptFailed(
+            raise _attempt.AttemptFailed(
                 reason=errors.ErrorCode.NO_ENDPOINT, started=False
             )
         # An agent takes a number once, so each try has one of its own.
@@ -224,13 +215,15 @@
         try:
             call = agent_link.submit(submit)
         except (link.LinkDown, link.LinkFull) as error:
-            raise AttemptFailed(reason=error.code, started=False) from error
-        answer = _Answer(agent_link, call, work, self._clock)
+            raise _attempt.AttemptFailed(
+                reason=error.code, started=False
+            ) from error
+        answer = _attempt.Attempt(agent_link, call, work, self._clock)
         try:
             async with contextlib.aclosing(answer.events()) as events:
                 async for event in events:
                     yield event
-        except AttemptFailed as failed:
+        except _attempt.AttemptFailed as failed:
             lost = failed.__cause__
             if isinstance(lost, link.CallLost) and answer.tokens:
                 self._bill_lost(
@@ -283,109 +276,3 @@
         self._policies.health.observe(
             health.Observation(endpoint_id, False), self._clock()
         )
-
-
-class _Answer:
-    """The answer of one try: its parts, deadline and doubts."""
-
-    def __init__(
-        self,
-        agent_link: link.AgentLink,
-        call: link.Call,
-        work: _work.Work,
-        clock: collections.abc.Callable[[], float],
-    ) -> None:
-        self._link = agent_link
-        self._call = call
-        self._work = work
-        self._clock = clock
-        self._ended = False
-        #: Tokens that came.
-        self.tokens = 0
-
-    async def events(self) -> collections.abc.AsyncGenerator[Event, None]:
-        """Yield the parts; a try that fails raises ``AttemptFailed``."""
-        left_s = self._work.deadline_s - self._clock()
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(max(0.0, left_s), self._call.expire)
-        try:
-            async with contextlib.aclosing(self._call.events()) as parts:
-                while not self._ended:
-                    event = await self._next(parts)
-                    self._ended = isinstance(event, link.Finished)
-                    if isinstance(event, link.Chunk):
-                        self.tokens += event.tokens
-                    yield event
-        finally:
-            timer.cancel()
-            if not self._ended and self._work.idempotent:
-                self._end_at_agent()
-
-    async def _next(
-        self, parts: collections.abc.AsyncGenerator[typing.Any, None]
-    ) -> Event:
-        try:
-            event = await anext(parts)
-        except link.CallExpired:
-            raise await self._past_deadline() from None
-        except link.CallLost as lost:
-            self._ended = True
-            raise AttemptFailed(
-                reason=errors.ErrorCode.ENDPOINT_FAILED, started=lost.started
-            ) from lost
-        if isinstance(event, link.Refused):
-            self._ended = True
-            raise AttemptFailed(
-                reason=errors.ErrorCode(event.reason),
-                started=event.started,
-                retry_after_s=event.retry_after_s,
-            )
-        return typing.cast(Event, event)
-
-    async def _past_deadline(self) -> AttemptFailed:
-        """Ask the agent whether the request had begun."""
-        self._ended = True
-        outcome = await self._link.cancel(
-            self._call.sequence, CANCEL_TIMEOUT_S
-        )
-        return AttemptFailed(
-            reason=errors.ErrorCode.DEADLINE_EXCEEDED,
-            started=outcome is not link.CancelOutcome.NOT_STARTED,
-        )
-
-    def _end_at_agent(self) -> None:
-        """Free the endpoint of a request that nobody waits for."""
-        task = asyncio.create_task(
-            self._link.cancel(self._call.sequence, CANCEL_TIMEOUT_S)
-        )
-        _BACKGROUND.add(task)
-        task.add_done_callback(_BACKGROUND.discard)
-
-
-#: Keeps tasks that nobody awaits from being collected.
-_BACKGROUND: set[asyncio.Task[typing.Any]] = set()
-
-_STATUSES = {
-    errors.ErrorCode.DEADLINE_EXCEEDED: 504,
-    errors.ErrorCode.ENDPOINT_FAILED: 502,
-    errors.ErrorCode.BAD_REQUEST: 400,
-}
-#: Callers that meet an overloaded endpoint are told to come back after this.
-OVERLOAD_RETRY_S = 1.0
-
-
-def _refusal(work: _work.Work, failed: AttemptFailed) -> errors.Refusal:
-    """Return what a caller is told of a request that is given up."""
-    executed = errors.Executed.UNKNOWN
-    if not failed.started:
-        executed = errors.Executed.NO
-    retry_after_s = None
-    if executed is errors.Executed.NO or work.idempotent:
-        retry_after_s = failed.retry_after_s or OVERLOAD_RETRY_S
-    return errors.Refusal(
-        reason=failed.reason,
-        sentence=f"The request to {work.service} got no answer.",
-        status=_STATUSES.get(failed.reason, 503),
-        executed=executed,
-        retry_after_s=retry_after_s,
-    )
--- a/bilberrydeal/entry/_once.py
+++ b/bilberrydeal/entry/_once.py
@@ -9,6 +9,7 @@
 from .. import errors
 from .. import link
 from .. import telemetry
+from . import _attempt
 from . import _dispatch
 from . import _pool
 from . import _work
@@ -213,7 +214,7 @@
 
 
 async def last_part(
-    events: collections.abc.AsyncGenerator[_dispatch.Event, None],
+    events: collections.abc.AsyncGenerator[_attempt.Event, None],
 ) -> link.Finished:
     """Return the end of an answer that has no other part."""
     async with contextlib.aclosing(events):
--- a/bilberrydeal/entry/_serving.py
+++ b/bilberrydeal/entry/_serving.py
@@ -15,6 +15,7 @@
 from .. import link
 from .. import telemetry
 from . import _answers
+from . import _attempt
 from . import _bodies
 from . import _callers
 from . import _dispatch
@@ -202,7 +203,7 @@
         request: sanic.Request,
         admitted: _gate.Admitted,
         writer: _answers.Writer,
-        events: collections.abc.AsyncGenerator[_dispatch.Event, None],
+        events: collections.abc.AsyncGenerator[_attempt.Event, None],
     ) -> None:
         """Send events; a stream that had begun ends with an error event."""
         # The status line waits for the first part, so that a refusal before
@@ -272,8 +273,8 @@
         self.end = link.Finished(sequence=0, chunk=0, status=0)
 
     async def count(
-        self, events: collections.abc.AsyncGenerator[_dispatch.Event, None]
-    ) -> collections.abc.AsyncGenerator[_dispatch.Event, None]:
+        self, events: collections.abc.AsyncGenerator[_attempt.Event, None]
+    ) -> collections.abc.AsyncGenerator[_attempt.Event, None]:
         async with contextlib.aclosing(events):
             try:
                 async for event in events:
@@ -283,7 +284,7 @@
                 self.refusal = refusal
                 raise
 
-    def _note(self, event: _dispatch.Event) -> None:
+    def _note(self, event: _attempt.Event) -> None:
         if isinstance(event, link.Chunk):
             self.tokens += event.tokens
             return
--- a/bilberrydeal/entry/tests/fakes.py
+++ b/bilberrydeal/entry/tests/fakes.py
@@ -41,10 +41,12 @@
             link.CancelOutcome.NOT_STARTED
         )
         self.query_result: link.QueryResult | None = None
+        self.on_submit: collections.abc.Callable[[], object] = lambda: None
         self._scripts = list(scripts)
 
     def submit(self, request: link.Submit) -> "FakeCall":
         self.submitted.append(request)
+        self.on_submit()
         script = self._scripts.pop(0)
         if script and isinstance(script[0], link.LinkDown):
             raise script[0]
--- a/bilberrydeal/entry/tests/test_dispatch.py
+++ b/bilberrydeal/entry/tests/test_dispatch.py
@@ -5,6 +5,7 @@
 
 from bilberrydeal import errors
 from bilberrydeal import link
+from bilberrydeal import systems
 from bilberrydeal.entry import _once
 from bilberrydeal.entry.tests import fakes
 
@@ -110,3 +111,35 @@
     await _once.last_part(dispatcher.run(fakes.work(idempotent=True)))
     assert [submit.prefill_only for submit in prefill.submitted] == [True]
     assert [submit.kv_handle for submit in decode.submitted] == [handle]
+
+
+#: What the tries after one that may have run end with.
+LATER: list[fakes.Script] = [
+    [fakes.refused(started=False)],
+    [DOWN],
+]
+
+
+@pytest.mark.parametrize("later", LATER)
+async def test_not_run_is_about_all_tries(later: fakes.Script) -> None:
+    started: fakes.Script = [fakes.refused(started=True)]
+    only = fakes.FakeLink("a", started, later, later, later)
+    dispatcher = fakes.Bench((only,)).dispatcher()
+    with pytest.raises(errors.Refusal) as caught:
+        await _once.last_part(dispatcher.run(fakes.work(idempotent=True)))
+    assert len(only.submitted) > 1
+    assert caught.value.executed is errors.Executed.UNKNOWN
+
+
+async def test_not_run_is_not_said_once_the_endpoint_has_gone() -> None:
+    started: fakes.Script = [fakes.refused(started=True)]
+    only = fakes.FakeLink("a", started)
+    bench = fakes.Bench((only,))
+    dispatcher = bench.dispatcher()
+    only.on_submit = lambda: dispatcher._tables.of(
+        systems.EndpointView
+    ).remove("a")
+    with pytest.raises(errors.Refusal) as caught:
+        await _once.last_part(dispatcher.run(fakes.work(idempotent=True)))
+    assert caught.value.reason is errors.ErrorCode.NO_ENDPOINT
+    assert caught.value.executed is errors.Executed.UNKNOWN
