Move an idempotent request off a silent link before its first part

Cause: a request on a link that went silent waited for the resume window, 10 s, although other endpoints could answer. Change: it is tried elsewhere as soon as the link counts as silent (1.5 s), but only if another endpoint is available, so that a paused entry, all of whose links look silent, does not spend its retry budget.

--- a/bilberrydeal/entry/_attempt.py
+++ b/bilberrydeal/entry/_attempt.py
@@ -13,6 +13,8 @@
 
 #: Longest wait for an agent to say whether a request had begun.
 CANCEL_TIMEOUT_S = 0.5
+#: Time between two looks at a link that no part has come over.
+WATCH_S = 0.25
 #: Callers that meet an overloaded endpoint are told to come back after this.
 OVERLOAD_RETRY_S = 1.0
 
@@ -41,8 +43,13 @@
         agent_link: link.AgentLink,
         call: link.Call,
         work: _work.Work,
+        elsewhere: collections.abc.Callable[[], bool],
         clock: collections.abc.Callable[[], float],
     ) -> None:
+        """``elsewhere`` tells whether another endpoint could answer."""
+        self._elsewhere = elsewhere
+        self._silent = False
+        self._watcher: asyncio.TimerHandle | None = None
         self._link = agent_link
         self._call = call
         self._work = work
@@ -56,16 +63,20 @@
         left_s = self._work.deadline_s - self._clock()
         loop = asyncio.get_running_loop()
         timer = loop.call_later(max(0.0, left_s), self._call.expire)
+        if self._work.idempotent:
+            self._watch()
         try:
             async with contextlib.aclosing(self._call.events()) as parts:
                 while not self._ended:
                     event = await self._next(parts)
+                    self._stop_watching()
                     self._ended = isinstance(event, link.Finished)
                     if isinstance(event, link.Chunk):
                         self.tokens += event.tokens
                     yield event
         finally:
             timer.cancel()
+            self._stop_watching()
             if not self._ended and self._work.idempotent:
                 self._end_at_agent()
 
@@ -75,6 +86,10 @@
         try:
             event = await anext(parts)
         except link.CallExpired:
+            if self._silent:
+                raise AttemptFailed(
+                    reason=errors.ErrorCode.ENDPOINT_FAILED, started=True
+                ) from None
             raise await self._past_deadline() from None
         except link.CallLost as lost:
             self._ended = True
@@ -90,6 +105,24 @@
             )
         return typing.cast(Event, event)
 
+    def _watch(self) -> None:
+        """Give up a silent link before the first part has come.
+
+        A link may be dialled anew and the answer resumed, but where another
+        endpoint can answer, a caller need not wait for that.
+        """
+        if not self._link.connected and self._elsewhere():
+            self._silent = True
+            self._call.expire()
+            return
+        loop = asyncio.get_running_loop()
+        self._watcher = loop.call_later(WATCH_S, self._watch)
+
+    def _stop_watching(self) -> None:
+        if self._watcher is not None:
+            self._watcher.cancel()
+            self._watcher = None
+
     async def _past_deadline(self) -> AttemptFailed:
         """Ask the agent whether the request had begun."""
         self._ended = True
--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import functools
 import typing
 
 import attrs
@@ -218,7 +219,13 @@
             raise _attempt.AttemptFailed(
                 reason=error.code, started=False
             ) from error
-        answer = _attempt.Attempt(agent_link, call, work, self._clock)
+        answer = _attempt.Attempt(
+            agent_link,
+            call,
+            work,
+            functools.partial(self._elsewhere, work, pending.endpoint_id),
+            self._clock,
+        )
         try:
             async with contextlib.aclosing(answer.events()) as events:
                 async for event in events:
@@ -239,6 +246,15 @@
                 self._failed(pending.endpoint_id)
             raise
 
+    def _elsewhere(self, work: _work.Work, endpoint_id: str) -> bool:
+        """Return whether another endpoint could answer."""
+        return any(
+            view.available
+            and view.service == work.service
+            and view.endpoint_id != endpoint_id
+            for view in self._tables.of(systems.EndpointView)
+        )
+
     def _note(self, work: _work.Work, event: str) -> None:
         self._journal.note(work.number, "dispatch", event)
 
--- a/bilberrydeal/entry/tests/fakes.py
+++ b/bilberrydeal/entry/tests/fakes.py
@@ -114,6 +114,21 @@
         return next(one for one in candidates if one.endpoint_id == "b")
 
 
+class FirstRouter(routing.Router):
+    """Takes the first endpoint that was not tried."""
+
+    def __init__(self) -> None:
+        super().__init__(routing.RouterOptions("fd1"))
+
+    def choose(
+        self,
+        candidates: list[systems.EndpointView],
+        request: systems.PendingRequest,
+        now_s: float,
+    ) -> systems.EndpointView:
+        return min(candidates, key=lambda view: view.endpoint_id)
+
+
 @attrs.define
 class Bench:
     """A dispatcher over fake links."""
--- a/bilberrydeal/entry/tests/test_dispatch.py
+++ b/bilberrydeal/entry/tests/test_dispatch.py
@@ -143,3 +143,25 @@
         await _once.last_part(dispatcher.run(fakes.work(idempotent=True)))
     assert caught.value.reason is errors.ErrorCode.NO_ENDPOINT
     assert caught.value.executed is errors.Executed.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "others", "moved"),
+    [(True, 1, True), (True, 0, False), (False, 1, False)],
+)
+async def test_request_leaves_a_silent_link_only_for_another_endpoint(
+    idempotent: bool, others: int, moved: bool
+) -> None:
+    silent = fakes.FakeLink("a", [])
+    silent.on_submit = lambda: setattr(silent, "connected", False)
+    rest = [fakes.FakeLink(f"b{n}", [fakes.done()]) for n in range(others)]
+    dispatcher = fakes.Bench((silent, *rest)).dispatcher(fakes.FirstRouter())
+    deadline_s = asyncio.get_running_loop().time() + 0.6
+    run = dispatcher.run(fakes.work(deadline_s, idempotent=idempotent))
+    if moved:
+        assert (await _once.last_part(run)).body == b"ok"
+        assert silent.cancelled
+    else:
+        with pytest.raises(errors.Refusal) as caught:
+            await _once.last_part(run)
+        assert caught.value.reason is errors.ErrorCode.DEADLINE_EXCEEDED
