--- a/bilberrydeal/entry/_pool.py
+++ b/bilberrydeal/entry/_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import math
+import random
 
 import attrs
 
@@ -11,6 +12,7 @@
 from .. import settings
 from .. import systems
 from .. import telemetry
+from ..systems import pacing
 from ..systems import routing
 
 LOG = telemetry.logger("pool")
@@ -58,6 +60,10 @@
         self._entry = entry
         self._tables = tables
         self._router = router
+        #: Keeps a start or a rejoined region from dialling all at once.
+        self._pacer = pacing.RecoveryPacer(
+            pacing.PacingRules(), 1, random.getrandbits(32), clock()
+        )
         self._settings = chosen
         self._views = tables.of(systems.EndpointView)
         self._clock = clock
@@ -127,7 +133,8 @@
             self._clock,
         )
         opened.on_usage = lambda _link, usage: self.on_usage(_link, usage)
-        task = asyncio.create_task(opened.run())
+        wait_s = self._pacer.wait_s(pacing.Work.DIAL, self._clock())
+        task = asyncio.create_task(_run_after(wait_s, opened))
         member = _Member(place, opened, task)
         opened.on_status = lambda _link: self._update(member)
         self._members[place.endpoint_id] = member
@@ -186,6 +193,11 @@
             )
 
 
+async def _run_after(wait_s: float, opened: link.AgentLink) -> None:
+    await asyncio.sleep(wait_s)
+    await opened.run()
+
+
 def _same_process(one: AgentPlace, other: AgentPlace) -> bool:
     return (one.address, one.control_port) == (
         other.address,
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -137,6 +137,8 @@
             self._pool,
             self._wall,
             following.is_agent,
+            lambda: len(following.directory.entries()),
+            self._clock,
             self._stop.set,
         )
         self._dispatcher = _dispatch.Dispatcher(
--- a/bilberrydeal/entry/_settling.py
+++ b/bilberrydeal/entry/_settling.py
@@ -1,6 +1,9 @@
 """Settles the usage that agents hand over."""
 
+import asyncio
 import collections.abc
+import math
+import random
 
 from .. import billing
 from .. import claims
@@ -11,10 +14,15 @@
 from .. import settings
 from .. import store
 from .. import telemetry
+from ..systems import pacing
 from . import _dispatch
 from . import _pool
 
 LOG = telemetry.logger("settling")
+#: Longest time over which entries begin to settle after a cut.
+RECOVERY_SPREAD_S = 10.0
+#: Entries that begin in a second, in smaller fleets.
+RECOVERIES_PER_S = 41.0
 #: Requests that wait for their agent's own record, at most.
 DOUBTFUL_LIMIT = 10_000
 
@@ -36,13 +44,22 @@
         pool: _pool.LinkPool,
         wall: collections.abc.Callable[[], float],
         is_agent: collections.abc.Callable[[str], bool],
+        entries: collections.abc.Callable[[], int],
+        clock: collections.abc.Callable[[], float],
         lost: collections.abc.Callable[[], None],
     ) -> None:
         """Take what is needed.
 
-        ``is_agent`` tells whether an endpoint is a member; ``lost`` is
-        called once another entry has closed the recorder.
+        ``is_agent`` tells whether an endpoint is a member, ``entries`` how
+        many entries there are; ``lost`` is called once another entry has
+        closed the recorder.
         """
+        self._settle_s = chosen.settle_s
+        self._entries = entries
+        self._clock = clock
+        self._due_s = -math.inf
+        #: Whether the store could not be reached, or was not tried yet.
+        self._cut = True
         self._recorder = billing.Recorder(client, entry, window_rule(chosen))
         self._rows = rows
         self._pool = pool
@@ -91,7 +108,19 @@
             )
 
     async def round(self) -> None:
-        """Settle what waits."""
+        """Settle what waits, seldomer in a large fleet."""
+        now_s = self._clock()
+        if now_s < self._due_s:
+            return
+        entries = max(1, self._entries())
+        self._due_s = now_s + billing.settle_period_s(self._settle_s, entries)
+        if self._cut:
+            await asyncio.sleep(_recovery_wait_s(entries, now_s))
+        self._cut = True
+        await self._settle()
+        self._cut = False
+
+    async def _settle(self) -> None:
         try:
             if not self._open:
                 await self._recorder.open(self._wall())
@@ -116,12 +145,26 @@
         if not self._open:
             return
         try:
-            await self.round()
+            await self._settle()
             await self._recorder.close(self._wall())
         except errors.BilberrydealError as error:
             LOG.warning("Recorder was not closed.", error=str(error))
 
 
+def _recovery_wait_s(entries: int, now_s: float) -> float:
+    """Return how long to wait before the first settlement after a cut.
+
+    All entries find the store again at once; usage can wait for what callers
+    wait for.
+    """
+    spread_s = min(RECOVERY_SPREAD_S, entries / RECOVERIES_PER_S)
+    rules = pacing.PacingRules(adopt_spread_s=spread_s)
+    pacer = pacing.RecoveryPacer(
+        rules, entries, random.SystemRandom().getrandbits(32), now_s
+    )
+    return pacer.wait_s(pacing.Work.ADOPT, now_s)
+
+
 def gone_test(
     directory: membership.MemberDirectory,
 ) -> collections.abc.Callable[[str], bool]:
