Ask questions over nng in one place

Hellos and the exchange between entries each had the same request and reply socket; both now use one module of the link, hellos with their codec apart.

--- a/bilberrydeal/entry/_exchange.py
+++ b/bilberrydeal/entry/_exchange.py
@@ -10,6 +10,7 @@
 
 from .. import configuration
 from .. import keys
+from .. import link
 from .. import membership
 from .. import peers
 from .. import settings
@@ -71,7 +72,7 @@
         self._tables = tables
         self._clock = clock
         self._random = random.Random(sender.entry)
-        self._responder = peers.Responder(
+        self._responder = link.Responder(
             chosen.listen_address, chosen.peer_port
         )
         self._due_s = -math.inf
@@ -143,12 +144,12 @@
         question = self._question(outgoing, sent_s)
         sealed = self._seal.close(msgspec.json.encode(question))
         try:
-            answer = await peers.ask(
+            answer = await link.ask(
                 member.address, member.peer_port, sealed, ASK_TIMEOUT_S
             )
             reply = _REPLY.decode(self._seal.open(answer))
         except (
-            peers.ExchangeFailed,
+            link.RequestFailed,
             peers.SealBroken,
             msgspec.MsgspecError,
         ) as error:
--- a/bilberrydeal/link/__init__.py
+++ b/bilberrydeal/link/__init__.py
@@ -35,9 +35,12 @@
 from ._messages import Submit
 from ._messages import UsageRecord
 from ._messages import UsageRecords
+from ._nng import limit_threads
+from ._requests import ask
+from ._requests import RequestFailed
+from ._requests import Responder
 from ._server import Host
 from ._server import LinkServer
-from ._transport import limit_threads
 from ._work import Executor
 from ._work import Work
 
@@ -72,13 +75,16 @@
     "QueryOutcome",
     "QueryResult",
     "Refused",
+    "RequestFailed",
     "RequestNumber",
+    "Responder",
     "Resume",
     "Settled",
     "Submit",
     "UsageRecord",
     "UsageRecords",
     "Work",
+    "ask",
     "decode_frame",
     "encode_frame",
     "limit_threads",
--- a/bilberrydeal/link/_entry.py
+++ b/bilberrydeal/link/_entry.py
@@ -9,6 +9,7 @@
 from .. import settings
 from . import _call
 from . import _failures
+from . import _hello
 from . import _messages
 from . import _session
 from . import _transport
@@ -188,7 +189,7 @@
     async def _run_session(self) -> bool:
         """Dial once and stay while the link lives; say if it ever did."""
         try:
-            reply = await _transport.ask(
+            reply = await _hello.ask(
                 self.address,
                 self.control_port,
                 self._hello,
--- a/bilberrydeal/peers/_requests.py
+++ b/bilberrydeal/link/_requests.py
@@ -11,17 +11,15 @@
 import pynng
 
 from .. import errors
-from .. import link
+from . import _nng
 
-MS_PER_S = 1000
-#: Longer than any process lives here: a socket never sends by itself.
-NEVER_MS = 2**31 - 1
-#: Larger questions are taken for a broken peer.
-QUESTION_LIMIT_BYTES = 1024 * 1024
+#: Time between two dials for one question. A question may arrive twice, so
+#: only what may be repeated is asked.
+RECONNECT_MS = 50
 
 
 @attrs.define(slots=False, eq=False)
-class ExchangeFailed(errors.BilberrydealError):
+class RequestFailed(errors.BilberrydealError):
     """A question got no answer in time."""
 
     code: typing.ClassVar[errors.ErrorCode] = errors.ErrorCode.INTERNAL
@@ -33,36 +31,44 @@
 async def ask(
     address: str, port: int, question: bytes, timeout_s: float
 ) -> bytes:
-    """Return the answer, or raise :class:`ExchangeFailed`."""
-    link.limit_threads()
-    timeout_ms = max(1, round(timeout_s * MS_PER_S))
+    """Return the answer, or raise :class:`RequestFailed`."""
+    _nng.limit_threads()
+    timeout_ms = max(1, round(timeout_s * _nng.MS_PER_S))
     try:
         with pynng.Req0(
             send_timeout=timeout_ms,
             recv_timeout=timeout_ms,
-            resend_time=NEVER_MS,
-            reconnect_time_min=NEVER_MS,
-            reconnect_time_max=NEVER_MS,
+            resend_time=_nng.NEVER_MS,
+            reconnect_time_min=RECONNECT_MS,
+            reconnect_time_max=RECONNECT_MS,
         ) as socket:
-            socket.dial(_url(address, port), block=False)
+            socket.dial(_nng.url(address, port), block=False)
             await socket.asend(question)
             return typing.cast(bytes, await socket.arecv())
     except pynng.NNGException as error:
-        raise ExchangeFailed(detail=str(error)) from error
+        raise RequestFailed(detail=str(error)) from error
 
 
 class Responder:
     """Answers questions on one port."""
 
     def __init__(self, address: str, port: int) -> None:
-        link.limit_threads()
-        self._socket = pynng.Rep0(recv_max_size=QUESTION_LIMIT_BYTES)
-        self._socket.listen(_url(address, port))
+        """Listen, or raise ``OSError``."""
+        _nng.limit_threads()
+        self._socket = pynng.Rep0(recv_max_size=_nng.MESSAGE_LIMIT_BYTES)
+        try:
+            self._socket.listen(_nng.url(address, port))
+        except pynng.NNGException as error:
+            self._socket.close()
+            raise OSError(str(error)) from error
 
     async def serve(
         self, answer: collections.abc.Callable[[bytes], bytes]
     ) -> None:
-        """Answer until :meth:`close`; a question that raises gets none."""
+        """Answer until :meth:`close`.
+
+        A question for which ``answer`` raises a typed failure gets none.
+        """
         while True:
             try:
                 question = await self._socket.arecv()
@@ -70,13 +76,8 @@
             except pynng.Closed:
                 return
             except (pynng.NNGException, errors.BilberrydealError):
-                continue
+                continue  # One bad peer; the next question is served.
 
     def close(self) -> None:
         """Stop answering."""
         self._socket.close()
-
-
-def _url(address: str, port: int) -> str:
-    host = f"[{address}]" if ":" in address else address
-    return f"tcp://{host}:{port}"
--- a/bilberrydeal/link/_server.py
+++ b/bilberrydeal/link/_server.py
@@ -6,9 +6,11 @@
 import itertools
 
 from .. import settings
+from . import _hello
 from . import _ledger
 from . import _messages
 from . import _peer
+from . import _requests
 from . import _session
 from . import _transport
 from . import _work
@@ -76,7 +78,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._live: set[_session.Session] = set()
         self._undialled: dict[str, _Reception] = {}
-        self._control: _transport.ControlSocket | None = None
+        self._control: _requests.Responder | None = None
         self._closed = asyncio.Event()
 
     def connected(self) -> list[str]:
@@ -102,10 +104,12 @@
 
     async def run(self) -> None:
         """Serve until :meth:`close`; raises ``OSError`` without a port."""
-        control = self._control = _transport.ControlSocket(
+        control = self._control = _requests.Responder(
             self._settings.listen_address, self._settings.control_port
         )
-        serving = asyncio.create_task(control.serve(self._answer))
+        serving = asyncio.create_task(
+            control.serve(_hello.answering(self._answer))
+        )
         try:
             await self._sweep()
         finally:
--- a/bilberrydeal/peers/__init__.py
+++ b/bilberrydeal/peers/__init__.py
@@ -4,20 +4,14 @@
 from ._messages import HostRelay
 from ._messages import Introduction
 from ._messages import Reply
-from ._requests import ask
-from ._requests import ExchangeFailed
-from ._requests import Responder
 from ._seal import Seal
 from ._seal import SealBroken
 
 __all__ = [
     "Ask",
-    "ExchangeFailed",
     "HostRelay",
     "Introduction",
     "Reply",
-    "Responder",
     "Seal",
     "SealBroken",
-    "ask",
 ]
