Say "not run" under an idempotency key only where it covers the key

Ruled out: reading the claim for each refusal, a read of the store for every request shed. Change: a refusal under a key says unknown unless the claim row was read or was this request's own.

--- a/bilberrydeal/entry/_http.py
+++ b/bilberrydeal/entry/_http.py
@@ -74,7 +74,7 @@
             await _receive_body(request, body_timeout_s)
             return await handler(request)
         except errors.Refusal as refusal:
-            return refused(refusal)
+            return refused(request, refusal)
 
     name = f"{'-'.join(methods)}{path}".replace("/", "_")
     app.add_route(
@@ -121,8 +121,17 @@
     )
 
 
-def refused(refusal: errors.Refusal) -> response.HTTPResponse:
-    """Return the answer for a refusal."""
+def refused(
+    request: sanic.Request, refusal: errors.Refusal
+) -> response.HTTPResponse:
+    """Return the answer for a refusal.
+
+    A caller who reads "not run" may use a new idempotency key, so that is
+    said under a key only where it holds for all requests that came with it.
+    """
+    keyed = _callers.IDEMPOTENCY_HEADER in request.headers
+    if keyed and not refusal.covers_key:
+        refusal.executed = errors.Executed.UNKNOWN
     headers = {}
     if refusal.retry_after_s is not None:
         headers["Retry-After"] = str(math.ceil(refusal.retry_after_s))
@@ -145,20 +154,22 @@
     request: sanic.Request, error: Exception
 ) -> response.HTTPResponse:
     if isinstance(error, errors.Refusal):
-        return refused(error)
+        return refused(request, error)
     if isinstance(error, exceptions.SanicException):
         status = error.status_code
         code = _SANIC_CODES.get(status, errors.ErrorCode.BAD_REQUEST)
         sentence = f"{type(error).__name__}: {error}"
         return refused(
-            errors.Refusal(reason=code, sentence=sentence, status=status)
+            request,
+            errors.Refusal(reason=code, sentence=sentence, status=status),
         )
     LOG.error("Handler failed.", path=request.path, exc_info=error)
     return refused(
+        request,
         errors.Refusal(
             reason=errors.ErrorCode.INTERNAL,
             sentence="The entry failed; the cause is in its log.",
             status=500,
             executed=errors.Executed.UNKNOWN,
-        )
+        ),
     )
--- a/bilberrydeal/entry/_once.py
+++ b/bilberrydeal/entry/_once.py
@@ -91,6 +91,7 @@
             return _replayed(found)
         if isinstance(found, claims.InProgress | claims.Unknown):
             refusal.executed = errors.Executed.UNKNOWN
+        refusal.covers_key = True
         raise refusal
 
     async def _keep(self, placement: "_Claiming", end: link.Finished) -> None:
@@ -108,6 +109,8 @@
         if placement.claim is None:
             return
         if refusal.executed is errors.Executed.NO:
+            # The claim was this request's: none before it may have run.
+            refusal.covers_key = True
             with _store_failures("Claim was not dropped."):
                 await self._rows.abandon(placement.claim)
 
--- a/bilberrydeal/entry/tests/test_once.py
+++ b/bilberrydeal/entry/tests/test_once.py
@@ -126,3 +126,17 @@
     only = fakes.FakeLink("a", [fakes.done()])
     runner = Entries(_DownTable()).runner(only)
     assert (await runner.run(fakes.work())).status == 200
+
+
+async def test_not_run_covers_a_key_that_was_never_claimed() -> None:
+    refusal = await _refusal(Entries(platform.MemoryTable()).runner())
+    assert refusal.executed is errors.Executed.NO
+    assert refusal.covers_key
+
+
+async def test_not_run_covers_a_key_whose_claim_was_this_request() -> None:
+    busy: fakes.Script = [fakes.refused(started=False)]
+    only = fakes.FakeLink("a", busy, busy, busy, busy)
+    refusal = await _refusal(Entries(platform.MemoryTable()).runner(only))
+    assert refusal.executed is errors.Executed.NO
+    assert refusal.covers_key
--- a/bilberrydeal/errors/_refusals.py
+++ b/bilberrydeal/errors/_refusals.py
@@ -24,6 +24,9 @@
     executed: _codes.Executed = _codes.Executed.NO
     #: When a retry can help, in seconds; ``None`` where none can.
     retry_after_s: float | None = None
+    #: Whether ``executed`` holds for all requests under the same idempotency
+    #: key rather than for this one only.
+    covers_key: bool = False
 
     def __str__(self) -> str:
         return f"{self.reason.value}: {self.sentence}"
