Open a span for the link and for each row of a claim

A span is no longer the current one of its task, so that it may be held over the parts of a stream; entry, link, claim row, agent (queue wait and engine call) and answer row are spans of one trace now.

Tests: the test of logs had configured the process's loggers with a captured stream that pytest closes; tests that ran later in the same worker then failed to log, depending on which worker got which test (4 failed, 136 passed). It uses a stream of its own now.

--- a/bilberrydeal/agent/_executor.py
+++ b/bilberrydeal/agent/_executor.py
@@ -216,6 +216,8 @@
         submit = job.work.submit
         with self._tracing.span("agent", submit.traceparent) as span:
             span.note("request", str(submit.number))
+            waited_s = self._clock() - job.work.arrived_at_s
+            span.note("queue_wait_s", waited_s)
             await self._driver.run(job.work, job.meter)
             span.note("output_tokens", job.meter.output_tokens)
 
--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -76,10 +76,12 @@
         next_number: collections.abc.Callable[[], link.RequestNumber],
         bill_lost: BillLost,
         journal: _journal.Journal,
+        tracing: telemetry.Tracing,
         clock: collections.abc.Callable[[], float],
     ) -> None:
         self._bill_lost = bill_lost
         self._journal = journal
+        self._tracing = tracing
         self._next_number = next_number
         self._pool = pool
         self._tables = tables
@@ -103,7 +105,7 @@
             pending = self._route(work, tried, ran)
             first_s = 0.0
             try:
-                attempt = self._attempt(work, pending, placement)
+                attempt = self._try(work, pending, placement)
                 async with contextlib.aclosing(attempt) as events:
                     async for event in events:
                         if not begun:
@@ -182,7 +184,7 @@
         )
         await asyncio.sleep(delay_s)
 
-    async def _attempt(
+    async def _try(
         self,
         work: _work.Work,
         pending: systems.PendingRequest,
@@ -200,51 +202,72 @@
             await placement.placed(
                 claims.Dispatch(number, pending.endpoint_id, agent_link.agent)
             )
+        with self._tracing.span("link", work.traceparent) as span:
+            traced = attrs.evolve(work, traceparent=span.traceparent)
+            submit = await self._submission(traced, pending, number)
+            try:
+                call = agent_link.submit(submit)
+            except (link.LinkDown, link.LinkFull) as error:
+                raise _attempt.AttemptFailed(
+                    reason=error.code, started=False
+                ) from error
+            answer = _attempt.Attempt(
+                agent_link,
+                call,
+                traced,
+                functools.partial(self._elsewhere, work, pending.endpoint_id),
+                self._clock,
+            )
+            try:
+                async with contextlib.aclosing(answer.events()) as events:
+                    async for event in events:
+                        yield event
+            except _attempt.AttemptFailed as failed:
+                self._take_failure(submit, pending, answer, failed)
+                raise
+
+    async def _submission(
+        self,
+        work: _work.Work,
+        pending: systems.PendingRequest,
+        number: link.RequestNumber,
+    ) -> link.Submit:
+        """Return what to send, after the prefill where there is one."""
         kv_handle = ""
         if pending.prefill_endpoint_id:
             self._note(work, f"prefill at {pending.prefill_endpoint_id}")
             kv_handle = await _handover.prefill(
                 self._pool, work, pending, self._next_number(), self._clock()
             )
-        submit = attrs.evolve(
+        return attrs.evolve(
             work.submit(self._clock()),
             number=number,
             weight=work.weight * pending.weight_factor,
             cached_tokens=pending.cached_tokens,
             kv_handle=kv_handle,
         )
-        try:
-            call = agent_link.submit(submit)
-        except (link.LinkDown, link.LinkFull) as error:
-            raise _attempt.AttemptFailed(
-                reason=error.code, started=False
-            ) from error
-        answer = _attempt.Attempt(
-            agent_link,
-            call,
-            work,
-            functools.partial(self._elsewhere, work, pending.endpoint_id),
-            self._clock,
-        )
-        try:
-            async with contextlib.aclosing(answer.events()) as events:
-                async for event in events:
-                    yield event
-        except _attempt.AttemptFailed as failed:
-            lost = failed.__cause__
-            if isinstance(lost, link.CallLost) and answer.tokens:
-                self._bill_lost(
-                    LostWork(
-                        number=number,
-                        organisation=work.organisation,
-                        endpoint_id=pending.endpoint_id,
-                        tokens=answer.tokens,
-                        agent_replaced=lost.agent_replaced,
-                    )
+
+    def _take_failure(
+        self,
+        submit: link.Submit,
+        pending: systems.PendingRequest,
+        answer: _attempt.Attempt,
+        failed: _attempt.AttemptFailed,
+    ) -> None:
+        """Bill what a lost agent may not, and count the failure."""
+        lost = failed.__cause__
+        if isinstance(lost, link.CallLost) and answer.tokens:
+            self._bill_lost(
+                LostWork(
+                    number=submit.number,
+                    organisation=submit.organisation,
+                    endpoint_id=pending.endpoint_id,
+                    tokens=answer.tokens,
+                    agent_replaced=lost.agent_replaced,
                 )
-            if failed.reason not in LOAD_REASONS:
-                self._failed(pending.endpoint_id)
-            raise
+            )
+        if failed.reason not in LOAD_REASONS:
+            self._failed(pending.endpoint_id)
 
     def _elsewhere(self, work: _work.Work, endpoint_id: str) -> bool:
         """Return whether another endpoint could answer."""
--- a/bilberrydeal/entry/_once.py
+++ b/bilberrydeal/entry/_once.py
@@ -38,8 +38,10 @@
         dispatcher: _dispatch.Dispatcher,
         rows: claims.Claims,
         resolver: claims.Resolver,
+        tracing: telemetry.Tracing,
         wall: collections.abc.Callable[[], float],
     ) -> None:
+        self._tracing = tracing
         self._dispatcher = dispatcher
         self._rows = rows
         self._resolver = resolver
@@ -53,7 +55,9 @@
         """
         if not work.claim:
             return await last_part(self._dispatcher.run(work))
-        placement = _Claiming(work, self._rows, self._resolver, self._wall)
+        placement = _Claiming(
+            work, self._rows, self._resolver, self._tracing, self._wall
+        )
         try:
             end = await last_part(self._dispatcher.run(work, placement))
         except _Repeated as repeated:
@@ -99,7 +103,10 @@
         if placement.claim is None:
             return
         answer = claims.Answer(end.status, end.content_type, end.body)
-        with _store_failures("Answer was not stored."):
+        with (
+            _store_failures("Answer was not stored."),
+            self._tracing.span("answer row", placement.traceparent),
+        ):
             await self._rows.finish(placement.claim, answer, self._wall())
 
     async def _give_up(
@@ -123,8 +130,12 @@
         work: _work.Work,
         rows: claims.Claims,
         resolver: claims.Resolver,
+        tracing: telemetry.Tracing,
         wall: collections.abc.Callable[[], float],
     ) -> None:
+        self._tracing = tracing
+        #: Trace context of the request.
+        self.traceparent = work.traceparent
         self._work = work
         self._rows = rows
         self._resolver = resolver
@@ -135,10 +146,8 @@
     async def placed(self, dispatch: claims.Dispatch) -> None:
         """Claim the request for this dispatch, or raise."""
         try:
-            if self.claim is None:
-                await self._begin(dispatch)
-            else:
-                self.claim = await self._rows.move(self.claim, dispatch)
+            with self._tracing.span("claim row", self.traceparent):
+                await self._claim(dispatch)
         except errors.TableConflict as error:
             raise _in_progress() from error
         except (errors.StoreUnavailable, errors.OutcomeUnknown) as error:
@@ -154,6 +163,12 @@
                 retry_after_s=STORE_RETRY_S,
             ) from error
 
+    async def _claim(self, dispatch: claims.Dispatch) -> None:
+        if self.claim is None:
+            await self._begin(dispatch)
+        else:
+            self.claim = await self._rows.move(self.claim, dispatch)
+
     async def _begin(self, dispatch: claims.Dispatch) -> None:
         work = self._work
         outcome = await self._rows.begin(
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -148,6 +148,7 @@
             numbers.next,
             self._settling.bill_lost,
             self._journal,
+            self._tracing,
             self._clock,
         )
 
@@ -215,6 +216,7 @@
             self._dispatcher,
             self._claims,
             _once.agent_resolver(self._pool, following.is_agent),
+            self._tracing,
             self._wall,
         )
         serving = _serving.Serving(
--- a/bilberrydeal/entry/tests/fakes.py
+++ b/bilberrydeal/entry/tests/fakes.py
@@ -10,6 +10,7 @@
 from bilberrydeal import link
 from bilberrydeal import settings
 from bilberrydeal import systems
+from bilberrydeal import telemetry
 from bilberrydeal.entry import _dispatch
 from bilberrydeal.entry import _journal
 from bilberrydeal.entry import _policies
@@ -151,6 +152,7 @@
             lambda: link.RequestNumber("entry", next(_NUMBERS)),
             self.lost.append,
             _journal.Journal(asyncio.get_running_loop().time),
+            telemetry.Tracing(settings.TraceSettings(), "entry"),
             asyncio.get_running_loop().time,
         )
 
--- a/bilberrydeal/entry/tests/test_once.py
+++ b/bilberrydeal/entry/tests/test_once.py
@@ -7,7 +7,9 @@
 from bilberrydeal import errors
 from bilberrydeal import link
 from bilberrydeal import ports
+from bilberrydeal import settings
 from bilberrydeal import store
+from bilberrydeal import telemetry
 from bilberrydeal.entry import _once
 from bilberrydeal.entry import _work
 from bilberrydeal.entry.tests import fakes
@@ -41,6 +43,7 @@
             fakes.Bench(links).dispatcher(),
             self.rows,
             _once.agent_resolver(pool, lambda endpoint_id: True),
+            telemetry.Tracing(settings.TraceSettings(), "entry"),
             lambda: WALL_S,
         )
 
--- a/bilberrydeal/telemetry/_logs.py
+++ b/bilberrydeal/telemetry/_logs.py
@@ -7,8 +7,12 @@
 import structlog
 
 
-def configure(level: str) -> None:
-    """Send logs of ``level`` and above to standard error as JSON."""
+def configure(level: str, stream: typing.TextIO | None = None) -> None:
+    """Send logs of ``level`` and above to a stream as JSON.
+
+    Loggers keep the stream from their first use on; it is standard error
+    where none is given.
+    """
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -21,7 +25,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
 
--- a/bilberrydeal/telemetry/_traces.py
+++ b/bilberrydeal/telemetry/_traces.py
@@ -40,18 +40,29 @@
     def span(
         self, name: str, traceparent: str = ""
     ) -> collections.abc.Iterator[Span]:
-        """Run a span named ``name`` below a W3C trace context."""
+        """Run a span named ``name`` below a W3C trace context.
+
+        The span is not made the current one of the task, so it may be held
+        over the parts of an asynchronous generator.
+        """
         if self._tracer is None:
             yield Span(traceparent=traceparent)
             return
+        from opentelemetry import trace
         from opentelemetry.trace.propagation import tracecontext
 
         propagator = tracecontext.TraceContextTextMapPropagator()
         parent = propagator.extract({_PROPAGATED: traceparent})
-        with self._tracer.start_as_current_span(name, parent) as inner:
-            carrier: dict[str, str] = {}
-            propagator.inject(carrier)
+        inner = self._tracer.start_span(name, parent)
+        carrier: dict[str, str] = {}
+        propagator.inject(carrier, trace.set_span_in_context(inner, parent))
+        try:
             yield Span(traceparent=carrier.get(_PROPAGATED, ""), inner=inner)
+        except BaseException as error:
+            inner.set_attribute("error", type(error).__name__)
+            raise
+        finally:
+            inner.end()
 
     def close(self) -> None:
         """Export what is left."""
--- a/bilberrydeal/telemetry/tests/test_telemetry.py
+++ b/bilberrydeal/telemetry/tests/test_telemetry.py
@@ -1,8 +1,7 @@
+import io
 import json
 import pathlib
 
-import pytest
-
 from bilberrydeal import settings
 from bilberrydeal import telemetry
 
@@ -18,12 +17,12 @@
     assert "other" in labels
 
 
-def test_event_carries_the_prefix_of_its_part(
-    capsys: pytest.CaptureFixture[str],
-) -> None:
-    telemetry.configure("info")
+def test_event_carries_the_prefix_of_its_part() -> None:
+    # Never closed: loggers of other tests may keep it.
+    stream = io.StringIO()
+    telemetry.configure("info", stream)
     telemetry.logger("lease").info("Taken.", duty="reporter")
-    line = json.loads(capsys.readouterr().err)
+    line = json.loads(stream.getvalue())
     assert line["event"] == "lease: Taken."
     assert line["duty"] == "reporter"
 
