--- a/bilberrydeal/telemetry/_traces.py
+++ b/bilberrydeal/telemetry/_traces.py
@@ -58,7 +58,7 @@
         propagator.inject(carrier, trace.set_span_in_context(inner, parent))
         try:
             yield Span(traceparent=carrier.get(_PROPAGATED, ""), inner=inner)
-        except BaseException as error:
+        except Exception as error:
             inner.set_attribute("error", type(error).__name__)
             raise
         finally:
