Remove what nothing calls

A read-through found four pieces without a caller: an estimate of prompt size that stands in prefixes, a type alias of the command line, a constant of the table port and a bucket's try_take. The count of tries is open-ended by itertools rather than by a large number.

--- a/bilberrydeal/cli/_client.py
+++ b/bilberrydeal/cli/_client.py
@@ -1,7 +1,6 @@
 """Calls the operators' routes of an entry."""
 
 import asyncio
-import collections.abc
 import enum
 import typing
 import urllib.parse
@@ -135,6 +134,3 @@
         sentence=sentence,
         exit_code=ExitCode.CONFLICT if conflict else ExitCode.FAILED,
     )
-
-
-Runner = collections.abc.Callable[[], None]
--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -4,6 +4,7 @@
 import collections.abc
 import contextlib
 import functools
+import itertools
 import typing
 
 import attrs
@@ -100,7 +101,7 @@
         """
         tried: frozenset[str] = frozenset()
         ran = False
-        for number in range(1, 1 << 30):
+        for number in itertools.count(1):
             begun = False
             pending = self._route(work, tried, ran)
             first_s = 0.0
--- a/bilberrydeal/entry/_work.py
+++ b/bilberrydeal/entry/_work.py
@@ -6,7 +6,6 @@
 import attrs
 
 from .. import link
-from .. import prefixes
 from ..systems import PendingRequest
 from . import _bodies
 
@@ -103,8 +102,3 @@
             content_type=plain.content_type,
             body=plain.body,
         )
-
-
-def prompt_size(generation: _bodies.Generation) -> int:
-    """Return the prompt tokens of a generation, as estimated."""
-    return prefixes.estimate_tokens(generation.prompt)
--- a/bilberrydeal/ports/_table.py
+++ b/bilberrydeal/ports/_table.py
@@ -4,9 +4,6 @@
 
 import attrs
 
-#: Version of a row that does not exist.
-ABSENT = 0
-
 
 @attrs.frozen
 class RowKey:
--- a/bilberrydeal/systems/pacing/_bucket.py
+++ b/bilberrydeal/systems/pacing/_bucket.py
@@ -39,14 +39,6 @@
         self._tokens -= tokens
         return max(0.0, -self._tokens / self.rate_per_s)
 
-    def try_take(self, tokens: float, now_s: float) -> bool:
-        """Take tokens if they are there now."""
-        self._refill(now_s)
-        if self._tokens < tokens:
-            return False
-        self._tokens -= tokens
-        return True
-
     def _refill(self, now_s: float) -> None:
         passed_s = max(0.0, now_s - self.now_s)
         self._tokens = min(
