Give every running fleet of tests addresses of its own

The tests of the proxy shared one fixed address, and two of the four workers ran two of them at the same moment. Ruled out: a server left behind by another test (nothing else uses that address) and TIME_WAIT (the listener reuses addresses).

The fleets had the same fault in a rarer form: their addresses came from the process number times eight plus a count, so the ninth fleet of a long worker shared its addresses with the first of its neighbour.

Change: a fleet reserves its block by a bound port that its process holds to its end, and the tests of the proxy take a place like any fleet.

--- a/scenarios/_places.py
+++ b/scenarios/_places.py
@@ -4,7 +4,7 @@
 fleets on one machine share no address.
 """
 
-import itertools
+import errno
 import os
 import socket
 
@@ -27,28 +27,30 @@
 )
 
 #: Guards are on the one address that all hosts of a test share.
+_GUARD_ADDRESS = "127.0.0.1"
 _GUARDS_FROM = 21_000
 _GUARDS_A_FLEET = 12
-#: Fleets whose guards fit below the ports that the kernel hands out.
-_GUARD_BLOCKS = 900
-#: Fleets that can be told apart.
-_FLEETS = 1 << 15
-#: Fleets that one test process may start before addresses come again.
-_FLEETS_A_PROCESS = 8
+#: The guards of a fleet and the port that reserves its block.
+_BLOCK_PORTS = _GUARDS_A_FLEET + 1
+#: Fleets whose blocks fit below the ports that the kernel hands out.
+_BLOCKS = 900
+#: Distance between the blocks where two test processes begin to look.
+_STRIDE = 8
 #: Added to a host's number for the address that others reach it at.
 _FRONT = 80
 #: Added to a host's number for the address that it reaches the platform at.
 _STORE = 160
 
-_started = itertools.count()
 _given: set[int] = set()
+#: Keeps the blocks of this process reserved until it ends.
+_reserved: list[socket.socket] = []
 
 
 @attrs.frozen
 class Places:
     """Addresses of one fleet."""
 
-    #: Tells fleets apart.
+    #: Tells fleets apart; also the block of their guards.
     number: int
 
     def address(self, host: int) -> str:
@@ -65,8 +67,7 @@
 
     def guard_port(self, host: int) -> int:
         """Return a free port for the guard of a host's agent."""
-        block = self.number % _GUARD_BLOCKS * _GUARDS_A_FLEET
-        port = _GUARDS_FROM + block + host % _GUARDS_A_FLEET
+        port = _first_port(self.number) + host % _GUARDS_A_FLEET
         while port in _given or not _is_free(port):
             port += 1
         _given.add(port)
@@ -74,15 +75,38 @@
 
 
 def take() -> Places:
-    """Return addresses that no other fleet of this machine uses."""
-    number = os.getpid() * _FLEETS_A_PROCESS + next(_started)
-    return Places(number % _FLEETS)
+    """Return addresses that no other fleet of this machine uses.
+
+    A bound port reserves them until this process ends: a process number
+    alone would not tell the fleets of two long test processes apart.
+    """
+    first = os.getpid() * _STRIDE
+    for candidate in range(first, first + _BLOCKS):
+        number = candidate % _BLOCKS
+        holder = _bound(_first_port(number) + _GUARDS_A_FLEET)
+        if holder is not None:
+            _reserved.append(holder)
+            return Places(number)
+    raise OSError(errno.EADDRINUSE, "all fleets are taken")
+
+
+def _first_port(number: int) -> int:
+    return _GUARDS_FROM + number * _BLOCK_PORTS
 
 
 def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
+    probe = _bound(port)
+    if probe is None:
+        return False
+    probe.close()
     return True
+
+
+def _bound(port: int) -> socket.socket | None:
+    holder = socket.socket()
+    try:
+        holder.bind((_GUARD_ADDRESS, port))
+    except OSError:
+        holder.close()
+        return None
+    return holder
--- a/scenarios/tests/test_proxy.py
+++ b/scenarios/tests/test_proxy.py
@@ -6,11 +6,13 @@
 
 import pytest
 
+from scenarios import _places
 from scenarios import _proxy
 
-ADDRESS = "127.77.0.1"
-FRONT = "127.77.0.2"
-PORT = 20_001
+PLACES = _places.take()
+ADDRESS = PLACES.address(1)
+FRONT = PLACES.front(1)
+PORT = _places.HTTP_PORT
 #: Long enough for bytes that would pass to have passed.
 QUIET_S = 0.3
 #: Generous limit for what must happen.
