Let operators assign engines to roles and release versions

Cause: the command 'roles' only showed orders, and the version in a model's row had no effect: no part read it. An operator could neither hold an engine in a role nor bring new weights to the fleet. The planner's orders also dropped the adapters that an order had named.

Change: assignments are rows of the configuration with an expected revision, like routes; 'roles set', 'roles release' and 'roles assignments' edit them. A new system, SettledOrders, makes one order for each engine from the assignment, the planner's move and the model's version. It keeps the bounds on changes in flight and on failure domains. The planner leaves assigned engines alone, and orders keep the adapters.

The handlers that list, set and remove rows stood three times; kinds of rows are a table now, and the command line has one put and one remove.

--- a/bilberrydeal/cli/_app.py
+++ b/bilberrydeal/cli/_app.py
@@ -51,6 +51,7 @@
     from . import _commands_fleet  # noqa: F401
     from . import _commands_keys  # noqa: F401
     from . import _commands_orgs  # noqa: F401
+    from . import _commands_roles  # noqa: F401
     from . import _commands_routes  # noqa: F401
 
     try:
--- a/bilberrydeal/cli/_commands_fleet.py
+++ b/bilberrydeal/cli/_commands_fleet.py
@@ -13,13 +13,6 @@
     _output.show(listed, listed.endpoints, target.json)
 
 
-@_app.APP.command
-def roles(*, target: _app.Target = _app.DEFAULT) -> None:
-    """Show the committed order of each engine."""
-    listed = target.client.get("/roles", operators.RoleList)
-    _output.show(listed, listed.roles, target.json)
-
-
 @_app.APP.command
 def leases(*, target: _app.Target = _app.DEFAULT) -> None:
     """Show which entry holds which duty."""
--- a/bilberrydeal/cli/_commands_routes.py
+++ b/bilberrydeal/cli/_commands_routes.py
@@ -5,9 +5,8 @@
 from .. import configuration
 from .. import operators
 from . import _app
-from . import _client
 from . import _output
-from . import _spread
+from . import _rows
 
 ROUTES = cyclopts.App(name="routes", help="Routes of plain services.")
 MODELS = cyclopts.App(name="models", help="Models that callers may name.")
@@ -47,7 +46,7 @@
         "deadline_s": deadline_s,
         "service": service,
     }
-    _put(f"/routes/{_client.quoted(name)}", body, target)
+    _rows.put("routes", name, body, target)
 
 
 @ROUTES.command(name="remove")
@@ -58,7 +57,7 @@
     target: _app.Target = _app.DEFAULT,
 ) -> None:
     """Remove a route."""
-    _delete(f"/routes/{_client.quoted(name)}", expected_revision, target)
+    _rows.remove("routes", name, expected_revision, target)
 
 
 @MODELS.command(name="list")
@@ -89,7 +88,7 @@
         "prefill_price": prefill_price,
         "decode_price": decode_price,
     }
-    _put(f"/models/{_client.quoted(name)}", body, target)
+    _rows.put("models", name, body, target)
 
 
 @MODELS.command(name="remove")
@@ -100,16 +99,4 @@
     target: _app.Target = _app.DEFAULT,
 ) -> None:
     """Remove a model."""
-    _delete(f"/models/{_client.quoted(name)}", expected_revision, target)
-
-
-def _put(path: str, body: object, target: _app.Target) -> None:
-    committed = target.client.put(path, body, operators.Committed)
-    _spread.announce(committed.revision, target, 0.0)
-
-
-def _delete(path: str, expected_revision: int, target: _app.Target) -> None:
-    committed = target.client.delete(
-        f"{path}?expected_revision={expected_revision}", operators.Committed
-    )
-    _spread.announce(committed.revision, target, 0.0)
+    _rows.remove("models", name, expected_revision, target)
--- a/bilberrydeal/configuration/__init__.py
+++ b/bilberrydeal/configuration/__init__.py
@@ -2,9 +2,11 @@
 
 from ._changes import Change
 from ._changes import IssueKey
+from ._changes import RemoveAssignment
 from ._changes import RemoveModel
 from ._changes import RemoveRoute
 from ._changes import RevisionConflict
+from ._changes import SetAssignment
 from ._changes import SetModel
 from ._changes import SetOrganisation
 from ._changes import SetRoute
@@ -18,6 +20,7 @@
 from ._follow import RelayHead
 from ._follow import SnapshotLoaded
 from ._rows import Access
+from ._rows import Assignment
 from ._rows import KeyRecord
 from ._rows import Model
 from ._rows import Organisation
@@ -26,6 +29,7 @@
 
 __all__ = [
     "Access",
+    "Assignment",
     "Change",
     "Committer",
     "Configuration",
@@ -36,11 +40,13 @@
     "Organisation",
     "RelayChanges",
     "RelayHead",
+    "RemoveAssignment",
     "RemoveModel",
     "RemoveRoute",
     "Revision",
     "RevisionConflict",
     "Route",
+    "SetAssignment",
     "SetModel",
     "SetOrganisation",
     "SetRoute",
--- a/bilberrydeal/configuration/_changes.py
+++ b/bilberrydeal/configuration/_changes.py
@@ -114,3 +114,25 @@
     name: str
     #: Revision of the row that the operator saw.
     expected_revision: int
+
+
+@CHANGES.register("set_assignment")
+@attrs.frozen
+class SetAssignment:
+    """Assigns an engine to a role or replaces its row."""
+
+    #: The new row; its ``revision`` is set when the change is applied.
+    assignment: _rows.Assignment
+    #: Revision of the row that the operator saw.
+    expected_revision: int
+
+
+@CHANGES.register("remove_assignment")
+@attrs.frozen
+class RemoveAssignment:
+    """Gives an engine back to the planner."""
+
+    #: Name of the endpoint.
+    name: str
+    #: Revision of the row that the operator saw.
+    expected_revision: int
--- a/bilberrydeal/configuration/_configuration.py
+++ b/bilberrydeal/configuration/_configuration.py
@@ -10,7 +10,24 @@
 from . import _changes
 from . import _rows
 
-Item = typing.TypeVar("Item", _rows.Organisation, _rows.Route, _rows.Model)
+#: Rows that operators set and remove by name.
+_Row = _rows.Organisation | _rows.Route | _rows.Model | _rows.Assignment
+Item = typing.TypeVar(
+    "Item",
+    _rows.Organisation,
+    _rows.Route,
+    _rows.Model,
+    _rows.Assignment,
+)
+_Set = (
+    _changes.SetOrganisation
+    | _changes.SetRoute
+    | _changes.SetModel
+    | _changes.SetAssignment
+)
+_Remove = (
+    _changes.RemoveRoute | _changes.RemoveModel | _changes.RemoveAssignment
+)
 
 
 @attrs.define(slots=False, eq=False)
@@ -45,6 +62,8 @@
     routes: collections.abc.Mapping[str, _rows.Route] = {}
     #: Models by name.
     models: collections.abc.Mapping[str, _rows.Model] = {}
+    #: Assignments by name of the endpoint.
+    assignments: collections.abc.Mapping[str, _rows.Assignment] = {}
 
     def apply(self, change: _changes.Change) -> "Configuration":
         """Return the next configuration.
@@ -101,6 +120,20 @@
     return attrs.evolve(before, revision=before.revision + 1, models=rows)
 
 
+@_apply.register
+def _(change: _changes.SetAssignment, before: Configuration) -> Configuration:
+    rows = _set(before, before.assignments, change.assignment, change)
+    return attrs.evolve(before, revision=before.revision + 1, assignments=rows)
+
+
+@_apply.register
+def _(
+    change: _changes.RemoveAssignment, before: Configuration
+) -> Configuration:
+    rows = _removed(before.assignments, "Assignment", change)
+    return attrs.evolve(before, revision=before.revision + 1, assignments=rows)
+
+
 @_apply.register
 def _(change: _changes.IssueKey, before: Configuration) -> Configuration:
     key = change.key
@@ -134,7 +167,7 @@
     before: Configuration,
     rows: collections.abc.Mapping[str, Item],
     item: Item,
-    change: _changes.SetOrganisation | _changes.SetRoute | _changes.SetModel,
+    change: _Set,
 ) -> dict[str, Item]:
     _expect(
         type(item).__name__,
@@ -150,7 +183,7 @@
 def _removed(
     rows: collections.abc.Mapping[str, Item],
     kind: str,
-    change: _changes.RemoveRoute | _changes.RemoveModel,
+    change: _Remove,
 ) -> dict[str, Item]:
     found = rows.get(change.name)
     if found is None:
@@ -163,7 +196,7 @@
     kind: str,
     name: str,
     expected_revision: int,
-    found: _rows.Organisation | _rows.Route | _rows.Model | None,
+    found: _Row | None,
     given: str,
 ) -> None:
     found_revision = found.revision if found else 0
--- a/bilberrydeal/configuration/_rows.py
+++ b/bilberrydeal/configuration/_rows.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from .. import ports
+
 
 class Access(enum.StrEnum):
     """Who may call a route."""
@@ -82,7 +84,8 @@
     name: str
     #: Service whose engines run it.
     service: str
-    #: Version of its weights.
+    #: Version of the weights that the service's engines are to load; empty
+    #: leaves each engine what it has.
     version: str = ""
     #: Request class, ``None`` for that of the route.
     request_class: int | None = None
@@ -92,3 +95,19 @@
     decode_price: float = 4.0
     #: Revision of the configuration that last set this row.
     revision: int = 0
+
+
+@attrs.frozen
+class Assignment:
+    """What an operator makes one engine be; the planner leaves it alone."""
+
+    #: Name of the endpoint.
+    name: str
+    #: Role of the engine.
+    role: ports.EngineRole
+    #: Version of the model's weights; empty for that of the model.
+    version: str = ""
+    #: Adapters to load.
+    adapters: tuple[str, ...] = ()
+    #: Revision of the configuration that last set this row.
+    revision: int = 0
--- a/bilberrydeal/configuration/tests/test_configuration.py
+++ b/bilberrydeal/configuration/tests/test_configuration.py
@@ -1,6 +1,7 @@
 import pytest
 
 from bilberrydeal import configuration
+from bilberrydeal import ports
 from bilberrydeal.configuration import _codec
 from bilberrydeal.configuration import _configuration
 
@@ -8,6 +9,7 @@
 KEY = configuration.KeyRecord("k1", "russo", "hash1")
 CHAT = configuration.Route("chat", "/v1/chat/completions")
 MODEL = configuration.Model("m", "assistant")
+ASSIGNED = configuration.Assignment("e1", ports.EngineRole.PREFILL, "v2")
 
 CHANGES = [
     configuration.SetOrganisation(RUSSO, 0),
@@ -17,6 +19,8 @@
     configuration.SetModel(MODEL, 0),
     configuration.RemoveRoute("chat", 4),
     configuration.RemoveModel("m", 5),
+    configuration.SetAssignment(ASSIGNED, 0),
+    configuration.RemoveAssignment("e1", 8),
 ]
 
 
@@ -42,6 +46,7 @@
     assert current.keys["hash1"].withdrawn
     assert not current.routes
     assert not current.models
+    assert not current.assignments
 
 
 @pytest.mark.parametrize(
@@ -53,6 +58,11 @@
         ),
         (configuration.SetRoute(CHAT, 3), configuration.RevisionConflict),
         (configuration.RemoveModel("m", 4), configuration.RevisionConflict),
+        (
+            configuration.SetAssignment(ASSIGNED, 8),
+            configuration.RevisionConflict,
+        ),
+        (configuration.RemoveAssignment("e1", 8), _configuration.RowMissing),
         (configuration.IssueKey(KEY), configuration.RevisionConflict),
         (configuration.WithdrawKey("k9"), _configuration.RowMissing),
         (configuration.RemoveRoute("x", 0), _configuration.RowMissing),
--- a/bilberrydeal/entry/_operator.py
+++ b/bilberrydeal/entry/_operator.py
@@ -1,7 +1,6 @@
 """Operators' routes for the configuration."""
 
 import collections.abc
-import re
 import secrets
 import typing
 
@@ -16,6 +15,7 @@
 from .. import operators
 from .. import telemetry
 from . import _http
+from . import _operator_rows
 
 LOG = telemetry.logger("operator")
 PREFIX = "/operator/v1"
@@ -23,17 +23,21 @@
 RETRY_AFTER_S = 1.0
 
 Body = typing.TypeVar("Body")
-Row = typing.TypeVar(
-    "Row",
-    configuration.Organisation,
-    configuration.Route,
-    configuration.Model,
-)
 Handler = collections.abc.Callable[
     ..., collections.abc.Awaitable[response.HTTPResponse]
 ]
 
 
+@attrs.frozen
+class _Route:
+    """One of the operators' routes."""
+
+    #: Path below the prefix.
+    path: str
+    method: str
+    handler: Handler
+
+
 class Commit(typing.Protocol):
     """Commits one change of the configuration."""
 
@@ -58,27 +62,22 @@
 
     def install(self, app: typing.Any, body_timeout_s: float) -> None:
         """Add the routes to the application."""
-        for path, method, handler in (
-            ("/organisations", "GET", self._organisations),
-            ("/organisations/<name:str>", "PUT", self._set_organisation),
-            ("/keys", "GET", self._keys),
-            ("/keys", "POST", self._issue_key),
-            ("/keys/<name:str>", "DELETE", self._withdraw_key),
-            ("/routes", "GET", self._routes),
-            ("/routes/<name:str>", "PUT", self._set_route),
-            ("/routes/<name:str>", "DELETE", self._remove_route),
-            ("/models", "GET", self._models),
-            ("/models/<name:str>", "PUT", self._set_model),
-            ("/models/<name:str>", "DELETE", self._remove_model),
-        ):
+        for route in self._all_routes():
             _http.add_route(
                 app,
-                PREFIX + path,
-                [method],
-                self.guarded(handler),
+                PREFIX + route.path,
+                [route.method],
+                self.guarded(route.handler),
                 body_timeout_s,
             )
 
+    def _all_routes(self) -> collections.abc.Iterator[_Route]:
+        yield _Route("/keys", "GET", self._keys)
+        yield _Route("/keys", "POST", self._issue_key)
+        yield _Route("/keys/<name:str>", "DELETE", self._withdraw_key)
+        for kind in _operator_rows.KINDS:
+            yield from self._row_routes(kind)
+
     def guarded(self, handler: Handler) -> _http.Handler:
         """Return a handler that asks for the operators' key first."""
 
@@ -112,22 +111,6 @@
         revision = await self._commit(change, author)
         return _answer(operators.Committed(revision))
 
-    async def _organisations(
-        self, request: sanic.Request
-    ) -> response.HTTPResponse:
-        current = self._current()
-        rows = sorted(current.organisations.values(), key=lambda o: o.name)
-        return _answer(operators.OrganisationList(current.revision, rows))
-
-    async def _set_organisation(
-        self, request: sanic.Request, name: str
-    ) -> response.HTTPResponse:
-        given = _decode(request, operators.OrganisationInput)
-        row = _row(configuration.Organisation, name, given)
-        return await self._change(
-            configuration.SetOrganisation(row, given.expected_revision)
-        )
-
     async def _keys(self, request: sanic.Request) -> response.HTTPResponse:
         current = self._current()
         rows = [
@@ -158,45 +141,35 @@
     ) -> response.HTTPResponse:
         return await self._change(configuration.WithdrawKey(name))
 
-    async def _routes(self, request: sanic.Request) -> response.HTTPResponse:
-        current = self._current()
-        rows = sorted(current.routes.values(), key=lambda route: route.name)
-        return _answer(operators.RouteList(current.revision, rows))
+    def _row_routes(
+        self, kind: _operator_rows.RowKind
+    ) -> collections.abc.Iterator[_Route]:
+        """Yield the routes that list, set and remove rows of a kind."""
+        row_path = kind.path + "/<name:str>"
 
-    async def _set_route(
-        self, request: sanic.Request, name: str
-    ) -> response.HTTPResponse:
-        given = _decode(request, operators.RouteInput)
-        row = _row(configuration.Route, name, given)
-        return await self._change(
-            configuration.SetRoute(row, given.expected_revision)
-        )
+        async def listed(request: sanic.Request) -> response.HTTPResponse:
+            return _answer(kind.list_body(self._current()))
 
-    async def _remove_route(
-        self, request: sanic.Request, name: str
-    ) -> response.HTTPResponse:
-        expected = _expected_revision(request)
-        return await self._change(configuration.RemoveRoute(name, expected))
+        async def put(
+            request: sanic.Request, name: str
+        ) -> response.HTTPResponse:
+            given = _decode(request, kind.given)
+            change = kind.set_change(_row_name(name), given)
+            return await self._change(change)
 
-    async def _models(self, request: sanic.Request) -> response.HTTPResponse:
-        current = self._current()
-        rows = sorted(current.models.values(), key=lambda model: model.name)
-        return _answer(operators.ModelRows(current.revision, rows))
+        yield _Route(kind.path, "GET", listed)
+        yield _Route(row_path, "PUT", put)
+        remove = kind.remove
+        if remove is None:
+            return
 
-    async def _set_model(
-        self, request: sanic.Request, name: str
-    ) -> response.HTTPResponse:
-        given = _decode(request, operators.ModelInput)
-        row = _row(configuration.Model, name, given)
-        return await self._change(
-            configuration.SetModel(row, given.expected_revision)
-        )
+        async def delete(
+            request: sanic.Request, name: str
+        ) -> response.HTTPResponse:
+            change = remove(name, _expected_revision(request))
+            return await self._change(change)
 
-    async def _remove_model(
-        self, request: sanic.Request, name: str
-    ) -> response.HTTPResponse:
-        expected = _expected_revision(request)
-        return await self._change(configuration.RemoveModel(name, expected))
+        yield _Route(row_path, "DELETE", delete)
 
 
 def _answer(body: object) -> response.HTTPResponse:
@@ -210,15 +183,8 @@
         raise _bad_request(f"The body is not valid: {error}.") from error
 
 
-def _row(kind: type[Row], name: str, given: attrs.AttrsInstance) -> Row:
-    """Return a row with the fields of an input of the same names."""
-    fields = attrs.asdict(given, recurse=False)
-    del fields["expected_revision"]
-    return kind(name=_row_name(name), **fields)
-
-
 def _row_name(name: str) -> str:
-    if re.match(operators.ROW_NAME, name) is None:
+    if not _operator_rows.is_name(name):
         raise _bad_request(f"A name must match {operators.ROW_NAME}.")
     return name
 
--- a/bilberrydeal/entry/_planning.py
+++ b/bilberrydeal/entry/_planning.py
@@ -2,10 +2,12 @@
 
 import collections
 import collections.abc
+import operator
 import typing
 
 import attrs
 
+from .. import configuration
 from .. import duties
 from .. import membership
 from .. import orders
@@ -43,8 +45,10 @@
         chosen: settings.EntrySettings,
         directory: membership.MemberDirectory,
         views: systems.Table[systems.EndpointView],
+        current: collections.abc.Callable[[], configuration.Configuration],
     ) -> None:
         self._directory = directory
+        self._current = current
         self._views = views
         self._tables = systems.Tables()
         self._windows: dict[str, collections.deque[roles.DemandWindow]] = {}
@@ -52,9 +56,9 @@
         self._unusable_s: dict[str, float] = {}
         self._seen_domains: set[str] = set()
         self._domains = chosen.fleet.failure_domains
-        self._roles = roles.ROLE_PLANNERS.get(chosen.policy.roles)(
-            roles.RoleRules()
-        )
+        rules = roles.RoleRules()
+        self._roles = roles.ROLE_PLANNERS.get(chosen.policy.roles)(rules)
+        self._settled = roles.SettledOrders(rules)
         self._fleet = fleet.FLEET_PLANNERS.get(chosen.policy.fleet)(
             fleet.FleetRules(
                 failure_domains=chosen.fleet.failure_domains,
@@ -100,14 +104,16 @@
         """Return what engines should be."""
         self._fill_roles(committed, now_s)
         self._roles.run(self._tables, now_s)
+        self._settled.run(self._tables, now_s)
         return [
             duties.EngineTarget(
                 endpoint_id=order.key,
                 role=order.role,
                 model=order.model,
-                model_version=_version(committed.get(order.key)),
+                model_version=order.model_version,
+                adapters=order.adapters,
             )
-            for order in self._tables.of(roles.RoleOrder)
+            for order in self._tables.of(roles.EngineOrder)
         ]
 
     def decide_fleet(self, view: duties.FleetView) -> duties.FleetDecision:
@@ -130,6 +136,7 @@
 
     def _fill_roles(self, committed: duties.Orders, now_s: float) -> None:
         """Bring the role planner's tables up to date."""
+        self._fill_operators()
         endpoints = self._tables.of(roles.RoleEndpoint)
         _clear(endpoints)
         for agent in self._directory.agents():
@@ -141,6 +148,24 @@
             )
             self._tables.of(roles.ModelRates).put(self._rates(model))
 
+    def _fill_operators(self) -> None:
+        """Take what operators assigned and released."""
+        current = self._current()
+        assignments = self._tables.of(roles.Assignment)
+        _clear(assignments)
+        for row in current.assignments.values():
+            assignments.put(
+                roles.Assignment(row.name, row.role, row.version, row.adapters)
+            )
+        versions = self._tables.of(roles.ModelVersion)
+        _clear(versions)
+        # Of two models of one service, the one set last decides.
+        for model in sorted(
+            current.models.values(), key=operator.attrgetter("revision")
+        ):
+            if model.version:
+                versions.put(roles.ModelVersion(model.service, model.version))
+
     def _role_endpoint(
         self,
         agent: membership.AgentMember,
@@ -161,6 +186,9 @@
                 else ports.EngineRole(agent.role)
             ),
             changing=changing,
+            assigned=agent.endpoint_id in self._tables.of(roles.Assignment),
+            model_version=order.model_version if order else "",
+            adapters=order.adapters if order else (),
             usable=(
                 agent.state is membership.MemberState.LIVE
                 and (view is None or view.circuit is closed)
@@ -295,10 +323,6 @@
         )
 
 
-def _version(order: orders.CommittedOrder | None) -> str:
-    return order.model_version if order else ""
-
-
 def _load(
     window: roles.DemandWindow, rates: roles.ModelRates
 ) -> fleet.LoadWindow:
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -183,7 +183,10 @@
             self._clock,
         )
         self._planning = _planning.Planning(
-            chosen, following.directory, self._tables.of(systems.EndpointView)
+            chosen,
+            following.directory,
+            self._tables.of(systems.EndpointView),
+            following.current,
         )
         authority = _authority.build(
             self.entry,
--- a/bilberrydeal/entry/_status.py
+++ b/bilberrydeal/entry/_status.py
@@ -238,6 +238,8 @@
         fence=order.fence,
         role=order.role.value,
         model=order.model,
+        version=order.model_version,
+        adapters=order.adapters,
     )
 
 
--- a/bilberrydeal/entry/tests/test_planning.py
+++ b/bilberrydeal/entry/tests/test_planning.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from bilberrydeal import configuration
 from bilberrydeal import duties
 from bilberrydeal import membership
 from bilberrydeal import orders
@@ -17,6 +18,7 @@
 AGENT = membership.AgentMember(
     "ep1", "i1", "h1", "127.0.0.1", 1, "fd1", "m", role="both"
 )
+EMPTY = configuration.Configuration()
 ORDER = orders.CommittedOrder(3, 1, ports.EngineRole.DECODE, "m")
 
 
@@ -30,6 +32,7 @@
 
 def _planning_of(
     *members: membership.AgentMember,
+    current: configuration.Configuration = EMPTY,
 ) -> tuple[_planning.Planning, _Directory]:
     directory = _Directory(list(members))
     chosen = attrs.evolve(
@@ -41,7 +44,7 @@
     )
     table: systems.Table[systems.EndpointView] = systems.Table()
     made = _planning.Planning(
-        chosen, typing.cast(typing.Any, directory), table
+        chosen, typing.cast(typing.Any, directory), table, lambda: current
     )
     return made, directory
 
@@ -65,6 +68,29 @@
     assert endpoint.role == role
 
 
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        (
+            configuration.SetAssignment(
+                configuration.Assignment("ep1", ports.EngineRole.PREFILL), 0
+            ),
+            duties.EngineTarget("ep1", ports.EngineRole.PREFILL, "m"),
+        ),
+        (
+            configuration.SetModel(configuration.Model("gpt", "m", "v2"), 0),
+            duties.EngineTarget("ep1", ports.EngineRole.BOTH, "m", "v2"),
+        ),
+    ],
+)
+def test_operators_change_engines_through_the_configuration(
+    change: configuration.Change, expected: duties.EngineTarget
+) -> None:
+    current = configuration.Configuration().apply(change)
+    planning, _ = _planning_of(AGENT, current=current)
+    assert planning.decide_roles({}, 10.0) == [expected]
+
+
 def test_purchase_counts_before_the_platform_lists_it() -> None:
     planning, _ = _planning_of(AGENT)
     intent = duties.IntentRow(
--- a/bilberrydeal/operators/__init__.py
+++ b/bilberrydeal/operators/__init__.py
@@ -1,5 +1,7 @@
 """What operators' routes take and give; shared with the command line."""
 
+from ._bodies import AssignmentInput
+from ._bodies import AssignmentList
 from ._bodies import Committed
 from ._bodies import EndpointList
 from ._bodies import EndpointShown
@@ -27,6 +29,8 @@
 from ._bodies import UsageShown
 
 __all__ = [
+    "AssignmentInput",
+    "AssignmentList",
     "Committed",
     "EndpointList",
     "EndpointShown",
--- a/bilberrydeal/operators/_bodies.py
+++ b/bilberrydeal/operators/_bodies.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from .. import configuration
+from .. import ports
 
 _Weight = typing.Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
 _Rate = typing.Annotated[float, msgspec.Meta(ge=0, le=1e12)]
@@ -70,6 +71,17 @@
     decode_price: _Price = 4.0
 
 
+@attrs.frozen(kw_only=True)
+class AssignmentInput:
+    """Assigns an engine to a role."""
+
+    #: Revision of the row as the operator saw it, 0 for a new one.
+    expected_revision: int
+    role: ports.EngineRole
+    version: _Label = ""
+    adapters: tuple[_Label, ...] = ()
+
+
 @attrs.frozen
 class Committed:
     """The answer to an accepted change."""
@@ -128,6 +140,14 @@
     models: list[configuration.Model]
 
 
+@attrs.frozen
+class AssignmentList:
+    """All assignments."""
+
+    revision: int
+    assignments: list[configuration.Assignment]
+
+
 @attrs.frozen
 class EndpointShown:
     """One endpoint as this entry knows it."""
@@ -225,6 +245,8 @@
     fence: int
     role: str
     model: str
+    version: str
+    adapters: tuple[str, ...]
 
 
 @attrs.frozen
--- a/bilberrydeal/systems/roles/_entities.py
+++ b/bilberrydeal/systems/roles/_entities.py
@@ -54,6 +54,12 @@
     usable: bool = True
     #: Monotonic time of its last role order; minus infinity for none.
     ordered_at_s: float = float("-inf")
+    #: Whether an operator assigned it to a role.
+    assigned: bool = False
+    #: Version of the weights in its newest committed order.
+    model_version: str = ""
+    #: Adapters in its newest committed order.
+    adapters: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -84,3 +90,43 @@
     model: str
     #: Role that it is to take.
     role: Role
+
+
+@attrs.frozen
+class Assignment:
+    """What an operator makes one engine be."""
+
+    #: Name of the endpoint.
+    key: str
+    #: Role that it is to have.
+    role: Role
+    #: Version of the weights; empty for that of the model.
+    model_version: str = ""
+    #: Adapters to load.
+    adapters: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class ModelVersion:
+    """The version of the weights that a model's engines are to load."""
+
+    #: Name of the model.
+    key: str
+    #: The version.
+    version: str
+
+
+@attrs.frozen
+class EngineOrder:
+    """All that one engine is to be."""
+
+    #: Name of the endpoint.
+    key: str
+    #: Model that it serves.
+    model: str
+    #: Role that it is to take.
+    role: Role
+    #: Version of the weights.
+    model_version: str = ""
+    #: Adapters to load.
+    adapters: tuple[str, ...] = ()
--- a/bilberrydeal/systems/roles/_plan.py
+++ b/bilberrydeal/systems/roles/_plan.py
@@ -103,7 +103,7 @@
             for e in endpoints
             if e.role is source
             and e.usable
-            and not e.changing
+            and not (e.changing or e.assigned)
             and now_s - e.ordered_at_s >= dwell_s
         ]
         for target in _entities.Role:
@@ -184,6 +184,26 @@
     )
 
 
+def stays_live(
+    endpoints: collections.abc.Sequence[_entities.RoleEndpoint],
+    chosen: _entities.RoleEndpoint,
+    rules: _rules.RoleRules,
+) -> bool:
+    """Tell whether both phases stay live while one engine is away.
+
+    It comes back in the role that it has. A phase that could never be live
+    in two failure domains without it may meanwhile be live in one, and one
+    that only this engine serves has to do without.
+    """
+    live = [e for e in endpoints if e.usable and not e.changing]
+    staying = [e for e in live if e.key != chosen.key]
+    usable = [e for e in endpoints if e.usable]
+    most = len({e.failure_domain for e in usable if e.key != chosen.key})
+    wanted = min(rules.domains_per_phase, most)
+    others = [e for e in usable if e.key != chosen.key]
+    return _spread(staying, wanted).covers(_spread(others, wanted))
+
+
 def _spread(
     endpoints: collections.abc.Collection[_entities.RoleEndpoint], wanted: int
 ) -> "_Spread":
--- a/scenarios/_load.py
+++ b/scenarios/_load.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 import attrs
 
@@ -28,6 +29,8 @@
     def __init__(self, fleet: _fleet.Fleet, seed: int) -> None:
         self._fleet = fleet
         self._running = True
+        #: When it began, seconds since the epoch.
+        self.started_s = time.time()
         self._tasks = [
             asyncio.create_task(
                 self._work(entry, random.Random(f"{seed} {entry} {worker}"))
--- a/scenarios/demo.py
+++ b/scenarios/demo.py
@@ -13,6 +13,9 @@
 import attrs
 import uvloop
 
+from bilberrydeal import operators
+from bilberrydeal import ports
+
 from . import _caller
 from . import _fleet
 from . import _load
@@ -25,6 +28,8 @@
 #: A withdrawn key must be refused after so long, in seconds.
 WITHDRAWN_S = 5.0
 STREAM_TOKENS = 200
+#: Version of a model that the engines did not start with.
+VERSION = "v2"
 
 Step = collections.abc.Callable[[_fleet.Fleet], collections.abc.Awaitable[str]]
 
@@ -42,6 +47,19 @@
         raise StepFailed(sentence)
 
 
+async def _end_uncut(fleet: _fleet.Fleet, load: _load.Load) -> None:
+    """End a load none of whose requests may have been cut."""
+    await load.end()
+    cut = [
+        outcome
+        for outcome in fleet.caller.outcomes
+        if outcome.ended_s > load.started_s
+        and not outcome.answered
+        and outcome.executed != "no"
+    ]
+    require(not cut, f"Requests were cut: {cut}")
+
+
 async def run_a_mix(fleet: _fleet.Fleet) -> str:
     """Send a mix as two organisations."""
     load = _load.Load(fleet, seed=1)
@@ -117,6 +135,54 @@
     return "russo weighs 3 on both entries"
 
 
+async def assign_an_engine(fleet: _fleet.Fleet) -> str:
+    """Assign an engine to a role under load and give it back."""
+    name = fleet.engines[0].name
+    path = f"/assignments/{name}"
+    given = operators.AssignmentInput(
+        expected_revision=0, role=ports.EngineRole.DECODE
+    )
+    load = _load.Load(fleet, seed=2)
+    set_at = await fleet.operator(0).call(
+        "PUT", path, operators.Committed, given
+    )
+
+    async def decodes() -> bool:
+        state = await fleet.engine_state(fleet.engines[0])
+        return state.role is ports.EngineRole.DECODE and not state.changing
+
+    await _fleet.eventually(decodes, "the role at the engine")
+    await _end_uncut(fleet, load)
+    await fleet.operator(1).call(
+        "DELETE",
+        f"{path}?expected_revision={set_at.revision}",
+        operators.Committed,
+    )
+    return f"{name} took the role while requests ran"
+
+
+async def release_a_version(fleet: _fleet.Fleet) -> str:
+    """Bring a new version of a model to all engines under load."""
+    rows = await fleet.operator(0).call("GET", "/models", operators.ModelRows)
+    model = next(row for row in rows.models if row.name == _fleet.MODEL)
+    given = operators.ModelInput(
+        expected_revision=model.revision,
+        service=model.service,
+        version=VERSION,
+    )
+    load = _load.Load(fleet, seed=3)
+    path = f"/models/{_fleet.MODEL}"
+    await fleet.operator(0).call("PUT", path, operators.Committed, given)
+
+    async def loaded() -> bool:
+        states = [await fleet.engine_state(host) for host in fleet.engines]
+        return all(state.model_version == VERSION for state in states)
+
+    await _fleet.eventually(loaded, "the version on all engines")
+    await _end_uncut(fleet, load)
+    return f"{len(fleet.engines)} engines loaded it, one after another"
+
+
 async def kill_an_agent(fleet: _fleet.Fleet) -> str:
     """Kill an agent and see the others serve."""
     fleet.engines[0].process.kill()
@@ -166,6 +232,8 @@
     repeat_a_deposit,
     withdraw_a_key,
     change_a_weight,
+    assign_an_engine,
+    release_a_version,
     kill_an_agent,
     read_the_bills,
     check_the_promises,
