Split the entry's process by what it puts together

Now the base (settings, clocks, outside systems), the path of requests, the upkeep and the HTTP application are built by a module each; the process runs them. Taking changes of the configuration is a class of its own and has tests.

It ends both now; the test of the jump was red before.

--- /dev/null
+++ b/bilberrydeal/entry/_upkeep.py
@@ -0,0 +1,104 @@
+"""Puts together what keeps an entry in step with the others."""
+
+import attrs
+
+from .. import duties
+from .. import membership
+from .. import peers
+from .. import systems
+from . import _authority
+from . import _base
+from . import _exchange
+from . import _following
+from . import _gauges
+from . import _path
+from . import _planning
+from . import _subset
+
+
+@attrs.frozen
+class Upkeep:
+    """The parts that run beside the requests."""
+
+    exchange: _exchange.Exchange
+    #: Brings links and tables in line with the members.
+    sync: _subset.MemberSync
+    planning: _planning.Planning
+    duties: duties.DutyRunner
+
+    async def observe_demand(self, base: _base.Base) -> None:
+        """Look at the demand of all entries, where a duty is held.
+
+        The rows are read from the store: peers hand on news of members, and
+        a renewal is none.
+        """
+        if not self.duties.held():
+            return
+        rows = await base.following.client.scan_all(
+            membership.TABLE, membership.ENTRIES
+        )
+        members = [membership.decode(row) for row in rows]
+        self.planning.observe(
+            [m for m in members if isinstance(m, membership.EntryMember)],
+            base.clock(),
+        )
+
+
+def build(base: _base.Base, path: _path.Path) -> Upkeep:
+    """Return the parts, with their figures added to the metrics."""
+    chosen = base.settings
+    following = base.following
+    exchange = _exchange.Exchange(
+        peers.Introduction(
+            base.entry,
+            chosen.advertise_address,
+            chosen.peer_port,
+            chosen.failure_domain,
+        ),
+        chosen,
+        peers.Seal(base.secrets.peer),
+        following.follower,
+        following.freshness,
+        following.directory,
+        following.hosts,
+        path.policies.limiter,
+        base.tables,
+        base.clock,
+    )
+    sync = _subset.MemberSync(
+        following.member,
+        chosen.membership,
+        path.policies.subset,
+        following.directory,
+        path.pool,
+        base.tables,
+        base.clock,
+    )
+    planning = _planning.Planning(
+        chosen,
+        following.directory,
+        base.tables.of(systems.EndpointView),
+        following.current,
+    )
+    authority = _authority.build(
+        base.entry,
+        chosen,
+        following.client,
+        base.platform,
+        path.claims,
+        following.directory,
+        planning,
+        path.pool,
+        _following.PACT_LONGEST_S + chosen.duties.margin_s,
+        following.may_remove,
+        base.random,
+    )
+    _gauges.add_all(
+        base.gauges,
+        following,
+        path.gate,
+        path.pool,
+        path.settling,
+        authority,
+    )
+    return Upkeep(exchange, sync, planning, authority.runner)
--- /dev/null
+++ b/bilberrydeal/entry/tests/test_taking.py
@@ -0,0 +1,66 @@
+import typing
+
+import pytest
+
+from bilberrydeal import configuration
+from bilberrydeal import systems
+from bilberrydeal.entry import _taking
+
+RUSSO = configuration.Organisation("russo", weight=2.0, requests_per_s=5.0)
+OFF = configuration.Organisation("derwent", enabled=False)
+ROWS = [
+    configuration.SetOrganisation(RUSSO, 0),
+    configuration.SetOrganisation(configuration.Organisation("derwent"), 0),
+    configuration.IssueKey(configuration.KeyRecord("k1", "russo", "h1")),
+    configuration.IssueKey(configuration.KeyRecord("k2", "russo", "h2")),
+    configuration.IssueKey(configuration.KeyRecord("k3", "derwent", "h3")),
+]
+
+
+class _Gate:
+    def __init__(self) -> None:
+        self.revoked: set[str] = set()
+
+    def revoke(self, key_ids: set[str]) -> None:
+        self.revoked |= key_ids
+
+
+def _taker() -> tuple[_taking.ChangeTaker, _Gate, systems.Tables]:
+    gate = _Gate()
+    tables = systems.Tables()
+    taker = _taking.ChangeTaker(typing.cast(typing.Any, gate), tables)
+    return taker, gate, tables
+
+
+@pytest.mark.parametrize("by_snapshot", [False, True])
+@pytest.mark.parametrize(
+    ("change", "revoked"),
+    [
+        (configuration.WithdrawKey("k1"), {"k1"}),
+        (configuration.SetOrganisation(OFF, 2), {"k3"}),
+    ],
+)
+def test_running_requests_lose_keys_that_end(
+    by_snapshot: bool, change: configuration.Change, revoked: set[str]
+) -> None:
+    """An entry that jumps over the change by a snapshot ends them too."""
+    taker, gate, tables = _taker()
+    current = configuration.Configuration()
+    for row in [*ROWS, change]:
+        current = current.apply(row)
+    taken = change
+    if by_snapshot:
+        taken = configuration.SnapshotLoaded(current.revision)
+    taker.take(taken, current)
+    assert gate.revoked == revoked
+
+
+def test_organisation_without_limits_is_unlimited() -> None:
+    taker, _, tables = _taker()
+    current = configuration.Configuration().apply(ROWS[0])
+    taker.take(ROWS[0], current)
+    view = tables.of(systems.OrganisationView).get("russo")
+    assert view is not None
+    assert view.weight == 2.0
+    assert view.requests_per_s == 5.0
+    assert view.tokens_per_s == float("inf")
