Hold calls back in the network until another holder has acted

Cause: no scenario had a purchase, a report or an order to an engine arrive after its sender had lost its authority. The proxy now holds back requests that begin with given bytes and delivers them when their sender is gone.

Found: an engine that ignores fencing numbers and carried out an order late stayed at it for good ("never came: the newest order at engine-0", 60 s). The agent looked at the engine only after a failure. It now looks with each read of the row, and gives the newest order again.

The step definitions are split by subject; their checks are unchanged but for the pause of a holder, which now waits until each of its duties is held by another.

--- a/bilberrydeal/agent/_orders.py
+++ b/bilberrydeal/agent/_orders.py
@@ -88,8 +88,7 @@
     async def run(self) -> None:
         """Follow the row; never ends."""
         while True:
-            if self._doubt:
-                await self._learn()
+            await self._look()
             await self._catch_up()
             try:
                 async with asyncio.timeout(self._poll_s):
@@ -98,6 +97,22 @@
                 pass
             self._wake.clear()
 
+    async def _look(self) -> None:
+        """Notice what became of the engine without this agent.
+
+        An order of a dead predecessor may arrive late, at an engine that
+        does not check fencing numbers, and take it back to an old order.
+        """
+        if not self._doubt:
+            try:
+                self.state = await self._engine.state(STATE_TIMEOUT_S)
+            except ports.EngineFailure:
+                # Whoever hands it work finds out and says so.
+                return
+            self._set(doubt=self.state.changing)
+        if self._doubt:
+            await self._learn()
+
     async def _catch_up(self) -> None:
         """Carry out orders until the engine is what the newest says."""
         try:
--- a/bilberrydeal/agent/tests/test_orders.py
+++ b/bilberrydeal/agent/tests/test_orders.py
@@ -161,3 +161,19 @@
         made.engine.engine_state = attrs.evolve(changing, changing=False)
         await made.stable(2)
         assert made.engine.overlaps == 0
+
+
+async def test_engine_that_took_an_old_order_late_is_put_right() -> None:
+    async with bench() as made:
+        await made.commit()
+        await made.stable(2)
+        late = attrs.evolve(
+            made.engine.engine_state,
+            order_version=1,
+            role=ports.EngineRole.PREFILL,
+        )
+        made.engine.engine_state = late
+        await harness.until(lambda: len(made.engine.applied) == 2)
+        await made.stable(2)
+        assert made.engine.engine_state.role == ports.EngineRole.DECODE
+        assert made.engine.overlaps == 0
--- a/scenarios/_proxy.py
+++ b/scenarios/_proxy.py
@@ -44,6 +44,10 @@
     far: asyncio.StreamWriter
     #: Directions whose bytes vanish for good.
     silent: set[Way] = attrs.field(factory=set)
+    #: Whether a request waits at the proxy, or did.
+    held: bool = False
+    #: Set once the host behind has answered or closed.
+    answered: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def abort(self) -> None:
         self.near.transport.abort()
@@ -73,6 +77,9 @@
         self._lifted = asyncio.Event()
         self._lifted.set()
         self._answers_to_lose: dict[int, int] = {}
+        self._holds: set[bytes] = set()
+        self._released = asyncio.Event()
+        self._held = 0
 
     async def start(self) -> None:
         """Listen on all ports."""
@@ -90,6 +97,7 @@
         for server in self._servers:
             server.close()
         self.set_weather(Weather())
+        self.release()
         self.cut()
         await asyncio.gather(*self._serving, return_exceptions=True)
 
@@ -119,6 +127,34 @@
         """Reset the next connections when their answer comes."""
         self._answers_to_lose[port] = count
 
+    def hold(self, start: bytes) -> None:
+        """Hold back requests whose first bytes are ``start``.
+
+        The request still goes on its way when the side that sent it has
+        given up, or is dead, before :meth:`release`.
+
+        Example::
+
+            proxy.hold(b"POST /v1/usage/report")
+        """
+        self._holds.add(start)
+
+    def hold_no_more(self) -> None:
+        """Let new requests pass; those held back go on waiting."""
+        self._holds.clear()
+
+    def release(self) -> None:
+        """Let all held requests go, and hold no more."""
+        self.hold_no_more()
+        self._released.set()
+        self._released = asyncio.Event()
+        self._held = 0
+
+    @property
+    def held(self) -> int:
+        """Return how many requests are held back now."""
+        return self._held
+
     def _chosen(self, port: int | None) -> tuple[int, ...]:
         return self._ports if port is None else (port,)
 
@@ -173,12 +209,29 @@
     ) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
+                if way is Way.FORTH:
+                    await self._wait_held(pipe, data)
                 await self._pass(pipe, way, data, writer)
+                if way is Way.BACK:
+                    pipe.answered.set()
+            if way is Way.FORTH and pipe.held:
+                # A server drops a request whose connection ends before it.
+                await pipe.answered.wait()
             if way not in pipe.silent:
                 writer.write_eof()
         except (OSError, RuntimeError):
             # The event loop raises RuntimeError on a closed transport.
             pipe.abort()
+        finally:
+            if way is Way.BACK:
+                pipe.answered.set()
+
+    async def _wait_held(self, pipe: _Pipe, data: bytes) -> None:
+        """Wait until a request that is held back is released."""
+        if data.startswith(tuple(self._holds)):
+            pipe.held = True
+            self._held += 1
+            await self._released.wait()
 
     async def _pass(
         self,
--- /dev/null
+++ b/scenarios/tests/_common.py
@@ -0,0 +1,41 @@
+"""What steps of several subjects share."""
+
+import collections.abc
+
+from scenarios import _caller
+from scenarios import _fleet
+from scenarios import _stage
+
+HABITS = {"check fencing numbers": True, "ignore fencing numbers": False}
+PLAIN_PATHS = ("deposit", "label", "stock")
+#: Tokens of a stream that outlasts the faults of its scenario.
+STREAM_TOKENS = 900
+
+
+def shop(stage: _stage.Stage) -> _fleet.Host:
+    return stage.fleet.plains[0]
+
+
+def add_ask(stage: _stage.Stage, organisation: str, what: str) -> None:
+    marker = stage.fleet.marker()
+    if what in PLAIN_PATHS:
+        ask = _caller.plain(f"/{what}", marker, organisation, f"once-{marker}")
+    else:
+        ask = _caller.completion(marker, organisation, STREAM_TOKENS, True)
+    stage.asks[what] = ask
+
+
+def executions(stage: _stage.Stage, what: str) -> int:
+    marker = stage.asks[what].marker
+    evidence = stage.fleet.evidence()
+    bodies = [call.body for call in evidence.calls()]
+    return sum(f'"{marker}"' in body for body in bodies)
+
+
+def wait(
+    stage: _stage.Stage, check: collections.abc.Callable[[], bool], what: str
+) -> None:
+    async def holds() -> bool:
+        return check()
+
+    stage.run(_fleet.eventually(holds, what))
--- /dev/null
+++ b/scenarios/tests/_steps_processes.py
@@ -0,0 +1,147 @@
+"""Steps that end, pause and order processes."""
+
+import time
+
+import pytest_bdd
+from pytest_bdd import parsers
+
+from bilberrydeal import ports
+from scenarios import _fleet
+from scenarios import _stage
+from standins import engine
+
+from . import _common
+
+#: Duties that any planning entry may hold.
+DUTIES = ("usage", "roles", "sweep", *(f"fleet.d{n}" for n in range(4)))
+
+
+@pytest_bdd.when(parsers.re(r"(?P<name>[a-z]+-\d) is killed"))
+def is_killed(stage: _stage.Stage, name: str) -> None:
+    stage.fleet.host(name).process.kill()
+
+
+@pytest_bdd.when(parsers.re(r"(?P<name>[a-z]+-\d) is started again"))
+def is_started_again(stage: _stage.Stage, name: str) -> None:
+    stage.fleet.host(name).process.start()
+
+
+@pytest_bdd.when(parsers.parse("the endpoint of {name} is started again"))
+def endpoint_is_started_again(stage: _stage.Stage, name: str) -> None:
+    process = stage.fleet.host(name).endpoint
+    assert process is not None
+    _common.wait(stage, lambda: not process.alive, f"the crash of {name}")
+    process.start()
+
+
+@pytest_bdd.when(parsers.re(r"(?P<name>[a-z]+-\d) is terminated"))
+def is_terminated(stage: _stage.Stage, name: str) -> None:
+    stage.fleet.host(name).process.terminate()
+
+
+@pytest_bdd.when(
+    parsers.parse("every engine's agent is paused for {for_s:g} s")
+)
+def agents_are_paused(stage: _stage.Stage, for_s: float) -> None:
+    for host in stage.fleet.engines:
+        host.process.pause()
+    time.sleep(for_s)
+    for host in stage.fleet.engines:
+        host.process.resume()
+
+
+async def held_by(stage: _stage.Stage, over: int) -> dict[str, _fleet.Host]:
+    """Return the holders of duties, as an entry shows them."""
+    leases = (await stage.fleet.operator(over).leases()).leases
+    return {
+        lease.duty: host
+        for lease in leases
+        for host in stage.fleet.entries
+        if lease.holder.startswith(f"{host.name}.")
+    }
+
+
+def pause(
+    stage: _stage.Stage, paused: _fleet.Host, duties: set[str]
+) -> _fleet.Host:
+    """Pause an entry until others hold the duties."""
+    entries = stage.fleet.entries
+    other = next(n for n, host in enumerate(entries) if host is not paused)
+
+    async def taken() -> bool:
+        held = await held_by(stage, other)
+        return duties <= {d for d, host in held.items() if host is not paused}
+
+    paused.process.pause()
+    stage.run(_fleet.eventually(taken, f"a successor of {paused.name}"))
+    return paused
+
+
+@pytest_bdd.when(
+    "the entry with most duties is paused until others hold them",
+    target_fixture="paused",
+)
+def is_paused(stage: _stage.Stage) -> _fleet.Host:
+    async def busiest() -> _fleet.Host:
+        hosts = list((await held_by(stage, 0)).values())
+        return max(stage.fleet.entries, key=hosts.count)
+
+    async def all_held() -> bool:
+        if len(await held_by(stage, 0)) < len(DUTIES):
+            return False
+        calls = (await busiest()).store.held
+        return calls > 0 or not stage.fleet.shape.held
+
+    stage.run(_fleet.eventually(all_held, "a holder of every duty"))
+    paused = stage.run(busiest())
+    held = stage.run(held_by(stage, 0))
+    duties = {duty for duty, host in held.items() if host is paused}
+    return pause(stage, paused, duties)
+
+
+@pytest_bdd.when(
+    "the entry that reports usage is paused until another does",
+    target_fixture="paused",
+)
+def reporter_is_paused(stage: _stage.Stage) -> _fleet.Host:
+    """Pause it with a report of its own held back."""
+
+    async def reporting() -> _fleet.Host | None:
+        holder = (await held_by(stage, 0)).get("usage")
+        return holder if holder and holder.store.held else None
+
+    async def is_held() -> bool:
+        return await reporting() is not None
+
+    stage.run(_fleet.eventually(is_held, "a report that is held back"))
+    paused = stage.run(reporting())
+    assert paused is not None
+    return pause(stage, paused, {"usage"})
+
+
+@pytest_bdd.when("the paused entry goes on")
+def goes_on(paused: _fleet.Host) -> None:
+    paused.process.resume()
+
+
+@pytest_bdd.when(parsers.parse("{name} is listed as leaving"))
+def is_listed_as_leaving(stage: _stage.Stage, name: str) -> None:
+    stage.run(stage.fleet.list_hosts(leaving=(name,)))
+
+
+@pytest_bdd.when(parsers.parse("{name} crashes at its next order"))
+def crashes_at_order(stage: _stage.Stage, name: str) -> None:
+    host = stage.fleet.host(name)
+    fault = engine.Fault(crash_on_order=True)
+    stage.run(stage.fleet.endpoint_fault(host, fault))
+
+
+@pytest_bdd.when(parsers.parse("{name} is ordered to {role}"))
+def is_ordered(stage: _stage.Stage, name: str, role: str) -> None:
+    host = stage.fleet.host(name)
+    stage.run(stage.fleet.order(host, ports.EngineRole(role)))
+
+
+@pytest_bdd.then(parsers.parse("{name} takes the newest order"))
+def takes_the_newest(stage: _stage.Stage, name: str) -> None:
+    stage.run(stage.fleet.until_newest(stage.fleet.host(name)))
--- a/scenarios/tests/test_proxy.py
+++ b/scenarios/tests/test_proxy.py
@@ -24,6 +24,7 @@
 
     def __init__(self) -> None:
         self.received = b""
+        self._more = asyncio.Event()
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -31,9 +32,16 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(100):
                 self.received += data
+                self._more.set()
                 writer.write(data)
         writer.close()
 
+    async def got(self, wanted: bytes) -> None:
+        """Wait until just ``wanted`` was received."""
+        while self.received != wanted:
+            self._more.clear()
+            await self._more.wait()
+
 
 @contextlib.asynccontextmanager
 async def fronted() -> collections.abc.AsyncIterator[
@@ -103,3 +111,24 @@
         proxy.cut()
         for pair in (one, await asyncio.open_connection(FRONT, PORT)):
             assert await call(pair, b"b") == b""
+
+
+async def test_held_request_arrives_after_its_sender_has_gone() -> None:
+    async with fronted() as (proxy, echo):
+        proxy.hold(b"POST")
+        kept = await asyncio.open_connection(FRONT, PORT)
+        assert await call(kept, b"GET") == b"GET"
+        gone = await asyncio.open_connection(FRONT, PORT)
+        with pytest.raises(TimeoutError):
+            await call(gone, b"POST", QUIET_S)
+        assert proxy.held == 1
+        gone[1].close()
+        await gone[1].wait_closed()
+        assert echo.received == b"GET"
+        proxy.hold_no_more()
+        assert proxy.held == 1
+        proxy.release()
+        assert await call(kept, b"POST") == b"POST"
+        async with asyncio.timeout(TIMEOUT_S):
+            await echo.got(b"GETPOSTPOST")
+    assert proxy.held == 0
