Let a successor of a dead agent go on with its generations

Cause: the engine outlives its agent, but an entry that met another incarnation of the agent gave up every call there; a stream that had begun ended with an error event, and the generation ran on for nobody.

Change: the entry keeps its generations over the hello of a successor and hands each over by a new message (request, last part, tokens that arrived); the successor resumes at the engine by request identity under the same request number and counts the whole. A request that two agents counted is settled once, by number. The agent asks the engine once a resume window what runs (new call of the engine port) and cancels what it does not hold. An answer that is not streamed is tried elsewhere also after parts arrived.

Tests: test_restarted_agent_loses_calls asked that a generation is lost with its agent, which is no longer wanted; it now asks the same of the calls that cannot be taken over, beside new tests of those that are. The scenario checks bills_are_never_too_high and bills_are_complete now count generated tokens too, streams included; both are stricter than before.

--- a/bilberrydeal/adapters/_engines.py
+++ b/bilberrydeal/adapters/_engines.py
@@ -52,6 +52,13 @@
     request_id: str
 
 
+@attrs.frozen
+class RunningAnswer:
+    """What runs or waits at the engine."""
+
+    request_ids: tuple[str, ...]
+
+
 @attrs.frozen
 class HandleCall:
     """Body of a KV import, and the answer to an export."""
@@ -160,6 +167,13 @@
             "requests/cancel", RequestCall(request_id), timeout_s, object
         )
 
+    async def running(self, timeout_s: float) -> tuple[str, ...]:
+        """Return the identities of the generations that have not ended."""
+        answer = await self._call(
+            "requests/running", Nothing(), timeout_s, RunningAnswer
+        )
+        return answer.request_ids
+
     async def load(self, timeout_s: float) -> ports.LoadReport:
         """Return the last published load report."""
         return await self._call("load", Nothing(), timeout_s, ports.LoadReport)
--- a/bilberrydeal/adapters/tests/test_adapters.py
+++ b/bilberrydeal/adapters/tests/test_adapters.py
@@ -217,7 +217,9 @@
     async with engine_serving() as client:
         events = client.generate(request, TIMEOUT_S)
         await anext(events)
+        assert await client.running(TIMEOUT_S) == ("r1",)
         await client.cancel("r1", TIMEOUT_S)
+        assert await client.running(TIMEOUT_S) == ()
         _, last = await collect(events)
         await client.cancel("unknown", TIMEOUT_S)
     assert last.finish_reason == "cancelled"
--- a/bilberrydeal/agent/_agent.py
+++ b/bilberrydeal/agent/_agent.py
@@ -14,6 +14,7 @@
 from . import _feed
 from . import _meter
 from . import _orders
+from . import _orphans
 from . import _usage
 
 LOG = telemetry.logger("agent")
@@ -29,7 +30,8 @@
 class Agent(link.Host):
     """Serves one endpoint to entries.
 
-    ``keeper`` and ``feed`` belong to an engine; a plain service has none.
+    ``keeper``, ``feed`` and ``orphans`` belong to an engine; a plain service
+    has none.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         self._leaving = False
         self.keeper: _orders.OrderKeeper | None = None
         self.feed: _feed.EngineFeed | None = None
+        self.orphans: _orphans.OrphanSweep | None = None
         self._tracing = telemetry.Tracing(agent_settings.trace, "agent")
         self.usage = _usage.UsageBook(name, self._send_usage)
         self.executor = _executor.Executor(
@@ -182,6 +185,8 @@
             loops.append(self.keeper.run())
         if self.feed is not None:
             loops.append(self.feed.run())
+        if self.orphans is not None:
+            loops.append(self.orphans.run())
         return loops
 
     async def _flush_usage(self) -> None:
--- a/bilberrydeal/agent/_build.py
+++ b/bilberrydeal/agent/_build.py
@@ -13,6 +13,7 @@
 from . import _drivers
 from . import _feed
 from . import _orders
+from . import _orphans
 
 
 def store_client(
@@ -79,4 +80,9 @@
         changed=agent.update,
     )
     agent.feed = _feed.EngineFeed(engine, agent.keeper.suspect)
+    agent.orphans = _orphans.OrphanSweep(
+        engine,
+        agent.executor.holds,
+        agent_settings.link.resume_window_s,
+    )
     return agent
--- a/bilberrydeal/agent/_drivers.py
+++ b/bilberrydeal/agent/_drivers.py
@@ -97,9 +97,11 @@
         self._imported = False
 
     async def run(self) -> None:
-        request = await self._request()
-        self._work.start()
-        last = await self._whole(request)
+        taken = self._work.taken
+        if taken is None:
+            last = await self._begun()
+        else:
+            last = await self._taken_over(taken)
         self._count(last)
         kv_handle = ""
         if self._submit.prefill_only:
@@ -133,9 +135,38 @@
     def estimate(self) -> None:
         """Count the prompt as the entry estimated it, if it was computed."""
         known = self._meter.prompt_tokens or self._imported
-        if self._received and not known:
+        if self._received and not known and self._work.taken is None:
             self._meter.prompt_tokens = self._submit.prompt_tokens
 
+    async def _begun(self) -> ports.EngineEvent:
+        """Begin at the engine and take the whole answer."""
+        request = await self._request()
+        self._work.start()
+        return await self._whole(request)
+
+    async def _taken_over(self, taken: link.TakeOver) -> ports.EngineEvent:
+        """Go on with what a predecessor of this agent had begun.
+
+        What the engine never had begins now, unless a caller has got a part
+        of another run of it.
+        """
+        self._received = taken.tokens
+        self._imported = bool(self._submit.kv_handle)
+        if taken.tokens:
+            self._meter.calls = 1
+            self._meter.output_tokens = taken.tokens
+        try:
+            last = await self._resume()
+        except ports.EngineFailure as error:
+            if not error.started and not taken.tokens:
+                return await self._begun()
+            if not error.started:
+                raise
+            last = await self._resumed()
+        if last.finish_reason == ports.CANCELLED:
+            raise ports.EngineFailure(operation="resume", started=True)
+        return last
+
     async def _request(self) -> ports.EngineRequest:
         """Return what to ask for, with the KV cache fetched if possible."""
         submit = self._submit
@@ -168,8 +199,8 @@
             )
         except ports.EngineFailure as error:
             if not error.started:
-                # The engine did not admit it: nothing has run.
-                self._work.started = False
+                # The engine did not admit it: nothing has run here.
+                self._work.started = self._work.taken is not None
                 raise
         return await self._resumed()
 
--- a/bilberrydeal/agent/_executor.py
+++ b/bilberrydeal/agent/_executor.py
@@ -91,13 +91,14 @@
     def submit(self, work: link.Work) -> None:
         """Queue a request, or refuse it as not started."""
         now_s = self._clock()
-        if self.refusal is not None:
-            self._refuse(work, self.refusal)
+        refusal = self._refusal_of(work)
+        if refusal is not None:
+            self._turn_away(work, refusal)
             return
         item = self._item(work, now_s)
         excess_s = queueing.hopeless_s(self._queue, item, now_s)
-        if excess_s > 0.0:
-            self._refuse(work, errors.ErrorCode.DEADLINE_HOPELESS, excess_s)
+        if excess_s > 0.0 and work.taken is None:
+            self._turn_away(work, errors.ErrorCode.DEADLINE_HOPELESS, excess_s)
             return
         self._idle.clear()
         self._waiting[item.key] = _Job(work, item)
@@ -119,6 +120,10 @@
             return
         self._end(job, errors.ErrorCode.CANCELLED)
 
+    def holds(self, request_id: str) -> bool:
+        """Return whether a request waits or runs here."""
+        return request_id in self._waiting or request_id in self._running
+
     def load(self) -> Load:
         """Return what waits and runs."""
         jobs = [*self._waiting.values(), *self._running.values()]
@@ -151,6 +156,32 @@
             self._end(job, errors.ErrorCode.SHUTTING_DOWN)
         await self.idle()
 
+    def _refusal_of(self, work: link.Work) -> errors.ErrorCode | None:
+        """Return why a request isn't taken.
+
+        What runs at the engine already is taken before the engine takes
+        anything new.
+        """
+        if work.taken and self.refusal is errors.ErrorCode.NO_ENDPOINT:
+            return None
+        return self.refusal
+
+    def _turn_away(
+        self,
+        work: link.Work,
+        reason: errors.ErrorCode,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        """Refuse what never ran under this agent.
+
+        What a predecessor passed on is counted nowhere else.
+        """
+        self._refuse(work, reason, retry_after_s)
+        if work.taken is not None and work.taken.tokens:
+            passed = _meter.Meter(output_tokens=work.taken.tokens, calls=1)
+            self.tokens.update(output=passed.output_tokens)
+            self._count(work.submit, passed)
+
     def _item(self, work: link.Work, now_s: float) -> queueing.QueuedRequest:
         submit = work.submit
         return queueing.QueuedRequest(
@@ -195,7 +226,7 @@
         reason: errors.ErrorCode,
         retry_after_s: float = 0.0,
     ) -> None:
-        self._refuse(self._waiting.pop(key).work, reason, retry_after_s)
+        self._turn_away(self._waiting.pop(key).work, reason, retry_after_s)
         self._note_idle()
 
     def _fill(self) -> None:
@@ -250,9 +281,10 @@
         )
         if isinstance(work.last, link.Finished):
             self.ends[FINISHED] += 1
-            self._pace.add(
-                work.submit, meter.output_tokens, now_s - began_s, now_s
-            )
+            if work.taken is None:
+                self._pace.add(
+                    work.submit, meter.output_tokens, now_s - began_s, now_s
+                )
         actual = attrs.evolve(
             job.item,
             prompt_tokens=meter.prompt_tokens,
--- a/bilberrydeal/agent/_pages.py
+++ b/bilberrydeal/agent/_pages.py
@@ -29,6 +29,7 @@
                 ("links", "Entries that have a link."),
                 ("order_version", "Version of the last order applied."),
                 ("cache_gaps", "Gaps seen in the engine's cache events."),
+                ("orphans_ended", "Generations ended that nobody had."),
             )
         }
 
@@ -76,6 +77,7 @@
         load = executor.load()
         keeper = self._agent.keeper
         feed = self._agent.feed
+        orphans = self._agent.orphans
         for name, value in (
             ("running", load.running),
             ("waiting", load.waiting),
@@ -84,6 +86,7 @@
             ("links", len(self._agent.links.connected())),
             ("order_version", keeper.order_version if keeper else 0),
             ("cache_gaps", feed.gaps if feed else 0),
+            ("orphans_ended", orphans.ended if orphans else 0),
         ):
             self._gauges[name].set({}, value)
         for end, count in executor.ends.items():
--- a/bilberrydeal/agent/tests/fakes.py
+++ b/bilberrydeal/agent/tests/fakes.py
@@ -31,6 +31,8 @@
     flowing: asyncio.Event = attrs.field(factory=asyncio.Event)
     generated: list[ports.EngineRequest] = attrs.field(factory=list)
     cancelled: list[str] = attrs.field(factory=list)
+    #: Generations resumed, and past how many tokens.
+    resumed: list[tuple[str, int]] = attrs.field(factory=list)
     #: Holds up calls of ``cancel`` while it is clear.
     cancelling: asyncio.Event = attrs.field(factory=_set)
     import_fails: bool = False
@@ -46,6 +48,10 @@
     applied: list[ports.EngineOrder] = attrs.field(factory=list)
     overlaps: int = 0
     down: bool = False
+    #: Generations that have not ended.
+    unended: tuple[str, ...] = ()
+    #: Whether it knows no generation to resume.
+    forgetful: bool = False
     #: Calls of ``state``.
     asked: int = 0
     events: list[ports.CacheEvents] = attrs.field(factory=list)
@@ -61,6 +67,10 @@
         self, request_id: str, after_tokens: int, timeout_s: float
     ) -> collections.abc.AsyncIterator[ports.EngineEvent]:
         """Go on past some tokens."""
+        self.resumed.append((request_id, after_tokens))
+        if self.forgetful:
+            self.not_admitted = 1
+            self.forgetful = False
         return self._stream(after_tokens, request_id in self.cancelled)
 
     async def _stream(
@@ -89,6 +99,11 @@
         await self.cancelling.wait()
         self.cancelled.append(request_id)
 
+    async def running(self, timeout_s: float) -> tuple[str, ...]:
+        """Return what the test says."""
+        self._check("running")
+        return self.unended
+
     async def load(self, timeout_s: float) -> ports.LoadReport:
         """Return a report."""
         self._check("load")
--- a/bilberrydeal/agent/tests/test_drivers.py
+++ b/bilberrydeal/agent/tests/test_drivers.py
@@ -49,6 +49,74 @@
     assert meter == _meter.Meter(7, 3, 4, 1)
 
 
+def taken_over(
+    parts: list[object], tokens: int, **fields: typing.Any
+) -> tuple[link.Work, _meter.Meter]:
+    """Return a request that a predecessor had."""
+    asked = harness.submit(1, max_tokens=4, prompt_tokens=10, **fields)
+    work = link.Work(
+        asked,
+        time.monotonic(),
+        lambda _, part: parts.append(part),
+        link.TakeOver(submit=asked, chunk=tokens, tokens=tokens),
+    )
+    return work, _meter.Meter()
+
+
+@pytest.mark.parametrize("tokens", [0, 1, 4])
+@pytest.mark.parametrize("breaks", [[], [3, 4]])
+async def test_generation_of_a_predecessor_goes_on(
+    tokens: int, breaks: list[int]
+) -> None:
+    parts: list[typing.Any] = []
+    given = engine(breaks=list(breaks) if tokens < 3 else [])
+    work, meter = taken_over(parts, tokens)
+    await _drivers.EngineDriver(given).run(work, meter)
+    assert given.generated == []
+    assert given.resumed[0] == ("a-1", tokens)
+    text = [part.text for part in parts[:-1]]
+    assert text == ["a", "b", "c", "d"][tokens:]
+    assert parts[-1].chunk == 5
+    assert parts[-1].output_tokens == 4
+    assert meter == _meter.Meter(7, 3, 4, 1)
+
+
+#: Tokens passed on of a generation that the engine knows no longer, and
+#: what is counted: it begins anew only if none were.
+FORGOTTEN = [
+    (0, True, _meter.Meter(7, 3, 4, 1)),
+    (2, False, _meter.Meter(0, 0, 2, 1)),
+]
+
+
+@pytest.mark.parametrize(("tokens", "anew", "counted"), FORGOTTEN)
+async def test_generation_that_the_engine_lost(
+    tokens: int, anew: bool, counted: _meter.Meter
+) -> None:
+    given = engine(forgetful=True)
+    work, meter = taken_over([], tokens)
+    driver = _drivers.EngineDriver(given)
+    if anew:
+        await driver.run(work, meter)
+    else:
+        with pytest.raises(ports.EngineFailure):
+            await driver.run(work, meter)
+    assert len(given.generated) == int(anew)
+    assert len(given.resumed) == 1
+    assert work.started
+    assert meter == counted
+
+
+async def test_generation_that_was_ended_early_is_no_answer() -> None:
+    parts: list[typing.Any] = []
+    work, meter = taken_over(parts, 2)
+    driver = _drivers.EngineDriver(engine(cancelled=["a-1"]))
+    with pytest.raises(ports.EngineFailure):
+        await driver.run(work, meter)
+    assert not any(isinstance(part, link.Finished) for part in parts)
+    assert meter.prompt_tokens == 0
+
+
 async def test_stream_that_brings_nothing_more_is_given_up() -> None:
     work, meter = work_of([])
     breaks = [2] * (1 + _drivers.RESUME_ATTEMPTS)
--- a/bilberrydeal/agent/tests/test_executor.py
+++ b/bilberrydeal/agent/tests/test_executor.py
@@ -44,12 +44,16 @@
             telemetry.Tracing(settings.TraceSettings(), "agent"),
         )
 
-    def submit(self, **fields: typing.Any) -> link.Work:
-        """Hand one more request over."""
+    def submit(
+        self, passed: int | None = None, **fields: typing.Any
+    ) -> link.Work:
+        """Hand one more request over, begun before if ``passed`` is given."""
+        asked = harness.submit(len(self.works) + 1, **fields)
+        taken = None
+        if passed is not None:
+            taken = link.TakeOver(submit=asked, chunk=passed, tokens=passed)
         work = link.Work(
-            harness.submit(len(self.works) + 1, **fields),
-            time.monotonic(),
-            lambda work, part: None,
+            asked, time.monotonic(), lambda work, part: None, taken
         )
         self.works.append(work)
         self.executor.submit(work)
@@ -104,6 +108,28 @@
     assert made.counted == counted
 
 
+@pytest.mark.parametrize(
+    ("refusal", "taken"),
+    [
+        (errors.ErrorCode.NO_ENDPOINT, True),
+        (errors.ErrorCode.ENDPOINT_LEAVING, False),
+    ],
+)
+async def test_taken_over_before_anything_new(
+    refusal: errors.ErrorCode, taken: bool
+) -> None:
+    """What is turned away is counted here, for nobody else will."""
+    async with bench() as made:
+        made.executor.refusal = refusal
+        assert reason(made.submit()) == (refusal.value, False)
+        work = made.submit(passed=3)
+        assert work.ended != taken
+        assert made.executor.holds("a-2") == taken
+    if not taken:
+        assert reason(work) == (refusal.value, True)
+        assert made.counted == [(2, _meter.Meter(output_tokens=3, calls=1))]
+
+
 async def test_request_ends_by_its_deadline() -> None:
     async with bench() as made:
         work = made.submit(time_left_s=0.05)
--- a/bilberrydeal/billing/_recorder.py
+++ b/bilberrydeal/billing/_recorder.py
@@ -262,7 +262,7 @@
     async def _write_own(self, items: list[_Item], wall_s: float) -> None:
         """Settle records of this entry's requests."""
         own = await self._loaded()
-        counted = self._fresh(own.row, items)
+        counted = _fresh(own.row, items, self._settled)
         settled = self._noted(own.row, items, counted)
         await self._commit(own, settled, counted, wall_s, ())
         for item in items:
@@ -276,7 +276,7 @@
         if theirs.row.state is _rows.RecorderState.OPEN or not theirs.version:
             return False
         own = await self._loaded()
-        counted = self._fresh(theirs.row, items)
+        counted = _fresh(theirs.row, items, ())
         noted = attrs.evolve(
             self._noted(theirs.row, items, counted),
             nonce=self._client.nonce(),
@@ -368,24 +368,6 @@
 
     # What is new.
 
-    def _fresh(
-        self, row: _rows.RecorderRow, items: list[_Item]
-    ) -> list[_Item]:
-        """Return the records that nobody has counted."""
-        billed = set(row.self_billed)
-        by_agents = {i.record.number.sequence for i in items if i.agent}
-        fresh = []
-        for item in items:
-            sequence = item.record.number.sequence
-            if sequence in billed or _is_settled(row, item):
-                continue
-            if not item.agent and (
-                sequence in by_agents or sequence in self._settled
-            ):
-                continue
-            fresh.append(item)
-        return fresh
-
     def _noted(
         self, row: _rows.RecorderRow, items: list[_Item], counted: list[_Item]
     ) -> _rows.RecorderRow:
@@ -427,6 +409,32 @@
             self._settled.popitem(last=False)
 
 
+def _fresh(
+    row: _rows.RecorderRow,
+    items: list[_Item],
+    known: collections.abc.Container[int],
+) -> list[_Item]:
+    """Return the records that nobody has counted.
+
+    ``known`` holds the requests that were settled before. A request may come
+    from two agents, if one died after it had counted and its successor took
+    the request over: the first one counts.
+    """
+    billed = set(row.self_billed)
+    by_agents: set[int] = set()
+    fresh = []
+    for item in sorted(items, key=lambda item: not item.agent):
+        sequence = item.record.number.sequence
+        if sequence in billed or _is_settled(row, item):
+            continue
+        if sequence in known or sequence in by_agents:
+            continue
+        if item.agent:
+            by_agents.add(sequence)
+        fresh.append(item)
+    return fresh
+
+
 def _is_settled(row: _rows.RecorderRow, item: _Item) -> bool:
     if not item.agent:
         return False
--- a/bilberrydeal/billing/tests/test_billing.py
+++ b/bilberrydeal/billing/tests/test_billing.py
@@ -252,6 +252,26 @@
     assert loop.run(_open_calls(world, 0)) == 1
 
 
+@pytest.mark.parametrize("together", [True, False])
+def test_a_request_counted_by_two_agents_counts_once(together: bool) -> None:
+    """The first died once it had counted; its successor took it over."""
+    loop = virtual.VirtualLoop()
+    memory = platform.MemoryTable()
+    recorder = _recorder(loop, memory, "e1")
+    settled: list[str] = []
+    for name in ("a1", "a2"):
+        agent = Agent(name)
+        agent.run(link.RequestNumber("e1", 1), loop.now_s)
+        recorder.take(agent.message())
+        if name == "a2" or not together:
+            done = loop.run(recorder.settle(loop.now_s))
+            settled += [one.agent for one in done]
+    # Both records are done with, or their agents would keep them.
+    assert settled == ["a1", "a2"]
+    world = World(loop, random.Random(1), memory)
+    assert loop.run(_open_calls(world, 0)) == 1
+
+
 def test_a_closed_recorder_writes_nothing_more() -> None:
     loop = virtual.VirtualLoop()
     memory = platform.MemoryTable()
--- a/bilberrydeal/entry/_attempt.py
+++ b/bilberrydeal/entry/_attempt.py
@@ -18,7 +18,15 @@
 #: Callers that meet an overloaded endpoint are told to come back after this.
 OVERLOAD_RETRY_S = 1.0
 
+
+@attrs.frozen
+class Restarted:
+    """The answer begins anew: the parts before this are not of it."""
+
+
 Event = link.Chunk | link.Finished
+#: What all tries of a request give.
+Part = Event | Restarted
 
 
 @attrs.define(slots=False, eq=False)
--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -92,12 +92,14 @@
 
     async def run(
         self, work: _work.Work, placement: Placement | None = None
-    ) -> collections.abc.AsyncGenerator[_attempt.Event, None]:
+    ) -> collections.abc.AsyncGenerator[_attempt.Part, None]:
         """Yield the parts of the answer, or raise a refusal.
 
         A request that is idempotent is tried again within its deadline and
-        the retry budget, until its first part has come. Any other is tried
-        again only where it is proved that nothing ran.
+        the retry budget, until its first part has gone to the caller; where
+        parts came that have not, ``Restarted`` comes before those of the
+        next try. Any other is tried again only where it is proved that
+        nothing ran.
         """
         tried: frozenset[str] = frozenset()
         ran = False
@@ -124,6 +126,8 @@
                 ran |= failed.started or bool(pending.prefill_endpoint_id)
                 failed.started = ran
                 await self._back_off(work, pending, failed, number, begun)
+                if begun:
+                    yield _attempt.Restarted()
             finally:
                 self._policies.router.finished(
                     self._tables, pending, self._clock()
@@ -165,7 +169,7 @@
         self._note(work, f"failed: {failed.reason.value}, {started}")
         now_s = self._clock()
         delay_s = None
-        if not begun:
+        if not begun or not work.streamed:
             attempt = retries.Attempt(
                 route=work.route,
                 endpoint_id=pending.endpoint_id,
--- a/bilberrydeal/entry/_gate.py
+++ b/bilberrydeal/entry/_gate.py
@@ -126,6 +126,7 @@
             service=model.service,
             idempotent=True,
             generation=generation,
+            streamed=generation.stream,
             prompt_tokens=prefixes.estimate_tokens(generation.prompt),
             blocks=prefixes.block_hashes(generation.prompt),
             output_share=self._demand.output_share(model.service),
--- a/bilberrydeal/entry/_once.py
+++ b/bilberrydeal/entry/_once.py
@@ -232,7 +232,7 @@
 
 
 async def last_part(
-    events: collections.abc.AsyncGenerator[_attempt.Event, None],
+    events: collections.abc.AsyncGenerator[_attempt.Part, None],
 ) -> link.Finished:
     """Return the end of an answer that has no other part."""
     async with contextlib.aclosing(events):
--- a/bilberrydeal/entry/_serving.py
+++ b/bilberrydeal/entry/_serving.py
@@ -186,13 +186,9 @@
                 if generation.stream:
                     await self._stream(request, admitted, writer, events)
                     return None
-                text = [
-                    event.text
-                    async for event in events
-                    if isinstance(event, link.Chunk)
-                ]
+                text = await _whole_text(events)
             self._observer.answered(admitted.work, used.end)
-            return _http.json_answer(writer.whole("".join(text), used.end))
+            return _http.json_answer(writer.whole(text, used.end))
         except asyncio.CancelledError:
             raise self._revoked(admitted) from None
         finally:
@@ -203,7 +199,7 @@
         request: sanic.Request,
         admitted: _gate.Admitted,
         writer: _answers.Writer,
-        events: collections.abc.AsyncGenerator[_attempt.Event, None],
+        events: collections.abc.AsyncGenerator[_attempt.Part, None],
     ) -> None:
         """Send events; a stream that had begun ends with an error event."""
         # The status line waits for the first part, so that a refusal before
@@ -220,8 +216,9 @@
             while isinstance(event, link.Chunk):
                 await answer.send(writer.event(event.text))
                 event = await anext(events)
-            await answer.send(writer.end(event))
-            self._observer.answered(admitted.work, event)
+            end = typing.cast(link.Finished, event)
+            await answer.send(writer.end(end))
+            self._observer.answered(admitted.work, end)
         except errors.Refusal as refusal:
             self._observer.refused(refusal)
             await answer.send(_answers.error_event(refusal))
@@ -264,6 +261,19 @@
         """Note a refusal."""
 
 
+async def _whole_text(
+    events: collections.abc.AsyncGenerator[_attempt.Part, None],
+) -> str:
+    """Return the text of an answer, of the last try that it took."""
+    text: list[str] = []
+    async for event in events:
+        if isinstance(event, _attempt.Restarted):
+            text.clear()
+        elif isinstance(event, link.Chunk):
+            text.append(event.text)
+    return "".join(text)
+
+
 class _Used:
     """Follows what one generation uses."""
 
@@ -273,8 +283,8 @@
         self.end = link.Finished(sequence=0, chunk=0, status=0)
 
     async def count(
-        self, events: collections.abc.AsyncGenerator[_attempt.Event, None]
-    ) -> collections.abc.AsyncGenerator[_attempt.Event, None]:
+        self, events: collections.abc.AsyncGenerator[_attempt.Part, None]
+    ) -> collections.abc.AsyncGenerator[_attempt.Part, None]:
         async with contextlib.aclosing(events):
             try:
                 async for event in events:
@@ -284,11 +294,11 @@
                 self.refusal = refusal
                 raise
 
-    def _note(self, event: _attempt.Event) -> None:
+    def _note(self, event: _attempt.Part) -> None:
         if isinstance(event, link.Chunk):
             self.tokens += event.tokens
-            return
-        self.end = event
-        self.tokens = float(
-            event.prompt_tokens + event.cached_tokens + event.output_tokens
-        )
+        elif isinstance(event, link.Finished):
+            self.end = event
+            self.tokens = float(
+                event.prompt_tokens + event.cached_tokens + event.output_tokens
+            )
--- a/bilberrydeal/entry/_work.py
+++ b/bilberrydeal/entry/_work.py
@@ -40,6 +40,8 @@
     #: Key of the claim row, empty without one.
     claim: str = ""
     generation: _bodies.Generation | None = None
+    #: Whether parts of the answer go to the caller as they come.
+    streamed: bool = True
     plain: PlainCall | None = None
     traceparent: str = ""
     prompt_tokens: int = PLAIN_CALL_TOKENS
--- a/bilberrydeal/entry/tests/test_dispatch.py
+++ b/bilberrydeal/entry/tests/test_dispatch.py
@@ -6,6 +6,7 @@
 from bilberrydeal import errors
 from bilberrydeal import link
 from bilberrydeal import systems
+from bilberrydeal.entry import _attempt
 from bilberrydeal.entry import _once
 from bilberrydeal.entry.tests import fakes
 
@@ -63,6 +64,20 @@
     assert [lost.tokens for lost in bench.lost] == [3]
 
 
+async def test_answer_that_is_not_streamed_begins_anew_elsewhere() -> None:
+    chunk = link.Chunk(sequence=1, chunk=1, text="a", tokens=3)
+    first = fakes.FakeLink("a", [chunk, LOST])
+    second = fakes.FakeLink("b", [chunk, fakes.done()])
+    bench = fakes.Bench((first, second))
+    run = bench.dispatcher(fakes.FirstRouter()).run(
+        fakes.work(idempotent=True, streamed=False)
+    )
+    parts = [part async for part in run]
+    assert parts == [chunk, _attempt.Restarted(), chunk, fakes.done()]
+    # What ran is billed, as with every try.
+    assert [lost.tokens for lost in bench.lost] == [3]
+
+
 @pytest.mark.parametrize(
     ("outcome", "executed"),
     [
--- a/bilberrydeal/link/__init__.py
+++ b/bilberrydeal/link/__init__.py
@@ -33,6 +33,7 @@
 from ._messages import Resume
 from ._messages import Settled
 from ._messages import Submit
+from ._messages import TakeOver
 from ._messages import UsageRecord
 from ._messages import UsageRecords
 from ._nng import limit_threads
@@ -81,6 +82,7 @@
     "Resume",
     "Settled",
     "Submit",
+    "TakeOver",
     "UsageRecord",
     "UsageRecords",
     "Work",
--- a/bilberrydeal/link/_call.py
+++ b/bilberrydeal/link/_call.py
@@ -38,6 +38,14 @@
         self.sent = False
         #: Number of the last part that arrived.
         self.arrived = 0
+        #: Tokens in the parts that arrived.
+        self.tokens = 0
+        #: Number of the last part that came from former agents.
+        self.inherited = 0
+        #: Whether a former agent of the endpoint had this.
+        self.moved = False
+        #: Whether the present agent is still to be asked to take this over.
+        self.moving = False
         #: Number of the last part that the consumer has taken.
         self.consumed = 0
         #: Number of the last part that was acknowledged.
@@ -64,6 +72,26 @@
             self.submit, time_left_s=self.submit.time_left_s - passed_s
         )
 
+    @property
+    def movable(self) -> bool:
+        """Whether a successor of the agent may go on with this."""
+        generates = self.submit.model and not self.submit.prefill_only
+        return bool(generates) and not self._abandoned and not self.ended
+
+    def move(self) -> None:
+        """Leave an agent that died: its successor is to go on."""
+        self.moved = self.moving = True
+        self.inherited = self.arrived
+        self.gap_reported = False
+
+    def take_over(self, now_s: float) -> _messages.TakeOver:
+        """Return what asks a successor to go on."""
+        return _messages.TakeOver(
+            submit=self.remaining(now_s),
+            chunk=self.arrived,
+            tokens=self.tokens,
+        )
+
     async def events(self) -> collections.abc.AsyncGenerator[Event, None]:
         """Yield the parts of the answer in order, each once.
 
@@ -101,7 +129,10 @@
             return False
         self.arrived = event.chunk
         self.gap_reported = False
-        self.ended = not isinstance(event, _messages.Chunk)
+        if isinstance(event, _messages.Chunk):
+            self.tokens += event.tokens
+        else:
+            self.ended = True
         if self._abandoned:
             self._consume(event)
             return True
--- a/bilberrydeal/link/_entry.py
+++ b/bilberrydeal/link/_entry.py
@@ -225,10 +225,17 @@
         return session.established
 
     def _meet(self, reply: _messages.HelloReply) -> None:
-        """Take the agent's names; a new incarnation lost all calls."""
+        """Take the agent's names; a new incarnation knows no call.
+
+        Generations go on under it, since the engine outlives its agent;
+        everything else is lost.
+        """
         if self.agent and reply.agent != self.agent:
             for call in list(self._calls.values()):
-                self._fail(call, agent_replaced=True)
+                if reply.takes_over and call.movable:
+                    call.move()
+                else:
+                    self._fail(call, agent_replaced=True)
             self._given_up.clear()
         self.agent = reply.agent
         self.endpoint_id = reply.endpoint_id
@@ -243,9 +250,14 @@
         for query in self._queries.values():
             session.send(query.message)
         for call in self._calls.values():
-            session.send(
-                _messages.Resume(sequence=call.sequence, chunk=call.arrived)
-            )
+            session.send(self._resumption(call))
+
+    def _resumption(self, call: _call.Call) -> _messages.Message:
+        if not call.moving:
+            return _messages.Resume(sequence=call.sequence, chunk=call.arrived)
+        # Once is enough: what is lost on the way, the agent reports missing.
+        call.moving = False
+        return call.take_over(self._clock())
 
     def _give_up(self, now_s: float) -> None:
         """Fail calls whose link stays away past the resume window."""
@@ -326,11 +338,13 @@
         call = self._calls.get(sequence)
         if call is None:
             return
-        if call.arrived:
+        if call.arrived > call.inherited:
             # The agent forgot what it had begun: it can only be lost.
             self._fail(call)
-            return
-        self._send(call.remaining(self._clock()), urgent=True)
+        elif call.moved:
+            self._send(call.take_over(self._clock()), urgent=True)
+        else:
+            self._send(call.remaining(self._clock()), urgent=True)
 
     def _acknowledge(self, call: _call.Call) -> None:
         call.acknowledged = call.consumed
--- a/bilberrydeal/link/_messages.py
+++ b/bilberrydeal/link/_messages.py
@@ -81,6 +81,8 @@
     session: int = 0
     #: Why the link was refused, empty when it was not.
     refusal: str = ""
+    #: Whether the agent takes :class:`TakeOver`.
+    takes_over: bool = False
 
 
 @attrs.frozen
@@ -147,6 +149,22 @@
     traceparent: str = ""
 
 
+@attrs.frozen
+class TakeOver:
+    """Hands over a generation that a dead predecessor of the agent had.
+
+    The answer goes on past the chunks that arrived; the agent counts all
+    of it, since nothing that its predecessor counted will come.
+    """
+
+    #: What was asked, with the time that is left of it.
+    submit: Submit
+    #: The last chunk that arrived, 0 for none.
+    chunk: int
+    #: Tokens in the chunks that arrived.
+    tokens: int
+
+
 @attrs.frozen
 class Chunk:
     """A part of an answer."""
@@ -394,6 +412,7 @@
     | OrderHint
     | Open
     | Missing
+    | TakeOver
 )
 
 #: Message types by their number on the wire; numbers are never reused.
@@ -414,4 +433,5 @@
     14: OrderHint,
     15: Open,
     16: Missing,
+    17: TakeOver,
 }
--- a/bilberrydeal/link/_peer.py
+++ b/bilberrydeal/link/_peer.py
@@ -106,6 +106,8 @@
         match message:
             case _messages.Submit():
                 self._submit(message)
+            case _messages.TakeOver():
+                self._submit(message.submit, message)
             case _messages.Ack():
                 self._acknowledge(message)
             case _messages.Resume():
@@ -136,14 +138,18 @@
             return _messages.QueryOutcome.UNKNOWN, None
         return _messages.QueryOutcome.FINISHED, end.answer
 
-    def _submit(self, submit: _messages.Submit) -> None:
+    def _submit(
+        self,
+        submit: _messages.Submit,
+        taken: _messages.TakeOver | None = None,
+    ) -> None:
         sequence = submit.number.sequence
         if submit.number.entry != self.entry or sequence in self._works:
             return
         if self._forgotten(sequence):
-            self._answer_ended(sequence, chunk=1)
+            self._answer_ended(sequence, (taken.chunk if taken else 0) + 1)
             return
-        work = _work.Work(submit, self._clock(), self._publish)
+        work = _work.Work(submit, self._clock(), self._publish, taken)
         work.attached = True
         self._works[sequence] = work
         self._highest = max(self._highest, sequence)
--- a/bilberrydeal/link/_server.py
+++ b/bilberrydeal/link/_server.py
@@ -138,6 +138,7 @@
             port=port,
             session=number,
             refusal=refusal,
+            takes_over=True,
         )
 
     def _open(self, hello: _messages.Hello, number: int) -> int:
--- a/bilberrydeal/link/_work.py
+++ b/bilberrydeal/link/_work.py
@@ -28,6 +28,7 @@
         submit: _messages.Submit,
         arrived_at_s: float,
         publish: collections.abc.Callable[["Work", Part], None],
+        taken: _messages.TakeOver | None = None,
     ) -> None:
         #: What was asked.
         self.submit = submit
@@ -35,8 +36,10 @@
         self.arrived_at_s = arrived_at_s
         #: When it has to have ended, monotonic seconds.
         self.deadline_s = arrived_at_s + submit.time_left_s
+        #: How far a predecessor of this agent had come, if it had this.
+        self.taken = taken
         #: Whether any part of it may have run.
-        self.started = False
+        self.started = taken is not None
         #: Whether its answer is complete.
         self.ended = False
         #: The last part, when it has ended.
@@ -47,7 +50,7 @@
         self.discarded = False
         self._publish = publish
         self._parts: collections.deque[Part] = collections.deque()
-        self._count = 0
+        self._count = taken.chunk if taken else 0
         self._room = asyncio.Event()
         self._room.set()
 
--- a/bilberrydeal/link/tests/test_link.py
+++ b/bilberrydeal/link/tests/test_link.py
@@ -1,5 +1,6 @@
 import asyncio
 import collections.abc
+import contextlib
 import time
 import typing
 
@@ -33,6 +34,13 @@
         await work.emit(str(number), 1)
 
 
+async def end_session(agent: harness.Agent) -> None:
+    """End the present session of entry ``a``."""
+    session = agent.server._peers["a"].session
+    assert session is not None
+    session.close()
+
+
 async def test_answer_comes_whole_and_is_then_forgotten() -> None:
     async with (
         harness.agent() as agent,
@@ -352,21 +360,93 @@
             assert reply.refusal == ""
 
 
-async def test_restarted_agent_loses_calls() -> None:
+@pytest.mark.parametrize("lost", [{"model": ""}, {"prefill_only": True}])
+async def test_restarted_agent_loses_calls(
+    lost: dict[str, typing.Any],
+) -> None:
     async with harness.agent() as agent:
         given = agent.settings
         entering = harness.entry(given.control_port)
         entry = await entering.__aenter__()
-        call = entry.submit(harness.submit(1))
+        call = entry.submit(harness.submit(1, **lost))
         await agent.work()
     async with harness.agent("agent-2", **attrs.asdict(given, recurse=False)):
-        with pytest.raises(link.CallLost) as lost:
+        with pytest.raises(link.CallLost) as caught:
             await harness.answer(call)
-        assert lost.value.started
-        assert lost.value.agent_replaced
+        assert caught.value.started
+        assert caught.value.agent_replaced
         await entering.__aexit__(None, None, None)
 
 
+@pytest.mark.parametrize("passed", [0, 3])
+async def test_successor_of_an_agent_takes_a_generation_over(
+    passed: int,
+) -> None:
+    """Over two deaths; what the entry has is neither lost nor repeated."""
+    async with contextlib.AsyncExitStack() as stack:
+        async with harness.agent() as agent:
+            given = attrs.asdict(agent.settings, recurse=False)
+            entry = await stack.enter_async_context(
+                harness.entry(agent.settings.control_port)
+            )
+            call = entry.submit(harness.submit(1))
+            await emit(await agent.work(), 1, passed)
+            await harness.until(lambda: call.arrived == passed)
+        async with harness.agent("agent-2", **given) as agent:
+            work = await agent.work()
+            assert work.taken is not None
+            assert (work.taken.chunk, work.taken.tokens) == (passed, passed)
+            assert work.started
+            await emit(work, passed + 1, 4)
+            await harness.until(lambda: call.arrived == 4)
+        async with harness.agent("agent-3", **given) as agent:
+            work = await agent.work()
+            assert work.taken is not None
+            assert (work.taken.chunk, work.taken.tokens) == (4, 4)
+            await emit(work, 5, 6)
+            work.finish(200)
+            assert await harness.answer(call) == ANSWER
+
+
+async def test_lost_takeover_is_sent_again() -> None:
+    async with contextlib.AsyncExitStack() as stack:
+        async with harness.agent() as agent:
+            given = attrs.asdict(agent.settings, recurse=False)
+            entry = await stack.enter_async_context(
+                harness.entry(agent.settings.control_port)
+            )
+            call = entry.submit(harness.submit(1))
+            await emit(await agent.work(), 1, 3)
+            await harness.until(lambda: call.arrived == 3)
+        async with harness.agent("agent-2", **given) as agent:
+            await agent.work()
+            # As if it had never come: the next session finds it missing.
+            agent.server._peers["a"]._works.clear()
+            await end_session(agent)
+            work = await agent.work()
+            assert work.taken is not None
+            await emit(work, 4, 6)
+            work.finish(200)
+            assert await harness.answer(call) == ANSWER
+
+
+async def test_generation_that_nobody_waits_for_is_not_taken_over() -> None:
+    async with contextlib.AsyncExitStack() as stack:
+        async with harness.agent() as agent:
+            given = attrs.asdict(agent.settings, recurse=False)
+            entry = await stack.enter_async_context(
+                harness.entry(agent.settings.control_port)
+            )
+            left = entry.submit(harness.submit(1))
+            left.abandon()
+            await agent.work()
+            entry.submit(harness.submit(2))
+            await agent.work()
+        async with harness.agent("agent-2", **given) as agent:
+            assert (await agent.work()).sequence == 2
+            assert left.ended
+
+
 async def test_link_down_refuses_at_once() -> None:
     entry = link.AgentLink(
         harness.ADDRESS, harness.free_port(), "a", "d1", harness.LINK, float
--- a/bilberrydeal/ports/__init__.py
+++ b/bilberrydeal/ports/__init__.py
@@ -10,6 +10,7 @@
 from ._endpoints import ReleaseOrder
 from ._engine import CacheEvent
 from ._engine import CacheEvents
+from ._engine import CANCELLED
 from ._engine import Engine
 from ._engine import EngineEvent
 from ._engine import EngineFailure
@@ -43,6 +44,7 @@
 from ._weights import WeightStore
 
 __all__ = [
+    "CANCELLED",
     "CacheEvent",
     "CacheEvents",
     "Check",
--- a/bilberrydeal/ports/_engine.py
+++ b/bilberrydeal/ports/_engine.py
@@ -8,6 +8,9 @@
 
 from .. import errors
 
+#: Finish reason of a generation that was ended early.
+CANCELLED = "cancelled"
+
 
 class EngineRole(enum.StrEnum):
     """Which phase of a request an engine works on."""
@@ -176,6 +179,9 @@
     async def cancel(self, request_id: str, timeout_s: float) -> None:
         """End a generation; one that is unknown is no error."""
 
+    async def running(self, timeout_s: float) -> tuple[str, ...]:
+        """Return the identities of the generations that have not ended."""
+
     async def load(self, timeout_s: float) -> LoadReport:
         """Return the last published load report."""
 
--- a/scenarios/_promises.py
+++ b/scenarios/_promises.py
@@ -219,17 +219,21 @@
     for organisation, calls in billed.items():
         if calls > ran[organisation]:
             yield f"{organisation}: {calls} billed, {ran[organisation]} ran"
+    generated = _generated_tokens(evidence)
+    for organisation, tokens in billed_tokens(evidence).items():
+        most = generated[organisation]
+        if tokens > most:
+            yield f"{organisation}: {tokens} tokens billed of {most}"
 
 
 def bills_are_complete(evidence: Evidence) -> Found:
     """Every call that was answered is billed, to the token."""
     billed = billed_calls(evidence)
-    tokens = collections.Counter[str]()
-    for report in _taken(evidence):
-        tokens[report.organisation] += report.figures.output_tokens
+    tokens = billed_tokens(evidence)
     for organisation, outcomes in _by_organisation(evidence.outcomes).items():
         answered = [item for item in outcomes if item.answered]
-        wanted = sum(item.output_tokens for item in answered)
+        # A streamed answer says no figures: its tokens are its words.
+        wanted = sum(len(item.text.split()) for item in answered)
         if billed[organisation] < len({item.ask for item in answered}):
             yield f"{organisation}: {billed[organisation]} calls billed"
         if tokens[organisation] < wanted:
@@ -268,17 +272,40 @@
     return billed
 
 
+def billed_tokens(evidence: Evidence) -> collections.Counter[str]:
+    """Return the generated tokens billed to each organisation."""
+    billed = collections.Counter[str]()
+    for report in _taken(evidence):
+        billed[report.organisation] += report.figures.output_tokens
+    return billed
+
+
 def _taken(evidence: Evidence) -> list[ports.UsageReport]:
     return [
         item.report for item in evidence.reports() if item.outcome == "taken"
     ]
 
 
-def _ran_calls(evidence: Evidence) -> collections.Counter[str]:
-    owners = {
+def _owners(evidence: Evidence) -> dict[str, str]:
+    """Return the organisation of each marker."""
+    return {
         outcome.ask.marker: outcome.ask.organisation
         for outcome in evidence.outcomes
     }
+
+
+def _generated_tokens(evidence: Evidence) -> collections.Counter[str]:
+    """Return the tokens that all runs together can have generated."""
+    owners = _owners(evidence)
+    most = collections.Counter[str]()
+    for item in evidence.generations():
+        words = engine.answer(item.prompt, item.max_tokens).split()
+        most[owners.get(_marker(item.prompt), "")] += len(words)
+    return most
+
+
+def _ran_calls(evidence: Evidence) -> collections.Counter[str]:
+    owners = _owners(evidence)
     ran = collections.Counter(call.organisation for call in evidence.calls())
     for item in evidence.generations():
         ran[owners.get(_marker(item.prompt), "")] += 1
--- a/scenarios/features/streams.feature
+++ b/scenarios/features/streams.feature
@@ -24,6 +24,22 @@
     And entry-0 answers
     And every promise was kept
 
+  Scenario: An agent is killed in the midst of a stream and of a bill
+    Given a fleet that has settled its bills
+    When russo begins a stream over entry-0
+    And the agent of the stream is killed and started again
+    Then the stream is answered whole
+    And the stream ran once
+    And bills are complete
+
+  Scenario: An agent is killed in the midst of a reply and stays away
+    Given a fleet
+    When russo begins a reply over entry-0
+    And the reply has begun to run
+    And the agent of the reply is killed
+    Then the reply is answered whole
+    And every promise was kept
+
   Scenario: An agent is paused and goes on
     Given a fleet
     When russo begins a stream over entry-0
--- a/scenarios/tests/test_scenarios.py
+++ b/scenarios/tests/test_scenarios.py
@@ -55,7 +55,9 @@
     if what in PLAIN_PATHS:
         ask = _caller.plain(f"/{what}", marker, organisation, f"once-{marker}")
     else:
-        ask = _caller.completion(marker, organisation, STREAM_TOKENS, True)
+        ask = _caller.completion(
+            marker, organisation, STREAM_TOKENS, stream=what != "reply"
+        )
     stage.asks[what] = ask
 
 
@@ -63,7 +65,21 @@
     marker = stage.asks[what].marker
     evidence = stage.fleet.evidence()
     bodies = [call.body for call in evidence.calls()]
-    return sum(f'"{marker}"' in body for body in bodies)
+    prompts = [item.prompt for item in evidence.generations()]
+    return sum(f'"{marker}"' in body for body in bodies) + sum(
+        marker in prompt.split() for prompt in prompts
+    )
+
+
+def engine_of(stage: Stage, what: str) -> _fleet.Host:
+    """Return the host whose engine got a request first."""
+    marker = stage.asks[what].marker
+    return min(
+        (item.executed_s, host.name, host)
+        for host in stage.fleet.engines
+        for item in standins.load(host.journal, engine.Executed)
+        if marker in item.prompt.split()
+    )[-1]
 
 
 def wait(
@@ -83,6 +99,13 @@
     stage.set_up(_fleet.Shape())
 
 
+@pytest_bdd.given("a fleet that has settled its bills")
+def a_fleet_that_settled(stage: Stage) -> None:
+    """What an agent has counted and not handed over dies with it."""
+    stage.set_up(_fleet.Shape())
+    bills_are_complete(stage)
+
+
 @pytest_bdd.given("a fleet under load")
 def a_fleet_under_load(stage: Stage) -> None:
     stage.set_up(_fleet.Shape())
@@ -164,6 +187,20 @@
     stage.fleet.host(name).process.kill()
 
 
+@pytest_bdd.when(parsers.parse("the agent of the {what} is killed"))
+def agent_is_killed(stage: Stage, what: str) -> None:
+    engine_of(stage, what).process.kill()
+
+
+@pytest_bdd.when(
+    parsers.parse("the agent of the {what} is killed and started again")
+)
+def agent_is_restarted(stage: Stage, what: str) -> None:
+    process = engine_of(stage, what).process
+    process.kill()
+    process.start()
+
+
 @pytest_bdd.when(parsers.re(r"(?P<name>[a-z]+-\d) is started again"))
 def is_started_again(stage: Stage, name: str) -> None:
     stage.fleet.host(name).process.start()
--- a/standins/engine/_app.py
+++ b/standins/engine/_app.py
@@ -68,6 +68,13 @@
     request_id: str
 
 
+@attrs.frozen
+class Unended:
+    """The answer to a call for what runs."""
+
+    request_ids: tuple[str, ...]
+
+
 @attrs.frozen
 class Handle:
     """Names an exported KV cache."""
@@ -124,6 +131,7 @@
             web.post("/v1/completions", self._complete),
             web.post("/v1/requests/resume", self._resume),
             web.post("/v1/requests/cancel", self._cancel),
+            web.post("/v1/requests/running", self._show_running),
             web.post("/v1/load", self._show_load),
             web.post("/v1/cache/events", self._events),
             web.post("/v1/state", self._show_state),
@@ -289,6 +297,11 @@
             self._announce(item)
         return _serve.answer(_serve.Done())
 
+    async def _show_running(self, request: web.Request) -> web.Response:
+        items = (*self._batch.running, *self._batch.waiting)
+        names = tuple(item.request.request_id for item in items)
+        return _serve.answer(Unended(names))
+
     async def _show_load(self, request: web.Request) -> web.Response:
         published_s, report = self._load
         age_s = time.monotonic() - published_s if published_s else 0.0
