--- a/scenarios/tests/_common.py
+++ b/scenarios/tests/_common.py
@@ -5,6 +5,8 @@
 from scenarios import _caller
 from scenarios import _fleet
 from scenarios import _stage
+import standins
+from standins import engine
 
 HABITS = {"check fencing numbers": True, "ignore fencing numbers": False}
 PLAIN_PATHS = ("deposit", "label", "stock")
@@ -21,7 +23,9 @@
     if what in PLAIN_PATHS:
         ask = _caller.plain(f"/{what}", marker, organisation, f"once-{marker}")
     else:
-        ask = _caller.completion(marker, organisation, STREAM_TOKENS, True)
+        ask = _caller.completion(
+            marker, organisation, STREAM_TOKENS, stream=what != "reply"
+        )
     stage.asks[what] = ask
 
 
@@ -29,7 +33,21 @@
     marker = stage.asks[what].marker
     evidence = stage.fleet.evidence()
     bodies = [call.body for call in evidence.calls()]
-    return sum(f'"{marker}"' in body for body in bodies)
+    prompts = [item.prompt for item in evidence.generations()]
+    return sum(f'"{marker}"' in body for body in bodies) + sum(
+        marker in prompt.split() for prompt in prompts
+    )
+
+
+def engine_of(stage: _stage.Stage, what: str) -> _fleet.Host:
+    """Return the host whose engine got a request first."""
+    marker = stage.asks[what].marker
+    return min(
+        (item.executed_s, host.name, host)
+        for host in stage.fleet.engines
+        for item in standins.load(host.journal, engine.Executed)
+        if marker in item.prompt.split()
+    )[-1]
 
 
 def wait(
--- a/scenarios/tests/_steps_processes.py
+++ b/scenarios/tests/_steps_processes.py
@@ -21,6 +21,20 @@
     stage.fleet.host(name).process.kill()
 
 
+@pytest_bdd.when(parsers.parse("the agent of the {what} is killed"))
+def agent_is_killed(stage: _stage.Stage, what: str) -> None:
+    _common.engine_of(stage, what).process.kill()
+
+
+@pytest_bdd.when(
+    parsers.parse("the agent of the {what} is killed and started again")
+)
+def agent_is_restarted(stage: _stage.Stage, what: str) -> None:
+    process = _common.engine_of(stage, what).process
+    process.kill()
+    process.start()
+
+
 @pytest_bdd.when(parsers.re(r"(?P<name>[a-z]+-\d) is started again"))
 def is_started_again(stage: _stage.Stage, name: str) -> None:
     stage.fleet.host(name).process.start()
