Split the slopes by subject

Now one module a subject registers with bench/_slopes.py, and python -m bench.slopes runs them all.

Nothing that is measured has changed.

--- /dev/null
+++ b/bench/_slopes_billing.py
@@ -0,0 +1,69 @@
+"""How usage rows and seals grow."""
+
+from bilberrydeal import billing
+from bilberrydeal import ports
+from bilberrydeal import store
+
+from . import _slopes
+
+
+def _figures(organisations: int) -> dict[str, ports.OrganisationFigures]:
+    return {
+        f"organisation-{i:05d}": ports.OrganisationFigures(
+            123_456, 45_678, 98_765, 432
+        )
+        for i in range(organisations)
+    }
+
+
+@_slopes.SLOPES.register("seal row")
+def seal_row() -> _slopes.Slope:
+    """Measure the row that seals one window."""
+
+    def measure(size: int) -> float:
+        row = billing.SealRow(29_000_000, _figures(size), (), 1e9, 7, "n" * 32)
+        return len(store.encode(row))
+
+    return _slopes.over(
+        "seal row, bytes", "organisations", _slopes.ORGANISATIONS, measure
+    )
+
+
+@_slopes.SLOPES.register("usage row")
+def usage_row() -> _slopes.Slope:
+    """Measure the row that an entry writes at a settlement."""
+
+    def measure(size: int) -> float:
+        row = billing.UsageRow(_figures(size), (), "n" * 32)
+        return len(store.encode(row))
+
+    return _slopes.over(
+        "usage row of one entry, bytes",
+        "busy organisations",
+        (8, 40, 200, 1000),
+        measure,
+        1000,
+    )
+
+
+@_slopes.SLOPES.register("window sum")
+def window_sum() -> _slopes.Slope:
+    """Measure the sealer's time to sum the rows of all entries."""
+    row = store.encode(billing.UsageRow(_figures(200), (), "n" * 32))
+
+    def measure(size: int) -> float:
+        def add() -> None:
+            total: dict[str, int] = {}
+            for _ in range(size):
+                figures = store.decode(row, billing.UsageRow).figures
+                for name, one in figures.items():
+                    total[name] = total.get(name, 0) + one.output_tokens
+
+        return _slopes.cpu_s(add)
+
+    return _slopes.over(
+        "rows of 200 organisations decoded and summed, s",
+        "entries",
+        (3, 30, 137, 410),
+        measure,
+    )
--- a/bench/_slopes_request.py
+++ b/bench/_slopes_request.py
@@ -1,7 +1,4 @@
-"""How the request path's decisions grow: ``python -m bench._slopes_request``.
-
-Registers with :mod:`bench.slopes` and prints all slopes, or those named.
-"""
+"""How the request path's decisions grow."""
 
 import math
 
@@ -12,7 +9,7 @@
 from bilberrydeal.systems import queueing
 from bilberrydeal.systems import routing
 
-from . import slopes
+from . import _slopes
 
 #: Decisions in one timed run.
 REPEATS = 200
@@ -54,13 +51,13 @@
             pending.remove(request.key)
             router.finished(tables, request, 0.0)
 
-    return slopes.cpu_s(work) / REPEATS * MICROSECONDS
+    return _slopes.cpu_s(work) / REPEATS * MICROSECONDS
 
 
-@slopes.SLOPES.register("route, endpoints")
-def route_endpoints() -> slopes.Slope:
+@_slopes.SLOPES.register("route, endpoints")
+def route_endpoints() -> _slopes.Slope:
     """Measure one routing decision by the endpoints of the subset."""
-    return slopes.over(
+    return _slopes.over(
         "one request routed, us",
         "endpoints",
         (5, 10, 20, 40, 80),
@@ -69,10 +66,10 @@
     )
 
 
-@slopes.SLOPES.register("route, blocks")
-def route_blocks() -> slopes.Slope:
+@_slopes.SLOPES.register("route, blocks")
+def route_blocks() -> _slopes.Slope:
     """Measure one routing decision by the length of the prompt."""
-    return slopes.over(
+    return _slopes.over(
         "one request routed over 40 endpoints, us",
         "blocks of 64 tokens",
         (0, 16, 64, 128),
@@ -80,8 +77,8 @@
     )
 
 
-@slopes.SLOPES.register("queue")
-def queue() -> slopes.Slope:
+@_slopes.SLOPES.register("queue")
+def queue() -> _slopes.Slope:
     """Measure one push and pop by the organisations that wait."""
 
     def measure(size: int) -> float:
@@ -103,12 +100,12 @@
                 assert taken is not None
                 waiting.ended(taken, taken.cost)
 
-        return slopes.cpu_s(work) / REPEATS * MICROSECONDS
+        return _slopes.cpu_s(work) / REPEATS * MICROSECONDS
 
-    return slopes.over(
+    return _slopes.over(
         "one request through the queue, us",
         "organisations that wait",
-        slopes.ORGANISATIONS,
+        _slopes.ORGANISATIONS,
         measure,
     )
 
@@ -129,8 +126,8 @@
     return tables
 
 
-@slopes.SLOPES.register("limits exchange")
-def exchange() -> slopes.Slope:
+@_slopes.SLOPES.register("limits exchange")
+def exchange() -> _slopes.Slope:
     """Measure a round of the exchange, each organisation busy here."""
 
     def measure(size: int) -> float:
@@ -138,18 +135,18 @@
         limiter = limits.ExchangedLimiter("entry0")
         for view in tables.of(systems.OrganisationView):
             limiter.admit(view, 100.0, 0.0)
-        return slopes.cpu_s(lambda: limiter.exchange(tables, 0.5))
+        return _slopes.cpu_s(lambda: limiter.exchange(tables, 0.5))
 
-    return slopes.over(
+    return _slopes.over(
         "one round of the limits' exchange, s",
         "busy organisations, one in 100 near its limit",
-        slopes.ORGANISATIONS,
+        _slopes.ORGANISATIONS,
         measure,
     )
 
 
-@slopes.SLOPES.register("limits home")
-def home() -> slopes.Slope:
+@_slopes.SLOPES.register("limits home")
+def home() -> _slopes.Slope:
     """Measure the home's division of one organisation's limits."""
 
     def measure(size: int) -> float:
@@ -168,9 +165,9 @@
                 limiter.receive_need(report, 0.0)
             limiter.exchange(tables, 0.0)
 
-        return slopes.cpu_s(work)
+        return _slopes.cpu_s(work)
 
-    return slopes.over(
+    return _slopes.over(
         "one organisation's limits divided for all entries, s",
         "entries",
         (4, 48, 137, 410),
@@ -178,8 +175,8 @@
     )
 
 
-@slopes.SLOPES.register("admission")
-def admit() -> slopes.Slope:
+@_slopes.SLOPES.register("admission")
+def admit() -> _slopes.Slope:
     """Measure one admission by the organisations in flight."""
 
     def measure(size: int) -> float:
@@ -198,18 +195,18 @@
                 control.admit(tables, request, 0.0)
                 control.release(request, 0.0)
 
-        return slopes.cpu_s(work) / REPEATS * MICROSECONDS
+        return _slopes.cpu_s(work) / REPEATS * MICROSECONDS
 
-    return slopes.over(
+    return _slopes.over(
         "one request admitted and released, us",
         "organisations in flight",
-        slopes.ORGANISATIONS,
+        _slopes.ORGANISATIONS,
         measure,
     )
 
 
-@slopes.SLOPES.register("health")
-def health_tick() -> slopes.Slope:
+@_slopes.SLOPES.register("health")
+def health_tick() -> _slopes.Slope:
     """Measure one run of the health system."""
 
     def measure(size: int) -> float:
@@ -218,16 +215,12 @@
         for view in tables.of(systems.EndpointView):
             for _ in range(10):
                 system.observe(health.Observation(view.key, True, 1.0), 0.0)
-        return slopes.cpu_s(lambda: system.run(tables, 0.0))
+        return _slopes.cpu_s(lambda: system.run(tables, 0.0))
 
-    return slopes.over(
+    return _slopes.over(
         "one run of the health system, s",
         "endpoints",
         (5, 10, 20, 40, 80),
         measure,
         40,
     )
-
-
-if __name__ == "__main__":
-    slopes.main()
--- /dev/null
+++ b/bench/_slopes_subsets.py
@@ -0,0 +1,75 @@
+"""How the choice of a subset grows."""
+
+from bilberrydeal.systems import subsets
+
+from . import _slopes
+from . import fleet_subsets
+
+
+@_slopes.SLOPES.register("subset, whole fleet")
+def subset_whole() -> _slopes.Slope:
+    """Measure one choice after a change, over all entries and endpoints."""
+
+    def measure(size: int) -> float:
+        entries, endpoints = fleet_subsets.members(
+            size, max(3, size * 410 // 4000), 23, 1
+        )
+
+        def choose() -> None:
+            chooser = subsets.CoveredRendezvous()
+            chooser.choose(entries[0], entries, endpoints, 40, 0.0)
+
+        return _slopes.cpu_s(choose)
+
+    return _slopes.over(
+        "one choice of a subset after a change, s",
+        "endpoints, a tenth as many entries",
+        (250, 500, 1333, 2666, 4000),
+        measure,
+    )
+
+
+@_slopes.SLOPES.register("subset memory")
+def subset_memory() -> _slopes.Slope:
+    """Measure what the chooser keeps of the last choice."""
+
+    def measure(size: int) -> float:
+        entries, endpoints = fleet_subsets.members(
+            size, max(3, size * 410 // 4000), 23, 1
+        )
+
+        def build() -> subsets.CoveredRendezvous:
+            chooser = subsets.CoveredRendezvous()
+            chooser.choose(entries[0], entries, endpoints, 40, 0.0)
+            return chooser
+
+        return _slopes.memory_bytes(build)
+
+    return _slopes.over(
+        "kept after a choice, bytes",
+        "endpoints, a tenth as many entries",
+        (250, 500, 1333, 4000),
+        measure,
+    )
+
+
+@_slopes.SLOPES.register("subset, unchanged")
+def subset_unchanged() -> _slopes.Slope:
+    """Measure one choice with the members of the last one."""
+
+    def measure(size: int) -> float:
+        entries, endpoints = fleet_subsets.members(
+            size, max(3, size * 410 // 4000), 23, 1
+        )
+        chooser = subsets.CoveredRendezvous()
+        chooser.choose(entries[0], entries, endpoints, 40, 0.0)
+        return _slopes.cpu_s(
+            lambda: chooser.choose(entries[0], entries, endpoints, 40, 0.0)
+        )
+
+    return _slopes.over(
+        "one choice of a subset without a change, s",
+        "endpoints, a tenth as many entries",
+        (250, 500, 1333, 4000),
+        measure,
+    )
