Read the limits beside what a single entry would admit

Cause: the error of requests at once is taken against the slots times the time, but of arrivals by chance some slots are idle even where one entry sees them all. The figure did not say which part of it the division costs, and not who pays.

Change: the policy `single_entry` runs the same arrivals through one limiter. New columns: what is lost against it, the most requests at once over their limit, and how well requests at other entries than the first are served. The scenes have a file of their own.

--- a/bench/_limits.py
+++ b/bench/_limits.py
@@ -2,6 +2,7 @@
 
 import collections
 import functools
+import math
 import random
 
 import attrs
@@ -12,6 +13,7 @@
 
 from . import _clock
 from . import _experiments
+from . import _scenes
 from . import _world
 
 #: Length of a run, in seconds.
@@ -24,81 +26,38 @@
 WINDOW_S = 5.0
 #: Error under which a window counts as recovered.
 TOLERANCE = 0.05
-#: Tokens of a request.
-TOKENS = 200.0
-#: The limited organisation: requests a second.
-REQUESTS_PER_S = 40.0
 #: Time from a death to its being known from the membership, in seconds.
 MEMBERSHIP_LAG_S = 8.0
-#: Time that a request holds its slot, in seconds.
-HOLD_S = 0.5
-
-
-@attrs.frozen
-class Scene:
-    """What is limited, what is offered, and what changes."""
-
-    #: Limits of the organisation.
-    organisation: systems.OrganisationView
-    #: Requests a second offered over those that the limit lets through.
-    offered_factor: float = 2.0
-    #: Share of the requests that come to the first entry; 0 for an even one.
-    skew: float = 0.0
-    #: ``join``, ``death``, ``cut``, ``outage`` or nothing.
-    change: str = ""
-
-
-def _organisation(
-    requests_per_s: float = float("inf"),
-    tokens_per_s: float = float("inf"),
-    concurrency: float = float("inf"),
-) -> systems.OrganisationView:
-    return systems.OrganisationView(
-        "limited",
-        requests_per_s=requests_per_s,
-        tokens_per_s=tokens_per_s,
-        concurrency=concurrency,
-    )
 
 
-REQUESTS = _organisation(requests_per_s=REQUESTS_PER_S)
-SCENES = {
-    "requests": Scene(REQUESTS),
-    "requests_skewed": Scene(REQUESTS, skew=0.8),
-    "tokens_skewed": Scene(
-        _organisation(tokens_per_s=REQUESTS_PER_S * TOKENS), skew=0.8
-    ),
-    "concurrency_skewed": Scene(
-        _organisation(concurrency=REQUESTS_PER_S * HOLD_S), skew=0.8
-    ),
-    "below_skewed": Scene(REQUESTS, offered_factor=0.8, skew=0.8),
-    "join": Scene(REQUESTS, change="join"),
-    "death_of_home": Scene(REQUESTS, change="death"),
-    "cut": Scene(REQUESTS, skew=0.8, change="cut"),
-    "store_outage": Scene(REQUESTS, change="outage"),
-}
-#: Scenes that the baseline runs in; changes make no difference to it.
-BASELINE_SCENES = ("requests", "requests_skewed", "below_skewed")
-ENTRIES = {"4 entries": 4, "12 entries": 12, "48 entries": 48}
+@attrs.define
+class Share:
+    """Requests at other entries than the first, after the warm-up."""
+
+    #: Requests that came.
+    offered: int = 0
+    #: Those that were admitted.
+    admitted: int = 0
 
 
 class LimitsWorld:
     """Entries that only admit, and their exchange."""
 
     def __init__(
-        self, scene: Scene, entries: int, policy: str, seed: int
+        self, scene: _scenes.Scene, entries: int, policy: str, seed: int
     ) -> None:
         self.scene = scene
         self.admitted: collections.Counter[int] = collections.Counter()
         self.offered: collections.Counter[int] = collections.Counter()
         self.sent_bytes = 0
+        #: Requests at once over all entries, and the most after the warm-up.
+        self.running = 0
+        self.peak = 0
+        self._elsewhere = Share()
         self._clock = _clock.Clock()
         self._random = random.Random(seed)
         self._policy = policy
-        self._limiters = {
-            f"entry{n}": limits.LIMITERS.get(policy)(f"entry{n}")
-            for n in range(entries)
-        }
+        self._limiters = self._all_limiters(entries)
         self._live = list(self._limiters)
         self._known = list(self._limiters)
         self._cut = ""
@@ -111,8 +70,15 @@
         self._clock.run(DURATION_S)
         return self._figures()
 
+    def _all_limiters(self, entries: int) -> dict[str, limits.Limiter]:
+        names = [f"entry{n}" for n in range(entries)]
+        if self._policy == _scenes.SINGLE_ENTRY:
+            return dict.fromkeys(names, limits.LocalLimiter(names[0]))
+        limiter = limits.LIMITERS.get(self._policy)
+        return {name: limiter(name) for name in names}
+
     def _next(self) -> None:
-        limit = REQUESTS_PER_S * self.scene.offered_factor
+        limit = _scenes.REQUESTS_PER_S * self.scene.offered_factor
         self._clock.after(self._random.expovariate(limit), self._arrive)
 
     def _arrive(self) -> None:
@@ -121,16 +87,28 @@
         if self._random.random() < self.scene.skew:
             entry = self._live[0]
         limiter = self._limiters[entry]
-        window = int(now_s / WINDOW_S)
-        self.offered[window] += 1
-        if limiter.admit(self.scene.organisation, TOKENS, now_s).admitted:
-            self.admitted[window] += 1
-            self._clock.after(HOLD_S, functools.partial(self._end, limiter))
+        self.offered[int(now_s / WINDOW_S)] += 1
+        found = limiter.admit(self.scene.organisation, _scenes.TOKENS, now_s)
+        if found.admitted:
+            self._begin(limiter, now_s)
+        if now_s >= WARM_UP_S and entry != self._live[0]:
+            self._elsewhere.offered += 1
+            self._elsewhere.admitted += found.admitted
         self._next()
 
+    def _begin(self, limiter: limits.Limiter, now_s: float) -> None:
+        self.admitted[int(now_s / WINDOW_S)] += 1
+        self.running += 1
+        if now_s >= WARM_UP_S:
+            self.peak = max(self.peak, self.running)
+        self._clock.after(
+            _scenes.HOLD_S, functools.partial(self._end, limiter)
+        )
+
     def _end(self, limiter: limits.Limiter) -> None:
+        self.running -= 1
         name = self.scene.organisation.organisation
-        limiter.settle(name, TOKENS, TOKENS, self._clock.now_s)
+        limiter.settle(name, _scenes.TOKENS, _scenes.TOKENS, self._clock.now_s)
 
     def _change(self) -> None:
         change = self.scene.change
@@ -196,16 +174,41 @@
         figure = _experiments.Figure
         return (
             figure("steady_error", abs(steady)),
+            figure("steady_admitted", self._steady_admitted()),
             figure("highest_after", max(after)),
             figure("lowest_after", min(after)),
             figure("settled_error", abs(settled)),
             figure("wrong_for_s", wrong_s),
             figure("bytes_per_node_s", self.sent_bytes / DURATION_S / nodes),
+            figure("peak_part", self._peak_part()),
+            figure("elsewhere_part", self._elsewhere_part()),
         )
 
+    def _steady_admitted(self) -> float:
+        windows = range(int(WARM_UP_S / WINDOW_S), int(CHANGE_S / WINDOW_S))
+        return float(sum(self.admitted[n] for n in windows))
+
+    def _peak_part(self) -> float:
+        """Return the most requests at once over their limit, if there is."""
+        concurrency = self.scene.organisation.concurrency
+        if math.isinf(concurrency):
+            return math.nan
+        return self.peak / concurrency
+
+    def _elsewhere_part(self) -> float:
+        """Return how well other entries than the first are served.
+
+        It is the part admitted there over the part admitted everywhere.
+        """
+        windows = range(int(WARM_UP_S / WINDOW_S), int(DURATION_S / WINDOW_S))
+        offered = sum(self.offered[n] for n in windows)
+        admitted = sum(self.admitted[n] for n in windows)
+        other = self._elsewhere
+        return other.admitted / other.offered / (admitted / offered)
+
     def _error(self, windows: range) -> float:
         admitted = sum(self.admitted[n] for n in windows)
-        allowed = len(windows) * WINDOW_S * REQUESTS_PER_S
+        allowed = len(windows) * WINDOW_S * _scenes.REQUESTS_PER_S
         offered = sum(self.offered[n] for n in windows)
         return admitted / min(allowed, offered) - 1.0
 
@@ -222,6 +225,9 @@
         "settled_error",
         "wrong_for_s",
         "bytes_per_node_s",
+        "below_single",
+        "peak_part",
+        "elsewhere_part",
     )
     targets = (
         _experiments.Target("", "exchanged", "steady_error", 0.05, True),
@@ -231,22 +237,51 @@
         """Return all runs."""
         return tuple(
             _experiments.Case("limits", size, scene, policy, seed)
-            for size in ENTRIES
-            for scene in SCENES
-            for policy in ("exchanged", "local_only")
-            if policy == "exchanged" or scene in BASELINE_SCENES
+            for size in _scenes.ENTRIES
+            for scene in _scenes.SCENES
+            for policy in (
+                "exchanged",
+                "local_only",
+                _scenes.SINGLE_ENTRY,
+            )
+            if policy == "exchanged" or scene in _scenes.POLICY_SCENES[policy]
             for seed in (1, 2, 3)
         )
 
     def run(self, case: _experiments.Case) -> tuple[_experiments.Figure, ...]:
         """Carry out one run."""
         world = LimitsWorld(
-            SCENES[case.load], ENTRIES[case.size], case.policy, case.seed
+            _scenes.SCENES[case.load],
+            _scenes.ENTRIES[case.size],
+            case.policy,
+            case.seed,
         )
         return world.run()
 
     def compare(
         self, measured: tuple[_experiments.Measured, ...]
     ) -> tuple[_experiments.Measured, ...]:
-        """Add nothing."""
-        return measured
+        """Add what is lost against a single entry, seed by seed."""
+        single = {
+            (one.case.size, one.case.load, one.case.seed): one
+            for one in measured
+            if one.case.policy == _scenes.SINGLE_ENTRY
+        }
+        return tuple(
+            _compared(
+                one,
+                single.get((one.case.size, one.case.load, one.case.seed)),
+            )
+            for one in measured
+        )
+
+
+def _compared(
+    one: _experiments.Measured, single: _experiments.Measured | None
+) -> _experiments.Measured:
+    if single is None:
+        return one
+    admitted = one.value("steady_admitted")
+    lost = 1.0 - admitted / single.value("steady_admitted")
+    figure = _experiments.Figure("below_single", lost)
+    return attrs.evolve(one, figures=(*one.figures, figure))
