--- a/scenarios/tests/_steps_fleets.py
+++ b/scenarios/tests/_steps_fleets.py
@@ -7,7 +7,6 @@
 from scenarios import _stage
 
 from . import _common
-from . import _steps_records
 
 
 @pytest_bdd.given("a fleet")
@@ -15,13 +14,6 @@
     stage.set_up(_fleet.Shape())
 
 
-@pytest_bdd.given("a fleet that has settled its bills")
-def a_fleet_that_settled(stage: _stage.Stage) -> None:
-    """What an agent has counted and not handed over dies with it."""
-    stage.set_up(_fleet.Shape())
-    _steps_records.bills_are_complete(stage)
-
-
 @pytest_bdd.given("a fleet under load")
 def a_fleet_under_load(stage: _stage.Stage) -> None:
     stage.set_up(_fleet.Shape())
