Let the planners act by themselves in scenarios, and lose their holders

Cause: role orders and purchases by load were never provoked by a scenario. Long prompts now make the default role planner change engines, and the fleet planner buy, while the holder is paused past its lease or killed. New check: both phases stay live in two failure domains while orders are carried out.

Found: with one engine a phase, the planner saw next to no demand for prefilling and ordered nothing ("never came: a planner's order", 60 s, at 45 generations a second). A decoding engine finds the whole prompt in the KV cache that it fetched, so answers said that nothing was computed, and the demand was corrected by that to nothing. The entry now counts a prompt as the engine that prefilled it did; callers' usage and the token metrics say so too.

Ruled out: overload of the machine (the run that was slower did order).

Also: waiting for an entry to serve starts one again that has ended meanwhile, not only one that had ended before. The soak lets the product plan and holds purchases and reports back.

--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -209,7 +209,8 @@
             )
         with self._tracing.span("link", work.traceparent) as span:
             traced = attrs.evolve(work, traceparent=span.traceparent)
-            submit = await self._submission(traced, pending, number)
+            prefilled = await self._prefilled(traced, pending)
+            submit = self._submission(traced, pending, number, prefilled)
             try:
                 call = agent_link.submit(submit)
             except (link.LinkDown, link.LinkFull) as error:
@@ -226,30 +227,36 @@
             try:
                 async with contextlib.aclosing(answer.events()) as events:
                     async for event in events:
-                        yield event
+                        yield prefilled.counted(event)
             except _attempt.AttemptFailed as failed:
                 self._take_failure(submit, pending, answer, failed)
                 raise
 
-    async def _submission(
+    async def _prefilled(
+        self, work: _work.Work, pending: systems.PendingRequest
+    ) -> _handover.Prefilled:
+        """Have the prompt computed elsewhere, where that was chosen."""
+        if not pending.prefill_endpoint_id:
+            return _handover.Prefilled()
+        self._note(work, f"prefill at {pending.prefill_endpoint_id}")
+        return await _handover.prefill(
+            self._pool, work, pending, self._next_number(), self._clock()
+        )
+
+    def _submission(
         self,
         work: _work.Work,
         pending: systems.PendingRequest,
         number: link.RequestNumber,
+        prefilled: _handover.Prefilled,
     ) -> link.Submit:
-        """Return what to send, after the prefill where there is one."""
-        kv_handle = ""
-        if pending.prefill_endpoint_id:
-            self._note(work, f"prefill at {pending.prefill_endpoint_id}")
-            kv_handle = await _handover.prefill(
-                self._pool, work, pending, self._next_number(), self._clock()
-            )
+        """Return what to send."""
         return attrs.evolve(
             work.submit(self._clock()),
             number=number,
             weight=work.weight * pending.weight_factor,
             cached_tokens=pending.cached_tokens,
-            kv_handle=kv_handle,
+            kv_handle=prefilled.kv_handle,
         )
 
     def _take_failure(
--- a/bilberrydeal/entry/tests/test_dispatch.py
+++ b/bilberrydeal/entry/tests/test_dispatch.py
@@ -128,6 +128,21 @@
     assert [submit.kv_handle for submit in decode.submitted] == [handle]
 
 
+async def test_prompt_counts_as_computed_where_it_was_prefilled() -> None:
+    script: fakes.Script = [
+        attrs.evolve(
+            fakes.done(), kv_handle="kv/1", prompt_tokens=70, cached_tokens=30
+        )
+    ]
+    end = attrs.evolve(fakes.done(), prompt_tokens=2, cached_tokens=98)
+    bench = fakes.Bench(
+        (fakes.FakeLink("a", script), fakes.FakeLink("b", [end]))
+    )
+    dispatcher = bench.dispatcher(fakes.PairRouter())
+    last = await _once.last_part(dispatcher.run(fakes.work()))
+    assert (last.prompt_tokens, last.cached_tokens) == (70, 30)
+
+
 #: What the tries after one that may have run end with.
 LATER: list[fakes.Script] = [
     [fakes.refused(started=False)],
--- a/scenarios/_fleet.py
+++ b/scenarios/_fleet.py
@@ -38,8 +38,6 @@
 MODEL = "m"
 SHOP = "shop"
 ORGANISATIONS = ("russo", "derwent")
-#: Endpoints in a failure domain where the product plans.
-MOST_PER_DOMAIN = 2
 #: How the calls begin that order endpoints and that report usage.
 PURCHASES = b"POST /v1/endpoints/purchase"
 REPORTS = b"POST /v1/usage/report"
@@ -84,6 +82,9 @@
     step_s: float = 0.004
     #: Whether the product orders endpoints and changes roles.
     plans: bool = False
+    #: Bounds of planning for each failure domain.
+    fewest_per_domain: int = 2
+    most_per_domain: int = 2
     #: Calls of entries to the platform that are held back from the start.
     held: bytes = b""
 
@@ -248,7 +249,10 @@
             listed=collections.Counter(
                 host.failure_domain for host in self.engines
             ),
-            most_per_domain=MOST_PER_DOMAIN if self.shape.plans else 0,
+            most_per_domain=(
+                self.shape.most_per_domain if self.shape.plans else 0
+            ),
+            domains={h.name: h.failure_domain for h in self.engines},
         )
 
     async def issue_key(self, organisation: str) -> operators.KeyIssued:
@@ -280,18 +284,30 @@
         self, host: Host, role: ports.EngineRole, fence: int = 1
     ) -> None:
         """Commit an order for an engine, as a planner would."""
-        at = self.places.address(_PLATFORM_HOST)
-        table = adapters.TABLES.get("http_json")(
-            self.session, f"http://{at}:{_places.PLATFORM_PORT}"
-        )
         key = orders.order_key(host.name)
-        (row,) = await table.read((key,), PATIENCE_S)
+        row = await self.order_row(host)
         version = orders.decode_order(row).order_version if row else 0
         self.ordered[host.name] = version + 1
         order = orders.CommittedOrder(version + 1, fence, role, MODEL)
         check = ports.Check(key.table, key.key, row.version if row else 0)
         write = ports.Write(key.table, key.key, orders.encode_order(order))
-        await table.commit(ports.Transaction((check,), (write,)), PATIENCE_S)
+        transaction = ports.Transaction((check,), (write,))
+        await self._table().commit(transaction, PATIENCE_S)
+
+    async def order_row(self, host: Host) -> ports.Row | None:
+        """Return the order row of an engine."""
+        key = orders.order_key(host.name)
+        (row,) = await self._table().read((key,), PATIENCE_S)
+        return row
+
+    async def was_ordered(self) -> bool:
+        """Return whether another than :meth:`order` has ordered an engine."""
+        for host in self.engines:
+            row = await self.order_row(host)
+            given = self.ordered.get(host.name, 0)
+            if row and orders.decode_order(row).order_version > given:
+                return True
+        return False
 
     async def engine_state(self, host: Host) -> ports.EngineState:
         """Return what an engine says that it is."""
@@ -308,7 +324,8 @@
                 state = await self.engine_state(host)
             except ports.EngineFailure:
                 return False
-            newest = self.ordered[host.name]
+            row = await self.order_row(host)
+            newest = orders.decode_order(row).order_version if row else 0
             return state.order_version == newest and not state.changing
 
         await eventually(taken, f"the newest order at {host.name}")
@@ -353,16 +370,27 @@
         An entry that ended by itself is started again, as the platform does
         with what it runs.
         """
-        name = self.entries[entry].name
-        if not self.entries[entry].process.alive:
-            self.entries[entry].process.start()
+        host = self.entries[entry]
+
+        async def serves(organisation: str) -> bool:
+            self._start_again(host)
+            return await self.serves(entry, organisation)
+
+        async def sells() -> bool:
+            self._start_again(host)
+            return await self.sells(entry)
+
         for organisation in ORGANISATIONS if self.shape.engines else ():
-            serves = functools.partial(self.serves, entry, organisation)
-            await eventually(serves, f"an answer to {organisation} of {name}")
-        if self.shape.plains:
+            answers = functools.partial(serves, organisation)
             await eventually(
-                lambda: self.sells(entry), f"a service's answer of {name}"
+                answers, f"an answer to {organisation} of {host.name}"
             )
+        if self.shape.plains:
+            await eventually(sells, f"a service's answer of {host.name}")
+
+    def _start_again(self, host: Host) -> None:
+        if not host.process.alive:
+            host.process.start()
 
     async def _configure(self) -> None:
         operator = self.operator(0)
@@ -407,6 +435,11 @@
         for name in ORGANISATIONS:
             await self.issue_key(name)
 
+    def _table(self) -> ports.TableService:
+        at = self.places.address(_PLATFORM_HOST)
+        url = f"http://{at}:{_places.PLATFORM_PORT}"
+        return adapters.TABLES.get("http_json")(self.session, url)
+
     async def _control(self, path: str, body: object) -> None:
         at = self.places.address(_PLATFORM_HOST)
         url = f"http://{at}:{_places.PLATFORM_PORT}/control{path}"
@@ -476,8 +509,8 @@
             settings["fleet"] = {
                 "failure_domains": [f"d{number}" for number in range(4)],
                 "services": [MODEL],
-                "fewest_per_domain": MOST_PER_DOMAIN,
-                "most_per_domain": MOST_PER_DOMAIN,
+                "fewest_per_domain": self.shape.fewest_per_domain,
+                "most_per_domain": self.shape.most_per_domain,
                 "delivery_s": 1.0,
             }
         self._write(host, settings)
--- a/scenarios/_load.py
+++ b/scenarios/_load.py
@@ -19,6 +19,22 @@
 TRIES = 4
 
 
+@attrs.frozen
+class Mix:
+    """What a load is made of."""
+
+    #: Share that goes to the plain service.
+    plain_share: float = PLAIN_SHARE
+    #: Characters that prompts are made longer by, one is drawn.
+    paddings: tuple[int, ...] = (0, 200, 2000)
+    #: Most tokens of an answer.
+    longest_tokens: int = 120
+
+
+#: Keeps prefilling engines busier than decoding ones.
+LONG_PROMPTS = Mix(0.05, (20_000,), 8)
+
+
 class Load:
     """Draws requests from a seed and sends them.
 
@@ -26,8 +42,11 @@
     entry under the same ``Idempotency-Key``.
     """
 
-    def __init__(self, fleet: _fleet.Fleet, seed: int) -> None:
+    def __init__(
+        self, fleet: _fleet.Fleet, seed: int, mix: Mix | None = None
+    ) -> None:
         self._fleet = fleet
+        self._mix = mix or Mix()
         self._running = True
         #: When it began, seconds since the epoch.
         self.started_s = time.time()
@@ -66,7 +85,7 @@
     def _draw(self, dice: random.Random) -> _caller.Ask:
         marker = self._fleet.marker()
         organisation = dice.choice(_fleet.ORGANISATIONS)
-        if self._fleet.plains and dice.random() < PLAIN_SHARE:
+        if self._fleet.plains and dice.random() < self._mix.plain_share:
             path = dice.choice(("/stock", "/deposit", "/label"))
             ask = _caller.plain(path, marker, organisation)
             once = "" if path == "/stock" else marker
@@ -74,7 +93,7 @@
         return _caller.completion(
             marker,
             organisation,
-            max_tokens=dice.randint(1, 120),
+            max_tokens=dice.randint(1, self._mix.longest_tokens),
             stream=dice.random() < 0.5,
-            padding=dice.choice((0, 200, 2000)),
+            padding=dice.choice(self._mix.paddings),
         )
--- a/scenarios/_promises.py
+++ b/scenarios/_promises.py
@@ -40,6 +40,8 @@
     listed: dict[str, int] = attrs.field(factory=dict)
     #: Most endpoints that the plan may hold in each, 0 without a plan.
     most_per_domain: int = 0
+    #: Failure domains of the engines.
+    domains: dict[str, str] = attrs.field(factory=dict)
 
     def generations(self) -> list[engine.Executed]:
         """Return all generations."""
@@ -65,6 +67,8 @@
 
 
 Found = collections.abc.Iterator[str]
+#: Failure domains that each phase must stay live in.
+LIVE_DOMAINS = 2
 #: Requests to this path may run more than once.
 IDEMPOTENT_PATH = "/stock"
 
@@ -185,6 +189,35 @@
                 yield f"{name} cut {order.cut} at order {order.order_version}"
 
 
+def phases_stay_live(evidence: Evidence, since_s: float) -> Found:
+    """Both phases stay live in two failure domains.
+
+    An engine that carries out an order is not live. Orders before
+    ``since_s`` set the fleet up.
+    """
+    changes = [
+        (when_s, name, role)
+        for name, path in evidence.engines.items()
+        for order in standins.load(path, engine.Applied)
+        if order.outcome != "fenced"
+        for when_s, role in (
+            (order.started_s, ""),
+            (order.ended_s, order.role),
+        )
+    ]
+    roles = dict.fromkeys(evidence.engines, ports.EngineRole.BOTH.value)
+    for when_s, name, role in sorted(changes):
+        roles[name] = role
+        for phase in (ports.EngineRole.PREFILL, ports.EngineRole.DECODE):
+            live = {
+                evidence.domains[each]
+                for each, takes in roles.items()
+                if takes in (phase, ports.EngineRole.BOTH)
+            }
+            if when_s > since_s and len(live) < LIVE_DOMAINS:
+                yield f"{phase} was live in {sorted(live)} as {name} changed"
+
+
 def purchases_have_one_holder(evidence: Evidence) -> Found:
     """No holder orders what a later holder does not know of.
 
--- a/scenarios/_stage.py
+++ b/scenarios/_stage.py
@@ -88,11 +88,11 @@
         self.outcomes[name] = self.spawned[name].result(_fleet.PATIENCE_S)
         return self.outcomes[name]
 
-    def begin_load(self) -> None:
+    def begin_load(self, mix: _load.Mix | None = None) -> None:
         """Keep requests of all organisations in flight on all entries."""
 
         async def begin() -> None:
-            self._load = _load.Load(self.fleet, seed=1)
+            self._load = _load.Load(self.fleet, seed=1, mix=mix)
 
         self.run(begin())
 
--- a/scenarios/soak.py
+++ b/scenarios/soak.py
@@ -26,7 +26,7 @@
 from . import _promises
 from . import _proxy
 
-SHAPE = _fleet.Shape(entries=2, engines=4, plains=1)
+SHAPE = _fleet.Shape(entries=2, engines=4, plains=1, plans=True)
 #: Longest time that a fault lasts, in seconds.
 LONGEST_S = 6.0
 #: Longest time between two faults of one source, in seconds.
@@ -123,6 +123,16 @@
     front.set_weather(_proxy.Weather())
 
 
+@FAULTS.register("hold_calls")
+async def hold_calls(fleet: _fleet.Fleet, dice: random.Random) -> None:
+    """Hold purchases or reports of an entry back, and let them go."""
+    store = dice.choice(fleet.entries).store
+    store.hold(dice.choice((_fleet.PURCHASES, _fleet.REPORTS)))
+    await last(dice)
+    await last(dice)
+    store.release()
+
+
 @FAULTS.register("cut_from_store")
 async def cut_from_store(fleet: _fleet.Fleet, dice: random.Random) -> None:
     """Cut one host off from the platform."""
@@ -197,6 +207,7 @@
     for host in fleet.hosts:
         host.front.set_weather(_proxy.Weather())
         host.store.set_weather(_proxy.Weather())
+        host.store.release()
         for process in host.processes:
             if process.alive:
                 process.resume()
@@ -251,6 +262,7 @@
     )
     for kind, count in reports.items():
         print(f"usage reports {kind}: {count}")
+    print(f"calls that came too late: {_promises.late_calls(evidence)}")
     billed = _promises.billed_calls(evidence).total()
     ran = len(evidence.generations()) + len(evidence.calls())
     print(f"calls billed: {billed} of {ran} that ran")
--- a/scenarios/tests/_steps_processes.py
+++ b/scenarios/tests/_steps_processes.py
@@ -133,6 +133,31 @@
     return pause(stage, paused, {"usage"})
 
 
+@pytest_bdd.when(
+    "the entry that plans roles is paused until another does so instead"
+)
+def planner_is_paused(stage: _stage.Stage) -> None:
+    """Pause it, and let it go on once another has the duty."""
+    pause(stage, planner(stage), {"roles"}).process.resume()
+
+
+@pytest_bdd.when("the entry that plans roles is killed and started again")
+def planner_is_killed(stage: _stage.Stage) -> None:
+    killed = planner(stage)
+    killed.process.kill()
+    killed.process.start()
+
+
+def planner(stage: _stage.Stage) -> _fleet.Host:
+    """Return the entry that plans roles."""
+
+    async def is_held() -> bool:
+        return "roles" in await held_by(stage, 0)
+
+    stage.run(_fleet.eventually(is_held, "a holder of roles"))
+    return stage.run(held_by(stage, 0))["roles"]
+
+
 @pytest_bdd.when("the paused entry goes on")
 def goes_on(paused: _fleet.Host) -> None:
     paused.process.resume()
--- a/scenarios/tests/test_scenarios.py
+++ b/scenarios/tests/test_scenarios.py
@@ -7,6 +7,7 @@
     "scenarios.tests._steps_hops",
     "scenarios.tests._steps_late",
     "scenarios.tests._steps_operators",
+    "scenarios.tests._steps_planning",
     "scenarios.tests._steps_processes",
     "scenarios.tests._steps_records",
     "scenarios.tests._steps_requests",
