Hand duties over from entries that hold too many

Cause: a free duty goes to the entry with fewest, but nothing ever moves a duty that is held. When entries restart one by one and the others take the duties before a successor is up, the last one started has none.

Change: a holder reads from the lease rows, which it reads anyway, who has the other duties, and from the members how many entries live. Two more than the entry with fewest for 20 periods of renewal, and it gives one up between two rounds, never after a round whose calls may still take effect.

Ruled out: a share rounded up (of three entries one keeps none), see docs/design/duties.md.

--- a/bilberrydeal/duties/_runner.py
+++ b/bilberrydeal/duties/_runner.py
@@ -1,6 +1,7 @@
 """Takes duties, keeps their leases and does their rounds."""
 
 import asyncio
+import collections
 import collections.abc
 import random
 import time
@@ -11,6 +12,7 @@
 from .. import leases
 from .. import store
 from .. import telemetry
+from . import _balance
 from . import _duty
 
 LOG = telemetry.logger("duties")
@@ -19,7 +21,11 @@
 STEP_PERIODS = 1.5
 #: More duties than that make it wait no longer.
 STEPS_LIMIT = 3
-#: Longest wait for the end of a round when this entry stops, in seconds.
+#: An imbalance lasts so many periods of renewal before a duty moves.
+BALANCE_PERIODS = 20
+#: A duty that was handed over is left to others for so many periods.
+LEFT_ALONE_PERIODS = 8
+#: Longest wait for the end of a round before a duty is given up, in seconds.
 ROUND_END_S = 5.0
 #: Share of a period by which rounds are spread at random.
 JITTER_SHARE = 0.2
@@ -37,6 +43,10 @@
     jitter_s: float
     #: Whether it is being taken.
     taking: bool = False
+    #: Whether a call of the last round may still take effect.
+    doubtful: bool = False
+    #: Not taken again before then, monotonic seconds.
+    left_alone_until_s: float = 0.0
     #: Held by whoever works on the duty or gives it up.
     lock: asyncio.Lock = attrs.Factory(asyncio.Lock)
 
@@ -44,7 +54,8 @@
 class DutyRunner:
     """Runs the duties of one entry.
 
-    Duties spread over entries: one that has fewer takes a free duty first.
+    Duties spread over entries: one that has fewer takes a free duty first,
+    and one that has had more than its even share for long hands one over.
 
     Example::
 
@@ -64,12 +75,16 @@
         round_s: float,
         rng: random.Random,
         wall: collections.abc.Callable[[], float] = time.time,
+        entries: collections.abc.Callable[[], int] = lambda: 1,
     ) -> None:
+        """``entries`` tells how many entries live, this one among them."""
         self._client = client
         self._renew_s = renew_s
         self._round_s = round_s
         self._rng = rng
         self._wall = wall
+        self._entries = entries
+        self._balance = _balance.Balance(BALANCE_PERIODS * renew_s)
         self._stopping = False
         self._tasks: list[asyncio.Task[None]] = []
         self._all = [
@@ -90,6 +105,7 @@
         """Work until cancelled or :meth:`stop`."""
         loops = [self._keep(held) for held in self._all]
         loops += [self._work(held) for held in self._all]
+        loops.append(self._even_out())
         self._tasks = [asyncio.create_task(loop) for loop in loops]
         try:
             await asyncio.gather(*self._tasks)
@@ -116,10 +132,46 @@
             return
         await held.lease.step_down()
 
+    async def _even_out(self) -> None:
+        """Hand duties over, one at a time, while others have fewer."""
+        while not self._stopping:
+            await self._pause(self._renew_s)
+            now_s = self._client.now_s()
+            mine = [h for h in self._all if h.lease.held(now_s)]
+            others = collections.Counter(
+                h.lease.holder_seen
+                for h in self._all
+                if h not in mine and h.lease.holder_seen
+            )
+            entries = self._entries()
+            if self._balance.due(len(mine), others.values(), entries, now_s):
+                await self._hand_over(mine)
+
+    async def _hand_over(self, mine: list[_Held]) -> None:
+        """Give one duty up between two of its rounds."""
+        for held in reversed(mine):
+            try:
+                async with asyncio.timeout(ROUND_END_S):
+                    await held.lock.acquire()
+            except TimeoutError:
+                continue
+            try:
+                if held.doubtful or self._stopping:
+                    continue
+                LOG.info("Duty is handed over.", duty=held.duty.name)
+                wait_s = LEFT_ALONE_PERIODS * self._renew_s
+                held.left_alone_until_s = self._client.now_s() + wait_s
+                await held.lease.step_down()
+                return
+            finally:
+                held.lock.release()
+
     def wants(self, held: _Held, now_s: float) -> bool:
         """Return whether a duty that is free should be taken now."""
         if self._stopping or held.lease.free_since_s is None:
             return False
+        if now_s < held.left_alone_until_s:
+            return False
         others = [h for h in self._all if h.taking or h.lease.held(now_s)]
         steps = min(len(others), STEPS_LIMIT)
         wait_s = steps * STEP_PERIODS * self._renew_s + held.jitter_s
@@ -148,8 +200,10 @@
         if self._stopping or not held.lease.held(now_s):
             return
         work = _duty.Round(held.lease, now_s, self._wall())
+        held.doubtful = True
         try:
             await held.duty.round(work)
+            held.doubtful = False
         except errors.BilberrydealError as error:
             LOG.info(
                 "Round ended early.", duty=held.duty.name, error=str(error)
--- a/bilberrydeal/entry/_authority.py
+++ b/bilberrydeal/entry/_authority.py
@@ -73,10 +73,27 @@
         chosen.duties.renew_s,
         chosen.duties.round_s,
         rng,
+        entries=_counter(entry, directory),
     )
     return Authority(runner, usage.stats)
 
 
+def _counter(
+    entry: str, directory: membership.MemberDirectory
+) -> collections.abc.Callable[[], int]:
+    """Return what counts the entries that could hold a duty."""
+
+    def count() -> int:
+        live = {
+            member.incarnation
+            for member in directory.entries()
+            if member.state is membership.MemberState.LIVE
+        }
+        return len(live | {entry})
+
+    return count
+
+
 def _hint(
     pool: _pool.LinkPool,
 ) -> collections.abc.Callable[[str, int], None]:
--- a/bilberrydeal/leases/_lease.py
+++ b/bilberrydeal/leases/_lease.py
@@ -90,6 +90,8 @@
         self._holding: _Holding | None = None
         self._watch: _Watch | None = None
         self._lock = asyncio.Lock()
+        #: Who had the duty when it was last seen, empty for nobody.
+        self.holder_seen = ""
         #: Since when the duty was seen to be free, own monotonic seconds;
         #: ``None`` while somebody has it.
         self.free_since_s: float | None = None
@@ -186,6 +188,7 @@
     async def _look(self, wanted: bool) -> None:
         seen = await self._read()
         now_s = self._client.now_s()
+        self.holder_seen = seen.lease.holder if seen.lease else ""
         if seen.lease is not None and seen.lease.holder == self.holder:
             await self._resume(seen)
             return
