Remove the rows of old revisions

It now looks at the floor where the store's client says that the absence of an effect was read from rows, and tells the operator that the outcome is unknown.

--- a/bilberrydeal/agent/tests/test_drivers.py
+++ b/bilberrydeal/agent/tests/test_drivers.py
@@ -81,6 +81,13 @@
     assert meter == _meter.Meter(7, 3, 4, 1)
 
 
+async def test_prompt_handed_over_is_not_counted_by_a_successor() -> None:
+    """Its predecessor fetched the KV cache, as far as anybody knows."""
+    work, meter = taken_over([], 2, kv_handle="kv/x")
+    await _drivers.EngineDriver(engine()).run(work, meter)
+    assert meter.cached_tokens == 0
+
+
 #: Tokens passed on of a generation that the engine knows no longer, and
 #: what is counted: it begins anew only if none were.
 FORGOTTEN = [
--- a/bilberrydeal/configuration/__init__.py
+++ b/bilberrydeal/configuration/__init__.py
@@ -26,6 +26,7 @@
 from ._rows import Organisation
 from ._rows import Route
 from ._store import Revision
+from ._sweep import sweep
 
 __all__ = [
     "Access",
@@ -54,4 +55,5 @@
     "WithdrawKey",
     "decode_change",
     "encode_change",
+    "sweep",
 ]
--- a/bilberrydeal/configuration/_commit.py
+++ b/bilberrydeal/configuration/_commit.py
@@ -142,9 +142,27 @@
             ),
         )
         # A revision row is never written twice: it tells for good who won.
-        await self._client.commit_resolved(
-            transaction, key, revision.nonce, final=True
-        )
+        try:
+            await self._client.commit_resolved(
+                transaction, key, revision.nonce, final=True
+            )
+        except errors.TableConflict as error:
+            if error.doubted:
+                await self._require_kept(revision.revision)
+            raise
+
+    async def _require_kept(self, revision: int) -> None:
+        """Tell a lost race from a won one whose row was removed since.
+
+        Only a process that was paused for hundreds of revisions can be in
+        doubt about a row that is gone. Raises ``OutcomeUnknown``.
+        """
+        try:
+            floor = await self._client.read_one(_store.FLOOR)
+        except errors.StoreUnavailable as error:
+            raise errors.OutcomeUnknown(operation="commit") from error
+        if revision <= _store.head_revision(floor):
+            raise errors.OutcomeUnknown(operation="commit")
 
     async def _standing_check(self) -> tuple[ports.Check, ...]:
         if self._standing is None:
--- a/bilberrydeal/configuration/_store.py
+++ b/bilberrydeal/configuration/_store.py
@@ -11,6 +11,8 @@
 HEAD = ports.RowKey(table="config", key="head")
 #: Names the newest snapshot.
 SNAPSHOT = ports.RowKey(table="config", key="snapshot")
+#: Names the newest revision whose row was removed, with all before it.
+FLOOR = ports.RowKey(table="config", key="floor")
 #: Holds one row a revision.
 REVISIONS = "config_revisions"
 
@@ -35,6 +37,16 @@
     nonce: str
 
 
+@attrs.frozen
+class Floor:
+    """Up to which revision no rows are kept."""
+
+    #: The newest revision whose row was removed.
+    revision: int
+    #: Marks the write that set it.
+    nonce: str
+
+
 @attrs.frozen
 class Revision:
     """One change with its number."""
@@ -66,5 +78,5 @@
 
 
 def head_revision(row: ports.Row | None) -> int:
-    """Return the number in a head or snapshot row, 0 without one."""
+    """Return the number in a head, snapshot or floor row, 0 without one."""
     return store.decode(row.value, Head).revision if row else 0
--- a/bilberrydeal/duties/_sweep.py
+++ b/bilberrydeal/duties/_sweep.py
@@ -6,6 +6,7 @@
 
 from .. import billing
 from .. import claims
+from .. import configuration
 from .. import errors
 from .. import membership
 from .. import ports
@@ -16,6 +17,8 @@
 RENEWALS = 10.0
 #: Rows of members read for a sweep every so many seconds.
 MEMBERS_PERIOD_S = 15.0
+#: Old revisions of the configuration are looked for every so many seconds.
+CONFIGURATION_PERIOD_S = 15.0
 #: Rows of billing are looked at every so many seconds.
 BILLING_PERIOD_S = 60.0
 
@@ -31,11 +34,12 @@
 
 
 class SweepDuty:
-    """The duty of sweeping claims, members and old windows."""
+    """The duty of sweeping claims, members, windows and revisions."""
 
     def __init__(
         self,
         client: store.StoreClient,
+        objects: ports.ObjectStore,
         owner: claims.Claims,
         rule: billing.WindowRule,
         entry_unchanged_s: float,
@@ -48,6 +52,7 @@
         renewals, see docs/design/keys.md.
         """
         self._client = client
+        self._objects = objects
         self._claims = owner
         self._rule = rule
         self._entry_unchanged_s = entry_unchanged_s
@@ -55,6 +60,7 @@
         self._watched: dict[str, _Watched] = {}
         self._members_due_s = float("-inf")
         self._billing_due_s = float("-inf")
+        self._configuration_due_s = float("-inf")
 
     @property
     def name(self) -> str:
@@ -70,6 +76,9 @@
         if work.now_s >= self._billing_due_s:
             self._billing_due_s = work.now_s + BILLING_PERIOD_S
             await billing.sweep(self._client, self._rule, work.wall_s)
+        if work.now_s >= self._configuration_due_s:
+            self._configuration_due_s = work.now_s + CONFIGURATION_PERIOD_S
+            await configuration.sweep(self._client, self._objects)
 
     async def _sweep_members(self) -> None:
         """Remove rows that this process saw unchanged for too long."""
--- a/bilberrydeal/duties/tests/test_duties.py
+++ b/bilberrydeal/duties/tests/test_duties.py
@@ -215,6 +215,7 @@
         loop.run(row.join(0.0))
     duty = duties.SweepDuty(
         client,
+        faults.MemoryObjects(),
         claims.Claims(client, faults.MemoryObjects()),
         RULE,
         entry_unchanged_s=100.0,
--- a/bilberrydeal/entry/_authority.py
+++ b/bilberrydeal/entry/_authority.py
@@ -50,7 +50,14 @@
     )
     found: list[duties.Duty] = [
         usage,
-        duties.SweepDuty(client, rows, rule, entry_unchanged_s, may_remove),
+        duties.SweepDuty(
+            client,
+            platform.objects,
+            rows,
+            rule,
+            entry_unchanged_s,
+            may_remove,
+        ),
         duties.RoleDuty(client, planning.decide_roles, _hint(pool)),
     ]
     if chosen.fleet.services:
--- a/bilberrydeal/errors/_store.py
+++ b/bilberrydeal/errors/_store.py
@@ -46,3 +46,6 @@
     key: str
     #: Version found there, 0 for an absent row.
     found_version: int
+    #: Whether an earlier copy got no answer, and that it had no effect was
+    #: read from rows. It holds unless those were removed meanwhile.
+    doubted: bool = False
--- a/bilberrydeal/store/_client.py
+++ b/bilberrydeal/store/_client.py
@@ -150,7 +150,8 @@
         else ``OutcomeUnknown`` is raised.
 
         The versions returned are ``CHANGED`` where somebody has written a
-        row since. Raises ``TableConflict``, ``StoreUnavailable`` when no
+        row since. Raises ``TableConflict``, ``doubted`` where the absence of
+        an effect was read from rows, ``StoreUnavailable`` when no
         try was sent and ``OutcomeUnknown`` when the deadline came first.
         """
         expected = _checked_version(transaction, marker)
@@ -179,6 +180,7 @@
                 raise _overwritten(marker, found, final) from failed
             if isinstance(failed, errors.TableConflict):
                 # Another check failed, and it does so for every copy.
+                failed.doubted = True
                 raise failed
 
     async def _read_back(
