--- a/bilberrydeal/entry/_authority.py
+++ b/bilberrydeal/entry/_authority.py
@@ -50,7 +50,14 @@
     )
     found: list[duties.Duty] = [
         usage,
-        duties.SweepDuty(client, rows, rule, entry_unchanged_s, may_remove),
+        duties.SweepDuty(
+            client,
+            platform.objects,
+            rows,
+            rule,
+            entry_unchanged_s,
+            may_remove,
+        ),
         duties.RoleDuty(client, planning.decide_roles, _hint(pool)),
     ]
     if chosen.fleet.services:
@@ -73,10 +80,27 @@
         chosen.duties.renew_s,
         chosen.duties.round_s,
         rng,
+        entries=_counter(entry, directory),
     )
     return Authority(runner, usage.stats)
 
 
+def _counter(
+    entry: str, directory: membership.MemberDirectory
+) -> collections.abc.Callable[[], int]:
+    """Return what counts the entries that could hold a duty."""
+
+    def count() -> int:
+        live = {
+            member.incarnation
+            for member in directory.entries()
+            if member.state is membership.MemberState.LIVE
+        }
+        return len(live | {entry})
+
+    return count
+
+
 def _hint(
     pool: _pool.LinkPool,
 ) -> collections.abc.Callable[[str, int], None]:
