Keep slots only for what organisations send within their share

Cause, by a trace of each request under the flood: the missing service is late, not refused. Slots are kept from reviews for the lower classes by what came in the last 10 s; a flood of short answers and chats so kept half of the slots of each endpoint, and reviews of organisations far under their share began only when urgent, with about their expected run time left. Answers longer than expected then ended late.

Ruled out: the admission at the entry (what it refuses is the flooder's), ejection (nothing failed), the bound of what waits, the cost that shares are counted in (the queue and the score use the same prices).

Change: an organisation's requests count for the slots kept up to its share, by weight, of the slots among those that sent something lately.

--- a/bilberrydeal/systems/queueing/_slots.py
+++ b/bilberrydeal/systems/queueing/_slots.py
@@ -4,8 +4,9 @@
 
 import attrs
 
-#: Time after which an old request counts for 1/e, in seconds.
-MEMORY_S = 10.0
+from . import _base
+from . import _demand
+
 #: Largest part of the slots that is kept free.
 KEPT_PART = 0.5
 
@@ -24,7 +25,7 @@
     def came(self, run_time_s: float, now_s: float) -> None:
         """Note a request."""
         self._fade(now_s)
-        self.busy_slots += run_time_s / MEMORY_S
+        self.busy_slots += run_time_s / _demand.MEMORY_S
 
     def wanted(self, now_s: float) -> float:
         """Return the slots that should be free for new requests.
@@ -37,7 +38,7 @@
 
     def _fade(self, now_s: float) -> None:
         if now_s > self.at_s:
-            self.busy_slots *= math.exp((self.at_s - now_s) / MEMORY_S)
+            self.busy_slots *= math.exp((self.at_s - now_s) / _demand.MEMORY_S)
             self.at_s = now_s
 
 
@@ -46,18 +47,26 @@
 
     A long request holds its slot for many seconds, so requests of lower
     classes would wait for one to end. As many slots as lower classes need,
-    by what came lately, are therefore not given to higher classes.
+    by what came lately, are therefore not given to higher classes. What an
+    organisation sends beyond its share of the slots does not count.
     """
 
     def __init__(self) -> None:
+        self._slots = math.inf
+        self._demand = _demand.Demand()
         self._classes: dict[int, ClassLoad] = {}
         self._running: dict[str, int] = {}
 
-    def came(
-        self, request_class: int, run_time_s: float, now_s: float
-    ) -> None:
+    def came(self, item: _base.QueuedRequest, now_s: float) -> None:
         """Note a request that is to wait."""
-        self._load(request_class).came(run_time_s, now_s)
+        counted_s = self._demand.claim(
+            item.organisation,
+            item.weight,
+            item.run_time_s,
+            self._slots,
+            now_s,
+        )
+        self._load(item.request_class).came(counted_s, now_s)
 
     def began(self, key: str, request_class: int) -> None:
         """Note a request that takes a slot."""
@@ -72,6 +81,7 @@
 
     def highest_class(self, slots: int, now_s: float) -> float:
         """Return the highest class that may take a slot now."""
+        self._slots = slots
         free = slots - len(self._running)
         kept = 0.0
         for request_class in sorted(self._classes):
--- a/bilberrydeal/systems/queueing/_weighted_fair.py
+++ b/bilberrydeal/systems/queueing/_weighted_fair.py
@@ -66,7 +66,7 @@
             account.weight = item.weight
         account.order.push(item)
         self._owners[item.key] = item.organisation
-        self._slots.came(item.request_class, item.run_time_s, now_s)
+        self._slots.came(item, now_s)
         self._cost += item.cost
         heapq.heappush(
             self._by_start, (item.latest_start_s, item.key, item.organisation)
