Divide slots by how much they are used, the rest by turns

Cause: with more entries than needed slots, each entry in need got a slot first. At an entry that needs a fraction of one it is empty most of the time: with 12 entries, 20 slots and 80% of the requests at one entry, a slot there is used 0.4 of the time and one at the busy entry 0.9.

Change: each slot goes where Erlang's loss formula says it is used most. Entries that would get none hold some by turns, at least one, and more as far as 0.95 of the limit stays in use. The stated error is used above the limit as well: 0.05 of it in whole slots, none under 20.

Callers at entries with few requests pay for it.

--- a/bench/_scenes.py
+++ b/bench/_scenes.py
@@ -49,6 +49,11 @@
     "concurrency_skewed": Scene(
         _organisation(concurrency=REQUESTS_PER_S * HOLD_S), skew=0.8
     ),
+    "concurrency_below_skewed": Scene(
+        _organisation(concurrency=REQUESTS_PER_S * HOLD_S),
+        offered_factor=0.8,
+        skew=0.8,
+    ),
     "below_skewed": Scene(REQUESTS, offered_factor=0.8, skew=0.8),
     "join": Scene(REQUESTS, change="join"),
     "death_of_home": Scene(REQUESTS, change="death"),
@@ -61,6 +66,11 @@
 #: Scenes that others than the product run in.
 POLICY_SCENES = {
     "local_only": ("requests", "requests_skewed", "below_skewed"),
-    SINGLE_ENTRY: ("requests_skewed", "concurrency_skewed", "below_skewed"),
+    SINGLE_ENTRY: (
+        "requests_skewed",
+        "concurrency_skewed",
+        "concurrency_below_skewed",
+        "below_skewed",
+    ),
 }
 ENTRIES = {"4 entries": 4, "12 entries": 12, "48 entries": 48}
--- a/bilberrydeal/systems/limits/_division.py
+++ b/bilberrydeal/systems/limits/_division.py
@@ -1,4 +1,4 @@
-"""How a home divides limits by need."""
+"""How a home divides rates by need."""
 
 import collections.abc
 import math
@@ -31,47 +31,3 @@
     return {
         entry: need / limit + spare * even for entry, need in needs.items()
     }
-
-
-def slot_shares(
-    needs: collections.abc.Mapping[str, float], slots: int
-) -> dict[str, int]:
-    """Return whole slots by need, by largest remainder.
-
-    Entries that need slots get at least one while there are enough.
-    """
-    total = sum(needs.values())
-    if total <= 0.0:
-        return _spread_evenly(needs, slots)
-    factor = min(1.0, slots / total)
-    whole = {entry: int(need * factor) for entry, need in needs.items()}
-    left = slots - sum(whole.values())
-    by_remainder = sorted(
-        needs,
-        key=lambda entry: (
-            whole[entry] > 0,
-            whole[entry] - needs[entry] * factor,
-            entry,
-        ),
-    )
-    for entry in by_remainder:
-        if left <= 0 or whole[entry] >= needs[entry]:
-            continue
-        whole[entry] += 1
-        left -= 1
-    for entry, spare in _spread_evenly(needs, left).items():
-        whole[entry] += spare
-    return whole
-
-
-def _spread_evenly(
-    needs: collections.abc.Mapping[str, float], slots: int
-) -> dict[str, int]:
-    entries = sorted(needs)
-    if not entries:
-        return {}
-    each, left = divmod(max(0, slots), len(entries))
-    return {
-        entry: each + (1 if position < left else 0)
-        for position, entry in enumerate(entries)
-    }
--- a/bilberrydeal/systems/limits/_home.py
+++ b/bilberrydeal/systems/limits/_home.py
@@ -8,6 +8,7 @@
 from . import _division
 from . import _messages
 from . import _pace
+from . import _slots
 
 #: An organisation is quiet while no entry needs more than this part of an
 #: even share.
@@ -38,6 +39,8 @@
     entries: dict[str, EntryNeed] = attrs.field(factory=dict)
     #: When entries that have not reported were last asked to.
     asked_at_s: float = -math.inf
+    #: Who holds a slot by turns.
+    turns: _slots.Turns = attrs.field(factory=_slots.Turns)
 
     def report(
         self,
@@ -93,7 +96,7 @@
             {n: need.tokens_per_s for n, need in needs.items()},
             organisation.tokens_per_s * heard,
         )
-        slots = self._slots(organisation.concurrency, len(live), due)
+        slots = self._slots(organisation.concurrency, len(live), due, now_s)
         return {
             entry: _messages.OrganisationShare(
                 organisation.organisation,
@@ -121,7 +124,7 @@
         }
 
     def _slots(
-        self, concurrency: float, live: int, due: list[str]
+        self, concurrency: float, live: int, due: list[str], now_s: float
     ) -> dict[str, int]:
         """Grant slots; one that is held elsewhere is not granted yet."""
         for entry in due:
@@ -129,10 +132,15 @@
         if math.isinf(concurrency):
             return dict.fromkeys(due, 0)
         unheard = live - len(self.entries)
-        available = int(concurrency) - unheard * (int(concurrency) // live)
-        targets = _division.slot_shares(
+        set_aside = unheard * (int(concurrency) // live)
+        available = _slots.allowed(concurrency) - set_aside
+        targets = _slots.slot_shares(
             {n: known.need.concurrency for n, known in self.entries.items()},
             available,
+            int(concurrency) - set_aside,
+            self.turns,
+            now_s,
+            _pace.turn_s(live),
         )
         held = sum(self._committed(known) for known in self.entries.values())
         for entry in due:
--- a/bilberrydeal/systems/limits/_pace.py
+++ b/bilberrydeal/systems/limits/_pace.py
@@ -12,6 +12,8 @@
 ROUND_FLOOR_S = 0.5
 #: A grant holds for so many reports of unchanged needs.
 GRANT_FACTOR = 3.0
+#: A slot that entries hold by turns stays for so many reports.
+TURN_FACTOR = 16.0
 
 
 def round_s(entries: int) -> float:
@@ -27,3 +29,8 @@
 def grant_ttl_s(entries: int) -> float:
     """Return how long a grant holds, in seconds."""
     return GRANT_FACTOR * refresh_s(entries)
+
+
+def turn_s(entries: int) -> float:
+    """Return how long an entry holds a slot by turns, in seconds."""
+    return TURN_FACTOR * round_s(entries)
