Buy no endpoint for an agent that is restarted

Cause: an agent that leaves by itself counted as an endpoint that goes away, though the platform lists it as live and starts the agent again. Each graceful restart so bought an endpoint beyond the bound of its failure domain.

Ruled out: fresh identities after lost answers (each purchase had one identity, none came too late).

Change: what leaves on a host that stays counts as held while the platform's list says that it lives. Hosts that leave are replaced at once as before. The unit test was red without the change.

--- a/bilberrydeal/entry/_planning.py
+++ b/bilberrydeal/entry/_planning.py
@@ -231,7 +231,7 @@
         _clear(endpoints)
         for agent in agents:
             endpoints.put(self._fleet_endpoint(agent, view.now_s))
-        present = {agent.endpoint_id for agent in agents}
+        present = {a.endpoint_id for a in agents if not self._restarts(a)}
         outstanding = self._tables.of(fleet.OutstandingOrder)
         _clear(outstanding)
         for record in view.endpoints:
@@ -249,6 +249,17 @@
         self._fill_unlisted(view, outstanding)
         self._fill_load(agents)
 
+    def _restarts(self, agent: membership.AgentMember) -> bool:
+        """Tell whether an agent leaves on a host that stays.
+
+        It is then replaced, and its endpoint goes only if the platform's
+        list says so: a restart of agents one by one must buy nothing.
+        """
+        return (
+            agent.state is membership.MemberState.LEAVING
+            and not self._directory.host_leaves(agent.host_id)
+        )
+
     def _fill_unlisted(
         self,
         view: duties.FleetView,
--- a/bilberrydeal/entry/tests/test_planning.py
+++ b/bilberrydeal/entry/tests/test_planning.py
@@ -25,6 +25,10 @@
 @attrs.define
 class _Directory:
     members: list[membership.AgentMember]
+    leaving: str = ""
+
+    def host_leaves(self, host_id: str) -> bool:
+        return host_id == self.leaving
 
     def agents(self) -> list[membership.AgentMember]:
         return self.members
@@ -102,6 +106,22 @@
     assert outstanding.missing == 2
 
 
+@pytest.mark.parametrize(
+    ("leaving", "listed_as", "missing"),
+    [("", "live", 0), ("", "leaving", 1), ("h1", "live", 1)],
+)
+def test_agent_that_is_restarted_is_not_replaced_by_a_purchase(
+    leaving: str, listed_as: str, missing: int
+) -> None:
+    state = membership.MemberState.LEAVING
+    planning, directory = _planning_of(attrs.evolve(AGENT, state=state))
+    directory.leaving = leaving
+    listed = ports.EndpointRecord("ep1", "h1", "fd1", "m", listed_as)
+    view = attrs.evolve(_view(), endpoints=(listed,))
+    decision = planning.decide_fleet(view)
+    assert sum(bought.count for bought in decision.purchases) == missing
+
+
 def test_only_a_failure_domain_that_had_agents_is_lost() -> None:
     other = attrs.evolve(AGENT, endpoint_id="ep2", failure_domain="fd2")
     planning, directory = _planning_of(AGENT)
--- a/bilberrydeal/membership/_directory.py
+++ b/bilberrydeal/membership/_directory.py
@@ -220,9 +220,13 @@
         ahead = sum(1 for name in names if _weight(prefix, name) > own)
         return min(ahead, RANKS)
 
+    def host_leaves(self, host_id: str) -> bool:
+        """Return whether the platform takes a host away."""
+        host = self._hosts.get(host_id)
+        return host is not None and host.state is ports.HostState.LEAVING
+
     def _merged(self, agent: _members.AgentMember) -> _members.AgentMember:
-        host = self._hosts.get(agent.host_id)
-        if host is None or host.state is not ports.HostState.LEAVING:
+        if not self.host_leaves(agent.host_id):
             return agent
         return attrs.evolve(agent, state=_members.MemberState.LEAVING)
 
