Write the exchange and figures of usage without field names

Cause: a question of the exchange named 17 shards and every field; a usage row and a seal named the four figures of each organisation.

Ruled out here: settling once a window in a large fleet. Agents send records again that are not settled in 10 s, and one that leaves waits for it, so both have to change with it. Parts by a hash of the organisation were not begun.

Change: peers.ListCodec writes attrs classes as JSON lists; ages are numbers in the shards' order, rounded up, 0 for a shard whose news are not wanted. Figures in usage rows and seals are lists of four; rows with names are still read, and a row of another form is refused. The slopes encode what is sent.

--- a/bench/_slopes_billing.py
+++ b/bench/_slopes_billing.py
@@ -2,7 +2,6 @@
 
 from bilberrydeal import billing
 from bilberrydeal import ports
-from bilberrydeal import store
 
 from . import _slopes
 
@@ -22,7 +21,7 @@
 
     def measure(size: int) -> float:
         row = billing.SealRow(29_000_000, _figures(size), (), 1e9, 7, "n" * 32)
-        return len(store.encode(row))
+        return len(billing.encode(row))
 
     return _slopes.over(
         "seal row, bytes", "organisations", _slopes.ORGANISATIONS, measure
@@ -35,7 +34,7 @@
 
     def measure(size: int) -> float:
         row = billing.UsageRow(_figures(size), (), "n" * 32)
-        return len(store.encode(row))
+        return len(billing.encode(row))
 
     return _slopes.over(
         "usage row of one entry, bytes",
@@ -49,13 +48,13 @@
 @_slopes.SLOPES.register("window sum")
 def window_sum() -> _slopes.Slope:
     """Measure the sealer's time to sum the rows of all entries."""
-    row = store.encode(billing.UsageRow(_figures(200), (), "n" * 32))
+    row = billing.encode(billing.UsageRow(_figures(200), (), "n" * 32))
 
     def measure(size: int) -> float:
         def add() -> None:
             total: dict[str, int] = {}
             for _ in range(size):
-                figures = store.decode(row, billing.UsageRow).figures
+                figures = billing.decode_usage(row).figures
                 for name, one in figures.items():
                     total[name] = total.get(name, 0) + one.output_tokens
 
--- a/bilberrydeal/billing/__init__.py
+++ b/bilberrydeal/billing/__init__.py
@@ -1,6 +1,9 @@
 """Usage, counted once from the agents' records to the platform's reports."""
 
 from ._close import close_recorder
+from ._codec import decode_seal
+from ._codec import decode_usage
+from ._codec import encode
 from ._positions import PositionSet
 from ._recorder import Acknowledged
 from ._recorder import Recorder
@@ -32,6 +35,9 @@
     "ReportStats",
     "Reporter",
     "SealRow",
+    "decode_seal",
+    "decode_usage",
+    "encode",
     "SealedUsage",
     "Sealer",
     "UsageRow",
--- a/bilberrydeal/billing/_recorder.py
+++ b/bilberrydeal/billing/_recorder.py
@@ -18,6 +18,7 @@
 from .. import ports
 from .. import store
 from . import _close
+from . import _codec
 from . import _figures
 from . import _rows
 from . import _windows
@@ -360,9 +361,7 @@
             key = _rows.usage_key(window, self.name)
             row = await self._client.read_one(key)
             self._usage[window] = (
-                store.decode(row.value, _rows.UsageRow)
-                if row
-                else _rows.UsageRow()
+                _codec.decode_usage(row.value) if row else _rows.UsageRow()
             )
         return self._usage[window]
 
@@ -461,4 +460,4 @@
 
 
 def _write(key: ports.RowKey, row: object) -> ports.Write:
-    return ports.Write(key.table, key.key, store.encode(row))
+    return ports.Write(key.table, key.key, _codec.encode(row))
--- a/bilberrydeal/billing/_seal.py
+++ b/bilberrydeal/billing/_seal.py
@@ -11,6 +11,7 @@
 from .. import leases
 from .. import ports
 from .. import store
+from . import _codec
 from . import _figures
 from . import _rows
 from . import _windows
@@ -91,7 +92,7 @@
             _rows.USAGE, _rows.window_prefix(window)
         )
         usage = _figures.merge_rows(
-            store.decode(row.value, _rows.UsageRow) for row in rows
+            _codec.decode_usage(row.value) for row in rows
         )
         return _rows.SealRow(
             window=window,
@@ -115,7 +116,7 @@
                 ports.Check(openings.table, openings.key, heads.openings),
             ),
             writes=(
-                ports.Write(key.table, key.key, store.encode(seal)),
+                ports.Write(key.table, key.key, _codec.encode(seal)),
                 ports.Write(sealed.table, sealed.key, store.encode(head)),
             ),
         )
@@ -129,4 +130,4 @@
     """Return the seal in a row that must be there."""
     if row is None:
         raise errors.StoreUnavailable(operation=f"read seal {window}")
-    return store.decode(row.value, _rows.SealRow)
+    return _codec.decode_seal(row.value)
--- a/bilberrydeal/billing/_status.py
+++ b/bilberrydeal/billing/_status.py
@@ -4,6 +4,7 @@
 
 from .. import ports
 from .. import store
+from . import _codec
 from . import _rows
 
 
@@ -29,7 +30,7 @@
     seals = await client.read([_rows.seal_key(w) for w in wanted])
     outcomes = await client.read([_rows.outcome_key(w) for w in wanted])
     return tuple(
-        SealedUsage(store.decode(seal.value, _rows.SealRow), _outcome(outcome))
+        SealedUsage(_codec.decode_seal(seal.value), _outcome(outcome))
         for seal, outcome in zip(seals, outcomes, strict=True)
         if seal is not None
     )
--- /dev/null
+++ b/bilberrydeal/billing/tests/test_codec.py
@@ -0,0 +1,41 @@
+"""How rows with figures are written, and older ones read."""
+
+import pytest
+
+from bilberrydeal import billing
+from bilberrydeal import ports
+from bilberrydeal import store
+from bilberrydeal.billing import _rows
+
+FIGURES = {
+    "russo": ports.OrganisationFigures(7, 2, 40, 3),
+    "other": ports.OrganisationFigures(0, 0, 0, 1),
+}
+ADJUSTMENTS = (_rows.Adjustment(8, FIGURES),)
+USAGE = billing.UsageRow(FIGURES, ADJUSTMENTS, "n")
+SEAL = billing.SealRow(9, FIGURES, ADJUSTMENTS, 1.5, 7, "n")
+
+
+@pytest.mark.parametrize("row", [USAGE, billing.UsageRow()])
+def test_usage_row_is_read_in_both_forms(row: billing.UsageRow) -> None:
+    assert billing.decode_usage(billing.encode(row)) == row
+    assert billing.decode_usage(store.encode(row)) == row
+
+
+def test_seal_is_read_in_both_forms() -> None:
+    assert billing.decode_seal(billing.encode(SEAL)) == SEAL
+    assert billing.decode_seal(store.encode(SEAL)) == SEAL
+
+
+def test_figures_are_lists_without_names() -> None:
+    for row in (USAGE, SEAL):
+        assert b"output_tokens" not in billing.encode(row)
+
+
+@pytest.mark.parametrize(
+    "figures", ["[1,2,3]", "[1,2,3,4,5]", '["1",2,3,4]', '{"calls":"1"}', "7"]
+)
+def test_figures_of_another_form_are_refused(figures: str) -> None:
+    data = f'{{"figures":{{"russo":{figures}}}}}'.encode()
+    with pytest.raises(store.RowInvalid):
+        billing.decode_usage(data)
--- a/bilberrydeal/entry/_exchange.py
+++ b/bilberrydeal/entry/_exchange.py
@@ -32,8 +32,8 @@
 ASKS_AT_ONCE = 32
 
 # JSON, because revisions hold their change as the JSON of their row.
-_ASK = msgspec.json.Decoder(peers.Ask)
-_REPLY = msgspec.json.Decoder(peers.Reply)
+_ASK = peers.ListCodec(peers.Ask)
+_REPLY = peers.ListCodec(peers.Reply)
 
 
 @attrs.frozen
@@ -142,7 +142,7 @@
     ) -> None:
         sent_s = self._clock()
         question = self._question(outgoing, sent_s)
-        sealed = self._seal.close(msgspec.json.encode(question))
+        sealed = self._seal.close(_ASK.encode(question))
         try:
             answer = await link.ask(
                 member.address, member.peer_port, sealed, ASK_TIMEOUT_S
@@ -202,7 +202,7 @@
             members=self._directory.relay(ask.ages, now_s),
             hosts=self._hosts.relay(now_s),
         )
-        return self._seal.close(msgspec.json.encode(reply))
+        return self._seal.close(_REPLY.encode(reply))
 
     def _note(self, entry: str, revision: int, at_s: float) -> None:
         before = self.seen.get(entry)
--- a/bilberrydeal/membership/__init__.py
+++ b/bilberrydeal/membership/__init__.py
@@ -17,7 +17,8 @@
 from ._registration import RowTaken
 from ._relay import MemberRelay
 from ._relay import RelayedRow
-from ._relay import ShardAge
+from ._relay import RelayedShard
+from ._relay import ShardAges
 
 __all__ = [
     "AgentMember",
@@ -29,13 +30,14 @@
     "MemberState",
     "Registration",
     "RelayedRow",
+    "RelayedShard",
     "RowTaken",
     "ServiceDemand",
     "PREFIXES",
     "TABLE",
     "decode",
     "encode",
-    "ShardAge",
+    "ShardAges",
     "new_incarnation",
     "standing_key",
 ]
--- a/bilberrydeal/membership/_directory.py
+++ b/bilberrydeal/membership/_directory.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import hashlib
+import math
 
 import attrs
 
@@ -155,33 +156,32 @@
 
     # Peers.
 
-    def ages(self, now_s: float) -> tuple[_relay.ShardAge, ...]:
+    def ages(self, now_s: float) -> _relay.ShardAges:
         """Return what to tell a peer, so that it answers with news.
 
-        Shards whose knowledge is young are left out.
+        Knowledge that is young counts as of now.
         """
         old_s = self.period_s() * ASK_SHARE
-        found = []
-        for prefix, shard in self._shards.items():
-            age_s = None
-            if shard.confirmed_s is not None:
-                age_s = now_s - shard.confirmed_s
-            if age_s is None or age_s >= old_s:
-                found.append(_relay.ShardAge(shard=prefix, age_s=age_s))
+        found: list[float | None] = []
+        for shard in self._shards.values():
+            if shard.confirmed_s is None:
+                found.append(None)
+                continue
+            age_s = now_s - shard.confirmed_s
+            found.append(_rounded(age_s) if age_s >= old_s else 0.0)
         return tuple(found)
 
     def relay(
-        self, ages: collections.abc.Iterable[_relay.ShardAge], now_s: float
+        self, ages: _relay.ShardAges, now_s: float
     ) -> _relay.MemberRelay:
         """Return the news of shards that the asker knows less of."""
         found: list[_relay.RelayedShard] = []
-        for asked in ages:
-            shard = self._shards.get(asked.shard)
-            if shard is None or shard.confirmed_s is None:
+        for age_s, shard in zip(ages, self._shards.values(), strict=False):
+            if shard.confirmed_s is None:
                 continue
             own_age_s = now_s - shard.confirmed_s
-            if asked.age_s is None or own_age_s < asked.age_s:
-                found.append(shard.news(asked.age_s, now_s))
+            if age_s is None or own_age_s < age_s:
+                found.append(shard.news(age_s, now_s))
         return _relay.MemberRelay(shards=tuple(found))
 
     def take_relay(
@@ -236,3 +236,8 @@
     """Return a weight for rendezvous hashing."""
     text = f"{prefix}|{incarnation}".encode()
     return hashlib.blake2b(text, digest_size=8).digest()
+
+
+def _rounded(age_s: float) -> float:
+    """Return an age with few digits, and not younger than it is."""
+    return math.ceil(age_s * 10) / 10
--- a/bilberrydeal/membership/_relay.py
+++ b/bilberrydeal/membership/_relay.py
@@ -6,17 +6,13 @@
 vouches for the rows that it takes to be alive.
 """
 
-import attrs
-
+import typing
 
-@attrs.frozen
-class ShardAge:
-    """How old the asker's knowledge of a shard is."""
+import attrs
 
-    #: Prefix of the shard's keys.
-    shard: str
-    #: Age in seconds; ``None`` without any knowledge.
-    age_s: float | None
+#: How old the asker's knowledge of each shard is, in the shards' order and
+#: in seconds; ``None`` without any knowledge, 0 where it wants no news.
+ShardAges: typing.TypeAlias = tuple[float | None, ...]
 
 
 @attrs.frozen
--- a/bilberrydeal/peers/__init__.py
+++ b/bilberrydeal/peers/__init__.py
@@ -1,5 +1,6 @@
 """The exchange of state between entries."""
 
+from ._lists import ListCodec
 from ._messages import Ask
 from ._messages import HostRelay
 from ._messages import Introduction
@@ -11,6 +12,7 @@
     "Ask",
     "HostRelay",
     "Introduction",
+    "ListCodec",
     "Reply",
     "Seal",
     "SealBroken",
--- a/bilberrydeal/peers/_messages.py
+++ b/bilberrydeal/peers/_messages.py
@@ -32,8 +32,8 @@
     nonce: str
     #: Newest revision that the asker has applied.
     revision: int
-    #: How old the asker's knowledge of members is.
-    ages: tuple[membership.ShardAge, ...] = ()
+    #: How old the asker's knowledge of each shard of the members is.
+    ages: membership.ShardAges = ()
     #: The asker's need of limits that the receiver divides.
     need: limits.NeedReport | None = None
     #: Shares of limits that the asker divides.
--- /dev/null
+++ b/bilberrydeal/peers/tests/test_lists.py
@@ -0,0 +1,87 @@
+"""Messages of the exchange as lists."""
+
+import attrs
+import msgspec
+import pytest
+
+from bilberrydeal import configuration
+from bilberrydeal import keys
+from bilberrydeal import membership
+from bilberrydeal import peers
+from bilberrydeal.configuration import _codec
+from bilberrydeal.systems import limits
+
+CHANGE = _codec.Envelope("set", msgspec.Raw(b"{}"))
+SENDER = peers.Introduction("e1", "10.1.1.1", 7400, "fd1")
+KNOWN = keys.PeerKnowledge("e1", 7, None, blind=True, known=("e2",))
+NEED = limits.OrganisationNeed("russo", 1.5, 90.0, 2.0, 3)
+ROWS = (
+    membership.RelayedRow("agent/1", 7, None),
+    membership.RelayedRow("agent/2", 8, "{}"),
+)
+MESSAGES: list[object] = [
+    peers.Ask(SENDER, "n", 7),
+    peers.Ask(
+        SENDER,
+        "n",
+        7,
+        ages=(None, 0.0, 2.5),
+        need=limits.NeedReport("e1", 9, (NEED, NEED)),
+        need_ask=limits.NeedAsk("e1", ("russo",)),
+    ),
+    peers.Ask(
+        SENDER,
+        "n",
+        7,
+        grant=limits.ShareGrant(
+            "e1", 3, (limits.OrganisationShare("russo", 0.5, 0.25, 4),)
+        ),
+    ),
+    peers.Reply("n", KNOWN),
+    peers.Reply(
+        "n",
+        KNOWN,
+        changes=configuration.RelayChanges(
+            (configuration.Revision(8, CHANGE, "n"),)
+        ),
+        members=membership.MemberRelay(
+            (membership.RelayedShard("agent/1", 0.5, True, ROWS),)
+        ),
+        hosts=peers.HostRelay(("h1",), 2.0),
+    ),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+def test_message_survives(message: peers.Ask | peers.Reply) -> None:
+    codec = peers.ListCodec(type(message))
+    data = codec.encode(message)
+    assert codec.decode(data) == message
+    assert b":" not in data.replace(b"{}", b"")
+
+
+@attrs.frozen
+class Longer:
+    """A later version of an introduction."""
+
+    entry: str
+    address: str
+    peer_port: int
+    failure_domain: str
+    region: str = "r1"
+
+
+def test_versions_that_differ_in_later_fields_agree() -> None:
+    older = peers.ListCodec(peers.Introduction)
+    newer = peers.ListCodec(Longer)
+    longer = newer.decode(older.encode(SENDER))
+    assert longer == Longer("e1", "10.1.1.1", 7400, "fd1", "r1")
+    assert older.decode(newer.encode(longer)) == SENDER
+
+
+@pytest.mark.parametrize(
+    "data", [b"{}", b"[]", b"[1]", b"nonsense", b"\xff", b'["n",7]']
+)
+def test_what_is_no_message_is_refused(data: bytes) -> None:
+    with pytest.raises((msgspec.MsgspecError, UnicodeDecodeError)):
+        peers.ListCodec(peers.Ask).decode(data)
