Give up early what may end late where an organisation has plenty waiting

Cause, by a trace of each request under the flood: a request may wait until its expected run time is all that is left.

Change: an organisation with more than 1.5 times its share of what waits gives up a request that could not end in time if it ran 1.3 times as long as expected.

--- a/bilberrydeal/systems/queueing/_base.py
+++ b/bilberrydeal/systems/queueing/_base.py
@@ -11,6 +11,9 @@
 PREFILL_TOKEN_COST = 1.0
 #: Cost of one token generated, in prompt tokens.
 DECODE_TOKEN_COST = 8.0
+#: Run time over the expected one that is allowed for where requests are
+#: plenty: answers differ much in length.
+SAFE_RUN_FACTOR = 1.3
 
 
 def cost(prompt_tokens: float, output_tokens: float) -> float:
@@ -51,6 +54,11 @@
         """Return when it must have begun to end in time, monotonic."""
         return self.deadline_s - self.run_time_s
 
+    @property
+    def safe_start_s(self) -> float:
+        """Return when it should have begun to end in time, monotonic."""
+        return self.deadline_s - SAFE_RUN_FACTOR * self.run_time_s
+
 
 class Queue(typing.Protocol):
     """Requests that wait; all calls take O(log n).
@@ -87,7 +95,11 @@
         """Remove a request that was cancelled, if it still waits."""
 
     def expired(self, now_s: float) -> list[QueuedRequest]:
-        """Remove and return requests that can no longer end in time."""
+        """Remove and return requests that can no longer end in time.
+
+        Those of an organisation that has more than enough waiting may be
+        given up while they could still just end in time.
+        """
 
     def overflow(self, limit: int, now_s: float) -> list[QueuedRequest]:
         """Remove and return requests until no more than a limit wait."""
--- a/bilberrydeal/systems/queueing/_class_order.py
+++ b/bilberrydeal/systems/queueing/_class_order.py
@@ -61,6 +61,10 @@
         )
         return self._take(key)
 
+    def get(self, key: str) -> _base.QueuedRequest | None:
+        """Return a request that still waits."""
+        return self._waiting.get(key)
+
     def remove(self, key: str) -> _base.QueuedRequest | None:
         """Remove a request that still waits."""
         return self._take(key) if key in self._waiting else None
--- a/bilberrydeal/systems/queueing/_weighted_fair.py
+++ b/bilberrydeal/systems/queueing/_weighted_fair.py
@@ -13,6 +13,9 @@
 #: Cost that an organisation may be served ahead of another, whose requests
 #: are of a higher class, over its weight.
 LEAD_LIMIT = 20_000.0
+#: An organisation with so much more waiting than its share of what waits has
+#: enough other requests to use its service.
+PLENTY_FACTOR = 1.5
 #: Accounts of idle organisations that are kept at least.
 SPARE_ACCOUNTS = 64
 
@@ -69,7 +72,7 @@
         self._slots.came(item, now_s)
         self._cost += item.cost
         heapq.heappush(
-            self._by_start, (item.latest_start_s, item.key, item.organisation)
+            self._by_start, (item.safe_start_s, item.key, item.organisation)
         )
         self._place(item.organisation, account)
 
@@ -106,13 +109,25 @@
         return item
 
     def expired(self, now_s: float) -> list[_base.QueuedRequest]:
-        """Remove and return requests that can no longer end in time."""
+        """Remove and return requests that can no longer end in time.
+
+        Requests that begin at the last moment often end late, and the work
+        is lost. An organisation with plenty waiting rather uses its service
+        for others of its requests; one with little loses none that could
+        end in time.
+        """
         late = []
         while self._by_start and self._by_start[0][0] < now_s:
-            _, key, _ = heapq.heappop(self._by_start)
-            item = self.remove(key)
-            if item is not None:
-                late.append(item)
+            _, key, name = heapq.heappop(self._by_start)
+            item = self._waiting(key)
+            if item is None:
+                continue
+            if item.latest_start_s >= now_s and not self._has_plenty(name):
+                again = (item.latest_start_s, key, name)
+                heapq.heappush(self._by_start, again)
+                continue
+            self.remove(key)
+            late.append(item)
         return late
 
     def overflow(self, limit: int, now_s: float) -> list[_base.QueuedRequest]:
@@ -156,6 +171,15 @@
     def __len__(self) -> int:
         return len(self._owners)
 
+    def _waiting(self, key: str) -> _base.QueuedRequest | None:
+        name = self._owners.get(key)
+        return None if name is None else self._accounts[name].order.get(key)
+
+    def _has_plenty(self, name: str) -> bool:
+        account = self._accounts[name]
+        share = self._cost * account.weight / self._busy_weight
+        return account.order.cost > PLENTY_FACTOR * share
+
     def _place(self, name: str, account: Account) -> None:
         self._version += 1
         account.version = self._version
