--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/_dispatch.py
@@ -212,6 +212,7 @@
                 async with contextlib.aclosing(answer.events()) as events:
                     async for event in events:
                         if isinstance(event, link.Finished):
+                            # As its agent counts it, not as callers see it.
                             self._bills.answered(
                                 _bills.answered(
                                     submit, agent_link, event, self._clock()
