Give every running test process ports of its own

Cause: test_answer_is_resumed_after_a_fault failed once with 'address already in use' at 127.0.0.2: ports were looked up as free on 127.0.0.1, let go and used a moment later, while another worker looked too. A process now holds a block of ports by a bound socket to its end and gives them in turn, free on both addresses.

--- a/bench/_floor.py
+++ b/bench/_floor.py
@@ -15,6 +15,7 @@
 import uvloop
 
 from bilberrydeal import link
+from bilberrydeal.link.tests import freeports
 from bilberrydeal.link.tests import harness
 
 from . import path_cost
@@ -104,7 +105,7 @@
             link.Chunk(sequence=number, chunk=1, text="token ", tokens=1)
             for number in range(FRAME_MESSAGES)
         ]
-        url = f"tcp://127.0.0.1:{harness.free_port()}"
+        url = f"tcp://127.0.0.1:{freeports.take()}"
         with (
             pynng.Pair0(listen=url, recv_timeout=10_000) as receiver,
             pynng.Pair0(dial=url, send_timeout=10_000) as sender,
--- a/bench/agent_cost.py
+++ b/bench/agent_cost.py
@@ -21,6 +21,7 @@
 
 from bilberrydeal import link
 from bilberrydeal import settings
+from bilberrydeal.link.tests import freeports
 from bilberrydeal.link.tests import harness
 
 #: Links at once, one row of the table each.
@@ -45,7 +46,7 @@
         "adapter": "openai_http",
         "url": f"http://{harness.ADDRESS}:{engine}",
     }
-    fields["link_ports_from"] = harness.free_ports(2 * max(LINKS))
+    fields["link_ports_from"] = freeports.take(2 * max(LINKS))
     fields["link_ports"] = 2 * max(LINKS)
     url = f"http://{harness.ADDRESS}:{platform}"
     fields["platform"] = {
@@ -89,7 +90,7 @@
 
 async def run() -> None:
     """Start the processes and measure."""
-    engine, platform = harness.free_port(), harness.free_port()
+    engine, platform = freeports.take(), freeports.take()
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         control_port = agent_file(folder, engine, platform)
--- a/bench/link_cost.py
+++ b/bench/link_cost.py
@@ -17,6 +17,7 @@
 
 from bilberrydeal import link
 from bilberrydeal import settings
+from bilberrydeal.link.tests import freeports
 from bilberrydeal.link.tests import harness
 
 #: Time between two steps of the stand-in for an engine.
@@ -102,7 +103,7 @@
 
 async def measure(streams: int, steps: int) -> Cost:
     """Be the entry's end and return what both took."""
-    ports = [harness.free_port(), harness.free_ports(harness.LINK_PORTS)]
+    ports = [freeports.take(), freeports.take(harness.LINK_PORTS)]
     agent = await asyncio.create_subprocess_exec(
         sys.executable,
         *["-m", "bench.link_cost", "agent"],
--- a/bench/path_cost.py
+++ b/bench/path_cost.py
@@ -15,7 +15,7 @@
 import psutil
 import uvloop
 
-from bilberrydeal.link.tests import harness
+from bilberrydeal.link.tests import freeports
 from scenarios import _fleet
 from scenarios import _places
 
@@ -100,7 +100,7 @@
     parse = await _floor_process(
         "parse", f"{engine_url}/v1/completions", streams, TOKENS
     )
-    port = harness.free_port()
+    port = freeports.take()
     sending = asyncio.create_task(
         _floor_process("send", port, streams, TOKENS, STEP_S)
     )
--- a/bilberrydeal/agent/tests/test_guard.py
+++ b/bilberrydeal/agent/tests/test_guard.py
@@ -1,11 +1,11 @@
 import pytest
 
 from bilberrydeal.agent import _guard
-from bilberrydeal.link.tests import harness
+from bilberrydeal.link.tests import freeports
 
 
 def test_second_agent_of_a_host_is_kept_out() -> None:
-    port = harness.free_port()
+    port = freeports.take()
     first = _guard.Guard(port)
     with pytest.raises(_guard.GuardHeld):
         _guard.Guard(port)
--- a/bilberrydeal/entry/tests/test_exchange.py
+++ b/bilberrydeal/entry/tests/test_exchange.py
@@ -16,7 +16,7 @@
 from bilberrydeal.entry import _exchange
 from bilberrydeal.entry import _hosts
 from bilberrydeal.entry.tests import fakes
-from bilberrydeal.link.tests import harness
+from bilberrydeal.link.tests import freeports
 from bilberrydeal.store.tests import faults
 from bilberrydeal.systems import limits
 from standins import platform
@@ -29,7 +29,7 @@
 
     def __init__(self, name: str, table: platform.MemoryTable) -> None:
         self.name = name
-        port = harness.free_port()
+        port = freeports.take()
         client = store.StoreClient(table, 1.0, 1e6, random.Random(1))
         self.follower = configuration.Follower(client, faults.MemoryObjects())
         self.committer = configuration.Committer(
--- a/bilberrydeal/link/tests/harness.py
+++ b/bilberrydeal/link/tests/harness.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 import contextlib
-import socket
 import time
 import typing
 
@@ -14,6 +13,7 @@
 from bilberrydeal import link
 from bilberrydeal import settings
 
+from . import freeports
 from . import relay
 
 ADDRESS = "127.0.0.1"
@@ -39,24 +39,6 @@
 )
 
 
-def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((ADDRESS, 0))
-        return int(probe.getsockname()[1])
-
-
-def free_ports(count: int) -> int:
-    """Return the first of some ports that were free a moment ago."""
-    while True:
-        first = free_port()
-        with contextlib.ExitStack() as probes, contextlib.suppress(OSError):
-            for port in range(first, first + count):
-                probe = probes.enter_context(socket.socket())
-                probe.bind((ADDRESS, port))
-            return first
-
-
 def agent_settings(**fields: typing.Any) -> settings.AgentSettings:
     """Return settings of an agent on loopback."""
     store = settings.AdapterSettings(adapter="none", url="http://127.0.0.1:1")
@@ -67,11 +49,11 @@
         "listen_address": ADDRESS,
         "advertise_address": ADDRESS,
         "failure_domain": "d1",
-        "control_port": free_port(),
-        "link_ports_from": free_ports(LINK_PORTS),
+        "control_port": freeports.take(),
+        "link_ports_from": freeports.take(LINK_PORTS),
         "link_ports": LINK_PORTS,
-        "guard_port": free_port(),
-        "metrics_port": free_port(),
+        "guard_port": freeports.take(),
+        "metrics_port": freeports.take(),
         "endpoint": store,
         "endpoint_kind": "engine",
         "service": "m",
--- a/bilberrydeal/link/tests/test_link.py
+++ b/bilberrydeal/link/tests/test_link.py
@@ -14,6 +14,7 @@
 from .. import _pulse
 from .. import _session
 from .. import _transport
+from . import freeports
 from . import harness
 from . import relay
 
@@ -519,7 +520,7 @@
 
 async def test_link_down_refuses_at_once() -> None:
     entry = link.AgentLink(
-        harness.ADDRESS, harness.free_port(), "a", "d1", harness.LINK, float
+        harness.ADDRESS, freeports.take(), "a", "d1", harness.LINK, float
     )
     with pytest.raises(link.LinkDown):
         entry.submit(harness.submit(1))
--- a/bilberrydeal/peers/tests/test_seal.py
+++ b/bilberrydeal/peers/tests/test_seal.py
@@ -7,7 +7,7 @@
 
 from bilberrydeal import link
 from bilberrydeal import peers
-from bilberrydeal.link.tests import harness
+from bilberrydeal.link.tests import freeports
 
 ADDRESS = "127.0.0.1"
 
@@ -30,7 +30,7 @@
 
 
 async def test_question_that_cannot_be_answered_does_not_stop_others() -> None:
-    port = harness.free_port()
+    port = freeports.take()
     seal = peers.Seal(b"secret")
     responder = link.Responder(ADDRESS, port)
     serving = asyncio.create_task(responder.serve(seal.open))
