Split the driver of the scenarios and hold back what the planner buys

The driver is split by subject: what a fleet is (_shape), how it is built (_build) and configured (_configure), how it is operated (_fleet), waits (_waits); and the checks by what only one process may do (_authority) and the rest, over _evidence. No check changed.

Cause of the other change: the scenario in which the planner buys stayed green when each send of a purchase had a fresh identity, as no answer was lost. Its purchases are now held back; with the break it is red ("d2 has 9 of 3"), without it green.

--- a/bench/daemons.py
+++ b/bench/daemons.py
@@ -17,6 +17,8 @@
 from scenarios import _caller
 from scenarios import _fleet
 from scenarios import _promises
+from scenarios import _shape
+from scenarios import _waits
 from standins import engine
 
 from . import _experiments
@@ -135,7 +137,7 @@
     load: dict[str, float], policy: settings.PolicySettings, seed: int
 ) -> tuple[_experiments.Figure, ...]:
     """Run one load against a fleet of its own."""
-    shape = _fleet.Shape(
+    shape = _shape.Shape(
         entries=2,
         engines=ENGINES,
         plains=0,
@@ -157,7 +159,7 @@
 
 async def _known_everywhere(fleet: _fleet.Fleet, organisation: str) -> None:
     for entry in range(len(fleet.entries)):
-        await _fleet.eventually(
+        await _waits.eventually(
             functools.partial(fleet.serves, entry, organisation),
             f"an answer for {organisation}",
         )
@@ -223,7 +225,7 @@
         return not missing
 
     try:
-        await _fleet.eventually(complete, "complete bills")
+        await _waits.eventually(complete, "complete bills")
     except TimeoutError:
         pass
     broken = _promises.broken(fleet.evidence())
--- a/bench/path_cost.py
+++ b/bench/path_cost.py
@@ -18,6 +18,7 @@
 from bilberrydeal.link.tests import harness
 from scenarios import _fleet
 from scenarios import _places
+from scenarios import _shape
 
 from . import _experiments
 
@@ -78,7 +79,7 @@
 ) -> Stream:
     """Read one stream of a model."""
     body: dict[str, object] = {
-        "model": _fleet.MODEL,
+        "model": _shape.MODEL,
         "prompt": f"prompt {number}",
         "max_tokens": tokens,
         "stream": True,
@@ -137,7 +138,7 @@
 
 async def measure(streams: int) -> tuple[_experiments.Figure, ...]:
     """Measure the path and the floor in one run."""
-    shape = _fleet.Shape(
+    shape = _shape.Shape(
         entries=1,
         engines=1,
         plains=0,
@@ -153,7 +154,7 @@
 async def _measured(
     fleet: _fleet.Fleet, streams: int
 ) -> tuple[_experiments.Figure, ...]:
-    key = fleet.keys[_fleet.ORGANISATIONS[0]].secret
+    key = fleet.keys[_shape.ORGANISATIONS[0]].secret
     path = Target(fleet.url(0), {"Authorization": f"Bearer {key}"})
     address = fleet.places.address(fleet.engines[0].number)
     direct = Target(f"http://{address}:{_places.ENDPOINT_PORT}", {})
--- /dev/null
+++ b/scenarios/_build.py
@@ -0,0 +1,215 @@
+"""Builds the processes of a fleet and writes their settings."""
+
+import pathlib
+import secrets
+
+import attrs
+import yaml
+
+from bilberrydeal import keys
+
+from . import _places
+from . import _process
+from . import _proxy
+from . import _shape
+
+#: Numbers of hosts.
+PLATFORM_HOST = 1
+_FIRST_ENTRY_HOST = 10
+_FIRST_AGENT_HOST = 20
+
+
+class Builder:
+    """Builds what a shape says.
+
+    Example::
+
+        builder = Builder(shape, folder, _places.take())
+        entry = await builder.entry(0)
+        entry.process.start()
+    """
+
+    def __init__(
+        self,
+        shape: _shape.Shape,
+        folder: pathlib.Path,
+        places: _places.Places,
+    ) -> None:
+        self._shape = shape
+        self._folder = folder
+        self._places = places
+
+    def reach(self, host: _shape.Host) -> str:
+        """Return the address under which others reach a host."""
+        if self._shape.proxied:
+            return host.front.address
+        return self._places.address(host.number)
+
+    def write_secrets(self, operator_key: str, pepper: str) -> None:
+        """Write what entries read their secrets from."""
+        hashed = keys.hash_key(operator_key, b"")
+        (self._folder / "pepper").write_text(pepper)
+        (self._folder / "operator").write_text(hashed)
+        (self._folder / "peer").write_text(secrets.token_hex(16))
+
+    def platform(self) -> _process.Process:
+        """Return the platform, not started."""
+        checks = "checks" if self._shape.checks_fencing else "no-checks"
+        return _process.Process(
+            name="platform",
+            module="standins.platform",
+            arguments=(
+                f"--port={_places.PLATFORM_PORT}",
+                f"--address={self._places.address(PLATFORM_HOST)}",
+                f"--record={self._folder}/platform.jsonl",
+                f"--{checks}-fencing",
+                "--host-lag-s=0.5",
+                "--delivery-s=1.0",
+            ),
+            log=self._folder / "platform.log",
+        )
+
+    async def entry(self, index: int) -> _shape.Host:
+        """Return an entry behind its proxies, not started."""
+        name = f"entry-{index}"
+        number = _FIRST_ENTRY_HOST + index
+        host = await self._host(name, number, index, None, _places.ENTRY_PORTS)
+        if self._shape.held:
+            host.store.hold(self._shape.held)
+        written = self._common(host, "entry") | {
+            "http": {"port": _places.HTTP_PORT},
+            "peer_port": _places.PEER_PORT,
+            "secrets": {
+                "key_hash_file": str(self._folder / "pepper"),
+                "operator_key_hash_file": str(self._folder / "operator"),
+                "peer_file": str(self._folder / "peer"),
+            },
+            "usage": {
+                "window_s": _shape.WINDOW_S,
+                "settle_s": 0.5,
+                "grace_s": 1.0,
+            },
+            "duties": {
+                "lease_ttl_s": 3.0,
+                "renew_s": 0.8,
+                "margin_s": 0.3,
+                "round_s": 0.5,
+            },
+        }
+        if self._shape.plans:
+            written["fleet"] = {
+                "failure_domains": [f"d{number}" for number in range(4)],
+                "services": [_shape.MODEL],
+                "fewest_per_domain": self._shape.fewest_per_domain,
+                "most_per_domain": self._shape.most_per_domain,
+                "delivery_s": 1.0,
+            }
+        self._write(host, written)
+        return host
+
+    async def agent(self, index: int, service: str) -> _shape.Host:
+        """Return an agent and its endpoint behind their proxies."""
+        number = _FIRST_AGENT_HOST + index
+        kind = "engine" if service == _shape.MODEL else "plain"
+        name = f"{kind}-{index}"
+        endpoint = self._endpoint(name, number, kind)
+        host = await self._host(
+            name, number, index, endpoint, _places.AGENT_PORTS
+        )
+        written = self._common(host, "agent") | {
+            "endpoint_id": name,
+            "control_port": _places.CONTROL_PORT,
+            "link_ports_from": _places.LINK_PORTS_FROM,
+            "link_ports": _places.LINK_PORTS,
+            "guard_port": self._places.guard_port(number),
+            "metrics_port": _places.METRICS_PORT,
+            "endpoint": {
+                "adapter": "openai_http" if kind == "engine" else "http",
+                "url": f"http://{self.reach(host)}:{_places.ENDPOINT_PORT}",
+            },
+            "endpoint_kind": kind,
+            "service": service,
+            "running_limit": self._shape.running_limit,
+            "order_poll_s": 2.0,
+        }
+        self._write(host, written)
+        return host
+
+    def _endpoint(self, name: str, number: int, kind: str) -> _process.Process:
+        arguments = [
+            f"--port={_places.ENDPOINT_PORT}",
+            f"--address={self._places.address(number)}",
+            f"--record={self._folder / name}.jsonl",
+        ]
+        if kind == "engine":
+            checks = "checks" if self._shape.checks_fencing else "no-checks"
+            arguments += [
+                f"--model={_shape.MODEL}",
+                f"--step-s={self._shape.step_s}",
+                f"--change-s={self._shape.change_s}",
+                f"--{checks}-fencing",
+            ]
+        return _process.Process(
+            name=name,
+            module=f"standins.{kind}",
+            arguments=tuple(arguments),
+            log=self._folder / f"{name}-endpoint.log",
+        )
+
+    async def _host(
+        self,
+        name: str,
+        number: int,
+        index: int,
+        endpoint: _process.Process | None,
+        host_ports: tuple[int, ...],
+    ) -> _shape.Host:
+        front = _proxy.Proxy(
+            self._places.front(number),
+            self._places.address(number),
+            host_ports,
+        )
+        store = _proxy.Proxy(
+            self._places.store(number),
+            self._places.address(PLATFORM_HOST),
+            (_places.PLATFORM_PORT,),
+        )
+        await front.start()
+        await store.start()
+        return _shape.Host(
+            name=name,
+            number=number,
+            failure_domain=f"d{index % 4}",
+            endpoint=endpoint,
+            process=_process.Process(
+                name=name,
+                module="bilberrydeal.daemon",
+                arguments=(str(self._folder / f"{name}.yaml"),),
+                log=self._folder / f"{name}.log",
+            ),
+            front=front,
+            store=store,
+            journal=self._folder / f"{name}.jsonl",
+        )
+
+    def _common(self, host: _shape.Host, role: str) -> dict[str, object]:
+        store = f"http://{host.store.address}:{_places.PLATFORM_PORT}"
+        services = ("table", "objects", "endpoints", "usage", "hosts")
+        return {
+            "role": role,
+            "host_id": host.name,
+            "listen_address": self._places.address(host.number),
+            "advertise_address": self.reach(host),
+            "failure_domain": host.failure_domain,
+            "platform": {
+                name: {"adapter": "http_json", "url": store}
+                for name in (*services, "weights")
+            },
+            "membership": {"renew_s": 0.5, "expiry_s": 3.0, "read_s": 0.5},
+            "shutdown_bound_s": 30.0,
+            "policy": attrs.asdict(self._shape.policy),
+        }
+
+    def _write(self, host: _shape.Host, written: dict[str, object]) -> None:
+        path = self._folder / f"{host.name}.yaml"
+        path.write_text(yaml.safe_dump(written))
--- /dev/null
+++ b/scenarios/_configure.py
@@ -0,0 +1,53 @@
+"""Configures a fleet as operators do."""
+
+import aiohttp
+
+from bilberrydeal import operators
+
+from . import _operator
+from . import _shape
+from . import _waits
+
+
+async def configure(
+    operator: _operator.Operator, hosts: list[_shape.Host]
+) -> None:
+    """Add organisations, a model and routes once the fleet answers."""
+
+    async def reachable() -> bool:
+        for host in hosts:
+            if not host.process.alive:
+                raise RuntimeError(f"{host.name} ended at its start")
+        try:
+            await operator.organisations()
+        except (aiohttp.ClientError, _operator.Refused):
+            return False
+        return True
+
+    await _waits.eventually(reachable, "the operators' routes")
+
+    async def accepted() -> bool:
+        try:
+            await operator.organisation(_shape.ORGANISATIONS[0])
+        except _operator.Refused:
+            return False
+        return True
+
+    await _waits.eventually(accepted, "the first change")
+    for name in _shape.ORGANISATIONS[1:]:
+        await operator.organisation(name)
+    await operator.model(_shape.MODEL)
+    for path, idempotent in (
+        ("deposit", False),
+        ("label", False),
+        ("stock", True),
+    ):
+        await operator.route(
+            path,
+            operators.RouteInput(
+                expected_revision=0,
+                path=f"/{path}",
+                idempotent=idempotent,
+                service=_shape.SHOP,
+            ),
+        )
--- a/scenarios/_load.py
+++ b/scenarios/_load.py
@@ -8,6 +8,8 @@
 
 from . import _caller
 from . import _fleet
+from . import _shape
+from . import _waits
 
 #: Requests in flight on each entry.
 WORKERS_AN_ENTRY = 3
@@ -61,7 +63,7 @@
     async def end(self) -> None:
         """Let all requests that are in flight end."""
         self._running = False
-        async with asyncio.timeout(_fleet.PATIENCE_S):
+        async with asyncio.timeout(_waits.PATIENCE_S):
             await asyncio.gather(*self._tasks)
 
     def abandon(self) -> None:
@@ -84,7 +86,7 @@
 
     def _draw(self, dice: random.Random) -> _caller.Ask:
         marker = self._fleet.marker()
-        organisation = dice.choice(_fleet.ORGANISATIONS)
+        organisation = dice.choice(_shape.ORGANISATIONS)
         if self._fleet.plains and dice.random() < self._mix.plain_share:
             path = dice.choice(("/stock", "/deposit", "/label"))
             ask = _caller.plain(path, marker, organisation)
--- a/scenarios/_stage.py
+++ b/scenarios/_stage.py
@@ -12,6 +12,8 @@
 from . import _caller
 from . import _fleet
 from . import _load
+from . import _shape
+from . import _waits
 
 Result = typing.TypeVar("Result")
 Spawned = concurrent.futures.Future[_caller.Outcome]
@@ -49,7 +51,7 @@
         """Run something beside the steps."""
         return asyncio.run_coroutine_threadsafe(work, self.loop)
 
-    def set_up(self, shape: _fleet.Shape) -> None:
+    def set_up(self, shape: _shape.Shape) -> None:
         """Start a fleet."""
         fleet = _fleet.Fleet(shape, self.folder)
         self.run(fleet.__aenter__())
@@ -80,12 +82,12 @@
         self.spawned[name] = self.spawn(
             self.fleet.ask(entry, ask, on_text=flowing.set)
         )
-        if ask.stream and not flowing.wait(_fleet.PATIENCE_S):
+        if ask.stream and not flowing.wait(_waits.PATIENCE_S):
             raise TimeoutError(f"no text of {name}")
 
     def finish(self, name: str) -> _caller.Outcome:
         """Wait for a request that was begun."""
-        self.outcomes[name] = self.spawned[name].result(_fleet.PATIENCE_S)
+        self.outcomes[name] = self.spawned[name].result(_waits.PATIENCE_S)
         return self.outcomes[name]
 
     def begin_load(self, mix: _load.Mix | None = None) -> None:
--- a/scenarios/demo.py
+++ b/scenarios/demo.py
@@ -21,8 +21,10 @@
 from . import _load
 from . import _places
 from . import _promises
+from . import _shape
+from . import _waits
 
-SHAPE = _fleet.Shape(entries=2, engines=4, plains=1)
+SHAPE = _shape.Shape(entries=2, engines=4, plains=1)
 #: Time that the scripted mix runs, in seconds.
 MIX_S = 3.0
 #: A withdrawn key must be refused after so long, in seconds.
@@ -99,7 +101,7 @@
     async def answered() -> bool:
         return (await fleet.ask(1, ask)).answered
 
-    await _fleet.eventually(answered, "an answer to the repeated deposit")
+    await _waits.eventually(answered, "an answer to the repeated deposit")
     runs = sum(marker in call.body for call in fleet.evidence().calls())
     require(runs == 1, f"The deposit ran {runs} times.")
     return "asked twice, over two entries; it ran once"
@@ -115,7 +117,7 @@
         outcome = await fleet.ask(entry, ask, key=old.secret)
         require(outcome.status == 401, f"Still served: {outcome}")
     await fleet.issue_key("derwent")
-    await _fleet.eventually(
+    await _waits.eventually(
         lambda: fleet.serves(1, "derwent"), "an answer for the new key"
     )
     return "both entries refuse it; a new key works"
@@ -131,7 +133,7 @@
         there = (await fleet.operator(1).organisations()).organisations
         return any(row.weight == 3.0 for row in there if row.name == "russo")
 
-    await _fleet.eventually(in_force, "the weight at the other entry")
+    await _waits.eventually(in_force, "the weight at the other entry")
     return "russo weighs 3 on both entries"
 
 
@@ -151,7 +153,7 @@
         state = await fleet.engine_state(fleet.engines[0])
         return state.role is ports.EngineRole.DECODE and not state.changing
 
-    await _fleet.eventually(decodes, "the role at the engine")
+    await _waits.eventually(decodes, "the role at the engine")
     await _end_uncut(fleet, load)
     await fleet.operator(1).call(
         "DELETE",
@@ -164,21 +166,21 @@
 async def release_a_version(fleet: _fleet.Fleet) -> str:
     """Bring a new version of a model to all engines under load."""
     rows = await fleet.operator(0).call("GET", "/models", operators.ModelRows)
-    model = next(row for row in rows.models if row.name == _fleet.MODEL)
+    model = next(row for row in rows.models if row.name == _shape.MODEL)
     given = operators.ModelInput(
         expected_revision=model.revision,
         service=model.service,
         version=VERSION,
     )
     load = _load.Load(fleet, seed=3)
-    path = f"/models/{_fleet.MODEL}"
+    path = f"/models/{_shape.MODEL}"
     await fleet.operator(0).call("PUT", path, operators.Committed, given)
 
     async def loaded() -> bool:
         states = [await fleet.engine_state(host) for host in fleet.engines]
         return all(state.model_version == VERSION for state in states)
 
-    await _fleet.eventually(loaded, "the version on all engines")
+    await _waits.eventually(loaded, "the version on all engines")
     await _end_uncut(fleet, load)
     return f"{len(fleet.engines)} engines loaded it, one after another"
 
@@ -187,7 +189,7 @@
     """Kill an agent and see the others serve."""
     fleet.engines[0].process.kill()
     for entry in range(len(fleet.entries)):
-        await _fleet.eventually(
+        await _waits.eventually(
             lambda at=entry: fleet.serves(at),  # type: ignore[misc]
             "an answer without the agent",
         )
@@ -201,7 +203,7 @@
     async def complete() -> bool:
         return not list(_promises.bills_are_complete(fleet.evidence()))
 
-    await _fleet.eventually(complete, "complete usage reports")
+    await _waits.eventually(complete, "complete usage reports")
     reports = [
         item.report
         for item in fleet.evidence().reports()
--- a/scenarios/features/planning.feature
+++ b/scenarios/features/planning.feature
@@ -18,10 +18,12 @@
       | killed and started again             |
 
   Scenario: The planner orders endpoints and its holder is lost
-    Given a fleet that plans, with 4 engines
+    Given a fleet that plans, with 4 engines and purchases held back
     When prompts grow long
-    And the planner has ordered endpoints
     And the entry with most duties is paused until others hold them
+    And calls of the other entries are let through
+    And calls of the paused entry are let through
+    And the planner has ordered endpoints
     And the paused entry goes on
     Then entry-0 answers
     And entry-1 answers
--- a/scenarios/soak.py
+++ b/scenarios/soak.py
@@ -20,13 +20,17 @@
 from bilberrydeal import registry
 from standins import platform
 
+from . import _authority
+from . import _evidence
 from . import _fleet
 from . import _load
 from . import _places
 from . import _promises
 from . import _proxy
+from . import _shape
+from . import _waits
 
-SHAPE = _fleet.Shape(entries=2, engines=4, plains=1, plans=True)
+SHAPE = _shape.Shape(entries=2, engines=4, plains=1, plans=True)
 #: Longest time that a fault lasts, in seconds.
 LONGEST_S = 6.0
 #: Longest time between two faults of one source, in seconds.
@@ -89,7 +93,7 @@
     async def ended() -> bool:
         return not process.alive
 
-    await _fleet.eventually(ended, f"the end of {process.name}")
+    await _waits.eventually(ended, f"the end of {process.name}")
     process.start()
 
 
@@ -176,7 +180,7 @@
 @FAULTS.register("change_key")
 async def change_key(fleet: _fleet.Fleet, dice: random.Random) -> None:
     """Withdraw a key and issue another."""
-    organisation = dice.choice(_fleet.ORGANISATIONS)
+    organisation = dice.choice(_shape.ORGANISATIONS)
     old = fleet.keys[organisation].key_id
     await fleet.issue_key(organisation)
     await fleet.operator(0).withdraw_key(old)
@@ -241,7 +245,7 @@
 
 
 def _print_figures(
-    evidence: _promises.Evidence,
+    evidence: _evidence.Evidence,
     counts: collections.Counter[str],
     duration_s: float,
 ) -> None:
@@ -262,7 +266,7 @@
     )
     for kind, count in reports.items():
         print(f"usage reports {kind}: {count}")
-    print(f"calls that came too late: {_promises.late_calls(evidence)}")
+    print(f"calls that came too late: {_authority.late_calls(evidence)}")
     billed = _promises.billed_calls(evidence).total()
     ran = len(evidence.generations()) + len(evidence.calls())
     print(f"calls billed: {billed} of {ran} that ran")
--- a/scenarios/tests/_common.py
+++ b/scenarios/tests/_common.py
@@ -3,8 +3,9 @@
 import collections.abc
 
 from scenarios import _caller
-from scenarios import _fleet
+from scenarios import _shape
 from scenarios import _stage
+from scenarios import _waits
 import standins
 from standins import engine
 
@@ -14,7 +15,7 @@
 STREAM_TOKENS = 900
 
 
-def shop(stage: _stage.Stage) -> _fleet.Host:
+def shop(stage: _stage.Stage) -> _shape.Host:
     return stage.fleet.plains[0]
 
 
@@ -39,7 +40,7 @@
     )
 
 
-def engine_of(stage: _stage.Stage, what: str) -> _fleet.Host:
+def engine_of(stage: _stage.Stage, what: str) -> _shape.Host:
     """Return the host whose engine got a request first."""
     marker = stage.asks[what].marker
     return min(
@@ -56,4 +57,4 @@
     async def holds() -> bool:
         return check()
 
-    stage.run(_fleet.eventually(holds, what))
+    stage.run(_waits.eventually(holds, what))
--- a/scenarios/tests/_steps_fleets.py
+++ b/scenarios/tests/_steps_fleets.py
@@ -3,7 +3,7 @@
 import pytest_bdd
 from pytest_bdd import parsers
 
-from scenarios import _fleet
+from scenarios import _shape
 from scenarios import _stage
 
 from . import _common
@@ -11,12 +11,12 @@
 
 @pytest_bdd.given("a fleet")
 def a_fleet(stage: _stage.Stage) -> None:
-    stage.set_up(_fleet.Shape())
+    stage.set_up(_shape.Shape())
 
 
 @pytest_bdd.given("a fleet under load")
 def a_fleet_under_load(stage: _stage.Stage) -> None:
-    stage.set_up(_fleet.Shape())
+    stage.set_up(_shape.Shape())
     stage.begin_load()
 
 
@@ -30,7 +30,7 @@
 )
 def a_fleet_that_plans(stage: _stage.Stage, habit: str) -> None:
     stage.set_up(
-        _fleet.Shape(
+        _shape.Shape(
             engines=4, checks_fencing=_common.HABITS[habit], plans=True
         )
     )
@@ -38,7 +38,7 @@
 
 @pytest_bdd.given(parsers.parse("a fleet with endpoints that {habit}"))
 def a_fleet_with(stage: _stage.Stage, habit: str) -> None:
-    stage.set_up(_fleet.Shape(checks_fencing=_common.HABITS[habit]))
+    stage.set_up(_shape.Shape(checks_fencing=_common.HABITS[habit]))
 
 
 @pytest_bdd.when("the load ends")
--- a/scenarios/tests/_steps_late.py
+++ b/scenarios/tests/_steps_late.py
@@ -4,8 +4,9 @@
 from pytest_bdd import parsers
 
 from bilberrydeal import ports
+from scenarios import _authority
 from scenarios import _fleet
-from scenarios import _promises
+from scenarios import _shape
 from scenarios import _stage
 import standins
 from standins import engine
@@ -24,7 +25,7 @@
 )
 def a_fleet_held_back(stage: _stage.Stage, habit: str) -> None:
     stage.set_up(
-        _fleet.Shape(
+        _shape.Shape(
             engines=4,
             checks_fencing=_common.HABITS[habit],
             plans=True,
@@ -40,7 +41,7 @@
 
 
 @pytest_bdd.when("calls of the other entries are let through")
-def others_go(stage: _stage.Stage, paused: _fleet.Host) -> None:
+def others_go(stage: _stage.Stage, paused: _shape.Host) -> None:
     assert paused.store.held
     for host in stage.fleet.entries:
         if host is not paused:
@@ -48,14 +49,14 @@
 
 
 @pytest_bdd.when("calls of the paused entry are let through")
-def paused_goes(stage: _stage.Stage, paused: _fleet.Host) -> None:
+def paused_goes(stage: _stage.Stage, paused: _shape.Host) -> None:
     stage.loop.call_soon_threadsafe(paused.store.release)
 
 
 @pytest_bdd.then(parsers.parse("{count:d} call arrives too late"))
 def arrives_too_late(stage: _stage.Stage, count: int) -> None:
     def arrived() -> bool:
-        return _promises.late_calls(stage.fleet.evidence()) >= count
+        return _authority.late_calls(stage.fleet.evidence()) >= count
 
     _common.wait(stage, arrived, "a call that comes too late")
 
--- a/scenarios/tests/_steps_operators.py
+++ b/scenarios/tests/_steps_operators.py
@@ -5,9 +5,9 @@
 import pytest_bdd
 from pytest_bdd import parsers
 
-from scenarios import _fleet
 from scenarios import _operator
 from scenarios import _stage
+from scenarios import _waits
 
 
 @pytest_bdd.when(parsers.parse("the key of {organisation} is withdrawn"))
@@ -21,7 +21,7 @@
             return False
         return True
 
-    stage.run(_fleet.eventually(accepted, "the withdrawal"))
+    stage.run(_waits.eventually(accepted, "the withdrawal"))
 
 
 @pytest_bdd.when(
@@ -69,4 +69,4 @@
         found = await weights()
         return len(found) == 1 and found <= {2.0, 3.0}
 
-    stage.run(_fleet.eventually(same, "one weight on all entries"))
+    stage.run(_waits.eventually(same, "one weight on all entries"))
--- a/scenarios/tests/_steps_planning.py
+++ b/scenarios/tests/_steps_planning.py
@@ -6,10 +6,12 @@
 from pytest_bdd import parsers
 
 from bilberrydeal import ports
+from scenarios import _authority
 from scenarios import _fleet
 from scenarios import _load
-from scenarios import _promises
+from scenarios import _shape
 from scenarios import _stage
+from scenarios import _waits
 import standins
 from standins import platform
 
@@ -21,7 +23,7 @@
 )
 def a_fleet_of_phases(stage: _stage.Stage, count: int) -> None:
     stage.set_up(
-        _fleet.Shape(
+        _shape.Shape(
             engines=2 * count,
             plans=True,
             fewest_per_domain=1,
@@ -38,15 +40,18 @@
 
 
 @pytest_bdd.given(
-    parsers.parse("a fleet that plans, with {count:d} engines"),
+    parsers.parse(
+        "a fleet that plans, with {count:d} engines and purchases held back"
+    ),
 )
 def a_fleet_that_grows(stage: _stage.Stage, count: int) -> None:
     stage.set_up(
-        _fleet.Shape(
+        _shape.Shape(
             engines=count,
             plans=True,
             fewest_per_domain=1,
             most_per_domain=3,
+            held=_fleet.PURCHASES,
         )
     )
 
@@ -59,7 +64,7 @@
 
 @pytest_bdd.when("the planner has ordered a change")
 def planner_has_ordered(stage: _stage.Stage) -> None:
-    ordered = _fleet.eventually(stage.fleet.was_ordered, "a planner's order")
+    ordered = _waits.eventually(stage.fleet.was_ordered, "a planner's order")
     stage.run(ordered)
 
 
@@ -82,4 +87,4 @@
 @pytest_bdd.then("both phases stayed live in two failure domains")
 def stayed_live(stage: _stage.Stage, grown_s: float) -> None:
     evidence = stage.fleet.evidence()
-    assert list(_promises.phases_stay_live(evidence, grown_s)) == []
+    assert list(_authority.phases_stay_live(evidence, grown_s)) == []
--- a/scenarios/tests/_steps_processes.py
+++ b/scenarios/tests/_steps_processes.py
@@ -6,8 +6,9 @@
 from pytest_bdd import parsers
 
 from bilberrydeal import ports
-from scenarios import _fleet
+from scenarios import _shape
 from scenarios import _stage
+from scenarios import _waits
 from standins import engine
 
 from . import _common
@@ -64,7 +65,7 @@
         host.process.resume()
 
 
-async def held_by(stage: _stage.Stage, over: int) -> dict[str, _fleet.Host]:
+async def held_by(stage: _stage.Stage, over: int) -> dict[str, _shape.Host]:
     """Return the holders of duties, as an entry shows them."""
     leases = (await stage.fleet.operator(over).leases()).leases
     return {
@@ -76,8 +77,8 @@
 
 
 def pause(
-    stage: _stage.Stage, paused: _fleet.Host, duties: set[str]
-) -> _fleet.Host:
+    stage: _stage.Stage, paused: _shape.Host, duties: set[str]
+) -> _shape.Host:
     """Pause an entry until others hold the duties."""
     entries = stage.fleet.entries
     other = next(n for n, host in enumerate(entries) if host is not paused)
@@ -87,7 +88,7 @@
         return duties <= {d for d, host in held.items() if host is not paused}
 
     paused.process.pause()
-    stage.run(_fleet.eventually(taken, f"a successor of {paused.name}"))
+    stage.run(_waits.eventually(taken, f"a successor of {paused.name}"))
     return paused
 
 
@@ -95,20 +96,22 @@
     "the entry with most duties is paused until others hold them",
     target_fixture="paused",
 )
-def is_paused(stage: _stage.Stage) -> _fleet.Host:
-    async def busiest() -> _fleet.Host:
-        hosts = list((await held_by(stage, 0)).values())
-        return max(stage.fleet.entries, key=hosts.count)
+def is_paused(stage: _stage.Stage) -> _shape.Host:
+    entries = stage.fleet.entries
+
+    def calling() -> list[_shape.Host]:
+        """Return who has a call held back, where calls are."""
+        if not stage.fleet.shape.held:
+            return entries
+        return [host for host in entries if host.store.held]
 
     async def all_held() -> bool:
-        if len(await held_by(stage, 0)) < len(DUTIES):
-            return False
-        calls = (await busiest()).store.held
-        return calls > 0 or not stage.fleet.shape.held
+        held = await held_by(stage, 0)
+        return len(held) >= len(DUTIES) and bool(calling())
 
-    stage.run(_fleet.eventually(all_held, "a holder of every duty"))
-    paused = stage.run(busiest())
+    stage.run(_waits.eventually(all_held, "a holder of every duty"))
     held = stage.run(held_by(stage, 0))
+    paused = max(calling(), key=list(held.values()).count)
     duties = {duty for duty, host in held.items() if host is paused}
     return pause(stage, paused, duties)
 
@@ -117,17 +120,17 @@
     "the entry that reports usage is paused until another does",
     target_fixture="paused",
 )
-def reporter_is_paused(stage: _stage.Stage) -> _fleet.Host:
+def reporter_is_paused(stage: _stage.Stage) -> _shape.Host:
     """Pause it with a report of its own held back."""
 
-    async def reporting() -> _fleet.Host | None:
+    async def reporting() -> _shape.Host | None:
         holder = (await held_by(stage, 0)).get("usage")
         return holder if holder and holder.store.held else None
 
     async def is_held() -> bool:
         return await reporting() is not None
 
-    stage.run(_fleet.eventually(is_held, "a report that is held back"))
+    stage.run(_waits.eventually(is_held, "a report that is held back"))
     paused = stage.run(reporting())
     assert paused is not None
     return pause(stage, paused, {"usage"})
@@ -148,18 +151,18 @@
     killed.process.start()
 
 
-def planner(stage: _stage.Stage) -> _fleet.Host:
+def planner(stage: _stage.Stage) -> _shape.Host:
     """Return the entry that plans roles."""
 
     async def is_held() -> bool:
         return "roles" in await held_by(stage, 0)
 
-    stage.run(_fleet.eventually(is_held, "a holder of roles"))
+    stage.run(_waits.eventually(is_held, "a holder of roles"))
     return stage.run(held_by(stage, 0))["roles"]
 
 
 @pytest_bdd.when("the paused entry goes on")
-def goes_on(paused: _fleet.Host) -> None:
+def goes_on(paused: _shape.Host) -> None:
     paused.process.resume()
 
 
--- a/scenarios/tests/_steps_records.py
+++ b/scenarios/tests/_steps_records.py
@@ -6,9 +6,9 @@
 import pytest_bdd
 from pytest_bdd import parsers
 
-from scenarios import _fleet
 from scenarios import _promises
 from scenarios import _stage
+from scenarios import _waits
 import standins
 from standins import engine
 from standins import platform
@@ -22,7 +22,7 @@
 
 @pytest_bdd.then(parsers.parse("{name} ends with code {code:d}"))
 def ends_with(stage: _stage.Stage, name: str, code: int) -> None:
-    assert stage.fleet.host(name).process.wait(_fleet.PATIENCE_S) == code
+    assert stage.fleet.host(name).process.wait(_waits.PATIENCE_S) == code
 
 
 @pytest_bdd.then(parsers.parse("{name} gets no new work after a few seconds"))
--- a/scenarios/tests/_steps_requests.py
+++ b/scenarios/tests/_steps_requests.py
@@ -10,6 +10,7 @@
 from scenarios import _fleet
 from scenarios import _promises
 from scenarios import _stage
+from scenarios import _waits
 
 from . import _common
 
@@ -74,7 +75,7 @@
         outcome = await stage.fleet.ask(entry, stage.asks[what])
         return outcome.answered
 
-    stage.run(_fleet.eventually(answered, f"an answer to {what}"))
+    stage.run(_waits.eventually(answered, f"an answer to {what}"))
 
 
 @pytest_bdd.when("the shop answers again")
@@ -84,7 +85,7 @@
         async def sells(entry: int = entry) -> bool:
             return await stage.fleet.sells(entry)
 
-        stage.run(_fleet.eventually(sells, "an answer of the shop"))
+        stage.run(_waits.eventually(sells, "an answer of the shop"))
 
 
 @pytest_bdd.then(parsers.parse("the {what} ran once"))
@@ -137,7 +138,7 @@
 def entry_answers_one(stage: _stage.Stage, entry: str, name: str) -> None:
     number = int(entry)
     stage.run(
-        _fleet.eventually(
+        _waits.eventually(
             lambda: stage.fleet.serves(number, name), f"an answer for {name}"
         )
     )
@@ -163,7 +164,7 @@
             assert not outcome.answered, outcome
             # An entry that ended itself refuses the connection.
             assert outcome.status in (0, 401, 503), outcome
-            await asyncio.sleep(_fleet.LOOK_S)
+            await asyncio.sleep(_waits.LOOK_S)
 
     async def refused_by_all() -> None:
         entries = range(len(stage.fleet.entries))
--- a/scenarios/tests/test_promises.py
+++ b/scenarios/tests/test_promises.py
@@ -8,7 +8,9 @@
 import pytest
 
 from bilberrydeal import ports
+from scenarios import _authority
 from scenarios import _caller
+from scenarios import _evidence
 from scenarios import _promises
 from standins import engine
 from standins import Journal
@@ -119,8 +121,8 @@
             repeat = report(2, fence, identity, start_s, "repeated")
             self.platform.append(repeat)
 
-    def evidence(self) -> _promises.Evidence:
-        return _promises.Evidence(
+    def evidence(self) -> _evidence.Evidence:
+        return _evidence.Evidence(
             outcomes=tuple(self.outcomes),
             engines={"e1": self.folder / "engine"},
             plains={"s1": self.folder / "plain"},
@@ -210,5 +212,5 @@
 ) -> None:
     story = Story(tmp_path)
     hold_back(story)
-    assert _promises.late_calls(story.evidence()) == 1
+    assert _authority.late_calls(story.evidence()) == 1
     assert _promises.broken(story.evidence()) == []
