Match orders of endpoints with what came into the list after them

Cause: an order too fresh for the platform's list counted as listed as soon as any endpoint of the service had no agent yet, so an older one that was still on its way hid it, and the planner could order again. Found by reading; the stand-in's list does not lag.

Change: only endpoints that were first listed after the order was decided count as its own. A new holder takes what it finds as older: an order may then count twice for 10 s and buys nothing meanwhile. Without the check the new test is red.

--- a/bench/fleet_size.py
+++ b/bench/fleet_size.py
@@ -199,8 +199,7 @@
 ) -> None:
     """Put what the planner would know into the tables."""
     known = tables.of(fleet.FleetEndpoint)
-    for row in list(known):
-        known.remove(row.key)
+    known.clear()
     for position in platform.live(now_s):
         endpoint = platform.endpoints[position]
         known.put(
@@ -213,8 +212,7 @@
             )
         )
     orders = tables.of(fleet.OutstandingOrder)
-    for order in list(orders):
-        orders.remove(order.key)
+    orders.clear()
     for endpoint in platform.endpoints:
         if endpoint.live_at_s > now_s:
             key = f"{endpoint.order}@{endpoint.failure_domain}"
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -16,10 +16,10 @@
 from . import _following
 from . import _loops
 from . import _path
-from . import _planning
 from . import _secrets
 from . import _taking
 from . import _upkeep
+from . import _windows
 
 LOG = telemetry.logger("entry")
 #: Time between two looks at links and circuits.
@@ -95,7 +95,7 @@
                 self._upkeep.exchange.round,
             ),
             ("usage", chosen.usage.settle_s, self._path.settling.round),
-            ("demand", _planning.WINDOW_S, self._observe_demand),
+            ("demand", _windows.WINDOW_S, self._observe_demand),
             ("tick", TICK_S, self._tick),
         ):
             self._spawn(_loops.every(name, period_s, work, self._base.random))
--- a/bilberrydeal/entry/tests/test_planning.py
+++ b/bilberrydeal/entry/tests/test_planning.py
@@ -11,6 +11,8 @@
 from bilberrydeal import settings
 from bilberrydeal import systems
 from bilberrydeal.entry import _planning
+from bilberrydeal.entry import _role_planning
+from bilberrydeal.entry import _windows
 from bilberrydeal.entry.tests import fakes
 from bilberrydeal.systems import fleet
 from bilberrydeal.systems import roles
@@ -59,7 +61,7 @@
 
 @pytest.mark.parametrize(
     ("after_s", "changing", "role"),
-    [(1.0, True, "decode"), (_planning.ORDER_PATIENCE_S, False, "both")],
+    [(1.0, True, "decode"), (_role_planning.ORDER_PATIENCE_S, False, "both")],
 )
 def test_order_that_is_never_applied_stops_counting(
     after_s: float, changing: bool, role: str
@@ -67,7 +69,7 @@
     planning, _ = _planning_of(AGENT)
     planning.decide_roles({"ep1": ORDER}, 10.0)
     planning.decide_roles({"ep1": ORDER}, 10.0 + after_s)
-    (endpoint,) = planning._tables.of(roles.RoleEndpoint)
+    (endpoint,) = planning.tables.of(roles.RoleEndpoint)
     assert endpoint.changing is changing
     assert endpoint.role == role
 
@@ -102,10 +104,30 @@
     )
     old = attrs.evolve(intent, order_id="o0", decided_at_s=900.0)
     planning.decide_fleet(_view(intent, old))
-    (outstanding,) = planning._tables.of(fleet.OutstandingOrder)
+    (outstanding,) = planning.tables.of(fleet.OutstandingOrder)
     assert outstanding.missing == 2
 
 
+@pytest.mark.parametrize(
+    ("listed", "missing"), [(("ep9",), 1), (("ep9", "ep5"), 0)]
+)
+def test_endpoint_listed_before_an_order_is_not_its_own(
+    listed: tuple[str, ...], missing: int
+) -> None:
+    """One that was ordered long ago and has no agent yet hides none."""
+    planning, _ = _planning_of(AGENT)
+    before = ports.EndpointRecord("ep9", "h9", "fd1", "m", "ordered")
+    planning.decide_fleet(attrs.evolve(_view(), endpoints=(before,)))
+    intent = duties.IntentRow(
+        "o1", duties.IntentState.DONE, "m", 1, "", 1_001.0, 1, ""
+    )
+    records = tuple(attrs.evolve(before, endpoint_id=n) for n in listed)
+    view = attrs.evolve(_view(intent), wall_s=1_002.0, endpoints=records)
+    planning.decide_fleet(view)
+    unlisted = planning.tables.of(fleet.OutstandingOrder).get("unlisted m")
+    assert (unlisted.missing if unlisted else 0) == missing
+
+
 @pytest.mark.parametrize(
     ("leaving", "listed_as", "missing"),
     [("", "live", 0), ("", "leaving", 1), ("h1", "live", 1)],
@@ -126,7 +148,7 @@
     other = attrs.evolve(AGENT, endpoint_id="ep2", failure_domain="fd2")
     planning, directory = _planning_of(AGENT)
     planning.decide_fleet(_view())
-    lost = planning._tables.of(fleet.DomainState)
+    lost = planning.tables.of(fleet.DomainState)
     assert [state.lost for state in lost] == [False, False]
     directory.members.append(other)
     planning.decide_fleet(_view())
@@ -142,5 +164,5 @@
     entry = attrs.evolve(entry, demand=(demand,))
     planning.observe([entry, entry], 5.0)
     planning.decide_roles({}, 5.0)
-    (found,) = planning._tables.of(roles.ModelDemand)
-    assert found.windows[-1].prompt_tokens == 200.0 * _planning.WINDOW_S
+    (found,) = planning.tables.of(roles.ModelDemand)
+    assert found.windows[-1].prompt_tokens == 200.0 * _windows.WINDOW_S
--- a/bilberrydeal/systems/_tables.py
+++ b/bilberrydeal/systems/_tables.py
@@ -33,6 +33,10 @@
         """Remove and return the entity with a key, if there is one."""
         return self._rows.pop(key, None)
 
+    def clear(self) -> None:
+        """Remove all rows."""
+        self._rows.clear()
+
     def __iter__(self) -> collections.abc.Iterator[Item]:
         return iter(self._rows.values())
 
--- a/bilberrydeal/systems/roles/_plan.py
+++ b/bilberrydeal/systems/roles/_plan.py
@@ -45,9 +45,7 @@
 
 def clear(tables: _tables.Tables) -> None:
     """Forget the orders of the last run."""
-    orders = tables.of(_entities.RoleOrder)
-    for order in list(orders):
-        orders.remove(order.key)
+    tables.of(_entities.RoleOrder).clear()
 
 
 def by_model(
--- a/bilberrydeal/systems/roles/_settled.py
+++ b/bilberrydeal/systems/roles/_settled.py
@@ -41,8 +41,7 @@
     def run(self, tables: _tables.Tables, now_s: float) -> None:
         """Replace the orders of the last run."""
         orders = tables.of(_entities.EngineOrder)
-        for order in list(orders):
-            orders.remove(order.key)
+        orders.clear()
         for model, endpoints in _plan.by_model(tables).items():
             for order in self._orders(tables, model, endpoints):
                 orders.put(order)
--- a/bilberrydeal/systems/roles/_static.py
+++ b/bilberrydeal/systems/roles/_static.py
@@ -4,6 +4,7 @@
 
 from .. import _tables
 from . import _entities
+from . import _plan
 from . import _registry
 from . import _rules
 
@@ -20,6 +21,4 @@
 
     def run(self, tables: _tables.Tables, now_s: float) -> None:
         """Clear the table of orders."""
-        orders = tables.of(_entities.RoleOrder)
-        for order in list(orders):
-            orders.remove(order.key)
+        _plan.clear(tables)
