Hold ports of tests by one function

The addresses of scenarios and the ports of unit tests each bound their own sockets to reserve them; one function serves both now.

--- a/bilberrydeal/link/tests/freeports.py
+++ b/bilberrydeal/link/tests/freeports.py
@@ -48,7 +48,7 @@
     """Reserve a block; the look begins at a place of this process's own."""
     for candidate in range(os.getpid(), os.getpid() + _BLOCKS):
         first = _FIRST_PORT + candidate % _BLOCKS * _BLOCK_PORTS
-        holder = _bound(_HOLDING_ADDRESS, first)
+        holder = bound(_HOLDING_ADDRESS, first)
         if holder is not None:
             return _Block(first, holder)
     raise OSError(errno.EADDRINUSE, "all blocks are taken")
@@ -57,14 +57,15 @@
 def _is_free(port: int) -> bool:
     with contextlib.ExitStack() as probes:
         for address in ADDRESSES:
-            probe = _bound(address, port)
+            probe = bound(address, port)
             if probe is None:
                 return False
             probes.enter_context(probe)
     return True
 
 
-def _bound(address: str, port: int) -> socket.socket | None:
+def bound(address: str, port: int) -> socket.socket | None:
+    """Return a socket that holds a port, or ``None`` if it is taken."""
     probe = socket.socket()
     try:
         probe.bind((address, port))
--- a/scenarios/_places.py
+++ b/scenarios/_places.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from bilberrydeal.link.tests import freeports
+
 PLATFORM_PORT = 20_000
 HTTP_PORT = 20_010
 PEER_PORT = 20_011
@@ -83,7 +85,9 @@
     first = os.getpid() * _STRIDE
     for candidate in range(first, first + _BLOCKS):
         number = candidate % _BLOCKS
-        holder = _bound(_first_port(number) + _GUARDS_A_FLEET)
+        holder = freeports.bound(
+            _GUARD_ADDRESS, _first_port(number) + _GUARDS_A_FLEET
+        )
         if holder is not None:
             _reserved.append(holder)
             return Places(number)
@@ -95,18 +99,8 @@
 
 
 def _is_free(port: int) -> bool:
-    probe = _bound(port)
+    probe = freeports.bound(_GUARD_ADDRESS, port)
     if probe is None:
         return False
     probe.close()
     return True
-
-
-def _bound(port: int) -> socket.socket | None:
-    holder = socket.socket()
-    try:
-        holder.bind((_GUARD_ADDRESS, port))
-    except OSError:
-        holder.close()
-        return None
-    return holder
