--- /dev/null
+++ b/bilberrydeal/catalogue/__init__.py
@@ -0,0 +1,25 @@
+"""What a gateway knows: the operators' configuration and the endpoints."""
+
+from ._configuration import CallerLimits
+from ._configuration import Configuration
+from ._configuration import Organisation
+from ._configuration import Route
+from ._configuration import RouteKind
+from ._configuration import Split
+from ._endpoints import Endpoint
+from ._routes import RouteTable
+from ._services import EngineLimits
+from ._services import Service
+
+__all__ = [
+    "CallerLimits",
+    "Configuration",
+    "Endpoint",
+    "EngineLimits",
+    "Organisation",
+    "Route",
+    "RouteKind",
+    "RouteTable",
+    "Service",
+    "Split",
+]
--- a/bilberrydeal/daemon.py
+++ b/bilberrydeal/daemon.py
@@ -10,7 +10,6 @@
 
 from . import __version__
 from . import _lean  # noqa: F401
-from . import _names
 from . import settings
 
 #: Exit code for settings or arguments that are wrong.
@@ -34,9 +33,7 @@
         parser.error("give one settings file")
     try:
         chosen = settings.load(pathlib.Path(words[-1]))
-        unknown = _names.problems(chosen)
-        if unknown:
-            raise settings.SettingsInvalid(problems=unknown)
+        _check_names(chosen)
         if only_check:
             print("The settings are valid.")
             return 0
@@ -47,11 +44,27 @@
         return EXIT_USAGE
 
 
-def _run(chosen: settings.EntrySettings | settings.AgentSettings) -> int:
+def _check_names(chosen: settings.Settings) -> None:
+    """Raise ``SettingsInvalid`` for names that nobody registered."""
+    if isinstance(chosen, settings.GatewaySettings):
+        # The check would load libraries that a gateway never uses.
+        return
+    from . import _names
+
+    unknown = _names.problems(chosen)
+    if unknown:
+        raise settings.SettingsInvalid(problems=unknown)
+
+
+def _run(chosen: settings.Settings) -> int:
     if isinstance(chosen, settings.EntrySettings):
         from . import entry
 
         return entry.run(chosen)
+    if isinstance(chosen, settings.GatewaySettings):
+        from . import gateway
+
+        return gateway.run(chosen)
     from . import agent
 
     return agent.run(chosen)
--- a/bilberrydeal/errors/_codes.py
+++ b/bilberrydeal/errors/_codes.py
@@ -44,6 +44,7 @@
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_CONFLICT = "store_conflict"
     STORE_OUTCOME_UNKNOWN = "store_outcome_unknown"
+    STORE_HISTORY_GONE = "store_history_gone"
     PLATFORM_REFUSED = "platform_refused"
     # Authority.
     LEASE_LOST = "lease_lost"
--- a/bilberrydeal/errors/_store.py
+++ b/bilberrydeal/errors/_store.py
@@ -49,3 +49,12 @@
     #: Whether an earlier copy got no answer, and that it had no effect was
     #: read from rows. It holds unless those were removed meanwhile.
     doubted: bool = False
+
+
+@attrs.define(slots=False, eq=False)
+class HistoryGone(_base.BilberrydealError):
+    """The feed cannot go on from that version; read the table anew."""
+
+    code: typing.ClassVar[_codes.ErrorCode] = (
+        _codes.ErrorCode.STORE_HISTORY_GONE
+    )
--- /dev/null
+++ b/bilberrydeal/gateway/_following.py
@@ -0,0 +1,190 @@
+"""Follows the configuration and the endpoints in the platform's store."""
+
+import asyncio
+import collections.abc
+
+import attrs
+
+from .. import errors
+from .. import platform
+from .. import ports
+from .. import telemetry
+from . import _knowledge
+
+LOG = telemetry.logger("following")
+#: Longest wait for a whole table, in seconds.
+SNAPSHOT_TIMEOUT_S = 1.5
+#: Time that a call of the feed waits for a change, in seconds.
+FEED_WAIT_S = 1.0
+#: Pause between two calls for endpoints, whose rows change all the time.
+ENDPOINTS_PAUSE_S = 0.5
+#: First pause after a failed call, in seconds; doubles with each.
+BACKOFF_FIRST_S = 0.05
+#: Longest pause after failed calls, in seconds.
+BACKOFF_LIMIT_S = 0.4
+#: An endpoint that went missing while the store was away may come back for
+#: so long after the store did, in seconds.
+RETURN_S = 2.3
+#: Without an answer for so long the store counts as away, in seconds.
+AWAY_S = 1.8
+
+Clock = collections.abc.Callable[[], float]
+
+
+@attrs.define
+class Contact:
+    """When the store answered."""
+
+    #: Last answer, monotonic seconds.
+    answered_s: float
+    #: When it last came back after it was away, monotonic seconds.
+    returned_s: float = float("-inf")
+    #: Whether it counts as away.
+    away: bool = False
+
+    def answered(self, now_s: float) -> None:
+        """Note an answer."""
+        if now_s - self.answered_s > AWAY_S:
+            self.returned_s = now_s
+        if self.away:
+            LOG.info("Store regained.", away_s=now_s - self.answered_s)
+        self.away = False
+        self.answered_s = now_s
+
+    def failed(self, reason: str, now_s: float) -> None:
+        """Note a call without an answer."""
+        if not self.away and now_s - self.answered_s > AWAY_S:
+            self.away = True
+            LOG.warning("Store lost.", reason=reason)
+
+
+class TableFollower:
+    """Keeps up with one table: a snapshot, then the feed."""
+
+    def __init__(
+        self,
+        feed: ports.ChangeFeed,
+        table: str,
+        contact: Contact,
+        clock: Clock,
+    ) -> None:
+        self._feed = feed
+        self._table = table
+        self._contact = contact
+        self._clock = clock
+        self._version: int | None = None
+
+    async def run(
+        self,
+        take: collections.abc.Callable[[ports.Changes, bool], None],
+        pause_s: float,
+    ) -> None:
+        """Follow the table; ``take`` gets changes and whether all are in."""
+        backoff_s = BACKOFF_FIRST_S
+        while True:
+            try:
+                await self._step(take)
+                backoff_s = BACKOFF_FIRST_S
+                await asyncio.sleep(pause_s)
+            except errors.HistoryGone:
+                LOG.info("History gone.", table=self._table)
+                self._version = None
+            except errors.StoreUnavailable as error:
+                self._contact.failed(str(error), self._clock())
+                await asyncio.sleep(backoff_s)
+                backoff_s = min(backoff_s * 2, BACKOFF_LIMIT_S)
+
+    async def _step(
+        self, take: collections.abc.Callable[[ports.Changes, bool], None]
+    ) -> None:
+        whole = self._version is None
+        if self._version is None:
+            found = await self._feed.snapshot(self._table, SNAPSHOT_TIMEOUT_S)
+        else:
+            found = await self._feed.changes(
+                self._table, self._version, FEED_WAIT_S
+            )
+        self._contact.answered(self._clock())
+        take(found, whole)
+        self._version = found.version
+
+
+class ConfigurationTaker:
+    """Puts configurations in force."""
+
+    def __init__(self, knowledge: _knowledge.Knowledge) -> None:
+        self._knowledge = knowledge
+
+    def take(self, changes: ports.Changes, whole: bool) -> None:
+        """Take what was read of the operators' table."""
+        for change in changes.rows:
+            if change.key != platform.CONFIGURATION_KEY:
+                continue
+            if change.value is None:
+                continue
+            try:
+                found = platform.decode_configuration(change.value)
+            except platform.RecordInvalid as error:
+                LOG.error("Configuration unreadable.", reason=str(error))
+                continue
+            self._knowledge.set_configuration(found)
+
+
+class EndpointsTaker:
+    """Keeps the endpoints up to date."""
+
+    def __init__(
+        self,
+        knowledge: _knowledge.Knowledge,
+        contact: Contact,
+        clock: Clock,
+    ) -> None:
+        self._knowledge = knowledge
+        self._contact = contact
+        self._clock = clock
+        self._missing: dict[str, float] = {}
+
+    def take(self, changes: ports.Changes, whole: bool) -> None:
+        """Take what was read of the endpoints' table."""
+        now_s = self._clock()
+        if whole:
+            present = {change.key for change in changes.rows}
+            for endpoint_id in set(self._knowledge.endpoints) - present:
+                self._lost(endpoint_id, now_s)
+        for change in changes.rows:
+            self._change(change, now_s)
+        self._knowledge.endpoints_read = True
+        self.sweep(now_s)
+
+    def sweep(self, now_s: float) -> None:
+        """Remove endpoints that did not come back in time."""
+        for endpoint_id, until_s in list(self._missing.items()):
+            if now_s >= until_s:
+                del self._missing[endpoint_id]
+                self._knowledge.remove_endpoint(endpoint_id, "did not return")
+
+    def _change(self, change: ports.Change, now_s: float) -> None:
+        if change.value is None:
+            self._lost(change.key, now_s)
+            return
+        try:
+            endpoint = platform.decode_endpoint(change.key, change.value)
+        except platform.RecordInvalid as error:
+            LOG.warning(
+                "Endpoint unreadable.", endpoint=change.key, reason=str(error)
+            )
+            self._knowledge.remove_endpoint(change.key, "unreadable")
+            return
+        self._missing.pop(change.key, None)
+        self._knowledge.set_endpoint(endpoint)
+
+    def _lost(self, endpoint_id: str, now_s: float) -> None:
+        """Remove an endpoint, later where the store was just away."""
+        known = self._knowledge.endpoints.get(endpoint_id)
+        if known is None or endpoint_id in self._missing:
+            return
+        until_s = self._contact.returned_s + RETURN_S
+        if now_s < until_s and known.endpoint.ready:
+            self._missing[endpoint_id] = until_s
+        else:
+            self._knowledge.remove_endpoint(endpoint_id, "no longer listed")
--- /dev/null
+++ b/bilberrydeal/gateway/_gate.py
@@ -0,0 +1,84 @@
+"""Decides whether a request is proper, and where it belongs."""
+
+import random
+
+from .. import catalogue
+from .. import errors
+from .. import http1
+from .. import platform
+from . import _knowledge
+from . import _work
+
+#: When a caller returns while nothing is known yet, in seconds.
+STARTING_RETRY_S = 0.3
+_HOST = b"host"
+
+
+class Gate:
+    """Checks requests against the configuration in force."""
+
+    def __init__(
+        self, knowledge: _knowledge.Knowledge, rng: random.Random
+    ) -> None:
+        self._knowledge = knowledge
+        self._rng = rng
+
+    def admit(
+        self, request: http1.Request, caller: platform.CallerFields
+    ) -> _work.Work:
+        """Return the work of a request; raises ``Refusal``."""
+        configuration = self._knowledge.configuration
+        if configuration is None:
+            raise _work.not_run(
+                errors.ErrorCode.NO_ENDPOINT,
+                "No configuration is known yet.",
+                STARTING_RETRY_S,
+            )
+        if not caller.request_id or request.count(_HOST) != 1:
+            raise _refusal(errors.ErrorCode.BAD_REQUEST, 400)
+        route = self._knowledge.routes.find(
+            request.header(_HOST) or b"", request.path
+        )
+        if route is None:
+            raise _refusal(errors.ErrorCode.UNKNOWN_ROUTE, 404)
+        organisation = _organisation(configuration, route, caller.key)
+        patience_s = min(caller.patience_s, route.timeout_s)
+        return _work.Work(
+            request=request,
+            request_id=caller.request_id,
+            route=route,
+            service=self._service(route),
+            organisation=organisation,
+            deadline_s=request.began_s + patience_s,
+            prompt=caller.prompt,
+            last_event=caller.last_event,
+            configuration_version=configuration.version,
+        )
+
+    def _service(self, route: catalogue.Route) -> str:
+        if len(route.splits) == 1:
+            return route.splits[0].service
+        if not route.splits:
+            raise _refusal(errors.ErrorCode.UNKNOWN_ROUTE, 404)
+        chosen = self._rng.choices(
+            route.splits, [split.weight for split in route.splits]
+        )
+        return chosen[0].service
+
+
+def _organisation(
+    configuration: catalogue.Configuration,
+    route: catalogue.Route,
+    key: bytes | None,
+) -> catalogue.Organisation | None:
+    if configuration.organisations is None:
+        return None
+    if key is not None and key in configuration.organisations:
+        return configuration.organisations[key]
+    if route.public:
+        return None
+    raise _refusal(errors.ErrorCode.KEY_REJECTED, 401)
+
+
+def _refusal(reason: errors.ErrorCode, status: int) -> errors.Refusal:
+    return errors.Refusal(reason=reason, sentence="", status=status)
--- /dev/null
+++ b/bilberrydeal/gateway/_knowledge.py
@@ -0,0 +1,222 @@
+"""What a gateway knows of the configuration and the endpoints."""
+
+import attrs
+
+from .. import catalogue
+from .. import http1
+from .. import platform
+from .. import ports
+from .. import systems
+from .. import telemetry
+from ..systems import health
+from ..systems import placement
+
+LOG = telemetry.logger("knowledge")
+#: Share of an endpoint's connections that all gateways use together.
+CONNECTIONS_SHARE = 0.9
+#: Fewest connections that a gateway may have to an endpoint.
+CONNECTIONS_FLOOR = 8
+#: Share of an engine's KV cache that is counted on for shared parts.
+CACHE_SHARE = 0.8
+
+
+@attrs.define(eq=False)
+class Known:
+    """One endpoint with what this process has of it."""
+
+    #: The endpoint as it announced itself.
+    endpoint: catalogue.Endpoint
+    #: Connections to it.
+    pool: http1.Pool
+    #: Its circuit, set by the health system.
+    view: systems.EndpointView
+    #: Its load, ``None`` for a plain service.
+    load: placement.EngineLoad | None
+    #: Whether another endpoint answered at its address.
+    misdirected: bool = False
+
+    @property
+    def usable(self) -> bool:
+        """Return whether it may get a request."""
+        return (
+            self.endpoint.ready
+            and not self.misdirected
+            and self.view.available
+            and not self.pool.full
+        )
+
+
+class Knowledge:
+    """The configuration and the endpoints as last read."""
+
+    def __init__(self, health_system: health.HealthSystem) -> None:
+        #: Newest configuration, ``None`` before the first.
+        self.configuration: catalogue.Configuration | None = None
+        #: Routes of that configuration.
+        self.routes = catalogue.RouteTable(())
+        #: Whether the endpoints were read at least once.
+        self.endpoints_read = False
+        #: Gateways that are alive, this one among them.
+        self.members = 1
+        #: Endpoints by id.
+        self.endpoints: dict[str, Known] = {}
+        self.health = health_system
+        self.tables = systems.Tables()
+
+    def set_configuration(
+        self, configuration: catalogue.Configuration
+    ) -> bool:
+        """Take a configuration unless a newer one is in force."""
+        present = self.configuration
+        if present is not None and present.version >= configuration.version:
+            return False
+        self.configuration = configuration
+        self.routes = catalogue.RouteTable(configuration.routes)
+        for known in self.endpoints.values():
+            self._set_limits(known)
+        LOG.info(
+            "Configuration in force.",
+            version=configuration.version,
+            before=present.version if present else None,
+            routes=len(configuration.routes),
+        )
+        return True
+
+    def set_endpoint(self, endpoint: catalogue.Endpoint) -> None:
+        """Take what an endpoint says of itself."""
+        known = self.endpoints.get(endpoint.endpoint_id)
+        if known is None or not _same_process(known.endpoint, endpoint):
+            if known is not None:
+                known.pool.close()
+            known = self._new(endpoint)
+            self.endpoints[endpoint.endpoint_id] = known
+            LOG.info(
+                "Endpoint known.",
+                endpoint=endpoint.endpoint_id,
+                service=endpoint.service,
+                address=endpoint.address,
+                stage=endpoint.role,
+            )
+        elif endpoint.ready != known.endpoint.ready:
+            LOG.info(
+                "Endpoint changed.",
+                endpoint=endpoint.endpoint_id,
+                ready=endpoint.ready,
+            )
+        known.endpoint = endpoint
+        if known.load is not None and endpoint.role is not None:
+            known.load.role = endpoint.role
+
+    def remove_endpoint(self, endpoint_id: str, reason: str) -> None:
+        """Forget an endpoint; what runs there goes on."""
+        known = self.endpoints.pop(endpoint_id, None)
+        if known is None:
+            return
+        known.endpoint = attrs.evolve(known.endpoint, ready=False)
+        known.pool.close()
+        self.tables.of(systems.EndpointView).remove(endpoint_id)
+        LOG.info("Endpoint removed.", endpoint=endpoint_id, reason=reason)
+
+    def set_members(self, members: int) -> None:
+        """Take the number of gateways that are alive."""
+        if members == self.members:
+            return
+        self.members = members
+        for known in self.endpoints.values():
+            self._set_limits(known)
+
+    def of_service(self, service: str) -> list[Known]:
+        """Return the endpoints of a service."""
+        return [
+            known
+            for known in self.endpoints.values()
+            if known.endpoint.service == service
+        ]
+
+    def engines(self, service: str) -> list[placement.EngineLoad]:
+        """Return the loads of a service's engines."""
+        loads = []
+        for known in self.of_service(service):
+            if known.load is not None:
+                known.load.accepting = known.usable
+                loads.append(known.load)
+        return loads
+
+    def observe(self, known: Known, succeeded: bool, now_s: float) -> None:
+        """Tell the health system what became of a send."""
+        self.health.observe(
+            health.Observation(known.endpoint.endpoint_id, succeeded), now_s
+        )
+        known.view.in_flight = known.pool.busy
+
+    def sweep(self, now_s: float) -> None:
+        """Set circuits and close connections that were idle too long."""
+        for known in self.endpoints.values():
+            known.view.in_flight = known.pool.busy
+            known.pool.sweep(now_s)
+        self.health.run(self.tables, now_s)
+
+    def _new(self, endpoint: catalogue.Endpoint) -> Known:
+        view = systems.EndpointView(
+            endpoint_id=endpoint.endpoint_id,
+            failure_domain=endpoint.failure_domain,
+            service=endpoint.service,
+            role=endpoint.role or ports.EngineRole.BOTH,
+        )
+        self.tables.of(systems.EndpointView).put(view)
+        known = Known(
+            endpoint=endpoint,
+            pool=http1.Pool(
+                endpoint.host, endpoint.port, platform.HEADERS.request_id
+            ),
+            view=view,
+            load=self._new_load(endpoint),
+        )
+        self._set_limits(known)
+        return known
+
+    def _new_load(
+        self, endpoint: catalogue.Endpoint
+    ) -> placement.EngineLoad | None:
+        if endpoint.role is None:
+            return None
+        return placement.EngineLoad(
+            engine_id=endpoint.endpoint_id,
+            failure_domain=endpoint.failure_domain,
+            service=endpoint.service,
+            role=endpoint.role,
+            slots=endpoint.slots,
+            cache=placement.PartCache(self._cache_tokens(endpoint.service)),
+        )
+
+    def _cache_tokens(self, service: str) -> int:
+        if self.configuration is None:
+            return 0
+        found = self.configuration.services.get(service)
+        if found is None or found.engine is None:
+            return 0
+        return int(found.engine.kv_capacity_tokens * CACHE_SHARE)
+
+    def _set_limits(self, known: Known) -> None:
+        if self.configuration is None:
+            return
+        found = self.configuration.services.get(known.endpoint.service)
+        if found is None:
+            return
+        share = found.connections_limit * CONNECTIONS_SHARE / self.members
+        known.pool.limit = max(int(share), CONNECTIONS_FLOOR)
+        if known.load is not None:
+            known.load.cache.set_capacity(
+                self._cache_tokens(known.endpoint.service)
+            )
+
+
+def _same_process(
+    before: catalogue.Endpoint, after: catalogue.Endpoint
+) -> bool:
+    return (before.host, before.port, before.born_ms, before.service) == (
+        after.host,
+        after.port,
+        after.born_ms,
+        after.service,
+    )
--- /dev/null
+++ b/bilberrydeal/gateway/_plain.py
@@ -0,0 +1,165 @@
+"""Serves requests to plain services."""
+
+import collections.abc
+
+import attrs
+
+from .. import http1
+from .. import platform
+from .. import telemetry
+from ..systems import retries
+from . import _knowledge
+from . import _sending
+from . import _usage
+from . import _work
+
+LOG = telemetry.logger("plain")
+#: Largest answer that is held until it is whole, in bytes.
+HELD_LIMIT_BYTES = 1_048_576
+#: A send is not repeated with less time left, in seconds.
+REPEAT_FLOOR_S = 0.03
+
+Clock = collections.abc.Callable[[], float]
+
+
+class PlainServer:
+    """Sends each request to the endpoint with the fewest of ours."""
+
+    def __init__(
+        self,
+        knowledge: _knowledge.Knowledge,
+        sender: _sending.Sender,
+        budget: retries.WindowBudget,
+        begun: _usage.BegunCounter,
+        failure_domain: str,
+        clock: Clock,
+    ) -> None:
+        self._knowledge = knowledge
+        self._sender = sender
+        self._budget = budget
+        self._begun = begun
+        self._failure_domain = failure_domain
+        self._clock = clock
+
+    async def serve(
+        self,
+        work: _work.Work,
+        journey: _work.Journey,
+        responder: http1.Responder,
+    ) -> None:
+        """Answer a request; raises ``Refusal``."""
+        failure: _Answered | None = None
+        reason = "no endpoint takes requests"
+        while known := self._choose(work, journey):
+            try:
+                answered = await self._send(work, journey, known)
+            except _sending.NotOffered as error:
+                journey.tried.append(known.endpoint.endpoint_id)
+                reason = f"not offered, {error}"
+                continue
+            except _sending.Rejected as error:
+                _note_tried(journey, known)
+                reason = f"rejected, {error}"
+            except _sending.Lost as error:
+                _note_tried(journey, known)
+                journey.may_have_run = True
+                self._count(work, journey)
+                reason = f"lost, {error}"
+                if not work.route.idempotent:
+                    break
+            else:
+                _note_tried(journey, known)
+                if answered.verdict is platform.Verdict.ANSWER:
+                    _answer(responder, answered)
+                    return
+                failure = answered
+                reason = f"status {answered.head.status}"
+                if not work.route.idempotent:
+                    break
+            if not self._may_repeat(work, journey, reason):
+                break
+        if failure is None:
+            raise _work.failed(journey, reason)
+        _answer(responder, failure)
+
+    def _choose(
+        self, work: _work.Work, journey: _work.Journey
+    ) -> _knowledge.Known | None:
+        able = [
+            known
+            for known in self._knowledge.of_service(work.service)
+            if known.usable and known.endpoint.endpoint_id not in journey.tried
+        ]
+        if not able:
+            return None
+        domain = self._failure_domain
+        return min(
+            able,
+            key=lambda known: (
+                known.pool.busy,
+                known.endpoint.failure_domain != domain,
+            ),
+        )
+
+    async def _send(
+        self, work: _work.Work, journey: _work.Journey, known: _knowledge.Known
+    ) -> "_Answered":
+        """Return a whole answer."""
+        left_s = work.deadline_s - self._clock()
+        fields = platform.SendFields(
+            endpoint_id=known.endpoint.endpoint_id,
+            left_s=left_s,
+            organisation=work.organisation_name,
+        )
+        async with self._sender.exchange(
+            work, known, fields, left_s
+        ) as exchange:
+            body = await exchange.connection.body(HELD_LIMIT_BYTES)
+        journey.may_have_run = True
+        self._count(work, journey)
+        answered = exchange.verdict is platform.Verdict.ANSWER
+        self._knowledge.observe(known, answered, self._clock())
+        return _Answered(exchange.head, exchange.verdict, body)
+
+    def _may_repeat(
+        self, work: _work.Work, journey: _work.Journey, reason: str
+    ) -> bool:
+        now_s = self._clock()
+        if journey.attempts >= work.route.attempts_limit:
+            return False
+        if now_s + REPEAT_FLOOR_S > work.deadline_s:
+            return False
+        granted = self._budget.take(
+            work.service, self._knowledge.members, now_s
+        )
+        LOG.info(
+            "Send repeated." if granted else "No budget to repeat a send.",
+            request=work.request_id.decode("latin-1"),
+            reason=reason,
+            attempts=journey.attempts,
+        )
+        return granted
+
+    def _count(self, work: _work.Work, journey: _work.Journey) -> None:
+        if not journey.counted:
+            journey.counted = True
+            self._begun.count(work.organisation_name)
+
+
+@attrs.frozen
+class _Answered:
+    """A whole answer of an endpoint."""
+
+    head: http1.ResponseHead
+    verdict: platform.Verdict
+    body: bytes
+
+
+def _answer(responder: http1.Responder, answered: _Answered) -> None:
+    head = answered.head
+    responder.send(head.status, platform.passed_on(head), answered.body)
+
+
+def _note_tried(journey: _work.Journey, known: _knowledge.Known) -> None:
+    journey.tried.append(known.endpoint.endpoint_id)
+    journey.attempts += 1
--- /dev/null
+++ b/bilberrydeal/gateway/_reporting.py
@@ -0,0 +1,160 @@
+"""Settles usage windows and reports them, under a lease."""
+
+import typing
+
+import attrs
+
+from .. import errors
+from .. import leases
+from .. import ports
+from .. import store
+from .. import telemetry
+from . import _clock
+from . import _usage
+
+LOG = telemetry.logger("reporting")
+#: Table with one row for each window that is settled.
+WINDOWS = "windows"
+#: Duty under which windows are settled and reported.
+DUTY = "usage"
+#: Time after the end of a window for all gateways to hand their counts
+#: over, in seconds.
+SETTLE_S = 2.5
+#: Longest wait for an answer to a report, in seconds.
+REPORT_TIMEOUT_S = 0.9
+#: A report is sent only while the lease lasts for longer than this, in
+#: seconds: a call under way must not outlive it.
+LEASE_FLOOR_S = 1.2
+#: Digits of a window's number in its key, so that keys sort by number.
+KEY_DIGITS = 14
+
+
+@attrs.frozen
+class WindowRow:
+    """A settled window; its counts never change."""
+
+    #: Requests that began, by organisation.
+    counts: dict[str, int]
+    #: Whether the platform has the report.
+    reported: bool
+
+
+class UsageInterface(typing.Protocol):
+    """Where reports go."""
+
+    async def report(
+        self,
+        window: int,
+        counts: dict[str, int],
+        holder: str,
+        fence: int,
+        timeout_s: float,
+    ) -> bool:
+        """Report a window; return whether it was taken."""
+
+
+class Reporter:
+    """Settles each window once, and reports just what was settled."""
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        lease: leases.Lease,
+        rows: _usage.UsageRows,
+        usage: UsageInterface,
+        clock: _clock.TrueClock,
+        host_id: str,
+        window_s: float,
+    ) -> None:
+        self._client = client
+        self._lease = lease
+        self._rows = rows
+        self._usage = usage
+        self._clock = clock
+        self._host_id = host_id
+        self._window_s = window_s
+        self._settled: dict[int, WindowRow] = {}
+        self._known = False
+
+    async def round(self) -> None:
+        """Settle the windows that are over and report them."""
+        if not self._lease.held(self._client.now_s()):
+            self._known = False
+            return
+        if not self._known:
+            await self._recall()
+        last = int((self._clock.now_s() - SETTLE_S) // self._window_s) - 1
+        if last not in self._settled:
+            await self._settle(last)
+        for window, row in sorted(self._settled.items()):
+            if not row.reported:
+                await self._report(window, row)
+
+    async def _recall(self) -> None:
+        """Read what earlier holders settled."""
+        rows = await self._client.scan_all(WINDOWS, "")
+        self._settled = {
+            int(row.key): store.decode(row.value, WindowRow) for row in rows
+        }
+        self._known = True
+
+    async def _settle(self, last: int) -> None:
+        """Settle all windows that ended, up to ``last``."""
+        rows = await self._rows.read()
+        for window in _counted(rows, last):
+            if window in self._settled:
+                continue
+            counts = _sum(rows, window)
+            await self._write(window, WindowRow(counts, False), 0)
+            LOG.info("Window settled.", window=window, counts=counts)
+        self._settled.setdefault(last, WindowRow({}, True))
+
+    async def _report(self, window: int, row: WindowRow) -> None:
+        now_s = self._client.now_s()
+        if self._lease.time_left_s(now_s) < LEASE_FLOOR_S:
+            return
+        taken = await self._usage.report(
+            window,
+            row.counts,
+            self._host_id,
+            self._lease.fence(now_s),
+            REPORT_TIMEOUT_S,
+        )
+        LOG.info("Usage reported.", window=window, taken=taken)
+        if taken:
+            done = attrs.evolve(row, reported=True)
+            self._settled[window] = done
+            await self._write(window, done, None)
+
+    async def _write(
+        self, window: int, row: WindowRow, version: int | None
+    ) -> None:
+        key = f"{window:0{KEY_DIGITS}d}"
+        checks = list(self._lease.checks(self._client.now_s()))
+        if version is not None:
+            checks.append(ports.Check(WINDOWS, key, version))
+        write = ports.Write(WINDOWS, key, store.encode(row))
+        try:
+            await self._client.commit(
+                ports.Transaction(tuple(checks), (write,))
+            )
+        except (errors.OutcomeUnknown, errors.TableConflict):
+            # What was written, and by whom, is read again.
+            self._known = False
+            raise
+        self._settled[window] = row
+
+
+def _counted(rows: dict[str, _usage.GatewayRow], last: int) -> list[int]:
+    """Return the windows up to ``last`` that have counts."""
+    windows = {int(window) for row in rows.values() for window in row.windows}
+    return sorted(window for window in windows if window <= last)
+
+
+def _sum(rows: dict[str, _usage.GatewayRow], window: int) -> dict[str, int]:
+    """Return the counts of all gateways for a window."""
+    total: dict[str, int] = {}
+    for row in rows.values():
+        for name, count in row.windows.get(str(window), {}).items():
+            total[name] = total.get(name, 0) + count
+    return total
--- /dev/null
+++ b/bilberrydeal/gateway/_sending.py
@@ -0,0 +1,118 @@
+"""One send of a request to one endpoint."""
+
+import asyncio
+import collections.abc
+import contextlib
+
+import attrs
+
+from .. import http1
+from .. import platform
+from . import _knowledge
+from . import _work
+
+Clock = collections.abc.Callable[[], float]
+
+
+class NotOffered(Exception):
+    """The endpoint never got the request."""
+
+
+class Rejected(Exception):
+    """The endpoint did not run the request and will not."""
+
+
+class Lost(Exception):
+    """The endpoint may have run the request; its answer did not come."""
+
+
+@attrs.frozen
+class Exchange:
+    """A send whose answer has begun."""
+
+    #: The connection that carries it.
+    connection: http1.ClientConnection
+    #: Head of the answer.
+    head: http1.ResponseHead
+    #: What the head says.
+    verdict: platform.Verdict
+
+
+class Sender:
+    """Sends requests and tells what became of them."""
+
+    def __init__(self, knowledge: _knowledge.Knowledge, clock: Clock) -> None:
+        self._knowledge = knowledge
+        self._clock = clock
+
+    @contextlib.asynccontextmanager
+    async def exchange(
+        self,
+        work: _work.Work,
+        known: _knowledge.Known,
+        fields: platform.SendFields,
+        head_timeout_s: float,
+    ) -> collections.abc.AsyncIterator[Exchange]:
+        """Send a request and wait for the head of its answer.
+
+        Raises :class:`NotOffered`, :class:`Rejected` or :class:`Lost`. The
+        connection is reset where the answer is not whole at the end.
+        """
+        try:
+            connection = await known.pool.take(self._clock())
+        except http1.Unsent as error:
+            if not known.pool.full:
+                self._knowledge.observe(known, False, self._clock())
+            raise NotOffered(str(error)) from error
+        try:
+            head = await self._head(
+                connection, work, known, fields, head_timeout_s
+            )
+            verdict = platform.verdict(head)
+            if fields.prefill:
+                verdict = platform.read_prompt_verdict(head)
+            if verdict is platform.Verdict.NOT_RUN:
+                known.misdirected |= platform.misdirected(head)
+                await self._drop_body(connection)
+                raise Rejected(str(head.status))
+            if verdict is platform.Verdict.DEFECT:
+                self._knowledge.observe(known, False, self._clock())
+                raise Lost(f"status {head.status} without proof")
+            yield Exchange(connection, head, verdict)
+        except http1.Broken as error:
+            self._knowledge.observe(known, False, self._clock())
+            raise Lost("connection broke") from error
+        finally:
+            known.pool.give_back(connection, self._clock())
+
+    async def _head(
+        self,
+        connection: http1.ClientConnection,
+        work: _work.Work,
+        known: _knowledge.Known,
+        fields: platform.SendFields,
+        timeout_s: float,
+    ) -> http1.ResponseHead:
+        sent = platform.forward_head(work.request, fields)
+        try:
+            connection.send(sent, work.request.body, work.request_id)
+        except http1.Unsent as error:
+            raise NotOffered("connection closed") from error
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await connection.head()
+        except TimeoutError as error:
+            self._knowledge.observe(known, False, self._clock())
+            raise Lost("no answer in time") from error
+
+    async def _drop_body(self, connection: http1.ClientConnection) -> None:
+        """Read the rest of an answer so that the connection can be kept."""
+        with contextlib.suppress(http1.Broken, TimeoutError):
+            async with asyncio.timeout(DROP_TIMEOUT_S):
+                await connection.body(DROP_LIMIT_BYTES)
+
+
+#: Longest wait for the rest of an answer that nobody needs, in seconds.
+DROP_TIMEOUT_S = 0.05
+#: Largest such rest, in bytes.
+DROP_LIMIT_BYTES = 65_536
--- /dev/null
+++ b/bilberrydeal/gateway/_serving.py
@@ -0,0 +1,155 @@
+"""Answers callers' requests."""
+
+import asyncio
+import collections.abc
+
+from .. import catalogue
+from .. import errors
+from .. import http1
+from .. import platform
+from .. import telemetry
+from ..systems import retries
+from . import _gate
+from . import _knowledge
+from . import _metrics
+from . import _plain
+from . import _stream
+from . import _work
+
+LOG = telemetry.logger("request")
+#: The caller closed its connection; no answer is sent.
+GONE_STATUS = 499
+
+Clock = collections.abc.Callable[[], float]
+
+
+class Serving:
+    """Takes each request from its first check to its last byte."""
+
+    def __init__(
+        self,
+        gate: _gate.Gate,
+        knowledge: _knowledge.Knowledge,
+        plain: _plain.PlainServer,
+        stream: _stream.StreamServer,
+        budget: retries.WindowBudget,
+        metrics: _metrics.GatewayMetrics,
+        clock: Clock,
+    ) -> None:
+        self._gate = gate
+        self._knowledge = knowledge
+        self._plain = plain
+        self._stream = stream
+        self._budget = budget
+        self._metrics = metrics
+        self._clock = clock
+
+    async def handle(
+        self, request: http1.Request, responder: http1.Responder
+    ) -> None:
+        """Answer one request."""
+        caller = platform.decode_caller(request)
+        try:
+            work = self._gate.admit(request, caller)
+        except errors.Refusal as refused:
+            self._refuse(responder, caller.request_id, refused)
+            self._log(caller.request_id, None, None, responder, refused)
+            return
+        journey = _work.Journey()
+        self._budget.note_request(work.service, self._clock())
+        ended: errors.Refusal | None = None
+        try:
+            ended = await self._serve(work, journey, responder)
+        finally:
+            self._log(caller.request_id, work, journey, responder, ended)
+
+    async def _serve(
+        self,
+        work: _work.Work,
+        journey: _work.Journey,
+        responder: http1.Responder,
+    ) -> errors.Refusal | None:
+        """Serve a request; return the refusal that it ended with."""
+        left_s = work.deadline_s - self._clock()
+        try:
+            async with asyncio.timeout(left_s):
+                await self._carry(work, journey, responder)
+            return None
+        except errors.Refusal as raised:
+            refusal = raised
+        except TimeoutError:
+            refusal = _late(journey)
+        if responder.started:
+            responder.abort()
+        else:
+            self._refuse(responder, work.request_id, refusal)
+        return refusal
+
+    async def _carry(
+        self,
+        work: _work.Work,
+        journey: _work.Journey,
+        responder: http1.Responder,
+    ) -> None:
+        if work.route.kind is catalogue.RouteKind.STREAM:
+            await self._stream.serve(work, journey, responder)
+        else:
+            await self._plain.serve(work, journey, responder)
+
+    def _refuse(
+        self,
+        responder: http1.Responder,
+        request_id: bytes,
+        refusal: errors.Refusal,
+    ) -> None:
+        headers: list[http1.Header] = []
+        if request_id:
+            headers.append(platform.echo_id(request_id))
+        if refusal.retry_after_s is not None:
+            headers.append(platform.retry_after(refusal.retry_after_s))
+        responder.send(refusal.status, headers, b"")
+
+    def _log(
+        self,
+        request_id: bytes,
+        work: _work.Work | None,
+        journey: _work.Journey | None,
+        responder: http1.Responder,
+        refusal: errors.Refusal | None,
+    ) -> None:
+        """Count a request and log how it ended."""
+        status = responder.status if responder.finished else GONE_STATUS
+        took_s = 0.0
+        if work is not None:
+            took_s = self._clock() - work.request.began_s
+        route = work.route.name if work is not None else ""
+        self._metrics.request(route, status, took_s)
+        LOG.info(
+            "Request ended.",
+            request=request_id.decode("latin-1"),
+            route=route,
+            status=status,
+            reason=refusal.reason if refusal else None,
+            detail=refusal.sentence if refusal else None,
+            retry_after_s=refusal.retry_after_s if refusal else None,
+            endpoints=journey.tried if journey else [],
+            attempts=journey.attempts if journey else 0,
+            configuration=work.configuration_version if work else None,
+            took_s=round(took_s, 4),
+        )
+
+
+def _late(journey: _work.Journey) -> errors.Refusal:
+    """Return the refusal of a request whose time is over."""
+    if not journey.may_have_run and not journey.tried:
+        return _work.not_run(
+            errors.ErrorCode.DEADLINE_EXCEEDED,
+            "no endpoint was free in time",
+            _work.FAILED_RETRY_S,
+        )
+    return errors.Refusal(
+        reason=errors.ErrorCode.DEADLINE_EXCEEDED,
+        sentence="the endpoint did not answer in time",
+        status=504,
+        executed=errors.Executed.UNKNOWN,
+    )
--- /dev/null
+++ b/bilberrydeal/gateway/_stream.py
@@ -0,0 +1,373 @@
+"""Serves streams from engines."""
+
+import asyncio
+import collections.abc
+
+import attrs
+
+from .. import errors
+from .. import http1
+from .. import platform
+from .. import telemetry
+from ..systems import placement
+from ..systems import retries
+from . import _events
+from . import _knowledge
+from . import _sending
+from . import _usage
+from . import _work
+
+LOG = telemetry.logger("stream")
+#: A stream that can go on elsewhere does so after such a pause, in seconds.
+STALL_S = 0.7
+#: Times the expected reading time after which an engine counts as silent.
+SILENT_FACTOR = 4.0
+#: Time that is added to it, in seconds.
+SILENT_SLACK_S = 0.5
+#: Least time left for another try, in seconds.
+REPEAT_FLOOR_S = 0.05
+
+Clock = collections.abc.Callable[[], float]
+
+
+@attrs.define
+class _Stream:
+    """The answer that a caller gets, whoever makes its parts."""
+
+    work: _work.Work
+    journey: _work.Journey
+    responder: http1.Responder
+    cutter: _events.EventCutter
+
+
+@attrs.frozen
+class _Source:
+    """Where an engine finds a prompt that another one read."""
+
+    known: _knowledge.Known
+    handle: str
+
+    @property
+    def text(self) -> str:
+        """Return it as the engine is told."""
+        return f"{self.known.endpoint.address}/{self.handle}"
+
+
+class StreamServer:
+    """Places prompts, hands them over and passes events on."""
+
+    def __init__(
+        self,
+        knowledge: _knowledge.Knowledge,
+        sender: _sending.Sender,
+        budget: retries.WindowBudget,
+        begun: _usage.BegunCounter,
+        placer: placement.Placer,
+        failure_domain: str,
+        clock: Clock,
+    ) -> None:
+        self._knowledge = knowledge
+        self._sender = sender
+        self._budget = budget
+        self._begun = begun
+        self._placer = placer
+        self._failure_domain = failure_domain
+        self._clock = clock
+        self._engines = platform.EngineApi()
+        self._background: set[asyncio.Task[bool]] = set()
+
+    async def serve(
+        self,
+        work: _work.Work,
+        journey: _work.Journey,
+        responder: http1.Responder,
+    ) -> None:
+        """Answer a request; raises ``Refusal``."""
+        stream = _Stream(
+            work, journey, responder, _events.EventCutter(work.last_event)
+        )
+        while True:
+            try:
+                await self._try(stream)
+                return
+            except _sending.NotOffered as error:
+                reason = f"not offered, {error}"
+                if len(journey.tried) < TRIED_LIMIT:
+                    continue
+            except _sending.Rejected as error:
+                journey.attempts += 1
+                reason = f"rejected, {error}"
+            except _sending.Lost as error:
+                journey.attempts += 1
+                reason = f"lost, {error}"
+                if journey.may_have_run and not work.route.idempotent:
+                    raise _work.failed(journey, reason) from error
+            if not self._may_repeat(stream, reason):
+                raise _work.failed(journey, reason)
+
+    async def _try(self, stream: _Stream) -> None:
+        """Serve a stream, or what is left of it, by one placement."""
+        work = stream.work
+        now_s = self._clock()
+        request = placement.Request(
+            prompt=work.prompt or _NO_PROMPT,
+            target_s=self._target_s(stream, now_s),
+            left_s=work.deadline_s - now_s,
+            failure_domain=self._failure_domain,
+            tried=frozenset(stream.journey.tried),
+        )
+        engines = self._knowledge.engines(work.service)
+        placed = self._placer.place(request, engines, now_s)
+        if isinstance(placed, placement.Hopeless):
+            raise self._hopeless(stream, placed)
+        known = self._knowledge.endpoints[placed.engine_id]
+        if not placed.split:
+            await self._generate(stream, known, placed.missing_tokens, None)
+            return
+        source = await self._read_prompt(stream, known, placed)
+        await self._hand_over(stream, request, source)
+
+    def _target_s(self, stream: _Stream, now_s: float) -> float:
+        """Return when the first event is due; a begun stream just goes on."""
+        if stream.responder.started:
+            return stream.work.deadline_s - now_s
+        waited_s = now_s - stream.work.request.began_s
+        return stream.work.route.target_latency_s - waited_s
+
+    def _hopeless(
+        self, stream: _Stream, placed: placement.Hopeless
+    ) -> errors.Refusal:
+        if stream.journey.may_have_run:
+            return _work.failed(stream.journey, "no engine can go on")
+        return _work.not_run(
+            errors.ErrorCode.DEADLINE_HOPELESS,
+            "no engine is expected to answer in time",
+            placed.retry_after_s,
+        )
+
+    async def _read_prompt(
+        self,
+        stream: _Stream,
+        known: _knowledge.Known,
+        placed: placement.Placement,
+    ) -> _Source:
+        """Have a prompt read; return where it lies."""
+        work = stream.work
+        load = known.load
+        assert load is not None
+        stream.journey.tried.append(known.endpoint.endpoint_id)
+        load.cache.use(work.prompt or _NO_PROMPT)
+        load.own_tokens += placed.missing_tokens
+        load.own_requests += 1
+        fields = attrs.evolve(self._fields(stream, known), prefill=True)
+        silent_s = placed.expected_s * SILENT_FACTOR + SILENT_SLACK_S
+        try:
+            async with self._sender.exchange(
+                work, known, fields, min(fields.left_s, silent_s)
+            ) as exchange:
+                body = await exchange.connection.body(HANDLE_LIMIT_BYTES)
+        finally:
+            load.own_tokens -= placed.missing_tokens
+            load.own_requests -= 1
+        handle = self._engines.handle(body)
+        if handle is None:
+            raise _sending.Lost("no handle in the answer")
+        self._knowledge.observe(known, True, self._clock())
+        return _Source(known, handle)
+
+    async def _hand_over(
+        self,
+        stream: _Stream,
+        request: placement.Request,
+        source: _Source,
+    ) -> None:
+        """Have the tokens made where the prompt is fetched to."""
+        taken = False
+        try:
+            engines = self._knowledge.engines(stream.work.service)
+            engine_id = self._placer.decode_engine(
+                request, source.known.endpoint.endpoint_id, engines
+            )
+            if engine_id is None:
+                raise _sending.Rejected("no decode engine")
+            known = self._knowledge.endpoints[engine_id]
+            await self._generate(stream, known, 0.0, source)
+            taken = True
+        except _sending.Lost:
+            taken = True
+            raise
+        finally:
+            if not taken:
+                self._free(source)
+
+    async def _generate(
+        self,
+        stream: _Stream,
+        known: _knowledge.Known,
+        missing_tokens: float,
+        source: _Source | None,
+    ) -> None:
+        """Pass on the events that an engine makes."""
+        work = stream.work
+        load = known.load
+        assert load is not None
+        stream.journey.tried.append(known.endpoint.endpoint_id)
+        load.cache.use(work.prompt or _NO_PROMPT)
+        load.own_requests += 1
+        load.own_tokens += missing_tokens
+        fields = attrs.evolve(
+            self._fields(stream, known),
+            kv_source=source.text if source else "",
+            last_event=stream.cutter.last_id,
+        )
+        reading = _Reading(load, missing_tokens)
+        try:
+            async with self._sender.exchange(
+                work, known, fields, self._patience_s(stream)
+            ) as exchange:
+                stream.journey.may_have_run = True
+                if exchange.verdict is platform.Verdict.FAILURE:
+                    await self._pass_failure(stream, known, exchange)
+                    return
+                await self._pass_events(stream, known, exchange, reading)
+        except _sending.Lost:
+            stream.journey.may_have_run = True
+            raise
+        finally:
+            reading.done()
+            load.own_requests -= 1
+
+    async def _pass_events(
+        self,
+        stream: _Stream,
+        known: _knowledge.Known,
+        exchange: _sending.Exchange,
+        reading: "_Reading",
+    ) -> None:
+        cutter = stream.cutter
+        responder = stream.responder
+        if not responder.started:
+            responder.start(
+                exchange.head.status,
+                platform.passed_on(exchange.head),
+                None,
+            )
+        while True:
+            data = await self._next_chunk(stream, exchange)
+            if not data:
+                break
+            reading.done()
+            self._count(stream)
+            if whole := cutter.feed(data):
+                await responder.write_chunk(whole)
+        if cutter.incomplete:
+            self._knowledge.observe(known, False, self._clock())
+            raise _sending.Lost("ended within an event")
+        self._knowledge.observe(known, True, self._clock())
+        responder.end_chunks()
+
+    async def _next_chunk(
+        self, stream: _Stream, exchange: _sending.Exchange
+    ) -> bytes:
+        if not self._could_repeat(stream):
+            return await exchange.connection.chunk()
+        try:
+            async with asyncio.timeout(STALL_S):
+                return await exchange.connection.chunk()
+        except TimeoutError as error:
+            raise _sending.Lost("no event in time") from error
+
+    async def _pass_failure(
+        self,
+        stream: _Stream,
+        known: _knowledge.Known,
+        exchange: _sending.Exchange,
+    ) -> None:
+        body = await exchange.connection.body(FAILURE_LIMIT_BYTES)
+        self._knowledge.observe(known, False, self._clock())
+        if stream.responder.started or self._could_repeat(stream):
+            raise _sending.Lost(f"status {exchange.head.status}")
+        stream.responder.send(
+            exchange.head.status, platform.passed_on(exchange.head), body
+        )
+
+    def _fields(
+        self, stream: _Stream, known: _knowledge.Known
+    ) -> platform.SendFields:
+        work = stream.work
+        return platform.SendFields(
+            endpoint_id=known.endpoint.endpoint_id,
+            left_s=work.deadline_s - self._clock(),
+            organisation=work.organisation_name,
+            rank=work.rank,
+        )
+
+    def _patience_s(self, stream: _Stream) -> float:
+        """Return how long the head of an answer may take."""
+        left_s = stream.work.deadline_s - self._clock()
+        if self._could_repeat(stream):
+            return min(left_s, STALL_S)
+        return left_s
+
+    def _could_repeat(self, stream: _Stream) -> bool:
+        """Return whether another engine may get the request after this."""
+        route = stream.work.route
+        return (
+            route.idempotent
+            and stream.journey.attempts + 1 < route.attempts_limit
+        )
+
+    def _may_repeat(self, stream: _Stream, reason: str) -> bool:
+        work = stream.work
+        now_s = self._clock()
+        stream.cutter.restart()
+        if stream.journey.attempts >= work.route.attempts_limit:
+            return False
+        if now_s + REPEAT_FLOOR_S > work.deadline_s:
+            return False
+        granted = self._budget.take(
+            work.service, self._knowledge.members, now_s
+        )
+        LOG.info(
+            "Send repeated." if granted else "No budget to repeat a send.",
+            request=work.request_id.decode("latin-1"),
+            reason=reason,
+            attempts=stream.journey.attempts,
+            last_event=stream.cutter.last_id.decode("latin-1"),
+        )
+        return granted
+
+    def _free(self, source: _Source) -> None:
+        """Free a handle that is not taken, beside the request."""
+        task = asyncio.get_running_loop().create_task(
+            self._engines.free(source.known.pool, source.handle)
+        )
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    def _count(self, stream: _Stream) -> None:
+        if not stream.journey.counted:
+            stream.journey.counted = True
+            self._begun.count(stream.work.organisation_name)
+
+
+@attrs.define
+class _Reading:
+    """Prompt tokens that an engine still has to read."""
+
+    load: placement.EngineLoad
+    tokens: float
+
+    def done(self) -> None:
+        """Note that the prompt was read."""
+        self.load.own_tokens -= self.tokens
+        self.tokens = 0.0
+
+
+_NO_PROMPT = placement.Prompt((placement.PromptPart(b"", 1),), 1)
+#: Engines that one request may find unreachable.
+TRIED_LIMIT = 4
+#: Largest answer to the reading of a prompt, in bytes.
+HANDLE_LIMIT_BYTES = 65_536
+#: Largest answer of an engine that failed, in bytes.
+FAILURE_LIMIT_BYTES = 1_048_576
--- /dev/null
+++ b/bilberrydeal/gateway/_usage.py
@@ -0,0 +1,136 @@
+"""Counts requests that began to run and hands the counts to the store."""
+
+import attrs
+
+from .. import errors
+from .. import ports
+from .. import store
+from . import _clock
+
+#: Table in which each gateway keeps its own row.
+GATEWAYS = "gateways"
+#: Windows that a gateway's row holds.
+WINDOWS_KEPT = 8
+#: A gateway whose row is older is not alive, in seconds.
+ALIVE_S = 5.0
+#: A row is written so often even without new counts, in seconds.
+HEARTBEAT_S = 2.0
+
+
+@attrs.frozen
+class GatewayRow:
+    """What a gateway tells all others."""
+
+    #: Own time of day less the store's clock, in seconds.
+    offset_s: float
+    #: The store's clock when the row was written, in seconds.
+    written_s: float
+    #: Where other gateways reach it, by datagram.
+    peer_address: str
+    #: Requests that began, by window and organisation.
+    windows: dict[str, dict[str, int]]
+
+
+@attrs.frozen
+class Members:
+    """Gateways that are alive, as last read."""
+
+    #: Datagram addresses of the others.
+    peers: tuple[str, ...]
+    #: How many there are, this one among them.
+    count: int
+
+
+class BegunCounter:
+    """Counts requests by the window in which they began."""
+
+    def __init__(self, clock: _clock.TrueClock, window_s: float) -> None:
+        self._clock = clock
+        self._window_s = window_s
+        self._windows: dict[int, dict[str, int]] = {}
+        #: Whether anything was counted since the last :meth:`row`.
+        self.changed = False
+
+    def window(self) -> int:
+        """Return the number of the present window."""
+        return int(self._clock.now_s() // self._window_s)
+
+    def count(self, organisation: str | None) -> None:
+        """Count a request that began now."""
+        if organisation is None:
+            return
+        counts = self._windows.setdefault(self.window(), {})
+        counts[organisation] = counts.get(organisation, 0) + 1
+        self.changed = True
+
+    def windows(self) -> dict[str, dict[str, int]]:
+        """Return the counts of the last windows."""
+        self.changed = False
+        for old in sorted(self._windows)[:-WINDOWS_KEPT]:
+            del self._windows[old]
+        return {
+            str(window): dict(counts)
+            for window, counts in self._windows.items()
+        }
+
+
+class UsageRows:
+    """Keeps this gateway's row and reads all others'."""
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        incarnation: str,
+        peer_address: str,
+        counter: BegunCounter,
+        clock: _clock.TrueClock,
+    ) -> None:
+        self._client = client
+        self._incarnation = incarnation
+        self._peer_address = peer_address
+        self._counter = counter
+        self._clock = clock
+        self._written_s = float("-inf")
+
+    async def write(self, final: bool = False) -> None:
+        """Write the own row where there is something to tell."""
+        now_s = self._client.now_s()
+        due = now_s - self._written_s >= HEARTBEAT_S
+        if not (self._counter.changed or due or final):
+            return
+        store_s = self._clock.store_s()
+        offset_s = self._clock.own_offset_s()
+        if store_s is None or offset_s is None:
+            return
+        row = GatewayRow(
+            offset_s=offset_s,
+            written_s=store_s,
+            peer_address="" if final else self._peer_address,
+            windows=self._counter.windows(),
+        )
+        write = ports.Write(GATEWAYS, self._incarnation, store.encode(row))
+        try:
+            await self._client.commit(ports.Transaction((), (write,)))
+        except errors.BilberrydealError:
+            self._counter.changed = True
+            raise
+        self._written_s = now_s
+
+    async def read(self) -> dict[str, GatewayRow]:
+        """Return all rows by incarnation, and set the clock by them."""
+        rows = await self._client.scan_all(GATEWAYS, "")
+        found = {row.key: store.decode(row.value, GatewayRow) for row in rows}
+        self._clock.take_offsets([row.offset_s for row in found.values()])
+        return found
+
+    def members(self, rows: dict[str, GatewayRow]) -> Members:
+        """Return who is alive."""
+        store_s = self._clock.store_s() or 0.0
+        peers = [
+            row.peer_address
+            for incarnation, row in rows.items()
+            if incarnation != self._incarnation
+            and row.peer_address
+            and store_s - row.written_s < ALIVE_S
+        ]
+        return Members(peers=tuple(peers), count=len(peers) + 1)
--- /dev/null
+++ b/bilberrydeal/http1/__init__.py
@@ -0,0 +1,37 @@
+"""HTTP/1.1 on both sides of a forwarder, over a parser library."""
+
+from ._client import Broken
+from ._client import ClientConnection
+from ._client import connect
+from ._client import ResponseHead
+from ._client import Unsent
+from ._headers import end_to_end
+from ._headers import first
+from ._headers import Header
+from ._headers import Headers
+from ._headers import render_head
+from ._pool import Pool
+from ._request import Request
+from ._responder import CallerGone
+from ._responder import Responder
+from ._server import HttpServer
+from ._server import ServerLimits
+
+__all__ = [
+    "Broken",
+    "CallerGone",
+    "ClientConnection",
+    "Header",
+    "Headers",
+    "HttpServer",
+    "Pool",
+    "Request",
+    "Responder",
+    "ResponseHead",
+    "ServerLimits",
+    "Unsent",
+    "connect",
+    "end_to_end",
+    "first",
+    "render_head",
+]
--- /dev/null
+++ b/bilberrydeal/http1/_request.py
@@ -0,0 +1,38 @@
+"""A request as a caller sent it."""
+
+import attrs
+
+from . import _headers
+
+
+@attrs.frozen
+class Request:
+    """One whole request."""
+
+    #: Method, such as ``b"POST"``.
+    method: bytes
+    #: Target as sent: path and query.
+    target: bytes
+    #: Fields in their order, names in lower case.
+    headers: tuple[_headers.Header, ...]
+    #: The body; empty where there is none.
+    body: bytes
+    #: Whether the request had a body, if only an empty one.
+    has_body: bool
+    #: When its first byte was read, monotonic seconds.
+    began_s: float
+    #: When its last byte was read, monotonic seconds.
+    read_s: float
+
+    @property
+    def path(self) -> bytes:
+        """Return the target without its query."""
+        return self.target.partition(b"?")[0]
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of the first field of that name."""
+        return _headers.first(self.headers, name)
+
+    def count(self, name: bytes) -> int:
+        """Return how many fields have that name."""
+        return sum(found == name for found, _value in self.headers)
--- a/bilberrydeal/ports/__init__.py
+++ b/bilberrydeal/ports/__init__.py
@@ -21,6 +21,10 @@
 from ._engine import LoadReport
 from ._engine import OrderRefused
 from ._engine import Sampling
+from ._feed import Change
+from ._feed import ChangeFeed
+from ._feed import Changes
+from ._feed import ClockReading
 from ._hosts import HostList
 from ._hosts import HostRecord
 from ._hosts import HostState
@@ -47,7 +51,11 @@
     "CANCELLED",
     "CacheEvent",
     "CacheEvents",
+    "Change",
+    "ChangeFeed",
+    "Changes",
     "Check",
+    "ClockReading",
     "Committed",
     "EndpointInterface",
     "EndpointRecord",
--- a/bilberrydeal/settings/__init__.py
+++ b/bilberrydeal/settings/__init__.py
@@ -1,8 +1,13 @@
 """Checked settings of the daemon, read from one YAML file."""
 
+from ._gateway import GatewayBounds
+from ._gateway import GatewayListenSettings
+from ._gateway import GatewayPlatformSettings
+from ._gateway import GatewaySettings
 from ._load import load
 from ._load import load_text
 from ._load import Problem
+from ._load import Settings
 from ._load import SettingsInvalid
 from ._model import AdapterSettings
 from ._model import AgentSettings
@@ -26,6 +31,10 @@
     "DutySettings",
     "EntrySettings",
     "FleetSettings",
+    "GatewayBounds",
+    "GatewayListenSettings",
+    "GatewayPlatformSettings",
+    "GatewaySettings",
     "HttpSettings",
     "LinkSettings",
     "LogSettings",
@@ -34,6 +43,7 @@
     "PolicySettings",
     "Problem",
     "SecretSettings",
+    "Settings",
     "SettingsInvalid",
     "StoreSettings",
     "TraceSettings",
--- a/bilberrydeal/settings/_load.py
+++ b/bilberrydeal/settings/_load.py
@@ -9,11 +9,17 @@
 import yaml
 
 from .. import errors
+from . import _gateway
 from . import _model
 
-Settings = _model.EntrySettings | _model.AgentSettings
-_ROLES: dict[object, type[_model.EntrySettings] | type[_model.AgentSettings]]
-_ROLES = {"entry": _model.EntrySettings, "agent": _model.AgentSettings}
+Settings = (
+    _model.EntrySettings | _model.AgentSettings | _gateway.GatewaySettings
+)
+_ROLES: dict[object, type[Settings]] = {
+    "entry": _model.EntrySettings,
+    "agent": _model.AgentSettings,
+    "gateway": _gateway.GatewaySettings,
+}
 
 
 @attrs.frozen
@@ -66,7 +72,9 @@
     role = given.get("role") if isinstance(given, dict) else None
     if not isinstance(role, str) or role not in _ROLES:
         problem = Problem(
-            path="role", given=repr(role), allowed="entry or agent"
+            path="role",
+            given=repr(role),
+            allowed=" or ".join(map(str, _ROLES)),
         )
         raise SettingsInvalid(problems=(problem,))
     problems: list[Problem] = []
--- /dev/null
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -0,0 +1,29 @@
+"""Decides at which engines a prompt is read and its tokens are made."""
+
+from ._base import Hopeless
+from ._base import Placement
+from ._base import Placer
+from ._base import PLACERS
+from ._base import Request
+from ._baselines import LeastOutstandingPlacer
+from ._entities import EngineLoad
+from ._parts import PartCache
+from ._parts import Prompt
+from ._parts import PromptPart
+from ._parts import rank
+from ._two_stage import TwoStagePlacer
+
+__all__ = [
+    "EngineLoad",
+    "Hopeless",
+    "LeastOutstandingPlacer",
+    "PLACERS",
+    "PartCache",
+    "Placement",
+    "Placer",
+    "Prompt",
+    "PromptPart",
+    "Request",
+    "TwoStagePlacer",
+    "rank",
+]
--- /dev/null
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -0,0 +1,175 @@
+"""Reads prompts where their shared parts lie and makes tokens elsewhere."""
+
+import attrs
+
+from ... import ports
+from . import _base
+from . import _entities
+from . import _parts
+
+#: An engine that makes tokens reads prompts at this share of the speed of
+#: one that only reads.
+DECODE_READ_SHARE = 0.5
+#: Prompts with fewer tokens to read go to where their tokens are made.
+SHORT_TOKENS = 768
+#: Share of the shared tokens that the first engine by rendezvous rank has,
+#: where this process knows nothing of them.
+HOME_SHARE = 0.6
+#: Time for handing the cache over and the first step, in seconds.
+HAND_OVER_S = 0.012
+#: Weight of the reading itself beside the time to the first token: reading
+#: takes capacity from all others.
+READING_WEIGHT = 1.0
+#: Weight of another failure domain, in seconds.
+DOMAIN_WEIGHT_S = 0.002
+#: Share of the target within which a first token must be expected.
+TARGET_SHARE = 0.85
+#: Shortest time after which a refused caller is asked to return, in seconds.
+RETRY_FLOOR_S = 0.05
+
+
+@attrs.frozen
+class _Option:
+    """A way to serve a request."""
+
+    engine: _entities.EngineLoad
+    split: bool
+    missing_tokens: float
+    expected_s: float
+    cost_s: float
+
+
+@_base.PLACERS.register("two_stage")
+class TwoStagePlacer:
+    """Weighs the queue at each engine against the parts that it keeps.
+
+    Long prompts are read at the prefill engine that should keep most of
+    them, or at a decode engine where that is sooner; requests that share a
+    part meet at one engine by rendezvous rank. A request whose first token
+    is expected too late is hopeless.
+    """
+
+    def place(
+        self, request: _base.Request, engines: _base.Engines, now_s: float
+    ) -> _base.Placement | _base.Hopeless:
+        """Return where a request goes next."""
+        options = self._options(request, engines)
+        if not options:
+            return _base.Hopeless(RETRY_FLOOR_S)
+        best = min(options, key=lambda option: option.cost_s)
+        limit_s = min(request.target_s * TARGET_SHARE, request.left_s)
+        if best.expected_s > limit_s:
+            soonest = min(options, key=lambda option: option.expected_s)
+            if soonest.expected_s > limit_s:
+                late_s = soonest.expected_s - limit_s
+                return _base.Hopeless(max(late_s, RETRY_FLOOR_S))
+            best = soonest
+        return _base.Placement(
+            engine_id=best.engine.engine_id,
+            split=best.split,
+            missing_tokens=best.missing_tokens,
+            expected_s=best.expected_s,
+        )
+
+    def decode_engine(
+        self, request: _base.Request, prefilled_at: str, engines: _base.Engines
+    ) -> str | None:
+        """Return the engine that makes the tokens, with the least to do."""
+        able = [
+            engine
+            for engine in engines
+            if engine.accepting
+            and engine.role is not ports.EngineRole.PREFILL
+            and engine.engine_id not in request.tried
+            and engine.requests < engine.slots
+        ]
+        if not able:
+            return None
+        source = next(
+            (e for e in engines if e.engine_id == prefilled_at), None
+        )
+        domain = source.failure_domain if source else request.failure_domain
+
+        def cost(engine: _entities.EngineLoad) -> float:
+            waits_s = engine.queued_tokens / _speed(engine)
+            share = engine.requests / engine.slots
+            apart = engine.failure_domain != domain
+            return waits_s + share * 0.02 + apart * DOMAIN_WEIGHT_S
+
+        return min(able, key=cost).engine_id
+
+    def _options(
+        self, request: _base.Request, engines: _base.Engines
+    ) -> list[_Option]:
+        able = [
+            engine
+            for engine in engines
+            if engine.accepting
+            and engine.engine_id not in request.tried
+            and engine.requests < engine.slots
+        ]
+        prompt = request.prompt
+        homes = _homes(prompt, able)
+        decoders = any(
+            engine.role is not ports.EngineRole.PREFILL for engine in able
+        )
+        options = []
+        for engine in able:
+            split = engine.role is ports.EngineRole.PREFILL
+            if split and not decoders:
+                continue
+            missing = _missing(prompt, engine, engine.engine_id in homes)
+            if (
+                split
+                and missing < SHORT_TOKENS
+                and prompt.tokens < SHORT_TOKENS
+            ):
+                continue
+            options.append(_option(request, engine, split, missing))
+        return options
+
+
+def _option(
+    request: _base.Request,
+    engine: _entities.EngineLoad,
+    split: bool,
+    missing: float,
+) -> _Option:
+    reading_s = missing / _speed(engine)
+    expected_s = engine.queued_tokens / _speed(engine) + reading_s
+    expected_s += HAND_OVER_S if split else 0.0
+    apart = engine.failure_domain != request.failure_domain
+    return _Option(
+        engine=engine,
+        split=split,
+        missing_tokens=missing,
+        expected_s=expected_s,
+        cost_s=expected_s
+        + reading_s * READING_WEIGHT
+        + apart * DOMAIN_WEIGHT_S,
+    )
+
+
+def _speed(engine: _entities.EngineLoad) -> float:
+    """Return the prompt tokens that an engine reads a second."""
+    if engine.role is ports.EngineRole.PREFILL:
+        return engine.prefill_tokens_per_s
+    return engine.prefill_tokens_per_s * DECODE_READ_SHARE
+
+
+def _homes(prompt: _parts.Prompt, engines: _base.Engines) -> frozenset[str]:
+    """Return the first engine of each role by rank for the shared part."""
+    best: dict[ports.EngineRole, tuple[int, str]] = {}
+    for engine in engines:
+        found = (_parts.rank(prompt.affinity, engine.engine_id), engine.key)
+        best[engine.role] = max(best.get(engine.role, found), found)
+    return frozenset(name for _rank, name in best.values())
+
+
+def _missing(
+    prompt: _parts.Prompt, engine: _entities.EngineLoad, home: bool
+) -> float:
+    cached = float(engine.cache.cached_tokens(prompt))
+    if home:
+        cached = max(cached, prompt.shared_tokens * HOME_SHARE)
+    return max(prompt.tokens - cached, 1.0)
--- a/bilberrydeal/systems/retries/__init__.py
+++ b/bilberrydeal/systems/retries/__init__.py
@@ -5,6 +5,8 @@
 from ._base import RETRIERS
 from ._budgeted import BudgetedRetrier
 from ._never import NeverRetrier
+from ._window import WindowBounds
+from ._window import WindowBudget
 
 __all__ = [
     "Attempt",
@@ -12,4 +14,6 @@
     "NeverRetrier",
     "RETRIERS",
     "Retrier",
+    "WindowBounds",
+    "WindowBudget",
 ]
--- a/bilberrydeal/telemetry/_logs.py
+++ b/bilberrydeal/telemetry/_logs.py
@@ -6,8 +6,12 @@
 
 import structlog
 
+from . import _sink
 
-def configure(level: str, stream: typing.TextIO | None = None) -> None:
+
+def configure(
+    level: str, stream: typing.TextIO | _sink.BoundedStream | None = None
+) -> None:
     """Send logs of ``level`` and above to a stream as JSON.
 
     Loggers keep the stream from their first use on; it is standard error
@@ -25,7 +29,9 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(
+            typing.cast(typing.TextIO, stream or sys.stderr)
+        ),
         cache_logger_on_first_use=True,
     )
 
