Exchange load between gateways and keep engine roles to a plan

Cause: five gateways queued at the same engines without knowing of each other, and tokens of short answers waited behind long prompts at the same engine (events 80 to 130 ms apart, some streams cut at their deadline). Change: datagrams with what is under way at each engine; one home engine a session by weighted rendezvous rank; long prompts are read apart; a lease holder orders three engines to read and two to make tokens. Reports of engines name no request and were taken for late answers: accepted now.

--- a/bilberrydeal/gateway/_following.py
+++ b/bilberrydeal/gateway/_following.py
@@ -14,10 +14,12 @@
 LOG = telemetry.logger("following")
 #: Longest wait for a whole table, in seconds.
 SNAPSHOT_TIMEOUT_S = 1.5
-#: Time that a call of the feed waits for a change, in seconds.
-FEED_WAIT_S = 1.0
+#: Time that a call waits for a change of the configuration, in seconds.
+CONFIGURATION_WAIT_S = 2.0
+#: Time that a call waits for a change of the endpoints, in seconds.
+ENDPOINTS_WAIT_S = 1.0
 #: Pause between two calls for endpoints, whose rows change all the time.
-ENDPOINTS_PAUSE_S = 0.5
+ENDPOINTS_PAUSE_S = 0.7
 #: First pause after a failed call, in seconds; doubles with each.
 BACKOFF_FIRST_S = 0.05
 #: Longest pause after failed calls, in seconds.
@@ -78,12 +80,13 @@
         self,
         take: collections.abc.Callable[[ports.Changes, bool], None],
         pause_s: float,
+        wait_s: float,
     ) -> None:
         """Follow the table; ``take`` gets changes and whether all are in."""
         backoff_s = BACKOFF_FIRST_S
         while True:
             try:
-                await self._step(take)
+                await self._step(take, wait_s)
                 backoff_s = BACKOFF_FIRST_S
                 await asyncio.sleep(pause_s)
             except errors.HistoryGone:
@@ -95,14 +98,16 @@
                 backoff_s = min(backoff_s * 2, BACKOFF_LIMIT_S)
 
     async def _step(
-        self, take: collections.abc.Callable[[ports.Changes, bool], None]
+        self,
+        take: collections.abc.Callable[[ports.Changes, bool], None],
+        wait_s: float,
     ) -> None:
         whole = self._version is None
         if self._version is None:
             found = await self._feed.snapshot(self._table, SNAPSHOT_TIMEOUT_S)
         else:
             found = await self._feed.changes(
-                self._table, self._version, FEED_WAIT_S
+                self._table, self._version, wait_s
             )
         self._contact.answered(self._clock())
         take(found, whole)
--- a/bilberrydeal/gateway/_knowledge.py
+++ b/bilberrydeal/gateway/_knowledge.py
@@ -142,6 +142,14 @@
                 loads.append(known.load)
         return loads
 
+    def loads(self) -> list[placement.EngineLoad]:
+        """Return the loads of all engines."""
+        return [
+            known.load
+            for known in self.endpoints.values()
+            if known.load is not None
+        ]
+
     def observe(self, known: Known, succeeded: bool, now_s: float) -> None:
         """Tell the health system what became of a send."""
         self.health.observe(
--- a/bilberrydeal/gateway/_plain.py
+++ b/bilberrydeal/gateway/_plain.py
@@ -62,7 +62,6 @@
                 reason = f"rejected, {error}"
             except _sending.Lost as error:
                 _note_tried(journey, known)
-                journey.may_have_run = True
                 self._count(work, journey)
                 reason = f"lost, {error}"
                 if not work.route.idempotent:
@@ -112,10 +111,9 @@
             organisation=work.organisation_name,
         )
         async with self._sender.exchange(
-            work, known, fields, left_s
+            work, journey, known, fields, left_s
         ) as exchange:
             body = await exchange.connection.body(HELD_LIMIT_BYTES)
-        journey.may_have_run = True
         self._count(work, journey)
         answered = exchange.verdict is platform.Verdict.ANSWER
         self._knowledge.observe(known, answered, self._clock())
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -19,12 +19,14 @@
 from ..systems import placement
 from ..systems import retries
 from . import _clock
+from . import _exchange
 from . import _following
 from . import _gate
 from . import _knowledge
 from . import _metrics
 from . import _plain
 from . import _reporting
+from . import _roles
 from . import _sending
 from . import _serving
 from . import _stream
@@ -38,7 +40,7 @@
 #: The process ends so long before it would be killed, in seconds.
 GRACE_MARGIN_S = 0.9
 #: Time between two writes of the own row.
-ROW_S = 0.8
+ROW_S = 0.4
 #: Time between two readings of all gateways' rows.
 MEMBERS_S = 3.0
 #: Time between two steps of the lease, held or not.
@@ -46,6 +48,8 @@
 LEASE_WATCH_S = 2.0
 #: Time between two looks at windows that ended.
 REPORT_S = 0.8
+#: Time between two looks at the roles of engines.
+ROLES_S = 0.5
 #: Time that the lease lasts beyond the shortest allowed, in seconds.
 LEASE_BEYOND_S = 1.5
 LEASE_MARGIN_S = 0.5
@@ -119,6 +123,12 @@
             chosen.host_id,
             chosen.bounds.usage_window_s,
         )
+        self._roles = _roles.RoleKeeper(
+            self._client, self._knowledge, self._lease, chosen.host_id
+        )
+        self._exchange = _exchange.Exchange(
+            self._knowledge, incarnation, clock
+        )
         self._metrics = _metrics.GatewayMetrics()
         self._endpoints = _following.EndpointsTaker(
             self._knowledge, self._contact, clock
@@ -178,6 +188,7 @@
         await self._callers.listen(*_split(listen.callers))
         await self._readiness.listen(*_split(listen.readiness))
         await self._metrics_server.listen(*_split(listen.metrics))
+        await self._exchange.listen(*_split(listen.peers))
         self._start_tasks()
         LOG.info(
             "Started.",
@@ -203,14 +214,22 @@
             self._store, platform.ENDPOINTS_TABLE, self._contact, self._clock
         )
         taker = _following.ConfigurationTaker(self._knowledge)
-        self._spawn(configuration.run(taker.take, 0.0))
         self._spawn(
-            endpoints.run(self._endpoints.take, _following.ENDPOINTS_PAUSE_S)
+            configuration.run(taker.take, 0.0, _following.CONFIGURATION_WAIT_S)
+        )
+        self._spawn(
+            endpoints.run(
+                self._endpoints.take,
+                _following.ENDPOINTS_PAUSE_S,
+                _following.ENDPOINTS_WAIT_S,
+            )
         )
+        self._spawn(self._exchange.run())
         self._spawn(self._every("sweep", lambda: SWEEP_S, self._sweep))
         self._spawn(self._every("row", lambda: ROW_S, self._rows.write))
         self._spawn(self._every("members", lambda: MEMBERS_S, self._members))
         self._spawn(self._every("lease", self._lease_pause_s, self._tick))
+        self._spawn(self._every("roles", lambda: ROLES_S, self._roles.round))
         self._spawn(
             self._every("reports", lambda: REPORT_S, self._reporter.round)
         )
@@ -253,6 +272,7 @@
         rows = await self._rows.read()
         members = self._rows.members(rows)
         self._knowledge.set_members(members.count)
+        self._exchange.peers = tuple(map(_split, members.peers))
 
     def _lease_pause_s(self) -> float:
         held = self._lease.held(_clock.boot_s())
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -49,6 +49,7 @@
     async def exchange(
         self,
         work: _work.Work,
+        journey: _work.Journey,
         known: _knowledge.Known,
         fields: platform.SendFields,
         head_timeout_s: float,
@@ -56,7 +57,10 @@
         """Send a request and wait for the head of its answer.
 
         Raises :class:`NotOffered`, :class:`Rejected` or :class:`Lost`. The
-        connection is reset where the answer is not whole at the end.
+        connection is reset where the answer is not whole at the end. From
+        the first byte sent the journey says that the request may have run,
+        until the endpoint proves that it did not; only reading a prompt
+        never runs a request.
         """
         try:
             connection = await known.pool.take(self._clock())
@@ -64,6 +68,8 @@
             if not known.pool.full:
                 self._knowledge.observe(known, False, self._clock())
             raise NotOffered(str(error)) from error
+        ran_before = journey.may_have_run
+        journey.may_have_run = ran_before or not fields.prefill
         try:
             head = await self._head(
                 connection, work, known, fields, head_timeout_s
@@ -72,6 +78,7 @@
             if fields.prefill:
                 verdict = platform.read_prompt_verdict(head)
             if verdict is platform.Verdict.NOT_RUN:
+                journey.may_have_run = ran_before
                 known.misdirected |= platform.misdirected(head)
                 await self._drop_body(connection)
                 raise Rejected(str(head.status))
@@ -79,6 +86,9 @@
                 self._knowledge.observe(known, False, self._clock())
                 raise Lost(f"status {head.status} without proof")
             yield Exchange(connection, head, verdict)
+        except NotOffered:
+            journey.may_have_run = ran_before
+            raise
         except http1.Broken as error:
             self._knowledge.observe(known, False, self._clock())
             raise Lost("connection broke") from error
--- a/bilberrydeal/gateway/_serving.py
+++ b/bilberrydeal/gateway/_serving.py
@@ -141,7 +141,7 @@
 
 def _late(journey: _work.Journey) -> errors.Refusal:
     """Return the refusal of a request whose time is over."""
-    if not journey.may_have_run and not journey.tried:
+    if not journey.may_have_run:
         return _work.not_run(
             errors.ErrorCode.DEADLINE_EXCEEDED,
             "no endpoint was free in time",
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -163,7 +163,11 @@
         silent_s = placed.expected_s * SILENT_FACTOR + SILENT_SLACK_S
         try:
             async with self._sender.exchange(
-                work, known, fields, min(fields.left_s, silent_s)
+                work,
+                stream.journey,
+                known,
+                fields,
+                min(fields.left_s, silent_s),
             ) as exchange:
                 body = await exchange.connection.body(HANDLE_LIMIT_BYTES)
         finally:
@@ -223,16 +227,12 @@
         reading = _Reading(load, missing_tokens)
         try:
             async with self._sender.exchange(
-                work, known, fields, self._patience_s(stream)
+                work, stream.journey, known, fields, self._patience_s(stream)
             ) as exchange:
-                stream.journey.may_have_run = True
                 if exchange.verdict is platform.Verdict.FAILURE:
                     await self._pass_failure(stream, known, exchange)
                     return
                 await self._pass_events(stream, known, exchange, reading)
-        except _sending.Lost:
-            stream.journey.may_have_run = True
-            raise
         finally:
             reading.done()
             load.own_requests -= 1
--- a/bilberrydeal/gateway/_work.py
+++ b/bilberrydeal/gateway/_work.py
@@ -51,7 +51,7 @@
     tried: list[str] = attrs.field(factory=list)
     #: Sends that count against the route's limit.
     attempts: int = 0
-    #: Whether an endpoint may have begun to run it.
+    #: Whether an endpoint may have begun to run it, or may begin to.
     may_have_run: bool = False
     #: Whether it was counted as begun.
     counted: bool = False
--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -236,7 +236,7 @@
             return True
         named = head.header(self._id_header)
         if named is None:
-            return head.status >= 300
+            return not self._request_id or head.status >= 300
         return named == self._request_id
 
     def _note_persistence(self, head: ResponseHead) -> None:
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -11,19 +11,27 @@
 from ._parts import Prompt
 from ._parts import PromptPart
 from ._parts import rank
+from ._peer_loads import EngineShare
+from ._peer_loads import PeerLoads
+from ._role_plan import plan_roles
+from ._role_plan import RoleOrder
 from ._two_stage import TwoStagePlacer
 
 __all__ = [
     "EngineLoad",
+    "EngineShare",
     "Hopeless",
     "LeastOutstandingPlacer",
     "PLACERS",
     "PartCache",
+    "PeerLoads",
     "Placement",
     "Placer",
     "Prompt",
     "PromptPart",
     "Request",
+    "RoleOrder",
     "TwoStagePlacer",
+    "plan_roles",
     "rank",
 ]
--- a/bilberrydeal/systems/placement/_parts.py
+++ b/bilberrydeal/systems/placement/_parts.py
@@ -2,6 +2,7 @@
 
 import collections
 import hashlib
+import math
 
 import attrs
 
@@ -84,13 +85,14 @@
         self._tokens = 0
 
 
-def rank(part_id: bytes, engine_id: str) -> int:
+def rank(part_id: bytes, engine_id: str, weight: float = 1.0) -> float:
     """Return the rendezvous rank of an engine for a part, largest first.
 
     All gateways agree on it without a message, and an engine that comes or
-    goes moves only its own parts.
+    goes moves only its own parts. An engine gets parts by its weight.
     """
     digest = hashlib.blake2b(
         part_id + b"@" + engine_id.encode(), digest_size=8
     ).digest()
-    return int.from_bytes(digest)
+    uniform = (int.from_bytes(digest) + 1) / (2**64 + 1)
+    return -weight / math.log(uniform)
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -12,9 +12,9 @@
 DECODE_READ_SHARE = 0.5
 #: Prompts with fewer tokens to read go to where their tokens are made.
 SHORT_TOKENS = 768
-#: Share of the shared tokens that the first engine by rendezvous rank has,
-#: where this process knows nothing of them.
-HOME_SHARE = 0.6
+#: Share of the shared tokens that the first engine by rendezvous rank has
+#: beyond what this process knows.
+HOME_SHARE = 0.55
 #: Time for handing the cache over and the first step, in seconds.
 HAND_OVER_S = 0.012
 #: Weight of the reading itself beside the time to the first token: reading
@@ -109,7 +109,7 @@
             and engine.requests < engine.slots
         ]
         prompt = request.prompt
-        homes = _homes(prompt, able)
+        home = _home(prompt, able) if able else ""
         decoders = any(
             engine.role is not ports.EngineRole.PREFILL for engine in able
         )
@@ -118,7 +118,7 @@
             split = engine.role is ports.EngineRole.PREFILL
             if split and not decoders:
                 continue
-            missing = _missing(prompt, engine, engine.engine_id in homes)
+            missing = _missing(prompt, engine, engine.engine_id == home)
             if (
                 split
                 and missing < SHORT_TOKENS
@@ -126,7 +126,18 @@
             ):
                 continue
             options.append(_option(request, engine, split, missing))
+        return _apart(options)
+
+
+def _apart(options: list[_Option]) -> list[_Option]:
+    """Leave out reading a long prompt between the tokens of others."""
+    if not any(option.split for option in options):
         return options
+    return [
+        option
+        for option in options
+        if option.split or option.missing_tokens < SHORT_TOKENS
+    ]
 
 
 def _option(
@@ -157,13 +168,19 @@
     return engine.prefill_tokens_per_s * DECODE_READ_SHARE
 
 
-def _homes(prompt: _parts.Prompt, engines: _base.Engines) -> frozenset[str]:
-    """Return the first engine of each role by rank for the shared part."""
-    best: dict[ports.EngineRole, tuple[int, str]] = {}
-    for engine in engines:
-        found = (_parts.rank(prompt.affinity, engine.engine_id), engine.key)
-        best[engine.role] = max(best.get(engine.role, found), found)
-    return frozenset(name for _rank, name in best.values())
+def _home(prompt: _parts.Prompt, engines: _base.Engines) -> str:
+    """Return the engine where requests that share a part meet."""
+    return max(
+        engines,
+        key=lambda engine: _parts.rank(
+            prompt.affinity, engine.engine_id, _weight(engine)
+        ),
+    ).engine_id
+
+
+def _weight(engine: _entities.EngineLoad) -> float:
+    prefills = engine.role is ports.EngineRole.PREFILL
+    return 1.0 if prefills else DECODE_READ_SHARE
 
 
 def _missing(
@@ -171,5 +188,5 @@
 ) -> float:
     cached = float(engine.cache.cached_tokens(prompt))
     if home:
-        cached = max(cached, prompt.shared_tokens * HOME_SHARE)
+        cached += max(prompt.shared_tokens - cached, 0.0) * HOME_SHARE
     return max(prompt.tokens - cached, 1.0)
