Let late requests wait behind those in time instead of refusing them

Cause: in bursts a tenth of the reviews was refused twice, though engines were free seconds later. Change: a request whose first token would miss its target is deferred: it goes to the engine at a lower rank; it is refused only where it would miss its deadline even so.

--- a/bilberrydeal/gateway/_exchange.py
+++ b/bilberrydeal/gateway/_exchange.py
@@ -99,7 +99,10 @@
     def _shares(self) -> tuple[placement.EngineShare, ...]:
         return tuple(
             placement.EngineShare(
-                load.engine_id, int(load.own_tokens), load.own_requests
+                load.engine_id,
+                int(load.own.urgent),
+                int(load.own.deferred),
+                load.own_requests,
             )
             for load in self._knowledge.loads()
             if load.own_requests
@@ -136,4 +139,6 @@
 
 
 def _tokens(share: placement.EngineShare | None) -> int:
-    return share.tokens if share is not None else 0
+    if share is None:
+        return 0
+    return share.urgent_tokens + share.deferred_tokens
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -122,10 +122,10 @@
             raise self._hopeless(stream, placed)
         known = self._knowledge.endpoints[placed.engine_id]
         if not placed.split:
-            await self._generate(stream, known, placed.missing_tokens, None)
+            await self._generate(stream, known, placed, None)
             return
         source = await self._read_prompt(stream, known, placed)
-        await self._hand_over(stream, request, source)
+        await self._hand_over(stream, request, placed, source)
 
     def _target_s(self, stream: _Stream, now_s: float) -> float:
         """Return when the first event is due; a begun stream just goes on."""
@@ -157,9 +157,11 @@
         assert load is not None
         stream.journey.tried.append(known.endpoint.endpoint_id)
         load.cache.use(work.prompt or _NO_PROMPT)
-        load.own_tokens += placed.missing_tokens
         load.own_requests += 1
-        fields = attrs.evolve(self._fields(stream, known), prefill=True)
+        reading = _Reading(load, placed.missing_tokens, placed.deferred)
+        fields = attrs.evolve(
+            self._fields(stream, known, placed), prefill=True
+        )
         silent_s = placed.expected_s * SILENT_FACTOR + SILENT_SLACK_S
         try:
             async with self._sender.exchange(
@@ -171,7 +173,7 @@
             ) as exchange:
                 body = await exchange.connection.body(HANDLE_LIMIT_BYTES)
         finally:
-            load.own_tokens -= placed.missing_tokens
+            reading.done()
             load.own_requests -= 1
         handle = self._engines.handle(body)
         if handle is None:
@@ -183,6 +185,7 @@
         self,
         stream: _Stream,
         request: placement.Request,
+        placed: placement.Placement,
         source: _Source,
     ) -> None:
         """Have the tokens made where the prompt is fetched to."""
@@ -195,7 +198,12 @@
             if engine_id is None:
                 raise _sending.Rejected("no decode engine")
             known = self._knowledge.endpoints[engine_id]
-            await self._generate(stream, known, 0.0, source)
+            await self._generate(
+                stream,
+                known,
+                attrs.evolve(placed, missing_tokens=0.0),
+                source,
+            )
             taken = True
         except _sending.Lost:
             taken = True
@@ -208,7 +216,7 @@
         self,
         stream: _Stream,
         known: _knowledge.Known,
-        missing_tokens: float,
+        placed: placement.Placement,
         source: _Source | None,
     ) -> None:
         """Pass on the events that an engine makes."""
@@ -218,13 +226,12 @@
         stream.journey.tried.append(known.endpoint.endpoint_id)
         load.cache.use(work.prompt or _NO_PROMPT)
         load.own_requests += 1
-        load.own_tokens += missing_tokens
         fields = attrs.evolve(
-            self._fields(stream, known),
+            self._fields(stream, known, placed),
             kv_source=source.text if source else "",
             last_event=stream.cutter.last_id,
         )
-        reading = _Reading(load, missing_tokens)
+        reading = _Reading(load, placed.missing_tokens, placed.deferred)
         try:
             async with self._sender.exchange(
                 work, stream.journey, known, fields, self._patience_s(stream)
@@ -292,14 +299,17 @@
         )
 
     def _fields(
-        self, stream: _Stream, known: _knowledge.Known
+        self,
+        stream: _Stream,
+        known: _knowledge.Known,
+        placed: placement.Placement,
     ) -> platform.SendFields:
         work = stream.work
         return platform.SendFields(
             endpoint_id=known.endpoint.endpoint_id,
             left_s=work.deadline_s - self._clock(),
             organisation=work.organisation_name,
-            rank=work.rank,
+            rank=_rank(work, placed),
         )
 
     def _patience_s(self, stream: _Stream) -> float:
@@ -351,20 +361,32 @@
             self._begun.count(stream.work.organisation_name)
 
 
-@attrs.define
 class _Reading:
     """Prompt tokens that an engine still has to read."""
 
-    load: placement.EngineLoad
-    tokens: float
+    def __init__(
+        self, load: placement.EngineLoad, tokens: float, deferred: bool
+    ) -> None:
+        self._load = load
+        self._tokens = tokens
+        self._deferred = deferred
+        load.own.add(tokens, deferred)
 
     def done(self) -> None:
-        """Note that the prompt was read."""
-        self.load.own_tokens -= self.tokens
-        self.tokens = 0.0
+        """Note that the prompt was read, or will not be."""
+        self._load.own.add(-self._tokens, self._deferred)
+        self._tokens = 0.0
+
+
+def _rank(work: _work.Work, placed: placement.Placement) -> int:
+    """Return the rank at the engine: what is deferred comes last."""
+    rank = min(work.rank, URGENT_RANKS - 1)
+    return rank + URGENT_RANKS if placed.deferred else rank
 
 
 _NO_PROMPT = placement.Prompt((placement.PromptPart(b"", 1),), 1)
+#: Ranks of requests that are not deferred; as many follow for the others.
+URGENT_RANKS = 5
 #: Engines that one request may find unreachable.
 TRIED_LIMIT = 4
 #: Largest answer to the reading of a prompt, in bytes.
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -9,6 +9,23 @@
 FIRST_PREFILL_TOKENS_PER_S = 300_000.0
 
 
+@attrs.define
+class QueuedTokens:
+    """Prompt tokens that wait at an engine."""
+
+    #: Of requests that can still be served within their target.
+    urgent: float = 0.0
+    #: Of requests that are served once none of the former waits.
+    deferred: float = 0.0
+
+    def add(self, tokens: float, deferred: bool) -> None:
+        """Add tokens, or take them away where negative."""
+        if deferred:
+            self.deferred += tokens
+        else:
+            self.urgent += tokens
+
+
 @attrs.define
 class EngineLoad:
     """One engine; the gateway writes what it sends and what it learns."""
@@ -28,9 +45,9 @@
     #: Whether it takes new work.
     accepting: bool = True
     #: Prompt tokens that this process sent and that are not read yet.
-    own_tokens: float = 0.0
+    own: QueuedTokens = attrs.field(factory=QueuedTokens)
     #: Prompt tokens that other processes sent and that are not read yet.
-    others_tokens: float = 0.0
+    others: QueuedTokens = attrs.field(factory=QueuedTokens)
     #: Requests of this process there.
     own_requests: int = 0
     #: Requests of other processes there.
@@ -44,9 +61,14 @@
         return self.engine_id
 
     @property
-    def queued_tokens(self) -> float:
-        """Return the prompt tokens that wait there."""
-        return self.own_tokens + self.others_tokens
+    def urgent_tokens(self) -> float:
+        """Return the prompt tokens of requests that are read first."""
+        return self.own.urgent + self.others.urgent
+
+    @property
+    def deferred_tokens(self) -> float:
+        """Return the prompt tokens that are read after those."""
+        return self.own.deferred + self.others.deferred
 
     @property
     def requests(self) -> int:
--- a/bilberrydeal/systems/placement/_peer_loads.py
+++ b/bilberrydeal/systems/placement/_peer_loads.py
@@ -16,8 +16,10 @@
 
     #: Name of the engine.
     engine_id: str
-    #: Prompt tokens that wait to be read.
-    tokens: int
+    #: Prompt tokens that are to be read first.
+    urgent_tokens: int
+    #: Prompt tokens that are read after those.
+    deferred_tokens: int
     #: Requests.
     requests: int
 
@@ -71,5 +73,8 @@
                 for told in self._told.values()
                 if engine.engine_id in told.shares
             ]
-            engine.others_tokens = sum(share.tokens for share in shares)
+            engine.others.urgent = sum(each.urgent_tokens for each in shares)
+            engine.others.deferred = sum(
+                each.deferred_tokens for each in shares
+            )
             engine.others_requests = sum(share.requests for share in shares)
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -24,6 +24,11 @@
 DOMAIN_WEIGHT_S = 0.002
 #: Share of the target within which a first token must be expected.
 TARGET_SHARE = 0.85
+#: Share of the time left within which a deferred request must be expected:
+#: others will come in before it.
+DEFERRED_SHARE = 0.6
+#: Tokens of deferred requests that an engine has begun to read.
+BEGUN_TOKENS = 3_000
 #: Shortest time after which a refused caller is asked to return, in seconds.
 RETRY_FLOOR_S = 0.05
 
@@ -35,7 +40,11 @@
     engine: _entities.EngineLoad
     split: bool
     missing_tokens: float
+    #: Time to the first token where it is read first.
     expected_s: float
+    #: Time to the first token where it waits for all others.
+    deferred_s: float
+    #: What the choice goes by.
     cost_s: float
 
 
@@ -45,8 +54,9 @@
 
     Long prompts are read at the prefill engine that should keep most of
     them, or at a decode engine where that is sooner; requests that share a
-    part meet at one engine by rendezvous rank. A request whose first token
-    is expected too late is hopeless.
+    part meet at one engine by rendezvous rank. A request that would miss
+    its target is deferred: it waits behind those that can meet theirs. One
+    that would miss its deadline even so is hopeless.
     """
 
     def place(
@@ -59,17 +69,20 @@
         best = min(options, key=lambda option: option.cost_s)
         limit_s = min(request.target_s * TARGET_SHARE, request.left_s)
         if best.expected_s > limit_s:
-            soonest = min(options, key=lambda option: option.expected_s)
-            if soonest.expected_s > limit_s:
-                late_s = soonest.expected_s - limit_s
-                return _base.Hopeless(max(late_s, RETRY_FLOOR_S))
-            best = soonest
-        return _base.Placement(
-            engine_id=best.engine.engine_id,
-            split=best.split,
-            missing_tokens=best.missing_tokens,
-            expected_s=best.expected_s,
-        )
+            best = min(options, key=lambda option: option.expected_s)
+        if best.expected_s <= limit_s:
+            return _placement(best, best.expected_s, deferred=False)
+        return self._defer(request, options)
+
+    def _defer(
+        self, request: _base.Request, options: list[_Option]
+    ) -> _base.Placement | _base.Hopeless:
+        """Place a request that is late behind those that are not."""
+        best = min(options, key=lambda option: option.deferred_s)
+        if best.deferred_s <= request.left_s * DEFERRED_SHARE:
+            return _placement(best, best.deferred_s, deferred=True)
+        late_s = best.deferred_s - request.left_s * DEFERRED_SHARE
+        return _base.Hopeless(max(late_s, RETRY_FLOOR_S))
 
     def decode_engine(
         self, request: _base.Request, prefilled_at: str, engines: _base.Engines
@@ -91,7 +104,7 @@
         domain = source.failure_domain if source else request.failure_domain
 
         def cost(engine: _entities.EngineLoad) -> float:
-            waits_s = engine.queued_tokens / _speed(engine)
+            waits_s = engine.urgent_tokens / _speed(engine)
             share = engine.requests / engine.slots
             apart = engine.failure_domain != domain
             return waits_s + share * 0.02 + apart * DOMAIN_WEIGHT_S
@@ -146,21 +159,38 @@
     split: bool,
     missing: float,
 ) -> _Option:
-    reading_s = missing / _speed(engine)
-    expected_s = engine.queued_tokens / _speed(engine) + reading_s
-    expected_s += HAND_OVER_S if split else 0.0
+    speed = _speed(engine)
+    reading_s = missing / speed
+    begun = min(engine.deferred_tokens, BEGUN_TOKENS)
+    hand_over_s = HAND_OVER_S if split else 0.0
+    expected_s = (engine.urgent_tokens + begun) / speed
+    expected_s += reading_s + hand_over_s
+    queued = engine.urgent_tokens + engine.deferred_tokens
     apart = engine.failure_domain != request.failure_domain
     return _Option(
         engine=engine,
         split=split,
         missing_tokens=missing,
         expected_s=expected_s,
+        deferred_s=queued / speed + reading_s + hand_over_s,
         cost_s=expected_s
         + reading_s * READING_WEIGHT
         + apart * DOMAIN_WEIGHT_S,
     )
 
 
+def _placement(
+    option: _Option, expected_s: float, deferred: bool
+) -> _base.Placement:
+    return _base.Placement(
+        engine_id=option.engine.engine_id,
+        split=option.split,
+        missing_tokens=option.missing_tokens,
+        expected_s=expected_s,
+        deferred=deferred,
+    )
+
+
 def _speed(engine: _entities.EngineLoad) -> float:
     """Return the prompt tokens that an engine reads a second."""
     if engine.role is ports.EngineRole.PREFILL:
