--- /dev/null
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -0,0 +1,408 @@
+"""A gateway's request path on loopback, before scripted endpoints."""
+
+import asyncio
+import collections.abc
+import contextlib
+import random
+import re
+import time
+import typing
+
+import attrs
+
+from ... import catalogue
+from ... import http1
+from ... import ports
+from ...systems import health
+from ...systems import placement
+from ...systems import retries
+from .. import _gate
+from .. import _knowledge
+from .. import _metrics
+from .. import _plain
+from .. import _sending
+from .. import _serving
+from .. import _stream
+from .. import _usage
+
+KEY = b"k1"
+#: Prompt of the streams in tests: a shared part and an own one.
+PARTS = b"aa:2000,bb:3000,cc:1000"
+
+Script = collections.abc.Callable[
+    ["Call"], collections.abc.Awaitable[bytes | None]
+]
+
+
+@attrs.frozen
+class Call:
+    """A request as an endpoint got it."""
+
+    endpoint_id: str
+    head: bytes
+    body: bytes
+    writer: asyncio.StreamWriter
+
+    def field(self, name: str) -> bytes | None:
+        """Return the value of a header field."""
+        found = re.search(
+            rb"(?mi)^" + name.encode() + rb": ?([^\r\n]*)", self.head
+        )
+        return found.group(1) if found else None
+
+    @property
+    def request_id(self) -> bytes:
+        """Return the id of the request."""
+        return self.field("request-id") or b""
+
+    @property
+    def prefill(self) -> bool:
+        """Return whether only the prompt is to be read."""
+        return self.field("serving-stage") == b"prefill"
+
+
+@attrs.define(eq=False)
+class Endpoint:
+    """An endpoint that answers by a script."""
+
+    endpoint_id: str
+    script: Script
+    role: ports.EngineRole | None = None
+    service: str = "shop"
+    port: int = 0
+    calls: list[Call] = attrs.field(factory=list)
+    #: Requests whose connection was closed before their answer was whole.
+    cut: int = 0
+    arrived: asyncio.Event = attrs.field(factory=asyncio.Event)
+    left: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = re.search(rb"content-length: (\d+)", head)
+                size = int(length.group(1)) if length else 0
+                body = await reader.readexactly(size)
+                call = Call(self.endpoint_id, head, body, writer)
+                self.calls.append(call)
+                self.arrived.set()
+                answer = await self._answer(reader, call)
+                if answer is None:
+                    writer.transport.abort()
+                    return
+                writer.write(answer)
+                await writer.drain()
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, call: Call
+    ) -> bytes | None:
+        """Return the script's answer; note a caller that leaves."""
+        script = asyncio.ensure_future(self.script(call))
+        gone = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait([script, gone], return_when=asyncio.FIRST_COMPLETED)
+        if not script.done():
+            self.cut += 1
+            self.left.set()
+            script.cancel()
+            return None
+        gone.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await gone
+        return script.result()
+
+
+def answer(
+    call: Call, status: int = 200, body: bytes = b"ok", **fields: str
+) -> bytes:
+    """Return a signed answer to a call."""
+    lines = [
+        b"HTTP/1.1 %d X" % status,
+        b"request-id: " + call.request_id,
+        b"server-signature: s." + call.endpoint_id.encode(),
+        b"content-length: %d" % len(body),
+    ]
+    for name, value in fields.items():
+        lines.append(f"{name.replace('_', '-')}: {value}".encode())
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def not_run(call: Call, status: int = 503) -> bytes:
+    """Return the answer of an endpoint that did not run a call."""
+    return (
+        b"HTTP/1.1 %d X\r\nrequest-id: %b\r\nnot-executed: 1\r\n"
+        b"content-length: 0\r\n\r\n" % (status, call.request_id)
+    )
+
+
+def stream_head(call: Call) -> bytes:
+    """Return the head of a signed stream."""
+    return (
+        b"HTTP/1.1 200 OK\r\nrequest-id: %b\r\nserver-signature: s.%b\r\n"
+        b"content-type: text/event-stream\r\n"
+        b"transfer-encoding: chunked\r\n\r\n"
+        % (call.request_id, call.endpoint_id.encode())
+    )
+
+
+def chunk(data: bytes) -> bytes:
+    """Return one chunk."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def event(number: int) -> bytes:
+    """Return one event."""
+    return b"id: %d\ndata: e%d\n\n" % (number, number)
+
+
+def whole_stream(call: Call, first: int, last: int) -> bytes:
+    """Return a stream of events from ``first`` to ``last``."""
+    events = b"".join(chunk(event(n)) for n in range(first, last + 1))
+    return stream_head(call) + events + chunk(b"")
+
+
+def handle(call: Call) -> bytes:
+    """Return the answer to the reading of a prompt."""
+    return answer(
+        call, body=b'{"kv_handle":"h%b","tokens":1}' % call.request_id
+    )
+
+
+@attrs.frozen
+class Reply:
+    """What a caller got."""
+
+    status: int
+    head: bytes
+    body: bytes
+    #: Whether the answer looks whole.
+    whole: bool
+
+    def field(self, name: str) -> bytes | None:
+        """Return the value of a header field."""
+        found = re.search(
+            rb"(?mi)^" + name.encode() + rb": ?([^\r\n]*)", self.head
+        )
+        return found.group(1) if found else None
+
+
+@attrs.define(eq=False)
+class Path:
+    """The request path under test."""
+
+    knowledge: _knowledge.Knowledge
+    server: http1.HttpServer
+    begun: "Begun"
+    ids: int = 0
+
+    async def ask(
+        self,
+        path: str = "/once/1",
+        method: str = "POST",
+        body: bytes = b"b",
+        deadline_ms: int = 2000,
+        wait_s: float = 4.0,
+        **fields: str,
+    ) -> Reply:
+        """Send one request and return what comes."""
+        self.ids += 1
+        named = {
+            "host": "h.example",
+            "request-id": f"r{self.ids}",
+            "key": KEY.decode(),
+            "deadline-ms": str(deadline_ms),
+            "connection": "close",
+            "content-length": str(len(body)),
+            **{name.replace("_", "-"): v for name, v in fields.items()},
+        }
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in named.items()]
+        data = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.server.port
+        )
+        writer.write(data)
+        try:
+            async with asyncio.timeout(wait_s):
+                received = await reader.read()
+        finally:
+            writer.close()
+        return _reply(received)
+
+    async def stream(
+        self, path: str = "/chat/1", **fields: typing.Any
+    ) -> Reply:
+        """Ask for a stream."""
+        given = {
+            "token_usage": "6000,10",
+            "prefix_hash": PARTS.decode(),
+            **fields,
+        }
+        return await self.ask(path, **given)
+
+
+def _reply(received: bytes) -> Reply:
+    head, _blank, rest = received.partition(b"\r\n\r\n")
+    status = int(head.split()[1]) if head else 0
+    if b"transfer-encoding: chunked" in head:
+        body = b""
+        while True:
+            size_text, _end, rest = rest.partition(b"\r\n")
+            if not size_text:
+                return Reply(status, head, body, False)
+            size = int(size_text, 16)
+            if size == 0:
+                return Reply(status, head, body, True)
+            body += rest[:size]
+            rest = rest[size + 2 :]
+    found = re.search(rb"content-length: (\d+)", head)
+    length = int(found.group(1)) if found else -1
+    return Reply(status, head, rest, length == len(rest))
+
+
+class Begun(_usage.BegunCounter):
+    """Counts begun requests without windows."""
+
+    def __init__(self) -> None:
+        self.counts: dict[str, int] = {}
+
+    def count(self, organisation: str | None) -> None:
+        """Count a request."""
+        if organisation is not None:
+            before = self.counts.get(organisation, 0)
+            self.counts[organisation] = before + 1
+
+
+def route(
+    path_prefix: bytes,
+    kind: catalogue.RouteKind,
+    attempts_limit: int,
+    service: str,
+    resumable: bool = False,
+    public: bool = False,
+    timeout_s: float = 2.0,
+) -> catalogue.Route:
+    """Return a route."""
+    return catalogue.Route(
+        name=path_prefix.strip(b"/").decode(),
+        host=b"h.example",
+        path_prefix=path_prefix,
+        kind=kind,
+        attempts_limit=attempts_limit,
+        timeout_s=timeout_s,
+        target_latency_s=0.5,
+        priority=1,
+        splits=(catalogue.Split(service, 1.0),),
+        public=public,
+        resumable=resumable,
+        target_gap_s=0.2,
+    )
+
+
+_KINDS = catalogue.RouteKind
+ROUTES = (
+    route(b"/once/", _KINDS.ONCE, 2, "shop"),
+    route(b"/once-one/", _KINDS.ONCE, 1, "shop"),
+    route(b"/read/", _KINDS.IDEMPOTENT, 2, "shop"),
+    route(b"/read-one/", _KINDS.IDEMPOTENT, 1, "shop"),
+    route(b"/open/", _KINDS.IDEMPOTENT, 2, "shop", public=True),
+    route(b"/brief/", _KINDS.ONCE, 1, "shop", timeout_s=0.2),
+    route(b"/chat/", _KINDS.STREAM, 2, "llm", resumable=True),
+    route(b"/chat-once/", _KINDS.STREAM, 2, "llm"),
+    route(b"/chat-one/", _KINDS.STREAM, 1, "llm"),
+)
+
+
+def configuration(version: int = 1) -> catalogue.Configuration:
+    """Return a configuration with a route of each kind."""
+    return catalogue.Configuration(
+        version=version,
+        routes=ROUTES,
+        services={
+            "shop": catalogue.Service("shop", "/healthz", 40, None),
+            "llm": catalogue.Service(
+                "llm",
+                "/healthz",
+                40,
+                catalogue.EngineLimits(16, 1_000_000, 5.0, 3.0),
+            ),
+        },
+        limits=catalogue.CallerLimits(16_384, 1_000_000, 3.0, 15.0),
+        organisations={KEY: catalogue.Organisation("o1", None)},
+    )
+
+
+@contextlib.asynccontextmanager
+async def running(
+    *endpoints: Endpoint,
+) -> collections.abc.AsyncIterator[Path]:
+    """Run the request path before some endpoints."""
+    clock = time.monotonic
+    knowledge = _knowledge.Knowledge(health.HEALTH.get("outlier")(1))
+    knowledge.set_configuration(configuration())
+    knowledge.endpoints_read = True
+    servers = []
+    for each in endpoints:
+        listening = await asyncio.start_server(each.serve, "127.0.0.1", 0)
+        servers.append(listening)
+        each.port = listening.sockets[0].getsockname()[1]
+        knowledge.set_endpoint(announced(each))
+    begun = Begun()
+    budget = retries.WindowBudget(retries.WindowBounds(10.0, 0.2, 58.0))
+    sender = _sending.Sender(knowledge, clock)
+    serving = _serving.Serving(
+        gate=_gate.Gate(knowledge, random.Random(1)),
+        knowledge=knowledge,
+        plain=_plain.PlainServer(
+            knowledge, sender, budget, begun, "d1", clock
+        ),
+        stream=_stream.StreamServer(
+            knowledge,
+            sender,
+            budget,
+            begun,
+            placement.PLACERS.get("two_stage")(),
+            "d1",
+            clock,
+        ),
+        budget=budget,
+        metrics=_metrics.GatewayMetrics(),
+        clock=clock,
+    )
+    limits = http1.ServerLimits(16_384, 1_000_000, 3.0, 15.0)
+    server = http1.HttpServer(serving.handle, lambda: limits, clock)
+    await server.listen("127.0.0.1", 0)
+    try:
+        yield Path(knowledge, server, begun)
+    finally:
+        server.stop_accepting()
+        server.abort()
+        for each_server in servers:
+            each_server.close()
+
+
+def announced(endpoint: Endpoint, ready: bool = True) -> catalogue.Endpoint:
+    """Return what an endpoint says of itself."""
+    return catalogue.Endpoint(
+        endpoint_id=endpoint.endpoint_id,
+        service=endpoint.service,
+        host="127.0.0.1",
+        port=endpoint.port,
+        failure_domain="d1",
+        slots=16,
+        ready=ready,
+        role=endpoint.role,
+        born_ms=1,
+    )
+
+
+def plain(endpoint_id: str, script: Script) -> Endpoint:
+    """Return a plain endpoint."""
+    return Endpoint(endpoint_id, script)
+
+
+def engine(endpoint_id: str, role: str, script: Script) -> Endpoint:
+    """Return an engine."""
+    return Endpoint(endpoint_id, script, ports.EngineRole(role), "llm")
--- /dev/null
+++ b/bilberrydeal/http1/tests/harness.py
@@ -0,0 +1,132 @@
+"""Servers and callers over loopback for the tests of this package."""
+
+import asyncio
+import collections.abc
+import contextlib
+import socket
+import struct
+import time
+import typing
+
+import attrs
+
+from ... import http1
+
+LIMITS = http1.ServerLimits(
+    header_bytes=2_000,
+    body_bytes=1_000,
+    header_timeout_s=0.15,
+    idle_timeout_s=0.6,
+)
+
+
+@attrs.define
+class Recorder:
+    """Serves requests by echoing their targets, and remembers them."""
+
+    requests: list[http1.Request] = attrs.field(factory=list)
+    cancelled: int = 0
+    #: Requests whose path begins so wait until :attr:`release` is set.
+    slow_path: bytes = b"/slow"
+    release: asyncio.Event = attrs.field(factory=asyncio.Event)
+    begun: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def handle(
+        self, request: http1.Request, responder: http1.Responder
+    ) -> None:
+        """Answer a request."""
+        self.requests.append(request)
+        self.begun.set()
+        if request.path.startswith(self.slow_path):
+            try:
+                await self.release.wait()
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+        responder.send(200, [], request.target + b"|" + request.body)
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    handler: typing.Any, limits: http1.ServerLimits = LIMITS
+) -> collections.abc.AsyncIterator[http1.HttpServer]:
+    """Run a server whose clock is swept often."""
+    server = http1.HttpServer(handler, lambda: limits, time.monotonic)
+    await server.listen("127.0.0.1", 0)
+
+    async def sweep() -> None:
+        while True:
+            await asyncio.sleep(0.02)
+            server.sweep(time.monotonic())
+
+    task = asyncio.create_task(sweep())
+    try:
+        yield server
+    finally:
+        task.cancel()
+        server.stop_accepting()
+        server.abort()
+
+
+async def exchange(port: int, data: bytes, wait_s: float = 2.0) -> bytes:
+    """Send bytes and return all that comes until the server closes."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    try:
+        async with asyncio.timeout(wait_s):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def scripted(
+    *answers: bytes | None, close: bool = True, reset: bool = False
+) -> collections.abc.AsyncIterator["Scripted"]:
+    """Run a peer that answers each request with the next script."""
+    peer = Scripted(list(answers), close, reset)
+    server = await asyncio.start_server(peer.serve, "127.0.0.1", 0)
+    peer.port = server.sockets[0].getsockname()[1]
+    try:
+        yield peer
+    finally:
+        server.close()
+        for writer in peer.writers:
+            writer.transport.abort()
+
+
+@attrs.define
+class Scripted:
+    """Answers requests with fixed bytes."""
+
+    answers: list[bytes | None]
+    close: bool
+    reset: bool
+    port: int = 0
+    seen: list[bytes] = attrs.field(factory=list)
+    writers: list[asyncio.StreamWriter] = attrs.field(factory=list)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        self.writers.append(writer)
+        while self.answers:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return
+            self.seen.append(head)
+            answer = self.answers.pop(0)
+            if answer is None:
+                break
+            writer.write(answer)
+            await writer.drain()
+        if self.reset:
+            # Closing with no time to linger sends a reset.
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
+        elif self.close:
+            writer.close()
--- /dev/null
+++ b/bilberrydeal/http1/tests/test_server.py
@@ -0,0 +1,162 @@
+"""What a caller may send, and what it gets."""
+
+import asyncio
+import re
+
+import pytest
+
+from ... import http1
+from . import harness
+
+GET = b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n"
+LAST = b"GET /z HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"
+
+
+def _status(answer: bytes) -> list[bytes]:
+    return re.findall(rb"HTTP/1\.1 (\d+)", answer)
+
+
+async def test_pipelined_requests_are_answered_in_order() -> None:
+    recorder = harness.Recorder()
+    async with harness.serving(recorder.handle) as server:
+        answer = await harness.exchange(server.port, GET * 20 + LAST)
+    assert _status(answer) == [b"200"] * 21
+    assert answer.index(b"/a|") < answer.index(b"/z|")
+
+
+async def test_a_chunked_body_is_read_whole() -> None:
+    recorder = harness.Recorder()
+    data = (
+        b"POST /c HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n"
+        b"connection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    async with harness.serving(recorder.handle) as server:
+        answer = await harness.exchange(server.port, data)
+    assert answer.endswith(b"/c|abcde")
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        pytest.param(
+            b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n"
+            b"transfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled",
+            b"400",
+            id="length and chunks",
+        ),
+        pytest.param(
+            b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n"
+            b"content-length: 5\r\n\r\nabcde",
+            b"400",
+            id="two lengths",
+        ),
+        pytest.param(
+            b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: +4\r\n\r\nabcd",
+            b"400",
+            id="length with a sign",
+        ),
+        pytest.param(
+            b"POST /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: xchunked\r\n"
+            b"\r\n0\r\n\r\n",
+            b"400",
+            id="unknown coding",
+        ),
+        pytest.param(
+            b"POST /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n"
+            b"\r\nzz\r\nabc\r\n0\r\n\r\n",
+            b"400",
+            id="bad chunk size",
+        ),
+        pytest.param(
+            b"GET /x HTTP/1.1\r\nhost: h\r\na: b\r\n c\r\n\r\n",
+            b"400",
+            id="folded field",
+        ),
+        pytest.param(
+            b"GET /x HTTP/1.1\r\nhost: h\r\nbig: " + b"x" * 3000,
+            None,
+            id="endless head is refused below",
+        ),
+        pytest.param(
+            b"GET /x HTTP/1.1\r\nhost: h\r\nbig: " + b"x" * 9000,
+            b"431",
+            id="head that never ends",
+        ),
+        pytest.param(
+            b"GET /x HTTP/1.1\r\nhost: h\r\nbig: " + b"x" * 2500 + b"\r\n\r\n",
+            b"431",
+            id="large head",
+        ),
+        pytest.param(
+            b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 1001\r\n\r\n",
+            b"413",
+            id="large body by its length",
+        ),
+        pytest.param(
+            b"POST /x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n"
+            b"\r\n3e9\r\n" + b"x" * 1001 + b"\r\n",
+            b"413",
+            id="large body in chunks",
+        ),
+        pytest.param(b"GET /x HTTP/1.1\r\nhost", b"408", id="slow head"),
+    ],
+)
+async def test_what_cannot_be_read_is_refused(
+    data: bytes, status: bytes | None
+) -> None:
+    recorder = harness.Recorder()
+    async with harness.serving(recorder.handle) as server:
+        answer = await harness.exchange(server.port, data)
+    # A head that stays below the bounds and never ends is slow.
+    assert _status(answer) == [status or b"408"]
+    assert b"connection: close" in answer
+    assert recorder.requests == []
+
+
+async def test_good_requests_before_a_bad_one_are_answered() -> None:
+    recorder = harness.Recorder()
+    async with harness.serving(recorder.handle) as server:
+        answer = await harness.exchange(
+            server.port, GET * 3 + b"NONSENSE\r\n\r\n"
+        )
+    assert _status(answer) == [b"200", b"200", b"200", b"400"]
+
+
+async def test_a_caller_that_leaves_cancels_its_request() -> None:
+    recorder = harness.Recorder()
+    async with harness.serving(recorder.handle) as server:
+        _reader, writer = await asyncio.open_connection(
+            "127.0.0.1", server.port
+        )
+        writer.write(GET.replace(b"/a", b"/slow"))
+        await recorder.begun.wait()
+        writer.close()
+        async with asyncio.timeout(2.0):
+            assert await server.wait_quiet(2.0)
+    assert recorder.cancelled == 1
+
+
+async def test_an_idle_connection_is_closed_and_announced() -> None:
+    recorder = harness.Recorder()
+    limits = http1.ServerLimits(2_000, 1_000, 0.5, 1.0)
+    async with harness.serving(recorder.handle, limits) as server:
+        answer = await harness.exchange(server.port, GET)
+    assert b"keep-alive: timeout=1" in answer
+
+
+async def test_a_leaving_server_asks_callers_to_close() -> None:
+    recorder = harness.Recorder()
+    async with harness.serving(recorder.handle) as server:
+        server.leaving = True
+        answer = await harness.exchange(server.port, GET)
+    assert b"connection: close" in answer
+
+
+async def test_bodies_under_way_are_counted_down() -> None:
+    recorder = harness.Recorder()
+    data = b"POST /p HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n\r\nabcde"
+    async with harness.serving(recorder.handle) as server:
+        await harness.exchange(server.port, data)
+        await harness.exchange(server.port, data[:-2])
+        await server.wait_quiet(1.0)
+        assert server.body_bytes == 0
