Read long prompts at all decode engines but one; close kept connections in time

Decode engines were idle while prompts waited. Change: connections without a request are closed once the balancer sends no more callers; one decode engine by rank makes tokens only, the others read too; short prompts avoid engines that read.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -23,6 +23,7 @@
 from . import _following
 from . import _gate
 from . import _knowledge
+from . import _leaving
 from . import _metrics
 from . import _plain
 from . import _reporting
@@ -35,10 +36,6 @@
 LOG = telemetry.logger("gateway")
 #: Time between two looks at idle connections and circuits.
 SWEEP_S = 0.1
-#: The balancer has stopped sending callers by then, in seconds.
-LEAVING_S = 2.6
-#: The process ends so long before it would be killed, in seconds.
-GRACE_MARGIN_S = 0.9
 #: Time between two writes of the own row.
 ROW_S = 0.4
 #: Time between two readings of all gateways' rows.
@@ -315,14 +312,8 @@
     async def _leave(self) -> None:
         """Send callers elsewhere and wait for what runs."""
         self._leaving = True
-        self._callers.leaving = True
-        began_s = self._clock()
-        LOG.info("Leaving.", requests=self._callers.requests_open)
-        last_s = began_s + self._settings.bounds.grace_s - GRACE_MARGIN_S
-        await asyncio.sleep(min(LEAVING_S, max(last_s - began_s, 0.0)))
-        self._callers.stop_accepting()
-        await self._callers.wait_quiet(last_s - self._clock())
-        self._callers.close_quiet()
+        times = _leaving.leaving_times(self._settings.bounds.grace_s)
+        await _leaving.leave(self._callers, times)
         try:
             await self._rows.write(final=True)
         except errors.BilberrydealError as error:
--- /dev/null
+++ b/bilberrydeal/gateway/tests/test_leaving.py
@@ -0,0 +1,55 @@
+"""Leaving cuts no request and takes none that it could not finish."""
+
+import asyncio
+
+from ... import http1
+from ...http1.tests import harness as http
+from .. import _leaving
+
+TIMES = _leaving.LeavingTimes(unlisted_s=0.2, last_s=1.5)
+GET = b"GET %b HTTP/1.1\r\nhost: h\r\n\r\n"
+LIMITS = http1.ServerLimits(2_000, 1_000, 3.0, 30.0)
+
+
+async def test_what_runs_is_answered() -> None:
+    recorder = http.Recorder()
+    async with http.serving(recorder.handle, LIMITS) as server:
+        asking = asyncio.create_task(
+            http.exchange(server.port, GET % b"/slow")
+        )
+        await recorder.begun.wait()
+        leaving = asyncio.create_task(_leaving.leave(server, TIMES))
+        await asyncio.sleep(0.4)
+        recorder.release.set()
+        assert b"200 OK" in await asking
+        assert await leaving
+
+
+async def test_a_kept_connection_is_closed_before_it_is_too_late() -> None:
+    """A stream taken 4.8 s after SIGTERM had been cut."""
+    recorder = http.Recorder()
+    async with http.serving(recorder.handle, LIMITS) as server:
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", server.port
+        )
+        writer.write(GET % b"/a")
+        await reader.readuntil(b"/a|")
+        async with asyncio.timeout(1.0):
+            assert await _leaving.leave(server, TIMES)
+        async with asyncio.timeout(0.2):
+            assert await reader.read() == b""
+        writer.close()
+    assert len(recorder.requests) == 1
+
+
+async def test_what_never_ends_is_cut_in_time() -> None:
+    recorder = http.Recorder()
+    times = _leaving.LeavingTimes(unlisted_s=0.1, last_s=0.3)
+    async with http.serving(recorder.handle, LIMITS) as server:
+        asking = asyncio.create_task(
+            http.exchange(server.port, GET % b"/slow")
+        )
+        await recorder.begun.wait()
+        async with asyncio.timeout(1.0):
+            assert not await _leaving.leave(server, times)
+        asking.cancel()
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -12,6 +12,11 @@
 DECODE_READ_SHARE = 0.5
 #: Prompts with fewer tokens to read go to where their tokens are made.
 SHORT_TOKENS = 768
+#: Requests that an engine is given at once for each of its slots: the
+#: others wait there in the order of their ranks.
+QUEUE_FACTOR = 2
+#: Ranks the decode engines.
+_MAIN_DECODER = b"main decoder"
 #: Share of the shared tokens that the first engine by rendezvous rank has
 #: beyond what this process knows.
 HOME_SHARE = 0.55
@@ -94,7 +99,7 @@
             if engine.accepting
             and engine.role is not ports.EngineRole.PREFILL
             and engine.engine_id not in request.tried
-            and engine.requests < engine.slots
+            and engine.requests < engine.slots * QUEUE_FACTOR
         ]
         if not able:
             return None
@@ -104,7 +109,8 @@
         domain = source.failure_domain if source else request.failure_domain
 
         def cost(engine: _entities.EngineLoad) -> float:
-            waits_s = engine.urgent_tokens / _speed(engine)
+            waiting = engine.urgent_tokens + engine.deferred_tokens
+            waits_s = waiting / _speed(engine)
             share = engine.requests / engine.slots
             apart = engine.failure_domain != domain
             return waits_s + share * 0.02 + apart * DOMAIN_WEIGHT_S
@@ -119,38 +125,54 @@
             for engine in engines
             if engine.accepting
             and engine.engine_id not in request.tried
-            and engine.requests < engine.slots
+            and engine.requests < engine.slots * QUEUE_FACTOR
         ]
-        prompt = request.prompt
-        home = _home(prompt, able) if able else ""
-        decoders = any(
-            engine.role is not ports.EngineRole.PREFILL for engine in able
-        )
-        options = []
-        for engine in able:
-            split = engine.role is ports.EngineRole.PREFILL
-            if split and not decoders:
-                continue
-            missing = _missing(prompt, engine, engine.engine_id == home)
-            if (
-                split
-                and missing < SHORT_TOKENS
-                and prompt.tokens < SHORT_TOKENS
-            ):
-                continue
-            options.append(_option(request, engine, split, missing))
-        return _apart(options)
-
-
-def _apart(options: list[_Option]) -> list[_Option]:
-    """Leave out reading a long prompt between the tokens of others."""
-    if not any(option.split for option in options):
-        return options
-    return [
-        option
-        for option in options
-        if option.split or option.missing_tokens < SHORT_TOKENS
+        eligible = _eligible(request.prompt, able)
+        if not eligible:
+            return []
+        home = _home(request.prompt, eligible)
+        return [
+            _option(
+                request,
+                engine,
+                engine.role is ports.EngineRole.PREFILL,
+                _missing(request.prompt, engine, engine.engine_id == home),
+            )
+            for engine in eligible
+        ]
+
+
+def _eligible(
+    prompt: _parts.Prompt, engines: _base.Engines
+) -> list[_entities.EngineLoad]:
+    """Return the engines where a prompt may be read.
+
+    Long prompts are read where they delay no tokens of others: at prefill
+    engines and at all decode engines but one, which makes tokens only. Short
+    ones are read where their tokens are made.
+    """
+    decoders = [
+        engine
+        for engine in engines
+        if engine.role is not ports.EngineRole.PREFILL
     ]
+    if not decoders or prompt.tokens < SHORT_TOKENS:
+        return decoders
+    main = _main_decoder(decoders)
+    apart = [engine for engine in engines if engine is not main]
+    return apart or decoders
+
+
+def _main_decoder(
+    decoders: list[_entities.EngineLoad],
+) -> _entities.EngineLoad:
+    """Return the decode engine that reads no long prompts.
+
+    All gateways agree on it by rank, without a message.
+    """
+    return max(
+        decoders, key=lambda each: _parts.rank(_MAIN_DECODER, each.engine_id)
+    )
 
 
 def _option(
@@ -167,15 +189,17 @@
     expected_s += reading_s + hand_over_s
     queued = engine.urgent_tokens + engine.deferred_tokens
     apart = engine.failure_domain != request.failure_domain
+    cost_s = expected_s + reading_s * READING_WEIGHT + apart * DOMAIN_WEIGHT_S
+    if request.prompt.tokens < SHORT_TOKENS:
+        # Its tokens would be made between the reading of all others.
+        cost_s += engine.deferred_tokens / speed
     return _Option(
         engine=engine,
         split=split,
         missing_tokens=missing,
         expected_s=expected_s,
         deferred_s=queued / speed + reading_s + hand_over_s,
-        cost_s=expected_s
-        + reading_s * READING_WEIGHT
-        + apart * DOMAIN_WEIGHT_S,
+        cost_s=cost_s,
     )
 
 
