Learn the reading speed of each engine

Cause: engines read a fifth slower than assumed, so queues were longer than the target allows; a decode engine that read long prompts while it made tokens for many took 15 s for a short answer. Change: each reading corrects the speed of its engine; decode engines read long prompts only while few of their slots are taken.

--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -162,6 +162,7 @@
         fields = attrs.evolve(
             self._fields(stream, known, placed), prefill=True
         )
+        began_s = self._clock()
         silent_s = placed.expected_s * SILENT_FACTOR + SILENT_SLACK_S
         try:
             async with self._sender.exchange(
@@ -178,6 +179,8 @@
         handle = self._engines.handle(body)
         if handle is None:
             raise _sending.Lost("no handle in the answer")
+        if not placed.deferred:
+            load.learn(placed.read_s, self._clock() - began_s)
         self._knowledge.observe(known, True, self._clock())
         return _Source(known, handle)
 
--- a/bilberrydeal/systems/placement/_base.py
+++ b/bilberrydeal/systems/placement/_base.py
@@ -38,6 +38,8 @@
     missing_tokens: float
     #: Time to the first token, as expected, in seconds.
     expected_s: float
+    #: Time until the prompt is read, as expected, in seconds.
+    read_s: float = 0.0
     #: Whether it is too late for its target, and waits for others.
     deferred: bool = False
 
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -6,7 +6,14 @@
 from . import _parts
 
 #: Prompt tokens that an engine reads a second until that is learnt.
-FIRST_PREFILL_TOKENS_PER_S = 300_000.0
+FIRST_PREFILL_TOKENS_PER_S = 260_000.0
+#: Bounds of what is learnt.
+SLOWEST_TOKENS_PER_S = 20_000.0
+FASTEST_TOKENS_PER_S = 2_000_000.0
+#: Weight of one observation.
+LEARNING_SHARE = 0.05
+#: Largest factor by which one observation may differ.
+OUTLIER_FACTOR = 4.0
 
 
 @attrs.define
@@ -70,6 +77,19 @@
         """Return the prompt tokens that are read after those."""
         return self.own.deferred + self.others.deferred
 
+    def learn(self, expected_s: float, took_s: float) -> None:
+        """Correct the speed by how long a reading took.
+
+        Times include the reading of what waited there before. One that lost
+        its way says little of the speed, so its weight is bounded.
+        """
+        ratio = expected_s / max(took_s, 1e-4)
+        ratio = min(max(ratio, 1 / OUTLIER_FACTOR), OUTLIER_FACTOR)
+        learnt = self.prefill_tokens_per_s * ratio**LEARNING_SHARE
+        self.prefill_tokens_per_s = min(
+            max(learnt, SLOWEST_TOKENS_PER_S), FASTEST_TOKENS_PER_S
+        )
+
     @property
     def requests(self) -> int:
         """Return the requests there."""
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -15,6 +15,8 @@
 #: Requests that an engine is given at once for each of its slots: the
 #: others wait there in the order of their ranks.
 QUEUE_FACTOR = 2
+#: Share of its slots up to which a decode engine also reads long prompts.
+READING_SLOTS_SHARE = 0.4
 #: Ranks the decode engines.
 _MAIN_DECODER = b"main decoder"
 #: Share of the shared tokens that the first engine by rendezvous rank has
@@ -159,10 +161,20 @@
     if not decoders or prompt.tokens < SHORT_TOKENS:
         return decoders
     main = _main_decoder(decoders)
-    apart = [engine for engine in engines if engine is not main]
+    apart = [
+        engine
+        for engine in engines
+        if engine.role is ports.EngineRole.PREFILL
+        or (engine is not main and _has_room_to_read(engine))
+    ]
     return apart or decoders
 
 
+def _has_room_to_read(decoder: _entities.EngineLoad) -> bool:
+    """Return whether long prompts would delay the tokens of few others."""
+    return decoder.requests < decoder.slots * READING_SLOTS_SHARE
+
+
 def _main_decoder(
     decoders: list[_entities.EngineLoad],
 ) -> _entities.EngineLoad:
@@ -211,6 +223,7 @@
         split=option.split,
         missing_tokens=option.missing_tokens,
         expected_s=expected_s,
+        read_s=option.expected_s - (HAND_OVER_S if option.split else 0.0),
         deferred=deferred,
     )
 
