Settle a usage window once all gateways have told their counts

Change: rows are written over their last version, with a short timeout; a window is settled when all live gateways wrote after its end, at the latest at 0.7 of the time until it is due.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -54,6 +54,8 @@
 LEASE_CALL_S = 1.0
 #: Longest wait for one call of the store.
 STORE_TIMEOUT_S = 1.0
+#: Longest wait for one write of the own row.
+ROW_TIMEOUT_S = 0.5
 #: Most calls a second to the store beside the feeds.
 STORE_RATE_PER_S = 12.0
 #: Requests read or served at once.
@@ -95,7 +97,12 @@
         )
         incarnation = f"{chosen.host_id}.{rng.getrandbits(48):012x}"
         self._rows = _usage.UsageRows(
-            self._client,
+            store.StoreClient(
+                self._store,
+                ROW_TIMEOUT_S,
+                STORE_RATE_PER_S,
+                clock=_clock.boot_s,
+            ),
             incarnation,
             chosen.listen.peers,
             self._begun,
@@ -119,6 +126,7 @@
             self._true,
             chosen.host_id,
             chosen.bounds.usage_window_s,
+            chosen.bounds.usage_due_s,
         )
         self._roles = _roles.RoleKeeper(
             self._client, self._knowledge, self._lease, chosen.host_id
--- a/bilberrydeal/gateway/_reporting.py
+++ b/bilberrydeal/gateway/_reporting.py
@@ -17,9 +17,13 @@
 WINDOWS = "windows"
 #: Duty under which windows are settled and reported.
 DUTY = "usage"
-#: Time after the end of a window for all gateways to hand their counts
-#: over, in seconds.
-SETTLE_S = 2.5
+#: Shortest time between the end of a window and its report, in seconds.
+SETTLE_S = 0.5
+#: Share of the time until a report is due that is waited for gateways that
+#: have not handed their counts over.
+SETTLE_DUE_SHARE = 0.7
+#: A gateway whose row is older is not waited for, in seconds.
+ABSENT_S = 30.0
 #: Longest wait for an answer to a report, in seconds.
 REPORT_TIMEOUT_S = 0.9
 #: A report is sent only while the lease lasts for longer than this, in
@@ -65,7 +69,9 @@
         clock: _clock.TrueClock,
         host_id: str,
         window_s: float,
+        due_s: float,
     ) -> None:
+        self._due_s = due_s
         self._client = client
         self._lease = lease
         self._rows = rows
@@ -99,15 +105,32 @@
         self._known = True
 
     async def _settle(self, last: int) -> None:
-        """Settle all windows that ended, up to ``last``."""
+        """Settle the windows up to ``last`` whose counts are complete."""
         rows = await self._rows.read()
         for window in _counted(rows, last):
-            if window in self._settled:
+            if window in self._settled or not self._complete(rows, window):
                 continue
             counts = _sum(rows, window)
             await self._write(window, WindowRow(counts, False), 0)
             LOG.info("Window settled.", window=window, counts=counts)
-        self._settled.setdefault(last, WindowRow({}, True))
+
+    def _complete(
+        self, rows: dict[str, _usage.GatewayRow], window: int
+    ) -> bool:
+        """Return whether all gateways told their counts, or time is up."""
+        end_s = (window + 1) * self._window_s
+        now_s = self._clock.now_s()
+        if now_s - end_s >= self._due_s * SETTLE_DUE_SHARE:
+            return True
+        store_s = self._clock.store_s()
+        if store_s is None:
+            return False
+        ended_s = store_s - (now_s - end_s)
+        return all(
+            row.written_s > ended_s
+            for row in rows.values()
+            if row.peer_address and store_s - row.written_s < ABSENT_S
+        )
 
     async def _report(self, window: int, row: WindowRow) -> None:
         now_s = self._client.now_s()
--- a/bilberrydeal/gateway/_usage.py
+++ b/bilberrydeal/gateway/_usage.py
@@ -91,6 +91,7 @@
         self._counter = counter
         self._clock = clock
         self._written_s = float("-inf")
+        self._version = 0
 
     async def write(self, final: bool = False) -> None:
         """Write the own row where there is something to tell."""
@@ -108,14 +109,32 @@
             peer_address="" if final else self._peer_address,
             windows=self._counter.windows(),
         )
-        write = ports.Write(GATEWAYS, self._incarnation, store.encode(row))
         try:
-            await self._client.commit(ports.Transaction((), (write,)))
+            await self._put(store.encode(row))
         except errors.BilberrydealError:
             self._counter.changed = True
             raise
         self._written_s = now_s
 
+    async def _put(self, value: bytes) -> None:
+        """Write the row over the version that was last seen.
+
+        The condition keeps a write whose answer was lost, and that is
+        carried out late, from undoing a newer one.
+        """
+        try:
+            await self._put_over(self._version, value)
+        except errors.TableConflict as conflict:
+            await self._put_over(conflict.found_version, value)
+
+    async def _put_over(self, version: int, value: bytes) -> None:
+        check = ports.Check(GATEWAYS, self._incarnation, version)
+        write = ports.Write(GATEWAYS, self._incarnation, value)
+        committed = await self._client.commit(
+            ports.Transaction((check,), (write,))
+        )
+        self._version = committed.versions[0]
+
     async def read(self) -> dict[str, GatewayRow]:
         """Return all rows by incarnation, and set the clock by them."""
         rows = await self._client.scan_all(GATEWAYS, "")
