--- a/bilberrydeal/gateway/_knowledge.py
+++ b/bilberrydeal/gateway/_knowledge.py
@@ -16,6 +16,10 @@
 CONNECTIONS_SHARE = 0.9
 #: Fewest connections that a gateway may have to an endpoint.
 CONNECTIONS_FLOOR = 8
+#: First pause after a rejection, in seconds; doubles with each.
+REJECTED_FIRST_S = 0.1
+#: Longest such pause, in seconds.
+REJECTED_LIMIT_S = 0.8
 #: Share of an engine's KV cache that is counted on for shared parts.
 CACHE_SHARE = 0.8
 
@@ -35,16 +39,31 @@
     #: Whether another endpoint answered at its address.
     misdirected: bool = False
 
-    @property
-    def usable(self) -> bool:
+    #: Rejections in a row that came at once.
+    rejections: int = 0
+    #: It gets no request until then, monotonic seconds.
+    rejecting_until_s: float = 0.0
+
+    def usable(self, now_s: float) -> bool:
         """Return whether it may get a request."""
         return (
             self.endpoint.ready
             and not self.misdirected
             and self.view.available
             and not self.pool.full
+            and now_s >= self.rejecting_until_s
         )
 
+    def rejected(self, now_s: float) -> None:
+        """Note that it turned a request away at once: it is full or busy."""
+        self.rejections += 1
+        pause_s = REJECTED_FIRST_S * 2.0 ** (self.rejections - 1)
+        self.rejecting_until_s = now_s + min(pause_s, REJECTED_LIMIT_S)
+
+    def accepted(self) -> None:
+        """Note that it took a request."""
+        self.rejections = 0
+
 
 class Knowledge:
     """The configuration and the endpoints as last read."""
@@ -133,12 +152,14 @@
             if known.endpoint.service == service
         ]
 
-    def engines(self, service: str) -> list[placement.EngineLoad]:
+    def engines(
+        self, service: str, now_s: float
+    ) -> list[placement.EngineLoad]:
         """Return the loads of a service's engines."""
         loads = []
         for known in self.of_service(service):
             if known.load is not None:
-                known.load.accepting = known.usable
+                known.load.accepting = known.usable(now_s)
                 loads.append(known.load)
         return loads
 
--- a/bilberrydeal/gateway/_plain.py
+++ b/bilberrydeal/gateway/_plain.py
@@ -84,10 +84,12 @@
     def _choose(
         self, work: _work.Work, journey: _work.Journey
     ) -> _knowledge.Known | None:
+        now_s = self._clock()
         able = [
             known
             for known in self._knowledge.of_service(work.service)
-            if known.usable and known.endpoint.endpoint_id not in journey.tried
+            if known.usable(now_s)
+            and known.endpoint.endpoint_id not in journey.tried
         ]
         if not able:
             return None
--- a/bilberrydeal/gateway/_roles.py
+++ b/bilberrydeal/gateway/_roles.py
@@ -13,8 +13,6 @@
 LOG = telemetry.logger("roles")
 #: An order is sent only while the lease lasts for longer, in seconds.
 LEASE_FLOOR_S = 1.8
-#: Time that the engines must be unchanged before an order, in seconds.
-STABLE_S = 1.0
 #: Time beyond a role change after which an order counts as lost, in seconds.
 ORDER_SLACK_S = 2.0
 
@@ -70,28 +68,28 @@
             for known in self._knowledge.of_service(service.name)
             if known.load is not None and known.endpoint.ready
         ]
-        if not self._stable(service.name, engines, now_s):
-            return
+        stable_s = self._stable_s(service.name, engines, now_s)
         if self._waits(service.name, engines, now_s):
             return
         order = placement.plan_roles(engines)
-        if order is None:
+        if order is None or stable_s < order.patience_s:
             return
         bound_s = limits.role_switch_s + ORDER_SLACK_S
         self._outstanding[service.name] = _Outstanding(order, now_s + bound_s)
         await self._give(order)
 
-    def _stable(
+    def _stable_s(
         self,
         service: str,
         engines: list[placement.EngineLoad],
         now_s: float,
-    ) -> bool:
+    ) -> float:
+        """Return for how long the engines have been the same."""
         present = frozenset(engine.engine_id for engine in engines)
         if self._seen.get(service) != present:
             self._seen[service] = present
             self._stable_since_s[service] = now_s
-        return now_s - self._stable_since_s[service] >= STABLE_S
+        return now_s - self._stable_since_s[service]
 
     def _waits(
         self,
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -11,6 +11,10 @@
 from . import _knowledge
 from . import _work
 
+#: A rejection that comes sooner says that the endpoint takes nothing now,
+#: in seconds; a later one that the request waited there in vain.
+AT_ONCE_S = 0.05
+
 Clock = collections.abc.Callable[[], float]
 
 
@@ -68,6 +72,7 @@
             if not known.pool.full:
                 self._knowledge.observe(known, False, self._clock())
             raise NotOffered(str(error)) from error
+        sent_s = self._clock()
         ran_before = journey.may_have_run
         journey.may_have_run = ran_before or not fields.prefill
         try:
@@ -80,11 +85,14 @@
             if verdict is platform.Verdict.NOT_RUN:
                 journey.may_have_run = ran_before
                 known.misdirected |= platform.misdirected(head)
+                if self._clock() - sent_s < AT_ONCE_S:
+                    known.rejected(self._clock())
                 await self._drop_body(connection)
                 raise Rejected(str(head.status))
             if verdict is platform.Verdict.DEFECT:
                 self._knowledge.observe(known, False, self._clock())
                 raise Lost(f"status {head.status} without proof")
+            known.accepted()
             yield Exchange(connection, head, verdict)
         except NotOffered:
             journey.may_have_run = ran_before
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -116,7 +116,7 @@
             failure_domain=self._failure_domain,
             tried=frozenset(stream.journey.tried),
         )
-        engines = self._knowledge.engines(work.service)
+        engines = self._knowledge.engines(work.service, now_s)
         placed = self._placer.place(request, engines, now_s)
         if isinstance(placed, placement.Hopeless):
             raise self._hopeless(stream, placed)
@@ -194,7 +194,9 @@
         """Have the tokens made where the prompt is fetched to."""
         taken = False
         try:
-            engines = self._knowledge.engines(stream.work.service)
+            engines = self._knowledge.engines(
+                stream.work.service, self._clock()
+            )
             engine_id = self._placer.decode_engine(
                 request, source.known.endpoint.endpoint_id, engines
             )
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -160,7 +160,7 @@
     ]
     if not decoders or prompt.tokens < SHORT_TOKENS:
         return decoders
-    main = _main_decoder(decoders)
+    main = main_decoder(decoders)
     apart = [
         engine
         for engine in engines
@@ -175,7 +175,7 @@
     return decoder.requests < decoder.slots * READING_SLOTS_SHARE
 
 
-def _main_decoder(
+def main_decoder(
     decoders: list[_entities.EngineLoad],
 ) -> _entities.EngineLoad:
     """Return the decode engine that reads no long prompts.
