Log a request's sends and tell its story from the logs

One line a request holds each send with what was expected and how it ended, the configuration's version and the age of the store's last answer; metrics count requests by reason, sends, store calls and show what is believed. bilberrydeal trace reads the logs of gateways as well.

--- a/bilberrydeal/cli/_app.py
+++ b/bilberrydeal/cli/_app.py
@@ -53,6 +53,7 @@
     from . import _commands_orgs  # noqa: F401
     from . import _commands_roles  # noqa: F401
     from . import _commands_routes  # noqa: F401
+    from . import _commands_trace  # noqa: F401
 
     try:
         result = APP(sys.argv[1:], exit_on_error=False, print_error=True)
--- a/bilberrydeal/cli/_commands_fleet.py
+++ b/bilberrydeal/cli/_commands_fleet.py
@@ -34,11 +34,3 @@
     if not target.json:
         _output.show(found, [operators.StatusLine.of(found)], False)
     _output.show(found, found.entries, target.json)
-
-
-@_app.APP.command
-def trace(request: str, *, target: _app.Target = _app.DEFAULT) -> None:
-    """Show the steps of a recent request, by its number."""
-    path = f"/trace/{_client.quoted(request)}"
-    found = target.client.get(path, operators.Trace)
-    _output.show(found, found.steps, target.json)
--- /dev/null
+++ b/bilberrydeal/cli/tests/test_trace.py
@@ -0,0 +1,45 @@
+"""The story of a request, from logs."""
+
+import pathlib
+
+import pytest
+
+from .. import _app
+from .. import _trace
+
+LOG = """\
+  1.0 g1 {"version": 7, "event": "knowledge: Configuration in force.", \
+"timestamp": "t1"}
+not a log line
+  1.5 g2 {"event": "following: Store lost.", "timestamp": "t2"}
+  2.0 g1 {"request": "r1", "reason": "lost, x", "event": \
+"plain: Send repeated.", "timestamp": "t3"}
+  2.1 g1 {"request": "r1", "status": 200, "steps": [{"at_ms": 1.5, "kind": \
+"read", "endpoint": "e1", "expected_ms": 34.0, "deferred": true, "outcome": \
+"status 200"}], "event": "request: Request ended.", "timestamp": "t4"}
+  2.2 g1 {broken
+  2.3 g1 {"request": "r2", "event": "request: Request ended.", \
+"timestamp": "t5"}
+"""
+
+
+def test_a_story_has_its_decisions_and_beliefs() -> None:
+    told = _trace.story(_trace.parse("x", LOG.splitlines()), "r1")
+    text = "\n".join(told)
+    assert "Send repeated" in text
+    assert "believed: t1 g1 knowledge: Configuration in force" in text
+    assert "read at e1, expected in 34 ms, behind those in time" in text
+    assert "r2" not in text
+    assert "Store lost" not in text
+
+
+@pytest.mark.parametrize(("request_id", "code"), [("r1", 0), ("nobody", 1)])
+def test_the_command_reads_files(
+    tmp_path: pathlib.Path, request_id: str, code: int
+) -> None:
+    from .. import _commands_trace
+
+    path = tmp_path / "g.log"
+    path.write_text(LOG)
+    assert _commands_trace.trace(request_id, path) == code
+    assert _app.APP is not None
--- a/bilberrydeal/gateway/_following.py
+++ b/bilberrydeal/gateway/_following.py
@@ -44,6 +44,10 @@
     #: Whether it counts as away.
     away: bool = False
 
+    def age_s(self, now_s: float) -> float:
+        """Return how old what is known of the store may be."""
+        return now_s - self.answered_s
+
     def answered(self, now_s: float) -> None:
         """Note an answer."""
         if now_s - self.answered_s > AWAY_S:
--- a/bilberrydeal/gateway/_metrics.py
+++ b/bilberrydeal/gateway/_metrics.py
@@ -1,11 +1,30 @@
-"""Counters and histograms of a gateway."""
+"""Counters, gauges and histograms of a gateway."""
+
+import collections.abc
+
+import attrs
 
 from .. import telemetry
+from . import _work
 
 #: Bounds of the buckets for times of requests, in seconds.
 LATENCY_BUCKETS_S = [0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 15.0]
 
 
+@attrs.frozen
+class State:
+    """What gauges show, taken when metrics are read."""
+
+    configuration_version: int
+    store_age_s: float
+    endpoints: int
+    gateways: int
+    requests_open: int
+    lease_held: bool
+    #: Calls to the store by kind and outcome.
+    store_calls: collections.abc.Mapping[tuple[str, str], int]
+
+
 class GatewayMetrics:
     """What a gateway counts."""
 
@@ -13,20 +32,67 @@
         self.metrics = telemetry.Metrics()
         self._routes: set[str] = set()
         self._requests = self.metrics.counter(
-            "bilberrydeal_requests_total", "Requests by route and status."
+            "bilberrydeal_requests_total",
+            "Requests by route, status and reason.",
         )
         self._latency = self.metrics.histogram(
             "bilberrydeal_request_seconds",
             "Time from the first byte of a request to its end.",
             LATENCY_BUCKETS_S,
         )
+        self._sends = self.metrics.counter(
+            "bilberrydeal_sends_total",
+            "Sends to endpoints by kind, deferral and outcome.",
+        )
+        self._store_calls = self.metrics.counter(
+            "bilberrydeal_store_calls_total",
+            "Calls to the store by kind and outcome.",
+        )
+        self._gauges = {
+            name: self.metrics.gauge(f"bilberrydeal_{name}", text)
+            for name, text in (
+                ("configuration_version", "Version in force."),
+                ("store_age_seconds", "Time since the store answered."),
+                ("endpoints", "Endpoints that are known."),
+                ("gateways", "Gateways that are alive."),
+                ("requests_open", "Requests being read or served."),
+                ("lease_held", "Whether this process has the duties."),
+            )
+        }
 
-    def request(self, route: str, status: int, took_s: float) -> None:
+    def request(
+        self, route: str, status: int, reason: str, took_s: float
+    ) -> None:
         """Count a request that ended."""
         label = telemetry.bounded_label(route, self._routes)
-        self._requests.inc({"route": label, "status": str(status)})
+        self._requests.inc(
+            {"route": label, "status": str(status), "reason": reason}
+        )
         self._latency.observe({"route": label}, took_s)
 
-    def render(self) -> bytes:
+    def steps(self, steps: collections.abc.Iterable[_work.Step]) -> None:
+        """Count the sends of a request."""
+        for step in steps:
+            outcome = step.outcome.partition(",")[0]
+            self._sends.inc(
+                {
+                    "kind": step.kind,
+                    "deferred": str(step.deferred),
+                    "outcome": outcome,
+                }
+            )
+
+    def render(self, state: State) -> bytes:
         """Return all metrics as text."""
+        for name, value in (
+            ("configuration_version", state.configuration_version),
+            ("store_age_seconds", state.store_age_s),
+            ("endpoints", state.endpoints),
+            ("gateways", state.gateways),
+            ("requests_open", state.requests_open),
+            ("lease_held", int(state.lease_held)),
+        ):
+            self._gauges[name].set({}, value)
+        for (kind, outcome), count in state.store_calls.items():
+            self._store_calls.set({"kind": kind, "outcome": outcome}, count)
         return self.metrics.render()
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -182,6 +182,7 @@
             ),
             budget=budget,
             metrics=self._metrics,
+            contact=self._contact,
             clock=self._clock,
         )
 
@@ -320,7 +321,21 @@
         self, _request: http1.Request, responder: http1.Responder
     ) -> None:
         content = [(b"content-type", b"text/plain; version=0.0.4")]
-        responder.send(200, content, self._metrics.render())
+        responder.send(200, content, self._metrics.render(self._state()))
+
+    def _state(self) -> _metrics.State:
+        configuration = self._knowledge.configuration
+        return _metrics.State(
+            configuration_version=(
+                configuration.version if configuration else 0
+            ),
+            store_age_s=self._contact.age_s(self._clock()),
+            endpoints=len(self._knowledge.endpoints),
+            gateways=self._knowledge.members,
+            requests_open=self._callers.requests_open,
+            lease_held=self._lease.held(_clock.boot_s()),
+            store_calls=self._store.calls,
+        )
 
     async def _leave(self) -> None:
         """Send callers elsewhere and wait for what runs."""
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -8,6 +8,7 @@
 
 from .. import http1
 from .. import platform
+from ..systems import placement
 from . import _knowledge
 from . import _work
 
@@ -57,6 +58,7 @@
         known: _knowledge.Known,
         fields: platform.SendFields,
         head_timeout_s: float,
+        placed: placement.Placement | None = None,
     ) -> collections.abc.AsyncIterator[Exchange]:
         """Send a request and wait for the head of its answer.
 
@@ -66,9 +68,12 @@
         until the endpoint proves that it did not; only reading a prompt
         never runs a request.
         """
+        step = self._step(work, known, fields, placed)
+        journey.steps.append(step)
         try:
             connection = await known.pool.take(self._clock())
         except http1.Unsent as error:
+            step.outcome = f"not offered, {error}"
             if not known.pool.full:
                 self._knowledge.observe(known, False, self._clock())
             raise NotOffered(str(error)) from error
@@ -93,16 +98,41 @@
                 self._knowledge.observe(known, False, self._clock())
                 raise Lost(f"status {head.status} without proof")
             known.accepted()
+            step.outcome = f"status {head.status}, cut"
             yield Exchange(connection, head, verdict)
+            step.outcome = f"status {head.status}"
         except NotOffered:
             journey.may_have_run = ran_before
+            step.outcome = "not offered"
+            raise
+        except (Rejected, Lost) as error:
+            step.outcome = f"{type(error).__name__.lower()}, {error}"
             raise
         except http1.Broken as error:
+            step.outcome += ", connection broke"
             self._knowledge.observe(known, False, self._clock())
             raise Lost("connection broke") from error
         finally:
             known.pool.give_back(connection, self._clock())
 
+    def _step(
+        self,
+        work: _work.Work,
+        known: _knowledge.Known,
+        fields: platform.SendFields,
+        placed: placement.Placement | None,
+    ) -> _work.Step:
+        at_s = self._clock() - work.request.began_s
+        step = _work.Step(
+            kind="read" if fields.prefill else "serve",
+            endpoint=known.endpoint.endpoint_id,
+            at_ms=round(at_s * 1000, 1),
+        )
+        if placed is not None:
+            step.expected_ms = round(placed.expected_s * 1000, 1)
+            step.deferred = placed.deferred
+        return step
+
     async def _head(
         self,
         connection: http1.ClientConnection,
--- a/bilberrydeal/gateway/_serving.py
+++ b/bilberrydeal/gateway/_serving.py
@@ -3,12 +3,15 @@
 import asyncio
 import collections.abc
 
+import attrs
+
 from .. import catalogue
 from .. import errors
 from .. import http1
 from .. import platform
 from .. import telemetry
 from ..systems import retries
+from . import _following
 from . import _gate
 from . import _knowledge
 from . import _metrics
@@ -34,8 +37,10 @@
         stream: _stream.StreamServer,
         budget: retries.WindowBudget,
         metrics: _metrics.GatewayMetrics,
+        contact: _following.Contact,
         clock: Clock,
     ) -> None:
+        self._contact = contact
         self._gate = gate
         self._knowledge = knowledge
         self._plain = plain
@@ -109,6 +114,13 @@
             headers.append(platform.retry_after(refusal.retry_after_s))
         responder.send(refusal.status, headers, b"")
 
+    def _configuration_version(self, work: _work.Work | None) -> int | None:
+        """Return the version that a request was decided by."""
+        if work is not None:
+            return work.configuration_version
+        configuration = self._knowledge.configuration
+        return configuration.version if configuration else None
+
     def _log(
         self,
         request_id: bytes,
@@ -123,7 +135,10 @@
         if work is not None:
             took_s = self._clock() - work.request.began_s
         route = work.route.name if work is not None else ""
-        self._metrics.request(route, status, took_s)
+        reason = refusal.reason.value if refusal else ""
+        self._metrics.request(route, status, reason, took_s)
+        if journey is not None:
+            self._metrics.steps(journey.steps)
         LOG.info(
             "Request ended.",
             request=request_id.decode("latin-1"),
@@ -132,13 +147,21 @@
             reason=refusal.reason if refusal else None,
             detail=refusal.sentence if refusal else None,
             retry_after_s=refusal.retry_after_s if refusal else None,
-            endpoints=journey.tried if journey else [],
-            attempts=journey.attempts if journey else 0,
-            configuration=work.configuration_version if work else None,
+            organisation=work.organisation_name if work else None,
+            steps=_shown(journey),
+            configuration=self._configuration_version(work),
+            store_age_s=round(self._contact.age_s(self._clock()), 2),
             took_s=round(took_s, 4),
         )
 
 
+def _shown(journey: _work.Journey | None) -> list[dict[str, object]]:
+    """Return the sends of a request for a log line."""
+    if journey is None:
+        return []
+    return [attrs.asdict(step) for step in journey.steps]
+
+
 def _late(journey: _work.Journey) -> errors.Refusal:
     """Return the refusal of a request whose time is over."""
     if not journey.may_have_run:
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -171,6 +171,7 @@
                 known,
                 fields,
                 min(fields.left_s, silent_s),
+                placed,
             ) as exchange:
                 body = await exchange.connection.body(HANDLE_LIMIT_BYTES)
         finally:
@@ -239,7 +240,12 @@
         reading = _Reading(load, placed.missing_tokens, placed.deferred)
         try:
             async with self._sender.exchange(
-                work, stream.journey, known, fields, self._patience_s(stream)
+                work,
+                stream.journey,
+                known,
+                fields,
+                self._patience_s(stream),
+                placed,
             ) as exchange:
                 if exchange.verdict is platform.Verdict.FAILURE:
                     await self._pass_failure(stream, known, exchange)
--- a/bilberrydeal/gateway/_work.py
+++ b/bilberrydeal/gateway/_work.py
@@ -43,10 +43,31 @@
         return self.organisation.name if self.organisation else None
 
 
+@attrs.define
+class Step:
+    """One send of a request, as logs tell it."""
+
+    #: What the endpoint is asked for: ``serve`` or ``read`` (the prompt).
+    kind: str
+    #: The endpoint.
+    endpoint: str
+    #: When it was sent, in milliseconds since the request began.
+    at_ms: float
+    #: Time to the first of the answer, as expected, in milliseconds.
+    expected_ms: float | None = None
+    #: Whether it waits there behind requests that can be in time.
+    deferred: bool = False
+    #: How it ended.
+    outcome: str = "under way"
+
+
 @attrs.define
 class Journey:
     """What happened to a request so far."""
 
+    #: Its sends in their order.
+    steps: list[Step] = attrs.field(factory=list)
+
     #: Endpoints that it was sent to.
     tried: list[str] = attrs.field(factory=list)
     #: Sends that count against the route's limit.
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -16,6 +16,7 @@
 from ...systems import health
 from ...systems import placement
 from ...systems import retries
+from .. import _following
 from .. import _gate
 from .. import _knowledge
 from .. import _metrics
@@ -369,6 +370,7 @@
         ),
         budget=budget,
         metrics=_metrics.GatewayMetrics(),
+        contact=_following.Contact(clock()),
         clock=clock,
     )
     limits = http1.ServerLimits(16_384, 1_000_000, 3.0, 15.0)
--- a/bilberrydeal/platform/_store.py
+++ b/bilberrydeal/platform/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import collections
 import time
 import urllib.parse
 
@@ -84,6 +85,10 @@
     def __init__(self, host: str, port: int) -> None:
         self._pool = http1.Pool(host, port)
         self._pool.limit = CONNECTIONS_LIMIT
+        #: Calls made, by kind and outcome.
+        self.calls: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         #: The last reading of the store's steady clock.
         self.clock: ports.ClockReading | None = None
 
@@ -166,9 +171,12 @@
                 timeout_s,
             )
         except _exchange.NotSent as error:
+            self.calls["commit", "not sent"] += 1
             raise errors.StoreUnavailable("commit") from error
         except _exchange.NoAnswer as error:
+            self.calls["commit", "no answer"] += 1
             raise errors.OutcomeUnknown("commit") from error
+        self.calls["commit", str(answer.status)] += 1
         if answer.status == 412:
             raise _conflict(transaction, answer)
         if answer.status != 200:
@@ -200,7 +208,9 @@
                 self._pool, _GET, target.encode(), None, timeout_s
             )
         except (_exchange.NotSent, _exchange.NoAnswer) as error:
+            self.calls["read", "no answer"] += 1
             raise errors.StoreUnavailable(f"read, {error}") from error
+        self.calls["read", str(answer.status)] += 1
         if answer.status == 410:
             raise errors.HistoryGone()
         if answer.status != 200:
