--- a/bilberrydeal/cli/_commands_fleet.py
+++ b/bilberrydeal/cli/_commands_fleet.py
@@ -2,7 +2,6 @@
 
 from .. import operators
 from . import _app
-from . import _client
 from . import _output
 
 
--- a/bilberrydeal/daemon.py
+++ b/bilberrydeal/daemon.py
@@ -37,7 +37,7 @@
         if only_check:
             print("The settings are valid.")
             return 0
-        return _run(chosen)
+        return _run(chosen, pathlib.Path(words[-1]))
     except settings.SettingsInvalid as invalid:
         for problem in invalid.problems:
             print(problem, file=sys.stderr)
@@ -56,7 +56,7 @@
         raise settings.SettingsInvalid(problems=unknown)
 
 
-def _run(chosen: settings.Settings) -> int:
+def _run(chosen: settings.Settings, path: pathlib.Path) -> int:
     if isinstance(chosen, settings.EntrySettings):
         from . import entry
 
@@ -64,7 +64,7 @@
     if isinstance(chosen, settings.GatewaySettings):
         from . import gateway
 
-        return gateway.run(chosen)
+        return gateway.run(chosen, path)
     from . import agent
 
     return agent.run(chosen)
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import os
+import pathlib
 import random
 import signal
 import time
@@ -26,6 +27,7 @@
 from . import _leaving
 from . import _metrics
 from . import _plain
+from . import _reloading
 from . import _reporting
 from . import _roles
 from . import _sending
@@ -47,6 +49,8 @@
 LEASE_WATCH_S = 2.0
 #: Time between two looks at windows that ended.
 REPORT_S = 0.8
+#: Time between two looks at the settings file.
+SETTINGS_S = 2.0
 #: Time between two looks at the roles of engines.
 ROLES_S = 0.5
 #: Time that the lease lasts beyond the shortest allowed, in seconds.
@@ -74,8 +78,11 @@
 class Gateway:
     """One gateway from start to end."""
 
-    def __init__(self, chosen: settings.GatewaySettings) -> None:
+    def __init__(
+        self, chosen: settings.GatewaySettings, path: pathlib.Path
+    ) -> None:
         self._settings = chosen
+        self._watch = _reloading.SettingsWatch(path, chosen, self._apply)
         self._stop = asyncio.Event()
         self._leaving = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -120,11 +127,13 @@
                 call_longest_s=LEASE_CALL_S,
             ),
         )
+        self._usage_api = platform.UsageApi(*_split(chosen.platform.usage))
+        self._budget = retries.WindowBudget(_budget_bounds(chosen))
         self._reporter = _reporting.Reporter(
             self._client,
             self._lease,
             self._rows,
-            platform.UsageApi(*_split(chosen.platform.usage)),
+            self._usage_api,
             self._true,
             chosen.host_id,
             chosen.bounds.usage_window_s,
@@ -152,13 +161,7 @@
 
     def _serving(self, rng: random.Random) -> _serving.Serving:
         chosen = self._settings
-        budget = retries.WindowBudget(
-            retries.WindowBounds(
-                window_s=chosen.bounds.extra_sends_window_s,
-                ratio=chosen.bounds.extra_sends_ratio,
-                slack=chosen.bounds.extra_sends_slack,
-            )
-        )
+        budget = self._budget
         sender = _sending.Sender(self._knowledge, self._clock)
         return _serving.Serving(
             gate=_gate.Gate(self._knowledge, rng),
@@ -209,7 +212,18 @@
         LOG.info("Stopped.")
 
     def _reload(self) -> None:
-        LOG.info("Settings unchanged by the signal.")
+        LOG.info("Asked to reload.")
+        self._watch.look("signal")
+
+    async def _look_at_settings(self) -> None:
+        self._watch.look("poll")
+
+    def _apply(self, chosen: settings.GatewaySettings) -> None:
+        """Take settings that can change while the process runs."""
+        self._settings = chosen
+        self._budget.bounds = _budget_bounds(chosen)
+        self._store.move(*_split(chosen.platform.store))
+        self._usage_api.move(*_split(chosen.platform.usage))
 
     def _start_tasks(self) -> None:
         configuration = _following.TableFollower(
@@ -237,6 +251,9 @@
         self._spawn(self._every("row", self._row_pause_s, self._rows.write))
         self._spawn(self._every("members", lambda: MEMBERS_S, self._members))
         self._spawn(self._every("lease", self._lease_pause_s, self._tick))
+        self._spawn(
+            self._every("settings", lambda: SETTINGS_S, self._look_at_settings)
+        )
         self._spawn(self._every("roles", lambda: ROLES_S, self._roles.round))
         self._spawn(
             self._every("reports", lambda: REPORT_S, self._reporter.round)
@@ -350,6 +367,14 @@
             task.cancel()
 
 
+def _budget_bounds(chosen: settings.GatewaySettings) -> retries.WindowBounds:
+    return retries.WindowBounds(
+        window_s=chosen.bounds.extra_sends_window_s,
+        ratio=chosen.bounds.extra_sends_ratio,
+        slack=chosen.bounds.extra_sends_slack,
+    )
+
+
 def _split(address: str) -> tuple[str, int]:
     host, _colon, port = address.rpartition(":")
     return host, int(port)
@@ -361,14 +386,14 @@
         LOG.error("Work ended on a defect.", exc_info=task.exception())
 
 
-def run(chosen: settings.GatewaySettings) -> int:
+def run(chosen: settings.GatewaySettings, path: pathlib.Path) -> int:
     """Run a gateway until a signal asks to stop; return the exit code."""
     import uvloop
 
     telemetry.configure(chosen.log.level, telemetry.BoundedStream(1))
 
     async def main() -> None:
-        await Gateway(chosen).run()
+        await Gateway(chosen, path).run()
 
     uvloop.run(main())
     return 0
--- /dev/null
+++ b/bilberrydeal/gateway/_reloading.py
@@ -0,0 +1,78 @@
+"""Notices that the settings file changed, with a signal or without."""
+
+import collections.abc
+import pathlib
+
+import attrs
+
+from .. import settings
+from .. import telemetry
+
+LOG = telemetry.logger("reloading")
+
+Apply = collections.abc.Callable[[settings.GatewaySettings], None]
+
+
+class SettingsWatch:
+    """Reads the settings file anew and hands changed settings on.
+
+    Settings that are wrong are logged and the present ones stay in force.
+    """
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        chosen: settings.GatewaySettings,
+        apply: Apply,
+    ) -> None:
+        self._path = path
+        self._chosen = chosen
+        self._apply = apply
+        self._text = ""
+        self._refused = ""
+
+    def look(self, reason: str) -> None:
+        """Read the file; ``reason`` says why, for the log."""
+        try:
+            text = self._path.read_text()
+        except (OSError, UnicodeDecodeError) as error:
+            self._refuse(str(error))
+            return
+        if text == self._text:
+            return
+        self._text = text
+        try:
+            found = settings.load_text(text)
+        except settings.SettingsInvalid as invalid:
+            self._refuse(str(invalid))
+            return
+        if not isinstance(found, settings.GatewaySettings):
+            self._refuse("the role changed")
+            return
+        self._refused = ""
+        if found == self._chosen:
+            return
+        LOG.info(
+            "Settings reloaded.",
+            reason=reason,
+            changed=changed(self._chosen, found),
+        )
+        self._chosen = found
+        self._apply(found)
+
+    def _refuse(self, why: str) -> None:
+        """Log wrong settings once."""
+        if why != self._refused:
+            LOG.warning("Settings not taken.", reason=why)
+        self._refused = why
+
+
+def changed(
+    before: settings.GatewaySettings, after: settings.GatewaySettings
+) -> list[str]:
+    """Return the names of the sections that differ."""
+    return [
+        field.name
+        for field in attrs.fields(settings.GatewaySettings)
+        if getattr(before, field.name) != getattr(after, field.name)
+    ]
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -139,9 +139,11 @@
     ) -> errors.Refusal:
         if stream.journey.may_have_run:
             return _work.failed(stream.journey, "no engine can go on")
+        left_s = stream.work.deadline_s - self._clock()
         return _work.not_run(
             errors.ErrorCode.DEADLINE_HOPELESS,
-            "no engine is expected to answer in time",
+            f"first token expected in {placed.expected_s:.2f} s,"
+            f" {left_s:.2f} s left",
             placed.retry_after_s,
         )
 
--- /dev/null
+++ b/bilberrydeal/gateway/tests/test_following.py
@@ -0,0 +1,233 @@
+"""What a gateway believes of the configuration and the endpoints."""
+
+import asyncio
+
+import attrs
+import msgspec
+import pytest
+
+from ... import errors
+from ... import ports
+from ...systems import health
+from .. import _following
+from .. import _knowledge
+
+
+def _server(**fields: object) -> bytes:
+    row = {
+        "service": "shop",
+        "address": "10.0.0.1:80",
+        "zone": "d1",
+        "slots": 6,
+        "state": "ready",
+        "born": 1,
+        **fields,
+    }
+    return msgspec.json.encode(row)
+
+
+def _config(version: int) -> bytes:
+    return msgspec.json.encode(
+        {"version": version, "routes": [], "services": []}
+    )
+
+
+def _change(key: str, value: bytes | None) -> ports.Change:
+    return ports.Change(key, 1, value)
+
+
+@attrs.define
+class World:
+    """A taker of endpoints with time that tests move."""
+
+    now_s: float = 100.0
+    knowledge: _knowledge.Knowledge = attrs.field(
+        factory=lambda: _knowledge.Knowledge(health.HEALTH.get("outlier")(1))
+    )
+    contact: _following.Contact = attrs.field(
+        factory=lambda: _following.Contact(answered_s=100.0)
+    )
+
+    taker: _following.EndpointsTaker = attrs.field(
+        default=attrs.Factory(
+            lambda self: _following.EndpointsTaker(
+                self.knowledge, self.contact, lambda: self.now_s
+            ),
+            takes_self=True,
+        )
+    )
+
+    def take(self, *changes: ports.Change, whole: bool = False) -> None:
+        self.contact.answered(self.now_s)
+        self.taker.take(ports.Changes(1, changes), whole)
+
+    @property
+    def known(self) -> set[str]:
+        return {
+            name
+            for name, known in self.knowledge.endpoints.items()
+            if known.endpoint.ready
+        }
+
+
+def test_versions_never_go_back() -> None:
+    world = World()
+    taker = _following.ConfigurationTaker(world.knowledge)
+    for version in (3, 9, 5, 9):
+        changes = ports.Changes(1, (_change("config", _config(version)),))
+        taker.take(changes, False)
+    assert world.knowledge.configuration is not None
+    assert world.knowledge.configuration.version == 9
+
+
+@pytest.mark.parametrize("value", [b"{", b"{}", b"[1]", b"\xff", None])
+def test_an_unreadable_configuration_changes_nothing(
+    value: bytes | None,
+) -> None:
+    world = World()
+    taker = _following.ConfigurationTaker(world.knowledge)
+    taker.take(ports.Changes(1, (_change("config", _config(3)),)), True)
+    taker.take(ports.Changes(2, (_change("config", value),)), False)
+    assert world.knowledge.configuration is not None
+    assert world.knowledge.configuration.version == 3
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"{",
+        b"\xff\x00",
+        b"null",
+        _server(state="resting"),
+        _server(address="nowhere"),
+        _server(slots="many"),
+        msgspec.json.encode({"service": "shop"}),
+    ],
+)
+def test_an_unreadable_entry_names_no_endpoint(value: bytes) -> None:
+    world = World()
+    world.take(_change("e1", _server()), _change("e2", _server()))
+    world.take(_change("e1", value))
+    assert world.known == {"e2"}
+
+
+def test_a_leaving_endpoint_gets_nothing_at_once() -> None:
+    world = World()
+    world.take(_change("e1", _server()))
+    world.take(_change("e1", _server(state="draining")))
+    assert world.known == set()
+
+
+def test_a_removed_endpoint_is_gone_at_once() -> None:
+    world = World()
+    world.take(_change("e1", _server()), _change("e2", _server()))
+    world.take(_change("e1", None))
+    assert world.known == {"e2"}
+
+
+def test_entries_that_lapsed_with_the_store_have_time_to_return() -> None:
+    world = World()
+    world.take(*(_change(f"e{n}", _server()) for n in range(3)))
+    world.now_s += 6.0
+    world.take(_change("e1", _server()), whole=True)
+    assert world.known == {"e0", "e1", "e2"}
+    world.now_s += 1.0
+    world.take(_change("e2", _server()))
+    world.now_s += 1.5
+    world.take()
+    assert world.known == {"e1", "e2"}
+
+
+def test_one_that_left_while_the_store_was_away_is_not_waited_for() -> None:
+    world = World()
+    world.take(_change("e1", _server(state="draining")))
+    world.now_s += 6.0
+    world.take(whole=True)
+    assert world.knowledge.endpoints == {}
+
+
+def test_a_process_born_anew_starts_with_nothing_known() -> None:
+    world = World()
+    world.take(_change("e1", _server(stage="decode")))
+    before = world.knowledge.endpoints["e1"]
+    world.take(_change("e1", _server(stage="decode", born=2)))
+    after = world.knowledge.endpoints["e1"]
+    assert after is not before
+    assert after.pool is not before.pool
+
+
+def test_an_address_used_again_belongs_to_another_endpoint() -> None:
+    world = World()
+    world.take(_change("e1", _server()))
+    world.knowledge.endpoints["e1"].misdirected = True
+    assert not world.knowledge.endpoints["e1"].usable(world.now_s)
+    world.take(_change("e1", _server(address="10.0.0.2:80")))
+    assert world.knowledge.endpoints["e1"].usable(world.now_s)
+
+
+def test_an_endpoint_that_rejects_gets_nothing_for_a_while() -> None:
+    world = World()
+    world.take(_change("e1", _server()))
+    known = world.knowledge.endpoints["e1"]
+    known.rejected(10.0)
+    assert not known.usable(10.05)
+    assert known.usable(10.2)
+    known.rejected(10.2)
+    assert not known.usable(10.35)
+    known.accepted()
+    known.rejected(20.0)
+    assert known.usable(20.15)
+
+
+@attrs.define
+class Feed:
+    """Answers calls by a script."""
+
+    script: list[str]
+    calls: list[str] = attrs.field(factory=list)
+    ended: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def _next(self, call: str) -> ports.Changes:
+        self.calls.append(call)
+        if not self.script:
+            self.ended.set()
+            return ports.Changes(1, ())
+        step = self.script.pop(0)
+        if step == "gone":
+            raise errors.HistoryGone
+        if step == "down":
+            raise errors.StoreUnavailable("call")
+        return ports.Changes(1, ())
+
+    async def snapshot(self, table: str, timeout_s: float) -> ports.Changes:
+        await asyncio.sleep(0)
+        return self._next("snapshot")
+
+    async def changes(
+        self, table: str, after_version: int, wait_s: float
+    ) -> ports.Changes:
+        await asyncio.sleep(0)
+        return self._next("changes")
+
+
+@pytest.mark.parametrize(
+    ("script", "calls"),
+    [
+        (["ok", "ok"], ["snapshot", "changes", "changes"]),
+        (["ok", "gone", "ok"], ["snapshot", "changes", "snapshot", "changes"]),
+        (["down", "ok"], ["snapshot", "snapshot", "changes"]),
+        (["ok", "down", "ok"], ["snapshot", "changes", "changes", "changes"]),
+    ],
+)
+async def test_a_table_is_followed_through_failures(
+    script: list[str], calls: list[str]
+) -> None:
+    feed = Feed(script)
+    follower = _following.TableFollower(
+        feed, "t", _following.Contact(answered_s=0.0), lambda: 0.0
+    )
+    task = asyncio.create_task(follower.run(lambda _c, _w: None, 0.0, 1.0))
+    async with asyncio.timeout(5.0):
+        await feed.ended.wait()
+    task.cancel()
+    assert feed.calls[: len(calls)] == calls
--- a/bilberrydeal/platform/_duties.py
+++ b/bilberrydeal/platform/_duties.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from .. import http1
 from . import _exchange
 
 #: Connections that reports may use at once.
@@ -20,8 +19,13 @@
     """Sends usage reports under a lease."""
 
     def __init__(self, host: str, port: int) -> None:
-        self._pool = http1.Pool(host, port)
-        self._pool.limit = CONNECTIONS_LIMIT
+        self._pool = _exchange.pool(host, port, CONNECTIONS_LIMIT)
+
+    def move(self, host: str, port: int) -> None:
+        """Call another address from now on."""
+        if (host, port) != (self._pool.host, self._pool.port):
+            self._pool.close()
+            self._pool = _exchange.pool(host, port, CONNECTIONS_LIMIT)
 
     async def report(
         self,
--- a/bilberrydeal/platform/_exchange.py
+++ b/bilberrydeal/platform/_exchange.py
@@ -31,6 +31,13 @@
     """The call was sent and its answer did not come whole."""
 
 
+def pool(host: str, port: int, limit: int) -> http1.Pool:
+    """Return a pool of at most so many connections to one address."""
+    made = http1.Pool(host, port)
+    made.limit = limit
+    return made
+
+
 async def call(
     pool: http1.Pool,
     method: bytes,
--- a/bilberrydeal/platform/_store.py
+++ b/bilberrydeal/platform/_store.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from .. import errors
-from .. import http1
 from .. import ports
 from . import _exchange
 
@@ -83,8 +82,7 @@
     """
 
     def __init__(self, host: str, port: int) -> None:
-        self._pool = http1.Pool(host, port)
-        self._pool.limit = CONNECTIONS_LIMIT
+        self._pool = _exchange.pool(host, port, CONNECTIONS_LIMIT)
         #: Calls made, by kind and outcome.
         self.calls: collections.Counter[tuple[str, str]] = (
             collections.Counter()
@@ -92,9 +90,11 @@
         #: The last reading of the store's steady clock.
         self.clock: ports.ClockReading | None = None
 
-    def close(self) -> None:
-        """Close idle connections."""
-        self._pool.close()
+    def move(self, host: str, port: int) -> None:
+        """Call another address from now on."""
+        if (host, port) != (self._pool.host, self._pool.port):
+            self._pool.close()
+            self._pool = _exchange.pool(host, port, CONNECTIONS_LIMIT)
 
     async def read(
         self, keys: tuple[ports.RowKey, ...], timeout_s: float
--- a/bilberrydeal/systems/placement/_base.py
+++ b/bilberrydeal/systems/placement/_base.py
@@ -1,6 +1,7 @@
 """What every placer does."""
 
 import collections.abc
+import math
 import typing
 
 import attrs
@@ -50,6 +51,8 @@
 
     #: When it could be, in seconds.
     retry_after_s: float
+    #: Time to its first token, as expected; infinite without an engine.
+    expected_s: float = math.inf
 
 
 Engines = collections.abc.Sequence[_entities.EngineLoad]
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -89,7 +89,7 @@
         if best.deferred_s <= request.left_s * DEFERRED_SHARE:
             return _placement(best, best.deferred_s, deferred=True)
         late_s = best.deferred_s - request.left_s * DEFERRED_SHARE
-        return _base.Hopeless(max(late_s, RETRY_FLOOR_S))
+        return _base.Hopeless(max(late_s, RETRY_FLOOR_S), best.deferred_s)
 
     def decode_engine(
         self, request: _base.Request, prefilled_at: str, engines: _base.Engines
