--- a/scenarios/_gateways.py
+++ b/scenarios/_gateways.py
@@ -108,10 +108,14 @@
         """Return all processes."""
         return [self.store, *self.gateways, *self.workers]
 
-    async def wait_ready(self, gateway: Member) -> None:
+    async def wait_ready(
+        self, gateway: Member, restart_ended: bool = False
+    ) -> None:
         """Wait until a gateway says that it serves."""
 
         async def ready() -> bool:
+            if restart_ended and not gateway.process.alive:
+                gateway.process.start()
             url = f"http://{gateway.address}:{READY_PORT}/bilberrydeal/ready"
             try:
                 async with self.session.get(url) as answer:
--- a/scenarios/gateway_soak.py
+++ b/scenarios/gateway_soak.py
@@ -247,7 +247,8 @@
         await _quietly(fleet.behave(worker))
     await fleet.configure()
     for gateway in fleet.gateways:
-        await fleet.wait_ready(gateway)
+        # One that was leaving ends only now.
+        await fleet.wait_ready(gateway, restart_ended=True)
     for route in ("once", "read", "chat", "tell"):
         await _served_again(callers, route)
 
