--- a/bilberrydeal/gateway/_roles.py
+++ b/bilberrydeal/gateway/_roles.py
@@ -5,6 +5,7 @@
 from .. import catalogue
 from .. import leases
 from .. import platform
+from .. import ports
 from .. import store
 from .. import telemetry
 from ..systems import placement
@@ -15,18 +16,49 @@
 LEASE_FLOOR_S = 1.8
 #: Time beyond a role change after which an order counts as lost, in seconds.
 ORDER_SLACK_S = 2.0
+#: Share of a service's engines that may be changing their roles at once.
+CHANGING_SHARE = 0.25
+#: Share of the smoothed slots that is left after each round: a peak is
+#: remembered for some seconds.
+PEAK_KEPT_SHARE = 0.92
 
 
-@attrs.frozen
-class _Outstanding:
-    """An order whose effect has not shown yet."""
+@attrs.define
+class _ServiceRoles:
+    """What is known of one service's roles."""
 
-    order: placement.RoleOrder
-    until_s: float
+    #: Orders whose effect has not shown yet, with when they count as lost.
+    changing: dict[str, tuple[ports.EngineRole, float]] = attrs.field(
+        factory=dict
+    )
+    #: Slots that requests take at decode engines, with peaks remembered.
+    busy_slots: float = 0.0
+    #: Whether any request was seen.
+    used: bool = False
+    #: Role that the plan calls for more of, and since when.
+    called_for: ports.EngineRole | None = None
+    called_since_s: float = 0.0
+
+    def patience_passed(
+        self, order: placement.RoleOrder | None, now_s: float
+    ) -> bool:
+        """Return whether an order was called for long enough."""
+        role = order.role if order is not None else None
+        if role is not self.called_for:
+            self.called_for = role
+            self.called_since_s = now_s
+        return (
+            order is not None
+            and now_s - self.called_since_s >= order.patience_s
+        )
 
 
 class RoleKeeper:
-    """Brings the roles of each service's engines to the plan."""
+    """Brings the roles of each service's engines to the plan.
+
+    Every gateway watches, so that one that takes the lease knows how long a
+    change has been called for; only the holder gives orders.
+    """
 
     def __init__(
         self,
@@ -40,76 +72,95 @@
         self._lease = lease
         self._host_id = host_id
         self._engines = platform.EngineApi()
-        self._outstanding: dict[str, _Outstanding] = {}
-        self._seen: dict[str, frozenset[str]] = {}
-        self._stable_since_s: dict[str, float] = {}
+        self._services: dict[str, _ServiceRoles] = {}
 
     async def round(self) -> None:
-        """Give at most one order for each service."""
-        now_s = self._client.now_s()
-        if self._lease.time_left_s(now_s) < LEASE_FLOOR_S:
-            self._seen.clear()
-            return
+        """Look at each service and give the orders that are due."""
         configuration = self._knowledge.configuration
         if configuration is None:
             return
         for service in configuration.services.values():
             if service.engine is not None:
-                await self._round(service, service.engine, now_s)
+                await self._round(service, service.engine)
 
     async def _round(
-        self,
-        service: catalogue.Service,
-        limits: catalogue.EngineLimits,
-        now_s: float,
+        self, service: catalogue.Service, limits: catalogue.EngineLimits
     ) -> None:
-        engines = [
+        state = self._services.setdefault(service.name, _ServiceRoles())
+        now_s = self._client.now_s()
+        self._observe(service.name, state, now_s)
+        bound_s = limits.role_switch_s + ORDER_SLACK_S
+        while True:
+            order = placement.plan_roles(
+                self._as_ordered(service.name, state),
+                self._demand(service.name, state),
+            )
+            if not state.patience_passed(order, now_s) or order is None:
+                return
+            if not self._may_order(service.name, state, now_s):
+                return
+            state.changing[order.engine_id] = (order.role, now_s + bound_s)
+            await self._give(order)
+
+    def _observe(
+        self, service: str, state: _ServiceRoles, now_s: float
+    ) -> None:
+        """Note what the engines do, and which orders have shown."""
+        loads = self._loads(service)
+        busy = sum(
+            load.requests
+            for load in loads
+            if load.role is not ports.EngineRole.PREFILL
+        )
+        state.used = state.used or any(load.requests for load in loads)
+        state.busy_slots = max(busy, state.busy_slots * PEAK_KEPT_SHARE)
+        roles = {load.engine_id: load.role for load in loads}
+        for engine_id, (role, until_s) in list(state.changing.items()):
+            if roles.get(engine_id, role) is role or now_s >= until_s:
+                del state.changing[engine_id]
+
+    def _loads(self, service: str) -> list[placement.EngineLoad]:
+        return [
             known.load
-            for known in self._knowledge.of_service(service.name)
+            for known in self._knowledge.of_service(service)
             if known.load is not None and known.endpoint.ready
         ]
-        stable_s = self._stable_s(service.name, engines, now_s)
-        if self._waits(service.name, engines, now_s):
-            return
-        order = placement.plan_roles(engines)
-        if order is None or stable_s < order.patience_s:
-            return
-        bound_s = limits.role_switch_s + ORDER_SLACK_S
-        self._outstanding[service.name] = _Outstanding(order, now_s + bound_s)
-        await self._give(order)
 
-    def _stable_s(
-        self,
-        service: str,
-        engines: list[placement.EngineLoad],
-        now_s: float,
-    ) -> float:
-        """Return for how long the engines have been the same."""
-        present = frozenset(engine.engine_id for engine in engines)
-        if self._seen.get(service) != present:
-            self._seen[service] = present
-            self._stable_since_s[service] = now_s
-        return now_s - self._stable_since_s[service]
-
-    def _waits(
-        self,
-        service: str,
-        engines: list[placement.EngineLoad],
-        now_s: float,
-    ) -> bool:
-        """Return whether an earlier order may still take effect."""
-        waiting = self._outstanding.get(service)
-        if waiting is None:
-            return False
-        done = any(
-            engine.engine_id == waiting.order.engine_id
-            and engine.role is waiting.order.role
-            for engine in engines
+    def _as_ordered(
+        self, service: str, state: _ServiceRoles
+    ) -> list[placement.EngineLoad]:
+        """Return the engines as if orders under way had shown."""
+        return [
+            attrs.evolve(load, role=state.changing[load.engine_id][0])
+            if load.engine_id in state.changing
+            else load
+            for load in self._loads(service)
+        ]
+
+    def _demand(
+        self, service: str, state: _ServiceRoles
+    ) -> placement.RoleDemand:
+        leaves = any(
+            known.load is not None
+            and not known.endpoint.ready
+            and known.load.role is not ports.EngineRole.PREFILL
+            for known in self._knowledge.of_service(service)
+        )
+        return placement.RoleDemand(
+            busy_slots=state.busy_slots,
+            decoder_leaves=leaves,
+            idle=not state.used,
         )
-        if done or now_s >= waiting.until_s:
-            del self._outstanding[service]
+
+    def _may_order(
+        self, service: str, state: _ServiceRoles, now_s: float
+    ) -> bool:
+        if self._lease.time_left_s(now_s) < LEASE_FLOOR_S:
             return False
-        return True
+        if not state.used:
+            return True
+        limit = max(int(len(self._loads(service)) * CHANGING_SHARE), 1)
+        return len(state.changing) < limit
 
     async def _give(self, order: placement.RoleOrder) -> None:
         known = self._knowledge.endpoints[order.engine_id]
@@ -120,19 +171,20 @@
             return
         if self._lease.time_left_s(now_s) < LEASE_FLOOR_S:
             return
+        fence = self._lease.fence(now_s)
         accepted = await self._engines.order_stage(
             known.pool,
             known.endpoint,
             order.role,
             self._host_id,
-            self._lease.fence(now_s),
+            fence,
             taken,
         )
         LOG.info(
             "Role ordered.",
             endpoint=order.engine_id,
             stage=order.role,
-            fence=self._lease.fence(now_s),
+            fence=fence,
             orders_before=taken,
             accepted=accepted,
         )
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -8,6 +8,7 @@
 from .. import errors
 from .. import http1
 from .. import platform
+from .. import ports
 from .. import telemetry
 from ..systems import placement
 from ..systems import retries
@@ -335,9 +336,16 @@
     def _could_repeat(self, stream: _Stream) -> bool:
         """Return whether another engine may get the request after this."""
         route = stream.work.route
-        return (
-            route.idempotent
-            and stream.journey.attempts + 1 < route.attempts_limit
+        if not route.idempotent:
+            return False
+        if stream.journey.attempts + 1 >= route.attempts_limit:
+            return False
+        engines = self._knowledge.engines(stream.work.service, self._clock())
+        return any(
+            engine.accepting
+            and engine.role is not ports.EngineRole.PREFILL
+            and engine.engine_id not in stream.journey.tried
+            for engine in engines
         )
 
     def _may_repeat(self, stream: _Stream, reason: str) -> bool:
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -15,6 +15,7 @@
 from ._peer_loads import PeerLoads
 from ._peer_loads import STALE_S
 from ._role_plan import plan_roles
+from ._role_plan import RoleDemand
 from ._role_plan import RoleOrder
 from ._two_stage import main_decoder
 from ._two_stage import TwoStagePlacer
@@ -32,6 +33,7 @@
     "Prompt",
     "PromptPart",
     "Request",
+    "RoleDemand",
     "RoleOrder",
     "STALE_S",
     "TwoStagePlacer",
--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import math
 
 import attrs
 
@@ -9,17 +10,20 @@
 from . import _entities
 from . import _two_stage
 
-#: Engines of a service that make tokens, so that the loss of one leaves
-#: another; all others read prompts.
-DECODERS = 2
-#: Time that the engines must be unchanged before a change of roles, in
-#: seconds: at once where no tokens can be made, later where a crashed engine
-#: may come back first.
+#: Engines of a service that make tokens at least, so that the loss of one
+#: leaves another; with fewer engines than the second figure, one does.
+DECODERS_FLOOR = 2
+DECODERS_FLOOR_FROM = 4
+#: Share of the engines that go on reading prompts, whatever tokens need.
+READERS_SHARE = 0.4
+#: Share of the slots of decode engines that should be taken.
+SLOTS_SHARE = 0.7
+#: How long an order must be called for before it is given, in seconds: at
+#: once where no tokens can be made or an engine is leaving for good; later
+#: where a crashed engine may come back, and for a surplus latest.
 PATIENCE_NONE_S = 0.0
-PATIENCE_FEW_S = 5.0
-PATIENCE_MANY_S = 2.0
-#: With fewer engines, one makes tokens.
-DECODERS_FROM_ENGINES = 4
+PATIENCE_FEW_S = 2.0
+PATIENCE_MANY_S = 4.0
 
 
 @attrs.frozen
@@ -30,17 +34,30 @@
     engine_id: str
     #: The role that it should have.
     role: ports.EngineRole
-    #: How long the engines must have been unchanged, in seconds.
+    #: How long it must have been called for, in seconds.
     patience_s: float
 
 
+@attrs.frozen
+class RoleDemand:
+    """What a service's engines have to do."""
+
+    #: Slots of decode engines that requests take, smoothed.
+    busy_slots: float = 0.0
+    #: Whether a decode engine is leaving for good.
+    decoder_leaves: bool = False
+    #: Whether no request was seen yet, so that changes disturb nobody.
+    idle: bool = False
+
+
 def plan_roles(
     engines: collections.abc.Sequence[_entities.EngineLoad],
+    demand: RoleDemand,
 ) -> RoleOrder | None:
     """Return the next change of a service's roles, ``None`` for none.
 
-    One engine changes at a time, since a change takes it away for seconds.
-    Decode engines are spread over failure domains.
+    Decode engines are spread over failure domains. Their number follows the
+    slots that are taken, between a floor and what is left for reading.
     """
     decoders = [
         engine
@@ -50,43 +67,52 @@
     readers = [
         engine for engine in engines if engine.role is ports.EngineRole.PREFILL
     ]
-    wanted = _decoders_wanted(len(engines))
+    wanted = _decoders_wanted(engines, demand)
     if len(decoders) > wanted:
-        chosen = _most_crowded(decoders, decoders)
+        chosen = _most_crowded(decoders)
+        patience_s = PATIENCE_NONE_S if demand.idle else PATIENCE_MANY_S
         return RoleOrder(
-            chosen.engine_id, ports.EngineRole.PREFILL, PATIENCE_MANY_S
+            chosen.engine_id, ports.EngineRole.PREFILL, patience_s
         )
     if len(decoders) < wanted and readers:
         chosen = _least_crowded(readers, decoders)
-        patience_s = PATIENCE_FEW_S if decoders else PATIENCE_NONE_S
+        at_once = not decoders or demand.decoder_leaves
+        patience_s = PATIENCE_NONE_S if at_once else PATIENCE_FEW_S
         return RoleOrder(chosen.engine_id, ports.EngineRole.DECODE, patience_s)
     return None
 
 
-def _decoders_wanted(engines: int) -> int:
-    if engines < DECODERS_FROM_ENGINES:
-        return min(1, engines)
-    return DECODERS
+def _decoders_wanted(
+    engines: collections.abc.Sequence[_entities.EngineLoad],
+    demand: RoleDemand,
+) -> int:
+    count = len(engines)
+    if not count:
+        return 0
+    floor = DECODERS_FLOOR if count >= DECODERS_FLOOR_FROM else 1
+    slots = max(engine.slots for engine in engines)
+    needed = math.ceil(demand.busy_slots / (slots * SLOTS_SHARE))
+    ceiling = count - math.ceil(count * READERS_SHARE)
+    return max(floor, min(needed, ceiling))
 
 
 def _most_crowded(
-    engines: list[_entities.EngineLoad],
     decoders: list[_entities.EngineLoad],
 ) -> _entities.EngineLoad:
     """Return a decoder to spare; the main one has the most to finish."""
     main = _two_stage.main_decoder(decoders)
     domains = collections.Counter(each.failure_domain for each in decoders)
     return max(
-        (each for each in engines if each is not main),
+        (each for each in decoders if each is not main),
         key=lambda each: (domains[each.failure_domain], each.key),
     )
 
 
 def _least_crowded(
-    engines: list[_entities.EngineLoad],
+    readers: list[_entities.EngineLoad],
     decoders: list[_entities.EngineLoad],
 ) -> _entities.EngineLoad:
     domains = collections.Counter(each.failure_domain for each in decoders)
     return min(
-        engines, key=lambda each: (domains[each.failure_domain], each.key)
+        readers, key=lambda each: (domains[each.failure_domain], each.key)
     )
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -84,8 +84,13 @@
     def _defer(
         self, request: _base.Request, options: list[_Option]
     ) -> _base.Placement | _base.Hopeless:
-        """Place a request that is late behind those that are not."""
-        best = min(options, key=lambda option: option.deferred_s)
+        """Place a request that is late behind those that are not.
+
+        It waits where no tokens are made: a queue of long prompts would slow
+        down those of many others.
+        """
+        apart = [option for option in options if option.split]
+        best = min(apart or options, key=lambda option: option.deferred_s)
         if best.deferred_s <= request.left_s * DEFERRED_SHARE:
             return _placement(best, best.deferred_s, deferred=True)
         late_s = best.deferred_s - request.left_s * DEFERRED_SHARE
--- a/bilberrydeal/systems/placement/tests/test_role_plan.py
+++ b/bilberrydeal/systems/placement/tests/test_role_plan.py
@@ -41,7 +41,7 @@
 def test_roles_are_brought_to_the_plan(
     roles: str, ordered: ports.EngineRole | None, at_once: bool
 ) -> None:
-    order = placement.plan_roles(_engines(roles))
+    order = placement.plan_roles(_engines(roles), placement.RoleDemand())
     assert (order.role if order else None) == ordered
     if order is not None:
         assert (order.patience_s == 0.0) == at_once
@@ -50,9 +50,33 @@
 def test_the_main_decoder_keeps_its_role() -> None:
     for roles in ("ddd", "dddd", "ppddd"):
         engines = _engines(roles)
-        order = placement.plan_roles(engines)
+        order = placement.plan_roles(engines, placement.RoleDemand())
         assert order is not None
         main = placement.main_decoder(
             [engine for engine in engines if engine.role is DECODE]
         )
         assert order.engine_id != main.engine_id
+
+
+@pytest.mark.parametrize(
+    ("busy_slots", "ordered"),
+    [(0.0, None), (80.0, None), (100.0, DECODE), (1_000.0, DECODE)],
+)
+def test_decoders_follow_the_slots_that_are_taken(
+    busy_slots: float, ordered: ports.EngineRole | None
+) -> None:
+    demand = placement.RoleDemand(busy_slots=busy_slots)
+    order = placement.plan_roles(_engines("pppdd"), demand)
+    assert (order.role if order else None) == ordered
+
+
+def test_reading_is_never_given_up_for_tokens() -> None:
+    demand = placement.RoleDemand(busy_slots=10_000.0)
+    assert placement.plan_roles(_engines("ppddd"), demand) is None
+
+
+def test_an_engine_that_leaves_for_good_is_replaced_at_once() -> None:
+    demand = placement.RoleDemand(decoder_leaves=True)
+    order = placement.plan_roles(_engines("pppd"), demand)
+    assert order is not None
+    assert order.patience_s == 0.0
