--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -8,13 +8,13 @@
 
 import aiohttp
 
+from .. import periodic
 from .. import settings
 from .. import telemetry
 from ..systems import health
 from . import _app
 from . import _base
 from . import _following
-from . import _loops
 from . import _path
 from . import _secrets
 from . import _taking
@@ -98,7 +98,8 @@
             ("demand", _windows.WINDOW_S, self._observe_demand),
             ("tick", TICK_S, self._tick),
         ):
-            self._spawn(_loops.every(name, period_s, work, self._base.random))
+            pause_s = periodic.jittered(period_s, self._base.random)
+            self._spawn(periodic.every(name, pause_s, work))
 
     def _spawn(
         self, work: typing.Coroutine[typing.Any, typing.Any, None]
--- a/bilberrydeal/gateway/_plain.py
+++ b/bilberrydeal/gateway/_plain.py
@@ -6,18 +6,14 @@
 
 from .. import http1
 from .. import platform
-from .. import telemetry
-from ..systems import retries
 from . import _knowledge
+from . import _repeating
 from . import _sending
 from . import _usage
 from . import _work
 
-LOG = telemetry.logger("plain")
 #: Largest answer that is held until it is whole, in bytes.
 HELD_LIMIT_BYTES = 1_048_576
-#: A send is not repeated with less time left, in seconds.
-REPEAT_FLOOR_S = 0.03
 
 Clock = collections.abc.Callable[[], float]
 
@@ -29,14 +25,14 @@
         self,
         knowledge: _knowledge.Knowledge,
         sender: _sending.Sender,
-        budget: retries.WindowBudget,
+        repeater: _repeating.Repeater,
         begun: _usage.BegunCounter,
         failure_domain: str,
         clock: Clock,
     ) -> None:
         self._knowledge = knowledge
         self._sender = sender
-        self._budget = budget
+        self._repeater = repeater
         self._begun = begun
         self._failure_domain = failure_domain
         self._clock = clock
@@ -75,7 +71,7 @@
                 reason = f"status {answered.head.status}"
                 if not work.route.idempotent:
                     break
-            if not self._may_repeat(work, journey, reason):
+            if not self._repeater.granted(work, journey, reason):
                 break
         if failure is None:
             raise _work.failed(journey, reason)
@@ -121,25 +117,6 @@
         self._knowledge.observe(known, answered, self._clock())
         return _Answered(exchange.head, exchange.verdict, body)
 
-    def _may_repeat(
-        self, work: _work.Work, journey: _work.Journey, reason: str
-    ) -> bool:
-        now_s = self._clock()
-        if journey.attempts >= work.route.attempts_limit:
-            return False
-        if now_s + REPEAT_FLOOR_S > work.deadline_s:
-            return False
-        granted = self._budget.take(
-            work.service, self._knowledge.members, now_s
-        )
-        LOG.info(
-            "Send repeated." if granted else "No budget to repeat a send.",
-            request=work.request_id.decode("latin-1"),
-            reason=reason,
-            attempts=journey.attempts,
-        )
-        return granted
-
     def _count(self, work: _work.Work, journey: _work.Journey) -> None:
         if not journey.counted:
             journey.counted = True
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -12,6 +12,7 @@
 from .. import errors
 from .. import http1
 from .. import leases
+from .. import periodic
 from .. import platform
 from .. import settings
 from .. import store
@@ -28,6 +29,7 @@
 from . import _metrics
 from . import _plain
 from . import _reloading
+from . import _repeating
 from . import _reporting
 from . import _roles
 from . import _sending
@@ -167,7 +169,9 @@
 
     def _serving(self, rng: random.Random) -> _serving.Serving:
         chosen = self._settings
-        budget = self._budget
+        repeater = _repeating.Repeater(
+            self._knowledge, self._budget, self._clock
+        )
         sender = _sending.Sender(self._knowledge, self._clock)
         return _serving.Serving(
             gate=_gate.Gate(self._knowledge, rng),
@@ -175,7 +179,7 @@
             plain=_plain.PlainServer(
                 self._knowledge,
                 sender,
-                budget,
+                repeater,
                 self._begun,
                 chosen.failure_domain,
                 self._clock,
@@ -183,13 +187,13 @@
             stream=_stream.StreamServer(
                 self._knowledge,
                 sender,
-                budget,
+                repeater,
                 self._begun,
                 placement.PLACERS.get(chosen.placer)(),
                 chosen.failure_domain,
                 self._clock,
             ),
-            budget=budget,
+            repeater=repeater,
             metrics=self._metrics,
             contact=self._contact,
             clock=self._clock,
@@ -253,16 +257,22 @@
             )
         )
         self._spawn(self._exchange.run())
-        self._spawn(self._every("sweep", lambda: SWEEP_S, self._sweep))
-        self._spawn(self._every("row", self._row_pause_s, self._rows.write))
-        self._spawn(self._every("members", lambda: MEMBERS_S, self._members))
-        self._spawn(self._every("lease", self._lease_pause_s, self._tick))
+        self._spawn(periodic.every("sweep", lambda: SWEEP_S, self._sweep))
+        self._spawn(periodic.every("row", self._row_pause_s, self._rows.write))
+        self._spawn(
+            periodic.every("members", lambda: MEMBERS_S, self._members)
+        )
+        self._spawn(periodic.every("lease", self._lease_pause_s, self._tick))
+        self._spawn(
+            periodic.every(
+                "settings", lambda: SETTINGS_S, self._look_at_settings
+            )
+        )
         self._spawn(
-            self._every("settings", lambda: SETTINGS_S, self._look_at_settings)
+            periodic.every("roles", lambda: ROLES_S, self._roles.round)
         )
-        self._spawn(self._every("roles", lambda: ROLES_S, self._roles.round))
         self._spawn(
-            self._every("reports", lambda: REPORT_S, self._reporter.round)
+            periodic.every("reports", lambda: REPORT_S, self._reporter.round)
         )
 
     def _spawn(
@@ -272,26 +282,6 @@
         self._tasks.add(task)
         task.add_done_callback(_log_defect)
 
-    async def _every(
-        self,
-        name: str,
-        pause_s: collections.abc.Callable[[], float],
-        work: collections.abc.Callable[[], collections.abc.Awaitable[object]],
-    ) -> None:
-        """Do some work again and again; a typed failure ends one round."""
-        failing = False
-        while True:
-            await asyncio.sleep(pause_s())
-            try:
-                await work()
-                if failing:
-                    LOG.info("Works again.", work=name)
-                failing = False
-            except errors.BilberrydealError as error:
-                if not failing:
-                    LOG.warning("Round failed.", work=name, reason=str(error))
-                failing = True
-
     async def _sweep(self) -> None:
         now_s = self._clock()
         for server in (self._callers, self._readiness, self._metrics_server):
--- a/bilberrydeal/gateway/_serving.py
+++ b/bilberrydeal/gateway/_serving.py
@@ -10,12 +10,12 @@
 from .. import http1
 from .. import platform
 from .. import telemetry
-from ..systems import retries
 from . import _following
 from . import _gate
 from . import _knowledge
 from . import _metrics
 from . import _plain
+from . import _repeating
 from . import _stream
 from . import _work
 
@@ -35,7 +35,7 @@
         knowledge: _knowledge.Knowledge,
         plain: _plain.PlainServer,
         stream: _stream.StreamServer,
-        budget: retries.WindowBudget,
+        repeater: _repeating.Repeater,
         metrics: _metrics.GatewayMetrics,
         contact: _following.Contact,
         clock: Clock,
@@ -45,7 +45,7 @@
         self._knowledge = knowledge
         self._plain = plain
         self._stream = stream
-        self._budget = budget
+        self._repeater = repeater
         self._metrics = metrics
         self._clock = clock
 
@@ -61,7 +61,7 @@
             self._log(caller.request_id, None, None, responder, refused)
             return
         journey = _work.Journey()
-        self._budget.note_request(work.service, self._clock())
+        self._repeater.note_request(work.service)
         ended: errors.Refusal | None = None
         try:
             ended = await self._serve(work, journey, responder)
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -9,24 +9,20 @@
 from .. import http1
 from .. import platform
 from .. import ports
-from .. import telemetry
 from ..systems import placement
-from ..systems import retries
 from . import _events
 from . import _knowledge
+from . import _repeating
 from . import _sending
 from . import _usage
 from . import _work
 
-LOG = telemetry.logger("stream")
 #: A stream that can go on elsewhere does so after such a pause, in seconds.
 STALL_S = 0.7
 #: Times the expected reading time after which an engine counts as silent.
 SILENT_FACTOR = 4.0
 #: Time that is added to it, in seconds.
 SILENT_SLACK_S = 0.5
-#: Least time left for another try, in seconds.
-REPEAT_FLOOR_S = 0.05
 
 Clock = collections.abc.Callable[[], float]
 
@@ -61,7 +57,7 @@
         self,
         knowledge: _knowledge.Knowledge,
         sender: _sending.Sender,
-        budget: retries.WindowBudget,
+        repeater: _repeating.Repeater,
         begun: _usage.BegunCounter,
         placer: placement.Placer,
         failure_domain: str,
@@ -69,7 +65,7 @@
     ) -> None:
         self._knowledge = knowledge
         self._sender = sender
-        self._budget = budget
+        self._repeater = repeater
         self._begun = begun
         self._placer = placer
         self._failure_domain = failure_domain
@@ -103,7 +99,8 @@
                 reason = f"lost, {error}"
                 if journey.may_have_run and not work.route.idempotent:
                     raise _work.failed(journey, reason) from error
-            if not self._may_repeat(stream, reason):
+            stream.cutter.restart()
+            if not self._repeater.granted(work, journey, reason):
                 raise _work.failed(journey, reason)
 
     async def _try(self, stream: _Stream) -> None:
@@ -348,26 +345,6 @@
             for engine in engines
         )
 
-    def _may_repeat(self, stream: _Stream, reason: str) -> bool:
-        work = stream.work
-        now_s = self._clock()
-        stream.cutter.restart()
-        if stream.journey.attempts >= work.route.attempts_limit:
-            return False
-        if now_s + REPEAT_FLOOR_S > work.deadline_s:
-            return False
-        granted = self._budget.take(
-            work.service, self._knowledge.members, now_s
-        )
-        LOG.info(
-            "Send repeated." if granted else "No budget to repeat a send.",
-            request=work.request_id.decode("latin-1"),
-            reason=reason,
-            attempts=stream.journey.attempts,
-            last_event=stream.cutter.last_id.decode("latin-1"),
-        )
-        return granted
-
     def _free(self, source: _Source) -> None:
         """Free a handle that is not taken, beside the request."""
         task = asyncio.get_running_loop().create_task(
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -21,6 +21,7 @@
 from .. import _knowledge
 from .. import _metrics
 from .. import _plain
+from .. import _repeating
 from .. import _sending
 from .. import _serving
 from .. import _stream
@@ -352,23 +353,24 @@
         knowledge.set_endpoint(announced(each))
     begun = Begun()
     budget = retries.WindowBudget(retries.WindowBounds(10.0, 0.2, 58.0))
+    repeater = _repeating.Repeater(knowledge, budget, clock)
     sender = _sending.Sender(knowledge, clock)
     serving = _serving.Serving(
         gate=_gate.Gate(knowledge, random.Random(1)),
         knowledge=knowledge,
         plain=_plain.PlainServer(
-            knowledge, sender, budget, begun, "d1", clock
+            knowledge, sender, repeater, begun, "d1", clock
         ),
         stream=_stream.StreamServer(
             knowledge,
             sender,
-            budget,
+            repeater,
             begun,
             placement.PLACERS.get("two_stage")(),
             "d1",
             clock,
         ),
-        budget=budget,
+        repeater=repeater,
         metrics=_metrics.GatewayMetrics(),
         contact=_following.Contact(clock()),
         clock=clock,
--- a/bilberrydeal/entry/_loops.py
+++ b/bilberrydeal/periodic/_loops.py
@@ -1,4 +1,4 @@
-"""Runs the periodic work of a process."""
+"""Periodic work that outlives typed failures."""
 
 import asyncio
 import collections.abc
@@ -13,12 +13,14 @@
 JITTER_SHARE = 0.2
 
 Work = collections.abc.Callable[[], collections.abc.Awaitable[object]]
+Pause = collections.abc.Callable[[], float]
 
 
-async def every(
-    name: str, period_s: float, work: Work, rng: random.Random
-) -> None:
-    """Do some work again and again; a typed failure ends one round only."""
+async def every(name: str, pause_s: Pause, work: Work) -> None:
+    """Do some work again and again; a typed failure ends one round only.
+
+    ``pause_s`` is asked after each round for the time until the next.
+    """
     failing = False
     while True:
         try:
@@ -28,8 +30,11 @@
             failing = False
         except errors.BilberrydealError as error:
             if not failing:
-                LOG.warning("Round failed.", work=name, error=str(error))
+                LOG.warning("Round failed.", work=name, reason=str(error))
             failing = True
-        await asyncio.sleep(
-            period_s * rng.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
-        )
+        await asyncio.sleep(pause_s())
+
+
+def jittered(period_s: float, rng: random.Random) -> Pause:
+    """Return pauses around a period."""
+    return lambda: period_s * rng.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
--- a/bilberrydeal/systems/placement/tests/test_placers.py
+++ b/bilberrydeal/systems/placement/tests/test_placers.py
@@ -60,7 +60,8 @@
     engines: list[placement.EngineLoad], **fields: object
 ) -> placement.Placement | placement.Hopeless:
     placer = placement.PLACERS.get("two_stage")()
-    return placer.place(_request(**fields), engines, 0.0)  # type: ignore[arg-type]
+    request = _request(**fields)  # type: ignore[arg-type]
+    return placer.place(request, engines, 0.0)
 
 
 def _fleet() -> list[placement.EngineLoad]:
