Charge every extra send to the budget as it is made

Change: a send is charged when it is made, the first reading given back once accepted; a try needs room for all its sends. The number of decode engines follows the average of requests there, so that engines of 16 slots have enough of them. Tests: test_only_sends_that_count_are_charged, test_window.py.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -172,7 +172,7 @@
         repeater = _repeating.Repeater(
             self._knowledge, self._budget, self._clock
         )
-        sender = _sending.Sender(self._knowledge, self._clock)
+        sender = _sending.Sender(self._knowledge, repeater, self._clock)
         return _serving.Serving(
             gate=_gate.Gate(self._knowledge, rng),
             knowledge=self._knowledge,
--- a/bilberrydeal/gateway/_repeating.py
+++ b/bilberrydeal/gateway/_repeating.py
@@ -11,6 +11,10 @@
 #: A send is not repeated with less time left, in seconds.
 LEFT_FLOOR_S = 0.04
 
+#: Sends of one more try: a prompt may be read apart first.
+PLAIN_SENDS = 1
+STREAM_SENDS = 2
+
 Clock = collections.abc.Callable[[], float]
 
 
@@ -31,6 +35,21 @@
         """Note a request, which earns a share of a repeat."""
         self._budget.note_request(service, self._clock())
 
+    def note_send(self, work: _work.Work, journey: _work.Journey) -> None:
+        """Note a send; each after a request's first is an extra one."""
+        journey.arrivals += 1
+        if journey.arrivals > 1:
+            self._budget.spend(work.service, self._clock())
+
+    def note_read(self, work: _work.Work, journey: _work.Journey) -> None:
+        """Note that a prompt was read; the first reading does not count."""
+        if journey.prompt_read:
+            return
+        journey.prompt_read = True
+        journey.arrivals -= 1
+        if journey.arrivals > 0:
+            self._budget.refund(work.service, self._clock())
+
     def granted(
         self, work: _work.Work, journey: _work.Journey, reason: str
     ) -> bool:
@@ -40,8 +59,11 @@
             return False
         if now_s + LEFT_FLOOR_S > work.deadline_s:
             return False
-        granted = self._budget.take(
-            work.service, self._knowledge.members, now_s
+        granted = self._budget.has_room(
+            work.service,
+            PLAIN_SENDS if work.prompt is None else STREAM_SENDS,
+            self._knowledge.members,
+            now_s,
         )
         LOG.info(
             "Send repeated." if granted else "No budget to repeat a send.",
--- a/bilberrydeal/gateway/_roles.py
+++ b/bilberrydeal/gateway/_roles.py
@@ -18,9 +18,8 @@
 ORDER_SLACK_S = 2.0
 #: Share of a service's engines that may be changing their roles at once.
 CHANGING_SHARE = 0.25
-#: Share of the smoothed slots that is left after each round: a peak is
-#: remembered for some seconds.
-PEAK_KEPT_SHARE = 0.92
+#: Weight of one round in the average of the slots that are taken.
+ROUND_WEIGHT = 0.1
 
 
 @attrs.define
@@ -31,7 +30,7 @@
     changing: dict[str, tuple[ports.EngineRole, float]] = attrs.field(
         factory=dict
     )
-    #: Slots that requests take at decode engines, with peaks remembered.
+    #: Requests at decode engines, averaged over some seconds.
     busy_slots: float = 0.0
     #: Whether any request was seen.
     used: bool = False
@@ -113,7 +112,7 @@
             if load.role is not ports.EngineRole.PREFILL
         )
         state.used = state.used or any(load.requests for load in loads)
-        state.busy_slots = max(busy, state.busy_slots * PEAK_KEPT_SHARE)
+        state.busy_slots += (busy - state.busy_slots) * ROUND_WEIGHT
         roles = {load.engine_id: load.role for load in loads}
         for engine_id, (role, until_s) in list(state.changing.items()):
             if roles.get(engine_id, role) is role or now_s >= until_s:
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -10,6 +10,7 @@
 from .. import platform
 from ..systems import placement
 from . import _knowledge
+from . import _repeating
 from . import _work
 
 #: A rejection that comes sooner says that the endpoint takes nothing now,
@@ -46,8 +47,14 @@
 class Sender:
     """Sends requests and tells what became of them."""
 
-    def __init__(self, knowledge: _knowledge.Knowledge, clock: Clock) -> None:
+    def __init__(
+        self,
+        knowledge: _knowledge.Knowledge,
+        repeater: _repeating.Repeater,
+        clock: Clock,
+    ) -> None:
         self._knowledge = knowledge
+        self._repeater = repeater
         self._clock = clock
 
     @contextlib.asynccontextmanager
@@ -78,6 +85,7 @@
                 self._knowledge.observe(known, False, self._clock())
             raise NotOffered(str(error)) from error
         sent_s = self._clock()
+        self._repeater.note_send(work, journey)
         ran_before = journey.may_have_run
         journey.may_have_run = ran_before or not fields.prefill
         try:
@@ -98,6 +106,8 @@
                 self._knowledge.observe(known, False, self._clock())
                 raise Lost(f"status {head.status} without proof")
             known.accepted()
+            if fields.prefill:
+                self._repeater.note_read(work, journey)
             step.outcome = f"status {head.status}, cut"
             yield Exchange(connection, head, verdict)
             step.outcome = f"status {head.status}"
--- a/bilberrydeal/gateway/_serving.py
+++ b/bilberrydeal/gateway/_serving.py
@@ -167,7 +167,7 @@
     if not journey.may_have_run:
         return _work.not_run(
             errors.ErrorCode.DEADLINE_EXCEEDED,
-            "no endpoint was free in time",
+            "no endpoint began it in time",
             _work.FAILED_RETRY_S,
         )
     return errors.Refusal(
--- a/bilberrydeal/gateway/_work.py
+++ b/bilberrydeal/gateway/_work.py
@@ -70,6 +70,10 @@
 
     #: Endpoints that it was sent to.
     tried: list[str] = attrs.field(factory=list)
+    #: Sends that count against the service's budget.
+    arrivals: int = 0
+    #: Whether an engine has read the prompt for another.
+    prompt_read: bool = False
     #: Sends that count against the route's limit.
     attempts: int = 0
     #: Whether an endpoint may have begun to run it, or may begin to.
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -195,6 +195,7 @@
     """The request path under test."""
 
     knowledge: _knowledge.Knowledge
+    budget: retries.WindowBudget
     server: http1.HttpServer
     begun: "Begun"
     ids: int = 0
@@ -354,7 +355,7 @@
     begun = Begun()
     budget = retries.WindowBudget(retries.WindowBounds(10.0, 0.2, 58.0))
     repeater = _repeating.Repeater(knowledge, budget, clock)
-    sender = _sending.Sender(knowledge, clock)
+    sender = _sending.Sender(knowledge, repeater, clock)
     serving = _serving.Serving(
         gate=_gate.Gate(knowledge, random.Random(1)),
         knowledge=knowledge,
@@ -379,7 +380,7 @@
     server = http1.HttpServer(serving.handle, lambda: limits, clock)
     await server.listen("127.0.0.1", 0)
     try:
-        yield Path(knowledge, server, begun)
+        yield Path(knowledge, budget, server, begun)
     finally:
         server.stop_accepting()
         server.abort()
--- a/bilberrydeal/gateway/tests/test_stream.py
+++ b/bilberrydeal/gateway/tests/test_stream.py
@@ -182,3 +182,27 @@
     assert float(reply.field("retry-after") or 0) > 0
     assert took_s < 0.3
     assert maker.calls == []
+
+
+async def test_only_sends_that_count_are_charged() -> None:
+    """A second reading and a second maker are two extra sends."""
+    reader = harness.engine("p1", "prefill", _read)
+    other = harness.engine("p2", "prefill", _read)
+    full = harness.engine("d1", "decode", _full)
+    good = harness.engine("d2", "decode", _make)
+    async with harness.running(reader, other, full, good) as running:
+        load = running.knowledge.endpoints["d2"].load
+        assert load is not None
+        load.others_requests = 10
+
+        def spent() -> int:
+            left = 0
+            while running.budget.has_room("llm", left + 1, 1, 0.0):
+                left += 1
+            return left
+
+        before = spent()
+        reply = await running.stream()
+        assert reply.status == 200
+        assert len(reader.calls) + len(other.calls) == 3
+        assert before - spent() == 2
--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -16,8 +16,8 @@
 DECODERS_FLOOR_FROM = 4
 #: Share of the engines that go on reading prompts, whatever tokens need.
 READERS_SHARE = 0.4
-#: Requests at decode engines for each of their slots: some wait, some read.
-SLOTS_SHARE = 1.1
+#: Share of the slots of decode engines that should be taken on average.
+SLOTS_SHARE = 0.8
 #: How long an order must be called for before it is given, in seconds: at
 #: once where no tokens can be made or an engine is leaving for good; later
 #: where a crashed engine may come back, and for a surplus latest.
@@ -42,7 +42,7 @@
 class RoleDemand:
     """What a service's engines have to do."""
 
-    #: Slots of decode engines that requests take, smoothed.
+    #: Requests at decode engines, averaged over some seconds.
     busy_slots: float = 0.0
     #: Whether a decode engine is leaving for good.
     decoder_leaves: bool = False
--- a/bilberrydeal/systems/retries/_window.py
+++ b/bilberrydeal/systems/retries/_window.py
@@ -38,7 +38,8 @@
     Example::
 
         budget.note_request("shop", now_s)
-        if budget.take("shop", members=4, now_s=now_s):
+        if budget.has_room("shop", 1, members=4, now_s=now_s):
+            budget.spend("shop", now_s)
             ...  # send it to another endpoint
     """
 
@@ -50,22 +51,27 @@
         """Note a request that a caller sent for a service."""
         self._counts(service, now_s).requests.append(now_s)
 
-    def take(self, service: str, members: int, now_s: float) -> bool:
-        """Return whether an extra send is granted, and note it."""
+    def has_room(
+        self, service: str, sends: int, members: int, now_s: float
+    ) -> bool:
+        """Return whether so many extra sends may be made now."""
         counts = self._counts(service, now_s)
         allowed = USED_SHARE * (
             self.bounds.ratio * len(counts.requests)
             + self.bounds.slack / max(members, 1)
         )
-        if len(counts.extra) + 1 > allowed:
-            return False
-        counts.extra.append(now_s)
-        return True
+        return len(counts.extra) + sends <= allowed
 
-    def force(self, service: str, now_s: float) -> None:
-        """Note an extra send that was made in any case."""
+    def spend(self, service: str, now_s: float) -> None:
+        """Note an extra send."""
         self._counts(service, now_s).extra.append(now_s)
 
+    def refund(self, service: str, now_s: float) -> None:
+        """Take back the last extra send: it turned out not to count."""
+        extra = self._counts(service, now_s).extra
+        if extra:
+            extra.pop()
+
     def _counts(self, service: str, now_s: float) -> _Counts:
         counts = self._services.setdefault(service, _Counts())
         counts.forget(now_s - self.bounds.window_s)
--- a/bilberrydeal/systems/retries/tests/test_window.py
+++ b/bilberrydeal/systems/retries/tests/test_window.py
@@ -7,7 +7,8 @@
 
 def _granted(budget: retries.WindowBudget, members: int, now_s: float) -> int:
     granted = 0
-    while budget.take("shop", members, now_s):
+    while budget.has_room("shop", 1, members, now_s):
+        budget.spend("shop", now_s)
         granted += 1
     return granted
 
@@ -34,4 +35,13 @@
 def test_services_have_budgets_of_their_own() -> None:
     budget = retries.WindowBudget(BOUNDS)
     _granted(budget, 5, 0.0)
-    assert budget.take("other", 5, 0.0)
+    assert budget.has_room("other", 1, 5, 0.0)
+
+
+def test_what_does_not_count_is_given_back() -> None:
+    budget = retries.WindowBudget(BOUNDS)
+    _granted(budget, 5, 0.0)
+    assert not budget.has_room("shop", 1, 5, 0.0)
+    budget.refund("shop", 0.0)
+    assert budget.has_room("shop", 1, 5, 0.0)
+    assert not budget.has_room("shop", 2, 5, 0.0)
