--- a/bilberrydeal/systems/placement/tests/test_role_plan.py
+++ b/bilberrydeal/systems/placement/tests/test_role_plan.py
@@ -31,6 +31,8 @@
         ("ppppd", DECODE, False),
         ("ppppp", DECODE, True),
         ("ddddd", PREFILL, False),
+        ("p" * 15 + "d" * 5, None, False),
+        ("p" * 16 + "d" * 4, DECODE, False),
         ("ppd", None, False),
         ("ppp", DECODE, True),
         ("d", None, False),
