--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -14,10 +14,12 @@
 #: leaves another; with fewer engines than the second figure, one does.
 DECODERS_FLOOR = 2
 DECODERS_FLOOR_FROM = 4
+#: Share of the engines that make tokens at least.
+DECODERS_SHARE = 0.25
 #: Share of the engines that go on reading prompts, whatever tokens need.
 READERS_SHARE = 0.4
-#: Requests at decode engines for each of their slots: some wait, some read.
-SLOTS_SHARE = 1.1
+#: Share of the slots of decode engines that should be taken on average.
+SLOTS_SHARE = 0.8
 #: How long an order must be called for before it is given, in seconds: at
 #: once where no tokens can be made or an engine is leaving for good; later
 #: where a crashed engine may come back, and for a surplus latest.
@@ -42,7 +44,7 @@
 class RoleDemand:
     """What a service's engines have to do."""
 
-    #: Slots of decode engines that requests take, smoothed.
+    #: Requests at decode engines, averaged over some seconds.
     busy_slots: float = 0.0
     #: Whether a decode engine is leaving for good.
     decoder_leaves: bool = False
@@ -90,6 +92,7 @@
     if not count:
         return 0
     floor = DECODERS_FLOOR if count >= DECODERS_FLOOR_FROM else 1
+    floor = max(floor, math.ceil(count * DECODERS_SHARE))
     slots = max(engine.slots for engine in engines)
     needed = math.ceil(demand.busy_slots / (slots * SLOTS_SHARE))
     ceiling = count - math.ceil(count * READERS_SHARE)
