--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -14,8 +14,10 @@
 #: leaves another; with fewer engines than the second figure, one does.
 DECODERS_FLOOR = 2
 DECODERS_FLOOR_FROM = 4
-#: Share of the engines that make tokens at least.
-DECODERS_SHARE = 0.25
+#: Share of the engines that make tokens at least, however many slots each
+#: has; a reading engine keeps so many slots of others busy beside.
+DECODERS_SHARE = 0.2
+SLOTS_A_READER = 3.0
 #: Share of the engines that go on reading prompts, whatever tokens need.
 READERS_SHARE = 0.4
 #: Share of the slots of decode engines that should be taken on average.
@@ -92,11 +94,12 @@
     if not count:
         return 0
     floor = DECODERS_FLOOR if count >= DECODERS_FLOOR_FROM else 1
-    floor = max(floor, math.ceil(count * DECODERS_SHARE))
     slots = max(engine.slots for engine in engines)
+    share = DECODERS_SHARE + SLOTS_A_READER / slots
+    floor = max(floor, math.ceil(count * share))
     needed = math.ceil(demand.busy_slots / (slots * SLOTS_SHARE))
     ceiling = count - math.ceil(count * READERS_SHARE)
-    return max(floor, min(needed, ceiling))
+    return min(max(floor, min(needed, ceiling)), max(ceiling, 1))
 
 
 def _most_crowded(
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -24,6 +24,8 @@
 HOME_SHARE = 0.55
 #: Time for handing the cache over and the first step, in seconds.
 HAND_OVER_S = 0.012
+#: Time that a request holds its slot of a decode engine, in seconds.
+SLOT_HELD_S = 0.5
 #: Weight of the reading itself beside the time to the first token: reading
 #: takes capacity from all others.
 READING_WEIGHT = 1.0
@@ -47,7 +49,9 @@
     engine: _entities.EngineLoad
     split: bool
     missing_tokens: float
-    #: Time to the first token where it is read first.
+    #: Time until the prompt is read where it is read first.
+    read_s: float
+    #: Time to the first token then.
     expected_s: float
     #: Time to the first token where it waits for all others.
     deferred_s: float
@@ -138,11 +142,12 @@
         if not eligible:
             return []
         home = _home(request.prompt, eligible)
+        slot_wait_s = _slot_wait_s(able)
         return [
             _option(
                 request,
                 engine,
-                engine.role is ports.EngineRole.PREFILL,
+                slot_wait_s,
                 _missing(request.prompt, engine, engine.engine_id == home),
             )
             for engine in eligible
@@ -195,15 +200,16 @@
 def _option(
     request: _base.Request,
     engine: _entities.EngineLoad,
-    split: bool,
+    slot_wait_s: float,
     missing: float,
 ) -> _Option:
+    split = engine.role is ports.EngineRole.PREFILL
     speed = _speed(engine)
     reading_s = missing / speed
     begun = min(engine.deferred_tokens, BEGUN_TOKENS)
-    hand_over_s = HAND_OVER_S if split else 0.0
-    expected_s = (engine.urgent_tokens + begun) / speed
-    expected_s += reading_s + hand_over_s
+    hand_over_s = HAND_OVER_S + slot_wait_s if split else 0.0
+    read_s = (engine.urgent_tokens + begun) / speed + reading_s
+    expected_s = read_s + hand_over_s
     queued = engine.urgent_tokens + engine.deferred_tokens
     apart = engine.failure_domain != request.failure_domain
     cost_s = expected_s + reading_s * READING_WEIGHT + apart * DOMAIN_WEIGHT_S
@@ -214,12 +220,26 @@
         engine=engine,
         split=split,
         missing_tokens=missing,
+        read_s=read_s,
         expected_s=expected_s,
         deferred_s=queued / speed + reading_s + hand_over_s,
         cost_s=cost_s,
     )
 
 
+def _slot_wait_s(engines: _base.Engines) -> float:
+    """Return the wait for a slot of a decode engine, as expected.
+
+    Requests beyond the slots of the least loaded one wait for others to end.
+    """
+    loads = [
+        engine.requests / engine.slots
+        for engine in engines
+        if engine.role is not ports.EngineRole.PREFILL
+    ]
+    return max(min(loads, default=0.0) - 1.0, 0.0) * SLOT_HELD_S
+
+
 def _placement(
     option: _Option, expected_s: float, deferred: bool
 ) -> _base.Placement:
@@ -228,7 +248,7 @@
         split=option.split,
         missing_tokens=option.missing_tokens,
         expected_s=expected_s,
-        read_s=option.expected_s - (HAND_OVER_S if option.split else 0.0),
+        read_s=option.read_s,
         deferred=deferred,
     )
 
--- a/bilberrydeal/systems/placement/tests/test_placers.py
+++ b/bilberrydeal/systems/placement/tests/test_placers.py
@@ -201,3 +201,14 @@
     for _ in range(100):
         engine.learn(expected_s=0.02, took_s=0.02)
     assert engine.prefill_tokens_per_s < 20_000 * 1.01
+
+
+def test_nothing_is_in_time_while_every_slot_is_taken() -> None:
+    """Prompts had been read for engines that could not take them."""
+    fleet = _fleet()
+    for engine in fleet:
+        if engine.role is DECODE:
+            engine.own_requests = 100
+    chosen = _place(fleet)
+    assert isinstance(chosen, placement.Placement)
+    assert chosen.deferred
--- a/bilberrydeal/systems/placement/tests/test_role_plan.py
+++ b/bilberrydeal/systems/placement/tests/test_role_plan.py
@@ -82,3 +82,13 @@
     order = placement.plan_roles(_engines("pppd"), demand)
     assert order is not None
     assert order.patience_s == 0.0
+
+
+def test_engines_with_few_slots_need_more_that_make_tokens() -> None:
+    engines = _engines("p" * 13 + "d" * 5)
+    assert placement.plan_roles(engines, placement.RoleDemand()) is None
+    for engine in engines:
+        engine.slots = 16
+    order = placement.plan_roles(engines, placement.RoleDemand())
+    assert order is not None
+    assert order.role is DECODE
