--- a/bilberrydeal/gateway/_exchange.py
+++ b/bilberrydeal/gateway/_exchange.py
@@ -29,6 +29,8 @@
 CHANGE_TOKENS = 1_000
 
 Clock = collections.abc.Callable[[], float]
+#: Returns the addresses of the other gateways.
+Peers = collections.abc.Callable[[], tuple[tuple[str, int], ...]]
 
 
 @attrs.frozen
@@ -47,10 +49,13 @@
     """Sends own figures and takes those of others."""
 
     def __init__(
-        self, knowledge: _knowledge.Knowledge, gateway: str, clock: Clock
+        self,
+        knowledge: _knowledge.Knowledge,
+        gateway: str,
+        peers: Peers,
+        clock: Clock,
     ) -> None:
-        #: Addresses of the other gateways.
-        self.peers: tuple[tuple[str, int], ...] = ()
+        self._peers = peers
         self._knowledge = knowledge
         self._gateway = gateway
         self._clock = clock
@@ -91,7 +96,7 @@
     async def run(self) -> None:
         """Tell what changed, again and again."""
         while True:
-            pause_s = max(CHANGE_S, len(self.peers) / DATAGRAMS_PER_S)
+            pause_s = max(CHANGE_S, len(self._peers()) / DATAGRAMS_PER_S)
             self._loads.stale_s = max(
                 placement.STALE_S, pause_s * STALE_PAUSES
             )
@@ -143,7 +148,7 @@
         )
         if self._transport is None:
             return
-        for peer in self.peers:
+        for peer in self._peers():
             self._transport.sendto(data, peer)
 
 
--- a/bilberrydeal/http1/_server.py
+++ b/bilberrydeal/http1/_server.py
@@ -35,6 +35,10 @@
     header_timeout_s: float
     #: Longest time without a request, in seconds.
     idle_timeout_s: float
+    #: Connections that are open at once.
+    connections: int = 1_000
+    #: Bytes of all bodies that are being read or served.
+    all_body_bytes: int = 64_000_000
 
 
 Handler = collections.abc.Callable[
@@ -222,6 +226,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport of a new connection."""
         self._transport = typing.cast(asyncio.Transport, transport)
+        if len(self._server.connections) >= self._server.limits().connections:
+            self._gone = True
+            self._transport.abort()
+            return
         _sockets.watch_peer(self._transport)
         self._server.connections.add(self)
 
@@ -311,8 +319,11 @@
         self._parts.append(body)
         self._part_bytes += len(body)
         self._server.body_bytes += len(body)
-        if self._part_bytes > self._server.limits().body_bytes:
+        limits = self._server.limits()
+        if self._part_bytes > limits.body_bytes:
             raise _Refused(413)
+        if self._server.body_bytes > limits.all_body_bytes:
+            raise _Refused(503)
 
     def on_message_complete(self) -> None:
         """Take the whole request and serve it in its turn."""
--- a/bilberrydeal/http1/tests/test_server.py
+++ b/bilberrydeal/http1/tests/test_server.py
@@ -1,6 +1,7 @@
 """What a caller may send, and what it gets."""
 
 import asyncio
+import contextlib
 import re
 
 import pytest
@@ -160,3 +161,29 @@
         await harness.exchange(server.port, data[:-2])
         await server.wait_quiet(1.0)
         assert server.body_bytes == 0
+
+
+async def test_connections_and_bodies_are_bounded_together() -> None:
+    recorder = harness.Recorder()
+    limits = http1.ServerLimits(2_000, 1_000, 3.0, 30.0, 3, 1_500)
+    post = (
+        b"POST /slow HTTP/1.1\r\nhost: h\r\nconnection: close\r\n"
+        b"content-length: 900\r\n\r\n"
+    )
+    async with harness.serving(recorder.handle, limits) as server:
+        first = asyncio.create_task(
+            harness.exchange(server.port, post + b"x" * 900)
+        )
+        await recorder.begun.wait()
+        answer = await harness.exchange(server.port, post + b"x" * 900)
+        assert _status(answer) == [b"503"]
+        held = [
+            await asyncio.open_connection("127.0.0.1", server.port)
+            for _ in range(2)
+        ]
+        with contextlib.suppress(ConnectionError):
+            assert await harness.exchange(server.port, GET) == b""
+        for _reader, writer in held:
+            writer.close()
+        recorder.release.set()
+        assert b"200" in await first
--- a/bilberrydeal/periodic/__init__.py
+++ b/bilberrydeal/periodic/__init__.py
@@ -2,5 +2,6 @@
 
 from ._loops import every
 from ._loops import jittered
+from ._loops import Loop
 
-__all__ = ["every", "jittered"]
+__all__ = ["Loop", "every", "jittered"]
--- a/bilberrydeal/periodic/_loops.py
+++ b/bilberrydeal/periodic/_loops.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import random
+import typing
 
 from .. import errors
 from .. import telemetry
@@ -13,6 +14,8 @@
 JITTER_SHARE = 0.2
 
 Work = collections.abc.Callable[[], collections.abc.Awaitable[object]]
+#: What runs until it is cancelled.
+Loop = collections.abc.Coroutine[typing.Any, typing.Any, None]
 Pause = collections.abc.Callable[[], float]
 
 
--- a/bilberrydeal/settings/_gateway.py
+++ b/bilberrydeal/settings/_gateway.py
@@ -77,3 +77,9 @@
     #: Name of the placer.
     placer: _model.Name = "two_stage"
     log: _model.LogSettings = attrs.field(factory=_model.LogSettings)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of a socket address."""
+    host, _colon, port = address.rpartition(":")
+    return host, int(port)
