--- a/bilberrydeal/http1/_server.py
+++ b/bilberrydeal/http1/_server.py
@@ -5,16 +5,19 @@
 import collections.abc
 import contextlib
 import enum
+import functools
 import typing
 
 import attrs
 import httptools
 
+from .. import telemetry
 from . import _headers
 from . import _request
 from . import _responder
 from . import _sockets
 
+LOG = telemetry.logger("http")
 #: Requests of one connection that are read ahead of their turn.
 PIPELINE_LIMIT = 8
 #: Requests are read again once so few are left.
@@ -43,7 +46,7 @@
 
 Handler = collections.abc.Callable[
     [_request.Request, _responder.Responder],
-    collections.abc.Awaitable[None],
+    collections.abc.Coroutine[typing.Any, typing.Any, None],
 ]
 Clock = collections.abc.Callable[[], float]
 
@@ -363,20 +366,29 @@
 
     def _begin_next(self) -> None:
         pending = self._waiting.popleft()
+        responder = _responder.Responder(self, pending.keep)
         self._task = asyncio.get_running_loop().create_task(
-            self._serve(pending)
+            self._server.handler(pending.request, responder)
+        )
+        # A task that is cancelled before its first step runs none of its
+        # code, so what must be undone stands in a callback.
+        self._task.add_done_callback(
+            functools.partial(self._ended, pending, responder)
         )
 
-    async def _serve(self, pending: "_Pending") -> None:
-        responder = _responder.Responder(self, pending.keep)
-        try:
-            with contextlib.suppress(_responder.CallerGone):
-                await self._server.handler(pending.request, responder)
-        finally:
-            self._task = None
-            self._server.body_bytes -= len(pending.request.body)
-            self._after(responder)
-            self._server.note_ended()
+    def _ended(
+        self,
+        pending: "_Pending",
+        responder: _responder.Responder,
+        task: asyncio.Task[None],
+    ) -> None:
+        self._task = None
+        self._server.body_bytes -= len(pending.request.body)
+        error = None if task.cancelled() else task.exception()
+        if error is not None and not isinstance(error, _responder.CallerGone):
+            LOG.error("Request ended on a defect.", exc_info=error)
+        self._after(responder)
+        self._server.note_ended()
 
     def _after(self, responder: _responder.Responder) -> None:
         if self._gone:
--- a/bilberrydeal/http1/tests/test_server.py
+++ b/bilberrydeal/http1/tests/test_server.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ... import http1
+from .. import _server
 from . import harness
 
 GET = b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n"
@@ -187,3 +188,35 @@
             writer.close()
         recorder.release.set()
         assert b"200" in await first
+
+
+#: Turns of the loop in which a cancelled task ends and is noticed.
+LOOP_TURNS = 5
+
+
+class _Transport(asyncio.Transport):
+    """A connection whose peer is gone as soon as it has spoken."""
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Drop what is sent."""
+
+    def abort(self) -> None:
+        """Do nothing."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+async def test_a_caller_that_leaves_at_once_leaves_no_bytes_behind() -> None:
+    """A task cancelled before its first step had kept its body counted."""
+    recorder = harness.Recorder()
+    post = b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n\r\nabcde"
+    async with harness.serving(recorder.handle) as server:
+        connection = _server.Connection(server)
+        connection.connection_made(_Transport())
+        connection.data_received(post)
+        assert server.body_bytes == 5
+        connection.connection_lost(None)
+        for _ in range(LOOP_TURNS):
+            await asyncio.sleep(0)
+        assert server.body_bytes == 0
