--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -16,6 +16,10 @@
 #: A rejection that comes sooner says that the endpoint takes nothing now,
 #: in seconds; a later one that the request waited there in vain.
 AT_ONCE_S = 0.05
+#: Longest wait for the rest of an answer that nobody needs, in seconds.
+DROP_TIMEOUT_S = 0.05
+#: Largest such rest, in bytes.
+DROP_LIMIT_BYTES = 65_536
 
 Clock = collections.abc.Callable[[], float]
 
@@ -168,9 +172,3 @@
         with contextlib.suppress(http1.Broken, TimeoutError):
             async with asyncio.timeout(DROP_TIMEOUT_S):
                 await connection.body(DROP_LIMIT_BYTES)
-
-
-#: Longest wait for the rest of an answer that nobody needs, in seconds.
-DROP_TIMEOUT_S = 0.05
-#: Largest such rest, in bytes.
-DROP_LIMIT_BYTES = 65_536
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -23,6 +23,16 @@
 SILENT_FACTOR = 4.0
 #: Time that is added to it, in seconds.
 SILENT_SLACK_S = 0.5
+#: Ranks of requests that are not deferred; as many follow for the others.
+URGENT_RANKS = 5
+#: Engines that one request may find unreachable.
+TRIED_LIMIT = 4
+#: Largest answer to the reading of a prompt, in bytes.
+HANDLE_LIMIT_BYTES = 65_536
+#: Largest answer of an engine that failed, in bytes.
+FAILURE_LIMIT_BYTES = 1_048_576
+#: Stands for a prompt that the caller did not describe.
+_NO_PROMPT = placement.Prompt((placement.PromptPart(b"", 1),), 1)
 
 Clock = collections.abc.Callable[[], float]
 
@@ -380,14 +390,3 @@
     """Return the rank at the engine: what is deferred comes last."""
     rank = min(work.rank, URGENT_RANKS - 1)
     return rank + URGENT_RANKS if placed.deferred else rank
-
-
-_NO_PROMPT = placement.Prompt((placement.PromptPart(b"", 1),), 1)
-#: Ranks of requests that are not deferred; as many follow for the others.
-URGENT_RANKS = 5
-#: Engines that one request may find unreachable.
-TRIED_LIMIT = 4
-#: Largest answer to the reading of a prompt, in bytes.
-HANDLE_LIMIT_BYTES = 65_536
-#: Largest answer of an engine that failed, in bytes.
-FAILURE_LIMIT_BYTES = 1_048_576
--- a/bilberrydeal/gateway/_work.py
+++ b/bilberrydeal/gateway/_work.py
@@ -7,6 +7,9 @@
 from .. import http1
 from ..systems import placement
 
+#: When a caller returns whose request found no endpoint, in seconds.
+FAILED_RETRY_S = 0.1
+
 
 @attrs.frozen
 class Work:
@@ -106,7 +109,3 @@
         status=502,
         executed=errors.Executed.UNKNOWN,
     )
-
-
-#: When a caller returns whose request found no endpoint, in seconds.
-FAILED_RETRY_S = 0.1
