--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -105,7 +105,7 @@
         self, work: typing.Coroutine[typing.Any, typing.Any, None]
     ) -> None:
         task = asyncio.create_task(work)
-        task.add_done_callback(_log_defect)
+        task.add_done_callback(periodic.log_defect)
         self._tasks.append(task)
 
     async def _keep_row(self) -> None:
@@ -160,12 +160,6 @@
         LOG.info("Ended.")
 
 
-def _log_defect(task: asyncio.Task[None]) -> None:
-    """Log work that ended on a defect: it is missing from now on."""
-    if not task.cancelled() and task.exception() is not None:
-        LOG.error("Work ended on a defect.", exc_info=task.exception())
-
-
 def run(chosen: settings.EntrySettings) -> int:
     """Run an entry until a signal asks to stop; return the exit code."""
     import uvloop
--- a/bilberrydeal/gateway/_plain.py
+++ b/bilberrydeal/gateway/_plain.py
@@ -58,7 +58,7 @@
                 reason = f"rejected, {error}"
             except _sending.Lost as error:
                 _note_tried(journey, known)
-                self._count(work, journey)
+                self._begun.count_once(work, journey)
                 reason = f"lost, {error}"
                 if not work.route.idempotent:
                     break
@@ -112,16 +112,11 @@
             work, journey, known, fields, left_s
         ) as exchange:
             body = await exchange.connection.body(HELD_LIMIT_BYTES)
-        self._count(work, journey)
+        self._begun.count_once(work, journey)
         answered = exchange.verdict is platform.Verdict.ANSWER
         self._knowledge.observe(known, answered, self._clock())
         return _Answered(exchange.head, exchange.verdict, body)
 
-    def _count(self, work: _work.Work, journey: _work.Journey) -> None:
-        if not journey.counted:
-            journey.counted = True
-            self._begun.count(work.organisation_name)
-
 
 @attrs.frozen
 class _Answered:
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -58,7 +58,6 @@
         self._settings = chosen
         self._watch = _reloading.SettingsWatch(path, chosen, self._apply)
         self._stop = asyncio.Event()
-        self._leaving = False
         self._tasks: set[asyncio.Task[None]] = set()
         clock = time.monotonic
         self._clock = clock
@@ -200,7 +199,7 @@
     ) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(_log_defect)
+        task.add_done_callback(periodic.log_defect)
 
     async def _sweep(self) -> None:
         now_s = self._clock()
@@ -231,7 +230,7 @@
     ) -> None:
         ready = (
             request.path == platform.READY_PATH
-            and not self._leaving
+            and not self._callers.leaving
             and self._knowledge.configuration is not None
             and self._knowledge.endpoints_read
         )
@@ -259,7 +258,6 @@
 
     async def _leave(self) -> None:
         """Send callers elsewhere and wait for what runs."""
-        self._leaving = True
         times = _leaving.leaving_times(self._settings.bounds.grace_s)
         await _leaving.leave(self._callers, times)
         await self._duties.leave()
@@ -275,12 +273,6 @@
     )
 
 
-def _log_defect(task: asyncio.Task[None]) -> None:
-    """Log work that ended on a defect: it is missing from now on."""
-    if not task.cancelled() and task.exception() is not None:
-        LOG.error("Work ended on a defect.", exc_info=task.exception())
-
-
 def run(chosen: settings.GatewaySettings, path: pathlib.Path) -> int:
     """Run a gateway until a signal asks to stop; return the exit code."""
     import uvloop
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 
 import attrs
 
@@ -163,18 +164,12 @@
     ) -> _Source:
         """Have a prompt read; return where it lies."""
         work = stream.work
-        load = known.load
-        assert load is not None
-        stream.journey.tried.append(known.endpoint.endpoint_id)
-        load.cache.use(work.prompt or _NO_PROMPT)
-        load.own_requests += 1
-        reading = _Reading(load, placed.missing_tokens, placed.deferred)
         fields = attrs.evolve(
             self._fields(stream, known, placed), prefill=True
         )
         began_s = self._clock()
         silent_s = placed.expected_s * SILENT_FACTOR + SILENT_SLACK_S
-        try:
+        with _under_way(stream, known, placed):
             async with self._sender.exchange(
                 work,
                 stream.journey,
@@ -184,14 +179,11 @@
                 placed,
             ) as exchange:
                 body = await exchange.connection.body(HANDLE_LIMIT_BYTES)
-        finally:
-            reading.done()
-            load.own_requests -= 1
         handle = self._engines.handle(body)
         if handle is None:
             raise _sending.Lost("no handle in the answer")
-        if not placed.deferred:
-            load.learn(placed.read_s, self._clock() - began_s)
+        if not placed.deferred and known.load is not None:
+            known.load.learn(placed.read_s, self._clock() - began_s)
         self._knowledge.observe(known, True, self._clock())
         return _Source(known, handle)
 
@@ -237,18 +229,12 @@
     ) -> None:
         """Pass on the events that an engine makes."""
         work = stream.work
-        load = known.load
-        assert load is not None
-        stream.journey.tried.append(known.endpoint.endpoint_id)
-        load.cache.use(work.prompt or _NO_PROMPT)
-        load.own_requests += 1
         fields = attrs.evolve(
             self._fields(stream, known, placed),
             kv_source=source.text if source else "",
             last_event=stream.cutter.last_id,
         )
-        reading = _Reading(load, placed.missing_tokens, placed.deferred)
-        try:
+        with _under_way(stream, known, placed) as reading:
             async with self._sender.exchange(
                 work,
                 stream.journey,
@@ -261,9 +247,6 @@
                     await self._pass_failure(stream, known, exchange)
                     return
                 await self._pass_events(stream, known, exchange, reading)
-        finally:
-            reading.done()
-            load.own_requests -= 1
 
     async def _pass_events(
         self,
@@ -285,7 +268,7 @@
             if not data:
                 break
             reading.done()
-            self._count(stream)
+            self._begun.count_once(stream.work, stream.journey)
             if whole := cutter.feed(data):
                 await responder.write_chunk(whole)
         if cutter.incomplete:
@@ -363,11 +346,6 @@
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
-    def _count(self, stream: _Stream) -> None:
-        if not stream.journey.counted:
-            stream.journey.counted = True
-            self._begun.count(stream.work.organisation_name)
-
 
 class _Reading:
     """Prompt tokens that an engine still has to read."""
@@ -386,6 +364,24 @@
         self._tokens = 0.0
 
 
+@contextlib.contextmanager
+def _under_way(
+    stream: _Stream, known: _knowledge.Known, placed: placement.Placement
+) -> collections.abc.Iterator[_Reading]:
+    """Count a request at an engine for as long as it is there."""
+    load = known.load
+    assert load is not None
+    stream.journey.tried.append(known.endpoint.endpoint_id)
+    load.cache.use(stream.work.prompt or _NO_PROMPT)
+    load.own_requests += 1
+    reading = _Reading(load, placed.missing_tokens, placed.deferred)
+    try:
+        yield reading
+    finally:
+        reading.done()
+        load.own_requests -= 1
+
+
 def _rank(work: _work.Work, placed: placement.Placement) -> int:
     """Return the rank at the engine: what is deferred comes last."""
     rank = min(work.rank, URGENT_RANKS - 1)
--- a/bilberrydeal/gateway/_usage.py
+++ b/bilberrydeal/gateway/_usage.py
@@ -6,6 +6,7 @@
 from .. import ports
 from .. import store
 from . import _clock
+from . import _work
 
 #: Table in which each gateway keeps its own row.
 GATEWAYS = "gateways"
@@ -75,6 +76,12 @@
         counts[organisation] = counts.get(organisation, 0) + 1
         self.changed = True
 
+    def count_once(self, work: _work.Work, journey: _work.Journey) -> None:
+        """Count a request that began, however often it is sent."""
+        if not journey.counted:
+            journey.counted = True
+            self.count(work.organisation_name)
+
     def windows(self) -> dict[str, dict[str, int]]:
         """Return the counts of the last windows."""
         self.changed = False
--- a/bilberrydeal/periodic/_loops.py
+++ b/bilberrydeal/periodic/_loops.py
@@ -38,6 +38,12 @@
         await asyncio.sleep(pause_s())
 
 
+def log_defect(task: asyncio.Task[None]) -> None:
+    """Log work that ended on a defect: it is missing from now on."""
+    if not task.cancelled() and task.exception() is not None:
+        LOG.error("Work ended on a defect.", exc_info=task.exception())
+
+
 def jittered(period_s: float, rng: random.Random) -> Pause:
     """Return pauses around a period."""
     return lambda: period_s * rng.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
--- a/bilberrydeal/platform/_duties.py
+++ b/bilberrydeal/platform/_duties.py
@@ -23,9 +23,7 @@
 
     def move(self, host: str, port: int) -> None:
         """Call another address from now on."""
-        if (host, port) != (self._pool.host, self._pool.port):
-            self._pool.close()
-            self._pool = _exchange.pool(host, port, CONNECTIONS_LIMIT)
+        self._pool = _exchange.moved(self._pool, host, port)
 
     async def report(
         self,
--- a/bilberrydeal/platform/_exchange.py
+++ b/bilberrydeal/platform/_exchange.py
@@ -38,6 +38,14 @@
     return made
 
 
+def moved(before: http1.Pool, host: str, port: int) -> http1.Pool:
+    """Return a pool like one before, for an address that may have changed."""
+    if (host, port) == (before.host, before.port):
+        return before
+    before.close()
+    return pool(host, port, before.limit)
+
+
 async def call(
     pool: http1.Pool,
     method: bytes,
--- a/bilberrydeal/platform/_store.py
+++ b/bilberrydeal/platform/_store.py
@@ -92,9 +92,7 @@
 
     def move(self, host: str, port: int) -> None:
         """Call another address from now on."""
-        if (host, port) != (self._pool.host, self._pool.port):
-            self._pool.close()
-            self._pool = _exchange.pool(host, port, CONNECTIONS_LIMIT)
+        self._pool = _exchange.moved(self._pool, host, port)
 
     async def read(
         self, keys: tuple[ports.RowKey, ...], timeout_s: float
--- a/bilberrydeal/platform/tests/test_records.py
+++ b/bilberrydeal/platform/tests/test_records.py
@@ -64,7 +64,7 @@
 FUZZ = hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
 
 
-def _decode(changes: object = None, **fields: object) -> object:
+def _decode(**fields: object) -> object:
     found = {**CONFIG, **fields}
     return platform.decode_configuration(msgspec.json.encode(found))
 
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -31,6 +31,9 @@
 READING_WEIGHT = 1.0
 #: Weight of another failure domain, in seconds.
 DOMAIN_WEIGHT_S = 0.002
+#: Weight of slots that are all taken beside the wait for reading, in
+#: seconds.
+SLOTS_WEIGHT_S = 0.02
 #: Share of the target within which a first token must be expected.
 TARGET_SHARE = 0.85
 #: Share of the time left within which a deferred request must be expected:
@@ -124,7 +127,7 @@
             waits_s = waiting / _speed(engine)
             share = engine.requests / engine.slots
             apart = engine.failure_domain != domain
-            return waits_s + share * 0.02 + apart * DOMAIN_WEIGHT_S
+            return waits_s + share * SLOTS_WEIGHT_S + apart * DOMAIN_WEIGHT_S
 
         return min(able, key=cost).engine_id
 
