--- a/bilberrydeal/gateway/_duties.py
+++ b/bilberrydeal/gateway/_duties.py
@@ -10,16 +10,19 @@
 from .. import store
 from .. import telemetry
 from . import _clock
+from . import _datagrams
 from . import _knowledge
 from . import _reporting
 from . import _roles
+from . import _told
 from . import _usage
 
 LOG = telemetry.logger("duties")
 #: Time between two writes of the own row.
-ROW_S = 0.4
-#: Rows that all gateways together write a second at most.
-ROWS_PER_S = 80.0
+ROW_S = 1.0
+#: Rows that all gateways together write a second at most: each call to the
+#: store has its price, and counts reach the holder of the lease by datagram.
+ROWS_PER_S = 12.0
 #: Time between two readings of all gateways' rows.
 MEMBERS_S = 4.0
 #: Time between two steps of the lease, held or not.
@@ -53,6 +56,7 @@
         chosen: settings.GatewaySettings,
         table: platform.PlatformStore,
         knowledge: _knowledge.Knowledge,
+        datagrams: _datagrams.Datagrams,
         rng: random.Random,
     ) -> None:
         #: Names this run of the gateway.
@@ -64,7 +68,7 @@
             *settings.split_address(chosen.platform.usage)
         )
         self._knowledge = knowledge
-        self._candidate = True
+        self._members = _usage.Members(others={}, place=0)
         bounds = chosen.bounds
         client = _client(table, STORE_TIMEOUT_S)
         true = _clock.TrueClock(lambda: table.clock)
@@ -83,10 +87,20 @@
             self.incarnation,
             _lease_bounds(bounds.lease_ms / 1000),
         )
+        told = _told.ToldCounts()
+        self._teller = _told.CountTeller(
+            datagrams,
+            self.incarnation,
+            self.begun,
+            told,
+            self._settlers,
+            true,
+        )
         self._reporter = _reporting.Reporter(
             client,
             self._lease,
             self._rows,
+            told,
             self.usage,
             true,
             chosen.host_id,
@@ -97,7 +111,7 @@
             client, knowledge, self._lease, chosen.host_id
         )
         #: Addresses of the other gateways, for load figures.
-        self.peers: tuple[tuple[str, int], ...] = ()
+        self.peers: tuple[_datagrams.Address, ...] = ()
 
     @property
     def lease_held(self) -> bool:
@@ -108,7 +122,8 @@
         """Return the work to be done until the process ends."""
         return [
             periodic.every("row", self._row_pause_s, self._rows.write),
-            periodic.every("members", lambda: MEMBERS_S, self._members),
+            periodic.every("tell", lambda: _told.TELL_S, self._teller.round),
+            periodic.every("members", lambda: MEMBERS_S, self._read_members),
             periodic.every("lease", self._lease_pause_s, self._tick),
             periodic.every("roles", lambda: ROLES_S, self._roles.round),
             periodic.every("reports", lambda: REPORT_S, self._reporter.round),
@@ -121,11 +136,20 @@
         except errors.BilberrydealError as error:
             LOG.warning("Last counts not written.", reason=str(error))
 
-    async def _members(self) -> None:
-        members = self._rows.members(await self._rows.read())
-        self._knowledge.set_members(members.count)
-        self._candidate = members.place < LEASE_CANDIDATES
-        self.peers = tuple(map(settings.split_address, members.peers))
+    async def _read_members(self) -> None:
+        rows = await self._rows.read()
+        self._members = self._rows.members(rows, self._row_pause_s())
+        self._knowledge.set_members(self._members.count)
+        self.peers = tuple(
+            map(settings.split_address, self._members.others.values())
+        )
+
+    def _settlers(self) -> tuple[_datagrams.Address, ...]:
+        """Return the gateways that hold the lease, or may soon."""
+        others = self._members.others
+        names = set(list(others)[:LEASE_CANDIDATES])
+        names |= others.keys() & {self._lease.holder_seen}
+        return tuple(settings.split_address(others[name]) for name in names)
 
     def _row_pause_s(self) -> float:
         return max(ROW_S, self._knowledge.members / ROWS_PER_S)
@@ -133,7 +157,8 @@
     def _lease_pause_s(self) -> float:
         if self.lease_held:
             return LEASE_HELD_S
-        return LEASE_WATCH_S if self._candidate else LEASE_REST_S
+        candidate = self._members.place < LEASE_CANDIDATES
+        return LEASE_WATCH_S if candidate else LEASE_REST_S
 
     async def _tick(self) -> None:
         held = self.lease_held
--- a/bilberrydeal/gateway/_exchange.py
+++ b/bilberrydeal/gateway/_exchange.py
@@ -1,21 +1,12 @@
-"""Tells other gateways by datagram what is under way at each engine.
-
-Figures are hints: a lost datagram is made good by the next, and nothing is
-agreed on here.
-"""
+"""Tells other gateways by datagram what is under way at each engine."""
 
 import asyncio
 import collections.abc
-import typing
-
-import attrs
-import msgspec
 
-from .. import telemetry
 from ..systems import placement
+from . import _datagrams
 from . import _knowledge
 
-LOG = telemetry.logger("exchange")
 #: Shortest time between two datagrams to a gateway.
 CHANGE_S = 0.03
 #: Datagrams that a gateway sends a second at most, to all others together:
@@ -30,31 +21,21 @@
 
 Clock = collections.abc.Callable[[], float]
 #: Returns the addresses of the other gateways.
-Peers = collections.abc.Callable[[], tuple[tuple[str, int], ...]]
-
-
-@attrs.frozen
-class Figures:
-    """One datagram."""
-
-    #: Incarnation of the gateway that tells.
-    gateway: str
-    #: Grows with each datagram of an incarnation.
-    sequence: int
-    #: What it has under way.
-    shares: tuple[placement.EngineShare, ...]
+Peers = collections.abc.Callable[[], tuple[_datagrams.Address, ...]]
 
 
-class Exchange(asyncio.DatagramProtocol):
+class LoadExchange:
     """Sends own figures and takes those of others."""
 
     def __init__(
         self,
+        datagrams: _datagrams.Datagrams,
         knowledge: _knowledge.Knowledge,
         gateway: str,
         peers: Peers,
         clock: Clock,
     ) -> None:
+        self._datagrams = datagrams
         self._peers = peers
         self._knowledge = knowledge
         self._gateway = gateway
@@ -63,33 +44,16 @@
         self._sequence = 0
         self._sent: tuple[placement.EngineShare, ...] = ()
         self._sent_s = float("-inf")
-        self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Figures)
-        self._transport: asyncio.DatagramTransport | None = None
+        datagrams.hand_to(self._take)
 
-    async def listen(self, host: str, port: int) -> None:
-        """Take datagrams."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(host, port)
-        )
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Take the socket."""
-        self._transport = typing.cast(asyncio.DatagramTransport, transport)
-
-    def datagram_received(
-        self, data: bytes, addr: tuple[str | typing.Any, int]
-    ) -> None:
+    def _take(self, datagram: _datagrams.Datagram) -> None:
         """Take figures of another gateway."""
-        try:
-            figures = self._decoder.decode(data)
-        except msgspec.DecodeError as error:
-            LOG.warning("Datagram unreadable.", sender=addr[0], error=error)
+        load = datagram.load
+        if load is None:
             return
         now_s = self._clock()
         if self._loads.take(
-            figures.gateway, figures.sequence, figures.shares, now_s
+            datagram.gateway, load.sequence, load.shares, now_s
         ):
             self._apply(now_s)
 
@@ -143,13 +107,10 @@
         self._sequence += 1
         self._sent = shares
         self._sent_s = now_s
-        data = self._encoder.encode(
-            Figures(self._gateway, self._sequence, shares)
+        load = _datagrams.LoadFigures(self._sequence, shares)
+        self._datagrams.send(
+            _datagrams.Datagram(self._gateway, load=load), self._peers()
         )
-        if self._transport is None:
-            return
-        for peer in self._peers():
-            self._transport.sendto(data, peer)
 
 
 def _tokens(share: placement.EngineShare | None) -> int:
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -17,6 +17,7 @@
 from ..systems import health
 from ..systems import placement
 from ..systems import retries
+from . import _datagrams
 from . import _duties
 from . import _exchange
 from . import _following
@@ -69,11 +70,13 @@
         self._knowledge = _knowledge.Knowledge(
             health.HEALTH.get("outlier")(rng.getrandbits(32))
         )
+        self._datagrams = _datagrams.Datagrams()
         self._duties = _duties.Duties(
-            chosen, self._store, self._knowledge, rng
+            chosen, self._store, self._knowledge, self._datagrams, rng
         )
         self._budget = retries.WindowBudget(_budget_bounds(chosen))
-        self._exchange = _exchange.Exchange(
+        self._exchange = _exchange.LoadExchange(
+            self._datagrams,
             self._knowledge,
             self._duties.incarnation,
             lambda: self._duties.peers,
@@ -137,7 +140,7 @@
         await self._metrics_server.listen(
             *settings.split_address(listen.metrics)
         )
-        await self._exchange.listen(*settings.split_address(listen.peers))
+        await self._datagrams.listen(*settings.split_address(listen.peers))
         self._start_tasks()
         LOG.info(
             "Started.",
--- a/bilberrydeal/gateway/_reporting.py
+++ b/bilberrydeal/gateway/_reporting.py
@@ -10,6 +10,7 @@
 from .. import store
 from .. import telemetry
 from . import _clock
+from . import _told
 from . import _usage
 
 LOG = telemetry.logger("reporting")
@@ -65,6 +66,7 @@
         client: store.StoreClient,
         lease: leases.Lease,
         rows: _usage.UsageRows,
+        told: _told.ToldCounts,
         usage: UsageInterface,
         clock: _clock.TrueClock,
         host_id: str,
@@ -75,6 +77,7 @@
         self._client = client
         self._lease = lease
         self._rows = rows
+        self._told = told
         self._usage = usage
         self._clock = clock
         self._host_id = host_id
@@ -106,9 +109,13 @@
 
     async def _settle(self, last: int) -> None:
         """Settle the windows up to ``last`` whose counts are complete."""
-        rows = await self._rows.read()
-        for window in _counted(rows, last):
-            if window in self._settled or not self._complete(rows, window):
+        written = await self._rows.read()
+        counted = _counted(written) | self._told.windows()
+        for window in sorted(counted - self._settled.keys()):
+            if window > last:
+                continue
+            rows = self._told.added_to(written, window)
+            if not self._complete(rows, window):
                 continue
             counts = _sum(rows, window)
             await self._write(window, WindowRow(counts, False), 0)
@@ -181,10 +188,9 @@
     return list(newest.values())
 
 
-def _counted(rows: dict[str, _usage.GatewayRow], last: int) -> list[int]:
-    """Return the windows up to ``last`` that have counts."""
-    windows = {int(window) for row in rows.values() for window in row.windows}
-    return sorted(window for window in windows if window <= last)
+def _counted(rows: dict[str, _usage.GatewayRow]) -> set[int]:
+    """Return the windows that have counts."""
+    return {int(window) for row in rows.values() for window in row.windows}
 
 
 def _sum(rows: dict[str, _usage.GatewayRow], window: int) -> dict[str, int]:
--- /dev/null
+++ b/bilberrydeal/gateway/_told.py
@@ -0,0 +1,124 @@
+"""Tells usage counts by datagram to the gateways that may settle them.
+
+The row in the store is written seldom; what was counted since then reaches
+the holder of the lease by datagram, also from a gateway that is cut off from
+the store or is killed before it writes its row again.
+"""
+
+import collections.abc
+
+import attrs
+
+from . import _clock
+from . import _datagrams
+from . import _usage
+
+#: Time between two datagrams of a window's counts, in seconds.
+TELL_S = 0.4
+#: The counts of a window are told for so long after its end, in seconds.
+TOLD_AFTER_END_S = 1.5
+#: Windows that are kept of each gateway.
+WINDOWS_KEPT = 4
+
+#: Returns the addresses of the gateways that may settle windows.
+Settlers = collections.abc.Callable[[], tuple[_datagrams.Address, ...]]
+
+
+class ToldCounts:
+    """Keeps the counts that gateways told.
+
+    Counts of a window only grow, so that the larger one is the newer one,
+    whichever way it came.
+    """
+
+    def __init__(self) -> None:
+        self._told: dict[str, dict[int, _datagrams.WindowCounts]] = {}
+
+    def take(self, datagram: _datagrams.Datagram) -> None:
+        """Take what a gateway told."""
+        counts = datagram.counts
+        if counts is None:
+            return
+        windows = self._told.setdefault(datagram.gateway, {})
+        before = windows.get(counts.window)
+        if before is None or before.told_s < counts.told_s:
+            windows[counts.window] = counts
+        for old in sorted(windows)[:-WINDOWS_KEPT]:
+            del windows[old]
+
+    def windows(self) -> set[int]:
+        """Return the windows of which any gateway told."""
+        return {window for told in self._told.values() for window in told}
+
+    def added_to(
+        self, rows: dict[str, _usage.GatewayRow], window: int
+    ) -> dict[str, _usage.GatewayRow]:
+        """Return the rows of gateways with what they told of one window."""
+        return {
+            gateway: _with_told(
+                row, window, self._told.get(gateway, {}).get(window)
+            )
+            for gateway, row in rows.items()
+        }
+
+
+class CountTeller:
+    """Tells the own counts."""
+
+    def __init__(
+        self,
+        datagrams: _datagrams.Datagrams,
+        gateway: str,
+        counter: _usage.BegunCounter,
+        told: ToldCounts,
+        settlers: Settlers,
+        clock: _clock.TrueClock,
+    ) -> None:
+        self._datagrams = datagrams
+        self._gateway = gateway
+        self._counter = counter
+        self._told = told
+        self._settlers = settlers
+        self._clock = clock
+        datagrams.hand_to(told.take)
+
+    async def round(self) -> None:
+        """Tell the counts of the present window, and of one just over."""
+        store_s = self._clock.store_s()
+        if store_s is None:
+            return
+        present = self._counter.window()
+        over = self._counter.window(TOLD_AFTER_END_S)
+        for window in range(over, present + 1):
+            self._tell(window, store_s)
+
+    def _tell(self, window: int, store_s: float) -> None:
+        counts = _datagrams.WindowCounts(
+            window, self._counter.counts(window), store_s
+        )
+        datagram = _datagrams.Datagram(self._gateway, counts=counts)
+        self._told.take(datagram)
+        self._datagrams.send(datagram, self._settlers())
+
+
+def _with_told(
+    row: _usage.GatewayRow,
+    window: int,
+    told: _datagrams.WindowCounts | None,
+) -> _usage.GatewayRow:
+    if told is None:
+        return row
+    counts = _larger(row.windows.get(str(window), {}), told.counts)
+    return attrs.evolve(
+        row,
+        windows={**row.windows, str(window): counts},
+        written_s=max(row.written_s, told.told_s),
+    )
+
+
+def _larger(one: dict[str, int], other: dict[str, int]) -> dict[str, int]:
+    """Return the larger count of each organisation."""
+    return {
+        name: max(one.get(name, 0), other.get(name, 0))
+        for name in one.keys() | other.keys()
+    }
--- a/bilberrydeal/gateway/_usage.py
+++ b/bilberrydeal/gateway/_usage.py
@@ -12,10 +12,11 @@
 GATEWAYS = "gateways"
 #: Windows that a gateway's row holds.
 WINDOWS_KEPT = 8
-#: A gateway whose row is older is not alive, in seconds.
+#: A gateway whose row is older than the newest by this is not alive, in
+#: seconds.
 ALIVE_S = 5.0
-#: A row is written so often even without new counts, in seconds.
-HEARTBEAT_S = 2.0
+#: Writes of a row that may fail in a row before its gateway is not alive.
+ALIVE_WRITES = 2.5
 
 
 def incarnation_of(host_id: str, nonce: int) -> str:
@@ -46,13 +47,17 @@
 class Members:
     """Gateways that are alive, as last read."""
 
-    #: Datagram addresses of the others.
-    peers: tuple[str, ...]
-    #: How many there are, this one among them.
-    count: int
-    #: Place of this one in their order, which all agree on.
+    #: Datagram addresses of the others by incarnation, in the order that all
+    #: agree on.
+    others: dict[str, str]
+    #: Place of this one in that order.
     place: int
 
+    @property
+    def count(self) -> int:
+        """Return how many there are, this one among them."""
+        return len(self.others) + 1
+
 
 class BegunCounter:
     """Counts requests by the window in which they began."""
@@ -61,12 +66,10 @@
         self._clock = clock
         self._window_s = window_s
         self._windows: dict[int, dict[str, int]] = {}
-        #: Whether anything was counted since the last :meth:`row`.
-        self.changed = False
 
-    def window(self) -> int:
-        """Return the number of the present window."""
-        return int(self._clock.now_s() // self._window_s)
+    def window(self, before_s: float = 0.0) -> int:
+        """Return the number of the window at some time before now."""
+        return int((self._clock.now_s() - before_s) // self._window_s)
 
     def count(self, organisation: str | None) -> None:
         """Count a request that began now."""
@@ -74,7 +77,6 @@
             return
         counts = self._windows.setdefault(self.window(), {})
         counts[organisation] = counts.get(organisation, 0) + 1
-        self.changed = True
 
     def count_once(self, work: _work.Work, journey: _work.Journey) -> None:
         """Count a request that began, however often it is sent."""
@@ -82,9 +84,12 @@
             journey.counted = True
             self.count(work.organisation_name)
 
+    def counts(self, window: int) -> dict[str, int]:
+        """Return the counts of one window."""
+        return dict(self._windows.get(window, {}))
+
     def windows(self) -> dict[str, dict[str, int]]:
         """Return the counts of the last windows."""
-        self.changed = False
         for old in sorted(self._windows)[:-WINDOWS_KEPT]:
             del self._windows[old]
         return {
@@ -109,15 +114,10 @@
         self._peer_address = peer_address
         self._counter = counter
         self._clock = clock
-        self._written_s = float("-inf")
         self._version = 0
 
     async def write(self, final: bool = False) -> None:
-        """Write the own row where there is something to tell."""
-        now_s = self._client.now_s()
-        due = now_s - self._written_s >= HEARTBEAT_S
-        if not (self._counter.changed or due or final):
-            return
+        """Write the own row."""
         store_s = self._clock.store_s()
         offset_s = self._clock.own_offset_s()
         if store_s is None or offset_s is None:
@@ -128,12 +128,7 @@
             peer_address="" if final else self._peer_address,
             windows=self._counter.windows(),
         )
-        try:
-            await self._put(store.encode(row))
-        except errors.BilberrydealError:
-            self._counter.changed = True
-            raise
-        self._written_s = now_s
+        await self._put(store.encode(row))
 
     async def _put(self, value: bytes) -> None:
         """Write the row over the version that was last seen.
@@ -161,18 +156,22 @@
         self._clock.take_offsets([row.offset_s for row in found.values()])
         return found
 
-    def members(self, rows: dict[str, GatewayRow]) -> Members:
-        """Return who is alive."""
-        store_s = self._clock.store_s() or 0.0
+    def members(
+        self, rows: dict[str, GatewayRow], row_pause_s: float
+    ) -> Members:
+        """Return who is alive, where a row is written after each pause.
+
+        Ages count from the newest row: none is written while the store is
+        away.
+        """
+        newest_s = max((row.written_s for row in rows.values()), default=0.0)
+        alive_s = max(ALIVE_S, row_pause_s * ALIVE_WRITES)
         others = {
             incarnation: row.peer_address
-            for incarnation, row in rows.items()
+            for incarnation, row in sorted(rows.items())
             if incarnation != self._incarnation
             and row.peer_address
-            and store_s - row.written_s < ALIVE_S
+            and newest_s - row.written_s < alive_s
         }
-        return Members(
-            peers=tuple(others.values()),
-            count=len(others) + 1,
-            place=sum(name < self._incarnation for name in others),
-        )
+        place = sum(name < self._incarnation for name in others)
+        return Members(others=others, place=place)
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -269,13 +269,13 @@
     """Counts begun requests without windows."""
 
     def __init__(self) -> None:
-        self.counts: dict[str, int] = {}
+        self.by_name: dict[str, int] = {}
 
     def count(self, organisation: str | None) -> None:
         """Count a request."""
         if organisation is not None:
-            before = self.counts.get(organisation, 0)
-            self.counts[organisation] = before + 1
+            before = self.by_name.get(organisation, 0)
+            self.by_name[organisation] = before + 1
 
 
 def route(
--- a/bilberrydeal/gateway/tests/test_plain.py
+++ b/bilberrydeal/gateway/tests/test_plain.py
@@ -204,4 +204,4 @@
     ) as running:
         await running.ask("/read/1")
         await running.ask("/once/1")
-    assert running.begun.counts == {"o1": 2}
+    assert running.begun.by_name == {"o1": 2}
--- a/bilberrydeal/gateway/tests/test_stream.py
+++ b/bilberrydeal/gateway/tests/test_stream.py
@@ -69,7 +69,7 @@
     source = b"127.0.0.1:%d/hr1" % reader.port
     assert made.field("kv-source") == source
     assert made.field("expect-instance") == b"d1"
-    assert running.begun.counts == {"o1": 1}
+    assert running.begun.by_name == {"o1": 1}
 
 
 async def test_a_short_prompt_goes_to_where_its_tokens_are_made() -> None:
@@ -98,7 +98,7 @@
     assert reply.body == EVENTS
     assert reply.field("server-signature") == b"s.d1"
     assert good.calls[0].field("last-event-id") == b"2"
-    assert running.begun.counts == {"o1": 1}
+    assert running.begun.by_name == {"o1": 1}
 
 
 async def test_a_stalled_stream_goes_on_once_its_run_is_over() -> None:
--- a/bilberrydeal/gateway/tests/test_usage.py
+++ b/bilberrydeal/gateway/tests/test_usage.py
@@ -8,7 +8,9 @@
 from ... import ports
 from ... import store
 from .. import _clock
+from .. import _datagrams
 from .. import _reporting
+from .. import _told
 from .. import _usage
 from . import memory
 
@@ -65,6 +67,7 @@
 
     def __init__(self, world: World, name: str, ahead_s: float = 0.0) -> None:
         self.world = world
+        self.name = name
         self.client = world.client()
         self.true = _clock.TrueClock(
             world.reading,
@@ -82,10 +85,12 @@
             leases.LeaseBounds(ttl_s=4.5, margin_s=0.5, call_longest_s=1.0),
         )
         self.usage = Usage()
+        self.told = _told.ToldCounts()
         self.reporter = _reporting.Reporter(
             self.client,
             self.lease,
             self.rows,
+            self.told,
             self.usage,
             self.true,
             name,
@@ -95,6 +100,16 @@
 
 
 FIRST = int(BEGIN_S // WINDOW_S)
+#: Time between two writes of a row.
+ROW_S = 1.0
+
+
+def tell(one: Gateway, other: Gateway, window: int) -> None:
+    """Hand the counts of a window over by datagram."""
+    counts = _datagrams.WindowCounts(
+        window, one.begun.counts(window), one.true.store_s() or 0.0
+    )
+    other.told.take(_datagrams.Datagram(one.name, counts=counts))
 
 
 async def _pass(world: World, seconds: float, *gateways: Gateway) -> None:
@@ -208,12 +223,12 @@
     for gateway in (one, two, three):
         await gateway.rows.write()
     await three.rows.write(final=True)
-    members = one.rows.members(await one.rows.read())
+    members = one.rows.members(await one.rows.read(), ROW_S)
     assert members.count == 2
-    assert members.peers == ("g1:1",)
+    assert members.others == {"g1": "g1:1"}
     world.now_s += 6.0
     await one.rows.write()
-    assert one.rows.members(await one.rows.read()).count == 1
+    assert one.rows.members(await one.rows.read(), ROW_S).count == 1
 
 
 async def test_an_earlier_process_of_a_host_is_not_waited_for() -> None:
@@ -225,3 +240,63 @@
     await _pass(world, WINDOW_S + 1.5, one, again)
     reports = one.usage.taken + again.usage.taken
     assert reports[0][:2] == (FIRST, {"russo": 1})
+
+
+async def test_members_stay_while_the_store_is_away() -> None:
+    """Nobody could write: each had taken itself for the only one."""
+    world = World()
+    one, two = Gateway(world, "g1"), Gateway(world, "g2")
+    for gateway in (one, two):
+        await gateway.rows.write()
+    world.now_s += 20.0
+    assert one.rows.members(await one.rows.read(), ROW_S).count == 2
+
+
+async def test_counts_told_before_a_kill_are_reported() -> None:
+    world = World()
+    one, killed = Gateway(world, "g1"), Gateway(world, "g2")
+    await _pass(world, 1.0, one, killed)
+    killed.begun.count("russo")
+    tell(killed, one, FIRST)
+    one.begun.count("russo")
+    await _pass(world, WINDOW_S + DUE_S, one)
+    assert one.usage.taken[0][:2] == (FIRST, {"russo": 2})
+
+
+async def test_counts_told_after_the_end_are_complete() -> None:
+    """A gateway that only the store does not hear is not waited for."""
+    world = World()
+    one, cut = Gateway(world, "g1"), Gateway(world, "g2")
+    await _pass(world, 1.0, one, cut)
+    cut.begun.count("russo")
+    await _pass(world, WINDOW_S - 0.5, one)
+    tell(cut, one, FIRST)
+    await _pass(world, 1.0, one)
+    assert one.usage.taken[0][:2] == (FIRST, {"russo": 1})
+
+
+async def test_counts_told_before_the_end_are_waited_for() -> None:
+    world = World()
+    one, cut = Gateway(world, "g1"), Gateway(world, "g2")
+    await _pass(world, 1.0, one, cut)
+    tell(cut, one, FIRST)
+    await _pass(world, WINDOW_S, one)
+    tell(cut, one, FIRST + 1)
+    await _pass(world, 0.5, one)
+    assert one.usage.taken == []
+
+
+async def test_an_older_datagram_takes_nothing_back() -> None:
+    world = World()
+    one, two = Gateway(world, "g1"), Gateway(world, "g2")
+    for gateway in (one, two):
+        await gateway.rows.write()
+    two.begun.count("russo")
+    first = two.begun.counts(FIRST)
+    world.now_s += 0.5
+    two.begun.count("russo")
+    tell(two, one, FIRST)
+    late = _datagrams.WindowCounts(FIRST, first, 7.0)
+    one.told.take(_datagrams.Datagram("g2", counts=late))
+    rows = one.told.added_to(await one.rows.read(), FIRST)
+    assert rows["g2"].windows[str(FIRST)] == {"russo": 2}
