--- a/bilberrydeal/gateway/_datagrams.py
+++ b/bilberrydeal/gateway/_datagrams.py
@@ -16,6 +16,9 @@
 
 LOG = telemetry.logger("datagrams")
 
+#: Bytes of the headers of a packet.
+PACKET_BYTES = 42
+
 #: Where a gateway takes datagrams.
 Address = tuple[str, int]
 
@@ -79,13 +82,16 @@
         self,
         datagram: Datagram,
         addresses: collections.abc.Iterable[Address],
-    ) -> None:
-        """Send a datagram to some gateways."""
+    ) -> int:
+        """Send a datagram to some gateways; return the bytes of all."""
         if self._transport is None:
-            return
+            return 0
         data = self._encoder.encode(datagram)
+        sent_bytes = 0
         for address in addresses:
             self._transport.sendto(data, address)
+            sent_bytes += len(data) + PACKET_BYTES
+        return sent_bytes
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the socket."""
--- a/bilberrydeal/gateway/_exchange.py
+++ b/bilberrydeal/gateway/_exchange.py
@@ -6,14 +6,17 @@
 from ..systems import placement
 from . import _datagrams
 from . import _knowledge
+from . import _uplink
 
 #: Shortest time between two datagrams to a gateway.
 CHANGE_S = 0.03
 #: Datagrams that a gateway sends a second at most, to all others together:
 #: with many gateways each hears less often.
 DATAGRAMS_PER_S = 250.0
+#: Share of the host's own link that datagrams may take.
+UPLINK_SHARE = 0.04
 #: Longest time between two datagrams, while something is under way.
-REFRESH_S = 0.3
+REFRESH_S = 0.4
 #: Datagrams that may be lost in a row before figures are dropped.
 STALE_PAUSES = 4.0
 #: Change of waiting tokens that is told at once.
@@ -33,10 +36,14 @@
         knowledge: _knowledge.Knowledge,
         gateway: str,
         peers: Peers,
+        uplink: _uplink.Uplink,
         clock: Clock,
     ) -> None:
         self._datagrams = datagrams
         self._peers = peers
+        self._uplink = uplink
+        #: Bytes that were last told to all others.
+        self._told_bytes = 0
         self._knowledge = knowledge
         self._gateway = gateway
         self._clock = clock
@@ -60,7 +67,7 @@
     async def run(self) -> None:
         """Tell what changed, again and again."""
         while True:
-            pause_s = max(CHANGE_S, len(self._peers()) / DATAGRAMS_PER_S)
+            pause_s = self._pause_s()
             self._loads.stale_s = max(
                 placement.STALE_S, pause_s * STALE_PAUSES
             )
@@ -71,6 +78,14 @@
                 self._tell(shares, now_s)
             self._apply(now_s)
 
+    def _pause_s(self) -> float:
+        transfer_s = self._uplink.transfer_s(self._told_bytes)
+        return max(
+            CHANGE_S,
+            len(self._peers()) / DATAGRAMS_PER_S,
+            min(transfer_s / UPLINK_SHARE, REFRESH_S),
+        )
+
     def _apply(self, now_s: float) -> None:
         self._loads.apply(self._knowledge.loads(), now_s)
 
@@ -108,9 +123,10 @@
         self._sent = shares
         self._sent_s = now_s
         load = _datagrams.LoadFigures(self._sequence, shares)
-        self._datagrams.send(
+        self._told_bytes = self._datagrams.send(
             _datagrams.Datagram(self._gateway, load=load), self._peers()
         )
+        self._uplink.note(self._told_bytes)
 
 
 def _tokens(share: placement.EngineShare | None) -> int:
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -31,6 +31,7 @@
 from . import _sending
 from . import _serving
 from . import _stream
+from . import _uplink
 
 LOG = telemetry.logger("gateway")
 #: Time between two looks at idle connections and circuits.
@@ -67,6 +68,7 @@
             *settings.split_address(chosen.platform.store)
         )
         self._contact = _following.Contact(answered_s=clock())
+        self._uplink = _uplink.Uplink(chosen.uplink_mbps, clock)
         self._knowledge = _knowledge.Knowledge(
             health.HEALTH.get("outlier")(rng.getrandbits(32))
         )
@@ -80,6 +82,7 @@
             self._knowledge,
             self._duties.incarnation,
             lambda: self._duties.peers,
+            self._uplink,
             clock,
         )
         self._metrics = _metrics.GatewayMetrics()
@@ -101,7 +104,9 @@
         repeater = _repeating.Repeater(
             self._knowledge, self._budget, self._clock
         )
-        sender = _sending.Sender(self._knowledge, repeater, self._clock)
+        sender = _sending.Sender(
+            self._knowledge, repeater, self._uplink, self._clock
+        )
         return _serving.Serving(
             gate=_gate.Gate(self._knowledge, rng),
             knowledge=self._knowledge,
@@ -119,6 +124,7 @@
                 repeater,
                 self._duties.begun,
                 placement.PLACERS.get(chosen.placer)(),
+                self._uplink,
                 chosen.failure_domain,
                 self._clock,
             ),
@@ -163,6 +169,7 @@
         """Take settings that can change while the process runs."""
         self._settings = chosen
         self._budget.bounds = _budget_bounds(chosen)
+        self._uplink.set_rate(chosen.uplink_mbps)
         self._store.move(*settings.split_address(chosen.platform.store))
         self._duties.usage.move(*settings.split_address(chosen.platform.usage))
 
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -11,6 +11,7 @@
 from ..systems import placement
 from . import _knowledge
 from . import _repeating
+from . import _uplink
 from . import _work
 
 #: A rejection that comes sooner says that the endpoint takes nothing now,
@@ -46,6 +47,8 @@
     head: http1.ResponseHead
     #: What the head says.
     verdict: platform.Verdict
+    #: When its last byte should have left this host, monotonic seconds.
+    sent_s: float
 
 
 class Sender:
@@ -55,9 +58,11 @@
         self,
         knowledge: _knowledge.Knowledge,
         repeater: _repeating.Repeater,
+        uplink: _uplink.Uplink,
         clock: Clock,
     ) -> None:
         self._knowledge = knowledge
+        self._uplink = uplink
         self._repeater = repeater
         self._clock = clock
 
@@ -81,6 +86,12 @@
         """
         step = self._step(work, known, fields, placed)
         journey.steps.append(step)
+        size_bytes = len(work.request.body)
+        rank = work.rank if fields.rank is None else fields.rank
+        await self._uplink.turn(size_bytes, rank)
+        if not known.endpoint.ready:
+            step.outcome = "not offered, the endpoint is leaving"
+            raise NotOffered("the endpoint is leaving")
         try:
             connection = await known.pool.take(self._clock())
         except http1.Unsent as error:
@@ -89,6 +100,8 @@
                 self._knowledge.observe(known, False, self._clock())
             raise NotOffered(str(error)) from error
         sent_s = self._clock()
+        left_s = work.deadline_s - sent_s
+        fields = attrs.evolve(fields, left_s=left_s)
         self._repeater.note_send(work, journey)
         ran_before = journey.may_have_run
         journey.may_have_run = ran_before or not fields.prefill
@@ -113,7 +126,8 @@
             if fields.prefill:
                 self._repeater.note_read(work, journey)
             step.outcome = f"status {head.status}, cut"
-            yield Exchange(connection, head, verdict)
+            left_host_s = sent_s + self._uplink.transfer_s(size_bytes)
+            yield Exchange(connection, head, verdict, left_host_s)
             step.outcome = f"status {head.status}"
         except NotOffered:
             journey.may_have_run = ran_before
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -15,6 +15,7 @@
 from . import _knowledge
 from . import _repeating
 from . import _sending
+from . import _uplink
 from . import _usage
 from . import _work
 
@@ -71,6 +72,7 @@
         repeater: _repeating.Repeater,
         begun: _usage.BegunCounter,
         placer: placement.Placer,
+        uplink: _uplink.Uplink,
         failure_domain: str,
         clock: Clock,
     ) -> None:
@@ -79,6 +81,7 @@
         self._repeater = repeater
         self._begun = begun
         self._placer = placer
+        self._uplink = uplink
         self._failure_domain = failure_domain
         self._clock = clock
         self._engines = platform.EngineApi()
@@ -124,6 +127,8 @@
             left_s=work.deadline_s - now_s,
             failure_domain=self._failure_domain,
             tried=frozenset(stream.journey.tried),
+            uplink_s=self._uplink.wait_s(work.rank)
+            + self._uplink.transfer_s(len(work.request.body)),
         )
         engines = self._knowledge.engines(work.service, now_s)
         placed = self._placer.place(request, engines, now_s)
@@ -167,7 +172,6 @@
         fields = attrs.evolve(
             self._fields(stream, known, placed), prefill=True
         )
-        began_s = self._clock()
         silent_s = placed.expected_s * SILENT_FACTOR + SILENT_SLACK_S
         with _under_way(stream, known, placed):
             async with self._sender.exchange(
@@ -183,7 +187,7 @@
         if handle is None:
             raise _sending.Lost("no handle in the answer")
         if not placed.deferred and known.load is not None:
-            known.load.learn(placed.read_s, self._clock() - began_s)
+            known.load.learn(placed.read_s, self._clock() - exchange.sent_s)
         self._knowledge.observe(known, True, self._clock())
         return _Source(known, handle)
 
@@ -240,7 +244,7 @@
                 stream.journey,
                 known,
                 fields,
-                self._patience_s(stream),
+                self._patience_s(stream, placed),
                 placed,
             ) as exchange:
                 if exchange.verdict is platform.Verdict.FAILURE:
@@ -316,10 +320,15 @@
             rank=_rank(work, placed),
         )
 
-    def _patience_s(self, stream: _Stream) -> float:
-        """Return how long the head of an answer may take."""
+    def _patience_s(
+        self, stream: _Stream, placed: placement.Placement
+    ) -> float:
+        """Return how long the head of an answer may take.
+
+        What is deferred waits for others there: its engine is not stalled.
+        """
         left_s = stream.work.deadline_s - self._clock()
-        if self._could_repeat(stream):
+        if self._could_repeat(stream) and not placed.deferred:
             return min(left_s, STALL_S)
         return left_s
 
--- /dev/null
+++ b/bilberrydeal/gateway/_uplink.py
@@ -0,0 +1,75 @@
+"""Makes sends wait for the host's own link."""
+
+import asyncio
+import collections.abc
+
+from ..systems import pacing
+
+#: Sends of fewer bytes don't wait.
+SMALL_BYTES = 2_000
+
+Clock = collections.abc.Callable[[], float]
+
+
+class Uplink:
+    """Hands the host's link to one send after the other.
+
+    Example::
+
+        await uplink.turn(len(body), rank=1)
+        connection.send(head, body)
+    """
+
+    def __init__(self, rate_mbps: float, clock: Clock) -> None:
+        self._clock = clock
+        self._queue = pacing.UplinkQueue(rate_mbps, clock())
+        self._waiters: dict[pacing.Turn, asyncio.Future[None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def set_rate(self, rate_mbps: float) -> None:
+        """Take another rate of the link."""
+        self._queue.set_rate(rate_mbps)
+
+    def transfer_s(self, size_bytes: int) -> float:
+        """Return how long bytes take to leave."""
+        return self._queue.transfer_s(size_bytes)
+
+    def wait_s(self, rank: int) -> float:
+        """Return how long a large send of a rank would wait."""
+        return self._queue.wait_s(rank, self._clock())
+
+    def note(self, size_bytes: int) -> None:
+        """Note bytes that are sent without a turn."""
+        self._queue.note(size_bytes, self._clock())
+
+    async def turn(self, size_bytes: int, rank: int) -> None:
+        """Return once so many bytes may be sent."""
+        if size_bytes < SMALL_BYTES:
+            self.note(size_bytes)
+            return
+        turn = self._queue.ask(size_bytes, rank, self._clock())
+        if turn.granted:
+            return
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters[turn] = waiter
+        self._plan()
+        try:
+            await waiter
+        finally:
+            turn.left = True
+            self._waiters.pop(turn, None)
+
+    def _plan(self) -> None:
+        """Look again when the next turn may be granted."""
+        pause_s = self._queue.pause_s(self._clock())
+        if pause_s is not None and self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(pause_s, self._look)
+
+    def _look(self) -> None:
+        self._timer = None
+        for turn in self._queue.grant(self._clock()):
+            waiter = self._waiters.get(turn)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(None)
+        self._plan()
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -25,6 +25,7 @@
 from .. import _sending
 from .. import _serving
 from .. import _stream
+from .. import _uplink
 from .. import _usage
 
 KEY = b"k1"
@@ -340,6 +341,7 @@
 @contextlib.asynccontextmanager
 async def running(
     *endpoints: Endpoint,
+    uplink_mbps: float = 1_000.0,
 ) -> collections.abc.AsyncIterator[Path]:
     """Run the request path before some endpoints."""
     clock = time.monotonic
@@ -355,7 +357,8 @@
     begun = Begun()
     budget = retries.WindowBudget(retries.WindowBounds(10.0, 0.2, 58.0))
     repeater = _repeating.Repeater(knowledge, budget, clock)
-    sender = _sending.Sender(knowledge, repeater, clock)
+    uplink = _uplink.Uplink(uplink_mbps, clock)
+    sender = _sending.Sender(knowledge, repeater, uplink, clock)
     serving = _serving.Serving(
         gate=_gate.Gate(knowledge, random.Random(1)),
         knowledge=knowledge,
@@ -368,6 +371,7 @@
             repeater,
             begun,
             placement.PLACERS.get("two_stage")(),
+            uplink,
             "d1",
             clock,
         ),
--- a/bilberrydeal/gateway/tests/test_stream.py
+++ b/bilberrydeal/gateway/tests/test_stream.py
@@ -206,3 +206,21 @@
         assert reply.status == 200
         assert len(reader.calls) + len(other.calls) == 3
         assert before - spent() == 2
+
+
+async def test_who_waits_for_the_link_is_not_sent_to_an_engine_that_left() -> (
+    None
+):
+    """The engine said that it leaves while the body waited here."""
+    maker = harness.engine("d1", "decode", _make)
+    async with harness.running(maker, uplink_mbps=0.5) as running:
+        asked = [
+            asyncio.create_task(running.stream(body=b"b" * 20_000))
+            for _ in range(2)
+        ]
+        await maker.arrived.wait()
+        leaving = harness.announced(maker, ready=False)
+        running.knowledge.set_endpoint(leaving)
+        replies = await asyncio.gather(*asked)
+    assert sorted(reply.status for reply in replies) == [200, 503]
+    assert len(maker.calls) == 1
--- a/bilberrydeal/settings/_gateway.py
+++ b/bilberrydeal/settings/_gateway.py
@@ -74,6 +74,8 @@
     open_files_limit: _model.Count
     #: Memory that the process may have, in megabytes.
     memory_limit_mb: _model.Count
+    #: Rate of the host's own link, in Mbit/s.
+    uplink_mbps: typing.Annotated[float, msgspec.Meta(gt=0)] = 1_000.0
     #: Name of the placer.
     placer: _model.Name = "two_stage"
     log: _model.LogSettings = attrs.field(factory=_model.LogSettings)
--- a/bilberrydeal/systems/pacing/__init__.py
+++ b/bilberrydeal/systems/pacing/__init__.py
@@ -1,8 +1,17 @@
-"""Paces recovery work so that the store is not called by all at once."""
+"""Paces recovery work, and what is sent over a narrow link."""
 
 from ._bucket import TokenBucket
 from ._recovery import PacingRules
 from ._recovery import RecoveryPacer
 from ._recovery import Work
+from ._uplink import Turn
+from ._uplink import UplinkQueue
 
-__all__ = ["PacingRules", "RecoveryPacer", "TokenBucket", "Work"]
+__all__ = [
+    "PacingRules",
+    "RecoveryPacer",
+    "TokenBucket",
+    "Turn",
+    "UplinkQueue",
+    "Work",
+]
--- a/bilberrydeal/systems/placement/_base.py
+++ b/bilberrydeal/systems/placement/_base.py
@@ -25,6 +25,9 @@
     failure_domain: str
     #: Engines that were tried already.
     tried: frozenset[str] = frozenset()
+    #: Time that one send of it takes on this host's link, its wait there
+    #: included, in seconds.
+    uplink_s: float = 0.0
 
 
 @attrs.frozen
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -41,6 +41,8 @@
 DEFERRED_SHARE = 0.6
 #: Tokens of deferred requests that an engine has begun to read.
 BEGUN_TOKENS = 3_000
+#: Sends of a prompt that is read at one engine and goes on at another.
+SPLIT_SENDS = 2
 #: Shortest time after which a refused caller is asked to return, in seconds.
 RETRY_FLOOR_S = 0.05
 
@@ -212,6 +214,8 @@
     begun = min(engine.deferred_tokens, BEGUN_TOKENS)
     hand_over_s = HAND_OVER_S + slot_wait_s if split else 0.0
     read_s = (engine.urgent_tokens + begun) / speed + reading_s
+    sends = SPLIT_SENDS if split else 1
+    hand_over_s += sends * request.uplink_s
     expected_s = read_s + hand_over_s
     queued = engine.urgent_tokens + engine.deferred_tokens
     apart = engine.failure_domain != request.failure_domain
