Open a span for a gateway's request and for each of its sends

The request's span follows the caller's trace context; each send has a span below it and hands its context on to the endpoint. Chunks of a stream no longer look at all engines: only one that stalls does.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -68,6 +68,7 @@
             *settings.split_address(chosen.platform.store)
         )
         self._contact = _following.Contact(answered_s=clock())
+        self._tracing = telemetry.Tracing(chosen.trace, "gateway")
         self._uplink = _uplink.Uplink(chosen.uplink_mbps, clock)
         self._knowledge = _knowledge.Knowledge(
             health.HEALTH.get("outlier")(rng.getrandbits(32))
@@ -105,7 +106,11 @@
             self._knowledge, self._budget, self._clock
         )
         sender = _sending.Sender(
-            self._knowledge, repeater, self._uplink, self._clock
+            self._knowledge,
+            repeater,
+            self._uplink,
+            self._tracing,
+            self._clock,
         )
         return _serving.Serving(
             gate=_gate.Gate(self._knowledge, rng),
@@ -130,6 +135,7 @@
             ),
             repeater=repeater,
             metrics=self._metrics,
+            tracing=self._tracing,
             contact=self._contact,
             clock=self._clock,
         )
@@ -273,6 +279,7 @@
         await self._duties.leave()
         for task in self._tasks:
             task.cancel()
+        self._tracing.close()
 
 
 def _budget_bounds(chosen: settings.GatewaySettings) -> retries.WindowBounds:
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -8,6 +8,7 @@
 
 from .. import http1
 from .. import platform
+from .. import telemetry
 from ..systems import placement
 from . import _knowledge
 from . import _repeating
@@ -59,8 +60,10 @@
         knowledge: _knowledge.Knowledge,
         repeater: _repeating.Repeater,
         uplink: _uplink.Uplink,
+        tracing: telemetry.Tracing,
         clock: Clock,
     ) -> None:
+        self._tracing = tracing
         self._knowledge = knowledge
         self._uplink = uplink
         self._repeater = repeater
@@ -84,6 +87,25 @@
         until the endpoint proves that it did not; only reading a prompt
         never runs a request.
         """
+        with self._tracing.span("endpoint", journey.traceparent) as span:
+            span.note("endpoint", known.endpoint.endpoint_id)
+            span.note("step", "read" if fields.prefill else "serve")
+            fields = attrs.evolve(fields, traceparent=span.traceparent)
+            async with self._exchange(
+                work, journey, known, fields, head_timeout_s, placed
+            ) as exchange:
+                yield exchange
+
+    @contextlib.asynccontextmanager
+    async def _exchange(
+        self,
+        work: _work.Work,
+        journey: _work.Journey,
+        known: _knowledge.Known,
+        fields: platform.SendFields,
+        head_timeout_s: float,
+        placed: placement.Placement | None,
+    ) -> collections.abc.AsyncIterator[Exchange]:
         step = self._step(work, known, fields, placed)
         journey.steps.append(step)
         size_bytes = len(work.request.body)
--- a/bilberrydeal/gateway/_serving.py
+++ b/bilberrydeal/gateway/_serving.py
@@ -37,9 +37,11 @@
         stream: _stream.StreamServer,
         repeater: _repeating.Repeater,
         metrics: _metrics.GatewayMetrics,
+        tracing: telemetry.Tracing,
         contact: _following.Contact,
         clock: Clock,
     ) -> None:
+        self._tracing = tracing
         self._contact = contact
         self._gate = gate
         self._knowledge = knowledge
@@ -60,13 +62,24 @@
             self._refuse(responder, caller.request_id, refused)
             self._log(caller.request_id, None, None, responder, refused)
             return
-        journey = _work.Journey()
+        with self._tracing.span("gateway", caller.traceparent) as span:
+            span.note("request", caller.request_id.decode("latin-1"))
+            journey = _work.Journey(traceparent=span.traceparent)
+            await self._follow(work, journey, responder)
+
+    async def _follow(
+        self,
+        work: _work.Work,
+        journey: _work.Journey,
+        responder: http1.Responder,
+    ) -> None:
+        """Serve a request and log how it ended, also if it is cancelled."""
         self._repeater.note_request(work.service)
         ended: errors.Refusal | None = None
         try:
             ended = await self._serve(work, journey, responder)
         finally:
-            self._log(caller.request_id, work, journey, responder, ended)
+            self._log(work.request_id, work, journey, responder, ended)
 
     async def _serve(
         self,
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -284,13 +284,15 @@
     async def _next_chunk(
         self, stream: _Stream, exchange: _sending.Exchange
     ) -> bytes:
-        if not self._could_repeat(stream):
+        if not _repeatable(stream):
             return await exchange.connection.chunk()
-        try:
-            async with asyncio.timeout(STALL_S):
-                return await exchange.connection.chunk()
-        except TimeoutError as error:
-            raise _sending.Lost("no event in time") from error
+        while True:
+            try:
+                async with asyncio.timeout(STALL_S):
+                    return await exchange.connection.chunk()
+            except TimeoutError as error:
+                if self._could_repeat(stream):
+                    raise _sending.Lost("no event in time") from error
 
     async def _pass_failure(
         self,
@@ -334,10 +336,7 @@
 
     def _could_repeat(self, stream: _Stream) -> bool:
         """Return whether another engine may get the request after this."""
-        route = stream.work.route
-        if not route.idempotent:
-            return False
-        if stream.journey.attempts + 1 >= route.attempts_limit:
+        if not _repeatable(stream):
             return False
         engines = self._knowledge.engines(stream.work.service, self._clock())
         return any(
@@ -356,6 +355,13 @@
         task.add_done_callback(self._background.discard)
 
 
+def _repeatable(stream: _Stream) -> bool:
+    """Return whether the route allows one more send after this one."""
+    route = stream.work.route
+    attempts = stream.journey.attempts + 1
+    return route.idempotent and attempts < route.attempts_limit
+
+
 class _Reading:
     """Prompt tokens that an engine still has to read."""
 
--- a/bilberrydeal/gateway/_work.py
+++ b/bilberrydeal/gateway/_work.py
@@ -73,6 +73,8 @@
 
     #: Endpoints that it was sent to.
     tried: list[str] = attrs.field(factory=list)
+    #: W3C trace context of the request, empty without a trace.
+    traceparent: str = ""
     #: Sends that count against the service's budget.
     arrivals: int = 0
     #: Whether an engine has read the prompt for another.
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -13,6 +13,8 @@
 from ... import catalogue
 from ... import http1
 from ... import ports
+from ... import settings
+from ... import telemetry
 from ...systems import health
 from ...systems import placement
 from ...systems import retries
@@ -342,6 +344,7 @@
 async def running(
     *endpoints: Endpoint,
     uplink_mbps: float = 1_000.0,
+    trace: settings.TraceSettings | None = None,
 ) -> collections.abc.AsyncIterator[Path]:
     """Run the request path before some endpoints."""
     clock = time.monotonic
@@ -358,7 +361,8 @@
     budget = retries.WindowBudget(retries.WindowBounds(10.0, 0.2, 58.0))
     repeater = _repeating.Repeater(knowledge, budget, clock)
     uplink = _uplink.Uplink(uplink_mbps, clock)
-    sender = _sending.Sender(knowledge, repeater, uplink, clock)
+    tracing = telemetry.Tracing(trace or settings.TraceSettings(), "gateway")
+    sender = _sending.Sender(knowledge, repeater, uplink, tracing, clock)
     serving = _serving.Serving(
         gate=_gate.Gate(knowledge, random.Random(1)),
         knowledge=knowledge,
@@ -377,6 +381,7 @@
         ),
         repeater=repeater,
         metrics=_metrics.GatewayMetrics(),
+        tracing=tracing,
         contact=_following.Contact(clock()),
         clock=clock,
     )
@@ -388,6 +393,7 @@
     finally:
         server.stop_accepting()
         server.abort()
+        tracing.close()
         for each_server in servers:
             each_server.close()
 
--- a/bilberrydeal/platform/_forward.py
+++ b/bilberrydeal/platform/_forward.py
@@ -27,12 +27,16 @@
     kv_source: str = ""
     #: Last event that the caller has; the stream goes on after it.
     last_event: bytes = b""
+    #: W3C trace context of the send, empty without a trace.
+    traceparent: str = ""
 
 
 def forward_head(request: http1.Request, fields: SendFields) -> bytes:
     """Return the head of a request to an endpoint."""
     names = _headers.HEADERS
     ours = _headers.RESERVED | {names.deadline_ms, names.last_event}
+    if fields.traceparent:
+        ours |= {names.traceparent}
     headers = [
         header
         for header in http1.end_to_end(request.headers, _headers.KEPT)
@@ -52,6 +56,8 @@
         headers.append((names.kv_source, fields.kv_source.encode()))
     if fields.last_event:
         headers.append((names.last_event, fields.last_event))
+    if fields.traceparent:
+        headers.append((names.traceparent, fields.traceparent.encode()))
     if request.has_body:
         headers.append((b"content-length", b"%d" % len(request.body)))
     line = b"%b %b HTTP/1.1" % (request.method, request.target)
--- a/bilberrydeal/platform/_headers.py
+++ b/bilberrydeal/platform/_headers.py
@@ -42,6 +42,8 @@
     stage: bytes = b"serving-stage"
     #: Where an engine fetches the KV cache of a request.
     kv_source: bytes = b"kv-source"
+    #: The W3C trace context.
+    traceparent: bytes = b"traceparent"
     #: Encoding of a body; endpoints never use one.
     content_encoding: bytes = b"content-encoding"
 
--- a/bilberrydeal/platform/_incoming.py
+++ b/bilberrydeal/platform/_incoming.py
@@ -23,6 +23,8 @@
     prompt: placement.Prompt | None
     #: Last event that the caller has of the stream, empty at its start.
     last_event: bytes
+    #: W3C trace context, empty without a trace.
+    traceparent: str
 
 
 def decode_caller(request: http1.Request) -> CallerFields:
@@ -37,6 +39,9 @@
         patience_s=_patience_s(request),
         prompt=_prompt(request),
         last_event=request.header(_headers.HEADERS.last_event) or b"",
+        traceparent=(
+            request.header(_headers.HEADERS.traceparent) or b""
+        ).decode("latin-1"),
     )
 
 
--- a/bilberrydeal/settings/_gateway.py
+++ b/bilberrydeal/settings/_gateway.py
@@ -78,6 +78,7 @@
     uplink_mbps: typing.Annotated[float, msgspec.Meta(gt=0)] = 1_000.0
     #: Name of the placer.
     placer: _model.Name = "two_stage"
+    trace: _model.TraceSettings = attrs.field(factory=_model.TraceSettings)
     log: _model.LogSettings = attrs.field(factory=_model.LogSettings)
 
 
