--- a/bilberrydeal/gateway/_exchange.py
+++ b/bilberrydeal/gateway/_exchange.py
@@ -96,6 +96,7 @@
                 int(load.own.urgent),
                 int(load.own.deferred),
                 load.own_requests,
+                load.own_deferred_requests,
             )
             for load in self._knowledge.loads()
             if load.own_requests
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -389,12 +389,14 @@
     stream.journey.tried.append(known.endpoint.endpoint_id)
     load.cache.use(stream.work.prompt or _NO_PROMPT)
     load.own_requests += 1
+    load.own_deferred_requests += placed.deferred
     reading = _Reading(load, placed.missing_tokens, placed.deferred)
     try:
         yield reading
     finally:
         reading.done()
         load.own_requests -= 1
+        load.own_deferred_requests -= placed.deferred
 
 
 def _rank(work: _work.Work, placed: placement.Placement) -> int:
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -57,8 +57,12 @@
     others: QueuedTokens = attrs.field(factory=QueuedTokens)
     #: Requests of this process there.
     own_requests: int = 0
+    #: Those of them that are deferred.
+    own_deferred_requests: int = 0
     #: Requests of other processes there.
     others_requests: int = 0
+    #: Those of them that are deferred.
+    others_deferred_requests: int = 0
     #: Prompt tokens that it reads a second.
     prefill_tokens_per_s: float = FIRST_PREFILL_TOKENS_PER_S
 
@@ -94,3 +98,9 @@
     def requests(self) -> int:
         """Return the requests there."""
         return self.own_requests + self.others_requests
+
+    @property
+    def urgent_requests(self) -> int:
+        """Return the requests there that are not deferred."""
+        deferred = self.own_deferred_requests + self.others_deferred_requests
+        return max(self.requests - deferred, 0)
--- a/bilberrydeal/systems/placement/_peer_loads.py
+++ b/bilberrydeal/systems/placement/_peer_loads.py
@@ -22,6 +22,8 @@
     deferred_tokens: int
     #: Requests.
     requests: int
+    #: Those of them that are deferred.
+    deferred_requests: int = 0
 
 
 @attrs.frozen
@@ -80,3 +82,6 @@
                 each.deferred_tokens for each in shares
             )
             engine.others_requests = sum(share.requests for share in shares)
+            engine.others_deferred_requests = sum(
+                share.deferred_requests for share in shares
+            )
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -1,5 +1,7 @@
 """Reads prompts where their shared parts lie and makes tokens elsewhere."""
 
+import math
+
 import attrs
 
 from ... import ports
@@ -15,20 +17,25 @@
 #: Requests that an engine is given at once for each of its slots: the
 #: others wait there in the order of their ranks.
 QUEUE_FACTOR = 2
+#: The same where a deferred request would be one more.
+DEFERRED_QUEUE_FACTOR = 1.25
+#: Share of the slots of a decode engine that deferred requests may take:
+#: those in time would wait for the others.
+DEFERRED_SLOTS_SHARE = 0.25
 #: Share of its slots up to which a decode engine also reads long prompts.
 READING_SLOTS_SHARE = 0.4
 #: Ranks the decode engines.
 _MAIN_DECODER = b"main decoder"
 #: Share of the shared tokens that the first engine by rendezvous rank has
 #: beyond what this process knows.
-HOME_SHARE = 0.55
+HOME_SHARE = 0.8
 #: Time for handing the cache over and the first step, in seconds.
 HAND_OVER_S = 0.012
 #: Time that a request holds its slot of a decode engine, in seconds.
 SLOT_HELD_S = 0.5
 #: Weight of the reading itself beside the time to the first token: reading
 #: takes capacity from all others.
-READING_WEIGHT = 1.0
+READING_WEIGHT = 10.0
 #: Weight of another failure domain, in seconds.
 DOMAIN_WEIGHT_S = 0.002
 #: Weight of slots that are all taken beside the wait for reading, in
@@ -88,10 +95,13 @@
             best = min(options, key=lambda option: option.expected_s)
         if best.expected_s <= limit_s:
             return _placement(best, best.expected_s, deferred=False)
-        return self._defer(request, options)
+        return self._defer(request, options, engines)
 
     def _defer(
-        self, request: _base.Request, options: list[_Option]
+        self,
+        request: _base.Request,
+        options: list[_Option],
+        engines: _base.Engines,
     ) -> _base.Placement | _base.Hopeless:
         """Place a request that is late behind those that are not.
 
@@ -100,10 +110,14 @@
         """
         apart = [option for option in options if option.split]
         best = min(apart or options, key=lambda option: option.deferred_s)
-        if best.deferred_s <= request.left_s * DEFERRED_SHARE:
-            return _placement(best, best.deferred_s, deferred=True)
         late_s = best.deferred_s - request.left_s * DEFERRED_SHARE
-        return _base.Hopeless(max(late_s, RETRY_FLOOR_S), best.deferred_s)
+        if late_s > 0.0:
+            retry_s = max(late_s, RETRY_FLOOR_S)
+            return _base.Hopeless(retry_s, best.deferred_s)
+        if not _has_room_to_defer(best.engine, engines):
+            # By then what was deferred before it has been served.
+            return _base.Hopeless(best.deferred_s, best.deferred_s)
+        return _placement(best, best.deferred_s, deferred=True)
 
     def decode_engine(
         self, request: _base.Request, prefilled_at: str, engines: _base.Engines
@@ -238,15 +252,31 @@
     """Return the wait for a slot of a decode engine, as expected.
 
     Requests beyond the slots of the least loaded one wait for others to end.
+    Those that are deferred let others go first.
     """
     loads = [
-        engine.requests / engine.slots
+        engine.urgent_requests / engine.slots
         for engine in engines
         if engine.role is not ports.EngineRole.PREFILL
     ]
     return max(min(loads, default=0.0) - 1.0, 0.0) * SLOT_HELD_S
 
 
+def _has_room_to_defer(
+    chosen: _entities.EngineLoad, engines: _base.Engines
+) -> bool:
+    """Return whether one more deferred request keeps no slots from others."""
+    shares = [
+        (engine.requests - engine.urgent_requests) / engine.slots
+        for engine in engines
+        if engine.accepting and engine.role is not ports.EngineRole.PREFILL
+    ]
+    return (
+        chosen.requests < chosen.slots * DEFERRED_QUEUE_FACTOR
+        and min(shares, default=math.inf) < DEFERRED_SLOTS_SHARE
+    )
+
+
 def _placement(
     option: _Option, expected_s: float, deferred: bool
 ) -> _base.Placement:
--- a/bilberrydeal/systems/placement/tests/test_placers.py
+++ b/bilberrydeal/systems/placement/tests/test_placers.py
@@ -212,3 +212,46 @@
     chosen = _place(fleet)
     assert isinstance(chosen, placement.Placement)
     assert chosen.deferred
+
+
+def test_deferred_requests_at_decode_engines_delay_nobody_in_time() -> None:
+    """A burst had been read late only: those in time saw no free slot."""
+    fleet = _fleet()
+    for engine in fleet:
+        if engine.role is DECODE:
+            engine.own_requests = 100
+            engine.own_deferred_requests = 60
+    chosen = _place(fleet)
+    assert isinstance(chosen, placement.Placement)
+    assert not chosen.deferred
+
+
+@pytest.mark.parametrize(
+    ("deferred", "outcome"),
+    [(15, placement.Placement), (16, placement.Hopeless)],
+)
+def test_deferred_requests_take_a_share_of_the_slots(
+    deferred: int, outcome: type
+) -> None:
+    fleet = _fleet()
+    for engine in fleet:
+        _busy(engine, 60_000.0)
+        if engine.role is DECODE:
+            engine.own_requests = engine.own_deferred_requests = deferred
+    chosen = _place(fleet)
+    assert isinstance(chosen, outcome)
+    if isinstance(chosen, placement.Hopeless):
+        assert chosen.retry_after_s == pytest.approx(0.24, abs=0.02)
+
+
+def test_the_wait_for_a_narrow_link_counts_for_each_send() -> None:
+    """A prompt that is read apart crosses the link twice."""
+    request = placement.Request(LONG, 0.15, 2.0, "d1", uplink_s=0.06)
+    placer = placement.PLACERS.get("two_stage")()
+    chosen = placer.place(request, _fleet(), 0.0)
+    assert isinstance(chosen, placement.Placement)
+    assert not chosen.split
+    narrower = placement.Request(LONG, 0.15, 2.0, "d1", uplink_s=0.2)
+    late = placer.place(narrower, _fleet(), 0.0)
+    assert isinstance(late, placement.Placement)
+    assert late.deferred
