Let an engine refuse an order that another one overtook

Change: an order names how many the engine must have taken before, as the users' engines check it; the engine refuses it once another came between. An agent that is refused so reads the count again and repeats its order; one that is refused with the count unchanged is fenced, as before. Ruled out: pauses before an order, which only move the moment.

What remains: the count begins anew with the engine.

--- a/bilberrydeal/adapters/tests/test_adapters.py
+++ b/bilberrydeal/adapters/tests/test_adapters.py
@@ -239,6 +239,20 @@
     assert state.order_version == (3 if checks else 2)
 
 
+@pytest.mark.parametrize("checks", [True, False])
+async def test_an_order_that_another_overtook_is_refused(checks: bool) -> None:
+    order = ports.EngineOrder(3, 7, ports.EngineRole.PREFILL, "m")
+    late = attrs.evolve(order, order_version=2, fence=7, expected_taken=0)
+    async with engine_serving(checks_fencing=checks) as client:
+        await client.apply(order, TIMEOUT_S)
+        with pytest.raises(ports.OrderRefused):
+            await client.apply(late, TIMEOUT_S)
+        state = await client.state(TIMEOUT_S)
+        assert (state.order_version, state.orders_taken) == (3, 1)
+        again = attrs.evolve(order, order_version=4, expected_taken=1)
+        assert (await client.apply(again, TIMEOUT_S)).order_version == 4
+
+
 async def test_engine_hands_kv_over() -> None:
     async with engine_serving() as prefill, engine_serving() as decode:
         first = attrs.evolve(REQUEST, max_tokens=0)
--- a/bilberrydeal/agent/_orders.py
+++ b/bilberrydeal/agent/_orders.py
@@ -180,32 +180,39 @@
         if not self._due(order):
             return
         LOG.info("Order begins.", order_version=order.order_version)
+        taken = self.state.orders_taken if self.state else 0
+        overtaken = False
         try:
             self.state = await self._engine.apply(
-                order.for_engine(), APPLY_TIMEOUT_S
+                order.for_engine(taken), APPLY_TIMEOUT_S
             )
         except ports.OrderRefused:
             LOG.warning("Refused.", order_version=order.order_version)
-            self._refused = order.order_version
+            overtaken = True
         except ports.EngineFailure as error:
             LOG.warning("Broken off.", order_version=order.order_version)
             if error.started:
                 self._quiet_until_s = time.monotonic() + self._quiet_s
-        await self._learn()
+        state = await self._learn()
+        if overtaken and state.orders_taken == taken:
+            # No other order came between: it is the fencing number.
+            self._refused = order.order_version
         LOG.info("Engine is stable.", order_version=self.order_version)
 
-    async def _learn(self) -> None:
-        """Wait until the engine says what it is, and is not changing."""
+    async def _learn(self) -> ports.EngineState:
+        """Return what the engine is, once it says so and is not changing."""
         while True:
             try:
-                self.state = await self._engine.state(STATE_TIMEOUT_S)
+                state = await self._engine.state(STATE_TIMEOUT_S)
             except ports.EngineFailure:
                 self._set(doubt=True)
             else:
-                if not self.state.changing:
+                self.state = state
+                if not state.changing:
                     break
             await asyncio.sleep(STATE_POLL_S)
         self._set(doubt=False)
+        return state
 
     def _set(
         self, changing: bool | None = None, doubt: bool | None = None
--- a/bilberrydeal/agent/tests/fakes.py
+++ b/bilberrydeal/agent/tests/fakes.py
@@ -130,6 +130,11 @@
         self.applied.append(order)
         self.overlaps += self.engine_state.changing
         outcome = self.outcomes.pop(0) if self.outcomes else "done"
+        if outcome == "overtaken":
+            self.engine_state = attrs.evolve(
+                self.engine_state, orders_taken=len(self.applied)
+            )
+            outcome = "refused"
         if outcome == "refused":
             raise ports.OrderRefused(order_version=order.order_version)
         if outcome in ("crash", "lost"):
@@ -152,6 +157,7 @@
             model=given.model,
             model_version=given.model_version,
             adapters=given.adapters,
+            orders_taken=len(self.applied),
         )
 
     async def export_kv(self, request_id: str, timeout_s: float) -> str:
--- a/bilberrydeal/agent/tests/test_orders.py
+++ b/bilberrydeal/agent/tests/test_orders.py
@@ -139,6 +139,16 @@
         ]
 
 
+async def test_order_that_another_overtook_is_given_again() -> None:
+    async with bench(outcomes=["overtaken"]) as made:
+        await made.commit()
+        await made.stable(2)
+        assert [order.expected_taken for order in made.engine.applied] == [
+            0,
+            1,
+        ]
+
+
 async def test_stopped_engine_takes_no_work_until_it_answers() -> None:
     async with bench() as made:
         await made.stable(1)
--- a/bilberrydeal/orders/_order.py
+++ b/bilberrydeal/orders/_order.py
@@ -33,8 +33,12 @@
     #: Marks the write that set the row.
     nonce: str = ""
 
-    def for_engine(self) -> ports.EngineOrder:
-        """Return the call that carries it out."""
+    def for_engine(self, expected_taken: int) -> ports.EngineOrder:
+        """Return the call that carries it out.
+
+        An engine that has taken another number of orders refuses it, also
+        where it does not check fencing numbers.
+        """
         return ports.EngineOrder(
             order_version=self.order_version,
             fence=self.fence,
@@ -42,6 +46,7 @@
             model=self.model,
             model_version=self.model_version,
             adapters=self.adapters,
+            expected_taken=expected_taken,
         )
 
 
--- a/bilberrydeal/ports/_engine.py
+++ b/bilberrydeal/ports/_engine.py
@@ -83,6 +83,9 @@
     model_version: str = ""
     #: Adapters to load.
     adapters: tuple[str, ...] = ()
+    #: Orders that the engine must have taken before since it started; -1 for
+    #: any number. It is checked when the order is carried out.
+    expected_taken: int = -1
 
 
 @attrs.frozen
@@ -101,6 +104,8 @@
     adapters: tuple[str, ...] = ()
     #: Whether an order is being carried out.
     changing: bool = False
+    #: Orders that it has taken since it started.
+    orders_taken: int = 0
 
 
 @attrs.frozen
@@ -155,7 +160,7 @@
 
 @attrs.define(slots=False, eq=False)
 class OrderRefused(errors.BilberrydealError):
-    """The engine refused an order because of its fencing number."""
+    """The engine has seen a newer fencing number, or another order."""
 
     code: typing.ClassVar[errors.ErrorCode] = errors.ErrorCode.FENCED
 
--- a/standins/engine/_app.py
+++ b/standins/engine/_app.py
@@ -106,6 +106,7 @@
         self._change_s = change_s
         self._checks_fencing = checks_fencing
         self._highest_fence = 0
+        self._taken = 0
         self._changes = 0
         self._state = ports.EngineState(
             order_version=order_version,
@@ -323,13 +324,16 @@
         started_s = time.time()
         if self._fault.crash_on_order:
             _serve.crash()
-        if self._checks_fencing and order.fence < self._highest_fence:
+        if self._refuses(order):
             self._note_order(order, started_s, "fenced", 0)
             return _serve.answer(_serve.Done(), 409)
+        self._taken += 1
         self._highest_fence = max(self._highest_fence, order.fence)
         self._changes += 1
         outcome = "overlap" if self._state.changing else "done"
-        self._state = attrs.evolve(self._state, changing=True)
+        self._state = attrs.evolve(
+            self._state, changing=True, orders_taken=self._taken
+        )
         cut = self._cut_all()
         await asyncio.shield(asyncio.sleep(self._change_s))
         self._changes -= 1
@@ -341,10 +345,17 @@
             model_version=order.model_version,
             adapters=order.adapters,
             changing=self._changes > 0,
+            orders_taken=self._taken,
         )
         self._note_order(order, started_s, outcome, cut)
         return _serve.answer(self._state)
 
+    def _refuses(self, order: ports.EngineOrder) -> bool:
+        """Return whether an order comes after one that is newer."""
+        if order.expected_taken not in (-1, self._taken):
+            return True
+        return self._checks_fencing and order.fence < self._highest_fence
+
     def _note_order(
         self,
         order: ports.EngineOrder,
