--- a/bilberrydeal/gateway/_roles.py
+++ b/bilberrydeal/gateway/_roles.py
@@ -107,7 +107,7 @@
         """Note what the engines do, and which orders have shown."""
         loads = self._loads(service)
         busy = sum(
-            load.requests
+            load.urgent_requests
             for load in loads
             if load.role is not ports.EngineRole.PREFILL
         )
--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -46,7 +46,8 @@
 class RoleDemand:
     """What a service's engines have to do."""
 
-    #: Requests at decode engines, averaged over some seconds.
+    #: Requests at decode engines that are not deferred, averaged over some
+    #: seconds: late ones wait, an engine that reads is worth more than that.
     busy_slots: float = 0.0
     #: Whether a decode engine is leaving for good.
     decoder_leaves: bool = False
