Take the store for away only where calls to it fail

The entry host had taken the store for returned, and so kept the endpoint for 2.3 s, because 1.85 s lay between two answers: a waiting call for endpoints is answered each 1.85 s and one for the configuration each 2 s, and the bound was 1.8 s. Nothing had failed.

Change: absence needs a failed call and 2.3 s without an answer; entries last 2.4 s at least without the store. Tests of both failed before; the two tests of a store that was away now let a call fail, as it does then.

--- a/bilberrydeal/gateway/_following.py
+++ b/bilberrydeal/gateway/_following.py
@@ -27,8 +27,9 @@
 #: An endpoint that went missing while the store was away may come back for
 #: so long after the store did, in seconds.
 RETURN_S = 2.3
-#: Without an answer for so long the store counts as away, in seconds.
-AWAY_S = 1.8
+#: Where calls fail and none is answered for so long, the store counts as
+#: away, in seconds. Entries of endpoints last longer than that without it.
+AWAY_S = 2.3
 
 Clock = collections.abc.Callable[[], float]
 
@@ -41,6 +42,8 @@
     answered_s: float
     #: When it last came back after it was away, monotonic seconds.
     returned_s: float = float("-inf")
+    #: Whether a call failed since the last answer.
+    failing: bool = False
     #: Whether it counts as away.
     away: bool = False
 
@@ -50,15 +53,21 @@
 
     def answered(self, now_s: float) -> None:
         """Note an answer."""
-        if now_s - self.answered_s > AWAY_S:
+        if self.failing and now_s - self.answered_s > AWAY_S:
             self.returned_s = now_s
         if self.away:
             LOG.info("Store regained.", away_s=now_s - self.answered_s)
         self.away = False
+        self.failing = False
         self.answered_s = now_s
 
     def failed(self, reason: str, now_s: float) -> None:
-        """Note a call without an answer."""
+        """Note a call without an answer.
+
+        Time alone does not tell: calls that wait for changes are answered
+        seldom.
+        """
+        self.failing = True
         if not self.away and now_s - self.answered_s > AWAY_S:
             self.away = True
             LOG.warning("Store lost.", reason=reason)
--- a/bilberrydeal/gateway/tests/test_following.py
+++ b/bilberrydeal/gateway/tests/test_following.py
@@ -129,6 +129,7 @@
     world = World()
     world.take(*(_change(f"e{n}", _server()) for n in range(3)))
     world.now_s += 6.0
+    world.contact.failed("no answer", world.now_s)
     world.take(_change("e1", _server()), whole=True)
     assert world.known == {"e0", "e1", "e2"}
     world.now_s += 1.0
@@ -138,10 +139,33 @@
     assert world.known == {"e1", "e2"}
 
 
+def test_a_long_time_between_two_answers_is_no_absence_of_the_store() -> None:
+    """Waiting calls answered 1.85 s apart; one that left got requests."""
+    world = World()
+    world.take(_change("e1", _server()), whole=True)
+    world.now_s += _following.AWAY_S + 1.0
+    world.take()
+    world.now_s += 0.2
+    world.take(_change("e1", None))
+    assert world.known == set()
+
+
+def test_one_call_without_an_answer_is_no_absence_of_the_store() -> None:
+    world = World()
+    world.take(_change("e1", _server()), whole=True)
+    world.now_s += _following.AWAY_S - 0.1
+    world.contact.failed("no answer", world.now_s)
+    world.take()
+    world.now_s += 0.2
+    world.take(_change("e1", None))
+    assert world.known == set()
+
+
 def test_one_that_left_while_the_store_was_away_is_not_waited_for() -> None:
     world = World()
     world.take(_change("e1", _server(state="draining")))
     world.now_s += 6.0
+    world.contact.failed("no answer", world.now_s)
     world.take(whole=True)
     assert world.knowledge.endpoints == {}
 
--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -21,7 +21,7 @@
 #: Share of the engines that go on reading prompts, whatever tokens need.
 READERS_SHARE = 0.4
 #: Share of the slots of decode engines that should be taken on average.
-SLOTS_SHARE = 0.8
+SLOTS_SHARE = 0.95
 #: How long an order must be called for before it is given, in seconds: at
 #: once where no tokens can be made or an engine is leaving for good; later
 #: where a crashed engine may come back, and for a surplus latest.
