--- a/bilberrydeal/cli/_trace.py
+++ b/bilberrydeal/cli/_trace.py
@@ -102,6 +102,8 @@
 
 
 def _expected(step: dict[str, typing.Any]) -> str:
+    if step.get("link_wait_ms", 0.0) is None:
+        return ", waited for the host's own link to the end"
     if step.get("expected_ms") is None:
         return ""
     waits = ", behind those in time" if step.get("deferred") else ""
--- a/bilberrydeal/cli/tests/test_trace.py
+++ b/bilberrydeal/cli/tests/test_trace.py
@@ -17,6 +17,10 @@
   2.1 g1 {"request": "r1", "status": 200, "steps": [{"at_ms": 1.5, "kind": \
 "read", "endpoint": "e1", "expected_ms": 34.0, "deferred": true, "outcome": \
 "status 200"}], "event": "request: Request ended.", "timestamp": "t4"}
+  2.2 g1 {"request": "r3", "status": 504, "steps": [{"at_ms": 1.5, "kind": \
+"read", "endpoint": "e1", "expected_ms": 34.0, "link_wait_ms": null, \
+"outcome": "under way"}], "event": "request: Request ended.", \
+"timestamp": "t4"}
   2.2 g1 {broken
   2.3 g1 {"request": "r2", "event": "request: Request ended.", \
 "timestamp": "t5"}
@@ -33,6 +37,11 @@
     assert "Store lost" not in text
 
 
+def test_a_story_tells_of_a_wait_for_the_link() -> None:
+    told = _trace.story(_trace.parse("x", LOG.splitlines()), "r3")
+    assert "waited for the host's own link to the end" in "\n".join(told)
+
+
 @pytest.mark.parametrize(("request_id", "code"), [("r1", 0), ("nobody", 1)])
 def test_the_command_reads_files(
     tmp_path: pathlib.Path, request_id: str, code: int
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -110,7 +110,10 @@
         journey.steps.append(step)
         size_bytes = len(work.request.body)
         rank = work.rank if fields.rank is None else fields.rank
+        asked_s = self._clock()
         await self._uplink.turn(size_bytes, rank)
+        waited_s = self._clock() - asked_s
+        step.link_wait_ms = round(waited_s * 1000, 1)
         if not known.endpoint.ready:
             step.outcome = "not offered, the endpoint is leaving"
             raise NotOffered("the endpoint is leaving")
--- a/bilberrydeal/gateway/_work.py
+++ b/bilberrydeal/gateway/_work.py
@@ -58,6 +58,9 @@
     at_ms: float
     #: Time to the first of the answer, as expected, in milliseconds.
     expected_ms: float | None = None
+    #: Time that it waited for this host's own link, in milliseconds;
+    #: ``None`` while it waits.
+    link_wait_ms: float | None = None
     #: Whether it waits there behind requests that can be in time.
     deferred: bool = False
     #: How it ended.
