--- a/bilberrydeal/cli/__init__.py
+++ b/bilberrydeal/cli/__init__.py
@@ -1,5 +1,5 @@
 """The operators' command line."""
 
-from ._app import main
+from ._main import main
 
 __all__ = ["main"]
--- a/bilberrydeal/cli/_app.py
+++ b/bilberrydeal/cli/_app.py
@@ -1,6 +1,5 @@
 """The application that all commands belong to."""
 
-import sys
 import typing
 
 import attrs
@@ -43,23 +42,3 @@
 
 #: Options of a command that is given none.
 DEFAULT = Target()
-
-
-def main() -> int:
-    """Run the command that the arguments name; return the exit code."""
-    # The commands register themselves when their modules are loaded.
-    from . import _commands_fleet  # noqa: F401
-    from . import _commands_keys  # noqa: F401
-    from . import _commands_orgs  # noqa: F401
-    from . import _commands_roles  # noqa: F401
-    from . import _commands_routes  # noqa: F401
-    from . import _commands_trace  # noqa: F401
-
-    try:
-        result = APP(sys.argv[1:], exit_on_error=False, print_error=True)
-    except cyclopts.CycloptsError:
-        return _client.ExitCode.USAGE
-    except _client.CallFailed as failed:
-        print(failed.sentence, file=sys.stderr)
-        return failed.exit_code
-    return result if isinstance(result, int) else _client.ExitCode.OK
--- a/bilberrydeal/cli/tests/test_cli.py
+++ b/bilberrydeal/cli/tests/test_cli.py
@@ -9,8 +9,8 @@
 
 from bilberrydeal import configuration
 from bilberrydeal import operators
-from bilberrydeal.cli import _app
 from bilberrydeal.cli import _client
+from bilberrydeal.cli import _main
 from bilberrydeal.cli import _sheet
 
 ROWS = [
@@ -104,7 +104,7 @@
 
     def call(*words: str) -> int:
         monkeypatch.setattr("sys.argv", ["bilberrydeal", *words])
-        return int(_app.main())
+        return int(_main.main())
 
     return call
 
--- a/bilberrydeal/cli/tests/test_trace.py
+++ b/bilberrydeal/cli/tests/test_trace.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from .. import _app
+from .. import _commands_trace
 from .. import _trace
 
 LOG = """\
@@ -46,9 +46,6 @@
 def test_the_command_reads_files(
     tmp_path: pathlib.Path, request_id: str, code: int
 ) -> None:
-    from .. import _commands_trace
-
     path = tmp_path / "g.log"
     path.write_text(LOG)
     assert _commands_trace.trace(request_id, path) == code
-    assert _app.APP is not None
