--- /dev/null
+++ b/bilberrydeal/link/tests/test_link_calls.py
@@ -0,0 +1,168 @@
+"""Requests that are cancelled, asked about or given up."""
+
+import collections.abc
+
+import attrs
+import pytest
+
+from bilberrydeal import errors
+from bilberrydeal import link
+
+from . import harness
+from . import relay
+from . import steps
+
+Before = collections.abc.Callable[[link.Work], None]
+
+
+def untouched(work: link.Work) -> None:
+    pass
+
+
+def finished(work: link.Work) -> None:
+    work.start()
+    work.finish(status=201, body=b"receipt")
+
+
+def refused(work: link.Work) -> None:
+    work.refuse(errors.ErrorCode.OVERLOADED)
+
+
+@pytest.mark.parametrize(
+    ("before", "outcome"),
+    [
+        (untouched, link.CancelOutcome.NOT_STARTED),
+        (steps.started, link.CancelOutcome.STARTED),
+        (finished, link.CancelOutcome.FINISHED),
+        (refused, link.CancelOutcome.NOT_STARTED),
+    ],
+)
+async def test_cancel_tells_what_it_found(
+    before: Before, outcome: link.CancelOutcome
+) -> None:
+    async with (
+        harness.agent() as agent,
+        harness.entry(agent.settings.control_port) as entry,
+    ):
+        entry.submit(harness.submit(1))
+        before(await agent.work())
+        assert await entry.cancel(1, harness.PATIENCE_S) == outcome
+
+
+async def test_cancelled_number_never_runs() -> None:
+    async with (
+        harness.agent() as agent,
+        harness.entry(agent.settings.control_port) as entry,
+    ):
+        found = await entry.cancel(1, harness.PATIENCE_S)
+        assert found == link.CancelOutcome.NOT_STARTED
+        (event,) = await harness.answer(entry.submit(harness.submit(1)))
+        assert isinstance(event, link.Refused)
+        assert not event.started
+        assert agent.executor.arrivals.empty()
+
+
+@pytest.mark.parametrize(
+    ("before", "asked", "outcome"),
+    [
+        (untouched, "", link.QueryOutcome.RUNNING),
+        (steps.started, "agent-1", link.QueryOutcome.RUNNING),
+        (finished, "", link.QueryOutcome.FINISHED),
+        (refused, "", link.QueryOutcome.NOT_STARTED),
+        (finished, "agent-0", link.QueryOutcome.UNKNOWN),
+    ],
+)
+async def test_query_of_another_entry(
+    before: Before, asked: str, outcome: link.QueryOutcome
+) -> None:
+    async with (
+        harness.agent() as agent,
+        harness.entry(agent.settings.control_port) as entry,
+        harness.entry(agent.settings.control_port, "b") as asker,
+    ):
+        entry.submit(harness.submit(1, idempotent=False))
+        before(await agent.work())
+        result = await asker.query(steps.OTHER, harness.PATIENCE_S, asked)
+        assert result is not None
+        assert result.outcome == outcome
+        body = result.finished.body if result.finished else b""
+        known = outcome == link.QueryOutcome.FINISHED
+        assert body == (b"receipt" if known else b"")
+
+
+async def test_queried_number_never_runs() -> None:
+    async with (
+        harness.agent() as agent,
+        harness.entry(agent.settings.control_port) as entry,
+        harness.entry(agent.settings.control_port, "b") as asker,
+    ):
+        result = await asker.query(steps.OTHER, harness.PATIENCE_S)
+        assert result is not None
+        assert result.outcome == link.QueryOutcome.NOT_STARTED
+        call = entry.submit(harness.submit(1, idempotent=False))
+        (event,) = await harness.answer(call)
+        assert isinstance(event, link.Refused)
+        assert not event.started
+
+
+async def test_requests_of_a_dead_entry() -> None:
+    brief = attrs.evolve(harness.LINK, resume_window_s=0.2)
+    async with harness.agent(link=brief) as agent:
+        async with harness.entry(agent.settings.control_port) as entry:
+            for sequence, idempotent in ((1, False), (2, True), (3, False)):
+                entry.submit(harness.submit(sequence, idempotent=idempotent))
+                await agent.work()
+            works = agent.executor.works
+            works[1].start()
+            works[2].start()
+        async with harness.entry(agent.settings.control_port, "b") as asker:
+            await harness.until(lambda: works[2].ended and works[3].ended)
+            assert not works[1].ended
+            works[1].finish(status=201, body=b"receipt")
+            result = await asker.query(steps.OTHER, harness.PATIENCE_S)
+            assert result is not None
+            assert result.finished is not None
+            assert result.finished.body == b"receipt"
+
+
+async def test_entry_that_was_away_gets_what_ran_on() -> None:
+    brief = attrs.evolve(harness.LINK, resume_window_s=0.2)
+    async with (
+        harness.agent(link=brief) as agent,
+        harness.relayed(agent) as between,
+        harness.entry(
+            agent.settings.control_port, address=relay.ADDRESS
+        ) as entry,
+    ):
+        calls = [
+            entry.submit(harness.submit(sequence, idempotent=idempotent))
+            for sequence, idempotent in ((1, False), (2, False), (3, True))
+        ]
+        works = [await agent.work() for _ in calls]
+        for work in works:
+            work.start()
+        between.refusing = True
+        between.cut()
+        await harness.until(lambda: works[2].ended)
+        works[0].finish(status=201, body=b"receipt")
+        between.refusing = False
+        await harness.until(lambda: entry.connected)
+        works[1].finish(status=202)
+        answers = [await harness.answer(call) for call in calls]
+        assert [type(event) for (event,) in answers] == [
+            link.Finished,
+            link.Finished,
+            link.Refused,
+        ]
+
+
+async def test_answer_that_nobody_claims_is_dropped() -> None:
+    brief = attrs.evolve(harness.LINK, resume_window_s=0.2)
+    async with harness.agent(link=brief) as agent:
+        async with harness.entry(agent.settings.control_port) as entry:
+            entry.submit(harness.submit(1))
+            work = await agent.work()
+        work.finish(status=200)
+        async with harness.entry(agent.settings.control_port):
+            assert not agent.server.idle()
+            await harness.until(agent.server.idle)
