Check the placer that a gateway's settings name

check-config passed a gateway with any placer; the process then ended at its start. The check of names is one piece for all roles, the gateway's loads nothing beyond what a gateway uses.

--- /dev/null
+++ b/bilberrydeal/_gateway_names.py
@@ -0,0 +1,16 @@
+"""Checks that the settings of a gateway name only what exists.
+
+It loads nothing that a gateway does not use.
+"""
+
+from . import _choices
+from . import settings
+from .systems import placement
+
+
+def problems(
+    chosen: settings.GatewaySettings,
+) -> tuple[settings.Problem, ...]:
+    """Return a problem for each name that nobody registered."""
+    choice = _choices.Choice("placer", chosen.placer, placement.PLACERS)
+    return _choices.unregistered([choice])
--- a/bilberrydeal/_names.py
+++ b/bilberrydeal/_names.py
@@ -3,8 +3,7 @@
 import collections.abc
 import typing
 
-import attrs
-
+from . import _choices
 from . import adapters
 from . import registry
 from . import settings
@@ -42,38 +41,23 @@
 }
 
 
-@attrs.frozen
-class _Choice:
-    """A name in the settings and the registry that must hold it."""
-
-    path: str
-    name: str
-    registry: _Registry
-
-
 def problems(chosen: Settings) -> tuple[settings.Problem, ...]:
     """Return a problem for each name that nobody registered."""
-    return tuple(
-        settings.Problem(
-            path=choice.path,
-            given=choice.name,
-            allowed=" or ".join(choice.registry.names()),
-        )
-        for choice in _choices(chosen)
-        if choice.name not in choice.registry.names()
-    )
+    return _choices.unregistered(_chosen(chosen))
 
 
-def _choices(chosen: Settings) -> collections.abc.Iterator[_Choice]:
+def _chosen(
+    chosen: Settings,
+) -> collections.abc.Iterator[_choices.Choice]:
     for field, policies in _POLICIES.items():
         name = getattr(chosen.policy, field)
-        yield _Choice(f"policy.{field}", name, policies)
+        yield _choices.Choice(f"policy.{field}", name, policies)
     for field, adapted in _PLATFORM.items():
         name = getattr(chosen.platform, field).adapter
-        yield _Choice(f"platform.{field}.adapter", name, adapted)
+        yield _choices.Choice(f"platform.{field}.adapter", name, adapted)
     if isinstance(chosen, settings.AgentSettings):
         engine = chosen.endpoint_kind == "engine"
-        yield _Choice(
+        yield _choices.Choice(
             "endpoint.adapter",
             chosen.endpoint.adapter,
             adapters.ENGINES if engine else adapters.PLAIN,
--- a/bilberrydeal/daemon.py
+++ b/bilberrydeal/daemon.py
@@ -21,7 +21,7 @@
     """Run the daemon and return its exit code."""
     parser = argparse.ArgumentParser(
         prog="bilberrydeald",
-        description="Runs an entry or an agent, as the settings file says.",
+        description="Runs the role that the settings file names.",
     )
     parser.add_argument("--version", action="version", version=__version__)
     parser.add_argument(
@@ -47,11 +47,13 @@
 def _check_names(chosen: settings.Settings) -> None:
     """Raise ``SettingsInvalid`` for names that nobody registered."""
     if isinstance(chosen, settings.GatewaySettings):
-        # The check would load libraries that a gateway never uses.
-        return
-    from . import _names
+        from . import _gateway_names
 
-    unknown = _names.problems(chosen)
+        unknown = _gateway_names.problems(chosen)
+    else:
+        from . import _names
+
+        unknown = _names.problems(chosen)
     if unknown:
         raise settings.SettingsInvalid(problems=unknown)
 
--- a/bilberrydeal/tests/test_daemon.py
+++ b/bilberrydeal/tests/test_daemon.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bilberrydeal import daemon
+from bilberrydeal.gateway.tests import test_reloading
 from bilberrydeal.settings.tests import test_load
 
 WRONG = [
@@ -42,6 +43,33 @@
     assert named in capsys.readouterr().err
 
 
+@pytest.mark.parametrize(
+    ("line", "named"),
+    [
+        ("placer: nobody", "placer: given nobody"),
+        ("uplink_mbps: 0", "uplink_mbps"),
+        ("uplink_mbps: fast", "uplink_mbps"),
+        ("trace: {exporter: pigeon}", "trace.exporter"),
+    ],
+)
+def test_wrong_settings_of_a_gateway_are_named(
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+    line: str,
+    named: str,
+) -> None:
+    text = f"{test_reloading.TEXT}\n{line}\n"
+    assert _check(tmp_path, text, monkeypatch) == daemon.EXIT_USAGE
+    assert named in capsys.readouterr().err
+
+
+def test_valid_settings_of_a_gateway_pass(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    assert _check(tmp_path, test_reloading.TEXT, monkeypatch) == 0
+
+
 def test_missing_file_is_named(
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
