Forget the counts that gateways told once these are gone

Each start of a gateway has a name of its own; what it told was kept for good (test failed before). It is forgotten a minute after its last datagram.

--- a/bilberrydeal/gateway/_told.py
+++ b/bilberrydeal/gateway/_told.py
@@ -19,6 +19,9 @@
 TOLD_AFTER_END_S = 1.5
 #: Windows that are kept of each gateway.
 WINDOWS_KEPT = 4
+#: A gateway that has told nothing for so long is forgotten, in seconds; its
+#: windows were settled long before.
+FORGOTTEN_S = 60.0
 
 #: Returns the addresses of the gateways that may settle windows.
 Settlers = collections.abc.Callable[[], tuple[_datagrams.Address, ...]]
@@ -45,6 +48,13 @@
             windows[counts.window] = counts
         for old in sorted(windows)[:-WINDOWS_KEPT]:
             del windows[old]
+        self._forget(counts.told_s - FORGOTTEN_S)
+
+    def _forget(self, before_s: float) -> None:
+        """Forget gateways that told nothing since."""
+        for gateway, windows in list(self._told.items()):
+            if all(counts.told_s < before_s for counts in windows.values()):
+                del self._told[gateway]
 
     def windows(self) -> set[int]:
         """Return the windows of which any gateway told."""
--- a/bilberrydeal/gateway/tests/test_usage.py
+++ b/bilberrydeal/gateway/tests/test_usage.py
@@ -300,3 +300,12 @@
     one.told.take(_datagrams.Datagram("g2", counts=late))
     rows = one.told.added_to(await one.rows.read(), FIRST)
     assert rows["g2"].windows[str(FIRST)] == {"russo": 2}
+
+
+async def test_gateways_that_are_gone_are_forgotten() -> None:
+    """Each restart has a name of its own; their counts had stayed for good."""
+    told = _told.ToldCounts()
+    for number in range(100):
+        counts = _datagrams.WindowCounts(FIRST + number, {"russo": 1}, number)
+        told.take(_datagrams.Datagram(f"g.{number}", counts=counts))
+    assert len(told.windows()) == 61
