Tell all gateways which engines change their roles; wait for slots by rank

Only the gateway that gave the order knew.

Change: the gateway that gives an order tells the others by datagram, each round until the engine shows its role. Requests are counted by rank at each engine; the wait for a slot follows from those as urgent, and from how long slots are held, learnt by service. What may have begun is placed even without room to defer. An engine with full slots is not taken for stalled. After 12 orders engines become readers only once readers are late. Figures of other gateways are summed as they come in.

Tried and reverted: idle readers ordered to make tokens while streams wait for slots, and given back at once when readers are late.

--- a/bilberrydeal/gateway/_datagrams.py
+++ b/bilberrydeal/gateway/_datagrams.py
@@ -53,6 +53,8 @@
     gateway: str
     load: LoadFigures | None = None
     counts: WindowCounts | None = None
+    #: Engines that are changing their roles by its order.
+    changing: tuple[str, ...] = ()
 
 
 Taker = collections.abc.Callable[[Datagram], None]
--- a/bilberrydeal/gateway/_duties.py
+++ b/bilberrydeal/gateway/_duties.py
@@ -1,6 +1,7 @@
 """What gateways do together through the store: usage, lease, roles."""
 
 import random
+import time
 
 from .. import errors
 from .. import leases
@@ -9,6 +10,7 @@
 from .. import settings
 from .. import store
 from .. import telemetry
+from . import _changing
 from . import _clock
 from . import _datagrams
 from . import _knowledge
@@ -108,7 +110,17 @@
             bounds.usage_due_s,
         )
         self._roles = _roles.RoleKeeper(
-            client, knowledge, self._lease, chosen.host_id
+            client,
+            knowledge,
+            self._lease,
+            chosen.host_id,
+            _changing.ChangingEngines(
+                datagrams,
+                knowledge,
+                self.incarnation,
+                lambda: self.peers,
+                time.monotonic,
+            ),
         )
         #: Addresses of the other gateways, for load figures.
         self.peers: tuple[_datagrams.Address, ...] = ()
--- a/bilberrydeal/gateway/_exchange.py
+++ b/bilberrydeal/gateway/_exchange.py
@@ -62,7 +62,7 @@
         if self._loads.take(
             datagram.gateway, load.sequence, load.shares, now_s
         ):
-            self._apply(now_s)
+            self._loads.apply(self._knowledge.load_of)
 
     async def run(self) -> None:
         """Tell what changed, again and again."""
@@ -76,7 +76,8 @@
             shares = self._shares()
             if self._due(shares, now_s):
                 self._tell(shares, now_s)
-            self._apply(now_s)
+            self._loads.drop_stale(now_s)
+            self._loads.apply(self._knowledge.load_of)
 
     def _pause_s(self) -> float:
         transfer_s = self._uplink.transfer_s(self._told_bytes)
@@ -86,20 +87,16 @@
             min(transfer_s / UPLINK_SHARE, REFRESH_S),
         )
 
-    def _apply(self, now_s: float) -> None:
-        self._loads.apply(self._knowledge.loads(), now_s)
-
     def _shares(self) -> tuple[placement.EngineShare, ...]:
         return tuple(
             placement.EngineShare(
                 load.engine_id,
                 int(load.own.urgent),
                 int(load.own.deferred),
-                load.own_requests,
-                load.own_deferred_requests,
+                list(load.own_counts.by_rank),
             )
             for load in self._knowledge.loads()
-            if load.own_requests
+            if load.own_counts.total
         )
 
     def _due(
--- a/bilberrydeal/gateway/_knowledge.py
+++ b/bilberrydeal/gateway/_knowledge.py
@@ -43,6 +43,12 @@
     rejections: int = 0
     #: It gets no request until then, monotonic seconds.
     rejecting_until_s: float = 0.0
+    #: It is changing its role until then, monotonic seconds.
+    changing_until_s: float = 0.0
+
+    def changing(self, now_s: float) -> bool:
+        """Return whether it is changing its role."""
+        return now_s < self.changing_until_s
 
     def usable(self, now_s: float) -> bool:
         """Return whether it may get a request."""
@@ -52,6 +58,7 @@
             and self.view.available
             and not self.pool.full
             and now_s >= self.rejecting_until_s
+            and not self.changing(now_s)
         )
 
     def rejected(self, now_s: float) -> None:
@@ -81,6 +88,8 @@
         self.endpoints: dict[str, Known] = {}
         self.health = health_system
         self.tables = systems.Tables()
+        #: Times that requests hold a slot, learnt by service.
+        self._slot_times: dict[str, placement.SlotTimes] = {}
 
     def set_configuration(
         self, configuration: catalogue.Configuration
@@ -124,6 +133,9 @@
             )
         known.endpoint = endpoint
         if known.load is not None and endpoint.role is not None:
+            if known.load.role is not endpoint.role:
+                # It is back in its new role.
+                known.changing_until_s = 0.0
             known.load.role = endpoint.role
 
     def remove_endpoint(self, endpoint_id: str, reason: str) -> None:
@@ -171,6 +183,11 @@
             if known.load is not None
         ]
 
+    def load_of(self, engine_id: str) -> placement.EngineLoad | None:
+        """Return the load of an engine, ``None`` if it is not known."""
+        known = self.endpoints.get(engine_id)
+        return known.load if known is not None else None
+
     def observe(self, known: Known, succeeded: bool, now_s: float) -> None:
         """Tell the health system what became of a send."""
         self.health.observe(
@@ -216,6 +233,9 @@
             role=endpoint.role,
             slots=endpoint.slots,
             cache=placement.PartCache(self._cache_tokens(endpoint.service)),
+            slot_times=self._slot_times.setdefault(
+                endpoint.service, placement.SlotTimes()
+            ),
         )
 
     def _cache_tokens(self, service: str) -> int:
--- a/bilberrydeal/gateway/_roles.py
+++ b/bilberrydeal/gateway/_roles.py
@@ -9,6 +9,7 @@
 from .. import store
 from .. import telemetry
 from ..systems import placement
+from . import _changing
 from . import _knowledge
 
 LOG = telemetry.logger("roles")
@@ -16,28 +17,58 @@
 LEASE_FLOOR_S = 1.8
 #: Time beyond a role change after which an order counts as lost, in seconds.
 ORDER_SLACK_S = 2.0
+#: Longest time that an engine may take to finish what runs there, in seconds.
+FINISHING_LIMIT_S = 20.0
 #: Share of a service's engines that may be changing their roles at once.
 CHANGING_SHARE = 0.25
 #: Weight of one round in the average of the slots that are taken.
 ROUND_WEIGHT = 0.1
 
 
+@attrs.define
+class _OrderGiven:
+    """An order whose effect has not shown yet."""
+
+    #: The role that was ordered.
+    role: ports.EngineRole
+    #: Whether the engine said that it took the order.
+    accepted: bool
+    #: When it counts as lost, by the store client's clock.
+    lost_s: float
+    #: When it counts as lost whatever runs there still.
+    lost_latest_s: float
+
+
 @attrs.define
 class _ServiceRoles:
     """What is known of one service's roles."""
 
-    #: Orders whose effect has not shown yet, with when they count as lost.
-    changing: dict[str, tuple[ports.EngineRole, float]] = attrs.field(
-        factory=dict
-    )
+    #: Orders by engine.
+    changing: dict[str, _OrderGiven] = attrs.field(factory=dict)
     #: Requests at decode engines, averaged over some seconds.
     busy_slots: float = 0.0
+    #: Time that what waits at reading engines takes, averaged, in seconds.
+    reading_wait_s: float = 0.0
+    #: Orders that were given to its engines.
+    orders_given: int = 0
     #: Whether any request was seen.
     used: bool = False
     #: Role that the plan calls for more of, and since when.
     called_for: ports.EngineRole | None = None
     called_since_s: float = 0.0
 
+    def average(
+        self,
+        makers: list[placement.EngineLoad],
+        readers: list[placement.EngineLoad],
+    ) -> None:
+        """Take what the engines have to do now into the averages."""
+        busy = sum(load.urgent_requests for load in makers)
+        waits = [load.reading_wait_s for load in readers]
+        wait_s = sum(waits) / len(waits) if waits else 0.0
+        self.busy_slots += (busy - self.busy_slots) * ROUND_WEIGHT
+        self.reading_wait_s += (wait_s - self.reading_wait_s) * ROUND_WEIGHT
+
     def patience_passed(
         self, order: placement.RoleOrder | None, now_s: float
     ) -> bool:
@@ -65,7 +96,9 @@
         knowledge: _knowledge.Knowledge,
         lease: leases.Lease,
         host_id: str,
+        changing: _changing.ChangingEngines,
     ) -> None:
+        self._changing = changing
         self._client = client
         self._knowledge = knowledge
         self._lease = lease
@@ -87,8 +120,15 @@
     ) -> None:
         state = self._services.setdefault(service.name, _ServiceRoles())
         now_s = self._client.now_s()
-        self._observe(service.name, state, now_s)
         bound_s = limits.role_switch_s + ORDER_SLACK_S
+        self._observe(service.name, state, now_s, bound_s)
+        self._changing.tell(
+            [
+                engine_id
+                for engine_id, given in state.changing.items()
+                if given.accepted
+            ]
+        )
         while True:
             order = placement.plan_roles(
                 self._as_ordered(service.name, state),
@@ -98,25 +138,43 @@
                 return
             if not self._may_order(service.name, state, now_s):
                 return
-            state.changing[order.engine_id] = (order.role, now_s + bound_s)
-            await self._give(order)
+            given = _OrderGiven(
+                order.role,
+                accepted=False,
+                lost_s=now_s + bound_s,
+                lost_latest_s=now_s + FINISHING_LIMIT_S,
+            )
+            state.changing[order.engine_id] = given
+            state.orders_given += 1
+            given.accepted = await self._give(order)
+            if given.accepted:
+                self._changing.tell([order.engine_id])
 
     def _observe(
-        self, service: str, state: _ServiceRoles, now_s: float
+        self,
+        service: str,
+        state: _ServiceRoles,
+        now_s: float,
+        bound_s: float,
     ) -> None:
         """Note what the engines do, and which orders have shown."""
         loads = self._loads(service)
-        busy = sum(
-            load.urgent_requests
-            for load in loads
-            if load.role is not ports.EngineRole.PREFILL
-        )
+        makers = [
+            load for load in loads if load.role is not ports.EngineRole.PREFILL
+        ]
+        state.average(makers, [load for load in loads if load not in makers])
         state.used = state.used or any(load.requests for load in loads)
-        state.busy_slots += (busy - state.busy_slots) * ROUND_WEIGHT
-        roles = {load.engine_id: load.role for load in loads}
-        for engine_id, (role, until_s) in list(state.changing.items()):
-            if roles.get(engine_id, role) is role or now_s >= until_s:
+        by_id = {load.engine_id: load for load in loads}
+        for engine_id, order in list(state.changing.items()):
+            load = by_id.get(engine_id)
+            if load is None or load.role is order.role:
                 del state.changing[engine_id]
+            elif order.accepted and load.requests:
+                # What runs there ends first.
+                lost_s = max(order.lost_s, now_s + bound_s)
+                order.lost_s = min(lost_s, order.lost_latest_s)
+            if now_s >= order.lost_s:
+                state.changing.pop(engine_id, None)
 
     def _loads(self, service: str) -> list[placement.EngineLoad]:
         return [
@@ -130,7 +188,7 @@
     ) -> list[placement.EngineLoad]:
         """Return the engines as if orders under way had shown."""
         return [
-            attrs.evolve(load, role=state.changing[load.engine_id][0])
+            attrs.evolve(load, role=state.changing[load.engine_id].role)
             if load.engine_id in state.changing
             else load
             for load in self._loads(service)
@@ -147,8 +205,10 @@
         )
         return placement.RoleDemand(
             busy_slots=state.busy_slots,
+            reading_wait_s=state.reading_wait_s,
             decoder_leaves=leaves,
             idle=not state.used,
+            orders_given=state.orders_given,
         )
 
     def _may_order(
@@ -161,15 +221,16 @@
         limit = max(int(len(self._loads(service)) * CHANGING_SHARE), 1)
         return len(state.changing) < limit
 
-    async def _give(self, order: placement.RoleOrder) -> None:
+    async def _give(self, order: placement.RoleOrder) -> bool:
+        """Give an order; return whether the engine said that it took it."""
         known = self._knowledge.endpoints[order.engine_id]
         taken = await self._engines.orders_taken(known.pool)
         now_s = self._client.now_s()
         if taken is None:
             LOG.warning("Engine gave no report.", endpoint=order.engine_id)
-            return
+            return False
         if self._lease.time_left_s(now_s) < LEASE_FLOOR_S:
-            return
+            return False
         fence = self._lease.fence(now_s)
         accepted = await self._engines.order_stage(
             known.pool,
@@ -187,3 +248,4 @@
             orders_before=taken,
             accepted=accepted,
         )
+        return accepted
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -25,8 +25,6 @@
 SILENT_FACTOR = 4.0
 #: Time that is added to it, in seconds.
 SILENT_SLACK_S = 0.5
-#: Ranks of requests that are not deferred; as many follow for the others.
-URGENT_RANKS = 5
 #: Engines that one request may find unreachable.
 TRIED_LIMIT = 4
 #: Largest answer to the reading of a prompt, in bytes.
@@ -129,6 +127,8 @@
             tried=frozenset(stream.journey.tried),
             uplink_s=self._uplink.wait_s(work.rank)
             + self._uplink.transfer_s(len(work.request.body)),
+            rank=work.rank,
+            begun=stream.journey.may_have_run,
         )
         engines = self._knowledge.engines(work.service, now_s)
         placed = self._placer.place(request, engines, now_s)
@@ -267,10 +267,13 @@
                 platform.passed_on(exchange.head),
                 None,
             )
+        first_s: float | None = None
         while True:
             data = await self._next_chunk(stream, exchange)
             if not data:
                 break
+            if first_s is None:
+                first_s = self._clock()
             reading.done()
             self._begun.count_once(stream.work, stream.journey)
             if whole := cutter.feed(data):
@@ -279,6 +282,9 @@
             self._knowledge.observe(known, False, self._clock())
             raise _sending.Lost("ended within an event")
         self._knowledge.observe(known, True, self._clock())
+        if known.load is not None and first_s is not None:
+            held_s = self._clock() - first_s
+            known.load.slot_times.learn(stream.work.rank, held_s)
         responder.end_chunks()
 
     async def _next_chunk(
@@ -319,7 +325,7 @@
             endpoint_id=known.endpoint.endpoint_id,
             left_s=work.deadline_s - self._clock(),
             organisation=work.organisation_name,
-            rank=_rank(work, placed),
+            rank=placement.engine_rank(work.rank, placed.deferred),
         )
 
     def _patience_s(
@@ -327,12 +333,14 @@
     ) -> float:
         """Return how long the head of an answer may take.
 
-        What is deferred waits for others there: its engine is not stalled.
+        An engine whose slots are taken is not stalled, and what is deferred
+        waits there for all others.
         """
         left_s = stream.work.deadline_s - self._clock()
-        if self._could_repeat(stream) and not placed.deferred:
-            return min(left_s, STALL_S)
-        return left_s
+        if not self._could_repeat(stream):
+            return left_s
+        silent_s = placed.expected_s * SILENT_FACTOR
+        return min(left_s, max(silent_s, STALL_S))
 
     def _could_repeat(self, stream: _Stream) -> bool:
         """Return whether another engine may get the request after this."""
@@ -388,18 +396,11 @@
     assert load is not None
     stream.journey.tried.append(known.endpoint.endpoint_id)
     load.cache.use(stream.work.prompt or _NO_PROMPT)
-    load.own_requests += 1
-    load.own_deferred_requests += placed.deferred
+    rank = placement.engine_rank(stream.work.rank, placed.deferred)
+    load.own_counts.add(rank, 1)
     reading = _Reading(load, placed.missing_tokens, placed.deferred)
     try:
         yield reading
     finally:
         reading.done()
-        load.own_requests -= 1
-        load.own_deferred_requests -= placed.deferred
-
-
-def _rank(work: _work.Work, placed: placement.Placement) -> int:
-    """Return the rank at the engine: what is deferred comes last."""
-    rank = min(work.rank, URGENT_RANKS - 1)
-    return rank + URGENT_RANKS if placed.deferred else rank
+        load.own_counts.add(rank, -1)
--- /dev/null
+++ b/bilberrydeal/gateway/tests/test_changing.py
@@ -0,0 +1,98 @@
+"""Engines that change their roles get no request from any gateway."""
+
+import collections.abc
+import random
+
+from ... import catalogue
+from ... import ports
+from ...systems import health
+from .. import _changing
+from .. import _datagrams
+from .. import _knowledge
+
+
+class Wire(_datagrams.Datagrams):
+    """Hands what one gateway sends to another at once."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.other: Wire | None = None
+
+    def send(
+        self,
+        datagram: _datagrams.Datagram,
+        addresses: collections.abc.Iterable[_datagrams.Address],
+    ) -> int:
+        assert self.other is not None
+        for take in self.other._takers:
+            take(datagram)
+        return 1
+
+
+def _endpoint(role: ports.EngineRole) -> catalogue.Endpoint:
+    return catalogue.Endpoint(
+        endpoint_id="e1",
+        service="llm",
+        host="127.0.0.1",
+        port=9,
+        failure_domain="d1",
+        ready=True,
+        role=role,
+        slots=8,
+        born_ms=1,
+    )
+
+
+class Gateway:
+    """One gateway's knowledge, with time that the test moves."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+        self.wire = Wire()
+        self.knowledge = _knowledge.Knowledge(
+            health.HEALTH.get("outlier")(random.Random(1).getrandbits(32))
+        )
+        self.knowledge.set_endpoint(_endpoint(ports.EngineRole.DECODE))
+        self.changing = _changing.ChangingEngines(
+            self.wire,
+            self.knowledge,
+            "g",
+            lambda: (("127.0.0.1", 1),),
+            lambda: self.now_s,
+        )
+
+    @property
+    def usable(self) -> bool:
+        return self.knowledge.endpoints["e1"].usable(self.now_s)
+
+
+def _pair() -> tuple[Gateway, Gateway]:
+    one, other = Gateway(), Gateway()
+    one.wire.other = other.wire
+    other.wire.other = one.wire
+    return one, other
+
+
+def test_all_gateways_leave_an_engine_alone_that_changes() -> None:
+    one, other = _pair()
+    assert one.usable
+    assert other.usable
+    one.changing.tell(["e1", "unknown"])
+    assert not one.usable
+    assert not other.usable
+
+
+def test_an_engine_is_used_once_it_is_back_in_its_role() -> None:
+    one, other = _pair()
+    one.changing.tell(["e1"])
+    other.knowledge.set_endpoint(_endpoint(ports.EngineRole.DECODE))
+    assert not other.usable
+    other.knowledge.set_endpoint(_endpoint(ports.EngineRole.PREFILL))
+    assert other.usable
+
+
+def test_what_is_told_no_more_holds_no_more() -> None:
+    one, other = _pair()
+    one.changing.tell(["e1"])
+    other.now_s += _changing.TOLD_S + 0.1
+    assert other.usable
--- a/bilberrydeal/gateway/tests/test_stream.py
+++ b/bilberrydeal/gateway/tests/test_stream.py
@@ -193,7 +193,7 @@
     async with harness.running(reader, other, full, good) as running:
         load = running.knowledge.endpoints["d2"].load
         assert load is not None
-        load.others_requests = 10
+        load.others_counts.add(0, 10)
 
         def spent() -> int:
             left = 0
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -7,6 +7,7 @@
 from ._base import Request
 from ._baselines import LeastOutstandingPlacer
 from ._entities import EngineLoad
+from ._entities import SlotTimes
 from ._parts import PartCache
 from ._parts import Prompt
 from ._parts import PromptPart
@@ -14,6 +15,9 @@
 from ._peer_loads import EngineShare
 from ._peer_loads import PeerLoads
 from ._peer_loads import STALE_S
+from ._request_counts import engine_rank
+from ._request_counts import RequestCounts
+from ._request_counts import URGENT_RANKS
 from ._role_plan import plan_roles
 from ._role_plan import RoleDemand
 from ._role_plan import RoleOrder
@@ -33,10 +37,14 @@
     "Prompt",
     "PromptPart",
     "Request",
+    "RequestCounts",
     "RoleDemand",
     "RoleOrder",
     "STALE_S",
+    "SlotTimes",
     "TwoStagePlacer",
+    "URGENT_RANKS",
+    "engine_rank",
     "main_decoder",
     "plan_roles",
     "rank",
--- a/bilberrydeal/systems/placement/_base.py
+++ b/bilberrydeal/systems/placement/_base.py
@@ -28,6 +28,10 @@
     #: Time that one send of it takes on this host's link, its wait there
     #: included, in seconds.
     uplink_s: float = 0.0
+    #: How urgent it is, 0 is the most urgent.
+    rank: int = 0
+    #: Whether an engine may have begun it: refused, it would be lost.
+    begun: bool = False
 
 
 @attrs.frozen
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -1,9 +1,12 @@
 """What placement knows of an engine."""
 
+import operator
+
 import attrs
 
 from ... import ports
 from . import _parts
+from . import _request_counts
 
 #: Prompt tokens that an engine reads a second until that is learnt.
 FIRST_PREFILL_TOKENS_PER_S = 260_000.0
@@ -14,6 +17,8 @@
 LEARNING_SHARE = 0.05
 #: Largest factor by which one observation may differ.
 OUTLIER_FACTOR = 4.0
+#: Time that a request holds its slot until that is learnt, in seconds.
+FIRST_HELD_S = 0.5
 
 
 @attrs.define
@@ -33,6 +38,21 @@
             self.urgent += tokens
 
 
+@attrs.define
+class SlotTimes:
+    """How long requests hold their slots, learnt from those that ended."""
+
+    #: By rank, in seconds.
+    held_s: list[float] = attrs.field(
+        factory=lambda: [FIRST_HELD_S] * _request_counts.URGENT_RANKS
+    )
+
+    def learn(self, rank: int, held_s: float) -> None:
+        """Note how long a request of a rank held its slot."""
+        rank = min(rank, _request_counts.URGENT_RANKS - 1)
+        self.held_s[rank] += (held_s - self.held_s[rank]) * LEARNING_SHARE
+
+
 @attrs.define
 class EngineLoad:
     """One engine; the gateway writes what it sends and what it learns."""
@@ -56,13 +76,15 @@
     #: Prompt tokens that other processes sent and that are not read yet.
     others: QueuedTokens = attrs.field(factory=QueuedTokens)
     #: Requests of this process there.
-    own_requests: int = 0
-    #: Those of them that are deferred.
-    own_deferred_requests: int = 0
+    own_counts: _request_counts.RequestCounts = attrs.field(
+        factory=_request_counts.RequestCounts
+    )
     #: Requests of other processes there.
-    others_requests: int = 0
-    #: Those of them that are deferred.
-    others_deferred_requests: int = 0
+    others_counts: _request_counts.RequestCounts = attrs.field(
+        factory=_request_counts.RequestCounts
+    )
+    #: How long requests hold a slot; one for all engines of a service.
+    slot_times: SlotTimes = attrs.field(factory=SlotTimes)
     #: Prompt tokens that it reads a second.
     prefill_tokens_per_s: float = FIRST_PREFILL_TOKENS_PER_S
 
@@ -81,6 +103,12 @@
         """Return the prompt tokens that are read after those."""
         return self.own.deferred + self.others.deferred
 
+    @property
+    def reading_wait_s(self) -> float:
+        """Return the time that reading all that waits here takes."""
+        waiting = self.urgent_tokens + self.deferred_tokens
+        return waiting / self.prefill_tokens_per_s
+
     def learn(self, expected_s: float, took_s: float) -> None:
         """Correct the speed by how long a reading took.
 
@@ -97,10 +125,37 @@
     @property
     def requests(self) -> int:
         """Return the requests there."""
-        return self.own_requests + self.others_requests
+        return self.own_counts.total + self.others_counts.total
+
+    def deferred_requests(self, rank: int) -> int:
+        """Return the deferred requests there that are as urgent as a rank."""
+        return self.own_counts.deferred(rank) + self.others_counts.deferred(
+            rank
+        )
 
     @property
     def urgent_requests(self) -> int:
         """Return the requests there that are not deferred."""
-        deferred = self.own_deferred_requests + self.others_deferred_requests
-        return max(self.requests - deferred, 0)
+        return self.own_counts.urgent + self.others_counts.urgent
+
+    def slot_wait_s(self, rank: int, deferred: bool) -> float:
+        """Return how long a new request would wait for a slot.
+
+        One slot has to become free, then those of the waiting that are as
+        urgent go first. Which of all run is not known: the least urgent are
+        taken to wait.
+        """
+        own, others = self.own_counts.by_rank, self.others_counts.by_rank
+        counts = [
+            mine + theirs for mine, theirs in zip(own, others, strict=True)
+        ]
+        if not deferred:
+            counts = counts[: _request_counts.URGENT_RANKS]
+        requests = sum(counts)
+        if requests < self.slots:
+            return 0.0
+        held_s = [*self.slot_times.held_s, *self.slot_times.held_s]
+        mean_s: float = sum(map(operator.mul, counts, held_s)) / requests
+        last = _request_counts.engine_rank(rank, deferred)
+        ahead = max(sum(counts[: last + 1]) - self.slots, 0)
+        return (mean_s + ahead * held_s[last]) / self.slots
--- a/bilberrydeal/systems/placement/_peer_loads.py
+++ b/bilberrydeal/systems/placement/_peer_loads.py
@@ -5,6 +5,7 @@
 import attrs
 
 from . import _entities
+from . import _request_counts
 
 #: A gateway that told nothing for so long has nothing under way, in seconds.
 STALE_S = 1.0
@@ -20,32 +21,58 @@
     urgent_tokens: int
     #: Prompt tokens that are read after those.
     deferred_tokens: int
-    #: Requests.
-    requests: int
-    #: Those of them that are deferred.
-    deferred_requests: int = 0
+    #: Requests by their rank at the engine.
+    requests: list[int]
 
 
 @attrs.frozen
 class _Told:
-    shares: dict[str, EngineShare]
+    shares: tuple[EngineShare, ...]
     sequence: int
     at_s: float
 
 
+@attrs.define
+class _Sum:
+    """What all other gateways have under way at one engine."""
+
+    tokens: _entities.QueuedTokens = attrs.field(
+        factory=_entities.QueuedTokens
+    )
+    counts: _request_counts.RequestCounts = attrs.field(
+        factory=_request_counts.RequestCounts
+    )
+
+    def add(self, share: EngineShare, sign: int) -> None:
+        """Add a share, or take it away again."""
+        self.tokens.add(sign * share.urgent_tokens, deferred=False)
+        self.tokens.add(sign * share.deferred_tokens, deferred=True)
+        for rank, count in enumerate(share.requests):
+            self.counts.add(rank, sign * count)
+
+
+Find = collections.abc.Callable[[str], _entities.EngineLoad | None]
+
+
 class PeerLoads:
-    """Keeps the newest figures of each gateway.
+    """Keeps the newest figures of each gateway, and their sums by engine.
+
+    The work for figures that come in grows with the engines that they name,
+    not with the fleet.
 
     Example::
 
         peers.take("gateway-2", 17, shares, now_s)
-        peers.apply(engines, now_s)
+        peers.apply(loads.get)
     """
 
     def __init__(self) -> None:
         #: Age at which figures are dropped, in seconds.
         self.stale_s = STALE_S
         self._told: dict[str, _Told] = {}
+        self._sums: dict[str, _Sum] = {}
+        #: Engines whose sums changed since they were applied.
+        self._changed: set[str] = set()
 
     def take(
         self,
@@ -58,30 +85,31 @@
         before = self._told.get(gateway)
         if before is not None and before.sequence >= sequence:
             return False
-        by_engine = {share.engine_id: share for share in shares}
-        self._told[gateway] = _Told(by_engine, sequence, now_s)
+        told = _Told(tuple(shares), sequence, now_s)
+        if before is not None:
+            self._add(before, -1)
+        self._told[gateway] = told
+        self._add(told, 1)
         return True
 
-    def apply(
-        self,
-        engines: collections.abc.Iterable[_entities.EngineLoad],
-        now_s: float,
-    ) -> None:
-        """Set what others have under way at the engines."""
+    def drop_stale(self, now_s: float) -> None:
+        """Drop the figures of gateways that told nothing for long."""
         for gateway, told in list(self._told.items()):
             if now_s - told.at_s > self.stale_s:
+                self._add(told, -1)
                 del self._told[gateway]
-        for engine in engines:
-            shares = [
-                told.shares[engine.engine_id]
-                for told in self._told.values()
-                if engine.engine_id in told.shares
-            ]
-            engine.others.urgent = sum(each.urgent_tokens for each in shares)
-            engine.others.deferred = sum(
-                each.deferred_tokens for each in shares
-            )
-            engine.others_requests = sum(share.requests for share in shares)
-            engine.others_deferred_requests = sum(
-                share.deferred_requests for share in shares
-            )
+
+    def apply(self, find: Find) -> None:
+        """Set what others have under way at the engines that changed."""
+        for engine_id in self._changed:
+            engine = find(engine_id)
+            if engine is not None:
+                found = self._sums[engine_id]
+                engine.others = attrs.evolve(found.tokens)
+                engine.others_counts.take([found.counts.by_rank])
+        self._changed.clear()
+
+    def _add(self, told: _Told, sign: int) -> None:
+        for share in told.shares:
+            self._sums.setdefault(share.engine_id, _Sum()).add(share, sign)
+            self._changed.add(share.engine_id)
--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -22,6 +22,12 @@
 READERS_SHARE = 0.4
 #: Share of the slots of decode engines that should be taken on average.
 SLOTS_SHARE = 0.95
+#: Average time that what waits at the reading engines takes below which they
+#: are idle, in seconds.
+READERS_IDLE_S = 0.02
+#: Orders of a service up to which engines become readers before readers are
+#: late: each order has its price, and a large fleet may never need them.
+ORDERS_AHEAD = 12
 #: How long an order must be called for before it is given, in seconds: at
 #: once where no tokens can be made or an engine is leaving for good; later
 #: where a crashed engine may come back, and for a surplus latest.
@@ -49,10 +55,15 @@
     #: Requests at decode engines that are not deferred, averaged over some
     #: seconds: late ones wait, an engine that reads is worth more than that.
     busy_slots: float = 0.0
+    #: Average time that what waits at the reading engines takes them, in
+    #: seconds.
+    reading_wait_s: float = math.inf
     #: Whether a decode engine is leaving for good.
     decoder_leaves: bool = False
     #: Whether no request was seen yet, so that changes disturb nobody.
     idle: bool = False
+    #: Orders that were given to the service's engines so far.
+    orders_given: int = 0
 
 
 def plan_roles(
@@ -73,7 +84,7 @@
         engine for engine in engines if engine.role is ports.EngineRole.PREFILL
     ]
     wanted = _decoders_wanted(engines, demand)
-    if len(decoders) > wanted:
+    if len(decoders) > wanted and _readers_wanted(demand):
         chosen = _most_crowded(decoders)
         patience_s = PATIENCE_NONE_S if demand.idle else PATIENCE_MANY_S
         return RoleOrder(
@@ -87,6 +98,17 @@
     return None
 
 
+def _readers_wanted(demand: RoleDemand) -> bool:
+    """Return whether decode engines to spare should read instead."""
+    if demand.orders_given < ORDERS_AHEAD:
+        return True
+    return not demand.idle and not _readers_idle(demand)
+
+
+def _readers_idle(demand: RoleDemand) -> bool:
+    return demand.reading_wait_s < READERS_IDLE_S
+
+
 def _decoders_wanted(
     engines: collections.abc.Sequence[_entities.EngineLoad],
     demand: RoleDemand,
@@ -111,7 +133,11 @@
     domains = collections.Counter(each.failure_domain for each in decoders)
     return max(
         (each for each in decoders if each is not main),
-        key=lambda each: (domains[each.failure_domain], each.key),
+        key=lambda each: (
+            domains[each.failure_domain],
+            -each.requests,
+            each.key,
+        ),
     )
 
 
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -31,8 +31,6 @@
 HOME_SHARE = 0.8
 #: Time for handing the cache over and the first step, in seconds.
 HAND_OVER_S = 0.012
-#: Time that a request holds its slot of a decode engine, in seconds.
-SLOT_HELD_S = 0.5
 #: Weight of the reading itself beside the time to the first token: reading
 #: takes capacity from all others.
 READING_WEIGHT = 10.0
@@ -114,7 +112,7 @@
         if late_s > 0.0:
             retry_s = max(late_s, RETRY_FLOOR_S)
             return _base.Hopeless(retry_s, best.deferred_s)
-        if not _has_room_to_defer(best.engine, engines):
+        if not _may_defer(request, best.engine, engines):
             # By then what was deferred before it has been served.
             return _base.Hopeless(best.deferred_s, best.deferred_s)
         return _placement(best, best.deferred_s, deferred=True)
@@ -161,12 +159,16 @@
         if not eligible:
             return []
         home = _home(request.prompt, eligible)
-        slot_wait_s = _slot_wait_s(able)
+        decoders = [
+            engine
+            for engine in able
+            if engine.role is not ports.EngineRole.PREFILL
+        ]
         return [
             _option(
                 request,
                 engine,
-                slot_wait_s,
+                decoders,
                 _missing(request.prompt, engine, engine.engine_id == home),
             )
             for engine in eligible
@@ -219,19 +221,20 @@
 def _option(
     request: _base.Request,
     engine: _entities.EngineLoad,
-    slot_wait_s: float,
+    decoders: list[_entities.EngineLoad],
     missing: float,
 ) -> _Option:
     split = engine.role is ports.EngineRole.PREFILL
+    makers = decoders if split else [engine]
     speed = _speed(engine)
     reading_s = missing / speed
     begun = min(engine.deferred_tokens, BEGUN_TOKENS)
-    hand_over_s = HAND_OVER_S + slot_wait_s if split else 0.0
-    read_s = (engine.urgent_tokens + begun) / speed + reading_s
     sends = SPLIT_SENDS if split else 1
-    hand_over_s += sends * request.uplink_s
-    expected_s = read_s + hand_over_s
+    hand_over_s = sends * request.uplink_s + (HAND_OVER_S if split else 0.0)
+    read_s = (engine.urgent_tokens + begun) / speed + reading_s
+    expected_s = read_s + hand_over_s + _slot_wait_s(makers, request, False)
     queued = engine.urgent_tokens + engine.deferred_tokens
+    deferred_s = queued / speed + reading_s + hand_over_s
     apart = engine.failure_domain != request.failure_domain
     cost_s = expected_s + reading_s * READING_WEIGHT + apart * DOMAIN_WEIGHT_S
     if request.prompt.tokens < SHORT_TOKENS:
@@ -243,31 +246,43 @@
         missing_tokens=missing,
         read_s=read_s,
         expected_s=expected_s,
-        deferred_s=queued / speed + reading_s + hand_over_s,
+        deferred_s=deferred_s + _slot_wait_s(makers, request, True),
         cost_s=cost_s,
     )
 
 
-def _slot_wait_s(engines: _base.Engines) -> float:
-    """Return the wait for a slot of a decode engine, as expected.
+def _slot_wait_s(
+    makers: list[_entities.EngineLoad],
+    request: _base.Request,
+    deferred: bool,
+) -> float:
+    """Return the wait for a slot of an engine that makes tokens."""
+    waits = [engine.slot_wait_s(request.rank, deferred) for engine in makers]
+    return min(waits, default=0.0)
+
 
-    Requests beyond the slots of the least loaded one wait for others to end.
-    Those that are deferred let others go first.
+def _may_defer(
+    request: _base.Request,
+    chosen: _entities.EngineLoad,
+    engines: _base.Engines,
+) -> bool:
+    """Return whether a request may wait behind those in time.
+
+    Short prompts delay no reading, and what was begun would be lost.
     """
-    loads = [
-        engine.urgent_requests / engine.slots
-        for engine in engines
-        if engine.role is not ports.EngineRole.PREFILL
-    ]
-    return max(min(loads, default=0.0) - 1.0, 0.0) * SLOT_HELD_S
+    if request.begun or request.prompt.tokens < SHORT_TOKENS:
+        return True
+    return _has_room_to_defer(request, chosen, engines)
 
 
 def _has_room_to_defer(
-    chosen: _entities.EngineLoad, engines: _base.Engines
+    request: _base.Request,
+    chosen: _entities.EngineLoad,
+    engines: _base.Engines,
 ) -> bool:
     """Return whether one more deferred request keeps no slots from others."""
     shares = [
-        (engine.requests - engine.urgent_requests) / engine.slots
+        engine.deferred_requests(request.rank) / engine.slots
         for engine in engines
         if engine.accepting and engine.role is not ports.EngineRole.PREFILL
     ]
--- a/bilberrydeal/systems/placement/tests/test_peer_loads.py
+++ b/bilberrydeal/systems/placement/tests/test_peer_loads.py
@@ -16,7 +16,13 @@
 
 
 def _share(urgent: int) -> placement.EngineShare:
-    return placement.EngineShare("e1", urgent, 5, 1)
+    counts = placement.RequestCounts()
+    counts.add(0, 1)
+    return placement.EngineShare("e1", urgent, 5, counts.by_rank)
+
+
+def _applied(peers: placement.PeerLoads, engine: placement.EngineLoad) -> None:
+    peers.apply({engine.engine_id: engine}.get)
 
 
 def test_figures_of_all_gateways_add_up() -> None:
@@ -24,18 +30,32 @@
     peers = placement.PeerLoads()
     peers.take("g1", 1, [_share(100)], 0.0)
     peers.take("g2", 1, [_share(50)], 0.0)
-    peers.apply([engine], 0.1)
+    _applied(peers, engine)
     assert engine.urgent_tokens == 150
     assert engine.deferred_tokens == 10
     assert engine.requests == 2
 
 
+def test_newer_figures_take_the_place_of_older_ones() -> None:
+    engine = _engine()
+    peers = placement.PeerLoads()
+    peers.take("g1", 1, [_share(100)], 0.0)
+    peers.take("g1", 2, [_share(30)], 0.1)
+    _applied(peers, engine)
+    assert engine.urgent_tokens == 30
+    assert engine.requests == 1
+    peers.take("g1", 3, [], 0.2)
+    _applied(peers, engine)
+    assert engine.urgent_tokens == 0
+    assert engine.requests == 0
+
+
 def test_late_datagrams_are_dropped() -> None:
     engine = _engine()
     peers = placement.PeerLoads()
     assert peers.take("g1", 2, [], 0.0)
     assert not peers.take("g1", 1, [_share(100)], 0.1)
-    peers.apply([engine], 0.1)
+    _applied(peers, engine)
     assert engine.urgent_tokens == 0
 
 
@@ -43,7 +63,33 @@
     engine = _engine()
     peers = placement.PeerLoads()
     peers.take("g1", 1, [_share(100)], 0.0)
-    peers.apply([engine], 0.5)
+    peers.drop_stale(0.5)
+    _applied(peers, engine)
     assert engine.urgent_tokens == 100
-    peers.apply([engine], 1.5)
+    peers.drop_stale(1.5)
+    _applied(peers, engine)
     assert engine.urgent_tokens == 0
+
+
+def test_what_is_told_of_unknown_engines_is_ignored() -> None:
+    peers = placement.PeerLoads()
+    peers.take("g1", 1, [_share(100)], 0.0)
+    engines: dict[str, placement.EngineLoad] = {}
+    peers.apply(engines.get)
+
+
+def test_a_datagram_costs_the_engines_that_it_names() -> None:
+    """Each had been summed over all engines and all gateways."""
+    engines = {f"e{n}": _engine() for n in range(3_000)}
+    peers = placement.PeerLoads()
+    looked: list[str] = []
+
+    def find(engine_id: str) -> placement.EngineLoad | None:
+        looked.append(engine_id)
+        return engines.get(engine_id)
+
+    for gateway in range(300):
+        peers.take(f"g{gateway}", 1, [_share(100)], 0.0)
+        peers.apply(find)
+    assert len(looked) == 300
+    assert engines["e1"].urgent_tokens == 30_000
--- a/bilberrydeal/systems/placement/tests/test_placers.py
+++ b/bilberrydeal/systems/placement/tests/test_placers.py
@@ -9,6 +9,7 @@
 
 PREFILL = ports.EngineRole.PREFILL
 DECODE = ports.EngineRole.DECODE
+DEFERRED = placement.engine_rank(0, deferred=True)
 LONG = placement.Prompt(
     (
         placement.PromptPart(b"system", 2_500),
@@ -52,8 +53,12 @@
     target_s: float = 0.15,
     left_s: float = 2.0,
     tried: frozenset[str] = frozenset(),
+    rank: int = 0,
+    begun: bool = False,
 ) -> placement.Request:
-    return placement.Request(prompt, target_s, left_s, "d1", tried)
+    return placement.Request(
+        prompt, target_s, left_s, "d1", tried, rank=rank, begun=begun
+    )
 
 
 def _place(
@@ -208,7 +213,7 @@
     fleet = _fleet()
     for engine in fleet:
         if engine.role is DECODE:
-            engine.own_requests = 100
+            engine.own_counts.add(0, 100)
     chosen = _place(fleet)
     assert isinstance(chosen, placement.Placement)
     assert chosen.deferred
@@ -219,8 +224,8 @@
     fleet = _fleet()
     for engine in fleet:
         if engine.role is DECODE:
-            engine.own_requests = 100
-            engine.own_deferred_requests = 60
+            engine.own_counts.add(0, 40)
+            engine.own_counts.add(DEFERRED, 60)
     chosen = _place(fleet)
     assert isinstance(chosen, placement.Placement)
     assert not chosen.deferred
@@ -237,7 +242,7 @@
     for engine in fleet:
         _busy(engine, 60_000.0)
         if engine.role is DECODE:
-            engine.own_requests = engine.own_deferred_requests = deferred
+            engine.own_counts.add(DEFERRED, deferred)
     chosen = _place(fleet)
     assert isinstance(chosen, outcome)
     if isinstance(chosen, placement.Hopeless):
@@ -255,3 +260,71 @@
     late = placer.place(narrower, _fleet(), 0.0)
     assert isinstance(late, placement.Placement)
     assert late.deferred
+
+
+def _full_of_short_answers(requests: int) -> list[placement.EngineLoad]:
+    """Return engines whose slots are taken by long streams of rank 1."""
+    fleet = _fleet()
+    for engine in fleet:
+        engine.slot_times = placement.SlotTimes([0.05, 1.4, 0.5, 0.5, 0.5])
+        if engine.role is DECODE:
+            engine.own_counts.add(1, requests)
+    return fleet
+
+
+def test_the_most_urgent_need_one_slot_to_become_free() -> None:
+    """They had been taken to wait for all streams that wait for a slot."""
+    chosen = _place(_full_of_short_answers(110))
+    assert isinstance(chosen, placement.Placement)
+    assert not chosen.deferred
+
+
+@pytest.mark.parametrize(
+    ("requests", "deferred"),
+    [(0, False), (63, False), (66, False), (80, True)],
+)
+def test_short_prompts_wait_for_a_slot(requests: int, deferred: bool) -> None:
+    fleet = _full_of_short_answers(requests)
+    chosen = _place(fleet, prompt=SHORT, left_s=15.0, rank=1)
+    assert isinstance(chosen, placement.Placement)
+    assert chosen.deferred == deferred
+
+
+def test_the_wait_for_a_slot_grows_with_those_ahead() -> None:
+    for requests, expected_s in ((63, 0.0), (64, 0.02), (128, 1.42)):
+        engine = _full_of_short_answers(requests)[-1]
+        wait_s = engine.slot_wait_s(1, deferred=False)
+        assert wait_s == pytest.approx(expected_s, abs=0.01)
+        assert engine.slot_wait_s(0, deferred=False) < 0.03
+
+
+def test_what_was_begun_is_not_refused_for_lack_of_room() -> None:
+    fleet = _fleet()
+    for engine in fleet:
+        _busy(engine, 60_000.0)
+        if engine.role is DECODE:
+            engine.own_counts.add(DEFERRED, 30)
+    assert isinstance(_place(fleet), placement.Hopeless)
+    chosen = _place(fleet, begun=True)
+    assert isinstance(chosen, placement.Placement)
+    assert chosen.deferred
+
+
+def test_times_that_slots_are_held_are_learnt() -> None:
+    times = placement.SlotTimes()
+    for _ in range(100):
+        times.learn(1, 1.4)
+    assert times.held_s[1] == pytest.approx(1.4, abs=0.02)
+    assert times.held_s[0] == 0.5
+
+
+def test_deferred_streams_of_short_prompts_refuse_no_long_ones() -> None:
+    """They had been counted against what long prompts may take."""
+    fleet = _full_of_short_answers(40)
+    for engine in fleet:
+        _busy(engine, 60_000.0)
+        if engine.role is DECODE:
+            engine.own_counts.add(placement.engine_rank(1, True), 30)
+    chosen = _place(fleet)
+    assert isinstance(chosen, placement.Placement)
+    assert chosen.deferred
--- a/bilberrydeal/systems/placement/tests/test_role_plan.py
+++ b/bilberrydeal/systems/placement/tests/test_role_plan.py
@@ -92,3 +92,28 @@
     order = placement.plan_roles(engines, placement.RoleDemand())
     assert order is not None
     assert order.role is DECODE
+
+
+@pytest.mark.parametrize(
+    ("orders_given", "idle", "reading_wait_s", "ordered"),
+    [
+        (0, True, 0.0, PREFILL),
+        (12, True, 0.0, None),
+        (11, False, 0.0, PREFILL),
+        (12, False, 0.0, None),
+        (12, False, 0.05, PREFILL),
+    ],
+)
+def test_a_large_fleet_gets_few_orders_until_readers_are_late(
+    orders_given: int,
+    idle: bool,
+    reading_wait_s: float,
+    ordered: ports.EngineRole | None,
+) -> None:
+    """300 engines with little to do had been given 90 orders."""
+    demand = placement.RoleDemand(
+        idle=idle, orders_given=orders_given, reading_wait_s=reading_wait_s
+    )
+    engines = _engines("p" * 93 + "d" * 206)
+    order = placement.plan_roles(engines, demand)
+    assert (order.role if order else None) == ordered
