--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -69,6 +69,16 @@
     cost_s: float
 
 
+@attrs.frozen
+class _SlotWait:
+    """How long a request would wait for a slot, in seconds."""
+
+    #: Where it can be in time.
+    in_time_s: float
+    #: Where it is deferred.
+    deferred_s: float
+
+
 @_base.PLACERS.register("two_stage")
 class TwoStagePlacer:
     """Weighs the queue at each engine against the parts that it keeps.
@@ -159,16 +169,19 @@
         if not eligible:
             return []
         home = _home(request.prompt, eligible)
-        decoders = [
-            engine
-            for engine in able
-            if engine.role is not ports.EngineRole.PREFILL
-        ]
+        elsewhere = _slot_wait(
+            request,
+            [
+                engine
+                for engine in able
+                if engine.role is not ports.EngineRole.PREFILL
+            ],
+        )
         return [
             _option(
                 request,
                 engine,
-                decoders,
+                elsewhere,
                 _missing(request.prompt, engine, engine.engine_id == home),
             )
             for engine in eligible
@@ -221,18 +234,18 @@
 def _option(
     request: _base.Request,
     engine: _entities.EngineLoad,
-    decoders: list[_entities.EngineLoad],
+    elsewhere: _SlotWait,
     missing: float,
 ) -> _Option:
     split = engine.role is ports.EngineRole.PREFILL
-    makers = decoders if split else [engine]
+    slot_wait = elsewhere if split else _slot_wait(request, [engine])
     speed = _speed(engine)
     reading_s = missing / speed
     begun = min(engine.deferred_tokens, BEGUN_TOKENS)
     sends = SPLIT_SENDS if split else 1
     hand_over_s = sends * request.uplink_s + (HAND_OVER_S if split else 0.0)
     read_s = (engine.urgent_tokens + begun) / speed + reading_s
-    expected_s = read_s + hand_over_s + _slot_wait_s(makers, request, False)
+    expected_s = read_s + hand_over_s + slot_wait.in_time_s
     queued = engine.urgent_tokens + engine.deferred_tokens
     deferred_s = queued / speed + reading_s + hand_over_s
     apart = engine.failure_domain != request.failure_domain
@@ -246,19 +259,24 @@
         missing_tokens=missing,
         read_s=read_s,
         expected_s=expected_s,
-        deferred_s=deferred_s + _slot_wait_s(makers, request, True),
+        deferred_s=deferred_s + slot_wait.deferred_s,
         cost_s=cost_s,
     )
 
 
-def _slot_wait_s(
-    makers: list[_entities.EngineLoad],
-    request: _base.Request,
-    deferred: bool,
-) -> float:
-    """Return the wait for a slot of an engine that makes tokens."""
-    waits = [engine.slot_wait_s(request.rank, deferred) for engine in makers]
-    return min(waits, default=0.0)
+def _slot_wait(
+    request: _base.Request, makers: list[_entities.EngineLoad]
+) -> _SlotWait:
+    """Return the shortest wait for a slot of engines that make tokens."""
+    rank = request.rank
+    return _SlotWait(
+        min(
+            (engine.slot_wait_s(rank, False) for engine in makers), default=0.0
+        ),
+        min(
+            (engine.slot_wait_s(rank, True) for engine in makers), default=0.0
+        ),
+    )
 
 
 def _may_defer(
--- a/bilberrydeal/systems/placement/tests/test_placers.py
+++ b/bilberrydeal/systems/placement/tests/test_placers.py
@@ -328,3 +328,30 @@
     chosen = _place(fleet)
     assert isinstance(chosen, placement.Placement)
     assert chosen.deferred
+
+
+def test_the_cost_of_a_request_grows_with_the_fleet_no_faster() -> None:
+    """Each reader had asked all engines that make tokens for their slots."""
+    asked = 0
+
+    class Counted(placement.EngineLoad):
+        def slot_wait_s(self, rank: int, deferred: bool) -> float:
+            nonlocal asked
+            asked += 1
+            return super().slot_wait_s(rank, deferred)
+
+    for size in (30, 300):
+        fleet = [
+            Counted(
+                engine_id=f"e{number}",
+                failure_domain="d1",
+                service="llm",
+                role=DECODE if number % 3 else PREFILL,
+                slots=64,
+                cache=placement.PartCache(100_000),
+            )
+            for number in range(size)
+        ]
+        asked = 0
+        assert isinstance(_place(fleet), placement.Placement)
+        assert asked <= 4 * size
