--- a/bilberrydeal/entry/_authority.py
+++ b/bilberrydeal/entry/_authority.py
@@ -30,7 +30,7 @@
     reports: billing.ReportStats
 
 
-def build(
+def build_authority(
     entry: str,
     chosen: settings.EntrySettings,
     client: store.StoreClient,
--- a/bilberrydeal/entry/_gauges.py
+++ b/bilberrydeal/entry/_gauges.py
@@ -39,7 +39,7 @@
             gauge.set(_NO_LABELS, read())
 
 
-def add_all(
+def add_gauges(
     gauges: Gauges,
     following: _following.Following,
     gate: _gate.Gate,
--- a/bilberrydeal/entry/_path.py
+++ b/bilberrydeal/entry/_path.py
@@ -38,7 +38,7 @@
     chosen = base.settings
     following = base.following
     numbers = _numbers.Numbers(base.entry)
-    policies = _policies.build(chosen, base.entry, base.random.getrandbits(32))
+    policies = _policies.build_policies(chosen, base.entry, base.random.getrandbits(32))
     pool = _pool.LinkPool(
         base.entry, chosen, base.tables, policies.router, base.clock
     )
--- a/bilberrydeal/entry/_policies.py
+++ b/bilberrydeal/entry/_policies.py
@@ -24,7 +24,7 @@
     subset: subsets.SubsetChooser
 
 
-def build(chosen: settings.EntrySettings, entry: str, seed: int) -> Policies:
+def build_policies(chosen: settings.EntrySettings, entry: str, seed: int) -> Policies:
     """Return the systems that the settings name, or raise ``UnknownName``."""
     names = chosen.policy
     options = routing.RouterOptions(
--- a/bilberrydeal/entry/_upkeep.py
+++ b/bilberrydeal/entry/_upkeep.py
@@ -80,7 +80,7 @@
         base.tables.of(systems.EndpointView),
         following.current,
     )
-    authority = _authority.build(
+    authority = _authority.build_authority(
         base.entry,
         chosen,
         following.client,
@@ -93,7 +93,7 @@
         following.may_remove,
         base.random,
     )
-    _gauges.add_all(
+    _gauges.add_gauges(
         base.gauges,
         following,
         path.gate,
--- a/bilberrydeal/systems/placement/tests/test_placers.py
+++ b/bilberrydeal/systems/placement/tests/test_placers.py
@@ -1,6 +1,7 @@
 """Where prompts are read, for one load a case."""
 
 import collections
+import collections.abc
 
 import pytest
 
@@ -62,7 +63,7 @@
 
 
 def _place(
-    engines: list[placement.EngineLoad], **fields: object
+    engines: collections.abc.Sequence[placement.EngineLoad], **fields: object
 ) -> placement.Placement | placement.Hopeless:
     placer = placement.PLACERS.get("two_stage")()
     request = _request(**fields)  # type: ignore[arg-type]
