Give the entry's modules rooms by subject

Cause: 40 modules lay in one folder, so that a newcomer had to read names of files to find a decision. Now six packages, each with its public names in __all__: front (callers' port and protocol), core (admission, dispatch, retries, at most once), knowledge (configuration, members, hosts, peers), accounting, planners and admin. What puts them together stays above. Between rooms only public names are used; mypy and the linter see each of them. No behaviour changes. Ruled out: one level of modules with prefixes, since imports between subjects would stay hidden. Tests of the entry and of the package pass.

--- a/bilberrydeal/entry/_base.py
+++ b/bilberrydeal/entry/_base.py
@@ -12,9 +12,9 @@
 from .. import settings
 from .. import systems
 from .. import telemetry
-from . import _following
-from . import _gauges
 from . import _secrets
+from . import admin
+from . import knowledge
 
 Clock = collections.abc.Callable[[], float]
 
@@ -29,11 +29,11 @@
     secrets: _secrets.Secrets
     platform: adapters.Platform
     #: What this entry knows by the store and by its peers.
-    following: _following.Following
+    following: knowledge.Following
     #: Tables that the systems of requests run over.
     tables: systems.Tables
     metrics: telemetry.Metrics
-    gauges: _gauges.Gauges
+    gauges: admin.Gauges
     tracing: telemetry.Tracing
     #: Monotonic time, in seconds.
     clock: Clock
@@ -57,7 +57,7 @@
         settings=chosen,
         secrets=secrets,
         platform=platform,
-        following=_following.Following(
+        following=knowledge.Following(
             entry,
             chosen,
             platform,
@@ -67,7 +67,7 @@
         ),
         tables=systems.Tables(),
         metrics=metrics,
-        gauges=_gauges.Gauges(metrics),
+        gauges=admin.Gauges(metrics),
         tracing=telemetry.Tracing(chosen.trace, "entry"),
         clock=time.monotonic,
         wall=time.time,
--- a/bilberrydeal/entry/_path.py
+++ b/bilberrydeal/entry/_path.py
@@ -6,26 +6,21 @@
 
 from .. import claims
 from . import _base
-from . import _dispatch
-from . import _gate
-from . import _journal
-from . import _numbers
-from . import _policies
-from . import _pool
-from . import _settling
+from . import accounting
+from . import core
 
 
 @attrs.frozen
 class Path:
     """The parts that a request passes, from the gate to the link."""
 
-    policies: _policies.Policies
-    pool: _pool.LinkPool
-    gate: _gate.Gate
-    journal: _journal.Journal
+    policies: core.Policies
+    pool: core.LinkPool
+    gate: core.Gate
+    journal: core.Journal
     claims: claims.Claims
-    settling: _settling.Settling
-    dispatcher: _dispatch.Dispatcher
+    settling: accounting.Settling
+    dispatcher: core.Dispatcher
 
 
 def build(
@@ -37,12 +32,14 @@
     """
     chosen = base.settings
     following = base.following
-    numbers = _numbers.Numbers(base.entry)
-    policies = _policies.build_policies(chosen, base.entry, base.random.getrandbits(32))
-    pool = _pool.LinkPool(
+    numbers = core.Numbers(base.entry)
+    policies = core.build_policies(
+        chosen, base.entry, base.random.getrandbits(32)
+    )
+    pool = core.LinkPool(
         base.entry, chosen, base.tables, policies.router, base.clock
     )
-    gate = _gate.Gate(
+    gate = core.Gate(
         numbers.next,
         chosen,
         following.current,
@@ -52,9 +49,9 @@
         base.tables,
         following.demand,
     )
-    journal = _journal.Journal(base.clock)
+    journal = core.Journal(base.clock)
     claim_rows = claims.Claims(following.claims_client, base.platform.objects)
-    settling = _settling.Settling(
+    settling = accounting.Settling(
         base.entry,
         chosen.usage,
         following.client,
@@ -66,7 +63,7 @@
         base.clock,
         lost_place,
     )
-    dispatcher = _dispatch.Dispatcher(
+    dispatcher = core.Dispatcher(
         pool,
         base.tables,
         policies,
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -14,12 +14,11 @@
 from ..systems import health
 from . import _app
 from . import _base
-from . import _following
 from . import _path
 from . import _secrets
-from . import _taking
 from . import _upkeep
-from . import _windows
+from . import knowledge
+from . import planners
 
 LOG = telemetry.logger("entry")
 #: Time between two looks at links and circuits.
@@ -39,7 +38,7 @@
         self._server: typing.Any = None
         self._tasks: list[asyncio.Task[None]] = []
         self._path = _path.build(base, self._stop.set)
-        taker = _taking.ChangeTaker(self._path.gate, base.tables)
+        taker = knowledge.ChangeTaker(self._path.gate, base.tables)
         base.following.follower.listen(taker.take)
         self._upkeep = _upkeep.build(base, self._path)
         self._app = _app.build(base, self._path, self._upkeep)
@@ -84,18 +83,18 @@
         for name, period_s, work in (
             (
                 "configuration",
-                _following.CONFIGURATION_POLL_S,
+                knowledge.CONFIGURATION_POLL_S,
                 following.poll_configuration,
             ),
             ("members", chosen.membership.read_s, self._poll_members),
-            ("hosts", _following.HOSTS_READ_S, following.poll_hosts),
+            ("hosts", knowledge.HOSTS_READ_S, following.poll_hosts),
             (
                 "exchange",
                 chosen.membership.exchange_s,
                 self._upkeep.exchange.round,
             ),
             ("usage", chosen.usage.settle_s, self._path.settling.round),
-            ("demand", _windows.WINDOW_S, self._observe_demand),
+            ("demand", planners.WINDOW_S, self._observe_demand),
             ("tick", TICK_S, self._tick),
         ):
             pause_s = periodic.jittered(period_s, self._base.random)
--- a/bilberrydeal/entry/_upkeep.py
+++ b/bilberrydeal/entry/_upkeep.py
@@ -6,24 +6,21 @@
 from .. import membership
 from .. import peers
 from .. import systems
-from . import _authority
 from . import _base
-from . import _exchange
-from . import _following
-from . import _gauges
 from . import _path
-from . import _planning
-from . import _subset
+from . import admin
+from . import knowledge
+from . import planners
 
 
 @attrs.frozen
 class Upkeep:
     """The parts that run beside the requests."""
 
-    exchange: _exchange.Exchange
+    exchange: knowledge.Exchange
     #: Brings links and tables in line with the members.
-    sync: _subset.MemberSync
-    planning: _planning.Planning
+    sync: knowledge.MemberSync
+    planning: planners.Planning
     duties: duties.DutyRunner
 
     async def observe_demand(self, base: _base.Base) -> None:
@@ -48,7 +45,7 @@
     """Return the parts, with their figures added to the metrics."""
     chosen = base.settings
     following = base.following
-    exchange = _exchange.Exchange(
+    exchange = knowledge.Exchange(
         peers.Introduction(
             base.entry,
             chosen.advertise_address,
@@ -65,7 +62,7 @@
         base.tables,
         base.clock,
     )
-    sync = _subset.MemberSync(
+    sync = knowledge.MemberSync(
         following.member,
         chosen.membership,
         path.policies.subset,
@@ -74,13 +71,13 @@
         base.tables,
         base.clock,
     )
-    planning = _planning.Planning(
+    planning = planners.Planning(
         chosen,
         following.directory,
         base.tables.of(systems.EndpointView),
         following.current,
     )
-    authority = _authority.build_authority(
+    authority = planners.build_authority(
         base.entry,
         chosen,
         following.client,
@@ -89,11 +86,11 @@
         following.directory,
         planning,
         path.pool,
-        _following.PACT_LONGEST_S + chosen.duties.margin_s,
+        knowledge.PACT_LONGEST_S + chosen.duties.margin_s,
         following.may_remove,
         base.random,
     )
-    _gauges.add_gauges(
+    admin.add_gauges(
         base.gauges,
         following,
         path.gate,
--- a/bilberrydeal/entry/_settling.py
+++ b/bilberrydeal/entry/accounting/_settling.py
@@ -5,18 +5,17 @@
 import math
 import random
 
-from .. import billing
-from .. import claims
-from .. import errors
-from .. import link
-from .. import membership
-from .. import ports
-from .. import settings
-from .. import store
-from .. import telemetry
-from ..systems import pacing
-from . import _bills
-from . import _pool
+from ... import billing
+from ... import claims
+from ... import errors
+from ... import link
+from ... import membership
+from ... import ports
+from ... import settings
+from ... import store
+from ... import telemetry
+from ...systems import pacing
+from .. import core
 from . import _unbilled
 
 LOG = telemetry.logger("settling")
@@ -42,7 +41,7 @@
         chosen: settings.UsageSettings,
         client: store.StoreClient,
         rows: claims.Claims,
-        pool: _pool.LinkPool,
+        pool: core.LinkPool,
         wall: collections.abc.Callable[[], float],
         is_agent: collections.abc.Callable[[str], bool],
         entries: collections.abc.Callable[[], int],
@@ -67,7 +66,7 @@
         self._wall = wall
         self._is_agent = is_agent
         self._lost = lost
-        self._doubtful: list[_bills.LostWork] = []
+        self._doubtful: list[core.LostWork] = []
         self._unbilled = _unbilled.Unbilled()
         self._open = False
         pool.on_usage = self._take
@@ -85,7 +84,7 @@
                 self._unbilled.recorded(record.number)
         self._recorder.take(message)
 
-    def bill_lost(self, lost: _bills.LostWork) -> None:
+    def bill_lost(self, lost: core.LostWork) -> None:
         """Bill the tokens that a caller got from an agent that is gone.
 
         An agent that is only cut off has the true figures and hands them
@@ -94,7 +93,7 @@
         if lost.organisation and len(self._doubtful) < DOUBTFUL_LIMIT:
             self._doubtful.append(lost)
 
-    def answered(self, answer: _bills.Answered) -> None:
+    def answered(self, answer: core.Answered) -> None:
         """Bill an answer if its agent dies before it hands the record over.
 
         Should the record come all the same, the recorder drops it.
@@ -108,7 +107,7 @@
                 lost.number, lost.organisation, lost.figures, self._wall()
             )
 
-    def _replaced(self, answer: _bills.Answered) -> bool:
+    def _replaced(self, answer: core.Answered) -> bool:
         """Return whether the agent of an answer is gone for good."""
         present = self._pool.get(answer.endpoint_id)
         if present is not None and present.agent:
--- a/bilberrydeal/entry/_unbilled.py
+++ b/bilberrydeal/entry/accounting/_unbilled.py
@@ -4,8 +4,8 @@
 import collections.abc
 import typing
 
-from .. import link
-from . import _bills
+from ... import link
+from .. import core
 
 #: Answers remembered, and records remembered that came before them.
 LIMIT = 10_000
@@ -21,7 +21,7 @@
     """
 
     def __init__(self) -> None:
-        self._waiting: collections.OrderedDict[int, _bills.Answered] = (
+        self._waiting: collections.OrderedDict[int, core.Answered] = (
             collections.OrderedDict()
         )
         self._seen: collections.OrderedDict[int, None] = (
@@ -32,7 +32,7 @@
         """Return how many answers wait for their records."""
         return len(self._waiting)
 
-    def answered(self, answer: _bills.Answered) -> None:
+    def answered(self, answer: core.Answered) -> None:
         """Note an answer, unless its record came first."""
         sequence = answer.number.sequence
         if answer.organisation and sequence not in self._seen:
@@ -47,9 +47,9 @@
 
     def lost(
         self,
-        replaced: collections.abc.Callable[[_bills.Answered], bool],
+        replaced: collections.abc.Callable[[core.Answered], bool],
         now_s: float,
-    ) -> list[_bills.Answered]:
+    ) -> list[core.Answered]:
         """Take out the answers whose agents will hand nothing over.
 
         ``replaced`` tells whether that is so. What is too old to be in
--- /dev/null
+++ b/bilberrydeal/entry/admin/__init__.py
@@ -0,0 +1,13 @@
+"""The operators' port: their routes, the state shown, gauges."""
+
+from ._gauges import add_gauges
+from ._gauges import Gauges
+from ._operator import OperatorRoutes
+from ._status import StatusRoutes
+
+__all__ = [
+    "Gauges",
+    "OperatorRoutes",
+    "StatusRoutes",
+    "add_gauges",
+]
--- a/bilberrydeal/entry/_gauges.py
+++ b/bilberrydeal/entry/admin/_gauges.py
@@ -3,12 +3,11 @@
 import collections.abc
 import typing
 
-from .. import telemetry
-from . import _authority
-from . import _following
-from . import _gate
-from . import _pool
-from . import _settling
+from ... import telemetry
+from .. import accounting
+from .. import core
+from .. import knowledge
+from .. import planners
 
 Read = collections.abc.Callable[[], float]
 _NO_LABELS: dict[str, str] = {}
@@ -41,11 +40,11 @@
 
 def add_gauges(
     gauges: Gauges,
-    following: _following.Following,
-    gate: _gate.Gate,
-    pool: _pool.LinkPool,
-    settling: _settling.Settling,
-    authority: _authority.Authority,
+    following: knowledge.Following,
+    gate: core.Gate,
+    pool: core.LinkPool,
+    settling: accounting.Settling,
+    authority: planners.Authority,
 ) -> None:
     """Add what alarms are set on."""
     reports = authority.reports
--- a/bilberrydeal/entry/_operator.py
+++ b/bilberrydeal/entry/admin/_operator.py
@@ -9,12 +9,12 @@
 import sanic
 from sanic import response
 
-from .. import configuration
-from .. import errors
-from .. import keys
-from .. import operators
-from .. import telemetry
-from . import _http
+from ... import configuration
+from ... import errors
+from ... import keys
+from ... import operators
+from ... import telemetry
+from .. import front
 from . import _operator_rows
 
 LOG = telemetry.logger("operator")
@@ -63,7 +63,7 @@
     def install(self, app: typing.Any, body_timeout_s: float) -> None:
         """Add the routes to the application."""
         for route in self._all_routes():
-            _http.add_route(
+            front.add_route(
                 app,
                 PREFIX + route.path,
                 [route.method],
@@ -78,7 +78,7 @@
         for kind in _operator_rows.KINDS:
             yield from self._row_routes(kind)
 
-    def guarded(self, handler: Handler) -> _http.Handler:
+    def guarded(self, handler: Handler) -> front.Handler:
         """Return a handler that asks for the operators' key first."""
 
         async def serve(request: sanic.Request) -> response.HTTPResponse:
@@ -173,7 +173,7 @@
 
 
 def _answer(body: object) -> response.HTTPResponse:
-    return _http.json_answer(msgspec.json.encode(body))
+    return front.json_answer(msgspec.json.encode(body))
 
 
 def _decode(request: sanic.Request, kind: type[Body]) -> Body:
--- a/bilberrydeal/entry/_operator_rows.py
+++ b/bilberrydeal/entry/admin/_operator_rows.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from .. import configuration
-from .. import operators
+from ... import configuration
+from ... import operators
 
 #: Rows of one kind by name; the kinds differ, their handling does not.
 Rows = collections.abc.Mapping[str, typing.Any]
--- a/bilberrydeal/entry/_status.py
+++ b/bilberrydeal/entry/admin/_status.py
@@ -7,24 +7,21 @@
 import sanic
 from sanic import response
 
-from .. import billing
-from .. import duties
-from .. import errors
-from .. import leases
-from .. import membership
-from .. import operators
-from .. import orders
-from .. import systems
-from .. import telemetry
-from . import _exchange
-from . import _following
-from . import _gate
+from ... import billing
+from ... import duties
+from ... import errors
+from ... import leases
+from ... import membership
+from ... import operators
+from ... import orders
+from ... import systems
+from ... import telemetry
+from .. import accounting
+from .. import core
+from .. import front
+from .. import knowledge
 from . import _gauges
-from . import _http
-from . import _journal
 from . import _operator
-from . import _pool
-from . import _settling
 
 #: Most windows shown at once.
 USAGE_WINDOWS_LIMIT = 100
@@ -36,15 +33,15 @@
 
     def __init__(
         self,
-        following: _following.Following,
-        exchange: _exchange.Exchange,
-        gate: _gate.Gate,
-        pool: _pool.LinkPool,
+        following: knowledge.Following,
+        exchange: knowledge.Exchange,
+        gate: core.Gate,
+        pool: core.LinkPool,
         runner: duties.DutyRunner,
         tables: systems.Tables,
         metrics: telemetry.Metrics,
         gauges: _gauges.Gauges,
-        journal: _journal.Journal,
+        journal: core.Journal,
         clock: collections.abc.Callable[[], float],
     ) -> None:
         self._following = following
@@ -60,7 +57,7 @@
         self._metrics = metrics
         self._gauges = gauges
         self._journal = journal
-        self._rule = _settling.window_rule(following.settings.usage)
+        self._rule = accounting.window_rule(following.settings.usage)
         self._clock = clock
 
     def install(
@@ -75,7 +72,7 @@
             ("/readyz", self._ready),
             ("/metrics", self._show_metrics),
         ):
-            _http.add_route(app, path, ["GET"], handler, body_timeout_s)
+            front.add_route(app, path, ["GET"], handler, body_timeout_s)
         for path, shown in (
             ("/status", self._status),
             ("/endpoints", self._endpoints),
@@ -84,7 +81,7 @@
             ("/usage", self._usage),
             ("/trace/<name:str>", self._trace),
         ):
-            _http.add_route(
+            front.add_route(
                 app,
                 _operator.PREFIX + path,
                 ["GET"],
@@ -226,7 +223,7 @@
 
 
 def _answer(body: object) -> response.HTTPResponse:
-    return _http.json_answer(msgspec.json.encode(body))
+    return front.json_answer(msgspec.json.encode(body))
 
 
 def _role_shown(
--- a/bilberrydeal/entry/_attempt.py
+++ b/bilberrydeal/entry/core/_attempt.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from .. import errors
-from .. import link
+from ... import errors
+from ... import link
 from . import _work
 
 #: Longest wait for an agent to say whether a request had begun.
--- a/bilberrydeal/entry/_bills.py
+++ b/bilberrydeal/entry/core/_bills.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from .. import link
-from .. import ports
+from ... import link
+from ... import ports
 
 
 @attrs.frozen
--- a/bilberrydeal/entry/_bodies.py
+++ b/bilberrydeal/entry/core/_bodies.py
@@ -5,8 +5,8 @@
 import attrs
 import msgspec
 
-from .. import errors
-from .. import ports
+from ... import errors
+from ... import ports
 
 #: Most tokens that a request may ask for.
 OUTPUT_TOKENS_LIMIT = 32_768
--- a/bilberrydeal/entry/_callers.py
+++ b/bilberrydeal/entry/core/_callers.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from .. import configuration
-from .. import errors
+from ... import configuration
+from ... import errors
 
 DEADLINE_HEADER = "x-deadline-s"
 IDEMPOTENCY_HEADER = "idempotency-key"
--- a/bilberrydeal/entry/_demand.py
+++ b/bilberrydeal/entry/core/_demand.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from .. import membership
+from ... import membership
 
 #: Weight of one new answer in the running shares.
 NEW_WEIGHT = 0.02
--- a/bilberrydeal/entry/_dispatch.py
+++ b/bilberrydeal/entry/core/_dispatch.py
@@ -9,13 +9,13 @@
 
 import attrs
 
-from .. import claims
-from .. import errors
-from .. import link
-from .. import systems
-from .. import telemetry
-from ..systems import health
-from ..systems import retries
+from ... import claims
+from ... import errors
+from ... import link
+from ... import systems
+from ... import telemetry
+from ...systems import health
+from ...systems import retries
 from . import _attempt
 from . import _bills
 from . import _handover
--- a/bilberrydeal/entry/_gate.py
+++ b/bilberrydeal/entry/core/_gate.py
@@ -6,13 +6,13 @@
 
 import attrs
 
-from .. import configuration
-from .. import errors
-from .. import keys
-from .. import link
-from .. import prefixes
-from .. import settings
-from .. import systems
+from ... import configuration
+from ... import errors
+from ... import keys
+from ... import link
+from ... import prefixes
+from ... import settings
+from ... import systems
 from . import _bodies
 from . import _callers
 from . import _demand
--- a/bilberrydeal/entry/_handover.py
+++ b/bilberrydeal/entry/core/_handover.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from .. import link
-from .. import systems
-from .. import telemetry
+from ... import link
+from ... import systems
+from ... import telemetry
 from . import _pool
 from . import _work
 
--- a/bilberrydeal/entry/_journal.py
+++ b/bilberrydeal/entry/core/_journal.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from .. import link
-from .. import operators
+from ... import link
+from ... import operators
 
 #: Requests that are remembered.
 REQUESTS_KEPT = 1_000
--- a/bilberrydeal/entry/_numbers.py
+++ b/bilberrydeal/entry/core/_numbers.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from .. import link
+from ... import link
 
 
 @attrs.define
--- a/bilberrydeal/entry/_observer.py
+++ b/bilberrydeal/entry/core/_observer.py
@@ -2,9 +2,9 @@
 
 import math
 
-from .. import errors
-from .. import link
-from .. import telemetry
+from ... import errors
+from ... import link
+from ... import telemetry
 from . import _demand
 from . import _work
 
--- a/bilberrydeal/entry/_once.py
+++ b/bilberrydeal/entry/core/_once.py
@@ -5,10 +5,10 @@
 
 import attrs
 
-from .. import claims
-from .. import errors
-from .. import link
-from .. import telemetry
+from ... import claims
+from ... import errors
+from ... import link
+from ... import telemetry
 from . import _attempt
 from . import _dispatch
 from . import _pool
--- a/bilberrydeal/entry/_policies.py
+++ b/bilberrydeal/entry/core/_policies.py
@@ -2,14 +2,14 @@
 
 import attrs
 
-from .. import prefixes
-from .. import settings
-from ..systems import admission
-from ..systems import health
-from ..systems import limits
-from ..systems import retries
-from ..systems import routing
-from ..systems import subsets
+from ... import prefixes
+from ... import settings
+from ...systems import admission
+from ...systems import health
+from ...systems import limits
+from ...systems import retries
+from ...systems import routing
+from ...systems import subsets
 
 
 @attrs.frozen
@@ -24,7 +24,9 @@
     subset: subsets.SubsetChooser
 
 
-def build_policies(chosen: settings.EntrySettings, entry: str, seed: int) -> Policies:
+def build_policies(
+    chosen: settings.EntrySettings, entry: str, seed: int
+) -> Policies:
     """Return the systems that the settings name, or raise ``UnknownName``."""
     names = chosen.policy
     options = routing.RouterOptions(
--- a/bilberrydeal/entry/_pool.py
+++ b/bilberrydeal/entry/core/_pool.py
@@ -7,13 +7,13 @@
 
 import attrs
 
-from .. import link
-from .. import ports
-from .. import settings
-from .. import systems
-from .. import telemetry
-from ..systems import pacing
-from ..systems import routing
+from ... import link
+from ... import ports
+from ... import settings
+from ... import systems
+from ... import telemetry
+from ...systems import pacing
+from ...systems import routing
 
 LOG = telemetry.logger("pool")
 
--- a/bilberrydeal/entry/_work.py
+++ b/bilberrydeal/entry/core/_work.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from .. import link
-from ..systems import PendingRequest
+from ... import link
+from ...systems import PendingRequest
 from . import _bodies
 
 #: Tokens that a call of a plain service counts for.
--- a/bilberrydeal/entry/_answers.py
+++ b/bilberrydeal/entry/front/_answers.py
@@ -3,9 +3,9 @@
 import attrs
 import msgspec
 
-from .. import errors
-from .. import link
-from . import _bodies
+from ... import errors
+from ... import link
+from .. import core
 
 #: Ends a stream of server-sent events.
 STREAM_END = b"data: [DONE]\n\n"
@@ -91,7 +91,7 @@
     """Writes the answer to one generation."""
 
     def __init__(
-        self, generation: _bodies.Generation, answer_id: str, created_s: int
+        self, generation: core.Generation, answer_id: str, created_s: int
     ) -> None:
         self._generation = generation
         self._id = answer_id
--- a/bilberrydeal/entry/_http.py
+++ b/bilberrydeal/entry/front/_http.py
@@ -9,11 +9,11 @@
 from sanic import exceptions
 from sanic import response
 
-from .. import errors
-from .. import settings
-from .. import telemetry
+from ... import errors
+from ... import settings
+from ... import telemetry
+from .. import core
 from . import _answers
-from . import _callers
 
 LOG = telemetry.logger("http")
 JSON = "application/json"
@@ -106,12 +106,10 @@
     return request.stream
 
 
-def caller_request(
-    request: sanic.Request, now_s: float
-) -> _callers.CallerRequest:
+def caller_request(request: sanic.Request, now_s: float) -> core.CallerRequest:
     """Return what a caller sent, apart from the library."""
     query = request.query_string
-    return _callers.CallerRequest(
+    return core.CallerRequest(
         method=request.method,
         path=request.path,
         target=f"{request.path}?{query}" if query else request.path,
@@ -129,7 +127,7 @@
     A caller who reads "not run" may use a new idempotency key, so that is
     said under a key only where it holds for all requests that came with it.
     """
-    keyed = _callers.IDEMPOTENCY_HEADER in request.headers
+    keyed = core.IDEMPOTENCY_HEADER in request.headers
     if keyed and not refusal.covers_key:
         refusal.executed = errors.Executed.UNKNOWN
     headers = {}
--- a/bilberrydeal/entry/_serving.py
+++ b/bilberrydeal/entry/front/_serving.py
@@ -10,19 +10,13 @@
 import sanic
 from sanic import response
 
-from .. import configuration
-from .. import errors
-from .. import link
-from .. import telemetry
+from ... import configuration
+from ... import errors
+from ... import link
+from ... import telemetry
+from .. import core
 from . import _answers
-from . import _attempt
-from . import _bodies
-from . import _callers
-from . import _dispatch
-from . import _gate
 from . import _http
-from . import _once
-from . import _work
 
 LOG = telemetry.logger("serving")
 
@@ -59,9 +53,9 @@
 
     def __init__(
         self,
-        gate: _gate.Gate,
-        dispatcher: _dispatch.Dispatcher,
-        once: _once.OnceRunner,
+        gate: core.Gate,
+        dispatcher: core.Dispatcher,
+        once: core.OnceRunner,
         current: collections.abc.Callable[[], configuration.Configuration],
         tracing: telemetry.Tracing,
         observer: "Observer",
@@ -91,19 +85,19 @@
                 _http.request_stream(request).keep_alive = False
 
     async def _serve(
-        self, request: sanic.Request, caller: _callers.CallerRequest
+        self, request: sanic.Request, caller: core.CallerRequest
     ) -> response.HTTPResponse | None:
         route = self._gate.route(caller)
         key = self._gate.identify(caller, route, self._clocks.monotonic())
-        if caller.path == _callers.MODELS_PATH:
+        if caller.path == core.MODELS_PATH:
             return _http.json_answer(self._models())
         if route.service:
             return await self._plain(caller, route, key)
-        if caller.path == _callers.CHAT_PATH:
-            generation = _bodies.decode_chat(caller.body)
+        if caller.path == core.CHAT_PATH:
+            generation = core.decode_chat(caller.body)
         else:
-            generation = _bodies.decode_completion(caller.body)
-        parent = caller.headers.get(_callers.TRACE_HEADER, "")
+            generation = core.decode_completion(caller.body)
+        parent = caller.headers.get(core.TRACE_HEADER, "")
         with self._tracing.span("entry", parent) as span:
             admitted = self._gate.admit_generation(
                 caller, route, key, generation, self._clocks.monotonic()
@@ -122,11 +116,11 @@
 
     async def _plain(
         self,
-        caller: _callers.CallerRequest,
+        caller: core.CallerRequest,
         route: configuration.Route,
         key: configuration.KeyRecord | None,
     ) -> response.HTTPResponse:
-        parent = caller.headers.get(_callers.TRACE_HEADER, "")
+        parent = caller.headers.get(core.TRACE_HEADER, "")
         with self._tracing.span("entry", parent) as span:
             admitted = self._gate.admit_plain(
                 caller, route, key, self._clocks.monotonic()
@@ -141,11 +135,11 @@
             end.body, status=end.status, content_type=end.content_type or None
         )
 
-    async def _run_plain(self, admitted: _gate.Admitted) -> link.Finished:
+    async def _run_plain(self, admitted: core.Admitted) -> link.Finished:
         """Run a call; one that is not idempotent outlives its caller."""
         work = admitted.work
         if work.idempotent:
-            run = _once.last_part(self._dispatcher.run(work))
+            run = core.last_part(self._dispatcher.run(work))
             return await self._releasing(admitted, run)
         task = asyncio.create_task(
             self._releasing(admitted, self._once.run(work))
@@ -154,7 +148,7 @@
 
     async def _releasing(
         self,
-        admitted: _gate.Admitted,
+        admitted: core.Admitted,
         run: collections.abc.Awaitable[link.Finished],
     ) -> link.Finished:
         """Await an answer and release its request."""
@@ -170,8 +164,8 @@
     async def _generate(
         self,
         request: sanic.Request,
-        admitted: _gate.Admitted,
-        generation: _bodies.Generation,
+        admitted: core.Admitted,
+        generation: core.Generation,
     ) -> response.HTTPResponse | None:
         writer = _answers.Writer(
             generation,
@@ -197,9 +191,9 @@
     async def _stream(
         self,
         request: sanic.Request,
-        admitted: _gate.Admitted,
+        admitted: core.Admitted,
         writer: _answers.Writer,
-        events: collections.abc.AsyncGenerator[_attempt.Part, None],
+        events: collections.abc.AsyncGenerator[core.Part, None],
     ) -> None:
         """Send events; a stream that had begun ends with an error event."""
         # The status line waits for the first part, so that a refusal before
@@ -228,7 +222,7 @@
             await answer.send(_answers.error_event(revoked))
         await answer.eof()
 
-    def _revoked(self, admitted: _gate.Admitted) -> errors.Refusal:
+    def _revoked(self, admitted: core.Admitted) -> errors.Refusal:
         """Return why a request was cancelled, or let the cancel go on."""
         task = asyncio.current_task()
         if not admitted.revoked or task is None:
@@ -243,7 +237,7 @@
 
     def _release(
         self,
-        admitted: _gate.Admitted,
+        admitted: core.Admitted,
         tokens: float,
         refusal: errors.Refusal | None,
     ) -> None:
@@ -254,7 +248,7 @@
 class Observer(typing.Protocol):
     """Counts outcomes."""
 
-    def answered(self, work: _work.Work, end: link.Finished) -> None:
+    def answered(self, work: core.Work, end: link.Finished) -> None:
         """Note an answer that went out whole."""
 
     def refused(self, refusal: errors.Refusal) -> None:
@@ -262,12 +256,12 @@
 
 
 async def _whole_text(
-    events: collections.abc.AsyncGenerator[_attempt.Part, None],
+    events: collections.abc.AsyncGenerator[core.Part, None],
 ) -> str:
     """Return the text of an answer, of the last try that it took."""
     text: list[str] = []
     async for event in events:
-        if isinstance(event, _attempt.Restarted):
+        if isinstance(event, core.Restarted):
             text.clear()
         elif isinstance(event, link.Chunk):
             text.append(event.text)
@@ -283,8 +277,8 @@
         self.end = link.Finished(sequence=0, chunk=0, status=0)
 
     async def count(
-        self, events: collections.abc.AsyncGenerator[_attempt.Part, None]
-    ) -> collections.abc.AsyncGenerator[_attempt.Part, None]:
+        self, events: collections.abc.AsyncGenerator[core.Part, None]
+    ) -> collections.abc.AsyncGenerator[core.Part, None]:
         async with contextlib.aclosing(events):
             try:
                 async for event in events:
@@ -294,7 +288,7 @@
                 self.refusal = refusal
                 raise
 
-    def _note(self, event: _attempt.Part) -> None:
+    def _note(self, event: core.Part) -> None:
         if isinstance(event, link.Chunk):
             self.tokens += event.tokens
         elif isinstance(event, link.Finished):
--- a/bilberrydeal/entry/_exchange.py
+++ b/bilberrydeal/entry/knowledge/_exchange.py
@@ -8,15 +8,15 @@
 import attrs
 import msgspec
 
-from .. import configuration
-from .. import keys
-from .. import link
-from .. import membership
-from .. import peers
-from .. import settings
-from .. import systems
-from .. import telemetry
-from ..systems import limits
+from ... import configuration
+from ... import keys
+from ... import link
+from ... import membership
+from ... import peers
+from ... import settings
+from ... import systems
+from ... import telemetry
+from ...systems import limits
 from . import _hosts
 
 LOG = telemetry.logger("exchange")
--- a/bilberrydeal/entry/_following.py
+++ b/bilberrydeal/entry/knowledge/_following.py
@@ -3,15 +3,15 @@
 import asyncio
 import collections.abc
 
-from .. import adapters
-from .. import configuration
-from .. import errors
-from .. import keys
-from .. import membership
-from .. import settings
-from .. import store
-from .. import telemetry
-from . import _demand
+from ... import adapters
+from ... import configuration
+from ... import errors
+from ... import keys
+from ... import membership
+from ... import settings
+from ... import store
+from ... import telemetry
+from .. import core
 from . import _hosts
 
 LOG = telemetry.logger("following")
@@ -83,7 +83,7 @@
             self.client, entry, chosen.membership.read_s
         )
         self.hosts = _hosts.LeavingHosts(self.directory)
-        self.demand = _demand.DemandMeter(clock())
+        self.demand = core.DemandMeter(clock())
         self.key_directory = keys.KeyDirectory(self.current, pepper)
 
     def current(self) -> configuration.Configuration:
--- a/bilberrydeal/entry/_hosts.py
+++ b/bilberrydeal/entry/knowledge/_hosts.py
@@ -2,9 +2,9 @@
 
 import collections.abc
 
-from .. import membership
-from .. import peers
-from .. import ports
+from ... import membership
+from ... import peers
+from ... import ports
 
 
 class LeavingHosts:
--- a/bilberrydeal/entry/_subset.py
+++ b/bilberrydeal/entry/knowledge/_subset.py
@@ -4,11 +4,11 @@
 import collections.abc
 import functools
 
-from .. import membership
-from .. import settings
-from .. import systems
-from ..systems import subsets
-from . import _pool
+from ... import membership
+from ... import settings
+from ... import systems
+from ...systems import subsets
+from .. import core
 
 #: A choice among more endpoints leaves the event loop.
 INLINE_ENDPOINTS = 200
@@ -23,7 +23,7 @@
         chosen: settings.MembershipSettings,
         chooser: subsets.SubsetChooser,
         directory: membership.MemberDirectory,
-        pool: _pool.LinkPool,
+        pool: core.LinkPool,
         tables: systems.Tables,
         clock: collections.abc.Callable[[], float],
     ) -> None:
@@ -54,7 +54,7 @@
             view.live = member.state is membership.MemberState.LIVE
             self._entries.put(view)
 
-    async def _subset(self, now_s: float) -> list[_pool.AgentPlace]:
+    async def _subset(self, now_s: float) -> list[core.AgentPlace]:
         """Return the agents that this entry keeps links to.
 
         They are of the own region, where there are any: the choice grows
@@ -88,8 +88,8 @@
         return [_place(agents[endpoint.key]) for endpoint in chosen]
 
 
-def _place(member: membership.AgentMember) -> _pool.AgentPlace:
-    return _pool.AgentPlace(
+def _place(member: membership.AgentMember) -> core.AgentPlace:
+    return core.AgentPlace(
         endpoint_id=member.endpoint_id,
         address=member.address,
         control_port=member.control_port,
--- a/bilberrydeal/entry/_taking.py
+++ b/bilberrydeal/entry/knowledge/_taking.py
@@ -1,14 +1,14 @@
 """Takes changes of the configuration into the tables and the gate."""
 
-from .. import configuration
-from .. import systems
-from . import _gate
+from ... import configuration
+from ... import systems
+from .. import core
 
 
 class ChangeTaker:
     """Makes each change hold for requests, those that run among them."""
 
-    def __init__(self, gate: _gate.Gate, tables: systems.Tables) -> None:
+    def __init__(self, gate: core.Gate, tables: systems.Tables) -> None:
         self._gate = gate
         self._organisations = tables.of(systems.OrganisationView)
 
--- a/bilberrydeal/entry/_authority.py
+++ b/bilberrydeal/entry/planners/_authority.py
@@ -5,17 +5,17 @@
 
 import attrs
 
-from .. import adapters
-from .. import billing
-from .. import claims
-from .. import duties
-from .. import leases
-from .. import membership
-from .. import settings
-from .. import store
+from ... import adapters
+from ... import billing
+from ... import claims
+from ... import duties
+from ... import leases
+from ... import membership
+from ... import settings
+from ... import store
+from .. import accounting
+from .. import core
 from . import _planning
-from . import _pool
-from . import _settling
 
 #: Calls' timeouts after which a call certainly has no effect any more.
 CALL_TIMEOUTS = 2.0
@@ -38,15 +38,15 @@
     rows: claims.Claims,
     directory: membership.MemberDirectory,
     planning: _planning.Planning,
-    pool: _pool.LinkPool,
+    pool: core.LinkPool,
     entry_unchanged_s: float,
     may_remove: collections.abc.Callable[[str], bool],
     rng: random.Random,
 ) -> Authority:
     """Return a runner of all duties that the settings call for."""
-    rule = _settling.window_rule(chosen.usage)
+    rule = accounting.window_rule(chosen.usage)
     usage = duties.UsageDuty(
-        client, platform.usage, rule, _settling.gone_test(directory)
+        client, platform.usage, rule, accounting.gone_test(directory)
     )
     found: list[duties.Duty] = [
         usage,
@@ -102,7 +102,7 @@
 
 
 def _hint(
-    pool: _pool.LinkPool,
+    pool: core.LinkPool,
 ) -> collections.abc.Callable[[str, int], None]:
     def hint(endpoint_id: str, order_version: int) -> None:
         agent_link = pool.get(endpoint_id)
--- a/bilberrydeal/entry/_fleet_planning.py
+++ b/bilberrydeal/entry/planners/_fleet_planning.py
@@ -4,12 +4,12 @@
 import collections.abc
 import math
 
-from .. import duties
-from .. import membership
-from .. import settings
-from .. import systems
-from ..systems import fleet
-from ..systems import roles
+from ... import duties
+from ... import membership
+from ... import settings
+from ... import systems
+from ...systems import fleet
+from ...systems import roles
 from . import _windows
 
 #: The platform's list may lack what was ordered so long ago.
--- a/bilberrydeal/entry/_planning.py
+++ b/bilberrydeal/entry/planners/_planning.py
@@ -2,11 +2,11 @@
 
 import collections.abc
 
-from .. import configuration
-from .. import duties
-from .. import membership
-from .. import settings
-from .. import systems
+from ... import configuration
+from ... import duties
+from ... import membership
+from ... import settings
+from ... import systems
 from . import _fleet_planning
 from . import _role_planning
 from . import _windows
--- a/bilberrydeal/entry/_role_planning.py
+++ b/bilberrydeal/entry/planners/_role_planning.py
@@ -5,13 +5,13 @@
 
 import attrs
 
-from .. import configuration
-from .. import duties
-from .. import membership
-from .. import orders
-from .. import ports
-from .. import systems
-from ..systems import roles
+from ... import configuration
+from ... import duties
+from ... import membership
+from ... import orders
+from ... import ports
+from ... import systems
+from ...systems import roles
 from . import _windows
 
 #: An order that is not applied for so long no longer counts as a change
--- a/bilberrydeal/entry/_windows.py
+++ b/bilberrydeal/entry/planners/_windows.py
@@ -3,9 +3,9 @@
 import collections
 import collections.abc
 
-from .. import membership
-from .. import systems
-from ..systems import roles
+from ... import membership
+from ... import systems
+from ...systems import roles
 
 #: Time between two looks at the demand of all entries.
 WINDOW_S = 5.0
--- a/bilberrydeal/entry/tests/fakes.py
+++ b/bilberrydeal/entry/tests/fakes.py
@@ -11,11 +11,11 @@
 from bilberrydeal import settings
 from bilberrydeal import systems
 from bilberrydeal import telemetry
-from bilberrydeal.entry import _bills
-from bilberrydeal.entry import _dispatch
-from bilberrydeal.entry import _journal
-from bilberrydeal.entry import _policies
-from bilberrydeal.entry import _work
+from bilberrydeal.entry.core import _bills
+from bilberrydeal.entry.core import _dispatch
+from bilberrydeal.entry.core import _journal
+from bilberrydeal.entry.core import _policies
+from bilberrydeal.entry.core import _work
 from bilberrydeal.systems import admission
 from bilberrydeal.systems import health
 from bilberrydeal.systems import limits
--- a/bilberrydeal/entry/tests/test_bodies.py
+++ b/bilberrydeal/entry/tests/test_bodies.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bilberrydeal import errors
-from bilberrydeal.entry import _bodies
+from bilberrydeal.entry.core import _bodies
 
 BAD_CHATS = [
     b"",
--- a/bilberrydeal/entry/tests/test_callers.py
+++ b/bilberrydeal/entry/tests/test_callers.py
@@ -2,7 +2,7 @@
 
 from bilberrydeal import configuration
 from bilberrydeal import errors
-from bilberrydeal.entry import _callers
+from bilberrydeal.entry.core import _callers
 
 ROUTES = {
     route.name: route
--- a/bilberrydeal/entry/tests/test_dispatch.py
+++ b/bilberrydeal/entry/tests/test_dispatch.py
@@ -6,8 +6,8 @@
 from bilberrydeal import errors
 from bilberrydeal import link
 from bilberrydeal import systems
-from bilberrydeal.entry import _attempt
-from bilberrydeal.entry import _once
+from bilberrydeal.entry.core import _attempt
+from bilberrydeal.entry.core import _once
 from bilberrydeal.entry.tests import fakes
 
 LOST = link.CallLost(sequence=1, started=True)
--- a/bilberrydeal/entry/tests/test_gate.py
+++ b/bilberrydeal/entry/tests/test_gate.py
@@ -8,10 +8,10 @@
 from bilberrydeal import keys
 from bilberrydeal import link
 from bilberrydeal import systems
-from bilberrydeal.entry import _bodies
-from bilberrydeal.entry import _callers
-from bilberrydeal.entry import _demand
-from bilberrydeal.entry import _gate
+from bilberrydeal.entry.core import _bodies
+from bilberrydeal.entry.core import _callers
+from bilberrydeal.entry.core import _demand
+from bilberrydeal.entry.core import _gate
 from bilberrydeal.entry.tests import fakes
 
 PEPPER = b"pepper"
--- a/bilberrydeal/entry/tests/test_journal.py
+++ b/bilberrydeal/entry/tests/test_journal.py
@@ -1,5 +1,5 @@
 from bilberrydeal import link
-from bilberrydeal.entry import _journal
+from bilberrydeal.entry.core import _journal
 
 
 def test_oldest_requests_are_forgotten() -> None:
--- a/bilberrydeal/entry/tests/test_once.py
+++ b/bilberrydeal/entry/tests/test_once.py
@@ -10,8 +10,8 @@
 from bilberrydeal import settings
 from bilberrydeal import store
 from bilberrydeal import telemetry
-from bilberrydeal.entry import _once
-from bilberrydeal.entry import _work
+from bilberrydeal.entry.core import _once
+from bilberrydeal.entry.core import _work
 from bilberrydeal.entry.tests import fakes
 from bilberrydeal.store.tests import faults
 from standins import platform
--- a/bilberrydeal/entry/tests/test_planning.py
+++ b/bilberrydeal/entry/tests/test_planning.py
@@ -10,9 +10,9 @@
 from bilberrydeal import ports
 from bilberrydeal import settings
 from bilberrydeal import systems
-from bilberrydeal.entry import _planning
-from bilberrydeal.entry import _role_planning
-from bilberrydeal.entry import _windows
+from bilberrydeal.entry.planners import _planning
+from bilberrydeal.entry.planners import _role_planning
+from bilberrydeal.entry.planners import _windows
 from bilberrydeal.entry.tests import fakes
 from bilberrydeal.systems import fleet
 from bilberrydeal.systems import roles
--- a/bilberrydeal/entry/tests/test_taking.py
+++ b/bilberrydeal/entry/tests/test_taking.py
@@ -4,7 +4,7 @@
 
 from bilberrydeal import configuration
 from bilberrydeal import systems
-from bilberrydeal.entry import _taking
+from bilberrydeal.entry.knowledge import _taking
 
 RUSSO = configuration.Organisation("russo", weight=2.0, requests_per_s=5.0)
 OFF = configuration.Organisation("derwent", enabled=False)
--- a/bilberrydeal/entry/tests/test_unbilled.py
+++ b/bilberrydeal/entry/tests/test_unbilled.py
@@ -2,9 +2,9 @@
 
 from bilberrydeal import link
 from bilberrydeal import ports
-from bilberrydeal.entry import _bills
-from bilberrydeal.entry import _once
-from bilberrydeal.entry import _unbilled
+from bilberrydeal.entry.accounting import _unbilled
+from bilberrydeal.entry.core import _bills
+from bilberrydeal.entry.core import _once
 from bilberrydeal.entry.tests import fakes
 
 
