Register the baselines that the product's placer is compared with

Placers first_come (nothing is deferred), no_locality and no_early_refusal, and a plan of roles that keeps those that engines start with. The setting role_plan names the plan, as placer does the placer; both are checked at start. The defaults are what they were.

--- a/bilberrydeal/_gateway_names.py
+++ b/bilberrydeal/_gateway_names.py
@@ -12,5 +12,11 @@
     chosen: settings.GatewaySettings,
 ) -> tuple[settings.Problem, ...]:
     """Return a problem for each name that nobody registered."""
-    choice = _choices.Choice("placer", chosen.placer, placement.PLACERS)
-    return _choices.unregistered([choice])
+    return _choices.unregistered(
+        [
+            _choices.Choice("placer", chosen.placer, placement.PLACERS),
+            _choices.Choice(
+                "role_plan", chosen.role_plan, placement.ROLE_PLANS
+            ),
+        ]
+    )
--- a/bilberrydeal/gateway/_duties.py
+++ b/bilberrydeal/gateway/_duties.py
@@ -10,6 +10,7 @@
 from .. import settings
 from .. import store
 from .. import telemetry
+from ..systems import placement
 from . import _changing
 from . import _clock
 from . import _datagrams
@@ -121,6 +122,7 @@
                 lambda: self.peers,
                 time.monotonic,
             ),
+            placement.ROLE_PLANS.get(chosen.role_plan),
         )
         #: Addresses of the other gateways, for load figures.
         self.peers: tuple[_datagrams.Address, ...] = ()
--- a/bilberrydeal/gateway/_roles.py
+++ b/bilberrydeal/gateway/_roles.py
@@ -97,8 +97,10 @@
         lease: leases.Lease,
         host_id: str,
         changing: _changing.ChangingEngines,
+        plan: placement.Plan,
     ) -> None:
         self._changing = changing
+        self._plan = plan
         self._client = client
         self._knowledge = knowledge
         self._lease = lease
@@ -130,7 +132,7 @@
             ]
         )
         while True:
-            order = placement.plan_roles(
+            order = self._plan(
                 self._as_ordered(service.name, state),
                 self._demand(service.name, state),
             )
--- a/bilberrydeal/settings/_gateway.py
+++ b/bilberrydeal/settings/_gateway.py
@@ -78,6 +78,8 @@
     uplink_mbps: typing.Annotated[float, msgspec.Meta(gt=0)] = 1_000.0
     #: Name of the placer.
     placer: _model.Name = "two_stage"
+    #: Name of the plan of engines' roles.
+    role_plan: _model.Name = "by_load"
     trace: _model.TraceSettings = attrs.field(factory=_model.TraceSettings)
     log: _model.LogSettings = attrs.field(factory=_model.LogSettings)
 
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -5,7 +5,10 @@
 from ._base import Placer
 from ._base import PLACERS
 from ._base import Request
+from ._baselines import FirstComePlacer
 from ._baselines import LeastOutstandingPlacer
+from ._baselines import NoEarlyRefusalPlacer
+from ._baselines import NoLocalityPlacer
 from ._entities import EngineLoad
 from ._entities import SlotTimes
 from ._parts import PartCache
@@ -18,7 +21,9 @@
 from ._request_counts import engine_rank
 from ._request_counts import RequestCounts
 from ._request_counts import URGENT_RANKS
+from ._role_plan import Plan
 from ._role_plan import plan_roles
+from ._role_plan import ROLE_PLANS
 from ._role_plan import RoleDemand
 from ._role_plan import RoleOrder
 from ._two_stage import main_decoder
@@ -27,12 +32,17 @@
 __all__ = [
     "EngineLoad",
     "EngineShare",
+    "FirstComePlacer",
     "Hopeless",
     "LeastOutstandingPlacer",
+    "NoEarlyRefusalPlacer",
+    "NoLocalityPlacer",
     "PLACERS",
     "PartCache",
     "PeerLoads",
     "Placement",
+    "Plan",
+    "ROLE_PLANS",
     "Placer",
     "Prompt",
     "PromptPart",
--- a/bilberrydeal/systems/placement/_baselines.py
+++ b/bilberrydeal/systems/placement/_baselines.py
@@ -1,7 +1,10 @@
-"""Baseline: the engine with the fewest requests, which does it all."""
+"""Baselines that the product's placer is compared with."""
 
 from ... import ports
 from . import _base
+from . import _entities
+from . import _parts
+from . import _two_stage
 
 #: When a caller returns after a refusal, in seconds.
 RETRY_S = 0.2
@@ -34,3 +37,50 @@
         if not able:
             return None
         return min(able, key=lambda engine: engine.requests).engine_id
+
+
+@_base.PLACERS.register("no_locality")
+class NoLocalityPlacer(_two_stage.TwoStagePlacer):
+    """The product's placer, which knows of no kept parts."""
+
+    def _missing(
+        self,
+        prompt: _parts.Prompt,
+        engine: _entities.EngineLoad,
+        home: bool,
+    ) -> float:
+        """Return all tokens of a prompt."""
+        return float(prompt.tokens)
+
+
+@_base.PLACERS.register("first_come")
+class FirstComePlacer(_two_stage.TwoStagePlacer):
+    """The product's placer without deferring: what is late waits in line."""
+
+    def _defer(
+        self,
+        request: _base.Request,
+        options: list[_two_stage.Option],
+        engines: _base.Engines,
+    ) -> _base.Placement | _base.Hopeless:
+        """Place a late request among all others, unless it is hopeless."""
+        best = min(options, key=lambda option: option.expected_s)
+        if best.expected_s > request.left_s:
+            late_s = best.expected_s - request.left_s
+            return _base.Hopeless(max(late_s, RETRY_S), best.expected_s)
+        return _two_stage.placement_at(best, best.expected_s, deferred=False)
+
+
+@_base.PLACERS.register("no_early_refusal")
+class NoEarlyRefusalPlacer(_two_stage.TwoStagePlacer):
+    """The product's placer, which refuses nothing while an engine lives."""
+
+    def _defer(
+        self,
+        request: _base.Request,
+        options: list[_two_stage.Option],
+        engines: _base.Engines,
+    ) -> _base.Placement | _base.Hopeless:
+        """Defer a late request, however late."""
+        best = min(options, key=lambda option: option.deferred_s)
+        return _two_stage.placement_at(best, best.deferred_s, deferred=True)
--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ... import ports
+from ... import registry
 from . import _entities
 from . import _two_stage
 
@@ -66,6 +67,25 @@
     orders_given: int = 0
 
 
+Plan = collections.abc.Callable[
+    [collections.abc.Sequence[_entities.EngineLoad], RoleDemand],
+    RoleOrder | None,
+]
+
+#: Plans of roles by the names that settings use.
+ROLE_PLANS: registry.Registry[Plan] = registry.Registry("role plan")
+
+
+@ROLE_PLANS.register("fixed")
+def keep_roles(
+    engines: collections.abc.Sequence[_entities.EngineLoad],
+    demand: RoleDemand,
+) -> RoleOrder | None:
+    """Return no change: baseline, the roles that engines start with."""
+    return None
+
+
+@ROLE_PLANS.register("by_load")
 def plan_roles(
     engines: collections.abc.Sequence[_entities.EngineLoad],
     demand: RoleDemand,
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -53,7 +53,7 @@
 
 
 @attrs.frozen
-class _Option:
+class Option:
     """A way to serve a request."""
 
     engine: _entities.EngineLoad
@@ -102,13 +102,13 @@
         if best.expected_s > limit_s:
             best = min(options, key=lambda option: option.expected_s)
         if best.expected_s <= limit_s:
-            return _placement(best, best.expected_s, deferred=False)
+            return placement_at(best, best.expected_s, deferred=False)
         return self._defer(request, options, engines)
 
     def _defer(
         self,
         request: _base.Request,
-        options: list[_Option],
+        options: list[Option],
         engines: _base.Engines,
     ) -> _base.Placement | _base.Hopeless:
         """Place a request that is late behind those that are not.
@@ -125,7 +125,7 @@
         if not _may_defer(request, best.engine, engines):
             # By then what was deferred before it has been served.
             return _base.Hopeless(best.deferred_s, best.deferred_s)
-        return _placement(best, best.deferred_s, deferred=True)
+        return placement_at(best, best.deferred_s, deferred=True)
 
     def decode_engine(
         self, request: _base.Request, prefilled_at: str, engines: _base.Engines
@@ -155,9 +155,21 @@
 
         return min(able, key=cost).engine_id
 
+    def _missing(
+        self,
+        prompt: _parts.Prompt,
+        engine: _entities.EngineLoad,
+        home: bool,
+    ) -> float:
+        """Return the tokens of a prompt that an engine has to read."""
+        cached = float(engine.cache.cached_tokens(prompt))
+        if home:
+            cached += max(prompt.shared_tokens - cached, 0.0) * HOME_SHARE
+        return max(prompt.tokens - cached, 1.0)
+
     def _options(
         self, request: _base.Request, engines: _base.Engines
-    ) -> list[_Option]:
+    ) -> list[Option]:
         able = [
             engine
             for engine in engines
@@ -182,7 +194,9 @@
                 request,
                 engine,
                 elsewhere,
-                _missing(request.prompt, engine, engine.engine_id == home),
+                self._missing(
+                    request.prompt, engine, engine.engine_id == home
+                ),
             )
             for engine in eligible
         ]
@@ -236,7 +250,7 @@
     engine: _entities.EngineLoad,
     elsewhere: _SlotWait,
     missing: float,
-) -> _Option:
+) -> Option:
     split = engine.role is ports.EngineRole.PREFILL
     slot_wait = elsewhere if split else _slot_wait(request, [engine])
     speed = _speed(engine)
@@ -253,7 +267,7 @@
     if request.prompt.tokens < SHORT_TOKENS:
         # Its tokens would be made between the reading of all others.
         cost_s += engine.deferred_tokens / speed
-    return _Option(
+    return Option(
         engine=engine,
         split=split,
         missing_tokens=missing,
@@ -310,9 +324,10 @@
     )
 
 
-def _placement(
-    option: _Option, expected_s: float, deferred: bool
+def placement_at(
+    option: Option, expected_s: float, deferred: bool
 ) -> _base.Placement:
+    """Return the placement that an option stands for."""
     return _base.Placement(
         engine_id=option.engine.engine_id,
         split=option.split,
@@ -343,12 +358,3 @@
 def _weight(engine: _entities.EngineLoad) -> float:
     prefills = engine.role is ports.EngineRole.PREFILL
     return 1.0 if prefills else DECODE_READ_SHARE
-
-
-def _missing(
-    prompt: _parts.Prompt, engine: _entities.EngineLoad, home: bool
-) -> float:
-    cached = float(engine.cache.cached_tokens(prompt))
-    if home:
-        cached += max(prompt.shared_tokens - cached, 0.0) * HOME_SHARE
-    return max(prompt.tokens - cached, 1.0)
--- a/bilberrydeal/systems/placement/tests/test_placers.py
+++ b/bilberrydeal/systems/placement/tests/test_placers.py
@@ -356,3 +356,42 @@
         asked = 0
         assert isinstance(_place(fleet), placement.Placement)
         assert asked <= 4 * size
+
+
+def _placed_by(
+    name: str, fleet: list[placement.EngineLoad], **fields: object
+) -> placement.Placement | placement.Hopeless:
+    request = _request(**fields)  # type: ignore[arg-type]
+    return placement.PLACERS.get(name)().place(request, fleet, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("name", "queued", "outcome"),
+    [
+        ("first_come", 60_000.0, "in line"),
+        ("first_come", 2_000_000.0, "refused"),
+        ("no_early_refusal", 60_000.0, "deferred"),
+        ("no_early_refusal", 2_000_000.0, "deferred"),
+        ("no_locality", 60_000.0, "deferred"),
+        ("no_locality", 2_000_000.0, "refused"),
+    ],
+)
+def test_baselines_differ_in_what_they_do_with_late_requests(
+    name: str, queued: float, outcome: str
+) -> None:
+    fleet = [_busy(engine, queued) for engine in _fleet()]
+    chosen = _placed_by(name, fleet)
+    if outcome == "refused":
+        assert isinstance(chosen, placement.Hopeless)
+    else:
+        assert isinstance(chosen, placement.Placement)
+        assert chosen.deferred == (outcome == "deferred")
+
+
+def test_without_locality_a_kept_prompt_counts_in_full() -> None:
+    fleet = _fleet()
+    for engine in fleet:
+        engine.cache.use(LONG)
+    chosen = _placed_by("no_locality", fleet)
+    assert isinstance(chosen, placement.Placement)
+    assert chosen.missing_tokens == LONG.tokens
--- a/bilberrydeal/systems/placement/tests/test_role_plan.py
+++ b/bilberrydeal/systems/placement/tests/test_role_plan.py
@@ -117,3 +117,8 @@
     engines = _engines("p" * 93 + "d" * 206)
     order = placement.plan_roles(engines, demand)
     assert (order.role if order else None) == ordered
+
+
+def test_the_fixed_plan_changes_nothing() -> None:
+    plan = placement.ROLE_PLANS.get("fixed")
+    assert plan(_engines("ppppp"), placement.RoleDemand()) is None
--- a/bilberrydeal/tests/test_daemon.py
+++ b/bilberrydeal/tests/test_daemon.py
@@ -47,6 +47,7 @@
     ("line", "named"),
     [
         ("placer: nobody", "placer: given nobody"),
+        ("role_plan: nobody", "role_plan: given nobody"),
         ("uplink_mbps: 0", "uplink_mbps"),
         ("uplink_mbps: fast", "uplink_mbps"),
         ("trace: {exporter: pigeon}", "trace.exporter"),
