--- /dev/null
+++ b/bilberrydeal/gateway/tests/test_roles.py
@@ -0,0 +1,158 @@
+"""Orders of roles: given once, told to all until they show."""
+
+import asyncio
+import collections.abc
+import contextlib
+
+import attrs
+import pytest
+
+from ... import leases
+from ... import store
+from ...systems import placement
+from .. import _changing
+from .. import _datagrams
+from .. import _knowledge
+from .. import _reporting
+from .. import _roles
+from . import harness
+from . import memory
+
+REPORT = b'{"stage":"decode","busy":false,"sequence":4}'
+
+
+async def _engine(call: harness.Call) -> bytes:
+    """Answer as an engine that takes each order."""
+    body = REPORT if b"/report" in call.head else b""
+    return harness.answer(call, body=body)
+
+
+async def _refusing(call: harness.Call) -> bytes:
+    """Answer as an engine that refuses each order."""
+    if b"/report" in call.head:
+        return harness.answer(call, body=REPORT)
+    return harness.answer(call, status=409)
+
+
+class Told(_datagrams.Datagrams):
+    """Keeps what is told instead of sending it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.changing: list[tuple[str, ...]] = []
+
+    def send(
+        self,
+        datagram: _datagrams.Datagram,
+        addresses: collections.abc.Iterable[_datagrams.Address],
+    ) -> int:
+        """Keep a datagram."""
+        self.changing.append(datagram.changing)
+        return 1
+
+
+@attrs.define
+class Keeping:
+    """A keeper of roles that holds the lease, with time that tests move."""
+
+    knowledge: _knowledge.Knowledge
+    now_s: float = 0.0
+    told: Told = attrs.field(factory=Told)
+    keeper: _roles.RoleKeeper = attrs.field(init=False)
+    lease: leases.Lease = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        client = store.StoreClient(
+            memory.MemoryStore(), 0.5, 1_000.0, clock=lambda: self.now_s
+        )
+        self.lease = leases.Lease(
+            client,
+            _reporting.DUTY,
+            "g1",
+            leases.LeaseBounds(ttl_s=9.0, margin_s=0.5, call_longest_s=1.0),
+        )
+        self.keeper = _roles.RoleKeeper(
+            client,
+            self.knowledge,
+            self.lease,
+            "g1",
+            _changing.ChangingEngines(
+                self.told,
+                self.knowledge,
+                "g1",
+                lambda: (("127.0.0.1", 1),),
+                lambda: self.now_s,
+            ),
+            placement.ROLE_PLANS.get("by_load"),
+        )
+
+    def left_alone(self) -> list[str]:
+        """Return the engines that get no requests."""
+        return [
+            engine_id
+            for engine_id, known in self.knowledge.endpoints.items()
+            if not known.usable(self.now_s)
+        ]
+
+
+@contextlib.asynccontextmanager
+async def _keeping(
+    script: harness.Script,
+) -> collections.abc.AsyncIterator[Keeping]:
+    """Run a keeper before two engines, of which one should read."""
+    engines = [harness.engine(f"d{n}", "decode", script) for n in range(2)]
+    async with harness.running(*engines) as running:
+        keeping = Keeping(running.knowledge)
+        for _ in range(4):
+            await keeping.lease.tick()
+            keeping.now_s += 1.0
+        assert keeping.lease.held(keeping.now_s)
+        yield keeping
+
+
+async def test_an_engine_under_order_is_left_alone_and_told_each_round() -> (
+    None
+):
+    async with _keeping(_engine) as keeping:
+        await keeping.keeper.round()
+        (ordered,) = keeping.left_alone()
+        keeping.now_s += 0.5
+        await keeping.keeper.round()
+        assert keeping.told.changing == [(ordered,), (ordered,)]
+
+
+async def test_an_order_lasts_while_requests_end_at_the_engine() -> None:
+    """A change of role takes 3 s, from when the engine is empty."""
+    async with _keeping(_engine) as keeping:
+        await keeping.keeper.round()
+        (ordered,) = keeping.left_alone()
+        load = keeping.knowledge.load_of(ordered)
+        assert load is not None
+        load.own_counts.add(1, 1)
+        for _ in range(10):
+            await keeping.lease.tick()
+            keeping.now_s += 1.0
+            await keeping.keeper.round()
+        assert keeping.left_alone() == [ordered]
+        load.own_counts.add(1, -1)
+        seen = len(keeping.told.changing)
+        keeping.now_s += 6.0
+        await keeping.keeper.round()
+        assert keeping.told.changing[seen:] == []
+
+
+async def test_an_order_that_was_refused_is_not_told() -> None:
+    async with _keeping(_refusing) as keeping:
+        await keeping.keeper.round()
+        assert keeping.told.changing == []
+        assert keeping.left_alone() == []
+
+
+@pytest.mark.parametrize("held", [True, False])
+async def test_only_the_holder_of_the_lease_gives_orders(held: bool) -> None:
+    async with _keeping(_engine) as keeping:
+        if not held:
+            keeping.now_s += 30.0
+        await keeping.keeper.round()
+        assert bool(keeping.told.changing) == held
+        await asyncio.sleep(0)
