Split the link's messages by subject

Now a package: messages about one request, those that open a session and keep it alive, and reports; their numbers on the wire stand beside. Names that others use are what they were.

--- a/bilberrydeal/link/_messages.py
+++ b/bilberrydeal/link/_messages/_request.py
@@ -1,4 +1,4 @@
-"""Messages on the link.
+"""Messages about one request.
 
 Requests are numbered by the entry's incarnation and a sequence, so that an
 answer that is late, doubled or crossed is matched by number or dropped. A
@@ -6,14 +6,10 @@
 """
 
 import enum
-import typing
 
 import attrs
 
-from .. import ports
-
-#: Version of this protocol; peers with another version are refused.
-PROTOCOL_VERSION = 2
+from ... import ports
 
 
 @attrs.frozen
@@ -53,54 +49,6 @@
     UNKNOWN = "unknown"
 
 
-@attrs.frozen
-class Hello:
-    """Opens a link; sent by the entry to the agent's control port."""
-
-    #: Version that the entry speaks.
-    protocol_version: int
-    #: Incarnation of the entry.
-    entry: str
-    #: The failure domain of the entry.
-    failure_domain: str
-
-
-@attrs.frozen
-class HelloReply:
-    """Where to dial, or why not."""
-
-    #: Version that the agent speaks.
-    protocol_version: int
-    #: Incarnation of the agent.
-    agent: str
-    #: Name of the endpoint that the agent serves.
-    endpoint_id: str
-    #: Port of the pair socket that waits for this link, 0 when refused.
-    port: int
-    #: Number of the session that the pair socket is for.
-    session: int = 0
-    #: Why the link was refused, empty when it was not.
-    refusal: str = ""
-    #: Whether the agent takes :class:`TakeOver`.
-    takes_over: bool = False
-
-
-@attrs.frozen
-class Open:
-    """The first message of an entry on a pair socket.
-
-    An agent takes nothing before it, so that an entry that dials late
-    cannot take over a port that was given to another one since.
-    """
-
-    #: Incarnation of the entry.
-    entry: str
-    #: Incarnation of the agent, out of the answer to the hello.
-    agent: str
-    #: Session, out of the answer to the hello.
-    session: int
-
-
 @attrs.frozen
 class Submit:
     """Hands a request to the agent."""
@@ -221,37 +169,6 @@
     retry_after_s: float = 0.0
 
 
-@attrs.frozen
-class Ack:
-    """Tells the agent that it may forget chunks."""
-
-    #: Sequence of the request.
-    sequence: int
-    #: All chunks up to this one have arrived.
-    chunk: int
-
-
-@attrs.frozen
-class Resume:
-    """After a new dial: send the chunks past this one again."""
-
-    #: Sequence of the request.
-    sequence: int
-    #: The last chunk that arrived, 0 for none.
-    chunk: int
-
-
-@attrs.frozen
-class Missing:
-    """Answers :class:`Resume`: the agent never got this request.
-
-    The entry sends the :class:`Submit` again.
-    """
-
-    #: Sequence of the request.
-    sequence: int
-
-
 @attrs.frozen
 class Cancel:
     """Ends a request, or makes sure that it never begins."""
@@ -300,163 +217,3 @@
     outcome: QueryOutcome
     #: The answer, when it ended.
     finished: Finished | None = None
-
-
-@attrs.frozen
-class UsageRecord:
-    """What one request used, counted where it ran."""
-
-    #: Position in this agent incarnation's records, from 1.
-    record: int
-    #: Number of the request.
-    number: RequestNumber
-    #: Whose usage it is.
-    organisation: str
-    #: When it was counted, seconds since the epoch.
-    counted_at_s: float
-    #: Prompt tokens computed.
-    prompt_tokens: int
-    #: Prompt tokens found in the cache.
-    cached_tokens: int
-    #: Tokens generated.
-    output_tokens: int
-    #: Calls.
-    calls: int
-
-
-@attrs.frozen
-class UsageRecords:
-    """Records to settle; sent until :class:`Settled` comes."""
-
-    #: Incarnation of the agent.
-    agent: str
-    #: The records, in order.
-    records: tuple[UsageRecord, ...]
-    #: This record and all before it have been acknowledged, so that nobody
-    #: needs to remember them.
-    acked: int = 0
-
-
-@attrs.frozen
-class Settled:
-    """Tells the agent that records are in the table."""
-
-    #: The records, as their positions.
-    records: tuple[int, ...]
-
-
-@attrs.frozen
-class EndpointStatus:
-    """What an agent says of its endpoint."""
-
-    #: Version of the order applied.
-    order_version: int
-    #: Role of the engine; empty for a plain service.
-    role: str
-    #: Model, or name of the plain service.
-    service: str
-    #: Whether new work is accepted.
-    accepting: bool
-    #: Requests that run.
-    running: int
-    #: Requests that wait at the agent or the engine.
-    waiting: int
-    #: Prompt tokens not computed yet.
-    queued_prompt_tokens: int
-    #: Tokens still to be generated, as expected.
-    queued_output_tokens: int
-    #: Share of the KV memory in use, 0 to 1.
-    kv_used_share: float
-    #: How old the figures of the load were when this was sent, in seconds.
-    load_age_s: float = 0.0
-
-
-@attrs.frozen
-class CacheChanges:
-    """How the prefix cache of an engine changed since the last of these."""
-
-    #: Blocks gained.
-    stored: tuple[int, ...]
-    #: Blocks lost.
-    evicted: tuple[int, ...]
-
-
-@attrs.frozen
-class Heartbeat:
-    """Sent by the entry, which wants it echoed at once."""
-
-    #: Number that the echo repeats.
-    beat: int
-    #: The next heartbeat follows within so many milliseconds.
-    next_ms: int
-
-
-@attrs.frozen
-class Echo:
-    """The answer of the agent to a heartbeat."""
-
-    #: Number of the heartbeat.
-    beat: int
-
-
-@attrs.frozen
-class OrderHint:
-    """Tells the agent to read its order row now; carries no authority."""
-
-    #: Version that was committed.
-    order_version: int
-
-
-Message: typing.TypeAlias = (
-    Submit
-    | Chunk
-    | Finished
-    | Refused
-    | Ack
-    | Resume
-    | Cancel
-    | CancelResult
-    | Query
-    | QueryResult
-    | UsageRecords
-    | Settled
-    | Heartbeat
-    | Echo
-    | EndpointStatus
-    | CacheChanges
-    | OrderHint
-    | Open
-    | Missing
-    | TakeOver
-)
-
-#: Message types by their number on the wire; numbers are never reused.
-KINDS: dict[int, type] = {
-    1: Submit,
-    2: Chunk,
-    3: Finished,
-    4: Refused,
-    5: Ack,
-    6: Resume,
-    7: Cancel,
-    8: CancelResult,
-    9: Query,
-    10: QueryResult,
-    11: UsageRecords,
-    12: Settled,
-    # 13 was the heartbeat of version 1.
-    14: OrderHint,
-    15: Open,
-    16: Missing,
-    17: TakeOver,
-    18: Heartbeat,
-    19: Echo,
-    20: EndpointStatus,
-    21: CacheChanges,
-}
-
-#: Types that are written as lists of their values, without field names:
-#: they are sent often and carry little.
-LISTED: frozenset[type] = frozenset(
-    [Heartbeat, Echo, EndpointStatus, CacheChanges]
-)
