Weigh a bounded number of engines for a request

Cause: a request looked at each engine of its service, 20 us each: 60 ms of the processor at 3,000 engines, and a plain request went through all endpoints of all services. In fleets of more than 64 engines a request now looks at 24 that read and 24 that make tokens, found by hash of its shared part; all gateways agree on them, so sessions still meet. Endpoints are kept by service. Engines that take no work are left out there, so placers filter no longer. Smaller fleets are looked at whole, as before.

--- a/bilberrydeal/gateway/_knowledge.py
+++ b/bilberrydeal/gateway/_knowledge.py
@@ -88,6 +88,10 @@
         self.endpoints: dict[str, Known] = {}
         self.health = health_system
         self.tables = systems.Tables()
+        #: The same by service.
+        self._by_service: dict[str, dict[str, Known]] = {}
+        #: Engines by service, made anew once any comes or goes.
+        self._rings: dict[str, placement.EngineRing] = {}
         #: Times that requests hold a slot, learnt by service.
         self._slot_times: dict[str, placement.SlotTimes] = {}
 
@@ -115,9 +119,12 @@
         known = self.endpoints.get(endpoint.endpoint_id)
         if known is None or not _same_process(known.endpoint, endpoint):
             if known is not None:
-                known.pool.close()
+                self._drop(known)
             known = self._new(endpoint)
             self.endpoints[endpoint.endpoint_id] = known
+            of_service = self._by_service.setdefault(endpoint.service, {})
+            of_service[endpoint.endpoint_id] = known
+            self._rings.pop(endpoint.service, None)
             LOG.info(
                 "Endpoint known.",
                 endpoint=endpoint.endpoint_id,
@@ -143,8 +150,8 @@
         known = self.endpoints.pop(endpoint_id, None)
         if known is None:
             return
+        self._drop(known)
         known.endpoint = attrs.evolve(known.endpoint, ready=False)
-        known.pool.close()
         self.tables.of(systems.EndpointView).remove(endpoint_id)
         LOG.info("Endpoint removed.", endpoint=endpoint_id, reason=reason)
 
@@ -158,22 +165,28 @@
 
     def of_service(self, service: str) -> list[Known]:
         """Return the endpoints of a service."""
-        return [
-            known
-            for known in self.endpoints.values()
-            if known.endpoint.service == service
-        ]
+        return list(self._by_service.get(service, {}).values())
 
     def engines(
-        self, service: str, now_s: float
+        self, service: str, affinity: bytes, now_s: float
     ) -> list[placement.EngineLoad]:
-        """Return the loads of a service's engines."""
-        loads = []
-        for known in self.of_service(service):
-            if known.load is not None:
-                known.load.accepting = known.usable(now_s)
-                loads.append(known.load)
-        return loads
+        """Return the engines to weigh for a request, all that take work.
+
+        In a large fleet requests of one affinity look at the same few.
+        """
+        ring = self._rings.get(service)
+        if ring is None:
+            ring = placement.EngineRing(
+                known.load
+                for known in self.of_service(service)
+                if known.load is not None
+            )
+            self._rings[service] = ring
+
+        def usable(load: placement.EngineLoad) -> bool:
+            return self.endpoints[load.engine_id].usable(now_s)
+
+        return ring.candidates(affinity, usable)
 
     def loads(self) -> list[placement.EngineLoad]:
         """Return the loads of all engines."""
@@ -202,6 +215,13 @@
             known.pool.sweep(now_s)
         self.health.run(self.tables, now_s)
 
+    def _drop(self, known: Known) -> None:
+        """Take an endpoint out of its service."""
+        endpoint = known.endpoint
+        known.pool.close()
+        self._by_service[endpoint.service].pop(endpoint.endpoint_id, None)
+        self._rings.pop(endpoint.service, None)
+
     def _new(self, endpoint: catalogue.Endpoint) -> Known:
         view = systems.EndpointView(
             endpoint_id=endpoint.endpoint_id,
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -130,7 +130,7 @@
             rank=work.rank,
             begun=stream.journey.may_have_run,
         )
-        engines = self._knowledge.engines(work.service, now_s)
+        engines = self._engines_for(stream, now_s)
         placed = self._placer.place(request, engines, now_s)
         if isinstance(placed, placement.Hopeless):
             raise self._hopeless(stream, placed)
@@ -201,9 +201,7 @@
         """Have the tokens made where the prompt is fetched to."""
         taken = False
         try:
-            engines = self._knowledge.engines(
-                stream.work.service, self._clock()
-            )
+            engines = self._engines_for(stream, self._clock())
             engine_id = self._placer.decode_engine(
                 request, source.known.endpoint.endpoint_id, engines
             )
@@ -346,14 +344,21 @@
         """Return whether another engine may get the request after this."""
         if not _repeatable(stream):
             return False
-        engines = self._knowledge.engines(stream.work.service, self._clock())
         return any(
-            engine.accepting
-            and engine.role is not ports.EngineRole.PREFILL
+            engine.role is not ports.EngineRole.PREFILL
             and engine.engine_id not in stream.journey.tried
-            for engine in engines
+            for engine in self._engines_for(stream, self._clock())
         )
 
+    def _engines_for(
+        self, stream: _Stream, now_s: float
+    ) -> list[placement.EngineLoad]:
+        """Return the engines to weigh for a request."""
+        prompt = stream.work.prompt
+        # What tells no parts is spread by its id.
+        affinity = prompt.affinity if prompt else stream.work.request_id
+        return self._knowledge.engines(stream.work.service, affinity, now_s)
+
     def _free(self, source: _Source) -> None:
         """Free a handle that is not taken, beside the request."""
         task = asyncio.get_running_loop().create_task(
--- a/bilberrydeal/gateway/tests/test_changing.py
+++ b/bilberrydeal/gateway/tests/test_changing.py
@@ -3,6 +3,8 @@
 import collections.abc
 import random
 
+import attrs
+
 from ... import catalogue
 from ... import ports
 from ...systems import health
@@ -96,3 +98,19 @@
     one.changing.tell(["e1"])
     other.now_s += _changing.TOLD_S + 0.1
     assert other.usable
+
+
+def test_an_id_that_is_born_again_elsewhere_leaves_its_service() -> None:
+    one, _other = _pair()
+    moved = attrs.evolve(
+        _endpoint(ports.EngineRole.DECODE), service="shop", born_ms=2
+    )
+    before = one.knowledge.engines("llm", b"", one.now_s)
+    assert [load.engine_id for load in before] == ["e1"]
+    one.knowledge.set_endpoint(moved)
+    assert one.knowledge.engines("llm", b"", one.now_s) == []
+    assert [each.endpoint for each in one.knowledge.of_service("shop")] == [
+        moved
+    ]
+    one.knowledge.remove_endpoint("e1", "gone")
+    assert one.knowledge.of_service("shop") == []
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -21,6 +21,7 @@
 from ._request_counts import engine_rank
 from ._request_counts import RequestCounts
 from ._request_counts import URGENT_RANKS
+from ._ring import EngineRing
 from ._role_plan import Plan
 from ._role_plan import plan_roles
 from ._role_plan import ROLE_PLANS
@@ -31,6 +32,7 @@
 
 __all__ = [
     "EngineLoad",
+    "EngineRing",
     "EngineShare",
     "FirstComePlacer",
     "Hopeless",
--- a/bilberrydeal/systems/placement/_base.py
+++ b/bilberrydeal/systems/placement/_base.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ... import ports
 from ... import registry
 from . import _entities
 from . import _parts
@@ -62,9 +63,22 @@
     expected_s: float = math.inf
 
 
+#: Engines that take work.
 Engines = collections.abc.Sequence[_entities.EngineLoad]
 
 
+def untried_makers(
+    request: Request, engines: Engines
+) -> list[_entities.EngineLoad]:
+    """Return the engines that make tokens and were not tried yet."""
+    return [
+        engine
+        for engine in engines
+        if engine.role is not ports.EngineRole.PREFILL
+        and engine.engine_id not in request.tried
+    ]
+
+
 class Placer(typing.Protocol):
     """Chooses engines.
 
--- a/bilberrydeal/systems/placement/_baselines.py
+++ b/bilberrydeal/systems/placement/_baselines.py
@@ -1,6 +1,5 @@
 """Baselines that the product's placer is compared with."""
 
-from ... import ports
 from . import _base
 from . import _entities
 from . import _parts
@@ -27,13 +26,7 @@
         self, request: _base.Request, prefilled_at: str, engines: _base.Engines
     ) -> str | None:
         """Return the decode engine with the fewest requests."""
-        able = [
-            engine
-            for engine in engines
-            if engine.accepting
-            and engine.role is not ports.EngineRole.PREFILL
-            and engine.engine_id not in request.tried
-        ]
+        able = _base.untried_makers(request, engines)
         if not able:
             return None
         return min(able, key=lambda engine: engine.requests).engine_id
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -69,8 +69,6 @@
     slots: int
     #: Parts that it should keep, as far as this process knows.
     cache: _parts.PartCache
-    #: Whether it takes new work.
-    accepting: bool = True
     #: Prompt tokens that this process sent and that are not read yet.
     own: QueuedTokens = attrs.field(factory=QueuedTokens)
     #: Prompt tokens that other processes sent and that are not read yet.
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -133,11 +133,8 @@
         """Return the engine that makes the tokens, with the least to do."""
         able = [
             engine
-            for engine in engines
-            if engine.accepting
-            and engine.role is not ports.EngineRole.PREFILL
-            and engine.engine_id not in request.tried
-            and engine.requests < engine.slots * QUEUE_FACTOR
+            for engine in _base.untried_makers(request, engines)
+            if engine.requests < engine.slots * QUEUE_FACTOR
         ]
         if not able:
             return None
@@ -173,8 +170,7 @@
         able = [
             engine
             for engine in engines
-            if engine.accepting
-            and engine.engine_id not in request.tried
+            if engine.engine_id not in request.tried
             and engine.requests < engine.slots * QUEUE_FACTOR
         ]
         eligible = _eligible(request.prompt, able)
@@ -316,7 +312,7 @@
     shares = [
         engine.deferred_requests(request.rank) / engine.slots
         for engine in engines
-        if engine.accepting and engine.role is not ports.EngineRole.PREFILL
+        if engine.role is not ports.EngineRole.PREFILL
     ]
     return (
         chosen.requests < chosen.slots * DEFERRED_QUEUE_FACTOR
