Log when the first event of a stream came

Late answers could not be told from long ones in the logs: a step now says first_ms, when its first event came.

--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -272,6 +272,7 @@
                 break
             if first_s is None:
                 first_s = self._clock()
+                _note_first(stream, first_s)
             reading.done()
             self._begun.count_once(stream.work, stream.journey)
             if whole := cutter.feed(data):
@@ -375,6 +376,12 @@
     return route.idempotent and attempts < route.attempts_limit
 
 
+def _note_first(stream: _Stream, now_s: float) -> None:
+    """Note when the first event of a send came."""
+    after_s = now_s - stream.work.request.began_s
+    stream.journey.steps[-1].first_ms = round(after_s * 1000, 1)
+
+
 class _Reading:
     """Prompt tokens that an engine still has to read."""
 
--- a/bilberrydeal/gateway/_work.py
+++ b/bilberrydeal/gateway/_work.py
@@ -61,6 +61,9 @@
     #: Time that it waited for this host's own link, in milliseconds;
     #: ``None`` while it waits.
     link_wait_ms: float | None = None
+    #: When the first event came, in milliseconds since the request began;
+    #: ``None`` where none did.
+    first_ms: float | None = None
     #: Whether it waits there behind requests that can be in time.
     deferred: bool = False
     #: How it ended.
