--- a/bilberrydeal/gateway/tests/test_changing.py
+++ b/bilberrydeal/gateway/tests/test_changing.py
@@ -1,48 +1,14 @@
 """Engines that change their roles get no request from any gateway."""
 
-import collections.abc
 import random
 
 import attrs
 
-from ... import catalogue
 from ... import ports
 from ...systems import health
 from .. import _changing
-from .. import _datagrams
 from .. import _knowledge
-
-
-class Wire(_datagrams.Datagrams):
-    """Hands what one gateway sends to another at once."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.other: Wire | None = None
-
-    def send(
-        self,
-        datagram: _datagrams.Datagram,
-        addresses: collections.abc.Iterable[_datagrams.Address],
-    ) -> int:
-        assert self.other is not None
-        for take in self.other._takers:
-            take(datagram)
-        return 1
-
-
-def _endpoint(role: ports.EngineRole) -> catalogue.Endpoint:
-    return catalogue.Endpoint(
-        endpoint_id="e1",
-        service="llm",
-        host="127.0.0.1",
-        port=9,
-        failure_domain="d1",
-        ready=True,
-        role=role,
-        slots=8,
-        born_ms=1,
-    )
+from . import wires
 
 
 class Gateway:
@@ -50,11 +16,11 @@
 
     def __init__(self) -> None:
         self.now_s = 100.0
-        self.wire = Wire()
+        self.wire = wires.Wire()
         self.knowledge = _knowledge.Knowledge(
             health.HEALTH.get("outlier")(random.Random(1).getrandbits(32))
         )
-        self.knowledge.set_endpoint(_endpoint(ports.EngineRole.DECODE))
+        self.knowledge.set_endpoint(wires.engine(ports.EngineRole.DECODE))
         self.changing = _changing.ChangingEngines(
             self.wire,
             self.knowledge,
@@ -87,9 +53,9 @@
 def test_an_engine_is_used_once_it_is_back_in_its_role() -> None:
     one, other = _pair()
     one.changing.tell(["e1"])
-    other.knowledge.set_endpoint(_endpoint(ports.EngineRole.DECODE))
+    other.knowledge.set_endpoint(wires.engine(ports.EngineRole.DECODE))
     assert not other.usable
-    other.knowledge.set_endpoint(_endpoint(ports.EngineRole.PREFILL))
+    other.knowledge.set_endpoint(wires.engine(ports.EngineRole.PREFILL))
     assert other.usable
 
 
@@ -103,7 +69,7 @@
 def test_an_id_that_is_born_again_elsewhere_leaves_its_service() -> None:
     one, _other = _pair()
     moved = attrs.evolve(
-        _endpoint(ports.EngineRole.DECODE), service="shop", born_ms=2
+        wires.engine(ports.EngineRole.DECODE), service="shop", born_ms=2
     )
     before = one.knowledge.engines("llm", b"", one.now_s)
     assert [load.engine_id for load in before] == ["e1"]
--- a/bilberrydeal/gateway/tests/test_exchange.py
+++ b/bilberrydeal/gateway/tests/test_exchange.py
@@ -1,11 +1,9 @@
 """What gateways tell each other of engines."""
 
-import collections.abc
 import random
 
 import attrs
 
-from ... import catalogue
 from ... import ports
 from ...systems import health
 from ...systems import placement
@@ -13,6 +11,7 @@
 from .. import _exchange
 from .. import _knowledge
 from .. import _uplink
+from . import wires
 
 PROMPT = placement.Prompt(
     (placement.PromptPart(b"session", 3_800), placement.PromptPart(b"o", 900)),
@@ -20,33 +19,12 @@
 )
 
 
-class Wire(_datagrams.Datagrams):
-    """Hands datagrams to another gateway as they would be read there."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.other: Wire | None = None
-        self.sent = 0
-
-    def send(
-        self,
-        datagram: _datagrams.Datagram,
-        addresses: collections.abc.Iterable[_datagrams.Address],
-    ) -> int:
-        """Hand a datagram over."""
-        assert self.other is not None
-        self.sent += 1
-        data = self.encode(datagram)
-        self.other.datagram_received(data, ("127.0.0.1", 1))
-        return len(data)
-
-
 @attrs.define
 class Gateway:
     """One gateway that knows one engine, with time that the test moves."""
 
     name: str
-    wire: Wire = attrs.field(factory=Wire)
+    wire: wires.Wire = attrs.field(factory=wires.Wire)
     now_s: float = 100.0
     knowledge: _knowledge.Knowledge = attrs.field(init=False)
     exchange: _exchange.LoadExchange = attrs.field(init=False)
@@ -55,19 +33,7 @@
         self.knowledge = _knowledge.Knowledge(
             health.HEALTH.get("outlier")(random.Random(1).getrandbits(32))
         )
-        self.knowledge.set_endpoint(
-            catalogue.Endpoint(
-                endpoint_id="e1",
-                service="llm",
-                host="127.0.0.1",
-                port=9,
-                failure_domain="d1",
-                ready=True,
-                role=ports.EngineRole.PREFILL,
-                slots=8,
-                born_ms=1,
-            )
-        )
+        self.knowledge.set_endpoint(wires.engine(ports.EngineRole.PREFILL))
         self.engine.cache.set_capacity(1_000_000)
         self.exchange = _exchange.LoadExchange(
             self.wire,
@@ -142,4 +108,4 @@
         "i-0123456789", 12_000, 3_000, counts.by_rank
     )
     load = _datagrams.LoadFigures(7, (share,) * 10)
-    assert len(Wire().encode(_datagrams.Datagram("g1", load))) < 400
+    assert len(wires.Wire().encode(_datagrams.Datagram("g1", load))) < 400
