Split the options of a request from the placer's choice

What each way to serve a request takes stands in _options now, what is done with it in _two_stage. No behaviour changes.

--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -11,6 +11,7 @@
 from ._baselines import NoLocalityPlacer
 from ._entities import EngineLoad
 from ._entities import SlotTimes
+from ._options import main_decoder
 from ._parts import PartCache
 from ._parts import Prompt
 from ._parts import PromptPart
@@ -27,7 +28,6 @@
 from ._role_plan import ROLE_PLANS
 from ._role_plan import RoleDemand
 from ._role_plan import RoleOrder
-from ._two_stage import main_decoder
 from ._two_stage import TwoStagePlacer
 
 __all__ = [
--- a/bilberrydeal/systems/placement/_baselines.py
+++ b/bilberrydeal/systems/placement/_baselines.py
@@ -2,6 +2,7 @@
 
 from . import _base
 from . import _entities
+from . import _options
 from . import _parts
 from . import _two_stage
 
@@ -53,7 +54,7 @@
     def _defer(
         self,
         request: _base.Request,
-        options: list[_two_stage.Option],
+        options: list[_options.Option],
         engines: _base.Engines,
     ) -> _base.Placement | _base.Hopeless:
         """Place a late request among all others, unless it is hopeless."""
@@ -71,7 +72,7 @@
     def _defer(
         self,
         request: _base.Request,
-        options: list[_two_stage.Option],
+        options: list[_options.Option],
         engines: _base.Engines,
     ) -> _base.Placement | _base.Hopeless:
         """Defer a late request, however late."""
--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -9,7 +9,7 @@
 from ... import ports
 from ... import registry
 from . import _entities
-from . import _two_stage
+from . import _options
 
 #: Engines of a service that make tokens at least, so that the loss of one
 #: leaves another; with fewer engines than the second figure, one does.
@@ -149,7 +149,7 @@
     decoders: list[_entities.EngineLoad],
 ) -> _entities.EngineLoad:
     """Return a decoder to spare; the main one has the most to finish."""
-    main = _two_stage.main_decoder(decoders)
+    main = _options.main_decoder(decoders)
     domains = collections.Counter(each.failure_domain for each in decoders)
     return max(
         (each for each in decoders if each is not main),
