--- a/bilberrydeal/gateway/_roles.py
+++ b/bilberrydeal/gateway/_roles.py
@@ -38,6 +38,12 @@
     #: When it counts as lost whatever runs there still.
     lost_latest_s: float
 
+    def extend(self, until_s: float) -> None:
+        """Wait longer for an engine that took the order: it is not empty."""
+        if self.accepted:
+            lost_s = max(self.lost_s, until_s)
+            self.lost_s = min(lost_s, self.lost_latest_s)
+
 
 @attrs.define
 class _ServiceRoles:
@@ -169,14 +175,11 @@
         by_id = {load.engine_id: load for load in loads}
         for engine_id, order in list(state.changing.items()):
             load = by_id.get(engine_id)
-            if load is None or load.role is order.role:
+            shown = load is None or load.role is order.role
+            if load is not None and load.requests:
+                order.extend(now_s + bound_s)
+            if shown or now_s >= order.lost_s:
                 del state.changing[engine_id]
-            elif order.accepted and load.requests:
-                # What runs there ends first.
-                lost_s = max(order.lost_s, now_s + bound_s)
-                order.lost_s = min(lost_s, order.lost_latest_s)
-            if now_s >= order.lost_s:
-                state.changing.pop(engine_id, None)
 
     def _loads(self, service: str) -> list[placement.EngineLoad]:
         return [
