Tell readers from makers in one place, and compare no whole engines

Found by reading the whole change. RequestCounts.take summed several lists and was given one: gone. The type of "addresses of others" stood in three modules. What is to be done at the first event of a stream was repeated at each. Only engines that were told are cleared of prompts told. Tests of datagrams share their set-up. Behaviour is as it was, assertions too.

--- a/bilberrydeal/gateway/_changing.py
+++ b/bilberrydeal/gateway/_changing.py
@@ -15,8 +15,6 @@
 #: Time for which what was told holds unless it is told again, in seconds.
 TOLD_S = 1.6
 
-#: Returns the addresses of the other gateways.
-Peers = collections.abc.Callable[[], tuple[_datagrams.Address, ...]]
 Clock = collections.abc.Callable[[], float]
 
 
@@ -33,7 +31,7 @@
         datagrams: _datagrams.Datagrams,
         knowledge: _knowledge.Knowledge,
         gateway: str,
-        peers: Peers,
+        peers: _datagrams.Peers,
         clock: Clock,
     ) -> None:
         self._datagrams = datagrams
--- a/bilberrydeal/gateway/_datagrams.py
+++ b/bilberrydeal/gateway/_datagrams.py
@@ -21,6 +21,8 @@
 
 #: Where a gateway takes datagrams.
 Address = tuple[str, int]
+#: Returns the addresses of other gateways: all, or those that need to know.
+Peers = collections.abc.Callable[[], tuple[Address, ...]]
 
 
 @attrs.frozen
--- a/bilberrydeal/gateway/_exchange.py
+++ b/bilberrydeal/gateway/_exchange.py
@@ -27,8 +27,6 @@
 CHANGE_TOKENS = 1_000
 
 Clock = collections.abc.Callable[[], float]
-#: Returns the addresses of the other gateways.
-Peers = collections.abc.Callable[[], tuple[_datagrams.Address, ...]]
 
 
 class LoadExchange:
@@ -39,7 +37,7 @@
         datagrams: _datagrams.Datagrams,
         knowledge: _knowledge.Knowledge,
         gateway: str,
-        peers: Peers,
+        peers: _datagrams.Peers,
         uplink: _uplink.Uplink,
         clock: Clock,
     ) -> None:
@@ -141,8 +139,10 @@
         self._sequence += 1
         self._sent = shares
         self._sent_s = now_s
-        for engine in self._knowledge.loads():
-            engine.untold.clear()
+        for share in shares:
+            engine = self._knowledge.load_of(share.engine_id)
+            if engine is not None:
+                engine.untold.clear()
         load = _datagrams.LoadFigures(self._sequence, shares)
         self._told_bytes = self._datagrams.send(
             _datagrams.Datagram(self._gateway, load=load), self._peers()
--- a/bilberrydeal/gateway/_roles.py
+++ b/bilberrydeal/gateway/_roles.py
@@ -167,10 +167,10 @@
     ) -> None:
         """Note what the engines do, and which orders have shown."""
         loads = self._loads(service)
-        makers = [
-            load for load in loads if load.role is not ports.EngineRole.PREFILL
-        ]
-        state.average(makers, [load for load in loads if load not in makers])
+        state.average(
+            makers=[load for load in loads if not load.reads_only],
+            readers=[load for load in loads if load.reads_only],
+        )
         state.used = state.used or any(load.requests for load in loads)
         by_id = {load.engine_id: load for load in loads}
         for engine_id, order in list(state.changing.items()):
@@ -205,7 +205,7 @@
         leaves = any(
             known.load is not None
             and not known.endpoint.ready
-            and known.load.role is not ports.EngineRole.PREFILL
+            and not known.load.reads_only
             for known in self._knowledge.of_service(service)
         )
         return placement.RoleDemand(
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -9,7 +9,6 @@
 from .. import errors
 from .. import http1
 from .. import platform
-from .. import ports
 from ..systems import placement
 from . import _events
 from . import _knowledge
@@ -273,8 +272,8 @@
             if first_s is None:
                 first_s = self._clock()
                 _note_first(stream, first_s)
-            reading.done()
-            self._begun.count_once(stream.work, stream.journey)
+                reading.done()
+                self._begun.count_once(stream.work, stream.journey)
             if whole := cutter.feed(data):
                 await responder.write_chunk(whole)
         if cutter.incomplete:
@@ -346,7 +345,7 @@
         if not _repeatable(stream):
             return False
         return any(
-            engine.role is not ports.EngineRole.PREFILL
+            not engine.reads_only
             and engine.engine_id not in stream.journey.tried
             for engine in self._engines_for(stream, self._clock())
         )
--- a/bilberrydeal/gateway/_told.py
+++ b/bilberrydeal/gateway/_told.py
@@ -5,8 +5,6 @@
 the store or is killed before it writes its row again.
 """
 
-import collections.abc
-
 import attrs
 
 from . import _clock
@@ -23,9 +21,6 @@
 #: windows were settled long before.
 FORGOTTEN_S = 60.0
 
-#: Returns the addresses of the gateways that may settle windows.
-Settlers = collections.abc.Callable[[], tuple[_datagrams.Address, ...]]
-
 
 class ToldCounts:
     """Keeps the counts that gateways told.
@@ -81,7 +76,7 @@
         gateway: str,
         counter: _usage.BegunCounter,
         told: ToldCounts,
-        settlers: Settlers,
+        settlers: _datagrams.Peers,
         clock: _clock.TrueClock,
     ) -> None:
         self._datagrams = datagrams
--- a/bilberrydeal/gateway/tests/test_changing.py
+++ b/bilberrydeal/gateway/tests/test_changing.py
@@ -1,13 +1,9 @@
 """Engines that change their roles get no request from any gateway."""
 
-import random
-
 import attrs
 
 from ... import ports
-from ...systems import health
 from .. import _changing
-from .. import _knowledge
 from . import wires
 
 
@@ -17,10 +13,7 @@
     def __init__(self) -> None:
         self.now_s = 100.0
         self.wire = wires.Wire()
-        self.knowledge = _knowledge.Knowledge(
-            health.HEALTH.get("outlier")(random.Random(1).getrandbits(32))
-        )
-        self.knowledge.set_endpoint(wires.engine(ports.EngineRole.DECODE))
+        self.knowledge = wires.knowledge(ports.EngineRole.DECODE)
         self.changing = _changing.ChangingEngines(
             self.wire,
             self.knowledge,
@@ -36,8 +29,7 @@
 
 def _pair() -> tuple[Gateway, Gateway]:
     one, other = Gateway(), Gateway()
-    one.wire.other = other.wire
-    other.wire.other = one.wire
+    wires.join(one.wire, other.wire)
     return one, other
 
 
--- a/bilberrydeal/gateway/tests/test_exchange.py
+++ b/bilberrydeal/gateway/tests/test_exchange.py
@@ -1,11 +1,8 @@
 """What gateways tell each other of engines."""
 
-import random
-
 import attrs
 
 from ... import ports
-from ...systems import health
 from ...systems import placement
 from .. import _datagrams
 from .. import _exchange
@@ -30,10 +27,7 @@
     exchange: _exchange.LoadExchange = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.knowledge = _knowledge.Knowledge(
-            health.HEALTH.get("outlier")(random.Random(1).getrandbits(32))
-        )
-        self.knowledge.set_endpoint(wires.engine(ports.EngineRole.PREFILL))
+        self.knowledge = wires.knowledge(ports.EngineRole.PREFILL)
         self.engine.cache.set_capacity(1_000_000)
         self.exchange = _exchange.LoadExchange(
             self.wire,
@@ -54,8 +48,7 @@
 
 def _pair() -> tuple[Gateway, Gateway]:
     one, other = Gateway("g1"), Gateway("g2")
-    one.wire.other = other.wire
-    other.wire.other = one.wire
+    wires.join(one.wire, other.wire)
     return one, other
 
 
--- a/bilberrydeal/gateway/tests/wires.py
+++ b/bilberrydeal/gateway/tests/wires.py
@@ -4,7 +4,9 @@
 
 from ... import catalogue
 from ... import ports
+from ...systems import health
 from .. import _datagrams
+from .. import _knowledge
 
 
 class Wire(_datagrams.Datagrams):
@@ -41,3 +43,16 @@
         slots=8,
         born_ms=1,
     )
+
+
+def knowledge(role: ports.EngineRole) -> _knowledge.Knowledge:
+    """Return what a gateway knows that knows one engine."""
+    known = _knowledge.Knowledge(health.HEALTH.get("outlier")(1))
+    known.set_endpoint(engine(role))
+    return known
+
+
+def join(one: Wire, other: Wire) -> None:
+    """Let two gateways hear each other."""
+    one.other = other
+    other.other = one
--- a/bilberrydeal/systems/placement/_base.py
+++ b/bilberrydeal/systems/placement/_base.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from ... import ports
 from ... import registry
 from . import _entities
 from . import _parts
@@ -74,8 +73,7 @@
     return [
         engine
         for engine in engines
-        if engine.role is not ports.EngineRole.PREFILL
-        and engine.engine_id not in request.tried
+        if not engine.reads_only and engine.engine_id not in request.tried
     ]
 
 
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -103,11 +103,20 @@
         """Return the prompt tokens that are read after those."""
         return self.own.deferred + self.others.deferred
 
+    @property
+    def waiting_tokens(self) -> float:
+        """Return the prompt tokens of all requests that are not read yet."""
+        return self.urgent_tokens + self.deferred_tokens
+
+    @property
+    def reads_only(self) -> bool:
+        """Return whether it reads prompts for engines that make tokens."""
+        return self.role is ports.EngineRole.PREFILL
+
     @property
     def reading_wait_s(self) -> float:
         """Return the time that reading all that waits here takes."""
-        waiting = self.urgent_tokens + self.deferred_tokens
-        return waiting / self.prefill_tokens_per_s
+        return self.waiting_tokens / self.prefill_tokens_per_s
 
     def note_prompt(self, prompt: _parts.Prompt) -> None:
         """Note a prompt that this process sends there."""
--- a/bilberrydeal/systems/placement/_options.py
+++ b/bilberrydeal/systems/placement/_options.py
@@ -2,7 +2,6 @@
 
 import attrs
 
-from ... import ports
 from . import _base
 from . import _entities
 from . import _parts
@@ -65,18 +64,14 @@
     engines and at all decode engines but one, which makes tokens only. Short
     ones are read where their tokens are made.
     """
-    decoders = [
-        engine
-        for engine in engines
-        if engine.role is not ports.EngineRole.PREFILL
-    ]
+    decoders = [engine for engine in engines if not engine.reads_only]
     if not decoders or prompt.tokens < SHORT_TOKENS:
         return decoders
     main = main_decoder(decoders)
     apart = [
         engine
         for engine in engines
-        if engine.role is ports.EngineRole.PREFILL
+        if engine.reads_only
         or (engine is not main and _has_room_to_read(engine))
     ]
     return apart or decoders
@@ -110,7 +105,7 @@
     ``missing`` are the tokens that it would have to read, ``elsewhere`` the
     wait for a slot where another engine makes the tokens.
     """
-    split = engine.role is ports.EngineRole.PREFILL
+    split = engine.reads_only
     wait = elsewhere if split else slot_wait(request, [engine])
     tokens_per_s = speed(engine)
     reading_s = missing / tokens_per_s
@@ -119,8 +114,8 @@
     hand_over_s = sends * request.uplink_s + (HAND_OVER_S if split else 0.0)
     read_s = (engine.urgent_tokens + begun) / tokens_per_s + reading_s
     expected_s = read_s + hand_over_s + wait.in_time_s
-    queued = engine.urgent_tokens + engine.deferred_tokens
-    deferred_s = queued / tokens_per_s + reading_s + hand_over_s
+    deferred_s = engine.waiting_tokens / tokens_per_s
+    deferred_s += reading_s + hand_over_s
     apart = engine.failure_domain != request.failure_domain
     cost_s = expected_s + reading_s * READING_WEIGHT + apart * DOMAIN_WEIGHT_S
     if request.prompt.tokens < SHORT_TOKENS:
@@ -154,7 +149,7 @@
 
 def speed(engine: _entities.EngineLoad) -> float:
     """Return the prompt tokens that an engine reads a second."""
-    if engine.role is ports.EngineRole.PREFILL:
+    if engine.reads_only:
         return engine.prefill_tokens_per_s
     return engine.prefill_tokens_per_s * DECODE_READ_SHARE
 
@@ -170,5 +165,4 @@
 
 
 def _weight(engine: _entities.EngineLoad) -> float:
-    prefills = engine.role is ports.EngineRole.PREFILL
-    return 1.0 if prefills else DECODE_READ_SHARE
+    return 1.0 if engine.reads_only else DECODE_READ_SHARE
--- a/bilberrydeal/systems/placement/_peer_loads.py
+++ b/bilberrydeal/systems/placement/_peer_loads.py
@@ -111,7 +111,9 @@
             if engine is not None:
                 found = self._sums[engine_id]
                 engine.others = attrs.evolve(found.tokens)
-                engine.others_counts.take([found.counts.by_rank])
+                engine.others_counts = _request_counts.RequestCounts(
+                    list(found.counts.by_rank)
+                )
         self._changed.clear()
 
     def _add(self, told: _Told, sign: int) -> None:
--- a/bilberrydeal/systems/placement/_request_counts.py
+++ b/bilberrydeal/systems/placement/_request_counts.py
@@ -1,7 +1,5 @@
 """How many requests are at an engine, by how urgent they are."""
 
-import collections.abc
-
 import attrs
 
 #: Ranks of requests that can be in time, 0 is the most urgent. As many
@@ -34,12 +32,6 @@
         """Add requests of a rank, or take them away where negative."""
         self.by_rank[rank] += count
 
-    def take(self, summands: collections.abc.Iterable[list[int]]) -> None:
-        """Become the sum of other counts."""
-        self.by_rank = [
-            sum(column) for column in zip(_none(), *summands, strict=True)
-        ]
-
     @property
     def total(self) -> int:
         """Return how many there are."""
--- a/bilberrydeal/systems/placement/_ring.py
+++ b/bilberrydeal/systems/placement/_ring.py
@@ -8,7 +8,6 @@
 import collections.abc
 import hashlib
 
-from ... import ports
 from . import _entities
 
 #: Fleets up to this size are looked at whole.
@@ -55,8 +54,7 @@
         makers: list[_entities.EngineLoad] = []
         for step in range(min(count, VISITED_LIMIT)):
             engine = self._engines[(first + step) % count]
-            reads = engine.role is ports.EngineRole.PREFILL
-            found = readers if reads else makers
+            found = readers if engine.reads_only else makers
             if len(found) < CANDIDATES_A_ROLE and usable(engine):
                 found.append(engine)
             if len(readers) + len(makers) == 2 * CANDIDATES_A_ROLE:
--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -95,14 +95,8 @@
     Decode engines are spread over failure domains. Their number follows the
     slots that are taken, between a floor and what is left for reading.
     """
-    decoders = [
-        engine
-        for engine in engines
-        if engine.role is not ports.EngineRole.PREFILL
-    ]
-    readers = [
-        engine for engine in engines if engine.role is ports.EngineRole.PREFILL
-    ]
+    decoders = [engine for engine in engines if not engine.reads_only]
+    readers = [engine for engine in engines if engine.reads_only]
     wanted = _decoders_wanted(engines, demand)
     if len(decoders) > wanted and _readers_wanted(demand):
         chosen = _most_crowded(decoders)
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -2,7 +2,6 @@
 
 import math
 
-from ... import ports
 from . import _base
 from . import _entities
 from . import _options
@@ -96,8 +95,7 @@
         domain = source.failure_domain if source else request.failure_domain
 
         def cost(engine: _entities.EngineLoad) -> float:
-            waiting = engine.urgent_tokens + engine.deferred_tokens
-            waits_s = waiting / _options.speed(engine)
+            waits_s = engine.waiting_tokens / _options.speed(engine)
             share = engine.requests / engine.slots
             apart = engine.failure_domain != domain
             return (
@@ -135,11 +133,7 @@
         home = _options.home(request.prompt, eligible)
         elsewhere = _options.slot_wait(
             request,
-            [
-                engine
-                for engine in able
-                if engine.role is not ports.EngineRole.PREFILL
-            ],
+            [engine for engine in able if not engine.reads_only],
         )
         return [
             _options.weighed(
@@ -177,7 +171,7 @@
     shares = [
         engine.deferred_requests(request.rank) / engine.slots
         for engine in engines
-        if engine.role is not ports.EngineRole.PREFILL
+        if not engine.reads_only
     ]
     return (
         chosen.requests < chosen.slots * DEFERRED_QUEUE_FACTOR
