Keep what an organisation within its share has waiting

Cause: pop_expired judged backlogs by totals that its own removals had lowered, so that an organisation at its share before the call could lose a request that would have ended in time. Both totals count now.

--- a/bilberrydeal/systems/queueing/_weighted_fair.py
+++ b/bilberrydeal/systems/queueing/_weighted_fair.py
@@ -1,5 +1,6 @@
 """A start-time fair queue between organisations."""
 
+import collections
 import heapq
 import math
 
@@ -36,6 +37,16 @@
     version: int = 0
 
 
+@attrs.frozen
+class _Backlog:
+    """What all organisations together have waiting."""
+
+    #: Cost of all waiting requests.
+    cost: float
+    #: Weight of all organisations with waiting requests.
+    weight: float
+
+
 @_base.QUEUES.register("weighted_fair")
 class WeightedFair:
     """Divides the served cost between waiting organisations by weight.
@@ -114,21 +125,27 @@
         Requests that start at the last moment often end late, and their work
         is wasted. An organisation with a large backlog uses its service for
         other requests instead; one with a small backlog loses no request that
-        could meet its deadline.
+        could meet its deadline. Removals lower the waiting cost and so raise
+        the shares of others, hence the backlog has to be large before the
+        first removal too.
         """
         late = []
+        total = _Backlog(self._waiting_cost, self._busy_weight)
+        removed: dict[str, float] = collections.defaultdict(float)
         while self._by_start and self._by_start[0][0] < now_s:
             _, key, name = heapq.heappop(self._by_start)
             item = self._waiting(key)
             if item is None:
                 continue
-            if item.latest_start_s >= now_s and not self._has_large_backlog(
-                name
+            if item.latest_start_s >= now_s and not (
+                self._has_large_backlog(name)
+                and self._had_large_backlog(name, removed[name], total)
             ):
                 retry = (item.latest_start_s, key, name)
                 heapq.heappush(self._by_start, retry)
                 continue
             self.remove(key)
+            removed[name] += item.cost
             late.append(item)
         return late
 
@@ -184,9 +201,20 @@
         return None if name is None else self._accounts[name].order.get(key)
 
     def _has_large_backlog(self, name: str) -> bool:
+        present = _Backlog(self._waiting_cost, self._busy_weight)
+        return self._had_large_backlog(name, 0.0, present)
+
+    def _had_large_backlog(
+        self, name: str, removed_cost: float, total: "_Backlog"
+    ) -> bool:
+        """Return whether a backlog was large before some removals.
+
+        ``total`` is what all organisations had waiting at that time.
+        """
         account = self._accounts[name]
-        share = self._waiting_cost * account.weight / self._busy_weight
-        return account.order.cost > LARGE_BACKLOG_FACTOR * share
+        share = total.cost * account.weight / total.weight
+        cost = account.order.cost + removed_cost
+        return cost > LARGE_BACKLOG_FACTOR * share
 
     def _push_account(self, name: str, account: Account) -> None:
         self._version += 1
--- a/bilberrydeal/systems/queueing/tests/test_expired.py
+++ b/bilberrydeal/systems/queueing/tests/test_expired.py
@@ -1,3 +1,4 @@
+from hypothesis import example
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -60,6 +61,7 @@
         max_size=40,
     )
 )
+@example([("c", 24), ("a", 1), ("a", 1), ("a", 12), ("c", 32)])
 def test_none_within_its_share_loses_what_can_end_in_time(
     requests: list[tuple[str, int]],
 ) -> None:
