Reset connections of endpoints that send useless bytes without end

Cause: heads, interim responses, chunk extensions, trailers and responses to other requests were read for as long as an endpoint sent them; only bodies had a bound. Ruled out: a bound on time alone, since a fast peer fills the memory within the time of one request.

Change: a connection counts bytes since the last that belong to the response, and those of a head.

--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -15,6 +15,11 @@
 BODILESS_STATUSES = frozenset([204, 304])
 #: Unread bytes of a response at which reading from the socket pauses.
 BUFFER_LIMIT_BYTES = 262_144
+#: Bytes that a peer may send without any that belong to the response: heads,
+#: chunk extensions, trailers, interim responses and those to other requests.
+USELESS_LIMIT_BYTES = 1_048_576
+#: Largest head of a response, in bytes.
+HEAD_LIMIT_BYTES = 131_072
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
@@ -69,10 +74,16 @@
         self._parser = httptools.HttpResponseParser(self)
         self._fields: list[_headers.Header] = []
         self._skipping_response = False
+        self._useless_bytes = 0
         self._delimited_by_eof = False
         self._head: ResponseHead | None = None
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
+        #: Bytes received since the last that belong to the response.
+        self._useless_bytes = 0
+        #: Bytes received since the last head was complete.
+        self._head_bytes = 0
+        self._in_head = True
         self._paused = False
         self._closed = False
         self._waiter: asyncio.Future[None] | None = None
@@ -90,6 +101,8 @@
         self._head = None
         self._chunks.clear()
         self._buffered_bytes = 0
+        self._useless_bytes = 0
+        self._head_bytes = 0
         self.done = False
         self._transport.write(head + body if body else head)
 
@@ -156,15 +169,27 @@
             self.reusable = False
             self.close()
             return
+        self._useless_bytes += len(data)
+        if self._in_head:
+            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.reusable = False
-            if not self.done:
-                self._closed = True
-            self.abort()
+            self._give_up()
+        if (
+            self._useless_bytes > USELESS_LIMIT_BYTES
+            or self._head_bytes > HEAD_LIMIT_BYTES
+        ):
+            self._give_up()
         self._wake()
 
+    def _give_up(self) -> None:
+        """Reset the connection; an incomplete response stays incomplete."""
+        self.reusable = False
+        if not self.done:
+            self._closed = True
+        self.abort()
+
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the stream."""
         if (
@@ -188,6 +213,7 @@
     def on_message_begin(self) -> None:
         """Start a response; an extra one makes the connection unusable."""
         self._fields = []
+        self._in_head = True
         if self.done:
             self.reusable = False
 
@@ -197,6 +223,8 @@
 
     def on_headers_complete(self) -> None:
         """Store the head unless it belongs to another request."""
+        self._in_head = False
+        self._head_bytes = 0
         if self.done:
             self._skipping_response = True
             return
@@ -219,6 +247,7 @@
         """Buffer a part of the body."""
         if self._skipping_response:
             return
+        self._useless_bytes = 0
         self._chunks.append(body)
         self._buffered_bytes += len(body)
         if self._buffered_bytes > BUFFER_LIMIT_BYTES and self._transport:
