--- a/bilberrydeal/catalogue/_configuration.py
+++ b/bilberrydeal/catalogue/_configuration.py
@@ -54,6 +54,9 @@
     resumable: bool
     #: Maximum gap between two events that callers accept, in seconds.
     target_gap_s: float
+    #: Time without an event, also before the first one, after which callers
+    #: close a stream, in seconds.
+    stall_limit_s: float
 
     @property
     def idempotent(self) -> bool:
--- a/bilberrydeal/gateway/_cluster_state.py
+++ b/bilberrydeal/gateway/_cluster_state.py
@@ -94,6 +94,8 @@
         self._engine_rings: dict[str, placement.EngineRing] = {}
         #: Learned slot occupancy times by service.
         self._slot_times: dict[str, placement.SlotTimes] = {}
+        #: Learned speed of the engines by service.
+        self._speeds: dict[str, placement.ServiceSpeed] = {}
 
     def set_configuration(
         self, configuration: catalogue.Configuration
@@ -215,6 +217,8 @@
         for upstream in self.endpoints.values():
             upstream.view.in_flight = upstream.pool.busy
             upstream.pool.close_expired(now_s)
+            if upstream.load is not None:
+                upstream.load.speed.expire(now_s)
         self.health.run(self.tables, now_s)
 
     def _detach(self, upstream: Upstream) -> None:
@@ -258,6 +262,11 @@
             slot_times=self._slot_times.setdefault(
                 endpoint.service, placement.SlotTimes()
             ),
+            speed=placement.EngineSpeed(
+                self._speeds.setdefault(
+                    endpoint.service, placement.ServiceSpeed()
+                )
+            ),
         )
 
     def _cache_tokens(self, service: str) -> int:
@@ -280,6 +289,11 @@
             upstream.load.cache.set_capacity(
                 self._cache_tokens(upstream.endpoint.service)
             )
+        if found.engine is not None:
+            speed = self._speeds.setdefault(
+                found.name, placement.ServiceSpeed()
+            )
+            speed.fetch_token_s = found.engine.kv_transfer_token_s
 
 
 def _same_process(
--- a/bilberrydeal/gateway/_datagrams.py
+++ b/bilberrydeal/gateway/_datagrams.py
@@ -19,6 +19,12 @@
 #: Bytes of the Ethernet, IP and UDP headers of a packet.
 PACKET_HEADER_BYTES = 42
 
+#: Flags of a prefill: whether the engine only prefilled, whether it had a
+#: queue, and whether the prefill was not finished.
+_SEPARATE = 1
+_QUEUED = 2
+_UNFINISHED = 4
+
 #: Host and port at which a gateway receives datagrams.
 Address = tuple[str, int]
 #: Returns the addresses of all other gateways, or of some recipients.
@@ -67,6 +73,8 @@
     deferred_tokens: int
     requests: list[int]
     prompts: list[list[tuple[bytes, int]]]
+    #: Prefills: flags, tokens and microseconds.
+    samples: list[tuple[int, int, int]] = []
 
 
 class _WireDatagram(msgspec.Struct, array_like=True):
@@ -91,6 +99,7 @@
                 engine_load.deferred_tokens,
                 engine_load.requests,
                 [_parts(prompt) for prompt in engine_load.prompts],
+                [_sample_to_wire(each) for each in engine_load.samples],
             )
             for engine_load in load.engine_loads
         ],
@@ -111,6 +120,7 @@
             engine_load.deferred_tokens,
             engine_load.requests,
             tuple(map(_prompt, engine_load.prompts)),
+            tuple(map(_sample_from_wire, engine_load.samples)),
         )
         for engine_load in wire.engine_loads
     )
@@ -124,6 +134,30 @@
     )
 
 
+def _sample_to_wire(
+    measured: placement.PrefillSample,
+) -> tuple[int, int, int]:
+    sample = measured.sample
+    flags = (
+        measured.separate * _SEPARATE
+        + sample.queued * _QUEUED
+        + (not measured.finished) * _UNFINISHED
+    )
+    return (flags, int(sample.tokens), int(sample.took_s * 1e6))
+
+
+def _sample_from_wire(
+    wire: tuple[int, int, int],
+) -> placement.PrefillSample:
+    flags, tokens, took_us = wire
+    sample = placement.TimeSample(
+        max(tokens, 0), max(took_us, 0) / 1e6, bool(flags & _QUEUED)
+    )
+    return placement.PrefillSample(
+        bool(flags & _SEPARATE), sample, not flags & _UNFINISHED
+    )
+
+
 Handler = collections.abc.Callable[[Datagram], None]
 
 
--- a/bilberrydeal/gateway/_events.py
+++ b/bilberrydeal/gateway/_events.py
@@ -6,6 +6,14 @@
 _ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
+#: Largest event, in bytes; more without its end are no event.
+EVENT_LIMIT_BYTES = 1_048_576
+
+
+class EventTooLarge(Exception):
+    """A stream sent bytes without end that are no event."""
+
+
 class EventSplitter:
     """Buffers partial events, so that another engine can resume a stream.
 
@@ -28,11 +36,16 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> bytes:
-        """Return the events completed by ``data``."""
+        """Return the events completed by ``data``.
+
+        Raises :class:`EventTooLarge` if the event never seems to end.
+        """
         buffered = self._buffer + data if self._buffer else data
         end = 0
         for found in _END.finditer(buffered):
             end = found.end()
+        if len(buffered) - end > EVENT_LIMIT_BYTES:
+            raise EventTooLarge(f"{len(buffered) - end} bytes")
         if not end:
             self._buffer = buffered
             return b""
--- a/bilberrydeal/gateway/_exchange.py
+++ b/bilberrydeal/gateway/_exchange.py
@@ -1,7 +1,8 @@
 """Exchanges load reports with other gateways by datagram.
 
 Besides the load at each engine a report lists which prompts were sent to it,
-so that each gateway tracks the engine's cache over the prompts of all of them.
+so that each gateway tracks the engine's cache over the prompts of all of them,
+and the prefill times that were measured, so that all learn its speed.
 """
 
 import asyncio
@@ -62,19 +63,23 @@
             return
         now_s = self._clock()
         for engine_load in load.engine_loads:
-            self._cache_prompts(engine_load)
+            self._learn(engine_load, now_s)
         if self._loads.update(
             datagram.gateway, load.sequence, load.engine_loads, now_s
         ):
             self._loads.apply(self._cluster.load_of)
 
-    def _cache_prompts(self, engine_load: placement.GatewayEngineLoad) -> None:
-        """Record prompts of another gateway in an engine's cache."""
+    def _learn(
+        self, engine_load: placement.GatewayEngineLoad, now_s: float
+    ) -> None:
+        """Record prompts and measured prefills of another gateway."""
         engine = self._cluster.load_of(engine_load.engine_id)
         if engine is None:
             return
         for prompt in engine_load.prompts:
             engine.cache.record(prompt)
+        for measured in engine_load.samples:
+            engine.speed.record(measured, now_s)
 
     async def run(self) -> None:
         """Send load reports until cancelled."""
@@ -111,9 +116,12 @@
                 int(load.own_tokens.deferred),
                 list(load.own_counts.by_rank),
                 tuple(load.unreported_prompts),
+                tuple(load.unreported_samples),
             )
             for load in self._cluster.loads()
-            if load.own_counts.total or load.unreported_prompts
+            if load.own_counts.total
+            or load.unreported_prompts
+            or load.unreported_samples
         )
 
     def _due(
@@ -151,6 +159,7 @@
             engine = self._cluster.load_of(engine_load.engine_id)
             if engine is not None:
                 engine.unreported_prompts.clear()
+                engine.unreported_samples.clear()
         load = _datagrams.LoadReport(self._sequence, engine_loads)
         self._last_sent_bytes = self._datagrams.send(
             _datagrams.Datagram(self._gateway, load=load), self._peers()
--- a/bilberrydeal/gateway/_requests.py
+++ b/bilberrydeal/gateway/_requests.py
@@ -58,6 +58,16 @@
     at_ms: float
     #: Expected time to the first token, in milliseconds.
     expected_ms: float | None = None
+    #: Expected time until prefill is finished, in milliseconds.
+    expected_prefill_ms: float | None = None
+    #: Engine from whose cache it fetches parts of the prompt first.
+    fetch_from: str | None = None
+    #: Prompt tokens that the engine was expected to prefill until then, with
+    #: those queued before.
+    work_tokens: int | None = None
+    #: Time from the send to the end of the prefill, in milliseconds; ``None``
+    #: unless another engine decodes.
+    prefill_ms: float | None = None
     #: Time in the queue for this host's uplink, in milliseconds; ``None``
     #: while it is queued.
     link_wait_ms: float | None = None
@@ -85,6 +95,10 @@
     budgeted_sends: int = 0
     #: Whether a prefill of its prompt succeeded.
     prefill_recorded: bool = False
+    #: Time that it was held at this gateway, in milliseconds.
+    held_ms: float = 0.0
+    #: Prefills without a result.
+    lost_prefills: int = 0
     #: Sends that count against the route's limit.
     attempts: int = 0
     #: Whether an endpoint may have run it, or may still run it.
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -38,6 +38,39 @@
     """The endpoint may have run the request, but its response was lost."""
 
 
+@attrs.frozen
+class Patience:
+    """When to ask whether a send is worth waiting for any longer."""
+
+    #: Time after the send when this is asked first, in seconds.
+    first_s: float
+    #: Time between two such questions, in seconds.
+    interval_s: float
+    #: Returns whether to abandon the send.
+    gives_up: collections.abc.Callable[[], bool]
+
+    @contextlib.contextmanager
+    def applied_to(
+        self, limit: asyncio.Timeout
+    ) -> collections.abc.Iterator[None]:
+        """Let a timeout expire as soon as the send is abandoned."""
+        loop = asyncio.get_running_loop()
+        timer: asyncio.TimerHandle
+
+        def ask() -> None:
+            nonlocal timer
+            if self.gives_up():
+                limit.reschedule(loop.time())
+            else:
+                timer = loop.call_later(self.interval_s, ask)
+
+        timer = loop.call_later(self.first_s, ask)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+
 @attrs.frozen
 class Exchange:
     """A send whose response has started."""
@@ -78,6 +111,7 @@
         fields: platform.SendFields,
         head_timeout_s: float,
         placed: placement.Placement | None = None,
+        patience: Patience | None = None,
     ) -> collections.abc.AsyncIterator[Exchange]:
         """Send a request and wait for the head of its response.
 
@@ -85,14 +119,21 @@
         connection is reset if the response is incomplete on exit. From the
         first byte sent ``progress.may_have_run`` is set, until the endpoint
         proves that the request did not run. A prefill never sets it, as it
-        does not run the request.
+        does not run the request. ``patience`` may end the wait for the head
+        before ``head_timeout_s``.
         """
         with self._tracing.span("endpoint", progress.traceparent) as span:
             span.set_attribute("endpoint", upstream.endpoint.endpoint_id)
             span.set_attribute("step", "read" if fields.prefill else "serve")
             fields = attrs.evolve(fields, traceparent=span.traceparent)
             async with self._exchange(
-                admitted, progress, upstream, fields, head_timeout_s, placed
+                admitted,
+                progress,
+                upstream,
+                fields,
+                head_timeout_s,
+                placed,
+                patience,
             ) as exchange:
                 yield exchange
 
@@ -105,6 +146,7 @@
         fields: platform.SendFields,
         head_timeout_s: float,
         placed: placement.Placement | None,
+        patience: Patience | None,
     ) -> collections.abc.AsyncIterator[Exchange]:
         record = self._new_record(admitted, upstream, fields, placed)
         progress.sends.append(record)
@@ -134,7 +176,12 @@
         progress.may_have_run = may_have_run_before or not fields.prefill
         try:
             head = await self._head(
-                connection, admitted, upstream, fields, head_timeout_s
+                connection,
+                admitted,
+                upstream,
+                fields,
+                head_timeout_s,
+                patience,
             )
             response_class = platform.classify_response(head)
             if fields.prefill:
@@ -185,6 +232,9 @@
         )
         if placed is not None:
             record.expected_ms = round(placed.expected_s * 1000, 1)
+            record.expected_prefill_ms = round(placed.prefill_s * 1000, 1)
+            record.fetch_from = placed.fetch_from
+            record.work_tokens = int(placed.work_tokens)
             record.deferred = placed.deferred
         return record
 
@@ -195,6 +245,7 @@
         upstream: _cluster_state.Upstream,
         fields: platform.SendFields,
         timeout_s: float,
+        patience: Patience | None,
     ) -> http1.ResponseHead:
         sent = platform.forward_head(admitted.request, fields)
         try:
@@ -202,8 +253,11 @@
         except http1.NotSent as error:
             raise NotOffered("connection closed") from error
         try:
-            async with asyncio.timeout(timeout_s):
-                return await connection.head()
+            async with asyncio.timeout(timeout_s) as limit:
+                if patience is None:
+                    return await connection.head()
+                with patience.applied_to(limit):
+                    return await connection.head()
         except TimeoutError as error:
             self._cluster.observe(upstream, False, self._clock())
             raise Lost("no response before the timeout") from error
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import random
 
 import attrs
 
@@ -12,18 +13,27 @@
 from ..systems import placement
 from . import _cluster_state
 from . import _events
+from . import _holding
 from . import _requests
 from . import _retry_policy
 from . import _sending
 from . import _uplink
 from . import _usage
 
-#: Stall after which a resumable stream moves to another engine, in seconds.
-STALL_S = 0.7
-#: Multiple of the expected prefill time before an engine is unresponsive.
-UNRESPONSIVE_FACTOR = 4.0
+#: Shortest time without an event after which a resumable stream may move to
+#: another engine, in seconds; else it is a multiple of the longest gap that
+#: callers accept.
+MIN_STALL_S = 0.5
+STALL_GAPS = 3.5
+#: Multiple of the expected time after which another engine is considered.
+OVERDUE_FACTOR = 2.0
 #: Time added to that product, in seconds.
-UNRESPONSIVE_SLACK_S = 0.5
+OVERDUE_SLACK_S = 0.25
+#: Interval at which another engine is considered from then on, in seconds.
+RECONSIDER_INTERVAL_S = 0.1
+#: Share of the time left within which another engine must be expected to
+#: answer.
+ELSEWHERE_SHARE = 0.6
 #: Most engines that one request tries while they are unreachable.
 TRIED_LIMIT = 4
 #: Largest response to a prefill, in bytes.
@@ -44,6 +54,24 @@
     progress: _requests.RequestProgress
     responder: http1.Responder
     splitter: _events.EventSplitter
+    #: When the last event was sent, or else when the request began, monotonic
+    #: seconds.
+    progressed_s: float
+
+    @property
+    def event_deadline_s(self) -> float:
+        """Return when the caller no longer waits for the next event."""
+        limit_s = self.progressed_s + self.admitted.route.stall_limit_s
+        return min(limit_s, self.admitted.deadline_s)
+
+    @property
+    def stall_s(self) -> float:
+        """Return the time without an event after which to look elsewhere."""
+        return max(MIN_STALL_S, STALL_GAPS * self.admitted.route.target_gap_s)
+
+
+class _PrefillLost(_sending.Lost):
+    """A prefill had no result; the request did not run because of it."""
 
 
 @attrs.frozen
@@ -72,7 +100,9 @@
         uplink: _uplink.Uplink,
         failure_domain: str,
         clock: Clock,
+        rng: random.Random,
     ) -> None:
+        self._held = _holding.HeldRequests(rng, clock)
         self._cluster = cluster
         self._sender = sender
         self._retry_policy = retry_policy
@@ -96,6 +126,7 @@
             progress,
             responder,
             _events.EventSplitter(admitted.last_event),
+            admitted.request.started_s,
         )
         while True:
             try:
@@ -108,6 +139,9 @@
             except _sending.Rejected as error:
                 progress.attempts += 1
                 reason = f"rejected, {error}"
+            except _PrefillLost as error:
+                _count_lost_prefill(progress)
+                reason = f"lost, {error}"
             except _sending.Lost as error:
                 progress.attempts += 1
                 reason = f"lost, {error}"
@@ -121,34 +155,86 @@
 
     async def _attempt(self, stream: _ClientStream) -> None:
         """Serve a stream, or the rest of it, with one placement."""
-        admitted = stream.admitted
+        placed = self._place(stream, None)
+        if isinstance(placed, placement.Held):
+            placed = await self._hold(stream, placed)
+        request = self._placement_request(stream, self._clock())
+        upstream = self._cluster.endpoints[placed.engine_id]
+        if not placed.separate_decode:
+            await self._generate(stream, upstream, placed, None)
+            return
+        try:
+            source = await self._prefill(stream, upstream, placed)
+        except _sending.Lost as error:
+            raise _PrefillLost(*error.args) from error
+        await self._decode_transferred(stream, request, placed, source)
+
+    def _place(
+        self, stream: _ClientStream, ticket: _holding.Ticket | None
+    ) -> placement.Placement | placement.Held:
+        """Choose the next engine; raises ``Refusal`` if none can serve."""
         now_s = self._clock()
-        request = placement.Request(
+        request = self._placement_request(stream, now_s, ticket)
+        engines = self._engines_for(stream, now_s)
+        placed = self._placer.place(request, engines, now_s)
+        if isinstance(placed, placement.DeadlineUnreachable):
+            raise self._deadline_refusal(stream, placed)
+        return placed
+
+    async def _hold(
+        self, stream: _ClientStream, held: placement.Held
+    ) -> placement.Placement:
+        """Wait until an engine may take a deferred request."""
+        admitted = stream.admitted
+        service = admitted.service
+        tokens = (admitted.prompt or _NO_PROMPT).tokens
+        began_s = self._clock()
+        check_after_s = held.check_after_s
+        with self._held.hold(service, admitted.priority, tokens) as ticket:
+            while True:
+                await self._held.wait(check_after_s)
+                held_s = self._clock() - began_s
+                stream.progress.held_ms = round(held_s * 1000, 1)
+                check_after_s = _holding.NOT_FIRST_CHECK_S
+                placed = self._place(stream, ticket)
+                if isinstance(placed, placement.Held):
+                    check_after_s = placed.check_after_s
+                elif not placed.deferred or self._held.is_first(
+                    service, ticket
+                ):
+                    return placed
+
+    def _placement_request(
+        self,
+        stream: _ClientStream,
+        now_s: float,
+        ticket: _holding.Ticket | None = None,
+    ) -> placement.Request:
+        admitted = stream.admitted
+        held_tokens = self._held.tokens_before(
+            admitted.service, admitted.priority, ticket
+        )
+        return placement.Request(
             prompt=admitted.prompt or _NO_PROMPT,
             target_s=self._target_s(stream, now_s),
-            time_left_s=admitted.deadline_s - now_s,
+            time_left_s=stream.event_deadline_s - now_s,
             failure_domain=self._failure_domain,
             tried=frozenset(stream.progress.tried),
             uplink_s=self._uplink.wait_s(admitted.priority)
             + self._uplink.transfer_s(len(admitted.request.body)),
             rank=admitted.priority,
             may_have_run=stream.progress.may_have_run,
+            may_separate=_may_prefill(stream),
+            full_target_s=admitted.route.target_latency_s,
+            held_tokens=held_tokens * self._cluster.members,
+            held=ticket is not None,
+            hold_s=self._held.expected_s(admitted.service),
         )
-        engines = self._engines_for(stream, now_s)
-        placed = self._placer.place(request, engines, now_s)
-        if isinstance(placed, placement.DeadlineUnreachable):
-            raise self._deadline_refusal(stream, placed)
-        upstream = self._cluster.endpoints[placed.engine_id]
-        if not placed.separate_decode:
-            await self._generate(stream, upstream, placed, None)
-            return
-        source = await self._prefill(stream, upstream, placed)
-        await self._decode_transferred(stream, request, placed, source)
 
     def _target_s(self, stream: _ClientStream, now_s: float) -> float:
         """Return the time left until the target or, once started, deadline."""
         if stream.responder.started:
-            return stream.admitted.deadline_s - now_s
+            return stream.event_deadline_s - now_s
         waited_s = now_s - stream.admitted.request.started_s
         return stream.admitted.route.target_latency_s - waited_s
 
@@ -159,7 +245,7 @@
             return _requests.failure_refusal(
                 stream.progress, "no engine can resume the request"
             )
-        time_left_s = stream.admitted.deadline_s - self._clock()
+        time_left_s = stream.event_deadline_s - self._clock()
         return _requests.not_run_refusal(
             errors.ErrorCode.DEADLINE_HOPELESS,
             f"first token expected in {placed.expected_s:.2f} s,"
@@ -178,26 +264,26 @@
         fields = attrs.evolve(
             self._fields(stream, upstream, placed), prefill=True
         )
-        timeout_s = (
-            placed.expected_s * UNRESPONSIVE_FACTOR + UNRESPONSIVE_SLACK_S
-        )
-        with _tracked(stream, upstream, placed):
+        with _tracked(stream, upstream, placed, self._clock) as pending:
             async with self._sender.exchange(
                 admitted,
                 stream.progress,
                 upstream,
                 fields,
-                min(fields.time_left_s, timeout_s),
+                fields.time_left_s,
                 placed,
+                self._patience(stream, placed),
             ) as exchange:
                 body = await exchange.connection.body(HANDLE_LIMIT_BYTES)
+            pending.finished(exchange.sent_s)
         handle = self._engines.decode_kv_handle(body)
         if handle is None:
-            raise _sending.Lost("no KV handle in the response")
-        if not placed.deferred and upstream.load is not None:
-            upstream.load.update_speed(
-                placed.prefill_s, self._clock() - exchange.sent_s
-            )
+            raise _PrefillLost("no KV handle in the response")
+        if stream.progress.lost_prefills:
+            # Only the first prefill that an engine accepts is not counted.
+            stream.progress.attempts += 1
+        took_s = self._clock() - exchange.sent_s
+        stream.progress.sends[-1].prefill_ms = round(took_s * 1000, 1)
         self._cluster.observe(upstream, True, self._clock())
         return _KvSource(upstream, handle)
 
@@ -221,7 +307,12 @@
             await self._generate(
                 stream,
                 upstream,
-                attrs.evolve(placed, uncached_tokens=0.0),
+                attrs.evolve(
+                    placed,
+                    uncached_tokens=0.0,
+                    work_tokens=0.0,
+                    fetch_from=None,
+                ),
                 source,
             )
             consumed = True
@@ -246,19 +337,22 @@
             kv_source=source.header_value if source else "",
             last_event=stream.splitter.last_id,
         )
-        with _tracked(stream, upstream, placed) as pending:
+        with _tracked(stream, upstream, placed, self._clock) as pending:
             async with self._sender.exchange(
                 admitted,
                 stream.progress,
                 upstream,
                 fields,
-                self._head_timeout_s(stream, placed),
+                fields.time_left_s,
                 placed,
+                self._patience(stream, placed),
             ) as exchange:
                 if exchange.response_class is platform.ResponseClass.FAILURE:
                     await self._forward_failure(stream, upstream, exchange)
                     return
-                await self._forward_events(stream, upstream, exchange, pending)
+                await self._forward_events(
+                    stream, upstream, exchange, pending, source
+                )
 
     async def _forward_events(
         self,
@@ -266,6 +360,7 @@
         upstream: _cluster_state.Upstream,
         exchange: _sending.Exchange,
         pending: "_PendingPrefill",
+        source: _KvSource | None,
     ) -> None:
         splitter = stream.splitter
         responder = stream.responder
@@ -283,11 +378,15 @@
             if first_s is None:
                 first_s = self._clock()
                 _record_first_event(stream, first_s)
-                pending.done()
+                if source is None:
+                    pending.finished(exchange.sent_s)
+                else:
+                    pending.transferred(exchange.sent_s)
                 self._usage_counter.count_once(
                     stream.admitted, stream.progress
                 )
-            if complete := splitter.feed(data):
+            if complete := self._split(stream, upstream, data):
+                stream.progressed_s = self._clock()
                 await responder.write_chunk(complete)
         if splitter.incomplete:
             self._cluster.observe(upstream, False, self._clock())
@@ -298,18 +397,40 @@
             upstream.load.slot_times.update(stream.admitted.priority, held_s)
         responder.end_chunks()
 
+    def _split(
+        self,
+        stream: _ClientStream,
+        upstream: _cluster_state.Upstream,
+        data: bytes,
+    ) -> bytes:
+        """Return the events that ``data`` completes."""
+        try:
+            return stream.splitter.feed(data)
+        except _events.EventTooLarge as error:
+            self._cluster.observe(upstream, False, self._clock())
+            raise _sending.Lost(f"event without end, {error}") from error
+
     async def _next_chunk(
         self, stream: _ClientStream, exchange: _sending.Exchange
     ) -> bytes:
+        """Return the next bytes of a stream, empty at its end.
+
+        Bytes that complete no event are no progress. A stream that is slow
+        stays where it is unless another engine would continue it sooner.
+        """
         if not _retry_allowed(stream):
             return await exchange.connection.chunk()
+        began_s = max(stream.progressed_s, exchange.sent_s)
+        wait_s = began_s + stream.stall_s - self._clock()
         while True:
             try:
-                async with asyncio.timeout(STALL_S):
+                async with asyncio.timeout(max(wait_s, 0.0)):
                     return await exchange.connection.chunk()
             except TimeoutError as error:
-                if self._can_retry(stream):
+                stalled_s = self._clock() - began_s
+                if self._sooner_elsewhere(stream, stalled_s):
                     raise _sending.Lost("no event in time") from error
+                wait_s = RECONSIDER_INTERVAL_S
 
     async def _forward_failure(
         self,
@@ -339,21 +460,46 @@
             time_left_s=admitted.deadline_s - self._clock(),
             organisation=admitted.organisation_name,
             priority=placement.engine_rank(admitted.priority, placed.deferred),
+            kv_fetch=self._fetch_address(placed),
         )
 
-    def _head_timeout_s(
+    def _fetch_address(self, placed: placement.Placement) -> str:
+        """Return the address of the engine to fetch cached parts from."""
+        source = self._cluster.endpoints.get(placed.fetch_from or "")
+        return source.endpoint.address if source is not None else ""
+
+    def _patience(
         self, stream: _ClientStream, placed: placement.Placement
-    ) -> float:
-        """Return the timeout for the head of a response.
+    ) -> _sending.Patience | None:
+        """Return when to consider another engine, if the route allows one."""
+        if not _retry_allowed(stream):
+            return None
+        sent_s = self._clock()
+        first_s = placed.expected_s * OVERDUE_FACTOR + OVERDUE_SLACK_S
 
-        An engine whose slots are all in use is not stalled, and a deferred
-        request waits there for all others.
+        def gives_up() -> bool:
+            return self._sooner_elsewhere(stream, self._clock() - sent_s)
+
+        return _sending.Patience(
+            max(first_s, stream.stall_s), RECONSIDER_INTERVAL_S, gives_up
+        )
+
+    def _sooner_elsewhere(
+        self, stream: _ClientStream, waited_s: float
+    ) -> bool:
+        """Return whether another engine would answer sooner.
+
+        A send that is overdue is expected to take as long again as it has
+        taken: most that are only slow are finished by then.
         """
-        time_left_s = stream.admitted.deadline_s - self._clock()
-        if not self._can_retry(stream):
-            return time_left_s
-        timeout_s = placed.expected_s * UNRESPONSIVE_FACTOR
-        return min(time_left_s, max(timeout_s, STALL_S))
+        now_s = self._clock()
+        request = self._placement_request(stream, now_s)
+        engines = self._engines_for(stream, now_s)
+        placed = self._placer.place(request, engines, now_s)
+        if not isinstance(placed, placement.Placement):
+            return False
+        limit_s = min(waited_s, request.time_left_s * ELSEWHERE_SHARE)
+        return placed.expected_s < limit_s
 
     def _can_retry(self, stream: _ClientStream) -> bool:
         """Return whether another engine could run the request next."""
@@ -383,6 +529,17 @@
         task.add_done_callback(self._background.discard)
 
 
+def _may_prefill(stream: _ClientStream) -> bool:
+    """Return whether a prefill leaves an attempt to run the request.
+
+    Only the first prefill that an engine may have accepted is not counted.
+    """
+    progress = stream.progress
+    if not progress.lost_prefills:
+        return True
+    return progress.attempts + 1 < stream.admitted.route.max_attempts
+
+
 def _retry_allowed(stream: _ClientStream) -> bool:
     """Return whether the route allows a retry after this send."""
     route = stream.admitted.route
@@ -390,6 +547,13 @@
     return route.idempotent and attempts < route.max_attempts
 
 
+def _count_lost_prefill(progress: _requests.RequestProgress) -> None:
+    """Count a lost prefill; the first one is no attempt to run the request."""
+    if progress.lost_prefills:
+        progress.attempts += 1
+    progress.lost_prefills += 1
+
+
 def _record_first_event(stream: _ClientStream, now_s: float) -> None:
     """Record when the first event of a send arrived."""
     after_s = now_s - stream.admitted.request.started_s
@@ -397,20 +561,64 @@
 
 
 class _PendingPrefill:
-    """Prompt tokens that an engine still has to prefill."""
+    """A prefill, or the transfer of its result, that an engine works on."""
 
     def __init__(
-        self, load: placement.EngineLoad, tokens: float, deferred: bool
+        self,
+        load: placement.EngineLoad,
+        placed: placement.Placement,
+        prompt_tokens: int,
+        clock: Clock,
     ) -> None:
         self._load = load
-        self._tokens = tokens
-        self._deferred = deferred
-        load.own_tokens.add(tokens, deferred)
+        self._placed = placed
+        self._prompt_tokens = prompt_tokens
+        self._clock = clock
+        self._slot_free = load.requests < load.slots
+        self._prefill = placement.OutstandingPrefill(
+            placed.uncached_tokens,
+            placed.work_tokens,
+            placed.deferred,
+            clock(),
+        )
+        if placed.work_tokens:
+            load.start_prefill(self._prefill)
 
-    def done(self) -> None:
-        """Remove the tokens: the prefill is done or was abandoned."""
-        self._load.own_tokens.add(-self._tokens, self._deferred)
-        self._tokens = 0.0
+    @property
+    def _known_queue(self) -> bool:
+        """Return whether it is known what the engine works on before.
+
+        Without a free slot requests that come later may overtake a deferred
+        one, and those that decode occupy slots for long.
+        """
+        overtaken = self._placed.deferred or not self._load.prefill_only
+        return self._slot_free or not overtaken
+
+    def finished(self, sent_s: float) -> None:
+        """Remove the prefill and learn from the time that it took."""
+        if self._prefill not in self._load.outstanding:
+            return
+        self._load.end_prefill(self._prefill)
+        now_s = self._clock()
+        if self._known_queue:
+            self._load.record_prefill(self._prefill, now_s - sent_s, now_s)
+
+    def transferred(self, sent_s: float) -> None:
+        """Learn from the time that a transfer took."""
+        if self._slot_free and not self._placed.deferred:
+            self._load.speed.record_transfer(
+                self._prompt_tokens, self._clock() - sent_s
+            )
+
+    def abandoned(self) -> None:
+        """Remove the prefill unless it is finished."""
+        if self._prefill not in self._load.outstanding:
+            return
+        now_s = self._clock()
+        waited_s = now_s - self._prefill.sent_s
+        self._load.end_prefill(self._prefill)
+        if self._known_queue:
+            self._load.record_unfinished(self._prefill, waited_s, now_s)
 
 
 @contextlib.contextmanager
@@ -418,17 +626,19 @@
     stream: _ClientStream,
     upstream: _cluster_state.Upstream,
     placed: placement.Placement,
+    clock: Clock,
 ) -> collections.abc.Iterator[_PendingPrefill]:
     """Count a request in the engine's load while it is there."""
     load = upstream.load
     assert load is not None
     stream.progress.tried.append(upstream.endpoint.endpoint_id)
-    load.record_prompt(stream.admitted.prompt or _NO_PROMPT)
+    prompt = stream.admitted.prompt or _NO_PROMPT
+    load.record_prompt(prompt)
     rank = placement.engine_rank(stream.admitted.priority, placed.deferred)
+    pending = _PendingPrefill(load, placed, prompt.tokens, clock)
     load.own_counts.add(rank, 1)
-    pending = _PendingPrefill(load, placed.uncached_tokens, placed.deferred)
     try:
         yield pending
     finally:
-        pending.done()
+        pending.abandoned()
         load.own_counts.add(rank, -1)
--- a/bilberrydeal/gateway/tests/test_stream.py
+++ b/bilberrydeal/gateway/tests/test_stream.py
@@ -143,12 +143,31 @@
     prefiller = harness.engine("p1", "prefill", _reset)
     decoder = harness.engine("d1", "decode", _decode)
     async with harness.running(prefiller, decoder) as running:
+        load = running.cluster.endpoints["d1"].load
+        assert load is not None
+        load.peer_counts.add(0, load.slots * 2)
         reply = await running.stream("/chat-one/1")
     assert reply.status == 503
     assert reply.field("retry-after") is not None
     assert decoder.calls == []
 
 
+async def test_lost_prefill_is_no_attempt_to_run() -> None:
+    """With a single attempt the request may still run once elsewhere.
+
+    A second prefill would count as an attempt, so the engine that decodes
+    prefills too although another one could do it sooner.
+    """
+    prefillers = [harness.engine(f"p{n}", "prefill", _reset) for n in (1, 2)]
+    decoder = harness.engine("d1", "decode", _decode)
+    async with harness.running(*prefillers, decoder) as running:
+        reply = await running.stream("/chat-one/1")
+    assert reply.status == 200
+    assert reply.complete
+    assert sum(len(each.calls) for each in prefillers) == 1
+    assert len(decoder.calls) == 1
+
+
 async def test_unused_kv_handle_is_freed() -> None:
     prefiller = harness.engine("p1", "prefill", _prefill)
     decoder = harness.engine("d1", "decode", _full)
--- /dev/null
+++ b/bilberrydeal/gateway/tests/test_stream_trouble.py
@@ -0,0 +1,128 @@
+"""Streams of engines that are slow, stall or send bytes without end."""
+
+import asyncio
+
+import pytest
+
+from . import harness
+
+SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
+EVENTS = b"".join(harness.event(n) for n in range(1, 6))
+#: Bytes of an event that never ends, in all.
+ENDLESS_BYTES = 64_000_000
+
+
+async def _decode(call: harness.Call) -> bytes:
+    first = int(call.field("last-event-id") or 0) + 1
+    return harness.complete_stream(call, first, 5)
+
+
+async def _slow(call: harness.Call) -> bytes:
+    """Send an event each 0.9 s, later than a stall is noticed."""
+    call.writer.write(harness.stream_head(call))
+    for number in range(1, 4):
+        call.writer.write(harness.chunk(harness.event(number)))
+        await call.writer.drain()
+        await asyncio.sleep(0.9)
+    return (
+        harness.chunk(harness.event(4))
+        + harness.chunk(harness.event(5))
+        + b"0\r\n\r\n"
+    )
+
+
+async def _trickling(call: harness.Call) -> bytes:
+    """Send an event, then a byte now and then that completes no other."""
+    call.writer.write(
+        harness.stream_head(call) + harness.chunk(harness.event(1))
+    )
+    for _ in range(300):
+        call.writer.write(harness.chunk(b"i"))
+        await call.writer.drain()
+        await asyncio.sleep(0.1)
+    return b""
+
+
+async def _endless(call: harness.Call) -> bytes:
+    """Send an event, then bytes that never complete another one."""
+    call.writer.write(
+        harness.stream_head(call) + harness.chunk(harness.event(1))
+    )
+    piece = harness.chunk(b"x" * 65_536)
+    for _ in range(ENDLESS_BYTES // 65_536):
+        call.writer.write(piece)
+        await call.writer.drain()
+    await asyncio.sleep(30.0)
+    return b""
+
+
+async def _endless_head(call: harness.Call) -> bytes:
+    """Send a head that never ends."""
+    call.writer.write(b"HTTP/1.1 200 OK\r\n")
+    for _ in range(ENDLESS_BYTES // 65_536):
+        call.writer.write(b"x-a: " + b"y" * 65_529 + b"\r\n")
+        await call.writer.drain()
+    await asyncio.sleep(30.0)
+    return b""
+
+
+async def _interim_answers(call: harness.Call) -> bytes:
+    """Send interim responses without end."""
+    for _ in range(200_000):
+        call.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        await call.writer.drain()
+    await asyncio.sleep(30.0)
+    return b""
+
+
+async def test_slow_but_sound_stream_stays_where_it_is() -> None:
+    """Guards against cutting a stream that no engine would continue sooner.
+
+    It was once moved after a fixed time without an event.
+    """
+    slow = harness.engine("d1", "decode", _slow)
+    busy = harness.engine("d2", "decode", _decode)
+    async with harness.running(slow, busy) as running:
+        load = running.cluster.endpoints["d2"].load
+        assert load is not None
+        load.peer_tokens.urgent = 10_000_000
+        reply = await running.stream(
+            "/chat-long/1", deadline_ms=10_000, **SHORT
+        )
+    assert reply.complete
+    assert reply.body == EVENTS
+    assert slow.aborted_count == 0
+    assert busy.calls == []
+
+
+@pytest.mark.parametrize("script", [_trickling, _endless])
+async def test_stream_without_events_is_continued_elsewhere(
+    script: harness.Script,
+) -> None:
+    """Bytes that complete no event are no progress."""
+    stalled = harness.engine("d1", "decode", script)
+    healthy = harness.engine("d2", "decode", _decode)
+    async with harness.running(stalled, healthy) as running:
+        load = running.cluster.endpoints["d2"].load
+        assert load is not None
+        load.peer_tokens.urgent = 3_000
+        async with asyncio.timeout(5.0):
+            reply = await running.stream(**SHORT)
+    assert reply.complete
+    assert reply.body == EVENTS
+    assert len(stalled.calls) == 1
+
+
+@pytest.mark.parametrize("script", [_endless_head, _interim_answers])
+async def test_head_without_end_is_given_up(script: harness.Script) -> None:
+    endless = harness.engine("d1", "decode", script)
+    healthy = harness.engine("d2", "decode", _decode)
+    async with harness.running(endless, healthy) as running:
+        load = running.cluster.endpoints["d2"].load
+        assert load is not None
+        load.peer_tokens.urgent = 3_000
+        async with asyncio.timeout(5.0):
+            reply = await running.stream(**SHORT)
+    assert reply.complete
+    assert reply.body == EVENTS
+    assert len(endless.calls) == 1
--- a/bilberrydeal/platform/_forward.py
+++ b/bilberrydeal/platform/_forward.py
@@ -25,6 +25,8 @@
     prefill: bool = False
     #: Where the engine fetches the KV cache, as ``IP:PORT/HANDLE``.
     kv_source: str = ""
+    #: Engine that cached parts of the prompt are fetched from, ``IP:PORT``.
+    kv_fetch: str = ""
     #: Id of the last event the caller received; the stream resumes after it.
     last_event: bytes = b""
     #: W3C trace context of the send; empty if it is not traced.
@@ -59,6 +61,8 @@
         headers.append((names.stage, _headers.PREFILL))
     if fields.kv_source:
         headers.append((names.kv_source, fields.kv_source.encode()))
+    if fields.kv_fetch:
+        headers.append((names.kv_fetch, fields.kv_fetch.encode()))
     if fields.last_event:
         headers.append((names.last_event, fields.last_event))
     if fields.traceparent:
--- a/bilberrydeal/platform/_headers.py
+++ b/bilberrydeal/platform/_headers.py
@@ -42,6 +42,8 @@
     stage: bytes = b"serving-stage"
     #: Source from which an engine fetches the KV cache of a request.
     kv_source: bytes = b"kv-source"
+    #: Engine whose cache an engine fetches parts of the prompt from.
+    kv_fetch: bytes = b"kv-fetch"
     #: The W3C trace context.
     traceparent: bytes = b"traceparent"
     #: Encoding of a body; endpoints never send one.
--- a/bilberrydeal/platform/_records.py
+++ b/bilberrydeal/platform/_records.py
@@ -7,6 +7,12 @@
 from .. import catalogue
 from .. import ports
 
+#: Callers close a stream without events for the longest of this time, in
+#: seconds, and these multiples of the route's target latency and target gap.
+MIN_STALL_LIMIT_S = 2.0
+STALL_LIMIT_TARGETS = 4.0
+STALL_LIMIT_GAPS = 8.0
+
 _ROUTE_KINDS = {
     "safe": catalogue.RouteKind.IDEMPOTENT,
     "unsafe": catalogue.RouteKind.ONCE,
@@ -48,6 +54,8 @@
 class _Engine(msgspec.Struct):
     slots: int = 1
     kv_capacity_tokens: int = 0
+    kv_token_bytes: int = 0
+    link_mbps: float = 0.0
     kv_hold_s: float = 0.0
     role_switch_s: float = 0.0
 
@@ -131,6 +139,17 @@
         raise RecordInvalid(str(error)) from error
 
 
+def _stall_limit_s(record: _Route) -> float:
+    """Return how long callers wait for the next event of a stream."""
+    if record.target_gap_ms is None:
+        return record.timeout_ms / 1000
+    return max(
+        MIN_STALL_LIMIT_S,
+        STALL_LIMIT_TARGETS * record.target_latency_ms / 1000,
+        STALL_LIMIT_GAPS * record.target_gap_ms / 1000,
+    )
+
+
 def _route(record: _Route) -> catalogue.Route:
     splits = tuple(
         catalogue.TrafficSplit(split.service, split.weight)
@@ -152,6 +171,7 @@
         public=record.public,
         resumable=record.resumable,
         target_gap_s=(record.target_gap_ms or record.timeout_ms) / 1000,
+        stall_limit_s=_stall_limit_s(record),
     )
 
 
@@ -166,6 +186,8 @@
         else catalogue.EngineLimits(
             slots=engine.slots,
             kv_capacity_tokens=engine.kv_capacity_tokens,
+            kv_token_bytes=engine.kv_token_bytes,
+            kv_link_mbps=engine.link_mbps,
             kv_hold_s=engine.kv_hold_s,
             role_switch_s=engine.role_switch_s,
         ),
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -1,6 +1,8 @@
 """Chooses the engines that prefill a prompt and decode its output."""
 
 from ._base import DeadlineUnreachable
+from ._base import Held
+from ._base import Outcome
 from ._base import Placement
 from ._base import Placer
 from ._base import PLACERS
@@ -9,8 +11,15 @@
 from ._baselines import LeastOutstandingPlacer
 from ._baselines import NoEarlyRefusalPlacer
 from ._baselines import NoLocalityPlacer
+from ._engine_speed import EngineSpeed
+from ._engine_speed import PrefillSample
+from ._engine_speed import ServiceSpeed
 from ._entities import EngineLoad
+from ._entities import OutstandingPrefill
 from ._entities import SlotTimes
+from ._linear_time import Line
+from ._linear_time import LinearTime
+from ._linear_time import TimeSample
 from ._options import main_decode_engine
 from ._parts import PartCache
 from ._parts import Prompt
@@ -34,18 +43,25 @@
     "DeadlineUnreachable",
     "EngineLoad",
     "EngineRing",
+    "EngineSpeed",
     "FirstComePlacer",
     "GatewayEngineLoad",
     "LeastOutstandingPlacer",
+    "Held",
+    "Line",
+    "LinearTime",
     "MAX_REPORT_AGE_S",
     "NoEarlyRefusalPlacer",
     "NoLocalityPlacer",
+    "Outcome",
+    "OutstandingPrefill",
     "PLACERS",
     "PartCache",
     "PeerLoads",
     "Placement",
     "Placer",
     "Plan",
+    "PrefillSample",
     "Prompt",
     "PromptPart",
     "ROLE_PLANS",
@@ -53,7 +69,9 @@
     "RequestCounts",
     "RoleDemand",
     "RoleOrder",
+    "ServiceSpeed",
     "SlotTimes",
+    "TimeSample",
     "TwoStagePlacer",
     "URGENT_RANKS",
     "engine_rank",
--- a/bilberrydeal/systems/placement/_base.py
+++ b/bilberrydeal/systems/placement/_base.py
@@ -33,6 +33,17 @@
     #: Whether an engine may have started the request: a refusal would lose
     #: that work.
     may_have_run: bool = False
+    #: Whether one engine may prefill and another decode.
+    may_separate: bool = True
+    #: Target for the time to the first token of a request of this kind that
+    #: arrives now, in seconds.
+    full_target_s: float = math.inf
+    #: Prompt tokens of held requests that go before this one, at all gateways.
+    held_tokens: float = 0.0
+    #: Whether the request has been held.
+    held: bool = False
+    #: Time for which requests were held lately, in seconds.
+    hold_s: float = 0.0
 
 
 @attrs.frozen
@@ -49,11 +60,28 @@
     expected_s: float
     #: Expected time until prefill is finished, in seconds.
     prefill_s: float = 0.0
+    #: Prompt tokens that the engine prefills until then, with those queued
+    #: before.
+    work_tokens: float = 0.0
+    #: Expected wait for a slot, in seconds.
+    slot_wait_s: float = 0.0
+    #: Engine from whose cache it fetches parts of the prompt first.
+    fetch_from: str | None = None
     #: Whether the request would miss its target and therefore waits for
     #: those that can meet theirs.
     deferred: bool = False
 
 
+@attrs.frozen
+class Held:
+    """The request waits at the gateway, since it would delay others now."""
+
+    #: Time after which to place it again, in seconds.
+    check_after_s: float
+    #: Expected time to the first token, in seconds.
+    expected_s: float
+
+
 @attrs.frozen
 class DeadlineUnreachable:
     """The request cannot be served before its deadline."""
@@ -65,6 +93,9 @@
     expected_s: float = math.inf
 
 
+#: What a placer decides about a request.
+Outcome = Placement | Held | DeadlineUnreachable
+
 #: Engines that accept requests.
 Engines = collections.abc.Sequence[_entities.EngineLoad]
 
@@ -90,7 +121,7 @@
 
     def place(
         self, request: Request, engines: Engines, now_s: float
-    ) -> Placement | DeadlineUnreachable:
+    ) -> Outcome:
         """Choose the next engine for a request."""
 
     def decode_engine(
--- a/bilberrydeal/systems/placement/_baselines.py
+++ b/bilberrydeal/systems/placement/_baselines.py
@@ -16,7 +16,7 @@
 
     def place(
         self, request: _base.Request, engines: _base.Engines, now_s: float
-    ) -> _base.Placement | _base.DeadlineUnreachable:
+    ) -> _base.Outcome:
         """Choose the next engine for a request."""
         chosen = self.decode_engine(request, "", engines)
         if chosen is None:
@@ -56,7 +56,7 @@
         request: _base.Request,
         options: list[_options.Option],
         engines: _base.Engines,
-    ) -> _base.Placement | _base.DeadlineUnreachable:
+    ) -> _base.Outcome:
         """Queue a late request normally unless it would miss its deadline."""
         best = min(options, key=lambda option: option.expected_s)
         if best.expected_s > request.time_left_s:
@@ -76,7 +76,7 @@
         request: _base.Request,
         options: list[_options.Option],
         engines: _base.Engines,
-    ) -> _base.Placement | _base.DeadlineUnreachable:
+    ) -> _base.Outcome:
         """Defer a late request, no matter how late it is."""
         best = min(options, key=lambda option: option.deferred_s)
         return _two_stage.placement_at(best, best.deferred_s, deferred=True)
--- /dev/null
+++ b/bilberrydeal/systems/placement/_engine_speed.py
@@ -0,0 +1,150 @@
+"""Learned speed of the engines of a service, and of each of them."""
+
+import collections
+import math
+import statistics
+
+import attrs
+
+from . import _linear_time
+
+#: Prefill that is assumed for a service before the first one was measured.
+INITIAL_PREFILL = _linear_time.Line(base_s=0.005, token_s=1e-5)
+#: Time for a token at an engine that also decodes, as a multiple of the time
+#: at one that only prefills; assumed until it is measured.
+MIXED_TOKEN_FACTOR = 2.0
+#: Transfer of a KV cache and the first decode step, assumed until measured.
+INITIAL_TRANSFER = _linear_time.Line(base_s=0.01, token_s=1e-7)
+#: Time of a transfer between failure domains, as a multiple of that within.
+REMOTE_FETCH_FACTOR = 2.0
+#: Number of latest samples that tell an engine from others of its service.
+ENGINE_WINDOW = 9
+#: Age at which such a sample is dropped, in seconds.
+SAMPLE_AGE_S = 8.0
+#: Largest factor between an engine and its service.
+MAX_FACTOR = 50.0
+
+
+class ServiceSpeed:
+    """Times that all engines of a service have in common."""
+
+    def __init__(
+        self,
+        prefill: _linear_time.Line = INITIAL_PREFILL,
+        transfer: _linear_time.Line = INITIAL_TRANSFER,
+    ) -> None:
+        #: Prefill by engines that do not decode.
+        self.separate = _linear_time.LinearTime(prefill)
+        #: Prefill by engines that also decode.
+        self.mixed = _linear_time.LinearTime(_mixed(prefill))
+        #: Time to fetch one token from the cache of another engine in the same
+        #: failure domain, in seconds; infinite if engines cannot fetch.
+        self.fetch_token_s = math.inf
+        #: Time from the send of a prefilled request to its first event.
+        self.transfer = _linear_time.LinearTime(transfer)
+
+    def prefill(self, separate: bool) -> _linear_time.LinearTime:
+        """Return the prefill times of engines that do or do not decode."""
+        return self.separate if separate else self.mixed
+
+    def record(self, separate: bool, sample: _linear_time.TimeSample) -> None:
+        """Add a measured prefill."""
+        self.prefill(separate).record(sample)
+        if separate:
+            self.mixed.assume(_mixed(self.separate.line))
+
+
+def _mixed(line: _linear_time.Line) -> _linear_time.Line:
+    return _linear_time.Line(line.base_s, line.token_s * MIXED_TOKEN_FACTOR)
+
+
+@attrs.frozen
+class PrefillSample:
+    """A prefill of one engine whose time was measured."""
+
+    #: Whether the engine did not decode at that time.
+    separate: bool
+    #: Its tokens and time.
+    sample: _linear_time.TimeSample
+    #: Whether it was finished; else it would have taken longer than that.
+    finished: bool = True
+
+
+class EngineSpeed:
+    """How much slower or faster an engine is than its service.
+
+    The factor is the median of the last samples over what the service's fit
+    expects, so a few odd samples change nothing and an engine that turns slow
+    is known after some prefills.
+    """
+
+    def __init__(self, service: ServiceSpeed) -> None:
+        self._service = service
+        #: The latest samples, with the times when they were added.
+        self._samples: collections.deque[tuple[float, PrefillSample]] = (
+            collections.deque(maxlen=ENGINE_WINDOW)
+        )
+        self._factor = 1.0
+        #: Lines of the service by which the factor was computed; ``None`` if
+        #: there is a newer sample.
+        self._lines: tuple[_linear_time.Line, _linear_time.Line] | None = None
+
+    def record(self, measured: PrefillSample, now_s: float) -> None:
+        """Add a measured prefill of this engine.
+
+        One that was not finished says nothing about other engines.
+        """
+        self._samples.append((now_s, measured))
+        self._lines = None
+        if measured.finished:
+            self._service.record(measured.separate, measured.sample)
+
+    def expire(self, now_s: float) -> None:
+        """Forget old samples: an engine that is avoided brings no new ones."""
+        while self._samples and now_s - self._samples[0][0] > SAMPLE_AGE_S:
+            self._samples.popleft()
+            self._lines = None
+
+    @property
+    def factor(self) -> float:
+        """Return the engine's times relative to those of its service."""
+        lines = (self._service.separate.line, self._service.mixed.line)
+        if self._lines != lines:
+            self._factor = self._fitted_factor()
+            self._lines = lines
+        return self._factor
+
+    def prefill_s(self, tokens: float, separate: bool) -> float:
+        """Return the time to prefill that many tokens, in seconds."""
+        line = self._service.prefill(separate).line
+        return line.at(tokens) * self.factor
+
+    def token_s(self, separate: bool) -> float:
+        """Return the time for each token, in seconds."""
+        return self._service.prefill(separate).line.token_s * self.factor
+
+    def transfer_s(self, tokens: float) -> float:
+        """Return the time to fetch a KV cache and decode one token."""
+        return self._service.transfer.line.at(tokens)
+
+    def fetch_s(self, tokens: float, remote: bool) -> float:
+        """Return the time to fetch that many tokens from another cache."""
+        factor = REMOTE_FETCH_FACTOR if remote else 1.0
+        return self._service.fetch_token_s * tokens * factor
+
+    def record_transfer(self, tokens: float, took_s: float) -> None:
+        """Add the time from the send to the first event of a transfer."""
+        self._service.transfer.record(_linear_time.TimeSample(tokens, took_s))
+
+    def _fitted_factor(self) -> float:
+        if not self._samples:
+            return 1.0
+        ratio = statistics.median(
+            each.sample.took_s
+            / self._service.prefill(each.separate).line.at(each.sample.tokens)
+            for _at_s, each in self._samples
+        )
+        ratio = min(max(ratio, 1.0 / MAX_FACTOR), MAX_FACTOR)
+        # A single sample is weak evidence against the service's mean.
+        certainty = len(self._samples) / (len(self._samples) + 1.0)
+        return float(ratio**certainty)
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -1,25 +1,26 @@
 """Load, cache contents and measured speed of an engine."""
 
+import itertools
 import operator
 
 import attrs
 
 from ... import ports
+from . import _engine_speed
+from . import _linear_time
 from . import _parts
 from . import _request_counts
 
-#: Prefill speed that is assumed for an engine before it is measured.
-INITIAL_PREFILL_TOKENS_PER_S = 260_000.0
-#: Bounds of the estimated prefill speed.
-MIN_PREFILL_TOKENS_PER_S = 20_000.0
-MAX_PREFILL_TOKENS_PER_S = 2_000_000.0
 #: Weight of one observation in the moving averages.
 EWMA_WEIGHT = 0.05
-#: Largest factor by which one observation may differ from the estimate.
-OUTLIER_FACTOR = 4.0
 #: Time that a request is assumed to occupy its slot before this is
 #: measured, in seconds.
 INITIAL_SLOT_TIME_S = 0.5
+#: Oldest outstanding prefills of an engine that are checked for being overdue.
+OVERDUE_CHECKED = 4
+#: Time by which a prefill may exceed its expectation without being overdue,
+#: in seconds.
+OVERDUE_SLACK_S = 0.05
 
 
 @attrs.define
@@ -54,6 +55,21 @@
         self.held_s[rank] += (held_s - self.held_s[rank]) * EWMA_WEIGHT
 
 
+@attrs.define(eq=False)
+class OutstandingPrefill:
+    """A prefill that an engine has not finished."""
+
+    #: Prompt tokens that it still counts in the load of the engine.
+    tokens: float
+    #: Prompt tokens that the engine has to prefill until it is done, with
+    #: those queued before.
+    work_tokens: float
+    #: Whether it waits for requests that can still meet their target.
+    deferred: bool
+    #: When its last byte left this host, monotonic seconds.
+    sent_s: float
+
+
 @attrs.define
 class EngineLoad:
     """Load of one engine, updated by the gateway as it sends requests."""
@@ -86,8 +102,16 @@
     unreported_prompts: list[_parts.Prompt] = attrs.field(factory=list)
     #: Time that requests occupy a slot; shared by all engines of a service.
     slot_times: SlotTimes = attrs.field(factory=SlotTimes)
-    #: Estimated prefill speed.
-    prefill_tokens_per_s: float = INITIAL_PREFILL_TOKENS_PER_S
+    #: Learned speed.
+    speed: _engine_speed.EngineSpeed = attrs.field(
+        factory=lambda: _engine_speed.EngineSpeed(_engine_speed.ServiceSpeed())
+    )
+    #: Measured prefills that were not reported to other processes yet.
+    unreported_samples: list[_engine_speed.PrefillSample] = attrs.field(
+        factory=list
+    )
+    #: Prefills of this process that are not finished, the oldest first.
+    outstanding: dict[OutstandingPrefill, None] = attrs.field(factory=dict)
 
     @property
     def key(self) -> str:
@@ -104,6 +128,18 @@
         """Return the queued prompt tokens of deferred requests."""
         return self.own_tokens.deferred + self.peer_tokens.deferred
 
+    @property
+    def admitted_deferred_tokens(self) -> float:
+        """Return the queued tokens of deferred requests that have a slot.
+
+        An engine admits requests in the order of their ranks, but works on
+        those that have a slot in the order of their arrival.
+        """
+        deferred = self.requests - self.urgent_requests
+        if deferred <= self.slots:
+            return self.deferred_tokens
+        return self.deferred_tokens * self.slots / deferred
+
     @property
     def waiting_tokens(self) -> float:
         """Return the queued prompt tokens of all requests."""
@@ -117,27 +153,77 @@
     @property
     def prefill_wait_s(self) -> float:
         """Return the time needed to prefill all queued prompt tokens."""
-        return self.waiting_tokens / self.prefill_tokens_per_s
+        return self.waiting_tokens * self.token_s
+
+    @property
+    def token_s(self) -> float:
+        """Return the time to prefill one token, in seconds."""
+        return self.speed.token_s(self.prefill_only)
+
+    def prefill_s(self, tokens: float) -> float:
+        """Return the time to prefill that many tokens, in seconds."""
+        return self.speed.prefill_s(tokens, self.prefill_only)
 
     def record_prompt(self, prompt: _parts.Prompt) -> None:
         """Record a prompt that this process sends to the engine."""
         self.cache.record(prompt)
         self.unreported_prompts.append(prompt)
 
-    def update_speed(self, expected_s: float, took_s: float) -> None:
-        """Adjust the estimated prefill speed by one measured prefill time.
+    def start_prefill(self, prefill: OutstandingPrefill) -> None:
+        """Count a prefill that this process sends to the engine."""
+        self.own_tokens.add(prefill.tokens, prefill.deferred)
+        self.outstanding[prefill] = None
 
-        Times include the prefill of everything queued before. The time of a
-        request that got lost says little about the speed, so the effect of
-        one observation is bounded.
-        """
-        ratio = expected_s / max(took_s, 1e-4)
-        ratio = min(max(ratio, 1 / OUTLIER_FACTOR), OUTLIER_FACTOR)
-        tokens_per_s = self.prefill_tokens_per_s * ratio**EWMA_WEIGHT
-        self.prefill_tokens_per_s = min(
-            max(tokens_per_s, MIN_PREFILL_TOKENS_PER_S),
-            MAX_PREFILL_TOKENS_PER_S,
+    def end_prefill(self, prefill: OutstandingPrefill) -> None:
+        """Remove a prefill that is finished or was abandoned."""
+        if prefill in self.outstanding:
+            del self.outstanding[prefill]
+            self.own_tokens.add(-prefill.tokens, prefill.deferred)
+
+    def record_prefill(
+        self,
+        prefill: OutstandingPrefill,
+        took_s: float,
+        now_s: float,
+        finished: bool = True,
+    ) -> None:
+        """Learn from a prefill."""
+        measured = _engine_speed.PrefillSample(
+            self.prefill_only,
+            _linear_time.TimeSample(
+                prefill.work_tokens,
+                took_s,
+                queued=prefill.work_tokens > prefill.tokens,
+            ),
+            finished,
         )
+        self.speed.record(measured, now_s)
+        self.unreported_samples.append(measured)
+
+    def record_unfinished(
+        self, prefill: OutstandingPrefill, waited_s: float, now_s: float
+    ) -> None:
+        """Learn from a prefill that was abandoned.
+
+        It would have taken longer than it was waited for, which says
+        something only if it should have been finished.
+        """
+        if waited_s > self.prefill_s(prefill.work_tokens):
+            self.record_prefill(prefill, waited_s, now_s, finished=False)
+
+    def overdue_factor(self, now_s: float) -> float:
+        """Return by how much outstanding prefills exceed their expectation.
+
+        It is 1 if all of them may still be in time. An engine that turns slow
+        or stops shows so here before anything has come back from it.
+        """
+        factor = 1.0
+        for prefill in itertools.islice(self.outstanding, OVERDUE_CHECKED):
+            if prefill.deferred:
+                continue
+            expected_s = self.prefill_s(prefill.work_tokens) + OVERDUE_SLACK_S
+            factor = max(factor, (now_s - prefill.sent_s) / expected_s)
+        return factor
 
     @property
     def requests(self) -> int:
--- a/bilberrydeal/systems/placement/_options.py
+++ b/bilberrydeal/systems/placement/_options.py
@@ -4,11 +4,12 @@
 
 from . import _base
 from . import _entities
+from . import _fetching
 from . import _parts
 
-#: Prefill speed of an engine that also decodes, as a share of the speed of
-#: one that only prefills.
-DECODE_PREFILL_SPEED_SHARE = 0.5
+#: Weight of an engine that also decodes in rendezvous hashing, where one that
+#: only prefills has 1.
+MIXED_WEIGHT = 0.5
 #: Prompts with fewer tokens are prefilled by the engine that decodes.
 SHORT_PROMPT_TOKENS = 768
 #: Largest share of busy slots with which a decode engine also prefills long
@@ -16,16 +17,11 @@
 PREFILL_SLOTS_SHARE = 0.4
 #: Hash key that selects the main decode engine by rendezvous hashing.
 _MAIN_DECODE_KEY = b"main decoder"
-#: Time to transfer the KV cache and run the first decode step, in seconds.
-TRANSFER_S = 0.012
 #: Weight of the prefill time relative to the time to the first token: prefill
 #: uses capacity that other requests need.
 PREFILL_TIME_WEIGHT = 10.0
 #: Cost of an engine in another failure domain, in seconds.
 REMOTE_DOMAIN_PENALTY_S = 0.002
-#: Upper bound of the tokens of deferred requests that an engine is already
-#: prefilling, which delay requests that are not deferred.
-RUNNING_DEFERRED_TOKENS = 3_000
 #: Number of sends for a request that is prefilled and decoded at different
 #: engines.
 SEPARATE_DECODE_SENDS = 2
@@ -40,6 +36,12 @@
     separate_decode: bool
     #: Prompt tokens that the engine would have to prefill.
     uncached_tokens: float
+    #: The same with those that are queued before, if not deferred.
+    work_tokens: float
+    #: Transfer of cached parts of the prompt before the prefill.
+    fetch: _fetching.Fetch | None
+    #: Expected wait for a slot if the request is not deferred, in seconds.
+    slot_wait_s: float
     #: Time until prefill is finished if the request is not deferred.
     prefill_s: float
     #: Time to the first token if the request is not deferred.
@@ -108,24 +110,29 @@
     engine: _entities.EngineLoad,
     decode_wait: SlotWait,
     uncached_tokens: float,
+    fetch: _fetching.Fetch | None,
+    now_s: float,
 ) -> Option:
     """Return the expected times and cost of prefilling at an engine.
 
     ``uncached_tokens`` is the number of tokens to prefill, ``decode_wait``
-    the wait for a slot if another engine decodes.
+    the wait for a slot if another engine decodes. Before it prefills the
+    engine carries out ``fetch``, if any.
     """
     separate_decode = engine.prefill_only
     wait = decode_wait if separate_decode else slot_wait(request, [engine])
-    tokens_per_s = prefill_speed(engine)
-    own_prefill_s = uncached_tokens / tokens_per_s
-    running = min(engine.deferred_tokens, RUNNING_DEFERRED_TOKENS)
+    overdue = engine.overdue_factor(now_s)
+    fetch_s = fetch.takes_s if fetch is not None else 0.0
+    own_prefill_s = engine.prefill_s(uncached_tokens) * overdue + fetch_s
+    running = engine.admitted_deferred_tokens
     sends = SEPARATE_DECODE_SENDS if separate_decode else 1
-    transfer_s = sends * request.uplink_s + (
-        TRANSFER_S if separate_decode else 0.0
-    )
-    prefill_s = (engine.urgent_tokens + running) / tokens_per_s + own_prefill_s
+    transfer_s = sends * request.uplink_s
+    if separate_decode:
+        transfer_s += engine.speed.transfer_s(request.prompt.tokens)
+    work_tokens = engine.urgent_tokens + running + uncached_tokens
+    prefill_s = engine.prefill_s(work_tokens) * overdue + fetch_s
     expected_s = prefill_s + transfer_s + wait.urgent_s
-    deferred_s = engine.waiting_tokens / tokens_per_s
+    deferred_s = engine.prefill_wait_s * overdue
     deferred_s += own_prefill_s + transfer_s
     remote = engine.failure_domain != request.failure_domain
     cost_s = (
@@ -135,11 +142,14 @@
     )
     if request.prompt.tokens < SHORT_PROMPT_TOKENS:
         # Its decode steps would alternate with the prefill of all others.
-        cost_s += engine.deferred_tokens / tokens_per_s
+        cost_s += engine.deferred_tokens * engine.token_s
     return Option(
         engine=engine,
         separate_decode=separate_decode,
         uncached_tokens=uncached_tokens,
+        work_tokens=work_tokens,
+        slot_wait_s=wait.urgent_s,
+        fetch=fetch,
         prefill_s=prefill_s,
         expected_s=expected_s,
         deferred_s=deferred_s + wait.deferred_s,
@@ -164,13 +174,6 @@
     )
 
 
-def prefill_speed(engine: _entities.EngineLoad) -> float:
-    """Return the prefill speed of an engine in tokens per second."""
-    if engine.prefill_only:
-        return engine.prefill_tokens_per_s
-    return engine.prefill_tokens_per_s * DECODE_PREFILL_SPEED_SHARE
-
-
 def affinity_engine(prompt: _parts.Prompt, engines: _base.Engines) -> str:
     """Return the engine for all requests with the same affinity key.
 
@@ -185,4 +188,4 @@
 
 
 def _weight(engine: _entities.EngineLoad) -> float:
-    return 1.0 if engine.prefill_only else DECODE_PREFILL_SPEED_SHARE
+    return 1.0 if engine.prefill_only else MIXED_WEIGHT
--- a/bilberrydeal/systems/placement/_peer_loads.py
+++ b/bilberrydeal/systems/placement/_peer_loads.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from . import _engine_speed
 from . import _entities
 from . import _parts
 from . import _request_counts
@@ -26,6 +27,8 @@
     requests: list[int]
     #: Prompts sent to the engine since the last report.
     prompts: tuple[_parts.Prompt, ...] = ()
+    #: Prefills measured since the last report.
+    samples: tuple[_engine_speed.PrefillSample, ...] = ()
 
 
 @attrs.frozen
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -4,6 +4,7 @@
 
 from . import _base
 from . import _entities
+from . import _fetching
 from . import _options
 from . import _parts
 
@@ -25,6 +26,14 @@
 #: Share of the time left within which the first token of a deferred request
 #: must be expected; requests that arrive later will overtake it.
 DEFERRED_DEADLINE_SHARE = 0.6
+#: The same for a request that was held: it joins short queues only.
+HELD_DEADLINE_SHARE = 0.9
+#: Share of the target that the queue of an engine may take when a deferred
+#: request joins it: it delays those that come after it.
+DEFERRED_WAIT_SHARE = 0.25
+#: Bounds of the time until a held request is placed again, in seconds.
+MIN_CHECK_S = 0.01
+MAX_CHECK_S = 0.1
 #: Shortest time after which a refused caller is told to retry, in seconds.
 MIN_RETRY_AFTER_S = 0.05
 
@@ -37,14 +46,16 @@
     them cached, or by a decode engine if that is sooner. Rendezvous hashing
     sends requests that share a part to the same engine. A request that would
     miss its target is deferred: it waits behind those that can meet theirs.
+    An engine works on what has a slot in the order of arrival, so a deferred
+    request is held back from an engine with free slots and a queue.
     A request that would still miss its deadline is refused.
     """
 
     def place(
         self, request: _base.Request, engines: _base.Engines, now_s: float
-    ) -> _base.Placement | _base.DeadlineUnreachable:
+    ) -> _base.Outcome:
         """Choose the next engine for a request."""
-        options = self._options(request, engines)
+        options = self._options(request, engines, now_s)
         if not options:
             return _base.DeadlineUnreachable(MIN_RETRY_AFTER_S)
         best = min(options, key=lambda option: option.cost_s)
@@ -60,7 +71,7 @@
         request: _base.Request,
         options: list[_options.Option],
         engines: _base.Engines,
-    ) -> _base.Placement | _base.DeadlineUnreachable:
+    ) -> _base.Outcome:
         """Place a late request behind those that can meet their targets.
 
         It waits at a prefill engine if possible: a queue of long prompts at a
@@ -72,12 +83,22 @@
         best = min(
             separate_options or options, key=lambda option: option.deferred_s
         )
-        late_s = (
-            best.deferred_s - request.time_left_s * DEFERRED_DEADLINE_SHARE
+        held_s = request.held_tokens * best.engine.token_s
+        expected_s = best.deferred_s + held_s / len(
+            separate_options or options
         )
+        share = (
+            HELD_DEADLINE_SHARE if request.held else DEFERRED_DEADLINE_SHARE
+        )
+        late_s = expected_s - request.time_left_s * share
+        wait_s = _wait_to_hold_s(request, best)
+        if wait_s and not request.held:
+            late_s += request.hold_s
         if late_s > 0.0:
-            retry_s = max(late_s, MIN_RETRY_AFTER_S)
-            return _base.DeadlineUnreachable(retry_s, best.deferred_s)
+            retry_s = max(late_s, request.hold_s, MIN_RETRY_AFTER_S)
+            return _base.DeadlineUnreachable(retry_s, expected_s)
+        if wait_s:
+            return _base.Held(wait_s, expected_s)
         if not _may_defer(request, best.engine, engines):
             # By then the requests deferred earlier have been served.
             return _base.DeadlineUnreachable(best.deferred_s, best.deferred_s)
@@ -100,7 +121,7 @@
         domain = source.failure_domain if source else request.failure_domain
 
         def cost(engine: _entities.EngineLoad) -> float:
-            waits_s = engine.waiting_tokens / _options.prefill_speed(engine)
+            waits_s = engine.prefill_wait_s
             share = engine.requests / engine.slots
             remote = engine.failure_domain != domain
             return (
@@ -126,33 +147,51 @@
         return max(prompt.tokens - cached, 1.0)
 
     def _options(
-        self, request: _base.Request, engines: _base.Engines
+        self, request: _base.Request, engines: _base.Engines, now_s: float
     ) -> list[_options.Option]:
         available = [
             engine
             for engine in engines
             if engine.engine_id not in request.tried
             and engine.requests < engine.slots * QUEUE_FACTOR
+            and (request.may_separate or not engine.prefill_only)
         ]
         eligible = _options.eligible(request.prompt, available)
         if not eligible:
             return []
         affinity_id = _options.affinity_engine(request.prompt, eligible)
+        sources = _fetching.FetchSources(request.prompt, engines)
         decode_wait = _options.slot_wait(
             request,
             [engine for engine in available if not engine.prefill_only],
         )
-        return [
-            _options.evaluate_option(
-                request,
-                engine,
-                decode_wait,
-                self._uncached_tokens(
-                    request.prompt, engine, engine.engine_id == affinity_id
-                ),
+        options = []
+        for engine in eligible:
+            uncached = self._uncached_tokens(
+                request.prompt, engine, engine.engine_id == affinity_id
             )
-            for engine in eligible
-        ]
+            fetch = sources.best_for(engine, request.prompt.tokens - uncached)
+            if fetch is not None:
+                uncached = max(uncached - fetch.tokens, 1.0)
+            options.append(
+                _options.evaluate_option(
+                    request, engine, decode_wait, uncached, fetch, now_s
+                )
+            )
+        return options
+
+
+def _wait_to_hold_s(request: _base.Request, option: _options.Option) -> float:
+    """Return how long to hold a deferred request, 0 if it may be sent."""
+    engine = option.engine
+    if engine.requests >= engine.slots:
+        # It would wait for a slot behind all that are not deferred.
+        return 0.0
+    limit_s = request.full_target_s * DEFERRED_WAIT_SHARE
+    excess_s = engine.prefill_wait_s - limit_s
+    if excess_s <= 0.0:
+        return 0.0
+    return min(max(excess_s, MIN_CHECK_S), MAX_CHECK_S)
 
 
 def _may_defer(
@@ -194,11 +233,17 @@
     option: _options.Option, expected_s: float, deferred: bool
 ) -> _base.Placement:
     """Return the placement for an option."""
+    work_tokens = option.work_tokens
+    if deferred:
+        work_tokens = option.engine.waiting_tokens + option.uncached_tokens
     return _base.Placement(
         engine_id=option.engine.engine_id,
         separate_decode=option.separate_decode,
         uncached_tokens=option.uncached_tokens,
         expected_s=expected_s,
         prefill_s=option.prefill_s,
+        work_tokens=work_tokens,
+        slot_wait_s=option.slot_wait_s,
+        fetch_from=option.fetch.source_id if option.fetch else None,
         deferred=deferred,
     )
