Place late prompts at engines by rank again, not from a queue here

Change: an urgent request expects one deferred prefill of the mean size before it; the queue at the gateway is removed.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -138,7 +138,6 @@
                 self._uplink,
                 gateway_settings.failure_domain,
                 self._clock,
-                rng,
             ),
             retry_policy=retry_policy,
             metrics=self._metrics,
--- a/bilberrydeal/gateway/_request_handler.py
+++ b/bilberrydeal/gateway/_request_handler.py
@@ -170,7 +170,6 @@
             steps=_send_fields(progress),
             configuration=self._configuration_version(admitted),
             store_age_s=round(self._connectivity.age_s(self._clock()), 2),
-            held_ms=progress.held_ms if progress else 0.0,
             took_s=round(took_s, 4),
         )
 
--- a/bilberrydeal/gateway/_requests.py
+++ b/bilberrydeal/gateway/_requests.py
@@ -95,8 +95,6 @@
     budgeted_sends: int = 0
     #: Whether a prefill of its prompt succeeded.
     prefill_recorded: bool = False
-    #: Time that it was held at this gateway, in milliseconds.
-    held_ms: float = 0.0
     #: Prefills without a result.
     lost_prefills: int = 0
     #: Sends that count against the route's limit.
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 import contextlib
-import random
 
 import attrs
 
@@ -13,7 +12,6 @@
 from ..systems import placement
 from . import _cluster_state
 from . import _events
-from . import _holding
 from . import _requests
 from . import _retry_policy
 from . import _sending
@@ -100,9 +98,7 @@
         uplink: _uplink.Uplink,
         failure_domain: str,
         clock: Clock,
-        rng: random.Random,
     ) -> None:
-        self._held = _holding.HeldRequests(rng, clock)
         self._cluster = cluster
         self._sender = sender
         self._retry_policy = retry_policy
@@ -155,10 +151,12 @@
 
     async def _attempt(self, stream: _ClientStream) -> None:
         """Serve a stream, or the rest of it, with one placement."""
-        placed = self._place(stream, None)
-        if isinstance(placed, placement.Held):
-            placed = await self._hold(stream, placed)
-        request = self._placement_request(stream, self._clock())
+        now_s = self._clock()
+        request = self._placement_request(stream, now_s)
+        engines = self._engines_for(stream, now_s)
+        placed = self._placer.place(request, engines, now_s)
+        if isinstance(placed, placement.DeadlineUnreachable):
+            raise self._deadline_refusal(stream, placed)
         upstream = self._cluster.endpoints[placed.engine_id]
         if not placed.separate_decode:
             await self._generate(stream, upstream, placed, None)
@@ -169,51 +167,10 @@
             raise _PrefillLost(*error.args) from error
         await self._decode_transferred(stream, request, placed, source)
 
-    def _place(
-        self, stream: _ClientStream, ticket: _holding.Ticket | None
-    ) -> placement.Placement | placement.Held:
-        """Choose the next engine; raises ``Refusal`` if none can serve."""
-        now_s = self._clock()
-        request = self._placement_request(stream, now_s, ticket)
-        engines = self._engines_for(stream, now_s)
-        placed = self._placer.place(request, engines, now_s)
-        if isinstance(placed, placement.DeadlineUnreachable):
-            raise self._deadline_refusal(stream, placed)
-        return placed
-
-    async def _hold(
-        self, stream: _ClientStream, held: placement.Held
-    ) -> placement.Placement:
-        """Wait until an engine may take a deferred request."""
-        admitted = stream.admitted
-        service = admitted.service
-        tokens = (admitted.prompt or _NO_PROMPT).tokens
-        began_s = self._clock()
-        check_after_s = held.check_after_s
-        with self._held.hold(service, admitted.priority, tokens) as ticket:
-            while True:
-                await self._held.wait(check_after_s)
-                held_s = self._clock() - began_s
-                stream.progress.held_ms = round(held_s * 1000, 1)
-                check_after_s = _holding.NOT_FIRST_CHECK_S
-                placed = self._place(stream, ticket)
-                if isinstance(placed, placement.Held):
-                    check_after_s = placed.check_after_s
-                elif not placed.deferred or self._held.is_first(
-                    service, ticket
-                ):
-                    return placed
-
     def _placement_request(
-        self,
-        stream: _ClientStream,
-        now_s: float,
-        ticket: _holding.Ticket | None = None,
+        self, stream: _ClientStream, now_s: float
     ) -> placement.Request:
         admitted = stream.admitted
-        held_tokens = self._held.tokens_before(
-            admitted.service, admitted.priority, ticket
-        )
         return placement.Request(
             prompt=admitted.prompt or _NO_PROMPT,
             target_s=self._target_s(stream, now_s),
@@ -225,10 +182,6 @@
             rank=admitted.priority,
             may_have_run=stream.progress.may_have_run,
             may_separate=_may_prefill(stream),
-            full_target_s=admitted.route.target_latency_s,
-            held_tokens=held_tokens * self._cluster.members,
-            held=ticket is not None,
-            hold_s=self._held.expected_s(admitted.service),
         )
 
     def _target_s(self, stream: _ClientStream, now_s: float) -> float:
@@ -496,7 +449,7 @@
         request = self._placement_request(stream, now_s)
         engines = self._engines_for(stream, now_s)
         placed = self._placer.place(request, engines, now_s)
-        if not isinstance(placed, placement.Placement):
+        if isinstance(placed, placement.DeadlineUnreachable):
             return False
         limit_s = min(waited_s, request.time_left_s * ELSEWHERE_SHARE)
         return placed.expected_s < limit_s
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -1,7 +1,6 @@
 """Chooses the engines that prefill a prompt and decode its output."""
 
 from ._base import DeadlineUnreachable
-from ._base import Held
 from ._base import Outcome
 from ._base import Placement
 from ._base import Placer
@@ -47,7 +46,6 @@
     "FirstComePlacer",
     "GatewayEngineLoad",
     "LeastOutstandingPlacer",
-    "Held",
     "Line",
     "LinearTime",
     "MAX_REPORT_AGE_S",
--- a/bilberrydeal/systems/placement/_base.py
+++ b/bilberrydeal/systems/placement/_base.py
@@ -35,15 +35,6 @@
     may_have_run: bool = False
     #: Whether one engine may prefill and another decode.
     may_separate: bool = True
-    #: Target for the time to the first token of a request of this kind that
-    #: arrives now, in seconds.
-    full_target_s: float = math.inf
-    #: Prompt tokens of held requests that go before this one, at all gateways.
-    held_tokens: float = 0.0
-    #: Whether the request has been held.
-    held: bool = False
-    #: Time for which requests were held lately, in seconds.
-    hold_s: float = 0.0
 
 
 @attrs.frozen
@@ -72,16 +63,6 @@
     deferred: bool = False
 
 
-@attrs.frozen
-class Held:
-    """The request waits at the gateway, since it would delay others now."""
-
-    #: Time after which to place it again, in seconds.
-    check_after_s: float
-    #: Expected time to the first token, in seconds.
-    expected_s: float
-
-
 @attrs.frozen
 class DeadlineUnreachable:
     """The request cannot be served before its deadline."""
@@ -94,7 +75,7 @@
 
 
 #: What a placer decides about a request.
-Outcome = Placement | Held | DeadlineUnreachable
+Outcome = Placement | DeadlineUnreachable
 
 #: Engines that accept requests.
 Engines = collections.abc.Sequence[_entities.EngineLoad]
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -129,16 +129,14 @@
         return self.own_tokens.deferred + self.peer_tokens.deferred
 
     @property
-    def admitted_deferred_tokens(self) -> float:
-        """Return the queued tokens of deferred requests that have a slot.
+    def running_deferred_tokens(self) -> float:
+        """Return the tokens of a deferred prefill that may be running.
 
-        An engine admits requests in the order of their ranks, but works on
-        those that have a slot in the order of their arrival.
+        An engine prefills in the order of ranks, but finishes a prefill that
+        it has begun.
         """
         deferred = self.requests - self.urgent_requests
-        if deferred <= self.slots:
-            return self.deferred_tokens
-        return self.deferred_tokens * self.slots / deferred
+        return self.deferred_tokens / max(deferred, 1)
 
     @property
     def waiting_tokens(self) -> float:
--- a/bilberrydeal/systems/placement/_options.py
+++ b/bilberrydeal/systems/placement/_options.py
@@ -124,7 +124,7 @@
     overdue = engine.overdue_factor(now_s)
     fetch_s = fetch.takes_s if fetch is not None else 0.0
     own_prefill_s = engine.prefill_s(uncached_tokens) * overdue + fetch_s
-    running = engine.admitted_deferred_tokens
+    running = engine.running_deferred_tokens
     sends = SEPARATE_DECODE_SENDS if separate_decode else 1
     transfer_s = sends * request.uplink_s
     if separate_decode:
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -26,14 +26,6 @@
 #: Share of the time left within which the first token of a deferred request
 #: must be expected; requests that arrive later will overtake it.
 DEFERRED_DEADLINE_SHARE = 0.6
-#: The same for a request that was held: it joins short queues only.
-HELD_DEADLINE_SHARE = 0.9
-#: Share of the target that the queue of an engine may take when a deferred
-#: request joins it: it delays those that come after it.
-DEFERRED_WAIT_SHARE = 0.25
-#: Bounds of the time until a held request is placed again, in seconds.
-MIN_CHECK_S = 0.01
-MAX_CHECK_S = 0.1
 #: Shortest time after which a refused caller is told to retry, in seconds.
 MIN_RETRY_AFTER_S = 0.05
 
@@ -46,8 +38,6 @@
     them cached, or by a decode engine if that is sooner. Rendezvous hashing
     sends requests that share a part to the same engine. A request that would
     miss its target is deferred: it waits behind those that can meet theirs.
-    An engine works on what has a slot in the order of arrival, so a deferred
-    request is held back from an engine with free slots and a queue.
     A request that would still miss its deadline is refused.
     """
 
@@ -83,22 +73,12 @@
         best = min(
             separate_options or options, key=lambda option: option.deferred_s
         )
-        held_s = request.held_tokens * best.engine.token_s
-        expected_s = best.deferred_s + held_s / len(
-            separate_options or options
+        late_s = (
+            best.deferred_s - request.time_left_s * DEFERRED_DEADLINE_SHARE
         )
-        share = (
-            HELD_DEADLINE_SHARE if request.held else DEFERRED_DEADLINE_SHARE
-        )
-        late_s = expected_s - request.time_left_s * share
-        wait_s = _wait_to_hold_s(request, best)
-        if wait_s and not request.held:
-            late_s += request.hold_s
         if late_s > 0.0:
-            retry_s = max(late_s, request.hold_s, MIN_RETRY_AFTER_S)
-            return _base.DeadlineUnreachable(retry_s, expected_s)
-        if wait_s:
-            return _base.Held(wait_s, expected_s)
+            retry_s = max(late_s, MIN_RETRY_AFTER_S)
+            return _base.DeadlineUnreachable(retry_s, best.deferred_s)
         if not _may_defer(request, best.engine, engines):
             # By then the requests deferred earlier have been served.
             return _base.DeadlineUnreachable(best.deferred_s, best.deferred_s)
@@ -181,19 +161,6 @@
         return options
 
 
-def _wait_to_hold_s(request: _base.Request, option: _options.Option) -> float:
-    """Return how long to hold a deferred request, 0 if it may be sent."""
-    engine = option.engine
-    if engine.requests >= engine.slots:
-        # It would wait for a slot behind all that are not deferred.
-        return 0.0
-    limit_s = request.full_target_s * DEFERRED_WAIT_SHARE
-    excess_s = engine.prefill_wait_s - limit_s
-    if excess_s <= 0.0:
-        return 0.0
-    return min(max(excess_s, MIN_CHECK_S), MAX_CHECK_S)
-
-
 def _may_defer(
     request: _base.Request,
     chosen: _entities.EngineLoad,
