Let few gateways poll the store; draw noisy engine factors to 1

Change: in fleets of more than eight gateways three watchers poll and tell the others by datagram at which version a table changed; these poll once they hear of a newer version, when no valid hint was heard for half the time within which a change must be applied, and each 8 s. What gateways believe still comes from the store only. A model with lost, late and reordered datagrams, and with frozen and cut watchers, checks that no gateway goes back and that each learns a change in time; a hint that is valid for too long fails it. Members are read and the lease checked less often the more gateways there are.

Factors of engines followed the noise, so prompts left the engines that had them cached. Ruled out: fetching cached parts (the same without), the choice of the soonest engine for late requests. Change: samples without a queue alone tell the line; a factor is drawn to 1 by how far its samples scatter; a prefill is overdue later; a request goes to the cheapest engine that is in time, not to the soonest.

--- a/bilberrydeal/gateway/_coordination.py
+++ b/bilberrydeal/gateway/_coordination.py
@@ -26,14 +26,18 @@
 #: Most rows that all gateways together write a second. Each call loads the
 #: store, and counts reach the lease holder by datagram anyway.
 ROWS_PER_S = 12.0
-#: Interval between reads of all gateways' rows.
+#: Shortest interval between reads of all gateways' rows.
 MEMBERS_INTERVAL_S = 4.0
+#: Most such reads of all gateways together a second.
+MEMBERS_READS_PER_S = 8.0
 #: Interval between lease steps of the holder and of a candidate.
 LEASE_HELD_INTERVAL_S = 1.2
 LEASE_CANDIDATE_INTERVAL_S = 2.0
 #: Gateways that check the lease often; all others check it rarely.
 LEASE_CANDIDATES = 3
 LEASE_OTHER_INTERVAL_S = 8.0
+#: Most checks of all these others together a second.
+LEASE_OTHER_CALLS_PER_S = 4.0
 #: Interval between checks for usage windows to settle and report.
 REPORT_INTERVAL_S = 0.8
 #: Interval between checks of the roles of engines.
@@ -129,6 +133,11 @@
         #: Datagram addresses of the other gateways.
         self.peers: tuple[_datagrams.Address, ...] = ()
 
+    @property
+    def position(self) -> int:
+        """Return the position of this gateway in the order of all."""
+        return self._members.position
+
     @property
     def lease_held(self) -> bool:
         """Return whether this process holds the lease."""
@@ -146,7 +155,7 @@
                 self._broadcaster.run_once,
             ),
             periodic.run_periodically(
-                "members", lambda: MEMBERS_INTERVAL_S, self._read_members
+                "members", self._members_pause_s, self._read_members
             ),
             periodic.run_periodically(
                 "lease", self._lease_pause_s, self._update_lease
@@ -184,12 +193,20 @@
     def _row_pause_s(self) -> float:
         return max(ROW_INTERVAL_S, self._cluster.members / ROWS_PER_S)
 
+    def _members_pause_s(self) -> float:
+        return max(
+            MEMBERS_INTERVAL_S, self._cluster.members / MEMBERS_READS_PER_S
+        )
+
     def _lease_pause_s(self) -> float:
         if self.lease_held:
             return LEASE_HELD_INTERVAL_S
         candidate = self._members.position < LEASE_CANDIDATES
-        return (
-            LEASE_CANDIDATE_INTERVAL_S if candidate else LEASE_OTHER_INTERVAL_S
+        if candidate:
+            return LEASE_CANDIDATE_INTERVAL_S
+        return max(
+            LEASE_OTHER_INTERVAL_S,
+            self._cluster.members / LEASE_OTHER_CALLS_PER_S,
         )
 
     async def _update_lease(self) -> None:
--- a/bilberrydeal/gateway/_datagrams.py
+++ b/bilberrydeal/gateway/_datagrams.py
@@ -53,6 +53,18 @@
     told_s: float
 
 
+@attrs.frozen
+class TableHint:
+    """What a gateway knows of a table of the store."""
+
+    #: Name of the table.
+    table: str
+    #: Version of the store at the last change that matters.
+    changed_version: int
+    #: Time since the store confirmed that there is no later one, in seconds.
+    age_s: float
+
+
 @attrs.frozen
 class Datagram:
     """A message from one gateway to others."""
@@ -63,6 +75,8 @@
     counts: WindowCounts | None = None
     #: Engines that are changing their roles on the sender's order.
     changing: tuple[str, ...] = ()
+    #: Tables of the store as the sender knows them.
+    hints: tuple[TableHint, ...] = ()
 
 
 class _WireEngineLoad(msgspec.Struct, array_like=True):
@@ -85,6 +99,7 @@
     engine_loads: list[_WireEngineLoad]
     counts: WindowCounts | None
     changing: tuple[str, ...]
+    hints: tuple[TableHint, ...] = ()
 
 
 def _to_wire(datagram: Datagram) -> _WireDatagram:
@@ -105,6 +120,7 @@
         ],
         datagram.counts,
         datagram.changing,
+        datagram.hints,
     )
 
 
@@ -125,7 +141,7 @@
         for engine_load in wire.engine_loads
     )
     load = LoadReport(wire.sequence, engine_loads) if wire.sequence else None
-    return Datagram(wire.gateway, load, wire.counts, wire.changing)
+    return Datagram(wire.gateway, load, wire.counts, wire.changing, wire.hints)
 
 
 def _prompt(parts: list[tuple[bytes, int]]) -> placement.Prompt:
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -29,6 +29,7 @@
 from . import _sending
 from . import _settings_watcher
 from . import _shutdown
+from . import _store_hints
 from . import _store_sync
 from . import _stream
 from . import _uplink
@@ -90,6 +91,14 @@
             self._uplink,
             clock,
         )
+        self._hints = _store_hints.StoreHints(
+            self._datagrams,
+            self._coordination.incarnation,
+            lambda: self._coordination.peers,
+            lambda: self._coordination.position,
+            gateway_settings.bounds.apply_limit_s,
+            clock,
+        )
         self._metrics = _metrics.GatewayMetrics()
         self._endpoint_updater = _store_sync.EndpointUpdater(
             self._cluster, self._connectivity, clock
@@ -200,12 +209,14 @@
             self._store,
             platform.CONFIGURATION_TABLE,
             self._connectivity,
+            self._hints,
             self._clock,
         )
         endpoints = _store_sync.TableFollower(
             self._store,
             platform.ENDPOINTS_TABLE,
             self._connectivity,
+            self._hints,
             self._clock,
         )
         updater = _store_sync.ConfigurationUpdater(self._cluster)
@@ -222,6 +233,13 @@
             )
         )
         self._spawn(self._load_exchange.run())
+        self._spawn(
+            periodic.run_periodically(
+                "hints",
+                lambda: _store_hints.HINT_INTERVAL_S,
+                self._hints.run_once,
+            )
+        )
         self._spawn(
             periodic.run_periodically(
                 "sweep", lambda: SWEEP_INTERVAL_S, self._sweep
--- a/bilberrydeal/gateway/_store_sync.py
+++ b/bilberrydeal/gateway/_store_sync.py
@@ -5,11 +5,13 @@
 
 import attrs
 
+from .. import catalogue
 from .. import errors
 from .. import platform
 from .. import ports
 from .. import telemetry
 from . import _cluster_state
+from . import _store_hints
 
 LOG = telemetry.logger("following")
 #: Timeout of a snapshot of a table, in seconds.
@@ -32,6 +34,9 @@
 UNREACHABLE_AFTER_S = 2.3
 
 Clock = collections.abc.Callable[[], float]
+#: Applies changes, or a snapshot if the second argument is set; returns
+#: whether any of them matters.
+OnChanges = collections.abc.Callable[[ports.Changes, bool], bool]
 
 
 @attrs.define
@@ -84,19 +89,18 @@
         feed: ports.ChangeFeed,
         table: str,
         connectivity: StoreConnectivity,
+        hints: _store_hints.StoreHints,
         clock: Clock,
     ) -> None:
         self._feed = feed
         self._table = table
         self._connectivity = connectivity
+        self._hints = hints
+        self._state = hints.follow(table)
         self._clock = clock
-        self._version: int | None = None
 
     async def run(
-        self,
-        on_changes: collections.abc.Callable[[ports.Changes, bool], None],
-        pause_s: float,
-        wait_s: float,
+        self, on_changes: OnChanges, pause_s: float, wait_s: float
     ) -> None:
         """Follow the table; ``on_changes`` gets rows and ``is_snapshot``."""
         backoff_s = BACKOFF_FIRST_S
@@ -104,30 +108,28 @@
             try:
                 await self._poll(on_changes, wait_s)
                 backoff_s = BACKOFF_FIRST_S
-                await asyncio.sleep(pause_s)
+                await self._hints.pause(self._state, pause_s)
             except errors.HistoryGone:
                 LOG.info("Change history expired.", table=self._table)
-                self._version = None
+                self._state.version = None
             except errors.StoreUnavailable as error:
                 self._connectivity.note_failure(str(error), self._clock())
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(backoff_s * 2, BACKOFF_LIMIT_S)
 
-    async def _poll(
-        self,
-        on_changes: collections.abc.Callable[[ports.Changes, bool], None],
-        wait_s: float,
-    ) -> None:
-        is_snapshot = self._version is None
-        if self._version is None:
+    async def _poll(self, on_changes: OnChanges, wait_s: float) -> None:
+        known = self._state.version
+        is_snapshot = known is None
+        if known is None:
             found = await self._feed.snapshot(self._table, SNAPSHOT_TIMEOUT_S)
         else:
             found = await self._feed.changes(
-                self._table, self._version, wait_s
+                self._table, known, self._hints.wait_s(self._state, wait_s)
             )
-        self._connectivity.note_response(self._clock())
-        on_changes(found, is_snapshot)
-        self._version = found.version
+        now_s = self._clock()
+        self._connectivity.note_response(now_s)
+        changed = on_changes(found, is_snapshot)
+        self._state.note_poll(found.version, changed, now_s)
 
 
 class ConfigurationUpdater:
@@ -136,8 +138,9 @@
     def __init__(self, cluster: _cluster_state.ClusterState) -> None:
         self._cluster = cluster
 
-    def apply(self, changes: ports.Changes, is_snapshot: bool) -> None:
+    def apply(self, changes: ports.Changes, is_snapshot: bool) -> bool:
         """Apply changes of the configuration table."""
+        changed = False
         for change in changes.rows:
             if change.key != platform.CONFIGURATION_KEY:
                 continue
@@ -148,7 +151,8 @@
             except platform.RecordInvalid as error:
                 LOG.error("Configuration unreadable.", reason=str(error))
                 continue
-            self._cluster.set_configuration(found)
+            changed |= self._cluster.set_configuration(found)
+        return changed
 
 
 class EndpointUpdater:
@@ -165,9 +169,13 @@
         self._clock = clock
         self._missing: dict[str, float] = {}
 
-    def apply(self, changes: ports.Changes, is_snapshot: bool) -> None:
-        """Apply changes of the endpoints table, or a snapshot of it."""
+    def apply(self, changes: ports.Changes, is_snapshot: bool) -> bool:
+        """Apply changes of the endpoints table, or a snapshot of it.
+
+        Most rows only show that an endpoint lives; these do not matter.
+        """
         now_s = self._clock()
+        before = self._registered()
         if is_snapshot:
             present = {change.key for change in changes.rows}
             for endpoint_id in set(self._cluster.endpoints) - present:
@@ -176,6 +184,15 @@
             self._change(change, now_s)
         self._cluster.endpoints_loaded = True
         self.sweep(now_s)
+        return before != self._registered()
+
+    def _registered(self) -> dict[str, catalogue.Endpoint]:
+        """Return the endpoints that are listed in the store."""
+        return {
+            endpoint_id: upstream.endpoint
+            for endpoint_id, upstream in self._cluster.endpoints.items()
+            if endpoint_id not in self._missing
+        }
 
     def sweep(self, now_s: float) -> None:
         """Remove missing endpoints whose grace period is over."""
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -541,11 +541,12 @@
     def _known_queue(self) -> bool:
         """Return whether it is known what the engine works on before.
 
-        Without a free slot requests that come later may overtake a deferred
-        one, and those that decode occupy slots for long.
+        Requests that come later overtake a deferred one that has to wait, and
+        those that decode occupy slots for long.
         """
-        overtaken = self._placed.deferred or not self._load.prefill_only
-        return self._slot_free or not overtaken
+        if self._placed.deferred:
+            return self._placed.work_tokens <= self._placed.uncached_tokens
+        return self._slot_free or self._load.prefill_only
 
     def finished(self, sent_s: float) -> None:
         """Remove the prefill and learn from the time that it took."""
--- a/bilberrydeal/settings/_gateway.py
+++ b/bilberrydeal/settings/_gateway.py
@@ -56,6 +56,16 @@
     usage_window_s: _model.Seconds
     #: Time after the end of a usage window when its report is due.
     usage_due_s: _model.Seconds
+    #: Time within which a change of the configuration must be applied.
+    configuration_apply_ms: Milliseconds = 2_000.0
+    #: Time after which no request may reach an endpoint that is leaving.
+    endpoint_leave_ms: Milliseconds = 2_000.0
+
+    @property
+    def apply_limit_s(self) -> float:
+        """Return the time within which any change must be applied."""
+        limit_ms = min(self.configuration_apply_ms, self.endpoint_leave_ms)
+        return limit_ms / 1000
 
 
 @attrs.frozen
--- a/bilberrydeal/systems/placement/_engine_speed.py
+++ b/bilberrydeal/systems/placement/_engine_speed.py
@@ -18,9 +18,18 @@
 #: Time of a transfer between failure domains, as a multiple of that within.
 REMOTE_FETCH_FACTOR = 2.0
 #: Number of latest samples that tell an engine from others of its service.
-ENGINE_WINDOW = 9
+ENGINE_WINDOW = 24
 #: Age at which such a sample is dropped, in seconds.
 SAMPLE_AGE_S = 8.0
+#: Standard deviation of a normal distribution over its median deviation.
+MAD_TO_DEVIATION = 1.48
+#: Variance of the logarithm of one sample that is assumed at least.
+SAMPLE_VARIANCE = 0.1
+#: Variance of the logarithms of the factors of a service's engines.
+FACTOR_VARIANCE = 0.03
+#: Samples that tell as much as one that is independent: requests that share a
+#: queue share the error of its estimate.
+DEPENDENT_SAMPLES = 4
 #: Largest factor between an engine and its service.
 MAX_FACTOR = 50.0
 
@@ -74,8 +83,8 @@
     """How much slower or faster an engine is than its service.
 
     The factor is the median of the last samples over what the service's fit
-    expects, so a few odd samples change nothing and an engine that turns slow
-    is known after some prefills.
+    expects, drawn to 1 by how far the samples scatter. So a few odd samples
+    change little, and an engine that turns slow is known after some prefills.
     """
 
     def __init__(self, service: ServiceSpeed) -> None:
@@ -139,12 +148,21 @@
     def _fitted_factor(self) -> float:
         if not self._samples:
             return 1.0
-        ratio = statistics.median(
-            each.sample.took_s
-            / self._service.prefill(each.separate).line.at(each.sample.tokens)
+        ratios = [
+            math.log(
+                max(each.sample.took_s, _linear_time.MIN_TIME_S)
+                / self._service.prefill(each.separate).line.at(
+                    each.sample.tokens
+                )
+            )
             for _at_s, each in self._samples
-        )
-        ratio = min(max(ratio, 1.0 / MAX_FACTOR), MAX_FACTOR)
-        # A single sample is weak evidence against the service's mean.
-        certainty = len(self._samples) / (len(self._samples) + 1.0)
-        return float(ratio**certainty)
+        ]
+        middle = statistics.median(ratios)
+        spread = statistics.median(abs(each - middle) for each in ratios)
+        error = (spread * MAD_TO_DEVIATION) ** 2 + SAMPLE_VARIANCE
+        # Scattered samples are weak evidence against the service's mean.
+        expected = FACTOR_VARIANCE + (middle / 2) ** 2
+        independent = len(ratios) / DEPENDENT_SAMPLES
+        certainty = expected / (expected + error / independent)
+        limit = math.log(MAX_FACTOR)
+        return math.exp(min(max(middle * certainty, -limit), limit))
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -18,9 +18,10 @@
 INITIAL_SLOT_TIME_S = 0.5
 #: Oldest outstanding prefills of an engine that are checked for being overdue.
 OVERDUE_CHECKED = 4
-#: Time by which a prefill may exceed its expectation without being overdue,
-#: in seconds.
-OVERDUE_SLACK_S = 0.05
+#: A prefill is overdue beyond this multiple of its expectation and this time,
+#: in seconds: queues are estimates.
+OVERDUE_MULTIPLE = 4.0
+OVERDUE_SLACK_S = 0.1
 
 
 @attrs.define
@@ -219,8 +220,9 @@
         for prefill in itertools.islice(self.outstanding, OVERDUE_CHECKED):
             if prefill.deferred:
                 continue
-            expected_s = self.prefill_s(prefill.work_tokens) + OVERDUE_SLACK_S
-            factor = max(factor, (now_s - prefill.sent_s) / expected_s)
+            expected_s = self.prefill_s(prefill.work_tokens)
+            limit_s = expected_s * OVERDUE_MULTIPLE + OVERDUE_SLACK_S
+            factor = max(factor, (now_s - prefill.sent_s) / limit_s)
         return factor
 
     @property
--- a/bilberrydeal/systems/placement/_linear_time.py
+++ b/bilberrydeal/systems/placement/_linear_time.py
@@ -57,9 +57,9 @@
     samples far from the fit count less. Until there are samples of different
     sizes the assumed line is scaled as a whole.
 
-    Only steps that found no queue tell the base time: the size of a queue is
-    estimated, and errors of the tokens would make the line too flat. The line
-    is then scaled so that it is right for half of all samples.
+    Only steps that found no queue count once there are some: the size of a
+    queue is an estimate, and its errors would make the line too flat. The line
+    is scaled so that half of the samples lie above it.
 
     Example::
 
@@ -121,12 +121,12 @@
 ) -> Line:
     if not samples:
         return assumed
-    line = assumed
-    if len(unqueued) >= MIN_SAMPLES:
-        line = _calibrated(line, unqueued)
-        for _ in range(PASSES):
-            line = _weighted_fit(line, unqueued)
-    return _calibrated(line, samples)
+    if len(unqueued) < MIN_SAMPLES:
+        return _calibrated(assumed, samples)
+    line = _calibrated(assumed, unqueued)
+    for _ in range(PASSES):
+        line = _weighted_fit(line, unqueued)
+    return _calibrated(line, unqueued)
 
 
 def _calibrated(line: Line, samples: list[TimeSample]) -> Line:
--- a/bilberrydeal/systems/placement/_options.py
+++ b/bilberrydeal/systems/placement/_options.py
@@ -50,6 +50,8 @@
     deferred_s: float
     #: Cost by which options are compared.
     cost_s: float
+    #: The same if the request is deferred.
+    deferred_cost_s: float
 
 
 @attrs.frozen
@@ -124,6 +126,10 @@
     overdue = engine.overdue_factor(now_s)
     fetch_s = fetch.takes_s if fetch is not None else 0.0
     own_prefill_s = engine.prefill_s(uncached_tokens) * overdue + fetch_s
+    # Gateways that see the same loads would all choose the same engine if one
+    # that has the prompt cached were hardly better than one that fetches it.
+    fetched_tokens = fetch.tokens if fetch is not None else 0.0
+    unfetched_s = engine.prefill_s(uncached_tokens + fetched_tokens) * overdue
     running = engine.running_deferred_tokens
     sends = SEPARATE_DECODE_SENDS if separate_decode else 1
     transfer_s = sends * request.uplink_s
@@ -135,11 +141,10 @@
     deferred_s = engine.prefill_wait_s * overdue
     deferred_s += own_prefill_s + transfer_s
     remote = engine.failure_domain != request.failure_domain
-    cost_s = (
-        expected_s
-        + own_prefill_s * PREFILL_TIME_WEIGHT
-        + remote * REMOTE_DOMAIN_PENALTY_S
+    capacity_cost_s = (
+        unfetched_s * PREFILL_TIME_WEIGHT + remote * REMOTE_DOMAIN_PENALTY_S
     )
+    cost_s = expected_s + capacity_cost_s
     if request.prompt.tokens < SHORT_PROMPT_TOKENS:
         # Its decode steps would alternate with the prefill of all others.
         cost_s += engine.deferred_tokens * engine.token_s
@@ -154,6 +159,7 @@
         expected_s=expected_s,
         deferred_s=deferred_s + wait.deferred_s,
         cost_s=cost_s,
+        deferred_cost_s=deferred_s + wait.deferred_s + capacity_cost_s,
     )
 
 
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -48,13 +48,14 @@
         options = self._options(request, engines, now_s)
         if not options:
             return _base.DeadlineUnreachable(MIN_RETRY_AFTER_S)
-        best = min(options, key=lambda option: option.cost_s)
         limit_s = min(request.target_s * TARGET_SHARE, request.time_left_s)
-        if best.expected_s > limit_s:
-            best = min(options, key=lambda option: option.expected_s)
-        if best.expected_s <= limit_s:
-            return placement_at(best, best.expected_s, deferred=False)
-        return self._defer(request, options, engines)
+        in_time = [
+            option for option in options if option.expected_s <= limit_s
+        ]
+        if not in_time:
+            return self._defer(request, options, engines)
+        best = min(in_time, key=lambda option: option.cost_s)
+        return placement_at(best, best.expected_s, deferred=False)
 
     def _defer(
         self,
@@ -70,9 +71,7 @@
         separate_options = [
             option for option in options if option.separate_decode
         ]
-        best = min(
-            separate_options or options, key=lambda option: option.deferred_s
-        )
+        best = _best_deferred(request, separate_options or options)
         late_s = (
             best.deferred_s - request.time_left_s * DEFERRED_DEADLINE_SHARE
         )
@@ -161,6 +160,20 @@
         return options
 
 
+def _best_deferred(
+    request: _base.Request, options: list[_options.Option]
+) -> _options.Option:
+    """Return the option for a request that will miss its target.
+
+    It costs least among those that are in time for the caller.
+    """
+    limit_s = request.time_left_s * DEFERRED_DEADLINE_SHARE
+    in_time = [option for option in options if option.deferred_s <= limit_s]
+    if in_time:
+        return min(in_time, key=lambda option: option.deferred_cost_s)
+    return min(options, key=lambda option: option.deferred_s)
+
+
 def _may_defer(
     request: _base.Request,
     chosen: _entities.EngineLoad,
