Go on after an unexpected error in background work

Cause: an unexpected exception ended a periodic task, a follower of the store or the exchange of loads for good; one line of the log told so, and the process went on without renewing its lease, without new configurations or without load figures. An error in one handler of a datagram reached the event loop and skipped the others. Tests play both; the first failed.

Change: only the round ends, with the stack in the log; loops are started anew. Datagrams with random bytes and unlikely values are tried too: a prefill that is expected to take no time would have divided by zero.

--- a/bilberrydeal/gateway/_datagrams.py
+++ b/bilberrydeal/gateway/_datagrams.py
@@ -230,4 +230,8 @@
             LOG.warning("Datagram unreadable.", sender=addr[0], error=error)
             return
         for handler in self._handlers:
-            handler(datagram)
+            try:
+                handler(datagram)
+            except Exception:
+                # One datagram must not end the process nor other handlers.
+                LOG.exception("Datagram not handled.", sender=addr[0])
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -221,18 +221,24 @@
         )
         updater = _store_sync.ConfigurationUpdater(self._cluster)
         self._spawn(
-            configuration.run(
-                updater.apply, 0.0, _store_sync.CONFIGURATION_WAIT_S
+            periodic.keep_running(
+                "configuration",
+                lambda: configuration.run(
+                    updater.apply, 0.0, _store_sync.CONFIGURATION_WAIT_S
+                ),
             )
         )
         self._spawn(
-            endpoints.run(
-                self._endpoint_updater.apply,
-                _store_sync.ENDPOINTS_PAUSE_S,
-                _store_sync.ENDPOINTS_WAIT_S,
+            periodic.keep_running(
+                "endpoints",
+                lambda: endpoints.run(
+                    self._endpoint_updater.apply,
+                    _store_sync.ENDPOINTS_PAUSE_S,
+                    _store_sync.ENDPOINTS_WAIT_S,
+                ),
             )
         )
-        self._spawn(self._load_exchange.run())
+        self._spawn(periodic.keep_running("loads", self._load_exchange.run))
         self._spawn(
             periodic.run_periodically(
                 "hints",
--- a/bilberrydeal/periodic/__init__.py
+++ b/bilberrydeal/periodic/__init__.py
@@ -1,8 +1,15 @@
 """Runs the periodic background work of a process."""
 
 from ._loops import jittered
+from ._loops import keep_running
 from ._loops import log_task_failure
 from ._loops import Loop
 from ._loops import run_periodically
 
-__all__ = ["Loop", "jittered", "log_task_failure", "run_periodically"]
+__all__ = [
+    "Loop",
+    "jittered",
+    "keep_running",
+    "log_task_failure",
+    "run_periodically",
+]
--- a/bilberrydeal/periodic/_loops.py
+++ b/bilberrydeal/periodic/_loops.py
@@ -12,6 +12,8 @@
 #: Random variation of a period, as a share of it, so that processes started
 #: together do not run in step.
 JITTER_SHARE = 0.2
+#: Pause before a loop is started anew, in seconds.
+RESTART_PAUSE_S = 0.5
 
 WorkFunction = collections.abc.Callable[[], collections.abc.Awaitable[object]]
 #: A coroutine that runs until it is cancelled.
@@ -22,7 +24,7 @@
 async def run_periodically(
     name: str, pause_s: DelayFunction, work: WorkFunction
 ) -> None:
-    """Repeat ``work``; a ``BilberrydealError`` ends only the current round.
+    """Repeat ``work``; an error ends only the current round.
 
     ``pause_s`` is called after each round for the delay before the next.
     """
@@ -39,9 +41,28 @@
                     "Periodic work failed.", work=name, reason=str(error)
                 )
             failing = True
+        except Exception:
+            LOG.exception("Periodic work failed unexpectedly.", work=name)
+            failing = True
         await asyncio.sleep(pause_s())
 
 
+async def keep_running(
+    name: str, start: collections.abc.Callable[[], Loop]
+) -> None:
+    """Run a loop; start it anew after an unexpected error.
+
+    Without it the work would not be done until the process ends.
+    """
+    while True:
+        try:
+            await start()
+            return
+        except Exception:
+            LOG.exception("Loop failed unexpectedly.", work=name)
+        await asyncio.sleep(RESTART_PAUSE_S)
+
+
 def log_task_failure(task: asyncio.Task[None]) -> None:
     """Log the unexpected exception that ended a task; it is not restarted."""
     if not task.cancelled() and task.exception() is not None:
--- a/bilberrydeal/systems/placement/_linear_time.py
+++ b/bilberrydeal/systems/placement/_linear_time.py
@@ -43,7 +43,7 @@
 
     def at(self, tokens: float) -> float:
         """Return the time for a number of tokens, in seconds."""
-        return self.base_s + self.token_s * tokens
+        return max(self.base_s + self.token_s * tokens, MIN_TIME_S)
 
     def scaled(self, factor: float) -> "Line":
         """Return the line with all times multiplied by a factor."""
