--- a/bilberrydeal/gateway/_plain.py
+++ b/bilberrydeal/gateway/_plain.py
@@ -114,7 +114,7 @@
             organisation=admitted.organisation_name,
         )
         async with self._sender.exchange(
-            admitted, progress, upstream, fields, time_left_s
+            admitted, progress, upstream, fields
         ) as exchange:
             body = await exchange.connection.body(BUFFER_LIMIT_BYTES)
         self._usage_counter.count_once(admitted, progress)
--- a/bilberrydeal/gateway/_requests.py
+++ b/bilberrydeal/gateway/_requests.py
@@ -9,6 +9,8 @@
 
 #: Retry-After of a request that no endpoint ran, in seconds.
 FAILED_RETRY_S = 0.1
+#: Stands for a prompt that the caller did not describe.
+NO_PROMPT = placement.Prompt((placement.PromptPart(b"", 1),), 1)
 
 
 @attrs.frozen
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -109,7 +109,6 @@
         progress: _requests.RequestProgress,
         upstream: _cluster_state.Upstream,
         fields: platform.SendFields,
-        head_timeout_s: float,
         placed: placement.Placement | None = None,
         patience: Patience | None = None,
     ) -> collections.abc.AsyncIterator[Exchange]:
@@ -120,7 +119,7 @@
         first byte sent ``progress.may_have_run`` is set, until the endpoint
         proves that the request did not run. A prefill never sets it, as it
         does not run the request. ``patience`` may end the wait for the head
-        before ``head_timeout_s``.
+        before the deadline.
         """
         with self._tracing.span("endpoint", progress.traceparent) as span:
             span.set_attribute("endpoint", upstream.endpoint.endpoint_id)
@@ -131,7 +130,6 @@
                 progress,
                 upstream,
                 fields,
-                head_timeout_s,
                 placed,
                 patience,
             ) as exchange:
@@ -144,7 +142,6 @@
         progress: _requests.RequestProgress,
         upstream: _cluster_state.Upstream,
         fields: platform.SendFields,
-        head_timeout_s: float,
         placed: placement.Placement | None,
         patience: Patience | None,
     ) -> collections.abc.AsyncIterator[Exchange]:
@@ -176,12 +173,7 @@
         progress.may_have_run = may_have_run_before or not fields.prefill
         try:
             head = await self._head(
-                connection,
-                admitted,
-                upstream,
-                fields,
-                head_timeout_s,
-                patience,
+                connection, admitted, upstream, fields, patience
             )
             response_class = platform.classify_response(head)
             if fields.prefill:
@@ -244,7 +236,6 @@
         admitted: _requests.AdmittedRequest,
         upstream: _cluster_state.Upstream,
         fields: platform.SendFields,
-        timeout_s: float,
         patience: Patience | None,
     ) -> http1.ResponseHead:
         sent = platform.forward_head(admitted.request, fields)
@@ -253,7 +244,7 @@
         except http1.NotSent as error:
             raise NotOffered("connection closed") from error
         try:
-            async with asyncio.timeout(timeout_s) as limit:
+            async with asyncio.timeout(fields.time_left_s) as limit:
                 if patience is None:
                     return await connection.head()
                 with patience.applied_to(limit):
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 
 import attrs
 
@@ -12,6 +11,7 @@
 from ..systems import placement
 from . import _cluster_state
 from . import _events
+from . import _pending_prefill
 from . import _requests
 from . import _retry_policy
 from . import _sending
@@ -38,9 +38,6 @@
 HANDLE_LIMIT_BYTES = 65_536
 #: Largest failure response of an engine, in bytes.
 FAILURE_LIMIT_BYTES = 1_048_576
-#: Placeholder for a prompt that the caller did not describe.
-_NO_PROMPT = placement.Prompt((placement.PromptPart(b"", 1),), 1)
-
 Clock = collections.abc.Callable[[], float]
 
 
@@ -172,7 +169,7 @@
     ) -> placement.Request:
         admitted = stream.admitted
         return placement.Request(
-            prompt=admitted.prompt or _NO_PROMPT,
+            prompt=admitted.prompt or _requests.NO_PROMPT,
             target_s=self._target_s(stream, now_s),
             time_left_s=stream.event_deadline_s - now_s,
             failure_domain=self._failure_domain,
@@ -217,13 +214,14 @@
         fields = attrs.evolve(
             self._fields(stream, upstream, placed), prefill=True
         )
-        with _tracked(stream, upstream, placed, self._clock) as pending:
+        with _pending_prefill.tracked(
+            upstream, placed, stream.admitted, stream.progress, self._clock
+        ) as pending:
             async with self._sender.exchange(
                 admitted,
                 stream.progress,
                 upstream,
                 fields,
-                fields.time_left_s,
                 placed,
                 self._patience(stream, placed),
             ) as exchange:
@@ -290,13 +288,14 @@
             kv_source=source.header_value if source else "",
             last_event=stream.splitter.last_id,
         )
-        with _tracked(stream, upstream, placed, self._clock) as pending:
+        with _pending_prefill.tracked(
+            upstream, placed, stream.admitted, stream.progress, self._clock
+        ) as pending:
             async with self._sender.exchange(
                 admitted,
                 stream.progress,
                 upstream,
                 fields,
-                fields.time_left_s,
                 placed,
                 self._patience(stream, placed),
             ) as exchange:
@@ -312,7 +311,7 @@
         stream: _ClientStream,
         upstream: _cluster_state.Upstream,
         exchange: _sending.Exchange,
-        pending: "_PendingPrefill",
+        pending: _pending_prefill.PendingPrefill,
         source: _KvSource | None,
     ) -> None:
         splitter = stream.splitter
@@ -511,88 +510,3 @@
     """Record when the first event of a send arrived."""
     after_s = now_s - stream.admitted.request.started_s
     stream.progress.sends[-1].first_ms = round(after_s * 1000, 1)
-
-
-class _PendingPrefill:
-    """A prefill, or the transfer of its result, that an engine works on."""
-
-    def __init__(
-        self,
-        load: placement.EngineLoad,
-        placed: placement.Placement,
-        prompt_tokens: int,
-        clock: Clock,
-    ) -> None:
-        self._load = load
-        self._placed = placed
-        self._prompt_tokens = prompt_tokens
-        self._clock = clock
-        self._slot_free = load.requests < load.slots
-        self._prefill = placement.OutstandingPrefill(
-            placed.uncached_tokens,
-            placed.work_tokens,
-            placed.deferred,
-            clock(),
-        )
-        if placed.work_tokens:
-            load.start_prefill(self._prefill)
-
-    @property
-    def _known_queue(self) -> bool:
-        """Return whether it is known what the engine works on before.
-
-        Requests that come later overtake a deferred one that has to wait, and
-        those that decode occupy slots for long.
-        """
-        if self._placed.deferred:
-            return self._placed.work_tokens <= self._placed.uncached_tokens
-        return self._slot_free or self._load.prefill_only
-
-    def finished(self, sent_s: float) -> None:
-        """Remove the prefill and learn from the time that it took."""
-        if self._prefill not in self._load.outstanding:
-            return
-        self._load.end_prefill(self._prefill)
-        now_s = self._clock()
-        if self._known_queue:
-            self._load.record_prefill(self._prefill, now_s - sent_s, now_s)
-
-    def transferred(self, sent_s: float) -> None:
-        """Learn from the time that a transfer took."""
-        if self._slot_free and not self._placed.deferred:
-            self._load.speed.record_transfer(
-                self._prompt_tokens, self._clock() - sent_s
-            )
-
-    def abandoned(self) -> None:
-        """Remove the prefill unless it is finished."""
-        if self._prefill not in self._load.outstanding:
-            return
-        now_s = self._clock()
-        waited_s = now_s - self._prefill.sent_s
-        self._load.end_prefill(self._prefill)
-        if self._known_queue:
-            self._load.record_unfinished(self._prefill, waited_s, now_s)
-
-
-@contextlib.contextmanager
-def _tracked(
-    stream: _ClientStream,
-    upstream: _cluster_state.Upstream,
-    placed: placement.Placement,
-    clock: Clock,
-) -> collections.abc.Iterator[_PendingPrefill]:
-    """Count a request in the engine's load while it is there."""
-    load = upstream.load
-    assert load is not None
-    stream.progress.tried.append(upstream.endpoint.endpoint_id)
-    prompt = stream.admitted.prompt or _NO_PROMPT
-    load.record_prompt(prompt)
-    rank = placement.engine_rank(stream.admitted.priority, placed.deferred)
-    pending = _PendingPrefill(load, placed, prompt.tokens, clock)
-    load.own_counts.add(rank, 1)
-    try:
-        yield pending
-    finally:
-        pending.abandoned()
-        load.own_counts.add(rank, -1)
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -110,6 +110,9 @@
         await asyncio.wait(
             [script, disconnected], return_when=asyncio.FIRST_COMPLETED
         )
+        if disconnected.done():
+            # A caller may also reset its connection.
+            disconnected.exception()
         if not script.done():
             self.aborted_count += 1
             self.disconnected.set()
