Abandon a silent prefill before its caller leaves; bound interim responses

Three tests failed first.

The test of interim responses without end failed once at a load of 20: a megabyte of them is 42,000 messages, which took longer than the request had. More than 64 now end the connection.

--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -29,6 +29,9 @@
 OVERDUE_SLACK_S = 0.25
 #: Interval at which another engine is considered from then on, in seconds.
 RECONSIDER_INTERVAL_S = 0.1
+#: Time by which a prefill is abandoned before the caller closes the stream, in
+#: seconds.
+REFUSAL_MARGIN_S = 0.25
 #: Share of the time left within which another engine must be expected to
 #: answer.
 ELSEWHERE_SHARE = 0.6
@@ -223,7 +226,7 @@
                 upstream,
                 fields,
                 placed,
-                self._patience(stream, placed),
+                self._prefill_patience(stream, placed),
             ) as exchange:
                 body = await exchange.connection.body(HANDLE_LIMIT_BYTES)
             pending.finished(exchange.sent_s)
@@ -436,6 +439,31 @@
             max(first_s, stream.stall_s), RECONSIDER_INTERVAL_S, gives_up
         )
 
+    def _prefill_patience(
+        self, stream: _ClientStream, placed: placement.Placement
+    ) -> _sending.Patience:
+        """Return when to abandon a prefill.
+
+        It runs nothing, so this may be done on any route: for another engine
+        if the route allows one, and shortly before the caller would close the
+        stream, since one that is told that nothing ran can come back.
+        """
+        sent_s = self._clock()
+        limit_s = stream.event_deadline_s - REFUSAL_MARGIN_S
+        elsewhere = self._patience(stream, placed)
+        first_s = limit_s - sent_s
+        if elsewhere is not None:
+            first_s = min(first_s, elsewhere.first_s)
+
+        def gives_up() -> bool:
+            if self._clock() >= limit_s:
+                return True
+            return elsewhere is not None and elsewhere.gives_up()
+
+        return _sending.Patience(
+            max(first_s, 0.0), RECONSIDER_INTERVAL_S, gives_up
+        )
+
     def _sooner_elsewhere(
         self, stream: _ClientStream, waited_s: float
     ) -> bool:
--- a/bilberrydeal/gateway/tests/test_stream_trouble.py
+++ b/bilberrydeal/gateway/tests/test_stream_trouble.py
@@ -56,6 +56,11 @@
     return b""
 
 
+async def _silent(_call: harness.Call) -> bytes:
+    await asyncio.sleep(30.0)
+    return b""
+
+
 async def _endless_head(call: harness.Call) -> bytes:
     """Send a head that never ends."""
     call.writer.write(b"HTTP/1.1 200 OK\r\n")
@@ -126,3 +131,28 @@
     assert reply.complete
     assert reply.body == EVENTS
     assert len(endless.calls) == 1
+
+
+@pytest.mark.parametrize("path", ["/chat-once/1", "/chat-one/1", "/chat/1"])
+async def test_silent_prefill_is_refused_before_the_caller_leaves(
+    path: str,
+) -> None:
+    """Callers once waited until they closed the stream, and did not return.
+
+    A prefill runs nothing, so the refusal is true on any route.
+    """
+    silent = harness.engine("p1", "prefill", _silent)
+    busy = harness.engine("d1", "decode", _decode)
+    async with harness.running(silent, busy) as running:
+        load = running.cluster.endpoints["d1"].load
+        assert load is not None
+        load.peer_tokens.urgent = 10_000_000
+        began_s = asyncio.get_running_loop().time()
+        reply = await running.stream(path)
+        took_s = asyncio.get_running_loop().time() - began_s
+        async with asyncio.timeout(2.0):
+            await silent.disconnected.wait()
+    assert reply.status == 503
+    assert reply.field("retry-after") is not None
+    assert took_s < 2.0
+    assert busy.calls == []
--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -18,6 +18,8 @@
 #: Bytes that a peer may send without any that belong to the response: heads,
 #: chunk extensions, trailers, interim responses and those to other requests.
 USELESS_LIMIT_BYTES = 1_048_576
+#: Most interim responses before a response.
+INTERIM_LIMIT = 64
 #: Largest head of a response, in bytes.
 HEAD_LIMIT_BYTES = 131_072
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
@@ -84,6 +86,8 @@
         #: Bytes received since the last head was complete.
         self._head_bytes = 0
         self._in_head = True
+        #: Interim responses since the request was sent.
+        self._interim_responses = 0
         self._paused = False
         self._closed = False
         self._waiter: asyncio.Future[None] | None = None
@@ -103,6 +107,7 @@
         self._buffered_bytes = 0
         self._useless_bytes = 0
         self._head_bytes = 0
+        self._interim_responses = 0
         self.done = False
         self._transport.write(head + body if body else head)
 
@@ -179,6 +184,7 @@
         if (
             self._useless_bytes > USELESS_LIMIT_BYTES
             or self._head_bytes > HEAD_LIMIT_BYTES
+            or self._interim_responses > INTERIM_LIMIT
         ):
             self._give_up()
         self._wake()
@@ -232,6 +238,7 @@
             self._parser.get_status_code(), tuple(self._fields)
         )
         if head.status < 200:
+            self._interim_responses += 1
             self._skipping_response = True
             return
         if not self._matches_request(head):
