Retrieve the errors of scripted endpoints in tests

An error that nobody retrieved was logged by the garbage collector while pytest parsed a module, which ended the run with a SystemError (seen twice at a load of 20 and more, in the tests of endless bytes).

--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -110,18 +110,20 @@
         await asyncio.wait(
             [script, disconnected], return_when=asyncio.FIRST_COMPLETED
         )
-        if disconnected.done():
-            # A caller may also reset its connection.
-            disconnected.exception()
-        if not script.done():
+        aborted = not script.done()
+        script.cancel()
+        disconnected.cancel()
+        # Both may also fail because the caller has reset the connection.
+        result, _read = await asyncio.gather(
+            script, disconnected, return_exceptions=True
+        )
+        if aborted:
             self.aborted_count += 1
             self.disconnected.set()
-            script.cancel()
             return None
-        disconnected.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await disconnected
-        return script.result()
+        if isinstance(result, BaseException):
+            raise result
+        return result
 
 
 def signed_response(
