--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -96,6 +96,7 @@
             self._coordination.incarnation,
             lambda: self._coordination.peers,
             lambda: self._coordination.position,
+            gateway_settings.store_watchers,
             gateway_settings.bounds.apply_limit_s,
             clock,
         )
--- a/bilberrydeal/gateway/_store_hints.py
+++ b/bilberrydeal/gateway/_store_hints.py
@@ -18,8 +18,6 @@
 from . import _datagrams
 
 LOG = telemetry.logger("hints")
-#: Number of gateways that poll the store for all.
-WATCHERS = 3
 #: Fleets of up to this size have no watchers.
 SMALL_FLEET_GATEWAYS = 8
 #: Interval between hints of a watcher, in seconds.
@@ -90,7 +88,7 @@
 
     Example::
 
-        hints = StoreHints(datagrams, "g1", peers, position, 3.0, clock)
+        hints = StoreHints(datagrams, "g1", peers, position, 3, 3.0, clock)
         table = hints.follow("endpoints")
         await hints.pause(table, 0.85)
     """
@@ -101,10 +99,12 @@
         gateway: str,
         peers: _datagrams.Peers,
         position: collections.abc.Callable[[], int],
+        watchers: int,
         apply_limit_s: float,
         clock: Clock,
     ) -> None:
         self._datagrams = datagrams
+        self._watchers = watchers
         self._gateway = gateway
         self._peers = peers
         self._position = position
@@ -122,14 +122,15 @@
     def used(self) -> bool:
         """Return whether gateways rely on hints in this fleet."""
         return (
-            self._valid_s >= MIN_VALID_S
+            self._watchers > 0
+            and self._valid_s >= MIN_VALID_S
             and len(self._peers()) >= SMALL_FLEET_GATEWAYS
         )
 
     @property
     def watching(self) -> bool:
         """Return whether this gateway polls for all."""
-        return not self.used or self._position() < WATCHERS
+        return not self.used or self._position() < self._watchers
 
     def wait_s(self, table: FollowedTable, longest_s: float) -> float:
         """Return for how long a poll of this gateway may wait."""
--- a/bilberrydeal/gateway/tests/test_store_hints.py
+++ b/bilberrydeal/gateway/tests/test_store_hints.py
@@ -95,6 +95,7 @@
             f"g{position}",
             lambda: (("127.0.0.1", 1),) * (GATEWAYS - 1),
             lambda: position,
+            3,
             LIMIT_S,
             lambda: self.now_s,
         )
@@ -218,17 +219,23 @@
 
 
 @pytest.mark.parametrize(
-    ("peers", "apply_limit_s", "used"),
-    [(4, 3.0, False), (30, 2.0, False), (30, 3.0, True)],
+    ("peers", "watchers", "apply_limit_s", "used"),
+    [
+        (4, 3, 3.0, False),
+        (30, 3, 2.0, False),
+        (30, 0, 3.0, False),
+        (30, 3, 3.0, True),
+    ],
 )
 def test_hints_are_used_in_larger_fleets_with_time_for_a_poll(
-    peers: int, apply_limit_s: float, used: bool
+    peers: int, watchers: int, apply_limit_s: float, used: bool
 ) -> None:
     hints = _store_hints.StoreHints(
         _datagrams.Datagrams(),
         "g1",
         lambda: (("127.0.0.1", 1),) * peers,
         lambda: 7,
+        watchers,
         apply_limit_s,
         lambda: 0.0,
     )
--- a/bilberrydeal/gateway/tests/test_store_sync.py
+++ b/bilberrydeal/gateway/tests/test_store_sync.py
@@ -272,6 +272,7 @@
             "g1",
             lambda: (),
             lambda: 0,
+            0,
             2.0,
             lambda: 0.0,
         ),
--- a/bilberrydeal/settings/_gateway.py
+++ b/bilberrydeal/settings/_gateway.py
@@ -86,6 +86,9 @@
     memory_limit_mb: _model.Count
     #: Bandwidth of the host's network link, in Mbit/s.
     uplink_mbps: typing.Annotated[float, msgspec.Meta(gt=0)] = 1_000.0
+    #: Number of gateways that poll the store for all in a larger fleet; with 0
+    #: each polls for itself.
+    store_watchers: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
     #: Name of the placement policy.
     placer: _model.Name = "two_stage"
     #: Name of the policy that plans engines' roles.
