Give a poll without a wait time for large rows

A gateway that relies on hints polls without a wait, and such a poll had 0.7 s in all, less than a large configuration takes there; before hints it had 2.7 s. Ruled out: a task that ended (no error logged), hints that stay valid (8 s bound them).

Change: such a poll may take 2.7 s.

--- a/bilberrydeal/platform/_store.py
+++ b/bilberrydeal/platform/_store.py
@@ -21,6 +21,9 @@
 CONNECTIONS_LIMIT = 16
 #: Time that a long poll's response may take beyond the poll's wait.
 FEED_TIMEOUT_MARGIN_S = 0.7
+#: Time that a poll without a wait may take, in seconds: it is made when there is
+#: a change, and large rows take long over a narrow link.
+FEED_READ_TIMEOUT_S = 2.7
 #: Rows requested per call.
 PAGE_ROWS = 500
 
@@ -153,9 +156,10 @@
             }
         )
         target = f"/bilberrydeal/rows-feed?{query}"
-        response = await self._read_call(
-            target, wait_s + FEED_TIMEOUT_MARGIN_S
-        )
+        timeout_s = wait_s + FEED_TIMEOUT_MARGIN_S
+        if not wait_s:
+            timeout_s = FEED_READ_TIMEOUT_S
+        response = await self._read_call(target, timeout_s)
         return ports.Changes(
             version=response.row_version,
             rows=tuple(_decode_change(row) for row in response.rows),
