--- a/bilberrydeal/platform/_store.py
+++ b/bilberrydeal/platform/_store.py
@@ -21,8 +21,8 @@
 CONNECTIONS_LIMIT = 16
 #: Time that a long poll's response may take beyond the poll's wait.
 FEED_TIMEOUT_MARGIN_S = 0.7
-#: Time that a poll without a wait may take, in seconds: it is made when there is
-#: a change, and large rows take long over a narrow link.
+#: Time that a poll without a wait may take, in seconds: it is made when there
+#: is a change, and large rows take long over a narrow link.
 FEED_READ_TIMEOUT_S = 2.7
 #: Rows requested per call.
 PAGE_ROWS = 500
