Show that a silent engine gets its streams cut (failing tests)

- an idle timeout that a configuration shortens closes connections before the time that their callers were told.

--- /dev/null
+++ b/bilberrydeal/gateway/tests/test_silent_engine.py
@@ -0,0 +1,99 @@
+"""Streams of engines that send nothing for a second and then go on."""
+
+import asyncio
+import collections.abc
+
+import pytest
+
+from ...systems import retries
+from . import harness
+
+SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
+EVENTS = b"".join(harness.event(n) for n in range(1, 6))
+#: How long a silent engine sends nothing, in seconds.
+SILENCE_S = 1.2
+
+
+async def _silent_midway(call: harness.Call) -> bytes:
+    """Send an event, nothing for a while, then the rest."""
+    call.writer.write(
+        harness.stream_head(call) + harness.chunk(harness.event(1))
+    )
+    await call.writer.drain()
+    await asyncio.sleep(SILENCE_S)
+    rest = b"".join(harness.chunk(harness.event(n)) for n in range(2, 6))
+    return rest + harness.chunk(b"")
+
+
+async def _silent_before_head(call: harness.Call) -> bytes:
+    await asyncio.sleep(SILENCE_S)
+    return harness.complete_stream(call, 1, 5)
+
+
+async def _decode(call: harness.Call) -> bytes:
+    first = int(call.field("last-event-id") or 0) + 1
+    return harness.complete_stream(call, first, 5)
+
+
+async def _full(call: harness.Call) -> bytes:
+    return harness.not_run(call)
+
+
+async def _reset(_call: harness.Call) -> None:
+    return None
+
+
+async def _failing(call: harness.Call) -> bytes:
+    return harness.signed_response(call, status=500)
+
+
+async def _broken_event(call: harness.Call) -> None:
+    """Start a stream and break it off within its first event."""
+    call.writer.write(harness.stream_head(call) + harness.chunk(b"id: 2\nda"))
+    await call.writer.drain()
+    await asyncio.sleep(0.05)
+
+
+def _prefer_first(running: harness.RequestPath) -> None:
+    """Let the first request go to engine ``d1``."""
+    load = running.cluster.endpoints["d2"].load
+    assert load is not None
+    load.peer_tokens.urgent = 3_000
+
+
+@pytest.mark.parametrize(
+    "other_engine",
+    [_full, _reset, _failing, _broken_event, _silent_before_head, _decode],
+)
+async def test_stream_is_not_cut_when_its_engine_is_silent_for_a_second(
+    other_engine: collections.abc.Callable[
+        [harness.Call], collections.abc.Awaitable[bytes | None]
+    ],
+) -> None:
+    silent = harness.engine("d1", "decode", _silent_midway)
+    other = harness.engine("d2", "decode", other_engine)
+    async with harness.running(silent, other) as running:
+        _prefer_first(running)
+        reply = await running.stream(
+            "/chat-long/1", deadline_ms=10_000, **SHORT
+        )
+    assert reply.complete
+    assert reply.body == EVENTS
+
+
+@pytest.mark.parametrize("script", [_silent_midway, _silent_before_head])
+async def test_silent_engine_is_waited_for_without_a_retry_budget(
+    script: harness.Script,
+) -> None:
+    silent = harness.engine("d1", "decode", script)
+    other = harness.engine("d2", "decode", _decode)
+    async with harness.running(silent, other) as running:
+        running.budget.limits = retries.WindowLimits(10.0, 0.0, 0.0)
+        _prefer_first(running)
+        reply = await running.stream(
+            "/chat-long/1", deadline_ms=10_000, **SHORT
+        )
+    assert reply.status == 200
+    assert reply.complete
+    assert reply.body == EVENTS
+    assert other.calls == []
--- a/bilberrydeal/http1/tests/test_server.py
+++ b/bilberrydeal/http1/tests/test_server.py
@@ -146,6 +146,28 @@
     assert b"keep-alive: timeout=1" in response
 
 
+async def test_connection_is_kept_as_long_as_its_caller_was_told() -> None:
+    """A shorter timeout comes into force after the response."""
+    recorder = harness.Recorder()
+    announced = http1.ServerLimits(2_000, 1_000, 0.5, 1.0)
+    shorter = http1.ServerLimits(2_000, 1_000, 0.5, 0.1)
+    async with harness.serving(recorder.handle, announced) as server:
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", server.port
+        )
+        writer.write(GET)
+        async with asyncio.timeout(2.0):
+            head = await reader.readuntil(b"\r\n\r\n")
+        server.limits = lambda: shorter
+        await asyncio.sleep(0.5)
+        writer.write(LAST)
+        async with asyncio.timeout(2.0):
+            response = await reader.read()
+        writer.close()
+    assert b"keep-alive: timeout=1" in head
+    assert b"/z|" in response
+
+
 async def test_draining_server_asks_callers_to_close() -> None:
     recorder = harness.Recorder()
     async with harness.serving(recorder.handle) as server:
