Decide which prompt part crashes the engines that generate on it

This is the decision alone, without I/O and not used yet: losses, completed streams and responses in, quarantines and what to tell other gateways out. A crash is one run of an engine, so that the reports of several gateways, and late or doubled ones, count once.

--- /dev/null
+++ b/bilberrydeal/systems/quarantine/_base.py
@@ -0,0 +1,178 @@
+"""The interface of quarantine systems."""
+
+import collections.abc
+import enum
+import typing
+
+import attrs
+
+from ... import registry
+
+#: Parts of a prompt, as identifiers; the last is specific to the request.
+Parts = collections.abc.Sequence[bytes]
+
+
+@attrs.frozen
+class SuspectPrompt:
+    """A prompt whose stream was lost with its engine."""
+
+    #: The last part, which a retry of the same request shares.
+    request_part: bytes
+    #: The other parts.
+    parts: tuple[bytes, ...]
+    #: Whether the response had started.
+    started: bool
+
+
+@attrs.frozen
+class EngineLoss:
+    """The connection to an engine was lost while it generated a stream."""
+
+    #: Identifies one run of the engine.
+    process: str
+    #: Failure domain of the engine.
+    failure_domain: str
+    prompt: SuspectPrompt
+
+
+@attrs.frozen
+class LossReport:
+    """What a gateway tells others of a lost engine."""
+
+    #: Identifies one run of the engine.
+    process: str
+    #: Failure domain of the engine.
+    failure_domain: str
+    #: Time since the loss, in seconds.
+    age_s: float
+    prompts: tuple[SuspectPrompt, ...]
+
+
+@attrs.frozen
+class Quarantine:
+    """Parts that are kept from engines where a prompt has all of them."""
+
+    parts: frozenset[bytes]
+    #: When it was decided, monotonic seconds.
+    decided_s: float
+    #: When it was decided or a request was last let through.
+    renewed_s: float
+    #: Crashes that made it so.
+    crashes: int
+    #: The engines that crashed.
+    engines: tuple[str, ...]
+
+
+@attrs.frozen
+class QuarantineReport:
+    """What a gateway tells others of a quarantine."""
+
+    parts: tuple[bytes, ...]
+    #: Time since the decision, in seconds.
+    age_s: float
+    #: Time since a request was last let through, in seconds.
+    renewed_age_s: float
+    #: Crashes that made it so.
+    crashes: int
+    #: The engines that crashed.
+    engines: tuple[str, ...]
+
+
+@attrs.frozen
+class News:
+    """What a gateway tells others; each item may arrive more than once."""
+
+    losses: tuple[LossReport, ...] = ()
+    #: Parts of streams that engines completed.
+    sound: tuple[bytes, ...] = ()
+    #: Engine processes that responded after they had been reported as lost.
+    alive: tuple[str, ...] = ()
+    quarantines: tuple[QuarantineReport, ...] = ()
+
+    @property
+    def empty(self) -> bool:
+        """Return whether there is nothing to tell."""
+        return not (
+            self.losses or self.sound or self.alive or self.quarantines
+        )
+
+
+class DecisionKind(enum.StrEnum):
+    """What was decided about some parts."""
+
+    SUSPECTED = "suspected"
+    QUARANTINED = "quarantined"
+    ENDED = "ended"
+
+
+@attrs.frozen
+class Decision:
+    """A decision, for the log."""
+
+    kind: DecisionKind
+    parts: tuple[bytes, ...]
+    #: Crashes that support it.
+    crashes: int
+    #: The engines that crashed.
+    engines: tuple[str, ...]
+    #: Whether another gateway decided it.
+    learned: bool = False
+
+
+class QuarantineSystem(typing.Protocol):
+    """Finds parts whose generation crashes engines.
+
+    Example::
+
+        system = QUARANTINES.get("crash_counts")()
+        system.observe_loss(loss, now_s)
+        system.observe_sound(parts, now_s)
+        for decision in system.run(now_s):
+            ...  # log it
+        if system.find(parts, now_s) is not None:
+            ...  # refuse the request
+    """
+
+    def observe_loss(self, loss: EngineLoss, now_s: float) -> None:
+        """Record that an engine was lost while it generated a stream."""
+
+    def observe_sound(self, parts: Parts, now_s: float) -> None:
+        """Record that an engine completed a stream, or well began it."""
+
+    def observe_response(
+        self, process: str, sent_s: float, now_s: float
+    ) -> None:
+        """Record that an engine responded to a request sent at a time."""
+
+    def run(self, now_s: float) -> list[Decision]:
+        """Decide; return what was decided since the last run."""
+
+    def find(self, parts: Parts, now_s: float) -> Quarantine | None:
+        """Return the quarantine that keeps a prompt from engines."""
+
+    def suspects(self, parts: Parts, now_s: float) -> bool:
+        """Return whether a prompt must not be sent to a second engine."""
+
+    def probe(self, quarantine: Quarantine, now_s: float) -> bool:
+        """Return whether to let a request through; it is not due again."""
+
+    def quarantines(self, now_s: float) -> tuple[Quarantine, ...]:
+        """Return the quarantines in force."""
+
+    def restore(self, quarantine: Quarantine, now_s: float) -> None:
+        """Add a quarantine that was stored."""
+
+    def news(self, gateways: int, now_s: float) -> News:
+        """Return what is due to be told in a fleet of some gateways."""
+
+    def summary(self, now_s: float) -> News:
+        """Return all that a gateway which has just started has to know."""
+
+    def learn(self, news: News, now_s: float) -> None:
+        """Record what another gateway has told."""
+
+
+#: Quarantine systems by their names in settings.
+QUARANTINES: registry.Registry[
+    collections.abc.Callable[[], QuarantineSystem]
+] = registry.Registry("quarantine system")
--- /dev/null
+++ b/bilberrydeal/systems/quarantine/_crash_counts.py
@@ -0,0 +1,563 @@
+"""A quarantine system that counts the crashes under each part."""
+
+import attrs
+
+from . import _base
+from . import _crashes
+from . import _repeats
+from . import _sound_parts
+
+#: Crashes from which on a request is not sent to a second engine.
+SUSPECTED_CRASHES = 3
+#: Crashes that quarantine a part if they are of several requests and in
+#: several failure domains.
+CRASHES = 4
+REQUESTS = 2
+FAILURE_DOMAINS = 2
+#: Crashes that do in any case.
+ANY_CRASHES = 5
+#: Those of them that no other quarantine explains.
+UNEXPLAINED_CRASHES = 2
+#: Time for other gateways to object, in seconds.
+SETTLE_S = 0.5
+#: The same if few of the lost responses had started, in seconds.
+UNSTARTED_SETTLE_S = 1.5
+#: A lost engine that responds to a request sent after so long still runs, in
+#: seconds; one that responds much later may have started again.
+ALIVE_AFTER_S = 0.1
+ALIVE_WITHIN_S = 2.0
+#: Interval at which a request with quarantined parts is let through.
+PROBE_INTERVAL_S = 900.0
+#: Time after which a quarantine ends that was not renewed, in seconds.
+LASTS_S = 3600.0
+#: Most quarantines; the oldest yield.
+QUARANTINES_LIMIT = 32
+#: Shortest interval at which a quarantine is told, in seconds.
+QUARANTINE_INTERVAL_S = 0.5
+#: Gateways that tell all quarantines to all others in a second.
+TELLERS_PER_S = 20.0
+#: Most things of a kind, and most prompts of losses, in one datagram.
+NEWS_LIMIT = 128
+#: Time for which a quarantine that was dismissed is not learned, in seconds.
+DISMISSED_S = 60.0
+#: Time for which a response of an engine is remembered, in seconds.
+RESPONSES_KEPT_S = 10.0
+
+
+@attrs.frozen
+class _Evidence:
+    """What speaks against one part."""
+
+    part: bytes
+    #: Independent crashes.
+    crashes: tuple[_crashes.Crash, ...]
+    #: Crashes among them that no quarantine explains.
+    unexplained: int
+    #: Crashes in which a response with the part had started.
+    started: int
+    #: Number of different requests.
+    requests: int
+
+    @property
+    def suspicious(self) -> bool:
+        """Return whether a request must not be sent to a second engine."""
+        return (
+            len(self.crashes) >= SUSPECTED_CRASHES
+            and self.unexplained >= UNEXPLAINED_CRASHES
+        )
+
+    @property
+    def suffices(self) -> bool:
+        """Return whether it suffices for a quarantine."""
+        if self.unexplained < UNEXPLAINED_CRASHES:
+            return False
+        if len(self.crashes) >= ANY_CRASHES:
+            return True
+        domains = {crash.failure_domain for crash in self.crashes}
+        return (
+            len(self.crashes) >= CRASHES
+            and self.requests >= REQUESTS
+            and len(domains) >= FAILURE_DOMAINS
+        )
+
+    @property
+    def settle_s(self) -> float:
+        """Return the time for other gateways to object."""
+        if 2 * self.started >= len(self.crashes):
+            return SETTLE_S
+        return UNSTARTED_SETTLE_S
+
+    @property
+    def weight(self) -> tuple[int, int, int, bytes]:
+        """Return the order among parts of the same crashes."""
+        return (len(self.crashes), self.started, self.requests, self.part)
+
+    @property
+    def engines(self) -> tuple[str, ...]:
+        """Return the engines that crashed."""
+        return tuple(crash.process for crash in self.crashes)
+
+
+@_base.QUARANTINES.register("crash_counts")
+class CrashCounts:
+    """Quarantines a part after several crashes without a completed stream.
+
+    All losses of one run of an engine count as one, by whatever gateways they
+    are reported, and so do crashes of several engines at the same time if not
+    all of them generated the part. Parts that always occur together are
+    quarantined together, so that a request with some of them goes on until it
+    is known which one it is.
+    """
+
+    def __init__(self) -> None:
+        self._crashes = _crashes.Crashes()
+        self._sound = _sound_parts.SoundParts()
+        self._quarantines: dict[frozenset[bytes], _base.Quarantine] = {}
+        #: Since when the evidence against parts suffices.
+        self._pending_s: dict[bytes, float] = {}
+        #: When quarantines were dismissed.
+        self._dismissed_s: dict[frozenset[bytes], float] = {}
+        #: Parts that were reported as suspected.
+        self._suspected: set[bytes] = set()
+        #: Parts whose evidence has changed.
+        self._changed: set[bytes] = set()
+        #: When the newest request was sent that an engine responded to, by
+        #: process.
+        self._responses_s: dict[str, float] = {}
+        self._decisions: list[_base.Decision] = []
+        self._losses_told = _repeats.Repeats()
+        self._sound_told = _repeats.Repeats()
+        self._alive_told = _repeats.Repeats()
+        self._quarantines_told_s = float("-inf")
+
+    def observe_loss(self, loss: _base.EngineLoss, now_s: float) -> None:
+        """Record that an engine was lost while it generated a stream."""
+        known = self._crashes.get(loss.process) is not None
+        crash = self._crashes.put(loss.process, loss.failure_domain, now_s)
+        if self._add(crash, loss.prompt, now_s) or not known:
+            self._losses_told.add(loss.process, now_s)
+
+    def observe_sound(self, parts: _base.Parts, now_s: float) -> None:
+        """Record that an engine completed a stream, or well began it."""
+        for part in parts[:-1]:
+            self._sound.add(part, now_s)
+            if self._clear(part, now_s):
+                self._sound_told.add(part, now_s)
+
+    def observe_response(
+        self, process: str, sent_s: float, now_s: float
+    ) -> None:
+        """Record that an engine responded to a request sent at a time."""
+        self._responses_s[process] = max(
+            sent_s, self._responses_s.get(process, sent_s)
+        )
+        crash = self._crashes.get(process)
+        if crash is not None and now_s - crash.at_s < ALIVE_WITHIN_S:
+            self._check_alive(crash, now_s)
+
+    def run(self, now_s: float) -> list[_base.Decision]:
+        """Decide; return what was decided since the last run."""
+        self._expire(now_s)
+        if self._changed or self._pending_s:
+            self._decide(now_s)
+        decisions, self._decisions = self._decisions, []
+        return decisions
+
+    def find(
+        self, parts: _base.Parts, now_s: float
+    ) -> _base.Quarantine | None:
+        """Return the quarantine that keeps a prompt from engines."""
+        if not self._quarantines:
+            return None
+        shared = frozenset(parts[:-1])
+        for quarantine in self._quarantines.values():
+            if quarantine.parts <= shared and _in_force(quarantine, now_s):
+                return quarantine
+        return None
+
+    def suspects(self, parts: _base.Parts, now_s: float) -> bool:
+        """Return whether a prompt must not be sent to a second engine."""
+        if self.find(parts, now_s) is not None:
+            return True
+        return any(
+            self._evidence(part).suspicious
+            for part in parts[:-1]
+            if self._crashes.count(part) >= SUSPECTED_CRASHES
+        )
+
+    def probe(self, quarantine: _base.Quarantine, now_s: float) -> bool:
+        """Return whether to let a request through; it is not due again."""
+        if now_s - quarantine.renewed_s < PROBE_INTERVAL_S:
+            return False
+        self._quarantines[quarantine.parts] = attrs.evolve(
+            quarantine, renewed_s=now_s
+        )
+        self._quarantines_told_s = float("-inf")
+        return True
+
+    def quarantines(self, now_s: float) -> tuple[_base.Quarantine, ...]:
+        """Return the quarantines in force."""
+        return tuple(
+            each
+            for each in self._quarantines.values()
+            if _in_force(each, now_s)
+        )
+
+    def restore(self, quarantine: _base.Quarantine, now_s: float) -> None:
+        """Add a quarantine that was stored."""
+        self._learn_quarantine(quarantine, now_s)
+
+    def news(self, gateways: int, now_s: float) -> _base.News:
+        """Return what is due to be told in a fleet of some gateways."""
+        reports: tuple[_base.QuarantineReport, ...] = ()
+        interval_s = max(QUARANTINE_INTERVAL_S, gateways / TELLERS_PER_S)
+        if now_s - self._quarantines_told_s >= interval_s:
+            self._quarantines_told_s = now_s
+            reports = self._quarantine_reports(now_s)
+        due = self._losses_told.due(NEWS_LIMIT, now_s)
+        return _base.News(
+            losses=self._loss_reports(
+                [crash for crash in self._crashes if crash.process in due],
+                now_s,
+            ),
+            sound=_parts_in(self._sound_told.due(NEWS_LIMIT, now_s)),
+            alive=_names_in(self._alive_told.due(NEWS_LIMIT, now_s)),
+            quarantines=reports,
+        )
+
+    def summary(self, now_s: float) -> _base.News:
+        """Return all that a gateway which has just started has to know."""
+        return _base.News(
+            losses=self._loss_reports(list(self._crashes), now_s),
+            quarantines=self._quarantine_reports(now_s),
+        )
+
+    def learn(self, news: _base.News, now_s: float) -> None:
+        """Record what another gateway has told."""
+        for part in news.sound:
+            self._sound.add(part, now_s)
+            self._sound_told.drop(part)
+            self._clear(part, now_s)
+        for process in news.alive:
+            self._crashes_void(process)
+        for report in news.losses:
+            self._learn_loss(report, now_s)
+        for each in news.quarantines:
+            if not 0.0 <= each.renewed_age_s <= each.age_s:
+                continue
+            self._learn_quarantine(
+                _base.Quarantine(
+                    frozenset(each.parts),
+                    now_s - each.age_s,
+                    now_s - each.renewed_age_s,
+                    each.crashes,
+                    each.engines,
+                ),
+                now_s,
+            )
+
+    def _add(
+        self, crash: _crashes.Crash, prompt: _base.SuspectPrompt, now_s: float
+    ) -> bool:
+        """Add a prompt to a lost engine; return whether that is new."""
+        unproven = [
+            part
+            for part in dict.fromkeys(prompt.parts)
+            if part and not self._sound.knows(part, now_s)
+        ]
+        parts = tuple(unproven[: _crashes.PARTS_LIMIT])
+        if not parts:
+            return False
+        added = self._crashes.add(crash, attrs.evolve(prompt, parts=parts))
+        if added:
+            self._changed.update(parts)
+        return added
+
+    def _learn_loss(self, report: _base.LossReport, now_s: float) -> None:
+        if not 0.0 <= report.age_s < _crashes.KEPT_S:
+            return
+        at_s = now_s - report.age_s
+        crash = self._crashes.put(report.process, report.failure_domain, at_s)
+        for prompt in report.prompts:
+            for part in prompt.parts:
+                self._object(part, now_s)
+            self._add(crash, prompt, now_s)
+        self._check_alive(crash, now_s)
+
+    def _learn_quarantine(
+        self, quarantine: _base.Quarantine, now_s: float
+    ) -> None:
+        for part in quarantine.parts:
+            self._object(part, now_s)
+        parts = frozenset(
+            part
+            for part in quarantine.parts
+            if not self._sound.knows(part, now_s)
+        )
+        learned = attrs.evolve(quarantine, parts=parts)
+        if not parts or not _in_force(learned, now_s):
+            return
+        if now_s - self._dismissed_s.get(parts, float("-inf")) < DISMISSED_S:
+            return
+        before = self._quarantines.get(parts)
+        if before is not None:
+            self._quarantines[parts] = attrs.evolve(
+                before,
+                decided_s=min(before.decided_s, learned.decided_s),
+                renewed_s=max(before.renewed_s, learned.renewed_s),
+            )
+            return
+        if not any(narrower < parts for narrower in self._quarantines):
+            self._quarantine(learned, now_s, learned_from_other=True)
+
+    def _object(self, part: bytes, now_s: float) -> None:
+        """Tell others that a part is sound, unless it is being told."""
+        if part not in self._sound_told and self._sound.knows(part, now_s):
+            self._sound_told.add(part, now_s)
+
+    def _clear(self, part: bytes, now_s: float) -> bool:
+        """Take a part out of all evidence; return whether it was in any."""
+        known = self._crashes.count(part) > 0
+        if known:
+            self._crashes.clear(part)
+        self._pending_s.pop(part, None)
+        self._suspected.discard(part)
+        for parts in [each for each in self._quarantines if part in each]:
+            known = True
+            quarantine = self._quarantines.pop(parts)
+            self._note(_base.DecisionKind.ENDED, quarantine)
+            rest = attrs.evolve(quarantine, parts=parts - {part})
+            if rest.parts and rest.parts not in self._quarantines:
+                self._quarantine(rest, now_s)
+        return known
+
+    def _check_alive(self, crash: _crashes.Crash, now_s: float) -> None:
+        """Forget a loss if the engine responded after it."""
+        sent_s = self._responses_s.get(crash.process)
+        if (
+            sent_s is not None
+            and sent_s >= crash.at_s + ALIVE_AFTER_S
+            and sent_s < crash.at_s + ALIVE_WITHIN_S
+        ):
+            self._crashes_void(crash.process)
+            self._alive_told.add(crash.process, now_s)
+
+    def _crashes_void(self, process: str) -> None:
+        crash = self._crashes.get(process)
+        if crash is None:
+            return
+        for prompt in crash.prompts.values():
+            self._changed.update(prompt.parts)
+        self._crashes.remove(process)
+        self._losses_told.drop(process)
+
+    def _expire(self, now_s: float) -> None:
+        self._crashes.expire(now_s)
+        for process, sent_s in list(self._responses_s.items()):
+            if now_s - sent_s >= RESPONSES_KEPT_S:
+                del self._responses_s[process]
+        for parts, at_s in list(self._dismissed_s.items()):
+            if now_s - at_s >= DISMISSED_S:
+                del self._dismissed_s[parts]
+        for parts, quarantine in list(self._quarantines.items()):
+            if not _in_force(quarantine, now_s):
+                del self._quarantines[parts]
+                self._note(_base.DecisionKind.ENDED, quarantine)
+        self._suspected = {
+            part for part in self._suspected if self._crashes.count(part)
+        }
+
+    def _decide(self, now_s: float) -> None:
+        """Quarantine what the evidence suffices for, the strongest first."""
+        for part in self._changed | self._pending_s.keys():
+            if self._crashes.count(part) < SUSPECTED_CRASHES:
+                self._pending_s.pop(part, None)
+                continue
+            evidence = self._evidence(part)
+            self._note_suspected(evidence)
+            if evidence.suffices:
+                self._pending_s.setdefault(part, now_s)
+            else:
+                self._pending_s.pop(part, None)
+        self._changed.clear()
+        pending = [
+            (self._evidence(part), since_s)
+            for part, since_s in self._pending_s.items()
+        ]
+        due = [
+            evidence
+            for evidence, since_s in pending
+            if now_s - since_s >= evidence.settle_s
+        ]
+        while due:
+            leader = max(due, key=lambda evidence: evidence.weight)
+            self._quarantine(
+                _base.Quarantine(
+                    self._inseparable(leader),
+                    now_s,
+                    now_s,
+                    len(leader.crashes),
+                    leader.engines,
+                ),
+                now_s,
+            )
+            again = [self._evidence(evidence.part) for evidence in due]
+            due = [evidence for evidence in again if evidence.suffices]
+        self._pending_s = {
+            evidence.part: since_s
+            for evidence, since_s in pending
+            if now_s - since_s < evidence.settle_s
+        }
+
+    def _inseparable(self, leader: _Evidence) -> frozenset[bytes]:
+        """Return the parts that all prompts with a part contain."""
+        common: frozenset[bytes] | None = None
+        for crash in self._crashes.of(leader.part):
+            for prompt in crash.prompts_with(leader.part):
+                parts = frozenset(prompt.parts)
+                common = parts if common is None else common & parts
+        return common or frozenset([leader.part])
+
+    def _quarantine(
+        self,
+        quarantine: _base.Quarantine,
+        now_s: float,
+        learned_from_other: bool = False,
+    ) -> None:
+        self._dismissed_s.pop(quarantine.parts, None)
+        for parts in list(self._quarantines):
+            if self._explains(quarantine.parts, parts):
+                self._dismissed_s[parts] = now_s
+                self._note(
+                    _base.DecisionKind.ENDED, self._quarantines.pop(parts)
+                )
+        for wider in [
+            parts for parts in self._quarantines if parts > quarantine.parts
+        ]:
+            del self._quarantines[wider]
+        self._quarantines[quarantine.parts] = quarantine
+        if len(self._quarantines) > QUARANTINES_LIMIT:
+            oldest = min(
+                self._quarantines.values(), key=lambda each: each.renewed_s
+            )
+            del self._quarantines[oldest.parts]
+            self._note(_base.DecisionKind.ENDED, oldest)
+        self._quarantines_told_s = float("-inf")
+        self._note(
+            _base.DecisionKind.QUARANTINED, quarantine, learned_from_other
+        )
+
+    def _explains(
+        self, parts: frozenset[bytes], others: frozenset[bytes]
+    ) -> bool:
+        """Return whether all crashes under others, and more, are under some.
+
+        Nothing speaks against these others then.
+        """
+        under = [crash for crash in self._crashes if crash.explained_by(parts)]
+        under_others = [
+            crash for crash in self._crashes if crash.explained_by(others)
+        ]
+        return (
+            not others & parts
+            and SUSPECTED_CRASHES <= len(under_others) < len(under)
+            and all(crash in under for crash in under_others)
+        )
+
+    def _evidence(self, part: bytes) -> _Evidence:
+        of_part = self._crashes.of(part)
+        others = [crash for crash in self._crashes if crash not in of_part]
+        crashes = _crashes.independent(of_part, others)
+        prompts = [crash.prompts_with(part) for crash in crashes]
+        requests = {each.request_part for each in sum(prompts, start=[])}
+        return _Evidence(
+            part=part,
+            crashes=tuple(crashes),
+            unexplained=sum(not self._explained(each) for each in crashes),
+            started=sum(any(p.started for p in each) for each in prompts),
+            requests=len(requests),
+        )
+
+    def _explained(self, crash: _crashes.Crash) -> bool:
+        return any(crash.explained_by(parts) for parts in self._quarantines)
+
+    def _note_suspected(self, evidence: _Evidence) -> None:
+        if evidence.suspicious and evidence.part not in self._suspected:
+            self._suspected.add(evidence.part)
+            self._decisions.append(
+                _base.Decision(
+                    _base.DecisionKind.SUSPECTED,
+                    (evidence.part,),
+                    len(evidence.crashes),
+                    evidence.engines,
+                )
+            )
+
+    def _note(
+        self,
+        kind: _base.DecisionKind,
+        quarantine: _base.Quarantine,
+        learned: bool = False,
+    ) -> None:
+        self._decisions.append(
+            _base.Decision(
+                kind,
+                tuple(sorted(quarantine.parts)),
+                quarantine.crashes,
+                quarantine.engines,
+                learned,
+            )
+        )
+
+    def _loss_reports(
+        self, crashes: list[_crashes.Crash], now_s: float
+    ) -> tuple[_base.LossReport, ...]:
+        reports = []
+        room = NEWS_LIMIT
+        for crash in sorted(crashes, key=lambda each: -each.at_s):
+            prompts = tuple(
+                sorted(
+                    filter(_has_parts, crash.prompts.values()),
+                    key=lambda prompt: not prompt.started,
+                )[:room]
+            )
+            room -= len(prompts)
+            reports.append(
+                _base.LossReport(
+                    crash.process,
+                    crash.failure_domain,
+                    now_s - crash.at_s,
+                    prompts,
+                )
+            )
+        return tuple(reports)
+
+    def _quarantine_reports(
+        self, now_s: float
+    ) -> tuple[_base.QuarantineReport, ...]:
+        return tuple(
+            _base.QuarantineReport(
+                tuple(sorted(each.parts)),
+                now_s - each.decided_s,
+                now_s - each.renewed_s,
+                each.crashes,
+                each.engines,
+            )
+            for each in self.quarantines(now_s)
+        )
+
+
+def _has_parts(prompt: _base.SuspectPrompt) -> bool:
+    return bool(prompt.parts)
+
+
+def _in_force(quarantine: _base.Quarantine, now_s: float) -> bool:
+    return now_s - quarantine.renewed_s < LASTS_S
+
+
+def _parts_in(names: list[str | bytes]) -> tuple[bytes, ...]:
+    return tuple(name for name in names if isinstance(name, bytes))
+
+
+def _names_in(names: list[str | bytes]) -> tuple[str, ...]:
+    return tuple(name for name in names if isinstance(name, str))
