Keep requests from engines whose prompt parts crash them

Cause: gateways knew of failing engines only, not of failing requests. The retry of such a request crashed the next engine, and no gateway kept a request back or told the others.

Change: the sender reports connections that break under a stream and engines that respond, the stream server reports completed streams; the news travel as new trailing fields of datagrams, which older gateways skip. A request with quarantined parts is refused with 503 before its first send, or 502 if it may have run; one that lost its engine under a suspected part is not sent to a second one.

Two request paths that share lossy datagrams refuse the part at the gateway that saw no crash.

--- a/bilberrydeal/errors/_codes.py
+++ b/bilberrydeal/errors/_codes.py
@@ -37,6 +37,7 @@
     NO_ENDPOINT = "no_endpoint"
     ENDPOINT_LEAVING = "endpoint_leaving"
     ENDPOINT_FAILED = "endpoint_failed"
+    PROMPT_QUARANTINED = "prompt_quarantined"
     SHUTTING_DOWN = "shutting_down"
     KEYS_STALE = "keys_stale"
     CANCELLED = "cancelled"
--- a/bilberrydeal/gateway/_datagrams.py
+++ b/bilberrydeal/gateway/_datagrams.py
@@ -13,6 +13,8 @@
 
 from .. import telemetry
 from ..systems import placement
+from ..systems import quarantine
+from . import _quarantine_wire
 
 LOG = telemetry.logger("datagrams")
 
@@ -77,6 +79,11 @@
     changing: tuple[str, ...] = ()
     #: Tables of the store as the sender knows them.
     hints: tuple[TableHint, ...] = ()
+    #: What the sender tells of prompt parts that crash engines.
+    news: quarantine.News | None = None
+    #: Address to which the sender, which has started, asks others to send it
+    #: all such news.
+    asks: str = ""
 
 
 class _WireEngineLoad(msgspec.Struct, array_like=True):
@@ -100,6 +107,8 @@
     counts: WindowCounts | None
     changing: tuple[str, ...]
     hints: tuple[TableHint, ...] = ()
+    news: _quarantine_wire.WireNews | None = None
+    asks: str = ""
 
 
 def _to_wire(datagram: Datagram) -> _WireDatagram:
@@ -121,6 +130,8 @@
         datagram.counts,
         datagram.changing,
         datagram.hints,
+        _quarantine_wire.to_wire(datagram.news),
+        datagram.asks,
     )
 
 
@@ -141,7 +152,15 @@
         for engine_load in wire.engine_loads
     )
     load = LoadReport(wire.sequence, engine_loads) if wire.sequence else None
-    return Datagram(wire.gateway, load, wire.counts, wire.changing, wire.hints)
+    return Datagram(
+        wire.gateway,
+        load,
+        wire.counts,
+        wire.changing,
+        wire.hints,
+        _quarantine_wire.from_wire(wire.news),
+        wire.asks,
+    )
 
 
 def _prompt(parts: list[tuple[bytes, int]]) -> placement.Prompt:
--- a/bilberrydeal/gateway/_metrics.py
+++ b/bilberrydeal/gateway/_metrics.py
@@ -21,6 +21,7 @@
     gateways: int
     requests_open: int
     lease_held: bool
+    quarantines: int
     #: Calls to the store by kind and outcome.
     store_calls: collections.abc.Mapping[tuple[str, str], int]
 
@@ -48,6 +49,10 @@
             "bilberrydeal_store_calls_total",
             "Calls to the store by kind and outcome.",
         )
+        self._quarantine_decisions = self.metrics.counter(
+            "bilberrydeal_quarantine_decisions_total",
+            "Decisions about prompt parts that crash engines, by kind.",
+        )
         self._gauges = {
             name: self.metrics.gauge(f"bilberrydeal_{name}", text)
             for name, text in (
@@ -57,6 +62,7 @@
                 ("gateways", "Gateways that are alive."),
                 ("requests_open", "Requests being read or served."),
                 ("lease_held", "Whether this process has the duties."),
+                ("quarantines", "Prompt parts kept from engines."),
             )
         }
 
@@ -84,6 +90,10 @@
                 }
             )
 
+    def count_quarantine_decision(self, kind: str) -> None:
+        """Count a decision about prompt parts."""
+        self._quarantine_decisions.inc({"kind": kind})
+
     def render(self, state: GaugeValues) -> bytes:
         """Return all metrics in the text exposition format."""
         for name, value in (
@@ -93,6 +103,7 @@
             ("gateways", state.gateways),
             ("requests_open", state.requests_open),
             ("lease_held", int(state.lease_held)),
+            ("quarantines", state.quarantines),
         ):
             self._gauges[name].set({}, value)
         for (kind, outcome), count in state.store_calls.items():
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -16,6 +16,7 @@
 from .. import telemetry
 from ..systems import health
 from ..systems import placement
+from ..systems import quarantine
 from ..systems import retries
 from . import _admission
 from . import _cluster_state
@@ -24,6 +25,7 @@
 from . import _exchange
 from . import _metrics
 from . import _plain
+from . import _quarantine
 from . import _request_handler
 from . import _retry_policy
 from . import _sending
@@ -101,6 +103,17 @@
             clock,
         )
         self._metrics = _metrics.GatewayMetrics()
+        self._quarantine = _quarantine.PartQuarantine(
+            quarantine.QUARANTINES.get(gateway_settings.quarantine)(),
+            self._datagrams,
+            self._coordination.incarnation,
+            gateway_settings.listen.peers,
+            lambda: self._coordination.peers,
+            lambda: self._coordination.lease_held,
+            self._metrics,
+            rng,
+            clock,
+        )
         self._endpoint_updater = _store_sync.EndpointUpdater(
             self._cluster, self._connectivity, clock
         )
@@ -126,6 +139,7 @@
             retry_policy,
             self._uplink,
             self._tracing,
+            self._quarantine,
             self._clock,
         )
         return _request_handler.RequestHandler(
@@ -147,6 +161,7 @@
                 placement.PLACERS.get(gateway_settings.placer)(),
                 self._uplink,
                 gateway_settings.failure_domain,
+                self._quarantine,
                 self._clock,
             ),
             retry_policy=retry_policy,
@@ -247,6 +262,13 @@
                 self._hints.run_once,
             )
         )
+        self._spawn(
+            periodic.run_periodically(
+                "quarantine",
+                lambda: _quarantine.INTERVAL_S,
+                self._quarantine.run_once,
+            )
+        )
         self._spawn(
             periodic.run_periodically(
                 "sweep", lambda: SWEEP_INTERVAL_S, self._sweep
@@ -328,6 +350,7 @@
             gateways=self._cluster.members,
             requests_open=self._caller_server.requests_open,
             lease_held=self._coordination.lease_held,
+            quarantines=self._quarantine.count,
             store_calls=self._store.calls,
         )
 
--- a/bilberrydeal/gateway/_requests.py
+++ b/bilberrydeal/gateway/_requests.py
@@ -103,6 +103,8 @@
     attempts: int = 0
     #: Whether an endpoint may have run it, or may still run it.
     may_have_run: bool = False
+    #: Whether it was let through in spite of its quarantined parts.
+    probes_quarantine: bool = False
     #: Whether it was counted for billing.
     usage_counted: bool = False
     #: Id of the last event sent to the caller.
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -11,6 +11,7 @@
 from .. import telemetry
 from ..systems import placement
 from . import _cluster_state
+from . import _quarantine
 from . import _requests
 from . import _retry_policy
 from . import _uplink
@@ -94,8 +95,10 @@
         retry_policy: _retry_policy.RetryPolicy,
         uplink: _uplink.Uplink,
         tracing: telemetry.Tracing,
+        quarantine: _quarantine.PartQuarantine,
         clock: Clock,
     ) -> None:
+        self._quarantine = quarantine
         self._tracing = tracing
         self._cluster = cluster
         self._uplink = uplink
@@ -175,6 +178,8 @@
             head = await self._head(
                 connection, admitted, upstream, fields, patience
             )
+            if not platform.misdirected(head):
+                self._quarantine.engine_responded(upstream, sent_s)
             response_class = platform.classify_response(head)
             if fields.prefill:
                 response_class = platform.classify_prefill_response(head)
@@ -203,6 +208,10 @@
             record.outcome = f"{type(error).__name__.lower()}, {error}"
             raise
         except http1.IncompleteResponse as error:
+            if not fields.prefill:
+                self._quarantine.engine_lost(
+                    upstream, admitted, record, connection.responding
+                )
             record.outcome += ", connection broke"
             self._cluster.observe(upstream, False, self._clock())
             raise Lost("connection broke") from error
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -12,6 +12,7 @@
 from . import _cluster_state
 from . import _events
 from . import _pending_prefill
+from . import _quarantine
 from . import _requests
 from . import _retry_policy
 from . import _sending
@@ -97,8 +98,10 @@
         placer: placement.Placer,
         uplink: _uplink.Uplink,
         failure_domain: str,
+        quarantine: _quarantine.PartQuarantine,
         clock: Clock,
     ) -> None:
+        self._quarantine = quarantine
         self._cluster = cluster
         self._sender = sender
         self._retry_policy = retry_policy
@@ -141,6 +144,7 @@
             except _sending.Lost as error:
                 progress.attempts += 1
                 reason = f"lost, {error}"
+                self._quarantine.check_retry(admitted, progress, reason)
                 if progress.may_have_run and not admitted.route.idempotent:
                     raise _requests.failure_refusal(
                         progress, reason
@@ -151,6 +155,7 @@
 
     async def _attempt(self, stream: _ClientStream) -> None:
         """Serve a stream, or the rest of it, with one placement."""
+        self._quarantine.check(stream.admitted, stream.progress)
         now_s = self._clock()
         request = self._placement_request(stream, now_s)
         engines = self._engines_for(stream, now_s)
@@ -257,6 +262,7 @@
             )
             if engine_id is None:
                 raise _sending.Rejected("no decode engine available")
+            self._quarantine.check(stream.admitted, stream.progress)
             upstream = self._cluster.endpoints[engine_id]
             await self._generate(
                 stream,
@@ -326,6 +332,7 @@
                 None,
             )
         first_s: float | None = None
+        told_sound = False
         while True:
             data = await self._next_chunk(stream, exchange)
             if not data:
@@ -342,7 +349,18 @@
                 )
             if complete := self._split(stream, upstream, data):
                 stream.progressed_s = self._clock()
+                begun_s = stream.progressed_s - first_s
+                if not told_sound and begun_s >= _quarantine.SOUND_AFTER_S:
+                    told_sound = True
+                    self._quarantine.stream_sound(stream.admitted)
                 await responder.write_chunk(complete)
+        if splitter.incomplete or first_s is None:
+            # A response that ends with its connection may be broken off.
+            self._quarantine.engine_lost(
+                upstream, stream.admitted, stream.progress.sends[-1], True
+            )
+        else:
+            self._quarantine.stream_sound(stream.admitted)
         if splitter.incomplete:
             self._cluster.observe(upstream, False, self._clock())
             raise _sending.Lost("stream ended within an event")
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -12,16 +12,20 @@
 
 from ... import catalogue
 from ... import http1
+from ... import periodic
 from ... import ports
 from ... import settings
 from ... import telemetry
 from ...systems import health
 from ...systems import placement
+from ...systems import quarantine
 from ...systems import retries
 from .. import _admission
 from .. import _cluster_state
+from .. import _datagrams
 from .. import _metrics
 from .. import _plain
+from .. import _quarantine
 from .. import _request_handler
 from .. import _retry_policy
 from .. import _sending
@@ -368,6 +372,9 @@
     *endpoints: Endpoint,
     uplink_mbps: float = 1_000.0,
     trace: settings.TraceSettings | None = None,
+    datagrams: _datagrams.Datagrams | None = None,
+    name: str = "g1",
+    peers: tuple[_datagrams.Address, ...] = (),
 ) -> collections.abc.AsyncIterator[RequestPath]:
     """Run the request path with some endpoints."""
     clock = time.monotonic
@@ -385,7 +392,21 @@
     retry_policy = _retry_policy.RetryPolicy(cluster, budget, clock)
     uplink = _uplink.Uplink(uplink_mbps, clock)
     tracing = telemetry.Tracing(trace or settings.TraceSettings(), "gateway")
-    sender = _sending.Sender(cluster, retry_policy, uplink, tracing, clock)
+    metrics = _metrics.GatewayMetrics()
+    part_quarantine = _quarantine.PartQuarantine(
+        quarantine.QUARANTINES.get("crash_counts")(),
+        datagrams or _datagrams.Datagrams(),
+        name,
+        "127.0.0.1:1",
+        lambda: peers,
+        lambda: False,
+        metrics,
+        random.Random(1),
+        clock,
+    )
+    sender = _sending.Sender(
+        cluster, retry_policy, uplink, tracing, part_quarantine, clock
+    )
     handler = _request_handler.RequestHandler(
         admission=_admission.Admission(cluster, random.Random(1)),
         cluster=cluster,
@@ -400,10 +421,11 @@
             placement.PLACERS.get("two_stage")(),
             uplink,
             "d1",
+            part_quarantine,
             clock,
         ),
         retry_policy=retry_policy,
-        metrics=_metrics.GatewayMetrics(),
+        metrics=metrics,
         tracing=tracing,
         connectivity=_store_sync.StoreConnectivity(clock()),
         clock=clock,
@@ -411,9 +433,17 @@
     limits = http1.ServerLimits(16_384, 1_000_000, 3.0, 15.0)
     server = http1.HttpServer(handler.handle, lambda: limits, clock)
     await server.listen("127.0.0.1", 0)
+    deciding = asyncio.ensure_future(
+        periodic.run_periodically(
+            "quarantine",
+            lambda: _quarantine.INTERVAL_S,
+            part_quarantine.run_once,
+        )
+    )
     try:
         yield RequestPath(cluster, budget, server, usage_counter)
     finally:
+        deciding.cancel()
         server.stop_accepting()
         server.abort()
         tracing.close()
--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -97,6 +97,11 @@
         """Return whether the connection can carry no further request."""
         return self._closed or not self.reusable
 
+    @property
+    def responding(self) -> bool:
+        """Return whether the head of the response has arrived."""
+        return self._head is not None
+
     def send(self, head: bytes, body: bytes, request_id: bytes = b"") -> None:
         """Send a request; raises :class:`NotSent` on a closed connection."""
         if self._closed or self._transport is None:
--- a/bilberrydeal/settings/_gateway.py
+++ b/bilberrydeal/settings/_gateway.py
@@ -93,6 +93,8 @@
     placer: _model.Name = "two_stage"
     #: Name of the policy that plans engines' roles.
     role_plan: _model.Name = "by_load"
+    #: Name of the policy that finds prompt parts that crash engines.
+    quarantine: _model.Name = "crash_counts"
     trace: _model.TraceSettings = attrs.field(factory=_model.TraceSettings)
     log: _model.LogSettings = attrs.field(factory=_model.LogSettings)
 
