Keep quarantined prompt parts in the store for a restart of all gateways

When all gateways restart at once, nobody is left who could tell them by datagram which parts crash engines, and four more engines would have to crash.

The lease holder alone writes a row for each quarantine, under the checks of the lease, when it is decided, probed or ended; each gateway reads the table at its start, when it takes the lease and after the store was away. Parts with identifiers of more than 128 bytes are not suspected, which bounds the rows.

Result: test_quarantine_rows.py passes: a restart of all gateways, one write by five gateways in a minute, a lost response of the store, an unreadable row, a new lease holder and the store away.

--- a/bilberrydeal/gateway/_coordination.py
+++ b/bilberrydeal/gateway/_coordination.py
@@ -1,5 +1,6 @@
 """Runs what gateways coordinate through the store: usage, lease, roles."""
 
+import collections.abc
 import random
 import time
 
@@ -14,6 +15,7 @@
 from . import _clock
 from . import _cluster_state
 from . import _datagrams
+from . import _quarantine_rows
 from . import _reporting
 from . import _role_changes
 from . import _roles
@@ -78,7 +80,9 @@
         self._members = _usage.Members(others={}, position=0)
         bounds = gateway_settings.bounds
         client = _client(table, STORE_TIMEOUT_S)
+        self._client = client
         cluster_clock = _clock.ClusterClock(lambda: table.clock)
+        self._cluster_clock = cluster_clock
         #: Counts requests that began to run, for billing.
         self.usage_counter = _usage.UsageCounter(
             cluster_clock, bounds.usage_window_s
@@ -168,6 +172,22 @@
             ),
         ]
 
+    def quarantine_rows(
+        self,
+        state: _quarantine_rows.QuarantineState,
+        connectivity: _quarantine_rows.Connectivity,
+        steady_s: collections.abc.Callable[[], float],
+    ) -> _quarantine_rows.QuarantineRows:
+        """Return what keeps quarantines in the store."""
+        return _quarantine_rows.QuarantineRows(
+            self._client,
+            self._lease,
+            state,
+            connectivity,
+            self._cluster_clock,
+            steady_s,
+        )
+
     async def shut_down(self) -> None:
         """Write the final counts; the lease expires by itself."""
         try:
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -26,6 +26,7 @@
 from . import _metrics
 from . import _plain
 from . import _quarantine
+from . import _quarantine_rows
 from . import _request_handler
 from . import _retry_policy
 from . import _sending
@@ -269,6 +270,15 @@
                 self._quarantine.run_once,
             )
         )
+        self._spawn(
+            periodic.run_periodically(
+                "quarantine rows",
+                lambda: _quarantine_rows.INTERVAL_S,
+                self._coordination.quarantine_rows(
+                    self._quarantine, self._connectivity, self._clock
+                ).run_once,
+            )
+        )
         self._spawn(
             periodic.run_periodically(
                 "sweep", lambda: SWEEP_INTERVAL_S, self._sweep
@@ -350,7 +360,7 @@
             gateways=self._cluster.members,
             requests_open=self._caller_server.requests_open,
             lease_held=self._coordination.lease_held,
-            quarantines=self._quarantine.count,
+            quarantines=len(self._quarantine.in_force()),
             store_calls=self._store.calls,
         )
 
--- a/bilberrydeal/gateway/_quarantine.py
+++ b/bilberrydeal/gateway/_quarantine.py
@@ -152,10 +152,13 @@
                 progress, f"{reason}, suspected prompt part"
             )
 
-    @property
-    def count(self) -> int:
-        """Return the number of quarantines in force."""
-        return len(self._system.quarantines(self._clock()))
+    def in_force(self) -> tuple[quarantine.Quarantine, ...]:
+        """Return the quarantines in force."""
+        return self._system.quarantines(self._clock())
+
+    def restore(self, found: quarantine.Quarantine) -> None:
+        """Add a quarantine that was stored."""
+        self._system.restore(found, self._clock())
 
     async def run_once(self) -> None:
         """Decide, and tell other gateways."""
--- a/bilberrydeal/systems/quarantine/_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/_crash_counts.py
@@ -263,7 +263,8 @@
         unproven = [
             part
             for part in dict.fromkeys(prompt.parts)
-            if part and not self._sound.knows(part, now_s)
+            if 0 < len(part) <= _crashes.PART_BYTES_LIMIT
+            and not self._sound.knows(part, now_s)
         ]
         parts = tuple(unproven[: _crashes.PARTS_LIMIT])
         if not parts:
--- a/bilberrydeal/systems/quarantine/_crashes.py
+++ b/bilberrydeal/systems/quarantine/_crashes.py
@@ -14,6 +14,8 @@
 PROMPTS_LIMIT = 192
 #: Most parts remembered of a prompt.
 PARTS_LIMIT = 8
+#: Longest identifier of a part that is suspected, in bytes.
+PART_BYTES_LIMIT = 128
 #: Losses within this time may have a cause in common, in seconds.
 COINCIDENCE_S = 0.1
 #: The same for losses in one failure domain.
