Keep a silent engine's stream until another engine goes on with it

What callers saw: a stream that had begun was cut while its engine, which worked, sent nothing for a second or so; beside a change of the configuration such cuts count as lost requests.

Cause: after 0.7 s without an event the run was reset first, and only then was it found out whether the retry budget and another engine would take the rest. All streams of a silent engine ask at the same moment, so the budget of one gateway is used up after a few, and the rest had nothing left but to be cut. Class of fault: giving up what one has before its replacement is known to work.

Change: the silent engine keeps its connection while another engine tries to continue the stream; whichever sends an event first has it, and the other run is cancelled. A refusal, a failure or a lack of budget leaves the stream where it is. Before the head of the response an engine is given up only if the budget permits a retry.

Tests of the gateway pass.

--- a/bilberrydeal/gateway/_retry_policy.py
+++ b/bilberrydeal/gateway/_retry_policy.py
@@ -70,12 +70,7 @@
             return False
         if now_s + MIN_TIME_LEFT_S > admitted.deadline_s:
             return False
-        granted = self._budget.permits(
-            admitted.service,
-            PLAIN_SENDS if admitted.prompt is None else STREAM_SENDS,
-            self._cluster.members,
-            now_s,
-        )
+        granted = self.has_budget(admitted)
         LOG.info(
             "Send repeated." if granted else "Retry budget exhausted.",
             request=admitted.request_id.decode("latin-1"),
@@ -83,3 +78,12 @@
             attempts=progress.attempts,
         )
         return granted
+
+    def has_budget(self, admitted: _requests.AdmittedRequest) -> bool:
+        """Return whether the service's budget permits a retry now."""
+        return self._budget.permits(
+            admitted.service,
+            PLAIN_SENDS if admitted.prompt is None else STREAM_SENDS,
+            self._cluster.members,
+            self._clock(),
+        )
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import collections.abc
+import functools
 
 import attrs
 
 from .. import errors
 from .. import http1
 from .. import platform
+from .. import telemetry
 from ..systems import placement
 from . import _cluster_state
+from . import _continuation
 from . import _events
 from . import _pending_prefill
 from . import _requests
@@ -18,6 +21,7 @@
 from . import _uplink
 from . import _usage
 
+LOG = telemetry.logger("stream")
 #: Shortest time without an event after which a resumable stream may move to
 #: another engine, in seconds; else it is a multiple of the longest gap that
 #: callers accept.
@@ -55,6 +59,15 @@
     #: When the last event was sent, or else when the request began, monotonic
     #: seconds.
     progressed_s: float
+    #: Set on a stream that continues the one of a silent engine.
+    continues: _continuation.Continuation | None = None
+    #: Attempt of another engine to continue this stream.
+    continuation: _continuation.Continuation | None = None
+
+    def take_over(self) -> None:
+        """End the run of a silent engine whose stream this one continues."""
+        if self.continues is not None:
+            self.continues.take_over()
 
     @property
     def event_deadline_s(self) -> float:
@@ -72,6 +85,10 @@
     """A prefill had no result; the request did not run because of it."""
 
 
+#: Failures of a send after which another engine may be tried.
+_FAILED_SENDS = (_sending.NotOffered, _sending.Rejected, _sending.Lost)
+
+
 @attrs.frozen
 class _KvSource:
     """Location of a KV cache that another engine's prefill produced."""
@@ -128,20 +145,13 @@
             try:
                 await self._attempt(stream)
                 return
-            except _sending.NotOffered as error:
-                reason = f"not offered, {error}"
-                if len(progress.tried) < TRIED_LIMIT:
+            except _FAILED_SENDS as error:
+                _count_failure(progress, error)
+                reason = _failure_reason(error)
+                not_offered = isinstance(error, _sending.NotOffered)
+                if not_offered and len(progress.tried) < TRIED_LIMIT:
                     continue
-            except _sending.Rejected as error:
-                progress.attempts += 1
-                reason = f"rejected, {error}"
-            except _PrefillLost as error:
-                _count_lost_prefill(progress)
-                reason = f"lost, {error}"
-            except _sending.Lost as error:
-                progress.attempts += 1
-                reason = f"lost, {error}"
-                if progress.may_have_run and not admitted.route.idempotent:
+                if _is_final(admitted, progress, error):
                     raise _requests.failure_refusal(
                         progress, reason
                     ) from error
@@ -285,6 +295,19 @@
         source: _KvSource | None,
     ) -> None:
         """Forward the events that an engine generates."""
+        try:
+            await self._send_and_forward(stream, upstream, placed, source)
+        except _continuation.Continued as continued:
+            if continued.failure is not None:
+                raise continued.failure from continued
+
+    async def _send_and_forward(
+        self,
+        stream: _ClientStream,
+        upstream: _cluster_state.Upstream,
+        placed: placement.Placement,
+        source: _KvSource | None,
+    ) -> None:
         admitted = stream.admitted
         fields = attrs.evolve(
             self._fields(stream, upstream, placed),
@@ -305,9 +328,15 @@
                 if exchange.response_class is platform.ResponseClass.FAILURE:
                     await self._forward_failure(stream, upstream, exchange)
                     return
-                await self._forward_events(
-                    stream, upstream, exchange, pending, source
-                )
+                try:
+                    await self._forward_events(
+                        stream, upstream, exchange, pending, source
+                    )
+                except (_sending.Lost, http1.IncompleteResponse):
+                    await self._await_continuation(stream)
+                    raise
+                finally:
+                    await self._drop_continuation(stream)
 
     async def _forward_events(
         self,
@@ -341,6 +370,8 @@
                     stream.admitted, stream.progress
                 )
             if complete := self._split(stream, upstream, data):
+                await self._drop_continuation(stream)
+                stream.take_over()
                 stream.progressed_s = self._clock()
                 await responder.write_chunk(complete)
         if splitter.incomplete:
@@ -350,6 +381,8 @@
         if upstream.load is not None and first_s is not None:
             held_s = self._clock() - first_s
             upstream.load.slot_times.update(stream.admitted.priority, held_s)
+        await self._drop_continuation(stream)
+        stream.take_over()
         responder.end_chunks()
 
     def _split(
@@ -370,22 +403,130 @@
     ) -> bytes:
         """Return the next bytes of a stream, empty at its end.
 
-        Bytes that complete no event are no progress. A stream that is slow
-        stays where it is unless another engine would continue it sooner.
+        Bytes that complete no event are no progress. After a time without an
+        event another engine may continue the stream if it would do so sooner;
+        raises ``Continued`` once it has.
         """
-        if not _retry_allowed(stream):
-            return await exchange.connection.chunk()
         began_s = max(stream.progressed_s, exchange.sent_s)
         wait_s = began_s + stream.stall_s - self._clock()
-        while True:
+        while stream.continuation is None:
+            if not _retry_allowed(stream):
+                return await exchange.connection.chunk()
             try:
                 async with asyncio.timeout(max(wait_s, 0.0)):
                     return await exchange.connection.chunk()
-            except TimeoutError as error:
-                stalled_s = self._clock() - began_s
-                if self._sooner_elsewhere(stream, stalled_s):
-                    raise _sending.Lost("no event in time") from error
+            except TimeoutError:
                 wait_s = RECONSIDER_INTERVAL_S
+            stalled_s = self._clock() - began_s
+            if self._sooner_elsewhere(stream, stalled_s):
+                self._start_continuation(stream, exchange)
+        return await self._chunk_or_continuation(
+            stream, stream.continuation, exchange
+        )
+
+    async def _chunk_or_continuation(
+        self,
+        stream: _ClientStream,
+        continuation: _continuation.Continuation,
+        exchange: _sending.Exchange,
+    ) -> bytes:
+        """Return the silent engine's next bytes unless another takes over."""
+        chunk = asyncio.ensure_future(exchange.connection.chunk())
+        try:
+            await asyncio.wait(
+                [chunk, continuation.task],
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if continuation.took_over:
+                await self._await_continuation(stream)
+            if continuation.task.done():
+                self._end_continuation(stream)
+            return await chunk
+        finally:
+            chunk.cancel()
+
+    async def _await_continuation(self, stream: _ClientStream) -> None:
+        """Wait for another engine's attempt to continue a stream, if any.
+
+        Raises ``Continued`` if the other engine has taken the stream over.
+        """
+        continuation = stream.continuation
+        if continuation is None:
+            return
+        failure = await continuation.failure()
+        if continuation.took_over:
+            raise _continuation.Continued(failure)
+
+    def _start_continuation(
+        self, stream: _ClientStream, exchange: _sending.Exchange
+    ) -> None:
+        """Let another engine continue a stream whose engine is silent."""
+        progress = stream.progress
+        allowed = self._retry_policy.allows_retry(
+            stream.admitted, progress, "no event in time"
+        )
+        if not allowed:
+            return
+        # The silent engine counts as one attempt while another one is made.
+        progress.attempts += 1
+        stream.continuation = _continuation.Continuation(
+            functools.partial(self._continue, stream),
+            exchange.connection.abort,
+        )
+
+    async def _continue(
+        self,
+        stream: _ClientStream,
+        continuation: _continuation.Continuation,
+    ) -> None:
+        """Continue a stream at another engine, after its last event."""
+        continued = attrs.evolve(
+            stream,
+            splitter=_events.EventSplitter(stream.splitter.last_id),
+            continues=continuation,
+            continuation=None,
+        )
+        try:
+            await self._attempt(continued)
+        finally:
+            if continuation.took_over:
+                stream.splitter = continued.splitter
+                stream.progressed_s = continued.progressed_s
+
+    async def _drop_continuation(self, stream: _ClientStream) -> None:
+        """Cancel the attempt of another engine; the first one goes on."""
+        continuation = stream.continuation
+        if continuation is None:
+            return
+        await continuation.cancel()
+        if continuation.took_over:
+            stream.continuation = None
+        else:
+            self._end_continuation(stream)
+
+    def _end_continuation(self, stream: _ClientStream) -> None:
+        """Record that another engine did not continue a stream."""
+        continuation = stream.continuation
+        if continuation is None:
+            return
+        stream.continuation = None
+        progress = stream.progress
+        progress.attempts -= 1
+        task = continuation.task
+        error = None if task.cancelled() else task.exception()
+        if error is None:
+            # The request was sent to both engines.
+            progress.attempts += 1
+        elif isinstance(error, _FAILED_SENDS):
+            _count_failure(progress, error)
+        elif not isinstance(error, errors.Refusal):
+            LOG.error("Continuation failed unexpectedly.", exc_info=error)
+        LOG.info(
+            "Stream not continued elsewhere.",
+            request=stream.admitted.request_id.decode("latin-1"),
+            reason="engine resumed" if error is None else str(error),
+            attempts=progress.attempts,
+        )
 
     async def _forward_failure(
         self,
@@ -473,6 +614,8 @@
         taken: most that are only slow are finished by then.
         """
         now_s = self._clock()
+        if not self._retry_policy.has_budget(stream.admitted):
+            return False
         request = self._placement_request(stream, now_s)
         engines = self._engines_for(stream, now_s)
         placed = self._placer.place(request, engines, now_s)
@@ -527,13 +670,47 @@
     return route.idempotent and attempts < route.max_attempts
 
 
-def _count_lost_prefill(progress: _requests.RequestProgress) -> None:
-    """Count a lost prefill; the first one is no attempt to run the request."""
+def _count_failure(
+    progress: _requests.RequestProgress, error: Exception
+) -> None:
+    """Count a failed send against the attempts that the route allows.
+
+    The first lost prefill is no attempt to run the request.
+    """
+    if isinstance(error, _sending.NotOffered):
+        return
+    if not isinstance(error, _PrefillLost):
+        progress.attempts += 1
+        return
     if progress.lost_prefills:
         progress.attempts += 1
     progress.lost_prefills += 1
 
 
+def _failure_reason(error: Exception) -> str:
+    """Return what happened to a send, for logs and refusals."""
+    if isinstance(error, _sending.NotOffered):
+        return f"not offered, {error}"
+    if isinstance(error, _sending.Rejected):
+        return f"rejected, {error}"
+    return f"lost, {error}"
+
+
+def _is_final(
+    admitted: _requests.AdmittedRequest,
+    progress: _requests.RequestProgress,
+    error: Exception,
+) -> bool:
+    """Return whether a request that may have run must not be sent again."""
+    lost = isinstance(error, _sending.Lost)
+    return (
+        lost
+        and not isinstance(error, _PrefillLost)
+        and progress.may_have_run
+        and not admitted.route.idempotent
+    )
+
+
 def _record_first_event(stream: _ClientStream, now_s: float) -> None:
     """Record when the first event of a send arrived."""
     after_s = now_s - stream.admitted.request.started_s
--- a/bilberrydeal/gateway/tests/test_silent_engine.py
+++ b/bilberrydeal/gateway/tests/test_silent_engine.py
@@ -30,6 +30,24 @@
     return harness.complete_stream(call, 1, 5)
 
 
+async def _silent_then_reset(call: harness.Call) -> None:
+    """Send an event, nothing for a while, then reset the connection."""
+    call.writer.write(
+        harness.stream_head(call) + harness.chunk(harness.event(1))
+    )
+    await call.writer.drain()
+    await asyncio.sleep(SILENCE_S)
+
+
+async def _silent_then_ended_within_an_event(call: harness.Call) -> bytes:
+    call.writer.write(
+        harness.stream_head(call) + harness.chunk(harness.event(1))
+    )
+    await call.writer.drain()
+    await asyncio.sleep(SILENCE_S)
+    return harness.chunk(b"id: 2\nda") + harness.chunk(b"")
+
+
 async def _decode(call: harness.Call) -> bytes:
     first = int(call.field("last-event-id") or 0) + 1
     return harness.complete_stream(call, first, 5)
@@ -47,6 +65,11 @@
     return harness.signed_response(call, status=500)
 
 
+async def _slow_before_head(call: harness.Call) -> bytes:
+    await asyncio.sleep(SILENCE_S)
+    return await _decode(call)
+
+
 async def _broken_event(call: harness.Call) -> None:
     """Start a stream and break it off within its first event."""
     call.writer.write(harness.stream_head(call) + harness.chunk(b"id: 2\nda"))
@@ -97,3 +120,21 @@
     assert reply.complete
     assert reply.body == EVENTS
     assert other.calls == []
+
+
+@pytest.mark.parametrize(
+    "script", [_silent_then_reset, _silent_then_ended_within_an_event]
+)
+async def test_other_engine_is_awaited_when_a_silent_one_breaks_off(
+    script: harness.Script,
+) -> None:
+    silent = harness.engine("d1", "decode", script)
+    other = harness.engine("d2", "decode", _slow_before_head)
+    async with harness.running(silent, other) as running:
+        _prefer_first(running)
+        reply = await running.stream(
+            "/chat-long/1", deadline_ms=10_000, **SHORT
+        )
+    assert reply.complete
+    assert reply.body == EVENTS
+    assert len(other.calls) == 1
