Keep a connection as long as its caller was told

What callers saw: a request on a kept connection met a closed one beside a change of the configuration.

Cause: idle connections were judged by the timeout in force, so one that a configuration shortened closed connections whose callers had been told a longer one in Keep-Alive and still used them. Class of fault: taking back what callers were told.

Change: the announced timeout holds until the next response.

--- a/bilberrydeal/http1/_server.py
+++ b/bilberrydeal/http1/_server.py
@@ -167,6 +167,8 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._disconnected = False
+        #: Idle timeout in the last response, in seconds; 0 before the first.
+        self._announced_idle_s = 0
 
     # Called by the server.
 
@@ -189,9 +191,17 @@
         elif self._stage is _Stage.BODY:
             if now_s - self._last_data_s > limits.idle_timeout_s:
                 self._reject(408)
-        elif now_s - self._stage_started_s > limits.idle_timeout_s:
+        elif now_s - self._stage_started_s > self._idle_limit_s(limits):
             self.close()
 
+    def _idle_limit_s(self, limits: ServerLimits) -> float:
+        """Return how long the connection may be idle.
+
+        A timeout that has become shorter applies from the next response on:
+        until then the caller relies on the one that it was told.
+        """
+        return max(limits.idle_timeout_s, self._announced_idle_s)
+
     def close(self) -> None:
         """Close after sending buffered bytes."""
         if self._transport is not None:
@@ -220,8 +230,8 @@
         """Return the header fields that control connection reuse."""
         if not keep_alive or self._server.draining:
             return [(b"connection", b"close")]
-        idle_s = int(self._server.limits().idle_timeout_s)
-        return [(b"keep-alive", b"timeout=%d" % idle_s)]
+        self._announced_idle_s = int(self._server.limits().idle_timeout_s)
+        return [(b"keep-alive", b"timeout=%d" % self._announced_idle_s)]
 
     # asyncio.Protocol.
 
