Answer a request whose handler failed unexpectedly

No such exception is known; the tests of the request path and its fuzzing show none. If one occurs, the caller got a reset connection. It now gets 500, which promises nothing, unless its response has begun. test_unexpected_error_is_answered failed before; the other test guards what already held.

--- a/bilberrydeal/http1/_server.py
+++ b/bilberrydeal/http1/_server.py
@@ -6,6 +6,7 @@
 import contextlib
 import enum
 import functools
+import http
 import typing
 
 import attrs
@@ -396,6 +397,7 @@
         error = None if task.cancelled() else task.exception()
         if error is not None and not isinstance(error, _responder.CallerGone):
             LOG.error("Request handler failed unexpectedly.", exc_info=error)
+            _answer_failure(responder)
         self._after_response(responder)
         self._server.notify_request_ended()
 
@@ -440,6 +442,13 @@
     keep_alive: bool
 
 
+def _answer_failure(responder: _responder.Responder) -> None:
+    """Answer a request whose handler failed, unless its response began."""
+    if not responder.started:
+        responder.keep_alive = False
+        responder.send(http.HTTPStatus.INTERNAL_SERVER_ERROR, [], b"")
+
+
 def _has_body(headers: list[_headers.Header]) -> bool:
     return any(
         name in (b"content-length", b"transfer-encoding")
--- a/bilberrydeal/http1/tests/test_server.py
+++ b/bilberrydeal/http1/tests/test_server.py
@@ -168,6 +168,39 @@
     assert b"/z|" in response
 
 
+async def test_unexpected_error_is_answered() -> None:
+    """A reset would leave the caller without any response."""
+
+    async def fail(
+        _request: http1.Request, _responder: http1.Responder
+    ) -> None:
+        raise KeyError("endpoint")
+
+    async with harness.serving(fail) as server:
+        response = await harness.exchange(server.port, GET)
+    assert _status(response) == [b"500"]
+    assert b"connection: close" in response
+    assert b"content-length: 0" in response
+
+
+async def test_unexpected_error_within_a_response_leaves_it_incomplete() -> (
+    None
+):
+    async def fail(
+        _request: http1.Request, responder: http1.Responder
+    ) -> None:
+        responder.start(200, [], None)
+        await responder.write_chunk(b"x")
+        raise KeyError("endpoint")
+
+    response = b""
+    async with harness.serving(fail) as server:
+        with contextlib.suppress(ConnectionResetError):
+            response = await harness.exchange(server.port, GET)
+    assert not response.endswith(b"0\r\n\r\n")
+    assert len(_status(response)) <= 1
+
+
 async def test_draining_server_asks_callers_to_close() -> None:
     recorder = harness.Recorder()
     async with harness.serving(recorder.handle) as server:
