Use an endpoint again as soon as its silence ends

An endpoint that works and sends nothing for a second or so was ejected for 1.5 to 2.5 s, and twice as long at the next silence, although its responses went on in between.

Change: a circuit that only silence opened becomes half open when the endpoint sends something, an event of a stream too, and the opening does not count towards the next one's length. Failures of other kinds eject as before. test_silent_endpoint_is_not_ejected_longer_than_its_silence and test_ended_silences_do_not_lengthen_the_next_ejection failed before. An endpoint with no response in flight is still tried only after 2 s.

--- a/bilberrydeal/gateway/_cluster_state.py
+++ b/bilberrydeal/gateway/_cluster_state.py
@@ -204,14 +204,29 @@
         return upstream.load if upstream is not None else None
 
     def observe(
-        self, upstream: Upstream, succeeded: bool, now_s: float
+        self,
+        upstream: Upstream,
+        succeeded: bool,
+        now_s: float,
+        silent: bool = False,
     ) -> None:
-        """Report the outcome of a send to the health system."""
+        """Report the outcome of a send to the health system.
+
+        ``silent`` tells that it failed because nothing came in time.
+        """
         self.health.observe(
-            health.Observation(upstream.endpoint.endpoint_id, succeeded), now_s
+            health.Observation(
+                upstream.endpoint.endpoint_id, succeeded, silent=silent
+            ),
+            now_s,
         )
         upstream.view.in_flight = upstream.pool.busy
 
+    def observe_progress(self, upstream: Upstream, now_s: float) -> None:
+        """Report that an ejected endpoint goes on with a response."""
+        if upstream.view.circuit is systems.CircuitState.OPEN:
+            self.observe(upstream, True, now_s)
+
     def sweep(self, now_s: float) -> None:
         """Update circuits and close idle connections."""
         for upstream in self.endpoints.values():
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -250,7 +250,7 @@
                 with patience.applied_to(limit):
                     return await connection.head()
         except TimeoutError as error:
-            self._cluster.observe(upstream, False, self._clock())
+            self._cluster.observe(upstream, False, self._clock(), silent=True)
             raise Lost("no response before the timeout") from error
 
     async def _discard_body(self, connection: http1.ClientConnection) -> None:
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -373,6 +373,7 @@
                 await self._drop_continuation(stream)
                 stream.take_over()
                 stream.progressed_s = self._clock()
+                self._cluster.observe_progress(upstream, stream.progressed_s)
                 await responder.write_chunk(complete)
         if splitter.incomplete:
             self._cluster.observe(upstream, False, self._clock())
--- a/bilberrydeal/gateway/tests/test_silent_engine.py
+++ b/bilberrydeal/gateway/tests/test_silent_engine.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import collections.abc
+import time
 
 import pytest
 
+from ... import systems
 from ...systems import retries
 from . import harness
 
@@ -122,6 +124,31 @@
     assert other.calls == []
 
 
+async def test_engine_is_used_again_as_soon_as_it_goes_on() -> None:
+    silent = harness.engine("d1", "decode", _silent_midway)
+    other = harness.engine("d2", "decode", _full)
+    async with harness.running(silent, other) as running:
+        _prefer_first(running)
+        stream = asyncio.create_task(
+            running.stream("/chat-long/1", deadline_ms=10_000, **SHORT)
+        )
+        await silent.arrived.wait()
+        await asyncio.sleep(SILENCE_S / 2)
+        upstream = running.cluster.endpoints["d1"]
+        for _ in range(8):
+            now_s = time.monotonic()
+            running.cluster.observe(upstream, False, now_s, silent=True)
+        running.cluster.sweep(time.monotonic())
+        circuits = [upstream.view.circuit]
+        await stream
+        running.cluster.sweep(time.monotonic())
+        circuits.append(upstream.view.circuit)
+    assert circuits == [
+        systems.CircuitState.OPEN,
+        systems.CircuitState.HALF_OPEN,
+    ]
+
+
 @pytest.mark.parametrize(
     "script", [_silent_then_reset, _silent_then_ended_within_an_event]
 )
--- a/bilberrydeal/systems/health/_base.py
+++ b/bilberrydeal/systems/health/_base.py
@@ -21,6 +21,8 @@
     slowness: float = 0.0
     #: Whether the call was a probe.
     probe: bool = False
+    #: Whether it failed because nothing came from the endpoint in time.
+    silent: bool = False
 
 
 class HealthSystem(typing.Protocol):
--- a/bilberrydeal/systems/health/_endpoint_record.py
+++ b/bilberrydeal/systems/health/_endpoint_record.py
@@ -24,6 +24,10 @@
     failures: float = 0.0
     #: Failures since the last success.
     consecutive_failures: int = 0
+    #: Failures since the last that was not a silence.
+    consecutive_silences: int = 0
+    #: Whether silence alone opened the circuit.
+    opened_by_silence: bool = False
     #: Moving average of observed slowness.
     slowness: float = 1.0
     #: Observations of slowness since the circuit last changed.
@@ -48,9 +52,14 @@
             self.failures += 1.0
             self.consecutive_failures += 1
             self.consecutive_successes = 0
+            self.consecutive_silences += 1
+            if not observation.silent:
+                self.consecutive_silences = 0
             return
         self.successes += 1.0
         self.consecutive_failures = 0
+        self.consecutive_silences = 0
+        self._end_silence(now_s)
         self.consecutive_successes += 1
         if observation.slowness > 0.0:
             # A single response delayed by a long prefill is weak evidence.
@@ -59,11 +68,28 @@
             self.slowness += SLOWNESS_SMOOTHING * (bounded - self.slowness)
             self.slowness_count += 1
 
+    def opened(self, open_s: float, now_s: float) -> None:
+        """Record that the circuit opens for a time."""
+        self.opened_by_silence = (
+            0 < self.consecutive_failures == self.consecutive_silences
+        )
+        self.open_until_s = now_s + open_s
+        self.reset_counts()
+
+    def _end_silence(self, now_s: float) -> None:
+        """Let a circuit that silence has opened become half open."""
+        if not self.opened_by_silence or now_s >= self.open_until_s:
+            return
+        self.opened_by_silence = False
+        self.open_until_s = now_s
+        self.consecutive_openings -= 1
+
     def reset_counts(self) -> None:
         """Reset the counts after the circuit has changed."""
         self.successes = 0.0
         self.failures = 0.0
         self.consecutive_failures = 0
+        self.consecutive_silences = 0
         self.consecutive_successes = 0
         self.slowness_count = 0
 
--- a/bilberrydeal/systems/health/_outlier.py
+++ b/bilberrydeal/systems/health/_outlier.py
@@ -57,7 +57,8 @@
     At most a share of a service's endpoints is ejected at the same time, the
     worst first, so that the others are not overloaded. After a delay an open
     circuit becomes half open: the endpoint receives probes and a few requests,
-    and its circuit closes after some successes.
+    and its circuit closes after some successes. A circuit that only silence
+    has opened becomes half open as soon as the endpoint sends something.
     """
 
     reads: typing.ClassVar[tuple[type, ...]] = ()
@@ -187,8 +188,7 @@
             MAX_OPEN_S,
             INITIAL_OPEN_S * 2.0 ** (record.consecutive_openings - 1),
         )
-        record.open_until_s = now_s + open_s * self._random.uniform(0.75, 1.25)
-        record.reset_counts()
+        record.opened(open_s * self._random.uniform(0.75, 1.25), now_s)
 
     def _records_of(
         self, views: list[_entities.EndpointView]
--- a/bilberrydeal/systems/health/tests/test_outlier.py
+++ b/bilberrydeal/systems/health/tests/test_outlier.py
@@ -1,6 +1,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+import pytest
 
 from bilberrydeal import systems
 from bilberrydeal.systems import health
@@ -87,6 +88,46 @@
     assert circuit(tables, "e0") is CLOSED
 
 
+def _eject(system: health.OutlierHealth, silent: bool) -> systems.Tables:
+    """Eject ``e0`` by six failures at 1 s."""
+    tables = world(4)
+    for _ in range(6):
+        failure = health.Observation("e0", False, silent=silent)
+        system.observe(failure, 1.0)
+    system.run(tables, 1.0)
+    assert circuit(tables, "e0") is OPEN
+    return tables
+
+
+@pytest.mark.parametrize(
+    ("silent", "state"), [(True, HALF_OPEN), (False, OPEN)]
+)
+def test_silent_endpoint_is_not_ejected_longer_than_its_silence(
+    silent: bool, state: systems.CircuitState
+) -> None:
+    system = health.OutlierHealth(1)
+    tables = _eject(system, silent)
+    system.observe(health.Observation("e0", True), 1.4)
+    system.run(tables, 1.5)
+    assert circuit(tables, "e0") is state
+
+
+def test_ended_silences_do_not_lengthen_the_next_ejection() -> None:
+    system = health.OutlierHealth(1)
+    tables = _eject(system, silent=True)
+    for number in range(4):
+        heard_s = 2.0 + number
+        system.observe(health.Observation("e0", True), heard_s)
+        system.run(tables, heard_s)
+        silence = health.Observation("e0", False, silent=True)
+        system.observe(silence, heard_s + 0.2)
+        system.run(tables, heard_s + 0.3)
+        assert circuit(tables, "e0") is OPEN
+    # The first opening lasts 2.5 s at most.
+    system.run(tables, heard_s + 0.3 + 2.6)
+    assert circuit(tables, "e0") is HALF_OPEN
+
+
 def test_slow_endpoint_is_ejected_unless_all_are_slow() -> None:
     """Guards against ejecting endpoints for slowness that all share."""
     for slow, expected in (
