Tell a response that was cut from a caller that left

Logs and metrics gave both as 499, so that an operator could not count the first. Request ended has interrupted now, and a counter goes with it. The test failed before: the field did not exist.

--- a/bilberrydeal/gateway/_metrics.py
+++ b/bilberrydeal/gateway/_metrics.py
@@ -40,6 +40,10 @@
             "Time from the first byte of a request to its end.",
             LATENCY_BUCKETS_S,
         )
+        self._interrupted = self.metrics.counter(
+            "bilberrydeal_responses_interrupted_total",
+            "Responses that the gateway cut, by route and reason.",
+        )
         self._sends = self.metrics.counter(
             "bilberrydeal_sends_total",
             "Sends to endpoints by kind, deferral and outcome.",
@@ -70,6 +74,11 @@
         )
         self._latency.observe({"route": label}, took_s)
 
+    def count_interrupted(self, route: str, reason: str) -> None:
+        """Count a response that had begun and could not be completed."""
+        label = telemetry.bounded_label(route, self._routes)
+        self._interrupted.inc({"route": label, "reason": reason})
+
     def count_sends(
         self, sends: collections.abc.Iterable[_requests.SendRecord]
     ) -> None:
--- a/bilberrydeal/gateway/_request_handler.py
+++ b/bilberrydeal/gateway/_request_handler.py
@@ -155,7 +155,10 @@
             took_s = self._clock() - admitted.request.started_s
         route = admitted.route.name if admitted is not None else ""
         reason = refusal.reason.value if refusal else ""
+        interrupted = refusal is not None and not responder.finished
         self._metrics.count_request(route, status, reason, took_s)
+        if interrupted:
+            self._metrics.count_interrupted(route, reason)
         if progress is not None:
             self._metrics.count_sends(progress.sends)
         LOG.info(
@@ -163,6 +166,7 @@
             request=request_id.decode("latin-1"),
             route=route,
             status=status,
+            interrupted=interrupted,
             reason=refusal.reason if refusal else None,
             detail=refusal.message if refusal else None,
             retry_after_s=refusal.retry_after_s if refusal else None,
--- a/bilberrydeal/gateway/tests/test_stream.py
+++ b/bilberrydeal/gateway/tests/test_stream.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from . import harness
 
 
@@ -128,6 +130,26 @@
             assert reply.body == harness.event(1) + harness.event(2)
 
 
+@pytest.mark.parametrize(
+    ("script", "interrupted"),
+    [(_broken_off, True), (_decode, False), (_reset, False)],
+)
+async def test_response_that_is_cut_is_told_from_a_caller_that_left(
+    script: harness.Script,
+    interrupted: bool,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    engine = harness.engine("d1", "decode", script)
+    async with harness.running(engine) as running:
+        await running.stream("/chat-one/1")
+    (line,) = [
+        line
+        for line in capsys.readouterr().out.splitlines()
+        if "Request ended." in line
+    ]
+    assert f"interrupted={interrupted}" in line
+
+
 async def test_non_resumable_stream_that_may_have_run_is_not_retried() -> None:
     engines = [harness.engine(f"d{n}", "decode", _reset) for n in range(3)]
     async with harness.running(*engines) as running:
