--- a/bilberrydeal/gateway/_quarantine.py
+++ b/bilberrydeal/gateway/_quarantine.py
@@ -69,18 +69,20 @@
         self,
         upstream: _cluster_state.Upstream,
         admitted: _requests.AdmittedRequest,
-        record: _requests.SendRecord,
         started: bool,
+        first_s: float | None,
     ) -> None:
-        """Record that the connection to an engine broke under a stream."""
+        """Record that the connection to an engine broke under a stream.
+
+        ``started`` tells whether its head had arrived, ``first_s`` when its
+        first event did.
+        """
         if admitted.prompt is None:
             return
         now_s = self._clock()
         *shared, own = _part_ids(admitted)
-        if record.first_ms is not None:
-            first_s = admitted.request.started_s + record.first_ms / 1000
-            if now_s - first_s >= BEGINNING_S:
-                shared = []
+        if first_s is not None and now_s - first_s >= BEGINNING_S:
+            shared = []
         loss = quarantine.EngineLoss(
             _process_of(upstream),
             upstream.endpoint.failure_domain,
@@ -106,12 +108,17 @@
         admitted: _requests.AdmittedRequest,
         progress: _requests.RequestProgress,
     ) -> None:
-        """Refuse a request with quarantined parts; raises ``Refusal``."""
+        """Refuse a request with quarantined parts; raises ``Refusal``.
+
+        One that lost its engine before its first event is also refused if its
+        parts are suspected.
+        """
         if admitted.prompt is None:
             return
         now_s = self._clock()
         found = self._system.find(_part_ids(admitted), now_s)
         if found is None:
+            self._check_suspected(admitted, progress, now_s)
             return
         request = admitted.request_id.decode("latin-1")
         if (
@@ -135,22 +142,18 @@
             min(max(left_s, 1.0), RETRY_AFTER_LIMIT_S),
         )
 
-    def check_retry(
+    def _check_suspected(
         self,
         admitted: _requests.AdmittedRequest,
         progress: _requests.RequestProgress,
-        reason: str,
+        now_s: float,
     ) -> None:
-        """Keep a request that may crash a second engine from it.
-
-        Raises ``Refusal``.
-        """
-        if admitted.prompt is None or progress.sends[-1].first_ms is not None:
+        if not progress.may_have_run or any(
+            send.first_ms is not None for send in progress.sends
+        ):
             return
-        if self._system.suspects(_part_ids(admitted), self._clock()):
-            raise _requests.failure_refusal(
-                progress, f"{reason}, suspected prompt part"
-            )
+        if self._system.suspects(_part_ids(admitted), now_s):
+            raise _requests.failure_refusal(progress, "suspected prompt part")
 
     def in_force(self) -> tuple[quarantine.Quarantine, ...]:
         """Return the quarantines in force."""
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -210,7 +210,10 @@
         except http1.IncompleteResponse as error:
             if not fields.prefill:
                 self._quarantine.engine_lost(
-                    upstream, admitted, record, connection.responding
+                    upstream,
+                    admitted,
+                    connection.responding,
+                    _first_event_s(admitted, record),
                 )
             record.outcome += ", connection broke"
             self._cluster.observe(upstream, False, self._clock())
@@ -259,7 +262,7 @@
                 with patience.applied_to(limit):
                     return await connection.head()
         except TimeoutError as error:
-            self._cluster.observe(upstream, False, self._clock())
+            self._cluster.observe(upstream, False, self._clock(), silent=True)
             raise Lost("no response before the timeout") from error
 
     async def _discard_body(self, connection: http1.ClientConnection) -> None:
@@ -267,3 +270,12 @@
         with contextlib.suppress(http1.IncompleteResponse, TimeoutError):
             async with asyncio.timeout(DISCARD_TIMEOUT_S):
                 await connection.body(DISCARD_LIMIT_BYTES)
+
+
+def _first_event_s(
+    admitted: _requests.AdmittedRequest, record: _requests.SendRecord
+) -> float | None:
+    """Return when the first event of a send arrived, monotonic seconds."""
+    if record.first_ms is None:
+        return None
+    return admitted.request.started_s + record.first_ms / 1000
