Test which requests with crashing parts reach engines, at the request path

Suspected requests reach no second engine, a part that becomes known after the prefill is not generated, and one request in a quarter of an hour is let through, by the lease holder alone. The tests pass on the code as it is.

--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -212,6 +212,7 @@
     budget: retries.WindowBudget
     server: http1.HttpServer
     usage_counter: "FakeUsageCounter"
+    quarantine: _quarantine.PartQuarantine
     last_id: int = 0
 
     async def send(
@@ -375,6 +376,7 @@
     datagrams: _datagrams.Datagrams | None = None,
     name: str = "g1",
     peers: tuple[_datagrams.Address, ...] = (),
+    may_probe: bool = False,
 ) -> collections.abc.AsyncIterator[RequestPath]:
     """Run the request path with some endpoints."""
     clock = time.monotonic
@@ -399,7 +401,7 @@
         name,
         "127.0.0.1:1",
         lambda: peers,
-        lambda: False,
+        lambda: may_probe,
         metrics,
         random.Random(1),
         clock,
@@ -441,7 +443,9 @@
         )
     )
     try:
-        yield RequestPath(cluster, budget, server, usage_counter)
+        yield RequestPath(
+            cluster, budget, server, usage_counter, part_quarantine
+        )
     finally:
         deciding.cancel()
         server.stop_accepting()
--- a/bilberrydeal/gateway/tests/test_quarantine.py
+++ b/bilberrydeal/gateway/tests/test_quarantine.py
@@ -1,10 +1,13 @@
 """Requests with a prompt part that crashes engines that generate on it."""
 
 import asyncio
+import time
 import typing
 
 import attrs
+import pytest
 
+from ...systems import quarantine
 from . import harness
 
 #: Crashes by which a part has to be known.
@@ -60,14 +63,16 @@
             attrs.evolve(found, failure_domain=f"d{number}")
         )
 
-    async def send(self, parts: str, number: int) -> harness.Reply:
+    async def send(
+        self, parts: str, number: int, path: str = "/chat-one/1"
+    ) -> harness.Reply:
         """Send a request with some parts."""
         assert self.running is not None
         fields: dict[str, typing.Any] = {
             "token_usage": "120,10",
             "prefix_hash": parts % number,
         }
-        return await self.running.stream("/chat-one/1", **fields)
+        return await self.running.stream(path, **fields)
 
 
 async def test_part_that_crashes_engines_is_kept_from_them() -> None:
@@ -91,3 +96,84 @@
             assert sound.status == 200
             assert sound.complete
     assert fleet.sends == sends
+
+
+async def test_suspected_request_crashes_no_second_engine() -> None:
+    fleet = CrashingFleet()
+    engines = [fleet.engine(number) for number in range(6)]
+    async with harness.running(*engines) as running:
+        fleet.running = running
+        for number in range(len(engines)):
+            fleet.register(number)
+        for number in range(3):
+            await fleet.send(CRASHING, number, "/chat/1")
+            await asyncio.sleep(0.15)
+    # Two by the first request, one by each of the others.
+    assert fleet.sends == 4
+
+
+def _quarantined(age_s: float) -> quarantine.Quarantine:
+    """Return a quarantine that was decided some time ago."""
+    decided_s = time.monotonic() - age_s
+    parts = frozenset([b"bad0"])
+    return quarantine.Quarantine(parts, decided_s, decided_s, 4, ("e1@1",))
+
+
+async def test_part_that_is_known_after_the_prefill_is_not_generated() -> None:
+    async def prefill(call: harness.Call) -> bytes:
+        running.quarantine.restore(_quarantined(0.0))
+        return harness.handle(call)
+
+    async def decode(call: harness.Call) -> bytes:
+        return harness.complete_stream(call, 1, 3)
+
+    reader = harness.engine("p1", "prefill", prefill)
+    writer = harness.engine("d1", "decode", decode)
+    async with harness.running(reader, writer) as running:
+        reply = await running.stream(
+            prefix_hash="aa:2000,bad0:3000,1:1000", token_usage="6000,10"
+        )
+    assert reply.status == 503
+    assert len([call for call in reader.calls if call.prefill]) == 1
+    assert writer.calls == []
+
+
+@pytest.mark.parametrize("recovered", [False, True])
+async def test_one_request_is_let_through_after_a_quarter_of_an_hour(
+    recovered: bool,
+) -> None:
+    fleet = CrashingFleet()
+
+    async def serve(call: harness.Call) -> bytes | None:
+        fleet.sends += 1
+        await asyncio.sleep(0.02)
+        return harness.complete_stream(call, 1, 3) if recovered else None
+
+    engine, other = (
+        harness.engine(name, "both", serve) for name in ("e1", "e2")
+    )
+    async with harness.running(engine, other, may_probe=True) as running:
+        fleet.running = running
+        running.quarantine.restore(
+            _quarantined(quarantine.PROBE_INTERVAL_S + 1.0)
+        )
+        replies = await asyncio.gather(
+            *(fleet.send(CRASHING, number, "/chat/1") for number in range(5))
+        )
+        later = await fleet.send(CRASHING, 9, "/chat/1")
+    statuses = sorted(reply.status for reply in replies)
+    assert statuses == [*([200] if recovered else [502]), *[503] * 4]
+    assert later.status == (200 if recovered else 503)
+    assert fleet.sends == (2 if recovered else 1)
+
+
+async def test_only_the_lease_holder_lets_a_request_through() -> None:
+    fleet = CrashingFleet()
+    engine = fleet.engine(0)
+    async with harness.running(engine) as running:
+        fleet.running = running
+        running.quarantine.restore(
+            _quarantined(quarantine.PROBE_INTERVAL_S + 1.0)
+        )
+        assert (await fleet.send(CRASHING, 1)).status == 503
+    assert fleet.sends == 0
