Refuse plain requests with crashing parts; distrust ends without a length

A response with neither a length nor chunks ends with its connection, so its end does not prove that a stream was completed: a crash right after a first event made the part sound for ten minutes. Such a stream counts as sound only once it has gone on for half a second. Requests with prompts on routes that do not stream were neither refused nor counted as sound.

--- a/bilberrydeal/gateway/_plain.py
+++ b/bilberrydeal/gateway/_plain.py
@@ -7,6 +7,7 @@
 from .. import http1
 from .. import platform
 from . import _cluster_state
+from . import _quarantine
 from . import _requests
 from . import _retry_policy
 from . import _sending
@@ -28,8 +29,10 @@
         retry_policy: _retry_policy.RetryPolicy,
         usage_counter: _usage.UsageCounter,
         failure_domain: str,
+        quarantine: _quarantine.PartQuarantine,
         clock: Clock,
     ) -> None:
+        self._quarantine = quarantine
         self._cluster = cluster
         self._sender = sender
         self._retry_policy = retry_policy
@@ -47,6 +50,7 @@
         failure: _BufferedResponse | None = None
         reason = "no endpoint accepts requests"
         while upstream := self._choose(admitted, progress):
+            self._quarantine.check(admitted, progress)
             try:
                 response = await self._send(admitted, progress, upstream)
             except _sending.NotOffered as error:
@@ -119,6 +123,8 @@
             body = await exchange.connection.body(BUFFER_LIMIT_BYTES)
         self._usage_counter.count_once(admitted, progress)
         succeeded = exchange.response_class is platform.ResponseClass.RESULT
+        if succeeded and not exchange.connection.ends_with_connection:
+            self._quarantine.stream_sound(admitted)
         self._cluster.observe(upstream, succeeded, self._clock())
         return _BufferedResponse(exchange.head, exchange.response_class, body)
 
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -152,6 +152,7 @@
                 retry_policy,
                 self._coordination.usage_counter,
                 gateway_settings.failure_domain,
+                self._quarantine,
                 self._clock,
             ),
             stream=_stream.StreamServer(
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -390,7 +390,10 @@
             self._quarantine.engine_lost(
                 upstream, stream.admitted, True, first_s
             )
-        else:
+        elif (
+            not exchange.connection.ends_with_connection
+            or self._clock() - first_s >= _quarantine.BEGINNING_S
+        ):
             self._quarantine.stream_sound(stream.admitted)
         if splitter.incomplete:
             self._cluster.observe(upstream, False, self._clock())
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -413,7 +413,13 @@
         admission=_admission.Admission(cluster, random.Random(1)),
         cluster=cluster,
         plain=_plain.PlainServer(
-            cluster, sender, retry_policy, usage_counter, "d1", clock
+            cluster,
+            sender,
+            retry_policy,
+            usage_counter,
+            "d1",
+            part_quarantine,
+            clock,
         ),
         stream=_stream.StreamServer(
             cluster,
--- a/bilberrydeal/gateway/tests/test_quarantine.py
+++ b/bilberrydeal/gateway/tests/test_quarantine.py
@@ -177,3 +177,45 @@
         )
         assert (await fleet.send(CRASHING, 1)).status == 503
     assert fleet.sends == 0
+
+
+async def test_response_that_ends_with_its_connection_proves_nothing() -> None:
+    fleet = CrashingFleet()
+
+    async def serve(call: harness.Call) -> bytes | None:
+        if b"bad0" not in (call.field("prefix-hash") or b""):
+            return harness.complete_stream(call, 1, 3)
+        fleet.sends += 1
+        head = harness.stream_head(call).replace(
+            b"transfer-encoding: chunked\r\n", b""
+        )
+        call.writer.write(head + harness.event(1))
+        await call.writer.drain()
+        call.writer.close()
+        await asyncio.sleep(0.05)
+        return b""
+
+    engine = harness.engine("e1", "both", serve)
+    async with harness.running(engine) as running:
+        fleet.running = running
+        await fleet.send(CRASHING, 0)
+        running.quarantine.restore(_quarantined(0.0))
+        assert (await fleet.send(CRASHING, 1)).status == 503
+    assert fleet.sends == 1
+
+
+async def test_plain_request_with_a_crashing_part_is_refused() -> None:
+    async def serve(call: harness.Call) -> bytes:
+        return harness.signed_response(call)
+
+    endpoint = harness.plain("s1", serve)
+    async with harness.running(endpoint) as running:
+        running.quarantine.restore(_quarantined(0.0))
+        fields: dict[str, typing.Any] = {
+            "token_usage": "120,10",
+            "prefix_hash": CRASHING % 1,
+        }
+        assert (await running.send("/read/1", **fields)).status == 503
+        fields["prefix_hash"] = SOUND % 1
+        assert (await running.send("/read/1", **fields)).status == 200
+    assert len(endpoint.calls) == 1
