Show that repeats exceed the allowance of all gateways (failing tests)

In the logged part most requests had a prefill between two refused connections, and repeats were few (29 of 815 requests over both services). From 36.6 s on engines of the decode stage crashed and came back: servers.csv has 820 arrivals in 4 s, 660 of them prefills, for about 500 requests (metrics, 125 a second): about 1.6 prefills a request that was sent at all.

Hypotheses held against that:

- Runs beyond the first, as the gateway counts them: no.
It charges to at most 0.7 of the allowance, 213; and with at most 160 runs in those 4 s the rest must be prefills.
- Restarted gateways: not in this window, the nearest restarts are at 24 and 68 s.
- A stale number of gateways: no, 4 in all metrics of the window.
- Second prefills: yes.
A prefill after one that succeeded takes the place of the free first send, so it is charged only if a run follows, and after a refused connection it is sent without asking at all.

The test plays four gateways with the real request path on virtual time, over scripted engines that crash and refuse connections.

--- /dev/null
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -0,0 +1,265 @@
+"""Gateways on virtual time, and engines that crash and start again."""
+
+import asyncio
+import bisect
+import collections
+import collections.abc
+
+import attrs
+
+from ... import catalogue
+from ... import errors
+from ... import http1
+from ... import settings
+from ... import telemetry
+from ...systems import health
+from ...systems import placement
+from ...systems import retries
+from .. import _cluster_state
+from .. import _requests
+from .. import _retry_policy
+from .. import _sending
+from .. import _stream
+from .. import _uplink
+from . import harness
+
+SERVICE = "llm"
+LIMITS = retries.WindowLimits(window_s=10.0, ratio=0.2, base_allowance=52.0)
+#: Time to open a connection, or to learn that it is refused, in seconds.
+CONNECT_S = 0.001
+#: Time from a crash until the registration is gone, in seconds.
+LEASE_S = 2.6
+#: Time of a prefill and until the first event of a stream, in seconds.
+PREFILL_S = 0.3
+DECODE_S = 0.05
+ORGANISATION = catalogue.Organisation("o1", None)
+
+
+@attrs.frozen
+class Arrival:
+    """A request that reached an engine."""
+
+    at_s: float
+    request_id: bytes
+    prefill: bool
+
+
+@attrs.define
+class Traffic:
+    """What callers sent and what reached engines."""
+
+    #: When each request was sent, in order.
+    requests: list[float] = attrs.field(factory=list)
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    #: Requests by the status of their response.
+    statuses: collections.Counter[int] = attrs.field(
+        factory=collections.Counter
+    )
+
+    def extra_arrivals(self) -> list[float]:
+        """Return when arrivals beyond a prefill and a decode occurred."""
+        seen = set()
+        extra = []
+        for arrival in self.arrivals:
+            key = (arrival.request_id, arrival.prefill)
+            if key in seen:
+                extra.append(arrival.at_s)
+            seen.add(key)
+        return extra
+
+    def excess(self) -> float:
+        """Return by how much the fullest window exceeds the allowance."""
+        extra = self.extra_arrivals()
+        return max(
+            (
+                _count(extra, at_s)
+                - LIMITS.ratio * _count(self.requests, at_s)
+                - LIMITS.base_allowance
+                for at_s in extra
+            ),
+            default=0.0,
+        )
+
+
+def _count(times: list[float], from_s: float) -> int:
+    """Return how many times are in the window that begins at ``from_s``."""
+    end = bisect.bisect_right(times, from_s + LIMITS.window_s)
+    return end - bisect.bisect_left(times, from_s)
+
+
+@attrs.define(eq=False)
+class Engine:
+    """A scripted engine process."""
+
+    endpoint: catalogue.Endpoint
+    traffic: Traffic
+    crashed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+
+class Connection:
+    """A connection to a scripted engine."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.done = True
+        self._engine = engine
+        self._prefill = False
+        self._chunks = [b"", harness.event(1)]
+
+    def send(self, head: bytes, body: bytes, request_id: bytes = b"") -> None:
+        """Record the arrival of a request."""
+        self.done = False
+        self._prefill = b"serving-stage: prefill" in head.lower()
+        if request_id:
+            now_s = asyncio.get_running_loop().time()
+            self._engine.traffic.arrivals.append(
+                Arrival(now_s, request_id, self._prefill)
+            )
+
+    async def head(self) -> http1.ResponseHead:
+        """Return a head unless the engine crashes before."""
+        try:
+            async with asyncio.timeout(
+                PREFILL_S if self._prefill else DECODE_S
+            ):
+                await self._engine.crashed.wait()
+            raise http1.IncompleteResponse
+        except TimeoutError:
+            return http1.ResponseHead(200, ((b"server-signature", b"s"),))
+
+    async def body(self, _limit_bytes: int) -> bytes:
+        """Return a KV handle."""
+        self.done = True
+        return b'{"kv_handle":"h","tokens":1}'
+
+    async def chunk(self) -> bytes:
+        """Return the next event, then the end."""
+        data = self._chunks.pop()
+        self.done = not data
+        return data
+
+
+class Pool(http1.Pool):
+    """Opens connections to a scripted engine."""
+
+    def __init__(self, engine: Engine) -> None:
+        super().__init__("127.0.0.1", 1)
+        self._engine = engine
+        self.limit = 360
+
+    async def acquire(
+        self, now_s: float, timeout_s: float = 1.0
+    ) -> http1.ClientConnection:
+        """Open a connection; one that has crashed refuses it."""
+        self.busy += 1
+        await asyncio.sleep(CONNECT_S)
+        if self._engine.crashed.is_set():
+            self.busy -= 1
+            raise http1.NotSent("connection refused")
+        return Connection(self._engine)  # type: ignore[return-value]
+
+    def release(
+        self, connection: http1.ClientConnection, now_s: float
+    ) -> None:
+        """Close a connection."""
+        self.busy -= 1
+
+
+class _Transport:
+    """Drops what is sent to a caller."""
+
+    def send(self, data: bytes) -> None:
+        pass
+
+    async def drain(self) -> None:
+        pass
+
+    def abort(self) -> None:
+        pass
+
+    def connection_headers(self, _keep_alive: bool) -> list[http1.Header]:
+        return []
+
+
+class GatewayProcess:
+    """One process of a gateway: what it knows, its budget and its policy."""
+
+    def __init__(self, clock: collections.abc.Callable[[], float]) -> None:
+        self.clock = clock
+        self.cluster = _cluster_state.ClusterState(
+            health.HEALTH.get("outlier")(1)
+        )
+        self.cluster.set_configuration(harness.configuration())
+        self.budget = retries.WindowBudget(LIMITS)
+        self.policy = _retry_policy.RetryPolicy(
+            self.cluster, self.budget, clock
+        )
+        uplink = _uplink.Uplink(1_000.0, clock)
+        self.tracing = telemetry.Tracing(settings.TraceSettings(), "gateway")
+        self.stream = _stream.StreamServer(
+            self.cluster,
+            _sending.Sender(
+                self.cluster, self.policy, uplink, self.tracing, clock
+            ),
+            self.policy,
+            harness.FakeUsageCounter(),
+            placement.PLACERS.get("two_stage")(),
+            uplink,
+            "d1",
+            clock,
+        )
+        self.running: set[asyncio.Task[int]] = set()
+
+    def add(self, engine: Engine) -> None:
+        """Learn of an engine."""
+        self.cluster.set_endpoint(engine.endpoint)
+        upstream = self.cluster.endpoints[engine.endpoint.endpoint_id]
+        upstream.pool = Pool(engine)
+
+    async def serve(self, request_id: bytes) -> int:
+        """Serve a request; return the status."""
+        now_s = self.clock()
+        request = http1.Request(
+            b"POST", b"/chat/1", (), b"b", True, now_s, now_s
+        )
+        admitted = _requests.AdmittedRequest(
+            request=request,
+            request_id=request_id,
+            route=next(r for r in harness.ROUTES if r.name == "chat"),
+            service=SERVICE,
+            organisation=ORGANISATION,
+            deadline_s=now_s + 2.0,
+            prompt=_prompt(request_id),
+            last_event=b"",
+            configuration_version=1,
+        )
+        progress = _requests.RequestProgress()
+        self.policy.record_request(SERVICE)
+        responder = http1.Responder(_Transport(), True)
+        try:
+            async with asyncio.timeout(2.0):
+                await self.stream.serve(admitted, progress, responder)
+        except errors.Refusal as refusal:
+            return refusal.status
+        except TimeoutError:
+            return 504
+        return 200
+
+    def start(self, request_id: bytes) -> asyncio.Task[int]:
+        """Serve a request in a task."""
+        task = asyncio.get_running_loop().create_task(self.serve(request_id))
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+        return task
+
+    def kill(self) -> None:
+        """Cancel what is running."""
+        for task in self.running:
+            task.cancel()
+
+
+def _prompt(request_id: bytes) -> placement.Prompt:
+    parts = (
+        placement.PromptPart(b"shared", 2_000),
+        placement.PromptPart(request_id, 3_000),
+    )
+    return placement.Prompt(parts, 6_000)
