Reserve retries before they are sent, and charge second prefills

Cause: the account of a request gave its free first send to whatever came first after its successful prefill, so that a second prefill was charged only once a run followed. After a refused connection the request was sent on without asking, up to four engines, and its KV cache was dropped and computed again. While decode engines refuse connections, nearly every request thus made two prefills and no run: none of them charged, all of them arrivals.

Two more of the class, a permit that is not tied to the sends it allows, are shown by tests on the budget alone: requests that fail at the same moment all got what was left, since only sends already made were counted; a restarted process began with a full part of the base allowance.

Change: a retry reserves what it may be charged and gives back what it does not send; all but the first run and the first successful prefill is charged; only a request that reached no endpoint goes on unasked; a decode engine that refuses the connection is followed by another one with the same KV cache; a process has no part of the base in its first window. The log lines about retries tell the figures that decided.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -82,7 +82,9 @@
         self._coordination = _coordination.Coordination(
             gateway_settings, self._store, self._cluster, self._datagrams, rng
         )
-        self._budget = retries.WindowBudget(_budget_limits(gateway_settings))
+        self._budget = retries.WindowBudget(
+            _budget_limits(gateway_settings), clock()
+        )
         self._load_exchange = _exchange.LoadExchange(
             self._datagrams,
             self._cluster,
--- a/bilberrydeal/gateway/_request_handler.py
+++ b/bilberrydeal/gateway/_request_handler.py
@@ -79,6 +79,7 @@
         try:
             ended = await self._serve(admitted, progress, responder)
         finally:
+            self._retry_policy.release(admitted, progress)
             self._log(
                 admitted.request_id, admitted, progress, responder, ended
             )
--- a/bilberrydeal/gateway/_requests.py
+++ b/bilberrydeal/gateway/_requests.py
@@ -93,10 +93,16 @@
     tried: list[str] = attrs.field(factory=list)
     #: W3C trace context of the request, empty without a trace.
     traceparent: str = ""
-    #: Sends that count against the service's budget.
-    budgeted_sends: int = 0
+    #: Whether any send of it reached an endpoint.
+    sent: bool = False
+    #: Whether it was sent to be run; the first such send is not charged.
+    run_sent: bool = False
+    #: Whether a prefill was sent that is not charged unless it fails.
+    prefill_sent: bool = False
     #: Whether a prefill of its prompt succeeded.
     prefill_recorded: bool = False
+    #: Sends that are reserved for it in the retry budget.
+    reserved_sends: int = 0
     #: Prefills without a result.
     lost_prefills: int = 0
     #: Sends that count against the route's limit.
--- a/bilberrydeal/gateway/_retry_policy.py
+++ b/bilberrydeal/gateway/_retry_policy.py
@@ -11,10 +11,6 @@
 #: A request with less time left is not retried, in seconds.
 MIN_TIME_LEFT_S = 0.04
 
-#: Sends of one retry; a stream may need a separate prefill.
-PLAIN_SENDS = 1
-STREAM_SENDS = 2
-
 Clock = collections.abc.Callable[[], float]
 
 
@@ -39,24 +35,38 @@
         self,
         admitted: _requests.AdmittedRequest,
         progress: _requests.RequestProgress,
+        prefill: bool,
     ) -> None:
-        """Count a send; each after a request's first uses the budget."""
-        progress.budgeted_sends += 1
-        if progress.budgeted_sends > 1:
-            self._budget.spend(admitted.service, self._clock())
+        """Count a send that reaches an endpoint.
+
+        A request's first run and its first successful prefill are not
+        charged to the budget; all other sends are.
+        """
+        progress.sent = True
+        self._charge_failed_prefill(admitted, progress)
+        if prefill and not progress.prefill_sent:
+            progress.prefill_sent = True
+            return
+        if not prefill and not progress.run_sent:
+            progress.run_sent = True
+        else:
+            self._charge(admitted, progress)
+        if not prefill:
+            self.release(admitted, progress)
 
-    def record_prefill(
+    def record_prefill(self, progress: _requests.RequestProgress) -> None:
+        """Record that a prefill succeeded."""
+        progress.prefill_recorded = True
+
+    def release(
         self,
         admitted: _requests.AdmittedRequest,
         progress: _requests.RequestProgress,
     ) -> None:
-        """Count a successful prefill; the first one is not charged."""
-        if progress.prefill_recorded:
-            return
-        progress.prefill_recorded = True
-        progress.budgeted_sends -= 1
-        if progress.budgeted_sends > 0:
-            self._budget.refund(admitted.service, self._clock())
+        """Return the sends that were reserved for a request and not made."""
+        if progress.reserved_sends:
+            self._budget.release(admitted.service, progress.reserved_sends)
+            progress.reserved_sends = 0
 
     def allows_retry(
         self,
@@ -64,22 +74,67 @@
         progress: _requests.RequestProgress,
         reason: str,
     ) -> bool:
-        """Return whether a request may be sent to another endpoint."""
+        """Return whether a request may be sent to another endpoint.
+
+        The sends that this may take are reserved in the retry budget.
+        """
         now_s = self._clock()
         if progress.attempts >= admitted.route.max_attempts:
             return False
         if now_s + MIN_TIME_LEFT_S > admitted.deadline_s:
             return False
-        granted = self._budget.permits(
-            admitted.service,
-            PLAIN_SENDS if admitted.prompt is None else STREAM_SENDS,
-            self._cluster.members,
-            now_s,
-        )
+        self._charge_failed_prefill(admitted, progress)
+        self.release(admitted, progress)
+        sends = _sends_needed(admitted, progress)
+        members = self._cluster.members
+        use = self._budget.use(admitted.service, members, now_s)
+        granted = self._budget.reserve(admitted.service, sends, members, now_s)
+        if granted:
+            progress.reserved_sends = sends
         LOG.info(
             "Send repeated." if granted else "Retry budget exhausted.",
             request=admitted.request_id.decode("latin-1"),
             reason=reason,
             attempts=progress.attempts,
+            sends=sends,
+            requests_in_window=use.requests,
+            sent=use.sent,
+            reserved=use.reserved,
+            allowed=round(use.allowed, 1),
+            gateways=members,
         )
         return granted
+
+    def _charge_failed_prefill(
+        self,
+        admitted: _requests.AdmittedRequest,
+        progress: _requests.RequestProgress,
+    ) -> None:
+        """Charge an earlier prefill that did not succeed."""
+        if progress.prefill_sent and not progress.prefill_recorded:
+            progress.prefill_sent = False
+            self._charge(admitted, progress)
+
+    def _charge(
+        self,
+        admitted: _requests.AdmittedRequest,
+        progress: _requests.RequestProgress,
+    ) -> None:
+        """Charge a send to the budget, first to what is reserved."""
+        if progress.reserved_sends:
+            progress.reserved_sends -= 1
+            self._budget.release(admitted.service, 1)
+        self._budget.spend(admitted.service, self._clock())
+
+
+def _sends_needed(
+    admitted: _requests.AdmittedRequest, progress: _requests.RequestProgress
+) -> int:
+    """Return the most sends of the next attempt that are charged."""
+    if not progress.sent:
+        return 0
+    runs = 1 if progress.run_sent else 0
+    if admitted.prompt is None:
+        return runs
+    # A prefill that would be the first to succeed may fail.
+    return runs + 1
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -168,12 +168,11 @@
         sent_s = self._clock()
         time_left_s = admitted.deadline_s - sent_s
         fields = attrs.evolve(fields, time_left_s=time_left_s)
-        self._retry_policy.record_send(admitted, progress)
         may_have_run_before = progress.may_have_run
         progress.may_have_run = may_have_run_before or not fields.prefill
         try:
             head = await self._head(
-                connection, admitted, upstream, fields, patience
+                connection, admitted, progress, upstream, fields, patience
             )
             response_class = platform.classify_response(head)
             if fields.prefill:
@@ -190,7 +189,7 @@
                 raise Lost(f"status {head.status} without proof of execution")
             upstream.note_acceptance()
             if fields.prefill:
-                self._retry_policy.record_prefill(admitted, progress)
+                self._retry_policy.record_prefill(progress)
             record.outcome = f"status {head.status}, incomplete"
             left_host_s = sent_s + self._uplink.transfer_s(size_bytes)
             yield Exchange(connection, head, response_class, left_host_s)
@@ -234,6 +233,7 @@
         self,
         connection: http1.ClientConnection,
         admitted: _requests.AdmittedRequest,
+        progress: _requests.RequestProgress,
         upstream: _cluster_state.Upstream,
         fields: platform.SendFields,
         patience: Patience | None,
@@ -243,6 +243,7 @@
             connection.send(sent, admitted.request.body, admitted.request_id)
         except http1.NotSent as error:
             raise NotOffered("connection closed") from error
+        self._retry_policy.record_send(admitted, progress, fields.prefill)
         try:
             async with asyncio.timeout(fields.time_left_s) as limit:
                 if patience is None:
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -130,7 +130,7 @@
                 return
             except _sending.NotOffered as error:
                 reason = f"not offered, {error}"
-                if len(progress.tried) < TRIED_LIMIT:
+                if not progress.sent and len(progress.tried) < TRIED_LIMIT:
                     continue
             except _sending.Rejected as error:
                 progress.attempts += 1
@@ -249,27 +249,19 @@
         source: _KvSource,
     ) -> None:
         """Decode on an engine that fetches the prompt's KV cache."""
+        placed = attrs.evolve(
+            placed, uncached_tokens=0.0, work_tokens=0.0, fetch_from=None
+        )
         consumed = False
         try:
-            engines = self._engines_for(stream, self._clock())
-            engine_id = self._placer.decode_engine(
-                request, source.upstream.endpoint.endpoint_id, engines
-            )
-            if engine_id is None:
-                raise _sending.Rejected("no decode engine available")
-            upstream = self._cluster.endpoints[engine_id]
-            await self._generate(
-                stream,
-                upstream,
-                attrs.evolve(
-                    placed,
-                    uncached_tokens=0.0,
-                    work_tokens=0.0,
-                    fetch_from=None,
-                ),
-                source,
-            )
-            consumed = True
+            while not consumed:
+                upstream = self._decode_upstream(stream, request, source)
+                try:
+                    await self._generate(stream, upstream, placed, source)
+                    consumed = True
+                except _sending.NotOffered:
+                    if len(stream.progress.tried) >= TRIED_LIMIT:
+                        raise
         except _sending.Lost:
             consumed = True
             raise
@@ -277,6 +269,22 @@
             if not consumed:
                 self._free_handle(source)
 
+    def _decode_upstream(
+        self,
+        stream: _ClientStream,
+        request: placement.Request,
+        source: _KvSource,
+    ) -> _cluster_state.Upstream:
+        """Return the engine to decode on; raises ``Rejected`` for none."""
+        engine_id = self._placer.decode_engine(
+            attrs.evolve(request, tried=frozenset(stream.progress.tried)),
+            source.upstream.endpoint.endpoint_id,
+            self._engines_for(stream, self._clock()),
+        )
+        if engine_id is None:
+            raise _sending.Rejected("no decode engine available")
+        return self._cluster.endpoints[engine_id]
+
     async def _generate(
         self,
         stream: _ClientStream,
--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -189,7 +189,7 @@
             health.HEALTH.get("outlier")(1)
         )
         self.cluster.set_configuration(harness.configuration())
-        self.budget = retries.WindowBudget(LIMITS)
+        self.budget = retries.WindowBudget(LIMITS, clock())
         self.policy = _retry_policy.RetryPolicy(
             self.cluster, self.budget, clock
         )
@@ -242,6 +242,8 @@
             return refusal.status
         except TimeoutError:
             return 504
+        finally:
+            self.policy.release(admitted, progress)
         return 200
 
     def start(self, request_id: bytes) -> asyncio.Task[int]:
--- a/bilberrydeal/gateway/tests/test_stream.py
+++ b/bilberrydeal/gateway/tests/test_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from ... import http1
 from . import harness
 
 
@@ -168,6 +169,22 @@
     assert len(decoder.calls) == 1
 
 
+async def test_refused_connection_does_not_repeat_the_prefill() -> None:
+    prefillers = [harness.engine(f"p{n}", "prefill", _prefill) for n in (1, 2)]
+    gone = harness.engine("d1", "decode", _decode)
+    healthy = harness.engine("d2", "decode", _decode)
+    async with harness.running(*prefillers, gone, healthy) as running:
+        running.cluster.endpoints["d1"].pool = http1.Pool("127.0.0.1", 1)
+        running.cluster.endpoints["d1"].pool.limit = 8
+        load = running.cluster.endpoints["d2"].load
+        assert load is not None
+        load.peer_counts.add(0, 10)
+        reply = await running.stream()
+    assert reply.complete
+    assert sum(len(each.calls) for each in prefillers) == 1
+    assert len(healthy.calls) == 1
+
+
 async def test_unused_kv_handle_is_freed() -> None:
     prefiller = harness.engine("p1", "prefill", _prefill)
     decoder = harness.engine("d1", "decode", _full)
--- a/bilberrydeal/systems/retries/__init__.py
+++ b/bilberrydeal/systems/retries/__init__.py
@@ -5,11 +5,13 @@
 from ._base import RETRIERS
 from ._budgeted import BudgetedRetrier
 from ._never import NeverRetrier
+from ._window import BudgetUse
 from ._window import WindowBudget
 from ._window import WindowLimits
 
 __all__ = [
     "Attempt",
+    "BudgetUse",
     "BudgetedRetrier",
     "NeverRetrier",
     "RETRIERS",
--- a/bilberrydeal/systems/retries/_window.py
+++ b/bilberrydeal/systems/retries/_window.py
@@ -1,6 +1,7 @@
 """A budget of extra sends per service over a sliding window."""
 
 import collections
+import math
 
 import attrs
 
@@ -27,6 +28,8 @@
     extra_sends: collections.deque[float] = attrs.field(
         factory=collections.deque
     )
+    #: Extra sends that are reserved and not yet sent.
+    reserved: int = 0
 
     def remove_before(self, before_s: float) -> None:
         for times in (self.requests, self.extra_sends):
@@ -34,19 +37,42 @@
                 times.popleft()
 
 
+@attrs.frozen
+class BudgetUse:
+    """How much of a service's share is used now."""
+
+    #: Requests in the window.
+    requests: int
+    #: Extra sends in the window.
+    sent: int
+    #: Extra sends that are reserved and not yet sent.
+    reserved: int
+    #: Extra sends that are allowed in all.
+    allowed: float
+
+
 class WindowBudget:
     """Limits extra sends of each service to this process's share.
 
+    Sends are reserved before they are made, so that requests that fail
+    together cannot all use what is left. A process has no part of the base
+    allowance until it has run for a whole window, since the sends of the
+    process that it replaces may still be in the window.
+
     Example::
 
         budget.record_request("shop", now_s)
-        if budget.permits("shop", 1, members=4, now_s=now_s):
-            budget.spend("shop", now_s)
+        if budget.reserve("shop", 1, members=4, now_s=now_s):
             ...  # send it to another endpoint
+            budget.release("shop", 1)
+            budget.spend("shop", now_s)
     """
 
-    def __init__(self, limits: WindowLimits) -> None:
+    def __init__(
+        self, limits: WindowLimits, started_s: float = -math.inf
+    ) -> None:
         self.limits = limits
+        self._started_s = started_s
         self._services: dict[str, _WindowEvents] = {}
 
     def record_request(self, service: str, now_s: float) -> None:
@@ -57,23 +83,39 @@
         self, service: str, sends: int, members: int, now_s: float
     ) -> bool:
         """Return whether the budget permits a number of extra sends now."""
+        used = self.use(service, members, now_s)
+        return used.sent + used.reserved + sends <= used.allowed
+
+    def use(self, service: str, members: int, now_s: float) -> BudgetUse:
+        """Return how much of this process's share is used now."""
         events = self._events(service, now_s)
-        allowed = USED_FRACTION * (
-            self.limits.ratio * len(events.requests)
-            + self.limits.base_allowance / max(members, 1)
+        allowed = self.limits.ratio * len(events.requests)
+        if now_s - self._started_s >= self.limits.window_s:
+            allowed += self.limits.base_allowance / max(members, 1)
+        return BudgetUse(
+            requests=len(events.requests),
+            sent=len(events.extra_sends),
+            reserved=events.reserved,
+            allowed=USED_FRACTION * allowed,
         )
-        return len(events.extra_sends) + sends <= allowed
+
+    def reserve(
+        self, service: str, sends: int, members: int, now_s: float
+    ) -> bool:
+        """Reserve extra sends; return whether the budget permits them."""
+        if not self.permits(service, sends, members, now_s):
+            return False
+        self._events(service, now_s).reserved += sends
+        return True
+
+    def release(self, service: str, sends: int) -> None:
+        """Return reserved sends that are made now or will not be made."""
+        self._services[service].reserved -= sends
 
     def spend(self, service: str, now_s: float) -> None:
         """Record an extra send."""
         self._events(service, now_s).extra_sends.append(now_s)
 
-    def refund(self, service: str, now_s: float) -> None:
-        """Refund the last extra send, which turned out not to count."""
-        extra_sends = self._events(service, now_s).extra_sends
-        if extra_sends:
-            extra_sends.pop()
-
     def _events(self, service: str, now_s: float) -> _WindowEvents:
         events = self._services.setdefault(service, _WindowEvents())
         events.remove_before(now_s - self.limits.window_s)
