--- a/bilberrydeal/gateway/_retry_policy.py
+++ b/bilberrydeal/gateway/_retry_policy.py
@@ -105,6 +105,17 @@
         )
         return granted
 
+    def has_budget(
+        self,
+        admitted: _requests.AdmittedRequest,
+        progress: _requests.RequestProgress,
+    ) -> bool:
+        """Return whether the service's budget permits a retry now."""
+        sends = _sends_needed(admitted, progress) - progress.reserved_sends
+        return self._budget.permits(
+            admitted.service, sends, self._cluster.members, self._clock()
+        )
+
     def _charge_failed_prefill(
         self,
         admitted: _requests.AdmittedRequest,
