--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -15,6 +15,7 @@
 from . import _continuation
 from . import _events
 from . import _pending_prefill
+from . import _quarantine
 from . import _requests
 from . import _retry_policy
 from . import _sending
@@ -114,8 +115,10 @@
         placer: placement.Placer,
         uplink: _uplink.Uplink,
         failure_domain: str,
+        quarantine: _quarantine.PartQuarantine,
         clock: Clock,
     ) -> None:
+        self._quarantine = quarantine
         self._cluster = cluster
         self._sender = sender
         self._retry_policy = retry_policy
@@ -150,6 +153,8 @@
                 reason = _failure_reason(error)
                 if not progress.sent and len(progress.tried) < TRIED_LIMIT:
                     continue
+                if _is_lost_run(error):
+                    self._quarantine.check_retry(admitted, progress, reason)
                 if _is_final(admitted, progress, error):
                     raise _requests.failure_refusal(
                         progress, reason
@@ -160,6 +165,7 @@
 
     async def _attempt(self, stream: _ClientStream) -> None:
         """Serve a stream, or the rest of it, with one placement."""
+        self._quarantine.check(stream.admitted, stream.progress)
         now_s = self._clock()
         request = self._placement_request(stream, now_s)
         engines = self._engines_for(stream, now_s)
@@ -265,6 +271,7 @@
         try:
             while not consumed:
                 upstream = self._decode_upstream(stream, request, source)
+                self._quarantine.check(stream.admitted, stream.progress)
                 try:
                     await self._generate(stream, upstream, placed, source)
                     consumed = True
@@ -362,6 +369,7 @@
                 None,
             )
         first_s: float | None = None
+        told_sound = False
         while True:
             data = await self._next_chunk(stream, exchange)
             if not data:
@@ -381,7 +389,18 @@
                 stream.take_over()
                 stream.progressed_s = self._clock()
                 self._cluster.observe_progress(upstream, stream.progressed_s)
+                begun_s = stream.progressed_s - first_s
+                if not told_sound and begun_s >= _quarantine.SOUND_AFTER_S:
+                    told_sound = True
+                    self._quarantine.stream_sound(stream.admitted)
                 await responder.write_chunk(complete)
+        if splitter.incomplete or first_s is None:
+            # A response that ends with its connection may be broken off.
+            self._quarantine.engine_lost(
+                upstream, stream.admitted, stream.progress.sends[-1], True
+            )
+        else:
+            self._quarantine.stream_sound(stream.admitted)
         if splitter.incomplete:
             self._cluster.observe(upstream, False, self._clock())
             raise _sending.Lost("stream ended within an event")
@@ -705,16 +724,20 @@
     return f"lost, {error}"
 
 
+def _is_lost_run(error: Exception) -> bool:
+    """Return whether a send that may have run was lost."""
+    lost = isinstance(error, _sending.Lost)
+    return lost and not isinstance(error, _PrefillLost)
+
+
 def _is_final(
     admitted: _requests.AdmittedRequest,
     progress: _requests.RequestProgress,
     error: Exception,
 ) -> bool:
     """Return whether a request that may have run must not be sent again."""
-    lost = isinstance(error, _sending.Lost)
     return (
-        lost
-        and not isinstance(error, _PrefillLost)
+        _is_lost_run(error)
         and progress.may_have_run
         and not admitted.route.idempotent
     )
--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -16,6 +16,7 @@
 from ...systems import placement
 from ...systems import retries
 from .. import _cluster_state
+from .. import _datagrams
 from .. import _requests
 from .. import _retry_policy
 from .. import _sending
@@ -101,6 +102,7 @@
 
     def __init__(self, engine: Engine) -> None:
         self.done = True
+        self.responding = False
         self._engine = engine
         self._prefill = False
         self._chunks = [b"", harness.event(1)]
@@ -124,6 +126,7 @@
                 await self._engine.crashed.wait()
             raise http1.IncompleteResponse
         except TimeoutError:
+            self.responding = True
             return http1.ResponseHead(200, ((b"server-signature", b"s"),))
 
     async def body(self, _limit_bytes: int) -> bytes:
@@ -195,16 +198,26 @@
         )
         uplink = _uplink.Uplink(1_000.0, clock)
         self.tracing = telemetry.Tracing(settings.TraceSettings(), "gateway")
+        quarantine = harness.new_quarantine(
+            "never", clock, _datagrams.Datagrams()
+        )
+        sender = _sending.Sender(
+            self.cluster,
+            self.policy,
+            uplink,
+            self.tracing,
+            quarantine,
+            clock,
+        )
         self.stream = _stream.StreamServer(
             self.cluster,
-            _sending.Sender(
-                self.cluster, self.policy, uplink, self.tracing, clock
-            ),
+            sender,
             self.policy,
             harness.FakeUsageCounter(),
             placement.PLACERS.get("two_stage")(),
             uplink,
             "d1",
+            quarantine,
             clock,
         )
         self.running: set[asyncio.Task[int]] = set()
