--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -151,8 +151,7 @@
             except _FAILED_SENDS as error:
                 _count_failure(progress, error)
                 reason = _failure_reason(error)
-                not_offered = isinstance(error, _sending.NotOffered)
-                if not_offered and len(progress.tried) < TRIED_LIMIT:
+                if not progress.sent and len(progress.tried) < TRIED_LIMIT:
                     continue
                 if _is_final(admitted, progress, error):
                     raise _requests.failure_refusal(
@@ -263,28 +262,20 @@
         source: _KvSource,
     ) -> None:
         """Decode on an engine that fetches the prompt's KV cache."""
+        placed = attrs.evolve(
+            placed, uncached_tokens=0.0, work_tokens=0.0, fetch_from=None
+        )
         consumed = False
         try:
-            engines = self._engines_for(stream, self._clock())
-            engine_id = self._placer.decode_engine(
-                request, source.upstream.endpoint.endpoint_id, engines
-            )
-            if engine_id is None:
-                raise _sending.Rejected("no decode engine available")
-            self._quarantine.check(stream.admitted, stream.progress)
-            upstream = self._cluster.endpoints[engine_id]
-            await self._generate(
-                stream,
-                upstream,
-                attrs.evolve(
-                    placed,
-                    uncached_tokens=0.0,
-                    work_tokens=0.0,
-                    fetch_from=None,
-                ),
-                source,
-            )
-            consumed = True
+            while not consumed:
+                upstream = self._decode_upstream(stream, request, source)
+                self._quarantine.check(stream.admitted, stream.progress)
+                try:
+                    await self._generate(stream, upstream, placed, source)
+                    consumed = True
+                except _sending.NotOffered:
+                    if len(stream.progress.tried) >= TRIED_LIMIT:
+                        raise
         except _sending.Lost:
             consumed = True
             raise
@@ -292,6 +283,22 @@
             if not consumed:
                 self._free_handle(source)
 
+    def _decode_upstream(
+        self,
+        stream: _ClientStream,
+        request: placement.Request,
+        source: _KvSource,
+    ) -> _cluster_state.Upstream:
+        """Return the engine to decode on; raises ``Rejected`` for none."""
+        engine_id = self._placer.decode_engine(
+            attrs.evolve(request, tried=frozenset(stream.progress.tried)),
+            source.upstream.endpoint.endpoint_id,
+            self._engines_for(stream, self._clock()),
+        )
+        if engine_id is None:
+            raise _sending.Rejected("no decode engine available")
+        return self._cluster.endpoints[engine_id]
+
     async def _generate(
         self,
         stream: _ClientStream,
@@ -532,6 +539,7 @@
             return
         stream.continuation = None
         progress = stream.progress
+        self._retry_policy.release(stream.admitted, progress)
         progress.attempts -= 1
         task = continuation.task
         error = None if task.cancelled() else task.exception()
@@ -635,7 +643,7 @@
         taken: most that are only slow are finished by then.
         """
         now_s = self._clock()
-        if not self._retry_policy.has_budget(stream.admitted):
+        if not self._retry_policy.has_budget(stream.admitted, stream.progress):
             return False
         request = self._placement_request(stream, now_s)
         engines = self._engines_for(stream, now_s)
@@ -717,16 +725,20 @@
     return f"lost, {error}"
 
 
+def _is_lost_run(error: Exception) -> bool:
+    """Return whether a send that may have run was lost."""
+    lost = isinstance(error, _sending.Lost)
+    return lost and not isinstance(error, _PrefillLost)
+
+
 def _is_final(
     admitted: _requests.AdmittedRequest,
     progress: _requests.RequestProgress,
     error: Exception,
 ) -> bool:
     """Return whether a request that may have run must not be sent again."""
-    lost = isinstance(error, _sending.Lost)
     return (
-        lost
-        and not isinstance(error, _PrefillLost)
+        _is_lost_run(error)
         and progress.may_have_run
         and not admitted.route.idempotent
     )
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -368,6 +368,29 @@
     )
 
 
+def new_quarantine(
+    system: str,
+    clock: collections.abc.Callable[[], float],
+    datagrams: _datagrams.Datagrams,
+    name: str = "g1",
+    peers: tuple[_datagrams.Address, ...] = (),
+    may_probe: bool = False,
+    metrics: _metrics.GatewayMetrics | None = None,
+) -> _quarantine.PartQuarantine:
+    """Return the quarantine of a gateway."""
+    return _quarantine.PartQuarantine(
+        quarantine.QUARANTINES.get(system)(),
+        datagrams,
+        name,
+        "127.0.0.1:1",
+        lambda: peers,
+        lambda: may_probe,
+        metrics or _metrics.GatewayMetrics(),
+        random.Random(1),
+        clock,
+    )
+
+
 @contextlib.asynccontextmanager
 async def running(
     *endpoints: Endpoint,
@@ -395,16 +418,14 @@
     uplink = _uplink.Uplink(uplink_mbps, clock)
     tracing = telemetry.Tracing(trace or settings.TraceSettings(), "gateway")
     metrics = _metrics.GatewayMetrics()
-    part_quarantine = _quarantine.PartQuarantine(
-        quarantine.QUARANTINES.get("crash_counts")(),
+    part_quarantine = new_quarantine(
+        "crash_counts",
+        clock,
         datagrams or _datagrams.Datagrams(),
         name,
-        "127.0.0.1:1",
-        lambda: peers,
-        lambda: may_probe,
+        peers,
+        may_probe,
         metrics,
-        random.Random(1),
-        clock,
     )
     sender = _sending.Sender(
         cluster, retry_policy, uplink, tracing, part_quarantine, clock
