--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -436,7 +436,14 @@
         """
         began_s = max(stream.progressed_s, exchange.sent_s)
         wait_s = began_s + stream.stall_s - self._clock()
-        while stream.continuation is None:
+        while True:
+            if stream.continuation is not None:
+                data = await self._chunk_or_continuation(
+                    stream, stream.continuation, exchange
+                )
+                if data is not None:
+                    return data
+                wait_s = RECONSIDER_INTERVAL_S
             if not _retry_allowed(stream):
                 return await exchange.connection.chunk()
             try:
@@ -447,17 +454,17 @@
             stalled_s = self._clock() - began_s
             if self._sooner_elsewhere(stream, stalled_s):
                 self._start_continuation(stream, exchange)
-        return await self._chunk_or_continuation(
-            stream, stream.continuation, exchange
-        )
 
     async def _chunk_or_continuation(
         self,
         stream: _ClientStream,
         continuation: _continuation.Continuation,
         exchange: _sending.Exchange,
-    ) -> bytes:
-        """Return the silent engine's next bytes unless another takes over."""
+    ) -> bytes | None:
+        """Return the silent engine's next bytes unless another takes over.
+
+        Returns ``None`` if the other one does not continue the stream.
+        """
         chunk = asyncio.ensure_future(exchange.connection.chunk())
         try:
             await asyncio.wait(
@@ -466,11 +473,14 @@
             )
             if continuation.took_over:
                 await self._await_continuation(stream)
-            if continuation.task.done():
-                self._end_continuation(stream)
-            return await chunk
+            if chunk.done():
+                return chunk.result()
+            self._end_continuation(stream)
+            return None
         finally:
             chunk.cancel()
+            # A connection has one reader at a time.
+            await asyncio.gather(chunk, return_exceptions=True)
 
     async def _await_continuation(self, stream: _ClientStream) -> None:
         """Wait for another engine's attempt to continue a stream, if any.
--- a/bilberrydeal/gateway/tests/test_silent_engine.py
+++ b/bilberrydeal/gateway/tests/test_silent_engine.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from ... import http1
 from ... import systems
 from ...systems import retries
 from . import harness
@@ -27,6 +28,15 @@
     return rest + harness.chunk(b"")
 
 
+async def _silent_for_good(call: harness.Call) -> bytes:
+    call.writer.write(
+        harness.stream_head(call) + harness.chunk(harness.event(1))
+    )
+    await call.writer.drain()
+    await asyncio.sleep(30.0)
+    return b""
+
+
 async def _silent_before_head(call: harness.Call) -> bytes:
     await asyncio.sleep(SILENCE_S)
     return harness.complete_stream(call, 1, 5)
@@ -124,6 +134,25 @@
     assert other.calls == []
 
 
+async def test_another_engine_is_asked_after_one_refused_the_connection() -> (
+    None
+):
+    silent = harness.engine("d1", "decode", _silent_for_good)
+    gone = harness.engine("d2", "decode", _decode)
+    healthy = harness.engine("d3", "decode", _decode)
+    async with harness.running(silent, gone, healthy) as running:
+        running.cluster.endpoints["d2"].pool = http1.Pool("127.0.0.1", 1)
+        running.cluster.endpoints["d2"].pool.limit = 8
+        for name, tokens in (("d2", 3_000), ("d3", 6_000)):
+            load = running.cluster.endpoints[name].load
+            assert load is not None
+            load.peer_tokens.urgent = tokens
+        reply = await running.stream("/chat/1", **SHORT)
+    assert reply.complete
+    assert reply.body == EVENTS
+    assert len(healthy.calls) == 1
+
+
 async def test_engine_is_used_again_as_soon_as_it_goes_on() -> None:
     silent = harness.engine("d1", "decode", _silent_midway)
     other = harness.engine("d2", "decode", _full)
