Recognise an extra response in a body that ends with its connection

A head within such a body that names a request makes the response incomplete. A body that holds such a head of its own needs a length. Extra bytes that name no request can't be told from the body.

--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -8,6 +8,7 @@
 import attrs
 import httptools
 
+from . import _extra_responses
 from . import _headers
 from . import _sockets
 
@@ -78,6 +79,9 @@
         self._skipping_response = False
         self._useless_bytes = 0
         self._delimited_by_eof = False
+        self._extra_responses: _extra_responses.ExtraResponseFinder | None = (
+            None
+        )
         self._head: ResponseHead | None = None
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
@@ -254,6 +258,9 @@
         """Buffer a part of the body."""
         if self._skipping_response:
             return
+        if self._extra_responses and self._extra_responses.found(body):
+            self._give_up()
+            return
         self._useless_bytes = 0
         self._chunks.append(body)
         self._buffered_bytes += len(body)
@@ -282,6 +289,10 @@
         connection = head.header(b"connection") or b""
         if b"close" in connection.lower() or self._delimited_by_eof:
             self.reusable = False
+        if self._delimited_by_eof and self._id_header:
+            self._extra_responses = _extra_responses.ExtraResponseFinder(
+                self._id_header
+            )
         timeout = _KEEP_ALIVE_TIMEOUT.search(head.header(b"keep-alive") or b"")
         if timeout is not None:
             self.keep_alive_s = float(timeout.group(1))
--- a/bilberrydeal/http1/tests/harness.py
+++ b/bilberrydeal/http1/tests/harness.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import enum
 import socket
 import struct
 import time
@@ -79,12 +80,26 @@
         writer.close()
 
 
+class Ending(enum.Enum):
+    """How a peer ends a connection."""
+
+    #: With a FIN.
+    CLOSE = "close"
+    #: With a RST.
+    RESET = "reset"
+
+
 @contextlib.asynccontextmanager
 async def scripted(
-    *responses: bytes | None, close: bool = True, reset: bool = False
+    *responses: bytes | None,
+    close: bool = True,
+    reset: bool = False,
+    ending: Ending = Ending.CLOSE,
+    pause_s: float = 0.0,
 ) -> collections.abc.AsyncIterator["ScriptedPeer"]:
     """Run a peer that responds to each request with the next response."""
-    peer = ScriptedPeer(list(responses), close, reset)
+    reset = reset or ending is Ending.RESET
+    peer = ScriptedPeer(list(responses), close, reset, pause_s)
     server = await asyncio.start_server(peer.serve, "127.0.0.1", 0)
     peer.port = server.sockets[0].getsockname()[1]
     try:
@@ -102,6 +117,8 @@
     responses: list[bytes | None]
     close: bool
     reset: bool
+    #: Silence before the connection is ended.
+    pause_s: float = 0.0
     port: int = 0
     received: list[bytes] = attrs.field(factory=list)
     writers: list[asyncio.StreamWriter] = attrs.field(factory=list)
@@ -122,6 +139,7 @@
                 break
             writer.write(response)
             await writer.drain()
+        await asyncio.sleep(self.pause_s)
         if self.reset:
             # Closing with a linger time of 0 sends a reset.
             writer.get_extra_info("socket").setsockopt(
