Use no connection again whose HTTP/1.0 peer closes it

What callers would have seen: a lost request, since a response of HTTP/1.0 without "Connection: keep-alive" left its connection in the pool although the peer closes it. Five rows of the new table failed before, on both event loops. The parser's own rule decides now, which also reads several Connection fields.

--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -286,8 +286,7 @@
         return response_id == self._request_id
 
     def _update_persistence(self, head: ResponseHead) -> None:
-        connection = head.header(b"connection") or b""
-        if b"close" in connection.lower() or self._delimited_by_eof:
+        if self._delimited_by_eof or not self._parser.should_keep_alive():
             self.reusable = False
         if self._delimited_by_eof and self._id_header:
             self._extra_responses = _extra_responses.ExtraResponseFinder(
--- a/bilberrydeal/http1/tests/test_client_endings.py
+++ b/bilberrydeal/http1/tests/test_client_endings.py
@@ -132,3 +132,46 @@
     )
     assert received == b"ours"
     assert connection.closed
+
+
+@pytest.mark.parametrize(
+    ("version", "fields", "reusable"),
+    [
+        (b"1.1", b"", True),
+        (b"1.1", CLOSE, False),
+        (b"1.0", b"", False),
+        (b"1.0", b"connection: keep-alive\r\n", True),
+    ],
+)
+@pytest.mark.parametrize(
+    ("status", "length", "body"),
+    [
+        (204, b"", b""),
+        (304, b"", b""),
+        (304, b"content-length: 4\r\n", b""),
+        (200, b"content-length: 4\r\n", b"ours"),
+        (200, b"content-length: 0\r\n", b""),
+    ],
+)
+@pytest.mark.parametrize("loop", LOOPS)
+def test_connection_is_used_again_only_if_the_peer_keeps_it(
+    loop: LoopFactory,
+    status: int,
+    length: bytes,
+    body: bytes,
+    version: bytes,
+    fields: bytes,
+    reusable: bool,
+) -> None:
+    async def exchange() -> tuple[bytes, bool]:
+        answer = _head(version, status, length + fields) + body
+        async with harness.scripted(answer, close=False) as peer:
+            connection = await http1.connect("127.0.0.1", peer.port, 1.0, ID)
+            connection.send(REQUEST, b"", b"7")
+            async with asyncio.timeout(2.0):
+                await connection.head()
+                received = await connection.body(10_000)
+            return received, not connection.closed
+
+    with asyncio.Runner(loop_factory=loop) as runner:
+        assert runner.run(exchange()) == (body, reusable)
