Send no length or chunks with a status that has no body

What callers would have seen: the status 204 or 304 with "Content-Length: 0", and on streaming routes with chunks, whose last one their next response then began with.

--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -10,10 +10,9 @@
 
 from . import _extra_responses
 from . import _headers
+from . import _responder
 from . import _sockets
 
-#: Statuses whose responses never have a body.
-BODILESS_STATUSES = frozenset([204, 304])
 #: Unread bytes of a response at which reading from the socket pauses.
 BUFFER_LIMIT_BYTES = 262_144
 #: Bytes that a peer may send without any that belong to the response: heads,
@@ -96,6 +95,11 @@
         self._closed = False
         self._waiter: asyncio.Future[None] | None = None
 
+    @property
+    def delimited_by_eof(self) -> bool:
+        """Return whether only the end of the connection ends the body."""
+        return self._delimited_by_eof
+
     @property
     def closed(self) -> bool:
         """Return whether the connection can carry no further request."""
@@ -329,7 +333,7 @@
 
 
 def _is_delimited_by_eof(head: ResponseHead) -> bool:
-    if head.status in BODILESS_STATUSES:
+    if head.status in _responder.BODILESS_STATUSES:
         return False
     if head.header(b"content-length") is not None:
         return False
--- a/bilberrydeal/http1/_responder.py
+++ b/bilberrydeal/http1/_responder.py
@@ -5,6 +5,9 @@
 
 from . import _headers
 
+#: Statuses whose responses have neither a body nor its framing.
+BODILESS_STATUSES = frozenset([204, 304])
+
 
 class CallerGone(Exception):
     """The caller disconnected before the response was complete."""
@@ -49,13 +52,19 @@
         self, status: int, headers: _headers.Headers, body: bytes
     ) -> None:
         """Send a complete response."""
-        self._start(status, [*headers, _length(len(body))], body)
+        if status in BODILESS_STATUSES:
+            self._start(status, [*headers], b"")
+        else:
+            self._start(status, [*headers, _length(len(body))], body)
         self.finished = True
 
     def start(
         self, status: int, headers: _headers.Headers, length: int | None
     ) -> None:
         """Send the head of a response, chunked if ``length`` is ``None``."""
+        if status in BODILESS_STATUSES:
+            self._start(status, [*headers], b"")
+            return
         framing = (
             (b"transfer-encoding", b"chunked")
             if length is None
@@ -65,12 +74,15 @@
 
     async def write_chunk(self, data: bytes) -> None:
         """Send one chunk and wait for the write buffer to drain."""
+        if self.status in BODILESS_STATUSES:
+            return
         self._transport.send(b"%x\r\n%b\r\n" % (len(data), data))
         await self._transport.drain()
 
     def end_chunks(self) -> None:
         """Send the last chunk, which completes the response."""
-        self._transport.send(b"0\r\n\r\n")
+        if self.status not in BODILESS_STATUSES:
+            self._transport.send(b"0\r\n\r\n")
         self.finished = True
 
     def abort(self) -> None:
