Take no stream for complete whose connection ended before an event

A stream without length and chunks needs one event now, else it is resumed or left incomplete. Weighed: to believe an empty rest after the last event. Then a broken stream would look whole; this way a caller asks once more at worst.

--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -346,6 +346,9 @@
         if splitter.incomplete:
             self._cluster.observe(upstream, False, self._clock())
             raise _sending.Lost("stream ended within an event")
+        if first_s is None and exchange.connection.delimited_by_eof:
+            self._cluster.observe(upstream, False, self._clock())
+            raise _sending.Lost("connection ended before an event")
         self._cluster.observe(upstream, True, self._clock())
         if upstream.load is not None and first_s is not None:
             held_s = self._clock() - first_s
--- a/bilberrydeal/gateway/tests/test_responses_without_length.py
+++ b/bilberrydeal/gateway/tests/test_responses_without_length.py
@@ -184,6 +184,7 @@
     ),
     pytest.param(TWO + b"id: 3\nda", Ending.RESET, b"2", id="reset in event"),
     pytest.param(EVENTS, Ending.RESET, b"5", id="reset after the last event"),
+    pytest.param(b"", Ending.CLOSE, b"", id="no event"),
     pytest.param(b"", Ending.RESET, b"", id="reset before an event"),
 ]
 
@@ -230,6 +231,22 @@
     assert EVENTS.startswith(reply.body)
 
 
+async def test_empty_rest_without_length_is_no_proof_of_an_end() -> None:
+    """An engine that ends before the first event looks the same."""
+    broken = harness.engine(
+        "d1", "decode", _script(lambda call: _head(call) + TWO, Ending.RESET)
+    )
+    empty = harness.engine("d2", "decode", _script(_head, Ending.CLOSE))
+    async with harness.running(broken, empty) as running:
+        load = running.cluster.endpoints["d2"].load
+        assert load is not None
+        load.peer_tokens.urgent = 3_000
+        reply = await running.stream(**SHORT)
+    assert len(empty.calls) == 1
+    assert reply.body == TWO
+    assert not reply.complete
+
+
 @pytest.mark.parametrize("apart", [False, True])
 async def test_stream_holds_no_extra_response(apart: bool) -> None:
     """The extra response may arrive with the events or after them."""
