--- a/bilberrydeal/adapters/_exchange.py
+++ b/bilberrydeal/adapters/_exchange.py
@@ -13,6 +13,8 @@
 CONNECT_TIMEOUT_SHARE = 0.6
 
 HTTP_OK = 200
+HTTP_NO_CONTENT = 204
+HTTP_NOT_MODIFIED = 304
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 HTTP_TOO_MANY_REQUESTS = 429
@@ -78,14 +80,37 @@
         allow_redirects=False,
         timeout=timeout(timeout_s),
     ) as response:
+        body = await response.read()
+        if _delimited_by_eof(response) and _connection_failed(response):
+            raise aiohttp.ClientPayloadError("connection failed in a body")
         return Response(
             status=response.status,
             content_type=response.headers.get("Content-Type", ""),
             retry_after_s=retry_after_s(response),
-            body=await response.read(),
+            body=body,
         )
 
 
+def _delimited_by_eof(response: aiohttp.ClientResponse) -> bool:
+    """Return whether only the end of the connection ends the body."""
+    if response.status in (HTTP_NO_CONTENT, HTTP_NOT_MODIFIED):
+        return False
+    coding = response.headers.get("Transfer-Encoding", "")
+    return response.content_length is None and "chunked" not in coding.lower()
+
+
+def _connection_failed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the connection was reset or timed out, not closed.
+
+    The client library takes both for the end of a body that has no length.
+    There is no public way to tell them apart.
+    """
+    protocol = response._protocol
+    return protocol is not None and isinstance(
+        protocol.exception(), aiohttp.ClientOSError
+    )
+
+
 def retry_after_s(response: aiohttp.ClientResponse) -> float | None:
     """Return ``Retry-After`` if it is a number of seconds."""
     try:
