Use a connection to an engine or the store for one call only

What callers could have got: the text of another request. Where a server sent a second copy of an answer late, on a connection that was kept open, the HTTP client took it for the answer to the next call: a generation, the state of an engine, or a transaction, whose versions were then those of another one. The answers carry no id, and the library does not check what arrived on an idle connection.

Weighed: to give up a connection only when it has received bytes while idle. A copy may also come after the next request was sent, so that is not enough. Price: one more round trip a call, and ports of closed connections, which the calls to plain services had before.

--- a/bilberrydeal/adapters/__init__.py
+++ b/bilberrydeal/adapters/__init__.py
@@ -1,6 +1,7 @@
 """Port adapters, one per wire protocol, registered by name.
 
-Each adapter is constructed with an ``aiohttp.ClientSession`` and a base URL.
+Each adapter is constructed with a session of :func:`open_session` and a base
+URL.
 
 Example::
 
@@ -9,6 +10,7 @@
 
 from ._endpoints import HttpEndpoints
 from ._engines import HttpEngine
+from ._exchange import open_session
 from ._hosts import HttpHosts
 from ._objects import HttpObjects
 from ._plain import HttpPlain
@@ -45,4 +47,5 @@
     "USAGE",
     "WEIGHTS",
     "connect",
+    "open_session",
 ]
--- a/bilberrydeal/adapters/_exchange.py
+++ b/bilberrydeal/adapters/_exchange.py
@@ -46,6 +46,27 @@
         return msgspec.json.decode(self.body, type=response_type)
 
 
+def open_session(connection_limit: int) -> aiohttp.ClientSession:
+    """Return a session that uses a connection for one call only.
+
+    A peer may send a second copy of an answer late. On a connection that is
+    kept open, the client library takes it for the answer to the next call.
+    A limit of 0 allows any number of connections at a time.
+
+    Example::
+
+        async with open_session(connection_limit=100) as session:
+            table = HttpTable(session, url)
+    """
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=connection_limit, force_close=True
+        )
+    )
+    disable_retries(session)
+    return session
+
+
 def disable_retries(session: aiohttp.ClientSession) -> None:
     """Disable automatic retries of the client library.
 
--- a/bilberrydeal/adapters/_plain.py
+++ b/bilberrydeal/adapters/_plain.py
@@ -16,8 +16,8 @@
 class HttpPlain:
     """Implements :class:`bilberrydeal.ports.PlainService`.
 
-    Each call uses a new connection: if a kept-alive one turned out to be
-    closed, it would be unknown whether the call had started.
+    Each call uses a connection of its own: if a kept-alive one turned out to
+    be closed, it would be unknown whether the call had started.
     """
 
     def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
--- a/bilberrydeal/adapters/tests/peer.py
+++ b/bilberrydeal/adapters/tests/peer.py
@@ -9,6 +9,8 @@
 
 import aiohttp
 
+from ... import adapters
+
 Script = collections.abc.Callable[
     [asyncio.StreamWriter, int], collections.abc.Awaitable[None]
 ]
@@ -39,7 +41,7 @@
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     try:
-        async with aiohttp.ClientSession() as session:
+        async with adapters.open_session(connection_limit=0) as session:
             yield session, f"http://127.0.0.1:{port}"
     finally:
         server.close()
--- a/bilberrydeal/adapters/tests/test_adapters.py
+++ b/bilberrydeal/adapters/tests/test_adapters.py
@@ -28,7 +28,7 @@
 ) -> collections.abc.AsyncIterator[tuple[aiohttp.ClientSession, str]]:
     async with (
         test_utils.TestServer(app) as server,
-        aiohttp.ClientSession() as session,
+        adapters.open_session(0) as session,
     ):
         yield session, f"http://127.0.0.1:{server.port}"
 
@@ -268,7 +268,7 @@
 
 
 async def test_engine_failure_reports_whether_work_started() -> None:
-    async with aiohttp.ClientSession() as session:
+    async with adapters.open_session(0) as session:
         client = adapters.ENGINES.get("openai_http")(
             session, "http://127.0.0.1:1"
         )
--- a/bilberrydeal/agent/_daemon.py
+++ b/bilberrydeal/agent/_daemon.py
@@ -3,9 +3,9 @@
 import asyncio
 import signal
 
-import aiohttp
 import uvloop
 
+from .. import adapters
 from .. import link
 from .. import settings
 from .. import telemetry
@@ -56,8 +56,7 @@
     use.
     """
     signals = _Signals()
-    connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector) as session:
+    async with adapters.open_session(connection_limit=0) as session:
         client = _build.store_client(agent_settings, session)
         name = _build.new_incarnation(agent_settings)
         agent = _build.build(name, agent_settings, session, client)
--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -6,8 +6,7 @@
 import sys
 import typing
 
-import aiohttp
-
+from .. import adapters
 from .. import periodic
 from .. import settings
 from .. import telemetry
@@ -23,6 +22,8 @@
 LOG = telemetry.logger("entry")
 #: Interval between updates of links and circuits.
 TICK_S = 0.1
+#: Most calls to the platform at a time.
+CONNECTION_LIMIT = 100
 #: Interval between checks for running requests during shutdown.
 DRAIN_POLL_S = 0.05
 
@@ -182,7 +183,7 @@
     telemetry.configure(entry_settings.log.level)
 
     async def main() -> bool:
-        async with aiohttp.ClientSession() as session:
+        async with adapters.open_session(CONNECTION_LIMIT) as session:
             context = _context.build(entry_settings, secret, session)
             return await EntryProcess(context).run()
 
