Make an unreadable answer a typed failure of its call

What callers would have seen: all requests of an agent cut off, since its process ended. An answer of the store that could not be decoded raised an error of the decoder, which nothing on the way expects: it ended the loop that reads orders, and with it the agent.

Reads raise StoreUnavailable now, transactions OutcomeUnknown, engines' calls EngineFailure; so do rows and versions whose number is not that of the call.

--- a/bilberrydeal/adapters/_endpoints.py
+++ b/bilberrydeal/adapters/_endpoints.py
@@ -62,8 +62,9 @@
             f"{self._url}/list",
             timeout_s,
             ListRequest(failure_domain),
+            ListResponse,
         )
-        return response.decode(ListResponse).endpoints
+        return response.endpoints
 
     async def _send_order(
         self,
--- a/bilberrydeal/adapters/_engines.py
+++ b/bilberrydeal/adapters/_engines.py
@@ -105,7 +105,6 @@
 
 Decoded = typing.TypeVar("Decoded")
 _decode_event = msgspec.json.Decoder(StreamEvent).decode
-_DECODE_ERRORS = (msgspec.ValidationError, msgspec.DecodeError)
 
 
 def _merge_events(blocks: list[bytes]) -> ports.EngineEvent:
@@ -239,7 +238,7 @@
             )
         try:
             return response.decode(response_type)
-        except _DECODE_ERRORS as error:
+        except _exchange.DECODE_ERRORS as error:
             raise ports.EngineFailure(operation=path, started=True) from error
 
     async def _post(
@@ -298,5 +297,9 @@
         yield
     except _exchange.NOT_SENT as error:
         raise ports.EngineFailure(operation=path, started=False) from error
-    except (*_exchange.MAYBE_SENT, *_DECODE_ERRORS, IndexError) as error:
+    except (
+        *_exchange.MAYBE_SENT,
+        *_exchange.DECODE_ERRORS,
+        IndexError,
+    ) as error:
         raise ports.EngineFailure(operation=path, started=True) from error
--- a/bilberrydeal/adapters/_exchange.py
+++ b/bilberrydeal/adapters/_exchange.py
@@ -25,6 +25,9 @@
 #: Errors raised when the request may have arrived.
 MAYBE_SENT = (aiohttp.ClientError, TimeoutError, OSError)
 
+#: Errors raised by a body that is not what it should be.
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
 Decoded = typing.TypeVar("Decoded")
 
 
@@ -42,7 +45,7 @@
     body: bytes
 
     def decode(self, response_type: type[Decoded]) -> Decoded:
-        """Decode the JSON body as ``response_type``."""
+        """Decode the JSON body; raises one of ``DECODE_ERRORS``."""
         return msgspec.json.decode(self.body, type=response_type)
 
 
@@ -141,12 +144,20 @@
 
 
 async def read(
-    session: aiohttp.ClientSession, url: str, timeout_s: float, body: object
-) -> Response:
-    """Make a read-only call; a lost response is ``StoreUnavailable``."""
+    session: aiohttp.ClientSession,
+    url: str,
+    timeout_s: float,
+    body: object,
+    response_type: type[Decoded],
+) -> Decoded:
+    """Make a read-only call and decode its response.
+
+    A lost or unreadable response is ``StoreUnavailable``.
+    """
     try:
-        return await write(session, url, timeout_s, body)
-    except errors.OutcomeUnknown as error:
+        response = await write(session, url, timeout_s, body)
+        return response.decode(response_type)
+    except (errors.OutcomeUnknown, *DECODE_ERRORS) as error:
         raise errors.StoreUnavailable(operation=url) from error
 
 
--- a/bilberrydeal/adapters/_hosts.py
+++ b/bilberrydeal/adapters/_hosts.py
@@ -31,6 +31,10 @@
     async def hosts(self, timeout_s: float) -> tuple[ports.HostRecord, ...]:
         """Return all hosts known to the platform."""
         response = await _exchange.read(
-            self._session, self._url, timeout_s, ListHostsRequest()
+            self._session,
+            self._url,
+            timeout_s,
+            ListHostsRequest(),
+            ListHostsResponse,
         )
-        return response.decode(ListHostsResponse).hosts
+        return response.hosts
--- a/bilberrydeal/adapters/_tables.py
+++ b/bilberrydeal/adapters/_tables.py
@@ -60,9 +60,15 @@
     ) -> tuple[ports.Row | None, ...]:
         """Return the rows in the order of ``keys``, from one snapshot."""
         response = await _exchange.read(
-            self._session, f"{self._url}/read", timeout_s, ReadRequest(keys)
+            self._session,
+            f"{self._url}/read",
+            timeout_s,
+            ReadRequest(keys),
+            ReadResponse,
         )
-        return response.decode(ReadResponse).rows
+        if len(response.rows) != len(keys):
+            raise errors.StoreUnavailable(operation="read")
+        return response.rows
 
     async def scan(
         self,
@@ -78,21 +84,32 @@
             f"{self._url}/scan",
             timeout_s,
             ScanRequest(table, prefix, after, limit),
+            ScanResponse,
         )
-        return response.decode(ScanResponse).rows
+        return response.rows
 
     async def commit(
         self, transaction: ports.Transaction, timeout_s: float
     ) -> ports.Committed:
-        """Commit a transaction; raises ``TableConflict``."""
+        """Commit a transaction; raises ``TableConflict``.
+
+        A response that can't be read leaves its outcome unknown.
+        """
         response = await _exchange.write(
             self._session, f"{self._url}/commit", timeout_s, transaction
         )
-        if response.status == _exchange.HTTP_CONFLICT:
-            failed = response.decode(ports.Check)
-            raise errors.TableConflict(
-                table=failed.table,
-                key=failed.key,
-                found_version=failed.version,
-            )
-        return response.decode(ports.Committed)
+        try:
+            if response.status == _exchange.HTTP_CONFLICT:
+                raise _conflict(response.decode(ports.Check))
+            committed = response.decode(ports.Committed)
+        except _exchange.DECODE_ERRORS as error:
+            raise errors.OutcomeUnknown(operation="commit") from error
+        if len(committed.versions) != len(transaction.writes):
+            raise errors.OutcomeUnknown(operation="commit")
+        return committed
+
+
+def _conflict(failed: ports.Check) -> errors.TableConflict:
+    return errors.TableConflict(
+        table=failed.table, key=failed.key, found_version=failed.version
+    )
