Take a row that is nested too deep for an invalid row

What callers would have seen: an agent that ended, with all its requests, by one row of another writer, since the decoder's RecursionError is no error of its own kind and ended the loop that reads orders. One new row failed before; rows that are cut, of another type or not UTF-8 were refused already.

--- a/bilberrydeal/store/_codec.py
+++ b/bilberrydeal/store/_codec.py
@@ -34,5 +34,5 @@
     """
     try:
         return msgspec.json.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise RowInvalid(expected=kind.__name__, reason=str(error)) from error
