Keep answering hellos after an unexpected error

What callers could have seen: an agent, or an entry's exchange with others, that no one reaches any more while its process goes on. An error of the handler other than the expected ones ended the task that serves its port for good. Malformed hellos and replies, by the same table, were refused already.

--- a/bilberrydeal/link/_requests.py
+++ b/bilberrydeal/link/_requests.py
@@ -11,8 +11,11 @@
 import pynng
 
 from .. import errors
+from .. import telemetry
 from . import _nng
 
+LOG = telemetry.logger("link")
+
 #: Delay between two dials for one request. A request may arrive twice, so
 #: only requests that are safe to repeat are sent this way.
 RECONNECT_MS = 50
@@ -72,7 +75,8 @@
         """Reply to requests until :meth:`close`.
 
         A request for which ``handler`` raises a
-        :class:`bilberrydeal.errors.BilberrydealError` gets no reply.
+        :class:`bilberrydeal.errors.BilberrydealError` gets no reply, nor
+        does one whose handling fails unexpectedly.
         """
         while True:
             try:
@@ -82,6 +86,8 @@
                 return
             except (pynng.NNGException, errors.BilberrydealError):
                 continue  # The request was bad; serve the next one.
+            except Exception:
+                LOG.exception("Request failed unexpectedly.")
 
     def close(self) -> None:
         """Stop serving and close the port."""
