Keep checking and planning endpoints beside one of an unknown role

What callers would have seen: a broken endpoint that stays in use, and roles that no one plans any more, since an agent (of a newer version, or by a malformed status or row) that reports a role unknown to this version made the round of checks of all endpoints, and that of planning, fail each time.

Such an endpoint accepts nothing and is not planned; a log line says so once.

--- a/bilberrydeal/entry/core/_pool.py
+++ b/bilberrydeal/entry/core/_pool.py
@@ -40,6 +40,8 @@
     reported_at_s: float = -math.inf
     #: Incarnation of the agent that sent it.
     agent: str = ""
+    #: Role of its last status if this version does not know it.
+    unknown_role: str = ""
 
 
 class LinkPool:
@@ -177,9 +179,16 @@
             )
             self._views.put(view)
         view.service = status.service
-        view.role = ports.EngineRole(status.role or ports.EngineRole.BOTH)
+        role = ports.role_or_none(status.role or ports.EngineRole.BOTH)
+        if role is None and member.unknown_role != status.role:
+            LOG.warning(
+                "Role unknown.", endpoint=endpoint_id, role=status.role
+            )
+        member.unknown_role = "" if role else status.role
+        view.role = role or ports.EngineRole.BOTH
         view.accepting = (
             status.accepting
+            and role is not None
             and member.link.connected
             and not member.location.leaving
         )
--- a/bilberrydeal/entry/planners/_role_planning.py
+++ b/bilberrydeal/entry/planners/_role_planning.py
@@ -74,8 +74,11 @@
         endpoints = self._tables.of(roles.RoleEndpoint)
         endpoints.clear()
         for agent in self._directory.agents():
-            if agent.role:
-                endpoints.put(self._role_endpoint(agent, committed, now_s))
+            role = ports.role_or_none(agent.role)
+            if role is not None:
+                endpoints.put(
+                    self._role_endpoint(agent, role, committed, now_s)
+                )
         for model, windows in self._windows.by_service.items():
             self._tables.of(roles.ModelDemand).put(
                 roles.ModelDemand(key=model, windows=tuple(windows))
@@ -103,6 +106,7 @@
     def _role_endpoint(
         self,
         agent: membership.AgentMember,
+        role: ports.EngineRole,
         committed: duties.Orders,
         now_s: float,
     ) -> roles.RoleEndpoint:
@@ -114,11 +118,7 @@
             key=agent.endpoint_id,
             model=agent.service,
             failure_domain=agent.failure_domain,
-            role=(
-                order.role
-                if order is not None and changing
-                else ports.EngineRole(agent.role)
-            ),
+            role=order.role if order is not None and changing else role,
             changing=changing,
             assigned=agent.endpoint_id in self._tables.of(roles.Assignment),
             model_version=order.model_version if order else "",
--- a/bilberrydeal/entry/tests/test_planning.py
+++ b/bilberrydeal/entry/tests/test_planning.py
@@ -74,6 +74,14 @@
     assert endpoint.role == role
 
 
+def test_agent_of_an_unknown_role_leaves_the_others_planned() -> None:
+    other = attrs.evolve(AGENT, endpoint_id="ep2", role="embed")
+    planning, _ = _planning_of(AGENT, other)
+    planning.decide_roles({}, 10.0)
+    (endpoint,) = planning.tables.of(roles.RoleEndpoint)
+    assert endpoint.key == "ep1"
+
+
 @pytest.mark.parametrize(
     ("change", "expected"),
     [
--- a/bilberrydeal/ports/__init__.py
+++ b/bilberrydeal/ports/__init__.py
@@ -20,6 +20,7 @@
 from ._engine import EngineState
 from ._engine import LoadReport
 from ._engine import OrderRefused
+from ._engine import role_or_none
 from ._engine import Sampling
 from ._feed import Change
 from ._feed import ChangeFeed
@@ -90,4 +91,5 @@
     "WeightStore",
     "WeightsBusy",
     "Write",
+    "role_or_none",
 ]
--- a/bilberrydeal/ports/_engine.py
+++ b/bilberrydeal/ports/_engine.py
@@ -20,6 +20,14 @@
     BOTH = "both"
 
 
+def role_or_none(text: str) -> EngineRole | None:
+    """Return a role by its name, ``None`` if this version knows no such."""
+    try:
+        return EngineRole(text)
+    except ValueError:
+        return None
+
+
 @attrs.frozen
 class Sampling:
     """Sampling parameters; ``None`` selects the engine's default."""
