Bound answers and events of endpoints and the store

What callers could have seen: an agent or entry without memory, by a peer that sends a body, or an event of a stream, without end: all of it was kept until the deadline of the call.

64 MB a body, 16 MB of a plain service, since one link frame carries it, and 1 MB an event.

--- a/bilberrydeal/adapters/_engines.py
+++ b/bilberrydeal/adapters/_engines.py
@@ -19,6 +19,8 @@
 from . import _registries
 
 HTTP_SERVER_ERROR = 500
+#: Largest event of a stream, in bytes; more without its end is no event.
+EVENT_LIMIT_BYTES = 1024 * 1024
 _DATA = b"data: "
 _DONE = b"[DONE]"
 _EVENT_END = b"\n\n"
@@ -286,6 +288,8 @@
     rest = b""
     async for data in content.iter_any():
         *blocks, rest = (rest + data).split(_EVENT_END)
+        if len(rest) > EVENT_LIMIT_BYTES:
+            raise aiohttp.ClientPayloadError("event too large")
         if blocks:
             yield _merge_events(blocks)
 
--- a/bilberrydeal/adapters/_exchange.py
+++ b/bilberrydeal/adapters/_exchange.py
@@ -12,6 +12,9 @@
 #: failed connection can be distinguished from a missing response.
 CONNECT_TIMEOUT_SHARE = 0.6
 
+#: Largest body of a response, in bytes; more without its end is no response.
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+
 HTTP_OK = 200
 HTTP_NO_CONTENT = 204
 HTTP_NOT_MODIFIED = 304
@@ -93,6 +96,7 @@
     timeout_s: float,
     body: bytes = b"",
     headers: dict[str, str] | None = None,
+    body_limit_bytes: int = BODY_LIMIT_BYTES,
 ) -> Response:
     """Send one request and return its response, without retries."""
     disable_retries(session)
@@ -104,7 +108,7 @@
         allow_redirects=False,
         timeout=timeout(timeout_s),
     ) as response:
-        body = await response.read()
+        body = await _read_body(response, body_limit_bytes)
         if _delimited_by_eof(response) and _connection_failed(response):
             raise aiohttp.ClientPayloadError("connection failed in a body")
         return Response(
@@ -115,6 +119,18 @@
         )
 
 
+async def _read_body(
+    response: aiohttp.ClientResponse, limit_bytes: int
+) -> bytes:
+    """Return the body; raises ``ClientPayloadError`` if it is too large."""
+    body = bytearray()
+    async for data in response.content.iter_any():
+        body += data
+        if len(body) > limit_bytes:
+            raise aiohttp.ClientPayloadError("body too large")
+    return bytes(body)
+
+
 def _delimited_by_eof(response: aiohttp.ClientResponse) -> bool:
     """Return whether only the end of the connection ends the body."""
     if response.status in (HTTP_NO_CONTENT, HTTP_NOT_MODIFIED):
--- a/bilberrydeal/adapters/_plain.py
+++ b/bilberrydeal/adapters/_plain.py
@@ -6,6 +6,8 @@
 from . import _exchange
 from . import _registries
 
+#: Largest body of a response, in bytes; it is sent in one link frame.
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
 #: Header with the request ID.
 REQUEST_ID_HEADER = "X-Request-Id"
 #: Header with the organisation for which the request runs.
@@ -44,6 +46,7 @@
                 timeout_s,
                 request.body,
                 headers,
+                BODY_LIMIT_BYTES,
             )
         except _exchange.NOT_SENT as error:
             raise ports.PlainFailure(started=False) from error
