Bound the delays that the store and the weight store advise

What callers could have seen: endpoints that stay closed for hours, or an agent that asks without a pause, by a Retry-After of 86400, inf, a negative number or nan, which also breaks the order of the event loop's timers. Five rows of the new table failed before. Such values are ignored or bounded to 60 s, with a log line.

--- a/bilberrydeal/adapters/_exchange.py
+++ b/bilberrydeal/adapters/_exchange.py
@@ -1,5 +1,6 @@
 """HTTP exchanges; errors show whether a call may have taken effect."""
 
+import math
 import typing
 
 import aiohttp
@@ -7,6 +8,9 @@
 import msgspec
 
 from .. import errors
+from .. import telemetry
+
+LOG = telemetry.logger("adapters")
 
 #: Share of a call's timeout allowed for connecting. It is below 1 so that a
 #: failed connection can be distinguished from a missing response.
@@ -15,6 +19,9 @@
 #: Largest body of a response, in bytes; more without its end is no response.
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 
+#: Longest delay that a peer may advise, in seconds.
+RETRY_AFTER_LIMIT_S = 60.0
+
 HTTP_OK = 200
 HTTP_NO_CONTENT = 204
 HTTP_NOT_MODIFIED = 304
@@ -152,11 +159,21 @@
 
 
 def retry_after_s(response: aiohttp.ClientResponse) -> float | None:
-    """Return ``Retry-After`` if it is a number of seconds."""
+    """Return ``Retry-After`` in seconds, bounded; ``None`` if unusable."""
+    value = response.headers.get("Retry-After")
+    if value is None:
+        return None
     try:
-        return float(response.headers["Retry-After"])
-    except (KeyError, ValueError):
+        delay_s = float(value)
+    except ValueError:
+        delay_s = math.nan
+    # Comparisons with a value that is no number are false.
+    if not 0.0 <= delay_s < math.inf:
+        LOG.warning("Delay ignored.", url=str(response.url), value=value)
         return None
+    if delay_s > RETRY_AFTER_LIMIT_S:
+        LOG.warning("Delay bounded.", url=str(response.url), value=value)
+    return min(delay_s, RETRY_AFTER_LIMIT_S)
 
 
 async def read(
--- a/bilberrydeal/adapters/tests/test_malformed_answers.py
+++ b/bilberrydeal/adapters/tests/test_malformed_answers.py
@@ -142,3 +142,31 @@
             assert started
         with pytest.raises(errors.BilberrydealError):
             await table.commit(TRANSACTION, TIMEOUT_S)
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (b"2", 2.0),
+        (b"0.5", 0.5),
+        (b"0", 0.0),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"1e9", 60.0),
+        (b"86400", 60.0),
+        (b"soon", None),
+        (b"Wed, 21 Oct 2026 07:28:00 GMT", None),
+        (b"", None),
+    ],
+)
+async def test_delay_that_a_peer_advises_is_bounded(
+    value: bytes, expected: float | None
+) -> None:
+    """Guards against an agent that waits for hours, or not at all."""
+    script = _answering(b"", 503, b"retry-after: " + value + b"\r\n")
+    async with peer.serving(script) as (session, url):
+        table = adapters.TABLES.get("http_json")(session, url)
+        with pytest.raises(errors.StoreUnavailable) as unavailable:
+            await table.commit(TRANSACTION, TIMEOUT_S)
+    assert unavailable.value.retry_after_s == expected
