Answer what an entry has accepted before it closes its connections

What callers saw: a connection closed without an answer at a planned stop of an entry. It waited for the requests that were admitted; one whose head or body was still coming, and a response still being sent, were cut off when the process ended.

The listener closes first, idle connections at once, and all others once their request is answered (a new one is refused as not run, as before), within the bound of the shutdown. A caller that sends no more is cut off then.

--- a/bilberrydeal/entry/_process.py
+++ b/bilberrydeal/entry/_process.py
@@ -17,6 +17,7 @@
 from . import _pipeline
 from . import _secrets
 from . import cluster_state
+from . import http_api
 from . import planners
 
 LOG = telemetry.logger("entry")
@@ -36,6 +37,8 @@
         self._stop = asyncio.Event()
         self._skip_drain = False
         self._stop_requested = False
+        #: When requests under way are cut off, on the context's clock.
+        self._drained_by_s = float("-inf")
         self._server: typing.Any = None
         self._tasks: list[asyncio.Task[None]] = []
         self._pipeline = _pipeline.build(context, self._stop.set)
@@ -148,12 +151,12 @@
             "Entry shutting down.", in_flight=self._pipeline.admitter.in_flight
         )
         self._pipeline.admitter.closing = True
-        until_s = (
+        self._drained_by_s = (
             self._context.clock() + self._context.settings.shutdown_bound_s
         )
         await self._background.duties.stop()
         while self._pipeline.admitter.in_flight and not self._skip_drain:
-            if self._context.clock() >= until_s:
+            if self._context.clock() >= self._drained_by_s:
                 LOG.warning(
                     "Shutdown time limit reached.",
                     in_flight=self._pipeline.admitter.in_flight,
@@ -162,8 +165,10 @@
             await asyncio.sleep(DRAIN_POLL_S)
 
     async def _close(self) -> None:
-        self._server.close()
-        await self._server.wait_closed()
+        time_left_s = max(0.0, self._drained_by_s - self._context.clock())
+        await http_api.close_server(
+            self._server, 0.0 if self._skip_drain else time_left_s
+        )
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/bilberrydeal/entry/http_api/__init__.py
+++ b/bilberrydeal/entry/http_api/__init__.py
@@ -3,6 +3,7 @@
 from ._handler import CallerHandler
 from ._handler import Clocks
 from ._http import add_route
+from ._http import close_server
 from ._http import Handler
 from ._http import json_response
 from ._http import METHODS
@@ -14,6 +15,7 @@
     "Handler",
     "METHODS",
     "add_route",
+    "close_server",
     "json_response",
     "new_app",
 ]
--- a/bilberrydeal/entry/http_api/_http.py
+++ b/bilberrydeal/entry/http_api/_http.py
@@ -21,6 +21,8 @@
 METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD", "OPTIONS")
 #: Idle connections are closed after this time.
 KEEP_ALIVE_S = 75
+#: Interval between checks for open connections while the server closes.
+CLOSE_POLL_S = 0.02
 #: Sanic's response timeout exceeds the longest deadline by this time, so that
 #: it never fires before a deadline.
 RESPONSE_SLACK_S = 60
@@ -102,6 +104,26 @@
         ) from error
 
 
+async def close_server(server: typing.Any, timeout_s: float) -> None:
+    """Close a server once the requests that it has accepted are answered.
+
+    New connections are refused and idle ones closed at once. A caller that
+    has sent a part of a request only, or reads nothing, is cut off after
+    ``timeout_s``.
+    """
+    server.close()
+    try:
+        async with asyncio.timeout(timeout_s):
+            while server.connections:
+                for connection in list(server.connections):
+                    connection.close_if_idle()
+                await asyncio.sleep(CLOSE_POLL_S)
+    except TimeoutError:
+        LOG.warning("Callers cut off.", connections=len(server.connections))
+        for connection in list(server.connections):
+            connection.abort()
+
+
 def request_stream(request: sanic.Request) -> typing.Any:
     """Return the connection of a request."""
     return request.stream
