--- a/bilberrydeal/gateway/_requests.py
+++ b/bilberrydeal/gateway/_requests.py
@@ -93,16 +93,24 @@
     tried: list[str] = attrs.field(factory=list)
     #: W3C trace context of the request, empty without a trace.
     traceparent: str = ""
-    #: Sends that count against the service's budget.
-    budgeted_sends: int = 0
+    #: Whether any send of it reached an endpoint.
+    sent: bool = False
+    #: Whether it was sent to be run; the first such send is not charged.
+    run_sent: bool = False
+    #: Whether a prefill was sent that is not charged unless it fails.
+    prefill_sent: bool = False
     #: Whether a prefill of its prompt succeeded.
     prefill_recorded: bool = False
+    #: Sends that are reserved for it in the retry budget.
+    reserved_sends: int = 0
     #: Prefills without a result.
     lost_prefills: int = 0
     #: Sends that count against the route's limit.
     attempts: int = 0
     #: Whether an endpoint may have run it, or may still run it.
     may_have_run: bool = False
+    #: Whether it was let through in spite of its quarantined parts.
+    probes_quarantine: bool = False
     #: Whether it was counted for billing.
     usage_counted: bool = False
     #: Id of the last event sent to the caller.
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -11,6 +11,7 @@
 from .. import telemetry
 from ..systems import placement
 from . import _cluster_state
+from . import _quarantine
 from . import _requests
 from . import _retry_policy
 from . import _uplink
@@ -94,8 +95,10 @@
         retry_policy: _retry_policy.RetryPolicy,
         uplink: _uplink.Uplink,
         tracing: telemetry.Tracing,
+        quarantine: _quarantine.PartQuarantine,
         clock: Clock,
     ) -> None:
+        self._quarantine = quarantine
         self._tracing = tracing
         self._cluster = cluster
         self._uplink = uplink
@@ -168,13 +171,14 @@
         sent_s = self._clock()
         time_left_s = admitted.deadline_s - sent_s
         fields = attrs.evolve(fields, time_left_s=time_left_s)
-        self._retry_policy.record_send(admitted, progress)
         may_have_run_before = progress.may_have_run
         progress.may_have_run = may_have_run_before or not fields.prefill
         try:
             head = await self._head(
-                connection, admitted, upstream, fields, patience
+                connection, admitted, progress, upstream, fields, patience
             )
+            if not platform.misdirected(head):
+                self._quarantine.engine_responded(upstream, sent_s)
             response_class = platform.classify_response(head)
             if fields.prefill:
                 response_class = platform.classify_prefill_response(head)
@@ -190,7 +194,7 @@
                 raise Lost(f"status {head.status} without proof of execution")
             upstream.note_acceptance()
             if fields.prefill:
-                self._retry_policy.record_prefill(admitted, progress)
+                self._retry_policy.record_prefill(progress)
             record.outcome = f"status {head.status}, incomplete"
             left_host_s = sent_s + self._uplink.transfer_s(size_bytes)
             yield Exchange(connection, head, response_class, left_host_s)
@@ -203,6 +207,10 @@
             record.outcome = f"{type(error).__name__.lower()}, {error}"
             raise
         except http1.IncompleteResponse as error:
+            if not fields.prefill:
+                self._quarantine.engine_lost(
+                    upstream, admitted, record, connection.responding
+                )
             record.outcome += ", connection broke"
             self._cluster.observe(upstream, False, self._clock())
             raise Lost("connection broke") from error
@@ -234,6 +242,7 @@
         self,
         connection: http1.ClientConnection,
         admitted: _requests.AdmittedRequest,
+        progress: _requests.RequestProgress,
         upstream: _cluster_state.Upstream,
         fields: platform.SendFields,
         patience: Patience | None,
@@ -243,6 +252,7 @@
             connection.send(sent, admitted.request.body, admitted.request_id)
         except http1.NotSent as error:
             raise NotOffered("connection closed") from error
+        self._retry_policy.record_send(admitted, progress, fields.prefill)
         try:
             async with asyncio.timeout(fields.time_left_s) as limit:
                 if patience is None:
@@ -250,7 +260,7 @@
                 with patience.applied_to(limit):
                     return await connection.head()
         except TimeoutError as error:
-            self._cluster.observe(upstream, False, self._clock())
+            self._cluster.observe(upstream, False, self._clock(), silent=True)
             raise Lost("no response before the timeout") from error
 
     async def _discard_body(self, connection: http1.ClientConnection) -> None:
--- a/bilberrydeal/gateway/tests/test_stream.py
+++ b/bilberrydeal/gateway/tests/test_stream.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from ... import http1
 from . import harness
 
 
@@ -128,6 +131,26 @@
             assert reply.body == harness.event(1) + harness.event(2)
 
 
+@pytest.mark.parametrize(
+    ("script", "interrupted"),
+    [(_broken_off, True), (_decode, False), (_reset, False)],
+)
+async def test_response_that_is_cut_is_told_from_a_caller_that_left(
+    script: harness.Script,
+    interrupted: bool,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    engine = harness.engine("d1", "decode", script)
+    async with harness.running(engine) as running:
+        await running.stream("/chat-one/1")
+    (line,) = [
+        line
+        for line in capsys.readouterr().out.splitlines()
+        if "Request ended." in line
+    ]
+    assert f"interrupted={interrupted}" in line
+
+
 async def test_non_resumable_stream_that_may_have_run_is_not_retried() -> None:
     engines = [harness.engine(f"d{n}", "decode", _reset) for n in range(3)]
     async with harness.running(*engines) as running:
@@ -168,6 +191,22 @@
     assert len(decoder.calls) == 1
 
 
+async def test_refused_connection_does_not_repeat_the_prefill() -> None:
+    prefillers = [harness.engine(f"p{n}", "prefill", _prefill) for n in (1, 2)]
+    gone = harness.engine("d1", "decode", _decode)
+    healthy = harness.engine("d2", "decode", _decode)
+    async with harness.running(*prefillers, gone, healthy) as running:
+        running.cluster.endpoints["d1"].pool = http1.Pool("127.0.0.1", 1)
+        running.cluster.endpoints["d1"].pool.limit = 8
+        load = running.cluster.endpoints["d2"].load
+        assert load is not None
+        load.peer_counts.add(0, 10)
+        reply = await running.stream()
+    assert reply.complete
+    assert sum(len(each.calls) for each in prefillers) == 1
+    assert len(healthy.calls) == 1
+
+
 async def test_unused_kv_handle_is_freed() -> None:
     prefiller = harness.engine("p1", "prefill", _prefill)
     decoder = harness.engine("d1", "decode", _full)
