--- a/bilberrydeal/adapters/_engines.py
+++ b/bilberrydeal/adapters/_engines.py
@@ -19,6 +19,8 @@
 from . import _registries
 
 HTTP_SERVER_ERROR = 500
+#: Largest event of a stream, in bytes; more without its end is no event.
+EVENT_LIMIT_BYTES = 1024 * 1024
 _DATA = b"data: "
 _DONE = b"[DONE]"
 _EVENT_END = b"\n\n"
@@ -105,7 +107,6 @@
 
 Decoded = typing.TypeVar("Decoded")
 _decode_event = msgspec.json.Decoder(StreamEvent).decode
-_DECODE_ERRORS = (msgspec.ValidationError, msgspec.DecodeError)
 
 
 def _merge_events(blocks: list[bytes]) -> ports.EngineEvent:
@@ -239,7 +240,7 @@
             )
         try:
             return response.decode(response_type)
-        except _DECODE_ERRORS as error:
+        except _exchange.DECODE_ERRORS as error:
             raise ports.EngineFailure(operation=path, started=True) from error
 
     async def _post(
@@ -287,6 +288,8 @@
     rest = b""
     async for data in content.iter_any():
         *blocks, rest = (rest + data).split(_EVENT_END)
+        if len(rest) > EVENT_LIMIT_BYTES:
+            raise aiohttp.ClientPayloadError("event too large")
         if blocks:
             yield _merge_events(blocks)
 
@@ -298,5 +301,9 @@
         yield
     except _exchange.NOT_SENT as error:
         raise ports.EngineFailure(operation=path, started=False) from error
-    except (*_exchange.MAYBE_SENT, *_DECODE_ERRORS, IndexError) as error:
+    except (
+        *_exchange.MAYBE_SENT,
+        *_exchange.DECODE_ERRORS,
+        IndexError,
+    ) as error:
         raise ports.EngineFailure(operation=path, started=True) from error
--- a/bilberrydeal/adapters/_plain.py
+++ b/bilberrydeal/adapters/_plain.py
@@ -6,6 +6,8 @@
 from . import _exchange
 from . import _registries
 
+#: Largest body of a response, in bytes; it is sent in one link frame.
+BODY_LIMIT_BYTES = 16 * 1024 * 1024
 #: Header with the request ID.
 REQUEST_ID_HEADER = "X-Request-Id"
 #: Header with the organisation for which the request runs.
@@ -16,8 +18,8 @@
 class HttpPlain:
     """Implements :class:`bilberrydeal.ports.PlainService`.
 
-    Each call uses a new connection: if a kept-alive one turned out to be
-    closed, it would be unknown whether the call had started.
+    Each call uses a connection of its own: if a kept-alive one turned out to
+    be closed, it would be unknown whether the call had started.
     """
 
     def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
@@ -44,6 +46,7 @@
                 timeout_s,
                 request.body,
                 headers,
+                BODY_LIMIT_BYTES,
             )
         except _exchange.NOT_SENT as error:
             raise ports.PlainFailure(started=False) from error
