--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -398,7 +398,7 @@
                 upstream, stream.admitted, True, first_s
             )
         elif (
-            not exchange.connection.ends_with_connection
+            not exchange.connection.delimited_by_eof
             or self._clock() - first_s >= _quarantine.BEGINNING_S
         ):
             self._quarantine.stream_sound(stream.admitted)
--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -103,7 +103,7 @@
     def __init__(self, engine: Engine) -> None:
         self.done = True
         self.responding = False
-        self.ends_with_connection = False
+        self.delimited_by_eof = False
         self._engine = engine
         self._prefill = False
         self._chunks = [b"", harness.event(1)]
--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -110,11 +110,6 @@
         """Return whether the head of the response has arrived."""
         return self._head is not None
 
-    @property
-    def ends_with_connection(self) -> bool:
-        """Return whether the response has no other end than its connection."""
-        return self._delimited_by_eof
-
     def send(self, head: bytes, body: bytes, request_id: bytes = b"") -> None:
         """Send a request; raises :class:`NotSent` on a closed connection."""
         if self._closed or self._transport is None:
