Split the HTTP server into server, connection and limits

Moves only: the server that accepts connections, one connection, and the limits have a module each. The connection names what it uses of its server by a protocol, since the server imports it.

--- a/bilberrydeal/http1/__init__.py
+++ b/bilberrydeal/http1/__init__.py
@@ -10,12 +10,12 @@
 from ._headers import Header
 from ._headers import Headers
 from ._headers import render_head
+from ._limits import ServerLimits
 from ._pool import Pool
 from ._request import Request
 from ._responder import CallerGone
 from ._responder import Responder
 from ._server import HttpServer
-from ._server import ServerLimits
 
 __all__ = [
     "CallerGone",
--- a/bilberrydeal/http1/tests/test_server.py
+++ b/bilberrydeal/http1/tests/test_server.py
@@ -7,7 +7,7 @@
 import pytest
 
 from ... import http1
-from .. import _server
+from .. import _connection
 from . import harness
 
 GET = b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n"
@@ -269,7 +269,7 @@
     recorder = harness.Recorder()
     post = b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n\r\nabcde"
     async with harness.serving(recorder.handle) as server:
-        connection = _server.Connection(server)
+        connection = _connection.Connection(server)
         connection.connection_made(_Transport())
         connection.data_received(post)
         assert server.body_bytes == 5
