Split the recorder: waiting records and what counts have their own modules

Moves only: the records that wait and their acknowledgements are in _waiting, which of them count, and in which window, in _counting. What were methods that used one field take it as an argument.

--- a/bilberrydeal/billing/__init__.py
+++ b/bilberrydeal/billing/__init__.py
@@ -5,7 +5,6 @@
 from ._codec import decode_usage
 from ._codec import encode
 from ._positions import PositionSet
-from ._recorder import Acknowledged
 from ._recorder import Recorder
 from ._recorder import RecorderClosed
 from ._recorder import settle_period_s
@@ -21,6 +20,7 @@
 from ._status import read_sealed
 from ._status import SealedUsage
 from ._sweep import sweep
+from ._waiting import Acknowledged
 from ._windows import WindowRule
 
 __all__ = [
--- a/bilberrydeal/billing/_recorder.py
+++ b/bilberrydeal/billing/_recorder.py
@@ -7,7 +7,6 @@
 """
 
 import collections
-import collections.abc
 import contextlib
 import typing
 
@@ -19,12 +18,12 @@
 from .. import store
 from . import _close
 from . import _codec
+from . import _counting
 from . import _figures
 from . import _rows
+from . import _waiting
 from . import _windows
 
-#: Maximum number of records waiting to be settled; agents resend the rest.
-MAX_WAITING_RECORDS = 20_000
 #: Maximum number of records settled by one transaction.
 SETTLE_BATCH_SIZE = 2_000
 #: Number of recently settled requests remembered, so that the entry does not
@@ -49,26 +48,6 @@
     recorder: str
 
 
-@attrs.frozen
-class Acknowledged:
-    """Settled records that an agent may discard."""
-
-    #: Incarnation of the agent.
-    agent: str
-    #: Acknowledgement to send to the agent.
-    message: link.Settled
-
-
-@attrs.frozen
-class _WaitingRecord:
-    """A record waiting to be settled."""
-
-    #: Incarnation of the agent, empty if the entry billed the request.
-    agent: str
-    #: The record.
-    record: link.UsageRecord
-
-
 class Recorder:
     """Settles usage records for one incarnation of an entry.
 
@@ -97,9 +76,8 @@
         self._rule = rule
         self._own_row: _close.VersionedRow | None = None
         self._usage: dict[int, _rows.UsageRow] = {}
-        self._waiting: dict[str, dict[tuple[str, int], _WaitingRecord]] = {}
+        self._waiting = _waiting.WaitingRecords()
         self._acked: dict[str, int] = {}
-        self._waiting_count = 0
         self._settled_sequences: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
         )
@@ -107,14 +85,16 @@
     @property
     def waiting(self) -> int:
         """Return the number of records waiting to be settled."""
-        return self._waiting_count
+        return len(self._waiting)
 
     def other_entries(self) -> tuple[str, ...]:
         """Return the other entries whose records are waiting here.
 
         Pass dead ones to :meth:`close_entry` before the next settlement.
         """
-        return tuple(entry for entry in self._waiting if entry != self.name)
+        return tuple(
+            entry for entry in self._waiting.entries() if entry != self.name
+        )
 
     # Incoming records.
 
@@ -124,7 +104,7 @@
             self._acked.get(message.agent, 0), message.acked
         )
         for record in message.records:
-            self._enqueue(_WaitingRecord(message.agent, record))
+            self._waiting.add(_waiting.WaitingRecord(message.agent, record))
 
     def self_bill(
         self,
@@ -154,7 +134,7 @@
             output_tokens=figures.output_tokens,
             calls=figures.calls,
         )
-        self._enqueue(_WaitingRecord("", record))
+        self._waiting.add(_waiting.WaitingRecord("", record))
         return True
 
     # Lifecycle.
@@ -205,7 +185,7 @@
             self._own_row = _close.VersionedRow(committed.versions[0], row)
             return
 
-    async def settle(self, wall_s: float) -> tuple[Acknowledged, ...]:
+    async def settle(self, wall_s: float) -> tuple[_waiting.Acknowledged, ...]:
         """Settle waiting records and pass windows that have ended.
 
         Returns the acknowledgements to send to agents. Raises
@@ -213,9 +193,11 @@
         the records then remain queued for the next call.
         """
         await self._load_own_row()
-        done: list[_WaitingRecord] = []
-        for entry in sorted(self._waiting, key=lambda name: name != self.name):
-            items = list(self._waiting[entry].values())[:SETTLE_BATCH_SIZE]
+        done: list[_waiting.WaitingRecord] = []
+        for entry in sorted(
+            self._waiting.entries(), key=lambda name: name != self.name
+        ):
+            items = self._waiting.batch(entry, SETTLE_BATCH_SIZE)
             try:
                 done.extend(await self._settle_entry(entry, items, wall_s))
             except errors.TableConflict:
@@ -226,19 +208,19 @@
         if self._rule.last_ended(wall_s) > own.row.passed:
             with contextlib.suppress(errors.TableConflict):
                 await self._settle_own([], wall_s)
-        return _group_by_agent(done)
+        return _waiting.group_by_agent(done)
 
     async def _settle_entry(
-        self, entry: str, items: list[_WaitingRecord], wall_s: float
-    ) -> list[_WaitingRecord]:
+        self, entry: str, items: list[_waiting.WaitingRecord], wall_s: float
+    ) -> list[_waiting.WaitingRecord]:
         """Settle records of one entry's requests; return the settled ones."""
         if entry == self.name:
             await self._settle_own(items, wall_s)
         elif not await self._settle_closed(entry, items, wall_s):
             # The entry is alive, and the agent sends them to it.
-            self._dequeue(entry, items)
+            self._waiting.remove(entry, items)
             return []
-        self._dequeue(entry, items)
+        self._waiting.remove(entry, items)
         return items
 
     async def close_entry(self, entry: str, wall_s: float) -> None:
@@ -267,27 +249,27 @@
         return self._own_row
 
     async def _settle_own(
-        self, items: list[_WaitingRecord], wall_s: float
+        self, items: list[_waiting.WaitingRecord], wall_s: float
     ) -> None:
         """Settle records of this entry's requests."""
         own = await self._load_own_row()
-        counted = _uncounted(own.row, items, self._settled_sequences)
-        settled = self._with_settled(own.row, items, counted)
+        counted = _counting.uncounted(own.row, items, self._settled_sequences)
+        settled = _counting.with_settled(own.row, items, counted, self._acked)
         await self._commit(own, settled, counted, wall_s, ())
         for item in items:
             self._remember(item.record.number.sequence)
 
     async def _settle_closed(
-        self, entry: str, items: list[_WaitingRecord], wall_s: float
+        self, entry: str, items: list[_waiting.WaitingRecord], wall_s: float
     ) -> bool:
         """Settle records of a closed recorder's requests."""
         closed = await _close.read_recorder(self._client, entry)
         if closed.row.state is _rows.RecorderState.OPEN or not closed.version:
             return False
         own = await self._load_own_row()
-        counted = _uncounted(closed.row, items, ())
+        counted = _counting.uncounted(closed.row, items, ())
         updated = attrs.evolve(
-            self._with_settled(closed.row, items, counted),
+            _counting.with_settled(closed.row, items, counted, self._acked),
             nonce=self._client.nonce(),
         )
         key = _rows.recorder_key(entry)
@@ -299,7 +281,7 @@
         self,
         own: _close.VersionedRow,
         row: _rows.RecorderRow,
-        counted: list[_WaitingRecord],
+        counted: list[_waiting.WaitingRecord],
         wall_s: float,
         extra: tuple[ports.Check, ports.Write] | tuple[()],
     ) -> None:
@@ -331,7 +313,7 @@
 
     async def _updated_usage(
         self,
-        items: list[_WaitingRecord],
+        items: list[_waiting.WaitingRecord],
         before: int,
         passed: int,
         wall_s: float,
@@ -339,7 +321,9 @@
         """Return the new usage row of each window that changes."""
         parts: dict[int, list[_rows.UsageRow]] = {}
         for item in items:
-            window, part = self._usage_of(item.record, before, passed, wall_s)
+            window, part = _counting.usage_of(
+                self._rule, item.record, before, passed, wall_s
+            )
             parts.setdefault(window, []).append(part)
         return {
             window: _figures.merge_rows(
@@ -348,29 +332,6 @@
             for window, found in parts.items()
         }
 
-    def _usage_of(
-        self, record: link.UsageRecord, before: int, passed: int, wall_s: float
-    ) -> tuple[int, _rows.UsageRow]:
-        """Return the usage of one record and the window to add it to.
-
-        Windows up to ``before`` were passed earlier. Those up to ``passed``
-        are passed by this transaction, which may still add to them.
-        """
-        figures = {
-            record.organisation: ports.OrganisationFigures(
-                prompt_tokens=record.prompt_tokens,
-                cached_tokens=record.cached_tokens,
-                output_tokens=record.output_tokens,
-                calls=record.calls,
-            )
-        }
-        newest = max(self._rule.window_at(wall_s), passed + 1)
-        window = min(self._rule.window_at(record.counted_at_s), newest)
-        if window > before:
-            return window, _rows.UsageRow(figures=figures)
-        adjustment = _rows.Adjustment(window, figures)
-        return newest, _rows.UsageRow(adjustments=(adjustment,))
-
     async def _window_usage(self, window: int) -> _rows.UsageRow:
         """Return the own usage of a window, from the table if not cached."""
         if window not in self._usage:
@@ -381,47 +342,7 @@
             )
         return self._usage[window]
 
-    # Waiting and settled records.
-
-    def _with_settled(
-        self,
-        row: _rows.RecorderRow,
-        items: list[_WaitingRecord],
-        counted: list[_WaitingRecord],
-    ) -> _rows.RecorderRow:
-        """Return a recorder's row with the records marked as settled."""
-        by_agent: dict[str, list[int]] = {}
-        for item in items:
-            if item.agent:
-                by_agent.setdefault(item.agent, []).append(item.record.record)
-        settled = dict(row.settled)
-        for agent, records in by_agent.items():
-            known = settled.get(agent, _rows.NO_POSITIONS).with_positions(
-                records
-            )
-            settled[agent] = known.with_floor(self._acked.get(agent, 0))
-        billed = {i.record.number.sequence for i in counted if not i.agent}
-        return attrs.evolve(
-            row,
-            settled=settled,
-            self_billed=tuple(sorted(billed.union(row.self_billed))),
-        )
-
-    def _enqueue(self, item: _WaitingRecord) -> None:
-        waiting = self._waiting.setdefault(item.record.number.entry, {})
-        key = (item.agent, item.record.record)
-        if key in waiting or self._waiting_count >= MAX_WAITING_RECORDS:
-            return
-        waiting[key] = item
-        self._waiting_count += 1
-
-    def _dequeue(self, entry: str, items: list[_WaitingRecord]) -> None:
-        waiting = self._waiting[entry]
-        for item in items:
-            del waiting[(item.agent, item.record.record)]
-        self._waiting_count -= len(items)
-        if not waiting:
-            del self._waiting[entry]
+    # Settled records.
 
     def _remember(self, sequence: int) -> None:
         self._settled_sequences[sequence] = None
@@ -429,51 +350,6 @@
             self._settled_sequences.popitem(last=False)
 
 
-def _uncounted(
-    row: _rows.RecorderRow,
-    items: list[_WaitingRecord],
-    known: collections.abc.Container[int],
-) -> list[_WaitingRecord]:
-    """Return the records that have not been counted yet.
-
-    ``known`` contains the requests that were settled before. Two agents may
-    send records of one request if the first died after counting it and its
-    successor resumed the request. Only the first record is counted.
-    """
-    billed = set(row.self_billed)
-    by_agents: set[int] = set()
-    uncounted = []
-    for item in sorted(items, key=lambda item: not item.agent):
-        sequence = item.record.number.sequence
-        if sequence in billed or _is_settled(row, item):
-            continue
-        if sequence in known or sequence in by_agents:
-            continue
-        if item.agent:
-            by_agents.add(sequence)
-        uncounted.append(item)
-    return uncounted
-
-
-def _is_settled(row: _rows.RecorderRow, item: _WaitingRecord) -> bool:
-    if not item.agent:
-        return False
-    return item.record.record in row.settled.get(
-        item.agent, _rows.NO_POSITIONS
-    )
-
-
-def _group_by_agent(items: list[_WaitingRecord]) -> tuple[Acknowledged, ...]:
-    by_agent: dict[str, list[int]] = {}
-    for item in items:
-        if item.agent:
-            by_agent.setdefault(item.agent, []).append(item.record.record)
-    return tuple(
-        Acknowledged(agent, link.Settled(records=tuple(records)))
-        for agent, records in by_agent.items()
-    )
-
-
 def _decode_window(row: ports.Row) -> int:
     return store.decode(row.value, _rows.WindowHead).window
 
