Refuse a late prefill in time and don't begin it anew in vain

Callers saw: streams that ended at their deadline without a decision.

On a route with one attempt it is refused, with the time that the placer expects. The check allows for the uplink. Also, another engine is considered by it no earlier than before.

--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -55,6 +55,8 @@
     #: When the last event was sent, or else when the request began, monotonic
     #: seconds.
     progressed_s: float
+    #: Whether a prefill was abandoned since it would have been late.
+    too_late: bool = False
 
     @property
     def event_deadline_s(self) -> float:
@@ -164,6 +166,8 @@
         try:
             source = await self._prefill(stream, upstream, placed)
         except _sending.Lost as error:
+            if stream.too_late and not _retry_allowed(stream):
+                raise self._late_refusal(stream) from error
             raise _PrefillLost(*error.args) from error
         await self._decode_transferred(stream, request, placed, source)
 
@@ -206,6 +210,24 @@
             placed.retry_after_s,
         )
 
+    def _late_refusal(self, stream: _ClientStream) -> errors.Refusal:
+        """Return the refusal after a prefill that would have been late.
+
+        Another engine would have to prefill the prompt anew in the little
+        time that is left; the caller comes back when one is free.
+        """
+        now_s = self._clock()
+        placed = self._placer.place(
+            self._placement_request(stream, now_s),
+            self._engines_for(stream, now_s),
+            now_s,
+        )
+        if not isinstance(placed, placement.DeadlineUnreachable):
+            placed = placement.DeadlineUnreachable(
+                _requests.FAILED_RETRY_S, placed.expected_s
+            )
+        return self._deadline_refusal(stream, placed)
+
     async def _prefill(
         self,
         stream: _ClientStream,
@@ -449,16 +471,28 @@
         stream, since one that is told that nothing ran can come back.
         """
         sent_s = self._clock()
-        limit_s = stream.event_deadline_s - REFUSAL_MARGIN_S
+        limit_s = min(
+            stream.event_deadline_s - REFUSAL_MARGIN_S,
+            sent_s
+            + placement.too_late_after_s(
+                placed, stream.event_deadline_s - sent_s
+            ),
+        )
         elsewhere = self._patience(stream, placed)
-        first_s = limit_s - sent_s
+        # It is sent once the link of this host is free.
+        link_wait_s = self._uplink.wait_s(stream.admitted.priority)
+        first_s = limit_s - sent_s - link_wait_s
         if elsewhere is not None:
             first_s = min(first_s, elsewhere.first_s)
 
         def gives_up() -> bool:
-            if self._clock() >= limit_s:
+            now_s = self._clock()
+            if now_s >= limit_s:
+                stream.too_late = True
                 return True
-            return elsewhere is not None and elsewhere.gives_up()
+            if elsewhere is None or now_s - sent_s < elsewhere.first_s:
+                return False
+            return elsewhere.gives_up()
 
         return _sending.Patience(
             max(first_s, 0.0), RECONSIDER_INTERVAL_S, gives_up
--- a/bilberrydeal/gateway/tests/test_stream_trouble.py
+++ b/bilberrydeal/gateway/tests/test_stream_trouble.py
@@ -133,6 +133,23 @@
     assert len(endless.calls) == 1
 
 
+async def test_late_prefill_is_not_begun_anew_in_vain() -> None:
+    """A decode engine once prefilled what its caller no longer waited for.
+
+    The caller is told that nothing ran, with time left to come back.
+    """
+    silent = harness.engine("p1", "prefill", _silent)
+    free = harness.engine("d1", "decode", _silent)
+    async with harness.running(silent, free) as running:
+        began_s = asyncio.get_running_loop().time()
+        reply = await running.stream("/chat-once/1")
+        took_s = asyncio.get_running_loop().time() - began_s
+    assert reply.status == 503
+    assert reply.field("retry-after") is not None
+    assert took_s < 1.7
+    assert not free.calls
+
+
 @pytest.mark.parametrize("path", ["/chat-once/1", "/chat-one/1", "/chat/1"])
 async def test_silent_prefill_is_refused_before_the_caller_leaves(
     path: str,
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -16,6 +16,7 @@
 from ._entities import EngineLoad
 from ._entities import OutstandingPrefill
 from ._entities import SlotTimes
+from ._giving_up import too_late_after_s
 from ._linear_time import Line
 from ._linear_time import LinearTime
 from ._linear_time import TimeSample
@@ -76,4 +77,5 @@
     "main_decode_engine",
     "plan_roles",
     "rendezvous_score",
+    "too_late_after_s",
 ]
