Expect what other gateways have sent since their last report

Cause: reports are 0.1 to 0.4 s old, and all gateways choose by the same ones.

Change: gateways learn from the reports at which rate each of the others sends prompt tokens, and expect what it has sent since at the prefill engines with the least work, filled to a common level. A deferred request gets only the time that others leave. Both lengthen the expectation of deferred requests alone, so that what cannot be in time is refused at once.

--- a/bilberrydeal/gateway/_cluster_state.py
+++ b/bilberrydeal/gateway/_cluster_state.py
@@ -94,6 +94,8 @@
         self._engine_rings: dict[str, placement.EngineRing] = {}
         #: Learned slot occupancy times by service.
         self._slot_times: dict[str, placement.SlotTimes] = {}
+        #: What other gateways send, by service.
+        self._arrivals: dict[str, placement.PeerArrivals] = {}
         #: Learned speed of the engines by service.
         self._speeds: dict[str, placement.ServiceSpeed] = {}
 
@@ -178,12 +180,17 @@
         """
         ring = self._engine_rings.get(service)
         if ring is None:
-            ring = placement.EngineRing(
+            loads = [
                 upstream.load
                 for upstream in self.of_service(service)
                 if upstream.load is not None
-            )
+            ]
+            ring = placement.EngineRing(loads)
             self._engine_rings[service] = ring
+            if service in self._arrivals:
+                self._arrivals[service].prefill_engines = sum(
+                    load.prefill_only for load in loads
+                )
 
         def usable(load: placement.EngineLoad) -> bool:
             return self.endpoints[load.engine_id].usable(now_s)
@@ -262,6 +269,9 @@
             slot_times=self._slot_times.setdefault(
                 endpoint.service, placement.SlotTimes()
             ),
+            arrivals=self._arrivals.setdefault(
+                endpoint.service, placement.PeerArrivals()
+            ),
             speed=placement.EngineSpeed(
                 self._speeds.setdefault(
                     endpoint.service, placement.ServiceSpeed()
--- a/bilberrydeal/gateway/_exchange.py
+++ b/bilberrydeal/gateway/_exchange.py
@@ -62,25 +62,14 @@
         if load is None:
             return
         now_s = self._clock()
-        for engine_load in load.engine_loads:
-            self._learn(engine_load, now_s)
+        self._loads.learn(
+            datagram.gateway, load.engine_loads, self._cluster.load_of, now_s
+        )
         if self._loads.update(
             datagram.gateway, load.sequence, load.engine_loads, now_s
         ):
             self._loads.apply(self._cluster.load_of)
 
-    def _learn(
-        self, engine_load: placement.GatewayEngineLoad, now_s: float
-    ) -> None:
-        """Record prompts and measured prefills of another gateway."""
-        engine = self._cluster.load_of(engine_load.engine_id)
-        if engine is None:
-            return
-        for prompt in engine_load.prompts:
-            engine.cache.record(prompt)
-        for measured in engine_load.samples:
-            engine.speed.record(measured, now_s)
-
     async def run(self) -> None:
         """Send load reports until cancelled."""
         while True:
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -25,6 +25,8 @@
 from ._parts import Prompt
 from ._parts import PromptPart
 from ._parts import rendezvous_score
+from ._peer_arrivals import fill_level
+from ._peer_arrivals import PeerArrivals
 from ._peer_loads import GatewayEngineLoad
 from ._peer_loads import MAX_REPORT_AGE_S
 from ._peer_loads import PeerLoads
@@ -56,6 +58,7 @@
     "OutstandingPrefill",
     "PLACERS",
     "PartCache",
+    "PeerArrivals",
     "PeerLoads",
     "Placement",
     "Placer",
@@ -74,6 +77,7 @@
     "TwoStagePlacer",
     "URGENT_RANKS",
     "engine_rank",
+    "fill_level",
     "main_decode_engine",
     "plan_roles",
     "rendezvous_score",
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -9,6 +9,7 @@
 from . import _engine_speed
 from . import _linear_time
 from . import _parts
+from . import _peer_arrivals
 from . import _request_counts
 
 #: Weight of one observation in the moving averages.
@@ -103,6 +104,10 @@
     unreported_prompts: list[_parts.Prompt] = attrs.field(factory=list)
     #: Time that requests occupy a slot; shared by all engines of a service.
     slot_times: SlotTimes = attrs.field(factory=SlotTimes)
+    #: What other processes send; shared by all engines of a service.
+    arrivals: _peer_arrivals.PeerArrivals = attrs.field(
+        factory=_peer_arrivals.PeerArrivals
+    )
     #: Learned speed.
     speed: _engine_speed.EngineSpeed = attrs.field(
         factory=lambda: _engine_speed.EngineSpeed(_engine_speed.ServiceSpeed())
@@ -172,6 +177,10 @@
         """Count a prefill that this process sends to the engine."""
         self.own_tokens.add(prefill.tokens, prefill.deferred)
         self.outstanding[prefill] = None
+        if self.prefill_only:
+            self.arrivals.record_own(
+                prefill.tokens, prefill.deferred, prefill.sent_s
+            )
 
     def end_prefill(self, prefill: OutstandingPrefill) -> None:
         """Remove a prefill that is finished or was abandoned."""
--- a/bilberrydeal/systems/placement/_options.py
+++ b/bilberrydeal/systems/placement/_options.py
@@ -1,11 +1,14 @@
 """Candidate engines for a request, with their expected times and costs."""
 
+import operator
+
 import attrs
 
 from . import _base
 from . import _entities
 from . import _fetching
 from . import _parts
+from . import _peer_arrivals
 
 #: Weight of an engine that also decodes in rendezvous hashing, where one that
 #: only prefills has 1.
@@ -22,6 +25,8 @@
 PREFILL_TIME_WEIGHT = 10.0
 #: Cost of an engine in another failure domain, in seconds.
 REMOTE_DOMAIN_PENALTY_S = 0.002
+#: Share of an engine's time that deferred requests have at least.
+MIN_DEFERRED_SHARE = 0.25
 #: Number of sends for a request that is prefilled and decoded at different
 #: engines.
 SEPARATE_DECODE_SENDS = 2
@@ -38,6 +43,8 @@
     uncached_tokens: float
     #: The same with those that are queued before, if not deferred.
     work_tokens: float
+    #: The same if deferred.
+    deferred_work_tokens: float
     #: Transfer of cached parts of the prompt before the prefill.
     fetch: _fetching.Fetch | None
     #: Expected wait for a slot if the request is not deferred, in seconds.
@@ -64,6 +71,48 @@
     deferred_s: float
 
 
+@attrs.frozen
+class UnseenWork:
+    """Prompt tokens that prefill engines should have at least.
+
+    Reports of other gateways are late. What they have sent since then is at
+    the engines that had the least work, for they choose by the same loads.
+    """
+
+    #: Of all requests.
+    waiting_tokens: float = 0.0
+    #: Share of the engines' time that is left for deferred requests.
+    deferred_share: float = 1.0
+
+    @classmethod
+    def at(cls, engines: _base.Engines, now_s: float) -> "UnseenWork":
+        """Return the expectation for the present time."""
+        prefilling = [engine for engine in engines if engine.prefill_only]
+        if not prefilling:
+            return cls()
+        arrivals = prefilling[0].arrivals
+        # In a large fleet the candidates get their share of what is sent.
+        share = len(prefilling) / max(
+            arrivals.prefill_engines, len(prefilling)
+        )
+        tokens = arrivals.unseen_tokens(now_s) * share
+        urgent_rate = arrivals.urgent_tokens_per_s(now_s) * share
+        speed = sum(1 / engine.token_s for engine in prefilling)
+        age_s = arrivals.mean_age_s(now_s)
+        done = [age_s / engine.token_s for engine in prefilling]
+        waiting = [engine.waiting_tokens for engine in prefilling]
+        return cls(
+            _level(waiting, done, tokens),
+            max(1.0 - urgent_rate / speed, MIN_DEFERRED_SHARE),
+        )
+
+
+def _level(known: list[float], done: list[float], added: float) -> float:
+    """Return the level of work, where engines have done some of theirs."""
+    left = map(operator.sub, known, done)
+    return max(_peer_arrivals.fill_level(left, added), 0.0)
+
+
 def eligible(
     prompt: _parts.Prompt, engines: _base.Engines
 ) -> list[_entities.EngineLoad]:
@@ -113,6 +162,7 @@
     decode_wait: SlotWait,
     uncached_tokens: float,
     fetch: _fetching.Fetch | None,
+    unseen: UnseenWork,
     now_s: float,
 ) -> Option:
     """Return the expected times and cost of prefilling at an engine.
@@ -135,10 +185,16 @@
     transfer_s = sends * request.uplink_s
     if separate_decode:
         transfer_s += engine.speed.transfer_s(request.prompt.tokens)
+    waiting_tokens = engine.waiting_tokens
+    if separate_decode:
+        waiting_tokens = max(waiting_tokens, unseen.waiting_tokens)
     work_tokens = engine.urgent_tokens + running + uncached_tokens
     prefill_s = engine.prefill_s(work_tokens) * overdue + fetch_s
     expected_s = prefill_s + transfer_s + wait.urgent_s
-    deferred_s = engine.prefill_wait_s * overdue
+    deferred_s = waiting_tokens * engine.token_s * overdue
+    if separate_decode:
+        # Requests that come later and are not deferred go first.
+        deferred_s /= unseen.deferred_share
     deferred_s += own_prefill_s + transfer_s
     remote = engine.failure_domain != request.failure_domain
     capacity_cost_s = (
@@ -153,6 +209,7 @@
         separate_decode=separate_decode,
         uncached_tokens=uncached_tokens,
         work_tokens=work_tokens,
+        deferred_work_tokens=waiting_tokens + uncached_tokens,
         slot_wait_s=wait.urgent_s,
         fetch=fetch,
         prefill_s=prefill_s,
--- a/bilberrydeal/systems/placement/_peer_loads.py
+++ b/bilberrydeal/systems/placement/_peer_loads.py
@@ -7,6 +7,7 @@
 from . import _engine_speed
 from . import _entities
 from . import _parts
+from . import _peer_arrivals
 from . import _request_counts
 
 #: Age at which the load reported by a gateway is discarded, in seconds.
@@ -79,6 +80,8 @@
         self.max_report_age_s = MAX_REPORT_AGE_S
         self._reports: dict[str, _Report] = {}
         self._totals: dict[str, _Total] = {}
+        #: What other gateways send, by service.
+        self._arrivals: dict[str, _peer_arrivals.PeerArrivals] = {}
         #: Engines whose totals changed since the last :meth:`apply`.
         self._changed: set[str] = set()
 
@@ -100,12 +103,39 @@
         self._add(report, 1)
         return True
 
+    def learn(
+        self,
+        gateway: str,
+        loads: collections.abc.Iterable[GatewayEngineLoad],
+        find: FindEngine,
+        now_s: float,
+    ) -> None:
+        """Record what a gateway sent and measured since its last report."""
+        sent: dict[str, float] = {}
+        for load in loads:
+            engine = find(load.engine_id)
+            if engine is None:
+                continue
+            tokens = 0.0
+            for prompt in load.prompts:
+                tokens += prompt.tokens - engine.cache.cached_tokens(prompt)
+                engine.cache.record(prompt)
+            for measured in load.samples:
+                engine.speed.record(measured, now_s)
+            if engine.prefill_only:
+                sent[engine.service] = sent.get(engine.service, 0.0) + tokens
+                self._arrivals[engine.service] = engine.arrivals
+        for service, arrivals in self._arrivals.items():
+            arrivals.record(gateway, sent.get(service, 0.0), now_s)
+
     def drop_stale(self, now_s: float) -> None:
         """Discard reports that are older than ``max_report_age_s``."""
         for gateway, report in list(self._reports.items()):
             if now_s - report.at_s > self.max_report_age_s:
                 self._add(report, -1)
                 del self._reports[gateway]
+        for arrivals in self._arrivals.values():
+            arrivals.expire(now_s - self.max_report_age_s)
 
     def apply(self, find: FindEngine) -> None:
         """Write the changed totals to the engine loads."""
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -144,6 +144,7 @@
             request,
             [engine for engine in available if not engine.prefill_only],
         )
+        unseen = _options.UnseenWork.at(engines, now_s)
         options = []
         for engine in eligible:
             uncached = self._uncached_tokens(
@@ -154,7 +155,13 @@
                 uncached = max(uncached - fetch.tokens, 1.0)
             options.append(
                 _options.evaluate_option(
-                    request, engine, decode_wait, uncached, fetch, now_s
+                    request,
+                    engine,
+                    decode_wait,
+                    uncached,
+                    fetch,
+                    unseen,
+                    now_s,
                 )
             )
         return options
@@ -215,7 +222,7 @@
     """Return the placement for an option."""
     work_tokens = option.work_tokens
     if deferred:
-        work_tokens = option.engine.waiting_tokens + option.uncached_tokens
+        work_tokens = option.deferred_work_tokens
     return _base.Placement(
         engine_id=option.engine.engine_id,
         separate_decode=option.separate_decode,
