Send nothing new to an endpoint that says that it leaves

Change: each response of an endpoint, of any status, to a request, a prefill or a control call, is read for this. The endpoint counts as not ready from then on, over reloads and whatever the store lists, until a registration with a newer start or under another id. This is asked again after the waits for the uplink and for a connection. The engine to fetch cached parts from is looked up right before the send instead of before the wait for the uplink. A response with 421 is not read, since another endpoint may have sent it.

Not told to other gateways by datagrams; agents and entries are not changed.

--- a/bilberrydeal/gateway/_cluster_state.py
+++ b/bilberrydeal/gateway/_cluster_state.py
@@ -10,6 +10,7 @@
 from .. import telemetry
 from ..systems import health
 from ..systems import placement
+from . import _departures
 
 LOG = telemetry.logger("knowledge")
 #: Share of an endpoint's connection limit that all gateways use together.
@@ -88,6 +89,7 @@
         self.endpoints: dict[str, Upstream] = {}
         self.health = health_system
         self.tables = systems.Tables()
+        self._departures = _departures.Departures()
         #: Endpoints by service and id.
         self._by_service: dict[str, dict[str, Upstream]] = {}
         #: Engines by service, rebuilt when one is added or removed.
@@ -118,6 +120,8 @@
 
     def set_endpoint(self, endpoint: catalogue.Endpoint) -> None:
         """Add or update an endpoint."""
+        if self._departures.covers(endpoint):
+            endpoint = attrs.evolve(endpoint, ready=False)
         upstream = self.endpoints.get(endpoint.endpoint_id)
         if upstream is None or not _same_process(upstream.endpoint, endpoint):
             if upstream is not None:
@@ -147,6 +151,22 @@
                 upstream.changing_until_s = 0.0
             upstream.load.role = endpoint.role
 
+    def note_signals(
+        self, upstream: Upstream, signals: platform.EndpointSignals
+    ) -> None:
+        """Record what a response told about its endpoint."""
+        if signals.leaving:
+            self.note_leaving(upstream)
+
+    def note_leaving(self, upstream: Upstream) -> None:
+        """Record that an endpoint leaves; requests in flight continue."""
+        self._departures.add(upstream.endpoint)
+        if upstream.endpoint.ready:
+            upstream.endpoint = attrs.evolve(upstream.endpoint, ready=False)
+            LOG.info(
+                "Endpoint leaves.", endpoint=upstream.endpoint.endpoint_id
+            )
+
     def remove_endpoint(self, endpoint_id: str, reason: str) -> None:
         """Remove an endpoint; requests in flight there continue."""
         upstream = self.endpoints.pop(endpoint_id, None)
--- a/bilberrydeal/gateway/_roles.py
+++ b/bilberrydeal/gateway/_roles.py
@@ -1,5 +1,7 @@
 """Orders engines to change their roles, while holding the lease."""
 
+import functools
+
 import attrs
 
 from .. import catalogue
@@ -229,13 +231,21 @@
     async def _send_order(self, order: placement.RoleOrder) -> bool:
         """Send an order; return whether the engine accepted it."""
         upstream = self._cluster.endpoints[order.engine_id]
+        on_signals = functools.partial(self._cluster.note_signals, upstream)
         accepted_order_count = await self._engines.accepted_order_count(
-            upstream.pool
+            upstream.pool, on_signals
         )
         now_s = self._client.now_s()
         if accepted_order_count is None:
             LOG.warning("Engine report unavailable.", endpoint=order.engine_id)
             return False
+        if not upstream.endpoint.ready:
+            LOG.info(
+                "Role not ordered.",
+                endpoint=order.engine_id,
+                reason="the engine leaves",
+            )
+            return False
         if self._lease.remaining_s(now_s) < MIN_LEASE_LEFT_S:
             return False
         fence = self._lease.fence(now_s)
@@ -246,6 +256,7 @@
             self._host_id,
             fence,
             accepted_order_count,
+            on_signals,
         )
         LOG.info(
             "Role ordered.",
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -155,9 +155,7 @@
         await self._uplink.acquire(size_bytes, priority)
         waited_s = self._clock() - queued_s
         record.link_wait_ms = round(waited_s * 1000, 1)
-        if not upstream.endpoint.ready:
-            record.outcome = "not offered, the endpoint is leaving"
-            raise NotOffered("the endpoint is leaving")
+        _check_accepting(upstream, record)
         try:
             connection = await upstream.pool.acquire(self._clock())
         except http1.NotSent as error:
@@ -165,15 +163,26 @@
             if not upstream.pool.exhausted:
                 self._cluster.observe(upstream, False, self._clock())
             raise NotOffered(str(error)) from error
+        try:
+            _check_accepting(upstream, record)
+        except NotOffered:
+            upstream.pool.release(connection, self._clock())
+            raise
         sent_s = self._clock()
         time_left_s = admitted.deadline_s - sent_s
-        fields = attrs.evolve(fields, time_left_s=time_left_s)
+        fields = attrs.evolve(
+            fields,
+            time_left_s=time_left_s,
+            kv_fetch=self._fetch_address(placed),
+        )
         may_have_run_before = progress.may_have_run
         progress.may_have_run = may_have_run_before or not fields.prefill
         try:
             head = await self._head(
                 connection, admitted, progress, upstream, fields, patience
             )
+            signals = platform.endpoint_signals(head)
+            self._cluster.note_signals(upstream, signals)
             response_class = platform.classify_response(head)
             if fields.prefill:
                 response_class = platform.classify_prefill_response(head)
@@ -229,6 +238,15 @@
             record.deferred = placed.deferred
         return record
 
+    def _fetch_address(self, placed: placement.Placement | None) -> str:
+        """Return the address of the engine to fetch cached parts from."""
+        if placed is None:
+            return ""
+        source = self._cluster.endpoints.get(placed.fetch_from or "")
+        if source is None or not source.endpoint.ready:
+            return ""
+        return source.endpoint.address
+
     async def _head(
         self,
         connection: http1.ClientConnection,
@@ -259,3 +277,12 @@
         with contextlib.suppress(http1.IncompleteResponse, TimeoutError):
             async with asyncio.timeout(DISCARD_TIMEOUT_S):
                 await connection.body(DISCARD_LIMIT_BYTES)
+
+
+def _check_accepting(
+    upstream: _cluster_state.Upstream, record: _requests.SendRecord
+) -> None:
+    """Raise ``NotOffered`` for an endpoint that leaves."""
+    if not upstream.endpoint.ready:
+        record.outcome = "not offered, the endpoint is leaving"
+        raise NotOffered("the endpoint is leaving")
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -565,14 +565,8 @@
             time_left_s=admitted.deadline_s - self._clock(),
             organisation=admitted.organisation_name,
             priority=placement.engine_rank(admitted.priority, placed.deferred),
-            kv_fetch=self._fetch_address(placed),
         )
 
-    def _fetch_address(self, placed: placement.Placement) -> str:
-        """Return the address of the engine to fetch cached parts from."""
-        source = self._cluster.endpoints.get(placed.fetch_from or "")
-        return source.endpoint.address if source is not None else ""
-
     def _patience(
         self, stream: _ClientStream, placed: placement.Placement
     ) -> _sending.Patience | None:
@@ -655,7 +649,11 @@
     def _free_handle(self, source: _KvSource) -> None:
         """Free an unused KV handle in the background."""
         task = asyncio.get_running_loop().create_task(
-            self._engines.free_kv_handle(source.upstream.pool, source.handle)
+            self._engines.free_kv_handle(
+                source.upstream.pool,
+                source.handle,
+                functools.partial(self._cluster.note_signals, source.upstream),
+            )
         )
         self._background.add(task)
         task.add_done_callback(self._background.discard)
--- a/bilberrydeal/gateway/tests/test_roles.py
+++ b/bilberrydeal/gateway/tests/test_roles.py
@@ -56,6 +56,7 @@
     """A role controller that holds the lease, with simulated time."""
 
     cluster: _cluster_state.ClusterState
+    engines: dict[str, harness.Endpoint]
     now_s: float = 0.0
     datagrams: RecordingDatagrams = attrs.field(factory=RecordingDatagrams)
     controller: _roles.RoleController = attrs.field(init=False)
@@ -86,6 +87,11 @@
             placement.ROLE_PLANS.get("by_load"),
         )
 
+    def heads(self, engine_id: str) -> list[bytes]:
+        """Return the methods and targets of an engine's calls."""
+        calls = self.engines[engine_id].calls
+        return [call.head.partition(b" HTTP")[0] for call in calls]
+
     def unusable_engines(self) -> list[str]:
         """Return the ids of engines that get no requests."""
         return [
@@ -102,7 +108,8 @@
     """Run a controller with two engines, of which one should prefill."""
     engines = [harness.engine(f"d{n}", "decode", script) for n in range(2)]
     async with harness.running(*engines) as running:
-        fixture = RoleFixture(running.cluster)
+        by_id = {engine.endpoint_id: engine for engine in engines}
+        fixture = RoleFixture(running.cluster, by_id)
         for _ in range(4):
             await fixture.lease.tick()
             fixture.now_s += 1.0
@@ -149,6 +156,20 @@
         assert fixture.unusable_engines() == []
 
 
+async def _leaving(call: harness.Call) -> bytes:
+    """Respond as an engine that leaves, with its report."""
+    return harness.signed_response(call, body=REPORT, server_leaving="1")
+
+
+async def test_engine_that_leaves_gets_no_order() -> None:
+    async with _fixture(_leaving) as fixture:
+        await fixture.controller.run_once()
+        assert fixture.datagrams.changing == []
+        (leaving,) = fixture.unusable_engines()
+        assert not fixture.cluster.endpoints[leaving].endpoint.ready
+        assert fixture.heads(leaving) == [b"GET /bilberrydeal/report"]
+
+
 @pytest.mark.parametrize("held", [True, False])
 async def test_only_the_lease_holder_sends_orders(held: bool) -> None:
     async with _fixture(_accepting) as fixture:
--- a/bilberrydeal/platform/__init__.py
+++ b/bilberrydeal/platform/__init__.py
@@ -22,6 +22,9 @@
 from ._responses import request_id_header
 from ._responses import ResponseClass
 from ._responses import retry_after_header
+from ._signals import endpoint_signals
+from ._signals import EndpointSignals
+from ._signals import OnSignals
 from ._store import CONFIGURATION_KEY
 from ._store import CONFIGURATION_TABLE
 from ._store import ENDPOINTS_TABLE
@@ -33,9 +36,11 @@
     "CONFIGURATION_TABLE",
     "CallerFields",
     "ENDPOINTS_TABLE",
+    "EndpointSignals",
     "EngineApi",
     "HEADERS",
     "HeaderNames",
+    "OnSignals",
     "PlatformStore",
     "READY_PATH",
     "RecordInvalid",
@@ -47,6 +52,7 @@
     "decode_caller",
     "decode_configuration",
     "decode_endpoint",
+    "endpoint_signals",
     "forward_head",
     "forwarded_headers",
     "misdirected",
--- a/bilberrydeal/platform/_calls.py
+++ b/bilberrydeal/platform/_calls.py
@@ -17,11 +17,16 @@
 class Response:
     """The response to a call."""
 
-    status: int
+    head: http1.ResponseHead
     body: bytes
     #: Time from the start of the call to the complete response, in seconds.
     took_s: float
 
+    @property
+    def status(self) -> int:
+        """Return the status."""
+        return self.head.status
+
 
 class NotSent(Exception):
     """No byte of the call was sent."""
@@ -73,9 +78,7 @@
         raise NoResponse(type(error).__name__) from error
     finally:
         pool.release(connection, time.monotonic())
-    return Response(
-        response_head.status, response_body, time.monotonic() - started_s
-    )
+    return Response(response_head, response_body, time.monotonic() - started_s)
 
 
 def _head(
--- a/bilberrydeal/platform/_engines.py
+++ b/bilberrydeal/platform/_engines.py
@@ -1,11 +1,14 @@
 """Control calls to engines: KV cache handles and role orders."""
 
+import collections.abc
+
 import msgspec
 
 from .. import catalogue
 from .. import http1
 from .. import ports
 from . import _calls
+from . import _signals
 
 #: Timeout of one of these calls, in seconds.
 CALL_TIMEOUT_S = 0.8
@@ -33,7 +36,10 @@
 
 
 class EngineApi:
-    """Manages KV cache handles and sends role orders to engines."""
+    """Manages KV cache handles and sends role orders to engines.
+
+    ``on_signals`` gets what each response tells about its engine.
+    """
 
     def decode_kv_handle(self, body: bytes) -> str | None:
         """Return the KV cache handle in a prefill response, if any."""
@@ -42,25 +48,30 @@
         except msgspec.DecodeError:
             return None
 
-    async def free_kv_handle(self, pool: http1.Pool, handle: str) -> bool:
+    async def free_kv_handle(
+        self,
+        pool: http1.Pool,
+        handle: str,
+        on_signals: _signals.OnSignals,
+    ) -> bool:
         """Free a handle that will not be used; return whether it succeeded."""
         target = f"/bilberrydeal/kv-handle/{handle}".encode()
         try:
-            response = await _calls.call(
-                pool, b"DELETE", target, None, CALL_TIMEOUT_S
-            )
+            response = await _call(pool, b"DELETE", target, None, on_signals)
         except (_calls.NotSent, _calls.NoResponse):
             return False
         return response.status == 200
 
-    async def accepted_order_count(self, pool: http1.Pool) -> int | None:
+    async def accepted_order_count(
+        self, pool: http1.Pool, on_signals: _signals.OnSignals
+    ) -> int | None:
         """Return the number of orders that an idle engine has accepted.
 
         ``None`` if it is executing an order or does not respond.
         """
         try:
-            response = await _calls.call(
-                pool, b"GET", b"/bilberrydeal/report", None, CALL_TIMEOUT_S
+            response = await _call(
+                pool, b"GET", b"/bilberrydeal/report", None, on_signals
             )
             report = msgspec.json.decode(response.body, type=_EngineReport)
         except (
@@ -79,6 +90,7 @@
         holder: str,
         fence: int,
         accepted_order_count: int,
+        on_signals: _signals.OnSignals,
     ) -> bool:
         """Order a change of role; return whether the engine accepted it."""
         order = _StageOrder(
@@ -90,14 +102,30 @@
         )
         headers = [(b"expect-instance", endpoint.endpoint_id.encode())]
         try:
-            response = await _calls.call(
+            response = await _call(
                 pool,
                 b"POST",
                 b"/bilberrydeal/order",
                 order,
-                CALL_TIMEOUT_S,
+                on_signals,
                 headers,
             )
         except (_calls.NotSent, _calls.NoResponse):
             return False
         return response.status in (200, 202)
+
+
+async def _call(
+    pool: http1.Pool,
+    method: bytes,
+    target: bytes,
+    body: object,
+    on_signals: _signals.OnSignals,
+    headers: collections.abc.Sequence[http1.Header] = (),
+) -> _calls.Response:
+    """Make one call and pass on what the response tells of the engine."""
+    response = await _calls.call(
+        pool, method, target, body, CALL_TIMEOUT_S, headers
+    )
+    on_signals(_signals.endpoint_signals(response.head))
+    return response
--- a/bilberrydeal/platform/_headers.py
+++ b/bilberrydeal/platform/_headers.py
@@ -36,6 +36,8 @@
     not_executed: bytes = b"not-executed"
     #: Delay before the caller may retry, in seconds.
     retry_after: bytes = b"retry-after"
+    #: Set by an endpoint that leaves and wants no new requests.
+    leaving: bytes = b"server-leaving"
     #: Priority of a request at an engine; 0 is the highest.
     priority: bytes = b"request-priority"
     #: Asks an engine to run only the prefill of the prompt.
