--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -8,11 +8,11 @@
 import attrs
 import httptools
 
+from . import _extra_responses
 from . import _headers
+from . import _responder
 from . import _sockets
 
-#: Statuses whose responses never have a body.
-BODILESS_STATUSES = frozenset([204, 304])
 #: Unread bytes of a response at which reading from the socket pauses.
 BUFFER_LIMIT_BYTES = 262_144
 #: Bytes that a peer may send without any that belong to the response: heads,
@@ -78,6 +78,9 @@
         self._skipping_response = False
         self._useless_bytes = 0
         self._delimited_by_eof = False
+        self._extra_responses: _extra_responses.ExtraResponseFinder | None = (
+            None
+        )
         self._head: ResponseHead | None = None
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
@@ -92,11 +95,21 @@
         self._closed = False
         self._waiter: asyncio.Future[None] | None = None
 
+    @property
+    def delimited_by_eof(self) -> bool:
+        """Return whether only the end of the connection ends the body."""
+        return self._delimited_by_eof
+
     @property
     def closed(self) -> bool:
         """Return whether the connection can carry no further request."""
         return self._closed or not self.reusable
 
+    @property
+    def responding(self) -> bool:
+        """Return whether the head of the response has arrived."""
+        return self._head is not None
+
     def send(self, head: bytes, body: bytes, request_id: bytes = b"") -> None:
         """Send a request; raises :class:`NotSent` on a closed connection."""
         if self._closed or self._transport is None:
@@ -254,6 +267,9 @@
         """Buffer a part of the body."""
         if self._skipping_response:
             return
+        if self._extra_responses and self._extra_responses.found(body):
+            self._give_up()
+            return
         self._useless_bytes = 0
         self._chunks.append(body)
         self._buffered_bytes += len(body)
@@ -279,9 +295,12 @@
         return response_id == self._request_id
 
     def _update_persistence(self, head: ResponseHead) -> None:
-        connection = head.header(b"connection") or b""
-        if b"close" in connection.lower() or self._delimited_by_eof:
+        if self._delimited_by_eof or not self._parser.should_keep_alive():
             self.reusable = False
+        if self._delimited_by_eof and self._id_header:
+            self._extra_responses = _extra_responses.ExtraResponseFinder(
+                self._id_header
+            )
         timeout = _KEEP_ALIVE_TIMEOUT.search(head.header(b"keep-alive") or b"")
         if timeout is not None:
             self.keep_alive_s = float(timeout.group(1))
@@ -319,7 +338,7 @@
 
 
 def _is_delimited_by_eof(head: ResponseHead) -> bool:
-    if head.status in BODILESS_STATUSES:
+    if head.status in _responder.BODILESS_STATUSES:
         return False
     if head.header(b"content-length") is not None:
         return False
