Let the fake store come back from an older copy

POST /standin/restore makes the store refuse calls for a moment and go back to a copy: versions go back and are given out again, a feed position after the newest version gets 410, Store-Era rises by one in all answers of the store. Endpoints write again with their heartbeats; the store writes the operators' lost rows again after up to a second. Late writes survive a restore and are applied if their checks hold then.

--- a/standins/users_platform/__init__.py
+++ b/standins/users_platform/__init__.py
@@ -2,6 +2,7 @@
 
 from ._app import build
 from ._app import UsageCall
+from ._rows import HistoryGone
 from ._rows import Rows
 
-__all__ = ["Rows", "UsageCall", "build"]
+__all__ = ["HistoryGone", "Rows", "UsageCall", "build"]
--- a/standins/users_platform/_app.py
+++ b/standins/users_platform/_app.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import random
+import sys
 import time
 
 from aiohttp import web
@@ -21,6 +22,12 @@
 ENDPOINTS_TABLE = "servers"
 #: Time after which an endpoint row without a write is removed, in seconds.
 ENDPOINT_TTL_S = 1.0
+#: Table of the operators' rows.
+OPERATORS_TABLE = "op"
+#: Longest time after a restore until operators write again, in seconds.
+REWRITE_DELAY_S = 1.0
+#: Path prefix of the store's own interface.
+STORE_PREFIX = "/bilberrydeal/"
 
 
 @attrs.frozen
@@ -48,15 +55,29 @@
     delay_s: float = 0.0
 
 
+@attrs.frozen
+class Restore:
+    """Call to come back from an older copy."""
+
+    #: Age of the copy when the store goes away, in seconds.
+    age_s: float
+    #: How long the store is away, in seconds.
+    away_s: float = 0.0
+
+
 class StoreApp:
     """HTTP handlers and state of the store."""
 
     def __init__(self, journal: _journal.Journal) -> None:
         self.rows = _rows.Rows()
         self.faults = Faults()
+        #: Rises by one with each restore.
+        self.era = 1
+        #: Restores under way; calls are refused meanwhile.
+        self._restores = 0
         self._journal = journal
         self._random = random.Random(1)
-        self._late_writes: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._heartbeats: dict[str, float] = {}
 
     async def get(self, request: web.Request) -> web.StreamResponse:
@@ -100,11 +121,9 @@
         }
         writes |= {(row["table"], row["key"]): None for row in call["remove"]}
         if self._random.random() < self.faults.late_share:
-            task = asyncio.create_task(self._apply_late(expected, writes))
-            self._late_writes.add(task)
-            task.add_done_callback(self._late_writes.discard)
+            self._start(self._apply_late(expected, writes))
             await self._leave_unanswered(request)
-        if not self.rows.apply(expected, writes):
+        if not self.rows.apply(expected, writes, time.monotonic()):
             current = [self.rows.get(*name) for name in expected]
             return self._rows_response([row for row in current if row], 412)
         if self._random.random() < self.faults.lose_share:
@@ -114,8 +133,10 @@
     async def put(self, request: web.Request) -> web.StreamResponse:
         """Set a row as an operator or an endpoint does, without faults."""
         call = msgspec.json.decode(await request.read())
+        if self._restores:
+            raise web.HTTPServiceUnavailable
         name = (call["table"], call["key"])
-        self.rows.apply({}, {name: call["value"]})
+        self.rows.apply({}, {name: call["value"]}, time.monotonic())
         if call["table"] == ENDPOINTS_TABLE:
             self._heartbeats[call["key"]] = time.monotonic()
         return _serve.json_response(_serve.EmptyBody())
@@ -132,7 +153,11 @@
                 for key, at_s in list(self._heartbeats.items()):
                     if at_s < oldest_s:
                         del self._heartbeats[key]
-                        self.rows.apply({}, {(ENDPOINTS_TABLE, key): None})
+                        self.rows.apply(
+                            {},
+                            {(ENDPOINTS_TABLE, key): None},
+                            time.monotonic(),
+                        )
 
         task = asyncio.create_task(sweep())
         yield
@@ -160,6 +185,50 @@
         self.faults = Faults(**call)
         return _serve.json_response(_serve.EmptyBody())
 
+    async def restore(self, request: web.Request) -> web.StreamResponse:
+        """Go away for a moment and come back from an older copy."""
+        call = await _serve.read_body(request, Restore)
+        copied_s = time.monotonic() - call.age_s
+        self._restores += 1
+        await asyncio.sleep(call.away_s)
+        lost = self.rows.restore(copied_s)
+        self.era += 1
+        self._restores -= 1
+        # Endpoints of the copy stay listed until they miss heartbeats.
+        self._heartbeats = {
+            row.key: time.monotonic()
+            for row in self.rows.scan(ENDPOINTS_TABLE, "", "", sys.maxsize)
+        }
+        self._start(self._write_again(lost))
+        return _serve.json_response(_serve.EmptyBody())
+
+    async def _write_again(self, lost: list[_rows.Row]) -> None:
+        """Write the operators' lost rows again, unless they did meanwhile."""
+        newest = {
+            (row.table, row.key): row.value
+            for row in lost
+            if row.table == OPERATORS_TABLE
+        }
+        before = {name: self.rows.get(*name) for name in newest}
+        await asyncio.sleep(self._random.uniform(0.0, REWRITE_DELAY_S))
+        for name, value in newest.items():
+            if self.rows.get(*name) == before[name]:
+                self.rows.apply({}, {name: value}, time.monotonic())
+
+    async def add_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Add the era to every answer of the store."""
+        if request.path.startswith(STORE_PREFIX):
+            response.headers["Store-Era"] = str(self.era)
+
+    def _start(
+        self, work: collections.abc.Coroutine[object, object, None]
+    ) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _rows_response(
         self, rows: list[_rows.Row], status: int = 200
     ) -> web.Response:
@@ -189,9 +258,11 @@
         writes: dict[tuple[str, str], str | None],
     ) -> None:
         await asyncio.sleep(self._random.uniform(0.5, 2.0))
-        self.rows.apply(expected, writes)
+        self.rows.apply(expected, writes, time.monotonic())
 
     async def _apply_faults(self, request: web.Request) -> None:
+        if self._restores:
+            raise web.HTTPServiceUnavailable
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s)
         if self.faults.mode == "busy":
@@ -212,6 +283,7 @@
     store = StoreApp(journal)
     app = web.Application(client_max_size=_serve.MAX_BODY_BYTES)
     app.cleanup_ctx.append(store.expire_endpoints)
+    app.on_response_prepare.append(store.add_era)
     app.add_routes(
         [
             web.get("/bilberrydeal/rows-get", store.get),
@@ -220,6 +292,7 @@
             web.post("/usage", store.usage),
             web.post("/standin/put", store.put),
             web.post("/standin/fault", store.fault),
+            web.post("/standin/restore", store.restore),
         ]
     )
     return app
--- a/standins/users_platform/_rows.py
+++ b/standins/users_platform/_rows.py
@@ -17,7 +17,16 @@
 
 
 class HistoryGone(Exception):
-    """The history since the given version was dropped."""
+    """The history since the given version was dropped or never existed."""
+
+
+@attrs.frozen
+class _Write:
+    """A row as written, for rebuilding an older state."""
+
+    row: Row
+    #: When it was written, in seconds.
+    at_s: float
 
 
 class Rows:
@@ -26,7 +35,8 @@
     Example::
 
         rows = Rows()
-        rows.apply({}, {("t", "k"): "dg=="})
+        rows.apply({}, {("t", "k"): "dg=="}, now_s)
+        rows.restore(now_s - 3.0)
     """
 
     def __init__(self) -> None:
@@ -35,6 +45,7 @@
         self._rows: dict[tuple[str, str], Row] = {}
         self._history: list[Row] = []
         self._history_start = 0
+        self._written: list[_Write] = []
 
     def get(self, table: str, key: str) -> Row | None:
         """Return one row."""
@@ -62,6 +73,7 @@
         self,
         expected: collections.abc.Mapping[tuple[str, str], int],
         writes: collections.abc.Mapping[tuple[str, str], str | None],
+        now_s: float,
     ) -> bool:
         """Apply a transaction unless it conflicts; return whether applied."""
         if self.conflicts(expected):
@@ -69,16 +81,40 @@
         self.version += 1
         for (table, key), value in writes.items():
             row = Row(table, key, value, self.version)
-            if value is None:
-                self._rows.pop((table, key), None)
-            else:
-                self._rows[table, key] = row
+            self._set(row)
             self._history.append(row)
+            self._written.append(_Write(row, now_s))
         return True
 
+    def _set(self, row: Row) -> None:
+        if row.value is None:
+            self._rows.pop((row.table, row.key), None)
+        else:
+            self._rows[row.table, row.key] = row
+
+    def restore(self, copied_s: float) -> list[Row]:
+        """Go back to the state of ``copied_s``; return what was lost.
+
+        Versions go back too, and are given out again.
+        """
+        lost = [each.row for each in self._written if each.at_s > copied_s]
+        self._written = [
+            each for each in self._written if each.at_s <= copied_s
+        ]
+        self._rows.clear()
+        self.version = 0
+        for each in self._written:
+            self._set(each.row)
+            self.version = each.row.version
+        self._history = [
+            row for row in self._history if row.version <= self.version
+        ]
+        self._history_start = min(self._history_start, self.version)
+        return lost
+
     def changes(self, table: str, after: int) -> list[Row]:
         """Return the latest state of rows that changed after a version."""
-        if after < self._history_start:
+        if after < self._history_start or after > self.version:
             raise HistoryGone
         newest = {
             row.key: row
