Compare versions of the store together with their era

A store that came back from an older copy gives out versions again. A gateway that went on from its position in the feed missed the changes below it without an error, a hint of the former era named a version that was never reached, endpoints that the copy lacks were removed at once, and those that had left were back.

- ports.StoreVersion: number and era.
- The era of each answer is noted and its changes are logged; an older era in the answer to a call made before the change is late: the call counts as lost, a commit's outcome as unknown.
A transaction may name the era in which its checks were read.
- Hints carry the era.
Those of an older one are ignored.
- In the full read of a new era rows of former processes, and rows with a lower sequence, are outdated; an endpoint that left or drains is back only by a higher one or by a later write.
Missing ones have the time that follows an outage.
- Configurations: as before, their own version decides; now tested.

Failed before the change: the position that was given out again (2 of 4 cases; the other 2 got 410), outdated rows, endpoints that left (4 cases), endpoints that write again, endpoints that the copy lacks. The tests of outcomes cannot run on the old code, which knows no era. With hints compared by number only, the model of hints and 3 cases of the table fail. The keys were right before.

--- a/bilberrydeal/gateway/_datagrams.py
+++ b/bilberrydeal/gateway/_datagrams.py
@@ -63,6 +63,8 @@
     changed_version: int
     #: Time since the store confirmed that there is no later one, in seconds.
     age_s: float
+    #: Era of the store of that version, ``None`` if the store tells none.
+    era: int | None = None
 
 
 @attrs.frozen
--- a/bilberrydeal/gateway/_metrics.py
+++ b/bilberrydeal/gateway/_metrics.py
@@ -21,6 +21,8 @@
     gateways: int
     requests_open: int
     lease_held: bool
+    #: Era of the store, 0 if it tells none.
+    store_era: int
     #: Calls to the store by kind and outcome.
     store_calls: collections.abc.Mapping[tuple[str, str], int]
 
@@ -57,6 +59,7 @@
                 ("gateways", "Gateways that are alive."),
                 ("requests_open", "Requests being read or served."),
                 ("lease_held", "Whether this process has the duties."),
+                ("store_era", "Era of the store, 0 if it tells none."),
             )
         }
 
@@ -93,6 +96,7 @@
             ("gateways", state.gateways),
             ("requests_open", state.requests_open),
             ("lease_held", int(state.lease_held)),
+            ("store_era", state.store_era),
         ):
             self._gauges[name].set({}, value)
         for (kind, outcome), count in state.store_calls.items():
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -328,6 +328,7 @@
             gateways=self._cluster.members,
             requests_open=self._caller_server.requests_open,
             lease_held=self._coordination.lease_held,
+            store_era=self._store.era or 0,
             store_calls=self._store.calls,
         )
 
--- a/bilberrydeal/gateway/_store_hints.py
+++ b/bilberrydeal/gateway/_store_hints.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from .. import ports
 from .. import telemetry
 from . import _datagrams
 
@@ -41,39 +42,49 @@
     """What this gateway knows of one table of the store."""
 
     #: Version of the store up to which all changes are known.
-    version: int | None = None
+    version: ports.StoreVersion | None = None
     #: Version of the store at the last change that matters.
-    changed_version: int = 0
+    changed_version: ports.StoreVersion = ports.StoreVersion(0)
     #: When the store last confirmed that, monotonic seconds.
     confirmed_s: float = float("-inf")
-    #: Newest version at which others know a change.
-    hinted_version: int = 0
+    #: Newest version at which others know a change that this gateway lacks.
+    hinted_version: ports.StoreVersion | None = None
     #: Until when the hints of others are valid, monotonic seconds.
     hints_valid_until_s: float = float("-inf")
     #: Set when a hint arrives that this gateway does not know of.
     hinted: asyncio.Event = attrs.field(factory=asyncio.Event)
 
-    def note_poll(self, version: int, changed: bool, now_s: float) -> None:
+    def note_poll(
+        self, version: ports.StoreVersion, changed: bool, now_s: float
+    ) -> None:
         """Record a response of the store."""
         self.version = version
         if changed:
             self.changed_version = version
+        elif self.changed_version.era != version.era:
+            # Nothing that matters has changed in this era so far.
+            self.changed_version = ports.StoreVersion(0, version.era)
         self.confirmed_s = now_s
         # A version that the store does not have is not waited for.
-        self.hinted_version = 0
+        self.hinted_version = None
         self.hinted.clear()
 
-    def note_hint(self, version: int, valid_until_s: float) -> None:
-        """Record a hint; older ones change nothing."""
+    def note_hint(
+        self, version: ports.StoreVersion, valid_until_s: float
+    ) -> None:
+        """Record a hint; older ones and those of an older era do nothing."""
+        known = self.version
+        if known is not None and known.of_later_era_than(version):
+            return
         self.hints_valid_until_s = max(self.hints_valid_until_s, valid_until_s)
-        self.hinted_version = max(self.hinted_version, version)
-        if self.outdated:
+        if known is None or _supersedes(version, known):
+            self.hinted_version = version
             self.hinted.set()
 
     @property
     def outdated(self) -> bool:
         """Return whether others know of a newer change."""
-        return self.version is None or self.hinted_version > self.version
+        return self.version is None or self.hinted_version is not None
 
     def due_s(self) -> float:
         """Return when a gateway that is no watcher has to poll."""
@@ -165,7 +176,10 @@
         now_s = self._clock()
         hints = tuple(
             _datagrams.TableHint(
-                name, table.changed_version, now_s - table.confirmed_s
+                name,
+                table.changed_version.number,
+                now_s - table.confirmed_s,
+                table.changed_version.era,
             )
             for name, table in self._tables.items()
             if now_s - table.confirmed_s < self._valid_s
@@ -181,7 +195,8 @@
             table = self._tables.get(hint.table)
             if table is not None and hint.age_s >= 0.0:
                 valid_until_s = now_s - hint.age_s + self._valid_s
-                table.note_hint(hint.changed_version, valid_until_s)
+                version = ports.StoreVersion(hint.changed_version, hint.era)
+                table.note_hint(version, valid_until_s)
 
     def _note_polling(self, polling: bool) -> None:
         if polling is not self._polling:
@@ -190,3 +205,8 @@
                 "Polls the store itself." if polling else "Relies on hints.",
                 gateways=len(self._peers()) + 1,
             )
+
+
+def _supersedes(hinted: ports.StoreVersion, known: ports.StoreVersion) -> bool:
+    """Return whether a hint names a change that is not known."""
+    return hinted.newer_than(known) or hinted.of_later_era_than(known)
--- a/bilberrydeal/gateway/tests/test_store_hints.py
+++ b/bilberrydeal/gateway/tests/test_store_hints.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 import pytest
 
+from ... import ports
 from .. import _datagrams
 from .. import _store_hints
 
@@ -25,16 +26,31 @@
 class Store:
     """A table whose version grows with each write."""
 
-    version: int = 1
+    number: int = 1
+    era: int = 1
     #: Version of the last change that matters, with its time.
-    changed: tuple[int, float] = (0, 0.0)
+    changed: tuple[ports.StoreVersion, float] = (
+        ports.StoreVersion(0, 1),
+        0.0,
+    )
+
+    @property
+    def version(self) -> ports.StoreVersion:
+        """Return the latest version."""
+        return ports.StoreVersion(self.number, self.era)
 
     def write(self, matters: bool, now_s: float) -> None:
         """Write a row."""
-        self.version += 1
+        self.number += 1
         if matters:
             self.changed = (self.version, now_s)
 
+    def restore(self, writes: int, now_s: float) -> None:
+        """Lose the last writes; what matters is written again."""
+        self.number = max(self.number - writes, 0)
+        self.era += 1
+        self.write(matters=True, now_s=now_s)
+
 
 class FakeDatagrams(_datagrams.Datagrams):
     """Hands datagrams to the network of the simulation."""
@@ -70,7 +86,7 @@
     polled_s: float = -10.0
     hinted_s: float = -10.0
     #: Version of the last change that it knows.
-    known: int = -1
+    known: ports.StoreVersion = ports.StoreVersion(-1, 0)
     polls: int = 0
 
 
@@ -141,9 +157,9 @@
         gateway.polls += 1
         version = self.store.version
         before = gateway.table.version
-        assert before is None or version >= before
+        assert before is None or not before.newer_than(version)
         changed, _at_s = self.store.changed
-        gateway.table.note_poll(version, changed > gateway.known, self.now_s)
+        gateway.table.note_poll(version, changed != gateway.known, self.now_s)
         gateway.known = changed
 
     def _check(self) -> None:
@@ -151,12 +167,14 @@
         for gateway in self.gateways:
             since_s = max(at_s, gateway.well_from_s, gateway.frozen_until_s)
             if self.now_s - since_s > LIMIT_S:
-                assert gateway.known >= changed, gateway.position
+                assert gateway.known == changed, gateway.position
 
 
 EVENTS = strategies.lists(
     strategies.tuples(
-        strategies.sampled_from(["change", "freeze", "cut", "calm"]),
+        strategies.sampled_from(
+            ["change", "restore", "freeze", "cut", "calm"]
+        ),
         strategies.integers(0, 4),
         strategies.integers(1, 120),
         strategies.integers(0, 40),
@@ -177,7 +195,18 @@
 ]
 
 
+#: The store goes back, and again, while the watchers know a higher version.
+RESTORED_TWICE = [
+    ("calm", 0, 1, 40),
+    ("change", 0, 1, 20),
+    ("restore", 0, 60, 20),
+    ("restore", 0, 30, 40),
+    ("change", 0, 1, 40),
+]
+
+
 @hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+@hypothesis.example(RESTORED_TWICE, 1, 0.0)
 @hypothesis.example(WATCHERS_CUT, 1, 0.0)
 @hypothesis.example(WATCHERS_FROZEN, 1, 0.0)
 @hypothesis.given(
@@ -198,6 +227,8 @@
         until_s = world.now_s + lasting_steps * STEP_S
         if kind == "change":
             world.store.write(matters=True, now_s=world.now_s)
+        elif kind == "restore":
+            world.store.restore(lasting_steps, world.now_s)
         elif kind == "freeze":
             gateway.frozen_until_s = until_s
         elif kind == "cut":
@@ -245,8 +276,37 @@
 
 def test_hint_of_a_version_that_the_store_lacks_is_dropped() -> None:
     table = _store_hints.FollowedTable()
-    table.note_poll(10, False, 1.0)
-    table.note_hint(1_000, 5.0)
+    table.note_poll(ports.StoreVersion(10), False, 1.0)
+    table.note_hint(ports.StoreVersion(1_000), 5.0)
     assert table.due_s() < 1.0
-    table.note_poll(11, False, 1.1)
+    table.note_poll(ports.StoreVersion(11), False, 1.1)
     assert table.due_s() == 5.0
+
+
+@pytest.mark.parametrize(
+    ("hint", "outdated", "valid"),
+    [
+        (ports.StoreVersion(9, 2), False, True),
+        (ports.StoreVersion(11, 2), True, True),
+        # Of the era before: its versions were given out again.
+        (ports.StoreVersion(11, 1), False, False),
+        (ports.StoreVersion(11, None), False, False),
+        # Of an era that this gateway has not seen.
+        (ports.StoreVersion(0, 3), True, True),
+    ],
+)
+def test_hint_is_compared_with_its_era(
+    hint: ports.StoreVersion, outdated: bool, valid: bool
+) -> None:
+    table = _store_hints.FollowedTable()
+    table.note_poll(ports.StoreVersion(10, 2), False, 1.0)
+    table.note_hint(hint, 5.0)
+    assert table.outdated is outdated
+    assert (table.hints_valid_until_s == 5.0) is valid
+
+
+def test_hints_of_a_new_era_name_no_version_of_the_old_one() -> None:
+    table = _store_hints.FollowedTable()
+    table.note_poll(ports.StoreVersion(10, 1), True, 1.0)
+    table.note_poll(ports.StoreVersion(4, 2), False, 2.0)
+    assert table.changed_version == ports.StoreVersion(0, 2)
--- a/bilberrydeal/gateway/tests/test_store_sync.py
+++ b/bilberrydeal/gateway/tests/test_store_sync.py
@@ -61,9 +61,16 @@
         )
     )
 
-    def apply(self, *changes: ports.Change, is_snapshot: bool = False) -> None:
+    def apply(
+        self,
+        *changes: ports.Change,
+        is_snapshot: bool = False,
+        era: int | None = None,
+    ) -> None:
         self.connectivity.note_response(self.now_s)
-        self.updater.apply(ports.Changes(1, changes), is_snapshot)
+        self.updater.apply(
+            ports.Changes(ports.StoreVersion(1, era), changes), is_snapshot
+        )
 
     @property
     def ready_ids(self) -> set[str]:
@@ -79,7 +86,8 @@
     updater = _store_sync.ConfigurationUpdater(fixture.cluster)
     for version in (3, 9, 5, 9):
         changes = ports.Changes(
-            1, (_change("config", _configuration_record(version)),)
+            ports.StoreVersion(1),
+            (_change("config", _configuration_record(version)),),
         )
         updater.apply(changes, False)
     assert fixture.cluster.configuration is not None
@@ -93,9 +101,16 @@
     fixture = Fixture()
     updater = _store_sync.ConfigurationUpdater(fixture.cluster)
     updater.apply(
-        ports.Changes(1, (_change("config", _configuration_record(3)),)), True
+        ports.Changes(
+            ports.StoreVersion(1),
+            (_change("config", _configuration_record(3)),),
+        ),
+        True,
+    )
+    updater.apply(
+        ports.Changes(ports.StoreVersion(2), (_change("config", value),)),
+        False,
     )
-    updater.apply(ports.Changes(2, (_change("config", value),)), False)
     assert fixture.cluster.configuration is not None
     assert fixture.cluster.configuration.version == 3
 
@@ -231,20 +246,20 @@
         self.calls.append(call)
         if not self.script:
             self.ended.set()
-            return ports.Changes(1, ())
+            return ports.Changes(ports.StoreVersion(1), ())
         step = self.script.pop(0)
         if step == "gone":
             raise errors.HistoryGone
         if step == "down":
             raise errors.StoreUnavailable("call")
-        return ports.Changes(1, ())
+        return ports.Changes(ports.StoreVersion(1), ())
 
     async def snapshot(self, table: str, timeout_s: float) -> ports.Changes:
         await asyncio.sleep(0)
         return self._next("snapshot")
 
     async def changes(
-        self, table: str, after_version: int, wait_s: float
+        self, table: str, after: ports.StoreVersion, wait_s: float
     ) -> ports.Changes:
         await asyncio.sleep(0)
         return self._next("changes")
@@ -283,3 +298,124 @@
         await feed.ended.wait()
     task.cancel()
     assert feed.calls[: len(calls)] == calls
+
+
+def _row(sequence: int, **fields: object) -> ports.Change:
+    return _change("e1", _endpoint_record(sequence=sequence, **fields))
+
+
+@pytest.mark.parametrize(
+    ("known", "copied", "role"),
+    [
+        # The copy shows the role that it had before.
+        (_row(7, stage="decode"), _row(5, stage="prefill"), "decode"),
+        (_row(7, stage="decode"), _row(7, stage="decode"), "decode"),
+        (_row(7, stage="decode"), _row(8, stage="prefill"), "prefill"),
+        # The copy shows the process before.
+        (
+            _row(2, born=9, stage="decode"),
+            _row(80, born=8, stage="prefill"),
+            "decode",
+        ),
+        (
+            _row(80, born=8, stage="decode"),
+            _row(2, born=9, stage="prefill"),
+            "prefill",
+        ),
+    ],
+)
+def test_endpoint_row_of_an_older_copy_is_ignored(
+    known: ports.Change, copied: ports.Change, role: str
+) -> None:
+    fixture = Fixture()
+    fixture.apply(known, is_snapshot=True, era=1)
+    fixture.apply(copied, is_snapshot=True, era=2)
+    found = fixture.cluster.endpoints["e1"].endpoint.role
+    assert found is not None
+    assert found.value == role
+
+
+@pytest.mark.parametrize(
+    "left", [_change("e1", None), _row(7, state="draining")]
+)
+@pytest.mark.parametrize(
+    ("copied", "ready"),
+    [
+        (_row(5), False),
+        # Its last row, if its removal was lost.
+        (_row(7), False),
+        (_row(8), True),
+        (_row(1, born=2), True),
+    ],
+)
+def test_endpoint_that_left_stays_left_after_a_restore(
+    left: ports.Change, copied: ports.Change, ready: bool
+) -> None:
+    fixture = Fixture()
+    fixture.apply(_row(7), is_snapshot=True, era=1)
+    fixture.apply(left, era=1)
+    for era in (2, 3):
+        fixture.apply(copied, is_snapshot=True, era=era)
+        assert fixture.ready_ids == ({"e1"} if ready else set())
+
+
+def test_endpoint_that_writes_after_a_restore_is_known_again() -> None:
+    """Some endpoints do not report a sequence."""
+    fixture = Fixture()
+    fixture.apply(_row(0), is_snapshot=True, era=1)
+    fixture.apply(_change("e1", None), era=1)
+    fixture.apply(_row(0), is_snapshot=True, era=2)
+    assert fixture.ready_ids == set()
+    fixture.apply(_row(0), era=2)
+    assert fixture.ready_ids == {"e1"}
+
+
+def test_endpoint_is_known_again_without_a_restore() -> None:
+    fixture = Fixture()
+    fixture.apply(_row(7), is_snapshot=True, era=1)
+    fixture.apply(_change("e1", None), era=1)
+    fixture.apply(_row(7), is_snapshot=True, era=1)
+    assert fixture.ready_ids == {"e1"}
+
+
+def test_endpoints_that_the_copy_lacks_are_kept_until_they_write() -> None:
+    """Guards against refusals after each restore."""
+    fixture = Fixture()
+    fixture.apply(
+        *(_change(f"e{n}", _endpoint_record()) for n in range(3)),
+        is_snapshot=True,
+        era=1,
+    )
+    fixture.now_s += 1.0
+    fixture.apply(_change("e0", _endpoint_record()), is_snapshot=True, era=2)
+    assert fixture.ready_ids == {"e0", "e1", "e2"}
+    fixture.now_s += 1.0
+    fixture.apply(_change("e1", _endpoint_record()), era=2)
+    fixture.now_s += _store_sync.RECOVERY_GRACE_S
+    fixture.apply(era=2)
+    assert fixture.ready_ids == {"e0", "e1"}
+
+
+def test_revoked_key_stays_revoked_after_a_restore() -> None:
+    """The copy has the configuration that still had the key."""
+    fixture = Fixture()
+    updater = _store_sync.ConfigurationUpdater(fixture.cluster)
+
+    def organisations(version: int, era: int, *keys: str) -> set[bytes]:
+        record = {
+            "version": version,
+            "routes": [],
+            "services": [],
+            "tenants": [{"name": "o", "api_keys": list(keys)}],
+        }
+        change = _change("config", msgspec.json.encode(record))
+        changes = ports.Changes(ports.StoreVersion(1, era), (change,))
+        updater.apply(changes, True)
+        assert fixture.cluster.configuration is not None
+        return set(fixture.cluster.configuration.organisations or {})
+
+    assert organisations(6, 1, "a", "b") == {b"a", b"b"}
+    assert organisations(8, 1, "a") == {b"a"}
+    assert organisations(6, 2, "a", "b") == {b"a"}
+    assert organisations(8, 2, "a") == {b"a"}
+    assert organisations(9, 2, "a", "b") == {b"a", b"b"}
--- a/bilberrydeal/platform/_calls.py
+++ b/bilberrydeal/platform/_calls.py
@@ -21,6 +21,8 @@
     body: bytes
     #: Time from the start of the call to the complete response, in seconds.
     took_s: float
+    #: Status and header fields.
+    head: http1.ResponseHead
 
 
 class NotSent(Exception):
@@ -74,7 +76,10 @@
     finally:
         pool.release(connection, time.monotonic())
     return Response(
-        response_head.status, response_body, time.monotonic() - started_s
+        response_head.status,
+        response_body,
+        time.monotonic() - started_s,
+        response_head,
     )
 
 
--- a/bilberrydeal/platform/_headers.py
+++ b/bilberrydeal/platform/_headers.py
@@ -44,6 +44,8 @@
     kv_source: bytes = b"kv-source"
     #: Engine whose cache an engine fetches parts of the prompt from.
     kv_fetch: bytes = b"kv-fetch"
+    #: Era of the store, which rises when it comes back from a copy.
+    store_era: bytes = b"store-era"
     #: The W3C trace context.
     traceparent: bytes = b"traceparent"
     #: Encoding of a body; endpoints never send one.
--- a/bilberrydeal/platform/_records.py
+++ b/bilberrydeal/platform/_records.py
@@ -98,6 +98,8 @@
     #: Unix time of its start, in whole milliseconds.
     born: int = 0
     stage: str | None = None
+    #: Of any type, since nothing depends on it while the store goes ahead.
+    sequence: typing.Any = 0
 
 
 def decode_configuration(value: bytes) -> catalogue.Configuration:
@@ -134,6 +136,9 @@
             if record.stage is not None
             else None,
             started_ms=record.born,
+            sequence=record.sequence
+            if isinstance(record.sequence, int)
+            else 0,
         )
     except (msgspec.DecodeError, KeyError, ValueError) as error:
         raise RecordInvalid(str(error)) from error
--- a/bilberrydeal/platform/_store.py
+++ b/bilberrydeal/platform/_store.py
@@ -6,12 +6,17 @@
 import time
 import urllib.parse
 
+import attrs
 import msgspec
 
 from .. import errors
 from .. import ports
+from .. import telemetry
 from . import _calls
+from . import _eras
+from . import _headers
 
+LOG = telemetry.logger("store")
 #: Table and key of the operators' configuration.
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -48,6 +53,19 @@
     has_more: bool = False
 
 
+@attrs.frozen
+class _Read:
+    """A response to a read, with the era of the store."""
+
+    found: _RowsResponse
+    era: int | None
+
+    @property
+    def version(self) -> ports.StoreVersion:
+        """Return the latest version of the store."""
+        return ports.StoreVersion(self.found.row_version, self.era)
+
+
 class _ConflictResponse(msgspec.Struct):
     rows: list[_Row] = []
 
@@ -93,6 +111,12 @@
         )
         #: Latest reading of the store's monotonic clock.
         self.clock: ports.ClockReading | None = None
+        self._eras = _eras.EraTracker()
+
+    @property
+    def era(self) -> int | None:
+        """Return the last known era of the store, if it tells one."""
+        return self._eras.current
 
     def set_address(self, host: str, port: int) -> None:
         """Use another address for subsequent calls."""
@@ -107,9 +131,10 @@
         """
         found: list[ports.Row | None] = []
         for key in keys:
-            rows = await self._get(
+            read = await self._get(
                 key.table, key.key, key.key + "\0", 1, timeout_s
             )
+            rows = read.found
             found.append(_decode_row(rows.rows[0]) if rows.rows else None)
         return tuple(found)
 
@@ -124,34 +149,42 @@
         """Return the rows whose keys have a prefix, in key order."""
         first = max(prefix, after + "\0" if after else "")
         last = prefix + "\U0010ffff" if prefix else ""
-        response = await self._get(table, first, last, limit, timeout_s)
-        return tuple(_decode_row(row) for row in response.rows)
+        read = await self._get(table, first, last, limit, timeout_s)
+        return tuple(_decode_row(row) for row in read.found.rows)
 
     async def snapshot(self, table: str, timeout_s: float) -> ports.Changes:
         """Return all rows of a table and the version to resume the feed from.
 
         The version is that of the first page, so that the feed repeats the
-        changes made while later pages are read.
+        changes made while later pages are read. Pages of two eras are no
+        snapshot.
         """
         rows: list[ports.Change] = []
-        version: int | None = None
+        version: ports.StoreVersion | None = None
         after = ""
         while True:
-            response = await self._get(table, after, "", PAGE_ROWS, timeout_s)
-            version = response.row_version if version is None else version
+            read = await self._get(table, after, "", PAGE_ROWS, timeout_s)
+            version = version or read.version
+            if read.era != version.era:
+                raise errors.StoreUnavailable("read, era changed")
+            response = read.found
             rows.extend(_decode_change(row) for row in response.rows)
             if not response.has_more or not response.rows:
                 return ports.Changes(version=version, rows=tuple(rows))
             after = response.rows[-1].key + "\0"
 
     async def changes(
-        self, table: str, after_version: int, wait_s: float
+        self, table: str, after: ports.StoreVersion, wait_s: float
     ) -> ports.Changes:
-        """Return the changes since a version, waiting at most ``wait_s``."""
+        """Return the changes since a version, waiting at most ``wait_s``.
+
+        A version of another era may have been given out again, so that its
+        changes are not those that the caller lacks.
+        """
         query = urllib.parse.urlencode(
             {
                 "table": table,
-                "after": after_version,
+                "after": after.number,
                 "wait_ms": int(wait_s * 1000),
             }
         )
@@ -159,10 +192,12 @@
         timeout_s = wait_s + FEED_TIMEOUT_MARGIN_S
         if not wait_s:
             timeout_s = FEED_READ_TIMEOUT_S
-        response = await self._read_call(target, timeout_s)
+        read = await self._read_call(target, timeout_s)
+        if read.era != after.era:
+            raise errors.HistoryGone()
         return ports.Changes(
-            version=response.row_version,
-            rows=tuple(_decode_change(row) for row in response.rows),
+            version=read.version,
+            rows=tuple(_decode_change(row) for row in read.found.rows),
         )
 
     async def commit(
@@ -170,6 +205,7 @@
     ) -> ports.Committed:
         """Commit a transaction."""
         call = _encode_transaction(transaction)
+        start = self._eras.start_call()
         try:
             response = await _calls.call(
                 self._pool,
@@ -185,11 +221,15 @@
             self.calls["commit", "no answer"] += 1
             raise errors.OutcomeUnknown("commit") from error
         self.calls["commit", str(response.status)] += 1
+        found = self._decode_rows(response, "commit")
+        era = self._note_era(response, found, "commit", start)
         if response.status == 412:
             raise _decode_conflict(transaction, response)
-        if response.status != 200:
+        if found is None:
             raise errors.StoreUnavailable(f"commit, status {response.status}")
-        found = self._decode(response, "commit")
+        if transaction.era is not None and era != transaction.era:
+            # Its checks held for other writes than those that it was made for.
+            raise errors.OutcomeUnknown("commit")
         return ports.Committed(
             versions=tuple(
                 found.row_version if write.value is not None else 0
@@ -199,7 +239,7 @@
 
     async def _get(
         self, table: str, first: str, last: str, limit: int, timeout_s: float
-    ) -> _RowsResponse:
+    ) -> _Read:
         parameters = {"table": table, "part": "", "limit": str(limit)}
         if first:
             parameters["from"] = first
@@ -210,7 +250,8 @@
             f"/bilberrydeal/rows-get?{query}", timeout_s
         )
 
-    async def _read_call(self, target: str, timeout_s: float) -> _RowsResponse:
+    async def _read_call(self, target: str, timeout_s: float) -> _Read:
+        start = self._eras.start_call()
         try:
             response = await _calls.call(
                 self._pool, _GET, target.encode(), None, timeout_s
@@ -219,15 +260,45 @@
             self.calls["read", "no answer"] += 1
             raise errors.StoreUnavailable(f"read, {error}") from error
         self.calls["read", str(response.status)] += 1
+        found = self._decode_rows(response, "read")
+        era = self._note_era(response, found, "read", start)
         if response.status == 410:
             raise errors.HistoryGone()
-        if response.status != 200:
+        if found is None:
             raise errors.StoreUnavailable(f"read, status {response.status}")
-        return self._decode(response, "read")
+        return _Read(found, era)
 
-    def _decode(
+    def _note_era(
+        self,
+        response: _calls.Response,
+        found: _RowsResponse | None,
+        operation: str,
+        start: _eras.CallStart,
+    ) -> int | None:
+        """Record the era of a response, and return it.
+
+        A response of an era that was over when it arrived counts as lost.
+        """
+        value = response.head.header(_headers.HEADERS.store_era)
+        version = found.row_version if found is not None else None
+        try:
+            return self._eras.note(value, version, start)
+        except _eras.LateResponse as error:
+            LOG.info(
+                "Store response is late.",
+                operation=operation,
+                reason=str(error),
+            )
+            if operation == "commit":
+                raise errors.OutcomeUnknown(operation) from error
+            raise errors.StoreUnavailable(f"read, {error}") from error
+
+    def _decode_rows(
         self, response: _calls.Response, operation: str
-    ) -> _RowsResponse:
+    ) -> _RowsResponse | None:
+        """Return the rows of a response, ``None`` if it is an error."""
+        if response.status != 200:
+            return None
         try:
             found = msgspec.json.decode(response.body, type=_RowsResponse)
         except msgspec.DecodeError as error:
--- a/bilberrydeal/platform/tests/test_store.py
+++ b/bilberrydeal/platform/tests/test_store.py
@@ -5,8 +5,11 @@
 import pytest
 
 from ... import errors
+from ... import ports
 from .. import _store
 
+POSITION = ports.StoreVersion(5)
+
 
 async def _serve_slowly(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -34,8 +37,8 @@
         port = server.sockets[0].getsockname()[1]
         client = _store.PlatformStore("127.0.0.1", port)
         if received:
-            changes = await client.changes("op", 5, wait_s)
-            assert changes.version == 7
+            changes = await client.changes("op", POSITION, wait_s)
+            assert changes.version == ports.StoreVersion(7)
         else:
             with pytest.raises(errors.StoreUnavailable):
-                await client.changes("op", 5, wait_s)
+                await client.changes("op", POSITION, wait_s)
--- a/bilberrydeal/ports/__init__.py
+++ b/bilberrydeal/ports/__init__.py
@@ -25,6 +25,7 @@
 from ._feed import ChangeFeed
 from ._feed import Changes
 from ._feed import ClockReading
+from ._feed import StoreVersion
 from ._hosts import HostList
 from ._hosts import HostRecord
 from ._hosts import HostState
@@ -83,6 +84,7 @@
     "Row",
     "RowKey",
     "Sampling",
+    "StoreVersion",
     "TableService",
     "Transaction",
     "UsageInterface",
--- a/bilberrydeal/ports/_feed.py
+++ b/bilberrydeal/ports/_feed.py
@@ -5,6 +5,35 @@
 import attrs
 
 
+@attrs.frozen
+class StoreVersion:
+    """A version of the store, unique only together with its era.
+
+    A store that comes back from an older copy begins a new era, in which it
+    gives out versions again. So versions of two eras have no order.
+
+    Example::
+
+        StoreVersion(7, era=1).newer_than(StoreVersion(6, era=1))  # true
+        StoreVersion(7, era=2).newer_than(StoreVersion(6, era=1))  # false
+    """
+
+    #: Increases with each transaction of an era.
+    number: int
+    #: Increases with each restore, ``None`` if the store does not tell it.
+    era: int | None = None
+
+    def newer_than(self, other: "StoreVersion") -> bool:
+        """Return whether it is newer than another one of the same era."""
+        return self.era == other.era and self.number > other.number
+
+    def of_later_era_than(self, other: "StoreVersion") -> bool:
+        """Return whether its era began after that of another one."""
+        if self.era is None or other.era is None:
+            return self.era is not None and other.era is None
+        return self.era > other.era
+
+
 @attrs.frozen
 class Change:
     """Current state of a changed row."""
@@ -22,7 +51,7 @@
     """Changed rows in order of their versions."""
 
     #: Version from which to continue.
-    version: int
+    version: StoreVersion
     #: The changed rows.
     rows: tuple[Change, ...]
 
@@ -41,14 +70,14 @@
     """Reads the changes of tables.
 
     Calls raise :class:`bilberrydeal.errors.StoreUnavailable`; ``changes``
-    raises ``HistoryGone`` if the changes are no longer kept and the caller
-    must read a new snapshot.
+    raises ``HistoryGone`` if the changes are no longer kept, or if the
+    version is of another era, and the caller must read a new snapshot.
     """
 
     async def snapshot(self, table: str, timeout_s: float) -> Changes:
         """Return all rows of a table and the version to continue from."""
 
     async def changes(
-        self, table: str, after_version: int, wait_s: float
+        self, table: str, after: StoreVersion, wait_s: float
     ) -> Changes:
         """Return the changes after a version, waiting up to ``wait_s``."""
--- a/bilberrydeal/ports/_table.py
+++ b/bilberrydeal/ports/_table.py
@@ -61,6 +61,9 @@
     checks: tuple[Check, ...]
     #: Writes to apply.
     writes: tuple[Write, ...]
+    #: Era in which the versions of the checks were read, if the store tells
+    #: it: in another era they belong to other writes.
+    era: int | None = None
 
 
 @attrs.frozen
@@ -76,8 +79,9 @@
 
     All calls raise :class:`bilberrydeal.errors.StoreUnavailable` if they
     certainly had no effect. ``commit`` raises ``TableConflict`` if a check
-    failed and ``OutcomeUnknown`` if its response was lost; reads raise
-    ``StoreUnavailable`` in that case too.
+    failed and ``OutcomeUnknown`` if its response was lost or is of another
+    era than the transaction; reads raise ``StoreUnavailable`` if the response
+    was lost.
     """
 
     async def read(
