Acquire a lease anew when the store begins another era

After a restore the fence row had a token below those given out, so that the next holder got one that had been given out, and a successor that found no row took the lease at once, beside the holder. A renewal could pass its check on another row of the same version.

- A lease belongs to its era and is not held in another one.
- Transactions under a lease name their era.
- Rows read back in another era resolve no lost response.

A test of the commit before wrote through the client that had seen the new era; such a transaction is no longer sent, so another client writes there now, and both cases are checked.

--- a/bilberrydeal/gateway/_coordination.py
+++ b/bilberrydeal/gateway/_coordination.py
@@ -199,7 +199,7 @@
         )
 
     def _lease_pause_s(self) -> float:
-        if self.lease_held:
+        if self._lease.may_renew(_clock.boot_s()):
             return LEASE_HELD_INTERVAL_S
         candidate = self._members.position < LEASE_CANDIDATES
         if candidate:
@@ -222,7 +222,11 @@
     table: platform.PlatformStore, timeout_s: float
 ) -> store.StoreClient:
     return store.StoreClient(
-        table, timeout_s, STORE_RATE_PER_S, clock=_clock.boot_s
+        table,
+        timeout_s,
+        STORE_RATE_PER_S,
+        clock=_clock.boot_s,
+        era=lambda: table.era,
     )
 
 
--- a/bilberrydeal/gateway/_reporting.py
+++ b/bilberrydeal/gateway/_reporting.py
@@ -162,14 +162,15 @@
         self, window: int, row: WindowRow, version: int | None
     ) -> None:
         key = f"{window:0{KEY_DIGITS}d}"
-        checks = list(self._lease.checks(self._client.now_s()))
+        checks: tuple[ports.Check, ...] = ()
         if version is not None:
-            checks.append(ports.Check(WINDOWS, key, version))
+            checks = (ports.Check(WINDOWS, key, version),)
         write = ports.Write(WINDOWS, key, store.encode(row))
+        transaction = self._lease.transaction(
+            self._client.now_s(), (write,), checks
+        )
         try:
-            await self._client.commit(
-                ports.Transaction(tuple(checks), (write,))
-            )
+            await self._client.commit(transaction)
         except (errors.OutcomeUnknown, errors.TableConflict):
             # This or another holder may have written: the rows are read again.
             self._loaded = False
--- a/bilberrydeal/platform/_store.py
+++ b/bilberrydeal/platform/_store.py
@@ -203,7 +203,12 @@
     async def commit(
         self, transaction: ports.Transaction, timeout_s: float
     ) -> ports.Committed:
-        """Commit a transaction."""
+        """Commit a transaction.
+
+        One of an era that is over is not sent.
+        """
+        if transaction.era not in (None, self.era):
+            raise errors.OutcomeUnknown("commit")
         call = _encode_transaction(transaction)
         start = self._eras.start_call()
         try:
--- a/bilberrydeal/platform/tests/test_store_eras.py
+++ b/bilberrydeal/platform/tests/test_store_eras.py
@@ -25,6 +25,8 @@
 
     def __init__(self, server: test_utils.TestServer) -> None:
         self.store = _store.PlatformStore("127.0.0.1", server.port or 0)
+        #: The client of another process.
+        self.other = _store.PlatformStore("127.0.0.1", server.port or 0)
         self._server = server
 
     async def restore(self) -> None:
@@ -34,10 +36,14 @@
             await session.post(url, json={"age_s": 600.0})
 
     async def write(
-        self, key: str, version: int, era: int | None = None
+        self,
+        key: str,
+        version: int,
+        era: int | None = None,
+        store: _store.PlatformStore | None = None,
     ) -> int:
         """Write a row on condition of its version; return the new one."""
-        committed = await self.store.commit(
+        committed = await (store or self.store).commit(
             ports.Transaction(
                 (ports.Check(TABLE, key, version),),
                 (ports.Write(TABLE, key, b"{}"),),
@@ -88,11 +94,14 @@
         version = await fixture.write("a", 0)
         era = fixture.store.era
         await fixture.restore()
-        other = await fixture.write("a", 0)
+        other = await fixture.write("a", 0, store=fixture.other)
         assert other == version
         with pytest.raises(errors.OutcomeUnknown):
             await fixture.write("a", version, era)
         assert fixture.store.era != era
+        # Now that the era is known the transaction is not even sent.
+        with pytest.raises(errors.OutcomeUnknown):
+            await fixture.write("a", version + 1, era)
         await fixture.write("a", version + 1, fixture.store.era)
 
 
--- a/bilberrydeal/store/_client.py
+++ b/bilberrydeal/store/_client.py
@@ -27,6 +27,8 @@
 
 Result = typing.TypeVar("Result")
 Sleep = collections.abc.Callable[[float], collections.abc.Awaitable[None]]
+#: Returns the last known era of the store, ``None`` if it tells none.
+Era = collections.abc.Callable[[], int | None]
 
 
 @attrs.define(slots=False, eq=False)
@@ -61,12 +63,14 @@
         rng: random.Random | None = None,
         clock: collections.abc.Callable[[], float] = time.monotonic,
         sleep: Sleep = asyncio.sleep,
+        era: Era = lambda: None,
     ) -> None:
         self.call_timeout_s = call_timeout_s
         self._table = table
         self._rng = rng or random.SystemRandom()
         self._clock = clock
         self._sleep = sleep
+        self._era = era
         self._bucket = _token_bucket.TokenBucket(call_rate_per_s, clock, sleep)
 
     @property
@@ -74,6 +78,11 @@
         """Maximum duration of one operation, in seconds."""
         return self.call_timeout_s * (DEADLINE_FACTOR + 1)
 
+    @property
+    def era(self) -> int | None:
+        """Return the last known era of the store, if it tells one."""
+        return self._era()
+
     def now_s(self) -> float:
         """Return the monotonic time of this client's clock."""
         return self._clock()
@@ -156,7 +165,8 @@
         ``outcome_inferred`` set if the failure was inferred from rows read
         back, ``StoreUnavailable``
         if no attempt was sent, and ``OutcomeUnknown`` if the deadline passed
-        first.
+        first or the transaction names an era that is over: rows read back in
+        another era prove nothing.
         """
         expected = _checked_marker_version(transaction, marker)
         deadline_s = self._clock() + self.call_timeout_s * DEADLINE_FACTOR
@@ -178,6 +188,8 @@
                     raise
                 raise errors.OutcomeUnknown(operation="commit") from error
             found = await self._read_back(transaction, marker, nonce)
+            if transaction.era not in (None, self.era):
+                raise errors.OutcomeUnknown(operation="commit") from failed
             if isinstance(found, ports.Committed):
                 return found
             if found != expected:
--- a/bilberrydeal/store/tests/test_client.py
+++ b/bilberrydeal/store/tests/test_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import attrs
 import pytest
 
 from bilberrydeal import errors
@@ -166,3 +167,28 @@
     with pytest.raises(errors.TableConflict) as caught:
         loop.run(client.commit_resolved(transaction, KEY, "mine"))
     assert caught.value.key == "fence"
+
+
+@pytest.mark.parametrize(
+    ("fault", "own"), [(Fault.LOST_AFTER, True), (Fault.LOST_BEFORE, False)]
+)
+def test_rows_read_back_in_another_era_prove_nothing(
+    fault: Fault, own: bool
+) -> None:
+    """The row may be back from a copy, or lost with what followed it."""
+    loop = virtual.VirtualLoop()
+    memory = platform.MemoryTable()
+    eras = iter([1])
+    client = store.StoreClient(
+        faults.FaultyTable(memory, random.Random(1), script=[fault]),
+        call_timeout_s=1.0,
+        call_rate_per_s=1_000.0,
+        rng=random.Random(1),
+        clock=loop.time,
+        era=lambda: next(eras, 2),
+    )
+    assert client.era == 1
+    transaction = attrs.evolve(_transaction(0, "mine"), era=1)
+    with pytest.raises(errors.OutcomeUnknown):
+        loop.run(client.commit_resolved(transaction, KEY, "mine"))
+    assert (loop.run(client.read_one(KEY)) is not None) is own
