Tell the next lease holders which windows are settled

When a restore took away the row of a window that had been reported and its holder had ended, the successor settled it with other counts. The holder now tells the gateways that may take the lease the counts before it reports them; a successor writes such a window again and reports it with the same counts.

test_next_holder_keeps_to_counts_that_a_restore_took_away fails without it ({'derwent': 1} reported in place of {'russo': 1}).

--- a/bilberrydeal/gateway/_coordination.py
+++ b/bilberrydeal/gateway/_coordination.py
@@ -110,6 +110,9 @@
             self._lease,
             self._rows,
             peer_counts,
+            _usage_broadcast.SettledWindows(
+                datagrams, self.incarnation, self._lease_candidates
+            ),
             self.usage,
             cluster_clock,
             gateway_settings.host_id,
--- a/bilberrydeal/gateway/_datagrams.py
+++ b/bilberrydeal/gateway/_datagrams.py
@@ -67,6 +67,16 @@
     era: int | None = None
 
 
+@attrs.frozen
+class SettledWindow:
+    """Counts of a usage window that will be, or have been, reported."""
+
+    #: Number of the window.
+    window: int
+    #: Requests that began, by organisation.
+    counts: dict[str, int]
+
+
 @attrs.frozen
 class Datagram:
     """A message from one gateway to others."""
@@ -79,6 +89,8 @@
     changing: tuple[str, ...] = ()
     #: Tables of the store as the sender knows them.
     hints: tuple[TableHint, ...] = ()
+    #: Usage windows that the sender settled.
+    settled: tuple[SettledWindow, ...] = ()
 
 
 class _WireEngineLoad(msgspec.Struct, array_like=True):
@@ -102,6 +114,7 @@
     counts: WindowCounts | None
     changing: tuple[str, ...]
     hints: tuple[TableHint, ...] = ()
+    settled: tuple[SettledWindow, ...] = ()
 
 
 def _to_wire(datagram: Datagram) -> _WireDatagram:
@@ -123,6 +136,7 @@
         datagram.counts,
         datagram.changing,
         datagram.hints,
+        datagram.settled,
     )
 
 
@@ -143,7 +157,14 @@
         for engine_load in wire.engine_loads
     )
     load = LoadReport(wire.sequence, engine_loads) if wire.sequence else None
-    return Datagram(wire.gateway, load, wire.counts, wire.changing, wire.hints)
+    return Datagram(
+        wire.gateway,
+        load,
+        wire.counts,
+        wire.changing,
+        wire.hints,
+        settled=wire.settled,
+    )
 
 
 def _prompt(parts: list[tuple[bytes, int]]) -> placement.Prompt:
--- a/bilberrydeal/gateway/_reporting.py
+++ b/bilberrydeal/gateway/_reporting.py
@@ -67,6 +67,7 @@
         lease: leases.Lease,
         rows: _usage.UsageRows,
         peer_counts: _usage_broadcast.PeerCounts,
+        told: _usage_broadcast.SettledWindows,
         usage: UsageInterface,
         clock: _clock.ClusterClock,
         host_id: str,
@@ -78,12 +79,13 @@
         self._lease = lease
         self._rows = rows
         self._peer_counts = peer_counts
+        self._told = told
         self._usage = usage
         self._clock = clock
         self._host_id = host_id
         self._window_s = window_s
         self._settled: dict[int, WindowRow] = {}
-        #: Windows of which this process has sent a report.
+        #: Windows of which a report may have been sent, as far as known.
         self._sent: set[int] = set()
         #: Token of the lease under which the windows were read.
         self._loaded_token = 0
@@ -109,16 +111,21 @@
     async def _load_settled(self) -> None:
         """Read the windows that earlier lease holders settled.
 
-        Those that only this process knows are written again: a restore of
-        the store took them away.
+        Those that this process has settled, or heard of, are written again
+        if a restore of the store took them away.
         """
         rows = await self._client.scan_all(WINDOWS, "")
         found = {
             int(row.key): store.decode(row.value, WindowRow) for row in rows
         }
+        heard = {
+            window: WindowRow(counts, False)
+            for window, counts in self._told.heard.items()
+        }
+        self._sent |= heard.keys()
         lost = {
             window: row
-            for window, row in sorted(self._settled.items())
+            for window, row in sorted({**heard, **self._settled}.items())
             if self._is_lost(window, row, found.get(window))
         }
         self._settled = {**found, **lost}
@@ -176,6 +183,7 @@
         if self._lease.remaining_s(now_s) < MIN_LEASE_LEFT_S:
             return
         self._sent.add(window)
+        self._told.tell(window, row.counts)
         taken = await self._usage.report(
             window,
             row.counts,
--- a/bilberrydeal/gateway/_usage_broadcast.py
+++ b/bilberrydeal/gateway/_usage_broadcast.py
@@ -83,6 +83,40 @@
         }
 
 
+class SettledWindows:
+    """Tells and keeps the windows that lease holders settled.
+
+    A restore of the store may take away the row of a window that has been
+    reported. The next lease holder must not settle it with other counts.
+    """
+
+    def __init__(
+        self,
+        datagrams: _datagrams.Datagrams,
+        gateway: str,
+        recipients: _datagrams.Peers,
+    ) -> None:
+        self._datagrams = datagrams
+        self._gateway = gateway
+        self._recipients = recipients
+        #: Counts of the latest windows that others settled.
+        self.heard: dict[int, dict[str, int]] = {}
+        datagrams.subscribe(self.add)
+
+    def tell(self, window: int, counts: dict[str, int]) -> None:
+        """Tell the gateways that may take the lease of a settled window."""
+        settled = (_datagrams.SettledWindow(window, counts),)
+        datagram = _datagrams.Datagram(self._gateway, settled=settled)
+        self._datagrams.send(datagram, self._recipients())
+
+    def add(self, datagram: _datagrams.Datagram) -> None:
+        """Keep the windows of a datagram."""
+        for each in datagram.settled:
+            self.heard[each.window] = each.counts
+        for old in sorted(self.heard)[: -_usage.WINDOWS_KEPT]:
+            del self.heard[old]
+
+
 class CountBroadcaster:
     """Sends the counts of this gateway."""
 
