Restore the store in the soak of gateways

Two faults more: the store comes back from a copy up to 5 s old, at times twice, and the same while a gateway is paused. Three sources of faults run at once, so that restores meet outages and kills too.

Checked besides: a process never admits or refuses a key as an earlier configuration than one that it has shown has it; no more requests are reported than were made. Both have tests with spoilt records (11 cases). A configuration is written again until the store accepts it, as the store refuses while it is away.

--- a/scenarios/_gateway_invariants.py
+++ b/scenarios/_gateway_invariants.py
@@ -1,6 +1,7 @@
 """Invariants of gateways, checked on records of callers and workers."""
 
 import collections
+import heapq
 import pathlib
 
 from standins import _journal
@@ -8,13 +9,18 @@
 from standins import users_platform
 
 from . import _gateway_load
+from . import _gateways
 
+UNAUTHORIZED = 401
+ADMITTED = 200
 #: Routes whose requests must run at most once.
 AT_MOST_ONCE = frozenset(["once", "tell"])
 
 
 def violations(
-    folder: pathlib.Path, outcomes: list[_gateway_load.Outcome]
+    folder: pathlib.Path,
+    outcomes: list[_gateway_load.Outcome],
+    key_changes: list[_gateways.KeyChange],
 ) -> list[str]:
     """Return a sentence for each violation of an invariant."""
     runs = [
@@ -28,7 +34,9 @@
         *_refusals_are_true(runs, outcomes),
         *_answers_are_complete(outcomes),
         *_runs_are_authorized(runs, outcomes),
+        *revoked_keys_stay_revoked(outcomes, key_changes),
         *_windows_are_reported_once(reports),
+        *counts_are_never_too_high(reports, outcomes),
         *_fences_never_go_back(reports),
     ]
 
@@ -91,6 +99,52 @@
     ]
 
 
+def revoked_keys_stay_revoked(
+    outcomes: list[_gateway_load.Outcome],
+    key_changes: list[_gateways.KeyChange],
+) -> list[str]:
+    """No process goes back to an earlier configuration.
+
+    It admits and refuses the organisations' keys as one configuration after
+    another has them, each once its operator has sent it.
+    """
+    changes = sorted(key_changes, key=lambda change: change.version)
+    problems = []
+    ended: list[tuple[float, int, int]] = []
+    earliest: dict[int, int] = {}
+    for each in sorted(outcomes, key=lambda outcome: outcome.sent_s):
+        if each.status not in (ADMITTED, UNAUTHORIZED):
+            continue
+        while ended and ended[0][0] < each.sent_s:
+            _ended_s, process, index = heapq.heappop(ended)
+            earliest[process] = max(earliest.get(process, 0), index)
+        found = _earliest_with(each, changes, earliest.get(each.process, 0))
+        if found is None:
+            problems.append(
+                f"{each.request_id} got {each.status} from a gateway that had "
+                f"a later configuration"
+            )
+            continue
+        heapq.heappush(ended, (each.ended_s, each.process, found))
+    return problems
+
+
+def _earliest_with(
+    outcome: _gateway_load.Outcome,
+    changes: list[_gateways.KeyChange],
+    first: int,
+) -> int | None:
+    """Return the earliest configuration that explains a status."""
+    admitted = outcome.status == ADMITTED
+    for index in range(first, len(changes)):
+        change = changes[index]
+        if change.sent_s > outcome.ended_s:
+            continue
+        if (outcome.organisation in change.organisations) is admitted:
+            return index
+    return None
+
+
 def _windows_are_reported_once(
     reports: list[users_platform.UsageCall],
 ) -> list[str]:
@@ -102,6 +156,23 @@
     ]
 
 
+def counts_are_never_too_high(
+    reports: list[users_platform.UsageCall],
+    outcomes: list[_gateway_load.Outcome],
+) -> list[str]:
+    """Each request is counted in one window at most."""
+    by_window = {call.window: call.counts for call in reports}
+    counted: collections.Counter[str] = collections.Counter()
+    for counts in by_window.values():
+        counted.update(counts)
+    asked = collections.Counter(each.organisation for each in outcomes)
+    return [
+        f"{count} requests of {name} were reported, and {asked[name]} made"
+        for name, count in counted.items()
+        if count > asked[name]
+    ]
+
+
 def _fences_never_go_back(
     reports: list[users_platform.UsageCall],
 ) -> list[str]:
--- a/scenarios/_gateway_load.py
+++ b/scenarios/_gateway_load.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import random
+import time
 
 import aiohttp
 import attrs
@@ -29,6 +30,11 @@
     #: HTTP status, ``INCOMPLETE`` without a complete answer.
     status: int
     body: str
+    #: Process that was asked; a restarted gateway is another one.
+    process: int = 0
+    #: When it was sent and when it ended, in seconds.
+    sent_s: float = 0.0
+    ended_s: float = 0.0
 
 
 class Callers:
@@ -78,8 +84,18 @@
             f"http://{gateway.proxy.address}:{_gateways.CALLERS_PORT}"
             f"/{route}/{request_id}"
         )
+        process, sent_s = gateway.process.pid, time.monotonic()
         status, body = await self._exchange(url, headers)
-        outcome = Outcome(request_id, route, organisation, status, body)
+        outcome = Outcome(
+            request_id,
+            route,
+            organisation,
+            status,
+            body,
+            process,
+            sent_s,
+            time.monotonic(),
+        )
         self.outcomes.append(outcome)
         return outcome
 
--- a/scenarios/_gateways.py
+++ b/scenarios/_gateways.py
@@ -3,6 +3,7 @@
 import base64
 import collections.abc
 import pathlib
+import time
 
 import aiohttp
 import attrs
@@ -39,6 +40,18 @@
     decode_workers: int = 2
 
 
+@attrs.frozen
+class KeyChange:
+    """A configuration as its operator wrote it."""
+
+    #: Its version, which increases.
+    version: int
+    #: Organisations that have a key.
+    organisations: frozenset[str]
+    #: When it was first sent, in seconds.
+    sent_s: float
+
+
 @attrs.define(eq=False)
 class Member:
     """A process and the proxy in front of it."""
@@ -65,6 +78,8 @@
         self.folder = folder
         self.places = _places.reserve()
         self.version = 0
+        #: Configurations that were written.
+        self.key_changes: list[KeyChange] = []
         self.store = self._store()
         self.gateways = [self._gateway(n) for n in range(size.gateways)]
         self.workers = [
@@ -131,14 +146,21 @@
     async def configure(self, keys: dict[str, str] | None = None) -> None:
         """Write a new version of the configuration."""
         self.version += 1
-        await self._put(
-            "op", "config", configuration(self.version, keys or KEYS)
+        chosen = keys or KEYS
+        self.key_changes.append(
+            KeyChange(self.version, frozenset(chosen), time.monotonic())
         )
+        await self._put("op", "config", configuration(self.version, chosen))
 
     async def set_store_faults(self, **faults: object) -> None:
         """Replace the faults injected into the store."""
         await self._post(self.store, STORE_PORT, "/standin/fault", faults)
 
+    async def restore_store(self, age_s: float, away_s: float) -> None:
+        """Make the store go away and come back from an older copy."""
+        call = {"age_s": age_s, "away_s": away_s}
+        await self._post(self.store, STORE_PORT, "/standin/restore", call)
+
     async def set_worker_faults(
         self, worker: Member, **faults: object
     ) -> None:
@@ -155,14 +177,21 @@
     async def _put(self, table: str, key: str, value: object) -> None:
         encoded = base64.b64encode(msgspec.json.encode(value)).decode()
         call = {"table": table, "key": key, "value": encoded}
-        await self._post(self.store, STORE_PORT, "/standin/put", call)
+        path = "/standin/put"
+
+        async def accepted() -> bool:
+            status = await self._post(self.store, STORE_PORT, path, call)
+            return status == 200
+
+        await _waits.eventually(accepted, f"{table}/{key} is written")
 
     async def _post(
         self, member: Member, port: int, path: str, call: object
-    ) -> None:
+    ) -> int:
         url = f"http://{member.address}:{port}{path}"
         async with self.session.post(url, json=call) as answer:
             await answer.read()
+            return answer.status
 
     def _store(self) -> Member:
         address = self.places.address(STORE_HOST)
--- a/scenarios/gateway_soak.py
+++ b/scenarios/gateway_soak.py
@@ -28,6 +28,10 @@
 MAX_FAULT_S = 4.0
 #: Maximum pause between two faults of one source, in seconds.
 MAX_PAUSE_S = 2.0
+#: Greatest age of the copy that the store comes back from, in seconds.
+MAX_COPY_AGE_S = 5.0
+#: Longest time that the store is away before it comes back, in seconds.
+MAX_AWAY_S = 1.5
 #: Concurrent sources of faults, so that faults overlap.
 FAULT_SOURCES = 3
 #: Requests per second.
@@ -146,6 +150,31 @@
     await fleet.set_store_faults()
 
 
+@FAULTS.register("store_restored")
+async def store_restored(fleet: _gateways.Fleet, rng: random.Random) -> None:
+    """Make the store come back from an older copy, at times twice."""
+    for _ in range(rng.choice([1, 1, 2])):
+        await fleet.restore_store(
+            age_s=rng.uniform(0.5, MAX_COPY_AGE_S),
+            away_s=rng.uniform(0.0, MAX_AWAY_S),
+        )
+
+
+@FAULTS.register("store_restored_at_takeover")
+async def store_restored_at_takeover(
+    fleet: _gateways.Fleet, rng: random.Random
+) -> None:
+    """Restore the store while a gateway, perhaps the holder, is paused."""
+    gateway = rng.choice(fleet.gateways)
+    if gateway.process.alive:
+        gateway.process.pause()
+    await sleep_fault_duration(rng)
+    await store_restored(fleet, rng)
+    await sleep_fault_duration(rng)
+    if gateway.process.alive:
+        gateway.process.resume()
+
+
 @FAULTS.register("gateway_loses_store")
 async def gateway_loses_store(
     fleet: _gateways.Fleet, rng: random.Random
@@ -305,7 +334,9 @@
         except TimeoutError as error:
             problems.append(str(error))
         await asyncio.sleep(SETTLE_S)
-        problems += _gateway_invariants.violations(folder, callers.outcomes)
+        problems += _gateway_invariants.violations(
+            folder, callers.outcomes, fleet.key_changes
+        )
     statuses = collections.Counter(each.status for each in callers.outcomes)
     print(f"seed {seed}: {dict(counts)}, answers {dict(statuses)}")
     return problems
--- /dev/null
+++ b/scenarios/tests/test_gateway_invariants.py
@@ -0,0 +1,71 @@
+"""Checks of the gateway soak on records of callers and operators."""
+
+import pytest
+
+from scenarios import _gateway_invariants
+from scenarios import _gateway_load
+from scenarios import _gateways
+from standins import users_platform
+
+BOTH = frozenset(["russo", "derwent"])
+#: One of the keys is revoked, then given back.
+CHANGES = [
+    _gateways.KeyChange(1, BOTH, 0.0),
+    _gateways.KeyChange(2, frozenset(["russo"]), 10.0),
+    _gateways.KeyChange(3, BOTH, 20.0),
+]
+
+
+def _outcome(
+    status: int, sent_s: float, ended_s: float, process: int = 1
+) -> _gateway_load.Outcome:
+    return _gateway_load.Outcome(
+        "q1", "read", "derwent", status, "", process, sent_s, ended_s
+    )
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "problems"),
+    [
+        ([_outcome(200, 1.0, 2.0), _outcome(401, 11.0, 12.0)], 0),
+        # Refused before the operator revoked the key.
+        ([_outcome(401, 1.0, 2.0)], 1),
+        # Admitted by a process that has refused the key.
+        ([_outcome(401, 11.0, 12.0), _outcome(200, 13.0, 14.0)], 1),
+        ([_outcome(401, 11.0, 12.0), _outcome(200, 13.0, 14.0, 2)], 0),
+        # In flight at the same time.
+        ([_outcome(401, 11.0, 13.0), _outcome(200, 12.0, 14.0)], 0),
+        ([_outcome(401, 11.0, 12.0), _outcome(200, 21.0, 22.0)], 0),
+        # A gateway without the store applies a configuration late.
+        ([_outcome(401, 31.0, 32.0), _outcome(200, 33.0, 34.0)], 0),
+        # It cannot be back at the second configuration.
+        (
+            [
+                _outcome(401, 11.0, 12.0),
+                _outcome(200, 21.0, 22.0),
+                _outcome(401, 23.0, 24.0),
+            ],
+            1,
+        ),
+        ([_outcome(503, 11.0, 12.0), _outcome(200, 13.0, 14.0)], 0),
+    ],
+)
+def test_process_does_not_go_back_to_an_earlier_configuration(
+    outcomes: list[_gateway_load.Outcome], problems: int
+) -> None:
+    found = _gateway_invariants.revoked_keys_stay_revoked(outcomes, CHANGES)
+    assert len(found) == problems
+
+
+@pytest.mark.parametrize(("count", "problems"), [(2, 0), (3, 1)])
+def test_no_more_requests_are_reported_than_were_made(
+    count: int, problems: int
+) -> None:
+    outcomes = [_outcome(200, 1.0, 2.0), _outcome(503, 1.0, 2.0)]
+    reports = [
+        users_platform.UsageCall(7, {"derwent": 1}, "g1", 1, 0.0),
+        users_platform.UsageCall(7, {"derwent": 1}, "g2", 2, 0.0),
+        users_platform.UsageCall(8, {"derwent": count - 1}, "g2", 2, 0.0),
+    ]
+    found = _gateway_invariants.counts_are_never_too_high(reports, outcomes)
+    assert len(found) == problems
