--- a/bilberrydeal/gateway/_coordination.py
+++ b/bilberrydeal/gateway/_coordination.py
@@ -114,6 +114,9 @@
             self._lease,
             self._rows,
             peer_counts,
+            _usage_broadcast.SettledWindows(
+                datagrams, self.incarnation, self._lease_candidates
+            ),
             self.usage,
             cluster_clock,
             gateway_settings.host_id,
@@ -219,7 +222,7 @@
         )
 
     def _lease_pause_s(self) -> float:
-        if self.lease_held:
+        if self._lease.may_renew(_clock.boot_s()):
             return LEASE_HELD_INTERVAL_S
         candidate = self._members.position < LEASE_CANDIDATES
         if candidate:
@@ -242,7 +245,11 @@
     table: platform.PlatformStore, timeout_s: float
 ) -> store.StoreClient:
     return store.StoreClient(
-        table, timeout_s, STORE_RATE_PER_S, clock=_clock.boot_s
+        table,
+        timeout_s,
+        STORE_RATE_PER_S,
+        clock=_clock.boot_s,
+        era=lambda: table.era,
     )
 
 
--- a/bilberrydeal/gateway/_datagrams.py
+++ b/bilberrydeal/gateway/_datagrams.py
@@ -65,6 +65,18 @@
     changed_version: int
     #: Time since the store confirmed that there is no later one, in seconds.
     age_s: float
+    #: Era of the store of that version, ``None`` if the store tells none.
+    era: int | None = None
+
+
+@attrs.frozen
+class SettledWindow:
+    """Counts of a usage window that will be, or have been, reported."""
+
+    #: Number of the window.
+    window: int
+    #: Requests that began, by organisation.
+    counts: dict[str, int]
 
 
 @attrs.frozen
@@ -84,6 +96,8 @@
     #: Address to which the sender, which has started, asks others to send it
     #: all such news.
     asks: str = ""
+    #: Usage windows that the sender settled.
+    settled: tuple[SettledWindow, ...] = ()
 
 
 class _WireEngineLoad(msgspec.Struct, array_like=True):
@@ -109,6 +123,7 @@
     hints: tuple[TableHint, ...] = ()
     news: _quarantine_wire.WireNews | None = None
     asks: str = ""
+    settled: tuple[SettledWindow, ...] = ()
 
 
 def _to_wire(datagram: Datagram) -> _WireDatagram:
@@ -132,6 +147,7 @@
         datagram.hints,
         _quarantine_wire.to_wire(datagram.news),
         datagram.asks,
+        datagram.settled,
     )
 
 
@@ -160,6 +176,7 @@
         wire.hints,
         _quarantine_wire.from_wire(wire.news),
         wire.asks,
+        settled=wire.settled,
     )
 
 
--- a/bilberrydeal/gateway/_metrics.py
+++ b/bilberrydeal/gateway/_metrics.py
@@ -22,6 +22,8 @@
     requests_open: int
     lease_held: bool
     quarantines: int
+    #: Era of the store, 0 if it tells none.
+    store_era: int
     #: Calls to the store by kind and outcome.
     store_calls: collections.abc.Mapping[tuple[str, str], int]
 
@@ -67,6 +69,7 @@
                 ("requests_open", "Requests being read or served."),
                 ("lease_held", "Whether this process has the duties."),
                 ("quarantines", "Prompt parts kept from engines."),
+                ("store_era", "Era of the store, 0 if it tells none."),
             )
         }
 
@@ -113,6 +116,7 @@
             ("requests_open", state.requests_open),
             ("lease_held", int(state.lease_held)),
             ("quarantines", state.quarantines),
+            ("store_era", state.store_era),
         ):
             self._gauges[name].set({}, value)
         for (kind, outcome), count in state.store_calls.items():
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -364,6 +364,7 @@
             requests_open=self._caller_server.requests_open,
             lease_held=self._coordination.lease_held,
             quarantines=len(self._quarantine.in_force()),
+            store_era=self._store.era or 0,
             store_calls=self._store.calls,
         )
 
--- a/bilberrydeal/gateway/_usage_broadcast.py
+++ b/bilberrydeal/gateway/_usage_broadcast.py
@@ -21,6 +21,11 @@
 #: windows were settled long before.
 GATEWAY_EXPIRY_S = 60.0
 
+#: Stands for the row of a gateway that has none; it is not waited for.
+NO_ROW = _usage.GatewayRow(
+    offset_s=0.0, written_s=0.0, peer_address="", windows={}
+)
+
 
 class PeerCounts:
     """Keeps the counts received from gateways, this one included.
@@ -62,15 +67,56 @@
     def merged_into(
         self, rows: dict[str, _usage.GatewayRow], window: int
     ) -> dict[str, _usage.GatewayRow]:
-        """Return rows, with the received counts of one window merged in."""
+        """Return rows, with the received counts of one window merged in.
+
+        A gateway may have sent counts and ended without a row in the store.
+        """
+        received = {
+            gateway: windows.get(window)
+            for gateway, windows in self._by_gateway.items()
+        }
         return {
             gateway: _with_peer_counts(
-                row, window, self._by_gateway.get(gateway, {}).get(window)
+                rows.get(gateway, NO_ROW), window, received.get(gateway)
             )
-            for gateway, row in rows.items()
+            for gateway in rows.keys() | received.keys()
         }
 
 
+class SettledWindows:
+    """Tells and keeps the windows that lease holders settled.
+
+    A restore of the store may take away the row of a window that has been
+    reported. The next lease holder must not settle it with other counts.
+    """
+
+    def __init__(
+        self,
+        datagrams: _datagrams.Datagrams,
+        gateway: str,
+        recipients: _datagrams.Peers,
+    ) -> None:
+        self._datagrams = datagrams
+        self._gateway = gateway
+        self._recipients = recipients
+        #: Counts of the latest windows that others settled.
+        self.heard: dict[int, dict[str, int]] = {}
+        datagrams.subscribe(self.add)
+
+    def tell(self, window: int, counts: dict[str, int]) -> None:
+        """Tell the gateways that may take the lease of a settled window."""
+        settled = (_datagrams.SettledWindow(window, counts),)
+        datagram = _datagrams.Datagram(self._gateway, settled=settled)
+        self._datagrams.send(datagram, self._recipients())
+
+    def add(self, datagram: _datagrams.Datagram) -> None:
+        """Keep the windows of a datagram."""
+        for each in datagram.settled:
+            self.heard[each.window] = each.counts
+        for old in sorted(self.heard)[: -_usage.WINDOWS_KEPT]:
+            del self.heard[old]
+
+
 class CountBroadcaster:
     """Sends the counts of this gateway."""
 
@@ -117,17 +163,11 @@
 ) -> _usage.GatewayRow:
     if received is None:
         return row
-    counts = _larger(row.windows.get(str(window), {}), received.counts)
+    counts = _usage.larger_counts(
+        row.windows.get(str(window), {}), received.counts
+    )
     return attrs.evolve(
         row,
         windows={**row.windows, str(window): counts},
         written_s=max(row.written_s, received.told_s),
     )
-
-
-def _larger(one: dict[str, int], other: dict[str, int]) -> dict[str, int]:
-    """Return the larger count of each organisation."""
-    return {
-        name: max(one.get(name, 0), other.get(name, 0))
-        for name in one.keys() | other.keys()
-    }
--- a/bilberrydeal/gateway/tests/test_usage.py
+++ b/bilberrydeal/gateway/tests/test_usage.py
@@ -1,5 +1,7 @@
 """Counting, settling and reporting of usage."""
 
+import collections.abc
+
 import attrs
 import pytest
 
@@ -38,7 +40,12 @@
             self.now_s += seconds
 
         return store.StoreClient(
-            self.table, 0.1, 1_000.0, clock=self.steady_s, sleep=sleep
+            self.table,
+            0.1,
+            1_000.0,
+            clock=self.steady_s,
+            sleep=sleep,
+            era=lambda: self.table.era,
         )
 
 
@@ -62,6 +69,22 @@
         return self.available
 
 
+class RecordingDatagrams(_datagrams.Datagrams):
+    """Keeps the datagrams that are sent, as encoded."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sent: list[bytes] = []
+
+    def send(
+        self,
+        datagram: _datagrams.Datagram,
+        addresses: collections.abc.Iterable[_datagrams.Address],
+    ) -> int:
+        self.sent.append(self.encode(datagram))
+        return 0
+
+
 class Gateway:
     """The usage side of one gateway."""
 
@@ -92,11 +115,17 @@
         )
         self.usage = RecordingUsage()
         self.peer_counts = _usage_broadcast.PeerCounts()
+        #: Windows that were told by datagram.
+        self.datagrams = RecordingDatagrams()
+        self.told = _usage_broadcast.SettledWindows(
+            self.datagrams, name, lambda: (("127.0.0.1", 1),)
+        )
         self.reporter = _reporting.Reporter(
             self.client,
             self.lease,
             self.rows,
             self.peer_counts,
+            self.told,
             self.usage,
             self.cluster_clock,
             name,
@@ -327,3 +356,123 @@
         )
         peer_counts.add(_datagrams.Datagram(f"g.{number}", counts=counts))
     assert len(peer_counts.windows()) == 61
+
+
+def reports_of(window: int, *gateways: Gateway) -> list[dict[str, int]]:
+    """Return the counts of all accepted reports of a window."""
+    return [
+        report[1]
+        for gateway in gateways
+        for report in gateway.usage.reports_accepted
+        if report[0] == window
+    ]
+
+
+#: Time after which the first lease of an era is taken.
+FIRST_LEASE_S = 7.5
+
+
+async def test_reported_window_is_not_settled_again_after_a_restore() -> None:
+    """Guards against a second report with counts that arrived late."""
+    fixture = Fixture(table=memory.MemoryStore(era=1))
+    one, two = Gateway(fixture, "g1"), Gateway(fixture, "g2")
+    await _advance(fixture, FIRST_LEASE_S, one)
+    window = one.usage_counter.window()
+    one.usage_counter.count("russo")
+    two.usage_counter.count("russo")
+    copied = fixture.table.copy()
+    await _advance(fixture, WINDOW_S + 1.0, one)
+    assert reports_of(window, one) == [{"russo": 1}]
+    fixture.table.restore(copied)
+    await _advance(fixture, 3 * WINDOW_S, one, two)
+    assert all(
+        counts == {"russo": 1} for counts in reports_of(window, one, two)
+    )
+    key = f"{window:0{_reporting.KEY_DIGITS}d}"
+    row = fixture.table.rows[_reporting.WINDOWS, key]
+    settled = store.decode(row.value, _reporting.WindowRow)
+    assert settled == _reporting.WindowRow({"russo": 1}, True)
+
+
+async def test_report_in_doubt_is_repeated_with_its_counts() -> None:
+    """The platform may have accepted a report whose response was lost."""
+    fixture = Fixture(table=memory.MemoryStore(era=1))
+    one, two = Gateway(fixture, "g1"), Gateway(fixture, "g2")
+    await _advance(fixture, FIRST_LEASE_S, one)
+    window = one.usage_counter.window()
+    one.usage_counter.count("russo")
+    two.usage_counter.count("russo")
+    copied = fixture.table.copy()
+    one.usage.available = False
+    await _advance(fixture, WINDOW_S + 1.0, one)
+    one.usage.available = True
+    fixture.table.restore(copied)
+    await _advance(fixture, 3 * WINDOW_S, one, two)
+    assert reports_of(window, one) == [{"russo": 1}]
+
+
+async def test_counts_that_a_restore_took_away_are_reported() -> None:
+    """The gateway has ended, and its last row is in no copy."""
+    fixture = Fixture(table=memory.MemoryStore(era=1))
+    one, killed = Gateway(fixture, "g1"), Gateway(fixture, "g2")
+    await _advance(fixture, FIRST_LEASE_S, one, killed)
+    copied = fixture.table.copy()
+    window = one.usage_counter.window()
+    one.usage_counter.count("russo")
+    killed.usage_counter.count("russo")
+    await _advance(fixture, 1.0, one, killed)
+    await one.rows.read()
+    fixture.table.restore(copied)
+    await _advance(fixture, WINDOW_S + DUE_S, one)
+    assert reports_of(window, one)[0] == {"russo": 2}
+
+
+async def test_counts_sent_by_a_gateway_without_a_row_are_reported() -> None:
+    fixture = Fixture(table=memory.MemoryStore(era=1))
+    one, killed = Gateway(fixture, "g1"), Gateway(fixture, "g2")
+    await _advance(fixture, FIRST_LEASE_S, one)
+    window = one.usage_counter.window()
+    one.usage_counter.count("russo")
+    killed.usage_counter.count("russo")
+    send_counts(killed, one, window)
+    await _advance(fixture, WINDOW_S + DUE_S, one)
+    assert reports_of(window, one)[0] == {"russo": 2}
+
+
+async def test_members_are_kept_after_a_restore() -> None:
+    """The copy lacks a gateway, and has one that has shut down."""
+    fixture = Fixture(table=memory.MemoryStore(era=1))
+    one, ended, young = (Gateway(fixture, f"g{n}") for n in range(3))
+    for gateway in (one, ended):
+        await gateway.rows.write()
+    copied = fixture.table.copy()
+    fixture.now_s += 1.0
+    await ended.rows.write(final=True)
+    await young.rows.write()
+    await one.rows.read()
+    for _ in range(2):
+        fixture.table.restore(copied)
+        rows = await one.rows.read()
+        members = one.rows.members(rows, ROW_INTERVAL_S)
+        assert members.others == {"g2": "g2:1"}
+    fixture.now_s += _usage.REMEMBERED_S
+    assert set(await one.rows.read()) == {"g0", "g1"}
+
+
+async def test_next_holder_keeps_to_counts_that_a_restore_took_away() -> None:
+    """The holder reports a window and ends; no copy has its row."""
+    fixture = Fixture(table=memory.MemoryStore(era=1))
+    one, two, late = (Gateway(fixture, f"g{n}") for n in range(3))
+    await _advance(fixture, FIRST_LEASE_S, one, two)
+    assert one.lease.is_held(fixture.now_s)
+    window = one.usage_counter.window()
+    one.usage_counter.count("russo")
+    late.usage_counter.count("derwent")
+    copied = fixture.table.copy()
+    await _advance(fixture, WINDOW_S + 1.0, one, two)
+    assert reports_of(window, one) == [{"russo": 1}]
+    for data in one.datagrams.sent:
+        two.datagrams.datagram_received(data, ("127.0.0.1", 1))
+    fixture.table.restore(copied)
+    await _advance(fixture, 4 * WINDOW_S, two, late)
+    assert reports_of(window, two, late) == [{"russo": 1}]
--- a/bilberrydeal/platform/_calls.py
+++ b/bilberrydeal/platform/_calls.py
@@ -17,6 +17,7 @@
 class Response:
     """The response to a call."""
 
+    #: Status and header fields.
     head: http1.ResponseHead
     body: bytes
     #: Time from the start of the call to the complete response, in seconds.
--- a/bilberrydeal/ports/__init__.py
+++ b/bilberrydeal/ports/__init__.py
@@ -26,6 +26,7 @@
 from ._feed import ChangeFeed
 from ._feed import Changes
 from ._feed import ClockReading
+from ._feed import StoreVersion
 from ._hosts import HostList
 from ._hosts import HostRecord
 from ._hosts import HostState
@@ -84,6 +85,7 @@
     "Row",
     "RowKey",
     "Sampling",
+    "StoreVersion",
     "TableService",
     "Transaction",
     "UsageInterface",
