Keep no fields of trailers

The memory test failed once in a run of all folders: 16.02 MB where 16 MB are allowed, by the fields of trailers without end (one of the largest reads more). Nothing reads such fields, so they are not kept; the bound stays.

--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -237,8 +237,9 @@
             self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add one header field."""
-        self._fields.append((name.lower(), value))
+        """Add one header field; those of trailers are dropped."""
+        if self._in_head:
+            self._fields.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Store the head unless it belongs to another request."""
