Send nothing to an endpoint for the pause that it asks for

Change: the pause is kept per endpoint, for requests, prefills, reports and role orders; two requests at a time follow it until one is accepted. If all endpoints of a service pause, callers are refused at once with the shortest rest, spread by the request. KV handles are still freed.

Agents and entries are not changed, other gateways are not told, the soak does not play it.

--- a/bilberrydeal/gateway/_cluster_state.py
+++ b/bilberrydeal/gateway/_cluster_state.py
@@ -1,5 +1,7 @@
 """A gateway's view of the configuration and the endpoints."""
 
+import collections.abc
+
 import attrs
 
 from .. import catalogue
@@ -9,6 +11,7 @@
 from .. import systems
 from .. import telemetry
 from ..systems import health
+from ..systems import pacing
 from ..systems import placement
 from . import _departures
 
@@ -25,6 +28,9 @@
 CACHE_SHARE = 0.8
 
 
+Clock = collections.abc.Callable[[], float]
+
+
 @attrs.define(eq=False)
 class Upstream:
     """An endpoint with its connection pool, circuit and load."""
@@ -46,6 +52,8 @@
     paused_until_s: float = 0.0
     #: End of an announced role change, monotonic seconds.
     changing_until_s: float = 0.0
+    #: Pause for which the endpoint has asked.
+    pause: pacing.RequestedPause = attrs.field(factory=pacing.RequestedPause)
 
     def changing_role(self, now_s: float) -> bool:
         """Return whether it is changing its role."""
@@ -59,6 +67,7 @@
             and self.view.available
             and not self.pool.exhausted
             and now_s >= self.paused_until_s
+            and self.pause.permits(self.pool.busy, now_s)
             and not self.changing_role(now_s)
         )
 
@@ -68,9 +77,10 @@
         pause_s = REJECTED_PAUSE_FIRST_S * 2.0 ** (self.rejections - 1)
         self.paused_until_s = now_s + min(pause_s, REJECTED_PAUSE_LIMIT_S)
 
-    def note_acceptance(self) -> None:
+    def note_acceptance(self, now_s: float) -> None:
         """Reset the rejection count after an accepted request."""
         self.rejections = 0
+        self.pause.accepted(now_s)
 
 
 class ClusterState:
@@ -154,12 +164,32 @@
             upstream.load.role = endpoint.role
 
     def note_signals(
-        self, upstream: Upstream, signals: platform.EndpointSignals
+        self,
+        upstream: Upstream,
+        signals: platform.EndpointSignals,
+        now_s: float,
     ) -> None:
         """Record what a response told about its endpoint."""
+        if signals.pause_s:
+            upstream.pause.request(signals.pause_s, now_s)
+            LOG.info(
+                "Endpoint pauses.",
+                endpoint=upstream.endpoint.endpoint_id,
+                pause_s=signals.pause_s,
+            )
         if signals.leaving:
             self.note_leaving(upstream)
 
+    def signals_recorder(
+        self, upstream: Upstream, clock: Clock
+    ) -> platform.OnSignals:
+        """Return what records the signals in responses of an endpoint."""
+
+        def record(signals: platform.EndpointSignals) -> None:
+            self.note_signals(upstream, signals, clock())
+
+        return record
+
     def note_leaving(self, upstream: Upstream) -> None:
         """Record that an endpoint leaves; requests in flight continue."""
         self._departures.add(upstream.endpoint)
@@ -191,6 +221,20 @@
         """Return the endpoints of a service."""
         return list(self._by_service.get(service, {}).values())
 
+    def pause_left_s(self, service: str, now_s: float) -> float:
+        """Return the time until an endpoint of a service ends its pause.
+
+        It is 0 if there are endpoints without one.
+        """
+        ready = [
+            upstream
+            for upstream in self.of_service(service)
+            if upstream.endpoint.ready
+        ]
+        return min(
+            (upstream.pause.left_s(now_s) for upstream in ready), default=0.0
+        )
+
     def engines(
         self, service: str, affinity: bytes, now_s: float
     ) -> list[placement.EngineLoad]:
--- a/bilberrydeal/gateway/_request_handler.py
+++ b/bilberrydeal/gateway/_request_handler.py
@@ -10,6 +10,7 @@
 from .. import http1
 from .. import platform
 from .. import telemetry
+from ..systems import pacing
 from . import _admission
 from . import _cluster_state
 from . import _metrics
@@ -102,10 +103,23 @@
             refusal = _timeout_refusal(progress)
         if responder.started:
             responder.abort()
-        else:
-            self._refuse(responder, admitted.request_id, refusal)
+            return refusal
+        refusal = self._after_pause(admitted, refusal)
+        self._refuse(responder, admitted.request_id, refusal)
         return refusal
 
+    def _after_pause(
+        self, admitted: _requests.AdmittedRequest, refusal: errors.Refusal
+    ) -> errors.Refusal:
+        """Let the caller come back when an endpoint ends its pause."""
+        left_s = self._cluster.pause_left_s(admitted.service, self._clock())
+        if refusal.retry_after_s is None or not left_s:
+            return refusal
+        retry_after_s = pacing.retry_after_s(left_s, admitted.request_id)
+        return attrs.evolve(
+            refusal, retry_after_s=max(retry_after_s, refusal.retry_after_s)
+        )
+
     async def _dispatch(
         self,
         admitted: _requests.AdmittedRequest,
--- a/bilberrydeal/gateway/_roles.py
+++ b/bilberrydeal/gateway/_roles.py
@@ -1,6 +1,7 @@
 """Orders engines to change their roles, while holding the lease."""
 
-import functools
+import collections.abc
+import time
 
 import attrs
 
@@ -27,6 +28,9 @@
 SAMPLE_WEIGHT = 0.1
 
 
+Clock = collections.abc.Callable[[], float]
+
+
 @attrs.define
 class _PendingOrder:
     """An order whose effect has not been observed yet."""
@@ -106,7 +110,10 @@
         host_id: str,
         role_changes: _role_changes.RoleChangeBroadcast,
         plan: placement.Plan,
+        steady_s: Clock = time.monotonic,
     ) -> None:
+        #: Clock of the endpoints' pauses, which is not the store client's.
+        self._steady_s = steady_s
         self._role_changes = role_changes
         self._plan = plan
         self._client = client
@@ -228,10 +235,27 @@
         limit = max(int(len(self._loads(service)) * MAX_CHANGING_SHARE), 1)
         return len(state.pending) < limit
 
+    def _accepts_orders(self, upstream: _cluster_state.Upstream) -> bool:
+        """Return whether an engine neither leaves nor pauses."""
+        reason = None
+        if not upstream.endpoint.ready:
+            reason = "the engine leaves"
+        elif upstream.pause.left_s(self._steady_s()):
+            reason = "the engine has asked for a pause"
+        if reason is not None:
+            LOG.info(
+                "Role not ordered.",
+                endpoint=upstream.endpoint.endpoint_id,
+                reason=reason,
+            )
+        return reason is None
+
     async def _send_order(self, order: placement.RoleOrder) -> bool:
         """Send an order; return whether the engine accepted it."""
         upstream = self._cluster.endpoints[order.engine_id]
-        on_signals = functools.partial(self._cluster.note_signals, upstream)
+        if not self._accepts_orders(upstream):
+            return False
+        on_signals = self._cluster.signals_recorder(upstream, self._steady_s)
         accepted_order_count = await self._engines.accepted_order_count(
             upstream.pool, on_signals
         )
@@ -239,12 +263,7 @@
         if accepted_order_count is None:
             LOG.warning("Engine report unavailable.", endpoint=order.engine_id)
             return False
-        if not upstream.endpoint.ready:
-            LOG.info(
-                "Role not ordered.",
-                endpoint=order.engine_id,
-                reason="the engine leaves",
-            )
+        if not self._accepts_orders(upstream):
             return False
         if self._lease.remaining_s(now_s) < MIN_LEASE_LEFT_S:
             return False
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -158,7 +158,7 @@
         await self._uplink.acquire(size_bytes, priority)
         waited_s = self._clock() - queued_s
         record.link_wait_ms = round(waited_s * 1000, 1)
-        _check_accepting(upstream, record)
+        _check_accepting(upstream, record, self._clock())
         try:
             connection = await upstream.pool.acquire(self._clock())
         except http1.NotSent as error:
@@ -167,7 +167,7 @@
                 self._cluster.observe(upstream, False, self._clock())
             raise NotOffered(str(error)) from error
         try:
-            _check_accepting(upstream, record)
+            _check_accepting(upstream, record, self._clock())
         except NotOffered:
             upstream.pool.release(connection, self._clock())
             raise
@@ -185,7 +185,7 @@
                 connection, admitted, progress, upstream, fields, patience
             )
             signals = platform.endpoint_signals(head)
-            self._cluster.note_signals(upstream, signals)
+            self._cluster.note_signals(upstream, signals, self._clock())
             if not platform.misdirected(head):
                 self._quarantine.engine_responded(upstream, sent_s)
             response_class = platform.classify_response(head)
@@ -201,7 +201,7 @@
             if response_class is platform.ResponseClass.INVALID:
                 self._cluster.observe(upstream, False, self._clock())
                 raise Lost(f"status {head.status} without proof of execution")
-            upstream.note_acceptance()
+            upstream.note_acceptance(self._clock())
             if fields.prefill:
                 self._retry_policy.record_prefill(progress)
             record.outcome = f"status {head.status}, incomplete"
@@ -301,9 +301,14 @@
 
 
 def _check_accepting(
-    upstream: _cluster_state.Upstream, record: _requests.SendRecord
+    upstream: _cluster_state.Upstream,
+    record: _requests.SendRecord,
+    now_s: float,
 ) -> None:
-    """Raise ``NotOffered`` for an endpoint that leaves."""
+    """Raise ``NotOffered`` for an endpoint that leaves or pauses."""
+    if upstream.pause.left_s(now_s):
+        record.outcome = "not offered, the endpoint has asked for a pause"
+        raise NotOffered("the endpoint has asked for a pause")
     if not upstream.endpoint.ready:
         record.outcome = "not offered, the endpoint is leaving"
         raise NotOffered("the endpoint is leaving")
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -719,7 +719,7 @@
             self._engines.free_kv_handle(
                 source.upstream.pool,
                 source.handle,
-                functools.partial(self._cluster.note_signals, source.upstream),
+                self._cluster.signals_recorder(source.upstream, self._clock),
             )
         )
         self._background.add(task)
--- a/bilberrydeal/gateway/tests/test_roles.py
+++ b/bilberrydeal/gateway/tests/test_roles.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import time
 
 import attrs
 import pytest
@@ -170,6 +171,17 @@
         assert fixture.heads(leaving) == [b"GET /bilberrydeal/report"]
 
 
+async def test_engine_that_pauses_gets_no_order() -> None:
+    async with _fixture(_accepting) as fixture:
+        for upstream in fixture.cluster.endpoints.values():
+            upstream.pause.request(60.0, time.monotonic())
+        await fixture.controller.run_once()
+        assert fixture.datagrams.changing == []
+        assert all(
+            fixture.heads(name) == [] for name in fixture.cluster.endpoints
+        )
+
+
 @pytest.mark.parametrize("held", [True, False])
 async def test_only_the_lease_holder_sends_orders(held: bool) -> None:
     async with _fixture(_accepting) as fixture:
--- a/bilberrydeal/gateway/tests/test_store_sync.py
+++ b/bilberrydeal/gateway/tests/test_store_sync.py
@@ -229,7 +229,7 @@
     assert upstream.usable(10.2)
     upstream.note_rejection(10.2)
     assert not upstream.usable(10.35)
-    upstream.note_acceptance()
+    upstream.note_acceptance(0.0)
     upstream.note_rejection(20.0)
     assert upstream.usable(20.15)
 
