--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -25,7 +25,6 @@
 from ._parts import Prompt
 from ._parts import PromptPart
 from ._parts import rendezvous_score
-from ._peer_arrivals import fill_level
 from ._peer_arrivals import PeerArrivals
 from ._peer_loads import GatewayEngineLoad
 from ._peer_loads import MAX_REPORT_AGE_S
@@ -77,7 +76,6 @@
     "TwoStagePlacer",
     "URGENT_RANKS",
     "engine_rank",
-    "fill_level",
     "main_decode_engine",
     "plan_roles",
     "rendezvous_score",
--- a/bilberrydeal/systems/placement/_options.py
+++ b/bilberrydeal/systems/placement/_options.py
@@ -1,14 +1,11 @@
 """Candidate engines for a request, with their expected times and costs."""
 
-import operator
-
 import attrs
 
 from . import _base
 from . import _entities
 from . import _fetching
 from . import _parts
-from . import _peer_arrivals
 
 #: Weight of an engine that also decodes in rendezvous hashing, where one that
 #: only prefills has 1.
@@ -43,8 +40,6 @@
     uncached_tokens: float
     #: The same with those that are queued before, if not deferred.
     work_tokens: float
-    #: The same if deferred.
-    deferred_work_tokens: float
     #: Transfer of cached parts of the prompt before the prefill.
     fetch: _fetching.Fetch | None
     #: Expected wait for a slot if the request is not deferred, in seconds.
@@ -71,46 +66,20 @@
     deferred_s: float
 
 
-@attrs.frozen
-class UnseenWork:
-    """Prompt tokens that prefill engines should have at least.
+def deferred_share(engines: _base.Engines, now_s: float) -> float:
+    """Return the share of time that prefill engines have for deferred ones.
 
-    Reports of other gateways are late. What they have sent since then is at
-    the engines that had the least work, for they choose by the same loads.
+    The others, from all gateways, go first, also those that come later.
     """
-
-    #: Of all requests.
-    waiting_tokens: float = 0.0
-    #: Share of the engines' time that is left for deferred requests.
-    deferred_share: float = 1.0
-
-    @classmethod
-    def at(cls, engines: _base.Engines, now_s: float) -> "UnseenWork":
-        """Return the expectation for the present time."""
-        prefilling = [engine for engine in engines if engine.prefill_only]
-        if not prefilling:
-            return cls()
-        arrivals = prefilling[0].arrivals
-        # In a large fleet the candidates get their share of what is sent.
-        share = len(prefilling) / max(
-            arrivals.prefill_engines, len(prefilling)
-        )
-        tokens = arrivals.unseen_tokens(now_s) * share
-        urgent_rate = arrivals.urgent_tokens_per_s(now_s) * share
-        speed = sum(1 / engine.token_s for engine in prefilling)
-        age_s = arrivals.mean_age_s(now_s)
-        done = [age_s / engine.token_s for engine in prefilling]
-        waiting = [engine.waiting_tokens for engine in prefilling]
-        return cls(
-            _level(waiting, done, tokens),
-            max(1.0 - urgent_rate / speed, MIN_DEFERRED_SHARE),
-        )
-
-
-def _level(known: list[float], done: list[float], added: float) -> float:
-    """Return the level of work, where engines have done some of theirs."""
-    left = map(operator.sub, known, done)
-    return max(_peer_arrivals.fill_level(left, added), 0.0)
+    prefilling = [engine for engine in engines if engine.prefill_only]
+    if not prefilling:
+        return 1.0
+    arrivals = prefilling[0].arrivals
+    # In a large fleet the candidates get their share of what is sent.
+    share = len(prefilling) / max(arrivals.prefill_engines, len(prefilling))
+    urgent_rate = arrivals.urgent_tokens_per_s(now_s) * share
+    speed = sum(1 / engine.token_s for engine in prefilling)
+    return max(1.0 - urgent_rate / speed, MIN_DEFERRED_SHARE)
 
 
 def eligible(
@@ -162,14 +131,15 @@
     decode_wait: SlotWait,
     uncached_tokens: float,
     fetch: _fetching.Fetch | None,
-    unseen: UnseenWork,
+    left_share: float,
     now_s: float,
 ) -> Option:
     """Return the expected times and cost of prefilling at an engine.
 
     ``uncached_tokens`` is the number of tokens to prefill, ``decode_wait``
     the wait for a slot if another engine decodes. Before it prefills the
-    engine carries out ``fetch``, if any.
+    engine carries out ``fetch``, if any. Deferred requests get ``left_share``
+    of the time of an engine that does not decode.
     """
     separate_decode = engine.prefill_only
     wait = decode_wait if separate_decode else slot_wait(request, [engine])
@@ -185,16 +155,13 @@
     transfer_s = sends * request.uplink_s
     if separate_decode:
         transfer_s += engine.speed.transfer_s(request.prompt.tokens)
-    waiting_tokens = engine.waiting_tokens
-    if separate_decode:
-        waiting_tokens = max(waiting_tokens, unseen.waiting_tokens)
     work_tokens = engine.urgent_tokens + running + uncached_tokens
     prefill_s = engine.prefill_s(work_tokens) * overdue + fetch_s
     expected_s = prefill_s + transfer_s + wait.urgent_s
-    deferred_s = waiting_tokens * engine.token_s * overdue
+    deferred_s = engine.prefill_wait_s * overdue
     if separate_decode:
         # Requests that come later and are not deferred go first.
-        deferred_s /= unseen.deferred_share
+        deferred_s /= left_share
     deferred_s += own_prefill_s + transfer_s
     remote = engine.failure_domain != request.failure_domain
     capacity_cost_s = (
@@ -209,7 +176,6 @@
         separate_decode=separate_decode,
         uncached_tokens=uncached_tokens,
         work_tokens=work_tokens,
-        deferred_work_tokens=waiting_tokens + uncached_tokens,
         slot_wait_s=wait.urgent_s,
         fetch=fetch,
         prefill_s=prefill_s,
--- a/bilberrydeal/systems/placement/_peer_arrivals.py
+++ b/bilberrydeal/systems/placement/_peer_arrivals.py
@@ -1,6 +1,5 @@
-"""Work that other gateways send to engines and have not reported yet."""
+"""Rates at which gateways send prompts to the engines of a service."""
 
-import collections.abc
 import math
 
 import attrs
@@ -12,9 +11,6 @@
 #: Shortest interval between two reports that a rate is computed over, in
 #: seconds.
 MIN_INTERVAL_S = 0.005
-#: Multiple of a gateway's interval after which it is assumed to send nothing:
-#: one that is idle does not report.
-SILENT_INTERVALS = 2.0
 
 
 @attrs.define
@@ -37,13 +33,6 @@
         self.interval_s = interval_s
         self.at_s = now_s
 
-    def unseen_tokens(self, now_s: float) -> float:
-        """Return the tokens that it should have sent since the report."""
-        age_s = now_s - self.at_s
-        return self.tokens_per_s * min(
-            age_s, self.interval_s * SILENT_INTERVALS
-        )
-
 
 @attrs.define
 class _DecayingRate:
@@ -63,16 +52,15 @@
 
 
 class PeerArrivals:
-    """Rates at which other gateways send prompt tokens to a service.
+    """Rates at which gateways send prompt tokens to a service.
 
-    Reports are as old as the interval between them. What a gateway sent since
-    its last one follows from its rate; at which engines it is, from the same
-    rule by which this gateway chooses: those with the least work.
+    Those of other gateways follow from their reports; what share of them is
+    not deferred, from what this gateway sends, for all see the same loads.
 
     Example::
 
         arrivals.record("gateway-2", 17_000.0, now_s)
-        arrivals.unseen_tokens(now_s + 0.1)
+        arrivals.urgent_tokens_per_s(now_s)
     """
 
     def __init__(self) -> None:
@@ -112,38 +100,3 @@
         for gateway, sender in list(self._senders.items()):
             if sender.at_s < oldest_s:
                 del self._senders[gateway]
-
-    def unseen_tokens(self, now_s: float) -> float:
-        """Return the tokens sent by others that were not reported yet."""
-        return sum(
-            sender.unseen_tokens(now_s) for sender in self._senders.values()
-        )
-
-    def mean_age_s(self, now_s: float) -> float:
-        """Return the mean age of the reports, in seconds."""
-        if not self._senders:
-            return 0.0
-        total_s = sum(
-            min(now_s - each.at_s, each.interval_s * SILENT_INTERVALS)
-            for each in self._senders.values()
-        )
-        return total_s / len(self._senders)
-
-
-def fill_level(
-    amounts: collections.abc.Iterable[float], added: float
-) -> float:
-    """Return the level up to which an added amount fills the lowest ones.
-
-    Example::
-
-        fill_level([0.0, 10.0, 50.0], 20.0)  # 15.0
-    """
-    level = 0.0
-    filled = 0.0
-    for number, amount in enumerate(sorted(amounts)):
-        if number and amount * number - filled >= added:
-            break
-        filled += amount
-        level = (filled + added) / (number + 1)
-    return level
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -144,7 +144,7 @@
             request,
             [engine for engine in available if not engine.prefill_only],
         )
-        unseen = _options.UnseenWork.at(engines, now_s)
+        left_share = _options.deferred_share(engines, now_s)
         options = []
         for engine in eligible:
             uncached = self._uncached_tokens(
@@ -160,7 +160,7 @@
                     decode_wait,
                     uncached,
                     fetch,
-                    unseen,
+                    left_share,
                     now_s,
                 )
             )
@@ -222,7 +222,7 @@
     """Return the placement for an option."""
     work_tokens = option.work_tokens
     if deferred:
-        work_tokens = option.deferred_work_tokens
+        work_tokens = option.engine.waiting_tokens + option.uncached_tokens
     return _base.Placement(
         engine_id=option.engine.engine_id,
         separate_decode=option.separate_decode,
