Read the log of a test apart from how other tests configured it

The test of cut responses failed if a test before it in the same process had configured logging, since it read standard output. It reads the log's entries now and checks the same.

--- a/bilberrydeal/gateway/tests/test_stream.py
+++ b/bilberrydeal/gateway/tests/test_stream.py
@@ -3,8 +3,10 @@
 import asyncio
 
 import pytest
+import structlog
 
 from ... import http1
+from .. import _request_handler
 from . import harness
 
 
@@ -138,17 +140,20 @@
 async def test_response_that_is_cut_is_told_from_a_caller_that_left(
     script: harness.Script,
     interrupted: bool,
-    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
+    log = structlog.testing.LogCapture()
+    monkeypatch.setattr(
+        _request_handler,
+        "LOG",
+        structlog.wrap_logger(structlog.PrintLogger(), processors=[log]),
+    )
     engine = harness.engine("d1", "decode", script)
     async with harness.running(engine) as running:
         await running.stream("/chat-one/1")
-    (line,) = [
-        line
-        for line in capsys.readouterr().out.splitlines()
-        if "Request ended." in line
-    ]
-    assert f"interrupted={interrupted}" in line
+    (ended,) = log.entries
+    assert ended["event"] == "Request ended."
+    assert ended["interrupted"] is interrupted
 
 
 async def test_non_resumable_stream_that_may_have_run_is_not_retried() -> None:
