Give up each silent engine when a further one has the stream

What callers saw: events twice, or events after the end of the stream, if the route allows three attempts or more and the engine that was asked to continue a silent one's stream sent a head and fell silent too. A third engine took the stream over from the second only; the first, still believed to have it, wrote its own events among the third's when it went on.

Class of fault: a decision that is known to one of two parties. Taking over is now passed on to the engine whose stream the silent one was to continue.

--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -510,9 +510,14 @@
             return
         # The silent engine counts as one attempt while another one is made.
         progress.attempts += 1
+
+        def abort_silent() -> None:
+            exchange.connection.abort()
+            # The engine whose stream this one continues is silent too.
+            stream.take_over()
+
         stream.continuation = _continuation.Continuation(
-            functools.partial(self._continue, stream),
-            exchange.connection.abort,
+            functools.partial(self._continue, stream), abort_silent
         )
 
     async def _continue(
--- a/bilberrydeal/gateway/tests/test_silent_engine.py
+++ b/bilberrydeal/gateway/tests/test_silent_engine.py
@@ -4,6 +4,7 @@
 import collections.abc
 import time
 
+import attrs
 import pytest
 
 from ... import http1
@@ -194,3 +195,66 @@
     assert reply.complete
     assert reply.body == EVENTS
     assert len(other.calls) == 1
+
+
+def _allow_attempts(running: harness.RequestPath, attempts: int) -> None:
+    """Let each request be sent to so many engines."""
+    configuration = harness.configuration(2)
+    routes = tuple(
+        attrs.evolve(route, max_attempts=attempts)
+        for route in configuration.routes
+    )
+    running.cluster.set_configuration(
+        attrs.evolve(configuration, routes=routes)
+    )
+
+
+async def _head_then_silent_for_good(call: harness.Call) -> bytes:
+    call.writer.write(harness.stream_head(call))
+    await call.writer.drain()
+    await asyncio.sleep(30.0)
+    return b""
+
+
+async def _silent_for_two_seconds(call: harness.Call) -> bytes:
+    """Send an event, nothing for longer than two stalls, then the rest."""
+    call.writer.write(
+        harness.stream_head(call) + harness.chunk(harness.event(1))
+    )
+    await call.writer.drain()
+    await asyncio.sleep(1.9)
+    rest = b"".join(harness.chunk(harness.event(n)) for n in range(2, 6))
+    return rest + harness.chunk(b"")
+
+
+async def _decode_slowly(call: harness.Call) -> bytes:
+    """Send the rest of a stream, with pauses between its events."""
+    first = int(call.field("last-event-id") or 0) + 1
+    call.writer.write(harness.stream_head(call))
+    for number in range(first, 6):
+        call.writer.write(harness.chunk(harness.event(number)))
+        await call.writer.drain()
+        await asyncio.sleep(0.3)
+    return harness.chunk(b"")
+
+
+@pytest.mark.parametrize("last_engine", [_decode, _decode_slowly])
+async def test_no_event_comes_twice_when_the_second_engine_is_silent_too(
+    last_engine: harness.Script,
+) -> None:
+    silent = harness.engine("d1", "decode", _silent_for_two_seconds)
+    also_silent = harness.engine("d2", "decode", _head_then_silent_for_good)
+    healthy = harness.engine("d3", "decode", last_engine)
+    async with harness.running(silent, also_silent, healthy) as running:
+        _allow_attempts(running, 4)
+        for name, tokens in (("d2", 3_000), ("d3", 6_000)):
+            load = running.cluster.endpoints[name].load
+            assert load is not None
+            load.peer_tokens.urgent = tokens
+        reply = await running.stream(
+            "/chat-long/1", deadline_ms=10_000, **SHORT
+        )
+    assert reply.complete
+    assert reply.body == EVENTS
+    assert len(healthy.calls) == 1
+    assert silent.aborted_count == 1
