Let only one engine have a stream when both send at once

What callers saw: an event twice, if the engine that had been silent sent one within some turns of the event loop before the other engine's: the decision that the first has the stream and the cancelling of the other lay several awaits apart, and the other could take over between them.

Change: who has the stream is looked at after the last await, and an attempt that is being cancelled takes nothing over.

--- a/bilberrydeal/gateway/_continuation.py
+++ b/bilberrydeal/gateway/_continuation.py
@@ -40,16 +40,22 @@
         abort_silent: collections.abc.Callable[[], None],
     ) -> None:
         self._abort_silent = abort_silent
+        self._cancelled = False
         #: Whether the other engine has the stream.
         self.took_over = False
         self.task = asyncio.get_running_loop().create_task(attempt(self))
 
     def take_over(self) -> None:
-        """Cancel the run of the silent engine; called before each event."""
+        """Cancel the run of the silent engine; called before each event.
+
+        Raises ``CancelledError`` if that engine has gone on meanwhile.
+        """
         if self.took_over:
             return
-        self.took_over = True
+        if self._cancelled:
+            raise asyncio.CancelledError
         self._abort_silent()
+        self.took_over = True
 
     async def failure(self) -> BaseException | None:
         """Wait for the end; return why it failed, or ``None``."""
@@ -60,5 +66,6 @@
 
     async def cancel(self) -> None:
         """Cancel the attempt and wait until its connection is released."""
+        self._cancelled = True
         self.task.cancel()
         await asyncio.wait([self.task])
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -475,16 +475,17 @@
                 [chunk, continuation.task],
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if continuation.took_over:
-                await self._await_continuation(stream)
-            if chunk.done():
-                return chunk.result()
-            self._end_continuation(stream)
-            return None
         finally:
             chunk.cancel()
             # A connection has one reader at a time.
             await asyncio.gather(chunk, return_exceptions=True)
+        # The other engine may have taken over until here.
+        if continuation.took_over:
+            await self._await_continuation(stream)
+        if not chunk.cancelled():
+            return chunk.result()
+        self._end_continuation(stream)
+        return None
 
     async def _await_continuation(self, stream: _ClientStream) -> None:
         """Wait for another engine's attempt to continue a stream, if any.
@@ -512,9 +513,9 @@
         progress.attempts += 1
 
         def abort_silent() -> None:
-            exchange.connection.abort()
             # The engine whose stream this one continues is silent too.
             stream.take_over()
+            exchange.connection.abort()
 
         stream.continuation = _continuation.Continuation(
             functools.partial(self._continue, stream), abort_silent
