Answer requests for another protocol in this one

What callers saw: a whole request with 'Connection: upgrade' and 'Upgrade', or CONNECT, was queued and its handler started, and then its connection ended without an answer or a refusal: the parser reports such a request with an exception of a type of its own, which data_received did not expect, so that the event loop ended the connection and the handler was cancelled. With a body it was handed on without the body.

Change: such a request is served like any other and is the last of its connection; with a body, which the parser leaves out, it gets 501.

This is a way to a LOST, found by reading; that the users' callers send such requests is not known.

--- a/bilberrydeal/http1/_server.py
+++ b/bilberrydeal/http1/_server.py
@@ -165,6 +165,8 @@
         self._pending: collections.deque[_PendingRequest] = collections.deque()
         self._task: asyncio.Task[None] | None = None
         self._rejection_status = 0
+        #: Whether another protocol was asked for, which is not spoken.
+        self._ignores_data = False
         self._writable = asyncio.Event()
         self._writable.set()
         self._disconnected = False
@@ -248,7 +250,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
-        if self._rejection_status:
+        if self._rejection_status or self._ignores_data:
             return
         now_s = self._server.clock()
         self._last_data_s = now_s
@@ -259,6 +261,9 @@
             self._check_head()
         except _Rejection as rejection:
             self._reject(rejection.status)
+        except httptools.HttpParserUpgrade:
+            # The request is served as any other, and is the last one.
+            self._ignores_data = True
         except httptools.HttpParserError as error:
             # The parser wraps exceptions raised by its callbacks.
             cause = error.__context__
@@ -320,6 +325,9 @@
         length = _headers.first_value(self._fields, b"content-length")
         if length is not None and int(length) > limits.body_bytes:
             raise _Rejection(413)
+        if self._parser.should_upgrade() and _body_expected(self._fields):
+            # The parser would leave out the body.
+            raise _Rejection(501)
         expected = _headers.first_value(self._fields, b"expect")
         expects_continue = expected is not None and (
             expected.lower() == b"100-continue"
@@ -353,6 +361,7 @@
         keep_alive = (
             self._parser.should_keep_alive()
             and self._parser.get_http_version() == "1.1"
+            and not self._parser.should_upgrade()
         )
         self._stage = _Stage.IDLE
         self._stage_started_s = now_s
@@ -454,3 +463,11 @@
         name in (b"content-length", b"transfer-encoding")
         for name, _value in headers
     )
+
+
+def _body_expected(headers: list[_headers.Header]) -> bool:
+    """Return whether a body of at least one byte may follow a head."""
+    length = _headers.first_value(headers, b"content-length")
+    if length is not None:
+        return int(length) > 0
+    return _has_body(headers)
--- a/bilberrydeal/http1/tests/test_server.py
+++ b/bilberrydeal/http1/tests/test_server.py
@@ -277,3 +277,52 @@
         for _ in range(LOOP_ITERATIONS):
             await asyncio.sleep(0)
         assert server.body_bytes == 0
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        b"GET /slow HTTP/1.1\r\nhost: h\r\n"
+        b"connection: upgrade\r\nupgrade: h2c\r\n\r\n",
+        b"POST /slow HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n"
+        b"connection: upgrade\r\nupgrade: h2c\r\n\r\n",
+        b"CONNECT /slow HTTP/1.1\r\nhost: h\r\n\r\n",
+    ],
+)
+async def test_request_for_another_protocol_is_answered_in_this_one(
+    request_bytes: bytes,
+) -> None:
+    recorder = harness.Recorder()
+    async with harness.serving(recorder.handle) as server:
+        response = asyncio.create_task(
+            harness.exchange(server.port, GET + request_bytes + GET)
+        )
+        await recorder.started.wait()
+        await asyncio.sleep(0.1)
+        recorder.release.set()
+        received = await response
+    assert recorder.cancelled == 0
+    assert _status(received) == [b"200"] * 2
+    assert received.lower().count(b"connection: close") == 1
+    assert len(recorder.requests) == 2
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        b"content-length: 2\r\n\r\nab",
+        b"transfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+    ],
+)
+async def test_body_for_another_protocol_is_not_passed_on_as_empty(
+    framing: bytes,
+) -> None:
+    recorder = harness.Recorder()
+    async with harness.serving(recorder.handle) as server:
+        received = await harness.exchange(
+            server.port,
+            b"POST /a HTTP/1.1\r\nhost: h\r\n"
+            b"connection: upgrade\r\nupgrade: h2c\r\n" + framing,
+        )
+    assert _status(received) == [b"501"]
+    assert recorder.requests == []
