Log the first event at the engine that sent it

While another engine is asked to continue a silent engine's stream, the first event of the silent one was noted at the other's send: logs blamed the wrong engine, and if the connection then broke, the evidence against prompt parts took the engine for one that had sent nothing.

test_first_event_is_logged_for_the_engine_that_sent_it failed before and passes; test_silent_engine.py, test_stream.py and test_continuation.py pass.

--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -84,6 +84,8 @@
     response_class: platform.ResponseClass
     #: Estimated time when its last byte left this host, monotonic seconds.
     sent_s: float
+    #: The send as logged.
+    record: _requests.SendRecord
 
 
 class Sender:
@@ -197,7 +199,9 @@
                 self._retry_policy.record_prefill(progress)
             record.outcome = f"status {head.status}, incomplete"
             left_host_s = sent_s + self._uplink.transfer_s(size_bytes)
-            yield Exchange(connection, head, response_class, left_host_s)
+            yield Exchange(
+                connection, head, response_class, left_host_s, record
+            )
             record.outcome = f"status {head.status}"
         except NotOffered:
             progress.may_have_run = may_have_run_before
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -250,7 +250,7 @@
             # Only the first prefill that an engine accepts is not counted.
             stream.progress.attempts += 1
         took_s = self._clock() - exchange.sent_s
-        stream.progress.sends[-1].prefill_ms = round(took_s * 1000, 1)
+        exchange.record.prefill_ms = round(took_s * 1000, 1)
         self._cluster.observe(upstream, True, self._clock())
         return _KvSource(upstream, handle)
 
@@ -374,7 +374,7 @@
                 break
             if first_s is None:
                 first_s = self._clock()
-                _record_first_event(stream, first_s)
+                _record_first_event(stream, exchange, first_s)
                 if source is None:
                     pending.finished(exchange.sent_s)
                 else:
@@ -763,7 +763,9 @@
     )
 
 
-def _record_first_event(stream: _ClientStream, now_s: float) -> None:
+def _record_first_event(
+    stream: _ClientStream, exchange: _sending.Exchange, now_s: float
+) -> None:
     """Record when the first event of a send arrived."""
     after_s = now_s - stream.admitted.request.started_s
-    stream.progress.sends[-1].first_ms = round(after_s * 1000, 1)
+    exchange.record.first_ms = round(after_s * 1000, 1)
--- a/bilberrydeal/gateway/tests/test_silent_engine.py
+++ b/bilberrydeal/gateway/tests/test_silent_engine.py
@@ -1,7 +1,9 @@
 """Streams of engines that send nothing for a second and then go on."""
 
+import ast
 import asyncio
 import collections.abc
+import re
 import time
 
 import attrs
@@ -238,6 +240,35 @@
     return harness.chunk(b"")
 
 
+async def _head_then_silent(call: harness.Call) -> bytes:
+    """Send a head, nothing for a while, then the events."""
+    call.writer.write(harness.stream_head(call))
+    await call.writer.drain()
+    await asyncio.sleep(SILENCE_S)
+    events = b"".join(harness.chunk(harness.event(n)) for n in range(1, 6))
+    return events + harness.chunk(b"")
+
+
+async def test_first_event_is_logged_for_the_engine_that_sent_it(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    silent = harness.engine("d1", "decode", _head_then_silent)
+    other = harness.engine("d2", "decode", _head_then_silent_for_good)
+    async with harness.running(silent, other) as running:
+        _prefer_first(running)
+        reply = await running.stream(
+            "/chat-long/1", deadline_ms=10_000, **SHORT
+        )
+    assert reply.body == EVENTS
+    assert len(other.calls) == 1
+    steps = re.search(r"steps=(\[.*\])", capsys.readouterr().out)
+    assert steps is not None
+    sends = ast.literal_eval(steps.group(1))
+    assert [send["endpoint"] for send in sends] == ["d1", "d2"]
+    assert sends[0]["first_ms"] >= SILENCE_S * 1000
+    assert sends[1]["first_ms"] is None
+
+
 @pytest.mark.parametrize("last_engine", [_decode, _decode_slowly])
 async def test_no_event_comes_twice_when_the_second_engine_is_silent_too(
     last_engine: harness.Script,
