Answer requests that were read before a drained connection ends

What callers saw: of requests that were sent without waiting for the answers before (pipelined), those that the gateway had read whole, up to eight, got neither an answer nor a refusal when SIGTERM came: the connection ended with the response under way, although its head had promised to keep it.

Class of fault: taking back what callers were told. A drained connection ends with its last request that was read now, and only that response says so.

test_requests_that_were_read_are_answered_when_draining_begins failed before (one answer of four) and passes; bilberrydeal/http1 and gateway/tests/test_shutdown.py: 181 passed.

--- a/bilberrydeal/http1/_server.py
+++ b/bilberrydeal/http1/_server.py
@@ -231,7 +231,7 @@
 
     def connection_headers(self, keep_alive: bool) -> list[_headers.Header]:
         """Return the header fields that control connection reuse."""
-        if not keep_alive or self._server.draining:
+        if not keep_alive or self._ends_when_drained:
             return [(b"connection", b"close")]
         self._announced_idle_s = int(self._server.limits().idle_timeout_s)
         return [(b"keep-alive", b"timeout=%d" % self._announced_idle_s)]
@@ -415,7 +415,7 @@
             return
         if not responder.finished:
             self.abort()
-        elif not responder.keep_alive or self._server.draining:
+        elif not responder.keep_alive or self._ends_when_drained:
             self.close()
         elif self._pending:
             self._start_next()
@@ -426,6 +426,14 @@
             self._stage_started_s = self._server.clock()
             self._resume_reading()
 
+    @property
+    def _ends_when_drained(self) -> bool:
+        """Return whether it ends now since the server is draining.
+
+        Requests that were read are answered before.
+        """
+        return self._server.draining and not self._pending
+
     def _resume_reading(self) -> None:
         if len(self._pending) <= PIPELINE_RESUME and self._transport:
             self._transport.resume_reading()
--- a/bilberrydeal/http1/tests/test_server.py
+++ b/bilberrydeal/http1/tests/test_server.py
@@ -326,3 +326,22 @@
         )
     assert _status(received) == [b"501"]
     assert recorder.requests == []
+
+
+async def test_requests_that_were_read_are_answered_when_draining_begins() -> (
+    None
+):
+    recorder = harness.Recorder()
+    slow = b"GET /slow HTTP/1.1\r\nhost: h\r\n\r\n"
+    async with harness.serving(recorder.handle) as server:
+        response = asyncio.create_task(
+            harness.exchange(server.port, slow + GET * 3)
+        )
+        await recorder.started.wait()
+        server.draining = True
+        recorder.release.set()
+        received = await response
+    assert _status(received) == [b"200"] * 4
+    last = received.rpartition(b"HTTP/1.1")[2]
+    assert b"connection: close" in last
+    assert received.count(b"connection: close") == 1
