--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -272,7 +272,7 @@
             # Only the first prefill that an engine accepts is not counted.
             stream.progress.attempts += 1
         took_s = self._clock() - exchange.sent_s
-        stream.progress.sends[-1].prefill_ms = round(took_s * 1000, 1)
+        exchange.record.prefill_ms = round(took_s * 1000, 1)
         self._cluster.observe(upstream, True, self._clock())
         return _KvSource(upstream, handle)
 
@@ -396,7 +396,7 @@
                 break
             if first_s is None:
                 first_s = self._clock()
-                _record_first_event(stream, first_s)
+                _record_first_event(stream, exchange, first_s)
                 if source is None:
                     pending.finished(exchange.sent_s)
                 else:
@@ -497,16 +497,17 @@
                 [chunk, continuation.task],
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if continuation.took_over:
-                await self._await_continuation(stream)
-            if chunk.done():
-                return chunk.result()
-            self._end_continuation(stream)
-            return None
         finally:
             chunk.cancel()
             # A connection has one reader at a time.
             await asyncio.gather(chunk, return_exceptions=True)
+        # The other engine may have taken over until here.
+        if continuation.took_over:
+            await self._await_continuation(stream)
+        if not chunk.cancelled():
+            return chunk.result()
+        self._end_continuation(stream)
+        return None
 
     async def _await_continuation(self, stream: _ClientStream) -> None:
         """Wait for another engine's attempt to continue a stream, if any.
@@ -532,9 +533,14 @@
             return
         # The silent engine counts as one attempt while another one is made.
         progress.attempts += 1
+
+        def abort_silent() -> None:
+            # The engine whose stream this one continues is silent too.
+            stream.take_over()
+            exchange.connection.abort()
+
         stream.continuation = _continuation.Continuation(
-            functools.partial(self._continue, stream),
-            exchange.connection.abort,
+            functools.partial(self._continue, stream), abort_silent
         )
 
     async def _continue(
@@ -789,7 +795,9 @@
     )
 
 
-def _record_first_event(stream: _ClientStream, now_s: float) -> None:
+def _record_first_event(
+    stream: _ClientStream, exchange: _sending.Exchange, now_s: float
+) -> None:
     """Record when the first event of a send arrived."""
     after_s = now_s - stream.admitted.request.started_s
-    stream.progress.sends[-1].first_ms = round(after_s * 1000, 1)
+    exchange.record.first_ms = round(after_s * 1000, 1)
--- a/bilberrydeal/http1/_connection.py
+++ b/bilberrydeal/http1/_connection.py
@@ -83,6 +83,8 @@
         self._pending: collections.deque[_PendingRequest] = collections.deque()
         self._task: asyncio.Task[None] | None = None
         self._rejection_status = 0
+        #: Whether another protocol was asked for, which is not spoken.
+        self._ignores_data = False
         self._writable = asyncio.Event()
         self._writable.set()
         self._disconnected = False
@@ -149,7 +151,7 @@
 
     def connection_headers(self, keep_alive: bool) -> list[_headers.Header]:
         """Return the header fields that control connection reuse."""
-        if not keep_alive or self._server.draining:
+        if not keep_alive or self._ends_when_drained:
             return [(b"connection", b"close")]
         self._announced_idle_s = int(self._server.limits().idle_timeout_s)
         return [(b"keep-alive", b"timeout=%d" % self._announced_idle_s)]
@@ -168,7 +170,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
-        if self._rejection_status:
+        if self._rejection_status or self._ignores_data:
             return
         now_s = self._server.clock()
         self._last_data_s = now_s
@@ -179,6 +181,9 @@
             self._check_head()
         except _Rejection as rejection:
             self._reject(rejection.status)
+        except httptools.HttpParserUpgrade:
+            # The request is served as any other, and is the last one.
+            self._ignores_data = True
         except httptools.HttpParserError as error:
             # The parser wraps exceptions raised by its callbacks.
             cause = error.__context__
@@ -240,6 +245,9 @@
         length = _headers.first_value(self._fields, b"content-length")
         if length is not None and int(length) > limits.body_bytes:
             raise _Rejection(413)
+        if self._parser.should_upgrade() and _body_expected(self._fields):
+            # The parser would leave out the body.
+            raise _Rejection(501)
         expected = _headers.first_value(self._fields, b"expect")
         expects_continue = expected is not None and (
             expected.lower() == b"100-continue"
@@ -273,6 +281,7 @@
         keep_alive = (
             self._parser.should_keep_alive()
             and self._parser.get_http_version() == "1.1"
+            and not self._parser.should_upgrade()
         )
         self._stage = _Stage.IDLE
         self._stage_started_s = now_s
@@ -326,7 +335,7 @@
             return
         if not responder.finished:
             self.abort()
-        elif not responder.keep_alive or self._server.draining:
+        elif not responder.keep_alive or self._ends_when_drained:
             self.close()
         elif self._pending:
             self._start_next()
@@ -337,6 +346,14 @@
             self._stage_started_s = self._server.clock()
             self._resume_reading()
 
+    @property
+    def _ends_when_drained(self) -> bool:
+        """Return whether it ends now since the server is draining.
+
+        Requests that were read are answered before.
+        """
+        return self._server.draining and not self._pending
+
     def _resume_reading(self) -> None:
         if len(self._pending) <= PIPELINE_RESUME and self._transport:
             self._transport.resume_reading()
@@ -374,3 +391,11 @@
         name in (b"content-length", b"transfer-encoding")
         for name, _value in headers
     )
+
+
+def _body_expected(headers: list[_headers.Header]) -> bool:
+    """Return whether a body of at least one byte may follow a head."""
+    length = _headers.first_value(headers, b"content-length")
+    if length is not None:
+        return int(length) > 0
+    return _has_body(headers)
