Split the stream server: placing, reading and failures apart

Where streams are placed and when an engine is given up is in _stream_placement, reading with continuations in _stream_reader, the state of a response in _client_stream, what a failed send means in _send_failures. Moves only; a test names the new module.

--- a/bilberrydeal/gateway/tests/test_continuation.py
+++ b/bilberrydeal/gateway/tests/test_continuation.py
@@ -6,12 +6,12 @@
 import pytest
 
 from .. import _continuation
-from .. import _stream
+from .. import _stream_reader
 
 
-def _server() -> _stream.StreamServer:
-    parts = [mock.Mock() for _ in range(9)]
-    return _stream.StreamServer(*parts)
+def _reader() -> _stream_reader.StreamReader:
+    parts = [mock.Mock() for _ in range(4)]
+    return _stream_reader.StreamReader(*parts)
 
 
 @pytest.mark.parametrize("turns", range(10))
@@ -33,7 +33,7 @@
     exchange.connection.chunk = chunk
     data: bytes | None = b""
     try:
-        data = await _server()._chunk_or_continuation(
+        data = await _reader()._chunk_or_continuation(
             stream, continuation, exchange
         )
     except _continuation.Continued:
