--- a/bilberrydeal/systems/quarantine/_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/_crash_counts.py
@@ -6,24 +6,11 @@
 
 from . import _base
 from . import _crashes
+from . import _evidence
 from . import _repeats
+from . import _reports
 from . import _sound_parts
 
-#: Crashes from which on a request is not sent to a second engine.
-SUSPECTED_CRASHES = 3
-#: Crashes that quarantine a part if they are of several requests and in
-#: several failure domains.
-CRASHES = 4
-REQUESTS = 2
-FAILURE_DOMAINS = 2
-#: Crashes that do in any case.
-ANY_CRASHES = 5
-#: Those of them that no other quarantine explains.
-UNEXPLAINED_CRASHES = 2
-#: Time for other gateways to object, in seconds.
-SETTLE_S = 0.5
-#: The same if few of the lost responses had started, in seconds.
-UNSTARTED_SETTLE_S = 1.5
 #: A lost engine that responds to a request sent after so long still runs, in
 #: seconds; one that responds much later may have started again.
 ALIVE_AFTER_S = 0.1
@@ -38,68 +25,12 @@
 QUARANTINE_INTERVAL_S = 0.5
 #: Gateways that tell all quarantines to all others in a second.
 TELLERS_PER_S = 20.0
-#: Most things of a kind, and most prompts of losses, in one datagram.
-NEWS_LIMIT = 128
 #: Time for which a quarantine that was dismissed is not learned, in seconds.
 DISMISSED_S = 60.0
 #: Time for which a response of an engine is remembered, in seconds.
 RESPONSES_KEPT_S = 10.0
 
 
-@attrs.frozen
-class _Evidence:
-    """What speaks against one part."""
-
-    part: bytes
-    #: Independent crashes.
-    crashes: tuple[_crashes.Crash, ...]
-    #: Crashes among them that no quarantine explains.
-    unexplained: int
-    #: Crashes in which a response with the part had started.
-    started: int
-    #: Number of different requests.
-    requests: int
-
-    @property
-    def suspicious(self) -> bool:
-        """Return whether a request must not be sent to a second engine."""
-        return (
-            len(self.crashes) >= SUSPECTED_CRASHES
-            and self.unexplained >= UNEXPLAINED_CRASHES
-        )
-
-    @property
-    def suffices(self) -> bool:
-        """Return whether it suffices for a quarantine."""
-        if self.unexplained < UNEXPLAINED_CRASHES:
-            return False
-        if len(self.crashes) >= ANY_CRASHES:
-            return True
-        domains = {crash.failure_domain for crash in self.crashes}
-        return (
-            len(self.crashes) >= CRASHES
-            and self.requests >= REQUESTS
-            and len(domains) >= FAILURE_DOMAINS
-        )
-
-    @property
-    def settle_s(self) -> float:
-        """Return the time for other gateways to object."""
-        if 2 * self.started >= len(self.crashes):
-            return SETTLE_S
-        return UNSTARTED_SETTLE_S
-
-    @property
-    def weight(self) -> tuple[int, int, int, bytes]:
-        """Return the order among parts of the same crashes."""
-        return (len(self.crashes), self.started, self.requests, self.part)
-
-    @property
-    def engines(self) -> tuple[str, ...]:
-        """Return the engines that crashed."""
-        return tuple(crash.process for crash in self.crashes)
-
-
 @_base.QUARANTINES.register("crash_counts")
 class CrashCounts:
     """Quarantines a part after several crashes without a completed stream.
@@ -182,9 +113,9 @@
         if self.find(parts, now_s) is not None:
             return True
         return any(
-            self._evidence(part).suspicious
+            self._weigh(part).suspicious
             for part in parts[:-1]
-            if self._crashes.count(part) >= SUSPECTED_CRASHES
+            if self._crashes.count(part) >= _evidence.SUSPECTED_CRASHES
         )
 
     def probe(self, quarantine: _base.Quarantine, now_s: float) -> bool:
@@ -215,23 +146,27 @@
         interval_s = max(QUARANTINE_INTERVAL_S, gateways / TELLERS_PER_S)
         if now_s - self._quarantines_told_s >= interval_s:
             self._quarantines_told_s = now_s
-            reports = self._quarantine_reports(now_s)
-        due = self._losses_told.due(NEWS_LIMIT, now_s)
+            reports = _reports.quarantine_reports(
+                self.quarantines(now_s), now_s
+            )
+        due = self._losses_told.due(_reports.NEWS_LIMIT, now_s)
         return _base.News(
-            losses=self._loss_reports(
+            losses=_reports.loss_reports(
                 [crash for crash in self._crashes if crash.process in due],
                 now_s,
             ),
-            sound=_parts_in(self._sound_told.due(NEWS_LIMIT, now_s)),
-            alive=_names_in(self._alive_told.due(NEWS_LIMIT, now_s)),
+            sound=_parts_in(self._sound_told.due(_reports.NEWS_LIMIT, now_s)),
+            alive=_names_in(self._alive_told.due(_reports.NEWS_LIMIT, now_s)),
             quarantines=reports,
         )
 
     def summary(self, now_s: float) -> _base.News:
         """Return all that a gateway which has just started has to know."""
         return _base.News(
-            losses=self._loss_reports(list(self._crashes), now_s),
-            quarantines=self._quarantine_reports(now_s),
+            losses=_reports.loss_reports(list(self._crashes), now_s),
+            quarantines=_reports.quarantine_reports(
+                self.quarantines(now_s), now_s
+            ),
         )
 
     def learn(self, news: _base.News, now_s: float) -> None:
@@ -373,10 +308,10 @@
     def _decide(self, now_s: float) -> None:
         """Quarantine what the evidence suffices for, the strongest first."""
         for part in self._changed | self._pending_s.keys():
-            if self._crashes.count(part) < SUSPECTED_CRASHES:
+            if self._crashes.count(part) < _evidence.SUSPECTED_CRASHES:
                 self._pending_s.pop(part, None)
                 continue
-            evidence = self._evidence(part)
+            evidence = self._weigh(part)
             self._note_suspected(evidence)
             if evidence.suffices:
                 self._pending_s.setdefault(part, now_s)
@@ -384,7 +319,7 @@
                 self._pending_s.pop(part, None)
         self._changed.clear()
         pending = [
-            (self._evidence(part), since_s)
+            (self._weigh(part), since_s)
             for part, since_s in self._pending_s.items()
         ]
         due = [
@@ -417,7 +352,7 @@
             if now_s - since_s < evidence.settle_s
         }
 
-    def _inseparable(self, leader: _Evidence) -> frozenset[bytes]:
+    def _inseparable(self, leader: _evidence.Evidence) -> frozenset[bytes]:
         """Return the parts that all prompts with a part contain."""
         common: frozenset[bytes] | None = None
         for crash in self._crashes.of(leader.part):
@@ -468,17 +403,17 @@
         ]
         return (
             not others & parts
-            and SUSPECTED_CRASHES <= len(under_others) < len(under)
+            and _evidence.SUSPECTED_CRASHES <= len(under_others) < len(under)
             and all(crash in under for crash in under_others)
         )
 
-    def _evidence(self, part: bytes) -> _Evidence:
+    def _weigh(self, part: bytes) -> _evidence.Evidence:
         crashes = self._crashes.independent(part)
         prompts = [crash.prompts_with(part) for crash in crashes]
         requests = {
             each.request_part for of_crash in prompts for each in of_crash
         }
-        return _Evidence(
+        return _evidence.Evidence(
             part=part,
             crashes=tuple(crashes),
             unexplained=self._unexplained(crashes),
@@ -495,7 +430,7 @@
             for crash in crashes
         )
 
-    def _note_suspected(self, evidence: _Evidence) -> None:
+    def _note_suspected(self, evidence: _evidence.Evidence) -> None:
         if evidence.suspicious and evidence.part not in self._suspected:
             self._suspected.add(evidence.part)
             self._decisions.append(
@@ -523,47 +458,6 @@
             )
         )
 
-    def _loss_reports(
-        self, crashes: list[_crashes.Crash], now_s: float
-    ) -> tuple[_base.LossReport, ...]:
-        reports = []
-        room = NEWS_LIMIT
-        for crash in sorted(crashes, key=lambda each: -each.at_s):
-            prompts = tuple(
-                sorted(
-                    filter(_has_parts, crash.prompts.values()),
-                    key=lambda prompt: not prompt.started,
-                )[:room]
-            )
-            room -= len(prompts)
-            reports.append(
-                _base.LossReport(
-                    crash.process,
-                    crash.failure_domain,
-                    now_s - crash.at_s,
-                    prompts,
-                )
-            )
-        return tuple(reports)
-
-    def _quarantine_reports(
-        self, now_s: float
-    ) -> tuple[_base.QuarantineReport, ...]:
-        return tuple(
-            _base.QuarantineReport(
-                tuple(sorted(each.parts)),
-                now_s - each.decided_s,
-                now_s - each.renewed_s,
-                each.crashes,
-                each.engines,
-            )
-            for each in self.quarantines(now_s)
-        )
-
-
-def _has_parts(prompt: _base.SuspectPrompt) -> bool:
-    return bool(prompt.parts)
-
 
 def _in_force(quarantine: _base.Quarantine, now_s: float) -> bool:
     return now_s - quarantine.renewed_s < LASTS_S
--- a/bilberrydeal/systems/quarantine/tests/test_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/tests/test_crash_counts.py
@@ -9,6 +9,7 @@
 from .. import _base
 from .. import _crash_counts
 from .. import _crashes
+from .. import _reports
 
 START_S = 1000.0
 BAD = b"bad0"
@@ -429,7 +430,7 @@
     told = gateway.system.summary(gateway.now_s)
     assert len(told.losses) <= _crashes.LIMIT
     prompts = sum(len(loss.prompts) for loss in told.losses)
-    assert prompts <= _crash_counts.NEWS_LIMIT
+    assert prompts <= _reports.NEWS_LIMIT
     for loss in told.losses:
         for prompt in loss.prompts:
             assert len(prompt.parts) <= _crashes.PARTS_LIMIT
