Free a silent engine once another has its stream

What callers saw: engines that had been silent for a second stayed counted as busy with every stream that had moved away, and took up the gateway's connections to them (8 at least), until those streams ended elsewhere: the send to the silent engine was left only at the end of the whole stream.

Change: the send ends as soon as another engine has the stream; the wait for the rest comes after it and ends with the caller.

test_silent_engine_is_free_once_another_has_its_stream failed before (one connection busy) and passes; test_run_that_took_a_stream_over_ends_when_its_caller_leaves guards what held. test_silent_engine.py and test_continuation.py: 28 passed, four times; test_stream.py passed.

--- a/bilberrydeal/gateway/_continuation.py
+++ b/bilberrydeal/gateway/_continuation.py
@@ -12,11 +12,10 @@
 class Continued(Exception):
     """Another engine has taken over a stream from a silent one."""
 
-    def __init__(self, failure: BaseException | None) -> None:
-        super().__init__(failure)
-        #: Why the other engine did not complete the stream; ``None`` if it
-        #: did.
-        self.failure = failure
+    def __init__(self, continuation: "Continuation") -> None:
+        super().__init__()
+        #: The attempt that has the stream now.
+        self.continuation = continuation
 
 
 class Continuation:
@@ -31,7 +30,7 @@
         continuation = Continuation(attempt, connection.abort)
         await asyncio.wait([continuation.task, chunk])
         if continuation.took_over:
-            raise Continued(await continuation.failure())
+            raise Continued(continuation)
     """
 
     def __init__(
@@ -43,7 +42,9 @@
         self._cancelled = False
         #: Whether the other engine has the stream.
         self.took_over = False
-        self.task = asyncio.get_running_loop().create_task(attempt(self))
+        loop = asyncio.get_running_loop()
+        self._taken_over: asyncio.Future[None] = loop.create_future()
+        self.task = loop.create_task(attempt(self))
 
     def take_over(self) -> None:
         """Cancel the run of the silent engine; called before each event.
@@ -56,6 +57,14 @@
             raise asyncio.CancelledError
         self._abort_silent()
         self.took_over = True
+        self._taken_over.set_result(None)
+
+    async def decided(self) -> None:
+        """Wait until the other engine has the stream, or has failed."""
+        await asyncio.wait(
+            [self.task, self._taken_over],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
 
     async def failure(self) -> BaseException | None:
         """Wait for the end; return why it failed, or ``None``."""
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -310,8 +310,12 @@
         try:
             await self._send_and_forward(stream, upstream, placed, source)
         except _continuation.Continued as continued:
-            if continued.failure is not None:
-                raise continued.failure from continued
+            try:
+                failure = await continued.continuation.failure()
+            finally:
+                await continued.continuation.cancel()
+            if failure is not None:
+                raise failure from continued
 
     async def _send_and_forward(
         self,
@@ -495,9 +499,10 @@
         continuation = stream.continuation
         if continuation is None:
             return
-        failure = await continuation.failure()
+        await continuation.decided()
         if continuation.took_over:
-            raise _continuation.Continued(failure)
+            stream.continuation = None
+            raise _continuation.Continued(continuation)
 
     def _start_continuation(
         self, stream: _ClientStream, exchange: _sending.Exchange
--- a/bilberrydeal/gateway/tests/test_silent_engine.py
+++ b/bilberrydeal/gateway/tests/test_silent_engine.py
@@ -289,3 +289,46 @@
     assert reply.body == EVENTS
     assert len(healthy.calls) == 1
     assert silent.aborted_count == 1
+
+
+async def test_silent_engine_is_free_once_another_has_its_stream() -> None:
+    silent = harness.engine("d1", "decode", _silent_for_good)
+    other = harness.engine("d2", "decode", _decode_slowly)
+    async with harness.running(silent, other) as running:
+        _prefer_first(running)
+        stream = asyncio.create_task(
+            running.stream("/chat-long/1", deadline_ms=10_000, **SHORT)
+        )
+        await silent.disconnected.wait()
+        await asyncio.sleep(0.1)
+        upstream = running.cluster.endpoints["d1"]
+        assert upstream.load is not None
+        assert not stream.done()
+        assert upstream.pool.busy == 0
+        assert upstream.load.own_counts.total == 0
+        reply = await stream
+    assert reply.complete
+    assert reply.body == EVENTS
+
+
+async def test_run_that_took_a_stream_over_ends_when_its_caller_leaves() -> (
+    None
+):
+    silent = harness.engine("d1", "decode", _silent_for_good)
+    other = harness.engine("d2", "decode", _decode_slowly)
+    async with harness.running(silent, other) as running:
+        _prefer_first(running)
+        stream = asyncio.create_task(
+            running.stream("/chat-long/1", deadline_ms=10_000, **SHORT)
+        )
+        await silent.disconnected.wait()
+        stream.cancel()
+        async with asyncio.timeout(0.2):
+            await other.disconnected.wait()
+        await asyncio.sleep(0)
+        for name in ("d1", "d2"):
+            upstream = running.cluster.endpoints[name]
+            assert upstream.load is not None
+            assert upstream.pool.busy == 0
+            assert upstream.load.own_counts.total == 0
+        assert running.server.requests_open == 0
