Reserve a retry before an engine without an answer is given up

What callers saw: streams that waited for the head of a silent engine's response got 502, although the engine answered a second later. All of them asked at the same moment whether the retry budget permits a retry, were told that it does, gave the engine up, and only then shared out what was there.

The retry is reserved now before the engine is given up; those that get none wait. What is reserved and not used is returned when the head has come after all, or at the end.

--- a/bilberrydeal/gateway/_retry_policy.py
+++ b/bilberrydeal/gateway/_retry_policy.py
@@ -116,6 +116,29 @@
             admitted.service, sends, self._cluster.members, self._clock()
         )
 
+    def reserve(
+        self,
+        admitted: _requests.AdmittedRequest,
+        progress: _requests.RequestProgress,
+    ) -> bool:
+        """Reserve a retry before its request is given up elsewhere.
+
+        Returns whether the budget permits it.
+        """
+        sends = _sends_needed(admitted, progress)
+        if progress.prefill_sent and not progress.prefill_recorded:
+            # It is charged once it has been given up.
+            sends += 1
+        missing = sends - progress.reserved_sends
+        if missing <= 0:
+            return True
+        granted = self._budget.reserve(
+            admitted.service, missing, self._cluster.members, self._clock()
+        )
+        if granted:
+            progress.reserved_sends += missing
+        return granted
+
     def _charge_failed_prefill(
         self,
         admitted: _requests.AdmittedRequest,
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -341,6 +341,7 @@
                 placed,
                 self._patience(stream, placed),
             ) as exchange:
+                self._retry_policy.release(admitted, stream.progress)
                 if exchange.response_class is platform.ResponseClass.FAILURE:
                     await self._forward_failure(stream, upstream, exchange)
                     return
@@ -627,7 +628,11 @@
         first_s = placed.expected_s * OVERDUE_FACTOR + OVERDUE_SLACK_S
 
         def gives_up() -> bool:
-            return self._sooner_elsewhere(stream, self._clock() - sent_s)
+            waited_s = self._clock() - sent_s
+            # Others that wait for the same engine may ask at this moment too.
+            return self._sooner_elsewhere(
+                stream, waited_s
+            ) and self._retry_policy.reserve(stream.admitted, stream.progress)
 
         return _sending.Patience(
             max(first_s, stream.stall_s), RECONSIDER_INTERVAL_S, gives_up
--- a/bilberrydeal/gateway/tests/test_silent_engine.py
+++ b/bilberrydeal/gateway/tests/test_silent_engine.py
@@ -332,3 +332,28 @@
             assert upstream.pool.busy == 0
             assert upstream.load.own_counts.total == 0
         assert running.server.requests_open == 0
+
+
+async def test_streams_beyond_the_retry_budget_wait_for_a_silent_engine() -> (
+    None
+):
+    silent = harness.engine("d1", "decode", _silent_before_head)
+    other = harness.engine("d2", "decode", _decode)
+    async with harness.running(silent, other) as running:
+        running.budget.limits = retries.WindowLimits(10.0, 0.0, 4.0)
+        load = running.cluster.endpoints["d2"].load
+        assert load is not None
+        load.peer_tokens.urgent = 50_000
+        streams = [
+            asyncio.create_task(
+                running.stream("/chat-long/1", deadline_ms=10_000, **SHORT)
+            )
+            for _ in range(12)
+        ]
+        await asyncio.sleep(0.3)
+        assert len(silent.calls) == len(streams)
+        load.peer_tokens.urgent = 0
+        replies = await asyncio.gather(*streams)
+    assert [reply.status for reply in replies] == [200] * len(streams)
+    assert all(reply.body == EVENTS for reply in replies)
+    assert 0 < len(other.calls) <= 4
