--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -199,8 +199,12 @@
         try:
             await self._send_and_forward(stream, upstream, placed, source)
         except _continuation.Continued as continued:
-            if continued.failure is not None:
-                raise continued.failure from continued
+            try:
+                failure = await continued.continuation.failure()
+            finally:
+                await continued.continuation.cancel()
+            if failure is not None:
+                raise failure from continued
 
     async def _send_and_forward(
         self,
@@ -226,6 +230,7 @@
                 placed,
                 self._placement.patience(stream, placed),
             ) as exchange:
+                self._retry_policy.release(admitted, stream.progress)
                 if exchange.response_class is platform.ResponseClass.FAILURE:
                     await self._forward_failure(stream, upstream, exchange)
                     return
--- a/bilberrydeal/gateway/_stream_placement.py
+++ b/bilberrydeal/gateway/_stream_placement.py
@@ -149,7 +149,11 @@
         first_s = placed.expected_s * OVERDUE_FACTOR + OVERDUE_SLACK_S
 
         def gives_up() -> bool:
-            return self.sooner_elsewhere(stream, self._clock() - sent_s)
+            waited_s = self._clock() - sent_s
+            # Others that wait for the same engine may ask at this moment too.
+            return self.sooner_elsewhere(
+                stream, waited_s
+            ) and self._retry_policy.reserve(stream.admitted, stream.progress)
 
         return _sending.Patience(
             max(first_s, stream.stall_s), RECONSIDER_INTERVAL_S, gives_up
--- a/bilberrydeal/gateway/_stream_reader.py
+++ b/bilberrydeal/gateway/_stream_reader.py
@@ -110,9 +110,10 @@
         continuation = stream.continuation
         if continuation is None:
             return
-        failure = await continuation.failure()
+        await continuation.decided()
         if continuation.took_over:
-            raise _continuation.Continued(failure)
+            stream.continuation = None
+            raise _continuation.Continued(continuation)
 
     def _start_continuation(
         self, stream: _client_stream.ClientStream, exchange: _sending.Exchange
