Wait for a silent engine if the request may go to no other

What callers saw: a stream whose engine was silent before the head got 502 if a part of its prompt was suspected or quarantined: the engine was given up for another one, and then the request was refused since it may have run under that part. A sound request shares such parts and its engine may only have paused. After the head such a stream logged two lines each 100 ms instead.

The same cause as that of: giving up what one has before its replacement is known. The quarantine is asked first now.

test_silent_engine_is_waited_for_if_no_other_may_be_asked failed before in both cases (502; 'Send repeated.' logged) and passes; bilberrydeal/gateway: 347 passed.

--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -674,6 +674,10 @@
         now_s = self._clock()
         if not self._retry_policy.has_budget(stream.admitted, stream.progress):
             return False
+        try:
+            self._quarantine.check(stream.admitted, stream.progress)
+        except errors.Refusal:
+            return False
         request = self._placement_request(stream, now_s)
         engines = self._engines_for(stream, now_s)
         placed = self._placer.place(request, engines, now_s)
--- a/bilberrydeal/gateway/tests/test_silent_engine.py
+++ b/bilberrydeal/gateway/tests/test_silent_engine.py
@@ -12,6 +12,7 @@
 from ... import http1
 from ... import systems
 from ...systems import retries
+from .. import _requests
 from . import harness
 
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
@@ -357,3 +358,30 @@
     assert [reply.status for reply in replies] == [200] * len(streams)
     assert all(reply.body == EVENTS for reply in replies)
     assert 0 < len(other.calls) <= 4
+
+
+@pytest.mark.parametrize("script", [_silent_midway, _silent_before_head])
+async def test_silent_engine_is_waited_for_if_no_other_may_be_asked(
+    script: harness.Script,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    def refuse_another_send(
+        _admitted: _requests.AdmittedRequest,
+        progress: _requests.RequestProgress,
+    ) -> None:
+        if progress.may_have_run:
+            raise _requests.failure_refusal(progress, "suspected prompt part")
+
+    silent = harness.engine("d1", "decode", script)
+    other = harness.engine("d2", "decode", _decode)
+    async with harness.running(silent, other) as running:
+        monkeypatch.setattr(running.quarantine, "check", refuse_another_send)
+        _prefer_first(running)
+        reply = await running.stream(
+            "/chat-long/1", deadline_ms=10_000, **SHORT
+        )
+    assert reply.status == 200
+    assert reply.body == EVENTS
+    assert other.calls == []
+    assert "Send repeated." not in capsys.readouterr().out
