--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -66,7 +66,13 @@
         self._retry_policy = retry_policy
         self._usage_counter = usage_counter
         self._placement = _stream_placement.StreamPlacement(
-            cluster, placer, uplink, retry_policy, failure_domain, clock
+            cluster,
+            placer,
+            uplink,
+            retry_policy,
+            quarantine,
+            failure_domain,
+            clock,
         )
         self._reader = _stream_reader.StreamReader(
             self._placement, retry_policy, self._attempt, clock
--- a/bilberrydeal/gateway/_stream_placement.py
+++ b/bilberrydeal/gateway/_stream_placement.py
@@ -8,6 +8,7 @@
 from ..systems import placement
 from . import _client_stream
 from . import _cluster_state
+from . import _quarantine
 from . import _requests
 from . import _retry_policy
 from . import _sending
@@ -38,9 +39,11 @@
         placer: placement.Placer,
         uplink: _uplink.Uplink,
         retry_policy: _retry_policy.RetryPolicy,
+        quarantine: _quarantine.PartQuarantine,
         failure_domain: str,
         clock: Clock,
     ) -> None:
+        self._quarantine = quarantine
         self._cluster = cluster
         self._placer = placer
         self._uplink = uplink
@@ -207,6 +210,10 @@
         now_s = self._clock()
         if not self._retry_policy.has_budget(stream.admitted, stream.progress):
             return False
+        try:
+            self._quarantine.check(stream.admitted, stream.progress)
+        except errors.Refusal:
+            return False
         request = self._request(stream, now_s)
         engines = self._engines(stream, now_s)
         placed = self._placer.place(request, engines, now_s)
