--- a/bilberrydeal/systems/quarantine/_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/_crash_counts.py
@@ -176,7 +176,7 @@
             self._sound_told.drop(part)
             self._clear(part, now_s)
         for process in news.alive:
-            self._crashes_void(process)
+            self._discard_crash(process)
         for report in news.losses:
             self._learn_loss(report, now_s)
         for each in news.quarantines:
@@ -218,7 +218,7 @@
         crash = self._crashes.put(report.process, report.failure_domain, at_s)
         for prompt in report.prompts:
             for part in prompt.parts:
-                self._object(part, now_s)
+                self._report_sound(part, now_s)
             self._add(crash, prompt, now_s)
         self._check_alive(crash, now_s)
 
@@ -226,7 +226,7 @@
         self, quarantine: _base.Quarantine, now_s: float
     ) -> None:
         for part in quarantine.parts:
-            self._object(part, now_s)
+            self._report_sound(part, now_s)
         parts = frozenset(
             part
             for part in quarantine.parts
@@ -248,7 +248,7 @@
         if not any(narrower < parts for narrower in self._quarantines):
             self._quarantine(learned, now_s, learned_from_other=True)
 
-    def _object(self, part: bytes, now_s: float) -> None:
+    def _report_sound(self, part: bytes, now_s: float) -> None:
         """Tell others that a part is sound, unless it is being told."""
         if part not in self._sound_told and self._sound.knows(part, now_s):
             self._sound_told.add(part, now_s)
@@ -277,10 +277,10 @@
             and sent_s >= crash.at_s + ALIVE_AFTER_S
             and sent_s < crash.at_s + ALIVE_WITHIN_S
         ):
-            self._crashes_void(crash.process)
+            self._discard_crash(crash.process)
             self._alive_told.add(crash.process, now_s)
 
-    def _crashes_void(self, process: str) -> None:
+    def _discard_crash(self, process: str) -> None:
         crash = self._crashes.get(process)
         if crash is None:
             return
--- a/bilberrydeal/systems/quarantine/_evidence.py
+++ b/bilberrydeal/systems/quarantine/_evidence.py
@@ -11,11 +11,11 @@
 CRASHES = 4
 REQUESTS = 2
 FAILURE_DOMAINS = 2
-#: Crashes that do in any case.
+#: Crashes that suffice in any case.
 ANY_CRASHES = 5
 #: Those of them that no other quarantine explains.
 UNEXPLAINED_CRASHES = 2
-#: Time for other gateways to object, in seconds.
+#: Time for other gateways to contradict, in seconds.
 SETTLE_S = 0.5
 #: The same if few of the lost responses had started, in seconds.
 UNSTARTED_SETTLE_S = 1.5
@@ -59,7 +59,7 @@
 
     @property
     def settle_s(self) -> float:
-        """Return the time for other gateways to object."""
+        """Return the time for other gateways to contradict."""
         if 2 * self.started >= len(self.crashes):
             return SETTLE_S
         return UNSTARTED_SETTLE_S
--- a/bilberrydeal/systems/quarantine/_reports.py
+++ b/bilberrydeal/systems/quarantine/_reports.py
@@ -5,7 +5,7 @@
 from . import _base
 from . import _crashes
 
-#: Most things of a kind, and most prompts of losses, in one datagram.
+#: Most items of a kind, and most prompts of lost engines, in a datagram.
 NEWS_LIMIT = 128
 
 
