Acquire no lease while shutting down

Its log: a gateway that had been draining for 7 s took the lease in the moment the store came back and ended 5 ms later; the next holder had to wait until it expired, 7.6 s, and then for the store.

Change: from the beginning of its shutdown a gateway renews the lease that it holds but acquires none. test_lease_keeper.py failed before. The lease of a holder that ends is still left to expire, as before.

--- a/bilberrydeal/gateway/_coordination.py
+++ b/bilberrydeal/gateway/_coordination.py
@@ -15,6 +15,7 @@
 from . import _clock
 from . import _cluster_state
 from . import _datagrams
+from . import _lease_keeper
 from . import _quarantine_rows
 from . import _reporting
 from . import _role_changes
@@ -100,6 +101,9 @@
             self.incarnation,
             _lease_bounds(bounds.lease_ms / 1000),
         )
+        self._lease_keeper = _lease_keeper.LeaseKeeper(
+            self._lease, _reporting.DUTY
+        )
         peer_counts = _usage_broadcast.PeerCounts()
         self._broadcaster = _usage_broadcast.CountBroadcaster(
             datagrams,
@@ -165,7 +169,7 @@
                 "members", self._members_pause_s, self._read_members
             ),
             periodic.run_periodically(
-                "lease", self._lease_pause_s, self._update_lease
+                "lease", self._lease_pause_s, self._lease_keeper.run_once
             ),
             periodic.run_periodically(
                 "roles", lambda: ROLES_INTERVAL_S, self._roles.run_once
@@ -191,6 +195,10 @@
             steady_s,
         )
 
+    def begin_shutdown(self) -> None:
+        """Leave the duties to other gateways, unless they are held."""
+        self._lease_keeper.begin_shutdown()
+
     async def shut_down(self) -> None:
         """Write the final counts; the lease expires by itself."""
         try:
@@ -232,14 +240,6 @@
             self._cluster.members / LEASE_OTHER_CALLS_PER_S,
         )
 
-    async def _update_lease(self) -> None:
-        held = self.lease_held
-        if await self._lease.tick() != held:
-            LOG.info(
-                "Lease lost." if held else "Lease taken.",
-                duty=_reporting.DUTY,
-            )
-
 
 def _client(
     table: platform.PlatformStore, timeout_s: float
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -370,6 +370,7 @@
 
     async def _shut_down(self) -> None:
         """Stop accepting requests and wait for those in flight."""
+        self._coordination.begin_shutdown()
         times = _shutdown.shutdown_times(self._settings.bounds.grace_s)
         await _shutdown.shut_down(self._caller_server, times)
         await self._coordination.shut_down()
