Log the request limit that an endpoint names

The gateways' logs cannot tell whether a limit was read, by whom and when. The response header is decoded as what an endpoint tells about itself, beside its pause and its leaving, and a change is logged. No decision uses it yet.

--- a/bilberrydeal/gateway/_cluster_state.py
+++ b/bilberrydeal/gateway/_cluster_state.py
@@ -1,6 +1,7 @@
 """A gateway's view of the configuration and the endpoints."""
 
 import collections.abc
+import math
 
 import attrs
 
@@ -54,6 +55,9 @@
     changing_until_s: float = 0.0
     #: Pause for which the endpoint has asked.
     pause: pacing.RequestedPause = attrs.field(factory=pacing.RequestedPause)
+    #: Requests a second that it takes from all gateways, infinite if it
+    #: names no limit.
+    limit_per_s: float = math.inf
 
     def changing_role(self, now_s: float) -> bool:
         """Return whether it is changing its role."""
@@ -177,9 +181,23 @@
                 endpoint=upstream.endpoint.endpoint_id,
                 pause_s=signals.pause_s,
             )
+        if signals.limit_per_s is not None:
+            self._note_limit(upstream, signals.limit_per_s)
         if signals.leaving:
             self.note_leaving(upstream)
 
+    def _note_limit(self, upstream: Upstream, limit_per_s: float) -> None:
+        """Record the limit that an endpoint names, or that it names none."""
+        if limit_per_s == upstream.limit_per_s:
+            return
+        LOG.info(
+            "Endpoint limits requests.",
+            endpoint=upstream.endpoint.endpoint_id,
+            limit_per_s=limit_per_s,
+            before_per_s=upstream.limit_per_s,
+        )
+        upstream.limit_per_s = limit_per_s
+
     def signals_recorder(
         self, upstream: Upstream, clock: Clock
     ) -> platform.OnSignals:
--- a/bilberrydeal/platform/_headers.py
+++ b/bilberrydeal/platform/_headers.py
@@ -38,6 +38,8 @@
     retry_after: bytes = b"retry-after"
     #: Set by an endpoint that leaves and wants no new requests.
     leaving: bytes = b"server-leaving"
+    #: Requests a second that an endpoint takes from all gateways together.
+    request_limit: bytes = b"server-limit"
     #: Priority of a request at an engine; 0 is the highest.
     priority: bytes = b"request-priority"
     #: Asks an engine to run only the prefill of the prompt.
--- a/bilberrydeal/platform/_signals.py
+++ b/bilberrydeal/platform/_signals.py
@@ -27,6 +27,9 @@
     leaving: bool = False
     #: Time for which the endpoint wants no requests, in seconds.
     pause_s: float = 0.0
+    #: Requests a second that the endpoint takes from all gateways together,
+    #: infinite if it names no limit; ``None`` if nothing can be told.
+    limit_per_s: float | None = None
 
 
 #: Gets what each response tells.
@@ -43,7 +46,9 @@
         return EndpointSignals()
     leaving = head.header(_headers.HEADERS.leaving) or b""
     return EndpointSignals(
-        leaving=leaving.strip() == _LEAVING, pause_s=_pause_s(head)
+        leaving=leaving.strip() == _LEAVING,
+        pause_s=_pause_s(head),
+        limit_per_s=_limit_per_s(head),
     )
 
 
@@ -62,3 +67,18 @@
     if pause_s > PAUSE_LIMIT_S:
         LOG.warning("Pause shortened.", value=value[:40])
     return min(pause_s, PAUSE_LIMIT_S)
+
+
+def _limit_per_s(head: http1.ResponseHead) -> float | None:
+    """Return the limit that a response names, infinite if it names none."""
+    value = head.header(_headers.HEADERS.request_limit)
+    if value is None:
+        return math.inf
+    try:
+        limit_per_s = float(value)
+    except ValueError:
+        limit_per_s = math.nan
+    if not math.isfinite(limit_per_s) or limit_per_s < 0.0:
+        LOG.warning("Request limit not understood.", value=value[:40])
+        return None
+    return limit_per_s
--- a/bilberrydeal/platform/tests/test_signals.py
+++ b/bilberrydeal/platform/tests/test_signals.py
@@ -1,5 +1,7 @@
 """What endpoints tell about themselves in their responses."""
 
+import math
+
 import pytest
 
 from ... import http1
@@ -57,3 +59,32 @@
     headers = [] if value is None else [(b"retry-after", value)]
     head = http1.ResponseHead(status, tuple(headers))
     assert platform.endpoint_signals(head).pause_s == pause_s
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "limit_per_s"),
+    [
+        (200, b"11.7", 11.7),
+        (200, b" 2 ", 2.0),
+        (200, b"0", 0.0),
+        (500, b"5.4", 5.4),
+        (503, b"5.4", 5.4),
+        (200, None, math.inf),
+        (503, None, math.inf),
+        # What is not understood neither names a limit nor ends one.
+        (200, b"", None),
+        (200, b"-1", None),
+        (200, b"nan", None),
+        (200, b"inf", None),
+        (200, b"few", None),
+        # Another endpoint may have responded.
+        (421, b"2", None),
+        (421, None, None),
+    ],
+)
+def test_endpoint_names_its_request_limit_in_any_response(
+    status: int, value: bytes | None, limit_per_s: float | None
+) -> None:
+    headers = [] if value is None else [(b"server-limit", value)]
+    head = http1.ResponseHead(status, tuple(headers))
+    assert platform.endpoint_signals(head).limit_per_s == limit_per_s
