Show that endpoints get more requests than the limit that they name

A play on virtual time: 1, 4, 5, 31 and 68 gateways, plain and streamed, with prefill and decode apart, one endpoint limited and all of them, beside restarts of gateways; it counts what reaches the endpoints.

--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -4,6 +4,7 @@
 import bisect
 import collections
 import collections.abc
+import math
 
 import attrs
 
@@ -17,6 +18,7 @@
 from ...systems import retries
 from .. import _cluster_state
 from .. import _datagrams
+from .. import _plain
 from .. import _requests
 from .. import _retry_policy
 from .. import _sending
@@ -43,6 +45,10 @@
     at_s: float
     request_id: bytes
     prefill: bool
+    #: Gateway that sent it.
+    gateway: str
+    #: Engine that it reached.
+    engine: str
 
 
 @attrs.define
@@ -95,13 +101,28 @@
     endpoint: catalogue.Endpoint
     traffic: Traffic
     crashed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    #: Requests a second that it says it takes, infinite if it says nothing.
+    limit_per_s: float = math.inf
+    #: When it first named a limit to each gateway.
+    told_s: dict[str, float] = attrs.field(factory=dict)
+
+    def response_headers(
+        self, gateway: str, now_s: float
+    ) -> tuple[http1.Header, ...]:
+        """Return the headers of a response to a gateway."""
+        signature = (b"server-signature", b"s")
+        if math.isinf(self.limit_per_s):
+            return (signature,)
+        self.told_s.setdefault(gateway, now_s)
+        return (signature, (b"server-limit", b"%.1f" % self.limit_per_s))
 
 
 class Connection:
     """A connection to a scripted engine."""
 
-    def __init__(self, engine: Engine) -> None:
+    def __init__(self, engine: Engine, gateway: str) -> None:
         self.done = True
+        self._gateway = gateway
         self.responding = False
         self.delimited_by_eof = False
         self._engine = engine
@@ -115,7 +136,13 @@
         if request_id:
             now_s = asyncio.get_running_loop().time()
             self._engine.traffic.arrivals.append(
-                Arrival(now_s, request_id, self._prefill)
+                Arrival(
+                    now_s,
+                    request_id,
+                    self._prefill,
+                    self._gateway,
+                    self._engine.endpoint.endpoint_id,
+                )
             )
 
     async def head(self) -> http1.ResponseHead:
@@ -128,7 +155,10 @@
             raise http1.IncompleteResponse
         except TimeoutError:
             self.responding = True
-            return http1.ResponseHead(200, ((b"server-signature", b"s"),))
+            now_s = asyncio.get_running_loop().time()
+            return http1.ResponseHead(
+                200, self._engine.response_headers(self._gateway, now_s)
+            )
 
     async def body(self, _limit_bytes: int) -> bytes:
         """Return a KV handle."""
@@ -145,9 +175,10 @@
 class Pool(http1.Pool):
     """Opens connections to a scripted engine."""
 
-    def __init__(self, engine: Engine) -> None:
+    def __init__(self, engine: Engine, gateway: str) -> None:
         super().__init__("127.0.0.1", 1)
         self._engine = engine
+        self._gateway = gateway
         self.limit = 360
 
     async def acquire(
@@ -159,7 +190,9 @@
         if self._engine.crashed.is_set():
             self.busy -= 1
             raise http1.NotSent("connection refused")
-        return Connection(self._engine)  # type: ignore[return-value]
+        return Connection(  # type: ignore[return-value]
+            self._engine, self._gateway
+        )
 
     def release(
         self, connection: http1.ClientConnection, now_s: float
@@ -187,8 +220,11 @@
 class GatewayProcess:
     """One process of a gateway: what it knows, its budget and its policy."""
 
-    def __init__(self, clock: collections.abc.Callable[[], float]) -> None:
+    def __init__(
+        self, clock: collections.abc.Callable[[], float], name: str = "g1"
+    ) -> None:
         self.clock = clock
+        self.name = name
         self.cluster = _cluster_state.ClusterState(
             health.HEALTH.get("outlier")(1)
         )
@@ -221,37 +257,55 @@
             quarantine,
             clock,
         )
+        self.plain = _plain.PlainServer(
+            self.cluster,
+            sender,
+            self.policy,
+            harness.FakeUsageCounter(),
+            "d1",
+            quarantine,
+            clock,
+        )
         self.running: set[asyncio.Task[int]] = set()
 
+    def join(self, gateways: collections.abc.Sequence[str]) -> None:
+        """Learn which gateways there are, this one included."""
+        self.cluster.set_members(len(gateways))
+
     def add(self, engine: Engine) -> None:
         """Learn of an engine."""
         self.cluster.set_endpoint(engine.endpoint)
         upstream = self.cluster.endpoints[engine.endpoint.endpoint_id]
-        upstream.pool = Pool(engine)
+        upstream.pool = Pool(engine, self.name)
 
-    async def serve(self, request_id: bytes) -> int:
+    async def serve(
+        self, request_id: bytes, route: str = "chat", body: bytes = b"b"
+    ) -> int:
         """Serve a request; return the status."""
         now_s = self.clock()
         request = http1.Request(
-            b"POST", b"/chat/1", (), b"b", True, now_s, now_s
+            b"POST", f"/{route}/1".encode(), (), body, True, now_s, now_s
         )
+        found = next(each for each in harness.ROUTES if each.name == route)
+        is_stream = found.kind is catalogue.RouteKind.STREAM
         admitted = _requests.AdmittedRequest(
             request=request,
             request_id=request_id,
-            route=next(r for r in harness.ROUTES if r.name == "chat"),
-            service=SERVICE,
+            route=found,
+            service=found.splits[0].service,
             organisation=ORGANISATION,
             deadline_s=now_s + 2.0,
-            prompt=_prompt(request_id),
+            prompt=_prompt(request_id) if is_stream else None,
             last_event=b"",
             configuration_version=1,
         )
         progress = _requests.RequestProgress()
-        self.policy.record_request(SERVICE)
+        self.policy.record_request(admitted.service)
         responder = http1.Responder(_Transport(), True)
         try:
             async with asyncio.timeout(2.0):
-                await self.stream.serve(admitted, progress, responder)
+                server = self.stream if is_stream else self.plain
+                await server.serve(admitted, progress, responder)
         except errors.Refusal as refusal:
             return refusal.status
         except TimeoutError:
@@ -260,9 +314,13 @@
             self.policy.release(admitted, progress)
         return 200
 
-    def start(self, request_id: bytes) -> asyncio.Task[int]:
+    def start(
+        self, request_id: bytes, route: str = "chat", body: bytes = b"b"
+    ) -> asyncio.Task[int]:
         """Serve a request in a task."""
-        task = asyncio.get_running_loop().create_task(self.serve(request_id))
+        task = asyncio.get_running_loop().create_task(
+            self.serve(request_id, route, body)
+        )
         self.running.add(task)
         task.add_done_callback(self.running.discard)
         return task
--- /dev/null
+++ b/bilberrydeal/gateway/tests/test_request_limits.py
@@ -0,0 +1,245 @@
+"""Endpoints that name how many requests a second they take from all."""
+
+import asyncio
+import itertools
+import random
+
+import attrs
+import pytest
+
+from ... import catalogue
+from ... import ports
+from ...store.tests import virtual
+from . import crashing_engines
+
+#: Time from the first response that names a limit until it is kept, in
+#: seconds; the time from a response until it binds the gateway that got it;
+#: and the span over which requests are counted.
+SETTLE_S = 3.0
+TOLD_S = 0.5
+SPAN_S = 4.0
+#: When endpoints begin to name a limit, when they name another one and when
+#: they cease to.
+NAMES_S = 4.0
+CHANGES_S = 16.0
+CEASES_S = 30.0
+END_S = 38.0
+
+
+@attrs.frozen
+class Load:
+    """A fleet of gateways in front of endpoints that name limits."""
+
+    gateways: int
+    limit_per_s: float
+    #: Limit named later.
+    changed_per_s: float
+    #: Roles of the endpoints, empty for plain ones.
+    roles: tuple[str, ...]
+    #: Endpoints that name limits, the first ones.
+    limited: int
+    route: str
+    requests_per_s: float = 120.0
+    #: When a gateway is replaced by a new one.
+    restarts_s: tuple[float, ...] = ()
+
+
+_PLAIN = ("", "", "", "")
+_DECODE = ("decode", "decode", "decode")
+_STAGES = ("decode", "prefill", "prefill")
+LOADS = {
+    "plain_one_gateway": Load(1, 5.4, 2.0, _PLAIN, 1, "read", 30.0),
+    "plain_four_gateways": Load(4, 5.4, 2.0, _PLAIN, 1, "read"),
+    "plain_once": Load(4, 11.7, 5.4, _PLAIN, 2, "once"),
+    "plain_all_limited": Load(4, 6.0, 3.0, _PLAIN, 4, "read"),
+    "plain_68_gateways": Load(68, 2.0, 0.5, _PLAIN, 1, "read"),
+    "plain_all_limited_31": Load(31, 8.0, 4.0, _PLAIN, 4, "read"),
+    "stream_one_gateway": Load(1, 5.4, 2.0, _DECODE, 1, "chat", 30.0),
+    "stream_four_gateways": Load(4, 5.4, 2.0, _DECODE, 1, "chat"),
+    "stream_decoding_limited": Load(4, 5.4, 2.0, _STAGES, 1, "chat"),
+    "stream_prefilling_limited": Load(4, 9.0, 4.0, _STAGES[::-1], 1, "chat"),
+    "stream_31_gateways": Load(31, 11.7, 3.0, _DECODE, 1, "chat"),
+    "stream_68_gateways": Load(68, 30.0, 0.7, _STAGES, 2, "chat"),
+    "beside_restarts": Load(
+        5, 5.4, 2.0, _PLAIN, 1, "read", restarts_s=(8.0, 12.0, 20.0, 25.0)
+    ),
+}
+
+
+class _Play:
+    """Plays a load on virtual time."""
+
+    def __init__(
+        self, load: Load, seed: int, loop: virtual.VirtualLoop
+    ) -> None:
+        self._load = load
+        self._random = random.Random(seed)
+        self._loop = loop
+        self._began_s = loop.time()
+        self._ids = itertools.count(1)
+        self.traffic = crashing_engines.Traffic()
+        self.endpoints = [
+            self._endpoint(number, role)
+            for number, role in enumerate(load.roles)
+        ]
+        self.restarted: set[str] = set()
+        self.gateways = [self._gateway() for _ in range(load.gateways)]
+        self._announce()
+
+    @property
+    def limited(self) -> list[crashing_engines.Engine]:
+        """Return the endpoints that name a limit."""
+        return self.endpoints[: self._load.limited]
+
+    def _endpoint(self, number: int, role: str) -> crashing_engines.Engine:
+        return crashing_engines.Engine(
+            catalogue.Endpoint(
+                endpoint_id=f"e{number}",
+                service=crashing_engines.SERVICE if role else "shop",
+                host="127.0.0.1",
+                port=1,
+                failure_domain="d1",
+                ready=True,
+                role=ports.EngineRole(role) if role else None,
+                slots=64,
+                started_ms=1,
+            ),
+            self.traffic,
+        )
+
+    def _gateway(self) -> crashing_engines.GatewayProcess:
+        gateway = crashing_engines.GatewayProcess(
+            self._loop.time, f"g{next(self._ids)}"
+        )
+        for endpoint in self.endpoints:
+            gateway.add(endpoint)
+        return gateway
+
+    def _announce(self) -> None:
+        for gateway in self.gateways:
+            gateway.join([each.name for each in self.gateways])
+
+    async def run(self) -> None:
+        """Play the load to its end."""
+        async with asyncio.TaskGroup() as tasks:
+            background = [
+                tasks.create_task(self._restart(number, at_s))
+                for number, at_s in enumerate(self._load.restarts_s)
+            ]
+            background.append(tasks.create_task(self._name_limits()))
+            await self._send_all(tasks)
+            for task in background:
+                task.cancel()
+
+    async def _name_limits(self) -> None:
+        load = self._load
+        for at_s, limit_per_s in (
+            (NAMES_S, load.limit_per_s),
+            (CHANGES_S, load.changed_per_s),
+            (CEASES_S, float("inf")),
+        ):
+            await asyncio.sleep(self._began_s + at_s - self._loop.time())
+            for endpoint in self.limited:
+                endpoint.limit_per_s = limit_per_s
+                endpoint.told_s.clear()
+
+    async def _restart(self, number: int, at_s: float) -> None:
+        await asyncio.sleep(at_s)
+        number %= len(self.gateways)
+        self.gateways[number].kill()
+        self.gateways[number] = self._gateway()
+        self.restarted.add(self.gateways[number].name)
+        await asyncio.sleep(1.0)
+        self._announce()
+
+    async def _send_all(self, tasks: asyncio.TaskGroup) -> None:
+        """Send requests, to some gateways more than to others."""
+        weights = [1.0 / (2 + number) for number in range(len(self.gateways))]
+        while self._loop.time() < self._began_s + END_S:
+            number = self._random.choices(range(len(self.gateways)), weights)
+            tasks.create_task(self._call(self.gateways[number[0]]))
+            await asyncio.sleep(
+                self._random.expovariate(self._load.requests_per_s)
+            )
+
+    async def _call(self, gateway: crashing_engines.GatewayProcess) -> None:
+        request_id = b"r%d" % next(self._ids)
+        self.traffic.requests.append(self._loop.time())
+        task = gateway.start(request_id, self._load.route)
+        await asyncio.wait([task])
+        if not task.cancelled():
+            self.traffic.statuses[task.result()] += 1
+
+    def arrived_s(
+        self, endpoint: crashing_engines.Engine, from_s: float, to_s: float
+    ) -> list[float]:
+        """Return when requests reached an endpoint in a part of the play."""
+        return [
+            arrival.at_s - self._began_s
+            for arrival in self.traffic.arrivals
+            if arrival.engine == endpoint.endpoint.endpoint_id
+            and arrival.gateway not in self.restarted
+            and from_s <= arrival.at_s - self._began_s < to_s
+        ]
+
+
+def _most_in_a_span(times_s: list[float]) -> int:
+    return max(
+        (
+            sum(begin_s <= each < begin_s + SPAN_S for each in times_s)
+            for begin_s in times_s
+        ),
+        default=0,
+    )
+
+
+def _played(load: Load, seed: int) -> _Play:
+    loop = virtual.VirtualLoop()
+    asyncio.set_event_loop(loop)
+    play = _Play(load, seed, loop)
+    loop.run(play.run())
+    loop.close()
+    return play
+
+
+@pytest.mark.parametrize("load", LOADS.values(), ids=LOADS)
+def test_gateways_together_keep_to_the_limit_that_an_endpoint_names(
+    load: Load,
+) -> None:
+    play = _played(load, 1)
+    for endpoint in play.limited:
+        for limit_per_s, from_s, to_s in (
+            (load.limit_per_s, NAMES_S, CHANGES_S),
+            (load.changed_per_s, CHANGES_S, CEASES_S),
+        ):
+            times_s = play.arrived_s(endpoint, from_s + SETTLE_S, to_s)
+            most = 1.5 * limit_per_s * SPAN_S + 5.0
+            assert _most_in_a_span(times_s) <= most
+
+
+@pytest.mark.parametrize("name", ["plain_all_limited", "stream_four_gateways"])
+def test_limited_endpoint_is_used_up_to_half_of_its_limit_at_least(
+    name: str,
+) -> None:
+    load = LOADS[name]
+    play = _played(load, 2)
+    for endpoint in play.limited:
+        span_s = CHANGES_S - NAMES_S - SETTLE_S
+        times_s = play.arrived_s(endpoint, NAMES_S + SETTLE_S, CHANGES_S)
+        assert len(times_s) >= load.limit_per_s * span_s / 2
+
+
+@pytest.mark.parametrize("name", ["plain_four_gateways", "stream_31_gateways"])
+def test_callers_are_served_elsewhere_while_one_endpoint_limits_requests(
+    name: str,
+) -> None:
+    play = _played(LOADS[name], 3)
+    assert set(play.traffic.statuses) == {200}
+
+
+def test_endpoint_gets_its_requests_again_once_it_names_no_limit() -> None:
+    load = LOADS["plain_68_gateways"]
+    play = _played(load, 4)
+    before = play.arrived_s(play.endpoints[0], 0.0, NAMES_S)
+    after = play.arrived_s(play.endpoints[0], END_S - NAMES_S, END_S)
+    assert len(after) >= len(before) / 2
