Keep to the request limit that an endpoint names, over all gateways

Cause: the header was not known. Class of fault: a limit on the sum, kept by nobody. Ruled out: that the limit was applied per gateway, and that retries or calls passed it by; the test shows the same for first sends alone.

Each gateway now keeps to a share of the limit (systems/limits, TurnShare): as many gateways as the limit has room for hold a part at a time, named anew for each turn by the rendezvous hashing that chooses homes, so that 68 gateways with one whole request each do not add up to more than a small limit. No messages are needed to divide it; what an endpoint names is told by datagram, so that gateways which it has not answered are bound as well, and all learn when it ends. Prefills, retries, orders and freed handles take from the same share. Division by need through a home was ruled out for this: it converges in n/20 s, and each gateway's smallest bucket holds a whole request.

--- a/bilberrydeal/gateway/_cluster_state.py
+++ b/bilberrydeal/gateway/_cluster_state.py
@@ -12,9 +12,11 @@
 from .. import systems
 from .. import telemetry
 from ..systems import health
+from ..systems import limits
 from ..systems import pacing
 from ..systems import placement
 from . import _departures
+from . import _endpoint_limit
 
 LOG = telemetry.logger("knowledge")
 #: Share of an endpoint's connection limit that all gateways use together.
@@ -27,6 +29,8 @@
 REJECTED_PAUSE_LIMIT_S = 0.8
 #: Share of an engine's KV cache assumed to hold shared prompt parts.
 CACHE_SHARE = 0.8
+#: Share by which a limit has to change to be logged.
+LIMIT_CHANGED_SHARE = 0.1
 
 
 Clock = collections.abc.Callable[[], float]
@@ -44,6 +48,8 @@
     view: systems.EndpointView
     #: Its load, ``None`` for a plain service.
     load: placement.EngineLoad | None
+    #: The request limit that it names.
+    limit: _endpoint_limit.EndpointLimit
     #: Whether another endpoint responded at its address.
     misdirected: bool = False
 
@@ -55,9 +61,6 @@
     changing_until_s: float = 0.0
     #: Pause for which the endpoint has asked.
     pause: pacing.RequestedPause = attrs.field(factory=pacing.RequestedPause)
-    #: Requests a second that it takes from all gateways, infinite if it
-    #: names no limit.
-    limit_per_s: float = math.inf
 
     def changing_role(self, now_s: float) -> bool:
         """Return whether it is changing its role."""
@@ -72,9 +75,14 @@
             and not self.pool.exhausted
             and now_s >= self.paused_until_s
             and self.pause.permits(self.pool.busy, now_s)
+            and not self.limit.share.wait_s(now_s)
             and not self.changing_role(now_s)
         )
 
+    def wait_s(self, now_s: float) -> float:
+        """Return the time until it ends its pause and its limit permits."""
+        return max(self.pause.left_s(now_s), self.limit.share.wait_s(now_s))
+
     def note_rejection(self, now_s: float) -> None:
         """Pause sends after an immediate rejection: it is full or busy."""
         self.rejections += 1
@@ -114,6 +122,10 @@
         self._arrivals: dict[str, placement.PeerArrivals] = {}
         #: Learned speed of the engines by service.
         self._speeds: dict[str, placement.ServiceSpeed] = {}
+        #: All gateways, which share the request limits of endpoints.
+        self._gateways = limits.ProcessGroup()
+        #: Endpoints that have named a limit, by id.
+        self.limited: dict[str, Upstream] = {}
 
     def set_configuration(
         self, configuration: catalogue.Configuration
@@ -171,9 +183,10 @@
         self,
         upstream: Upstream,
         signals: platform.EndpointSignals,
+        sent_s: float,
         now_s: float,
     ) -> None:
-        """Record what a response told about its endpoint."""
+        """Record what the response to a request sent at a time told."""
         if signals.pause_s:
             upstream.pause.request(signals.pause_s, now_s)
             LOG.info(
@@ -182,29 +195,41 @@
                 pause_s=signals.pause_s,
             )
         if signals.limit_per_s is not None:
-            self._note_limit(upstream, signals.limit_per_s)
+            before_per_s = upstream.limit.limit_per_s
+            upstream.limit.observe(signals.limit_per_s, sent_s, now_s)
+            self._limit_changed(upstream, before_per_s, None)
         if signals.leaving:
             self.note_leaving(upstream)
 
-    def _note_limit(self, upstream: Upstream, limit_per_s: float) -> None:
-        """Record the limit that an endpoint names, or that it names none."""
-        if limit_per_s == upstream.limit_per_s:
-            return
-        LOG.info(
-            "Endpoint limits requests.",
-            endpoint=upstream.endpoint.endpoint_id,
-            limit_per_s=limit_per_s,
-            before_per_s=upstream.limit_per_s,
-        )
-        upstream.limit_per_s = limit_per_s
+    def learn_limit(
+        self,
+        upstream: Upstream,
+        limit_per_s: float,
+        said_s: float,
+        now_s: float,
+        told_by: str,
+    ) -> bool:
+        """Record what another gateway told; return whether it is newer."""
+        before_per_s = upstream.limit.limit_per_s
+        newer = upstream.limit.learn(limit_per_s, said_s, now_s)
+        self._limit_changed(upstream, before_per_s, told_by)
+        return newer
+
+    def _limit_changed(
+        self, upstream: Upstream, before_per_s: float, told_by: str | None
+    ) -> None:
+        if upstream.limit.limit_per_s != before_per_s:
+            self.limited[upstream.endpoint.endpoint_id] = upstream
+            _log_limit(upstream, before_per_s, told_by)
 
     def signals_recorder(
         self, upstream: Upstream, clock: Clock
     ) -> platform.OnSignals:
-        """Return what records the signals in responses of an endpoint."""
+        """Return what records the signals in the response to a next call."""
+        sent_s = clock()
 
         def record(signals: platform.EndpointSignals) -> None:
-            self.note_signals(upstream, signals, clock())
+            self.note_signals(upstream, signals, sent_s, clock())
 
         return record
 
@@ -227,8 +252,13 @@
         self.tables.of(systems.EndpointView).remove(endpoint_id)
         LOG.info("Endpoint removed.", endpoint=endpoint_id, reason=reason)
 
-    def set_members(self, members: int) -> None:
-        """Set the number of live gateways."""
+    def set_gateways(
+        self, own: str, others: collections.abc.Iterable[str]
+    ) -> None:
+        """Set the live gateways, this one and the others."""
+        self._gateways.own = own
+        self._gateways.names = tuple(sorted({own, *others}))
+        members = len(self._gateways.names)
         if members == self.members:
             return
         self.members = members
@@ -239,19 +269,22 @@
         """Return the endpoints of a service."""
         return list(self._by_service.get(service, {}).values())
 
-    def pause_left_s(self, service: str, now_s: float) -> float:
-        """Return the time until an endpoint of a service ends its pause.
+    def set_clock_offset(self, offset_s: float) -> None:
+        """Set the gateways' common clock minus the steady clock."""
+        self._gateways.clock_offset_s = offset_s
 
-        It is 0 if there are endpoints without one.
+    def wait_s(self, service: str, now_s: float) -> float:
+        """Return the time until an endpoint of a service takes requests.
+
+        It is 0 if there are endpoints that neither pause nor have named a
+        limit that is used up.
         """
         ready = [
             upstream
             for upstream in self.of_service(service)
             if upstream.endpoint.ready
         ]
-        return min(
-            (upstream.pause.left_s(now_s) for upstream in ready), default=0.0
-        )
+        return min((upstream.wait_s(now_s) for upstream in ready), default=0.0)
 
     def engines(
         self, service: str, affinity: bytes, now_s: float
@@ -329,6 +362,7 @@
         """Close an endpoint's connections and remove it from its service."""
         endpoint = upstream.endpoint
         upstream.pool.close()
+        self.limited.pop(endpoint.endpoint_id, None)
         self._by_service[endpoint.service].pop(endpoint.endpoint_id, None)
         self._engine_rings.pop(endpoint.service, None)
 
@@ -347,6 +381,9 @@
             ),
             view=view,
             load=self._new_load(endpoint),
+            limit=_endpoint_limit.EndpointLimit(
+                limits.TurnShare(endpoint.endpoint_id, self._gateways)
+            ),
         )
         self._set_limits(upstream)
         return upstream
@@ -403,6 +440,30 @@
             speed.fetch_token_s = found.engine.kv_transfer_token_s
 
 
+def _log_limit(
+    upstream: Upstream, before_per_s: float, told_by: str | None
+) -> None:
+    """Log a limit that began, ended or changed by much."""
+    limit_per_s = upstream.limit.limit_per_s
+    if math.isfinite(limit_per_s) and math.isfinite(before_per_s):
+        change = abs(limit_per_s - before_per_s)
+        if change <= LIMIT_CHANGED_SHARE * before_per_s:
+            return
+    LOG.info(
+        "Endpoint limits requests."
+        if math.isfinite(limit_per_s)
+        else "Endpoint limits requests no longer.",
+        endpoint=upstream.endpoint.endpoint_id,
+        limit_per_s=_or_none(limit_per_s),
+        before_per_s=_or_none(before_per_s),
+        told_by=told_by,
+    )
+
+
+def _or_none(limit_per_s: float) -> float | None:
+    return limit_per_s if math.isfinite(limit_per_s) else None
+
+
 def _same_process(
     before: catalogue.Endpoint, after: catalogue.Endpoint
 ) -> bool:
--- a/bilberrydeal/gateway/_coordination.py
+++ b/bilberrydeal/gateway/_coordination.py
@@ -154,6 +154,10 @@
         """Return whether this process holds the lease."""
         return self._lease.is_held(_clock.boot_s())
 
+    def clock_offset_s(self, steady_s: float) -> float:
+        """Return the gateways' common clock minus a steady clock."""
+        return self._cluster_clock.now_s() - steady_s
+
     def loops(self) -> list[periodic.Loop]:
         """Return the periodic tasks to run until the process ends."""
         return [
@@ -209,7 +213,7 @@
     async def _read_members(self) -> None:
         rows = await self._rows.read()
         self._members = self._rows.members(rows, self._row_pause_s())
-        self._cluster.set_members(self._members.count)
+        self._cluster.set_gateways(self.incarnation, self._members.others)
         self.peers = tuple(
             map(settings.split_address, self._members.others.values())
         )
--- a/bilberrydeal/gateway/_datagrams.py
+++ b/bilberrydeal/gateway/_datagrams.py
@@ -79,6 +79,24 @@
     counts: dict[str, int]
 
 
+@attrs.frozen
+class EndpointLimitReport:
+    """The request limit that an endpoint names."""
+
+    endpoint_id: str
+    #: Start of the endpoint's process, in Unix milliseconds.
+    started_ms: int
+    #: Requests a second of all gateways, infinite if it names no limit.
+    limit_per_s: float
+    #: Time since it said so, in seconds.
+    age_s: float
+
+    @property
+    def valid(self) -> bool:
+        """Return whether the figures can be true."""
+        return self.limit_per_s >= 0.0 and self.age_s >= 0.0
+
+
 @attrs.frozen
 class Datagram:
     """A message from one gateway to others."""
@@ -98,6 +116,8 @@
     asks: str = ""
     #: Usage windows that the sender settled.
     settled: tuple[SettledWindow, ...] = ()
+    #: Request limits that endpoints name.
+    limits: tuple[EndpointLimitReport, ...] = ()
 
 
 class _WireEngineLoad(msgspec.Struct, array_like=True):
@@ -124,6 +144,7 @@
     news: _quarantine_wire.WireNews | None = None
     asks: str = ""
     settled: tuple[SettledWindow, ...] = ()
+    limits: tuple[EndpointLimitReport, ...] = ()
 
 
 def _to_wire(datagram: Datagram) -> _WireDatagram:
@@ -148,6 +169,7 @@
         _quarantine_wire.to_wire(datagram.news),
         datagram.asks,
         datagram.settled,
+        datagram.limits,
     )
 
 
@@ -177,6 +199,7 @@
         _quarantine_wire.from_wire(wire.news),
         wire.asks,
         settled=wire.settled,
+        limits=wire.limits,
     )
 
 
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -23,6 +23,7 @@
 from . import _coordination
 from . import _datagrams
 from . import _exchange
+from . import _limit_broadcast
 from . import _metrics
 from . import _plain
 from . import _quarantine
@@ -105,6 +106,13 @@
             gateway_settings.bounds.apply_limit_s,
             clock,
         )
+        self._limit_broadcast = _limit_broadcast.LimitBroadcast(
+            self._datagrams,
+            self._cluster,
+            self._coordination.incarnation,
+            lambda: self._coordination.peers,
+            clock,
+        )
         self._metrics = _metrics.GatewayMetrics()
         self._quarantine = _quarantine.PartQuarantine(
             quarantine.QUARANTINES.get(gateway_settings.quarantine)(),
@@ -266,6 +274,13 @@
                 self._hints.run_once,
             )
         )
+        self._spawn(
+            periodic.run_periodically(
+                "limits",
+                lambda: _limit_broadcast.INTERVAL_S,
+                self._limit_broadcast.run_once,
+            )
+        )
         self._spawn(
             periodic.run_periodically(
                 "quarantine",
@@ -311,6 +326,9 @@
             self._metrics_server,
         ):
             server.enforce_timeouts(now_s)
+        self._cluster.set_clock_offset(
+            self._coordination.clock_offset_s(now_s)
+        )
         self._cluster.sweep(now_s)
         self._endpoint_updater.sweep(now_s)
 
--- a/bilberrydeal/gateway/_request_handler.py
+++ b/bilberrydeal/gateway/_request_handler.py
@@ -104,18 +104,18 @@
         if responder.started:
             responder.abort()
             return refusal
-        refusal = self._after_pause(admitted, refusal)
+        refusal = self._after_wait(admitted, refusal)
         self._refuse(responder, admitted.request_id, refusal)
         return refusal
 
-    def _after_pause(
+    def _after_wait(
         self, admitted: _requests.AdmittedRequest, refusal: errors.Refusal
     ) -> errors.Refusal:
-        """Let the caller come back when an endpoint ends its pause."""
-        left_s = self._cluster.pause_left_s(admitted.service, self._clock())
-        if refusal.retry_after_s is None or not left_s:
+        """Let the caller come back when an endpoint takes requests."""
+        wait_s = self._cluster.wait_s(admitted.service, self._clock())
+        if refusal.retry_after_s is None or not wait_s:
             return refusal
-        retry_after_s = pacing.retry_after_s(left_s, admitted.request_id)
+        retry_after_s = pacing.retry_after_s(wait_s, admitted.request_id)
         return attrs.evolve(
             refusal, retry_after_s=max(retry_after_s, refusal.retry_after_s)
         )
--- a/bilberrydeal/gateway/_roles.py
+++ b/bilberrydeal/gateway/_roles.py
@@ -236,12 +236,14 @@
         return len(state.pending) < limit
 
     def _accepts_orders(self, upstream: _cluster_state.Upstream) -> bool:
-        """Return whether an engine neither leaves nor pauses."""
+        """Return whether an engine may be sent a call now."""
         reason = None
         if not upstream.endpoint.ready:
             reason = "the engine leaves"
         elif upstream.pause.left_s(self._steady_s()):
             reason = "the engine has asked for a pause"
+        elif not upstream.limit.share.take(self._steady_s()):
+            reason = "the engine's limit is used up"
         if reason is not None:
             LOG.info(
                 "Role not ordered.",
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -173,6 +173,7 @@
         except NotOffered:
             upstream.pool.release(connection, self._clock())
             raise
+        upstream.limit.share.take(self._clock())
         sent_s = self._clock()
         time_left_s = admitted.deadline_s - sent_s
         fields = attrs.evolve(
@@ -187,7 +188,9 @@
                 connection, admitted, progress, upstream, fields, patience
             )
             signals = platform.endpoint_signals(head)
-            self._cluster.note_signals(upstream, signals, self._clock())
+            self._cluster.note_signals(
+                upstream, signals, sent_s, self._clock()
+            )
             if not platform.misdirected(head):
                 self._quarantine.engine_responded(upstream, sent_s)
             response_class = platform.classify_response(head)
@@ -309,10 +312,14 @@
     record: _requests.SendRecord,
     now_s: float,
 ) -> None:
-    """Raise ``NotOffered`` for an endpoint that leaves or pauses."""
+    """Raise ``NotOffered`` for an endpoint that wants no request now."""
+    reason = None
     if upstream.pause.left_s(now_s):
-        record.outcome = "not offered, the endpoint has asked for a pause"
-        raise NotOffered("the endpoint has asked for a pause")
-    if not upstream.endpoint.ready:
-        record.outcome = "not offered, the endpoint is leaving"
-        raise NotOffered("the endpoint is leaving")
+        reason = "the endpoint has asked for a pause"
+    elif not upstream.endpoint.ready:
+        reason = "the endpoint is leaving"
+    elif upstream.limit.share.wait_s(now_s):
+        reason = "the endpoint's limit is used up"
+    if reason is not None:
+        record.outcome = f"not offered, {reason}"
+        raise NotOffered(reason)
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -7,6 +7,7 @@
 
 from .. import http1
 from .. import platform
+from .. import telemetry
 from ..systems import placement
 from . import _client_stream
 from . import _cluster_state
@@ -23,6 +24,7 @@
 from . import _uplink
 from . import _usage
 
+LOG = telemetry.logger("stream")
 #: Most engines that one request tries while they are unreachable.
 TRIED_LIMIT = 4
 #: Largest response to a prefill, in bytes.
@@ -361,6 +363,13 @@
 
     def _free_handle(self, source: _KvSource) -> None:
         """Free an unused KV handle in the background."""
+        if not source.upstream.limit.share.take(self._clock()):
+            LOG.info(
+                "KV handle left to expire.",
+                endpoint=source.upstream.endpoint.endpoint_id,
+                reason="the engine's limit is used up",
+            )
+            return
         task = asyncio.get_running_loop().create_task(
             self._engines.free_kv_handle(
                 source.upstream.pool,
--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -5,12 +5,14 @@
 import collections
 import collections.abc
 import math
+import random
 
 import attrs
 
 from ... import catalogue
 from ... import errors
 from ... import http1
+from ... import periodic
 from ... import settings
 from ... import telemetry
 from ...systems import health
@@ -18,6 +20,7 @@
 from ...systems import retries
 from .. import _cluster_state
 from .. import _datagrams
+from .. import _limit_broadcast
 from .. import _plain
 from .. import _requests
 from .. import _retry_policy
@@ -217,14 +220,65 @@
         return []
 
 
+class Network:
+    """Delivers datagrams between gateways, some of them late or never."""
+
+    def __init__(self, seed: int = 1, lost_share: float = 0.1) -> None:
+        self.nodes: dict[_datagrams.Address, Node] = {}
+        self._random = random.Random(seed)
+        self._lost_share = lost_share
+
+    def send(self, data: bytes, address: _datagrams.Address) -> None:
+        """Deliver a datagram unless it is lost or nobody is there."""
+        node = self.nodes.get(address)
+        if node is None or self._random.random() < self._lost_share:
+            return
+        asyncio.get_running_loop().call_later(
+            self._random.uniform(0.001, 0.02),
+            node.datagram_received,
+            data,
+            address,
+        )
+
+
+class Node(_datagrams.Datagrams):
+    """The datagrams of one gateway."""
+
+    def __init__(self, network: Network, name: str) -> None:
+        super().__init__()
+        self._network = network
+        network.nodes[address_of(name)] = self
+
+    def send(
+        self,
+        datagram: _datagrams.Datagram,
+        addresses: collections.abc.Iterable[_datagrams.Address],
+    ) -> int:
+        """Send a datagram to gateways."""
+        data = self.encode(datagram)
+        for address in addresses:
+            self._network.send(data, address)
+        return len(data)
+
+
+def address_of(name: str) -> _datagrams.Address:
+    """Return the address of a gateway on the network."""
+    return (name, 1)
+
+
 class GatewayProcess:
     """One process of a gateway: what it knows, its budget and its policy."""
 
     def __init__(
-        self, clock: collections.abc.Callable[[], float], name: str = "g1"
+        self,
+        clock: collections.abc.Callable[[], float],
+        name: str = "g1",
+        network: Network | None = None,
     ) -> None:
         self.clock = clock
         self.name = name
+        self._peers: tuple[_datagrams.Address, ...] = ()
+        datagrams = Node(network or Network(), name)
         self.cluster = _cluster_state.ClusterState(
             health.HEALTH.get("outlier")(1)
         )
@@ -235,8 +289,9 @@
         )
         uplink = _uplink.Uplink(1_000.0, clock)
         self.tracing = telemetry.Tracing(settings.TraceSettings(), "gateway")
-        quarantine = harness.new_quarantine(
-            "never", clock, _datagrams.Datagrams()
+        quarantine = harness.new_quarantine("never", clock, datagrams)
+        self._limit_broadcast = _limit_broadcast.LimitBroadcast(
+            datagrams, self.cluster, name, lambda: self._peers, clock
         )
         sender = _sending.Sender(
             self.cluster,
@@ -270,7 +325,18 @@
 
     def join(self, gateways: collections.abc.Sequence[str]) -> None:
         """Learn which gateways there are, this one included."""
-        self.cluster.set_members(len(gateways))
+        self.cluster.set_gateways(self.name, gateways)
+        self._peers = tuple(
+            address_of(each) for each in gateways if each != self.name
+        )
+
+    async def run(self) -> None:
+        """Exchange datagrams until cancelled."""
+        await periodic.run_periodically(
+            "limits",
+            lambda: _limit_broadcast.INTERVAL_S,
+            self._limit_broadcast.run_once,
+        )
 
     def add(self, engine: Engine) -> None:
         """Learn of an engine."""
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -406,6 +406,7 @@
     cluster = _cluster_state.ClusterState(health.HEALTH.get("outlier")(1))
     cluster.set_configuration(configuration())
     cluster.endpoints_loaded = True
+    cluster.set_gateways(name, ())
     servers = []
     for endpoint in endpoints:
         listening = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
--- a/bilberrydeal/gateway/tests/test_request_limits.py
+++ b/bilberrydeal/gateway/tests/test_request_limits.py
@@ -78,6 +78,8 @@
         self._began_s = loop.time()
         self._ids = itertools.count(1)
         self.traffic = crashing_engines.Traffic()
+        self._network = crashing_engines.Network(seed)
+        self._exchanges: list[asyncio.Task[None]] = []
         self.endpoints = [
             self._endpoint(number, role)
             for number, role in enumerate(load.roles)
@@ -109,8 +111,9 @@
 
     def _gateway(self) -> crashing_engines.GatewayProcess:
         gateway = crashing_engines.GatewayProcess(
-            self._loop.time, f"g{next(self._ids)}"
+            self._loop.time, f"g{next(self._ids)}", self._network
         )
+        self._exchanges.append(self._loop.create_task(gateway.run()))
         for endpoint in self.endpoints:
             gateway.add(endpoint)
         return gateway
@@ -128,7 +131,7 @@
             ]
             background.append(tasks.create_task(self._name_limits()))
             await self._send_all(tasks)
-            for task in background:
+            for task in [*background, *self._exchanges]:
                 task.cancel()
 
     async def _name_limits(self) -> None:
@@ -147,6 +150,7 @@
         await asyncio.sleep(at_s)
         number %= len(self.gateways)
         self.gateways[number].kill()
+        self._exchanges[number].cancel()
         self.gateways[number] = self._gateway()
         self.restarted.add(self.gateways[number].name)
         await asyncio.sleep(1.0)
--- a/bilberrydeal/gateway/tests/test_retry_load.py
+++ b/bilberrydeal/gateway/tests/test_retry_load.py
@@ -51,7 +51,7 @@
 
     def _gateway(self) -> crashing_engines.GatewayProcess:
         gateway = crashing_engines.GatewayProcess(self._loop.time)
-        gateway.cluster.set_members(4)
+        gateway.cluster.set_gateways("g1", ["g2", "g3", "g4"])
         for engine in self.engines:
             gateway.add(engine)
         return gateway
--- a/bilberrydeal/systems/limits/__init__.py
+++ b/bilberrydeal/systems/limits/__init__.py
@@ -1,4 +1,4 @@
-"""Rate and concurrency limits of organisations across all entries."""
+"""Rate and concurrency limits across all processes."""
 
 from ._base import Admission
 from ._base import Limiter
@@ -12,6 +12,8 @@
 from ._messages import OrganisationShare
 from ._messages import OutgoingMessage
 from ._messages import ShareGrant
+from ._turns import ProcessGroup
+from ._turns import TurnShare
 
 __all__ = [
     "Admission",
@@ -24,6 +26,8 @@
     "OrganisationNeed",
     "OrganisationShare",
     "OutgoingMessage",
+    "ProcessGroup",
     "ShareGrant",
+    "TurnShare",
     "home_entry",
 ]
