Let workers of the gateway soak name request limits

The stand-in names a limit in every response, plain, streamed, prefill and error, and records each call that reaches it; the soak makes one worker or all of a kind name one, beside its other faults, and checks what workers got from the gateways that ran undisturbed.

--- a/scenarios/_gateway_invariants.py
+++ b/scenarios/_gateway_invariants.py
@@ -2,6 +2,7 @@
 
 import collections
 import heapq
+import itertools
 import pathlib
 
 from standins import _journal
@@ -15,19 +16,23 @@
 ADMITTED = 200
 #: Routes whose requests must run at most once.
 AT_MOST_ONCE = frozenset(["once", "tell"])
+#: Time from the first response that names a limit until it is kept, in
+#: seconds; and what a worker may get in a span beyond it.
+LIMIT_SETTLE_S = 3.0
+LIMIT_SPAN_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5.0
 
 
 def violations(
     folder: pathlib.Path,
     outcomes: list[_gateway_load.Outcome],
     key_changes: list[_gateways.KeyChange],
+    disturbances: list[_gateways.Disturbance],
 ) -> list[str]:
     """Return a sentence for each violation of an invariant."""
-    runs = [
-        run
-        for path in sorted(folder.glob("worker-*.jsonl"))
-        for run in _journal.load(path, users_endpoint.Execution)
-    ]
+    runs = _of_workers(folder, users_endpoint.Execution)
+    arrivals = _of_workers(folder, users_endpoint.Arrival)
     reports = _journal.load(folder / "store.jsonl", users_platform.UsageCall)
     return [
         *_runs_at_most_once(runs, outcomes),
@@ -38,6 +43,18 @@
         *_windows_are_reported_once(reports),
         *counts_are_never_too_high(reports, outcomes),
         *_fences_never_go_back(reports),
+        *limits_are_kept(arrivals, outcomes, disturbances),
+    ]
+
+
+def _of_workers(
+    folder: pathlib.Path, kind: type[_journal.Event]
+) -> list[_journal.Event]:
+    """Return the events of one class from all workers' journals."""
+    return [
+        event
+        for path in sorted(folder.glob("worker-*.jsonl"))
+        for event in _journal.load(path, kind)
     ]
 
 
@@ -187,3 +204,83 @@
         if holders.setdefault(call.fence, call.holder) != call.holder:
             problems.append(f"fencing token {call.fence} has two holders")
     return problems
+
+
+def limits_are_kept(
+    arrivals: list[users_endpoint.Arrival],
+    outcomes: list[_gateway_load.Outcome],
+    disturbances: list[_gateways.Disturbance],
+) -> list[str]:
+    """Workers get no more than the limits that they name.
+
+    Some time after a worker first named one, the gateways that run undisturbed
+    send it at most one and a half times that, and a few requests more.
+    """
+    processes = {each.request_id: each.process for each in outcomes}
+    return [
+        problem
+        for times in _limited_times(arrivals)
+        for problem in _excess(times, processes, disturbances)
+    ]
+
+
+def _limited_times(
+    arrivals: list[users_endpoint.Arrival],
+) -> list[list[users_endpoint.Arrival]]:
+    """Return the arrivals of each time in which a worker names one limit."""
+    by_worker = itertools.groupby(
+        sorted(arrivals, key=lambda each: (each.endpoint_id, each.at_s)),
+        lambda each: (each.endpoint_id, each.limit_per_s),
+    )
+    return [
+        list(times)
+        for (_worker, limit_per_s), times in by_worker
+        if limit_per_s is not None
+    ]
+
+
+def _excess(
+    times: list[users_endpoint.Arrival],
+    processes: dict[str, int],
+    disturbances: list[_gateways.Disturbance],
+) -> list[str]:
+    worker, limit_per_s = times[0].endpoint_id, times[0].limit_per_s or 0.0
+    allowed = LIMIT_FACTOR * limit_per_s * LIMIT_SPAN_S + LIMIT_SLACK
+    counted = [
+        each
+        for each in times
+        if each.at_s >= times[0].at_s + LIMIT_SETTLE_S
+        and not _excused(each, worker, processes, disturbances)
+    ]
+    for first in counted:
+        span = [
+            each
+            for each in counted
+            if first.at_s <= each.at_s < first.at_s + LIMIT_SPAN_S
+        ]
+        if len(span) > allowed:
+            return [
+                f"{worker} had named a limit of {limit_per_s:.2f} a second "
+                f"and got {len(span)} requests in {LIMIT_SPAN_S} s from "
+                f"{first.at_s:.3f}"
+            ]
+    return []
+
+
+def _excused(
+    arrival: users_endpoint.Arrival,
+    worker: str,
+    processes: dict[str, int],
+    disturbances: list[_gateways.Disturbance],
+) -> bool:
+    """Return whether the sender or the worker was disturbed by then."""
+    process = processes.get(arrival.request_id)
+    return any(
+        each.began_s <= arrival.at_s < each.ended_s + LIMIT_SETTLE_S
+        and (
+            each.member == worker
+            or process is None
+            or process in each.processes
+        )
+        for each in disturbances
+    )
--- a/scenarios/_gateways.py
+++ b/scenarios/_gateways.py
@@ -2,6 +2,7 @@
 
 import base64
 import collections.abc
+import contextlib
 import pathlib
 import time
 
@@ -52,6 +53,18 @@
     sent_s: float
 
 
+@attrs.frozen
+class Disturbance:
+    """A time in which a process did not run undisturbed."""
+
+    #: Name of the process.
+    member: str
+    #: Process ids at the beginning and at the end.
+    processes: frozenset[int]
+    began_s: float
+    ended_s: float
+
+
 @attrs.define(eq=False)
 class Member:
     """A process and the proxy in front of it."""
@@ -62,6 +75,8 @@
     proxy: _proxy.Proxy
     #: Proxy between a gateway and the store, ``None`` for others.
     store_proxy: _proxy.Proxy | None = None
+    #: Service and role of a worker, empty for others.
+    kind: str = ""
 
 
 class Fleet:
@@ -80,6 +95,8 @@
         self.version = 0
         #: Configurations that were written.
         self.key_changes: list[KeyChange] = []
+        #: Processes that were killed, stopped or paused.
+        self.disturbances: list[Disturbance] = []
         self.store = self._store()
         self.gateways = [self._gateway(n) for n in range(size.gateways)]
         self.workers = [
@@ -161,6 +178,25 @@
         call = {"age_s": age_s, "away_s": away_s}
         await self._post(self.store, STORE_PORT, "/standin/restore", call)
 
+    @contextlib.contextmanager
+    def disturbed(self, member: Member) -> collections.abc.Iterator[None]:
+        """Record that a process is disturbed."""
+        process, began_s = member.process.pid, time.time()
+        try:
+            yield
+        finally:
+            processes = frozenset([process, member.process.pid])
+            self.disturbances.append(
+                Disturbance(member.name, processes, began_s, time.time())
+            )
+
+    async def set_worker_limit(
+        self, worker: Member, limit_per_s: float | None
+    ) -> None:
+        """Let a worker name a limit of requests a second, or none."""
+        call = {"limit_per_s": limit_per_s}
+        await self._post(worker, WORKER_PORT, "/standin/limit", call)
+
     async def set_worker_faults(
         self, worker: Member, **faults: object
     ) -> None:
@@ -254,13 +290,15 @@
         ]
         if stage:
             arguments += ["--stage", stage]
-        return self._member(
+        member = self._member(
             name,
             address,
             self.places.front(host),
             ("standins.users_endpoint", tuple(arguments)),
             (WORKER_PORT,),
         )
+        member.kind = f"{service} {stage}"
+        return member
 
     def _member(
         self,
--- a/scenarios/gateway_soak.py
+++ b/scenarios/gateway_soak.py
@@ -32,6 +32,11 @@
 MAX_COPY_AGE_S = 5.0
 #: Longest time that the store is away before it comes back, in seconds.
 MAX_AWAY_S = 1.5
+#: Limits that workers name, in requests a second; for how long, in seconds;
+#: and how often all workers of a kind do.
+LIMITS_PER_S = (0.3, 6.0)
+LIMITED_S = (6.0, 12.0)
+ALL_LIMITED_SHARE = 0.3
 #: Concurrent sources of faults, so that faults overlap.
 FAULT_SOURCES = 3
 #: Requests per second.
@@ -62,9 +67,10 @@
 async def kill_gateway(fleet: _gateways.Fleet, rng: random.Random) -> None:
     """Kill a gateway and restart it."""
     gateway = rng.choice(fleet.gateways)
-    gateway.process.kill()
-    await sleep_fault_duration(rng)
-    await restart(gateway)
+    with fleet.disturbed(gateway):
+        gateway.process.kill()
+        await sleep_fault_duration(rng)
+        await restart(gateway)
 
 
 @FAULTS.register("terminate_gateway")
@@ -73,35 +79,37 @@
 ) -> None:
     """Terminate a gateway gracefully and restart it."""
     gateway = rng.choice(fleet.gateways)
-    if gateway.process.alive:
-        gateway.process.terminate()
 
     async def ended() -> bool:
         return not gateway.process.alive
 
-    await _waits.eventually(ended, f"{gateway.name} to exit")
-    await restart(gateway)
+    with fleet.disturbed(gateway):
+        if gateway.process.alive:
+            gateway.process.terminate()
+        await _waits.eventually(ended, f"{gateway.name} to exit")
+        await restart(gateway)
 
 
 @FAULTS.register("pause_gateway")
 async def pause_gateway(fleet: _gateways.Fleet, rng: random.Random) -> None:
     """Pause a gateway."""
-    await _pause(rng.choice(fleet.gateways), rng)
+    await _pause(fleet, rng.choice(fleet.gateways), rng)
 
 
 @FAULTS.register("kill_worker")
 async def kill_worker(fleet: _gateways.Fleet, rng: random.Random) -> None:
     """Kill a worker and restart it under the same id."""
     worker = rng.choice(fleet.workers)
-    worker.process.kill()
-    await sleep_fault_duration(rng)
-    await restart(worker)
+    with fleet.disturbed(worker):
+        worker.process.kill()
+        await sleep_fault_duration(rng)
+        await restart(worker)
 
 
 @FAULTS.register("pause_worker")
 async def pause_worker(fleet: _gateways.Fleet, rng: random.Random) -> None:
     """Pause a worker."""
-    await _pause(rng.choice(fleet.workers), rng)
+    await _pause(fleet, rng.choice(fleet.workers), rng)
 
 
 @FAULTS.register("worker_misbehaves")
@@ -131,6 +139,21 @@
     await _ignore_errors(fleet.set_worker_faults(worker))
 
 
+@FAULTS.register("worker_limits")
+async def worker_limits(fleet: _gateways.Fleet, rng: random.Random) -> None:
+    """Make one worker, or all of a kind, name a limit of requests."""
+    worker = rng.choice(fleet.workers)
+    limited = [worker]
+    if rng.random() < ALL_LIMITED_SHARE:
+        limited = [each for each in fleet.workers if each.kind == worker.kind]
+    limit_per_s = rng.uniform(*LIMITS_PER_S)
+    for each in limited:
+        await _ignore_errors(fleet.set_worker_limit(each, limit_per_s))
+    await asyncio.sleep(rng.uniform(*LIMITED_S))
+    for each in limited:
+        await _ignore_errors(fleet.set_worker_limit(each, None))
+
+
 @FAULTS.register("store_fails")
 async def store_fails(fleet: _gateways.Fleet, rng: random.Random) -> None:
     """Make the store refuse, hang, lose answers, lag or lose data."""
@@ -166,13 +189,14 @@
 ) -> None:
     """Restore the store while a gateway, perhaps the holder, is paused."""
     gateway = rng.choice(fleet.gateways)
-    if gateway.process.alive:
-        gateway.process.pause()
-    await sleep_fault_duration(rng)
-    await store_restored(fleet, rng)
-    await sleep_fault_duration(rng)
-    if gateway.process.alive:
-        gateway.process.resume()
+    with fleet.disturbed(gateway):
+        if gateway.process.alive:
+            gateway.process.pause()
+        await sleep_fault_duration(rng)
+        await store_restored(fleet, rng)
+        await sleep_fault_duration(rng)
+        if gateway.process.alive:
+            gateway.process.resume()
 
 
 @FAULTS.register("gateway_loses_store")
@@ -188,7 +212,9 @@
 @FAULTS.register("worker_cut_off")
 async def worker_cut_off(fleet: _gateways.Fleet, rng: random.Random) -> None:
     """Stall, delay or refuse connections to a worker."""
-    await _impair_proxy(rng.choice(fleet.workers).proxy, rng)
+    worker = rng.choice(fleet.workers)
+    with fleet.disturbed(worker):
+        await _impair_proxy(worker.proxy, rng)
 
 
 @FAULTS.register("connections_go")
@@ -218,13 +244,16 @@
     await fleet.configure()
 
 
-async def _pause(member: _gateways.Member, rng: random.Random) -> None:
+async def _pause(
+    fleet: _gateways.Fleet, member: _gateways.Member, rng: random.Random
+) -> None:
     if not member.process.alive:
         return
-    member.process.pause()
-    await sleep_fault_duration(rng)
-    if member.process.alive:
-        member.process.resume()
+    with fleet.disturbed(member):
+        member.process.pause()
+        await sleep_fault_duration(rng)
+        if member.process.alive:
+            member.process.resume()
 
 
 async def _impair_proxy(proxy: _proxy.Proxy, rng: random.Random) -> None:
@@ -255,10 +284,11 @@
     fleet: _gateways.Fleet,
     rng: random.Random,
     counts: "collections.Counter[str]",
+    names: collections.abc.Sequence[str],
 ) -> None:
     while True:
         await asyncio.sleep(rng.uniform(0.0, MAX_PAUSE_S))
-        name = rng.choice(FAULTS.names())
+        name = rng.choice(names)
         counts[name] += 1
         await FAULTS.get(name)(fleet, rng)
 
@@ -278,6 +308,7 @@
         await restart(member)
     for worker in fleet.workers:
         await _ignore_errors(fleet.set_worker_faults(worker))
+        await _ignore_errors(fleet.set_worker_limit(worker, None))
     await fleet.configure()
     for gateway in fleet.gateways:
         # A gateway that was draining may exit only now.
@@ -306,8 +337,9 @@
     duration_s: float,
     folder: pathlib.Path,
     size: _gateways.FleetSize | None = None,
+    faults: collections.abc.Sequence[str] = (),
 ) -> list[str]:
-    """Run a fleet under faults; return the violations found."""
+    """Run a fleet under some faults, or all; return the violations found."""
     rng = random.Random(seed)
     counts: collections.Counter[str] = collections.Counter()
     async with _gateways.Fleet(size or _gateways.FleetSize(), folder) as fleet:
@@ -315,7 +347,12 @@
         tasks = [asyncio.create_task(callers.load(LOAD_PER_S))]
         tasks += [
             asyncio.create_task(
-                _apply_faults(fleet, random.Random(rng.random()), counts)
+                _apply_faults(
+                    fleet,
+                    random.Random(rng.random()),
+                    counts,
+                    faults or FAULTS.names(),
+                )
             )
             for _ in range(FAULT_SOURCES)
         ]
@@ -335,7 +372,7 @@
             problems.append(str(error))
         await asyncio.sleep(SETTLE_S)
         problems += _gateway_invariants.violations(
-            folder, callers.outcomes, fleet.key_changes
+            folder, callers.outcomes, fleet.key_changes, fleet.disturbances
         )
     statuses = collections.Counter(each.status for each in callers.outcomes)
     print(f"seed {seed}: {dict(counts)}, answers {dict(statuses)}")
@@ -352,12 +389,16 @@
     duration_s: float = 60.0,
     gateways: int = 2,
     folder: pathlib.Path | None = None,
+    faults: list[str] | None = None,
 ) -> None:
-    """Run one seed; logs and journals are written to the folder."""
+    """Run one seed; logs and journals are written to the folder.
+
+    Without ``faults`` all kinds of them are injected.
+    """
     chosen = folder or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     chosen.mkdir(parents=True, exist_ok=True)
     size = _gateways.FleetSize(gateways=gateways)
-    problems = uvloop.run(soak(seed, duration_s, chosen, size))
+    problems = uvloop.run(soak(seed, duration_s, chosen, size, faults or ()))
     for problem in problems:
         print(f"broken: {problem}")
     print(f"logs in {chosen}")
--- a/scenarios/tests/test_gateway_invariants.py
+++ b/scenarios/tests/test_gateway_invariants.py
@@ -5,6 +5,7 @@
 from scenarios import _gateway_invariants
 from scenarios import _gateway_load
 from scenarios import _gateways
+from standins import users_endpoint
 from standins import users_platform
 
 BOTH = frozenset(["russo", "derwent"])
@@ -69,3 +70,49 @@
     ]
     found = _gateway_invariants.counts_are_never_too_high(reports, outcomes)
     assert len(found) == problems
+
+
+def _arrivals(
+    count: int, from_s: float, limit_per_s: float | None = 2.0
+) -> list[users_endpoint.Arrival]:
+    return [
+        users_endpoint.Arrival("q1", "worker-1", from_s, limit_per_s)
+        for _ in range(count)
+    ]
+
+
+_PAUSED = _gateways.Disturbance("gateway-0", frozenset([1]), 2.0, 6.0)
+
+
+@pytest.mark.parametrize(
+    ("arrivals", "disturbances", "problems"),
+    [
+        # 17 are allowed of a limit of 2.0.
+        ([*_arrivals(1, 0.0), *_arrivals(17, 5.0)], [], 0),
+        ([*_arrivals(1, 0.0), *_arrivals(18, 5.0)], [], 1),
+        ([*_arrivals(1, 0.0), *_arrivals(9, 5.0), *_arrivals(9, 8.9)], [], 1),
+        ([*_arrivals(1, 0.0), *_arrivals(9, 5.0), *_arrivals(9, 9.1)], [], 0),
+        # Gateways may not know the limit yet.
+        ([*_arrivals(1, 0.0), *_arrivals(30, 2.0)], [], 0),
+        # Another limit was named in between.
+        ([*_arrivals(1, 0.0, 1.0), *_arrivals(18, 5.0)], [], 0),
+        ([*_arrivals(1, 0.0), *_arrivals(18, 5.0, None)], [], 0),
+        # The gateway that sent them has been paused.
+        ([*_arrivals(1, 0.0), *_arrivals(18, 5.0)], [_PAUSED], 0),
+        ([*_arrivals(1, 0.0), *_arrivals(18, 9.5)], [_PAUSED], 1),
+        (
+            [*_arrivals(1, 0.0), *_arrivals(18, 5.0)],
+            [_gateways.Disturbance("gateway-1", frozenset([2]), 2.0, 6.0)],
+            1,
+        ),
+    ],
+)
+def test_worker_gets_no_more_than_the_limit_that_it_names(
+    arrivals: list[users_endpoint.Arrival],
+    disturbances: list[_gateways.Disturbance],
+    problems: int,
+) -> None:
+    found = _gateway_invariants.limits_are_kept(
+        arrivals, [_outcome(200, 0.0, 1.0)], disturbances
+    )
+    assert len(found) == problems
--- a/scenarios/tests/test_gateway_soak.py
+++ b/scenarios/tests/test_gateway_soak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from scenarios import _gateways
 from scenarios import gateway_soak
 
 #: Seeds that once failed, with the cause.
@@ -13,6 +14,7 @@
 }
 NEW_SEEDS = (101,)
 DURATION_S = 6.0
+LIMITS_DURATION_S = 14.0
 
 
 @pytest.mark.parametrize("seed", [*NEW_SEEDS, *REGRESSION_SEEDS])
@@ -20,3 +22,19 @@
     seed: int, tmp_path: pathlib.Path
 ) -> None:
     assert await gateway_soak.soak(seed, DURATION_S, tmp_path) == []
+
+
+@pytest.mark.parametrize(
+    ("seed", "gateways"), [(301, 1), (302, 4)], ids=["one", "four"]
+)
+async def test_request_limits_are_kept_beside_restarts_of_gateways(
+    seed: int, gateways: int, tmp_path: pathlib.Path
+) -> None:
+    problems = await gateway_soak.soak(
+        seed,
+        LIMITS_DURATION_S,
+        tmp_path,
+        _gateways.FleetSize(gateways=gateways),
+        ("worker_limits", "worker_limits", "kill_gateway", "pause_gateway"),
+    )
+    assert problems == []
--- a/standins/users_endpoint/_app.py
+++ b/standins/users_endpoint/_app.py
@@ -24,6 +24,8 @@
 HEARTBEAT_INTERVAL_S = 0.25
 #: Prefill rate, in prompt tokens per second.
 PREFILL_TOKENS_PER_S = 300_000.0
+#: Path prefix of the calls that control the stand-in.
+STANDIN_PATH = "/standin/"
 
 
 @attrs.frozen
@@ -40,6 +42,18 @@
     at_s: float
 
 
+@attrs.frozen
+class Arrival:
+    """Journal event of a call that reached the worker, run or not."""
+
+    #: Empty for a call that no caller's request needs, as an order.
+    request_id: str
+    endpoint_id: str
+    at_s: float
+    #: Limit that its response names, in requests a second.
+    limit_per_s: float | None
+
+
 @attrs.define
 class Behaviour:
     """Faults to inject; set by tests."""
@@ -74,6 +88,8 @@
     orders: int = 0
     changing: bool = False
     leaving: bool = False
+    #: Requests a second that it says it takes, ``None`` to say nothing.
+    limit_per_s: float | None = None
     rng: random.Random = attrs.field(factory=lambda: random.Random(1))
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -116,6 +132,37 @@
         self.behaviour = Behaviour(**call)
         return _serve.json_response(_serve.EmptyBody())
 
+    async def set_limit(self, request: web.Request) -> web.StreamResponse:
+        """Set the limit to name in all responses."""
+        call = msgspec.json.decode(await request.read())
+        self.limit_per_s = call["limit_per_s"]
+        return _serve.json_response(_serve.EmptyBody())
+
+    async def name_limit(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Name the limit in a response."""
+        if request.path.startswith(STANDIN_PATH):
+            return
+        if self.limit_per_s is not None:
+            response.headers["Server-Limit"] = f"{self.limit_per_s:.2f}"
+
+    @web.middleware
+    async def record_arrival(
+        self, request: web.Request, handler: _serve.Handler
+    ) -> web.StreamResponse:
+        """Record a call before it is handled."""
+        if not request.path.startswith(STANDIN_PATH):
+            self.journal.append(
+                Arrival(
+                    request.headers.get("Request-Id", ""),
+                    self.endpoint_id,
+                    time.time(),
+                    self.limit_per_s,
+                )
+            )
+        return await handler(request)
+
     async def serve(self, request: web.Request) -> web.StreamResponse:
         """Serve a forwarded request."""
         await request.read()
@@ -283,7 +330,11 @@
         yield
         task.cancel()
 
-    app = web.Application(client_max_size=_serve.MAX_BODY_BYTES)
+    app = web.Application(
+        client_max_size=_serve.MAX_BODY_BYTES,
+        middlewares=[worker.record_arrival],
+    )
+    app.on_response_prepare.append(worker.name_limit)
     app.cleanup_ctx.append(run_heartbeats)
     app.add_routes(
         [
@@ -293,6 +344,7 @@
                 "/bilberrydeal/kv-handle/{handle}", worker.release_handle
             ),
             web.post("/standin/behave", worker.set_behaviour),
+            web.post("/standin/limit", worker.set_limit),
             web.route("*", "/{rest:.*}", worker.serve),
         ]
     )
