Prefill no prompt that the limits of all decode engines leave no room for

Callers were refused late, and prefill engines worked in vain, where every decode engine names a request limit: the limit was looked at when the prefill had ended, so all prompts of that time passed for each request that an engine still took.

A prompt is now prefilled only while the decode engines' shares have more requests left than prompts are being prefilled at this gateway; otherwise the caller is told at once when to come back. Engines without a limit are not looked at, so that a decode engine which is away for a moment changes nothing.

--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -123,7 +123,8 @@
             await self._generate(stream, upstream, placed, None)
             return
         try:
-            source = await self._prefill(stream, upstream, placed)
+            with self._placement.decode_reserved(stream):
+                source = await self._prefill(stream, upstream, placed)
         except _sending.Lost as error:
             if stream.too_late and not stream.retry_allowed:
                 raise self._placement.late_refusal(stream) from error
--- a/bilberrydeal/gateway/_stream_placement.py
+++ b/bilberrydeal/gateway/_stream_placement.py
@@ -1,6 +1,8 @@
 """Places streams at engines, and decides when to look for another one."""
 
+import collections
 import collections.abc
+import contextlib
 
 import attrs
 
@@ -50,6 +52,9 @@
         self._retry_policy = retry_policy
         self._failure_domain = failure_domain
         self._clock = clock
+        #: Prompts that are being prefilled before another engine decodes, by
+        #: service.
+        self._prefilling: collections.Counter[str] = collections.Counter()
 
     def place(
         self, stream: _client_stream.ClientStream, now_s: float
@@ -142,6 +147,35 @@
             raise _sending.Rejected("no decode engine available")
         return self._cluster.endpoints[engine_id]
 
+    @contextlib.contextmanager
+    def decode_reserved(
+        self, stream: _client_stream.ClientStream
+    ) -> collections.abc.Iterator[None]:
+        """Reserve a decode while a prompt is prefilled; raises ``Refusal``.
+
+        Where all decode engines limit requests, fewer prompts may be decoded
+        than could be prefilled.
+        """
+        service = stream.admitted.service
+        now_s = self._clock()
+        shares = [
+            upstream.limit.share
+            for upstream in self._cluster.of_service(service)
+            if upstream.endpoint.ready
+            and upstream.load is not None
+            and not upstream.load.prefill_only
+        ]
+        available = sum(share.available(now_s) for share in shares)
+        if shares and available <= self._prefilling[service]:
+            raise _requests.failure_refusal(
+                stream.progress, "the limits of all decode engines are used up"
+            )
+        self._prefilling[service] += 1
+        try:
+            yield
+        finally:
+            self._prefilling[service] -= 1
+
     def patience(
         self, stream: _client_stream.ClientStream, placed: placement.Placement
     ) -> _sending.Patience | None:
--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -17,11 +17,14 @@
 from ... import telemetry
 from ...systems import health
 from ...systems import placement
+from ...systems import quarantine
 from ...systems import retries
 from .. import _cluster_state
 from .. import _datagrams
 from .. import _limit_broadcast
+from .. import _metrics
 from .. import _plain
+from .. import _quarantine
 from .. import _requests
 from .. import _retry_policy
 from .. import _sending
@@ -33,6 +36,8 @@
 LIMITS = retries.WindowLimits(window_s=10.0, ratio=0.2, base_allowance=52.0)
 #: Time to open a connection, or to learn that it is refused, in seconds.
 CONNECT_S = 0.001
+#: Time from the start of a run until it crashes its engine, in seconds.
+CRASH_S = 0.02
 #: Time from a crash until the registration is gone, in seconds.
 LEASE_S = 2.6
 #: Time of a prefill and until the first event of a stream, in seconds.
@@ -104,6 +109,8 @@
     endpoint: catalogue.Endpoint
     traffic: Traffic
     crashed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    #: Body of requests that crash it once it begins to run them.
+    crashing_body: bytes | None = None
     #: Requests a second that it says it takes, infinite if it says nothing.
     limit_per_s: float = math.inf
     #: When it first named a limit to each gateway.
@@ -147,6 +154,10 @@
                     self._engine.endpoint.endpoint_id,
                 )
             )
+        if body == self._engine.crashing_body and not self._prefill:
+            asyncio.get_running_loop().call_later(
+                CRASH_S, self._engine.crashed.set
+            )
 
     async def head(self) -> http1.ResponseHead:
         """Return a head unless the engine crashes before."""
@@ -274,6 +285,7 @@
         clock: collections.abc.Callable[[], float],
         name: str = "g1",
         network: Network | None = None,
+        quarantine_system: str = "never",
     ) -> None:
         self.clock = clock
         self.name = name
@@ -289,7 +301,18 @@
         )
         uplink = _uplink.Uplink(1_000.0, clock)
         self.tracing = telemetry.Tracing(settings.TraceSettings(), "gateway")
-        quarantine = harness.new_quarantine("never", clock, datagrams)
+        host, port = address_of(name)
+        self._quarantine = _quarantine.PartQuarantine(
+            quarantine.QUARANTINES.get(quarantine_system)(),
+            datagrams,
+            name,
+            f"{host}:{port}",
+            lambda: self._peers,
+            lambda: False,
+            _metrics.GatewayMetrics(),
+            random.Random(1),
+            clock,
+        )
         self._limit_broadcast = _limit_broadcast.LimitBroadcast(
             datagrams, self.cluster, name, lambda: self._peers, clock
         )
@@ -298,7 +321,7 @@
             self.policy,
             uplink,
             self.tracing,
-            quarantine,
+            self._quarantine,
             clock,
         )
         self.stream = _stream.StreamServer(
@@ -309,7 +332,7 @@
             placement.PLACERS.get("two_stage")(),
             uplink,
             "d1",
-            quarantine,
+            self._quarantine,
             clock,
         )
         self.plain = _plain.PlainServer(
@@ -318,7 +341,7 @@
             self.policy,
             harness.FakeUsageCounter(),
             "d1",
-            quarantine,
+            self._quarantine,
             clock,
         )
         self.running: set[asyncio.Task[int]] = set()
@@ -331,11 +354,18 @@
         )
 
     async def run(self) -> None:
-        """Exchange datagrams until cancelled."""
-        await periodic.run_periodically(
-            "limits",
-            lambda: _limit_broadcast.INTERVAL_S,
-            self._limit_broadcast.run_once,
+        """Decide and exchange datagrams until cancelled."""
+        await asyncio.gather(
+            periodic.run_periodically(
+                "limits",
+                lambda: _limit_broadcast.INTERVAL_S,
+                self._limit_broadcast.run_once,
+            ),
+            periodic.run_periodically(
+                "quarantine",
+                lambda: _quarantine.INTERVAL_S,
+                self._quarantine.run_once,
+            ),
         )
 
     def add(self, engine: Engine) -> None:
--- a/bilberrydeal/gateway/tests/test_request_limits.py
+++ b/bilberrydeal/gateway/tests/test_request_limits.py
@@ -247,3 +247,13 @@
     before = play.arrived_s(play.endpoints[0], 0.0, NAMES_S)
     after = play.arrived_s(play.endpoints[0], END_S - NAMES_S, END_S)
     assert len(after) >= len(before) / 2
+
+
+def test_prompts_are_not_prefilled_in_vain_where_decoding_is_limited() -> None:
+    play = _played(LOADS["stream_decoding_limited"], 5)
+    from_s, to_s = NAMES_S + SETTLE_S, CEASES_S
+    decoded, *prefilled = (
+        len(play.arrived_s(endpoint, from_s, to_s))
+        for endpoint in play.endpoints
+    )
+    assert sum(prefilled) <= 2 * decoded
--- a/bilberrydeal/systems/limits/_turns.py
+++ b/bilberrydeal/systems/limits/_turns.py
@@ -104,6 +104,14 @@
         missing = 1.0 - self._tokens.level
         return max(missing / division.rate_per_s, 0.0)
 
+    def available(self, now_s: float) -> float:
+        """Return how many requests may be sent now, infinite for no limit."""
+        if self.wait_s(now_s):
+            return 0.0
+        if math.isinf(self.rate_per_s):
+            return math.inf
+        return float(int(self._tokens.level))
+
     def take(self, now_s: float) -> bool:
         """Take a request from this process's part; return whether it may."""
         if self.wait_s(now_s):
