--- a/bilberrydeal/gateway/_cluster_state.py
+++ b/bilberrydeal/gateway/_cluster_state.py
@@ -265,6 +265,13 @@
         for upstream in self.endpoints.values():
             self._set_limits(upstream)
 
+    def limited_count(self) -> int:
+        """Return the number of endpoints that name a limit now."""
+        return sum(
+            math.isfinite(upstream.limit.limit_per_s)
+            for upstream in self.limited.values()
+        )
+
     def of_service(self, service: str) -> list[Upstream]:
         """Return the endpoints of a service."""
         return list(self._by_service.get(service, {}).values())
--- a/bilberrydeal/gateway/_metrics.py
+++ b/bilberrydeal/gateway/_metrics.py
@@ -18,6 +18,8 @@
     configuration_version: int
     store_age_s: float
     endpoints: int
+    #: Endpoints that limit the requests of all gateways.
+    endpoints_limited: int
     gateways: int
     requests_open: int
     lease_held: bool
@@ -65,6 +67,7 @@
                 ("configuration_version", "Version in force."),
                 ("store_age_seconds", "Time since the store answered."),
                 ("endpoints", "Endpoints that are known."),
+                ("endpoints_limited", "Endpoints that limit requests."),
                 ("gateways", "Gateways that are alive."),
                 ("requests_open", "Requests being read or served."),
                 ("lease_held", "Whether this process has the duties."),
@@ -112,6 +115,7 @@
             ("configuration_version", state.configuration_version),
             ("store_age_seconds", state.store_age_s),
             ("endpoints", state.endpoints),
+            ("endpoints_limited", state.endpoints_limited),
             ("gateways", state.gateways),
             ("requests_open", state.requests_open),
             ("lease_held", int(state.lease_held)),
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -378,6 +378,7 @@
             ),
             store_age_s=self._connectivity.age_s(self._clock()),
             endpoints=len(self._cluster.endpoints),
+            endpoints_limited=self._cluster.limited_count(),
             gateways=self._cluster.members,
             requests_open=self._caller_server.requests_open,
             lease_held=self._coordination.lease_held,
