Show that a request which crashes endpoints is sent to further ones

A caller sends the same request again and again at any gateway; each endpoint that runs it crashes and is back after 2 s.

--- /dev/null
+++ b/bilberrydeal/gateway/tests/test_crashing_requests.py
@@ -0,0 +1,234 @@
+"""A request that crashes each endpoint that runs it and comes again."""
+
+import asyncio
+import itertools
+import random
+
+import attrs
+import pytest
+
+from ... import catalogue
+from ... import ports
+from ...store.tests import virtual
+from . import crashing_engines
+
+#: Crashes by which a request has to be known, the time until then, in
+#: seconds, and how often it may be sent afterwards.
+KNOWN_AFTER_CRASHES = 3
+KNOWN_WITHIN_S = 3.0
+SENT_AFTERWARDS = 3
+#: Time from a crash until the endpoint is back as another process.
+BACK_S = 2.0
+LENGTH_S = 40.0
+BAD_BODY = b"bad"
+
+
+@attrs.frozen
+class Load:
+    """A fleet, and a caller that sends a crashing request again and again."""
+
+    gateways: int
+    #: Roles of the endpoints, empty for plain ones.
+    roles: tuple[str, ...]
+    route: str
+    #: Longest time between two attempts of the crashing request.
+    interval_s: float
+    restarts_s: tuple[float, ...] = ()
+    #: Sound requests of all callers, in requests per second.
+    requests_per_s: float = 25.0
+
+
+_PLAIN = ("", "", "", "")
+_DECODE = ("decode", "decode", "decode", "decode")
+_STAGES = ("prefill", "decode", "prefill", "decode", "decode")
+LOADS = {
+    "plain_one_gateway": Load(1, _PLAIN, "read", 2.0),
+    "plain": Load(4, _PLAIN, "read", 2.0),
+    "plain_once": Load(4, _PLAIN, "once", 1.0),
+    "plain_often": Load(4, _PLAIN, "read", 0.2),
+    "plain_seldom": Load(4, _PLAIN, "once", 5.0),
+    "plain_31_gateways": Load(31, _PLAIN, "read", 1.0),
+    "stream_one_gateway": Load(1, _DECODE, "chat", 2.0),
+    "stream": Load(4, _DECODE, "chat", 1.0),
+    "stream_once": Load(4, _DECODE, "chat-once", 1.0),
+    "stream_stages": Load(4, _STAGES, "chat", 1.0),
+    "stream_31_gateways": Load(31, _DECODE, "chat", 0.5),
+    "beside_restarts": Load(
+        4, _PLAIN, "read", 0.5, restarts_s=(8.0, 9.0, 15.0, 15.1, 22.0, 30.0)
+    ),
+}
+
+
+class _Play:
+    """Plays a load on virtual time."""
+
+    def __init__(
+        self, load: Load, seed: int, loop: virtual.VirtualLoop
+    ) -> None:
+        self._load = load
+        self._random = random.Random(seed)
+        self._loop = loop
+        self._ids = itertools.count(1)
+        self.traffic = crashing_engines.Traffic()
+        self._network = crashing_engines.Network(seed)
+        self._running: dict[str, asyncio.Task[None]] = {}
+        self.endpoints: list[crashing_engines.Engine] = []
+        self.crashes_s: list[float] = []
+        self.bad_statuses: list[int] = []
+        self.gateways = [self._gateway() for _ in range(load.gateways)]
+        self._announce()
+
+    def _gateway(self) -> crashing_engines.GatewayProcess:
+        gateway = crashing_engines.GatewayProcess(
+            self._loop.time,
+            f"g{next(self._ids)}",
+            self._network,
+            "crash_counts",
+        )
+        for endpoint in self.endpoints:
+            gateway.add(endpoint)
+        self._running[gateway.name] = self._loop.create_task(gateway.run())
+        return gateway
+
+    def _announce(self) -> None:
+        for gateway in self.gateways:
+            gateway.join([each.name for each in self.gateways])
+
+    def _endpoint(self, number: int, role: str) -> crashing_engines.Engine:
+        endpoint = crashing_engines.Engine(
+            catalogue.Endpoint(
+                endpoint_id=f"e{next(self._ids)}",
+                service=crashing_engines.SERVICE if role else "shop",
+                host="127.0.0.1",
+                port=1,
+                failure_domain=f"d{number}",
+                ready=True,
+                role=ports.EngineRole(role) if role else None,
+                slots=64,
+                started_ms=1,
+            ),
+            self.traffic,
+            crashing_body=BAD_BODY,
+        )
+        self.endpoints.append(endpoint)
+        for gateway in self.gateways:
+            gateway.add(endpoint)
+        return endpoint
+
+    async def run(self) -> None:
+        """Play the load to its end."""
+        async with asyncio.TaskGroup() as tasks:
+            background = [
+                tasks.create_task(self._keep(number, role))
+                for number, role in enumerate(self._load.roles)
+            ]
+            background += [
+                tasks.create_task(self._restart(number, at_s))
+                for number, at_s in enumerate(self._load.restarts_s)
+            ]
+            background.append(tasks.create_task(self._send_bad()))
+            await self._send_sound(tasks)
+            for task in [*background, *self._running.values()]:
+                task.cancel()
+
+    async def _keep(self, number: int, role: str) -> None:
+        """Start an endpoint again whenever it has crashed."""
+        while True:
+            endpoint = self._endpoint(number, role)
+            await endpoint.crashed.wait()
+            self.crashes_s.append(self._loop.time())
+            await asyncio.sleep(BACK_S)
+            self.endpoints.remove(endpoint)
+            for gateway in self.gateways:
+                gateway.cluster.remove_endpoint(
+                    endpoint.endpoint.endpoint_id, "lease expired"
+                )
+
+    async def _restart(self, number: int, at_s: float) -> None:
+        await asyncio.sleep(at_s)
+        number %= len(self.gateways)
+        self.gateways[number].kill()
+        self._running.pop(self.gateways[number].name).cancel()
+        self.gateways[number] = self._gateway()
+        self._announce()
+
+    async def _send_bad(self) -> None:
+        """Send the crashing request again and again, at any gateway."""
+        while True:
+            await asyncio.sleep(
+                self._random.uniform(0.2, 1.0) * self._load.interval_s
+            )
+            gateway = self._random.choice(self.gateways)
+            task = gateway.start(
+                b"bad%d" % next(self._ids), self._load.route, BAD_BODY
+            )
+            await asyncio.wait([task])
+            if not task.cancelled():
+                self.bad_statuses.append(task.result())
+
+    async def _send_sound(self, tasks: asyncio.TaskGroup) -> None:
+        """Send sound requests, some of them alike."""
+        end_s = self._loop.time() + LENGTH_S
+        while self._loop.time() < end_s:
+            gateway = self._random.choice(self.gateways)
+            request_id = b"r%d" % next(self._ids)
+            body = self._random.choice([request_id, b"same"])
+            tasks.create_task(self._call(gateway, request_id, body))
+            await asyncio.sleep(
+                self._random.expovariate(self._load.requests_per_s)
+            )
+
+    async def _call(
+        self,
+        gateway: crashing_engines.GatewayProcess,
+        request_id: bytes,
+        body: bytes,
+    ) -> None:
+        task = gateway.start(request_id, self._load.route, body)
+        await asyncio.wait([task])
+        if not task.cancelled():
+            self.traffic.statuses[task.result()] += 1
+
+    def sent_after_it_is_known(self) -> int:
+        """Return how often the request was run once it had to be known."""
+        if len(self.crashes_s) < KNOWN_AFTER_CRASHES:
+            return 0
+        known_s = self.crashes_s[KNOWN_AFTER_CRASHES - 1] + KNOWN_WITHIN_S
+        return sum(
+            arrival.at_s > known_s and not arrival.prefill
+            for arrival in self.traffic.arrivals
+            if arrival.request_id.startswith(b"bad")
+        )
+
+
+def _played(load: Load, seed: int) -> _Play:
+    loop = virtual.VirtualLoop()
+    asyncio.set_event_loop(loop)
+    play = _Play(load, seed, loop)
+    loop.run(play.run())
+    loop.close()
+    return play
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("load", LOADS.values(), ids=LOADS)
+def test_request_that_crashed_three_endpoints_is_kept_from_others(
+    load: Load, seed: int
+) -> None:
+    play = _played(load, seed)
+    assert len(play.crashes_s) >= KNOWN_AFTER_CRASHES
+    assert play.sent_after_it_is_known() <= SENT_AFTERWARDS
+
+
+@pytest.mark.parametrize("name", ["plain", "stream", "beside_restarts"])
+def test_sound_requests_are_served_beside_one_that_crashes_endpoints(
+    name: str,
+) -> None:
+    play = _played(LOADS[name], 3)
+    statuses = play.traffic.statuses
+    assert statuses[200] >= 0.8 * statuses.total()
+
+
+def test_request_that_crashes_endpoints_is_refused_as_not_run() -> None:
+    play = _played(LOADS["plain"], 4)
+    assert play.bad_statuses[-1] == 503
