Keep a request that crashes endpoints from further ones

Cause: the quarantine knew parts of prompts only. A lost endpoint of a plain service was not recorded at all, and of a prompt the last part was left out, so that repetitions of one request were different ones. Ruled out: the threshold alone (nothing was recorded), and the retry within a request (it came back at other gateways).

A request is now a suspect by itself, beside the parts of its prompt: a fingerprint of its method, host, target, organisation and body, which its repetitions share at all gateways. Three crashes under it suffice, since it is the same each time; a completed run clears it, as it does parts. The rest of the quarantine is as before: evidence and decisions by datagram, rows in the store, one probe in a quarter of an hour. Requests have places of their own in its memory, so that they displace no parts.

--- a/bilberrydeal/errors/_codes.py
+++ b/bilberrydeal/errors/_codes.py
@@ -38,6 +38,7 @@
     ENDPOINT_LEAVING = "endpoint_leaving"
     ENDPOINT_FAILED = "endpoint_failed"
     PROMPT_QUARANTINED = "prompt_quarantined"
+    REQUEST_QUARANTINED = "request_quarantined"
     SHUTTING_DOWN = "shutting_down"
     KEYS_STALE = "keys_stale"
     CANCELLED = "cancelled"
--- a/bilberrydeal/gateway/_plain.py
+++ b/bilberrydeal/gateway/_plain.py
@@ -124,7 +124,7 @@
         self._usage_counter.count_once(admitted, progress)
         succeeded = exchange.response_class is platform.ResponseClass.RESULT
         if succeeded and not exchange.connection.delimited_by_eof:
-            self._quarantine.stream_sound(admitted)
+            self._quarantine.request_sound(admitted)
         self._cluster.observe(upstream, succeeded, self._clock())
         return _BufferedResponse(exchange.head, exchange.response_class, body)
 
--- a/bilberrydeal/gateway/_quarantine.py
+++ b/bilberrydeal/gateway/_quarantine.py
@@ -1,4 +1,4 @@
-"""Keeps requests from engines whose prompt parts crash them."""
+"""Keeps requests from endpoints that they, or their parts, crash."""
 
 import collections.abc
 import random
@@ -35,6 +35,11 @@
     quarantine.DecisionKind.QUARANTINED: "Prompt parts quarantined.",
     quarantine.DecisionKind.ENDED: "Quarantine ended.",
 }
+_REQUEST_TEXTS = {
+    quarantine.DecisionKind.SUSPECTED: "Request suspected.",
+    quarantine.DecisionKind.QUARANTINED: "Request quarantined.",
+    quarantine.DecisionKind.ENDED: "Quarantine of a request ended.",
+}
 
 
 class PartQuarantine:
@@ -77,18 +82,17 @@
         ``started`` tells whether its head had arrived, ``first_s`` when its
         first event did.
         """
-        if admitted.prompt is None:
-            return
         now_s = self._clock()
-        *shared, own = _part_ids(admitted)
-        if first_s is not None and now_s - first_s >= BEGINNING_S:
-            shared = []
-        loss = quarantine.EngineLoss(
-            _process_of(upstream),
-            upstream.endpoint.failure_domain,
-            quarantine.SuspectPrompt(own, tuple(shared), started),
-        )
-        self._system.observe_loss(loss, now_s)
+        began = first_s is not None and now_s - first_s >= BEGINNING_S
+        for *shared, own in _suspects(admitted):
+            loss = quarantine.EngineLoss(
+                _process_of(upstream),
+                upstream.endpoint.failure_domain,
+                quarantine.SuspectPrompt(
+                    own, () if began else tuple(shared), started
+                ),
+            )
+            self._system.observe_loss(loss, now_s)
 
     def engine_responded(
         self, upstream: _cluster_state.Upstream, sent_s: float
@@ -98,25 +102,24 @@
             _process_of(upstream), sent_s, self._clock()
         )
 
-    def stream_sound(self, admitted: _requests.AdmittedRequest) -> None:
-        """Record that a stream was completed, or has gone on for a while."""
-        if admitted.prompt is not None:
-            self._system.observe_sound(_part_ids(admitted), self._clock())
+    def request_sound(self, admitted: _requests.AdmittedRequest) -> None:
+        """Record that a request was completed, or has gone on for a while."""
+        for parts in _suspects(admitted):
+            self._system.observe_sound(parts, self._clock())
 
     def check(
         self,
         admitted: _requests.AdmittedRequest,
         progress: _requests.RequestProgress,
     ) -> None:
-        """Refuse a request with quarantined parts; raises ``Refusal``.
+        """Refuse a request in quarantine; raises ``Refusal``.
 
-        One that lost its engine before its first event is also refused if its
-        parts are suspected.
+        That is one with quarantined parts, or one that is so itself. One that
+        lost its endpoint before its first event is also refused if it is
+        suspected.
         """
-        if admitted.prompt is None:
-            return
         now_s = self._clock()
-        found = self._system.find(_part_ids(admitted), now_s)
+        found = self._find(admitted, now_s)
         if found is None:
             self._check_suspected(admitted, progress, now_s)
             return
@@ -132,16 +135,33 @@
             )
         if progress.probes_quarantine and not progress.may_have_run:
             return
-        message = f"quarantined prompt parts {' '.join(_texts(found))}"
+        parts = " ".join(_texts(found))
+        reason = errors.ErrorCode.PROMPT_QUARANTINED
+        message = f"quarantined prompt parts {parts}"
+        if found.of_request:
+            reason = errors.ErrorCode.REQUEST_QUARANTINED
+            message = f"quarantined request {parts}"
         if progress.may_have_run:
             raise _requests.failure_refusal(progress, message)
         left_s = found.renewed_s + quarantine.PROBE_INTERVAL_S - now_s
         raise _requests.not_run_refusal(
-            errors.ErrorCode.PROMPT_QUARANTINED,
+            reason,
             message,
             min(max(left_s, 1.0), RETRY_AFTER_LIMIT_S),
         )
 
+    def _find(
+        self, admitted: _requests.AdmittedRequest, now_s: float
+    ) -> quarantine.Quarantine | None:
+        """Return the quarantine that keeps a request from endpoints."""
+        if not self._system.quarantines(now_s):
+            return None
+        for parts in _suspects(admitted):
+            found = self._system.find(parts, now_s)
+            if found is not None:
+                return found
+        return None
+
     def _check_suspected(
         self,
         admitted: _requests.AdmittedRequest,
@@ -152,8 +172,13 @@
             send.first_ms is not None for send in progress.sends
         ):
             return
-        if self._system.suspects(_part_ids(admitted), now_s):
-            raise _requests.failure_refusal(progress, "suspected prompt part")
+        if any(
+            self._system.suspects(parts, now_s)
+            for parts in _suspects(admitted)
+        ):
+            raise _requests.failure_refusal(
+                progress, "suspected of crashing endpoints"
+            )
 
     def in_force(self) -> tuple[quarantine.Quarantine, ...]:
         """Return the quarantines in force."""
@@ -168,8 +193,9 @@
         now_s = self._clock()
         for decision in self._system.run(now_s):
             self._metrics.count_quarantine_decision(decision.kind.value)
+            texts = _REQUEST_TEXTS if decision.of_request else _TEXTS
             LOG.info(
-                _TEXTS[decision.kind],
+                texts[decision.kind],
                 parts=[_text(part) for part in decision.parts],
                 crashes=decision.crashes,
                 engines=list(decision.engines),
@@ -217,13 +243,19 @@
     return f"{endpoint.endpoint_id}@{endpoint.started_ms}"
 
 
-def _part_ids(admitted: _requests.AdmittedRequest) -> tuple[bytes, ...]:
-    prompt = admitted.prompt or _requests.NO_PROMPT
-    return tuple(part.part_id for part in prompt.parts)
+def _suspects(
+    admitted: _requests.AdmittedRequest,
+) -> list[quarantine.Parts]:
+    """Return what may crash an endpoint: the prompt's parts, the request."""
+    suspects = [quarantine.request_parts(admitted.fingerprint)]
+    if admitted.prompt is not None:
+        parts = [part.part_id for part in admitted.prompt.parts]
+        suspects.insert(0, parts)
+    return suspects
 
 
 def _text(part: bytes) -> str:
-    return part.decode("latin-1")
+    return quarantine.name_of(part).decode("latin-1")
 
 
 def _texts(found: quarantine.Quarantine) -> list[str]:
--- a/bilberrydeal/gateway/_request_handler.py
+++ b/bilberrydeal/gateway/_request_handler.py
@@ -23,6 +23,8 @@
 LOG = telemetry.logger("request")
 #: Logged when the caller closed its connection; no response is sent.
 CLIENT_CLOSED_STATUS = 499
+#: Statuses from this one on are failures of this system or an endpoint.
+FIRST_FAILURE_STATUS = 500
 
 Clock = collections.abc.Callable[[], float]
 
@@ -187,12 +189,26 @@
             retry_after_s=refusal.retry_after_s if refusal else None,
             organisation=admitted.organisation_name if admitted else None,
             steps=_send_fields(progress),
+            fingerprint=_fingerprint(admitted, progress, responder),
             configuration=self._configuration_version(admitted),
             store_age_s=round(self._connectivity.age_s(self._clock()), 2),
             took_s=round(took_s, 4),
         )
 
 
+def _fingerprint(
+    admitted: _requests.AdmittedRequest | None,
+    progress: _requests.RequestProgress | None,
+    responder: http1.Responder,
+) -> str | None:
+    """Return by what repetitions of a request that failed can be found."""
+    if admitted is None or progress is None or not progress.sends:
+        return None
+    if responder.status < FIRST_FAILURE_STATUS:
+        return None
+    return admitted.fingerprint.decode()
+
+
 def _send_fields(
     progress: _requests.RequestProgress | None,
 ) -> list[dict[str, object]]:
--- a/bilberrydeal/gateway/_requests.py
+++ b/bilberrydeal/gateway/_requests.py
@@ -1,5 +1,8 @@
 """State of one request, and the refusals that end it."""
 
+import functools
+import hashlib
+
 import attrs
 
 from .. import catalogue
@@ -9,6 +12,8 @@
 
 #: Retry-After of a request that no endpoint ran, in seconds.
 FAILED_RETRY_S = 0.1
+#: Size of the hash that tells requests apart, in bytes.
+FINGERPRINT_BYTES = 12
 #: Stands for a prompt that the caller did not describe.
 NO_PROMPT = placement.Prompt((placement.PromptPart(b"", 1),), 1)
 
@@ -42,6 +47,21 @@
             return self.route.priority
         return self.organisation.priority
 
+    @functools.cached_property
+    def fingerprint(self) -> bytes:
+        """Return what all repetitions of the request have in common."""
+        digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+        for field in (
+            self.request.method,
+            self.request.header(b"host") or b"",
+            self.request.target,
+            (self.organisation_name or "").encode(),
+            self.request.body,
+        ):
+            digest.update(b"%d:" % len(field))
+            digest.update(field)
+        return digest.hexdigest().encode()
+
     @property
     def organisation_name(self) -> str | None:
         """Return the name of the organisation that pays."""
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -292,7 +292,7 @@
                 begun_s = stream.progressed_s - first_s
                 if not told_sound and begun_s >= _quarantine.SOUND_AFTER_S:
                     told_sound = True
-                    self._quarantine.stream_sound(stream.admitted)
+                    self._quarantine.request_sound(stream.admitted)
                 self._cluster.observe_progress(upstream, stream.progressed_s)
                 await responder.write_chunk(complete)
         if splitter.incomplete or first_s is None:
@@ -304,7 +304,7 @@
             not exchange.connection.delimited_by_eof
             or self._clock() - first_s >= _quarantine.BEGINNING_S
         ):
-            self._quarantine.stream_sound(stream.admitted)
+            self._quarantine.request_sound(stream.admitted)
         if splitter.incomplete:
             self._cluster.observe(upstream, False, self._clock())
             raise _sending.Lost("stream ended within an event")
--- a/bilberrydeal/systems/quarantine/__init__.py
+++ b/bilberrydeal/systems/quarantine/__init__.py
@@ -1,14 +1,20 @@
-"""Quarantine systems, which find prompt parts that crash engines."""
+"""Quarantine systems, which find what crashes endpoints.
+
+That is a part of prompts, or one request that is sent again and again.
+"""
 
 from ._base import Decision
 from ._base import DecisionKind
 from ._base import EngineLoss
 from ._base import LossReport
+from ._base import name_of
 from ._base import News
+from ._base import Parts
 from ._base import Quarantine
 from ._base import QuarantineReport
 from ._base import QUARANTINES
 from ._base import QuarantineSystem
+from ._base import request_parts
 from ._base import SuspectPrompt
 from ._crash_counts import CrashCounts
 from ._crash_counts import PROBE_INTERVAL_S
@@ -24,8 +30,11 @@
     "LossReport",
     "NeverQuarantine",
     "News",
+    "Parts",
     "Quarantine",
     "QuarantineReport",
     "QuarantineSystem",
     "SuspectPrompt",
+    "name_of",
+    "request_parts",
 ]
--- a/bilberrydeal/systems/quarantine/_base.py
+++ b/bilberrydeal/systems/quarantine/_base.py
@@ -10,6 +10,29 @@
 
 #: Parts of a prompt, as identifiers; the last is specific to the request.
 Parts = collections.abc.Sequence[bytes]
+#: Begins the part that stands for a whole request; no caller's part has it, as
+#: it separates those of a prompt.
+_REQUEST_MARK = b","
+
+
+def request_parts(fingerprint: bytes) -> Parts:
+    """Return the parts that stand for a whole request, whatever its prompt.
+
+    The fingerprint is the same for each repetition of the request and differs
+    from those of other requests.
+    """
+    part = _REQUEST_MARK + fingerprint
+    return (part, part)
+
+
+def is_request(part: bytes) -> bool:
+    """Return whether a part stands for a whole request."""
+    return part.startswith(_REQUEST_MARK)
+
+
+def name_of(part: bytes) -> bytes:
+    """Return a prompt's part or a request's fingerprint, for logs."""
+    return part.removeprefix(_REQUEST_MARK)
 
 
 @attrs.frozen
@@ -62,6 +85,11 @@
     #: The engines that crashed.
     engines: tuple[str, ...]
 
+    @property
+    def of_request(self) -> bool:
+        """Return whether it keeps one request from endpoints."""
+        return any(map(is_request, self.parts))
+
 
 @attrs.frozen
 class QuarantineReport:
@@ -118,6 +146,11 @@
     #: Whether another gateway decided it.
     learned: bool = False
 
+    @property
+    def of_request(self) -> bool:
+        """Return whether it concerns one request."""
+        return any(map(is_request, self.parts))
+
 
 class QuarantineSystem(typing.Protocol):
     """Finds parts whose generation crashes engines.
--- a/bilberrydeal/systems/quarantine/_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/_crash_counts.py
@@ -19,7 +19,7 @@
 PROBE_INTERVAL_S = 900.0
 #: Time after which a quarantine ends that was not renewed, in seconds.
 LASTS_S = 3600.0
-#: Most quarantines; the oldest yield.
+#: Most quarantines of parts, and of requests; the oldest yield.
 QUARANTINES_LIMIT = 32
 #: Shortest interval at which a quarantine is told, in seconds.
 QUARANTINE_INTERVAL_S = 0.5
@@ -379,10 +379,13 @@
         ]:
             del self._quarantines[wider]
         self._quarantines[quarantine.parts] = quarantine
-        if len(self._quarantines) > QUARANTINES_LIMIT:
-            oldest = min(
-                self._quarantines.values(), key=lambda each: each.renewed_s
-            )
+        alike = [
+            each
+            for each in self._quarantines.values()
+            if each.of_request == quarantine.of_request
+        ]
+        if len(alike) > QUARANTINES_LIMIT:
+            oldest = min(alike, key=lambda each: each.renewed_s)
             del self._quarantines[oldest.parts]
             self._note(_base.DecisionKind.ENDED, oldest)
         self._quarantines_told_s = float("-inf")
--- a/bilberrydeal/systems/quarantine/_evidence.py
+++ b/bilberrydeal/systems/quarantine/_evidence.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from . import _base
 from . import _crashes
 
 #: Crashes from which on a request is not sent to a second engine.
@@ -13,6 +14,8 @@
 FAILURE_DOMAINS = 2
 #: Crashes that suffice in any case.
 ANY_CRASHES = 5
+#: Crashes that suffice against one request, which is the same each time.
+REQUEST_CRASHES = 3
 #: Those of them that no other quarantine explains.
 UNEXPLAINED_CRASHES = 2
 #: Time for other gateways to contradict, in seconds.
@@ -48,6 +51,8 @@
         """Return whether it suffices for a quarantine."""
         if self.unexplained < UNEXPLAINED_CRASHES:
             return False
+        if _base.is_request(self.part):
+            return len(self.crashes) >= REQUEST_CRASHES
         if len(self.crashes) >= ANY_CRASHES:
             return True
         domains = {crash.failure_domain for crash in self.crashes}
--- /dev/null
+++ b/bilberrydeal/systems/quarantine/tests/test_requests.py
@@ -0,0 +1,135 @@
+"""Requests that crash the endpoints which run them."""
+
+import pytest
+
+from ... import quarantine
+from .. import _sound_parts
+from . import test_crash_counts
+
+BAD = quarantine.request_parts(b"f1")
+OTHER = quarantine.request_parts(b"f2")
+
+
+class _Gateway(test_crash_counts.Gateway):
+    """A gateway whose endpoints are lost under whole requests."""
+
+    def lose_under(self, number: int, *requests: quarantine.Parts) -> None:
+        """Lose an endpoint that ran some requests."""
+        for parts in requests:
+            self.lose(number, *parts[:-1], request=parts[-1], started=False)
+
+    def keeps(self, parts: quarantine.Parts) -> bool:
+        """Return whether a request is kept from endpoints."""
+        return self.system.find(parts, self.now_s) is not None
+
+
+def _tell_all(gateways: list[_Gateway]) -> None:
+    """Let each gateway tell all others what is due."""
+    for teller in gateways:
+        news = teller.system.news(len(gateways), teller.now_s)
+        for gateway in gateways:
+            if gateway is not teller:
+                gateway.system.learn(news, gateway.now_s)
+
+
+@pytest.mark.parametrize("interval_s", [0.0, 0.05, 0.4, 60.0])
+def test_three_crashes_under_one_request_keep_it_from_endpoints(
+    interval_s: float,
+) -> None:
+    gateway = _Gateway()
+    for number in range(3):
+        assert not gateway.keeps(BAD)
+        gateway.lose_under(number, BAD)
+        gateway.wait(interval_s or 1e-3)
+    gateway.wait(test_crash_counts.DECIDED_S)
+    assert gateway.keeps(BAD)
+    assert not gateway.keeps(OTHER)
+    assert all(decision.of_request for decision in gateway.decisions)
+
+
+def test_two_crashes_under_one_request_are_not_enough() -> None:
+    gateway = _Gateway()
+    for number in range(2):
+        gateway.lose_under(number, BAD)
+        gateway.wait(1.0)
+    gateway.wait(test_crash_counts.DECIDED_S)
+    assert not gateway.keeps(BAD)
+
+
+def test_one_endpoint_seen_lost_by_several_gateways_counts_once() -> None:
+    gateways = [_Gateway() for _ in range(3)]
+    for gateway in gateways:
+        gateway.lose_under(0, BAD)
+    _tell_all(gateways)
+    for gateway in gateways:
+        gateway.wait(test_crash_counts.DECIDED_S)
+        assert not gateway.keeps(BAD)
+
+
+def test_crashes_at_several_gateways_add_up() -> None:
+    gateways = [_Gateway() for _ in range(3)]
+    for number, gateway in enumerate(gateways):
+        gateway.lose_under(number, BAD)
+    _tell_all(gateways)
+    for gateway in gateways:
+        gateway.wait(test_crash_counts.DECIDED_S)
+        assert gateway.keeps(BAD)
+
+
+def test_request_that_was_completed_is_not_kept_from_endpoints() -> None:
+    gateway = _Gateway()
+    gateway.system.observe_sound(OTHER, gateway.now_s)
+    for number in range(5):
+        gateway.lose_under(number, BAD, OTHER)
+        gateway.wait(1.0)
+    gateway.wait(test_crash_counts.DECIDED_S)
+    assert gateway.keeps(BAD)
+    assert not gateway.keeps(OTHER)
+
+
+def test_request_that_crashes_no_more_is_let_through_again() -> None:
+    gateway = _Gateway()
+    for number in range(3):
+        gateway.lose_under(number, BAD)
+    gateway.wait(test_crash_counts.DECIDED_S)
+    gateway.system.observe_sound(BAD, gateway.now_s)
+    assert not gateway.keeps(BAD)
+
+
+def test_prompt_beside_a_crashing_request_keeps_its_own_threshold() -> None:
+    gateway = _Gateway()
+    for number in range(3):
+        gateway.lose(number, b"bad0", request=b"own")
+        gateway.lose_under(number, BAD)
+        gateway.wait(1.0)
+    gateway.wait(test_crash_counts.DECIDED_S)
+    assert gateway.keeps(BAD)
+    assert not gateway.refuses(b"bad0")
+
+
+def test_caller_cannot_name_another_request_as_a_part_of_its_prompt() -> None:
+    """Parts of prompts are separated by the mark of requests."""
+    assert all(part.startswith(b",") for part in BAD)
+
+
+def test_many_requests_displace_no_sound_parts() -> None:
+    sound = _sound_parts.SoundParts()
+    sound.add(b"aa", 1000.0)
+    for number in range(_sound_parts.LIMIT + 1):
+        sound.add(quarantine.request_parts(b"%d" % number)[0], 1001.0)
+    assert sound.knows(b"aa", 1002.0)
+    assert not sound.knows(quarantine.request_parts(b"0")[0], 1002.0)
+
+
+def test_quarantined_requests_displace_no_quarantined_parts() -> None:
+    gateway = _Gateway()
+    gateway.crash(5, b"bad0")
+    gateway.wait(test_crash_counts.DECIDED_S)
+    for request in range(40):
+        parts = quarantine.request_parts(b"%d" % request)
+        for number in range(3):
+            gateway.lose_under(100 + 3 * request + number, parts)
+            gateway.wait(0.2)
+        gateway.wait(test_crash_counts.DECIDED_S)
+    assert gateway.refuses(b"bad0")
+    assert gateway.keeps(quarantine.request_parts(b"39"))
