Count a crash though the next run of the endpoint has the same id

Cause: a lost run that responds within 2 s was not a crash. Until the new registration is read, responses of the next run are taken for those of the run before, so each crash was retracted. Class of fault: a fact about one run believed of another. Ruled out: other crashes beside it, which hide at most one each.

A newer registration of the same endpoint now proves that the former run has ended; a loss that had been retracted less than 10 s ago counts again, and no response of that run retracts it any more. A cut connection long before a planned restart stays no crash.

--- a/bilberrydeal/gateway/_cluster_state.py
+++ b/bilberrydeal/gateway/_cluster_state.py
@@ -95,6 +95,10 @@
         self.pause.accepted(now_s)
 
 
+#: Gets the former run of an endpoint that has started again.
+OnRestart = collections.abc.Callable[[Upstream], None]
+
+
 class ClusterState:
     """The configuration and the endpoints as last read from the store."""
 
@@ -124,6 +128,7 @@
         self._speeds: dict[str, placement.ServiceSpeed] = {}
         #: All gateways, which share the request limits of endpoints.
         self._gateways = limits.ProcessGroup()
+        self._on_restart: list[OnRestart] = []
         #: Endpoints that have named a limit, by id.
         self.limited: dict[str, Upstream] = {}
 
@@ -146,6 +151,10 @@
         )
         return True
 
+    def subscribe_restarts(self, handler: OnRestart) -> None:
+        """Register what gets the former run of a restarted endpoint."""
+        self._on_restart.append(handler)
+
     def set_endpoint(self, endpoint: catalogue.Endpoint) -> None:
         """Add or update an endpoint."""
         if self._departures.covers(endpoint):
@@ -154,6 +163,7 @@
         if upstream is None or not _same_process(upstream.endpoint, endpoint):
             if upstream is not None:
                 self._detach(upstream)
+                self._report_restart(upstream, endpoint)
             upstream = self._new_upstream(endpoint)
             self.endpoints[endpoint.endpoint_id] = upstream
             of_service = self._by_service.setdefault(endpoint.service, {})
@@ -365,6 +375,13 @@
                 upstream.load.speed.expire(now_s)
         self.health.run(self.tables, now_s)
 
+    def _report_restart(
+        self, before: Upstream, endpoint: catalogue.Endpoint
+    ) -> None:
+        if endpoint.started_ms > before.endpoint.started_ms:
+            for handler in self._on_restart:
+                handler(before)
+
     def _detach(self, upstream: Upstream) -> None:
         """Close an endpoint's connections and remove it from its service."""
         endpoint = upstream.endpoint
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -125,6 +125,7 @@
             rng,
             clock,
         )
+        self._cluster.subscribe_restarts(self._quarantine.engine_restarted)
         self._endpoint_updater = _store_sync.EndpointUpdater(
             self._cluster, self._connectivity, clock
         )
--- a/bilberrydeal/gateway/_quarantine.py
+++ b/bilberrydeal/gateway/_quarantine.py
@@ -102,6 +102,10 @@
             _process_of(upstream), sent_s, self._clock()
         )
 
+    def engine_restarted(self, upstream: _cluster_state.Upstream) -> None:
+        """Record that a run of an engine has ended and another one begun."""
+        self._system.observe_end(_process_of(upstream), self._clock())
+
     def request_sound(self, admitted: _requests.AdmittedRequest) -> None:
         """Record that a request was completed, or has gone on for a while."""
         for parts in _suspects(admitted):
--- a/bilberrydeal/gateway/tests/test_crashing_requests.py
+++ b/bilberrydeal/gateway/tests/test_crashing_requests.py
@@ -19,6 +19,10 @@
 SENT_AFTERWARDS = 3
 #: Time from a crash until the endpoint is back as another process.
 BACK_S = 2.0
+#: The same for one that starts under its id, and the time from then until
+#: its registration is known.
+SAME_ID_BACK_S = 1.0
+REGISTERED_S = 0.8
 LENGTH_S = 40.0
 BAD_BODY = b"bad"
 
@@ -34,6 +38,8 @@
     #: Longest time between two attempts of the crashing request.
     interval_s: float
     restarts_s: tuple[float, ...] = ()
+    #: Whether an endpoint that starts again has the id that it had.
+    same_id: bool = False
     #: Sound requests of all callers, in requests per second.
     requests_per_s: float = 25.0
 
@@ -53,6 +59,8 @@
     "stream_once": Load(4, _DECODE, "chat-once", 1.0),
     "stream_stages": Load(4, _STAGES, "chat", 1.0),
     "stream_31_gateways": Load(31, _DECODE, "chat", 0.5),
+    "plain_same_id": Load(4, _PLAIN, "once", 3.0, same_id=True),
+    "stream_same_id": Load(4, _DECODE, "chat-once", 3.0, same_id=True),
     "beside_restarts": Load(
         4, _PLAIN, "read", 0.5, restarts_s=(8.0, 9.0, 15.0, 15.1, 22.0, 30.0)
     ),
@@ -133,16 +141,34 @@
 
     async def _keep(self, number: int, role: str) -> None:
         """Start an endpoint again whenever it has crashed."""
+        endpoint = self._endpoint(number, role)
         while True:
-            endpoint = self._endpoint(number, role)
             await endpoint.crashed.wait()
             self.crashes_s.append(self._loop.time())
+            if self._load.same_id:
+                await self._restart_endpoint(endpoint)
+                continue
             await asyncio.sleep(BACK_S)
             self.endpoints.remove(endpoint)
             for gateway in self.gateways:
                 gateway.cluster.remove_endpoint(
                     endpoint.endpoint.endpoint_id, "lease expired"
                 )
+            endpoint = self._endpoint(number, role)
+
+    async def _restart_endpoint(
+        self, endpoint: crashing_engines.Engine
+    ) -> None:
+        """Start an endpoint under its id; gateways learn of it later."""
+        await asyncio.sleep(SAME_ID_BACK_S)
+        endpoint.crashed.clear()
+        await asyncio.sleep(REGISTERED_S)
+        before = endpoint.endpoint
+        endpoint.endpoint = attrs.evolve(
+            before, started_ms=before.started_ms + 1
+        )
+        for gateway in self.gateways:
+            gateway.add(endpoint)
 
     async def _restart(self, number: int, at_s: float) -> None:
         await asyncio.sleep(at_s)
--- a/bilberrydeal/systems/quarantine/_base.py
+++ b/bilberrydeal/systems/quarantine/_base.py
@@ -177,6 +177,9 @@
     ) -> None:
         """Record that an engine responded to a request sent at a time."""
 
+    def observe_end(self, process: str, now_s: float) -> None:
+        """Record that a run of an engine has ended and another one begun."""
+
     def run(self, now_s: float) -> list[Decision]:
         """Decide; return what was decided since the last run."""
 
--- a/bilberrydeal/systems/quarantine/_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/_crash_counts.py
@@ -15,6 +15,9 @@
 #: seconds; one that responds much later may have started again.
 ALIVE_AFTER_S = 0.1
 ALIVE_WITHIN_S = 2.0
+#: Time within which the next run of a crashed engine is known, in seconds.
+#: Until then its responses are taken for those of the run before.
+RESTART_KNOWN_S = 10.0
 #: Interval at which a request with quarantined parts is let through.
 PROBE_INTERVAL_S = 900.0
 #: Time after which a quarantine ends that was not renewed, in seconds.
@@ -57,6 +60,10 @@
         #: When the newest request was sent that an engine responded to, by
         #: process.
         self._responses_s: dict[str, float] = {}
+        #: Losses of engines that seem to have responded afterwards.
+        self._retracted: dict[str, _crashes.Crash] = {}
+        #: When engine processes ended for certain.
+        self._ended_s: dict[str, float] = {}
         self._decisions: list[_base.Decision] = []
         self._losses_told = _repeats.Repeats()
         self._sound_told = _repeats.Repeats()
@@ -88,6 +95,20 @@
         if crash is not None and now_s - crash.at_s < ALIVE_WITHIN_S:
             self._check_alive(crash, now_s)
 
+    def observe_end(self, process: str, now_s: float) -> None:
+        """Record that a run of an engine has ended and another one begun."""
+        self._ended_s[process] = now_s
+        self._alive_told.drop(process)
+        retracted = self._retracted.pop(process, None)
+        if retracted is None or now_s - retracted.at_s >= RESTART_KNOWN_S:
+            return
+        crash = self._crashes.put(
+            process, retracted.failure_domain, retracted.at_s
+        )
+        for prompt in retracted.prompts.values():
+            self._add(crash, prompt, now_s)
+        self._losses_told.add(process, now_s)
+
     def run(self, now_s: float) -> list[_base.Decision]:
         """Decide; return what was decided since the last run."""
         self._expire(now_s)
@@ -278,12 +299,14 @@
             and sent_s < crash.at_s + ALIVE_WITHIN_S
         ):
             self._discard_crash(crash.process)
-            self._alive_told.add(crash.process, now_s)
+            if crash.process not in self._ended_s:
+                self._alive_told.add(crash.process, now_s)
 
     def _discard_crash(self, process: str) -> None:
         crash = self._crashes.get(process)
-        if crash is None:
+        if crash is None or process in self._ended_s:
             return
+        self._retracted[process] = crash
         for prompt in crash.prompts.values():
             self._changed.update(prompt.parts)
         self._crashes.remove(process)
@@ -294,6 +317,12 @@
         for process, sent_s in list(self._responses_s.items()):
             if now_s - sent_s >= RESPONSES_KEPT_S:
                 del self._responses_s[process]
+        for process, crash in list(self._retracted.items()):
+            if now_s - crash.at_s >= RESTART_KNOWN_S:
+                del self._retracted[process]
+        for process, at_s in list(self._ended_s.items()):
+            if now_s - at_s >= _crashes.KEPT_S:
+                del self._ended_s[process]
         for parts, at_s in list(self._dismissed_s.items()):
             if now_s - at_s >= DISMISSED_S:
                 del self._dismissed_s[parts]
--- a/bilberrydeal/systems/quarantine/_never.py
+++ b/bilberrydeal/systems/quarantine/_never.py
@@ -18,6 +18,9 @@
     ) -> None:
         """Ignore the response."""
 
+    def observe_end(self, process: str, now_s: float) -> None:
+        """Ignore the end."""
+
     def run(self, now_s: float) -> list[_base.Decision]:
         """Decide nothing."""
         return []
--- a/bilberrydeal/systems/quarantine/tests/test_requests.py
+++ b/bilberrydeal/systems/quarantine/tests/test_requests.py
@@ -133,3 +133,32 @@
         gateway.wait(test_crash_counts.DECIDED_S)
     assert gateway.refuses(b"bad0")
     assert gateway.keeps(quarantine.request_parts(b"39"))
+
+
+def test_crash_counts_though_the_next_run_responds_under_the_same_id() -> None:
+    """Until its registration is known, the old run seems to respond."""
+    gateway = _Gateway()
+    for number in range(3):
+        gateway.lose_under(number, BAD)
+        gateway.wait(1.2)
+        gateway.system.observe_response(
+            f"e{number}@1", gateway.now_s - 0.05, gateway.now_s
+        )
+        gateway.wait(0.3)
+        gateway.system.observe_end(f"e{number}@1", gateway.now_s)
+    gateway.wait(test_crash_counts.DECIDED_S)
+    assert gateway.keeps(BAD)
+
+
+def test_cut_connections_before_a_planned_restart_do_not_count() -> None:
+    gateway = _Gateway()
+    for number in range(5):
+        gateway.lose_under(number, BAD)
+        gateway.wait(0.3)
+        gateway.system.observe_response(
+            f"e{number}@1", gateway.now_s - 0.05, gateway.now_s
+        )
+        gateway.wait(30.0)
+        gateway.system.observe_end(f"e{number}@1", gateway.now_s)
+    gateway.wait(test_crash_counts.DECIDED_S)
+    assert not gateway.keeps(BAD)
