Let callers of the gateway soak repeat requests that crash workers

The stand-in ends its process 30 ms after it has begun to run such a request, plain or streamed; callers send it again and again at any gateway, and workers are started again under their ids. Checked is what reaches the workers once three have crashed under it.

--- a/scenarios/_gateway_invariants.py
+++ b/scenarios/_gateway_invariants.py
@@ -16,6 +16,11 @@
 ADMITTED = 200
 #: Routes whose requests must run at most once.
 AT_MOST_ONCE = frozenset(["once", "tell"])
+#: Crashes by which a request has to be known, the time until then, in
+#: seconds, and how often it may be sent afterwards.
+KNOWN_CRASHES = 3
+KNOWN_WITHIN_S = 3.0
+SENT_AFTERWARDS = 3
 #: Time from the first response that names a limit until it is kept, in
 #: seconds; and what a worker may get in a span beyond it.
 LIMIT_SETTLE_S = 3.0
@@ -44,6 +49,9 @@
         *counts_are_never_too_high(reports, outcomes),
         *_fences_never_go_back(reports),
         *limits_are_kept(arrivals, outcomes, disturbances),
+        *crashing_requests_are_kept_away(
+            runs, arrivals, outcomes, disturbances
+        ),
     ]
 
 
@@ -284,3 +292,39 @@
         )
         for each in disturbances
     )
+
+
+def crashing_requests_are_kept_away(
+    runs: list[users_endpoint.Execution],
+    arrivals: list[users_endpoint.Arrival],
+    outcomes: list[_gateway_load.Outcome],
+    disturbances: list[_gateways.Disturbance],
+) -> list[str]:
+    """A request under which workers crashed is not sent to many others.
+
+    Some time after it crashed the third one, gateways that run undisturbed
+    send it to three workers more at most.
+    """
+    names = {each.request_id: each.crashing for each in outcomes}
+    processes = {each.request_id: each.process for each in outcomes}
+    problems = []
+    for name in sorted({each.crashing for each in outcomes} - {""}):
+        crashed_s = sorted(
+            run.at_s for run in runs if names.get(run.request_id) == name
+        )
+        if len(crashed_s) < KNOWN_CRASHES:
+            continue
+        known_s = crashed_s[KNOWN_CRASHES - 1] + KNOWN_WITHIN_S
+        further = [
+            each
+            for each in arrivals
+            if names.get(each.request_id) == name
+            and each.at_s > known_s
+            and not _excused(each, "", processes, disturbances)
+        ]
+        if len(further) > SENT_AFTERWARDS:
+            problems.append(
+                f"{name} was sent to workers {len(further)} times more after "
+                f"it had crashed {KNOWN_CRASHES}; it crashed {len(crashed_s)}"
+            )
+    return problems
--- a/scenarios/_gateway_load.py
+++ b/scenarios/_gateway_load.py
@@ -8,12 +8,16 @@
 import aiohttp
 import attrs
 
+from standins import users_endpoint
+
 from . import _gateways
 
 #: Deadline of each request, in milliseconds.
 DEADLINE_MS = 3000
 #: Number of events in each stream.
 EVENTS = 12
+#: Share of the requests that repeat a crashing one, while there is one.
+CRASHING_SHARE = 0.1
 #: Statuses that state that a request did not run.
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
 #: Status recorded for a request without a complete answer.
@@ -35,6 +39,8 @@
     #: When it was sent and when it ended, in seconds.
     sent_s: float = 0.0
     ended_s: float = 0.0
+    #: Name of the crashing request that it repeats, empty for a sound one.
+    crashing: str = ""
 
 
 class Callers:
@@ -58,7 +64,11 @@
         routes = ("once", "read", "chat", "tell")
         while True:
             await asyncio.sleep(self._rng.expovariate(requests_per_s))
-            task = asyncio.create_task(self.ask(self._rng.choice(routes)))
+            asked = self.ask(self._rng.choice(routes))
+            if self._fleet.crashing and self._rng.random() < CRASHING_SHARE:
+                asked.close()
+                asked = self.repeat(self._rng.choice(self._fleet.crashing))
+            task = asyncio.create_task(asked)
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -68,9 +78,37 @@
 
     async def ask(self, route: str) -> Outcome:
         """Send one request and record its outcome."""
-        self._count += 1
-        request_id = f"q{self._count:06d}"
+        request_id = self._next_id()
         organisation = self._rng.choice(list(_gateways.KEYS))
+        return await self._send(
+            route, organisation, request_id, request_id, b"body"
+        )
+
+    async def repeat(self, request: _gateways.CrashingRequest) -> Outcome:
+        """Send a request that crashes workers once more."""
+        body = users_endpoint.CRASHING_BODY + request.name.encode()
+        return await self._send(
+            request.route,
+            request.organisation,
+            self._next_id(),
+            request.name,
+            body,
+            request.name,
+        )
+
+    def _next_id(self) -> str:
+        self._count += 1
+        return f"q{self._count:06d}"
+
+    async def _send(
+        self,
+        route: str,
+        organisation: str,
+        request_id: str,
+        path: str,
+        body: bytes,
+        crashing: str = "",
+    ) -> Outcome:
         gateway = self._rng.choice(self._fleet.gateways)
         headers = {
             "Host": _gateways.HOST_HEADER,
@@ -82,19 +120,20 @@
             headers |= self._prompt_headers(request_id)
         url = (
             f"http://{gateway.proxy.address}:{_gateways.CALLERS_PORT}"
-            f"/{route}/{request_id}"
+            f"/{route}/{path}"
         )
         process, sent_s = gateway.process.pid, time.monotonic()
-        status, body = await self._exchange(url, headers)
+        status, text = await self._exchange(url, headers, body)
         outcome = Outcome(
             request_id,
             route,
             organisation,
             status,
-            body,
+            text,
             process,
             sent_s,
             time.monotonic(),
+            crashing,
         )
         self.outcomes.append(outcome)
         return outcome
@@ -110,12 +149,15 @@
         }
 
     async def _exchange(
-        self, url: str, headers: collections.abc.Mapping[str, str]
+        self,
+        url: str,
+        headers: collections.abc.Mapping[str, str],
+        body: bytes,
     ) -> tuple[int, str]:
         timeout = aiohttp.ClientTimeout(total=DEADLINE_MS / 1000)
         try:
             async with self._fleet.session.post(
-                url, headers=headers, data=b"body", timeout=timeout
+                url, headers=headers, data=body, timeout=timeout
             ) as answer:
                 return answer.status, await answer.text()
         except (aiohttp.ClientError, TimeoutError, OSError):
--- a/scenarios/_gateways.py
+++ b/scenarios/_gateways.py
@@ -53,6 +53,16 @@
     sent_s: float
 
 
+@attrs.frozen
+class CrashingRequest:
+    """A request that crashes each worker that runs it."""
+
+    route: str
+    organisation: str
+    #: Tells it from others; its path and body contain it.
+    name: str
+
+
 @attrs.frozen
 class Disturbance:
     """A time in which a process did not run undisturbed."""
@@ -95,6 +105,8 @@
         self.version = 0
         #: Configurations that were written.
         self.key_changes: list[KeyChange] = []
+        #: Requests that crash workers and are being sent again and again.
+        self.crashing: list[CrashingRequest] = []
         #: Processes that were killed, stopped or paused.
         self.disturbances: list[Disturbance] = []
         self.store = self._store()
--- a/scenarios/gateway_soak.py
+++ b/scenarios/gateway_soak.py
@@ -37,6 +37,10 @@
 LIMITS_PER_S = (0.3, 6.0)
 LIMITED_S = (6.0, 12.0)
 ALL_LIMITED_SHARE = 0.3
+#: How often workers that crashed are started again under a crashing request,
+#: and after how many seconds.
+CRASHED_WORKER_STARTS = 7
+CRASHED_WORKER_AWAY_S = (1.0, 2.5)
 #: Concurrent sources of faults, so that faults overlap.
 FAULT_SOURCES = 3
 #: Requests per second.
@@ -154,6 +158,24 @@
         await _ignore_errors(fleet.set_worker_limit(each, None))
 
 
+@FAULTS.register("crashing_request")
+async def crashing_request(fleet: _gateways.Fleet, rng: random.Random) -> None:
+    """Send a request again and again that crashes the workers running it."""
+    request = _gateways.CrashingRequest(
+        rng.choice(["once", "read", "chat", "tell"]),
+        rng.choice(list(_gateways.KEYS)),
+        f"bad{rng.getrandbits(32):08x}",
+    )
+    fleet.crashing.append(request)
+    try:
+        for _ in range(CRASHED_WORKER_STARTS):
+            await asyncio.sleep(rng.uniform(*CRASHED_WORKER_AWAY_S))
+            for worker in fleet.workers:
+                await restart(worker)
+    finally:
+        fleet.crashing.remove(request)
+
+
 @FAULTS.register("store_fails")
 async def store_fails(fleet: _gateways.Fleet, rng: random.Random) -> None:
     """Make the store refuse, hang, lose answers, lag or lose data."""
--- a/scenarios/tests/test_gateway_invariants.py
+++ b/scenarios/tests/test_gateway_invariants.py
@@ -116,3 +116,47 @@
         arrivals, [_outcome(200, 0.0, 1.0)], disturbances
     )
     assert len(found) == problems
+
+
+def _run(request_id: str, at_s: float) -> users_endpoint.Execution:
+    return users_endpoint.Execution(
+        request_id, "worker-1", "russo", "", "POST", "/read/bad1", 0, at_s
+    )
+
+
+def _repeated(request_id: str) -> _gateway_load.Outcome:
+    return _gateway_load.Outcome(
+        request_id, "read", "russo", 502, "", 1, crashing="bad1"
+    )
+
+
+@pytest.mark.parametrize(
+    ("crashes", "from_s", "sent", "disturbances", "problems"),
+    [
+        (3, 5.1, 3, [], 0),
+        (3, 5.1, 4, [], 1),
+        (2, 5.1, 9, [], 0),
+        # Gateways may not know it yet.
+        (3, 4.9, 9, [], 0),
+        (3, 7.0, 9, [_PAUSED], 0),
+        (3, 9.1, 9, [_PAUSED], 1),
+    ],
+)
+def test_crashing_request_reaches_few_workers_once_it_is_known(
+    crashes: int,
+    from_s: float,
+    sent: int,
+    disturbances: list[_gateways.Disturbance],
+    problems: int,
+) -> None:
+    names = [f"q{number}" for number in range(crashes)]
+    found = _gateway_invariants.crashing_requests_are_kept_away(
+        [_run(name, number) for number, name in enumerate(names)],
+        [
+            users_endpoint.Arrival("q0", "worker-1", from_s, None)
+            for _ in range(sent)
+        ],
+        [_repeated(name) for name in names],
+        disturbances,
+    )
+    assert len(found) == problems
--- a/scenarios/tests/test_gateway_soak.py
+++ b/scenarios/tests/test_gateway_soak.py
@@ -15,6 +15,7 @@
 NEW_SEEDS = (101,)
 DURATION_S = 6.0
 LIMITS_DURATION_S = 14.0
+CRASHING_DURATION_S = 12.0
 
 
 @pytest.mark.parametrize("seed", [*NEW_SEEDS, *REGRESSION_SEEDS])
@@ -38,3 +39,19 @@
         ("worker_limits", "worker_limits", "kill_gateway", "pause_gateway"),
     )
     assert problems == []
+
+
+@pytest.mark.parametrize(
+    ("seed", "gateways"), [(401, 1), (402, 4)], ids=["one", "four"]
+)
+async def test_crashing_request_is_kept_from_workers_beside_restarts(
+    seed: int, gateways: int, tmp_path: pathlib.Path
+) -> None:
+    problems = await gateway_soak.soak(
+        seed,
+        CRASHING_DURATION_S,
+        tmp_path,
+        _gateways.FleetSize(gateways=gateways),
+        ("crashing_request", "crashing_request", "kill_gateway"),
+    )
+    assert problems == []
--- a/standins/users_endpoint/__init__.py
+++ b/standins/users_endpoint/__init__.py
@@ -2,6 +2,7 @@
 
 from ._app import Arrival
 from ._app import build
+from ._app import CRASHING_BODY
 from ._app import Execution
 from ._app import Registration
 from ._app import text_of
@@ -9,6 +10,7 @@
 
 __all__ = [
     "Arrival",
+    "CRASHING_BODY",
     "Execution",
     "Registration",
     "WorkerApp",
--- a/standins/users_endpoint/_app.py
+++ b/standins/users_endpoint/_app.py
@@ -24,6 +24,10 @@
 HEARTBEAT_INTERVAL_S = 0.25
 #: Prefill rate, in prompt tokens per second.
 PREFILL_TOKENS_PER_S = 300_000.0
+#: Begins the bodies of requests that crash the worker that runs them.
+CRASHING_BODY = b"crash"
+#: Time from the start of such a run to the crash, in seconds.
+CRASH_S = 0.03
 #: Path prefix of the calls that control the stand-in.
 STANDIN_PATH = "/standin/"
 
@@ -165,7 +169,7 @@
 
     async def serve(self, request: web.Request) -> web.StreamResponse:
         """Serve a forwarded request."""
-        await request.read()
+        body = await request.read()
         request_id = request.headers.get("Request-Id", "")
         expected = request.headers.get("Expect-Instance", self.endpoint_id)
         if expected != self.endpoint_id:
@@ -174,10 +178,14 @@
             return self._not_executed(request_id, 503)
         if request.headers.get("Serving-Stage") == "prefill":
             return await self._prefill(request, request_id)
-        if not self.stage:
-            return await self._plain(request, request_id)
         if self.stage == "prefill":
             return self._not_executed(request_id, 421)
+        if body.startswith(CRASHING_BODY):
+            self._record_execution(request, 0)
+            await asyncio.sleep(CRASH_S)
+            _serve.exit_immediately()
+        if not self.stage:
+            return await self._plain(request, request_id)
         return await self._stream(request, request_id)
 
     async def _prefill(
