Tell settled windows to gateways that start or become candidates later

Cause: a holder told a settled window to the gateways that could take the lease then. One that started afterwards, took the lease and found a store restored to a copy without the row settled the window anew, with the counts that were still to be had. Class of fault: knowledge that is told once to those present.

A gateway that starts asks three others for what was decided before; whoever knows settled windows now answers that too, and tells them to gateways that become candidates. The test failed before: {derwent: 1} after {russo: 1}.

--- a/bilberrydeal/gateway/_coordination.py
+++ b/bilberrydeal/gateway/_coordination.py
@@ -113,14 +113,15 @@
             self._lease_candidates,
             cluster_clock,
         )
+        self._settled_windows = _usage_broadcast.SettledWindows(
+            datagrams, self.incarnation, self._lease_candidates
+        )
         self._reporter = _reporting.Reporter(
             client,
             self._lease,
             self._rows,
             peer_counts,
-            _usage_broadcast.SettledWindows(
-                datagrams, self.incarnation, self._lease_candidates
-            ),
+            self._settled_windows,
             self.usage,
             cluster_clock,
             gateway_settings.host_id,
@@ -217,6 +218,7 @@
         self.peers = tuple(
             map(settings.split_address, self._members.others.values())
         )
+        self._settled_windows.tell_new_recipients()
 
     def _lease_candidates(self) -> tuple[_datagrams.Address, ...]:
         """Return the addresses of the lease holder and the candidates."""
--- a/bilberrydeal/gateway/_reporting.py
+++ b/bilberrydeal/gateway/_reporting.py
@@ -120,7 +120,7 @@
         }
         heard = {
             window: WindowRow(counts, False)
-            for window, counts in self._told.heard.items()
+            for window, counts in self._told.known.items()
         }
         self._sent |= heard.keys()
         lost = {
--- a/bilberrydeal/gateway/_usage_broadcast.py
+++ b/bilberrydeal/gateway/_usage_broadcast.py
@@ -5,8 +5,11 @@
 is killed before its next write.
 """
 
+import collections.abc
+
 import attrs
 
+from .. import settings
 from . import _clock
 from . import _datagrams
 from . import _usage
@@ -87,7 +90,9 @@
     """Tells and keeps the windows that lease holders settled.
 
     A restore of the store may take away the row of a window that has been
-    reported. The next lease holder must not settle it with other counts.
+    reported. The next lease holder must not settle it with other counts, also
+    if it has started since: it asks others, and whoever was told tells it to
+    gateways that may take the lease from then on.
     """
 
     def __init__(
@@ -99,22 +104,49 @@
         self._datagrams = datagrams
         self._gateway = gateway
         self._recipients = recipients
-        #: Counts of the latest windows that others settled.
-        self.heard: dict[int, dict[str, int]] = {}
+        #: Counts of the latest settled windows.
+        self.known: dict[int, dict[str, int]] = {}
+        #: Gateways that were told all of them.
+        self._told: frozenset[_datagrams.Address] = frozenset()
         datagrams.subscribe(self.add)
 
     def tell(self, window: int, counts: dict[str, int]) -> None:
         """Tell the gateways that may take the lease of a settled window."""
+        self._keep(window, counts)
         settled = (_datagrams.SettledWindow(window, counts),)
         datagram = _datagrams.Datagram(self._gateway, settled=settled)
         self._datagrams.send(datagram, self._recipients())
 
+    def tell_new_recipients(self) -> None:
+        """Tell gateways that may take the lease since a short time."""
+        recipients = frozenset(self._recipients())
+        self._tell_all(recipients - self._told)
+        self._told = recipients
+
     def add(self, datagram: _datagrams.Datagram) -> None:
-        """Keep the windows of a datagram."""
+        """Keep the windows of a datagram; answer a gateway that asks."""
         for each in datagram.settled:
-            self.heard[each.window] = each.counts
-        for old in sorted(self.heard)[: -_usage.WINDOWS_KEPT]:
-            del self.heard[old]
+            self._keep(each.window, each.counts)
+        if datagram.asks:
+            self._tell_all([settings.split_address(datagram.asks)])
+
+    def _keep(self, window: int, counts: dict[str, int]) -> None:
+        self.known[window] = counts
+        for old in sorted(self.known)[: -_usage.WINDOWS_KEPT]:
+            del self.known[old]
+
+    def _tell_all(
+        self, recipients: collections.abc.Collection[_datagrams.Address]
+    ) -> None:
+        if not self.known or not recipients:
+            return
+        settled = tuple(
+            _datagrams.SettledWindow(window, counts)
+            for window, counts in self.known.items()
+        )
+        self._datagrams.send(
+            _datagrams.Datagram(self._gateway, settled=settled), recipients
+        )
 
 
 class CountBroadcaster:
--- a/bilberrydeal/gateway/tests/test_usage.py
+++ b/bilberrydeal/gateway/tests/test_usage.py
@@ -476,3 +476,29 @@
     fixture.table.restore(copied)
     await _advance(fixture, 4 * WINDOW_S, two, late)
     assert reports_of(window, two, late) == [{"russo": 1}]
+
+
+async def test_holder_that_started_later_keeps_to_counts_of_lost_rows() -> (
+    None
+):
+    """It asks others at its start what was settled before."""
+    fixture = Fixture(table=memory.MemoryStore(era=1))
+    one, two, late = (Gateway(fixture, f"g{n}") for n in range(3))
+    await _advance(fixture, FIRST_LEASE_S, one, two)
+    window = one.usage_counter.window()
+    one.usage_counter.count("russo")
+    late.usage_counter.count("derwent")
+    copied = fixture.table.copy()
+    await _advance(fixture, WINDOW_S + 1.0, one, two)
+    for data in one.datagrams.sent:
+        two.datagrams.datagram_received(data, ("127.0.0.1", 1))
+    young = Gateway(fixture, "g3")
+    asked = _datagrams.Datagram("g3", asks="127.0.0.1:1")
+    two.datagrams.datagram_received(
+        two.datagrams.encode(asked), ("127.0.0.1", 1)
+    )
+    for data in two.datagrams.sent:
+        young.datagrams.datagram_received(data, ("127.0.0.1", 1))
+    fixture.table.restore(copied)
+    await _advance(fixture, 4 * WINDOW_S, young, late)
+    assert reports_of(window, one, young, late) == [{"russo": 1}, {"russo": 1}]
