--- a/standins/users_endpoint/__init__.py
+++ b/standins/users_endpoint/__init__.py
@@ -2,6 +2,7 @@
 
 from ._app import Arrival
 from ._app import build
+from ._app import CRASH_S
 from ._app import CRASHING_BODY
 from ._app import Execution
 from ._app import Registration
@@ -11,6 +12,7 @@
 __all__ = [
     "Arrival",
     "CRASHING_BODY",
+    "CRASH_S",
     "Execution",
     "Registration",
     "WorkerApp",
