Count a crash of a run whose registration had not been read

Cause: a crash is one run of an endpoint, by the start that it registered. A worker that starts under its id and crashes again before the new registration is read was lost twice as one run. Class of fault: identity taken from a report that lags behind.

A request that was sent half a second or more after a loss cannot have been on that run: its loss is a further run of the process. This holds for whole requests only, which need three crashes in all; parts of prompts are counted as before. Losses of one endpoint within a second count as one, since other gateways may have read the registration.

--- a/bilberrydeal/gateway/_quarantine.py
+++ b/bilberrydeal/gateway/_quarantine.py
@@ -75,12 +75,13 @@
         upstream: _cluster_state.Upstream,
         admitted: _requests.AdmittedRequest,
         started: bool,
+        sent_s: float,
         first_s: float | None,
     ) -> None:
-        """Record that the connection to an engine broke under a stream.
+        """Record that the connection to an engine broke under a request.
 
-        ``started`` tells whether its head had arrived, ``first_s`` when its
-        first event did.
+        ``started`` tells whether its head had arrived, ``sent_s`` when it was
+        sent and ``first_s`` when its first event arrived.
         """
         now_s = self._clock()
         began = first_s is not None and now_s - first_s >= BEGINNING_S
@@ -91,6 +92,7 @@
                 quarantine.SuspectPrompt(
                     own, () if began else tuple(shared), started
                 ),
+                sent_s,
             )
             self._system.observe_loss(loss, now_s)
 
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/_sending.py
@@ -228,6 +228,7 @@
                     upstream,
                     admitted,
                     connection.responding,
+                    sent_s,
                     _first_event_s(admitted, record),
                 )
             record.outcome += ", connection broke"
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/_stream.py
@@ -298,7 +298,7 @@
         if splitter.incomplete or first_s is None:
             # A response that ends with its connection may be broken off.
             self._quarantine.engine_lost(
-                upstream, stream.admitted, True, first_s
+                upstream, stream.admitted, True, exchange.sent_s, first_s
             )
         elif (
             not exchange.connection.delimited_by_eof
--- a/bilberrydeal/systems/quarantine/_base.py
+++ b/bilberrydeal/systems/quarantine/_base.py
@@ -56,6 +56,8 @@
     #: Failure domain of the engine.
     failure_domain: str
     prompt: SuspectPrompt
+    #: When the request was sent to it, monotonic seconds.
+    sent_s: float
 
 
 @attrs.frozen
--- a/bilberrydeal/systems/quarantine/_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/_crash_counts.py
@@ -72,10 +72,13 @@
 
     def observe_loss(self, loss: _base.EngineLoss, now_s: float) -> None:
         """Record that an engine was lost while it generated a stream."""
-        known = self._crashes.get(loss.process) is not None
-        crash = self._crashes.put(loss.process, loss.failure_domain, now_s)
+        run = loss.process
+        if _base.is_request(loss.prompt.request_part):
+            run = self._crashes.run_of(loss.process, loss.sent_s)
+        known = self._crashes.get(run) is not None
+        crash = self._crashes.put(run, loss.failure_domain, now_s)
         if self._add(crash, loss.prompt, now_s) or not known:
-            self._losses_told.add(loss.process, now_s)
+            self._losses_told.add(run, now_s)
 
     def observe_sound(self, parts: _base.Parts, now_s: float) -> None:
         """Record that an engine completed a stream, or well began it."""
@@ -91,23 +94,30 @@
         self._responses_s[process] = max(
             sent_s, self._responses_s.get(process, sent_s)
         )
-        crash = self._crashes.get(process)
-        if crash is not None and now_s - crash.at_s < ALIVE_WITHIN_S:
-            self._check_alive(crash, now_s)
+        for crash in self._crashes.runs_of(process):
+            if now_s - crash.at_s < ALIVE_WITHIN_S:
+                self._check_alive(crash, now_s)
 
     def observe_end(self, process: str, now_s: float) -> None:
         """Record that a run of an engine has ended and another one begun."""
         self._ended_s[process] = now_s
-        self._alive_told.drop(process)
-        retracted = self._retracted.pop(process, None)
-        if retracted is None or now_s - retracted.at_s >= RESTART_KNOWN_S:
+        for run, retracted in list(self._retracted.items()):
+            if _crashes.process_of(run) == process:
+                del self._retracted[run]
+                self._count_again(retracted, now_s)
+
+    def _count_again(self, retracted: _crashes.Crash, now_s: float) -> None:
+        """Count a loss that a response seemed to contradict."""
+        run = retracted.process
+        self._alive_told.drop(run)
+        if now_s - retracted.at_s >= RESTART_KNOWN_S:
             return
         crash = self._crashes.put(
-            process, retracted.failure_domain, retracted.at_s
+            run, retracted.failure_domain, retracted.at_s
         )
         for prompt in retracted.prompts.values():
             self._add(crash, prompt, now_s)
-        self._losses_told.add(process, now_s)
+        self._losses_told.add(run, now_s)
 
     def run(self, now_s: float) -> list[_base.Decision]:
         """Decide; return what was decided since the last run."""
@@ -292,19 +302,19 @@
 
     def _check_alive(self, crash: _crashes.Crash, now_s: float) -> None:
         """Forget a loss if the engine responded after it."""
-        sent_s = self._responses_s.get(crash.process)
+        sent_s = self._responses_s.get(_crashes.process_of(crash.process))
         if (
             sent_s is not None
             and sent_s >= crash.at_s + ALIVE_AFTER_S
             and sent_s < crash.at_s + ALIVE_WITHIN_S
         ):
             self._discard_crash(crash.process)
-            if crash.process not in self._ended_s:
+            if _crashes.process_of(crash.process) not in self._ended_s:
                 self._alive_told.add(crash.process, now_s)
 
     def _discard_crash(self, process: str) -> None:
         crash = self._crashes.get(process)
-        if crash is None or process in self._ended_s:
+        if crash is None or _crashes.process_of(process) in self._ended_s:
             return
         self._retracted[process] = crash
         for prompt in crash.prompts.values():
--- a/bilberrydeal/systems/quarantine/_crashes.py
+++ b/bilberrydeal/systems/quarantine/_crashes.py
@@ -16,6 +16,12 @@
 PARTS_LIMIT = 8
 #: Longest identifier of a part that is suspected, in bytes.
 PART_BYTES_LIMIT = 128
+#: Losses of one endpoint within this time are one crash, in seconds.
+SAME_ENDPOINT_S = 1.0
+#: A request sent so long after a loss reached another run, in seconds.
+NEXT_RUN_AFTER_S = 0.5
+#: Separates the process from the number of a run that did not register.
+_RUN_MARK = "#"
 #: Losses within this time may have a cause in common, in seconds.
 COINCIDENCE_S = 0.1
 #: The same for losses in one failure domain.
@@ -82,6 +88,8 @@
 
     def __init__(self) -> None:
         self._crashes: dict[str, Crash] = {}
+        #: Lost runs of each process.
+        self._runs: dict[str, dict[str, None]] = {}
         self._by_part: dict[bytes, dict[str, None]] = {}
         #: Crashes that coincide with one, as far as they were looked for.
         self._coinciding: dict[str, list[Crash]] = {}
@@ -90,10 +98,31 @@
         """Return the lost engines."""
         return iter(list(self._crashes.values()))
 
+    def run_of(self, process: str, sent_s: float) -> str:
+        """Return the run of a process that got a request sent at a time.
+
+        An endpoint may start again, and be lost again, before its new
+        registration is read.
+        """
+        run = process
+        number = 1
+        while self._ended_before(run, sent_s):
+            number += 1
+            run = f"{process}{_RUN_MARK}{number}"
+        return run
+
+    def _ended_before(self, run: str, sent_s: float) -> bool:
+        crash = self._crashes.get(run)
+        return crash is not None and sent_s >= crash.at_s + NEXT_RUN_AFTER_S
+
     def get(self, process: str) -> Crash | None:
         """Return a lost engine."""
         return self._crashes.get(process)
 
+    def runs_of(self, process: str) -> list[Crash]:
+        """Return the lost runs of a process, as registered."""
+        return [self._crashes[run] for run in self._runs.get(process, ())]
+
     def put(self, process: str, failure_domain: str, at_s: float) -> Crash:
         """Return a lost engine, which is added if it is not known."""
         crash = self._crashes.get(process)
@@ -101,6 +130,7 @@
             self._coinciding.clear()
             crash = Crash(process, failure_domain, at_s)
             self._crashes[process] = crash
+            self._runs.setdefault(process_of(process), {})[process] = None
             if len(self._crashes) > LIMIT:
                 self.remove(min(self, key=lambda each: each.at_s).process)
         if at_s < crash.at_s:
@@ -122,6 +152,10 @@
         crash = self._crashes.pop(process, None)
         if crash is None:
             return
+        runs = self._runs[process_of(process)]
+        del runs[process]
+        if not runs:
+            del self._runs[process_of(process)]
         self._coinciding.clear()
         for part in crash.requests:
             of_part = self._by_part.get(part, {})
@@ -157,6 +191,8 @@
         """
         counted: list[Crash] = []
         for crash in self.of(part):
+            if any(_same_crash(crash, other) for other in counted):
+                continue
             beside = self._beside(crash)
             if any(part not in other.requests for other in beside) and any(
                 other in beside for other in counted
@@ -178,6 +214,22 @@
         return found
 
 
+def process_of(run: str) -> str:
+    """Return the process, as registered, of a run."""
+    return run.partition(_RUN_MARK)[0]
+
+
+def _same_crash(one: Crash, other: Crash) -> bool:
+    """Return whether gateways may know one crash as two.
+
+    Some of them had read the registration of the run and others had not.
+    """
+    return (
+        one.process.partition("@")[0] == other.process.partition("@")[0]
+        and abs(one.at_s - other.at_s) < SAME_ENDPOINT_S
+    )
+
+
 def _coincide(one: Crash, other: Crash) -> bool:
     apart_s = abs(one.at_s - other.at_s)
     if one.failure_domain == other.failure_domain:
--- a/bilberrydeal/systems/quarantine/tests/simulated_fleet.py
+++ b/bilberrydeal/systems/quarantine/tests/simulated_fleet.py
@@ -138,7 +138,7 @@
                 started and self._rng.random() < HEAD_SHARE,
             )
             domain = stream.engine.failure_domain
-            loss = _base.EngineLoss(process, domain, prompt)
+            loss = _base.EngineLoss(process, domain, prompt, self.now_s)
             system.observe_loss(loss, self.now_s)
         if stream.attempts < 2 and not system.suspects(
             stream.parts, self.now_s
--- a/bilberrydeal/systems/quarantine/tests/test_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/tests/test_crash_counts.py
@@ -42,6 +42,7 @@
         request: bytes | None = None,
         domain: str | None = None,
         started: bool = True,
+        sent_s: float | None = None,
     ) -> None:
         """Lose an engine while it generates a request with some parts."""
         own = b"r%d" % number if request is None else request
@@ -50,6 +51,7 @@
                 f"e{number}@1",
                 domain or f"d{number % 4}",
                 _base.SuspectPrompt(own, parts, started),
+                self.now_s if sent_s is None else sent_s,
             ),
             self.now_s,
         )
--- a/bilberrydeal/systems/quarantine/tests/test_requests.py
+++ b/bilberrydeal/systems/quarantine/tests/test_requests.py
@@ -162,3 +162,56 @@
         gateway.system.observe_end(f"e{number}@1", gateway.now_s)
     gateway.wait(test_crash_counts.DECIDED_S)
     assert not gateway.keeps(BAD)
+
+
+def test_runs_that_crashed_before_they_were_registered_count() -> None:
+    gateway = _Gateway()
+    for _ in range(3):
+        gateway.lose_under(0, BAD)
+        gateway.wait(2.0)
+    gateway.wait(test_crash_counts.DECIDED_S)
+    assert gateway.keeps(BAD)
+
+
+def test_requests_that_were_sent_before_a_crash_belong_to_it() -> None:
+    gateway = _Gateway()
+    sent_s = gateway.now_s
+    for _ in range(5):
+        gateway.lose(0, BAD[0], request=BAD[1], sent_s=sent_s)
+        gateway.wait(1.0)
+    gateway.wait(test_crash_counts.DECIDED_S)
+    assert not gateway.keeps(BAD)
+
+
+def test_crash_that_gateways_know_as_two_runs_counts_once() -> None:
+    """One of them had read the registration of the run."""
+    gateways = [_Gateway() for _ in range(2)]
+    for number in range(2):
+        gateways[0].lose_under(number, BAD)
+        gateways[0].wait(1.5)
+        gateways[1].wait(1.5)
+    _tell_all(gateways)
+    for gateway, process in zip(gateways, ("e1@1", "e1@2"), strict=True):
+        loss = quarantine.EngineLoss(
+            process,
+            "d1",
+            quarantine.SuspectPrompt(BAD[1], (BAD[0],), False),
+            gateway.now_s,
+        )
+        gateway.system.observe_loss(loss, gateway.now_s)
+    _tell_all(gateways)
+    for gateway in gateways:
+        gateway.wait(1.0)
+        gateway.wait(test_crash_counts.DECIDED_S)
+        assert gateway.keeps(BAD)
+        crashes = gateway.decisions[-1].crashes
+        assert crashes == 3
+
+
+def test_unregistered_runs_do_not_count_against_parts() -> None:
+    gateway = _Gateway()
+    for _ in range(6):
+        gateway.lose(0, b"bad0", request=b"own")
+        gateway.wait(2.0)
+    gateway.wait(test_crash_counts.DECIDED_S)
+    assert not gateway.refuses(b"bad0")
