--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -18,25 +18,17 @@
 from ..systems import placement
 from ..systems import quarantine
 from ..systems import retries
-from . import _admission
-from . import _cluster_state
-from . import _coordination
-from . import _datagrams
-from . import _exchange
-from . import _limit_broadcast
-from . import _metrics
-from . import _plain
-from . import _quarantine
-from . import _quarantine_rows
-from . import _request_handler
-from . import _retry_policy
-from . import _sending
 from . import _settings_watcher
 from . import _shutdown
-from . import _store_hints
-from . import _store_sync
-from . import _stream
 from . import _uplink
+from . import cluster_state
+from . import core
+from . import duties
+from . import messaging
+from . import peer_exchange
+from . import sending
+from . import serving
+from . import streams
 
 LOG = telemetry.logger("gateway")
 #: Interval between sweeps of idle connections and circuits.
@@ -74,22 +66,22 @@
         self._store = platform.PlatformStore(
             *settings.split_address(gateway_settings.platform.store)
         )
-        self._connectivity = _store_sync.StoreConnectivity(
+        self._connectivity = cluster_state.StoreConnectivity(
             last_response_s=clock()
         )
         self._tracing = telemetry.Tracing(gateway_settings.trace, "gateway")
         self._uplink = _uplink.Uplink(gateway_settings.uplink_mbps, clock)
-        self._cluster = _cluster_state.ClusterState(
+        self._cluster = cluster_state.ClusterState(
             health.HEALTH.get("outlier")(rng.getrandbits(32))
         )
-        self._datagrams = _datagrams.Datagrams()
-        self._coordination = _coordination.Coordination(
+        self._datagrams = messaging.Datagrams()
+        self._coordination = duties.Coordination(
             gateway_settings, self._store, self._cluster, self._datagrams, rng
         )
         self._budget = retries.WindowBudget(
             _budget_limits(gateway_settings), clock()
         )
-        self._load_exchange = _exchange.LoadExchange(
+        self._load_exchange = peer_exchange.LoadExchange(
             self._datagrams,
             self._cluster,
             self._coordination.incarnation,
@@ -97,7 +89,7 @@
             self._uplink,
             clock,
         )
-        self._hints = _store_hints.StoreHints(
+        self._hints = cluster_state.StoreHints(
             self._datagrams,
             self._coordination.incarnation,
             lambda: self._coordination.peers,
@@ -106,15 +98,15 @@
             gateway_settings.bounds.apply_limit_s,
             clock,
         )
-        self._limit_broadcast = _limit_broadcast.LimitBroadcast(
+        self._limit_broadcast = peer_exchange.LimitBroadcast(
             self._datagrams,
             self._cluster,
             self._coordination.incarnation,
             lambda: self._coordination.peers,
             clock,
         )
-        self._metrics = _metrics.GatewayMetrics()
-        self._quarantine = _quarantine.PartQuarantine(
+        self._metrics = core.GatewayMetrics()
+        self._quarantine = sending.RequestQuarantine(
             quarantine.QUARANTINES.get(gateway_settings.quarantine)(),
             self._datagrams,
             self._coordination.incarnation,
@@ -126,7 +118,7 @@
             clock,
         )
         self._cluster.subscribe_restarts(self._quarantine.engine_restarted)
-        self._endpoint_updater = _store_sync.EndpointUpdater(
+        self._endpoint_updater = cluster_state.EndpointUpdater(
             self._cluster, self._connectivity, clock
         )
         self._caller_server = http1.HttpServer(
@@ -139,14 +131,12 @@
             self._handle_metrics, lambda: INITIAL_LIMITS, clock
         )
 
-    def _new_handler(
-        self, rng: random.Random
-    ) -> _request_handler.RequestHandler:
+    def _new_handler(self, rng: random.Random) -> serving.RequestHandler:
         gateway_settings = self._settings
-        retry_policy = _retry_policy.RetryPolicy(
+        retry_policy = sending.RetryPolicy(
             self._cluster, self._budget, self._clock
         )
-        sender = _sending.Sender(
+        sender = sending.Sender(
             self._cluster,
             retry_policy,
             self._uplink,
@@ -154,10 +144,10 @@
             self._quarantine,
             self._clock,
         )
-        return _request_handler.RequestHandler(
-            admission=_admission.Admission(self._cluster, rng),
+        return serving.RequestHandler(
+            admission=serving.Admission(self._cluster, rng),
             cluster=self._cluster,
-            plain=_plain.PlainServer(
+            plain=serving.PlainServer(
                 self._cluster,
                 sender,
                 retry_policy,
@@ -166,7 +156,7 @@
                 self._quarantine,
                 self._clock,
             ),
-            stream=_stream.StreamServer(
+            stream=streams.StreamServer(
                 self._cluster,
                 sender,
                 retry_policy,
@@ -234,26 +224,26 @@
         )
 
     def _start_tasks(self) -> None:
-        configuration = _store_sync.TableFollower(
+        configuration = cluster_state.TableFollower(
             self._store,
             platform.CONFIGURATION_TABLE,
             self._connectivity,
             self._hints,
             self._clock,
         )
-        endpoints = _store_sync.TableFollower(
+        endpoints = cluster_state.TableFollower(
             self._store,
             platform.ENDPOINTS_TABLE,
             self._connectivity,
             self._hints,
             self._clock,
         )
-        updater = _store_sync.ConfigurationUpdater(self._cluster)
+        updater = cluster_state.ConfigurationUpdater(self._cluster)
         self._spawn(
             periodic.keep_running(
                 "configuration",
                 lambda: configuration.run(
-                    updater.apply, 0.0, _store_sync.CONFIGURATION_WAIT_S
+                    updater.apply, 0.0, cluster_state.CONFIGURATION_WAIT_S
                 ),
             )
         )
@@ -262,8 +252,8 @@
                 "endpoints",
                 lambda: endpoints.run(
                     self._endpoint_updater.apply,
-                    _store_sync.ENDPOINTS_PAUSE_S,
-                    _store_sync.ENDPOINTS_WAIT_S,
+                    cluster_state.ENDPOINTS_PAUSE_S,
+                    cluster_state.ENDPOINTS_WAIT_S,
                 ),
             )
         )
@@ -271,28 +261,28 @@
         self._spawn(
             periodic.run_periodically(
                 "hints",
-                lambda: _store_hints.HINT_INTERVAL_S,
+                lambda: cluster_state.HINT_INTERVAL_S,
                 self._hints.run_once,
             )
         )
         self._spawn(
             periodic.run_periodically(
                 "limits",
-                lambda: _limit_broadcast.INTERVAL_S,
+                lambda: peer_exchange.LIMIT_BROADCAST_INTERVAL_S,
                 self._limit_broadcast.run_once,
             )
         )
         self._spawn(
             periodic.run_periodically(
                 "quarantine",
-                lambda: _quarantine.INTERVAL_S,
+                lambda: sending.QUARANTINE_INTERVAL_S,
                 self._quarantine.run_once,
             )
         )
         self._spawn(
             periodic.run_periodically(
                 "quarantine rows",
-                lambda: _quarantine_rows.INTERVAL_S,
+                lambda: duties.QUARANTINE_ROWS_INTERVAL_S,
                 self._coordination.quarantine_rows(
                     self._quarantine, self._connectivity, self._clock
                 ).run_once,
@@ -371,9 +361,9 @@
             200, content, self._metrics.render(self._gauge_values())
         )
 
-    def _gauge_values(self) -> _metrics.GaugeValues:
+    def _gauge_values(self) -> core.GaugeValues:
         configuration = self._cluster.configuration
-        return _metrics.GaugeValues(
+        return core.GaugeValues(
             configuration_version=(
                 configuration.version if configuration else 0
             ),
--- a/bilberrydeal/gateway/_clock.py
+++ b/bilberrydeal/gateway/accounting/_clock.py
@@ -4,7 +4,7 @@
 import statistics
 import time
 
-from .. import ports
+from ... import ports
 
 
 def boot_s() -> float:
--- a/bilberrydeal/gateway/_reporting.py
+++ b/bilberrydeal/gateway/accounting/_reporting.py
@@ -4,11 +4,11 @@
 
 import attrs
 
-from .. import errors
-from .. import leases
-from .. import ports
-from .. import store
-from .. import telemetry
+from ... import errors
+from ... import leases
+from ... import ports
+from ... import store
+from ... import telemetry
 from . import _clock
 from . import _usage
 from . import _usage_broadcast
--- a/bilberrydeal/gateway/_usage.py
+++ b/bilberrydeal/gateway/accounting/_usage.py
@@ -2,11 +2,11 @@
 
 import attrs
 
-from .. import errors
-from .. import ports
-from .. import store
+from ... import errors
+from ... import ports
+from ... import store
+from .. import core
 from . import _clock
-from . import _requests
 
 #: Table with one row for each run of a gateway.
 GATEWAYS = "gateways"
@@ -83,8 +83,8 @@
 
     def count_once(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
     ) -> None:
         """Count a request once, however often it is sent."""
         if not progress.usage_counted:
--- a/bilberrydeal/gateway/_usage_broadcast.py
+++ b/bilberrydeal/gateway/accounting/_usage_broadcast.py
@@ -9,9 +9,9 @@
 
 import attrs
 
-from .. import settings
+from ... import settings
+from .. import messaging
 from . import _clock
-from . import _datagrams
 from . import _usage
 
 #: Interval between datagrams with a window's counts, in seconds.
@@ -38,9 +38,9 @@
     """
 
     def __init__(self) -> None:
-        self._by_gateway: dict[str, dict[int, _datagrams.WindowCounts]] = {}
+        self._by_gateway: dict[str, dict[int, messaging.WindowCounts]] = {}
 
-    def add(self, datagram: _datagrams.Datagram) -> None:
+    def add(self, datagram: messaging.Datagram) -> None:
         """Store the counts of a datagram unless newer ones are known."""
         counts = datagram.counts
         if counts is None:
@@ -97,9 +97,9 @@
 
     def __init__(
         self,
-        datagrams: _datagrams.Datagrams,
+        datagrams: messaging.Datagrams,
         gateway: str,
-        recipients: _datagrams.Peers,
+        recipients: messaging.Peers,
     ) -> None:
         self._datagrams = datagrams
         self._gateway = gateway
@@ -107,14 +107,14 @@
         #: Counts of the latest settled windows.
         self.known: dict[int, dict[str, int]] = {}
         #: Gateways that were told all of them.
-        self._told: frozenset[_datagrams.Address] = frozenset()
+        self._told: frozenset[messaging.Address] = frozenset()
         datagrams.subscribe(self.add)
 
     def tell(self, window: int, counts: dict[str, int]) -> None:
         """Tell the gateways that may take the lease of a settled window."""
         self._keep(window, counts)
-        settled = (_datagrams.SettledWindow(window, counts),)
-        datagram = _datagrams.Datagram(self._gateway, settled=settled)
+        settled = (messaging.SettledWindow(window, counts),)
+        datagram = messaging.Datagram(self._gateway, settled=settled)
         self._datagrams.send(datagram, self._recipients())
 
     def tell_new_recipients(self) -> None:
@@ -123,7 +123,7 @@
         self._tell_all(recipients - self._told)
         self._told = recipients
 
-    def add(self, datagram: _datagrams.Datagram) -> None:
+    def add(self, datagram: messaging.Datagram) -> None:
         """Keep the windows of a datagram; answer a gateway that asks."""
         for each in datagram.settled:
             self._keep(each.window, each.counts)
@@ -136,16 +136,16 @@
             del self.known[old]
 
     def _tell_all(
-        self, recipients: collections.abc.Collection[_datagrams.Address]
+        self, recipients: collections.abc.Collection[messaging.Address]
     ) -> None:
         if not self.known or not recipients:
             return
         settled = tuple(
-            _datagrams.SettledWindow(window, counts)
+            messaging.SettledWindow(window, counts)
             for window, counts in self.known.items()
         )
         self._datagrams.send(
-            _datagrams.Datagram(self._gateway, settled=settled), recipients
+            messaging.Datagram(self._gateway, settled=settled), recipients
         )
 
 
@@ -154,11 +154,11 @@
 
     def __init__(
         self,
-        datagrams: _datagrams.Datagrams,
+        datagrams: messaging.Datagrams,
         gateway: str,
         counter: _usage.UsageCounter,
         peer_counts: PeerCounts,
-        recipients: _datagrams.Peers,
+        recipients: messaging.Peers,
         clock: _clock.ClusterClock,
     ) -> None:
         self._datagrams = datagrams
@@ -180,10 +180,10 @@
             self._send(window, store_s)
 
     def _send(self, window: int, store_s: float) -> None:
-        counts = _datagrams.WindowCounts(
+        counts = messaging.WindowCounts(
             window, self._counter.counts(window), store_s
         )
-        datagram = _datagrams.Datagram(self._gateway, counts=counts)
+        datagram = messaging.Datagram(self._gateway, counts=counts)
         self._peer_counts.add(datagram)
         self._datagrams.send(datagram, self._recipients())
 
@@ -191,7 +191,7 @@
 def _with_peer_counts(
     row: _usage.GatewayRow,
     window: int,
-    received: _datagrams.WindowCounts | None,
+    received: messaging.WindowCounts | None,
 ) -> _usage.GatewayRow:
     if received is None:
         return row
--- /dev/null
+++ b/bilberrydeal/gateway/cluster_state/__init__.py
@@ -0,0 +1,29 @@
+"""A gateway's view of the configuration and the endpoints."""
+
+from ._cluster_state import ClusterState
+from ._cluster_state import Upstream
+from ._endpoint_limit import EndpointLimit
+from ._store_hints import HINT_INTERVAL_S
+from ._store_hints import StoreHints
+from ._store_sync import CONFIGURATION_WAIT_S
+from ._store_sync import ConfigurationUpdater
+from ._store_sync import ENDPOINTS_PAUSE_S
+from ._store_sync import ENDPOINTS_WAIT_S
+from ._store_sync import EndpointUpdater
+from ._store_sync import StoreConnectivity
+from ._store_sync import TableFollower
+
+__all__ = [
+    "CONFIGURATION_WAIT_S",
+    "ClusterState",
+    "ConfigurationUpdater",
+    "ENDPOINTS_PAUSE_S",
+    "ENDPOINTS_WAIT_S",
+    "EndpointLimit",
+    "EndpointUpdater",
+    "HINT_INTERVAL_S",
+    "StoreConnectivity",
+    "StoreHints",
+    "TableFollower",
+    "Upstream",
+]
--- a/bilberrydeal/gateway/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -5,16 +5,16 @@
 
 import attrs
 
-from .. import catalogue
-from .. import http1
-from .. import platform
-from .. import ports
-from .. import systems
-from .. import telemetry
-from ..systems import health
-from ..systems import limits
-from ..systems import pacing
-from ..systems import placement
+from ... import catalogue
+from ... import http1
+from ... import platform
+from ... import ports
+from ... import systems
+from ... import telemetry
+from ...systems import health
+from ...systems import limits
+from ...systems import pacing
+from ...systems import placement
 from . import _departures
 from . import _endpoint_limit
 
--- a/bilberrydeal/gateway/_departures.py
+++ b/bilberrydeal/gateway/cluster_state/_departures.py
@@ -1,6 +1,6 @@
 """Endpoints that have said that they leave."""
 
-from .. import catalogue
+from ... import catalogue
 
 #: Most endpoints that are remembered.
 REMEMBERED_LIMIT = 10_000
--- a/bilberrydeal/gateway/_endpoint_history.py
+++ b/bilberrydeal/gateway/cluster_state/_endpoint_history.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from .. import catalogue
+from ... import catalogue
 
 #: Time for which an endpoint that left is remembered, in seconds; copies that
 #: the store comes back from are some seconds old.
--- a/bilberrydeal/gateway/_endpoint_limit.py
+++ b/bilberrydeal/gateway/cluster_state/_endpoint_limit.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..systems import limits
+from ...systems import limits
 
 
 @attrs.define(eq=False)
--- a/bilberrydeal/gateway/_store_hints.py
+++ b/bilberrydeal/gateway/cluster_state/_store_hints.py
@@ -14,9 +14,9 @@
 
 import attrs
 
-from .. import ports
-from .. import telemetry
-from . import _datagrams
+from ... import ports
+from ... import telemetry
+from .. import messaging
 
 LOG = telemetry.logger("hints")
 #: Fleets of up to this size have no watchers.
@@ -106,9 +106,9 @@
 
     def __init__(
         self,
-        datagrams: _datagrams.Datagrams,
+        datagrams: messaging.Datagrams,
         gateway: str,
-        peers: _datagrams.Peers,
+        peers: messaging.Peers,
         position: collections.abc.Callable[[], int],
         watchers: int,
         apply_limit_s: float,
@@ -175,7 +175,7 @@
             return
         now_s = self._clock()
         hints = tuple(
-            _datagrams.TableHint(
+            messaging.TableHint(
                 name,
                 table.changed_version.number,
                 now_s - table.confirmed_s,
@@ -186,10 +186,10 @@
         )
         if hints:
             self._datagrams.send(
-                _datagrams.Datagram(self._gateway, hints=hints), self._peers()
+                messaging.Datagram(self._gateway, hints=hints), self._peers()
             )
 
-    def _on_datagram(self, datagram: _datagrams.Datagram) -> None:
+    def _on_datagram(self, datagram: messaging.Datagram) -> None:
         now_s = self._clock()
         for hint in datagram.hints:
             table = self._tables.get(hint.table)
--- a/bilberrydeal/gateway/_store_sync.py
+++ b/bilberrydeal/gateway/cluster_state/_store_sync.py
@@ -5,11 +5,11 @@
 
 import attrs
 
-from .. import catalogue
-from .. import errors
-from .. import platform
-from .. import ports
-from .. import telemetry
+from ... import catalogue
+from ... import errors
+from ... import platform
+from ... import ports
+from ... import telemetry
 from . import _cluster_state
 from . import _endpoint_history
 from . import _store_hints
--- /dev/null
+++ b/bilberrydeal/gateway/core/__init__.py
@@ -0,0 +1,23 @@
+"""Requests, their progress and refusals, and the metrics of a gateway."""
+
+from ._metrics import GatewayMetrics
+from ._metrics import GaugeValues
+from ._requests import AdmittedRequest
+from ._requests import FAILED_RETRY_S
+from ._requests import failure_refusal
+from ._requests import NO_PROMPT
+from ._requests import not_run_refusal
+from ._requests import RequestProgress
+from ._requests import SendRecord
+
+__all__ = [
+    "AdmittedRequest",
+    "FAILED_RETRY_S",
+    "GatewayMetrics",
+    "GaugeValues",
+    "NO_PROMPT",
+    "RequestProgress",
+    "SendRecord",
+    "failure_refusal",
+    "not_run_refusal",
+]
--- a/bilberrydeal/gateway/_metrics.py
+++ b/bilberrydeal/gateway/core/_metrics.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from .. import telemetry
+from ... import telemetry
 from . import _requests
 
 #: Bucket bounds of the request duration histogram, in seconds.
--- a/bilberrydeal/gateway/_requests.py
+++ b/bilberrydeal/gateway/core/_requests.py
@@ -5,10 +5,10 @@
 
 import attrs
 
-from .. import catalogue
-from .. import errors
-from .. import http1
-from ..systems import placement
+from ... import catalogue
+from ... import errors
+from ... import http1
+from ...systems import placement
 
 #: Retry-After of a request that no endpoint ran, in seconds.
 FAILED_RETRY_S = 0.1
--- a/bilberrydeal/gateway/_coordination.py
+++ b/bilberrydeal/gateway/duties/_coordination.py
@@ -4,24 +4,21 @@
 import random
 import time
 
-from .. import errors
-from .. import leases
-from .. import periodic
-from .. import platform
-from .. import settings
-from .. import store
-from .. import telemetry
-from ..systems import placement
-from . import _clock
-from . import _cluster_state
-from . import _datagrams
+from ... import errors
+from ... import leases
+from ... import periodic
+from ... import platform
+from ... import settings
+from ... import store
+from ... import telemetry
+from ...systems import placement
+from .. import accounting
+from .. import cluster_state
+from .. import messaging
+from .. import peer_exchange
 from . import _lease_keeper
 from . import _quarantine_rows
-from . import _reporting
-from . import _role_changes
 from . import _roles
-from . import _usage
-from . import _usage_broadcast
 
 LOG = telemetry.logger("duties")
 #: Shortest interval between writes of this gateway's row.
@@ -65,12 +62,12 @@
         self,
         gateway_settings: settings.GatewaySettings,
         table: platform.PlatformStore,
-        cluster: _cluster_state.ClusterState,
-        datagrams: _datagrams.Datagrams,
+        cluster: cluster_state.ClusterState,
+        datagrams: messaging.Datagrams,
         rng: random.Random,
     ) -> None:
         #: Identifies this run of the gateway.
-        self.incarnation = _usage.incarnation_of(
+        self.incarnation = accounting.incarnation_of(
             gateway_settings.host_id, rng.getrandbits(48)
         )
         #: Receives usage reports.
@@ -78,17 +75,17 @@
             *settings.split_address(gateway_settings.platform.usage)
         )
         self._cluster = cluster
-        self._members = _usage.Members(others={}, position=0)
+        self._members = accounting.Members(others={}, position=0)
         bounds = gateway_settings.bounds
         client = _client(table, STORE_TIMEOUT_S)
         self._client = client
-        cluster_clock = _clock.ClusterClock(lambda: table.clock)
+        cluster_clock = accounting.ClusterClock(lambda: table.clock)
         self._cluster_clock = cluster_clock
         #: Counts requests that began to run, for billing.
-        self.usage_counter = _usage.UsageCounter(
+        self.usage_counter = accounting.UsageCounter(
             cluster_clock, bounds.usage_window_s
         )
-        self._rows = _usage.UsageRows(
+        self._rows = accounting.UsageRows(
             _client(table, ROW_TIMEOUT_S),
             self.incarnation,
             gateway_settings.listen.peers,
@@ -97,15 +94,15 @@
         )
         self._lease = leases.Lease(
             client,
-            _reporting.DUTY,
+            accounting.DUTY,
             self.incarnation,
             _lease_bounds(bounds.lease_ms / 1000),
         )
         self._lease_keeper = _lease_keeper.LeaseKeeper(
-            self._lease, _reporting.DUTY
+            self._lease, accounting.DUTY
         )
-        peer_counts = _usage_broadcast.PeerCounts()
-        self._broadcaster = _usage_broadcast.CountBroadcaster(
+        peer_counts = accounting.PeerCounts()
+        self._broadcaster = accounting.CountBroadcaster(
             datagrams,
             self.incarnation,
             self.usage_counter,
@@ -113,10 +110,10 @@
             self._lease_candidates,
             cluster_clock,
         )
-        self._settled_windows = _usage_broadcast.SettledWindows(
+        self._settled_windows = accounting.SettledWindows(
             datagrams, self.incarnation, self._lease_candidates
         )
-        self._reporter = _reporting.Reporter(
+        self._reporter = accounting.Reporter(
             client,
             self._lease,
             self._rows,
@@ -133,7 +130,7 @@
             cluster,
             self._lease,
             gateway_settings.host_id,
-            _role_changes.RoleChangeBroadcast(
+            peer_exchange.RoleChangeBroadcast(
                 datagrams,
                 cluster,
                 self.incarnation,
@@ -143,7 +140,7 @@
             placement.ROLE_PLANS.get(gateway_settings.role_plan),
         )
         #: Datagram addresses of the other gateways.
-        self.peers: tuple[_datagrams.Address, ...] = ()
+        self.peers: tuple[messaging.Address, ...] = ()
 
     @property
     def position(self) -> int:
@@ -153,7 +150,7 @@
     @property
     def lease_held(self) -> bool:
         """Return whether this process holds the lease."""
-        return self._lease.is_held(_clock.boot_s())
+        return self._lease.is_held(accounting.boot_s())
 
     def clock_offset_s(self, steady_s: float) -> float:
         """Return the gateways' common clock minus a steady clock."""
@@ -167,7 +164,7 @@
             ),
             periodic.run_periodically(
                 "tell",
-                lambda: _usage_broadcast.BROADCAST_INTERVAL_S,
+                lambda: accounting.BROADCAST_INTERVAL_S,
                 self._broadcaster.run_once,
             ),
             periodic.run_periodically(
@@ -220,7 +217,7 @@
         )
         self._settled_windows.tell_new_recipients()
 
-    def _lease_candidates(self) -> tuple[_datagrams.Address, ...]:
+    def _lease_candidates(self) -> tuple[messaging.Address, ...]:
         """Return the addresses of the lease holder and the candidates."""
         others = self._members.others
         names = set(list(others)[:LEASE_CANDIDATES])
@@ -236,7 +233,7 @@
         )
 
     def _lease_pause_s(self) -> float:
-        if self._lease.may_renew(_clock.boot_s()):
+        if self._lease.may_renew(accounting.boot_s()):
             return LEASE_HELD_INTERVAL_S
         candidate = self._members.position < LEASE_CANDIDATES
         if candidate:
@@ -254,7 +251,7 @@
         table,
         timeout_s,
         STORE_RATE_PER_S,
-        clock=_clock.boot_s,
+        clock=accounting.boot_s,
         era=lambda: table.era,
     )
 
--- a/bilberrydeal/gateway/_lease_keeper.py
+++ b/bilberrydeal/gateway/duties/_lease_keeper.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from .. import telemetry
+from ... import telemetry
 
 LOG = telemetry.logger("duties")
 
--- a/bilberrydeal/gateway/_quarantine_rows.py
+++ b/bilberrydeal/gateway/duties/_quarantine_rows.py
@@ -10,19 +10,19 @@
 
 import attrs
 
-from .. import errors
-from .. import leases
-from .. import ports
-from .. import store
-from .. import telemetry
-from ..systems import quarantine
-from . import _clock
+from ... import errors
+from ... import leases
+from ... import ports
+from ... import store
+from ... import telemetry
+from ...systems import quarantine
+from .. import accounting
 
 LOG = telemetry.logger("quarantine")
 #: Table with one row for each quarantine.
 QUARANTINES = "quarantines"
 #: Interval between checks for rows to write, in seconds.
-INTERVAL_S = 1.0
+QUARANTINE_ROWS_INTERVAL_S = 1.0
 
 
 @attrs.frozen
@@ -67,7 +67,7 @@
         lease: leases.Lease,
         state: QuarantineState,
         connectivity: Connectivity,
-        clock: _clock.ClusterClock,
+        clock: accounting.ClusterClock,
         steady_s: collections.abc.Callable[[], float],
     ) -> None:
         self._client = client
--- a/bilberrydeal/gateway/_roles.py
+++ b/bilberrydeal/gateway/duties/_roles.py
@@ -5,15 +5,15 @@
 
 import attrs
 
-from .. import catalogue
-from .. import leases
-from .. import platform
-from .. import ports
-from .. import store
-from .. import telemetry
-from ..systems import placement
-from . import _cluster_state
-from . import _role_changes
+from ... import catalogue
+from ... import leases
+from ... import platform
+from ... import ports
+from ... import store
+from ... import telemetry
+from ...systems import placement
+from .. import cluster_state
+from .. import peer_exchange
 
 LOG = telemetry.logger("roles")
 #: An order is sent only with more time left on the lease, in seconds.
@@ -105,10 +105,10 @@
     def __init__(
         self,
         client: store.StoreClient,
-        cluster: _cluster_state.ClusterState,
+        cluster: cluster_state.ClusterState,
         lease: leases.Lease,
         host_id: str,
-        role_changes: _role_changes.RoleChangeBroadcast,
+        role_changes: peer_exchange.RoleChangeBroadcast,
         plan: placement.Plan,
         steady_s: Clock = time.monotonic,
     ) -> None:
@@ -235,7 +235,7 @@
         limit = max(int(len(self._loads(service)) * MAX_CHANGING_SHARE), 1)
         return len(state.pending) < limit
 
-    def _accepts_orders(self, upstream: _cluster_state.Upstream) -> bool:
+    def _accepts_orders(self, upstream: cluster_state.Upstream) -> bool:
         """Return whether an engine may be sent a call now."""
         reason = None
         if not upstream.endpoint.ready:
--- a/bilberrydeal/gateway/_datagrams.py
+++ b/bilberrydeal/gateway/messaging/_datagrams.py
@@ -11,9 +11,9 @@
 import attrs
 import msgspec
 
-from .. import telemetry
-from ..systems import placement
-from ..systems import quarantine
+from ... import telemetry
+from ...systems import placement
+from ...systems import quarantine
 from . import _quarantine_wire
 
 LOG = telemetry.logger("datagrams")
--- a/bilberrydeal/gateway/_quarantine_wire.py
+++ b/bilberrydeal/gateway/messaging/_quarantine_wire.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..systems import quarantine
+from ...systems import quarantine
 
 
 class WirePrompt(msgspec.Struct, array_like=True):
--- a/bilberrydeal/gateway/_limit_broadcast.py
+++ b/bilberrydeal/gateway/peer_exchange/_limit_broadcast.py
@@ -9,12 +9,11 @@
 
 import attrs
 
-from . import _cluster_state
-from . import _datagrams
-from . import _endpoint_limit
+from .. import cluster_state
+from .. import messaging
 
 #: Interval between checks for something to tell, in seconds.
-INTERVAL_S = 0.1
+LIMIT_BROADCAST_INTERVAL_S = 0.1
 #: Interval at which a limit in force is told again by any gateway, in seconds.
 REFRESH_INTERVAL_S = 1.0
 #: Time for which the end of a limit is told again, in seconds.
@@ -53,10 +52,10 @@
 
     def __init__(
         self,
-        datagrams: _datagrams.Datagrams,
-        cluster: _cluster_state.ClusterState,
+        datagrams: messaging.Datagrams,
+        cluster: cluster_state.ClusterState,
         gateway: str,
-        peers: _datagrams.Peers,
+        peers: messaging.Peers,
         clock: Clock,
     ) -> None:
         self._datagrams = datagrams
@@ -80,10 +79,10 @@
         )
         if due:
             self._datagrams.send(
-                _datagrams.Datagram(self._gateway, limits=due), self._peers()
+                messaging.Datagram(self._gateway, limits=due), self._peers()
             )
 
-    def _due(self, upstream: _cluster_state.Upstream, now_s: float) -> bool:
+    def _due(self, upstream: cluster_state.Upstream, now_s: float) -> bool:
         limit = upstream.limit
         told = self._told.get(upstream.endpoint.endpoint_id, _Told())
         if limit.said_s <= told.said_s:
@@ -96,12 +95,12 @@
         return now_s - told.at_s >= REFRESH_INTERVAL_S
 
     def _report(
-        self, upstream: _cluster_state.Upstream, now_s: float
-    ) -> _datagrams.EndpointLimitReport:
+        self, upstream: cluster_state.Upstream, now_s: float
+    ) -> messaging.EndpointLimitReport:
         limit = upstream.limit
         endpoint = upstream.endpoint
         self._note_told(endpoint.endpoint_id, limit, now_s)
-        return _datagrams.EndpointLimitReport(
+        return messaging.EndpointLimitReport(
             endpoint.endpoint_id,
             endpoint.started_ms,
             limit.limit_per_s,
@@ -111,7 +110,7 @@
     def _note_told(
         self,
         endpoint_id: str,
-        limit: _endpoint_limit.EndpointLimit,
+        limit: cluster_state.EndpointLimit,
         now_s: float,
     ) -> None:
         told = self._told.setdefault(endpoint_id, _Told())
@@ -121,7 +120,7 @@
         told.at_s = now_s
         told.said_s = limit.said_s
 
-    def _on_datagram(self, datagram: _datagrams.Datagram) -> None:
+    def _on_datagram(self, datagram: messaging.Datagram) -> None:
         now_s = self._clock()
         for report in datagram.limits:
             upstream = self._cluster.endpoints.get(report.endpoint_id)
--- a/bilberrydeal/gateway/_exchange.py
+++ b/bilberrydeal/gateway/peer_exchange/_load_exchange.py
@@ -8,10 +8,10 @@
 import asyncio
 import collections.abc
 
-from ..systems import placement
-from . import _cluster_state
-from . import _datagrams
-from . import _uplink
+from ...systems import placement
+from .. import _uplink
+from .. import cluster_state
+from .. import messaging
 
 #: Shortest interval between datagrams to a gateway.
 MIN_INTERVAL_S = 0.012
@@ -35,10 +35,10 @@
 
     def __init__(
         self,
-        datagrams: _datagrams.Datagrams,
-        cluster: _cluster_state.ClusterState,
+        datagrams: messaging.Datagrams,
+        cluster: cluster_state.ClusterState,
         gateway: str,
-        peers: _datagrams.Peers,
+        peers: messaging.Peers,
         uplink: _uplink.Uplink,
         clock: Clock,
     ) -> None:
@@ -56,7 +56,7 @@
         self._sent_s = float("-inf")
         datagrams.subscribe(self._on_datagram)
 
-    def _on_datagram(self, datagram: _datagrams.Datagram) -> None:
+    def _on_datagram(self, datagram: messaging.Datagram) -> None:
         """Apply the load report of another gateway."""
         load = datagram.load
         if load is None:
@@ -149,9 +149,9 @@
             if engine is not None:
                 engine.unreported_prompts.clear()
                 engine.unreported_samples.clear()
-        load = _datagrams.LoadReport(self._sequence, engine_loads)
+        load = messaging.LoadReport(self._sequence, engine_loads)
         self._last_sent_bytes = self._datagrams.send(
-            _datagrams.Datagram(self._gateway, load=load), self._peers()
+            messaging.Datagram(self._gateway, load=load), self._peers()
         )
         self._uplink.record_sent(self._last_sent_bytes)
 
--- a/bilberrydeal/gateway/_role_changes.py
+++ b/bilberrydeal/gateway/peer_exchange/_role_changes.py
@@ -7,9 +7,9 @@
 
 import collections.abc
 
-from .. import telemetry
-from . import _cluster_state
-from . import _datagrams
+from ... import telemetry
+from .. import cluster_state
+from .. import messaging
 
 LOG = telemetry.logger("changing")
 #: Time until an announcement expires unless it is repeated, in seconds.
@@ -28,10 +28,10 @@
 
     def __init__(
         self,
-        datagrams: _datagrams.Datagrams,
-        cluster: _cluster_state.ClusterState,
+        datagrams: messaging.Datagrams,
+        cluster: cluster_state.ClusterState,
         gateway: str,
-        peers: _datagrams.Peers,
+        peers: messaging.Peers,
         clock: Clock,
     ) -> None:
         self._datagrams = datagrams
@@ -45,13 +45,13 @@
         """Announce to all gateways, this one too, that engines change."""
         if not engine_ids:
             return
-        datagram = _datagrams.Datagram(
+        datagram = messaging.Datagram(
             self._gateway, changing=tuple(engine_ids)
         )
         self._on_datagram(datagram)
         self._datagrams.send(datagram, self._peers())
 
-    def _on_datagram(self, datagram: _datagrams.Datagram) -> None:
+    def _on_datagram(self, datagram: messaging.Datagram) -> None:
         now_s = self._clock()
         for engine_id in datagram.changing:
             upstream = self._cluster.endpoints.get(engine_id)
--- a/bilberrydeal/gateway/_quarantine.py
+++ b/bilberrydeal/gateway/sending/_quarantine.py
@@ -3,23 +3,22 @@
 import collections.abc
 import random
 
-from .. import errors
-from .. import settings
-from .. import telemetry
-from ..systems import quarantine
-from . import _cluster_state
-from . import _datagrams
-from . import _metrics
-from . import _requests
+from ... import errors
+from ... import settings
+from ... import telemetry
+from ...systems import quarantine
+from .. import cluster_state
+from .. import core
+from .. import messaging
 
 LOG = telemetry.logger("quarantine")
 #: Interval between decisions, and between datagrams, in seconds.
-INTERVAL_S = 0.1
+QUARANTINE_INTERVAL_S = 0.1
 #: Longest Retry-After of a refusal, in seconds.
 RETRY_AFTER_LIMIT_S = 30.0
 #: A stream whose first event arrived this long before its engine was lost did
 #: not crash it, in seconds.
-BEGINNING_S = 0.5
+STREAM_BEGINNING_S = 0.5
 #: Time after the first event when a stream counts as sound, in seconds.
 SOUND_AFTER_S = 1.0
 #: How often a gateway that has started asks others, and how many.
@@ -42,18 +41,18 @@
 }
 
 
-class PartQuarantine:
+class RequestQuarantine:
     """Collects evidence against prompt parts and refuses their requests."""
 
     def __init__(
         self,
         system: quarantine.QuarantineSystem,
-        datagrams: _datagrams.Datagrams,
+        datagrams: messaging.Datagrams,
         gateway: str,
         address: str,
-        peers: _datagrams.Peers,
+        peers: messaging.Peers,
         may_probe: collections.abc.Callable[[], bool],
-        metrics: _metrics.GatewayMetrics,
+        metrics: core.GatewayMetrics,
         rng: random.Random,
         clock: Clock,
     ) -> None:
@@ -72,8 +71,8 @@
 
     def engine_lost(
         self,
-        upstream: _cluster_state.Upstream,
-        admitted: _requests.AdmittedRequest,
+        upstream: cluster_state.Upstream,
+        admitted: core.AdmittedRequest,
         started: bool,
         sent_s: float,
         first_s: float | None,
@@ -84,7 +83,7 @@
         sent and ``first_s`` when its first event arrived.
         """
         now_s = self._clock()
-        began = first_s is not None and now_s - first_s >= BEGINNING_S
+        began = first_s is not None and now_s - first_s >= STREAM_BEGINNING_S
         for *shared, own in _suspects(admitted):
             loss = quarantine.EngineLoss(
                 _process_of(upstream),
@@ -97,26 +96,26 @@
             self._system.observe_loss(loss, now_s)
 
     def engine_responded(
-        self, upstream: _cluster_state.Upstream, sent_s: float
+        self, upstream: cluster_state.Upstream, sent_s: float
     ) -> None:
         """Record that an engine responded to a request sent at a time."""
         self._system.observe_response(
             _process_of(upstream), sent_s, self._clock()
         )
 
-    def engine_restarted(self, upstream: _cluster_state.Upstream) -> None:
+    def engine_restarted(self, upstream: cluster_state.Upstream) -> None:
         """Record that a run of an engine has ended and another one begun."""
         self._system.observe_end(_process_of(upstream), self._clock())
 
-    def request_sound(self, admitted: _requests.AdmittedRequest) -> None:
+    def request_sound(self, admitted: core.AdmittedRequest) -> None:
         """Record that a request was completed, or has gone on for a while."""
         for parts in _suspects(admitted):
             self._system.observe_sound(parts, self._clock())
 
     def check(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
     ) -> None:
         """Refuse a request in quarantine; raises ``Refusal``.
 
@@ -148,16 +147,16 @@
             reason = errors.ErrorCode.REQUEST_QUARANTINED
             message = f"quarantined request {parts}"
         if progress.may_have_run:
-            raise _requests.failure_refusal(progress, message)
+            raise core.failure_refusal(progress, message)
         left_s = found.renewed_s + quarantine.PROBE_INTERVAL_S - now_s
-        raise _requests.not_run_refusal(
+        raise core.not_run_refusal(
             reason,
             message,
             min(max(left_s, 1.0), RETRY_AFTER_LIMIT_S),
         )
 
     def _find(
-        self, admitted: _requests.AdmittedRequest, now_s: float
+        self, admitted: core.AdmittedRequest, now_s: float
     ) -> quarantine.Quarantine | None:
         """Return the quarantine that keeps a request from endpoints."""
         if not self._system.quarantines(now_s):
@@ -170,8 +169,8 @@
 
     def _check_suspected(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
         now_s: float,
     ) -> None:
         if not progress.may_have_run or any(
@@ -182,7 +181,7 @@
             self._system.suspects(parts, now_s)
             for parts in _suspects(admitted)
         ):
-            raise _requests.failure_refusal(
+            raise core.failure_refusal(
                 progress, "suspected of crashing endpoints"
             )
 
@@ -214,12 +213,10 @@
         news = self._system.news(len(peers) + 1, now_s)
         if not news.empty:
             self._datagrams.send(
-                _datagrams.Datagram(self._gateway, news=news), peers
+                messaging.Datagram(self._gateway, news=news), peers
             )
 
-    def _ask(
-        self, peers: tuple[_datagrams.Address, ...], now_s: float
-    ) -> None:
+    def _ask(self, peers: tuple[messaging.Address, ...], now_s: float) -> None:
         """Ask some gateways for what was decided before the start."""
         if self._asked >= ASKS or now_s - self._asked_s < ASK_INTERVAL_S:
             return
@@ -227,10 +224,10 @@
         self._asked_s = now_s
         asked = self._rng.sample(peers, min(ASKED_PEERS, len(peers)))
         self._datagrams.send(
-            _datagrams.Datagram(self._gateway, asks=self._address), asked
+            messaging.Datagram(self._gateway, asks=self._address), asked
         )
 
-    def _on_datagram(self, datagram: _datagrams.Datagram) -> None:
+    def _on_datagram(self, datagram: messaging.Datagram) -> None:
         now_s = self._clock()
         if datagram.news is not None:
             self._system.learn(datagram.news, now_s)
@@ -238,19 +235,19 @@
             summary = self._system.summary(now_s)
             if not summary.empty:
                 self._datagrams.send(
-                    _datagrams.Datagram(self._gateway, news=summary),
+                    messaging.Datagram(self._gateway, news=summary),
                     [settings.split_address(datagram.asks)],
                 )
 
 
-def _process_of(upstream: _cluster_state.Upstream) -> str:
+def _process_of(upstream: cluster_state.Upstream) -> str:
     """Return an id of this run of an engine."""
     endpoint = upstream.endpoint
     return f"{endpoint.endpoint_id}@{endpoint.started_ms}"
 
 
 def _suspects(
-    admitted: _requests.AdmittedRequest,
+    admitted: core.AdmittedRequest,
 ) -> list[quarantine.Parts]:
     """Return what may crash an endpoint: the prompt's parts, the request."""
     suspects = [quarantine.request_parts(admitted.fingerprint)]
--- a/bilberrydeal/gateway/_retry_policy.py
+++ b/bilberrydeal/gateway/sending/_retry_policy.py
@@ -2,10 +2,10 @@
 
 import collections.abc
 
-from .. import telemetry
-from ..systems import retries
-from . import _cluster_state
-from . import _requests
+from ... import telemetry
+from ...systems import retries
+from .. import cluster_state
+from .. import core
 
 LOG = telemetry.logger("repeating")
 #: A request with less time left is not retried, in seconds.
@@ -19,7 +19,7 @@
 
     def __init__(
         self,
-        cluster: _cluster_state.ClusterState,
+        cluster: cluster_state.ClusterState,
         budget: retries.WindowBudget,
         clock: Clock,
     ) -> None:
@@ -33,8 +33,8 @@
 
     def record_send(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
         prefill: bool,
     ) -> None:
         """Count a send that reaches an endpoint.
@@ -54,14 +54,14 @@
         if not prefill:
             self.release(admitted, progress)
 
-    def record_prefill(self, progress: _requests.RequestProgress) -> None:
+    def record_prefill(self, progress: core.RequestProgress) -> None:
         """Record that a prefill succeeded."""
         progress.prefill_recorded = True
 
     def release(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
     ) -> None:
         """Return the sends that were reserved for a request and not made."""
         if progress.reserved_sends:
@@ -70,8 +70,8 @@
 
     def allows_retry(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
         reason: str,
     ) -> bool:
         """Return whether a request may be sent to another endpoint.
@@ -107,8 +107,8 @@
 
     def has_budget(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
     ) -> bool:
         """Return whether the service's budget permits a retry now."""
         sends = _sends_needed(admitted, progress) - progress.reserved_sends
@@ -118,8 +118,8 @@
 
     def reserve(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
     ) -> bool:
         """Reserve a retry before its request is given up elsewhere.
 
@@ -141,8 +141,8 @@
 
     def _charge_failed_prefill(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
     ) -> None:
         """Charge an earlier prefill that did not succeed."""
         if progress.prefill_sent and not progress.prefill_recorded:
@@ -151,8 +151,8 @@
 
     def _charge(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
     ) -> None:
         """Charge a send to the budget, first to what is reserved."""
         if progress.reserved_sends:
@@ -162,7 +162,7 @@
 
 
 def _sends_needed(
-    admitted: _requests.AdmittedRequest, progress: _requests.RequestProgress
+    admitted: core.AdmittedRequest, progress: core.RequestProgress
 ) -> int:
     """Return the most sends of the next attempt that are charged."""
     if not progress.sent:
--- a/bilberrydeal/gateway/_send_failures.py
+++ b/bilberrydeal/gateway/sending/_send_failures.py
@@ -1,6 +1,6 @@
 """What the failure of a send of a stream means for its request."""
 
-from . import _requests
+from .. import core
 from . import _sending
 
 
@@ -12,9 +12,7 @@
 FAILED_SENDS = (_sending.NotOffered, _sending.Rejected, _sending.Lost)
 
 
-def count_failure(
-    progress: _requests.RequestProgress, error: Exception
-) -> None:
+def count_failure(progress: core.RequestProgress, error: Exception) -> None:
     """Count a failed send against the attempts that the route allows.
 
     The first lost prefill is no attempt to run the request.
@@ -38,20 +36,20 @@
     return f"lost, {error}"
 
 
-def is_lost_run(error: Exception) -> bool:
+def _is_lost_run(error: Exception) -> bool:
     """Return whether a send that may have run was lost."""
     lost = isinstance(error, _sending.Lost)
     return lost and not isinstance(error, PrefillLost)
 
 
 def is_final(
-    admitted: _requests.AdmittedRequest,
-    progress: _requests.RequestProgress,
+    admitted: core.AdmittedRequest,
+    progress: core.RequestProgress,
     error: Exception,
 ) -> bool:
     """Return whether a request that may have run must not be sent again."""
     return (
-        is_lost_run(error)
+        _is_lost_run(error)
         and progress.may_have_run
         and not admitted.route.idempotent
     )
--- a/bilberrydeal/gateway/_sending.py
+++ b/bilberrydeal/gateway/sending/_sending.py
@@ -6,15 +6,15 @@
 
 import attrs
 
-from .. import http1
-from .. import platform
-from .. import telemetry
-from ..systems import placement
-from . import _cluster_state
+from ... import http1
+from ... import platform
+from ... import telemetry
+from ...systems import placement
+from .. import _uplink
+from .. import cluster_state
+from .. import core
 from . import _quarantine
-from . import _requests
 from . import _retry_policy
-from . import _uplink
 
 #: A rejection within this time means that the endpoint accepts nothing now,
 #: in seconds; a later one means that the request waited there in vain.
@@ -85,7 +85,7 @@
     #: Estimated time when its last byte left this host, monotonic seconds.
     sent_s: float
     #: The send as logged.
-    record: _requests.SendRecord
+    record: core.SendRecord
 
 
 class Sender:
@@ -93,11 +93,11 @@
 
     def __init__(
         self,
-        cluster: _cluster_state.ClusterState,
+        cluster: cluster_state.ClusterState,
         retry_policy: _retry_policy.RetryPolicy,
         uplink: _uplink.Uplink,
         tracing: telemetry.Tracing,
-        quarantine: _quarantine.PartQuarantine,
+        quarantine: _quarantine.RequestQuarantine,
         clock: Clock,
     ) -> None:
         self._quarantine = quarantine
@@ -110,9 +110,9 @@
     @contextlib.asynccontextmanager
     async def exchange(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
-        upstream: _cluster_state.Upstream,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
+        upstream: cluster_state.Upstream,
         fields: platform.SendFields,
         placed: placement.Placement | None = None,
         patience: Patience | None = None,
@@ -143,9 +143,9 @@
     @contextlib.asynccontextmanager
     async def _exchange(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
-        upstream: _cluster_state.Upstream,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
+        upstream: cluster_state.Upstream,
         fields: platform.SendFields,
         placed: placement.Placement | None,
         patience: Patience | None,
@@ -239,13 +239,13 @@
 
     def _new_record(
         self,
-        admitted: _requests.AdmittedRequest,
-        upstream: _cluster_state.Upstream,
+        admitted: core.AdmittedRequest,
+        upstream: cluster_state.Upstream,
         fields: platform.SendFields,
         placed: placement.Placement | None,
-    ) -> _requests.SendRecord:
+    ) -> core.SendRecord:
         at_s = self._clock() - admitted.request.started_s
-        record = _requests.SendRecord(
+        record = core.SendRecord(
             kind="read" if fields.prefill else "serve",
             endpoint=upstream.endpoint.endpoint_id,
             at_ms=round(at_s * 1000, 1),
@@ -270,9 +270,9 @@
     async def _head(
         self,
         connection: http1.ClientConnection,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
-        upstream: _cluster_state.Upstream,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
+        upstream: cluster_state.Upstream,
         fields: platform.SendFields,
         patience: Patience | None,
     ) -> http1.ResponseHead:
@@ -300,7 +300,7 @@
 
 
 def _first_event_s(
-    admitted: _requests.AdmittedRequest, record: _requests.SendRecord
+    admitted: core.AdmittedRequest, record: core.SendRecord
 ) -> float | None:
     """Return when the first event of a send arrived, monotonic seconds."""
     if record.first_ms is None:
@@ -309,8 +309,8 @@
 
 
 def _check_accepting(
-    upstream: _cluster_state.Upstream,
-    record: _requests.SendRecord,
+    upstream: cluster_state.Upstream,
+    record: core.SendRecord,
     now_s: float,
 ) -> None:
     """Raise ``NotOffered`` for an endpoint that wants no request now."""
--- a/bilberrydeal/gateway/_admission.py
+++ b/bilberrydeal/gateway/serving/_admission.py
@@ -2,12 +2,12 @@
 
 import random
 
-from .. import catalogue
-from .. import errors
-from .. import http1
-from .. import platform
-from . import _cluster_state
-from . import _requests
+from ... import catalogue
+from ... import errors
+from ... import http1
+from ... import platform
+from .. import cluster_state
+from .. import core
 
 #: Retry-After until the first configuration is loaded, in seconds.
 STARTUP_RETRY_S = 0.3
@@ -18,18 +18,18 @@
     """Admits requests according to the configuration in force."""
 
     def __init__(
-        self, cluster: _cluster_state.ClusterState, rng: random.Random
+        self, cluster: cluster_state.ClusterState, rng: random.Random
     ) -> None:
         self._cluster = cluster
         self._rng = rng
 
     def admit(
         self, request: http1.Request, caller: platform.CallerFields
-    ) -> _requests.AdmittedRequest:
+    ) -> core.AdmittedRequest:
         """Return the admitted request; raises ``Refusal``."""
         configuration = self._cluster.configuration
         if configuration is None:
-            raise _requests.not_run_refusal(
+            raise core.not_run_refusal(
                 errors.ErrorCode.NO_ENDPOINT,
                 "no configuration has been loaded yet",
                 STARTUP_RETRY_S,
@@ -43,7 +43,7 @@
             raise _refusal(errors.ErrorCode.UNKNOWN_ROUTE, 404)
         organisation = _organisation(configuration, route, caller.key)
         timeout_s = min(caller.timeout_s, route.timeout_s)
-        return _requests.AdmittedRequest(
+        return core.AdmittedRequest(
             request=request,
             request_id=caller.request_id,
             route=route,
--- a/bilberrydeal/gateway/_plain.py
+++ b/bilberrydeal/gateway/serving/_plain.py
@@ -4,14 +4,12 @@
 
 import attrs
 
-from .. import http1
-from .. import platform
-from . import _cluster_state
-from . import _quarantine
-from . import _requests
-from . import _retry_policy
-from . import _sending
-from . import _usage
+from ... import http1
+from ... import platform
+from .. import accounting
+from .. import cluster_state
+from .. import core
+from .. import sending
 
 #: Largest response that is buffered until it is complete, in bytes.
 BUFFER_LIMIT_BYTES = 1_048_576
@@ -24,12 +22,12 @@
 
     def __init__(
         self,
-        cluster: _cluster_state.ClusterState,
-        sender: _sending.Sender,
-        retry_policy: _retry_policy.RetryPolicy,
-        usage_counter: _usage.UsageCounter,
+        cluster: cluster_state.ClusterState,
+        sender: sending.Sender,
+        retry_policy: sending.RetryPolicy,
+        usage_counter: accounting.UsageCounter,
         failure_domain: str,
-        quarantine: _quarantine.PartQuarantine,
+        quarantine: sending.RequestQuarantine,
         clock: Clock,
     ) -> None:
         self._quarantine = quarantine
@@ -42,8 +40,8 @@
 
     async def serve(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
         responder: http1.Responder,
     ) -> None:
         """Respond to a request; raises ``Refusal``."""
@@ -53,14 +51,14 @@
             self._quarantine.check(admitted, progress)
             try:
                 response = await self._send(admitted, progress, upstream)
-            except _sending.NotOffered as error:
+            except sending.NotOffered as error:
                 progress.tried.append(upstream.endpoint.endpoint_id)
                 reason = f"not offered, {error}"
                 continue
-            except _sending.Rejected as error:
+            except sending.Rejected as error:
                 _note_tried(progress, upstream)
                 reason = f"rejected, {error}"
-            except _sending.Lost as error:
+            except sending.Lost as error:
                 _note_tried(progress, upstream)
                 self._usage_counter.count_once(admitted, progress)
                 reason = f"lost, {error}"
@@ -78,14 +76,14 @@
             if not self._retry_policy.allows_retry(admitted, progress, reason):
                 break
         if failure is None:
-            raise _requests.failure_refusal(progress, reason)
+            raise core.failure_refusal(progress, reason)
         _respond(responder, failure)
 
     def _choose(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
-    ) -> _cluster_state.Upstream | None:
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
+    ) -> cluster_state.Upstream | None:
         now_s = self._clock()
         candidates = [
             upstream
@@ -106,9 +104,9 @@
 
     async def _send(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
-        upstream: _cluster_state.Upstream,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
+        upstream: cluster_state.Upstream,
     ) -> "_BufferedResponse":
         """Send a request and return the complete response."""
         time_left_s = admitted.deadline_s - self._clock()
@@ -146,7 +144,7 @@
 
 
 def _note_tried(
-    progress: _requests.RequestProgress, upstream: _cluster_state.Upstream
+    progress: core.RequestProgress, upstream: cluster_state.Upstream
 ) -> None:
     progress.tried.append(upstream.endpoint.endpoint_id)
     progress.attempts += 1
--- a/bilberrydeal/gateway/_request_handler.py
+++ b/bilberrydeal/gateway/serving/_request_handler.py
@@ -5,20 +5,18 @@
 
 import attrs
 
-from .. import catalogue
-from .. import errors
-from .. import http1
-from .. import platform
-from .. import telemetry
-from ..systems import pacing
+from ... import catalogue
+from ... import errors
+from ... import http1
+from ... import platform
+from ... import telemetry
+from ...systems import pacing
+from .. import cluster_state
+from .. import core
+from .. import sending
+from .. import streams
 from . import _admission
-from . import _cluster_state
-from . import _metrics
 from . import _plain
-from . import _requests
-from . import _retry_policy
-from . import _store_sync
-from . import _stream
 
 LOG = telemetry.logger("request")
 #: Logged when the caller closed its connection; no response is sent.
@@ -35,13 +33,13 @@
     def __init__(
         self,
         admission: _admission.Admission,
-        cluster: _cluster_state.ClusterState,
+        cluster: cluster_state.ClusterState,
         plain: _plain.PlainServer,
-        stream: _stream.StreamServer,
-        retry_policy: _retry_policy.RetryPolicy,
-        metrics: _metrics.GatewayMetrics,
+        stream: streams.StreamServer,
+        retry_policy: sending.RetryPolicy,
+        metrics: core.GatewayMetrics,
         tracing: telemetry.Tracing,
-        connectivity: _store_sync.StoreConnectivity,
+        connectivity: cluster_state.StoreConnectivity,
         clock: Clock,
     ) -> None:
         self._tracing = tracing
@@ -67,13 +65,13 @@
             return
         with self._tracing.span("gateway", caller.traceparent) as span:
             span.set_attribute("request", caller.request_id.decode("latin-1"))
-            progress = _requests.RequestProgress(traceparent=span.traceparent)
+            progress = core.RequestProgress(traceparent=span.traceparent)
             await self._serve_and_log(admitted, progress, responder)
 
     async def _serve_and_log(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
         responder: http1.Responder,
     ) -> None:
         """Serve a request and log its outcome, also if it is cancelled."""
@@ -89,8 +87,8 @@
 
     async def _serve(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
         responder: http1.Responder,
     ) -> errors.Refusal | None:
         """Serve a request; return the refusal that ended it, if any."""
@@ -111,7 +109,7 @@
         return refusal
 
     def _after_wait(
-        self, admitted: _requests.AdmittedRequest, refusal: errors.Refusal
+        self, admitted: core.AdmittedRequest, refusal: errors.Refusal
     ) -> errors.Refusal:
         """Let the caller come back when an endpoint takes requests."""
         wait_s = self._cluster.wait_s(admitted.service, self._clock())
@@ -124,8 +122,8 @@
 
     async def _dispatch(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
         responder: http1.Responder,
     ) -> None:
         if admitted.route.kind is catalogue.RouteKind.STREAM:
@@ -147,7 +145,7 @@
         responder.send(refusal.status, headers, b"")
 
     def _configuration_version(
-        self, admitted: _requests.AdmittedRequest | None
+        self, admitted: core.AdmittedRequest | None
     ) -> int | None:
         """Return the configuration version that applied to a request."""
         if admitted is not None:
@@ -158,8 +156,8 @@
     def _log(
         self,
         request_id: bytes,
-        admitted: _requests.AdmittedRequest | None,
-        progress: _requests.RequestProgress | None,
+        admitted: core.AdmittedRequest | None,
+        progress: core.RequestProgress | None,
         responder: http1.Responder,
         refusal: errors.Refusal | None,
     ) -> None:
@@ -197,8 +195,8 @@
 
 
 def _fingerprint(
-    admitted: _requests.AdmittedRequest | None,
-    progress: _requests.RequestProgress | None,
+    admitted: core.AdmittedRequest | None,
+    progress: core.RequestProgress | None,
     responder: http1.Responder,
 ) -> str | None:
     """Return by what repetitions of a request that failed can be found."""
@@ -210,7 +208,7 @@
 
 
 def _send_fields(
-    progress: _requests.RequestProgress | None,
+    progress: core.RequestProgress | None,
 ) -> list[dict[str, object]]:
     """Return the sends of a request as log fields."""
     if progress is None:
@@ -218,13 +216,13 @@
     return [attrs.asdict(send) for send in progress.sends]
 
 
-def _timeout_refusal(progress: _requests.RequestProgress) -> errors.Refusal:
+def _timeout_refusal(progress: core.RequestProgress) -> errors.Refusal:
     """Return the refusal of a request whose deadline has passed."""
     if not progress.may_have_run:
-        return _requests.not_run_refusal(
+        return core.not_run_refusal(
             errors.ErrorCode.DEADLINE_EXCEEDED,
             "no endpoint began the request before its deadline",
-            _requests.FAILED_RETRY_S,
+            core.FAILED_RETRY_S,
         )
     return errors.Refusal(
         reason=errors.ErrorCode.DEADLINE_EXCEEDED,
--- a/bilberrydeal/gateway/_client_stream.py
+++ b/bilberrydeal/gateway/streams/_client_stream.py
@@ -2,10 +2,10 @@
 
 import attrs
 
-from .. import http1
+from ... import http1
+from .. import core
 from . import _continuation
 from . import _events
-from . import _requests
 
 #: Shortest time without an event after which a resumable stream may move to
 #: another engine, in seconds; else it is a multiple of the longest gap that
@@ -18,8 +18,8 @@
 class ClientStream:
     """The response to a caller, which several engines may produce."""
 
-    admitted: _requests.AdmittedRequest
-    progress: _requests.RequestProgress
+    admitted: core.AdmittedRequest
+    progress: core.RequestProgress
     responder: http1.Responder
     splitter: _events.EventSplitter
     #: When the last event was sent, or else when the request began, monotonic
--- a/bilberrydeal/gateway/_pending_prefill.py
+++ b/bilberrydeal/gateway/streams/_pending_prefill.py
@@ -3,9 +3,9 @@
 import collections.abc
 import contextlib
 
-from ..systems import placement
-from . import _cluster_state
-from . import _requests
+from ...systems import placement
+from .. import cluster_state
+from .. import core
 
 Clock = collections.abc.Callable[[], float]
 
@@ -74,17 +74,17 @@
 
 @contextlib.contextmanager
 def tracked(
-    upstream: _cluster_state.Upstream,
+    upstream: cluster_state.Upstream,
     placed: placement.Placement,
-    admitted: _requests.AdmittedRequest,
-    progress: _requests.RequestProgress,
+    admitted: core.AdmittedRequest,
+    progress: core.RequestProgress,
     clock: Clock,
 ) -> collections.abc.Iterator[PendingPrefill]:
     """Count a request in the engine's load while it is there."""
     load = upstream.load
     assert load is not None
     progress.tried.append(upstream.endpoint.endpoint_id)
-    prompt = admitted.prompt or _requests.NO_PROMPT
+    prompt = admitted.prompt or core.NO_PROMPT
     load.record_prompt(prompt)
     rank = placement.engine_rank(admitted.priority, placed.deferred)
     pending = PendingPrefill(load, placed, prompt.tokens, clock)
--- a/bilberrydeal/gateway/_stream.py
+++ b/bilberrydeal/gateway/streams/_stream.py
@@ -5,24 +5,21 @@
 
 import attrs
 
-from .. import http1
-from .. import platform
-from .. import telemetry
-from ..systems import placement
+from ... import http1
+from ... import platform
+from ... import telemetry
+from ...systems import placement
+from .. import _uplink
+from .. import accounting
+from .. import cluster_state
+from .. import core
+from .. import sending
 from . import _client_stream
-from . import _cluster_state
 from . import _continuation
 from . import _events
 from . import _pending_prefill
-from . import _quarantine
-from . import _requests
-from . import _retry_policy
-from . import _send_failures
-from . import _sending
 from . import _stream_placement
 from . import _stream_reader
-from . import _uplink
-from . import _usage
 
 LOG = telemetry.logger("stream")
 #: Most engines that one request tries while they are unreachable.
@@ -38,7 +35,7 @@
 class _KvSource:
     """Location of a KV cache that another engine's prefill produced."""
 
-    upstream: _cluster_state.Upstream
+    upstream: cluster_state.Upstream
     handle: str
 
     @property
@@ -52,14 +49,14 @@
 
     def __init__(
         self,
-        cluster: _cluster_state.ClusterState,
-        sender: _sending.Sender,
-        retry_policy: _retry_policy.RetryPolicy,
-        usage_counter: _usage.UsageCounter,
+        cluster: cluster_state.ClusterState,
+        sender: sending.Sender,
+        retry_policy: sending.RetryPolicy,
+        usage_counter: accounting.UsageCounter,
         placer: placement.Placer,
         uplink: _uplink.Uplink,
         failure_domain: str,
-        quarantine: _quarantine.PartQuarantine,
+        quarantine: sending.RequestQuarantine,
         clock: Clock,
     ) -> None:
         self._quarantine = quarantine
@@ -85,8 +82,8 @@
 
     async def serve(
         self,
-        admitted: _requests.AdmittedRequest,
-        progress: _requests.RequestProgress,
+        admitted: core.AdmittedRequest,
+        progress: core.RequestProgress,
         responder: http1.Responder,
     ) -> None:
         """Respond to a request; raises ``Refusal``."""
@@ -101,18 +98,16 @@
             try:
                 await self._attempt(stream)
                 return
-            except _send_failures.FAILED_SENDS as error:
-                _send_failures.count_failure(progress, error)
-                reason = _send_failures.failure_reason(error)
+            except sending.FAILED_SENDS as error:
+                sending.count_failure(progress, error)
+                reason = sending.failure_reason(error)
                 if not progress.sent and len(progress.tried) < TRIED_LIMIT:
                     continue
-                if _send_failures.is_final(admitted, progress, error):
-                    raise _requests.failure_refusal(
-                        progress, reason
-                    ) from error
+                if sending.is_final(admitted, progress, error):
+                    raise core.failure_refusal(progress, reason) from error
             stream.splitter.discard_partial()
             if not self._retry_policy.allows_retry(admitted, progress, reason):
-                raise _requests.failure_refusal(progress, reason)
+                raise core.failure_refusal(progress, reason)
 
     async def _attempt(self, stream: _client_stream.ClientStream) -> None:
         """Serve a stream, or the rest of it, with one placement."""
@@ -125,16 +120,16 @@
         try:
             with self._placement.decode_reserved(stream):
                 source = await self._prefill(stream, upstream, placed)
-        except _sending.Lost as error:
+        except sending.Lost as error:
             if stream.too_late and not stream.retry_allowed:
                 raise self._placement.late_refusal(stream) from error
-            raise _send_failures.PrefillLost(*error.args) from error
+            raise sending.PrefillLost(*error.args) from error
         await self._decode_transferred(stream, request, placed, source)
 
     async def _prefill(
         self,
         stream: _client_stream.ClientStream,
-        upstream: _cluster_state.Upstream,
+        upstream: cluster_state.Upstream,
         placed: placement.Placement,
     ) -> _KvSource:
         """Prefill a prompt; return the location of its KV cache."""
@@ -157,7 +152,7 @@
             pending.finished(exchange.sent_s)
         handle = self._engines.decode_kv_handle(body)
         if handle is None:
-            raise _send_failures.PrefillLost("no KV handle in the response")
+            raise sending.PrefillLost("no KV handle in the response")
         if stream.progress.lost_prefills:
             # Only the first prefill that an engine accepts is not counted.
             stream.progress.attempts += 1
@@ -187,10 +182,10 @@
                 try:
                     await self._generate(stream, upstream, placed, source)
                     consumed = True
-                except _sending.NotOffered:
+                except sending.NotOffered:
                     if len(stream.progress.tried) >= TRIED_LIMIT:
                         raise
-        except _sending.Lost:
+        except sending.Lost:
             consumed = True
             raise
         finally:
@@ -200,7 +195,7 @@
     async def _generate(
         self,
         stream: _client_stream.ClientStream,
-        upstream: _cluster_state.Upstream,
+        upstream: cluster_state.Upstream,
         placed: placement.Placement,
         source: _KvSource | None,
     ) -> None:
@@ -218,7 +213,7 @@
     async def _send_and_forward(
         self,
         stream: _client_stream.ClientStream,
-        upstream: _cluster_state.Upstream,
+        upstream: cluster_state.Upstream,
         placed: placement.Placement,
         source: _KvSource | None,
     ) -> None:
@@ -247,7 +242,7 @@
                     await self._forward_events(
                         stream, upstream, exchange, pending, source
                     )
-                except (_sending.Lost, http1.IncompleteResponse):
+                except (sending.Lost, http1.IncompleteResponse):
                     await self._reader.await_continuation(stream)
                     raise
                 finally:
@@ -256,8 +251,8 @@
     async def _forward_events(
         self,
         stream: _client_stream.ClientStream,
-        upstream: _cluster_state.Upstream,
-        exchange: _sending.Exchange,
+        upstream: cluster_state.Upstream,
+        exchange: sending.Exchange,
         pending: _pending_prefill.PendingPrefill,
         source: _KvSource | None,
     ) -> None:
@@ -290,7 +285,7 @@
                 stream.take_over()
                 stream.progressed_s = self._clock()
                 begun_s = stream.progressed_s - first_s
-                if not told_sound and begun_s >= _quarantine.SOUND_AFTER_S:
+                if not told_sound and begun_s >= sending.SOUND_AFTER_S:
                     told_sound = True
                     self._quarantine.request_sound(stream.admitted)
                 self._cluster.observe_progress(upstream, stream.progressed_s)
@@ -302,15 +297,15 @@
             )
         elif (
             not exchange.connection.delimited_by_eof
-            or self._clock() - first_s >= _quarantine.BEGINNING_S
+            or self._clock() - first_s >= sending.STREAM_BEGINNING_S
         ):
             self._quarantine.request_sound(stream.admitted)
         if splitter.incomplete:
             self._cluster.observe(upstream, False, self._clock())
-            raise _sending.Lost("stream ended within an event")
+            raise sending.Lost("stream ended within an event")
         if first_s is None and exchange.connection.delimited_by_eof:
             self._cluster.observe(upstream, False, self._clock())
-            raise _sending.Lost("connection ended before an event")
+            raise sending.Lost("connection ended before an event")
         self._cluster.observe(upstream, True, self._clock())
         if upstream.load is not None and first_s is not None:
             held_s = self._clock() - first_s
@@ -322,7 +317,7 @@
     def _split(
         self,
         stream: _client_stream.ClientStream,
-        upstream: _cluster_state.Upstream,
+        upstream: cluster_state.Upstream,
         data: bytes,
     ) -> bytes:
         """Return the events that ``data`` completes."""
@@ -330,18 +325,18 @@
             return stream.splitter.feed(data)
         except _events.EventTooLarge as error:
             self._cluster.observe(upstream, False, self._clock())
-            raise _sending.Lost(f"event without end, {error}") from error
+            raise sending.Lost(f"event without end, {error}") from error
 
     async def _forward_failure(
         self,
         stream: _client_stream.ClientStream,
-        upstream: _cluster_state.Upstream,
-        exchange: _sending.Exchange,
+        upstream: cluster_state.Upstream,
+        exchange: sending.Exchange,
     ) -> None:
         body = await exchange.connection.body(FAILURE_LIMIT_BYTES)
         self._cluster.observe(upstream, False, self._clock())
         if stream.responder.started or self._placement.can_retry(stream):
-            raise _sending.Lost(f"status {exchange.head.status}")
+            raise sending.Lost(f"status {exchange.head.status}")
         stream.responder.send(
             exchange.head.status,
             platform.forwarded_headers(exchange.head),
@@ -351,7 +346,7 @@
     def _fields(
         self,
         stream: _client_stream.ClientStream,
-        upstream: _cluster_state.Upstream,
+        upstream: cluster_state.Upstream,
         placed: placement.Placement,
     ) -> platform.SendFields:
         admitted = stream.admitted
@@ -384,7 +379,7 @@
 
 def _record_first_event(
     stream: _client_stream.ClientStream,
-    exchange: _sending.Exchange,
+    exchange: sending.Exchange,
     now_s: float,
 ) -> None:
     """Record when the first event of a send arrived."""
--- a/bilberrydeal/gateway/_stream_placement.py
+++ b/bilberrydeal/gateway/streams/_stream_placement.py
@@ -6,15 +6,13 @@
 
 import attrs
 
-from .. import errors
-from ..systems import placement
+from ... import errors
+from ...systems import placement
+from .. import _uplink
+from .. import cluster_state
+from .. import core
+from .. import sending
 from . import _client_stream
-from . import _cluster_state
-from . import _quarantine
-from . import _requests
-from . import _retry_policy
-from . import _sending
-from . import _uplink
 
 #: Multiple of the expected time after which another engine is considered.
 OVERDUE_FACTOR = 2.0
@@ -37,11 +35,11 @@
 
     def __init__(
         self,
-        cluster: _cluster_state.ClusterState,
+        cluster: cluster_state.ClusterState,
         placer: placement.Placer,
         uplink: _uplink.Uplink,
-        retry_policy: _retry_policy.RetryPolicy,
-        quarantine: _quarantine.PartQuarantine,
+        retry_policy: sending.RetryPolicy,
+        quarantine: sending.RequestQuarantine,
         failure_domain: str,
         clock: Clock,
     ) -> None:
@@ -73,7 +71,7 @@
     ) -> placement.Request:
         admitted = stream.admitted
         return placement.Request(
-            prompt=admitted.prompt or _requests.NO_PROMPT,
+            prompt=admitted.prompt or core.NO_PROMPT,
             target_s=self._target_s(stream, now_s),
             time_left_s=stream.event_deadline_s - now_s,
             failure_domain=self._failure_domain,
@@ -100,11 +98,11 @@
         placed: placement.DeadlineUnreachable,
     ) -> errors.Refusal:
         if stream.progress.may_have_run:
-            return _requests.failure_refusal(
+            return core.failure_refusal(
                 stream.progress, "no engine can resume the request"
             )
         time_left_s = stream.event_deadline_s - self._clock()
-        return _requests.not_run_refusal(
+        return core.not_run_refusal(
             errors.ErrorCode.DEADLINE_HOPELESS,
             f"first token expected in {placed.expected_s:.2f} s,"
             f" {time_left_s:.2f} s left",
@@ -127,7 +125,7 @@
         )
         if not isinstance(placed, placement.DeadlineUnreachable):
             placed = placement.DeadlineUnreachable(
-                _requests.FAILED_RETRY_S, placed.expected_s
+                core.FAILED_RETRY_S, placed.expected_s
             )
         return self._deadline_refusal(stream, placed)
 
@@ -136,7 +134,7 @@
         stream: _client_stream.ClientStream,
         request: placement.Request,
         prefilled_at: str,
-    ) -> _cluster_state.Upstream:
+    ) -> cluster_state.Upstream:
         """Return the engine to decode on; raises ``Rejected`` for none."""
         engine_id = self._placer.decode_engine(
             attrs.evolve(request, tried=frozenset(stream.progress.tried)),
@@ -144,7 +142,7 @@
             self._engines(stream, self._clock()),
         )
         if engine_id is None:
-            raise _sending.Rejected("no decode engine available")
+            raise sending.Rejected("no decode engine available")
         return self._cluster.endpoints[engine_id]
 
     @contextlib.contextmanager
@@ -167,7 +165,7 @@
         ]
         available = sum(share.available(now_s) for share in shares)
         if shares and available <= self._prefilling[service]:
-            raise _requests.failure_refusal(
+            raise core.failure_refusal(
                 stream.progress, "the limits of all decode engines are used up"
             )
         self._prefilling[service] += 1
@@ -178,7 +176,7 @@
 
     def patience(
         self, stream: _client_stream.ClientStream, placed: placement.Placement
-    ) -> _sending.Patience | None:
+    ) -> sending.Patience | None:
         """Return when to consider another engine, if the route allows one."""
         if not stream.retry_allowed:
             return None
@@ -192,13 +190,13 @@
                 stream, waited_s
             ) and self._retry_policy.reserve(stream.admitted, stream.progress)
 
-        return _sending.Patience(
+        return sending.Patience(
             max(first_s, stream.stall_s), RECONSIDER_INTERVAL_S, gives_up
         )
 
     def prefill_patience(
         self, stream: _client_stream.ClientStream, placed: placement.Placement
-    ) -> _sending.Patience:
+    ) -> sending.Patience:
         """Return when to abandon a prefill.
 
         It runs nothing, so this may be done on any route: for another engine
@@ -229,7 +227,7 @@
                 return False
             return elsewhere.gives_up()
 
-        return _sending.Patience(
+        return sending.Patience(
             max(first_s, 0.0), RECONSIDER_INTERVAL_S, gives_up
         )
 
--- a/bilberrydeal/gateway/_stream_reader.py
+++ b/bilberrydeal/gateway/streams/_stream_reader.py
@@ -7,14 +7,12 @@
 
 import attrs
 
-from .. import errors
-from .. import telemetry
+from ... import errors
+from ... import telemetry
+from .. import sending
 from . import _client_stream
 from . import _continuation
 from . import _events
-from . import _retry_policy
-from . import _send_failures
-from . import _sending
 from . import _stream_placement
 
 LOG = telemetry.logger("stream")
@@ -33,7 +31,7 @@
     def __init__(
         self,
         stream_placement: _stream_placement.StreamPlacement,
-        retry_policy: _retry_policy.RetryPolicy,
+        retry_policy: sending.RetryPolicy,
         attempt: Attempt,
         clock: Clock,
     ) -> None:
@@ -43,7 +41,7 @@
         self._clock = clock
 
     async def next_chunk(
-        self, stream: _client_stream.ClientStream, exchange: _sending.Exchange
+        self, stream: _client_stream.ClientStream, exchange: sending.Exchange
     ) -> bytes:
         """Return the next bytes of a stream, empty at its end.
 
@@ -76,7 +74,7 @@
         self,
         stream: _client_stream.ClientStream,
         continuation: _continuation.Continuation,
-        exchange: _sending.Exchange,
+        exchange: sending.Exchange,
     ) -> bytes | None:
         """Return the silent engine's next bytes unless another takes over.
 
@@ -116,7 +114,7 @@
             raise _continuation.Continued(continuation)
 
     def _start_continuation(
-        self, stream: _client_stream.ClientStream, exchange: _sending.Exchange
+        self, stream: _client_stream.ClientStream, exchange: sending.Exchange
     ) -> None:
         """Let another engine continue a stream whose engine is silent."""
         progress = stream.progress
@@ -183,8 +181,8 @@
         if error is None:
             # The request was sent to both engines.
             progress.attempts += 1
-        elif isinstance(error, _send_failures.FAILED_SENDS):
-            _send_failures.count_failure(progress, error)
+        elif isinstance(error, sending.FAILED_SENDS):
+            sending.count_failure(progress, error)
         elif not isinstance(error, errors.Refusal):
             LOG.error("Continuation failed unexpectedly.", exc_info=error)
         LOG.info(
--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -19,17 +19,17 @@
 from ...systems import placement
 from ...systems import quarantine
 from ...systems import retries
-from .. import _cluster_state
-from .. import _datagrams
-from .. import _limit_broadcast
-from .. import _metrics
-from .. import _plain
-from .. import _quarantine
-from .. import _requests
-from .. import _retry_policy
-from .. import _sending
-from .. import _stream
 from .. import _uplink
+from ..cluster_state import _cluster_state
+from ..core import _metrics
+from ..core import _requests
+from ..messaging import _datagrams
+from ..peer_exchange import _limit_broadcast
+from ..sending import _quarantine
+from ..sending import _retry_policy
+from ..sending import _sending
+from ..serving import _plain
+from ..streams import _stream
 from . import harness
 
 SERVICE = "llm"
@@ -302,7 +302,7 @@
         uplink = _uplink.Uplink(1_000.0, clock)
         self.tracing = telemetry.Tracing(settings.TraceSettings(), "gateway")
         host, port = address_of(name)
-        self._quarantine = _quarantine.PartQuarantine(
+        self._quarantine = _quarantine.RequestQuarantine(
             quarantine.QUARANTINES.get(quarantine_system)(),
             datagrams,
             name,
@@ -359,12 +359,12 @@
         await asyncio.gather(
             periodic.run_periodically(
                 "limits",
-                lambda: _limit_broadcast.INTERVAL_S,
+                lambda: _limit_broadcast.LIMIT_BROADCAST_INTERVAL_S,
                 self._limit_broadcast.run_once,
             ),
             periodic.run_periodically(
                 "quarantine",
-                lambda: _quarantine.INTERVAL_S,
+                lambda: _quarantine.QUARANTINE_INTERVAL_S,
                 self._quarantine.run_once,
             ),
         )
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -20,19 +20,19 @@
 from ...systems import placement
 from ...systems import quarantine
 from ...systems import retries
-from .. import _admission
-from .. import _cluster_state
-from .. import _datagrams
-from .. import _metrics
-from .. import _plain
-from .. import _quarantine
-from .. import _request_handler
-from .. import _retry_policy
-from .. import _sending
-from .. import _store_sync
-from .. import _stream
 from .. import _uplink
-from .. import _usage
+from ..accounting import _usage
+from ..cluster_state import _cluster_state
+from ..cluster_state import _store_sync
+from ..core import _metrics
+from ..messaging import _datagrams
+from ..sending import _quarantine
+from ..sending import _retry_policy
+from ..sending import _sending
+from ..serving import _admission
+from ..serving import _plain
+from ..serving import _request_handler
+from ..streams import _stream
 
 KEY = b"k1"
 #: Prompt parts of streaming requests in tests, as id and tokens.
@@ -212,7 +212,7 @@
     budget: retries.WindowBudget
     server: http1.HttpServer
     usage_counter: "FakeUsageCounter"
-    quarantine: _quarantine.PartQuarantine
+    quarantine: _quarantine.RequestQuarantine
     last_id: int = 0
 
     async def send(
@@ -376,9 +376,9 @@
     peers: tuple[_datagrams.Address, ...] = (),
     may_probe: bool = False,
     metrics: _metrics.GatewayMetrics | None = None,
-) -> _quarantine.PartQuarantine:
+) -> _quarantine.RequestQuarantine:
     """Return the quarantine of a gateway."""
-    return _quarantine.PartQuarantine(
+    return _quarantine.RequestQuarantine(
         quarantine.QUARANTINES.get(system)(),
         datagrams,
         name,
@@ -419,7 +419,7 @@
     uplink = _uplink.Uplink(uplink_mbps, clock)
     tracing = telemetry.Tracing(trace or settings.TraceSettings(), "gateway")
     metrics = _metrics.GatewayMetrics()
-    part_quarantine = new_quarantine(
+    request_quarantine = new_quarantine(
         "crash_counts",
         clock,
         datagrams or _datagrams.Datagrams(),
@@ -429,7 +429,7 @@
         metrics,
     )
     sender = _sending.Sender(
-        cluster, retry_policy, uplink, tracing, part_quarantine, clock
+        cluster, retry_policy, uplink, tracing, request_quarantine, clock
     )
     handler = _request_handler.RequestHandler(
         admission=_admission.Admission(cluster, random.Random(1)),
@@ -440,7 +440,7 @@
             retry_policy,
             usage_counter,
             "d1",
-            part_quarantine,
+            request_quarantine,
             clock,
         ),
         stream=_stream.StreamServer(
@@ -451,7 +451,7 @@
             placement.PLACERS.get("two_stage")(),
             uplink,
             "d1",
-            part_quarantine,
+            request_quarantine,
             clock,
         ),
         retry_policy=retry_policy,
@@ -466,13 +466,13 @@
     deciding = asyncio.ensure_future(
         periodic.run_periodically(
             "quarantine",
-            lambda: _quarantine.INTERVAL_S,
-            part_quarantine.run_once,
+            lambda: _quarantine.QUARANTINE_INTERVAL_S,
+            request_quarantine.run_once,
         )
     )
     try:
         yield RequestPath(
-            cluster, budget, server, usage_counter, part_quarantine
+            cluster, budget, server, usage_counter, request_quarantine
         )
     finally:
         deciding.cancel()
--- a/bilberrydeal/gateway/tests/loopback.py
+++ b/bilberrydeal/gateway/tests/loopback.py
@@ -5,8 +5,8 @@
 from ... import catalogue
 from ... import ports
 from ...systems import health
-from .. import _cluster_state
-from .. import _datagrams
+from ..cluster_state import _cluster_state
+from ..messaging import _datagrams
 
 
 class LoopbackDatagrams(_datagrams.Datagrams):
--- a/bilberrydeal/gateway/tests/test_continuation.py
+++ b/bilberrydeal/gateway/tests/test_continuation.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from .. import _continuation
-from .. import _stream_reader
+from ..streams import _continuation
+from ..streams import _stream_reader
 
 
 def _reader() -> _stream_reader.StreamReader:
--- a/bilberrydeal/gateway/tests/test_datagrams.py
+++ b/bilberrydeal/gateway/tests/test_datagrams.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies
 import msgspec
 
-from .. import _datagrams
+from ..messaging import _datagrams
 from . import test_exchange
 
 _SMALL = strategies.integers(-(2**40), 2**40)
--- a/bilberrydeal/gateway/tests/test_exchange.py
+++ b/bilberrydeal/gateway/tests/test_exchange.py
@@ -4,10 +4,10 @@
 
 from ... import ports
 from ...systems import placement
-from .. import _cluster_state
-from .. import _datagrams
-from .. import _exchange
 from .. import _uplink
+from ..cluster_state import _cluster_state
+from ..messaging import _datagrams
+from ..peer_exchange import _load_exchange
 from . import loopback
 
 PROMPT = placement.Prompt(
@@ -26,12 +26,12 @@
     )
     now_s: float = 100.0
     cluster: _cluster_state.ClusterState = attrs.field(init=False)
-    exchange: _exchange.LoadExchange = attrs.field(init=False)
+    exchange: _load_exchange.LoadExchange = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.cluster = loopback.cluster(ports.EngineRole.PREFILL)
         self.engine.cache.set_capacity(1_000_000)
-        self.exchange = _exchange.LoadExchange(
+        self.exchange = _load_exchange.LoadExchange(
             self.datagrams,
             self.cluster,
             self.name,
@@ -67,7 +67,7 @@
     one.engine.record_prompt(PROMPT)
     one.exchange.run_once()
     other.engine.cache.clear()
-    one.now_s += _exchange.REFRESH_INTERVAL_S + 0.1
+    one.now_s += _load_exchange.REFRESH_INTERVAL_S + 0.1
     one.exchange.run_once()
     assert other.engine.cache.cached_tokens(PROMPT) == 0
 
--- a/bilberrydeal/gateway/tests/test_fingerprint.py
+++ b/bilberrydeal/gateway/tests/test_fingerprint.py
@@ -7,7 +7,7 @@
 
 from ... import catalogue
 from ... import http1
-from .. import _requests
+from ..core import _requests
 from . import harness
 
 _HEADERS = ((b"host", b"h.example"), (b"request-id", b"r1"))
--- a/bilberrydeal/gateway/tests/test_lease_keeper.py
+++ b/bilberrydeal/gateway/tests/test_lease_keeper.py
@@ -4,7 +4,7 @@
 
 from ... import leases
 from ... import store
-from .. import _lease_keeper
+from ..duties import _lease_keeper
 from . import memory
 
 DUTY = "usage"
--- a/bilberrydeal/gateway/tests/test_leaving.py
+++ b/bilberrydeal/gateway/tests/test_leaving.py
@@ -9,7 +9,7 @@
 from ... import ports
 from ...systems import health
 from ...systems import placement
-from .. import _cluster_state
+from ..cluster_state import _cluster_state
 from . import harness
 
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
--- a/bilberrydeal/gateway/tests/test_limit_broadcast.py
+++ b/bilberrydeal/gateway/tests/test_limit_broadcast.py
@@ -7,8 +7,8 @@
 
 from ... import platform
 from ... import ports
-from .. import _datagrams
-from .. import _limit_broadcast
+from ..messaging import _datagrams
+from ..peer_exchange import _limit_broadcast
 from . import loopback
 
 
@@ -53,9 +53,11 @@
 
 
 async def _pass(one: _Gateway, other: _Gateway, seconds: float) -> None:
-    for _ in range(round(seconds / _limit_broadcast.INTERVAL_S)):
+    for _ in range(
+        round(seconds / _limit_broadcast.LIMIT_BROADCAST_INTERVAL_S)
+    ):
         for gateway in (one, other):
-            gateway.now_s += _limit_broadcast.INTERVAL_S
+            gateway.now_s += _limit_broadcast.LIMIT_BROADCAST_INTERVAL_S
             await gateway.broadcast.run_once()
 
 
--- a/bilberrydeal/gateway/tests/test_log_flood.py
+++ b/bilberrydeal/gateway/tests/test_log_flood.py
@@ -8,7 +8,7 @@
 import structlog
 
 from ... import telemetry
-from .. import _request_handler
+from ..serving import _request_handler
 from . import harness
 
 #: Requests in the flood.
--- a/bilberrydeal/gateway/tests/test_quarantine_news.py
+++ b/bilberrydeal/gateway/tests/test_quarantine_news.py
@@ -7,7 +7,7 @@
 import pytest
 
 from ...systems import quarantine
-from .. import _datagrams
+from ..messaging import _datagrams
 from . import harness
 from . import loopback
 from . import test_quarantine
--- a/bilberrydeal/gateway/tests/test_quarantine_rows.py
+++ b/bilberrydeal/gateway/tests/test_quarantine_rows.py
@@ -8,9 +8,9 @@
 from ... import ports
 from ... import store
 from ...systems import quarantine
-from .. import _clock
-from .. import _quarantine_rows
-from .. import _store_sync
+from ..accounting import _clock
+from ..cluster_state import _store_sync
+from ..duties import _quarantine_rows
 from . import memory
 
 #: Unix time at which the tests begin.
--- a/bilberrydeal/gateway/tests/test_retry_policy.py
+++ b/bilberrydeal/gateway/tests/test_retry_policy.py
@@ -7,9 +7,9 @@
 from ...systems import health
 from ...systems import placement
 from ...systems import retries
-from .. import _cluster_state
-from .. import _requests
-from .. import _retry_policy
+from ..cluster_state import _cluster_state
+from ..core import _requests
+from ..sending import _retry_policy
 from . import harness
 
 #: Two extra sends are allowed.
--- a/bilberrydeal/gateway/tests/test_role_changes.py
+++ b/bilberrydeal/gateway/tests/test_role_changes.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ... import ports
-from .. import _role_changes
+from ..peer_exchange import _role_changes
 from . import loopback
 
 
--- a/bilberrydeal/gateway/tests/test_roles.py
+++ b/bilberrydeal/gateway/tests/test_roles.py
@@ -11,11 +11,11 @@
 from ... import leases
 from ... import store
 from ...systems import placement
-from .. import _cluster_state
-from .. import _datagrams
-from .. import _reporting
-from .. import _role_changes
-from .. import _roles
+from ..accounting import _reporting
+from ..cluster_state import _cluster_state
+from ..duties import _roles
+from ..messaging import _datagrams
+from ..peer_exchange import _role_changes
 from . import harness
 from . import memory
 
--- a/bilberrydeal/gateway/tests/test_silent_engine.py
+++ b/bilberrydeal/gateway/tests/test_silent_engine.py
@@ -12,7 +12,7 @@
 from ... import http1
 from ... import systems
 from ...systems import retries
-from .. import _requests
+from ..core import _requests
 from . import harness
 
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
--- a/bilberrydeal/gateway/tests/test_store_hints.py
+++ b/bilberrydeal/gateway/tests/test_store_hints.py
@@ -9,8 +9,8 @@
 import pytest
 
 from ... import ports
-from .. import _datagrams
-from .. import _store_hints
+from ..cluster_state import _store_hints
+from ..messaging import _datagrams
 
 #: Time within which gateways must know a change, in seconds.
 LIMIT_S = 3.0
--- a/bilberrydeal/gateway/tests/test_store_sync.py
+++ b/bilberrydeal/gateway/tests/test_store_sync.py
@@ -9,10 +9,10 @@
 from ... import errors
 from ... import ports
 from ...systems import health
-from .. import _cluster_state
-from .. import _datagrams
-from .. import _store_hints
-from .. import _store_sync
+from ..cluster_state import _cluster_state
+from ..cluster_state import _store_hints
+from ..cluster_state import _store_sync
+from ..messaging import _datagrams
 
 
 def _endpoint_record(**fields: object) -> bytes:
--- a/bilberrydeal/gateway/tests/test_stream.py
+++ b/bilberrydeal/gateway/tests/test_stream.py
@@ -6,7 +6,7 @@
 import structlog
 
 from ... import http1
-from .. import _request_handler
+from ..serving import _request_handler
 from . import harness
 
 
--- a/bilberrydeal/gateway/tests/test_usage.py
+++ b/bilberrydeal/gateway/tests/test_usage.py
@@ -9,11 +9,11 @@
 from ... import leases
 from ... import ports
 from ... import store
-from .. import _clock
-from .. import _datagrams
-from .. import _reporting
-from .. import _usage
-from .. import _usage_broadcast
+from ..accounting import _clock
+from ..accounting import _reporting
+from ..accounting import _usage
+from ..accounting import _usage_broadcast
+from ..messaging import _datagrams
 from . import memory
 
 WINDOW_S = 5.0
