--- a/bilberrydeal/systems/quarantine/_crashes.py
+++ b/bilberrydeal/systems/quarantine/_crashes.py
@@ -187,13 +187,19 @@
         """Return the lost engines of a part that count one by one.
 
         Those beside which engines were lost that did not generate the part
-        count as one, since they may have a cause in common with these.
+        count as one, since they may have a cause in common with these. One
+        request crashes one endpoint after the other, so that only losses at
+        the same moment may have another cause.
         """
         counted: list[Crash] = []
         for crash in self.of(part):
             if any(_same_crash(crash, other) for other in counted):
                 continue
             beside = self._beside(crash)
+            if _base.is_request(part):
+                beside = [
+                    other for other in beside if _same_moment(crash, other)
+                ]
             if any(part not in other.requests for other in beside) and any(
                 other in beside for other in counted
             ):
@@ -231,7 +237,10 @@
 
 
 def _coincide(one: Crash, other: Crash) -> bool:
-    apart_s = abs(one.at_s - other.at_s)
     if one.failure_domain == other.failure_domain:
-        return apart_s < DOMAIN_COINCIDENCE_S
-    return apart_s < COINCIDENCE_S
+        return abs(one.at_s - other.at_s) < DOMAIN_COINCIDENCE_S
+    return _same_moment(one, other)
+
+
+def _same_moment(one: Crash, other: Crash) -> bool:
+    return abs(one.at_s - other.at_s) < COINCIDENCE_S
--- a/bilberrydeal/systems/quarantine/tests/test_requests.py
+++ b/bilberrydeal/systems/quarantine/tests/test_requests.py
@@ -215,3 +215,26 @@
         gateway.wait(2.0)
     gateway.wait(test_crash_counts.DECIDED_S)
     assert not gateway.refuses(b"bad0")
+
+
+def test_two_crashing_requests_do_not_hide_each_other() -> None:
+    """Their endpoints crash in one failure domain within a second."""
+    gateway = _Gateway()
+    for number in range(0, 6, 2):
+        for offset, parts in enumerate((BAD, OTHER)):
+            gateway.lose(
+                number + offset, parts[0], request=parts[1], domain="d1"
+            )
+            gateway.wait(0.4)
+    gateway.wait(test_crash_counts.DECIDED_S)
+    assert gateway.keeps(BAD)
+    assert gateway.keeps(OTHER)
+
+
+def test_endpoints_lost_at_one_moment_count_once_against_a_request() -> None:
+    gateway = _Gateway()
+    for number in range(4):
+        gateway.lose_under(number, BAD)
+    gateway.lose_under(4, OTHER)
+    gateway.wait(test_crash_counts.DECIDED_S)
+    assert not gateway.keeps(BAD)
