Notice the restart of an endpoint whose registration had lapsed

Removed endpoints are remembered, the latest 256, and the end of their run is reported when they register again. The test's row 'lapsed' failed before.

--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -29,6 +29,8 @@
 REJECTED_PAUSE_LIMIT_S = 0.8
 #: Share of an engine's KV cache assumed to hold shared prompt parts.
 CACHE_SHARE = 0.8
+#: Most removed endpoints that are remembered.
+REMOVED_LIMIT = 256
 #: Share by which a limit has to change to be logged.
 LIMIT_CHANGED_SHARE = 0.1
 
@@ -129,6 +131,8 @@
         #: All gateways, which share the request limits of endpoints.
         self._gateways = limits.ProcessGroup()
         self._on_restart: list[OnRestart] = []
+        #: Endpoints that were removed, the latest ones, by id.
+        self._removed: dict[str, Upstream] = {}
         #: Endpoints that have named a limit, by id.
         self.limited: dict[str, Upstream] = {}
 
@@ -163,7 +167,10 @@
         if upstream is None or not _same_process(upstream.endpoint, endpoint):
             if upstream is not None:
                 self._detach(upstream)
-                self._report_restart(upstream, endpoint)
+            self._report_restart(
+                upstream or self._removed.pop(endpoint.endpoint_id, None),
+                endpoint,
+            )
             upstream = self._new_upstream(endpoint)
             self.endpoints[endpoint.endpoint_id] = upstream
             of_service = self._by_service.setdefault(endpoint.service, {})
@@ -258,6 +265,9 @@
         if upstream is None:
             return
         self._detach(upstream)
+        self._removed[endpoint_id] = upstream
+        if len(self._removed) > REMOVED_LIMIT:
+            del self._removed[next(iter(self._removed))]
         upstream.endpoint = attrs.evolve(upstream.endpoint, ready=False)
         self.tables.of(systems.EndpointView).remove(endpoint_id)
         LOG.info("Endpoint removed.", endpoint=endpoint_id, reason=reason)
@@ -376,8 +386,10 @@
         self.health.run(self.tables, now_s)
 
     def _report_restart(
-        self, before: Upstream, endpoint: catalogue.Endpoint
+        self, before: Upstream | None, endpoint: catalogue.Endpoint
     ) -> None:
+        if before is None:
+            return
         if endpoint.started_ms > before.endpoint.started_ms:
             for handler in self._on_restart:
                 handler(before)
--- a/bilberrydeal/gateway/tests/test_quarantine.py
+++ b/bilberrydeal/gateway/tests/test_quarantine.py
@@ -219,3 +219,29 @@
         fields["prefix_hash"] = SOUND % 1
         assert (await running.send("/read/1", **fields)).status == 200
     assert len(endpoint.calls) == 1
+
+
+@pytest.mark.parametrize("lapsed", [False, True])
+async def test_restart_is_reported_also_after_the_registration_lapsed(
+    lapsed: bool,
+) -> None:
+    async def serve(call: harness.Call) -> bytes:
+        return harness.signed_response(call)
+
+    endpoint = harness.plain("s1", serve)
+    restarted: list[int] = []
+    async with harness.running(endpoint) as running:
+        cluster = running.cluster
+        cluster.subscribe_restarts(
+            lambda upstream: restarted.append(upstream.endpoint.started_ms)
+        )
+        before = harness.registration(endpoint)
+        if lapsed:
+            cluster.remove_endpoint("s1", "lapsed")
+            cluster.set_endpoint(before)
+            cluster.remove_endpoint("s1", "lapsed")
+        assert restarted == []
+        cluster.set_endpoint(
+            attrs.evolve(before, started_ms=before.started_ms + 1)
+        )
+    assert restarted == [before.started_ms]
