Let workers of the gateway soak say that they leave and ask for pauses

What an endpoint says of itself was proved by tests on loopback only. The stand-in says it in every response; the soak checks what reaches workers from gateways that run undisturbed.

--- a/scenarios/_gateway_invariants.py
+++ b/scenarios/_gateway_invariants.py
@@ -16,6 +16,14 @@
 ADMITTED = 200
 #: Routes whose requests must run at most once.
 AT_MOST_ONCE = frozenset(["once", "tell"])
+#: Time until a worker that leaves gets nothing new, in seconds.
+LEAVING_TOLD_S = 2.0
+#: Time from which on a pause is kept, in seconds, and the requests that may
+#: reach the worker all the same.
+PAUSE_TOLD_S = 0.5
+PAUSE_TRIALS = 2
+#: Ends of one pause, as told in several responses, differ by less, in seconds.
+PAUSE_SAME_S = 0.1
 #: Crashes by which a request has to be known, the time until then, in
 #: seconds, and how often it may be sent afterwards.
 KNOWN_CRASHES = 3
@@ -49,6 +57,8 @@
         *counts_are_never_too_high(reports, outcomes),
         *_fences_never_go_back(reports),
         *limits_are_kept(arrivals, outcomes, disturbances),
+        *leaving_workers_get_nothing_new(arrivals, outcomes, disturbances),
+        *pauses_are_kept(arrivals, outcomes, disturbances),
         *crashing_requests_are_kept_away(
             runs, arrivals, outcomes, disturbances
         ),
@@ -341,3 +351,62 @@
         ):
             ended.append((run.at_s, run.endpoint_id))
     return [at_s for at_s, _worker in ended]
+
+
+def leaving_workers_get_nothing_new(
+    arrivals: list[users_endpoint.Arrival],
+    outcomes: list[_gateway_load.Outcome],
+    disturbances: list[_gateways.Disturbance],
+) -> list[str]:
+    """A gateway sends nothing new to a worker that told it that it leaves."""
+    processes = {each.request_id: each.process for each in outcomes}
+    sent_s = {each.request_id: each.sent_s for each in outcomes}
+    told: dict[tuple[str, int], float] = {}
+    problems = []
+    for each in sorted(arrivals, key=lambda arrival: arrival.at_s):
+        process = processes.get(each.request_id)
+        if process is None:
+            continue
+        key = (each.endpoint_id, process)
+        if not each.leaving:
+            # The worker has been started anew.
+            told.pop(key, None)
+            continue
+        first_s = told.setdefault(key, sent_s[each.request_id])
+        late = sent_s[each.request_id] > first_s + LEAVING_TOLD_S
+        if late and not _excused(each, "", processes, disturbances):
+            problems.append(
+                f"{each.request_id} reached {each.endpoint_id}, which leaves"
+            )
+    return problems
+
+
+def pauses_are_kept(
+    arrivals: list[users_endpoint.Arrival],
+    outcomes: list[_gateway_load.Outcome],
+    disturbances: list[_gateways.Disturbance],
+) -> list[str]:
+    """A gateway keeps to the pause for which a worker has asked it."""
+    processes = {each.request_id: each.process for each in outcomes}
+    #: Arrivals of one process in one pause.
+    paused: dict[tuple[str, int, int], list[users_endpoint.Arrival]] = (
+        collections.defaultdict(list)
+    )
+    for each in sorted(arrivals, key=lambda arrival: arrival.at_s):
+        process = processes.get(each.request_id)
+        if process is None or not each.pause_s:
+            continue
+        if not _excused(each, each.endpoint_id, processes, disturbances):
+            ends = round((each.at_s + each.pause_s) / PAUSE_SAME_S)
+            paused[each.endpoint_id, process, ends].append(each)
+    problems = []
+    for (worker, _process, _ends), times in paused.items():
+        late = [
+            each for each in times if each.at_s > times[0].at_s + PAUSE_TOLD_S
+        ]
+        if len(late) > PAUSE_TRIALS:
+            problems.append(
+                f"{worker} got {len(late)} requests in a pause that it had "
+                f"asked for"
+            )
+    return problems
--- a/scenarios/_gateways.py
+++ b/scenarios/_gateways.py
@@ -209,6 +209,15 @@
         call = {"limit_per_s": limit_per_s}
         await self._post(worker, WORKER_PORT, "/standin/limit", call)
 
+    async def let_worker_leave(self, worker: Member) -> None:
+        """Let a worker say in its responses that it leaves."""
+        await self._post(worker, WORKER_PORT, "/standin/leave", {})
+
+    async def pause_requests(self, worker: Member, pause_s: float) -> None:
+        """Let a worker ask for some time without requests."""
+        call = {"pause_s": pause_s}
+        await self._post(worker, WORKER_PORT, "/standin/pause", call)
+
     async def set_worker_faults(
         self, worker: Member, **faults: object
     ) -> None:
--- a/scenarios/gateway_soak.py
+++ b/scenarios/gateway_soak.py
@@ -32,11 +32,12 @@
 MAX_COPY_AGE_S = 5.0
 #: Longest time that the store is away before it comes back, in seconds.
 MAX_AWAY_S = 1.5
-#: Limits that workers name, in requests a second; for how long, in seconds;
-#: and how often all workers of a kind do.
+#: Limits that workers name, in requests a second, and for how long, in
+#: seconds.
 LIMITS_PER_S = (0.3, 6.0)
 LIMITED_S = (6.0, 12.0)
-ALL_LIMITED_SHARE = 0.3
+#: How often all workers of a kind want fewer requests at once.
+ALL_ALIKE_SHARE = 0.3
 #: How often workers that crashed are started again under a crashing request,
 #: and after how many seconds.
 CRASHED_WORKER_STARTS = 7
@@ -147,9 +148,7 @@
 async def worker_limits(fleet: _gateways.Fleet, rng: random.Random) -> None:
     """Make one worker, or all of a kind, name a limit of requests."""
     worker = rng.choice(fleet.workers)
-    limited = [worker]
-    if rng.random() < ALL_LIMITED_SHARE:
-        limited = [each for each in fleet.workers if each.kind == worker.kind]
+    limited = _alike(fleet, worker, rng)
     limit_per_s = rng.uniform(*LIMITS_PER_S)
     for each in limited:
         await _ignore_errors(fleet.set_worker_limit(each, limit_per_s))
@@ -158,6 +157,30 @@
         await _ignore_errors(fleet.set_worker_limit(each, None))
 
 
+@FAULTS.register("worker_says_it_leaves")
+async def worker_says_it_leaves(
+    fleet: _gateways.Fleet, rng: random.Random
+) -> None:
+    """Let a worker say that it leaves, then start it anew."""
+    worker = rng.choice(fleet.workers)
+    await _ignore_errors(fleet.let_worker_leave(worker))
+    await sleep_fault_duration(rng)
+    worker.process.kill()
+    await restart(worker)
+
+
+@FAULTS.register("worker_wants_no_requests")
+async def worker_wants_no_requests(
+    fleet: _gateways.Fleet, rng: random.Random
+) -> None:
+    """Let a worker, or all of a kind, turn requests away for some time."""
+    worker = rng.choice(fleet.workers)
+    pause_s = rng.uniform(1.0, MAX_FAULT_S)
+    for each in _alike(fleet, worker, rng):
+        await _ignore_errors(fleet.pause_requests(each, pause_s))
+    await asyncio.sleep(pause_s)
+
+
 @FAULTS.register("crashing_request")
 async def crashing_request(fleet: _gateways.Fleet, rng: random.Random) -> None:
     """Send a request again and again that crashes the workers running it."""
@@ -266,6 +289,15 @@
     await fleet.configure()
 
 
+def _alike(
+    fleet: _gateways.Fleet, worker: _gateways.Member, rng: random.Random
+) -> list[_gateways.Member]:
+    """Return a worker, or at times all of its kind."""
+    if rng.random() >= ALL_ALIKE_SHARE:
+        return [worker]
+    return [each for each in fleet.workers if each.kind == worker.kind]
+
+
 async def _pause(
     fleet: _gateways.Fleet, member: _gateways.Member, rng: random.Random
 ) -> None:
--- a/scenarios/tests/test_gateway_invariants.py
+++ b/scenarios/tests/test_gateway_invariants.py
@@ -1,5 +1,8 @@
 """Checks of the gateway soak on records of callers and operators."""
 
+import typing
+
+import attrs
 import pytest
 
 from scenarios import _gateway_invariants
@@ -160,3 +163,53 @@
         disturbances,
     )
     assert len(found) == problems
+
+
+def _arrival(request_id: str, **fields: typing.Any) -> users_endpoint.Arrival:
+    return attrs.evolve(
+        users_endpoint.Arrival(request_id, "worker-1", 0.0, None), **fields
+    )
+
+
+def _sent(request_id: str, sent_s: float) -> _gateway_load.Outcome:
+    return _gateway_load.Outcome(
+        request_id, "read", "russo", 200, "", 1, sent_s, sent_s + 1.0
+    )
+
+
+@pytest.mark.parametrize(
+    ("sent_s", "leaving", "problems"),
+    [(1.9, True, 0), (2.1, True, 1), (2.1, False, 0)],
+)
+def test_worker_that_leaves_gets_nothing_new(
+    sent_s: float, leaving: bool, problems: int
+) -> None:
+    found = _gateway_invariants.leaving_workers_get_nothing_new(
+        [
+            _arrival("q1", at_s=0.0, leaving=True),
+            _arrival("q2", at_s=sent_s, leaving=leaving),
+        ],
+        [_sent("q1", 0.0), _sent("q2", sent_s)],
+        [],
+    )
+    assert len(found) == problems
+
+
+@pytest.mark.parametrize(
+    ("late", "from_s", "problems"), [(2, 0.6, 0), (3, 0.6, 1), (9, 0.4, 0)]
+)
+def test_worker_in_a_pause_gets_few_requests(
+    late: int, from_s: float, problems: int
+) -> None:
+    found = _gateway_invariants.pauses_are_kept(
+        [
+            _arrival("q1", at_s=0.0, pause_s=2.0),
+            *(
+                _arrival("q1", at_s=from_s, pause_s=2.0 - from_s)
+                for _ in range(late)
+            ),
+        ],
+        [_sent("q1", 0.0)],
+        [],
+    )
+    assert len(found) == problems
--- a/standins/users_endpoint/_app.py
+++ b/standins/users_endpoint/_app.py
@@ -56,6 +56,10 @@
     at_s: float
     #: Limit that its response names, in requests a second.
     limit_per_s: float | None
+    #: Whether its response says that the worker leaves.
+    leaving: bool = False
+    #: Time for which its response asks for no requests, in seconds.
+    pause_s: float = 0.0
 
 
 @attrs.define
@@ -94,6 +98,10 @@
     leaving: bool = False
     #: Requests a second that it says it takes, ``None`` to say nothing.
     limit_per_s: float | None = None
+    #: Whether its responses say that it leaves.
+    says_leaving: bool = False
+    #: Until when it turns requests away, Unix seconds.
+    paused_until_s: float = 0.0
     rng: random.Random = attrs.field(factory=lambda: random.Random(1))
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -136,20 +144,33 @@
         self.behaviour = Behaviour(**call)
         return _serve.json_response(_serve.EmptyBody())
 
+    async def leave(self, _request: web.Request) -> web.StreamResponse:
+        """Say in all responses from now on that the worker leaves."""
+        self.says_leaving = True
+        return _serve.json_response(_serve.EmptyBody())
+
+    async def pause(self, request: web.Request) -> web.StreamResponse:
+        """Turn requests away for some time."""
+        call = msgspec.json.decode(await request.read())
+        self.paused_until_s = time.time() + call["pause_s"]
+        return _serve.json_response(_serve.EmptyBody())
+
     async def set_limit(self, request: web.Request) -> web.StreamResponse:
         """Set the limit to name in all responses."""
         call = msgspec.json.decode(await request.read())
         self.limit_per_s = call["limit_per_s"]
         return _serve.json_response(_serve.EmptyBody())
 
-    async def name_limit(
+    async def add_signals(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
-        """Name the limit in a response."""
+        """Tell in a response what the worker wants."""
         if request.path.startswith(STANDIN_PATH):
             return
         if self.limit_per_s is not None:
             response.headers["Server-Limit"] = f"{self.limit_per_s:.2f}"
+        if self.says_leaving:
+            response.headers["Server-Leaving"] = "1"
 
     @web.middleware
     async def record_arrival(
@@ -163,6 +184,8 @@
                     self.endpoint_id,
                     time.time(),
                     self.limit_per_s,
+                    self.says_leaving,
+                    max(self.paused_until_s - time.time(), 0.0),
                 )
             )
         return await handler(request)
@@ -174,6 +197,11 @@
         expected = request.headers.get("Expect-Instance", self.endpoint_id)
         if expected != self.endpoint_id:
             return self._not_executed(request_id, 421)
+        pause_s = self.paused_until_s - time.time()
+        if pause_s > 0.0:
+            response = self._not_executed(request_id, 503)
+            response.headers["Retry-After"] = f"{pause_s:.3f}"
+            return response
         if self.changing or self._occurs(self.behaviour.full_share):
             return self._not_executed(request_id, 503)
         if request.headers.get("Serving-Stage") == "prefill":
@@ -342,7 +370,7 @@
         client_max_size=_serve.MAX_BODY_BYTES,
         middlewares=[worker.record_arrival],
     )
-    app.on_response_prepare.append(worker.name_limit)
+    app.on_response_prepare.append(worker.add_signals)
     app.cleanup_ctx.append(run_heartbeats)
     app.add_routes(
         [
@@ -353,6 +381,8 @@
             ),
             web.post("/standin/behave", worker.set_behaviour),
             web.post("/standin/limit", worker.set_limit),
+            web.post("/standin/leave", worker.leave),
+            web.post("/standin/pause", worker.pause),
             web.route("*", "/{rest:.*}", worker.serve),
         ]
     )
