Show the other visits of a failed request in its timeline

Each visit has an id of its own; the fingerprint that failed requests log tells that they are one request. The timeline shows decisions of the quarantine too.

--- a/bilberrydeal/cli/_trace.py
+++ b/bilberrydeal/cli/_trace.py
@@ -7,7 +7,14 @@
 import msgspec
 
 #: Prefixes of events about the state of a process, not about a request.
-_STATE_EVENTS = ("knowledge:", "following:", "gateway:", "leaving:", "roles:")
+_STATE_EVENTS = (
+    "following:",
+    "gateway:",
+    "knowledge:",
+    "leaving:",
+    "quarantine:",
+    "roles:",
+)
 #: State events shown before the end of a request, at most.
 STATE_EVENTS_SHOWN = 6
 
@@ -67,9 +74,25 @@
         timeline.extend(_state_events_before(lines, line))
         timeline.append(_format_line(line))
         timeline.extend(_format_steps(line))
+        timeline.extend(_repetitions(lines, line))
     return timeline
 
 
+def _repetitions(
+    lines: collections.abc.Sequence[LogLine], ended: LogLine
+) -> list[str]:
+    """Return the other visits of a request that failed, by fingerprint."""
+    fingerprint = ended.fields.get("fingerprint")
+    if not fingerprint:
+        return []
+    return [
+        f"  the same request as {line.fields.get('request')}:"
+        f" {line.timestamp} {line.source} status {line.fields.get('status')}"
+        for line in lines
+        if line is not ended and line.fields.get("fingerprint") == fingerprint
+    ]
+
+
 def _state_events_before(
     lines: collections.abc.Sequence[LogLine], ended: LogLine
 ) -> list[str]:
--- a/bilberrydeal/cli/tests/test_trace.py
+++ b/bilberrydeal/cli/tests/test_trace.py
@@ -60,3 +60,20 @@
     path = tmp_path / "g.log"
     path.write_text(LOG)
     assert _commands_trace.trace(request_id, path) == code
+
+
+REPEATED = """\
+  1.0 g1 {"request": "r1", "status": 502, "fingerprint": "f1", "event": \
+"request: Request ended.", "timestamp": "t1"}
+  2.0 g2 {"request": "r2", "status": 502, "fingerprint": "f1", "event": \
+"request: Request ended.", "timestamp": "t2"}
+  2.5 g2 {"request": "r3", "status": 502, "fingerprint": "f2", "event": \
+"request: Request ended.", "timestamp": "t3"}
+"""
+
+
+def test_timeline_has_the_other_visits_of_a_request() -> None:
+    lines = _trace.parse("x", REPEATED.splitlines())
+    text = "\n".join(_trace.request_timeline(lines, "r1"))
+    assert "the same request as r2: t2 g2 status 502" in text
+    assert "r3" not in text
