--- a/bilberrydeal/gateway/tests/test_crashing_requests.py
+++ b/bilberrydeal/gateway/tests/test_crashing_requests.py
@@ -1,16 +1,13 @@
 """A request that crashes each endpoint that runs it and comes again."""
 
 import asyncio
-import itertools
-import random
 
 import attrs
 import pytest
 
-from ... import catalogue
-from ... import ports
 from ...store.tests import virtual
 from . import crashing_engines
+from . import virtual_fleet
 
 #: Crashes by which a request has to be known, the time until then, in
 #: seconds, and how often it may be sent afterwards.
@@ -67,61 +64,16 @@
 }
 
 
-class _Play:
-    """Plays a load on virtual time."""
+class _Play(virtual_fleet.VirtualFleet):
+    """Plays a load."""
 
     def __init__(
         self, load: Load, seed: int, loop: virtual.VirtualLoop
     ) -> None:
+        super().__init__(seed, loop, load.gateways, "crash_counts")
         self._load = load
-        self._random = random.Random(seed)
-        self._loop = loop
-        self._ids = itertools.count(1)
-        self.traffic = crashing_engines.Traffic()
-        self._network = crashing_engines.Network(seed)
-        self._running: dict[str, asyncio.Task[None]] = {}
-        self.endpoints: list[crashing_engines.Engine] = []
         self.crashes_s: list[float] = []
         self.bad_statuses: list[int] = []
-        self.gateways = [self._gateway() for _ in range(load.gateways)]
-        self._announce()
-
-    def _gateway(self) -> crashing_engines.GatewayProcess:
-        gateway = crashing_engines.GatewayProcess(
-            self._loop.time,
-            f"g{next(self._ids)}",
-            self._network,
-            "crash_counts",
-        )
-        for endpoint in self.endpoints:
-            gateway.add(endpoint)
-        self._running[gateway.name] = self._loop.create_task(gateway.run())
-        return gateway
-
-    def _announce(self) -> None:
-        for gateway in self.gateways:
-            gateway.join([each.name for each in self.gateways])
-
-    def _endpoint(self, number: int, role: str) -> crashing_engines.Engine:
-        endpoint = crashing_engines.Engine(
-            catalogue.Endpoint(
-                endpoint_id=f"e{next(self._ids)}",
-                service=crashing_engines.SERVICE if role else "shop",
-                host="127.0.0.1",
-                port=1,
-                failure_domain=f"d{number}",
-                ready=True,
-                role=ports.EngineRole(role) if role else None,
-                slots=64,
-                started_ms=1,
-            ),
-            self.traffic,
-            crashing_body=BAD_BODY,
-        )
-        self.endpoints.append(endpoint)
-        for gateway in self.gateways:
-            gateway.add(endpoint)
-        return endpoint
 
     async def run(self) -> None:
         """Play the load to its end."""
@@ -131,20 +83,20 @@
                 for number, role in enumerate(self._load.roles)
             ]
             background += [
-                tasks.create_task(self._restart(number, at_s))
+                tasks.create_task(self.restart_gateway(number, at_s))
                 for number, at_s in enumerate(self._load.restarts_s)
             ]
             background.append(tasks.create_task(self._send_bad()))
             await self._send_sound(tasks)
-            for task in [*background, *self._running.values()]:
+            for task in [*background, *self.exchanges.values()]:
                 task.cancel()
 
     async def _keep(self, number: int, role: str) -> None:
         """Start an endpoint again whenever it has crashed."""
-        endpoint = self._endpoint(number, role)
+        endpoint = self._start(number, role)
         while True:
             await endpoint.crashed.wait()
-            self.crashes_s.append(self._loop.time())
+            self.crashes_s.append(self.loop.time())
             if self._load.same_id:
                 await self._restart_endpoint(endpoint)
                 continue
@@ -154,7 +106,10 @@
                 gateway.cluster.remove_endpoint(
                     endpoint.endpoint.endpoint_id, "lease expired"
                 )
-            endpoint = self._endpoint(number, role)
+            endpoint = self._start(number, role)
+
+    def _start(self, number: int, role: str) -> crashing_engines.Engine:
+        return self.add_endpoint(role, f"d{number}", crashing_body=BAD_BODY)
 
     async def _restart_endpoint(
         self, endpoint: crashing_engines.Engine
@@ -170,50 +125,43 @@
         for gateway in self.gateways:
             gateway.add(endpoint)
 
-    async def _restart(self, number: int, at_s: float) -> None:
-        await asyncio.sleep(at_s)
-        number %= len(self.gateways)
-        self.gateways[number].kill()
-        self._running.pop(self.gateways[number].name).cancel()
-        self.gateways[number] = self._gateway()
-        self._announce()
-
     async def _send_bad(self) -> None:
         """Send the crashing request again and again, at any gateway."""
         while True:
             await asyncio.sleep(
-                self._random.uniform(0.2, 1.0) * self._load.interval_s
+                self.random.uniform(0.2, 1.0) * self._load.interval_s
             )
-            gateway = self._random.choice(self.gateways)
-            task = gateway.start(
-                b"bad%d" % next(self._ids), self._load.route, BAD_BODY
+            gateway = self.random.choice(self.gateways)
+            status = await self.call(
+                gateway,
+                b"bad%d" % next(self.ids),
+                self._load.route,
+                BAD_BODY,
             )
-            await asyncio.wait([task])
-            if not task.cancelled():
-                self.bad_statuses.append(task.result())
+            if status is not None:
+                self.bad_statuses.append(status)
 
     async def _send_sound(self, tasks: asyncio.TaskGroup) -> None:
         """Send sound requests, some of them alike."""
-        end_s = self._loop.time() + LENGTH_S
-        while self._loop.time() < end_s:
-            gateway = self._random.choice(self.gateways)
-            request_id = b"r%d" % next(self._ids)
-            body = self._random.choice([request_id, b"same"])
-            tasks.create_task(self._call(gateway, request_id, body))
+        end_s = self.loop.time() + LENGTH_S
+        while self.loop.time() < end_s:
+            gateway = self.random.choice(self.gateways)
+            request_id = b"r%d" % next(self.ids)
+            body = self.random.choice([request_id, b"same"])
+            tasks.create_task(self._send(gateway, request_id, body))
             await asyncio.sleep(
-                self._random.expovariate(self._load.requests_per_s)
+                self.random.expovariate(self._load.requests_per_s)
             )
 
-    async def _call(
+    async def _send(
         self,
         gateway: crashing_engines.GatewayProcess,
         request_id: bytes,
         body: bytes,
     ) -> None:
-        task = gateway.start(request_id, self._load.route, body)
-        await asyncio.wait([task])
-        if not task.cancelled():
-            self.traffic.statuses[task.result()] += 1
+        status = await self.call(gateway, request_id, self._load.route, body)
+        if status is not None:
+            self.traffic.statuses[status] += 1
 
     def sent_after_it_is_known(self) -> int:
         """Return how often the request was run once it had to be known."""
@@ -228,12 +176,7 @@
 
 
 def _played(load: Load, seed: int) -> _Play:
-    loop = virtual.VirtualLoop()
-    asyncio.set_event_loop(loop)
-    play = _Play(load, seed, loop)
-    loop.run(play.run())
-    loop.close()
-    return play
+    return virtual_fleet.played(lambda loop: _Play(load, seed, loop))
 
 
 @pytest.mark.parametrize("seed", range(2))
--- a/bilberrydeal/gateway/tests/test_request_limits.py
+++ b/bilberrydeal/gateway/tests/test_request_limits.py
@@ -1,16 +1,13 @@
 """Endpoints that name how many requests a second they take from all."""
 
 import asyncio
-import itertools
-import random
 
 import attrs
 import pytest
 
-from ... import catalogue
-from ... import ports
 from ...store.tests import virtual
 from . import crashing_engines
+from . import virtual_fleet
 
 #: Time from the first response that names a limit until it is kept, in
 #: seconds; the time from a response until it binds the gateway that got it;
@@ -66,72 +63,32 @@
 }
 
 
-class _Play:
-    """Plays a load on virtual time."""
+class _Play(virtual_fleet.VirtualFleet):
+    """Plays a load."""
 
     def __init__(
         self, load: Load, seed: int, loop: virtual.VirtualLoop
     ) -> None:
+        super().__init__(seed, loop, load.gateways)
         self._load = load
-        self._random = random.Random(seed)
-        self._loop = loop
-        self._began_s = loop.time()
-        self._ids = itertools.count(1)
-        self.traffic = crashing_engines.Traffic()
-        self._network = crashing_engines.Network(seed)
-        self._exchanges: list[asyncio.Task[None]] = []
-        self.endpoints = [
-            self._endpoint(number, role)
-            for number, role in enumerate(load.roles)
-        ]
-        self.restarted: set[str] = set()
-        self.gateways = [self._gateway() for _ in range(load.gateways)]
-        self._announce()
+        for role in load.roles:
+            self.add_endpoint(role)
 
     @property
     def limited(self) -> list[crashing_engines.Engine]:
         """Return the endpoints that name a limit."""
         return self.endpoints[: self._load.limited]
 
-    def _endpoint(self, number: int, role: str) -> crashing_engines.Engine:
-        return crashing_engines.Engine(
-            catalogue.Endpoint(
-                endpoint_id=f"e{number}",
-                service=crashing_engines.SERVICE if role else "shop",
-                host="127.0.0.1",
-                port=1,
-                failure_domain="d1",
-                ready=True,
-                role=ports.EngineRole(role) if role else None,
-                slots=64,
-                started_ms=1,
-            ),
-            self.traffic,
-        )
-
-    def _gateway(self) -> crashing_engines.GatewayProcess:
-        gateway = crashing_engines.GatewayProcess(
-            self._loop.time, f"g{next(self._ids)}", self._network
-        )
-        self._exchanges.append(self._loop.create_task(gateway.run()))
-        for endpoint in self.endpoints:
-            gateway.add(endpoint)
-        return gateway
-
-    def _announce(self) -> None:
-        for gateway in self.gateways:
-            gateway.join([each.name for each in self.gateways])
-
     async def run(self) -> None:
         """Play the load to its end."""
         async with asyncio.TaskGroup() as tasks:
             background = [
-                tasks.create_task(self._restart(number, at_s))
+                tasks.create_task(self.restart_gateway(number, at_s))
                 for number, at_s in enumerate(self._load.restarts_s)
             ]
             background.append(tasks.create_task(self._name_limits()))
             await self._send_all(tasks)
-            for task in [*background, *self._exchanges]:
+            for task in [*background, *self.exchanges.values()]:
                 task.cancel()
 
     async def _name_limits(self) -> None:
@@ -141,49 +98,37 @@
             (CHANGES_S, load.changed_per_s),
             (CEASES_S, float("inf")),
         ):
-            await asyncio.sleep(self._began_s + at_s - self._loop.time())
+            await asyncio.sleep(self.began_s + at_s - self.loop.time())
             for endpoint in self.limited:
                 endpoint.limit_per_s = limit_per_s
                 endpoint.told_s.clear()
 
-    async def _restart(self, number: int, at_s: float) -> None:
-        await asyncio.sleep(at_s)
-        number %= len(self.gateways)
-        self.gateways[number].kill()
-        self._exchanges[number].cancel()
-        self.gateways[number] = self._gateway()
-        self.restarted.add(self.gateways[number].name)
-        await asyncio.sleep(1.0)
-        self._announce()
-
     async def _send_all(self, tasks: asyncio.TaskGroup) -> None:
         """Send requests, to some gateways more than to others."""
         weights = [1.0 / (2 + number) for number in range(len(self.gateways))]
-        while self._loop.time() < self._began_s + END_S:
-            number = self._random.choices(range(len(self.gateways)), weights)
+        while self.loop.time() < self.began_s + END_S:
+            number = self.random.choices(range(len(self.gateways)), weights)
             tasks.create_task(self._call(self.gateways[number[0]]))
             await asyncio.sleep(
-                self._random.expovariate(self._load.requests_per_s)
+                self.random.expovariate(self._load.requests_per_s)
             )
 
     async def _call(self, gateway: crashing_engines.GatewayProcess) -> None:
-        request_id = b"r%d" % next(self._ids)
-        self.traffic.requests.append(self._loop.time())
-        task = gateway.start(request_id, self._load.route)
-        await asyncio.wait([task])
-        if not task.cancelled():
-            self.traffic.statuses[task.result()] += 1
+        request_id = b"r%d" % next(self.ids)
+        status = await self.call(gateway, request_id, self._load.route)
+        if status is not None:
+            self.traffic.statuses[status] += 1
 
     def arrived_s(
         self, endpoint: crashing_engines.Engine, from_s: float, to_s: float
     ) -> list[float]:
         """Return when requests reached an endpoint in a part of the play."""
         return [
-            arrival.at_s - self._began_s
+            arrival.at_s - self.began_s
             for arrival in self.traffic.arrivals
             if arrival.engine == endpoint.endpoint.endpoint_id
             and arrival.gateway not in self.restarted
-            and from_s <= arrival.at_s - self._began_s < to_s
+            and from_s <= arrival.at_s - self.began_s < to_s
         ]
 
 
@@ -198,12 +143,7 @@
 
 
 def _played(load: Load, seed: int) -> _Play:
-    loop = virtual.VirtualLoop()
-    asyncio.set_event_loop(loop)
-    play = _Play(load, seed, loop)
-    loop.run(play.run())
-    loop.close()
-    return play
+    return virtual_fleet.played(lambda loop: _Play(load, seed, loop))
 
 
 @pytest.mark.parametrize("load", LOADS.values(), ids=LOADS)
