Keep what an endpoint says of its limit, and the endpoint, in modules of their own

Limits that change slowly are logged once they differ from the last logged one; before, each step was compared with the one before it.

--- a/bilberrydeal/gateway/cluster_state/__init__.py
+++ b/bilberrydeal/gateway/cluster_state/__init__.py
@@ -1,8 +1,8 @@
 """A gateway's view of the configuration and the endpoints."""
 
 from ._cluster_state import ClusterState
-from ._cluster_state import Upstream
 from ._endpoint_limit import EndpointLimit
+from ._endpoint_limit import limits_differ
 from ._store_hints import HINT_INTERVAL_S
 from ._store_hints import StoreHints
 from ._store_sync import CONFIGURATION_WAIT_S
@@ -12,6 +12,7 @@
 from ._store_sync import EndpointUpdater
 from ._store_sync import StoreConnectivity
 from ._store_sync import TableFollower
+from ._upstream import Upstream
 
 __all__ = [
     "CONFIGURATION_WAIT_S",
@@ -26,4 +27,5 @@
     "StoreHints",
     "TableFollower",
     "Upstream",
+    "limits_differ",
 ]
--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -13,92 +13,27 @@
 from ... import telemetry
 from ...systems import health
 from ...systems import limits
-from ...systems import pacing
 from ...systems import placement
 from . import _departures
 from . import _endpoint_limit
+from . import _upstream
 
 LOG = telemetry.logger("knowledge")
 #: Share of an endpoint's connection limit that all gateways use together.
 CONNECTIONS_SHARE = 0.9
 #: Smallest connection limit of a gateway to an endpoint.
 CONNECTIONS_FLOOR = 8
-#: First pause after a rejection, in seconds; doubles with each.
-REJECTED_PAUSE_FIRST_S = 0.1
-#: Longest such pause, in seconds.
-REJECTED_PAUSE_LIMIT_S = 0.8
 #: Share of an engine's KV cache assumed to hold shared prompt parts.
 CACHE_SHARE = 0.8
 #: Most removed endpoints that are remembered.
 REMOVED_LIMIT = 256
-#: Share by which a limit has to change to be logged.
-LIMIT_CHANGED_SHARE = 0.1
 
 
 Clock = collections.abc.Callable[[], float]
 
 
-@attrs.define(eq=False)
-class Upstream:
-    """An endpoint with its connection pool, circuit and load."""
-
-    #: The endpoint as it registered itself.
-    endpoint: catalogue.Endpoint
-    #: Connections to it.
-    pool: http1.Pool
-    #: Circuit state, set by the health system.
-    view: systems.EndpointView
-    #: Its load, ``None`` for a plain service.
-    load: placement.EngineLoad | None
-    #: The request limit that it names.
-    limit: _endpoint_limit.EndpointLimit
-    #: Whether another endpoint responded at its address.
-    misdirected: bool = False
-
-    #: Consecutive immediate rejections.
-    rejections: int = 0
-    #: No request is sent to it before this time, monotonic seconds.
-    paused_until_s: float = 0.0
-    #: End of an announced role change, monotonic seconds.
-    changing_until_s: float = 0.0
-    #: Pause for which the endpoint has asked.
-    pause: pacing.RequestedPause = attrs.field(factory=pacing.RequestedPause)
-
-    def changing_role(self, now_s: float) -> bool:
-        """Return whether it is changing its role."""
-        return now_s < self.changing_until_s
-
-    def usable(self, now_s: float) -> bool:
-        """Return whether requests may be sent to it."""
-        return (
-            self.endpoint.ready
-            and not self.misdirected
-            and self.view.available
-            and not self.pool.exhausted
-            and now_s >= self.paused_until_s
-            and self.pause.permits(self.pool.busy, now_s)
-            and not self.limit.share.wait_s(now_s)
-            and not self.changing_role(now_s)
-        )
-
-    def wait_s(self, now_s: float) -> float:
-        """Return the time until it ends its pause and its limit permits."""
-        return max(self.pause.left_s(now_s), self.limit.share.wait_s(now_s))
-
-    def note_rejection(self, now_s: float) -> None:
-        """Pause sends after an immediate rejection: it is full or busy."""
-        self.rejections += 1
-        pause_s = REJECTED_PAUSE_FIRST_S * 2.0 ** (self.rejections - 1)
-        self.paused_until_s = now_s + min(pause_s, REJECTED_PAUSE_LIMIT_S)
-
-    def note_acceptance(self, now_s: float) -> None:
-        """Reset the rejection count after an accepted request."""
-        self.rejections = 0
-        self.pause.accepted(now_s)
-
-
 #: Gets the former run of an endpoint that has started again.
-OnRestart = collections.abc.Callable[[Upstream], None]
+OnRestart = collections.abc.Callable[[_upstream.Upstream], None]
 
 
 class ClusterState:
@@ -114,12 +49,12 @@
         #: Number of live gateways, including this one.
         self.members = 1
         #: Endpoints by id.
-        self.endpoints: dict[str, Upstream] = {}
+        self.endpoints: dict[str, _upstream.Upstream] = {}
         self.health = health_system
         self.tables = systems.Tables()
         self._departures = _departures.Departures()
         #: Endpoints by service and id.
-        self._by_service: dict[str, dict[str, Upstream]] = {}
+        self._by_service: dict[str, dict[str, _upstream.Upstream]] = {}
         #: Engines by service, rebuilt when one is added or removed.
         self._engine_rings: dict[str, placement.EngineRing] = {}
         #: Learned slot occupancy times by service.
@@ -132,9 +67,7 @@
         self._gateways = limits.ProcessGroup()
         self._on_restart: list[OnRestart] = []
         #: Endpoints that were removed, the latest ones, by id.
-        self._removed: dict[str, Upstream] = {}
-        #: Endpoints that have named a limit, by id.
-        self.limited: dict[str, Upstream] = {}
+        self._removed: dict[str, _upstream.Upstream] = {}
 
     def set_configuration(
         self, configuration: catalogue.Configuration
@@ -198,7 +131,7 @@
 
     def note_signals(
         self,
-        upstream: Upstream,
+        upstream: _upstream.Upstream,
         signals: platform.EndpointSignals,
         sent_s: float,
         now_s: float,
@@ -212,35 +145,12 @@
                 pause_s=signals.pause_s,
             )
         if signals.limit_per_s is not None:
-            before_per_s = upstream.limit.limit_per_s
             upstream.limit.observe(signals.limit_per_s, sent_s, now_s)
-            self._limit_changed(upstream, before_per_s, None)
         if signals.leaving:
             self.note_leaving(upstream)
 
-    def learn_limit(
-        self,
-        upstream: Upstream,
-        limit_per_s: float,
-        said_s: float,
-        now_s: float,
-        told_by: str,
-    ) -> bool:
-        """Record what another gateway told; return whether it is newer."""
-        before_per_s = upstream.limit.limit_per_s
-        newer = upstream.limit.learn(limit_per_s, said_s, now_s)
-        self._limit_changed(upstream, before_per_s, told_by)
-        return newer
-
-    def _limit_changed(
-        self, upstream: Upstream, before_per_s: float, told_by: str | None
-    ) -> None:
-        if upstream.limit.limit_per_s != before_per_s:
-            self.limited[upstream.endpoint.endpoint_id] = upstream
-            _log_limit(upstream, before_per_s, told_by)
-
     def signals_recorder(
-        self, upstream: Upstream, clock: Clock
+        self, upstream: _upstream.Upstream, clock: Clock
     ) -> platform.OnSignals:
         """Return what records the signals in the response to a next call."""
         sent_s = clock()
@@ -250,7 +160,7 @@
 
         return record
 
-    def note_leaving(self, upstream: Upstream) -> None:
+    def note_leaving(self, upstream: _upstream.Upstream) -> None:
         """Record that an endpoint leaves; requests in flight continue."""
         self._departures.add(upstream.endpoint)
         if upstream.endpoint.ready:
@@ -289,10 +199,10 @@
         """Return the number of endpoints that name a limit now."""
         return sum(
             math.isfinite(upstream.limit.limit_per_s)
-            for upstream in self.limited.values()
+            for upstream in self.endpoints.values()
         )
 
-    def of_service(self, service: str) -> list[Upstream]:
+    def of_service(self, service: str) -> list[_upstream.Upstream]:
         """Return the endpoints of a service."""
         return list(self._by_service.get(service, {}).values())
 
@@ -354,7 +264,7 @@
 
     def observe(
         self,
-        upstream: Upstream,
+        upstream: _upstream.Upstream,
         succeeded: bool,
         now_s: float,
         silent: bool = False,
@@ -371,7 +281,9 @@
         )
         upstream.view.in_flight = upstream.pool.busy
 
-    def observe_progress(self, upstream: Upstream, now_s: float) -> None:
+    def observe_progress(
+        self, upstream: _upstream.Upstream, now_s: float
+    ) -> None:
         """Report that an ejected endpoint goes on with a response."""
         if upstream.view.circuit is systems.CircuitState.OPEN:
             self.observe(upstream, True, now_s)
@@ -386,7 +298,7 @@
         self.health.run(self.tables, now_s)
 
     def _report_restart(
-        self, before: Upstream | None, endpoint: catalogue.Endpoint
+        self, before: _upstream.Upstream | None, endpoint: catalogue.Endpoint
     ) -> None:
         if before is None:
             return
@@ -394,15 +306,16 @@
             for handler in self._on_restart:
                 handler(before)
 
-    def _detach(self, upstream: Upstream) -> None:
+    def _detach(self, upstream: _upstream.Upstream) -> None:
         """Close an endpoint's connections and remove it from its service."""
         endpoint = upstream.endpoint
         upstream.pool.close()
-        self.limited.pop(endpoint.endpoint_id, None)
         self._by_service[endpoint.service].pop(endpoint.endpoint_id, None)
         self._engine_rings.pop(endpoint.service, None)
 
-    def _new_upstream(self, endpoint: catalogue.Endpoint) -> Upstream:
+    def _new_upstream(
+        self, endpoint: catalogue.Endpoint
+    ) -> _upstream.Upstream:
         view = systems.EndpointView(
             endpoint_id=endpoint.endpoint_id,
             failure_domain=endpoint.failure_domain,
@@ -410,7 +323,7 @@
             role=endpoint.role or ports.EngineRole.BOTH,
         )
         self.tables.of(systems.EndpointView).put(view)
-        upstream = Upstream(
+        upstream = _upstream.Upstream(
             endpoint=endpoint,
             pool=http1.Pool(
                 endpoint.host, endpoint.port, platform.HEADERS.request_id
@@ -418,7 +331,8 @@
             view=view,
             load=self._new_load(endpoint),
             limit=_endpoint_limit.EndpointLimit(
-                limits.TurnShare(endpoint.endpoint_id, self._gateways)
+                endpoint.endpoint_id,
+                limits.TurnShare(endpoint.endpoint_id, self._gateways),
             ),
         )
         self._set_limits(upstream)
@@ -457,7 +371,7 @@
             return 0
         return int(found.engine.kv_capacity_tokens * CACHE_SHARE)
 
-    def _set_limits(self, upstream: Upstream) -> None:
+    def _set_limits(self, upstream: _upstream.Upstream) -> None:
         if self.configuration is None:
             return
         found = self.configuration.services.get(upstream.endpoint.service)
@@ -476,30 +390,6 @@
             speed.fetch_token_s = found.engine.kv_transfer_token_s
 
 
-def _log_limit(
-    upstream: Upstream, before_per_s: float, told_by: str | None
-) -> None:
-    """Log a limit that began, ended or changed by much."""
-    limit_per_s = upstream.limit.limit_per_s
-    if math.isfinite(limit_per_s) and math.isfinite(before_per_s):
-        change = abs(limit_per_s - before_per_s)
-        if change <= LIMIT_CHANGED_SHARE * before_per_s:
-            return
-    LOG.info(
-        "Endpoint limits requests."
-        if math.isfinite(limit_per_s)
-        else "Endpoint limits requests no longer.",
-        endpoint=upstream.endpoint.endpoint_id,
-        limit_per_s=_or_none(limit_per_s),
-        before_per_s=_or_none(before_per_s),
-        told_by=told_by,
-    )
-
-
-def _or_none(limit_per_s: float) -> float | None:
-    return limit_per_s if math.isfinite(limit_per_s) else None
-
-
 def _same_process(
     before: catalogue.Endpoint, after: catalogue.Endpoint
 ) -> bool:
--- a/bilberrydeal/gateway/peer_exchange/_limit_broadcast.py
+++ b/bilberrydeal/gateway/peer_exchange/_limit_broadcast.py
@@ -18,8 +18,6 @@
 REFRESH_INTERVAL_S = 1.0
 #: Time for which the end of a limit is told again, in seconds.
 ENDED_TOLD_S = 3.0
-#: Share by which a limit has to change to be told at once.
-CHANGED_SHARE = 0.1
 
 Clock = collections.abc.Callable[[], float]
 
@@ -38,10 +36,7 @@
 
     def changed(self, limit_per_s: float) -> bool:
         """Return whether a limit differs enough to be told at once."""
-        if math.isinf(self.limit_per_s) or math.isinf(limit_per_s):
-            return self.limit_per_s != limit_per_s
-        change = abs(limit_per_s - self.limit_per_s)
-        return change > CHANGED_SHARE * self.limit_per_s
+        return cluster_state.limits_differ(limit_per_s, self.limit_per_s)
 
 
 class LimitBroadcast:
@@ -69,13 +64,13 @@
     async def run_once(self) -> None:
         """Tell the other gateways what is due."""
         now_s = self._clock()
-        limited = self._cluster.limited
-        for endpoint_id in self._told.keys() - limited.keys():
+        endpoints = self._cluster.endpoints
+        for endpoint_id in self._told.keys() - endpoints.keys():
             del self._told[endpoint_id]
         due = tuple(
             self._report(upstream, now_s)
-            for upstream in limited.values()
-            if self._due(upstream, now_s)
+            for upstream in endpoints.values()
+            if upstream.limit.named and self._due(upstream, now_s)
         )
         if due:
             self._datagrams.send(
@@ -128,8 +123,7 @@
                 continue
             if upstream.endpoint.started_ms != report.started_ms:
                 continue
-            newer = self._cluster.learn_limit(
-                upstream,
+            newer = upstream.limit.learn(
                 report.limit_per_s,
                 now_s - report.age_s,
                 now_s,
