--- a/bilberrydeal/gateway/streams/_stream_placement.py
+++ b/bilberrydeal/gateway/streams/_stream_placement.py
@@ -20,9 +20,6 @@
 OVERDUE_SLACK_S = 0.25
 #: Interval at which another engine is considered from then on, in seconds.
 RECONSIDER_INTERVAL_S = 0.1
-#: Time by which a prefill is abandoned before the caller closes the stream, in
-#: seconds.
-REFUSAL_MARGIN_S = 0.25
 #: Share of the time left within which another engine must be expected to
 #: answer.
 ELSEWHERE_SHARE = 0.6
@@ -200,16 +197,12 @@
         """Return when to abandon a prefill.
 
         It runs nothing, so this may be done on any route: for another engine
-        if the route allows one, and shortly before the caller would close the
-        stream, since one that is told that nothing ran can come back.
+        if the route allows one, and once it will be too late, since a caller
+        that is told that nothing ran can come back.
         """
         sent_s = self._clock()
-        limit_s = min(
-            stream.event_deadline_s - REFUSAL_MARGIN_S,
-            sent_s
-            + placement.too_late_after_s(
-                placed, stream.event_deadline_s - sent_s
-            ),
+        limit_s = sent_s + placement.too_late_after_s(
+            placed, stream.event_deadline_s - sent_s
         )
         elsewhere = self.patience(stream, placed)
         # It is sent once the link of this host is free.
