Tell callers no longer wait for a limit than a holder takes for a request

Where all endpoints of a service limit requests, a gateway that holds no part told its callers the rest of the turn, up to minutes with many gateways and a small limit. Callers that return meet other gateways, which hold one by then.

--- a/bilberrydeal/systems/limits/_turns.py
+++ b/bilberrydeal/systems/limits/_turns.py
@@ -89,7 +89,11 @@
         self.rate_per_s = rate_per_s
 
     def wait_s(self, now_s: float) -> float:
-        """Return the time until a request may be sent, in seconds."""
+        """Return the time until a request may be sent, in seconds.
+
+        It is 0 if one may be sent now. While others hold the parts it is not
+        more than the time in which a holder gains a request.
+        """
         if math.isinf(self.rate_per_s):
             return 0.0
         if not self.group.names:
@@ -99,7 +103,9 @@
         turn = int(shared_s // division.turn_s)
         if not self._holds_part(turn, division.holders):
             self._held_turn = None
-            return (turn + 1) * division.turn_s - shared_s
+            # A caller that is told to wait so long may meet a holder then.
+            ends_s = (turn + 1) * division.turn_s
+            return min(ends_s - shared_s, 1.0 / division.rate_per_s)
         self._refill(turn, division, now_s)
         missing = 1.0 - self._tokens.level
         return max(missing / division.rate_per_s, 0.0)
--- a/bilberrydeal/systems/limits/tests/test_turns.py
+++ b/bilberrydeal/systems/limits/tests/test_turns.py
@@ -122,3 +122,14 @@
     assert all(share.take(0.2) for _ in range(100))
     share.set_rate(0.5, 0.3)
     assert not share.take(0.3)
+
+
+@pytest.mark.parametrize("rate_per_s", [0.3, 2.0, 11.7])
+def test_wait_is_no_longer_than_a_holder_takes_to_gain_a_request(
+    rate_per_s: float,
+) -> None:
+    processes = _Processes(68, rate_per_s)
+    processes.play(0.0, 60.0)
+    burst = rate_per_s + 2.0
+    for share, skew_s in zip(processes.shares, processes.skews_s, strict=True):
+        assert share.wait_s(60.0 + skew_s) <= burst / rate_per_s
