Forward an endpoint's failure where its request may not be tried elsewhere

A request that an endpoint failed and that became suspected of crashing endpoints meanwhile was answered 502 instead of with the endpoint's response. The test got 502 before and the endpoint's 500 now.

--- a/bilberrydeal/gateway/serving/_plain.py
+++ b/bilberrydeal/gateway/serving/_plain.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ... import errors
 from ... import http1
 from ... import platform
 from .. import accounting
@@ -48,7 +49,12 @@
         failure: _BufferedResponse | None = None
         reason = "no endpoint accepts requests"
         while upstream := self._choose(admitted, progress):
-            self._quarantine.check(admitted, progress)
+            try:
+                self._quarantine.check(admitted, progress)
+            except errors.Refusal:
+                if failure is None:
+                    raise
+                break
             try:
                 response = await self._send(admitted, progress, upstream)
             except sending.NotOffered as error:
--- a/bilberrydeal/gateway/tests/test_crashing_requests.py
+++ b/bilberrydeal/gateway/tests/test_crashing_requests.py
@@ -6,7 +6,9 @@
 import pytest
 
 from ...store.tests import virtual
+from .. import core
 from . import crashing_engines
+from . import harness
 from . import virtual_fleet
 
 #: Crashes by which a request has to be known, the time until then, in
@@ -201,3 +203,41 @@
 def test_request_that_crashes_endpoints_is_refused_as_not_run() -> None:
     play = _played(LOADS["plain"], 4)
     assert play.bad_statuses[-1] == 503
+
+
+async def test_response_of_an_endpoint_is_kept_where_no_other_may_run_it() -> (
+    None
+):
+    """The request becomes suspected while its first endpoint fails it."""
+
+    async def fail(call: harness.Call) -> bytes:
+        for number in range(KNOWN_AFTER_CRASHES):
+            running.quarantine.engine_lost(
+                attrs.evolve(
+                    running.cluster.endpoints["e1"],
+                    endpoint=attrs.evolve(
+                        harness.registration(first), endpoint_id=f"x{number}"
+                    ),
+                ),
+                lost[0],
+                started=False,
+                sent_s=0.0,
+                first_s=None,
+            )
+        return harness.signed_response(call, 500, b"failed")
+
+    lost: list[core.AdmittedRequest] = []
+    first, second = (harness.plain(f"e{n}", fail) for n in (1, 2))
+    async with harness.running(first, second) as running:
+        check = running.quarantine.check
+
+        def remember(
+            admitted: core.AdmittedRequest, progress: core.RequestProgress
+        ) -> None:
+            lost.append(admitted)
+            check(admitted, progress)
+
+        running.quarantine.check = remember  # type: ignore[method-assign]
+        reply = await running.send("/read/1")
+    assert (reply.status, reply.body) == (500, b"failed")
+    assert len(first.calls) + len(second.calls) == 1
