--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -117,7 +117,7 @@
             rng,
             clock,
         )
-        self._cluster.subscribe_restarts(self._quarantine.engine_restarted)
+        self._cluster.subscribe_restarts(self._quarantine.endpoint_restarted)
         self._endpoint_updater = cluster_state.EndpointUpdater(
             self._cluster, self._connectivity, clock
         )
--- a/bilberrydeal/gateway/sending/_quarantine.py
+++ b/bilberrydeal/gateway/sending/_quarantine.py
@@ -42,7 +42,7 @@
 
 
 class RequestQuarantine:
-    """Collects evidence against prompt parts and refuses their requests."""
+    """Collects evidence against requests and prompt parts, and refuses them."""
 
     def __init__(
         self,
@@ -69,7 +69,7 @@
         self._asked_s = float("-inf")
         datagrams.subscribe(self._on_datagram)
 
-    def engine_lost(
+    def endpoint_lost(
         self,
         upstream: cluster_state.Upstream,
         admitted: core.AdmittedRequest,
@@ -77,7 +77,7 @@
         sent_s: float,
         first_s: float | None,
     ) -> None:
-        """Record that the connection to an engine broke under a request.
+        """Record that the connection to an endpoint broke under a request.
 
         ``started`` tells whether its head had arrived, ``sent_s`` when it was
         sent and ``first_s`` when its first event arrived.
@@ -95,16 +95,16 @@
             )
             self._system.observe_loss(loss, now_s)
 
-    def engine_responded(
+    def endpoint_responded(
         self, upstream: cluster_state.Upstream, sent_s: float
     ) -> None:
-        """Record that an engine responded to a request sent at a time."""
+        """Record that an endpoint responded to a request sent at a time."""
         self._system.observe_response(
             _process_of(upstream), sent_s, self._clock()
         )
 
-    def engine_restarted(self, upstream: cluster_state.Upstream) -> None:
-        """Record that a run of an engine has ended and another one begun."""
+    def endpoint_restarted(self, upstream: cluster_state.Upstream) -> None:
+        """Record that an endpoint has ended and started again."""
         self._system.observe_end(_process_of(upstream), self._clock())
 
     def request_sound(self, admitted: core.AdmittedRequest) -> None:
--- a/bilberrydeal/gateway/sending/_sending.py
+++ b/bilberrydeal/gateway/sending/_sending.py
@@ -192,7 +192,7 @@
                 upstream, signals, sent_s, self._clock()
             )
             if not platform.misdirected(head):
-                self._quarantine.engine_responded(upstream, sent_s)
+                self._quarantine.endpoint_responded(upstream, sent_s)
             response_class = platform.classify_response(head)
             if fields.prefill:
                 response_class = platform.classify_prefill_response(head)
@@ -224,7 +224,7 @@
             raise
         except http1.IncompleteResponse as error:
             if not fields.prefill:
-                self._quarantine.engine_lost(
+                self._quarantine.endpoint_lost(
                     upstream,
                     admitted,
                     connection.responding,
--- a/bilberrydeal/gateway/streams/_stream.py
+++ b/bilberrydeal/gateway/streams/_stream.py
@@ -292,7 +292,7 @@
                 await responder.write_chunk(complete)
         if splitter.incomplete or first_s is None:
             # A response that ends with its connection may be broken off.
-            self._quarantine.engine_lost(
+            self._quarantine.endpoint_lost(
                 upstream, stream.admitted, True, exchange.sent_s, first_s
             )
         elif (
--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -316,7 +316,7 @@
         self._limit_broadcast = _limit_broadcast.LimitBroadcast(
             datagrams, self.cluster, name, lambda: self._peers, clock
         )
-        self.cluster.subscribe_restarts(self._quarantine.engine_restarted)
+        self.cluster.subscribe_restarts(self._quarantine.endpoint_restarted)
         sender = _sending.Sender(
             self.cluster,
             self.policy,
--- a/bilberrydeal/gateway/tests/test_crashing_requests.py
+++ b/bilberrydeal/gateway/tests/test_crashing_requests.py
@@ -212,7 +212,7 @@
 
     async def fail(call: harness.Call) -> bytes:
         for number in range(KNOWN_AFTER_CRASHES):
-            running.quarantine.engine_lost(
+            running.quarantine.endpoint_lost(
                 attrs.evolve(
                     running.cluster.endpoints["e1"],
                     endpoint=attrs.evolve(
