--- a/bilberrydeal/gateway/sending/_quarantine.py
+++ b/bilberrydeal/gateway/sending/_quarantine.py
@@ -42,7 +42,7 @@
 
 
 class RequestQuarantine:
-    """Collects evidence against requests and prompt parts, and refuses them."""
+    """Collects evidence against requests and their parts; refuses them."""
 
     def __init__(
         self,
