--- a/bilberrydeal/entry/tests/test_exchange.py
+++ b/bilberrydeal/entry/tests/test_exchange.py
@@ -5,7 +5,6 @@
 import typing
 
 import attrs
-import pytest
 
 from bilberrydeal import configuration
 from bilberrydeal import keys
@@ -23,8 +22,6 @@
 from standins import platform
 
 ADDRESS = "127.0.0.1"
-#: Time in which one exchange ends however busy the machine is, in seconds.
-ONE_EXCHANGE_S = 30.0
 
 
 class Entry:
@@ -73,10 +70,7 @@
     await asyncio.gather(*serving)
 
 
-async def test_revisions_and_freshness_are_learned_from_a_peer(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    monkeypatch.setattr(_exchange, "EXCHANGE_TIMEOUT_S", ONE_EXCHANGE_S)
+async def test_revisions_and_freshness_are_learned_from_a_peer() -> None:
     async with _two_entries() as (reader, other):
         change = configuration.SetOrganisation(
             configuration.Organisation("russo"), 0
--- a/bilberrydeal/gateway/tests/test_shutdown.py
+++ b/bilberrydeal/gateway/tests/test_shutdown.py
@@ -8,9 +8,7 @@
 
 TIMES = _shutdown.ShutdownTimes(accept_s=0.2, total_s=1.5)
 GET = b"GET %b HTTP/1.1\r\nhost: h\r\n\r\n"
-#: Idle limit of connections, in seconds.
-LIMIT_S = 30.0
-LIMITS = http1.ServerLimits(2_000, 1_000, 3.0, LIMIT_S)
+LIMITS = http1.ServerLimits(2_000, 1_000, 3.0, 30.0)
 
 
 async def test_running_request_is_completed() -> None:
@@ -30,16 +28,15 @@
 async def test_idle_connection_is_closed_after_the_accept_phase() -> None:
     """Guards against a stream accepted 4.8 s after SIGTERM, then aborted."""
     recorder = http.Recorder()
-    # Neither the end of the shutdown nor the idle limit comes before.
-    times = _shutdown.ShutdownTimes(accept_s=0.2, total_s=LIMIT_S)
     async with http.serving(recorder.handle, LIMITS) as server:
         reader, writer = await asyncio.open_connection(
             "127.0.0.1", server.port
         )
         writer.write(GET % b"/a")
         await reader.readuntil(b"/a|")
-        async with asyncio.timeout(LIMIT_S / 2):
-            assert await _shutdown.shut_down(server, times)
+        async with asyncio.timeout(1.0):
+            assert await _shutdown.shut_down(server, TIMES)
+        async with asyncio.timeout(0.2):
             assert await reader.read() == b""
         writer.close()
     assert len(recorder.requests) == 1
