--- a/review/common/client.py
+++ b/review/common/client.py
@@ -29,7 +29,7 @@
     def __init__(self, log: record.Record, seed: int = 1) -> None:
         self.outcomes: list[Outcome] = []
         self.random = random.Random(seed)
-        self._log = log
+        self.log = log
         self._numbers = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
 
@@ -58,7 +58,7 @@
             **(fields or {}),
         }
         sent_s = time.monotonic()
-        self._log.add("send", f"{request_id} {route} to {gateway.name}")
+        self.log.add("send", f"{request_id} {route} to {gateway.name}")
         got = await wire.ask(
             gateway.ip,
             gateway.port,
@@ -72,7 +72,7 @@
             request_id, route, gateway.name, sent_s, time.monotonic(), got
         )
         self.outcomes.append(outcome)
-        self._log.add(
+        self.log.add(
             "answer",
             f"{request_id} status {got.status}, {len(got.body)} bytes,"
             f" {'complete' if got.complete else 'incomplete ' + got.reason}",
