Let an error of a script of the review not look like a broken rule

Looked for: ways in which a script could end with 1 without a broken rule.

Done: every unexpected error ends with 2.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -360,7 +360,8 @@
         try:
             async with asyncio.timeout(115):
                 broken = await case(fleet)
-        except (CannotRun, TimeoutError, OSError) as error:
+        except Exception as error:
+            # An error of the script itself says nothing of the rule.
             fleet.log.add("result", f"could not run: {error!r}")
             print(f"could not run: {error!r}")
             return 2
