--- a/review/5/case.py
+++ b/review/5/case.py
@@ -147,6 +147,19 @@
         if CRASHING_PART in arrival.parts and arrival.at_s > known_s
     ]
     running.log.add("case", f"{len(reached)} reached engines afterwards")
+    bad = {
+        arrival.request_id
+        for each in running.workers
+        for arrival in each.arrivals
+        if CRASHING_PART in arrival.parts
+    }
+    lost = [
+        outcome
+        for outcome in consumers.outcomes
+        if outcome.request_id not in bad
+        and (outcome.got.status == 502 or not outcome.got.complete)
+    ]
+    running.log.add("case", f"{len(lost)} sound streams were lost")
     if len(reached) > ALLOWED:
         return [
             f"BUDGET: {len(reached)} requests with a part that had crashed"
