--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -299,11 +299,13 @@
     async def stop(self) -> None:
         """End all processes that the fleet started."""
         for gateway in self.gateways:
-            gateway.kill()
-        for each in self.workers:
-            await each.stop()
-        for server in self._servers:
-            await server.crash()
+            with contextlib.suppress(Exception):
+                gateway.kill()
+        with contextlib.suppress(Exception):
+            for each in self.workers:
+                await each.stop()
+            for server in self._servers:
+                await server.crash()
         for task in self._tasks:
             task.cancel()
         if not os.environ.get("KEEP_LOGS"):
@@ -356,17 +358,24 @@
     """
 
     async def guarded() -> int:
-        fleet = Fleet(folder)
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        fleet: Fleet | None = None
         try:
-            async with asyncio.timeout(115):
+            fleet = Fleet(folder)
+            async with asyncio.timeout(110):
                 broken = await case(fleet)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             # An error of the script itself says nothing of the rule.
-            fleet.log.add("result", f"could not run: {error!r}")
             print(f"could not run: {error!r}")
+            if fleet is not None:
+                fleet.log.add("result", f"could not run: {error!r}")
             return 2
         finally:
-            with contextlib.suppress(Exception):
+            if fleet is not None:
                 await fleet.stop()
         for each in broken:
             fleet.log.add("broken", each)
