Report a usage window once no restore can undo its row

Cause: a settled window was reported at once, 0.5 s after its end, while a restore could still take away the row on which the report rests. If no process was left that remembered the counts, the next holder settled the window again.

Change: the report waits until the row is 5 s old, or 85 % of the time until it is due is over. The first lease holder of an era notes when the era began, and a window without a row that could have been reported before is left out, unless a process remembers its counts. The second half holds for copies of any age.

--- a/bilberrydeal/gateway/accounting/_reporting.py
+++ b/bilberrydeal/gateway/accounting/_reporting.py
@@ -6,16 +6,14 @@
 
 from ... import errors
 from ... import leases
-from ... import ports
 from ... import store
 from ... import telemetry
 from . import _clock
 from . import _usage
 from . import _usage_broadcast
+from . import _window_rows
 
 LOG = telemetry.logger("reporting")
-#: Table with one row for each settled window.
-WINDOWS = "windows"
 #: Name of the lease for settling and reporting windows.
 DUTY = "usage"
 #: Shortest time between the end of a window and its report, in seconds.
@@ -30,18 +28,13 @@
 #: A report is sent only with more time left on the lease, in seconds, so
 #: that the call does not outlive the lease.
 MIN_LEASE_LEFT_S = 1.2
-#: Digits of a window's number in its key, so that keys sort by number.
-KEY_DIGITS = 14
-
-
-@attrs.frozen
-class WindowRow:
-    """A settled window; its counts never change."""
-
-    #: Requests that began, by organisation.
-    counts: dict[str, int]
-    #: Whether the platform accepted the report.
-    reported: bool
+#: A settled window is reported once its row is so old, in seconds, so that a
+#: copy from which the store comes back has it.
+COPY_AGE_S = 5.0
+#: Share of the time until a report is due after which it waits no longer.
+REPORT_DUE_SHARE = 0.85
+#: Largest difference between the clocks of two lease holders, in seconds.
+CLOCK_ERROR_S = 0.5
 
 
 class UsageInterface(typing.Protocol):
@@ -84,11 +77,17 @@
         self._clock = clock
         self._host_id = host_id
         self._window_s = window_s
-        self._settled: dict[int, WindowRow] = {}
+        self._windows = _window_rows.WindowRows(client, lease)
+        self._settled: dict[int, _window_rows.WindowRow] = {}
         #: Windows of which a report may have been sent, as far as known.
         self._sent: set[int] = set()
+        #: Windows that are not settled, as another era may have done it.
+        self._left_out: set[int] = set()
         #: Token of the lease under which the windows were read.
         self._loaded_token = 0
+        #: The store's clock when its present era was first seen by a lease
+        #: holder, in seconds.
+        self._era_begun_s = 0.0
 
     async def run_once(self) -> None:
         """Settle the windows that have ended and report them."""
@@ -97,7 +96,7 @@
             return
         token = self._lease.fence(now_s)
         if token != self._loaded_token:
-            await self._load_settled()
+            await self._load()
             self._loaded_token = token
         last = (
             int((self._clock.now_s() - SETTLE_DELAY_S) // self._window_s) - 1
@@ -105,26 +104,27 @@
         if last not in self._settled:
             await self._settle(last)
         for window, row in sorted(self._settled.items()):
-            if not row.reported:
+            if not row.reported and self._may_report(window, row):
                 await self._report(window, row)
 
-    async def _load_settled(self) -> None:
+    async def _load(self) -> None:
         """Read the windows that earlier lease holders settled.
 
         Those that this process has settled, or heard of, are written again
         if a restore of the store took them away.
         """
-        rows = await self._client.scan_all(WINDOWS, "")
-        found = {
-            int(row.key): store.decode(row.value, WindowRow) for row in rows
-        }
+        found = await self._windows.read()
+        store_s = self._clock.store_s()
+        if store_s is None:
+            raise errors.StoreUnavailable(operation="clock")
+        self._era_begun_s = await self._windows.begin_era(store_s)
         heard = {
-            window: WindowRow(counts, False)
+            window: _window_rows.WindowRow(counts, False, store_s)
             for window, counts in self._told.known.items()
         }
         self._sent |= heard.keys()
         lost = {
-            window: row
+            window: attrs.evolve(row, settled_s=store_s)
             for window, row in sorted({**heard, **self._settled}.items())
             if self._is_lost(window, row, found.get(window))
         }
@@ -135,7 +135,10 @@
             LOG.info("Window written again.", window=window)
 
     def _is_lost(
-        self, window: int, known: WindowRow, found: WindowRow | None
+        self,
+        window: int,
+        known: _window_rows.WindowRow,
+        found: _window_rows.WindowRow | None,
     ) -> bool:
         """Return whether the store lacks what this process knows.
 
@@ -144,41 +147,82 @@
         """
         if found is None:
             return True
-        return window in self._sent and not found.reported and found != known
+        return (
+            window in self._sent
+            and not found.reported
+            and found.counts != known.counts
+        )
 
     async def _settle(self, last: int) -> None:
         """Settle the windows up to ``last`` whose counts are complete."""
         written = await self._rows.read()
         counted = _counted(written) | self._peer_counts.windows()
+        self._left_out &= counted
         for window in sorted(counted - self._settled.keys()):
             if window > last:
                 continue
+            if self._may_have_been_reported(window):
+                self._leave_out(window)
+                continue
             rows = self._peer_counts.merged_into(written, window)
             if not self._complete(rows, window):
                 continue
             counts = _sum(rows, window)
-            await self._write(window, WindowRow(counts, False), 0)
+            settled_s = self._clock.store_s() or 0.0
+            row = _window_rows.WindowRow(counts, False, settled_s)
+            await self._write(window, row, 0)
             LOG.info("Window settled.", window=window, counts=counts)
 
+    def _may_have_been_reported(self, window: int) -> bool:
+        """Return whether an earlier era of the store may have had its row.
+
+        A restore may have taken away the row of a window that was reported,
+        and all processes that knew its counts may have ended. A missing report
+        can be made up for; a second one with other counts cannot.
+        """
+        store_s = self._clock.store_s()
+        if store_s is None:
+            return True
+        wait_s = min(
+            SETTLE_DELAY_S + COPY_AGE_S, self._due_s * REPORT_DUE_SHARE
+        )
+        reportable_s = store_s - self._since_end_s(window) + wait_s
+        return reportable_s <= self._era_begun_s + CLOCK_ERROR_S
+
+    def _leave_out(self, window: int) -> None:
+        if window not in self._left_out:
+            LOG.warning("Window may have been reported.", window=window)
+        self._left_out.add(window)
+
+    def _since_end_s(self, window: int) -> float:
+        """Return the time since the end of a window."""
+        return self._clock.now_s() - (window + 1) * self._window_s
+
+    def _may_report(self, window: int, row: _window_rows.WindowRow) -> bool:
+        """Return whether a restore would keep the row, or time is up."""
+        store_s = self._clock.store_s()
+        if store_s is not None and store_s - row.settled_s >= COPY_AGE_S:
+            return True
+        return self._since_end_s(window) >= self._due_s * REPORT_DUE_SHARE
+
     def _complete(
         self, rows: dict[str, _usage.GatewayRow], window: int
     ) -> bool:
         """Return whether all gateways' counts arrived, or time is up."""
-        end_s = (window + 1) * self._window_s
-        now_s = self._clock.now_s()
-        if now_s - end_s >= self._due_s * SETTLE_DUE_SHARE:
+        since_end_s = self._since_end_s(window)
+        if since_end_s >= self._due_s * SETTLE_DUE_SHARE:
             return True
         store_s = self._clock.store_s()
         if store_s is None:
             return False
-        ended_s = store_s - (now_s - end_s)
+        ended_s = store_s - since_end_s
         return all(
             row.written_s > ended_s
             for row in _newest_of_hosts(rows)
             if row.peer_address and store_s - row.written_s < ABSENT_S
         )
 
-    async def _report(self, window: int, row: WindowRow) -> None:
+    async def _report(self, window: int, row: _window_rows.WindowRow) -> None:
         now_s = self._client.now_s()
         if self._lease.remaining_s(now_s) < MIN_LEASE_LEFT_S:
             return
@@ -198,18 +242,10 @@
             await self._write(window, done, None)
 
     async def _write(
-        self, window: int, row: WindowRow, version: int | None
+        self, window: int, row: _window_rows.WindowRow, version: int | None
     ) -> None:
-        key = f"{window:0{KEY_DIGITS}d}"
-        checks: tuple[ports.Check, ...] = ()
-        if version is not None:
-            checks = (ports.Check(WINDOWS, key, version),)
-        write = ports.Write(WINDOWS, key, store.encode(row))
-        transaction = self._lease.transaction(
-            self._client.now_s(), (write,), checks
-        )
         try:
-            await self._client.commit(transaction)
+            await self._windows.write(window, row, version)
         except (errors.OutcomeUnknown, errors.TableConflict):
             # This or another holder may have written: the rows are read again.
             self._loaded_token = 0
