Let an entry that cannot be read spoil itself alone

Cause: the decoder raises RecursionError for deep nesting, which is no decode error by type. It left the loop that follows the table before the position was noted. A port out of range raised OverflowError at the first connection.

Change: one place names what decoders raise, for all readers of foreign bytes. Entries are used only with an id that is a header value, an IP address, a port and numbers in range; a row that cannot be applied for another reason is logged and left out. Rows of gateways and windows, handles and reports of engines, token counts and the store's era are checked alike.

--- a/bilberrydeal/adapters/_engines.py
+++ b/bilberrydeal/adapters/_engines.py
@@ -14,6 +14,7 @@
 import attrs
 import msgspec
 
+from .. import decoding
 from .. import ports
 from . import _exchange
 from . import _registries
@@ -240,7 +241,7 @@
             )
         try:
             return response.decode(response_type)
-        except _exchange.DECODE_ERRORS as error:
+        except decoding.DECODE_ERRORS as error:
             raise ports.EngineFailure(operation=path, started=True) from error
 
     async def _post(
@@ -303,7 +304,7 @@
         raise ports.EngineFailure(operation=path, started=False) from error
     except (
         *_exchange.MAYBE_SENT,
-        *_exchange.DECODE_ERRORS,
+        *decoding.DECODE_ERRORS,
         IndexError,
     ) as error:
         raise ports.EngineFailure(operation=path, started=True) from error
--- a/bilberrydeal/adapters/_exchange.py
+++ b/bilberrydeal/adapters/_exchange.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from .. import decoding
 from .. import errors
 from .. import telemetry
 
@@ -35,9 +36,6 @@
 #: Errors raised when the request may have arrived.
 MAYBE_SENT = (aiohttp.ClientError, TimeoutError, OSError)
 
-#: Errors raised by a body that is not what it should be.
-DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
-
 Decoded = typing.TypeVar("Decoded")
 
 
@@ -55,7 +53,7 @@
     body: bytes
 
     def decode(self, response_type: type[Decoded]) -> Decoded:
-        """Decode the JSON body; raises one of ``DECODE_ERRORS``."""
+        """Decode the JSON body; raises one of ``decoding.DECODE_ERRORS``."""
         return msgspec.json.decode(self.body, type=response_type)
 
 
@@ -190,7 +188,7 @@
     try:
         response = await write(session, url, timeout_s, body)
         return response.decode(response_type)
-    except (errors.OutcomeUnknown, *DECODE_ERRORS) as error:
+    except (errors.OutcomeUnknown, *decoding.DECODE_ERRORS) as error:
         raise errors.StoreUnavailable(operation=url) from error
 
 
--- a/bilberrydeal/adapters/_tables.py
+++ b/bilberrydeal/adapters/_tables.py
@@ -3,6 +3,7 @@
 import aiohttp
 import attrs
 
+from .. import decoding
 from .. import errors
 from .. import ports
 from . import _exchange
@@ -102,7 +103,7 @@
             if response.status == _exchange.HTTP_CONFLICT:
                 raise _conflict(response.decode(ports.Check))
             committed = response.decode(ports.Committed)
-        except _exchange.DECODE_ERRORS as error:
+        except decoding.DECODE_ERRORS as error:
             raise errors.OutcomeUnknown(operation="commit") from error
         if len(committed.versions) != len(transaction.writes):
             raise errors.OutcomeUnknown(operation="commit")
--- a/bilberrydeal/entry/admin/_operator.py
+++ b/bilberrydeal/entry/admin/_operator.py
@@ -10,6 +10,7 @@
 from sanic import response
 
 from ... import configuration
+from ... import decoding
 from ... import errors
 from ... import keys
 from ... import operators
@@ -183,7 +184,7 @@
 def _decode(request: sanic.Request, kind: type[Body]) -> Body:
     try:
         return msgspec.json.decode(request.body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except decoding.DECODE_ERRORS as error:
         raise _bad_request(f"Invalid request body: {error}.") from error
 
 
--- a/bilberrydeal/entry/cluster_state/_exchange.py
+++ b/bilberrydeal/entry/cluster_state/_exchange.py
@@ -6,9 +6,9 @@
 import random
 
 import attrs
-import msgspec
 
 from ... import configuration
+from ... import decoding
 from ... import keys
 from ... import link
 from ... import membership
@@ -159,7 +159,7 @@
         except (
             link.RequestFailed,
             peers.SealBroken,
-            msgspec.MsgspecError,
+            *decoding.DECODE_ERRORS,
         ) as error:
             LOG.debug(
                 "No valid answer from peer.",
@@ -197,7 +197,7 @@
     def _answer(self, signed: bytes) -> bytes:
         try:
             request = _REQUEST_CODEC.decode(self._authenticator.verify(signed))
-        except msgspec.MsgspecError as error:
+        except decoding.DECODE_ERRORS as error:
             raise peers.SealBroken(size_bytes=len(signed)) from error
         now_s = self._clock()
         self._record_peer(request.sender.entry, request.revision, now_s)
--- a/bilberrydeal/entry/core/_bodies.py
+++ b/bilberrydeal/entry/core/_bodies.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from ... import decoding
 from ... import errors
 from ... import ports
 
@@ -118,7 +119,7 @@
 def _decode(body: bytes, decoder: msgspec.json.Decoder[_Body]) -> _Body:
     try:
         return decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except decoding.DECODE_ERRORS as error:
         raise errors.Refusal(
             reason=errors.ErrorCode.BAD_REQUEST,
             message=f"Invalid request body: {error}.",
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -9,6 +9,7 @@
 import time
 import typing
 
+from .. import decoding
 from .. import http1
 from .. import periodic
 from .. import platform
@@ -64,7 +65,7 @@
         self._clock = clock
         rng = random.SystemRandom()
         self._store = platform.PlatformStore(
-            *settings.split_address(gateway_settings.platform.store)
+            *decoding.split_address(gateway_settings.platform.store)
         )
         self._connectivity = cluster_state.StoreConnectivity(
             last_response_s=clock()
@@ -182,15 +183,15 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         listen = self._settings.listen
         await self._caller_server.listen(
-            *settings.split_address(listen.callers)
+            *decoding.split_address(listen.callers)
         )
         await self._readiness_server.listen(
-            *settings.split_address(listen.readiness)
+            *decoding.split_address(listen.readiness)
         )
         await self._metrics_server.listen(
-            *settings.split_address(listen.metrics)
+            *decoding.split_address(listen.metrics)
         )
-        await self._datagrams.listen(*settings.split_address(listen.peers))
+        await self._datagrams.listen(*decoding.split_address(listen.peers))
         self._start_tasks()
         LOG.info(
             "Gateway started.",
@@ -217,10 +218,10 @@
         self._budget.limits = _budget_limits(gateway_settings)
         self._uplink.set_rate(gateway_settings.uplink_mbps)
         self._store.set_address(
-            *settings.split_address(gateway_settings.platform.store)
+            *decoding.split_address(gateway_settings.platform.store)
         )
         self._coordination.usage.set_address(
-            *settings.split_address(gateway_settings.platform.usage)
+            *decoding.split_address(gateway_settings.platform.usage)
         )
 
     def _start_tasks(self) -> None:
--- a/bilberrydeal/gateway/accounting/_reporting.py
+++ b/bilberrydeal/gateway/accounting/_reporting.py
@@ -268,7 +268,12 @@
 
 def _counted(rows: dict[str, _usage.GatewayRow]) -> set[int]:
     """Return the windows that have counts."""
-    return {int(window) for row in rows.values() for window in row.windows}
+    return {
+        int(window)
+        for row in rows.values()
+        for window in row.windows
+        if window.isascii() and window.isdecimal()
+    }
 
 
 def _sum(rows: dict[str, _usage.GatewayRow], window: int) -> dict[str, int]:
--- a/bilberrydeal/gateway/accounting/_usage.py
+++ b/bilberrydeal/gateway/accounting/_usage.py
@@ -2,12 +2,15 @@
 
 import attrs
 
+from ... import decoding
 from ... import errors
 from ... import ports
 from ... import store
+from ... import telemetry
 from .. import core
 from . import _clock
 
+LOG = telemetry.logger("usage")
 #: Table with one row for each run of a gateway.
 GATEWAYS = "gateways"
 #: Windows kept in a gateway's row.
@@ -190,7 +193,7 @@
         Rows that a restore of the store took away are included for a while.
         """
         rows = await self._client.scan_all(GATEWAYS, "")
-        found = {row.key: store.decode(row.value, GatewayRow) for row in rows}
+        found = store.decode_rows(rows, GatewayRow)
         found = self._remembered.merged_into(
             found, self._client.era, self._client.now_s()
         )
@@ -211,13 +214,27 @@
             incarnation: row.peer_address
             for incarnation, row in sorted(rows.items())
             if incarnation != self._incarnation
-            and row.peer_address
+            and _is_reachable(incarnation, row)
             and newest_s - row.written_s < alive_s
         }
         position = sum(name < self._incarnation for name in others)
         return Members(others=others, position=position)
 
 
+def _is_reachable(incarnation: str, row: GatewayRow) -> bool:
+    """Return whether a gateway has an address for datagrams."""
+    if not row.peer_address:
+        return False
+    try:
+        decoding.split_address(row.peer_address)
+    except decoding.AddressInvalid as error:
+        LOG.warning(
+            "Gateway row unreadable.", gateway=incarnation, reason=str(error)
+        )
+        return False
+    return True
+
+
 def _merge(one: GatewayRow, other: GatewayRow) -> GatewayRow:
     """Return the newer of two rows of a gateway with the counts of both."""
     newer = max(one, other, key=lambda row: row.written_s)
--- a/bilberrydeal/gateway/accounting/_usage_broadcast.py
+++ b/bilberrydeal/gateway/accounting/_usage_broadcast.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from ... import settings
+from ... import decoding
 from .. import messaging
 from . import _clock
 from . import _usage
@@ -128,7 +128,7 @@
         for each in datagram.settled:
             self._keep(each.window, each.counts)
         if datagram.asks:
-            self._tell_all([settings.split_address(datagram.asks)])
+            self._tell_all([decoding.split_address(datagram.asks)])
 
     def _keep(self, window: int, counts: dict[str, int]) -> None:
         self.known[window] = counts
--- a/bilberrydeal/gateway/accounting/_window_rows.py
+++ b/bilberrydeal/gateway/accounting/_window_rows.py
@@ -30,6 +30,10 @@
     settled_s: float = 0.0
 
 
+#: Stands for a row that cannot be read: its window may have been reported.
+UNREADABLE = WindowRow(counts={}, reported=True)
+
+
 @attrs.frozen
 class EraRow:
     """An era of the store."""
@@ -50,8 +54,11 @@
     async def read(self) -> dict[int, WindowRow]:
         """Return the windows that lease holders settled."""
         rows = await self._client.scan_all(WINDOWS, "")
+        found = store.decode_rows(rows, WindowRow)
         return {
-            int(row.key): store.decode(row.value, WindowRow) for row in rows
+            int(row.key): found.get(row.key, UNREADABLE)
+            for row in rows
+            if row.key.isascii() and row.key.isdecimal()
         }
 
     async def write(
@@ -72,8 +79,9 @@
         found = await self._client.read_one(ports.RowKey(ERAS, CURRENT_ERA))
         era = self._client.era
         if found is not None:
-            known = store.decode(found.value, EraRow)
-            if known.era == era:
+            # An unreadable row is replaced.
+            known = store.decode_rows([found], EraRow).get(found.key)
+            if known is not None and known.era == era:
                 return known.begun_s
         row = EraRow(era, store_s)
         write = ports.Write(ERAS, CURRENT_ERA, store.encode(row))
--- a/bilberrydeal/gateway/cluster_state/_store_sync.py
+++ b/bilberrydeal/gateway/cluster_state/_store_sync.py
@@ -191,7 +191,12 @@
             for endpoint_id in set(self._cluster.endpoints) - present:
                 self._handle_missing(endpoint_id, now_s)
         for change in changes.rows:
-            self._change(change, restored, now_s)
+            try:
+                self._change(change, restored, now_s)
+            except Exception:
+                # One row must not keep the others from being applied.
+                LOG.exception("Endpoint not applied.", endpoint=change.key)
+                self._remove(change.key, "not applied", now_s)
         self._cluster.endpoints_loaded = True
         self.sweep(now_s)
         return before != self._registered()
--- a/bilberrydeal/gateway/duties/_coordination.py
+++ b/bilberrydeal/gateway/duties/_coordination.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+from ... import decoding
 from ... import errors
 from ... import leases
 from ... import periodic
@@ -72,7 +73,7 @@
         )
         #: Receives usage reports.
         self.usage = platform.UsageApi(
-            *settings.split_address(gateway_settings.platform.usage)
+            *decoding.split_address(gateway_settings.platform.usage)
         )
         self._cluster = cluster
         self._members = accounting.Members(others={}, position=0)
@@ -213,7 +214,7 @@
         self._members = self._rows.members(rows, self._row_pause_s())
         self._cluster.set_gateways(self.incarnation, self._members.others)
         self.peers = tuple(
-            map(settings.split_address, self._members.others.values())
+            map(decoding.split_address, self._members.others.values())
         )
         self._settled_windows.tell_new_recipients()
 
@@ -222,7 +223,7 @@
         others = self._members.others
         names = set(list(others)[:LEASE_CANDIDATES])
         names |= others.keys() & {self._lease.last_seen_holder}
-        return tuple(settings.split_address(others[name]) for name in names)
+        return tuple(decoding.split_address(others[name]) for name in names)
 
     def _row_pause_s(self) -> float:
         return max(ROW_INTERVAL_S, self._cluster.members / ROWS_PER_S)
--- a/bilberrydeal/gateway/messaging/_datagrams.py
+++ b/bilberrydeal/gateway/messaging/_datagrams.py
@@ -11,6 +11,7 @@
 import attrs
 import msgspec
 
+from ... import decoding
 from ... import telemetry
 from ...systems import placement
 from ...systems import quarantine
@@ -285,8 +286,10 @@
         """Decode a datagram and pass it to all handlers."""
         try:
             datagram = _from_wire(self._decoder.decode(data))
-        except msgspec.DecodeError as error:
-            LOG.warning("Datagram unreadable.", sender=addr[0], error=error)
+        except decoding.DECODE_ERRORS as error:
+            LOG.warning(
+                "Datagram unreadable.", sender=addr[0], reason=str(error)
+            )
             return
         for handler in self._handlers:
             try:
--- a/bilberrydeal/gateway/sending/_quarantine.py
+++ b/bilberrydeal/gateway/sending/_quarantine.py
@@ -3,8 +3,8 @@
 import collections.abc
 import random
 
+from ... import decoding
 from ... import errors
-from ... import settings
 from ... import telemetry
 from ...systems import quarantine
 from .. import cluster_state
@@ -236,7 +236,7 @@
             if not summary.empty:
                 self._datagrams.send(
                     messaging.Datagram(self._gateway, news=summary),
-                    [settings.split_address(datagram.asks)],
+                    [decoding.split_address(datagram.asks)],
                 )
 
 
--- a/bilberrydeal/gateway/tests/test_datagrams.py
+++ b/bilberrydeal/gateway/tests/test_datagrams.py
@@ -3,6 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 import msgspec
+import pytest
 
 from ..messaging import _datagrams
 from . import test_exchange
@@ -63,3 +64,23 @@
     data = datagrams.encode(_datagrams.Datagram("g2"))
     datagrams.datagram_received(data, ("127.0.0.1", 1))
     assert seen == ["g2"]
+
+
+@pytest.mark.parametrize(
+    "data", [b"\x91" * 20_000, b"\x81\xa1a" * 20_000, b"\x91" * 9 + b"\xc1"]
+)
+def test_datagram_nested_too_deep_is_dropped(data: bytes) -> None:
+    """Guards against an error that reaches the event loop."""
+    datagrams = _datagrams.Datagrams()
+    seen: list[_datagrams.Datagram] = []
+    datagrams.subscribe(seen.append)
+    datagrams.datagram_received(data, ("127.0.0.1", 1))
+    array = msgspec.msgpack.encode(
+        ["g1", 0, [], None, [], [], None, "", [], []]
+    )
+    # A field that only a later version knows.
+    nested = b"\x9b" + array[1:] + b"\x91" * 20_000
+    datagrams.datagram_received(nested, ("127.0.0.1", 1))
+    assert seen == []
+    datagrams.datagram_received(array, ("127.0.0.1", 1))
+    assert [each.gateway for each in seen] == ["g1"]
--- a/bilberrydeal/gateway/tests/test_store_sync.py
+++ b/bilberrydeal/gateway/tests/test_store_sync.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from ... import catalogue
 from ... import errors
 from ... import ports
 from ...systems import health
@@ -419,3 +420,98 @@
     assert organisations(6, 2, "a", "b") == {b"a"}
     assert organisations(8, 2, "a") == {b"a"}
     assert organisations(9, 2, "a", "b") == {b"a", b"b"}
+
+
+#: Entries of another writer that name no endpoint to use.
+ODD_ENTRIES = {
+    "nested too deep": b'{"x":' + b"[" * 10_000 + b"]" * 10_000 + b"}",
+    "nested too deep in a field": _endpoint_record(sequence=0).replace(
+        b'"sequence":0', b'"sequence":' + b"[" * 10_000 + b"]" * 10_000
+    ),
+    "objects nested too deep": b'{"a":' * 10_000 + b"1" + b"}" * 10_000,
+    "port out of range": _endpoint_record(address="10.0.0.1:70000"),
+    "port too large": _endpoint_record(address="10.0.0.1:" + "9" * 5_000),
+    "port 0": _endpoint_record(address="10.0.0.1:0"),
+    "negative port": _endpoint_record(address="10.0.0.1:-1"),
+    "no port": _endpoint_record(address="10.0.0.1"),
+    "host name": _endpoint_record(address="x" * 70 + ".example:80"),
+    "line in the address": _endpoint_record(address="10.0.0.1\r\n:80"),
+    "number too large": _endpoint_record(slots=0).replace(
+        b'"slots":0', b'"slots":' + b"9" * 5_000
+    ),
+    "number beyond 64 bits": _endpoint_record(slots=0).replace(
+        b'"slots":0', b'"slots":' + b"9" * 30
+    ),
+    "number beyond a float": _endpoint_record(slots=0).replace(
+        b'"slots":0', b'"slots":1e400'
+    ),
+    "negative number": _endpoint_record(slots=-6),
+    "time too large": _endpoint_record(born=0).replace(
+        b'"born":0', b'"born":' + b"9" * 300
+    ),
+    "another state": _endpoint_record(state="odd"),
+    "another stage": _endpoint_record(stage="odd"),
+    "field of another type": _endpoint_record(service=["shop"]),
+    "no fields": b"{}",
+    "no object": b"[]",
+    "empty": b"",
+    "no text": b"\xff\xfe\x00",
+}
+
+
+@pytest.mark.parametrize("value", ODD_ENTRIES.values(), ids=ODD_ENTRIES)
+@pytest.mark.parametrize("is_snapshot", [True, False])
+def test_odd_entry_spoils_itself_alone(
+    value: bytes, is_snapshot: bool
+) -> None:
+    """Guards against gateways that follow the endpoints no further."""
+    fixture = Fixture()
+    fixture.apply(_change("odd", _endpoint_record()))
+    fixture.apply(
+        _change("a", _endpoint_record()),
+        _change("odd", value),
+        _change("z", _endpoint_record()),
+        is_snapshot=is_snapshot,
+    )
+    assert fixture.cluster.endpoints.keys() == {"a", "z"}
+    assert fixture.cluster.endpoints_loaded
+    fixture.apply(_change("odd", _endpoint_record()))
+    assert "odd" in fixture.cluster.endpoints
+
+
+@pytest.mark.parametrize(
+    "key", ["", "e 1", "e\r\nkey: 1", "e\x00", "\u0665", "e" * 201]
+)
+def test_id_that_is_no_header_value_is_not_used(key: str) -> None:
+    fixture = Fixture()
+    fixture.apply(
+        _change(key, _endpoint_record()), _change("z", _endpoint_record())
+    )
+    assert fixture.cluster.endpoints.keys() == {"z"}
+
+
+def test_odd_sequence_counts_as_none() -> None:
+    for sequence in (-1, 2**70, 1.5, "7", None, [1]):
+        fixture = Fixture()
+        fixture.apply(_change("a", _endpoint_record(sequence=sequence)))
+        assert fixture.cluster.endpoints["a"].endpoint.sequence == 0
+
+
+def test_row_that_cannot_be_applied_spoils_itself_alone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fixture = Fixture()
+    apply = fixture.cluster.set_endpoint
+
+    def failing(endpoint: catalogue.Endpoint) -> None:
+        if endpoint.endpoint_id == "odd":
+            raise OverflowError("not foreseen")
+        apply(endpoint)
+
+    monkeypatch.setattr(fixture.cluster, "set_endpoint", failing)
+    fixture.apply(
+        _change("odd", _endpoint_record()),
+        _change("z", _endpoint_record()),
+        is_snapshot=True,
+    )
+    assert fixture.cluster.endpoints.keys() == {"z"}
--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -333,7 +333,7 @@
             _transport, protocol = await loop.create_connection(
                 lambda: ClientConnection(id_header), host, port
             )
-    except (OSError, TimeoutError) as error:
+    except (OSError, OverflowError, ValueError, TimeoutError) as error:
         raise NotSent(str(error)) from error
     return protocol
 
--- a/bilberrydeal/link/_frames.py
+++ b/bilberrydeal/link/_frames.py
@@ -6,6 +6,7 @@
 import attrs
 import msgspec
 
+from .. import decoding
 from .. import errors
 from . import _messages
 
@@ -74,7 +75,7 @@
             for number, body in _FRAME.decode(frame)
             if number in _DECODERS
         ]
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.DECODE_ERRORS as error:
         raise FrameInvalid(detail=str(error)) from error
 
 
--- a/bilberrydeal/link/_hello.py
+++ b/bilberrydeal/link/_hello.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from .. import decoding
 from . import _failures
 from . import _frames
 from . import _messages
@@ -30,7 +31,7 @@
             address, port, _ENCODER.encode(hello), timeout_s
         )
         return _REPLY.decode(reply)
-    except (_requests.RequestFailed, msgspec.MsgspecError) as error:
+    except (_requests.RequestFailed, *decoding.DECODE_ERRORS) as error:
         raise _failures.HelloFailed(detail=str(error)) from error
 
 
@@ -42,7 +43,7 @@
     def handle(request: bytes) -> bytes:
         try:
             hello = _HELLO.decode(request)
-        except msgspec.MsgspecError as error:
+        except decoding.DECODE_ERRORS as error:
             raise _frames.FrameInvalid(detail=str(error)) from error
         return _ENCODER.encode(handler(hello))
 
--- a/bilberrydeal/platform/_caller_fields.py
+++ b/bilberrydeal/platform/_caller_fields.py
@@ -8,6 +8,9 @@
 from ..systems import placement
 from . import _headers
 
+#: Greatest number of tokens of a prompt or a response.
+TOKENS_LIMIT = 1_000_000_000
+
 
 @attrs.frozen
 class CallerFields:
@@ -48,9 +51,10 @@
 def _parse_timeout_s(request: http1.Request) -> float:
     value = request.header(_headers.HEADERS.deadline_ms)
     try:
-        return max(float(value), 0.0) / 1000 if value else math.inf
+        timeout_ms = float(value) if value else math.inf
     except ValueError:
         return math.inf
+    return math.inf if math.isnan(timeout_ms) else max(timeout_ms, 0.0) / 1000
 
 
 def _parse_prompt(request: http1.Request) -> placement.Prompt | None:
@@ -58,7 +62,7 @@
     if counts is None:
         return None
     try:
-        prompt_tokens, output_tokens = map(int, counts.split(b","))
+        prompt_tokens, output_tokens = map(_tokens, counts.split(b","))
         parts = [
             _parse_part(entry)
             for entry in (
@@ -75,4 +79,12 @@
 
 def _parse_part(entry: bytes) -> placement.PromptPart:
     part_id, _colon, tokens = entry.strip().partition(b":")
-    return placement.PromptPart(part_id, int(tokens))
+    return placement.PromptPart(part_id, _tokens(tokens))
+
+
+def _tokens(value: bytes) -> int:
+    """Return a number of tokens, or raise :class:`ValueError`."""
+    tokens = int(value)
+    if not 0 <= tokens <= TOKENS_LIMIT:
+        raise ValueError("number of tokens out of range")
+    return tokens
--- a/bilberrydeal/platform/_engines.py
+++ b/bilberrydeal/platform/_engines.py
@@ -1,22 +1,34 @@
 """Control calls to engines: KV cache handles and role orders."""
 
 import collections.abc
+import typing
 
 import msgspec
 
 from .. import catalogue
+from .. import decoding
 from .. import http1
 from .. import ports
+from .. import telemetry
 from . import _calls
 from . import _signals
 
+LOG = telemetry.logger("engines")
 #: Timeout of one of these calls, in seconds.
 CALL_TIMEOUT_S = 0.8
 
 
+#: Handles are sent back in header fields and paths.
+_Handle = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[\x21-\x7e]+\Z", max_length=200)
+]
+#: Greatest number of orders that an engine can have accepted.
+ORDERS_LIMIT = 2**53
+
+
 class _PrefillResult(msgspec.Struct):
-    kv_handle: str
-    tokens: int = 0
+    kv_handle: _Handle
+    tokens: typing.Any = 0
 
 
 class _StageOrder(msgspec.Struct):
@@ -30,8 +42,7 @@
 
 class _EngineReport(msgspec.Struct):
     #: Number of orders the engine has accepted since its start.
-    sequence: int = 0
-    stage: str = ""
+    sequence: typing.Annotated[int, msgspec.Meta(ge=0, le=ORDERS_LIMIT)] = 0
     busy: bool = False
 
 
@@ -45,7 +56,8 @@
         """Return the KV cache handle in a prefill response, if any."""
         try:
             return msgspec.json.decode(body, type=_PrefillResult).kv_handle
-        except msgspec.DecodeError:
+        except decoding.DECODE_ERRORS as error:
+            LOG.warning("Prefill result unreadable.", reason=str(error))
             return None
 
     async def free_kv_handle(
@@ -74,11 +86,10 @@
                 pool, b"GET", b"/bilberrydeal/report", None, on_signals
             )
             report = msgspec.json.decode(response.body, type=_EngineReport)
-        except (
-            _calls.NotSent,
-            _calls.NoResponse,
-            msgspec.DecodeError,
-        ):
+        except (_calls.NotSent, _calls.NoResponse):
+            return None
+        except decoding.DECODE_ERRORS as error:
+            LOG.warning("Engine report unreadable.", reason=str(error))
             return None
         return None if report.busy else report.sequence
 
--- a/bilberrydeal/platform/_eras.py
+++ b/bilberrydeal/platform/_eras.py
@@ -5,6 +5,8 @@
 from .. import telemetry
 
 LOG = telemetry.logger("store")
+#: Most digits of an era.
+DIGITS_LIMIT = 15
 
 
 class LateResponse(Exception):
@@ -88,4 +90,7 @@
     """Return the era, ``None`` if it is absent or no number."""
     if value is None or not value.isdigit():
         return None
+    if len(value) > DIGITS_LIMIT:
+        LOG.warning("Store era not understood.", value=value[:40])
+        return None
     return int(value)
--- a/bilberrydeal/platform/_records.py
+++ b/bilberrydeal/platform/_records.py
@@ -1,10 +1,12 @@
 """Decodes the store records that the operator and the endpoints write."""
 
+import re
 import typing
 
 import msgspec
 
 from .. import catalogue
+from .. import decoding
 from .. import ports
 
 #: Callers close a stream without events for the longest of this time, in
@@ -13,6 +15,13 @@
 STALL_LIMIT_TARGETS = 4.0
 STALL_LIMIT_GAPS = 8.0
 
+#: Most requests that one endpoint runs at once.
+SLOTS_LIMIT = 1_000_000
+#: Greatest number that is exact in all formats, also as a float.
+NUMBER_LIMIT = 2**53
+#: Ids of endpoints are sent in header fields.
+_ENDPOINT_ID = re.compile(r"[\x21-\x7e]{1,200}")
+
 _ROUTE_KINDS = {
     "safe": catalogue.RouteKind.IDEMPOTENT,
     "unsafe": catalogue.RouteKind.ONCE,
@@ -93,10 +102,10 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=SLOTS_LIMIT)]
     state: typing.Literal["ready", "draining"]
     #: Unix time of its start, in whole milliseconds.
-    born: int = 0
+    born: typing.Annotated[int, msgspec.Meta(ge=0, le=NUMBER_LIMIT)] = 0
     stage: str | None = None
     #: Of any type, since nothing depends on it while the store goes ahead.
     sequence: typing.Any = 0
@@ -115,20 +124,24 @@
             limits=_limits(record.limits),
             organisations=_organisations(record.tenants),
         )
-    except (msgspec.DecodeError, KeyError, ValueError) as error:
+    except (*decoding.DECODE_ERRORS, KeyError, ValueError) as error:
         raise RecordInvalid(str(error)) from error
 
 
 def decode_endpoint(endpoint_id: str, value: bytes) -> catalogue.Endpoint:
     """Decode an endpoint; raises :class:`RecordInvalid`."""
+    if not _ENDPOINT_ID.fullmatch(endpoint_id):
+        raise RecordInvalid("the id is no header value")
     try:
         record = msgspec.json.decode(value, type=_Server)
-        host, _colon, port = record.address.rpartition(":")
+        host, port = decoding.split_address(record.address)
+        if not port:
+            raise RecordInvalid("port 0")
         return catalogue.Endpoint(
             endpoint_id=endpoint_id,
             service=record.service,
             host=host,
-            port=int(port),
+            port=port,
             failure_domain=record.zone,
             slots=record.slots,
             ready=record.state == "ready",
@@ -136,14 +149,19 @@
             if record.stage is not None
             else None,
             started_ms=record.born,
-            sequence=record.sequence
-            if isinstance(record.sequence, int)
-            else 0,
+            sequence=_sequence(record.sequence),
         )
-    except (msgspec.DecodeError, KeyError, ValueError) as error:
+    except (*decoding.DECODE_ERRORS, KeyError, ValueError) as error:
         raise RecordInvalid(str(error)) from error
 
 
+def _sequence(found: object) -> int:
+    """Return the number of accepted orders, 0 if it is no such number."""
+    if isinstance(found, int) and 0 <= found <= NUMBER_LIMIT:
+        return found
+    return 0
+
+
 def _stall_limit_s(record: _Route) -> float:
     """Return how long callers wait for the next event of a stream."""
     if record.target_gap_ms is None:
--- a/bilberrydeal/platform/_store.py
+++ b/bilberrydeal/platform/_store.py
@@ -1,7 +1,6 @@
 """Table service and change feed on top of the platform's store."""
 
 import base64
-import binascii
 import collections
 import time
 import urllib.parse
@@ -9,6 +8,7 @@
 import attrs
 import msgspec
 
+from .. import decoding
 from .. import errors
 from .. import ports
 from .. import telemetry
@@ -306,7 +306,7 @@
             return None
         try:
             found = msgspec.json.decode(response.body, type=_RowsResponse)
-        except msgspec.DecodeError as error:
+        except decoding.DECODE_ERRORS as error:
             if operation == "commit":
                 raise errors.OutcomeUnknown(operation) from error
             raise errors.StoreUnavailable(operation) from error
@@ -345,7 +345,8 @@
 ) -> errors.TableConflict:
     try:
         rows = msgspec.json.decode(response.body, type=_ConflictResponse).rows
-    except msgspec.DecodeError:
+    except decoding.DECODE_ERRORS as error:
+        LOG.warning("Conflict unreadable.", reason=str(error))
         rows = []
     found = {(row.table, row.key): row.row_version for row in rows}
     failed = transaction.checks[0]
@@ -361,9 +362,16 @@
 
 
 def _decode_value(row: _Row) -> bytes:
+    """Return the value, empty if it is not encoded as it should be."""
     try:
         return base64.b64decode(row.value or "")
-    except binascii.Error:
+    except ValueError as error:
+        LOG.warning(
+            "Row unreadable.",
+            table=row.table,
+            key=row.key,
+            reason=str(error),
+        )
         return b""
 
 
--- a/bilberrydeal/settings/__init__.py
+++ b/bilberrydeal/settings/__init__.py
@@ -4,7 +4,6 @@
 from ._gateway import GatewayListenSettings
 from ._gateway import GatewayPlatformSettings
 from ._gateway import GatewaySettings
-from ._gateway import split_address
 from ._load import load
 from ._load import load_text
 from ._load import Problem
@@ -51,5 +50,4 @@
     "UsageSettings",
     "load",
     "load_text",
-    "split_address",
 ]
--- a/bilberrydeal/settings/_gateway.py
+++ b/bilberrydeal/settings/_gateway.py
@@ -97,9 +97,3 @@
     quarantine: _model.Name = "crash_counts"
     trace: _model.TraceSettings = attrs.field(factory=_model.TraceSettings)
     log: _model.LogSettings = attrs.field(factory=_model.LogSettings)
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return the IP address and the port of a socket address."""
-    host, _colon, port = address.rpartition(":")
-    return host, int(port)
--- a/bilberrydeal/store/__init__.py
+++ b/bilberrydeal/store/__init__.py
@@ -4,6 +4,7 @@
 from ._client import STALE_VERSION
 from ._client import StoreClient
 from ._codec import decode
+from ._codec import decode_rows
 from ._codec import encode
 from ._codec import RowInvalid
 from ._token_bucket import TokenBucket
@@ -15,5 +16,6 @@
     "StoreClient",
     "TokenBucket",
     "decode",
+    "decode_rows",
     "encode",
 ]
