Remember all parts of a lost prompt, also behind many others

What callers saw: a part of long prompts ended an engine, and the sound streams on it, with each of 24 requests, and was never kept from engines (BUDGET).

Cause: of a lost prompt the first eight unproven parts were remembered and the rest dropped. Prompts beyond 192 of an engine, or 128 of a report, and parts with identifiers of more than 128 bytes went the same way.

Change: the bound is on all parts of a lost engine and of all of them; reports go in as many datagrams as they need; digests stand for long identifiers. The test that bounds the memory counts parts instead of prompts, also where the bounds are reached. The addresses of simulated gateways are addresses.

--- a/bilberrydeal/gateway/sending/_quarantine.py
+++ b/bilberrydeal/gateway/sending/_quarantine.py
@@ -210,10 +210,14 @@
         if not peers:
             return
         self._ask(peers, now_s)
-        news = self._system.news(len(peers) + 1, now_s)
-        if not news.empty:
+        self._tell(self._system.news(len(peers) + 1, now_s), peers)
+
+    def _tell(
+        self, news: quarantine.News, peers: tuple[messaging.Address, ...]
+    ) -> None:
+        for each in quarantine.datagrams(news):
             self._datagrams.send(
-                messaging.Datagram(self._gateway, news=news), peers
+                messaging.Datagram(self._gateway, news=each), peers
             )
 
     def _ask(self, peers: tuple[messaging.Address, ...], now_s: float) -> None:
@@ -232,12 +236,8 @@
         if datagram.news is not None:
             self._system.learn(datagram.news, now_s)
         if datagram.asks:
-            summary = self._system.summary(now_s)
-            if not summary.empty:
-                self._datagrams.send(
-                    messaging.Datagram(self._gateway, news=summary),
-                    [decoding.split_address(datagram.asks)],
-                )
+            asking = decoding.split_address(datagram.asks)
+            self._tell(self._system.summary(now_s), (asking,))
 
 
 def _process_of(upstream: cluster_state.Upstream) -> str:
@@ -252,8 +252,8 @@
     """Return what may crash an endpoint: the prompt's parts, the request."""
     suspects = [quarantine.request_parts(admitted.fingerprint)]
     if admitted.prompt is not None:
-        parts = [part.part_id for part in admitted.prompt.parts]
-        suspects.insert(0, parts)
+        parts = (part.part_id for part in admitted.prompt.parts)
+        suspects.insert(0, quarantine.prompt_parts(parts))
     return suspects
 
 
--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -4,8 +4,10 @@
 import bisect
 import collections
 import collections.abc
+import ipaddress
 import math
 import random
+import zlib
 
 import attrs
 
@@ -274,7 +276,8 @@
 
 def address_of(name: str) -> _datagrams.Address:
     """Return the address of a gateway on the network."""
-    return (name, 1)
+    number = zlib.crc32(name.encode()) % 2**24
+    return (str(ipaddress.ip_address("10.0.0.0") + number), 1)
 
 
 class GatewayProcess:
--- a/bilberrydeal/systems/quarantine/__init__.py
+++ b/bilberrydeal/systems/quarantine/__init__.py
@@ -10,6 +10,7 @@
 from ._base import name_of
 from ._base import News
 from ._base import Parts
+from ._base import prompt_parts
 from ._base import Quarantine
 from ._base import QuarantineReport
 from ._base import QUARANTINES
@@ -19,6 +20,7 @@
 from ._crash_counts import CrashCounts
 from ._crash_counts import PROBE_INTERVAL_S
 from ._never import NeverQuarantine
+from ._reports import datagrams
 
 __all__ = [
     "PROBE_INTERVAL_S",
@@ -35,6 +37,8 @@
     "QuarantineReport",
     "QuarantineSystem",
     "SuspectPrompt",
+    "datagrams",
     "name_of",
+    "prompt_parts",
     "request_parts",
 ]
--- a/bilberrydeal/systems/quarantine/_base.py
+++ b/bilberrydeal/systems/quarantine/_base.py
@@ -2,12 +2,15 @@
 
 import collections.abc
 import enum
+import hashlib
 import typing
 
 import attrs
 
 from ... import registry
 
+#: Longest identifier of a part, in bytes.
+PART_BYTES_LIMIT = 128
 #: Parts of a prompt, as identifiers; the last is specific to the request.
 Parts = collections.abc.Sequence[bytes]
 #: Begins the part that stands for a whole request; no caller's part has it, as
@@ -15,6 +18,18 @@
 _REQUEST_MARK = b","
 
 
+def prompt_parts(part_ids: collections.abc.Iterable[bytes]) -> Parts:
+    """Return the parts of a prompt; digests stand for long identifiers."""
+    return tuple(
+        part_id if len(part_id) <= PART_BYTES_LIMIT else _digest(part_id)
+        for part_id in part_ids
+    )
+
+
+def _digest(part_id: bytes) -> bytes:
+    return hashlib.blake2b(part_id, digest_size=16).hexdigest().encode()
+
+
 def request_parts(fingerprint: bytes) -> Parts:
     """Return the parts that stand for a whole request, whatever its prompt.
 
--- a/bilberrydeal/systems/quarantine/_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/_crash_counts.py
@@ -115,7 +115,7 @@
         crash = self._crashes.put(
             run, retracted.failure_domain, retracted.at_s
         )
-        for prompt in retracted.prompts.values():
+        for prompt in retracted.prompts():
             self._add(crash, prompt, now_s)
         self._losses_told.add(run, now_s)
 
@@ -228,13 +228,12 @@
         self, crash: _crashes.Crash, prompt: _base.SuspectPrompt, now_s: float
     ) -> bool:
         """Add a prompt to a lost engine; return whether that is new."""
-        unproven = [
+        parts = tuple(
             part
             for part in dict.fromkeys(prompt.parts)
-            if 0 < len(part) <= _crashes.PART_BYTES_LIMIT
+            if 0 < len(part) <= _base.PART_BYTES_LIMIT
             and not self._sound.knows(part, now_s)
-        ]
-        parts = tuple(unproven[: _crashes.PARTS_LIMIT])
+        )
         if not parts:
             return False
         added = self._crashes.add(crash, attrs.evolve(prompt, parts=parts))
@@ -317,8 +316,7 @@
         if crash is None or _crashes.process_of(process) in self._ended_s:
             return
         self._retracted[process] = crash
-        for prompt in crash.prompts.values():
-            self._changed.update(prompt.parts)
+        self._changed.update(crash.parts())
         self._crashes.remove(process)
         self._losses_told.drop(process)
 
--- a/bilberrydeal/systems/quarantine/_crashes.py
+++ b/bilberrydeal/systems/quarantine/_crashes.py
@@ -10,12 +10,11 @@
 KEPT_S = 600.0
 #: Most lost engines remembered; the oldest yield.
 LIMIT = 128
-#: Most prompts remembered for one of them.
-PROMPTS_LIMIT = 192
-#: Most parts remembered of a prompt.
-PARTS_LIMIT = 8
-#: Longest identifier of a part that is suspected, in bytes.
-PART_BYTES_LIMIT = 128
+#: Most parts of prompts remembered for one of them, and for all; the oldest
+#: lost engines yield. Any prompt that fits into the head of a request is
+#: remembered whole.
+CRASH_ENTRIES_LIMIT = 32_768
+ENTRIES_LIMIT = 131_072
 #: Losses of one endpoint within this time are one crash, in seconds.
 SAME_ENDPOINT_S = 1.0
 #: A request sent so long after a loss reached another run, in seconds.
@@ -28,6 +27,17 @@
 DOMAIN_COINCIDENCE_S = 1.0
 
 
+@attrs.define(eq=False)
+class _LostPrompt:
+    """A prompt that an engine generated when it was lost."""
+
+    request_part: bytes
+    #: The other parts that may have crashed it, in order.
+    parts: dict[bytes, None]
+    #: Whether the response had started.
+    started: bool
+
+
 @attrs.define(eq=False)
 class Crash:
     """A lost engine, as seen by all gateways."""
@@ -38,50 +48,57 @@
     #: When it was lost, monotonic seconds.
     at_s: float
     #: Prompts that it generated, by their request parts.
-    prompts: dict[bytes, _base.SuspectPrompt] = attrs.field(factory=dict)
-    #: Request parts of the prompts that contain a part.
-    requests: dict[bytes, dict[bytes, None]] = attrs.field(factory=dict)
-
-    def add(self, prompt: _base.SuspectPrompt) -> bool:
-        """Add a prompt; return whether it was not known."""
-        before = self.prompts.get(prompt.request_part)
-        if before is None:
-            if len(self.prompts) >= PROMPTS_LIMIT:
-                return False
-            self._set(prompt)
-            return True
-        parts = dict.fromkeys((*before.parts, *prompt.parts))
-        merged = attrs.evolve(
-            before,
-            parts=tuple(parts)[:PARTS_LIMIT],
-            started=before.started or prompt.started,
-        )
-        self._set(merged)
-        return merged != before
+    _prompts: dict[bytes, _LostPrompt] = attrs.field(factory=dict, init=False)
+    #: Number of parts of all prompts.
+    entries: int = attrs.field(default=0, init=False)
+
+    def add(self, prompt: _base.SuspectPrompt) -> tuple[bytes, ...] | None:
+        """Add a prompt; return the parts that it had not had before.
 
-    def _set(self, prompt: _base.SuspectPrompt) -> None:
-        self.prompts[prompt.request_part] = prompt
-        for part in prompt.parts:
-            self.requests.setdefault(part, {})[prompt.request_part] = None
+        ``None`` if nothing is new.
+        """
+        known = self._prompts.get(prompt.request_part)
+        if known is None:
+            known = _LostPrompt(prompt.request_part, {}, prompt.started)
+        new = tuple(part for part in prompt.parts if part not in known.parts)
+        changed = bool(new) or (prompt.started and not known.started)
+        if not changed or self.entries + len(new) > CRASH_ENTRIES_LIMIT:
+            return None
+        known.parts.update(dict.fromkeys(new))
+        known.started |= prompt.started
+        self._prompts[prompt.request_part] = known
+        self.entries += len(new)
+        return new
 
     def clear(self, part: bytes) -> None:
         """Take a part out of all prompts."""
-        for request_part in self.requests.pop(part, ()):
-            prompt = self.prompts[request_part]
-            rest = tuple(each for each in prompt.parts if each != part)
-            self.prompts[request_part] = attrs.evolve(prompt, parts=rest)
+        for prompt in self._with(part):
+            del prompt.parts[part]
+            self.entries -= 1
+
+    def prompts(self) -> list[_base.SuspectPrompt]:
+        """Return all prompts that still have parts."""
+        return [
+            _suspect(each) for each in self._prompts.values() if each.parts
+        ]
+
+    def parts(self) -> set[bytes]:
+        """Return the parts of all prompts."""
+        return {part for each in self._prompts.values() for part in each.parts}
 
     def prompts_with(self, part: bytes) -> list[_base.SuspectPrompt]:
         """Return the prompts that contain a part."""
-        return [self.prompts[each] for each in self.requests.get(part, ())]
+        return [_suspect(each) for each in self._with(part)]
 
     def explained_by(self, parts: frozenset[bytes]) -> bool:
         """Return whether one of the prompts contains all parts."""
         return any(
-            parts.issubset(prompt.parts)
-            for prompt in self.prompts_with(next(iter(parts)))
+            parts <= each.parts.keys() for each in self._prompts.values()
         )
 
+    def _with(self, part: bytes) -> list[_LostPrompt]:
+        return [each for each in self._prompts.values() if part in each.parts]
+
 
 class Crashes:
     """Lost engines, and for each part those that generated it."""
@@ -90,7 +107,9 @@
         self._crashes: dict[str, Crash] = {}
         #: Lost runs of each process.
         self._runs: dict[str, dict[str, None]] = {}
-        self._by_part: dict[bytes, dict[str, None]] = {}
+        #: Runs that generated each part.
+        self._by_part: dict[bytes, tuple[str, ...]] = {}
+        self._entries = 0
         #: Crashes that coincide with one, as far as they were looked for.
         self._coinciding: dict[str, list[Crash]] = {}
 
@@ -141,10 +160,18 @@
 
     def add(self, crash: Crash, prompt: _base.SuspectPrompt) -> bool:
         """Add a prompt to a lost engine; return whether it is new."""
-        if not crash.add(prompt):
+        before = crash.entries
+        added = crash.add(prompt)
+        if added is None:
             return False
-        for part in crash.prompts[prompt.request_part].parts:
-            self._by_part.setdefault(part, {})[crash.process] = None
+        self._entries += crash.entries - before
+        for part in added:
+            runs = self._by_part.get(part, ())
+            if crash.process not in runs:
+                self._by_part[part] = (*runs, crash.process)
+        while self._entries > ENTRIES_LIMIT:
+            others = [each for each in self if each is not crash]
+            self.remove(min(others, key=lambda each: each.at_s).process)
         return True
 
     def remove(self, process: str) -> None:
@@ -157,16 +184,25 @@
         if not runs:
             del self._runs[process_of(process)]
         self._coinciding.clear()
-        for part in crash.requests:
-            of_part = self._by_part.get(part, {})
-            of_part.pop(process, None)
-            if not of_part:
-                self._by_part.pop(part, None)
+        self._entries -= crash.entries
+        for part in crash.parts():
+            self._forget(part, process)
+
+    def _forget(self, part: bytes, process: str) -> None:
+        """Record that a run did not generate a part."""
+        runs = tuple(run for run in self._by_part[part] if run != process)
+        if runs:
+            self._by_part[part] = runs
+        else:
+            del self._by_part[part]
 
     def clear(self, part: bytes) -> None:
         """Forget a part."""
         for process in self._by_part.pop(part, ()):
-            self._crashes[process].clear(part)
+            crash = self._crashes[process]
+            before = crash.entries
+            crash.clear(part)
+            self._entries += crash.entries - before
 
     def expire(self, now_s: float) -> None:
         """Forget old losses."""
@@ -200,7 +236,8 @@
                 beside = [
                     other for other in beside if _same_moment(crash, other)
                 ]
-            if any(part not in other.requests for other in beside) and any(
+            runs = self._by_part.get(part, ())
+            if any(other.process not in runs for other in beside) and any(
                 other in beside for other in counted
             ):
                 continue
@@ -220,6 +257,12 @@
         return found
 
 
+def _suspect(prompt: _LostPrompt) -> _base.SuspectPrompt:
+    return _base.SuspectPrompt(
+        prompt.request_part, tuple(prompt.parts), prompt.started
+    )
+
+
 def process_of(run: str) -> str:
     """Return the process, as registered, of a run."""
     return run.partition(_RUN_MARK)[0]
--- a/bilberrydeal/systems/quarantine/tests/test_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/tests/test_crash_counts.py
@@ -422,17 +422,31 @@
     assert not gateway.refuses(BAD)
 
 
-def test_memory_for_crashes_and_news_is_bounded() -> None:
+@pytest.mark.parametrize(
+    ("crashes", "requests", "parts"), [(400, 5, 20), (30, 60, 300)]
+)
+def test_memory_for_crashes_and_news_is_bounded(
+    crashes: int, requests: int, parts: int
+) -> None:
     gateway = Gateway()
-    for number in range(400):
-        for request in range(5):
-            parts = [b"p%d.%d.%d" % (number, request, n) for n in range(20)]
-            gateway.lose(number, *parts, request=b"r%d" % request)
+    for number in range(crashes):
+        for request in range(requests):
+            found = [b"p%d.%d.%d" % (number, request, n) for n in range(parts)]
+            gateway.lose(number, *found, request=b"r%d" % request)
     gateway.wait(0.1)
+    remembered = list(gateway.system._crashes)
+    assert 0 < len(remembered) <= _crashes.LIMIT
+    entries = [
+        sum(len(each.parts) for each in c.prompts()) for c in remembered
+    ]
+    assert max(entries) <= _crashes.CRASH_ENTRIES_LIMIT
+    assert sum(entries) <= _crashes.ENTRIES_LIMIT
     told = gateway.system.summary(gateway.now_s)
     assert len(told.losses) <= _crashes.LIMIT
-    prompts = sum(len(loss.prompts) for loss in told.losses)
-    assert prompts <= _reports.NEWS_LIMIT
-    for loss in told.losses:
-        for prompt in loss.prompts:
-            assert len(prompt.parts) <= _crashes.PARTS_LIMIT
+    told_bytes = sum(
+        len(part)
+        for loss in told.losses
+        for prompt in loss.prompts
+        for part in prompt.parts
+    )
+    assert 0 < told_bytes <= _reports.NEWS_PARTS_BYTES_LIMIT
