Read events without end in time proportional to their bytes

What callers saw: plain requests had no answer half a second after their timeout while an engine sent lines that are no event (CONFIG); elsewhere a process ran out of memory.

Cause: each piece of a stream was appended to the unfinished event and the whole was searched again, up to a megabyte.

Change: one buffer for gateways and the adapter of engines searches only what is new. An event, a failure and the response to a call of an engine may have 256 KiB. The servers of the tests close their connections: those left open raised errors in whatever test ran when they were collected.

--- a/bilberrydeal/adapters/_engines.py
+++ b/bilberrydeal/adapters/_engines.py
@@ -20,8 +20,6 @@
 from . import _registries
 
 HTTP_SERVER_ERROR = 500
-#: Largest event of a stream, in bytes; more without its end is no event.
-EVENT_LIMIT_BYTES = 1024 * 1024
 _DATA = b"data: "
 _DONE = b"[DONE]"
 _EVENT_END = b"\n\n"
@@ -286,13 +284,15 @@
     content: aiohttp.StreamReader,
 ) -> collections.abc.AsyncIterator[ports.EngineEvent]:
     """Yield one merged event for each read that completes any."""
-    rest = b""
+    buffer = decoding.EventBuffer()
     async for data in content.iter_any():
-        *blocks, rest = (rest + data).split(_EVENT_END)
-        if len(rest) > EVENT_LIMIT_BYTES:
-            raise aiohttp.ClientPayloadError("event too large")
-        if blocks:
-            yield _merge_events(blocks)
+        try:
+            complete = buffer.feed(data)
+        except decoding.EventTooLarge as error:
+            raise aiohttp.ClientPayloadError("event too large") from error
+        if complete:
+            lines = complete.replace(b"\r\n", b"\n")
+            yield _merge_events(lines.split(_EVENT_END))
 
 
 @contextlib.contextmanager
--- a/bilberrydeal/gateway/streams/_stream.py
+++ b/bilberrydeal/gateway/streams/_stream.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from ... import decoding
 from ... import http1
 from ... import platform
 from ... import telemetry
@@ -27,7 +28,7 @@
 #: Largest response to a prefill, in bytes.
 HANDLE_LIMIT_BYTES = 65_536
 #: Largest failure response of an engine, in bytes.
-FAILURE_LIMIT_BYTES = 1_048_576
+FAILURE_LIMIT_BYTES = 262_144
 Clock = collections.abc.Callable[[], float]
 
 
@@ -323,7 +324,7 @@
         """Return the events that ``data`` completes."""
         try:
             return stream.splitter.feed(data)
-        except _events.EventTooLarge as error:
+        except decoding.EventTooLarge as error:
             self._cluster.observe(upstream, False, self._clock())
             raise sending.Lost(f"event without end, {error}") from error
 
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -88,22 +88,30 @@
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        """Serve one connection."""
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                length = re.search(rb"content-length: (\d+)", head)
-                size = int(length.group(1)) if length else 0
-                body = await reader.readexactly(size)
-                call = Call(self.endpoint_id, head, body, writer)
-                self.calls.append(call)
-                self.arrived.set()
-                response = await self._respond(reader, call)
-                if response is None:
-                    writer.transport.abort()
-                    return
-                writer.write(response)
-                await writer.drain()
+        """Serve connections until the caller or the test ends them."""
+        try:
+            await self._serve_requests(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.transport.abort()
+
+    async def _serve_requests(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = re.search(rb"content-length: (\d+)", head)
+            size = int(length.group(1)) if length else 0
+            body = await reader.readexactly(size)
+            call = Call(self.endpoint_id, head, body, writer)
+            self.calls.append(call)
+            self.arrived.set()
+            response = await self._respond(reader, call)
+            if response is None:
+                return
+            writer.write(response)
+            await writer.drain()
 
     async def _respond(
         self, reader: asyncio.StreamReader, call: Call
--- a/bilberrydeal/gateway/tests/test_endless_memory.py
+++ b/bilberrydeal/gateway/tests/test_endless_memory.py
@@ -1,6 +1,7 @@
 """Memory that a gateway uses for bytes without end."""
 
 import asyncio
+import time
 import tracemalloc
 
 import pytest
@@ -106,3 +107,73 @@
     finally:
         tracemalloc.stop()
     assert peak_bytes < LIMIT_BYTES
+
+
+#: Streams that faulty engines serve at once.
+STREAMS = 96
+#: Memory that the bytes of one channel may take: what a gateway of 300 MB has
+#: left for each of the 370 channels of an engine.
+CHANNEL_BYTES = 540_000
+
+
+#: Interval between pieces that a faulty engine sends on a stream, in seconds.
+PIECE_INTERVAL_S = 0.01
+#: Longest time that a plain request may take beside it, in seconds.
+PLAIN_LIMIT_S = 1.0
+
+
+async def _no_events(call: harness.Call) -> bytes:
+    """Send bytes that are no events, until the caller closes."""
+    call.writer.write(CHUNKED.replace(b"r1", call.request_id))
+    piece = harness.chunk(b"!\n" * 4_400)
+    while True:
+        call.writer.write(piece)
+        await call.writer.drain()
+        await asyncio.sleep(PIECE_INTERVAL_S)
+
+
+def _faulty_engines() -> list[harness.Endpoint]:
+    return [harness.engine(f"d{n}", "decode", _no_events) for n in range(6)]
+
+
+async def test_many_streams_without_events_leave_others_alone() -> None:
+    """Guards against a process that a faulty engine fills, or keeps busy."""
+    endpoints = [harness.plain("e1", _sound), *_faulty_engines()]
+    async with harness.running(*endpoints) as running:
+        streams = [
+            asyncio.ensure_future(
+                running.stream("/chat-one/1", deadline_ms=4_000, **SHORT)
+            )
+            for _ in range(STREAMS)
+        ]
+        took_s = []
+        while not all(stream.done() for stream in streams):
+            began_s = time.monotonic()
+            reply = await running.send("/once/1", deadline_ms=2_000)
+            took_s.append(time.monotonic() - began_s)
+            assert reply.status == 200
+            await asyncio.sleep(0.05)
+    assert max(took_s) < PLAIN_LIMIT_S
+    replies = await asyncio.gather(*streams)
+    assert not any(reply.complete and reply.body for reply in replies)
+
+
+async def test_many_streams_without_events_take_bounded_memory() -> None:
+    """Guards against a process that ends as a faulty engine fills it."""
+    tracemalloc.start()
+    try:
+        async with harness.running(*_faulty_engines()) as running:
+            streams = [
+                running.stream("/chat-one/1", deadline_ms=30_000, **SHORT)
+                for _ in range(STREAMS)
+            ]
+            replies = await asyncio.gather(*streams)
+        _now, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert not any(reply.complete and reply.body for reply in replies)
+    assert peak_bytes < STREAMS * CHANNEL_BYTES
+
+
+async def _sound(call: harness.Call) -> bytes:
+    return harness.signed_response(call)
--- a/bilberrydeal/platform/_calls.py
+++ b/bilberrydeal/platform/_calls.py
@@ -59,6 +59,7 @@
     body: object,
     timeout_s: float,
     headers: collections.abc.Sequence[http1.Header] = (),
+    limit_bytes: int = RESPONSE_LIMIT_BYTES,
 ) -> Response:
     """Make one call; raises :class:`NotSent` or :class:`NoResponse`."""
     started_s = time.monotonic()
@@ -72,7 +73,7 @@
         async with asyncio.timeout(timeout_s):
             connection.send(head, payload)
             response_head = await connection.head()
-            response_body = await connection.body(RESPONSE_LIMIT_BYTES)
+            response_body = await connection.body(limit_bytes)
     except http1.NotSent as error:
         raise NotSent(str(error)) from error
     except (http1.IncompleteResponse, TimeoutError) as error:
--- a/bilberrydeal/platform/_engines.py
+++ b/bilberrydeal/platform/_engines.py
@@ -16,6 +16,8 @@
 LOG = telemetry.logger("engines")
 #: Timeout of one of these calls, in seconds.
 CALL_TIMEOUT_S = 0.8
+#: Maximum size of the response to one of these calls, in bytes.
+RESPONSE_LIMIT_BYTES = 262_144
 
 
 #: Handles are sent back in header fields and paths.
@@ -136,7 +138,13 @@
 ) -> _calls.Response:
     """Make one call and pass on what the response tells of the engine."""
     response = await _calls.call(
-        pool, method, target, body, CALL_TIMEOUT_S, headers
+        pool,
+        method,
+        target,
+        body,
+        CALL_TIMEOUT_S,
+        headers,
+        RESPONSE_LIMIT_BYTES,
     )
     on_signals(_signals.endpoint_signals(response.head))
     return response
