Refuse requests that come late in a shutdown; answer those at its end

What callers saw, reported by another operator: in a planned stop requests that came late in the grace were passed on, and cut at its end without an answer.

Cause: it could happen here. A request whose last byte came after the accept phase, or that waited behind another one on its channel, was passed on until the process ended, which left the answer to the closing of the channel. The process also ended with bytes of answers that callers had not taken.

Change: after the accept phase requests that have not begun are refused as not run; at the end those in flight are answered with 504, or 503 if no endpoint had them; the process waits for callers to take their answers.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -60,6 +60,7 @@
             path, gateway_settings, self._apply_settings
         )
         self._stop = asyncio.Event()
+        self._shutdown_state = core.ShutdownState()
         self._tasks: set[asyncio.Task[None]] = set()
         clock = time.monotonic
         self._clock = clock
@@ -172,6 +173,7 @@
             metrics=self._metrics,
             tracing=self._tracing,
             connectivity=self._connectivity,
+            shutdown=self._shutdown_state,
             clock=self._clock,
         )
 
@@ -383,7 +385,9 @@
         """Stop accepting requests and wait for those in flight."""
         self._coordination.begin_shutdown()
         times = _shutdown.shutdown_times(self._settings.bounds.grace_s)
-        await _shutdown.shut_down(self._caller_server, times)
+        await _shutdown.shut_down(
+            self._caller_server, self._shutdown_state, times
+        )
         await self._coordination.shut_down()
         for task in self._tasks:
             task.cancel()
--- a/bilberrydeal/gateway/core/__init__.py
+++ b/bilberrydeal/gateway/core/__init__.py
@@ -9,6 +9,7 @@
 from ._requests import not_run_refusal
 from ._requests import RequestProgress
 from ._requests import SendRecord
+from ._shutdown_state import ShutdownState
 
 __all__ = [
     "AdmittedRequest",
@@ -18,6 +19,7 @@
     "NO_PROMPT",
     "RequestProgress",
     "SendRecord",
+    "ShutdownState",
     "failure_refusal",
     "not_run_refusal",
 ]
--- a/bilberrydeal/gateway/serving/_request_handler.py
+++ b/bilberrydeal/gateway/serving/_request_handler.py
@@ -40,8 +40,10 @@
         metrics: core.GatewayMetrics,
         tracing: telemetry.Tracing,
         connectivity: cluster_state.StoreConnectivity,
+        shutdown: core.ShutdownState,
         clock: Clock,
     ) -> None:
+        self._shutdown = shutdown
         self._tracing = tracing
         self._connectivity = connectivity
         self._admission = admission
@@ -58,6 +60,8 @@
         """Respond to one request."""
         caller = platform.decode_caller(request)
         try:
+            if self._shutdown.refusing:
+                raise _shutdown_refusal()
             admitted = self._admission.admit(request, caller)
         except errors.Refusal as refused:
             self._refuse(responder, caller.request_id, refused)
@@ -101,6 +105,10 @@
             refusal = raised
         except TimeoutError:
             refusal = _timeout_refusal(progress)
+        except asyncio.CancelledError:
+            if not self._shutdown.interrupting:
+                raise
+            refusal = _interrupted_refusal(progress)
         if responder.started:
             responder.abort()
             return refusal
@@ -216,6 +224,27 @@
     return [attrs.asdict(send) for send in progress.sends]
 
 
+def _shutdown_refusal() -> errors.Refusal:
+    """Return the refusal of a request that came late in a shutdown."""
+    return core.not_run_refusal(
+        errors.ErrorCode.SHUTTING_DOWN,
+        "the gateway shuts down",
+        core.FAILED_RETRY_S,
+    )
+
+
+def _interrupted_refusal(progress: core.RequestProgress) -> errors.Refusal:
+    """Return what ends a request that is in flight as the process ends."""
+    if not progress.may_have_run:
+        return _shutdown_refusal()
+    return errors.Refusal(
+        reason=errors.ErrorCode.SHUTTING_DOWN,
+        message="the gateway shut down before the endpoint responded",
+        status=504,
+        executed=errors.Executed.UNKNOWN,
+    )
+
+
 def _timeout_refusal(progress: core.RequestProgress) -> errors.Refusal:
     """Return the refusal of a request whose deadline has passed."""
     if not progress.may_have_run:
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -21,6 +21,7 @@
 from ...systems import quarantine
 from ...systems import retries
 from .. import _uplink
+from .. import core
 from ..accounting import _usage
 from ..cluster_state import _cluster_state
 from ..cluster_state import _store_sync
@@ -221,6 +222,7 @@
     server: http1.HttpServer
     usage_counter: "FakeUsageCounter"
     quarantine: _quarantine.RequestQuarantine
+    shutdown: core.ShutdownState
     last_id: int = 0
 
     async def send(
@@ -427,6 +429,7 @@
     uplink = _uplink.Uplink(uplink_mbps, clock)
     tracing = telemetry.Tracing(trace or settings.TraceSettings(), "gateway")
     metrics = _metrics.GatewayMetrics()
+    shutdown = core.ShutdownState()
     request_quarantine = new_quarantine(
         "crash_counts",
         clock,
@@ -466,6 +469,7 @@
         metrics=metrics,
         tracing=tracing,
         connectivity=_store_sync.StoreConnectivity(clock()),
+        shutdown=shutdown,
         clock=clock,
     )
     limits = http1.ServerLimits(16_384, 1_000_000, 3.0, 15.0)
@@ -480,7 +484,12 @@
     )
     try:
         yield RequestPath(
-            cluster, budget, server, usage_counter, request_quarantine
+            cluster,
+            budget,
+            server,
+            usage_counter,
+            request_quarantine,
+            shutdown,
         )
     finally:
         deciding.cancel()
--- a/bilberrydeal/http1/_connection.py
+++ b/bilberrydeal/http1/_connection.py
@@ -125,6 +125,11 @@
         """
         return max(limits.idle_timeout_s, self._announced_idle_s)
 
+    def cancel_request(self) -> None:
+        """Cancel the request that is being served, if any."""
+        if self._task is not None:
+            self._task.cancel()
+
     def close(self) -> None:
         """Close after sending buffered bytes."""
         if self._transport is not None:
--- a/bilberrydeal/http1/_server.py
+++ b/bilberrydeal/http1/_server.py
@@ -73,6 +73,23 @@
                     await self._request_ended.wait()
         return not self.requests_open
 
+    async def wait_closed(self, timeout_s: float) -> bool:
+        """Wait until all connections have ended; ``False`` on a timeout.
+
+        A connection ends once the peer has taken all that was sent.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(timeout_s, 0.0)):
+                while self.connections:
+                    self._request_ended.clear()
+                    await self._request_ended.wait()
+        return not self.connections
+
+    def cancel_requests(self) -> None:
+        """Cancel the requests that are being served."""
+        for connection in list(self.connections):
+            connection.cancel_request()
+
     def notify_request_ended(self) -> None:
         """Wake waiters after a request ended or a connection was lost."""
         self._request_ended.set()
