Let short streams that end with their connections prove parts sound

What callers saw: where engines answer with neither a length nor chunks, no sound request of a route began any more once a part had crashed some engines (LOST).

Cause: the end of such a stream proved nothing unless it had lasted half a second, as it looks like the loss of its engine. So the first part of all prompts was quarantined in place of the crashing one.

Change: such ends are remembered with the engine's process, and prove the parts sound once that process responds to a request sent shortly after. A loss of the process discards them. Plain responses count alike.

--- a/bilberrydeal/gateway/sending/_quarantine.py
+++ b/bilberrydeal/gateway/sending/_quarantine.py
@@ -112,6 +112,20 @@
         for parts in _suspects(admitted):
             self._system.observe_sound(parts, self._clock())
 
+    def request_ended(
+        self,
+        upstream: cluster_state.Upstream,
+        admitted: core.AdmittedRequest,
+    ) -> None:
+        """Record that a response ended with its connection.
+
+        It may be that of an endpoint that was lost.
+        """
+        for parts in _suspects(admitted):
+            self._system.observe_unproven_end(
+                _process_of(upstream), parts, self._clock()
+            )
+
     def check(
         self,
         admitted: core.AdmittedRequest,
--- a/bilberrydeal/gateway/serving/_plain.py
+++ b/bilberrydeal/gateway/serving/_plain.py
@@ -127,7 +127,9 @@
             body = await exchange.connection.body(BUFFER_LIMIT_BYTES)
         self._usage_counter.count_once(admitted, progress)
         succeeded = exchange.response_class is platform.ResponseClass.RESULT
-        if succeeded and not exchange.connection.delimited_by_eof:
+        if succeeded and exchange.connection.delimited_by_eof:
+            self._quarantine.request_ended(upstream, admitted)
+        elif succeeded:
             self._quarantine.request_sound(admitted)
         self._cluster.observe(upstream, succeeded, self._clock())
         return _BufferedResponse(exchange.head, exchange.response_class, body)
--- a/bilberrydeal/gateway/streams/_stream.py
+++ b/bilberrydeal/gateway/streams/_stream.py
@@ -301,6 +301,8 @@
             or self._clock() - first_s >= sending.STREAM_BEGINNING_S
         ):
             self._quarantine.request_sound(stream.admitted)
+        else:
+            self._quarantine.request_ended(upstream, stream.admitted)
         if splitter.incomplete:
             self._cluster.observe(upstream, False, self._clock())
             raise sending.Lost("stream ended within an event")
--- a/bilberrydeal/gateway/tests/test_responses_without_length.py
+++ b/bilberrydeal/gateway/tests/test_responses_without_length.py
@@ -5,9 +5,11 @@
 import enum
 import socket
 import struct
+import time
 
 import pytest
 
+from ...systems import quarantine
 from . import harness
 
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
@@ -269,3 +271,43 @@
     assert reply.body == EVENTS
     assert reply.complete
     assert len(second.calls) == 1
+
+
+@pytest.mark.parametrize(
+    ("ending", "goes_on", "refuses"),
+    [
+        (Ending.CLOSE, True, False),
+        (Ending.CLOSE, False, True),
+        (Ending.RESET, True, True),
+    ],
+)
+async def test_whole_streams_of_an_engine_that_goes_on_prove_their_parts(
+    ending: Ending, goes_on: bool, refuses: bool
+) -> None:
+    """Guards against quarantine of the part that all prompts begin with."""
+
+    def response(call: harness.Call) -> bytes:
+        return _head(call) + TWO
+
+    engine = harness.engine("d1", "decode", _script(response, ending))
+    async with harness.running(engine) as running:
+        system = running.quarantine._system
+        await running.stream("/chat-one/1", **SHORT)
+        await asyncio.sleep(0.15)
+        if goes_on:
+            await running.stream(
+                "/chat-one/1", token_usage="50,9", prefix_hash="cc:50"
+            )
+        now_s = time.monotonic()
+        for number in range(5):
+            lost = quarantine.SuspectPrompt(b"r%d" % number, (b"aa",), True)
+            system.observe_loss(
+                quarantine.EngineLoss(
+                    f"e{number}@1", f"d{number}", lost, now_s + number
+                ),
+                now_s + number,
+            )
+            system.run(now_s + number)
+        system.run(now_s + 10.0)
+        found = system.find((b"aa", b"own"), now_s + 10.0)
+    assert (found is not None) == refuses
--- a/bilberrydeal/systems/quarantine/_base.py
+++ b/bilberrydeal/systems/quarantine/_base.py
@@ -189,6 +189,11 @@
     def observe_sound(self, parts: Parts, now_s: float) -> None:
         """Record that an engine completed a stream, or well began it."""
 
+    def observe_unproven_end(
+        self, process: str, parts: Parts, now_s: float
+    ) -> None:
+        """Record that a stream ended as it does if its engine is lost."""
+
     def observe_response(
         self, process: str, sent_s: float, now_s: float
     ) -> None:
--- a/bilberrydeal/systems/quarantine/_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/_crash_counts.py
@@ -10,6 +10,7 @@
 from . import _repeats
 from . import _reports
 from . import _sound_parts
+from . import _unproven_ends
 
 #: A lost engine that responds to a request sent after so long still runs, in
 #: seconds; one that responds much later may have started again.
@@ -48,6 +49,9 @@
     def __init__(self) -> None:
         self._crashes = _crashes.Crashes()
         self._sound = _sound_parts.SoundParts()
+        self._unproven_ends = _unproven_ends.UnprovenEnds(
+            ALIVE_AFTER_S, ALIVE_WITHIN_S
+        )
         self._quarantines: dict[frozenset[bytes], _base.Quarantine] = {}
         #: Since when the evidence against parts suffices.
         self._pending_s: dict[bytes, float] = {}
@@ -75,6 +79,7 @@
         run = loss.process
         if _base.is_request(loss.prompt.request_part):
             run = self._crashes.run_of(loss.process, loss.sent_s)
+        self._unproven_ends.drop(loss.process)
         known = self._crashes.get(run) is not None
         crash = self._crashes.put(run, loss.failure_domain, now_s)
         if self._add(crash, loss.prompt, now_s) or not known:
@@ -87,10 +92,18 @@
             if self._clear(part, now_s):
                 self._sound_told.add(part, now_s)
 
+    def observe_unproven_end(
+        self, process: str, parts: _base.Parts, now_s: float
+    ) -> None:
+        """Record that a stream ended as it does if its engine is lost."""
+        self._unproven_ends.add(process, parts, now_s)
+
     def observe_response(
         self, process: str, sent_s: float, now_s: float
     ) -> None:
         """Record that an engine responded to a request sent at a time."""
+        for parts in self._unproven_ends.proven(process, sent_s):
+            self.observe_sound(parts, now_s)
         self._responses_s[process] = max(
             sent_s, self._responses_s.get(process, sent_s)
         )
@@ -245,6 +258,7 @@
         if not 0.0 <= report.age_s < _crashes.KEPT_S:
             return
         at_s = now_s - report.age_s
+        self._unproven_ends.drop(_crashes.process_of(report.process))
         crash = self._crashes.put(report.process, report.failure_domain, at_s)
         for prompt in report.prompts:
             for part in prompt.parts:
@@ -322,6 +336,7 @@
 
     def _expire(self, now_s: float) -> None:
         self._crashes.expire(now_s)
+        self._unproven_ends.expire(now_s)
         for process, sent_s in list(self._responses_s.items()):
             if now_s - sent_s >= RESPONSES_KEPT_S:
                 del self._responses_s[process]
--- a/bilberrydeal/systems/quarantine/_never.py
+++ b/bilberrydeal/systems/quarantine/_never.py
@@ -13,6 +13,11 @@
     def observe_sound(self, parts: _base.Parts, now_s: float) -> None:
         """Ignore the stream."""
 
+    def observe_unproven_end(
+        self, process: str, parts: _base.Parts, now_s: float
+    ) -> None:
+        """Ignore the stream."""
+
     def observe_response(
         self, process: str, sent_s: float, now_s: float
     ) -> None:
