Close the connections of the tests' servers

Cause: servers of the tests left connections open. They are collected in whatever runs later; if that is the parser, pytest formats the error of their finalizer with the parser too, which Python 3.11 does not bear within another parse.

Change: the servers of the adapters' and the store's tests close their connections, as those of the gateway do by now.

--- a/bilberrydeal/adapters/tests/peer.py
+++ b/bilberrydeal/adapters/tests/peer.py
@@ -30,13 +30,17 @@
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         nonlocal count
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        try:
             while not writer.is_closing():
                 head = await reader.readuntil(b"\r\n\r\n")
                 length = re.search(rb"(?i)content-length: (\d+)", head)
                 await reader.readexactly(int(length.group(1)) if length else 0)
                 count += 1
                 await script(writer, count)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
--- a/bilberrydeal/platform/tests/test_store.py
+++ b/bilberrydeal/platform/tests/test_store.py
@@ -18,10 +18,13 @@
     await reader.readuntil(b"\r\n\r\n")
     body = b'{"row_version": 7, "now_ms": 1000, "rows": []}'
     head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
-    writer.write(head + body[:10])
-    await asyncio.sleep(1.4)
-    writer.write(body[10:])
-    await writer.drain()
+    try:
+        writer.write(head + body[:10])
+        await asyncio.sleep(1.4)
+        writer.write(body[10:])
+        await writer.drain()
+    finally:
+        writer.close()
 
 
 @pytest.mark.parametrize(("wait_s", "received"), [(0.0, True), (0.2, False)])
