--- a/bilberrydeal/systems/quarantine/_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/_crash_counts.py
@@ -7,9 +7,9 @@
 from . import _base
 from . import _crashes
 from . import _evidence
-from . import _repeats
 from . import _reports
 from . import _sound_parts
+from . import _telling
 from . import _unproven_ends
 
 #: A lost engine that responds to a request sent after so long still runs, in
@@ -25,10 +25,6 @@
 LASTS_S = 3600.0
 #: Most quarantines of parts, and of requests; the oldest yield.
 QUARANTINES_LIMIT = 32
-#: Shortest interval at which a quarantine is told, in seconds.
-QUARANTINE_INTERVAL_S = 0.5
-#: Gateways that tell all quarantines to all others in a second.
-TELLERS_PER_S = 20.0
 #: Time for which a quarantine that was dismissed is not learned, in seconds.
 DISMISSED_S = 60.0
 #: Time for which a response of an engine is remembered, in seconds.
@@ -69,10 +65,7 @@
         #: When engine processes ended for certain.
         self._ended_s: dict[str, float] = {}
         self._decisions: list[_base.Decision] = []
-        self._losses_told = _repeats.Repeats()
-        self._sound_told = _repeats.Repeats()
-        self._alive_told = _repeats.Repeats()
-        self._quarantines_told_s = float("-inf")
+        self._telling = _telling.Telling()
 
     def observe_loss(self, loss: _base.EngineLoss, now_s: float) -> None:
         """Record that an engine was lost while it generated a stream."""
@@ -83,14 +76,14 @@
         known = self._crashes.get(run) is not None
         crash = self._crashes.put(run, loss.failure_domain, now_s)
         if self._add(crash, loss.prompt, now_s) or not known:
-            self._losses_told.add(run, now_s)
+            self._telling.losses.add(run, now_s)
 
     def observe_sound(self, parts: _base.Parts, now_s: float) -> None:
         """Record that an engine completed a stream, or well began it."""
         for part in parts[:-1]:
             self._sound.add(part, now_s)
             if self._clear(part, now_s):
-                self._sound_told.add(part, now_s)
+                self._telling.sound.add(part, now_s)
 
     def observe_unproven_end(
         self, process: str, parts: _base.Parts, now_s: float
@@ -122,7 +115,7 @@
     def _count_again(self, retracted: _crashes.Crash, now_s: float) -> None:
         """Count a loss that a response seemed to contradict."""
         run = retracted.process
-        self._alive_told.drop(run)
+        self._telling.alive.drop(run)
         if now_s - retracted.at_s >= RESTART_KNOWN_S:
             return
         crash = self._crashes.put(
@@ -130,7 +123,7 @@
         )
         for prompt in retracted.prompts():
             self._add(crash, prompt, now_s)
-        self._losses_told.add(run, now_s)
+        self._telling.losses.add(run, now_s)
 
     def run(self, now_s: float) -> list[_base.Decision]:
         """Decide; return what was decided since the last run."""
@@ -169,7 +162,7 @@
         self._quarantines[quarantine.parts] = attrs.evolve(
             quarantine, renewed_s=now_s
         )
-        self._quarantines_told_s = float("-inf")
+        self._telling.tell_quarantines()
         return True
 
     def quarantines(self, now_s: float) -> tuple[_base.Quarantine, ...]:
@@ -186,22 +179,8 @@
 
     def news(self, gateways: int, now_s: float) -> _base.News:
         """Return what is due to be told in a fleet of some gateways."""
-        reports: tuple[_base.QuarantineReport, ...] = ()
-        interval_s = max(QUARANTINE_INTERVAL_S, gateways / TELLERS_PER_S)
-        if now_s - self._quarantines_told_s >= interval_s:
-            self._quarantines_told_s = now_s
-            reports = _reports.quarantine_reports(
-                self.quarantines(now_s), now_s
-            )
-        due = self._losses_told.due(_reports.NEWS_LIMIT, now_s)
-        return _base.News(
-            losses=_reports.loss_reports(
-                [crash for crash in self._crashes if crash.process in due],
-                now_s,
-            ),
-            sound=_parts_in(self._sound_told.due(_reports.NEWS_LIMIT, now_s)),
-            alive=_names_in(self._alive_told.due(_reports.NEWS_LIMIT, now_s)),
-            quarantines=reports,
+        return self._telling.news(
+            self._crashes, self.quarantines(now_s), gateways, now_s
         )
 
     def summary(self, now_s: float) -> _base.News:
@@ -217,7 +196,7 @@
         """Record what another gateway has told."""
         for part in news.sound:
             self._sound.add(part, now_s)
-            self._sound_told.drop(part)
+            self._telling.sound.drop(part)
             self._clear(part, now_s)
         for process in news.alive:
             self._discard_crash(process)
@@ -294,8 +273,8 @@
 
     def _report_sound(self, part: bytes, now_s: float) -> None:
         """Tell others that a part is sound, unless it is being told."""
-        if part not in self._sound_told and self._sound.knows(part, now_s):
-            self._sound_told.add(part, now_s)
+        if part not in self._telling.sound and self._sound.knows(part, now_s):
+            self._telling.sound.add(part, now_s)
 
     def _clear(self, part: bytes, now_s: float) -> bool:
         """Take a part out of all evidence; return whether it was in any."""
@@ -323,7 +302,7 @@
         ):
             self._discard_crash(crash.process)
             if _crashes.process_of(crash.process) not in self._ended_s:
-                self._alive_told.add(crash.process, now_s)
+                self._telling.alive.add(crash.process, now_s)
 
     def _discard_crash(self, process: str) -> None:
         crash = self._crashes.get(process)
@@ -332,7 +311,7 @@
         self._retracted[process] = crash
         self._changed.update(crash.parts())
         self._crashes.remove(process)
-        self._losses_told.drop(process)
+        self._telling.losses.drop(process)
 
     def _expire(self, now_s: float) -> None:
         self._crashes.expire(now_s)
@@ -440,7 +419,7 @@
             oldest = min(alike, key=lambda each: each.renewed_s)
             del self._quarantines[oldest.parts]
             self._note(_base.DecisionKind.ENDED, oldest)
-        self._quarantines_told_s = float("-inf")
+        self._telling.tell_quarantines()
         self._note(
             _base.DecisionKind.QUARANTINED, quarantine, learned_from_other
         )
@@ -516,11 +495,3 @@
 
 def _in_force(quarantine: _base.Quarantine, now_s: float) -> bool:
     return now_s - quarantine.renewed_s < LASTS_S
-
-
-def _parts_in(names: list[str | bytes]) -> tuple[bytes, ...]:
-    return tuple(name for name in names if isinstance(name, bytes))
-
-
-def _names_in(names: list[str | bytes]) -> tuple[str, ...]:
-    return tuple(name for name in names if isinstance(name, str))
