Tell the runs of an endpoint apart also in other gateways' reports

Cause: an endpoint may crash again under the same id before its registration is read. A gateway that has started since names the second crash as the first one, which it doesn't know, and the others took it for a repetition.

--- a/bilberrydeal/gateway/messaging/_quarantine_wire.py
+++ b/bilberrydeal/gateway/messaging/_quarantine_wire.py
@@ -20,6 +20,7 @@
     failure_domain: str
     age_s: float
     prompts: tuple[WirePrompt, ...]
+    sent_age_s: float | None = None
 
 
 class WireQuarantine(msgspec.Struct, array_like=True):
@@ -55,6 +56,7 @@
                     WirePrompt(each.request_part, each.parts, each.started)
                     for each in loss.prompts
                 ),
+                loss.sent_age_s,
             )
             for loss in news.losses
         ),
@@ -89,6 +91,7 @@
                     )
                     for each in loss.prompts
                 ),
+                loss.sent_age_s,
             )
             for loss in wire.losses
         ),
--- a/bilberrydeal/systems/quarantine/_base.py
+++ b/bilberrydeal/systems/quarantine/_base.py
@@ -86,6 +86,9 @@
     #: Time since the loss, in seconds.
     age_s: float
     prompts: tuple[SuspectPrompt, ...]
+    #: Time since the newest of its requests was sent to it, in seconds;
+    #: ``None`` if only prompts are told.
+    sent_age_s: float | None = None
 
 
 @attrs.frozen
--- a/bilberrydeal/systems/quarantine/_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/_crash_counts.py
@@ -75,6 +75,8 @@
         self._unproven_ends.drop(loss.process)
         known = self._crashes.get(run) is not None
         crash = self._crashes.put(run, loss.failure_domain, now_s)
+        if _base.is_request(loss.prompt.request_part):
+            crash.sent_s = max(loss.sent_s, crash.sent_s or loss.sent_s)
         if self._add(crash, loss.prompt, now_s) or not known:
             self._telling.losses.add(run, now_s)
 
@@ -242,9 +244,26 @@
         for prompt in report.prompts:
             for part in prompt.parts:
                 self._report_sound(part, now_s)
-            self._add(crash, prompt, now_s)
+            if _base.is_request(prompt.request_part):
+                self._add(self._run_crash(report, at_s, now_s), prompt, now_s)
+            else:
+                self._add(crash, prompt, now_s)
         self._check_alive(crash, now_s)
 
+    def _run_crash(
+        self, report: _base.LossReport, at_s: float, now_s: float
+    ) -> _crashes.Crash:
+        """Return the crash of the run that a reported request was sent to.
+
+        The gateway that reports it may not know of the runs before.
+        """
+        run = report.process
+        if report.sent_age_s is not None and (
+            report.sent_age_s >= report.age_s
+        ):
+            run = self._crashes.run_of(run, now_s - report.sent_age_s)
+        return self._crashes.put(run, report.failure_domain, at_s)
+
     def _learn_quarantine(
         self, quarantine: _base.Quarantine, now_s: float
     ) -> None:
--- a/bilberrydeal/systems/quarantine/_crashes.py
+++ b/bilberrydeal/systems/quarantine/_crashes.py
@@ -47,6 +47,9 @@
     failure_domain: str
     #: When it was lost, monotonic seconds.
     at_s: float
+    #: When the newest of its requests was sent to it, monotonic seconds;
+    #: ``None`` if that is not known.
+    sent_s: float | None = attrs.field(default=None, init=False)
     #: Prompts that it generated, by their request parts.
     _prompts: dict[bytes, _LostPrompt] = attrs.field(factory=dict, init=False)
     #: Number of parts of all prompts.
--- a/bilberrydeal/systems/quarantine/_reports.py
+++ b/bilberrydeal/systems/quarantine/_reports.py
@@ -38,6 +38,7 @@
                 crash.failure_domain,
                 now_s - crash.at_s,
                 tuple(prompts),
+                now_s - crash.sent_s if crash.sent_s is not None else None,
             )
         )
     return tuple(reports)
--- a/bilberrydeal/systems/quarantine/tests/test_requests.py
+++ b/bilberrydeal/systems/quarantine/tests/test_requests.py
@@ -238,3 +238,44 @@
     gateway.lose_under(4, OTHER)
     gateway.wait(test_crash_counts.DECIDED_S)
     assert not gateway.keeps(BAD)
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 8.0])
+@pytest.mark.parametrize("rounds", [1, 6])
+def test_later_run_that_a_young_gateway_saw_lost_counts(
+    pause_s: float, rounds: int
+) -> None:
+    """Guards against a crash that is taken for one of a run before.
+
+    The gateway has started since and knows nothing of the run before; the
+    endpoint kept its id, and its registration is not read yet.
+    """
+    gateway, young = _Gateway(), _Gateway()
+    gateway.lose_under(0, BAD)
+    gateway.wait(0.1)
+    gateway.lose_under(1, BAD)
+    for each in (gateway, young):
+        each.wait(pause_s or 1e-3)
+    young.now_s = gateway.now_s
+    young.lose_under(0, BAD)
+    for _ in range(rounds):
+        young.tell(gateway)
+        young.wait(0.2)
+        gateway.wait(0.2)
+    gateway.wait(test_crash_counts.DECIDED_S)
+    assert gateway.keeps(BAD) == bool(pause_s)
+
+
+@pytest.mark.parametrize("sent_age_s", [-1.0, 0.5, float("nan")])
+def test_request_sent_after_its_loss_is_not_believed(
+    sent_age_s: float,
+) -> None:
+    gateway = _Gateway()
+    for number in range(2):
+        gateway.lose_under(number, BAD)
+        gateway.wait(2.0)
+    prompt = quarantine.SuspectPrompt(BAD[-1], tuple(BAD[:-1]), False)
+    report = quarantine.LossReport("e0@1", "d0", 1.0, (prompt,), sent_age_s)
+    gateway.system.learn(quarantine.News((report,)), gateway.now_s)
+    gateway.wait(test_crash_counts.DECIDED_S)
+    assert not gateway.keeps(BAD)
