--- a/bilberrydeal/gateway/accounting/_reporting.py
+++ b/bilberrydeal/gateway/accounting/_reporting.py
@@ -16,7 +16,7 @@
 LOG = telemetry.logger("reporting")
 #: Name of the lease for settling and reporting windows.
 DUTY = "usage"
-#: Shortest time between the end of a window and its report, in seconds.
+#: Shortest time between the end of a window and its settling, in seconds.
 SETTLE_DELAY_S = 0.5
 #: Share of the time until a report is due that is spent waiting for gateways
 #: whose counts are missing.
@@ -81,7 +81,8 @@
         self._settled: dict[int, _window_rows.WindowRow] = {}
         #: Windows of which a report may have been sent, as far as known.
         self._sent: set[int] = set()
-        #: Windows that are not settled, as another era may have done it.
+        #: Windows that are left out, as they may have been reported before the
+        #: store came back from a copy.
         self._left_out: set[int] = set()
         #: Token of the lease under which the windows were read.
         self._loaded_token = 0
@@ -174,11 +175,11 @@
             LOG.info("Window settled.", window=window, counts=counts)
 
     def _may_have_been_reported(self, window: int) -> bool:
-        """Return whether an earlier era of the store may have had its row.
+        """Return whether a window without a row may have been reported.
 
-        A restore may have taken away the row of a window that was reported,
-        and all processes that knew its counts may have ended. A missing report
-        can be made up for; a second one with other counts cannot.
+        A restore may have taken the row away, and all processes that knew its
+        counts may have ended. A second report with other counts is worse than
+        a missing one.
         """
         store_s = self._clock.store_s()
         if store_s is None:
