Suspect a request by its path, too, where it comes with another query

Change: beside the fingerprint of the whole target a request has one of its path. A sound completion under a path clears it, as for any part.

--- a/bilberrydeal/gateway/core/_requests.py
+++ b/bilberrydeal/gateway/core/_requests.py
@@ -50,11 +50,19 @@
     @functools.cached_property
     def fingerprint(self) -> bytes:
         """Return what all repetitions of the request have in common."""
+        return self._digest(self.request.target)
+
+    @functools.cached_property
+    def path_fingerprint(self) -> bytes:
+        """Return what its repetitions with another query have in common."""
+        return self._digest(self.request.path)
+
+    def _digest(self, target: bytes) -> bytes:
         digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
         for field in (
             self.request.method,
             self.request.header(b"host") or b"",
-            self.request.target,
+            target,
             (self.organisation_name or "").encode(),
             self.request.body,
         ):
--- a/bilberrydeal/gateway/sending/_quarantine.py
+++ b/bilberrydeal/gateway/sending/_quarantine.py
@@ -263,8 +263,13 @@
 def _suspects(
     admitted: core.AdmittedRequest,
 ) -> list[quarantine.Parts]:
-    """Return what may crash an endpoint: the prompt's parts, the request."""
+    """Return what may crash an endpoint: the prompt's parts, the request.
+
+    A request may come again with another query.
+    """
     suspects = [quarantine.request_parts(admitted.fingerprint)]
+    if admitted.path_fingerprint != admitted.fingerprint:
+        suspects.append(quarantine.request_parts(admitted.path_fingerprint))
     if admitted.prompt is not None:
         parts = (part.part_id for part in admitted.prompt.parts)
         suspects.insert(0, quarantine.prompt_parts(parts))
--- a/bilberrydeal/gateway/tests/test_fingerprint.py
+++ b/bilberrydeal/gateway/tests/test_fingerprint.py
@@ -8,6 +8,7 @@
 from ... import catalogue
 from ... import http1
 from ..core import _requests
+from ..sending import _quarantine
 from . import harness
 
 _HEADERS = ((b"host", b"h.example"), (b"request-id", b"r1"))
@@ -70,3 +71,32 @@
     fields: dict[str, typing.Any],
 ) -> None:
     assert _admitted(**fields).fingerprint != _admitted().fingerprint
+
+
+@pytest.mark.parametrize(
+    ("target", "same"),
+    [
+        (b"/read/1?a=2", True),
+        (b"/read/1", True),
+        (b"/read/2?a=1", False),
+    ],
+)
+def test_repetition_with_another_query_has_the_fingerprint_of_its_path(
+    target: bytes, same: bool
+) -> None:
+    other = _admitted(target=target)
+    assert (other.path_fingerprint == _admitted().path_fingerprint) == same
+
+
+def _lost_prompt(target: bytes) -> set[bytes]:
+    """Return what is remembered of a request that was lost."""
+    suspects = _quarantine._suspects(_admitted(target=target))
+    return {parts[-1] for parts in suspects}
+
+
+def test_request_with_other_queries_is_suspected_by_its_path() -> None:
+    """Guards against a request that crashes endpoints under new queries."""
+    common = _lost_prompt(b"/read/1?a=1") & _lost_prompt(b"/read/1?a=2")
+    assert len(common) == 1
+    assert common == _lost_prompt(b"/read/1")
+    assert not common & _lost_prompt(b"/read/2?a=1")
