Halve the largest event that is read

Change: an event may have 128 KiB, so that an engine that sends bytes without an event is given up after half the work.

--- a/bilberrydeal/decoding/_event_stream.py
+++ b/bilberrydeal/decoding/_event_stream.py
@@ -5,7 +5,7 @@
 #: Longest of these.
 _END_LIMIT_BYTES = 3
 #: Largest event, in bytes; more without its end are no event.
-EVENT_LIMIT_BYTES = 262_144
+EVENT_LIMIT_BYTES = 131_072
 
 
 class EventTooLarge(Exception):
