--- a/bilberrydeal/systems/pacing/_uplink.py
+++ b/bilberrydeal/systems/pacing/_uplink.py
@@ -76,12 +76,17 @@
     def enqueue(
         self, size_bytes: int, priority: int, now_s: float
     ) -> Transmission:
-        """Queue a transmission, which may be granted immediately."""
+        """Queue a transmission; grant it at once if no other one waits.
+
+        Those that wait are granted by ``grant`` only, which reports them.
+        """
+        idle = not self._waiting
         transmission = Transmission(size_bytes, priority)
         heapq.heappush(
             self._waiting, (priority, next(self._sequence), transmission)
         )
-        self.grant(now_s)
+        if idle:
+            self.grant(now_s)
         return transmission
 
     def grant(self, now_s: float) -> list[Transmission]:
--- a/bilberrydeal/systems/pacing/tests/test_uplink.py
+++ b/bilberrydeal/systems/pacing/tests/test_uplink.py
@@ -45,6 +45,24 @@
     assert order == [first, early, late]
 
 
+def test_every_waiting_transmission_is_returned_by_grant() -> None:
+    """Guards against waiters that are never told of their grant.
+
+    A transmission that is queued after the link has become free must not
+    grant the ones before it, since only ``grant`` reports them.
+    """
+    uplink = queue()
+    uplink.enqueue(BODY_BYTES, 1, 0.0)
+    waiting = uplink.enqueue(BODY_BYTES, 1, 0.0)
+    late = uplink.enqueue(BODY_BYTES, 1, 0.3)
+    granted = [
+        transmission
+        for tenths in (3, 4, 5)
+        for transmission in uplink.grant(tenths / 10)
+    ]
+    assert granted == [waiting, late]
+
+
 def test_cancelled_transmission_uses_no_time() -> None:
     """Guards against reserving link time for cancelled transmissions."""
     uplink = queue()
