--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -21,6 +21,10 @@
 AFFINITY_CACHE_SHARE = 0.15
 #: Cost of an engine whose slots are all busy, in seconds.
 BUSY_SLOTS_PENALTY_S = 0.02
+#: Cost of decoding in another failure domain than that of the gateway, in
+#: seconds; as much as a quarter of the slots of an engine being busy. The body
+#: of the request crosses domains then, which costs far more than the KV cache.
+REMOTE_DECODE_PENALTY_S = 0.005
 #: Share of the target within which the first token must be expected.
 TARGET_SHARE = 0.85
 #: Share of the time left within which the first token of a deferred request
@@ -86,7 +90,11 @@
     def decode_engine(
         self, request: _base.Request, prefilled_at: str, engines: _base.Engines
     ) -> str | None:
-        """Return the decode engine with the least load."""
+        """Return the decode engine with the least load.
+
+        The body of the request is sent to it from this gateway, so one in the
+        gateway's own failure domain is preferred wherever it was prefilled.
+        """
         available = [
             engine
             for engine in _base.untried_decode_engines(request, engines)
@@ -94,19 +102,15 @@
         ]
         if not available:
             return None
-        source = next(
-            (e for e in engines if e.engine_id == prefilled_at), None
-        )
-        domain = source.failure_domain if source else request.failure_domain
 
         def cost(engine: _entities.EngineLoad) -> float:
             waits_s = engine.prefill_wait_s
             share = engine.requests / engine.slots
-            remote = engine.failure_domain != domain
+            remote = engine.failure_domain != request.failure_domain
             return (
                 waits_s
                 + share * BUSY_SLOTS_PENALTY_S
-                + remote * _options.REMOTE_DOMAIN_PENALTY_S
+                + remote * REMOTE_DECODE_PENALTY_S
             )
 
         return min(available, key=cost).engine_id
