--- a/bilberrydeal/gateway/accounting/_reporting.py
+++ b/bilberrydeal/gateway/accounting/_reporting.py
@@ -91,7 +91,11 @@
         self._era_begun_s = 0.0
 
     async def run_once(self) -> None:
-        """Settle the windows that have ended and report them."""
+        """Report the windows that are settled, and settle those that ended.
+
+        Settling needs the store; a report needs only the lease. So reports go
+        first, and are sent also while the store is away.
+        """
         now_s = self._client.now_s()
         if not self._lease.is_held(now_s):
             return
@@ -99,14 +103,14 @@
         if token != self._loaded_token:
             await self._load()
             self._loaded_token = token
+        for window, row in sorted(self._settled.items()):
+            if not row.reported and self._may_report(window, row):
+                await self._report(window, row)
         last = (
             int((self._clock.now_s() - SETTLE_DELAY_S) // self._window_s) - 1
         )
         if last not in self._settled:
             await self._settle(last)
-        for window, row in sorted(self._settled.items()):
-            if not row.reported and self._may_report(window, row):
-                await self._report(window, row)
 
     async def _load(self) -> None:
         """Read the windows that earlier lease holders settled.
--- a/bilberrydeal/gateway/tests/test_usage.py
+++ b/bilberrydeal/gateway/tests/test_usage.py
@@ -408,6 +408,24 @@
     assert (row.counts, row.reported) == ({"russo": 1}, True)
 
 
+async def test_settled_window_is_reported_while_the_store_is_away() -> None:
+    """Guards against a late report because the next window cannot be settled.
+
+    The store is lost when the next window ends. The lease is valid for some
+    seconds then, and a report needs nothing else.
+    """
+    fixture = Fixture()
+    gateway = Gateway(fixture, "g1")
+    await _advance(fixture, FIRST_LEASE_S, gateway)
+    window = gateway.usage_counter.window()
+    gateway.usage_counter.count("russo")
+    await _advance(fixture, 3 * WINDOW_S - fixture.now_s, gateway)
+    assert reports_of(window, gateway) == []
+    fixture.table.unreachable = True
+    await _advance(fixture, 3.0, gateway)
+    assert reports_of(window, gateway) == [{"russo": 1}]
+
+
 async def test_report_in_doubt_is_repeated_with_its_counts() -> None:
     """The platform may have accepted a report whose response was lost."""
     fixture = Fixture(table=memory.MemoryStore(era=1))
