--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(PY) -m scenarios.import_rules
 
 unit: $(STAMP)
-	$(PY) -m pytest -n $(WORKERS) $(KNOWN_RED)
+	$(PY) -m pytest -n $(WORKERS) --dist loadgroup $(KNOWN_RED)
 
 test: check unit
 
--- a/scenarios/_gateways.py
+++ b/scenarios/_gateways.py
@@ -98,9 +98,16 @@
             fleet.gateways[0].process.kill()
     """
 
-    def __init__(self, size: FleetSize, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        size: FleetSize,
+        folder: pathlib.Path,
+        gateway_settings: collections.abc.Mapping[str, object] | None = None,
+    ) -> None:
         self.size = size
         self.folder = folder
+        #: Settings of the gateways that differ from the usual ones.
+        self.gateway_settings = dict(gateway_settings or {})
         self.places = _places.reserve()
         self.version = 0
         #: Configurations that were written.
@@ -273,7 +280,8 @@
         address = self.places.address(host)
         store = self.places.store(host)
         settings = self.folder / f"gateway-{number}.yaml"
-        settings.write_text(yaml.safe_dump(_settings(address, store, number)))
+        content = _settings(address, store, number) | self.gateway_settings
+        settings.write_text(yaml.safe_dump(content))
         member = self._member(
             f"gateway-{number}",
             address,
--- a/standins/_serve.py
+++ b/standins/_serve.py
@@ -20,6 +20,9 @@
 
 #: Largest request body, in bytes.
 MAX_BODY_BYTES = 16_000_000
+#: Largest number of header fields of a request. Callers may send as many as
+#: fit into a head.
+MAX_HEADERS = 20_000
 
 
 @attrs.frozen
@@ -70,7 +73,7 @@
 
 
 async def _serve(app: web.Application, address: str, port: int) -> None:
-    runner = web.AppRunner(app, access_log=None)
+    runner = web.AppRunner(app, access_log=None, max_headers=MAX_HEADERS)
     await runner.setup()
     await web.TCPSite(runner, address, port, shutdown_timeout=0.1).start()
     stopped = asyncio.Event()
