--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import operator
 import os
 import pathlib
 import random
@@ -9,6 +10,9 @@
 import time
 import typing
 
+import attrs
+
+from .. import catalogue
 from .. import decoding
 from .. import http1
 from .. import periodic
@@ -38,8 +42,12 @@
 SETTINGS_INTERVAL_S = 2.0
 #: Share of the open files limit for callers' connections.
 CALLERS_FILES_SHARE = 0.6
-#: Share of the memory limit for request bodies in flight.
-BODIES_MEMORY_SHARE = 0.2
+#: Share of the memory limit for what is held for callers.
+CALLERS_MEMORY_SHARE = 0.3
+#: Share of the memory limit for the objects of callers' connections.
+CONNECTIONS_MEMORY_SHARE = 0.1
+#: Memory of the objects of an idle connection, in bytes.
+CONNECTION_BYTES = 8_000
 #: Limits in force until the first configuration is loaded.
 INITIAL_LIMITS = http1.ServerLimits(
     header_bytes=16_384,
@@ -47,6 +55,14 @@
     header_timeout_s=3.0,
     idle_timeout_s=15.0,
 )
+#: Limits of the readiness and the metrics server, whose requests have no body
+#: and come from few callers.
+INTERNAL_LIMITS = attrs.evolve(
+    INITIAL_LIMITS,
+    body_bytes=65_536,
+    connections=64,
+    memory_bytes=2_000_000,
+)
 
 
 class Gateway:
@@ -123,14 +139,19 @@
         self._endpoint_updater = cluster_state.EndpointUpdater(
             self._cluster, self._connectivity, clock
         )
+        self._limits = INITIAL_LIMITS
+        #: What the limits for callers were derived from.
+        self._limits_basis: tuple[
+            catalogue.Configuration | None, settings.GatewaySettings | None
+        ] = (None, None)
         self._caller_server = http1.HttpServer(
             self._new_handler(rng).handle, self._caller_limits, clock
         )
         self._readiness_server = http1.HttpServer(
-            self._handle_readiness, lambda: INITIAL_LIMITS, clock
+            self._handle_readiness, lambda: INTERNAL_LIMITS, clock
         )
         self._metrics_server = http1.HttpServer(
-            self._handle_metrics, lambda: INITIAL_LIMITS, clock
+            self._handle_metrics, lambda: INTERNAL_LIMITS, clock
         )
 
     def _new_handler(self, rng: random.Random) -> serving.RequestHandler:
@@ -328,21 +349,34 @@
 
     def _caller_limits(self) -> http1.ServerLimits:
         configuration = self._cluster.configuration
-        if configuration is None:
-            return INITIAL_LIMITS
-        limits = configuration.limits
-        gateway_settings = self._settings
-        return http1.ServerLimits(
-            header_bytes=limits.header_bytes,
-            body_bytes=limits.body_bytes,
-            header_timeout_s=limits.header_timeout_s,
-            idle_timeout_s=limits.idle_timeout_s,
+        basis = (configuration, self._settings)
+        if any(map(operator.is_not, basis, self._limits_basis)):
+            self._limits_basis = basis
+            self._limits = self._new_caller_limits(configuration)
+        return self._limits
+
+    def _new_caller_limits(
+        self, configuration: catalogue.Configuration | None
+    ) -> http1.ServerLimits:
+        memory = self._settings.memory_limit_mb * 1e6
+        limits = attrs.evolve(
+            INITIAL_LIMITS,
             connections=int(
-                gateway_settings.open_files_limit * CALLERS_FILES_SHARE
-            ),
-            total_body_bytes=int(
-                gateway_settings.memory_limit_mb * 1e6 * BODIES_MEMORY_SHARE
+                min(
+                    self._settings.open_files_limit * CALLERS_FILES_SHARE,
+                    memory * CONNECTIONS_MEMORY_SHARE / CONNECTION_BYTES,
+                )
             ),
+            memory_bytes=int(memory * CALLERS_MEMORY_SHARE),
+        )
+        if configuration is None:
+            return limits
+        return attrs.evolve(
+            limits,
+            header_bytes=configuration.limits.header_bytes,
+            body_bytes=configuration.limits.body_bytes,
+            header_timeout_s=configuration.limits.header_timeout_s,
+            idle_timeout_s=configuration.limits.idle_timeout_s,
         )
 
     async def _handle_readiness(
--- a/bilberrydeal/http1/_headers.py
+++ b/bilberrydeal/http1/_headers.py
@@ -1,5 +1,6 @@
 """Header fields as pairs of bytes, names in lower case."""
 
+import abc
 import collections.abc
 
 Header = tuple[bytes, bytes]
@@ -24,14 +25,35 @@
 _CONNECTION = b"connection"
 
 
+class IndexedFields(collections.abc.Sequence[Header]):
+    """Fields that are found by name without a pass over all of them."""
+
+    @abc.abstractmethod
+    def first_value(self, name: bytes) -> bytes | None:
+        """Return the value of the first field of that name."""
+
+    @abc.abstractmethod
+    def count_name(self, name: bytes) -> int:
+        """Return how many fields have that name."""
+
+
 def first_value(headers: Headers, name: bytes) -> bytes | None:
     """Return the value of the first field of that name."""
+    if type(headers) is not tuple and isinstance(headers, IndexedFields):
+        return headers.first_value(name)
     for found, value in headers:
         if found == name:
             return value
     return None
 
 
+def count_name(headers: Headers, name: bytes) -> int:
+    """Return how many fields have that name."""
+    if type(headers) is not tuple and isinstance(headers, IndexedFields):
+        return headers.count_name(name)
+    return sum(found == name for found, _value in headers)
+
+
 def end_to_end_headers(
     headers: Headers, protected: frozenset[bytes] = frozenset()
 ) -> list[Header]:
--- a/bilberrydeal/http1/_limits.py
+++ b/bilberrydeal/http1/_limits.py
@@ -17,5 +17,6 @@
     idle_timeout_s: float
     #: Maximum number of open connections.
     connections: int = 1_000
-    #: Maximum total size of bodies being read or served, in bytes.
-    total_body_bytes: int = 64_000_000
+    #: Maximum memory of what is held for all callers: requests being read,
+    #: queued or served, and responses that callers have not read, in bytes.
+    memory_bytes: int = 64_000_000
--- a/bilberrydeal/http1/_request.py
+++ b/bilberrydeal/http1/_request.py
@@ -14,7 +14,7 @@
     #: Request target as received: path and query.
     target: bytes
     #: Header fields in the order received, names in lower case.
-    headers: tuple[_headers.Header, ...]
+    headers: _headers.Headers
     #: The body; empty if there is none.
     body: bytes
     #: Whether the request had a body, which may be empty.
@@ -35,4 +35,4 @@
 
     def count(self, name: bytes) -> int:
         """Return how many fields have that name."""
-        return sum(found == name for found, _value in self.headers)
+        return _headers.count_name(self.headers, name)
--- a/bilberrydeal/http1/_server.py
+++ b/bilberrydeal/http1/_server.py
@@ -3,9 +3,19 @@
 import asyncio
 import collections.abc
 import contextlib
+import operator
 
+from . import _budget
 from . import _connection
 from . import _limits
+from . import _work_queue
+
+#: Bytes that are read from a connection at a time. More would be held for
+#: every connection whose bytes wait to be parsed.
+READ_BYTES = 16_384
+#: Time within a head, or without a request, after which a connection may be
+#: closed in favour of a new one, in seconds.
+REPLACEABLE_AFTER_S = 0.5
 
 
 class HttpServer:
@@ -29,8 +39,12 @@
         #: Whether responses ask callers to close the connection.
         self.draining = False
         self.connections: set[_connection.Connection] = set()
-        #: Total size of bodies being read or served.
-        self.body_bytes = 0
+        #: Memory held for all connections.
+        self.budget = _budget.MemoryBudget()
+        #: Connections whose bytes wait to be parsed.
+        self.work = _work_queue.WorkQueue(clock)
+        #: Buffer that all connections read into, one after the other.
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._server: asyncio.Server | None = None
         self._request_ended = asyncio.Event()
 
@@ -59,6 +73,27 @@
         for connection in list(self.connections):
             connection.enforce_timeouts(limits, now_s)
 
+    def make_room(self, now_s: float) -> bool:
+        """Make room for a new connection; return whether there is any.
+
+        If too many are open, the one goes that takes longest with its head or
+        its first request.
+        """
+        if len(self.connections) < self.limits().connections:
+            return True
+        self.budget.refused[_budget.Reason.CONNECTIONS] += 1
+        oldest = min(
+            (each for each in self.connections if each.replaceable),
+            key=operator.attrgetter("stage_started_s"),
+            default=None,
+        )
+        if oldest is None:
+            return False
+        if now_s - oldest.stage_started_s < REPLACEABLE_AFTER_S:
+            return False
+        oldest.give_way()
+        return True
+
     def stop_accepting(self) -> None:
         """Stop accepting connections."""
         if self._server is not None:
--- a/scenarios/tests/test_untrusted_clients.py
+++ b/scenarios/tests/test_untrusted_clients.py
@@ -291,6 +291,8 @@
 ) -> None:
     """Guards against limits that a single client meets."""
     async with _gateways.Fleet(SIZE, tmp_path, SETTINGS) as fleet:
+        # The gateway knows the worker by then.
+        assert await _ordinary_status(fleet) == 200
         reader, writer = await asyncio.open_connection(
             fleet.gateways[0].address, _gateways.CALLERS_PORT
         )
