--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 # Tests that KNOWN-RED.txt names are passed over.
 KNOWN_RED = $(shell sed -n "s/^test: \(.*\)/--deselect '\1'/p" \
     KNOWN-RED.txt 2>/dev/null)
+# Tests of resources that run one at a time, apart from the others.
+ALONE := scenarios/tests/test_untrusted_clients.py
 STAMP := $(VENV)/.installed
 
 .PHONY: test check unit demo bench soak
@@ -23,7 +25,8 @@
 	$(PY) -m scenarios.import_rules
 
 unit: $(STAMP)
-	$(PY) -m pytest -n $(WORKERS) --dist loadgroup $(KNOWN_RED)
+	$(PY) -m pytest -n $(WORKERS) --ignore $(ALONE) $(KNOWN_RED)
+	$(PY) -m pytest $(KNOWN_RED) $(ALONE)
 
 test: check unit
 
--- a/scenarios/tests/test_untrusted_clients.py
+++ b/scenarios/tests/test_untrusted_clients.py
@@ -17,8 +17,6 @@
 
 from scenarios import _gateways
 
-pytestmark = pytest.mark.xdist_group("untrusted_clients")
-
 #: Memory limit in the gateway's settings, and the bound of its resident
 #: memory, in megabytes. A gateway without clients takes 40.
 MEMORY_LIMIT_MB = 80
