--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -59,6 +59,8 @@
         self._engine_rings: dict[str, placement.EngineRing] = {}
         #: Learned slot occupancy times by service.
         self._slot_times: dict[str, placement.SlotTimes] = {}
+        #: Slots that long streams need, by service.
+        self._long_streams: dict[str, placement.LongStreams] = {}
         #: What other gateways send, by service.
         self._arrivals: dict[str, placement.PeerArrivals] = {}
         #: Learned speed of the engines by service.
@@ -353,6 +355,9 @@
             slot_times=self._slot_times.setdefault(
                 endpoint.service, placement.SlotTimes()
             ),
+            long_streams=self._long_streams.setdefault(
+                endpoint.service, placement.LongStreams()
+            ),
             arrivals=self._arrivals.setdefault(
                 endpoint.service, placement.PeerArrivals()
             ),
--- a/bilberrydeal/gateway/peer_exchange/_load_exchange.py
+++ b/bilberrydeal/gateway/peer_exchange/_load_exchange.py
@@ -88,6 +88,7 @@
             self._send(engine_loads, now_s)
         self._loads.drop_stale(now_s)
         self._loads.apply(self._cluster.load_of)
+        self._loads.observe(self._cluster.loads(), now_s)
 
     def _pause_s(self) -> float:
         transfer_s = self._uplink.transfer_s(self._last_sent_bytes)
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -20,6 +20,8 @@
 from ._linear_time import Line
 from ._linear_time import LinearTime
 from ._linear_time import TimeSample
+from ._long_streams import in_order
+from ._long_streams import LongStreams
 from ._options import main_decode_engine
 from ._parts import PartCache
 from ._parts import Prompt
@@ -50,6 +52,7 @@
     "LeastOutstandingPlacer",
     "Line",
     "LinearTime",
+    "LongStreams",
     "MAX_REPORT_AGE_S",
     "NoEarlyRefusalPlacer",
     "NoLocalityPlacer",
@@ -76,6 +79,7 @@
     "TwoStagePlacer",
     "URGENT_RANKS",
     "engine_rank",
+    "in_order",
     "main_decode_engine",
     "plan_roles",
     "rendezvous_score",
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -8,6 +8,7 @@
 from ... import ports
 from . import _engine_speed
 from . import _linear_time
+from . import _long_streams
 from . import _parts
 from . import _peer_arrivals
 from . import _request_counts
@@ -104,6 +105,10 @@
     unreported_prompts: list[_parts.Prompt] = attrs.field(factory=list)
     #: Time that requests occupy a slot; shared by all engines of a service.
     slot_times: SlotTimes = attrs.field(factory=SlotTimes)
+    #: Slots that long streams need; shared by all engines of a service.
+    long_streams: _long_streams.LongStreams = attrs.field(
+        factory=_long_streams.LongStreams
+    )
     #: What other processes send; shared by all engines of a service.
     arrivals: _peer_arrivals.PeerArrivals = attrs.field(
         factory=_peer_arrivals.PeerArrivals
--- /dev/null
+++ b/bilberrydeal/systems/placement/_long_streams.py
@@ -0,0 +1,350 @@
+"""Learns how many slots long streams need, and names the engines for them.
+
+A prefill at an engine that decodes runs between the decode steps and delays
+the events of all streams there. Ranks whose requests hold a slot for long have
+many events that this can delay, so some decode engines prefill no long
+prompts.
+"""
+
+import collections.abc
+import math
+import typing
+
+import attrs
+
+from ... import telemetry
+from . import _parts
+from . import _request_counts
+
+LOG = telemetry.logger("long_streams")
+
+#: Hash key that orders the decode engines by rendezvous hashing.
+_ORDER_KEY = b"main decoder"
+#: Shortest time between two samples, in seconds.
+SAMPLE_INTERVAL_S = 0.05
+#: Time over which the time that requests hold a slot is averaged, in seconds.
+HOLD_TIME_S = 20.0
+#: Time over which the number of slots in use is averaged, in seconds.
+LEVEL_TIME_S = 10.0
+#: A rank is long if it holds a slot this many times as long as the briefest
+#: one, and stays long above the second multiple.
+LONG_FROM_MULTIPLE = 3.0
+LONG_WHILE_MULTIPLE = 2.0
+#: Share of all requests below which a rank is not the briefest one.
+NOTABLE_SHARE = 0.05
+#: Standard deviations above the mean number of slots in use.
+HEADROOM_DEVIATIONS = 2.0
+#: Share of the slots set aside below which fewer are needed, and the time for
+#: which this must be so before any are given up, in seconds.
+SURPLUS_SHARE = 0.7
+SURPLUS_DEBOUNCE_S = 20.0
+#: Share of the slots of one engine that long streams need at least for
+#: requests to be sent to engines by what they hold. With fewer they hardly
+#: compete with other requests.
+COMPETING_SHARE = 0.5
+#: Largest number of requests of a rank at an engine that is believed.
+COUNT_LIMIT = 100_000
+
+#: Number of requests by rank, for each engine that decodes.
+Counts = collections.abc.Mapping[str, collections.abc.Sequence[int]]
+
+
+class Engine(typing.Protocol):
+    """A decode engine, as far as its place in the order needs it."""
+
+    @property
+    def engine_id(self) -> str:
+        """Return its name."""
+
+    @property
+    def slots(self) -> int:
+        """Return the number of requests that it runs concurrently."""
+
+    @property
+    def requests(self) -> int:
+        """Return the number of requests that it has."""
+
+
+AnyEngine = typing.TypeVar("AnyEngine", bound=Engine)
+
+
+@attrs.define
+class _Level:
+    """Mean and variance in which old values count less."""
+
+    mean: float = 0.0
+    variance: float = 0.0
+    #: Greatest value, which fades.
+    peak: float = 0.0
+    #: Sum of the weights so far; below 1 at first.
+    weight: float = 0.0
+
+    def add(self, value: float, after_s: float) -> None:
+        """Add a value that is current that long after the last one."""
+        fade = math.exp(-after_s / LEVEL_TIME_S)
+        self.weight = fade * self.weight + 1.0 - fade
+        share = (1.0 - fade) / self.weight
+        off = value - self.mean
+        self.mean += share * off
+        self.variance = (1.0 - share) * (self.variance + share * off * off)
+        self.peak = max(value, self.peak * fade)
+
+
+@attrs.define
+class _Rank:
+    """Use of slots by the requests of one rank, in which old ones fade."""
+
+    arrivals: float = 0.0
+    #: Slots in use, multiplied by the time, in seconds.
+    used_s: float = 0.0
+    #: Slots in use.
+    level: _Level = attrs.field(factory=_Level)
+
+    def observe(self, used: int, after_s: float) -> None:
+        """Add the slots in use now, that long after the last time."""
+        self.fade(after_s)
+        self.used_s += used * after_s
+        self.level.add(used, after_s)
+
+    def fade(self, after_s: float) -> None:
+        """Let old requests count less."""
+        factor = math.exp(-after_s / HOLD_TIME_S)
+        self.arrivals *= factor
+        self.used_s *= factor
+
+    @property
+    def held_s(self) -> float:
+        """Return the mean time that a request holds a slot."""
+        return self.used_s / self.arrivals if self.arrivals else 0.0
+
+
+@attrs.define
+class _Sender:
+    """The latest counts of one gateway."""
+
+    counts: dict[str, list[int]]
+    at_s: float
+
+
+class LongStreams:
+    """Slots of a service that long streams need.
+
+    The number of requests by rank that each gateway reports tells all of them
+    the same. Requests that come and go between two reports are not seen, so a
+    rank is expected to hold slots for at least the time between reports.
+
+    Example::
+
+        streams.record("gateway-2", counts, now_s)
+        streams.observe(now_s)
+        streams.protected(decode_engines)
+    """
+
+    def __init__(self) -> None:
+        #: Ranks that hold slots for long.
+        self.ranks: frozenset[int] = frozenset()
+        #: Slots set aside for them.
+        self.slots_needed = 0.0
+        #: Slots of all engines that decode, 0 if it is not known.
+        self.slots_total = 0
+        self._senders: dict[str, _Sender] = {}
+        self._ranks = [_Rank() for _ in range(_request_counts.URGENT_RANKS)]
+        self._observed_s = -math.inf
+        self._surplus_since_s: float | None = None
+
+    def record(self, sender: str, counts: Counts, now_s: float) -> None:
+        """Replace the requests that a gateway has at the decode engines."""
+        before = self._senders.get(sender)
+        after = {
+            engine_id: _by_urgent_rank(requests)
+            for engine_id, requests in counts.items()
+        }
+        if before is not None:
+            self._count_arrivals(before.counts, after)
+        self._senders[sender] = _Sender(after, now_s)
+
+    def _count_arrivals(
+        self, before: dict[str, list[int]], after: dict[str, list[int]]
+    ) -> None:
+        none = [0] * len(self._ranks)
+        for engine_id, counts in after.items():
+            earlier = before.get(engine_id, none)
+            for rank, old, new in zip(
+                self._ranks, earlier, counts, strict=True
+            ):
+                rank.arrivals += max(new - old, 0)
+
+    def expire(self, oldest_s: float) -> None:
+        """Drop the counts that are older than that time.
+
+        The gateway is remembered for longer: one that sends a request now and
+        then does not report in between.
+        """
+        for sender, report in list(self._senders.items()):
+            if report.at_s < oldest_s - HOLD_TIME_S:
+                del self._senders[sender]
+            elif report.at_s < oldest_s:
+                report.counts = {}
+
+    def observe(self, now_s: float) -> None:
+        """Learn from what all gateways have at the engines now."""
+        after_s = now_s - self._observed_s
+        if after_s < SAMPLE_INTERVAL_S:
+            return
+        self._observed_s = now_s
+        if not math.isfinite(after_s):
+            return
+        for rank, used in zip(self._ranks, self._used(), strict=True):
+            rank.observe(used, after_s)
+        self._find_long_ranks()
+        self._set_need(self._high_level(), now_s)
+
+    def _used(self) -> list[int]:
+        totals = [0] * len(self._ranks)
+        for sender in self._senders.values():
+            for counts in sender.counts.values():
+                for rank, count in enumerate(counts):
+                    totals[rank] += count
+        return totals
+
+    def _high_level(self) -> float:
+        """Return a number of slots that long streams seldom exceed.
+
+        A level that has risen or fallen varies by more than is in use.
+        """
+        levels = [self._ranks[rank].level for rank in self.ranks]
+        mean = sum(level.mean for level in levels)
+        variance = sum(level.variance for level in levels)
+        peak = sum(level.peak for level in levels)
+        return min(mean + HEADROOM_DEVIATIONS * math.sqrt(variance), peak)
+
+    def _find_long_ranks(self) -> None:
+        least = NOTABLE_SHARE * sum(rank.arrivals for rank in self._ranks)
+        held_s = [
+            rank.held_s
+            for rank in self._ranks
+            if rank.arrivals and rank.arrivals >= least
+        ]
+        briefest_s = min(held_s, default=0.0)
+        if not briefest_s:
+            return
+        found = frozenset(
+            number
+            for number, rank in enumerate(self._ranks)
+            if rank.held_s >= briefest_s * self._long_multiple(number)
+        )
+        if found != self.ranks:
+            LOG.info(
+                "Ranks that hold slots for long changed.",
+                ranks=sorted(found),
+                before=sorted(self.ranks),
+                held_s=[round(rank.held_s, 2) for rank in self._ranks],
+            )
+            self.ranks = found
+
+    def _long_multiple(self, rank: int) -> float:
+        return (
+            LONG_WHILE_MULTIPLE if rank in self.ranks else LONG_FROM_MULTIPLE
+        )
+
+    def _set_need(self, needed: float, now_s: float) -> None:
+        """Follow a greater need, and a smaller one once it has lasted."""
+        if needed >= self.slots_needed * SURPLUS_SHARE:
+            self._surplus_since_s = None
+            self.slots_needed = max(self.slots_needed, needed)
+            return
+        if self._surplus_since_s is None:
+            self._surplus_since_s = now_s
+        if now_s - self._surplus_since_s >= SURPLUS_DEBOUNCE_S:
+            LOG.info(
+                "Long streams need fewer slots.",
+                slots=round(needed, 1),
+                before=round(self.slots_needed, 1),
+            )
+            self._surplus_since_s = None
+            self.slots_needed = needed
+
+    def protected(
+        self, decode_engines: collections.abc.Sequence[AnyEngine]
+    ) -> list[AnyEngine]:
+        """Return the decode engines that prefill no long prompts.
+
+        There is at least one, and another engine remains if there are two.
+        """
+        ordered = in_order(decode_engines)
+        needed = self._needed_of(decode_engines)
+        count = 0
+        for engine in ordered:
+            count += 1
+            needed -= engine.slots
+            if needed <= 0.0:
+                break
+        return ordered[: min(count, max(len(ordered) - 1, 1))]
+
+    def _needed_of(
+        self, decode_engines: collections.abc.Sequence[AnyEngine]
+    ) -> float:
+        """Return the slots needed of the engines, which may be a part."""
+        if not self.slots_total:
+            return self.slots_needed
+        slots = sum(engine.slots for engine in decode_engines)
+        return self.slots_needed * min(slots / self.slots_total, 1.0)
+
+    def competing(
+        self, decode_engines: collections.abc.Sequence[AnyEngine]
+    ) -> bool:
+        """Return whether long streams compete with other requests."""
+        if not self.ranks or len(decode_engines) < 2:
+            return False
+        slots = max(engine.slots for engine in decode_engines)
+        return self._needed_of(decode_engines) > slots * COMPETING_SHARE
+
+    def preferred(
+        self, rank: int, decode_engines: list[AnyEngine]
+    ) -> list[AnyEngine]:
+        """Return the engines at which a request should decode.
+
+        Long streams go to the protected engines and others elsewhere while
+        there are free slots; all engines are returned if there are none.
+        """
+        if not self.competing(decode_engines):
+            return decode_engines
+        protected = {
+            engine.engine_id for engine in self.protected(decode_engines)
+        }
+        is_long = self.is_long(rank)
+        free = [
+            engine
+            for engine in decode_engines
+            if (engine.engine_id in protected) == is_long
+            and engine.requests < engine.slots
+        ]
+        return free or decode_engines
+
+    def is_long(self, rank: int) -> bool:
+        """Return whether requests of a rank hold slots for long."""
+        return min(rank, _request_counts.URGENT_RANKS - 1) in self.ranks
+
+
+def in_order(
+    decode_engines: collections.abc.Iterable[AnyEngine],
+) -> list[AnyEngine]:
+    """Return engines by rendezvous score, the highest first.
+
+    All gateways have the same order without exchanging messages.
+    """
+    return sorted(
+        decode_engines,
+        key=lambda each: _parts.rendezvous_score(_ORDER_KEY, each.engine_id),
+        reverse=True,
+    )
+
+
+def _by_urgent_rank(requests: collections.abc.Sequence[int]) -> list[int]:
+    """Return numbers by rank with those of deferred requests added."""
+    ranks = _request_counts.URGENT_RANKS
+    counts = [0] * ranks
+    # A gateway of another release may use more or fewer ranks.
+    for number, count in enumerate(requests[: 2 * ranks]):
+        counts[number % ranks] += min(max(count, 0), COUNT_LIMIT)
+    return counts
--- a/bilberrydeal/systems/placement/_options.py
+++ b/bilberrydeal/systems/placement/_options.py
@@ -5,6 +5,7 @@
 from . import _base
 from . import _entities
 from . import _fetching
+from . import _long_streams
 from . import _parts
 
 #: Weight of an engine that also decodes in rendezvous hashing, where one that
@@ -15,8 +16,6 @@
 #: Largest share of busy slots with which a decode engine also prefills long
 #: prompts.
 PREFILL_SLOTS_SHARE = 0.4
-#: Hash key that selects the main decode engine by rendezvous hashing.
-_MAIN_DECODE_KEY = b"main decoder"
 #: Weight of the prefill time relative to the time to the first token: prefill
 #: uses capacity that other requests need.
 PREFILL_TIME_WEIGHT = 10.0
@@ -83,25 +82,31 @@
 
 
 def eligible(
-    prompt: _parts.Prompt, engines: _base.Engines
+    request: _base.Request, engines: _base.Engines
 ) -> list[_entities.EngineLoad]:
-    """Return the engines that may prefill a prompt.
+    """Return the engines that may prefill a request's prompt.
 
     Long prompts are prefilled where they do not delay the decoding of other
     requests: by prefill engines and lightly loaded decode engines, except
-    the main one, which only decodes. Short prompts are prefilled by the engine
-    that decodes.
+    those for long streams, which only decode. Short prompts are prefilled by
+    the engine that decodes.
     """
     decode_engines = [engine for engine in engines if not engine.prefill_only]
-    if not decode_engines or prompt.tokens < SHORT_PROMPT_TOKENS:
+    if not decode_engines:
         return decode_engines
-    main = main_decode_engine(decode_engines)
+    streams = decode_engines[0].long_streams
+    if request.prompt.tokens < SHORT_PROMPT_TOKENS:
+        if streams.is_long(request.rank):
+            return streams.preferred(request.rank, decode_engines)
+        return decode_engines
+    protected = {each.key for each in streams.protected(decode_engines)}
     candidates = [
         engine
         for engine in engines
-        if engine.prefill_only or (engine is not main and _can_prefill(engine))
+        if engine.prefill_only
+        or (engine.key not in protected and _can_prefill(engine))
     ]
-    return candidates or decode_engines
+    return candidates or streams.preferred(request.rank, decode_engines)
 
 
 def _can_prefill(engine: _entities.EngineLoad) -> bool:
@@ -117,12 +122,7 @@
     It has the highest rendezvous score, so all gateways choose the same one
     without exchanging messages.
     """
-    return max(
-        decode_engines,
-        key=lambda each: _parts.rendezvous_score(
-            _MAIN_DECODE_KEY, each.engine_id
-        ),
-    )
+    return _long_streams.in_order(decode_engines)[0]
 
 
 def evaluate_option(
--- a/bilberrydeal/systems/placement/_peer_loads.py
+++ b/bilberrydeal/systems/placement/_peer_loads.py
@@ -1,17 +1,21 @@
 """Sums the load that other gateways report for each engine."""
 
+import collections
 import collections.abc
 
 import attrs
 
 from . import _engine_speed
 from . import _entities
+from . import _long_streams
 from . import _parts
 from . import _peer_arrivals
 from . import _request_counts
 
 #: Age at which the load reported by a gateway is discarded, in seconds.
 MAX_REPORT_AGE_S = 1.0
+#: Stands for this gateway among the senders of counts.
+OWN = ""
 
 
 @attrs.frozen
@@ -82,6 +86,8 @@
         self._totals: dict[str, _Total] = {}
         #: What other gateways send, by service.
         self._arrivals: dict[str, _peer_arrivals.PeerArrivals] = {}
+        #: Slots that long streams need, by service.
+        self._streams: dict[str, _long_streams.LongStreams] = {}
         #: Engines whose totals changed since the last :meth:`apply`.
         self._changed: set[str] = set()
 
@@ -106,7 +112,7 @@
     def learn(
         self,
         gateway: str,
-        loads: collections.abc.Iterable[GatewayEngineLoad],
+        loads: collections.abc.Sequence[GatewayEngineLoad],
         find: FindEngine,
         now_s: float,
     ) -> None:
@@ -127,6 +133,48 @@
                 self._arrivals[engine.service] = engine.arrivals
         for service, arrivals in self._arrivals.items():
             arrivals.record(gateway, sent.get(service, 0.0), now_s)
+        self._record_counts(
+            gateway,
+            [(find(load.engine_id), load.requests) for load in loads],
+            now_s,
+        )
+
+    def observe(
+        self,
+        engines: collections.abc.Sequence[_entities.EngineLoad],
+        now_s: float,
+    ) -> None:
+        """Record what this gateway has at the engines, and learn from all."""
+        slots: collections.Counter[str] = collections.Counter()
+        for engine in engines:
+            self._streams[engine.service] = engine.long_streams
+            if not engine.prefill_only:
+                slots[engine.service] += engine.slots
+        self._record_counts(
+            OWN,
+            [(engine, engine.own_counts.by_rank) for engine in engines],
+            now_s,
+        )
+        for service, streams in self._streams.items():
+            streams.slots_total = slots[service]
+            streams.observe(now_s)
+
+    def _record_counts(
+        self,
+        gateway: str,
+        loads: collections.abc.Iterable[
+            tuple[_entities.EngineLoad | None, collections.abc.Sequence[int]]
+        ],
+        now_s: float,
+    ) -> None:
+        """Record the requests of a gateway at the engines that decode."""
+        counts: dict[str, dict[str, collections.abc.Sequence[int]]] = {}
+        for engine, requests in loads:
+            if engine is not None and not engine.prefill_only:
+                of_service = counts.setdefault(engine.service, {})
+                of_service[engine.engine_id] = requests
+        for service, streams in self._streams.items():
+            streams.record(gateway, counts.get(service, {}), now_s)
 
     def drop_stale(self, now_s: float) -> None:
         """Discard reports that are older than ``max_report_age_s``."""
@@ -136,6 +184,8 @@
                 del self._reports[gateway]
         for arrivals in self._arrivals.values():
             arrivals.expire(now_s - self.max_report_age_s)
+        for streams in self._streams.values():
+            streams.expire(now_s - self.max_report_age_s)
 
     def apply(self, find: FindEngine) -> None:
         """Write the changed totals to the engine loads."""
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -54,7 +54,9 @@
         ]
         if not in_time:
             return self._defer(request, options, engines)
-        best = min(in_time, key=lambda option: option.cost_s)
+        best = min(
+            in_time, key=lambda option: _crowded_cost_s(request, option)
+        )
         return placement_at(best, best.expected_s, deferred=False)
 
     def _defer(
@@ -94,6 +96,9 @@
         ]
         if not available:
             return None
+        available = available[0].long_streams.preferred(
+            request.rank, available
+        )
         source = next(
             (e for e in engines if e.engine_id == prefilled_at), None
         )
@@ -135,7 +140,7 @@
             and engine.requests < engine.slots * QUEUE_FACTOR
             and (request.may_separate or not engine.prefill_only)
         ]
-        eligible = _options.eligible(request.prompt, available)
+        eligible = _options.eligible(request, available)
         if not eligible:
             return []
         affinity_id = _options.affinity_engine(request.prompt, eligible)
@@ -167,6 +172,19 @@
         return options
 
 
+def _crowded_cost_s(request: _base.Request, option: _options.Option) -> float:
+    """Return the cost of an option, with that of its busy slots.
+
+    Prompts of long streams are short and cost the same everywhere. They are
+    spread, so that a slot is left where gateways choose alike.
+    """
+    engine = option.engine
+    if not engine.long_streams.is_long(request.rank):
+        return option.cost_s
+    share = engine.requests / engine.slots
+    return option.cost_s + share * BUSY_SLOTS_PENALTY_S
+
+
 def _best_deferred(
     request: _base.Request, options: list[_options.Option]
 ) -> _options.Option:
