--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -40,6 +40,7 @@
 from ._role_plan import ROLE_PLANS
 from ._role_plan import RoleDemand
 from ._role_plan import RoleOrder
+from ._slot_lending import preferred
 from ._two_stage import TwoStagePlacer
 
 __all__ = [
@@ -82,6 +83,7 @@
     "in_order",
     "main_decode_engine",
     "plan_roles",
+    "preferred",
     "rendezvous_score",
     "too_late_after_s",
 ]
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -244,6 +244,12 @@
         """Return the number of requests at the engine."""
         return self.own_counts.total + self.peer_counts.total
 
+    def requests_of_rank(self, rank: int) -> int:
+        """Return the number of requests of a rank, deferred or not."""
+        deferred = _request_counts.engine_rank(rank, deferred=True)
+        own, peers = self.own_counts.by_rank, self.peer_counts.by_rank
+        return own[rank] + own[deferred] + peers[rank] + peers[deferred]
+
     def deferred_requests(self, rank: int) -> int:
         """Return the number of deferred requests up to a rank."""
         return self.own_counts.deferred(rank) + self.peer_counts.deferred(rank)
--- a/bilberrydeal/systems/placement/_long_streams.py
+++ b/bilberrydeal/systems/placement/_long_streams.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import functools
 import math
 import typing
 
@@ -20,12 +21,18 @@
 
 #: Hash key that orders the decode engines by rendezvous hashing.
 _ORDER_KEY = b"main decoder"
+#: Engines whose place in that order is remembered.
+ORDER_CACHE_SIZE = 4_096
 #: Shortest time between two samples, in seconds.
 SAMPLE_INTERVAL_S = 0.05
 #: Time over which the time that requests hold a slot is averaged, in seconds.
 HOLD_TIME_S = 20.0
 #: Time over which the number of slots in use is averaged, in seconds.
 LEVEL_TIME_S = 10.0
+#: Time over which the rates of requests are averaged, in seconds.
+RATE_TIME_S = 1.0
+#: Weight of one report in the mean time between reports.
+REPORT_WEIGHT = 0.05
 #: A rank is long if it holds a slot this many times as long as the briefest
 #: one, and stays long above the second multiple.
 LONG_FROM_MULTIPLE = 3.0
@@ -42,6 +49,8 @@
 #: requests to be sent to engines by what they hold. With fewer they hardly
 #: compete with other requests.
 COMPETING_SHARE = 0.5
+#: Largest share of the slots that brief requests keep.
+BRIEF_SHARE = 0.5
 #: Largest number of requests of a rank at an engine that is believed.
 COUNT_LIMIT = 100_000
 
@@ -60,10 +69,6 @@
     def slots(self) -> int:
         """Return the number of requests that it runs concurrently."""
 
-    @property
-    def requests(self) -> int:
-        """Return the number of requests that it has."""
-
 
 AnyEngine = typing.TypeVar("AnyEngine", bound=Engine)
 
@@ -95,6 +100,8 @@
     """Use of slots by the requests of one rank, in which old ones fade."""
 
     arrivals: float = 0.0
+    #: The same with a short memory, to follow bursts.
+    recent: float = 0.0
     #: Slots in use, multiplied by the time, in seconds.
     used_s: float = 0.0
     #: Slots in use.
@@ -110,6 +117,7 @@
         """Let old requests count less."""
         factor = math.exp(-after_s / HOLD_TIME_S)
         self.arrivals *= factor
+        self.recent *= math.exp(-after_s / RATE_TIME_S)
         self.used_s *= factor
 
     @property
@@ -124,6 +132,8 @@
 
     counts: dict[str, list[int]]
     at_s: float
+    #: Whether it has been silent for too long.
+    expired: bool = False
 
 
 class LongStreams:
@@ -147,6 +157,11 @@
         self.slots_needed = 0.0
         #: Slots of all engines that decode, 0 if it is not known.
         self.slots_total = 0
+        #: Mean time between two reports of a gateway, in seconds.
+        self.report_s = 0.0
+        #: Shortest target of long streams that this gateway has placed, in
+        #: seconds; 0 while it has placed none.
+        self.target_s = 0.0
         self._senders: dict[str, _Sender] = {}
         self._ranks = [_Rank() for _ in range(_request_counts.URGENT_RANKS)]
         self._observed_s = -math.inf
@@ -161,6 +176,9 @@
         }
         if before is not None:
             self._count_arrivals(before.counts, after)
+            if sender:
+                off_s = now_s - before.at_s - self.report_s
+                self.report_s += REPORT_WEIGHT * off_s
         self._senders[sender] = _Sender(after, now_s)
 
     def _count_arrivals(
@@ -173,6 +191,7 @@
                 self._ranks, earlier, counts, strict=True
             ):
                 rank.arrivals += max(new - old, 0)
+                rank.recent += max(new - old, 0)
 
     def expire(self, oldest_s: float) -> None:
         """Drop the counts that are older than that time.
@@ -185,6 +204,13 @@
                 del self._senders[sender]
             elif report.at_s < oldest_s:
                 report.counts = {}
+                report.expired = True
+
+    @property
+    def blind(self) -> bool:
+        """Return whether no other gateway is heard any more."""
+        peers = [report for name, report in self._senders.items() if name]
+        return bool(peers) and all(report.expired for report in peers)
 
     def observe(self, now_s: float) -> None:
         """Learn from what all gateways have at the engines now."""
@@ -270,9 +296,13 @@
         """Return the decode engines that prefill no long prompts.
 
         There is at least one, and another engine remains if there are two.
+        Brief requests that are as urgent keep the slots that they use, up to
+        half of all.
         """
         ordered = in_order(decode_engines)
-        needed = self._needed_of(decode_engines)
+        total = sum(engine.slots for engine in ordered)
+        kept = min(self._urgent_brief_slots(), total * BRIEF_SHARE)
+        needed = min(self._needed_of(decode_engines), total - kept)
         count = 0
         for engine in ordered:
             count += 1
@@ -281,6 +311,15 @@
                 break
         return ordered[: min(count, max(len(ordered) - 1, 1))]
 
+    def _urgent_brief_slots(self) -> float:
+        """Return the slots used by brief requests as urgent as streams."""
+        last = max(self.ranks, default=0)
+        return sum(
+            rank.level.mean
+            for number, rank in enumerate(self._ranks[: last + 1])
+            if number not in self.ranks
+        )
+
     def _needed_of(
         self, decode_engines: collections.abc.Sequence[AnyEngine]
     ) -> float:
@@ -299,33 +338,51 @@
         slots = max(engine.slots for engine in decode_engines)
         return self._needed_of(decode_engines) > slots * COMPETING_SHARE
 
-    def preferred(
-        self, rank: int, decode_engines: list[AnyEngine]
-    ) -> list[AnyEngine]:
-        """Return the engines at which a request should decode.
+    def note_target(self, rank: int, target_s: float) -> None:
+        """Learn the target of a request that this gateway places."""
+        if self.is_long(rank) and target_s > 0.0:
+            self.target_s = min(self.target_s or target_s, target_s)
 
-        Long streams go to the protected engines and others elsewhere while
-        there are free slots; all engines are returned if there are none.
-        """
-        if not self.competing(decode_engines):
-            return decode_engines
-        protected = {
-            engine.engine_id for engine in self.protected(decode_engines)
-        }
-        is_long = self.is_long(rank)
-        free = [
-            engine
-            for engine in decode_engines
-            if (engine.engine_id in protected) == is_long
-            and engine.requests < engine.slots
-        ]
-        return free or decode_engines
+    @property
+    def long_held_s(self) -> float:
+        """Return the mean time that a long stream holds a slot."""
+        return self._held_s(lambda rank: rank in self.ranks)
+
+    @property
+    def brief_held_s(self) -> float:
+        """Return the mean time that other requests hold a slot."""
+        return self._held_s(lambda rank: rank not in self.ranks)
+
+    @property
+    def long_per_s(self) -> float:
+        """Return the rate of long streams."""
+        return self._per_s(lambda rank: rank in self.ranks)
+
+    @property
+    def brief_per_s(self) -> float:
+        """Return the rate of other requests."""
+        return self._per_s(lambda rank: rank not in self.ranks)
+
+    def _held_s(self, counted: collections.abc.Callable[[int], bool]) -> float:
+        ranks = [r for n, r in enumerate(self._ranks) if counted(n)]
+        arrivals = sum(rank.arrivals for rank in ranks)
+        used_s = sum(rank.used_s for rank in ranks)
+        return used_s / arrivals if arrivals else 0.0
+
+    def _per_s(self, counted: collections.abc.Callable[[int], bool]) -> float:
+        ranks = [r for n, r in enumerate(self._ranks) if counted(n)]
+        return sum(rank.recent for rank in ranks) / RATE_TIME_S
 
     def is_long(self, rank: int) -> bool:
         """Return whether requests of a rank hold slots for long."""
         return min(rank, _request_counts.URGENT_RANKS - 1) in self.ranks
 
 
+@functools.lru_cache(maxsize=ORDER_CACHE_SIZE)
+def _score(engine_id: str) -> float:
+    return _parts.rendezvous_score(_ORDER_KEY, engine_id)
+
+
 def in_order(
     decode_engines: collections.abc.Iterable[AnyEngine],
 ) -> list[AnyEngine]:
@@ -335,7 +392,7 @@
     """
     return sorted(
         decode_engines,
-        key=lambda each: _parts.rendezvous_score(_ORDER_KEY, each.engine_id),
+        key=lambda each: _score(each.engine_id),
         reverse=True,
     )
 
--- a/bilberrydeal/systems/placement/_options.py
+++ b/bilberrydeal/systems/placement/_options.py
@@ -7,6 +7,7 @@
 from . import _fetching
 from . import _long_streams
 from . import _parts
+from . import _slot_lending
 
 #: Weight of an engine that also decodes in rendezvous hashing, where one that
 #: only prefills has 1.
@@ -82,31 +83,37 @@
 
 
 def eligible(
-    request: _base.Request, engines: _base.Engines
+    request: _base.Request,
+    available: _base.Engines,
+    engines: _base.Engines,
 ) -> list[_entities.EngineLoad]:
-    """Return the engines that may prefill a request's prompt.
+    """Return the available engines that may prefill a request's prompt.
 
     Long prompts are prefilled where they do not delay the decoding of other
     requests: by prefill engines and lightly loaded decode engines, except
     those for long streams, which only decode. Short prompts are prefilled by
     the engine that decodes.
     """
-    decode_engines = [engine for engine in engines if not engine.prefill_only]
+    decode_engines = [each for each in available if not each.prefill_only]
     if not decode_engines:
         return decode_engines
-    streams = decode_engines[0].long_streams
+    every = [engine for engine in engines if not engine.prefill_only]
     if request.prompt.tokens < SHORT_PROMPT_TOKENS:
-        if streams.is_long(request.rank):
-            return streams.preferred(request.rank, decode_engines)
-        return decode_engines
-    protected = {each.key for each in streams.protected(decode_engines)}
+        found = _slot_lending.preferred(request.rank, decode_engines, every)
+        # A refusal would lose the work of one that has run.
+        return found or (decode_engines if request.may_have_run else [])
+    streams = decode_engines[0].long_streams
+    protected = {each.key for each in streams.protected(every)}
+    protected.add(main_decode_engine(decode_engines).key)
     candidates = [
         engine
-        for engine in engines
+        for engine in available
         if engine.prefill_only
         or (engine.key not in protected and _can_prefill(engine))
     ]
-    return candidates or streams.preferred(request.rank, decode_engines)
+    return candidates or _slot_lending.preferred(
+        request.rank, decode_engines, every
+    )
 
 
 def _can_prefill(engine: _entities.EngineLoad) -> bool:
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -7,6 +7,7 @@
 from . import _fetching
 from . import _options
 from . import _parts
+from . import _slot_lending
 
 #: Most requests at an engine per slot; those without a slot wait there in the
 #: order of their ranks.
@@ -45,6 +46,8 @@
         self, request: _base.Request, engines: _base.Engines, now_s: float
     ) -> _base.Outcome:
         """Choose the next engine for a request."""
+        if engines:
+            engines[0].long_streams.note_target(request.rank, request.target_s)
         options = self._options(request, engines, now_s)
         if not options:
             return _base.DeadlineUnreachable(MIN_RETRY_AFTER_S)
@@ -94,11 +97,13 @@
             for engine in _base.untried_decode_engines(request, engines)
             if engine.requests < engine.slots * QUEUE_FACTOR
         ]
+        available = _slot_lending.preferred(
+            request.rank,
+            available,
+            [engine for engine in engines if not engine.prefill_only],
+        )
         if not available:
             return None
-        available = available[0].long_streams.preferred(
-            request.rank, available
-        )
         source = next(
             (e for e in engines if e.engine_id == prefilled_at), None
         )
@@ -140,14 +145,18 @@
             and engine.requests < engine.slots * QUEUE_FACTOR
             and (request.may_separate or not engine.prefill_only)
         ]
-        eligible = _options.eligible(request, available)
+        eligible = _options.eligible(request, available, engines)
         if not eligible:
             return []
         affinity_id = _options.affinity_engine(request.prompt, eligible)
         sources = _fetching.FetchSources(request.prompt, engines)
         decode_wait = _options.slot_wait(
             request,
-            [engine for engine in available if not engine.prefill_only],
+            _slot_lending.awaited(
+                request.rank,
+                [engine for engine in available if not engine.prefill_only],
+                [engine for engine in engines if not engine.prefill_only],
+            ),
         )
         left_share = _options.deferred_share(engines, now_s)
         options = []
--- a/bilberrydeal/systems/placement/tests/slot_play.py
+++ b/bilberrydeal/systems/placement/tests/slot_play.py
@@ -120,6 +120,7 @@
     role: ports.EngineRole
     slots: int
     cache: placement.PartCache
+    tokens_per_s: float = TOKENS_PER_S
     waiting: list[tuple[tuple[int, int], Job]] = attrs.field(factory=list)
     running: list[Job] = attrs.field(factory=list)
 
@@ -144,9 +145,9 @@
 
     def _prefill(self) -> float:
         """Prefill; return the time in which it did not decode."""
-        speed, share = TOKENS_PER_S, 1.0
+        speed, share = self.tokens_per_s, 1.0
         if not self.prefill_only:
-            speed, share = TOKENS_PER_S * MIXED_SPEED, PREFILL_SHARE
+            speed, share = speed * MIXED_SPEED, PREFILL_SHARE
         left_s = share * STEP_S
         for job in sorted(self.running, key=lambda job: job.order):
             if job.prefill_tokens > 0.0 and left_s > 0.0:
@@ -184,7 +185,7 @@
     ) -> None:
         super().__init__(name, engines)  # type: ignore[arg-type]
         self.learns = learns
-        line = placement.Line(0.003, 1 / TOKENS_PER_S)
+        line = placement.Line(0.003, 1 / engines[0].tokens_per_s)
         speed = placement.ServiceSpeed(line, placement.Line(0.008, 0.0))
         first = next(iter(self.loads.values()))
         for engine in engines:
@@ -224,6 +225,7 @@
         slots: int = 8,
         gateways: int = 5,
         learns: bool = True,
+        tokens_per_s: float = TOKENS_PER_S,
         seed: int = 1,
     ) -> None:
         self.random = random.Random(seed)
@@ -231,7 +233,11 @@
         roles += [ports.EngineRole.DECODE] * decode_engines
         self.engines = {
             f"e{number}": Engine(
-                f"e{number}", role, slots, placement.PartCache(1_280_000)
+                f"e{number}",
+                role,
+                slots,
+                placement.PartCache(1_280_000),
+                tokens_per_s,
             )
             for number, role in enumerate(roles)
         }
