--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -20,6 +20,8 @@
 from ._linear_time import Line
 from ._linear_time import LinearTime
 from ._linear_time import TimeSample
+from ._long_streams import in_order
+from ._long_streams import LongStreams
 from ._options import main_decode_engine
 from ._parts import PartCache
 from ._parts import Prompt
@@ -38,6 +40,7 @@
 from ._role_plan import ROLE_PLANS
 from ._role_plan import RoleDemand
 from ._role_plan import RoleOrder
+from ._slot_lending import preferred
 from ._two_stage import TwoStagePlacer
 
 __all__ = [
@@ -50,6 +53,7 @@
     "LeastOutstandingPlacer",
     "Line",
     "LinearTime",
+    "LongStreams",
     "MAX_REPORT_AGE_S",
     "NoEarlyRefusalPlacer",
     "NoLocalityPlacer",
@@ -76,8 +80,10 @@
     "TwoStagePlacer",
     "URGENT_RANKS",
     "engine_rank",
+    "in_order",
     "main_decode_engine",
     "plan_roles",
+    "preferred",
     "rendezvous_score",
     "too_late_after_s",
 ]
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -7,6 +7,7 @@
 from . import _fetching
 from . import _options
 from . import _parts
+from . import _slot_lending
 
 #: Most requests at an engine per slot; those without a slot wait there in the
 #: order of their ranks.
@@ -49,6 +50,8 @@
         self, request: _base.Request, engines: _base.Engines, now_s: float
     ) -> _base.Outcome:
         """Choose the next engine for a request."""
+        if engines:
+            engines[0].long_streams.note_target(request.rank, request.target_s)
         options = self._options(request, engines, now_s)
         if not options:
             return _base.DeadlineUnreachable(MIN_RETRY_AFTER_S)
@@ -58,7 +61,9 @@
         ]
         if not in_time:
             return self._defer(request, options, engines)
-        best = min(in_time, key=lambda option: option.cost_s)
+        best = min(
+            in_time, key=lambda option: _crowded_cost_s(request, option)
+        )
         return placement_at(best, best.expected_s, deferred=False)
 
     def _defer(
@@ -100,6 +105,11 @@
             for engine in _base.untried_decode_engines(request, engines)
             if engine.requests < engine.slots * QUEUE_FACTOR
         ]
+        available = _slot_lending.preferred(
+            request.rank,
+            available,
+            [engine for engine in engines if not engine.prefill_only],
+        )
         if not available:
             return None
 
@@ -139,14 +149,18 @@
             and engine.requests < engine.slots * QUEUE_FACTOR
             and (request.may_separate or not engine.prefill_only)
         ]
-        eligible = _options.eligible(request.prompt, available)
+        eligible = _options.eligible(request, available, engines)
         if not eligible:
             return []
         affinity_id = _options.affinity_engine(request.prompt, eligible)
         sources = _fetching.FetchSources(request.prompt, engines)
         decode_wait = _options.slot_wait(
             request,
-            [engine for engine in available if not engine.prefill_only],
+            _slot_lending.awaited(
+                request.rank,
+                [engine for engine in available if not engine.prefill_only],
+                [engine for engine in engines if not engine.prefill_only],
+            ),
         )
         left_share = _options.deferred_share(engines, now_s)
         options = []
@@ -171,6 +185,19 @@
         return options
 
 
+def _crowded_cost_s(request: _base.Request, option: _options.Option) -> float:
+    """Return the cost of an option, with that of its busy slots.
+
+    Prompts of long streams are short and cost the same everywhere. They are
+    spread, so that a slot is left where gateways choose alike.
+    """
+    engine = option.engine
+    if not engine.long_streams.is_long(request.rank):
+        return option.cost_s
+    share = engine.requests / engine.slots
+    return option.cost_s + share * BUSY_SLOTS_PENALTY_S
+
+
 def _best_deferred(
     request: _base.Request, options: list[_options.Option]
 ) -> _options.Option:
