--- a/bilberrydeal/gateway/duties/_roles.py
+++ b/bilberrydeal/gateway/duties/_roles.py
@@ -61,6 +61,8 @@
     busy_slots: float = 0.0
     #: Time to clear the queues of prefill engines, averaged, in seconds.
     prefill_wait_s: float = 0.0
+    #: Engines that decoding and prefill need, as learned.
+    needs: placement.RoleNeeds = attrs.field(factory=placement.RoleNeeds)
     #: Orders issued to its engines so far.
     order_count: int = 0
     #: Whether any request has been seen.
@@ -180,6 +182,7 @@
             decode_engines=[load for load in loads if not load.prefill_only],
             prefill_engines=[load for load in loads if load.prefill_only],
         )
+        state.needs.observe(loads, now_s)
         state.used = state.used or any(load.requests for load in loads)
         by_id = {load.engine_id: load for load in loads}
         for engine_id, order in list(state.pending.items()):
@@ -223,6 +226,8 @@
             decode_engine_leaving=decode_engine_leaving,
             idle=not state.used,
             order_count=state.order_count,
+            need=state.needs.learned,
+            changing=len(state.pending),
         )
 
     def _may_order(
@@ -279,6 +284,7 @@
             accepted_order_count,
             on_signals,
         )
+        need = self._services[upstream.endpoint.service].needs.learned
         LOG.info(
             "Role ordered.",
             endpoint=order.engine_id,
@@ -286,5 +292,7 @@
             fence=fence,
             orders_before=accepted_order_count,
             accepted=accepted,
+            decode_engines_needed=need and round(need.decode_engines, 1),
+            prefill_engines_needed=need and round(need.prefill_engines, 1),
         )
         return accepted
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -33,6 +33,8 @@
 from ._request_counts import RequestCounts
 from ._request_counts import URGENT_RANKS
 from ._ring import EngineRing
+from ._role_need import RoleNeed
+from ._role_need import RoleNeeds
 from ._role_plan import Plan
 from ._role_plan import plan_roles
 from ._role_plan import ROLE_PLANS
@@ -69,6 +71,8 @@
     "Request",
     "RequestCounts",
     "RoleDemand",
+    "RoleNeed",
+    "RoleNeeds",
     "RoleOrder",
     "ServiceSpeed",
     "SlotTimes",
--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -10,6 +10,7 @@
 from ... import registry
 from . import _entities
 from . import _options
+from . import _role_need
 
 #: Fewest decode engines of a service, so that one remains if another is lost.
 #: Services with fewer engines than ``MIN_DECODE_ENGINES_FROM`` need only one.
@@ -21,6 +22,20 @@
 SLOTS_PER_PREFILL_ENGINE = 3.0
 #: Smallest share of prefill engines, regardless of the demand for decoding.
 MIN_PREFILL_SHARE = 0.4
+#: Smallest share of decode engines by the slots of each from which on these
+#: constants leave no range, so that the number follows from what is learned.
+#: Engines with 12 slots or fewer have it.
+MIN_LEARNED_SHARE = 0.45
+#: Smallest share of prefill engines if the number of either is learned.
+MIN_LEARNED_PREFILL_SHARE = 0.2
+#: Share to which engines of a kind are used, with headroom, from which on they
+#: run short. A kind without any spare time or slot shows a share of 1.
+SHORTAGE_SHARE = 0.9
+#: Largest share after a change of the kind that gives up an engine, as a
+#: multiple of the present share of the other kind. Decode engines are given up
+#: less easily: without a slot all requests wait.
+PREFILL_SPARE = 0.95
+DECODE_SPARE = 0.85
 #: Target share of busy slots of decode engines.
 SLOT_UTILIZATION = 0.95
 #: Average prefill wait below which prefill engines count as idle, in seconds.
@@ -68,6 +83,10 @@
     idle: bool = False
     #: Number of orders to the engines of the service so far.
     order_count: int = 0
+    #: Engines that decoding and prefill need, ``None`` if it is not known.
+    need: _role_need.RoleNeed | None = None
+    #: Number of engines that are changing their roles.
+    changing: int = 0
 
 
 Plan = collections.abc.Callable[
@@ -96,10 +115,15 @@
     """Return the next role change for a service, or ``None``.
 
     Decode engines are spread over failure domains. Their number follows the
-    number of busy slots, between a minimum and what prefill leaves.
+    number of busy slots, between a minimum and what prefill leaves. Where
+    engines have few slots it follows from what is learned.
     """
     decode_engines = [engine for engine in engines if not engine.prefill_only]
     prefill_engines = [engine for engine in engines if engine.prefill_only]
+    if demand.need is not None and _few_slots(engines):
+        return _learned_order(
+            decode_engines, prefill_engines, demand, demand.need
+        )
     wanted = _decode_engines_wanted(engines, demand)
     if len(decode_engines) > wanted and _more_prefill_wanted(demand):
         chosen = _decode_engine_to_convert(decode_engines)
@@ -108,13 +132,71 @@
             chosen.engine_id, ports.EngineRole.PREFILL, debounce_s
         )
     if len(decode_engines) < wanted and prefill_engines:
-        chosen = _prefill_engine_to_convert(prefill_engines, decode_engines)
-        immediate = not decode_engines or demand.decode_engine_leaving
-        debounce_s = NO_DEBOUNCE_S if immediate else SHORTAGE_DEBOUNCE_S
-        return RoleOrder(chosen.engine_id, ports.EngineRole.DECODE, debounce_s)
+        return _to_decode(decode_engines, prefill_engines, demand)
+    return None
+
+
+def _few_slots(
+    engines: collections.abc.Sequence[_entities.EngineLoad],
+) -> bool:
+    """Return whether the constants leave no range for decode engines."""
+    slots = max((engine.slots for engine in engines), default=0)
+    return bool(slots) and _min_decode_share(slots) >= MIN_LEARNED_SHARE
+
+
+def _min_decode_share(slots: int) -> float:
+    return MIN_DECODE_SHARE + SLOTS_PER_PREFILL_ENGINE / slots
+
+
+def _learned_order(
+    decode_engines: list[_entities.EngineLoad],
+    prefill_engines: list[_entities.EngineLoad],
+    demand: RoleDemand,
+    need: _role_need.RoleNeed,
+) -> RoleOrder | None:
+    """Return the change that relieves the kind of engines that runs short.
+
+    There is one change at a time, and none while both kinds suffice.
+    """
+    decode, prefill = len(decode_engines), len(prefill_engines)
+    count = decode + prefill
+    minimum = MIN_DECODE_ENGINES if count >= MIN_DECODE_ENGINES_FROM else 1
+    if prefill and decode < minimum:
+        return _to_decode(decode_engines, prefill_engines, demand)
+    if demand.changing:
+        return None
+    decode_used = need.decode_engines / max(decode, 1)
+    prefill_used = need.prefill_engines / max(prefill, 1)
+    reserved = math.ceil(count * MIN_LEARNED_PREFILL_SHARE)
+    if decode_used >= SHORTAGE_SHARE and prefill > max(reserved, 1):
+        left_used = need.prefill_engines / (prefill - 1)
+        if left_used < decode_used * PREFILL_SPARE:
+            return _to_decode(decode_engines, prefill_engines, demand)
+    if prefill_used >= SHORTAGE_SHARE and decode > minimum:
+        left_used = need.decode_engines / (decode - 1)
+        if left_used < prefill_used * DECODE_SPARE:
+            return _to_prefill(decode_engines)
     return None
 
 
+def _to_decode(
+    decode_engines: list[_entities.EngineLoad],
+    prefill_engines: list[_entities.EngineLoad],
+    demand: RoleDemand,
+) -> RoleOrder:
+    chosen = _prefill_engine_to_convert(prefill_engines, decode_engines)
+    immediate = not decode_engines or demand.decode_engine_leaving
+    debounce_s = NO_DEBOUNCE_S if immediate else SHORTAGE_DEBOUNCE_S
+    return RoleOrder(chosen.engine_id, ports.EngineRole.DECODE, debounce_s)
+
+
+def _to_prefill(decode_engines: list[_entities.EngineLoad]) -> RoleOrder:
+    chosen = _decode_engine_to_convert(decode_engines)
+    return RoleOrder(
+        chosen.engine_id, ports.EngineRole.PREFILL, SURPLUS_DEBOUNCE_S
+    )
+
+
 def _more_prefill_wanted(demand: RoleDemand) -> bool:
     """Return whether surplus decode engines should prefill instead."""
     if demand.order_count < PROACTIVE_ORDERS:
@@ -135,8 +217,7 @@
         return 0
     minimum = MIN_DECODE_ENGINES if count >= MIN_DECODE_ENGINES_FROM else 1
     slots = max(engine.slots for engine in engines)
-    share = MIN_DECODE_SHARE + SLOTS_PER_PREFILL_ENGINE / slots
-    minimum = max(minimum, math.ceil(count * share))
+    minimum = max(minimum, math.ceil(count * _min_decode_share(slots)))
     needed = math.ceil(demand.busy_slots / (slots * SLOT_UTILIZATION))
     maximum = count - math.ceil(count * MIN_PREFILL_SHARE)
     return min(max(minimum, min(needed, maximum)), max(maximum, 1))
