--- a/bilberrydeal/catalogue/__init__.py
+++ b/bilberrydeal/catalogue/__init__.py
@@ -3,6 +3,8 @@
 from ._configuration import CallerLimits
 from ._configuration import Configuration
 from ._configuration import Organisation
+from ._configuration import Quota
+from ._configuration import QuotaUnit
 from ._configuration import Route
 from ._configuration import RouteKind
 from ._configuration import TrafficSplit
@@ -17,6 +19,8 @@
     "Endpoint",
     "EngineLimits",
     "Organisation",
+    "Quota",
+    "QuotaUnit",
     "Route",
     "RouteKind",
     "RouteTable",
--- a/bilberrydeal/catalogue/_configuration.py
+++ b/bilberrydeal/catalogue/_configuration.py
@@ -66,6 +66,26 @@
         )
 
 
+class QuotaUnit(enum.Enum):
+    """What a quota counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
+@attrs.frozen
+class Quota:
+    """Limit of an organisation's requests over all gateways."""
+
+    unit: QuotaUnit
+    #: Greatest sustained rate, in units per second; greater than 0.
+    rate_per_s: float
+    #: Units that may be used at once.
+    burst: float
+    #: Tokens of a request that names none.
+    plain_tokens: float
+
+
 @attrs.frozen
 class Organisation:
     """The owner of one or more API keys."""
@@ -73,6 +93,8 @@
     name: str
     #: Overrides the priority of the route; ``None`` if not set.
     priority: int | None
+    #: Limit of its requests, ``None`` for no limit.
+    quota: Quota | None = None
 
 
 @attrs.frozen
@@ -97,3 +119,7 @@
     limits: CallerLimits
     #: Organisations by key; ``None`` if requests carry no keys.
     organisations: dict[bytes, Organisation] | None
+    #: What is wrong with quotas, which are not applied.
+    quota_faults: tuple[str, ...] = ()
+    #: Quotas by organisation.
+    quotas: dict[str, Quota] = attrs.field(factory=dict)
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -18,6 +18,7 @@
 from ..systems import health
 from ..systems import placement
 from ..systems import quarantine
+from ..systems import quotas as quota_systems
 from ..systems import retries
 from . import _settings_watcher
 from . import _shutdown
@@ -27,6 +28,7 @@
 from . import duties
 from . import messaging
 from . import peer_exchange
+from . import quotas
 from . import sending
 from . import serving
 from . import streams
@@ -108,6 +110,16 @@
             clock,
         )
         self._metrics = core.GatewayMetrics()
+        self._quotas = quotas.Quotas(
+            self._datagrams,
+            self._cluster,
+            self._coordination.incarnation,
+            gateway_settings.listen.peers,
+            self._quota_listing,
+            _quota_bounds(gateway_settings),
+            self._metrics,
+            clock,
+        )
         self._quarantine = sending.RequestQuarantine(
             quarantine.QUARANTINES.get(gateway_settings.quarantine)(),
             self._datagrams,
@@ -170,6 +182,7 @@
                 self._clock,
             ),
             retry_policy=retry_policy,
+            quota=self._quotas,
             metrics=self._metrics,
             tracing=self._tracing,
             connectivity=self._connectivity,
@@ -275,6 +288,13 @@
                 self._limit_broadcast.run_once,
             )
         )
+        self._spawn(
+            periodic.run_periodically(
+                "quotas",
+                lambda: quota_systems.TICK_INTERVAL_S,
+                self._quotas.run_once,
+            )
+        )
         self._spawn(
             periodic.run_periodically(
                 "quarantine",
@@ -326,6 +346,12 @@
         self._cluster.sweep(now_s)
         self._endpoint_updater.sweep(now_s)
 
+    def _quota_listing(self) -> quotas.Listing:
+        coordination = self._coordination
+        return quotas.Listing(
+            coordination.others, coordination.settled, coordination.row_left_s
+        )
+
     def _caller_limits(self) -> http1.ServerLimits:
         configuration = self._cluster.configuration
         if configuration is None:
@@ -388,6 +414,7 @@
         await _shutdown.shut_down(
             self._caller_server, self._shutdown_state, times
         )
+        self._quotas.shut_down()
         await self._coordination.shut_down()
         for task in self._tasks:
             task.cancel()
@@ -404,6 +431,17 @@
     )
 
 
+def _quota_bounds(
+    gateway_settings: settings.GatewaySettings,
+) -> quota_systems.FallbackBounds:
+    bounds = gateway_settings.bounds
+    return quota_systems.FallbackBounds(
+        window_s=bounds.quota_window_s,
+        overage=bounds.quota_overage,
+        slack_tokens=bounds.quota_slack,
+    )
+
+
 def run(gateway_settings: settings.GatewaySettings, path: pathlib.Path) -> int:
     """Run a gateway until SIGTERM or SIGINT; return the exit code."""
     import uvloop
--- a/bilberrydeal/gateway/accounting/__init__.py
+++ b/bilberrydeal/gateway/accounting/__init__.py
@@ -4,6 +4,7 @@
 from ._clock import ClusterClock
 from ._reporting import DUTY
 from ._reporting import Reporter
+from ._usage import alive_s
 from ._usage import incarnation_of
 from ._usage import Members
 from ._usage import UsageCounter
@@ -24,6 +25,7 @@
     "SettledWindows",
     "UsageCounter",
     "UsageRows",
+    "alive_s",
     "boot_s",
     "incarnation_of",
 ]
--- a/bilberrydeal/gateway/accounting/_usage.py
+++ b/bilberrydeal/gateway/accounting/_usage.py
@@ -154,12 +154,12 @@
         self._version = 0
         self._remembered = _RememberedRows()
 
-    async def write(self, final: bool = False) -> None:
-        """Write this gateway's row."""
+    async def write(self, final: bool = False) -> bool:
+        """Write this gateway's row; return whether it could be written."""
         store_s = self._clock.store_s()
         offset_s = self._clock.local_offset_s()
         if store_s is None or offset_s is None:
-            return
+            return False
         row = GatewayRow(
             offset_s=offset_s,
             written_s=store_s,
@@ -167,6 +167,7 @@
             windows=self._counter.windows(),
         )
         await self._put(store.encode(row))
+        return True
 
     async def _put(self, value: bytes) -> None:
         """Replace the row on condition of the last known version.
@@ -209,18 +210,26 @@
         store is unreachable.
         """
         newest_s = max((row.written_s for row in rows.values()), default=0.0)
-        alive_s = max(ALIVE_S, row_pause_s * ALIVE_WRITES)
+        silence_s = alive_s(row_pause_s)
         others = {
             incarnation: row.peer_address
             for incarnation, row in sorted(rows.items())
             if incarnation != self._incarnation
             and _is_reachable(incarnation, row)
-            and newest_s - row.written_s < alive_s
+            and newest_s - row.written_s < silence_s
         }
         position = sum(name < self._incarnation for name in others)
         return Members(others=others, position=position)
 
 
+def alive_s(row_pause_s: float) -> float:
+    """Return the age of a row, behind the newest, that shows no life.
+
+    ``row_pause_s`` is the interval between writes of a row.
+    """
+    return max(ALIVE_S, row_pause_s * ALIVE_WRITES)
+
+
 def _is_reachable(incarnation: str, row: GatewayRow) -> bool:
     """Return whether a gateway has an address for datagrams."""
     if not row.peer_address:
--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -25,6 +25,8 @@
 CONNECTIONS_FLOOR = 8
 #: Share of an engine's KV cache assumed to hold shared prompt parts.
 CACHE_SHARE = 0.8
+#: Most faults of quotas in a log line.
+FAULTS_SHOWN = 10
 #: Most removed endpoints that are remembered.
 REMOVED_LIMIT = 256
 
@@ -80,6 +82,13 @@
         self.routes = catalogue.RouteTable(configuration.routes)
         for upstream in self.endpoints.values():
             self._set_limits(upstream)
+        if configuration.quota_faults:
+            LOG.error(
+                "Quotas not applied.",
+                version=configuration.version,
+                faults=configuration.quota_faults[:FAULTS_SHOWN],
+                count=len(configuration.quota_faults),
+            )
         LOG.info(
             "Configuration in force.",
             version=configuration.version,
--- a/bilberrydeal/gateway/core/__init__.py
+++ b/bilberrydeal/gateway/core/__init__.py
@@ -7,6 +7,7 @@
 from ._requests import failure_refusal
 from ._requests import NO_PROMPT
 from ._requests import not_run_refusal
+from ._requests import QuotaCharge
 from ._requests import RequestProgress
 from ._requests import SendRecord
 from ._shutdown_state import ShutdownState
@@ -17,6 +18,7 @@
     "GatewayMetrics",
     "GaugeValues",
     "NO_PROMPT",
+    "QuotaCharge",
     "RequestProgress",
     "SendRecord",
     "ShutdownState",
--- a/bilberrydeal/gateway/core/_metrics.py
+++ b/bilberrydeal/gateway/core/_metrics.py
@@ -61,6 +61,15 @@
             "bilberrydeal_quarantine_decisions_total",
             "Decisions about prompt parts that crash engines, by kind.",
         )
+        self._organisations: set[str] = set()
+        self._quota_amounts = self.metrics.counter(
+            "bilberrydeal_quota_amount_total",
+            "Costs of requests by organisation, unit and outcome.",
+        )
+        self._quota_fallbacks = self.metrics.counter(
+            "bilberrydeal_quota_fallback_requests_total",
+            "Requests decided without the home, by organisation and outcome.",
+        )
         self._gauges = {
             name: self.metrics.gauge(f"bilberrydeal_{name}", text)
             for name, text in (
@@ -105,6 +114,25 @@
                 }
             )
 
+    def count_quota(
+        self,
+        organisation: str,
+        unit: str,
+        cost: float,
+        granted: bool,
+        fallback: bool,
+    ) -> None:
+        """Count what a request cost, or would have cost, of a quota."""
+        label = telemetry.bounded_label(organisation, self._organisations)
+        outcome = "admitted" if granted else "rejected"
+        self._quota_amounts.add(
+            {"organisation": label, "unit": unit, "outcome": outcome}, cost
+        )
+        if fallback:
+            self._quota_fallbacks.inc(
+                {"organisation": label, "outcome": outcome}
+            )
+
     def count_quarantine_decision(self, kind: str) -> None:
         """Count a decision about prompt parts."""
         self._quarantine_decisions.inc({"kind": kind})
--- a/bilberrydeal/gateway/core/_requests.py
+++ b/bilberrydeal/gateway/core/_requests.py
@@ -39,6 +39,8 @@
     last_event: bytes
     #: Version of the configuration that it was admitted under.
     configuration_version: int
+    #: Value of the caller's header with numbers of tokens.
+    token_counts: bytes | None = None
 
     @property
     def priority(self) -> int:
@@ -76,6 +78,17 @@
         return self.organisation.name if self.organisation else None
 
 
+@attrs.frozen
+class QuotaCharge:
+    """What was taken from an organisation's quota for a request."""
+
+    organisation: str
+    #: Units of the quota.
+    cost: float
+    #: Whether this gateway took it without the organisation's home.
+    fallback: bool
+
+
 @attrs.define
 class SendRecord:
     """One send of a request to an endpoint, as logged."""
@@ -141,6 +154,8 @@
     probes_quarantine: bool = False
     #: Whether it was counted for billing.
     usage_counted: bool = False
+    #: What it cost of a quota; ``None`` without one and once given back.
+    quota_charge: QuotaCharge | None = None
     #: Id of the last event sent to the caller.
     last_event: bytes = b""
 
--- a/bilberrydeal/gateway/duties/_coordination.py
+++ b/bilberrydeal/gateway/duties/_coordination.py
@@ -38,6 +38,11 @@
 STARTING_INTERVAL_S = 0.5
 #: Most of them of all gateways together a second.
 STARTING_READS_PER_S = 40.0
+#: A gateway counts on its row for this much less than others do, in seconds.
+ROW_MARGIN_S = 1.0
+#: Time after the first write of its row from which on a gateway finds all
+#: others that started with it, in seconds.
+SETTLED_AFTER_S = 1.0
 #: Interval between lease steps of the holder and of a candidate.
 LEASE_HELD_INTERVAL_S = 1.2
 LEASE_CANDIDATE_INTERVAL_S = 2.0
@@ -148,6 +153,12 @@
             ),
             placement.ROLE_PLANS.get(gateway_settings.role_plan),
         )
+        #: When this gateway's row was written first and last, in the time
+        #: since boot; the start of the process until then for the latter.
+        self._row_first_s: float | None = None
+        self._row_written_s = self._started_s
+        #: Whether gateways that started with this one are listed.
+        self.settled = False
         #: Datagram addresses of the other gateways.
         self.peers: tuple[messaging.Address, ...] = ()
 
@@ -161,6 +172,18 @@
         """Return whether this process holds the lease."""
         return self._lease.is_held(accounting.boot_s())
 
+    @property
+    def others(self) -> collections.abc.Mapping[str, str]:
+        """Return the other gateways' datagram addresses by incarnation."""
+        return self._members.others
+
+    @property
+    def row_left_s(self) -> float:
+        """Return for how long others certainly find this gateway alive."""
+        alive_s = accounting.alive_s(self._row_pause_s())
+        age_s = accounting.boot_s() - self._row_written_s
+        return alive_s - ROW_MARGIN_S - age_s
+
     def clock_offset_s(self, steady_s: float) -> float:
         """Return the gateways' common clock minus a steady clock."""
         return self._cluster_clock.now_s() - steady_s
@@ -169,7 +192,7 @@
         """Return the periodic tasks to run until the process ends."""
         return [
             periodic.run_periodically(
-                "row", self._row_pause_s, self._rows.write
+                "row", self._row_pause_s, self._write_row
             ),
             periodic.run_periodically(
                 "tell",
@@ -217,8 +240,20 @@
         except errors.BilberrydealError as error:
             LOG.warning("Final usage counts not written.", reason=str(error))
 
+    async def _write_row(self) -> None:
+        began_s = accounting.boot_s()
+        if not await self._rows.write():
+            return
+        self._row_written_s = began_s
+        if self._row_first_s is None:
+            self._row_first_s = accounting.boot_s()
+
     async def _read_members(self) -> None:
+        began_s = accounting.boot_s()
         rows = await self._rows.read()
+        first_s = self._row_first_s
+        if first_s is not None and began_s - first_s >= SETTLED_AFTER_S:
+            self.settled = True
         self._members = self._rows.members(rows, self._row_pause_s())
         self._cluster.set_gateways(self.incarnation, self._members.others)
         self.peers = tuple(
--- a/bilberrydeal/gateway/messaging/_datagrams.py
+++ b/bilberrydeal/gateway/messaging/_datagrams.py
@@ -15,6 +15,7 @@
 from ... import telemetry
 from ...systems import placement
 from ...systems import quarantine
+from ...systems import quotas
 from . import _quarantine_wire
 
 LOG = telemetry.logger("datagrams")
@@ -119,6 +120,8 @@
     settled: tuple[SettledWindow, ...] = ()
     #: Request limits that endpoints name.
     limits: tuple[EndpointLimitReport, ...] = ()
+    #: Quotas of organisations.
+    quota: quotas.Message | None = None
 
 
 class _WireEngineLoad(msgspec.Struct, array_like=True):
@@ -146,6 +149,7 @@
     asks: str = ""
     settled: tuple[SettledWindow, ...] = ()
     limits: tuple[EndpointLimitReport, ...] = ()
+    quota: quotas.Message | None = None
 
 
 def _to_wire(datagram: Datagram) -> _WireDatagram:
@@ -171,6 +175,7 @@
         datagram.asks,
         datagram.settled,
         datagram.limits,
+        datagram.quota,
     )
 
 
@@ -201,6 +206,7 @@
         wire.asks,
         settled=wire.settled,
         limits=wire.limits,
+        quota=wire.quota,
     )
 
 
--- a/bilberrydeal/gateway/serving/_admission.py
+++ b/bilberrydeal/gateway/serving/_admission.py
@@ -53,6 +53,7 @@
             prompt=caller.prompt,
             last_event=caller.last_event,
             configuration_version=configuration.version,
+            token_counts=caller.token_counts,
         )
 
     def _service(self, route: catalogue.Route) -> str:
--- a/bilberrydeal/gateway/serving/_request_handler.py
+++ b/bilberrydeal/gateway/serving/_request_handler.py
@@ -13,6 +13,7 @@
 from ...systems import pacing
 from .. import cluster_state
 from .. import core
+from .. import quotas
 from .. import sending
 from .. import streams
 from . import _admission
@@ -37,6 +38,7 @@
         plain: _plain.PlainServer,
         stream: streams.StreamServer,
         retry_policy: sending.RetryPolicy,
+        quota: quotas.Quotas,
         metrics: core.GatewayMetrics,
         tracing: telemetry.Tracing,
         connectivity: cluster_state.StoreConnectivity,
@@ -51,6 +53,7 @@
         self._plain = plain
         self._stream = stream
         self._retry_policy = retry_policy
+        self._quota = quota
         self._metrics = metrics
         self._clock = clock
 
@@ -79,12 +82,12 @@
         responder: http1.Responder,
     ) -> None:
         """Serve a request and log its outcome, also if it is cancelled."""
-        self._retry_policy.record_request(admitted.service)
         ended: errors.Refusal | None = None
         try:
             ended = await self._serve(admitted, progress, responder)
         finally:
             self._retry_policy.release(admitted, progress)
+            self._quota.release(progress)
             self._log(
                 admitted.request_id, admitted, progress, responder, ended
             )
@@ -99,6 +102,8 @@
         time_left_s = admitted.deadline_s - self._clock()
         try:
             async with asyncio.timeout(time_left_s):
+                await self._quota.admit(admitted, progress)
+                self._retry_policy.record_request(admitted.service)
                 await self._dispatch(admitted, progress, responder)
             return None
         except errors.Refusal as raised:
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -19,6 +19,7 @@
 from ...systems import health
 from ...systems import placement
 from ...systems import quarantine
+from ...systems import quotas
 from ...systems import retries
 from .. import _uplink
 from .. import core
@@ -27,6 +28,7 @@
 from ..cluster_state import _store_sync
 from ..core import _metrics
 from ..messaging import _datagrams
+from ..quotas import _service
 from ..sending import _quarantine
 from ..sending import _retry_policy
 from ..sending import _sending
@@ -217,6 +219,7 @@
 class RequestPath:
     """A running request path, and a client for it."""
 
+    quota: _service.Quotas
     cluster: _cluster_state.ClusterState
     budget: retries.WindowBudget
     server: http1.HttpServer
@@ -401,6 +404,28 @@
     )
 
 
+def new_quotas(
+    cluster: _cluster_state.ClusterState,
+    datagrams: _datagrams.Datagrams,
+    name: str = "g1",
+    others: collections.abc.Mapping[str, str] | None = None,
+    metrics: _metrics.GatewayMetrics | None = None,
+    clock: collections.abc.Callable[[], float] = time.monotonic,
+) -> _service.Quotas:
+    """Return the quotas of a gateway."""
+    listing = _service.Listing(others or {}, True, 1e9)
+    return _service.Quotas(
+        datagrams,
+        cluster,
+        name,
+        "127.0.0.1:1",
+        lambda: listing,
+        quotas.FallbackBounds(),
+        metrics or _metrics.GatewayMetrics(),
+        clock,
+    )
+
+
 @contextlib.asynccontextmanager
 async def running(
     *endpoints: Endpoint,
@@ -439,6 +464,7 @@
         may_probe,
         metrics,
     )
+    quota = new_quotas(cluster, datagrams or _datagrams.Datagrams(), name)
     sender = _sending.Sender(
         cluster, retry_policy, uplink, tracing, request_quarantine, clock
     )
@@ -466,6 +492,7 @@
             clock,
         ),
         retry_policy=retry_policy,
+        quota=quota,
         metrics=metrics,
         tracing=tracing,
         connectivity=_store_sync.StoreConnectivity(clock()),
@@ -484,6 +511,7 @@
     )
     try:
         yield RequestPath(
+            quota,
             cluster,
             budget,
             server,
--- a/bilberrydeal/platform/__init__.py
+++ b/bilberrydeal/platform/__init__.py
@@ -12,6 +12,8 @@
 from ._headers import HeaderNames
 from ._headers import HEADERS
 from ._headers import READY_PATH
+from ._quotas import AMOUNT_LIMIT
+from ._quotas import quota_cost
 from ._records import decode_configuration
 from ._records import decode_endpoint
 from ._records import RecordInvalid
@@ -32,6 +34,7 @@
 from ._usage import UsageApi
 
 __all__ = [
+    "AMOUNT_LIMIT",
     "CONFIGURATION_KEY",
     "CONFIGURATION_TABLE",
     "CallerFields",
@@ -56,6 +59,7 @@
     "forward_head",
     "forwarded_headers",
     "misdirected",
+    "quota_cost",
     "request_id_header",
     "retry_after_header",
 ]
--- a/bilberrydeal/platform/_caller_fields.py
+++ b/bilberrydeal/platform/_caller_fields.py
@@ -7,9 +7,7 @@
 from .. import http1
 from ..systems import placement
 from . import _headers
-
-#: Greatest number of tokens of a prompt or a response.
-TOKENS_LIMIT = 1_000_000_000
+from . import _quotas
 
 
 @attrs.frozen
@@ -28,10 +26,14 @@
     last_event: bytes
     #: W3C trace context; empty if the request is not traced.
     traceparent: str
+    #: Value of the header with its numbers of tokens, ``None`` if absent; only
+    #: requests of organisations with a limit need it decoded.
+    token_counts: bytes | None = None
 
 
 def decode_caller(request: http1.Request) -> CallerFields:
     """Return the decoded fields; malformed ones count as absent."""
+    token_counts = request.header(_headers.HEADERS.token_counts)
     return CallerFields(
         request_id=request.header(_headers.HEADERS.request_id) or b"",
         key=(
@@ -40,11 +42,12 @@
             else None
         ),
         timeout_s=_parse_timeout_s(request),
-        prompt=_parse_prompt(request),
+        prompt=_parse_prompt(request, token_counts),
         last_event=request.header(_headers.HEADERS.last_event) or b"",
         traceparent=(
             request.header(_headers.HEADERS.traceparent) or b""
         ).decode("latin-1"),
+        token_counts=token_counts,
     )
 
 
@@ -57,8 +60,9 @@
     return math.inf if math.isnan(timeout_ms) else max(timeout_ms, 0.0) / 1000
 
 
-def _parse_prompt(request: http1.Request) -> placement.Prompt | None:
-    counts = request.header(_headers.HEADERS.token_counts)
+def _parse_prompt(
+    request: http1.Request, counts: bytes | None
+) -> placement.Prompt | None:
     if counts is None:
         return None
     try:
@@ -85,6 +89,6 @@
 def _tokens(value: bytes) -> int:
     """Return a number of tokens, or raise :class:`ValueError`."""
     tokens = int(value)
-    if not 0 <= tokens <= TOKENS_LIMIT:
+    if not 0 <= tokens <= _quotas.TOKENS_LIMIT:
         raise ValueError("number of tokens out of range")
     return tokens
--- a/bilberrydeal/platform/_records.py
+++ b/bilberrydeal/platform/_records.py
@@ -8,6 +8,7 @@
 from .. import catalogue
 from .. import decoding
 from .. import ports
+from . import _quotas
 
 #: Callers close a stream without events for the longest of this time, in
 #: seconds, and these multiples of the route's target latency and target gap.
@@ -87,6 +88,10 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    unit: msgspec.Raw = msgspec.Raw()
+    plain_tokens: msgspec.Raw = msgspec.Raw()
+    rate_per_s: msgspec.Raw = msgspec.Raw()
+    burst: msgspec.Raw = msgspec.Raw()
 
 
 class _Config(msgspec.Struct):
@@ -115,6 +120,7 @@
     """Decode a configuration; raises :class:`RecordInvalid`."""
     try:
         record = msgspec.json.decode(value, type=_Config)
+        organisations, quotas, faults = _organisations(record.tenants)
         return catalogue.Configuration(
             version=record.version,
             routes=tuple(_route(route) for route in record.routes),
@@ -122,7 +128,9 @@
                 service.name: _service(service) for service in record.services
             },
             limits=_limits(record.limits),
-            organisations=_organisations(record.tenants),
+            organisations=organisations,
+            quota_faults=faults,
+            quotas=quotas,
         )
     except (*decoding.DECODE_ERRORS, KeyError, ValueError) as error:
         raise RecordInvalid(str(error)) from error
@@ -228,12 +236,33 @@
 
 def _organisations(
     tenants: list[_Tenant] | None,
-) -> dict[bytes, catalogue.Organisation] | None:
+) -> tuple[
+    dict[bytes, catalogue.Organisation] | None,
+    dict[str, catalogue.Quota],
+    tuple[str, ...],
+]:
+    """Return organisations by key, quotas by name and faults of quotas."""
     if tenants is None:
-        return None
+        return None, {}, ()
     by_key: dict[bytes, catalogue.Organisation] = {}
+    quotas: dict[str, catalogue.Quota] = {}
+    faults: list[str] = []
     for tenant in tenants:
-        organisation = catalogue.Organisation(tenant.name, tenant.priority)
+        try:
+            quota = _quotas.decode_quota(
+                tenant.unit,
+                tenant.plain_tokens,
+                tenant.rate_per_s,
+                tenant.burst,
+            )
+        except _quotas.QuotaInvalid as error:
+            faults.append(f"{tenant.name}: {error}")
+            quota = None
+        if quota is not None:
+            quotas[tenant.name] = quota
+        organisation = catalogue.Organisation(
+            tenant.name, tenant.priority, quota
+        )
         for key in tenant.api_keys:
             by_key[key.encode()] = organisation
-    return by_key
+    return by_key, quotas, tuple(faults)
--- a/bilberrydeal/systems/limits/__init__.py
+++ b/bilberrydeal/systems/limits/__init__.py
@@ -3,6 +3,7 @@
 from ._base import Admission
 from ._base import Limiter
 from ._base import LIMITERS
+from ._bucket import Bucket
 from ._exchanged import ExchangedLimiter
 from ._home_selection import home_entry
 from ._local import LocalLimiter
@@ -17,6 +18,7 @@
 
 __all__ = [
     "Admission",
+    "Bucket",
     "ExchangedLimiter",
     "LIMITERS",
     "Limiter",
--- /dev/null
+++ b/bilberrydeal/systems/quotas/_node.py
@@ -0,0 +1,422 @@
+"""Decides for the requests of one gateway, and for others as their home."""
+
+import collections.abc
+
+import attrs
+
+from ... import catalogue
+from . import _active_time
+from . import _fallback
+from . import _home
+from . import _messages
+from . import _view
+
+#: Times after which a query without an answer is sent again, in seconds.
+RETRIES_S = (0.03, 0.06)
+#: Time after which the answer is not waited for any longer, in seconds.
+ANSWER_TIMEOUT_S = 0.1
+#: Time for which a home that did not answer is not asked, in seconds.
+SUSPENDED_S = 0.3
+#: Time for which late answers are expected, in seconds: what they granted is
+#: given back.
+LATE_S = 5.0
+#: Most queries whose late answers are expected; for earlier ones the home
+#: keeps what it took.
+LATE_LIMIT = 10_000
+#: Interval in which ``tick`` has to be called, in seconds.
+TICK_INTERVAL_S = 0.05
+#: Most queries or answers in a message, to fit into one packet.
+BATCH_LIMIT = 32
+#: Longest wait that is believed, in seconds.
+WAIT_LIMIT_S = 60.0
+#: Greatest cost of a query; others are ignored.
+COST_LIMIT = 1e16
+
+
+@attrs.frozen
+class Decision:
+    """Whether a request may be sent."""
+
+    granted: bool
+    #: Time until it may fit if it was not granted, in seconds.
+    wait_s: float
+    #: Whether this gateway decided without the home.
+    fallback: bool
+
+
+@attrs.frozen
+class Transition:
+    """An organisation whose home was lost, or heard again."""
+
+    organisation: str
+    home: str
+    entered: bool
+    #: Rate that may be granted without the home, in units per second.
+    share_per_s: float
+
+
+@attrs.frozen
+class Outgoing:
+    """A message and the gateways that it goes to."""
+
+    recipients: tuple[str, ...]
+    message: _messages.Message
+
+
+OnDecision = collections.abc.Callable[[Decision], None]
+
+
+@attrs.define(eq=False)
+class _Pending:
+    """A query without an answer."""
+
+    query: _messages.Query
+    home: str
+    asked_s: float
+    #: ``None`` if nobody waits for the decision.
+    on_decision: OnDecision | None
+    retries: int = 0
+
+
+@attrs.define
+class _Outbox:
+    """What is to be sent to one gateway."""
+
+    queries: list[_messages.Query] = attrs.field(factory=list)
+    answers: list[_messages.Answer] = attrs.field(factory=list)
+
+
+class QuotaNode:
+    """The quota decisions of one gateway, without I/O.
+
+    ``tick`` has to be called every ``TICK_INTERVAL_S``, and ``poll`` a little
+    later than ``due_s``. What ``take_outgoing`` returns has to be sent.
+
+    Example::
+
+        node = QuotaNode("g1", "10.0.0.1:9000", bounds)
+        decided = node.ask("huka270", 1540.0, now_s, on_decision)
+        if isinstance(decided, int):
+            ...  # a query, which ``cancel`` ends
+    """
+
+    def __init__(
+        self, own: str, address: str, bounds: _fallback.FallbackBounds
+    ) -> None:
+        self._own = own
+        self._bounds = bounds
+        self.view = _view.GatewayView(own, address)
+        self._active = _active_time.ActiveTime()
+        self._home = _home.QuotaHome(self.view, self._active)
+        #: Quotas in force by organisation.
+        self.quotas: collections.abc.Mapping[str, catalogue.Quota] = {}
+        self._fallbacks: dict[str, _fallback.Fallback] = {}
+        self._pending: dict[int, _Pending] = {}
+        #: Queries that were given up and when, by sequence number.
+        self._late: dict[int, tuple[float, _messages.Query]] = {}
+        self._outboxes: dict[str, _Outbox] = {}
+        self._sequence = 0
+        self._transitions: list[Transition] = []
+        self._beat_s = float("-inf")
+        self._beat_stamp = -1
+        self._beat_digest = 0
+
+    # State from outside.
+
+    def set_quotas(
+        self, quotas: collections.abc.Mapping[str, catalogue.Quota]
+    ) -> None:
+        """Apply quotas."""
+        self._home.set_quotas(quotas)
+        for name in self._fallbacks.keys() - quotas.keys():
+            del self._fallbacks[name]
+        for name, fallback in self._fallbacks.items():
+            if quotas[name] != self.quotas.get(name):
+                fallback.change(self.quotas.get(name), quotas[name])
+        self.quotas = quotas
+
+    def set_listed(
+        self,
+        others: collections.abc.Mapping[str, str],
+        settled: bool,
+        row_expires_s: float,
+        now_s: float,
+    ) -> None:
+        """Set the other gateways' addresses as the store lists them.
+
+        ``settled`` tells that gateways which started with this one are listed
+        too; at ``row_expires_s`` others may take this one for dead unless it
+        writes its row again.
+        """
+        self.view.settled_itself = settled
+        self.view.row_expires_s = row_expires_s
+        self.view.set_listed(others, now_s)
+        self._advance(now_s)
+
+    # Requests of this gateway.
+
+    def ask(
+        self,
+        organisation: str,
+        cost: float,
+        now_s: float,
+        on_decision: OnDecision,
+    ) -> Decision | int:
+        """Take a cost from a quota.
+
+        Returns the decision, or the number of the query that was sent, whose
+        decision ``on_decision`` gets.
+        """
+        quota = self.quotas.get(organisation)
+        if quota is None:
+            return Decision(True, 0.0, False)
+        self._advance(now_s)
+        self._fallback(organisation).note_cost(cost)
+        home = self.view.home(organisation)
+        if home == self._own:
+            wait_s, _share = self._home.decide(
+                self._own, organisation, cost, now_s
+            )
+            self._leave_fallback(organisation)
+            return Decision(not wait_s, wait_s, False)
+        if not self.view.answers(home, now_s):
+            return self._decide_alone(organisation, cost, now_s)
+        return self._query(organisation, cost, home, now_s, on_decision)
+
+    def cancel(self, sequence: int) -> None:
+        """End a wait; what the home grants is given back."""
+        pending = self._pending.get(sequence)
+        if pending is not None:
+            pending.on_decision = None
+
+    def refund(
+        self, organisation: str, cost: float, fallback: bool, now_s: float
+    ) -> None:
+        """Give back a cost of a request that did not run."""
+        if organisation not in self.quotas or cost <= 0.0:
+            return
+        self._advance(now_s)
+        home = self.view.home(organisation)
+        if fallback:
+            self._fallback(organisation).refund(cost)
+        elif home == self._own:
+            self._home.decide(self._own, organisation, -cost, now_s)
+        elif self.view.answers(home, now_s):
+            self._query(organisation, -cost, home, now_s, None)
+
+    def poll(self, now_s: float) -> None:
+        """Repeat queries that are due and give up those without an answer."""
+        for pending in list(self._pending.values()):
+            waited_s = now_s - pending.asked_s
+            if waited_s >= ANSWER_TIMEOUT_S:
+                self._give_up(pending, now_s)
+                continue
+            due = pending.retries < len(RETRIES_S)
+            if due and waited_s >= RETRIES_S[pending.retries]:
+                pending.retries += 1
+                self._outbox(pending.home).queries.append(pending.query)
+
+    @property
+    def waiting(self) -> bool:
+        """Return whether ``poll`` has to be called."""
+        return bool(self._pending)
+
+    # Messages.
+
+    def receive(
+        self, sender: str, message: _messages.Message, now_s: float
+    ) -> None:
+        """Handle a message of another gateway."""
+        if sender == self._own:
+            return
+        self._advance(now_s)
+        if message.heartbeat is not None:
+            self.view.receive(sender, message.heartbeat, now_s)
+            self._advance(now_s)
+        self.view.note_message(sender, now_s)
+        for answer in message.answers:
+            self._on_answer(sender, answer, now_s)
+        if not message.queries or not self.view.knows(sender):
+            return
+        outbox = self._outbox(sender)
+        for query in message.queries:
+            if not -COST_LIMIT <= query.cost <= COST_LIMIT:
+                continue
+            answer = self._home.answer(sender, query, now_s)
+            if answer is not None:
+                outbox.answers.append(answer)
+
+    def tick(self, now_s: float) -> None:
+        """Keep time, and send a heartbeat when it is due."""
+        self._advance(now_s)
+        if not self.quotas:
+            return
+        while self._late:
+            sequence = next(iter(self._late))
+            fresh = now_s - self._late[sequence][0] < LATE_S
+            if fresh and len(self._late) <= LATE_LIMIT:
+                break
+            del self._late[sequence]
+
+    def take_heartbeat(
+        self, now_s: float, leaving: bool = False
+    ) -> Outgoing | None:
+        """Return the heartbeat that is due, ``None`` if none is.
+
+        A changed view is told at once, so that all views soon agree.
+        """
+        if not self.quotas:
+            return None
+        view = self.view
+        since_s = now_s - self._beat_s
+        changed = view.digest != self._beat_digest
+        urgent = changed and since_s >= _view.URGENT_HEARTBEAT_S
+        if not (leaving or urgent or since_s >= view.heartbeat_interval_s):
+            return None
+        self._beat_s = now_s
+        self._beat_digest = view.digest
+        message = _messages.Message(heartbeat=view.heartbeat(now_s, leaving))
+        recipients = view.recipients(now_s)
+        return Outgoing(recipients, message) if recipients else None
+
+    def take_outgoing(self) -> list[Outgoing]:
+        """Return the queries and answers to send, in batches."""
+        outgoing: list[Outgoing] = []
+        for recipient, outbox in self._outboxes.items():
+            queries, answers = outbox.queries, outbox.answers
+            longest = max(len(queries), len(answers))
+            for first in range(0, longest, BATCH_LIMIT):
+                last = first + BATCH_LIMIT
+                message = _messages.Message(
+                    tuple(queries[first:last]), tuple(answers[first:last])
+                )
+                outgoing.append(Outgoing((recipient,), message))
+        self._outboxes.clear()
+        return outgoing
+
+    def take_transitions(self) -> list[Transition]:
+        """Return the losses of homes, and their ends, since the last call."""
+        found, self._transitions = self._transitions, []
+        return found
+
+    # Details.
+
+    def _advance(self, now_s: float) -> None:
+        self._active.advance(now_s)
+        self.view.refresh(now_s, self._active.now_s)
+
+    def _outbox(self, recipient: str) -> _Outbox:
+        found = self._outboxes.get(recipient)
+        if found is None:
+            found = self._outboxes[recipient] = _Outbox()
+        return found
+
+    def _fallback(self, organisation: str) -> _fallback.Fallback:
+        found = self._fallbacks.get(organisation)
+        if found is None:
+            found = self._fallbacks[organisation] = _fallback.Fallback()
+        return found
+
+    def _query(
+        self,
+        organisation: str,
+        cost: float,
+        home: str,
+        now_s: float,
+        on_decision: OnDecision | None,
+    ) -> int:
+        self._sequence += 1
+        query = _messages.Query(self._sequence, organisation, cost)
+        self._pending[self._sequence] = _Pending(
+            query, home, now_s, on_decision
+        )
+        self._outbox(home).queries.append(query)
+        return self._sequence
+
+    def _give_up(self, pending: _Pending, now_s: float) -> None:
+        query = pending.query
+        del self._pending[query.sequence]
+        self.view.suspend(pending.home, now_s + SUSPENDED_S)
+        if query.cost > 0.0:
+            self._late[query.sequence] = (now_s, query)
+        if pending.on_decision is not None:
+            pending.on_decision(
+                self._decide_alone(query.organisation, query.cost, now_s)
+            )
+
+    def _on_answer(
+        self, sender: str, answer: _messages.Answer, now_s: float
+    ) -> None:
+        pending = self._pending.get(answer.sequence)
+        if pending is not None and pending.home != sender:
+            return
+        if pending is None:
+            late = self._late.pop(answer.sequence, None)
+            if late is not None and answer.wait_s == 0.0:
+                query = late[1]
+                self.refund(query.organisation, query.cost, False, now_s)
+            return
+        del self._pending[answer.sequence]
+        self._decided(pending, answer, now_s)
+
+    def _decided(
+        self, pending: _Pending, answer: _messages.Answer, now_s: float
+    ) -> None:
+        query = pending.query
+        organisation = query.organisation
+        if organisation not in self.quotas:
+            decision = Decision(True, 0.0, False)
+        elif answer.wait_s >= 0.0:
+            self._fallback(organisation).note_share(answer.share_per_s, now_s)
+            self._leave_fallback(organisation)
+            granted = answer.wait_s == 0.0
+            wait_s = min(answer.wait_s, WAIT_LIMIT_S)
+            decision = Decision(granted, wait_s, False)
+            if granted and pending.on_decision is None and query.cost > 0.0:
+                self.refund(organisation, query.cost, False, now_s)
+        elif pending.on_decision is None:
+            return
+        else:
+            # The views differ, or the configurations.
+            self.view.suspend(pending.home, now_s + _view.DELAY_S)
+            decision = self._decide_alone(organisation, query.cost, now_s)
+        if pending.on_decision is not None:
+            pending.on_decision(decision)
+
+    def _decide_alone(
+        self, organisation: str, cost: float, now_s: float
+    ) -> Decision:
+        quota = self.quotas.get(organisation)
+        if quota is None:
+            return Decision(True, 0.0, True)
+        view = self.view
+        fallback = self._fallback(organisation)
+        division = _fallback.Division(view.divisor, view.rank, view.isolated)
+        excess = self._bounds.excess(quota)
+        active_s = self._active.now_s
+        if not fallback.active:
+            fallback.enter(quota, division, excess, now_s, active_s)
+            self._transitions.append(
+                Transition(
+                    organisation,
+                    view.home(organisation),
+                    True,
+                    fallback.share_per_s,
+                )
+            )
+        wait_s = fallback.take(quota, division, excess, cost, active_s)
+        return Decision(not wait_s, wait_s, True)
+
+    def _leave_fallback(self, organisation: str) -> None:
+        fallback = self._fallback(organisation)
+        if not fallback.active:
+            return
+        fallback.leave(self._active.now_s)
+        self._transitions.append(
+            Transition(
+                organisation,
+                self.view.home(organisation),
+                False,
+                fallback.share_per_s,
+            )
+        )
