--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -413,6 +413,8 @@
             quarantines=len(self._quarantine.in_force()),
             store_era=self._store.era or 0,
             store_calls=self._store.calls,
+            callers_bytes=self._caller_server.budget.used_bytes,
+            callers_refused=self._caller_server.budget.refused,
         )
 
     async def _shut_down(self) -> None:
--- a/bilberrydeal/gateway/core/_metrics.py
+++ b/bilberrydeal/gateway/core/_metrics.py
@@ -28,6 +28,12 @@
     store_era: int
     #: Calls to the store by kind and outcome.
     store_calls: collections.abc.Mapping[tuple[str, str], int]
+    #: Memory held for callers, in bytes.
+    callers_bytes: int = 0
+    #: Refused requests and connections of callers by reason.
+    callers_refused: collections.abc.Mapping[str, int] = attrs.field(
+        factory=dict
+    )
 
 
 class GatewayMetrics:
@@ -57,6 +63,10 @@
             "bilberrydeal_store_calls_total",
             "Calls to the store by kind and outcome.",
         )
+        self._callers_refused = self.metrics.counter(
+            "bilberrydeal_callers_refused_total",
+            "Requests and connections refused for what they would hold.",
+        )
         self._quarantine_decisions = self.metrics.counter(
             "bilberrydeal_quarantine_decisions_total",
             "Decisions about prompt parts that crash engines, by kind.",
@@ -73,6 +83,7 @@
                 ("lease_held", "Whether this process has the duties."),
                 ("quarantines", "Prompt parts kept from engines."),
                 ("store_era", "Era of the store, 0 if it tells none."),
+                ("callers_held_bytes", "Memory held for callers."),
             )
         }
 
@@ -121,8 +132,11 @@
             ("lease_held", int(state.lease_held)),
             ("quarantines", state.quarantines),
             ("store_era", state.store_era),
+            ("callers_held_bytes", state.callers_bytes),
         ):
             self._gauges[name].set({}, value)
         for (kind, outcome), count in state.store_calls.items():
             self._store_calls.set({"kind": kind, "outcome": outcome}, count)
+        for reason, count in state.callers_refused.items():
+            self._callers_refused.set({"reason": reason}, count)
         return self.metrics.render()
--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -1,7 +1,6 @@
 """Client connections to endpoints and to the platform."""
 
 import asyncio
-import collections
 import re
 import typing
 
@@ -9,6 +8,7 @@
 import httptools
 
 from . import _extra_responses
+from . import _fields
 from . import _headers
 from . import _responder
 from . import _sockets
@@ -22,6 +22,8 @@
 INTERIM_LIMIT = 64
 #: Largest head of a response, in bytes.
 HEAD_LIMIT_BYTES = 131_072
+#: Header fields of a response that are not packed as they arrive.
+PAIRS_LIMIT = 2 * _fields.PAIRS_LIMIT
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
@@ -39,7 +41,7 @@
 
     status: int
     #: Header fields in the order received, names in lower case.
-    headers: tuple[_headers.Header, ...]
+    headers: _headers.Headers
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first field of that name."""
@@ -74,7 +76,7 @@
         self._request_id = b""
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._fields: list[_headers.Header] = []
+        self._fields = _fields.FieldCollector()
         self._skipping_response = False
         self._useless_bytes = 0
         self._delimited_by_eof = False
@@ -82,8 +84,8 @@
             None
         )
         self._head: ResponseHead | None = None
-        self._chunks: collections.deque[bytes] = collections.deque()
-        self._buffered_bytes = 0
+        #: Bytes of the body that were not taken yet.
+        self._buffered: bytes | bytearray = b""
         #: Bytes received since the last that belong to the response.
         self._useless_bytes = 0
         #: Bytes received since the last head was complete.
@@ -116,8 +118,7 @@
             raise NotSent
         self._request_id = request_id
         self._head = None
-        self._chunks.clear()
-        self._buffered_bytes = 0
+        self._buffered = b""
         self._useless_bytes = 0
         self._head_bytes = 0
         self._interim_responses = 0
@@ -134,18 +135,14 @@
 
     async def chunk(self) -> bytes:
         """Return the next part of the body; empty at its end."""
-        while not self._chunks:
+        while not self._buffered:
             if self.done:
                 return b""
             if self._closed:
                 raise IncompleteResponse
             await self._wait()
-        data = (
-            self._chunks.popleft()
-            if len(self._chunks) == 1
-            else self._join_chunks()
-        )
-        self._buffered_bytes = 0
+        data = bytes(self._buffered)
+        self._buffered = b""
         if self._paused and self._transport is not None:
             self._paused = False
             self._transport.resume_reading()
@@ -153,14 +150,12 @@
 
     async def body(self, limit_bytes: int) -> bytes:
         """Return the body; :class:`IncompleteResponse` if over the limit."""
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while data := await self.chunk():
-            parts.append(data)
-            size += len(data)
-            if size > limit_bytes:
+            body += data
+            if len(body) > limit_bytes:
                 raise IncompleteResponse
-        return b"".join(parts)
+        return bytes(body)
 
     def abort(self) -> None:
         """Reset the connection, which cancels a running request."""
@@ -231,7 +226,7 @@
 
     def on_message_begin(self) -> None:
         """Start a response; an extra one makes the connection unusable."""
-        self._fields = []
+        self._fields = _fields.FieldCollector()
         self._in_head = True
         if self.done:
             self.reusable = False
@@ -239,7 +234,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add one header field; those of trailers are dropped."""
         if self._in_head:
-            self._fields.append((name.lower(), value))
+            self._fields.pairs.append((name.lower(), value))
+            if len(self._fields.pairs) > PAIRS_LIMIT:
+                self._fields.pack()
 
     def on_headers_complete(self) -> None:
         """Store the head unless it belongs to another request."""
@@ -249,7 +246,7 @@
             self._skipping_response = True
             return
         head = ResponseHead(
-            self._parser.get_status_code(), tuple(self._fields)
+            self._parser.get_status_code(), self._fields.fields()
         )
         if head.status < 200:
             self._interim_responses += 1
@@ -272,9 +269,13 @@
             self._give_up()
             return
         self._useless_bytes = 0
-        self._chunks.append(body)
-        self._buffered_bytes += len(body)
-        if self._buffered_bytes > BUFFER_LIMIT_BYTES and self._transport:
+        if not self._buffered:
+            self._buffered = body
+        elif isinstance(self._buffered, bytearray):
+            self._buffered += body
+        else:
+            self._buffered = bytearray(self._buffered) + body
+        if len(self._buffered) > BUFFER_LIMIT_BYTES and self._transport:
             self._paused = True
             self._transport.pause_reading()
 
@@ -306,11 +307,6 @@
         if timeout is not None:
             self.keep_alive_s = float(timeout.group(1))
 
-    def _join_chunks(self) -> bytes:
-        data = b"".join(self._chunks)
-        self._chunks.clear()
-        return data
-
     async def _wait(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
         try:
--- a/bilberrydeal/http1/_connection.py
+++ b/bilberrydeal/http1/_connection.py
@@ -32,6 +32,9 @@
 UNREAD_LIMIT_BYTES = 16_384
 #: Unread bytes at which they go on.
 UNREAD_RESUME_BYTES = 4_096
+#: Time for which a caller may read the response to a rejected request while
+#: it still sends, in seconds.
+LINGER_S = 0.5
 #: Time after which a request that was refused for memory may come back, in
 #: seconds.
 RETRY_AFTER = b"1"
@@ -109,6 +112,8 @@
         self._disconnected = False
         #: When it was closed, monotonic seconds.
         self._closed_s: float | None = None
+        #: Whether received bytes are dropped until the caller closes.
+        self._lingering = False
         #: Idle timeout in the last response, in seconds; 0 before the first.
         self._announced_idle_s = 0
 
@@ -145,14 +150,16 @@
         """Close the connection in favour of a new one."""
         if self._reader.stage is _Stage.HEAD:
             self._reject(408)
-        else:
-            self.close()
+        self.close()
 
     def enforce_timeouts(
         self, limits: _limits.ServerLimits, now_s: float
     ) -> None:
         """Close the connection, or respond with 408, on a timeout."""
         if self._closed_s is not None:
+            if self._lingering and now_s - self._closed_s > LINGER_S:
+                self._lingering = False
+                self.close()
             self._abort_if_unread(limits, now_s)
             return
         if self._task is not None or self._unparsed:
@@ -200,6 +207,7 @@
             if self._closed_s is None:
                 self._closed_s = self._server.clock()
             self._input_ended = True
+            self._release()
             self._transport.close()
 
     def abort(self) -> None:
@@ -517,7 +525,20 @@
             fields.append((b"retry-after", RETRY_AFTER))
         responder = _responder.Responder(self, keep_alive=False)
         responder.send(status, fields, b"")
-        self.close()
+        self._close_for_sending()
+
+    def _close_for_sending(self) -> None:
+        """Send nothing more, and drop what the caller still sends.
+
+        Closing at once resets a connection on which bytes are unread, and the
+        caller might lose the response.
+        """
+        if self._transport is None or self._disconnected:
+            return
+        self._closed_s = self._server.clock()
+        self._lingering = True
+        self._transport.write_eof()
+        self._set_reading(True)
 
 
 @attrs.frozen
--- a/bilberrydeal/http1/_server.py
+++ b/bilberrydeal/http1/_server.py
@@ -1,15 +1,21 @@
 """HTTP/1.1 server: accepts connections and closes them."""
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
+import math
 import operator
 
+from .. import telemetry
 from . import _budget
 from . import _connection
 from . import _limits
 from . import _work_queue
 
+LOG = telemetry.logger("http")
+#: Shortest time between two log lines about refused callers, in seconds.
+REFUSALS_LOG_INTERVAL_S = 10.0
 #: Bytes that are read from a connection at a time. More would be held for
 #: every connection whose bytes wait to be parsed.
 READ_BYTES = 16_384
@@ -45,6 +51,9 @@
         self.work = _work_queue.WorkQueue(clock)
         #: Buffer that all connections read into, one after the other.
         self.read_buffer = memoryview(bytearray(READ_BYTES))
+        #: Refusals that were logged, and when, monotonic seconds.
+        self._logged: collections.Counter[str] = collections.Counter()
+        self._logged_s = -math.inf
         self._server: asyncio.Server | None = None
         self._request_ended = asyncio.Event()
 
@@ -72,6 +81,25 @@
         limits = self.limits()
         for connection in list(self.connections):
             connection.enforce_timeouts(limits, now_s)
+        self._log_refusals(limits, now_s)
+
+    def _log_refusals(
+        self, limits: _limits.ServerLimits, now_s: float
+    ) -> None:
+        """Log how many callers were refused, in one line for all."""
+        refused = self.budget.refused - self._logged
+        if not refused or now_s - self._logged_s < REFUSALS_LOG_INTERVAL_S:
+            return
+        self._logged = self.budget.refused.copy()
+        self._logged_s = now_s
+        LOG.warning(
+            "Callers refused.",
+            port=self.port,
+            refused=dict(refused),
+            held_bytes=self.budget.used_bytes,
+            memory_bytes=limits.memory_bytes,
+            connections=len(self.connections),
+        )
 
     def make_room(self, now_s: float) -> bool:
         """Make room for a new connection; return whether there is any.
