--- a/bilberrydeal/entry/http_api/_http.py
+++ b/bilberrydeal/entry/http_api/_http.py
@@ -5,6 +5,7 @@
 import math
 import typing
 
+import attrs
 import sanic
 from sanic import exceptions
 from sanic import response
@@ -26,6 +27,10 @@
 #: Sanic's response timeout exceeds the longest deadline by this time, so that
 #: it never fires before a deadline.
 RESPONSE_SLACK_S = 60
+#: Chunks of a body after which other connections get their turn.
+PARTS_PER_TURN = 64
+#: Retry-After of a request whose body found no room, in seconds.
+NO_ROOM_RETRY_S = 1.0
 
 #: Serves one request; returns the response, or ``None`` if it streamed one.
 Handler = collections.abc.Callable[
@@ -57,6 +62,7 @@
             ),
         }
     )
+    app.ctx.bodies = BodyBudget(http_settings.bodies_limit_bytes)
     app.exception(Exception)(_on_exception)
     return app
 
@@ -73,11 +79,14 @@
     async def serve(
         request: sanic.Request, **_matched: str
     ) -> response.HTTPResponse | None:
+        request.ctx.body_bytes = 0
         try:
             await _receive_body(request, body_timeout_s)
             return await handler(request)
         except errors.Refusal as refusal:
             return refusal_response(request, refusal)
+        finally:
+            app.ctx.bodies.used_bytes -= request.ctx.body_bytes
 
     name = f"{'-'.join(methods)}{path}".replace("/", "_")
     app.add_route(
@@ -94,7 +103,7 @@
     """Read the whole body within the time limit."""
     try:
         async with asyncio.timeout(timeout_s):
-            await typing.cast(typing.Any, request).receive_body()
+            await _collect_body(request)
     except TimeoutError as error:
         request_stream(request).keep_alive = False
         raise errors.Refusal(
@@ -104,6 +113,53 @@
         ) from error
 
 
+async def _collect_body(request: typing.Any) -> None:
+    """Read the body into one block; raises ``Refusal`` if there is no room.
+
+    Sanic itself keeps one object for each chunk until the body is complete.
+    """
+    bodies: BodyBudget = request.app.ctx.bodies
+    body = bytearray()
+    parts = 0
+    async for data in request.stream:
+        body += data
+        request.ctx.body_bytes += len(data)
+        bodies.used_bytes += len(data)
+        bodies.check(request)
+        parts += 1
+        if parts % PARTS_PER_TURN == 0:
+            await asyncio.sleep(0)
+    request.body = bytes(body)
+
+
+@attrs.define
+class BodyBudget:
+    """Total size of the bodies that are received or served."""
+
+    limit_bytes: int
+    used_bytes: int = 0
+    #: Whether the last body was refused, which is logged once.
+    refusing: bool = False
+
+    def check(self, request: sanic.Request) -> None:
+        """Raise ``Refusal`` if the limit is exceeded."""
+        exceeded = self.used_bytes > self.limit_bytes
+        if exceeded != self.refusing:
+            self.refusing = exceeded
+            LOG.warning(
+                "Bodies refused." if exceeded else "Bodies taken again.",
+                limit_bytes=self.limit_bytes,
+            )
+        if exceeded:
+            request_stream(request).keep_alive = False
+            raise errors.Refusal(
+                reason=errors.ErrorCode.OVERLOADED,
+                message="Too many request bodies are being received.",
+                status=503,
+                retry_after_s=NO_ROOM_RETRY_S,
+            )
+
+
 async def close_server(server: typing.Any, timeout_s: float) -> None:
     """Close a server once the requests that it has accepted are answered.
 
--- a/bilberrydeal/entry/tests/test_http.py
+++ b/bilberrydeal/entry/tests/test_http.py
@@ -120,3 +120,46 @@
         began_s = loop.time()
         await _http.close_server(server, 0.3)
         assert loop.time() - began_s < 2.0
+
+
+async def _exchange(port: int, data: bytes) -> bytes:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    try:
+        async with asyncio.timeout(20.0):
+            return await reader.readuntil(b"\r\n\r\n")
+    finally:
+        writer.close()
+
+
+async def _until(condition: collections.abc.Callable[[], bool]) -> None:
+    async with asyncio.timeout(10.0):
+        while True:
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+
+
+async def test_bodies_of_all_callers_together_are_limited() -> None:
+    """Guards against an entry that unfinished bodies fill."""
+    async with _serving() as server:
+        app = server.app
+        port = server.server.sockets[0].getsockname()[1]
+        app.ctx.bodies.limit_bytes = 150_000
+        head = b"POST /slow HTTP/1.1\r\nhost: h\r\n"
+        _reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head + b"content-length: 100000\r\n\r\n" + b"x" * 99_000)
+        await _until(lambda: app.ctx.bodies.used_bytes >= 99_000)
+        length = b"content-length: 60000\r\nconnection: close\r\n\r\n"
+        refused = await _exchange(port, head + length + b"x" * 60_000)
+        small = await _exchange(
+            port,
+            head
+            + b"transfer-encoding: chunked\r\n\r\n"
+            + b"1\r\nx\r\n" * 1_000
+            + b"0\r\n\r\n",
+        )
+        writer.close()
+        await _until(lambda: not app.ctx.bodies.used_bytes)
+    assert refused.startswith(b"HTTP/1.1 503 ")
+    assert small.startswith(b"HTTP/1.1 200 ")
--- a/bilberrydeal/settings/_model.py
+++ b/bilberrydeal/settings/_model.py
@@ -58,6 +58,8 @@
     port: Port
     #: Maximum size of a request body, in bytes.
     body_limit_bytes: Count = 1_000_000
+    #: Maximum total size of bodies that are received or served, in bytes.
+    bodies_limit_bytes: Count = 64_000_000
     #: Maximum time to receive a complete request.
     body_timeout_s: Seconds = 10.0
     #: Deadline of a request that specifies none.
