--- a/bilberrydeal/settings/_model.py
+++ b/bilberrydeal/settings/_model.py
@@ -14,6 +14,7 @@
 Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+Bytes = typing.Annotated[int, msgspec.Meta(ge=1, le=1_000_000_000_000)]
 Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 
@@ -59,7 +60,7 @@
     #: Maximum size of a request body, in bytes.
     body_limit_bytes: Count = 1_000_000
     #: Maximum total size of bodies that are received or served, in bytes.
-    bodies_limit_bytes: Count = 64_000_000
+    bodies_limit_bytes: Bytes = 64_000_000
     #: Maximum time to receive a complete request.
     body_timeout_s: Seconds = 10.0
     #: Deadline of a request that specifies none.
