--- a/bilberrydeal/gateway/streams/_stream.py
+++ b/bilberrydeal/gateway/streams/_stream.py
@@ -312,7 +312,7 @@
         self._cluster.observe(upstream, True, self._clock())
         if upstream.load is not None and first_s is not None:
             held_s = self._clock() - first_s
-            upstream.load.slot_times.update(stream.admitted.priority, held_s)
+            upstream.load.record_slot_time(stream.admitted.priority, held_s)
         await self._reader.drop_continuation(stream)
         stream.take_over()
         responder.end_chunks()
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -10,6 +10,7 @@
 from ._baselines import LeastOutstandingPlacer
 from ._baselines import NoEarlyRefusalPlacer
 from ._baselines import NoLocalityPlacer
+from ._capability import Capability
 from ._engine_speed import EngineSpeed
 from ._engine_speed import PrefillSample
 from ._engine_speed import ServiceSpeed
@@ -43,6 +44,7 @@
 from ._two_stage import TwoStagePlacer
 
 __all__ = [
+    "Capability",
     "DeadlineUnreachable",
     "EngineLoad",
     "EngineRing",
--- a/bilberrydeal/systems/placement/_engine_speed.py
+++ b/bilberrydeal/systems/placement/_engine_speed.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from . import _capability
 from . import _linear_time
 
 #: Prefill that is assumed for a service before the first one was measured.
@@ -25,18 +26,47 @@
 MAD_TO_DEVIATION = 1.48
 #: Variance of the logarithm of one sample that is assumed at least.
 SAMPLE_VARIANCE = 0.03
-#: Smallest factor that is told apart. A popular engine has a longer queue than
-#: is known and seems a little slower; that is no reason to avoid it.
+#: Smallest passing factor that is told apart. A popular engine has a longer
+#: queue than is known and seems a little slower, which is no reason to avoid
+#: it.
 MIN_FACTOR = 2.5
 #: Standard errors by which an engine must differ from its service.
 SIGNIFICANT_ERRORS = 2.0
 #: Samples that tell as much as one that is independent: requests that share a
 #: queue share the error of its estimate.
 DEPENDENT_SAMPLES = 4
+#: Weight of a new line of a service in its average, and the samples that the
+#: average needs. Where engines differ the line follows which of them have
+#: yielded the latest samples; only its shape counts for their factors.
+LINE_WEIGHT = 1 / 256
+MIN_LINE_SAMPLES = 32
 #: Largest factor between an engine and its service.
 MAX_FACTOR = 50.0
 
 
+class _AverageLine:
+    """Average of the lines that a service's fit gives."""
+
+    def __init__(self) -> None:
+        self._line = _linear_time.Line(0.0, 0.0)
+        self._samples = 0
+
+    @property
+    def line(self) -> _linear_time.Line | None:
+        """Return the average, ``None`` before there are enough samples."""
+        return self._line if self._samples >= MIN_LINE_SAMPLES else None
+
+    def add(self, line: _linear_time.Line) -> None:
+        """Add the line after one more sample."""
+        self._samples += 1
+        weight = max(1 / self._samples, LINE_WEIGHT)
+        before = self._line
+        self._line = _linear_time.Line(
+            before.base_s + (line.base_s - before.base_s) * weight,
+            before.token_s + (line.token_s - before.token_s) * weight,
+        )
+
+
 class ServiceSpeed:
     """Times that all engines of a service have in common."""
 
@@ -54,14 +84,22 @@
         self.fetch_token_s = math.inf
         #: Time from the send of a prefilled request to its first event.
         self.transfer = _linear_time.LinearTime(transfer)
+        #: Permanent factors of the engines.
+        self.capabilities = _capability.ServiceCapabilities()
+        self._averages = {True: _AverageLine(), False: _AverageLine()}
 
     def prefill(self, separate: bool) -> _linear_time.LinearTime:
         """Return the prefill times of engines that do or do not decode."""
         return self.separate if separate else self.mixed
 
+    def average_prefill(self, separate: bool) -> _linear_time.Line | None:
+        """Return the line without its short-term changes, if it is known."""
+        return self._averages[separate].line
+
     def record(self, separate: bool, sample: _linear_time.TimeSample) -> None:
         """Add a measured prefill."""
         self.prefill(separate).record(sample)
+        self._averages[separate].add(self.prefill(separate).line)
         if separate:
             self.mixed.assume(_mixed(self.separate.line))
 
@@ -85,23 +123,28 @@
 class EngineSpeed:
     """How much slower or faster an engine is than its service.
 
-    The factor is the median of the last samples over what the service's fit
-    expects, and 1 unless it is large and differs by more than the scatter of
-    the samples explains: with many gateways queues are noisy estimates, and
-    engines that seem slower by chance would lose the prompts that they have
-    cached.
+    A permanent part is learned from many samples, see ``Capability``, and a
+    passing one is the median of the last samples over what is expected of the
+    engine otherwise. The passing one is 1 unless it is large and differs by
+    more than the scatter of the samples explains: with many gateways queues
+    are noisy estimates, and engines that seem slower by chance would lose the
+    prompts that they have cached.
     """
 
     def __init__(self, service: ServiceSpeed) -> None:
         self._service = service
+        #: Permanent part.
+        self.capability = _capability.Capability(service.capabilities)
         #: The latest samples, with the times when they were added.
         self._samples: collections.deque[tuple[float, PrefillSample]] = (
             collections.deque(maxlen=ENGINE_WINDOW)
         )
-        self._factor = 1.0
-        #: Lines of the service by which the factor was computed; ``None`` if
-        #: there is a newer sample.
-        self._lines: tuple[_linear_time.Line, _linear_time.Line] | None = None
+        self._passing = 1.0
+        #: Lines of the service and permanent factor by which the passing one
+        #: was computed; ``None`` if there is a newer sample.
+        self._basis: (
+            tuple[_linear_time.Line, _linear_time.Line, float] | None
+        ) = None
 
     def record(self, measured: PrefillSample, now_s: float) -> None:
         """Add a measured prefill of this engine.
@@ -109,24 +152,52 @@
         One that was not finished says nothing about other engines.
         """
         self._samples.append((now_s, measured))
-        self._lines = None
+        self._basis = None
         if measured.finished:
-            self._service.record(measured.separate, measured.sample)
+            self._learn_capability(measured, now_s)
+            self._service.record(
+                measured.separate,
+                attrs.evolve(
+                    measured.sample,
+                    took_s=measured.sample.took_s / self.capability.factor,
+                ),
+            )
+
+    def _learn_capability(self, measured: PrefillSample, now_s: float) -> None:
+        line = self._service.average_prefill(measured.separate)
+        if measured.sample.queued or line is None:
+            return
+        if self.passing_factor == 1.0:
+            usual_s = line.at(_capability.REFERENCE_TOKENS)
+            self.capability.record(
+                _log_ratio(measured, line) + math.log(usual_s),
+                measured.separate,
+                now_s,
+            )
 
     def expire(self, now_s: float) -> None:
         """Forget old samples: an engine that is avoided brings no new ones."""
         while self._samples and now_s - self._samples[0][0] > SAMPLE_AGE_S:
             self._samples.popleft()
-            self._lines = None
+            self._basis = None
 
     @property
     def factor(self) -> float:
         """Return the engine's times relative to those of its service."""
-        lines = (self._service.separate.line, self._service.mixed.line)
-        if self._lines != lines:
-            self._factor = self._fitted_factor()
-            self._lines = lines
-        return self._factor
+        return self.passing_factor * self.capability.factor
+
+    @property
+    def passing_factor(self) -> float:
+        """Return its times relative to those that are usual for it."""
+        basis = (
+            self._service.separate.line,
+            self._service.mixed.line,
+            self.capability.factor,
+        )
+        if self._basis != basis:
+            self._passing = self._fitted_factor()
+            self._basis = basis
+        return self._passing
 
     def prefill_s(self, tokens: float, separate: bool) -> float:
         """Return the time to prefill that many tokens, in seconds."""
@@ -154,18 +225,23 @@
         if not self._samples:
             return 1.0
         slowdown = _significant_median(
-            [self._log_ratio(each) for _at_s, each in self._samples]
+            [self._unexpected(each) for _at_s, each in self._samples]
         )
         if abs(slowdown) < math.log(MIN_FACTOR):
             return 1.0
         limit = math.log(MAX_FACTOR)
         return math.exp(min(max(slowdown, -limit), limit))
 
-    def _log_ratio(self, measured: PrefillSample) -> float:
+    def _unexpected(self, measured: PrefillSample) -> float:
         """Return the logarithm of the actual over the expected time."""
         line = self._service.prefill(measured.separate).line
-        took_s = max(measured.sample.took_s, _linear_time.MIN_TIME_S)
-        return math.log(took_s / line.at(measured.sample.tokens))
+        return _log_ratio(measured, line.scaled(self.capability.factor))
+
+
+def _log_ratio(measured: PrefillSample, line: _linear_time.Line) -> float:
+    """Return the logarithm of the time over that of a line."""
+    took_s = max(measured.sample.took_s, _linear_time.MIN_TIME_S)
+    return math.log(took_s / line.at(measured.sample.tokens))
 
 
 def _significant_median(values: list[float]) -> float:
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -234,6 +234,10 @@
             factor = max(factor, (now_s - prefill.sent_s) / limit_s)
         return factor
 
+    def record_slot_time(self, rank: int, held_s: float) -> None:
+        """Learn from the time that a finished request occupied its slot."""
+        self.slot_times.update(rank, held_s / self.speed.capability.factor)
+
     @property
     def requests(self) -> int:
         """Return the number of requests at the engine."""
@@ -266,4 +270,5 @@
         mean_s: float = sum(map(operator.mul, counts, held_s)) / requests
         last = _request_counts.engine_rank(rank, deferred)
         ahead = max(sum(counts[: last + 1]) - self.slots, 0)
-        return (mean_s + ahead * held_s[last]) / self.slots
+        wait_s = (mean_s + ahead * held_s[last]) / self.slots
+        return wait_s * self.speed.capability.factor
--- a/bilberrydeal/systems/placement/tests/mix.py
+++ b/bilberrydeal/systems/placement/tests/mix.py
@@ -327,7 +327,7 @@
         )
 
     def _decoded(self, engine: Engine, job: Job, held_s: float) -> None:
-        engine.load.slot_times.update(job.caller.kind.rank, held_s)
+        engine.load.record_slot_time(job.caller.kind.rank, held_s)
         engine.slots_used -= 1
         self._leave(engine, job)
         self._fill_slots(engine)
