--- a/bilberrydeal/gateway/tests/test_quotas.py
+++ b/bilberrydeal/gateway/tests/test_quotas.py
@@ -284,8 +284,8 @@
 async def test_gateway_that_ends_says_so() -> None:
     other, home = await _pair()
     other.quotas.shut_down()
-    await asyncio.sleep(0)
-    await _pass([home], 0.1)
+    # It goes on to send heartbeats until its last write is done.
+    await _pass((other, home), 0.5)
     assert home.quotas._node.view.names == (home.name,)
 
 
--- a/bilberrydeal/systems/quotas/_node.py
+++ b/bilberrydeal/systems/quotas/_node.py
@@ -118,7 +118,7 @@
         self._sequence = 0
         self._transitions: list[Transition] = []
         self._beat_s = float("-inf")
-        self._beat_stamp = -1
+        self._leaving = False
         self._beat_digest = 0
 
     # State from outside.
@@ -263,8 +263,10 @@
     ) -> Outgoing | None:
         """Return the heartbeat that is due, ``None`` if none is.
 
-        A changed view is told at once, so that all views soon agree.
+        A changed view is told at once, so that all views soon agree. Once
+        ``leaving`` was set, all heartbeats say so.
         """
+        self._leaving |= leaving
         if not self.quotas:
             return None
         view = self.view
@@ -275,7 +277,9 @@
             return None
         self._beat_s = now_s
         self._beat_digest = view.digest
-        message = _messages.Message(heartbeat=view.heartbeat(now_s, leaving))
+        message = _messages.Message(
+            heartbeat=view.heartbeat(now_s, self._leaving)
+        )
         recipients = view.recipients(now_s)
         return Outgoing(recipients, message) if recipients else None
 
