--- a/bilberrydeal/systems/quotas/_node.py
+++ b/bilberrydeal/systems/quotas/_node.py
@@ -118,7 +118,7 @@
         self._sequence = 0
         self._transitions: list[Transition] = []
         self._beat_s = float("-inf")
-        self._beat_stamp = -1
+        self._leaving = False
         self._beat_digest = 0
 
     # State from outside.
@@ -242,9 +242,9 @@
         for query in message.queries:
             if not -COST_LIMIT <= query.cost <= COST_LIMIT:
                 continue
-            answer = self._home.answer(sender, query, now_s)
-            if answer is not None:
-                outbox.answers.append(answer)
+            found = self._home.answer(sender, query, now_s)
+            if found is not None:
+                outbox.answers.append(found)
 
     def tick(self, now_s: float) -> None:
         """Keep time, and send a heartbeat when it is due."""
@@ -263,8 +263,10 @@
     ) -> Outgoing | None:
         """Return the heartbeat that is due, ``None`` if none is.
 
-        A changed view is told at once, so that all views soon agree.
+        A changed view is told at once, so that all views soon agree. Once
+        ``leaving`` was set, all heartbeats say so.
         """
+        self._leaving |= leaving
         if not self.quotas:
             return None
         view = self.view
@@ -275,7 +277,9 @@
             return None
         self._beat_s = now_s
         self._beat_digest = view.digest
-        message = _messages.Message(heartbeat=view.heartbeat(now_s, leaving))
+        message = _messages.Message(
+            heartbeat=view.heartbeat(now_s, self._leaving)
+        )
         recipients = view.recipients(now_s)
         return Outgoing(recipients, message) if recipients else None
 
