--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -379,6 +379,7 @@
             quarantines=len(self._quarantine.in_force()),
             store_era=self._store.era or 0,
             store_calls=self._store.calls,
+            stream_slots=self._cluster.stream_slots(),
         )
 
     async def _shut_down(self) -> None:
--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -251,6 +251,12 @@
 
         return ring.candidates(affinity, usable)
 
+    def stream_slots(self) -> float:
+        """Return the slots that long streams need, of all services."""
+        return sum(
+            streams.slots_needed for streams in self._long_streams.values()
+        )
+
     def loads(self) -> list[placement.EngineLoad]:
         """Return the loads of all engines."""
         return [
--- a/bilberrydeal/gateway/core/_metrics.py
+++ b/bilberrydeal/gateway/core/_metrics.py
@@ -28,6 +28,8 @@
     store_era: int
     #: Calls to the store by kind and outcome.
     store_calls: collections.abc.Mapping[tuple[str, str], int]
+    #: Slots that long streams need, of all services.
+    stream_slots: float = 0.0
 
 
 class GatewayMetrics:
@@ -73,6 +75,7 @@
                 ("lease_held", "Whether this process has the duties."),
                 ("quarantines", "Prompt parts kept from engines."),
                 ("store_era", "Era of the store, 0 if it tells none."),
+                ("stream_slots", "Slots that long streams need."),
             )
         }
 
@@ -121,6 +124,7 @@
             ("lease_held", int(state.lease_held)),
             ("quarantines", state.quarantines),
             ("store_era", state.store_era),
+            ("stream_slots", state.stream_slots),
         ):
             self._gauges[name].set({}, value)
         for (kind, outcome), count in state.store_calls.items():
