--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -441,6 +441,7 @@
             store_calls=self._store.calls,
             callers_bytes=self._caller_server.budget.used_bytes,
             callers_refused=self._caller_server.budget.refused,
+            stream_slots=self._cluster.stream_slots(),
         )
 
     async def _shut_down(self) -> None:
--- a/bilberrydeal/gateway/core/_metrics.py
+++ b/bilberrydeal/gateway/core/_metrics.py
@@ -34,6 +34,8 @@
     callers_refused: collections.abc.Mapping[str, int] = attrs.field(
         factory=dict
     )
+    #: Slots that long streams need, of all services.
+    stream_slots: float = 0.0
 
 
 class GatewayMetrics:
@@ -93,6 +95,7 @@
                 ("quarantines", "Prompt parts kept from engines."),
                 ("store_era", "Era of the store, 0 if it tells none."),
                 ("callers_held_bytes", "Memory held for callers."),
+                ("stream_slots", "Slots that long streams need."),
             )
         }
 
@@ -161,6 +164,7 @@
             ("quarantines", state.quarantines),
             ("store_era", state.store_era),
             ("callers_held_bytes", state.callers_bytes),
+            ("stream_slots", state.stream_slots),
         ):
             self._gauges[name].set({}, value)
         for (kind, outcome), count in state.store_calls.items():
