--- a/bilberrydeal/systems/quotas/_home.py
+++ b/bilberrydeal/systems/quotas/_home.py
@@ -26,7 +26,7 @@
 #: Time for which answers are repeated to repeated queries, in seconds.
 ANSWERS_KEPT_S = 2.0
 #: Most answers remembered for a gateway; earlier queries are not answered.
-ANSWERS_LIMIT = 8_192
+ANSWERS_LIMIT = 2_048
 #: Gateways whose answers are remembered beyond those of the view.
 EXTRA_GATEWAYS = 64
 #: Tolerance for sums of floats, as a share of the compared amount.
