--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -107,6 +107,13 @@
             lambda: self._coordination.peers,
             clock,
         )
+        self._capability_broadcast = peer_exchange.CapabilityBroadcast(
+            self._datagrams,
+            self._cluster,
+            self._coordination.incarnation,
+            lambda: self._coordination.peers,
+            clock,
+        )
         self._metrics = core.GatewayMetrics()
         self._quarantine = sending.RequestQuarantine(
             quarantine.QUARANTINES.get(gateway_settings.quarantine)(),
@@ -275,6 +282,13 @@
                 self._limit_broadcast.run_once,
             )
         )
+        self._spawn(
+            periodic.run_periodically(
+                "capability",
+                lambda: peer_exchange.CAPABILITY_INTERVAL_S,
+                self._capability_broadcast.run_once,
+            )
+        )
         self._spawn(
             periodic.run_periodically(
                 "quarantine",
@@ -379,6 +393,7 @@
             quarantines=len(self._quarantine.in_force()),
             store_era=self._store.era or 0,
             store_calls=self._store.calls,
+            engine_factors=self._capability_broadcast.factors(),
         )
 
     async def _shut_down(self) -> None:
--- a/bilberrydeal/gateway/core/_metrics.py
+++ b/bilberrydeal/gateway/core/_metrics.py
@@ -28,6 +28,10 @@
     store_era: int
     #: Calls to the store by kind and outcome.
     store_calls: collections.abc.Mapping[tuple[str, str], int]
+    #: Permanent factors that differ from 1, by engine.
+    engine_factors: collections.abc.Mapping[str, float] = attrs.field(
+        factory=dict
+    )
 
 
 class GatewayMetrics:
@@ -61,6 +65,11 @@
             "bilberrydeal_quarantine_decisions_total",
             "Decisions about prompt parts that crash engines, by kind.",
         )
+        self._engine_factor = self.metrics.gauge(
+            "bilberrydeal_engine_factor",
+            "Learned times of an engine over those usual in its service.",
+        )
+        self._engines: set[str] = set()
         self._gauges = {
             name: self.metrics.gauge(f"bilberrydeal_{name}", text)
             for name, text in (
@@ -125,4 +134,14 @@
             self._gauges[name].set({}, value)
         for (kind, outcome), count in state.store_calls.items():
             self._store_calls.set({"kind": kind, "outcome": outcome}, count)
+        self._set_engine_factors(state.engine_factors)
         return self.metrics.render()
+
+    def _set_engine_factors(
+        self, factors: collections.abc.Mapping[str, float]
+    ) -> None:
+        for engine_id in self._engines - factors.keys():
+            self._engine_factor.set({"engine": engine_id}, 1.0)
+        for engine_id, factor in factors.items():
+            label = telemetry.bounded_label(engine_id, self._engines)
+            self._engine_factor.set({"engine": label}, factor)
--- a/bilberrydeal/gateway/messaging/__init__.py
+++ b/bilberrydeal/gateway/messaging/__init__.py
@@ -4,6 +4,7 @@
 from ._datagrams import Datagram
 from ._datagrams import Datagrams
 from ._datagrams import EndpointLimitReport
+from ._datagrams import EngineCapabilityReport
 from ._datagrams import LoadReport
 from ._datagrams import Peers
 from ._datagrams import SettledWindow
@@ -15,6 +16,7 @@
     "Datagram",
     "Datagrams",
     "EndpointLimitReport",
+    "EngineCapabilityReport",
     "LoadReport",
     "Peers",
     "SettledWindow",
--- a/bilberrydeal/gateway/messaging/_datagrams.py
+++ b/bilberrydeal/gateway/messaging/_datagrams.py
@@ -98,6 +98,17 @@
         return self.limit_per_s >= 0.0 and self.age_s >= 0.0
 
 
+@attrs.frozen
+class EngineCapabilityReport:
+    """The permanent factor of an engine relative to its service."""
+
+    endpoint_id: str
+    #: Start of the engine's process, in Unix milliseconds.
+    started_ms: int
+    #: Its times over those that are usual in its service.
+    factor: float
+
+
 @attrs.frozen
 class Datagram:
     """A message from one gateway to others."""
@@ -119,6 +130,8 @@
     settled: tuple[SettledWindow, ...] = ()
     #: Request limits that endpoints name.
     limits: tuple[EndpointLimitReport, ...] = ()
+    #: Permanent factors of engines.
+    capabilities: tuple[EngineCapabilityReport, ...] = ()
 
 
 class _WireEngineLoad(msgspec.Struct, array_like=True):
@@ -146,6 +159,8 @@
     asks: str = ""
     settled: tuple[SettledWindow, ...] = ()
     limits: tuple[EndpointLimitReport, ...] = ()
+    #: Engine, start of its process in Unix milliseconds, and factor.
+    capabilities: list[tuple[str, int, float]] = []
 
 
 def _to_wire(datagram: Datagram) -> _WireDatagram:
@@ -171,6 +186,10 @@
         datagram.asks,
         datagram.settled,
         datagram.limits,
+        [
+            (report.endpoint_id, report.started_ms, report.factor)
+            for report in datagram.capabilities
+        ],
     )
 
 
@@ -201,6 +220,9 @@
         wire.asks,
         settled=wire.settled,
         limits=wire.limits,
+        capabilities=tuple(
+            EngineCapabilityReport(*each) for each in wire.capabilities
+        ),
     )
 
 
--- /dev/null
+++ b/bilberrydeal/gateway/peer_exchange/_capability_broadcast.py
@@ -0,0 +1,122 @@
+"""Tells gateways that start later how capable engines are.
+
+Samples travel with load reports, so gateways that run learn the same. One that
+starts uses what it is told until it has learned from samples itself.
+"""
+
+import collections.abc
+import itertools
+
+from ... import telemetry
+from .. import cluster_state
+from .. import messaging
+
+LOG = telemetry.logger("capability")
+#: Interval between checks for a change or a summary that is due, in seconds.
+CAPABILITY_INTERVAL_S = 1.0
+#: Interval between summaries of all gateways together, in seconds.
+SUMMARY_INTERVAL_S = 5.0
+#: Most engines of a summary, which then fits a packet; the next ones follow
+#: in the next summary.
+MAX_SUMMARY = 24
+
+Clock = collections.abc.Callable[[], float]
+
+
+class CapabilityBroadcast:
+    """Sends, receives and applies permanent factors of engines.
+
+    Nothing is sent while no engine differs from its service.
+    """
+
+    def __init__(
+        self,
+        datagrams: messaging.Datagrams,
+        cluster: cluster_state.ClusterState,
+        gateway: str,
+        peers: messaging.Peers,
+        clock: Clock,
+    ) -> None:
+        self._datagrams = datagrams
+        self._cluster = cluster
+        self._gateway = gateway
+        self._peers = peers
+        self._clock = clock
+        self._sent_s = clock()
+        #: Engines of the last summary, to go on with the next ones.
+        self._position = 0
+        #: Factors that were logged, by engine and start of its process.
+        self._logged: dict[tuple[str, int], float] = {}
+        datagrams.subscribe(self._on_datagram)
+
+    async def run_once(self) -> None:
+        """Log changes, and send a summary if one is due."""
+        self._log_changes()
+        now_s = self._clock()
+        addresses = self._peers()
+        interval_s = SUMMARY_INTERVAL_S * (len(addresses) + 1)
+        if now_s - self._sent_s < interval_s:
+            return
+        self._sent_s = now_s
+        summary = self._summary()
+        if summary:
+            self._datagrams.send(
+                messaging.Datagram(self._gateway, capabilities=summary),
+                addresses,
+            )
+
+    def factors(self) -> dict[str, float]:
+        """Return the factors in use that differ from 1, by engine."""
+        return {
+            load.engine_id: load.speed.capability.factor
+            for load in self._cluster.loads()
+            if load.speed.capability.factor != 1.0
+        }
+
+    def _summary(self) -> tuple[messaging.EngineCapabilityReport, ...]:
+        """Return the next factors that this gateway has learned itself."""
+        reports = [
+            messaging.EngineCapabilityReport(
+                upstream.endpoint.endpoint_id,
+                upstream.endpoint.started_ms,
+                upstream.load.speed.capability.factor,
+            )
+            for upstream in self._cluster.endpoints.values()
+            if upstream.load is not None
+            and upstream.load.speed.capability.known
+            and upstream.load.speed.capability.factor != 1.0
+        ]
+        if len(reports) <= MAX_SUMMARY:
+            return tuple(reports)
+        start = self._position % len(reports)
+        self._position = start + MAX_SUMMARY
+        turn = itertools.islice(
+            itertools.cycle(reports), start, start + MAX_SUMMARY
+        )
+        return tuple(turn)
+
+    def _on_datagram(self, datagram: messaging.Datagram) -> None:
+        for report in datagram.capabilities[:MAX_SUMMARY]:
+            upstream = self._cluster.endpoints.get(report.endpoint_id)
+            if upstream is None or upstream.load is None:
+                continue
+            if upstream.endpoint.started_ms == report.started_ms:
+                upstream.load.speed.capability.tell(report.factor)
+
+    def _log_changes(self) -> None:
+        before, self._logged = self._logged, {}
+        for upstream in self._cluster.endpoints.values():
+            if upstream.load is None:
+                continue
+            endpoint = upstream.endpoint
+            key = (endpoint.endpoint_id, endpoint.started_ms)
+            capability = upstream.load.speed.capability
+            self._logged[key] = capability.factor
+            if capability.factor != before.get(key, 1.0):
+                LOG.info(
+                    "Engine capability changed.",
+                    endpoint=endpoint.endpoint_id,
+                    factor=round(capability.factor, 2),
+                    factor_before=round(before.get(key, 1.0), 2),
+                    told_by_a_gateway=capability.told,
+                )
--- a/bilberrydeal/systems/placement/_capability.py
+++ b/bilberrydeal/systems/placement/_capability.py
@@ -42,6 +42,8 @@
 RELEASE_FACTOR = 1.1
 #: Largest factor; beyond it an engine is followed as one that is slow.
 MAX_FACTOR = 2.5
+#: Error of a logarithm that was computed from a factor.
+ROUNDING = 1e-6
 
 
 class _Blocks:
@@ -134,10 +136,13 @@
 
     def tell(self, factor: float) -> None:
         """Use the factor of another gateway until there are own samples."""
-        if not 1.0 / MAX_FACTOR <= factor <= MAX_FACTOR or self.known:
+        if not 0.0 < factor < math.inf or self.known:
+            return
+        log_factor = math.log(factor)
+        if abs(log_factor) > math.log(MAX_FACTOR) + ROUNDING:
             return
         self.told = True
-        self._use(math.log(factor))
+        self._use(log_factor)
 
     def middle(self, separate: bool) -> float | None:
         """Return the median of a kind of prefills, if there are enough."""
