--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -226,17 +226,19 @@
 def _decode_engine_to_convert(
     decode_engines: list[_entities.EngineLoad],
 ) -> _entities.EngineLoad:
-    """Choose a decode engine to convert.
+    """Choose a decode engine to convert, the fastest one.
 
-    The main one is not chosen: it has the most requests to finish.
+    The main one is not chosen: it has the most requests to finish. The last
+    one of a failure domain is chosen only if there is no other.
     """
     main = _options.main_decode_engine(decode_engines)
-    domains = collections.Counter(
-        each.failure_domain for each in decode_engines
-    )
+    domains = _by_domain(decode_engines)
+    candidates = [each for each in decode_engines if each is not main]
+    spared = [each for each in candidates if domains[each.failure_domain] > 1]
     return max(
-        (each for each in decode_engines if each is not main),
+        spared or candidates,
         key=lambda each: (
+            -_permanent_factor(each),
             domains[each.failure_domain],
             -each.requests,
             each.key,
@@ -248,10 +250,33 @@
     prefill_engines: list[_entities.EngineLoad],
     decode_engines: list[_entities.EngineLoad],
 ) -> _entities.EngineLoad:
-    domains = collections.Counter(
-        each.failure_domain for each in decode_engines
-    )
+    """Choose a prefill engine to convert, the slowest one.
+
+    It is in one of the failure domains in which the fewest engines decode, or
+    in which only one more decodes.
+    """
+    domains = _by_domain(decode_engines)
+    fewest = min(domains[each.failure_domain] for each in prefill_engines)
     return min(
-        prefill_engines,
-        key=lambda each: (domains[each.failure_domain], each.key),
+        (
+            each
+            for each in prefill_engines
+            if domains[each.failure_domain] <= fewest + 1
+        ),
+        key=lambda each: (
+            -_permanent_factor(each),
+            domains[each.failure_domain],
+            each.key,
+        ),
     )
+
+
+def _by_domain(
+    engines: list[_entities.EngineLoad],
+) -> collections.Counter[str]:
+    return collections.Counter(each.failure_domain for each in engines)
+
+
+def _permanent_factor(engine: _entities.EngineLoad) -> float:
+    """Return how much slower an engine is than its service for good."""
+    return engine.speed.capability.factor
--- a/bilberrydeal/systems/placement/tests/test_role_need.py
+++ b/bilberrydeal/systems/placement/tests/test_role_need.py
@@ -133,3 +133,25 @@
     )
     assert played.orders == []
     assert played.worth_share() > 0.99
+
+
+def _told(engines: list[placement.EngineLoad], factors: list[float]) -> None:
+    service = placement.ServiceSpeed()
+    for engine, factor in zip(engines, factors, strict=True):
+        engine.speed = placement.EngineSpeed(service)
+        engine.speed.capability.tell(factor)
+
+
+def test_fast_engines_are_converted_first_and_domains_keep_one() -> None:
+    """A slow engine takes as long for a prompt as two fast ones."""
+    engines = _engines(6, 10)
+    # d0 and d1 have two decode engines each, d2 and d3 one.
+    _told(engines, [1.0, 1.0, 0.5, 0.5, 0.8, 1.0, *[1.0] * 9, 1.4])
+    demand = placement.RoleDemand(need=placement.RoleNeed(1.0, 10.0))
+    order = placement.plan_roles(engines, demand)
+    assert order is not None
+    assert order.engine_id == "e4"
+    demand = placement.RoleDemand(need=placement.RoleNeed(6.0, 1.0))
+    order = placement.plan_roles(engines, demand)
+    assert order is not None
+    assert order.engine_id == "e15"
