--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -125,6 +125,13 @@
             lambda: self._coordination.peers,
             clock,
         )
+        self._capability_broadcast = peer_exchange.CapabilityBroadcast(
+            self._datagrams,
+            self._cluster,
+            self._coordination.incarnation,
+            lambda: self._coordination.peers,
+            clock,
+        )
         self._metrics = core.GatewayMetrics()
         self._quotas = quotas.Quotas(
             self._datagrams,
@@ -316,6 +323,13 @@
                 self._quotas.run_once,
             )
         )
+        self._spawn(
+            periodic.run_periodically(
+                "capability",
+                lambda: peer_exchange.CAPABILITY_INTERVAL_S,
+                self._capability_broadcast.run_once,
+            )
+        )
         self._spawn(
             periodic.run_periodically(
                 "quarantine",
@@ -442,6 +456,7 @@
             callers_bytes=self._caller_server.budget.used_bytes,
             callers_refused=self._caller_server.budget.refused,
             stream_slots=self._cluster.stream_slots(),
+            engine_factors=self._capability_broadcast.factors(),
         )
 
     async def _shut_down(self) -> None:
--- a/bilberrydeal/gateway/core/_metrics.py
+++ b/bilberrydeal/gateway/core/_metrics.py
@@ -36,6 +36,10 @@
     )
     #: Slots that long streams need, of all services.
     stream_slots: float = 0.0
+    #: Permanent factors that differ from 1, by engine.
+    engine_factors: collections.abc.Mapping[str, float] = attrs.field(
+        factory=dict
+    )
 
 
 class GatewayMetrics:
@@ -82,6 +86,11 @@
             "bilberrydeal_quota_fallback_requests_total",
             "Requests decided without the home, by organisation and outcome.",
         )
+        self._engine_factor = self.metrics.gauge(
+            "bilberrydeal_engine_factor",
+            "Learned times of an engine over those usual in its service.",
+        )
+        self._engines: set[str] = set()
         self._gauges = {
             name: self.metrics.gauge(f"bilberrydeal_{name}", text)
             for name, text in (
@@ -171,4 +180,14 @@
             self._store_calls.set({"kind": kind, "outcome": outcome}, count)
         for reason, count in state.callers_refused.items():
             self._callers_refused.set({"reason": reason}, count)
+        self._set_engine_factors(state.engine_factors)
         return self.metrics.render()
+
+    def _set_engine_factors(
+        self, factors: collections.abc.Mapping[str, float]
+    ) -> None:
+        for engine_id in self._engines - factors.keys():
+            self._engine_factor.set({"engine": engine_id}, 1.0)
+        for engine_id, factor in factors.items():
+            label = telemetry.bounded_label(engine_id, self._engines)
+            self._engine_factor.set({"engine": label}, factor)
--- a/bilberrydeal/gateway/messaging/_datagrams.py
+++ b/bilberrydeal/gateway/messaging/_datagrams.py
@@ -99,6 +99,17 @@
         return self.limit_per_s >= 0.0 and self.age_s >= 0.0
 
 
+@attrs.frozen
+class EngineCapabilityReport:
+    """The permanent factor of an engine relative to its service."""
+
+    endpoint_id: str
+    #: Start of the engine's process, in Unix milliseconds.
+    started_ms: int
+    #: Its times over those that are usual in its service.
+    factor: float
+
+
 @attrs.frozen
 class Datagram:
     """A message from one gateway to others."""
@@ -122,6 +133,8 @@
     limits: tuple[EndpointLimitReport, ...] = ()
     #: Quotas of organisations.
     quota: quotas.Message | None = None
+    #: Permanent factors of engines.
+    capabilities: tuple[EngineCapabilityReport, ...] = ()
 
 
 class _WireEngineLoad(msgspec.Struct, array_like=True):
@@ -150,6 +163,8 @@
     settled: tuple[SettledWindow, ...] = ()
     limits: tuple[EndpointLimitReport, ...] = ()
     quota: quotas.Message | None = None
+    #: Engine, start of its process in Unix milliseconds, and factor.
+    capabilities: list[tuple[str, int, float]] = []
 
 
 def _to_wire(datagram: Datagram) -> _WireDatagram:
@@ -176,6 +191,10 @@
         datagram.settled,
         datagram.limits,
         datagram.quota,
+        [
+            (report.endpoint_id, report.started_ms, report.factor)
+            for report in datagram.capabilities
+        ],
     )
 
 
@@ -207,6 +226,9 @@
         settled=wire.settled,
         limits=wire.limits,
         quota=wire.quota,
+        capabilities=tuple(
+            EngineCapabilityReport(*each) for each in wire.capabilities
+        ),
     )
 
 
