--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -380,6 +380,11 @@
             store_era=self._store.era or 0,
             store_calls=self._store.calls,
             stream_slots=self._cluster.stream_slots(),
+            promised_tokens=sum(
+                load.promised_tokens
+                for load in self._cluster.loads()
+                if not load.prefill_only
+            ),
         )
 
     async def _shut_down(self) -> None:
--- a/bilberrydeal/gateway/core/_metrics.py
+++ b/bilberrydeal/gateway/core/_metrics.py
@@ -30,6 +30,8 @@
     store_calls: collections.abc.Mapping[tuple[str, str], int]
     #: Slots that long streams need, of all services.
     stream_slots: float = 0.0
+    #: Tokens that requests hold or will hold at engines that decode.
+    promised_tokens: int = 0
 
 
 class GatewayMetrics:
@@ -76,6 +78,7 @@
                 ("quarantines", "Prompt parts kept from engines."),
                 ("store_era", "Era of the store, 0 if it tells none."),
                 ("stream_slots", "Slots that long streams need."),
+                ("promised_tokens", "Tokens promised at decode engines."),
             )
         }
 
@@ -125,6 +128,7 @@
             ("quarantines", state.quarantines),
             ("store_era", state.store_era),
             ("stream_slots", state.stream_slots),
+            ("promised_tokens", state.promised_tokens),
         ):
             self._gauges[name].set({}, value)
         for (kind, outcome), count in state.store_calls.items():
