--- a/bilberrydeal/systems/quotas/_node.py
+++ b/bilberrydeal/systems/quotas/_node.py
@@ -13,8 +13,13 @@
 
 #: Times after which a query without an answer is sent again, in seconds.
 RETRIES_S = (0.03, 0.06)
-#: Time after which the answer is not waited for any longer, in seconds.
+#: Time without an answer after which a gateway may grant from its own share,
+#: in seconds.
 ANSWER_TIMEOUT_S = 0.1
+#: Time for which the answer is waited for if that share is used up and the
+#: home is only slow, in seconds. A late answer is better than a rejection of a
+#: request that is within the limit.
+SLOW_HOME_TIMEOUT_S = 0.5
 #: Time for which a home that did not answer is not asked, in seconds.
 SUSPENDED_S = 0.3
 #: Time for which late answers are expected, in seconds: what they granted is
@@ -76,6 +81,8 @@
     #: ``None`` if nobody waits for the decision.
     on_decision: OnDecision | None
     retries: int = 0
+    #: Set if this gateway could not grant it alone either.
+    rejection: Decision | None = None
 
 
 @attrs.define
@@ -179,9 +186,14 @@
             )
             self._leave_fallback(organisation)
             return Decision(not wait_s, wait_s, False)
-        if not self.view.answers(home, now_s):
-            return self._decide_alone(organisation, cost, now_s)
-        return self._query(organisation, cost, home, now_s, on_decision)
+        if self.view.answers(home, now_s):
+            return self._query(organisation, cost, home, now_s, on_decision)
+        decision = self._decide_alone(organisation, cost, now_s)
+        if decision.granted or not self.view.heard(home, now_s):
+            return decision
+        sequence = self._query(organisation, cost, home, now_s, on_decision)
+        self._pending[sequence].rejection = decision
+        return sequence
 
     def cancel(self, sequence: int) -> None:
         """End a wait; what the home grants is given back."""
@@ -208,8 +220,11 @@
         """Repeat queries that are due and give up those without an answer."""
         for pending in list(self._pending.values()):
             waited_s = now_s - pending.asked_s
-            if waited_s >= ANSWER_TIMEOUT_S:
-                self._give_up(pending, now_s)
+            if pending.rejection is not None:
+                if waited_s >= SLOW_HOME_TIMEOUT_S:
+                    self._give_up(pending, pending.rejection, now_s)
+            elif waited_s >= ANSWER_TIMEOUT_S:
+                self._answer_missing(pending, now_s)
                 continue
             due = pending.retries < len(RETRIES_S)
             if due and waited_s >= RETRIES_S[pending.retries]:
@@ -337,16 +352,29 @@
         self._outbox(home).queries.append(query)
         return self._sequence
 
-    def _give_up(self, pending: _Pending, now_s: float) -> None:
+    def _answer_missing(self, pending: _Pending, now_s: float) -> None:
+        """Grant without the home, or wait for one that is only slow."""
+        self.view.suspend(pending.home, now_s + SUSPENDED_S)
+        if pending.on_decision is None:
+            self._give_up(pending, None, now_s)
+            return
+        query = pending.query
+        decision = self._decide_alone(query.organisation, query.cost, now_s)
+        if decision.granted or not self.view.heard(pending.home, now_s):
+            self._give_up(pending, decision, now_s)
+        else:
+            pending.rejection = decision
+
+    def _give_up(
+        self, pending: _Pending, decision: Decision | None, now_s: float
+    ) -> None:
+        """Wait no longer; what a late answer grants is given back."""
         query = pending.query
         del self._pending[query.sequence]
-        self.view.suspend(pending.home, now_s + SUSPENDED_S)
         if query.cost > 0.0:
             self._late[query.sequence] = (now_s, query)
-        if pending.on_decision is not None:
-            pending.on_decision(
-                self._decide_alone(query.organisation, query.cost, now_s)
-            )
+        if pending.on_decision is not None and decision is not None:
+            pending.on_decision(decision)
 
     def _on_answer(
         self, sender: str, answer: _messages.Answer, now_s: float
--- a/bilberrydeal/systems/quotas/_view.py
+++ b/bilberrydeal/systems/quotas/_view.py
@@ -174,6 +174,13 @@
         silence_s = now_s - peer.seen_s
         return silence_s < self.timeout_s or math.isinf(silence_s)
 
+    def heard(self, name: str, now_s: float) -> bool:
+        """Return whether another gateway lives and takes this one's view."""
+        peer = self._peers.get(name)
+        if peer is None or name in self.unheard:
+            return False
+        return now_s - peer.beat_s < self.timeout_s
+
     def suspend(self, name: str, until_s: float) -> None:
         """Ask a gateway nothing for a while."""
         peer = self._peers.get(name)
