--- a/bilberrydeal/systems/placement/_long_streams.py
+++ b/bilberrydeal/systems/placement/_long_streams.py
@@ -132,7 +132,7 @@
 
     counts: dict[str, list[int]]
     at_s: float
-    #: Whether it has been silent for too long.
+    #: Whether it has been silent for too long while it had requests.
     expired: bool = False
 
 
@@ -203,14 +203,18 @@
             if report.at_s < oldest_s - HOLD_TIME_S:
                 del self._senders[sender]
             elif report.at_s < oldest_s:
+                report.expired |= bool(report.counts)
                 report.counts = {}
-                report.expired = True
 
     @property
     def blind(self) -> bool:
-        """Return whether no other gateway is heard any more."""
+        """Return whether no gateway is heard of those that had requests.
+
+        A gateway without requests sends no reports.
+        """
         peers = [report for name, report in self._senders.items() if name]
-        return bool(peers) and all(report.expired for report in peers)
+        heard = any(report.counts for report in peers)
+        return not heard and any(report.expired for report in peers)
 
     def observe(self, now_s: float) -> None:
         """Learn from what all gateways have at the engines now."""
--- a/bilberrydeal/systems/placement/_peer_loads.py
+++ b/bilberrydeal/systems/placement/_peer_loads.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import math
 
 import attrs
 
@@ -14,6 +15,9 @@
 
 #: Age at which the load reported by a gateway is discarded, in seconds.
 MAX_REPORT_AGE_S = 1.0
+#: Shortest time between two records of this gateway's own requests, in
+#: seconds; reports to others may be more frequent.
+OWN_INTERVAL_S = 0.03
 #: Stands for this gateway among the senders of counts.
 OWN = ""
 
@@ -97,6 +101,7 @@
         self._arrivals: dict[str, _peer_arrivals.PeerArrivals] = {}
         #: Slots that long streams need, by service.
         self._streams: dict[str, _long_streams.LongStreams] = {}
+        self._observed_s = -math.inf
         #: Engines whose totals changed since the last :meth:`apply`.
         self._changed: set[str] = set()
 
@@ -154,6 +159,9 @@
         now_s: float,
     ) -> None:
         """Record what this gateway has at the engines, and learn from all."""
+        if now_s - self._observed_s < OWN_INTERVAL_S:
+            return
+        self._observed_s = now_s
         slots: collections.Counter[str] = collections.Counter()
         for engine in engines:
             self._streams[engine.service] = engine.long_streams
--- a/bilberrydeal/systems/placement/tests/test_long_streams.py
+++ b/bilberrydeal/systems/placement/tests/test_long_streams.py
@@ -178,3 +178,19 @@
     for step in range(1_000):
         streams.observe(20.0 + step / 10)
     assert streams.slots_needed < 1.0
+
+
+@pytest.mark.parametrize(
+    ("counts", "blind"), [({"e1": [1]}, True), ({}, False)]
+)
+def test_gateway_without_requests_is_not_missed(
+    counts: dict[str, list[int]], blind: bool
+) -> None:
+    """Guards against slots that are not lent while other gateways are idle."""
+    streams = placement.LongStreams()
+    streams.record("other", counts, 0.0)
+    streams.expire(0.5)
+    streams.expire(0.6)
+    assert streams.blind == blind
+    streams.record("other", {"e1": [1]}, 0.7)
+    assert not streams.blind
