--- a/bilberrydeal/systems/quotas/tests/test_view.py
+++ b/bilberrydeal/systems/quotas/tests/test_view.py
@@ -39,9 +39,9 @@
     view = _view_of("g1", "g2")
     view.set_listed({"g1": "a-g1"}, 1.1)
     view.refresh(1.2, 1.2)
-    assert view.names == ("g0", "g1", "g2")
+    assert list(view.names) == ["g0", "g1", "g2"]
     view.refresh(9.0, 9.0)
-    assert view.names == ("g0", "g1")
+    assert list(view.names) == ["g0", "g1"]
 
 
 def test_gateway_that_is_not_listed_yet_is_known_when_it_is_heard() -> None:
@@ -55,13 +55,13 @@
     """Guards against views that differ until each has read the list."""
     view = _view_of("g1", "g2")
     _beat(view, "g1", 5.0, gone=("g2",))
-    assert view.names == ("g0", "g1")
+    assert list(view.names) == ["g0", "g1"]
 
 
 def test_gateway_that_is_heard_is_not_gone() -> None:
     view = _view_of("g1", "g2")
     _beat(view, "g1", 1.1, gone=("g2",))
-    assert view.names == ("g0", "g1", "g2")
+    assert list(view.names) == ["g0", "g1", "g2"]
 
 
 def test_process_at_the_same_address_replaces_the_one_before() -> None:
