--- a/bilberrydeal/telemetry/tests/test_telemetry.py
+++ b/bilberrydeal/telemetry/tests/test_telemetry.py
@@ -1,26 +1,15 @@
 """Tests metric labels, log prefixes and trace propagation."""
 
-import collections.abc
 import io
 import json
 import pathlib
 
-import pytest
-import structlog
-
 from bilberrydeal import settings
 from bilberrydeal import telemetry
 
 PARENT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 
 
-@pytest.fixture
-def restored_logging() -> collections.abc.Iterator[None]:
-    """Undo the configuration of the logs, which all tests share."""
-    yield
-    structlog.reset_defaults()
-
-
 def test_label_cardinality_is_bounded() -> None:
     seen: set[str] = set()
     labels = {
@@ -30,7 +19,6 @@
     assert "other" in labels
 
 
-@pytest.mark.usefixtures("restored_logging")
 def test_event_has_the_prefix_of_its_component() -> None:
     # Not closed, because cached loggers of other tests may use the stream.
     stream = io.StringIO()
