--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -457,11 +457,6 @@
             callers_refused=self._caller_server.budget.refused,
             stream_slots=self._cluster.stream_slots(),
             engine_factors=self._capability_broadcast.factors(),
-            promised_tokens=sum(
-                load.promised_tokens
-                for load in self._cluster.loads()
-                if not load.prefill_only
-            ),
         )
 
     async def _shut_down(self) -> None:
--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -403,9 +403,6 @@
             upstream.load.cache.set_capacity(
                 self._cache_tokens(upstream.endpoint.service)
             )
-            upstream.load.kv_capacity_tokens = (
-                found.engine.kv_capacity_tokens if found.engine else 0
-            )
         if found.engine is not None:
             speed = self._speeds.setdefault(
                 found.name, placement.ServiceSpeed()
--- a/bilberrydeal/gateway/core/_metrics.py
+++ b/bilberrydeal/gateway/core/_metrics.py
@@ -40,8 +40,6 @@
     engine_factors: collections.abc.Mapping[str, float] = attrs.field(
         factory=dict
     )
-    #: Tokens that requests hold or will hold at engines that decode.
-    promised_tokens: int = 0
 
 
 class GatewayMetrics:
@@ -107,7 +105,6 @@
                 ("store_era", "Era of the store, 0 if it tells none."),
                 ("callers_held_bytes", "Memory held for callers."),
                 ("stream_slots", "Slots that long streams need."),
-                ("promised_tokens", "Tokens promised at decode engines."),
             )
         }
 
@@ -177,7 +174,6 @@
             ("store_era", state.store_era),
             ("callers_held_bytes", state.callers_bytes),
             ("stream_slots", state.stream_slots),
-            ("promised_tokens", state.promised_tokens),
         ):
             self._gauges[name].set({}, value)
         for (kind, outcome), count in state.store_calls.items():
--- a/bilberrydeal/gateway/messaging/_datagrams.py
+++ b/bilberrydeal/gateway/messaging/_datagrams.py
@@ -23,10 +23,6 @@
 #: Bytes of the Ethernet, IP and UDP headers of a packet.
 PACKET_HEADER_BYTES = 42
 
-#: Most tokens of a rank at an engine that a gateway is believed to hold; more
-#: are cut off.
-PROMISED_LIMIT_TOKENS = 1_000_000_000
-
 #: Flags of a prefill: whether the engine only prefilled, whether it had a
 #: queue, and whether the prefill was not finished.
 _SEPARATE = 1
@@ -151,8 +147,6 @@
     prompts: list[list[tuple[bytes, int]]]
     #: Prefills: flags, tokens and microseconds.
     samples: list[tuple[int, int, int]] = []
-    #: Tokens that requests hold or will hold, by rank.
-    promised: tuple[int, ...] = ()
 
 
 class _WireDatagram(msgspec.Struct, array_like=True):
@@ -186,7 +180,6 @@
                 engine_load.requests,
                 [_parts(prompt) for prompt in engine_load.prompts],
                 [_sample_to_wire(each) for each in engine_load.samples],
-                _trimmed(engine_load.promised),
             )
             for engine_load in load.engine_loads
         ],
@@ -205,12 +198,6 @@
     )
 
 
-def _trimmed(numbers: tuple[int, ...]) -> tuple[int, ...]:
-    """Return numbers without the zeros at the end, to save bytes."""
-    last = max((n for n, each in enumerate(numbers) if each), default=-1)
-    return numbers[: last + 1]
-
-
 def _parts(prompt: placement.Prompt) -> list[tuple[bytes, int]]:
     return [(part.part_id, part.tokens) for part in prompt.parts]
 
@@ -224,10 +211,6 @@
             engine_load.requests,
             tuple(map(_prompt, engine_load.prompts)),
             tuple(map(_sample_from_wire, engine_load.samples)),
-            tuple(
-                min(max(tokens, 0), PROMISED_LIMIT_TOKENS)
-                for tokens in engine_load.promised[: placement.URGENT_RANKS]
-            ),
         )
         for engine_load in wire.engine_loads
     )
--- a/bilberrydeal/gateway/peer_exchange/_load_exchange.py
+++ b/bilberrydeal/gateway/peer_exchange/_load_exchange.py
@@ -107,7 +107,6 @@
                 list(load.own_counts.by_rank),
                 tuple(load.unreported_prompts),
                 tuple(load.unreported_samples),
-                tuple(load.own_promised),
             )
             for load in self._cluster.loads()
             if load.own_counts.total
--- a/bilberrydeal/gateway/streams/_pending_prefill.py
+++ b/bilberrydeal/gateway/streams/_pending_prefill.py
@@ -89,11 +89,8 @@
     rank = placement.engine_rank(admitted.priority, placed.deferred)
     pending = PendingPrefill(load, placed, prompt.tokens, clock)
     load.own_counts.add(rank, 1)
-    held = prompt.tokens if load.prefill_only else prompt.held_tokens
-    placement.add_promised(load.own_promised, rank, held)
     try:
         yield pending
     finally:
         pending.abandoned()
         load.own_counts.add(rank, -1)
-        placement.add_promised(load.own_promised, rank, -held)
--- a/bilberrydeal/gateway/streams/_stream_placement.py
+++ b/bilberrydeal/gateway/streams/_stream_placement.py
@@ -98,13 +98,6 @@
             return core.failure_refusal(
                 stream.progress, "no engine can resume the request"
             )
-        if placed.no_memory:
-            return core.not_run_refusal(
-                errors.ErrorCode.DEADLINE_HOPELESS,
-                "the engines have no memory left for"
-                f" {placed.expected_s:.2f} s",
-                placed.retry_after_s,
-            )
         time_left_s = stream.event_deadline_s - self._clock()
         return core.not_run_refusal(
             errors.ErrorCode.DEADLINE_HOPELESS,
--- a/bilberrydeal/platform/_caller_fields.py
+++ b/bilberrydeal/platform/_caller_fields.py
@@ -78,18 +78,7 @@
         return None
     if not parts:
         parts = [placement.PromptPart(b"", prompt_tokens)]
-    return placement.Prompt(
-        tuple(parts), output_tokens, _output_hint(request, output_tokens)
-    )
-
-
-def _output_hint(request: http1.Request, limit_tokens: int) -> int | None:
-    """Return the expected output, ``None`` if it is absent or malformed."""
-    try:
-        hint = _tokens(request.header(_headers.HEADERS.output_hint) or b"")
-    except ValueError:
-        return None
-    return min(hint, limit_tokens)
+    return placement.Prompt(tuple(parts), output_tokens)
 
 
 def _parse_part(entry: bytes) -> placement.PromptPart:
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -32,7 +32,6 @@
 from ._peer_loads import GatewayEngineLoad
 from ._peer_loads import MAX_REPORT_AGE_S
 from ._peer_loads import PeerLoads
-from ._request_counts import add_promised
 from ._request_counts import engine_rank
 from ._request_counts import RequestCounts
 from ._request_counts import URGENT_RANKS
@@ -86,7 +85,6 @@
     "TimeSample",
     "TwoStagePlacer",
     "URGENT_RANKS",
-    "add_promised",
     "engine_rank",
     "in_order",
     "main_decode_engine",
--- a/bilberrydeal/systems/placement/_base.py
+++ b/bilberrydeal/systems/placement/_base.py
@@ -72,8 +72,6 @@
     #: Expected time to the first token, in seconds; infinite if there is
     #: no engine.
     expected_s: float = math.inf
-    #: Whether the engines have no memory left for it.
-    no_memory: bool = False
 
 
 #: What a placer decides about a request.
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -73,10 +73,6 @@
     sent_s: float
 
 
-def _no_tokens() -> list[int]:
-    return [0] * _request_counts.URGENT_RANKS
-
-
 @attrs.define
 class EngineLoad:
     """Load of one engine, updated by the gateway as it sends requests."""
@@ -105,12 +101,6 @@
     peer_counts: _request_counts.RequestCounts = attrs.field(
         factory=_request_counts.RequestCounts
     )
-    #: Tokens that requests of this process hold or will hold, by rank.
-    own_promised: list[int] = attrs.field(factory=_no_tokens)
-    #: The same of other processes.
-    peer_promised: list[int] = attrs.field(factory=_no_tokens)
-    #: Tokens that its memory holds, 0 if it is not known.
-    kv_capacity_tokens: int = 0
     #: Prompts that this process sent and has not reported to its peers yet.
     unreported_prompts: list[_parts.Prompt] = attrs.field(factory=list)
     #: Time that requests occupy a slot; shared by all engines of a service.
@@ -258,16 +248,6 @@
         """Return the number of requests at the engine."""
         return self.own_counts.total + self.peer_counts.total
 
-    @property
-    def promised_tokens(self) -> int:
-        """Return the tokens that requests hold or will hold."""
-        return sum(self.own_promised) + sum(self.peer_promised)
-
-    def promised_up_to(self, rank: int) -> int:
-        """Return the tokens of requests that are at least as urgent."""
-        last = rank + 1
-        return sum(self.own_promised[:last]) + sum(self.peer_promised[:last])
-
     def requests_of_rank(self, rank: int) -> int:
         """Return the number of requests of a rank, deferred or not."""
         deferred = _request_counts.engine_rank(rank, deferred=True)
--- a/bilberrydeal/systems/placement/_parts.py
+++ b/bilberrydeal/systems/placement/_parts.py
@@ -24,15 +24,6 @@
     parts: tuple[PromptPart, ...]
     #: Largest number of tokens to generate.
     output_limit_tokens: int
-    #: Number of tokens that the caller expects, ``None`` if it says nothing.
-    output_hint_tokens: int | None = None
-
-    @property
-    def held_tokens(self) -> int:
-        """Return the tokens that it should hold at the end of its output."""
-        if self.output_hint_tokens is None:
-            return self.tokens + self.output_limit_tokens
-        return self.tokens + self.output_hint_tokens
 
     @property
     def tokens(self) -> int:
--- a/bilberrydeal/systems/placement/_peer_loads.py
+++ b/bilberrydeal/systems/placement/_peer_loads.py
@@ -38,9 +38,6 @@
     prompts: tuple[_parts.Prompt, ...] = ()
     #: Prefills measured since the last report.
     samples: tuple[_engine_speed.PrefillSample, ...] = ()
-    #: Tokens that its requests hold or will hold, by rank; ranks that are
-    #: missing hold none.
-    promised: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -60,9 +57,6 @@
     counts: _request_counts.RequestCounts = attrs.field(
         factory=_request_counts.RequestCounts
     )
-    promised: list[int] = attrs.field(
-        factory=lambda: [0] * _request_counts.URGENT_RANKS
-    )
 
     def add(self, load: GatewayEngineLoad, sign: int) -> None:
         """Add a load, or subtract it if the sign is -1."""
@@ -72,9 +66,6 @@
         ranks = range(len(self.counts.by_rank))
         for rank, count in zip(ranks, load.requests, strict=False):
             self.counts.add(rank, sign * count)
-        ranks = range(len(self.promised))
-        for rank, tokens in zip(ranks, load.promised, strict=False):
-            self.promised[rank] += sign * tokens
 
 
 FindEngine = collections.abc.Callable[[str], _entities.EngineLoad | None]
@@ -214,7 +205,6 @@
                 engine.peer_counts = _request_counts.RequestCounts(
                     list(total.counts.by_rank)
                 )
-                engine.peer_promised = list(total.promised)
         self._changed.clear()
 
     def _add(self, report: _Report, sign: int) -> None:
--- a/bilberrydeal/systems/placement/_request_counts.py
+++ b/bilberrydeal/systems/placement/_request_counts.py
@@ -22,11 +22,6 @@
     return [0] * (2 * URGENT_RANKS)
 
 
-def add_promised(promised: list[int], rank: int, tokens: int) -> None:
-    """Add tokens of a rank at the engine; a negative number removes them."""
-    promised[rank % URGENT_RANKS] += tokens
-
-
 @attrs.define
 class RequestCounts:
     """Number of requests at an engine for each rank."""
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -5,7 +5,6 @@
 from . import _base
 from . import _entities
 from . import _fetching
-from . import _memory
 from . import _options
 from . import _parts
 from . import _slot_lending
@@ -53,14 +52,6 @@
         """Choose the next engine for a request."""
         if engines:
             engines[0].long_streams.note_target(request.rank, request.target_s)
-        memory_wait_s = _memory.wait_s(request, engines)
-        if memory_wait_s and not request.may_have_run:
-            # An engine would start it by its prompt, and stop one that grows.
-            return _base.DeadlineUnreachable(
-                max(memory_wait_s, MIN_RETRY_AFTER_S),
-                memory_wait_s,
-                no_memory=True,
-            )
         options = self._options(request, engines, now_s)
         if not options:
             return _base.DeadlineUnreachable(MIN_RETRY_AFTER_S)
@@ -116,7 +107,7 @@
         ]
         available = _slot_lending.preferred(
             request.rank,
-            _memory.with_room(request, available),
+            available,
             [engine for engine in engines if not engine.prefill_only],
         )
         if not available:
@@ -158,7 +149,6 @@
             and engine.requests < engine.slots * QUEUE_FACTOR
             and (request.may_separate or not engine.prefill_only)
         ]
-        available = _memory.with_room(request, available)
         eligible = _options.eligible(request, available, engines)
         if not eligible:
             return []
--- a/bilberrydeal/systems/placement/tests/burst.py
+++ b/bilberrydeal/systems/placement/tests/burst.py
@@ -143,7 +143,6 @@
                 int(load.own_tokens.deferred),
                 list(load.own_counts.by_rank),
                 tuple(load.unreported_prompts),
-                promised=tuple(load.own_promised),
             )
             for load in self.loads.values()
             if load.own_counts.total or load.unreported_prompts
--- a/bilberrydeal/systems/placement/tests/slot_play.py
+++ b/bilberrydeal/systems/placement/tests/slot_play.py
@@ -69,8 +69,6 @@
     #: Events in order, in seconds.
     events_s: list[float] = attrs.field(factory=list)
     done: bool = False
-    #: How often an engine without memory stopped it.
-    stops: int = 0
 
     @property
     def first_in_time(self) -> bool:
@@ -108,13 +106,6 @@
     #: Time that it has decoded, in seconds; negative before the first event.
     decoded_s: float = -0.005
 
-    @property
-    def held_tokens(self) -> float:
-        """Return the tokens that it holds in memory."""
-        kind = self.caller.kind
-        output = max(self.decoded_s, 0.0) / (kind.events * EVENT_S)
-        return self.tokens + min(output, 1.0) * kind.output_tokens
-
     @property
     def order(self) -> tuple[int, int]:
         """Return the order in which an engine starts requests."""
@@ -130,8 +121,6 @@
     slots: int
     cache: placement.PartCache
     tokens_per_s: float = TOKENS_PER_S
-    #: Tokens that its memory holds, 0 for any number.
-    memory_tokens: int = 0
     waiting: list[tuple[tuple[int, int], Job]] = attrs.field(factory=list)
     running: list[Job] = attrs.field(factory=list)
 
@@ -146,33 +135,13 @@
 
     def step(self, now_s: float) -> None:
         """Let a step of time pass."""
-        while self.waiting and self._has_room(self.waiting[0][1]):
+        while self.waiting and len(self.running) < self.slots:
             self.running.append(heapq.heappop(self.waiting)[1])
         prefilled_s = self._prefill()
         decoded_s = STEP_S - prefilled_s
         for job in list(self.running):
             if job.prefill_tokens <= 0.0:
                 self._decode(job, decoded_s, now_s)
-        self._stop_jobs()
-
-    @property
-    def _held_tokens(self) -> float:
-        return sum(job.held_tokens for job in self.running)
-
-    def _has_room(self, job: Job) -> bool:
-        if len(self.running) >= self.slots:
-            return False
-        held = self._held_tokens + job.held_tokens
-        return not self.memory_tokens or held <= self.memory_tokens
-
-    def _stop_jobs(self) -> None:
-        """Stop the newest of the least urgent requests without memory."""
-        while self.memory_tokens and self._held_tokens > self.memory_tokens:
-            job = max(self.running, key=lambda job: job.order)
-            self.running.remove(job)
-            job.caller.stops += 1
-            job.prefill_tokens = job.held_tokens
-            self.submit(job)
 
     def _prefill(self) -> float:
         """Prefill; return the time in which it did not decode."""
@@ -257,8 +226,6 @@
         gateways: int = 5,
         learns: bool = True,
         tokens_per_s: float = TOKENS_PER_S,
-        memory_tokens: int = 0,
-        counts_memory: bool = True,
         seed: int = 1,
     ) -> None:
         self.random = random.Random(seed)
@@ -271,7 +238,6 @@
                 slots,
                 placement.PartCache(1_280_000),
                 tokens_per_s,
-                0 if role is ports.EngineRole.PREFILL else memory_tokens,
             )
             for number, role in enumerate(roles)
         }
@@ -279,10 +245,6 @@
             Gateway(f"g{n}", list(self.engines.values()), learns)
             for n in range(gateways)
         ]
-        for gateway in self.gateways:
-            for load in gateway.loads.values():
-                known = counts_memory and not load.prefill_only
-                load.kv_capacity_tokens = memory_tokens if known else 0
         self.placer = placement.TwoStagePlacer()
         self.callers: list[Caller] = []
         self.now_s = 0.0
@@ -406,10 +368,6 @@
         load.record_prompt(caller.prompt)
         rank = placement.engine_rank(caller.kind.rank, placed.deferred)
         load.own_counts.add(rank, 1)
-        held = caller.prompt.held_tokens
-        if load.prefill_only:
-            held = caller.prompt.tokens
-        placement.add_promised(load.own_promised, rank, held)
         pending = placement.OutstandingPrefill(
             placed.uncached_tokens,
             placed.work_tokens,
@@ -431,7 +389,6 @@
 
         def on_end() -> None:
             load.own_counts.add(rank, -1)
-            placement.add_promised(load.own_promised, rank, -held)
             if caller.done:
                 held_s = self.now_s - caller.events_s[0]
                 load.slot_times.update(caller.kind.rank, held_s)
@@ -441,15 +398,7 @@
             cached = engine.cache.cached_tokens(caller.prompt)
             tokens = max(caller.prompt.tokens - cached, 1.0)
             engine.cache.record(caller.prompt)
-        job = Job(
-            caller,
-            rank,
-            next(self._numbers),
-            tokens,
-            on_first,
-            on_end,
-            caller.prompt.tokens,
-        )
+        job = Job(caller, rank, next(self._numbers), tokens, on_first, on_end)
         self.at(self.now_s + HOP_S, lambda: engine.submit(job))
 
     def _send_decode(
