--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -25,6 +25,8 @@
 CONNECTIONS_FLOOR = 8
 #: Share of an engine's KV cache assumed to hold shared prompt parts.
 CACHE_SHARE = 0.8
+#: Most faults of quotas in a log line.
+FAULTS_SHOWN = 10
 #: Most removed endpoints that are remembered.
 REMOVED_LIMIT = 256
 
@@ -59,6 +61,8 @@
         self._engine_rings: dict[str, placement.EngineRing] = {}
         #: Learned slot occupancy times by service.
         self._slot_times: dict[str, placement.SlotTimes] = {}
+        #: Slots that long streams need, by service.
+        self._long_streams: dict[str, placement.LongStreams] = {}
         #: What other gateways send, by service.
         self._arrivals: dict[str, placement.PeerArrivals] = {}
         #: Learned speed of the engines by service.
@@ -80,6 +84,13 @@
         self.routes = catalogue.RouteTable(configuration.routes)
         for upstream in self.endpoints.values():
             self._set_limits(upstream)
+        if configuration.quota_faults:
+            LOG.error(
+                "Quotas not applied.",
+                version=configuration.version,
+                faults=configuration.quota_faults[:FAULTS_SHOWN],
+                count=len(configuration.quota_faults),
+            )
         LOG.info(
             "Configuration in force.",
             version=configuration.version,
@@ -249,6 +260,12 @@
 
         return ring.candidates(affinity, usable)
 
+    def stream_slots(self) -> float:
+        """Return the slots that long streams need, of all services."""
+        return sum(
+            streams.slots_needed for streams in self._long_streams.values()
+        )
+
     def loads(self) -> list[placement.EngineLoad]:
         """Return the loads of all engines."""
         return [
@@ -353,6 +370,9 @@
             slot_times=self._slot_times.setdefault(
                 endpoint.service, placement.SlotTimes()
             ),
+            long_streams=self._long_streams.setdefault(
+                endpoint.service, placement.LongStreams()
+            ),
             arrivals=self._arrivals.setdefault(
                 endpoint.service, placement.PeerArrivals()
             ),
--- a/bilberrydeal/gateway/core/_metrics.py
+++ b/bilberrydeal/gateway/core/_metrics.py
@@ -34,6 +34,12 @@
     callers_refused: collections.abc.Mapping[str, int] = attrs.field(
         factory=dict
     )
+    #: Slots that long streams need, of all services.
+    stream_slots: float = 0.0
+    #: Permanent factors that differ from 1, by engine.
+    engine_factors: collections.abc.Mapping[str, float] = attrs.field(
+        factory=dict
+    )
 
 
 class GatewayMetrics:
@@ -71,6 +77,20 @@
             "bilberrydeal_quarantine_decisions_total",
             "Decisions about prompt parts that crash engines, by kind.",
         )
+        self._organisations: set[str] = set()
+        self._quota_amounts = self.metrics.counter(
+            "bilberrydeal_quota_amount_total",
+            "Costs of requests by organisation, unit and outcome.",
+        )
+        self._quota_fallbacks = self.metrics.counter(
+            "bilberrydeal_quota_fallback_requests_total",
+            "Requests decided without the home, by organisation and outcome.",
+        )
+        self._engine_factor = self.metrics.gauge(
+            "bilberrydeal_engine_factor",
+            "Learned times of an engine over those usual in its service.",
+        )
+        self._engines: set[str] = set()
         self._gauges = {
             name: self.metrics.gauge(f"bilberrydeal_{name}", text)
             for name, text in (
@@ -84,6 +104,7 @@
                 ("quarantines", "Prompt parts kept from engines."),
                 ("store_era", "Era of the store, 0 if it tells none."),
                 ("callers_held_bytes", "Memory held for callers."),
+                ("stream_slots", "Slots that long streams need."),
             )
         }
 
@@ -116,6 +137,25 @@
                 }
             )
 
+    def count_quota(
+        self,
+        organisation: str,
+        unit: str,
+        cost: float,
+        granted: bool,
+        fallback: bool,
+    ) -> None:
+        """Count what a request cost, or would have cost, of a quota."""
+        label = telemetry.bounded_label(organisation, self._organisations)
+        outcome = "admitted" if granted else "rejected"
+        self._quota_amounts.add(
+            {"organisation": label, "unit": unit, "outcome": outcome}, cost
+        )
+        if fallback:
+            self._quota_fallbacks.inc(
+                {"organisation": label, "outcome": outcome}
+            )
+
     def count_quarantine_decision(self, kind: str) -> None:
         """Count a decision about prompt parts."""
         self._quarantine_decisions.inc({"kind": kind})
@@ -133,10 +173,21 @@
             ("quarantines", state.quarantines),
             ("store_era", state.store_era),
             ("callers_held_bytes", state.callers_bytes),
+            ("stream_slots", state.stream_slots),
         ):
             self._gauges[name].set({}, value)
         for (kind, outcome), count in state.store_calls.items():
             self._store_calls.set({"kind": kind, "outcome": outcome}, count)
         for reason, count in state.callers_refused.items():
             self._callers_refused.set({"reason": reason}, count)
+        self._set_engine_factors(state.engine_factors)
         return self.metrics.render()
+
+    def _set_engine_factors(
+        self, factors: collections.abc.Mapping[str, float]
+    ) -> None:
+        for engine_id in self._engines - factors.keys():
+            self._engine_factor.set({"engine": engine_id}, 1.0)
+        for engine_id, factor in factors.items():
+            label = telemetry.bounded_label(engine_id, self._engines)
+            self._engine_factor.set({"engine": label}, factor)
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -10,6 +10,7 @@
 from ._baselines import LeastOutstandingPlacer
 from ._baselines import NoEarlyRefusalPlacer
 from ._baselines import NoLocalityPlacer
+from ._capability import Capability
 from ._engine_speed import EngineSpeed
 from ._engine_speed import PrefillSample
 from ._engine_speed import ServiceSpeed
@@ -20,6 +21,8 @@
 from ._linear_time import Line
 from ._linear_time import LinearTime
 from ._linear_time import TimeSample
+from ._long_streams import in_order
+from ._long_streams import LongStreams
 from ._options import main_decode_engine
 from ._parts import PartCache
 from ._parts import Prompt
@@ -33,14 +36,18 @@
 from ._request_counts import RequestCounts
 from ._request_counts import URGENT_RANKS
 from ._ring import EngineRing
+from ._role_need import RoleNeed
+from ._role_need import RoleNeeds
 from ._role_plan import Plan
 from ._role_plan import plan_roles
 from ._role_plan import ROLE_PLANS
 from ._role_plan import RoleDemand
 from ._role_plan import RoleOrder
+from ._slot_lending import preferred
 from ._two_stage import TwoStagePlacer
 
 __all__ = [
+    "Capability",
     "DeadlineUnreachable",
     "EngineLoad",
     "EngineRing",
@@ -50,6 +57,7 @@
     "LeastOutstandingPlacer",
     "Line",
     "LinearTime",
+    "LongStreams",
     "MAX_REPORT_AGE_S",
     "NoEarlyRefusalPlacer",
     "NoLocalityPlacer",
@@ -69,6 +77,8 @@
     "Request",
     "RequestCounts",
     "RoleDemand",
+    "RoleNeed",
+    "RoleNeeds",
     "RoleOrder",
     "ServiceSpeed",
     "SlotTimes",
@@ -76,8 +86,10 @@
     "TwoStagePlacer",
     "URGENT_RANKS",
     "engine_rank",
+    "in_order",
     "main_decode_engine",
     "plan_roles",
+    "preferred",
     "rendezvous_score",
     "too_late_after_s",
 ]
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -8,6 +8,7 @@
 from ... import ports
 from . import _engine_speed
 from . import _linear_time
+from . import _long_streams
 from . import _parts
 from . import _peer_arrivals
 from . import _request_counts
@@ -104,6 +105,10 @@
     unreported_prompts: list[_parts.Prompt] = attrs.field(factory=list)
     #: Time that requests occupy a slot; shared by all engines of a service.
     slot_times: SlotTimes = attrs.field(factory=SlotTimes)
+    #: Slots that long streams need; shared by all engines of a service.
+    long_streams: _long_streams.LongStreams = attrs.field(
+        factory=_long_streams.LongStreams
+    )
     #: What other processes send; shared by all engines of a service.
     arrivals: _peer_arrivals.PeerArrivals = attrs.field(
         factory=_peer_arrivals.PeerArrivals
@@ -234,11 +239,21 @@
             factor = max(factor, (now_s - prefill.sent_s) / limit_s)
         return factor
 
+    def record_slot_time(self, rank: int, held_s: float) -> None:
+        """Learn from the time that a finished request occupied its slot."""
+        self.slot_times.update(rank, held_s / self.speed.capability.factor)
+
     @property
     def requests(self) -> int:
         """Return the number of requests at the engine."""
         return self.own_counts.total + self.peer_counts.total
 
+    def requests_of_rank(self, rank: int) -> int:
+        """Return the number of requests of a rank, deferred or not."""
+        deferred = _request_counts.engine_rank(rank, deferred=True)
+        own, peers = self.own_counts.by_rank, self.peer_counts.by_rank
+        return own[rank] + own[deferred] + peers[rank] + peers[deferred]
+
     def deferred_requests(self, rank: int) -> int:
         """Return the number of deferred requests up to a rank."""
         return self.own_counts.deferred(rank) + self.peer_counts.deferred(rank)
@@ -266,4 +281,5 @@
         mean_s: float = sum(map(operator.mul, counts, held_s)) / requests
         last = _request_counts.engine_rank(rank, deferred)
         ahead = max(sum(counts[: last + 1]) - self.slots, 0)
-        return (mean_s + ahead * held_s[last]) / self.slots
+        wait_s = (mean_s + ahead * held_s[last]) / self.slots
+        return wait_s * self.speed.capability.factor
