--- a/bilberrydeal/entry/http_api/_http.py
+++ b/bilberrydeal/entry/http_api/_http.py
@@ -29,7 +29,7 @@
 RESPONSE_SLACK_S = 60
 #: Chunks of a body after which other connections get their turn.
 PARTS_PER_TURN = 64
-#: Retry-After of a request whose body found no room, in seconds.
+#: ``Retry-After`` of a request that exceeds the memory for bodies, in seconds.
 NO_ROOM_RETRY_S = 1.0
 
 #: Serves one request; returns the response, or ``None`` if it streamed one.
@@ -138,7 +138,7 @@
 
     limit_bytes: int
     used_bytes: int = 0
-    #: Whether the last body was refused, which is logged once.
+    #: Whether the last check refused a body; only changes are logged.
     refusing: bool = False
 
     def check(self, request: sanic.Request) -> None:
--- a/bilberrydeal/gateway/duties/_coordination.py
+++ b/bilberrydeal/gateway/duties/_coordination.py
@@ -38,10 +38,11 @@
 STARTING_INTERVAL_S = 0.5
 #: Most of them of all gateways together a second.
 STARTING_READS_PER_S = 40.0
-#: A gateway counts on its row for this much less than others do, in seconds.
+#: Time by which a gateway takes its own row for expired before others may, in
+#: seconds.
 ROW_MARGIN_S = 1.0
-#: Time after the first write of its row from which on a gateway finds all
-#: others that started with it, in seconds.
+#: Time after the first write of its row at which the rows of all gateways that
+#: started with it are written too, in seconds.
 SETTLED_AFTER_S = 1.0
 #: Interval between lease steps of the holder and of a candidate.
 LEASE_HELD_INTERVAL_S = 1.2
@@ -153,8 +154,8 @@
             ),
             placement.ROLE_PLANS.get(gateway_settings.role_plan),
         )
-        #: When this gateway's row was written first and last, in the time
-        #: since boot; the start of the process until then for the latter.
+        #: When this gateway's row was first and last written, in seconds since
+        #: boot; the latter is the start of the process before the first write.
         self._row_first_s: float | None = None
         self._row_written_s = self._started_s
         #: Whether gateways that started with this one are listed.
--- a/bilberrydeal/gateway/quotas/_service.py
+++ b/bilberrydeal/gateway/quotas/_service.py
@@ -1,4 +1,4 @@
-"""Asks for, answers and gives back what requests cost of quotas."""
+"""Takes the costs of requests from quotas and gives them back."""
 
 import asyncio
 import collections.abc
@@ -19,8 +19,8 @@
 #: Interval between checks for queries to repeat, in seconds; they only run
 #: while a query has no answer.
 POLL_INTERVAL_S = 0.015
-#: Added to the wait that callers are told, in seconds, since the header has
-#: milliseconds.
+#: Added to the wait that callers are told, in seconds, so that rounding to
+#: milliseconds in the header does not make them come back too early.
 ROUNDING_S = 0.002
 
 Clock = collections.abc.Callable[[], float]
--- a/bilberrydeal/http1/_connection.py
+++ b/bilberrydeal/http1/_connection.py
@@ -35,7 +35,7 @@
 #: Time for which a caller may read the response to a rejected request while
 #: it still sends, in seconds.
 LINGER_S = 0.5
-#: Time after which a request that was refused for memory may come back, in
+#: Value of ``Retry-After`` of a request that was refused for memory, in
 #: seconds.
 RETRY_AFTER = b"1"
 
@@ -135,7 +135,7 @@
         return self._reader.stage_started_s
 
     @property
-    def replaceable(self) -> bool:
+    def evictable(self) -> bool:
         """Return whether it may be closed in favour of a new connection.
 
         One that has had a response may rely on its idle timeout.
@@ -146,7 +146,7 @@
             return not self._announced_idle_s
         return self._reader.stage is _Stage.HEAD
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """Close the connection in favour of a new one."""
         if self._reader.stage is _Stage.HEAD:
             self._reject(408)
@@ -283,7 +283,7 @@
         self._reader.limits = server.limits()
         data = server.read_buffer[:nbytes]
         parsed = 0
-        while parsed < nbytes and not self._reader.laborious:
+        while parsed < nbytes and not self._reader.expensive:
             if not self._may_parse:
                 break
             parsed += self._feed(data, parsed)
--- a/bilberrydeal/http1/_request_reader.py
+++ b/bilberrydeal/http1/_request_reader.py
@@ -16,8 +16,9 @@
 #: Framing of a chunked body that is allowed for each of its bytes, such as
 #: sizes of chunks; a chunk of one byte has five.
 FRAMING_PER_BODY_BYTE = 8
-#: Parser callbacks of one request after which it counts as laborious.
-LABORIOUS_CALLBACKS = 128
+#: Parser callbacks of one request after which it counts as expensive, and its
+#: connection is parsed in turn with others like it.
+EXPENSIVE_CALLBACKS = 128
 #: Memory of a request beside its fields and body, including what serves it.
 REQUEST_BYTES = 4_096
 #: Copies of a body that exist at a time: the second is made as parts are
@@ -78,7 +79,7 @@
         #: Whether another protocol was asked for, which is not spoken.
         self.upgraded = False
         #: Whether the request took more work than ordinary ones.
-        self.laborious = False
+        self.expensive = False
         self._sink = sink
         self._clock = clock
         self._parser = httptools.HttpRequestParser(self)
@@ -95,11 +96,11 @@
         #: Length of the body that the head announced; -1 if it did not.
         self._length = -1
         self._framing_bytes = 0
-        #: Bytes since the last that belong to the body.
+        #: Bytes received since the last that belong to the body.
         self._silent_bytes = 0
         self._trailers = 0
         self._body_parts = 0
-        self.laborious = False
+        self.expensive = False
 
     @property
     def held_bytes(self) -> int:
@@ -127,7 +128,8 @@
 
     def feed(self, data: bytes | memoryview) -> None:
         """Parse bytes; raises :class:`Rejection`."""
-        # Replaced as a request ends.
+        # A request that ends replaces the collector; another one below means
+        # that these bytes were not all of one body.
         message = self._fields if self.stage is Stage.BODY else None
         body_before = len(self._body)
         if message is None:
@@ -153,13 +155,13 @@
     def _drop_trailers(self) -> None:
         self._trailers += len(self._pairs)
         self._pairs.clear()
-        parts = self._fields.packed + self._body_parts + self._trailers
-        self.laborious = parts > LABORIOUS_CALLBACKS
+        callbacks = self._fields.packed + self._body_parts + self._trailers
+        self.expensive = callbacks > EXPENSIVE_CALLBACKS
 
     def _check_head(self) -> None:
         if len(self._pairs) > _fields.PAIRS_LIMIT:
             self._fields.pack()
-        self.laborious = self._fields.packed > LABORIOUS_CALLBACKS
+        self.expensive = self._fields.packed > EXPENSIVE_CALLBACKS
         limit = self.limits.header_bytes + HEAD_OVERHEAD_BYTES
         if self._head_bytes > limit:
             raise Rejection(431)
--- a/bilberrydeal/http1/_server.py
+++ b/bilberrydeal/http1/_server.py
@@ -21,7 +21,7 @@
 READ_BYTES = 16_384
 #: Time within a head, or without a request, after which a connection may be
 #: closed in favour of a new one, in seconds.
-REPLACEABLE_AFTER_S = 0.5
+EVICTABLE_AFTER_S = 0.5
 
 
 class HttpServer:
@@ -111,15 +111,15 @@
             return True
         self.budget.refused[_budget.Reason.CONNECTIONS] += 1
         oldest = min(
-            (each for each in self.connections if each.replaceable),
+            (each for each in self.connections if each.evictable),
             key=operator.attrgetter("stage_started_s"),
             default=None,
         )
         if oldest is None:
             return False
-        if now_s - oldest.stage_started_s < REPLACEABLE_AFTER_S:
+        if now_s - oldest.stage_started_s < EVICTABLE_AFTER_S:
             return False
-        oldest.give_way()
+        oldest.evict()
         return True
 
     def stop_accepting(self) -> None:
--- a/bilberrydeal/systems/quotas/_active_time.py
+++ b/bilberrydeal/systems/quotas/_active_time.py
@@ -1,4 +1,4 @@
-"""Time that stands still while the process does not run."""
+"""A clock that gains little while the process does not run."""
 
 import attrs
 
--- a/bilberrydeal/systems/quotas/_fallback.py
+++ b/bilberrydeal/systems/quotas/_fallback.py
@@ -11,15 +11,16 @@
 #: Part of the allowed excess that gateways may grant at once when they lose
 #: the home; the rest covers delays until all notice the same.
 EXCESS_SHARE = 0.7
-#: Part of a share at which this credit comes back while the home answers.
+#: Part of a share's rate at which this credit is restored while the home
+#: answers, so that losing the home repeatedly does not grant it repeatedly.
 REGAIN_SHARE = 0.05
-#: Decay of the largest cost, for each request.
+#: Factor by which the remembered largest cost decays with each request.
 LARGEST_DECAY = 0.995
 
 
 @attrs.frozen
 class FallbackBounds:
-    """Excess over a quota that is allowed in a window."""
+    """Excess over a quota that is allowed in any window."""
 
     #: Length of the window, in seconds.
     window_s: float = 8.0
@@ -43,7 +44,7 @@
 
     gateways: int
     rank: int
-    #: Whether this gateway may grant nothing.
+    #: Whether this gateway may not grant anything, since it is isolated.
     stopped: bool
 
 
@@ -57,42 +58,46 @@
     point of the cycle.
     """
 
-    #: Whether the home is not heard.
+    #: Whether this gateway decides without the home.
     active: bool = False
-    #: Share that the home told, in units per second.
-    told_per_s: float = 0.0
-    told_s: float = -math.inf
-    #: Share that is used, in units per second.
+    #: Share that the home assigned, in units per second.
+    assigned_per_s: float = 0.0
+    #: When it was assigned, steady seconds.
+    assigned_s: float = -math.inf
+    #: Share that is used without the home, in units per second.
     share_per_s: float = 0.0
-    #: Greatest cost of late.
-    largest: float = 0.0
-    #: Time since which the home decides, in active seconds; ``None`` before
-    #: the first use of the bucket.
-    left_s: float | None = None
+    #: Largest recent cost of a request, in units of the quota.
+    largest_cost: float = 0.0
+    #: When the home last took over again, in active seconds; ``None`` if the
+    #: bucket has not been used yet.
+    ended_s: float | None = None
     bucket: limits.Bucket = attrs.field(
         factory=lambda: limits.Bucket(0.0, 0.0)
     )
 
     def note_cost(self, cost: float) -> None:
         """Record the cost of a request."""
-        self.largest = max(self.largest * LARGEST_DECAY, cost)
+        self.largest_cost = max(self.largest_cost * LARGEST_DECAY, cost)
 
     def note_share(self, share_per_s: float, now_s: float) -> None:
-        """Record the share that the home told; NaN and others are none."""
+        """Record the share that the home assigned.
+
+        Negative values and NaN are ignored.
+        """
         if share_per_s >= 0.0:
-            self.told_per_s = share_per_s
-            self.told_s = now_s
+            self.assigned_per_s = share_per_s
+            self.assigned_s = now_s
 
     def change(
         self, before: catalogue.Quota | None, after: catalogue.Quota
     ) -> None:
         """Adapt to another quota."""
         if before is None or before.unit is not after.unit:
-            self.told_per_s = self.share_per_s = 0.0
-            self.largest = 0.0
+            self.assigned_per_s = self.share_per_s = 0.0
+            self.largest_cost = 0.0
             return
         scale = after.rate_per_s / before.rate_per_s
-        self.told_per_s *= scale
+        self.assigned_per_s *= scale
         self.share_per_s *= scale
         if scale < 1.0:
             self.bucket.level *= scale
@@ -105,30 +110,37 @@
         now_s: float,
         active_s: float,
     ) -> None:
-        """Begin to grant without the home."""
+        """Start to grant without the home."""
         self.active = True
-        # Shares that the home tells add up to the rate, and none is less than
-        # this.
+        # Shares that the home assigns add up to the rate, and none is less
+        # than this.
         self.share_per_s = quota.rate_per_s / (2 * division.gateways)
-        if now_s - self.told_s < _home.SHARE_TTL_S:
-            told_per_s = min(self.told_per_s, quota.rate_per_s)
-            self.share_per_s = max(self.share_per_s, told_per_s)
+        if now_s - self.assigned_s < _home.SHARE_TTL_S:
+            assigned_per_s = min(self.assigned_per_s, quota.rate_per_s)
+            self.share_per_s = max(self.share_per_s, assigned_per_s)
+        level = self._initial_level(quota, division, excess)
+        if self.ended_s is not None:
+            away_s = active_s - self.ended_s
+            regained = REGAIN_SHARE * self.share_per_s * away_s
+            level = min(level, self.bucket.level + regained)
+        self.bucket = limits.Bucket(level, active_s)
+
+    def _initial_level(
+        self, quota: catalogue.Quota, division: Division, excess: float
+    ) -> float:
+        """Return the level of a bucket that has not been used before."""
         part = self.share_per_s / quota.rate_per_s
         level = part * excess * EXCESS_SHARE
         burst = part * quota.burst
-        if self.largest > burst:
+        if self.largest_cost > burst:
             cycle = (division.rank + 0.5) / max(division.gateways, 1)
-            level += burst - self.largest * cycle
-        if self.left_s is not None:
-            away_s = active_s - self.left_s
-            regained = REGAIN_SHARE * self.share_per_s * away_s
-            level = min(level, self.bucket.level + regained)
-        self.bucket = limits.Bucket(level, active_s)
+            level += burst - self.largest_cost * cycle
+        return level
 
     def leave(self, active_s: float) -> None:
-        """End granting, since the home answers."""
+        """Stop granting, since the home answers again."""
         self.active = False
-        self.left_s = active_s
+        self.ended_s = active_s
 
     def take(
         self,
--- a/bilberrydeal/systems/quotas/_home.py
+++ b/bilberrydeal/systems/quotas/_home.py
@@ -1,4 +1,4 @@
-"""Decides about the quotas of the organisations that a gateway is home of."""
+"""Decides about the quotas of organisations whose home this gateway is."""
 
 import collections.abc
 import math
@@ -11,24 +11,28 @@
 from . import _messages
 from . import _view
 
-#: Longest wait that rejected callers are told, in seconds. Callers of an
-#: organisation far over its limit come back as they came, not all at once.
+#: Longest wait that rejected callers are told, in seconds. Callers who would
+#: wait longer are all told this, so they come back spread as they came.
 MAX_WAIT_S = 2.0
 #: Wait that is told while nothing may be granted, in seconds.
 STOPPED_WAIT_S = 1.0
-#: Time constant of the rates that gateways were granted, in seconds.
+#: Time constant of the decay of what gateways were granted, in seconds.
 GRANTED_TAU_S = 3.0
 #: Interval between divisions of a quota into shares, in seconds.
 SHARES_INTERVAL_S = 0.25
-#: Time for which a share may be used after it was told, in seconds; longer
-#: than gateways without requests of an organisation are not told theirs.
+#: Time for which a share may be used after it was assigned, in seconds. Only
+#: answers carry shares, so a gateway without requests learns none meanwhile.
 SHARE_TTL_S = 5.0
 #: Time for which answers are repeated to repeated queries, in seconds.
 ANSWERS_KEPT_S = 2.0
-#: Most answers remembered for a gateway; earlier queries are not answered.
+#: Most answers remembered for a gateway; a repeated query whose answer was
+#: forgotten is not answered.
 ANSWERS_LIMIT = 2_048
 #: Gateways whose answers are remembered beyond those of the view.
 EXTRA_GATEWAYS = 64
+#: Time without a query after which a gateway's usage is forgotten, in
+#: seconds. Until then the share of a gateway that is cut off stays known.
+USAGE_KEPT_S = 60.0
 #: Tolerance for sums of floats, as a share of the compared amount.
 _TOLERANCE = 1e-9
 
@@ -37,12 +41,13 @@
 class _Usage:
     """What one gateway used of a quota."""
 
-    #: Units granted, which decay.
+    #: Units granted, decayed to ``granted_s``.
     granted: float = 0.0
     granted_s: float = 0.0
-    #: Share that it was told last, in units per second.
+    #: Share that it was last assigned, in units per second.
     share_per_s: float = 0.0
-    told_s: float = -math.inf
+    #: When it was last assigned one, steady seconds.
+    assigned_s: float = -math.inf
 
     def add(self, amount: float, now_s: float) -> None:
         """Add a granted amount."""
@@ -61,18 +66,20 @@
 
     quota: catalogue.Quota
     bucket: limits.Bucket
-    #: View up to which this gateway is known to have been the home.
+    #: Number of the last view in which this gateway is known as the home.
     era: int
-    #: Active time since which this gateway is the home.
+    #: When this gateway became the home, in active seconds.
     began_s: float
-    #: Rate less what unheard gateways may use, in units per second.
+    #: Rate less the reserve for unheard gateways, in units per second.
     rate_per_s: float = 0.0
-    #: Stamp of the view for which the rate was found.
+    #: Stamp of the view that the rate was computed for, -1 if it is outdated.
     stamp: int = -1
-    #: Time until which the rate is promised to rejected callers.
+    #: Time up to which refills are promised to rejected callers.
     promised_s: float = -math.inf
+    #: Usage by gateway.
     used: dict[str, _Usage] = attrs.field(factory=dict)
-    shares_s: float = -math.inf
+    #: When the rate was last divided into shares.
+    divided_s: float = -math.inf
     #: Share of a gateway that used nothing, in units per second.
     least_share_per_s: float = 0.0
 
@@ -129,7 +136,7 @@
                     account.bucket.level = 0.0
                 account.quota = quota
                 account.stamp = -1
-                account.shares_s = -math.inf
+                account.divided_s = -math.inf
                 account.promised_s = -math.inf
                 level = min(account.bucket.level, quota.burst)
                 account.bucket.level = level
@@ -178,9 +185,9 @@
         wait_s = self._take(account, cost, now_s)
         if not wait_s:
             usage.add(cost, now_s)
-        if now_s - account.shares_s >= SHARES_INTERVAL_S:
+        if now_s - account.divided_s >= SHARES_INTERVAL_S:
             self._divide(account, now_s)
-        usage.told_s = now_s
+        usage.assigned_s = now_s
         return wait_s, usage.share_per_s or account.least_share_per_s
 
     def _take(self, account: _Account, cost: float, now_s: float) -> float:
@@ -223,7 +230,7 @@
         )
 
     def _set_rate(self, account: _Account, now_s: float) -> None:
-        """Find what is left of the rate beside gateways that may not ask."""
+        """Set the rate less the reserve for gateways that may not ask."""
         view = self._view
         if account.stamp >= 0:
             self._refill(account)
@@ -231,26 +238,28 @@
         rate_per_s = account.quota.rate_per_s
         even_per_s = rate_per_s / view.divisor
         reserved = even_per_s * (view.divisor - len(view.names))
-        # Until then gateways may use what another home has told them.
+        # Gateways may still use shares that an earlier home assigned.
         known = self._active.now_s - account.began_s >= SHARE_TTL_S
         least_per_s = even_per_s / 2.0 if known else even_per_s
         for name in view.unheard:
             usage = account.used.get(name)
             heard_s = view.last_heard_s(name)
-            told = usage is not None and (heard_s - usage.told_s < SHARE_TTL_S)
-            share_per_s = usage.share_per_s if usage and told else 0.0
+            assigned = usage is not None and (
+                heard_s - usage.assigned_s < SHARE_TTL_S
+            )
+            share_per_s = usage.share_per_s if usage and assigned else 0.0
             reserved += max(share_per_s, least_per_s)
         account.rate_per_s = max(rate_per_s - reserved, 0.0)
         if view.isolated:
             account.rate_per_s = 0.0
 
     def _divide(self, account: _Account, now_s: float) -> None:
-        """Divide the rate by what gateways use, with a part for each."""
-        account.shares_s = now_s
+        """Divide the rate by usage, with at least a scaled even part each."""
+        account.divided_s = now_s
         divisor = self._view.divisor
         even = 1.0 / divisor
         for name, usage in list(account.used.items()):
-            if now_s - usage.told_s > ABANDONED_S:
+            if now_s - usage.assigned_s > USAGE_KEPT_S:
                 del account.used[name]
         values = {
             name: usage.value(now_s) for name, usage in account.used.items()
@@ -267,15 +276,10 @@
             account.used[name].share_per_s = part * unit
 
     def _limit_gateways(self) -> None:
-        """Forget the gateway that asked least recently."""
+        """Forget the gateway answered least recently if there are too many."""
         if len(self._answered) < len(self._view.names) + EXTRA_GATEWAYS:
             return
         oldest = min(
             self._answered, key=lambda name: self._answered[name].last_s
         )
         del self._answered[oldest]
-
-
-#: Time without a query after which a gateway's usage is forgotten, in
-#: seconds; it may use its share while it is cut off.
-ABANDONED_S = 60.0
--- a/bilberrydeal/systems/quotas/_node.py
+++ b/bilberrydeal/systems/quotas/_node.py
@@ -16,25 +16,27 @@
 #: Time without an answer after which a gateway may grant from its own share,
 #: in seconds.
 ANSWER_TIMEOUT_S = 0.1
-#: Time for which the answer is waited for if that share is used up and the
-#: home is only slow, in seconds. A late answer is better than a rejection of a
-#: request that is within the limit.
+#: Time after which a request is rejected without an answer if that share is
+#: used up but heartbeats of the home arrive, in seconds. Waiting for a slow
+#: home avoids rejections of requests within the limit.
 SLOW_HOME_TIMEOUT_S = 0.5
-#: Time for which a home that did not answer is not asked, in seconds.
+#: Time for which the own share is tried before a home that did not answer, in
+#: seconds.
 SUSPENDED_S = 0.3
-#: Time for which late answers are expected, in seconds: what they granted is
-#: given back.
-LATE_S = 5.0
-#: Most queries whose late answers are expected; for earlier ones the home
-#: keeps what it took.
-LATE_LIMIT = 10_000
+#: Time for which queries that were given up are remembered, in seconds: what
+#: late answers to them granted is given back.
+LATE_ANSWER_S = 5.0
+#: Most such queries remembered; what late answers to earlier ones granted is
+#: not given back.
+LATE_ANSWERS_LIMIT = 10_000
 #: Interval in which ``tick`` has to be called, in seconds.
 TICK_INTERVAL_S = 0.05
 #: Most queries or answers in a message, to fit into one packet.
 BATCH_LIMIT = 32
-#: Longest wait that is believed, in seconds.
+#: Longest wait accepted from a home, in seconds; longer ones are cut to it.
 WAIT_LIMIT_S = 60.0
-#: Greatest cost of a query; others are ignored.
+#: Greatest absolute cost of a query, in units of the quota; queries beyond it
+#: are ignored.
 COST_LIMIT = 1e16
 
 
@@ -81,7 +83,8 @@
     #: ``None`` if nobody waits for the decision.
     on_decision: OnDecision | None
     retries: int = 0
-    #: Set if this gateway could not grant it alone either.
+    #: Decision if no answer arrives in time; set if this gateway's own share
+    #: was used up.
     rejection: Decision | None = None
 
 
@@ -96,8 +99,9 @@
 class QuotaNode:
     """The quota decisions of one gateway, without I/O.
 
-    ``tick`` has to be called every ``TICK_INTERVAL_S``, and ``poll`` a little
-    later than ``due_s``. What ``take_outgoing`` returns has to be sent.
+    ``tick`` has to be called every ``TICK_INTERVAL_S``, and ``poll`` every
+    few milliseconds while ``waiting``. What ``take_outgoing`` and
+    ``take_heartbeat`` return has to be sent.
 
     Example::
 
@@ -124,11 +128,11 @@
         self._outboxes: dict[str, _Outbox] = {}
         self._sequence = 0
         self._transitions: list[Transition] = []
-        self._beat_s = float("-inf")
+        self._heartbeat_s = float("-inf")
         self._leaving = False
-        self._beat_digest = 0
+        self._heartbeat_digest = 0
 
-    # State from outside.
+    # Configuration and membership.
 
     def set_quotas(
         self, quotas: collections.abc.Mapping[str, catalogue.Quota]
@@ -196,7 +200,7 @@
         return sequence
 
     def cancel(self, sequence: int) -> None:
-        """End a wait; what the home grants is given back."""
+        """Stop waiting for a decision; what the home grants is given back."""
         pending = self._pending.get(sequence)
         if pending is not None:
             pending.on_decision = None
@@ -224,7 +228,7 @@
                 if waited_s >= SLOW_HOME_TIMEOUT_S:
                     self._give_up(pending, pending.rejection, now_s)
             elif waited_s >= ANSWER_TIMEOUT_S:
-                self._answer_missing(pending, now_s)
+                self._on_answer_timeout(pending, now_s)
                 continue
             due = pending.retries < len(RETRIES_S)
             if due and waited_s >= RETRIES_S[pending.retries]:
@@ -262,36 +266,31 @@
                 outbox.answers.append(found)
 
     def tick(self, now_s: float) -> None:
-        """Keep time, and send a heartbeat when it is due."""
+        """Advance the clock and the view, and forget old queries."""
         self._advance(now_s)
         if not self.quotas:
             return
-        while self._late:
-            sequence = next(iter(self._late))
-            fresh = now_s - self._late[sequence][0] < LATE_S
-            if fresh and len(self._late) <= LATE_LIMIT:
-                break
-            del self._late[sequence]
+        self._expire_late(now_s)
 
     def take_heartbeat(
         self, now_s: float, leaving: bool = False
     ) -> Outgoing | None:
         """Return the heartbeat that is due, ``None`` if none is.
 
-        A changed view is told at once, so that all views soon agree. Once
+        A changed view is sent early, so that all views soon agree. Once
         ``leaving`` was set, all heartbeats say so.
         """
         self._leaving |= leaving
         if not self.quotas:
             return None
         view = self.view
-        since_s = now_s - self._beat_s
-        changed = view.digest != self._beat_digest
+        since_s = now_s - self._heartbeat_s
+        changed = view.digest != self._heartbeat_digest
         urgent = changed and since_s >= _view.URGENT_HEARTBEAT_S
         if not (leaving or urgent or since_s >= view.heartbeat_interval_s):
             return None
-        self._beat_s = now_s
-        self._beat_digest = view.digest
+        self._heartbeat_s = now_s
+        self._heartbeat_digest = view.digest
         message = _messages.Message(
             heartbeat=view.heartbeat(now_s, self._leaving)
         )
@@ -318,12 +317,21 @@
         found, self._transitions = self._transitions, []
         return found
 
-    # Details.
+    # Internals.
 
     def _advance(self, now_s: float) -> None:
         self._active.advance(now_s)
         self.view.refresh(now_s, self._active.now_s)
 
+    def _expire_late(self, now_s: float) -> None:
+        """Forget the oldest queries that were given up."""
+        while self._late:
+            sequence = next(iter(self._late))
+            fresh = now_s - self._late[sequence][0] < LATE_ANSWER_S
+            if fresh and len(self._late) <= LATE_ANSWERS_LIMIT:
+                return
+            del self._late[sequence]
+
     def _outbox(self, recipient: str) -> _Outbox:
         found = self._outboxes.get(recipient)
         if found is None:
@@ -352,8 +360,8 @@
         self._outbox(home).queries.append(query)
         return self._sequence
 
-    def _answer_missing(self, pending: _Pending, now_s: float) -> None:
-        """Grant without the home, or wait for one that is only slow."""
+    def _on_answer_timeout(self, pending: _Pending, now_s: float) -> None:
+        """Decide by the own share, or wait longer for a slow home."""
         self.view.suspend(pending.home, now_s + SUSPENDED_S)
         if pending.on_decision is None:
             self._give_up(pending, None, now_s)
@@ -368,7 +376,7 @@
     def _give_up(
         self, pending: _Pending, decision: Decision | None, now_s: float
     ) -> None:
-        """Wait no longer; what a late answer grants is given back."""
+        """Stop waiting; what a late answer grants is given back."""
         query = pending.query
         del self._pending[query.sequence]
         if query.cost > 0.0:
@@ -389,9 +397,9 @@
                 self.refund(query.organisation, query.cost, False, now_s)
             return
         del self._pending[answer.sequence]
-        self._decided(pending, answer, now_s)
+        self._apply_answer(pending, answer, now_s)
 
-    def _decided(
+    def _apply_answer(
         self, pending: _Pending, answer: _messages.Answer, now_s: float
     ) -> None:
         query = pending.query
--- a/bilberrydeal/systems/quotas/_view.py
+++ b/bilberrydeal/systems/quotas/_view.py
@@ -19,8 +19,8 @@
 HEARTBEATS_MISSED = 3.0
 #: Allowance for delays on top of this, in seconds.
 DELAY_S = 0.1
-#: Time for which a gateway that is gone is remembered, in seconds; longer than
-#: lists read from the store are stale.
+#: Time for which a gateway that is gone is remembered, in seconds. Lists read
+#: from the store are not outdated for longer.
 GONE_S = 12.0
 #: Time for which gateways that vanished, more than half of all, may still use
 #: their shares, in seconds: they may be cut off and not dead.
@@ -41,13 +41,13 @@
     #: Address for datagrams.
     address: str = ""
     listed: bool = False
-    #: Last message of any kind, steady seconds.
+    #: When the last message of any kind arrived, steady seconds.
     seen_s: float = -math.inf
-    #: Last heartbeat.
-    beat_s: float = -math.inf
+    #: When the last heartbeat arrived, steady seconds.
+    heartbeat_s: float = -math.inf
     #: Digest of that heartbeat.
     digest: int = 0
-    #: Whether it does not hear this gateway.
+    #: Whether it reported that it does not hear this gateway.
     deaf: bool = False
     #: Until when it counts as gone unless it is heard.
     gone_until_s: float = -math.inf
@@ -71,9 +71,9 @@
 class GatewayView:
     """The gateways as this one knows them.
 
-    A gateway belongs to the view if it is listed in the store or was heard of
-    late. Gateways tell each other who is gone, so that all views agree within
-    a heartbeat and not only when each has read the list.
+    A gateway belongs to the view if it is listed in the store or was heard
+    recently. Gateways tell each other who is gone, so that all views agree
+    within a heartbeat and not only when each has read the list.
     """
 
     def __init__(self, own: str, address: str) -> None:
@@ -83,11 +83,11 @@
         #: All gateways in order, this one included.
         self.names: tuple[str, ...] = (own,)
         self.digest = _digest(self.names)
-        #: Views of late, the present one last.
+        #: Recent views, the present one last.
         self.eras: list[Era] = [Era(self.names, 0.0)]
         #: Number of views before the first of ``eras``.
         self.eras_dropped = 0
-        #: Gateways that may use shares of their own.
+        #: Gateways of the view that may grant from their own shares.
         self.unheard: frozenset[str] = frozenset()
         #: Vanished gateways that may do so though they are not in the view.
         self.absent = 0
@@ -161,7 +161,7 @@
     def last_heard_s(self, name: str) -> float:
         """Return when a gateway's last heartbeat arrived."""
         peer = self._peers.get(name)
-        return peer.beat_s if peer is not None else -math.inf
+        return peer.heartbeat_s if peer is not None else -math.inf
 
     def answers(self, name: str, now_s: float) -> bool:
         """Return whether another gateway can be expected to answer.
@@ -175,14 +175,18 @@
         return silence_s < self.timeout_s or math.isinf(silence_s)
 
     def heard(self, name: str, now_s: float) -> bool:
-        """Return whether another gateway lives and takes this one's view."""
+        """Return whether another gateway is heard and has the same view.
+
+        Unlike for ``answers``, only heartbeats count, and a gateway that does
+        not hear this one counts as not heard.
+        """
         peer = self._peers.get(name)
         if peer is None or name in self.unheard:
             return False
-        return now_s - peer.beat_s < self.timeout_s
+        return now_s - peer.heartbeat_s < self.timeout_s
 
     def suspend(self, name: str, until_s: float) -> None:
-        """Ask a gateway nothing for a while."""
+        """Expect no answers of a gateway until a time."""
         peer = self._peers.get(name)
         if peer is not None:
             peer.suspended_until_s = until_s
@@ -214,7 +218,7 @@
         for name, peer in self._peers.items():
             if peer.listed and name not in others:
                 peer.listed = False
-                if now_s - peer.beat_s >= self.timeout_s:
+                if now_s - peer.heartbeat_s >= self.timeout_s:
                     peer.gone_until_s = now_s + GONE_S
         for name, address in others.items():
             peer = self._peer(name)
@@ -238,8 +242,8 @@
         changes |= peer.settled != heartbeat.settled
         peer.settled = heartbeat.settled
         peer.gone_until_s = -math.inf
-        changes |= now_s - peer.beat_s >= self.timeout_s
-        peer.seen_s = peer.beat_s = now_s
+        changes |= now_s - peer.heartbeat_s >= self.timeout_s
+        peer.seen_s = peer.heartbeat_s = now_s
         deaf = peer.deaf
         peer.deaf = (
             heartbeat.digest == self.digest and self.rank in heartbeat.unheard
@@ -253,7 +257,7 @@
     def _note_gone(self, name: str, now_s: float) -> bool:
         """Apply what another gateway tells; return whether it is news."""
         peer = self._peers.get(name)
-        if peer is None or now_s - peer.beat_s < self.timeout_s:
+        if peer is None or now_s - peer.heartbeat_s < self.timeout_s:
             return False
         news = peer.gone_until_s <= now_s
         if news:
@@ -289,13 +293,19 @@
         names = self._present(now_s)
         if names != self.names:
             self._change(names, now_s, active_s)
+        self._assess(now_s)
+        self._forget(now_s)
+
+    def _assess(self, now_s: float) -> None:
+        """Find out who is not heard, and whether this gateway is isolated."""
+        names = self.names
         heard = 1
         silent: set[str] = set()
-        for name in self.names:
+        for name in names:
             if name == self.own:
                 continue
             peer = self._peers[name]
-            fresh = now_s - peer.beat_s < self.timeout_s
+            fresh = now_s - peer.heartbeat_s < self.timeout_s
             heard += fresh
             if not fresh or peer.deaf or peer.digest != self.digest:
                 silent.add(name)
@@ -314,23 +324,22 @@
             self.isolated = isolated
             self.absent = absent
             self.settled = settled
-        self._forget(now_s)
 
     def _present(self, now_s: float) -> tuple[str, ...]:
         # A later process at an address has replaced an earlier one.
         users: dict[str, _Peer] = {}
         for peer in self._peers.values():
             user = users.get(peer.address)
-            if user is None or peer.beat_s > user.beat_s:
+            if user is None or peer.heartbeat_s > user.heartbeat_s:
                 users[peer.address] = peer
         names = [self.own]
         for peer in self._peers.values():
             if peer.left or peer.address == self._address:
                 continue
-            if now_s - peer.beat_s < self.timeout_s:
+            if now_s - peer.heartbeat_s < self.timeout_s:
                 names.append(peer.name)
                 continue
-            replaced = users[peer.address].beat_s > peer.beat_s
+            replaced = users[peer.address].heartbeat_s > peer.heartbeat_s
             if peer.listed and not replaced and now_s >= peer.gone_until_s:
                 names.append(peer.name)
         return tuple(sorted(names))
@@ -372,7 +381,7 @@
         taken = {
             peer.address
             for peer in self._peers.values()
-            if now_s - peer.beat_s < self.timeout_s
+            if now_s - peer.heartbeat_s < self.timeout_s
         }
         for name, since_s in list(self._departed.items()):
             if now_s - since_s >= ABSENT_S or self.address(name) in taken:
