--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -25,8 +25,8 @@
 CONNECTIONS_FLOOR = 8
 #: Share of an engine's KV cache assumed to hold shared prompt parts.
 CACHE_SHARE = 0.8
-#: Most faults of quotas in a log line.
-FAULTS_SHOWN = 10
+#: Most faults of quotas in a log line; the line has their number.
+MAX_LOGGED_FAULTS = 10
 #: Most removed endpoints that are remembered.
 REMOVED_LIMIT = 256
 
@@ -61,7 +61,7 @@
         self._engine_rings: dict[str, placement.EngineRing] = {}
         #: Learned slot occupancy times by service.
         self._slot_times: dict[str, placement.SlotTimes] = {}
-        #: Slots that long streams need, by service.
+        #: Learned need of long streams by service.
         self._long_streams: dict[str, placement.LongStreams] = {}
         #: What other gateways send, by service.
         self._arrivals: dict[str, placement.PeerArrivals] = {}
@@ -88,7 +88,7 @@
             LOG.error(
                 "Quotas not applied.",
                 version=configuration.version,
-                faults=configuration.quota_faults[:FAULTS_SHOWN],
+                faults=configuration.quota_faults[:MAX_LOGGED_FAULTS],
                 count=len(configuration.quota_faults),
             )
         LOG.info(
@@ -261,7 +261,7 @@
         return ring.candidates(affinity, usable)
 
     def stream_slots(self) -> float:
-        """Return the slots that long streams need, of all services."""
+        """Return the slots that long streams of all services need."""
         return sum(
             streams.slots_needed for streams in self._long_streams.values()
         )
--- a/bilberrydeal/gateway/core/_metrics.py
+++ b/bilberrydeal/gateway/core/_metrics.py
@@ -71,7 +71,7 @@
         )
         self._callers_refused = self.metrics.counter(
             "bilberrydeal_callers_refused_total",
-            "Requests and connections refused for what they would hold.",
+            "Requests and connections refused for their memory, by reason.",
         )
         self._quarantine_decisions = self.metrics.counter(
             "bilberrydeal_quarantine_decisions_total",
@@ -88,9 +88,9 @@
         )
         self._engine_factor = self.metrics.gauge(
             "bilberrydeal_engine_factor",
-            "Learned times of an engine over those usual in its service.",
+            "Permanent factor of an engine's times relative to its service.",
         )
-        self._engines: set[str] = set()
+        self._factor_engines: set[str] = set()
         self._gauges = {
             name: self.metrics.gauge(f"bilberrydeal_{name}", text)
             for name, text in (
@@ -145,7 +145,7 @@
         granted: bool,
         fallback: bool,
     ) -> None:
-        """Count what a request cost, or would have cost, of a quota."""
+        """Count the cost of a request that a quota granted or rejected."""
         label = telemetry.bounded_label(organisation, self._organisations)
         outcome = "admitted" if granted else "rejected"
         self._quota_amounts.add(
@@ -186,8 +186,8 @@
     def _set_engine_factors(
         self, factors: collections.abc.Mapping[str, float]
     ) -> None:
-        for engine_id in self._engines - factors.keys():
+        for engine_id in self._factor_engines - factors.keys():
             self._engine_factor.set({"engine": engine_id}, 1.0)
         for engine_id, factor in factors.items():
-            label = telemetry.bounded_label(engine_id, self._engines)
+            label = telemetry.bounded_label(engine_id, self._factor_engines)
             self._engine_factor.set({"engine": label}, factor)
--- a/bilberrydeal/gateway/duties/_coordination.py
+++ b/bilberrydeal/gateway/duties/_coordination.py
@@ -38,10 +38,11 @@
 STARTING_INTERVAL_S = 0.5
 #: Most of them of all gateways together a second.
 STARTING_READS_PER_S = 40.0
-#: A gateway counts on its row for this much less than others do, in seconds.
+#: Safety margin by which a gateway takes its own row for outdated before
+#: others do, in seconds.
 ROW_MARGIN_S = 1.0
-#: Time after the first write of its row from which on a gateway finds all
-#: others that started with it, in seconds.
+#: Time after the first write of its row from which on a read also finds the
+#: gateways that started at the same time, in seconds.
 SETTLED_AFTER_S = 1.0
 #: Interval between lease steps of the holder and of a candidate.
 LEASE_HELD_INTERVAL_S = 1.2
@@ -153,9 +154,11 @@
             ),
             placement.ROLE_PLANS.get(gateway_settings.role_plan),
         )
-        #: When this gateway's row was written first and last, in the time
-        #: since boot; the start of the process until then for the latter.
+        #: When this gateway's row was first written, in seconds since boot;
+        #: ``None`` before.
         self._row_first_s: float | None = None
+        #: When its last successful write began, in seconds since boot; the
+        #: start of the process before the first one.
         self._row_written_s = self._started_s
         #: Whether gateways that started with this one are listed.
         self.settled = False
@@ -179,7 +182,7 @@
 
     @property
     def row_left_s(self) -> float:
-        """Return for how long others certainly find this gateway alive."""
+        """Return for how long others surely take this gateway as alive."""
         alive_s = accounting.alive_s(self._row_pause_s())
         age_s = accounting.boot_s() - self._row_written_s
         return alive_s - ROW_MARGIN_S - age_s
--- a/bilberrydeal/gateway/duties/_roles.py
+++ b/bilberrydeal/gateway/duties/_roles.py
@@ -61,7 +61,7 @@
     busy_slots: float = 0.0
     #: Time to clear the queues of prefill engines, averaged, in seconds.
     prefill_wait_s: float = 0.0
-    #: Engines that decoding and prefill need, as learned.
+    #: Learned need of engines for decoding and for prefill.
     needs: placement.RoleNeeds = attrs.field(factory=placement.RoleNeeds)
     #: Orders issued to its engines so far.
     order_count: int = 0
--- a/bilberrydeal/gateway/peer_exchange/_capability_broadcast.py
+++ b/bilberrydeal/gateway/peer_exchange/_capability_broadcast.py
@@ -1,7 +1,7 @@
-"""Tells gateways that start later how capable engines are.
+"""Sends learned permanent factors of engines to gateways that start later.
 
-Samples travel with load reports, so gateways that run learn the same. One that
-starts uses what it is told until it has learned from samples itself.
+Running gateways learn alike, since samples travel with load reports. One that
+starts uses the factors of others until it has enough samples itself.
 """
 
 import collections.abc
@@ -16,9 +16,9 @@
 CAPABILITY_INTERVAL_S = 1.0
 #: Interval between summaries of all gateways together, in seconds.
 SUMMARY_INTERVAL_S = 5.0
-#: Most engines of a summary, which then fits a packet; the next ones follow
-#: in the next summary.
-MAX_SUMMARY = 24
+#: Most engines of a summary, so that it fits a packet of 1,400 bytes. The
+#: others follow in the next summary; further ones received are dropped.
+MAX_SUMMARY_ENGINES = 24
 
 Clock = collections.abc.Callable[[], float]
 
@@ -43,9 +43,10 @@
         self._peers = peers
         self._clock = clock
         self._sent_s = clock()
-        #: Engines of the last summary, to go on with the next ones.
+        #: Number in the list of engines at which the next summary starts.
         self._position = 0
-        #: Factors that were logged, by engine and start of its process.
+        #: Last logged factors by engine and start of its process, in Unix
+        #: milliseconds.
         self._logged: dict[tuple[str, int], float] = {}
         datagrams.subscribe(self._on_datagram)
 
@@ -86,22 +87,22 @@
             and upstream.load.speed.capability.known
             and upstream.load.speed.capability.factor != 1.0
         ]
-        if len(reports) <= MAX_SUMMARY:
+        if len(reports) <= MAX_SUMMARY_ENGINES:
             return tuple(reports)
         start = self._position % len(reports)
-        self._position = start + MAX_SUMMARY
-        turn = itertools.islice(
-            itertools.cycle(reports), start, start + MAX_SUMMARY
+        self._position = start + MAX_SUMMARY_ENGINES
+        selected = itertools.islice(
+            itertools.cycle(reports), start, start + MAX_SUMMARY_ENGINES
         )
-        return tuple(turn)
+        return tuple(selected)
 
     def _on_datagram(self, datagram: messaging.Datagram) -> None:
-        for report in datagram.capabilities[:MAX_SUMMARY]:
+        for report in datagram.capabilities[:MAX_SUMMARY_ENGINES]:
             upstream = self._cluster.endpoints.get(report.endpoint_id)
             if upstream is None or upstream.load is None:
                 continue
             if upstream.endpoint.started_ms == report.started_ms:
-                upstream.load.speed.capability.tell(report.factor)
+                upstream.load.speed.capability.use_peer_factor(report.factor)
 
     def _log_changes(self) -> None:
         before, self._logged = self._logged, {}
@@ -118,5 +119,5 @@
                     endpoint=endpoint.endpoint_id,
                     factor=round(capability.factor, 2),
                     factor_before=round(before.get(key, 1.0), 2),
-                    told_by_a_gateway=capability.told,
+                    told_by_a_gateway=capability.from_peer,
                 )
--- a/bilberrydeal/gateway/tests/test_capability_broadcast.py
+++ b/bilberrydeal/gateway/tests/test_capability_broadcast.py
@@ -1,4 +1,4 @@
-"""Permanent factors of engines that gateways tell each other."""
+"""Permanent factors of engines that gateways send each other."""
 
 import math
 
@@ -139,7 +139,7 @@
             measured = placement.PrefillSample(True, sample)
             load.speed.record(measured, step * 1.0)
     count = len(one.broadcast.factors())
-    assert count > _capability_broadcast.MAX_SUMMARY
+    assert count > _capability_broadcast.MAX_SUMMARY_ENGINES
     await one.run(31)
     assert len(told) == count
     assert max(sizes) < 1_400
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -21,7 +21,7 @@
 from ._linear_time import Line
 from ._linear_time import LinearTime
 from ._linear_time import TimeSample
-from ._long_streams import in_order
+from ._long_streams import by_rendezvous_score
 from ._long_streams import LongStreams
 from ._options import main_decode_engine
 from ._parts import PartCache
@@ -85,8 +85,8 @@
     "TimeSample",
     "TwoStagePlacer",
     "URGENT_RANKS",
+    "by_rendezvous_score",
     "engine_rank",
-    "in_order",
     "main_decode_engine",
     "plan_roles",
     "preferred",
--- a/bilberrydeal/systems/placement/_engine_speed.py
+++ b/bilberrydeal/systems/placement/_engine_speed.py
@@ -26,7 +26,7 @@
 MAD_TO_DEVIATION = 1.48
 #: Variance of the logarithm of one sample that is assumed at least.
 SAMPLE_VARIANCE = 0.03
-#: Smallest passing factor that is told apart. A popular engine has a longer
+#: Smallest transient factor that is told apart. A popular engine has a longer
 #: queue than is known and seems a little slower, which is no reason to avoid
 #: it.
 MIN_FACTOR = 2.5
@@ -36,8 +36,9 @@
 #: queue share the error of its estimate.
 DEPENDENT_SAMPLES = 4
 #: Weight of a new line of a service in its average, and the samples that the
-#: average needs. Where engines differ the line follows which of them have
-#: yielded the latest samples; only its shape counts for their factors.
+#: average needs. Where engines differ, the fitted line depends on which of
+#: them yielded the latest samples, so permanent factors are learned from the
+#: average.
 LINE_WEIGHT = 1 / 256
 MIN_LINE_SAMPLES = 32
 #: Largest factor between an engine and its service.
@@ -45,7 +46,7 @@
 
 
 class _AverageLine:
-    """Average of the lines that a service's fit gives."""
+    """Exponentially weighted average of the lines fitted for a service."""
 
     def __init__(self) -> None:
         self._line = _linear_time.Line(0.0, 0.0)
@@ -93,7 +94,7 @@
         return self.separate if separate else self.mixed
 
     def average_prefill(self, separate: bool) -> _linear_time.Line | None:
-        """Return the line without its short-term changes, if it is known."""
+        """Return the average of the fitted lines, ``None`` at first."""
         return self._averages[separate].line
 
     def record(self, separate: bool, sample: _linear_time.TimeSample) -> None:
@@ -123,9 +124,9 @@
 class EngineSpeed:
     """How much slower or faster an engine is than its service.
 
-    A permanent part is learned from many samples, see ``Capability``, and a
-    passing one is the median of the last samples over what is expected of the
-    engine otherwise. The passing one is 1 unless it is large and differs by
+    The permanent part is learned from many samples, see ``Capability``. The
+    transient part is the median of the last samples over what the permanent
+    part lets expect. It is 1 unless it is large and differs by
     more than the scatter of the samples explains: with many gateways queues
     are noisy estimates, and engines that seem slower by chance would lose the
     prompts that they have cached.
@@ -139,9 +140,9 @@
         self._samples: collections.deque[tuple[float, PrefillSample]] = (
             collections.deque(maxlen=ENGINE_WINDOW)
         )
-        self._passing = 1.0
-        #: Lines of the service and permanent factor by which the passing one
-        #: was computed; ``None`` if there is a newer sample.
+        self._transient = 1.0
+        #: Lines of the service and permanent factor from which the transient
+        #: one was computed; ``None`` if there is a newer sample.
         self._basis: (
             tuple[_linear_time.Line, _linear_time.Line, float] | None
         ) = None
@@ -167,7 +168,7 @@
         line = self._service.average_prefill(measured.separate)
         if measured.sample.queued or line is None:
             return
-        if self.passing_factor == 1.0:
+        if self.transient_factor == 1.0:
             usual_s = line.at(_capability.REFERENCE_TOKENS)
             self.capability.record(
                 _log_ratio(measured, line) + math.log(usual_s),
@@ -184,20 +185,20 @@
     @property
     def factor(self) -> float:
         """Return the engine's times relative to those of its service."""
-        return self.passing_factor * self.capability.factor
+        return self.transient_factor * self.capability.factor
 
     @property
-    def passing_factor(self) -> float:
-        """Return its times relative to those that are usual for it."""
+    def transient_factor(self) -> float:
+        """Return its times relative to those of its permanent factor."""
         basis = (
             self._service.separate.line,
             self._service.mixed.line,
             self.capability.factor,
         )
         if self._basis != basis:
-            self._passing = self._fitted_factor()
+            self._transient = self._fitted_factor()
             self._basis = basis
-        return self._passing
+        return self._transient
 
     def prefill_s(self, tokens: float, separate: bool) -> float:
         """Return the time to prefill that many tokens, in seconds."""
@@ -225,14 +226,14 @@
         if not self._samples:
             return 1.0
         slowdown = _significant_median(
-            [self._unexpected(each) for _at_s, each in self._samples]
+            [self._log_slowdown(each) for _at_s, each in self._samples]
         )
         if abs(slowdown) < math.log(MIN_FACTOR):
             return 1.0
         limit = math.log(MAX_FACTOR)
         return math.exp(min(max(slowdown, -limit), limit))
 
-    def _unexpected(self, measured: PrefillSample) -> float:
+    def _log_slowdown(self, measured: PrefillSample) -> float:
         """Return the logarithm of the actual over the expected time."""
         line = self._service.prefill(measured.separate).line
         return _log_ratio(measured, line.scaled(self.capability.factor))
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -105,7 +105,7 @@
     unreported_prompts: list[_parts.Prompt] = attrs.field(factory=list)
     #: Time that requests occupy a slot; shared by all engines of a service.
     slot_times: SlotTimes = attrs.field(factory=SlotTimes)
-    #: Slots that long streams need; shared by all engines of a service.
+    #: Learned need of long streams; shared by all engines of a service.
     long_streams: _long_streams.LongStreams = attrs.field(
         factory=_long_streams.LongStreams
     )
--- a/bilberrydeal/systems/placement/_long_streams.py
+++ b/bilberrydeal/systems/placement/_long_streams.py
@@ -41,17 +41,20 @@
 NOTABLE_SHARE = 0.05
 #: Standard deviations above the mean number of slots in use.
 HEADROOM_DEVIATIONS = 2.0
-#: Share of the slots set aside below which fewer are needed, and the time for
-#: which this must be so before any are given up, in seconds.
+#: Share of the slots set aside below which the need counts as smaller, and the
+#: time for which it must stay so before any are given up, in seconds.
 SURPLUS_SHARE = 0.7
 SURPLUS_DEBOUNCE_S = 20.0
-#: Share of the slots of one engine that long streams need at least for
-#: requests to be sent to engines by what they hold. With fewer they hardly
-#: compete with other requests.
+#: Share of one engine's slots that long streams must need before they count as
+#: competing with other requests.
 COMPETING_SHARE = 0.5
-#: Largest share of the slots that brief requests keep.
-BRIEF_SHARE = 0.5
-#: Largest number of requests of a rank at an engine that is believed.
+#: Largest share of all slots that urgent brief requests keep from long
+#: streams.
+MAX_BRIEF_SHARE = 0.5
+#: Name of this gateway among the senders of counts.
+OWN_SENDER = ""
+#: Largest number of requests of a rank at an engine that a report may give;
+#: larger ones are cut to it.
 COUNT_LIMIT = 100_000
 
 #: Number of requests by rank, for each engine that decodes.
@@ -75,49 +78,52 @@
 
 @attrs.define
 class _Level:
-    """Mean and variance in which old values count less."""
+    """Exponentially weighted mean, variance and maximum."""
 
     mean: float = 0.0
     variance: float = 0.0
-    #: Greatest value, which fades.
+    #: Greatest value, which decays.
     peak: float = 0.0
     #: Sum of the weights so far; below 1 at first.
     weight: float = 0.0
 
     def add(self, value: float, after_s: float) -> None:
-        """Add a value that is current that long after the last one."""
-        fade = math.exp(-after_s / LEVEL_TIME_S)
-        self.weight = fade * self.weight + 1.0 - fade
-        share = (1.0 - fade) / self.weight
-        off = value - self.mean
-        self.mean += share * off
-        self.variance = (1.0 - share) * (self.variance + share * off * off)
-        self.peak = max(value, self.peak * fade)
+        """Add a value, ``after_s`` seconds after the last one."""
+        decay = math.exp(-after_s / LEVEL_TIME_S)
+        self.weight = decay * self.weight + 1.0 - decay
+        share = (1.0 - decay) / self.weight
+        deviation = value - self.mean
+        self.mean += share * deviation
+        self.variance = (1.0 - share) * (
+            self.variance + share * deviation * deviation
+        )
+        self.peak = max(value, self.peak * decay)
 
 
 @attrs.define
 class _Rank:
-    """Use of slots by the requests of one rank, in which old ones fade."""
+    """Arrivals and use of slots of one rank; old values decay."""
 
+    #: Number of requests that arrived, decaying over ``HOLD_TIME_S``.
     arrivals: float = 0.0
-    #: The same with a short memory, to follow bursts.
-    recent: float = 0.0
+    #: The same over ``RATE_TIME_S``, to follow bursts.
+    recent_arrivals: float = 0.0
     #: Slots in use, multiplied by the time, in seconds.
     used_s: float = 0.0
     #: Slots in use.
     level: _Level = attrs.field(factory=_Level)
 
-    def observe(self, used: int, after_s: float) -> None:
-        """Add the slots in use now, that long after the last time."""
-        self.fade(after_s)
-        self.used_s += used * after_s
-        self.level.add(used, after_s)
+    def observe(self, used_slots: int, after_s: float) -> None:
+        """Add the slots in use, ``after_s`` seconds after the last sample."""
+        self.decay(after_s)
+        self.used_s += used_slots * after_s
+        self.level.add(used_slots, after_s)
 
-    def fade(self, after_s: float) -> None:
-        """Let old requests count less."""
+    def decay(self, after_s: float) -> None:
+        """Reduce the weight of old requests."""
         factor = math.exp(-after_s / HOLD_TIME_S)
         self.arrivals *= factor
-        self.recent *= math.exp(-after_s / RATE_TIME_S)
+        self.recent_arrivals *= math.exp(-after_s / RATE_TIME_S)
         self.used_s *= factor
 
     @property
@@ -132,16 +138,16 @@
 
     counts: dict[str, list[int]]
     at_s: float
-    #: Whether it has been silent for too long while it had requests.
+    #: Whether its counts were dropped for age while it had requests.
     expired: bool = False
 
 
 class LongStreams:
     """Slots of a service that long streams need.
 
-    The number of requests by rank that each gateway reports tells all of them
-    the same. Requests that come and go between two reports are not seen, so a
-    rank is expected to hold slots for at least the time between reports.
+    All gateways learn it from the same reports of requests by rank. Requests
+    that come and go between two reports are not seen, so a rank is expected to
+    hold slots for at least the time between reports.
 
     Example::
 
@@ -176,9 +182,9 @@
         }
         if before is not None:
             self._count_arrivals(before.counts, after)
-            if sender:
-                off_s = now_s - before.at_s - self.report_s
-                self.report_s += REPORT_WEIGHT * off_s
+            if sender != OWN_SENDER:
+                interval_s = now_s - before.at_s
+                self.report_s += REPORT_WEIGHT * (interval_s - self.report_s)
         self._senders[sender] = _Sender(after, now_s)
 
     def _count_arrivals(
@@ -191,7 +197,7 @@
                 self._ranks, earlier, counts, strict=True
             ):
                 rank.arrivals += max(new - old, 0)
-                rank.recent += max(new - old, 0)
+                rank.recent_arrivals += max(new - old, 0)
 
     def expire(self, oldest_s: float) -> None:
         """Drop the counts that are older than that time.
@@ -207,12 +213,17 @@
                 report.counts = {}
 
     @property
-    def blind(self) -> bool:
-        """Return whether no gateway is heard of those that had requests.
+    def isolated(self) -> bool:
+        """Return whether all gateways that had requests have fallen silent.
 
-        A gateway without requests sends no reports.
+        A gateway without requests sends no reports, so silence alone is not a
+        loss of messages.
         """
-        peers = [report for name, report in self._senders.items() if name]
+        peers = [
+            report
+            for name, report in self._senders.items()
+            if name != OWN_SENDER
+        ]
         heard = any(report.counts for report in peers)
         return not heard and any(report.expired for report in peers)
 
@@ -224,12 +235,12 @@
         self._observed_s = now_s
         if not math.isfinite(after_s):
             return
-        for rank, used in zip(self._ranks, self._used(), strict=True):
+        for rank, used in zip(self._ranks, self._used_slots(), strict=True):
             rank.observe(used, after_s)
         self._find_long_ranks()
         self._set_need(self._high_level(), now_s)
 
-    def _used(self) -> list[int]:
+    def _used_slots(self) -> list[int]:
         totals = [0] * len(self._ranks)
         for sender in self._senders.values():
             for counts in sender.counts.values():
@@ -240,7 +251,8 @@
     def _high_level(self) -> float:
         """Return a number of slots that long streams seldom exceed.
 
-        A level that has risen or fallen varies by more than is in use.
+        The peak bounds it: a step of the load has a variance that would ask
+        for more slots than were ever in use.
         """
         levels = [self._ranks[rank].level for rank in self.ranks]
         mean = sum(level.mean for level in levels)
@@ -249,11 +261,13 @@
         return min(mean + HEADROOM_DEVIATIONS * math.sqrt(variance), peak)
 
     def _find_long_ranks(self) -> None:
-        least = NOTABLE_SHARE * sum(rank.arrivals for rank in self._ranks)
+        min_arrivals = NOTABLE_SHARE * sum(
+            rank.arrivals for rank in self._ranks
+        )
         held_s = [
             rank.held_s
             for rank in self._ranks
-            if rank.arrivals and rank.arrivals >= least
+            if rank.arrivals and rank.arrivals >= min_arrivals
         ]
         briefest_s = min(held_s, default=0.0)
         if not briefest_s:
@@ -278,7 +292,7 @@
         )
 
     def _set_need(self, needed: float, now_s: float) -> None:
-        """Follow a greater need, and a smaller one once it has lasted."""
+        """Apply a greater need at once, a smaller one after the debounce."""
         if needed >= self.slots_needed * SURPLUS_SHARE:
             self._surplus_since_s = None
             self.slots_needed = max(self.slots_needed, needed)
@@ -303,9 +317,9 @@
         Brief requests that are as urgent keep the slots that they use, up to
         half of all.
         """
-        ordered = in_order(decode_engines)
+        ordered = by_rendezvous_score(decode_engines)
         total = sum(engine.slots for engine in ordered)
-        kept = min(self._urgent_brief_slots(), total * BRIEF_SHARE)
+        kept = min(self._urgent_brief_slots(), total * MAX_BRIEF_SHARE)
         needed = min(self._needed_of(decode_engines), total - kept)
         count = 0
         for engine in ordered:
@@ -327,7 +341,7 @@
     def _needed_of(
         self, decode_engines: collections.abc.Sequence[AnyEngine]
     ) -> float:
-        """Return the slots needed of the engines, which may be a part."""
+        """Return the need in proportion to the engines' share of all slots."""
         if not self.slots_total:
             return self.slots_needed
         slots = sum(engine.slots for engine in decode_engines)
@@ -342,7 +356,7 @@
         slots = max(engine.slots for engine in decode_engines)
         return self._needed_of(decode_engines) > slots * COMPETING_SHARE
 
-    def note_target(self, rank: int, target_s: float) -> None:
+    def record_target(self, rank: int, target_s: float) -> None:
         """Learn the target of a request that this gateway places."""
         if self.is_long(rank) and target_s > 0.0:
             self.target_s = min(self.target_s or target_s, target_s)
@@ -368,14 +382,18 @@
         return self._per_s(lambda rank: rank not in self.ranks)
 
     def _held_s(self, counted: collections.abc.Callable[[int], bool]) -> float:
-        ranks = [r for n, r in enumerate(self._ranks) if counted(n)]
+        ranks = [
+            rank for number, rank in enumerate(self._ranks) if counted(number)
+        ]
         arrivals = sum(rank.arrivals for rank in ranks)
         used_s = sum(rank.used_s for rank in ranks)
         return used_s / arrivals if arrivals else 0.0
 
     def _per_s(self, counted: collections.abc.Callable[[int], bool]) -> float:
-        ranks = [r for n, r in enumerate(self._ranks) if counted(n)]
-        return sum(rank.recent for rank in ranks) / RATE_TIME_S
+        ranks = [
+            rank for number, rank in enumerate(self._ranks) if counted(number)
+        ]
+        return sum(rank.recent_arrivals for rank in ranks) / RATE_TIME_S
 
     def is_long(self, rank: int) -> bool:
         """Return whether requests of a rank hold slots for long."""
@@ -387,7 +405,7 @@
     return _parts.rendezvous_score(_ORDER_KEY, engine_id)
 
 
-def in_order(
+def by_rendezvous_score(
     decode_engines: collections.abc.Iterable[AnyEngine],
 ) -> list[AnyEngine]:
     """Return engines by rendezvous score, the highest first.
@@ -402,7 +420,7 @@
 
 
 def _by_urgent_rank(requests: collections.abc.Sequence[int]) -> list[int]:
-    """Return numbers by rank with those of deferred requests added."""
+    """Return counts by rank, those of deferred requests included."""
     ranks = _request_counts.URGENT_RANKS
     counts = [0] * ranks
     # A gateway of another release may use more or fewer ranks.
--- a/bilberrydeal/systems/placement/_options.py
+++ b/bilberrydeal/systems/placement/_options.py
@@ -90,30 +90,42 @@
     """Return the available engines that may prefill a request's prompt.
 
     Long prompts are prefilled where they do not delay the decoding of other
-    requests: by prefill engines and lightly loaded decode engines, except
-    those for long streams, which only decode. Short prompts are prefilled by
-    the engine that decodes.
+    requests: by prefill engines and lightly loaded decode engines, except the
+    main one and those protected for long streams. Short prompts are prefilled
+    by the engine that decodes.
     """
     decode_engines = [each for each in available if not each.prefill_only]
     if not decode_engines:
         return decode_engines
-    every = [engine for engine in engines if not engine.prefill_only]
+    all_decode_engines = [each for each in engines if not each.prefill_only]
     if request.prompt.tokens < SHORT_PROMPT_TOKENS:
-        found = _slot_lending.preferred(request.rank, decode_engines, every)
-        # A refusal would lose the work of one that has run.
+        found = _slot_lending.preferred(
+            request.rank, decode_engines, all_decode_engines
+        )
+        # Refusing a request that may have run would lose that work.
         return found or (decode_engines if request.may_have_run else [])
+    candidates = _eligible_for_long_prompts(
+        available, decode_engines, all_decode_engines
+    )
+    return candidates or _slot_lending.preferred(
+        request.rank, decode_engines, all_decode_engines
+    )
+
+
+def _eligible_for_long_prompts(
+    available: _base.Engines,
+    decode_engines: list[_entities.EngineLoad],
+    all_decode_engines: list[_entities.EngineLoad],
+) -> list[_entities.EngineLoad]:
     streams = decode_engines[0].long_streams
-    protected = {each.key for each in streams.protected(every)}
+    protected = {each.key for each in streams.protected(all_decode_engines)}
     protected.add(main_decode_engine(decode_engines).key)
-    candidates = [
+    return [
         engine
         for engine in available
         if engine.prefill_only
         or (engine.key not in protected and _can_prefill(engine))
     ]
-    return candidates or _slot_lending.preferred(
-        request.rank, decode_engines, every
-    )
 
 
 def _can_prefill(engine: _entities.EngineLoad) -> bool:
@@ -124,12 +136,13 @@
 def main_decode_engine(
     decode_engines: list[_entities.EngineLoad],
 ) -> _entities.EngineLoad:
-    """Return the decode engine that does not prefill long prompts.
+    """Return the decode engine that never prefills long prompts.
 
     It has the highest rendezvous score, so all gateways choose the same one
-    without exchanging messages.
+    without exchanging messages. Long streams may need further such engines,
+    see ``LongStreams.protected``.
     """
-    return _long_streams.in_order(decode_engines)[0]
+    return _long_streams.by_rendezvous_score(decode_engines)[0]
 
 
 def evaluate_option(
--- a/bilberrydeal/systems/placement/_peer_loads.py
+++ b/bilberrydeal/systems/placement/_peer_loads.py
@@ -16,10 +16,9 @@
 #: Age at which the load reported by a gateway is discarded, in seconds.
 MAX_REPORT_AGE_S = 1.0
 #: Shortest time between two records of this gateway's own requests, in
-#: seconds; reports to others may be more frequent.
+#: seconds. Reports to others may be more frequent, and each record costs time
+#: for all engines.
 OWN_INTERVAL_S = 0.03
-#: Stands for this gateway among the senders of counts.
-OWN = ""
 
 
 @attrs.frozen
@@ -90,7 +89,7 @@
         self._totals: dict[str, _Total] = {}
         #: What other gateways send, by service.
         self._arrivals: dict[str, _peer_arrivals.PeerArrivals] = {}
-        #: Slots that long streams need, by service.
+        #: Learned need of long streams, by service.
         self._streams: dict[str, _long_streams.LongStreams] = {}
         self._observed_s = -math.inf
         #: Engines whose totals changed since the last :meth:`apply`.
@@ -149,7 +148,7 @@
         engines: collections.abc.Sequence[_entities.EngineLoad],
         now_s: float,
     ) -> None:
-        """Record what this gateway has at the engines, and learn from all."""
+        """Record this gateway's requests; update the need of long streams."""
         if now_s - self._observed_s < OWN_INTERVAL_S:
             return
         self._observed_s = now_s
@@ -159,7 +158,7 @@
             if not engine.prefill_only:
                 slots[engine.service] += engine.slots
         self._record_counts(
-            OWN,
+            _long_streams.OWN_SENDER,
             [(engine, engine.own_counts.by_rank) for engine in engines],
             now_s,
         )
--- a/bilberrydeal/systems/placement/_role_need.py
+++ b/bilberrydeal/systems/placement/_role_need.py
@@ -1,4 +1,4 @@
-"""Learns how many engines of a service decoding and prefill need."""
+"""Learns how many engines a service needs for decoding and for prefill."""
 
 import collections.abc
 import math
@@ -10,19 +10,19 @@
 
 #: Time over which the present load is averaged, in seconds.
 LOAD_TIME_S = 5.0
-#: Time over which its mean and its deviation are learned, in seconds; several
-#: bursts.
+#: Time over which its mean and its deviation are learned, in seconds. It spans
+#: several bursts.
 LEARNING_TIME_S = 30.0
 #: Deviations above the mean that are kept free for bursts.
 BURST_DEVIATIONS = 2.0
-#: What a prefill that occupies an engine which also decodes would occupy of
-#: one that only prefills.
+#: Share of a prefill-only engine that a prefill at a decode engine counts as:
+#: it runs at about half the speed there.
 MIXED_PREFILL_SHARE = 0.5
 
 
 @attrs.frozen
 class RoleNeed:
-    """Engines of a service that each kind of work needs, with headroom."""
+    """Engines of a service needed for each kind of work, with headroom."""
 
     #: Engines that decode.
     decode_engines: float
--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -22,20 +22,21 @@
 SLOTS_PER_PREFILL_ENGINE = 3.0
 #: Smallest share of prefill engines, regardless of the demand for decoding.
 MIN_PREFILL_SHARE = 0.4
-#: Smallest share of decode engines by the slots of each from which on these
-#: constants leave no range, so that the number follows from what is learned.
-#: Engines with 12 slots or fewer have it.
+#: Minimum share of decode engines from which on the constants above leave too
+#: little range, so that the number follows from the learned need. It is
+#: reached by engines of 12 slots or fewer.
 MIN_LEARNED_SHARE = 0.45
-#: Smallest share of prefill engines if the number of either is learned.
+#: Smallest share of prefill engines where the number follows from the
+#: learned need.
 MIN_LEARNED_PREFILL_SHARE = 0.2
-#: Share to which engines of a kind are used, with headroom, from which on they
-#: run short. A kind without any spare time or slot shows a share of 1.
+#: Ratio of the need, with headroom, to the engines of a role from which on
+#: they are short. A ratio is near 1 where no time or slot is left.
 SHORTAGE_SHARE = 0.9
-#: Largest share after a change of the kind that gives up an engine, as a
-#: multiple of the present share of the other kind. Decode engines are given up
-#: less easily: without a slot all requests wait.
-PREFILL_SPARE = 0.95
-DECODE_SPARE = 0.85
+#: Largest ratio, after the change, of the role that gives up an engine, as a
+#: multiple of the present ratio of the other role. Decode engines are given up
+#: less easily: without a free slot all requests wait.
+PREFILL_DONOR_LIMIT = 0.95
+DECODE_DONOR_LIMIT = 0.85
 #: Target share of busy slots of decode engines.
 SLOT_UTILIZATION = 0.95
 #: Average prefill wait below which prefill engines count as idle, in seconds.
@@ -154,9 +155,9 @@
     demand: RoleDemand,
     need: _role_need.RoleNeed,
 ) -> RoleOrder | None:
-    """Return the change that relieves the kind of engines that runs short.
+    """Return the change that relieves the role whose engines are short.
 
-    There is one change at a time, and none while both kinds suffice.
+    There is one change at a time, and none while neither is short.
     """
     decode, prefill = len(decode_engines), len(prefill_engines)
     count = decode + prefill
@@ -170,11 +171,11 @@
     reserved = math.ceil(count * MIN_LEARNED_PREFILL_SHARE)
     if decode_used >= SHORTAGE_SHARE and prefill > max(reserved, 1):
         left_used = need.prefill_engines / (prefill - 1)
-        if left_used < decode_used * PREFILL_SPARE:
+        if left_used < decode_used * PREFILL_DONOR_LIMIT:
             return _to_decode(decode_engines, prefill_engines, demand)
     if prefill_used >= SHORTAGE_SHARE and decode > minimum:
         left_used = need.decode_engines / (decode - 1)
-        if left_used < prefill_used * DECODE_SPARE:
+        if left_used < prefill_used * DECODE_DONOR_LIMIT:
             return _to_prefill(decode_engines)
     return None
 
@@ -278,5 +279,5 @@
 
 
 def _permanent_factor(engine: _entities.EngineLoad) -> float:
-    """Return how much slower an engine is than its service for good."""
+    """Return the learned permanent factor; above 1 is slower."""
     return engine.speed.capability.factor
--- a/bilberrydeal/systems/placement/_slot_lending.py
+++ b/bilberrydeal/systems/placement/_slot_lending.py
@@ -1,7 +1,8 @@
 """Decides where requests decode while long streams and others compete.
 
-Slots of the protected engines are kept for long streams. Other requests borrow
-them while that leaves enough, and return them by ending.
+Slots of the protected engines (see ``LongStreams.protected``) are kept for
+long streams. Other requests borrow them while that leaves enough, and return
+them by ending.
 """
 
 import math
@@ -9,9 +10,10 @@
 from . import _entities
 
 #: Share of the target of a long stream for which it may wait for a slot.
-OWNER_WAIT_SHARE = 0.25
-#: Standard deviations by which more long streams may come than expected.
-OWNER_DEVIATIONS = 2.0
+STREAM_WAIT_SHARE = 0.25
+#: Standard deviations of the number of arriving long streams (Poisson) for
+#: which slots are kept beyond the mean.
+STREAM_DEVIATIONS = 2.0
 
 Engines = list[_entities.EngineLoad]
 
@@ -31,66 +33,69 @@
     streams = decode_engines[0].long_streams
     if not streams.competing(decode_engines):
         return available
-    names = {engine.key for engine in streams.protected(decode_engines)}
-    kept = [engine for engine in available if engine.key in names]
-    others = [engine for engine in available if engine.key not in names]
+    protected = {engine.key for engine in streams.protected(decode_engines)}
+    reserved = [engine for engine in available if engine.key in protected]
+    others = [engine for engine in available if engine.key not in protected]
     if streams.is_long(rank):
-        return _free(kept) or _free(others) or available
+        return _free(reserved) or _free(others) or available
     lent = [
         engine
-        for engine in _free(kept)
-        if may_borrow(engine, len(names), len(decode_engines))
+        for engine in _free(reserved)
+        if may_borrow(engine, len(protected), len(decode_engines))
     ]
-    return _free(others) + lent or others or _free(kept)
+    return _free(others) + lent or others or _free(reserved)
 
 
-def awaited(rank: int, available: Engines, decode_engines: Engines) -> Engines:
-    """Return the engines at which a request would wait for a slot.
+def queueing(
+    rank: int, available: Engines, decode_engines: Engines
+) -> Engines:
+    """Return the engines whose slot wait a request must expect.
 
-    Where it may decode at none, it waits for one that is not protected.
+    Where it may decode at none, these are all that are not protected.
     """
     found = preferred(rank, available, decode_engines)
     if found or not available:
         return found
     streams = decode_engines[0].long_streams
-    names = {engine.key for engine in streams.protected(decode_engines)}
-    return [engine for engine in decode_engines if engine.key not in names]
+    protected = {engine.key for engine in streams.protected(decode_engines)}
+    return [engine for engine in decode_engines if engine.key not in protected]
 
 
 def may_borrow(
-    engine: _entities.EngineLoad, protected: int, decoding: int
+    engine: _entities.EngineLoad, protected_count: int, decode_count: int
 ) -> bool:
     """Return whether a brief request may take a slot kept for long streams.
 
     Slots are left for the streams that come until one is free again, unless
-    their target allows them to wait for it, and for what others have sent and
-    not reported. ``protected`` and ``decoding`` are the numbers of engines
-    that share the long streams and the brief requests.
+    their target allows them to wait for it, and for what other gateways have
+    sent and not yet reported. Long streams are assumed to spread evenly over
+    ``protected_count`` engines, brief requests over ``decode_count``.
     """
     streams = engine.long_streams
-    if streams.blind:
+    if streams.isolated:
         return False
-    kept = streams.brief_per_s * streams.report_s / decoding
-    return_s = _return_s(engine)
-    if return_s > streams.target_s * OWNER_WAIT_SHARE:
-        coming = streams.long_per_s * (return_s + streams.report_s) / protected
-        kept += coming + OWNER_DEVIATIONS * math.sqrt(coming)
+    kept = streams.brief_per_s * streams.report_s / decode_count
+    next_free_s = _next_free_s(engine)
+    if next_free_s > streams.target_s * STREAM_WAIT_SHARE:
+        interval_s = next_free_s + streams.report_s
+        arriving = streams.long_per_s * interval_s / protected_count
+        kept += arriving + STREAM_DEVIATIONS * math.sqrt(arriving)
     return engine.slots - engine.requests - 1 >= kept
 
 
-def _return_s(engine: _entities.EngineLoad) -> float:
-    """Return the time until a slot is free if one more is lent."""
+def _next_free_s(engine: _entities.EngineLoad) -> float:
+    """Return the mean time until a slot is free, once one more is lent."""
     streams = engine.long_streams
     long = sum(engine.requests_of_rank(rank) for rank in streams.ranks)
     brief = engine.requests - long + 1
-    returns_per_s = 0.0
+    freed_per_s = 0.0
     for count, held_s in (
         (brief, streams.brief_held_s),
         (long, streams.long_held_s),
     ):
         if held_s:
-            returns_per_s += count / held_s
-    return 1.0 / returns_per_s if returns_per_s else math.inf
+            freed_per_s += count / held_s
+    return 1.0 / freed_per_s if freed_per_s else math.inf
 
 
 def _free(engines: Engines) -> Engines:
--- a/bilberrydeal/systems/placement/_two_stage.py
+++ b/bilberrydeal/systems/placement/_two_stage.py
@@ -23,8 +23,9 @@
 #: Cost of an engine whose slots are all busy, in seconds.
 BUSY_SLOTS_PENALTY_S = 0.02
 #: Cost of decoding in another failure domain than that of the gateway, in
-#: seconds; as much as a quarter of the slots of an engine being busy. The body
-#: of the request crosses domains then, which costs far more than the KV cache.
+#: seconds: as much as a quarter of an engine's slots being busy. The body of
+#: the request then crosses domains, which costs far more than moving the KV
+#: cache.
 REMOTE_DECODE_PENALTY_S = 0.005
 #: Share of the target within which the first token must be expected.
 TARGET_SHARE = 0.85
@@ -51,7 +52,9 @@
     ) -> _base.Outcome:
         """Choose the next engine for a request."""
         if engines:
-            engines[0].long_streams.note_target(request.rank, request.target_s)
+            engines[0].long_streams.record_target(
+                request.rank, request.target_s
+            )
         options = self._options(request, engines, now_s)
         if not options:
             return _base.DeadlineUnreachable(MIN_RETRY_AFTER_S)
@@ -62,7 +65,7 @@
         if not in_time:
             return self._defer(request, options, engines)
         best = min(
-            in_time, key=lambda option: _crowded_cost_s(request, option)
+            in_time, key=lambda option: _occupancy_cost_s(request, option)
         )
         return placement_at(best, best.expected_s, deferred=False)
 
@@ -156,7 +159,7 @@
         sources = _fetching.FetchSources(request.prompt, engines)
         decode_wait = _options.slot_wait(
             request,
-            _slot_lending.awaited(
+            _slot_lending.queueing(
                 request.rank,
                 [engine for engine in available if not engine.prefill_only],
                 [engine for engine in engines if not engine.prefill_only],
@@ -185,11 +188,13 @@
         return options
 
 
-def _crowded_cost_s(request: _base.Request, option: _options.Option) -> float:
-    """Return the cost of an option, with that of its busy slots.
+def _occupancy_cost_s(
+    request: _base.Request, option: _options.Option
+) -> float:
+    """Return the cost of an option, for long streams with its busy slots.
 
-    Prompts of long streams are short and cost the same everywhere. They are
-    spread, so that a slot is left where gateways choose alike.
+    The short prompts of long streams cost the same everywhere. Without the
+    busy slots, gateways would send them all to one engine until it is full.
     """
     engine = option.engine
     if not engine.long_streams.is_long(request.rank):
--- a/bilberrydeal/systems/placement/tests/mix.py
+++ b/bilberrydeal/systems/placement/tests/mix.py
@@ -1,4 +1,4 @@
-"""Plays a mix of short and long streams at engines with few slots.
+"""Simulates a mix of short and long streams at engines with few slots.
 
 All gateways know the load of the engines. An engine prefills one prompt after
 the other, by rank; one that also decodes does so at half the speed and gives a
--- a/bilberrydeal/systems/placement/tests/slot_play.py
+++ b/bilberrydeal/systems/placement/tests/slot_play.py
@@ -1,4 +1,4 @@
-"""Plays requests that compete for the slots of engines, without I/O.
+"""Simulates requests that compete for the slots of engines, without I/O.
 
 Time passes in steps. An engine that decodes runs a part of a prefill between
 two decode steps, which delays the events of all its streams. Gateways know
@@ -101,8 +101,6 @@
     on_first: collections.abc.Callable[[], None]
     #: Tells the gateway that the request has left the engine.
     on_end: collections.abc.Callable[[], None]
-    #: Tokens that it holds in memory.
-    tokens: int = 0
     #: Time that it has decoded, in seconds; negative before the first event.
     decoded_s: float = -0.005
 
--- a/bilberrydeal/systems/placement/tests/test_capability.py
+++ b/bilberrydeal/systems/placement/tests/test_capability.py
@@ -18,11 +18,11 @@
     factors: list[float],
     lasts_s: float,
     noise: float = 0.2,
-    passing: float = 1.0,
+    transient: float = 1.0,
 ) -> list[placement.EngineSpeed]:
     """Return engines after prefills without queues.
 
-    The first engine is ``passing`` times slower from second 10 to 15. Some
+    The first engine is ``transient`` times slower from second 10 to 15. Some
     prefills meet a queue that is not known of, more at the second engine.
     """
     rng = random.Random(11)
@@ -38,7 +38,7 @@
             took_s = (0.001 + tokens / 420_000) * factor
             took_s *= math.exp(rng.gauss(0.0, noise))
             if number == 0 and 10.0 <= now_s < 15.0:
-                took_s *= passing
+                took_s *= transient
             if rng.random() < (0.5 if number == 1 else 0.2):
                 took_s *= rng.uniform(1.0, 4.0)
             sample = placement.TimeSample(tokens, took_s)
@@ -71,16 +71,16 @@
 
 @pytest.mark.parametrize("lasts_s", [30.0, 60.0, 300.0])
 @pytest.mark.parametrize("noise", [0.02, 0.2, 0.5])
-@pytest.mark.parametrize("passing", [1.0, 2.2, 5.0])
+@pytest.mark.parametrize("transient", [1.0, 2.2, 5.0])
 def test_equal_engines_stay_equal(
-    lasts_s: float, noise: float, passing: float
+    lasts_s: float, noise: float, transient: float
 ) -> None:
     """Popular engines seem slower, and some turn slow for 5 s.
 
     An engine that is avoided without a reason loses the prompts that it has
     cached.
     """
-    speeds = _service([1.0] * 6, lasts_s, noise, passing)
+    speeds = _service([1.0] * 6, lasts_s, noise, transient)
     assert [each.capability.factor for each in speeds] == [1.0] * 6
 
 
@@ -92,18 +92,18 @@
 
 
 @pytest.mark.parametrize(
-    ("told", "used"),
+    ("reported", "used"),
     [(1.8, 1.8), (0.6, 0.6), (0.0, 1.0), (40.0, 1.0), (math.nan, 1.0)],
 )
 def test_factor_of_another_gateway_is_used_until_own_samples(
-    told: float, used: float
+    reported: float, used: float
 ) -> None:
     service = placement.ServiceSpeed()
     speed = placement.EngineSpeed(service)
-    speed.capability.tell(told)
+    speed.capability.use_peer_factor(reported)
     assert speed.capability.factor == pytest.approx(used)
     learned, *_others = _service([1.5, 1.0, 1.0, 1.0], 60.0)
-    learned.capability.tell(2.0)
+    learned.capability.use_peer_factor(2.0)
     assert learned.capability.factor < 1.7
 
 
--- a/bilberrydeal/systems/placement/tests/test_long_streams.py
+++ b/bilberrydeal/systems/placement/tests/test_long_streams.py
@@ -143,7 +143,7 @@
 def test_gateways_name_the_same_engines_in_the_same_order() -> None:
     """Guards against sets that share no engines when sizes differ."""
     engines = _decode_engines(9)
-    ordered = placement.in_order(engines)
+    ordered = placement.by_rendezvous_score(engines)
     streams = placement.LongStreams()
     for needed in (0.0, 9.0, 17.0, 500.0):
         streams.slots_needed = needed
@@ -181,16 +181,16 @@
 
 
 @pytest.mark.parametrize(
-    ("counts", "blind"), [({"e1": [1]}, True), ({}, False)]
+    ("counts", "isolated"), [({"e1": [1]}, True), ({}, False)]
 )
 def test_gateway_without_requests_is_not_missed(
-    counts: dict[str, list[int]], blind: bool
+    counts: dict[str, list[int]], isolated: bool
 ) -> None:
     """Guards against slots that are not lent while other gateways are idle."""
     streams = placement.LongStreams()
     streams.record("other", counts, 0.0)
     streams.expire(0.5)
     streams.expire(0.6)
-    assert streams.blind == blind
+    assert streams.isolated == isolated
     streams.record("other", {"e1": [1]}, 0.7)
-    assert not streams.blind
+    assert not streams.isolated
--- a/bilberrydeal/systems/placement/tests/test_role_need.py
+++ b/bilberrydeal/systems/placement/tests/test_role_need.py
@@ -139,7 +139,7 @@
     service = placement.ServiceSpeed()
     for engine, factor in zip(engines, factors, strict=True):
         engine.speed = placement.EngineSpeed(service)
-        engine.speed.capability.tell(factor)
+        engine.speed.capability.use_peer_factor(factor)
 
 
 def test_fast_engines_are_converted_first_and_domains_keep_one() -> None:
--- a/bilberrydeal/systems/placement/tests/test_slot_lending.py
+++ b/bilberrydeal/systems/placement/tests/test_slot_lending.py
@@ -128,7 +128,7 @@
         gateway.streams.record("g", counts, now_s)
         gateway.streams.observe(now_s)
     assert gateway.streams.ranks == {1}
-    return placement.in_order(gateway.loads.values())
+    return placement.by_rendezvous_score(gateway.loads.values())
 
 
 def test_brief_requests_borrow_while_slots_are_idle() -> None:
@@ -149,7 +149,7 @@
     engines = _learned()
     main = engines[0]
     main.own_counts.add(BRIEF.rank, main.slots - 2)
-    main.long_streams.note_target(STREAM.rank, target_s)
+    main.long_streams.record_target(STREAM.rank, target_s)
     assert (main in placement.preferred(0, engines, engines)) == lent
 
 
