--- a/bilberrydeal/gateway/duties/_coordination.py
+++ b/bilberrydeal/gateway/duties/_coordination.py
@@ -157,6 +157,8 @@
         #: When this gateway's row was first and last written, in seconds since
         #: boot; the latter is the start of the process before the first write.
         self._row_first_s: float | None = None
+        #: When its last successful write began, in seconds since boot; the
+        #: start of the process before the first one.
         self._row_written_s = self._started_s
         #: Whether gateways that started with this one are listed.
         self.settled = False
@@ -180,7 +182,7 @@
 
     @property
     def row_left_s(self) -> float:
-        """Return for how long others certainly find this gateway alive."""
+        """Return for how long others surely take this gateway as alive."""
         alive_s = accounting.alive_s(self._row_pause_s())
         age_s = accounting.boot_s() - self._row_written_s
         return alive_s - ROW_MARGIN_S - age_s
