--- a/bilberrydeal/http1/_connection.py
+++ b/bilberrydeal/http1/_connection.py
@@ -504,14 +504,15 @@
 
     def _reject(self, status: int) -> None:
         """Reject a request after the pending responses are sent."""
-        if self._rejection_status:
+        unavailable = status == http.HTTPStatus.SERVICE_UNAVAILABLE
+        if self._rejection_status and not (unavailable and self._pending):
             return
         self._rejection_status = status
         self._input_ended = True
         self._reader.release()
         self._unparsed = b""
         self._parsed = 0
-        if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+        if unavailable:
             self._pending.clear()
             self._pending_bytes = 0
         self._account()
--- a/bilberrydeal/http1/tests/test_untrusted.py
+++ b/bilberrydeal/http1/tests/test_untrusted.py
@@ -311,3 +311,29 @@
             if condition():
                 return
             await asyncio.sleep(0.01)
+
+
+async def test_queued_requests_before_a_malformed_one_can_be_refused() -> None:
+    """Guards against memory that is held until a slow request ends."""
+    recorder = harness.Recorder()
+    limits = http1.ServerLimits(
+        16_384, 400_000, 3.0, 30.0, memory_bytes=1_000_000
+    )
+    body = START + b"content-length: 150000\r\n\r\n" + b"x" * 150_000
+    async with harness.serving(recorder.handle, limits) as server:
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", server.port
+        )
+        writer.write(b"GET /slow HTTP/1.1\r\nhost: h\r\n\r\n" + 2 * body)
+        writer.write(b"malformed\r\n\r\n")
+        await _wait_for(lambda: server.budget.used_bytes > 600_000)
+        other = await _unfinished(server, 100_000)
+        await _wait_for(lambda: server.budget.refused.total() > 0)
+        await _wait_for(lambda: server.budget.used_bytes < 400_000)
+        recorder.release.set()
+        async with asyncio.timeout(5.0):
+            response = await reader.read()
+        for each in (writer, other[1]):
+            each.close()
+    assert _status(response)[0] == b"200"
+    assert len(recorder.requests) == 1
