--- a/bilberrydeal/platform/_quotas.py
+++ b/bilberrydeal/platform/_quotas.py
@@ -1,7 +1,5 @@
 """Decodes quotas of organisations and what a request costs of them."""
 
-import math
-
 import msgspec
 
 from .. import catalogue
@@ -85,7 +83,8 @@
         return default
     if isinstance(found, bool) or not isinstance(found, int | float):
         raise QuotaInvalid(f"{name} {str(found)[:_SHOWN_LIMIT]!r}")
-    if not math.isfinite(found) or not 0 <= found <= AMOUNT_LIMIT:
+    # Integers of any size come here, which cannot all be made floats.
+    if not 0 <= found <= AMOUNT_LIMIT:
         raise QuotaInvalid(f"{name} {str(found)[:_SHOWN_LIMIT]}")
     return float(found)
 
--- a/bilberrydeal/platform/tests/test_quotas.py
+++ b/bilberrydeal/platform/tests/test_quotas.py
@@ -57,6 +57,7 @@
         ',"unit":["tokens"],"rate_per_s":5',
         ',"rate_per_s":-1',
         ',"rate_per_s":1e300',
+        f',"rate_per_s":1{"0" * 400}',
         ',"rate_per_s":1e400',
         ',"rate_per_s":' + "9" * 5_000,
         ',"rate_per_s":"5"',
--- a/bilberrydeal/systems/quotas/_fallback.py
+++ b/bilberrydeal/systems/quotas/_fallback.py
@@ -95,6 +95,8 @@
         if before is None or before.unit is not after.unit:
             self.assigned_per_s = self.share_per_s = 0.0
             self.largest_cost = 0.0
+            # The next grant begins anew, with a share in the new unit.
+            self.active = False
             return
         scale = after.rate_per_s / before.rate_per_s
         self.assigned_per_s *= scale
--- a/bilberrydeal/systems/quotas/_node.py
+++ b/bilberrydeal/systems/quotas/_node.py
@@ -88,6 +88,17 @@
     rejection: Decision | None = None
 
 
+@attrs.frozen
+class _Late:
+    """A query that was given up and may be answered yet."""
+
+    query: _messages.Query
+    #: Gateway that was asked.
+    home: str
+    #: When it was given up.
+    since_s: float
+
+
 @attrs.define
 class _Outbox:
     """What is to be sent to one gateway."""
@@ -124,7 +135,7 @@
         self._fallbacks: dict[str, _fallback.Fallback] = {}
         self._pending: dict[int, _Pending] = {}
         #: Queries that were given up and when, by sequence number.
-        self._late: dict[int, tuple[float, _messages.Query]] = {}
+        self._late: dict[int, _Late] = {}
         self._outboxes: dict[str, _Outbox] = {}
         self._sequence = 0
         self._transitions: list[Transition] = []
@@ -227,6 +238,7 @@
             if pending.rejection is not None:
                 if waited_s >= SLOW_HOME_TIMEOUT_S:
                     self._give_up(pending, pending.rejection, now_s)
+                    continue
             elif waited_s >= ANSWER_TIMEOUT_S:
                 self._on_answer_timeout(pending, now_s)
                 continue
@@ -327,7 +339,7 @@
         """Forget the oldest queries that were given up."""
         while self._late:
             sequence = next(iter(self._late))
-            fresh = now_s - self._late[sequence][0] < LATE_ANSWER_S
+            fresh = now_s - self._late[sequence].since_s < LATE_ANSWER_S
             if fresh and len(self._late) <= LATE_ANSWERS_LIMIT:
                 return
             del self._late[sequence]
@@ -380,7 +392,7 @@
         query = pending.query
         del self._pending[query.sequence]
         if query.cost > 0.0:
-            self._late[query.sequence] = (now_s, query)
+            self._late[query.sequence] = _Late(query, pending.home, now_s)
         if pending.on_decision is not None and decision is not None:
             pending.on_decision(decision)
 
@@ -391,14 +403,25 @@
         if pending is not None and pending.home != sender:
             return
         if pending is None:
-            late = self._late.pop(answer.sequence, None)
-            if late is not None and answer.wait_s == 0.0:
-                query = late[1]
-                self.refund(query.organisation, query.cost, False, now_s)
+            self._on_late_answer(sender, answer, now_s)
             return
         del self._pending[answer.sequence]
         self._apply_answer(pending, answer, now_s)
 
+    def _on_late_answer(
+        self, sender: str, answer: _messages.Answer, now_s: float
+    ) -> None:
+        """Give back what a home granted too late, if it is still the home."""
+        late = self._late.get(answer.sequence)
+        if late is None or late.home != sender:
+            return
+        del self._late[answer.sequence]
+        query = late.query
+        if answer.wait_s == 0.0 and self.view.home(query.organisation) == (
+            sender
+        ):
+            self.refund(query.organisation, query.cost, False, now_s)
+
     def _apply_answer(
         self, pending: _Pending, answer: _messages.Answer, now_s: float
     ) -> None:
--- a/bilberrydeal/systems/quotas/tests/test_node.py
+++ b/bilberrydeal/systems/quotas/tests/test_node.py
@@ -399,3 +399,68 @@
         asker.tick(6.0 + step * 0.02)
         asker.poll(6.0 + step * 0.02)
     assert not asker.waiting
+
+
+def _slow(
+    asker: _node.QuotaNode, home: _node.QuotaNode, now_s: float
+) -> list[_node.Decision]:
+    """Let a gateway ask for more than its share, and retry in vain."""
+    decisions: list[_node.Decision] = []
+    asker.ask(ORGANISATION, OVER_SHARE, now_s, decisions.append)
+    _until(asker, home, now_s, now_s + _node.ANSWER_TIMEOUT_S + 0.05)
+    asker.take_outgoing()
+    return decisions
+
+
+def test_query_that_is_given_up_is_not_sent_again() -> None:
+    """Guards against charges at the home for requests already rejected."""
+    asker, home = _pair()
+    _slow(asker, home, 3.0)
+    asker.ask(ORGANISATION, OVER_SHARE, 3.2, lambda _decision: None)
+    asker.take_outgoing()
+    # The event loop was busy, so no retry was made.
+    asker.poll(3.2 + _node.SLOW_HOME_TIMEOUT_S)
+    assert asker.take_outgoing() == []
+
+
+def test_late_grant_is_given_back_to_the_gateway_that_granted() -> None:
+    """Guards against credit at a home that never charged the request."""
+    asker, home = _pair()
+    asker.ask(ORGANISATION, 1.0, 3.0, lambda _decision: None)
+    sequence = asker.take_outgoing()[0].message.queries[0].sequence
+    asker.poll(3.0 + _node.ANSWER_TIMEOUT_S)
+    assert not asker.waiting
+    answer = _messages.Answer(sequence, 0.0, 1.0)
+    message = _messages.Message((), (answer,))
+    asker.receive("g9", message, 3.45)
+    assert asker.take_outgoing() == []
+    asker.receive(home.view.own, message, 3.45)
+    (refund,) = asker.take_outgoing()
+    assert [query.cost for query in refund.message.queries] == [-1.0]
+
+
+def test_quota_in_another_unit_is_granted_without_the_home() -> None:
+    """Guards against a share of 0 that stays from the unit before."""
+    asker, _home_node = _pair()
+    assert isinstance(_ask_alone(asker, 1.0, 9.0), _node.Decision)
+    requests = catalogue.Quota(
+        catalogue.QuotaUnit.REQUESTS, 1_000.0, 1_000.0, 0.0
+    )
+    asker.set_quotas({ORGANISATION: requests})
+    _pass(asker, 9.1, 11.0)
+    _ask_alone(asker, 1.0, 11.0)
+    _pass(asker, 11.0, 12.0)
+    assert _ask_alone(asker, 1.0, 12.0).granted
+
+
+def _ask_alone(
+    node: _node.QuotaNode, cost: float, now_s: float
+) -> _node.Decision:
+    """Ask while the home is silent."""
+    decisions: list[_node.Decision] = []
+    decided = node.ask(ORGANISATION, cost, now_s, decisions.append)
+    if isinstance(decided, _node.Decision):
+        return decided
+    node.poll(now_s + _node.ANSWER_TIMEOUT_S)
+    node.poll(now_s + _node.SLOW_HOME_TIMEOUT_S)
+    return decisions[0]
