--- a/bilberrydeal/gateway/peer_exchange/_load_exchange.py
+++ b/bilberrydeal/gateway/peer_exchange/_load_exchange.py
@@ -62,12 +62,17 @@
         if load is None:
             return
         now_s = self._clock()
+        newest = self._loads.update(
+            datagram.gateway, load.sequence, load.engine_loads, now_s
+        )
         self._loads.learn(
-            datagram.gateway, load.engine_loads, self._cluster.load_of, now_s
+            datagram.gateway,
+            load.engine_loads,
+            self._cluster.load_of,
+            now_s,
+            newest,
         )
-        if self._loads.update(
-            datagram.gateway, load.sequence, load.engine_loads, now_s
-        ):
+        if newest:
             self._loads.apply(self._cluster.load_of)
 
     async def run(self) -> None:
--- a/bilberrydeal/systems/placement/_capability.py
+++ b/bilberrydeal/systems/placement/_capability.py
@@ -163,9 +163,15 @@
             self._apply(0.0)
         elif abs(estimate.log_factor - self.log_factor) < release:
             return
-        elif abs(estimate.log_factor) >= estimate.threshold:
+        elif (
+            abs(estimate.log_factor) >= estimate.threshold
+            or estimate.log_factor * self.log_factor > 0.0
+        ):
+            # One that is in use follows the samples also below the threshold.
             limit = math.log(MAX_FACTOR)
             self._apply(min(max(estimate.log_factor, -limit), limit))
+        else:
+            self._apply(0.0)
 
     def _apply(self, log_factor: float) -> None:
         self.log_factor = log_factor
--- a/bilberrydeal/systems/placement/_long_streams.py
+++ b/bilberrydeal/systems/placement/_long_streams.py
@@ -31,6 +31,8 @@
 LEVEL_TIME_S = 10.0
 #: Time over which the rates of requests are averaged, in seconds.
 RATE_TIME_S = 1.0
+#: Weight of one request in the mean target of long streams.
+TARGET_WEIGHT = 0.05
 #: Weight of one report in the mean time between reports.
 REPORT_WEIGHT = 0.05
 #: A rank is long if it holds a slot this many times as long as the briefest
@@ -165,7 +167,7 @@
         self.slots_total = 0
         #: Mean time between two reports of a gateway, in seconds.
         self.report_s = 0.0
-        #: Shortest target of long streams that this gateway has placed, in
+        #: Mean target of long streams that this gateway has placed, in
         #: seconds; 0 while it has placed none.
         self.target_s = 0.0
         self._senders: dict[str, _Sender] = {}
@@ -359,7 +361,8 @@
     def record_target(self, rank: int, target_s: float) -> None:
         """Learn the target of a request that this gateway places."""
         if self.is_long(rank) and target_s > 0.0:
-            self.target_s = min(self.target_s or target_s, target_s)
+            off_s = target_s - (self.target_s or target_s)
+            self.target_s = target_s - off_s * (1.0 - TARGET_WEIGHT)
 
     @property
     def long_held_s(self) -> float:
--- a/bilberrydeal/systems/placement/_options.py
+++ b/bilberrydeal/systems/placement/_options.py
@@ -107,9 +107,12 @@
     candidates = _eligible_for_long_prompts(
         available, decode_engines, all_decode_engines
     )
-    return candidates or _slot_lending.preferred(
+    if candidates:
+        return candidates
+    found = _slot_lending.preferred(
         request.rank, decode_engines, all_decode_engines
     )
+    return found or (decode_engines if request.may_have_run else [])
 
 
 def _eligible_for_long_prompts(
--- a/bilberrydeal/systems/placement/_peer_loads.py
+++ b/bilberrydeal/systems/placement/_peer_loads.py
@@ -119,8 +119,12 @@
         loads: collections.abc.Sequence[GatewayEngineLoad],
         find: FindEngine,
         now_s: float,
+        newest: bool = True,
     ) -> None:
-        """Record what a gateway sent and measured since its last report."""
+        """Record what a gateway sent and measured since its last report.
+
+        The counts of a report that is not the newest one are left out.
+        """
         sent: dict[str, float] = {}
         for load in loads:
             engine = find(load.engine_id)
@@ -137,11 +141,12 @@
                 self._arrivals[engine.service] = engine.arrivals
         for service, arrivals in self._arrivals.items():
             arrivals.record(gateway, sent.get(service, 0.0), now_s)
-        self._record_counts(
-            gateway,
-            [(find(load.engine_id), load.requests) for load in loads],
-            now_s,
-        )
+        if newest:
+            self._record_counts(
+                gateway,
+                [(find(load.engine_id), load.requests) for load in loads],
+                now_s,
+            )
 
     def observe(
         self,
--- a/bilberrydeal/systems/placement/tests/test_capability.py
+++ b/bilberrydeal/systems/placement/tests/test_capability.py
@@ -91,6 +91,24 @@
     assert slow.capability.factor == factor > 1.3
 
 
+def test_factor_in_use_follows_samples_below_the_threshold() -> None:
+    """Guards against a factor that stays high once the engine is faster."""
+    rng = random.Random(5)
+    service = placement.ServiceSpeed()
+    speeds = [placement.EngineSpeed(service) for _ in range(5)]
+    for step in range(1_600):
+        for number, speed in enumerate(speeds):
+            slow = 2.0 if step < 400 else 1.2
+            took_s = 0.02 * (slow if number == 0 else 1.0)
+            took_s *= math.exp(rng.gauss(0.0, 0.02))
+            sample = placement.TimeSample(9_000.0, took_s)
+            measured = placement.PrefillSample(True, sample)
+            speed.record(measured, step * INTERVAL_S)
+        if step == 399:
+            assert speeds[0].factor > 1.7
+    assert speeds[0].factor == pytest.approx(1.2, rel=0.03)
+
+
 @pytest.mark.parametrize(
     ("reported", "used"),
     [(1.8, 1.8), (0.6, 0.6), (0.0, 1.0), (40.0, 1.0), (math.nan, 1.0)],
