--- a/bilberrydeal/http1/tests/test_server.py
+++ b/bilberrydeal/http1/tests/test_server.py
@@ -8,6 +8,8 @@
 
 from ... import http1
 from .. import _connection
+from .. import _fields
+from .. import _request_reader
 from . import harness
 
 GET = b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n"
@@ -279,7 +281,14 @@
         connection.connection_made(_Transport())
         server.read_buffer[: len(post)] = post
         connection.buffer_updated(len(post))
-        assert server.budget.used_bytes > len(post)
+        fields_bytes = 2 * _fields.PAIR_BYTES
+        body_bytes = 5 * _request_reader.BODY_COPIES
+        assert server.budget.used_bytes == (
+            _request_reader.REQUEST_BYTES
+            + len(post)
+            + fields_bytes
+            + body_bytes
+        )
         connection.connection_lost(None)
         for _ in range(LOOP_ITERATIONS):
             await asyncio.sleep(0)
