--- a/bilberrydeal/entry/http_api/_http.py
+++ b/bilberrydeal/entry/http_api/_http.py
@@ -29,6 +29,8 @@
 RESPONSE_SLACK_S = 60
 #: Chunks of a body after which other connections get their turn.
 PARTS_PER_TURN = 64
+#: Share of the limit below which the next refusal is logged again.
+RELIEVED_SHARE = 0.5
 #: ``Retry-After`` of a request that exceeds the memory for bodies, in seconds.
 NO_ROOM_RETRY_S = 1.0
 
@@ -138,18 +140,18 @@
 
     limit_bytes: int
     used_bytes: int = 0
-    #: Whether the last check refused a body; only changes are logged.
+    #: Whether bodies were refused since little was used; the first one is
+    #: logged.
     refusing: bool = False
 
     def check(self, request: sanic.Request) -> None:
         """Raise ``Refusal`` if the limit is exceeded."""
         exceeded = self.used_bytes > self.limit_bytes
-        if exceeded != self.refusing:
-            self.refusing = exceeded
-            LOG.warning(
-                "Bodies refused." if exceeded else "Bodies taken again.",
-                limit_bytes=self.limit_bytes,
-            )
+        if exceeded and not self.refusing:
+            self.refusing = True
+            LOG.warning("Bodies refused.", limit_bytes=self.limit_bytes)
+        elif self.used_bytes < self.limit_bytes * RELIEVED_SHARE:
+            self.refusing = False
         if exceeded:
             request_stream(request).keep_alive = False
             raise errors.Refusal(
