--- a/bilberrydeal/gateway/peer_exchange/_capability_broadcast.py
+++ b/bilberrydeal/gateway/peer_exchange/_capability_broadcast.py
@@ -16,6 +16,8 @@
 CAPABILITY_INTERVAL_S = 1.0
 #: Interval between summaries of all gateways together, in seconds.
 SUMMARY_INTERVAL_S = 5.0
+#: Summaries of a gateway that name an engine whose factor has become 1 again.
+ENDED_SUMMARIES = 2
 #: Most engines of a summary, so that it fits a packet of 1,400 bytes. The
 #: others follow in the next summary; further ones received are dropped.
 MAX_SUMMARY_ENGINES = 24
@@ -48,6 +50,9 @@
         #: Last logged factors by engine and start of its process, in Unix
         #: milliseconds.
         self._logged: dict[tuple[str, int], float] = {}
+        #: Engines whose factor has become 1 again, with the number of
+        #: summaries that still name them.
+        self._ended: dict[tuple[str, int], int] = {}
         datagrams.subscribe(self._on_datagram)
 
     async def run_once(self) -> None:
@@ -85,8 +90,14 @@
             for upstream in self._cluster.endpoints.values()
             if upstream.load is not None
             and upstream.load.speed.capability.known
-            and upstream.load.speed.capability.factor != 1.0
+            and (
+                upstream.load.speed.capability.factor != 1.0
+                or _key(upstream) in self._ended
+            )
         ]
+        self._ended = {
+            key: left - 1 for key, left in self._ended.items() if left > 1
+        }
         if len(reports) <= MAX_SUMMARY_ENGINES:
             return tuple(reports)
         start = self._position % len(reports)
@@ -110,10 +121,12 @@
             if upstream.load is None:
                 continue
             endpoint = upstream.endpoint
-            key = (endpoint.endpoint_id, endpoint.started_ms)
+            key = _key(upstream)
             capability = upstream.load.speed.capability
             self._logged[key] = capability.factor
             if capability.factor != before.get(key, 1.0):
+                if capability.factor == 1.0 and capability.known:
+                    self._ended[key] = ENDED_SUMMARIES
                 LOG.info(
                     "Engine capability changed.",
                     endpoint=endpoint.endpoint_id,
@@ -121,3 +134,8 @@
                     factor_before=round(before.get(key, 1.0), 2),
                     told_by_a_gateway=capability.from_peer,
                 )
+
+
+def _key(upstream: cluster_state.Upstream) -> tuple[str, int]:
+    """Return what identifies an engine and its process."""
+    return (upstream.endpoint.endpoint_id, upstream.endpoint.started_ms)
--- a/bilberrydeal/gateway/tests/test_capability_broadcast.py
+++ b/bilberrydeal/gateway/tests/test_capability_broadcast.py
@@ -81,6 +81,20 @@
     assert other.factor == 1.0
 
 
+async def test_factor_that_has_become_1_is_told() -> None:
+    """Guards against a factor that a gateway without own samples keeps."""
+    one, other = _pair()
+    one.learn(0.04)
+    await one.run(12)
+    assert other.factor > 1.2
+    for _ in range(8):
+        one.now_s += 60.0
+        one.learn(0.02)
+    assert one.factor == 1.0
+    await one.run(12)
+    assert other.factor == 1.0
+
+
 async def test_nothing_is_sent_while_engines_are_equal() -> None:
     one, _other = _pair()
     one.learn(0.02)
--- a/bilberrydeal/systems/placement/_long_streams.py
+++ b/bilberrydeal/systems/placement/_long_streams.py
@@ -182,7 +182,7 @@
             engine_id: _by_urgent_rank(requests)
             for engine_id, requests in counts.items()
         }
-        if before is not None:
+        if before is not None and not before.expired:
             self._count_arrivals(before.counts, after)
             if sender != OWN_SENDER:
                 interval_s = now_s - before.at_s
--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -22,10 +22,10 @@
 SLOTS_PER_PREFILL_ENGINE = 3.0
 #: Smallest share of prefill engines, regardless of the demand for decoding.
 MIN_PREFILL_SHARE = 0.4
-#: Minimum share of decode engines from which on the constants above leave too
-#: little range, so that the number follows from the learned need. It is
-#: reached by engines of 12 slots or fewer.
-MIN_LEARNED_SHARE = 0.45
+#: Least share of the engines whose role the shares above have to leave open.
+#: With fewer the number of decode engines hardly depends on the load, and it
+#: follows from the learned need instead.
+MIN_OPEN_SHARE = 0.15
 #: Smallest share of prefill engines where the number follows from the
 #: learned need.
 MIN_LEARNED_PREFILL_SHARE = 0.2
@@ -140,9 +140,12 @@
 def _few_slots(
     engines: collections.abc.Sequence[_entities.EngineLoad],
 ) -> bool:
-    """Return whether the constants leave no range for decode engines."""
+    """Return whether the fixed shares leave the roles of few engines open."""
     slots = max((engine.slots for engine in engines), default=0)
-    return bool(slots) and _min_decode_share(slots) >= MIN_LEARNED_SHARE
+    if not slots:
+        return False
+    open_share = 1.0 - MIN_PREFILL_SHARE - _min_decode_share(slots)
+    return open_share <= MIN_OPEN_SHARE
 
 
 def _min_decode_share(slots: int) -> float:
--- a/bilberrydeal/systems/placement/tests/test_long_streams.py
+++ b/bilberrydeal/systems/placement/tests/test_long_streams.py
@@ -194,3 +194,20 @@
     assert streams.isolated == isolated
     streams.record("other", {"e1": [1]}, 0.7)
     assert not streams.isolated
+
+
+def test_requests_from_before_a_silence_are_no_new_ones() -> None:
+    """Guards against hold times that are too short after lost reports."""
+    counts = {"e1": [4, 4]}
+    heard, silent = placement.LongStreams(), placement.LongStreams()
+    for streams in (heard, silent):
+        for step in range(80):
+            requests = [step % 2 * 4, (step // 20) % 2 * 4]
+            streams.record("other", {"e1": requests}, step / 10)
+            streams.observe(step / 10)
+    assert heard.long_held_s > 0.0
+    silent.expire(8.5)
+    for streams in (heard, silent):
+        streams.record("other", counts, 9.0)
+    assert silent.long_held_s == pytest.approx(heard.long_held_s)
+    assert silent.report_s <= heard.report_s
