--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -384,7 +384,10 @@
     def _quota_listing(self) -> quotas.Listing:
         coordination = self._coordination
         return quotas.Listing(
-            coordination.others, coordination.settled, coordination.row_left_s
+            coordination.others,
+            coordination.settled,
+            coordination.row_left_s,
+            coordination.list_age_s,
         )
 
     def _caller_limits(self) -> http1.ServerLimits:
--- a/bilberrydeal/gateway/core/_requests.py
+++ b/bilberrydeal/gateway/core/_requests.py
@@ -85,8 +85,9 @@
     organisation: str
     #: Units of the quota.
     cost: float
-    #: Whether this gateway took it without the organisation's home.
-    fallback: bool
+    #: Gateway that granted it as the organisation's home; empty if this one
+    #: did so without it.
+    granted_by: str
 
 
 @attrs.define
--- a/bilberrydeal/gateway/duties/_coordination.py
+++ b/bilberrydeal/gateway/duties/_coordination.py
@@ -91,6 +91,7 @@
         )
         self._cluster = cluster
         self._members = accounting.Members(others={}, position=0)
+        self._members_read = False
         bounds = gateway_settings.bounds
         client = _client(table, STORE_TIMEOUT_S)
         self._client = client
@@ -176,9 +177,12 @@
         return self._lease.is_held(accounting.boot_s())
 
     @property
-    def others(self) -> collections.abc.Mapping[str, str]:
-        """Return the other gateways' datagram addresses by incarnation."""
-        return self._members.others
+    def others(self) -> collections.abc.Mapping[str, str] | None:
+        """Return the other gateways' datagram addresses by incarnation.
+
+        It is ``None`` until they have been read.
+        """
+        return self._members.others if self._members_read else None
 
     @property
     def row_left_s(self) -> float:
@@ -187,6 +191,12 @@
         age_s = accounting.boot_s() - self._row_written_s
         return alive_s - ROW_MARGIN_S - age_s
 
+    @property
+    def list_age_s(self) -> float:
+        """Return for how long a gateway that has ended may be listed."""
+        read_s = members_pause_s(self._cluster.members, STARTING_S)
+        return accounting.alive_s(self._row_pause_s()) + read_s
+
     def clock_offset_s(self, steady_s: float) -> float:
         """Return the gateways' common clock minus a steady clock."""
         return self._cluster_clock.now_s() - steady_s
@@ -258,6 +268,7 @@
         if first_s is not None and began_s - first_s >= SETTLED_AFTER_S:
             self.settled = True
         self._members = self._rows.members(rows, self._row_pause_s())
+        self._members_read = True
         self._cluster.set_gateways(self.incarnation, self._members.others)
         self.peers = tuple(
             map(decoding.split_address, self._members.others.values())
--- a/bilberrydeal/gateway/quotas/_service.py
+++ b/bilberrydeal/gateway/quotas/_service.py
@@ -30,12 +30,15 @@
 class Listing:
     """The gateways as the store lists them."""
 
-    #: Datagram addresses of the others by incarnation.
-    others: collections.abc.Mapping[str, str]
+    #: Datagram addresses of the others by incarnation; ``None`` until the list
+    #: has been read.
+    others: collections.abc.Mapping[str, str] | None
     #: Whether gateways that started with this one are listed too.
     settled: bool
     #: Time until others may take this gateway for dead, in seconds.
     row_left_s: float
+    #: Time for which the list may be outdated, in seconds.
+    list_age_s: float
 
 
 class Quotas:
@@ -84,7 +87,7 @@
         self._count(organisation.name, quota, cost, decision)
         if decision.granted:
             progress.quota_charge = core.QuotaCharge(
-                organisation.name, cost, decision.fallback
+                organisation.name, cost, decision.home
             )
             return
         where = ", without its home" if decision.fallback else ""
@@ -101,7 +104,7 @@
         if charge is None or progress.may_have_run:
             return
         progress.quota_charge = None
-        self._refund(charge.organisation, charge.cost, charge.fallback)
+        self._refund(charge.organisation, charge.cost, charge.granted_by)
 
     async def run_once(self) -> None:
         """Keep time, apply what has changed and send what is due."""
@@ -134,7 +137,7 @@
             if not future.done():
                 future.set_result(decision)
             elif decision.granted:
-                self._refund(organisation, cost, decision.fallback)
+                self._refund(organisation, cost, decision.home)
 
         decided = self._node.ask(
             organisation, cost, self._clock(), on_decision
@@ -149,11 +152,11 @@
             if future.done() and not future.cancelled():
                 decision = future.result()
                 if decision.granted:
-                    self._refund(organisation, cost, decision.fallback)
+                    self._refund(organisation, cost, decision.home)
             raise
 
-    def _refund(self, organisation: str, cost: float, fallback: bool) -> None:
-        self._node.refund(organisation, cost, fallback, self._clock())
+    def _refund(self, organisation: str, cost: float, granted_by: str) -> None:
+        self._node.refund(organisation, cost, granted_by, self._clock())
         self._flush_soon()
 
     def _count(
@@ -182,10 +185,12 @@
         listing = self._listing()
         view = self._node.view
         row_expires_s = now_s + listing.row_left_s
-        if listing.others is not self._others:
-            self._others = listing.others
+        view.list_age_s = max(listing.list_age_s, quotas.MIN_LIST_AGE_S)
+        others = listing.others
+        if others is not None and others is not self._others:
+            self._others = others
             self._node.set_listed(
-                listing.others, listing.settled, row_expires_s, now_s
+                others, listing.settled, row_expires_s, now_s
             )
         view.settled_itself = listing.settled
         view.row_expires_s = row_expires_s
@@ -238,7 +243,8 @@
             return decoding.split_address(text)
         except decoding.AddressInvalid as error:
             if gateway not in self._unreachable:
-                self._unreachable = {gateway}
+                self._unreachable &= set(self._node.view.names)
+                self._unreachable.add(gateway)
                 LOG.warning(
                     "Gateway without an address.",
                     gateway=gateway,
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -413,14 +413,14 @@
     clock: collections.abc.Callable[[], float] = time.monotonic,
 ) -> _service.Quotas:
     """Return the quotas of a gateway."""
-    listing = _service.Listing(others or {}, True, 1e9)
+    listing = _service.Listing(others or {}, True, 1e9, 9.0)
     return _service.Quotas(
         datagrams,
         cluster,
         name,
         "127.0.0.1:1",
         lambda: listing,
-        quotas.FallbackBounds(),
+        quotas.FallbackBounds(8.0, 0.1, 120_000.0),
         metrics or _metrics.GatewayMetrics(),
         clock,
     )
--- a/bilberrydeal/gateway/tests/test_quotas.py
+++ b/bilberrydeal/gateway/tests/test_quotas.py
@@ -73,8 +73,8 @@
             self.cluster,
             name,
             f"127.0.0.1:{port}",
-            lambda: _service.Listing(self.others, True, 1e9),
-            quotas.FallbackBounds(),
+            lambda: _service.Listing(self.others, True, 1e9, 9.0),
+            quotas.FallbackBounds(8.0, 0.1, 120_000.0),
             self.metrics,
             lambda: self.now_s,
         )
@@ -193,7 +193,7 @@
 async def test_home_decides_for_the_other_gateway() -> None:
     other, _home = await _pair()
     progress = await other.admit(900)
-    assert progress.quota_charge == core.QuotaCharge("o1", 900.0, False)
+    assert progress.quota_charge == core.QuotaCharge("o1", 900.0, _home.name)
     with pytest.raises(errors.Refusal) as refused:
         await other.admit(900)
     assert refused.value.status == 429
@@ -254,12 +254,12 @@
     other.now_s += 0.11
     progress = await task
     assert progress.quota_charge is not None
-    assert progress.quota_charge.fallback
+    assert progress.quota_charge.granted_by == ""
     home.wire.cut = False
     await _pass((other, home), 1.0)
     progress = await other.admit(100)
     assert progress.quota_charge is not None
-    assert not progress.quota_charge.fallback
+    assert progress.quota_charge.granted_by == home.name
     rendered = other.metrics.metrics.render().decode()
     assert "bilberrydeal_quota_fallback_requests_total" in rendered
     assert 'outcome="admitted"' in rendered
--- a/bilberrydeal/settings/_gateway.py
+++ b/bilberrydeal/settings/_gateway.py
@@ -61,11 +61,11 @@
     #: Time after which no request may reach an endpoint that is leaving.
     endpoint_leave_ms: Milliseconds = 2_000.0
     #: Length of the window in which organisations' quotas are checked.
-    quota_window_s: _model.Seconds = 8.0
+    quota_window_s: _model.Seconds = 1.0
     #: Allowed share above a quota in a window.
-    quota_overage: _model.Share = 0.1
+    quota_overage: _model.Share = 0.0
     #: Tokens allowed above a quota in a window, besides that share.
-    quota_slack: typing.Annotated[float, msgspec.Meta(ge=0)] = 120_000.0
+    quota_slack: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
     @property
     def apply_limit_s(self) -> float:
--- a/bilberrydeal/systems/quotas/__init__.py
+++ b/bilberrydeal/systems/quotas/__init__.py
@@ -11,12 +11,14 @@
 from ._node import QuotaNode
 from ._node import TICK_INTERVAL_S
 from ._node import Transition
+from ._view import MIN_LIST_AGE_S
 
 __all__ = [
     "Answer",
     "Decision",
     "FallbackBounds",
     "Heartbeat",
+    "MIN_LIST_AGE_S",
     "Message",
     "NOT_HOME",
     "Outgoing",
--- a/bilberrydeal/systems/quotas/_fallback.py
+++ b/bilberrydeal/systems/quotas/_fallback.py
@@ -23,11 +23,11 @@
     """Excess over a quota that is allowed in any window."""
 
     #: Length of the window, in seconds.
-    window_s: float = 8.0
+    window_s: float
     #: Allowed share above the limit.
-    overage: float = 0.1
+    overage: float
     #: Tokens allowed on top of this.
-    slack_tokens: float = 120_000.0
+    slack_tokens: float
 
     def excess(self, quota: catalogue.Quota) -> float:
         """Return the units that may be granted beyond a quota."""
--- a/bilberrydeal/systems/quotas/_home.py
+++ b/bilberrydeal/systems/quotas/_home.py
@@ -218,7 +218,8 @@
         if account is None or not view.was_home(organisation, account.era):
             # Another gateway may have granted until the view changed.
             bucket = limits.Bucket(0.0, view.eras[-1].began_s)
-            bucket.refill(quota.rate_per_s, quota.burst, self._active.now_s)
+            rate_per_s = 0.0 if view.isolated else quota.rate_per_s
+            bucket.refill(rate_per_s, quota.burst, self._active.now_s)
             account = _Account(quota, bucket, view.era, view.eras[-1].began_s)
             self._accounts[organisation] = account
         account.era = view.era
--- a/bilberrydeal/systems/quotas/_node.py
+++ b/bilberrydeal/systems/quotas/_node.py
@@ -16,6 +16,9 @@
 #: Time without an answer after which a gateway may grant from its own share,
 #: in seconds.
 ANSWER_TIMEOUT_S = 0.1
+#: Usual round trips to a home before a query is sent again. Both times above
+#: grow with it where gateways are far from each other.
+ROUND_TRIPS = 2.0
 #: Time after which a request is rejected without an answer if that share is
 #: used up but heartbeats of the home arrive, in seconds. Waiting for a slow
 #: home avoids rejections of requests within the limit.
@@ -49,6 +52,8 @@
     wait_s: float
     #: Whether this gateway decided without the home.
     fallback: bool
+    #: Gateway that granted it as the home; empty if none did.
+    home: str = ""
 
 
 @attrs.frozen
@@ -95,6 +100,7 @@
     query: _messages.Query
     #: Gateway that was asked.
     home: str
+    asked_s: float
     #: When it was given up.
     since_s: float
 
@@ -200,7 +206,7 @@
                 self._own, organisation, cost, now_s
             )
             self._leave_fallback(organisation)
-            return Decision(not wait_s, wait_s, False)
+            return Decision(not wait_s, wait_s, False, self._own)
         if self.view.answers(home, now_s):
             return self._query(organisation, cost, home, now_s, on_decision)
         decision = self._decide_alone(organisation, cost, now_s)
@@ -217,15 +223,21 @@
             pending.on_decision = None
 
     def refund(
-        self, organisation: str, cost: float, fallback: bool, now_s: float
+        self, organisation: str, cost: float, granted_by: str, now_s: float
     ) -> None:
-        """Give back a cost of a request that did not run."""
+        """Give back a cost of a request that did not run.
+
+        ``granted_by`` is the home that granted it, empty if this gateway did
+        so from its own share. Another home has never charged the cost.
+        """
         if organisation not in self.quotas or cost <= 0.0:
             return
         self._advance(now_s)
         home = self.view.home(organisation)
-        if fallback:
+        if not granted_by:
             self._fallback(organisation).refund(cost)
+        elif home != granted_by:
+            return
         elif home == self._own:
             self._home.decide(self._own, organisation, -cost, now_s)
         elif self.view.answers(home, now_s):
@@ -239,13 +251,24 @@
                 if waited_s >= SLOW_HOME_TIMEOUT_S:
                     self._give_up(pending, pending.rejection, now_s)
                     continue
-            elif waited_s >= ANSWER_TIMEOUT_S:
+            elif waited_s >= ANSWER_TIMEOUT_S * self._patience(pending.home):
                 self._on_answer_timeout(pending, now_s)
                 continue
-            due = pending.retries < len(RETRIES_S)
-            if due and waited_s >= RETRIES_S[pending.retries]:
-                pending.retries += 1
-                self._outbox(pending.home).queries.append(pending.query)
+            self._retry_if_due(pending, waited_s)
+
+    def _retry_if_due(self, pending: _Pending, waited_s: float) -> None:
+        if pending.retries == len(RETRIES_S):
+            return
+        due_s = RETRIES_S[pending.retries] * self._patience(pending.home)
+        if waited_s >= due_s:
+            pending.retries += 1
+            self._outbox(pending.home).queries.append(pending.query)
+
+    def _patience(self, home: str) -> float:
+        """Return how many times as long to wait as for a home nearby."""
+        round_trips_s = ROUND_TRIPS * self.view.round_trip_s(home)
+        patience = max(round_trips_s / RETRIES_S[0], 1.0)
+        return min(patience, SLOW_HOME_TIMEOUT_S / ANSWER_TIMEOUT_S)
 
     @property
     def waiting(self) -> bool:
@@ -392,7 +415,9 @@
         query = pending.query
         del self._pending[query.sequence]
         if query.cost > 0.0:
-            self._late[query.sequence] = _Late(query, pending.home, now_s)
+            self._late[query.sequence] = _Late(
+                query, pending.home, pending.asked_s, now_s
+            )
         if pending.on_decision is not None and decision is not None:
             pending.on_decision(decision)
 
@@ -406,21 +431,21 @@
             self._on_late_answer(sender, answer, now_s)
             return
         del self._pending[answer.sequence]
+        self.view.note_answer(sender, now_s - pending.asked_s)
         self._apply_answer(pending, answer, now_s)
 
     def _on_late_answer(
         self, sender: str, answer: _messages.Answer, now_s: float
     ) -> None:
-        """Give back what a home granted too late, if it is still the home."""
+        """Give back what a home granted too late."""
         late = self._late.get(answer.sequence)
         if late is None or late.home != sender:
             return
         del self._late[answer.sequence]
+        self.view.note_answer(sender, now_s - late.asked_s)
         query = late.query
-        if answer.wait_s == 0.0 and self.view.home(query.organisation) == (
-            sender
-        ):
-            self.refund(query.organisation, query.cost, False, now_s)
+        if answer.wait_s == 0.0:
+            self.refund(query.organisation, query.cost, sender, now_s)
 
     def _apply_answer(
         self, pending: _Pending, answer: _messages.Answer, now_s: float
@@ -434,9 +459,9 @@
             self._leave_fallback(organisation)
             granted = answer.wait_s == 0.0
             wait_s = min(answer.wait_s, WAIT_LIMIT_S)
-            decision = Decision(granted, wait_s, False)
+            decision = Decision(granted, wait_s, False, pending.home)
             if granted and pending.on_decision is None and query.cost > 0.0:
-                self.refund(organisation, query.cost, False, now_s)
+                self.refund(organisation, query.cost, pending.home, now_s)
         elif pending.on_decision is None:
             return
         else:
--- a/bilberrydeal/systems/quotas/_view.py
+++ b/bilberrydeal/systems/quotas/_view.py
@@ -19,12 +19,10 @@
 HEARTBEATS_MISSED = 3.0
 #: Allowance for delays on top of this, in seconds.
 DELAY_S = 0.1
-#: Time for which a gateway that is gone is remembered, in seconds. Lists read
-#: from the store are not outdated for longer.
-GONE_S = 12.0
-#: Time for which gateways that vanished, more than half of all, may still use
-#: their shares, in seconds: they may be cut off and not dead.
-ABSENT_S = 12.0
+#: Least time for which lists read from the store may be outdated, in seconds.
+MIN_LIST_AGE_S = 12.0
+#: Weight of an answer that took longer than usual in the usual time.
+SLOW_WEIGHT = 0.02
 #: Gateways assumed while others may have started that are not listed yet.
 ASSUMED_GATEWAYS = 16
 #: Views that are remembered.
@@ -57,6 +55,9 @@
     settled: bool = False
     #: Until when it is not asked, since it did not answer.
     suspended_until_s: float = -math.inf
+    #: Time that it takes to answer if it is not busy, in seconds; 0 before the
+    #: first answer.
+    round_trip_s: float = 0.0
 
 
 @attrs.frozen
@@ -91,8 +92,15 @@
         self.unheard: frozenset[str] = frozenset()
         #: Vanished gateways that may do so though they are not in the view.
         self.absent = 0
-        #: Whether this gateway may be taken for dead by most others.
-        self.isolated = False
+        #: Whether this gateway may not grant anything: it has not read the
+        #: list of gateways yet, or most others may take it for dead.
+        self.isolated = True
+        self._list_read = False
+        #: Time for which lists read from the store may be outdated, in
+        #: seconds. For as long it is remembered that a gateway is gone, and
+        #: gateways that vanished, more than half of all, may still use their
+        #: shares: they may be partitioned and not dead.
+        self.list_age_s = MIN_LIST_AGE_S
         #: Whether gateways that started with this one are listed by now.
         self.settled = False
         #: The same, as far as this gateway has read it in the store itself.
@@ -191,6 +199,24 @@
         if peer is not None:
             peer.suspended_until_s = until_s
 
+    def note_answer(self, name: str, took_s: float) -> None:
+        """Learn how long a gateway takes to answer.
+
+        Quick answers count most: what is over is time that it was busy.
+        """
+        peer = self._peers.get(name)
+        if peer is None:
+            return
+        if not peer.round_trip_s or took_s < peer.round_trip_s:
+            peer.round_trip_s = took_s
+        else:
+            peer.round_trip_s += SLOW_WEIGHT * (took_s - peer.round_trip_s)
+
+    def round_trip_s(self, name: str) -> float:
+        """Return how long a gateway takes to answer if it is not busy."""
+        peer = self._peers.get(name)
+        return peer.round_trip_s if peer is not None else 0.0
+
     def note_message(self, name: str, now_s: float) -> None:
         """Record a message of any kind."""
         peer = self._peers.get(name)
@@ -215,11 +241,12 @@
         now_s: float,
     ) -> None:
         """Set the addresses of the other gateways that the store lists."""
+        self._list_read = True
         for name, peer in self._peers.items():
             if peer.listed and name not in others:
                 peer.listed = False
                 if now_s - peer.heartbeat_s >= self.timeout_s:
-                    peer.gone_until_s = now_s + GONE_S
+                    peer.gone_until_s = now_s + self.list_age_s
         for name, address in others.items():
             peer = self._peer(name)
             peer.listed = True
@@ -261,7 +288,7 @@
             return False
         news = peer.gone_until_s <= now_s
         if news:
-            peer.gone_until_s = now_s + GONE_S
+            peer.gone_until_s = now_s + self.list_age_s
         return news
 
     def heartbeat(
@@ -310,7 +337,9 @@
             if not fresh or peer.deaf or peer.digest != self.digest:
                 silent.add(name)
         unheard = frozenset(silent)
-        isolated = now_s >= self.row_expires_s and 2 * heard <= len(names) > 1
+        isolated = not self._list_read or (
+            now_s >= self.row_expires_s and 2 * heard <= len(names) > 1
+        )
         settled = self.settled_itself or any(
             self._peers[name].settled
             for name in names
@@ -384,7 +413,10 @@
             if now_s - peer.heartbeat_s < self.timeout_s
         }
         for name, since_s in list(self._departed.items()):
-            if now_s - since_s >= ABSENT_S or self.address(name) in taken:
+            if (
+                now_s - since_s >= self.list_age_s
+                or self.address(name) in taken
+            ):
                 del self._departed[name]
         departed = len(self._departed)
         return departed if departed > len(self.names) else 0
@@ -394,7 +426,7 @@
         for name, peer in list(self._peers.items()):
             if peer.listed or name in self.names or name in self._departed:
                 continue
-            if now_s - max(peer.seen_s, peer.gone_until_s) >= GONE_S:
+            if now_s - max(peer.seen_s, peer.gone_until_s) >= self.list_age_s:
                 del self._peers[name]
 
     def _peer(self, name: str) -> _Peer:
--- a/bilberrydeal/systems/quotas/tests/fleet.py
+++ b/bilberrydeal/systems/quotas/tests/fleet.py
@@ -17,7 +17,7 @@
 #: Organisation of all requests.
 ORGANISATION = "o1"
 #: Bounds that are checked.
-BOUNDS = _fallback.FallbackBounds()
+BOUNDS = _fallback.FallbackBounds(8.0, 0.1, 120_000.0)
 #: Time until a vanished gateway is no longer listed, in seconds.
 LISTED_S = 5.0
 #: Interval at which each gateway reads the list, in seconds.
--- a/bilberrydeal/systems/quotas/tests/test_node.py
+++ b/bilberrydeal/systems/quotas/tests/test_node.py
@@ -78,7 +78,7 @@
     while high - low > 0.5:
         cost = (low + high) / 2
         if _ask(home, cost, now_s).granted:
-            home.refund(ORGANISATION, cost, False, now_s)
+            home.refund(ORGANISATION, cost, home.view.own, now_s)
             low = cost
         else:
             high = cost
@@ -99,7 +99,11 @@
     """Guards against a fleet in which each takes itself for the only one."""
     node = _node.QuotaNode("g1", "a1", fleet.BOUNDS)
     node.set_quotas({ORGANISATION: QUOTA})
-    _pass(node, 0.0, 1.0)
+    _pass(node, 0.0, 0.5)
+    # Nothing is known of the others until the list has been read.
+    assert not _ask(node, 1.0, 0.5).granted
+    node.set_listed({}, False, math.inf, 0.5)
+    _pass(node, 0.5, 1.0)
     _ask(node, 0.0, 1.0)
     _pass(node, 1.0, 2.0)
     assert _ask(node, 50.0, 2.0).granted
@@ -235,7 +239,7 @@
     asker.ask(ORGANISATION, 600.0, 3.0, lambda _decision: None)
     _exchange(asker, home, 3.0)
     _exchange(home, asker, 3.0)
-    asker.refund(ORGANISATION, 600.0, False, 3.0)
+    asker.refund(ORGANISATION, 600.0, home.view.own, 3.0)
     refund = _exchange(asker, home, 3.0)[0]
     assert _ask(home, 900.0, 3.0).granted
     home.receive(asker.view.own, refund, 3.0)
@@ -244,7 +248,7 @@
 
 def test_refunds_never_exceed_the_burst() -> None:
     node = _alone()
-    node.refund(ORGANISATION, 5_000.0, False, 5.0)
+    node.refund(ORGANISATION, 5_000.0, "g1", 5.0)
     assert _ask(node, 1_000.0, 5.0).granted
     assert not _ask(node, 100.0, 5.0).granted
 
@@ -267,7 +271,7 @@
 
 def test_fallback_does_not_begin_with_new_credit_each_time() -> None:
     """Guards against a flapping link that adds up to more than the limit."""
-    bounds = _fallback.FallbackBounds()
+    bounds = fleet.BOUNDS
     excess = bounds.excess(QUOTA)
     division = _fallback.Division(2, 0, False)
     found = _fallback.Fallback()
@@ -464,3 +468,42 @@
     node.poll(now_s + _node.ANSWER_TIMEOUT_S)
     node.poll(now_s + _node.SLOW_HOME_TIMEOUT_S)
     return decisions[0]
+
+
+def test_refund_does_not_go_to_a_home_that_did_not_grant() -> None:
+    """Guards against credit at a gateway that has become home since."""
+    asker, _home_node = _pair()
+    asker.refund(ORGANISATION, 600.0, "g9", 3.0)
+    assert asker.take_outgoing() == []
+
+
+def test_far_home_is_waited_for_as_long_as_it_usually_takes() -> None:
+    """Guards against decisions without a home in another region.
+
+    Its answers take longer than the timeout of a home nearby.
+    """
+    asker, home = _pair()
+    for step in range(3):
+        asked_s = 3.0 + step * 0.5
+        asker.ask(ORGANISATION, 1.0, asked_s, lambda _decision: None)
+        query = asker.take_outgoing()[0].message.queries[0]
+        _until(asker, home, asked_s, asked_s + 0.12)
+        asker.take_outgoing()
+        answer = _messages.Answer(query.sequence, 0.0, 100.0)
+        message = _messages.Message((), (answer,))
+        asker.receive(home.view.own, message, asked_s + 0.12)
+        asker.take_outgoing()
+        _until(asker, home, asked_s + 0.12, asked_s + 0.45)
+        asker.take_outgoing()
+    decisions: list[_node.Decision] = []
+    asker.ask(ORGANISATION, 1.0, 4.5, decisions.append)
+    query = asker.take_outgoing()[0].message.queries[0]
+    _until(asker, home, 4.5, 4.62)
+    # Neither sent again nor decided by the own share.
+    assert asker.take_outgoing() == []
+    assert decisions == []
+    answer = _messages.Answer(query.sequence, 0.0, 100.0)
+    asker.receive(home.view.own, _messages.Message((), (answer,)), 4.62)
+    assert [(each.granted, each.fallback) for each in decisions] == [
+        (True, False)
+    ]
--- a/bilberrydeal/systems/quotas/tests/test_view.py
+++ b/bilberrydeal/systems/quotas/tests/test_view.py
@@ -90,7 +90,7 @@
         _beat(view, name, 9.0)
     view.refresh(9.1, 9.1)
     assert view.absent == absent
-    view.refresh(9.2 + _view.ABSENT_S, 22.0)
+    view.refresh(9.2 + _view.MIN_LIST_AGE_S, 22.0)
     assert view.absent == 0
 
 
@@ -124,3 +124,12 @@
     for number in range(_view.PEERS_LIMIT + 50):
         view.receive(f"x{number}", beat, 1.0)
     assert not view.knows(f"x{_view.PEERS_LIMIT + 1}")
+
+
+def test_gateway_stays_gone_while_lists_may_be_outdated() -> None:
+    """Guards against dead homes in large fleets, whose lists are old."""
+    view = _view_of("g1", "g2")
+    view.list_age_s = 100.0
+    _beat(view, "g1", 5.0, gone=("g2",))
+    _beat(view, "g1", 60.0)
+    assert view.names == ("g0", "g1")
