Let the review's scripts end with 2 if they can't start

A script whose stand-ins were missing ended with 1, which says that the rule was broken. Done: it ends with 2 (tried without review/kit_2/fleet.py).

--- a/review/kit_2/fleet.py
+++ b/review/kit_2/fleet.py
@@ -357,7 +357,11 @@
     folder: pathlib.Path,
 ) -> None:
     """Run a case; exit with 1 if it broke the rule, with 2 if it can't run."""
-    fleet = Fleet(folder)
+    try:
+        fleet = Fleet(folder)
+    except OSError as error:
+        print(f"could not run: {error!r}")
+        sys.exit(2)
 
     async def main() -> bool:
         loop = asyncio.get_running_loop()
