Log the software version of each send, and which stream a caller takes up

Entries of endpoints are decoded with their version (an entry whose version is no text names no endpoint), steps of requests and new endpoints are logged with it, and requests with what they resume. No decision uses either yet.

--- a/bilberrydeal/catalogue/_endpoints.py
+++ b/bilberrydeal/catalogue/_endpoints.py
@@ -24,6 +24,9 @@
     role: ports.EngineRole | None
     #: Unix time of its start, in milliseconds; 0 if not reported.
     started_ms: int
+    #: Version of its software; empty if not reported. A stream can go on only
+    #: at an engine of the version that began it.
+    software_version: str = ""
     #: Increases with each row that its process writes; 0 if not reported. Two
     #: rows that differ in nothing else say the same.
     sequence: int = attrs.field(default=0, eq=False)
--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -126,6 +126,7 @@
                 service=endpoint.service,
                 address=endpoint.address,
                 stage=endpoint.role,
+                software_version=endpoint.software_version,
             )
         elif endpoint.ready != upstream.endpoint.ready:
             LOG.info(
--- a/bilberrydeal/gateway/core/_requests.py
+++ b/bilberrydeal/gateway/core/_requests.py
@@ -41,6 +41,8 @@
     configuration_version: int
     #: Value of the caller's header with numbers of tokens.
     token_counts: bytes | None = None
+    #: Id of the attempt that began the stream that this one takes up.
+    resumes: bytes = b""
 
     @property
     def priority(self) -> int:
@@ -98,6 +100,8 @@
     kind: str
     #: Id of the endpoint.
     endpoint: str
+    #: Version of its software.
+    software_version: str
     #: When it was sent, in milliseconds since the request began.
     at_ms: float
     #: Expected time to the first token, in milliseconds.
--- a/bilberrydeal/gateway/sending/_sending.py
+++ b/bilberrydeal/gateway/sending/_sending.py
@@ -248,6 +248,7 @@
         record = core.SendRecord(
             kind="read" if fields.prefill else "serve",
             endpoint=upstream.endpoint.endpoint_id,
+            software_version=upstream.endpoint.software_version,
             at_ms=round(at_s * 1000, 1),
         )
         if placed is not None:
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -81,6 +81,7 @@
     script: Script
     role: ports.EngineRole | None = None
     service: str = "shop"
+    software_version: str = ""
     port: int = 0
     calls: list[Call] = attrs.field(factory=list)
     #: Requests whose connection was closed before their response was complete.
@@ -540,6 +541,7 @@
         ready=ready,
         role=endpoint.role,
         started_ms=1,
+        software_version=endpoint.software_version,
     )
 
 
--- a/bilberrydeal/platform/_headers.py
+++ b/bilberrydeal/platform/_headers.py
@@ -24,6 +24,8 @@
     model: bytes = b"model"
     #: Id of the last event of a stream that the sender received.
     last_event: bytes = b"last-event-id"
+    #: Id of the caller's attempt that began the stream it takes up.
+    resumes: bytes = b"resumes"
     #: The caller's key; never forwarded to endpoints.
     key: bytes = b"key"
     #: Proves that an endpoint produced the response.
@@ -94,6 +96,7 @@
         b"output-length-hint",
         b"prefix-hash",
         b"request-id",
+        b"resumes",
         b"token-usage",
     ]
 )
--- a/bilberrydeal/platform/_records.py
+++ b/bilberrydeal/platform/_records.py
@@ -20,6 +20,8 @@
 SLOTS_LIMIT = 1_000_000
 #: Greatest number that is exact in all formats, also as a float.
 NUMBER_LIMIT = 2**53
+#: Longest version of an endpoint's software, in characters.
+VERSION_LIMIT_CHARACTERS = 200
 #: Ids of endpoints are sent in header fields.
 _ENDPOINT_ID = re.compile(r"[\x21-\x7e]{1,200}")
 
@@ -111,6 +113,10 @@
     state: typing.Literal["ready", "draining"]
     #: Unix time of its start, in whole milliseconds.
     born: typing.Annotated[int, msgspec.Meta(ge=0, le=NUMBER_LIMIT)] = 0
+    #: Version of its software.
+    version: typing.Annotated[
+        str, msgspec.Meta(max_length=VERSION_LIMIT_CHARACTERS)
+    ] = ""
     stage: str | None = None
     #: Of any type, since nothing depends on it while the store goes ahead.
     sequence: typing.Any = 0
@@ -157,6 +163,7 @@
             if record.stage is not None
             else None,
             started_ms=record.born,
+            software_version=record.version,
             sequence=_sequence(record.sequence),
         )
     except (*decoding.DECODE_ERRORS, KeyError, ValueError) as error:
--- a/bilberrydeal/platform/tests/test_records.py
+++ b/bilberrydeal/platform/tests/test_records.py
@@ -126,6 +126,7 @@
     assert not found.ready
     assert found.role is ports.EngineRole.DECODE
     assert found.started_ms == 17
+    assert found.software_version == "v1"
 
 
 @FUZZ
@@ -152,7 +153,16 @@
 @FUZZ
 @hypothesis.given(
     name=strategies.sampled_from(
-        ["service", "address", "zone", "slots", "state", "stage", "born"]
+        [
+            "service",
+            "address",
+            "zone",
+            "slots",
+            "state",
+            "stage",
+            "born",
+            "version",
+        ]
     ),
     value=JSON,
 )
