Let a stream go on only at the software version that began it

Callers got answers joined from two versions after an engine had crashed, paused or ended with an error in the middle of a stream. Class: a choice made anew for work that is already bound. Evidence: test_one_answer_holds_no_events_of_two_software_versions and test_broken_stream_goes_on_at_an_engine_of_its_version failed before. Change: the first event binds a request to the version of its engine, and the one place that lists engines for it leaves out decode engines of others: retries, continuations of silent engines, the second stage and the question whether another engine would be sooner all read that list. In a fleet of hundreds the subset of candidates is widened where it lacks the version.

--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -236,11 +236,16 @@
         return min((upstream.wait_s(now_s) for upstream in ready), default=0.0)
 
     def engines(
-        self, service: str, affinity: bytes, now_s: float
+        self,
+        service: str,
+        affinity: bytes,
+        now_s: float,
+        software_version: str | None = None,
     ) -> list[placement.EngineLoad]:
         """Return the usable engines that are candidates for a request.
 
         In a large fleet requests of one affinity get the same small subset.
+        With a software version only engines of that version may decode.
         """
         ring = self._engine_rings.get(service)
         if ring is None:
@@ -257,9 +262,24 @@
                 )
 
         def usable(load: placement.EngineLoad) -> bool:
-            return self.endpoints[load.engine_id].usable(now_s)
+            upstream = self.endpoints[load.engine_id]
+            return upstream.usable(now_s) and (
+                load.prefill_only or upstream.has_version(software_version)
+            )
 
-        return ring.candidates(affinity, usable)
+        found = ring.candidates(affinity, usable)
+        if software_version is not None and all(
+            load.prefill_only for load in found
+        ):
+            # A subset may lack a version that few engines have.
+            found += [
+                upstream.load
+                for upstream in self.of_service(service)
+                if upstream.load is not None
+                and not upstream.load.prefill_only
+                and usable(upstream.load)
+            ]
+        return found
 
     def stream_slots(self) -> float:
         """Return the slots that long streams of all services need."""
--- a/bilberrydeal/gateway/cluster_state/_upstream.py
+++ b/bilberrydeal/gateway/cluster_state/_upstream.py
@@ -58,6 +58,13 @@
             and not self.changing_role(now_s)
         )
 
+    def has_version(self, software_version: str | None) -> bool:
+        """Return whether it may continue a stream of a software version.
+
+        ``None`` stands for a stream that no engine has begun.
+        """
+        return software_version in (None, self.endpoint.software_version)
+
     def wait_s(self, now_s: float) -> float:
         """Return the time until it ends its pause and its limit permits."""
         return max(self.pause.left_s(now_s), self.limit.share.wait_s(now_s))
--- a/bilberrydeal/gateway/core/__init__.py
+++ b/bilberrydeal/gateway/core/__init__.py
@@ -11,6 +11,7 @@
 from ._requests import RequestProgress
 from ._requests import SendRecord
 from ._shutdown_state import ShutdownState
+from ._stream_origin import StreamOrigin
 
 __all__ = [
     "AdmittedRequest",
@@ -22,6 +23,7 @@
     "RequestProgress",
     "SendRecord",
     "ShutdownState",
+    "StreamOrigin",
     "failure_refusal",
     "not_run_refusal",
 ]
--- a/bilberrydeal/gateway/core/_requests.py
+++ b/bilberrydeal/gateway/core/_requests.py
@@ -9,6 +9,7 @@
 from ... import errors
 from ... import http1
 from ...systems import placement
+from . import _stream_origin
 
 #: Retry-After of a request that no endpoint ran, in seconds.
 FAILED_RETRY_S = 0.1
@@ -163,6 +164,8 @@
     quota_charge: QuotaCharge | None = None
     #: Id of the last event sent to the caller.
     last_event: bytes = b""
+    #: What began its stream; ``None`` until an event was sent.
+    origin: _stream_origin.StreamOrigin | None = None
 
 
 def not_run_refusal(
--- a/bilberrydeal/gateway/streams/_stream.py
+++ b/bilberrydeal/gateway/streams/_stream.py
@@ -284,6 +284,7 @@
             if complete := self._split(stream, upstream, data):
                 await self._reader.drop_continuation(stream)
                 stream.take_over()
+                _note_origin(stream, upstream)
                 stream.progressed_s = self._clock()
                 begun_s = stream.progressed_s - first_s
                 if not told_sound and begun_s >= sending.SOUND_AFTER_S:
@@ -380,6 +381,14 @@
         task.add_done_callback(self._background.discard)
 
 
+def _note_origin(
+    stream: _client_stream.ClientStream, upstream: cluster_state.Upstream
+) -> None:
+    """Bind a stream to the software version of what began it."""
+    if stream.progress.origin is None:
+        stream.progress.origin = core.StreamOrigin.of(upstream.endpoint)
+
+
 def _record_first_event(
     stream: _client_stream.ClientStream,
     exchange: sending.Exchange,
--- a/bilberrydeal/gateway/streams/_stream_placement.py
+++ b/bilberrydeal/gateway/streams/_stream_placement.py
@@ -264,4 +264,10 @@
         prompt = stream.admitted.prompt
         # Requests without prompt parts are spread by their id.
         affinity = prompt.affinity if prompt else stream.admitted.request_id
-        return self._cluster.engines(stream.admitted.service, affinity, now_s)
+        origin = stream.progress.origin
+        return self._cluster.engines(
+            stream.admitted.service,
+            affinity,
+            now_s,
+            origin.software_version if origin is not None else None,
+        )
--- a/bilberrydeal/gateway/tests/test_software_versions.py
+++ b/bilberrydeal/gateway/tests/test_software_versions.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import attrs
 import pytest
 
+from ... import ports
 from . import harness
+from . import loopback
 
 EVENTS = b"".join(harness.event(n) for n in range(1, 6))
 #: A prompt that its decode engine prefills itself.
@@ -129,3 +132,19 @@
         )
     assert reply.status == 200
     assert reply.body == b"".join(harness.event(n) for n in range(3, 6))
+
+
+def test_version_of_few_engines_is_found_in_a_large_fleet() -> None:
+    cluster = loopback.cluster(ports.EngineRole.DECODE)
+    for number in range(600):
+        cluster.set_endpoint(
+            attrs.evolve(
+                loopback.engine(ports.EngineRole.DECODE),
+                endpoint_id=f"n{number}",
+                software_version="v2" if number < 2 else "v1",
+            )
+        )
+    for affinity in (b"a", b"b", b"c", b"d"):
+        found = cluster.engines("llm", affinity, 0.0, "v2")
+        assert {load.engine_id for load in found} <= {"n0", "n1"}
+        assert found
