Bind streams that callers take up to the version that began them

Cause: a gateway knew nothing of streams that it hadn't begun itself. Class: a choice made anew for work that is already bound. Change: each gateway remembers for 32 s what began its streams. While several versions served lately it stores that in groups, 5 times a second, after the first events went out. A take-up is bound by the named attempt, from memory or the store's rows, or by the only version that served lately; one row a service tells a gateway that has just started which versions those were. All else is refused at once as not run. So what is not stored yet, or is lost by a restore, costs a refusal and never a joined stream. Tests: all gateways end, the version's last engine leaves meanwhile, a second version comes, the store is away, comes back older, an engine starts again under its id as another version, and the only engine of a version prefills.

--- a/bilberrydeal/errors/_codes.py
+++ b/bilberrydeal/errors/_codes.py
@@ -39,6 +39,8 @@
     ENDPOINT_FAILED = "endpoint_failed"
     PROMPT_QUARANTINED = "prompt_quarantined"
     REQUEST_QUARANTINED = "request_quarantined"
+    STREAM_ORIGIN_UNKNOWN = "stream_origin_unknown"
+    STREAM_ORIGIN_ABSENT = "stream_origin_absent"
     SHUTTING_DOWN = "shutting_down"
     KEYS_STALE = "keys_stale"
     CANCELLED = "cancelled"
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -18,6 +18,7 @@
 from .. import periodic
 from .. import platform
 from .. import settings
+from .. import store
 from .. import telemetry
 from ..systems import health
 from ..systems import placement
@@ -27,10 +28,12 @@
 from . import _settings_watcher
 from . import _shutdown
 from . import _uplink
+from . import accounting
 from . import cluster_state
 from . import core
 from . import duties
 from . import messaging
+from . import origins
 from . import peer_exchange
 from . import quotas
 from . import sending
@@ -40,6 +43,8 @@
 LOG = telemetry.logger("gateway")
 #: Interval between sweeps of idle connections and circuits.
 SWEEP_INTERVAL_S = 0.1
+#: Timeout of a call to the store for the origins of streams.
+ORIGINS_TIMEOUT_S = 0.5
 #: Interval between checks of the settings file.
 SETTINGS_INTERVAL_S = 2.0
 #: Share of the open files limit for callers' connections.
@@ -154,6 +159,9 @@
             rng,
             clock,
         )
+        self._origin_memory = origins.OriginMemory()
+        self._version_history = origins.VersionHistory()
+        self._origin_rows = self._new_origin_rows()
         self._cluster.subscribe_restarts(self._quarantine.endpoint_restarted)
         self._endpoint_updater = cluster_state.EndpointUpdater(
             self._cluster, self._connectivity, clock
@@ -173,6 +181,26 @@
             self._handle_metrics, lambda: INTERNAL_LIMITS, clock
         )
 
+    def _new_origin_rows(self) -> origins.OriginRows:
+        client = store.StoreClient(
+            self._store,
+            ORIGINS_TIMEOUT_S,
+            origins.ORIGIN_CALLS_PER_S,
+            clock=accounting.boot_s,
+            era=lambda: self._store.era,
+        )
+        store_clock = accounting.ClusterClock(lambda: self._store.clock)
+        return origins.OriginRows(
+            client,
+            self._coordination.incarnation,
+            self._origin_memory,
+            self._version_history,
+            self._cluster,
+            store_clock.store_s,
+            lambda: self._coordination.is_candidate,
+            self._clock,
+        )
+
     def _new_handler(self, rng: random.Random) -> serving.RequestHandler:
         gateway_settings = self._settings
         retry_policy = sending.RetryPolicy(
@@ -207,6 +235,15 @@
                 self._uplink,
                 gateway_settings.failure_domain,
                 self._quarantine,
+                origins.OriginResolver(
+                    self._origin_memory,
+                    self._version_history,
+                    self._origin_rows,
+                    self._cluster,
+                    self._connectivity,
+                    self._metrics,
+                    self._clock,
+                ),
                 self._clock,
             ),
             retry_policy=retry_policy,
@@ -346,6 +383,13 @@
                 ).run_once,
             )
         )
+        self._spawn(
+            periodic.run_periodically(
+                "origins",
+                self._origin_rows.pause_s,
+                self._origin_rows.run_once,
+            )
+        )
         self._spawn(
             periodic.run_periodically(
                 "sweep", lambda: SWEEP_INTERVAL_S, self._sweep
--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -218,6 +218,15 @@
         """Return the endpoints of a service."""
         return list(self._by_service.get(service, {}).values())
 
+    def software_versions(self) -> dict[str, set[str]]:
+        """Return the software versions of the engines of each service."""
+        found: dict[str, set[str]] = {}
+        for upstream in self.endpoints.values():
+            if upstream.load is not None:
+                versions = found.setdefault(upstream.endpoint.service, set())
+                versions.add(upstream.endpoint.software_version)
+        return found
+
     def set_clock_offset(self, offset_s: float) -> None:
         """Set the gateways' common clock minus the steady clock."""
         self._gateways.clock_offset_s = offset_s
--- a/bilberrydeal/gateway/core/_requests.py
+++ b/bilberrydeal/gateway/core/_requests.py
@@ -45,6 +45,11 @@
     #: Id of the attempt that began the stream that this one takes up.
     resumes: bytes = b""
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Return whether it goes on with a stream that has begun."""
+        return bool(self.last_event or self.resumes)
+
     @property
     def priority(self) -> int:
         """Return the priority of the request; 0 is the highest."""
--- a/bilberrydeal/gateway/duties/_coordination.py
+++ b/bilberrydeal/gateway/duties/_coordination.py
@@ -171,6 +171,11 @@
         """Return the position of this gateway in the order of all."""
         return self._members.position
 
+    @property
+    def is_candidate(self) -> bool:
+        """Return whether this gateway is one of the first of all."""
+        return self._members_read and self._members.position < LEASE_CANDIDATES
+
     @property
     def lease_held(self) -> bool:
         """Return whether this process holds the lease."""
--- /dev/null
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -0,0 +1,158 @@
+"""Finds what a stream that is taken up is bound to."""
+
+import asyncio
+import collections.abc
+
+from ... import errors
+from ... import telemetry
+from .. import cluster_state
+from .. import core
+from . import _memory
+from . import _rows
+from . import _version_history
+
+LOG = telemetry.logger("origins")
+#: What is known of the versions in service counts as fresh for so long after a
+#: response of the store, in seconds.
+FRESH_S = 2.0
+#: Longest wait for the rows of other gateways, in seconds.
+READ_TIMEOUT_S = 0.3
+#: Shortest interval between two reads of them, in seconds.
+READ_INTERVAL_S = 0.05
+#: Retry-After while the origin is unknown, in seconds: until then the gateway
+#: that began the stream has stored it.
+UNKNOWN_RETRY_S = 0.5
+#: Retry-After while no engine of the version decodes, in seconds: one that
+#: crashed may be back by then, or one that prefills may have changed its role.
+ABSENT_RETRY_S = 1.0
+
+Clock = collections.abc.Callable[[], float]
+
+
+class OriginResolver:
+    """Binds streams that callers take up to the version that began them.
+
+    A stream is bound to what this gateway remembers of it or others have
+    stored, or to the only version that served lately. What may have begun at
+    any of several versions is refused: no answer is better than one that is
+    joined from two.
+    """
+
+    def __init__(
+        self,
+        memory: _memory.OriginMemory,
+        history: _version_history.VersionHistory,
+        rows: _rows.OriginRows,
+        cluster: cluster_state.ClusterState,
+        connectivity: cluster_state.StoreConnectivity,
+        metrics: core.GatewayMetrics,
+        clock: Clock,
+    ) -> None:
+        self._memory = memory
+        self._history = history
+        self._rows = rows
+        self._cluster = cluster
+        self._connectivity = connectivity
+        self._metrics = metrics
+        self._clock = clock
+
+    def note(
+        self, admitted: core.AdmittedRequest, origin: core.StreamOrigin
+    ) -> None:
+        """Remember what began the stream of a request."""
+        now_s = self._clock()
+        self._memory.note(admitted.request_id, origin, now_s)
+        if admitted.resumes:
+            self._memory.note(admitted.resumes, origin, now_s)
+
+    async def resolve(
+        self, admitted: core.AdmittedRequest
+    ) -> core.StreamOrigin:
+        """Return what began a stream; raises ``Refusal`` if unknown."""
+        origin = await self._find(admitted)
+        if origin is None or self._is_doubtful(origin):
+            self._metrics.count_take_up("unknown")
+            raise core.not_run_refusal(
+                errors.ErrorCode.STREAM_ORIGIN_UNKNOWN,
+                "the software version that began the stream is not known",
+                UNKNOWN_RETRY_S,
+            )
+        if not self._decodes(origin):
+            self._metrics.count_take_up("absent")
+            raise core.not_run_refusal(
+                errors.ErrorCode.STREAM_ORIGIN_ABSENT,
+                f"no engine of version {origin.software_version} decodes",
+                ABSENT_RETRY_S,
+            )
+        self._metrics.count_take_up("bound")
+        return origin
+
+    async def _find(
+        self, admitted: core.AdmittedRequest
+    ) -> core.StreamOrigin | None:
+        asked_s = self._clock()
+        self._rows.observe()
+        known = self._known(admitted)
+        if known is not None:
+            return known
+        if self._rows.loaded and self._fresh(asked_s):
+            only = self._only_version(admitted.service)
+            if only is not None:
+                return only
+        if not await self._read(asked_s):
+            return None
+        return self._known(admitted) or self._only_version(admitted.service)
+
+    def _known(
+        self, admitted: core.AdmittedRequest
+    ) -> core.StreamOrigin | None:
+        found = self._memory.find(admitted.resumes, self._clock())
+        # A route may lead to another service by now.
+        if found is None or found.service != admitted.service:
+            return None
+        return found
+
+    def _fresh(self, now_s: float) -> bool:
+        return self._connectivity.age_s(now_s) < FRESH_S
+
+    async def _read(self, asked_s: float) -> bool:
+        """Read what other gateways stored; return whether that worked."""
+        wait_s = self._rows.read_s + READ_INTERVAL_S - asked_s
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                await asyncio.sleep(max(wait_s, 0.0))
+                await self._rows.read(asked_s)
+        except (TimeoutError, errors.BilberrydealError) as error:
+            LOG.info("Origins not read.", reason=str(error) or "timeout")
+            return False
+        return True
+
+    def _only_version(self, service: str) -> core.StreamOrigin | None:
+        """Return what stands for the only version that served lately."""
+        versions = self._history.recent(service, self._clock())
+        if len(versions) != 1:
+            return None
+        return core.StreamOrigin(service, "", 0, versions.pop())
+
+    def _is_doubtful(self, origin: core.StreamOrigin) -> bool:
+        """Return whether the engine has another version under the same id.
+
+        The stream may have begun just after the engine started again, before
+        its entry told so.
+        """
+        upstream = self._cluster.endpoints.get(origin.endpoint_id)
+        return (
+            upstream is not None
+            and upstream.endpoint.started_ms != origin.started_ms
+            and not upstream.has_version(origin.software_version)
+        )
+
+    def _decodes(self, origin: core.StreamOrigin) -> bool:
+        """Return whether an engine of the version can run the rest."""
+        return any(
+            upstream.load is not None
+            and upstream.endpoint.ready
+            and not upstream.load.prefill_only
+            and upstream.has_version(origin.software_version)
+            for upstream in self._cluster.of_service(origin.service)
+        )
--- /dev/null
+++ b/bilberrydeal/gateway/origins/_rows.py
@@ -0,0 +1,265 @@
+"""Keeps the origins of streams in the store while versions differ."""
+
+import asyncio
+import collections.abc
+
+import attrs
+
+from ... import errors
+from ... import ports
+from ... import store
+from ... import telemetry
+from .. import cluster_state
+from .. import core
+from . import _memory
+from . import _version_history
+
+LOG = telemetry.logger("origins")
+#: Table with the origins of streams, a row for each slot of a gateway.
+STREAM_ORIGINS = "stream_origins"
+#: Table with one row for each service: its software versions.
+ENGINE_VERSIONS = "engine_versions"
+#: Shortest interval between writes of new origins, in seconds.
+WRITE_INTERVAL_S = 0.2
+#: Most such writes of all gateways together a second.
+WRITES_PER_S = 40.0
+#: Most calls of one gateway a second.
+ORIGIN_CALLS_PER_S = 30.0
+#: Rows of gateways that ended are removed at this age, in seconds.
+STALE_S = 2.0 * _memory.KEPT_S
+#: Most of them that are removed at once.
+REMOVALS_LIMIT = 50
+#: Largest row, in bytes.
+ROW_LIMIT_BYTES = 60_000
+
+Clock = collections.abc.Callable[[], float]
+#: Returns the store's clock, ``None`` before its first response.
+StoreClock = collections.abc.Callable[[], float | None]
+
+
+@attrs.frozen
+class OriginGroup:
+    """Streams that one process of an engine began."""
+
+    origin: core.StreamOrigin
+    #: Digests of the ids of their requests.
+    streams: tuple[str, ...]
+
+
+@attrs.frozen
+class OriginRow:
+    """A slot of one gateway as stored."""
+
+    #: The store's clock when it was written, in seconds.
+    written_s: float
+    groups: tuple[OriginGroup, ...]
+
+
+@attrs.frozen
+class VersionsRow:
+    """Software versions of a service as stored."""
+
+    #: Versions in service.
+    present: tuple[str, ...]
+    #: The store's clock when others were last in service, in seconds.
+    gone_s: dict[str, float] = attrs.field(factory=dict)
+
+
+class OriginRows:
+    """Reads and writes the rows.
+
+    A stream's origin is stored after its first event has been sent: what was
+    not stored is not known to others, and a take-up of it is refused.
+    """
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        incarnation: str,
+        memory: _memory.OriginMemory,
+        history: _version_history.VersionHistory,
+        cluster: cluster_state.ClusterState,
+        store_s: StoreClock,
+        writes_versions: collections.abc.Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        self._client = client
+        self._incarnation = incarnation
+        self._memory = memory
+        self._history = history
+        self._cluster = cluster
+        self._store_s = store_s
+        #: Whether this gateway is one of those that write versions.
+        self._writes_versions = writes_versions
+        self._clock = clock
+        #: Whether the rows were read in the present era of the store.
+        self.loaded = False
+        #: When the last successful read began, monotonic seconds.
+        self.read_s = float("-inf")
+        self._reading = asyncio.Lock()
+        self._era: int | None = None
+        #: Versions in service by service, as stored.
+        self._stored: dict[str, tuple[str, ...]] = {}
+        #: Keys of rows that are of no use any more.
+        self._stale: list[str] = []
+
+    def pause_s(self) -> float:
+        """Return the interval between two writes of this gateway."""
+        return max(WRITE_INTERVAL_S, self._cluster.members / WRITES_PER_S)
+
+    def observe(self) -> None:
+        """Record which versions are in service now."""
+        now_s = self._clock()
+        for service, versions in self._cluster.software_versions().items():
+            self._history.observe(service, versions, now_s)
+
+    async def run_once(self) -> None:
+        """Write the versions and origins that are not stored yet."""
+        self.observe()
+        if self._client.era != self._era:
+            self._era = self._client.era
+            self.loaded = False
+            self._memory.forget_writes()
+        if not self.loaded:
+            await self.read(self._clock())
+        if self._writes_versions():
+            await self._write_versions()
+        if self._history.mixed(self._clock()):
+            await self._write_origins()
+
+    async def read(self, asked_s: float) -> None:
+        """Read all rows, unless that was done since ``asked_s``."""
+        async with self._reading:
+            if self.loaded and self.read_s >= asked_s:
+                return
+            began_s = self._clock()
+            versions = await self._client.scan_all(ENGINE_VERSIONS, "")
+            origins = await self._client.scan_all(STREAM_ORIGINS, "")
+            self._apply_versions(store.decode_rows(versions, VersionsRow))
+            self._apply_origins(store.decode_rows(origins, OriginRow))
+            self.loaded = True
+            self.read_s = began_s
+
+    def _apply_versions(self, rows: dict[str, VersionsRow]) -> None:
+        now_s = self._clock()
+        store_s = self._store_s()
+        for service, row in rows.items():
+            self._stored[service] = row.present
+            # Those that left while no gateway ran have just gone.
+            self._history.observe(service, row.present, now_s)
+            for version, gone_s in row.gone_s.items():
+                age_s = 0.0 if store_s is None else max(store_s - gone_s, 0.0)
+                self._history.observe(service, [version], now_s - age_s)
+
+    def _apply_origins(self, rows: dict[str, OriginRow]) -> None:
+        store_s = self._store_s()
+        learned: dict[str, core.StreamOrigin] = {}
+        self._stale = []
+        for key, row in rows.items():
+            if store_s is not None and store_s - row.written_s > STALE_S:
+                self._stale.append(key)
+                continue
+            for group in row.groups:
+                learned |= dict.fromkeys(group.streams, group.origin)
+        self._memory.learn(learned)
+
+    async def _write_versions(self) -> None:
+        for service, versions in self._cluster.software_versions().items():
+            present = tuple(sorted(versions))
+            if self._stored.get(service) != present:
+                await self._write_service(service, present)
+
+    async def _write_service(
+        self, service: str, present: tuple[str, ...]
+    ) -> None:
+        """Store the versions of a service unless another gateway has."""
+        store_s = self._store_s()
+        if store_s is None:
+            return
+        key = ports.RowKey(ENGINE_VERSIONS, service)
+        found = await self._client.read_one(key)
+        before = _decoded(found)
+        if before.present != present:
+            row = _updated(before, present, store_s)
+            check = ports.Check(
+                ENGINE_VERSIONS, service, found.version if found else 0
+            )
+            write = ports.Write(ENGINE_VERSIONS, service, store.encode(row))
+            try:
+                await self._client.commit(
+                    ports.Transaction((check,), (write,))
+                )
+            except errors.TableConflict:
+                LOG.info("Versions written by another.", service=service)
+                return
+            LOG.info(
+                "Software versions stored.",
+                service=service,
+                present=present,
+                before=before.present,
+            )
+        self._stored[service] = present
+
+    async def _write_origins(self) -> None:
+        store_s = self._store_s()
+        slots = self._memory.unwritten(self._clock())
+        if store_s is None or not slots:
+            return
+        stale = self._stale[:REMOVALS_LIMIT]
+        writes = [ports.Write(STREAM_ORIGINS, key, None) for key in stale]
+        for slot in slots:
+            # Streams that begin during the write are for the next one.
+            slot.unwritten = False
+            value = store.encode(_origin_row(slot, store_s))
+            if len(value) > ROW_LIMIT_BYTES:
+                LOG.warning("Too many origins in a slot.", bytes=len(value))
+                continue
+            key = f"{self._incarnation}/{slot.number % _memory.SLOTS:02d}"
+            writes.append(ports.Write(STREAM_ORIGINS, key, value))
+        try:
+            await self._client.commit(ports.Transaction((), tuple(writes)))
+        except errors.BilberrydealError:
+            for slot in slots:
+                slot.unwritten = True
+            raise
+        self._stale = self._stale[REMOVALS_LIMIT:]
+
+
+def _decoded(row: ports.Row | None) -> VersionsRow:
+    """Return the versions in a row; one that is unreadable has none."""
+    if row is None:
+        return VersionsRow(())
+    return store.decode_rows([row], VersionsRow).get(row.key, VersionsRow(()))
+
+
+def _updated(
+    before: VersionsRow, present: tuple[str, ...], store_s: float
+) -> VersionsRow:
+    """Return a row with the versions that are in service now."""
+    gone_s = {
+        version: at_s
+        for version, at_s in before.gone_s.items()
+        if store_s - at_s < _version_history.RECENT_S
+    }
+    gone_s |= dict.fromkeys(before.present, store_s)
+    return VersionsRow(
+        present,
+        {
+            version: at_s
+            for version, at_s in gone_s.items()
+            if version not in present
+        },
+    )
+
+
+def _origin_row(slot: _memory.Slot, store_s: float) -> OriginRow:
+    groups: dict[core.StreamOrigin, list[str]] = {}
+    for stream, origin in slot.origins.items():
+        groups.setdefault(origin, []).append(stream)
+    return OriginRow(
+        round(store_s, 3),
+        tuple(
+            OriginGroup(origin, tuple(streams))
+            for origin, streams in groups.items()
+        ),
+    )
--- a/bilberrydeal/gateway/streams/_stream.py
+++ b/bilberrydeal/gateway/streams/_stream.py
@@ -14,6 +14,7 @@
 from .. import accounting
 from .. import cluster_state
 from .. import core
+from .. import origins
 from .. import sending
 from . import _client_stream
 from . import _continuation
@@ -58,9 +59,11 @@
         uplink: _uplink.Uplink,
         failure_domain: str,
         quarantine: sending.RequestQuarantine,
+        resolver: origins.OriginResolver,
         clock: Clock,
     ) -> None:
         self._quarantine = quarantine
+        self._resolver = resolver
         self._cluster = cluster
         self._sender = sender
         self._retry_policy = retry_policy
@@ -88,6 +91,8 @@
         responder: http1.Responder,
     ) -> None:
         """Respond to a request; raises ``Refusal``."""
+        if admitted.takes_up_stream:
+            progress.origin = await self._resolver.resolve(admitted)
         stream = _client_stream.ClientStream(
             admitted,
             progress,
@@ -284,7 +289,7 @@
             if complete := self._split(stream, upstream, data):
                 await self._reader.drop_continuation(stream)
                 stream.take_over()
-                _note_origin(stream, upstream)
+                self._note_origin(stream, upstream)
                 stream.progressed_s = self._clock()
                 begun_s = stream.progressed_s - first_s
                 if not told_sound and begun_s >= sending.SOUND_AFTER_S:
@@ -318,6 +323,19 @@
         stream.take_over()
         responder.end_chunks()
 
+    def _note_origin(
+        self,
+        stream: _client_stream.ClientStream,
+        upstream: cluster_state.Upstream,
+    ) -> None:
+        """Bind a stream to the software version of what began it."""
+        progress = stream.progress
+        if progress.origin is None:
+            progress.origin = core.StreamOrigin.of(upstream.endpoint)
+        if not stream.origin_noted:
+            stream.origin_noted = True
+            self._resolver.note(stream.admitted, progress.origin)
+
     def _split(
         self,
         stream: _client_stream.ClientStream,
@@ -381,14 +399,6 @@
         task.add_done_callback(self._background.discard)
 
 
-def _note_origin(
-    stream: _client_stream.ClientStream, upstream: cluster_state.Upstream
-) -> None:
-    """Bind a stream to the software version of what began it."""
-    if stream.progress.origin is None:
-        stream.progress.origin = core.StreamOrigin.of(upstream.endpoint)
-
-
 def _record_first_event(
     stream: _client_stream.ClientStream,
     exchange: sending.Exchange,
--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -33,6 +33,7 @@
 from ..serving import _plain
 from ..streams import _stream
 from . import harness
+from . import memory
 
 SERVICE = "llm"
 LIMITS = retries.WindowLimits(window_s=10.0, ratio=0.2, base_allowance=52.0)
@@ -337,6 +338,13 @@
             uplink,
             "d1",
             self._quarantine,
+            harness.new_origins(
+                memory.MemoryStore(),
+                name,
+                self.cluster,
+                _metrics.GatewayMetrics(),
+                clock,
+            ).resolver,
             clock,
         )
         self.plain = _plain.PlainServer(
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -15,6 +15,7 @@
 from ... import periodic
 from ... import ports
 from ... import settings
+from ... import store
 from ... import telemetry
 from ...systems import health
 from ...systems import placement
@@ -23,6 +24,7 @@
 from ...systems import retries
 from .. import _uplink
 from .. import core
+from .. import origins
 from ..accounting import _usage
 from ..cluster_state import _cluster_state
 from ..cluster_state import _store_sync
@@ -36,6 +38,7 @@
 from ..serving import _plain
 from ..serving import _request_handler
 from ..streams import _stream
+from . import memory
 
 KEY = b"k1"
 #: Prompt parts of streaming requests in tests, as id and tokens.
@@ -227,6 +230,7 @@
     usage_counter: "FakeUsageCounter"
     quarantine: _quarantine.RequestQuarantine
     shutdown: core.ShutdownState
+    origin_rows: origins.OriginRows
     last_id: int = 0
 
     async def send(
@@ -427,6 +431,47 @@
     )
 
 
+@attrs.frozen
+class Origins:
+    """What a gateway knows of the streams that were begun lately."""
+
+    rows: origins.OriginRows
+    resolver: origins.OriginResolver
+
+
+def new_origins(
+    table: memory.MemoryStore,
+    name: str,
+    cluster: _cluster_state.ClusterState,
+    metrics: _metrics.GatewayMetrics,
+    clock: collections.abc.Callable[[], float],
+) -> Origins:
+    """Return what a gateway knows, stores and reads of streams."""
+    client = store.StoreClient(table, 0.1, 1_000.0, era=lambda: table.era)
+    origin_memory = origins.OriginMemory()
+    history = origins.VersionHistory()
+    rows = origins.OriginRows(
+        client,
+        name,
+        origin_memory,
+        history,
+        cluster,
+        clock,
+        lambda: True,
+        clock,
+    )
+    resolver = origins.OriginResolver(
+        origin_memory,
+        history,
+        rows,
+        cluster,
+        _store_sync.StoreConnectivity(clock()),
+        metrics,
+        clock,
+    )
+    return Origins(rows, resolver)
+
+
 @contextlib.asynccontextmanager
 async def running(
     *endpoints: Endpoint,
@@ -436,6 +481,7 @@
     name: str = "g1",
     peers: tuple[_datagrams.Address, ...] = (),
     may_probe: bool = False,
+    table: memory.MemoryStore | None = None,
 ) -> collections.abc.AsyncIterator[RequestPath]:
     """Run the request path with some endpoints."""
     clock = time.monotonic
@@ -466,6 +512,9 @@
         metrics,
     )
     quota = new_quotas(cluster, datagrams or _datagrams.Datagrams(), name)
+    stream_origins = new_origins(
+        table or memory.MemoryStore(), name, cluster, metrics, clock
+    )
     sender = _sending.Sender(
         cluster, retry_policy, uplink, tracing, request_quarantine, clock
     )
@@ -490,6 +539,7 @@
             uplink,
             "d1",
             request_quarantine,
+            stream_origins.resolver,
             clock,
         ),
         retry_policy=retry_policy,
@@ -519,6 +569,7 @@
             usage_counter,
             request_quarantine,
             shutdown,
+            stream_origins.rows,
         )
     finally:
         deciding.cancel()
--- a/bilberrydeal/gateway/tests/test_software_versions.py
+++ b/bilberrydeal/gateway/tests/test_software_versions.py
@@ -1,13 +1,16 @@
 """Streams while engines of several software versions serve."""
 
 import asyncio
+import time
 
 import attrs
 import pytest
 
 from ... import ports
+from ..origins import _rows
 from . import harness
 from . import loopback
+from . import memory
 
 EVENTS = b"".join(harness.event(n) for n in range(1, 6))
 #: A prompt that its decode engine prefills itself.
@@ -134,6 +137,144 @@
     assert reply.body == b"".join(harness.event(n) for n in range(3, 6))
 
 
+async def _first_events(
+    table: memory.MemoryStore, *engines: harness.Endpoint
+) -> None:
+    """Begin a stream as ``r1`` at a gateway that ends afterwards."""
+    async with harness.running(*engines, table=table) as running:
+        _burden(running, engines[-1].endpoint_id, 3_000)
+        reply = await running.stream(**SHORT)
+        assert reply.body == b"".join(harness.event(n) for n in (1, 2))
+        await running.origin_rows.run_once()
+
+
+async def _taken_up(
+    table: memory.MemoryStore, *engines: harness.Endpoint
+) -> harness.Reply:
+    """Take the stream up at a gateway that has just started."""
+    async with harness.running(*engines, table=table, name="g2") as running:
+        return await running.stream(
+            last_event_id="2", resumes="r1", request_id="r1-2", **SHORT
+        )
+
+
+@pytest.mark.parametrize("began", ["v1", "v2"])
+async def test_take_up_after_all_gateways_ended_goes_on_at_its_version(
+    began: str,
+) -> None:
+    table = memory.MemoryStore()
+    other = "v2" if began == "v1" else "v1"
+    await _first_events(
+        table,
+        _engine("d1", began, _broken_off),
+        _engine("d2", other, _decode),
+    )
+    same = _engine("d3", began, _decode)
+    engines = [_engine("d2", other, _decode), same]
+    reply = await _taken_up(table, *engines)
+    assert reply.status == 200
+    assert reply.body == b"".join(harness.event(n) for n in range(3, 6))
+    assert len(_runs(same)) == 1
+    assert not _runs(engines[0])
+
+
+async def test_take_up_is_refused_if_its_version_left_meanwhile() -> None:
+    table = memory.MemoryStore()
+    await _first_events(table, _engine("d1", "v1", _broken_off))
+    newer = _engine("d2", "v2", _decode)
+    reply = await _taken_up(table, newer)
+    assert reply.status == 503
+    assert not _runs(newer)
+
+
+async def test_streams_begun_before_another_version_came_are_stored_then() -> (
+    None
+):
+    table = memory.MemoryStore()
+    old = _engine("d1", "v1", _broken_off)
+    async with harness.running(old, table=table) as running:
+        await running.stream(**SHORT)
+        await running.origin_rows.run_once()
+        assert not _stored_origins(table)
+        newer = attrs.evolve(
+            loopback.engine(ports.EngineRole.DECODE), software_version="v2"
+        )
+        running.cluster.set_endpoint(newer)
+        await running.origin_rows.run_once()
+        await running.origin_rows.run_once()
+    assert len(_stored_origins(table)) == 1
+    same = _engine("d3", "v1", _decode)
+    reply = await _taken_up(table, same, _engine("d2", "v2", _decode))
+    assert reply.status == 200
+    assert _runs(same)
+
+
+def _stored_origins(table: memory.MemoryStore) -> list[ports.Row]:
+    return [
+        row
+        for (name, _key), row in table.rows.items()
+        if name == _rows.STREAM_ORIGINS
+    ]
+
+
+async def test_take_up_is_refused_at_once_while_the_store_is_away() -> None:
+    table = memory.MemoryStore(unreachable=True)
+    engines = [_engine("d1", "v1", _decode), _engine("d2", "v1", _decode)]
+    began_s = time.monotonic()
+    reply = await _taken_up(table, *engines)
+    assert reply.status == 503
+    assert time.monotonic() - began_s < 1.0
+    assert not any(_runs(engine) for engine in engines)
+
+
+async def test_origins_are_stored_again_after_a_restore() -> None:
+    table = memory.MemoryStore(era=1)
+    engines = [_engine("d1", "v1", _broken_off), _engine("d2", "v2", _decode)]
+    async with harness.running(*engines, table=table) as running:
+        _burden(running, "d2", 3_000)
+        await running.origin_rows.run_once()
+        copied = table.copy()
+        await running.stream(**SHORT)
+        await running.origin_rows.run_once()
+        assert _stored_origins(table)
+        table.restore(copied)
+        assert not _stored_origins(table)
+        await running.origin_rows.run_once()
+    assert _stored_origins(table)
+
+
+async def test_take_up_is_refused_if_its_engine_became_another() -> None:
+    table = memory.MemoryStore()
+    engines = [_engine("d1", "v1", _broken_off), _engine("d2", "v2", _decode)]
+    async with harness.running(*engines, table=table) as running:
+        _burden(running, "d2", 3_000)
+        await running.stream(**SHORT)
+        restarted = attrs.evolve(
+            harness.registration(engines[0]),
+            started_ms=2,
+            software_version="v2",
+        )
+        running.cluster.set_endpoint(restarted)
+        reply = await running.stream(last_event_id="2", resumes="r1", **SHORT)
+    assert reply.status == 503
+    assert not _runs(engines[1])
+
+
+async def test_take_up_waits_for_an_engine_of_its_version_that_decodes() -> (
+    None
+):
+    table = memory.MemoryStore()
+    await _first_events(
+        table,
+        _engine("d1", "v1", _broken_off),
+        _engine("d2", "v2", _decode),
+    )
+    same = _engine("p1", "v1", _prefill, "prefill")
+    reply = await _taken_up(table, same, _engine("d2", "v2", _decode))
+    assert reply.status == 503
+    assert reply.field("retry-after") == b"1.000"
+
+
 def test_version_of_few_engines_is_found_in_a_large_fleet() -> None:
     cluster = loopback.cluster(ports.EngineRole.DECODE)
     for number in range(600):
