--- a/scenarios/_gateway_invariants.py
+++ b/scenarios/_gateway_invariants.py
@@ -4,6 +4,7 @@
 import heapq
 import itertools
 import pathlib
+import re
 
 from standins import _journal
 from standins import users_endpoint
@@ -12,8 +13,9 @@
 from . import _gateway_load
 from . import _gateways
 
+#: Software version that an event names.
+_VERSION = re.compile(r" v\d+$", re.MULTILINE)
 UNAUTHORIZED = 401
-ADMITTED = 200
 #: Routes whose requests must run at most once.
 AT_MOST_ONCE = frozenset(["once", "tell"])
 #: Time until a worker that leaves gets nothing new, in seconds.
@@ -51,6 +53,7 @@
         *_runs_at_most_once(runs, outcomes),
         *_refusals_are_true(runs, outcomes),
         *_answers_are_complete(outcomes),
+        *streams_hold_one_version(outcomes),
         *_runs_are_authorized(runs, outcomes),
         *revoked_keys_stay_revoked(outcomes, key_changes),
         *_windows_are_reported_once(reports),
@@ -105,7 +108,19 @@
     return [
         f"{each.request_id} got a wrong answer: {each.body[:80]!r}"
         for each in outcomes
-        if each.status == 200 and each.body != _expected(each)
+        if each.status == 200
+        and _VERSION.sub("", each.body) != _expected(each)
+    ]
+
+
+def streams_hold_one_version(
+    outcomes: list[_gateway_load.Outcome],
+) -> list[str]:
+    """All events of a stream, over all tries, are of one software version."""
+    return [
+        f"{each.request_id} holds events of {sorted(versions)}"
+        for each in outcomes
+        if len(versions := set(_VERSION.findall(each.body))) > 1
     ]
 
 
@@ -115,7 +130,7 @@
     return "".join(
         f"id: {number}\ndata: "
         f"{users_endpoint.text_of(outcome.request_id, number)}\n\n"
-        for number in range(1, _gateway_load.EVENTS + 1)
+        for number in range(1, outcome.events + 1)
     )
 
 
@@ -148,7 +163,7 @@
     ended: list[tuple[float, int, int]] = []
     earliest: dict[int, int] = {}
     for each in sorted(outcomes, key=lambda outcome: outcome.sent_s):
-        if each.status not in (ADMITTED, UNAUTHORIZED):
+        if each.status not in (_gateway_load.ADMITTED, UNAUTHORIZED):
             continue
         while ended and ended[0][0] < each.sent_s:
             _ended_s, process, index = heapq.heappop(ended)
@@ -170,7 +185,7 @@
     first: int,
 ) -> int | None:
     """Return the earliest configuration that explains a status."""
-    admitted = outcome.status == ADMITTED
+    admitted = outcome.status == _gateway_load.ADMITTED
     for index in range(first, len(changes)):
         change = changes[index]
         if change.sent_s > outcome.ended_s:
@@ -200,7 +215,9 @@
     counted: collections.Counter[str] = collections.Counter()
     for counts in by_window.values():
         counted.update(counts)
-    asked = collections.Counter(each.organisation for each in outcomes)
+    asked: collections.Counter[str] = collections.Counter()
+    for each in outcomes:
+        asked[each.organisation] += each.tries
     return [
         f"{count} requests of {name} were reported, and {asked[name]} made"
         for name, count in counted.items()
--- a/scenarios/_gateway_load.py
+++ b/scenarios/_gateway_load.py
@@ -1,6 +1,7 @@
 """Load generator for gateways that records every outcome."""
 
 import asyncio
+import collections
 import collections.abc
 import random
 import time
@@ -16,10 +17,18 @@
 DEADLINE_MS = 3000
 #: Number of events in each stream.
 EVENTS = 12
+#: The same where streams are taken up: they last for a second or so.
+TAKEN_UP_EVENTS = 100
 #: Share of the requests that repeat a crashing one, while there is one.
 CRASHING_SHARE = 0.1
+#: Most times that a caller takes up a stream that was broken off.
+TAKE_UPS = 4
+#: Pause before each of them, in seconds.
+TAKE_UP_PAUSE_S = 0.4
 #: Statuses that state that a request did not run.
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
+#: Status of a request that was served.
+ADMITTED = 200
 #: Status recorded for a request without a complete answer.
 INCOMPLETE = 0
 
@@ -41,6 +50,10 @@
     ended_s: float = 0.0
     #: Name of the crashing request that it repeats, empty for a sound one.
     crashing: str = ""
+    #: Requests that were sent for it.
+    tries: int = 1
+    #: Number of events in the whole stream.
+    events: int = EVENTS
 
 
 class Callers:
@@ -54,10 +67,15 @@
 
     def __init__(self, fleet: _gateways.Fleet, rng: random.Random) -> None:
         self.outcomes: list[Outcome] = []
+        #: Requests that took up a stream, by status.
+        self.take_ups: collections.Counter[int] = collections.Counter()
         self._fleet = fleet
         self._rng = rng
         self._count = 0
         self._tasks: set[asyncio.Task[Outcome]] = set()
+        #: Whether callers take up streams that were broken off.
+        self._takes_up = fleet.size.versions > 1
+        self._events = TAKEN_UP_EVENTS if self._takes_up else EVENTS
 
     async def load(self, requests_per_s: float) -> None:
         """Send requests of all kinds until cancelled."""
@@ -109,21 +127,26 @@
         body: bytes,
         crashing: str = "",
     ) -> Outcome:
-        gateway = self._rng.choice(self._fleet.gateways)
         headers = {
             "Host": _gateways.HOST_HEADER,
             "Request-Id": request_id,
             "Key": _gateways.KEYS[organisation],
             "Deadline-Ms": str(DEADLINE_MS),
         }
+        gateway = self._rng.choice(self._fleet.gateways)
         if route in ("chat", "tell"):
             headers |= self._prompt_headers(request_id)
-        url = (
-            f"http://{gateway.proxy.address}:{_gateways.CALLERS_PORT}"
-            f"/{route}/{path}"
-        )
         process, sent_s = gateway.process.pid, time.monotonic()
-        status, text = await self._exchange(url, headers, body)
+        target = f"/{route}/{path}"
+        status, text = await self._exchange(gateway, target, headers, body)
+        tries = 1
+        if route == "chat" and self._takes_up:
+            while status != ADMITTED and text and tries <= TAKE_UPS:
+                status, more = await self._take_up(
+                    target, headers, body, text, tries
+                )
+                text += more
+                tries += 1
         outcome = Outcome(
             request_id,
             route,
@@ -134,31 +157,66 @@
             sent_s,
             time.monotonic(),
             crashing,
+            tries,
+            self._events,
         )
         self.outcomes.append(outcome)
         return outcome
 
+    async def _take_up(
+        self,
+        target: str,
+        headers: collections.abc.Mapping[str, str],
+        body: bytes,
+        text: str,
+        tries: int,
+    ) -> tuple[int, str]:
+        """Ask any gateway for the rest of a stream that has begun."""
+        await asyncio.sleep(TAKE_UP_PAUSE_S)
+        status, more = await self._exchange(
+            self._rng.choice(self._fleet.gateways),
+            target,
+            {
+                **headers,
+                "Request-Id": f"{headers['Request-Id']}.{tries}",
+                "Resumes": headers["Request-Id"],
+                "Last-Event-Id": str(text.count("\n\n")),
+            },
+            body,
+        )
+        self.take_ups[status] += 1
+        return status, more
+
     def _prompt_headers(self, request_id: str) -> dict[str, str]:
         is_long = self._rng.random() < 0.5
         unique = 2_000 if is_long else 100
         session = self._rng.randrange(8)
         return {
             "Model": "m",
-            "Token-Usage": f"{unique + 300},{EVENTS}",
+            "Token-Usage": f"{unique + 300},{self._events}",
             "Prefix-Hash": f"aa:200,{session:02x}:100,{request_id}:{unique}",
         }
 
     async def _exchange(
         self,
-        url: str,
+        gateway: _gateways.Member,
+        target: str,
         headers: collections.abc.Mapping[str, str],
         body: bytes,
     ) -> tuple[int, str]:
+        """Return the status and body, or the events of a broken stream."""
+        url = (
+            f"http://{gateway.proxy.address}:{_gateways.CALLERS_PORT}{target}"
+        )
         timeout = aiohttp.ClientTimeout(total=DEADLINE_MS / 1000)
+        received = b""
         try:
             async with self._fleet.session.post(
                 url, headers=headers, data=body, timeout=timeout
             ) as answer:
-                return answer.status, await answer.text()
+                async for data in answer.content.iter_any():
+                    received += data
+                return answer.status, received.decode()
         except (aiohttp.ClientError, TimeoutError, OSError):
-            return INCOMPLETE, ""
+            events, end, _partial = received.rpartition(b"\n\n")
+            return INCOMPLETE, (events + end).decode()
--- a/scenarios/_gateways.py
+++ b/scenarios/_gateways.py
@@ -39,6 +39,9 @@
     plain_workers: int = 2
     prefill_workers: int = 2
     decode_workers: int = 2
+    #: Software versions that the decode workers have in turn; with several,
+    #: callers take up streams that were broken off.
+    versions: int = 1
 
 
 @attrs.frozen
@@ -128,7 +131,7 @@
                 for n in range(size.prefill_workers)
             ),
             *(
-                self._worker(20 + n, "llm", "decode")
+                self._worker(20 + n, "llm", "decode", self._version(n))
                 for n in range(size.decode_workers)
             ),
         ]
@@ -294,7 +297,14 @@
         )
         return member
 
-    def _worker(self, number: int, service: str, stage: str) -> Member:
+    def _version(self, number: int) -> str:
+        """Return the version of a decode worker; empty if all are alike."""
+        versions = self.size.versions
+        return f"v{number % versions}" if versions > 1 else ""
+
+    def _worker(
+        self, number: int, service: str, stage: str, version: str = ""
+    ) -> Member:
         host = FIRST_WORKER_HOST + number
         address = self.places.address(host)
         store = self.places.address(STORE_HOST)
@@ -319,6 +329,8 @@
         ]
         if stage:
             arguments += ["--stage", stage]
+        if version:
+            arguments += ["--version", version]
         member = self._member(
             name,
             address,
--- a/scenarios/gateway_soak.py
+++ b/scenarios/gateway_soak.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 import pathlib
 import random
 import sys
@@ -26,6 +27,8 @@
 
 #: Maximum duration of a fault, in seconds.
 MAX_FAULT_S = 4.0
+#: How long all gateways are away when they are killed at once, in seconds.
+ALL_KILLED_S = (0.1, 1.0)
 #: Maximum pause between two faults of one source, in seconds.
 MAX_PAUSE_S = 2.0
 #: Greatest age of the copy that the store comes back from, in seconds.
@@ -78,6 +81,21 @@
         await restart(gateway)
 
 
+@FAULTS.register("kill_all_gateways")
+async def kill_all_gateways(
+    fleet: _gateways.Fleet, rng: random.Random
+) -> None:
+    """Kill all gateways at the same moment and start them again."""
+    with contextlib.ExitStack() as stack:
+        for gateway in fleet.gateways:
+            stack.enter_context(fleet.disturbed(gateway))
+        for gateway in fleet.gateways:
+            gateway.process.kill()
+        await asyncio.sleep(rng.uniform(*ALL_KILLED_S))
+        for gateway in fleet.gateways:
+            await restart(gateway)
+
+
 @FAULTS.register("terminate_gateway")
 async def terminate_gateway(
     fleet: _gateways.Fleet, rng: random.Random
@@ -430,6 +448,8 @@
         )
     statuses = collections.Counter(each.status for each in callers.outcomes)
     print(f"seed {seed}: {dict(counts)}, answers {dict(statuses)}")
+    if callers.take_ups:
+        print(f"take-ups by status: {dict(callers.take_ups)}")
     return problems
 
 
--- a/scenarios/tests/test_gateway_invariants.py
+++ b/scenarios/tests/test_gateway_invariants.py
@@ -213,3 +213,20 @@
         [],
     )
     assert len(found) == problems
+
+
+@pytest.mark.parametrize(
+    ("versions", "problems"),
+    [(["v0", "v0"], 0), (["v0", "v1"], 1), (["", ""], 0)],
+)
+@pytest.mark.parametrize("status", [200, 0])
+def test_stream_joined_from_two_versions_is_found(
+    versions: list[str], problems: int, status: int
+) -> None:
+    body = "".join(
+        users_endpoint.event_of("q1", number, version)
+        for number, version in enumerate(versions, 1)
+    )
+    outcome = _gateway_load.Outcome("q1", "chat", "russo", status, body)
+    found = _gateway_invariants.streams_hold_one_version([outcome])
+    assert len(found) == problems
--- a/scenarios/tests/test_gateway_soak.py
+++ b/scenarios/tests/test_gateway_soak.py
@@ -16,6 +16,7 @@
 DURATION_S = 6.0
 LIMITS_DURATION_S = 14.0
 CRASHING_DURATION_S = 12.0
+VERSIONS_DURATION_S = 12.0
 
 
 @pytest.mark.parametrize("seed", [*NEW_SEEDS, *REGRESSION_SEEDS])
@@ -55,3 +56,17 @@
         ("crashing_request", "crashing_request", "kill_gateway"),
     )
     assert problems == []
+
+
+@pytest.mark.parametrize("seed", [501, 502])
+async def test_streams_hold_one_version_though_all_gateways_are_killed(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    problems = await gateway_soak.soak(
+        seed,
+        VERSIONS_DURATION_S,
+        tmp_path,
+        _gateways.FleetSize(gateways=3, decode_workers=4, versions=2),
+        ("kill_all_gateways", "kill_gateway", "worker_misbehaves"),
+    )
+    assert problems == []
--- a/standins/users_endpoint/__init__.py
+++ b/standins/users_endpoint/__init__.py
@@ -4,6 +4,7 @@
 from ._app import build
 from ._app import CRASH_S
 from ._app import CRASHING_BODY
+from ._app import event_of
 from ._app import Execution
 from ._app import Registration
 from ._app import text_of
@@ -17,5 +18,6 @@
     "Registration",
     "WorkerApp",
     "build",
+    "event_of",
     "text_of",
 ]
--- a/standins/users_endpoint/__main__.py
+++ b/standins/users_endpoint/__main__.py
@@ -23,9 +23,12 @@
     store_url: str,
     record: pathlib.Path,
     stage: str = "",
+    version: str = "",
 ) -> None:
     """Serve until SIGTERM."""
-    worker = _app.WorkerApp(endpoint_id, stage, _journal.Journal(record))
+    worker = _app.WorkerApp(
+        endpoint_id, stage, _journal.Journal(record), version
+    )
     registration = _app.Registration(
         service, announced, port, failure_domain, store_url
     )
--- a/standins/users_endpoint/_app.py
+++ b/standins/users_endpoint/_app.py
@@ -83,6 +83,12 @@
     return hashlib.sha256(f"{request_id}/{number}".encode()).hexdigest()
 
 
+def event_of(request_id: str, number: int, version: str) -> str:
+    """Return an event of a stream; it names the version that wrote it."""
+    mark = f" {version}" if version else ""
+    return f"id: {number}\ndata: {text_of(request_id, number)}{mark}\n\n"
+
+
 @attrs.define
 class WorkerApp:
     """HTTP handlers and state of one worker."""
@@ -91,6 +97,8 @@
     #: Empty for a plain service, else ``prefill`` or ``decode``.
     stage: str
     journal: _journal.Journal
+    #: Version of its software; empty to tell none.
+    version: str = ""
     behaviour: Behaviour = attrs.field(factory=Behaviour)
     handles: set[str] = attrs.field(factory=set)
     orders: int = 0
@@ -262,6 +270,7 @@
         last = int(request.headers.get("Last-Event-Id") or 0)
         total = int(request.headers["Token-Usage"].split(",")[1])
         self._record_execution(request, last)
+        began_as = request.headers.get("Resumes", request_id)
         response = web.StreamResponse(
             headers={
                 **self._response_headers(request_id),
@@ -272,7 +281,7 @@
         cut_at = total // 2 if self._occurs(self.behaviour.tear_share) else 0
         for number in range(last + 1, total + 1):
             await asyncio.sleep(EVENT_INTERVAL_S)
-            event = f"id: {number}\ndata: {text_of(request_id, number)}\n\n"
+            event = event_of(began_as, number, self.version)
             if number == cut_at:
                 await response.write(event[:9].encode())
                 _serve.drop_connection(request)
@@ -340,6 +349,8 @@
             }
             if worker.stage:
                 row["stage"] = worker.stage
+            if worker.version:
+                row["version"] = worker.version
             value = base64.b64encode(msgspec.json.encode(row)).decode()
             with contextlib.suppress(aiohttp.ClientError, OSError):
                 await session.post(
