Let decode engines be pairs of a software version where roles change

Streams of a version whose only decode engine ends have nowhere to go on, though engines of that version prefill. Where the plan changes a role anyway, it now takes an engine of a version that decodes already, and gives up one that no other of its version could replace.

--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -396,6 +396,7 @@
             service=endpoint.service,
             role=endpoint.role,
             slots=endpoint.slots,
+            software_version=endpoint.software_version,
             cache=placement.PartCache(self._cache_tokens(endpoint.service)),
             slot_times=self._slot_times.setdefault(
                 endpoint.service, placement.SlotTimes()
--- a/bilberrydeal/systems/placement/_entities.py
+++ b/bilberrydeal/systems/placement/_entities.py
@@ -123,6 +123,8 @@
     )
     #: Prefills of this process that are not finished, the oldest first.
     outstanding: dict[OutstandingPrefill, None] = attrs.field(factory=dict)
+    #: Version of its software.
+    software_version: str = ""
 
     @property
     def key(self) -> str:
--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -233,8 +233,10 @@
     """Choose a decode engine to convert, the fastest one.
 
     The main one is not chosen: it has the most requests to finish. The last
-    one of a failure domain is chosen only if there is no other.
+    one of a failure domain is chosen only if there is no other. One that no
+    other of its software version could replace goes first.
     """
+    versions = _by_version(decode_engines)
     main = _options.main_decode_engine(decode_engines)
     domains = _by_domain(decode_engines)
     candidates = [each for each in decode_engines if each is not main]
@@ -242,6 +244,7 @@
     return max(
         spared or candidates,
         key=lambda each: (
+            versions[each.software_version] == 1,
             -_permanent_factor(each),
             domains[each.failure_domain],
             -each.requests,
@@ -257,8 +260,11 @@
     """Choose a prefill engine to convert, the slowest one.
 
     It is in one of the failure domains in which the fewest engines decode, or
-    in which only one more decodes.
+    in which only one more decodes. One of a software version that decodes
+    already goes first: streams go on at their version alone, so two engines of
+    one version are worth more than one of each.
     """
+    versions = _by_version(decode_engines)
     domains = _by_domain(decode_engines)
     fewest = min(domains[each.failure_domain] for each in prefill_engines)
     return min(
@@ -268,6 +274,7 @@
             if domains[each.failure_domain] <= fewest + 1
         ),
         key=lambda each: (
+            not versions[each.software_version],
             -_permanent_factor(each),
             domains[each.failure_domain],
             each.key,
@@ -281,6 +288,12 @@
     return collections.Counter(each.failure_domain for each in engines)
 
 
+def _by_version(
+    engines: list[_entities.EngineLoad],
+) -> collections.Counter[str]:
+    return collections.Counter(each.software_version for each in engines)
+
+
 def _permanent_factor(engine: _entities.EngineLoad) -> float:
     """Return the learned permanent factor; above 1 is slower."""
     return engine.speed.capability.factor
--- a/bilberrydeal/systems/placement/tests/test_role_plan.py
+++ b/bilberrydeal/systems/placement/tests/test_role_plan.py
@@ -122,3 +122,25 @@
 def test_fixed_plan_orders_no_changes() -> None:
     plan = placement.ROLE_PLANS.get("fixed")
     assert plan(_engines("ppppp"), placement.RoleDemand()) is None
+
+
+@pytest.mark.parametrize(
+    ("roles", "versions", "engine_id"),
+    [
+        # The third engine decodes v2 already.
+        ("pppd", "1122", "e2"),
+        ("pppd", "2111", "e1"),
+        # Without the engine of v1 two of v2 are left.
+        ("ppdddd", "112212", "e4"),
+    ],
+)
+def test_decode_engines_are_kept_in_pairs_of_a_software_version(
+    roles: str, versions: str, engine_id: str
+) -> None:
+    engines = _engines(roles)
+    for engine, version in zip(engines, versions, strict=True):
+        engine.software_version = version
+        engine.failure_domain = "d"
+    order = placement.plan_roles(engines, placement.RoleDemand())
+    assert order is not None
+    assert order.engine_id == engine_id
