Take no response for whole whose connection is reset during the upload

Callers got part of a response without a length as a whole one when the endpoint had ended its direction of the connection and reset it as more of the upload came (MIXED, report of other operators). Cause: the end of input completed the response, though the peer had not read the request and the reset was still to come. Class: an end taken as proof while the other direction is open. Change: such a response is complete once the peer's host has acknowledged the request; until then a reset makes it incomplete. A peer that ends its direction and reads on still gets its response through (half closed).

--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -18,6 +18,9 @@
 #: Bytes that a peer may send without any that belong to the response: heads,
 #: chunk extensions, trailers, interim responses and those to other requests.
 USELESS_LIMIT_BYTES = 1_048_576
+#: Interval between checks whether a request was read after a response has
+#: ended with its connection, in seconds.
+UPLOAD_CHECK_INTERVAL_S = 0.005
 #: Most interim responses before a response.
 INTERIM_LIMIT = 64
 #: Largest head of a response, in bytes.
@@ -206,13 +209,35 @@
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the stream."""
+        self.reusable = False
         if (
             not self.done
             and self._delimited_by_eof
             and not self._skipping_response
         ):
-            self.done = True
-        self.reusable = False
+            return self._complete_by_eof()
+        self._wake()
+        return False
+
+    def _complete_by_eof(self) -> bool:
+        """Complete a response unless a reset may follow its end.
+
+        A peer that ends a connection before it has read the request resets it
+        as more of the request arrives. Returns whether that remains to be
+        seen, so the connection has to stay open.
+        """
+        transport = self._transport
+        if self._closed or transport is None:
+            return False
+        if _sockets.was_reset(transport):
+            self._give_up()
+            return False
+        if _sockets.unacknowledged_bytes(transport):
+            asyncio.get_running_loop().call_later(
+                UPLOAD_CHECK_INTERVAL_S, self._complete_by_eof
+            )
+            return True
+        self.done = True
         self._wake()
         return False
 
--- a/bilberrydeal/http1/_sockets.py
+++ b/bilberrydeal/http1/_sockets.py
@@ -1,7 +1,10 @@
-"""Socket options that detect unresponsive peers."""
+"""Socket options and states that tell of a peer."""
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 
 #: Time after which unacknowledged bytes end a connection, in milliseconds.
 USER_TIMEOUT_MS = 1500
@@ -24,3 +27,26 @@
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, PROBE_COUNT)
+
+
+def was_reset(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the peer has reset the connection."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+
+def unacknowledged_bytes(transport: asyncio.WriteTransport) -> int:
+    """Return the bytes written that the peer's host has not acknowledged."""
+    waiting_bytes = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return waiting_bytes
+    try:
+        found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        # Not a socket that tells it: what this process holds has to do.
+        return waiting_bytes
+    (sent_bytes,) = struct.unpack("i", found)
+    return waiting_bytes + int(sent_bytes)
