Take a status outside 100 to 599 for no response

An endpoint in trouble answered with status 000. Evidence: test_status_that_is_none_is_no_answer_and_ends_the_wait failed for 000, 001, 099, 600 and 999. Class: a range checked at one end only. Change: such a head ends the connection at once; the request may have run.

--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -18,6 +18,9 @@
 #: Bytes that a peer may send without any that belong to the response: heads,
 #: chunk extensions, trailers, interim responses and those to other requests.
 USELESS_LIMIT_BYTES = 1_048_576
+#: Smallest and largest status of a response.
+MIN_STATUS = 100
+MAX_STATUS = 599
 #: Interval between checks whether a request was read after a response has
 #: ended with its connection, in seconds.
 UPLOAD_CHECK_INTERVAL_S = 0.005
@@ -273,6 +276,11 @@
         head = ResponseHead(
             self._parser.get_status_code(), self._fields.fields()
         )
+        if not MIN_STATUS <= head.status <= MAX_STATUS:
+            # No response of the protocol; nothing is known of what follows.
+            self._skipping_response = True
+            self._give_up()
+            return
         if head.status < 200:
             self._interim_responses += 1
             self._skipping_response = True
