Take no answer without an id for that of a request on a used connection

An endpoint in trouble wrote an earlier refusal once more on a kept connection. A copy that had no id refused the next request there: it was sent to a second endpoint while the first ran it (TWICE), or its caller was told that it had not run (REFUSED); report of other operators. Cause: failures and refusals without an id counted as those of the request in flight. Copies with an id were skipped, as before. Class: proof taken from something that names no request. A failure written twice reached the next caller as well (second test). Change: an answer without an id belongs to a request only on a connection that carried none before; later it proves nothing, the request may have run.

--- a/bilberrydeal/gateway/sending/_sending.py
+++ b/bilberrydeal/gateway/sending/_sending.py
@@ -193,9 +193,13 @@
             )
             if not platform.misdirected(head):
                 self._quarantine.endpoint_responded(upstream, sent_s)
-            response_class = platform.classify_response(head)
+            response_class = platform.classify_response(
+                head, connection.reused
+            )
             if fields.prefill:
-                response_class = platform.classify_prefill_response(head)
+                response_class = platform.classify_prefill_response(
+                    head, connection.reused
+                )
             if response_class is platform.ResponseClass.NOT_RUN:
                 progress.may_have_run = may_have_run_before
                 upstream.misdirected |= platform.misdirected(head)
--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -138,6 +138,7 @@
         self._gateway = gateway
         self.responding = False
         self.delimited_by_eof = False
+        self.reused = False
         self._engine = engine
         self._prefill = False
         self._chunks = [b"", harness.event(1)]
--- a/bilberrydeal/gateway/tests/test_broken_answers.py
+++ b/bilberrydeal/gateway/tests/test_broken_answers.py
@@ -49,7 +49,7 @@
         load = running.cluster.endpoints["e2"].load
         if load is not None:
             load.peer_tokens.urgent = 3_000
-        reply = await running.send(path, **SHORT)
+        reply = await running.stream(path, **SHORT)
     assert broken.calls
     assert time.monotonic() - began_s < 1.0
     if path == "/once/1":
@@ -128,12 +128,32 @@
         other = harness.plain("e2", sound)
     async with harness.running(troubled, other) as running:
         for _request in range(4):
-            await running.send(path, **SHORT)
+            await running.stream(path, **SHORT)
             running.cluster.endpoints["e1"].paused_until_s = 0.0
             running.cluster.endpoints["e2"].pool.busy = 1
     assert len(ran) == len(set(ran))
 
 
+async def test_failure_written_twice_is_no_answer_to_the_next_request() -> (
+    None
+):
+    async def script(call: harness.Call) -> bytes:
+        if len(endpoint.calls) > 1:
+            await asyncio.sleep(0.2)
+            return harness.signed_response(call)
+        field = b"request-id: " + call.request_id + b"\r\n"
+        failure = harness.signed_response(call, 500).replace(field, b"")
+        asyncio.get_running_loop().call_later(0.05, call.writer.write, failure)
+        return failure
+
+    endpoint = harness.plain("e1", script)
+    async with harness.running(endpoint) as running:
+        first = await running.send()
+        second = await running.send()
+    assert (first.status, first.body) == (500, b"ok")
+    assert (second.status, second.body) == (502, b"")
+
+
 async def _broken_off(call: harness.Call) -> None:
     call.writer.write(
         harness.stream_head(call)
--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -78,7 +78,10 @@
         self.reusable = True
         #: Whether the response to the current request is complete.
         self.done = True
+        #: Whether it has carried an earlier request.
+        self.reused = False
         self._id_header = id_header
+        self._used = False
         self._request_id = b""
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -122,6 +125,8 @@
         """Send a request; raises :class:`NotSent` on a closed connection."""
         if self._closed or self._transport is None:
             raise NotSent
+        self.reused = self._used
+        self._used = True
         self._request_id = request_id
         self._head = None
         self._buffered = b""
--- a/bilberrydeal/platform/_responses.py
+++ b/bilberrydeal/platform/_responses.py
@@ -24,9 +24,17 @@
     INVALID = "defect"
 
 
-def classify_response(head: http1.ResponseHead) -> ResponseClass:
-    """Classify the response to a forwarded request."""
+def classify_response(
+    head: http1.ResponseHead, reused: bool = False
+) -> ResponseClass:
+    """Classify the response to a forwarded request.
+
+    Without an id it may be a copy of an earlier response, if the connection
+    was ``reused``.
+    """
     names = _headers.HEADERS
+    if reused and head.header(names.request_id) is None:
+        return ResponseClass.INVALID
     if head.status == MISDIRECTED or head.header(names.not_executed):
         return ResponseClass.NOT_RUN
     if head.header(names.content_encoding) is not None:
@@ -39,8 +47,12 @@
     return ResponseClass.FAILURE
 
 
-def classify_prefill_response(head: http1.ResponseHead) -> ResponseClass:
+def classify_prefill_response(
+    head: http1.ResponseHead, reused: bool = False
+) -> ResponseClass:
     """Classify the response to a prefill request."""
+    if reused and head.header(_headers.HEADERS.request_id) is None:
+        return ResponseClass.INVALID
     if head.status == 200:
         return ResponseClass.RESULT
     if head.status == MISDIRECTED or head.header(
