Wait for a silent engine as long as callers do, less what a move takes

Change: a run moves 0.5 s before its caller gives up (after 1.5 s where that is 2 s). What it then still has is late either way, as a pause of 0.5 s is. A prefill moves as early as before: it runs nothing. Three tests of what happens once a run has moved had engines silent for 1.2 or 1.9 s and expected a move within it, the fault itself. They keep their scripts and checks and set the old time by a fixture.

--- a/bilberrydeal/gateway/streams/_client_stream.py
+++ b/bilberrydeal/gateway/streams/_client_stream.py
@@ -7,11 +7,14 @@
 from . import _continuation
 from . import _events
 
-#: Shortest time without an event after which a resumable stream may move to
-#: another engine, in seconds; else it is a multiple of the longest gap that
-#: callers accept.
+#: Time without an event after which a prefill may move to another engine, in
+#: seconds, and as a multiple of the longest gap that callers accept.
 MIN_STALL_S = 0.5
 STALL_GAPS = 3.5
+#: Time that another engine is given to go on before callers give up, in
+#: seconds. A run moves only then: a sound engine may be silent for a second or
+#: so, works on meanwhile, and doesn't see that its connection was closed.
+RESUME_S = 0.5
 
 
 @attrs.define
@@ -46,10 +49,16 @@
         return min(limit_s, self.admitted.deadline_s)
 
     @property
-    def stall_s(self) -> float:
-        """Return the time without an event after which to look elsewhere."""
+    def prefill_stall_s(self) -> float:
+        """Return the time after which a prefill may move: it runs nothing."""
         return max(MIN_STALL_S, STALL_GAPS * self.admitted.route.target_gap_s)
 
+    @property
+    def stall_s(self) -> float:
+        """Return the time without an event after which a run may move."""
+        limit_s = self.admitted.route.stall_limit_s - RESUME_S
+        return max(self.prefill_stall_s, limit_s)
+
     @property
     def retry_allowed(self) -> bool:
         """Return whether the route allows a retry after this send."""
--- a/bilberrydeal/gateway/streams/_stream_placement.py
+++ b/bilberrydeal/gateway/streams/_stream_placement.py
@@ -175,6 +175,14 @@
         self, stream: _client_stream.ClientStream, placed: placement.Placement
     ) -> sending.Patience | None:
         """Return when to consider another engine, if the route allows one."""
+        return self._patience(stream, placed, stream.stall_s)
+
+    def _patience(
+        self,
+        stream: _client_stream.ClientStream,
+        placed: placement.Placement,
+        stall_s: float,
+    ) -> sending.Patience | None:
         if not stream.retry_allowed:
             return None
         sent_s = self._clock()
@@ -188,7 +196,7 @@
             ) and self._retry_policy.reserve(stream.admitted, stream.progress)
 
         return sending.Patience(
-            max(first_s, stream.stall_s), RECONSIDER_INTERVAL_S, gives_up
+            max(first_s, stall_s), RECONSIDER_INTERVAL_S, gives_up
         )
 
     def prefill_patience(
@@ -204,7 +212,7 @@
         limit_s = sent_s + placement.too_late_after_s(
             placed, stream.event_deadline_s - sent_s
         )
-        elsewhere = self.patience(stream, placed)
+        elsewhere = self._patience(stream, placed, stream.prefill_stall_s)
         # It is sent once the link of this host is free.
         link_wait_s = self._uplink.wait_s(stream.admitted.priority)
         first_s = limit_s - sent_s - link_wait_s
--- a/bilberrydeal/gateway/tests/test_silent_engine.py
+++ b/bilberrydeal/gateway/tests/test_silent_engine.py
@@ -13,6 +13,7 @@
 from ... import systems
 from ...systems import retries
 from ..core import _requests
+from ..streams import _client_stream
 from . import harness
 
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
@@ -93,6 +94,12 @@
     await asyncio.sleep(0.05)
 
 
+@pytest.fixture
+def _early_moves(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let runs move after 0.7 s, so that they do while engines are silent."""
+    monkeypatch.setattr(_client_stream, "RESUME_S", 1.3)
+
+
 def _prefer_first(running: harness.RequestPath) -> None:
     """Let the first request go to engine ``d1``."""
     load = running.cluster.endpoints["d2"].load
@@ -120,6 +127,22 @@
     assert reply.body == EVENTS
 
 
+@pytest.mark.parametrize("script", [_silent_midway, _silent_before_head])
+async def test_stream_does_not_run_beside_a_sound_engine_that_is_silent(
+    script: harness.Script,
+) -> None:
+    silent = harness.engine("d1", "decode", script)
+    other = harness.engine("d2", "decode", _decode)
+    async with harness.running(silent, other) as running:
+        _prefer_first(running)
+        reply = await running.stream(
+            "/chat-long/1", deadline_ms=10_000, **SHORT
+        )
+    assert reply.complete
+    assert reply.body == EVENTS
+    assert other.calls == []
+
+
 @pytest.mark.parametrize("script", [_silent_midway, _silent_before_head])
 async def test_silent_engine_is_waited_for_without_a_retry_budget(
     script: harness.Script,
@@ -250,6 +273,7 @@
     return events + harness.chunk(b"")
 
 
+@pytest.mark.usefixtures("_early_moves")
 async def test_first_event_is_logged_for_the_engine_that_sent_it(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
@@ -270,6 +294,7 @@
     assert sends[1]["first_ms"] is None
 
 
+@pytest.mark.usefixtures("_early_moves")
 @pytest.mark.parametrize("last_engine", [_decode, _decode_slowly])
 async def test_no_event_comes_twice_when_the_second_engine_is_silent_too(
     last_engine: harness.Script,
@@ -335,6 +360,7 @@
         assert running.server.requests_open == 0
 
 
+@pytest.mark.usefixtures("_early_moves")
 async def test_streams_beyond_the_retry_budget_wait_for_a_silent_engine() -> (
     None
 ):
