Let peers read slowly, as long as they are there

Endpoints that read a long request slowly were reset as well. Cause: TCP_USER_TIMEOUT of 1.5 s also ends a connection whose peer keeps its window closed, though it answers each probe. Class: silence and slowness taken for one. Change: callers' connections have no such limit. What they leave unread is bounded by the request's deadline, the idle timeout without progress, and the memory budget, as before. Connections to endpoints have 10 s while a request of 64 KiB and more is written, and 1.5 s as before for all others, which fit into the peer's buffer.

--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -82,6 +82,8 @@
         self.reused = False
         self._id_header = id_header
         self._used = False
+        #: Whether the current request is large.
+        self._large = False
         self._request_id = b""
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -125,6 +127,10 @@
         """Send a request; raises :class:`NotSent` on a closed connection."""
         if self._closed or self._transport is None:
             raise NotSent
+        large = len(body) >= _sockets.LARGE_BYTES
+        if large is not self._large:
+            self._large = large
+            _sockets.limit_unacknowledged(self._transport, len(body))
         self.reused = self._used
         self._used = True
         self._request_id = request_id
@@ -185,7 +191,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and configure its socket."""
         self._transport = typing.cast(asyncio.Transport, transport)
-        _sockets.enable_peer_timeouts(self._transport)
+        _sockets.enable_keep_alive(self._transport)
+        _sockets.limit_unacknowledged(self._transport, 0)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection on unsolicited ones."""
--- a/bilberrydeal/http1/_connection.py
+++ b/bilberrydeal/http1/_connection.py
@@ -264,7 +264,7 @@
             self._disconnected = True
             self._transport.abort()
             return
-        _sockets.enable_peer_timeouts(self._transport)
+        _sockets.enable_keep_alive(self._transport)
         self._transport.set_write_buffer_limits(
             UNREAD_LIMIT_BYTES, UNREAD_RESUME_BYTES
         )
