Suspect a request in each run that is lost, however long it went on

Cause: a stream that had gone on for 0.5 s was no suspect, and one that had gone on for 1 s counted as sound, for the request as for the parts of its prompt. That is right for parts, which do harm at the begin. Class: proof for one thing taken as proof for another. Change: a request is sound only once it was completed; where only the end of the connection says so, once its engine has responded afterwards. Parts are judged as before, also where a part ends its engine late: that remains.

--- a/bilberrydeal/gateway/sending/_quarantine.py
+++ b/bilberrydeal/gateway/sending/_quarantine.py
@@ -19,7 +19,7 @@
 #: A stream whose first event arrived this long before its engine was lost did
 #: not crash it, in seconds.
 STREAM_BEGINNING_S = 0.5
-#: Time after the first event when a stream counts as sound, in seconds.
+#: Time after the first event when a prompt counts as sound, in seconds.
 SOUND_AFTER_S = 1.0
 #: How often a gateway that has started asks others, and how many.
 ASKS = 3
@@ -80,20 +80,34 @@
         """Record that the connection to an endpoint broke under a request.
 
         ``started`` tells whether its head had arrived, ``sent_s`` when it was
-        sent and ``first_s`` when its first event arrived.
+        sent and ``first_s`` when its first event arrived. A part of a prompt
+        does no harm once a stream has begun, a request may do it at any time.
         """
         now_s = self._clock()
         began = first_s is not None and now_s - first_s >= STREAM_BEGINNING_S
-        for *shared, own in _suspects(admitted):
-            loss = quarantine.EngineLoss(
-                _process_of(upstream),
-                upstream.endpoint.failure_domain,
-                quarantine.SuspectPrompt(
-                    own, () if began else tuple(shared), started
-                ),
-                sent_s,
+        for *shared, own in _prompt_suspects(admitted):
+            suspect = quarantine.SuspectPrompt(
+                own, () if began else tuple(shared), started
             )
-            self._system.observe_loss(loss, now_s)
+            self._observe_loss(upstream, suspect, sent_s, now_s)
+        for *shared, own in _request_suspects(admitted):
+            suspect = quarantine.SuspectPrompt(own, tuple(shared), started)
+            self._observe_loss(upstream, suspect, sent_s, now_s)
+
+    def _observe_loss(
+        self,
+        upstream: cluster_state.Upstream,
+        suspect: quarantine.SuspectPrompt,
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        loss = quarantine.EngineLoss(
+            _process_of(upstream),
+            upstream.endpoint.failure_domain,
+            suspect,
+            sent_s,
+        )
+        self._system.observe_loss(loss, now_s)
 
     def endpoint_responded(
         self, upstream: cluster_state.Upstream, sent_s: float
@@ -108,10 +122,18 @@
         self._system.observe_end(_process_of(upstream), self._clock())
 
     def request_sound(self, admitted: core.AdmittedRequest) -> None:
-        """Record that a request was completed, or has gone on for a while."""
+        """Record that a request was completed."""
         for parts in _suspects(admitted):
             self._system.observe_sound(parts, self._clock())
 
+    def prompt_sound(self, admitted: core.AdmittedRequest) -> None:
+        """Record that a stream has gone on for a while.
+
+        This proves nothing of the request: it may crash its engine later.
+        """
+        for parts in _prompt_suspects(admitted):
+            self._system.observe_sound(parts, self._clock())
+
     def request_ended(
         self,
         upstream: cluster_state.Upstream,
@@ -263,16 +285,27 @@
 def _suspects(
     admitted: core.AdmittedRequest,
 ) -> list[quarantine.Parts]:
-    """Return what may crash an endpoint: the prompt's parts, the request.
+    """Return what may crash an endpoint: the prompt's parts, the request."""
+    return [*_prompt_suspects(admitted), *_request_suspects(admitted)]
+
 
-    A request may come again with another query.
-    """
+def _prompt_suspects(
+    admitted: core.AdmittedRequest,
+) -> list[quarantine.Parts]:
+    """Return the parts of the prompt, if there is one."""
+    if admitted.prompt is None:
+        return []
+    parts = (part.part_id for part in admitted.prompt.parts)
+    return [quarantine.prompt_parts(parts)]
+
+
+def _request_suspects(
+    admitted: core.AdmittedRequest,
+) -> list[quarantine.Parts]:
+    """Return what stands for the request, which may have another query."""
     suspects = [quarantine.request_parts(admitted.fingerprint)]
     if admitted.path_fingerprint != admitted.fingerprint:
         suspects.append(quarantine.request_parts(admitted.path_fingerprint))
-    if admitted.prompt is not None:
-        parts = (part.part_id for part in admitted.prompt.parts)
-        suspects.insert(0, quarantine.prompt_parts(parts))
     return suspects
 
 
--- a/bilberrydeal/gateway/streams/_stream.py
+++ b/bilberrydeal/gateway/streams/_stream.py
@@ -294,7 +294,7 @@
                 begun_s = stream.progressed_s - first_s
                 if not told_sound and begun_s >= sending.SOUND_AFTER_S:
                     told_sound = True
-                    self._quarantine.request_sound(stream.admitted)
+                    self._quarantine.prompt_sound(stream.admitted)
                 self._cluster.observe_progress(upstream, stream.progressed_s)
                 await responder.write_chunk(complete)
         if splitter.incomplete or first_s is None:
@@ -302,12 +302,11 @@
             self._quarantine.endpoint_lost(
                 upstream, stream.admitted, True, exchange.sent_s, first_s
             )
-        elif (
-            not exchange.connection.delimited_by_eof
-            or self._clock() - first_s >= sending.STREAM_BEGINNING_S
-        ):
+        elif not exchange.connection.delimited_by_eof:
             self._quarantine.request_sound(stream.admitted)
         else:
+            if self._clock() - first_s >= sending.STREAM_BEGINNING_S:
+                self._quarantine.prompt_sound(stream.admitted)
             self._quarantine.request_ended(upstream, stream.admitted)
         if splitter.incomplete:
             self._cluster.observe(upstream, False, self._clock())
--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -41,6 +41,8 @@
 CONNECT_S = 0.001
 #: Time from the start of a run until it crashes its engine, in seconds.
 CRASH_S = 0.02
+#: Time between two events of a stream that crashes its engine, in seconds.
+EVENT_PAUSE_S = 0.15
 #: Time from a crash until the registration is gone, in seconds.
 LEASE_S = 2.6
 #: Time of a prefill and until the first event of a stream, in seconds.
@@ -114,6 +116,8 @@
     crashed: asyncio.Event = attrs.field(factory=asyncio.Event)
     #: Body of requests that crash it once it begins to run them.
     crashing_body: bytes | None = None
+    #: Time from the start of a run until it crashes the engine, in seconds.
+    crash_s: float = CRASH_S
     #: Requests a second that it says it takes, infinite if it says nothing.
     limit_per_s: float = math.inf
     #: When it first named a limit to each gateway.
@@ -142,6 +146,8 @@
         self._engine = engine
         self._prefill = False
         self._chunks = [b"", harness.event(1)]
+        self._crashing = False
+        self._last_event = 0
 
     def send(self, head: bytes, body: bytes, request_id: bytes = b"") -> None:
         """Record the arrival of a request."""
@@ -159,8 +165,9 @@
                 )
             )
         if body == self._engine.crashing_body and not self._prefill:
+            self._crashing = True
             asyncio.get_running_loop().call_later(
-                CRASH_S, self._engine.crashed.set
+                self._engine.crash_s, self._engine.crashed.set
             )
 
     async def head(self) -> http1.ResponseHead:
@@ -185,10 +192,22 @@
 
     async def chunk(self) -> bytes:
         """Return the next event, then the end."""
+        if self._crashing:
+            return await self._event_until_crash()
         data = self._chunks.pop()
         self.done = not data
         return data
 
+    async def _event_until_crash(self) -> bytes:
+        """Return an event now and then until the engine crashes."""
+        try:
+            async with asyncio.timeout(EVENT_PAUSE_S):
+                await self._engine.crashed.wait()
+            raise http1.IncompleteResponse
+        except TimeoutError:
+            self._last_event += 1
+            return harness.event(self._last_event)
+
 
 class Pool(http1.Pool):
     """Opens connections to a scripted engine."""
--- a/bilberrydeal/gateway/tests/test_crashing_requests.py
+++ b/bilberrydeal/gateway/tests/test_crashing_requests.py
@@ -41,6 +41,8 @@
     same_id: bool = False
     #: Sound requests of all callers, in requests per second.
     requests_per_s: float = 25.0
+    #: Time from the start of a run until it crashes its endpoint, in seconds.
+    crash_s: float = crashing_engines.CRASH_S
 
 
 _PLAIN = ("", "", "", "")
@@ -56,6 +58,8 @@
     "stream_one_gateway": Load(1, _DECODE, "chat", 2.0),
     "stream": Load(4, _DECODE, "chat", 1.0),
     "stream_once": Load(4, _DECODE, "chat-once", 1.0),
+    "stream_midway": Load(4, _DECODE, "chat", 1.0, crash_s=1.5),
+    "stream_midway_once": Load(4, _DECODE, "chat-once", 2.0, crash_s=1.0),
     "stream_stages": Load(4, _STAGES, "chat", 1.0),
     "stream_31_gateways": Load(31, _DECODE, "chat", 0.5),
     "plain_same_id": Load(4, _PLAIN, "once", 3.0, same_id=True),
@@ -111,7 +115,11 @@
             endpoint = self._start(number, role)
 
     def _start(self, number: int, role: str) -> crashing_engines.Engine:
-        return self.add_endpoint(role, f"d{number}", crashing_body=BAD_BODY)
+        endpoint = self.add_endpoint(
+            role, f"d{number}", crashing_body=BAD_BODY
+        )
+        endpoint.crash_s = self._load.crash_s
+        return endpoint
 
     async def _restart_endpoint(
         self, endpoint: crashing_engines.Engine
