Suspect requests that callers left before their endpoint was lost

Cause: a lost endpoint was connected only with requests that still waited for it. Class: evidence that ends with the one who watched. Change: what was cancelled in flight is remembered for 6 s by its fingerprint and counts as lost once its endpoint is: by another request, a refused connection, an entry that lapses without leaving or names a new start.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -163,6 +163,7 @@
         self._version_history = origins.VersionHistory()
         self._origin_rows = self._new_origin_rows()
         self._cluster.subscribe_restarts(self._quarantine.endpoint_restarted)
+        self._cluster.subscribe_lapses(self._quarantine.endpoint_gone)
         self._endpoint_updater = cluster_state.EndpointUpdater(
             self._cluster, self._connectivity, clock
         )
--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -34,8 +34,9 @@
 Clock = collections.abc.Callable[[], float]
 
 
-#: Gets the former run of an endpoint that has started again.
-OnRestart = collections.abc.Callable[[_upstream.Upstream], None]
+#: Gets the former run of an endpoint that has started again, or an endpoint
+#: whose entry lapsed.
+OnGone = collections.abc.Callable[[_upstream.Upstream], None]
 
 
 class ClusterState:
@@ -69,7 +70,8 @@
         self._speeds: dict[str, placement.ServiceSpeed] = {}
         #: All gateways, which share the request limits of endpoints.
         self._gateways = limits.ProcessGroup()
-        self._on_restart: list[OnRestart] = []
+        self._on_restart: list[OnGone] = []
+        self._on_lapse: list[OnGone] = []
         #: Endpoints that were removed, the latest ones, by id.
         self._removed: dict[str, _upstream.Upstream] = {}
 
@@ -99,10 +101,14 @@
         )
         return True
 
-    def subscribe_restarts(self, handler: OnRestart) -> None:
+    def subscribe_restarts(self, handler: OnGone) -> None:
         """Register what gets the former run of a restarted endpoint."""
         self._on_restart.append(handler)
 
+    def subscribe_lapses(self, handler: OnGone) -> None:
+        """Register what gets an endpoint that is gone without leaving."""
+        self._on_lapse.append(handler)
+
     def set_endpoint(self, endpoint: catalogue.Endpoint) -> None:
         """Add or update an endpoint."""
         if self._departures.covers(endpoint):
@@ -190,6 +196,9 @@
         self._removed[endpoint_id] = upstream
         if len(self._removed) > REMOVED_LIMIT:
             del self._removed[next(iter(self._removed))]
+        if upstream.endpoint.ready:
+            for handler in self._on_lapse:
+                handler(upstream)
         upstream.endpoint = attrs.evolve(upstream.endpoint, ready=False)
         self.tables.of(systems.EndpointView).remove(endpoint_id)
         LOG.info("Endpoint removed.", endpoint=endpoint_id, reason=reason)
--- a/bilberrydeal/gateway/sending/_quarantine.py
+++ b/bilberrydeal/gateway/sending/_quarantine.py
@@ -10,6 +10,7 @@
 from .. import cluster_state
 from .. import core
 from .. import messaging
+from . import _abandoned
 
 LOG = telemetry.logger("quarantine")
 #: Interval between decisions, and between datagrams, in seconds.
@@ -65,6 +66,7 @@
         self._metrics = metrics
         self._rng = rng
         self._clock = clock
+        self._abandoned = _abandoned.AbandonedRuns()
         self._asked = 0
         self._asked_s = float("-inf")
         datagrams.subscribe(self._on_datagram)
@@ -93,6 +95,35 @@
         for *shared, own in _request_suspects(admitted):
             suspect = quarantine.SuspectPrompt(own, tuple(shared), started)
             self._observe_loss(upstream, suspect, sent_s, now_s)
+        self.endpoint_gone(upstream)
+
+    def endpoint_gone(self, upstream: cluster_state.Upstream) -> None:
+        """Suspect the requests that were abandoned at a lost endpoint."""
+        now_s = self._clock()
+        for run in self._abandoned.take(_process_of(upstream), now_s):
+            for *shared, own in run.suspects:
+                suspect = quarantine.SuspectPrompt(
+                    own, tuple(shared), run.started
+                )
+                self._observe_loss(upstream, suspect, run.sent_s, now_s)
+
+    def request_abandoned(
+        self,
+        upstream: cluster_state.Upstream,
+        admitted: core.AdmittedRequest,
+        started: bool,
+        sent_s: float,
+    ) -> None:
+        """Record that nobody waits any longer for what an endpoint runs."""
+        self._abandoned.add(
+            _abandoned.AbandonedRun(
+                _process_of(upstream),
+                tuple(_request_suspects(admitted)),
+                started,
+                sent_s,
+                self._clock(),
+            )
+        )
 
     def _observe_loss(
         self,
@@ -119,6 +150,7 @@
 
     def endpoint_restarted(self, upstream: cluster_state.Upstream) -> None:
         """Record that an endpoint has ended and started again."""
+        self.endpoint_gone(upstream)
         self._system.observe_end(_process_of(upstream), self._clock())
 
     def request_sound(self, admitted: core.AdmittedRequest) -> None:
--- a/bilberrydeal/gateway/sending/_sending.py
+++ b/bilberrydeal/gateway/sending/_sending.py
@@ -167,6 +167,7 @@
             record.outcome = f"not offered, {error}"
             if not upstream.pool.exhausted:
                 self._cluster.observe(upstream, False, self._clock())
+                self._quarantine.endpoint_gone(upstream)
             raise NotOffered(str(error)) from error
         try:
             _check_accepting(upstream, record, self._clock())
@@ -223,6 +224,12 @@
             progress.may_have_run = may_have_run_before
             record.outcome = "not offered"
             raise
+        except asyncio.CancelledError:
+            if not fields.prefill and not connection.done:
+                self._quarantine.request_abandoned(
+                    upstream, admitted, connection.responding, sent_s
+                )
+            raise
         except (Rejected, Lost) as error:
             record.outcome = f"{type(error).__name__.lower()}, {error}"
             raise
--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -172,6 +172,9 @@
 
     async def head(self) -> http1.ResponseHead:
         """Return a head unless the engine crashes before."""
+        if self._crashing and self._engine.endpoint.role is None:
+            await self._engine.crashed.wait()
+            raise http1.IncompleteResponse
         try:
             async with asyncio.timeout(
                 PREFILL_S if self._prefill else DECODE_S
@@ -341,6 +344,7 @@
             datagrams, self.cluster, name, lambda: self._peers, clock
         )
         self.cluster.subscribe_restarts(self._quarantine.endpoint_restarted)
+        self.cluster.subscribe_lapses(self._quarantine.endpoint_gone)
         sender = _sending.Sender(
             self.cluster,
             self.policy,
--- a/bilberrydeal/gateway/tests/test_crashing_requests.py
+++ b/bilberrydeal/gateway/tests/test_crashing_requests.py
@@ -43,6 +43,9 @@
     requests_per_s: float = 25.0
     #: Time from the start of a run until it crashes its endpoint, in seconds.
     crash_s: float = crashing_engines.CRASH_S
+    #: Time after which the caller of the crashing request leaves, in seconds;
+    #: ``None`` for one who waits.
+    leaves_after_s: float | None = None
 
 
 _PLAIN = ("", "", "", "")
@@ -54,6 +57,21 @@
     "plain_once": Load(4, _PLAIN, "once", 1.0),
     "plain_often": Load(4, _PLAIN, "read", 0.2),
     "plain_seldom": Load(4, _PLAIN, "once", 5.0),
+    "plain_caller_leaves": Load(
+        2, _PLAIN, "once", 1.0, crash_s=0.35, leaves_after_s=0.2
+    ),
+    "plain_caller_leaves_unloaded": Load(
+        2,
+        _PLAIN,
+        "read",
+        0.8,
+        requests_per_s=2.0,
+        crash_s=0.35,
+        leaves_after_s=0.2,
+    ),
+    "stream_caller_leaves": Load(
+        4, _DECODE, "chat", 1.0, crash_s=0.6, leaves_after_s=0.4
+    ),
     "plain_31_gateways": Load(31, _PLAIN, "read", 1.0),
     "stream_one_gateway": Load(1, _DECODE, "chat", 2.0),
     "stream": Load(4, _DECODE, "chat", 1.0),
@@ -142,14 +160,14 @@
                 self.random.uniform(0.2, 1.0) * self._load.interval_s
             )
             gateway = self.random.choice(self.gateways)
-            status = await self.call(
-                gateway,
-                b"bad%d" % next(self.ids),
-                self._load.route,
-                BAD_BODY,
+            task = gateway.start(
+                b"bad%d" % next(self.ids), self._load.route, BAD_BODY
             )
-            if status is not None:
-                self.bad_statuses.append(status)
+            await asyncio.wait([task], timeout=self._load.leaves_after_s)
+            task.cancel()
+            await asyncio.wait([task])
+            if not task.cancelled():
+                self.bad_statuses.append(task.result())
 
     async def _send_sound(self, tasks: asyncio.TaskGroup) -> None:
         """Send sound requests, some of them alike."""
