Suspect a request that was answered before by what is lost afterwards

Cause: a request of which one run was completed in the last ten minutes was left out of all evidence, and gateways that knew it as sound told the others so. Class: a proof without a date. Change: a completed run clears a request of the losses before it, and of no later ones. What was completed once waits 1.5 s for objections and yields to suspects that never were, so a sound request beside a crashing one is still told from it (test_request_that_was_completed_is_not_kept_from_endpoints, unchanged). Parts of prompts are judged as before.

--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -118,6 +118,8 @@
     crashing_body: bytes | None = None
     #: Time from the start of a run until it crashes the engine, in seconds.
     crash_s: float = CRASH_S
+    #: Time from which on they do so, and are answered before.
+    crashes_from_s: float = 0.0
     #: Requests a second that it says it takes, infinite if it says nothing.
     limit_per_s: float = math.inf
     #: When it first named a limit to each gateway.
@@ -164,11 +166,14 @@
                     self._engine.endpoint.endpoint_id,
                 )
             )
-        if body == self._engine.crashing_body and not self._prefill:
+        loop = asyncio.get_running_loop()
+        if (
+            body == self._engine.crashing_body
+            and not self._prefill
+            and loop.time() >= self._engine.crashes_from_s
+        ):
             self._crashing = True
-            asyncio.get_running_loop().call_later(
-                self._engine.crash_s, self._engine.crashed.set
-            )
+            loop.call_later(self._engine.crash_s, self._engine.crashed.set)
 
     async def head(self) -> http1.ResponseHead:
         """Return a head unless the engine crashes before."""
--- a/bilberrydeal/gateway/tests/test_crashing_requests.py
+++ b/bilberrydeal/gateway/tests/test_crashing_requests.py
@@ -43,6 +43,8 @@
     requests_per_s: float = 25.0
     #: Time from the start of a run until it crashes its endpoint, in seconds.
     crash_s: float = crashing_engines.CRASH_S
+    #: Time of the play from which on it crashes endpoints.
+    crashes_from_s: float = 0.0
     #: Time after which the caller of the crashing request leaves, in seconds;
     #: ``None`` for one who waits.
     leaves_after_s: float | None = None
@@ -57,6 +59,12 @@
     "plain_once": Load(4, _PLAIN, "once", 1.0),
     "plain_often": Load(4, _PLAIN, "read", 0.2),
     "plain_seldom": Load(4, _PLAIN, "once", 5.0),
+    "plain_once_sound": Load(4, _PLAIN, "read", 0.8, crashes_from_s=10.0),
+    "plain_once_sound_often": Load(
+        4, _PLAIN, "once", 0.3, crashes_from_s=10.0
+    ),
+    "stream_once_sound": Load(4, _DECODE, "chat", 0.8, crashes_from_s=10.0),
+    "sound_31_gateways": Load(31, _PLAIN, "read", 0.4, crashes_from_s=10.0),
     "plain_caller_leaves": Load(
         2, _PLAIN, "once", 1.0, crash_s=0.35, leaves_after_s=0.2
     ),
@@ -137,6 +145,7 @@
             role, f"d{number}", crashing_body=BAD_BODY
         )
         endpoint.crash_s = self._load.crash_s
+        endpoint.crashes_from_s = self.began_s + self._load.crashes_from_s
         return endpoint
 
     async def _restart_endpoint(
--- a/bilberrydeal/systems/quarantine/_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/_crash_counts.py
@@ -152,7 +152,7 @@
         if self.find(parts, now_s) is not None:
             return True
         return any(
-            self._weigh(part).suspicious
+            self._weigh(part, now_s).suspicious
             for part in parts[:-1]
             if self._crashes.count(part) >= _evidence.SUSPECTED_CRASHES
         )
@@ -226,7 +226,7 @@
             part
             for part in dict.fromkeys(prompt.parts)
             if 0 < len(part) <= _base.PART_BYTES_LIMIT
-            and not self._sound.knows(part, now_s)
+            and not self._sound.acquits(part, crash.at_s, now_s)
         )
         if not parts:
             return False
@@ -243,7 +243,7 @@
         crash = self._crashes.put(report.process, report.failure_domain, at_s)
         for prompt in report.prompts:
             for part in prompt.parts:
-                self._report_sound(part, now_s)
+                self._report_sound(part, at_s, now_s)
             if _base.is_request(prompt.request_part):
                 self._add(self._run_crash(report, at_s, now_s), prompt, now_s)
             else:
@@ -267,12 +267,13 @@
     def _learn_quarantine(
         self, quarantine: _base.Quarantine, now_s: float
     ) -> None:
+        since_s = quarantine.decided_s
         for part in quarantine.parts:
-            self._report_sound(part, now_s)
+            self._report_sound(part, since_s, now_s)
         parts = frozenset(
             part
             for part in quarantine.parts
-            if not self._sound.knows(part, now_s)
+            if not self._sound.acquits(part, since_s, now_s)
         )
         learned = attrs.evolve(quarantine, parts=parts)
         if not parts or not _in_force(learned, now_s):
@@ -290,9 +291,11 @@
         if not any(narrower < parts for narrower in self._quarantines):
             self._quarantine(learned, now_s, learned_from_other=True)
 
-    def _report_sound(self, part: bytes, now_s: float) -> None:
+    def _report_sound(self, part: bytes, lost_s: float, now_s: float) -> None:
         """Tell others that a part is sound, unless it is being told."""
-        if part not in self._telling.sound and self._sound.knows(part, now_s):
+        if part not in self._telling.sound and self._sound.acquits(
+            part, lost_s, now_s
+        ):
             self._telling.sound.add(part, now_s)
 
     def _clear(self, part: bytes, now_s: float) -> bool:
@@ -361,7 +364,7 @@
             if self._crashes.count(part) < _evidence.SUSPECTED_CRASHES:
                 self._pending_s.pop(part, None)
                 continue
-            evidence = self._weigh(part)
+            evidence = self._weigh(part, now_s)
             self._note_suspected(evidence)
             if evidence.suffices:
                 self._pending_s.setdefault(part, now_s)
@@ -369,7 +372,7 @@
                 self._pending_s.pop(part, None)
         self._changed.clear()
         pending = [
-            (self._weigh(part), since_s)
+            (self._weigh(part, now_s), since_s)
             for part, since_s in self._pending_s.items()
         ]
         due = [
@@ -460,7 +463,7 @@
             and all(crash in under for crash in under_others)
         )
 
-    def _weigh(self, part: bytes) -> _evidence.Evidence:
+    def _weigh(self, part: bytes, now_s: float) -> _evidence.Evidence:
         crashes = self._crashes.independent(part)
         prompts = [crash.prompts_with(part) for crash in crashes]
         requests = {
@@ -472,6 +475,7 @@
             unexplained=self._unexplained(crashes),
             started=sum(any(p.started for p in each) for each in prompts),
             requests=len(requests),
+            once_sound=self._sound.knows(part, now_s),
         )
 
     def _unexplained(
--- a/bilberrydeal/systems/quarantine/_evidence.py
+++ b/bilberrydeal/systems/quarantine/_evidence.py
@@ -20,7 +20,8 @@
 UNEXPLAINED_CRASHES = 2
 #: Time for other gateways to contradict, in seconds.
 SETTLE_S = 0.5
-#: The same if few of the lost responses had started, in seconds.
+#: The same if few of the lost responses had started, or if it was completed
+#: before: a part that never was may explain the crashes, in seconds.
 UNSTARTED_SETTLE_S = 1.5
 
 
@@ -37,6 +38,8 @@
     started: int
     #: Number of different requests.
     requests: int
+    #: Whether it was completed before these crashes.
+    once_sound: bool = False
 
     @property
     def suspicious(self) -> bool:
@@ -65,14 +68,20 @@
     @property
     def settle_s(self) -> float:
         """Return the time for other gateways to contradict."""
-        if 2 * self.started >= len(self.crashes):
+        if 2 * self.started >= len(self.crashes) and not self.once_sound:
             return SETTLE_S
         return UNSTARTED_SETTLE_S
 
     @property
-    def weight(self) -> tuple[int, int, int, bytes]:
+    def weight(self) -> tuple[bool, int, int, int, bytes]:
         """Return the order among parts of the same crashes."""
-        return (len(self.crashes), self.started, self.requests, self.part)
+        return (
+            not self.once_sound,
+            len(self.crashes),
+            self.started,
+            self.requests,
+            self.part,
+        )
 
     @property
     def engines(self) -> tuple[str, ...]:
--- a/bilberrydeal/systems/quarantine/_sound_parts.py
+++ b/bilberrydeal/systems/quarantine/_sound_parts.py
@@ -38,5 +38,20 @@
         seen_s = self._of_kind(part).get(part)
         return seen_s is not None and now_s - seen_s < KEPT_S
 
+    def completed_since(self, part: bytes, at_s: float) -> bool:
+        """Return whether a stream with a part was completed since a time."""
+        seen_s = self._of_kind(part).get(part)
+        return seen_s is not None and seen_s >= at_s
+
+    def acquits(self, part: bytes, lost_s: float, now_s: float) -> bool:
+        """Return whether a part did not crash an engine lost at a time.
+
+        A part of prompts that was completed once is sound. A request may
+        begin to crash endpoints, so only what came after the loss counts.
+        """
+        if _base.is_request(part):
+            return self.completed_since(part, lost_s)
+        return self.knows(part, now_s)
+
     def _of_kind(self, part: bytes) -> collections.OrderedDict[bytes, float]:
         return self._requests_s if _base.is_request(part) else self._parts_s
