Split the limits for callers off the process, and list its periodic work

The limits for callers are a class of their own; periodic work is a list in place of ten calls of the same shape; what knows the origins of streams is made in one place, for the process and for tests. No change of behaviour.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import operator
 import os
 import pathlib
 import random
@@ -12,7 +11,6 @@
 
 import attrs
 
-from .. import catalogue
 from .. import decoding
 from .. import http1
 from .. import periodic
@@ -25,6 +23,7 @@
 from ..systems import quarantine
 from ..systems import quotas as quota_systems
 from ..systems import retries
+from . import _caller_limits
 from . import _settings_watcher
 from . import _shutdown
 from . import _uplink
@@ -47,31 +46,37 @@
 ORIGINS_TIMEOUT_S = 0.5
 #: Interval between checks of the settings file.
 SETTINGS_INTERVAL_S = 2.0
-#: Share of the open files limit for callers' connections.
-CALLERS_FILES_SHARE = 0.6
-#: Share of the memory limit for what is held for callers.
-CALLERS_MEMORY_SHARE = 0.3
-#: Share of the memory limit for the objects of callers' connections.
-CONNECTIONS_MEMORY_SHARE = 0.1
-#: Memory of the objects of an idle connection, in bytes.
-CONNECTION_BYTES = 8_000
-#: Limits in force until the first configuration is loaded.
-INITIAL_LIMITS = http1.ServerLimits(
-    header_bytes=16_384,
-    body_bytes=1_048_576,
-    header_timeout_s=3.0,
-    idle_timeout_s=15.0,
-)
 #: Limits of the readiness and the metrics server, whose requests have no body
 #: and come from few callers.
 INTERNAL_LIMITS = attrs.evolve(
-    INITIAL_LIMITS,
+    _caller_limits.INITIAL_LIMITS,
     body_bytes=65_536,
     connections=64,
     memory_bytes=2_000_000,
 )
 
 
+class _Runnable(typing.Protocol):
+    """A part of a gateway that is run periodically."""
+
+    async def run_once(self) -> None:
+        """Do the work that is due."""
+
+
+@attrs.frozen
+class _PeriodicWork:
+    """Work that is repeated until the process ends."""
+
+    name: str
+    #: Returns the pause before the next round, in seconds.
+    pause_s: collections.abc.Callable[[], float]
+    once: periodic.WorkFunction
+
+
+def _work(name: str, pause_s: float, part: _Runnable) -> _PeriodicWork:
+    return _PeriodicWork(name, lambda: pause_s, part.run_once)
+
+
 class Gateway:
     """A gateway process: its servers, its state and its periodic tasks."""
 
@@ -159,19 +164,13 @@
             rng,
             clock,
         )
-        self._origin_memory = origins.OriginMemory()
-        self._version_history = origins.VersionHistory()
-        self._origin_rows = self._new_origin_rows()
+        self._origins = self._new_origins()
         self._cluster.subscribe_restarts(self._quarantine.endpoint_restarted)
         self._cluster.subscribe_lapses(self._quarantine.endpoint_gone)
         self._endpoint_updater = cluster_state.EndpointUpdater(
             self._cluster, self._connectivity, clock
         )
-        self._limits = INITIAL_LIMITS
-        #: What the limits for callers were derived from.
-        self._limits_basis: tuple[
-            catalogue.Configuration | None, settings.GatewaySettings | None
-        ] = (None, None)
+        self._limits = _caller_limits.CallerLimits()
         self._caller_server = http1.HttpServer(
             self._new_handler(rng).handle, self._caller_limits, clock
         )
@@ -182,7 +181,7 @@
             self._handle_metrics, lambda: INTERNAL_LIMITS, clock
         )
 
-    def _new_origin_rows(self) -> origins.OriginRows:
+    def _new_origins(self) -> origins.Origins:
         client = store.StoreClient(
             self._store,
             ORIGINS_TIMEOUT_S,
@@ -191,12 +190,12 @@
             era=lambda: self._store.era,
         )
         store_clock = accounting.ClusterClock(lambda: self._store.clock)
-        return origins.OriginRows(
+        return origins.Origins(
             client,
             self._coordination.incarnation,
-            self._origin_memory,
-            self._version_history,
             self._cluster,
+            self._connectivity,
+            self._metrics,
             store_clock.store_s,
             lambda: self._coordination.is_candidate,
             self._clock,
@@ -236,15 +235,7 @@
                 self._uplink,
                 gateway_settings.failure_domain,
                 self._quarantine,
-                origins.OriginResolver(
-                    self._origin_memory,
-                    self._version_history,
-                    self._origin_rows,
-                    self._cluster,
-                    self._connectivity,
-                    self._metrics,
-                    self._clock,
-                ),
+                self._origins.resolver,
                 self._clock,
             ),
             retry_policy=retry_policy,
@@ -340,69 +331,48 @@
             )
         )
         self._spawn(periodic.keep_running("loads", self._load_exchange.run))
-        self._spawn(
-            periodic.run_periodically(
-                "hints",
-                lambda: cluster_state.HINT_INTERVAL_S,
-                self._hints.run_once,
+        for work in self._periodic_work():
+            self._spawn(
+                periodic.run_periodically(work.name, work.pause_s, work.once)
             )
+        for loop in self._coordination.loops():
+            self._spawn(loop)
+
+    def _periodic_work(self) -> list[_PeriodicWork]:
+        quarantine_rows = self._coordination.quarantine_rows(
+            self._quarantine, self._connectivity, self._clock
         )
-        self._spawn(
-            periodic.run_periodically(
+        return [
+            _work("hints", cluster_state.HINT_INTERVAL_S, self._hints),
+            _work(
                 "limits",
-                lambda: peer_exchange.LIMIT_BROADCAST_INTERVAL_S,
-                self._limit_broadcast.run_once,
-            )
-        )
-        self._spawn(
-            periodic.run_periodically(
-                "quotas",
-                lambda: quota_systems.TICK_INTERVAL_S,
-                self._quotas.run_once,
-            )
-        )
-        self._spawn(
-            periodic.run_periodically(
+                peer_exchange.LIMIT_BROADCAST_INTERVAL_S,
+                self._limit_broadcast,
+            ),
+            _work("quotas", quota_systems.TICK_INTERVAL_S, self._quotas),
+            _work(
                 "capability",
-                lambda: peer_exchange.CAPABILITY_INTERVAL_S,
-                self._capability_broadcast.run_once,
-            )
-        )
-        self._spawn(
-            periodic.run_periodically(
-                "quarantine",
-                lambda: sending.QUARANTINE_INTERVAL_S,
-                self._quarantine.run_once,
-            )
-        )
-        self._spawn(
-            periodic.run_periodically(
+                peer_exchange.CAPABILITY_INTERVAL_S,
+                self._capability_broadcast,
+            ),
+            _work(
+                "quarantine", sending.QUARANTINE_INTERVAL_S, self._quarantine
+            ),
+            _work(
                 "quarantine rows",
-                lambda: duties.QUARANTINE_ROWS_INTERVAL_S,
-                self._coordination.quarantine_rows(
-                    self._quarantine, self._connectivity, self._clock
-                ).run_once,
-            )
-        )
-        self._spawn(
-            periodic.run_periodically(
+                duties.QUARANTINE_ROWS_INTERVAL_S,
+                quarantine_rows,
+            ),
+            _PeriodicWork(
                 "origins",
-                self._origin_rows.pause_s,
-                self._origin_rows.run_once,
-            )
-        )
-        self._spawn(
-            periodic.run_periodically(
-                "sweep", lambda: SWEEP_INTERVAL_S, self._sweep
-            )
-        )
-        self._spawn(
-            periodic.run_periodically(
+                self._origins.rows.pause_s,
+                self._origins.rows.run_once,
+            ),
+            _PeriodicWork("sweep", lambda: SWEEP_INTERVAL_S, self._sweep),
+            _PeriodicWork(
                 "settings", lambda: SETTINGS_INTERVAL_S, self._check_settings
-            )
-        )
-        for loop in self._coordination.loops():
-            self._spawn(loop)
+            ),
+        ]
 
     def _spawn(
         self,
@@ -436,35 +406,8 @@
         )
 
     def _caller_limits(self) -> http1.ServerLimits:
-        configuration = self._cluster.configuration
-        basis = (configuration, self._settings)
-        if any(map(operator.is_not, basis, self._limits_basis)):
-            self._limits_basis = basis
-            self._limits = self._new_caller_limits(configuration)
-        return self._limits
-
-    def _new_caller_limits(
-        self, configuration: catalogue.Configuration | None
-    ) -> http1.ServerLimits:
-        memory = self._settings.memory_limit_mb * 1e6
-        limits = attrs.evolve(
-            INITIAL_LIMITS,
-            connections=int(
-                min(
-                    self._settings.open_files_limit * CALLERS_FILES_SHARE,
-                    memory * CONNECTIONS_MEMORY_SHARE / CONNECTION_BYTES,
-                )
-            ),
-            memory_bytes=int(memory * CALLERS_MEMORY_SHARE),
-        )
-        if configuration is None:
-            return limits
-        return attrs.evolve(
-            limits,
-            header_bytes=configuration.limits.header_bytes,
-            body_bytes=configuration.limits.body_bytes,
-            header_timeout_s=configuration.limits.header_timeout_s,
-            idle_timeout_s=configuration.limits.idle_timeout_s,
+        return self._limits.current(
+            self._cluster.configuration, self._settings
         )
 
     async def _handle_readiness(
--- /dev/null
+++ b/bilberrydeal/gateway/origins/_origins.py
@@ -0,0 +1,51 @@
+"""All that a gateway knows of the streams that were begun lately."""
+
+import collections.abc
+
+from ... import store
+from .. import cluster_state
+from .. import core
+from . import _memory
+from . import _resolver
+from . import _rows
+from . import _version_history
+
+
+class Origins:
+    """The resolver for requests and the rows behind it.
+
+    Example::
+
+        origins = Origins(client, "g1.17", cluster, ...)
+        await origins.rows.run_once()
+        origin = await origins.resolver.resolve(admitted)
+    """
+
+    def __init__(
+        self,
+        client: store.StoreClient,
+        incarnation: str,
+        cluster: cluster_state.ClusterState,
+        connectivity: cluster_state.StoreConnectivity,
+        metrics: core.GatewayMetrics,
+        store_s: _rows.StoreClock,
+        writes_versions: collections.abc.Callable[[], bool],
+        clock: _rows.Clock,
+    ) -> None:
+        memory = _memory.OriginMemory()
+        history = _version_history.VersionHistory()
+        #: What all gateways store.
+        self.rows = _rows.OriginRows(
+            client,
+            incarnation,
+            memory,
+            history,
+            cluster,
+            store_s,
+            writes_versions,
+            clock,
+        )
+        #: Binds requests to what began their streams.
+        self.resolver = _resolver.OriginResolver(
+            memory, history, self.rows, cluster, connectivity, metrics, clock
+        )
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -230,7 +230,7 @@
     usage_counter: "FakeUsageCounter"
     quarantine: _quarantine.RequestQuarantine
     shutdown: core.ShutdownState
-    origin_rows: origins.OriginRows
+    origins: origins.Origins
     last_id: int = 0
 
     async def send(
@@ -431,45 +431,24 @@
     )
 
 
-@attrs.frozen
-class Origins:
-    """What a gateway knows of the streams that were begun lately."""
-
-    rows: origins.OriginRows
-    resolver: origins.OriginResolver
-
-
 def new_origins(
     table: memory.MemoryStore,
     name: str,
     cluster: _cluster_state.ClusterState,
     metrics: _metrics.GatewayMetrics,
     clock: collections.abc.Callable[[], float],
-) -> Origins:
+) -> origins.Origins:
     """Return what a gateway knows, stores and reads of streams."""
-    client = store.StoreClient(table, 0.1, 1_000.0, era=lambda: table.era)
-    origin_memory = origins.OriginMemory()
-    history = origins.VersionHistory()
-    rows = origins.OriginRows(
-        client,
+    return origins.Origins(
+        store.StoreClient(table, 0.1, 1_000.0, era=lambda: table.era),
         name,
-        origin_memory,
-        history,
-        cluster,
-        clock,
-        lambda: True,
-        clock,
-    )
-    resolver = origins.OriginResolver(
-        origin_memory,
-        history,
-        rows,
         cluster,
         _store_sync.StoreConnectivity(clock()),
         metrics,
         clock,
+        lambda: True,
+        clock,
     )
-    return Origins(rows, resolver)
 
 
 @contextlib.asynccontextmanager
@@ -569,7 +548,7 @@
             usage_counter,
             request_quarantine,
             shutdown,
-            stream_origins.rows,
+            stream_origins,
         )
     finally:
         deciding.cancel()
--- a/bilberrydeal/gateway/tests/test_silent_engine.py
+++ b/bilberrydeal/gateway/tests/test_silent_engine.py
@@ -107,6 +107,11 @@
     load.peer_tokens.urgent = 3_000
 
 
+async def _long_stream(running: harness.RequestPath) -> harness.Reply:
+    """Send a request whose caller waits for long."""
+    return await running.stream("/chat-long/1", deadline_ms=10_000, **SHORT)
+
+
 @pytest.mark.parametrize(
     "other_engine",
     [_full, _reset, _failing, _broken_event, _silent_before_head, _decode],
@@ -120,9 +125,7 @@
     other = harness.engine("d2", "decode", other_engine)
     async with harness.running(silent, other) as running:
         _prefer_first(running)
-        reply = await running.stream(
-            "/chat-long/1", deadline_ms=10_000, **SHORT
-        )
+        reply = await _long_stream(running)
     assert reply.complete
     assert reply.body == EVENTS
 
@@ -135,9 +138,7 @@
     other = harness.engine("d2", "decode", _decode)
     async with harness.running(silent, other) as running:
         _prefer_first(running)
-        reply = await running.stream(
-            "/chat-long/1", deadline_ms=10_000, **SHORT
-        )
+        reply = await _long_stream(running)
     assert reply.complete
     assert reply.body == EVENTS
     assert other.calls == []
@@ -152,9 +153,7 @@
     async with harness.running(silent, other) as running:
         running.budget.limits = retries.WindowLimits(10.0, 0.0, 0.0)
         _prefer_first(running)
-        reply = await running.stream(
-            "/chat-long/1", deadline_ms=10_000, **SHORT
-        )
+        reply = await _long_stream(running)
     assert reply.status == 200
     assert reply.complete
     assert reply.body == EVENTS
@@ -185,9 +184,7 @@
     other = harness.engine("d2", "decode", _full)
     async with harness.running(silent, other) as running:
         _prefer_first(running)
-        stream = asyncio.create_task(
-            running.stream("/chat-long/1", deadline_ms=10_000, **SHORT)
-        )
+        stream = asyncio.create_task(_long_stream(running))
         await silent.arrived.wait()
         await asyncio.sleep(SILENCE_S / 2)
         upstream = running.cluster.endpoints["d1"]
@@ -215,9 +212,7 @@
     other = harness.engine("d2", "decode", _slow_before_head)
     async with harness.running(silent, other) as running:
         _prefer_first(running)
-        reply = await running.stream(
-            "/chat-long/1", deadline_ms=10_000, **SHORT
-        )
+        reply = await _long_stream(running)
     assert reply.complete
     assert reply.body == EVENTS
     assert len(other.calls) == 1
@@ -281,9 +276,7 @@
     other = harness.engine("d2", "decode", _head_then_silent_for_good)
     async with harness.running(silent, other) as running:
         _prefer_first(running)
-        reply = await running.stream(
-            "/chat-long/1", deadline_ms=10_000, **SHORT
-        )
+        reply = await _long_stream(running)
     assert reply.body == EVENTS
     assert len(other.calls) == 1
     steps = re.search(r"steps=(\[.*\])", capsys.readouterr().out)
@@ -308,9 +301,7 @@
             load = running.cluster.endpoints[name].load
             assert load is not None
             load.peer_tokens.urgent = tokens
-        reply = await running.stream(
-            "/chat-long/1", deadline_ms=10_000, **SHORT
-        )
+        reply = await _long_stream(running)
     assert reply.complete
     assert reply.body == EVENTS
     assert len(healthy.calls) == 1
@@ -322,9 +313,7 @@
     other = harness.engine("d2", "decode", _decode_slowly)
     async with harness.running(silent, other) as running:
         _prefer_first(running)
-        stream = asyncio.create_task(
-            running.stream("/chat-long/1", deadline_ms=10_000, **SHORT)
-        )
+        stream = asyncio.create_task(_long_stream(running))
         await silent.disconnected.wait()
         await asyncio.sleep(0.1)
         upstream = running.cluster.endpoints["d1"]
@@ -344,9 +333,7 @@
     other = harness.engine("d2", "decode", _decode_slowly)
     async with harness.running(silent, other) as running:
         _prefer_first(running)
-        stream = asyncio.create_task(
-            running.stream("/chat-long/1", deadline_ms=10_000, **SHORT)
-        )
+        stream = asyncio.create_task(_long_stream(running))
         await silent.disconnected.wait()
         stream.cancel()
         async with asyncio.timeout(0.2):
@@ -372,10 +359,7 @@
         assert load is not None
         load.peer_tokens.urgent = 50_000
         streams = [
-            asyncio.create_task(
-                running.stream("/chat-long/1", deadline_ms=10_000, **SHORT)
-            )
-            for _ in range(12)
+            asyncio.create_task(_long_stream(running)) for _ in range(12)
         ]
         await asyncio.sleep(0.3)
         assert len(silent.calls) == len(streams)
@@ -404,9 +388,7 @@
     async with harness.running(silent, other) as running:
         monkeypatch.setattr(running.quarantine, "check", refuse_another_send)
         _prefer_first(running)
-        reply = await running.stream(
-            "/chat-long/1", deadline_ms=10_000, **SHORT
-        )
+        reply = await _long_stream(running)
     assert reply.status == 200
     assert reply.body == EVENTS
     assert other.calls == []
--- a/bilberrydeal/gateway/tests/test_software_versions.py
+++ b/bilberrydeal/gateway/tests/test_software_versions.py
@@ -145,7 +145,7 @@
         _burden(running, engines[-1].endpoint_id, 3_000)
         reply = await running.stream(**SHORT)
         assert reply.body == b"".join(harness.event(n) for n in (1, 2))
-        await running.origin_rows.run_once()
+        await running.origins.rows.run_once()
 
 
 async def _taken_up(
@@ -194,14 +194,14 @@
     old = _engine("d1", "v1", _broken_off)
     async with harness.running(old, table=table) as running:
         await running.stream(**SHORT)
-        await running.origin_rows.run_once()
+        await running.origins.rows.run_once()
         assert not _stored_origins(table)
         newer = attrs.evolve(
             loopback.engine(ports.EngineRole.DECODE), software_version="v2"
         )
         running.cluster.set_endpoint(newer)
-        await running.origin_rows.run_once()
-        await running.origin_rows.run_once()
+        await running.origins.rows.run_once()
+        await running.origins.rows.run_once()
     assert len(_stored_origins(table)) == 1
     same = _engine("d3", "v1", _decode)
     reply = await _taken_up(table, same, _engine("d2", "v2", _decode))
@@ -232,14 +232,14 @@
     engines = [_engine("d1", "v1", _broken_off), _engine("d2", "v2", _decode)]
     async with harness.running(*engines, table=table) as running:
         _burden(running, "d2", 3_000)
-        await running.origin_rows.run_once()
+        await running.origins.rows.run_once()
         copied = table.copy()
         await running.stream(**SHORT)
-        await running.origin_rows.run_once()
+        await running.origins.rows.run_once()
         assert _stored_origins(table)
         table.restore(copied)
         assert not _stored_origins(table)
-        await running.origin_rows.run_once()
+        await running.origins.rows.run_once()
     assert _stored_origins(table)
 
 
--- a/bilberrydeal/periodic/__init__.py
+++ b/bilberrydeal/periodic/__init__.py
@@ -5,9 +5,11 @@
 from ._loops import log_task_failure
 from ._loops import Loop
 from ._loops import run_periodically
+from ._loops import WorkFunction
 
 __all__ = [
     "Loop",
+    "WorkFunction",
     "jittered",
     "keep_running",
     "log_task_failure",
