Let the soak's earlier seeds draw the faults that they drew

kill_all_gateways had joined the list from which a soak without names draws, so seeds 4, 11 and 101 played other faults than those that once failed. It is injected by name only now, as the test of software versions does. Callers that come back to a stream resume it, in the term of the field.

--- a/scenarios/_gateway_load.py
+++ b/scenarios/_gateway_load.py
@@ -17,14 +17,14 @@
 DEADLINE_MS = 3000
 #: Number of events in each stream.
 EVENTS = 12
-#: The same where streams are taken up: they last for a second or so.
-TAKEN_UP_EVENTS = 100
+#: The same where streams are resumed: they last for a second or so.
+RESUMED_EVENTS = 100
 #: Share of the requests that repeat a crashing one, while there is one.
 CRASHING_SHARE = 0.1
-#: Most times that a caller takes up a stream that was broken off.
-TAKE_UPS = 4
+#: Most times that a caller resumes a stream that was broken off.
+RESUMPTIONS = 4
 #: Pause before each of them, in seconds.
-TAKE_UP_PAUSE_S = 0.4
+RESUMPTION_PAUSE_S = 0.4
 #: Statuses that state that a request did not run.
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
 #: Status of a request that was served.
@@ -67,15 +67,15 @@
 
     def __init__(self, fleet: _gateways.Fleet, rng: random.Random) -> None:
         self.outcomes: list[Outcome] = []
-        #: Requests that took up a stream, by status.
-        self.take_ups: collections.Counter[int] = collections.Counter()
+        #: Requests that resumed a stream, by status.
+        self.resumptions: collections.Counter[int] = collections.Counter()
         self._fleet = fleet
         self._rng = rng
         self._count = 0
         self._tasks: set[asyncio.Task[Outcome]] = set()
-        #: Whether callers take up streams that were broken off.
-        self._takes_up = fleet.size.versions > 1
-        self._events = TAKEN_UP_EVENTS if self._takes_up else EVENTS
+        #: Whether callers resume streams that were broken off.
+        self._resumes = fleet.size.versions > 1
+        self._events = RESUMED_EVENTS if self._resumes else EVENTS
 
     async def load(self, requests_per_s: float) -> None:
         """Send requests of all kinds until cancelled."""
@@ -140,9 +140,9 @@
         target = f"/{route}/{path}"
         status, text = await self._exchange(gateway, target, headers, body)
         tries = 1
-        if route == "chat" and self._takes_up:
-            while status != ADMITTED and text and tries <= TAKE_UPS:
-                status, more = await self._take_up(
+        if route == "chat" and self._resumes:
+            while status != ADMITTED and text and tries <= RESUMPTIONS:
+                status, more = await self._resume(
                     target, headers, body, text, tries
                 )
                 text += more
@@ -163,7 +163,7 @@
         self.outcomes.append(outcome)
         return outcome
 
-    async def _take_up(
+    async def _resume(
         self,
         target: str,
         headers: collections.abc.Mapping[str, str],
@@ -172,7 +172,7 @@
         tries: int,
     ) -> tuple[int, str]:
         """Ask any gateway for the rest of a stream that has begun."""
-        await asyncio.sleep(TAKE_UP_PAUSE_S)
+        await asyncio.sleep(RESUMPTION_PAUSE_S)
         status, more = await self._exchange(
             self._rng.choice(self._fleet.gateways),
             target,
@@ -184,7 +184,7 @@
             },
             body,
         )
-        self.take_ups[status] += 1
+        self.resumptions[status] += 1
         return status, more
 
     def _prompt_headers(self, request_id: str) -> dict[str, str]:
--- a/scenarios/_gateways.py
+++ b/scenarios/_gateways.py
@@ -40,7 +40,7 @@
     prefill_workers: int = 2
     decode_workers: int = 2
     #: Software versions that the decode workers have in turn; with several,
-    #: callers take up streams that were broken off.
+    #: callers resume streams that were broken off.
     versions: int = 1
 
 
--- a/scenarios/gateway_soak.py
+++ b/scenarios/gateway_soak.py
@@ -54,6 +54,9 @@
 #: Time for delayed calls to arrive, in seconds.
 SETTLE_S = 3.0
 
+#: Faults that are injected only by name, so that seeds draw what they drew.
+NAMED_ONLY = frozenset(["kill_all_gateways"])
+
 Fault = collections.abc.Callable[
     [_gateways.Fleet, random.Random], collections.abc.Awaitable[None]
 ]
@@ -352,6 +355,11 @@
         print(f"worker call failed: {type(error).__name__}", file=sys.stderr)
 
 
+def default_faults() -> list[str]:
+    """Return the faults of a soak that names none."""
+    return [name for name in FAULTS.names() if name not in NAMED_ONLY]
+
+
 async def _apply_faults(
     fleet: _gateways.Fleet,
     rng: random.Random,
@@ -423,7 +431,7 @@
                     fleet,
                     random.Random(rng.random()),
                     counts,
-                    faults or FAULTS.names(),
+                    faults or default_faults(),
                 )
             )
             for _ in range(FAULT_SOURCES)
@@ -448,8 +456,8 @@
         )
     statuses = collections.Counter(each.status for each in callers.outcomes)
     print(f"seed {seed}: {dict(counts)}, answers {dict(statuses)}")
-    if callers.take_ups:
-        print(f"take-ups by status: {dict(callers.take_ups)}")
+    if callers.resumptions:
+        print(f"resumptions by status: {dict(callers.resumptions)}")
     return problems
 
 
