Derive the times of resumed streams from the configuration and the fleet

Read as a newcomer, the change held constants that one deployment explained: - Origins and versions were kept for 32 and 64 s. Both are now twice the longest timeout of a stream, 30 s at least, so slow engines' streams are covered. - Reads of other gateways' rows were bounded by 0.3 s; now by the route's target latency, and their interval grows with the number of gateways, as writes do. - Retry-After was 0.5 and 1 s; now two intervals between writes, and the time of a role change. - What counts as a fresh answer of the store follows from its polls. - Another engine had 0.5 s to go on; now a quarter of the time until callers give up, which is the same where that is 2 s. Slots are cut by time and by 2,000 streams, so a row never exceeds the store's limit and none is skipped; rows of slots that are over are removed by their gateway. The store's client comes from the coordination, which had one already.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -16,7 +16,6 @@
 from .. import periodic
 from .. import platform
 from .. import settings
-from .. import store
 from .. import telemetry
 from ..systems import health
 from ..systems import placement
@@ -27,12 +26,10 @@
 from . import _settings_watcher
 from . import _shutdown
 from . import _uplink
-from . import accounting
 from . import cluster_state
 from . import core
 from . import duties
 from . import messaging
-from . import origins
 from . import peer_exchange
 from . import quotas
 from . import sending
@@ -42,8 +39,6 @@
 LOG = telemetry.logger("gateway")
 #: Interval between sweeps of idle connections and circuits.
 SWEEP_INTERVAL_S = 0.1
-#: Timeout of a call to the store for the origins of streams.
-ORIGINS_TIMEOUT_S = 0.5
 #: Interval between checks of the settings file.
 SETTINGS_INTERVAL_S = 2.0
 #: Limits of the readiness and the metrics server, whose requests have no body
@@ -164,7 +159,9 @@
             rng,
             clock,
         )
-        self._origins = self._new_origins()
+        self._origins = self._coordination.origins(
+            self._connectivity, self._metrics, clock
+        )
         self._cluster.subscribe_restarts(self._quarantine.endpoint_restarted)
         self._cluster.subscribe_lapses(self._quarantine.endpoint_gone)
         self._endpoint_updater = cluster_state.EndpointUpdater(
@@ -181,26 +178,6 @@
             self._handle_metrics, lambda: INTERNAL_LIMITS, clock
         )
 
-    def _new_origins(self) -> origins.Origins:
-        client = store.StoreClient(
-            self._store,
-            ORIGINS_TIMEOUT_S,
-            origins.ORIGIN_CALLS_PER_S,
-            clock=accounting.boot_s,
-            era=lambda: self._store.era,
-        )
-        store_clock = accounting.ClusterClock(lambda: self._store.clock)
-        return origins.Origins(
-            client,
-            self._coordination.incarnation,
-            self._cluster,
-            self._connectivity,
-            self._metrics,
-            store_clock.store_s,
-            lambda: self._coordination.is_candidate,
-            self._clock,
-        )
-
     def _new_handler(self, rng: random.Random) -> serving.RequestHandler:
         gateway_settings = self._settings
         retry_policy = sending.RetryPolicy(
--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -27,6 +27,11 @@
 CACHE_SHARE = 0.8
 #: Most faults of quotas in a log line; the line has their number.
 MAX_LOGGED_FAULTS = 10
+#: Multiple of the longest timeout of streams for which callers may come back
+#: to one: it may have begun at the end of the first attempt.
+STREAM_LIFETIMES = 2.0
+#: Shortest such time, also while no configuration is known, in seconds.
+MIN_STREAM_LIFETIME_S = 30.0
 #: Most removed endpoints that are remembered.
 REMOVED_LIMIT = 256
 
@@ -227,6 +232,20 @@
         """Return the endpoints of a service."""
         return list(self._by_service.get(service, {}).values())
 
+    @property
+    def stream_lifetime_s(self) -> float:
+        """Return for how long callers may come back to a stream."""
+        routes = self.configuration.routes if self.configuration else ()
+        longest_s = max(
+            (
+                route.timeout_s
+                for route in routes
+                if route.kind is catalogue.RouteKind.STREAM
+            ),
+            default=0.0,
+        )
+        return max(longest_s * STREAM_LIFETIMES, MIN_STREAM_LIFETIME_S)
+
     def software_versions(self) -> dict[str, set[str]]:
         """Return the software versions of the engines of each service."""
         found: dict[str, set[str]] = {}
--- a/bilberrydeal/gateway/core/_metrics.py
+++ b/bilberrydeal/gateway/core/_metrics.py
@@ -77,9 +77,9 @@
             "bilberrydeal_quarantine_decisions_total",
             "Decisions about prompt parts that crash engines, by kind.",
         )
-        self._take_ups = self.metrics.counter(
-            "bilberrydeal_take_ups_total",
-            "Streams that callers took up, by what was known of them.",
+        self._resumptions = self.metrics.counter(
+            "bilberrydeal_resumptions_total",
+            "Streams that callers resumed, by what was known of them.",
         )
         self._organisations: set[str] = set()
         self._quota_amounts = self.metrics.counter(
@@ -164,9 +164,9 @@
         """Count a decision about prompt parts."""
         self._quarantine_decisions.inc({"kind": kind})
 
-    def count_take_up(self, outcome: str) -> None:
-        """Count a stream that a caller takes up."""
-        self._take_ups.inc({"outcome": outcome})
+    def count_resumption(self, outcome: str) -> None:
+        """Count a stream that a caller resumes."""
+        self._resumptions.inc({"outcome": outcome})
 
     def render(self, state: GaugeValues) -> bytes:
         """Return all metrics in the text exposition format."""
--- a/bilberrydeal/gateway/core/_requests.py
+++ b/bilberrydeal/gateway/core/_requests.py
@@ -42,13 +42,13 @@
     configuration_version: int
     #: Value of the caller's header with numbers of tokens.
     token_counts: bytes | None = None
-    #: Id of the attempt that began the stream that this one takes up.
-    resumes: bytes = b""
+    #: Id of the attempt that began the stream that this one resumes.
+    resumed_id: bytes = b""
 
     @property
-    def takes_up_stream(self) -> bool:
+    def resumes_stream(self) -> bool:
         """Return whether it goes on with a stream that has begun."""
-        return bool(self.last_event or self.resumes)
+        return bool(self.last_event or self.resumed_id)
 
     @property
     def priority(self) -> int:
--- a/bilberrydeal/gateway/duties/_coordination.py
+++ b/bilberrydeal/gateway/duties/_coordination.py
@@ -15,7 +15,9 @@
 from ...systems import placement
 from .. import accounting
 from .. import cluster_state
+from .. import core
 from .. import messaging
+from .. import origins
 from .. import peer_exchange
 from . import _lease_keeper
 from . import _quarantine_rows
@@ -90,6 +92,7 @@
             *decoding.split_address(gateway_settings.platform.usage)
         )
         self._cluster = cluster
+        self._table = table
         self._members = accounting.Members(others={}, position=0)
         self._members_read = False
         bounds = gateway_settings.bounds
@@ -231,6 +234,24 @@
             ),
         ]
 
+    def origins(
+        self,
+        connectivity: cluster_state.StoreConnectivity,
+        metrics: core.GatewayMetrics,
+        steady_s: collections.abc.Callable[[], float],
+    ) -> origins.Origins:
+        """Return what keeps the origins of streams in the store."""
+        return origins.Origins(
+            _client(self._table, ROW_TIMEOUT_S, origins.ORIGIN_CALLS_PER_S),
+            self.incarnation,
+            self._cluster,
+            connectivity,
+            metrics,
+            self._cluster_clock.store_s,
+            lambda: self.is_candidate,
+            steady_s,
+        )
+
     def quarantine_rows(
         self,
         state: _quarantine_rows.QuarantineState,
@@ -297,8 +318,7 @@
     def _lease_pause_s(self) -> float:
         if self._lease.may_renew(accounting.boot_s()):
             return LEASE_HELD_INTERVAL_S
-        candidate = self._members.position < LEASE_CANDIDATES
-        if candidate:
+        if self._members.position < LEASE_CANDIDATES:
             return LEASE_CANDIDATE_INTERVAL_S
         return max(
             LEASE_OTHER_INTERVAL_S,
@@ -317,12 +337,14 @@
 
 
 def _client(
-    table: platform.PlatformStore, timeout_s: float
+    table: platform.PlatformStore,
+    timeout_s: float,
+    calls_per_s: float = STORE_RATE_PER_S,
 ) -> store.StoreClient:
     return store.StoreClient(
         table,
         timeout_s,
-        STORE_RATE_PER_S,
+        calls_per_s,
         clock=accounting.boot_s,
         era=lambda: table.era,
     )
--- a/bilberrydeal/gateway/origins/__init__.py
+++ b/bilberrydeal/gateway/origins/__init__.py
@@ -1,4 +1,4 @@
-"""Finds the software version to which a stream that is taken up is bound."""
+"""Finds the software version to which a resumed stream is bound."""
 
 from ._origins import Origins
 from ._resolver import OriginResolver
--- a/bilberrydeal/gateway/origins/_memory.py
+++ b/bilberrydeal/gateway/origins/_memory.py
@@ -1,18 +1,18 @@
 """Remembers which engines began recent streams."""
 
+import collections
+import collections.abc
 import hashlib
 
 import attrs
 
 from .. import core
 
-#: Time that one slot covers, in seconds. A slot is stored as one row.
-SLOT_S = 2.0
-#: Slots that are kept. A stream that began earlier can't be taken up while
-#: several software versions serve.
+#: Parts of the time for which origins are kept; what began within one of them
+#: is stored as one row.
 SLOTS = 16
-#: Time for which origins are kept, in seconds.
-KEPT_S = SLOT_S * SLOTS
+#: Most streams of a slot, so that it fits into a row.
+SLOT_STREAMS_LIMIT = 2_000
 #: Size of the hash that stands for the id of a request, in bytes.
 DIGEST_BYTES = 8
 
@@ -21,8 +21,10 @@
 class Slot:
     """Streams that began within one span of time."""
 
-    #: Number of the span, counted from the start of the clock.
+    #: Number of the slot, counted from the start of the process.
     number: int
+    #: When its first stream began, monotonic seconds.
+    began_s: float
     #: What began them, by the digest of the request's id.
     origins: dict[str, core.StreamOrigin] = attrs.field(factory=dict)
     #: Whether it holds origins that were not stored.
@@ -38,8 +40,12 @@
         memory.find(b"r1", now_s)
     """
 
-    def __init__(self) -> None:
-        self._slots: dict[int, Slot] = {}
+    def __init__(self, kept_s: collections.abc.Callable[[], float]) -> None:
+        #: Returns for how long a stream may be resumed, in seconds.
+        self._kept_s = kept_s
+        #: The slots in the order of their numbers.
+        self._slots: collections.deque[Slot] = collections.deque()
+        self._count = 0
         #: Origins that other gateways stored, by digest.
         self._learned: dict[str, core.StreamOrigin] = {}
 
@@ -48,8 +54,15 @@
     ) -> None:
         """Record what began the stream of a request."""
         self._expire(now_s)
-        number = int(now_s // SLOT_S)
-        slot = self._slots.setdefault(number, Slot(number))
+        slot = self._slots[-1] if self._slots else None
+        if (
+            slot is None
+            or now_s - slot.began_s >= self._kept_s() / SLOTS
+            or len(slot.origins) >= SLOT_STREAMS_LIMIT
+        ):
+            self._count += 1
+            slot = Slot(self._count, now_s)
+            self._slots.append(slot)
         slot.origins[digest(request_id)] = origin
         slot.unwritten = True
 
@@ -63,7 +76,7 @@
         """Return what began the stream of a request, if it is known."""
         self._expire(now_s)
         key = digest(request_id)
-        for slot in self._slots.values():
+        for slot in self._slots:
             if key in slot.origins:
                 return slot.origins[key]
         return self._learned.get(key)
@@ -71,17 +84,23 @@
     def unwritten(self, now_s: float) -> list[Slot]:
         """Return the slots that hold origins which were not stored."""
         self._expire(now_s)
-        return [slot for slot in self._slots.values() if slot.unwritten]
+        return [slot for slot in self._slots if slot.unwritten]
 
     def forget_writes(self) -> None:
         """Let all slots be stored again, as the store may have lost them."""
-        for slot in self._slots.values():
+        for slot in self._slots:
             slot.unwritten = True
 
+    def oldest(self) -> int:
+        """Return the number of the oldest slot that is kept."""
+        return self._slots[0].number if self._slots else self._count + 1
+
     def _expire(self, now_s: float) -> None:
-        oldest = int(now_s // SLOT_S) - SLOTS + 1
-        for number in [each for each in self._slots if each < oldest]:
-            del self._slots[number]
+        # The last stream of a slot began while the next one did not exist.
+        while len(self._slots) > 1 and (
+            now_s - self._slots[1].began_s >= self._kept_s()
+        ):
+            self._slots.popleft()
 
 
 def digest(request_id: bytes) -> str:
--- a/bilberrydeal/gateway/origins/_origins.py
+++ b/bilberrydeal/gateway/origins/_origins.py
@@ -32,14 +32,18 @@
         writes_versions: collections.abc.Callable[[], bool],
         clock: _rows.Clock,
     ) -> None:
-        memory = _memory.OriginMemory()
-        history = _version_history.VersionHistory()
+        def kept_s() -> float:
+            return cluster.stream_lifetime_s
+
+        memory = _memory.OriginMemory(kept_s)
+        history = _version_history.VersionHistory(kept_s)
         #: What all gateways store.
         self.rows = _rows.OriginRows(
             client,
             incarnation,
             memory,
             history,
+            kept_s,
             cluster,
             store_s,
             writes_versions,
--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -1,4 +1,4 @@
-"""Finds what a stream that is taken up is bound to."""
+"""Finds what a resumed stream is bound to."""
 
 import asyncio
 import collections.abc
@@ -13,24 +13,17 @@
 
 LOG = telemetry.logger("origins")
 #: What is known of the versions in service counts as fresh for so long after a
-#: response of the store, in seconds.
-FRESH_S = 2.0
-#: Longest wait for the rows of other gateways, in seconds.
-READ_TIMEOUT_S = 0.3
-#: Shortest interval between two reads of them, in seconds.
-READ_INTERVAL_S = 0.05
-#: Retry-After while the origin is unknown, in seconds: until then the gateway
-#: that began the stream has stored it.
-UNKNOWN_RETRY_S = 0.5
-#: Retry-After while no engine of the version decodes, in seconds: one that
-#: crashed may be back by then, or one that prefills may have changed its role.
-ABSENT_RETRY_S = 1.0
+#: response of the store, in seconds: it responds as often while it is reached.
+FRESH_S = cluster_state.ENDPOINTS_WAIT_S + cluster_state.ENDPOINTS_PAUSE_S
+#: Retry-After while the origin is unknown, in intervals between writes: until
+#: then the gateway that began the stream has stored it.
+UNKNOWN_RETRY_WRITES = 2.0
 
 Clock = collections.abc.Callable[[], float]
 
 
 class OriginResolver:
-    """Binds streams that callers take up to the version that began them.
+    """Binds streams that callers resume to the version that began them.
 
     A stream is bound to what this gateway remembers of it or others have
     stored, or to the only version that served lately. What may have begun at
@@ -62,8 +55,8 @@
         """Remember what began the stream of a request."""
         now_s = self._clock()
         self._memory.note(admitted.request_id, origin, now_s)
-        if admitted.resumes:
-            self._memory.note(admitted.resumes, origin, now_s)
+        if admitted.resumed_id:
+            self._memory.note(admitted.resumed_id, origin, now_s)
 
     async def resolve(
         self, admitted: core.AdmittedRequest
@@ -71,20 +64,20 @@
         """Return what began a stream; raises ``Refusal`` if unknown."""
         origin = await self._find(admitted)
         if origin is None or self._is_doubtful(origin):
-            self._metrics.count_take_up("unknown")
+            self._metrics.count_resumption("unknown")
             raise core.not_run_refusal(
                 errors.ErrorCode.STREAM_ORIGIN_UNKNOWN,
                 "the software version that began the stream is not known",
-                UNKNOWN_RETRY_S,
+                self._rows.pause_s() * UNKNOWN_RETRY_WRITES,
             )
         if not self._decodes(origin):
-            self._metrics.count_take_up("absent")
+            self._metrics.count_resumption("absent")
             raise core.not_run_refusal(
                 errors.ErrorCode.STREAM_ORIGIN_ABSENT,
                 f"no engine of version {origin.software_version} decodes",
-                ABSENT_RETRY_S,
+                self._absent_retry_s(admitted.service),
             )
-        self._metrics.count_take_up("bound")
+        self._metrics.count_resumption("bound")
         return origin
 
     async def _find(
@@ -99,14 +92,16 @@
             only = self._only_version(admitted.service)
             if only is not None:
                 return only
-        if not await self._read(asked_s):
+        # A new stream would have begun by then.
+        limit_s = admitted.route.target_latency_s
+        if not await self._read(asked_s, limit_s):
             return None
         return self._known(admitted) or self._only_version(admitted.service)
 
     def _known(
         self, admitted: core.AdmittedRequest
     ) -> core.StreamOrigin | None:
-        found = self._memory.find(admitted.resumes, self._clock())
+        found = self._memory.find(admitted.resumed_id, self._clock())
         # A route may lead to another service by now.
         if found is None or found.service != admitted.service:
             return None
@@ -115,11 +110,20 @@
     def _fresh(self, now_s: float) -> bool:
         return self._connectivity.age_s(now_s) < FRESH_S
 
-    async def _read(self, asked_s: float) -> bool:
+    def _absent_retry_s(self, service: str) -> float:
+        """Return the time until an engine that prefills may decode."""
+        configuration = self._cluster.configuration
+        found = configuration.services.get(service) if configuration else None
+        if found is None or found.engine is None:
+            return core.FAILED_RETRY_S
+        return max(found.engine.role_switch_s, core.FAILED_RETRY_S)
+
+    async def _read(self, asked_s: float, limit_s: float) -> bool:
         """Read what other gateways stored; return whether that worked."""
-        wait_s = self._rows.read_s + READ_INTERVAL_S - asked_s
+        next_s = self._rows.read_s + self._rows.read_interval_s()
+        wait_s = next_s - asked_s
         try:
-            async with asyncio.timeout(READ_TIMEOUT_S):
+            async with asyncio.timeout(limit_s):
                 await asyncio.sleep(max(wait_s, 0.0))
                 await self._rows.read(asked_s)
         except (TimeoutError, errors.BilberrydealError) as error:
--- a/bilberrydeal/gateway/origins/_rows.py
+++ b/bilberrydeal/gateway/origins/_rows.py
@@ -23,14 +23,17 @@
 WRITE_INTERVAL_S = 0.2
 #: Most such writes of all gateways together a second.
 WRITES_PER_S = 40.0
-#: Most calls of one gateway a second.
-ORIGIN_CALLS_PER_S = 30.0
-#: Rows of gateways that ended are removed at this age, in seconds.
-STALE_S = 2.0 * _memory.KEPT_S
-#: Most of them that are removed at once.
-REMOVALS_LIMIT = 50
-#: Largest row, in bytes.
-ROW_LIMIT_BYTES = 60_000
+#: Rows are removed at this multiple of the time for which origins are kept.
+STALE_FACTOR = 2.0
+#: Shortest interval between reads of all rows, in seconds.
+READ_INTERVAL_S = 0.05
+#: Most such reads of all gateways together a second.
+READS_PER_S = 400.0
+#: Most calls of one gateway a second: two a read, and two a write.
+ORIGIN_CALLS_PER_S = 2.0 / READ_INTERVAL_S + 2.0 / WRITE_INTERVAL_S
+#: Most rows that one transaction writes, and removes.
+WRITES_LIMIT = 40
+REMOVALS_LIMIT = 40
 
 Clock = collections.abc.Callable[[], float]
 #: Returns the store's clock, ``None`` before its first response.
@@ -69,7 +72,7 @@
     """Reads and writes the rows.
 
     A stream's origin is stored after its first event has been sent: what was
-    not stored is not known to others, and a take-up of it is refused.
+    not stored is not known to others, and a resumption of it is refused.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         incarnation: str,
         memory: _memory.OriginMemory,
         history: _version_history.VersionHistory,
+        kept_s: collections.abc.Callable[[], float],
         cluster: cluster_state.ClusterState,
         store_s: StoreClock,
         writes_versions: collections.abc.Callable[[], bool],
@@ -87,6 +91,7 @@
         self._incarnation = incarnation
         self._memory = memory
         self._history = history
+        self._kept_s = kept_s
         self._cluster = cluster
         self._store_s = store_s
         #: Whether this gateway is one of those that write versions.
@@ -100,6 +105,8 @@
         self._era: int | None = None
         #: Versions in service by service, as stored.
         self._stored: dict[str, tuple[str, ...]] = {}
+        #: Numbers of the slots of this gateway that are stored.
+        self._written: dict[int, None] = {}
         #: Keys of rows that are of no use any more.
         self._stale: list[str] = []
 
@@ -107,6 +114,10 @@
         """Return the interval between two writes of this gateway."""
         return max(WRITE_INTERVAL_S, self._cluster.members / WRITES_PER_S)
 
+    def read_interval_s(self) -> float:
+        """Return the shortest interval between two reads of this gateway."""
+        return max(READ_INTERVAL_S, self._cluster.members / READS_PER_S)
+
     def observe(self) -> None:
         """Record which versions are in service now."""
         now_s = self._clock()
@@ -156,7 +167,7 @@
         learned: dict[str, core.StreamOrigin] = {}
         self._stale = []
         for key, row in rows.items():
-            if store_s is not None and store_s - row.written_s > STALE_S:
+            if store_s is not None and self._is_over(store_s - row.written_s):
                 self._stale.append(key)
                 continue
             for group in row.groups:
@@ -180,7 +191,7 @@
         found = await self._client.read_one(key)
         before = _decoded(found)
         if before.present != present:
-            row = _updated(before, present, store_s)
+            row = _updated(before, present, store_s, self._kept_s())
             check = ports.Check(
                 ENGINE_VERSIONS, service, found.version if found else 0
             )
@@ -202,27 +213,41 @@
 
     async def _write_origins(self) -> None:
         store_s = self._store_s()
-        slots = self._memory.unwritten(self._clock())
+        slots = self._memory.unwritten(self._clock())[:WRITES_LIMIT]
         if store_s is None or not slots:
             return
-        stale = self._stale[:REMOVALS_LIMIT]
-        writes = [ports.Write(STREAM_ORIGINS, key, None) for key in stale]
+        self._drop_expired()
+        removed = self._stale[:REMOVALS_LIMIT]
+        writes = [ports.Write(STREAM_ORIGINS, key, None) for key in removed]
         for slot in slots:
             # Streams that begin during the write are for the next one.
             slot.unwritten = False
             value = store.encode(_origin_row(slot, store_s))
-            if len(value) > ROW_LIMIT_BYTES:
-                LOG.warning("Too many origins in a slot.", bytes=len(value))
-                continue
-            key = f"{self._incarnation}/{slot.number % _memory.SLOTS:02d}"
-            writes.append(ports.Write(STREAM_ORIGINS, key, value))
+            writes.append(
+                ports.Write(STREAM_ORIGINS, self._key(slot.number), value)
+            )
+            self._written[slot.number] = None
         try:
             await self._client.commit(ports.Transaction((), tuple(writes)))
         except errors.BilberrydealError:
             for slot in slots:
                 slot.unwritten = True
             raise
-        self._stale = self._stale[REMOVALS_LIMIT:]
+        self._stale = [key for key in self._stale if key not in removed]
+
+    def _drop_expired(self) -> None:
+        """Let the rows of slots that are no longer kept be removed."""
+        oldest = self._memory.oldest()
+        for number in [each for each in self._written if each < oldest]:
+            del self._written[number]
+            self._stale.append(self._key(number))
+
+    def _key(self, number: int) -> str:
+        return f"{self._incarnation}/{number}"
+
+    def _is_over(self, age_s: float) -> bool:
+        """Return whether a row of such an age is of no use any more."""
+        return age_s > STALE_FACTOR * self._kept_s()
 
 
 def _decoded(row: ports.Row | None) -> VersionsRow:
@@ -233,13 +258,16 @@
 
 
 def _updated(
-    before: VersionsRow, present: tuple[str, ...], store_s: float
+    before: VersionsRow,
+    present: tuple[str, ...],
+    store_s: float,
+    kept_s: float,
 ) -> VersionsRow:
     """Return a row with the versions that are in service now."""
     gone_s = {
         version: at_s
         for version, at_s in before.gone_s.items()
-        if store_s - at_s < _version_history.RECENT_S
+        if store_s - at_s < kept_s
     }
     gone_s |= dict.fromkeys(before.present, store_s)
     return VersionsRow(
--- a/bilberrydeal/gateway/serving/_admission.py
+++ b/bilberrydeal/gateway/serving/_admission.py
@@ -54,7 +54,7 @@
             last_event=caller.last_event,
             configuration_version=configuration.version,
             token_counts=caller.token_counts,
-            resumes=caller.resumes,
+            resumed_id=caller.resumed_id,
         )
 
     def _service(self, route: catalogue.Route) -> str:
--- a/bilberrydeal/gateway/serving/_request_handler.py
+++ b/bilberrydeal/gateway/serving/_request_handler.py
@@ -199,7 +199,9 @@
             detail=refusal.message if refusal else None,
             retry_after_s=refusal.retry_after_s if refusal else None,
             organisation=admitted.organisation_name if admitted else None,
-            resumes=admitted.resumes.decode("latin-1") if admitted else None,
+            resumes=admitted.resumed_id.decode("latin-1")
+            if admitted
+            else None,
             steps=_send_fields(progress),
             fingerprint=_fingerprint(admitted, progress, responder),
             configuration=self._configuration_version(admitted),
--- a/bilberrydeal/gateway/streams/_client_stream.py
+++ b/bilberrydeal/gateway/streams/_client_stream.py
@@ -11,10 +11,10 @@
 #: seconds, and as a multiple of the longest gap that callers accept.
 MIN_STALL_S = 0.5
 STALL_GAPS = 3.5
-#: Time that another engine is given to go on before callers give up, in
-#: seconds. A run moves only then: a sound engine may be silent for a second or
-#: so, works on meanwhile, and doesn't see that its connection was closed.
-RESUME_S = 0.5
+#: Share of the time without an event until callers give up that is left for
+#: another engine to go on. A run moves only then: a sound engine may be silent
+#: for a while, works on, and doesn't see that its connection was closed.
+RESUME_SHARE = 0.25
 
 
 @attrs.define
@@ -34,7 +34,7 @@
     continuation: _continuation.Continuation | None = None
     #: Whether a prefill was abandoned since it would have been late.
     too_late: bool = False
-    #: Whether what began it is remembered for callers that take it up.
+    #: Whether what began it is remembered for callers that resume it.
     origin_noted: bool = False
 
     def take_over(self) -> None:
@@ -56,7 +56,7 @@
     @property
     def stall_s(self) -> float:
         """Return the time without an event after which a run may move."""
-        limit_s = self.admitted.route.stall_limit_s - RESUME_S
+        limit_s = self.admitted.route.stall_limit_s * (1.0 - RESUME_SHARE)
         return max(self.prefill_stall_s, limit_s)
 
     @property
--- a/bilberrydeal/gateway/streams/_stream.py
+++ b/bilberrydeal/gateway/streams/_stream.py
@@ -91,7 +91,7 @@
         responder: http1.Responder,
     ) -> None:
         """Respond to a request; raises ``Refusal``."""
-        if admitted.takes_up_stream:
+        if admitted.resumes_stream:
             progress.origin = await self._resolver.resolve(admitted)
         stream = _client_stream.ClientStream(
             admitted,
--- a/bilberrydeal/platform/_caller_fields.py
+++ b/bilberrydeal/platform/_caller_fields.py
@@ -30,7 +30,7 @@
     #: requests of organisations with a limit need it decoded.
     token_counts: bytes | None = None
     #: Id of the attempt that began the stream; empty at the stream's start.
-    resumes: bytes = b""
+    resumed_id: bytes = b""
 
 
 def decode_caller(request: http1.Request) -> CallerFields:
@@ -50,7 +50,7 @@
             request.header(_headers.HEADERS.traceparent) or b""
         ).decode("latin-1"),
         token_counts=token_counts,
-        resumes=request.header(_headers.HEADERS.resumes) or b"",
+        resumed_id=request.header(_headers.HEADERS.resumes) or b"",
     )
 
 
--- a/bilberrydeal/platform/_headers.py
+++ b/bilberrydeal/platform/_headers.py
@@ -24,7 +24,7 @@
     model: bytes = b"model"
     #: Id of the last event of a stream that the sender received.
     last_event: bytes = b"last-event-id"
-    #: Id of the caller's attempt that began the stream it takes up.
+    #: Id of the attempt that began the stream which a caller resumes.
     resumes: bytes = b"resumes"
     #: The caller's key; never forwarded to endpoints.
     key: bytes = b"key"
