Keep a write of origins below the size of a transaction

Forty full rows of 2,000 streams have 2 MB in base64, and the store takes 1 MB. Sixteen have 0.8 MB; the rest goes with the next write, 0.2 s later.

--- a/bilberrydeal/gateway/origins/_rows.py
+++ b/bilberrydeal/gateway/origins/_rows.py
@@ -31,9 +31,10 @@
 READS_PER_S = 400.0
 #: Most calls of one gateway a second: two a read, and two a write.
 ORIGIN_CALLS_PER_S = 2.0 / READ_INTERVAL_S + 2.0 / WRITE_INTERVAL_S
-#: Most rows that one transaction writes, and removes.
-WRITES_LIMIT = 40
-REMOVALS_LIMIT = 40
+#: Most rows that one transaction writes: full ones have less than 1 MB.
+WRITES_LIMIT = 16
+#: Most rows that it removes.
+REMOVALS_LIMIT = 50
 
 Clock = collections.abc.Callable[[], float]
 #: Returns the store's clock, ``None`` before its first response.
