Tell how the configuration arrives, and how old it is when it decides

A failed poll left no line.

"Table not read." now names the first failed read of a table and how far it got (no head, or bytes since its head), "Table read again." their end. "Configuration in force." has size_bytes, transfer_s and unconfirmed_s; a request's line and a gauge tell the configuration's age.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -280,6 +280,7 @@
             self._connectivity,
             self._hints,
             self._clock,
+            self._cluster.configuration_freshness,
         )
         endpoints = cluster_state.TableFollower(
             self._store,
@@ -288,7 +289,9 @@
             self._hints,
             self._clock,
         )
-        updater = cluster_state.ConfigurationUpdater(self._cluster)
+        updater = cluster_state.ConfigurationUpdater(
+            self._cluster, self._clock
+        )
         self._spawn(
             periodic.keep_running(
                 "configuration",
@@ -413,6 +416,10 @@
                 configuration.version if configuration else 0
             ),
             store_age_s=self._connectivity.age_s(self._clock()),
+            configuration_age_s=(
+                self._cluster.configuration_freshness.age_s(self._clock())
+                or 0.0
+            ),
             endpoints=len(self._cluster.endpoints),
             endpoints_limited=self._cluster.limited_count(),
             gateways=self._cluster.members,
--- a/bilberrydeal/gateway/cluster_state/__init__.py
+++ b/bilberrydeal/gateway/cluster_state/__init__.py
@@ -3,6 +3,7 @@
 from ._cluster_state import ClusterState
 from ._endpoint_limit import EndpointLimit
 from ._endpoint_limit import limits_differ
+from ._freshness import TableFreshness
 from ._store_hints import HINT_INTERVAL_S
 from ._store_hints import StoreHints
 from ._store_sync import CONFIGURATION_WAIT_S
@@ -26,6 +27,7 @@
     "StoreConnectivity",
     "StoreHints",
     "TableFollower",
+    "TableFreshness",
     "Upstream",
     "limits_differ",
 ]
--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -16,6 +16,7 @@
 from ...systems import placement
 from . import _departures
 from . import _endpoint_limit
+from . import _freshness
 from . import _upstream
 
 LOG = telemetry.logger("knowledge")
@@ -50,6 +51,8 @@
     def __init__(self, health_system: health.HealthSystem) -> None:
         #: Newest configuration, ``None`` before the first.
         self.configuration: catalogue.Configuration | None = None
+        #: How recently the store confirmed that it is the newest.
+        self.configuration_freshness = _freshness.TableFreshness()
         #: Routes of that configuration.
         self.routes = catalogue.RouteTable(())
         #: Whether the endpoints were read at least once.
@@ -98,12 +101,6 @@
                 faults=configuration.quota_faults[:MAX_LOGGED_FAULTS],
                 count=len(configuration.quota_faults),
             )
-        LOG.info(
-            "Configuration in force.",
-            version=configuration.version,
-            before=present.version if present else None,
-            routes=len(configuration.routes),
-        )
         return True
 
     def subscribe_restarts(self, handler: OnGone) -> None:
--- a/bilberrydeal/gateway/cluster_state/_store_sync.py
+++ b/bilberrydeal/gateway/cluster_state/_store_sync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import time
 
 import attrs
 
@@ -12,6 +13,7 @@
 from ... import telemetry
 from . import _cluster_state
 from . import _endpoint_history
+from . import _freshness
 from . import _store_hints
 
 LOG = telemetry.logger("following")
@@ -87,6 +89,37 @@
             LOG.warning("Store lost.", reason=reason)
 
 
+@attrs.define(eq=False)
+class FailureStreak:
+    """Logs the first of several failed reads of a table, and their end."""
+
+    table: str
+    #: Failed reads since the last that succeeded.
+    count: int = 0
+    #: When the first of them failed, monotonic seconds.
+    began_s: float = 0.0
+
+    def note_failure(self, reason: str, now_s: float) -> None:
+        """Record a failed read."""
+        if self.count == 0:
+            self.began_s = now_s
+            LOG.warning("Table not read.", table=self.table, reason=reason)
+        self.count += 1
+
+    def note_success(self, transfer: ports.Transfer, now_s: float) -> None:
+        """Record a read that succeeded."""
+        if self.count:
+            LOG.info(
+                "Table read again.",
+                table=self.table,
+                failures=self.count,
+                away_s=round(now_s - self.began_s, 3),
+                size_bytes=transfer.size_bytes,
+                transfer_s=round(transfer.took_s, 3),
+            )
+        self.count = 0
+
+
 class TableFollower:
     """Follows one table: reads a snapshot, then the change feed."""
 
@@ -97,6 +130,7 @@
         connectivity: StoreConnectivity,
         hints: _store_hints.StoreHints,
         clock: Clock,
+        freshness: _freshness.TableFreshness | None = None,
     ) -> None:
         self._feed = feed
         self._table = table
@@ -104,6 +138,8 @@
         self._hints = hints
         self._state = hints.follow(table)
         self._clock = clock
+        self._freshness = freshness or _freshness.TableFreshness()
+        self._failures = FailureStreak(table)
 
     async def run(
         self, on_changes: OnChanges, pause_s: float, wait_s: float
@@ -119,7 +155,9 @@
                 LOG.info("Change history expired.", table=self._table)
                 self._state.version = None
             except errors.StoreUnavailable as error:
-                self._connectivity.note_failure(str(error), self._clock())
+                now_s = self._clock()
+                self._connectivity.note_failure(str(error), now_s)
+                self._failures.note_failure(str(error), now_s)
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(backoff_s * 2, BACKOFF_LIMIT_S)
 
@@ -134,15 +172,22 @@
             )
         now_s = self._clock()
         self._connectivity.note_response(now_s)
+        self._failures.note_success(found.transfer, now_s)
         changed = on_changes(found, is_snapshot)
+        self._freshness.note_confirmed(now_s - found.transfer.took_s)
         self._state.note_poll(found.version, changed, now_s)
 
 
 class ConfigurationUpdater:
     """Applies changes of the configuration."""
 
-    def __init__(self, cluster: _cluster_state.ClusterState) -> None:
+    def __init__(
+        self,
+        cluster: _cluster_state.ClusterState,
+        clock: Clock = time.monotonic,
+    ) -> None:
         self._cluster = cluster
+        self._clock = clock
 
     def apply(self, changes: ports.Changes, is_snapshot: bool) -> bool:
         """Apply changes of the configuration table."""
@@ -157,9 +202,27 @@
             except platform.RecordInvalid as error:
                 LOG.error("Configuration unreadable.", reason=str(error))
                 continue
-            changed |= self._cluster.set_configuration(found)
+            changed |= self._set(found, changes.transfer)
         return changed
 
+    def _set(
+        self, found: catalogue.Configuration, transfer: ports.Transfer
+    ) -> bool:
+        before = self._cluster.configuration
+        if not self._cluster.set_configuration(found):
+            return False
+        age_s = self._cluster.configuration_freshness.age_s(self._clock())
+        LOG.info(
+            "Configuration in force.",
+            version=found.version,
+            before=before.version if before else None,
+            routes=len(found.routes),
+            size_bytes=transfer.size_bytes,
+            transfer_s=round(transfer.took_s, 3),
+            unconfirmed_s=None if age_s is None else round(age_s, 3),
+        )
+        return True
+
 
 class EndpointUpdater:
     """Applies changes of the endpoints."""
--- a/bilberrydeal/gateway/core/_metrics.py
+++ b/bilberrydeal/gateway/core/_metrics.py
@@ -34,6 +34,8 @@
     callers_refused: collections.abc.Mapping[str, int] = attrs.field(
         factory=dict
     )
+    #: Time since the store confirmed the configuration.
+    configuration_age_s: float = 0.0
     #: Slots that long streams need, of all services.
     stream_slots: float = 0.0
     #: Permanent factors that differ from 1, by engine.
@@ -100,6 +102,10 @@
             for name, text in (
                 ("configuration_version", "Version in force."),
                 ("store_age_seconds", "Time since the store answered."),
+                (
+                    "configuration_age_seconds",
+                    "Time since the store confirmed the configuration.",
+                ),
                 ("endpoints", "Endpoints that are known."),
                 ("endpoints_limited", "Endpoints that limit requests."),
                 ("gateways", "Gateways that are alive."),
@@ -173,6 +179,7 @@
         for name, value in (
             ("configuration_version", state.configuration_version),
             ("store_age_seconds", state.store_age_s),
+            ("configuration_age_seconds", state.configuration_age_s),
             ("endpoints", state.endpoints),
             ("endpoints_limited", state.endpoints_limited),
             ("gateways", state.gateways),
--- a/bilberrydeal/gateway/serving/_request_handler.py
+++ b/bilberrydeal/gateway/serving/_request_handler.py
@@ -166,6 +166,12 @@
         configuration = self._cluster.configuration
         return configuration.version if configuration else None
 
+    def _configuration_age_s(self) -> float | None:
+        """Return the time since the store confirmed the configuration."""
+        freshness = self._cluster.configuration_freshness
+        age_s = freshness.age_s(self._clock())
+        return None if age_s is None else round(age_s, 2)
+
     def _log(
         self,
         request_id: bytes,
@@ -205,6 +211,7 @@
             steps=_send_fields(progress),
             fingerprint=_fingerprint(admitted, progress, responder),
             configuration=self._configuration_version(admitted),
+            configuration_age_s=self._configuration_age_s(),
             store_age_s=round(self._connectivity.age_s(self._clock()), 2),
             took_s=round(took_s, 4),
         )
--- a/bilberrydeal/platform/_calls.py
+++ b/bilberrydeal/platform/_calls.py
@@ -22,6 +22,8 @@
     body: bytes
     #: Time from the start of the call to the complete response, in seconds.
     took_s: float
+    #: Time from its head to its end, in seconds.
+    transfer_s: float = 0.0
 
     @property
     def status(self) -> int:
@@ -37,6 +39,25 @@
     """The call was sent, but no complete response arrived."""
 
 
+@attrs.define
+class _Progress:
+    """What has arrived of a response."""
+
+    #: When its head was complete, monotonic seconds.
+    head_s: float | None = None
+    #: Bytes of its body so far.
+    body_bytes: int = 0
+
+    def describe(self, started_s: float, now_s: float) -> str:
+        """Return how far the response got, for a log line."""
+        if self.head_s is None:
+            return f"no head after {now_s - started_s:.2f} s"
+        return (
+            f"head after {self.head_s - started_s:.2f} s, then "
+            f"{self.body_bytes} bytes in {now_s - self.head_s:.2f} s"
+        )
+
+
 def pool(host: str, port: int, limit: int) -> http1.Pool:
     """Return a pool of at most ``limit`` connections to one address."""
     created = http1.Pool(host, port)
@@ -63,6 +84,7 @@
 ) -> Response:
     """Make one call; raises :class:`NotSent` or :class:`NoResponse`."""
     started_s = time.monotonic()
+    progress = _Progress()
     try:
         connection = await pool.acquire(started_s)
     except http1.NotSent as error:
@@ -73,14 +95,35 @@
         async with asyncio.timeout(timeout_s):
             connection.send(head, payload)
             response_head = await connection.head()
-            response_body = await connection.body(limit_bytes)
+            progress.head_s = time.monotonic()
+            response_body = await _body(connection, limit_bytes, progress)
     except http1.NotSent as error:
         raise NotSent(str(error)) from error
     except (http1.IncompleteResponse, TimeoutError) as error:
-        raise NoResponse(type(error).__name__) from error
+        how_far = progress.describe(started_s, time.monotonic())
+        raise NoResponse(f"{type(error).__name__}, {how_far}") from error
     finally:
         pool.release(connection, time.monotonic())
-    return Response(response_head, response_body, time.monotonic() - started_s)
+    ended_s = time.monotonic()
+    return Response(
+        response_head,
+        response_body,
+        ended_s - started_s,
+        ended_s - progress.head_s,
+    )
+
+
+async def _body(
+    connection: http1.ClientConnection, limit_bytes: int, progress: _Progress
+) -> bytes:
+    """Return the body; raises ``IncompleteResponse`` if it is too large."""
+    body = bytearray()
+    while data := await connection.chunk():
+        body += data
+        progress.body_bytes = len(body)
+        if len(body) > limit_bytes:
+            raise http1.IncompleteResponse
+    return bytes(body)
 
 
 def _head(
--- a/bilberrydeal/platform/_store.py
+++ b/bilberrydeal/platform/_store.py
@@ -59,6 +59,7 @@
 
     found: _RowsResponse
     era: int | None
+    transfer: ports.Transfer
 
     @property
     def version(self) -> ports.StoreVersion:
@@ -160,6 +161,7 @@
         snapshot.
         """
         rows: list[ports.Change] = []
+        transfer = ports.Transfer()
         version: ports.StoreVersion | None = None
         after = ""
         while True:
@@ -168,9 +170,10 @@
             if read.era != version.era:
                 raise errors.StoreUnavailable("read, era changed")
             response = read.found
+            transfer = transfer.plus(read.transfer)
             rows.extend(_decode_change(row) for row in response.rows)
             if not response.has_more or not response.rows:
-                return ports.Changes(version=version, rows=tuple(rows))
+                return ports.Changes(version, tuple(rows), transfer)
             after = response.rows[-1].key + "\0"
 
     async def changes(
@@ -198,6 +201,7 @@
         return ports.Changes(
             version=read.version,
             rows=tuple(_decode_change(row) for row in read.found.rows),
+            transfer=read.transfer,
         )
 
     async def commit(
@@ -271,7 +275,8 @@
             raise errors.HistoryGone()
         if found is None:
             raise errors.StoreUnavailable(f"read, status {response.status}")
-        return _Read(found, era)
+        transfer = ports.Transfer(len(response.body), response.transfer_s)
+        return _Read(found, era, transfer)
 
     def _note_era(
         self,
--- a/bilberrydeal/ports/__init__.py
+++ b/bilberrydeal/ports/__init__.py
@@ -27,6 +27,7 @@
 from ._feed import Changes
 from ._feed import ClockReading
 from ._feed import StoreVersion
+from ._feed import Transfer
 from ._hosts import HostList
 from ._hosts import HostRecord
 from ._hosts import HostState
@@ -88,6 +89,7 @@
     "StoreVersion",
     "TableService",
     "Transaction",
+    "Transfer",
     "UsageInterface",
     "UsageReport",
     "WeightStore",
--- a/bilberrydeal/ports/_feed.py
+++ b/bilberrydeal/ports/_feed.py
@@ -46,6 +46,22 @@
     value: bytes | None
 
 
+@attrs.frozen
+class Transfer:
+    """How a response of the store arrived."""
+
+    #: Size of its body, in bytes.
+    size_bytes: int = 0
+    #: Time from its head to its end, in seconds.
+    took_s: float = 0.0
+
+    def plus(self, other: "Transfer") -> "Transfer":
+        """Return this transfer followed by another one."""
+        return Transfer(
+            self.size_bytes + other.size_bytes, self.took_s + other.took_s
+        )
+
+
 @attrs.frozen
 class Changes:
     """Changed rows in order of their versions."""
@@ -54,6 +70,8 @@
     version: StoreVersion
     #: The changed rows.
     rows: tuple[Change, ...]
+    #: How they arrived.
+    transfer: Transfer = attrs.field(factory=Transfer)
 
 
 @attrs.frozen
