--- a/scenarios/_gateways.py
+++ b/scenarios/_gateways.py
@@ -11,6 +11,7 @@
 import msgspec
 import yaml
 
+from . import _link
 from . import _places
 from . import _process
 from . import _proxy
@@ -29,6 +30,16 @@
 KEYS = {"russo": "key-russo", "derwent": "key-derwent"}
 GRACE_S = 5.0
 WINDOW_S = 2.0
+#: Bounds in the settings of gateways.
+BOUNDS = {
+    "grace_s": GRACE_S,
+    "extra_sends_ratio": 0.2,
+    "extra_sends_slack": 50.0,
+    "extra_sends_window_s": 10.0,
+    "lease_ms": 1000.0,
+    "usage_window_s": WINDOW_S,
+    "usage_due_s": 6.0,
+}
 
 
 @attrs.frozen
@@ -42,6 +53,8 @@
     #: Software versions that the decode workers have in turn; with several,
     #: callers resume streams that were broken off.
     versions: int = 1
+    #: Bandwidth of what a gateway receives, in Mbit/s; 0 for no limit.
+    link_mbps: float = 0.0
 
 
 @attrs.frozen
@@ -113,6 +126,8 @@
         self.gateway_settings = dict(gateway_settings or {})
         self.places = _places.reserve()
         self.version = 0
+        #: Names of the routes beside the usual ones.
+        self.added_routes: list[str] = []
         #: Configurations that were written.
         self.key_changes: list[KeyChange] = []
         #: Requests that crash workers and are being sent again and again.
@@ -189,7 +204,8 @@
         self.key_changes.append(
             KeyChange(self.version, frozenset(chosen), time.monotonic())
         )
-        await self._put("op", "config", configuration(self.version, chosen))
+        found = configuration(self.version, chosen, self.added_routes)
+        await self._put("op", "config", found)
 
     async def set_store_faults(self, **faults: object) -> None:
         """Replace the faults injected into the store."""
@@ -292,8 +308,13 @@
             ("bilberrydeal.daemon", (str(settings),)),
             (CALLERS_PORT,),
         )
+        links = None
+        if self.size.link_mbps:
+            links = {
+                _proxy.Direction.BACKWARD: _link.Link(self.size.link_mbps)
+            }
         member.store_proxy = _proxy.Proxy(
-            store, self.places.address(STORE_HOST), (STORE_PORT,)
+            store, self.places.address(STORE_HOST), (STORE_PORT,), links
         )
         return member
 
@@ -374,22 +395,21 @@
             "store": f"{store}:{STORE_PORT}",
             "usage": f"{store}:{STORE_PORT}",
         },
-        "bounds": {
-            "grace_s": GRACE_S,
-            "extra_sends_ratio": 0.2,
-            "extra_sends_slack": 50.0,
-            "extra_sends_window_s": 10.0,
-            "lease_ms": 1000.0,
-            "usage_window_s": WINDOW_S,
-            "usage_due_s": 6.0,
-        },
+        "bounds": BOUNDS,
         "open_files_limit": 4096,
         "memory_limit_mb": 300,
     }
 
 
-def configuration(version: int, keys: dict[str, str]) -> dict[str, object]:
-    """Return a configuration in the operator's format."""
+def configuration(
+    version: int,
+    keys: dict[str, str],
+    added: collections.abc.Sequence[str] = (),
+) -> dict[str, object]:
+    """Return a configuration in the operator's format.
+
+    ``added`` names routes beside the usual ones.
+    """
 
     def route(name: str, kind: str, service: str, **more: object) -> object:
         return {
@@ -412,6 +432,7 @@
             route("read", "safe", "bottega"),
             route("chat", "streaming", "llm", resumable=True),
             route("tell", "streaming", "llm", resumable=False),
+            *(route(name, "safe", "bottega") for name in added),
         ],
         "services": [
             {"name": "bottega", "max_connections": 100},
--- a/scenarios/_proxy.py
+++ b/scenarios/_proxy.py
@@ -5,11 +5,14 @@
 """
 
 import asyncio
+import collections.abc
 import enum
 import functools
 
 import attrs
 
+from . import _link
+
 #: Maximum bytes read from a socket at once.
 CHUNK_BYTES = 65_536
 
@@ -65,9 +68,15 @@
     """
 
     def __init__(
-        self, address: str, target: str, ports: tuple[int, ...]
+        self,
+        address: str,
+        target: str,
+        ports: tuple[int, ...],
+        links: collections.abc.Mapping[Direction, _link.Link] | None = None,
     ) -> None:
         self.address = address
+        #: Links that carry the data of a direction.
+        self._links = dict(links or {})
         self._target = target
         self._ports = ports
         self._servers: list[asyncio.Server] = []
@@ -219,8 +228,12 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        link = self._links.get(direction)
+        size_bytes = CHUNK_BYTES if link is None else _link.PIECE_BYTES
         try:
-            while data := await reader.read(CHUNK_BYTES):
+            while data := await reader.read(size_bytes):
+                if link is not None:
+                    await link.carry(len(data))
                 if direction is Direction.FORWARD:
                     await self._hold_if_matching(connection, data)
                 await self._forward(connection, direction, data, writer)
