Let a read of the store go on as long as it arrives

Callers got 404 on routes that an acknowledged version had added, or reached the service that a route had been moved away from, at gateways on narrow links.

A read that was still arriving was given up, and the next began at the first byte, on a link that carried what had been given up too.

The class: a fixed limit on a step whose length depends on size and rate.

--- a/bilberrydeal/platform/_calls.py
+++ b/bilberrydeal/platform/_calls.py
@@ -11,6 +11,8 @@
 
 #: Maximum size of a response body, in bytes.
 RESPONSE_LIMIT_BYTES = 8_388_608
+#: Longest time in which a response body may arrive, in seconds.
+TRANSFER_LIMIT_S = 30.0
 
 
 @attrs.frozen
@@ -41,13 +43,36 @@
 
 @attrs.define
 class _Progress:
-    """What has arrived of a response."""
+    """What has arrived of a response, and until when more has to."""
 
+    #: Ends the call.
+    limit: asyncio.Timeout
+    #: Longest time between two parts of the body, in seconds; ``None`` if the
+    #: whole call has one limit.
+    stall_s: float | None
     #: When its head was complete, monotonic seconds.
     head_s: float | None = None
     #: Bytes of its body so far.
     body_bytes: int = 0
 
+    def note_head(self, now_s: float) -> None:
+        """Record that the head is complete."""
+        self.head_s = now_s
+        self._extend(now_s)
+
+    def note_body(self, size_bytes: int, now_s: float) -> None:
+        """Record how much of the body has arrived."""
+        self.body_bytes = size_bytes
+        self._extend(now_s)
+
+    def _extend(self, now_s: float) -> None:
+        """Let the call go on, since its response moves."""
+        if self.stall_s is None or self.head_s is None:
+            return
+        left_s = self.head_s + TRANSFER_LIMIT_S - now_s
+        loop_s = asyncio.get_running_loop().time()
+        self.limit.reschedule(loop_s + min(self.stall_s, left_s))
+
     def describe(self, started_s: float, now_s: float) -> str:
         """Return how far the response got, for a log line."""
         if self.head_s is None:
@@ -81,10 +106,18 @@
     timeout_s: float,
     headers: collections.abc.Sequence[http1.Header] = (),
     limit_bytes: int = RESPONSE_LIMIT_BYTES,
+    stall_s: float | None = None,
 ) -> Response:
-    """Make one call; raises :class:`NotSent` or :class:`NoResponse`."""
+    """Make one call; raises :class:`NotSent` or :class:`NoResponse`.
+
+    The response has to arrive within ``timeout_s``. With ``stall_s`` only its
+    head has to; then the call goes on as long as another part of the body
+    arrives within ``stall_s``, since the time that a body takes depends on its
+    size and on the link.
+    """
     started_s = time.monotonic()
-    progress = _Progress()
+    limit = asyncio.timeout(timeout_s)
+    progress = _Progress(limit, stall_s)
     try:
         connection = await pool.acquire(started_s)
     except http1.NotSent as error:
@@ -92,10 +125,11 @@
     try:
         payload = b"" if body is None else msgspec.json.encode(body)
         head = _head(pool, method, target, headers, payload)
-        async with asyncio.timeout(timeout_s):
+        async with limit:
             connection.send(head, payload)
             response_head = await connection.head()
-            progress.head_s = time.monotonic()
+            head_s = time.monotonic()
+            progress.note_head(head_s)
             response_body = await _body(connection, limit_bytes, progress)
     except http1.NotSent as error:
         raise NotSent(str(error)) from error
@@ -109,7 +143,7 @@
         response_head,
         response_body,
         ended_s - started_s,
-        ended_s - progress.head_s,
+        ended_s - head_s,
     )
 
 
@@ -120,7 +154,7 @@
     body = bytearray()
     while data := await connection.chunk():
         body += data
-        progress.body_bytes = len(body)
+        progress.note_body(len(body), time.monotonic())
         if len(body) > limit_bytes:
             raise http1.IncompleteResponse
     return bytes(body)
--- a/bilberrydeal/platform/_store.py
+++ b/bilberrydeal/platform/_store.py
@@ -24,11 +24,11 @@
 ENDPOINTS_TABLE = "servers"
 #: Maximum number of concurrent connections for calls.
 CONNECTIONS_LIMIT = 16
-#: Time that a long poll's response may take beyond the poll's wait.
+#: Time that the head of a poll's response may take beyond the poll's wait.
 FEED_TIMEOUT_MARGIN_S = 0.7
-#: Time that a poll without a wait may take, in seconds: it is made when there
-#: is a change, and large rows take long over a narrow link.
-FEED_READ_TIMEOUT_S = 2.7
+#: Longest time between two parts of a response to a read, in seconds. How
+#: long the whole takes depends on the size of the rows and on the link.
+STALL_LIMIT_S = 2.0
 #: Rows requested per call.
 PAGE_ROWS = 500
 
@@ -192,10 +192,7 @@
             }
         )
         target = f"/bilberrydeal/rows-feed?{query}"
-        timeout_s = wait_s + FEED_TIMEOUT_MARGIN_S
-        if not wait_s:
-            timeout_s = FEED_READ_TIMEOUT_S
-        read = await self._read_call(target, timeout_s)
+        read = await self._read_call(target, wait_s + FEED_TIMEOUT_MARGIN_S)
         if read.era != after.era:
             raise errors.HistoryGone()
         return ports.Changes(
@@ -263,7 +260,12 @@
         start = self._eras.start_call()
         try:
             response = await _calls.call(
-                self._pool, _GET, target.encode(), None, timeout_s
+                self._pool,
+                _GET,
+                target.encode(),
+                None,
+                timeout_s,
+                stall_s=STALL_LIMIT_S,
             )
         except (_calls.NotSent, _calls.NoResponse) as error:
             self.calls["read", "no answer"] += 1
--- a/bilberrydeal/ports/_feed.py
+++ b/bilberrydeal/ports/_feed.py
@@ -93,7 +93,10 @@
     """
 
     async def snapshot(self, table: str, timeout_s: float) -> Changes:
-        """Return all rows of a table and the version to continue from."""
+        """Return all rows of a table and the version to continue from.
+
+        A response has to begin within ``timeout_s``.
+        """
 
     async def changes(
         self, table: str, after: StoreVersion, wait_s: float
