Decide nothing by a configuration that must be outdated

Callers got 404 or 401, or reached the service that a route had been moved away from, at a gateway that was reading the newer configuration and knew it: rows of it were arriving.

Cause: a gateway held the newest version that it had seen, with no age. With a transfer that takes longer than a change may take, it decided by the old one until the end, and then by one that was several seconds old when it was complete.

The store confirms a version at the moment at which the head of its response is sent. Past the time in which a change must be applied a gateway that hears the store now refuses requests as not run (503, Retry-After) until a newer one is known; denials become such refusals as soon as newer rows are arriving, since the newest version may not give them. A gateway that does not hear the store serves on by what it has.

--- a/bilberrydeal/errors/_codes.py
+++ b/bilberrydeal/errors/_codes.py
@@ -43,6 +43,7 @@
     STREAM_ORIGIN_ABSENT = "stream_origin_absent"
     SHUTTING_DOWN = "shutting_down"
     KEYS_STALE = "keys_stale"
+    CONFIGURATION_OUTDATED = "configuration_outdated"
     CANCELLED = "cancelled"
     # Platform errors.
     STORE_UNAVAILABLE = "store_unavailable"
--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -97,7 +97,8 @@
         self._tracing = telemetry.Tracing(gateway_settings.trace, "gateway")
         self._uplink = _uplink.Uplink(gateway_settings.uplink_mbps, clock)
         self._cluster = cluster_state.ClusterState(
-            health.HEALTH.get("outlier")(rng.getrandbits(32))
+            health.HEALTH.get("outlier")(rng.getrandbits(32)),
+            gateway_settings.bounds.configuration_apply_ms / 1000,
         )
         self._datagrams = messaging.Datagrams()
         self._coordination = duties.Coordination(
--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -48,11 +48,15 @@
 class ClusterState:
     """The configuration and the endpoints as last read from the store."""
 
-    def __init__(self, health_system: health.HealthSystem) -> None:
+    def __init__(
+        self,
+        health_system: health.HealthSystem,
+        apply_limit_s: float = math.inf,
+    ) -> None:
         #: Newest configuration, ``None`` before the first.
         self.configuration: catalogue.Configuration | None = None
         #: How recently the store confirmed that it is the newest.
-        self.configuration_freshness = _freshness.TableFreshness()
+        self.configuration_freshness = _freshness.TableFreshness(apply_limit_s)
         #: Routes of that configuration.
         self.routes = catalogue.RouteTable(())
         #: Whether the endpoints were read at least once.
--- a/bilberrydeal/gateway/cluster_state/_freshness.py
+++ b/bilberrydeal/gateway/cluster_state/_freshness.py
@@ -5,25 +5,70 @@
 
 @attrs.define(eq=False)
 class TableFreshness:
-    """Age of what is known of one table of the store.
+    """Tells what may be decided by what is known of a table.
+
+    Another state may be in force than the known one from the moment at which
+    the store last confirmed it. It certainly is once newer rows begin to
+    arrive, and these may take long; so the known state may be old already when
+    it has arrived.
 
     Example::
 
-        freshness = TableFreshness()
+        freshness = TableFreshness(apply_limit_s=3.0)
         freshness.note_confirmed(now_s)
-        freshness.age_s(now_s + 1.0)  # 1.0
+        freshness.note_rows()
+        freshness.may_deny(now_s + 1.0)  # false
+        freshness.may_use(now_s + 1.0)  # true
+        freshness.may_use(now_s + 3.5)  # false
     """
 
+    #: Time within which a change must be applied, in seconds.
+    apply_limit_s: float = float("inf")
     #: When the store last sent the newest state, monotonic seconds; ``None``
     #: before the first time.
     confirmed_s: float | None = None
+    #: Whether a newer state than the known one is said to exist.
+    superseded: bool = False
+    #: Whether the store responds, so that the newest state will be known.
+    responding: bool = False
 
     def note_confirmed(self, sent_s: float) -> None:
         """Record that the store sent the newest state at a time."""
         self.confirmed_s = sent_s
+        self.superseded = False
+        self.responding = True
+
+    def note_superseded(self) -> None:
+        """Record that there may be a newer state than the known one."""
+        self.superseded = True
+
+    def note_rows(self) -> None:
+        """Record that rows of a newer state are arriving."""
+        self.superseded = True
+        self.responding = True
+
+    def note_failure(self) -> None:
+        """Record that the store did not respond."""
+        self.responding = False
 
     def age_s(self, now_s: float) -> float | None:
         """Return the time since the store confirmed what is known."""
         if self.confirmed_s is None:
             return None
         return now_s - self.confirmed_s
+
+    def may_deny(self, now_s: float) -> bool:
+        """Return whether what is not known counts as absent."""
+        return not self.superseded and not self._over_limit(now_s)
+
+    def may_use(self, now_s: float) -> bool:
+        """Return whether what is known may still be relied on.
+
+        Without the store it may: an old state serves callers better than
+        none.
+        """
+        return not self.responding or not self._over_limit(now_s)
+
+    def _over_limit(self, now_s: float) -> bool:
+        age_s = self.age_s(now_s)
+        return age_s is not None and age_s > self.apply_limit_s
--- a/bilberrydeal/gateway/cluster_state/_store_sync.py
+++ b/bilberrydeal/gateway/cluster_state/_store_sync.py
@@ -152,11 +152,13 @@
             except errors.HistoryGone:
                 LOG.info("Change history expired.", table=self._table)
                 self._state.version = None
+                self._freshness.note_superseded()
             except errors.StoreUnavailable as error:
                 now_s = self._clock()
                 self._connectivity.note_failure(str(error), now_s)
                 self._failures.note_failure(str(error), now_s)
                 self._margin_s = self._times.longer_margin_s(self._margin_s)
+                self._freshness.note_failure()
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(backoff_s * 2, BACKOFF_LIMIT_S)
 
@@ -168,7 +170,11 @@
         else:
             wait_s = self._hints.wait_s(self._state, self._times.wait_s)
             found = await self._feed.changes(
-                self._table, known, wait_s, wait_s + self._margin_s
+                self._table,
+                known,
+                wait_s,
+                wait_s + self._margin_s,
+                self._freshness.note_rows,
             )
         now_s = self._clock()
         self._connectivity.note_response(now_s)
--- a/bilberrydeal/gateway/serving/_admission.py
+++ b/bilberrydeal/gateway/serving/_admission.py
@@ -11,7 +11,13 @@
 
 #: Retry-After until the first configuration is loaded, in seconds.
 STARTUP_RETRY_S = 0.3
+#: Retry-After while a newer configuration is on its way, in seconds.
+OUTDATED_RETRY_S = 0.4
 _HOST = b"host"
+#: Refusals that the newest configuration may not give.
+_DENIALS = frozenset(
+    [errors.ErrorCode.UNKNOWN_ROUTE, errors.ErrorCode.KEY_REJECTED]
+)
 
 
 class Admission:
@@ -24,9 +30,31 @@
         self._rng = rng
 
     def admit(
-        self, request: http1.Request, caller: platform.CallerFields
+        self,
+        request: http1.Request,
+        caller: platform.CallerFields,
+        now_s: float,
+    ) -> core.AdmittedRequest:
+        """Return the admitted request; raises ``Refusal``.
+
+        A configuration that may be outdated denies nothing: the caller may
+        come back once it is known to be the newest. It still serves, until a
+        newer one that is on its way should have been applied.
+        """
+        try:
+            return self._admit(request, caller, now_s)
+        except errors.Refusal as refusal:
+            freshness = self._cluster.configuration_freshness
+            if refusal.reason in _DENIALS and not freshness.may_deny(now_s):
+                raise _outdated_refusal() from refusal
+            raise
+
+    def _admit(
+        self,
+        request: http1.Request,
+        caller: platform.CallerFields,
+        now_s: float,
     ) -> core.AdmittedRequest:
-        """Return the admitted request; raises ``Refusal``."""
         configuration = self._cluster.configuration
         if configuration is None:
             raise core.not_run_refusal(
@@ -36,6 +64,8 @@
             )
         if not caller.request_id or request.count(_HOST) != 1:
             raise _refusal(errors.ErrorCode.BAD_REQUEST, 400)
+        if not self._cluster.configuration_freshness.may_use(now_s):
+            raise _outdated_refusal()
         route = self._cluster.routes.find(
             request.header(_HOST) or b"", request.path
         )
@@ -82,5 +112,13 @@
     raise _refusal(errors.ErrorCode.KEY_REJECTED, 401)
 
 
+def _outdated_refusal() -> errors.Refusal:
+    return core.not_run_refusal(
+        errors.ErrorCode.CONFIGURATION_OUTDATED,
+        "a newer configuration is not known yet",
+        OUTDATED_RETRY_S,
+    )
+
+
 def _refusal(reason: errors.ErrorCode, status: int) -> errors.Refusal:
     return errors.Refusal(reason=reason, message="", status=status)
--- a/bilberrydeal/gateway/serving/_request_handler.py
+++ b/bilberrydeal/gateway/serving/_request_handler.py
@@ -65,7 +65,7 @@
         try:
             if self._shutdown.refusing:
                 raise _shutdown_refusal()
-            admitted = self._admission.admit(request, caller)
+            admitted = self._admission.admit(request, caller, self._clock())
         except errors.Refusal as refused:
             self._refuse(responder, caller.request_id, refused)
             self._log(caller.request_id, None, None, responder, refused)
--- a/bilberrydeal/gateway/tests/test_store_sync.py
+++ b/bilberrydeal/gateway/tests/test_store_sync.py
@@ -266,6 +266,7 @@
         after: ports.StoreVersion,
         wait_s: float,
         timeout_s: float,
+        on_rows: ports.OnRows | None = None,
     ) -> ports.Changes:
         await asyncio.sleep(0)
         return self._next("changes")
--- a/bilberrydeal/platform/_calls.py
+++ b/bilberrydeal/platform/_calls.py
@@ -14,6 +14,8 @@
 #: Longest time in which a response body may arrive, in seconds.
 TRANSFER_LIMIT_S = 30.0
 
+OnBody = collections.abc.Callable[[int], None]
+
 
 @attrs.frozen
 class Response:
@@ -50,6 +52,8 @@
     #: Longest time between two parts of the body, in seconds; ``None`` if the
     #: whole call has one limit.
     stall_s: float | None
+    #: Gets the size of the body so far.
+    on_body: OnBody | None = None
     #: When its head was complete, monotonic seconds.
     head_s: float | None = None
     #: Bytes of its body so far.
@@ -64,6 +68,8 @@
         """Record how much of the body has arrived."""
         self.body_bytes = size_bytes
         self._extend(now_s)
+        if self.on_body is not None:
+            self.on_body(size_bytes)
 
     def _extend(self, now_s: float) -> None:
         """Let the call go on, since its response moves."""
@@ -107,17 +113,18 @@
     headers: collections.abc.Sequence[http1.Header] = (),
     limit_bytes: int = RESPONSE_LIMIT_BYTES,
     stall_s: float | None = None,
+    on_body: OnBody | None = None,
 ) -> Response:
     """Make one call; raises :class:`NotSent` or :class:`NoResponse`.
 
     The response has to arrive within ``timeout_s``. With ``stall_s`` only its
     head has to; then the call goes on as long as another part of the body
     arrives within ``stall_s``, since the time that a body takes depends on its
-    size and on the link.
+    size and on the link. ``on_body`` gets the size of the body as it grows.
     """
     started_s = time.monotonic()
     limit = asyncio.timeout(timeout_s)
-    progress = _Progress(limit, stall_s)
+    progress = _Progress(limit, stall_s, on_body)
     try:
         connection = await pool.acquire(started_s)
     except http1.NotSent as error:
--- a/bilberrydeal/platform/_store.py
+++ b/bilberrydeal/platform/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import collections
+import collections.abc
 import time
 import urllib.parse
 
@@ -31,6 +32,8 @@
 #: Longest time between two parts of a response to a read, in seconds. How
 #: long the whole takes depends on the size of the rows and on the link.
 STALL_LIMIT_S = 2.0
+#: Size of a response from which on it holds rows, in bytes.
+ROWS_BYTES = 256
 #: Rows requested per call.
 PAGE_ROWS = 500
 
@@ -186,6 +189,7 @@
         after: ports.StoreVersion,
         wait_s: float,
         timeout_s: float,
+        on_rows: ports.OnRows | None = None,
     ) -> ports.Changes:
         """Return the changes since a version, waiting at most ``wait_s``.
 
@@ -200,7 +204,9 @@
             }
         )
         target = f"/bilberrydeal/rows-feed?{query}"
-        read = await self._read_call(target, timeout_s, self._feed_pool)
+        read = await self._read_call(
+            target, timeout_s, self._feed_pool, on_rows
+        )
         if read.era != after.era:
             raise errors.HistoryGone()
         return ports.Changes(
@@ -266,7 +272,11 @@
         )
 
     async def _read_call(
-        self, target: str, timeout_s: float, pool: http1.Pool
+        self,
+        target: str,
+        timeout_s: float,
+        pool: http1.Pool,
+        on_rows: ports.OnRows | None = None,
     ) -> _Read:
         start = self._eras.start_call()
         try:
@@ -277,6 +287,7 @@
                 None,
                 timeout_s,
                 stall_s=STALL_LIMIT_S,
+                on_body=_rows_watch(on_rows),
             )
         except (_calls.NotSent, _calls.NoResponse) as error:
             self.calls["read", "no answer"] += 1
@@ -337,6 +348,20 @@
         return found
 
 
+def _rows_watch(
+    on_rows: ports.OnRows | None,
+) -> collections.abc.Callable[[int], None] | None:
+    """Return what calls ``on_rows`` once a response must hold rows."""
+    if on_rows is None:
+        return None
+
+    def watch(size_bytes: int) -> None:
+        if size_bytes >= ROWS_BYTES:
+            on_rows()
+
+    return watch
+
+
 def _encode_transaction(transaction: ports.Transaction) -> _TransactionRequest:
     return _TransactionRequest(
         expected=[
--- a/bilberrydeal/ports/__init__.py
+++ b/bilberrydeal/ports/__init__.py
@@ -26,6 +26,7 @@
 from ._feed import ChangeFeed
 from ._feed import Changes
 from ._feed import ClockReading
+from ._feed import OnRows
 from ._feed import StoreVersion
 from ._feed import Transfer
 from ._hosts import HostList
@@ -74,6 +75,7 @@
     "HostState",
     "LoadReport",
     "ObjectStore",
+    "OnRows",
     "OrderRefused",
     "OrganisationFigures",
     "PlainFailure",
--- a/bilberrydeal/ports/_feed.py
+++ b/bilberrydeal/ports/_feed.py
@@ -1,5 +1,6 @@
 """Port to a change feed of table rows."""
 
+import collections.abc
 import typing
 
 import attrs
@@ -84,6 +85,10 @@
     local_s: float
 
 
+#: Called when rows begin to arrive.
+OnRows = collections.abc.Callable[[], None]
+
+
 class ChangeFeed(typing.Protocol):
     """Reads the changes of tables.
 
@@ -104,9 +109,11 @@
         after: StoreVersion,
         wait_s: float,
         timeout_s: float,
+        on_rows: OnRows | None = None,
     ) -> Changes:
         """Return the changes after a version, waiting up to ``wait_s``.
 
         The response has to begin within ``timeout_s``, which includes that
-        wait.
+        wait. ``on_rows`` is called when it is clear that rows are arriving,
+        which may be long before all have.
         """
