Confirm a configuration that arrived slowly before it is too old

A transfer of 1.8 s and the wait of the next poll, 1.2 s, are 3.0 s together, the time after which a configuration that is not confirmed serves no more. The wait of a poll is now shorter by the time that the response before it took to arrive: one call more after a long transfer.

The soak changes routes too, and probes each gateway for them, when it has routes beside the usual ones; SIGHUP is a fault by name.

--- a/bilberrydeal/gateway/cluster_state/_poll_times.py
+++ b/bilberrydeal/gateway/cluster_state/_poll_times.py
@@ -34,6 +34,14 @@
     #: Pause before the next poll, in seconds.
     pause_s: float = 0.0
 
+    def wait_after_s(self, transfer_s: float) -> float:
+        """Return the wait of a poll that follows a response.
+
+        What took long to arrive is as old when it has, so that the next poll
+        has to confirm it the sooner.
+        """
+        return max(self.wait_s - transfer_s, 0.0)
+
     def longer_margin_s(self, margin_s: float) -> float:
         """Return the margin of a poll that follows one without a response."""
         return min(margin_s * 2, max(MARGIN_LIMIT_S, self.margin_s))
--- a/bilberrydeal/gateway/cluster_state/_store_sync.py
+++ b/bilberrydeal/gateway/cluster_state/_store_sync.py
@@ -139,6 +139,8 @@
         self._failures = FailureStreak(table)
         #: Time that the head of the next response may take beyond the wait.
         self._margin_s = times.margin_s
+        #: Time that the last response took to arrive.
+        self._transfer_s = 0.0
 
     async def run(self, on_changes: OnChanges) -> None:
         """Follow the table; ``on_changes`` gets rows and ``is_snapshot``."""
@@ -168,7 +170,9 @@
         if known is None:
             found = await self._feed.snapshot(self._table, SNAPSHOT_TIMEOUT_S)
         else:
-            wait_s = self._hints.wait_s(self._state, self._times.wait_s)
+            wait_s = self._hints.wait_s(
+                self._state, self._times.wait_after_s(self._transfer_s)
+            )
             found = await self._feed.changes(
                 self._table,
                 known,
@@ -179,6 +183,7 @@
         now_s = self._clock()
         self._connectivity.note_response(now_s)
         self._failures.note_success(found.transfer, now_s)
+        self._transfer_s = found.transfer.took_s
         changed = on_changes(found, is_snapshot)
         self._freshness.note_confirmed(now_s - found.transfer.took_s)
         self._state.note_poll(found.version, changed, now_s)
--- a/bilberrydeal/gateway/tests/test_poll_times.py
+++ b/bilberrydeal/gateway/tests/test_poll_times.py
@@ -32,3 +32,15 @@
     for _ in range(4):
         margin_s = times.longer_margin_s(margin_s)
     assert margin_s == _poll_times.MARGIN_LIMIT_S
+
+
+@pytest.mark.parametrize("apply_limit_s", LIMITS_S)
+@pytest.mark.parametrize("transfer_share", [0.0, 0.1, 0.4, 0.9])
+def test_state_that_arrived_slowly_is_confirmed_before_it_is_too_old(
+    apply_limit_s: float, transfer_share: float
+) -> None:
+    """Gateways refused requests after a long transfer until a poll ended."""
+    times = _poll_times.configuration_times(apply_limit_s)
+    transfer_s = transfer_share * apply_limit_s
+    wait_s = times.wait_after_s(transfer_s)
+    assert transfer_s + wait_s <= max(times.wait_s, transfer_s) + 1e-9
--- a/scenarios/_gateways.py
+++ b/scenarios/_gateways.py
@@ -55,6 +55,8 @@
     versions: int = 1
     #: Bandwidth of what a gateway receives, in Mbit/s; 0 for no limit.
     link_mbps: float = 0.0
+    #: Routes beside the usual ones.
+    routes: int = 0
 
 
 @attrs.frozen
@@ -127,7 +129,7 @@
         self.places = _places.reserve()
         self.version = 0
         #: Names of the routes beside the usual ones.
-        self.added_routes: list[str] = []
+        self.added_routes = [f"more-{n}" for n in range(size.routes)]
         #: Configurations that were written.
         self.key_changes: list[KeyChange] = []
         #: Requests that crash workers and are being sent again and again.
--- a/scenarios/_process.py
+++ b/scenarios/_process.py
@@ -65,6 +65,10 @@
         """Send SIGTERM for a graceful shutdown."""
         self._signal(signal.SIGTERM)
 
+    def hang_up(self) -> None:
+        """Send SIGHUP, which tells of changed settings."""
+        self._signal(signal.SIGHUP)
+
     def pause(self) -> None:
         """Stop the process until :meth:`resume`."""
         self._signal(signal.SIGSTOP)
--- a/scenarios/gateway_soak.py
+++ b/scenarios/gateway_soak.py
@@ -23,6 +23,7 @@
 from . import _gateway_load
 from . import _gateways
 from . import _proxy
+from . import _route_probes
 from . import _waits
 
 #: Maximum duration of a fault, in seconds.
@@ -54,8 +55,15 @@
 #: Time for delayed calls to arrive, in seconds.
 SETTLE_S = 3.0
 
+#: Pause between two changes of the routes, in seconds.
+ROUTE_PAUSE_S = (0.3, 3.0)
+#: Time within which such a change has to be in force, in seconds, and the time
+#: after a disturbance in which it need not be.
+APPLY_LIMIT_S = 3.0
+SETTLED_AFTER_S = 4.0
+
 #: Faults that are injected only by name, so that seeds draw what they drew.
-NAMED_ONLY = frozenset(["kill_all_gateways"])
+NAMED_ONLY = frozenset(["hang_up_gateway", "kill_all_gateways"])
 
 Fault = collections.abc.Callable[
     [_gateways.Fleet, random.Random], collections.abc.Awaitable[None]
@@ -122,6 +130,14 @@
     await _pause(fleet, rng.choice(fleet.gateways), rng)
 
 
+@FAULTS.register("hang_up_gateway")
+async def hang_up_gateway(fleet: _gateways.Fleet, rng: random.Random) -> None:
+    """Tell a gateway that its settings have changed."""
+    gateway = rng.choice(fleet.gateways)
+    if gateway.process.alive:
+        gateway.process.hang_up()
+
+
 @FAULTS.register("kill_worker")
 async def kill_worker(fleet: _gateways.Fleet, rng: random.Random) -> None:
     """Kill a worker and restart it under the same id."""
@@ -412,6 +428,14 @@
     await _waits.eventually(served, f"{route} to be served again")
 
 
+async def _change_routes(
+    probes: _route_probes.RouteProbes, rng: random.Random
+) -> None:
+    while True:
+        await asyncio.sleep(rng.uniform(*ROUTE_PAUSE_S))
+        await probes.change(rng)
+
+
 async def soak(
     seed: int,
     duration_s: float,
@@ -419,12 +443,28 @@
     size: _gateways.FleetSize | None = None,
     faults: collections.abc.Sequence[str] = (),
 ) -> list[str]:
-    """Run a fleet under some faults, or all; return the violations found."""
+    """Run a fleet under some faults, or all; return the violations found.
+
+    With routes beside the usual ones, routes are added and removed too.
+    """
     rng = random.Random(seed)
     counts: collections.Counter[str] = collections.Counter()
-    async with _gateways.Fleet(size or _gateways.FleetSize(), folder) as fleet:
+    limit_ms = APPLY_LIMIT_S * 1000
+    bounds = {
+        **_gateways.BOUNDS,
+        "configuration_apply_ms": limit_ms,
+        "endpoint_leave_ms": limit_ms,
+    }
+    chosen = size or _gateways.FleetSize()
+    settings = {"bounds": bounds} if chosen.routes else None
+    async with _gateways.Fleet(chosen, folder, settings) as fleet:
         callers = _gateway_load.Callers(fleet, random.Random(seed + 1))
         tasks = [asyncio.create_task(callers.load(LOAD_PER_S))]
+        probes = _route_probes.RouteProbes(fleet)
+        if chosen.routes:
+            probes.start()
+            changing = _change_routes(probes, random.Random(seed + 2))
+            tasks.append(asyncio.create_task(changing))
         tasks += [
             asyncio.create_task(
                 _apply_faults(
@@ -439,6 +479,7 @@
         await asyncio.sleep(duration_s)
         for task in tasks:
             task.cancel()
+        probes.stop()
         ended = await asyncio.gather(*tasks, return_exceptions=True)
         problems = [
             f"a source of faults failed: {each!r}"
@@ -454,8 +495,18 @@
         problems += _gateway_invariants.violations(
             folder, callers.outcomes, fleet.key_changes, fleet.disturbances
         )
+        problems += _route_probes.outdated_answers(
+            probes.changes,
+            probes.probes,
+            fleet.disturbances,
+            APPLY_LIMIT_S,
+            SETTLED_AFTER_S,
+        )
     statuses = collections.Counter(each.status for each in callers.outcomes)
     print(f"seed {seed}: {dict(counts)}, answers {dict(statuses)}")
+    if probes.changes:
+        asked = collections.Counter(each.status for each in probes.probes)
+        print(f"{len(probes.changes)} changes, probes {dict(asked)}")
     if callers.resumptions:
         print(f"resumptions by status: {dict(callers.resumptions)}")
     return problems
@@ -470,6 +521,8 @@
     seed: int = 1,
     duration_s: float = 60.0,
     gateways: int = 2,
+    routes: int = 0,
+    link_mbps: float = 0.0,
     folder: pathlib.Path | None = None,
     faults: list[str] | None = None,
 ) -> None:
@@ -479,7 +532,9 @@
     """
     chosen = folder or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     chosen.mkdir(parents=True, exist_ok=True)
-    size = _gateways.FleetSize(gateways=gateways)
+    size = _gateways.FleetSize(
+        gateways=gateways, routes=routes, link_mbps=link_mbps
+    )
     problems = uvloop.run(soak(seed, duration_s, chosen, size, faults or ()))
     for problem in problems:
         print(f"broken: {problem}")
--- a/scenarios/tests/test_configuration_changes.py
+++ b/scenarios/tests/test_configuration_changes.py
@@ -4,12 +4,12 @@
 import pathlib
 import time
 
-import aiohttp
 import attrs
 import pytest
 
 from scenarios import _gateways
 from scenarios import _proxy
+from scenarios import _route_probes
 
 SIZE = _gateways.FleetSize(gateways=3, prefill_workers=0, decode_workers=0)
 ROUTES = 2_800
@@ -21,30 +21,8 @@
 CHANGES = 5
 PAUSE_S = 1.13
 PROBE_INTERVAL_S = 0.1
-NOT_FOUND = 404
-SERVED = 200
-
-
-async def _ask(
-    fleet: _gateways.Fleet, gateway: _gateways.Member, route: str
-) -> int:
-    """Return the status of a request on a route."""
-    url = f"http://{gateway.address}:{_gateways.CALLERS_PORT}/{route}/1"
-    headers = {
-        "Host": _gateways.HOST_HEADER,
-        "Request-Id": f"probe-{gateway.name}-{time.monotonic_ns()}",
-        "Key": _gateways.KEYS["russo"],
-        "Deadline-Ms": "2000",
-    }
-    timeout = aiohttp.ClientTimeout(total=2.0)
-    try:
-        async with fleet.session.get(
-            url, headers=headers, timeout=timeout
-        ) as answer:
-            await answer.read()
-            return answer.status
-    except (aiohttp.ClientError, TimeoutError):
-        return 0
+#: Answers on an added and on a removed route.
+IN_FORCE = (_route_probes.SERVED, _route_probes.NOT_FOUND)
 
 
 async def _in_force_s(
@@ -54,7 +32,10 @@
     acknowledged_s = time.monotonic()
     while True:
         sent_s = time.monotonic()
-        if await _ask(fleet, gateway, route) == SERVED:
+        if (
+            await _route_probes.ask(fleet, gateway, route)
+            == _route_probes.SERVED
+        ):
             return sent_s - acknowledged_s
         await asyncio.sleep(PROBE_INTERVAL_S)
 
@@ -122,12 +103,15 @@
     while not in_force:
         sent_s = time.monotonic() - acknowledged_s
         statuses = (
-            await _ask(fleet, gateway, added),
-            await _ask(fleet, gateway, removed),
+            await _route_probes.ask(fleet, gateway, added),
+            await _route_probes.ask(fleet, gateway, removed),
         )
-        if statuses[0] == NOT_FOUND or statuses[1] == SERVED:
+        if (
+            statuses[0] == _route_probes.NOT_FOUND
+            or statuses[1] == _route_probes.SERVED
+        ):
             outdated_s = sent_s
-        in_force = statuses == (SERVED, NOT_FOUND)
+        in_force = statuses == IN_FORCE
         await asyncio.sleep(PROBE_INTERVAL_S)
     return outdated_s
 
--- a/scenarios/tests/test_gateway_soak.py
+++ b/scenarios/tests/test_gateway_soak.py
@@ -16,6 +16,7 @@
 DURATION_S = 6.0
 LIMITS_DURATION_S = 14.0
 CRASHING_DURATION_S = 12.0
+ROUTES_DURATION_S = 14.0
 VERSIONS_DURATION_S = 12.0
 
 
@@ -70,3 +71,17 @@
         ("kill_all_gateways", "kill_gateway", "worker_misbehaves"),
     )
     assert problems == []
+
+
+@pytest.mark.parametrize("seed", [701, 702])
+async def test_changes_of_a_large_configuration_are_in_force_beside_restarts(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    problems = await gateway_soak.soak(
+        seed,
+        ROUTES_DURATION_S,
+        tmp_path,
+        _gateways.FleetSize(gateways=3, routes=2_800, link_mbps=2.8),
+        ("terminate_gateway", "kill_gateway", "hang_up_gateway"),
+    )
+    assert problems == []
