Ask once for rows that are still arriving

An attempt to read may now last until the deadline of its operation (four timeouts); a store that does not respond still ends it after one, at the level of the call. Commits keep their limit, since their outcome is asked for.

test_rows_that_arrive_before_the_deadline_are_asked_for_once failed before for rows that take 2.1 and 3.9 timeouts; tests of store, leases, keys and claims pass.

--- a/bilberrydeal/store/_client.py
+++ b/bilberrydeal/store/_client.py
@@ -24,6 +24,9 @@
 BACKOFF_MAX_S = 2.0
 #: Deadline of one operation with all its attempts, in call timeouts.
 DEADLINE_FACTOR = 4.0
+#: Shortest limit of an attempt, for table services that exceed the timeout of
+#: a call, in call timeouts.
+ATTEMPT_FACTOR = 2.0
 
 Result = typing.TypeVar("Result")
 Sleep = collections.abc.Callable[[float], collections.abc.Awaitable[None]]
@@ -248,8 +251,12 @@
         remaining_s = max(deadline_s - self._clock(), 0.0)
         if not await self._bucket.acquire(remaining_s):
             raise errors.StoreUnavailable(operation=operation)
+        limit_s = self.call_timeout_s * ATTEMPT_FACTOR
+        if operation != "commit":
+            # Rows that are arriving are not asked for again.
+            limit_s = max(limit_s, deadline_s - self._clock())
         try:
-            async with asyncio.timeout(self.call_timeout_s * 2):
+            async with asyncio.timeout(limit_s):
                 return await call()
         except TimeoutError as error:
             if operation == "commit":
--- a/bilberrydeal/store/tests/test_client.py
+++ b/bilberrydeal/store/tests/test_client.py
@@ -192,3 +192,39 @@
     with pytest.raises(errors.OutcomeUnknown):
         loop.run(client.commit_resolved(transaction, KEY, "mine"))
     assert (loop.run(client.read_one(KEY)) is not None) is own
+
+
+class _SlowTable(platform.MemoryTable):
+    """A table whose rows take long to arrive."""
+
+    def __init__(self, took_s: float) -> None:
+        super().__init__()
+        self.took_s = took_s
+        self.scans = 0
+
+    async def scan(
+        self, table: str, prefix: str, after: str, limit: int, timeout_s: float
+    ) -> tuple[ports.Row, ...]:
+        self.scans += 1
+        await asyncio.sleep(self.took_s)
+        return ()
+
+
+@pytest.mark.parametrize("took_s", [0.9, 1.9, 2.1, 3.9])
+def test_rows_that_arrive_before_the_deadline_are_asked_for_once(
+    took_s: float,
+) -> None:
+    loop = virtual.VirtualLoop()
+    table = _SlowTable(took_s)
+    client = faults.make_client(loop, table, call_timeout_s=1.0)
+    assert loop.run(client.scan_all("t", "")) == ()
+    assert table.scans == 1
+
+
+def test_rows_that_do_not_arrive_end_with_the_deadline() -> None:
+    loop = virtual.VirtualLoop()
+    client = faults.make_client(loop, _SlowTable(99.0), call_timeout_s=1.0)
+    began_s = loop.time()
+    with pytest.raises(errors.StoreUnavailable):
+        loop.run(client.scan_all("t", ""))
+    assert loop.time() - began_s <= client.max_call_s
