Let no stream begin at a version that others may lack

Callers saw a stream hold events of two software versions: it began at a worker of a version that had just joined, broke, was taken up at a gateway that was out of step, and went on there at the only version this one knew of.

Cause: that version counted as the only one for 1.85 s after any answer of the store, also of the configuration alone. The store's answer was dated when it was processed, so one that had waited for a gateway that stood still, or on the way, counted as new. And other gateways began streams at a new version as soon as they saw it.

Change: a version begins no stream at a gateway for 3.2 s after it saw it first, while an older one decodes. What is known of the endpoints counts as complete for 3.0 s, from when the poll was asked for. Versions in service are stored within 0.2 s, with since when, so that a gateway that has just started knows which one is new.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -30,6 +30,7 @@
 from . import core
 from . import duties
 from . import messaging
+from . import origins
 from . import peer_exchange
 from . import quotas
 from . import sending
@@ -160,9 +161,7 @@
             rng,
             clock,
         )
-        self._origins = self._coordination.origins(
-            self._connectivity, self._metrics, clock
-        )
+        self._origins = self._coordination.origins(self._metrics, clock)
         self._cluster.subscribe_restarts(self._quarantine.endpoint_restarted)
         self._cluster.subscribe_lapses(self._quarantine.endpoint_gone)
         self._endpoint_updater = cluster_state.EndpointUpdater(
@@ -285,8 +284,11 @@
             self._clock,
             self._cluster.configuration_freshness,
         )
+        endpoints_feed = cluster_state.ConfirmedFeed(
+            self._store, self._cluster.endpoints_freshness, self._clock
+        )
         endpoints = cluster_state.TableFollower(
-            self._store,
+            endpoints_feed,
             platform.ENDPOINTS_TABLE,
             self._connectivity,
             self._hints,
@@ -305,7 +307,9 @@
         self._spawn(
             periodic.keep_running(
                 "endpoints",
-                lambda: endpoints.run(self._endpoint_updater.apply),
+                lambda: endpoints.run(
+                    endpoints_feed.noting(self._endpoint_updater.apply)
+                ),
             )
         )
         self._spawn(periodic.keep_running("loads", self._load_exchange.run))
@@ -341,6 +345,11 @@
                 duties.QUARANTINE_ROWS_INTERVAL_S,
                 quarantine_rows,
             ),
+            _PeriodicWork(
+                "versions",
+                lambda: origins.VERSIONS_INTERVAL_S,
+                self._origins.rows.write_versions,
+            ),
             _PeriodicWork(
                 "origins",
                 self._origins.rows.pause_s,
--- a/bilberrydeal/gateway/cluster_state/__init__.py
+++ b/bilberrydeal/gateway/cluster_state/__init__.py
@@ -1,9 +1,11 @@
 """A gateway's view of the configuration and the endpoints."""
 
 from ._cluster_state import ClusterState
+from ._confirmed_feed import ConfirmedFeed
 from ._endpoint_limit import EndpointLimit
 from ._endpoint_limit import limits_differ
 from ._freshness import TableFreshness
+from ._new_versions import ENDPOINTS_FRESH_S
 from ._poll_times import configuration_times
 from ._poll_times import ENDPOINTS_PAUSE_S
 from ._poll_times import endpoints_times
@@ -20,6 +22,8 @@
 __all__ = [
     "ClusterState",
     "ConfigurationUpdater",
+    "ConfirmedFeed",
+    "ENDPOINTS_FRESH_S",
     "ENDPOINTS_PAUSE_S",
     "ENDPOINTS_WAIT_S",
     "EndpointLimit",
--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -17,6 +17,7 @@
 from . import _departures
 from . import _endpoint_limit
 from . import _freshness
+from . import _new_versions
 from . import _upstream
 
 LOG = telemetry.logger("knowledge")
@@ -33,6 +34,8 @@
 STREAM_LIFETIMES = 2.0
 #: Shortest such time, also while no configuration is known, in seconds.
 MIN_STREAM_LIFETIME_S = 30.0
+#: Interval between decisions which software versions are new, in seconds.
+NEW_VERSIONS_INTERVAL_S = 0.1
 #: Most removed endpoints that are remembered.
 REMOVED_LIMIT = 256
 
@@ -45,6 +48,15 @@
 OnGone = collections.abc.Callable[[_upstream.Upstream], None]
 
 
+@attrs.frozen
+class _HeldVersions:
+    """Versions of a service at which no stream may begin."""
+
+    versions: frozenset[str]
+    #: When to decide anew, monotonic seconds.
+    until_s: float
+
+
 class ClusterState:
     """The configuration and the endpoints as last read from the store."""
 
@@ -59,6 +71,12 @@
         self.configuration_freshness = _freshness.TableFreshness(apply_limit_s)
         #: Routes of that configuration.
         self.routes = catalogue.RouteTable(())
+        #: As of when the store told all endpoints.
+        self.endpoints_freshness = _freshness.TableFreshness()
+        #: When software versions were first seen.
+        self.new_versions = _new_versions.NewVersions()
+        #: The new ones by service.
+        self._held: dict[str, _HeldVersions] = {}
         #: Whether the endpoints were read at least once.
         self.endpoints_loaded = False
         #: Number of live gateways, including this one.
@@ -132,6 +150,7 @@
             of_service = self._by_service.setdefault(endpoint.service, {})
             of_service[endpoint.endpoint_id] = upstream
             self._engine_rings.pop(endpoint.service, None)
+            self._held.pop(endpoint.service, None)
             LOG.info(
                 "Endpoint known.",
                 endpoint=endpoint.endpoint_id,
@@ -283,8 +302,12 @@
         """Return the usable engines that are candidates for a request.
 
         In a large fleet requests of one affinity get the same small subset.
-        With a software version only engines of that version may decode.
+        With a software version only engines of that version may decode, and
+        without one none of a version that others may not know of yet.
         """
+        held: frozenset[str] = frozenset()
+        if software_version is None:
+            held = self._held_versions(service, now_s)
         ring = self._engine_rings.get(service)
         if ring is None:
             loads = [
@@ -301,14 +324,16 @@
 
         def usable(load: placement.EngineLoad) -> bool:
             upstream = self.endpoints[load.engine_id]
-            return upstream.usable(now_s) and (
-                load.prefill_only or upstream.has_version(software_version)
+            if not upstream.usable(now_s):
+                return False
+            return load.prefill_only or (
+                upstream.has_version(software_version)
+                and upstream.endpoint.software_version not in held
             )
 
         found = ring.candidates(affinity, usable)
-        if software_version is not None and all(
-            load.prefill_only for load in found
-        ):
+        restricted = software_version is not None or bool(held)
+        if restricted and all(load.prefill_only for load in found):
             # A subset may lack a version that few engines have.
             found += [
                 upstream.load
@@ -319,6 +344,32 @@
             ]
         return found
 
+    def _held_versions(self, service: str, now_s: float) -> frozenset[str]:
+        """Return the software versions at which no stream may begin."""
+        held = self._held.get(service)
+        if held is None or now_s >= held.until_s:
+            held = _HeldVersions(
+                self._new_versions_of(service, now_s),
+                now_s + NEW_VERSIONS_INTERVAL_S,
+            )
+            self._held[service] = held
+        return held.versions
+
+    def _new_versions_of(self, service: str, now_s: float) -> frozenset[str]:
+        upstreams = [
+            upstream
+            for upstream in self.of_service(service)
+            if upstream.load is not None
+        ]
+        present = {each.endpoint.software_version for each in upstreams}
+        self.new_versions.observe(service, present, now_s)
+        decoding = {
+            each.endpoint.software_version
+            for each in upstreams
+            if each.decodes and each.view.available
+        }
+        return self.new_versions.held(service, decoding, now_s)
+
     def stream_slots(self) -> float:
         """Return the slots that long streams of all services need."""
         return sum(
@@ -371,6 +422,8 @@
             upstream.pool.close_expired(now_s)
             if upstream.load is not None:
                 upstream.load.speed.expire(now_s)
+        for service in self._by_service:
+            self._held_versions(service, now_s)
         self.health.run(self.tables, now_s)
 
     def _report_restart(
@@ -388,6 +441,7 @@
         upstream.pool.close()
         self._by_service[endpoint.service].pop(endpoint.endpoint_id, None)
         self._engine_rings.pop(endpoint.service, None)
+        self._held.pop(endpoint.service, None)
 
     def _new_upstream(
         self, endpoint: catalogue.Endpoint
--- a/bilberrydeal/gateway/cluster_state/_upstream.py
+++ b/bilberrydeal/gateway/cluster_state/_upstream.py
@@ -58,6 +58,16 @@
             and not self.changing_role(now_s)
         )
 
+    @property
+    def decodes(self) -> bool:
+        """Return whether it is an engine that may run streams."""
+        return (
+            self.load is not None
+            and self.endpoint.ready
+            and not self.misdirected
+            and not self.load.prefill_only
+        )
+
     def has_version(self, software_version: str | None) -> bool:
         """Return whether it may continue a stream of a software version.
 
--- a/bilberrydeal/gateway/duties/_coordination.py
+++ b/bilberrydeal/gateway/duties/_coordination.py
@@ -236,7 +236,6 @@
 
     def origins(
         self,
-        connectivity: cluster_state.StoreConnectivity,
         metrics: core.GatewayMetrics,
         steady_s: collections.abc.Callable[[], float],
     ) -> origins.Origins:
@@ -245,7 +244,6 @@
             _client(self._table, ROW_TIMEOUT_S, origins.ORIGIN_CALLS_PER_S),
             self.incarnation,
             self._cluster,
-            connectivity,
             metrics,
             self._cluster_clock.store_s,
             lambda: self.is_candidate,
--- a/bilberrydeal/gateway/origins/__init__.py
+++ b/bilberrydeal/gateway/origins/__init__.py
@@ -3,9 +3,11 @@
 from ._origins import Origins
 from ._resolver import OriginResolver
 from ._rows import ORIGIN_CALLS_PER_S
+from ._rows import VERSIONS_INTERVAL_S
 
 __all__ = [
     "ORIGIN_CALLS_PER_S",
     "OriginResolver",
     "Origins",
+    "VERSIONS_INTERVAL_S",
 ]
--- a/bilberrydeal/gateway/origins/_origins.py
+++ b/bilberrydeal/gateway/origins/_origins.py
@@ -26,7 +26,6 @@
         client: store.StoreClient,
         incarnation: str,
         cluster: cluster_state.ClusterState,
-        connectivity: cluster_state.StoreConnectivity,
         metrics: core.GatewayMetrics,
         store_s: _rows.StoreClock,
         writes_versions: collections.abc.Callable[[], bool],
@@ -51,5 +50,5 @@
         )
         #: Binds requests to what began their streams.
         self.resolver = _resolver.OriginResolver(
-            memory, history, self.rows, cluster, connectivity, metrics, clock
+            memory, history, self.rows, cluster, metrics, clock
         )
--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -12,9 +12,6 @@
 from . import _version_history
 
 LOG = telemetry.logger("origins")
-#: What is known of the versions in service counts as fresh for so long after a
-#: response of the store, in seconds: it responds as often while it is reached.
-FRESH_S = cluster_state.ENDPOINTS_WAIT_S + cluster_state.ENDPOINTS_PAUSE_S
 #: Retry-After while the origin is unknown, in intervals between writes: until
 #: then the gateway that began the stream has stored it.
 UNKNOWN_RETRY_WRITES = 2.0
@@ -37,7 +34,6 @@
         history: _version_history.VersionHistory,
         rows: _rows.OriginRows,
         cluster: cluster_state.ClusterState,
-        connectivity: cluster_state.StoreConnectivity,
         metrics: core.GatewayMetrics,
         clock: Clock,
     ) -> None:
@@ -45,7 +41,6 @@
         self._history = history
         self._rows = rows
         self._cluster = cluster
-        self._connectivity = connectivity
         self._metrics = metrics
         self._clock = clock
 
@@ -108,7 +103,13 @@
         return found
 
     def _fresh(self, now_s: float) -> bool:
-        return self._connectivity.age_s(now_s) < FRESH_S
+        """Return whether no stream can be of a version that is unknown here.
+
+        Engines of a new version begin none for longer than that.
+        """
+        return self._cluster.endpoints_freshness.is_within(
+            cluster_state.ENDPOINTS_FRESH_S, now_s
+        )
 
     def _absent_retry_s(self, service: str) -> float:
         """Return the time until an engine that prefills may decode."""
--- a/bilberrydeal/gateway/origins/_rows.py
+++ b/bilberrydeal/gateway/origins/_rows.py
@@ -21,6 +21,9 @@
 ENGINE_VERSIONS = "engine_versions"
 #: Shortest interval between writes of new origins, in seconds.
 WRITE_INTERVAL_S = 0.2
+#: Interval between checks whether the versions in service were written, in
+#: seconds. No stream begins at a new one before that is over many times.
+VERSIONS_INTERVAL_S = 0.2
 #: Most such writes of all gateways together a second.
 WRITES_PER_S = 40.0
 #: Rows are removed at this multiple of the time for which origins are kept.
@@ -67,6 +70,9 @@
     present: tuple[str, ...]
     #: The store's clock when others were last in service, in seconds.
     gone_s: dict[str, float] = attrs.field(factory=dict)
+    #: The store's clock when each one in service was written first, in
+    #: seconds; one without it has been in service for long.
+    since_s: dict[str, float] = attrs.field(factory=dict)
 
 
 class OriginRows:
@@ -103,6 +109,7 @@
         #: When the last successful read began, monotonic seconds.
         self.read_s = float("-inf")
         self._reading = asyncio.Lock()
+        self._writing_versions = asyncio.Lock()
         self._era: int | None = None
         #: Versions in service by service, as stored.
         self._stored: dict[str, tuple[str, ...]] = {}
@@ -134,11 +141,18 @@
             self._memory.forget_writes()
         if not self.loaded:
             await self.read(self._clock())
-        if self._writes_versions():
-            await self._write_versions()
+        await self.write_versions()
         if self._history.mixed(self._clock()):
             await self._write_origins()
 
+    async def write_versions(self) -> None:
+        """Write the versions in service that are not stored yet."""
+        self.observe()
+        if not self.loaded or not self._writes_versions():
+            return
+        async with self._writing_versions:
+            await self._write_versions()
+
     async def read(self, asked_s: float) -> None:
         """Read all rows, unless that was done since ``asked_s``."""
         async with self._reading:
@@ -157,12 +171,22 @@
         store_s = self._store_s()
         for service, row in rows.items():
             self._stored[service] = row.present
+            self._learn_new(service, row, now_s)
             # Those that left while no gateway ran have just gone.
             self._history.observe(service, row.present, now_s)
             for version, gone_s in row.gone_s.items():
                 age_s = 0.0 if store_s is None else max(store_s - gone_s, 0.0)
                 self._history.observe(service, [version], now_s - age_s)
 
+    def _learn_new(self, service: str, row: VersionsRow, now_s: float) -> None:
+        """Learn since when versions have been in service."""
+        store_s = self._store_s()
+        if store_s is None:
+            return
+        for version in row.present:
+            age_s = max(store_s - row.since_s.get(version, 0.0), 0.0)
+            self._cluster.new_versions.learn(service, version, now_s - age_s)
+
     def _apply_origins(self, rows: dict[str, OriginRow]) -> None:
         store_s = self._store_s()
         learned: dict[str, core.StreamOrigin] = {}
@@ -271,6 +295,16 @@
         if store_s - at_s < kept_s
     }
     gone_s |= dict.fromkeys(before.present, store_s)
+    since_s = {
+        version: at_s
+        for version, at_s in before.since_s.items()
+        if version in present
+    }
+    since_s |= {
+        version: store_s
+        for version in present
+        if version not in before.present
+    }
     return VersionsRow(
         present,
         {
@@ -278,6 +312,7 @@
             for version, at_s in gone_s.items()
             if version not in present
         },
+        since_s,
     )
 
 
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -443,7 +443,6 @@
         store.StoreClient(table, 0.1, 1_000.0, era=lambda: table.era),
         name,
         cluster,
-        _store_sync.StoreConnectivity(clock()),
         metrics,
         clock,
         lambda: True,
--- a/bilberrydeal/platform/tests/test_torn_answers.py
+++ b/bilberrydeal/platform/tests/test_torn_answers.py
@@ -92,7 +92,7 @@
 
 async def _changes(port: int) -> object:
     client = _store.PlatformStore("127.0.0.1", port)
-    return await client.changes("t", ports.StoreVersion(5), 0.0)
+    return await client.changes("t", ports.StoreVersion(5), 0.0, TIMEOUT_S)
 
 
 async def _commit(port: int) -> object:
