Let any gateway store a version that is missing

Callers could see a stream hold events of two versions at a gateway that had been cut off and was just regained: it read the rows of all gateways, which did not name the new version, and took the one that it knew for the only one.

Cause: only the first three gateways write which versions serve. On a machine that is cut off they may all be; and in a large fleet the origins of streams are stored up to 7.5 s late.

It keeps those that the row names. A gateway reads the row once for that when a version joins.

--- a/bilberrydeal/gateway/origins/_rows.py
+++ b/bilberrydeal/gateway/origins/_rows.py
@@ -24,6 +24,9 @@
 #: Interval between checks whether the versions in service were written, in
 #: seconds. No stream begins at a new one before that is over many times.
 VERSIONS_INTERVAL_S = 0.2
+#: A gateway that doesn't write versions adds one that is still missing after
+#: so long, in seconds: those that write them may be cut off.
+ADD_AFTER_S = 1.0
 #: Most such writes of all gateways together a second.
 WRITES_PER_S = 40.0
 #: Rows are removed at this multiple of the time for which origins are kept.
@@ -113,6 +116,9 @@
         self._era: int | None = None
         #: Versions in service by service, as stored.
         self._stored: dict[str, tuple[str, ...]] = {}
+        #: Since when a version in service is not stored, as far as is known
+        #: here, by service, monotonic seconds.
+        self._missing_since_s: dict[str, float] = {}
         #: Numbers of the slots of this gateway that are stored.
         self._written: dict[int, None] = {}
         #: Keys of rows that are of no use any more.
@@ -148,10 +154,13 @@
     async def write_versions(self) -> None:
         """Write the versions in service that are not stored yet."""
         self.observe()
-        if not self.loaded or not self._writes_versions():
+        if not self.loaded:
             return
         async with self._writing_versions:
-            await self._write_versions()
+            if self._writes_versions():
+                await self._write_versions()
+            else:
+                await self._add_versions()
 
     async def read(self, asked_s: float) -> None:
         """Read all rows, unless that was done since ``asked_s``."""
@@ -205,16 +214,32 @@
             if self._stored.get(service) != present:
                 await self._write_service(service, present)
 
+    async def _add_versions(self) -> None:
+        """Add versions that nobody else has stored in time."""
+        now_s = self._clock()
+        for service, versions in self._cluster.software_versions().items():
+            if versions.issubset(self._stored.get(service, ())):
+                self._missing_since_s.pop(service, None)
+                continue
+            since_s = self._missing_since_s.setdefault(service, now_s)
+            if now_s - since_s >= ADD_AFTER_S:
+                await self._write_service(service, tuple(versions), True)
+
     async def _write_service(
-        self, service: str, present: tuple[str, ...]
+        self, service: str, present: tuple[str, ...], adds: bool = False
     ) -> None:
-        """Store the versions of a service unless another gateway has."""
+        """Store the versions of a service unless another gateway has.
+
+        With ``adds`` those that are stored already are kept.
+        """
         store_s = self._store_s()
         if store_s is None:
             return
         key = ports.RowKey(ENGINE_VERSIONS, service)
         found = await self._client.read_one(key)
         before = _decoded(found)
+        if adds:
+            present = tuple(sorted({*before.present, *present}))
         if before.present != present:
             row = _updated(before, present, store_s, self._kept_s())
             check = ports.Check(
--- a/bilberrydeal/gateway/tests/test_resumptions_out_of_step.py
+++ b/bilberrydeal/gateway/tests/test_resumptions_out_of_step.py
@@ -192,7 +192,12 @@
     """What a gateway knows of engines and streams."""
 
     def __init__(
-        self, name: str, endpoints: Endpoints, shared: memory.MemoryStore
+        self,
+        name: str,
+        endpoints: Endpoints,
+        shared: memory.MemoryStore,
+        gateways: int,
+        writes_versions: bool,
     ) -> None:
         clock = asyncio.get_running_loop().time
         self._clock = clock
@@ -202,6 +207,7 @@
             health.HEALTH.get("outlier")(1)
         )
         self.cluster.set_configuration(harness.configuration())
+        self.cluster.set_gateways(name, (f"n{n}" for n in range(1, gateways)))
         connectivity = cluster_state.StoreConnectivity(clock())
         client = store.StoreClient(
             Table(shared, self.link), CALL_S, 1_000.0, clock=clock
@@ -212,7 +218,7 @@
             self.cluster,
             _metrics.GatewayMetrics(),
             clock,
-            lambda: True,
+            lambda: writes_versions,
             clock,
         )
         feed = cluster_state.ConfirmedFeed(
@@ -244,6 +250,7 @@
             for work in (
                 follower.run(feed.noting(updater.apply)),
                 self._write_rows(),
+                self._write_versions(),
                 self._sweep(),
             )
         ]
@@ -256,6 +263,14 @@
                 await asyncio.sleep(STEP_S)
             await asyncio.sleep(self.origins.rows.pause_s())
 
+    async def _write_versions(self) -> None:
+        while True:
+            try:
+                await self.origins.rows.write_versions()
+            except errors.BilberrydealError:
+                await asyncio.sleep(STEP_S)
+            await asyncio.sleep(origins.VERSIONS_INTERVAL_S)
+
     async def _sweep(self) -> None:
         while True:
             self.cluster.sweep(self._clock())
@@ -316,6 +331,10 @@
     begins_s: float
     #: Phase of the polls of the second gateway, in seconds.
     phase_s: float
+    #: How many there are, and whether the first one writes which versions
+    #: serve; the second one does.
+    gateways: int = 2
+    first_writes: bool = True
     #: When the first stream began at the new version, in seconds after it
     #: joined.
     began_s: float | None = None
@@ -331,9 +350,11 @@
         endpoints = Endpoints()
         shared = memory.MemoryStore()
         endpoints.register("e1", "v1")
-        first = Gateway("g1", endpoints, shared)
+        first = Gateway(
+            "g1", endpoints, shared, self.gateways, self.first_writes
+        )
         await asyncio.sleep(self.phase_s)
-        second = Gateway("g2", endpoints, shared)
+        second = Gateway("g2", endpoints, shared, self.gateways, True)
         begun = False
         beat_s = 0.0
         streams: list[asyncio.Task[None]] = []
@@ -404,3 +425,16 @@
         refused = [at_s for at_s, found in went_on.items() if not found]
         # A stream that began just now may not be stored yet.
         assert len(refused) * STEP_S <= 0.5
+
+
+@pytest.mark.parametrize("phase_s", PHASES_S)
+@pytest.mark.parametrize("begins_s", BEGINS_S)
+def test_regained_gateway_that_writes_versions_for_all_joins_no_stream(
+    begins_s: float, phase_s: float
+) -> None:
+    """Origins are stored late in a large fleet, and the writer was away."""
+    play = Play(Trouble.CUT_OFF, begins_s, phase_s, 300, False)
+    _played(play)
+    assert play.began_s is not None
+    assert set(play.new.values()) <= {"", "v2"}
+    assert set(play.old.values()) <= {"", "v1"}
