Store the versions in service again after a restore

After the store came back from a copy without the row of a service's versions, no gateway wrote it again, so one that was cut off or started later did not learn of other versions from it.

Cause: what was stored counted as stored until a row of the service was read.

Evidence: test_versions_are_stored_again_after_a_restore failed before.

Change: a read of all rows replaces what counts as stored.

Result: it passes, with the other tests of stream origins, software versions and resumptions out of step.

--- a/bilberrydeal/gateway/origins/_rows.py
+++ b/bilberrydeal/gateway/origins/_rows.py
@@ -178,8 +178,9 @@
     def _apply_versions(self, rows: dict[str, VersionsRow]) -> None:
         now_s = self._clock()
         store_s = self._store_s()
+        # Rows that a restore took away are to be written again.
+        self._stored = {key: row.present for key, row in rows.items()}
         for service, row in rows.items():
-            self._stored[service] = row.present
             self._learn_new(service, row, now_s)
             # Those that left while no gateway ran have just gone.
             self._history.observe(service, row.present, now_s)
--- a/bilberrydeal/gateway/tests/test_stream_origins.py
+++ b/bilberrydeal/gateway/tests/test_stream_origins.py
@@ -88,3 +88,19 @@
         if name == _rows.STREAM_ORIGINS
     ]
     assert len(stored) <= _memory.SLOTS + 2
+
+
+async def test_versions_are_stored_again_after_a_restore() -> None:
+    table = memory.MemoryStore(era=1)
+    copied = table.copy()
+    cluster = loopback.cluster(ports.EngineRole.DECODE)
+    origins = harness.new_origins(
+        table, "g1", cluster, _metrics.GatewayMetrics(), lambda: 1_000.0
+    )
+    key = (_rows.ENGINE_VERSIONS, "llm")
+    await origins.rows.run_once()
+    assert key in table.rows
+    table.restore(copied)
+    assert key not in table.rows
+    await origins.rows.run_once()
+    assert key in table.rows
