--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -240,9 +240,14 @@
         body: bytes = b"b",
         deadline_ms: int = 2000,
         wait_s: float = 4.0,
+        piece_bytes: int = 0,
+        pause_s: float = 0.0,
         **fields: str,
     ) -> Reply:
-        """Send one request and return the response."""
+        """Send one request and return the response.
+
+        With a ``piece_bytes`` it is sent in pieces, with pauses between them.
+        """
         self.last_id += 1
         headers = {
             "host": "h.example",
@@ -259,8 +264,11 @@
         reader, writer = await asyncio.open_connection(
             "127.0.0.1", self.server.port
         )
-        writer.write(data)
+        size = piece_bytes or len(data)
         try:
+            for start in range(0, len(data), size):
+                writer.write(data[start : start + size])
+                await asyncio.sleep(pause_s)
             async with asyncio.timeout(wait_s):
                 received = await reader.read()
         finally:
--- a/bilberrydeal/http1/tests/test_client_uploads.py
+++ b/bilberrydeal/http1/tests/test_client_uploads.py
@@ -20,6 +20,8 @@
 )
 ANSWER = b"HTTP/1.1 200 OK\r\nrequest-id: 7\r\n\r\nours"
 PAUSE_S = 0.05
+#: Sizes of receive buffers that hold little and all of a request.
+BUFFERS = [8_192, 4_000_000]
 
 LoopFactory = collections.abc.Callable[[], asyncio.AbstractEventLoop]
 
@@ -63,7 +65,10 @@
 
 
 async def _exchange(
-    upload: bytes, ending: Ending, pause_s: float
+    upload: bytes,
+    ending: Ending,
+    pause_s: float,
+    buffer_bytes: int = BUFFERS[0],
 ) -> bytes | None:
     """Return the body, ``None`` if the response is incomplete."""
 
@@ -73,7 +78,7 @@
         await _serve(reader, writer, upload, ending, pause_s)
 
     listening = socket.socket()
-    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
     listening.bind(("127.0.0.1", 0))
     server = await asyncio.start_server(serve, sock=listening)
     port = server.sockets[0].getsockname()[1]
@@ -115,3 +120,34 @@
     for _attempt in range(4):
         with asyncio.Runner(loop_factory=loop) as runner:
             assert runner.run(_exchange(upload, ending, pause_s)) == expected
+
+
+@pytest.mark.parametrize(
+    "loop", [asyncio.new_event_loop, uvloop.new_event_loop]
+)
+@pytest.mark.parametrize("buffer_bytes", BUFFERS)
+@pytest.mark.parametrize("pause_s", [0.0, 0.005, PAUSE_S])
+@pytest.mark.parametrize(
+    ("ending", "expected"),
+    [
+        (Ending.RESET, None),
+        (Ending.UNREAD, None),
+        (Ending.ENDED_UNREAD, None),
+        (Ending.HALF_CLOSED, b"ours"),
+        (Ending.READ_FIRST, b"ours"),
+    ],
+)
+def test_response_reset_after_its_request_was_acknowledged_is_not_whole(
+    loop: LoopFactory,
+    buffer_bytes: int,
+    pause_s: float,
+    ending: Ending,
+    expected: bytes | None,
+) -> None:
+    """A host acknowledges bytes that its process never reads."""
+    for _attempt in range(4):
+        with asyncio.Runner(loop_factory=loop) as runner:
+            received = runner.run(
+                _exchange(UPLOADS[0], ending, pause_s, buffer_bytes)
+            )
+            assert received == expected
