Take no answer to an agent for whole while its request is unread

Callers of the entry got a part of an answer without length as a whole one when a plain service ended its direction and left an upload unread (MIXED).

Cause: the client library closes a connection as soon as its peer has ended it, and calls the body whole. What it had written was in the kernel and not acknowledged; the reset that followed reached nobody.

Evidence: pytest bilberrydeal/adapters/tests/test_uploads.py failed on the code before in 24 of 120 cases: all of "ended, unread", with both sizes of uploads and of buffers, three pauses, two loops.

Change: connections of the adapters stay open after the end of a body until the request is acknowledged and no reset has come for the same time as on gateways. The watch moves from http1 to a package of its own, which the agent imports without httptools. The client library has no public way to choose the protocol.

Result: adapters, http1, test_uploads_in_progress.py and test_responses_without_length.py pass (936), endings (24), agent and bilberrydeal/tests (78).

--- a/bilberrydeal/adapters/_exchange.py
+++ b/bilberrydeal/adapters/_exchange.py
@@ -10,6 +10,7 @@
 from .. import decoding
 from .. import errors
 from .. import telemetry
+from . import _ending_protocol
 
 LOG = telemetry.logger("adapters")
 
@@ -70,9 +71,7 @@
             table = HttpTable(session, url)
     """
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=connection_limit, force_close=True
-        )
+        connector=_ending_protocol.EndingConnector(connection_limit)
     )
     disable_retries(session)
     return session
@@ -105,6 +104,7 @@
 ) -> Response:
     """Send one request and return its response, without retries."""
     disable_retries(session)
+    _ending_protocol.REQUEST_BYTES.set(len(body))
     async with session.request(
         method,
         url,
@@ -151,9 +151,11 @@
     There is no public way to tell them apart.
     """
     protocol = response._protocol
-    return protocol is not None and isinstance(
-        protocol.exception(), aiohttp.ClientOSError
-    )
+    if protocol is None:
+        return False
+    if _ending_protocol.reset_after_end(protocol):
+        return True
+    return isinstance(protocol.exception(), aiohttp.ClientOSError)
 
 
 def retry_after_s(response: aiohttp.ClientResponse) -> float | None:
--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -7,6 +7,7 @@
 import attrs
 import httptools
 
+from .. import endings
 from . import _extra_responses
 from . import _fields
 from . import _headers
@@ -21,16 +22,6 @@
 #: Smallest and largest status of a response.
 MIN_STATUS = 100
 MAX_STATUS = 599
-#: Interval between checks whether a request was read after a response has
-#: ended with its connection, in seconds.
-UPLOAD_CHECK_INTERVAL_S = 0.005
-#: Time after the end of a response for which a reset makes it incomplete even
-#: though the request was acknowledged: the peer's host may hold bytes that the
-#: peer has not read, and resets the connection as the peer closes it. In
-#: seconds, for requests with a body.
-RESET_GRACE_S = 0.02
-#: The same for large requests, which are more often left unread, in seconds.
-LARGE_RESET_GRACE_S = 0.1
 #: Most interim responses before a response.
 INTERIM_LIMIT = 64
 #: Largest head of a response, in bytes.
@@ -91,10 +82,8 @@
         self._used = False
         #: Whether the current request is large.
         self._large = False
-        #: Wait for a reset after the end of the connection, in seconds.
-        self._reset_grace_s = 0.0
-        #: When the peer ended the connection, in seconds of the event loop.
-        self._ended_s = 0.0
+        #: Size of the body of the current request.
+        self._request_bytes = 0
         self._request_id = b""
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -142,7 +131,7 @@
         if large is not self._large:
             self._large = large
             _sockets.limit_unacknowledged(self._transport, len(body))
-        self._reset_grace_s = _reset_grace_s(len(body))
+        self._request_bytes = len(body)
         self.reused = self._used
         self._used = True
         self._request_id = request_id
@@ -235,48 +224,32 @@
         self.abort()
 
     def eof_received(self) -> bool:
-        """Complete a response that is delimited by the end of the stream."""
+        """Complete a response that is delimited by the end of the stream.
+
+        Unless a reset may follow: then the connection has to stay open.
+        """
         self.reusable = False
         if (
             not self.done
+            and not self._closed
+            and self._transport is not None
             and self._delimited_by_eof
             and not self._skipping_response
         ):
-            loop = asyncio.get_running_loop()
-            self._ended_s = loop.time()
-            return self._complete_by_eof()
+            watch = endings.EndWatch(
+                self._transport,
+                self._request_bytes,
+                self._complete_by_eof,
+                self._give_up,
+            )
+            return watch.start()
         self._wake()
         return False
 
-    def _complete_by_eof(self) -> bool:
-        """Complete a response unless a reset may follow its end.
-
-        A peer that ends a connection before it has read the request resets it
-        as more of the request arrives, or as it closes its socket. Returns
-        whether that remains to be seen, so the connection has to stay open.
-        """
-        transport = self._transport
-        if self._closed or transport is None or transport.is_closing():
-            # A failed write drops what it could not send; its loss of the
-            # connection is still to be reported.
-            return False
-        if _sockets.was_reset(transport):
-            self._give_up()
-            return False
-        loop = asyncio.get_running_loop()
-        if self._reset_may_follow(transport, loop.time()):
-            loop.call_later(UPLOAD_CHECK_INTERVAL_S, self._complete_by_eof)
-            return True
-        self.done = True
+    def _complete_by_eof(self) -> None:
+        if not self._closed:
+            self.done = True
         self._wake()
-        return False
-
-    def _reset_may_follow(
-        self, transport: asyncio.Transport, now_s: float
-    ) -> bool:
-        if now_s - self._ended_s < self._reset_grace_s:
-            return True
-        return bool(_sockets.unacknowledged_bytes(transport))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake a waiting reader."""
@@ -401,12 +374,6 @@
     return protocol
 
 
-def _reset_grace_s(body_bytes: int) -> float:
-    if body_bytes >= _sockets.LARGE_BYTES:
-        return LARGE_RESET_GRACE_S
-    return RESET_GRACE_S if body_bytes else 0.0
-
-
 def _is_delimited_by_eof(head: ResponseHead) -> bool:
     if head.status in _responder.BODILESS_STATUSES:
         return False
