--- a/bilberrydeal/tests/own_time.py
+++ b/bilberrydeal/tests/own_time.py
@@ -58,6 +58,11 @@
         if self.elapsed_s > self._limit_s:
             self.exceeded.set()
 
+    def now_s(self) -> float:
+        """Return the time up to this moment."""
+        self.count_step()
+        return self.elapsed_s
+
     async def _count(self) -> None:
         while True:
             await asyncio.sleep(STEP_S)
@@ -65,7 +70,9 @@
 
 
 @contextlib.asynccontextmanager
-async def timeout(limit_s: float) -> collections.abc.AsyncIterator[None]:
+async def timeout(
+    limit_s: float,
+) -> collections.abc.AsyncIterator[OwnTime]:
     """Raise ``TimeoutError`` if the block has more than this own time.
 
     Example::
@@ -77,7 +84,7 @@
     async with asyncio.timeout(None) as deadline, own:
         watching = asyncio.create_task(_watch(own, deadline))
         try:
-            yield
+            yield own
         finally:
             watching.cancel()
     if own.exceeded.is_set():
