Build a gateway's parts apart from what runs them

Callers see no difference. `_process.py` had grown to 482 lines, a quarter of them the construction of the parts in one function.

`_parts.Parts` builds and connects the parts, and applies the settings that can change at run time; `Gateway` keeps the servers, signals, loops and shutdown. The order in which parts subscribe to datagrams and to lost endpoints is the same.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -4,7 +4,6 @@
 import collections.abc
 import os
 import pathlib
-import random
 import signal
 import time
 import typing
@@ -17,25 +16,17 @@
 from .. import platform
 from .. import settings
 from .. import telemetry
-from ..systems import health
-from ..systems import placement
-from ..systems import quarantine
 from ..systems import quotas as quota_systems
-from ..systems import retries
 from . import _caller_limits
+from . import _parts
 from . import _settings_watcher
 from . import _shutdown
-from . import _uplink
 from . import cluster_state
 from . import core
 from . import duties
-from . import messaging
 from . import origins
 from . import peer_exchange
-from . import quotas
 from . import sending
-from . import serving
-from . import streams
 
 LOG = telemetry.logger("gateway")
 #: Interval between sweeps of idle connections and circuits.
@@ -84,144 +75,20 @@
             path, gateway_settings, self._apply_settings
         )
         self._stop = asyncio.Event()
-        self._shutdown_state = core.ShutdownState()
         self._tasks: set[asyncio.Task[None]] = set()
-        clock = time.monotonic
-        self._clock = clock
-        rng = random.SystemRandom()
-        self._store = platform.PlatformStore(
-            *decoding.split_address(gateway_settings.platform.store)
-        )
-        self._connectivity = cluster_state.StoreConnectivity(
-            last_response_s=clock()
-        )
-        self._tracing = telemetry.Tracing(gateway_settings.trace, "gateway")
-        self._uplink = _uplink.Uplink(gateway_settings.uplink_mbps, clock)
-        self._cluster = cluster_state.ClusterState(
-            health.HEALTH.get("outlier")(rng.getrandbits(32)),
-            gateway_settings.bounds.configuration_apply_ms / 1000,
-        )
-        self._datagrams = messaging.Datagrams()
-        self._coordination = duties.Coordination(
-            gateway_settings, self._store, self._cluster, self._datagrams, rng
-        )
-        self._budget = retries.WindowBudget(
-            _budget_limits(gateway_settings), clock()
-        )
-        self._load_exchange = peer_exchange.LoadExchange(
-            self._datagrams,
-            self._cluster,
-            self._coordination.incarnation,
-            lambda: self._coordination.peers,
-            self._uplink,
-            clock,
-        )
-        self._hints = cluster_state.StoreHints(
-            self._datagrams,
-            self._coordination.incarnation,
-            lambda: self._coordination.peers,
-            lambda: self._coordination.position,
-            gateway_settings.store_watchers,
-            gateway_settings.bounds.apply_limit_s,
-            clock,
-        )
-        self._limit_broadcast = peer_exchange.LimitBroadcast(
-            self._datagrams,
-            self._cluster,
-            self._coordination.incarnation,
-            lambda: self._coordination.peers,
-            clock,
-        )
-        self._capability_broadcast = peer_exchange.CapabilityBroadcast(
-            self._datagrams,
-            self._cluster,
-            self._coordination.incarnation,
-            lambda: self._coordination.peers,
-            clock,
-        )
-        self._metrics = core.GatewayMetrics()
-        self._quotas = quotas.Quotas(
-            self._datagrams,
-            self._cluster,
-            self._coordination.incarnation,
-            gateway_settings.listen.peers,
-            self._quota_listing,
-            _quota_bounds(gateway_settings),
-            self._metrics,
-            clock,
-        )
-        self._quarantine = sending.RequestQuarantine(
-            quarantine.QUARANTINES.get(gateway_settings.quarantine)(),
-            self._datagrams,
-            self._coordination.incarnation,
-            gateway_settings.listen.peers,
-            lambda: self._coordination.peers,
-            lambda: self._coordination.lease_held,
-            self._metrics,
-            rng,
-            clock,
-        )
-        self._origins = self._coordination.origins(self._metrics, clock)
-        self._cluster.subscribe_restarts(self._quarantine.endpoint_restarted)
-        self._cluster.subscribe_lapses(self._quarantine.endpoint_gone)
-        self._endpoint_updater = cluster_state.EndpointUpdater(
-            self._cluster, self._connectivity, clock
-        )
+        self._clock = time.monotonic
+        self._parts = _parts.Parts(gateway_settings, self._clock)
         self._limits = _caller_limits.CallerLimits()
         self._caller_server = http1.HttpServer(
-            self._new_handler(rng).handle, self._caller_limits, clock
+            self._parts.request_handler.handle,
+            self._caller_limits,
+            self._clock,
         )
         self._readiness_server = http1.HttpServer(
-            self._handle_readiness, lambda: INTERNAL_LIMITS, clock
+            self._handle_readiness, lambda: INTERNAL_LIMITS, self._clock
         )
         self._metrics_server = http1.HttpServer(
-            self._handle_metrics, lambda: INTERNAL_LIMITS, clock
-        )
-
-    def _new_handler(self, rng: random.Random) -> serving.RequestHandler:
-        gateway_settings = self._settings
-        retry_policy = sending.RetryPolicy(
-            self._cluster, self._budget, self._clock
-        )
-        sender = sending.Sender(
-            self._cluster,
-            retry_policy,
-            self._uplink,
-            self._tracing,
-            self._quarantine,
-            self._clock,
-        )
-        return serving.RequestHandler(
-            admission=serving.Admission(self._cluster, rng),
-            cluster=self._cluster,
-            plain=serving.PlainServer(
-                self._cluster,
-                sender,
-                retry_policy,
-                self._coordination.usage_counter,
-                gateway_settings.failure_domain,
-                self._quarantine,
-                self._clock,
-            ),
-            stream=streams.StreamServer(
-                self._cluster,
-                sender,
-                retry_policy,
-                self._coordination.usage_counter,
-                placement.PLACERS.get(gateway_settings.placer)(),
-                self._uplink,
-                gateway_settings.failure_domain,
-                self._quarantine,
-                self._origins.resolver,
-                self._clock,
-            ),
-            retry_policy=retry_policy,
-            quota=self._quotas,
-            metrics=self._metrics,
-            tracing=self._tracing,
-            connectivity=self._connectivity,
-            shutdown=self._shutdown_state,
-            clock=self._clock,
+            self._handle_metrics, lambda: INTERNAL_LIMITS, self._clock
         )
 
     async def run(self) -> None:
@@ -240,7 +107,9 @@
         await self._metrics_server.listen(
             *decoding.split_address(listen.metrics)
         )
-        await self._datagrams.listen(*decoding.split_address(listen.peers))
+        await self._parts.datagrams.listen(
+            *decoding.split_address(listen.peers)
+        )
         self._start_tasks()
         LOG.info(
             "Gateway started.",
@@ -264,39 +133,34 @@
     ) -> None:
         """Apply the settings that can change at run time."""
         self._settings = gateway_settings
-        self._budget.limits = _budget_limits(gateway_settings)
-        self._uplink.set_rate(gateway_settings.uplink_mbps)
-        self._store.set_address(
-            *decoding.split_address(gateway_settings.platform.store)
-        )
-        self._coordination.usage.set_address(
-            *decoding.split_address(gateway_settings.platform.usage)
-        )
+        self._parts.apply_settings(gateway_settings)
 
     def _start_tasks(self) -> None:
         apply_limit_s = self._settings.bounds.apply_limit_s
         configuration = cluster_state.TableFollower(
-            self._store,
+            self._parts.store,
             platform.CONFIGURATION_TABLE,
-            self._connectivity,
-            self._hints,
+            self._parts.connectivity,
+            self._parts.hints,
             cluster_state.configuration_times(apply_limit_s),
             self._clock,
-            self._cluster.configuration_freshness,
+            self._parts.cluster.configuration_freshness,
         )
         endpoints_feed = cluster_state.ConfirmedFeed(
-            self._store, self._cluster.endpoints_freshness, self._clock
+            self._parts.store,
+            self._parts.cluster.endpoints_freshness,
+            self._clock,
         )
         endpoints = cluster_state.TableFollower(
             endpoints_feed,
             platform.ENDPOINTS_TABLE,
-            self._connectivity,
-            self._hints,
+            self._parts.connectivity,
+            self._parts.hints,
             cluster_state.endpoints_times(apply_limit_s),
             self._clock,
         )
         updater = cluster_state.ConfigurationUpdater(
-            self._cluster, self._clock
+            self._parts.cluster, self._clock
         )
         self._spawn(
             periodic.keep_running(
@@ -308,37 +172,41 @@
             periodic.keep_running(
                 "endpoints",
                 lambda: endpoints.run(
-                    endpoints_feed.noting(self._endpoint_updater.apply)
+                    endpoints_feed.noting(self._parts.endpoint_updater.apply)
                 ),
             )
         )
-        self._spawn(periodic.keep_running("loads", self._load_exchange.run))
+        self._spawn(
+            periodic.keep_running("loads", self._parts.load_exchange.run)
+        )
         for work in self._periodic_work():
             self._spawn(
                 periodic.run_periodically(work.name, work.pause_s, work.once)
             )
-        for loop in self._coordination.loops():
+        for loop in self._parts.coordination.loops():
             self._spawn(loop)
 
     def _periodic_work(self) -> list[_PeriodicWork]:
-        quarantine_rows = self._coordination.quarantine_rows(
-            self._quarantine, self._connectivity, self._clock
+        quarantine_rows = self._parts.coordination.quarantine_rows(
+            self._parts.quarantine, self._parts.connectivity, self._clock
         )
         return [
-            _work("hints", cluster_state.HINT_INTERVAL_S, self._hints),
+            _work("hints", cluster_state.HINT_INTERVAL_S, self._parts.hints),
             _work(
                 "limits",
                 peer_exchange.LIMIT_BROADCAST_INTERVAL_S,
-                self._limit_broadcast,
+                self._parts.limit_broadcast,
             ),
-            _work("quotas", quota_systems.TICK_INTERVAL_S, self._quotas),
+            _work("quotas", quota_systems.TICK_INTERVAL_S, self._parts.quotas),
             _work(
                 "capability",
                 peer_exchange.CAPABILITY_INTERVAL_S,
-                self._capability_broadcast,
+                self._parts.capability_broadcast,
             ),
             _work(
-                "quarantine", sending.QUARANTINE_INTERVAL_S, self._quarantine
+                "quarantine",
+                sending.QUARANTINE_INTERVAL_S,
+                self._parts.quarantine,
             ),
             _work(
                 "quarantine rows",
@@ -348,12 +216,12 @@
             _PeriodicWork(
                 "versions",
                 lambda: origins.VERSIONS_INTERVAL_S,
-                self._origins.rows.write_versions,
+                self._parts.origins.rows.write_versions,
             ),
             _PeriodicWork(
                 "origins",
-                self._origins.rows.pause_s,
-                self._origins.rows.run_once,
+                self._parts.origins.rows.pause_s,
+                self._parts.origins.rows.run_once,
             ),
             _PeriodicWork("sweep", lambda: SWEEP_INTERVAL_S, self._sweep),
             _PeriodicWork(
@@ -377,24 +245,15 @@
             self._metrics_server,
         ):
             server.enforce_timeouts(now_s)
-        self._cluster.set_clock_offset(
-            self._coordination.clock_offset_s(now_s)
-        )
-        self._cluster.sweep(now_s)
-        self._endpoint_updater.sweep(now_s)
-
-    def _quota_listing(self) -> quotas.Listing:
-        coordination = self._coordination
-        return quotas.Listing(
-            coordination.others,
-            coordination.settled,
-            coordination.row_left_s,
-            coordination.list_age_s,
+        self._parts.cluster.set_clock_offset(
+            self._parts.coordination.clock_offset_s(now_s)
         )
+        self._parts.cluster.sweep(now_s)
+        self._parts.endpoint_updater.sweep(now_s)
 
     def _caller_limits(self) -> http1.ServerLimits:
         return self._limits.current(
-            self._cluster.configuration, self._settings
+            self._parts.cluster.configuration, self._settings
         )
 
     async def _handle_readiness(
@@ -403,8 +262,8 @@
         ready = (
             request.path == platform.READY_PATH
             and not self._caller_server.draining
-            and self._cluster.configuration is not None
-            and self._cluster.endpoints_loaded
+            and self._parts.cluster.configuration is not None
+            and self._parts.cluster.endpoints_loaded
         )
         responder.send(200 if ready else 503, [], b"")
 
@@ -413,67 +272,48 @@
     ) -> None:
         content = [(b"content-type", b"text/plain; version=0.0.4")]
         responder.send(
-            200, content, self._metrics.render(self._gauge_values())
+            200, content, self._parts.metrics.render(self._gauge_values())
         )
 
     def _gauge_values(self) -> core.GaugeValues:
-        configuration = self._cluster.configuration
+        configuration = self._parts.cluster.configuration
         return core.GaugeValues(
             configuration_version=(
                 configuration.version if configuration else 0
             ),
-            store_age_s=self._connectivity.age_s(self._clock()),
+            store_age_s=self._parts.connectivity.age_s(self._clock()),
             configuration_age_s=(
-                self._cluster.configuration_freshness.age_s(self._clock())
+                self._parts.cluster.configuration_freshness.age_s(
+                    self._clock()
+                )
                 or 0.0
             ),
-            endpoints=len(self._cluster.endpoints),
-            endpoints_limited=self._cluster.limited_count(),
-            gateways=self._cluster.members,
+            endpoints=len(self._parts.cluster.endpoints),
+            endpoints_limited=self._parts.cluster.limited_count(),
+            gateways=self._parts.cluster.members,
             requests_open=self._caller_server.requests_open,
-            lease_held=self._coordination.lease_held,
-            quarantines=len(self._quarantine.in_force()),
-            store_era=self._store.era or 0,
-            store_calls=self._store.calls,
+            lease_held=self._parts.coordination.lease_held,
+            quarantines=len(self._parts.quarantine.in_force()),
+            store_era=self._parts.store.era or 0,
+            store_calls=self._parts.store.calls,
             callers_bytes=self._caller_server.budget.used_bytes,
             callers_refused=self._caller_server.budget.refused,
-            stream_slots=self._cluster.stream_slots(),
-            engine_factors=self._capability_broadcast.factors(),
+            stream_slots=self._parts.cluster.stream_slots(),
+            engine_factors=self._parts.capability_broadcast.factors(),
         )
 
     async def _shut_down(self) -> None:
         """Stop accepting requests and wait for those in flight."""
-        self._coordination.begin_shutdown()
+        self._parts.coordination.begin_shutdown()
         times = _shutdown.shutdown_times(self._settings.bounds.grace_s)
         await _shutdown.shut_down(
-            self._caller_server, self._shutdown_state, times
+            self._caller_server, self._parts.shutdown_state, times
         )
-        self._quotas.shut_down()
-        await self._coordination.shut_down()
+        self._parts.quotas.shut_down()
+        await self._parts.coordination.shut_down()
         for task in self._tasks:
             task.cancel()
-        self._tracing.close()
-
-
-def _budget_limits(
-    gateway_settings: settings.GatewaySettings,
-) -> retries.WindowLimits:
-    return retries.WindowLimits(
-        window_s=gateway_settings.bounds.extra_sends_window_s,
-        ratio=gateway_settings.bounds.extra_sends_ratio,
-        base_allowance=gateway_settings.bounds.extra_sends_slack,
-    )
-
-
-def _quota_bounds(
-    gateway_settings: settings.GatewaySettings,
-) -> quota_systems.FallbackBounds:
-    bounds = gateway_settings.bounds
-    return quota_systems.FallbackBounds(
-        window_s=bounds.quota_window_s,
-        overage=bounds.quota_overage,
-        slack_tokens=bounds.quota_slack,
-    )
+        self._parts.tracing.close()
 
 
 def run(gateway_settings: settings.GatewaySettings, path: pathlib.Path) -> int:
