Keep what is known of each service in one place

Callers see no difference. `ClusterState` had six dicts by service name, which every change of an endpoint had to keep in step.

`ServiceState` has a service's endpoints, engine ring, slot times, long streams, arrivals and speed, selects candidate engines and makes the loads of new ones. `ClusterState` has one dict of them; its interface is the same.

--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -18,6 +18,7 @@
 from . import _endpoint_limit
 from . import _freshness
 from . import _new_versions
+from . import _service_state
 from . import _upstream
 
 LOG = telemetry.logger("knowledge")
@@ -86,18 +87,8 @@
         self.health = health_system
         self.tables = systems.Tables()
         self._departures = _departures.Departures()
-        #: Endpoints by service and id.
-        self._by_service: dict[str, dict[str, _upstream.Upstream]] = {}
-        #: Engines by service, rebuilt when one is added or removed.
-        self._engine_rings: dict[str, placement.EngineRing] = {}
-        #: Learned slot occupancy times by service.
-        self._slot_times: dict[str, placement.SlotTimes] = {}
-        #: Learned need of long streams by service.
-        self._long_streams: dict[str, placement.LongStreams] = {}
-        #: What other gateways send, by service.
-        self._arrivals: dict[str, placement.PeerArrivals] = {}
-        #: Learned speed of the engines by service.
-        self._speeds: dict[str, placement.ServiceSpeed] = {}
+        #: State of the services that have, or had, endpoints, by name.
+        self._services: dict[str, _service_state.ServiceState] = {}
         #: All gateways, which share the request limits of endpoints.
         self._gateways = limits.ProcessGroup()
         self._on_restart: list[OnGone] = []
@@ -147,9 +138,7 @@
             )
             upstream = self._new_upstream(endpoint)
             self.endpoints[endpoint.endpoint_id] = upstream
-            of_service = self._by_service.setdefault(endpoint.service, {})
-            of_service[endpoint.endpoint_id] = upstream
-            self._engine_rings.pop(endpoint.service, None)
+            self._service(endpoint.service).add(upstream)
             self._held.pop(endpoint.service, None)
             LOG.info(
                 "Endpoint known.",
@@ -250,7 +239,8 @@
 
     def of_service(self, service: str) -> list[_upstream.Upstream]:
         """Return the endpoints of a service."""
-        return list(self._by_service.get(service, {}).values())
+        found = self._services.get(service)
+        return list(found.upstreams.values()) if found is not None else []
 
     @property
     def stream_lifetime_s(self) -> float:
@@ -285,12 +275,8 @@
         It is 0 if there are endpoints that neither pause nor have named a
         limit that is used up.
         """
-        ready = [
-            upstream
-            for upstream in self.of_service(service)
-            if upstream.endpoint.ready
-        ]
-        return min((upstream.wait_s(now_s) for upstream in ready), default=0.0)
+        found = self._services.get(service)
+        return found.wait_s(now_s) if found is not None else 0.0
 
     def engines(
         self,
@@ -305,44 +291,13 @@
         With a software version only engines of that version may decode, and
         without one none of a version that others may not know of yet.
         """
+        found = self._services.get(service)
+        if found is None:
+            return []
         held: frozenset[str] = frozenset()
         if software_version is None:
             held = self._held_versions(service, now_s)
-        ring = self._engine_rings.get(service)
-        if ring is None:
-            loads = [
-                upstream.load
-                for upstream in self.of_service(service)
-                if upstream.load is not None
-            ]
-            ring = placement.EngineRing(loads)
-            self._engine_rings[service] = ring
-            if service in self._arrivals:
-                self._arrivals[service].prefill_engines = sum(
-                    load.prefill_only for load in loads
-                )
-
-        def usable(load: placement.EngineLoad) -> bool:
-            upstream = self.endpoints[load.engine_id]
-            if not upstream.usable(now_s):
-                return False
-            return load.prefill_only or (
-                upstream.has_version(software_version)
-                and upstream.endpoint.software_version not in held
-            )
-
-        found = ring.candidates(affinity, usable)
-        restricted = software_version is not None or bool(held)
-        if restricted and all(load.prefill_only for load in found):
-            # A subset may lack a version that few engines have.
-            found += [
-                upstream.load
-                for upstream in self.of_service(service)
-                if upstream.load is not None
-                and not upstream.load.prefill_only
-                and usable(upstream.load)
-            ]
-        return found
+        return found.engines(affinity, now_s, software_version, held)
 
     def _held_versions(self, service: str, now_s: float) -> frozenset[str]:
         """Return the software versions at which no stream may begin."""
@@ -373,7 +328,8 @@
     def stream_slots(self) -> float:
         """Return the slots that long streams of all services need."""
         return sum(
-            streams.slots_needed for streams in self._long_streams.values()
+            service.long_streams.slots_needed
+            for service in self._services.values()
         )
 
     def loads(self) -> list[placement.EngineLoad]:
@@ -422,7 +378,7 @@
             upstream.pool.close_expired(now_s)
             if upstream.load is not None:
                 upstream.load.speed.expire(now_s)
-        for service in self._by_service:
+        for service in self._services:
             self._held_versions(service, now_s)
         self.health.run(self.tables, now_s)
 
@@ -439,8 +395,7 @@
         """Close an endpoint's connections and remove it from its service."""
         endpoint = upstream.endpoint
         upstream.pool.close()
-        self._by_service[endpoint.service].pop(endpoint.endpoint_id, None)
-        self._engine_rings.pop(endpoint.service, None)
+        self._services[endpoint.service].remove(endpoint.endpoint_id)
         self._held.pop(endpoint.service, None)
 
     def _new_upstream(
@@ -459,7 +414,9 @@
                 endpoint.host, endpoint.port, platform.HEADERS.request_id
             ),
             view=view,
-            load=self._new_load(endpoint),
+            load=self._service(endpoint.service).new_load(
+                endpoint, self._cache_tokens(endpoint.service)
+            ),
             limit=_endpoint_limit.EndpointLimit(
                 endpoint.endpoint_id,
                 limits.TurnShare(endpoint.endpoint_id, self._gateways),
@@ -468,34 +425,11 @@
         self._set_limits(upstream)
         return upstream
 
-    def _new_load(
-        self, endpoint: catalogue.Endpoint
-    ) -> placement.EngineLoad | None:
-        if endpoint.role is None:
-            return None
-        return placement.EngineLoad(
-            engine_id=endpoint.endpoint_id,
-            failure_domain=endpoint.failure_domain,
-            service=endpoint.service,
-            role=endpoint.role,
-            slots=endpoint.slots,
-            software_version=endpoint.software_version,
-            cache=placement.PartCache(self._cache_tokens(endpoint.service)),
-            slot_times=self._slot_times.setdefault(
-                endpoint.service, placement.SlotTimes()
-            ),
-            long_streams=self._long_streams.setdefault(
-                endpoint.service, placement.LongStreams()
-            ),
-            arrivals=self._arrivals.setdefault(
-                endpoint.service, placement.PeerArrivals()
-            ),
-            speed=placement.EngineSpeed(
-                self._speeds.setdefault(
-                    endpoint.service, placement.ServiceSpeed()
-                )
-            ),
-        )
+    def _service(self, service: str) -> _service_state.ServiceState:
+        found = self._services.get(service)
+        if found is None:
+            found = self._services[service] = _service_state.ServiceState()
+        return found
 
     def _cache_tokens(self, service: str) -> int:
         if self.configuration is None:
@@ -518,10 +452,9 @@
                 self._cache_tokens(upstream.endpoint.service)
             )
         if found.engine is not None:
-            speed = self._speeds.setdefault(
-                found.name, placement.ServiceSpeed()
+            self._service(found.name).set_fetch_time(
+                found.engine.kv_transfer_token_s
             )
-            speed.fetch_token_s = found.engine.kv_transfer_token_s
 
 
 def _same_process(
