Keep quarantines and signs of life apart from counting

Callers see no difference. `CrashCounts` was 520 lines: evidence, the table of quarantines with its limits, and what contradicts that an engine was lost.

`QuarantineTable` has the quarantines and those that were dismissed; `LifeSigns` has the responses and ends of engine processes and the losses that were retracted. The constants went with them, and two tests name their new module; the order of decisions is the same.

--- a/bilberrydeal/systems/quarantine/__init__.py
+++ b/bilberrydeal/systems/quarantine/__init__.py
@@ -18,8 +18,8 @@
 from ._base import request_parts
 from ._base import SuspectPrompt
 from ._crash_counts import CrashCounts
-from ._crash_counts import PROBE_INTERVAL_S
 from ._never import NeverQuarantine
+from ._quarantine_table import PROBE_INTERVAL_S
 from ._reports import datagrams
 
 __all__ = [
--- a/bilberrydeal/systems/quarantine/_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/_crash_counts.py
@@ -7,29 +7,13 @@
 from . import _base
 from . import _crashes
 from . import _evidence
+from . import _life_signs
+from . import _quarantine_table
 from . import _reports
 from . import _sound_parts
 from . import _telling
 from . import _unproven_ends
 
-#: A lost engine that responds to a request sent after so long still runs, in
-#: seconds; one that responds much later may have started again.
-ALIVE_AFTER_S = 0.1
-ALIVE_WITHIN_S = 2.0
-#: Time within which the next run of a crashed engine is known, in seconds.
-#: Until then its responses are taken for those of the run before.
-RESTART_KNOWN_S = 10.0
-#: Interval at which a request with quarantined parts is let through.
-PROBE_INTERVAL_S = 900.0
-#: Time after which a quarantine ends that was not renewed, in seconds.
-LASTS_S = 3600.0
-#: Most quarantines of parts, and of requests; the oldest yield.
-QUARANTINES_LIMIT = 32
-#: Time for which a quarantine that was dismissed is not learned, in seconds.
-DISMISSED_S = 60.0
-#: Time for which a response of an engine is remembered, in seconds.
-RESPONSES_KEPT_S = 10.0
-
 
 @_base.QUARANTINES.register("crash_counts")
 class CrashCounts:
@@ -46,24 +30,16 @@
         self._crashes = _crashes.Crashes()
         self._sound = _sound_parts.SoundParts()
         self._unproven_ends = _unproven_ends.UnprovenEnds(
-            ALIVE_AFTER_S, ALIVE_WITHIN_S
+            _life_signs.ALIVE_AFTER_S, _life_signs.ALIVE_WITHIN_S
         )
-        self._quarantines: dict[frozenset[bytes], _base.Quarantine] = {}
+        self._life_signs = _life_signs.LifeSigns()
+        self._quarantines = _quarantine_table.QuarantineTable()
         #: Since when the evidence against parts suffices.
         self._pending_s: dict[bytes, float] = {}
-        #: When quarantines were dismissed.
-        self._dismissed_s: dict[frozenset[bytes], float] = {}
         #: Parts that were reported as suspected.
         self._suspected: set[bytes] = set()
         #: Parts whose evidence has changed.
         self._changed: set[bytes] = set()
-        #: When the newest request was sent that an engine responded to, by
-        #: process.
-        self._responses_s: dict[str, float] = {}
-        #: Losses of engines that seem to have responded afterwards.
-        self._retracted: dict[str, _crashes.Crash] = {}
-        #: When engine processes ended for certain.
-        self._ended_s: dict[str, float] = {}
         self._decisions: list[_base.Decision] = []
         self._telling = _telling.Telling()
 
@@ -99,26 +75,21 @@
         """Record that an engine responded to a request sent at a time."""
         for parts in self._unproven_ends.proven(process, sent_s):
             self.observe_sound(parts, now_s)
-        self._responses_s[process] = max(
-            sent_s, self._responses_s.get(process, sent_s)
-        )
+        self._life_signs.note_response(process, sent_s)
         for crash in self._crashes.runs_of(process):
-            if now_s - crash.at_s < ALIVE_WITHIN_S:
+            if now_s - crash.at_s < _life_signs.ALIVE_WITHIN_S:
                 self._check_alive(crash, now_s)
 
     def observe_end(self, process: str, now_s: float) -> None:
         """Record that a run of an engine has ended and another one begun."""
-        self._ended_s[process] = now_s
-        for run, retracted in list(self._retracted.items()):
-            if _crashes.process_of(run) == process:
-                del self._retracted[run]
-                self._count_again(retracted, now_s)
+        for retracted in self._life_signs.note_end(process, now_s):
+            self._count_again(retracted, now_s)
 
     def _count_again(self, retracted: _crashes.Crash, now_s: float) -> None:
         """Count a loss that a response seemed to contradict."""
         run = retracted.process
         self._telling.alive.drop(run)
-        if now_s - retracted.at_s >= RESTART_KNOWN_S:
+        if now_s - retracted.at_s >= _life_signs.RESTART_KNOWN_S:
             return
         crash = self._crashes.put(
             run, retracted.failure_domain, retracted.at_s
@@ -139,13 +110,7 @@
         self, parts: _base.Parts, now_s: float
     ) -> _base.Quarantine | None:
         """Return the quarantine that keeps a prompt from engines."""
-        if not self._quarantines:
-            return None
-        shared = frozenset(parts[:-1])
-        for quarantine in self._quarantines.values():
-            if quarantine.parts <= shared and _in_force(quarantine, now_s):
-                return quarantine
-        return None
+        return self._quarantines.find(parts, now_s)
 
     def suspects(self, parts: _base.Parts, now_s: float) -> bool:
         """Return whether a prompt must not be sent to a second engine."""
@@ -159,21 +124,14 @@
 
     def probe(self, quarantine: _base.Quarantine, now_s: float) -> bool:
         """Return whether to let a request through; it is not due again."""
-        if now_s - quarantine.renewed_s < PROBE_INTERVAL_S:
+        if not self._quarantines.probe(quarantine, now_s):
             return False
-        self._quarantines[quarantine.parts] = attrs.evolve(
-            quarantine, renewed_s=now_s
-        )
         self._telling.tell_quarantines()
         return True
 
     def quarantines(self, now_s: float) -> tuple[_base.Quarantine, ...]:
         """Return the quarantines in force."""
-        return tuple(
-            each
-            for each in self._quarantines.values()
-            if _in_force(each, now_s)
-        )
+        return self._quarantines.in_force(now_s)
 
     def restore(self, quarantine: _base.Quarantine, now_s: float) -> None:
         """Add a quarantine that was stored."""
@@ -276,17 +234,11 @@
             if not self._sound.acquits(part, since_s, now_s)
         )
         learned = attrs.evolve(quarantine, parts=parts)
-        if not parts or not _in_force(learned, now_s):
+        if not parts or not _quarantine_table.in_force(learned, now_s):
             return
-        if now_s - self._dismissed_s.get(parts, float("-inf")) < DISMISSED_S:
+        if self._quarantines.dismissed(parts, now_s):
             return
-        before = self._quarantines.get(parts)
-        if before is not None:
-            self._quarantines[parts] = attrs.evolve(
-                before,
-                decided_s=min(before.decided_s, learned.decided_s),
-                renewed_s=max(before.renewed_s, learned.renewed_s),
-            )
+        if self._quarantines.merge(learned):
             return
         if not any(narrower < parts for narrower in self._quarantines):
             self._quarantine(learned, now_s, learned_from_other=True)
@@ -316,21 +268,16 @@
 
     def _check_alive(self, crash: _crashes.Crash, now_s: float) -> None:
         """Forget a loss if the engine responded after it."""
-        sent_s = self._responses_s.get(_crashes.process_of(crash.process))
-        if (
-            sent_s is not None
-            and sent_s >= crash.at_s + ALIVE_AFTER_S
-            and sent_s < crash.at_s + ALIVE_WITHIN_S
-        ):
+        if self._life_signs.responded_after(crash):
             self._discard_crash(crash.process)
-            if _crashes.process_of(crash.process) not in self._ended_s:
+            if not self._life_signs.ended(crash.process):
                 self._telling.alive.add(crash.process, now_s)
 
     def _discard_crash(self, process: str) -> None:
         crash = self._crashes.get(process)
-        if crash is None or _crashes.process_of(process) in self._ended_s:
+        if crash is None or self._life_signs.ended(process):
             return
-        self._retracted[process] = crash
+        self._life_signs.retract(crash)
         self._changed.update(crash.parts())
         self._crashes.remove(process)
         self._telling.losses.drop(process)
@@ -338,22 +285,9 @@
     def _expire(self, now_s: float) -> None:
         self._crashes.expire(now_s)
         self._unproven_ends.expire(now_s)
-        for process, sent_s in list(self._responses_s.items()):
-            if now_s - sent_s >= RESPONSES_KEPT_S:
-                del self._responses_s[process]
-        for process, crash in list(self._retracted.items()):
-            if now_s - crash.at_s >= RESTART_KNOWN_S:
-                del self._retracted[process]
-        for process, at_s in list(self._ended_s.items()):
-            if now_s - at_s >= _crashes.KEPT_S:
-                del self._ended_s[process]
-        for parts, at_s in list(self._dismissed_s.items()):
-            if now_s - at_s >= DISMISSED_S:
-                del self._dismissed_s[parts]
-        for parts, quarantine in list(self._quarantines.items()):
-            if not _in_force(quarantine, now_s):
-                del self._quarantines[parts]
-                self._note(_base.DecisionKind.ENDED, quarantine)
+        self._life_signs.expire(now_s)
+        for quarantine in self._quarantines.expire(now_s):
+            self._note(_base.DecisionKind.ENDED, quarantine)
         self._suspected = {
             part for part in self._suspected if self._crashes.count(part)
         }
@@ -420,26 +354,13 @@
         now_s: float,
         learned_from_other: bool = False,
     ) -> None:
-        self._dismissed_s.pop(quarantine.parts, None)
+        self._quarantines.allow(quarantine.parts)
         for parts in list(self._quarantines):
             if self._explains(quarantine.parts, parts):
-                self._dismissed_s[parts] = now_s
-                self._note(
-                    _base.DecisionKind.ENDED, self._quarantines.pop(parts)
-                )
-        for wider in [
-            parts for parts in self._quarantines if parts > quarantine.parts
-        ]:
-            del self._quarantines[wider]
-        self._quarantines[quarantine.parts] = quarantine
-        alike = [
-            each
-            for each in self._quarantines.values()
-            if each.of_request == quarantine.of_request
-        ]
-        if len(alike) > QUARANTINES_LIMIT:
-            oldest = min(alike, key=lambda each: each.renewed_s)
-            del self._quarantines[oldest.parts]
+                dismissed = self._quarantines.dismiss(parts, now_s)
+                self._note(_base.DecisionKind.ENDED, dismissed)
+        oldest = self._quarantines.put(quarantine)
+        if oldest is not None:
             self._note(_base.DecisionKind.ENDED, oldest)
         self._telling.tell_quarantines()
         self._note(
@@ -514,7 +435,3 @@
                 learned,
             )
         )
-
-
-def _in_force(quarantine: _base.Quarantine, now_s: float) -> bool:
-    return now_s - quarantine.renewed_s < LASTS_S
--- a/bilberrydeal/systems/quarantine/tests/test_crash_counts.py
+++ b/bilberrydeal/systems/quarantine/tests/test_crash_counts.py
@@ -9,6 +9,7 @@
 from .. import _base
 from .. import _crash_counts
 from .. import _crashes
+from .. import _quarantine_table
 from .. import _reports
 
 START_S = 1000.0
@@ -360,7 +361,7 @@
             let_through_s.append(gateway.now_s)
     assert len(let_through_s) == 3
     for one_s, other_s in itertools.pairwise(let_through_s):
-        assert other_s - one_s >= _crash_counts.PROBE_INTERVAL_S
+        assert other_s - one_s >= _quarantine_table.PROBE_INTERVAL_S
 
 
 def test_quarantine_ends_everywhere_when_its_part_completes_a_stream() -> None:
@@ -385,7 +386,7 @@
     gateway = Gateway()
     gateway.crash(4, BAD)
     gateway.wait(DECIDED_S)
-    gateway.now_s += _crash_counts.LASTS_S
+    gateway.now_s += _quarantine_table.LASTS_S
     gateway.wait(1.0)
     assert not gateway.refuses(BAD)
     assert gateway.system.quarantines(gateway.now_s) == ()
