Keep late queries and outboxes apart from quota decisions

Callers see no difference.

`LateQueries` remembers queries that were given up, `Outboxes` collects queries and answers into messages. Their limits went with them.

--- a/bilberrydeal/systems/quotas/__init__.py
+++ b/bilberrydeal/systems/quotas/__init__.py
@@ -7,10 +7,10 @@
 from ._messages import NOT_HOME
 from ._messages import Query
 from ._node import Decision
-from ._node import Outgoing
 from ._node import QuotaNode
 from ._node import TICK_INTERVAL_S
 from ._node import Transition
+from ._outboxes import Outgoing
 from ._view import MIN_LIST_AGE_S
 
 __all__ = [
--- a/bilberrydeal/systems/quotas/_node.py
+++ b/bilberrydeal/systems/quotas/_node.py
@@ -8,7 +8,9 @@
 from . import _active_time
 from . import _fallback
 from . import _home
+from . import _late_queries
 from . import _messages
+from . import _outboxes
 from . import _view
 
 #: Times after which a query without an answer is sent again, in seconds.
@@ -26,16 +28,8 @@
 #: Time for which the own share is tried before a home that did not answer, in
 #: seconds.
 SUSPENDED_S = 0.3
-#: Time for which queries that were given up are remembered, in seconds: what
-#: late answers to them granted is given back.
-LATE_ANSWER_S = 5.0
-#: Most such queries remembered; what late answers to earlier ones granted is
-#: not given back.
-LATE_ANSWERS_LIMIT = 10_000
 #: Interval in which ``tick`` has to be called, in seconds.
 TICK_INTERVAL_S = 0.05
-#: Most queries or answers in a message, to fit into one packet.
-BATCH_LIMIT = 32
 #: Longest wait accepted from a home, in seconds; longer ones are cut to it.
 WAIT_LIMIT_S = 60.0
 #: Greatest absolute cost of a query, in units of the quota; queries beyond it
@@ -67,14 +61,6 @@
     share_per_s: float
 
 
-@attrs.frozen
-class Outgoing:
-    """A message and the gateways that it goes to."""
-
-    recipients: tuple[str, ...]
-    message: _messages.Message
-
-
 OnDecision = collections.abc.Callable[[Decision], None]
 
 
@@ -93,26 +79,6 @@
     rejection: Decision | None = None
 
 
-@attrs.frozen
-class _Late:
-    """A query that was given up and may be answered yet."""
-
-    query: _messages.Query
-    #: Gateway that was asked.
-    home: str
-    asked_s: float
-    #: When it was given up.
-    since_s: float
-
-
-@attrs.define
-class _Outbox:
-    """What is to be sent to one gateway."""
-
-    queries: list[_messages.Query] = attrs.field(factory=list)
-    answers: list[_messages.Answer] = attrs.field(factory=list)
-
-
 class QuotaNode:
     """The quota decisions of one gateway, without I/O.
 
@@ -140,9 +106,8 @@
         self.quotas: collections.abc.Mapping[str, catalogue.Quota] = {}
         self._fallbacks: dict[str, _fallback.Fallback] = {}
         self._pending: dict[int, _Pending] = {}
-        #: Queries that were given up and when, by sequence number.
-        self._late: dict[int, _Late] = {}
-        self._outboxes: dict[str, _Outbox] = {}
+        self._late = _late_queries.LateQueries()
+        self._outboxes = _outboxes.Outboxes()
         self._sequence = 0
         self._transitions: list[Transition] = []
         self._heartbeat_s = float("-inf")
@@ -262,7 +227,7 @@
         due_s = RETRIES_S[pending.retries] * self._patience(pending.home)
         if waited_s >= due_s:
             pending.retries += 1
-            self._outbox(pending.home).queries.append(pending.query)
+            self._outboxes.add_query(pending.home, pending.query)
 
     def _patience(self, home: str) -> float:
         """Return how many times as long to wait as for a home nearby."""
@@ -292,24 +257,23 @@
             self._on_answer(sender, answer, now_s)
         if not message.queries or not self.view.knows(sender):
             return
-        outbox = self._outbox(sender)
         for query in message.queries:
             if not -COST_LIMIT <= query.cost <= COST_LIMIT:
                 continue
             found = self._home.answer(sender, query, now_s)
             if found is not None:
-                outbox.answers.append(found)
+                self._outboxes.add_answer(sender, found)
 
     def tick(self, now_s: float) -> None:
         """Advance the clock and the view, and forget old queries."""
         self._advance(now_s)
         if not self.quotas:
             return
-        self._expire_late(now_s)
+        self._late.expire(now_s)
 
     def take_heartbeat(
         self, now_s: float, leaving: bool = False
-    ) -> Outgoing | None:
+    ) -> _outboxes.Outgoing | None:
         """Return the heartbeat that is due, ``None`` if none is.
 
         A changed view is sent early, so that all views soon agree. Once
@@ -330,22 +294,13 @@
             heartbeat=view.heartbeat(now_s, self._leaving)
         )
         recipients = view.recipients(now_s)
-        return Outgoing(recipients, message) if recipients else None
+        if not recipients:
+            return None
+        return _outboxes.Outgoing(recipients, message)
 
-    def take_outgoing(self) -> list[Outgoing]:
+    def take_outgoing(self) -> list[_outboxes.Outgoing]:
         """Return the queries and answers to send, in batches."""
-        outgoing: list[Outgoing] = []
-        for recipient, outbox in self._outboxes.items():
-            queries, answers = outbox.queries, outbox.answers
-            longest = max(len(queries), len(answers))
-            for first in range(0, longest, BATCH_LIMIT):
-                last = first + BATCH_LIMIT
-                message = _messages.Message(
-                    tuple(queries[first:last]), tuple(answers[first:last])
-                )
-                outgoing.append(Outgoing((recipient,), message))
-        self._outboxes.clear()
-        return outgoing
+        return self._outboxes.take()
 
     def take_transitions(self) -> list[Transition]:
         """Return the losses of homes, and their ends, since the last call."""
@@ -358,21 +313,6 @@
         self._active.advance(now_s)
         self.view.refresh(now_s, self._active.now_s)
 
-    def _expire_late(self, now_s: float) -> None:
-        """Forget the oldest queries that were given up."""
-        while self._late:
-            sequence = next(iter(self._late))
-            fresh = now_s - self._late[sequence].since_s < LATE_ANSWER_S
-            if fresh and len(self._late) <= LATE_ANSWERS_LIMIT:
-                return
-            del self._late[sequence]
-
-    def _outbox(self, recipient: str) -> _Outbox:
-        found = self._outboxes.get(recipient)
-        if found is None:
-            found = self._outboxes[recipient] = _Outbox()
-        return found
-
     def _fallback(self, organisation: str) -> _fallback.Fallback:
         found = self._fallbacks.get(organisation)
         if found is None:
@@ -392,7 +332,7 @@
         self._pending[self._sequence] = _Pending(
             query, home, now_s, on_decision
         )
-        self._outbox(home).queries.append(query)
+        self._outboxes.add_query(home, query)
         return self._sequence
 
     def _on_answer_timeout(self, pending: _Pending, now_s: float) -> None:
@@ -415,8 +355,10 @@
         query = pending.query
         del self._pending[query.sequence]
         if query.cost > 0.0:
-            self._late[query.sequence] = _Late(
-                query, pending.home, pending.asked_s, now_s
+            self._late.add(
+                _late_queries.LateQuery(
+                    query, pending.home, pending.asked_s, now_s
+                )
             )
         if pending.on_decision is not None and decision is not None:
             pending.on_decision(decision)
@@ -438,10 +380,9 @@
         self, sender: str, answer: _messages.Answer, now_s: float
     ) -> None:
         """Give back what a home granted too late."""
-        late = self._late.get(answer.sequence)
-        if late is None or late.home != sender:
+        late = self._late.take(answer.sequence, sender)
+        if late is None:
             return
-        del self._late[answer.sequence]
         self.view.note_answer(sender, now_s - late.asked_s)
         query = late.query
         if answer.wait_s == 0.0:
