Write what tests of streams repeat once, in the harness

`Call.send`, `rest_of_stream` and `RequestPath.set_peer_tokens` do it now. No test does or asserts anything else than before; none was added or taken out.

--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -75,6 +75,11 @@
         """Return whether the request is a prefill."""
         return self.field("serving-stage") == b"prefill"
 
+    async def send(self, data: bytes) -> None:
+        """Send a part of the response ahead of the rest."""
+        self.writer.write(data)
+        await self.writer.drain()
+
 
 @attrs.define(eq=False)
 class Endpoint:
@@ -188,10 +193,15 @@
     return b"id: %d\ndata: e%d\n\n" % (number, number)
 
 
+def rest_of_stream(first: int, last: int) -> bytes:
+    """Return the events from ``first`` to ``last`` and the stream's end."""
+    events = b"".join(chunk(event(n)) for n in range(first, last + 1))
+    return events + chunk(b"")
+
+
 def complete_stream(call: Call, first: int, last: int) -> bytes:
     """Return a complete stream of events from ``first`` to ``last``."""
-    events = b"".join(chunk(event(n)) for n in range(first, last + 1))
-    return stream_head(call) + events + chunk(b"")
+    return stream_head(call) + rest_of_stream(first, last)
 
 
 def handle(call: Call) -> bytes:
@@ -286,6 +296,15 @@
         }
         return await self.send(path, **headers)
 
+    def set_peer_tokens(self, engine_id: str, tokens: int) -> None:
+        """Let other gateways have sent so many tokens to an engine.
+
+        It is chosen after those with fewer tokens.
+        """
+        load = self.cluster.load_of(engine_id)
+        assert load is not None
+        load.peer_tokens.urgent = tokens
+
 
 def _reply(received: bytes) -> Reply:
     head, _blank, rest = received.partition(b"\r\n\r\n")
--- a/bilberrydeal/gateway/tests/test_broken_answers.py
+++ b/bilberrydeal/gateway/tests/test_broken_answers.py
@@ -73,8 +73,7 @@
             refused.append(call)
             return harness.not_run(call, status)
         ran.append(call.request_id)
-        call.writer.write(harness.not_run(refused[0], status))
-        await call.writer.drain()
+        await call.send(harness.not_run(refused[0], status))
         await asyncio.sleep(after)
         return harness.signed_response(call)
 
@@ -155,11 +154,10 @@
 
 
 async def _broken_off(call: harness.Call) -> None:
-    call.writer.write(
+    await call.send(
         harness.stream_head(call)
         + harness.chunk(harness.event(1) + harness.event(2))
     )
-    await call.writer.drain()
     await asyncio.sleep(0.05)
 
 
@@ -193,9 +191,7 @@
     broken = harness.engine("d1", "decode", _broken_off)
     failing = harness.engine("d2", "decode", answer)
     async with harness.running(broken, failing) as running:
-        load = running.cluster.endpoints["d2"].load
-        assert load is not None
-        load.peer_tokens.urgent = 3_000
+        running.set_peer_tokens("d2", 3_000)
         reply = await running.stream(**SHORT)
     assert failing.calls
     assert reply.status == 200
--- a/bilberrydeal/gateway/tests/test_endless_memory.py
+++ b/bilberrydeal/gateway/tests/test_endless_memory.py
@@ -50,8 +50,7 @@
     async def script(call: harness.Call) -> bytes:
         call.writer.write(start)
         for _ in range(ENDLESS_BYTES // len(piece)):
-            call.writer.write(piece)
-            await call.writer.drain()
+            await call.send(piece)
         await asyncio.sleep(30.0)
         return b""
 
@@ -131,8 +130,7 @@
     call.writer.write(CHUNKED.replace(b"r1", call.request_id))
     piece = harness.chunk(b"!\n" * 4_400)
     while True:
-        call.writer.write(piece)
-        await call.writer.drain()
+        await call.send(piece)
         await asyncio.sleep(PIECE_INTERVAL_S)
 
 
--- a/bilberrydeal/gateway/tests/test_leaving.py
+++ b/bilberrydeal/gateway/tests/test_leaving.py
@@ -41,8 +41,7 @@
 
 async def _early_hint(call: harness.Call) -> bytes:
     """Say it in the head of a response whose body never ends."""
-    call.writer.write(_leaving(harness.signed_response(call, body=b"ab"))[:-1])
-    await call.writer.drain()
+    await call.send(_leaving(harness.signed_response(call, body=b"ab"))[:-1])
     await asyncio.sleep(30.0)
     return b""
 
@@ -54,13 +53,11 @@
 
 async def _leaving_stream(call: harness.Call) -> bytes:
     """Say it in the head of a stream that goes on for a while."""
-    call.writer.write(
+    await call.send(
         _leaving(harness.stream_head(call)) + harness.chunk(harness.event(1))
     )
-    await call.writer.drain()
     await asyncio.sleep(0.3)
-    rest = b"".join(harness.chunk(harness.event(n)) for n in range(2, 6))
-    return rest + harness.chunk(b"")
+    return harness.rest_of_stream(2, 5)
 
 
 async def _prefill(call: harness.Call) -> bytes:
@@ -93,9 +90,7 @@
     leaving = harness.engine("d1", "decode", _leaving_stream)
     other = harness.engine("d2", "decode", _stream)
     async with harness.running(leaving, other) as running:
-        load = running.cluster.endpoints["d2"].load
-        assert load is not None
-        load.peer_tokens.urgent = 3_000
+        running.set_peer_tokens("d2", 3_000)
         running_stream = asyncio.create_task(running.stream(**SHORT))
         async with asyncio.timeout(3.0):
             await leaving.arrived.wait()
@@ -112,9 +107,7 @@
     other = harness.engine("p2", "prefill", _prefill)
     decoder = harness.engine("d1", "decode", _stream)
     async with harness.running(leaving, other, decoder) as running:
-        load = running.cluster.endpoints["p2"].load
-        assert load is not None
-        load.peer_tokens.urgent = 3_000
+        running.set_peer_tokens("p2", 3_000)
         replies = [await running.stream() for _ in range(3)]
     assert [reply.complete for reply in replies] == [True] * 3
     assert len(leaving.calls) == 1
--- a/bilberrydeal/gateway/tests/test_quarantine.py
+++ b/bilberrydeal/gateway/tests/test_quarantine.py
@@ -35,8 +35,7 @@
             if b"bad0" not in (call.field("prefix-hash") or b""):
                 return harness.complete_stream(call, 1, 3)
             self.sends += 1
-            call.writer.write(harness.stream_head(call))
-            await call.writer.drain()
+            await call.send(harness.stream_head(call))
             await asyncio.sleep(0.02)
             self.restart(number)
             return None
@@ -189,8 +188,7 @@
         head = harness.stream_head(call).replace(
             b"transfer-encoding: chunked\r\n", b""
         )
-        call.writer.write(head + harness.event(1))
-        await call.writer.drain()
+        await call.send(head + harness.event(1))
         call.writer.close()
         await asyncio.sleep(0.05)
         return b""
--- a/bilberrydeal/gateway/tests/test_responses_without_length.py
+++ b/bilberrydeal/gateway/tests/test_responses_without_length.py
@@ -55,8 +55,7 @@
 
 async def _end(call: harness.Call, data: bytes, ending: Ending) -> bytes:
     """Send bytes and end the connection."""
-    call.writer.write(data)
-    await call.writer.drain()
+    await call.send(data)
     if ending is Ending.RESET_AFTER_SILENCE:
         await asyncio.sleep(PAUSE_S)
     if ending is Ending.CLOSE:
@@ -206,9 +205,7 @@
     first = harness.engine("d1", "decode", _script(response, ending))
     second = harness.engine("d2", "decode", _decode)
     async with harness.running(first, second) as running:
-        load = running.cluster.endpoints["d2"].load
-        assert load is not None
-        load.peer_tokens.urgent = 3_000
+        running.set_peer_tokens("d2", 3_000)
         reply = await running.stream(**SHORT)
     assert reply.status == 200
     assert reply.body == EVENTS
@@ -240,9 +237,7 @@
     )
     empty = harness.engine("d2", "decode", _script(_head, Ending.CLOSE))
     async with harness.running(broken, empty) as running:
-        load = running.cluster.endpoints["d2"].load
-        assert load is not None
-        load.peer_tokens.urgent = 3_000
+        running.set_peer_tokens("d2", 3_000)
         reply = await running.stream(**SHORT)
     assert len(empty.calls) == 1
     assert reply.body == TWO
@@ -264,9 +259,7 @@
     first = harness.engine("d1", "decode", mixed)
     second = harness.engine("d2", "decode", _decode)
     async with harness.running(first, second) as running:
-        load = running.cluster.endpoints["d2"].load
-        assert load is not None
-        load.peer_tokens.urgent = 3_000
+        running.set_peer_tokens("d2", 3_000)
         reply = await running.stream(**SHORT)
     assert reply.body == EVENTS
     assert reply.complete
--- a/bilberrydeal/gateway/tests/test_silent_engine.py
+++ b/bilberrydeal/gateway/tests/test_silent_engine.py
@@ -26,20 +26,17 @@
 
 async def _silent_midway(call: harness.Call) -> bytes:
     """Send an event, nothing for a while, then the rest."""
-    call.writer.write(
+    await call.send(
         harness.stream_head(call) + harness.chunk(harness.event(1))
     )
-    await call.writer.drain()
     await asyncio.sleep(SILENCE_S)
-    rest = b"".join(harness.chunk(harness.event(n)) for n in range(2, 6))
-    return rest + harness.chunk(b"")
+    return harness.rest_of_stream(2, 5)
 
 
 async def _silent_for_good(call: harness.Call) -> bytes:
-    call.writer.write(
+    await call.send(
         harness.stream_head(call) + harness.chunk(harness.event(1))
     )
-    await call.writer.drain()
     await asyncio.sleep(30.0)
     return b""
 
@@ -56,18 +53,16 @@
 
 async def _silent_then_reset(call: harness.Call) -> None:
     """Send an event, nothing for a while, then reset the connection."""
-    call.writer.write(
+    await call.send(
         harness.stream_head(call) + harness.chunk(harness.event(1))
     )
-    await call.writer.drain()
     await asyncio.sleep(SILENCE_S)
 
 
 async def _silent_then_ended_within_an_event(call: harness.Call) -> bytes:
-    call.writer.write(
+    await call.send(
         harness.stream_head(call) + harness.chunk(harness.event(1))
     )
-    await call.writer.drain()
     await asyncio.sleep(SILENCE_S)
     return harness.chunk(b"id: 2\nda") + harness.chunk(b"")
 
@@ -96,8 +91,7 @@
 
 async def _broken_event(call: harness.Call) -> None:
     """Start a stream and break it off within its first event."""
-    call.writer.write(harness.stream_head(call) + harness.chunk(b"id: 2\nda"))
-    await call.writer.drain()
+    await call.send(harness.stream_head(call) + harness.chunk(b"id: 2\nda"))
     await asyncio.sleep(0.05)
 
 
@@ -109,9 +103,7 @@
 
 def _prefer_first(running: harness.RequestPath) -> None:
     """Let the first request go to engine ``d1``."""
-    load = running.cluster.endpoints["d2"].load
-    assert load is not None
-    load.peer_tokens.urgent = 3_000
+    running.set_peer_tokens("d2", 3_000)
 
 
 async def _long_stream(running: harness.RequestPath) -> harness.Reply:
@@ -177,9 +169,7 @@
         running.cluster.endpoints["d2"].pool = http1.Pool("127.0.0.1", 1)
         running.cluster.endpoints["d2"].pool.limit = 8
         for name, tokens in (("d2", 3_000), ("d3", 6_000)):
-            load = running.cluster.endpoints[name].load
-            assert load is not None
-            load.peer_tokens.urgent = tokens
+            running.set_peer_tokens(name, tokens)
         reply = await running.stream("/chat/1", **SHORT)
     assert reply.complete
     assert reply.body == EVENTS
@@ -238,21 +228,18 @@
 
 
 async def _head_then_silent_for_good(call: harness.Call) -> bytes:
-    call.writer.write(harness.stream_head(call))
-    await call.writer.drain()
+    await call.send(harness.stream_head(call))
     await asyncio.sleep(30.0)
     return b""
 
 
 async def _silent_for_two_seconds(call: harness.Call) -> bytes:
     """Send an event, nothing for longer than two stalls, then the rest."""
-    call.writer.write(
+    await call.send(
         harness.stream_head(call) + harness.chunk(harness.event(1))
     )
-    await call.writer.drain()
     await asyncio.sleep(1.9)
-    rest = b"".join(harness.chunk(harness.event(n)) for n in range(2, 6))
-    return rest + harness.chunk(b"")
+    return harness.rest_of_stream(2, 5)
 
 
 async def _decode_slowly(call: harness.Call) -> bytes:
@@ -260,19 +247,16 @@
     first = int(call.field("last-event-id") or 0) + 1
     call.writer.write(harness.stream_head(call))
     for number in range(first, 6):
-        call.writer.write(harness.chunk(harness.event(number)))
-        await call.writer.drain()
+        await call.send(harness.chunk(harness.event(number)))
         await asyncio.sleep(0.3)
     return harness.chunk(b"")
 
 
 async def _head_then_silent(call: harness.Call) -> bytes:
     """Send a head, nothing for a while, then the events."""
-    call.writer.write(harness.stream_head(call))
-    await call.writer.drain()
+    await call.send(harness.stream_head(call))
     await asyncio.sleep(LONG_SILENCE_S)
-    events = b"".join(harness.chunk(harness.event(n)) for n in range(1, 6))
-    return events + harness.chunk(b"")
+    return harness.rest_of_stream(1, 5)
 
 
 async def test_first_event_is_logged_for_the_engine_that_sent_it(
@@ -304,9 +288,7 @@
     async with harness.running(silent, also_silent, healthy) as running:
         _allow_attempts(running, 4)
         for name, tokens in (("d2", 3_000), ("d3", 6_000)):
-            load = running.cluster.endpoints[name].load
-            assert load is not None
-            load.peer_tokens.urgent = tokens
+            running.set_peer_tokens(name, tokens)
         reply = await _long_stream(running)
     assert reply.complete
     assert reply.body == EVENTS
@@ -360,15 +342,13 @@
     other = harness.engine("d2", "decode", _decode)
     async with harness.running(silent, other) as running:
         running.budget.limits = retries.WindowLimits(10.0, 0.0, 4.0)
-        load = running.cluster.endpoints["d2"].load
-        assert load is not None
-        load.peer_tokens.urgent = 50_000
+        running.set_peer_tokens("d2", 50_000)
         streams = [
             asyncio.create_task(_long_stream(running)) for _ in range(12)
         ]
         await asyncio.sleep(0.3)
         assert len(silent.calls) == len(streams)
-        load.peer_tokens.urgent = 0
+        running.set_peer_tokens("d2", 0)
         replies = await asyncio.gather(*streams)
     assert [reply.status for reply in replies] == [200] * len(streams)
     assert all(reply.body == EVENTS for reply in replies)
--- a/bilberrydeal/gateway/tests/test_software_versions.py
+++ b/bilberrydeal/gateway/tests/test_software_versions.py
@@ -27,12 +27,11 @@
 
 
 async def _broken_off(call: harness.Call) -> None:
-    call.writer.write(
+    await call.send(
         harness.stream_head(call)
         + harness.chunk(harness.event(1))
         + harness.chunk(harness.event(2))
     )
-    await call.writer.drain()
     await asyncio.sleep(0.05)
 
 
@@ -41,10 +40,9 @@
 
 
 async def _silent(call: harness.Call) -> bytes:
-    call.writer.write(
+    await call.send(
         harness.stream_head(call) + harness.chunk(harness.event(1))
     )
-    await call.writer.drain()
     await asyncio.sleep(30.0)
     return b""
 
@@ -57,13 +55,6 @@
     return found
 
 
-def _burden(running: harness.RequestPath, engine_id: str, tokens: int) -> None:
-    """Let an engine be chosen after those with fewer tokens."""
-    load = running.cluster.endpoints[engine_id].load
-    assert load is not None
-    load.peer_tokens.urgent = tokens
-
-
 def _runs(engine: harness.Endpoint) -> list[harness.Call]:
     return [
         call
@@ -81,7 +72,7 @@
     other = _engine("d2", "v2", _decode)
     prefiller = _engine("p1", "v2", _prefill, "prefill")
     async with harness.running(troubled, other, prefiller) as running:
-        _burden(running, "d2", 3_000)
+        running.set_peer_tokens("d2", 3_000)
         reply = await running.stream(**prompt)
     assert _runs(troubled)
     assert not _runs(other)
@@ -93,8 +84,8 @@
     other = _engine("d2", "v2", _decode)
     same = _engine("d3", "v1", _decode)
     async with harness.running(troubled, other, same) as running:
-        _burden(running, "d2", 3_000)
-        _burden(running, "d3", 6_000)
+        running.set_peer_tokens("d2", 3_000)
+        running.set_peer_tokens("d3", 6_000)
         reply = await running.stream(**SHORT)
     assert reply.complete
     assert reply.body == EVENTS
@@ -106,7 +97,7 @@
     troubled = _engine("d1", "v1", _failed)
     other = _engine("d2", "v2", _decode)
     async with harness.running(troubled, other) as running:
-        _burden(running, "d2", 3_000)
+        running.set_peer_tokens("d2", 3_000)
         reply = await running.stream(**SHORT)
     assert reply.complete
     assert _runs(troubled)
@@ -142,7 +133,7 @@
 ) -> None:
     """Begin a stream as ``r1`` at a gateway that ends afterwards."""
     async with harness.running(*engines, table=table) as running:
-        _burden(running, engines[-1].endpoint_id, 3_000)
+        running.set_peer_tokens(engines[-1].endpoint_id, 3_000)
         reply = await running.stream(**SHORT)
         assert reply.body == b"".join(harness.event(n) for n in (1, 2))
         await running.origins.rows.run_once()
@@ -231,7 +222,7 @@
     table = memory.MemoryStore(era=1)
     engines = [_engine("d1", "v1", _broken_off), _engine("d2", "v2", _decode)]
     async with harness.running(*engines, table=table) as running:
-        _burden(running, "d2", 3_000)
+        running.set_peer_tokens("d2", 3_000)
         await running.origins.rows.run_once()
         copied = table.copy()
         await running.stream(**SHORT)
@@ -247,7 +238,7 @@
     table = memory.MemoryStore()
     engines = [_engine("d1", "v1", _broken_off), _engine("d2", "v2", _decode)]
     async with harness.running(*engines, table=table) as running:
-        _burden(running, "d2", 3_000)
+        running.set_peer_tokens("d2", 3_000)
         await running.stream(**SHORT)
         restarted = attrs.evolve(
             harness.registration(engines[0]),
--- a/bilberrydeal/gateway/tests/test_stream.py
+++ b/bilberrydeal/gateway/tests/test_stream.py
@@ -29,20 +29,18 @@
 
 async def _broken_off(call: harness.Call) -> None:
     """Send two events and part of a third, then close the connection."""
-    call.writer.write(
+    await call.send(
         harness.stream_head(call)
         + harness.chunk(harness.event(1))
         + harness.chunk(harness.event(2) + b"id: 3\nda")
     )
-    await call.writer.drain()
     await asyncio.sleep(0.05)
 
 
 async def _stalled(call: harness.Call) -> bytes:
-    call.writer.write(
+    await call.send(
         harness.stream_head(call) + harness.chunk(harness.event(1))
     )
-    await call.writer.drain()
     await asyncio.sleep(30.0)
     return b""
 
@@ -93,9 +91,7 @@
     healthy = harness.engine("d2", "decode", _decode)
     async with harness.running(broken, healthy) as running:
         running.cluster.endpoints["d2"].view.in_flight = 0
-        load = running.cluster.endpoints["d2"].load
-        assert load is not None
-        load.peer_tokens.urgent = 3_000
+        running.set_peer_tokens("d2", 3_000)
         reply = await running.stream(
             token_usage="120,10", prefix_hash="aa:50,bb:70"
         )
@@ -110,9 +106,7 @@
     stalled = harness.engine("d1", "decode", _stalled)
     healthy = harness.engine("d2", "decode", _decode)
     async with harness.running(stalled, healthy) as running:
-        load = running.cluster.endpoints["d2"].load
-        assert load is not None
-        load.peer_tokens.urgent = 3_000
+        running.set_peer_tokens("d2", 3_000)
         reply = await running.stream(
             token_usage="120,10", prefix_hash="aa:50,bb:70"
         )
@@ -235,9 +229,7 @@
 async def test_unreachable_deadline_is_refused_immediately() -> None:
     decoder = harness.engine("d1", "decode", _decode)
     async with harness.running(decoder) as running:
-        load = running.cluster.endpoints["d1"].load
-        assert load is not None
-        load.peer_tokens.urgent = 3_000_000
+        running.set_peer_tokens("d1", 3_000_000)
         began = asyncio.get_running_loop().time()
         reply = await running.stream()
         took_s = asyncio.get_running_loop().time() - began
--- a/bilberrydeal/gateway/tests/test_stream_trouble.py
+++ b/bilberrydeal/gateway/tests/test_stream_trouble.py
@@ -21,8 +21,7 @@
     """Send an event each 0.9 s, later than a stall is noticed."""
     call.writer.write(harness.stream_head(call))
     for number in range(1, 4):
-        call.writer.write(harness.chunk(harness.event(number)))
-        await call.writer.drain()
+        await call.send(harness.chunk(harness.event(number)))
         await asyncio.sleep(0.9)
     return (
         harness.chunk(harness.event(4))
@@ -37,8 +36,7 @@
         harness.stream_head(call) + harness.chunk(harness.event(1))
     )
     for _ in range(300):
-        call.writer.write(harness.chunk(b"i"))
-        await call.writer.drain()
+        await call.send(harness.chunk(b"i"))
         await asyncio.sleep(0.1)
     return b""
 
@@ -50,8 +48,7 @@
     )
     piece = harness.chunk(b"x" * 65_536)
     for _ in range(ENDLESS_BYTES // 65_536):
-        call.writer.write(piece)
-        await call.writer.drain()
+        await call.send(piece)
     await asyncio.sleep(30.0)
     return b""
 
@@ -65,8 +62,7 @@
     """Send a head that never ends."""
     call.writer.write(b"HTTP/1.1 200 OK\r\n")
     for _ in range(ENDLESS_BYTES // 65_536):
-        call.writer.write(b"x-a: " + b"y" * 65_529 + b"\r\n")
-        await call.writer.drain()
+        await call.send(b"x-a: " + b"y" * 65_529 + b"\r\n")
     await asyncio.sleep(30.0)
     return b""
 
@@ -74,8 +70,7 @@
 async def _interim_answers(call: harness.Call) -> bytes:
     """Send interim responses without end."""
     for _ in range(200_000):
-        call.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        await call.writer.drain()
+        await call.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         # Draining yields only once the kernel takes no more.
         await asyncio.sleep(0)
     await asyncio.sleep(30.0)
@@ -90,9 +85,7 @@
     slow = harness.engine("d1", "decode", _slow)
     busy = harness.engine("d2", "decode", _decode)
     async with harness.running(slow, busy) as running:
-        load = running.cluster.endpoints["d2"].load
-        assert load is not None
-        load.peer_tokens.urgent = 10_000_000
+        running.set_peer_tokens("d2", 10_000_000)
         reply = await running.stream(
             "/chat-long/1", deadline_ms=10_000, **SHORT
         )
@@ -110,9 +103,7 @@
     stalled = harness.engine("d1", "decode", script)
     healthy = harness.engine("d2", "decode", _decode)
     async with harness.running(stalled, healthy) as running:
-        load = running.cluster.endpoints["d2"].load
-        assert load is not None
-        load.peer_tokens.urgent = 3_000
+        running.set_peer_tokens("d2", 3_000)
         async with asyncio.timeout(5.0):
             reply = await running.stream(**SHORT)
     assert reply.complete
@@ -125,9 +116,7 @@
     endless = harness.engine("d1", "decode", script)
     healthy = harness.engine("d2", "decode", _decode)
     async with harness.running(endless, healthy) as running:
-        load = running.cluster.endpoints["d2"].load
-        assert load is not None
-        load.peer_tokens.urgent = 3_000
+        running.set_peer_tokens("d2", 3_000)
         async with asyncio.timeout(5.0):
             reply = await running.stream(**SHORT)
     assert reply.status == 200
@@ -164,9 +153,7 @@
     silent = harness.engine("p1", "prefill", _silent)
     busy = harness.engine("d1", "decode", _decode)
     async with harness.running(silent, busy) as running:
-        load = running.cluster.endpoints["d1"].load
-        assert load is not None
-        load.peer_tokens.urgent = 10_000_000
+        running.set_peer_tokens("d1", 10_000_000)
         began_s = asyncio.get_running_loop().time()
         reply = await running.stream(path)
         took_s = asyncio.get_running_loop().time() - began_s
