Time a response from its connection, and the store's clock from its head

A slow response also replaced a newer reading. test_clock_of_the_store_is_read_as_of_the_head. - An error of 256 bytes counted as rows that arrive, so that denials were held back. test_only_rows_are_taken_for_rows.

--- a/bilberrydeal/platform/_calls.py
+++ b/bilberrydeal/platform/_calls.py
@@ -13,6 +13,7 @@
 RESPONSE_LIMIT_BYTES = 8_388_608
 #: Longest time in which a response body may arrive, in seconds.
 TRANSFER_LIMIT_S = 30.0
+SUCCESS = 200
 
 OnBody = collections.abc.Callable[[int], None]
 
@@ -120,15 +121,16 @@
     The response has to arrive within ``timeout_s``. With ``stall_s`` only its
     head has to; then the call goes on as long as another part of the body
     arrives within ``stall_s``, since the time that a body takes depends on its
-    size and on the link. ``on_body`` gets the size of the body as it grows.
+    size and on the link. ``on_body`` gets the size of the body of a successful
+    response as it grows.
     """
     started_s = time.monotonic()
-    limit = asyncio.timeout(timeout_s)
-    progress = _Progress(limit, stall_s, on_body)
     try:
         connection = await pool.acquire(started_s)
     except http1.NotSent as error:
         raise NotSent(str(error)) from error
+    limit = asyncio.timeout(timeout_s)
+    progress = _Progress(limit, stall_s)
     try:
         payload = b"" if body is None else msgspec.json.encode(body)
         head = _head(pool, method, target, headers, payload)
@@ -137,6 +139,8 @@
             response_head = await connection.head()
             head_s = time.monotonic()
             progress.note_head(head_s)
+            if response_head.status == SUCCESS:
+                progress.on_body = on_body
             response_body = await _body(connection, limit_bytes, progress)
     except http1.NotSent as error:
         raise NotSent(str(error)) from error
--- a/bilberrydeal/platform/_store.py
+++ b/bilberrydeal/platform/_store.py
@@ -333,7 +333,7 @@
         self, response: _calls.Response, operation: str
     ) -> _RowsResponse | None:
         """Return the rows of a response, ``None`` if it is an error."""
-        if response.status != 200:
+        if response.status != _calls.SUCCESS:
             return None
         try:
             found = msgspec.json.decode(response.body, type=_RowsResponse)
@@ -341,12 +341,18 @@
             if operation == "commit":
                 raise errors.OutcomeUnknown(operation) from error
             raise errors.StoreUnavailable(operation) from error
-        self.clock = ports.ClockReading(
-            remote_s=found.now_ms / 1000,
-            local_s=time.clock_gettime(time.CLOCK_BOOTTIME),
-        )
+        self._note_clock(found.now_ms / 1000, response.transfer_s)
         return found
 
+    def _note_clock(self, remote_s: float, transfer_s: float) -> None:
+        """Record the store's clock as of the head of a response.
+
+        A response that took long does not replace a newer reading.
+        """
+        local_s = time.clock_gettime(time.CLOCK_BOOTTIME) - transfer_s
+        if self.clock is None or local_s >= self.clock.local_s:
+            self.clock = ports.ClockReading(remote_s, local_s)
+
 
 def _rows_watch(
     on_rows: ports.OnRows | None,
--- a/bilberrydeal/platform/tests/test_store.py
+++ b/bilberrydeal/platform/tests/test_store.py
@@ -3,11 +3,16 @@
 import asyncio
 import collections.abc
 import contextlib
+import functools
+import time
+import typing
 
 import pytest
 
 from ... import errors
+from ... import http1
 from ... import ports
+from ...http1 import _client
 from .. import _calls
 from .. import _store
 
@@ -117,3 +122,84 @@
             await client.changes("op", POSITION, 0.0, 0.3)
         await client.changes("op", POSITION, 0.0, 1.0)
         assert store.connections == 4
+
+
+async def _answer(
+    body: bytes,
+    status: int,
+    pause_s: float,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    await reader.readuntil(b"\r\n\r\n")
+    await asyncio.sleep(pause_s)
+    writer.write(
+        b"HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n%b"
+        % (status, len(body), body)
+    )
+    await writer.drain()
+    writer.close()
+
+
+async def test_connection_takes_no_time_from_the_response(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    connect = _client.connect
+
+    async def connect_slowly(
+        *arguments: typing.Any,
+    ) -> http1.ClientConnection:
+        await asyncio.sleep(0.35)
+        return await connect(*arguments)
+
+    monkeypatch.setattr(_client, "connect", connect_slowly)
+    serve = functools.partial(_answer, b"{}", 200, 0.3)
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with server:
+        port = server.sockets[0].getsockname()[1]
+        pool = _calls.pool("127.0.0.1", port, 4)
+        response = await _calls.call(pool, b"GET", b"/", None, 0.5)
+        assert response.status == 200
+
+
+@pytest.mark.parametrize(
+    ("status", "size_bytes", "seen"),
+    [
+        (200, _store.ROWS_BYTES, True),
+        (200, _store.ROWS_BYTES - 1, False),
+        (503, 4 * _store.ROWS_BYTES, False),
+    ],
+)
+async def test_only_rows_are_taken_for_rows(
+    status: int, size_bytes: int, seen: bool
+) -> None:
+    body = b'{"row_version": 7, "now_ms": 1000}'.ljust(size_bytes)
+    serve = functools.partial(_answer, body, status, 0.0)
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    calls: list[None] = []
+    async with server:
+        port = server.sockets[0].getsockname()[1]
+        client = _store.PlatformStore("127.0.0.1", port)
+        with contextlib.suppress(errors.StoreUnavailable):
+            await client.changes(
+                "op", POSITION, 0.0, 1.0, lambda: calls.append(None)
+            )
+    assert bool(calls) is seen
+
+
+async def test_clock_of_the_store_is_read_as_of_the_head() -> None:
+    async with _serving(4, 0.2) as client:
+        began_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+        await client.changes("op", POSITION, 0.0, 1.0)
+        assert client.clock is not None
+        assert client.clock.local_s - began_s < 0.5
+
+
+async def test_slow_response_replaces_no_newer_clock() -> None:
+    async with _serving(4, 0.2) as client:
+        newer = ports.ClockReading(
+            9.0, time.clock_gettime(time.CLOCK_BOOTTIME) + 0.4
+        )
+        client.clock = newer
+        await client.changes("op", POSITION, 0.0, 1.0)
+        assert client.clock is newer
