Let a configuration that is the newest serve, and no other

A hint now confirms what is known, or says that it is outdated. - An answer that had waited for a process that stood still counted as new: a head sent at 0.05 s as of 1.22 s. Rows now count from when they were asked for, an answer without rows from the end of the wait at the latest. - Rows that begin and are never complete made a gateway refuse for 10.5 of 15 s. Only a complete response counts as one now, so that it serves on after the first that stands still. - An exception in what applies rows made it refuse all requests for good. - The margin of polls was reset by each response, so that every other poll of a slow store failed; it is halved now, and grows only if no head came in time.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -137,6 +137,10 @@
 
     def _start_tasks(self) -> None:
         apply_limit_s = self._settings.bounds.apply_limit_s
+        self._parts.hints.follow(
+            platform.CONFIGURATION_TABLE,
+            self._parts.cluster.configuration_freshness,
+        )
         configuration = cluster_state.TableFollower(
             self._parts.store,
             platform.CONFIGURATION_TABLE,
@@ -144,7 +148,6 @@
             self._parts.hints,
             cluster_state.configuration_times(apply_limit_s),
             self._clock,
-            self._parts.cluster.configuration_freshness,
         )
         endpoints_feed = cluster_state.ConfirmedFeed(
             self._parts.store,
--- a/bilberrydeal/gateway/cluster_state/_freshness.py
+++ b/bilberrydeal/gateway/cluster_state/_freshness.py
@@ -34,6 +34,8 @@
 
     def note_confirmed(self, sent_s: float) -> None:
         """Record that the store sent the newest state at a time."""
+        if self.confirmed_s is not None:
+            sent_s = max(sent_s, self.confirmed_s)
         self.confirmed_s = sent_s
         self.superseded = False
         self.responding = True
@@ -43,9 +45,11 @@
         self.superseded = True
 
     def note_rows(self) -> None:
-        """Record that rows of a newer state are arriving."""
+        """Record that rows of a newer state are arriving.
+
+        They may never be complete; only then the store counts as responding.
+        """
         self.superseded = True
-        self.responding = True
 
     def note_failure(self) -> None:
         """Record that the store did not respond."""
--- a/bilberrydeal/gateway/cluster_state/_poll_times.py
+++ b/bilberrydeal/gateway/cluster_state/_poll_times.py
@@ -46,6 +46,10 @@
         """Return the margin of a poll that follows one without a response."""
         return min(margin_s * 2, max(MARGIN_LIMIT_S, self.margin_s))
 
+    def shorter_margin_s(self, margin_s: float) -> float:
+        """Return the margin of a poll that follows a response."""
+        return max(margin_s / 2, self.margin_s)
+
 
 def configuration_times(apply_limit_s: float) -> PollTimes:
     """Return the times of polls of the configuration."""
--- a/bilberrydeal/gateway/cluster_state/_store_hints.py
+++ b/bilberrydeal/gateway/cluster_state/_store_hints.py
@@ -17,6 +17,7 @@
 from ... import ports
 from ... import telemetry
 from .. import messaging
+from . import _freshness
 
 LOG = telemetry.logger("hints")
 #: Fleets of up to this size have no watchers.
@@ -41,6 +42,10 @@
 class FollowedTable:
     """What this gateway knows of one table of the store."""
 
+    #: How recently the store confirmed what is known.
+    freshness: _freshness.TableFreshness = attrs.field(
+        factory=_freshness.TableFreshness
+    )
     #: Version of the store up to which all changes are known.
     version: ports.StoreVersion | None = None
     #: Version of the store at the last change that matters.
@@ -70,9 +75,15 @@
         self.hinted.clear()
 
     def note_hint(
-        self, version: ports.StoreVersion, valid_until_s: float
+        self,
+        version: ports.StoreVersion,
+        confirmed_s: float,
+        valid_until_s: float,
     ) -> None:
-        """Record a hint; older ones and those of an older era do nothing."""
+        """Record a hint; older ones and those of an older era do nothing.
+
+        ``confirmed_s`` is when the store confirmed it to its sender.
+        """
         known = self.version
         if known is not None and known.of_later_era_than(version):
             return
@@ -80,6 +91,9 @@
         if known is None or _supersedes(version, known):
             self.hinted_version = version
             self.hinted.set()
+            self.freshness.note_superseded()
+        elif not self.outdated:
+            self.freshness.note_confirmed(confirmed_s)
 
     @property
     def outdated(self) -> bool:
@@ -125,9 +139,17 @@
         self._polling = True
         datagrams.subscribe(self._on_datagram)
 
-    def follow(self, name: str) -> FollowedTable:
-        """Return the state of a table, which hints are sent for."""
-        return self._tables.setdefault(name, FollowedTable())
+    def follow(
+        self,
+        name: str,
+        freshness: _freshness.TableFreshness | None = None,
+    ) -> FollowedTable:
+        """Return the state of a table, which hints are sent for.
+
+        ``freshness`` is kept with it if the table is new.
+        """
+        followed = FollowedTable(freshness or _freshness.TableFreshness())
+        return self._tables.setdefault(name, followed)
 
     @property
     def used(self) -> bool:
@@ -194,9 +216,11 @@
         for hint in datagram.hints:
             table = self._tables.get(hint.table)
             if table is not None and hint.age_s >= 0.0:
-                valid_until_s = now_s - hint.age_s + self._valid_s
+                confirmed_s = now_s - hint.age_s
                 version = ports.StoreVersion(hint.changed_version, hint.era)
-                table.note_hint(version, valid_until_s)
+                table.note_hint(
+                    version, confirmed_s, confirmed_s + self._valid_s
+                )
 
     def _note_polling(self, polling: bool) -> None:
         if polling is not self._polling:
--- a/bilberrydeal/gateway/cluster_state/_store_sync.py
+++ b/bilberrydeal/gateway/cluster_state/_store_sync.py
@@ -13,7 +13,6 @@
 from ... import telemetry
 from . import _cluster_state
 from . import _endpoint_history
-from . import _freshness
 from . import _poll_times
 from . import _store_hints
 
@@ -126,7 +125,6 @@
         hints: _store_hints.StoreHints,
         times: _poll_times.PollTimes,
         clock: Clock,
-        freshness: _freshness.TableFreshness | None = None,
     ) -> None:
         self._feed = feed
         self._table = table
@@ -135,12 +133,14 @@
         self._state = hints.follow(table)
         self._times = times
         self._clock = clock
-        self._freshness = freshness or _freshness.TableFreshness()
+        self._freshness = self._state.freshness
         self._failures = FailureStreak(table)
         #: Time that the head of the next response may take beyond the wait.
         self._margin_s = times.margin_s
         #: Time that the last response took to arrive.
         self._transfer_s = 0.0
+        #: When the head of the present poll's response is due.
+        self._head_due_s = 0.0
 
     async def run(self, on_changes: OnChanges) -> None:
         """Follow the table; ``on_changes`` gets rows and ``is_snapshot``."""
@@ -149,7 +149,7 @@
             try:
                 await self._poll(on_changes)
                 backoff_s = BACKOFF_FIRST_S
-                self._margin_s = self._times.margin_s
+                self._margin_s = self._times.shorter_margin_s(self._margin_s)
                 await self._hints.pause(self._state, self._times.pause_s)
             except errors.HistoryGone:
                 LOG.info("Change history expired.", table=self._table)
@@ -159,35 +159,70 @@
                 now_s = self._clock()
                 self._connectivity.note_failure(str(error), now_s)
                 self._failures.note_failure(str(error), now_s)
-                self._margin_s = self._times.longer_margin_s(self._margin_s)
+                if now_s >= self._head_due_s:
+                    self._margin_s = self._times.longer_margin_s(
+                        self._margin_s
+                    )
                 self._freshness.note_failure()
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(backoff_s * 2, BACKOFF_LIMIT_S)
 
     async def _poll(self, on_changes: OnChanges) -> None:
         known = self._state.version
-        is_snapshot = known is None
         if known is None:
-            found = await self._feed.snapshot(self._table, SNAPSHOT_TIMEOUT_S)
+            found, sent_s = await self._read_snapshot()
         else:
-            wait_s = self._hints.wait_s(
-                self._state, self._times.wait_after_s(self._transfer_s)
-            )
-            found = await self._feed.changes(
-                self._table,
-                known,
-                wait_s,
-                wait_s + self._margin_s,
-                self._freshness.note_rows,
-            )
+            found, sent_s = await self._read_changes(known)
         now_s = self._clock()
         self._connectivity.note_response(now_s)
         self._failures.note_success(found.transfer, now_s)
         self._transfer_s = found.transfer.took_s
-        changed = on_changes(found, is_snapshot)
-        self._freshness.note_confirmed(now_s - found.transfer.took_s)
+        changed = self._apply(found, known is None, on_changes)
+        self._freshness.note_confirmed(sent_s)
         self._state.note_poll(found.version, changed, now_s)
 
+    async def _read_snapshot(self) -> tuple[ports.Changes, float]:
+        """Return all rows, and from when on they may be outdated."""
+        asked_s = self._clock()
+        self._head_due_s = asked_s + SNAPSHOT_TIMEOUT_S
+        found = await self._feed.snapshot(self._table, SNAPSHOT_TIMEOUT_S)
+        return found, asked_s
+
+    async def _read_changes(
+        self, known: ports.StoreVersion
+    ) -> tuple[ports.Changes, float]:
+        """Return changes, and from when on the state may be outdated.
+
+        An answer may have waited on the way, or for this process.
+        """
+        asked_s = self._clock()
+        wait_s = self._hints.wait_s(
+            self._state, self._times.wait_after_s(self._transfer_s)
+        )
+        timeout_s = wait_s + self._margin_s
+        self._head_due_s = asked_s + timeout_s
+        found = await self._feed.changes(
+            self._table,
+            known,
+            wait_s,
+            timeout_s,
+            self._freshness.note_rows,
+        )
+        if found.rows:
+            return found, asked_s
+        # Without a change the store answers at the end of the wait.
+        head_s = self._clock() - found.transfer.took_s
+        return found, min(head_s, asked_s + wait_s)
+
+    def _apply(
+        self, found: ports.Changes, is_snapshot: bool, on_changes: OnChanges
+    ) -> bool:
+        try:
+            return on_changes(found, is_snapshot)
+        except Exception:
+            self._freshness.note_failure()
+            raise
+
 
 class ConfigurationUpdater:
     """Applies changes of the configuration."""
