Count checks for a reset, as a loop that stands still sees none

Cause: the wait for a reset was a time. If the loop stands still for longer, the wait is over at the first check after it.

Evidence: pytest bilberrydeal/endings failed on the code before in 2 of 28 cases (reset after stall, small body, both loops).

--- a/bilberrydeal/endings/_end_watch.py
+++ b/bilberrydeal/endings/_end_watch.py
@@ -45,19 +45,18 @@
         self._on_sound = on_sound
         self._on_reset = on_reset
         self._loop = asyncio.get_running_loop()
-        self._sound_from_s = self._loop.time() + _grace_s(body_bytes)
+        #: Checks without a reset that are due. Counted rather than timed, as
+        #: a loop that stands still sees nothing.
+        self._checks_left = round(_grace_s(body_bytes) / CHECK_INTERVAL_S)
 
     def start(self) -> bool:
         """Begin to watch; return whether the transport has to stay open.
 
         One of the callbacks may be called at once.
         """
-        return self._check(self._loop.time())
+        return self._check()
 
-    def _check_again(self) -> None:
-        self._check(self._loop.time())
-
-    def _check(self, now_s: float) -> bool:
+    def _check(self) -> bool:
         if self._transport.is_closing():
             # A failed write drops what it could not send; the loss of the
             # connection is still to be reported.
@@ -65,8 +64,9 @@
         if _transports.was_reset(self._transport):
             self._on_reset()
             return False
-        if now_s < self._sound_from_s or self._unacknowledged:
-            self._loop.call_later(CHECK_INTERVAL_S, self._check_again)
+        if self._checks_left > 0 or self._unacknowledged:
+            self._checks_left -= 1
+            self._loop.call_later(CHECK_INTERVAL_S, self._check)
             return True
         self._on_sound()
         return False
--- a/bilberrydeal/endings/tests/test_end_watch.py
+++ b/bilberrydeal/endings/tests/test_end_watch.py
@@ -17,6 +17,8 @@
 #: Size of a receive buffer that holds little of a large body.
 BUFFER_BYTES = 8_192
 WAIT_S = 0.3
+STALL_S = 0.15
+PAUSE_S = 0.01
 
 LoopFactory = collections.abc.Callable[[], asyncio.AbstractEventLoop]
 LOOPS = [asyncio.new_event_loop, uvloop.new_event_loop]
@@ -28,6 +30,8 @@
     NOTHING = "nothing"
     RESET = "reset"
     READ_ON = "read on"
+    #: Resets, once the loop has stood still for longer than any wait.
+    RESET_AFTER_STALL = "reset after stall"
     #: The watching side closes its transport itself.
     CLOSED_HERE = "closed here"
 
@@ -75,7 +79,10 @@
     peer.setblocking(False)
     peer.shutdown(socket.SHUT_WR)
     await asyncio.sleep(0.002)
-    if then is Then.RESET:
+    if then is Then.RESET_AFTER_STALL:
+        loop.call_soon(time.sleep, STALL_S)
+        await asyncio.sleep(PAUSE_S)
+    if then in (Then.RESET, Then.RESET_AFTER_STALL):
         peer.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
         )
@@ -106,6 +113,8 @@
         (1, Then.READ_ON, ["sound"]),
         (1, Then.RESET, ["reset"]),
         (LARGE_BYTES, Then.RESET, ["reset"]),
+        (1, Then.RESET_AFTER_STALL, ["reset"]),
+        (LARGE_BYTES, Then.RESET_AFTER_STALL, ["reset"]),
         (1, Then.CLOSED_HERE, []),
         (LARGE_BYTES, Then.CLOSED_HERE, []),
     ],
