Send no request behind another that is not read yet

Callers waited for an answer while the endpoint read another caller's upload: an endpoint may answer, with a length, before it has read a long body, and read on later. The next request went onto that connection.

Cause: a complete response made a connection free, whatever of the request was still to be sent. Class: one direction of a connection taken for both.

Evidence: pytest bilberrydeal/http1/tests/test_early_answers.py failed on the code before in 4 of 10 cases (0.41 to 0.45 s, as long as the endpoint rested, where 0.3 s are allowed). The other 6 passed: such an endpoint never gets other bytes where the rest of a body is due, as the next request comes after it.

Change: a connection whose request isn't acknowledged to its last byte sends the rest and is closed; the next request opens another.

Result: that file passes (10), http1 and platform (475), and six files of gateway/tests (265).

--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -118,6 +118,13 @@
         """Return whether the connection can carry no further request."""
         return self._closed or not self.reusable
 
+    @property
+    def sending(self) -> bool:
+        """Return whether the peer's host lacks some of the last request."""
+        if self._closed or self._transport is None:
+            return False
+        return endings.unacknowledged_bytes(self._transport) > 0
+
     @property
     def responding(self) -> bool:
         """Return whether the head of the response has arrived."""
--- a/bilberrydeal/http1/_pool.py
+++ b/bilberrydeal/http1/_pool.py
@@ -79,12 +79,16 @@
     def release(
         self, connection: _client.ClientConnection, now_s: float
     ) -> None:
-        """Reuse a connection whose response is complete; reset any other."""
+        """Reuse a connection whose response is complete; reset any other.
+
+        One whose request is not read yet sends the rest before it is closed;
+        another request would wait behind it.
+        """
         self.busy -= 1
         connection.last_used_s = now_s
         if not connection.done:
             connection.abort()
-        elif connection.closed:
+        elif connection.closed or connection.sending:
             connection.close()
         else:
             self._idle.append(connection)
