Hold no new version back for an engine on trial

While a new version was held back, and the only engine of the older one had crashed, callers were refused each time its circuit let a trial through.

Evidence: case _old_is_on_trial of test_versions_unknown_to_others.py failed before. Command: python -m pytest on that file of gateway/tests.

Change: only engines whose circuit is closed hold a new version back.

--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -321,7 +321,9 @@
         decoding = {
             each.endpoint.software_version
             for each in upstreams
-            if each.decodes and each.view.available
+            if each.decodes
+            and each.view.available
+            and each.view.circuit is systems.CircuitState.CLOSED
         }
         return self.new_versions.held(service, decoding, now_s)
 
--- a/bilberrydeal/gateway/tests/test_versions_unknown_to_others.py
+++ b/bilberrydeal/gateway/tests/test_versions_unknown_to_others.py
@@ -109,6 +109,10 @@
     cluster.endpoints["e1"].view.circuit = systems.CircuitState.OPEN
 
 
+def _old_is_on_trial(cluster: _cluster_state.ClusterState) -> None:
+    cluster.endpoints["e1"].view.circuit = systems.CircuitState.HALF_OPEN
+
+
 def _old_is_another(cluster: _cluster_state.ClusterState) -> None:
     cluster.endpoints["e1"].misdirected = True
 
@@ -145,6 +149,7 @@
         (_old_leaves, 1.0, {"e2"}),
         (_old_lapses, 1.0, {"e2"}),
         (_old_is_ejected, 1.0, {"e2"}),
+        (_old_is_on_trial, 1.0, {"e1", "e2"}),
         (_old_is_another, 1.0, {"e2"}),
         (_old_prefills, 1.0, {"e1", "e2"}),
         (_old_pauses, 1.0, set()),
