Let a request end within its limit when its connection comes late

Callers: a question to a peer, or a hello to an agent, whose peer does not listen at first and does not answer then took up to twice its limit (1.84 s for 1.0 s), and held up the round of exchanges or the next hello for as long.

Cause: sending and receiving had the full limit each.

Change: the reply has what sending left of the limit.

--- a/bilberrydeal/link/_requests.py
+++ b/bilberrydeal/link/_requests.py
@@ -4,6 +4,7 @@
 silent never blocks the next request.
 """
 
+import asyncio
 import collections.abc
 import typing
 
@@ -39,23 +40,29 @@
     Raises :class:`RequestFailed` when none arrives in time.
     """
     _nng.limit_threads()
-    timeout_ms = max(1, round(timeout_s * _nng.MS_PER_S))
+    clock = asyncio.get_running_loop().time
+    ends_s = clock() + timeout_s
     try:
         with pynng.Req0(
-            send_timeout=timeout_ms,
-            recv_timeout=timeout_ms,
+            send_timeout=_timeout_ms(timeout_s),
             resend_time=_nng.NEVER_MS,
             reconnect_time_min=RECONNECT_MS,
             reconnect_time_max=RECONNECT_MS,
         ) as socket:
             socket.dial(_nng.url(address, port), block=False)
             await _nng.await_call(socket.asend(request))
+            socket.recv_timeout = _timeout_ms(ends_s - clock())
             reply = await _nng.await_call(socket.arecv())
             return typing.cast(bytes, reply)
     except pynng.NNGException as error:
         raise RequestFailed(detail=str(error)) from error
 
 
+def _timeout_ms(timeout_s: float) -> int:
+    """Return a timeout for nng; 0 would not wait at all."""
+    return max(1, round(timeout_s * _nng.MS_PER_S))
+
+
 class Responder:
     """Replies to requests on one port."""
 
