Forward events in a class of their own

Callers see no difference. `StreamServer._forward_events` had 60 lines: it forwarded, split, recorded times, told the quarantine and checked the end.

`EventForwarder` does this in steps, one function each. As before, whether a response ended within an event is asked of the splitter that the stream had when its forwarding began, since a continuation that takes over replaces it.

--- a/bilberrydeal/gateway/streams/_stream.py
+++ b/bilberrydeal/gateway/streams/_stream.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from ... import decoding
 from ... import http1
 from ... import platform
 from ... import telemetry
@@ -18,6 +17,7 @@
 from .. import sending
 from . import _client_stream
 from . import _continuation
+from . import _event_forwarder
 from . import _events
 from . import _pending_prefill
 from . import _stream_placement
@@ -67,7 +67,6 @@
         self._cluster = cluster
         self._sender = sender
         self._retry_policy = retry_policy
-        self._usage_counter = usage_counter
         self._placement = _stream_placement.StreamPlacement(
             cluster,
             placer,
@@ -80,6 +79,9 @@
         self._reader = _stream_reader.StreamReader(
             self._placement, retry_policy, self._attempt, clock
         )
+        self._forwarder = _event_forwarder.EventForwarder(
+            cluster, self._reader, usage_counter, quarantine, resolver, clock
+        )
         self._clock = clock
         self._engines = platform.EngineApi()
         self._background: set[asyncio.Task[bool]] = set()
@@ -245,8 +247,11 @@
                     await self._forward_failure(stream, upstream, exchange)
                     return
                 try:
-                    await self._forward_events(
-                        stream, upstream, exchange, pending, source
+                    await self._forwarder.forward(
+                        stream,
+                        _event_forwarder.EngineResponse(
+                            upstream, exchange, pending, source is not None
+                        ),
                     )
                 except (sending.Lost, http1.IncompleteResponse):
                     await self._reader.await_continuation(stream)
@@ -254,100 +259,6 @@
                 finally:
                     await self._reader.drop_continuation(stream)
 
-    async def _forward_events(
-        self,
-        stream: _client_stream.ClientStream,
-        upstream: cluster_state.Upstream,
-        exchange: sending.Exchange,
-        pending: _pending_prefill.PendingPrefill,
-        source: _KvSource | None,
-    ) -> None:
-        splitter = stream.splitter
-        responder = stream.responder
-        if not responder.started:
-            responder.start(
-                exchange.head.status,
-                platform.forwarded_headers(exchange.head),
-                None,
-            )
-        first_s: float | None = None
-        told_sound = False
-        while True:
-            data = await self._reader.next_chunk(stream, exchange)
-            if not data:
-                break
-            if first_s is None:
-                first_s = self._clock()
-                _record_first_event(stream, exchange, first_s)
-                if source is None:
-                    pending.finished(exchange.sent_s)
-                else:
-                    pending.transferred(exchange.sent_s)
-                self._usage_counter.count_once(
-                    stream.admitted, stream.progress
-                )
-            if complete := self._split(stream, upstream, data):
-                await self._reader.drop_continuation(stream)
-                stream.take_over()
-                self._note_origin(stream, upstream)
-                stream.progressed_s = self._clock()
-                begun_s = stream.progressed_s - first_s
-                if not told_sound and begun_s >= sending.SOUND_AFTER_S:
-                    told_sound = True
-                    self._quarantine.prompt_sound(stream.admitted)
-                self._cluster.observe_progress(upstream, stream.progressed_s)
-                await responder.write_chunk(complete)
-        if splitter.incomplete or first_s is None:
-            # A response that ends with its connection may be broken off.
-            self._quarantine.endpoint_lost(
-                upstream, stream.admitted, True, exchange.sent_s, first_s
-            )
-        elif not exchange.connection.delimited_by_eof:
-            self._quarantine.request_sound(stream.admitted)
-        else:
-            if self._clock() - first_s >= sending.STREAM_BEGINNING_S:
-                self._quarantine.prompt_sound(stream.admitted)
-            self._quarantine.request_ended(upstream, stream.admitted)
-        if splitter.incomplete:
-            self._cluster.observe(upstream, False, self._clock())
-            raise sending.Lost("stream ended within an event")
-        if first_s is None and exchange.connection.delimited_by_eof:
-            self._cluster.observe(upstream, False, self._clock())
-            raise sending.Lost("connection ended before an event")
-        self._cluster.observe(upstream, True, self._clock())
-        if upstream.load is not None and first_s is not None:
-            held_s = self._clock() - first_s
-            upstream.load.record_slot_time(stream.admitted.priority, held_s)
-        await self._reader.drop_continuation(stream)
-        stream.take_over()
-        responder.end_chunks()
-
-    def _note_origin(
-        self,
-        stream: _client_stream.ClientStream,
-        upstream: cluster_state.Upstream,
-    ) -> None:
-        """Bind a stream to the software version of what began it."""
-        progress = stream.progress
-        if progress.origin is None:
-            progress.origin = core.StreamOrigin.of(upstream.endpoint)
-        if not stream.origin_noted:
-            stream.origin_noted = True
-            self._resolver.note(stream.admitted, progress.origin)
-
-    def _split(
-        self,
-        stream: _client_stream.ClientStream,
-        upstream: cluster_state.Upstream,
-        data: bytes,
-    ) -> bytes:
-        """Return the events that ``data`` completes."""
-        try:
-            return stream.splitter.feed(data)
-        except decoding.EventTooLarge as error:
-            self._cluster.observe(upstream, False, self._clock())
-            raise sending.Lost(f"event without end, {error}") from error
-
     async def _forward_failure(
         self,
         stream: _client_stream.ClientStream,
@@ -396,13 +307,3 @@
         )
         self._background.add(task)
         task.add_done_callback(self._background.discard)
-
-
-def _record_first_event(
-    stream: _client_stream.ClientStream,
-    exchange: sending.Exchange,
-    now_s: float,
-) -> None:
-    """Record when the first event of a send arrived."""
-    after_s = now_s - stream.admitted.request.started_s
-    exchange.record.first_ms = round(after_s * 1000, 1)
