Date what is known of the endpoints in one way

What dated answers about the endpoints stood beside what does so for the configuration since. ConfirmedFeed goes; the follower of a table dates rows from when they were asked for, and an answer without rows from the end of its wait at the latest, as the store gives it then.

Rows that begin to arrive and hints of a newer version are recorded alike.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -141,6 +141,10 @@
             platform.CONFIGURATION_TABLE,
             self._parts.cluster.configuration_freshness,
         )
+        self._parts.hints.follow(
+            platform.ENDPOINTS_TABLE,
+            self._parts.cluster.endpoints_freshness,
+        )
         configuration = cluster_state.TableFollower(
             self._parts.store,
             platform.CONFIGURATION_TABLE,
@@ -149,13 +153,8 @@
             cluster_state.configuration_times(apply_limit_s),
             self._clock,
         )
-        endpoints_feed = cluster_state.ConfirmedFeed(
-            self._parts.store,
-            self._parts.cluster.endpoints_freshness,
-            self._clock,
-        )
         endpoints = cluster_state.TableFollower(
-            endpoints_feed,
+            self._parts.store,
             platform.ENDPOINTS_TABLE,
             self._parts.connectivity,
             self._parts.hints,
@@ -174,9 +173,7 @@
         self._spawn(
             periodic.keep_running(
                 "endpoints",
-                lambda: endpoints.run(
-                    endpoints_feed.noting(self._parts.endpoint_updater.apply)
-                ),
+                lambda: endpoints.run(self._parts.endpoint_updater.apply),
             )
         )
         self._spawn(
--- a/bilberrydeal/gateway/cluster_state/__init__.py
+++ b/bilberrydeal/gateway/cluster_state/__init__.py
@@ -1,7 +1,6 @@
 """A gateway's view of the configuration and the endpoints."""
 
 from ._cluster_state import ClusterState
-from ._confirmed_feed import ConfirmedFeed
 from ._endpoint_limit import EndpointLimit
 from ._endpoint_limit import limits_differ
 from ._freshness import TableFreshness
@@ -22,7 +21,6 @@
 __all__ = [
     "ClusterState",
     "ConfigurationUpdater",
-    "ConfirmedFeed",
     "ENDPOINTS_FRESH_S",
     "ENDPOINTS_PAUSE_S",
     "ENDPOINTS_WAIT_S",
--- a/bilberrydeal/gateway/cluster_state/_freshness.py
+++ b/bilberrydeal/gateway/cluster_state/_freshness.py
@@ -16,7 +16,7 @@
 
         freshness = TableFreshness(apply_limit_s=3.0)
         freshness.note_confirmed(now_s)
-        freshness.note_rows()
+        freshness.note_superseded()
         freshness.may_deny(now_s + 1.0)  # false
         freshness.may_use(now_s + 1.0)  # true
         freshness.may_use(now_s + 3.5)  # false
@@ -41,13 +41,10 @@
         self.responding = True
 
     def note_superseded(self) -> None:
-        """Record that there may be a newer state than the known one."""
-        self.superseded = True
-
-    def note_rows(self) -> None:
-        """Record that rows of a newer state are arriving.
+        """Record that there is, or may be, a newer state than the known one.
 
-        They may never be complete; only then the store counts as responding.
+        Its rows may be arriving. As they may never be complete, that does not
+        count as a response of the store.
         """
         self.superseded = True
 
--- a/bilberrydeal/gateway/cluster_state/_store_sync.py
+++ b/bilberrydeal/gateway/cluster_state/_store_sync.py
@@ -206,7 +206,7 @@
             known,
             wait_s,
             timeout_s,
-            self._freshness.note_rows,
+            self._freshness.note_superseded,
         )
         if found.rows:
             return found, asked_s
--- a/bilberrydeal/gateway/tests/test_freshness.py
+++ b/bilberrydeal/gateway/tests/test_freshness.py
@@ -42,12 +42,10 @@
         (("confirmed", "failure"), 3.1, False, True),
         (("confirmed", "superseded"), 0.1, False, True),
         (("confirmed", "superseded"), 3.1, False, False),
-        (("confirmed", "rows"), 0.1, False, True),
-        (("confirmed", "rows"), 2.9, False, True),
-        (("confirmed", "rows"), 3.1, False, False),
-        (("confirmed", "rows", "failure"), 3.1, False, True),
-        (("confirmed", "failure", "rows"), 3.1, False, True),
-        (("confirmed", "rows", "confirmed"), 0.1, True, True),
+        (("confirmed", "superseded"), 2.9, False, True),
+        (("confirmed", "superseded", "failure"), 3.1, False, True),
+        (("confirmed", "failure", "superseded"), 3.1, False, True),
+        (("confirmed", "superseded", "confirmed"), 0.1, True, True),
     ],
 )
 def test_outdated_state_denies_nothing_and_is_used_for_a_time(
@@ -141,7 +139,11 @@
     timeouts_s: list[float] = attrs.field(factory=list)
     ended: asyncio.Event = attrs.field(factory=asyncio.Event)
 
+    #: Time after which a snapshot arrives, in seconds.
+    snapshot_s: float = 0.0
+
     async def snapshot(self, table: str, timeout_s: float) -> ports.Changes:
+        self.now_s += self.snapshot_s
         return ports.Changes(ports.StoreVersion(1), ())
 
     async def changes(
@@ -201,6 +203,15 @@
     assert freshness.confirmed_s == pytest.approx(confirmed_s)
 
 
+async def test_late_snapshot_confirms_only_what_was_so_when_it_was_asked() -> (
+    None
+):
+    freshness = _freshness.TableFreshness(LIMIT_S)
+    feed = ScriptedFeed([], snapshot_s=4.0)
+    await _follow(feed, freshness, lambda _c, _w: False)
+    assert freshness.age_s(feed.now_s) == 4.0
+
+
 async def test_margin_grows_without_a_response_and_shrinks_slowly() -> None:
     script: list[tuple[float, int | None]] = [
         (1.5, None),
@@ -259,7 +270,7 @@
         freshness = running.cluster.configuration_freshness
         freshness.apply_limit_s = LIMIT_S
         freshness.note_confirmed(time.monotonic() - LIMIT_S + 1.0)
-        freshness.note_rows()
+        freshness.note_superseded()
         assert (await running.send()).status == 200
         freshness.confirmed_s = time.monotonic() - LIMIT_S - 0.1
         assert (await running.send()).status == 503
--- a/bilberrydeal/gateway/tests/test_resumptions_out_of_step.py
+++ b/bilberrydeal/gateway/tests/test_resumptions_out_of_step.py
@@ -221,24 +221,21 @@
             lambda: writes_versions,
             clock,
         )
-        feed = cluster_state.ConfirmedFeed(
-            Feed(endpoints, self.link),
-            self.cluster.endpoints_freshness,
+        hints = cluster_state.StoreHints(
+            _datagrams.Datagrams(),
+            name,
+            lambda: (),
+            lambda: 0,
+            0,
+            APPLY_LIMIT_S,
             clock,
         )
+        hints.follow("servers", self.cluster.endpoints_freshness)
         follower = cluster_state.TableFollower(
-            feed,
+            Feed(endpoints, self.link),
             "servers",
             connectivity,
-            cluster_state.StoreHints(
-                _datagrams.Datagrams(),
-                name,
-                lambda: (),
-                lambda: 0,
-                0,
-                APPLY_LIMIT_S,
-                clock,
-            ),
+            hints,
             cluster_state.endpoints_times(APPLY_LIMIT_S),
             clock,
         )
@@ -248,7 +245,7 @@
         self._tasks = [
             asyncio.ensure_future(work)
             for work in (
-                follower.run(feed.noting(updater.apply)),
+                follower.run(updater.apply),
                 self._write_rows(),
                 self._write_versions(),
                 self._sweep(),
