Let torn heads be tested on a machine that is busy

In each an endpoint of the table had got no call: its connection was not made in 0.4 s ("not offered"), so that the gateway chose the next one, whose sound answer came whole. That is right; the tables name which endpoints are asked.

Nothing else of what they ask is changed. With connections that take 0.5 s (a plugin, not part of the commit) rows of test_torn_head_of_a_retry_is_no_answer failed before, and all 18 pass now.

--- a/bilberrydeal/gateway/tests/test_endless_memory.py
+++ b/bilberrydeal/gateway/tests/test_endless_memory.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ...tests import own_time
+from . import connecting
 from . import harness
 
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
@@ -166,8 +167,11 @@
     return own.now_s() - began_s
 
 
-async def test_many_streams_without_events_leave_others_alone() -> None:
+async def test_many_streams_without_events_leave_others_alone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against a process that a faulty engine fills, or keeps busy."""
+    connecting.wait_for_connections(monkeypatch)
     endpoints = [harness.plain("e1", _sound), *_faulty_engines()]
     async with (
         harness.running(*endpoints) as running,
--- a/bilberrydeal/gateway/tests/test_torn_heads.py
+++ b/bilberrydeal/gateway/tests/test_torn_heads.py
@@ -10,6 +10,7 @@
 import attrs
 import pytest
 
+from . import connecting
 from . import harness
 
 #: A prompt that its decode engine prefills itself.
@@ -162,6 +163,11 @@
 Outcome = typing.TypeVar("Outcome")
 
 
+@pytest.fixture(autouse=True)
+def _patient_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+    connecting.wait_for_connections(monkeypatch)
+
+
 async def _outcomes(
     sizes: collections.abc.Iterable[int],
     one: collections.abc.Callable[[int], collections.abc.Awaitable[Outcome]],
