--- a/bilberrydeal/gateway/cluster_state/_store_sync.py
+++ b/bilberrydeal/gateway/cluster_state/_store_sync.py
@@ -17,7 +17,7 @@
 from . import _store_hints
 
 LOG = telemetry.logger("following")
-#: Timeout of a snapshot of a table, in seconds.
+#: Time within which a response to a snapshot has to begin, in seconds.
 SNAPSHOT_TIMEOUT_S = 1.5
 #: First pause after a failed call, in seconds; doubles with each.
 BACKOFF_FIRST_S = 0.05
--- a/bilberrydeal/platform/_calls.py
+++ b/bilberrydeal/platform/_calls.py
@@ -13,8 +13,10 @@
 RESPONSE_LIMIT_BYTES = 8_388_608
 #: Longest time in which a response body may arrive, in seconds.
 TRANSFER_LIMIT_S = 30.0
+#: Status of a successful response.
 SUCCESS = 200
 
+#: Gets the size of a response body as it grows, in bytes.
 OnBody = collections.abc.Callable[[int], None]
 
 
--- a/bilberrydeal/ports/_feed.py
+++ b/bilberrydeal/ports/_feed.py
@@ -114,6 +114,6 @@
         """Return the changes after a version, waiting up to ``wait_s``.
 
         The response has to begin within ``timeout_s``, which includes that
-        wait. ``on_rows`` is called when it is clear that rows are arriving,
-        which may be long before all have.
+        wait. ``on_rows`` is called, perhaps repeatedly, when it is clear that
+        rows are arriving, which may be long before all have.
         """
