--- a/bilberrydeal/endings/_end_watch.py
+++ b/bilberrydeal/endings/_end_watch.py
@@ -13,7 +13,8 @@
 RESET_GRACE_S = 0.02
 #: The same for large bodies, which are more often left unread, in seconds.
 LARGE_RESET_GRACE_S = 0.1
-#: Size from which on a body is large, in bytes.
+#: Size from which on a body is large: smaller ones fit into the receive buffer
+#: of a peer, in bytes.
 LARGE_BYTES = 65_536
 
 Callback = collections.abc.Callable[[], None]
--- a/bilberrydeal/gateway/_parts.py
+++ b/bilberrydeal/gateway/_parts.py
@@ -46,6 +46,7 @@
         self.cluster = cluster_state.ClusterState(
             health.HEALTH.get("outlier")(self._rng.getrandbits(32)),
             gateway_settings.bounds.configuration_apply_ms / 1000,
+            gateway_settings.bounds.apply_limit_s,
         )
         self.datagrams = messaging.Datagrams()
         self.coordination = duties.Coordination(
--- a/bilberrydeal/gateway/cluster_state/__init__.py
+++ b/bilberrydeal/gateway/cluster_state/__init__.py
@@ -3,13 +3,8 @@
 from ._cluster_state import ClusterState
 from ._endpoint_limit import EndpointLimit
 from ._endpoint_limit import limits_differ
-from ._freshness import TableFreshness
-from ._new_versions import ENDPOINTS_FRESH_S
 from ._poll_times import configuration_times
-from ._poll_times import ENDPOINTS_PAUSE_S
 from ._poll_times import endpoints_times
-from ._poll_times import ENDPOINTS_WAIT_S
-from ._poll_times import PollTimes
 from ._store_hints import HINT_INTERVAL_S
 from ._store_hints import StoreHints
 from ._store_sync import ConfigurationUpdater
@@ -21,17 +16,12 @@
 __all__ = [
     "ClusterState",
     "ConfigurationUpdater",
-    "ENDPOINTS_FRESH_S",
-    "ENDPOINTS_PAUSE_S",
-    "ENDPOINTS_WAIT_S",
     "EndpointLimit",
     "EndpointUpdater",
     "HINT_INTERVAL_S",
-    "PollTimes",
     "StoreConnectivity",
     "StoreHints",
     "TableFollower",
-    "TableFreshness",
     "Upstream",
     "configuration_times",
     "endpoints_times",
--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -18,6 +18,7 @@
 from . import _endpoint_limit
 from . import _freshness
 from . import _new_versions
+from . import _poll_times
 from . import _service_state
 from . import _upstream
 
@@ -37,6 +38,8 @@
 MIN_STREAM_LIFETIME_S = 30.0
 #: Interval between decisions which software versions are new, in seconds.
 NEW_VERSIONS_INTERVAL_S = 0.1
+#: Time within which changes must be applied unless told otherwise, in seconds.
+APPLY_LIMIT_S = 3.0
 #: Most removed endpoints that are remembered.
 REMOVED_LIMIT = 256
 
@@ -64,18 +67,24 @@
     def __init__(
         self,
         health_system: health.HealthSystem,
-        apply_limit_s: float = math.inf,
+        configuration_limit_s: float = APPLY_LIMIT_S,
+        endpoints_limit_s: float = APPLY_LIMIT_S,
     ) -> None:
         #: Newest configuration, ``None`` before the first.
         self.configuration: catalogue.Configuration | None = None
         #: How recently the store confirmed that it is the newest.
-        self.configuration_freshness = _freshness.TableFreshness(apply_limit_s)
+        self.configuration_freshness = _freshness.TableFreshness(
+            configuration_limit_s
+        )
         #: Routes of that configuration.
         self.routes = catalogue.RouteTable(())
+        times = _poll_times.endpoints_times(endpoints_limit_s)
         #: As of when the store told all endpoints.
-        self.endpoints_freshness = _freshness.TableFreshness()
+        self.endpoints_freshness = _freshness.TableFreshness(
+            times.confirmed_within_s
+        )
         #: When software versions were first seen.
-        self.new_versions = _new_versions.NewVersions()
+        self.new_versions = _new_versions.NewVersions(times.confirmed_within_s)
         #: The new ones by service.
         self._held: dict[str, _HeldVersions] = {}
         #: Whether the endpoints were read at least once.
--- a/bilberrydeal/gateway/cluster_state/_freshness.py
+++ b/bilberrydeal/gateway/cluster_state/_freshness.py
@@ -52,10 +52,9 @@
         """Record that the store did not respond."""
         self.responding = False
 
-    def is_within(self, limit_s: float, now_s: float) -> bool:
-        """Return whether that was less than a time ago."""
-        age_s = self.age_s(now_s)
-        return age_s is not None and age_s < limit_s
+    def is_fresh(self, now_s: float) -> bool:
+        """Return whether what is known was confirmed within the limit."""
+        return self.confirmed_s is not None and not self._over_limit(now_s)
 
     def age_s(self, now_s: float) -> float | None:
         """Return the time since the store confirmed what is known."""
--- a/bilberrydeal/gateway/cluster_state/_new_versions.py
+++ b/bilberrydeal/gateway/cluster_state/_new_versions.py
@@ -2,13 +2,10 @@
 
 import collections.abc
 
-#: What a gateway knows of the endpoints counts as complete for so long after
-#: it asked the store, in seconds: two long polls and the pause between them.
-ENDPOINTS_FRESH_S = 3.0
-#: Engines of a new version begin no streams for so long after this gateway saw
-#: the first one, in seconds. Longer than the above: a gateway that knows of
-#: the endpoints by then knows the version, or knows that it may lack one.
-HOLD_S = 3.2
+#: Engines of a new version begin no streams until what other gateways knew
+#: before it joined is no longer fresh, and so much longer, in seconds. Those
+#: know the version by then, or know that they may lack one.
+HOLD_EXTRA_S = 0.2
 
 
 class NewVersions:
@@ -16,12 +13,16 @@
 
     Example::
 
+        versions = NewVersions(fresh_s=3.0)
         versions.observe("llm", {"v1"}, 10.0)
         versions.observe("llm", {"v1", "v2"}, 20.0)
         versions.held("llm", {"v1", "v2"}, 21.0)  # {"v2"}
     """
 
-    def __init__(self) -> None:
+    def __init__(self, fresh_s: float) -> None:
+        #: Time for which engines of a new version begin no streams, in
+        #: seconds.
+        self.hold_s = fresh_s + HOLD_EXTRA_S
         #: When each present version was first seen, monotonic seconds.
         self._seen_s: dict[str, dict[str, float]] = {}
         #: When gateways that ran before saw versions, by service, monotonic
@@ -69,5 +70,5 @@
         return frozenset(
             version
             for version, first_s in seen_s.items()
-            if oldest_s < first_s and now_s - first_s < HOLD_S
+            if oldest_s < first_s and now_s - first_s < self.hold_s
         )
--- a/bilberrydeal/gateway/cluster_state/_poll_times.py
+++ b/bilberrydeal/gateway/cluster_state/_poll_times.py
@@ -7,10 +7,12 @@
 #: poll that follows and the transfer of the rows.
 CONFIGURATION_WAIT_SHARE = 0.4
 ENDPOINTS_WAIT_SHARE = 0.15
+ENDPOINTS_PAUSE_SHARE = 0.45
 MARGIN_SHARE = 0.2
 #: Longest wait of a poll of the endpoints, in seconds.
 ENDPOINTS_WAIT_S = 1.0
-#: Pause between polls of the endpoints, whose rows change constantly.
+#: Longest pause between polls of the endpoints, whose rows change constantly,
+#: in seconds.
 ENDPOINTS_PAUSE_S = 0.85
 #: Longest time that the head of a response may take beyond the wait, for a
 #: store that is slow, in seconds.
@@ -34,6 +36,15 @@
     #: Pause before the next poll, in seconds.
     pause_s: float = 0.0
 
+    @property
+    def confirmed_within_s(self) -> float:
+        """Return the longest time between two responses.
+
+        That holds while the store is reached, and allows for a poll without a
+        response.
+        """
+        return 2 * (self.wait_s + self.margin_s) + self.pause_s
+
     def wait_after_s(self, transfer_s: float) -> float:
         """Return the wait of a poll that follows a response.
 
@@ -64,5 +75,5 @@
     return PollTimes(
         wait_s=min(ENDPOINTS_WAIT_SHARE * apply_limit_s, ENDPOINTS_WAIT_S),
         margin_s=MARGIN_SHARE * apply_limit_s,
-        pause_s=ENDPOINTS_PAUSE_S,
+        pause_s=min(ENDPOINTS_PAUSE_SHARE * apply_limit_s, ENDPOINTS_PAUSE_S),
     )
--- a/bilberrydeal/gateway/cluster_state/_store_hints.py
+++ b/bilberrydeal/gateway/cluster_state/_store_hints.py
@@ -50,8 +50,8 @@
     version: ports.StoreVersion | None = None
     #: Version of the store at the last change that matters.
     changed_version: ports.StoreVersion = ports.StoreVersion(0)
-    #: When the store last confirmed that, monotonic seconds.
-    confirmed_s: float = float("-inf")
+    #: When the store last responded to a poll, monotonic seconds.
+    polled_s: float = float("-inf")
     #: Newest version at which others know a change that this gateway lacks.
     hinted_version: ports.StoreVersion | None = None
     #: Until when the hints of others are valid, monotonic seconds.
@@ -69,7 +69,7 @@
         elif self.changed_version.era != version.era:
             # Nothing that matters has changed in this era so far.
             self.changed_version = ports.StoreVersion(0, version.era)
-        self.confirmed_s = now_s
+        self.polled_s = now_s
         # A version that the store does not have is not waited for.
         self.hinted_version = None
         self.hinted.clear()
@@ -104,7 +104,7 @@
         """Return when a gateway that is no watcher has to poll."""
         if self.outdated:
             return float("-inf")
-        safety_s = self.confirmed_s + SAFETY_INTERVAL_S
+        safety_s = self.polled_s + SAFETY_INTERVAL_S
         return min(safety_s, self.hints_valid_until_s)
 
 
@@ -200,11 +200,11 @@
             messaging.TableHint(
                 name,
                 table.changed_version.number,
-                now_s - table.confirmed_s,
+                now_s - table.polled_s,
                 table.changed_version.era,
             )
             for name, table in self._tables.items()
-            if now_s - table.confirmed_s < self._valid_s
+            if now_s - table.polled_s < self._valid_s
         )
         if hints:
             self._datagrams.send(
--- a/bilberrydeal/gateway/cluster_state/_store_sync.py
+++ b/bilberrydeal/gateway/cluster_state/_store_sync.py
@@ -17,8 +17,6 @@
 from . import _store_hints
 
 LOG = telemetry.logger("following")
-#: Time within which a response to a snapshot has to begin, in seconds.
-SNAPSHOT_TIMEOUT_S = 1.5
 #: First pause after a failed call, in seconds; doubles with each.
 BACKOFF_FIRST_S = 0.05
 #: Longest pause after failed calls, in seconds.
@@ -184,8 +182,8 @@
     async def _read_snapshot(self) -> tuple[ports.Changes, float]:
         """Return all rows, and from when on they may be outdated."""
         asked_s = self._clock()
-        self._head_due_s = asked_s + SNAPSHOT_TIMEOUT_S
-        found = await self._feed.snapshot(self._table, SNAPSHOT_TIMEOUT_S)
+        self._head_due_s = asked_s + self._margin_s
+        found = await self._feed.snapshot(self._table, self._margin_s)
         return found, asked_s
 
     async def _read_changes(
--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -107,9 +107,7 @@
 
         Engines of a new version begin none for longer than that.
         """
-        return self._cluster.endpoints_freshness.is_within(
-            cluster_state.ENDPOINTS_FRESH_S, now_s
-        )
+        return self._cluster.endpoints_freshness.is_fresh(now_s)
 
     def _absent_retry_s(self, service: str) -> float:
         """Return the time until an engine that prefills may decode."""
--- a/bilberrydeal/http1/_client.py
+++ b/bilberrydeal/http1/_client.py
@@ -134,7 +134,7 @@
         """Send a request; raises :class:`NotSent` on a closed connection."""
         if self._closed or self._transport is None:
             raise NotSent
-        large = len(body) >= _sockets.LARGE_BYTES
+        large = len(body) >= endings.LARGE_BYTES
         if large is not self._large:
             self._large = large
             _sockets.limit_unacknowledged(self._transport, len(body))
--- a/bilberrydeal/http1/_sockets.py
+++ b/bilberrydeal/http1/_sockets.py
@@ -4,14 +4,13 @@
 import socket
 import typing
 
+from .. import endings
+
 #: Time after which unacknowledged bytes end a connection to an endpoint, in
 #: milliseconds. It also ends one whose peer reads nothing for so long.
 USER_TIMEOUT_MS = 1500
 #: The same while a large request is written, which may take longer to read.
 LARGE_USER_TIMEOUT_MS = 10_000
-#: Size from which on a request is large: smaller ones fit into the receive
-#: buffer of a peer, in bytes.
-LARGE_BYTES = 65_536
 #: Idle time before the first keep-alive probe, in seconds.
 PROBE_IDLE_S = 1
 #: Time between two keep-alive probes, in seconds.
@@ -46,7 +45,7 @@
     if sock is None:
         return
     limit_ms = USER_TIMEOUT_MS
-    if size_bytes >= LARGE_BYTES:
+    if size_bytes >= endings.LARGE_BYTES:
         limit_ms = LARGE_USER_TIMEOUT_MS
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
 
--- a/scenarios/_gateways.py
+++ b/scenarios/_gateways.py
@@ -157,15 +157,12 @@
     async def __aenter__(self) -> "Fleet":
         """Start all processes and wait until the gateways are ready."""
         self.session = aiohttp.ClientSession()
-        for member in self.members:
-            await member.proxy.start()
-            if member.store_proxy is not None:
-                await member.store_proxy.start()
-            member.process.start()
-        await _waits.eventually(self._store_answers, "the store answers")
-        await self.configure()
-        for gateway in self.gateways:
-            await self.wait_ready(gateway)
+        try:
+            await self._start()
+        except BaseException:
+            # Nothing else ends what has been started.
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *_exc: object) -> None:
@@ -177,6 +174,17 @@
                 await member.store_proxy.stop()
         await self.session.close()
 
+    async def _start(self) -> None:
+        for member in self.members:
+            await member.proxy.start()
+            if member.store_proxy is not None:
+                await member.store_proxy.start()
+            member.process.start()
+        await _waits.eventually(self._store_answers, "the store answers")
+        await self.configure()
+        for gateway in self.gateways:
+            await self.wait_ready(gateway)
+
     @property
     def members(self) -> list[Member]:
         """Return all processes."""
