Run tests of torn heads on the time that their process has

KNOWN-RED entry 13 is a row of the test beside it.

Cause: the routes of the harness have 2 s of real time, and sixteen request paths share a process.

Tests that are marked own_time run in a loop whose timers count the time that their process has, as tests/own_time.py counted it before; the gateway of the harness uses the clock of its loop. All limits keep their lengths, and waits and work count in full. What no longer counts is a pause, and a call that blocks without computing.

--- a/bilberrydeal/gateway/tests/test_torn_heads.py
+++ b/bilberrydeal/gateway/tests/test_torn_heads.py
@@ -13,6 +13,8 @@
 from . import connecting
 from . import harness
 
+pytestmark = pytest.mark.own_time
+
 #: A prompt that its decode engine prefills itself.
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
 EVENTS = b"".join(harness.event(n) for n in range(1, 6))
--- a/bilberrydeal/tests/test_own_time.py
+++ b/bilberrydeal/tests/test_own_time.py
@@ -78,3 +78,41 @@
     with pytest.raises(KeyError):
         async with own_time.timeout(WORK_S):
             raise KeyError
+
+
+@pytest.mark.own_time
+@pytest.mark.parametrize("work", [_wait, _compute_in_turns])
+async def test_waits_and_work_reach_a_limit_of_the_loop(work: Work) -> None:
+    began_s = time.monotonic()
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(WORK_S / 2):
+            await work()
+    assert time.monotonic() - began_s >= WORK_S / 2
+
+
+@pytest.mark.own_time
+async def test_pause_of_the_process_reaches_no_limit_of_the_loop() -> None:
+    began_s = time.monotonic()
+    async with asyncio.timeout(5 * WORK_S):
+        await _pause()
+    assert time.monotonic() - began_s >= 10 * WORK_S
+
+
+@pytest.mark.own_time
+async def test_wait_takes_as_long_in_the_loop_as_elsewhere() -> None:
+    began_s = time.monotonic()
+    await asyncio.sleep(WORK_S)
+    assert time.monotonic() - began_s >= WORK_S
+
+
+@pytest.mark.own_time
+async def test_work_without_a_pause_counts_in_the_loop() -> None:
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    await _compute_at_once()
+    assert loop.time() - began_s >= WORK_S / 2
+
+
+async def test_other_tests_run_on_real_time() -> None:
+    loop = asyncio.get_running_loop()
+    assert not isinstance(loop, own_time.OwnTimeLoop)
