Let own time leave out waits for a processor, and count calls that block

Own time did not see a call that blocks without computing, so that a test that used it was easier than one of real time. A thread beside the loop counts steps now: it runs on while the loop is blocked, and stands still with it while the process is paused. Time for which the loop's thread was ready and got no processor, by the kernel's count, is left out. OwnTime and timeout are gone; the one test that used them is marked instead.

--- a/bilberrydeal/link/tests/test_requests.py
+++ b/bilberrydeal/link/tests/test_requests.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from ...tests import own_time
 from .. import _requests
 from . import freeports
 from . import harness
@@ -13,10 +12,11 @@
 LIMIT_S = 1.0
 #: Time after which the peer listens, in seconds; it never answers.
 LISTENS_S = 0.8
-#: Own time of the test besides, in seconds; less than ``LISTENS_S``.
+#: Time of the test besides, in seconds; less than ``LISTENS_S``.
 TOLERANCE_S = 0.4
 
 
+@pytest.mark.own_time
 async def test_late_connection_leaves_a_request_its_limit() -> None:
     """Guards against a limit that counts anew once the request was sent."""
     port = freeports.allocate_ports()
@@ -26,7 +26,7 @@
         return _requests.Responder(harness.ADDRESS, port)
 
     listening = asyncio.create_task(listen())
-    async with own_time.timeout(LIMIT_S + TOLERANCE_S):
+    async with asyncio.timeout(LIMIT_S + TOLERANCE_S):
         with pytest.raises(_requests.RequestFailed):
             await _requests.send_request(harness.ADDRESS, port, b"?", LIMIT_S)
     (await listening).close()
--- a/bilberrydeal/tests/own_time.py
+++ b/bilberrydeal/tests/own_time.py
@@ -1,44 +1,87 @@
-"""Time as a process has it, however long it waits for a processor.
+"""An event loop on whose time a process that can't run misses no limit.
 
-A bound on real time also fails a test whose process could not run. The
-functions here count the time in which it computed, and the time in which its
-event loop was free. A pause, or a wait for a processor, counts as one step at
-most; so does a call that blocks the event loop without computing.
+A limit of real time also fails a test whose process had no processor. In this
+loop all limits keep their lengths, and waits, work and calls that block count
+in full. A pause of the whole process counts as one step at most, and the time
+for which the thread of the loop was ready and got no processor doesn't count.
 """
 
 import asyncio
-import collections.abc
-import contextlib
-import math
+import pathlib
 import selectors
+import threading
 import time
 
-#: Interval between two counts, in seconds.
+#: Longest time between two counts, in seconds.
 STEP_S = 0.005
 #: Most that a step counts unless the process computed for longer, in seconds.
 MAX_IDLE_STEP_S = 0.01
+#: What the kernel counts of the thread that reads it, in nanoseconds: time on
+#: a processor, and time for which it was ready and waited for one.
+SCHEDULING = pathlib.Path("/proc/thread-self/schedstat")
 
 
-class OwnClock:
-    """Counts the time that the process has, in steps."""
+def _waited_s() -> float:
+    """Return how long this thread was ready and had no processor."""
+    _computed_ns, waited_ns, _slices = SCHEDULING.read_text().split()
+    return int(waited_ns) / 1e9
+
+
+class _Clock:
+    """Counts the time of the thread that made it.
+
+    Another thread counts steps as well, since the first can't while it is
+    blocked in a call; both stand still only if the process does.
+    """
 
     def __init__(self) -> None:
         self._elapsed_s = 0.0
+        #: Time counted since the thread last read the clock.
+        self._counted_s = 0.0
         self._real_s = time.monotonic()
         self._computed_s = time.process_time()
+        self._thread_computed_s = time.thread_time()
+        self._thread_waited_s = _waited_s()
+        self._lock = threading.Lock()
+        self._closed = threading.Event()
+        self._counting = threading.Thread(
+            target=self._count_steps, daemon=True
+        )
+        self._counting.start()
+
+    def close(self) -> None:
+        """End the thread that counts steps."""
+        self._closed.set()
+        self._counting.join()
 
     def now_s(self) -> float:
-        """Return the time since this was made, this step included."""
+        """Return the time; only the thread that made the clock may ask."""
+        computed_s, waited_s = time.thread_time(), _waited_s()
+        with self._lock:
+            self._count_step()
+            counted_s, self._counted_s = self._counted_s, 0.0
+        least_s = min(counted_s, computed_s - self._thread_computed_s)
+        had_s = counted_s - (waited_s - self._thread_waited_s)
+        self._elapsed_s += max(had_s, least_s)
+        self._thread_computed_s = computed_s
+        self._thread_waited_s = waited_s
+        return self._elapsed_s
+
+    def _count_steps(self) -> None:
+        while not self._closed.wait(STEP_S):
+            with self._lock:
+                self._count_step()
+
+    def _count_step(self) -> None:
         real_s, computed_s = time.monotonic(), time.process_time()
         most_s = max(computed_s - self._computed_s, MAX_IDLE_STEP_S)
-        self._elapsed_s += min(real_s - self._real_s, most_s)
+        self._counted_s += min(real_s - self._real_s, most_s)
         self._real_s = real_s
         self._computed_s = computed_s
-        return self._elapsed_s
 
 
 class _SteppingSelector(selectors.DefaultSelector):
-    """Waits no longer than a step, so that a clock counts each of them."""
+    """Waits no longer than a step, as its caller's clock may run slowly."""
 
     def select(
         self, timeout: float | None = None
@@ -48,93 +91,26 @@
 
 
 class OwnTimeLoop(asyncio.SelectorEventLoop):
-    """An event loop whose timers run on the time that its process has.
+    """An event loop whose timers run on the time that its thread has.
 
-    Tests that are marked ``own_time`` run in it. Their limits are as long as
-    they are elsewhere; only while the process can't run do they stand still.
+    Tests that are marked ``own_time`` run in it.
 
     Example::
 
         loop = OwnTimeLoop()
         loop.run_until_complete(asyncio.sleep(0.1))
+        loop.close()
     """
 
     def __init__(self) -> None:
-        self._clock = OwnClock()
+        self._clock = _Clock()
         super().__init__(_SteppingSelector())
 
     def time(self) -> float:
-        """Return the time that the process has had, in seconds."""
+        """Return the time that the thread of the loop has had, in seconds."""
         return self._clock.now_s()
 
-
-class OwnTime:
-    """Counts the time that the process has while it is entered.
-
-    Example::
-
-        async with own_time.OwnTime() as own:
-            await work()
-        assert own.elapsed_s < 1.0
-    """
-
-    def __init__(self, limit_s: float = math.inf) -> None:
-        self.elapsed_s = 0.0
-        #: Set once more than ``limit_s`` has elapsed.
-        self.exceeded = asyncio.Event()
-        self._limit_s = limit_s
-        self._clock = OwnClock()
-        self._counting: asyncio.Task[None] | None = None
-
-    async def __aenter__(self) -> "OwnTime":
-        self._clock = OwnClock()
-        self._counting = asyncio.create_task(self._count())
-        return self
-
-    async def __aexit__(self, *_error: object) -> None:
-        assert self._counting is not None
-        self._counting.cancel()
-        self.count_step()
-
-    def count_step(self) -> None:
-        """Count the time since the last step."""
-        self.elapsed_s = self._clock.now_s()
-        if self.elapsed_s > self._limit_s:
-            self.exceeded.set()
-
-    def now_s(self) -> float:
-        """Return the time up to this moment."""
-        self.count_step()
-        return self.elapsed_s
-
-    async def _count(self) -> None:
-        while True:
-            await asyncio.sleep(STEP_S)
-            self.count_step()
-
-
-@contextlib.asynccontextmanager
-async def timeout(
-    limit_s: float,
-) -> collections.abc.AsyncIterator[OwnTime]:
-    """Raise ``TimeoutError`` if the block has more than this own time.
-
-    Example::
-
-        async with own_time.timeout(1.0):
-            await work()
-    """
-    own = OwnTime(limit_s)
-    async with asyncio.timeout(None) as deadline, own:
-        watching = asyncio.create_task(_watch(own, deadline))
-        try:
-            yield own
-        finally:
-            watching.cancel()
-    if own.exceeded.is_set():
-        raise TimeoutError
-
-
-async def _watch(own: OwnTime, deadline: asyncio.Timeout) -> None:
-    await own.exceeded.wait()
-    deadline.reschedule(asyncio.get_running_loop().time())
+    def close(self) -> None:
+        """Close the loop and end its clock."""
+        super().close()
+        self._clock.close()
