--- a/bilberrydeal/gateway/tests/crashing_engines.py
+++ b/bilberrydeal/gateway/tests/crashing_engines.py
@@ -32,8 +32,10 @@
 from ..sending import _sending
 from ..serving import _plain
 from ..streams import _stream
+from . import configurations
 from . import harness
 from . import memory
+from . import scripted
 
 SERVICE = "llm"
 LIMITS = retries.WindowLimits(window_s=10.0, ratio=0.2, base_allowance=52.0)
@@ -147,7 +149,7 @@
         self.reused = False
         self._engine = engine
         self._prefill = False
-        self._chunks = [b"", harness.event(1)]
+        self._chunks = [b"", scripted.event(1)]
         self._crashing = False
         self._last_event = 0
 
@@ -214,7 +216,7 @@
             raise http1.IncompleteResponse
         except TimeoutError:
             self._last_event += 1
-            return harness.event(self._last_event)
+            return scripted.event(self._last_event)
 
 
 class Pool(http1.Pool):
@@ -326,7 +328,7 @@
         self.cluster = _cluster_state.ClusterState(
             health.HEALTH.get("outlier")(1)
         )
-        self.cluster.set_configuration(harness.configuration())
+        self.cluster.set_configuration(configurations.configuration())
         self.budget = retries.WindowBudget(LIMITS, clock())
         self.policy = _retry_policy.RetryPolicy(
             self.cluster, self.budget, clock
@@ -423,7 +425,9 @@
         request = http1.Request(
             b"POST", f"/{route}/1".encode(), (), body, True, now_s, now_s
         )
-        found = next(each for each in harness.ROUTES if each.name == route)
+        found = next(
+            each for each in configurations.ROUTES if each.name == route
+        )
         is_stream = found.kind is catalogue.RouteKind.STREAM
         admitted = _requests.AdmittedRequest(
             request=request,
--- a/bilberrydeal/gateway/tests/test_broken_answers.py
+++ b/bilberrydeal/gateway/tests/test_broken_answers.py
@@ -6,12 +6,13 @@
 import pytest
 
 from . import harness
+from . import scripted
 
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
-EVENTS = b"".join(harness.event(n) for n in range(1, 6))
+EVENTS = b"".join(scripted.event(n) for n in range(1, 6))
 
 
-def _status_line(call: harness.Call, status: bytes) -> bytes:
+def _status_line(call: scripted.Call, status: bytes) -> bytes:
     return (
         b"HTTP/1.1 %b X\r\nrequest-id: %b\r\nserver-signature: s.%b\r\n"
         b"content-length: 2\r\n\r\nok"
@@ -19,13 +20,13 @@
     )
 
 
-async def _ok(call: harness.Call) -> bytes:
-    return harness.signed_response(call)
+async def _ok(call: scripted.Call) -> bytes:
+    return scripted.signed_response(call)
 
 
-async def _decode(call: harness.Call) -> bytes:
+async def _decode(call: scripted.Call) -> bytes:
     first = int(call.field("last-event-id") or 0) + 1
-    return harness.complete_stream(call, first, 5)
+    return scripted.complete_stream(call, first, 5)
 
 
 @pytest.mark.parametrize("path", ["/once/1", "/read/1", "/chat/1"])
@@ -35,14 +36,14 @@
 async def test_status_that_is_none_is_no_answer_and_ends_the_wait(
     status: bytes, path: str
 ) -> None:
-    async def script(call: harness.Call) -> bytes:
+    async def script(call: scripted.Call) -> bytes:
         return _status_line(call, status)
 
-    broken = harness.plain("e1", script)
-    sound = harness.plain("e2", _ok)
+    broken = scripted.plain("e1", script)
+    sound = scripted.plain("e2", _ok)
     if path.startswith("/chat"):
-        broken = harness.engine("e1", "decode", script)
-        sound = harness.engine("e2", "decode", _decode)
+        broken = scripted.engine("e1", "decode", script)
+        sound = scripted.engine("e2", "decode", _decode)
     began_s = time.monotonic()
     async with harness.running(broken, sound) as running:
         running.cluster.endpoints["e2"].pool.busy = 1
@@ -65,19 +66,19 @@
 async def test_earlier_refusal_written_again_refuses_no_later_request(
     status: int, after: float
 ) -> None:
-    refused: list[harness.Call] = []
+    refused: list[scripted.Call] = []
     ran: list[bytes] = []
 
-    async def script(call: harness.Call) -> bytes:
+    async def script(call: scripted.Call) -> bytes:
         if not refused:
             refused.append(call)
-            return harness.not_run(call, status)
+            return scripted.not_run(call, status)
         ran.append(call.request_id)
-        await call.send(harness.not_run(refused[0], status))
+        await call.send(scripted.not_run(refused[0], status))
         await asyncio.sleep(after)
-        return harness.signed_response(call)
+        return scripted.signed_response(call)
 
-    endpoint = harness.plain("e1", script)
+    endpoint = scripted.plain("e1", script)
     async with harness.running(endpoint) as running:
         first = await running.send()
         running.cluster.endpoints["e1"].paused_until_s = 0.0
@@ -95,14 +96,14 @@
     """The second copy waits on the kept connection before the next request."""
     ran: list[bytes] = []
 
-    def refusal(call: harness.Call) -> bytes:
-        answer = harness.not_run(call)
+    def refusal(call: scripted.Call) -> bytes:
+        answer = scripted.not_run(call)
         if not named:
             field = b"request-id: " + call.request_id + b"\r\n"
             answer = answer.replace(field, b"")
         return answer
 
-    async def doubled(call: harness.Call) -> bytes:
+    async def doubled(call: scripted.Call) -> bytes:
         if len(troubled.calls) == 1:
             refused = refusal(call)
             asyncio.get_running_loop().call_later(
@@ -113,18 +114,18 @@
         await asyncio.sleep(0.1)
         return await sound_script(call)
 
-    async def sound(call: harness.Call) -> bytes:
+    async def sound(call: scripted.Call) -> bytes:
         ran.append(call.request_id)
         return await sound_script(call)
 
     streams = "chat" in path
     sound_script = _decode if streams else _ok
     if streams:
-        troubled = harness.engine("e1", "decode", doubled)
-        other = harness.engine("e2", "decode", sound)
+        troubled = scripted.engine("e1", "decode", doubled)
+        other = scripted.engine("e2", "decode", sound)
     else:
-        troubled = harness.plain("e1", doubled)
-        other = harness.plain("e2", sound)
+        troubled = scripted.plain("e1", doubled)
+        other = scripted.plain("e2", sound)
     async with harness.running(troubled, other) as running:
         for _request in range(4):
             await running.stream(path, **SHORT)
@@ -136,16 +137,16 @@
 async def test_failure_written_twice_is_no_answer_to_the_next_request() -> (
     None
 ):
-    async def script(call: harness.Call) -> bytes:
+    async def script(call: scripted.Call) -> bytes:
         if len(endpoint.calls) > 1:
             await asyncio.sleep(0.2)
-            return harness.signed_response(call)
+            return scripted.signed_response(call)
         field = b"request-id: " + call.request_id + b"\r\n"
-        failure = harness.signed_response(call, 500).replace(field, b"")
+        failure = scripted.signed_response(call, 500).replace(field, b"")
         asyncio.get_running_loop().call_later(0.05, call.writer.write, failure)
         return failure
 
-    endpoint = harness.plain("e1", script)
+    endpoint = scripted.plain("e1", script)
     async with harness.running(endpoint) as running:
         first = await running.send()
         second = await running.send()
@@ -153,19 +154,19 @@
     assert (second.status, second.body) == (502, b"")
 
 
-async def _broken_off(call: harness.Call) -> None:
+async def _broken_off(call: scripted.Call) -> None:
     await call.send(
-        harness.stream_head(call)
-        + harness.chunk(harness.event(1) + harness.event(2))
+        scripted.stream_head(call)
+        + scripted.chunk(scripted.event(1) + scripted.event(2))
     )
     await asyncio.sleep(0.05)
 
 
-async def _error(call: harness.Call) -> bytes:
-    return harness.signed_response(call, 500, b"error: full\n\n")
+async def _error(call: scripted.Call) -> bytes:
+    return scripted.signed_response(call, 500, b"error: full\n\n")
 
 
-async def _endless_error(call: harness.Call) -> bytes:
+async def _endless_error(call: scripted.Call) -> bytes:
     return (
         b"HTTP/1.1 500 X\r\nrequest-id: %b\r\nserver-signature: s.%b\r\n"
         b"\r\nid: 3\ndata: error\n\n"
@@ -173,27 +174,29 @@
     )
 
 
-async def _chunked_error(call: harness.Call) -> bytes:
-    head = harness.stream_head(call).replace(b"200 OK", b"503 X")
-    return head + harness.chunk(b"id: 3\ndata: error\n\n") + harness.chunk(b"")
+async def _chunked_error(call: scripted.Call) -> bytes:
+    head = scripted.stream_head(call).replace(b"200 OK", b"503 X")
+    return (
+        head + scripted.chunk(b"id: 3\ndata: error\n\n") + scripted.chunk(b"")
+    )
 
 
-async def _refusal(call: harness.Call) -> bytes:
-    return harness.not_run(call)
+async def _refusal(call: scripted.Call) -> bytes:
+    return scripted.not_run(call)
 
 
 @pytest.mark.parametrize(
     "answer", [_error, _endless_error, _chunked_error, _refusal]
 )
 async def test_error_of_the_next_engine_is_no_part_of_a_begun_stream(
-    answer: harness.Script,
+    answer: scripted.Script,
 ) -> None:
-    broken = harness.engine("d1", "decode", _broken_off)
-    failing = harness.engine("d2", "decode", answer)
+    broken = scripted.engine("d1", "decode", _broken_off)
+    failing = scripted.engine("d2", "decode", answer)
     async with harness.running(broken, failing) as running:
         running.set_peer_tokens("d2", 3_000)
         reply = await running.stream(**SHORT)
     assert failing.calls
     assert reply.status == 200
-    assert reply.body == harness.event(1) + harness.event(2)
+    assert reply.body == scripted.event(1) + scripted.event(2)
     assert not reply.complete
--- a/bilberrydeal/gateway/tests/test_crashing_requests.py
+++ b/bilberrydeal/gateway/tests/test_crashing_requests.py
@@ -7,8 +7,10 @@
 
 from ...store.tests import virtual
 from .. import core
+from . import configurations
 from . import crashing_engines
 from . import harness
+from . import scripted
 from . import virtual_fleet
 
 #: Crashes by which a request has to be known, the time until then, in
@@ -245,13 +247,14 @@
 ):
     """The request becomes suspected while its first endpoint fails it."""
 
-    async def fail(call: harness.Call) -> bytes:
+    async def fail(call: scripted.Call) -> bytes:
         for number in range(KNOWN_AFTER_CRASHES):
             running.quarantine.endpoint_lost(
                 attrs.evolve(
                     running.cluster.endpoints["e1"],
                     endpoint=attrs.evolve(
-                        harness.registration(first), endpoint_id=f"x{number}"
+                        configurations.registration(first),
+                        endpoint_id=f"x{number}",
                     ),
                 ),
                 lost[0],
@@ -259,10 +262,10 @@
                 sent_s=0.0,
                 first_s=None,
             )
-        return harness.signed_response(call, 500, b"failed")
+        return scripted.signed_response(call, 500, b"failed")
 
     lost: list[core.AdmittedRequest] = []
-    first, second = (harness.plain(f"e{n}", fail) for n in (1, 2))
+    first, second = (scripted.plain(f"e{n}", fail) for n in (1, 2))
     async with harness.running(first, second) as running:
         check = running.quarantine.check
 
--- a/bilberrydeal/gateway/tests/test_endless_memory.py
+++ b/bilberrydeal/gateway/tests/test_endless_memory.py
@@ -6,6 +6,7 @@
 import pytest
 
 from . import harness
+from . import scripted
 
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
 PIECE_BYTES = 65_536
@@ -31,22 +32,22 @@
         id="responses to other requests",
     ),
     pytest.param(SIGNED + b"\r\n", b"y" * PIECE_BYTES, id="body"),
-    pytest.param(CHUNKED, harness.chunk(b"y" * PIECE_BYTES), id="chunks"),
-    pytest.param(CHUNKED, harness.chunk(b"y") * 4_096, id="small chunks"),
+    pytest.param(CHUNKED, scripted.chunk(b"y" * PIECE_BYTES), id="chunks"),
+    pytest.param(CHUNKED, scripted.chunk(b"y") * 4_096, id="small chunks"),
     pytest.param(
         CHUNKED + b"1;", b"y" * PIECE_BYTES, id="extension of a chunk"
     ),
     pytest.param(CHUNKED + b"0\r\n", b"x-a: y\r\n" * 8_192, id="trailers"),
     pytest.param(
         CHUNKED,
-        harness.chunk(b": no event\n" * 4_096),
+        scripted.chunk(b": no event\n" * 4_096),
         id="comments",
     ),
 ]
 
 
-def _endless(start: bytes, piece: bytes) -> harness.Script:
-    async def script(call: harness.Call) -> bytes:
+def _endless(start: bytes, piece: bytes) -> scripted.Script:
+    async def script(call: scripted.Call) -> bytes:
         call.writer.write(start)
         for _ in range(ENDLESS_BYTES // len(piece)):
             call.writer.write(piece)
@@ -64,8 +65,8 @@
 ) -> None:
     script = _endless(start, piece)
     endpoints = [
-        harness.plain("e1", script),
-        harness.engine("d1", "decode", script),
+        scripted.plain("e1", script),
+        scripted.engine("d1", "decode", script),
     ]
     tracemalloc.start()
     try:
@@ -84,11 +85,11 @@
 async def test_caller_that_reads_nothing_takes_bounded_memory() -> None:
     """The engine sends sound events without end."""
     event = b"id: 1\ndata: " + b"e" * 1_000 + b"\n\n"
-    script = _endless(CHUNKED, harness.chunk(event * 64))
+    script = _endless(CHUNKED, scripted.chunk(event * 64))
     tracemalloc.start()
     try:
         async with harness.running(
-            harness.engine("d1", "decode", script)
+            scripted.engine("d1", "decode", script)
         ) as running:
             reader, writer = await asyncio.open_connection(
                 "127.0.0.1", running.server.port, limit=1_024
@@ -121,24 +122,24 @@
 PLAIN_LIMIT_S = 1.0
 
 
-async def _no_events(call: harness.Call) -> bytes:
+async def _no_events(call: scripted.Call) -> bytes:
     """Send bytes that are no events, until the caller closes."""
     call.writer.write(CHUNKED.replace(b"r1", call.request_id))
-    piece = harness.chunk(b"!\n" * 4_400)
+    piece = scripted.chunk(b"!\n" * 4_400)
     while True:
         call.writer.write(piece)
         await call.writer.drain()
         await asyncio.sleep(PIECE_INTERVAL_S)
 
 
-def _faulty_engines() -> list[harness.Endpoint]:
-    return [harness.engine(f"d{n}", "decode", _no_events) for n in range(6)]
+def _faulty_engines() -> list[scripted.Endpoint]:
+    return [scripted.engine(f"d{n}", "decode", _no_events) for n in range(6)]
 
 
 @pytest.mark.own_time
 async def test_many_streams_without_events_leave_others_alone() -> None:
     """Guards against a process that a faulty engine fills, or keeps busy."""
-    endpoints = [harness.plain("e1", _sound), *_faulty_engines()]
+    endpoints = [scripted.plain("e1", _sound), *_faulty_engines()]
     async with harness.running(*endpoints) as running:
         streams = [
             asyncio.ensure_future(
@@ -176,5 +177,5 @@
     assert peak_bytes < STREAMS * CHANNEL_BYTES
 
 
-async def _sound(call: harness.Call) -> bytes:
-    return harness.signed_response(call)
+async def _sound(call: scripted.Call) -> bytes:
+    return scripted.signed_response(call)
--- a/bilberrydeal/gateway/tests/test_fingerprint.py
+++ b/bilberrydeal/gateway/tests/test_fingerprint.py
@@ -9,7 +9,7 @@
 from ... import http1
 from ..core import _requests
 from ..sending import _quarantine
-from . import harness
+from . import configurations
 
 _HEADERS = ((b"host", b"h.example"), (b"request-id", b"r1"))
 
@@ -23,7 +23,7 @@
     return _requests.AdmittedRequest(
         request=attrs.evolve(request, **fields),
         request_id=b"r1",
-        route=harness.ROUTES[0],
+        route=configurations.ROUTES[0],
         service="shop",
         organisation=(
             catalogue.Organisation(organisation, None)
--- a/bilberrydeal/gateway/tests/test_freshness.py
+++ b/bilberrydeal/gateway/tests/test_freshness.py
@@ -14,7 +14,9 @@
 from ..cluster_state import _store_hints
 from ..cluster_state import _store_sync
 from ..messaging import _datagrams
+from . import configurations
 from . import harness
+from . import scripted
 
 LIMIT_S = 3.0
 
@@ -240,7 +242,7 @@
 
 @pytest.mark.parametrize(
     ("path", "key", "denied"),
-    [("/none/1", harness.KEY, 404), ("/once/1", b"none", 401)],
+    [("/none/1", configurations.KEY, 404), ("/once/1", b"none", 401)],
 )
 async def test_outdated_configuration_does_not_deny_a_request(
     path: str, key: bytes, denied: int
@@ -262,10 +264,10 @@
 async def test_request_does_not_run_by_a_configuration_past_its_limit() -> (
     None
 ):
-    async def ok(call: harness.Call) -> bytes:
-        return harness.signed_response(call, body=b"ours")
+    async def ok(call: scripted.Call) -> bytes:
+        return scripted.signed_response(call, body=b"ours")
 
-    endpoint = harness.plain("e1", ok)
+    endpoint = scripted.plain("e1", ok)
     async with harness.running(endpoint) as running:
         freshness = running.cluster.configuration_freshness
         freshness.apply_limit_s = LIMIT_S
--- a/bilberrydeal/gateway/tests/test_leaving.py
+++ b/bilberrydeal/gateway/tests/test_leaving.py
@@ -10,10 +10,12 @@
 from ...systems import health
 from ...systems import placement
 from ..cluster_state import _cluster_state
+from . import configurations
 from . import harness
+from . import scripted
 
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
-EVENTS = b"".join(harness.event(n) for n in range(1, 6))
+EVENTS = b"".join(scripted.event(n) for n in range(1, 6))
 
 
 def _leaving(response: bytes) -> bytes:
@@ -22,59 +24,60 @@
     return line + b"\r\nserver-leaving: 1\r\n" + rest
 
 
-async def _ok(call: harness.Call) -> bytes:
-    return _leaving(harness.signed_response(call))
+async def _ok(call: scripted.Call) -> bytes:
+    return _leaving(scripted.signed_response(call))
 
 
-async def _failure(call: harness.Call) -> bytes:
-    return _leaving(harness.signed_response(call, 500))
+async def _failure(call: scripted.Call) -> bytes:
+    return _leaving(scripted.signed_response(call, 500))
 
 
-async def _full(call: harness.Call) -> bytes:
-    return _leaving(harness.not_run(call))
+async def _full(call: scripted.Call) -> bytes:
+    return _leaving(scripted.not_run(call))
 
 
-async def _unsigned(call: harness.Call) -> bytes:
+async def _unsigned(call: scripted.Call) -> bytes:
     head = b"HTTP/1.1 200 OK\r\nrequest-id: %b\r\ncontent-length: 0\r\n\r\n"
     return _leaving(head % call.request_id)
 
 
-async def _early_hint(call: harness.Call) -> bytes:
+async def _early_hint(call: scripted.Call) -> bytes:
     """Say it in the head of a response whose body never ends."""
-    await call.send(_leaving(harness.signed_response(call, body=b"ab"))[:-1])
+    await call.send(_leaving(scripted.signed_response(call, body=b"ab"))[:-1])
     await asyncio.sleep(30.0)
     return b""
 
 
-async def _stream(call: harness.Call) -> bytes:
+async def _stream(call: scripted.Call) -> bytes:
     first = int(call.field("last-event-id") or 0) + 1
-    return harness.complete_stream(call, first, 5)
+    return scripted.complete_stream(call, first, 5)
 
 
-async def _leaving_stream(call: harness.Call) -> bytes:
+async def _leaving_stream(call: scripted.Call) -> bytes:
     """Say it in the head of a stream that goes on for a while."""
     await call.send(
-        _leaving(harness.stream_head(call)) + harness.chunk(harness.event(1))
+        _leaving(scripted.stream_head(call))
+        + scripted.chunk(scripted.event(1))
     )
     await asyncio.sleep(0.3)
-    return harness.rest_of_stream(2, 5)
+    return scripted.rest_of_stream(2, 5)
 
 
-async def _prefill(call: harness.Call) -> bytes:
-    return harness.handle(call)
+async def _prefill(call: scripted.Call) -> bytes:
+    return scripted.handle(call)
 
 
-async def _leaving_prefill(call: harness.Call) -> bytes:
-    return _leaving(harness.handle(call))
+async def _leaving_prefill(call: scripted.Call) -> bytes:
+    return _leaving(scripted.handle(call))
 
 
 @pytest.mark.parametrize(
     "script", [_ok, _failure, _full, _unsigned, _early_hint]
 )
 async def test_leaving_endpoint_gets_no_further_request(
-    script: harness.Script,
+    script: scripted.Script,
 ) -> None:
-    leaving = harness.plain("e1", script)
+    leaving = scripted.plain("e1", script)
     async with harness.running(leaving) as running:
         first = asyncio.create_task(running.send("/brief/1"))
         async with asyncio.timeout(3.0):
@@ -87,8 +90,8 @@
 
 
 async def test_running_stream_of_a_leaving_engine_ends_in_peace() -> None:
-    leaving = harness.engine("d1", "decode", _leaving_stream)
-    other = harness.engine("d2", "decode", _stream)
+    leaving = scripted.engine("d1", "decode", _leaving_stream)
+    other = scripted.engine("d2", "decode", _stream)
     async with harness.running(leaving, other) as running:
         running.set_peer_tokens("d2", 3_000)
         running_stream = asyncio.create_task(running.stream(**SHORT))
@@ -103,9 +106,9 @@
 
 
 async def test_prompt_prefilled_by_a_leaving_engine_is_still_decoded() -> None:
-    leaving = harness.engine("p1", "prefill", _leaving_prefill)
-    other = harness.engine("p2", "prefill", _prefill)
-    decoder = harness.engine("d1", "decode", _stream)
+    leaving = scripted.engine("p1", "prefill", _leaving_prefill)
+    other = scripted.engine("p2", "prefill", _prefill)
+    decoder = scripted.engine("d1", "decode", _stream)
     async with harness.running(leaving, other, decoder) as running:
         running.set_peer_tokens("p2", 3_000)
         replies = [await running.stream() for _ in range(3)]
@@ -116,9 +119,9 @@
 
 
 async def test_queued_request_does_not_fetch_from_a_leaving_engine() -> None:
-    leaving = harness.engine("p1", "prefill", _prefill)
-    other = harness.engine("p2", "prefill", _prefill)
-    decoder = harness.engine("d1", "decode", _stream)
+    leaving = scripted.engine("p1", "prefill", _prefill)
+    other = scripted.engine("p2", "prefill", _prefill)
+    decoder = scripted.engine("d1", "decode", _stream)
     parts = [
         placement.PromptPart(b"aa", 2_000),
         placement.PromptPart(b"bb", 3_000),
@@ -143,7 +146,7 @@
 
 
 async def test_request_queued_for_the_uplink_skips_a_leaving_engine() -> None:
-    decoder = harness.engine("d1", "decode", _leaving_stream)
+    decoder = scripted.engine("d1", "decode", _leaving_stream)
     async with harness.running(decoder, uplink_mbps=0.5) as running:
         replies = await asyncio.gather(
             *(running.stream(body=b"b" * 20_000) for _ in range(2))
@@ -195,19 +198,19 @@
     row: Row, usable: bool, removed_before: bool
 ) -> None:
     cluster = _cluster_state.ClusterState(health.HEALTH.get("outlier")(1))
-    cluster.set_configuration(harness.configuration())
+    cluster.set_configuration(configurations.configuration())
     cluster.set_endpoint(_endpoint(Row()))
     cluster.note_leaving(cluster.endpoints["e1"])
     if removed_before:
         cluster.remove_endpoint("e1", "no longer listed")
-    cluster.set_configuration(harness.configuration(2))
+    cluster.set_configuration(configurations.configuration(2))
     cluster.set_endpoint(_endpoint(row))
     assert cluster.endpoints[row.endpoint_id].usable(0.0) is usable
 
 
 def test_older_row_does_not_return_after_a_newer_registration() -> None:
     cluster = _cluster_state.ClusterState(health.HEALTH.get("outlier")(1))
-    cluster.set_configuration(harness.configuration())
+    cluster.set_configuration(configurations.configuration())
     cluster.set_endpoint(_endpoint(Row()))
     cluster.note_leaving(cluster.endpoints["e1"])
     cluster.set_endpoint(_endpoint(Row(started_ms=6)))
--- a/bilberrydeal/gateway/tests/test_log_flood.py
+++ b/bilberrydeal/gateway/tests/test_log_flood.py
@@ -10,6 +10,7 @@
 from ... import telemetry
 from ..serving import _request_handler
 from . import harness
+from . import scripted
 
 #: Requests in the flood.
 FLOOD = 600
@@ -19,8 +20,8 @@
 RESPONSE_LIMIT_S = 1.0
 
 
-async def _ok(call: harness.Call) -> bytes:
-    return harness.signed_response(call)
+async def _ok(call: scripted.Call) -> bytes:
+    return scripted.signed_response(call)
 
 
 @pytest.fixture
@@ -48,7 +49,7 @@
 async def test_refusal_flood_with_a_stalled_log_reader_delays_no_requests(
     stalled_log: telemetry.BoundedStream,
 ) -> None:
-    shop = harness.plain("e1", _ok)
+    shop = scripted.plain("e1", _ok)
     async with harness.running(shop) as running:
         slots = asyncio.Semaphore(CONCURRENCY)
 
--- a/bilberrydeal/gateway/tests/test_pauses.py
+++ b/bilberrydeal/gateway/tests/test_pauses.py
@@ -6,6 +6,7 @@
 import pytest
 
 from . import harness
+from . import scripted
 
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
 #: The pause for which endpoints ask, in seconds.
@@ -14,24 +15,24 @@
 INTERVAL_S = 0.15
 
 
-async def _ok(call: harness.Call) -> bytes:
-    return harness.signed_response(call)
+async def _ok(call: scripted.Call) -> bytes:
+    return scripted.signed_response(call)
 
 
-async def _decode(call: harness.Call) -> bytes:
-    return harness.complete_stream(call, 1, 5)
+async def _decode(call: scripted.Call) -> bytes:
+    return scripted.complete_stream(call, 1, 5)
 
 
-async def _pausing(call: harness.Call) -> bytes:
-    return harness.not_run(call).replace(
+async def _pausing(call: scripted.Call) -> bytes:
+    return scripted.not_run(call).replace(
         b"\r\n", b"\r\nretry-after: %.1f\r\n" % PAUSE_S, 1
     )
 
 
 @pytest.mark.parametrize("path", ["/once/1", "/read/1"])
 async def test_pausing_endpoint_gets_no_request(path: str) -> None:
-    pausing = harness.plain("e1", _pausing)
-    other = harness.plain("e2", _ok)
+    pausing = scripted.plain("e1", _pausing)
+    other = scripted.plain("e2", _ok)
     async with harness.running(pausing, other) as running:
         replies = []
         for _ in range(4):
@@ -43,8 +44,8 @@
 
 @pytest.mark.parametrize("role", ["prefill", "decode"])
 async def test_pausing_engine_gets_no_request(role: str) -> None:
-    pausing = harness.engine("e1", role, _pausing)
-    other = harness.engine("e2", "decode", _decode)
+    pausing = scripted.engine("e1", role, _pausing)
+    other = scripted.engine("e2", "decode", _decode)
     async with harness.running(pausing, other) as running:
         replies = []
         for _ in range(4):
@@ -55,7 +56,7 @@
 
 
 async def test_caller_is_told_to_come_back_after_the_shortest_pause() -> None:
-    pausing = harness.plain("e1", _pausing)
+    pausing = scripted.plain("e1", _pausing)
     async with harness.running(pausing) as running:
         await running.send("/once/1")
         began_s = time.monotonic()
@@ -72,13 +73,13 @@
     """Until it has accepted one."""
     release = asyncio.Event()
 
-    async def pausing_once(call: harness.Call) -> bytes:
+    async def pausing_once(call: scripted.Call) -> bytes:
         if len(endpoint.calls) == 1:
             return await _pausing(call)
         await release.wait()
-        return harness.signed_response(call)
+        return scripted.signed_response(call)
 
-    endpoint = harness.plain("e1", pausing_once)
+    endpoint = scripted.plain("e1", pausing_once)
     async with harness.running(endpoint) as running:
         await running.send("/once-one/1")
         await asyncio.sleep(PAUSE_S + 0.1)
--- a/bilberrydeal/gateway/tests/test_plain.py
+++ b/bilberrydeal/gateway/tests/test_plain.py
@@ -5,53 +5,55 @@
 
 import pytest
 
+from . import configurations
 from . import harness
+from . import scripted
 
 
-async def _ok(call: harness.Call) -> bytes:
-    return harness.signed_response(call)
+async def _ok(call: scripted.Call) -> bytes:
+    return scripted.signed_response(call)
 
 
-async def _failure(call: harness.Call) -> bytes:
-    return harness.signed_response(call, 500, b"sorry")
+async def _failure(call: scripted.Call) -> bytes:
+    return scripted.signed_response(call, 500, b"sorry")
 
 
-async def _not_run(call: harness.Call) -> bytes:
-    return harness.not_run(call)
+async def _not_run(call: scripted.Call) -> bytes:
+    return scripted.not_run(call)
 
 
-async def _misdirected(call: harness.Call) -> bytes:
-    return harness.not_run(call, 421)
+async def _misdirected(call: scripted.Call) -> bytes:
+    return scripted.not_run(call, 421)
 
 
-async def _reset(_call: harness.Call) -> None:
+async def _reset(_call: scripted.Call) -> None:
     return None
 
 
-async def _unproven_503(call: harness.Call) -> bytes:
+async def _unproven_503(call: scripted.Call) -> bytes:
     return (
         b"HTTP/1.1 503 X\r\nrequest-id: %b\r\ncontent-length: 0\r\n\r\n"
         % call.request_id
     )
 
 
-async def _unsigned(call: harness.Call) -> bytes:
+async def _unsigned(call: scripted.Call) -> bytes:
     return (
         b"HTTP/1.1 200 OK\r\nrequest-id: %b\r\ncontent-length: 2\r\n\r\nok"
         % call.request_id
     )
 
 
-async def _encoded(call: harness.Call) -> bytes:
-    return harness.signed_response(call, content_encoding="gzip")
+async def _encoded(call: scripted.Call) -> bytes:
+    return scripted.signed_response(call, content_encoding="gzip")
 
 
-async def _truncated(call: harness.Call) -> bytes | None:
-    call.writer.write(harness.signed_response(call, body=b"long body")[:-3])
+async def _truncated(call: scripted.Call) -> bytes | None:
+    call.writer.write(scripted.signed_response(call, body=b"long body")[:-3])
     return None
 
 
-async def _silent(_call: harness.Call) -> bytes:
+async def _silent(_call: scripted.Call) -> bytes:
     await asyncio.sleep(30.0)
     return b""
 
@@ -88,7 +90,7 @@
     ids=[f"{row[0].__name__[1:]} {row[1]}" for row in TABLE],
 )
 async def test_response_follows_the_outcome_of_each_send(
-    script: harness.Script,
+    script: scripted.Script,
     path: str,
     status: int,
     sends: int,
@@ -96,12 +98,12 @@
 ) -> None:
     calls = 0
 
-    async def first_fails(call: harness.Call) -> bytes | None:
+    async def first_fails(call: scripted.Call) -> bytes | None:
         nonlocal calls
         calls += 1
         return await (script if calls == 1 else _ok)(call)
 
-    endpoints = [harness.plain(f"e{n}", first_fails) for n in range(3)]
+    endpoints = [scripted.plain(f"e{n}", first_fails) for n in range(3)]
     async with harness.running(*endpoints) as running:
         reply = await running.send(path + "1")
     assert reply.status == status
@@ -115,7 +117,7 @@
 
 async def test_timeout_after_a_send_is_not_reported_as_not_run() -> None:
     """Guards against a 503 for a run that exceeds the route's timeout."""
-    endpoint = harness.plain("e1", _silent)
+    endpoint = scripted.plain("e1", _silent)
     async with harness.running(endpoint) as running:
         reply = await running.send("/once/1", deadline_ms=150)
     assert reply.status == 504
@@ -130,7 +132,7 @@
 
 
 async def test_headers_forwarded_to_an_endpoint() -> None:
-    endpoint = harness.plain("e1", _ok)
+    endpoint = scripted.plain("e1", _ok)
     async with harness.running(endpoint) as running:
         await running.send(
             "/once/1?q=1",
@@ -173,7 +175,7 @@
 async def test_request_validation(
     path: str, fields: dict[str, str], status: int
 ) -> None:
-    endpoint = harness.plain("e1", _ok)
+    endpoint = scripted.plain("e1", _ok)
     async with harness.running(endpoint) as running:
         reply = await running.send(path, **fields)  # type: ignore[arg-type]
     assert reply.status == status
@@ -183,7 +185,7 @@
 
 
 async def test_disconnected_caller_aborts_the_run() -> None:
-    endpoint = harness.plain("e1", _silent)
+    endpoint = scripted.plain("e1", _silent)
     async with harness.running(endpoint) as running:
         sending = asyncio.create_task(running.send("/read/1"))
         await endpoint.arrived.wait()
@@ -193,10 +195,12 @@
 
 
 async def test_draining_endpoint_gets_no_new_requests() -> None:
-    first = harness.plain("e1", _ok)
-    second = harness.plain("e2", _ok)
+    first = scripted.plain("e1", _ok)
+    second = scripted.plain("e2", _ok)
     async with harness.running(first, second) as running:
-        running.cluster.set_endpoint(harness.registration(first, ready=False))
+        running.cluster.set_endpoint(
+            configurations.registration(first, ready=False)
+        )
         for _ in range(5):
             assert (await running.send("/once/1")).status == 200
     assert first.calls == []
@@ -204,7 +208,7 @@
 
 async def test_requests_are_counted_once() -> None:
     async with harness.running(
-        harness.plain("e1", _failure), harness.plain("e2", _failure)
+        scripted.plain("e1", _failure), scripted.plain("e2", _failure)
     ) as running:
         await running.send("/read/1")
         await running.send("/once/1")
--- a/bilberrydeal/gateway/tests/test_quarantine.py
+++ b/bilberrydeal/gateway/tests/test_quarantine.py
@@ -8,7 +8,9 @@
 import pytest
 
 from ...systems import quarantine
+from . import configurations
 from . import harness
+from . import scripted
 
 #: Crashes by which a part has to be known.
 KNOWN_AFTER_CRASHES = 5
@@ -24,23 +26,23 @@
     """Engines that crash on one part and return as new processes."""
 
     running: harness.RequestPath | None = None
-    engines: list[harness.Endpoint] = attrs.field(factory=list)
+    engines: list[scripted.Endpoint] = attrs.field(factory=list)
     crashes: int = 0
     sends: int = 0
 
-    def engine(self, number: int) -> harness.Endpoint:
+    def engine(self, number: int) -> scripted.Endpoint:
         """Return an engine in a failure domain of its own."""
 
-        async def script(call: harness.Call) -> bytes | None:
+        async def script(call: scripted.Call) -> bytes | None:
             if b"bad0" not in (call.field("prefix-hash") or b""):
-                return harness.complete_stream(call, 1, 3)
+                return scripted.complete_stream(call, 1, 3)
             self.sends += 1
-            await call.send(harness.stream_head(call))
+            await call.send(scripted.stream_head(call))
             await asyncio.sleep(0.02)
             self.restart(number)
             return None
 
-        made = harness.engine(f"e{number}", "both", script)
+        made = scripted.engine(f"e{number}", "both", script)
         self.engines.append(made)
         return made
 
@@ -57,7 +59,7 @@
     def register(self, number: int) -> None:
         """Register an engine in its failure domain."""
         assert self.running is not None
-        found = harness.registration(self.engines[number])
+        found = configurations.registration(self.engines[number])
         self.running.cluster.set_endpoint(
             attrs.evolve(found, failure_domain=f"d{number}")
         )
@@ -119,15 +121,15 @@
 
 
 async def test_part_that_is_known_after_the_prefill_is_not_generated() -> None:
-    async def prefill(call: harness.Call) -> bytes:
+    async def prefill(call: scripted.Call) -> bytes:
         running.quarantine.restore(_quarantined(0.0))
-        return harness.handle(call)
+        return scripted.handle(call)
 
-    async def decode(call: harness.Call) -> bytes:
-        return harness.complete_stream(call, 1, 3)
+    async def decode(call: scripted.Call) -> bytes:
+        return scripted.complete_stream(call, 1, 3)
 
-    reader = harness.engine("p1", "prefill", prefill)
-    writer = harness.engine("d1", "decode", decode)
+    reader = scripted.engine("p1", "prefill", prefill)
+    writer = scripted.engine("d1", "decode", decode)
     async with harness.running(reader, writer) as running:
         reply = await running.stream(
             prefix_hash="aa:2000,bad0:3000,1:1000", token_usage="6000,10"
@@ -143,13 +145,13 @@
 ) -> None:
     fleet = CrashingFleet()
 
-    async def serve(call: harness.Call) -> bytes | None:
+    async def serve(call: scripted.Call) -> bytes | None:
         fleet.sends += 1
         await asyncio.sleep(0.02)
-        return harness.complete_stream(call, 1, 3) if recovered else None
+        return scripted.complete_stream(call, 1, 3) if recovered else None
 
     engine, other = (
-        harness.engine(name, "both", serve) for name in ("e1", "e2")
+        scripted.engine(name, "both", serve) for name in ("e1", "e2")
     )
     async with harness.running(engine, other, may_probe=True) as running:
         fleet.running = running
@@ -181,19 +183,19 @@
 async def test_response_that_ends_with_its_connection_proves_nothing() -> None:
     fleet = CrashingFleet()
 
-    async def serve(call: harness.Call) -> bytes | None:
+    async def serve(call: scripted.Call) -> bytes | None:
         if b"bad0" not in (call.field("prefix-hash") or b""):
-            return harness.complete_stream(call, 1, 3)
+            return scripted.complete_stream(call, 1, 3)
         fleet.sends += 1
-        head = harness.stream_head(call).replace(
+        head = scripted.stream_head(call).replace(
             b"transfer-encoding: chunked\r\n", b""
         )
-        await call.send(head + harness.event(1))
+        await call.send(head + scripted.event(1))
         call.writer.close()
         await asyncio.sleep(0.05)
         return b""
 
-    engine = harness.engine("e1", "both", serve)
+    engine = scripted.engine("e1", "both", serve)
     async with harness.running(engine) as running:
         fleet.running = running
         await fleet.send(CRASHING, 0)
@@ -203,10 +205,10 @@
 
 
 async def test_plain_request_with_a_crashing_part_is_refused() -> None:
-    async def serve(call: harness.Call) -> bytes:
-        return harness.signed_response(call)
+    async def serve(call: scripted.Call) -> bytes:
+        return scripted.signed_response(call)
 
-    endpoint = harness.plain("s1", serve)
+    endpoint = scripted.plain("s1", serve)
     async with harness.running(endpoint) as running:
         running.quarantine.restore(_quarantined(0.0))
         fields: dict[str, typing.Any] = {
@@ -223,17 +225,17 @@
 async def test_restart_is_reported_also_after_the_registration_lapsed(
     lapsed: bool,
 ) -> None:
-    async def serve(call: harness.Call) -> bytes:
-        return harness.signed_response(call)
+    async def serve(call: scripted.Call) -> bytes:
+        return scripted.signed_response(call)
 
-    endpoint = harness.plain("s1", serve)
+    endpoint = scripted.plain("s1", serve)
     restarted: list[int] = []
     async with harness.running(endpoint) as running:
         cluster = running.cluster
         cluster.subscribe_restarts(
             lambda upstream: restarted.append(upstream.endpoint.started_ms)
         )
-        before = harness.registration(endpoint)
+        before = configurations.registration(endpoint)
         if lapsed:
             cluster.remove_endpoint("s1", "lapsed")
             cluster.set_endpoint(before)
--- a/bilberrydeal/gateway/tests/test_quarantine_news.py
+++ b/bilberrydeal/gateway/tests/test_quarantine_news.py
@@ -10,6 +10,7 @@
 from ..messaging import _datagrams
 from . import harness
 from . import loopback
+from . import scripted
 from . import test_quarantine
 
 NEWS = quarantine.News(
@@ -93,13 +94,13 @@
     loopback.connect(*links)
     seeing = test_quarantine.CrashingFleet()
     engines = [seeing.engine(number) for number in range(6)]
-    spared: list[harness.Call] = []
+    spared: list[scripted.Call] = []
 
-    async def serve(call: harness.Call) -> bytes:
+    async def serve(call: scripted.Call) -> bytes:
         spared.append(call)
-        return harness.complete_stream(call, 1, 3)
+        return scripted.complete_stream(call, 1, 3)
 
-    sound = harness.engine("s1", "both", serve)
+    sound = scripted.engine("s1", "both", serve)
     peers = (("127.0.0.1", 1),)
     async with (
         harness.running(
--- a/bilberrydeal/gateway/tests/test_quotas.py
+++ b/bilberrydeal/gateway/tests/test_quotas.py
@@ -20,7 +20,9 @@
 from ..core import _metrics
 from ..messaging import _datagrams
 from ..quotas import _service
+from . import configurations
 from . import harness
+from . import scripted
 
 TOKENS = catalogue.QuotaUnit.TOKENS
 #: A limit of one request of 1,000 tokens a second.
@@ -93,7 +95,7 @@
         return core.AdmittedRequest(
             request=request,
             request_id=b"r1",
-            route=harness.ROUTES[0],
+            route=configurations.ROUTES[0],
             service="shop",
             organisation=catalogue.Organisation("o1", None, QUOTA),
             deadline_s=self.now_s + 2.0,
@@ -112,9 +114,9 @@
 
 def _limited(version: int = 2) -> catalogue.Configuration:
     return attrs.evolve(
-        harness.configuration(version),
+        configurations.configuration(version),
         organisations={
-            harness.KEY: catalogue.Organisation("o1", None, QUOTA),
+            configurations.KEY: catalogue.Organisation("o1", None, QUOTA),
             b"k2": catalogue.Organisation("o2", None),
         },
         quotas={"o1": QUOTA},
@@ -149,10 +151,10 @@
 async def test_request_over_the_limit_is_rejected_with_a_time() -> None:
     """Guards against organisations that are served without any limit."""
 
-    async def answers(call: harness.Call) -> bytes:
-        return harness.signed_response(call)
+    async def answers(call: scripted.Call) -> bytes:
+        return scripted.signed_response(call)
 
-    endpoint = harness.plain("e1", answers)
+    endpoint = scripted.plain("e1", answers)
     async with harness.running(endpoint) as path:
         path.cluster.set_configuration(_limited())
         for _ in range(24):
@@ -174,12 +176,12 @@
 ) -> None:
     """Guards against credit lost, or given back for what has run."""
 
-    async def answers(call: harness.Call) -> bytes:
+    async def answers(call: scripted.Call) -> bytes:
         if runs:
-            return harness.signed_response(call, 500)
-        return harness.not_run(call)
+            return scripted.signed_response(call, 500)
+        return scripted.not_run(call)
 
-    async with harness.running(harness.plain("e1", answers)) as path:
+    async with harness.running(scripted.plain("e1", answers)) as path:
         path.cluster.set_configuration(_limited())
         for _ in range(24):
             await path.quota.run_once()
@@ -270,7 +272,7 @@
     gateway = _Gateway("g1", 1, wires)
     _Gateway("g2", 2, wires)
     gateway.others = {"g2": "127.0.0.1:2"}
-    gateway.cluster.set_configuration(harness.configuration())
+    gateway.cluster.set_configuration(configurations.configuration())
     await _pass([gateway], 3.0)
     admitted = attrs.evolve(
         gateway.admitted(10), organisation=catalogue.Organisation("o2", None)
--- a/bilberrydeal/gateway/tests/test_responses_without_length.py
+++ b/bilberrydeal/gateway/tests/test_responses_without_length.py
@@ -11,10 +11,11 @@
 
 from ...systems import quarantine
 from . import harness
+from . import scripted
 
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
-EVENTS = b"".join(harness.event(n) for n in range(1, 6))
-TWO = harness.event(1) + harness.event(2)
+EVENTS = b"".join(scripted.event(n) for n in range(1, 6))
+TWO = scripted.event(1) + scripted.event(2)
 PAUSE_S = 0.1
 LENGTH = b"content-length: 4\r\n"
 
@@ -35,7 +36,7 @@
 
 
 def _head(
-    call: harness.Call,
+    call: scripted.Call,
     version: bytes = b"1.1",
     fields: bytes = b"",
     status: int = 200,
@@ -53,7 +54,7 @@
     )
 
 
-async def _end(call: harness.Call, data: bytes, ending: Ending) -> bytes:
+async def _end(call: scripted.Call, data: bytes, ending: Ending) -> bytes:
     """Send bytes and end the connection."""
     await call.send(data)
     if ending is Ending.RESET_AFTER_SILENCE:
@@ -70,17 +71,17 @@
 
 
 def _script(
-    response: collections.abc.Callable[[harness.Call], bytes], ending: Ending
-) -> harness.Script:
-    async def script(call: harness.Call) -> bytes:
+    response: collections.abc.Callable[[scripted.Call], bytes], ending: Ending
+) -> scripted.Script:
+    async def script(call: scripted.Call) -> bytes:
         return await _end(call, response(call), ending)
 
     return script
 
 
-async def _decode(call: harness.Call) -> bytes:
+async def _decode(call: scripted.Call) -> bytes:
     first = int(call.field("last-event-id") or 0) + 1
-    return harness.complete_stream(call, first, 5)
+    return scripted.complete_stream(call, first, 5)
 
 
 @pytest.mark.parametrize("body", [b"", b"ours"])
@@ -90,11 +91,11 @@
 async def test_plain_response_is_whole_only_after_a_clean_end(
     path: str, version: bytes, fields: bytes, ending: Ending, body: bytes
 ) -> None:
-    def response(call: harness.Call) -> bytes:
+    def response(call: scripted.Call) -> bytes:
         return _head(call, version, fields) + body
 
-    first = harness.plain("e1", _script(response, ending))
-    second = harness.plain("e2", _script(response, Ending.CLOSE))
+    first = scripted.plain("e1", _script(response, ending))
+    second = scripted.plain("e2", _script(response, Ending.CLOSE))
     async with harness.running(first, second) as running:
         running.cluster.endpoints["e2"].pool.busy = 1
         reply = await running.send(path)
@@ -113,10 +114,10 @@
 async def test_connection_without_a_length_is_not_used_again(
     version: bytes, fields: bytes
 ) -> None:
-    def response(call: harness.Call) -> bytes:
+    def response(call: scripted.Call) -> bytes:
         return _head(call, version, fields) + b"ours"
 
-    endpoint = harness.plain("e1", _script(response, Ending.CLOSE))
+    endpoint = scripted.plain("e1", _script(response, Ending.CLOSE))
     async with harness.running(endpoint) as running:
         for _ in range(3):
             assert (await running.send("/once/1")).body == b"ours"
@@ -133,7 +134,7 @@
 async def test_plain_response_holds_no_other_response(
     tail: bytes, late: bytes, status: int
 ) -> None:
-    def response(call: harness.Call) -> bytes:
+    def response(call: scripted.Call) -> bytes:
         parts = [_head(call) + b"ours"]
         if late:
             parts.insert(0, _head(call, fields=LENGTH, request_id=b"x") + late)
@@ -141,7 +142,7 @@
             parts.append(_head(call, fields=LENGTH) + tail)
         return b"".join(parts)
 
-    endpoint = harness.plain("e1", _script(response, Ending.CLOSE))
+    endpoint = scripted.plain("e1", _script(response, Ending.CLOSE))
     async with harness.running(endpoint) as running:
         reply = await running.send("/once/1")
     assert reply.status == status
@@ -153,12 +154,12 @@
 async def test_response_without_a_body_has_no_framing(
     status: int, path: str
 ) -> None:
-    async def script(call: harness.Call) -> bytes:
+    async def script(call: scripted.Call) -> bytes:
         return _head(call, status=status)
 
     endpoints = [
-        harness.plain("e1", script),
-        harness.engine("d1", "decode", script),
+        scripted.plain("e1", script),
+        scripted.engine("d1", "decode", script),
     ]
     async with harness.running(*endpoints) as running:
         reply = await running.stream(path, **SHORT)
@@ -199,11 +200,11 @@
     ending: Ending,
     resumed_after: bytes | None,
 ) -> None:
-    def response(call: harness.Call) -> bytes:
+    def response(call: scripted.Call) -> bytes:
         return _head(call, version, fields) + data
 
-    first = harness.engine("d1", "decode", _script(response, ending))
-    second = harness.engine("d2", "decode", _decode)
+    first = scripted.engine("d1", "decode", _script(response, ending))
+    second = scripted.engine("d2", "decode", _decode)
     async with harness.running(first, second) as running:
         running.set_peer_tokens("d2", 3_000)
         reply = await running.stream(**SHORT)
@@ -220,10 +221,10 @@
 async def test_broken_stream_without_length_never_looks_complete(
     path: str, data: bytes, ending: Ending, resumed_after: bytes | None
 ) -> None:
-    def response(call: harness.Call) -> bytes:
+    def response(call: scripted.Call) -> bytes:
         return _head(call) + data
 
-    engine = harness.engine("d1", "decode", _script(response, ending))
+    engine = scripted.engine("d1", "decode", _script(response, ending))
     async with harness.running(engine) as running:
         reply = await running.stream(path, **SHORT)
     assert reply.complete == (resumed_after is None)
@@ -232,10 +233,10 @@
 
 async def test_empty_rest_without_length_is_no_proof_of_an_end() -> None:
     """An engine that ends before the first event looks the same."""
-    broken = harness.engine(
+    broken = scripted.engine(
         "d1", "decode", _script(lambda call: _head(call) + TWO, Ending.RESET)
     )
-    empty = harness.engine("d2", "decode", _script(_head, Ending.CLOSE))
+    empty = scripted.engine("d2", "decode", _script(_head, Ending.CLOSE))
     async with harness.running(broken, empty) as running:
         running.set_peer_tokens("d2", 3_000)
         reply = await running.stream(**SHORT)
@@ -248,7 +249,7 @@
 async def test_stream_holds_no_extra_response(apart: bool) -> None:
     """The extra response may arrive with the events or after them."""
 
-    async def mixed(call: harness.Call) -> bytes:
+    async def mixed(call: scripted.Call) -> bytes:
         call.writer.write(_head(call) + TWO)
         if apart:
             await call.writer.drain()
@@ -256,8 +257,8 @@
         extra = _head(call, fields=LENGTH) + b"more"
         return await _end(call, extra, Ending.CLOSE)
 
-    first = harness.engine("d1", "decode", mixed)
-    second = harness.engine("d2", "decode", _decode)
+    first = scripted.engine("d1", "decode", mixed)
+    second = scripted.engine("d2", "decode", _decode)
     async with harness.running(first, second) as running:
         running.set_peer_tokens("d2", 3_000)
         reply = await running.stream(**SHORT)
@@ -279,10 +280,10 @@
 ) -> None:
     """Guards against quarantine of the part that all prompts begin with."""
 
-    def response(call: harness.Call) -> bytes:
+    def response(call: scripted.Call) -> bytes:
         return _head(call) + TWO
 
-    engine = harness.engine("d1", "decode", _script(response, ending))
+    engine = scripted.engine("d1", "decode", _script(response, ending))
     async with harness.running(engine) as running:
         system = running.quarantine._system
         await running.stream("/chat-one/1", **SHORT)
--- a/bilberrydeal/gateway/tests/test_resumptions_out_of_step.py
+++ b/bilberrydeal/gateway/tests/test_resumptions_out_of_step.py
@@ -24,7 +24,7 @@
 from ..cluster_state import _cluster_state
 from ..core import _metrics
 from ..messaging import _datagrams
-from . import harness
+from . import configurations
 from . import memory
 
 #: Time within which gateways apply changes, in seconds.
@@ -206,7 +206,7 @@
         self.cluster = _cluster_state.ClusterState(
             health.HEALTH.get("outlier")(1)
         )
-        self.cluster.set_configuration(harness.configuration())
+        self.cluster.set_configuration(configurations.configuration())
         self.cluster.set_gateways(name, (f"n{n}" for n in range(1, gateways)))
         connectivity = cluster_state.StoreConnectivity(clock())
         client = store.StoreClient(
@@ -303,7 +303,7 @@
     request_id: bytes, resumed_id: bytes = b""
 ) -> core.AdmittedRequest:
     route: catalogue.Route = next(
-        each for each in harness.ROUTES if each.name == "chat"
+        each for each in configurations.ROUTES if each.name == "chat"
     )
     return core.AdmittedRequest(
         request=http1.Request(b"POST", b"/chat/1", (), b"b", True, 0.0, 0.0),
--- a/bilberrydeal/gateway/tests/test_retry_policy.py
+++ b/bilberrydeal/gateway/tests/test_retry_policy.py
@@ -10,7 +10,7 @@
 from ..cluster_state import _cluster_state
 from ..core import _requests
 from ..sending import _retry_policy
-from . import harness
+from . import configurations
 
 #: Two extra sends are allowed.
 LIMITS = retries.WindowLimits(10.0, 0.0, 2.9)
@@ -54,7 +54,7 @@
     admitted = _requests.AdmittedRequest(
         request=request,
         request_id=b"r1",
-        route=next(r for r in harness.ROUTES if r.name == "chat"),
+        route=next(r for r in configurations.ROUTES if r.name == "chat"),
         service="llm",
         organisation=None,
         deadline_s=2.0,
--- a/bilberrydeal/gateway/tests/test_roles.py
+++ b/bilberrydeal/gateway/tests/test_roles.py
@@ -18,21 +18,22 @@
 from ..peer_exchange import _role_changes
 from . import harness
 from . import memory
+from . import scripted
 
 REPORT = b'{"stage":"decode","busy":false,"sequence":4}'
 
 
-async def _accepting(call: harness.Call) -> bytes:
+async def _accepting(call: scripted.Call) -> bytes:
     """Respond as an engine that accepts each order."""
     body = REPORT if b"/report" in call.head else b""
-    return harness.signed_response(call, body=body)
+    return scripted.signed_response(call, body=body)
 
 
-async def _rejecting(call: harness.Call) -> bytes:
+async def _rejecting(call: scripted.Call) -> bytes:
     """Respond as an engine that rejects each order."""
     if b"/report" in call.head:
-        return harness.signed_response(call, body=REPORT)
-    return harness.signed_response(call, status=409)
+        return scripted.signed_response(call, body=REPORT)
+    return scripted.signed_response(call, status=409)
 
 
 class RecordingDatagrams(_datagrams.Datagrams):
@@ -57,7 +58,7 @@
     """A role controller that holds the lease, with simulated time."""
 
     cluster: _cluster_state.ClusterState
-    engines: dict[str, harness.Endpoint]
+    engines: dict[str, scripted.Endpoint]
     now_s: float = 0.0
     datagrams: RecordingDatagrams = attrs.field(factory=RecordingDatagrams)
     controller: _roles.RoleController = attrs.field(init=False)
@@ -104,10 +105,10 @@
 
 @contextlib.asynccontextmanager
 async def _fixture(
-    script: harness.Script,
+    script: scripted.Script,
 ) -> collections.abc.AsyncIterator[RoleFixture]:
     """Run a controller with two engines, of which one should prefill."""
-    engines = [harness.engine(f"d{n}", "decode", script) for n in range(2)]
+    engines = [scripted.engine(f"d{n}", "decode", script) for n in range(2)]
     async with harness.running(*engines) as running:
         by_id = {engine.endpoint_id: engine for engine in engines}
         fixture = RoleFixture(running.cluster, by_id)
@@ -157,9 +158,9 @@
         assert fixture.unusable_engines() == []
 
 
-async def _leaving(call: harness.Call) -> bytes:
+async def _leaving(call: scripted.Call) -> bytes:
     """Respond as an engine that leaves, with its report."""
-    return harness.signed_response(call, body=REPORT, server_leaving="1")
+    return scripted.signed_response(call, body=REPORT, server_leaving="1")
 
 
 async def test_engine_that_leaves_gets_no_order() -> None:
--- a/bilberrydeal/gateway/tests/test_shutdown.py
+++ b/bilberrydeal/gateway/tests/test_shutdown.py
@@ -9,6 +9,7 @@
 from .. import _shutdown
 from .. import core
 from . import harness
+from . import scripted
 
 #: Longest time of what takes moments, in seconds.
 WAIT_S = 20.0
@@ -77,13 +78,13 @@
 LATE = _shutdown.ShutdownTimes(accept_s=0.1, total_s=600.0)
 
 
-async def _never(_call: harness.Call) -> bytes:
+async def _never(_call: scripted.Call) -> bytes:
     await asyncio.sleep(600.0)
     return b""
 
 
-async def _sound(call: harness.Call) -> bytes:
-    return harness.signed_response(call)
+async def _sound(call: scripted.Call) -> bytes:
+    return scripted.signed_response(call)
 
 
 async def _until_refusing(running: harness.RequestPath) -> None:
@@ -102,7 +103,7 @@
 @pytest.mark.parametrize("begun", [UNFINISHED[:20], UNFINISHED])
 async def test_request_that_is_complete_late_is_refused(begun: bytes) -> None:
     """Guards against requests that are passed on and then cut."""
-    endpoint = harness.plain("e1", _sound)
+    endpoint = scripted.plain("e1", _sound)
     async with harness.running(endpoint) as running:
         reader, writer = await asyncio.open_connection(
             "127.0.0.1", running.server.port
@@ -126,11 +127,11 @@
     """Guards against requests that are passed on and then cut."""
     release = asyncio.Event()
 
-    async def slow(call: harness.Call) -> bytes:
+    async def slow(call: scripted.Call) -> bytes:
         await release.wait()
-        return harness.signed_response(call)
+        return scripted.signed_response(call)
 
-    endpoint = harness.plain("e1", slow)
+    endpoint = scripted.plain("e1", slow)
     async with harness.running(endpoint) as running:
         reader, writer = await asyncio.open_connection(
             "127.0.0.1", running.server.port
@@ -151,7 +152,7 @@
 
 async def test_request_in_flight_at_the_end_is_answered() -> None:
     """Guards against a channel that ends without an answer."""
-    endpoint = harness.plain("e1", _never)
+    endpoint = scripted.plain("e1", _never)
     times = _shutdown.ShutdownTimes(accept_s=0.1, total_s=0.3)
     async with harness.running(endpoint) as running:
         reader, writer = await asyncio.open_connection(
--- a/bilberrydeal/gateway/tests/test_silent_engine.py
+++ b/bilberrydeal/gateway/tests/test_silent_engine.py
@@ -14,84 +14,86 @@
 from ...systems import retries
 from ..core import _requests
 from ..streams import _client_stream
+from . import configurations
 from . import harness
+from . import scripted
 
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
-EVENTS = b"".join(harness.event(n) for n in range(1, 6))
+EVENTS = b"".join(scripted.event(n) for n in range(1, 6))
 #: How long a silent engine sends nothing, in seconds.
 SILENCE_S = 1.2
 #: The same for one that is silent until its streams move.
 LONG_SILENCE_S = 1.8
 
 
-async def _silent_midway(call: harness.Call) -> bytes:
+async def _silent_midway(call: scripted.Call) -> bytes:
     """Send an event, nothing for a while, then the rest."""
     await call.send(
-        harness.stream_head(call) + harness.chunk(harness.event(1))
+        scripted.stream_head(call) + scripted.chunk(scripted.event(1))
     )
     await asyncio.sleep(SILENCE_S)
-    return harness.rest_of_stream(2, 5)
+    return scripted.rest_of_stream(2, 5)
 
 
-async def _silent_for_good(call: harness.Call) -> bytes:
+async def _silent_for_good(call: scripted.Call) -> bytes:
     await call.send(
-        harness.stream_head(call) + harness.chunk(harness.event(1))
+        scripted.stream_head(call) + scripted.chunk(scripted.event(1))
     )
     await asyncio.sleep(30.0)
     return b""
 
 
-async def _silent_before_head(call: harness.Call) -> bytes:
+async def _silent_before_head(call: scripted.Call) -> bytes:
     await asyncio.sleep(SILENCE_S)
-    return harness.complete_stream(call, 1, 5)
+    return scripted.complete_stream(call, 1, 5)
 
 
-async def _long_silent_before_head(call: harness.Call) -> bytes:
+async def _long_silent_before_head(call: scripted.Call) -> bytes:
     await asyncio.sleep(LONG_SILENCE_S)
-    return harness.complete_stream(call, 1, 5)
+    return scripted.complete_stream(call, 1, 5)
 
 
-async def _silent_then_reset(call: harness.Call) -> None:
+async def _silent_then_reset(call: scripted.Call) -> None:
     """Send an event, nothing for a while, then reset the connection."""
     await call.send(
-        harness.stream_head(call) + harness.chunk(harness.event(1))
+        scripted.stream_head(call) + scripted.chunk(scripted.event(1))
     )
     await asyncio.sleep(SILENCE_S)
 
 
-async def _silent_then_ended_within_an_event(call: harness.Call) -> bytes:
+async def _silent_then_ended_within_an_event(call: scripted.Call) -> bytes:
     await call.send(
-        harness.stream_head(call) + harness.chunk(harness.event(1))
+        scripted.stream_head(call) + scripted.chunk(scripted.event(1))
     )
     await asyncio.sleep(SILENCE_S)
-    return harness.chunk(b"id: 2\nda") + harness.chunk(b"")
+    return scripted.chunk(b"id: 2\nda") + scripted.chunk(b"")
 
 
-async def _decode(call: harness.Call) -> bytes:
+async def _decode(call: scripted.Call) -> bytes:
     first = int(call.field("last-event-id") or 0) + 1
-    return harness.complete_stream(call, first, 5)
+    return scripted.complete_stream(call, first, 5)
 
 
-async def _full(call: harness.Call) -> bytes:
-    return harness.not_run(call)
+async def _full(call: scripted.Call) -> bytes:
+    return scripted.not_run(call)
 
 
-async def _reset(_call: harness.Call) -> None:
+async def _reset(_call: scripted.Call) -> None:
     return None
 
 
-async def _failing(call: harness.Call) -> bytes:
-    return harness.signed_response(call, status=500)
+async def _failing(call: scripted.Call) -> bytes:
+    return scripted.signed_response(call, status=500)
 
 
-async def _slow_before_head(call: harness.Call) -> bytes:
+async def _slow_before_head(call: scripted.Call) -> bytes:
     await asyncio.sleep(SILENCE_S)
     return await _decode(call)
 
 
-async def _broken_event(call: harness.Call) -> None:
+async def _broken_event(call: scripted.Call) -> None:
     """Start a stream and break it off within its first event."""
-    await call.send(harness.stream_head(call) + harness.chunk(b"id: 2\nda"))
+    await call.send(scripted.stream_head(call) + scripted.chunk(b"id: 2\nda"))
     await asyncio.sleep(0.05)
 
 
@@ -117,11 +119,11 @@
 )
 async def test_stream_is_not_cut_when_its_engine_is_silent_for_a_second(
     other_engine: collections.abc.Callable[
-        [harness.Call], collections.abc.Awaitable[bytes | None]
+        [scripted.Call], collections.abc.Awaitable[bytes | None]
     ],
 ) -> None:
-    silent = harness.engine("d1", "decode", _silent_midway)
-    other = harness.engine("d2", "decode", other_engine)
+    silent = scripted.engine("d1", "decode", _silent_midway)
+    other = scripted.engine("d2", "decode", other_engine)
     async with harness.running(silent, other) as running:
         _prefer_first(running)
         reply = await _long_stream(running)
@@ -131,10 +133,10 @@
 
 @pytest.mark.parametrize("script", [_silent_midway, _silent_before_head])
 async def test_stream_does_not_run_beside_a_sound_engine_that_is_silent(
-    script: harness.Script,
+    script: scripted.Script,
 ) -> None:
-    silent = harness.engine("d1", "decode", script)
-    other = harness.engine("d2", "decode", _decode)
+    silent = scripted.engine("d1", "decode", script)
+    other = scripted.engine("d2", "decode", _decode)
     async with harness.running(silent, other) as running:
         _prefer_first(running)
         reply = await _long_stream(running)
@@ -145,10 +147,10 @@
 
 @pytest.mark.parametrize("script", [_silent_midway, _silent_before_head])
 async def test_silent_engine_is_waited_for_without_a_retry_budget(
-    script: harness.Script,
+    script: scripted.Script,
 ) -> None:
-    silent = harness.engine("d1", "decode", script)
-    other = harness.engine("d2", "decode", _decode)
+    silent = scripted.engine("d1", "decode", script)
+    other = scripted.engine("d2", "decode", _decode)
     async with harness.running(silent, other) as running:
         running.budget.limits = retries.WindowLimits(10.0, 0.0, 0.0)
         _prefer_first(running)
@@ -162,9 +164,9 @@
 async def test_another_engine_is_asked_after_one_refused_the_connection() -> (
     None
 ):
-    silent = harness.engine("d1", "decode", _silent_for_good)
-    gone = harness.engine("d2", "decode", _decode)
-    healthy = harness.engine("d3", "decode", _decode)
+    silent = scripted.engine("d1", "decode", _silent_for_good)
+    gone = scripted.engine("d2", "decode", _decode)
+    healthy = scripted.engine("d3", "decode", _decode)
     async with harness.running(silent, gone, healthy) as running:
         running.cluster.endpoints["d2"].pool = http1.Pool("127.0.0.1", 1)
         running.cluster.endpoints["d2"].pool.limit = 8
@@ -177,8 +179,8 @@
 
 
 async def test_engine_is_used_again_as_soon_as_it_goes_on() -> None:
-    silent = harness.engine("d1", "decode", _silent_midway)
-    other = harness.engine("d2", "decode", _full)
+    silent = scripted.engine("d1", "decode", _silent_midway)
+    other = scripted.engine("d2", "decode", _full)
     async with harness.running(silent, other) as running:
         _prefer_first(running)
         stream = asyncio.create_task(_long_stream(running))
@@ -203,10 +205,10 @@
     "script", [_silent_then_reset, _silent_then_ended_within_an_event]
 )
 async def test_other_engine_is_awaited_when_a_silent_one_breaks_off(
-    script: harness.Script,
+    script: scripted.Script,
 ) -> None:
-    silent = harness.engine("d1", "decode", script)
-    other = harness.engine("d2", "decode", _slow_before_head)
+    silent = scripted.engine("d1", "decode", script)
+    other = scripted.engine("d2", "decode", _slow_before_head)
     async with harness.running(silent, other) as running:
         _prefer_first(running)
         reply = await _long_stream(running)
@@ -217,7 +219,7 @@
 
 def _allow_attempts(running: harness.RequestPath, attempts: int) -> None:
     """Let each request be sent to so many engines."""
-    configuration = harness.configuration(2)
+    configuration = configurations.configuration(2)
     routes = tuple(
         attrs.evolve(route, max_attempts=attempts)
         for route in configuration.routes
@@ -227,43 +229,43 @@
     )
 
 
-async def _head_then_silent_for_good(call: harness.Call) -> bytes:
-    await call.send(harness.stream_head(call))
+async def _head_then_silent_for_good(call: scripted.Call) -> bytes:
+    await call.send(scripted.stream_head(call))
     await asyncio.sleep(30.0)
     return b""
 
 
-async def _silent_for_two_seconds(call: harness.Call) -> bytes:
+async def _silent_for_two_seconds(call: scripted.Call) -> bytes:
     """Send an event, nothing for longer than two stalls, then the rest."""
     await call.send(
-        harness.stream_head(call) + harness.chunk(harness.event(1))
+        scripted.stream_head(call) + scripted.chunk(scripted.event(1))
     )
     await asyncio.sleep(1.9)
-    return harness.rest_of_stream(2, 5)
+    return scripted.rest_of_stream(2, 5)
 
 
-async def _decode_slowly(call: harness.Call) -> bytes:
+async def _decode_slowly(call: scripted.Call) -> bytes:
     """Send the rest of a stream, with pauses between its events."""
     first = int(call.field("last-event-id") or 0) + 1
-    call.writer.write(harness.stream_head(call))
+    call.writer.write(scripted.stream_head(call))
     for number in range(first, 6):
-        await call.send(harness.chunk(harness.event(number)))
+        await call.send(scripted.chunk(scripted.event(number)))
         await asyncio.sleep(0.3)
-    return harness.chunk(b"")
+    return scripted.chunk(b"")
 
 
-async def _head_then_silent(call: harness.Call) -> bytes:
+async def _head_then_silent(call: scripted.Call) -> bytes:
     """Send a head, nothing for a while, then the events."""
-    await call.send(harness.stream_head(call))
+    await call.send(scripted.stream_head(call))
     await asyncio.sleep(LONG_SILENCE_S)
-    return harness.rest_of_stream(1, 5)
+    return scripted.rest_of_stream(1, 5)
 
 
 async def test_first_event_is_logged_for_the_engine_that_sent_it(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
-    silent = harness.engine("d1", "decode", _head_then_silent)
-    other = harness.engine("d2", "decode", _head_then_silent_for_good)
+    silent = scripted.engine("d1", "decode", _head_then_silent)
+    other = scripted.engine("d2", "decode", _head_then_silent_for_good)
     async with harness.running(silent, other) as running:
         _prefer_first(running)
         reply = await _long_stream(running)
@@ -280,11 +282,11 @@
 @pytest.mark.usefixtures("_early_moves")
 @pytest.mark.parametrize("last_engine", [_decode, _decode_slowly])
 async def test_no_event_comes_twice_when_the_second_engine_is_silent_too(
-    last_engine: harness.Script,
+    last_engine: scripted.Script,
 ) -> None:
-    silent = harness.engine("d1", "decode", _silent_for_two_seconds)
-    also_silent = harness.engine("d2", "decode", _head_then_silent_for_good)
-    healthy = harness.engine("d3", "decode", last_engine)
+    silent = scripted.engine("d1", "decode", _silent_for_two_seconds)
+    also_silent = scripted.engine("d2", "decode", _head_then_silent_for_good)
+    healthy = scripted.engine("d3", "decode", last_engine)
     async with harness.running(silent, also_silent, healthy) as running:
         _allow_attempts(running, 4)
         for name, tokens in (("d2", 3_000), ("d3", 6_000)):
@@ -297,8 +299,8 @@
 
 
 async def test_silent_engine_is_free_once_another_has_its_stream() -> None:
-    silent = harness.engine("d1", "decode", _silent_for_good)
-    other = harness.engine("d2", "decode", _decode_slowly)
+    silent = scripted.engine("d1", "decode", _silent_for_good)
+    other = scripted.engine("d2", "decode", _decode_slowly)
     async with harness.running(silent, other) as running:
         _prefer_first(running)
         stream = asyncio.create_task(_long_stream(running))
@@ -317,8 +319,8 @@
 async def test_run_that_took_a_stream_over_ends_when_its_caller_leaves() -> (
     None
 ):
-    silent = harness.engine("d1", "decode", _silent_for_good)
-    other = harness.engine("d2", "decode", _decode_slowly)
+    silent = scripted.engine("d1", "decode", _silent_for_good)
+    other = scripted.engine("d2", "decode", _decode_slowly)
     async with harness.running(silent, other) as running:
         _prefer_first(running)
         stream = asyncio.create_task(_long_stream(running))
@@ -338,8 +340,8 @@
 async def test_streams_beyond_the_retry_budget_wait_for_a_silent_engine() -> (
     None
 ):
-    silent = harness.engine("d1", "decode", _long_silent_before_head)
-    other = harness.engine("d2", "decode", _decode)
+    silent = scripted.engine("d1", "decode", _long_silent_before_head)
+    other = scripted.engine("d2", "decode", _decode)
     async with harness.running(silent, other) as running:
         running.budget.limits = retries.WindowLimits(10.0, 0.0, 4.0)
         running.set_peer_tokens("d2", 50_000)
@@ -357,7 +359,7 @@
 
 @pytest.mark.parametrize("script", [_silent_midway, _silent_before_head])
 async def test_silent_engine_is_waited_for_if_no_other_may_be_asked(
-    script: harness.Script,
+    script: scripted.Script,
     monkeypatch: pytest.MonkeyPatch,
     capsys: pytest.CaptureFixture[str],
 ) -> None:
@@ -368,8 +370,8 @@
         if progress.may_have_run:
             raise _requests.failure_refusal(progress, "suspected prompt part")
 
-    silent = harness.engine("d1", "decode", script)
-    other = harness.engine("d2", "decode", _decode)
+    silent = scripted.engine("d1", "decode", script)
+    other = scripted.engine("d2", "decode", _decode)
     async with harness.running(silent, other) as running:
         monkeypatch.setattr(running.quarantine, "check", refuse_another_send)
         _prefer_first(running)
--- a/bilberrydeal/gateway/tests/test_software_versions.py
+++ b/bilberrydeal/gateway/tests/test_software_versions.py
@@ -8,54 +8,56 @@
 
 from ... import ports
 from ..origins import _rows
+from . import configurations
 from . import harness
 from . import loopback
 from . import memory
+from . import scripted
 
-EVENTS = b"".join(harness.event(n) for n in range(1, 6))
+EVENTS = b"".join(scripted.event(n) for n in range(1, 6))
 #: A prompt that its decode engine prefills itself.
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
 
 
-async def _prefill(call: harness.Call) -> bytes:
-    return harness.handle(call)
+async def _prefill(call: scripted.Call) -> bytes:
+    return scripted.handle(call)
 
 
-async def _decode(call: harness.Call) -> bytes:
+async def _decode(call: scripted.Call) -> bytes:
     first = int(call.field("last-event-id") or 0) + 1
-    return harness.complete_stream(call, first, 5)
+    return scripted.complete_stream(call, first, 5)
 
 
-async def _broken_off(call: harness.Call) -> None:
+async def _broken_off(call: scripted.Call) -> None:
     await call.send(
-        harness.stream_head(call)
-        + harness.chunk(harness.event(1))
-        + harness.chunk(harness.event(2))
+        scripted.stream_head(call)
+        + scripted.chunk(scripted.event(1))
+        + scripted.chunk(scripted.event(2))
     )
     await asyncio.sleep(0.05)
 
 
-async def _failed(call: harness.Call) -> bytes:
-    return harness.signed_response(call, 500)
+async def _failed(call: scripted.Call) -> bytes:
+    return scripted.signed_response(call, 500)
 
 
-async def _silent(call: harness.Call) -> bytes:
+async def _silent(call: scripted.Call) -> bytes:
     await call.send(
-        harness.stream_head(call) + harness.chunk(harness.event(1))
+        scripted.stream_head(call) + scripted.chunk(scripted.event(1))
     )
     await asyncio.sleep(30.0)
     return b""
 
 
 def _engine(
-    engine_id: str, version: str, script: harness.Script, role: str = "decode"
-) -> harness.Endpoint:
-    found = harness.engine(engine_id, role, script)
+    engine_id: str, version: str, script: scripted.Script, role: str = "decode"
+) -> scripted.Endpoint:
+    found = scripted.engine(engine_id, role, script)
     found.software_version = version
     return found
 
 
-def _runs(engine: harness.Endpoint) -> list[harness.Call]:
+def _runs(engine: scripted.Endpoint) -> list[scripted.Call]:
     return [
         call
         for call in engine.calls
@@ -66,7 +68,7 @@
 @pytest.mark.parametrize("prompt", [SHORT, {}], ids=["short", "long"])
 @pytest.mark.parametrize("trouble", [_broken_off, _silent])
 async def test_one_answer_holds_no_events_of_two_software_versions(
-    trouble: harness.Script, prompt: dict[str, str]
+    trouble: scripted.Script, prompt: dict[str, str]
 ) -> None:
     troubled = _engine("d1", "v1", trouble)
     other = _engine("d2", "v2", _decode)
@@ -125,22 +127,22 @@
             last_event_id="2", resumes="r-before", **SHORT
         )
     assert reply.status == 200
-    assert reply.body == b"".join(harness.event(n) for n in range(3, 6))
+    assert reply.body == b"".join(scripted.event(n) for n in range(3, 6))
 
 
 async def _first_events(
-    table: memory.MemoryStore, *engines: harness.Endpoint
+    table: memory.MemoryStore, *engines: scripted.Endpoint
 ) -> None:
     """Begin a stream as ``r1`` at a gateway that ends afterwards."""
     async with harness.running(*engines, table=table) as running:
         running.set_peer_tokens(engines[-1].endpoint_id, 3_000)
         reply = await running.stream(**SHORT)
-        assert reply.body == b"".join(harness.event(n) for n in (1, 2))
+        assert reply.body == b"".join(scripted.event(n) for n in (1, 2))
         await running.origins.rows.run_once()
 
 
 async def _resumed(
-    table: memory.MemoryStore, *engines: harness.Endpoint
+    table: memory.MemoryStore, *engines: scripted.Endpoint
 ) -> harness.Reply:
     """Resume the stream at a gateway that has just started."""
     async with harness.running(*engines, table=table, name="g2") as running:
@@ -164,7 +166,7 @@
     engines = [_engine("d2", other, _decode), same]
     reply = await _resumed(table, *engines)
     assert reply.status == 200
-    assert reply.body == b"".join(harness.event(n) for n in range(3, 6))
+    assert reply.body == b"".join(scripted.event(n) for n in range(3, 6))
     assert len(_runs(same)) == 1
     assert not _runs(engines[0])
 
@@ -241,7 +243,7 @@
         running.set_peer_tokens("d2", 3_000)
         await running.stream(**SHORT)
         restarted = attrs.evolve(
-            harness.registration(engines[0]),
+            configurations.registration(engines[0]),
             started_ms=2,
             software_version="v2",
         )
--- a/bilberrydeal/gateway/tests/test_stream.py
+++ b/bilberrydeal/gateway/tests/test_stream.py
@@ -7,48 +7,50 @@
 
 from ... import http1
 from ..serving import _request_handler
+from . import configurations
 from . import harness
+from . import scripted
 
 
-async def _prefill(call: harness.Call) -> bytes:
-    return harness.handle(call)
+async def _prefill(call: scripted.Call) -> bytes:
+    return scripted.handle(call)
 
 
-async def _decode(call: harness.Call) -> bytes:
+async def _decode(call: scripted.Call) -> bytes:
     first = int(call.field("last-event-id") or 0) + 1
-    return harness.complete_stream(call, first, 5)
+    return scripted.complete_stream(call, first, 5)
 
 
-async def _full(call: harness.Call) -> bytes:
-    return harness.not_run(call)
+async def _full(call: scripted.Call) -> bytes:
+    return scripted.not_run(call)
 
 
-async def _reset(_call: harness.Call) -> None:
+async def _reset(_call: scripted.Call) -> None:
     return None
 
 
-async def _broken_off(call: harness.Call) -> None:
+async def _broken_off(call: scripted.Call) -> None:
     """Send two events and part of a third, then close the connection."""
     await call.send(
-        harness.stream_head(call)
-        + harness.chunk(harness.event(1))
-        + harness.chunk(harness.event(2) + b"id: 3\nda")
+        scripted.stream_head(call)
+        + scripted.chunk(scripted.event(1))
+        + scripted.chunk(scripted.event(2) + b"id: 3\nda")
     )
     await asyncio.sleep(0.05)
 
 
-async def _stalled(call: harness.Call) -> bytes:
+async def _stalled(call: scripted.Call) -> bytes:
     await call.send(
-        harness.stream_head(call) + harness.chunk(harness.event(1))
+        scripted.stream_head(call) + scripted.chunk(scripted.event(1))
     )
     await asyncio.sleep(30.0)
     return b""
 
 
-EVENTS = b"".join(harness.event(n) for n in range(1, 6))
+EVENTS = b"".join(scripted.event(n) for n in range(1, 6))
 
 
-def _freed_paths(endpoint: harness.Endpoint) -> list[bytes]:
+def _freed_paths(endpoint: scripted.Endpoint) -> list[bytes]:
     return [
         call.head.split()[1]
         for call in endpoint.calls
@@ -57,8 +59,8 @@
 
 
 async def test_long_prompt_is_prefilled_separately_and_transferred() -> None:
-    prefiller = harness.engine("p1", "prefill", _prefill)
-    decoder = harness.engine("d1", "decode", _decode)
+    prefiller = scripted.engine("p1", "prefill", _prefill)
+    decoder = scripted.engine("d1", "decode", _decode)
     async with harness.running(prefiller, decoder) as running:
         reply = await running.stream(kv_source="1.1.1.1:1/forged")
     assert reply.status == 200
@@ -76,8 +78,8 @@
 
 
 async def test_short_prompt_is_prefilled_by_its_decode_engine() -> None:
-    prefiller = harness.engine("p1", "prefill", _prefill)
-    decoder = harness.engine("d1", "decode", _decode)
+    prefiller = scripted.engine("p1", "prefill", _prefill)
+    decoder = scripted.engine("d1", "decode", _decode)
     async with harness.running(prefiller, decoder) as running:
         reply = await running.stream(
             token_usage="120,10", prefix_hash="aa:50,bb:70"
@@ -87,8 +89,8 @@
 
 
 async def test_broken_stream_resumes_after_its_last_complete_event() -> None:
-    broken = harness.engine("d1", "decode", _broken_off)
-    healthy = harness.engine("d2", "decode", _decode)
+    broken = scripted.engine("d1", "decode", _broken_off)
+    healthy = scripted.engine("d2", "decode", _decode)
     async with harness.running(broken, healthy) as running:
         running.cluster.endpoints["d2"].view.in_flight = 0
         running.set_peer_tokens("d2", 3_000)
@@ -103,8 +105,8 @@
 
 
 async def test_stalled_stream_resumes_after_its_run_is_aborted() -> None:
-    stalled = harness.engine("d1", "decode", _stalled)
-    healthy = harness.engine("d2", "decode", _decode)
+    stalled = scripted.engine("d1", "decode", _stalled)
+    healthy = scripted.engine("d2", "decode", _decode)
     async with harness.running(stalled, healthy) as running:
         running.set_peer_tokens("d2", 3_000)
         reply = await running.stream(
@@ -116,7 +118,7 @@
 
 
 async def test_broken_stream_that_cannot_resume_is_incomplete() -> None:
-    broken = harness.engine("d1", "decode", _broken_off)
+    broken = scripted.engine("d1", "decode", _broken_off)
     async with harness.running(broken) as running:
         for path in ("/chat/1", "/chat-once/1", "/chat-one/1"):
             reply = await running.stream(
@@ -124,7 +126,7 @@
             )
             assert reply.status == 200
             assert not reply.complete
-            assert reply.body == harness.event(1) + harness.event(2)
+            assert reply.body == scripted.event(1) + scripted.event(2)
 
 
 @pytest.mark.parametrize(
@@ -132,7 +134,7 @@
     [(_broken_off, True), (_decode, False), (_reset, False)],
 )
 async def test_response_that_is_cut_is_told_from_a_caller_that_left(
-    script: harness.Script,
+    script: scripted.Script,
     interrupted: bool,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -142,7 +144,7 @@
         "LOG",
         structlog.wrap_logger(structlog.PrintLogger(), processors=[log]),
     )
-    engine = harness.engine("d1", "decode", script)
+    engine = scripted.engine("d1", "decode", script)
     async with harness.running(engine) as running:
         await running.stream("/chat-one/1")
     (ended,) = log.entries
@@ -151,7 +153,7 @@
 
 
 async def test_non_resumable_stream_that_may_have_run_is_not_retried() -> None:
-    engines = [harness.engine(f"d{n}", "decode", _reset) for n in range(3)]
+    engines = [scripted.engine(f"d{n}", "decode", _reset) for n in range(3)]
     async with harness.running(*engines) as running:
         reply = await running.stream(
             "/chat-once/1", token_usage="120,10", prefix_hash="aa:50,bb:70"
@@ -162,8 +164,8 @@
 
 async def test_lost_prefill_counts_as_not_run() -> None:
     """Guards against a lost prefill being reported as a possible run."""
-    prefiller = harness.engine("p1", "prefill", _reset)
-    decoder = harness.engine("d1", "decode", _decode)
+    prefiller = scripted.engine("p1", "prefill", _reset)
+    decoder = scripted.engine("d1", "decode", _decode)
     async with harness.running(prefiller, decoder) as running:
         load = running.cluster.endpoints["d1"].load
         assert load is not None
@@ -180,8 +182,8 @@
     A second prefill would count as an attempt, so the engine that decodes
     prefills too although another one could do it sooner.
     """
-    prefillers = [harness.engine(f"p{n}", "prefill", _reset) for n in (1, 2)]
-    decoder = harness.engine("d1", "decode", _decode)
+    prefillers = [scripted.engine(f"p{n}", "prefill", _reset) for n in (1, 2)]
+    decoder = scripted.engine("d1", "decode", _decode)
     async with harness.running(*prefillers, decoder) as running:
         reply = await running.stream("/chat-one/1")
     assert reply.status == 200
@@ -191,9 +193,11 @@
 
 
 async def test_refused_connection_does_not_repeat_the_prefill() -> None:
-    prefillers = [harness.engine(f"p{n}", "prefill", _prefill) for n in (1, 2)]
-    gone = harness.engine("d1", "decode", _decode)
-    healthy = harness.engine("d2", "decode", _decode)
+    prefillers = [
+        scripted.engine(f"p{n}", "prefill", _prefill) for n in (1, 2)
+    ]
+    gone = scripted.engine("d1", "decode", _decode)
+    healthy = scripted.engine("d2", "decode", _decode)
     async with harness.running(*prefillers, gone, healthy) as running:
         running.cluster.endpoints["d1"].pool = http1.Pool("127.0.0.1", 1)
         running.cluster.endpoints["d1"].pool.limit = 8
@@ -207,8 +211,8 @@
 
 
 async def test_unused_kv_handle_is_freed() -> None:
-    prefiller = harness.engine("p1", "prefill", _prefill)
-    decoder = harness.engine("d1", "decode", _full)
+    prefiller = scripted.engine("p1", "prefill", _prefill)
+    decoder = scripted.engine("d1", "decode", _full)
     async with harness.running(prefiller, decoder) as running:
         reply = await running.stream("/chat-one/1")
         await asyncio.sleep(0.1)
@@ -217,7 +221,7 @@
 
 
 async def test_sends_are_limited_by_the_route() -> None:
-    engines = [harness.engine(f"d{n}", "decode", _full) for n in range(4)]
+    engines = [scripted.engine(f"d{n}", "decode", _full) for n in range(4)]
     async with harness.running(*engines) as running:
         reply = await running.stream(
             token_usage="120,10", prefix_hash="aa:50,bb:70"
@@ -227,7 +231,7 @@
 
 
 async def test_unreachable_deadline_is_refused_immediately() -> None:
-    decoder = harness.engine("d1", "decode", _decode)
+    decoder = scripted.engine("d1", "decode", _decode)
     async with harness.running(decoder) as running:
         running.set_peer_tokens("d1", 3_000_000)
         began = asyncio.get_running_loop().time()
@@ -241,10 +245,10 @@
 
 async def test_only_extra_sends_are_charged_to_the_budget() -> None:
     """A second prefill and a second decode engine are two extra sends."""
-    prefiller = harness.engine("p1", "prefill", _prefill)
-    other = harness.engine("p2", "prefill", _prefill)
-    full = harness.engine("d1", "decode", _full)
-    healthy = harness.engine("d2", "decode", _decode)
+    prefiller = scripted.engine("p1", "prefill", _prefill)
+    other = scripted.engine("p2", "prefill", _prefill)
+    full = scripted.engine("d1", "decode", _full)
+    healthy = scripted.engine("d2", "decode", _decode)
     async with harness.running(prefiller, other, full, healthy) as running:
         load = running.cluster.endpoints["d2"].load
         assert load is not None
@@ -268,14 +272,14 @@
 
     The request body was queued for the uplink when the engine announced it.
     """
-    decoder = harness.engine("d1", "decode", _decode)
+    decoder = scripted.engine("d1", "decode", _decode)
     async with harness.running(decoder, uplink_mbps=0.5) as running:
         requests = [
             asyncio.create_task(running.stream(body=b"b" * 20_000))
             for _ in range(2)
         ]
         await decoder.arrived.wait()
-        draining = harness.registration(decoder, ready=False)
+        draining = configurations.registration(decoder, ready=False)
         running.cluster.set_endpoint(draining)
         replies = await asyncio.gather(*requests)
     assert sorted(reply.status for reply in replies) == [200, 503]
--- a/bilberrydeal/gateway/tests/test_stream_origins.py
+++ b/bilberrydeal/gateway/tests/test_stream_origins.py
@@ -10,6 +10,7 @@
 from ..origins import _memory
 from ..origins import _origins
 from ..origins import _rows
+from . import configurations
 from . import harness
 from . import loopback
 from . import memory
@@ -46,14 +47,14 @@
 ) -> None:
     cluster = loopback.cluster(ports.EngineRole.DECODE)
     routes = (
-        harness.route(
+        configurations.route(
             b"/chat/", catalogue.RouteKind.STREAM, 2, "llm", True, False
         ),
-        harness.route(b"/once/", catalogue.RouteKind.ONCE, 1, "shop"),
+        configurations.route(b"/once/", catalogue.RouteKind.ONCE, 1, "shop"),
     )
     cluster.set_configuration(
         attrs.evolve(
-            harness.configuration(),
+            configurations.configuration(),
             routes=(
                 attrs.evolve(routes[0], timeout_s=timeout_s),
                 attrs.evolve(routes[1], timeout_s=900.0),
--- a/bilberrydeal/gateway/tests/test_stream_trouble.py
+++ b/bilberrydeal/gateway/tests/test_stream_trouble.py
@@ -5,60 +5,61 @@
 import pytest
 
 from . import harness
+from . import scripted
 
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
-EVENTS = b"".join(harness.event(n) for n in range(1, 6))
+EVENTS = b"".join(scripted.event(n) for n in range(1, 6))
 #: Bytes of an event that never ends, in all.
 ENDLESS_BYTES = 64_000_000
 
 
-async def _decode(call: harness.Call) -> bytes:
+async def _decode(call: scripted.Call) -> bytes:
     first = int(call.field("last-event-id") or 0) + 1
-    return harness.complete_stream(call, first, 5)
+    return scripted.complete_stream(call, first, 5)
 
 
-async def _slow(call: harness.Call) -> bytes:
+async def _slow(call: scripted.Call) -> bytes:
     """Send an event each 0.9 s, later than a stall is noticed."""
-    call.writer.write(harness.stream_head(call))
+    call.writer.write(scripted.stream_head(call))
     for number in range(1, 4):
-        await call.send(harness.chunk(harness.event(number)))
+        await call.send(scripted.chunk(scripted.event(number)))
         await asyncio.sleep(0.9)
     return (
-        harness.chunk(harness.event(4))
-        + harness.chunk(harness.event(5))
+        scripted.chunk(scripted.event(4))
+        + scripted.chunk(scripted.event(5))
         + b"0\r\n\r\n"
     )
 
 
-async def _trickling(call: harness.Call) -> bytes:
+async def _trickling(call: scripted.Call) -> bytes:
     """Send an event, then a byte now and then that completes no other."""
     call.writer.write(
-        harness.stream_head(call) + harness.chunk(harness.event(1))
+        scripted.stream_head(call) + scripted.chunk(scripted.event(1))
     )
     for _ in range(300):
-        await call.send(harness.chunk(b"i"))
+        await call.send(scripted.chunk(b"i"))
         await asyncio.sleep(0.1)
     return b""
 
 
-async def _endless(call: harness.Call) -> bytes:
+async def _endless(call: scripted.Call) -> bytes:
     """Send an event, then bytes that never complete another one."""
     call.writer.write(
-        harness.stream_head(call) + harness.chunk(harness.event(1))
+        scripted.stream_head(call) + scripted.chunk(scripted.event(1))
     )
-    piece = harness.chunk(b"x" * 65_536)
+    piece = scripted.chunk(b"x" * 65_536)
     for _ in range(ENDLESS_BYTES // 65_536):
         await call.send(piece)
     await asyncio.sleep(30.0)
     return b""
 
 
-async def _silent(_call: harness.Call) -> bytes:
+async def _silent(_call: scripted.Call) -> bytes:
     await asyncio.sleep(30.0)
     return b""
 
 
-async def _endless_head(call: harness.Call) -> bytes:
+async def _endless_head(call: scripted.Call) -> bytes:
     """Send a head that never ends."""
     call.writer.write(b"HTTP/1.1 200 OK\r\n")
     for _ in range(ENDLESS_BYTES // 65_536):
@@ -67,7 +68,7 @@
     return b""
 
 
-async def _interim_answers(call: harness.Call) -> bytes:
+async def _interim_answers(call: scripted.Call) -> bytes:
     """Send interim responses without end."""
     for _ in range(200_000):
         await call.send(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -82,8 +83,8 @@
 
     It was once moved after a fixed time without an event.
     """
-    slow = harness.engine("d1", "decode", _slow)
-    busy = harness.engine("d2", "decode", _decode)
+    slow = scripted.engine("d1", "decode", _slow)
+    busy = scripted.engine("d2", "decode", _decode)
     async with harness.running(slow, busy) as running:
         running.set_peer_tokens("d2", 10_000_000)
         reply = await running.stream(
@@ -97,11 +98,11 @@
 
 @pytest.mark.parametrize("script", [_trickling, _endless])
 async def test_stream_without_events_is_continued_elsewhere(
-    script: harness.Script,
+    script: scripted.Script,
 ) -> None:
     """Bytes that complete no event are no progress."""
-    stalled = harness.engine("d1", "decode", script)
-    healthy = harness.engine("d2", "decode", _decode)
+    stalled = scripted.engine("d1", "decode", script)
+    healthy = scripted.engine("d2", "decode", _decode)
     async with harness.running(stalled, healthy) as running:
         running.set_peer_tokens("d2", 3_000)
         async with asyncio.timeout(5.0):
@@ -112,9 +113,9 @@
 
 
 @pytest.mark.parametrize("script", [_endless_head, _interim_answers])
-async def test_head_without_end_is_given_up(script: harness.Script) -> None:
-    endless = harness.engine("d1", "decode", script)
-    healthy = harness.engine("d2", "decode", _decode)
+async def test_head_without_end_is_given_up(script: scripted.Script) -> None:
+    endless = scripted.engine("d1", "decode", script)
+    healthy = scripted.engine("d2", "decode", _decode)
     async with harness.running(endless, healthy) as running:
         running.set_peer_tokens("d2", 3_000)
         async with asyncio.timeout(5.0):
@@ -130,8 +131,8 @@
 
     The caller is told that nothing ran, with time left to come back.
     """
-    silent = harness.engine("p1", "prefill", _silent)
-    free = harness.engine("d1", "decode", _silent)
+    silent = scripted.engine("p1", "prefill", _silent)
+    free = scripted.engine("d1", "decode", _silent)
     async with harness.running(silent, free) as running:
         began_s = asyncio.get_running_loop().time()
         reply = await running.stream("/chat-once/1")
@@ -150,8 +151,8 @@
 
     A prefill runs nothing, so the refusal is true on any route.
     """
-    silent = harness.engine("p1", "prefill", _silent)
-    busy = harness.engine("d1", "decode", _decode)
+    silent = scripted.engine("p1", "prefill", _silent)
+    busy = scripted.engine("d1", "decode", _decode)
     async with harness.running(silent, busy) as running:
         running.set_peer_tokens("d1", 10_000_000)
         began_s = asyncio.get_running_loop().time()
--- a/bilberrydeal/gateway/tests/test_torn_heads.py
+++ b/bilberrydeal/gateway/tests/test_torn_heads.py
@@ -12,13 +12,14 @@
 
 from . import connecting
 from . import harness
+from . import scripted
 
 pytestmark = pytest.mark.own_time
 
 #: A prompt that its decode engine prefills itself.
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
-EVENTS = b"".join(harness.event(n) for n in range(1, 6))
-TWO = harness.event(1) + harness.event(2)
+EVENTS = b"".join(scripted.event(n) for n in range(1, 6))
+TWO = scripted.event(1) + scripted.event(2)
 LENGTH = b"content-length: 4\r\n"
 CHUNKED = b"transfer-encoding: chunked\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -48,7 +49,7 @@
     #: Bytes before it.
     before: bytes = b""
 
-    def head(self, call: harness.Call) -> bytes:
+    def head(self, call: scripted.Call) -> bytes:
         """Return all that comes before the body."""
         return (
             b"%bHTTP/%b 200 OK\r\nrequest-id: %b\r\nserver-signature: s.%b\r\n"
@@ -75,7 +76,7 @@
     pytest.param(Form(before=HINTS + HINTS), id="103 twice"),
 ]
 #: A call with the field widths that those of the tests have.
-SAMPLE = harness.Call(
+SAMPLE = scripted.Call(
     "e1", b"request-id: r1\r\n", b"", typing.cast(asyncio.StreamWriter, None)
 )
 
@@ -96,7 +97,7 @@
     return [*range(0, last, STEP_BYTES), *range(last, size)]
 
 
-async def _end(call: harness.Call, data: bytes, ending: Ending) -> bytes:
+async def _end(call: scripted.Call, data: bytes, ending: Ending) -> bytes:
     """Send bytes and end the connection."""
     call.writer.write(data)
     await call.writer.drain()
@@ -113,53 +114,53 @@
     return b""
 
 
-def _torn(form: Form, size: int, ending: Ending) -> harness.Script:
-    async def script(call: harness.Call) -> bytes:
+def _torn(form: Form, size: int, ending: Ending) -> scripted.Script:
+    async def script(call: scripted.Call) -> bytes:
         return await _end(call, form.head(call)[:size], ending)
 
     return script
 
 
 def _after(
-    beginning: harness.Script, script: harness.Script
-) -> harness.Script:
+    beginning: scripted.Script, script: scripted.Script
+) -> scripted.Script:
     """Return a script whose first response is that of another one."""
-    calls: list[harness.Call] = []
+    calls: list[scripted.Call] = []
 
-    async def respond(call: harness.Call) -> bytes | None:
+    async def respond(call: scripted.Call) -> bytes | None:
         calls.append(call)
         return await (beginning if len(calls) == 1 else script)(call)
 
     return respond
 
 
-async def _sound(call: harness.Call) -> bytes:
-    return harness.signed_response(call, body=b"ours")
+async def _sound(call: scripted.Call) -> bytes:
+    return scripted.signed_response(call, body=b"ours")
 
 
-async def _decode(call: harness.Call) -> bytes:
+async def _decode(call: scripted.Call) -> bytes:
     first = int(call.field("last-event-id") or 0) + 1
-    return harness.complete_stream(call, first, 5)
+    return scripted.complete_stream(call, first, 5)
 
 
-async def _prefill(call: harness.Call) -> bytes:
-    return harness.handle(call)
+async def _prefill(call: scripted.Call) -> bytes:
+    return scripted.handle(call)
 
 
-async def _broken_off(call: harness.Call) -> bytes:
-    data = harness.stream_head(call) + harness.chunk(TWO)
+async def _broken_off(call: scripted.Call) -> bytes:
+    data = scripted.stream_head(call) + scripted.chunk(TWO)
     return await _end(call, data, Ending.CLOSE)
 
 
-async def _halting(call: harness.Call) -> bytes:
+async def _halting(call: scripted.Call) -> bytes:
     """Send an event, and the others after a silence that is too long."""
     call.writer.write(
-        harness.stream_head(call) + harness.chunk(harness.event(1))
+        scripted.stream_head(call) + scripted.chunk(scripted.event(1))
     )
     await call.writer.drain()
     await asyncio.sleep(1.8)
-    rest = b"".join(harness.event(n) for n in range(2, 6))
-    return harness.chunk(rest) + harness.chunk(b"")
+    rest = b"".join(scripted.event(n) for n in range(2, 6))
+    return scripted.chunk(rest) + scripted.chunk(b"")
 
 
 Outcome = typing.TypeVar("Outcome")
@@ -203,7 +204,7 @@
         load.peer_tokens.urgent = 3_000 * rank
 
 
-def _runs(engine: harness.Endpoint) -> list[bytes]:
+def _runs(engine: scripted.Endpoint) -> list[bytes]:
     """Return after which event each run of an engine was to begin."""
     return [
         call.field("last-event-id") or b""
@@ -231,8 +232,8 @@
     sizes = _each(form) if all_of_it else _some(form)
 
     async def one(size: int) -> tuple[object, ...]:
-        first = harness.plain("e1", _torn(form, size, ending))
-        second = harness.plain("e2", _sound)
+        first = scripted.plain("e1", _torn(form, size, ending))
+        second = scripted.plain("e2", _sound)
         async with harness.running(first, second) as running:
             running.cluster.endpoints["e2"].pool.busy = 1
             reply = await running.send(path)
@@ -256,8 +257,8 @@
 ) -> None:
     async def one(size: int) -> tuple[object, ...]:
         script = _after(_sound, _torn(form, size, ending))
-        first = harness.plain("e1", script)
-        second = harness.plain("e2", _sound)
+        first = scripted.plain("e1", script)
+        second = scripted.plain("e2", _sound)
         async with harness.running(first, second) as running:
             running.cluster.endpoints["e2"].pool.busy = 1
             before = await running.send(path)
@@ -285,9 +286,9 @@
 ) -> None:
     async def one(size: int) -> tuple[object, ...]:
         engines = [
-            harness.plain("e1", _torn(form, size, ending)),
-            harness.plain("e2", _torn(form, size, ending)),
-            harness.plain("e3", _sound),
+            scripted.plain("e1", _torn(form, size, ending)),
+            scripted.plain("e2", _torn(form, size, ending)),
+            scripted.plain("e3", _sound),
         ]
         async with harness.running(*engines) as running:
             running.cluster.endpoints["e3"].pool.busy = 1
@@ -322,9 +323,9 @@
 ) -> None:
     async def one(size: int) -> tuple[object, ...]:
         engines = [
-            harness.engine("d1", "decode", _torn(form, size, ending)),
-            harness.engine("d2", "decode", _decode),
-            harness.engine("p1", "prefill", _prefill),
+            scripted.engine("d1", "decode", _torn(form, size, ending)),
+            scripted.engine("d2", "decode", _decode),
+            scripted.engine("p1", "prefill", _prefill),
         ]
         async with harness.running(*engines) as running:
             _prefer(running, "d1", "d2")
@@ -351,9 +352,9 @@
 ) -> None:
     async def one(size: int) -> tuple[object, ...]:
         engines = [
-            harness.engine("p1", "prefill", _torn(form, size, ending)),
-            harness.engine("p2", "prefill", _prefill),
-            harness.engine("d1", "decode", _decode),
+            scripted.engine("p1", "prefill", _torn(form, size, ending)),
+            scripted.engine("p2", "prefill", _prefill),
+            scripted.engine("d1", "decode", _decode),
         ]
         async with harness.running(*engines) as running:
             _prefer(running, "p1", "p2")
@@ -377,9 +378,9 @@
 ) -> None:
     async def one(size: int) -> tuple[object, ...]:
         engines = [
-            harness.engine("d1", "decode", _broken_off),
-            harness.engine("d2", "decode", _torn(form, size, ending)),
-            harness.engine("d3", "decode", _decode),
+            scripted.engine("d1", "decode", _broken_off),
+            scripted.engine("d2", "decode", _torn(form, size, ending)),
+            scripted.engine("d3", "decode", _decode),
         ]
         async with harness.running(*engines) as running:
             _prefer(running, "d1", "d2", "d3")
@@ -398,8 +399,8 @@
 ) -> None:
     async def one(size: int) -> tuple[object, ...]:
         engines = [
-            harness.engine("d1", "decode", _halting),
-            harness.engine("d2", "decode", _torn(form, size, ending)),
+            scripted.engine("d1", "decode", _halting),
+            scripted.engine("d2", "decode", _torn(form, size, ending)),
         ]
         async with harness.running(*engines) as running:
             _prefer(running, "d1", "d2")
@@ -420,8 +421,8 @@
 ) -> None:
     async def one(size: int) -> tuple[object, ...]:
         engines = [
-            harness.engine("d1", "decode", _torn(form, size, ending)),
-            harness.engine("d2", "decode", _decode),
+            scripted.engine("d1", "decode", _torn(form, size, ending)),
+            scripted.engine("d2", "decode", _decode),
         ]
         async with harness.running(*engines) as running:
             _prefer(running, "d1", "d2")
@@ -458,12 +459,12 @@
     chunks = b"00000c\r\nworker's own\r\n0\r\n" + trailer + b"\r\n"
 
     async def one(size: int) -> tuple[object, ...]:
-        async def torn(call: harness.Call) -> bytes:
+        async def torn(call: scripted.Call) -> bytes:
             head = Form(framing=CHUNKED).head(call)
             return await _end(call, head + chunks[:size], ending)
 
-        first = harness.plain("e1", torn)
-        second = harness.plain("e2", _sound)
+        first = scripted.plain("e1", torn)
+        second = scripted.plain("e2", _sound)
         async with harness.running(first, second) as running:
             running.cluster.endpoints["e2"].pool.busy = 1
             reply = await running.send(path)
@@ -486,17 +487,17 @@
 async def test_stream_of_torn_chunks_goes_on_after_its_last_whole_event(
     trailer: bytes, ending: Ending
 ) -> None:
-    pieces = [harness.chunk(harness.event(n)) for n in range(1, 6)]
+    pieces = [scripted.chunk(scripted.event(n)) for n in range(1, 6)]
     chunks = b"".join(pieces) + b"0\r\n" + trailer + b"\r\n"
 
     async def one(size: int) -> tuple[object, ...]:
-        async def torn(call: harness.Call) -> bytes:
-            data = harness.stream_head(call) + chunks[:size]
+        async def torn(call: scripted.Call) -> bytes:
+            data = scripted.stream_head(call) + chunks[:size]
             return await _end(call, data, ending)
 
         engines = [
-            harness.engine("d1", "decode", torn),
-            harness.engine("d2", "decode", _decode),
+            scripted.engine("d1", "decode", torn),
+            scripted.engine("d2", "decode", _decode),
         ]
         async with harness.running(*engines) as running:
             _prefer(running, "d1", "d2")
@@ -518,17 +519,17 @@
 async def test_stream_of_torn_chunks_that_may_not_go_on_is_never_whole(
     path: str, trailer: bytes, ending: Ending
 ) -> None:
-    pieces = [harness.chunk(harness.event(n)) for n in range(1, 6)]
+    pieces = [scripted.chunk(scripted.event(n)) for n in range(1, 6)]
     chunks = b"".join(pieces) + b"0\r\n" + trailer + b"\r\n"
 
     async def one(size: int) -> tuple[object, ...]:
-        async def torn(call: harness.Call) -> bytes:
-            data = harness.stream_head(call) + chunks[:size]
+        async def torn(call: scripted.Call) -> bytes:
+            data = scripted.stream_head(call) + chunks[:size]
             return await _end(call, data, ending)
 
         engines = [
-            harness.engine("d1", "decode", torn),
-            harness.engine("d2", "decode", _decode),
+            scripted.engine("d1", "decode", torn),
+            scripted.engine("d2", "decode", _decode),
         ]
         async with harness.running(*engines) as running:
             _prefer(running, "d1", "d2")
--- a/bilberrydeal/gateway/tests/test_tracing.py
+++ b/bilberrydeal/gateway/tests/test_tracing.py
@@ -5,24 +5,25 @@
 
 from ... import settings
 from . import harness
+from . import scripted
 
 TRACE = "0af7651916cd43dd8448eb211c80319c"
 PARENT = f"00-{TRACE}-b7ad6b7169203331-01"
 
 
-async def _prefill(call: harness.Call) -> bytes:
-    return harness.handle(call)
+async def _prefill(call: scripted.Call) -> bytes:
+    return scripted.handle(call)
 
 
-async def _decode(call: harness.Call) -> bytes:
-    return harness.complete_stream(call, 1, 5)
+async def _decode(call: scripted.Call) -> bytes:
+    return scripted.complete_stream(call, 1, 5)
 
 
 async def test_each_send_has_a_child_span_of_the_request(
     tmp_path: pathlib.Path,
 ) -> None:
-    prefiller = harness.engine("p1", "prefill", _prefill)
-    decoder = harness.engine("d1", "decode", _decode)
+    prefiller = scripted.engine("p1", "prefill", _prefill)
+    decoder = scripted.engine("d1", "decode", _decode)
     target = tmp_path / "spans.jsonl"
     trace = settings.TraceSettings("file", str(target), 1.0)
     async with harness.running(prefiller, decoder, trace=trace) as running:
@@ -44,7 +45,7 @@
 async def test_trace_context_of_the_caller_is_forwarded_without_tracing() -> (
     None
 ):
-    decoder = harness.engine("d1", "decode", _decode)
+    decoder = scripted.engine("d1", "decode", _decode)
     async with harness.running(decoder) as running:
         await running.stream(traceparent=PARENT)
     assert decoder.calls[0].field("traceparent") == PARENT.encode()
--- a/bilberrydeal/gateway/tests/test_uploads_in_progress.py
+++ b/bilberrydeal/gateway/tests/test_uploads_in_progress.py
@@ -10,14 +10,16 @@
 import pytest
 import uvloop
 
+from . import configurations
 from . import harness
+from . import scripted
 
 SIZE_BYTES = 800_000
 PIECE_BYTES = 20_000
 PIECE_PAUSE_S = 0.005
 PAUSE_S = 0.05
 READ_BYTES = 1_000
-EVENTS = b"".join(harness.event(n) for n in range(1, 200))
+EVENTS = b"".join(scripted.event(n) for n in range(1, 200))
 #: Sizes of receive buffers: the default, little, and all of a request.
 BUFFERS = [0, 8_192, 4_000_000]
 
@@ -112,12 +114,12 @@
 
 async def _upload(path: str, worker: Worker) -> harness.Reply:
     """Send a request through a gateway to a worker."""
-    endpoint = harness.plain("e1", _unused)
+    endpoint = scripted.plain("e1", _unused)
     if path.startswith("/chat"):
-        endpoint = harness.engine("e1", "decode", _unused)
+        endpoint = scripted.engine("e1", "decode", _unused)
     async with harness.running(endpoint) as running:
         endpoint.port = worker.port
-        running.cluster.set_endpoint(harness.registration(endpoint))
+        running.cluster.set_endpoint(configurations.registration(endpoint))
         serving = asyncio.ensure_future(worker.serve())
         reply = await running.send(
             path,
@@ -132,7 +134,7 @@
     return reply
 
 
-async def _unused(_call: harness.Call) -> bytes | None:
+async def _unused(_call: scripted.Call) -> bytes | None:
     raise NotImplementedError
 
 
@@ -183,10 +185,10 @@
 
     async def exchange() -> tuple[bool, bool]:
         worker = Worker(Ending.READ_FIRST, 0)
-        endpoint = harness.plain("e1", _unused)
+        endpoint = scripted.plain("e1", _unused)
         async with harness.running(endpoint) as running:
             endpoint.port = worker.port
-            running.cluster.set_endpoint(harness.registration(endpoint))
+            running.cluster.set_endpoint(configurations.registration(endpoint))
             serving = asyncio.ensure_future(worker.serve())
             reader, writer = await asyncio.open_connection(
                 "127.0.0.1", running.server.port
--- a/bilberrydeal/gateway/tests/test_versions_unknown_to_others.py
+++ b/bilberrydeal/gateway/tests/test_versions_unknown_to_others.py
@@ -19,6 +19,7 @@
 from . import harness
 from . import loopback
 from . import memory
+from . import scripted
 
 #: A prompt that its decode engine prefills itself.
 SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
@@ -30,9 +31,9 @@
 HOLD_S = FRESH_S + _new_versions.HOLD_EXTRA_S
 
 
-async def _decode(call: harness.Call) -> bytes:
+async def _decode(call: scripted.Call) -> bytes:
     first = int(call.field("last-event-id") or 0) + 1
-    return harness.complete_stream(call, first, 5)
+    return scripted.complete_stream(call, first, 5)
 
 
 @pytest.mark.parametrize(
@@ -48,7 +49,7 @@
 ) -> None:
     """Only the configuration was answered lately, the endpoints were not."""
     table = memory.MemoryStore()
-    engine = harness.engine("d1", "decode", _decode)
+    engine = scripted.engine("d1", "decode", _decode)
     engine.software_version = "v1"
     async with harness.running(engine, table=table) as running:
         await running.origins.rows.run_once()
