--- /dev/null
+++ b/bilberrydeal/gateway/tests/torn_responses.py
@@ -0,0 +1,134 @@
+"""Responses whose connection ends early, and what comes of them."""
+
+import asyncio
+import collections.abc
+import enum
+import socket
+import struct
+import typing
+
+import attrs
+
+from . import harness
+from . import scripted
+
+#: A prompt that its decode engine prefills itself.
+SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
+#: Events of a stream that is whole.
+EVENTS = b"".join(scripted.event(n) for n in range(1, 6))
+#: A field that frames a body in chunks.
+CHUNKED = b"transfer-encoding: chunked\r\n"
+#: Requests that run side by side in a test.
+AT_ONCE = 16
+#: Path, then status, body and the calls of the second endpoint.
+PLAIN = [
+    ("/once/1", 502, b"", 0),
+    ("/once-one/1", 502, b"", 0),
+    ("/read/1", 200, b"ours", 1),
+    ("/read-one/1", 502, b"", 0),
+]
+Outcome = typing.TypeVar("Outcome")
+
+
+class Ending(enum.Enum):
+    """How an endpoint ends the connection within its response."""
+
+    CLOSE = "close"
+    RESET = "reset"
+
+
+@attrs.frozen
+class Form:
+    """How a response is written up to its body."""
+
+    version: bytes = b"1.1"
+    #: Fields that frame its body.
+    framing: bytes = b""
+    #: Bytes before it.
+    before: bytes = b""
+
+    def head(self, call: scripted.Call) -> bytes:
+        """Return all that comes before the body."""
+        return (
+            b"%bHTTP/%b 200 OK\r\nrequest-id: %b\r\nserver-signature: s.%b\r\n"
+            b"%b\r\n"
+            % (
+                self.before,
+                self.version,
+                call.request_id,
+                call.endpoint_id.encode(),
+                self.framing,
+            )
+        )
+
+
+async def end_connection(
+    call: scripted.Call, data: bytes, ending: Ending
+) -> bytes:
+    """Send bytes and end the connection."""
+    call.writer.write(data)
+    await call.writer.drain()
+    if ending is Ending.CLOSE:
+        call.writer.close()
+        return b""
+    # What was sent has to be read before a reset discards it.
+    await asyncio.sleep(0.01)
+    # Closing with a linger time of 0 sends a reset.
+    call.writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    call.writer.transport.abort()
+    return b""
+
+
+async def sound(call: scripted.Call) -> bytes:
+    """Return a whole response."""
+    return scripted.signed_response(call, body=b"ours")
+
+
+async def decode(call: scripted.Call) -> bytes:
+    """Return a whole stream from the event on that the call asks for."""
+    first = int(call.field("last-event-id") or 0) + 1
+    return scripted.complete_stream(call, first, 5)
+
+
+async def outcomes_by_size(
+    sizes: collections.abc.Iterable[int],
+    one: collections.abc.Callable[[int], collections.abc.Awaitable[Outcome]],
+) -> dict[int, Outcome]:
+    """Return what came of a response that was cut at each size."""
+    gate = asyncio.Semaphore(AT_ONCE)
+
+    async def gated(size: int) -> tuple[int, Outcome]:
+        async with gate:
+            return size, await one(size)
+
+    return dict(await asyncio.gather(*(gated(size) for size in sizes)))
+
+
+def unexpected(
+    outcomes: dict[int, Outcome], expected: Outcome
+) -> dict[int, Outcome]:
+    """Return the outcomes that aren't the expected one."""
+    return {
+        size: outcome
+        for size, outcome in outcomes.items()
+        if outcome != expected
+    }
+
+
+def prefer(running: harness.RequestPath, *engine_ids: str) -> None:
+    """Let engines be chosen in this order."""
+    for rank, engine_id in enumerate(engine_ids):
+        load = running.cluster.endpoints[engine_id].load
+        assert load is not None
+        load.peer_tokens.urgent = 3_000 * rank
+
+
+def runs(engine: scripted.Endpoint) -> list[bytes]:
+    """Return after which event each run of an engine was to begin."""
+    return [
+        call.field("last-event-id") or b""
+        for call in engine.calls
+        if call.head.startswith(b"POST") and not call.prefill
+    ]
