Let tests of torn heads share what they receive and check

Eight tests of test_torn_heads.py listed the same three parts of a reply and checked the outcomes by size with the same two statements.

What is expected is as it was.

--- a/bilberrydeal/gateway/tests/test_torn_heads.py
+++ b/bilberrydeal/gateway/tests/test_torn_heads.py
@@ -1,6 +1,7 @@
 """Responses whose connection ends within their head."""
 
 import asyncio
+import collections.abc
 import typing
 
 import pytest
@@ -107,6 +108,23 @@
     return scripted.chunk(rest) + scripted.chunk(b"")
 
 
+def _received(reply: harness.Reply) -> tuple[int, bytes, bool]:
+    """Return status, body and whether the response is complete."""
+    return reply.status, reply.body, reply.complete
+
+
+async def _check(
+    sizes: collections.abc.Iterable[int],
+    one: collections.abc.Callable[
+        [int], collections.abc.Awaitable[tuple[object, ...]]
+    ],
+    expected: tuple[object, ...],
+) -> None:
+    """Check what came of a response that was cut at each size."""
+    outcomes = await torn_responses.outcomes_by_size(sizes, one)
+    assert not torn_responses.unexpected(outcomes, expected)
+
+
 @pytest.fixture(autouse=True)
 def _patient_connections(monkeypatch: pytest.MonkeyPatch) -> None:
     connecting.wait_for_connections(monkeypatch)
@@ -135,17 +153,12 @@
             running.cluster.endpoints["e2"].pool.busy = 1
             reply = await running.send(path)
         return (
-            reply.status,
-            reply.body,
-            reply.complete,
+            *_received(reply),
             len(first.calls),
             len(second.calls),
         )
 
-    outcomes = await torn_responses.outcomes_by_size(sizes, one)
-    assert not torn_responses.unexpected(
-        outcomes, (status, body, True, 1, calls)
-    )
+    await _check(sizes, one, (status, body, True, 1, calls))
 
 
 @pytest.mark.parametrize("ending", torn_responses.Ending)
@@ -173,16 +186,13 @@
         return (
             before.body,
             opened,
-            reply.status,
-            reply.body,
-            reply.complete,
+            *_received(reply),
             len(first.calls),
             len(second.calls),
         )
 
-    outcomes = await torn_responses.outcomes_by_size(_some(form), one)
     expected = (b"ours", 1, status, body, True, 2, calls)
-    assert not torn_responses.unexpected(outcomes, expected)
+    await _check(_some(form), one, expected)
 
 
 @pytest.mark.parametrize("ending", torn_responses.Ending)
@@ -200,10 +210,9 @@
             running.cluster.endpoints["e3"].pool.busy = 1
             reply = await running.send("/read/1")
         calls = [len(engine.calls) for engine in engines]
-        return (reply.status, reply.body, reply.complete, calls)
+        return (*_received(reply), calls)
 
-    outcomes = await torn_responses.outcomes_by_size(_some(form), one)
-    assert not torn_responses.unexpected(outcomes, (502, b"", True, [1, 1, 0]))
+    await _check(_some(form), one, (502, b"", True, [1, 1, 0]))
 
 
 #: Path, then status, body and the runs of the engine that is tried next.
@@ -240,16 +249,13 @@
             reply = await running.stream(path, **prompt)
         prefilled = any(call.prefill for call in engines[2].calls)
         return (
-            reply.status,
-            reply.body,
-            reply.complete,
+            *_received(reply),
             prefilled,
             [torn_responses.runs(engine) for engine in engines],
         )
 
-    outcomes = await torn_responses.outcomes_by_size(_some(form), one)
     expected = (status, body, True, not prompt, [[b""], runs, []])
-    assert not torn_responses.unexpected(outcomes, expected)
+    await _check(_some(form), one, expected)
 
 
 @pytest.mark.parametrize("ending", torn_responses.Ending)
@@ -268,16 +274,13 @@
             torn_responses.prefer(running, "p1", "p2")
             reply = await running.stream(path)
         return (
-            reply.status,
-            reply.body,
-            reply.complete,
+            *_received(reply),
             len(engines[0].calls),
             torn_responses.runs(engines[2]),
         )
 
-    outcomes = await torn_responses.outcomes_by_size(_some(form), one)
-    assert not torn_responses.unexpected(
-        outcomes, (200, torn_responses.EVENTS, True, 1, [b""])
+    await _check(
+        _some(form), one, (200, torn_responses.EVENTS, True, 1, [b""])
     )
 
 
@@ -296,12 +299,9 @@
             torn_responses.prefer(running, "d1", "d2", "d3")
             reply = await running.stream(**torn_responses.SHORT)
         runs = [torn_responses.runs(engine) for engine in engines]
-        return (reply.status, reply.body, reply.complete, runs)
+        return (*_received(reply), runs)
 
-    outcomes = await torn_responses.outcomes_by_size(_some(form), one)
-    assert not torn_responses.unexpected(
-        outcomes, (200, TWO, False, [[b""], [b"2"], []])
-    )
+    await _check(_some(form), one, (200, TWO, False, [[b""], [b"2"], []]))
 
 
 @pytest.mark.parametrize("ending", torn_responses.Ending)
@@ -323,11 +323,10 @@
                 **torn_responses.SHORT,
             )
         runs = [torn_responses.runs(engine) for engine in engines]
-        return (reply.status, reply.body, reply.complete, runs)
+        return (*_received(reply), runs)
 
-    outcomes = await torn_responses.outcomes_by_size(_some(form), one)
-    assert not torn_responses.unexpected(
-        outcomes, (200, torn_responses.EVENTS, True, [[b""], [b"1"]])
+    await _check(
+        _some(form), one, (200, torn_responses.EVENTS, True, [[b""], [b"1"]])
     )
 
 
@@ -348,10 +347,7 @@
                 last_event_id="2", resumes="r0", **torn_responses.SHORT
             )
         runs = [torn_responses.runs(engine) for engine in engines]
-        return (reply.status, reply.body, reply.complete, runs)
+        return (*_received(reply), runs)
 
     rest = torn_responses.EVENTS.removeprefix(TWO)
-    outcomes = await torn_responses.outcomes_by_size(_some(form), one)
-    assert not torn_responses.unexpected(
-        outcomes, (200, rest, True, [[b"2"], [b"2"]])
-    )
+    await _check(_some(form), one, (200, rest, True, [[b"2"], [b"2"]]))
