--- a/bilberrydeal/conftest.py
+++ b/bilberrydeal/conftest.py
@@ -26,6 +26,8 @@
     item: pytest.Item,
 ) -> collections.abc.Mapping[str, LoopFactory]:
     """Run marked tests on the time that their process has."""
+    if item.get_closest_marker("real_time"):
+        return {"real time": asyncio.new_event_loop}
     if item.get_closest_marker("own_time"):
         return {"own time": own_time.OwnTimeLoop}
     return {"real time": asyncio.new_event_loop}
--- a/bilberrydeal/gateway/tests/test_torn_heads.py
+++ b/bilberrydeal/gateway/tests/test_torn_heads.py
@@ -304,6 +304,7 @@
     await _check(_some(form), one, (200, TWO, False, [[b""], [b"2"], []]))
 
 
+@pytest.mark.real_time
 @pytest.mark.parametrize("ending", torn_responses.Ending)
 @pytest.mark.parametrize("form", FORMS[:3])
 async def test_torn_head_takes_over_no_stream_of_a_silent_engine(
