Tell why the origin of a resumed stream is unknown

Operators saw "unknown" for each stream that could not be resumed, and "Origins not read." beside some. So a store that was read too late, a stream that was never stored, and an engine that began anew under its id looked alike.

bilberrydeal_resumptions_total counts "unread", "unstored" and "doubtful" in place of "unknown", the refusal's detail names the cause, and one line, "Stream origin unknown.", has it with the reason and how long it took. Nothing else in the tree read the label "unknown" of that counter.

--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -9,6 +9,7 @@
 from .. import core
 from . import _memory
 from . import _rows
+from . import _unknown
 from . import _version_history
 
 LOG = telemetry.logger("origins")
@@ -57,14 +58,10 @@
         self, admitted: core.AdmittedRequest
     ) -> core.StreamOrigin:
         """Return what began a stream; raises ``Refusal`` if unknown."""
-        origin = await self._find(admitted)
-        if origin is None or self._is_doubtful(origin):
-            self._metrics.count_resumption("unknown")
-            raise core.not_run_refusal(
-                errors.ErrorCode.STREAM_ORIGIN_UNKNOWN,
-                "the software version that began the stream is not known",
-                self._rows.pause_s() * UNKNOWN_RETRY_WRITES,
-            )
+        asked_s = self._clock()
+        origin = await self._find(admitted, asked_s)
+        if isinstance(origin, _unknown.UnknownOrigin):
+            raise self._unknown_refusal(admitted, origin, asked_s)
         if not self._decodes(origin):
             self._metrics.count_resumption("absent")
             raise core.not_run_refusal(
@@ -75,10 +72,46 @@
         self._metrics.count_resumption("bound")
         return origin
 
+    def _unknown_refusal(
+        self,
+        admitted: core.AdmittedRequest,
+        unknown: _unknown.UnknownOrigin,
+        asked_s: float,
+    ) -> errors.Refusal:
+        """Return the refusal of a stream that can't be bound, and log it."""
+        cause = unknown.cause.value
+        self._metrics.count_resumption(cause)
+        LOG.info(
+            "Stream origin unknown.",
+            resumes=admitted.resumed_id.decode("latin-1"),
+            cause=cause,
+            reason=unknown.reason,
+            took_s=round(self._clock() - asked_s, 3),
+        )
+        return core.not_run_refusal(
+            errors.ErrorCode.STREAM_ORIGIN_UNKNOWN,
+            "the software version that began the stream is not known: "
+            + cause,
+            self._rows.pause_s() * UNKNOWN_RETRY_WRITES,
+        )
+
     async def _find(
-        self, admitted: core.AdmittedRequest
-    ) -> core.StreamOrigin | None:
-        asked_s = self._clock()
+        self, admitted: core.AdmittedRequest, asked_s: float
+    ) -> core.StreamOrigin | _unknown.UnknownOrigin:
+        """Return what began a stream, or why that is not known."""
+        origin = await self._find_any(admitted, asked_s)
+        if isinstance(origin, _unknown.UnknownOrigin):
+            return origin
+        if self._is_doubtful(origin):
+            return _unknown.UnknownOrigin(
+                _unknown.UnknownCause.DOUBTFUL, "its engine began anew"
+            )
+        return origin
+
+    async def _find_any(
+        self, admitted: core.AdmittedRequest, asked_s: float
+    ) -> core.StreamOrigin | _unknown.UnknownOrigin:
+        """Return what is known of a stream, though it may be doubtful."""
         self._rows.observe()
         known = self._known(admitted)
         if known is not None:
@@ -89,9 +122,13 @@
                 return only
         # A new stream would have begun by then.
         limit_s = admitted.route.target_latency_s
-        if not await self._read(asked_s, limit_s):
-            return None
-        return self._known(admitted) or self._only_version(admitted.service)
+        failure = await self._read(asked_s, limit_s)
+        if failure:
+            return _unknown.UnknownOrigin(
+                _unknown.UnknownCause.UNREAD, failure
+            )
+        found = self._known(admitted) or self._only_version(admitted.service)
+        return found or _unknown.UnknownOrigin(_unknown.UnknownCause.UNSTORED)
 
     def _known(
         self, admitted: core.AdmittedRequest
@@ -117,8 +154,8 @@
             return core.FAILED_RETRY_S
         return max(found.engine.role_switch_s, core.FAILED_RETRY_S)
 
-    async def _read(self, asked_s: float, limit_s: float) -> bool:
-        """Read what other gateways stored; return whether that worked."""
+    async def _read(self, asked_s: float, limit_s: float) -> str:
+        """Read what other gateways stored; return why that failed, if so."""
         next_s = self._rows.read_s + self._rows.read_interval_s()
         wait_s = next_s - asked_s
         try:
@@ -126,9 +163,8 @@
                 await asyncio.sleep(max(wait_s, 0.0))
                 await self._rows.read(asked_s)
         except (TimeoutError, errors.BilberrydealError) as error:
-            LOG.info("Origins not read.", reason=str(error) or "timeout")
-            return False
-        return True
+            return str(error) or "timeout"
+        return ""
 
     def _only_version(self, service: str) -> core.StreamOrigin | None:
         """Return what stands for the only version that served lately."""
