Wait for a read of a stream's row while its caller has time

A caller whose stream another gateway had begun was refused once its route's objective was over (150 to 200 ms) though the read of the row was under way and the caller had 2 s. How long a read takes depends on the link, not on the objective.

A read that is under way is now waited for until half of the caller's time has passed, or until the objective is left for the rest, whichever is sooner, but a quarter of its time at least. Half, since a refusal that comes at three quarters of the time costs the whole credit, and the caller can still try elsewhere. A read that fails is tried again for the objective, as before; where the read that ended last had failed, a failure is told at once and none is waited for longer than the objective, so a store that is away holds only the callers of its first second. Reads are made by one call each, whose answer may begin after 1 s instead of 0.5; the client doesn't repeat them beneath the waiters. A waiter's end doesn't end the read: it serves others, and the caller's next try.

--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -1,6 +1,5 @@
 """Finds what a resumed stream is bound to."""
 
-import asyncio
 import collections.abc
 
 from ... import errors
@@ -8,6 +7,7 @@
 from .. import cluster_state
 from .. import core
 from . import _memory
+from . import _patience
 from . import _rows
 from . import _unknown
 from . import _version_history
@@ -41,6 +41,7 @@
         self._memory = memory
         self._history = history
         self._rows = rows
+        self._patience = _patience.ReadPatience(rows.reads, clock)
         self._cluster = cluster
         self._metrics = metrics
         self._clock = clock
@@ -120,11 +121,8 @@
             only = self._only_version(admitted.service)
             if only is not None:
                 return only
-        # A new stream would have begun by then.
-        limit_s = admitted.route.target_latency_s
         try:
-            async with asyncio.timeout(limit_s):
-                found = await self._read(admitted, asked_s)
+            found = await self._read(admitted, asked_s)
         except (TimeoutError, errors.BilberrydealError) as error:
             return _unknown.UnknownOrigin(
                 _unknown.UnknownCause.UNREAD, str(error) or "timeout"
@@ -136,11 +134,17 @@
     ) -> core.StreamOrigin | None:
         """Return what the store tells of a stream."""
         if admitted.resumed_id:
-            await self._rows.streams.read(admitted.resumed_id)
+            await self._patience.wait(
+                admitted,
+                asked_s,
+                lambda: self._rows.streams.read(admitted.resumed_id),
+            )
         known = self._known(admitted)
         if known is not None:
             return known
-        await self._rows.versions.read(asked_s)
+        await self._patience.wait(
+            admitted, asked_s, lambda: self._rows.versions.read(asked_s)
+        )
         return self._only_version(admitted.service)
 
     def _known(
--- a/bilberrydeal/gateway/origins/_rows.py
+++ b/bilberrydeal/gateway/origins/_rows.py
@@ -5,6 +5,7 @@
 from ... import store
 from .. import cluster_state
 from . import _memory
+from . import _shared_calls
 from . import _stream_rows
 from . import _stream_sweep
 from . import _version_history
@@ -45,9 +46,12 @@
         self._pace = _write_pace.WritePace(
             incarnation, lambda: cluster.members
         )
+        #: Reads that are under way.
+        self.reads = _shared_calls.SharedCalls()
         #: Which software versions serve.
         self.versions = _version_rows.VersionRows(
             client,
+            self.reads,
             history,
             kept_s,
             cluster,
@@ -57,7 +61,7 @@
         )
         #: What began each stream.
         self.streams = _stream_rows.StreamRows(
-            client, memory, self._pace, kept_s, store_s, clock
+            client, memory, self.reads, self._pace, kept_s, store_s, clock
         )
         self._sweep = _stream_sweep.StreamSweep(
             client, self.streams, kept_s, clock
--- a/bilberrydeal/gateway/origins/_shared_calls.py
+++ b/bilberrydeal/gateway/origins/_shared_calls.py
@@ -26,6 +26,9 @@
 
     def __init__(self) -> None:
         self._running: dict[str, asyncio.Task[None]] = {}
+        #: Whether the call that ended last failed, so that the next ones
+        #: will probably fail too.
+        self.failing = False
 
     async def run(self, key: str, call: Call) -> None:
         """Wait for the running call of a key, or for a new one."""
@@ -38,7 +41,10 @@
 
     def _finish(self, key: str, task: asyncio.Task[None]) -> None:
         del self._running[key]
-        error = None if task.cancelled() else task.exception()
+        if task.cancelled():
+            return
+        error = task.exception()
+        self.failing = error is not None
         if error is None:
             return
         if isinstance(error, errors.BilberrydealError):
--- a/bilberrydeal/gateway/origins/_stream_rows.py
+++ b/bilberrydeal/gateway/origins/_stream_rows.py
@@ -52,6 +52,7 @@
         self,
         client: store.StoreClient,
         memory: _memory.OriginMemory,
+        calls: _shared_calls.SharedCalls,
         pace: _write_pace.WritePace,
         kept_s: collections.abc.Callable[[], float],
         store_s: StoreClock,
@@ -63,13 +64,13 @@
         self._kept_s = kept_s
         self._store_s = store_s
         self._clock = clock
-        self._calls = _shared_calls.SharedCalls()
+        self._calls = calls
         #: When rows that this gateway may have written are to be removed, by
         #: digest, monotonic seconds.
         self._removal_s: dict[str, float] = {}
 
     async def read(self, request_id: bytes) -> None:
-        """Read the row of one stream; raises ``BilberrydealError``."""
+        """Read the row of one stream; raises if the first attempt fails."""
         stream = _memory.digest(request_id)
         await self._calls.run(stream, lambda: self._read(stream))
 
@@ -84,7 +85,8 @@
             await self._commit(rows, removed)
 
     async def _read(self, stream: str) -> None:
-        row = await self._client.read_one(ports.RowKey(STREAM_BEGINS, stream))
+        key = ports.RowKey(STREAM_BEGINS, stream)
+        row = await self._client.read_attempt(key)
         if row is None:
             return
         found = store.decode_rows([row], StreamRow).get(stream)
--- a/bilberrydeal/gateway/origins/_version_rows.py
+++ b/bilberrydeal/gateway/origins/_version_rows.py
@@ -51,6 +51,7 @@
     def __init__(
         self,
         client: store.StoreClient,
+        calls: _shared_calls.SharedCalls,
         history: _version_history.VersionHistory,
         kept_s: collections.abc.Callable[[], float],
         cluster: cluster_state.ClusterState,
@@ -59,6 +60,7 @@
         clock: Clock,
     ) -> None:
         self._client = client
+        self._calls = calls
         self._history = history
         self._kept_s = kept_s
         self._cluster = cluster
@@ -70,7 +72,6 @@
         self.loaded = False
         #: When the last successful read began, monotonic seconds.
         self._read_s = float("-inf")
-        self._calls = _shared_calls.SharedCalls()
         self._writing = asyncio.Lock()
         #: Versions in service by service, as stored.
         self._stored: dict[str, tuple[str, ...]] = {}
@@ -91,7 +92,8 @@
     async def read(self, asked_s: float) -> None:
         """Read all rows, unless that was done since ``asked_s``.
 
-        What began to be read before that may be too old.
+        What began to be read before that may be too old. Raises if the first
+        attempt fails.
         """
         while not (self.loaded and self._read_s >= asked_s):
             await self._calls.run(ENGINE_VERSIONS, self._read)
@@ -100,7 +102,7 @@
         pause_s = self._read_s + self._read_interval_s() - self._clock()
         await asyncio.sleep(max(pause_s, 0.0))
         began_s = self._clock()
-        rows = await self._client.scan_all(ENGINE_VERSIONS, "")
+        rows = await self._client.scan_all(ENGINE_VERSIONS, "", retried=False)
         self._apply(store.decode_rows(rows, VersionsRow))
         self.loaded = True
         self._read_s = began_s
--- a/bilberrydeal/gateway/tests/test_stream_rows.py
+++ b/bilberrydeal/gateway/tests/test_stream_rows.py
@@ -284,3 +284,113 @@
         return await regained.resume(b"s1")
 
     assert _run(play()) == "v2"
+
+
+async def _resumed_after(
+    gateway: Gateway,
+    link: narrow_store.NarrowStore,
+    answer_s: float,
+    request_id: bytes = b"s1",
+) -> tuple[str, float]:
+    """Resume a stream while responses are held back for some time."""
+    link.answers.clear()
+    asyncio.get_running_loop().call_later(answer_s, link.answers.set)
+    asked_s = gateway.clock()
+    try:
+        found = await gateway.resume(request_id)
+    except errors.Refusal as error:
+        found = error.message.rpartition(" ")[2]
+    return found, round(gateway.clock() - asked_s, 2)
+
+
+@pytest.mark.parametrize(
+    ("answer_s", "found", "took_s"),
+    [(0.7, "v2", 0.7), (0.95, "v2", 0.95), (30.0, "unread", 1.0)],
+)
+def test_read_that_is_under_way_is_waited_for_while_the_caller_has_time(
+    answer_s: float, found: str, took_s: float
+) -> None:
+    """The objective is 0.5 s, and the caller has 2 s."""
+
+    async def play() -> tuple[str, float]:
+        table = memory.MemoryStore()
+        await _stored(table, 4)
+        link = narrow_store.NarrowStore(table, 10.0)
+        return await _resumed_after(Gateway(link, 3, "g2"), link, answer_s)
+
+    told, after_s = _run(play())
+    assert told == found
+    assert after_s == pytest.approx(took_s, abs=0.02)
+
+
+def test_store_that_was_silent_holds_the_next_callers_no_longer() -> None:
+    async def play() -> list[tuple[str, float]]:
+        table = memory.MemoryStore()
+        await _stored(table, 4)
+        link = narrow_store.NarrowStore(table, 10.0)
+        gateway = Gateway(link, 3, "g2")
+        found = [await _resumed_after(gateway, link, 30.0)]
+        await asyncio.sleep(5.0)
+        found.append(await _resumed_after(gateway, link, 30.0))
+        link.answers.set()
+        await asyncio.sleep(1.0)
+        found.append(await _resumed_after(gateway, link, 0.7, b"s3"))
+        return found
+
+    told = _run(play())
+    assert [found for found, _took in told] == ["unread", "unread", "v2"]
+    took_s = [took for _found, took in told]
+    assert took_s == pytest.approx([1.0, 0.5, 0.7], abs=0.05)
+
+
+def test_store_whose_calls_fail_at_once_holds_no_caller() -> None:
+    async def play() -> list[tuple[str, float]]:
+        table = memory.MemoryStore()
+        await _stored(table, 4)
+        link = narrow_store.NarrowStore(table, 10.0)
+        gateway = Gateway(link, 3, "g2")
+        table.unreachable = True
+        return [await _resumed_after(gateway, link, 0.0) for _ in range(2)]
+
+    first, second = _run(play())
+    assert first[0] == second[0] == "unread"
+    assert first[1] <= 0.5
+    assert second[1] <= 0.05
+
+
+def test_waiter_that_ends_does_not_end_the_read_of_another() -> None:
+    async def play() -> tuple[int, list[object]]:
+        table = memory.MemoryStore()
+        await _stored(table, 4)
+        link = narrow_store.NarrowStore(table, 10.0)
+        gateway = Gateway(link, 3, "g2")
+        link.answers.clear()
+        asyncio.get_running_loop().call_later(0.8, link.answers.set)
+        found = await asyncio.gather(
+            gateway.resume(b"s1", left_s=0.4),
+            gateway.resume(b"s1", left_s=2.0),
+            return_exceptions=True,
+        )
+        return link.responses, list(found)
+
+    responses, (first, second) = _run(play())
+    assert isinstance(first, errors.Refusal)
+    assert second == "v2"
+    assert responses == 1
+
+
+def test_read_goes_on_for_the_next_try_when_its_caller_has_gone() -> None:
+    async def play() -> str:
+        table = memory.MemoryStore()
+        await _stored(table, 4)
+        link = narrow_store.NarrowStore(table, 10.0)
+        gateway = Gateway(link, 3, "g2")
+        link.answers.clear()
+        asyncio.get_running_loop().call_later(0.8, link.answers.set)
+        with pytest.raises(errors.Refusal):
+            await gateway.resume(b"s1", left_s=0.4)
+        await asyncio.sleep(0.8)
+        table.unreachable = True
+        return await gateway.resume(b"s1", left_s=0.4)
+
+    assert _run(play()) == "v2"
--- a/bilberrydeal/store/_client.py
+++ b/bilberrydeal/store/_client.py
@@ -47,10 +47,10 @@
 class StoreClient:
     """Client of the table service, shared by one process.
 
-    Each operation is retried, with full jitter between attempts, until it
-    succeeds or its deadline of ``DEADLINE_FACTOR`` call timeouts passes. All
-    calls share one token bucket, so that retries after an outage do not
-    overload the store.
+    Each operation is retried unless its caller does that itself, with full
+    jitter between attempts, until it succeeds or its deadline of
+    ``DEADLINE_FACTOR`` call timeouts passes. All calls share one token bucket,
+    so that retries after an outage do not overload the store.
 
     Example::
 
@@ -109,29 +109,51 @@
         (row,) = await self.read([key])
         return row
 
+    async def read_attempt(self, key: ports.RowKey) -> ports.Row | None:
+        """Return one row by one call, whose answer may be late to begin."""
+        timeout_s = self._attempt_timeout_s(retried=False)
+
+        async def call() -> tuple[ports.Row | None, ...]:
+            return await self._table.read((key,), timeout_s)
+
+        (row,) = await self._call_with_retries("read", call, retried=False)
+        return row
+
     async def scan_all(
-        self, table: str, prefix: str, after: str = ""
+        self, table: str, prefix: str, after: str = "", retried: bool = True
     ) -> tuple[ports.Row, ...]:
-        """Return all rows whose key starts with ``prefix``, page by page."""
+        """Return all rows whose key starts with ``prefix``, page by page.
+
+        Without ``retried`` the first failure is raised, and answers may be
+        later to begin.
+        """
         rows: list[ports.Row] = []
         while True:
-            page = await self.scan_page(table, prefix, after)
+            page = await self.scan_page(
+                table, prefix, after, PAGE_SIZE, retried
+            )
             rows.extend(page)
             if len(page) < PAGE_SIZE:
                 return tuple(rows)
             after = page[-1].key
 
     async def scan_page(
-        self, table: str, prefix: str, after: str = "", limit: int = PAGE_SIZE
+        self,
+        table: str,
+        prefix: str,
+        after: str = "",
+        limit: int = PAGE_SIZE,
+        retried: bool = True,
     ) -> tuple[ports.Row, ...]:
         """Return one page of rows whose keys follow ``after``."""
+        timeout_s = self._attempt_timeout_s(retried)
 
         async def call() -> tuple[ports.Row, ...]:
             return await self._table.scan(
-                table, prefix, after, limit, self.call_timeout_s
+                table, prefix, after, limit, timeout_s
             )
 
-        return await self._call_with_retries("scan", call)
+        return await self._call_with_retries("scan", call, retried)
 
     async def commit(self, transaction: ports.Transaction) -> ports.Committed:
         """Commit a transaction; the caller resolves an unknown outcome.
@@ -229,12 +251,14 @@
         self,
         operation: str,
         call: collections.abc.Callable[[], collections.abc.Awaitable[Result]],
+        retried: bool = True,
     ) -> Result:
         deadline_s = self._clock() + self.call_timeout_s * DEADLINE_FACTOR
         retrying = tenacity.AsyncRetrying(
             retry=tenacity.retry_if_exception_type(errors.StoreUnavailable),
             stop=lambda state: (
-                self._clock() + state.upcoming_sleep >= deadline_s
+                not retried
+                or self._clock() + state.upcoming_sleep >= deadline_s
             ),
             wait=self._backoff_s,
             sleep=self._sleep,
@@ -263,6 +287,11 @@
                 raise errors.OutcomeUnknown(operation=operation) from error
             raise errors.StoreUnavailable(operation=operation) from error
 
+    def _attempt_timeout_s(self, retried: bool) -> float:
+        """Return the timeout of one attempt of a read."""
+        factor = 1.0 if retried else ATTEMPT_FACTOR
+        return self.call_timeout_s * factor
+
     def _backoff_s(self, state: tenacity.RetryCallState) -> float:
         """Return a jittered backoff, added to the store's Retry-After."""
         bound_s = BACKOFF_BASE_S * 2 ** min(state.attempt_number, 10)
