Let callers of unknown streams come again when that can help

A caller whose stream's origin was unknown was told to come again after two intervals between writes: 1.25 s with 25 gateways, 15 s with 300. Its whole time is often 2 s, and callers honour a third of what is left, so such a refusal was a failed request.

Retry-After is now one interval between writes if the stream isn't stored, as its gateway writes it by then if it still runs, and 0.2 s if the store could not be read, as another gateway may read it at once. Neither is more than a third of the time that the caller has left. A stream that is doubtful stays so, and one that isn't stored in a fleet whose interval is longer than that third will probably not be known in time: both get the whole third, for the fewest tries in vain.

test_caller_is_told_to_come_again_while_a_try_can_come_true failed before in all of its 8 cases, with 0.4 == 0.2, 1.25 == 0.625, 1.25 == 0.5, 15.0 == 1.0, 0.4 == 0.2, 15.0 == 0.2, 15.0 == 0.1, and 0.4 == 1.0.

--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -11,11 +11,12 @@
 from . import _rows
 from . import _unknown
 from . import _version_history
+from . import _write_pace
 
 LOG = telemetry.logger("origins")
-#: Retry-After while the origin is unknown, in intervals between writes: until
-#: then the gateway that began the stream has stored it.
-UNKNOWN_RETRY_WRITES = 2.0
+#: Longest Retry-After of a stream whose origin is unknown, as a share of the
+#: time that its caller has left: callers honour no longer one.
+RETRY_SHARE = 1 / 3
 
 Clock = collections.abc.Callable[[], float]
 
@@ -93,9 +94,25 @@
             errors.ErrorCode.STREAM_ORIGIN_UNKNOWN,
             "the software version that began the stream is not known: "
             + cause,
-            self._rows.write_interval_s() * UNKNOWN_RETRY_WRITES,
+            self._unknown_retry_s(admitted, unknown.cause),
         )
 
+    def _unknown_retry_s(
+        self, admitted: core.AdmittedRequest, cause: _unknown.UnknownCause
+    ) -> float:
+        """Return the time until another try may find the origin.
+
+        After a write the row is there, and another gateway may read it at
+        once. What is doubtful stays so; the fewest tries cost least.
+        """
+        left_s = max(admitted.deadline_s - self._clock(), 0.0)
+        longest_s = left_s * RETRY_SHARE
+        if cause is _unknown.UnknownCause.UNSTORED:
+            return min(self._rows.write_interval_s(), longest_s)
+        if cause is _unknown.UnknownCause.UNREAD:
+            return min(_write_pace.WRITE_INTERVAL_S, longest_s)
+        return longest_s
+
     async def _find(
         self, admitted: core.AdmittedRequest, asked_s: float
     ) -> core.StreamOrigin | _unknown.UnknownOrigin:
--- a/bilberrydeal/gateway/tests/test_unknown_stream_origins.py
+++ b/bilberrydeal/gateway/tests/test_unknown_stream_origins.py
@@ -6,6 +6,7 @@
 from ... import errors
 from ... import ports
 from .. import core
+from ..cluster_state import _cluster_state
 from ..core import _metrics
 from . import harness
 from . import loopback
@@ -18,6 +19,20 @@
     return core.StreamOrigin("llm", endpoint_id, 77, "v0")
 
 
+def _two_versions() -> _cluster_state.ClusterState:
+    """Return the state of a gateway with engines of two versions."""
+    cluster = loopback.cluster(ports.EngineRole.DECODE)
+    for version in ("v1", "v2"):
+        cluster.set_endpoint(
+            attrs.evolve(
+                loopback.engine(ports.EngineRole.DECODE),
+                endpoint_id=version,
+                software_version=version,
+            )
+        )
+    return cluster
+
+
 @pytest.mark.parametrize(
     ("reachable", "origin", "cause"),
     [
@@ -30,15 +45,7 @@
     reachable: bool, origin: core.StreamOrigin | None, cause: str
 ) -> None:
     table = memory.MemoryStore(unreachable=not reachable)
-    cluster = loopback.cluster(ports.EngineRole.DECODE)
-    for version in ("v1", "v2"):
-        cluster.set_endpoint(
-            attrs.evolve(
-                loopback.engine(ports.EngineRole.DECODE),
-                endpoint_id=version,
-                software_version=version,
-            )
-        )
+    cluster = _two_versions()
     metrics = _metrics.GatewayMetrics()
     now_s = 1_000.0
     origins = harness.new_origins(table, "g1", cluster, metrics, lambda: now_s)
@@ -57,3 +64,35 @@
     ]
     assert len(lines) == 1
     assert f'outcome="{cause}"' in lines[0]
+
+
+@pytest.mark.parametrize(
+    ("cause", "gateways", "left_s", "retry_s"),
+    [
+        ("unstored", 3, 3.0, 0.2),
+        ("unstored", 25, 3.0, 0.625),
+        ("unstored", 25, 1.5, 0.5),
+        ("unstored", 300, 3.0, 1.0),
+        ("unread", 3, 3.0, 0.2),
+        ("unread", 300, 3.0, 0.2),
+        ("unread", 300, 0.3, 0.1),
+        ("doubtful", 3, 3.0, 1.0),
+    ],
+)
+async def test_caller_is_told_to_come_again_while_a_try_can_come_true(
+    cause: str, gateways: int, left_s: float, retry_s: float
+) -> None:
+    table = memory.MemoryStore(unreachable=cause == "unread")
+    cluster = _two_versions()
+    cluster.set_gateways("g1", (f"o{n}" for n in range(1, gateways)))
+    origins = harness.new_origins(
+        table, "g1", cluster, _metrics.GatewayMetrics(), lambda: 1_000.0
+    )
+    if cause == "doubtful":
+        before = resumptions.admitted(b"r1", 1_000.0)
+        origins.resolver.note(before, _restarted("v1"))
+    resumed = resumptions.admitted(b"r2", 1_000.0, b"r1", left_s)
+    with pytest.raises(errors.Refusal) as refused:
+        await origins.resolver.resolve(resumed)
+    assert cause in refused.value.message
+    assert refused.value.retry_after_s == pytest.approx(retry_s)
