--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -1,6 +1,5 @@
 """Finds what a resumed stream is bound to."""
 
-import asyncio
 import collections.abc
 
 from ... import errors
@@ -8,13 +7,16 @@
 from .. import cluster_state
 from .. import core
 from . import _memory
+from . import _patience
 from . import _rows
+from . import _unknown
 from . import _version_history
+from . import _write_pace
 
 LOG = telemetry.logger("origins")
-#: Retry-After while the origin is unknown, in intervals between writes: until
-#: then the gateway that began the stream has stored it.
-UNKNOWN_RETRY_WRITES = 2.0
+#: Longest Retry-After of a stream whose origin is unknown, as a share of the
+#: time that its caller has left: callers honour no longer one.
+RETRY_SHARE = 1 / 3
 
 Clock = collections.abc.Callable[[], float]
 
@@ -40,6 +42,7 @@
         self._memory = memory
         self._history = history
         self._rows = rows
+        self._patience = _patience.ReadPatience(rows.reads, clock)
         self._cluster = cluster
         self._metrics = metrics
         self._clock = clock
@@ -57,14 +60,10 @@
         self, admitted: core.AdmittedRequest
     ) -> core.StreamOrigin:
         """Return what began a stream; raises ``Refusal`` if unknown."""
-        origin = await self._find(admitted)
-        if origin is None or self._is_doubtful(origin):
-            self._metrics.count_resumption("unknown")
-            raise core.not_run_refusal(
-                errors.ErrorCode.STREAM_ORIGIN_UNKNOWN,
-                "the software version that began the stream is not known",
-                self._rows.pause_s() * UNKNOWN_RETRY_WRITES,
-            )
+        asked_s = self._clock()
+        origin = await self._find(admitted, asked_s)
+        if isinstance(origin, _unknown.UnknownOrigin):
+            raise self._unknown_refusal(admitted, origin, asked_s)
         if not self._decodes(origin):
             self._metrics.count_resumption("absent")
             raise core.not_run_refusal(
@@ -75,23 +74,95 @@
         self._metrics.count_resumption("bound")
         return origin
 
+    def _unknown_refusal(
+        self,
+        admitted: core.AdmittedRequest,
+        unknown: _unknown.UnknownOrigin,
+        asked_s: float,
+    ) -> errors.Refusal:
+        """Return the refusal of a stream that can't be bound, and log it."""
+        cause = unknown.cause.value
+        self._metrics.count_resumption(cause)
+        LOG.info(
+            "Stream origin unknown.",
+            resumes=admitted.resumed_id.decode("latin-1"),
+            cause=cause,
+            reason=unknown.reason,
+            took_s=round(self._clock() - asked_s, 3),
+        )
+        return core.not_run_refusal(
+            errors.ErrorCode.STREAM_ORIGIN_UNKNOWN,
+            "the software version that began the stream is not known: "
+            + cause,
+            self._unknown_retry_s(admitted, unknown.cause),
+        )
+
+    def _unknown_retry_s(
+        self, admitted: core.AdmittedRequest, cause: _unknown.UnknownCause
+    ) -> float:
+        """Return the time until another try may find the origin.
+
+        After a write the row is there, and another gateway may read it at
+        once. What is doubtful stays so; the fewest tries cost least.
+        """
+        left_s = max(admitted.deadline_s - self._clock(), 0.0)
+        longest_s = left_s * RETRY_SHARE
+        if cause is _unknown.UnknownCause.UNSTORED:
+            return min(self._rows.write_interval_s(), longest_s)
+        if cause is _unknown.UnknownCause.UNREAD:
+            return min(_write_pace.WRITE_INTERVAL_S, longest_s)
+        return longest_s
+
     async def _find(
-        self, admitted: core.AdmittedRequest
-    ) -> core.StreamOrigin | None:
-        asked_s = self._clock()
+        self, admitted: core.AdmittedRequest, asked_s: float
+    ) -> core.StreamOrigin | _unknown.UnknownOrigin:
+        """Return what began a stream, or why that is not known."""
+        origin = await self._find_any(admitted, asked_s)
+        if isinstance(origin, _unknown.UnknownOrigin):
+            return origin
+        if self._is_doubtful(origin):
+            return _unknown.UnknownOrigin(
+                _unknown.UnknownCause.DOUBTFUL, "its engine began anew"
+            )
+        return origin
+
+    async def _find_any(
+        self, admitted: core.AdmittedRequest, asked_s: float
+    ) -> core.StreamOrigin | _unknown.UnknownOrigin:
+        """Return what is known of a stream, though it may be doubtful."""
         self._rows.observe()
         known = self._known(admitted)
         if known is not None:
             return known
-        if self._rows.loaded and self._fresh(asked_s):
+        if self._rows.versions.loaded and self._fresh(asked_s):
             only = self._only_version(admitted.service)
             if only is not None:
                 return only
-        # A new stream would have begun by then.
-        limit_s = admitted.route.target_latency_s
-        if not await self._read(asked_s, limit_s):
-            return None
-        return self._known(admitted) or self._only_version(admitted.service)
+        try:
+            found = await self._read(admitted, asked_s)
+        except (TimeoutError, errors.BilberrydealError) as error:
+            return _unknown.UnknownOrigin(
+                _unknown.UnknownCause.UNREAD, str(error) or "timeout"
+            )
+        return found or _unknown.UnknownOrigin(_unknown.UnknownCause.UNSTORED)
+
+    async def _read(
+        self, admitted: core.AdmittedRequest, asked_s: float
+    ) -> core.StreamOrigin | None:
+        """Return what the store tells of a stream."""
+        if admitted.resumed_id:
+            await self._patience.wait(
+                admitted,
+                asked_s,
+                lambda: self._rows.streams.read(admitted.resumed_id),
+            )
+        known = self._known(admitted)
+        if known is not None:
+            return known
+        await self._patience.wait(
+            admitted, asked_s, lambda: self._rows.versions.read(asked_s)
+        )
+        return self._only_version(admitted.service)
 
     def _known(
         self, admitted: core.AdmittedRequest
@@ -117,19 +188,6 @@
             return core.FAILED_RETRY_S
         return max(found.engine.role_switch_s, core.FAILED_RETRY_S)
 
-    async def _read(self, asked_s: float, limit_s: float) -> bool:
-        """Read what other gateways stored; return whether that worked."""
-        next_s = self._rows.read_s + self._rows.read_interval_s()
-        wait_s = next_s - asked_s
-        try:
-            async with asyncio.timeout(limit_s):
-                await asyncio.sleep(max(wait_s, 0.0))
-                await self._rows.read(asked_s)
-        except (TimeoutError, errors.BilberrydealError) as error:
-            LOG.info("Origins not read.", reason=str(error) or "timeout")
-            return False
-        return True
-
     def _only_version(self, service: str) -> core.StreamOrigin | None:
         """Return what stands for the only version that served lately."""
         versions = self._history.recent(service, self._clock())
