Bind streams to a version before their first event, and tell other gateways

Callers who resumed a stream after their gateway had ended were refused with 503 stream_origin_unknown, though engines of the stream's version decoded. A stream's origin was known to others only from a row that its gateway writes after the first event, with a pause of 0.2 s to several seconds; most streams are shorter, so that what was in flight was in no row.

--- a/bilberrydeal/gateway/core/_metrics.py
+++ b/bilberrydeal/gateway/core/_metrics.py
@@ -83,6 +83,10 @@
             "bilberrydeal_resumptions_total",
             "Streams that callers resumed, by what was known of them.",
         )
+        self._origin_messages = self.metrics.counter(
+            "bilberrydeal_origin_messages_total",
+            "Messages between gateways about origins of streams, by kind.",
+        )
         self._organisations: set[str] = set()
         self._quota_amounts = self.metrics.counter(
             "bilberrydeal_quota_amount_total",
@@ -174,6 +178,10 @@
         """Count a stream that a caller resumes."""
         self._resumptions.inc({"outcome": outcome})
 
+    def count_origin_message(self, kind: str) -> None:
+        """Count an announcement of a stream's origin, or a question."""
+        self._origin_messages.inc({"kind": kind})
+
     def render(self, state: GaugeValues) -> bytes:
         """Return all metrics in the text exposition format."""
         for name, value in (
--- a/bilberrydeal/gateway/duties/_coordination.py
+++ b/bilberrydeal/gateway/duties/_coordination.py
@@ -92,6 +92,8 @@
             *decoding.split_address(gateway_settings.platform.usage)
         )
         self._cluster = cluster
+        self._datagrams = datagrams
+        self._address = gateway_settings.listen.peers
         self._table = table
         self._members = accounting.Members(others={}, position=0)
         self._members_read = False
@@ -248,6 +250,9 @@
             self._cluster_clock.store_s,
             lambda: self.is_candidate,
             steady_s,
+            origins.OriginPeers(
+                self._datagrams, self._address, lambda: self.others
+            ),
         )
 
     def quarantine_rows(
--- a/bilberrydeal/gateway/messaging/__init__.py
+++ b/bilberrydeal/gateway/messaging/__init__.py
@@ -8,6 +8,8 @@
 from ._datagrams import LoadReport
 from ._datagrams import Peers
 from ._datagrams import SettledWindow
+from ._datagrams import StreamOriginQuestion
+from ._datagrams import StreamOriginReport
 from ._datagrams import TableHint
 from ._datagrams import WindowCounts
 
@@ -20,6 +22,8 @@
     "LoadReport",
     "Peers",
     "SettledWindow",
+    "StreamOriginQuestion",
+    "StreamOriginReport",
     "TableHint",
     "WindowCounts",
 ]
--- a/bilberrydeal/gateway/messaging/_datagrams.py
+++ b/bilberrydeal/gateway/messaging/_datagrams.py
@@ -110,6 +110,30 @@
     factor: float
 
 
+@attrs.frozen
+class StreamOriginReport:
+    """What a stream is bound to."""
+
+    #: Digest of the id of its request.
+    stream: bytes
+    service: str
+    #: Id of the engine to which it was sent.
+    endpoint_id: str
+    #: Start of the engine's process, in Unix milliseconds.
+    started_ms: int
+    software_version: str
+
+
+@attrs.frozen
+class StreamOriginQuestion:
+    """Asks other gateways what streams are bound to."""
+
+    #: Address to which the answer goes.
+    reply_to: str
+    #: Digests of the ids of their requests.
+    streams: tuple[bytes, ...]
+
+
 @attrs.frozen
 class Datagram:
     """A message from one gateway to others."""
@@ -135,6 +159,10 @@
     quota: quotas.Message | None = None
     #: Permanent factors of engines.
     capabilities: tuple[EngineCapabilityReport, ...] = ()
+    #: What streams are bound to.
+    origins: tuple[StreamOriginReport, ...] = ()
+    #: Streams of which the sender asks this.
+    origin_question: StreamOriginQuestion | None = None
 
 
 class _WireEngineLoad(msgspec.Struct, array_like=True):
@@ -165,6 +193,11 @@
     quota: quotas.Message | None = None
     #: Engine, start of its process in Unix milliseconds, and factor.
     capabilities: list[tuple[str, int, float]] = []
+    #: Stream, service, engine, start of its process in Unix milliseconds, and
+    #: software version.
+    origins: list[tuple[bytes, str, str, int, str]] = []
+    #: Address to which the answer goes, and streams.
+    origin_question: tuple[str, list[bytes]] | None = None
 
 
 def _to_wire(datagram: Datagram) -> _WireDatagram:
@@ -195,9 +228,37 @@
             (report.endpoint_id, report.started_ms, report.factor)
             for report in datagram.capabilities
         ],
+        [
+            (
+                report.stream,
+                report.service,
+                report.endpoint_id,
+                report.started_ms,
+                report.software_version,
+            )
+            for report in datagram.origins
+        ],
+        _question_to_wire(datagram.origin_question),
     )
 
 
+def _question_to_wire(
+    question: StreamOriginQuestion | None,
+) -> tuple[str, list[bytes]] | None:
+    if question is None:
+        return None
+    return question.reply_to, list(question.streams)
+
+
+def _question_from_wire(
+    wire: tuple[str, list[bytes]] | None,
+) -> StreamOriginQuestion | None:
+    if wire is None:
+        return None
+    reply_to, asked = wire
+    return StreamOriginQuestion(reply_to, tuple(asked))
+
+
 def _parts(prompt: placement.Prompt) -> list[tuple[bytes, int]]:
     return [(part.part_id, part.tokens) for part in prompt.parts]
 
@@ -229,6 +290,8 @@
         capabilities=tuple(
             EngineCapabilityReport(*each) for each in wire.capabilities
         ),
+        origins=tuple(StreamOriginReport(*each) for each in wire.origins),
+        origin_question=_question_from_wire(wire.origin_question),
     )
 
 
--- a/bilberrydeal/gateway/origins/__init__.py
+++ b/bilberrydeal/gateway/origins/__init__.py
@@ -1,5 +1,6 @@
 """Finds the software version to which a resumed stream is bound."""
 
+from ._announcer import OriginPeers
 from ._origins import Origins
 from ._resolver import OriginResolver
 from ._rows import ORIGIN_CALLS_PER_S
@@ -7,6 +8,7 @@
 
 __all__ = [
     "ORIGIN_CALLS_PER_S",
+    "OriginPeers",
     "OriginResolver",
     "Origins",
     "VERSIONS_INTERVAL_S",
--- a/bilberrydeal/gateway/origins/_origins.py
+++ b/bilberrydeal/gateway/origins/_origins.py
@@ -5,6 +5,7 @@
 from ... import store
 from .. import cluster_state
 from .. import core
+from . import _announcer
 from . import _memory
 from . import _resolver
 from . import _rows
@@ -17,6 +18,8 @@
     Example::
 
         origins = Origins(client, "g1.17", cluster, ...)
+        if origins.resolver.bind(admitted, origin):
+            progress.origin = origin
         await origins.rows.run_once()
         origin = await origins.resolver.resolve(admitted)
     """
@@ -30,6 +33,7 @@
         store_s: _rows.StoreClock,
         writes_versions: collections.abc.Callable[[], bool],
         clock: _rows.Clock,
+        peers: _announcer.OriginPeers,
     ) -> None:
         def kept_s() -> float:
             return cluster.stream_lifetime_s
@@ -50,5 +54,13 @@
         )
         #: Binds requests to what began their streams.
         self.resolver = _resolver.OriginResolver(
-            memory, history, self.rows, cluster, metrics, clock
+            memory,
+            history,
+            self.rows,
+            _announcer.OriginAnnouncer(
+                peers, incarnation, memory, metrics, clock
+            ),
+            cluster,
+            metrics,
+            clock,
         )
--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import collections.abc
+import typing
 
 from ... import errors
 from ... import telemetry
 from .. import cluster_state
 from .. import core
+from . import _announcer
 from . import _memory
 from . import _rows
 from . import _version_history
@@ -15,6 +17,8 @@
 #: Retry-After while the origin is unknown, in intervals between writes: until
 #: then the gateway that began the stream has stored it.
 UNKNOWN_RETRY_WRITES = 2.0
+#: Longest wait for an answer of other gateways, in seconds.
+ASK_LIMIT_S = 0.15
 
 Clock = collections.abc.Callable[[], float]
 
@@ -22,10 +26,10 @@
 class OriginResolver:
     """Binds streams that callers resume to the version that began them.
 
-    A stream is bound to what this gateway remembers of it or others have
-    stored, or to the only version that served lately. What may have begun at
-    any of several versions is refused: no answer is better than one that is
-    joined from two.
+    A stream is bound to what this gateway remembers of it, or others have
+    announced or stored, or to the only version that served lately. What may
+    have begun at any of several versions is refused: no answer is better than
+    one that is joined from two.
     """
 
     def __init__(
@@ -33,6 +37,7 @@
         memory: _memory.OriginMemory,
         history: _version_history.VersionHistory,
         rows: _rows.OriginRows,
+        announcer: _announcer.OriginAnnouncer,
         cluster: cluster_state.ClusterState,
         metrics: core.GatewayMetrics,
         clock: Clock,
@@ -40,10 +45,33 @@
         self._memory = memory
         self._history = history
         self._rows = rows
+        self._announcer = announcer
         self._cluster = cluster
         self._metrics = metrics
         self._clock = clock
 
+    def bind(
+        self, admitted: core.AdmittedRequest, origin: core.StreamOrigin
+    ) -> bool:
+        """Bind a request to a version, and tell other gateways.
+
+        Returns ``False``, and does nothing, while one version serves: a stream
+        is then bound by its first event. Called before a request is sent to an
+        engine that may send this event.
+        """
+        versions = self._history.recent(admitted.service, self._clock())
+        if len(versions) < 2:
+            return False
+        self.note(admitted, origin)
+        self.announce(admitted, origin)
+        return True
+
+    def announce(
+        self, admitted: core.AdmittedRequest, origin: core.StreamOrigin
+    ) -> None:
+        """Tell other gateways what the stream of a request is bound to."""
+        self._announcer.announce(admitted.request_id, origin)
+
     def note(
         self, admitted: core.AdmittedRequest, origin: core.StreamOrigin
     ) -> None:
@@ -87,6 +115,26 @@
             only = self._only_version(admitted.service)
             if only is not None:
                 return only
+        return await _first_found(
+            self._ask_peers(admitted), self._read_rows(admitted, asked_s)
+        )
+
+    async def _ask_peers(
+        self, admitted: core.AdmittedRequest
+    ) -> core.StreamOrigin | None:
+        """Return what other gateways say that a stream is bound to."""
+        left_s = admitted.deadline_s - self._clock()
+        found = await self._announcer.ask(
+            _memory.digest(admitted.resumed_id), min(ASK_LIMIT_S, left_s)
+        )
+        if found is None or found.service != admitted.service:
+            return None
+        return found
+
+    async def _read_rows(
+        self, admitted: core.AdmittedRequest, asked_s: float
+    ) -> core.StreamOrigin | None:
+        """Return what the rows of all gateways say."""
         # A new stream would have begun by then.
         limit_s = admitted.route.target_latency_s
         if not await self._read(asked_s, limit_s):
@@ -159,3 +207,23 @@
             and upstream.has_version(origin.software_version)
             for upstream in self._cluster.of_service(origin.service)
         )
+
+
+async def _first_found(
+    *searches: collections.abc.Coroutine[
+        typing.Any, typing.Any, core.StreamOrigin | None
+    ],
+) -> core.StreamOrigin | None:
+    """Return what the first search finds; ``None`` if all find nothing."""
+    tasks = [asyncio.ensure_future(search) for search in searches]
+    try:
+        for finished in asyncio.as_completed(tasks):
+            found = await finished
+            if found is not None:
+                return found
+    finally:
+        for task in tasks:
+            task.cancel()
+        # Each ends before its locks are used again.
+        await asyncio.gather(*tasks, return_exceptions=True)
+    return None
--- a/bilberrydeal/gateway/tests/harness.py
+++ b/bilberrydeal/gateway/tests/harness.py
@@ -222,8 +222,9 @@
     cluster: _cluster_state.ClusterState,
     metrics: _metrics.GatewayMetrics,
     clock: collections.abc.Callable[[], float],
+    peers: origins.OriginPeers | None = None,
 ) -> origins.Origins:
-    """Return what a gateway knows, stores and reads of streams."""
+    """Return what a gateway knows, stores, reads and is told of streams."""
     return origins.Origins(
         store.StoreClient(table, 0.1, 1_000.0, era=lambda: table.era),
         name,
@@ -232,6 +233,8 @@
         clock,
         lambda: True,
         clock,
+        peers
+        or origins.OriginPeers(_datagrams.Datagrams(), "127.0.0.1:1", dict),
     )
 
 
@@ -245,6 +248,7 @@
     peers: tuple[_datagrams.Address, ...] = (),
     may_probe: bool = False,
     table: memory.MemoryStore | None = None,
+    origin_peers: origins.OriginPeers | None = None,
 ) -> collections.abc.AsyncIterator[RequestPath]:
     """Run the request path with some endpoints."""
     clock = time.monotonic
@@ -276,7 +280,12 @@
     )
     quota = new_quotas(cluster, datagrams or _datagrams.Datagrams(), name)
     stream_origins = new_origins(
-        table or memory.MemoryStore(), name, cluster, metrics, clock
+        table or memory.MemoryStore(),
+        name,
+        cluster,
+        metrics,
+        clock,
+        origin_peers,
     )
     sender = _sending.Sender(
         cluster, retry_policy, uplink, tracing, request_quarantine, clock
--- a/bilberrydeal/gateway/tests/test_resumptions_out_of_step.py
+++ b/bilberrydeal/gateway/tests/test_resumptions_out_of_step.py
@@ -220,6 +220,9 @@
             clock,
             lambda: writes_versions,
             clock,
+            origins.OriginPeers(
+                _datagrams.Datagrams(), "127.0.0.1:1", lambda: {}
+            ),
         )
         hints = cluster_state.StoreHints(
             _datagrams.Datagrams(),
--- a/bilberrydeal/systems/limits/__init__.py
+++ b/bilberrydeal/systems/limits/__init__.py
@@ -5,6 +5,7 @@
 from ._base import LIMITERS
 from ._bucket import Bucket
 from ._exchanged import ExchangedLimiter
+from ._home_selection import first_entries
 from ._home_selection import home_entry
 from ._local import LocalLimiter
 from ._messages import NeedReport
@@ -31,5 +32,6 @@
     "ProcessGroup",
     "ShareGrant",
     "TurnShare",
+    "first_entries",
     "home_entry",
 ]
