Merge the announcement of streams' versions with their rows

The memory holds what others told and what was read in one table, and keeps a stream's version where a later account differs. A stream that isn't known is asked for at other gateways and read from the store at the same time.

--- a/bilberrydeal/gateway/origins/_memory.py
+++ b/bilberrydeal/gateway/origins/_memory.py
@@ -26,7 +26,8 @@
 class OriginMemory:
     """Origins of streams that began, or went on, lately.
 
-    The origin of a stream never changes while it is kept.
+    The software version of a stream never changes while it is kept; the engine
+    of that version may be corrected.
 
     Example::
 
@@ -53,9 +54,9 @@
         stream = digest(request_id)
         own = self._own.pop(stream, None)
         before = own or self._learned.pop(stream, None)
-        kept = before.origin if before else origin
-        self._own[stream] = _Kept(kept, now_s)
-        if own is None:
+        kept = _Kept(_corrected(before, origin), now_s)
+        self._own[stream] = kept
+        if own is None or own.origin != kept.origin:
             self._unwritten[stream] = None
 
     def learn_stream(
@@ -63,18 +64,25 @@
     ) -> None:
         """Record what began a stream of another gateway, by its digest."""
         self._expire(now_s)
-        if stream in self._own or stream in self._learned:
+        if stream in self._own:
             return
-        self._learned[stream] = _Kept(origin, now_s)
+        before = self._learned.get(stream)
+        since_s = before.since_s if before else now_s
+        self._learned[stream] = _Kept(_corrected(before, origin), since_s)
         if len(self._learned) > LEARNED_LIMIT:
             del self._learned[next(iter(self._learned))]
 
     def find(
         self, request_id: bytes, now_s: float
     ) -> core.StreamOrigin | None:
-        """Return what began the stream of a request, if it is known."""
+        """Return what the stream of a request is bound to, if known."""
+        return self.find_stream(digest(request_id), now_s)
+
+    def find_stream(
+        self, stream: str, now_s: float
+    ) -> core.StreamOrigin | None:
+        """Return what the stream of a digest is bound to, if known."""
         self._expire(now_s)
-        stream = digest(request_id)
         found = self._own.get(stream) or self._learned.get(stream)
         return found.origin if found else None
 
@@ -113,6 +121,17 @@
     return hashed.hexdigest()
 
 
+def _corrected(
+    before: _Kept | None, origin: core.StreamOrigin
+) -> core.StreamOrigin:
+    """Return an origin unless its version differs from what was known."""
+    if before is None:
+        return origin
+    if before.origin.software_version != origin.software_version:
+        return before.origin
+    return origin
+
+
 def _over(kept: dict[str, _Kept], over_s: float) -> list[str]:
     """Return the streams that are known since a time or longer."""
     oldest = itertools.takewhile(
--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -1,11 +1,14 @@
 """Finds what a resumed stream is bound to."""
 
+import asyncio
 import collections.abc
+import typing
 
 from ... import errors
 from ... import telemetry
 from .. import cluster_state
 from .. import core
+from . import _announcer
 from . import _memory
 from . import _patience
 from . import _rows
@@ -17,17 +20,22 @@
 #: Longest Retry-After of a stream whose origin is unknown, as a share of the
 #: time that its caller has left: callers honour no longer one.
 RETRY_SHARE = 1 / 3
+#: Longest wait for an answer of other gateways, in seconds.
+ASK_LIMIT_S = 0.15
 
 Clock = collections.abc.Callable[[], float]
+_Found = typing.TypeVar("_Found")
+#: A search for what began a stream.
+_Search = collections.abc.Coroutine[typing.Any, typing.Any, _Found]
 
 
 class OriginResolver:
     """Binds streams that callers resume to the version that began them.
 
-    A stream is bound to what this gateway remembers of it or others have
-    stored, or to the only version that served lately. What may have begun at
-    any of several versions is refused: no answer is better than one that is
-    joined from two.
+    A stream is bound to what this gateway remembers of it, or others have
+    announced or stored, or to the only version that served lately. What may
+    have begun at any of several versions is refused: no answer is better than
+    one that is joined from two.
     """
 
     def __init__(
@@ -35,6 +43,7 @@
         memory: _memory.OriginMemory,
         history: _version_history.VersionHistory,
         rows: _rows.OriginRows,
+        announcer: _announcer.OriginAnnouncer,
         cluster: cluster_state.ClusterState,
         metrics: core.GatewayMetrics,
         clock: Clock,
@@ -43,10 +52,33 @@
         self._history = history
         self._rows = rows
         self._patience = _patience.ReadPatience(rows.reads, clock)
+        self._announcer = announcer
         self._cluster = cluster
         self._metrics = metrics
         self._clock = clock
 
+    def bind(
+        self, admitted: core.AdmittedRequest, origin: core.StreamOrigin
+    ) -> bool:
+        """Bind a request to a version, and tell other gateways.
+
+        Returns ``False``, and does nothing, while one version serves: a stream
+        is then bound by its first event. Called before a request is sent to an
+        engine that may send this event.
+        """
+        versions = self._history.recent(admitted.service, self._clock())
+        if len(versions) < 2:
+            return False
+        self.note(admitted, origin)
+        self.announce(admitted, origin)
+        return True
+
+    def announce(
+        self, admitted: core.AdmittedRequest, origin: core.StreamOrigin
+    ) -> None:
+        """Tell other gateways what the stream of a request is bound to."""
+        self._announcer.announce(admitted.request_id, origin)
+
     def note(
         self, admitted: core.AdmittedRequest, origin: core.StreamOrigin
     ) -> None:
@@ -138,6 +170,26 @@
             only = self._only_version(admitted.service)
             if only is not None:
                 return only
+        return await _first_found(
+            self._ask_peers(admitted), self._read_store(admitted, asked_s)
+        )
+
+    async def _ask_peers(
+        self, admitted: core.AdmittedRequest
+    ) -> core.StreamOrigin | None:
+        """Return what other gateways say that a stream is bound to."""
+        left_s = admitted.deadline_s - self._clock()
+        found = await self._announcer.ask(
+            _memory.digest(admitted.resumed_id), min(ASK_LIMIT_S, left_s)
+        )
+        if found is None or found.service != admitted.service:
+            return None
+        return found
+
+    async def _read_store(
+        self, admitted: core.AdmittedRequest, asked_s: float
+    ) -> core.StreamOrigin | _unknown.UnknownOrigin:
+        """Return what the store tells of a stream, or why that is nothing."""
         try:
             found = await self._read(admitted, asked_s)
         except (TimeoutError, errors.BilberrydealError) as error:
@@ -217,3 +269,25 @@
             and upstream.has_version(origin.software_version)
             for upstream in self._cluster.of_service(origin.service)
         )
+
+
+async def _first_found(
+    asking: _Search[core.StreamOrigin | None],
+    reading: _Search[core.StreamOrigin | _unknown.UnknownOrigin],
+) -> core.StreamOrigin | _unknown.UnknownOrigin:
+    """Return the origin that is found first, or why the store tells none."""
+    asked = asyncio.ensure_future(asking)
+    read = asyncio.ensure_future(reading)
+    try:
+        await asyncio.wait([asked, read], return_when=asyncio.FIRST_COMPLETED)
+        if not asked.done() and isinstance(
+            read.result(), _unknown.UnknownOrigin
+        ):
+            await asked
+        told = asked.result() if asked.done() else None
+        return told or await read
+    finally:
+        asked.cancel()
+        read.cancel()
+        # Each ends before what it waits for is used again.
+        await asyncio.gather(asked, read, return_exceptions=True)
--- a/bilberrydeal/gateway/tests/test_stream_rows.py
+++ b/bilberrydeal/gateway/tests/test_stream_rows.py
@@ -12,6 +12,7 @@
 from ... import store
 from ...store.tests import virtual
 from .. import core
+from .. import messaging
 from .. import origins
 from ..cluster_state import _cluster_state
 from ..core import _metrics
@@ -67,6 +68,7 @@
             self.clock,
             lambda: True,
             self.clock,
+            origins.OriginPeers(messaging.Datagrams(), "127.0.0.1:1", dict),
         )
 
     def begin(self, request_id: bytes, version: str) -> None:
