Test that streams of two versions go on after gateways or a decode engine ended

Callers that took streams up were refused with 503, while new streams began.

Engines take the interval between their events from tests.

--- a/scenarios/_gateways.py
+++ b/scenarios/_gateways.py
@@ -53,6 +53,12 @@
     #: Software versions that the decode workers have in turn; with several,
     #: callers resume streams that were broken off.
     versions: int = 1
+    #: Software version of each prefill worker; none of them has one if empty.
+    prefill_versions: tuple[str, ...] = ()
+    #: Software version of each decode worker, in place of those in turn.
+    decode_versions: tuple[str, ...] = ()
+    #: Target latency of all routes, in milliseconds.
+    target_latency_ms: float = 400.0
     #: Bandwidth of what a gateway receives, in Mbit/s; 0 for no limit.
     link_mbps: float = 0.0
     #: Routes beside the usual ones.
@@ -105,6 +111,8 @@
     store_proxy: _proxy.Proxy | None = None
     #: Service and role of a worker, empty for others.
     kind: str = ""
+    #: Software version of a worker, empty if it tells none.
+    version: str = ""
 
 
 class Fleet:
@@ -138,13 +146,14 @@
         self.disturbances: list[Disturbance] = []
         self.store = self._store()
         self.gateways = [self._gateway(n) for n in range(size.gateways)]
+        prefill = size.prefill_versions
         self.workers = [
             *(
                 self._worker(n, "bottega", "")
                 for n in range(size.plain_workers)
             ),
             *(
-                self._worker(10 + n, "llm", "prefill")
+                self._worker(10 + n, "llm", "prefill", _nth(prefill, n))
                 for n in range(size.prefill_workers)
             ),
             *(
@@ -207,6 +216,14 @@
 
         await _waits.eventually(ready, f"{gateway.name} is ready")
 
+    async def wait_serving(self, worker: Member) -> None:
+        """Wait until a worker accepts connections."""
+
+        async def serving() -> bool:
+            return await _waits.listening(worker.address, WORKER_PORT)
+
+        await _waits.eventually(serving, f"{worker.name} serves")
+
     async def configure(self, keys: dict[str, str] | None = None) -> None:
         """Write a new version of the configuration."""
         self.version += 1
@@ -214,7 +231,12 @@
         self.key_changes.append(
             KeyChange(self.version, frozenset(chosen), time.monotonic())
         )
-        found = configuration(self.version, chosen, self.added_routes)
+        found = configuration(
+            self.version,
+            chosen,
+            self.added_routes,
+            self.size.target_latency_ms,
+        )
         await self._put("op", "config", found)
 
     async def set_store_faults(self, **faults: object) -> None:
@@ -245,6 +267,16 @@
         call = {"limit_per_s": limit_per_s}
         await self._post(worker, WORKER_PORT, "/standin/limit", call)
 
+    async def stage(self, worker: Member) -> str:
+        """Return the stage that a worker reports, empty without a report."""
+        url = f"http://{worker.address}:{WORKER_PORT}/bilberrydeal/report"
+        try:
+            async with self.session.get(url) as answer:
+                report = msgspec.json.decode(await answer.read())
+        except aiohttp.ClientError:
+            return ""
+        return str(report["stage"])
+
     async def let_worker_leave(self, worker: Member) -> None:
         """Let a worker say in its responses that it leaves."""
         await self._post(worker, WORKER_PORT, "/standin/leave", {})
@@ -330,6 +362,8 @@
 
     def _version(self, number: int) -> str:
         """Return the version of a decode worker; empty if all are alike."""
+        if self.size.decode_versions:
+            return _nth(self.size.decode_versions, number)
         versions = self.size.versions
         return f"v{number % versions}" if versions > 1 else ""
 
@@ -370,6 +404,7 @@
             (WORKER_PORT,),
         )
         member.kind = f"{service} {stage}"
+        member.version = version
         return member
 
     def _member(
@@ -390,6 +425,11 @@
         )
 
 
+def _nth(versions: tuple[str, ...], number: int) -> str:
+    """Return the version of a worker, empty if none are named."""
+    return versions[number] if versions else ""
+
+
 def _settings(address: str, store: str, number: int) -> dict[str, object]:
     return {
         "role": "gateway",
@@ -415,6 +455,7 @@
     version: int,
     keys: dict[str, str],
     added: collections.abc.Sequence[str] = (),
+    target_latency_ms: float = 400.0,
 ) -> dict[str, object]:
     """Return a configuration in the operator's format.
 
@@ -428,7 +469,7 @@
             "path_prefix": f"/{name}/",
             "kind": kind,
             "timeout_ms": 5000,
-            "target_latency_ms": 400,
+            "target_latency_ms": target_latency_ms,
             "priority": 1,
             "service": service,
             "max_attempts": 2,
--- /dev/null
+++ b/scenarios/_lost_engine.py
@@ -0,0 +1,200 @@
+"""Kills the last decode engine of a version while it runs streams."""
+
+import asyncio
+import collections
+import collections.abc
+import random
+import time
+
+import attrs
+
+from . import _gateway_load
+from . import _gateways
+from . import _streams
+from . import _waits
+
+
+@attrs.frozen
+class EngineLoss:
+    """A version loses a decode engine while streams are in flight."""
+
+    #: Fleet whose engine is killed.
+    size: _gateways.FleetSize
+    #: Whether the system's own orders are waited for.
+    settles: bool
+    #: Time for callers to take streams up, from the kill, in seconds.
+    limit_s: float
+    #: Streams in flight.
+    streams: int = 24
+    #: Time for which engines keep their roles once they have settled, in
+    #: seconds: surplus engines change theirs after 4 s.
+    settled_s: float = 10.0
+    #: Streams of its version in flight as the engine is killed, at least.
+    at_least: int = 6
+
+
+@attrs.frozen
+class EngineCounts:
+    """What became of streams as an engine was killed."""
+
+    #: Stages of the engines of its version right before, without its own.
+    stages: tuple[str, ...]
+    #: Streams of its version that were in flight.
+    in_flight: int
+    #: How many of them callers took up.
+    broken: int
+    #: How many of those in flight were whole at the end.
+    whole: int
+    #: Requests that took streams up.
+    tries: int
+    #: New streams after the kill, and how many began.
+    new: int
+    began: int
+    #: Ids of streams with events missing, repeated or of two versions.
+    joined: tuple[str, ...]
+
+    def __str__(self) -> str:
+        return (
+            f"left of its version: {', '.join(self.stages)}; of "
+            f"{self.in_flight} streams in flight, taken up: {self.broken} "
+            f"in {self.tries} tries, whole at the end: {self.whole}; of "
+            f"{self.new} new ones began: {self.began}; "
+            f"joined: {len(self.joined)}"
+        )
+
+
+async def lose_engine(
+    fleet: _gateways.Fleet, loss: EngineLoss, rng: random.Random
+) -> EngineCounts:
+    """Kill a decode engine of the version that has the fewest of them."""
+    streams = _streams.Streams(fleet, rng)
+    await _streams.slow_down(fleet)
+    load = _Load(streams)
+    running = [
+        asyncio.create_task(load.keep_running()) for _ in range(loss.streams)
+    ]
+    try:
+        if loss.settles:
+            await _wait_until_settled(fleet, loss.settled_s)
+        stages, engine = await _wait_for_streams(fleet, load, loss.at_least)
+        in_flight = load.in_flight(engine.version)
+        load.ends_s = time.monotonic() + loss.limit_s
+        engine.process.kill()
+        await asyncio.gather(*running)
+    finally:
+        for task in running:
+            task.cancel()
+    broken = [each for each in in_flight if each.tries]
+    return EngineCounts(
+        stages,
+        len(in_flight),
+        len(broken),
+        sum(each.is_whole for each in in_flight),
+        sum(each.tries for each in broken),
+        len(load.new),
+        sum(each.has_begun for each in load.new),
+        _streams.joined_ids(streams),
+    )
+
+
+async def _wait_for_streams(
+    fleet: _gateways.Fleet, load: "_Load", at_least: int
+) -> tuple[tuple[str, ...], _gateways.Member]:
+    """Wait for streams of the version that has the fewest decode engines.
+
+    Return one of these engines and the stages of the others of its version.
+    """
+    found: list[tuple[tuple[str, ...], _gateways.Member]] = []
+
+    async def run() -> bool:
+        stages = {each: await fleet.stage(each) for each in fleet.workers}
+        engine = _engine_to_lose(stages)
+        others = tuple(
+            stage
+            for each, stage in stages.items()
+            if each.version == engine.version and each is not engine
+        )
+        found.append((others, engine))
+        return len(load.in_flight(engine.version)) >= at_least
+
+    await _waits.eventually(run, "streams of the version in flight")
+    return found[-1]
+
+
+class _Load:
+    """Streams that run one after another until their time is over."""
+
+    def __init__(self, streams: _streams.Streams) -> None:
+        #: When no further streams begin, in seconds.
+        self.ends_s = float("inf")
+        #: Streams that began after that was set.
+        self.new: list[_streams.Stream] = []
+        self._streams = streams
+        self._running: set[_streams.Stream] = set()
+
+    async def keep_running(self) -> None:
+        while time.monotonic() < self.ends_s:
+            stream = self._streams.new(_streams.EVENTS)
+            if self.ends_s < float("inf"):
+                self.new.append(stream)
+            self._running.add(stream)
+            await stream.begin(self._streams.gateway())
+            await self._take_up(stream)
+            self._running.discard(stream)
+            if not stream.has_begun:
+                await asyncio.sleep(_gateway_load.RESUMPTION_PAUSE_S)
+
+    async def _take_up(self, stream: _streams.Stream) -> None:
+        """Take a stream up until it is whole or the time is over."""
+        while stream.has_begun and not stream.is_whole:
+            await asyncio.sleep(_gateway_load.RESUMPTION_PAUSE_S)
+            if time.monotonic() > self.ends_s:
+                return
+            await stream.take_up(self._streams.gateway())
+
+    def in_flight(self, version: str) -> list[_streams.Stream]:
+        """Return the streams of a version that have begun and run."""
+        return [
+            each
+            for each in self._running
+            if each.has_begun and each.version == version
+        ]
+
+
+async def _wait_until_settled(
+    fleet: _gateways.Fleet, settled_s: float
+) -> None:
+    """Wait until a version has one decode engine, or no role changes."""
+    since_s = time.monotonic()
+    before: list[str] = []
+
+    async def settled() -> bool:
+        nonlocal since_s, before
+        stages = {each: await fleet.stage(each) for each in fleet.workers}
+        if [*stages.values()] != before:
+            since_s, before = time.monotonic(), [*stages.values()]
+        decoding = _decode_engines(stages)
+        return (
+            min(decoding.values()) == 1
+            or time.monotonic() - since_s >= settled_s
+        )
+
+    await _waits.eventually(settled, "the roles to settle")
+
+
+def _decode_engines(
+    stages: collections.abc.Mapping[_gateways.Member, str],
+) -> "collections.Counter[str]":
+    """Return the number of decode engines of each version that has any."""
+    return collections.Counter(
+        each.version for each, stage in stages.items() if stage == "decode"
+    )
+
+
+def _engine_to_lose(
+    stages: collections.abc.Mapping[_gateways.Member, str],
+) -> _gateways.Member:
+    """Return a decode engine of the version that has the fewest of them."""
+    count = _decode_engines(stages)
+    decoding = [each for each, stage in stages.items() if stage == "decode"]
+    return min(decoding, key=lambda each: count[each.version])
--- a/standins/users_endpoint/_app.py
+++ b/standins/users_endpoint/_app.py
@@ -76,6 +76,8 @@
     fail_share: float = 0.0
     #: Share of the responses that are sent twice.
     twice_share: float = 0.0
+    #: Interval between two events of a stream, in seconds.
+    event_interval_s: float = EVENT_INTERVAL_S
 
 
 def text_of(request_id: str, number: int) -> str:
@@ -280,7 +282,7 @@
         await response.prepare(request)
         cut_at = total // 2 if self._occurs(self.behaviour.tear_share) else 0
         for number in range(last + 1, total + 1):
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(self.behaviour.event_interval_s)
             event = event_of(began_as, number, self.version)
             if number == cut_at:
                 await response.write(event[:9].encode())
