Wait for a reset from the last acknowledgement on, not from the end

Agents' calls share the code.

Cause: the checks for a reset were counted from the end of the response. While bytes were unacknowledged they were used up, so that the response counted as whole at the very moment at which the last byte was acknowledged. The reset comes after that.

Change: the count begins anew for as long as bytes are unacknowledged. An endpoint that half closes and reads on to the end still counts.

--- a/bilberrydeal/endings/_end_watch.py
+++ b/bilberrydeal/endings/_end_watch.py
@@ -7,8 +7,8 @@
 
 #: Interval between two checks, in seconds.
 CHECK_INTERVAL_S = 0.005
-#: Time after the end for which a reset counts though all was acknowledged: the
-#: peer's host may hold bytes that the peer has not read, and resets the
+#: Time for which a reset counts after the end and the last acknowledgement:
+#: the peer's host may hold bytes that the peer has not read, and resets the
 #: connection as the peer closes it. In seconds, if a body was sent.
 RESET_GRACE_S = 0.02
 #: The same for large bodies, which are more often left unread, in seconds.
@@ -46,9 +46,10 @@
         self._on_sound = on_sound
         self._on_reset = on_reset
         self._loop = asyncio.get_running_loop()
-        #: Checks without a reset that are due. Counted rather than timed, as
-        #: a loop that stands still sees nothing.
-        self._checks_left = round(_grace_s(body_bytes) / CHECK_INTERVAL_S)
+        #: Checks without a reset that are due once all is acknowledged.
+        #: Counted rather than timed, as a loop that stands still sees nothing.
+        self._checks = round(_grace_s(body_bytes) / CHECK_INTERVAL_S)
+        self._checks_left = self._checks
 
     def start(self) -> bool:
         """Begin to watch; return whether the transport has to stay open.
@@ -65,12 +66,15 @@
         if _transports.was_reset(self._transport):
             self._on_reset()
             return False
-        if self._checks_left > 0 or self._unacknowledged:
+        if self._unacknowledged:
+            self._checks_left = self._checks
+        elif self._checks_left > 0:
             self._checks_left -= 1
-            self._loop.call_later(CHECK_INTERVAL_S, self._check)
-            return True
-        self._on_sound()
-        return False
+        else:
+            self._on_sound()
+            return False
+        self._loop.call_later(CHECK_INTERVAL_S, self._check)
+        return True
 
     @property
     def _unacknowledged(self) -> bool:
--- a/bilberrydeal/endings/tests/test_end_watch.py
+++ b/bilberrydeal/endings/tests/test_end_watch.py
@@ -18,6 +18,10 @@
 BUFFER_BYTES = 8_192
 WAIT_S = 0.3
 STALL_S = 0.15
+#: Longer than a reset is waited for after an end, in seconds.
+LATE_S = 0.15
+#: Bytes that the receive buffer holds.
+TAIL_BYTES = 2_000
 PAUSE_S = 0.01
 
 LoopFactory = collections.abc.Callable[[], asyncio.AbstractEventLoop]
@@ -32,6 +36,8 @@
     READ_ON = "read on"
     #: Resets, once the loop has stood still for longer than any wait.
     RESET_AFTER_STALL = "reset after stall"
+    #: Resets shortly after its host has acknowledged all, long after the end.
+    RESET_AFTER_LATE_READS = "reset after late reads"
     #: The watching side closes its transport itself.
     CLOSED_HERE = "closed here"
 
@@ -88,11 +94,12 @@
         )
         peer.close()
     elif then is Then.READ_ON:
-        left_bytes = len(body)
-        while left_bytes:
-            data = await loop.sock_recv(peer, left_bytes)
-            assert data
-            left_bytes -= len(data)
+        await _read(peer, len(body))
+    elif then is Then.RESET_AFTER_LATE_READS:
+        await asyncio.sleep(LATE_S)
+        await _read(peer, len(body) - TAIL_BYTES)
+        await asyncio.sleep(PAUSE_S)
+        peer.close()
     elif then is Then.CLOSED_HERE:
         watching.transport.abort()
     await asyncio.sleep(WAIT_S)
@@ -102,6 +109,14 @@
     return watching
 
 
+async def _read(peer: socket.socket, size_bytes: int) -> None:
+    loop = asyncio.get_running_loop()
+    while size_bytes:
+        data = await loop.sock_recv(peer, size_bytes)
+        assert data
+        size_bytes -= len(data)
+
+
 @pytest.mark.parametrize("loop", LOOPS)
 @pytest.mark.parametrize(
     ("body_bytes", "then", "outcomes"),
@@ -115,6 +130,7 @@
         (LARGE_BYTES, Then.RESET, ["reset"]),
         (1, Then.RESET_AFTER_STALL, ["reset"]),
         (LARGE_BYTES, Then.RESET_AFTER_STALL, ["reset"]),
+        (LARGE_BYTES, Then.RESET_AFTER_LATE_READS, ["reset"]),
         (1, Then.CLOSED_HERE, []),
         (LARGE_BYTES, Then.CLOSED_HERE, []),
     ],
--- a/bilberrydeal/gateway/tests/test_uploads_in_progress.py
+++ b/bilberrydeal/gateway/tests/test_uploads_in_progress.py
@@ -18,10 +18,17 @@
 PIECE_BYTES = 20_000
 PIECE_PAUSE_S = 0.005
 PAUSE_S = 0.05
+#: Longer than a reset is waited for after an end, in seconds.
+LATE_S = 0.15
+#: Bytes at the end of a request that each receive buffer holds.
+TAIL_BYTES = 2_000
 READ_BYTES = 1_000
 EVENTS = b"".join(scripted.event(n) for n in range(1, 200))
 #: Sizes of receive buffers: the default, little, and all of a request.
 BUFFERS = [0, 8_192, 4_000_000]
+#: Those that hold a part of a request only, so that it is sent on for as long
+#: as the endpoint reads.
+SMALL_BUFFERS = [0, 8_192]
 
 LoopFactory = collections.abc.Callable[[], asyncio.AbstractEventLoop]
 LOOPS = [asyncio.new_event_loop, uvloop.new_event_loop]
@@ -94,8 +101,10 @@
         self._unread_bytes -= len(data)
         return data
 
-    async def _read_rest(self, sock: socket.socket) -> None:
-        while self._unread_bytes and await self._read(sock):
+    async def _read_rest(
+        self, sock: socket.socket, left_bytes: int = 0
+    ) -> None:
+        while self._unread_bytes > left_bytes and await self._read(sock):
             pass
 
     def close(self) -> None:
@@ -103,6 +112,20 @@
         self._listening.close()
 
 
+class LateWorker(Worker):
+    """Ends its direction, reads on late, and closes before the last bytes."""
+
+    def __init__(self, buffer_bytes: int) -> None:
+        super().__init__(Ending.ENDED_UNREAD, buffer_bytes)
+
+    async def _end(self, sock: socket.socket) -> None:
+        sock.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(LATE_S)
+        await self._read_rest(sock, TAIL_BYTES)
+        await asyncio.sleep(PAUSE_S)
+        sock.close()
+
+
 def _response(head: bytes) -> bytes:
     found = re.search(rb"(?mi)^request-id: ?([^\r\n]*)", head)
     assert found
@@ -151,12 +174,29 @@
     if ending in WHOLE:
         assert (reply.status, reply.body) == (200, EVENTS)
         assert reply.complete
-    elif path == "/once/1":
+    else:
+        _assert_not_whole(reply, path)
+
+
+def _assert_not_whole(reply: harness.Reply, path: str) -> None:
+    if path == "/once/1":
         assert (reply.status, reply.body) == (502, b"")
     else:
         assert not reply.complete
 
 
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("buffer_bytes", SMALL_BUFFERS)
+@pytest.mark.parametrize("path", ["/once/1", "/chat-one/1"])
+def test_response_reset_when_an_upload_outlasts_its_end_is_not_whole(
+    path: str, buffer_bytes: int, loop: LoopFactory
+) -> None:
+    worker = LateWorker(buffer_bytes)
+    with asyncio.Runner(loop_factory=loop) as runner:
+        reply = runner.run(_upload(path, worker))
+    _assert_not_whole(reply, path)
+
+
 HEAD = (
     b"POST /once/1 HTTP/1.1\r\nhost: h.example\r\nrequest-id: r1\r\n"
     b"key: k1\r\ndeadline-ms: 2000\r\nconnection: close\r\n%b\r\n\r\n"
