Keep an engine decoding at each software version with streams

Callers of six engines, three of each of two versions, could not take up a stream of one version after a single engine had died: 0 of 15 went on, in six tries a second apart, while all new streams began. Two engines of the version served, and both only prefilled. The plan of roles knew no version: it ordered the others of the version to prefill before, and its order after the loss went to any engine.

The controller notes which versions decoded within the lifetime of streams. A version of these of which two engines serve keeps one that decodes: its last one isn't ordered to prefill, and if it is lost another is ordered to decode after 0.5 s, whatever share of the engines is changing. One version keeps two; one of a pair goes only while prompts wait. Without load, engines are taken such that a pair of one version is left.

--- a/bilberrydeal/gateway/duties/_roles.py
+++ b/bilberrydeal/gateway/duties/_roles.py
@@ -70,6 +70,9 @@
     #: Role of the order that the plan wants, and since when.
     wanted_role: ports.EngineRole | None = None
     wanted_since_s: float = 0.0
+    #: When an engine of each software version decoded last, by the store
+    #: client's clock, while requests were seen.
+    decoded_s: dict[str, float] = attrs.field(factory=dict)
 
     def average(
         self,
@@ -83,6 +86,19 @@
         self.busy_slots += (busy - self.busy_slots) * SAMPLE_WEIGHT
         self.prefill_wait_s += (wait_s - self.prefill_wait_s) * SAMPLE_WEIGHT
 
+    def note_decoding(
+        self,
+        versions: collections.abc.Iterable[str],
+        now_s: float,
+        lifetime_s: float,
+    ) -> None:
+        """Record the software versions at which streams may run now."""
+        if self.used:
+            self.decoded_s.update(dict.fromkeys(versions, now_s))
+        for version, last_s in list(self.decoded_s.items()):
+            if now_s - last_s > lifetime_s:
+                del self.decoded_s[version]
+
     def wanted_long_enough(
         self, order: placement.RoleOrder | None, now_s: float
     ) -> bool:
@@ -155,7 +171,7 @@
             )
             if not state.wanted_long_enough(order, now_s) or order is None:
                 return
-            if not self._may_order(service.name, state, now_s):
+            if not self._may_order(service.name, state, order, now_s):
                 return
             pending = _PendingOrder(
                 order.role,
@@ -184,6 +200,11 @@
         )
         state.needs.observe(loads, now_s)
         state.used = state.used or any(load.requests for load in loads)
+        state.note_decoding(
+            self._decoding_versions(service),
+            now_s,
+            self._cluster.stream_lifetime_s,
+        )
         by_id = {load.engine_id: load for load in loads}
         for engine_id, order in list(state.pending.items()):
             load = by_id.get(engine_id)
@@ -200,6 +221,17 @@
             if upstream.load is not None and upstream.endpoint.ready
         ]
 
+    def _decoding_versions(self, service: str) -> set[str]:
+        """Return the software versions of engines that may run streams.
+
+        Engines that leave finish theirs.
+        """
+        return {
+            upstream.endpoint.software_version
+            for upstream in self._cluster.of_service(service)
+            if upstream.load is not None and not upstream.load.prefill_only
+        }
+
     def _with_pending_roles(
         self, service: str, state: _ServiceRoles
     ) -> list[placement.EngineLoad]:
@@ -228,14 +260,19 @@
             order_count=state.order_count,
             need=state.needs.learned,
             changing=len(state.pending),
+            stream_versions=frozenset(state.decoded_s),
         )
 
     def _may_order(
-        self, service: str, state: _ServiceRoles, now_s: float
+        self,
+        service: str,
+        state: _ServiceRoles,
+        order: placement.RoleOrder,
+        now_s: float,
     ) -> bool:
         if self._lease.remaining_s(now_s) < MIN_LEASE_LEFT_S:
             return False
-        if not state.used:
+        if order.urgent or not state.used:
             return True
         limit = max(int(len(self._loads(service)) * MAX_CHANGING_SHARE), 1)
         return len(state.pending) < limit
--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -11,6 +11,7 @@
 from . import _entities
 from . import _options
 from . import _role_need
+from . import _role_versions
 
 #: Fewest decode engines of a service, so that one remains if another is lost.
 #: Services with fewer engines than ``MIN_DECODE_ENGINES_FROM`` need only one.
@@ -50,6 +51,8 @@
 #: or the service is idle, a short one if a crashed engine may come back, and
 #: the longest one for a surplus.
 NO_DEBOUNCE_S = 0.0
+#: The same if no engine of a software version with streams decodes.
+VERSION_DEBOUNCE_S = 0.5
 SHORTAGE_DEBOUNCE_S = 2.0
 SURPLUS_DEBOUNCE_S = 4.0
 
@@ -65,6 +68,8 @@
     #: Time for which the change must be needed before it is ordered, in
     #: seconds.
     debounce_s: float
+    #: Whether it is sent however many engines are changing their roles.
+    urgent: bool = False
 
 
 @attrs.frozen
@@ -88,6 +93,8 @@
     need: _role_need.RoleNeed | None = None
     #: Number of engines that are changing their roles.
     changing: int = 0
+    #: Software versions at which streams may go on.
+    stream_versions: frozenset[str] = frozenset()
 
 
 Plan = collections.abc.Callable[
@@ -117,26 +124,59 @@
 
     Decode engines are spread over failure domains. Their number follows the
     number of busy slots, between a minimum and what prefill leaves. Where
-    engines have few slots it follows from what is learned.
+    engines have few slots it follows from what is learned. In any case an
+    engine of each software version with streams decodes, and two of one.
     """
     decode_engines = [engine for engine in engines if not engine.prefill_only]
     prefill_engines = [engine for engine in engines if engine.prefill_only]
+    order = _order_for_streams(decode_engines, prefill_engines, demand)
+    if order is not None:
+        return order
     if demand.need is not None and _few_slots(engines):
         return _learned_order(
             decode_engines, prefill_engines, demand, demand.need
         )
     wanted = _decode_engines_wanted(engines, demand)
     if len(decode_engines) > wanted and _more_prefill_wanted(demand):
-        chosen = _decode_engine_to_convert(decode_engines)
-        debounce_s = NO_DEBOUNCE_S if demand.idle else SURPLUS_DEBOUNCE_S
-        return RoleOrder(
-            chosen.engine_id, ports.EngineRole.PREFILL, debounce_s
-        )
+        return _to_prefill(decode_engines, prefill_engines, demand)
     if len(decode_engines) < wanted and prefill_engines:
         return _to_decode(decode_engines, prefill_engines, demand)
     return None
 
 
+def _order_for_streams(
+    decode_engines: list[_entities.EngineLoad],
+    prefill_engines: list[_entities.EngineLoad],
+    demand: RoleDemand,
+) -> RoleOrder | None:
+    """Return the change without which streams could not go on.
+
+    A software version without a decode engine gets one at once. If each has
+    one, one of them gets a second, as long as prefill keeps its share.
+    """
+    versions = _role_versions.role_versions(
+        [*decode_engines, *prefill_engines], demand.stream_versions
+    )
+    stopped = _of_versions(prefill_engines, versions.bare)
+    if stopped:
+        order = _to_decode(decode_engines, stopped, demand)
+        debounce_s = min(order.debounce_s, VERSION_DEBOUNCE_S)
+        return attrs.evolve(order, debounce_s=debounce_s, urgent=True)
+    count = len(decode_engines) + len(prefill_engines)
+    if len(prefill_engines) <= _min_prefill_engines(count):
+        return None
+    single = _of_versions(prefill_engines, versions.completable)
+    if single:
+        return _to_decode(decode_engines, single, demand)
+    return None
+
+
+def _of_versions(
+    engines: list[_entities.EngineLoad], versions: frozenset[str]
+) -> list[_entities.EngineLoad]:
+    return [each for each in engines if each.software_version in versions]
+
+
 def _few_slots(
     engines: collections.abc.Sequence[_entities.EngineLoad],
 ) -> bool:
@@ -179,7 +219,7 @@
     if prefill_used >= SHORTAGE_SHARE and decode > minimum:
         left_used = need.decode_engines / (decode - 1)
         if left_used < prefill_used * DECODE_DONOR_LIMIT:
-            return _to_prefill(decode_engines)
+            return _to_prefill(decode_engines, prefill_engines, demand)
     return None
 
 
@@ -194,11 +234,20 @@
     return RoleOrder(chosen.engine_id, ports.EngineRole.DECODE, debounce_s)
 
 
-def _to_prefill(decode_engines: list[_entities.EngineLoad]) -> RoleOrder:
-    chosen = _decode_engine_to_convert(decode_engines)
-    return RoleOrder(
-        chosen.engine_id, ports.EngineRole.PREFILL, SURPLUS_DEBOUNCE_S
+def _to_prefill(
+    decode_engines: list[_entities.EngineLoad],
+    prefill_engines: list[_entities.EngineLoad],
+    demand: RoleDemand,
+) -> RoleOrder | None:
+    """Return the change of a decode engine, ``None`` if all are required."""
+    versions = _role_versions.role_versions(
+        [*decode_engines, *prefill_engines], demand.stream_versions
     )
+    chosen = _decode_engine_to_convert(decode_engines, versions, demand)
+    if chosen is None:
+        return None
+    debounce_s = NO_DEBOUNCE_S if demand.idle else SURPLUS_DEBOUNCE_S
+    return RoleOrder(chosen.engine_id, ports.EngineRole.PREFILL, debounce_s)
 
 
 def _more_prefill_wanted(demand: RoleDemand) -> bool:
@@ -223,36 +272,65 @@
     slots = max(engine.slots for engine in engines)
     minimum = max(minimum, math.ceil(count * _min_decode_share(slots)))
     needed = math.ceil(demand.busy_slots / (slots * SLOT_UTILIZATION))
-    maximum = count - math.ceil(count * MIN_PREFILL_SHARE)
+    maximum = count - _min_prefill_engines(count)
     return min(max(minimum, min(needed, maximum)), max(maximum, 1))
 
 
+def _min_prefill_engines(count: int) -> int:
+    return math.ceil(count * MIN_PREFILL_SHARE)
+
+
 def _decode_engine_to_convert(
     decode_engines: list[_entities.EngineLoad],
-) -> _entities.EngineLoad:
+    versions: _role_versions.RoleVersions,
+    demand: RoleDemand,
+) -> _entities.EngineLoad | None:
     """Choose a decode engine to convert, the fastest one.
 
-    The main one is not chosen: it has the most requests to finish. The last
-    one of a failure domain is chosen only if there is no other. One that no
-    other of its software version could replace goes first.
+    The main one is not chosen: it has the most requests to finish. One that
+    the streams of its software version require is not chosen either, and one
+    of two only while prompts wait and there is no other. The last one of a
+    failure domain is chosen only if there is no other. One that no other of
+    its version could replace goes first, then one of two of a version without
+    the main one.
     """
-    versions = _by_version(decode_engines)
     main = _options.main_decode_engine(decode_engines)
+    candidates = [
+        each
+        for each in decode_engines
+        if not versions.required(each)
+        and (each is not main or _idle_and_alone(each, versions, demand))
+    ]
+    unpaired = [each for each in candidates if not versions.paired(each)]
+    if not unpaired and _prefill_idle(demand):
+        return None
+    candidates = unpaired or candidates
     domains = _by_domain(decode_engines)
-    candidates = [each for each in decode_engines if each is not main]
     spared = [each for each in candidates if domains[each.failure_domain] > 1]
+    only_pairs = max(versions.decode.values()) == _role_versions.PAIR
     return max(
         spared or candidates,
         key=lambda each: (
-            versions[each.software_version] == 1,
+            versions.decode[each.software_version] == 1,
+            only_pairs and each.software_version != main.software_version,
             -_permanent_factor(each),
             domains[each.failure_domain],
             -each.requests,
             each.key,
         ),
+        default=None,
     )
 
 
+def _idle_and_alone(
+    engine: _entities.EngineLoad,
+    versions: _role_versions.RoleVersions,
+    demand: RoleDemand,
+) -> bool:
+    """Return whether an engine decodes alone for its version, without load."""
+    return demand.idle and versions.decode[engine.software_version] == 1
+
+
 def _prefill_engine_to_convert(
     prefill_engines: list[_entities.EngineLoad],
     decode_engines: list[_entities.EngineLoad],
@@ -260,11 +338,12 @@
     """Choose a prefill engine to convert, the slowest one.
 
     It is in one of the failure domains in which the fewest engines decode, or
-    in which only one more decodes. One of a software version that decodes
-    already goes first: streams go on at their version alone, so two engines of
-    one version are worth more than one of each.
+    in which only one more decodes. One of a software version of which one
+    decodes already goes first, then one of a version of which several do:
+    streams go on at their version alone, so two engines of one version are
+    worth more than one of each.
     """
-    versions = _by_version(decode_engines)
+    versions = _role_versions.by_version(decode_engines)
     domains = _by_domain(decode_engines)
     fewest = min(domains[each.failure_domain] for each in prefill_engines)
     return min(
@@ -275,6 +354,7 @@
         ),
         key=lambda each: (
             not versions[each.software_version],
+            versions[each.software_version] >= _role_versions.PAIR,
             -_permanent_factor(each),
             domains[each.failure_domain],
             each.key,
@@ -288,12 +368,6 @@
     return collections.Counter(each.failure_domain for each in engines)
 
 
-def _by_version(
-    engines: list[_entities.EngineLoad],
-) -> collections.Counter[str]:
-    return collections.Counter(each.software_version for each in engines)
-
-
 def _permanent_factor(engine: _entities.EngineLoad) -> float:
     """Return the learned permanent factor; above 1 is slower."""
     return engine.speed.capability.factor
--- a/bilberrydeal/systems/placement/tests/test_role_plan.py
+++ b/bilberrydeal/systems/placement/tests/test_role_plan.py
@@ -1,5 +1,7 @@
 """Tests of the role plans."""
 
+import random
+
 import pytest
 
 from .... import ports
@@ -144,3 +146,98 @@
     order = placement.plan_roles(engines, placement.RoleDemand())
     assert order is not None
     assert order.engine_id == engine_id
+
+
+def _carried_out(
+    engines: list[placement.EngineLoad], demand: placement.RoleDemand
+) -> list[placement.RoleOrder]:
+    """Carry out orders until there are none, and return them."""
+    by_id = {engine.engine_id: engine for engine in engines}
+    orders: list[placement.RoleOrder] = []
+    while len(orders) <= len(engines):
+        order = placement.plan_roles(engines, demand)
+        if order is None:
+            break
+        by_id[order.engine_id].role = order.role
+        orders.append(order)
+    return orders
+
+
+def _decoding(engines: list[placement.EngineLoad], version: str) -> int:
+    return sum(
+        not engine.prefill_only and engine.software_version == version
+        for engine in engines
+    )
+
+
+@pytest.mark.parametrize("first_id", range(20))
+@pytest.mark.parametrize("domains", [1, 6])
+def test_idle_engines_of_two_versions_do_not_decode_one_each(
+    first_id: int, domains: int
+) -> None:
+    engines = _engines("ddddpp")
+    for number, engine in enumerate(engines):
+        engine.engine_id = f"e{first_id + number}"
+        engine.failure_domain = f"d{number % domains}"
+        engine.software_version = f"v{number % 2}"
+    orders = _carried_out(engines, placement.RoleDemand(idle=True))
+    counts = [_decoding(engines, version) for version in ("v0", "v1")]
+    assert sorted(counts) == [0, 2]
+    assert len(orders) == 2
+
+
+@pytest.mark.parametrize(
+    ("roles", "versions", "engine_id"),
+    [
+        # The last one of v2 is gone.
+        ("ddpppp", "111122", "e4"),
+        # Prefill has its least share, and may lose more.
+        ("dddppp", "111122", "e4"),
+        # One of v2 is left, and nothing requires that it goes on.
+        ("ddpppp", "111112", None),
+        # No version has two.
+        ("ddpppp", "121212", "e2"),
+        # v1 has two.
+        ("dddppp", "121212", None),
+    ],
+)
+def test_versions_with_streams_decode(
+    roles: str, versions: str, engine_id: str | None
+) -> None:
+    engines = _engines(roles)
+    for engine, version in zip(engines, versions, strict=True):
+        engine.software_version = version
+        engine.failure_domain = "d"
+    demand = placement.RoleDemand(
+        prefill_wait_s=0.0, stream_versions=frozenset("12")
+    )
+    order = placement.plan_roles(engines, demand)
+    assert (order.engine_id if order else None) == engine_id
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_orders_end_and_keep_versions_with_streams_decoding(
+    seed: int,
+) -> None:
+    chance = random.Random(seed)
+    engines = _engines("".join(chance.choices("dp", k=chance.randint(2, 20))))
+    for engine in engines:
+        engine.engine_id = f"e{chance.randrange(1_000_000)}"
+        engine.software_version = chance.choice("1112233")
+        engine.failure_domain = chance.choice("abc")
+        engine.slots = chance.choice((8, 16, 64))
+    had_prefill = any(each.prefill_only for each in engines)
+    versions = chance.choice(("", "1", "12", "123"))
+    demand = placement.RoleDemand(
+        busy_slots=chance.choice((0.0, 100.0, 1_000.0)),
+        prefill_wait_s=chance.choice((0.0, 0.5)),
+        order_count=chance.choice((0, 12)),
+        stream_versions=frozenset(versions),
+    )
+    orders = _carried_out(engines, demand)
+    assert len(orders) <= len(engines)
+    for version in versions:
+        found = [each for each in engines if each.software_version == version]
+        if len(found) > 1:
+            assert _decoding(engines, version)
+    assert any(each.prefill_only for each in engines) >= had_prefill
