Begin streams where another engine of the version decodes

Callers could not take up streams of a version with one decode engine and further prefill engines, once the one had ended: until another has changed its role, none goes on. Engines for new streams were chosen without regard to that.

A stream begins at no such version while others decode with two engines or more. As that takes engines from new streams, it holds only while they are at most a third of the decode engines and half of the free share of the others' slots, and while one of the others takes a stream. Streams that have begun at such a version go on there. It needs its decode engine only until the streams' lifetime is over, so the plan may then order it to prefill.

What more requests at the other engines cost in time per token was not measured with real engines.

--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -17,6 +17,7 @@
 from . import _departures
 from . import _endpoint_limit
 from . import _freshness
+from . import _lone_versions
 from . import _new_versions
 from . import _poll_times
 from . import _service_state
@@ -54,9 +55,12 @@
 
 @attrs.frozen
 class _HeldVersions:
-    """Versions of a service at which no stream may begin."""
+    """Versions of a service at which streams don't begin."""
 
+    #: Those at which none may begin.
     versions: frozenset[str]
+    #: Those at which none begins while others take it.
+    avoided: frozenset[str]
     #: When to decide anew, monotonic seconds.
     until_s: float
 
@@ -298,28 +302,32 @@
 
         In a large fleet requests of one affinity get the same small subset.
         With a software version only engines of that version may decode, and
-        without one none of a version that others may not know of yet.
+        without one none of a version that others may not know of yet, and
+        none of one that has a single decode engine if others can do without.
         """
         found = self._services.get(service)
         if found is None:
             return []
-        held: frozenset[str] = frozenset()
-        if software_version is None:
-            held = self._held_versions(service, now_s)
-        return found.engines(affinity, now_s, software_version, held)
+        if software_version is not None:
+            return found.engines(affinity, now_s, software_version)
+        held = self._held_versions(service, now_s)
+        return found.engines(
+            affinity, now_s, held=held.versions, avoided=held.avoided
+        )
+
+    def avoided_versions(self, service: str, now_s: float) -> frozenset[str]:
+        """Return the software versions at which streams don't begin."""
+        held = self._held_versions(service, now_s)
+        return held.versions | held.avoided
 
-    def _held_versions(self, service: str, now_s: float) -> frozenset[str]:
-        """Return the software versions at which no stream may begin."""
+    def _held_versions(self, service: str, now_s: float) -> _HeldVersions:
         held = self._held.get(service)
         if held is None or now_s >= held.until_s:
-            held = _HeldVersions(
-                self._new_versions_of(service, now_s),
-                now_s + NEW_VERSIONS_INTERVAL_S,
-            )
-            self._held[service] = held
-        return held.versions
+            held = self._held[service] = self._decide_held(service, now_s)
+        return held
 
-    def _new_versions_of(self, service: str, now_s: float) -> frozenset[str]:
+    def _decide_held(self, service: str, now_s: float) -> _HeldVersions:
+        """Decide at which software versions streams don't begin."""
         upstreams = [
             upstream
             for upstream in self.of_service(service)
@@ -327,14 +335,30 @@
         ]
         present = {each.endpoint.software_version for each in upstreams}
         self.new_versions.observe(service, present, now_s)
-        decoding = {
-            each.endpoint.software_version
+        decoding = [
+            each
             for each in upstreams
             if each.decodes
             and each.view.available
             and each.view.circuit is systems.CircuitState.CLOSED
-        }
-        return self.new_versions.held(service, decoding, now_s)
+        ]
+        held = self.new_versions.held(
+            service,
+            {each.endpoint.software_version for each in decoding},
+            now_s,
+        )
+        beginning = [
+            each
+            for each in decoding
+            if each.endpoint.software_version not in held
+            and not each.changing_role(now_s)
+            and not each.failed
+        ]
+        return _HeldVersions(
+            held,
+            _lone_versions.lone_versions(upstreams, beginning),
+            now_s + NEW_VERSIONS_INTERVAL_S,
+        )
 
     def stream_slots(self) -> float:
         """Return the slots that long streams of all services need."""
@@ -374,6 +398,19 @@
             now_s,
         )
         upstream.view.in_flight = upstream.pool.busy
+        self._note_outcome(upstream, succeeded)
+
+    def _note_outcome(
+        self, upstream: _upstream.Upstream, succeeded: bool
+    ) -> None:
+        """Let streams begin elsewhere as soon as an engine fails."""
+        if upstream.failed is not succeeded:
+            return
+        upstream.failed = not succeeded
+        service = upstream.endpoint.service
+        held = self._held.get(service)
+        if held is not None and held.avoided:
+            del self._held[service]
 
     def observe_progress(
         self, upstream: _upstream.Upstream, now_s: float
--- a/bilberrydeal/gateway/cluster_state/_service_state.py
+++ b/bilberrydeal/gateway/cluster_state/_service_state.py
@@ -58,13 +58,19 @@
         now_s: float,
         software_version: str | None = None,
         held: frozenset[str] = frozenset(),
+        avoided: frozenset[str] = frozenset(),
     ) -> list[placement.EngineLoad]:
         """Return the usable engines that are candidates for a request.
 
         In a large fleet requests of one affinity get the same small subset.
         With a software version only engines of that version may decode, and
-        in no case those of versions that are ``held``.
+        in no case those of versions that are ``held``. Those of versions that
+        are ``avoided`` may only if no other can.
         """
+        if avoided:
+            found = self.engines(affinity, now_s, held=held | avoided)
+            if any(not load.prefill_only for load in found):
+                return found
 
         def usable(load: placement.EngineLoad) -> bool:
             upstream = self.upstreams[load.engine_id]
--- a/bilberrydeal/gateway/cluster_state/_upstream.py
+++ b/bilberrydeal/gateway/cluster_state/_upstream.py
@@ -32,6 +32,8 @@
     #: Whether another endpoint responded at its address.
     misdirected: bool = False
 
+    #: Whether the last send to it failed.
+    failed: bool = False
     #: Consecutive immediate rejections.
     rejections: int = 0
     #: No request is sent to it before this time, monotonic seconds.
--- a/bilberrydeal/gateway/duties/_roles.py
+++ b/bilberrydeal/gateway/duties/_roles.py
@@ -224,12 +224,18 @@
     def _decoding_versions(self, service: str) -> set[str]:
         """Return the software versions of engines that may run streams.
 
-        Engines that leave finish theirs.
+        Engines that leave, or that are not sent new ones, finish theirs.
         """
+        avoided = self._cluster.avoided_versions(service, self._steady_s())
         return {
             upstream.endpoint.software_version
             for upstream in self._cluster.of_service(service)
-            if upstream.load is not None and not upstream.load.prefill_only
+            if upstream.load is not None
+            and not upstream.load.prefill_only
+            and (
+                upstream.load.requests
+                or upstream.endpoint.software_version not in avoided
+            )
         }
 
     def _with_pending_roles(
--- a/bilberrydeal/gateway/tests/test_roles.py
+++ b/bilberrydeal/gateway/tests/test_roles.py
@@ -355,3 +355,17 @@
         fixture.end_stream()
         await fixture.play(10.0)
         assert fixture.order_count == 0
+
+
+async def test_lone_decode_engine_prefills_after_its_streams() -> None:
+    """New streams begin at the version with two, and one order is sent."""
+    async with _fixture(_accepting, ONE_OF_V1_2) as fixture:
+        fixture.run_stream()
+        await fixture.play(0.5)
+        fixture.end_stream()
+        await fixture.play(20.0)
+        assert fixture.decoding("v1.2")
+        await fixture.play(40.0)
+        assert not fixture.decoding("v1.2")
+        assert len(fixture.decoding("v1.1")) == 2
+        assert fixture.order_count == 1
