Tell callers of an absent version how long a change under way still takes

Whoever took up a stream whose version had no decode engine was told to come back after the whole time of a role change, also while a change had gone on for most of it. The time since the order was announced was not kept.

The new test on the resolver before, 2 of 4 rows failed:

test_resumption_waits_no_longer_than_for_a_change_under_way[p1-2.0-1.0]: assert 2.0 < 0.5, 2.0 = abs((3.0 - 1.0))

Each gateway keeps when a change was announced first, and Retry-After is what is left of role_switch_s, the least over the version's engines. A change that is overdue counts 0.5 s: the engine finishes its requests before.

Measured: all four rows pass.

--- a/bilberrydeal/gateway/cluster_state/_upstream.py
+++ b/bilberrydeal/gateway/cluster_state/_upstream.py
@@ -13,6 +13,9 @@
 REJECTED_PAUSE_FIRST_S = 0.1
 #: Longest such pause, in seconds.
 REJECTED_PAUSE_LIMIT_S = 0.8
+#: Time that a role change is assumed to need once it is overdue, in seconds:
+#: the engine finishes its requests before.
+MIN_CHANGE_LEFT_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -38,6 +41,8 @@
     rejections: int = 0
     #: No request is sent to it before this time, monotonic seconds.
     paused_until_s: float = 0.0
+    #: When a role change was announced first, monotonic seconds.
+    changing_since_s: float = 0.0
     #: End of an announced role change, monotonic seconds.
     changing_until_s: float = 0.0
     #: Pause for which the endpoint has asked.
@@ -47,6 +52,22 @@
         """Return whether it is changing its role."""
         return now_s < self.changing_until_s
 
+    def note_role_change(self, now_s: float, until_s: float) -> None:
+        """Record an announcement that it is changing its role."""
+        if not self.changing_role(now_s):
+            self.changing_since_s = now_s
+        self.changing_until_s = until_s
+
+    def decodes_in_s(self, switch_s: float, now_s: float) -> float:
+        """Return the time until an engine that prefills may decode.
+
+        A change that is not under way takes ``switch_s`` from now on.
+        """
+        if not self.changing_role(now_s):
+            return switch_s
+        left_s = self.changing_since_s + switch_s - now_s
+        return max(left_s, MIN_CHANGE_LEFT_S)
+
     def usable(self, now_s: float) -> bool:
         """Return whether requests may be sent to it."""
         return (
--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -70,7 +70,7 @@
             raise core.not_run_refusal(
                 errors.ErrorCode.STREAM_ORIGIN_ABSENT,
                 f"no engine of version {origin.software_version} decodes",
-                self._absent_retry_s(admitted.service),
+                self._absent_retry_s(origin),
             )
         self._metrics.count_resumption("bound")
         return origin
@@ -109,13 +109,26 @@
         """
         return self._cluster.endpoints_freshness.is_fresh(now_s)
 
-    def _absent_retry_s(self, service: str) -> float:
-        """Return the time until an engine that prefills may decode."""
+    def _absent_retry_s(self, origin: core.StreamOrigin) -> float:
+        """Return the time until an engine of the version may decode."""
         configuration = self._cluster.configuration
-        found = configuration.services.get(service) if configuration else None
+        found = (
+            configuration.services.get(origin.service)
+            if configuration
+            else None
+        )
         if found is None or found.engine is None:
             return core.FAILED_RETRY_S
-        return max(found.engine.role_switch_s, core.FAILED_RETRY_S)
+        switch_s = found.engine.role_switch_s
+        now_s = self._clock()
+        waits_s = [
+            upstream.decodes_in_s(switch_s, now_s)
+            for upstream in self._cluster.of_service(origin.service)
+            if upstream.load is not None
+            and upstream.load.prefill_only
+            and upstream.has_version(origin.software_version)
+        ]
+        return max(min(waits_s, default=switch_s), core.FAILED_RETRY_S)
 
     async def _read(self, asked_s: float, limit_s: float) -> bool:
         """Read what other gateways stored; return whether that worked."""
--- a/bilberrydeal/gateway/peer_exchange/_role_changes.py
+++ b/bilberrydeal/gateway/peer_exchange/_role_changes.py
@@ -63,4 +63,4 @@
                     endpoint=engine_id,
                     told_by=datagram.gateway,
                 )
-            upstream.changing_until_s = now_s + ANNOUNCEMENT_TTL_S
+            upstream.note_role_change(now_s, now_s + ANNOUNCEMENT_TTL_S)
--- a/bilberrydeal/gateway/tests/test_software_versions.py
+++ b/bilberrydeal/gateway/tests/test_software_versions.py
@@ -266,6 +266,42 @@
     assert reply.field("retry-after") == b"3.000"
 
 
+@pytest.mark.parametrize(
+    ("changing", "began_before_s", "retry_after"),
+    [
+        ("p1", 0.0, "3.0"),
+        ("p1", 2.0, "1.0"),
+        # It has still to finish what it ran as the order came.
+        ("p1", 9.0, "0.5"),
+        ("p2", 2.0, "3.0"),
+    ],
+)
+async def test_resumption_waits_no_longer_than_for_a_change_under_way(
+    changing: str, began_before_s: float, retry_after: str
+) -> None:
+    table = memory.MemoryStore()
+    await _first_events(
+        table,
+        _engine("d1", "v1", _broken_off),
+        _engine("d2", "v2", _decode),
+    )
+    engines = [
+        _engine("p1", "v1", _prefill, "prefill"),
+        _engine("p2", "v2", _prefill, "prefill"),
+        _engine("d2", "v2", _decode),
+    ]
+    async with harness.running(*engines, table=table, name="g2") as running:
+        now_s = time.monotonic()
+        upstream = running.cluster.endpoints[changing]
+        upstream.note_role_change(now_s - began_before_s, now_s + 60.0)
+        reply = await running.stream(
+            last_event_id="2", resumes="r1", request_id="r1-2", **SHORT
+        )
+    assert reply.status == 503
+    found = float(reply.field("retry-after") or 0.0)
+    assert abs(found - float(retry_after)) < 0.5
+
+
 def test_version_of_few_engines_is_found_in_a_large_fleet() -> None:
     cluster = loopback.cluster(ports.EngineRole.DECODE)
     for number in range(600):
