--- a/bilberrydeal/gateway/origins/_memory.py
+++ b/bilberrydeal/gateway/origins/_memory.py
@@ -73,8 +73,13 @@
         self, request_id: bytes, now_s: float
     ) -> core.StreamOrigin | None:
         """Return what began the stream of a request, if it is known."""
+        return self.find_stream(digest(request_id), now_s)
+
+    def find_stream(
+        self, stream: str, now_s: float
+    ) -> core.StreamOrigin | None:
+        """Return what began the stream of a digest, if it is known."""
         self._expire(now_s)
-        stream = digest(request_id)
         found = self._own.get(stream) or self._learned.get(stream)
         return found.origin if found else None
 
