Announce a stream's origin before its first event, and bind no sooner

Binding at the send made a caller whose engine failed before an event wait for another engine of that version, and get 500, 502 or 503 if there was none; before it got a stream of another version. What a caller can resume begins with the first event, so the origin is noted and announced just before that is written. A resumption announces the first attempt's id once more, as some of those that were told may have ended.

--- a/bilberrydeal/gateway/core/_requests.py
+++ b/bilberrydeal/gateway/core/_requests.py
@@ -169,14 +169,8 @@
     quota_charge: QuotaCharge | None = None
     #: Id of the last event sent to the caller.
     last_event: bytes = b""
-    #: What its stream is bound to. While several versions serve this is so
-    #: before its first send that may run it, otherwise ``None`` until an event
-    #: was sent.
+    #: What began its stream; ``None`` until an event was sent.
     origin: _stream_origin.StreamOrigin | None = None
-    #: Whether other gateways were told of that.
-    origin_announced: bool = False
-    #: Whether an event was sent, and what began the stream is remembered.
-    origin_noted: bool = False
 
 
 def not_run_refusal(
--- a/bilberrydeal/gateway/core/_stream_origin.py
+++ b/bilberrydeal/gateway/core/_stream_origin.py
@@ -1,4 +1,4 @@
-"""The engine to which a stream is bound."""
+"""The engine that began a stream."""
 
 import attrs
 
@@ -7,10 +7,10 @@
 
 @attrs.frozen
 class StreamOrigin:
-    """The process of an engine that begins a stream.
+    """The process of an engine that sent the first event of a stream.
 
-    The stream can begin and go on at any engine of the same software version,
-    and at none of another.
+    The stream can go on at any engine of the same software version, and at
+    none of another.
     """
 
     service: str
@@ -22,7 +22,7 @@
 
     @classmethod
     def of(cls, endpoint: catalogue.Endpoint) -> "StreamOrigin":
-        """Return the origin of a stream that an engine is to begin."""
+        """Return the origin of a stream that an engine begins."""
         return cls(
             service=endpoint.service,
             endpoint_id=endpoint.endpoint_id,
--- a/bilberrydeal/gateway/origins/_announcer.py
+++ b/bilberrydeal/gateway/origins/_announcer.py
@@ -145,6 +145,13 @@
                 self._metrics.count_origin_message("told")
                 return waiting.answer.result()
         self._metrics.count_origin_message("not told")
+        if asks:
+            LOG.info(
+                "Origin not told.",
+                stream=stream,
+                gateways=len(self._peers.others() or ()),
+                waited_s=round(limit_s, 3),
+            )
         return None
 
     def _send_question(self, stream: str, count: int) -> None:
--- a/bilberrydeal/gateway/origins/_origins.py
+++ b/bilberrydeal/gateway/origins/_origins.py
@@ -18,8 +18,7 @@
     Example::
 
         origins = Origins(client, "g1.17", cluster, ...)
-        if origins.resolver.bind(admitted, origin):
-            progress.origin = origin
+        origins.resolver.note(admitted, origin)
         await origins.rows.run_once()
         origin = await origins.resolver.resolve(admitted)
     """
--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -57,36 +57,23 @@
         self._metrics = metrics
         self._clock = clock
 
-    def bind(
-        self, admitted: core.AdmittedRequest, origin: core.StreamOrigin
-    ) -> bool:
-        """Bind a request to a version, and tell other gateways.
-
-        Returns ``False``, and does nothing, while one version serves: a stream
-        is then bound by its first event. Called before a request is sent to an
-        engine that may send this event.
-        """
-        versions = self._history.recent(admitted.service, self._clock())
-        if len(versions) < 2:
-            return False
-        self.note(admitted, origin)
-        self.announce(admitted, origin)
-        return True
-
-    def announce(
-        self, admitted: core.AdmittedRequest, origin: core.StreamOrigin
-    ) -> None:
-        """Tell other gateways what the stream of a request is bound to."""
-        self._announcer.announce(admitted.request_id, origin)
-
     def note(
         self, admitted: core.AdmittedRequest, origin: core.StreamOrigin
     ) -> None:
-        """Remember what began the stream of a request."""
+        """Remember what began the stream of a request, and tell others.
+
+        Called before the first event is sent to the caller, so that no stream
+        that the caller can resume is unknown to the others. They are told only
+        while several versions serve.
+        """
         now_s = self._clock()
-        self._memory.note(admitted.request_id, origin, now_s)
-        if admitted.resumed_id:
-            self._memory.note(admitted.resumed_id, origin, now_s)
+        told = len(self._history.recent(admitted.service, now_s)) > 1
+        for request_id in (admitted.request_id, admitted.resumed_id):
+            if not request_id:
+                continue
+            self._memory.note(request_id, origin, now_s)
+            if told:
+                self._announcer.announce(request_id, origin)
 
     async def resolve(
         self, admitted: core.AdmittedRequest
@@ -178,6 +165,8 @@
         self, admitted: core.AdmittedRequest
     ) -> core.StreamOrigin | None:
         """Return what other gateways say that a stream is bound to."""
+        if not admitted.resumed_id:
+            return None
         left_s = admitted.deadline_s - self._clock()
         found = await self._announcer.ask(
             _memory.digest(admitted.resumed_id), min(ASK_LIMIT_S, left_s)
--- a/bilberrydeal/gateway/sending/_sending.py
+++ b/bilberrydeal/gateway/sending/_sending.py
@@ -25,11 +25,6 @@
 DISCARD_LIMIT_BYTES = 65_536
 
 Clock = collections.abc.Callable[[], float]
-OnSend = collections.abc.Callable[[], None]
-
-
-def _nothing() -> None:
-    """Do nothing before a request is sent."""
 
 
 class NotOffered(Exception):
@@ -121,7 +116,6 @@
         fields: platform.SendFields,
         placed: placement.Placement | None = None,
         patience: Patience | None = None,
-        on_send: OnSend = _nothing,
     ) -> collections.abc.AsyncIterator[Exchange]:
         """Send a request and wait for the head of its response.
 
@@ -130,8 +124,7 @@
         first byte sent ``progress.may_have_run`` is set, until the endpoint
         proves that the request did not run. A prefill never sets it, as it
         does not run the request. ``patience`` may end the wait for the head
-        before the deadline. ``on_send`` is called just before the first byte
-        is sent, and not for an endpoint that can't be reached.
+        before the deadline.
         """
         with self._tracing.span("endpoint", progress.traceparent) as span:
             span.set_attribute("endpoint", upstream.endpoint.endpoint_id)
@@ -144,7 +137,6 @@
                 fields,
                 placed,
                 patience,
-                on_send,
             ) as exchange:
                 yield exchange
 
@@ -157,7 +149,6 @@
         fields: platform.SendFields,
         placed: placement.Placement | None,
         patience: Patience | None,
-        on_send: OnSend,
     ) -> collections.abc.AsyncIterator[Exchange]:
         record = self._new_record(admitted, upstream, fields, placed)
         progress.sends.append(record)
@@ -194,7 +185,6 @@
         may_have_run_before = progress.may_have_run
         progress.may_have_run = may_have_run_before or not fields.prefill
         try:
-            on_send()
             head = await self._head(
                 connection, admitted, progress, upstream, fields, patience
             )
--- a/bilberrydeal/gateway/streams/_client_stream.py
+++ b/bilberrydeal/gateway/streams/_client_stream.py
@@ -34,6 +34,8 @@
     continuation: _continuation.Continuation | None = None
     #: Whether a prefill was abandoned since it would have been late.
     too_late: bool = False
+    #: Whether what began it is remembered for callers that resume it.
+    origin_noted: bool = False
 
     def take_over(self) -> None:
         """End the run of a silent engine whose stream this one continues."""
--- a/bilberrydeal/gateway/streams/_event_forwarder.py
+++ b/bilberrydeal/gateway/streams/_event_forwarder.py
@@ -144,19 +144,13 @@
         stream: _client_stream.ClientStream,
         upstream: cluster_state.Upstream,
     ) -> None:
-        """Remember what began a stream, once."""
+        """Bind a stream to the software version of what began it."""
         progress = stream.progress
-        if progress.origin_noted:
-            return
-        progress.origin_noted = True
-        origin = core.StreamOrigin.of(upstream.endpoint)
-        if stream.admitted.resumes_stream and progress.origin is not None:
-            origin = progress.origin
-        if progress.origin_announced and origin != progress.origin:
-            # The engine to which it was bound failed before the first event.
-            self._resolver.announce(stream.admitted, origin)
-        progress.origin = origin
-        self._resolver.note(stream.admitted, origin)
+        if progress.origin is None:
+            progress.origin = core.StreamOrigin.of(upstream.endpoint)
+        if not stream.origin_noted:
+            stream.origin_noted = True
+            self._resolver.note(stream.admitted, progress.origin)
 
     def _tell_quarantine(
         self,
--- a/bilberrydeal/gateway/streams/_stream.py
+++ b/bilberrydeal/gateway/streams/_stream.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import functools
 
 import attrs
 
@@ -242,7 +241,6 @@
                 fields,
                 placed,
                 self._placement.patience(stream, placed),
-                functools.partial(self._bind, stream, upstream),
             ) as exchange:
                 self._retry_policy.release(admitted, stream.progress)
                 if exchange.response_class is platform.ResponseClass.FAILURE:
@@ -261,23 +259,6 @@
                 finally:
                     await self._reader.drop_continuation(stream)
 
-    def _bind(
-        self,
-        stream: _client_stream.ClientStream,
-        upstream: cluster_state.Upstream,
-    ) -> None:
-        """Bind a stream to an engine's version while several serve."""
-        progress = stream.progress
-        if progress.origin_announced:
-            return
-        if progress.origin is None and stream.continues is not None:
-            # The silent engine may still send the first event.
-            return
-        origin = progress.origin or core.StreamOrigin.of(upstream.endpoint)
-        if self._resolver.bind(stream.admitted, origin):
-            progress.origin = origin
-            progress.origin_announced = True
-
     async def _forward_failure(
         self,
         stream: _client_stream.ClientStream,
