Leave engines to prefill where all engines of pairs decode

A service without a prefill engine kept its pairs of decode engines for ever, as no prompt waits where nothing prefills. A pair gives an engine if fewer than the least share of engines prefill. test_pairs_of_versions_leave_engines_to_prefill fails without the change.

--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -138,7 +138,12 @@
         )
     wanted = _decode_engines_wanted(engines, demand)
     if len(decode_engines) > wanted and _more_prefill_wanted(demand):
-        return _to_prefill(decode_engines, prefill_engines, demand)
+        return _to_prefill(
+            decode_engines,
+            prefill_engines,
+            demand,
+            scarce=_prefill_scarce(prefill_engines, len(engines), demand),
+        )
     if len(decode_engines) < wanted and prefill_engines:
         return _to_decode(decode_engines, prefill_engines, demand)
     return None
@@ -219,7 +224,9 @@
     if prefill_used >= SHORTAGE_SHARE and decode > minimum:
         left_used = need.decode_engines / (decode - 1)
         if left_used < prefill_used * DECODE_DONOR_LIMIT:
-            return _to_prefill(decode_engines, prefill_engines, demand)
+            return _to_prefill(
+                decode_engines, prefill_engines, demand, scarce=True
+            )
     return None
 
 
@@ -238,12 +245,15 @@
     decode_engines: list[_entities.EngineLoad],
     prefill_engines: list[_entities.EngineLoad],
     demand: RoleDemand,
+    scarce: bool,
 ) -> RoleOrder | None:
     """Return the change of a decode engine, ``None`` if all are required."""
     versions = _role_versions.role_versions(
         [*decode_engines, *prefill_engines], demand.stream_versions
     )
-    chosen = _decode_engine_to_convert(decode_engines, versions, demand)
+    chosen = _decode_engine_to_convert(
+        decode_engines, versions, demand.idle, scarce
+    )
     if chosen is None:
         return None
     debounce_s = NO_DEBOUNCE_S if demand.idle else SURPLUS_DEBOUNCE_S
@@ -257,6 +267,16 @@
     return not demand.idle and not _prefill_idle(demand)
 
 
+def _prefill_scarce(
+    prefill_engines: list[_entities.EngineLoad],
+    count: int,
+    demand: RoleDemand,
+) -> bool:
+    """Return whether prompts wait or hardly any of all engines prefill."""
+    least = math.ceil(count * MIN_LEARNED_PREFILL_SHARE)
+    return len(prefill_engines) < least or not _prefill_idle(demand)
+
+
 def _prefill_idle(demand: RoleDemand) -> bool:
     return demand.prefill_wait_s < PREFILL_IDLE_WAIT_S
 
@@ -283,26 +303,27 @@
 def _decode_engine_to_convert(
     decode_engines: list[_entities.EngineLoad],
     versions: _role_versions.RoleVersions,
-    demand: RoleDemand,
+    idle: bool,
+    scarce: bool,
 ) -> _entities.EngineLoad | None:
     """Choose a decode engine to convert, the fastest one.
 
     The main one is not chosen: it has the most requests to finish. One that
     the streams of its software version require is not chosen either, and one
-    of two only while prompts wait and there is no other. The last one of a
-    failure domain is chosen only if there is no other. One that no other of
-    its version could replace goes first, then one of two of a version without
-    the main one.
+    of two only while prefill engines are ``scarce`` and there is no other. The
+    last one of a failure domain is chosen only if there is no other. One that
+    no other of its version could replace goes first, then one of two of a
+    version without the main one.
     """
     main = _options.main_decode_engine(decode_engines)
     candidates = [
         each
         for each in decode_engines
         if not versions.required(each)
-        and (each is not main or _idle_and_alone(each, versions, demand))
+        and (each is not main or (idle and versions.alone(each)))
     ]
     unpaired = [each for each in candidates if not versions.paired(each)]
-    if not unpaired and _prefill_idle(demand):
+    if not unpaired and not scarce:
         return None
     candidates = unpaired or candidates
     domains = _by_domain(decode_engines)
@@ -311,7 +332,7 @@
     return max(
         spared or candidates,
         key=lambda each: (
-            versions.decode[each.software_version] == 1,
+            versions.alone(each),
             only_pairs and each.software_version != main.software_version,
             -_permanent_factor(each),
             domains[each.failure_domain],
@@ -322,15 +343,6 @@
     )
 
 
-def _idle_and_alone(
-    engine: _entities.EngineLoad,
-    versions: _role_versions.RoleVersions,
-    demand: RoleDemand,
-) -> bool:
-    """Return whether an engine decodes alone for its version, without load."""
-    return demand.idle and versions.decode[engine.software_version] == 1
-
-
 def _prefill_engine_to_convert(
     prefill_engines: list[_entities.EngineLoad],
     decode_engines: list[_entities.EngineLoad],
--- a/bilberrydeal/systems/placement/_role_versions.py
+++ b/bilberrydeal/systems/placement/_role_versions.py
@@ -55,11 +55,19 @@
             return False
         if self.decode[version] <= 1:
             return True
-        mixed = len(self.engines) > 1
-        return mixed and self._pairs == [version] and self.paired(engine)
+        return self._pairs == [version] and self.paired(engine)
+
+    def alone(self, engine: _entities.EngineLoad) -> bool:
+        """Return whether a decode engine is the only one of its version."""
+        return self.decode[engine.software_version] == 1
 
     def paired(self, engine: _entities.EngineLoad) -> bool:
-        """Return whether a decode engine is one of two of a kept version."""
+        """Return whether a decode engine is one of two of a kept version.
+
+        This is so only beside engines of another version.
+        """
+        if len(self.engines) < 2:
+            return False
         version = engine.software_version
         return version in self._kept and self.decode[version] == PAIR
 
--- a/bilberrydeal/systems/placement/tests/test_role_plan.py
+++ b/bilberrydeal/systems/placement/tests/test_role_plan.py
@@ -215,6 +215,33 @@
     assert (order.engine_id if order else None) == engine_id
 
 
+@pytest.mark.parametrize(
+    ("roles", "versions"),
+    [
+        ("dd", "11"),
+        ("ddp", "111"),
+        ("dddd", "1111"),
+        ("dddd", "1122"),
+        ("dddd", "1112"),
+        ("ddddddd", "1122333"),
+        ("dddddp", "112233"),
+    ],
+)
+def test_pairs_of_versions_leave_engines_to_prefill(
+    roles: str, versions: str
+) -> None:
+    """Prompts wait for no prefill engine where there is none."""
+    engines = _engines(roles)
+    for engine, version in zip(engines, versions, strict=True):
+        engine.software_version = version
+    demand = placement.RoleDemand(
+        prefill_wait_s=0.0, stream_versions=frozenset(versions)
+    )
+    order = placement.plan_roles(engines, demand)
+    assert order is not None
+    assert order.role is PREFILL
+
+
 @pytest.mark.parametrize("seed", range(200))
 def test_orders_end_and_keep_versions_with_streams_decoding(
     seed: int,
