--- a/scenarios/_streams.py
+++ b/scenarios/_streams.py
@@ -23,6 +23,25 @@
 PROMPT_TOKENS = (400, 2_300)
 
 
+def version_of(text: str) -> str:
+    """Return the version that wrote the first event, empty if none."""
+    first = text.partition("\n\n")[0]
+    return first.rpartition(" ")[2] if first else ""
+
+
+def is_joined(request_id: str, text: str) -> bool:
+    """Return whether an event is missing, repeated or of another version.
+
+    A stream that ends early is not joined.
+    """
+    version = version_of(text)
+    expected = (
+        users_endpoint.event_of(request_id, number, version)
+        for number in range(1, text.count("\n\n") + 1)
+    )
+    return text != "".join(expected)
+
+
 class Stream:
     """A stream as its caller sees it.
 
@@ -55,8 +74,7 @@
     @property
     def version(self) -> str:
         """Return the version that wrote the first event, empty if none."""
-        first = self._text.partition("\n\n")[0]
-        return first.rpartition(" ")[2] if first else ""
+        return version_of(self._text)
 
     @property
     def has_begun(self) -> bool:
@@ -66,15 +84,12 @@
     @property
     def is_whole(self) -> bool:
         """Return whether all events of one version arrived once."""
-        return self._text == self._expected(self._events)
+        return self._count == self._events and not self.is_joined
 
     @property
     def is_joined(self) -> bool:
-        """Return whether an event is missing, repeated or of another version.
-
-        A stream that ends early is not.
-        """
-        return self._text != self._expected(self._count)
+        """Return whether its events are not those of one version in order."""
+        return is_joined(self.request_id, self._text)
 
     async def begin(self, gateway: _gateways.Member) -> bool:
         """Send its first request; return whether it became whole."""
@@ -102,12 +117,6 @@
     def _count(self) -> int:
         return self._text.count("\n\n")
 
-    def _expected(self, count: int) -> str:
-        return "".join(
-            users_endpoint.event_of(self.request_id, number, self.version)
-            for number in range(1, count + 1)
-        )
-
     async def _ask(
         self,
         gateway: _gateways.Member,
