--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -223,6 +223,11 @@
                 self._parts.origins.rows.pause_s,
                 self._parts.origins.rows.run_once,
             ),
+            _PeriodicWork(
+                "begun streams",
+                lambda: 0.0,
+                self._parts.origins.rows.write_begun,
+            ),
             _PeriodicWork("sweep", lambda: SWEEP_INTERVAL_S, self._sweep),
             _PeriodicWork(
                 "settings", lambda: SETTINGS_INTERVAL_S, self._check_settings
--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -74,6 +74,8 @@
             self._memory.note(request_id, origin, now_s)
             if told:
                 self._announcer.announce(request_id, origin)
+        if told:
+            self._rows.note_begun()
 
     async def resolve(
         self, admitted: core.AdmittedRequest
--- a/bilberrydeal/gateway/origins/_rows.py
+++ b/bilberrydeal/gateway/origins/_rows.py
@@ -1,5 +1,6 @@
 """Keeps what others need of streams in the store while versions differ."""
 
+import asyncio
 import collections.abc
 
 from ... import store
@@ -18,6 +19,9 @@
     2.0 / _version_rows.READ_INTERVAL_S + 2.0 / _write_pace.WRITE_INTERVAL_S
 )
 
+#: Time for which a write waits for further streams, in seconds.
+GATHER_S = 0.02
+
 Clock = collections.abc.Callable[[], float]
 #: Returns the store's clock, ``None`` before its first response.
 StoreClock = collections.abc.Callable[[], float | None]
@@ -66,6 +70,9 @@
         self._sweep = _stream_sweep.StreamSweep(
             client, self.streams, kept_s, clock
         )
+        self._writing = asyncio.Lock()
+        #: Set while streams have begun that no write was tried for.
+        self._begun = asyncio.Event()
         self._era: int | None = None
         #: Whether several versions served lately.
         self._mixed = False
@@ -101,10 +108,25 @@
             await self.versions.read(self._clock())
         await self.write_versions()
         self._observe_mixed()
-        await self.streams.write(may_add=self._mixed)
+        await self._write_streams()
         if self._cluster.is_first_gateway:
             await self._sweep.run_once()
 
+    def note_begun(self) -> None:
+        """Let a stream be stored soon that has begun now."""
+        self._begun.set()
+
+    async def write_begun(self) -> None:
+        """Wait until streams have begun, and write them if a write is due."""
+        await self._begun.wait()
+        await asyncio.sleep(GATHER_S)
+        self._begun.clear()
+        await self._write_streams()
+
+    async def _write_streams(self) -> None:
+        async with self._writing:
+            await self.streams.write(may_add=self._mixed)
+
     async def write_versions(self) -> None:
         """Write the versions in service that are not stored yet."""
         self.observe()
--- a/bilberrydeal/gateway/tests/test_stream_rows.py
+++ b/bilberrydeal/gateway/tests/test_stream_rows.py
@@ -196,6 +196,23 @@
     assert (_run(play()) - 4) * gateways / 60.0 <= 40.0
 
 
+@pytest.mark.parametrize("gateways", [1, 16, 25])
+def test_stream_that_began_a_moment_before_its_gateway_ended_is_stored(
+    gateways: int,
+) -> None:
+    async def play() -> str:
+        table = memory.MemoryStore()
+        ended = Gateway(table, gateways)
+        await ended.write_for(2.0)
+        writing = asyncio.ensure_future(ended.origins.rows.write_begun())
+        ended.begin(b"s1", "v2")
+        await asyncio.sleep(0.05)
+        writing.cancel()
+        return await Gateway(table, gateways, "g2").resume(b"s1")
+
+    assert _run(play()) == "v2"
+
+
 @pytest.mark.parametrize("lost", ["answer", "call"])
 def test_streams_of_a_write_that_failed_are_stored_by_a_later_one(
     lost: str,
