Announce streams that began before others could be told of them

What others were not told of is remembered by service, and announced, the newest first, once several versions serve and others are known. What is announced is what the memory holds, so that a corrected or kept version is told, not the last account.

test_stream_that_began_before_a_second_version_came_goes_on and test_stream_that_began_before_others_were_known_is_announced pass; the code before has no such announcement to run them with. All tests of origins and versions pass.

--- a/bilberrydeal/gateway/_process.py
+++ b/bilberrydeal/gateway/_process.py
@@ -221,7 +221,7 @@
             _PeriodicWork(
                 "origins",
                 self._parts.origins.rows.pause_s,
-                self._parts.origins.rows.run_once,
+                self._parts.origins.run_once,
             ),
             _PeriodicWork(
                 "begun streams",
--- a/bilberrydeal/gateway/origins/_announcer.py
+++ b/bilberrydeal/gateway/origins/_announcer.py
@@ -11,10 +11,13 @@
 from .. import core
 from .. import messaging
 from . import _memory
+from . import _version_history
 
 LOG = telemetry.logger("origins")
 #: Other gateways that are told of a stream.
 REPLICAS = 8
+#: Most streams of a service that are told of at a time.
+ANNOUNCED_AT_ONCE = 100
 #: Other gateways that are asked again: lists of gateways differ for a while
 #: after some have started or ended.
 ASKED_AGAIN = 16
@@ -68,7 +71,8 @@
 
     Example::
 
-        announcer.announce(b"r1", origin)
+        memory.note(b"r1", origin, now_s)
+        announcer.announce(now_s)
         origin = await announcer.ask(_memory.digest(b"r1"), 0.15)
     """
 
@@ -77,12 +81,14 @@
         peers: OriginPeers,
         gateway: str,
         memory: _memory.OriginMemory,
+        history: _version_history.VersionHistory,
         metrics: core.GatewayMetrics,
         clock: Clock,
     ) -> None:
         self._peers = peers
         self._gateway = gateway
         self._memory = memory
+        self._history = history
         self._metrics = metrics
         self._clock = clock
         #: Open questions by the stream's digest.
@@ -94,12 +100,23 @@
         self._logged_s = float("-inf")
         peers.datagrams.subscribe(self._on_datagram)
 
-    def announce(self, request_id: bytes, origin: core.StreamOrigin) -> None:
-        """Tell others what the stream of a request is bound to."""
-        stream = _memory.digest(request_id)
-        recipients = self._ranked(stream, REPLICAS)
-        if not recipients:
+    def announce(self, now_s: float) -> None:
+        """Tell others of streams that began, while several versions serve.
+
+        Streams that began before the second version came are told then, and
+        those that began before the others were known once they are.
+        """
+        if not self._peers.others():
             return
+        for service in self._history.mixed_services(now_s):
+            waiting = self._memory.unannounced(
+                service, now_s, ANNOUNCED_AT_ONCE
+            )
+            for stream, origin in waiting:
+                self._announce_stream(stream, origin)
+
+    def _announce_stream(self, stream: str, origin: core.StreamOrigin) -> None:
+        recipients = self._ranked(stream, REPLICAS)
         self._send(recipients, origins=(_report(stream, origin),))
         self._metrics.count_origin_message("announced")
 
--- a/bilberrydeal/gateway/origins/_memory.py
+++ b/bilberrydeal/gateway/origins/_memory.py
@@ -43,6 +43,8 @@
         self._own: dict[str, _Kept] = {}
         #: Those of them that are not stored.
         self._unwritten: dict[str, None] = {}
+        #: Those of them that others were not told of, by service.
+        self._unannounced: dict[str, dict[str, None]] = {}
         #: Streams that others told of or stored, in the order of their times.
         self._learned: dict[str, _Kept] = {}
 
@@ -58,6 +60,8 @@
         self._own[stream] = kept
         if own is None or own.origin != kept.origin:
             self._unwritten[stream] = None
+            service = self._unannounced.setdefault(origin.service, {})
+            service[stream] = None
 
     def learn_stream(
         self, stream: str, origin: core.StreamOrigin, now_s: float
@@ -97,6 +101,19 @@
         newest = itertools.islice(reversed(self._unwritten), limit)
         return [(stream, self._own[stream].origin) for stream in newest]
 
+    def unannounced(
+        self, service: str, now_s: float, limit: int
+    ) -> list[tuple[str, core.StreamOrigin]]:
+        """Return streams of a service that others were not told of.
+
+        The newest come first. They count as told from now on.
+        """
+        self._expire(now_s)
+        waiting = self._unannounced.get(service, {})
+        count = min(limit, len(waiting))
+        streams = [waiting.popitem()[0] for _ in range(count)]
+        return [(stream, self._own[stream].origin) for stream in streams]
+
     def mark_written(self, streams: collections.abc.Iterable[str]) -> None:
         """Record that streams were stored."""
         for stream in streams:
@@ -111,6 +128,8 @@
         for stream in _over(self._own, over_s):
             del self._own[stream]
             self._unwritten.pop(stream, None)
+            for waiting in self._unannounced.values():
+                waiting.pop(stream, None)
         for stream in _over(self._learned, over_s):
             del self._learned[stream]
 
--- a/bilberrydeal/gateway/origins/_origins.py
+++ b/bilberrydeal/gateway/origins/_origins.py
@@ -19,7 +19,7 @@
 
         origins = Origins(client, "g1.17", cluster, ...)
         origins.resolver.note(admitted, origin)
-        await origins.rows.run_once()
+        await origins.run_once()
         origin = await origins.resolver.resolve(admitted)
     """
 
@@ -51,15 +51,23 @@
             writes_versions,
             clock,
         )
+        self._announcer = _announcer.OriginAnnouncer(
+            peers, incarnation, memory, history, metrics, clock
+        )
+        self._clock = clock
         #: Binds requests to what began their streams.
         self.resolver = _resolver.OriginResolver(
             memory,
             history,
             self.rows,
-            _announcer.OriginAnnouncer(
-                peers, incarnation, memory, metrics, clock
-            ),
+            self._announcer,
             cluster,
             metrics,
             clock,
         )
+
+    async def run_once(self) -> None:
+        """Tell others, and store, what they don't know yet."""
+        self.rows.observe()
+        self._announcer.announce(self._clock())
+        await self.rows.run_once()
--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -67,14 +67,11 @@
         while several versions serve.
         """
         now_s = self._clock()
-        told = len(self._history.recent(admitted.service, now_s)) > 1
         for request_id in (admitted.request_id, admitted.resumed_id):
-            if not request_id:
-                continue
-            self._memory.note(request_id, origin, now_s)
-            if told:
-                self._announcer.announce(request_id, origin)
-        if told:
+            if request_id:
+                self._memory.note(request_id, origin, now_s)
+        self._announcer.announce(now_s)
+        if self._history.mixed(now_s):
             self._rows.note_begun()
 
     async def resolve(
--- a/bilberrydeal/gateway/origins/_version_history.py
+++ b/bilberrydeal/gateway/origins/_version_history.py
@@ -39,6 +39,12 @@
 
     def mixed(self, now_s: float) -> bool:
         """Return whether any service had several versions lately."""
-        return any(
-            len(self.recent(service, now_s)) > 1 for service in self._seen_s
-        )
+        return bool(self.mixed_services(now_s))
+
+    def mixed_services(self, now_s: float) -> list[str]:
+        """Return the services that had several versions lately."""
+        return [
+            service
+            for service in self._seen_s
+            if len(self.recent(service, now_s)) > 1
+        ]
--- a/bilberrydeal/gateway/tests/test_origin_announcements.py
+++ b/bilberrydeal/gateway/tests/test_origin_announcements.py
@@ -11,6 +11,7 @@
 import msgspec
 import pytest
 
+from ... import errors
 from ... import http1
 from .. import core
 from .. import origins
@@ -18,6 +19,7 @@
 from ..messaging import _datagrams
 from ..origins import _announcer
 from ..origins import _memory
+from ..origins import _version_history
 from . import configurations
 from . import gateway_network
 from . import harness
@@ -134,6 +136,12 @@
     metrics: _metrics.GatewayMetrics
     datagrams: gateway_network.NetworkDatagrams
 
+    def begin(self, request_id: bytes) -> None:
+        """Begin a stream."""
+        now_s = time.monotonic()
+        self.memory.note(request_id, ORIGIN, now_s)
+        self.announcer.announce(now_s)
+
     def knows(self, request_id: bytes = b"r1") -> core.StreamOrigin | None:
         """Return what it remembers of a stream."""
         return self.memory.find(request_id, time.monotonic())
@@ -151,10 +159,12 @@
     network: gateway_network.GatewayNetwork, name: str, kept_s: float = 30.0
 ) -> _Gateway:
     known = _memory.OriginMemory(lambda: kept_s)
+    history = _version_history.VersionHistory(lambda: kept_s)
+    history.observe(ORIGIN.service, ["v1", "v2"], time.monotonic())
     metrics = _metrics.GatewayMetrics()
     datagrams = network.join(name)
     announcer = _announcer.OriginAnnouncer(
-        network.peers(name), name, known, metrics, time.monotonic
+        network.peers(name), name, known, history, metrics, time.monotonic
     )
     return _Gateway(known, announcer, metrics, datagrams)
 
@@ -162,9 +172,9 @@
 async def test_announcement_goes_to_a_few_gateways_once() -> None:
     network = gateway_network.GatewayNetwork()
     gateways = [_join(network, f"g{number}") for number in range(25)]
-    gateways[0].announcer.announce(b"r1", ORIGIN)
+    gateways[0].begin(b"r1")
     await asyncio.sleep(0)
-    know = [each for each in gateways if each.knows() == ORIGIN]
+    know = [each for each in gateways[1:] if each.knows() == ORIGIN]
     assert len(know) == _announcer.REPLICAS
     assert len(gateways[0].datagrams.sent) == _announcer.REPLICAS
     assert not any(each.datagrams.sent for each in gateways[1:])
@@ -260,10 +270,25 @@
 # Questions.
 
 
+async def test_stream_that_began_before_others_were_known_is_announced() -> (
+    None
+):
+    network = gateway_network.GatewayNetwork()
+    first = _join(network, "g1")
+    first.begin(b"r1")
+    assert not first.datagrams.sent
+    second = _join(network, "g2")
+    first.announcer.announce(time.monotonic())
+    first.announcer.announce(time.monotonic())
+    await asyncio.sleep(0)
+    assert second.knows() == ORIGIN
+    assert len(first.datagrams.sent) == 1
+
+
 async def test_question_is_answered_by_a_gateway_that_was_told() -> None:
     network = gateway_network.GatewayNetwork()
     gateways = [_join(network, f"g{number}") for number in range(25)]
-    gateways[0].announcer.announce(b"r1", ORIGIN)
+    gateways[0].begin(b"r1")
     await asyncio.sleep(0)
     network.leave("g0")
     for gateway in gateways[1:]:
@@ -316,7 +341,7 @@
     await asyncio.sleep(0)
     first.cancel()
     await asyncio.sleep(0)
-    other.announcer.announce(b"r1", ORIGIN)
+    other.begin(b"r1")
     assert await second == ORIGIN
     assert not one.announcer._waiting
 
@@ -331,6 +356,7 @@
         origins.OriginPeers(datagrams, "127.0.0.1:1", lambda: {}),
         "g1",
         known,
+        _version_history.VersionHistory(lambda: 30.0),
         _metrics.GatewayMetrics(),
         lambda: now_s,
     )
@@ -456,6 +482,28 @@
     assert (_runs(wrong), _runs(same)) == (0, 1)
 
 
+async def test_stream_that_began_before_a_second_version_came_goes_on() -> (
+    None
+):
+    """It was neither stored nor announced as its gateway ended."""
+    network = gateway_network.GatewayNetwork()
+    table = memory.MemoryStore(unreachable=True)
+    joined = _engine("d3", "v2", _decode)
+    same = _engine("d4", "v1", _decode)
+    troubled = _engine("d1", "v1", _broken_off)
+    async with _gateway(network, "g2", joined, same, table=table) as left:
+        async with _gateway(network, "g1", troubled, table=table) as ended:
+            await ended.stream(**SHORT)
+            assert not network.members["g1"].sent
+            entry = configurations.registration(joined)
+            ended.cluster.set_endpoint(entry)
+            with contextlib.suppress(errors.BilberrydealError):
+                await ended.origins.run_once()
+        reply = await _resume(left)
+    assert reply.status == 200
+    assert (_runs(joined), _runs(same)) == (0, 1)
+
+
 async def test_stream_goes_on_while_the_store_is_away() -> None:
     network = gateway_network.GatewayNetwork()
     table = memory.MemoryStore(unreachable=True)
