--- a/bilberrydeal/gateway/messaging/_datagrams.py
+++ b/bilberrydeal/gateway/messaging/_datagrams.py
@@ -1,7 +1,8 @@
 """Datagrams between gateways.
 
-Each carries a hint or repeats state of its sender, so the next datagram makes
-up for a lost one. Nothing that needs agreement depends on them.
+Most carry a hint or repeat state of their sender, so that the next one makes
+up for a lost one. An origin of a stream is sent once; it never changes, and
+what is lost is asked for or read from the store.
 """
 
 import asyncio
