Refuse streams of an engine that became another, also once its entry is gone

Callers could be sent the rest of a stream by an engine of another version than the one that began it. An engine may start again under its id as v2 before its entry tells, and its first events are then taken for v1's. If the entry of v2 lapsed, or the engine started a third time as v1, the stream went on at v1.

Cause: only the present entry of the engine cast doubt on an origin.

An origin is doubtful if its engine had another version at a later start. Earlier starts don't count: else streams that begin after an update would be refused for a lifetime. The present entry counts as before, whichever start is later.

What is left: a gateway that never saw the entry of v2 does not doubt, nor does one once that entry is gone if the clock of the engine's host had stepped back. All streams that the id began as v1 before stay refused after the entry lapsed, also those that began long before the restart; until now only while it was there.

--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -252,11 +252,13 @@
         return core.StreamOrigin(service, "", 0, versions.pop())
 
     def _is_doubtful(self, origin: core.StreamOrigin) -> bool:
-        """Return whether the engine has another version under the same id.
+        """Return whether the engine had another version under the same id.
 
         The stream may have begun just after the engine started again, before
-        its entry told so.
+        its entry told so. That entry may be gone by now.
         """
+        if self._rows.engines.began_anew(origin, self._clock()):
+            return True
         upstream = self._cluster.endpoints.get(origin.endpoint_id)
         return (
             upstream is not None
--- a/bilberrydeal/gateway/origins/_rows.py
+++ b/bilberrydeal/gateway/origins/_rows.py
@@ -5,6 +5,7 @@
 
 from ... import store
 from .. import cluster_state
+from . import _engine_history
 from . import _memory
 from . import _shared_calls
 from . import _stream_rows
@@ -50,6 +51,8 @@
         self._pace = _write_pace.WritePace(
             incarnation, lambda: cluster.members
         )
+        #: Which versions the engine of each id had.
+        self.engines = _engine_history.EngineHistory(kept_s)
         #: Reads that are under way.
         self.reads = _shared_calls.SharedCalls()
         #: Which software versions serve.
@@ -92,10 +95,13 @@
         return self._pace.interval_s()
 
     def observe(self) -> None:
-        """Record which versions are in service now."""
+        """Record which versions are in service now, and at which engines."""
         now_s = self._clock()
         for service, versions in self._cluster.software_versions().items():
             self._history.observe(service, versions, now_s)
+        for upstream in self._cluster.endpoints.values():
+            if upstream.load is not None:
+                self.engines.observe(upstream.endpoint, now_s)
 
     async def run_once(self) -> None:
         """Write the versions and streams that are not stored yet."""
