Remove the rows of ended gateways

A trial with 300 rows of live and 300 of ended runs, 40 tenants each, on a link of 10 Mbit/s gave StoreUnavailable after 2.0 s at each read of the table: such a gateway has no list of the others, so no announcements and no shared quotas.

Each run of a gateway has a row of its own, and nothing removed one, so the read grew with each restart while its limit is fixed. A row of 40 tenants and 8 windows has 5,648 bytes as encoded.

The holder of the usage lease now reads 25 rows each 4 s from a cursor, so that it also gets through a table that is too large to read whole, and removes those that it saw unchanged for 120 s (longer with many gateways or long windows) without a failed read, an era's end or a pause of its own in between, that are as old by the store's clock, and whose windows were settled as long ago and reported, or are left out. The transaction has the lease's checks and era, and the versions that were read. A gateway's write replaces its whole row and begins anew with version 0, so one that was frozen for longer has all its windows back with its next write.

Not measured: the table of 600 rows on a narrow link with this change, and the loop in a process for as long as a removal takes. The common clock is the median of all rows' offsets, so it may move when rows go. The table of settled windows still grows by a row a window.

--- a/bilberrydeal/gateway/accounting/__init__.py
+++ b/bilberrydeal/gateway/accounting/__init__.py
@@ -2,6 +2,8 @@
 
 from ._clock import boot_s
 from ._clock import ClusterClock
+from ._ended_rows import EndedRows
+from ._ended_rows import PAGE_INTERVAL_S
 from ._reporting import DUTY
 from ._reporting import Reporter
 from ._usage import alive_s
@@ -19,7 +21,9 @@
     "ClusterClock",
     "CountBroadcaster",
     "DUTY",
+    "EndedRows",
     "Members",
+    "PAGE_INTERVAL_S",
     "PeerCounts",
     "Reporter",
     "SettledWindows",
--- a/bilberrydeal/gateway/accounting/_reporting.py
+++ b/bilberrydeal/gateway/accounting/_reporting.py
@@ -178,6 +178,29 @@
             await self._write(window, row, 0)
             LOG.info("Window settled.", window=window, counts=counts)
 
+    def is_over(self, row: _usage.GatewayRow, age_s: float) -> bool:
+        """Return whether all windows of a gateway's row are done.
+
+        A window is done if the row that settled it is older than ``age_s``,
+        so that each copy from which the store may come back has it, and the
+        platform has accepted its report; or if it is left out.
+        """
+        now_s = self._client.now_s()
+        store_s = self._clock.store_s()
+        if store_s is None or not self._lease.is_held(now_s):
+            return False
+        if self._lease.fence(now_s) != self._loaded_token:
+            return False
+        return all(
+            window in self._left_out or self._is_done(window, store_s - age_s)
+            for window in _counted({"": row})
+        )
+
+    def _is_done(self, window: int, before_s: float) -> bool:
+        """Return whether a window was settled before, and is reported."""
+        row = self._settled.get(window)
+        return row is not None and row.reported and row.settled_s < before_s
+
     def _may_have_been_reported(self, window: int) -> bool:
         """Return whether a window without a row may have been reported.
 
--- a/bilberrydeal/gateway/duties/_coordination.py
+++ b/bilberrydeal/gateway/duties/_coordination.py
@@ -146,6 +146,14 @@
             bounds.usage_window_s,
             bounds.usage_due_s,
         )
+        self._ended_rows = accounting.EndedRows(
+            client,
+            self._lease,
+            self._reporter.is_over,
+            cluster_clock.store_s,
+            lambda: accounting.alive_s(self._row_pause_s()),
+            bounds.usage_window_s + bounds.usage_due_s,
+        )
         self._roles = _roles.RoleController(
             client,
             cluster,
@@ -234,6 +242,11 @@
             periodic.run_periodically(
                 "reports", lambda: REPORT_INTERVAL_S, self._reporter.run_once
             ),
+            periodic.run_periodically(
+                "ended",
+                lambda: accounting.PAGE_INTERVAL_S,
+                lambda: self._ended_rows.run_once(accounting.boot_s()),
+            ),
         ]
 
     def origins(
