--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -17,7 +17,7 @@
 from . import _departures
 from . import _endpoint_limit
 from . import _freshness
-from . import _lone_versions
+from . import _held_versions
 from . import _new_versions
 from . import _poll_times
 from . import _service_state
@@ -37,8 +37,6 @@
 STREAM_LIFETIMES = 2.0
 #: Shortest such time, also while no configuration is known, in seconds.
 MIN_STREAM_LIFETIME_S = 30.0
-#: Interval between decisions which software versions are new, in seconds.
-NEW_VERSIONS_INTERVAL_S = 0.1
 #: Time within which changes must be applied unless told otherwise, in seconds.
 APPLY_LIMIT_S = 3.0
 #: Most removed endpoints that are remembered.
@@ -53,18 +51,6 @@
 OnGone = collections.abc.Callable[[_upstream.Upstream], None]
 
 
-@attrs.frozen
-class _HeldVersions:
-    """Versions of a service at which streams don't begin."""
-
-    #: Those at which none may begin.
-    versions: frozenset[str]
-    #: Those at which none begins while others take it.
-    avoided: frozenset[str]
-    #: When to decide anew, monotonic seconds.
-    until_s: float
-
-
 class ClusterState:
     """The configuration and the endpoints as last read from the store."""
 
@@ -89,8 +75,8 @@
         )
         #: When software versions were first seen.
         self.new_versions = _new_versions.NewVersions(times.confirmed_within_s)
-        #: The new ones by service.
-        self._held: dict[str, _HeldVersions] = {}
+        #: Those at which no stream begins, by service.
+        self._held: dict[str, _held_versions.HeldVersions] = {}
         #: Whether the endpoints were read at least once.
         self.endpoints_loaded = False
         #: Number of live gateways, including this one.
@@ -325,46 +311,22 @@
         held = self._held_versions(service, now_s)
         return held.versions | held.avoided
 
-    def _held_versions(self, service: str, now_s: float) -> _HeldVersions:
+    def _held_versions(
+        self, service: str, now_s: float
+    ) -> _held_versions.HeldVersions:
         held = self._held.get(service)
         if held is None or now_s >= held.until_s:
-            held = self._held[service] = self._decide_held(service, now_s)
+            engines = [
+                upstream
+                for upstream in self.of_service(service)
+                if upstream.load is not None
+            ]
+            held = _held_versions.decide(
+                service, engines, self.new_versions, now_s
+            )
+            self._held[service] = held
         return held
 
-    def _decide_held(self, service: str, now_s: float) -> _HeldVersions:
-        """Decide at which software versions streams don't begin."""
-        upstreams = [
-            upstream
-            for upstream in self.of_service(service)
-            if upstream.load is not None
-        ]
-        present = {each.endpoint.software_version for each in upstreams}
-        self.new_versions.observe(service, present, now_s)
-        decoding = [
-            each
-            for each in upstreams
-            if each.decodes
-            and each.view.available
-            and each.view.circuit is systems.CircuitState.CLOSED
-        ]
-        held = self.new_versions.held(
-            service,
-            {each.endpoint.software_version for each in decoding},
-            now_s,
-        )
-        beginning = [
-            each
-            for each in decoding
-            if each.endpoint.software_version not in held
-            and not each.changing_role(now_s)
-            and not each.failed
-        ]
-        return _HeldVersions(
-            held,
-            _lone_versions.lone_versions(upstreams, beginning),
-            now_s + NEW_VERSIONS_INTERVAL_S,
-        )
-
     def stream_slots(self) -> float:
         """Return the slots that long streams of all services need."""
         return sum(
