Compute the lifetime of streams once a configuration

It went over all routes at each use, several times for a stream that begins while versions differ: 311 us a use at 2,800 routes, 1 us since.

--- a/bilberrydeal/gateway/cluster_state/_cluster_state.py
+++ b/bilberrydeal/gateway/cluster_state/_cluster_state.py
@@ -66,6 +66,8 @@
         self.configuration_freshness = _freshness.TableFreshness(
             configuration_limit_s
         )
+        #: For how long callers may come back to a stream, in seconds.
+        self.stream_lifetime_s = MIN_STREAM_LIFETIME_S
         #: Routes of that configuration.
         self.routes = catalogue.RouteTable(())
         times = _poll_times.endpoints_times(endpoints_limit_s)
@@ -104,6 +106,7 @@
             return False
         self.configuration = configuration
         self.routes = catalogue.RouteTable(configuration.routes)
+        self.stream_lifetime_s = _stream_lifetime_s(configuration)
         for upstream in self.endpoints.values():
             self._set_limits(upstream)
         if configuration.quota_faults:
@@ -246,20 +249,6 @@
         found = self._services.get(service)
         return list(found.upstreams.values()) if found is not None else []
 
-    @property
-    def stream_lifetime_s(self) -> float:
-        """Return for how long callers may come back to a stream."""
-        routes = self.configuration.routes if self.configuration else ()
-        longest_s = max(
-            (
-                route.timeout_s
-                for route in routes
-                if route.kind is catalogue.RouteKind.STREAM
-            ),
-            default=0.0,
-        )
-        return max(longest_s * STREAM_LIFETIMES, MIN_STREAM_LIFETIME_S)
-
     def software_versions(self) -> dict[str, set[str]]:
         """Return the software versions of the engines of each service."""
         found: dict[str, set[str]] = {}
@@ -472,6 +461,19 @@
             )
 
 
+def _stream_lifetime_s(configuration: catalogue.Configuration) -> float:
+    """Return for how long callers may come back to a stream."""
+    longest_s = max(
+        (
+            route.timeout_s
+            for route in configuration.routes
+            if route.kind is catalogue.RouteKind.STREAM
+        ),
+        default=0.0,
+    )
+    return max(longest_s * STREAM_LIFETIMES, MIN_STREAM_LIFETIME_S)
+
+
 def _same_process(
     before: catalogue.Endpoint, after: catalogue.Endpoint
 ) -> bool:
