--- a/bilberrydeal/gateway/origins/_stream_rows.py
+++ b/bilberrydeal/gateway/origins/_stream_rows.py
@@ -44,8 +44,8 @@
 class StreamRows:
     """Reads single rows, and writes those of this gateway.
 
-    A stream's origin is stored after its first event has been sent: what was
-    not stored is not known to others, and a resumption of it is refused.
+    A stream's origin is stored soon after its first event. Until then only the
+    gateways that were told of it know it.
     """
 
     def __init__(
