--- a/bilberrydeal/gateway/origins/_origins.py
+++ b/bilberrydeal/gateway/origins/_origins.py
@@ -5,6 +5,7 @@
 from ... import store
 from .. import cluster_state
 from .. import core
+from . import _access
 from . import _announcer
 from . import _memory
 from . import _resolver
@@ -29,9 +30,9 @@
         incarnation: str,
         cluster: cluster_state.ClusterState,
         metrics: core.GatewayMetrics,
-        store_s: _rows.StoreClock,
+        store_s: collections.abc.Callable[[], float | None],
         writes_versions: collections.abc.Callable[[], bool],
-        clock: _rows.Clock,
+        clock: _access.Clock,
         peers: _announcer.OriginPeers,
     ) -> None:
         def kept_s() -> float:
@@ -41,15 +42,12 @@
         history = _version_history.VersionHistory(kept_s)
         #: What all gateways store.
         self.rows = _rows.OriginRows(
-            client,
+            _access.StoreAccess(client, kept_s, store_s, clock),
             incarnation,
             memory,
             history,
-            kept_s,
             cluster,
-            store_s,
             writes_versions,
-            clock,
         )
         self._announcer = _announcer.OriginAnnouncer(
             peers, incarnation, memory, history, metrics, clock
--- a/bilberrydeal/gateway/origins/_rows.py
+++ b/bilberrydeal/gateway/origins/_rows.py
@@ -3,8 +3,8 @@
 import asyncio
 import collections.abc
 
-from ... import store
 from .. import cluster_state
+from . import _access
 from . import _engine_history
 from . import _memory
 from . import _shared_calls
@@ -23,56 +23,40 @@
 #: Time for which a write waits for further streams, in seconds.
 GATHER_S = 0.02
 
-Clock = collections.abc.Callable[[], float]
-#: Returns the store's clock, ``None`` before its first response.
-StoreClock = collections.abc.Callable[[], float | None]
-
 
 class OriginRows:
     """The rows of streams and of software versions."""
 
     def __init__(
         self,
-        client: store.StoreClient,
+        access: _access.StoreAccess,
         incarnation: str,
         memory: _memory.OriginMemory,
         history: _version_history.VersionHistory,
-        kept_s: collections.abc.Callable[[], float],
         cluster: cluster_state.ClusterState,
-        store_s: StoreClock,
         writes_versions: collections.abc.Callable[[], bool],
-        clock: Clock,
     ) -> None:
-        self._client = client
+        self._client = access.client
+        self._clock = access.clock
         self._memory = memory
         self._history = history
         self._cluster = cluster
-        self._clock = clock
         self._pace = _write_pace.WritePace(
             incarnation, lambda: cluster.members
         )
         #: Which versions the engine of each id had.
-        self.engines = _engine_history.EngineHistory(kept_s)
+        self.engines = _engine_history.EngineHistory(access.kept_s)
         #: Reads that are under way.
         self.reads = _shared_calls.SharedCalls()
         #: Which software versions serve.
         self.versions = _version_rows.VersionRows(
-            client,
-            self.reads,
-            history,
-            kept_s,
-            cluster,
-            store_s,
-            writes_versions,
-            clock,
+            access, self.reads, history, cluster, writes_versions
         )
         #: What began each stream.
         self.streams = _stream_rows.StreamRows(
-            client, memory, self.reads, self._pace, kept_s, store_s, clock
-        )
-        self._sweep = _stream_sweep.StreamSweep(
-            client, self.streams, kept_s, clock
+            access, memory, self.reads, self._pace
         )
+        self._sweep = _stream_sweep.StreamSweep(access, self.streams)
         self._writing = asyncio.Lock()
         #: Set while streams have begun that no write was tried for.
         self._begun = asyncio.Event()
@@ -113,7 +97,6 @@
         if not self.versions.loaded:
             await self.versions.read(self._clock())
         await self.write_versions()
-        self._observe_mixed()
         await self._write_streams()
         if self._cluster.is_first_gateway:
             await self._sweep.run_once()
@@ -130,6 +113,7 @@
         await self._write_streams()
 
     async def _write_streams(self) -> None:
+        self._observe_mixed()
         async with self._writing:
             await self.streams.write(may_add=self._mixed)
 
--- a/bilberrydeal/gateway/origins/_stream_rows.py
+++ b/bilberrydeal/gateway/origins/_stream_rows.py
@@ -9,6 +9,7 @@
 from ... import store
 from ... import telemetry
 from .. import core
+from . import _access
 from . import _memory
 from . import _shared_calls
 from . import _write_pace
@@ -27,10 +28,6 @@
 #: Rows are of no use at this multiple of the time for which streams are kept.
 STALE_FACTOR = 2.0
 
-Clock = collections.abc.Callable[[], float]
-#: Returns the store's clock, ``None`` before its first response.
-StoreClock = collections.abc.Callable[[], float | None]
-
 
 @attrs.frozen
 class StreamRow:
@@ -50,20 +47,17 @@
 
     def __init__(
         self,
-        client: store.StoreClient,
+        access: _access.StoreAccess,
         memory: _memory.OriginMemory,
         calls: _shared_calls.SharedCalls,
         pace: _write_pace.WritePace,
-        kept_s: collections.abc.Callable[[], float],
-        store_s: StoreClock,
-        clock: Clock,
     ) -> None:
-        self._client = client
+        self._client = access.client
+        self._kept_s = access.kept_s
+        self._store_s = access.store_s
+        self._clock = access.clock
         self._memory = memory
         self._pace = pace
-        self._kept_s = kept_s
-        self._store_s = store_s
-        self._clock = clock
         self._calls = calls
         #: When rows that this gateway may have written are to be removed, by
         #: digest, monotonic seconds.
--- a/bilberrydeal/gateway/origins/_stream_sweep.py
+++ b/bilberrydeal/gateway/origins/_stream_sweep.py
@@ -1,10 +1,9 @@
 """Removes the rows of streams whose gateways ended."""
 
-import collections.abc
-
 from ... import ports
 from ... import store
 from ... import telemetry
+from . import _access
 from . import _stream_rows
 
 LOG = telemetry.logger("origins")
@@ -27,15 +26,13 @@
 
     def __init__(
         self,
-        client: store.StoreClient,
+        access: _access.StoreAccess,
         rows: _stream_rows.StreamRows,
-        kept_s: collections.abc.Callable[[], float],
-        clock: _stream_rows.Clock,
     ) -> None:
-        self._client = client
+        self._client = access.client
+        self._kept_s = access.kept_s
+        self._clock = access.clock
         self._rows = rows
-        self._kept_s = kept_s
-        self._clock = clock
         #: Key of the last row that was read.
         self._cursor = ""
         #: When the next page may be read, monotonic seconds.
--- a/bilberrydeal/gateway/origins/_version_rows.py
+++ b/bilberrydeal/gateway/origins/_version_rows.py
@@ -10,6 +10,7 @@
 from ... import store
 from ... import telemetry
 from .. import cluster_state
+from . import _access
 from . import _shared_calls
 from . import _version_history
 
@@ -27,10 +28,6 @@
 #: Most such reads of all gateways together a second.
 READS_PER_S = 400.0
 
-Clock = collections.abc.Callable[[], float]
-#: Returns the store's clock, ``None`` before its first response.
-StoreClock = collections.abc.Callable[[], float | None]
-
 
 @attrs.frozen
 class VersionsRow:
@@ -50,24 +47,21 @@
 
     def __init__(
         self,
-        client: store.StoreClient,
+        access: _access.StoreAccess,
         calls: _shared_calls.SharedCalls,
         history: _version_history.VersionHistory,
-        kept_s: collections.abc.Callable[[], float],
         cluster: cluster_state.ClusterState,
-        store_s: StoreClock,
         writes_versions: collections.abc.Callable[[], bool],
-        clock: Clock,
     ) -> None:
-        self._client = client
+        self._client = access.client
+        self._kept_s = access.kept_s
+        self._store_s = access.store_s
+        self._clock = access.clock
         self._calls = calls
         self._history = history
-        self._kept_s = kept_s
         self._cluster = cluster
-        self._store_s = store_s
         #: Whether this gateway is one of those that write versions.
         self._writes_versions = writes_versions
-        self._clock = clock
         #: Whether the rows were read in the present era of the store.
         self.loaded = False
         #: When the last successful read began, monotonic seconds.
