--- a/scenarios/_gateways.py
+++ b/scenarios/_gateways.py
@@ -267,8 +267,8 @@
         call = {"limit_per_s": limit_per_s}
         await self._post(worker, WORKER_PORT, "/standin/limit", call)
 
-    async def stage(self, worker: Member) -> str:
-        """Return the stage that a worker reports, empty without a report."""
+    async def role(self, worker: Member) -> str:
+        """Return the role that a worker reports, empty without a report."""
         url = f"http://{worker.address}:{WORKER_PORT}/bilberrydeal/report"
         try:
             async with self.session.get(url) as answer:
--- a/scenarios/_lost_engine.py
+++ b/scenarios/_lost_engine.py
@@ -37,8 +37,8 @@
 class EngineCounts:
     """What became of streams as an engine was killed."""
 
-    #: Stages of the engines of its version right before, without its own.
-    stages: tuple[str, ...]
+    #: Roles of the engines of its version right before, without its own.
+    roles: tuple[str, ...]
     #: Streams of its version that were in flight.
     in_flight: int
     #: How many of them callers took up.
@@ -55,7 +55,7 @@
 
     def __str__(self) -> str:
         return (
-            f"left of its version: {', '.join(self.stages)}; of "
+            f"left of its version: {', '.join(self.roles)}; of "
             f"{self.in_flight} streams in flight, taken up: {self.broken} "
             f"in {self.tries} tries, whole at the end: {self.whole}; of "
             f"{self.new} new ones began: {self.began}; "
@@ -76,7 +76,7 @@
     try:
         if loss.settles:
             await _wait_until_settled(fleet, loss.settled_s)
-        stages, engine = await _wait_for_streams(fleet, load, loss.at_least)
+        roles, engine = await _wait_for_streams(fleet, load, loss.at_least)
         in_flight = load.in_flight(engine.version)
         load.ends_s = time.monotonic() + loss.limit_s
         engine.process.kill()
@@ -86,7 +86,7 @@
             task.cancel()
     broken = [each for each in in_flight if each.tries]
     return EngineCounts(
-        stages,
+        roles,
         len(in_flight),
         len(broken),
         sum(each.is_whole for each in in_flight),
@@ -102,16 +102,16 @@
 ) -> tuple[tuple[str, ...], _gateways.Member]:
     """Wait for streams of the version that has the fewest decode engines.
 
-    Return one of these engines and the stages of the others of its version.
+    Return one of these engines and the roles of the others of its version.
     """
     found: list[tuple[tuple[str, ...], _gateways.Member]] = []
 
     async def run() -> bool:
-        stages = {each: await fleet.stage(each) for each in fleet.workers}
-        engine = _engine_to_lose(stages)
+        roles = {each: await fleet.role(each) for each in fleet.workers}
+        engine = _engine_to_lose(roles)
         others = tuple(
-            stage
-            for each, stage in stages.items()
+            role
+            for each, role in roles.items()
             if each.version == engine.version and each is not engine
         )
         found.append((others, engine))
@@ -170,10 +170,10 @@
 
     async def settled() -> bool:
         nonlocal since_s, before
-        stages = {each: await fleet.stage(each) for each in fleet.workers}
-        if [*stages.values()] != before:
-            since_s, before = time.monotonic(), [*stages.values()]
-        decoding = _decode_engines(stages)
+        roles = {each: await fleet.role(each) for each in fleet.workers}
+        if [*roles.values()] != before:
+            since_s, before = time.monotonic(), [*roles.values()]
+        decoding = _decode_engines(roles)
         return (
             min(decoding.values()) == 1
             or time.monotonic() - since_s >= settled_s
@@ -183,18 +183,18 @@
 
 
 def _decode_engines(
-    stages: collections.abc.Mapping[_gateways.Member, str],
+    roles: collections.abc.Mapping[_gateways.Member, str],
 ) -> "collections.Counter[str]":
     """Return the number of decode engines of each version that has any."""
     return collections.Counter(
-        each.version for each, stage in stages.items() if stage == "decode"
+        each.version for each, role in roles.items() if role == "decode"
     )
 
 
 def _engine_to_lose(
-    stages: collections.abc.Mapping[_gateways.Member, str],
+    roles: collections.abc.Mapping[_gateways.Member, str],
 ) -> _gateways.Member:
     """Return a decode engine of the version that has the fewest of them."""
-    count = _decode_engines(stages)
-    decoding = [each for each, stage in stages.items() if stage == "decode"]
+    count = _decode_engines(roles)
+    decoding = [each for each, role in roles.items() if role == "decode"]
     return min(decoding, key=lambda each: count[each.version])
--- a/scenarios/_lost_gateways.py
+++ b/scenarios/_lost_gateways.py
@@ -33,7 +33,10 @@
 
     @property
     def is_lost(self) -> bool:
-        """Return whether rule LOST is broken at the first try."""
+        """Return whether under half as many went on as new ones began.
+
+        This counts the first try only, and shares rather than numbers.
+        """
         return self.went_on[0] / self.broken < 0.5 * self.began / self.new
 
     def __str__(self) -> str:
--- a/scenarios/tests/test_resumed_streams.py
+++ b/scenarios/tests/test_resumed_streams.py
@@ -73,6 +73,6 @@
         counts = await _lost_engine.lose_engine(fleet, loss, random.Random(1))
     print(counts)
     assert counts.joined == ()
-    assert len(counts.stages) == 2
+    assert len(counts.roles) == 2
     assert counts.began > 0
     assert counts.whole == counts.in_flight
