Take times and bounds of resumptions from the configuration where it tells them

An answer of other gateways is waited for as long as the route's objective allows, and asked for again after a third of that: 0.15 and 0.05 s at an objective of 150 ms, as before, and ten times that where engines are ten times slower. An overdue change of a role is taken to need a sixth of its usual time (0.5 s of 3 s, as before). The pair of decode engines has one definition, and the ranking of gateways no second name.

--- a/bilberrydeal/gateway/accounting/_ended_rows.py
+++ b/bilberrydeal/gateway/accounting/_ended_rows.py
@@ -18,7 +18,7 @@
 PAGE_INTERVAL_S = 4.0
 #: Longest interval between two pages that shows that this process and the
 #: store were there all the time, in seconds.
-PAGE_GAP_S = 12.0
+PAGE_GAP_S = 3.0 * PAGE_INTERVAL_S
 #: Shortest time without a write after which a row may be removed, in seconds;
 #: a multiple of the times for which a gateway that is silent is waited for,
 #: and rows that a restore took away are remembered.
--- a/bilberrydeal/gateway/cluster_state/_lone_versions.py
+++ b/bilberrydeal/gateway/cluster_state/_lone_versions.py
@@ -3,12 +3,11 @@
 import collections
 import collections.abc
 
+from ...systems import placement
 from . import _upstream
 
-#: Decode engines of a version at which streams can go on if one is lost.
-PAIR = 2
 #: Largest share of a service's decode engines that may begin no streams.
-MAX_LONE_SHARE = 0.34
+MAX_LONE_SHARE = 1 / 3
 #: The same as a multiple of the free share of the others' slots.
 MAX_LONE_PER_FREE_SHARE = 0.5
 
@@ -29,12 +28,12 @@
     lone = frozenset(
         version
         for version, count in counts.items()
-        if count < PAIR <= serving[version]
+        if count < placement.PAIR <= serving[version]
     )
     others = [
         each
         for each in decoding
-        if counts[each.endpoint.software_version] >= PAIR
+        if counts[each.endpoint.software_version] >= placement.PAIR
     ]
     if not lone or not others:
         return frozenset()
--- a/bilberrydeal/gateway/cluster_state/_upstream.py
+++ b/bilberrydeal/gateway/cluster_state/_upstream.py
@@ -13,9 +13,9 @@
 REJECTED_PAUSE_FIRST_S = 0.1
 #: Longest such pause, in seconds.
 REJECTED_PAUSE_LIMIT_S = 0.8
-#: Time that a role change is assumed to need once it is overdue, in seconds:
-#: the engine finishes its requests before.
-MIN_CHANGE_LEFT_S = 0.5
+#: Share of its usual time that a role change is assumed to need once it is
+#: overdue: the engine finishes its requests before.
+OVERDUE_CHANGE_SHARE = 1 / 6
 
 
 @attrs.define(eq=False)
@@ -66,7 +66,7 @@
         if not self.changing_role(now_s):
             return switch_s
         left_s = self.changing_since_s + switch_s - now_s
-        return max(left_s, MIN_CHANGE_LEFT_S)
+        return max(left_s, switch_s * OVERDUE_CHANGE_SHARE)
 
     def usable(self, now_s: float) -> bool:
         """Return whether requests may be sent to it."""
--- a/bilberrydeal/gateway/origins/_announcer.py
+++ b/bilberrydeal/gateway/origins/_announcer.py
@@ -21,8 +21,8 @@
 #: Other gateways that are asked again: lists of gateways differ for a while
 #: after some have started or ended.
 ASKED_AGAIN = 16
-#: Time after which a question is asked again, in seconds.
-ASK_AGAIN_S = 0.05
+#: Share of the wait for an answer after which a question is asked again.
+ASK_AGAIN_SHARE = 1 / 3
 #: Most streams of which a gateway asks at a time.
 WAITING_LIMIT = 1_000
 #: Most streams of one received announcement or question; the others are
@@ -150,7 +150,7 @@
         self, stream: str, waiting: _Waiting, asks: bool, limit_s: float
     ) -> core.StreamOrigin | None:
         """Wait for an answer; with ``asks`` send the question first."""
-        first_s = min(ASK_AGAIN_S, limit_s)
+        first_s = limit_s * ASK_AGAIN_SHARE
         for wait_s, count in (
             (first_s, REPLICAS),
             (limit_s - first_s, ASKED_AGAIN),
@@ -185,7 +185,9 @@
             return []
         return [
             decoding.split_address(others[incarnation])
-            for incarnation in ranked(stream, others, count)
+            for incarnation in limits.first_entries(
+                stream, tuple(others), count
+            )
         ]
 
     def _send(
@@ -240,7 +242,7 @@
         try:
             recipient = decoding.split_address(question.reply_to)
         except decoding.AddressInvalid as error:
-            LOG.warning("Origin not told.", reason=str(error))
+            LOG.warning("Asking gateway unreachable.", reason=str(error))
             return
         self._send((recipient,), origins=tuple(known))
         self._metrics.count_origin_message("answered")
@@ -262,16 +264,6 @@
         return False
 
 
-def ranked(
-    stream: str, incarnations: collections.abc.Iterable[str], count: int
-) -> list[str]:
-    """Return the gateways that rank first for a stream.
-
-    The order of the others doesn't change if a gateway starts or ends.
-    """
-    return limits.first_entries(stream, tuple(incarnations), count)
-
-
 def _report(
     stream: str, origin: core.StreamOrigin
 ) -> messaging.StreamOriginReport:
--- a/bilberrydeal/gateway/origins/_resolver.py
+++ b/bilberrydeal/gateway/origins/_resolver.py
@@ -18,10 +18,8 @@
 
 LOG = telemetry.logger("origins")
 #: Longest Retry-After of a stream whose origin is unknown, as a share of the
-#: time that its caller has left: callers honour no longer one.
+#: time that its caller has left: two more tries fit into the rest.
 RETRY_SHARE = 1 / 3
-#: Longest wait for an answer of other gateways, in seconds.
-ASK_LIMIT_S = 0.15
 
 Clock = collections.abc.Callable[[], float]
 _Found = typing.TypeVar("_Found")
@@ -167,8 +165,10 @@
         if not admitted.resumed_id:
             return None
         left_s = admitted.deadline_s - self._clock()
+        # If nobody knows the stream, its caller waits for all of that.
+        limit_s = min(admitted.route.target_latency_s, left_s)
         found = await self._announcer.ask(
-            _memory.digest(admitted.resumed_id), min(ASK_LIMIT_S, left_s)
+            _memory.digest(admitted.resumed_id), limit_s
         )
         if found is None or found.service != admitted.service:
             return None
--- a/bilberrydeal/gateway/origins/_write_pace.py
+++ b/bilberrydeal/gateway/origins/_write_pace.py
@@ -9,7 +9,7 @@
 WRITES_PER_S = 40.0
 #: Most writes that a gateway makes at once after an idle time.
 BURST_LIMIT = 4
-#: Most writes at once of all gateways together.
+#: Most writes at once of all gateways together, if they are not more.
 FLEET_BURST_LIMIT = 100
 
 
--- a/bilberrydeal/gateway/tests/test_unknown_stream_origins.py
+++ b/bilberrydeal/gateway/tests/test_unknown_stream_origins.py
@@ -8,6 +8,7 @@
 from .. import core
 from ..cluster_state import _cluster_state
 from ..core import _metrics
+from ..origins import _announcer
 from . import harness
 from . import loopback
 from . import memory
@@ -96,3 +97,37 @@
         await origins.resolver.resolve(resumed)
     assert cause in refused.value.message
     assert refused.value.retry_after_s == pytest.approx(retry_s)
+
+
+@pytest.mark.parametrize(
+    ("objective_s", "left_s", "waits_s"),
+    [(0.15, 2.0, 0.15), (1.5, 20.0, 1.5), (1.5, 0.5, 0.5)],
+)
+async def test_answer_of_others_is_waited_for_as_the_route_allows(
+    monkeypatch: pytest.MonkeyPatch,
+    objective_s: float,
+    left_s: float,
+    waits_s: float,
+) -> None:
+    waited_s: list[float] = []
+
+    async def ask(
+        _self: object, _stream: str, limit_s: float
+    ) -> core.StreamOrigin | None:
+        waited_s.append(limit_s)
+        return None
+
+    monkeypatch.setattr(_announcer.OriginAnnouncer, "ask", ask)
+    now_s = 1_000.0
+    origins = harness.new_origins(
+        memory.MemoryStore(),
+        "g1",
+        _two_versions(),
+        _metrics.GatewayMetrics(),
+        lambda: now_s,
+    )
+    admitted = resumptions.admitted(b"r2", now_s, b"r1", left_s)
+    route = attrs.evolve(admitted.route, target_latency_s=objective_s)
+    with pytest.raises(errors.Refusal):
+        await origins.resolver.resolve(attrs.evolve(admitted, route=route))
+    assert waited_s == pytest.approx([waits_s])
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -43,6 +43,7 @@
 from ._role_plan import ROLE_PLANS
 from ._role_plan import RoleDemand
 from ._role_plan import RoleOrder
+from ._role_versions import PAIR
 from ._slot_lending import preferred
 from ._two_stage import TwoStagePlacer
 
@@ -63,6 +64,7 @@
     "NoLocalityPlacer",
     "Outcome",
     "OutstandingPrefill",
+    "PAIR",
     "PLACERS",
     "PartCache",
     "PeerArrivals",
