--- a/bilberrydeal/gateway/tests/test_software_versions.py
+++ b/bilberrydeal/gateway/tests/test_software_versions.py
@@ -13,34 +13,15 @@
 from . import loopback
 from . import memory
 from . import scripted
+from . import versioned_engines
 
 EVENTS = b"".join(scripted.event(n) for n in range(1, 6))
-#: A prompt that its decode engine prefills itself.
-SHORT = {"token_usage": "120,10", "prefix_hash": "aa:50,bb:70"}
 
 
 async def _prefill(call: scripted.Call) -> bytes:
     return scripted.handle(call)
 
 
-async def _decode(call: scripted.Call) -> bytes:
-    first = int(call.field("last-event-id") or 0) + 1
-    return scripted.complete_stream(call, first, 5)
-
-
-async def _broken_off(call: scripted.Call) -> None:
-    await call.send(
-        scripted.stream_head(call)
-        + scripted.chunk(scripted.event(1))
-        + scripted.chunk(scripted.event(2))
-    )
-    await asyncio.sleep(0.05)
-
-
-async def _failed(call: scripted.Call) -> bytes:
-    return scripted.signed_response(call, 500)
-
-
 async def _silent(call: scripted.Call) -> bytes:
     await call.send(
         scripted.stream_head(call) + scripted.chunk(scripted.event(1))
@@ -49,14 +30,6 @@
     return b""
 
 
-def _engine(
-    engine_id: str, version: str, script: scripted.Script, role: str = "decode"
-) -> scripted.Endpoint:
-    found = scripted.engine(engine_id, role, script)
-    found.software_version = version
-    return found
-
-
 def _runs(engine: scripted.Endpoint) -> list[scripted.Call]:
     return [
         call
@@ -65,14 +38,16 @@
     ]
 
 
-@pytest.mark.parametrize("prompt", [SHORT, {}], ids=["short", "long"])
-@pytest.mark.parametrize("trouble", [_broken_off, _silent])
+@pytest.mark.parametrize(
+    "prompt", [versioned_engines.SHORT, {}], ids=["short", "long"]
+)
+@pytest.mark.parametrize("trouble", [versioned_engines.broken_off, _silent])
 async def test_one_answer_holds_no_events_of_two_software_versions(
     trouble: scripted.Script, prompt: dict[str, str]
 ) -> None:
-    troubled = _engine("d1", "v1", trouble)
-    other = _engine("d2", "v2", _decode)
-    prefiller = _engine("p1", "v2", _prefill, "prefill")
+    troubled = versioned_engines.engine("d1", "v1", trouble)
+    other = versioned_engines.engine("d2", "v2", versioned_engines.decode)
+    prefiller = versioned_engines.engine("p1", "v2", _prefill, "prefill")
     async with harness.running(troubled, other, prefiller) as running:
         running.set_peer_tokens("d2", 3_000)
         reply = await running.stream(**prompt)
@@ -82,13 +57,15 @@
 
 
 async def test_broken_stream_goes_on_at_an_engine_of_its_version() -> None:
-    troubled = _engine("d1", "v1", _broken_off)
-    other = _engine("d2", "v2", _decode)
-    same = _engine("d3", "v1", _decode)
+    troubled = versioned_engines.engine(
+        "d1", "v1", versioned_engines.broken_off
+    )
+    other = versioned_engines.engine("d2", "v2", versioned_engines.decode)
+    same = versioned_engines.engine("d3", "v1", versioned_engines.decode)
     async with harness.running(troubled, other, same) as running:
         running.set_peer_tokens("d2", 3_000)
         running.set_peer_tokens("d3", 6_000)
-        reply = await running.stream(**SHORT)
+        reply = await running.stream(**versioned_engines.SHORT)
     assert reply.complete
     assert reply.body == EVENTS
     assert not _runs(other)
@@ -96,11 +73,11 @@
 
 
 async def test_stream_without_events_may_begin_at_another_version() -> None:
-    troubled = _engine("d1", "v1", _failed)
-    other = _engine("d2", "v2", _decode)
+    troubled = versioned_engines.engine("d1", "v1", versioned_engines.failed)
+    other = versioned_engines.engine("d2", "v2", versioned_engines.decode)
     async with harness.running(troubled, other) as running:
         running.set_peer_tokens("d2", 3_000)
-        reply = await running.stream(**SHORT)
+        reply = await running.stream(**versioned_engines.SHORT)
     assert reply.complete
     assert _runs(troubled)
     assert reply.body == EVENTS
@@ -112,19 +89,27 @@
 async def test_resumption_of_an_unknown_version_is_refused_at_once(
     fields: dict[str, str],
 ) -> None:
-    engines = [_engine("d1", "v1", _decode), _engine("d2", "v2", _decode)]
+    engines = [
+        versioned_engines.engine("d1", "v1", versioned_engines.decode),
+        versioned_engines.engine("d2", "v2", versioned_engines.decode),
+    ]
     async with harness.running(*engines) as running:
-        reply = await running.stream(last_event_id="2", **fields, **SHORT)
+        reply = await running.stream(
+            last_event_id="2", **fields, **versioned_engines.SHORT
+        )
     assert reply.status == 503
     assert reply.field("retry-after")
     assert not any(_runs(engine) for engine in engines)
 
 
 async def test_resumption_goes_on_while_one_version_serves() -> None:
-    engines = [_engine("d1", "v1", _decode), _engine("d2", "v1", _decode)]
+    engines = [
+        versioned_engines.engine("d1", "v1", versioned_engines.decode),
+        versioned_engines.engine("d2", "v1", versioned_engines.decode),
+    ]
     async with harness.running(*engines) as running:
         reply = await running.stream(
-            last_event_id="2", resumes="r-before", **SHORT
+            last_event_id="2", resumes="r-before", **versioned_engines.SHORT
         )
     assert reply.status == 200
     assert reply.body == b"".join(scripted.event(n) for n in range(3, 6))
@@ -136,7 +121,7 @@
     """Begin a stream as ``r1`` at a gateway that ends afterwards."""
     async with harness.running(*engines, table=table) as running:
         running.set_peer_tokens(engines[-1].endpoint_id, 3_000)
-        reply = await running.stream(**SHORT)
+        reply = await running.stream(**versioned_engines.SHORT)
         assert reply.body == b"".join(scripted.event(n) for n in (1, 2))
         await running.origins.rows.run_once()
 
@@ -147,7 +132,10 @@
     """Resume the stream at a gateway that has just started."""
     async with harness.running(*engines, table=table, name="g2") as running:
         return await running.stream(
-            last_event_id="2", resumes="r1", request_id="r1-2", **SHORT
+            last_event_id="2",
+            resumes="r1",
+            request_id="r1-2",
+            **versioned_engines.SHORT,
         )
 
 
@@ -159,11 +147,14 @@
     other = "v2" if began == "v1" else "v1"
     await _first_events(
         table,
-        _engine("d1", began, _broken_off),
-        _engine("d2", other, _decode),
+        versioned_engines.engine("d1", began, versioned_engines.broken_off),
+        versioned_engines.engine("d2", other, versioned_engines.decode),
     )
-    same = _engine("d3", began, _decode)
-    engines = [_engine("d2", other, _decode), same]
+    same = versioned_engines.engine("d3", began, versioned_engines.decode)
+    engines = [
+        versioned_engines.engine("d2", other, versioned_engines.decode),
+        same,
+    ]
     reply = await _resumed(table, *engines)
     assert reply.status == 200
     assert reply.body == b"".join(scripted.event(n) for n in range(3, 6))
@@ -173,8 +164,11 @@
 
 async def test_resumption_is_refused_if_its_version_left_meanwhile() -> None:
     table = memory.MemoryStore()
-    await _first_events(table, _engine("d1", "v1", _broken_off))
-    newer = _engine("d2", "v2", _decode)
+    await _first_events(
+        table,
+        versioned_engines.engine("d1", "v1", versioned_engines.broken_off),
+    )
+    newer = versioned_engines.engine("d2", "v2", versioned_engines.decode)
     reply = await _resumed(table, newer)
     assert reply.status == 503
     assert not _runs(newer)
@@ -184,9 +178,9 @@
     None
 ):
     table = memory.MemoryStore()
-    old = _engine("d1", "v1", _broken_off)
+    old = versioned_engines.engine("d1", "v1", versioned_engines.broken_off)
     async with harness.running(old, table=table) as running:
-        await running.stream(**SHORT)
+        await running.stream(**versioned_engines.SHORT)
         await running.origins.rows.run_once()
         assert not _stored_origins(table)
         newer = attrs.evolve(
@@ -196,8 +190,12 @@
         await running.origins.rows.run_once()
         await running.origins.rows.run_once()
     assert len(_stored_origins(table)) == 1
-    same = _engine("d3", "v1", _decode)
-    reply = await _resumed(table, same, _engine("d2", "v2", _decode))
+    same = versioned_engines.engine("d3", "v1", versioned_engines.decode)
+    reply = await _resumed(
+        table,
+        same,
+        versioned_engines.engine("d2", "v2", versioned_engines.decode),
+    )
     assert reply.status == 200
     assert _runs(same)
 
@@ -212,7 +210,10 @@
 
 async def test_resumption_is_refused_at_once_while_the_store_is_away() -> None:
     table = memory.MemoryStore(unreachable=True)
-    engines = [_engine("d1", "v1", _decode), _engine("d2", "v1", _decode)]
+    engines = [
+        versioned_engines.engine("d1", "v1", versioned_engines.decode),
+        versioned_engines.engine("d2", "v1", versioned_engines.decode),
+    ]
     began_s = time.monotonic()
     reply = await _resumed(table, *engines)
     assert reply.status == 503
@@ -222,12 +223,15 @@
 
 async def test_origins_are_stored_again_after_a_restore() -> None:
     table = memory.MemoryStore(era=1)
-    engines = [_engine("d1", "v1", _broken_off), _engine("d2", "v2", _decode)]
+    engines = [
+        versioned_engines.engine("d1", "v1", versioned_engines.broken_off),
+        versioned_engines.engine("d2", "v2", versioned_engines.decode),
+    ]
     async with harness.running(*engines, table=table) as running:
         running.set_peer_tokens("d2", 3_000)
         await running.origins.rows.run_once()
         copied = table.copy()
-        await running.stream(**SHORT)
+        await running.stream(**versioned_engines.SHORT)
         await running.origins.rows.run_once()
         assert _stored_origins(table)
         table.restore(copied)
@@ -238,17 +242,22 @@
 
 async def test_resumption_is_refused_if_its_engine_became_another() -> None:
     table = memory.MemoryStore()
-    engines = [_engine("d1", "v1", _broken_off), _engine("d2", "v2", _decode)]
+    engines = [
+        versioned_engines.engine("d1", "v1", versioned_engines.broken_off),
+        versioned_engines.engine("d2", "v2", versioned_engines.decode),
+    ]
     async with harness.running(*engines, table=table) as running:
         running.set_peer_tokens("d2", 3_000)
-        await running.stream(**SHORT)
+        await running.stream(**versioned_engines.SHORT)
         restarted = attrs.evolve(
             configurations.registration(engines[0]),
             started_ms=2,
             software_version="v2",
         )
         running.cluster.set_endpoint(restarted)
-        reply = await running.stream(last_event_id="2", resumes="r1", **SHORT)
+        reply = await running.stream(
+            last_event_id="2", resumes="r1", **versioned_engines.SHORT
+        )
     assert reply.status == 503
     assert not _runs(engines[1])
 
@@ -257,11 +266,15 @@
     table = memory.MemoryStore()
     await _first_events(
         table,
-        _engine("d1", "v1", _broken_off),
-        _engine("d2", "v2", _decode),
+        versioned_engines.engine("d1", "v1", versioned_engines.broken_off),
+        versioned_engines.engine("d2", "v2", versioned_engines.decode),
+    )
+    same = versioned_engines.engine("p1", "v1", _prefill, "prefill")
+    reply = await _resumed(
+        table,
+        same,
+        versioned_engines.engine("d2", "v2", versioned_engines.decode),
     )
-    same = _engine("p1", "v1", _prefill, "prefill")
-    reply = await _resumed(table, same, _engine("d2", "v2", _decode))
     assert reply.status == 503
     assert reply.field("retry-after") == b"3.000"
 
@@ -282,20 +295,23 @@
     table = memory.MemoryStore()
     await _first_events(
         table,
-        _engine("d1", "v1", _broken_off),
-        _engine("d2", "v2", _decode),
+        versioned_engines.engine("d1", "v1", versioned_engines.broken_off),
+        versioned_engines.engine("d2", "v2", versioned_engines.decode),
     )
     engines = [
-        _engine("p1", "v1", _prefill, "prefill"),
-        _engine("p2", "v2", _prefill, "prefill"),
-        _engine("d2", "v2", _decode),
+        versioned_engines.engine("p1", "v1", _prefill, "prefill"),
+        versioned_engines.engine("p2", "v2", _prefill, "prefill"),
+        versioned_engines.engine("d2", "v2", versioned_engines.decode),
     ]
     async with harness.running(*engines, table=table, name="g2") as running:
         now_s = time.monotonic()
         upstream = running.cluster.endpoints[changing]
         upstream.note_role_change(now_s - began_before_s, now_s + 60.0)
         reply = await running.stream(
-            last_event_id="2", resumes="r1", request_id="r1-2", **SHORT
+            last_event_id="2",
+            resumes="r1",
+            request_id="r1-2",
+            **versioned_engines.SHORT,
         )
     assert reply.status == 503
     found = float(reply.field("retry-after") or 0.0)
