--- a/bilberrydeal/gateway/cluster_state/_lone_versions.py
+++ b/bilberrydeal/gateway/cluster_state/_lone_versions.py
@@ -28,12 +28,12 @@
     lone = frozenset(
         version
         for version, count in counts.items()
-        if count < placement.PAIR <= serving[version]
+        if count < placement.DECODE_PAIR <= serving[version]
     )
     others = [
         each
         for each in decoding
-        if counts[each.endpoint.software_version] >= placement.PAIR
+        if counts[each.endpoint.software_version] >= placement.DECODE_PAIR
     ]
     if not lone or not others:
         return frozenset()
--- a/bilberrydeal/systems/placement/__init__.py
+++ b/bilberrydeal/systems/placement/__init__.py
@@ -43,7 +43,7 @@
 from ._role_plan import ROLE_PLANS
 from ._role_plan import RoleDemand
 from ._role_plan import RoleOrder
-from ._role_versions import PAIR
+from ._role_versions import DECODE_PAIR
 from ._slot_lending import preferred
 from ._two_stage import TwoStagePlacer
 
@@ -64,7 +64,7 @@
     "NoLocalityPlacer",
     "Outcome",
     "OutstandingPrefill",
-    "PAIR",
+    "DECODE_PAIR",
     "PLACERS",
     "PartCache",
     "PeerArrivals",
--- a/bilberrydeal/systems/placement/_role_plan.py
+++ b/bilberrydeal/systems/placement/_role_plan.py
@@ -328,7 +328,7 @@
     candidates = unpaired or candidates
     domains = _by_domain(decode_engines)
     spared = [each for each in candidates if domains[each.failure_domain] > 1]
-    only_pairs = max(versions.decode.values()) == _role_versions.PAIR
+    only_pairs = max(versions.decode.values()) == _role_versions.DECODE_PAIR
     return max(
         spared or candidates,
         key=lambda each: (
@@ -366,7 +366,7 @@
         ),
         key=lambda each: (
             not versions[each.software_version],
-            versions[each.software_version] >= _role_versions.PAIR,
+            versions[each.software_version] >= _role_versions.DECODE_PAIR,
             -_permanent_factor(each),
             domains[each.failure_domain],
             each.key,
--- a/bilberrydeal/systems/placement/_role_versions.py
+++ b/bilberrydeal/systems/placement/_role_versions.py
@@ -9,7 +9,7 @@
 
 #: Decode engines that a software version should have, so that its streams go
 #: on if one is lost.
-PAIR = 2
+DECODE_PAIR = 2
 
 
 @attrs.frozen
@@ -69,21 +69,23 @@
         if len(self.engines) < 2:
             return False
         version = engine.software_version
-        return version in self._kept and self.decode[version] == PAIR
+        return version in self._kept and self.decode[version] == DECODE_PAIR
 
     @property
     def _kept(self) -> frozenset[str]:
         return frozenset(
             version
             for version in self.with_streams
-            if self.engines[version] >= PAIR
+            if self.engines[version] >= DECODE_PAIR
         )
 
     @property
     def _pairs(self) -> list[str]:
         """Return the kept versions with two decode engines or more."""
         return [
-            version for version in self._kept if self.decode[version] >= PAIR
+            version
+            for version in self._kept
+            if self.decode[version] >= DECODE_PAIR
         ]
 
 
